Agree on the internal protocol and the seams between packages

Cause: several developers start side by side and need the same messages. Conclusion: packages can be built separately against these types.

--- /dev/null
+++ b/internal/settings/types.go
@@ -0,0 +1,93 @@
+// Package settings reads, checks and explains the settings files of hazelpitch's
+// processes. A file is checked as a whole before anything takes effect; an error
+// names file, line, key and cure. Flags override the file.
+package settings
+
+import "time"
+
+// Controller is the settings file of `hazelpitch controller`.
+type Controller struct {
+	// Name is unique in the fleet, for logs and queries. Required.
+	Name string `yaml:"name"`
+	// Fleet guards against a controller of another fleet; equal on all processes. Required.
+	Fleet string `yaml:"fleet"`
+	// Zone of this machine. Required.
+	Zone string `yaml:"zone"`
+	// Listen is the IP:port for peers, nodes and operators. Required.
+	Listen string `yaml:"listen"`
+	// AdminListen is the IP:port for health, readiness, metrics and the log ring. Required.
+	AdminListen string `yaml:"admin_listen"`
+	// SourceAddress is the IP that outgoing connections leave from; default: any.
+	SourceAddress string `yaml:"source_address"`
+	// DataDirectory holds the log, snapshots and the disk's identity. Required.
+	DataDirectory string `yaml:"data_directory"`
+	// Peers are the initial voters, this process among them. Required on a first start.
+	Peers []Peer `yaml:"peers"`
+	// MachineList is the IP:port of the platform's machine list. Required.
+	MachineList string `yaml:"machine_list"`
+	// OperatorKeyHash is the SHA-256 (hex) of the first administrator's key. Required.
+	OperatorKeyHash string `yaml:"operator_key_hash"`
+	// ElectionTimeout: default 1s. HeartbeatInterval: default 100ms.
+	ElectionTimeout   time.Duration `yaml:"election_timeout"`
+	HeartbeatInterval time.Duration `yaml:"heartbeat_interval"`
+	// PlanInterval is the time between planner decisions; default 1s. 0 switches the planner off.
+	PlanInterval time.Duration `yaml:"plan_interval"`
+	TLS          TLS           `yaml:"tls"`
+	Log          Log           `yaml:"log"`
+}
+
+// Peer is one controller of the initial quorum.
+type Peer struct {
+	Name    string `yaml:"name"`
+	Address string `yaml:"address"`
+	Zone    string `yaml:"zone"`
+}
+
+// Gateway is the settings file of `hazelpitch gateway`.
+type Gateway struct {
+	Name  string `yaml:"name"`
+	Fleet string `yaml:"fleet"`
+	Zone  string `yaml:"zone"`
+	// Listen is the IP:port for callers. Required.
+	Listen string `yaml:"listen"`
+	// AdminListen is the IP:port for health, readiness, metrics and the log ring. Required.
+	AdminListen string `yaml:"admin_listen"`
+	// SourceAddress is the IP that outgoing connections leave from; default: any.
+	SourceAddress string `yaml:"source_address"`
+	// Controllers are the IP:port of all controllers. Required.
+	Controllers []string `yaml:"controllers"`
+	// ZoneLatency is the one-way latency to other zones, for routing by distance.
+	ZoneLatency map[string]time.Duration `yaml:"zone_latency"`
+	// SyncInterval is the time between heartbeats to a controller; default 1s.
+	SyncInterval time.Duration `yaml:"sync_interval"`
+	// DrainTimeout is the longest a stopping gateway waits for its streams; default 60s.
+	DrainTimeout time.Duration `yaml:"drain_timeout"`
+	Limits       GatewayLimits `yaml:"limits"`
+	TLS          TLS           `yaml:"tls"`
+	Log          Log           `yaml:"log"`
+}
+
+// GatewayLimits bounds what one gateway takes on.
+type GatewayLimits struct {
+	HeaderBytes  int           `yaml:"header_bytes"`  // default 16384
+	BodyBytes    int           `yaml:"body_bytes"`    // default 4194304
+	InFlight     int           `yaml:"in_flight"`     // default 4096
+	QueueLength  int           `yaml:"queue_length"`  // default 1024
+	ReadTimeout  time.Duration `yaml:"read_timeout"`  // default 10s
+	WriteTimeout time.Duration `yaml:"write_timeout"` // default 10s: a slow reader's whole stall
+}
+
+// TLS names the files of the fleet authority and of this process; all or none are set.
+type TLS struct {
+	Authority   string `yaml:"authority"`
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+}
+
+// Log bounds the log ring in memory.
+type Log struct {
+	// RingEntries is the number of entries held in memory; default 4096.
+	RingEntries int `yaml:"ring_entries"`
+	// DumpDirectory receives the ring when something goes wrong; default: standard error.
+	DumpDirectory string `yaml:"dump_directory"`
+}
