--- /dev/null
+++ b/internal/importrules/importrules_test.go
@@ -0,0 +1,162 @@
+package importrules
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const modulePath = "github.com/hazelpitch/hazelpitch/"
+
+// purePackages decide without I/O, clock, goroutine or unseeded randomness.
+var purePackages = []string{
+	"internal/admission",
+	"internal/authority",
+	"internal/claims",
+	"internal/consensus",
+	"internal/control",
+	"internal/controlstate",
+	"internal/enginecontract",
+	"internal/enginemodel",
+	"internal/gatewaystate",
+	"internal/language",
+	"internal/limits",
+	"internal/membership",
+	"internal/planner",
+	"internal/routing",
+	"internal/safeguard",
+	"internal/shares",
+	"internal/standin/engine/orders",
+	"internal/verdict",
+}
+
+// benchPackages may be imported by the bench alone.
+var benchPackages = []string{
+	"internal/benchcommand",
+	"internal/enginemodel",
+	"internal/experiment",
+	"internal/fleet",
+	"internal/load",
+	"internal/measure",
+	"internal/report",
+	"internal/scale",
+	"internal/simulation",
+	"internal/standin",
+}
+
+// impureImports may not appear in a pure package.
+var impureImports = []string{"net", "net/http", "os", "crypto/rand", "sync", "github.com/valyala/fasthttp"}
+
+// impureCalls may not appear in a pure package.
+var impureCalls = []string{"time.Now", "time.Since", "time.After", "time.Sleep", "time.NewTimer", "time.NewTicker"}
+
+// sourceFile is one parsed Go file that is not a test.
+type sourceFile struct {
+	directory string // relative to the root, with slashes
+	path      string
+	syntax    *ast.File
+}
+
+func TestProductDoesNotImportBench(t *testing.T) {
+	for _, file := range sourceFiles(t) {
+		if isBench(file.directory) {
+			continue
+		}
+		for _, imported := range imports(t, file.syntax) {
+			local, isLocal := strings.CutPrefix(imported, modulePath)
+			require.False(t, isLocal && isBench(local), "%s imports %s, which belongs to the bench", file.path, imported)
+		}
+	}
+}
+
+func TestPurePackagesStayPure(t *testing.T) {
+	for _, file := range sourceFiles(t) {
+		if !slices.Contains(purePackages, file.directory) {
+			continue
+		}
+		for _, imported := range imports(t, file.syntax) {
+			require.NotContains(t, impureImports, imported, "%s is pure and may not import it", file.path)
+		}
+		for _, problem := range impureSyntax(file.syntax) {
+			t.Errorf("%s is pure and may not use %s", file.path, problem)
+		}
+	}
+}
+
+func TestRulesCanFail(t *testing.T) {
+	const source = `package p
+import "time"
+func f() { go f(); _ = time.Now() }`
+	syntax, err := parser.ParseFile(token.NewFileSet(), "p.go", source, 0)
+	require.NoError(t, err)
+	require.Equal(t, []string{"a goroutine", "time.Now"}, impureSyntax(syntax))
+}
+
+func isBench(directory string) bool {
+	if directory == "cmd/hazelbench" {
+		return true
+	}
+	return slices.ContainsFunc(benchPackages, func(bench string) bool {
+		return directory == bench || strings.HasPrefix(directory, bench+"/")
+	})
+}
+
+func impureSyntax(file *ast.File) []string {
+	var found []string
+	ast.Inspect(file, func(node ast.Node) bool {
+		switch typed := node.(type) {
+		case *ast.GoStmt:
+			found = append(found, "a goroutine")
+		case *ast.SelectorExpr:
+			name, isName := typed.X.(*ast.Ident)
+			if isName && slices.Contains(impureCalls, name.Name+"."+typed.Sel.Name) {
+				found = append(found, name.Name+"."+typed.Sel.Name)
+			}
+		}
+		return true
+	})
+	return found
+}
+
+func imports(t *testing.T, file *ast.File) []string {
+	t.Helper()
+	var paths []string
+	for _, spec := range file.Imports {
+		path, err := strconv.Unquote(spec.Path.Value)
+		require.NoError(t, err)
+		paths = append(paths, path)
+	}
+	return paths
+}
+
+func sourceFiles(t *testing.T) []sourceFile {
+	t.Helper()
+	root := filepath.Join("..", "..")
+	var files []sourceFile
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		syntax, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		if err != nil {
+			return err
+		}
+		relative, err := filepath.Rel(root, filepath.Dir(path))
+		files = append(files, sourceFile{directory: filepath.ToSlash(relative), path: path, syntax: syntax})
+		return err
+	})
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	return files
+}
