--- a/internal/enginecontract/headers.go
+++ b/internal/enginecontract/headers.go
@@ -5,6 +5,8 @@
 // stand-ins of the bench share these shapes and nothing else.
 package enginecontract
 
+import "time"
+
 // Request and response headers of the request path.
 const (
 	// HeaderExchange carries the unguessable identity of one attempt at one
@@ -32,6 +34,8 @@
 	HeaderEngineState = "X-Engine-State"
 	// HeaderEngineLoad is "running,waiting,waitingPromptTokens" on every answer.
 	HeaderEngineLoad = "X-Engine-Load"
+	// HeaderEngineRole is the engine's role on every answer.
+	HeaderEngineRole = "X-Engine-Role"
 	// HeaderIdempotencyKey is passed on to page services.
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
@@ -58,3 +62,37 @@
 	PathWeights       = "/v1/weights/"       // weight store: + model/version
 	PathWeightsStatus = "/v1/weights-status" // weight store
 )
+
+// Times that engines keep to.
+const (
+	// ResumeWindow is how long an exchange goes on without a reader.
+	ResumeWindow = 5 * time.Second
+	// FinishedRetention is how long the events of a finished exchange can be resumed.
+	FinishedRetention = 10 * time.Second
+	// KVHandleLifetime is how long an exported KV cache can be imported.
+	KVHandleLifetime = 30 * time.Second
+)
+
+// FieldContinueText is the body field with the text of the tokens that
+// HeaderContinueFrom counts.
+const FieldContinueText = "continue_text"
+
+// DoneMarker is the data of the last event of a whole stream.
+const DoneMarker = "[DONE]"
+
+// Codes of refusals.
+const (
+	CodeInvalidRequest   = "invalid_request"
+	CodeKVForbidden      = "kv_forbidden"
+	CodeModelNotFound    = "model_not_found"
+	CodeDeadlineExceeded = "deadline_exceeded"
+	CodeWrongRole        = "wrong_role"
+	CodeExchangeExists   = "exchange_exists"
+	CodeExchangeUnknown  = "exchange_unknown"
+	CodeKVImportFailed   = "kv_import_failed"
+	CodeOverloaded       = "overloaded"
+	CodeDraining         = "draining"
+	CodeChanging         = "changing"
+	CodeLeaving          = "leaving"
+	CodeEngineError      = "engine_error"
+)
