--- /dev/null
+++ b/internal/language/roles.go
@@ -0,0 +1,105 @@
+package language
+
+import (
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+const (
+	viewer        = v1.OperatorRole_OPERATOR_ROLE_VIEWER
+	operator      = v1.OperatorRole_OPERATOR_ROLE_OPERATOR
+	administrator = v1.OperatorRole_OPERATOR_ROLE_ADMINISTRATOR
+)
+
+// RequiredRole is viewer.
+func (Show) RequiredRole() v1.OperatorRole { return viewer }
+
+// RequiredRole is viewer.
+func (Explain) RequiredRole() v1.OperatorRole { return viewer }
+
+// RequiredRole is viewer.
+func (History) RequiredRole() v1.OperatorRole { return viewer }
+
+// RequiredRole is operator.
+func (DrainEngine) RequiredRole() v1.OperatorRole { return operator }
+
+// RequiredRole is operator.
+func (ResumeEngine) RequiredRole() v1.OperatorRole { return operator }
+
+// RequiredRole is operator.
+func (SetEngineRole) RequiredRole() v1.OperatorRole { return operator }
+
+// RequiredRole is operator.
+func (PinEngine) RequiredRole() v1.OperatorRole { return operator }
+
+// RequiredRole is operator.
+func (UnpinEngine) RequiredRole() v1.OperatorRole { return operator }
+
+// RequiredRole is operator.
+func (AbortOrder) RequiredRole() v1.OperatorRole { return operator }
+
+// RequiredRole is administrator.
+func (DeleteObject) RequiredRole() v1.OperatorRole { return administrator }
+
+// RequiredRole is administrator.
+func (AddMember) RequiredRole() v1.OperatorRole { return administrator }
+
+// RequiredRole is administrator.
+func (PromoteMember) RequiredRole() v1.OperatorRole { return administrator }
+
+// RequiredRole is administrator.
+func (RemoveMember) RequiredRole() v1.OperatorRole { return administrator }
+
+// RequiredRole is administrator.
+func (ReplaceMember) RequiredRole() v1.OperatorRole { return administrator }
+
+// RequiredRole is operator.
+func (DumpLogs) RequiredRole() v1.OperatorRole { return operator }
+
+// RequiredRoleToApply is the lowest role that may submit these objects: operator,
+// or administrator when operators are among them.
+func RequiredRoleToApply(objects []*v1.Object) v1.OperatorRole {
+	for _, object := range objects {
+		if object.GetKey().GetType() == v1.ObjectType_OBJECT_TYPE_OPERATOR {
+			return administrator
+		}
+	}
+	return operator
+}
+
+// Allowed reports whether an operator with role held may do what asks for required.
+func Allowed(held, required v1.OperatorRole) bool {
+	return held != v1.OperatorRole_OPERATOR_ROLE_UNSPECIFIED && held >= required
+}
+
+func (Show) isStatement()          {}
+func (Explain) isStatement()       {}
+func (History) isStatement()       {}
+func (DrainEngine) isStatement()   {}
+func (ResumeEngine) isStatement()  {}
+func (SetEngineRole) isStatement() {}
+func (PinEngine) isStatement()     {}
+func (UnpinEngine) isStatement()   {}
+func (AbortOrder) isStatement()    {}
+func (DeleteObject) isStatement()  {}
+func (AddMember) isStatement()     {}
+func (PromoteMember) isStatement() {}
+func (RemoveMember) isStatement()  {}
+func (ReplaceMember) isStatement() {}
+func (DumpLogs) isStatement()      {}
+
+func (Show) isQuery()    {}
+func (Explain) isQuery() {}
+func (History) isQuery() {}
+
+func (DrainEngine) isCommand()   {}
+func (ResumeEngine) isCommand()  {}
+func (SetEngineRole) isCommand() {}
+func (PinEngine) isCommand()     {}
+func (UnpinEngine) isCommand()   {}
+func (AbortOrder) isCommand()    {}
+func (DeleteObject) isCommand()  {}
+func (AddMember) isCommand()     {}
+func (PromoteMember) isCommand() {}
+func (RemoveMember) isCommand()  {}
+func (ReplaceMember) isCommand() {}
+func (DumpLogs) isCommand()      {}
--- /dev/null
+++ b/internal/language/statement.go
@@ -0,0 +1,97 @@
+package language
+
+import (
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// Statement is one query or command. ParseStatement makes it; its concrete type is
+// one of the structs of this package.
+type Statement interface {
+	// RequiredRole is the lowest operator role that may run the statement.
+	RequiredRole() v1.OperatorRole
+	isStatement()
+}
+
+// Query is a statement that changes nothing; Evaluate answers it.
+type Query interface {
+	Statement
+	isQuery()
+}
+
+// Command is a statement that changes something; the control core carries it out.
+type Command interface {
+	Statement
+	isCommand()
+}
+
+// Show lists one table, narrowed and sorted.
+type Show struct {
+	Table string
+	// OfType and OfName narrow the table to one object or engine; may be empty.
+	OfType, OfName string
+	Conditions     []Condition
+	// OrderBy is a column of the table; empty keeps the table's own order.
+	OrderBy    string
+	Descending bool
+	// Last keeps only the last rows; 0 keeps all.
+	Last int
+}
+
+// Explain tells what is in force for one object or engine, since when and why.
+type Explain struct{ Type, Name string }
+
+// History lists the changes of one object, or the orders of one engine.
+type History struct{ Type, Name string }
+
+// Condition narrows the rows of a Show.
+type Condition struct {
+	Column   string
+	Operator string // = != < <= > >= ~ (contains)
+	Value    Value
+}
+
+// DrainEngine stops new work at an engine until ResumeEngine.
+type DrainEngine struct{ Engine string }
+
+// ResumeEngine lets a drained engine take work again.
+type ResumeEngine struct{ Engine string }
+
+// SetEngineRole changes the role of an engine once; the planner may change it again.
+type SetEngineRole struct {
+	Engine string
+	Role   v1.Role
+}
+
+// PinEngine declares a Pin object: the engine keeps the role until UnpinEngine.
+type PinEngine struct {
+	Engine string
+	Role   v1.Role
+}
+
+// UnpinEngine deletes the Pin object of an engine.
+type UnpinEngine struct{ Engine string }
+
+// AbortOrder aborts the order an engine holds, where that is still possible.
+type AbortOrder struct{ Engine string }
+
+// DeleteObject deletes one declared object as a new revision.
+type DeleteObject struct{ Key *v1.ObjectKey }
+
+// AddMember adds a controller to the quorum as a learner.
+type AddMember struct{ Member *v1.Member }
+
+// PromoteMember gives a learner that has caught up a vote.
+type PromoteMember struct{ ID string }
+
+// RemoveMember takes a controller out of the quorum.
+type RemoveMember struct{ ID string }
+
+// ReplaceMember adds a controller as a learner, promotes it once it has caught up
+// and removes the old one.
+type ReplaceMember struct {
+	ID          string
+	Replacement *v1.Member
+}
+
+// DumpLogs asks the answering controller to write out its log ring.
+type DumpLogs struct{}
