--- /dev/null
+++ b/internal/logring/log.go
@@ -0,0 +1,104 @@
+package logring
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hazelpitch/hazelpitch/internal/settings"
+)
+
+// Log is a process's logger and the ring behind it. It is safe for concurrent use.
+type Log struct {
+	zerolog.Logger
+	sink *Sink
+}
+
+// New returns a log for the named process. Run must be called for dumps caused by
+// errors and signals to be written.
+func New(name string, bounds settings.Log) *Log {
+	return newLog(name, bounds, os.Stderr, time.Now)
+}
+
+func newLog(name string, bounds settings.Log, fallback io.Writer, now func() time.Time) *Log {
+	ring := newRing(max(bounds.RingEntries, 1))
+	sink := &Sink{ring: ring, dumper: &dumper{
+		ring: ring, name: name, directory: bounds.DumpDirectory,
+		fallback: fallback, now: now, wake: make(chan string, 1),
+	}}
+	return &Log{
+		Logger: zerolog.New(sink).With().Timestamp().Str("process", name).Logger(),
+		sink:   sink,
+	}
+}
+
+// Run writes dumps on error entries and on SIGUSR1 until the context ends, and a
+// last one for an error that came just before.
+func (l *Log) Run(ctx context.Context) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	defer signal.Stop(signals)
+	l.run(ctx, signals)
+}
+
+func (l *Log) run(ctx context.Context, signals <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			l.drain()
+			return
+		case <-signals:
+			l.dump(causeSignal)
+		case cause := <-l.sink.dumper.wake:
+			l.dump(cause)
+		}
+	}
+}
+
+func (l *Log) drain() {
+	select {
+	case cause := <-l.sink.dumper.wake:
+		l.dump(cause)
+	default:
+	}
+}
+
+// DumpOnRequest writes the ring out because an operator asked for it, and returns
+// the path of the file ("" means standard error or nothing new).
+func (l *Log) DumpOnRequest() (string, error) {
+	return l.sink.dumper.dump(causeRequest)
+}
+
+// Recent writes the entries in memory to the writer, oldest first.
+func (l *Log) Recent(writer io.Writer) error {
+	entries, _ := l.sink.ring.snapshot(0)
+	for _, entry := range entries {
+		if _, err := writer.Write(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// DumpOnPanic, deferred at the top of a goroutine, writes the ring and the stack
+// out and lets the panic go on.
+func (l *Log) DumpOnPanic() {
+	if cause := recover(); cause != nil {
+		l.WithLevel(zerolog.PanicLevel).Interface("panic", cause).Bytes("stack", debug.Stack()).Msg("the process panics")
+		l.dump(causePanic)
+		panic(cause)
+	}
+}
+
+// dump writes the ring; when that fails it says so on standard error, the last resort.
+func (l *Log) dump(cause string) {
+	if _, err := l.sink.dumper.dump(cause); err != nil {
+		_, _ = io.WriteString(l.sink.dumper.fallback, "log ring: "+err.Error()+"\n")
+	}
+}
