--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -22,6 +22,10 @@
 	Pins    map[string]enginecontract.Role // engine name to role
 	Policy  Policy
 	Profile EngineProfile
+	// RecentChanges are the times at which role changes of this service were
+	// ordered, from the replicated log, so that the change budget and the dwell
+	// survive a crash of the planner's process. Order does not matter.
+	RecentChanges []time.Duration
 }
 
 // EngineObservation is one engine as last reported.
@@ -86,6 +90,12 @@
 	// MixedPenalty is the share of capacity lost when one engine does both, 0 to 1.
 	MixedPenalty float64
 	RoleChange   time.Duration
+	// CacheWarmup is the time an engine that has just begun to read prompts needs
+	// to fill its prefix cache; zero when caches are of no use.
+	CacheWarmup time.Duration
+	// WeightLoad is the time the weight store needs to deliver the weights one role
+	// change loads; zero when a role change keeps the weights.
+	WeightLoad time.Duration
 }
 
 // Change is one role change that the planner wants now.
