--- a/internal/planner/workload.go
+++ b/internal/planner/workload.go
@@ -45,16 +45,6 @@
 	return loads
 }
 
-// scaled returns the workload with each kind's arrivals multiplied by factor.
-func (w workload) scaled(factor float64) workload {
-	result := make(workload, len(w))
-	for i, load := range w {
-		load.arrivals *= factor
-		result[i] = load
-	}
-	return result
-}
-
 // prefillEngines is the number of engines that reading prompts keeps busy.
 func (w workload) prefillEngines() float64 {
 	total := 0.0
