Route requests through filters, scorers and a sampling picker

Change: internal/routing: filters (model, confirmation within 4 s, exclusion after failure), scorers in expected time (zone distance, own work, load corrected by the gateway's own unreported sends, prefix affinity by rendezvous hashing and a bounded memory), pickers (weighted sample, best), prefill/decode pairs with fall-back. Conclusion: the interface is ready for its users.

--- /dev/null
+++ b/internal/routing/observation.go
@@ -0,0 +1,50 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+)
+
+// Observation is one thing that the gateway saw happen at a back end.
+type Observation interface{ isObservation() }
+
+// Sent tells that a request was sent, before its first byte left. Every Sent is
+// followed by exactly one Finished or Failed with the same BackEnd and Exchange.
+type Sent struct {
+	BackEnd      string
+	Exchange     string
+	PromptTokens int // expected to be read, less those expected in the cache
+	PrefixBlocks []uint64
+}
+
+// Answered tells what an answer's headers said about the back end.
+type Answered struct {
+	BackEnd     string
+	Incarnation uint64 // 0 when the answer did not tell
+	// State is empty when the answer did not tell.
+	State enginecontract.ServiceState
+	// Role is empty when the answer did not tell.
+	Role enginecontract.Role
+	// Load is nil when the answer did not tell. It was measured Age ago.
+	Load *Load
+	Age  time.Duration
+}
+
+// Finished tells that an exchange has ended without a fault of the back end.
+type Finished struct {
+	BackEnd  string
+	Exchange string
+}
+
+// Failed tells that an exchange has ended by a fault of the back end or of the
+// way there; the back end is avoided for a while.
+type Failed struct {
+	BackEnd  string
+	Exchange string
+}
+
+func (Sent) isObservation()     {}
+func (Answered) isObservation() {}
+func (Finished) isObservation() {}
+func (Failed) isObservation()   {}
--- /dev/null
+++ b/internal/routing/observe.go
@@ -0,0 +1,85 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+)
+
+// Observe takes in what the gateway saw. Observations of back ends that have left
+// the directory are ignored.
+func (r *Router) Observe(now time.Duration, observation Observation) {
+	switch seen := observation.(type) {
+	case Sent:
+		r.observeSent(now, seen)
+	case Answered:
+		r.observeAnswered(now, seen)
+	case Finished:
+		r.observeFinished(now, seen)
+	case Failed:
+		r.observeFailed(now, seen)
+	}
+}
+
+func (r *Router) observeSent(now time.Duration, seen Sent) {
+	candidate, known := r.candidates[seen.BackEnd]
+	if !known {
+		return
+	}
+	candidate.work.add(now, seen.Exchange, seen.PromptTokens)
+	r.prefixes.remember(seen.PrefixBlocks, candidate.node)
+}
+
+func (r *Router) observeAnswered(now time.Duration, seen Answered) {
+	candidate, known := r.candidates[seen.BackEnd]
+	if !known || (seen.Incarnation != 0 && seen.Incarnation < candidate.Incarnation) {
+		return
+	}
+	if seen.Incarnation > candidate.Incarnation {
+		candidate.restart(seen.Incarnation)
+	}
+	at := now - r.zoneLatency(candidate.Zone) - seen.Age
+	if seen.Role != "" && seen.Role != candidate.Role {
+		r.changeRole(candidate, seen.Role)
+	}
+	if seen.State != "" {
+		candidate.reportState(at, seen.State)
+	}
+	if seen.Load != nil {
+		candidate.reportLoad(at, *seen.Load)
+	}
+}
+
+// changeRole moves a back end to the pools of its new role. Roles change seldom, so
+// all pools are built anew.
+func (r *Router) changeRole(candidate *Candidate, role enginecontract.Role) {
+	candidate.Role = role
+	r.pools = make(map[poolKey]*pool)
+	for _, each := range r.candidates {
+		r.addToPools(each)
+	}
+	r.sortPools()
+}
+
+func (r *Router) observeFinished(now time.Duration, seen Finished) {
+	candidate, known := r.candidates[seen.BackEnd]
+	if !known {
+		return
+	}
+	candidate.work.finish(now, seen.Exchange, candidate.HasLoad)
+	candidate.failures = 0
+}
+
+func (r *Router) observeFailed(now time.Duration, seen Failed) {
+	candidate, known := r.candidates[seen.BackEnd]
+	if !known {
+		return
+	}
+	candidate.work.finish(now, seen.Exchange, candidate.HasLoad)
+	cooldown := r.config.MaximumCooldown
+	if shift := min(candidate.failures, 16); r.config.Cooldown<<shift < cooldown {
+		cooldown = r.config.Cooldown << shift
+	}
+	candidate.failures++
+	candidate.avoidUntil = now + cooldown
+}
--- /dev/null
+++ b/internal/routing/scorer_work.go
@@ -0,0 +1,21 @@
+package routing
+
+import "time"
+
+// workScorer costs the request's own work at an idle back end.
+type workScorer struct{}
+
+func (workScorer) Cost(decision *Decision, _ *Candidate) time.Duration {
+	times, request := &decision.router.config.TokenTimes, decision.Request
+	if request.PromptTokens == 0 && request.OutputTokens == 0 {
+		return times.PageTime
+	}
+	var cost time.Duration
+	if decision.Stage != StageOutput {
+		cost += times.promptTime(float64(request.PromptTokens))
+	}
+	if decision.Stage != StagePrompt {
+		cost += time.Duration(request.OutputTokens) * times.TokenInterval
+	}
+	return cost
+}
