--- /dev/null
+++ b/internal/consensus/cluster_test.go
@@ -0,0 +1,190 @@
+package consensus
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
+)
+
+// testDisk is what a member has synced.
+type testDisk struct {
+	restored Restored
+	pending  []Ready
+}
+
+// write puts a batch on the disk.
+func (d *testDisk) write(ready Ready) {
+	if ready.HardState != nil {
+		d.restored.HardState = ready.HardState
+	}
+	if ready.Snapshot != nil {
+		d.restored.Snapshot = ready.Snapshot
+		index := ready.Snapshot.GetMetadata().GetIndex()
+		kept := d.restored.Entries[:0:0]
+		for _, entry := range d.restored.Entries {
+			if entry.GetIndex() > index {
+				kept = append(kept, entry)
+			}
+		}
+		d.restored.Entries = kept
+	}
+	for _, entry := range ready.Entries {
+		kept := d.restored.Entries[:0:0]
+		for _, old := range d.restored.Entries {
+			if old.GetIndex() < entry.GetIndex() {
+				kept = append(kept, old)
+			}
+		}
+		d.restored.Entries = append(kept, entry)
+	}
+}
+
+// testCluster drives members over a network in memory, one millisecond a step.
+type testCluster struct {
+	t         *testing.T
+	now       time.Duration
+	random    *rand.Rand
+	names     []string
+	cores     map[string]*Core
+	disks     map[string]*testDisk
+	inbox     []Message
+	cut       map[string]bool
+	lossRate  float64
+	syncDelay bool
+	applied   map[string][]string
+	settled   map[uint64]string
+	leaders   map[uint64]string
+	off       safeguard.Set
+	retained  uint64
+}
+
+func newTestCluster(t *testing.T, size int, seed uint64) *testCluster {
+	c := &testCluster{t: t, random: rand.New(rand.NewPCG(seed, 1)), cores: map[string]*Core{}, disks: map[string]*testDisk{},
+		cut: map[string]bool{}, applied: map[string][]string{}, settled: map[uint64]string{}, leaders: map[uint64]string{}}
+	for i := range size {
+		name := fmt.Sprintf("controller-%d", i+1)
+		c.names = append(c.names, name)
+		c.disks[name] = &testDisk{restored: Restored{DiskID: name + "/first"}}
+	}
+	for _, name := range c.names {
+		c.start(name)
+	}
+	return c
+}
+
+// start starts a member with what its disk holds.
+func (c *testCluster) start(name string) {
+	config := Config{Fleet: "test", Name: name, Address: name, Zone: "zone", Seed: 7, Safeguards: c.off, RetainedEntries: c.retained}
+	for _, peer := range c.names[:min(len(c.names), 3)] {
+		config.Peers = append(config.Peers, Peer{Name: peer, Address: peer, Zone: "zone"})
+	}
+	disk := c.disks[name]
+	disk.pending = nil
+	core, err := New(config, disk.restored)
+	require.NoError(c.t, err)
+	c.cores[name] = core
+	c.applied[name] = nil
+}
+
+// step lets a millisecond pass for everyone.
+func (c *testCluster) step() {
+	c.now += time.Millisecond
+	inbox := c.inbox
+	c.inbox = nil
+	for _, message := range inbox {
+		if core := c.cores[message.Address]; core != nil && !c.cut[message.Address] {
+			_ = core.Step(c.now, proto.CloneOf(message.Message))
+		}
+	}
+	for _, name := range c.names {
+		if c.cores[name] == nil {
+			continue
+		}
+		if c.now%(10*time.Millisecond) == 0 {
+			c.cores[name].Tick(c.now)
+		}
+		c.drain(name)
+	}
+}
+
+// drain carries out what a member asks for and checks what it applies.
+func (c *testCluster) drain(name string) {
+	core, disk := c.cores[name], c.disks[name]
+	if len(disk.pending) > 0 && (!c.syncDelay || c.random.IntN(5) == 0) {
+		for _, ready := range disk.pending {
+			disk.write(ready)
+		}
+		last := disk.pending[len(disk.pending)-1].Batch
+		disk.pending = nil
+		core.Persisted(c.now, last)
+	}
+	for ready, some := core.Ready(); some; ready, some = core.Ready() {
+		if ready.Batch != 0 {
+			disk.pending = append(disk.pending, ready)
+		}
+		for _, message := range ready.Messages {
+			if !c.cut[name] && c.random.Float64() >= c.lossRate {
+				c.inbox = append(c.inbox, message)
+			}
+		}
+		c.apply(name, ready)
+	}
+	if core.Leading() {
+		if other, known := c.leaders[core.Term()]; known && other != core.id {
+			c.t.Fatalf("two leaders in term %d: %s and %s", core.Term(), other, core.id)
+		}
+		c.leaders[core.Term()] = core.id
+	}
+}
+
+// apply records committed entries and compares them with every other member's.
+func (c *testCluster) apply(name string, ready Ready) {
+	if ready.Restore != nil {
+		c.applied[name] = []string{fmt.Sprintf("snapshot %d", ready.Restore.GetMetadata().GetIndex())}
+	}
+	for _, entry := range ready.Committed {
+		text := fmt.Sprintf("%d/%v/%s", entry.GetTerm(), entry.GetType(), entry.GetData())
+		if known, settled := c.settled[entry.GetIndex()]; settled && known != text {
+			c.t.Fatalf("%s applies %q at %d where %q was committed", name, text, entry.GetIndex(), known)
+		}
+		c.settled[entry.GetIndex()] = text
+		if entry.GetType() == v1.EntryType_ENTRY_TYPE_COMMAND {
+			c.applied[name] = append(c.applied[name], string(entry.GetData()))
+		}
+	}
+}
+
+// until steps until the condition holds, for at most a minute of virtual time.
+func (c *testCluster) until(what string, condition func() bool) {
+	c.t.Helper()
+	for range 60_000 {
+		if condition() {
+			return
+		}
+		c.step()
+	}
+	c.t.Fatalf("no %s within a minute", what)
+}
+
+// leader returns the name of the leader with a valid lease, or "".
+func (c *testCluster) leader() string {
+	for _, name := range c.names {
+		if core := c.cores[name]; core != nil && core.LeaseValid(c.now) {
+			return name
+		}
+	}
+	return ""
+}
+
+func (c *testCluster) waitLeader() *Core {
+	c.t.Helper()
+	c.until("leader", func() bool { return c.leader() != "" })
+	return c.cores[c.leader()]
+}
--- /dev/null
+++ b/internal/consensus/log.go
@@ -0,0 +1,194 @@
+package consensus
+
+import (
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// position is the index and term of one entry.
+type position struct {
+	index uint64
+	term  uint64
+}
+
+// entryLog is the log in memory: the entries after base, the newest snapshot, and
+// how far the log is synced, committed and applied.
+type entryLog struct {
+	// base is the last entry that is no longer held.
+	base    position
+	entries []*v1.Entry
+	// snapshot is the newest snapshot; nil before the first.
+	snapshot *v1.Snapshot
+	// handed is the last index given out for persisting, stable the last one synced.
+	handed  uint64
+	stable  uint64
+	commit  uint64
+	applied uint64
+}
+
+// newEntryLog builds the log from what the disk held.
+func newEntryLog(restored Restored) (*entryLog, error) {
+	log := &entryLog{snapshot: restored.Snapshot}
+	if metadata := restored.Snapshot.GetMetadata(); metadata != nil {
+		log.base = position{index: metadata.GetIndex(), term: metadata.GetTerm()}
+	}
+	next := log.base.index + 1
+	for _, entry := range restored.Entries {
+		if entry.GetIndex() < next {
+			continue
+		}
+		if entry.GetIndex() != next {
+			return nil, trace.BadParameter("consensus: restored log has a hole: entry %d follows %d; replace the disk",
+				entry.GetIndex(), next-1)
+		}
+		log.entries = append(log.entries, entry)
+		next++
+	}
+	log.stable, log.handed = log.last().index, log.last().index
+	log.commit, log.applied = log.base.index, log.base.index
+	if commit := restored.HardState.GetCommit(); commit > log.commit {
+		if commit > log.last().index {
+			return nil, trace.BadParameter("consensus: restored log ends at %d but %d was committed; replace the disk",
+				log.last().index, commit)
+		}
+		log.commit = commit
+	}
+	return log, nil
+}
+
+// last returns the position of the last entry.
+func (l *entryLog) last() position {
+	if count := len(l.entries); count > 0 {
+		entry := l.entries[count-1]
+		return position{index: entry.GetIndex(), term: entry.GetTerm()}
+	}
+	return l.base
+}
+
+// term returns the term of the entry at the index.
+func (l *entryLog) term(index uint64) (uint64, error) {
+	switch {
+	case index == l.base.index:
+		return l.base.term, nil
+	case index < l.base.index:
+		return 0, trace.Wrap(ErrCompacted, "term of entry %d", index)
+	case index > l.last().index:
+		return 0, trace.Wrap(ErrUnavailable, "term of entry %d", index)
+	}
+	return l.entries[index-l.base.index-1].GetTerm(), nil
+}
+
+// matches reports whether the entry at the position is in the log.
+func (l *entryLog) matches(at position) bool {
+	term, err := l.term(at.index)
+	return err == nil && term == at.term
+}
+
+// from returns the entries from index on, up to maximumBytes but at least one.
+func (l *entryLog) from(index uint64, maximumBytes int) ([]*v1.Entry, error) {
+	if index <= l.base.index {
+		return nil, trace.Wrap(ErrCompacted, "entries from %d", index)
+	}
+	if index > l.last().index {
+		return nil, nil
+	}
+	entries := l.entries[index-l.base.index-1:]
+	size := 0
+	for count, entry := range entries {
+		size += proto.Size(entry)
+		if count > 0 && size > maximumBytes {
+			return entries[:count:count], nil
+		}
+	}
+	return entries[:len(entries):len(entries)], nil
+}
+
+// between returns the entries after low up to and including high.
+func (l *entryLog) between(low, high uint64) []*v1.Entry {
+	low, high = max(low, l.base.index), min(high, l.last().index)
+	if low >= high {
+		return nil
+	}
+	return l.entries[low-l.base.index : high-l.base.index : high-l.base.index]
+}
+
+// add appends one entry of the leader itself.
+func (l *entryLog) add(entry *v1.Entry) {
+	l.entries = append(l.entries, entry)
+}
+
+// merge adds a leader's entries that follow a matching position, and drops what
+// conflicts with them. It returns the index from which the log changed, or 0.
+func (l *entryLog) merge(entries []*v1.Entry) uint64 {
+	for i, entry := range entries {
+		index := entry.GetIndex()
+		if index <= l.base.index || l.matches(position{index: index, term: entry.GetTerm()}) {
+			continue
+		}
+		l.truncate(index)
+		l.entries = append(l.entries, entries[i:]...)
+		return index
+	}
+	return 0
+}
+
+// truncate drops the entries from index on. The slice is copied because parts of
+// it may have been handed out.
+func (l *entryLog) truncate(index uint64) {
+	if index > l.last().index {
+		return
+	}
+	kept := l.entries[:index-l.base.index-1]
+	l.entries = append(make([]*v1.Entry, 0, len(kept)), kept...)
+	l.handed = min(l.handed, index-1)
+	l.stable = min(l.stable, index-1)
+}
+
+// conflictHint returns the last position at or before index whose term is not above
+// the given one: the best guess for the last common entry.
+func (l *entryLog) conflictHint(index, term uint64) position {
+	index = min(index, l.last().index)
+	for index > l.base.index {
+		have, err := l.term(index)
+		if err != nil || have <= term {
+			return position{index: index, term: have}
+		}
+		index--
+	}
+	return l.base
+}
+
+// upToDate reports whether a candidate's log that ends at the position holds at
+// least what this log holds.
+func (l *entryLog) upToDate(candidate position) bool {
+	own := l.last()
+	return candidate.term > own.term || candidate.term == own.term && candidate.index >= own.index
+}
+
+// restore replaces the log by a snapshot.
+func (l *entryLog) restore(snapshot *v1.Snapshot) {
+	metadata := snapshot.GetMetadata()
+	l.snapshot = snapshot
+	l.base = position{index: metadata.GetIndex(), term: metadata.GetTerm()}
+	l.entries = nil
+	l.handed, l.stable = l.base.index, 0
+	l.commit = max(l.commit, l.base.index)
+}
+
+// compact keeps the snapshot and drops all but the retained entries before it.
+func (l *entryLog) compact(snapshot *v1.Snapshot, retained uint64) {
+	l.snapshot = snapshot
+	index := snapshot.GetMetadata().GetIndex()
+	if index <= l.base.index+retained {
+		return
+	}
+	cut := index - retained
+	term, err := l.term(cut)
+	if err != nil {
+		return
+	}
+	l.entries = append([]*v1.Entry(nil), l.entries[cut-l.base.index:]...)
+	l.base = position{index: cut, term: term}
+}
