--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -94,6 +94,7 @@
 		"zero":               {text: controllerFile + "heartbeat_interval: 0s\n", want: []string{"heartbeat_interval: 0s is not above zero"}},
 		"short election":     {text: controllerFile + "election_timeout: 200ms\n", want: []string{":13:19: election_timeout: 200ms is too short"}},
 		"half of TLS":        {text: controllerFile + "tls:\n  key: k.pem\n", want: []string{"tls: names some of its files"}},
+		"no peers":           {text: controllerFile[:strings.Index(controllerFile, "peers:")], want: []string{"peers: is missing"}},
 		"not among peers":    {text: replace("name: c1\nfleet", "name: c9\nfleet").Replace(controllerFile), want: []string{`peers: does not hold this process, "c9"`}},
 		"not YAML":           {text: "name: [\n", want: []string{"not valid YAML"}},
 		"two faults":         {text: controllerFile + "lisen: x\nzones: y\n", want: []string{"lisen", "zones"}},
--- a/internal/settings/together.go
+++ b/internal/settings/together.go
@@ -4,7 +4,7 @@
 
 // leastHeartbeatsPerElection is how many heartbeats fit into an election timeout
 // at least, so that one late heartbeat does not start an election.
-const leastHeartbeatsPerElection = 3
+const leastHeartbeatsPerElection = 4
 
 // checkTogether reports keys that are right one by one and wrong together.
 func (d *document) checkTogether(target any) {
@@ -49,7 +49,7 @@
 		}
 		names[peer.Name], addresses[peer.Address] = true, true
 	}
-	if len(controller.Peers) > 0 && !names[controller.Name] {
-		d.report("peers", fmt.Sprintf("does not hold this process, %q", controller.Name), "add it, or remove peers on a machine that joins later")
+	if !controller.Join && !names[controller.Name] {
+		d.report("peers", fmt.Sprintf("does not hold this process, %q", controller.Name), "add it, or set join: true on a machine that joins later")
 	}
 }
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -24,8 +24,11 @@
 	SourceAddress string `yaml:"source_address" check:"ip"`
 	// DataDirectory holds the log, snapshots and the disk's identity. Required.
 	DataDirectory string `yaml:"data_directory" check:"required"`
-	// Peers are the initial voters and learners, this process among them. Required on a first start.
-	Peers []Peer `yaml:"peers"`
+	// Peers are the initial voters, this process among them; on a controller that
+	// joins later, the controllers to ask for admission. Required.
+	Peers []Peer `yaml:"peers" check:"required"`
+	// Join tells that this controller is not an initial voter: a standby or a replacement.
+	Join bool `yaml:"join"`
 	// MachineList is the IP:port of the platform's machine list. Required.
 	MachineList string `yaml:"machine_list" check:"required,address"`
 	// OperatorKeyHash is the SHA-256 (hex) of the first administrator's key. Required.
@@ -41,13 +44,11 @@
 	Log                 Log           `yaml:"log"`
 }
 
-// Peer is one controller of the initial membership.
+// Peer is one controller of the initial quorum.
 type Peer struct {
 	Name    string `yaml:"name" check:"required"`
 	Address string `yaml:"address" check:"required,address"`
 	Zone    string `yaml:"zone" check:"required"`
-	// Learner receives the log and does not vote; a standby starts as one.
-	Learner bool `yaml:"learner"`
 }
 
 // Gateway is the settings file of `hazelpitch gateway`.
