Parse, format, compare and check declarations

Cause: operators keep what shall be in force in version control; controllers and hazelctl need one reading of it. Change: a grammar by participle over one table of types and fields; units, defaults, canonical format, differences, checks of references, errors with file, line, column and the nearest known word. Before: none, new code.

--- /dev/null
+++ b/internal/language/differences.go
@@ -0,0 +1,75 @@
+package language
+
+import (
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// Differences tells what declaring after over before changes, by type and then by
+// name. Objects of before that after does not name stay, unless prune deletes them.
+// Fields that are not declared, such as a tenant's cache salt, do not count.
+func Differences(before, after []*v1.Object, prune bool) []*v1.Difference {
+	earlier := byKey(before)
+	later := byKey(after)
+	keys := make([]*v1.Object, 0, len(earlier)+len(later))
+	for _, object := range later {
+		keys = append(keys, object)
+	}
+	for key, object := range earlier {
+		if _, named := later[key]; !named && prune {
+			keys = append(keys, object)
+		}
+	}
+	SortObjects(keys)
+	var differences []*v1.Difference
+	for _, object := range keys {
+		key := KeyText(object.GetKey())
+		if difference := differenceOf(earlier[key], later[key]); difference != nil {
+			differences = append(differences, difference)
+		}
+	}
+	return differences
+}
+
+func byKey(objects []*v1.Object) map[string]*v1.Object {
+	result := make(map[string]*v1.Object, len(objects))
+	for _, object := range objects {
+		if !object.GetDeleted() && schemaOf(object.GetKey().GetType()) != nil {
+			result[KeyText(object.GetKey())] = object
+		}
+	}
+	return result
+}
+
+// differenceOf compares one object before and after; either may be nil, and the
+// result is nil when nothing declared differs.
+func differenceOf(before, after *v1.Object) *v1.Difference {
+	switch {
+	case before == nil:
+		return &v1.Difference{Type: v1.DifferenceType_DIFFERENCE_TYPE_ADD, Key: after.GetKey(), Fields: addedFields(after)}
+	case after == nil:
+		return &v1.Difference{Type: v1.DifferenceType_DIFFERENCE_TYPE_DELETE, Key: before.GetKey()}
+	}
+	schema := schemaOf(after.GetKey().GetType())
+	earlier, later := schema.message(before, false), schema.message(after, false)
+	var fields []*v1.FieldDifference
+	for _, field := range schema.fields {
+		from, to := field.format(earlier), field.format(later)
+		if from != to {
+			fields = append(fields, &v1.FieldDifference{Field: field.word, Before: from, After: to})
+		}
+	}
+	if len(fields) == 0 {
+		return nil
+	}
+	return &v1.Difference{Type: v1.DifferenceType_DIFFERENCE_TYPE_CHANGE, Key: after.GetKey(), Fields: fields}
+}
+
+func addedFields(object *v1.Object) []*v1.FieldDifference {
+	schema := schemaOf(object.GetKey().GetType())
+	message := schema.message(object, false)
+	var fields []*v1.FieldDifference
+	for _, field := range schema.givenFields(message) {
+		fields = append(fields, &v1.FieldDifference{Field: field.word, After: field.format(message)})
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/language/parse_declarations.go
@@ -0,0 +1,182 @@
+package language
+
+import (
+	"sort"
+
+	"github.com/alecthomas/participle/v2/lexer"
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+const (
+	// MaximumFileBytes is the size of the largest declaration file that is read.
+	MaximumFileBytes = 8 << 20
+	// MaximumStatementBytes is the size of the longest query or command.
+	MaximumStatementBytes = 8 << 10
+)
+
+// ParseDeclarations reads declaration files as one set. It returns the objects by
+// type and then by name, or every mistake found as an Errors inside a
+// trace.BadParameter error. References between objects are not checked: see
+// CheckReferences.
+func ParseDeclarations(files []*v1.SourceFile) ([]*v1.Object, error) {
+	declarations, err := parseFiles(files)
+	if err != nil {
+		return nil, err
+	}
+	return objectsOf(declarations), nil
+}
+
+// CheckFiles does what ParseDeclarations does and checks the references between
+// the objects, as if the files were all that is declared. Mistakes in references
+// have their place in the files.
+func CheckFiles(files []*v1.SourceFile) ([]*v1.Object, error) {
+	declarations, err := parseFiles(files)
+	if err != nil {
+		return nil, err
+	}
+	objects := objectsOf(declarations)
+	places := map[string]*declaration{}
+	for _, declaration := range declarations {
+		places[KeyText(declaration.object.GetKey())] = declaration
+	}
+	var mistakes Errors
+	for _, fault := range referenceFaults(objects) {
+		declaration := places[KeyText(fault.Key)]
+		mistake := errorAt(declaration.at(fault.Field), "%s", fault.Message)
+		mistake.Suggestion = fault.Suggestion
+		mistakes = append(mistakes, mistake)
+	}
+	if err := mistakes.sorted(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return objects, nil
+}
+
+func objectsOf(declarations []*declaration) []*v1.Object {
+	objects := make([]*v1.Object, len(declarations))
+	for i, declaration := range declarations {
+		objects[i] = declaration.object
+	}
+	SortObjects(objects)
+	return objects
+}
+
+// SortObjects sorts objects by type and then by name, in place.
+func SortObjects(objects []*v1.Object) {
+	sort.SliceStable(objects, func(i, j int) bool { return keyLess(objects[i].GetKey(), objects[j].GetKey()) })
+}
+
+func keyLess(a, b *v1.ObjectKey) bool {
+	if a.GetType() != b.GetType() {
+		return a.GetType() < b.GetType()
+	}
+	return a.GetName() < b.GetName()
+}
+
+func parseFiles(files []*v1.SourceFile) ([]*declaration, error) {
+	var mistakes Errors
+	var declarations []*declaration
+	first := map[string]*declaration{}
+	for _, file := range files {
+		found, fileMistakes := parseFile(file)
+		mistakes = append(mistakes, fileMistakes...)
+		for _, declaration := range found {
+			key := KeyText(declaration.object.GetKey())
+			if earlier, twice := first[key]; twice {
+				mistakes = append(mistakes, errorAt(declaration.position, "%s is declared twice: first at %s", key, earlier.position))
+				continue
+			}
+			first[key] = declaration
+			declarations = append(declarations, declaration)
+		}
+	}
+	if err := mistakes.sorted(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return declarations, nil
+}
+
+func parseFile(file *v1.SourceFile) ([]*declaration, Errors) {
+	if len(file.GetText()) > MaximumFileBytes {
+		return nil, Errors{errorAt(lexer.Position{Filename: file.GetName(), Line: 1, Column: 1}, "the file is larger than %d bytes: split it", MaximumFileBytes)}
+	}
+	syntax, err := fileParser.ParseString(file.GetName(), file.GetText())
+	if err != nil {
+		return nil, Errors{fromSyntaxError(err, schemaWords())}
+	}
+	var mistakes Errors
+	var declarations []*declaration
+	for _, block := range syntax.Blocks {
+		declaration, blockMistakes := parseBlock(block)
+		mistakes = append(mistakes, blockMistakes...)
+		if declaration != nil {
+			declarations = append(declarations, declaration)
+		}
+	}
+	return declarations, mistakes
+}
+
+// parseBlock reads one declared object; it is nil when its type or name is wrong.
+func parseBlock(block *blockSyntax) (*declaration, Errors) {
+	schema := schemaByWord(block.Type)
+	if schema == nil {
+		return nil, Errors{unknownWord(block.Pos, "declaration", block.Type, schemaWords())}
+	}
+	name, mistake := block.Name.text()
+	if mistake != nil {
+		return nil, Errors{mistake}
+	}
+	if !namePattern.MatchString(name) {
+		return nil, Errors{errorAt(block.Name.Pos, "%q is not a name: expected letters, digits, '.', '_' and '-', 128 at most", name)}
+	}
+	result := &declaration{
+		object:   &v1.Object{Key: &v1.ObjectKey{Type: schema.objectType, Name: name}},
+		schema:   schema,
+		position: block.Pos,
+		fields:   map[string]lexer.Position{},
+	}
+	message := schema.message(result.object, true)
+	if schema.nameField != nil {
+		message.Set(schema.nameField, protoreflect.ValueOfString(name))
+	}
+	return result, parseFields(result, message, block.Settings)
+}
+
+func parseFields(result *declaration, message protoreflect.Message, settings []*settingSyntax) Errors {
+	var mistakes Errors
+	for _, setting := range settings {
+		field := result.schema.field(setting.Field)
+		if field == nil {
+			mistakes = append(mistakes, unknownWord(setting.Pos, "field of "+result.schema.word, setting.Field, result.schema.fieldWords()))
+			continue
+		}
+		if earlier, twice := result.fields[field.word]; twice {
+			mistakes = append(mistakes, errorAt(setting.Pos, "%s is given twice: first at line %d", field.word, earlier.Line))
+			continue
+		}
+		result.fields[field.word] = setting.Value.Pos
+		if mistake := field.parseInto(message, setting.Value); mistake != nil {
+			mistakes = append(mistakes, mistake)
+		}
+	}
+	return append(mistakes, completeFields(result, message)...)
+}
+
+// completeFields sets the standard values of fields that were not given.
+func completeFields(result *declaration, message protoreflect.Message) Errors {
+	var mistakes Errors
+	for _, field := range result.schema.fields {
+		if _, given := result.fields[field.word]; given {
+			continue
+		}
+		if field.required {
+			mistakes = append(mistakes, errorAt(result.position, "%s lacks %s: expected %s = %s", KeyText(result.object.GetKey()), field.word, field.word, field.shape.describe()))
+			continue
+		}
+		field.setStandard(message)
+	}
+	return mistakes
+}
