Admit requests by weighted fair queues with deadlines and shedding

Change: internal/admission: start-time fair queueing over tenants bent by worth per token, worth then latest start within a tenant, refusal on arrival or while waiting when the deadline cannot be met (with Retry-After), shedding of the least worth among tenants above their part, a window over the cost in flight, learned token estimates.

--- /dev/null
+++ b/internal/admission/config.go
@@ -0,0 +1,69 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	defaultQueueLength     = 1024
+	defaultQueueBytes      = 64 << 20
+	defaultInFlight        = 4096
+	defaultOutputWeight    = 8
+	defaultWaitTarget      = 250 * time.Millisecond
+	defaultInitialWindow   = 64 * 4000
+	defaultMinimumWindow   = 4 * 4000
+	defaultWorthBound      = 2
+	defaultPredictionSlack = 1.5
+)
+
+// Config holds the fixed parameters of a Core.
+type Config struct {
+	// QueueLength and QueueBytes bound the waiting requests; defaults 1024 and 64 MiB.
+	QueueLength int
+	QueueBytes  int64
+	// InFlight bounds the started requests; default 4096.
+	InFlight int
+	// OutputWeight is the cost of one output token in prompt tokens; default 8.
+	OutputWeight float64
+	// WaitTarget is the wait at back ends above which the window shrinks; default 250 ms.
+	WaitTarget time.Duration
+	// InitialWindow and MinimumWindow bound the cost in flight, in prompt tokens;
+	// defaults 256,000 and 16,000. One request may always be in flight.
+	InitialWindow float64
+	MinimumWindow float64
+	// WorthBound is the most by which worth per token may raise or lower a tenant's
+	// part; default 2, and 1 shares by weight alone.
+	WorthBound float64
+	// PredictionSlack is how far beyond its latest start a request's predicted start
+	// must lie before it is refused early, as a factor of the predicted wait; default 1.5.
+	PredictionSlack float64
+	// FirstInFirstOut switches fair queueing and worth off, for comparison only.
+	FirstInFirstOut bool
+}
+
+func (c *Config) checkAndSetDefaults() error {
+	if c.QueueLength < 0 || c.QueueBytes < 0 || c.InFlight < 0 {
+		return trace.BadParameter("admission: QueueLength, QueueBytes and InFlight must not be negative")
+	}
+	if c.WorthBound != 0 && c.WorthBound < 1 {
+		return trace.BadParameter("admission: WorthBound is %v; it must be at least 1", c.WorthBound)
+	}
+	setDefault(&c.QueueLength, defaultQueueLength)
+	setDefault(&c.QueueBytes, defaultQueueBytes)
+	setDefault(&c.InFlight, defaultInFlight)
+	setDefault(&c.OutputWeight, defaultOutputWeight)
+	setDefault(&c.WaitTarget, defaultWaitTarget)
+	setDefault(&c.InitialWindow, defaultInitialWindow)
+	setDefault(&c.MinimumWindow, defaultMinimumWindow)
+	setDefault(&c.WorthBound, defaultWorthBound)
+	setDefault(&c.PredictionSlack, defaultPredictionSlack)
+	return nil
+}
+
+func setDefault[T int | int64 | float64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/admission/entry.go
@@ -0,0 +1,58 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// entry is one waiting request.
+type entry struct {
+	Request
+	queue *tenantQueue
+	// cost in prompt tokens.
+	cost float64
+	// worthClass is the binary logarithm of worth per cost, rounded: requests whose
+	// worth per token differs by less than a factor of about 2 count as equal.
+	worthClass int
+	start      time.Duration // latest start
+	sequence   uint64        // order of arrival
+}
+
+// lowestWorthClass is the class of a request that is worth nothing.
+const lowestWorthClass = -64
+
+func (c *Core) newEntry(request Request, queue *tenantQueue) *entry {
+	c.sequence++
+	cost := c.cost(request.PromptTokens, request.OutputTokens)
+	return &entry{
+		Request:    request,
+		queue:      queue,
+		cost:       cost,
+		worthClass: worthClass(request.Worth, cost),
+		start:      request.latestStart(),
+		sequence:   c.sequence,
+	}
+}
+
+func (c *Core) cost(promptTokens, outputTokens int) float64 {
+	return max(float64(promptTokens)+c.config.OutputWeight*float64(outputTokens), 1)
+}
+
+func worthClass(worth, cost float64) int {
+	if !(worth > 0) {
+		return lowestWorthClass
+	}
+	class := math.Round(math.Log2(worth / cost))
+	return int(min(max(class, lowestWorthClass+1), -lowestWorthClass))
+}
+
+// before orders a tenant's queue: worth class, then latest start, then arrival.
+func (e *entry) before(other *entry) bool {
+	if e.worthClass != other.worthClass {
+		return e.worthClass > other.worthClass
+	}
+	if e.start != other.start {
+		return e.start < other.start
+	}
+	return e.sequence < other.sequence
+}
--- /dev/null
+++ b/internal/admission/estimator_test.go
@@ -0,0 +1,62 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestEstimates(t *testing.T) {
+	declared := Declared{PromptTokens: 600, OutputTokens: 40}
+	own := Shape{Tenant: "a", Kind: "matching", Declared: declared}
+	learn := func(e *Estimator, shape Shape, used Estimate) {
+		for range 200 {
+			e.Learn(shape, used)
+		}
+	}
+	rows := []struct {
+		name   string
+		learn  func(*Estimator)
+		change func(*Shape)
+		want   Estimate
+	}{
+		{"declared before anything is measured", nil, nil, Estimate{600, 40}},
+		{"four bytes a token before anything is measured", nil, func(s *Shape) { s.PromptBytes = 4000 }, Estimate{1000, 40}},
+		{"the caller's own bound", nil, func(s *Shape) { s.MaximumOutputTokens = 8 }, Estimate{600, 8}},
+		{"nothing known but the caller's bound", nil,
+			func(s *Shape) { s.Declared, s.MaximumOutputTokens = Declared{}, 8 }, Estimate{0, 8}},
+		{"other tenants of the kind", func(e *Estimator) { learn(e, Shape{Tenant: "b", Kind: "matching"}, Estimate{6000, 100}) },
+			nil, Estimate{5600, 96}},
+		{"the tenant itself above others", func(e *Estimator) {
+			learn(e, Shape{Tenant: "a", Kind: "matching", PromptBytes: 3000}, Estimate{1000, 10})
+			learn(e, Shape{Tenant: "b", Kind: "matching"}, Estimate{6000, 100})
+		}, func(s *Shape) { s.PromptBytes = 6000 }, Estimate{1996, 16}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			estimator, err := NewEstimator(16)
+			require.NoError(t, err)
+			if row.learn != nil {
+				row.learn(estimator)
+			}
+			shape := own
+			if row.change != nil {
+				row.change(&shape)
+			}
+			require.Equal(t, row.want, estimator.Estimate(shape))
+		})
+	}
+}
+
+func TestEstimatorMemoryIsBounded(t *testing.T) {
+	estimator, err := NewEstimator(10)
+	require.NoError(t, err)
+	for i := range 100 {
+		estimator.Learn(Shape{Tenant: fmt.Sprint(i), Kind: fmt.Sprint(i)}, Estimate{1, 1})
+	}
+	require.Equal(t, 10, estimator.pairs.Len())
+	require.Equal(t, 10, estimator.kinds.Len())
+	_, err = NewEstimator(0)
+	require.Error(t, err)
+}
