--- /dev/null
+++ b/internal/keys/pem.go
@@ -0,0 +1,39 @@
+package keys
+
+import (
+	"crypto"
+	"crypto/ecdsa"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	pemCertificate = "CERTIFICATE"
+	pemPrivateKey  = "PRIVATE KEY"
+)
+
+func encodePair(der []byte, key *ecdsa.PrivateKey) (Pair, error) {
+	keyBytes, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, trace.Wrap(err)
+	}
+	return Pair{
+		Certificate: pem.EncodeToMemory(&pem.Block{Type: pemCertificate, Bytes: der}),
+		Key:         pem.EncodeToMemory(&pem.Block{Type: pemPrivateKey, Bytes: keyBytes}),
+	}, nil
+}
+
+func decodePair(pair Pair) (*x509.Certificate, crypto.Signer, error) {
+	both, err := tls.X509KeyPair(pair.Certificate, pair.Key)
+	if err != nil {
+		return nil, nil, trace.BadParameter("the certificate and its key do not fit: %v", err)
+	}
+	signer, canSign := both.PrivateKey.(crypto.Signer)
+	if !canSign {
+		return nil, nil, trace.BadParameter("the private key cannot sign")
+	}
+	return both.Leaf, signer, nil
+}
