--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -46,7 +46,7 @@
 // Option changes how an Engine reports.
 type Option func(*Engine)
 
-// WithTokenEvents asks for an event for each token written.
+// WithTokenEvents asks for an event for each start and for each token written.
 func WithTokenEvents() Option { return func(e *Engine) { e.tokenEvents = true } }
 
 // New returns an empty engine in a role. It fails when the profile is unusable.
--- a/internal/enginemodel/event.go
+++ b/internal/enginemodel/event.go
@@ -9,12 +9,14 @@
 const (
 	// EventFirstToken is the first token this engine writes for the sequence.
 	EventFirstToken EventType = iota
-	// EventToken is each further token; only with TokenEvents on.
+	// EventToken is each further token; only WithTokenEvents.
 	EventToken
 	// EventPrefillDone ends a PhasePrefillOnly sequence.
 	EventPrefillDone
 	// EventDone ends every other sequence; it follows the last token's event.
 	EventDone
+	// EventStarted tells that a sequence left the waiting line; only WithTokenEvents.
+	EventStarted
 )
 
 // Event is one thing that happened to one sequence.
--- a/internal/enginemodel/step.go
+++ b/internal/enginemodel/step.go
@@ -61,6 +61,9 @@
 		}
 		e.waiting = e.waiting[1:]
 		e.memoryUsed += next.memory()
+		if e.tokenEvents {
+			e.tell(next, EventStarted)
+		}
 		if next.Phase == PhaseDecodeImported {
 			e.linkFree = max(e.linkFree, e.now) + e.profile.TransferTime(next.PromptTokens)
 			next.importedAt = e.linkFree
--- /dev/null
+++ b/internal/standin/engine/cacheevents.go
@@ -0,0 +1,51 @@
+package engine
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/enginemodel"
+)
+
+// cacheHistoryLength bounds the events kept; older ones become a gap.
+const cacheHistoryLength = 4096
+
+// cacheHistory keeps cache events until they may be told, late and with gaps.
+type cacheHistory struct {
+	events []timedCacheEvent
+	next   uint64
+}
+
+type timedCacheEvent struct {
+	at    time.Duration
+	event enginecontract.CacheEvent
+}
+
+// add numbers new events; every event whose number divides by gap is lost.
+func (h *cacheHistory) add(now time.Duration, events []enginemodel.CacheEvent, gap int) {
+	for _, event := range events {
+		h.next++
+		if gap > 0 && h.next%uint64(gap) == 0 {
+			continue
+		}
+		h.events = append(h.events, timedCacheEvent{now, enginecontract.CacheEvent{
+			Sequence: h.next, Stored: event.Stored, Block: strconv.FormatUint(event.Block, 16),
+		}})
+	}
+	if excess := len(h.events) - cacheHistoryLength; excess > 0 {
+		h.events = append(h.events[:0], h.events[excess:]...)
+	}
+}
+
+// after returns the events with a larger number that are at least lag old.
+func (h *cacheHistory) after(number uint64, now, lag time.Duration) enginecontract.CacheEvents {
+	answer := enginecontract.CacheEvents{Events: []enginecontract.CacheEvent{}, Next: number}
+	for _, kept := range h.events {
+		if kept.event.Sequence > number && now-kept.at >= lag {
+			answer.Events = append(answer.Events, kept.event)
+			answer.Next = kept.event.Sequence
+		}
+	}
+	return answer
+}
--- /dev/null
+++ b/internal/standin/engine/config.go
@@ -0,0 +1,74 @@
+package engine
+
+import (
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/enginemodel"
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
+	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
+)
+
+// Defaults of an engine's lags.
+const (
+	DefaultLoadLag       = 500 * time.Millisecond
+	DefaultCacheEventLag = 300 * time.Millisecond
+)
+
+// Times of the contract.
+const (
+	ResumeWindow      = 5 * time.Second
+	FinishedRetention = 10 * time.Second
+	KVHandleLifetime  = 30 * time.Second
+)
+
+// ListenFunc opens a listener; the fleet's delays connections by zone.
+type ListenFunc func(network, address string) (net.Listener, error)
+
+// Config is what one engine is.
+type Config struct {
+	Name    string
+	Service string
+	Zone    string
+	// Address is the IP:port to listen on; port 0 takes a free one.
+	Address string
+	Role    enginecontract.Role
+	Model   string
+	Version string
+	// Adapters loaded at the first start.
+	Adapters []string
+	Profile  enginemodel.Profile
+	// WeightStore is the IP:port that load-model orders fetch from; empty is none.
+	WeightStore   string
+	LoadLag       time.Duration
+	CacheEventLag time.Duration
+	Faults        []fault.Fault
+	Safeguards    safeguard.Set
+	// Listen defaults to net.Listen.
+	Listen ListenFunc
+}
+
+func (c Config) withDefaults() (Config, error) {
+	if c.Name == "" || c.Address == "" || c.Model == "" {
+		return c, trace.BadParameter("engine %q needs name, address and model", c.Name)
+	}
+	if c.Profile.Name == "" {
+		c.Profile = enginemodel.DefaultProfile()
+	}
+	if c.Role == "" {
+		c.Role = enginecontract.RoleMixed
+	}
+	if c.LoadLag == 0 {
+		c.LoadLag = DefaultLoadLag
+	}
+	if c.CacheEventLag == 0 {
+		c.CacheEventLag = DefaultCacheEventLag
+	}
+	if c.Listen == nil {
+		c.Listen = net.Listen
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,148 @@
+package engine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/standin/engine/orders"
+	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
+)
+
+// shutdownPatience is how long Close waits for streams.
+const shutdownPatience = 2 * time.Second
+
+// Engine is one stand-in engine over all its lives. It is safe for concurrent use.
+type Engine struct {
+	config Config
+	faults *fault.Set
+	runs   *runs
+
+	mutex sync.Mutex
+	// address is fixed by the first start.
+	address     string
+	incarnation uint64
+	kept        orders.Durable
+	life        *life // nil while crashed
+	closed      bool
+}
+
+// Start starts an engine.
+func Start(config Config) (*Engine, error) {
+	config, err := config.withDefaults()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	engine := &Engine{
+		config: config,
+		faults: fault.NewSet(config.Faults...),
+		runs:   newRuns(),
+		kept: orders.Durable{
+			Role: config.Role, Model: config.Model, Version: config.Version, Adapters: config.Adapters,
+		},
+		address: config.Address,
+	}
+	return engine, trace.Wrap(engine.Restart())
+}
+
+// Address is the IP:port the engine listens on.
+func (e *Engine) Address() string { return e.address }
+
+// Name is the engine's name in the machine list.
+func (e *Engine) Name() string { return e.config.Name }
+
+// Config is what the engine was started with.
+func (e *Engine) Config() Config { return e.config }
+
+// Faults are the faults switched on.
+func (e *Engine) Faults() *fault.Set { return e.faults }
+
+// Restart starts the engine's process again after a Crash.
+func (e *Engine) Restart() error {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.life != nil || e.closed {
+		return nil
+	}
+	listener, err := e.config.Listen("tcp", e.address)
+	if err != nil {
+		return trace.Wrap(err, "engine %s can't listen on %s", e.config.Name, e.address)
+	}
+	e.address = listener.Addr().String()
+	e.incarnation++
+	started, err := newLife(e, e.incarnation, e.kept)
+	if err != nil {
+		_ = listener.Close()
+		return trace.Wrap(err)
+	}
+	e.life = started
+	started.serve(listener)
+	return nil
+}
+
+// Crash ends the engine's process at once: connections break, everything that is
+// not durable is lost, and it stays down until Restart.
+func (e *Engine) Crash() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.life == nil {
+		return
+	}
+	e.kept = e.life.end()
+	e.life = nil
+}
+
+// crashFor crashes the engine and restarts it after down.
+func (e *Engine) crashFor(down time.Duration) {
+	e.Crash()
+	time.AfterFunc(down, func() { _ = e.Restart() }) // a closed engine stays closed
+}
+
+// Freeze stops the engine's process for a time, as a paused process stops.
+func (e *Engine) Freeze(pause time.Duration) {
+	if present := e.current(); present != nil {
+		present.freeze(pause)
+	}
+}
+
+// Leave makes the engine refuse new work for good.
+func (e *Engine) Leave() {
+	if present := e.current(); present != nil {
+		present.mutex.Lock()
+		present.machine.Leave()
+		present.mutex.Unlock()
+	}
+}
+
+// Close stops the engine for good; streams get a short time to end.
+func (e *Engine) Close() {
+	e.mutex.Lock()
+	dying := e.life
+	e.life = nil
+	e.closed = true
+	e.mutex.Unlock()
+	if dying != nil {
+		_ = dying.server.Close(shutdownPatience) // it breaks what is left in any case
+		dying.end()
+	}
+}
+
+// State is the engine's state; false while it is crashed.
+func (e *Engine) State() (enginecontract.EngineState, bool) {
+	present := e.current()
+	if present == nil {
+		return enginecontract.EngineState{}, false
+	}
+	present.mutex.Lock()
+	defer present.mutex.Unlock()
+	present.advance()
+	return present.state(), true
+}
+
+func (e *Engine) current() *life {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.life
+}
--- /dev/null
+++ b/internal/standin/engine/events.go
@@ -0,0 +1,82 @@
+package engine
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/standin/answertext"
+)
+
+// eventWriter spells the events of one exchange. Its text is ASCII without quotes,
+// so that it needs no escaping.
+type eventWriter struct {
+	head    []byte // up to the offset
+	chat    bool
+	prompt  uint64
+	first   bool
+	promptN int
+}
+
+func newEventWriter(of *exchange, first bool) *eventWriter {
+	object := "chat.completion.chunk"
+	if of.endpoint == endpointCompletions {
+		object = "text_completion"
+	}
+	head := []byte(`data: {"id":"cmpl-` + of.id + `","object":"` + object + `","created":`)
+	head = strconv.AppendInt(head, time.Now().Unix(), 10)
+	head = append(head, `,"model":`...)
+	head = strconv.AppendQuote(head, of.model)
+	head = append(head, `,"exchange":"`+of.id+`","offset":`...)
+	return &eventWriter{head: head, chat: of.endpoint == endpointChat, prompt: of.prompt, first: first, promptN: of.promptTokens}
+}
+
+// token appends the event of token number index, from 0.
+func (w *eventWriter) token(buffer []byte, index int) []byte {
+	buffer = append(buffer, w.head...)
+	buffer = strconv.AppendInt(buffer, int64(index+1), 10)
+	switch {
+	case w.chat && w.first:
+		buffer = append(buffer, `,"choices":[{"index":0,"delta":{"role":"assistant","content":"`...)
+	case w.chat:
+		buffer = append(buffer, `,"choices":[{"index":0,"delta":{"content":"`...)
+	default:
+		buffer = append(buffer, `,"choices":[{"index":0,"text":"`...)
+	}
+	w.first = false
+	buffer = answertext.AppendToken(buffer, w.prompt, index)
+	if w.chat {
+		return append(buffer, "\"},\"finish_reason\":null}]}\n\n"...)
+	}
+	return append(buffer, "\",\"finish_reason\":null}]}\n\n"...)
+}
+
+// end appends the finish event, the usage event and the end of the stream.
+func (w *eventWriter) end(buffer []byte, written, cached int, reason string) []byte {
+	buffer = append(buffer, w.head...)
+	buffer = strconv.AppendInt(buffer, int64(written), 10)
+	if w.chat {
+		buffer = append(buffer, `,"choices":[{"index":0,"delta":{},"finish_reason":"`...)
+	} else {
+		buffer = append(buffer, `,"choices":[{"index":0,"text":"","finish_reason":"`...)
+	}
+	buffer = append(buffer, reason...)
+	buffer = append(buffer, "\"}]}\n\n"...)
+	buffer = append(buffer, w.head...)
+	buffer = strconv.AppendInt(buffer, int64(written), 10)
+	buffer = append(buffer, `,"choices":[],"usage":{"prompt_tokens":`...)
+	buffer = strconv.AppendInt(buffer, int64(w.promptN), 10)
+	buffer = append(buffer, `,"completion_tokens":`...)
+	buffer = strconv.AppendInt(buffer, int64(written), 10)
+	buffer = append(buffer, `,"total_tokens":`...)
+	buffer = strconv.AppendInt(buffer, int64(w.promptN+written), 10)
+	buffer = append(buffer, `,"prompt_tokens_details":{"cached_tokens":`...)
+	buffer = strconv.AppendInt(buffer, int64(cached), 10)
+	return append(buffer, "}}}\n\ndata: [DONE]\n\n"...)
+}
+
+// failure appends the event of an error after the first byte.
+func (w *eventWriter) failure(buffer []byte, written int, code string) []byte {
+	buffer = append(buffer, w.head...)
+	buffer = strconv.AppendInt(buffer, int64(written), 10)
+	return append(buffer, `,"error":{"message":"the exchange ended early","type":"engine_error","code":"`+code+"\"}}\n\n"...)
+}
--- /dev/null
+++ b/internal/standin/engine/runs.go
@@ -0,0 +1,70 @@
+package engine
+
+import (
+	"fmt"
+	"sync"
+)
+
+// Run counts what one engine did for one prompt.
+type Run struct {
+	// Started counts exchanges that began to run.
+	Started int `json:"started"`
+	// Finished counts exchanges that ran to their end.
+	Finished int `json:"finished"`
+	// Prefilled counts prompts read for another engine.
+	Prefilled int `json:"prefilled"`
+}
+
+// Totals counts what one engine did in all.
+type Totals struct {
+	Started   int `json:"started"`
+	Finished  int `json:"finished"`
+	Prefilled int `json:"prefilled"`
+	Cancelled int `json:"cancelled"`
+	Refused   int `json:"refused"`
+	Imported  int `json:"imported"`
+	// RoleChanges counts role changes that ended.
+	RoleChanges int `json:"role_changes"`
+	// CutByChange counts exchanges that a change or a drain ended: always 0.
+	CutByChange int `json:"cut_by_change"`
+}
+
+// Report is the answer to GET /bench/runs; prompts are by hash, in hexadecimal.
+type Report struct {
+	Engine  string         `json:"engine"`
+	Totals  Totals         `json:"totals"`
+	Prompts map[string]Run `json:"prompts"`
+}
+
+// runs is the bench's own count; it outlives crashes.
+type runs struct {
+	mutex   sync.Mutex
+	totals  Totals
+	prompts map[uint64]Run
+}
+
+func newRuns() *runs { return &runs{prompts: make(map[uint64]Run)} }
+
+func (r *runs) count(prompt uint64, change func(*Run, *Totals)) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	run := r.prompts[prompt]
+	change(&run, &r.totals)
+	if run != (Run{}) {
+		r.prompts[prompt] = run
+	}
+}
+
+// Runs reports what the engine ran since its first start.
+func (e *Engine) Runs() Report {
+	e.runs.mutex.Lock()
+	defer e.runs.mutex.Unlock()
+	report := Report{Engine: e.config.Name, Totals: e.runs.totals, Prompts: make(map[string]Run, len(e.runs.prompts))}
+	for prompt, run := range e.runs.prompts {
+		report.Prompts[PromptKey(prompt)] = run
+	}
+	return report
+}
+
+// PromptKey is a prompt's hash as Report spells it.
+func PromptKey(hash uint64) string { return fmt.Sprintf("%016x", hash) }
