Hold tenants to their limits by leased shares

Cause: per-tenant token rates and concurrency must hold over all gateways without a request asking a controller. Change: internal/limits: token bucket with pre-charge by estimate and correction by use, concurrency, a small initial share for a tenant newly met, a share that is not renewed halves each lease period and ends, demands for the report, bounded memory.

--- /dev/null
+++ b/internal/limits/account.go
@@ -0,0 +1,88 @@
+package limits
+
+import "time"
+
+const (
+	// demandWindow is the time over which demand is measured.
+	demandWindow = time.Second
+	// demandWeight is the weight of the newest window in the measured demand.
+	demandWeight = 0.5
+	// idleAfter is how long a tenant without requests is still reported.
+	idleAfter = 10 * time.Second
+)
+
+// account is one tenant at this gateway.
+type account struct {
+	limit  Limit
+	shares holdings
+	// level of the token bucket; negative is a debt.
+	level    float64
+	filledAt time.Duration
+	inFlight int
+	demand   demand
+}
+
+// capacity of the token bucket under the share in force.
+func (a *account) capacity(now, burst time.Duration) float64 {
+	return a.shares.rate(now) * burst.Seconds()
+}
+
+// fill brings the bucket up to now.
+func (a *account) fill(now, burst time.Duration) {
+	a.level = min(a.level+a.shares.tokens(a.filledAt, now), a.capacity(now, burst))
+	a.filledAt = now
+}
+
+// tokenWait is the time until a request of this size passes: 0 for at once,
+// negative when it will not under the present lease.
+func (a *account) tokenWait(now, burst time.Duration, tokens float64) time.Duration {
+	rate := a.shares.rate(now)
+	if rate <= 0 {
+		return -1
+	}
+	missing := min(tokens, a.capacity(now, burst)) - a.level
+	if missing <= 0 {
+		return 0
+	}
+	return time.Duration(missing / rate * float64(time.Second))
+}
+
+// demand is what a tenant has asked for at this gateway.
+type demand struct {
+	// used counts tokens since the last report.
+	used float64
+	// asked counts the tokens of all requests, refused ones too, in this window.
+	asked     float64
+	windowAt  time.Duration
+	perSecond float64
+	// peak is the largest number of requests wanted at once since the last report.
+	peak   int
+	lastAt time.Duration
+}
+
+func (d *demand) ask(now time.Duration, tokens float64, wanted int) {
+	d.turn(now)
+	d.asked += tokens
+	d.peak = max(d.peak, wanted)
+	d.lastAt = now
+}
+
+// turn ends the window when it is over.
+func (d *demand) turn(now time.Duration) {
+	elapsed := now - d.windowAt
+	if elapsed < demandWindow {
+		return
+	}
+	sample := d.asked / elapsed.Seconds()
+	d.perSecond += demandWeight * (sample - d.perSecond)
+	if sample > d.perSecond {
+		d.perSecond = sample // follow growth at once, decline slowly
+	}
+	d.asked, d.windowAt = 0, now
+}
+
+// wanted is the token rate to ask the controllers for.
+func (d *demand) wanted(now time.Duration) float64 {
+	d.turn(now)
+	return max(d.perSecond, d.asked/demandWindow.Seconds())
+}
--- /dev/null
+++ b/internal/limits/config.go
@@ -0,0 +1,48 @@
+package limits
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	defaultTenants        = 4096
+	defaultBurst          = time.Second
+	defaultInitialDivisor = 128
+	defaultLeasePeriod    = 3 * time.Second
+	defaultDemands        = 256
+)
+
+// Config holds the fixed parameters of a Core.
+type Config struct {
+	// Tenants bounds the tenants remembered; default 4096.
+	Tenants int
+	// Burst is how much of its share a tenant may save up; default 1 s.
+	Burst time.Duration
+	// InitialDivisor sets the share of a tenant newly met: its limit divided by this;
+	// default 128.
+	InitialDivisor int
+	// LeasePeriod is the lease of the initial share; default 3 s.
+	LeasePeriod time.Duration
+	// Demands bounds the tenants in one report; default 256.
+	Demands int
+}
+
+func (c *Config) checkAndSetDefaults() error {
+	if c.Tenants < 0 || c.Burst < 0 || c.InitialDivisor < 0 || c.LeasePeriod < 0 || c.Demands < 0 {
+		return trace.BadParameter("limits: no field of Config may be negative: %+v", *c)
+	}
+	setDefault(&c.Tenants, defaultTenants)
+	setDefault(&c.Burst, defaultBurst)
+	setDefault(&c.InitialDivisor, defaultInitialDivisor)
+	setDefault(&c.LeasePeriod, defaultLeasePeriod)
+	setDefault(&c.Demands, defaultDemands)
+	return nil
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/limits/core.go
@@ -0,0 +1,195 @@
+package limits
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+const (
+	minimumRetryAfter = time.Second
+	maximumRetryAfter = 30 * time.Second
+	// evictionProbes bounds the search for a tenant that may be forgotten.
+	evictionProbes = 16
+)
+
+// Core holds tenants to their limits. See the package comment for its contract.
+type Core struct {
+	config   Config
+	accounts *simplelru.LRU[string, *account]
+	// reportFrom is where the next report starts when there are more tenants than
+	// one report holds.
+	reportFrom string
+}
+
+// Charge is a request that was acquired. The zero Charge is of no tenant.
+type Charge struct {
+	tenant string
+	tokens float64
+}
+
+// New returns a Core that has met no tenant.
+func New(config Config) (*Core, error) {
+	if err := config.checkAndSetDefaults(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	// One more than the bound, so that the LRU never evicts by itself.
+	accounts, err := simplelru.NewLRU[string, *account](config.Tenants+1, nil)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Core{config: config, accounts: accounts}, nil
+}
+
+// Acquire charges a request of a tenant with its estimated tokens. The error is a
+// *Refusal; nothing is charged then. Each Charge is given back with one Settle.
+func (c *Core) Acquire(now time.Duration, tenant string, limit Limit, tokens int) (Charge, error) {
+	if limit.unlimited() {
+		return Charge{}, nil
+	}
+	account, err := c.account(now, tenant, limit)
+	if err != nil {
+		return Charge{}, err
+	}
+	account.fill(now, c.config.Burst)
+	size := float64(max(tokens, 1))
+	account.demand.ask(now, size, account.inFlight+1)
+	if err := c.check(now, account, size); err != nil {
+		return Charge{}, err
+	}
+	account.inFlight++
+	if limit.TokensPerSecond != 0 {
+		account.level -= size
+	}
+	account.demand.used += size
+	return Charge{tenant: tenant, tokens: size}, nil
+}
+
+func (c *Core) check(now time.Duration, account *account, tokens float64) error {
+	if account.limit.Concurrency != 0 && account.inFlight >= account.shares.concurrency(now) {
+		if account.shares.concurrency(now) == 0 {
+			return &Refusal{Reason: ErrNoShare, RetryAfter: minimumRetryAfter}
+		}
+		return &Refusal{Reason: ErrConcurrency, RetryAfter: minimumRetryAfter}
+	}
+	if account.limit.TokensPerSecond == 0 {
+		return nil
+	}
+	wait := account.tokenWait(now, c.config.Burst, tokens)
+	switch {
+	case wait < 0:
+		return &Refusal{Reason: ErrNoShare, RetryAfter: minimumRetryAfter}
+	case wait > 0:
+		return &Refusal{Reason: ErrTokens, RetryAfter: min(max(wait, minimumRetryAfter), maximumRetryAfter)}
+	default:
+		return nil
+	}
+}
+
+// Settle ends a charge with the tokens used. A request that did not run used 0.
+func (c *Core) Settle(now time.Duration, charge Charge, used int) {
+	account, found := c.accounts.Peek(charge.tenant)
+	if !found {
+		return
+	}
+	account.fill(now, c.config.Burst)
+	account.inFlight = max(account.inFlight-1, 0)
+	difference := float64(used) - charge.tokens
+	account.demand.used = max(account.demand.used+difference, 0)
+	if account.limit.TokensPerSecond != 0 {
+		account.level = min(account.level-difference, account.capacity(now, c.config.Burst))
+	}
+}
+
+// Apply takes the shares that a controller granted in answer to a report sent at
+// sentAt; leases count from there. Shares of tenants that are not remembered, or
+// older than those in force, are ignored.
+func (c *Core) Apply(now, sentAt time.Duration, shares []*v1.Share) {
+	for _, share := range shares {
+		account, found := c.accounts.Peek(share.GetTenant())
+		period := time.Duration(share.GetValidMs()) * time.Millisecond
+		if !found || period <= 0 {
+			continue
+		}
+		if sentAt+period < account.shares.granted.expiresAt {
+			continue
+		}
+		account.fill(now, c.config.Burst)
+		account.shares.granted = lease{
+			tokensPerSecond: float64(share.GetTokensPerSecond()),
+			concurrency:     share.GetConcurrency(),
+			expiresAt:       sentAt + period,
+			period:          period,
+		}
+		account.level = min(account.level, account.capacity(now, c.config.Burst))
+	}
+}
+
+// account finds or makes the account of a tenant and takes over its limit.
+func (c *Core) account(now time.Duration, tenant string, limit Limit) (*account, error) {
+	found, known := c.accounts.Get(tenant)
+	if !known {
+		if err := c.makeRoom(); err != nil {
+			return nil, err
+		}
+		found = c.newAccount(now, limit)
+		c.accounts.Add(tenant, found)
+	}
+	if found.limit != limit {
+		c.changeLimit(now, found, limit)
+	}
+	return found, nil
+}
+
+func (c *Core) newAccount(now time.Duration, limit Limit) *account {
+	created := &account{limit: limit, filledAt: now}
+	created.shares.initial = c.initialLease(now, limit)
+	created.level = created.capacity(now, c.config.Burst)
+	created.demand.windowAt = now
+	return created
+}
+
+func (c *Core) initialLease(now time.Duration, limit Limit) lease {
+	divisor := c.config.InitialDivisor
+	initial := lease{
+		tokensPerSecond: float64(limit.TokensPerSecond) / float64(divisor),
+		concurrency:     limit.Concurrency / uint32(divisor),
+		expiresAt:       now + c.config.LeasePeriod,
+		period:          c.config.LeasePeriod,
+	}
+	if limit.Concurrency != 0 {
+		initial.concurrency = max(initial.concurrency, 1)
+	}
+	return initial
+}
+
+// changeLimit takes over a changed limit: the tenant gets a new initial share, and
+// its granted share never exceeds the whole limit.
+func (c *Core) changeLimit(now time.Duration, account *account, limit Limit) {
+	account.fill(now, c.config.Burst)
+	account.limit = limit
+	account.shares.initial = c.initialLease(now, limit)
+	granted := &account.shares.granted
+	granted.tokensPerSecond = min(granted.tokensPerSecond, float64(limit.TokensPerSecond))
+	granted.concurrency = min(granted.concurrency, limit.Concurrency)
+	account.level = min(account.level, account.capacity(now, c.config.Burst))
+}
+
+// makeRoom forgets the tenant without requests in flight that was met least lately.
+func (c *Core) makeRoom() error {
+	for range evictionProbes {
+		if c.accounts.Len() < c.config.Tenants {
+			return nil
+		}
+		tenant, oldest, _ := c.accounts.GetOldest()
+		if oldest.inFlight == 0 {
+			c.accounts.Remove(tenant)
+			continue
+		}
+		c.accounts.Get(tenant) // it is in use: count it as met now
+	}
+	return &Refusal{Reason: ErrTenants, RetryAfter: minimumRetryAfter}
+}
--- /dev/null
+++ b/internal/limits/lease.go
@@ -0,0 +1,78 @@
+package limits
+
+import (
+	"math"
+	"time"
+)
+
+// maximumHalvings is the number of lease periods after which nothing is left of a
+// share that is not renewed.
+const maximumHalvings = 10
+
+// forever is later than any time.
+const forever = time.Duration(math.MaxInt64)
+
+// lease is a share of a tenant's limit for a time. The zero lease yields nothing.
+type lease struct {
+	tokensPerSecond float64
+	concurrency     uint32
+	expiresAt       time.Duration
+	period          time.Duration
+}
+
+// halvings is how often the share has been halved at the given time.
+func (l *lease) halvings(at time.Duration) int {
+	if at < l.expiresAt || l.period <= 0 {
+		return 0
+	}
+	return int(min((at-l.expiresAt)/l.period+1, maximumHalvings+1))
+}
+
+// factor is the part of the share in force at the given time.
+func (l *lease) factor(at time.Duration) float64 {
+	halvings := l.halvings(at)
+	if halvings > maximumHalvings {
+		return 0
+	}
+	return math.Exp2(-float64(halvings))
+}
+
+// nextChange is the time after at when the factor changes next.
+func (l *lease) nextChange(at time.Duration) time.Duration {
+	halvings := l.halvings(at)
+	if l.period <= 0 || halvings > maximumHalvings {
+		return forever
+	}
+	return l.expiresAt + time.Duration(halvings)*l.period
+}
+
+// holdings are a tenant's shares at this gateway: the one that controllers granted
+// and the initial one. The larger counts, so that a tenant newly met goes on with
+// the initial share while others still hold the whole limit.
+type holdings struct {
+	granted lease
+	initial lease
+}
+
+// rate is the token rate in force at the given time.
+func (h *holdings) rate(at time.Duration) float64 {
+	return max(h.granted.tokensPerSecond*h.granted.factor(at), h.initial.tokensPerSecond*h.initial.factor(at))
+}
+
+// concurrency is the number of requests that may be in flight at the given time.
+func (h *holdings) concurrency(at time.Duration) int {
+	granted := float64(h.granted.concurrency) * h.granted.factor(at)
+	initial := float64(h.initial.concurrency) * h.initial.factor(at)
+	return int(max(granted, initial))
+}
+
+// tokens is what the shares yield from one time to another.
+func (h *holdings) tokens(from, to time.Duration) float64 {
+	var sum float64
+	for from < to {
+		end := min(to, h.granted.nextChange(from), h.initial.nextChange(from))
+		sum += h.rate(from) * (end - from).Seconds()
+		from = end
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/limits/refusal.go
@@ -0,0 +1,35 @@
+package limits
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Reasons of refusals. A refused request has not run.
+var (
+	// ErrTokens: the tenant's tokens at this gateway are used up for now.
+	ErrTokens = errors.New("token limit reached")
+	// ErrConcurrency: the tenant has as many requests in flight as it may.
+	ErrConcurrency = errors.New("concurrency limit reached")
+	// ErrNoShare: the gateway holds no share of the limit: the controllers gave none
+	// or cannot be reached.
+	ErrNoShare = errors.New("no share of the limit at this gateway")
+	// ErrTenants: more tenants have requests in flight than the gateway can remember.
+	ErrTenants = errors.New("too many tenants at this gateway")
+)
+
+// Refusal says why a request may not start and when to come back. Its text names
+// nothing of other tenants.
+type Refusal struct {
+	Reason     error
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%v; retry after %v", r.Reason, r.RetryAfter.Round(time.Second))
+}
+
+// Unwrap returns the reason.
+func (r *Refusal) Unwrap() error { return r.Reason }
