--- /dev/null
+++ b/internal/fleet/outside.go
@@ -0,0 +1,150 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/enginemodel"
+	"github.com/hazelpitch/hazelpitch/internal/standin/engine"
+	"github.com/hazelpitch/hazelpitch/internal/standin/machinelist"
+	"github.com/hazelpitch/hazelpitch/internal/standin/page"
+	"github.com/hazelpitch/hazelpitch/internal/standin/weightstore"
+)
+
+// firstReplicaHost is the last number of the first replica's address in a zone.
+const firstReplicaHost = 20
+
+// Outside is the stand-ins of a fleet, all in this process.
+type Outside struct {
+	Engines     []*engine.Engine
+	Pages       []*page.Service
+	Machines    *machinelist.Server
+	WeightStore *weightstore.Server
+}
+
+// StartOutside starts the stand-ins of a description.
+func StartOutside(description Description, profile enginemodel.Profile) (*Outside, error) {
+	outside := &Outside{}
+	if err := outside.start(description, profile); err != nil {
+		outside.Close()
+		return nil, trace.Wrap(err)
+	}
+	return outside, nil
+}
+
+func (o *Outside) start(description Description, profile enginemodel.Profile) error {
+	topology := NewTopology(description)
+	var err error
+	o.WeightStore, err = weightstore.Start(weightstore.Config{
+		Address: description.WeightStore.Address, BytesPerSecond: description.WeightStore.BytesPerSecond,
+		MaxReaders: description.WeightStore.MaxReaders, Weights: description.WeightStore.Weights, Listen: topology.Listen,
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	var machines []enginecontract.Machine
+	for _, service := range description.Services {
+		for _, zone := range description.Zones {
+			for replica := range service.Replicas[zone.Name] {
+				machine, err := o.startReplica(description, service, zone, replica, profile)
+				if err != nil {
+					return trace.Wrap(err)
+				}
+				machines = append(machines, machine)
+			}
+		}
+	}
+	o.Machines, err = machinelist.Start(machinelist.Config{
+		Address: description.MachineList.Address, Lag: description.MachineList.Lag, Listen: topology.Listen,
+	}, machines)
+	return trace.Wrap(err)
+}
+
+func (o *Outside) startReplica(description Description, service Service, zone Zone, replica int, profile enginemodel.Profile) (enginecontract.Machine, error) {
+	topology := NewTopology(description)
+	machine := enginecontract.Machine{
+		Name: fmt.Sprintf("%s-%s-%d", service.Name, zone.Name, replica+1), Service: service.Name, Zone: zone.Name,
+		Address: description.address(zone.Subnet, firstReplicaHost+replica, service.Port), State: enginecontract.StateServing,
+	}
+	if service.Type == TypePage {
+		started, err := page.Start(page.Config{
+			Name: machine.Name, Service: service.Name, Zone: zone.Name, Address: machine.Address,
+			ServiceTime: service.ServiceTime, Faults: service.Faults, Listen: topology.Listen,
+		})
+		if err != nil {
+			return machine, trace.Wrap(err)
+		}
+		o.Pages = append(o.Pages, started)
+		return machine, nil
+	}
+	role := enginecontract.RoleMixed
+	if len(service.Roles) > 0 {
+		role = service.Roles[replica%len(service.Roles)]
+	}
+	started, err := engine.Start(engine.Config{
+		Name: machine.Name, Service: service.Name, Zone: zone.Name, Address: machine.Address,
+		Role: role, Model: service.Model, Version: service.Version, Profile: profile,
+		WeightStore: description.WeightStore.Address, Faults: service.Faults, Listen: topology.Listen,
+	})
+	if err != nil {
+		return machine, trace.Wrap(err)
+	}
+	o.Engines = append(o.Engines, started)
+	return machine, nil
+}
+
+// Engine returns the engine of a name, or nil.
+func (o *Outside) Engine(name string) *engine.Engine {
+	index := slices.IndexFunc(o.Engines, func(present *engine.Engine) bool { return present.Name() == name })
+	if index < 0 {
+		return nil
+	}
+	return o.Engines[index]
+}
+
+// Totals sums up what all engines ran.
+func (o *Outside) Totals() engine.Totals {
+	var sum engine.Totals
+	for _, present := range o.Engines {
+		totals := present.Runs().Totals
+		sum.Started += totals.Started
+		sum.Finished += totals.Finished
+		sum.Prefilled += totals.Prefilled
+		sum.Cancelled += totals.Cancelled
+		sum.Refused += totals.Refused
+		sum.Imported += totals.Imported
+		sum.RoleChanges += totals.RoleChanges
+		sum.CutByChange += totals.CutByChange
+	}
+	return sum
+}
+
+// Close stops all stand-ins, in parallel.
+func (o *Outside) Close() {
+	stops := []func(){}
+	for _, present := range o.Engines {
+		stops = append(stops, present.Close)
+	}
+	for _, present := range o.Pages {
+		stops = append(stops, present.Close)
+	}
+	if o.Machines != nil {
+		stops = append(stops, o.Machines.Close)
+	}
+	if o.WeightStore != nil {
+		stops = append(stops, o.WeightStore.Close)
+	}
+	done := make(chan struct{})
+	for _, stop := range stops {
+		go func() {
+			stop()
+			done <- struct{}{}
+		}()
+	}
+	for range stops {
+		<-done
+	}
+}
--- /dev/null
+++ b/internal/fleet/topology.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/zonedelay"
+)
+
+// Topology tells the latency between the places of a fleet by their addresses.
+type Topology struct {
+	clientSubnet byte
+	subnets      map[byte]bool
+	latency      Latency
+}
+
+// NewTopology returns the topology of a description.
+func NewTopology(description Description) Topology {
+	topology := Topology{
+		clientSubnet: byte(description.ClientSubnet), latency: description.Latency, subnets: make(map[byte]bool),
+	}
+	for _, zone := range description.Zones {
+		topology.subnets[byte(zone.Subnet)] = true
+	}
+	return topology
+}
+
+// Between is the one-way latency between two addresses. Addresses outside the fleet
+// (the bench's own controls) are next door.
+func (t Topology) Between(one, other netip.Addr) time.Duration {
+	if !one.Is4() || !other.Is4() {
+		return 0
+	}
+	from, to := one.As4()[2], other.As4()[2]
+	switch {
+	case from == to:
+		return 0
+	case from == t.clientSubnet || to == t.clientSubnet:
+		return t.latency.ToClients
+	case t.subnets[from] && t.subnets[to]:
+		return t.latency.BetweenZones
+	}
+	return 0
+}
+
+// Listen opens a listener whose connections are as slow as the places are far.
+func (t Topology) Listen(network, address string) (net.Listener, error) {
+	inner, err := net.Listen(network, address)
+	if err != nil {
+		return nil, err
+	}
+	local, err := netip.ParseAddrPort(inner.Addr().String())
+	if err != nil {
+		return inner, nil
+	}
+	return zonedelay.Wrap(inner, func(remote netip.Addr) time.Duration {
+		return t.Between(local.Addr(), remote.Unmap())
+	}), nil
+}
--- a/internal/standin/engine/life.go
+++ b/internal/standin/engine/life.go
@@ -55,7 +55,7 @@
 	return &life{
 		engine: engine,
 		origin: time.Now(),
-		client: &fasthttp.Client{NoDefaultUserAgentHeader: true},
+		client: &fasthttp.Client{NoDefaultUserAgentHeader: true, Dial: dialFrom(engine.address)},
 		ctx:    ctx,
 		cancel: cancel,
 		driven: make(chan struct{}),
@@ -144,3 +144,13 @@
 }
 
 func (l *life) takeFault(kind fault.Kind) (fault.Fault, bool) { return l.engine.faults.Take(kind) }
+
+// dialFrom dials from the IP of an address, so that the fleet knows the caller's zone.
+func dialFrom(address string) fasthttp.DialFunc {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return fasthttp.Dial
+	}
+	dialer := &fasthttp.TCPDialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}
+	return dialer.Dial
+}
