Parse queries and commands, and answer queries from a view

Cause: operators ask what is in force, at which revision, since when and why, and order changes; control needs typed commands. Change: a participle grammar of show, explain, history and the commands; conditions are typed by the column's units; Evaluate over the View; PinEngine, UnpinEngine and DeleteObject give the objects to declare. Secrets such as cache salts are never shown. Conclusion: control can implement View and call ParseStatement and Evaluate.

--- a/internal/language/error.go
+++ b/internal/language/error.go
@@ -92,41 +92,58 @@
 }
 
 // fromSyntaxError turns an error of the parser library into an Error. It suggests
-// the nearest of the known words for an unexpected one.
-func fromSyntaxError(err error, known []string) *Error {
+// the nearest of the known words for an unexpected one; beginnings are the words a
+// text may begin with.
+func fromSyntaxError(err error, known, beginnings []string) *Error {
 	var syntaxError participle.Error
 	if !errors.As(err, &syntaxError) {
 		return &Error{Message: err.Error()}
 	}
-	mistake := errorAt(syntaxError.Position(), "%s", syntaxMessage(syntaxError.Message()))
 	var unexpected *participle.UnexpectedTokenError
-	if errors.As(err, &unexpected) {
-		mistake.Suggestion = nearest(unexpected.Unexpected.Value, known)
+	if !errors.As(err, &unexpected) {
+		return errorAt(syntaxError.Position(), "%s", strings.TrimPrefix(syntaxError.Message(), "lexer: "))
 	}
+	mistake := errorAt(syntaxError.Position(), "unexpected %s: expected %s", foundText(unexpected), expectedText(unexpected, beginnings))
+	mistake.Suggestion = nearest(unexpected.Unexpected.Value, known)
 	return mistake
 }
 
-// unexpectedToken matches the parser library's message for a token out of place.
-var unexpectedToken = regexp.MustCompile(`^unexpected token "(.*)" \(expected (.*)\)$`)
+func foundText(unexpected *participle.UnexpectedTokenError) string {
+	if unexpected.Unexpected.EOF() {
+		return "end of text"
+	}
+	return strconv.Quote(unexpected.Unexpected.Value)
+}
 
-// grammarNames replaces names of the grammar by what an operator calls them.
-var grammarNames = strings.NewReplacer(
-	" ValueSyntax", " and a value",
-	"NameSyntax", "a name",
-	"<word>", "a word",
+var (
+	// expectedPart is the end of the parser library's message.
+	expectedPart = regexp.MustCompile(`\(expected (.*)\)$`)
+
+	// grammarNames replaces names of the grammar by what an operator calls them.
+	grammarNames = strings.NewReplacer(
+		" ValueSyntax", " and a value",
+		"ScalarSyntax", "a value",
+		"NameSyntax", "a name",
+		"ShowSyntax", "a table",
+		"SubjectSyntax", "a type and a name",
+		"ConditionSyntax", "a column and what to compare it with",
+		"OrderSyntax", "a column",
+		"RoleSyntax", "a name, \"to\" and a role",
+		"MemberSyntax", "a name, \"at\" and IP:port",
+		"ReplaceSyntax", "a name, \"with\", a name, \"at\" and IP:port",
+		"<word>", "a word",
+	)
 )
 
-// syntaxMessage words a message of the parser library for operators.
-func syntaxMessage(message string) string {
-	parts := unexpectedToken.FindStringSubmatch(message)
-	if parts == nil {
-		return strings.TrimPrefix(message, "lexer: ")
+// expectedText says what the grammar takes at the place of an unexpected token.
+func expectedText(unexpected *participle.UnexpectedTokenError, beginnings []string) string {
+	if parts := expectedPart.FindStringSubmatch(unexpected.Message()); parts != nil {
+		return grammarNames.Replace(parts[1])
 	}
-	found := strconv.Quote(parts[1])
-	if parts[1] == "<EOF>" {
-		found = "end of text"
+	if unexpected.Unexpected.Pos.Offset == 0 {
+		return alternatives(beginnings)
 	}
-	return "unexpected " + found + ": expected " + grammarNames.Replace(parts[2])
+	return "end of text"
 }
 
 // alternatives lists words as "a, b or c".
@@ -143,8 +160,11 @@
 func nearest(word string, known []string) string {
 	best, bestDistance := "", 1+len(word)/3
 	for _, candidate := range known {
+		if candidate == word {
+			return ""
+		}
 		distance := levenshtein.ComputeDistance(strings.ToLower(word), candidate)
-		if distance > 0 && distance <= bestDistance && (best == "" || distance < bestDistance) {
+		if distance <= bestDistance && (best == "" || distance < bestDistance) {
 			best, bestDistance = candidate, distance
 		}
 	}
--- a/internal/language/field.go
+++ b/internal/language/field.go
@@ -92,3 +92,16 @@
 	}
 	return names
 }
+
+// cell gives the field's value as a cell that queries compare.
+func (f *fieldSchema) cell(message protoreflect.Message) Value {
+	value := message.Get(f.proto)
+	if !f.proto.IsList() {
+		return f.shape.cell(value)
+	}
+	items := make([]string, value.List().Len())
+	for i := range items {
+		items[i] = f.shape.cell(value.List().Get(i)).Text
+	}
+	return TextValue(strings.Join(items, ", "))
+}
--- a/internal/language/lexer.go
+++ b/internal/language/lexer.go
@@ -21,7 +21,7 @@
 	{Name: "Comment", Pattern: `#[^\n]*`},
 	{Name: "Whitespace", Pattern: `[ \t\r\n]+`},
 	{Name: tokenString, Pattern: `"(\\.|[^"\\\n])*"`},
-	{Name: tokenAddress, Pattern: `\d{1,3}(\.\d{1,3}){3}:\d{1,5}`},
+	{Name: tokenAddress, Pattern: `[A-Za-z0-9_.-]+:\d{1,5}`},
 	{Name: tokenQuantity, Pattern: quantityPattern()},
 	{Name: tokenWord, Pattern: `[A-Za-z_][A-Za-z0-9_.-]*`},
 	{Name: "Comparison", Pattern: `!=|<=|>=|[<>~]`},
--- /dev/null
+++ b/internal/language/order_text.go
@@ -0,0 +1,27 @@
+package language
+
+import (
+	"fmt"
+	"strings"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// fenceText writes a fence as epoch/sequence.
+func fenceText(order *v1.Order) string {
+	return fmt.Sprintf("%d/%d", order.GetEpoch(), order.GetSequence())
+}
+
+// actionText writes what an order asks, such as "set role decode".
+func actionText(order *v1.Order) string {
+	words := []string{strings.ReplaceAll(enumWord(order.GetAction().String(), "ORDER_ACTION_"), "_", " ")}
+	switch order.GetAction() {
+	case v1.OrderAction_ORDER_ACTION_SET_ROLE:
+		words = append(words, RoleWord(order.GetRole()))
+	case v1.OrderAction_ORDER_ACTION_LOAD_MODEL:
+		words = append(words, order.GetModel(), order.GetVersion())
+	case v1.OrderAction_ORDER_ACTION_LOAD_ADAPTER, v1.OrderAction_ORDER_ACTION_UNLOAD_ADAPTER:
+		words = append(words, order.GetAdapter(), order.GetVersion())
+	}
+	return strings.TrimSpace(strings.Join(words, " "))
+}
--- a/internal/language/parse_declarations.go
+++ b/internal/language/parse_declarations.go
@@ -105,7 +105,7 @@
 	}
 	syntax, err := fileParser.ParseString(file.GetName(), file.GetText())
 	if err != nil {
-		return nil, Errors{fromSyntaxError(err, schemaWords())}
+		return nil, Errors{fromSyntaxError(err, schemaWords(), schemaWords())}
 	}
 	var mistakes Errors
 	var declarations []*declaration
@@ -125,13 +125,10 @@
 	if schema == nil {
 		return nil, Errors{unknownWord(block.Pos, "declaration", block.Type, schemaWords())}
 	}
-	name, mistake := block.Name.text()
+	name, mistake := block.Name.checked()
 	if mistake != nil {
 		return nil, Errors{mistake}
 	}
-	if !namePattern.MatchString(name) {
-		return nil, Errors{errorAt(block.Name.Pos, "%q is not a name: expected letters, digits, '.', '_' and '-', 128 at most", name)}
-	}
 	result := &declaration{
 		object:   &v1.Object{Key: &v1.ObjectKey{Type: schema.objectType, Name: name}},
 		schema:   schema,
--- /dev/null
+++ b/internal/language/parse_statement.go
@@ -0,0 +1,231 @@
+package language
+
+import (
+	"net/netip"
+	"strconv"
+
+	"github.com/alecthomas/participle/v2/lexer"
+	"github.com/gravitational/trace"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// statementName stands for the file in errors of queries and commands.
+const statementName = "statement"
+
+// engineWord is the type of subjects that are engines, not declared objects.
+const engineWord = "engine"
+
+// ParseStatement reads one query or command. Its mistakes come as an Errors inside
+// a trace error, as those of ParseDeclarations.
+func ParseStatement(text string) (Statement, error) {
+	if len(text) > MaximumStatementBytes {
+		return nil, trace.Wrap(Errors{errorAt(lexer.Position{Filename: statementName, Line: 1, Column: 1}, "the statement is longer than %d bytes", MaximumStatementBytes)})
+	}
+	syntax, err := statementParser.ParseString(statementName, text)
+	if err != nil {
+		return nil, trace.Wrap(Errors{fromSyntaxError(err, append(tableWords(), keywords...), beginnings)})
+	}
+	statement, mistake := syntax.statement()
+	if mistake != nil {
+		return nil, trace.Wrap(Errors{mistake})
+	}
+	return statement, nil
+}
+
+func (s *statementSyntax) statement() (Statement, *Error) {
+	switch {
+	case s.Show != nil:
+		return s.Show.statement()
+	case s.Explain != nil:
+		subjectType, name, mistake := s.Explain.subject()
+		return Explain{Type: subjectType, Name: name}, mistake
+	case s.History != nil:
+		subjectType, name, mistake := s.History.subject()
+		return History{Type: subjectType, Name: name}, mistake
+	case s.Delete != nil:
+		return s.Delete.deletion()
+	case s.SetRole != nil:
+		engine, role, mistake := s.SetRole.parts()
+		return SetEngineRole{Engine: engine, Role: role}, mistake
+	case s.Pin != nil:
+		engine, role, mistake := s.Pin.parts()
+		return PinEngine{Engine: engine, Role: role}, mistake
+	case s.Add != nil:
+		member, mistake := s.Add.member()
+		return AddMember{Member: member}, mistake
+	case s.Replace != nil:
+		return s.Replace.statement()
+	case s.Dump:
+		return DumpLogs{}, nil
+	}
+	return s.namedStatement()
+}
+
+// namedStatement reads the commands that take one name.
+func (s *statementSyntax) namedStatement() (Statement, *Error) {
+	commands := []struct {
+		name *nameSyntax
+		make func(string) Statement
+	}{
+		{s.Drain, func(name string) Statement { return DrainEngine{Engine: name} }},
+		{s.Resume, func(name string) Statement { return ResumeEngine{Engine: name} }},
+		{s.Unpin, func(name string) Statement { return UnpinEngine{Engine: name} }},
+		{s.Abort, func(name string) Statement { return AbortOrder{Engine: name} }},
+		{s.Promote, func(name string) Statement { return PromoteMember{ID: name} }},
+		{s.Remove, func(name string) Statement { return RemoveMember{ID: name} }},
+	}
+	for _, command := range commands {
+		if command.name != nil {
+			name, mistake := command.name.checked()
+			return command.make(name), mistake
+		}
+	}
+	return nil, errorAt(lexer.Position{Filename: statementName, Line: 1, Column: 1}, "the statement is empty")
+}
+
+// subject reads an engine or declared object.
+func (s *subjectSyntax) subject() (subjectType, name string, mistake *Error) {
+	if known := append(schemaWords(), engineWord); s.Type != engineWord && schemaByWord(s.Type) == nil {
+		return "", "", unknownWord(s.Pos, "subject", s.Type, known)
+	}
+	name, mistake = s.Name.checked()
+	return s.Type, name, mistake
+}
+
+func (s *subjectSyntax) deletion() (Statement, *Error) {
+	schema := schemaByWord(s.Type)
+	if schema == nil {
+		return nil, unknownWord(s.Pos, "type of object", s.Type, schemaWords())
+	}
+	name, mistake := s.Name.checked()
+	return DeleteObject{Key: &v1.ObjectKey{Type: schema.objectType, Name: name}}, mistake
+}
+
+func (s *roleSyntax) parts() (engine string, role v1.Role, mistake *Error) {
+	if engine, mistake = s.Engine.checked(); mistake != nil {
+		return "", 0, mistake
+	}
+	value, mistake := roleShape.parse(s.Role, nil)
+	if mistake != nil {
+		return "", 0, mistake
+	}
+	return engine, v1.Role(value.Enum()), nil
+}
+
+func (s *memberSyntax) member() (*v1.Member, *Error) {
+	id, mistake := s.ID.checked()
+	if mistake != nil {
+		return nil, mistake
+	}
+	address := s.Address.source()
+	if s.Address.Text != nil {
+		if address, mistake = unquote(s.Address.Pos, *s.Address.Text); mistake != nil {
+			return nil, mistake
+		}
+	}
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || parsed.Port() == 0 {
+		return nil, errorAt(s.Address.Pos, "%s is not an address: expected IP:port such as 10.0.0.7:7400", s.Address.source())
+	}
+	member := &v1.Member{Id: id, Address: address, Learner: true}
+	if s.Zone != nil {
+		member.Zone, mistake = s.Zone.checked()
+	}
+	return member, mistake
+}
+
+func (s *replaceSyntax) statement() (Statement, *Error) {
+	old, mistake := s.Old.checked()
+	if mistake != nil {
+		return nil, mistake
+	}
+	replacement, mistake := s.New.member()
+	if mistake == nil && replacement.GetId() == old {
+		mistake = errorAt(s.New.ID.Pos, "a member is not replaced by itself: a new or emptied disk has a new identity")
+	}
+	return ReplaceMember{ID: old, Replacement: replacement}, mistake
+}
+
+// statement binds a query to its table and columns.
+func (s *showSyntax) statement() (Statement, *Error) {
+	table := tableByWord(s.Table)
+	if table == nil {
+		return nil, unknownWord(s.Pos, "table", s.Table, tableWords())
+	}
+	show := Show{Table: table.word}
+	if mistake := s.narrow(table, &show); mistake != nil {
+		return nil, mistake
+	}
+	for _, condition := range s.Conditions {
+		bound, mistake := condition.bind(table)
+		if mistake != nil {
+			return nil, mistake
+		}
+		show.Conditions = append(show.Conditions, bound)
+	}
+	if s.Order != nil {
+		if table.column(s.Order.Column) < 0 {
+			return nil, unknownWord(s.Order.Pos, "column of "+table.word, s.Order.Column, table.columnWords())
+		}
+		show.OrderBy, show.Descending = s.Order.Column, s.Order.Descending
+	}
+	if s.Last == nil {
+		return show, nil
+	}
+	last, err := strconv.Atoi(s.Last.Quantity)
+	if err != nil || last < 1 {
+		return nil, errorAt(s.Last.Pos, "%s is not a number of rows: expected a whole number from 1", s.Last.source())
+	}
+	show.Last = last
+	return show, nil
+}
+
+// narrow reads "of TYPE NAME".
+func (s *showSyntax) narrow(table *table, show *Show) *Error {
+	if s.Of == nil {
+		return nil
+	}
+	name, mistake := s.Of.Name.checked()
+	if mistake != nil {
+		return mistake
+	}
+	if len(table.ofTypes) == 0 {
+		return errorAt(s.Of.Pos, "%s cannot be narrowed by \"of\": use \"where\"", table.word)
+	}
+	for _, ofType := range table.ofTypes {
+		if ofType == s.Of.Type {
+			show.OfType, show.OfName = ofType, name
+			return nil
+		}
+	}
+	return unknownWord(s.Of.Pos, "subject of "+table.word, s.Of.Type, table.ofTypes)
+}
+
+// bind reads the value as the column's cells are.
+func (c *conditionSyntax) bind(table *table) (Condition, *Error) {
+	index := table.column(c.Column)
+	if index < 0 {
+		return Condition{}, unknownWord(c.Pos, "column of "+table.word, c.Column, table.columnWords())
+	}
+	column := table.columns[index]
+	condition := Condition{Column: c.Column, Operator: c.Operator}
+	if column.numeric {
+		number, mistake := wholeShape{what: "a number", units: column.units}.number(c.Value)
+		if mistake != nil {
+			return Condition{}, mistake
+		}
+		condition.Value = Value{Text: c.Value.source(), Numeric: true}
+		condition.Value.Number, _ = number.Float64()
+		return condition, nil
+	}
+	text := c.Value.source()
+	if c.Value.Text != nil {
+		var mistake *Error
+		if text, mistake = unquote(c.Value.Pos, *c.Value.Text); mistake != nil {
+			return Condition{}, mistake
+		}
+	}
+	condition.Value = TextValue(text)
+	return condition, nil
+}
--- /dev/null
+++ b/internal/language/rows.go
@@ -0,0 +1,167 @@
+package language
+
+func revisionRows(view View) [][]Value {
+	var rows [][]Value
+	for _, revision := range view.Revisions() {
+		rows = append(rows, []Value{
+			countCell(revision.Revision),
+			timeCell(revision.AcceptedAtMs),
+			TextValue(revision.Operator),
+			countCell(revision.ChangeNumber),
+			TextValue(revision.SourceRevision),
+			countCell(revision.Objects),
+		})
+	}
+	return rows
+}
+
+func lastRevisionRows(view View) [][]Value {
+	rows := revisionRows(view)
+	return rows[max(0, len(rows)-1):]
+}
+
+func engineRows(view View) [][]Value {
+	var rows [][]Value
+	for _, engine := range view.Engines() {
+		order := ""
+		if engine.Outstanding != nil {
+			order = fenceText(engine.Outstanding) + " " + actionText(engine.Outstanding)
+		}
+		loadAge := Value{Numeric: true, Number: -1}
+		if engine.Load != nil {
+			loadAge = quantityCell(engine.LoadAgeMs, durationUnits)
+		}
+		rows = append(rows, []Value{
+			TextValue(engine.State.GetEngine()),
+			TextValue(engine.State.GetService()),
+			TextValue(engine.State.GetZone()),
+			TextValue(engine.State.GetAddress()),
+			TextValue(RoleWord(engine.State.GetRole())),
+			TextValue(RoleWord(engine.Pinned)),
+			TextValue(stateWord(engine.Serving)),
+			TextValue(engine.State.GetModel()),
+			TextValue(engine.State.GetVersion()),
+			timeCell(engine.RoleSinceMs),
+			TextValue(order),
+			countCell(engine.Load.GetRunning()),
+			countCell(engine.Load.GetWaiting()),
+			loadAge,
+		})
+	}
+	return rows
+}
+
+func nodeRows(view View) [][]Value {
+	var rows [][]Value
+	for _, node := range view.Nodes() {
+		rows = append(rows, []Value{
+			TextValue(node.Name),
+			TextValue(node.Program),
+			TextValue(node.Zone),
+			TextValue(node.Address),
+			countCell(node.Revision),
+			silenceCell(view.NowMs(), node.HeardAtMs),
+			booleanCell(node.Leaving),
+		})
+	}
+	return rows
+}
+
+func memberRows(view View) [][]Value {
+	var rows [][]Value
+	for _, member := range view.Members() {
+		part := "voter"
+		switch {
+		case member.Leader:
+			part = "leader"
+		case member.Member.GetLearner():
+			part = "learner"
+		}
+		rows = append(rows, []Value{
+			TextValue(member.Member.GetId()),
+			TextValue(member.Member.GetAddress()),
+			TextValue(member.Member.GetZone()),
+			TextValue(part),
+			countCell(member.MatchIndex),
+			silenceCell(view.NowMs(), member.HeardAtMs),
+		})
+	}
+	return rows
+}
+
+func orderRows(view View) [][]Value { return orderRowsOf(view.Orders("")) }
+
+func orderRowsOf(orders []OrderView) [][]Value {
+	var rows [][]Value
+	for _, order := range orders {
+		rows = append(rows, []Value{
+			TextValue(order.Order.GetEngine()),
+			TextValue(fenceText(order.Order)),
+			TextValue(actionText(order.Order)),
+			timeCell(order.Order.GetIssuedAtMs()),
+			TextValue(outcomeWord(order.Outcome)),
+			timeCell(order.FinishedAtMs),
+			TextValue(order.Order.GetReason()),
+			TextValue(order.Detail),
+		})
+	}
+	return rows
+}
+
+func claimRows(view View) [][]Value {
+	var rows [][]Value
+	for _, claim := range view.Claims() {
+		rows = append(rows, []Value{
+			TextValue(claim.Tenant),
+			TextValue(claim.Kind),
+			TextValue(claim.Key),
+			TextValue(claim.Gateway),
+			TextValue(claimWord(claim.State)),
+			timeCell(claim.ExpiresAtMs),
+		})
+	}
+	return rows
+}
+
+func auditRows(view View) [][]Value {
+	var rows [][]Value
+	for _, record := range view.Audit() {
+		rows = append(rows, []Value{
+			countCell(record.Sequence),
+			timeCell(record.AtMs),
+			TextValue(record.Operator),
+			TextValue(record.RequestID),
+			TextValue(record.Text),
+			TextValue(record.Outcome),
+			countCell(record.Revision),
+			TextValue(record.SourceRevision),
+		})
+	}
+	return rows
+}
+
+func shareRows(view View) [][]Value {
+	var rows [][]Value
+	for _, share := range view.Shares() {
+		rows = append(rows, []Value{
+			TextValue(share.Tenant),
+			TextValue(share.Gateway),
+			quantityCell(int64(share.TokensPerSecond), rateUnits),
+			quantityCell(int64(share.Concurrency), requestUnits),
+		})
+	}
+	return rows
+}
+
+func decisionRows(view View) [][]Value {
+	var rows [][]Value
+	for _, decision := range view.PlannerReasons() {
+		rows = append(rows, []Value{
+			TextValue(decision.Service),
+			timeCell(decision.AtMs),
+			countCell(decision.Changes),
+			TextValue(decision.Reason),
+		})
+	}
+	return rows
+}
--- a/internal/language/syntax.go
+++ b/internal/language/syntax.go
@@ -69,6 +69,15 @@
 	return n.Text, nil
 }
 
+// checked reads a name and refuses what cannot be one.
+func (n *nameSyntax) checked() (string, *Error) {
+	name, mistake := n.text()
+	if mistake == nil && !namePattern.MatchString(name) {
+		mistake = errorAt(n.Pos, "%q is not a name: expected %s", name, nameRule)
+	}
+	return name, mistake
+}
+
 // quoteName writes a name in its canonical spelling.
 func quoteName(name string) string {
 	if bareWord.MatchString(name) {
