--- /dev/null
+++ b/internal/gateway/authenticate.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
+)
+
+const (
+	bearerPrefix = "Bearer "
+	// keyCheckTimeout bounds the wait for controllers to say whose key it is.
+	keyCheckTimeout = 2500 * time.Millisecond
+	// maximumKeyLength bounds what is hashed.
+	maximumKeyLength = 256
+)
+
+// authenticate returns the tenant that the caller's key belongs to.
+func (g *Gateway) authenticate(header *fasthttp.RequestHeader) (*gatewaystate.Tenant, *refusal) {
+	key, ok := strings.CutPrefix(string(header.Peek(fasthttp.HeaderAuthorization)), bearerPrefix)
+	if !ok || key == "" || len(key) > maximumKeyLength {
+		return nil, refuseKey()
+	}
+	sum := sha256.Sum256([]byte(key))
+	keyHash := hex.EncodeToString(sum[:])
+	tenant, status := g.view.snapshot.Load().Tenant(keyHash)
+	if status == gatewaystate.KeyUnknown {
+		status = g.askForKey(keyHash)
+		tenant, _ = g.view.snapshot.Load().Tenant(keyHash)
+	}
+	switch {
+	case status == gatewaystate.KeyRejected:
+		return nil, refuseKey()
+	case tenant == nil:
+		return nil, refuse(http.StatusServiceUnavailable, typeServer, codeKeyNotChecked,
+			"the API key could not be checked now").after(time.Second)
+	}
+	tenant.Used(g.clock.now())
+	return tenant, nil
+}
+
+// askForKey waits until a controller has said whose key it is, within keyCheckTimeout.
+func (g *Gateway) askForKey(keyHash string) gatewaystate.KeyStatus {
+	command := meetKey{keyHash: keyHash, reply: make(chan gatewaystate.KeyStatus, 1)}
+	timer := time.NewTimer(keyCheckTimeout)
+	defer timer.Stop()
+	select {
+	case g.view.commands <- command:
+	case <-timer.C:
+		return gatewaystate.KeyUnknown
+	}
+	select {
+	case status := <-command.reply:
+		return status
+	case <-timer.C:
+		g.view.offer(forgetWaiting(command))
+		return gatewaystate.KeyUnknown
+	}
+}
+
+func refuseKey() *refusal {
+	return refuse(http.StatusUnauthorized, typeAuthentication, codeInvalidKey,
+		"send a valid API key in the Authorization header as a bearer token")
+}
--- /dev/null
+++ b/internal/gateway/chat_request.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/tidwall/gjson"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/stream"
+)
+
+// chatRequest is a checked request of the chat or completions protocol.
+type chatRequest struct {
+	format stream.Format
+	// model is the name the caller gave: a base model or an adapter.
+	model        string
+	stream       bool
+	includeUsage bool
+	// maximumTokens is the caller's bound on output; 0 when there is none.
+	maximumTokens int
+	// members are the body's members that are passed on as they came.
+	members []byte
+	// prompt is the raw JSON of the messages or the prompt.
+	prompt []byte
+}
+
+// path returns the engine's path for the request.
+func (r *chatRequest) path() string {
+	if r.format == stream.FormatCompletions {
+		return enginecontract.PathCompletions
+	}
+	return enginecontract.PathChat
+}
+
+// parseChatRequest reads the body once. Members that the gateway sets itself are taken
+// out; a doubled member is refused, because engines may differ on which one counts.
+func parseChatRequest(format stream.Format, body []byte) (*chatRequest, *refusal) {
+	if !gjson.ValidBytes(body) {
+		return nil, refuseBody("the body is not valid JSON")
+	}
+	root := gjson.ParseBytes(body)
+	if !root.IsObject() {
+		return nil, refuseBody("the body is not a JSON object")
+	}
+	request := &chatRequest{format: format}
+	seen := map[string]bool{}
+	var fault *refusal
+	root.ForEach(func(key, value gjson.Result) bool {
+		if seen[key.Str] {
+			fault = refuseBody("the body has a member twice: " + strconv.Quote(key.Str))
+			return false
+		}
+		seen[key.Str] = true
+		fault = request.take(key, value)
+		return fault == nil
+	})
+	if fault != nil {
+		return nil, fault
+	}
+	if len(request.prompt) == 0 {
+		return nil, refuseBody("the body has no messages or prompt")
+	}
+	return request, nil
+}
+
+// take reads one member of the body.
+func (r *chatRequest) take(key, value gjson.Result) *refusal {
+	switch key.Str {
+	case "model":
+		if value.Type != gjson.String {
+			return refuseBody("model must be a string")
+		}
+		r.model = value.Str
+		return nil
+	case "stream":
+		r.stream = value.Bool()
+		return nil
+	case "stream_options":
+		r.includeUsage = value.Get("include_usage").Bool()
+		return nil
+	case enginecontract.FieldContinueText:
+		return refuseBody("the body has a member that callers may not set")
+	case "n", "best_of":
+		if value.Int() != 1 {
+			return refuseBody("only one choice can be asked for")
+		}
+		return nil
+	case "max_tokens", "max_completion_tokens":
+		r.maximumTokens = int(max(value.Int(), 0))
+	case "messages", "prompt":
+		return r.takePrompt(key, value)
+	}
+	r.pass(key, value)
+	return nil
+}
+
+func (r *chatRequest) takePrompt(key, value gjson.Result) *refusal {
+	wanted := "messages"
+	if r.format == stream.FormatCompletions {
+		wanted = "prompt"
+	}
+	if key.Str != wanted {
+		return refuseBody("this path takes " + wanted)
+	}
+	if value.Type != gjson.String && !value.IsArray() {
+		return refuseBody(wanted + " has the wrong type")
+	}
+	r.prompt = []byte(value.Raw)
+	r.pass(key, value)
+	return nil
+}
+
+// pass keeps a member to be passed on.
+func (r *chatRequest) pass(key, value gjson.Result) {
+	r.members = append(r.members, ',')
+	r.members = append(r.members, key.Raw...)
+	r.members = append(r.members, ':')
+	r.members = append(r.members, value.Raw...)
+}
+
+// engineBody returns the body for an engine; continueText is the text already delivered.
+func (r *chatRequest) engineBody(model, continueText string) []byte {
+	body := make([]byte, 0, len(r.members)+len(model)+len(continueText)+128)
+	body = append(body, `{"model":`...)
+	body = gjson.AppendJSONString(body, model)
+	body = append(body, `,"stream":true,"stream_options":{"include_usage":true}`...)
+	if continueText != "" {
+		body = append(body, `,"`+enginecontract.FieldContinueText+`":`...)
+		body = gjson.AppendJSONString(body, continueText)
+	}
+	body = append(body, r.members...)
+	return append(body, '}')
+}
+
+// promptTokenBytes is the usual number of bytes of prompt per token.
+const promptTokenBytes = 4
+
+// promptTokens estimates the tokens of the prompt.
+func (r *chatRequest) promptTokens() int { return len(r.prompt)/promptTokenBytes + 1 }
+
+func refuseBody(message string) *refusal {
+	return refuse(http.StatusBadRequest, typeInvalidRequest, codeInvalidBody, message)
+}
--- /dev/null
+++ b/internal/gateway/controllers.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/gravitational/trace"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/settings"
+)
+
+const (
+	controllerCallTimeout = 900 * time.Millisecond
+	controllerIdleTimeout = 30 * time.Second
+)
+
+// controllers holds the connections to all controllers. It is safe for concurrent use.
+type controllers struct {
+	http    *http.Client
+	mutex   sync.Mutex
+	clients map[string]hazelpitchv1connect.NodeServiceClient
+	// order is the order of trying for calls that any controller answers; the last one
+	// that answered is first.
+	order []string
+	// leader is the address last known to lead; empty when unknown.
+	leader string
+}
+
+func newControllers(config settings.Gateway) *controllers {
+	dialer := &net.Dialer{Timeout: controllerCallTimeout}
+	if config.SourceAddress != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(config.SourceAddress)}
+	}
+	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: controllerIdleTimeout}
+	c := &controllers{
+		http:    &http.Client{Transport: transport},
+		clients: map[string]hazelpitchv1connect.NodeServiceClient{},
+	}
+	c.learn(config.Controllers)
+	return c
+}
+
+// learn adds addresses that are not known yet.
+func (c *controllers) learn(addresses []string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, address := range addresses {
+		if _, known := c.clients[address]; known || address == "" {
+			continue
+		}
+		c.clients[address] = hazelpitchv1connect.NewNodeServiceClient(c.http, "http://"+address)
+		c.order = append(c.order, address)
+	}
+}
+
+func (c *controllers) setLeader(address string) {
+	c.learn([]string{address})
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.leader = address
+}
+
+// inOrder returns the addresses to try, the leader first when it is needed.
+func (c *controllers) inOrder(leaderFirst bool) []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	order := slices.Clone(c.order)
+	if leaderFirst && c.leader != "" {
+		order = slices.DeleteFunc(order, func(address string) bool { return address == c.leader })
+		order = slices.Insert(order, 0, c.leader)
+	}
+	return order
+}
+
+// prefer makes an address the first to be tried.
+func (c *controllers) prefer(address string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.order = slices.DeleteFunc(c.order, func(each string) bool { return each == address })
+	c.order = slices.Insert(c.order, 0, address)
+}
+
+func (c *controllers) client(address string) hazelpitchv1connect.NodeServiceClient {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.clients[address]
+}
+
+// sync asks one controller.
+func (c *controllers) sync(ctx context.Context, address string, request *v1.SyncRequest) (*v1.SyncResponse, error) {
+	limited, cancel := context.WithTimeout(ctx, controllerCallTimeout)
+	defer cancel()
+	response, err := c.client(address).Sync(limited, connect.NewRequest(request))
+	if err != nil {
+		return nil, trace.Wrap(err, "sync with controller %s", address)
+	}
+	return response.Msg, nil
+}
--- /dev/null
+++ b/internal/gateway/engine_faults_test.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+var (
+	refusedNotRun  = fault{refuse: 429, code: enginecontract.CodeOverloaded, runState: enginecontract.RunStateNotRun}
+	refusedUnknown = fault{refuse: 500, code: enginecontract.CodeEngineError, runState: enginecontract.RunStateMayHaveRun}
+	crash          = fault{cutAfter: 3}
+)
+
+// engineFaultRow is one thing that goes wrong between gateway and engines.
+type engineFaultRow struct {
+	name string
+	kind string // default matching, which is repeatable
+	// first and second are the faults of the two engines. The gateway may choose either
+	// first, so rows that need an order give both the same.
+	first, second []fault
+	resumes       []fault
+	// want describes the answer; runs bounds the executions at both engines together.
+	whole   bool
+	status  int // of an answer that is not whole, when not streamed
+	verdict verdict.Verdict
+	minRuns int
+	maxRuns int
+}
+
+var engineFaultRows = []engineFaultRow{
+	{name: "no fault", whole: true, minRuns: 1, maxRuns: 1},
+	{name: "noise in the stream", first: []fault{{noise: true}}, second: []fault{{noise: true}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "refused before running, then served", first: []fault{refusedNotRun}, second: []fault{refusedNotRun},
+		status: 503, verdict: verdict.NotRun},
+	{name: "one engine refuses", first: []fault{refusedNotRun}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "once-only kind, one engine refuses before running", kind: "once", first: []fault{refusedNotRun}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "engine changes role", first: []fault{{refuse: 409, code: enginecontract.CodeWrongRole, runState: enginecontract.RunStateNotRun}},
+		whole: true, minRuns: 1, maxRuns: 1},
+	{name: "engine leaves", first: []fault{{refuse: 503, code: enginecontract.CodeLeaving, runState: enginecontract.RunStateNotRun}},
+		whole: true, minRuns: 1, maxRuns: 1},
+	{name: "link cut mid-stream, exchange lives on", first: []fault{{cutAfter: 3, resumable: true}}, second: []fault{{cutAfter: 3, resumable: true}},
+		whole: true, minRuns: 1, maxRuns: 1},
+	{name: "once-only kind, link cut mid-stream, exchange lives on", kind: "once",
+		first: []fault{{cutAfter: 3, resumable: true}}, second: []fault{{cutAfter: 3, resumable: true}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "link cut twice", first: []fault{{cutAfter: 2, resumable: true}}, second: []fault{{cutAfter: 2, resumable: true}},
+		resumes: []fault{{cutAfter: 4, resumable: true}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "link cut before the head, exchange lives on", first: []fault{{cutBeforeHead: true, resumable: true}},
+		second: []fault{{cutBeforeHead: true, resumable: true}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "engine crashes mid-stream", first: []fault{crash}, second: nil, whole: true, minRuns: 1, maxRuns: 2},
+	{name: "both engines crash mid-stream", first: []fault{crash}, second: []fault{crash}, status: 502, verdict: verdict.MayHaveRun, minRuns: 2, maxRuns: 2},
+	{name: "once-only kind, engine crashes mid-stream", kind: "once", first: []fault{crash}, second: []fault{crash},
+		status: 502, verdict: verdict.MayHaveRun, minRuns: 1, maxRuns: 1},
+	{name: "once-only kind, engine crashes before the head", kind: "once", first: []fault{{cutBeforeHead: true}}, second: []fault{{cutBeforeHead: true}},
+		status: 502, verdict: verdict.MayHaveRun, minRuns: 1, maxRuns: 1},
+	{name: "answer of another exchange", first: []fault{{foreignHead: true}}, second: []fault{{foreignHead: true}},
+		whole: true, minRuns: 1, maxRuns: 1},
+	{name: "event of another exchange", first: []fault{{foreignEvent: 3}}, second: []fault{{foreignEvent: 3}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "event of another exchange, once-only kind", kind: "once", first: []fault{{foreignEvent: 3}}, second: []fault{{foreignEvent: 3}},
+		whole: true, minRuns: 1, maxRuns: 1},
+	{name: "each event twice", first: []fault{{duplicate: true}}, second: []fault{{duplicate: true}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "a token is missing", first: []fault{{skip: 4}}, second: []fault{{skip: 4}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "body ends early", first: []fault{{endAfter: 4}}, second: []fault{{endAfter: 4}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "no [DONE]", first: []fault{{noDone: true}}, second: []fault{{noDone: true}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "no finish event", first: []fault{{noFinish: true}}, second: []fault{{noFinish: true}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "no usage event", first: []fault{{noUsage: true}}, second: []fault{{noUsage: true}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "error event mid-stream, once-only kind", kind: "once", first: []fault{{errorAfter: 3}}, second: []fault{{errorAfter: 3}},
+		status: 502, verdict: verdict.MayHaveRun, minRuns: 1, maxRuns: 1},
+	{name: "error event mid-stream", first: []fault{{errorAfter: 3}}, whole: true, minRuns: 1, maxRuns: 2},
+	{name: "refused as may have run, once-only kind", kind: "once", first: []fault{refusedUnknown}, second: []fault{refusedUnknown},
+		status: 502, verdict: verdict.MayHaveRun},
+	{name: "refused as may have run", first: []fault{refusedUnknown}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "refused parameters", first: []fault{{refuse: 400, code: enginecontract.CodeInvalidRequest, runState: enginecontract.RunStateNotRun}},
+		second: []fault{{refuse: 400, code: enginecontract.CodeInvalidRequest, runState: enginecontract.RunStateNotRun}}, status: 400, verdict: verdict.NotRun},
+}
+
+func TestEngineFaults(t *testing.T) {
+	for _, row := range engineFaultRows {
+		for mode, body := range map[string]string{"whole": wholeBody, "streamed": streamBody} {
+			t.Run(row.name+"/"+mode, func(t *testing.T) {
+				t.Parallel()
+				row.check(t, body, mode == "streamed")
+			})
+		}
+	}
+}
+
+func (row engineFaultRow) check(t *testing.T, body string, streamed bool) {
+	first, second := startEngine(t, row.first...), startEngine(t, row.second...)
+	first.resumeFaults, second.resumeFaults = row.resumes, row.resumes
+	controller := startController(t,
+		engineBackEnd("e1", first.address(), v1.Role_ROLE_MIXED), engineBackEnd("e2", second.address(), v1.Role_ROLE_MIXED))
+	gateway := startGateway(t, testSettings(controller.address))
+	kind := row.kind
+	if kind == "" {
+		kind = "matching"
+	}
+	answer := chat(t, gateway, kind, body)
+	firstRuns, _, _ := first.counts()
+	secondRuns, _, _ := second.counts()
+	runs := firstRuns + secondRuns
+	require.GreaterOrEqual(t, runs, row.minRuns)
+	require.LessOrEqual(t, runs, row.maxRuns)
+	require.NotContains(t, answer.body, "ANOTHER CALLER")
+	require.NotContains(t, answer.body, "tenant secret")
+	require.NotContains(t, answer.body, "internal detail")
+	require.NotContains(t, answer.body, "exchange")
+	require.Empty(t, answer.header.Get("X-Internal-Secret"))
+	if row.whole {
+		require.Equal(t, wholeText, answer.text, answer.body)
+		require.True(t, answer.whole, answer.body)
+		require.Equal(t, 200, answer.status)
+		return
+	}
+	require.False(t, answer.whole, answer.body)
+	require.True(t, strings.HasPrefix(wholeText, answer.text), answer.text)
+	require.Equal(t, row.verdict.String(), answer.errorVerdict, answer.body)
+	if !streamed || answer.status != 200 {
+		require.Equal(t, row.status, answer.status, answer.body)
+		require.Equal(t, row.verdict.String(), answer.verdict)
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/metrics"
+	"github.com/hazelpitch/hazelpitch/internal/settings"
+	"github.com/hazelpitch/hazelpitch/internal/upstream"
+)
+
+// role names the process in logs and metrics.
+const role = "gateway"
+
+// Gateway is one gateway process.
+type Gateway struct {
+	settings      settings.Gateway
+	clock         clock
+	log           *logring.Log
+	registry      *prometheus.Registry
+	metrics       *gatewayMetrics
+	upstream      *upstream.Client
+	dispatcher    *dispatcher
+	view          *view
+	controllers   *controllers
+	callers       *callers
+	retries       *retryBudget
+	inFlight      inFlight
+	cancellations chan cancellation
+	draining      atomic.Bool
+}
+
+// Run serves callers until the context ends, and then drains: it takes no new
+// connections, finishes what is in flight within settings.DrainTimeout and returns.
+func Run(ctx context.Context, config settings.Gateway, options Options) error {
+	if options.Listen == nil {
+		options.Listen = net.Listen
+	}
+	if options.Log == nil {
+		options.Log = logring.New(config.Name, config.Log)
+	}
+	gateway, err := newGateway(config, options.Log)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	callers, err := options.Listen("tcp", config.Listen)
+	if err != nil {
+		return trace.Wrap(err, "listen for callers on %s", config.Listen)
+	}
+	admin, err := options.Listen("tcp", config.AdminListen)
+	if err != nil {
+		_ = callers.Close()
+		return trace.Wrap(err, "listen for administration on %s", config.AdminListen)
+	}
+	return gateway.run(ctx, callers, admin, options)
+}
+
+func newGateway(config settings.Gateway, log *logring.Log) (*Gateway, error) {
+	clock := newClock()
+	client, err := upstream.NewClient(config.SourceAddress)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	dispatcher, err := newDispatcher(clock, config)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	registry, factory := metrics.NewRegistry(role, config.Name, config.Zone)
+	identity := &v1.NodeIdentity{
+		Name: config.Name, Zone: config.Zone, Address: config.Listen, Incarnation: uint64(time.Now().UnixNano()),
+	}
+	return &Gateway{
+		settings:      config,
+		clock:         clock,
+		log:           log,
+		registry:      registry,
+		metrics:       newGatewayMetrics(factory),
+		upstream:      client,
+		dispatcher:    dispatcher,
+		view:          newView(clock, identity, dispatcher),
+		controllers:   newControllers(config),
+		callers:       newCallers(),
+		retries:       newRetryBudget(),
+		inFlight:      inFlight{limit: int64(config.Limits.InFlight)},
+		cancellations: make(chan cancellation, cancelQueueLength),
+	}, nil
+}
+
+// run starts the duties, waits for the context and drains.
+func (g *Gateway) run(ctx context.Context, callers, admin net.Listener, options Options) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, background := errgroup.WithContext(background)
+	for _, duty := range []func(context.Context){g.view.run, g.syncLoop, g.reportLoop, g.callers.run, g.log.Run} {
+		group.Go(func() error { duty(background); return nil })
+	}
+	for range cancelWorkers {
+		group.Go(func() error { g.cancelLoop(background); return nil })
+	}
+	group.Go(func() error {
+		server := metrics.AdminServer{Registry: g.registry, Log: g.log, Ready: g.ready}
+		return trace.Wrap(server.Serve(background, admin))
+	})
+	server := g.newServer()
+	group.Go(func() error {
+		return trace.Wrap(server.Serve(&stallListener{Listener: callers, limit: g.settings.Limits.WriteTimeout}))
+	})
+	if options.Started != nil {
+		close(options.Started)
+	}
+	select {
+	case <-ctx.Done():
+	case <-background.Done(): // a duty failed
+	}
+	drained := g.drain(server)
+	stop()
+	g.upstream.Close()
+	return trace.NewAggregate(group.Wait(), drained)
+}
+
+// noticeTime is how long a stopping gateway still takes requests, so that those who send
+// to it learn that it leaves before it closes its door.
+const noticeTime = 500 * time.Millisecond
+
+// drain stops taking requests and waits for those in flight.
+func (g *Gateway) drain(server *fasthttp.Server) error {
+	g.draining.Store(true)
+	g.view.offer(leave{})
+	time.Sleep(noticeTime)
+	limited, cancel := context.WithTimeout(context.Background(), g.settings.DrainTimeout)
+	defer cancel()
+	if err := server.ShutdownWithContext(limited); err != nil {
+		return trace.Wrap(err, "requests were still in flight after drain_timeout (%s)", g.settings.DrainTimeout)
+	}
+	return nil
+}
+
+// ready tells whether callers should be sent here.
+func (g *Gateway) ready() error {
+	switch {
+	case g.draining.Load():
+		return trace.ConnectionProblem(nil, "the gateway is stopping")
+	case g.view.snapshot.Load().Revision == 0:
+		return trace.ConnectionProblem(nil, "no controller has given a configuration yet")
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/gateway/harness_test.go
@@ -0,0 +1,197 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/settings"
+)
+
+const (
+	testKey      = "key-of-tenant-one"
+	otherTestKey = "key-of-tenant-two"
+)
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// testController answers as a controller does, from a fixed state.
+type testController struct {
+	hazelpitchv1connect.UnimplementedNodeServiceHandler
+	address string
+
+	mutex     sync.Mutex
+	revision  uint64
+	objects   []*v1.Object
+	directory *v1.Directory
+	claims    map[string]*v1.BeginClaimResponse
+	holders   map[string]string
+	leaving   atomic.Bool
+	down      atomic.Bool
+}
+
+func object(revision uint64, kind v1.ObjectType, name string) *v1.Object {
+	return &v1.Object{Key: &v1.ObjectKey{Type: kind, Name: name}, Revision: revision}
+}
+
+// testObjects is a small configuration: two tenants, a repeatable and a once-only chat
+// kind, and a repeatable and a once-only page kind.
+func testObjects() []*v1.Object {
+	tenant := func(name, key, salt string) *v1.Object {
+		made := object(1, v1.ObjectType_OBJECT_TYPE_TENANT, name)
+		made.Spec = &v1.Object_Tenant{Tenant: &v1.Tenant{ApiKeyHashes: []string{hashOf(key)}, Weight: 1, CacheSalt: salt}}
+		return made
+	}
+	kind := func(name string, spec *v1.Kind) *v1.Object {
+		made := object(1, v1.ObjectType_OBJECT_TYPE_KIND, name)
+		made.Spec = &v1.Object_Kind{Kind: spec}
+		return made
+	}
+	service := func(name string, spec *v1.Service) *v1.Object {
+		made := object(1, v1.ObjectType_OBJECT_TYPE_SERVICE, name)
+		made.Spec = &v1.Object_Service{Service: spec}
+		return made
+	}
+	model := object(1, v1.ObjectType_OBJECT_TYPE_MODEL, "base")
+	model.Spec = &v1.Object_Model{Model: &v1.Model{Version: "v1"}}
+	adapter := object(1, v1.ObjectType_OBJECT_TYPE_ADAPTER, "tuned")
+	adapter.Spec = &v1.Object_Adapter{Adapter: &v1.Adapter{Model: "base", Version: "v1", Tenants: []string{"two"}}}
+	return []*v1.Object{
+		tenant("one", testKey, "salt-one"), tenant("two", otherTestKey, "salt-two"), model, adapter,
+		service("engines", &v1.Service{Type: v1.ServiceType_SERVICE_TYPE_ENGINE, Model: "base"}),
+		service("portal", &v1.Service{Type: v1.ServiceType_SERVICE_TYPE_PAGE}),
+		kind("matching", &v1.Kind{Worth: 5, DeadlineMs: 8000, Repeatable: true, Service: "engines", Priority: 7}),
+		kind("once", &v1.Kind{Worth: 5, DeadlineMs: 8000, Service: "engines"}),
+		kind("listing", &v1.Kind{Worth: 1, DeadlineMs: 4000, Repeatable: true, Service: "portal", Path: "/lots"}),
+		kind("registration", &v1.Kind{Worth: 9, DeadlineMs: 4000, Service: "portal", Path: "/registrations"}),
+	}
+}
+
+func (c *testController) Sync(_ context.Context, request *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.down.Load() {
+		return nil, connect.NewError(connect.CodeUnavailable, http.ErrServerClosed)
+	}
+	if request.Msg.GetLeaving() {
+		c.leaving.Store(true)
+	}
+	response := &v1.SyncResponse{Revision: c.revision, LeaderAddress: c.address, DirectoryVersion: c.directory.GetVersion()}
+	if request.Msg.GetDirectoryVersion() != c.directory.GetVersion() {
+		response.Directory = c.directory
+	}
+	for _, each := range c.objects {
+		isTenant := each.GetKey().GetType() == v1.ObjectType_OBJECT_TYPE_TENANT
+		if !isTenant && each.GetRevision() > request.Msg.GetRevision() {
+			response.Objects = append(response.Objects, each)
+		}
+	}
+	for _, hash := range request.Msg.GetUnknownKeyHashes() {
+		owner := slices.IndexFunc(c.objects, func(each *v1.Object) bool {
+			return slices.Contains(each.GetTenant().GetApiKeyHashes(), hash)
+		})
+		if owner < 0 {
+			response.RejectedKeyHashes = append(response.RejectedKeyHashes, hash)
+			continue
+		}
+		response.Objects = append(response.Objects, c.objects[owner])
+	}
+	return connect.NewResponse(response), nil
+}
+
+func (c *testController) Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error) {
+	return connect.NewResponse(&v1.ReportResponse{}), nil
+}
+
+func startController(t testing.TB, backEnds ...*v1.BackEnd) *testController {
+	controller := &testController{
+		revision: 1, objects: testObjects(), claims: map[string]*v1.BeginClaimResponse{}, holders: map[string]string{},
+		directory: &v1.Directory{Version: 1, BackEnds: backEnds},
+	}
+	path, handler := hazelpitchv1connect.NewNodeServiceHandler(controller)
+	routes := http.NewServeMux()
+	routes.Handle(path, handler)
+	server := httptest.NewServer(routes)
+	t.Cleanup(server.Close)
+	controller.address = strings.TrimPrefix(server.URL, "http://")
+	return controller
+}
+
+// engineBackEnd is a directory row of an engine.
+func engineBackEnd(name, address string, role v1.Role) *v1.BackEnd {
+	return &v1.BackEnd{
+		Name: name, Service: "engines", Zone: "z1", Address: address, Role: role, Model: "base", Version: "v1",
+		Adapters: []string{"tuned"}, State: v1.BackEndState_BACK_END_STATE_SERVING,
+	}
+}
+
+// testGateway is a running gateway.
+type testGateway struct {
+	url     string
+	address string
+	admin   string
+	stop    context.CancelFunc
+	done    chan error
+}
+
+func testSettings(controllers ...string) settings.Gateway {
+	return settings.Gateway{
+		Name: "g1", Fleet: "test", Zone: "z1", Listen: "127.0.0.1:0", AdminListen: "127.0.0.1:0", Controllers: controllers,
+		SyncInterval: 100 * time.Millisecond, DrainTimeout: 10 * time.Second,
+		Limits: settings.GatewayLimits{
+			HeaderBytes: 16384, BodyBytes: 1 << 20, InFlight: 256, QueueLength: 64,
+			ReadTimeout: 2 * time.Second, WriteTimeout: time.Second,
+		},
+		Log: settings.Log{RingEntries: 256},
+	}
+}
+
+func startGateway(t testing.TB, config settings.Gateway) *testGateway {
+	running := &testGateway{done: make(chan error, 1)}
+	var addresses []string
+	options := Options{Listen: func(network, address string) (net.Listener, error) {
+		listener, err := net.Listen(network, address)
+		if err == nil {
+			addresses = append(addresses, listener.Addr().String())
+		}
+		return listener, err
+	}}
+	started := make(chan struct{})
+	options.Started = started
+	ctx, stop := context.WithCancel(context.Background())
+	running.stop = stop
+	go func() { running.done <- Run(ctx, config, options) }()
+	<-started
+	running.address, running.admin = addresses[0], addresses[1]
+	running.url = "http://" + running.address
+	t.Cleanup(func() {
+		stop()
+		require.NoError(t, <-running.done)
+	})
+	require.Eventually(t, func() bool {
+		answer, err := http.Get("http://" + running.admin + "/ready")
+		if err != nil {
+			return false
+		}
+		_ = answer.Body.Close()
+		return answer.StatusCode == http.StatusOK
+	}, 10*time.Second, 10*time.Millisecond)
+	return running
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/hazelpitch/hazelpitch/internal/metrics"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+// gatewayMetrics are the counts of one gateway.
+type gatewayMetrics struct {
+	answers         *prometheus.CounterVec
+	resumes         prometheus.Counter
+	eventsDropped   prometheus.Counter
+	foreignAnswers  prometheus.Counter
+	connectionsKept prometheus.Counter
+	syncFailures    prometheus.Counter
+	reportFailures  prometheus.Counter
+}
+
+func newGatewayMetrics(factory metrics.Factory) *gatewayMetrics {
+	return &gatewayMetrics{
+		answers:         factory.CounterVec("answers_total", "Answers to callers.", "status", "verdict"),
+		resumes:         factory.Counter("stream_resumes_total", "Streams resumed at their engine after a cut link."),
+		eventsDropped:   factory.Counter("events_dropped_total", "Events dropped because they repeated what was delivered."),
+		foreignAnswers:  factory.Counter("foreign_answers_total", "Answers and events dropped because they belonged to another exchange."),
+		connectionsKept: factory.Counter("connections_kept_total", "Connections to engines kept after a whole stream."),
+		syncFailures:    factory.Counter("sync_failures_total", "Heartbeats that no controller answered."),
+		reportFailures:  factory.Counter("report_failures_total", "Demand reports that no leader took."),
+	}
+}
+
+// answer counts one answer to a caller.
+func (m *gatewayMetrics) answer(status int, given verdict.Verdict) {
+	m.answers.WithLabelValues(strconv.Itoa(status), given.String()).Inc()
+}
--- /dev/null
+++ b/internal/gateway/options.go
@@ -0,0 +1,17 @@
+package gateway
+
+import (
+	"net"
+
+	"github.com/hazelpitch/hazelpitch/internal/logring"
+)
+
+// Options are what a process may give Run besides its settings.
+type Options struct {
+	// Listen opens the listeners; nil means net.Listen.
+	Listen func(network, address string) (net.Listener, error)
+	// Log receives the log; nil means a ring of its own.
+	Log *logring.Log
+	// Started, when not nil, is closed once callers can connect.
+	Started chan<- struct{}
+}
--- /dev/null
+++ b/internal/gateway/refusal.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/stream"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+// Error types of the chat protocol.
+const (
+	typeInvalidRequest = "invalid_request_error"
+	typeAuthentication = "authentication_error"
+	typePermission     = "permission_error"
+	typeRateLimit      = "rate_limit_error"
+	typeServer         = "server_error"
+)
+
+// Codes of refusals; docs/CALLERS.md explains each.
+const (
+	codeInvalidBody      = "invalid_body"
+	codeInvalidHeader    = "invalid_header"
+	codeInvalidPath      = "invalid_path"
+	codeTooLarge         = "too_large"
+	codeInvalidKey       = "invalid_api_key"
+	codeKeyNotChecked    = "api_key_not_checked"
+	codeUnknownKind      = "unknown_kind"
+	codeModelNotFound    = "model_not_found"
+	codeOverloaded       = "overloaded"
+	codeNoBackEnd        = "no_back_end"
+	codeBackEndFailed    = "back_end_failed"
+	codeDeadlineExceeded = "deadline_exceeded"
+	codeNotReady         = "not_ready"
+	codeCallerGone       = "caller_gone"
+	codeInternal         = "internal_error"
+)
+
+// refusal is the end of a request that brings no whole answer. Its message never names
+// another tenant, a back end or their load.
+type refusal struct {
+	status     int
+	errorType  string
+	code       string
+	message    string
+	verdict    verdict.Verdict
+	retryAfter time.Duration
+}
+
+func refuse(status int, errorType, code, message string) *refusal {
+	return &refusal{status: status, errorType: errorType, code: code, message: message, verdict: verdict.NotRun}
+}
+
+// Error implements error.
+func (r *refusal) Error() string { return r.code + ": " + r.message }
+
+// after sets the time after which a resend may succeed.
+func (r *refusal) after(wait time.Duration) *refusal {
+	r.retryAfter = wait
+	return r
+}
+
+// mayHaveRun lowers the verdict.
+func (r *refusal) mayHaveRun() *refusal {
+	r.verdict = verdict.MayHaveRun
+	return r
+}
+
+// body returns the refusal in the chat protocol's shape.
+func (r *refusal) body() stream.ErrorBody {
+	return stream.ErrorBody{
+		Error:      enginecontract.ErrorDetail{Message: r.message, Type: r.errorType, Code: r.code},
+		RunVerdict: r.verdict.String(),
+	}
+}
+
+// write answers the caller with the refusal.
+func (r *refusal) write(response *fasthttp.Response) {
+	body, _ := json.Marshal(r.body()) // strings always marshal
+	response.SetStatusCode(r.status)
+	response.Header.SetContentType("application/json")
+	response.Header.Set(verdict.Header, r.verdict.String())
+	if r.retryAfter > 0 {
+		seconds := int(math.Ceil(r.retryAfter.Seconds()))
+		response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
+	}
+	response.SetBody(body)
+}
+
+func refuseInternal() *refusal {
+	return refuse(http.StatusInternalServerError, typeServer, codeInternal, "the gateway failed; the request may have run").mayHaveRun()
+}
--- /dev/null
+++ b/internal/gateway/retry_budget.go
@@ -0,0 +1,38 @@
+package gateway
+
+import "sync"
+
+const (
+	// retryShare is the part of a retry that each request earns: retries add at most this
+	// share to the load of back ends, also when all of them fail.
+	retryShare = 0.1
+	// maximumRetryCredit bounds what is saved up in quiet times.
+	maximumRetryCredit = 20
+)
+
+// retryBudget is a token bucket filled by requests, not by time, so that retries cannot
+// amplify an outage. It is safe for concurrent use.
+type retryBudget struct {
+	mutex  sync.Mutex
+	credit float64
+}
+
+func newRetryBudget() *retryBudget { return &retryBudget{credit: maximumRetryCredit} }
+
+// earn notes one request.
+func (b *retryBudget) earn() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.credit = min(b.credit+retryShare, maximumRetryCredit)
+}
+
+// spend takes one retry; it reports false when the budget is used up.
+func (b *retryBudget) spend() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.credit < 1 {
+		return false
+	}
+	b.credit--
+	return true
+}
--- /dev/null
+++ b/internal/gateway/server.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	callerIdleTimeout = 75 * time.Second
+	overloadedRetry   = time.Second
+)
+
+// newServer returns the server for callers.
+func (g *Gateway) newServer() *fasthttp.Server {
+	limits := g.settings.Limits
+	return &fasthttp.Server{
+		Handler:                      g.serve,
+		ErrorHandler:                 g.serveFault,
+		ReadBufferSize:               limits.HeaderBytes,
+		MaxRequestBodySize:           limits.BodyBytes,
+		ReadTimeout:                  limits.ReadTimeout,
+		IdleTimeout:                  callerIdleTimeout,
+		Concurrency:                  limits.InFlight + limits.QueueLength,
+		NoDefaultServerHeader:        true,
+		NoDefaultContentType:         true,
+		DisablePreParseMultipartForm: true,
+		CloseOnShutdown:              true,
+		SecureErrorLogMessage:        true,
+		Logger:                       serverLogger{log: g.log},
+	}
+}
+
+// serve answers one request of a caller.
+func (g *Gateway) serve(context *fasthttp.RequestCtx) {
+	if g.draining.Load() {
+		context.SetConnectionClose()
+	}
+	if fault := checkHeaders(&context.Request.Header); fault != nil {
+		context.SetConnectionClose()
+		g.refuse(context, fault)
+		return
+	}
+	if !g.inFlight.tryAcquire() {
+		g.refuse(context, refuse(http.StatusServiceUnavailable, typeRateLimit, codeOverloaded,
+			"the gateway has too many requests in flight").after(overloadedRetry))
+		return
+	}
+	release := sync.OnceFunc(g.inFlight.release)
+	defer g.recoverPanic(context, release)
+	format, isChat := chatPaths[string(context.Path())]
+	switch {
+	case isChat && !context.IsPost():
+		defer release()
+		context.Response.Header.Set("Allow", http.MethodPost)
+		g.refuse(context, refuse(http.StatusMethodNotAllowed, typeInvalidRequest, codeInvalidBody, "send POST"))
+	case isChat:
+		g.serveChat(context, format, release)
+	default:
+		defer release()
+		g.servePage(context)
+	}
+}
+
+// refuse answers with a refusal and counts it.
+func (g *Gateway) refuse(context *fasthttp.RequestCtx, fault *refusal) {
+	g.metrics.answer(fault.status, fault.verdict)
+	fault.write(&context.Response)
+}
+
+// serveFault answers requests that the server itself could not read; none has run.
+func (g *Gateway) serveFault(context *fasthttp.RequestCtx, err error) {
+	var tooSmall *fasthttp.ErrSmallBuffer
+	fault := refuse(http.StatusBadRequest, typeInvalidRequest, codeInvalidHeader, "the request cannot be read")
+	switch {
+	case errors.As(err, &tooSmall):
+		fault = refuse(http.StatusRequestHeaderFieldsTooLarge, typeInvalidRequest, codeTooLarge, "the headers are too large")
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		fault = refuse(http.StatusRequestEntityTooLarge, typeInvalidRequest, codeTooLarge, "the body is too large")
+	}
+	context.SetConnectionClose()
+	g.refuse(context, fault)
+}
+
+// recoverPanic answers for a handler that failed; the process goes on.
+func (g *Gateway) recoverPanic(context *fasthttp.RequestCtx, release func()) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	release()
+	g.log.Error().Interface("panic", cause).Msg("a request's handler panicked")
+	g.refuse(context, refuseInternal())
+}
--- /dev/null
+++ b/internal/gateway/server_logger.go
@@ -0,0 +1,11 @@
+package gateway
+
+import "github.com/hazelpitch/hazelpitch/internal/logring"
+
+// serverLogger passes fasthttp's messages to the ring.
+type serverLogger struct{ log *logring.Log }
+
+// Printf implements fasthttp.Logger.
+func (l serverLogger) Printf(format string, arguments ...any) {
+	l.log.Info().Msgf(format, arguments...)
+}
--- /dev/null
+++ b/internal/gateway/sync.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
+)
+
+// shortestSyncInterval bounds the heartbeats that unknown keys cause.
+const shortestSyncInterval = 50 * time.Millisecond
+
+// syncLoop sends a heartbeat to a controller each interval, and earlier when a request
+// brings an unknown key.
+func (g *Gateway) syncLoop(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-g.view.wakeSync:
+		}
+		if err := g.syncOnce(ctx); err != nil && ctx.Err() == nil {
+			g.metrics.syncFailures.Inc()
+			g.log.Warn().Err(err).Msg("no controller answers; going on with what is known")
+		}
+		timer.Reset(g.settings.SyncInterval)
+		if !sleep(ctx, shortestSyncInterval) {
+			return
+		}
+	}
+}
+
+// syncOnce asks one controller after the other until one is not behind. All failing is
+// an error; all behind is not, for the directory may still have been confirmed.
+func (g *Gateway) syncOnce(ctx context.Context) error {
+	var failures []error
+	for _, address := range g.controllers.inOrder(false) {
+		result, err := g.syncWith(ctx, address)
+		if err != nil {
+			failures = append(failures, err)
+			continue
+		}
+		if result.Behind {
+			continue
+		}
+		g.controllers.prefer(address)
+		return nil
+	}
+	return trace.NewAggregate(failures...)
+}
+
+func (g *Gateway) syncWith(ctx context.Context, address string) (gatewaystate.SyncResult, error) {
+	build := buildSync{reply: make(chan *v1.SyncRequest, 1)}
+	if !g.view.send(ctx, build) {
+		return gatewaystate.SyncResult{}, trace.Wrap(ctx.Err())
+	}
+	request, err := receive(ctx, build.reply)
+	if err != nil {
+		return gatewaystate.SyncResult{}, err
+	}
+	sentAt := g.clock.now()
+	response, err := g.controllers.sync(ctx, address, request)
+	if err != nil {
+		return gatewaystate.SyncResult{}, err
+	}
+	g.controllers.learn(response.GetControllerAddresses())
+	if leader := response.GetLeaderAddress(); leader != "" {
+		g.controllers.setLeader(leader)
+	}
+	apply := applySync{sentAt: sentAt, request: request, response: response, reply: make(chan gatewaystate.SyncResult, 1)}
+	if !g.view.send(ctx, apply) {
+		return gatewaystate.SyncResult{}, trace.Wrap(ctx.Err())
+	}
+	return receive(ctx, apply.reply)
+}
+
+// receive waits for a reply of the view's owner.
+func receive[T any](ctx context.Context, reply <-chan T) (T, error) {
+	select {
+	case value := <-reply:
+		return value, nil
+	case <-ctx.Done():
+		var none T
+		return none, trace.Wrap(ctx.Err())
+	}
+}
+
+// sleep waits; it reports false when the context ended first.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/gateway/target.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/valyala/fasthttp"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
+	"github.com/hazelpitch/hazelpitch/internal/routing"
+)
+
+// HeaderKind names the kind of a chat or completions request.
+const HeaderKind = "X-Request-Kind"
+
+// target is what a chat request asks for in terms of the configuration in force.
+type target struct {
+	kind *gatewaystate.Kind
+	// name is what the engine is asked for: the adapter or the base model.
+	name    string
+	adapter string
+	version string
+}
+
+// resolve finds the kind, model and adapter of a chat request. A model or adapter that the
+// tenant may not use is answered as if it did not exist.
+func resolve(snapshot *gatewaystate.Snapshot, tenant *gatewaystate.Tenant, header *fasthttp.RequestHeader, request *chatRequest) (target, *refusal) {
+	base, adapter, fault := resolveModel(snapshot, tenant, request.model)
+	if fault != nil {
+		return target{}, fault
+	}
+	kind, fault := resolveKind(snapshot, string(header.Peek(HeaderKind)), base)
+	if fault != nil {
+		return target{}, fault
+	}
+	if base != "" && kind.Model != base {
+		return target{}, refuse(http.StatusBadRequest, typeInvalidRequest, codeModelNotFound,
+			"the kind's service does not serve this model")
+	}
+	base = kind.Model
+	if !tenant.MayUseModel(base) {
+		return target{}, refuseModel()
+	}
+	found := target{kind: kind, name: base, adapter: adapter}
+	if adapter != "" {
+		found.name = adapter
+	}
+	if model, ok := snapshot.Model(base); ok {
+		found.version = model.GetVersion()
+	}
+	return found, nil
+}
+
+// resolveModel splits the caller's model name into base model and adapter; both are empty
+// when the caller named none.
+func resolveModel(snapshot *gatewaystate.Snapshot, tenant *gatewaystate.Tenant, name string) (base, adapter string, fault *refusal) {
+	if name == "" {
+		return "", "", nil
+	}
+	if _, ok := snapshot.Model(name); ok {
+		return name, "", nil
+	}
+	found, ok := snapshot.Adapter(name)
+	if !ok || !gatewaystate.MayUseAdapter(found, tenant.Name) {
+		return "", "", refuseModel()
+	}
+	return found.GetModel(), name, nil
+}
+
+// resolveKind finds the kind that the caller named, or else the only one for the model.
+func resolveKind(snapshot *gatewaystate.Snapshot, name, model string) (*gatewaystate.Kind, *refusal) {
+	if name == "" {
+		kind, ok := snapshot.OnlyKindForModel(model)
+		if !ok {
+			return nil, refuse(http.StatusBadRequest, typeInvalidRequest, codeUnknownKind,
+				"name the kind of the request in the "+HeaderKind+" header")
+		}
+		return kind, nil
+	}
+	kind, ok := snapshot.Kind(name)
+	if !ok || kind.ServiceType != v1.ServiceType_SERVICE_TYPE_ENGINE {
+		return nil, refuse(http.StatusBadRequest, typeInvalidRequest, codeUnknownKind,
+			"the "+HeaderKind+" header names no kind of this path")
+	}
+	return kind, nil
+}
+
+func refuseModel() *refusal {
+	return refuse(http.StatusNotFound, typeInvalidRequest, codeModelNotFound, "there is no such model")
+}
+
+// routingRequest returns what routing needs to know of a chat request.
+func (t *target) routingRequest(tenant *gatewaystate.Tenant, request *chatRequest) routing.Request {
+	output := int(t.kind.Spec.GetExpectedOutputTokens())
+	if request.maximumTokens > 0 && (output == 0 || request.maximumTokens < output) {
+		output = request.maximumTokens
+	}
+	return routing.Request{
+		Service:      t.kind.Spec.GetService(),
+		Model:        t.kind.Model,
+		Version:      t.version,
+		Adapter:      t.adapter,
+		PromptTokens: request.promptTokens(),
+		OutputTokens: output,
+		PrefixBlocks: routing.PrefixBlocks(tenant.Spec.GetCacheSalt(), request.prompt),
+	}
+}
--- /dev/null
+++ b/internal/gatewaystate/directory.go
@@ -0,0 +1,81 @@
+package gatewaystate
+
+import (
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/routing"
+)
+
+// directory is what the controllers last said of this gateway's back ends.
+type directory struct {
+	version  uint64
+	backEnds []routing.BackEnd
+}
+
+// replace takes a directory whose readings were made at readAt or later. now is the time
+// the answer arrived; the ages of loads count from it.
+func (d *directory) replace(now, readAt time.Duration, next *v1.Directory) {
+	d.version = next.GetVersion()
+	d.backEnds = make([]routing.BackEnd, 0, len(next.GetBackEnds()))
+	for _, listed := range next.GetBackEnds() {
+		d.backEnds = append(d.backEnds, backEndOf(now, readAt, listed))
+	}
+}
+
+// confirm tells that readings made at readAt or later still hold the directory.
+func (d *directory) confirm(readAt time.Duration) {
+	for i := range d.backEnds {
+		d.backEnds[i].ConfirmedAt = max(d.backEnds[i].ConfirmedAt, readAt)
+	}
+}
+
+func backEndOf(now, readAt time.Duration, listed *v1.BackEnd) routing.BackEnd {
+	return routing.BackEnd{
+		Name:        listed.GetName(),
+		Service:     listed.GetService(),
+		Zone:        listed.GetZone(),
+		Address:     listed.GetAddress(),
+		Incarnation: listed.GetIncarnation(),
+		State:       serviceState(listed.GetState()),
+		Role:        engineRole(listed.GetRole()),
+		Model:       listed.GetModel(),
+		Version:     listed.GetVersion(),
+		Adapters:    listed.GetAdapters(),
+		ConfirmedAt: readAt,
+		HasLoad:     listed.GetLoad() != nil,
+		LoadAt:      now - time.Duration(listed.GetLoadAgeMs())*time.Millisecond,
+		Load: routing.Load{
+			Running:             int(listed.GetLoad().GetRunning()),
+			Waiting:             int(listed.GetLoad().GetWaiting()),
+			WaitingPromptTokens: int64(listed.GetLoad().GetWaitingPromptTokens()),
+		},
+	}
+}
+
+// serviceState translates a state; one that is not known does not serve.
+func serviceState(state v1.BackEndState) enginecontract.ServiceState {
+	switch state {
+	case v1.BackEndState_BACK_END_STATE_SERVING:
+		return enginecontract.StateServing
+	case v1.BackEndState_BACK_END_STATE_LEAVING:
+		return enginecontract.StateLeaving
+	default:
+		return enginecontract.StateChanging
+	}
+}
+
+// engineRole translates a role; page services have none.
+func engineRole(role v1.Role) enginecontract.Role {
+	switch role {
+	case v1.Role_ROLE_PREFILL:
+		return enginecontract.RolePrefill
+	case v1.Role_ROLE_DECODE:
+		return enginecontract.RoleDecode
+	case v1.Role_ROLE_MIXED:
+		return enginecontract.RoleMixed
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/internal/gatewaystate/report.go
@@ -0,0 +1,97 @@
+package gatewaystate
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// demandKey identifies one count of demand.
+type demandKey struct{ service, kind string }
+
+// Outcome is what became of one request, for the demand report.
+type Outcome struct {
+	Service string
+	Kind    string
+	// Exactly one of Completed, Refused and MissedDeadline is set, or none when the
+	// request failed otherwise.
+	Completed      bool
+	Refused        bool
+	MissedDeadline bool
+	PromptTokens   uint64
+	OutputTokens   uint64
+}
+
+// Record counts one finished request.
+func (s *State) Record(outcome Outcome) {
+	demand := s.demand(outcome.Service, outcome.Kind)
+	demand.Arrivals++
+	demand.PromptTokens += outcome.PromptTokens
+	demand.OutputTokens += outcome.OutputTokens
+	switch {
+	case outcome.Completed:
+		demand.Completed++
+	case outcome.Refused:
+		demand.Refused++
+	case outcome.MissedDeadline:
+		demand.MissedDeadline++
+	}
+}
+
+func (s *State) demand(service, kind string) *v1.Demand {
+	key := demandKey{service, kind}
+	demand, ok := s.demands[key]
+	if !ok {
+		demand = &v1.Demand{Service: service, Kind: kind}
+		s.demands[key] = demand
+	}
+	return demand
+}
+
+// ReportRequest builds the next report and starts a new window. When the report is lost,
+// hand it to ReportLost.
+func (s *State) ReportRequest(now time.Duration, shareDemands []*v1.ShareDemand) *v1.ReportRequest {
+	request := &v1.ReportRequest{
+		Node:         s.config.Identity,
+		ShareDemands: shareDemands,
+		Revision:     s.configuration.revision,
+		WindowMs:     uint32((now - s.reportedAt) / time.Millisecond),
+	}
+	for _, demand := range s.demands {
+		request.Demands = append(request.Demands, demand)
+	}
+	slices.SortFunc(request.Demands, func(a, b *v1.Demand) int {
+		return cmp.Or(cmp.Compare(a.GetService(), b.GetService()), cmp.Compare(a.GetKind(), b.GetKind()))
+	})
+	s.demands = map[demandKey]*v1.Demand{}
+	s.reportedAt = now
+	return request
+}
+
+// ReportLost puts the counts of a lost report back, so that the next one carries them.
+func (s *State) ReportLost(request *v1.ReportRequest) {
+	for _, lost := range request.GetDemands() {
+		demand := s.demand(lost.GetService(), lost.GetKind())
+		demand.Arrivals += lost.GetArrivals()
+		demand.Completed += lost.GetCompleted()
+		demand.Refused += lost.GetRefused()
+		demand.MissedDeadline += lost.GetMissedDeadline()
+		demand.PromptTokens += lost.GetPromptTokens()
+		demand.OutputTokens += lost.GetOutputTokens()
+	}
+	s.reportedAt -= time.Duration(request.GetWindowMs()) * time.Millisecond
+}
+
+// ApplyReport takes the shares granted in answer to a report sent at sentAt: a share's
+// validity counts from then, so that it never outlives the leader's record of it.
+func (s *State) ApplyReport(sentAt time.Duration, response *v1.ReportResponse) {
+	for _, share := range response.GetShares() {
+		s.shares[share.GetTenant()] = Share{
+			TokensPerSecond: share.GetTokensPerSecond(),
+			Concurrency:     share.GetConcurrency(),
+			ExpiresAt:       sentAt + time.Duration(share.GetValidMs())*time.Millisecond,
+		}
+	}
+}
--- /dev/null
+++ b/internal/gatewaystate/snapshot.go
@@ -0,0 +1,140 @@
+package gatewaystate
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// Snapshot is an immutable picture of a State, safe for concurrent readers.
+type Snapshot struct {
+	// Revision in force; zero before the first answer of a controller.
+	Revision uint64
+	// SyncedAt is the time of the last applied answer.
+	SyncedAt time.Duration
+
+	kinds     map[string]*Kind
+	pathKinds []*Kind // longest path first
+	models    map[string]*v1.Model
+	adapters  map[string]*v1.Adapter
+	keys      map[string]*Tenant // by hash of API key
+	rejected  map[string]struct{}
+	shares    map[string]Share
+}
+
+// Share is this gateway's part of a tenant's limits.
+type Share struct {
+	TokensPerSecond uint64
+	Concurrency     uint32
+	ExpiresAt       time.Duration
+}
+
+// Tenant returns the tenant that an API key's hash (lower-case hex SHA-256) belongs to.
+func (s *Snapshot) Tenant(keyHash string) (*Tenant, KeyStatus) {
+	if tenant, ok := s.keys[keyHash]; ok {
+		return tenant, KeyAccepted
+	}
+	if _, ok := s.rejected[keyHash]; ok {
+		return nil, KeyRejected
+	}
+	return nil, KeyUnknown
+}
+
+// Kind returns the kind of that name.
+func (s *Snapshot) Kind(name string) (*Kind, bool) {
+	kind, ok := s.kinds[name]
+	return kind, ok
+}
+
+// KindByPath returns the kind with the longest path prefix that covers the path.
+func (s *Snapshot) KindByPath(path string) (*Kind, bool) {
+	for _, kind := range s.pathKinds {
+		if kind.matchesPath(path) {
+			return kind, true
+		}
+	}
+	return nil, false
+}
+
+// OnlyKindForModel returns the one kind without a path whose service serves the base
+// model; none is returned when several do. The empty model matches every engine kind.
+func (s *Snapshot) OnlyKindForModel(model string) (*Kind, bool) {
+	var found *Kind
+	for _, kind := range s.kinds {
+		if kind.Spec.GetPath() != "" || kind.ServiceType != v1.ServiceType_SERVICE_TYPE_ENGINE {
+			continue
+		}
+		if model != "" && kind.Model != model {
+			continue
+		}
+		if found != nil {
+			return nil, false
+		}
+		found = kind
+	}
+	return found, found != nil
+}
+
+// Model returns the declared model of that name.
+func (s *Snapshot) Model(name string) (*v1.Model, bool) {
+	model, ok := s.models[name]
+	return model, ok
+}
+
+// Adapter returns the declared adapter of that name.
+func (s *Snapshot) Adapter(name string) (*v1.Adapter, bool) {
+	adapter, ok := s.adapters[name]
+	return adapter, ok
+}
+
+// Models returns the names of the base models, sorted.
+func (s *Snapshot) Models() []string {
+	return slices.Sorted(maps.Keys(s.models))
+}
+
+// Share returns the gateway's part of a tenant's limits and whether it still holds.
+func (s *Snapshot) Share(now time.Duration, tenant string) (Share, bool) {
+	share, ok := s.shares[tenant]
+	return share, ok && now < share.ExpiresAt
+}
+
+// Shares returns every share last granted, expired ones among them, by tenant. The map
+// is shared and must not be changed.
+func (s *Snapshot) Shares() map[string]Share { return s.shares }
+
+// fill derives the lookups from the declared objects.
+func (s *Snapshot) fill(objects map[objectKey]*v1.Object, lastUsed func(string) *Tenant) {
+	s.kinds = map[string]*Kind{}
+	s.models = map[string]*v1.Model{}
+	s.adapters = map[string]*v1.Adapter{}
+	s.keys = map[string]*Tenant{}
+	for key, object := range objects {
+		switch key.kind {
+		case v1.ObjectType_OBJECT_TYPE_KIND:
+			service := objects[objectKey{v1.ObjectType_OBJECT_TYPE_SERVICE, object.GetKind().GetService()}].GetService()
+			s.kinds[key.name] = &Kind{Name: key.name, Spec: object.GetKind(), ServiceType: service.GetType(), Model: service.GetModel()}
+		case v1.ObjectType_OBJECT_TYPE_MODEL:
+			s.models[key.name] = object.GetModel()
+		case v1.ObjectType_OBJECT_TYPE_ADAPTER:
+			s.adapters[key.name] = object.GetAdapter()
+		case v1.ObjectType_OBJECT_TYPE_TENANT:
+			tenant := lastUsed(key.name)
+			tenant.Spec = object.GetTenant()
+			for _, hash := range object.GetTenant().GetApiKeyHashes() {
+				s.keys[hash] = tenant
+			}
+		}
+	}
+	s.pathKinds = nil
+	for _, name := range slices.Sorted(maps.Keys(s.kinds)) {
+		if s.kinds[name].Spec.GetPath() != "" {
+			s.pathKinds = append(s.pathKinds, s.kinds[name])
+		}
+	}
+	slices.SortStableFunc(s.pathKinds, func(a, b *Kind) int {
+		return cmp.Compare(len(b.Spec.GetPath()), len(a.Spec.GetPath()))
+	})
+}
--- /dev/null
+++ b/internal/gatewaystate/tenant.go
@@ -0,0 +1,41 @@
+package gatewaystate
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// Tenant is a tenant this gateway has met.
+type Tenant struct {
+	Name string
+	// Spec is shared and must not be changed.
+	Spec     *v1.Tenant
+	lastUsed *atomic.Int64
+}
+
+// Used tells that a request of the tenant arrived at now; tenants not used for a while
+// are forgotten. It is safe for concurrent use.
+func (t *Tenant) Used(now time.Duration) { t.lastUsed.Store(int64(now)) }
+
+// MayUseModel reports whether the tenant may use the model.
+func (t *Tenant) MayUseModel(model string) bool {
+	return len(t.Spec.GetModels()) == 0 || slices.Contains(t.Spec.GetModels(), model)
+}
+
+// KeyStatus is what a gateway knows of an API key.
+type KeyStatus int
+
+// Key statuses.
+const (
+	KeyUnknown  KeyStatus = iota // ask the controllers
+	KeyAccepted                  // belongs to a tenant
+	KeyRejected                  // belongs to no tenant
+)
+
+// MayUseAdapter reports whether the tenant may use the adapter.
+func MayUseAdapter(adapter *v1.Adapter, tenant string) bool {
+	return len(adapter.GetTenants()) == 0 || slices.Contains(adapter.GetTenants(), tenant)
+}
--- /dev/null
+++ b/internal/upstream/transport.go
@@ -0,0 +1,86 @@
+package upstream
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+)
+
+// attemptKey is the user value under which a request carries its attempt.
+const attemptKey = "hazelpitch.attempt"
+
+// attempt notes the facts of one exchange that its verdict depends on.
+type attempt struct {
+	deadline time.Time
+	// sent tells that at least one byte was handed to the system.
+	sent        bool
+	interrupter *Interrupter
+	// release gives the connection back to the pool, or closes it.
+	release func(reuse bool)
+}
+
+// transport performs one exchange for fasthttp's client and records in the attempt what
+// was sent. It leaves the body on the connection for the reader of the answer.
+type transport struct{}
+
+// RoundTrip implements fasthttp.RoundTripper. It never asks for a retry.
+func (t *transport) RoundTrip(host *fasthttp.HostClient, request *fasthttp.Request, response *fasthttp.Response) (bool, error) {
+	attempt := request.UserValue(attemptKey).(*attempt)
+	for {
+		left := time.Until(attempt.deadline)
+		if left <= 0 {
+			return false, trace.Wrap(ErrDeadline)
+		}
+		pooled, err := host.AcquireConn(left, false)
+		if err != nil {
+			return false, trace.Wrap(err)
+		}
+		connection := pooled.Conn().(*trackedConnection)
+		if connection.written.Load() > 0 && connection.checkIdle() != nil {
+			host.CloseConn(pooled)
+			continue
+		}
+		attempt.release = func(reuse bool) {
+			attempt.interrupter.detach()
+			if reuse {
+				host.ReleaseConn(pooled)
+				return
+			}
+			host.CloseConn(pooled)
+		}
+		return false, exchange(host, connection, attempt, request, response)
+	}
+}
+
+// exchange writes the request and reads the head of the response.
+func exchange(host *fasthttp.HostClient, connection *trackedConnection, attempt *attempt, request *fasthttp.Request, response *fasthttp.Response) error {
+	before := connection.written.Load()
+	if err := attempt.interrupter.attach(connection, attempt.deadline); err != nil {
+		attempt.release(false)
+		return trace.Wrap(err)
+	}
+	writer := host.AcquireWriter(connection)
+	err := request.Write(writer)
+	if err == nil {
+		err = writer.Flush()
+	}
+	host.ReleaseWriter(writer)
+	attempt.sent = connection.written.Load() > before
+	if err != nil {
+		attempt.release(false)
+		return trace.Wrap(err)
+	}
+	reader := host.AcquireReader(connection)
+	returnConnection := attempt.release
+	attempt.release = func(reuse bool) {
+		reuse = reuse && reader.Buffered() == 0
+		host.ReleaseReader(reader)
+		returnConnection(reuse)
+	}
+	if err := response.ReadLimitBody(reader, 0); err != nil {
+		attempt.release(false)
+		return trace.Wrap(err)
+	}
+	return nil
+}
