Claim requests that run at most once from the gateway's side

Cause: alerts and registrations must not run twice over resends, lost answers, other gateways and restarts, and a keeper that cannot be reached must mean a true not run.

--- /dev/null
+++ b/internal/claimclient/client.go
@@ -0,0 +1,131 @@
+// Package claimclient carries out the claims of package claims over calls to the
+// controllers. It adds no decision of its own.
+//
+// A Client is safe for concurrent use. A Recorder is safe for concurrent use; its
+// Run is called once.
+package claimclient
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"connectrpc.com/connect"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/claims"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+// HeaderLeaderAddress names the leader on errors of controllers that do not lead.
+const HeaderLeaderAddress = "X-Leader-Address"
+
+// Controllers makes the calls. Errors are those of connect.
+type Controllers interface {
+	// Addresses lists all controllers, the leader first when it is known.
+	Addresses() []string
+	BeginClaim(ctx context.Context, address string, request *v1.BeginClaimRequest) (*v1.BeginClaimResponse, error)
+	FinishClaim(ctx context.Context, address string, request *v1.FinishClaimRequest) error
+}
+
+// Client makes claims and records their outcomes.
+type Client struct {
+	config      claims.Config
+	controllers Controllers
+	now         func() time.Duration
+}
+
+// New returns a Client. now is a monotonic clock.
+func New(config claims.Config, controllers Controllers, now func() time.Duration) *Client {
+	return &Client{config: config.WithDefaults(), controllers: controllers, now: now}
+}
+
+// Begin asks for the right to run a request; deadline is 0 for none. When the
+// context ends first the request is refused as not run. When release is true the
+// claim may be held, and Finish with verdict.NotRun has to follow.
+func (c *Client) Begin(ctx context.Context, deadline time.Duration, claim *v1.BeginClaim) (decision claims.Decision, release bool) {
+	begin := claims.NewBegin(c.config, c.now(), deadline, claim, c.controllers.Addresses())
+	for {
+		step := begin.Next(c.now())
+		if step.Done {
+			return *begin.Decision(), begin.MustRelease()
+		}
+		if step.Call == "" {
+			if !c.sleepUntil(ctx, step.Wait) {
+				return claims.Abandoned(), true
+			}
+			continue
+		}
+		response, err := c.callBegin(ctx, step, begin.Request())
+		switch {
+		case err == nil:
+			begin.Answered(response)
+		case ctx.Err() != nil:
+			return claims.Abandoned(), true
+		default:
+			begin.Failed(c.now(), failureOf(err))
+		}
+	}
+}
+
+// Finish records how a claimed request ended, and reports whether a controller has
+// confirmed it. Not recording an outcome is safe; see claims.Finish.
+func (c *Client) Finish(ctx context.Context, claim *v1.BeginClaim, ended verdict.Verdict, outcome claims.Outcome) bool {
+	finish := claims.NewFinish(c.config, c.now(), claim, ended, outcome, c.controllers.Addresses())
+	for {
+		step := finish.Next(c.now())
+		switch {
+		case step.Done:
+			return finish.Recorded()
+		case step.Call == "":
+			if !c.sleepUntil(ctx, step.Wait) {
+				return false
+			}
+		default:
+			err := c.callFinish(ctx, step, finish.Request())
+			if err == nil {
+				finish.Answered()
+			} else {
+				finish.Failed(c.now(), failureOf(err))
+			}
+			if ctx.Err() != nil {
+				return finish.Recorded()
+			}
+		}
+	}
+}
+
+func (c *Client) callBegin(ctx context.Context, step claims.Step, request *v1.BeginClaimRequest) (*v1.BeginClaimResponse, error) {
+	limited, cancel := context.WithTimeout(ctx, step.Timeout)
+	defer cancel()
+	return c.controllers.BeginClaim(limited, step.Call, request)
+}
+
+func (c *Client) callFinish(ctx context.Context, step claims.Step, request *v1.FinishClaimRequest) error {
+	limited, cancel := context.WithTimeout(ctx, step.Timeout)
+	defer cancel()
+	return c.controllers.FinishClaim(limited, step.Call, request)
+}
+
+// sleepUntil reports whether the time came before the context ended.
+func (c *Client) sleepUntil(ctx context.Context, until time.Duration) bool {
+	timer := time.NewTimer(until - c.now())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// failureOf reads what an error tells. An InvalidArgument stays one wherever it is
+// sent; everything else may go better at another controller or later.
+func failureOf(err error) claims.Failure {
+	failure := claims.Failure{Permanent: connect.CodeOf(err) == connect.CodeInvalidArgument}
+	var coded *connect.Error
+	if errors.As(err, &coded) {
+		failure.Leader = coded.Meta().Get(HeaderLeaderAddress)
+	}
+	return failure
+}
--- /dev/null
+++ b/internal/claims/claims_test.go
@@ -0,0 +1,154 @@
+package claims
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+const (
+	millisecond = time.Millisecond
+	first       = "127.0.0.1:1"
+	second      = "127.0.0.1:2"
+	third       = "127.0.0.1:3"
+)
+
+var testClaim = &v1.BeginClaim{Tenant: "t", Kind: "alert", Key: "k", Attempt: "a1"}
+
+// TestDecisions is what each answer of the controllers means for the request.
+func TestDecisions(t *testing.T) {
+	rows := []struct {
+		name     string
+		response *v1.BeginClaimResponse
+		want     Decision
+	}{
+		{"granted", &v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_GRANTED}, Decision{Run: true}},
+		{"running", &v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_RUNNING},
+			Decision{Reason: ErrRunning, Verdict: verdict.MayHaveRun, RetryAfter: time.Second}},
+		{"finished", &v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_FINISHED, Status: 201, ContentType: "text/plain", Body: []byte("done")},
+			Decision{Verdict: verdict.Ran, Replay: &Outcome{Status: 201, ContentType: "text/plain", Body: []byte("done")}}},
+		{"finished, body too large to keep", &v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_FINISHED, Status: 200, BodyOmitted: true},
+			Decision{Verdict: verdict.Ran, Replay: &Outcome{Status: 200, BodyOmitted: true}}},
+		{"unknown", &v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_UNKNOWN}, Decision{Reason: ErrUnknown, Verdict: verdict.MayHaveRun}},
+		{"conflict", &v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_CONFLICT}, Decision{Reason: ErrConflict, Verdict: verdict.NotRun}},
+		{"no state", &v1.BeginClaimResponse{}, Decision{Reason: ErrUnknown, Verdict: verdict.MayHaveRun}},
+		{"state of a later release", &v1.BeginClaimResponse{State: 99}, Decision{Reason: ErrUnknown, Verdict: verdict.MayHaveRun}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			begin := NewBegin(Config{}, 0, 0, testClaim, []string{first})
+			require.Equal(t, Step{Call: first, Timeout: 500 * millisecond}, begin.Next(0))
+			begin.Answered(row.response)
+			require.True(t, begin.Next(0).Done)
+			require.Equal(t, &row.want, begin.Decision())
+			begin.Answered(&v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_GRANTED})
+			begin.Failed(0, Failure{Permanent: true})
+			require.Equal(t, &row.want, begin.Decision(), "the first decision stands")
+			require.False(t, begin.MustRelease())
+		})
+	}
+}
+
+// TestResend is whom Begin asks after which failures.
+func TestResend(t *testing.T) {
+	rows := []struct {
+		name     string
+		failures []Failure
+		want     []string // addresses called; "" is a pause
+	}{
+		{"each in turn, then a pause", make([]Failure, 4), []string{first, second, third, "", first}},
+		{"the leader that was named", []Failure{{Leader: third}, {}}, []string{first, third, first}},
+		{"a leader not known before", []Failure{{Leader: "127.0.0.1:9"}}, []string{first, "127.0.0.1:9"}},
+		{"one that names itself is not trusted", []Failure{{Leader: first}}, []string{first, second}},
+		{"a refusal for good", []Failure{{Permanent: true}}, []string{first}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			begin := NewBegin(Config{}, 0, 0, testClaim, []string{first, second, third})
+			var now time.Duration
+			var called []string
+			for _, failure := range append(row.failures, Failure{}) {
+				step := begin.Next(now)
+				if step.Done || len(called) == len(row.want) {
+					break
+				}
+				called = append(called, step.Call)
+				if step.Call == "" {
+					now = step.Wait
+					step = begin.Next(now)
+					called = append(called, step.Call)
+				}
+				now += millisecond
+				begin.Failed(now, failure)
+			}
+			require.Equal(t, row.want, called)
+		})
+	}
+}
+
+func TestUnreachableControllersRefuseTheRequest(t *testing.T) {
+	refused := &Decision{Reason: ErrUnreachable, Verdict: verdict.NotRun, RetryAfter: 2 * time.Second}
+	rows := []struct {
+		name        string
+		deadline    time.Duration
+		controllers []string
+		giveUpAt    time.Duration
+	}{
+		{"three seconds", 0, []string{first}, 3 * time.Second},
+		{"half of the time left", 2 * time.Second, []string{first}, time.Second},
+		{"no controller is known", 0, nil, 0},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			begin := NewBegin(Config{}, 0, row.deadline, testClaim, row.controllers)
+			if row.giveUpAt > 0 {
+				require.False(t, begin.Next(row.giveUpAt-1).Done)
+			}
+			require.True(t, begin.Next(row.giveUpAt).Done)
+			require.Equal(t, refused, begin.Decision())
+			require.True(t, begin.MustRelease())
+			begin.Answered(&v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_GRANTED})
+			require.Equal(t, refused, begin.Decision(), "a late grant does not run the request")
+		})
+	}
+}
+
+func TestFinishMessages(t *testing.T) {
+	outcome := Outcome{Status: 200, ContentType: "text/plain", Body: []byte("done")}
+	large := Outcome{Status: 200, Body: make([]byte, 10*MaximumOutcomeBytes)}
+	rows := []struct {
+		name    string
+		ended   verdict.Verdict
+		outcome Outcome
+		want    *v1.FinishClaim
+	}{
+		{"ran", verdict.Ran, outcome, &v1.FinishClaim{Status: 200, ContentType: "text/plain", Body: []byte("done")}},
+		{"not run", verdict.NotRun, outcome, &v1.FinishClaim{NotRun: true}},
+		{"may have run", verdict.MayHaveRun, outcome, &v1.FinishClaim{MayHaveRun: true}},
+		{"body too large", verdict.Ran, large, &v1.FinishClaim{Status: 200, Body: bytes.Repeat([]byte{0}, MaximumOutcomeBytes+1)}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			row.want.Tenant, row.want.Kind, row.want.Key, row.want.Attempt = "t", "alert", "k", "a1"
+			finish := NewFinish(Config{}, 0, testClaim, row.ended, row.outcome, []string{first, second})
+			require.Equal(t, row.want, finish.Request().GetClaim())
+			require.Equal(t, first, finish.Next(0).Call)
+			finish.Failed(0, Failure{})
+			require.Equal(t, second, finish.Next(0).Call)
+			finish.Answered()
+			require.True(t, finish.Next(0).Done)
+			require.True(t, finish.Recorded())
+		})
+	}
+	finish := NewFinish(Config{}, 0, testClaim, verdict.Ran, outcome, []string{first})
+	require.True(t, finish.Next(30*time.Second).Done)
+	require.False(t, finish.Recorded())
+	refused := NewFinish(Config{}, 0, testClaim, verdict.Ran, outcome, []string{first})
+	refused.Failed(0, Failure{Permanent: true})
+	require.True(t, refused.Next(0).Done)
+}
