Add the replicated state of the controllers

Cause: controllers need one deterministic state machine for configuration, orders, claims and audit.

--- /dev/null
+++ b/internal/controlstate/changes.go
@@ -0,0 +1,42 @@
+package controlstate
+
+import (
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// changeNumbers remembers which submission won which change number.
+type changeNumbers struct {
+	records  recent[*v1.ChangeRecord]
+	byNumber map[uint64]*v1.ChangeRecord
+	// floor: numbers up to this one count as taken.
+	floor   uint64
+	highest uint64
+}
+
+func newChangeNumbers() *changeNumbers {
+	return &changeNumbers{
+		records:  newRecent[*v1.ChangeRecord](RememberedChanges),
+		byNumber: map[uint64]*v1.ChangeRecord{},
+	}
+}
+
+// taken reports whether a number has been won, and by which change when that is
+// still remembered.
+func (c *changeNumbers) taken(number uint64) (winner *v1.ChangeRecord, taken bool) {
+	if record := c.byNumber[number]; record != nil {
+		return record, true
+	}
+	return nil, number <= c.floor
+}
+
+// add records an accepted change.
+func (c *changeNumbers) add(record *v1.ChangeRecord) {
+	c.byNumber[record.ChangeNumber] = record
+	c.highest = max(c.highest, record.ChangeNumber)
+	for _, forgotten := range c.records.add(record) {
+		if c.byNumber[forgotten.ChangeNumber] == forgotten {
+			delete(c.byNumber, forgotten.ChangeNumber)
+		}
+		c.floor = max(c.floor, forgotten.ChangeNumber)
+	}
+}
--- /dev/null
+++ b/internal/controlstate/errors.go
@@ -0,0 +1,25 @@
+package controlstate
+
+import "errors"
+
+// Errors of commands. They are wrapped with the place and the cure.
+var (
+	// ErrStaleEpoch: the proposer's authority over the engines has ended.
+	ErrStaleEpoch = errors.New("the authority epoch is not the one in force")
+	// ErrOrderOutstanding: the engine may still hold another order.
+	ErrOrderOutstanding = errors.New("the engine has an outstanding order")
+	// ErrNoSuchOrder: the order is not outstanding; it may have ended already.
+	ErrNoSuchOrder = errors.New("the order is not outstanding")
+	// ErrUnknownEngine: no such engine is recorded.
+	ErrUnknownEngine = errors.New("the engine is not known")
+	// ErrRequestReused: a request identity was used with another content.
+	ErrRequestReused = errors.New("the request identity was used for another submission")
+	// ErrClaimsFull: the bound on remembered claims is reached.
+	ErrClaimsFull = errors.New("too many claims are remembered; wait until some expire")
+	// ErrClaimExpired: the claim's time to live has passed.
+	ErrClaimExpired = errors.New("the claim has expired")
+	// ErrClaimNotHeld: the attempt does not hold the claim.
+	ErrClaimNotHeld = errors.New("the attempt does not hold the claim")
+	// ErrInvalidCommand: the command is malformed.
+	ErrInvalidCommand = errors.New("the command is invalid")
+)
--- /dev/null
+++ b/internal/controlstate/references.go
@@ -0,0 +1,171 @@
+package controlstate
+
+import (
+	"slices"
+
+	"github.com/gravitational/trace"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// check demands that everything in force after the change fits together. It looks
+// at the changed objects and at those that refer to deleted ones, so that its cost
+// follows the size of the change, not of the configuration.
+func (c *change) check() error {
+	if total := c.base.inForce + len(c.keys); total > MaximumObjects {
+		return trace.BadParameter("up to %d objects would be in force; at most %d", total, MaximumObjects)
+	}
+	if err := c.checkKeyHashes(); err != nil {
+		return trace.Wrap(err)
+	}
+	for _, key := range c.keys {
+		if object := c.objects[key]; !object.Deleted {
+			if err := c.checkReferences(key, object); err != nil {
+				return trace.Wrap(err)
+			}
+		}
+	}
+	if err := c.checkReferrers(); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(c.checkUniqueness())
+}
+
+// checkReferences demands that what an object names is in force.
+func (c *change) checkReferences(key Key, object *v1.Object) error {
+	switch spec := object.Spec.(type) {
+	case *v1.Object_Tenant:
+		return c.demandAll(key, v1.ObjectType_OBJECT_TYPE_MODEL, spec.Tenant.Models)
+	case *v1.Object_Kind:
+		return c.demand(key, v1.ObjectType_OBJECT_TYPE_SERVICE, spec.Kind.Service)
+	case *v1.Object_Adapter:
+		if err := c.demand(key, v1.ObjectType_OBJECT_TYPE_MODEL, spec.Adapter.Model); err != nil {
+			return err
+		}
+		return c.demandAll(key, v1.ObjectType_OBJECT_TYPE_TENANT, spec.Adapter.Tenants)
+	case *v1.Object_Service:
+		if spec.Service.Type != v1.ServiceType_SERVICE_TYPE_ENGINE {
+			return nil
+		}
+		return c.demand(key, v1.ObjectType_OBJECT_TYPE_MODEL, spec.Service.Model)
+	case *v1.Object_Bound:
+		return c.demand(key, v1.ObjectType_OBJECT_TYPE_SERVICE, spec.Bound.Service)
+	case *v1.Object_Policy:
+		return c.demand(key, v1.ObjectType_OBJECT_TYPE_SERVICE, spec.Policy.Service)
+	default:
+		return nil
+	}
+}
+
+func (c *change) demandAll(key Key, objectType v1.ObjectType, names []string) error {
+	for _, name := range names {
+		if err := c.demand(key, objectType, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *change) demand(key Key, objectType v1.ObjectType, name string) error {
+	if c.has(objectType, name) {
+		return nil
+	}
+	return trace.BadParameter("%s refers to %s, which is not declared; declare it or correct the name",
+		key, Key{objectType, name})
+}
+
+// referrers lists which types of object may refer to a type.
+var referrers = map[v1.ObjectType][]v1.ObjectType{
+	v1.ObjectType_OBJECT_TYPE_MODEL: {
+		v1.ObjectType_OBJECT_TYPE_SERVICE, v1.ObjectType_OBJECT_TYPE_ADAPTER, v1.ObjectType_OBJECT_TYPE_TENANT,
+	},
+	v1.ObjectType_OBJECT_TYPE_SERVICE: {
+		v1.ObjectType_OBJECT_TYPE_KIND, v1.ObjectType_OBJECT_TYPE_BOUND, v1.ObjectType_OBJECT_TYPE_POLICY,
+	},
+	v1.ObjectType_OBJECT_TYPE_TENANT: {v1.ObjectType_OBJECT_TYPE_ADAPTER},
+}
+
+// checkReferrers demands that nothing refers to a deleted object.
+func (c *change) checkReferrers() error {
+	var suspects []v1.ObjectType
+	for _, key := range c.keys {
+		if c.objects[key].Deleted {
+			suspects = append(suspects, referrers[key.Type]...)
+		}
+	}
+	slices.Sort(suspects)
+	for _, objectType := range slices.Compact(suspects) {
+		for _, object := range c.ofType(objectType) {
+			if err := c.checkReferences(KeyOf(object.Key), object); err != nil {
+				return trace.BadParameter("%s; delete both or neither", trace.UserMessage(err))
+			}
+		}
+	}
+	return nil
+}
+
+// checkKeyHashes demands that an API key belongs to one tenant.
+func (c *change) checkKeyHashes() error {
+	owners := map[string]Key{}
+	for _, key := range c.keys {
+		for _, hash := range c.objects[key].GetTenant().GetApiKeyHashes() {
+			if other, taken := owners[hash]; taken {
+				return trace.BadParameter("%s and %s have the same API key hash %.8s…; make a new key for one", other, key, hash)
+			}
+			owners[hash] = key
+			owner, held := c.base.tenantOfKey[hash]
+			ownerKey := Key{v1.ObjectType_OBJECT_TYPE_TENANT, owner}
+			if !held || ownerKey == key {
+				continue
+			}
+			// The change may take the key away from its present owner.
+			if after := c.get(ownerKey); after != nil && slices.Contains(after.GetTenant().ApiKeyHashes, hash) {
+				return trace.BadParameter("%s and %s have the same API key hash %.8s…; make a new key for one", ownerKey, key, hash)
+			}
+		}
+	}
+	return nil
+}
+
+// checkUniqueness demands that no two objects claim the same operator key, path,
+// pinned engine or policy, and that bounds of one role agree.
+func (c *change) checkUniqueness() error {
+	rules := []struct {
+		objectType v1.ObjectType
+		claim      func(*v1.Object) string
+	}{
+		{v1.ObjectType_OBJECT_TYPE_OPERATOR, func(o *v1.Object) string { return "key hash " + o.GetOperator().KeyHash }},
+		{v1.ObjectType_OBJECT_TYPE_PIN, func(o *v1.Object) string { return "engine " + o.GetPin().Engine }},
+		{v1.ObjectType_OBJECT_TYPE_POLICY, func(o *v1.Object) string { return "service " + o.GetPolicy().Service }},
+		{v1.ObjectType_OBJECT_TYPE_KIND, kindPath},
+		{v1.ObjectType_OBJECT_TYPE_BOUND, func(o *v1.Object) string {
+			bound := o.GetBound()
+			return "role " + bound.Role.String() + " of service " + bound.Service + " in zone \"" + bound.Zone + "\""
+		}},
+	}
+	for _, rule := range rules {
+		if !c.touches(rule.objectType) {
+			continue
+		}
+		claimed := map[string]Key{}
+		for _, object := range c.ofType(rule.objectType) {
+			claim, key := rule.claim(object), KeyOf(object.Key)
+			if other, taken := claimed[claim]; claim != "" && taken {
+				return trace.BadParameter("%s and %s both declare %s; keep one", other, key, claim)
+			}
+			claimed[claim] = key
+		}
+	}
+	return nil
+}
+
+func kindPath(object *v1.Object) string {
+	if path := object.GetKind().Path; path != "" {
+		return "path " + path
+	}
+	return ""
+}
+
+func (c *change) touches(objectType v1.ObjectType) bool {
+	return slices.ContainsFunc(c.keys, func(key Key) bool { return key.Type == objectType })
+}
--- /dev/null
+++ b/internal/controlstate/requests.go
@@ -0,0 +1,121 @@
+package controlstate
+
+import (
+	"bytes"
+	"crypto/sha256"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// requestKey identifies a submission: operators cannot collide with one another.
+type requestKey struct{ operator, requestID string }
+
+// requestMemory remembers the first answers of operators' submissions.
+type requestMemory struct {
+	records recent[*v1.RequestRecord]
+	byKey   map[requestKey]*v1.RequestRecord
+}
+
+func newRequestMemory() *requestMemory {
+	return &requestMemory{
+		records: newRecent[*v1.RequestRecord](RememberedRequests),
+		byKey:   map[requestKey]*v1.RequestRecord{},
+	}
+}
+
+// find returns the first answer to a resend, or nil for a new submission. It fails
+// when the identity was used with another content.
+func (m *requestMemory) find(operator, requestID string, contentHash []byte) (*v1.RequestRecord, error) {
+	record := m.byKey[requestKey{operator, requestID}]
+	if requestID == "" || record == nil {
+		return nil, nil
+	}
+	if !bytes.Equal(record.ContentHash, contentHash) {
+		return nil, trace.Wrap(ErrRequestReused, "request %q; choose a new identity for a new submission", requestID)
+	}
+	return record, nil
+}
+
+// add remembers the first answer to a submission that has an identity.
+func (m *requestMemory) add(record *v1.RequestRecord) {
+	if record.RequestId == "" {
+		return
+	}
+	m.byKey[requestKey{record.Operator, record.RequestId}] = record
+	for _, forgotten := range m.records.add(record) {
+		key := requestKey{forgotten.Operator, forgotten.RequestId}
+		if m.byKey[key] == forgotten {
+			delete(m.byKey, key)
+		}
+	}
+}
+
+// declarationHash is the hash of what a declaration asks for, apart from what the
+// proposer adds to it.
+func declarationHash(declaration *v1.ApplyDeclaration) []byte {
+	content := proto.CloneOf(declaration)
+	content.SaltSeed = nil
+	return messageHash(content)
+}
+
+func messageHash(message proto.Message) []byte {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
+	if err != nil {
+		// Only invalid UTF-8 fails; such a message never equals a valid one.
+		data = []byte(err.Error())
+	}
+	sum := sha256.Sum256(data)
+	return sum[:]
+}
+
+func textHash(text string) []byte {
+	sum := sha256.Sum256([]byte(text))
+	return sum[:]
+}
+
+// FirstAnswer returns the remembered answer to an operator's command that is not a
+// declaration. It is nil for a command not seen before and fails when the request
+// identity was used with another text.
+func (s *State) FirstAnswer(operator, requestID, text string) (*v1.RequestRecord, error) {
+	if !s.safeguards.On(ResendDeduplication) {
+		return nil, nil
+	}
+	return s.requests.find(operator, requestID, textHash(text))
+}
+
+// recordRequest remembers an operator's command that changed nothing in the log itself.
+func (s *State) recordRequest(at int64, request *v1.RecordRequest) Result {
+	first, err := s.FirstAnswer(request.Operator, request.RequestId, request.Text)
+	if err != nil {
+		return Result{Err: err}
+	}
+	if first != nil {
+		return Result{Answer: first.Answer, Err: rememberedError(first)}
+	}
+	s.rememberAnswer(request.Operator, request.RequestId, request.Text, request.Answer, nil)
+	s.addAudit(at, &v1.AuditRecord{
+		Operator: request.Operator, RequestId: request.RequestId, Text: request.Text, Outcome: "done",
+	})
+	return Result{Answer: request.Answer}
+}
+
+func (s *State) rememberAnswer(operator, requestID, text, answer string, err error) {
+	record := &v1.RequestRecord{
+		Operator: operator, RequestId: requestID, ContentHash: textHash(text), Answer: answer,
+	}
+	if err != nil {
+		record.Error = trace.UserMessage(err)
+	}
+	s.requests.add(record)
+}
+
+// rememberedError restores the error of a first answer; its kind is not remembered.
+func rememberedError(record *v1.RequestRecord) error {
+	if record.Error == "" {
+		return nil
+	}
+	return trace.BadParameter("%s", record.Error)
+}
--- /dev/null
+++ b/internal/controlstate/snapshot.go
@@ -0,0 +1,77 @@
+package controlstate
+
+import (
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
+)
+
+// Snapshot returns the state as bytes. Equal states give equal bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	record := &v1.ReplicatedState{
+		AppliedIndex: s.appliedIndex, Revision: s.revision,
+		TombstoneFloor: s.catalogue.tombstoneFloor,
+		Changes:        s.changes.records.all(), ChangeNumberFloor: s.changes.floor, HighestChangeNumber: s.changes.highest,
+		Requests: s.requests.records.all(), History: s.history.all(),
+		Audit: s.audit.all(), AuditSequence: s.auditSequence,
+		AuthorityEpoch: s.epoch, AuthorityLeader: s.leader,
+		Engines: s.Engines(), Orders: s.orders.all(),
+		Claims: s.claims.sorted(), ClaimsExpiredBeforeMs: s.claims.expiredBefore,
+	}
+	s.catalogue.byRevision.Ascend(func(object *v1.Object) bool {
+		record.Objects = append(record.Objects, object)
+		return true
+	})
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(record)
+	return data, trace.Wrap(err, "writing a snapshot of the replicated state")
+}
+
+// Restore returns the state that Snapshot wrote. Empty data is the state before the
+// first command.
+func Restore(data []byte, safeguards safeguard.Set) (*State, error) {
+	record := &v1.ReplicatedState{}
+	if err := proto.Unmarshal(data, record); err != nil {
+		return nil, trace.Wrap(err, "reading a snapshot of the replicated state; restore the data folder from another controller")
+	}
+	state := New(safeguards)
+	state.appliedIndex = record.AppliedIndex
+	state.revision = record.Revision
+	state.auditSequence = record.AuditSequence
+	state.epoch = record.AuthorityEpoch
+	state.leader = record.AuthorityLeader
+	state.restoreConfiguration(record)
+	for _, entry := range record.Audit {
+		state.audit.add(entry)
+	}
+	for _, engine := range record.Engines {
+		state.putEngine(engine)
+	}
+	for _, order := range record.Orders {
+		state.orders.add(order)
+	}
+	state.claims.expiredBefore = record.ClaimsExpiredBeforeMs
+	for _, claim := range record.Claims {
+		state.claims.records[claimKey{claim.Tenant, claim.Kind, claim.Key}] = claim
+	}
+	return state, nil
+}
+
+func (s *State) restoreConfiguration(record *v1.ReplicatedState) {
+	s.catalogue.tombstoneFloor = record.TombstoneFloor
+	for _, object := range record.Objects {
+		s.catalogue.put(object)
+	}
+	for _, version := range record.History {
+		s.history.add(version)
+	}
+	for _, change := range record.Changes {
+		s.changes.add(change)
+	}
+	s.changes.floor = record.ChangeNumberFloor
+	s.changes.highest = record.HighestChangeNumber
+	for _, request := range record.Requests {
+		s.requests.add(request)
+	}
+}
--- /dev/null
+++ b/internal/controlstate/state.go
@@ -0,0 +1,108 @@
+package controlstate
+
+import (
+	"github.com/gravitational/trace"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
+)
+
+// State is the replicated state of the controllers.
+type State struct {
+	safeguards   safeguard.Set
+	appliedIndex uint64
+
+	// Configuration.
+	revision  uint64
+	catalogue *catalogue
+	history   recent[*v1.Object]
+	changes   *changeNumbers
+	requests  *requestMemory
+
+	audit         recent[*v1.AuditRecord]
+	auditSequence uint64
+
+	// Authority over engines.
+	epoch   uint64
+	leader  string
+	engines map[string]*v1.EngineRecord
+	orders  recent[*v1.OrderRecord]
+
+	claims *claimTable
+}
+
+// New returns the state before the first command.
+func New(safeguards safeguard.Set) *State {
+	return &State{
+		safeguards: safeguards,
+		catalogue:  newCatalogue(),
+		history:    newRecent[*v1.Object](RememberedVersions),
+		changes:    newChangeNumbers(),
+		requests:   newRequestMemory(),
+		audit:      newRecent[*v1.AuditRecord](RememberedAudit),
+		engines:    map[string]*v1.EngineRecord{},
+		orders:     newRecent[*v1.OrderRecord](RememberedOrders),
+		claims:     newClaimTable(),
+	}
+}
+
+// Result is what became of one command. Which field is set depends on the command;
+// Err is set when the command had no effect.
+type Result struct {
+	// Apply answers ApplyDeclaration.
+	Apply *v1.ApplyResponse
+	// Claim answers BeginClaim.
+	Claim *v1.BeginClaimResponse
+	// Order is the order as issued.
+	Order *v1.Order
+	// Answer answers an operator's command that is not a declaration.
+	Answer string
+	Err    error
+}
+
+// Apply carries out the command at the log index. Indexes must rise; a command at
+// or below the applied index has no effect.
+func (s *State) Apply(index uint64, command *v1.Command) Result {
+	if index <= s.appliedIndex {
+		return Result{Err: trace.Wrap(ErrInvalidCommand, "log index %d was applied before", index)}
+	}
+	s.appliedIndex = index
+	at := command.GetProposedAtMs()
+	switch body := command.GetBody().(type) {
+	case *v1.Command_ApplyDeclaration:
+		return Result{Apply: s.applyDeclaration(at, body.ApplyDeclaration)}
+	case *v1.Command_BeginAuthority:
+		return s.beginAuthority(body.BeginAuthority)
+	case *v1.Command_IssueOrder:
+		return s.issueOrder(index, at, body.IssueOrder)
+	case *v1.Command_AbortOrder:
+		return s.abortOrder(index, at, body.AbortOrder)
+	case *v1.Command_FinishOrder:
+		return s.finishOrder(at, body.FinishOrder)
+	case *v1.Command_RecordEngine:
+		return s.recordEngine(at, body.RecordEngine)
+	case *v1.Command_BeginClaim:
+		return s.beginClaim(at, body.BeginClaim)
+	case *v1.Command_FinishClaim:
+		return Result{Err: s.claims.finish(body.FinishClaim)}
+	case *v1.Command_ExpireClaims:
+		s.claims.expire(body.ExpireClaims.GetBeforeMs())
+		return Result{}
+	case *v1.Command_LoseGateway:
+		s.claims.loseGateway(body.LoseGateway.GetGateway(), body.LoseGateway.GetIncarnation())
+		return Result{}
+	case *v1.Command_RecordRequest:
+		return s.recordRequest(at, body.RecordRequest)
+	default:
+		return Result{Err: trace.Wrap(ErrInvalidCommand, "log index %d has no known command; run one release on all controllers", index)}
+	}
+}
+
+// AppliedIndex is the log index of the last command.
+func (s *State) AppliedIndex() uint64 { return s.appliedIndex }
+
+// Revision is the revision of the configuration in force.
+func (s *State) Revision() uint64 { return s.revision }
+
+// Authority returns the authority epoch in force and the leader that began it.
+func (s *State) Authority() (epoch uint64, leader string) { return s.epoch, s.leader }
