Add authority over engines, membership and shares as pure parts

Cause: the control core needs who may order an engine, who is here, and who may use which part of a limit. Change: internal/authority (fence, reconcile, one order, bounds on engines out and loads), internal/membership (machine list, polls, gateways, directory cut by rendezvous hashing), internal/shares (leases by demand, settling after a leader change).

--- /dev/null
+++ b/internal/authority/decide.go
@@ -0,0 +1,100 @@
+package authority
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+)
+
+// Prepare checks that an order may be given now and fills in the rest of it: epoch,
+// expected role, incarnation and deadline. The caller proposes the returned command;
+// the engine counts as busy until it is applied or the proposal times out.
+func (c *Commander) Prepare(now time.Duration, nowMs int64, state *controlstate.State, wanted *v1.Order) (*v1.IssueOrder, error) {
+	engine := c.engines[wanted.Engine]
+	if err := c.mayOrder(now, state, engine, wanted); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	order := proto.CloneOf(wanted)
+	order.Epoch = c.epoch
+	order.ExpectedRole = RoleOf(engine.last.Role)
+	order.EngineIncarnation = engine.last.Incarnation
+	order.IssuedAtMs = nowMs
+	if order.DeadlineMs == 0 {
+		order.DeadlineMs = nowMs + c.config.DrainTime.Milliseconds()
+	}
+	engine.ordering = &pendingOrder{
+		at: now, out: takesOut(order.Action), loads: drawsWeights(order.Action), target: ContractRole(order.Role),
+	}
+	return &v1.IssueOrder{Order: order}, nil
+}
+
+// Withdraw tells that a prepared order was not proposed.
+func (c *Commander) Withdraw(name string) {
+	if engine := c.engines[name]; engine != nil {
+		engine.ordering = nil
+	}
+}
+
+func (c *Commander) mayOrder(now time.Duration, state *controlstate.State, engine *engine, wanted *v1.Order) error {
+	inForce, _ := state.Authority()
+	switch {
+	case c.epoch == 0 || inForce != c.epoch:
+		return trace.Wrap(ErrNoAuthority, "this controller has not begun its authority; try again in a second")
+	case engine == nil:
+		return trace.Wrap(ErrEngineUnknown, "engine %q; see `show engines`", wanted.Engine)
+	case !engine.heard || now-engine.heardAt > c.config.Freshness:
+		return trace.Wrap(ErrEngineSilent, "engine %q", wanted.Engine)
+	case !engine.fenced(c.epoch) && c.config.Safeguards.On(SafeguardFence):
+		return trace.Wrap(ErrNoAuthority, "engine %q has not confirmed the fence; try again in a second", wanted.Engine)
+	}
+	record := state.Engine(wanted.Engine)
+	switch {
+	case record == nil:
+		return trace.Wrap(ErrEngineUnknown, "engine %q is not recorded yet; try again in a second", wanted.Engine)
+	case record.Outstanding != nil && c.config.Safeguards.On(controlstate.OneOrderAtATime):
+		return trace.Wrap(ErrEngineBusy, "engine %q holds order %d/%d; wait or abort it",
+			wanted.Engine, record.Outstanding.Epoch, record.Outstanding.Sequence)
+	case engine.ordering != nil || underWay(engine.last):
+		return trace.Wrap(ErrEngineBusy, "engine %q is about to take, or still carries out, an order", wanted.Engine)
+	}
+	if err := checkServiceState(engine.last, wanted); err != nil {
+		return err
+	}
+	return c.checkBounds(state, engine, wanted)
+}
+
+// checkServiceState demands an engine that serves, but for resuming a drained one.
+func checkServiceState(last enginecontract.EngineState, wanted *v1.Order) error {
+	resume := wanted.Action == v1.OrderAction_ORDER_ACTION_RESUME
+	switch {
+	case resume && last.State == enginecontract.StateDraining:
+		return nil
+	case resume:
+		return trace.Wrap(ErrEngineState, "engine %q is %s, not drained", last.Engine, last.State)
+	case last.State != enginecontract.StateServing:
+		return trace.Wrap(ErrEngineState, "engine %q is %s; resume it first", last.Engine, last.State)
+	case wanted.Action == v1.OrderAction_ORDER_ACTION_SET_ROLE && RoleOf(last.Role) == wanted.Role:
+		return trace.Wrap(ErrEngineState, "engine %q plays this role already", last.Engine)
+	}
+	return nil
+}
+
+// takesOut reports whether an action takes an engine out of service.
+func takesOut(action v1.OrderAction) bool {
+	switch action {
+	case v1.OrderAction_ORDER_ACTION_SET_ROLE, v1.OrderAction_ORDER_ACTION_LOAD_MODEL, v1.OrderAction_ORDER_ACTION_DRAIN:
+		return true
+	default:
+		return false
+	}
+}
+
+// drawsWeights reports whether an action reads from the weight store.
+func drawsWeights(action v1.OrderAction) bool {
+	return action == v1.OrderAction_ORDER_ACTION_LOAD_MODEL || action == v1.OrderAction_ORDER_ACTION_LOAD_ADAPTER
+}
--- /dev/null
+++ b/internal/membership/gateway.go
@@ -0,0 +1,77 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// Gateway is one gateway as its heartbeats tell.
+type Gateway struct {
+	Name        string
+	Zone        string
+	Address     string
+	Incarnation uint64
+	Revision    uint64
+	Leaving     bool
+	HeardAt     time.Duration
+}
+
+// GatewayHeard takes a gateway's heartbeat. One of an older incarnation is ignored.
+func (t *Tracker) GatewayHeard(now time.Duration, identity *v1.NodeIdentity, revision uint64, leaving bool) {
+	name := identity.GetName()
+	if name == "" {
+		return
+	}
+	known := t.gateways[name]
+	if known != nil && identity.Incarnation < known.Incarnation {
+		return
+	}
+	if known == nil && len(t.gateways) >= MaximumGateways {
+		t.forgetOldestGateway()
+	}
+	t.gateways[name] = &Gateway{
+		Name: name, Zone: identity.Zone, Address: identity.Address, Incarnation: identity.Incarnation,
+		Revision: revision, Leaving: leaving, HeardAt: now,
+	}
+}
+
+func (t *Tracker) forgetOldestGateway() {
+	var oldest *Gateway
+	for _, gateway := range t.Gateways() {
+		if oldest == nil || gateway.HeardAt < oldest.HeardAt {
+			oldest = gateway
+		}
+	}
+	delete(t.gateways, oldest.Name)
+}
+
+// Gateways lists the gateways that have been heard of, by name.
+func (t *Tracker) Gateways() []*Gateway {
+	gateways := make([]*Gateway, 0, len(t.gateways))
+	for _, gateway := range t.gateways {
+		gateways = append(gateways, gateway)
+	}
+	slices.SortFunc(gateways, func(a, b *Gateway) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return gateways
+}
+
+// GatewayGone reports whether the gateway process is known to be gone, or has been
+// silent for long, counted from since when it was never heard of. A later process
+// under its name means that it is gone.
+func (t *Tracker) GatewayGone(now, since time.Duration, name string, incarnation uint64) bool {
+	gateway := t.gateways[name]
+	if gateway == nil {
+		return now-since > t.config.GatewayLost
+	}
+	if gateway.Incarnation > incarnation {
+		return true
+	}
+	return now-max(since, gateway.HeardAt) > t.config.GatewayLost
+}
--- /dev/null
+++ b/internal/shares/split.go
@@ -0,0 +1,41 @@
+package shares
+
+import (
+	"cmp"
+	"slices"
+)
+
+// split divides a limit among wants: no one gets less than an equal part unless it
+// wants less, and what is left over goes to all alike, so that each has room to
+// begin with. Whole units; the sum never exceeds the limit.
+func split(limit uint64, wants []uint64) []uint64 {
+	parts := make([]uint64, len(wants))
+	if len(wants) == 0 || limit == 0 {
+		return parts
+	}
+	order := make([]int, len(wants))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Or(cmp.Compare(wants[a], wants[b]), cmp.Compare(a, b)) })
+	left := limit
+	for position, i := range order {
+		equal := left / uint64(len(order)-position)
+		parts[i] = min(wants[i], equal)
+		left -= parts[i]
+	}
+	spread(parts, order, left)
+	return parts
+}
+
+// spread gives what is left to all alike, the remainder one by one to those that
+// want most.
+func spread(parts []uint64, order []int, left uint64) {
+	count := uint64(len(order))
+	for position, i := range order {
+		parts[i] += left / count
+		if uint64(len(order)-position) <= left%count {
+			parts[i]++
+		}
+	}
+}
