--- /dev/null
+++ b/internal/control/adapters.go
@@ -0,0 +1,33 @@
+package control
+
+import (
+	"slices"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+)
+
+// adapterOrder returns the order that loads a declared adapter of the engine's model,
+// or unloads one that is not declared; nil when the engine has what is declared.
+func adapterOrder(state *controlstate.State, engine *v1.EngineState) *v1.Order {
+	declared := map[string]bool{}
+	for _, object := range state.ObjectsOfType(v1.ObjectType_OBJECT_TYPE_ADAPTER) {
+		adapter := object.GetAdapter()
+		if adapter.Model != engine.Model {
+			continue
+		}
+		declared[object.Key.Name] = true
+		if !slices.Contains(engine.Adapters, object.Key.Name) {
+			return &v1.Order{Engine: engine.Engine, Action: v1.OrderAction_ORDER_ACTION_LOAD_ADAPTER,
+				Model: adapter.Model, Version: adapter.Version, Adapter: object.Key.Name,
+				Reason: "the adapter is declared for the engine's model"}
+		}
+	}
+	for _, adapter := range engine.Adapters {
+		if !declared[adapter] {
+			return &v1.Order{Engine: engine.Engine, Action: v1.OrderAction_ORDER_ACTION_UNLOAD_ADAPTER, Adapter: adapter,
+				Reason: "the adapter is not declared for the engine's model"}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/config.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/consensus"
+	"github.com/hazelpitch/hazelpitch/internal/planner"
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
+)
+
+// TickInterval is how often the owner of a Core sends Tick.
+const TickInterval = 50 * time.Millisecond
+
+// Defaults of Config.
+const (
+	// DefaultSnapshotEntries is the number of applied entries after which the state
+	// is written out as a snapshot and the log is cut.
+	DefaultSnapshotEntries = 8192
+	// DefaultPlanInterval is the time between two decisions of the planner.
+	DefaultPlanInterval = time.Second
+)
+
+// Config configures a Core. Zero values of the times mean the defaults.
+type Config struct {
+	// Fleet, Name, Zone and Address are required; Address is the IP:port that
+	// peers, gateways and operators call.
+	Fleet   string
+	Name    string
+	Zone    string
+	Address string
+	// Peers are the initial voters, this controller among them.
+	Peers []consensus.Peer
+	// WallOrigin is the wall-clock time at time 0 of Step, in milliseconds since
+	// the Unix epoch.
+	WallOrigin        int64
+	ElectionTimeout   time.Duration
+	HeartbeatInterval time.Duration
+	// PlanInterval is the time between two decisions of the planner; negative
+	// switches the planner off.
+	PlanInterval time.Duration
+	// NewPlanner makes the planner of one service; nil means one that changes nothing.
+	NewPlanner func(service string) planner.Planner
+	// EngineProfile returns the planner's assumptions on engines with a declared
+	// profile name; nil means the zero profile.
+	EngineProfile   func(name string) planner.EngineProfile
+	SnapshotEntries uint64
+	// Seed must come from a cryptographic source: cache salts are drawn from it.
+	Seed       [32]byte
+	Safeguards safeguard.Set
+}
+
+// Restored is what the disk held when the process started.
+type Restored = consensus.Restored
+
+// Safeguards of the control core.
+const (
+	// SafeguardRevisionOrder never answers a node with a revision below its own.
+	SafeguardRevisionOrder safeguard.Safeguard = "ordered revisions"
+	// SafeguardLeaseRead answers queries only while the leader's lease is valid.
+	SafeguardLeaseRead safeguard.Safeguard = "lease read"
+)
+
+func (c Config) withDefaults() Config {
+	if c.SnapshotEntries == 0 {
+		c.SnapshotEntries = DefaultSnapshotEntries
+	}
+	if c.PlanInterval == 0 {
+		c.PlanInterval = DefaultPlanInterval
+	}
+	if c.NewPlanner == nil {
+		c.NewPlanner = func(string) planner.Planner { return keepRoles{} }
+	}
+	if c.EngineProfile == nil {
+		c.EngineProfile = func(string) planner.EngineProfile { return planner.EngineProfile{} }
+	}
+	return c
+}
+
+func (c Config) check() error {
+	if c.Seed == [32]byte{} {
+		return trace.BadParameter("control: the seed is zero; fill it from a cryptographic source")
+	}
+	return nil
+}
+
+// keepRoles is the planner that changes nothing.
+type keepRoles struct{}
+
+// Plan changes nothing.
+func (keepRoles) Plan(planner.Observation) planner.Decision {
+	return planner.Decision{Reason: "no planner is set up"}
+}
--- /dev/null
+++ b/internal/control/core.go
@@ -0,0 +1,179 @@
+package control
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/authority"
+	"github.com/hazelpitch/hazelpitch/internal/consensus"
+	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+	"github.com/hazelpitch/hazelpitch/internal/membership"
+	"github.com/hazelpitch/hazelpitch/internal/shares"
+)
+
+// Core is one controller. It is owned by one goroutine.
+type Core struct {
+	config    Config
+	consensus *consensus.Core
+	state     *controlstate.State
+	commander *authority.Commander
+	tracker   *membership.Tracker
+	divider   *shares.Divider
+	demands   *demandTable
+	planning  *planning
+	// random is a cryptographically strong generator.
+	random *rand.ChaCha8
+
+	now     time.Duration
+	outputs []Output
+
+	// applied is the log index of the last applied entry, snapshotAt of the last snapshot.
+	applied    uint64
+	snapshotAt uint64
+	// pagesRevision is the revision that the tracker's page services are from.
+	pagesRevision uint64
+
+	// pending are the calls that wait for their log entry.
+	pending map[uint64]pendingCall
+
+	leading      bool
+	leadingTerm  uint64
+	leadingSince time.Duration
+	duties       duties
+}
+
+// New returns the Core of a controller that starts with what its disk held.
+func New(config Config, restored Restored) (*Core, error) {
+	config = config.withDefaults()
+	if err := config.check(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	random := rand.NewChaCha8(config.Seed)
+	replicated, err := consensus.New(consensus.Config{
+		Fleet: config.Fleet, Name: config.Name, Address: config.Address, Zone: config.Zone, Peers: config.Peers,
+		ElectionTimeout: config.ElectionTimeout, HeartbeatInterval: config.HeartbeatInterval,
+		Seed: random.Uint64(), Safeguards: config.Safeguards,
+	}, restored)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Core{
+		config:    config,
+		consensus: replicated,
+		state:     controlstate.New(config.Safeguards),
+		commander: authority.New(authority.Config{Leader: config.Name, Safeguards: config.Safeguards}),
+		tracker:   membership.New(membership.Config{}),
+		divider:   shares.New(0, config.Safeguards),
+		demands:   newDemandTable(),
+		planning:  newPlanning(),
+		random:    random,
+		pending:   map[uint64]pendingCall{},
+	}, nil
+}
+
+// Step takes one input at a time that never goes back and returns what the owner has
+// to do, in order.
+func (c *Core) Step(now time.Duration, input Input) []Output {
+	c.now = max(c.now, now)
+	c.outputs = nil
+	c.take(input)
+	c.drive()
+	c.checkLeadership()
+	if _, tick := input.(Tick); tick {
+		c.tick()
+		c.drive()
+	}
+	return c.outputs
+}
+
+// take dispatches one input.
+func (c *Core) take(input Input) {
+	switch received := input.(type) {
+	case Tick:
+		c.consensus.Tick(c.now)
+	case PeerMessage:
+		// An error tells why the message was dropped; the sender repeats what matters.
+		_ = c.consensus.Step(c.now, received.Message)
+	case Persisted:
+		c.consensus.Persisted(c.now, received.Batch)
+	case ApplyReceived:
+		c.takeApply(received)
+	case PlanReceived:
+		c.takePlan(received)
+	case ExecuteReceived:
+		c.takeExecute(received)
+	case SyncReceived:
+		c.takeSync(received)
+	case ReportReceived:
+		c.takeReport(received)
+	case BeginClaimReceived:
+		c.takeBeginClaim(received)
+	case FinishClaimReceived:
+		c.takeFinishClaim(received)
+	case MachineListReceived:
+		c.takeMachineList(received)
+	case OrderAnswered:
+		c.commander.OrderAnswered(c.now, received.Engine, received.Fence, received.Answer)
+		c.tracker.HurryPoll(c.now, received.Engine, hurriedPoll)
+	case FenceAnswered:
+		c.commander.FenceAnswered(c.now, received.Engine, received.Epoch, received.Answer)
+	case EngineStateReceived:
+		c.takeEngineState(received)
+	}
+}
+
+// emit adds an output.
+func (c *Core) emit(output Output) { c.outputs = append(c.outputs, output) }
+
+// answer answers a call.
+func (c *Core) answer(answer Answer) { c.emit(answer) }
+
+// refuse answers a call with an error.
+func (c *Core) refuse(call CallID, err error) { c.emit(Answer{Call: call, Err: classify(err)}) }
+
+// wallMs is the wall-clock time in milliseconds since the Unix epoch.
+func (c *Core) wallMs() int64 { return c.config.WallOrigin + c.now.Milliseconds() }
+
+// sinceOrigin converts wall-clock milliseconds to the time of Step.
+func (c *Core) sinceOrigin(wallMs int64) time.Duration {
+	return time.Duration(wallMs-c.config.WallOrigin) * time.Millisecond
+}
+
+// Operator finds a declared operator by the SHA-256 (hex) of its key in the applied state.
+func (c *Core) Operator(keyHash string) (name string, role v1.OperatorRole, found bool) {
+	for _, object := range c.state.ObjectsOfType(v1.ObjectType_OBJECT_TYPE_OPERATOR) {
+		if operator := object.GetOperator(); operator.KeyHash == keyHash {
+			return object.Key.Name, operator.Role, true
+		}
+	}
+	return "", v1.OperatorRole_OPERATOR_ROLE_UNSPECIFIED, false
+}
+
+// Status is what a controller tells about itself, for health and metrics.
+type Status struct {
+	Consensus consensus.Status
+	// Ordering tells that this controller leads with a valid lease.
+	Ordering bool
+	Revision uint64
+	// AppliedIndex is the log index of the last applied entry.
+	AppliedIndex uint64
+	Gateways     int
+	Machines     int
+	PendingCalls int
+}
+
+// Status returns what this controller knows about itself.
+func (c *Core) Status() Status {
+	return Status{
+		Consensus: c.consensus.Status(), Ordering: c.leading && c.consensus.LeaseValid(c.now),
+		Revision: c.state.Revision(), AppliedIndex: c.applied,
+		Gateways: len(c.tracker.Gateways()), Machines: len(c.tracker.Machines()), PendingCalls: len(c.pending),
+	}
+}
+
+// State is the replicated state as applied here. It must not be changed, and not be
+// read while Step runs.
+func (c *Core) State() *controlstate.State { return c.state }
--- /dev/null
+++ b/internal/control/drive.go
@@ -0,0 +1,120 @@
+package control
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/consensus"
+	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+)
+
+// drive carries out everything the replicated log asks for.
+func (c *Core) drive() {
+	for {
+		ready, some := c.consensus.Ready()
+		if !some {
+			return
+		}
+		c.carryOut(ready)
+	}
+}
+
+func (c *Core) carryOut(ready consensus.Ready) {
+	if ready.Batch != 0 {
+		c.emit(Persist{Batch: ready.Batch, HardState: ready.HardState, Entries: ready.Entries, Snapshot: ready.Snapshot})
+	}
+	for _, message := range ready.Messages {
+		c.emit(SendPeer{Address: message.Address, Message: message.Message})
+	}
+	if ready.Restore != nil {
+		c.restore(ready.Restore)
+	}
+	for _, entry := range ready.Committed {
+		c.applyEntry(entry)
+	}
+	c.snapshotWhenDue()
+}
+
+// restore replaces the state by a snapshot.
+func (c *Core) restore(snapshot *v1.Snapshot) {
+	state, err := controlstate.Restore(snapshot.GetData(), c.config.Safeguards)
+	if err != nil {
+		// The snapshot was checked when it was written and when it was read: going on
+		// with another state than the peers' would break every promise.
+		panic("control: the replicated state cannot be restored: " + err.Error())
+	}
+	c.state = state
+	c.applied = snapshot.GetMetadata().GetIndex()
+	c.snapshotAt = c.applied
+	c.refreshPages()
+}
+
+// applyEntry applies one committed entry and answers the call that waits for it.
+func (c *Core) applyEntry(entry *v1.Entry) {
+	c.applied = entry.Index
+	call, waiting := c.pending[entry.Index]
+	delete(c.pending, entry.Index)
+	if waiting && call.term != entry.Term {
+		c.refuse(call.id, errLostLeadership)
+		waiting = false
+	}
+	if entry.Type != v1.EntryType_ENTRY_TYPE_COMMAND {
+		if waiting {
+			call.finish(c, controlstate.Result{})
+		}
+		return
+	}
+	command := &v1.Command{}
+	if err := proto.Unmarshal(entry.Data, command); err != nil {
+		// Every controller reads the same bytes and skips the same entry.
+		command = &v1.Command{}
+	}
+	result := c.state.Apply(entry.Index, command)
+	c.noteApplied(command)
+	if waiting {
+		call.finish(c, result)
+	}
+}
+
+// noteApplied tells the soft state what the log has done.
+func (c *Core) noteApplied(command *v1.Command) {
+	switch body := command.GetBody().(type) {
+	case *v1.Command_ApplyDeclaration:
+		c.refreshPages()
+	case *v1.Command_RecordEngine:
+		c.commander.Applied(body.RecordEngine.GetEngine().GetEngine())
+	case *v1.Command_FinishOrder:
+		c.commander.Applied(body.FinishOrder.GetEngine())
+	case *v1.Command_IssueOrder:
+		c.commander.Withdraw(body.IssueOrder.GetOrder().GetEngine())
+	}
+}
+
+// refreshPages tells the tracker which services are page services.
+func (c *Core) refreshPages() {
+	if c.pagesRevision == c.state.Revision() && c.pagesRevision != 0 {
+		return
+	}
+	c.pagesRevision = c.state.Revision()
+	pages := map[string]bool{}
+	for _, object := range c.state.ObjectsOfType(v1.ObjectType_OBJECT_TYPE_SERVICE) {
+		if object.GetService().Type == v1.ServiceType_SERVICE_TYPE_PAGE {
+			pages[object.Key.Name] = true
+		}
+	}
+	c.tracker.SetPages(pages)
+}
+
+// snapshotWhenDue writes the state out and cuts the log.
+func (c *Core) snapshotWhenDue() {
+	if c.applied-c.snapshotAt < c.config.SnapshotEntries {
+		return
+	}
+	data, err := c.state.Snapshot()
+	if err != nil {
+		return // tried again with the next entry; the log stays whole
+	}
+	if c.consensus.Compact(c.applied, data) == nil {
+		c.snapshotAt = c.applied
+	}
+}
--- /dev/null
+++ b/internal/control/duties.go
@@ -0,0 +1,134 @@
+package control
+
+import (
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+)
+
+// Intervals of the leader's duties.
+const (
+	claimInterval      = 5 * time.Second
+	reconcileInterval  = time.Second
+	housekeepInterval  = 10 * time.Second
+	engineGoneInterval = 10 * time.Second
+)
+
+// duties are the times at which the leader's duties are due next.
+type duties struct {
+	claims, reconcile, housekeeping, engines, plan time.Duration
+}
+
+// due reports whether a duty is due and sets its next time.
+func due(now time.Duration, next *time.Duration, interval time.Duration) bool {
+	if now < *next {
+		return false
+	}
+	*next = now + interval
+	return true
+}
+
+// tick does what is due by time alone.
+func (c *Core) tick() {
+	c.pollEngines()
+	if !c.leading || !c.consensus.LeaseValid(c.now) {
+		return
+	}
+	c.command()
+	if due(c.now, &c.duties.claims, claimInterval) {
+		c.loseGateways()
+		c.expireClaims()
+	}
+	if due(c.now, &c.duties.reconcile, reconcileInterval) {
+		c.reconcileDeclared()
+	}
+	if c.config.PlanInterval > 0 && due(c.now, &c.duties.plan, c.config.PlanInterval) {
+		c.plan()
+	}
+	if due(c.now, &c.duties.housekeeping, housekeepInterval) {
+		c.divider.DropExpired(c.now)
+		c.demands.dropOld(c.now)
+	}
+	if due(c.now, &c.duties.engines, engineGoneInterval) {
+		c.removeGoneEngines()
+	}
+}
+
+// loseGateways makes the claims of gateways that are gone unknown.
+func (c *Core) loseGateways() {
+	for _, holder := range c.state.ClaimHolders() {
+		if c.tracker.GatewayGone(c.now, c.leadingSince, holder.Gateway, holder.Incarnation) {
+			c.proposeQuietly(&v1.Command{Body: &v1.Command_LoseGateway{
+				LoseGateway: &v1.LoseGateway{Gateway: holder.Gateway, Incarnation: holder.Incarnation},
+			}})
+		}
+	}
+}
+
+// expireClaims forgets the claims that have expired.
+func (c *Core) expireClaims() {
+	now := c.wallMs()
+	if c.state.HasExpiredClaims(now) {
+		c.proposeQuietly(&v1.Command{Body: &v1.Command_ExpireClaims{ExpireClaims: &v1.ExpireClaims{BeforeMs: now}}})
+	}
+}
+
+// removeGoneEngines takes engines that are neither listed nor answering out of the log.
+func (c *Core) removeGoneEngines() {
+	if c.now-c.leadingSince < engineGoneInterval || !c.tracker.Listed() {
+		return
+	}
+	for _, record := range c.state.Engines() {
+		if record.Outstanding == nil && c.tracker.Machine(record.State.Engine) == nil {
+			c.proposeQuietly(&v1.Command{Body: &v1.Command_RecordEngine{
+				RecordEngine: &v1.RecordEngine{Engine: &v1.EngineState{Engine: record.State.Engine}, Removed: true},
+			}})
+		}
+	}
+}
+
+// reconcileDeclared orders engines to be what is declared: pinned roles, the models'
+// versions in force, and adapters. What may not be ordered now is tried again.
+func (c *Core) reconcileDeclared() {
+	for _, order := range declaredOrders(c.state) {
+		_ = c.issueOrder(order)
+	}
+}
+
+// declaredOrders lists the orders that would make engines what is declared, at most
+// one for each engine, by engine.
+func declaredOrders(state *controlstate.State) []*v1.Order {
+	pins := map[string]*v1.Pin{}
+	for _, object := range state.ObjectsOfType(v1.ObjectType_OBJECT_TYPE_PIN) {
+		pins[object.GetPin().Engine] = object.GetPin()
+	}
+	var orders []*v1.Order
+	for _, record := range state.Engines() {
+		if record.Outstanding != nil || record.Drained {
+			continue
+		}
+		if order := declaredOrder(state, record.State, pins[record.State.Engine]); order != nil {
+			orders = append(orders, order)
+		}
+	}
+	return orders
+}
+
+// declaredOrder returns the order that an engine needs first, or nil.
+func declaredOrder(state *controlstate.State, engine *v1.EngineState, pin *v1.Pin) *v1.Order {
+	if pin != nil && pin.Role != engine.Role {
+		return &v1.Order{Engine: engine.Engine, Action: v1.OrderAction_ORDER_ACTION_SET_ROLE, Role: pin.Role,
+			Reason: "the engine is pinned to this role"}
+	}
+	service := state.Object(v1.ObjectType_OBJECT_TYPE_SERVICE, engine.Service).GetService()
+	if service.GetType() != v1.ServiceType_SERVICE_TYPE_ENGINE {
+		return nil
+	}
+	model := state.Object(v1.ObjectType_OBJECT_TYPE_MODEL, service.Model).GetModel()
+	if model != nil && (engine.Model != service.Model || engine.Version != model.Version) {
+		return &v1.Order{Engine: engine.Engine, Action: v1.OrderAction_ORDER_ACTION_LOAD_MODEL,
+			Model: service.Model, Version: model.Version, Reason: "the service's model has this version in force"}
+	}
+	return adapterOrder(state, engine)
+}
--- /dev/null
+++ b/internal/control/engines.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/authority"
+)
+
+// hurriedPoll is the time to the next poll of an engine that carries out an order.
+const hurriedPoll = 200 * time.Millisecond
+
+// takeMachineList takes a reading of the platform's list.
+func (c *Core) takeMachineList(received MachineListReceived) {
+	if !c.tracker.ListRead(c.now, received.List) {
+		return
+	}
+	c.listEngines()
+}
+
+// listEngines tells the commander where the engines are.
+func (c *Core) listEngines() {
+	for _, machine := range c.tracker.Machines() {
+		if !c.isPage(machine.Row.Service) {
+			c.commander.List(machine.Row.Name, machine.Row.Address, machine.Listed)
+		}
+	}
+}
+
+func (c *Core) isPage(service string) bool {
+	declared := c.state.Object(v1.ObjectType_OBJECT_TYPE_SERVICE, service).GetService()
+	return declared.GetType() == v1.ServiceType_SERVICE_TYPE_PAGE
+}
+
+// takeEngineState takes the answer to a poll.
+func (c *Core) takeEngineState(received EngineStateReceived) {
+	sentAt, counts := c.tracker.PollAnswered(c.now, received.Engine, received.State, received.Load)
+	if !counts {
+		return
+	}
+	c.commander.Observed(sentAt, received.Engine, *received.State)
+	if c.state.Engine(received.Engine).GetOutstanding() != nil {
+		c.tracker.HurryPoll(c.now, received.Engine, hurriedPoll)
+	}
+}
+
+// pollEngines sends the polls that are due.
+func (c *Core) pollEngines() {
+	for _, poll := range c.tracker.DuePolls(c.now) {
+		c.emit(PollEngine{Engine: poll.Name, Address: poll.Address})
+	}
+	for _, name := range c.tracker.DropGone(c.now) {
+		c.commander.List(name, "", false)
+		if c.state.Engine(name).GetOutstanding() == nil {
+			c.commander.Forget(name)
+		}
+	}
+}
+
+// command carries out what the commander wants.
+func (c *Core) command() {
+	for _, action := range c.commander.Step(c.now, c.state) {
+		switch wanted := action.(type) {
+		case authority.Propose:
+			c.proposeQuietly(wanted.Command)
+		case authority.SendOrder:
+			c.emit(SendOrder{Engine: wanted.Engine, Address: wanted.Address, Order: wanted.Order})
+		case authority.SendFence:
+			c.emit(SendFence{Engine: wanted.Engine, Address: wanted.Address, Epoch: wanted.Epoch})
+		}
+	}
+}
+
+// issueOrder commits an order of the controller's own; the commander sends it once it
+// is applied. It reports why it may not be given now.
+func (c *Core) issueOrder(order *v1.Order) error {
+	issue, err := c.commander.Prepare(c.now, c.wallMs(), c.state, order)
+	if err != nil {
+		return err
+	}
+	_, err = c.propose(&v1.Command{Body: &v1.Command_IssueOrder{IssueOrder: issue}}, 0, nil)
+	if err != nil {
+		c.commander.Withdraw(order.Engine)
+	}
+	return err
+}
--- a/internal/control/errors.go
+++ b/internal/control/errors.go
@@ -1,6 +1,15 @@
 package control
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/authority"
+	"github.com/hazelpitch/hazelpitch/internal/consensus"
+	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+)
 
 // NotLeaderError is the Err of an Answer to a call that only the leader can answer.
 type NotLeaderError struct {
@@ -15,3 +24,54 @@
 	}
 	return fmt.Sprintf("this controller is not the leader; ask %s", e.Leader)
 }
+
+// errLostLeadership answers a call whose entry was proposed and not confirmed here.
+var errLostLeadership = trace.ConnectionProblem(nil,
+	"leadership was lost before the change was confirmed; send it again with the same identity")
+
+// proposalError turns a refusal of the log into one for the caller.
+func (c *Core) proposalError(err error) error {
+	switch {
+	case errors.Is(err, consensus.ErrNotLeader):
+		return c.notLeader()
+	case errors.Is(err, consensus.ErrOverloaded):
+		return trace.LimitExceeded("%v; try again later", err)
+	case errors.Is(err, consensus.ErrTransferring):
+		return trace.ConnectionProblem(err, "leadership is being handed over; try again later")
+	default:
+		return trace.Wrap(err)
+	}
+}
+
+// classify gives an error the kind that tells a client what it may do.
+func classify(err error) error {
+	message := trace.UserMessage(err)
+	switch {
+	case err == nil:
+		return nil
+	case isAny(err, controlstate.ErrUnknownEngine, authority.ErrEngineUnknown, controlstate.ErrNoSuchOrder,
+		consensus.ErrUnknownMember):
+		return trace.NotFound("%s", message)
+	case isAny(err, controlstate.ErrClaimsFull, authority.ErrTooManyOut, authority.ErrTooManyLoads):
+		return trace.LimitExceeded("%s", message)
+	case isAny(err, controlstate.ErrInvalidCommand, controlstate.ErrRequestReused, controlstate.ErrClaimExpired,
+		controlstate.ErrClaimNotHeld):
+		return trace.BadParameter("%s", message)
+	case isAny(err, controlstate.ErrOrderOutstanding, authority.ErrEngineBusy, authority.ErrEngineState,
+		authority.ErrRoleBound, consensus.ErrMembershipPending, consensus.ErrMembershipStep, consensus.ErrNotCaughtUp):
+		return trace.CompareFailed("%s", message)
+	case isAny(err, controlstate.ErrStaleEpoch, authority.ErrNoAuthority, authority.ErrEngineSilent):
+		return trace.ConnectionProblem(err, "%s", message)
+	default:
+		return err
+	}
+}
+
+func isAny(err error, targets ...error) bool {
+	for _, target := range targets {
+		if errors.Is(err, target) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/control/execute.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"github.com/gravitational/trace"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+	"github.com/hazelpitch/hazelpitch/internal/language"
+)
+
+// takeExecute answers a query or carries out a command.
+func (c *Core) takeExecute(received ExecuteReceived) {
+	statement, err := parseStatement(received.Request.GetText())
+	if err != nil {
+		c.refuse(received.Call, err)
+		return
+	}
+	if required := statement.RequiredRole(); !language.Allowed(received.Role, required) {
+		c.refuse(received.Call, trace.AccessDenied("operator %q has role %s; this needs %s",
+			received.Operator, language.OperatorRoleWord(received.Role), language.OperatorRoleWord(required)))
+		return
+	}
+	if _, dump := statement.(language.DumpLogs); dump {
+		c.dumpLogs(received)
+		return
+	}
+	if !c.demandLeader(received.Call) {
+		return
+	}
+	command, isCommand := statement.(language.Command)
+	if !isCommand {
+		c.evaluate(received, statement)
+		return
+	}
+	c.executeCommand(received, command)
+}
+
+// evaluate answers a query from the applied state.
+func (c *Core) evaluate(received ExecuteReceived, statement language.Statement) {
+	response, err := evaluate(statement, &view{core: c})
+	if err != nil {
+		c.refuse(received.Call, err)
+		return
+	}
+	response.Revision = c.state.Revision()
+	c.answer(Answer{Call: received.Call, Response: response})
+}
+
+// dumpLogs asks the runtime of this controller, leader or not, to write its log ring.
+func (c *Core) dumpLogs(received ExecuteReceived) {
+	c.emit(DumpLogs{Operator: received.Operator})
+	c.answerMessage(received.Call, "controller "+c.config.Name+" writes out its log ring")
+}
+
+// executeCommand carries out one command. A resend that is still remembered gets its
+// first answer, whatever the command would do now.
+func (c *Core) executeCommand(received ExecuteReceived, command language.Command) {
+	if c.answeredBefore(received) {
+		return
+	}
+	switch wanted := command.(type) {
+	case language.DrainEngine:
+		c.orderForOperator(received, &v1.Order{Engine: wanted.Engine, Action: v1.OrderAction_ORDER_ACTION_DRAIN})
+	case language.ResumeEngine:
+		c.orderForOperator(received, &v1.Order{Engine: wanted.Engine, Action: v1.OrderAction_ORDER_ACTION_RESUME})
+	case language.SetEngineRole:
+		c.orderForOperator(received, &v1.Order{
+			Engine: wanted.Engine, Action: v1.OrderAction_ORDER_ACTION_SET_ROLE, Role: wanted.Role,
+		})
+	case language.AbortOrder:
+		c.abortForOperator(received, wanted.Engine)
+	case language.PinEngine:
+		c.declareForOperator(received, c.pinObject(wanted))
+	case language.UnpinEngine:
+		c.unpin(received, wanted.Engine)
+	case language.DeleteObject:
+		c.deleteObject(received, wanted.Key)
+	case language.AddMember, language.PromoteMember, language.RemoveMember, language.ReplaceMember:
+		c.changeMembers(received, wanted)
+	default:
+		c.refuse(received.Call, trace.NotImplemented("this controller does not know the command; run one release everywhere"))
+	}
+}
+
+// answeredBefore answers a resend with its first answer.
+func (c *Core) answeredBefore(received ExecuteReceived) bool {
+	request := received.Request
+	first, err := c.state.FirstAnswer(received.Operator, request.RequestId, request.Text)
+	switch {
+	case err != nil:
+		c.refuse(received.Call, err)
+	case first == nil:
+		return false
+	case first.Error != "":
+		c.refuse(received.Call, trace.BadParameter("%s", first.Error))
+	default:
+		c.answerMessage(received.Call, first.Answer)
+	}
+	return true
+}
+
+func (c *Core) answerMessage(call CallID, message string) {
+	c.answer(Answer{Call: call, Response: &v1.ExecuteResponse{Revision: c.state.Revision(), Message: message}})
+}
+
+// answerResult answers a call with what the log made of its command.
+func (c *Core) answerResult(call CallID, result controlstate.Result) {
+	if result.Err != nil {
+		c.refuse(call, result.Err)
+		return
+	}
+	c.answerMessage(call, result.Answer)
+}
--- /dev/null
+++ b/internal/control/leadership.go
@@ -0,0 +1,48 @@
+package control
+
+// checkLeadership follows the replicated log's view of who leads.
+func (c *Core) checkLeadership() {
+	leads := c.consensus.Leading()
+	term := c.consensus.Term()
+	if c.leading && (!leads || term != c.leadingTerm) {
+		c.stopLeading()
+	}
+	if !leads {
+		c.failPending()
+		return
+	}
+	// The lease is valid once the first entry of the term is committed.
+	if !c.leading && c.consensus.LeaseValid(c.now) {
+		c.startLeading(term)
+	}
+}
+
+func (c *Core) startLeading(term uint64) {
+	c.leading = true
+	c.leadingTerm = term
+	c.leadingSince = c.now
+	c.duties = duties{}
+	c.commander.Lead(c.now, term)
+	// Shares are granted under an authority only, so that without one there are none.
+	epoch, _ := c.state.Authority()
+	c.divider.Lead(c.now, epoch == 0)
+	c.demands = newDemandTable()
+	c.planning = newPlanning()
+}
+
+func (c *Core) stopLeading() {
+	c.leading = false
+	c.commander.Stop()
+}
+
+// failPending answers the calls whose entries may or may not be committed by the
+// next leader; their callers send them again with the same identity.
+func (c *Core) failPending() {
+	if len(c.pending) == 0 {
+		return
+	}
+	for _, index := range sortedKeys(c.pending) {
+		c.refuse(c.pending[index].id, errLostLeadership)
+	}
+	c.pending = map[uint64]pendingCall{}
+}
--- /dev/null
+++ b/internal/control/nodes.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"math"
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+	"github.com/hazelpitch/hazelpitch/internal/shares"
+)
+
+// maximumShareDemands bounds the tenants in one report; the rest is ignored.
+const maximumShareDemands = 4096
+
+// takeSync answers a gateway's heartbeat from what is applied here.
+func (c *Core) takeSync(received SyncReceived) {
+	request := received.Request
+	c.tracker.GatewayHeard(c.now, request.GetNode(), request.GetRevision(), request.GetLeaving())
+	delta := c.state.Delta(c.deltaRequest(request))
+	status := c.consensus.Status()
+	response := &v1.SyncResponse{
+		Revision: delta.Revision, Full: delta.Full, Objects: delta.Objects, RejectedKeyHashes: delta.RejectedKeyHashes,
+		LeaderAddress: status.LeaderAddress,
+	}
+	for _, member := range status.Membership.GetMembers() {
+		response.ControllerAddresses = append(response.ControllerAddresses, member.Address)
+	}
+	c.addDirectory(response, request)
+	c.answer(Answer{Call: received.Call, Response: response})
+}
+
+func (c *Core) deltaRequest(request *v1.SyncRequest) controlstate.DeltaRequest {
+	asked := controlstate.DeltaRequest{
+		Revision: request.Revision, HeldTenants: request.HeldTenants, UnknownKeyHashes: request.UnknownKeyHashes,
+	}
+	if !c.config.Safeguards.On(SafeguardRevisionOrder) && request.Revision > c.state.Revision() {
+		asked.Revision = 0
+	}
+	return asked
+}
+
+// addDirectory adds the directory when the gateway holds another one.
+func (c *Core) addDirectory(response *v1.SyncResponse, request *v1.SyncRequest) {
+	directory, credible := c.tracker.Directory(c.now, request.GetNode().GetZone())
+	response.DirectoryAgeMs = milliseconds(directory.Age)
+	if !credible {
+		response.DirectoryVersion = request.DirectoryVersion
+		return
+	}
+	response.DirectoryVersion = directory.Version
+	if directory.Version != request.DirectoryVersion {
+		response.Directory = &v1.Directory{Version: directory.Version, BackEnds: directory.BackEnds}
+	}
+}
+
+// milliseconds rounds up, so that an age is never told too small.
+func milliseconds(age time.Duration) uint32 {
+	rounded := age / time.Millisecond
+	if age%time.Millisecond != 0 {
+		rounded++
+	}
+	return uint32(min(int64(rounded), math.MaxUint32))
+}
+
+// takeReport takes a gateway's demand and answers with its shares.
+func (c *Core) takeReport(received ReportReceived) {
+	if !c.demandLeader(received.Call) {
+		return
+	}
+	request := received.Request
+	node := request.GetNode()
+	c.tracker.GatewayHeard(c.now, node, request.Revision, false)
+	c.demands.take(c.now, node, request)
+	response := &v1.ReportResponse{}
+	for _, demand := range c.shareDemands(request) {
+		tenant := c.state.Object(v1.ObjectType_OBJECT_TYPE_TENANT, demand.Tenant).GetTenant()
+		limits := shares.Limits{TokensPerSecond: tenant.GetTokensPerSecond(), Concurrency: tenant.GetConcurrency()}
+		if share := c.divider.Divide(c.now, node.GetName(), demand, limits); share != nil {
+			response.Shares = append(response.Shares, share)
+		}
+	}
+	c.answer(Answer{Call: received.Call, Response: response})
+}
+
+// shareDemands are the demands that get a share now: none before this leader's
+// authority is in the log, and no more than the bound.
+func (c *Core) shareDemands(request *v1.ReportRequest) []*v1.ShareDemand {
+	if epoch, _ := c.state.Authority(); epoch != c.leadingTerm {
+		return nil
+	}
+	return request.ShareDemands[:min(len(request.ShareDemands), maximumShareDemands)]
+}
+
+// takeBeginClaim proposes a claim; it is granted once that is applied.
+func (c *Core) takeBeginClaim(received BeginClaimReceived) {
+	command := &v1.Command{Body: &v1.Command_BeginClaim{BeginClaim: received.Request.GetClaim()}}
+	c.proposeForCall(command, received.Call, func(core *Core, result controlstate.Result) {
+		if result.Err != nil {
+			core.refuse(received.Call, result.Err)
+			return
+		}
+		core.answer(Answer{Call: received.Call, Response: result.Claim})
+	})
+}
+
+// takeFinishClaim proposes the outcome of a claimed request.
+func (c *Core) takeFinishClaim(received FinishClaimReceived) {
+	command := &v1.Command{Body: &v1.Command_FinishClaim{FinishClaim: received.Request.GetClaim()}}
+	c.proposeForCall(command, received.Call, func(core *Core, result controlstate.Result) {
+		if result.Err != nil {
+			core.refuse(received.Call, result.Err)
+			return
+		}
+		core.answer(Answer{Call: received.Call, Response: &v1.FinishClaimResponse{}})
+	})
+}
--- a/internal/control/output.go
+++ b/internal/control/output.go
@@ -61,3 +61,8 @@
 func (SendOrder) isOutput()  {}
 func (SendFence) isOutput()  {}
 func (PollEngine) isOutput() {}
+
+// DumpLogs asks the runtime to write out its log ring.
+type DumpLogs struct{ Operator string }
+
+func (DumpLogs) isOutput() {}
--- /dev/null
+++ b/internal/control/planning.go
@@ -0,0 +1,156 @@
+package control
+
+import (
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/authority"
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/planner"
+)
+
+// recentChangeWindow is how far back role changes are told to the planner.
+const recentChangeWindow = 2 * time.Hour
+
+// planning holds the planners of the services and their last decisions.
+type planning struct {
+	planners map[string]planner.Planner
+	reasons  map[string]plannerReason
+}
+
+// plannerReason is the last decision for one service.
+type plannerReason struct {
+	at      time.Duration
+	changes int
+	reason  string
+}
+
+func newPlanning() *planning {
+	return &planning{planners: map[string]planner.Planner{}, reasons: map[string]plannerReason{}}
+}
+
+// plan lets the planner of each engine service decide and orders what it wants.
+func (c *Core) plan() {
+	for _, object := range c.state.ObjectsOfType(v1.ObjectType_OBJECT_TYPE_SERVICE) {
+		service := object.Key.Name
+		if object.GetService().Type != v1.ServiceType_SERVICE_TYPE_ENGINE {
+			continue
+		}
+		decider := c.planning.planners[service]
+		if decider == nil {
+			decider = c.config.NewPlanner(service)
+			c.planning.planners[service] = decider
+		}
+		decision := decider.Plan(c.observe(service, object.GetService()))
+		c.carryOutDecision(service, decision)
+	}
+}
+
+// carryOutDecision turns changes into orders. A change that may not be ordered now is
+// dropped: the planner decides anew next time.
+func (c *Core) carryOutDecision(service string, decision planner.Decision) {
+	made, reason := 0, decision.Reason
+	for _, change := range decision.Changes {
+		err := c.issueOrder(&v1.Order{
+			Engine: change.Engine, Action: v1.OrderAction_ORDER_ACTION_SET_ROLE,
+			Role: authority.RoleOf(change.To), Reason: change.Reason,
+		})
+		if err != nil {
+			reason += "; held back: " + err.Error()
+			continue
+		}
+		made++
+	}
+	c.planning.reasons[service] = plannerReason{at: c.now, changes: made, reason: reason}
+}
+
+// observe gathers all that the planner may know about one service.
+func (c *Core) observe(service string, declared *v1.Service) planner.Observation {
+	model := c.state.Object(v1.ObjectType_OBJECT_TYPE_MODEL, declared.Model).GetModel()
+	observation := planner.Observation{
+		Now: c.now, Service: service,
+		Engines: c.observeEngines(service), Demands: c.demands.of(c.now, service),
+		Pins: map[string]enginecontract.Role{}, Profile: c.config.EngineProfile(model.GetProfile()),
+		RecentChanges: c.recentChanges(service),
+	}
+	for _, object := range c.state.ObjectsOfType(v1.ObjectType_OBJECT_TYPE_KIND) {
+		if kind := object.GetKind(); kind.Service == service {
+			observation.Kinds = append(observation.Kinds, planner.KindWorth{
+				Kind: object.Key.Name, Worth: kind.Worth, Deadline: time.Duration(kind.DeadlineMs) * time.Millisecond,
+			})
+		}
+	}
+	for _, object := range c.state.ObjectsOfType(v1.ObjectType_OBJECT_TYPE_BOUND) {
+		if bound := object.GetBound(); bound.Service == service {
+			observation.Bounds = append(observation.Bounds, planner.RoleBound{
+				Zone: bound.Zone, Role: authority.ContractRole(bound.Role),
+				Minimum: int(bound.Minimum), Maximum: int(bound.Maximum), MaximumOut: int(bound.MaximumOut),
+			})
+		}
+	}
+	for _, object := range c.state.ObjectsOfType(v1.ObjectType_OBJECT_TYPE_PIN) {
+		observation.Pins[object.GetPin().Engine] = authority.ContractRole(object.GetPin().Role)
+	}
+	observation.Policy = c.policyOf(service)
+	return observation
+}
+
+func (c *Core) policyOf(service string) planner.Policy {
+	for _, object := range c.state.ObjectsOfType(v1.ObjectType_OBJECT_TYPE_POLICY) {
+		if policy := object.GetPolicy(); policy.Service == service {
+			return planner.Policy{
+				ChangePrice: policy.ChangePrice, ChangesPerHour: int(policy.ChangesPerHour),
+				MinimumDwell: time.Duration(policy.MinimumDwellMs) * time.Millisecond,
+				Horizon:      time.Duration(policy.HorizonMs) * time.Millisecond,
+			}
+		}
+	}
+	return planner.Policy{}
+}
+
+// observeEngines lists the engines of a service by name.
+func (c *Core) observeEngines(service string) []planner.EngineObservation {
+	var engines []planner.EngineObservation
+	for _, machine := range c.tracker.Machines() {
+		own := machine.State
+		if machine.Row.Service != service || own == nil {
+			continue
+		}
+		engine := planner.EngineObservation{
+			Name: own.Engine, Zone: own.Zone, Role: own.Role, State: own.State,
+			Load: machine.Load, LoadAge: machine.LoadAge(c.now),
+		}
+		if machine.Row.State == enginecontract.StateLeaving || !machine.Listed {
+			engine.State = enginecontract.StateLeaving
+		}
+		if record := c.state.Engine(own.Engine); record != nil {
+			engine.RoleSince = c.sinceOrigin(record.RoleSinceMs)
+			if order := record.Outstanding; order != nil {
+				engine.OrderOutstanding = true
+				engine.TargetRole = authority.ContractRole(order.Role)
+			}
+		}
+		engines = append(engines, engine)
+	}
+	return engines
+}
+
+// recentChanges are the times at which role changes of a service were ordered.
+func (c *Core) recentChanges(service string) []time.Duration {
+	var times []time.Duration
+	add := func(order *v1.Order) {
+		record := c.state.Engine(order.GetEngine())
+		since := c.sinceOrigin(order.GetIssuedAtMs())
+		if order.GetAction() == v1.OrderAction_ORDER_ACTION_SET_ROLE && record.GetState().GetService() == service &&
+			c.now-since < recentChangeWindow {
+			times = append(times, since)
+		}
+	}
+	for _, ended := range c.state.Orders("") {
+		add(ended.Order)
+	}
+	for _, record := range c.state.Engines() {
+		add(record.Outstanding)
+	}
+	return times
+}
--- /dev/null
+++ b/internal/control/propose.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gravitational/trace"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+)
+
+// maximumCommandBytes bounds one command in the log.
+const maximumCommandBytes = 12 << 20
+
+// pendingCall is a call that waits for its log entry to be applied.
+type pendingCall struct {
+	id   CallID
+	term uint64
+	// finish answers the call with the entry's result.
+	finish func(*Core, controlstate.Result)
+}
+
+// propose appends a command to the log. Call finish, when not nil, answers the call
+// once the entry is applied.
+func (c *Core) propose(command *v1.Command, call CallID, finish func(*Core, controlstate.Result)) (uint64, error) {
+	command.ProposedAtMs = c.wallMs()
+	data, err := proto.Marshal(command)
+	if err != nil {
+		return 0, trace.BadParameter("the command cannot be encoded: %v", err)
+	}
+	if len(data) > maximumCommandBytes {
+		return 0, trace.LimitExceeded("the command has %d bytes; at most %d, so apply it in parts", len(data), maximumCommandBytes)
+	}
+	index, term, err := c.consensus.Propose(c.now, data)
+	if err != nil {
+		return 0, c.proposalError(err)
+	}
+	c.wait(index, term, call, finish)
+	return index, nil
+}
+
+// wait registers a call that waits for the entry at index.
+func (c *Core) wait(index, term uint64, call CallID, finish func(*Core, controlstate.Result)) {
+	if finish != nil {
+		c.pending[index] = pendingCall{id: call, term: term, finish: finish}
+	}
+}
+
+// proposeForCall proposes a command for a call and refuses the call when that fails.
+func (c *Core) proposeForCall(command *v1.Command, call CallID, finish func(*Core, controlstate.Result)) {
+	if _, err := c.propose(command, call, finish); err != nil {
+		c.refuse(call, err)
+	}
+}
+
+// proposeQuietly proposes a command that no call waits for; what it was to achieve
+// is tried again by whoever asked.
+func (c *Core) proposeQuietly(command *v1.Command) {
+	_, _ = c.propose(command, 0, nil)
+}
+
+// demandLeader refuses a call unless this controller leads with a valid lease.
+func (c *Core) demandLeader(call CallID) bool {
+	if c.mayAnswerAsLeader() {
+		return true
+	}
+	c.refuse(call, c.notLeader())
+	return false
+}
+
+// mayAnswerAsLeader reports whether what this controller has applied is all there is.
+func (c *Core) mayAnswerAsLeader() bool {
+	if !c.config.Safeguards.On(SafeguardLeaseRead) {
+		return c.consensus.Leading()
+	}
+	return c.consensus.LeaseValid(c.now)
+}
+
+// notLeader names the leader as far as it is known.
+func (c *Core) notLeader() error {
+	status := c.consensus.Status()
+	if status.Leader == status.ID {
+		return &NotLeaderError{}
+	}
+	return &NotLeaderError{Leader: status.LeaderAddress}
+}
--- a/internal/controlstate/bounds.go
+++ b/internal/controlstate/bounds.go
@@ -40,7 +40,6 @@
 	MaximumRequestIDBytes = 128
 	MaximumClaimKeyBytes  = 256
 	MaximumOutcomeBytes   = 32 << 10 // of a claimed request's body
-	MaximumDifferences    = 256      // listed in one answer
 	// MaximumNumberStep is how far a change number may lie above the highest one.
 	MaximumNumberStep = 1_000_000
 	// MinimumSaltSeedBytes is the size of the random bytes behind new cache salts.
--- a/internal/controlstate/claims.go
+++ b/internal/controlstate/claims.go
@@ -214,3 +214,13 @@
 	})
 	return sorted
 }
+
+// HasExpiredClaims reports whether ExpireClaims up to a time would forget any.
+func (s *State) HasExpiredClaims(before int64) bool {
+	for _, record := range s.claims.records {
+		if record.ExpiresAtMs <= before {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/controlstate/declaration.go
+++ b/internal/controlstate/declaration.go
@@ -25,13 +25,11 @@
 		}
 	}
 	response := s.decideDeclaration(at, declaration)
-	remembered := proto.CloneOf(response)
-	remembered.Differences = nil
 	s.requests.add(&v1.RequestRecord{
-		Operator: declaration.Operator, RequestId: declaration.RequestId, ContentHash: hash, Apply: remembered,
+		Operator: declaration.Operator, RequestId: declaration.RequestId, ContentHash: hash, Apply: response,
 	})
 	s.auditDeclaration(at, declaration, response)
-	return response
+	return proto.CloneOf(response)
 }
 
 func (s *State) decideDeclaration(at int64, declaration *v1.ApplyDeclaration) *v1.ApplyResponse {
@@ -96,7 +94,6 @@
 
 // accept puts a planned change in force.
 func (s *State) accept(at int64, declaration *v1.ApplyDeclaration, change *change) *v1.ApplyResponse {
-	differences := change.differences()
 	s.revision++
 	number := declaration.ChangeNumber
 	if number == 0 {
@@ -119,7 +116,6 @@
 	})
 	return &v1.ApplyResponse{
 		Outcome: v1.ApplyOutcome_APPLY_OUTCOME_ACCEPTED, Revision: s.revision, ChangeNumber: number,
-		Differences: differences,
 	}
 }
 
@@ -149,14 +145,11 @@
 	}
 }
 
-// Plan tells what a declaration would change, and changes nothing. It fails when
-// the declaration would be refused as invalid.
-func (s *State) Plan(objects []*v1.Object, prune bool) ([]*v1.Difference, error) {
-	change, err := s.planChange(objects, prune)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return change.differences(), nil
+// CheckDeclaration tells whether a declaration would be accepted, numbers and base
+// revision apart. It changes nothing.
+func (s *State) CheckDeclaration(objects []*v1.Object, prune bool) error {
+	_, err := s.planChange(objects, prune)
+	return trace.Wrap(err)
 }
 
 // planChange works out the objects a declaration changes and checks the result.
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -233,3 +233,12 @@
 	}
 	return max(digest.Sum64(), 1)
 }
+
+// BackEndLoad is the machine's last load report in the internal protocol; nil when
+// there is none.
+func (m *Machine) BackEndLoad() *v1.BackEndLoad {
+	if m.Load == nil {
+		return nil
+	}
+	return loadOf(m.Load)
+}
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -185,3 +185,6 @@
 	}
 	return gone
 }
+
+// Listed reports whether a machine list has been read.
+func (t *Tracker) Listed() bool { return t.listed }
--- a/internal/shares/divider.go
+++ b/internal/shares/divider.go
@@ -62,11 +62,15 @@
 	return &Divider{lifetime: lifetime, safeguards: safeguards, tenants: map[string]*tenant{}}
 }
 
-// Lead starts the time of a new leader that knows nothing of shares granted before.
-func (d *Divider) Lead(now time.Duration) {
+// Lead starts the time of a new leader that knows nothing of shares granted before;
+// first tells that no leader has ever granted any.
+func (d *Divider) Lead(now time.Duration, first bool) {
 	d.tenants = map[string]*tenant{}
 	d.leases = 0
-	d.settledAt = now + d.lifetime
+	d.settledAt = now
+	if !first {
+		d.settledAt = now + d.lifetime
+	}
 }
 
 // Divide takes a gateway's demand for one tenant and returns the share it gets; nil
