Run a controller process around the control core

Cause: the control core is pure; a process has to carry its outputs out. Change: internal/controller (one loop owns the core; group-committing syncer; a sender per peer and lane; bounded workers towards engines; machine list reader; handlers, operator authentication, forwarding to the leader once; TLS; planned stop that hands leadership over first); internal/servercommand and cmd/hazelpitch with controller and gateway subcommands (the gateway only checks its settings so far); control.StopRequested.

--- /dev/null
+++ b/cmd/hazelpitch/main.go
@@ -0,0 +1,17 @@
+// Command hazelpitch runs the servers of a fleet: controllers and gateways.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/hazelpitch/hazelpitch/internal/servercommand"
+)
+
+func main() {
+	os.Exit(servercommand.Run(context.Background(), os.Args[1:], servercommand.Environment{
+		Program: "hazelpitch",
+		Stdout:  os.Stdout,
+		Stderr:  os.Stderr,
+	}))
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -120,6 +120,8 @@
 		c.tracker.HurryPoll(c.now, received.Engine, hurriedPoll)
 	case FenceAnswered:
 		c.commander.FenceAnswered(c.now, received.Engine, received.Epoch, received.Answer)
+	case StopRequested:
+		c.takeStop()
 	case EngineStateReceived:
 		c.takeEngineState(received)
 	}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,171 @@
+package controller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hazelpitch/hazelpitch/internal/consensus"
+	"github.com/hazelpitch/hazelpitch/internal/control"
+	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/metrics"
+	"github.com/hazelpitch/hazelpitch/internal/settings"
+	"github.com/hazelpitch/hazelpitch/internal/storage"
+)
+
+// transferTimeout is how long a stopping leader waits for another one.
+const transferTimeout = 2 * time.Second
+
+// statusInterval is the time between readings of the Core for the metrics.
+const statusInterval = 500 * time.Millisecond
+
+// Run runs a controller until the context ends; it then hands leadership over,
+// finishes the calls in hand and closes the data directory. It returns an error when
+// the settings cannot work here or when the disk or a listener fails.
+func Run(ctx context.Context, config settings.Controller, options Options) error {
+	if options.Listen == nil {
+		options.Listen = net.Listen
+	}
+	if options.Dial == nil {
+		options.Dial = dialFrom(config.SourceAddress)
+	}
+	controller, err := open(config, options)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer controller.close()
+	return trace.Wrap(controller.run(ctx))
+}
+
+// controller is one running process.
+type controller struct {
+	config      settings.Controller
+	log         *logring.Log
+	disk        *storage.Storage
+	core        *control.Core
+	loop        *loop
+	calls       *calls
+	engines     *engines
+	machines    *machineReader
+	encryption  encryption
+	registry    *prometheus.Registry
+	instruments instruments
+	dial        Dial
+	listener    net.Listener
+	admin       net.Listener
+	peers       *http.Client
+}
+
+// open acquires everything that can fail before the first goroutine starts.
+func open(config settings.Controller, options Options) (*controller, error) {
+	registry, factory := metrics.NewRegistry("controller", config.Name, config.Zone)
+	c := &controller{config: config, log: options.Log, dial: options.Dial, registry: registry, instruments: newInstruments(factory), calls: newCalls()}
+	var err error
+	if c.encryption, err = loadEncryption(config, options.Log); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	c.peers = newPeerClient(c.instruments.countingDial(options.Dial, connectionPeers), c.encryption.client)
+	if err := c.openCore(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if c.listener, err = options.Listen("tcp", config.Listen); err != nil {
+		c.close()
+		return nil, trace.Wrap(err, "cannot listen on %s; check the key listen", config.Listen)
+	}
+	if c.admin, err = options.Listen("tcp", config.AdminListen); err != nil {
+		c.close()
+		return nil, trace.Wrap(err, "cannot listen on %s; check the key admin_listen", config.AdminListen)
+	}
+	return c, nil
+}
+
+// openCore opens the data directory and builds the Core from what it holds.
+func (c *controller) openCore() error {
+	disk, restored, err := storage.Open(storage.Options{Directory: c.config.DataDirectory, Fleet: c.config.Fleet, Name: c.config.Name})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	c.disk = disk
+	origin := time.Now()
+	c.core, err = control.New(coreConfig(c.config, origin), restored)
+	if err != nil {
+		c.close()
+		return trace.Wrap(err)
+	}
+	c.loop = newLoop(c.core, func() time.Duration { return time.Since(origin) })
+	return nil
+}
+
+// run starts every goroutine and waits for the end. At a planned stop leadership goes
+// first, then the calls in hand are answered, and only then the loop ends.
+func (c *controller) run(ctx context.Context) error {
+	background := context.WithoutCancel(ctx)
+	group, working := errgroup.WithContext(background)
+	working, stopWorking := context.WithCancel(working)
+	defer stopWorking()
+	serving, stopServing := context.WithCancel(working)
+	defer stopServing()
+	c.startOutputs(working, group)
+	c.start(group, func() error { c.loop.run(working); return nil })
+	c.start(group, func() error { return c.newSyncer().run(working) })
+	c.start(group, func() error { c.machines.run(working); return nil })
+	c.start(group, func() error { c.watchStatus(working); return nil })
+	c.start(group, func() error { return c.serveAdmin(working) })
+	c.start(group, func() error {
+		defer stopWorking()
+		return c.serve(serving)
+	})
+	c.log.Info().Str("listen", c.config.Listen).Msg("the controller runs")
+	select {
+	case <-working.Done(): // something failed
+	case <-ctx.Done():
+		c.handOver(working)
+		stopServing()
+	}
+	return trace.Wrap(group.Wait())
+}
+
+// start runs the function in the group; a panic is written out before it ends the process.
+func (c *controller) start(group *errgroup.Group, function func() error) {
+	group.Go(func() error {
+		defer c.log.DumpOnPanic()
+		return function()
+	})
+}
+
+// handOver gives leadership to another voter, if this controller has it, and waits
+// for the change within transferTimeout.
+func (c *controller) handOver(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	if c.loop.send(limited, control.StopRequested{}) != nil {
+		return
+	}
+	for limited.Err() == nil {
+		status, err := c.status(limited)
+		if err != nil || status.Consensus.Role != consensus.RoleLeader {
+			return
+		}
+		pause(limited, control.TickInterval)
+	}
+	c.log.Warn().Msg("leadership was not handed over in time; the others elect a leader after their timeout")
+}
+
+// close releases what open acquired. It is safe to call on a half-open controller.
+func (c *controller) close() {
+	for _, listener := range []net.Listener{c.listener, c.admin} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+	if c.disk != nil {
+		if err := c.disk.Close(); err != nil {
+			c.log.Error().Err(err).Msg("cannot close the data directory")
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/encryption.go
@@ -0,0 +1,37 @@
+package controller
+
+import (
+	"crypto/tls"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/keys"
+	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/settings"
+)
+
+// encryption holds the TLS configurations of a controller; both are nil without TLS.
+type encryption struct {
+	server *tls.Config
+	client *tls.Config
+}
+
+// loadEncryption reads the files that the settings name. Operators may prove
+// themselves by key alone; the routes keep them from the other services.
+func loadEncryption(config settings.Controller, log *logring.Log) (encryption, error) {
+	if !config.TLS.Enabled() {
+		return encryption{}, nil
+	}
+	credentials, err := keys.Load(
+		keys.Files{Authority: config.TLS.Authority, Certificate: config.TLS.Certificate, Key: config.TLS.Key},
+		keys.Options{OnReloadError: func(err error) {
+			log.Error().Err(err).Msg("the changed certificate files were not taken up; the earlier ones stay in use")
+		}})
+	if err != nil {
+		return encryption{}, trace.Wrap(err)
+	}
+	return encryption{
+		server: credentials.ServerConfig(config.Fleet, true, keys.RoleController, keys.RoleGateway, keys.RoleOperator),
+		client: credentials.ClientConfig(config.Fleet, keys.RoleController),
+	}, nil
+}
--- /dev/null
+++ b/internal/controller/input_names.go
@@ -0,0 +1,32 @@
+package controller
+
+import "github.com/hazelpitch/hazelpitch/internal/control"
+
+// inputName is the duty that an input belongs to, as the metrics name it.
+func inputName(input control.Input) string {
+	switch input.(type) {
+	case control.Tick:
+		return "tick"
+	case control.PeerMessage:
+		return "consensus"
+	case control.Persisted:
+		return "persisted"
+	case control.ApplyReceived, control.PlanReceived:
+		return "configuration"
+	case control.ExecuteReceived:
+		return "query"
+	case control.SyncReceived:
+		return "sync"
+	case control.ReportReceived:
+		return "report"
+	case control.BeginClaimReceived, control.FinishClaimReceived:
+		return "claims"
+	case control.MachineListReceived:
+		return "machine-list"
+	case control.OrderAnswered, control.FenceAnswered:
+		return "orders"
+	case control.EngineStateReceived:
+		return "load-reports"
+	}
+	return "other"
+}
--- /dev/null
+++ b/internal/controller/node_service.go
@@ -0,0 +1,58 @@
+package controller
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/control"
+)
+
+// nodeService answers gateways.
+type nodeService struct{ *service }
+
+// Sync answers a gateway's heartbeat from the applied state.
+func (n nodeService) Sync(ctx context.Context, request *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error) {
+	return serve(ctx, n.service, request,
+		func(call control.CallID) control.Input { return control.SyncReceived{Call: call, Request: request.Msg} },
+		forwardToNode(hazelpitchv1connect.NodeServiceClient.Sync))
+}
+
+// Report takes a gateway's demand; the leader answers with its shares.
+func (n nodeService) Report(ctx context.Context, request *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error) {
+	return serve(ctx, n.service, request,
+		func(call control.CallID) control.Input {
+			return control.ReportReceived{Call: call, Request: request.Msg}
+		},
+		forwardToNode(hazelpitchv1connect.NodeServiceClient.Report))
+}
+
+// BeginClaim asks for the right to run a request that may run at most once.
+func (n nodeService) BeginClaim(ctx context.Context, request *connect.Request[v1.BeginClaimRequest]) (*connect.Response[v1.BeginClaimResponse], error) {
+	return serve(ctx, n.service, request,
+		func(call control.CallID) control.Input {
+			return control.BeginClaimReceived{Call: call, Request: request.Msg}
+		},
+		forwardToNode(hazelpitchv1connect.NodeServiceClient.BeginClaim))
+}
+
+// FinishClaim records the outcome of a claimed request.
+func (n nodeService) FinishClaim(ctx context.Context, request *connect.Request[v1.FinishClaimRequest]) (*connect.Response[v1.FinishClaimResponse], error) {
+	return serve(ctx, n.service, request,
+		func(call control.CallID) control.Input {
+			return control.FinishClaimReceived{Call: call, Request: request.Msg}
+		},
+		forwardToNode(hazelpitchv1connect.NodeServiceClient.FinishClaim))
+}
+
+// forwardToNode makes a forwardCall of a method of the node service's client.
+func forwardToNode[Request, Response any](
+	method func(hazelpitchv1connect.NodeServiceClient, context.Context, *connect.Request[Request]) (*connect.Response[Response], error),
+) forwardCall[Request, Response] {
+	return func(ctx context.Context, peers *http.Client, baseURL string, request *connect.Request[Request]) (*connect.Response[Response], error) {
+		return method(hazelpitchv1connect.NewNodeServiceClient(peers, baseURL), ctx, request)
+	}
+}
--- /dev/null
+++ b/internal/controller/outputs.go
@@ -0,0 +1,82 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/control"
+)
+
+// startOutputs starts the goroutines that carry out what the Core wants.
+func (c *controller) startOutputs(ctx context.Context, group *errgroup.Group) {
+	dial := c.instruments.countingDial(c.dial, connectionOutside)
+	c.engines = newEngines(dial, c.loop.send, c.countExchange)
+	for range orderWorkers {
+		c.start(group, func() error { c.engines.work(ctx, c.engines.orders); return nil })
+	}
+	for range pollWorkers {
+		c.start(group, func() error { c.engines.work(ctx, c.engines.polls); return nil })
+	}
+	c.machines = &machineReader{
+		client: newOutsideClient(dial), address: c.config.MachineList,
+		interval: c.config.MachineListInterval, deliver: c.loop.send, log: c.log,
+	}
+	peers := &senders{lanes: make(map[lane]*sender), start: func(address string) *sender {
+		sender := c.newSender(address)
+		c.start(group, func() error { sender.run(ctx); return nil })
+		return sender
+	}}
+	c.loop.carryOut = func(output control.Output) { c.carryOut(peers, output) }
+	c.loop.observe = c.observeStep
+}
+
+// carryOut performs one output on the loop's goroutine; it never blocks.
+func (c *controller) carryOut(peers *senders, output control.Output) {
+	switch output := output.(type) {
+	case control.SendPeer:
+		peers.send(output.Address, output.Message)
+	case control.Answer:
+		c.calls.answer(output)
+	case control.SendOrder, control.SendFence, control.PollEngine:
+		if lost := c.engines.accept(output); lost != nil {
+			c.loop.addLost(lost)
+		}
+	default:
+		c.log.Error().Type("output", output).Msg("the controller does not know this output of its core")
+	}
+}
+
+func (c *controller) newSender(address string) *sender {
+	return &sender{
+		client:  hazelpitchv1connect.NewConsensusServiceClient(c.peers, peerURL(c.config.TLS.Enabled())(address)),
+		queue:   make(chan *v1.ConsensusMessage, senderQueue),
+		sent:    func(messages int) { c.instruments.peerSent.Add(float64(messages)) },
+		dropped: func(messages int) { c.instruments.peerDropped.Add(float64(messages)) },
+	}
+}
+
+func (c *controller) newSyncer() *syncer {
+	return &syncer{writer: disk{storage: c.disk}, loop: c.loop, observe: func(batches int, took time.Duration) {
+		c.instruments.syncs.Inc()
+		c.instruments.syncedBatches.Add(float64(batches))
+		c.instruments.syncSeconds.Observe(took.Seconds())
+	}}
+}
+
+func (c *controller) countExchange(duty string, answered bool) {
+	outcome := "lost"
+	if answered {
+		outcome = "answered"
+	}
+	c.instruments.engineExchange.WithLabelValues(duty, outcome).Inc()
+}
+
+func (c *controller) observeStep(input control.Input, took time.Duration) {
+	name := inputName(input)
+	c.instruments.steps.WithLabelValues(name).Inc()
+	c.instruments.stepSeconds.WithLabelValues(name).Add(took.Seconds())
+}
--- /dev/null
+++ b/internal/controller/sender_test.go
@@ -0,0 +1,94 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/control"
+)
+
+// recordingPeer keeps what was delivered and fails while failing is set.
+type recordingPeer struct {
+	delivered []*v1.DeliverRequest
+	failing   bool
+}
+
+func (r *recordingPeer) Deliver(_ context.Context, request *connect.Request[v1.DeliverRequest]) (*connect.Response[v1.DeliverResponse], error) {
+	if r.failing {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("away"))
+	}
+	r.delivered = append(r.delivered, request.Msg)
+	return connect.NewResponse(&v1.DeliverResponse{}), nil
+}
+
+func newTestSender(peer *recordingPeer) (*sender, *int) {
+	dropped := new(int)
+	return &sender{
+		client: peer, queue: make(chan *v1.ConsensusMessage, senderQueue),
+		sent: func(int) {}, dropped: func(messages int) { *dropped += messages },
+	}, dropped
+}
+
+func TestSenderDropsTheOldestAndBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := &recordingPeer{}
+		sender, dropped := newTestSender(peer)
+		for index := range senderQueue + 10 {
+			sender.enqueue(&v1.ConsensusMessage{LogIndex: uint64(index)})
+		}
+		require.Equal(t, 10, *dropped)
+		go sender.run(t.Context())
+		synctest.Wait()
+		require.Len(t, peer.delivered, 1, "what waits goes in one call")
+		messages := peer.delivered[0].GetMessages()
+		require.Len(t, messages, senderQueue)
+		require.Equal(t, uint64(10), messages[0].GetLogIndex())
+	})
+}
+
+func TestSenderBoundsOneCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := &recordingPeer{}
+		sender, _ := newTestSender(peer)
+		large := &v1.ConsensusMessage{Entries: []*v1.Entry{{Data: make([]byte, deliverBytes/2)}}}
+		for range 6 {
+			sender.enqueue(large)
+		}
+		go sender.run(t.Context())
+		synctest.Wait()
+		require.Len(t, peer.delivered, 3)
+	})
+}
+
+func TestSenderGoesOnAfterAFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := &recordingPeer{failing: true}
+		sender, dropped := newTestSender(peer)
+		go sender.run(t.Context())
+		sender.enqueue(&v1.ConsensusMessage{LogIndex: 1})
+		synctest.Wait()
+		require.Equal(t, 1, *dropped)
+		peer.failing = false
+		sender.enqueue(&v1.ConsensusMessage{LogIndex: 2})
+		pause(t.Context(), 2*retryPause)
+		synctest.Wait()
+		require.Len(t, peer.delivered, 1)
+	})
+}
+
+func TestDeliverRefusesOtherFleetsAndFullQueues(t *testing.T) {
+	service := consensusService{loop: newLoop(&scriptedCore{}, nil), fleet: "ours"}
+	_, err := service.Deliver(t.Context(), connect.NewRequest(&v1.DeliverRequest{Messages: []*v1.ConsensusMessage{{Fleet: "theirs"}}}))
+	require.Equal(t, connect.CodePermissionDenied, connect.CodeOf(err))
+	for range peerQueue {
+		service.loop.sendPeerMessage(control.PeerMessage{})
+	}
+	_, err = service.Deliver(t.Context(), connect.NewRequest(&v1.DeliverRequest{Messages: []*v1.ConsensusMessage{{Fleet: "ours"}}}))
+	require.Equal(t, connect.CodeResourceExhausted, connect.CodeOf(err))
+}
--- /dev/null
+++ b/internal/controller/serve.go
@@ -0,0 +1,79 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/control"
+	"github.com/hazelpitch/hazelpitch/internal/metrics"
+)
+
+// serve answers peers, nodes and operators.
+func (c *controller) serve(ctx context.Context) error {
+	shared := &service{
+		loop: c.loop, calls: c.calls, peers: c.peers, peerURL: peerURL(c.config.TLS.Enabled()), log: c.log,
+		answered: func(procedure, code string) { c.instruments.calls.WithLabelValues(procedure, code).Inc() },
+	}
+	operator := operatorService{service: shared, firstKeyHash: c.config.OperatorKeyHash, lookUp: c.core.Operator}
+	routes := handler(c.config.Fleet, c.instruments.countMessages(), consensusService{loop: c.loop, fleet: c.config.Fleet}, nodeService{shared}, operator)
+	return serveHTTP(ctx, countingListener{Listener: c.listener, instruments: c.instruments}, routes, c.encryption.server)
+}
+
+// serveAdmin answers health checks and scrapes.
+func (c *controller) serveAdmin(ctx context.Context) error {
+	admin := metrics.AdminServer{Registry: c.registry, Log: c.log, Ready: c.ready}
+	return admin.Serve(ctx, c.admin)
+}
+
+// ready returns nil when this controller knows a leader, so that it can answer calls.
+func (c *controller) ready() error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	status, err := c.status(ctx)
+	if err != nil {
+		return trace.Wrap(err, "the core does not answer")
+	}
+	if status.Consensus.LeaderAddress == "" {
+		return trace.ConnectionProblem(nil, "no leader is known; check that a majority of the voters run and reach each other")
+	}
+	return nil
+}
+
+func (c *controller) status(ctx context.Context) (control.Status, error) {
+	var status control.Status
+	err := c.loop.inspect(ctx, func() { status = c.core.Status() })
+	return status, trace.Wrap(err)
+}
+
+// watchStatus keeps the gauges up to date.
+func (c *controller) watchStatus(ctx context.Context) {
+	ticker := time.NewTicker(statusInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		status, err := c.status(ctx)
+		if err != nil {
+			return
+		}
+		c.instruments.term.Set(float64(status.Consensus.Term))
+		c.instruments.commitIndex.Set(float64(status.Consensus.Commit))
+		c.instruments.appliedIndex.Set(float64(status.AppliedIndex))
+		c.instruments.revision.Set(float64(status.Revision))
+		c.instruments.leader.Set(boolean(status.Ordering))
+		c.instruments.gateways.Set(float64(status.Gateways))
+		c.instruments.machines.Set(float64(status.Machines))
+	}
+}
+
+func boolean(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/controller/transport.go
@@ -0,0 +1,117 @@
+package controller
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/keys"
+)
+
+const (
+	dialTimeout       = 2 * time.Second
+	headerReadTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	// maximumNodeMessage bounds what gateways and operators may send in one call.
+	maximumNodeMessage = 16 << 20
+	// maximumPeerMessage bounds what controllers send each other; a snapshot is one message.
+	maximumPeerMessage = 256 << 20
+	// shutdownTimeout is how long a stopping controller waits for calls in hand.
+	shutdownTimeout = time.Second
+)
+
+// dialFrom returns a Dial that leaves from the given IP; "" is any.
+func dialFrom(sourceAddress string) Dial {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	if sourceAddress != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(sourceAddress)}
+	}
+	return dialer.DialContext
+}
+
+// protocols are HTTP/1.1 and HTTP/2 without TLS as well: HTTP/2 sends the headers
+// of a repeated call as a few bytes and needs one connection per peer.
+func protocols() *http.Protocols {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return protocols
+}
+
+// newPeerClient returns the HTTP client towards other controllers.
+func newPeerClient(dial Dial, encryption *tls.Config) *http.Client {
+	transport := &http.Transport{
+		DialContext:     dial,
+		TLSClientConfig: encryption,
+		IdleConnTimeout: idleTimeout,
+		Protocols:       new(http.Protocols),
+	}
+	transport.Protocols.SetHTTP2(encryption != nil)
+	transport.Protocols.SetUnencryptedHTTP2(encryption == nil)
+	return &http.Client{Transport: transport}
+}
+
+// peerURL returns the base URL of a controller.
+func peerURL(encrypted bool) func(address string) string {
+	scheme := "http://"
+	if encrypted {
+		scheme = "https://"
+	}
+	return func(address string) string { return scheme + address }
+}
+
+// handler routes the three services. With TLS each is open to the roles that need it;
+// controllers are among them everywhere, for they pass calls on to the leader.
+func handler(fleet string, interceptor connect.Interceptor, consensus consensusService, node nodeService, operator operatorService) http.Handler {
+	routes := http.NewServeMux()
+	intercepted := connect.WithInterceptors(interceptor)
+	path, service := hazelpitchv1connect.NewConsensusServiceHandler(consensus, connect.WithReadMaxBytes(maximumPeerMessage), intercepted)
+	routes.Handle(path, keys.RequireRole(service, fleet, keys.RoleController))
+	path, service = hazelpitchv1connect.NewNodeServiceHandler(node, connect.WithReadMaxBytes(maximumNodeMessage), intercepted)
+	routes.Handle(path, keys.RequireRole(service, fleet, keys.RoleGateway, keys.RoleController))
+	// Operators prove themselves by key in every call, with or without a certificate.
+	routes.Handle(hazelpitchv1connect.NewOperatorServiceHandler(operator, connect.WithReadMaxBytes(maximumNodeMessage), intercepted))
+	return routes
+}
+
+// serveHTTP answers on the listener until the context ends, and then finishes the
+// calls in hand within shutdownTimeout. It closes the listener.
+func serveHTTP(ctx context.Context, listener net.Listener, routes http.Handler, encryption *tls.Config) error {
+	server := &http.Server{
+		Handler:           routes,
+		ReadHeaderTimeout: headerReadTimeout,
+		IdleTimeout:       idleTimeout,
+		Protocols:         protocols(),
+		TLSConfig:         encryption,
+	}
+	served := make(chan error, 1)
+	go func() {
+		if encryption != nil {
+			served <- server.ServeTLS(listener, "", "")
+			return
+		}
+		served <- server.Serve(listener)
+	}()
+	select {
+	case err := <-served:
+		return trace.Wrap(err, "the server of peers, nodes and operators stopped")
+	case <-ctx.Done():
+	}
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(limited); err != nil {
+		_ = server.Close()
+	}
+	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+		return trace.Wrap(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/servercommand/gateway.go
@@ -0,0 +1,32 @@
+package servercommand
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/settings"
+)
+
+// gatewayFlags are the flags of the gateway.
+type gatewayFlags struct{ commonFlags }
+
+func (g *gatewayFlags) run(ctx context.Context, environment Environment) error {
+	source, err := g.source()
+	if err != nil {
+		return err
+	}
+	loaded, err := settings.LoadGateway(source)
+	if err != nil {
+		return &settingsError{cause: err}
+	}
+	if g.Check {
+		fmt.Fprintf(environment.Stdout, "%s: the settings of gateway %s are valid\n", g.Settings, loaded.Name)
+		return nil
+	}
+	return withLog(ctx, loaded.Name, loaded.Log, func(context.Context, *logring.Log) error {
+		return trace.NotImplemented("the gateway cannot be started yet")
+	})
+}
--- /dev/null
+++ b/internal/servercommand/log.go
@@ -0,0 +1,32 @@
+package servercommand
+
+import (
+	"context"
+	"sync"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/settings"
+)
+
+// withLog runs a server with its log ring. The ring is written out on errors and
+// signals while the server runs, and when it fails or panics.
+func withLog(ctx context.Context, name string, bounds settings.Log, serve func(context.Context, *logring.Log) error) error {
+	log := logring.New(name, bounds)
+	defer log.DumpOnPanic()
+	logContext, stopLog := context.WithCancel(context.WithoutCancel(ctx))
+	var logging sync.WaitGroup
+	logging.Go(func() { log.Run(logContext) })
+	err := serve(ctx, log)
+	if err != nil {
+		log.Error().Err(err).Msg("the server stopped because of an error")
+	}
+	stopLog()
+	logging.Wait()
+	if err != nil {
+		_, dumpErr := log.DumpOnRequest()
+		err = trace.NewAggregate(err, dumpErr)
+	}
+	return err
+}
