Let the admission window follow the mean wait and the round trip

Cause: in virtual time (12 engines, 4 gateways, matching of 8,000 prompt tokens and screening of 300 output tokens, both near the fleet's capacity) the window collapsed: one outlier above 250 ms shrank it, it shrank ten times in one round trip of 5 s, and it grew by one request a round trip. Change: the window doubles until requests first wait; it then grows by a tenth a round trip; it shrinks on the running mean of waits, at most once a round trip; a request may wait three tenths of its own time when that is more than the target.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -87,6 +87,7 @@
 	}
 	c.dequeue(next)
 	c.window.start(next.cost)
+	next.startedAt = now
 	c.virtualTime = max(c.virtualTime, queue.startTag)
 	queue.inFlight++
 	queue.finishTag = queue.startTag + next.cost/c.part(next)
@@ -102,7 +103,7 @@
 		return
 	}
 	delete(c.started, id)
-	c.window.finish(now, ended.cost, result)
+	c.window.finish(now, ended, result)
 	used := ended.cost
 	if result.PromptTokens+result.OutputTokens > 0 {
 		used = c.cost(result.PromptTokens, result.OutputTokens)
--- a/internal/admission/entry.go
+++ b/internal/admission/entry.go
@@ -16,6 +16,7 @@
 	worthClass int
 	start      time.Duration // latest start
 	sequence   uint64        // order of arrival
+	startedAt  time.Duration // set when the request starts
 }
 
 // lowestWorthClass is the class of a request that is worth nothing.
--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -4,14 +4,26 @@
 
 const (
 	windowDecrease = 0.85
-	// windowPatience is the least time between two decreases: the time until the
-	// effect of the first one shows.
+	// windowPatience is the least time between two decreases. It is longer when
+	// requests take longer: the effect of the first one shows after a round trip.
 	windowPatience = 500 * time.Millisecond
+	// windowGrowth is the least growth for each window of requests that came back
+	// without waiting, as a share of the window.
+	windowGrowth = 0.1
+	// waitShare is the share of a request's own time that it may wait at back ends
+	// before the window shrinks, when that is more than the target.
+	waitShare = 0.3
+	// waitSmoothing is the weight of one request in the mean wait: one outlier
+	// tells little where the work of requests varies.
+	waitSmoothing = 0.1
+	// roundTripSmoothing is the weight of one request in the mean round trip.
+	roundTripSmoothing = 0.05
 )
 
-// window bounds the cost in flight. It grows by about one request for each window
-// of requests that came back without waiting, and shrinks by a factor when they
-// waited too long or were refused.
+// window bounds the cost in flight. Until requests first wait too long it doubles
+// with each window of them; then it grows by a tenth, or by one request, with each,
+// and shrinks by a factor, once a round trip, when they waited too long or were
+// refused.
 type window struct {
 	size       float64
 	minimum    float64
@@ -20,6 +32,9 @@
 	everShrunk bool
 	used       float64 // cost in flight
 	count      int     // requests in flight
+	roundTrip  time.Duration
+	// waited is the running mean of waits, each as a share of what it may be.
+	waited float64
 }
 
 // admits reports whether one more request of this cost may start.
@@ -32,24 +47,47 @@
 	w.count++
 }
 
-func (w *window) finish(now time.Duration, cost float64, result Result) {
-	full := w.used+cost > w.size
-	w.used = max(w.used-cost, 0)
+// finish takes in how a started request ended.
+func (w *window) finish(now time.Duration, ended *entry, result Result) {
+	full := w.used+ended.cost > w.size
+	w.used = max(w.used-ended.cost, 0)
 	w.count--
 	if w.count == 0 {
 		w.used = 0
 	}
-	if result.Overloaded || result.Wait > w.target {
+	w.measure(now-ended.startedAt, float64(result.Wait)/float64(w.allowedWait(ended)))
+	if result.Overloaded || w.waited > 1 {
 		w.shrink(now)
 		return
 	}
 	if full && !result.Failed {
-		w.size += cost * cost / w.size
+		w.grow(ended.cost)
 	}
 }
 
+// allowedWait is how long a request may have waited at back ends.
+func (w *window) allowedWait(ended *entry) time.Duration {
+	return max(w.target, time.Duration(waitShare*float64(ended.MinimumTime)))
+}
+
+func (w *window) measure(took time.Duration, waited float64) {
+	if w.roundTrip == 0 {
+		w.roundTrip = took
+	}
+	w.roundTrip += time.Duration(roundTripSmoothing * float64(took-w.roundTrip))
+	w.waited += waitSmoothing * (waited - w.waited)
+}
+
+func (w *window) grow(cost float64) {
+	if !w.everShrunk {
+		w.size += cost
+		return
+	}
+	w.size += max(cost*cost/w.size, windowGrowth*cost)
+}
+
 func (w *window) shrink(now time.Duration) {
-	if w.everShrunk && now < w.decreased+windowPatience {
+	if w.everShrunk && now < w.decreased+max(windowPatience, w.roundTrip) {
 		return
 	}
 	w.everShrunk, w.decreased = true, now
