--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -10,7 +10,7 @@
 
 // takeExecute answers a query or carries out a command.
 func (c *Core) takeExecute(received ExecuteReceived) {
-	statement, err := parseStatement(received.Request.GetText())
+	statement, err := language.ParseStatement(received.Request.GetText())
 	if err != nil {
 		c.refuse(received.Call, err)
 		return
@@ -37,7 +37,7 @@
 
 // evaluate answers a query from the applied state.
 func (c *Core) evaluate(received ExecuteReceived, statement language.Statement) {
-	response, err := evaluate(statement, &view{core: c})
+	response, err := language.Evaluate(statement, &view{core: c})
 	if err != nil {
 		c.refuse(received.Call, err)
 		return
