--- /dev/null
+++ b/internal/measure/results.go
@@ -0,0 +1,98 @@
+package measure
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// results are what one run came to, by tenant where it says so.
+type results struct {
+	tenants      map[string]*tenantResult
+	promptTokens int64
+	cachedTokens int64
+	firstTokens  []time.Duration
+	// imbalance holds samples of the standard deviation of the engines' requests
+	// over their mean.
+	imbalance []float64
+}
+
+// tenantResult counts one tenant's requests.
+type tenantResult struct {
+	refused   int
+	completed int
+	late      int
+	worth     float64 // of what completed in time
+	offered   float64 // worth of all requests
+}
+
+func (r *results) tenant(name string) *tenantResult {
+	if r.tenants == nil {
+		r.tenants = map[string]*tenantResult{}
+	}
+	if r.tenants[name] == nil {
+		r.tenants[name] = &tenantResult{}
+	}
+	return r.tenants[name]
+}
+
+func (r *results) refused(asked *request) {
+	tenant := r.tenant(asked.tenant)
+	tenant.refused++
+	tenant.offered += asked.worth
+}
+
+func (r *results) cached(asked *request, tokens int) {
+	r.promptTokens += int64(asked.prompt)
+	r.cachedTokens += int64(tokens)
+}
+
+func (r *results) done(current *flight, at time.Duration) {
+	r.firstTokens = append(r.firstTokens, current.first-current.at)
+	tenant := r.tenant(current.tenant)
+	tenant.offered += current.worth
+	if at > current.deadline {
+		tenant.late++
+		return
+	}
+	tenant.completed++
+	tenant.worth += current.worth
+}
+
+// hitShare is the part of all prompt tokens that was found in prefix caches.
+func (r *results) hitShare() float64 { return float64(r.cachedTokens) / float64(r.promptTokens) }
+
+// firstToken is a quantile of the time to the first token.
+func (r *results) firstToken(quantile float64) time.Duration {
+	if len(r.firstTokens) == 0 {
+		return 0
+	}
+	slices.Sort(r.firstTokens)
+	return r.firstTokens[int(quantile*float64(len(r.firstTokens)-1))]
+}
+
+// meanImbalance is the mean over the run.
+func (r *results) meanImbalance() float64 {
+	var sum float64
+	for _, sample := range r.imbalance {
+		sum += sample
+	}
+	return sum / float64(max(len(r.imbalance), 1))
+}
+
+func (w *world) sampleBalance() {
+	var sum, squares float64
+	for _, engine := range w.engines {
+		load := engine.Load()
+		count := float64(load.Running + load.Waiting)
+		sum += count
+		squares += count * count
+	}
+	count := float64(len(w.engines))
+	mean := sum / count
+	if mean == 0 {
+		return
+	}
+	variance := max(squares/count-mean*mean, 0)
+	w.results.imbalance = append(w.results.imbalance, math.Sqrt(variance)/mean)
+}
--- /dev/null
+++ b/internal/measure/workload.go
@@ -0,0 +1,110 @@
+package measure
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// chunkTokens is the length of prompt that one routing block covers.
+	chunkTokens = 128
+	// chunksPerBlock is the number of chunks in one block of the engines' cache.
+	chunksPerBlock = 2
+)
+
+// request is one request of a workload.
+type request struct {
+	number   int
+	at       time.Duration
+	gateway  int
+	tenant   string
+	weight   uint32
+	worth    float64
+	prompt   int
+	output   int
+	deadline time.Duration // time of the last byte
+	// routingBlocks and engineBlocks identify the prompt's prefix for routing and
+	// for the engines' caches.
+	routingBlocks []uint64
+	engineBlocks  []uint64
+}
+
+// workload describes requests of one sort.
+type workload struct {
+	tenant            string
+	worth             float64
+	requestsPerSecond float64
+	from, to          time.Duration
+	deadline          time.Duration
+	// sharedTokens begin every prompt of the tenant, subjectTokens are equal in all
+	// prompts about one subject, ownTokens are each prompt's own.
+	sharedTokens  int
+	subjectTokens int
+	ownTokens     int
+	outputTokens  int
+	// subjects is the number of subjects, chosen by a Zipf law of this exponent.
+	subjects int
+	zipf     float64
+}
+
+// generate returns the workload's requests in order of time, dealt out to gateways
+// at random.
+func (w *workload) generate(random *rand.Rand, gateways int) []request {
+	var subjects *rand.Zipf
+	if w.subjects > 1 {
+		subjects = rand.NewZipf(random, w.zipf, 10, uint64(w.subjects-1))
+	}
+	var requests []request
+	at := w.from
+	for {
+		at += time.Duration(random.ExpFloat64() / w.requestsPerSecond * float64(time.Second))
+		if at >= w.to {
+			return requests
+		}
+		subject := uint64(0)
+		if subjects != nil {
+			subject = subjects.Uint64()
+		}
+		made := request{
+			at: at, gateway: random.IntN(gateways), tenant: w.tenant, weight: 1, worth: w.worth,
+			prompt:   w.sharedTokens + w.subjectTokens + w.ownTokens,
+			output:   1 + int(float64(w.outputTokens)*(0.5+random.Float64())),
+			deadline: at + w.deadline,
+		}
+		made.routingBlocks, made.engineBlocks = w.blocks(subject, random.Uint64())
+		requests = append(requests, made)
+	}
+}
+
+// blocks returns the identities of a prompt's blocks, each of which covers all
+// before it.
+func (w *workload) blocks(subject, own uint64) (routing, engine []uint64) {
+	chunks := (w.sharedTokens + w.subjectTokens + w.ownTokens) / chunkTokens
+	chain := xxhash.Sum64String(w.tenant)
+	for chunk := range chunks {
+		start := chunk * chunkTokens
+		switch {
+		case start < w.sharedTokens:
+			chain = mix(chain, 0)
+		case start < w.sharedTokens+w.subjectTokens:
+			chain = mix(chain, subject+1)
+		default:
+			chain = mix(chain, own)
+		}
+		routing = append(routing, chain)
+		if (chunk+1)%chunksPerBlock == 0 {
+			engine = append(engine, chain)
+		}
+	}
+	return routing, engine
+}
+
+func mix(chain, next uint64) uint64 {
+	var bytes [16]byte
+	binary.LittleEndian.PutUint64(bytes[:8], chain)
+	binary.LittleEndian.PutUint64(bytes[8:], next)
+	return xxhash.Sum64(bytes[:])
+}
--- /dev/null
+++ b/internal/measure/world.go
@@ -0,0 +1,198 @@
+package measure
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/admission"
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/enginemodel"
+	"github.com/hazelpitch/hazelpitch/internal/routing"
+)
+
+const (
+	serviceName    = "service"
+	reportInterval = time.Second
+	expireInterval = 50 * time.Millisecond
+	// grace is the time after the last arrival in which requests may still end.
+	grace = time.Minute
+)
+
+// setup is what one run is made of.
+type setup struct {
+	seed      uint64
+	engines   int
+	zones     int
+	gateways  int
+	reportLag time.Duration
+	zoneDelay time.Duration // one way
+	chooser   string
+	// admission is nil when every request is sent at once.
+	admission *admission.Config
+	workloads []workload
+}
+
+// world is one run: engines, gateways and the requests between them.
+type world struct {
+	setup    setup
+	now      time.Duration
+	agenda   agenda
+	engines  []*enginemodel.Engine
+	zones    []string // of each engine
+	index    map[string]int
+	running  []map[string]*flight // of each engine
+	gateways []*gateway
+	requests []request
+	// lagged holds the load reports that have not reached the gateways yet.
+	lagged  [][]routing.BackEnd
+	results results
+}
+
+// flight is one request on its way.
+type flight struct {
+	*request
+	gateway  *gateway
+	engine   int
+	exchange string
+	started  time.Duration
+	first    time.Duration
+}
+
+func newWorld(setup setup) (*world, error) {
+	w := &world{setup: setup, index: map[string]int{}}
+	random := rand.New(rand.NewPCG(setup.seed, 1))
+	for i := range setup.engines {
+		engine, err := enginemodel.New(enginemodel.DefaultProfile(), enginecontract.RoleMixed)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		w.engines = append(w.engines, engine)
+		w.zones = append(w.zones, zoneName(i%setup.zones))
+		w.index[engineName(i)] = i
+		w.running = append(w.running, map[string]*flight{})
+	}
+	for i := range setup.gateways {
+		gateway, err := newGateway(w, i)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		w.gateways = append(w.gateways, gateway)
+	}
+	for _, workload := range setup.workloads {
+		w.requests = append(w.requests, workload.generate(random, setup.gateways)...)
+	}
+	slices.SortStableFunc(w.requests, func(a, b request) int { return int(a.at - b.at) })
+	for i := range w.requests {
+		w.requests[i].number = i
+	}
+	return w, nil
+}
+
+func engineName(index int) string { return fmt.Sprintf("engine-%04d", index) }
+
+func zoneName(index int) string { return fmt.Sprintf("zone-%d", index) }
+
+// run lets the whole workload pass.
+func (w *world) run() *results {
+	last := w.requests[len(w.requests)-1].at
+	w.every(reportInterval, last+grace, w.report)
+	w.every(expireInterval, last+grace, func() {
+		for _, gateway := range w.gateways {
+			gateway.expire()
+		}
+	})
+	w.every(100*time.Millisecond, last, w.sampleBalance)
+	w.report()
+	for i := range w.requests {
+		asked := &w.requests[i]
+		w.agenda.add(asked.at, func() { w.gateways[asked.gateway].receive(asked) })
+	}
+	for {
+		at, found := w.nextTime()
+		if !found || at > last+grace {
+			return &w.results
+		}
+		w.now = at
+		for i := range w.engines {
+			w.advance(i)
+		}
+		w.agenda.runUntil(at)
+	}
+}
+
+func (w *world) every(interval, until time.Duration, action func()) {
+	var again func()
+	again = func() {
+		action()
+		if w.now+interval < until {
+			w.agenda.add(w.now+interval, again)
+		}
+	}
+	w.agenda.add(interval, again)
+}
+
+func (w *world) nextTime() (time.Duration, bool) {
+	best, found := w.agenda.next()
+	for _, engine := range w.engines {
+		if at, busy := engine.NextEvent(); busy && (!found || at < best) {
+			best, found = at, true
+		}
+	}
+	return max(best, w.now), found
+}
+
+func (w *world) advance(index int) {
+	engine := w.engines[index]
+	if at, busy := engine.NextEvent(); !busy || at > w.now {
+		return
+	}
+	for _, event := range engine.Advance(w.now) {
+		current, found := w.running[index][event.ID]
+		if !found {
+			continue
+		}
+		switch event.Type {
+		case enginemodel.EventFirstToken:
+			current.gateway.firstToken(current, event)
+		case enginemodel.EventDone:
+			delete(w.running[index], event.ID)
+			current.gateway.done(current)
+		}
+	}
+}
+
+// report reads every engine's load and gives the gateways the reading of reportLag ago.
+func (w *world) report() {
+	directory := make([]routing.BackEnd, len(w.engines))
+	for i, engine := range w.engines {
+		directory[i] = routing.BackEnd{
+			Name: engineName(i), Service: serviceName, Zone: w.zones[i], Incarnation: 1,
+			State: enginecontract.StateServing, Role: enginecontract.RoleMixed, ConfirmedAt: w.now,
+			Load: loadOf(engine), LoadAt: w.now, HasLoad: true,
+		}
+	}
+	w.lagged = append(w.lagged, directory)
+	for len(w.lagged) > 1 && w.lagged[1][0].LoadAt <= w.now-w.setup.reportLag {
+		w.lagged = w.lagged[1:]
+	}
+	for _, gateway := range w.gateways {
+		gateway.chooser.reported(w.now, w.lagged[0])
+	}
+}
+
+func loadOf(engine *enginemodel.Engine) routing.Load {
+	load := engine.Load()
+	return routing.Load{Running: load.Running, Waiting: load.Waiting, WaitingPromptTokens: load.WaitingPromptTokens}
+}
+
+// latency is one way between a gateway and an engine.
+func (w *world) latency(gateway *gateway, engine int) time.Duration {
+	if gateway.zone == w.zones[engine] {
+		return 0
+	}
+	return w.setup.zoneDelay
+}
