Start gateways from the command line

Cause: gateway.Run exists and nothing called it. Change: hazelpitch gateway runs it; gateway.Options.OnRevision tells when a revision is in force.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	gateway.view.onRevision = options.OnRevision
 	callers, err := options.Listen("tcp", config.Listen)
 	if err != nil {
 		return trace.Wrap(err, "listen for callers on %s", config.Listen)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -14,4 +14,7 @@
 	Log *logring.Log
 	// Started, when not nil, is closed once callers can connect.
 	Started chan<- struct{}
+	// OnRevision, when not nil, is called with each revision as it comes into force
+	// here; it must not block.
+	OnRevision func(revision uint64)
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -23,6 +23,8 @@
 	// wakeSync asks the sync loop for a heartbeat before its time.
 	wakeSync chan struct{}
 	waiting  map[string][]chan gatewaystate.KeyStatus
+	// onRevision, when not nil, is told each revision that comes into force.
+	onRevision func(revision uint64)
 }
 
 // viewCommand is one thing for the owner to do.
@@ -93,7 +95,10 @@
 		v.dispatcher.confirm(result.ConfirmedAt)
 	}
 	snapshot := v.state.Snapshot()
-	v.snapshot.Store(snapshot)
+	before := v.snapshot.Swap(snapshot)
+	if v.onRevision != nil && snapshot.Revision != before.Revision {
+		v.onRevision(snapshot.Revision)
+	}
 	if !result.Behind {
 		v.answerWaiting(c.request.GetUnknownKeyHashes(), snapshot)
 	}
--- a/internal/servercommand/gateway.go
+++ b/internal/servercommand/gateway.go
@@ -4,8 +4,7 @@
 	"context"
 	"fmt"
 
-	"github.com/gravitational/trace"
-
+	"github.com/hazelpitch/hazelpitch/internal/gateway"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
@@ -26,7 +25,7 @@
 		fmt.Fprintf(environment.Stdout, "%s: the settings of gateway %s are valid\n", g.Settings, loaded.Name)
 		return nil
 	}
-	return withLog(ctx, loaded.Name, loaded.Log, func(context.Context, *logring.Log) error {
-		return trace.NotImplemented("the gateway cannot be started yet")
+	return withLog(ctx, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
+		return gateway.Run(ctx, loaded, gateway.Options{Listen: environment.Listen, Log: log})
 	})
 }
