--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -1,6 +1,8 @@
 package controlstate
 
 import (
+	"slices"
+
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
@@ -35,6 +37,9 @@
 	if err := proto.Unmarshal(data, record); err != nil {
 		return nil, trace.Wrap(err, "reading a snapshot of the replicated state; restore the data folder from another controller")
 	}
+	if err := checkSnapshot(record); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	state := New(safeguards)
 	state.appliedIndex = record.AppliedIndex
 	state.revision = record.Revision
@@ -75,3 +80,23 @@
 		s.requests.add(request)
 	}
 }
+
+// checkSnapshot refuses a snapshot that no controller can have written.
+func checkSnapshot(record *v1.ReplicatedState) error {
+	for _, object := range append(slices.Clone(record.Objects), record.History...) {
+		if err := checkTypeKnown(KeyOf(object.GetKey())); err != nil {
+			return trace.BadParameter("the snapshot holds an object without a known type; restore the data folder from another controller")
+		}
+	}
+	for _, engine := range record.Engines {
+		if engine.State == nil {
+			return trace.BadParameter("the snapshot holds an engine without a state; restore the data folder from another controller")
+		}
+	}
+	for _, order := range record.Orders {
+		if order.Order == nil {
+			return trace.BadParameter("the snapshot holds an ended order without the order; restore the data folder from another controller")
+		}
+	}
+	return nil
+}
