Let the property test see a second order and keep its safeguards over restarts

Cause: with one order at a time switched off the property test still passed, and a restart in it switched safeguards on again. Change: the watch remembers which engines hold an order; the test's restart keeps the state's safeguards.

--- a/internal/controlstate/property_test.go
+++ b/internal/controlstate/property_test.go
@@ -104,13 +104,14 @@
 type promiseWatch struct {
 	winners map[uint64]uint64 // change number to revision
 	fence   map[string]uint64 // engine to last sequence
+	holds   map[string]bool   // engines with an order that has not ended
 	// mayRun is the attempt that may run each claimed key, with its outcome open.
 	mayRun map[string]string
 	ended  map[string]bool // keys that ran or may have run: nothing may run them again
 }
 
 func newPromiseWatch() *promiseWatch {
-	return &promiseWatch{winners: map[uint64]uint64{}, fence: map[string]uint64{}, mayRun: map[string]string{}, ended: map[string]bool{}}
+	return &promiseWatch{winners: map[uint64]uint64{}, fence: map[string]uint64{}, holds: map[string]bool{}, mayRun: map[string]string{}, ended: map[string]bool{}}
 }
 
 func (w *promiseWatch) check(t *rapid.T, s *testState, command *v1.Command, result Result, before uint64) {
@@ -129,6 +130,11 @@
 		require.Equal(t, epoch, result.Order.Epoch)
 		require.Greater(t, result.Order.Sequence, w.fence[result.Order.Engine])
 		w.fence[result.Order.Engine] = result.Order.Sequence
+		require.False(t, w.holds[result.Order.Engine], "an engine holds one order at a time")
+		w.holds[result.Order.Engine] = true
+	}
+	if finish := command.GetFinishOrder(); finish != nil && result.Err == nil {
+		delete(w.holds, finish.Engine)
 	}
 	w.checkClaim(t, command, result)
 }
@@ -182,7 +188,7 @@
 }
 
 func restart(t require.TestingT, s *State) *State {
-	restored, err := Restore(snapshotOf(t, s), safeguard.Set{})
+	restored, err := Restore(snapshotOf(t, s), s.safeguards)
 	require.NoError(t, err)
 	return restored
 }
