Choose the home of a prefix by the first block that is not too popular

Cause: with a fixed depth of four blocks all prompts of a tenant with a 512-token instruction had one home: cache hits little above random with 40 gateways, and a hot engine. Change: the prefix memory counts uses (older ones fade); blocks in more than one of four requests for each back end do not choose the home. Prefixes are remembered end first. Conclusion: kept; no depth has to be guessed.

--- a/internal/measure/routing.go
+++ b/internal/measure/routing.go
@@ -29,14 +29,18 @@
 		tenant: "unshared", worth: 1, requestsPerSecond: 32, to: length, deadline: 10 * time.Second,
 		ownTokens: 4096, outputTokens: 30,
 	}
-	shared, alone, wide := base, base, base
+	prompted := matching
+	prompted.sharedTokens, prompted.subjectTokens = 2048, 1536
+	shared, alone, wide, long := base, base, base, base
 	shared.workloads = []workload{matching}
+	long.workloads = []workload{prompted}
 	alone.workloads = []workload{unshared}
 	wide.gateways = 40
 	wide.workloads = []workload{matching}
 	return []routingScenario{
 		{"prompts about 3,000 subjects, 12 engines, 4 gateways", shared},
 		{"prompts about 3,000 subjects, 12 engines, 40 gateways", wide},
+		{"half of each prompt shared by all, 12 engines, 4 gateways", long},
 		{"no shared prefixes, 12 engines, 4 gateways", alone},
 	}
 }
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return part{}, err
 	}
-	decision.prefix.chooseHome(request.PrefixBlocks, r.kept)
+	r.prefixes.chooseHome(&decision.prefix, request.PrefixBlocks, r.kept)
 	r.score(decision)
 	chosen := r.scored[r.config.Picker.Pick(decision, r.scored)]
 	return part{
--- a/internal/routing/prefix_memory.go
+++ b/internal/routing/prefix_memory.go
@@ -7,8 +7,6 @@
 	placementsPerBlock = 2
 	// rememberedNodes bounds the back ends of one prefixView.
 	rememberedNodes = 4
-	// homeDepth is the number of leading blocks that choose a prompt's home.
-	homeDepth = 4
 	// tokensPerBlock is the usual number of prompt tokens in one prefix block.
 	tokensPerBlock = PrefixBlockBytes / 4
 	// homeShare is the part of the prompt expected in the cache of its home when
@@ -19,26 +17,55 @@
 // placements are the back ends that got a block last, newest first; 0 is none.
 type placements [placementsPerBlock]uint64
 
+// rememberedBlock is what is known of one prefix block.
+type rememberedBlock struct {
+	places placements
+	// uses counts requests, each with the weight it had when it came.
+	uses float64
+}
+
 // prefixMemory remembers to which back ends this gateway has sent which prefix
-// blocks lately. It is bounded; the least recently used block is forgotten first.
+// blocks lately, and how popular they are. It is bounded; the least recently used
+// block is forgotten first, the end of a prefix before its start.
 type prefixMemory struct {
-	blocks *simplelru.LRU[uint64, placements]
+	blocks *simplelru.LRU[uint64, *rememberedBlock]
+	// requests counts all requests in the same way as the uses of blocks.
+	requests float64
+	weight   risingWeight
 }
 
 func newPrefixMemory(size int) (*prefixMemory, error) {
-	blocks, err := simplelru.NewLRU[uint64, placements](size, nil)
-	return &prefixMemory{blocks: blocks}, err
+	blocks, err := simplelru.NewLRU[uint64, *rememberedBlock](size, nil)
+	return &prefixMemory{blocks: blocks, weight: 1}, err
 }
 
-// remember notes that the node has read a prompt with these blocks.
+// remember notes that the node reads a prompt with these blocks.
 func (m *prefixMemory) remember(blocks []uint64, node uint64) {
-	for _, block := range blocks {
-		places, _ := m.blocks.Peek(block)
-		if places[0] != node {
-			places = placements{node, places[0]}
+	if m.weight.rise() {
+		m.scaleDown()
+	}
+	weight := float64(m.weight)
+	m.requests += weight
+	for i := len(blocks) - 1; i >= 0; i-- {
+		known, found := m.blocks.Get(blocks[i])
+		if !found {
+			known = &rememberedBlock{}
+			m.blocks.Add(blocks[i], known)
 		}
-		m.blocks.Add(block, places)
+		if known.places[0] != node {
+			known.places = placements{node, known.places[0]}
+		}
+		known.uses += weight
+	}
+}
+
+// scaleDown brings all counts back to a weight of 1.
+func (m *prefixMemory) scaleDown() {
+	m.requests /= float64(m.weight)
+	for _, known := range m.blocks.Values() {
+		known.uses /= float64(m.weight)
 	}
+	m.weight = 1
 }
 
 // prefixView is what is known about the prefix of one request.
@@ -49,46 +76,75 @@
 	nodes      [rememberedNodes]uint64
 	tokens     [rememberedNodes]float64
 	known      int
+	// uses of each leading block that is remembered.
+	uses       [MaximumPrefixBlocks]float64
+	remembered int
 }
 
 // view finds the nodes with the longest remembered prefixes.
 func (m *prefixMemory) view(request *Request) prefixView {
 	var view prefixView
-	blocks := request.PrefixBlocks
-	for i := len(blocks) - 1; i >= 0 && view.known < rememberedNodes; i-- {
-		places, found := m.blocks.Get(blocks[i])
+	blocks := request.PrefixBlocks[:min(len(request.PrefixBlocks), MaximumPrefixBlocks)]
+	for i, block := range blocks {
+		known, found := m.blocks.Get(block)
 		if !found {
-			continue
+			break
 		}
+		view.uses[i] = known.uses
+		view.remembered++
 		tokens := min(float64((i+1)*tokensPerBlock), float64(request.PromptTokens))
-		for _, node := range places {
-			view.add(node, tokens)
+		for _, node := range known.places {
+			view.set(node, tokens)
 		}
 	}
 	view.homeTokens = homeShare * min(float64(len(blocks)*tokensPerBlock), float64(request.PromptTokens))
 	return view
 }
 
-func (v *prefixView) add(node uint64, tokens float64) {
-	if node == 0 || v.known == rememberedNodes {
+// set notes that a node holds a prefix of this many tokens, longer than any before.
+// When there is no room, the node with the shortest prefix makes way.
+func (v *prefixView) set(node uint64, tokens float64) {
+	if node == 0 {
 		return
 	}
+	place := 0
 	for i := range v.known {
 		if v.nodes[i] == node {
+			v.tokens[i] = tokens
 			return
 		}
+		if v.tokens[i] < v.tokens[place] {
+			place = i
+		}
+	}
+	if v.known < rememberedNodes {
+		place = v.known
+		v.known++
+	}
+	v.nodes[place], v.tokens[place] = node, tokens
+}
+
+// homeKey is the first block that is not too popular to be served by one back end
+// alone: a prefix that all prompts of a tenant share says nothing of where to go.
+// limit is the largest number of uses of a block that is not too popular.
+func (v *prefixView) homeKey(blocks []uint64, limit float64) uint64 {
+	for i := range v.remembered {
+		if v.uses[i] <= limit {
+			return blocks[i]
+		}
 	}
-	v.nodes[v.known], v.tokens[v.known] = node, tokens
-	v.known++
+	return blocks[min(v.remembered, len(blocks)-1)]
 }
 
-// chooseHome sets the home among the candidates by rendezvous hashing.
-func (v *prefixView) chooseHome(blocks []uint64, candidates []*Candidate) {
+// chooseHome sets the home among the candidates by rendezvous hashing. Gateways of
+// one zone see like traffic and the same subset, and so mostly choose the same home.
+func (m *prefixMemory) chooseHome(v *prefixView, blocks []uint64, candidates []*Candidate) {
 	v.home = 0
 	if len(blocks) == 0 {
 		return
 	}
-	key := blocks[min(homeDepth, len(blocks))-1]
+	count := float64(len(candidates))
+	key := v.homeKey(blocks, (m.requests+popularityPrior*count*float64(m.weight))/(homeFraction*count))
 	var greatest uint64
 	for _, candidate := range candidates {
 		weight := rendezvousWeight(key, candidate.nameHash)
