Simulate the fleet with faults and check every promise after each step

Cause: the promises must hold under crashes, partitions, pauses and lost disks in any combination, which no test with real processes reaches. Change: internal/simulation runs controllers (control.Core over the real log on simulated disks), gateways (gatewaystate and routing), engines (the stand-in's order machine), operators and the machine list in one thread with virtual time; 15 kinds of faults; checks for the log, the orders, the answers, the spread of configuration and the operators' history (porcupine). The memory disk can stop between two changes.

--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -22,6 +22,9 @@
 	Stable     uint64
 	Compacted  uint64
 	Membership *v1.Membership
+	// MembershipCommitted tells that no change of membership is under way, as far as
+	// this member knows.
+	MembershipCommitted bool
 	// Members is set at the leader only, sorted by identity.
 	Members []MemberStatus
 }
@@ -43,6 +46,7 @@
 		LeaderName: leader.GetName(), LeaderAddress: leader.GetAddress(),
 		Commit: c.log.commit, Applied: c.log.applied, LastIndex: c.log.last().index, Stable: c.log.stable,
 		Compacted: c.log.base.index, Membership: c.members.membership,
+		MembershipCommitted: c.lastMembershipAfter(c.log.commit) == 0,
 	}
 	if c.role != RoleLeader {
 		return status
--- a/internal/filesystem/memory/memory.go
+++ b/internal/filesystem/memory/memory.go
@@ -3,6 +3,7 @@
 package memory
 
 import (
+	"errors"
 	"io"
 	"maps"
 	"math/rand/v2"
@@ -31,8 +32,11 @@
 	generation int
 	// SyncError, when set, is returned by every sync.
 	SyncError error
-	// IgnoreSync makes syncs of files do nothing, to show what they are for.
+	// IgnoreSync makes syncs do nothing, to show what they are for.
 	IgnoreSync bool
+	// failAfter counts down the changes until the machine stops; zero never stops.
+	failAfter int
+	stopped   bool
 	// Syncs counts the syncs of files.
 	Syncs int
 }
@@ -42,11 +46,33 @@
 	return &Disk{names: map[string]*content{}, synced: map[string]*content{}, locked: map[string]bool{}}
 }
 
+// errStopped is what a machine that is about to crash gets.
+var errStopped = errors.New("the machine has stopped")
+
+// StopAfter lets the given number of changes succeed and every later one fail, as if
+// the machine stopped between two of them. A Crash has to follow.
+func (d *Disk) StopAfter(changes int) {
+	d.failAfter = changes + 1
+}
+
+// change counts a change and tells whether the machine still runs.
+func (d *Disk) change() error {
+	if d.failAfter > 0 {
+		d.failAfter--
+		d.stopped = d.failAfter == 0
+	}
+	if d.stopped {
+		return errStopped
+	}
+	return nil
+}
+
 // Crash loses what was not synced. Of the unsynced end of each file the random
 // source keeps a part, which may be damaged; of the unsynced names it keeps some.
 // Keeping is nil for the loss of everything unsynced.
 func (d *Disk) Crash(keeping *rand.Rand) {
 	d.generation++
+	d.failAfter, d.stopped = 0, false
 	clear(d.locked)
 	survivors := maps.Clone(d.synced)
 	for _, name := range slices.Sorted(maps.Keys(d.names)) {
@@ -105,6 +131,9 @@
 
 // Create implements filesystem.FileSystem.
 func (d *Disk) Create(name string) (filesystem.File, error) {
+	if err := d.change(); err != nil {
+		return nil, err
+	}
 	created := &content{}
 	d.names[name] = created
 	return &file{disk: d, generation: d.generation, content: created}, nil
@@ -130,6 +159,9 @@
 
 // Rename implements filesystem.FileSystem.
 func (d *Disk) Rename(from, to string) error {
+	if err := d.change(); err != nil {
+		return err
+	}
 	existing, found := d.names[from]
 	if !found {
 		return trace.NotFound("%s does not exist", from)
@@ -141,6 +173,9 @@
 
 // Remove implements filesystem.FileSystem.
 func (d *Disk) Remove(name string) error {
+	if err := d.change(); err != nil {
+		return err
+	}
 	if _, found := d.names[name]; !found {
 		return trace.NotFound("%s does not exist", name)
 	}
@@ -150,9 +185,15 @@
 
 // SyncDirectory implements filesystem.FileSystem.
 func (d *Disk) SyncDirectory(directory string) error {
+	if err := d.change(); err != nil {
+		return err
+	}
 	if d.SyncError != nil {
 		return d.SyncError
 	}
+	if d.IgnoreSync {
+		return nil
+	}
 	for name := range d.synced {
 		if path.Dir(name) == directory {
 			delete(d.synced, name)
@@ -199,7 +240,7 @@
 	if f.generation != f.disk.generation {
 		return trace.ConnectionProblem(nil, "the file was open when the disk crashed")
 	}
-	return nil
+	return f.disk.change()
 }
 
 // Write implements filesystem.File.
--- /dev/null
+++ b/internal/simulation/checks.go
@@ -0,0 +1,102 @@
+package simulation
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/consensus"
+	"github.com/hazelpitch/hazelpitch/internal/control"
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+)
+
+// Violation is a promise that was broken.
+type Violation struct {
+	Check  string
+	Detail string
+	At     time.Duration
+}
+
+// Error tells what was broken.
+func (v *Violation) Error() string {
+	return fmt.Sprintf("%s at %.6f s: %s", v.Check, v.At.Seconds(), v.Detail)
+}
+
+// checks watch a run. Each method compares one thing that has happened with what
+// must always hold; the first violation ends the run.
+type checks struct {
+	world     *world
+	violation *Violation
+	logs      logChecks
+	orders    orderChecks
+	spread    spreadChecks
+	answers   answerChecks
+	claims    map[string]string // attempt that ran, by key
+}
+
+func newChecks(w *world) *checks {
+	c := &checks{world: w, claims: map[string]string{}}
+	c.logs = newLogChecks(c)
+	c.orders = newOrderChecks(c)
+	c.spread = newSpreadChecks(c)
+	c.answers = newAnswerChecks(c)
+	return c
+}
+
+// fail records the first violation.
+func (c *checks) fail(check, format string, arguments ...any) {
+	if c.violation != nil {
+		return
+	}
+	c.violation = &Violation{Check: check, Detail: fmt.Sprintf(format, arguments...), At: c.world.now}
+	c.world.trace.add(c.world.now, "VIOLATION", "%s: %s", check, c.violation.Detail)
+}
+
+// controllerStarted checks what a controller's disk holds.
+func (c *checks) controllerStarted(of *controller, restored consensus.Restored) {
+	c.logs.started(of, restored)
+	c.spread.controllerStarted(of)
+}
+
+// controllerStepped watches what one step of a core has done, before it is carried out.
+func (c *checks) controllerStepped(of *controller, outputs []control.Output) {
+	for _, output := range outputs {
+		switch wanted := output.(type) {
+		case control.Persist:
+			c.logs.persisting(of, wanted)
+		case control.SendPeer:
+			c.logs.sent(of, wanted.Message)
+		}
+	}
+	c.logs.stepped(of, of.status())
+	c.spread.controllerAt(of)
+}
+
+// claimRan checks that a key's request runs at most once.
+func (c *checks) claimRan(g *gateway, key, attempt string) {
+	c.world.trace.add(c.world.now, g.name, "runs %s as %s", key, attempt)
+	if earlier, ran := c.claims[key]; ran {
+		c.fail("at most once", "the request of %s ran as %s and again as %s", key, earlier, attempt)
+	}
+	c.claims[key] = attempt
+}
+
+// leavingBound is how long after the beginning of its removal an engine may still
+// be sent new work: the router's limit, on a clock that may be slow, and a margin.
+const leavingBound = 4200 * time.Millisecond
+
+// workSent checks that a leaving engine gets no new work after the bound.
+func (c *checks) workSent(g *gateway, e *engine) {
+	if e.leaving && c.world.now-e.leftAt > leavingBound {
+		c.fail("no work to the leaving", "%s sends work to %s, which has been leaving for %v",
+			g.name, e.name, c.world.now-e.leftAt)
+	}
+}
+
+// engineChanged checks that no change begins while requests are in flight.
+func (c *checks) engineChanged(e *engine) {
+	order := e.durable.Order
+	takesOut := order.Action == enginecontract.ActionSetRole || order.Action == enginecontract.ActionLoadModel
+	if e.durable.Phase == enginecontract.PhaseChanging && takesOut && e.inFlight > 0 {
+		c.fail("no request is cut", "%s changes by %v with %d requests in flight", e.name, order.Fence, e.inFlight)
+	}
+}
--- /dev/null
+++ b/internal/simulation/checks_answers.go
@@ -0,0 +1,75 @@
+package simulation
+
+import (
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// submissionKey identifies a submission.
+type submissionKey struct{ operator, request string }
+
+// firstAnswer is what a submission was answered first.
+type firstAnswer struct {
+	outcome  v1.ApplyOutcome
+	revision uint64
+	number   uint64
+}
+
+// answerChecks watch what operators are told.
+type answerChecks struct {
+	checks    *checks
+	durable   map[submissionKey]bool
+	first     map[submissionKey]firstAnswer
+	winners   map[uint64]submissionKey
+	revisions map[uint64]submissionKey
+	// accepted counts the changes that were accepted, highest is the last revision.
+	accepted int
+	highest  uint64
+}
+
+func newAnswerChecks(c *checks) answerChecks {
+	return answerChecks{
+		checks: c, durable: map[submissionKey]bool{}, first: map[submissionKey]firstAnswer{},
+		winners: map[uint64]submissionKey{}, revisions: map[uint64]submissionKey{},
+	}
+}
+
+// committed takes note of a committed command.
+func (a *answerChecks) committed(command *v1.Command) {
+	if declaration := command.GetApplyDeclaration(); declaration != nil {
+		a.durable[submissionKey{declaration.GetOperator(), declaration.GetRequestId()}] = true
+	}
+}
+
+// applyAnswered checks an answer to a submission.
+func (c *checks) applyAnswered(sent *submission, response *v1.ApplyResponse) {
+	c.world.trace.add(c.world.now, sent.operator, "%s is %s at revision %d, number %d", sent.request.GetRequestId(),
+		response.GetOutcome(), response.GetRevision(), response.GetChangeNumber())
+	key := submissionKey{sent.operator, sent.request.GetRequestId()}
+	answer := firstAnswer{outcome: response.GetOutcome(), revision: response.GetRevision(), number: response.GetChangeNumber()}
+	if first, known := c.answers.first[key]; known && first != answer {
+		c.fail("resends get the first answer", "%s was answered %v, then %v", sent.request.GetRequestId(), first, answer)
+	}
+	c.answers.first[key] = answer
+	if response.GetOutcome() == v1.ApplyOutcome_APPLY_OUTCOME_ACCEPTED {
+		c.answers.accept(key, response)
+	}
+}
+
+// accept checks an accepted submission.
+func (a *answerChecks) accept(key submissionKey, response *v1.ApplyResponse) {
+	if !a.durable[key] {
+		a.checks.fail("accepted is durable", "%s was accepted and is not committed", key.request)
+	}
+	if other, taken := a.winners[response.GetChangeNumber()]; taken && other != key {
+		a.checks.fail("one winner", "%s and %s both won number %d", other.request, key.request, response.GetChangeNumber())
+	}
+	if other, taken := a.revisions[response.GetRevision()]; taken && other != key {
+		a.checks.fail("one winner", "%s and %s are both revision %d", other.request, key.request, response.GetRevision())
+	}
+	if _, known := a.winners[response.GetChangeNumber()]; !known {
+		a.accepted++
+	}
+	a.winners[response.GetChangeNumber()] = key
+	a.revisions[response.GetRevision()] = key
+	a.highest = max(a.highest, response.GetRevision())
+}
--- /dev/null
+++ b/internal/simulation/checks_spread.go
@@ -0,0 +1,59 @@
+package simulation
+
+import (
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// spreadChecks watch how the configuration reaches the nodes.
+type spreadChecks struct {
+	checks *checks
+	// worths is the worth of the registration kind at each revision.
+	worths map[uint64]float64
+	// gateways and controllers are the highest revisions that processes have been at.
+	gateways    map[string]uint64
+	controllers map[string]uint64
+}
+
+func newSpreadChecks(c *checks) spreadChecks {
+	return spreadChecks{checks: c, worths: map[uint64]float64{}, gateways: map[string]uint64{}, controllers: map[string]uint64{}}
+}
+
+// controllerAt takes note of the configuration that a controller is at and checks
+// that it does not go back.
+func (s *spreadChecks) controllerAt(c *controller) {
+	state := c.core.State()
+	revision := state.Revision()
+	if revision < s.controllers[c.name] {
+		s.checks.fail("revisions never revert", "%s goes from revision %d to %d", c.name, s.controllers[c.name], revision)
+	}
+	if revision == s.controllers[c.name] {
+		return
+	}
+	s.controllers[c.name] = revision
+	worth := state.Object(v1.ObjectType_OBJECT_TYPE_KIND, registrationKind).GetKind().GetWorth()
+	if other, known := s.worths[revision]; known && other != worth {
+		s.checks.fail("agreement", "%s has worth %v at revision %d where another had %v", c.name, worth, revision, other)
+	}
+	s.worths[revision] = worth
+}
+
+// controllerStarted takes note of a new process, which begins at its snapshot.
+func (s *spreadChecks) controllerStarted(c *controller) { delete(s.controllers, c.name) }
+
+// gatewayStarted takes note of a new process, which knows nothing yet.
+func (c *checks) gatewayStarted(g *gateway) { delete(c.spread.gateways, g.name) }
+
+// gatewaySynced checks that a gateway never goes back, and that what it has in force
+// is what was accepted as its revision.
+func (c *checks) gatewaySynced(g *gateway, response *v1.SyncResponse) {
+	revision := g.state.Revision()
+	if revision < c.spread.gateways[g.name] {
+		c.fail("revisions never revert", "%s goes from revision %d to %d", g.name, c.spread.gateways[g.name], revision)
+	}
+	c.spread.gateways[g.name] = revision
+	kind, held := g.state.Snapshot().Kind(registrationKind)
+	if worth, known := c.spread.worths[revision]; held && known && kind.Spec.GetWorth() != worth {
+		c.fail("revisions never revert", "%s has worth %v in force at revision %d, which says %v",
+			g.name, kind.Spec.GetWorth(), revision, worth)
+	}
+}
--- /dev/null
+++ b/internal/simulation/declaration.go
@@ -0,0 +1,70 @@
+package simulation
+
+import (
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// Names of the declared fleet.
+const (
+	modelName        = "matcher"
+	modelVersion     = "1"
+	registrationKind = "registration"
+	pageService      = "portal"
+	firstWeight      = 7
+)
+
+// declareFleet submits the first declaration and goes on once it is accepted.
+func (o *operatorClient) declareFleet(done func()) {
+	sent := &submission{
+		operator: o.name, objects: o.world.fleetObjects(),
+		request: &v1.ApplyRequest{RequestId: "first", SourceRevision: "simulated"},
+	}
+	o.submitThen(sent, func(response *v1.ApplyResponse) {
+		if response.GetOutcome() == v1.ApplyOutcome_APPLY_OUTCOME_ACCEPTED {
+			o.highest = response.GetChangeNumber()
+			o.world.firstRevision = response.GetRevision()
+			done()
+			return
+		}
+		o.after(time.Second, func() { o.declareFleet(done) })
+	})
+}
+
+// fleetObjects are the objects that the fleet begins with.
+func (w *world) fleetObjects() []*v1.Object {
+	objects := []*v1.Object{
+		declared(v1.ObjectType_OBJECT_TYPE_MODEL, modelName, &v1.Object{Spec: &v1.Object_Model{
+			Model: &v1.Model{Version: modelVersion, WeightBytes: 1 << 30, Profile: "standard"}}}),
+		declared(v1.ObjectType_OBJECT_TYPE_SERVICE, pageService, &v1.Object{Spec: &v1.Object_Service{
+			Service: &v1.Service{Type: v1.ServiceType_SERVICE_TYPE_PAGE}}}),
+		registrationObject(1),
+	}
+	for _, service := range w.options.Deployment.Services {
+		objects = append(objects, declared(v1.ObjectType_OBJECT_TYPE_SERVICE, service.Name, &v1.Object{Spec: &v1.Object_Service{
+			Service: &v1.Service{Type: v1.ServiceType_SERVICE_TYPE_ENGINE, Model: modelName}}}))
+	}
+	for i := range tenants {
+		objects = append(objects, tenantObject(tenantName(i), firstWeight))
+	}
+	return objects
+}
+
+// declared gives an object its key.
+func declared(objectType v1.ObjectType, name string, object *v1.Object) *v1.Object {
+	object.Key = &v1.ObjectKey{Type: objectType, Name: name}
+	return object
+}
+
+// registrationObject declares the kind that runs at most once; its worth changes
+// with each declaration.
+func registrationObject(worth float64) *v1.Object {
+	return declared(v1.ObjectType_OBJECT_TYPE_KIND, registrationKind, &v1.Object{Spec: &v1.Object_Kind{Kind: &v1.Kind{
+		Worth: worth, DeadlineMs: 5000, Service: pageService, Path: "/registration"}}})
+}
+
+// tenantObject declares a tenant whose weight is the value that operators write.
+func tenantObject(name string, weight uint32) *v1.Object {
+	return declared(v1.ObjectType_OBJECT_TYPE_TENANT, name, &v1.Object{Spec: &v1.Object_Tenant{Tenant: &v1.Tenant{Weight: weight}}})
+}
--- /dev/null
+++ b/internal/simulation/gateway.go
@@ -0,0 +1,179 @@
+package simulation
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/control"
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
+	"github.com/hazelpitch/hazelpitch/internal/routing"
+)
+
+// Intervals of a gateway.
+const (
+	syncInterval   = time.Second
+	workInterval   = 250 * time.Millisecond
+	claimInterval  = 800 * time.Millisecond
+	controlTimeout = 900 * time.Millisecond
+)
+
+// gateway is one gateway: the product's view of the fleet and router, with requests.
+type gateway struct {
+	host
+	zone        string
+	incarnation uint64
+	state       *gatewaystate.State
+	router      *routing.Router
+	// asked is the controller that the next Sync goes to; leader the last one named.
+	asked  int
+	leader string
+	// exchanges numbers the requests sent.
+	exchanges int
+	claims    *claimant
+}
+
+// start starts the process, which knows nothing of the fleet.
+func (g *gateway) start() {
+	g.boot()
+	g.incarnation++
+	identity := &v1.NodeIdentity{Name: g.name, Zone: g.zone, Address: g.name, Incarnation: g.incarnation}
+	g.state = gatewaystate.New(gatewaystate.Config{Identity: identity})
+	router, err := routing.New(routing.Config{Zone: g.zone, Seed: g.world.random.Uint64()})
+	if err != nil {
+		g.world.checks.fail("gateway", "%s cannot start: %v", g.name, err)
+		return
+	}
+	g.router = router
+	g.asked = g.world.random.IntN(len(g.world.controllers))
+	g.claims = newClaimant(g)
+	g.world.checks.gatewayStarted(g)
+	g.world.trace.add(g.world.now, g.name, "starts, incarnation %d", g.incarnation)
+	g.sync()
+	g.every(syncInterval, g.sync)
+	g.every(syncInterval, g.report)
+	g.every(workInterval, g.work)
+	g.every(claimInterval, g.claims.next)
+}
+
+// controllerAnswer is what a controller answers to a call.
+type controllerAnswer struct {
+	response proto.Message
+	err      error
+}
+
+// callController calls one controller and hands its answer to done; answered is
+// false when it was lost.
+func (w *world) callController(from *host, target *controller, timeout time.Duration,
+	input func(control.CallID) control.Input, done func(answer controllerAnswer, answered bool)) {
+	call(w.network, from, &target.host, timeout, func(reply func(controllerAnswer)) {
+		target.receive(input, func(response proto.Message, err error) {
+			reply(controllerAnswer{response: response, err: err})
+		})
+	}, done)
+}
+
+// sync sends a heartbeat and takes what is new.
+func (g *gateway) sync() {
+	sentAt := g.local()
+	request := proto.CloneOf(g.state.SyncRequest(sentAt))
+	target := g.world.controllers[g.asked]
+	g.world.callController(&g.host, target, controlTimeout,
+		func(id control.CallID) control.Input { return control.SyncReceived{Call: id, Request: request} },
+		func(answer controllerAnswer, answered bool) {
+			response, ok := answer.response.(*v1.SyncResponse)
+			if !answered || !ok || !g.applySync(sentAt, request, response) {
+				g.asked = (g.asked + 1) % len(g.world.controllers)
+			}
+		})
+}
+
+// applySync applies an answer and reports whether the controller is worth asking again.
+func (g *gateway) applySync(sentAt time.Duration, request *v1.SyncRequest, response *v1.SyncResponse) bool {
+	result := g.state.ApplySync(sentAt, g.local(), request, proto.CloneOf(response))
+	g.leader = response.GetLeaderAddress()
+	if result.DirectoryChanged {
+		g.router.SetBackEnds(g.state.BackEnds())
+	}
+	if result.DirectoryConfirmed {
+		g.router.Confirm(result.ConfirmedAt)
+	}
+	g.world.checks.gatewaySynced(g, response)
+	return !result.Behind
+}
+
+// leaderOrAny returns the controller that leads as far as the gateway knows.
+func (g *gateway) leaderOrAny() *controller {
+	if leader := g.world.controllerAt(g.leader); leader != nil {
+		return leader
+	}
+	return g.world.controllers[g.world.random.IntN(len(g.world.controllers))]
+}
+
+// report tells the leader the demand.
+func (g *gateway) report() {
+	sentAt := g.local()
+	request := proto.CloneOf(g.state.ReportRequest(sentAt, nil))
+	g.world.callController(&g.host, g.leaderOrAny(), controlTimeout,
+		func(id control.CallID) control.Input { return control.ReportReceived{Call: id, Request: request} },
+		func(answer controllerAnswer, answered bool) {
+			if response, ok := answer.response.(*v1.ReportResponse); answered && ok {
+				g.state.ApplyReport(sentAt, response)
+				return
+			}
+			g.state.ReportLost(request)
+			g.noteLeader(answer.err)
+		})
+}
+
+// noteLeader follows a refusal that names the leader.
+func (g *gateway) noteLeader(err error) {
+	var notLeader *control.NotLeaderError
+	if errors.As(err, &notLeader) {
+		g.leader = notLeader.Leader
+	} else {
+		g.leader = ""
+	}
+}
+
+// worked is what an engine answers to a request.
+type worked struct {
+	accepted    bool
+	state       enginecontract.ServiceState
+	incarnation uint64
+}
+
+// work sends one request to the engine that the router picks.
+func (g *gateway) work() {
+	service := g.world.options.Deployment.Services[0].Name
+	choice, err := g.router.Pick(g.local(), routing.Request{Service: service, PromptTokens: 100, OutputTokens: 20, WholeOnly: true}, nil)
+	if err != nil {
+		return
+	}
+	target := g.world.engineAt(choice.BackEnd.Address)
+	if target == nil {
+		return
+	}
+	g.exchanges++
+	name, exchange := choice.BackEnd.Name, fmt.Sprint(g.exchanges)
+	g.world.checks.workSent(g, target)
+	g.router.Observe(g.local(), routing.Sent{BackEnd: name, Exchange: exchange, PromptTokens: 100})
+	call(g.world.network, &g.host, &target.host, 2*time.Second,
+		func(reply func(worked)) {
+			accepted, state := target.work()
+			reply(worked{accepted: accepted, state: state, incarnation: target.incarnation})
+		},
+		func(answer worked, answered bool) {
+			if !answered {
+				g.router.Observe(g.local(), routing.Failed{BackEnd: name, Exchange: exchange})
+				return
+			}
+			g.router.Observe(g.local(), routing.Answered{BackEnd: name, Incarnation: answer.incarnation, State: answer.state})
+			g.router.Observe(g.local(), routing.Finished{BackEnd: name, Exchange: exchange})
+			g.state.Record(gatewaystate.Outcome{Service: service, Kind: "matching", Completed: answer.accepted, Refused: !answer.accepted})
+		})
+}
--- /dev/null
+++ b/internal/simulation/history.go
@@ -0,0 +1,129 @@
+package simulation
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// unusedWeight is a weight that no operator writes: a plan to it tells the weight in force.
+const unusedWeight = 999
+
+// operation is one command of an operator: a write of a tenant's weight or, with
+// weight zero, a read of it.
+type operation struct {
+	client   int
+	tenant   string
+	weight   uint32
+	calledAt time.Duration
+	endedAt  time.Duration
+	ended    bool
+	result   operationResult
+}
+
+// operationResult is what a command was answered.
+type operationResult struct {
+	// lost tells that no answer came: a write may have happened at any time.
+	lost     bool
+	outcome  v1.ApplyOutcome
+	revision uint64
+	// weight is what a read saw; zero for none.
+	weight uint32
+}
+
+// history is what operators did and were answered.
+type history struct{ operations []*operation }
+
+// begin records the call of a command.
+func (h *history) begin(client int, now time.Duration, tenant string, weight uint32) *operation {
+	begun := &operation{client: client, tenant: tenant, weight: weight, calledAt: now}
+	h.operations = append(h.operations, begun)
+	return begun
+}
+
+// applied records the first answer to a write.
+func (h *history) applied(begun *operation, now time.Duration, response *v1.ApplyResponse) {
+	if begun == nil || begun.ended {
+		return
+	}
+	begun.ended, begun.endedAt = true, now
+	begun.result = operationResult{outcome: response.GetOutcome(), revision: response.GetRevision()}
+}
+
+// read records the answer to a read.
+func (h *history) read(begun *operation, now time.Duration, response *v1.PlanResponse) {
+	begun.ended, begun.endedAt = true, now
+	begun.result.revision = response.GetRevision()
+	for _, difference := range response.GetDifferences() {
+		if difference.GetKey().GetName() != begun.tenant {
+			continue
+		}
+		for _, field := range difference.GetFields() {
+			if field.GetField() == "weight" && difference.GetType() == v1.DifferenceType_DIFFERENCE_TYPE_CHANGE {
+				weight, _ := strconv.ParseUint(field.GetBefore(), 10, 32)
+				begun.result.weight = uint32(weight)
+			}
+		}
+	}
+}
+
+// fleetValue is the sequential state that operators see: a revision and the weights.
+type fleetValue struct {
+	revision uint64
+	weights  [tenants]uint32
+}
+
+// linearizable reports whether the commands can be put into one order that agrees
+// with their times and their answers.
+func (h *history) linearizable(first fleetValue, timeout time.Duration) porcupine.CheckResult {
+	operations := make([]porcupine.Operation, 0, len(h.operations))
+	for _, made := range h.operations {
+		end := made.endedAt
+		result := made.result
+		if !made.ended {
+			if made.weight == 0 {
+				continue // a read without an answer tells nothing
+			}
+			end, result.lost = time.Duration(1<<62), true
+		}
+		operations = append(operations, porcupine.Operation{
+			ClientId: made.client, Input: made, Output: result, Call: int64(made.calledAt), Return: int64(end),
+		})
+	}
+	return porcupine.CheckOperationsTimeout(fleetModel(first), operations, timeout)
+}
+
+// fleetModel is the sequential specification.
+func fleetModel(first fleetValue) porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return first },
+		Step: func(state, input, output any) (bool, any) {
+			return stepModel(state.(fleetValue), input.(*operation), output.(operationResult))
+		},
+	}
+}
+
+// stepModel tells whether an answer is right in a state, and the state after it.
+func stepModel(value fleetValue, made *operation, result operationResult) (bool, fleetValue) {
+	tenant := tenantNumber(made.tenant)
+	if made.weight == 0 {
+		return result.revision == value.revision && result.weight == value.weights[tenant], value
+	}
+	written := value
+	written.revision++
+	written.weights[tenant] = made.weight
+	switch {
+	case result.lost:
+		return true, written
+	case result.outcome == v1.ApplyOutcome_APPLY_OUTCOME_ACCEPTED:
+		return result.revision == written.revision, written
+	default:
+		return true, value
+	}
+}
+
+// tenantNumber returns the number in a tenant's name.
+func tenantNumber(name string) int { return int(name[len(name)-1] - '0') }
--- /dev/null
+++ b/internal/simulation/operator.go
@@ -0,0 +1,149 @@
+package simulation
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/control"
+)
+
+// Habits of an operator.
+const (
+	operatorPause   = 1500 * time.Millisecond
+	operatorTimeout = 1200 * time.Millisecond
+	resendPause     = 200 * time.Millisecond
+	resendShare     = 0.15
+	readShare       = 0.35
+)
+
+// tenants is the number of tenants that operators change.
+const tenants = 3
+
+// tenantName names a tenant.
+func tenantName(number int) string { return fmt.Sprintf("tenant-%d", number) }
+
+// submission is one declaration of an operator, with the identity it is resent under.
+type submission struct {
+	operator string
+	request  *v1.ApplyRequest
+	objects  []*v1.Object
+	// operation is its record for the linearizability check; nil for the first declaration.
+	operation *operation
+}
+
+// operatorClient is an operator at a command line: one command at a time, resent
+// until it is answered.
+type operatorClient struct {
+	host
+	number  int
+	made    int
+	leader  string
+	weight  uint32
+	highest uint64 // highest change number heard of
+	// answered are submissions that have an answer; now and then one is sent again.
+	answered []*submission
+}
+
+// start starts the operator's work.
+func (o *operatorClient) start() {
+	o.boot()
+	o.after(o.world.duration(operatorPause), o.next)
+}
+
+// next begins the next command.
+func (o *operatorClient) next() {
+	random := o.world.random
+	switch {
+	case o.world.healed && random.IntN(2) == 0:
+		o.read()
+	case len(o.answered) > 0 && random.Float64() < resendShare:
+		o.submit(o.answered[random.IntN(len(o.answered))])
+	case random.Float64() < readShare:
+		o.read()
+	default:
+		o.submit(o.newSubmission())
+	}
+}
+
+// rest waits before the next command.
+func (o *operatorClient) rest() { o.after(o.world.duration(operatorPause), o.next) }
+
+// newSubmission changes one tenant. Operators choose the number after the highest
+// they have heard of, so that they race each other.
+func (o *operatorClient) newSubmission() *submission {
+	o.made++
+	o.weight = uint32(o.number*1_000_000 + o.made)
+	tenant := tenantName(o.world.random.IntN(tenants))
+	request := &v1.ApplyRequest{RequestId: fmt.Sprintf("%s-%d", o.name, o.made), SourceRevision: "simulated"}
+	if o.world.random.IntN(4) > 0 {
+		request.ChangeNumber = o.highest + 1
+	}
+	return &submission{
+		operator: o.name, request: request,
+		objects:   []*v1.Object{tenantObject(tenant, o.weight), registrationObject(float64(o.weight))},
+		operation: o.world.history.begin(o.number, o.world.now, tenant, o.weight),
+	}
+}
+
+// submit sends a submission until it is answered, and goes on to the next command.
+func (o *operatorClient) submit(sent *submission) {
+	o.submitThen(sent, func(response *v1.ApplyResponse) {
+		o.highest = max(o.highest, response.GetChangeNumber(), sent.request.GetChangeNumber())
+		o.answered = append(o.answered, sent)
+		o.rest()
+	})
+}
+
+// submitThen sends a submission until it is answered.
+func (o *operatorClient) submitThen(sent *submission, done func(*v1.ApplyResponse)) {
+	o.world.trace.add(o.world.now, o.name, "applies %s number %d", sent.request.GetRequestId(), sent.request.GetChangeNumber())
+	o.callController(func(id control.CallID) control.Input {
+		return control.ApplyReceived{Call: id, Operator: sent.operator, Request: sent.request, Objects: sent.objects}
+	}, func(answer controllerAnswer, answered bool) {
+		response, ok := answer.response.(*v1.ApplyResponse)
+		switch {
+		case answered && ok:
+			o.world.checks.applyAnswered(sent, response)
+			o.world.history.applied(sent.operation, o.world.now, response)
+			done(response)
+		default:
+			o.after(o.world.duration(resendPause), func() { o.submitThen(sent, done) })
+		}
+	})
+}
+
+// read asks for the value of a tenant: a plan tells the difference to another value.
+func (o *operatorClient) read() {
+	tenant := tenantName(o.world.random.IntN(tenants))
+	asked := o.world.history.begin(o.number, o.world.now, tenant, 0)
+	o.callController(func(id control.CallID) control.Input {
+		return control.PlanReceived{Call: id, Request: &v1.PlanRequest{}, Objects: []*v1.Object{tenantObject(tenant, unusedWeight)}}
+	}, func(answer controllerAnswer, answered bool) {
+		if response, ok := answer.response.(*v1.PlanResponse); answered && ok {
+			o.world.history.read(asked, o.world.now, response)
+		}
+		o.rest()
+	})
+}
+
+// callController calls the leader as far as the operator knows it.
+func (o *operatorClient) callController(input func(control.CallID) control.Input, done func(controllerAnswer, bool)) {
+	target := o.world.controllerAt(o.leader)
+	if target == nil {
+		target = o.world.controllers[o.world.random.IntN(len(o.world.controllers))]
+	}
+	o.world.callController(&o.host, target, operatorTimeout, input, func(answer controllerAnswer, answered bool) {
+		var notLeader *control.NotLeaderError
+		switch {
+		case errors.As(answer.err, &notLeader):
+			o.leader = notLeader.Leader
+		case answer.err != nil || !answered:
+			o.leader = ""
+		default:
+			o.leader = target.name
+		}
+		done(answer, answered)
+	})
+}
--- /dev/null
+++ b/internal/simulation/platform.go
@@ -0,0 +1,53 @@
+package simulation
+
+import (
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+)
+
+// longestListLag bounds how old the machine list is.
+const longestListLag = 8 * time.Second
+
+// platform is the machine list: it tells of machines as they were some time ago.
+type platform struct {
+	host
+	// versions holds the lists by the time they became true.
+	versions []listVersion
+	lag      time.Duration
+}
+
+// listVersion is one state of the list.
+type listVersion struct {
+	at   time.Duration
+	list enginecontract.MachineList
+}
+
+// update takes note of the machines as they are.
+func (p *platform) update() {
+	list := enginecontract.MachineList{Version: uint64(len(p.versions) + 1)}
+	for _, engine := range p.world.engines {
+		if engine.gone {
+			continue
+		}
+		state := enginecontract.StateServing
+		if engine.leaving {
+			state = enginecontract.StateLeaving
+		}
+		list.Machines = append(list.Machines, enginecontract.Machine{
+			Name: engine.name, Service: engine.service, Zone: engine.zone, Address: engine.name, State: state,
+		})
+	}
+	p.versions = append(p.versions, listVersion{at: p.world.now, list: list})
+}
+
+// read returns the list as it was a lag ago.
+func (p *platform) read() enginecontract.MachineList {
+	seen := p.versions[0].list
+	for _, version := range p.versions {
+		if version.at <= p.world.now-p.lag {
+			seen = version.list
+		}
+	}
+	return seen
+}
--- /dev/null
+++ b/internal/simulation/restless_planner.go
@@ -0,0 +1,31 @@
+package simulation
+
+import (
+	"math/rand/v2"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/planner"
+)
+
+// restlessPlanner changes roles at random, so that many changes meet faults.
+type restlessPlanner struct{ random *rand.Rand }
+
+// changeShare is the share of decisions in which one engine is changed.
+const changeShare = 0.5
+
+// Plan implements planner.Planner.
+func (p *restlessPlanner) Plan(observation planner.Observation) planner.Decision {
+	if len(observation.Engines) == 0 || p.random.Float64() >= changeShare {
+		return planner.Decision{Reason: "at rest"}
+	}
+	chosen := observation.Engines[p.random.IntN(len(observation.Engines))]
+	roles := []enginecontract.Role{enginecontract.RolePrefill, enginecontract.RoleDecode, enginecontract.RoleMixed}
+	to := roles[p.random.IntN(len(roles))]
+	if to == chosen.Role {
+		return planner.Decision{Reason: "at rest"}
+	}
+	return planner.Decision{
+		Changes: []planner.Change{{Engine: chosen.Name, From: chosen.Role, To: to, Reason: "restless"}},
+		Reason:  "restless",
+	}
+}
--- /dev/null
+++ b/internal/simulation/run.go
@@ -0,0 +1,154 @@
+package simulation
+
+import (
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/hazelpitch/hazelpitch/internal/consensus"
+)
+
+// Result is what became of one run.
+type Result struct {
+	Seed uint64
+	// Violation is nil when every promise was kept.
+	Violation *Violation
+	// TraceHash is equal for equal seeds and options.
+	TraceHash uint64
+	// Trace holds the last lines.
+	Trace []string
+	Steps int
+	// VirtualTime is how long the run took on its own clock.
+	VirtualTime time.Duration
+	// Faults counts the faults begun, by kind.
+	Faults map[FaultKind]int
+	// Accepted counts accepted changes, Orders the orders that took effect, Claims
+	// the requests that ran under a claim, Operations the operators' commands.
+	Accepted   int
+	Orders     int
+	Claims     int
+	Operations int
+	Leaders    int
+}
+
+// Bounds of the time after the faults have healed.
+const (
+	settleTime    = 60 * time.Second
+	settleCheck   = 100 * time.Millisecond
+	linearizeTime = 20 * time.Second
+)
+
+// Run simulates one seed.
+func Run(options Options) Result {
+	options = options.withDefaults()
+	w := newWorld(options)
+	w.start()
+	steps := 0
+	for steps < options.Steps && w.checks.violation == nil && w.step() {
+		steps++
+	}
+	steps += w.settle()
+	if w.checks.violation == nil {
+		w.checkHistory()
+	}
+	return w.result(steps)
+}
+
+// settle ends the faults and lets the fleet come to rest, which it has to do in
+// bounded time. It returns the number of steps.
+func (w *world) settle() int {
+	if w.checks.violation != nil {
+		return 0
+	}
+	w.faults.heal()
+	w.healed = true
+	accepted := w.checks.answers.accepted
+	target := w.checks.answers.highest
+	steps := 0
+	nextCheck := w.now
+	for end := w.now + settleTime; w.now < end && w.checks.violation == nil; steps++ {
+		if !w.step() {
+			break
+		}
+		if w.now >= nextCheck {
+			nextCheck = w.now + settleCheck
+			if w.checks.answers.accepted > accepted && w.unsettled(target) == "" {
+				return steps
+			}
+		}
+	}
+	if w.checks.violation == nil {
+		reason := w.unsettled(target)
+		if reason == "" {
+			reason = "no change has been accepted since"
+		}
+		w.checks.fail("recovers in bounded time", "%v after the faults healed: %s", settleTime, reason)
+	}
+	return steps
+}
+
+// unsettled tells what is not yet as it has to be after the faults; empty when all is.
+func (w *world) unsettled(target uint64) string {
+	if !w.everyDiskVotes() {
+		return "not every disk is a voter: " + w.membership()
+	}
+	for _, c := range w.controllers {
+		if c.core.State().Revision() < target {
+			return c.name + " has not applied the accepted configuration"
+		}
+	}
+	for _, g := range w.gateways {
+		if g.state.Revision() < target {
+			return g.name + " does not have the accepted configuration in force"
+		}
+	}
+	return ""
+}
+
+// membership describes the members as the leader sees them.
+func (w *world) membership() string {
+	for _, c := range w.controllers {
+		if status := c.status(); status.Role == consensus.RoleLeader {
+			return c.name + " leads " + status.Membership.String()
+		}
+	}
+	return "no leader"
+}
+
+// checkHistory checks that the operators' commands are linearizable.
+func (w *world) checkHistory() {
+	first := fleetValue{revision: w.firstRevision}
+	for i := range first.weights {
+		first.weights[i] = firstWeight
+	}
+	if w.history.linearizable(first, linearizeTime) == porcupine.Illegal {
+		w.checks.fail("linearizable", "the %d commands of operators fit into no order", len(w.history.operations))
+	}
+}
+
+// result gathers what became of the run.
+func (w *world) result(steps int) Result {
+	return Result{
+		Seed: w.options.Seed, Violation: w.checks.violation, TraceHash: w.trace.hash(), Trace: w.trace.last(),
+		Steps: steps, VirtualTime: w.now, Faults: w.faults.counts, Accepted: w.checks.answers.accepted,
+		Orders: w.checks.orders.accepted, Claims: len(w.checks.claims), Operations: len(w.history.operations),
+		Leaders: len(w.checks.logs.leaders),
+	}
+}
+
+// add sums up the counts of several runs.
+func (r *Result) add(other Result) {
+	r.Steps += other.Steps
+	r.VirtualTime += other.VirtualTime
+	r.Accepted += other.Accepted
+	r.Orders += other.Orders
+	r.Claims += other.Claims
+	r.Operations += other.Operations
+	r.Leaders += other.Leaders
+	if r.Faults == nil {
+		r.Faults = map[FaultKind]int{}
+	}
+	for kind, count := range other.Faults {
+		r.Faults[kind] += count
+	}
+}
--- /dev/null
+++ b/internal/simulation/run_test.go
@@ -0,0 +1,55 @@
+package simulation
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// workers is the number of seeds simulated at once.
+const workers = 4
+
+// TestSeeds runs a few hundred seeds; none may break a promise, and together they
+// must have met every kind of fault and done work.
+func TestSeeds(t *testing.T) {
+	total := Result{Faults: map[FaultKind]int{}}
+	Sweep(Options{Steps: 5000}, 1, 300, workers, func(result Result) bool {
+		if result.Violation != nil {
+			t.Errorf("seed %d: %v\n%s", result.Seed, result.Violation, strings.Join(result.Trace[max(0, len(result.Trace)-60):], "\n"))
+			return false
+		}
+		total.add(result)
+		return true
+	})
+	for _, kind := range faultKinds {
+		require.Positive(t, total.Faults[kind], "no seed had a %s", kind)
+	}
+	require.Positive(t, total.Orders)
+	require.Positive(t, total.Accepted)
+	require.Positive(t, total.Claims)
+	t.Logf("%+v", total)
+}
+
+// TestDeployments runs the fleets of the users.
+func TestDeployments(t *testing.T) {
+	for name, deployment := range Deployments {
+		t.Run(name, func(t *testing.T) {
+			Sweep(Options{Steps: 10_000, Deployment: deployment}, 1, 4, workers, func(result Result) bool {
+				if result.Violation != nil {
+					t.Errorf("seed %d: %v", result.Seed, result.Violation)
+				}
+				return true
+			})
+		})
+	}
+}
+
+// TestSameSeedSameTrace runs seeds twice: nothing but the seed decides.
+func TestSameSeedSameTrace(t *testing.T) {
+	for seed := range uint64(5) {
+		first, second := Run(Options{Seed: seed, Steps: 4000}), Run(Options{Seed: seed, Steps: 4000})
+		require.Equal(t, first.TraceHash, second.TraceHash, "seed %d", seed)
+	}
+	require.NotEqual(t, Run(Options{Seed: 1, Steps: 4000}).TraceHash, Run(Options{Seed: 2, Steps: 4000}).TraceHash)
+}
--- /dev/null
+++ b/internal/simulation/scheduler.go
@@ -0,0 +1,61 @@
+package simulation
+
+import (
+	"container/heap"
+	"time"
+)
+
+// event is something that happens at a time.
+type event struct {
+	at    time.Duration
+	order uint64 // events of one time happen in the order of their making
+	do    func()
+}
+
+// eventHeap orders events by time.
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].order < h[j].order
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(value any) { *h = append(*h, value.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	value := (*h)[last]
+	(*h)[last] = event{}
+	*h = (*h)[:last]
+	return value
+}
+
+// scheduler is virtual time: it jumps from event to event.
+type scheduler struct {
+	now    time.Duration
+	events eventHeap
+	made   uint64
+}
+
+// after lets something happen after a delay.
+func (s *scheduler) after(delay time.Duration, do func()) {
+	s.made++
+	heap.Push(&s.events, event{at: s.now + max(delay, 0), order: s.made, do: do})
+}
+
+// step lets the next event happen and reports whether there was one.
+func (s *scheduler) step() bool {
+	if len(s.events) == 0 {
+		return false
+	}
+	next := heap.Pop(&s.events).(event)
+	s.now = next.at
+	next.do()
+	return true
+}
--- /dev/null
+++ b/internal/simulation/shadow_log.go
@@ -0,0 +1,70 @@
+package simulation
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/consensus"
+	"github.com/hazelpitch/hazelpitch/internal/control"
+)
+
+// entryMark identifies an entry by its term and content.
+type entryMark struct {
+	term    uint64
+	content uint64
+}
+
+// markOf returns the mark of an entry.
+func markOf(entry *v1.Entry) entryMark {
+	return entryMark{term: entry.GetTerm(), content: xxhash.Sum64(entry.GetData()) + uint64(entry.GetType())}
+}
+
+// shadowLog is one controller's log as its core has handed it out.
+type shadowLog struct {
+	// first is the index of the first entry held, last that of the last.
+	first   uint64
+	last    uint64
+	marks   map[uint64]entryMark
+	entries map[uint64]*v1.Entry
+	// checked is how far what was applied has been compared.
+	checked uint64
+}
+
+// load begins with what a disk held.
+func (l *shadowLog) load(restored consensus.Restored) {
+	index := restored.Snapshot.GetMetadata().GetIndex()
+	*l = shadowLog{first: index + 1, last: index, marks: map[uint64]entryMark{}, entries: map[uint64]*v1.Entry{}, checked: index}
+	l.add(restored.Entries)
+}
+
+// take follows a batch.
+func (l *shadowLog) take(batch control.Persist) {
+	if metadata := batch.Snapshot.GetMetadata(); metadata != nil {
+		index := metadata.GetIndex()
+		mark, held := l.marks[index]
+		if index > l.last || held && mark.term != metadata.GetTerm() {
+			l.truncate(l.first)
+			l.first, l.last = index+1, index
+			l.checked = max(l.checked, index)
+		}
+	}
+	l.add(batch.Entries)
+}
+
+// add appends entries; each replaces those at its index and after it.
+func (l *shadowLog) add(entries []*v1.Entry) {
+	for _, entry := range entries {
+		l.truncate(entry.GetIndex())
+		l.marks[entry.GetIndex()] = markOf(entry)
+		l.entries[entry.GetIndex()] = entry
+		l.last = entry.GetIndex()
+	}
+}
+
+// truncate drops the entries from index on.
+func (l *shadowLog) truncate(index uint64) {
+	for ; l.last >= index && l.last >= l.first; l.last-- {
+		delete(l.marks, l.last)
+		delete(l.entries, l.last)
+	}
+}
--- /dev/null
+++ b/internal/simulation/trace.go
@@ -0,0 +1,42 @@
+package simulation
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// traceLines is how many of the last lines of a trace are kept for reading.
+const traceLines = 400
+
+// runTrace is the record of a run: a hash of everything and the last lines.
+type runTrace struct {
+	digest *xxhash.Digest
+	lines  []string
+	next   int
+}
+
+func newTrace() *runTrace {
+	return &runTrace{digest: xxhash.New(), lines: make([]string, 0, traceLines)}
+}
+
+// add records a line.
+func (t *runTrace) add(at time.Duration, who, format string, arguments ...any) {
+	line := fmt.Sprintf("%12.6f %-13s %s", at.Seconds(), who, fmt.Sprintf(format, arguments...))
+	_, _ = t.digest.WriteString(line) // never fails
+	if len(t.lines) < traceLines {
+		t.lines = append(t.lines, line)
+		return
+	}
+	t.lines[t.next] = line
+	t.next = (t.next + 1) % traceLines
+}
+
+// hash returns the hash of all lines so far.
+func (t *runTrace) hash() uint64 { return t.digest.Sum64() }
+
+// last returns the last lines, the oldest first.
+func (t *runTrace) last() []string {
+	return append(append([]string{}, t.lines[t.next:]...), t.lines[:t.next]...)
+}
