Let the control core plan roles with the queueing planner

Change: control.Config's default planner is planner.New with the profile that the model names; planner.ProfileOf holds the one profile. Conclusion: no hold-roles planner is left; PlanInterval below zero switches planning off.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -40,10 +40,10 @@
 	// PlanInterval is the time between two decisions of the planner; negative
 	// switches the planner off.
 	PlanInterval time.Duration
-	// NewPlanner makes the planner of one service; nil means one that changes nothing.
+	// NewPlanner makes the planner of one service; nil means planner.New.
 	NewPlanner func(service string) planner.Planner
 	// EngineProfile returns the planner's assumptions on engines with a declared
-	// profile name; nil means the zero profile.
+	// profile name; nil means planner.ProfileOf.
 	EngineProfile   func(name string) planner.EngineProfile
 	SnapshotEntries uint64
 	// Seed must come from a cryptographic source: cache salts are drawn from it.
@@ -70,10 +70,10 @@
 		c.PlanInterval = DefaultPlanInterval
 	}
 	if c.NewPlanner == nil {
-		c.NewPlanner = func(string) planner.Planner { return keepRoles{} }
+		c.NewPlanner = func(string) planner.Planner { return planner.New() }
 	}
 	if c.EngineProfile == nil {
-		c.EngineProfile = func(string) planner.EngineProfile { return planner.EngineProfile{} }
+		c.EngineProfile = planner.ProfileOf
 	}
 	return c
 }
@@ -84,11 +84,3 @@
 	}
 	return nil
 }
-
-// keepRoles is the planner that changes nothing.
-type keepRoles struct{}
-
-// Plan changes nothing.
-func (keepRoles) Plan(planner.Observation) planner.Decision {
-	return planner.Decision{Reason: "no planner is set up"}
-}
--- /dev/null
+++ b/internal/planner/profiles.go
@@ -0,0 +1,25 @@
+package planner
+
+import "time"
+
+// profiles are the engine profiles that models may name; docs/ENGINE-PROFILE.md
+// derives the figures.
+var profiles = map[string]EngineProfile{
+	"dense-70b-8": {
+		PrefillTokensPerSecond: 20_000,
+		DecodeTokensPerSecond:  5_000,
+		MixedPenalty:           0.2,
+		RoleChange:             4 * time.Second,
+	},
+}
+
+// DefaultProfileName is the profile of models that name none, or an unknown one.
+const DefaultProfileName = "dense-70b-8"
+
+// ProfileOf returns what the planner assumes of engines with a declared profile.
+func ProfileOf(name string) EngineProfile {
+	if profile, known := profiles[name]; known {
+		return profile
+	}
+	return profiles[DefaultProfileName]
+}
