--- /dev/null
+++ b/internal/gateway/admitter.go
@@ -0,0 +1,277 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/admission"
+	"github.com/hazelpitch/hazelpitch/internal/limits"
+	"github.com/hazelpitch/hazelpitch/internal/settings"
+	"github.com/hazelpitch/hazelpitch/internal/upstream"
+)
+
+const (
+	// admissionInterval is the time between two looks for requests that wait too long.
+	admissionInterval = 50 * time.Millisecond
+	// estimatorPairs bounds the pairs of tenant and kind whose tokens are remembered.
+	estimatorPairs = 4096
+)
+
+// admitter decides which requests start: it holds tenants to their limits and lets
+// requests wait in the queue of their service. It is safe for concurrent use.
+type admitter struct {
+	clock  clock
+	config admission.Config
+
+	mutex     sync.Mutex
+	nextID    uint64
+	limits    *limits.Core
+	estimator *admission.Estimator
+	services  map[string]*admission.Core
+	waiting   map[uint64]chan<- *refusal
+}
+
+func newAdmitter(clock clock, bounds settings.GatewayLimits) (*admitter, error) {
+	limiter, err := limits.New(limits.Config{})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	estimator, err := admission.NewEstimator(estimatorPairs)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &admitter{
+		clock:     clock,
+		config:    admission.Config{QueueLength: bounds.QueueLength, InFlight: bounds.InFlight},
+		limits:    limiter,
+		estimator: estimator,
+		services:  map[string]*admission.Core{},
+		waiting:   map[uint64]chan<- *refusal{},
+	}, nil
+}
+
+// admissionRequest is what the admitter needs to know of a request.
+type admissionRequest struct {
+	service string
+	shape   admission.Shape
+	limit   limits.Limit
+	request admission.Request
+}
+
+// ticket is an admitted request's place. It is given back once.
+type ticket struct {
+	admitter *admitter
+	service  *admission.Core
+	id       uint64
+	charge   limits.Charge
+	shape    admission.Shape
+	once     sync.Once
+}
+
+// estimate returns the tokens that a request is expected to take.
+func (a *admitter) estimate(shape admission.Shape) admission.Estimate {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.estimator.Estimate(shape)
+}
+
+// admit charges the tenant and waits for the request's turn. A refused request has not
+// run. It ends early when the interrupter fires.
+func (a *admitter) admit(wanted admissionRequest, interrupter *upstream.Interrupter) (*ticket, *refusal) {
+	place, started, fault := a.offer(wanted)
+	if fault != nil {
+		return nil, fault
+	}
+	select {
+	case fault = <-started:
+	case <-interrupter.Done():
+		fault = a.withdraw(place, started)
+	}
+	if fault != nil {
+		a.settle(place, 0)
+		return nil, fault
+	}
+	return place, nil
+}
+
+// offer charges the tenant and puts the request into its queue. The channel gets nil when
+// the request may start.
+func (a *admitter) offer(wanted admissionRequest) (*ticket, <-chan *refusal, *refusal) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	now := a.clock.now()
+	service, err := a.service(wanted.service)
+	if err != nil {
+		return nil, nil, refuseInternal()
+	}
+	tokens := wanted.request.PromptTokens + wanted.request.OutputTokens
+	charge, err := a.limits.Acquire(now, wanted.request.Tenant, wanted.limit, tokens)
+	if err != nil {
+		return nil, nil, refuseLimit(err)
+	}
+	a.nextID++
+	wanted.request.ID = a.nextID
+	started := make(chan *refusal, 1)
+	a.waiting[a.nextID] = started
+	place := &ticket{admitter: a, service: service, id: a.nextID, charge: charge, shape: wanted.shape}
+	a.tell(service.Offer(now, wanted.request))
+	a.start(service, now)
+	return place, started, nil
+}
+
+// withdraw takes a request of a caller that went away out of its queue, unless it has
+// just been started or refused.
+func (a *admitter) withdraw(place *ticket, started <-chan *refusal) *refusal {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if place.service.Remove(place.id) {
+		delete(a.waiting, place.id)
+		return refuseGone()
+	}
+	if fault := <-started; fault != nil {
+		return fault
+	}
+	place.service.Finish(a.clock.now(), place.id, admission.Result{Failed: true})
+	a.start(place.service, a.clock.now())
+	return refuseGone()
+}
+
+// service returns the queue of a service; the mutex is held.
+func (a *admitter) service(name string) (*admission.Core, error) {
+	if service, ok := a.services[name]; ok {
+		return service, nil
+	}
+	service, err := admission.New(a.config)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	a.services[name] = service
+	return service, nil
+}
+
+// start starts every request whose turn it is; the mutex is held.
+func (a *admitter) start(service *admission.Core, now time.Duration) {
+	for {
+		next, ok := service.Next(now)
+		if !ok {
+			return
+		}
+		a.waiting[next.ID] <- nil
+		delete(a.waiting, next.ID)
+	}
+}
+
+// tell answers the requests that are given up on; the mutex is held.
+func (a *admitter) tell(given []admission.Refusal) {
+	for _, each := range given {
+		a.waiting[each.ID] <- refuseAdmission(each)
+		delete(a.waiting, each.ID)
+	}
+}
+
+// settle corrects the tenant's charge by what was used.
+func (a *admitter) settle(place *ticket, used int) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.limits.Settle(a.clock.now(), place.charge, used)
+}
+
+// finish gives a started request's place back. Only the first call counts.
+func (t *ticket) finish(result admission.Result) {
+	t.once.Do(func() {
+		a := t.admitter
+		a.mutex.Lock()
+		defer a.mutex.Unlock()
+		now := a.clock.now()
+		a.limits.Settle(now, t.charge, result.PromptTokens+result.OutputTokens)
+		if !result.Failed && result.PromptTokens > 0 {
+			a.estimator.Learn(t.shape, admission.Estimate{PromptTokens: result.PromptTokens, OutputTokens: result.OutputTokens})
+		}
+		t.service.Finish(now, t.id, result)
+		a.start(t.service, now)
+	})
+}
+
+// admissionLoop gives up on requests that wait too long, until the context ends.
+func (g *Gateway) admissionLoop(ctx context.Context) {
+	for sleep(ctx, admissionInterval) {
+		g.admitter.expire()
+		inFlight, waiting := g.admitter.counts()
+		g.metrics.inFlight.Set(float64(inFlight))
+		g.metrics.waiting.Set(float64(waiting))
+	}
+}
+
+func (a *admitter) expire() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	now := a.clock.now()
+	for _, service := range a.services {
+		a.tell(service.Expire(now))
+		a.start(service, now)
+	}
+}
+
+// demands returns what to report to the leader.
+func (a *admitter) demands() []*v1.ShareDemand {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.limits.Demands(a.clock.now())
+}
+
+// apply takes the shares granted in answer to a report sent at sentAt.
+func (a *admitter) apply(sentAt time.Duration, shares []*v1.Share) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.limits.Apply(a.clock.now(), sentAt, shares)
+}
+
+// counts returns the requests in flight and waiting, over all services.
+func (a *admitter) counts() (inFlight, waiting int) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, service := range a.services {
+		inFlight += service.InFlight()
+		waiting += service.Waiting()
+	}
+	return inFlight, waiting
+}
+
+func refuseGone() *refusal {
+	return refuse(http.StatusRequestTimeout, typeServer, codeCallerGone, "the caller went away")
+}
+
+// refuseLimit translates a tenant's own limit.
+func refuseLimit(err error) *refusal {
+	var known *limits.Refusal
+	if !errors.As(err, &known) {
+		return refuseInternal()
+	}
+	if errors.Is(known.Reason, limits.ErrTenants) {
+		return refuse(http.StatusServiceUnavailable, typeRateLimit, codeOverloaded, "the gateway has too many tenants at once").after(known.RetryAfter)
+	}
+	return refuse(http.StatusTooManyRequests, typeRateLimit, codeRateLimit, known.Reason.Error()).after(known.RetryAfter)
+}
+
+// refuseAdmission translates a queue's refusal.
+func refuseAdmission(given admission.Refusal) *refusal {
+	switch {
+	case errors.Is(given.Reason, admission.ErrDeadline):
+		return refuseInfeasible().after(given.RetryAfter)
+	case errors.Is(given.Reason, admission.ErrTooLarge):
+		return refuse(http.StatusRequestEntityTooLarge, typeInvalidRequest, codeTooLarge, "the request is too large to wait")
+	default:
+		return refuse(http.StatusServiceUnavailable, typeRateLimit, codeOverloaded, "too many requests are waiting").
+			after(max(given.RetryAfter, overloadedRetry))
+	}
+}
+
+func refuseInfeasible() *refusal {
+	return refuse(http.StatusServiceUnavailable, typeRateLimit, codeOverloaded, "the request cannot be completed within its deadline now")
+}
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/claims"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
 	"github.com/hazelpitch/hazelpitch/internal/stream"
@@ -32,7 +33,20 @@
 	}
 	completion.release = release
 	watch := g.callers.watch(context.Conn(), completion.interrupter)
+	if completion.place, fault = g.admitter.admit(completion.admissionRequest(), completion.interrupter); fault != nil {
+		watch.end()
+		release()
+		g.record(completion, outcomeOf(fault))
+		g.refuse(context, fault)
+		return
+	}
 	identity := stream.Identity{ID: answerID(format), Created: time.Now().Unix(), Model: completion.name(), Format: format}
+	if decision := completion.claimRun(identity, watch); decision != nil {
+		watch.end()
+		completion.close()
+		g.answerUnclaimed(context, completion, decision)
+		return
+	}
 	if completion.request.stream {
 		g.streamChat(context, completion, identity, watch)
 		return
@@ -40,6 +54,15 @@
 	g.wholeChat(context, completion, identity, watch)
 }
 
+// answerUnclaimed answers a request that does not run because of its claim.
+func (g *Gateway) answerUnclaimed(context *fasthttp.RequestCtx, completion *completion, decision *claims.Decision) {
+	if decision.Replay != nil {
+		g.replayChat(context, completion, decision.Replay)
+		return
+	}
+	g.refuse(context, refuseClaim(*decision))
+}
+
 // admitChat checks a request and prepares its completion; nothing is sent yet.
 func (g *Gateway) admitChat(context *fasthttp.RequestCtx, format stream.Format, arrival time.Duration) (*completion, *refusal) {
 	tenant, fault := g.authenticate(&context.Request.Header)
@@ -64,11 +87,13 @@
 		tenant:      tenant,
 		target:      target,
 		request:     request,
-		routing:     target.routingRequest(tenant, request),
 		deadline:    arrival + deadline,
 		sequence:    stream.NewSequence(target.kind.Spec.GetRepeatable()),
 		interrupter: &upstream.Interrupter{},
+		key:         string(context.Request.Header.Peek(enginecontract.HeaderIdempotencyKey)),
 	}
+	completion.shape = target.shape(tenant, request)
+	completion.routing = target.routingRequest(tenant, request, g.admitter.estimate(completion.shape))
 	completion.routing.Deadline = completion.deadline
 	return completion, nil
 }
@@ -85,10 +110,10 @@
 func (g *Gateway) wholeChat(context *fasthttp.RequestCtx, completion *completion, identity stream.Identity, watch *callerWatch) {
 	defer watch.end()
 	defer completion.close()
-	answer := stream.NewAnswer(identity)
-	event, err := completion.next()
-	for ; err == nil; event, err = completion.next() {
-		answer.Add(&event)
+	completion.collected = stream.NewAnswer(identity)
+	var err error
+	for err == nil {
+		_, err = completion.next()
 	}
 	var fault *refusal
 	if errors.As(err, &fault) {
@@ -96,7 +121,7 @@
 		g.refuse(context, fault)
 		return
 	}
-	body, err := answer.JSON()
+	body, err := completion.collected.JSON()
 	if err != nil {
 		g.log.Error().Err(err).Msg("whole answer cannot be written")
 		g.refuse(context, refuseInternal())
@@ -104,7 +129,7 @@
 	}
 	g.record(completion, gatewaystate.Outcome{Completed: true})
 	g.metrics.answer(http.StatusOK, verdict.Ran)
-	context.Response.Header.SetContentType("application/json")
+	context.Response.Header.SetContentType(contentTypeJSON)
 	context.Response.Header.Set(verdict.Header, verdict.Ran.String())
 	context.Response.SetBody(body)
 }
@@ -124,7 +149,7 @@
 	reader := &chatStream{completion: completion, watch: watch, writer: stream.NewWriter(identity, completion.request.includeUsage)}
 	reader.take(event, err)
 	response := &context.Response
-	response.Header.SetContentType("text/event-stream")
+	response.Header.SetContentType(contentTypeEvents)
 	response.Header.Set("Cache-Control", "no-store")
 	response.Header.Set(verdict.Header, verdict.MayHaveRun.String())
 	response.SetBodyStream(reader, -1)
@@ -181,8 +206,12 @@
 
 // Close implements io.Closer.
 func (s *chatStream) Close() error {
-	s.completion.close()
 	s.watch.end()
+	if s.completion.claim != nil && !s.completion.done {
+		s.completion.gateway.claimer.background(s.completion.runOut)
+		return nil
+	}
+	s.completion.close()
 	return nil
 }
 
@@ -218,7 +247,13 @@
 	return prefix + hex.EncodeToString(random[:])
 }
 
-// formats of the chat paths.
+// Content types of answers.
+const (
+	contentTypeJSON   = "application/json"
+	contentTypeEvents = "text/event-stream"
+)
+
+// chatPaths gives the format of each path of the chat protocol.
 var chatPaths = map[string]stream.Format{
 	enginecontract.PathChat:        stream.FormatChat,
 	enginecontract.PathCompletions: stream.FormatCompletions,
--- a/internal/gateway/chat_request.go
+++ b/internal/gateway/chat_request.go
@@ -133,12 +133,6 @@
 	return append(body, '}')
 }
 
-// promptTokenBytes is the usual number of bytes of prompt per token.
-const promptTokenBytes = 4
-
-// promptTokens estimates the tokens of the prompt.
-func (r *chatRequest) promptTokens() int { return len(r.prompt)/promptTokenBytes + 1 }
-
 func refuseBody(message string) *refusal {
 	return refuse(http.StatusBadRequest, typeInvalidRequest, codeInvalidBody, message)
 }
--- /dev/null
+++ b/internal/gateway/claimer.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/claims"
+	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
+	"github.com/hazelpitch/hazelpitch/internal/upstream"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+const (
+	// claimLifetime is how long controllers remember a claim and its outcome.
+	claimLifetime = time.Hour
+	// maximumFinishes bounds the outcomes that are being recorded at once.
+	maximumFinishes = 1024
+	// finishSlotTimeout bounds the wait to begin recording; beyond it the outcome is left
+	// out, and resends are told that the request may have run.
+	finishSlotTimeout = time.Second
+)
+
+// claimer carries out the calls that claims ask for. It is safe for concurrent use.
+type claimer struct {
+	clock       clock
+	controllers *controllers
+	identity    *v1.NodeIdentity
+	config      claims.Config
+	slots       chan struct{}
+	finishes    sync.WaitGroup
+}
+
+func newClaimer(clock clock, controllers *controllers, identity *v1.NodeIdentity) *claimer {
+	return &claimer{clock: clock, controllers: controllers, identity: identity, slots: make(chan struct{}, maximumFinishes)}
+}
+
+// claim returns the claim of one sending of a request. content is everything that makes
+// two requests with one key the same.
+func (c *claimer) claim(tenant *gatewaystate.Tenant, kind *gatewaystate.Kind, key string, content ...[]byte) *v1.BeginClaim {
+	hash := sha256.New()
+	for _, part := range content {
+		hash.Write(part)
+		hash.Write([]byte{0})
+	}
+	return &v1.BeginClaim{
+		Tenant:             tenant.Name,
+		Kind:               kind.Name,
+		Key:                key,
+		BodyHash:           hash.Sum(nil),
+		Gateway:            c.identity.GetName(),
+		GatewayIncarnation: c.identity.GetIncarnation(),
+		Attempt:            upstream.NewExchange(),
+		ExpiresAtMs:        time.Now().Add(claimLifetime).UnixMilli(),
+	}
+}
+
+// begin asks for the right to run a request, until it is decided, the deadline is too near
+// or the caller goes away.
+func (c *claimer) begin(claim *v1.BeginClaim, deadline time.Duration, interrupter *upstream.Interrupter) claims.Decision {
+	begin := claims.NewBegin(c.config, c.clock.now(), deadline, claim, c.controllers.inOrder(true))
+	for {
+		step := begin.Next(c.clock.now())
+		switch {
+		case step.Done:
+			if begin.MustRelease() {
+				c.finish(claim, verdict.NotRun, claims.Outcome{})
+			}
+			return *begin.Decision()
+		case interrupter.Interrupted():
+			c.finish(claim, verdict.NotRun, claims.Outcome{})
+			return claims.Abandoned()
+		case step.Call != "":
+			c.callBegin(begin, step)
+		default:
+			time.Sleep(step.Wait - c.clock.now())
+		}
+	}
+}
+
+func (c *claimer) callBegin(begin *claims.Begin, step claims.Step) {
+	limited, cancel := context.WithTimeout(context.Background(), step.Timeout)
+	defer cancel()
+	response, err := c.controllers.client(step.Call).BeginClaim(limited, connect.NewRequest(begin.Request()))
+	if err != nil {
+		begin.Failed(c.clock.now(), c.failure(err))
+		return
+	}
+	c.controllers.setLeader(step.Call)
+	begin.Answered(response.Msg)
+}
+
+// finish records how a claimed request ended, without holding up its answer.
+func (c *claimer) finish(claim *v1.BeginClaim, ended verdict.Verdict, outcome claims.Outcome) {
+	finish := claims.NewFinish(c.config, c.clock.now(), claim, ended, outcome, c.controllers.inOrder(true))
+	timer := time.NewTimer(finishSlotTimeout)
+	defer timer.Stop()
+	select {
+	case c.slots <- struct{}{}:
+	case <-timer.C:
+		return
+	}
+	c.finishes.Go(func() {
+		defer func() { <-c.slots }()
+		c.record(finish)
+	})
+}
+
+func (c *claimer) record(finish *claims.Finish) {
+	for {
+		step := finish.Next(c.clock.now())
+		switch {
+		case step.Done:
+			return
+		case step.Call != "":
+			c.callFinish(finish, step)
+		default:
+			time.Sleep(step.Wait - c.clock.now())
+		}
+	}
+}
+
+func (c *claimer) callFinish(finish *claims.Finish, step claims.Step) {
+	limited, cancel := context.WithTimeout(context.Background(), step.Timeout)
+	defer cancel()
+	if _, err := c.controllers.client(step.Call).FinishClaim(limited, connect.NewRequest(finish.Request())); err != nil {
+		finish.Failed(c.clock.now(), c.failure(err))
+		return
+	}
+	finish.Answered()
+}
+
+// failure reads what a failed call says of the leader and of trying again.
+func (c *claimer) failure(err error) claims.Failure {
+	var failed *connect.Error
+	if !errors.As(err, &failed) {
+		return claims.Failure{}
+	}
+	leader := failed.Meta().Get(v1.HeaderLeaderAddress)
+	if leader != "" {
+		c.controllers.setLeader(leader)
+	}
+	switch failed.Code() {
+	case connect.CodeInvalidArgument, connect.CodePermissionDenied, connect.CodeUnimplemented:
+		return claims.Failure{Leader: leader, Permanent: true}
+	default:
+		return claims.Failure{Leader: leader}
+	}
+}
+
+// background runs work that a stopping gateway waits for.
+func (c *claimer) background(work func()) { c.finishes.Go(work) }
+
+// wait returns once every outcome has been recorded or given up on.
+func (c *claimer) wait() { c.finishes.Wait() }
+
+// refuseClaim translates a decision not to run a request.
+func refuseClaim(decision claims.Decision) *refusal {
+	status, code := http.StatusServiceUnavailable, codeClaimUnreachable
+	switch {
+	case errors.Is(decision.Reason, claims.ErrRunning):
+		status, code = http.StatusConflict, codeStillRunning
+	case errors.Is(decision.Reason, claims.ErrUnknown):
+		status, code = http.StatusConflict, codeOutcomeUnknown
+	case errors.Is(decision.Reason, claims.ErrConflict):
+		status, code = http.StatusUnprocessableEntity, codeKeyReused
+	case errors.Is(decision.Reason, claims.ErrRefused):
+		code = codeClaimRefused
+	}
+	fault := refuse(status, typeInvalidRequest, code, decision.Reason.Error()).after(decision.RetryAfter)
+	fault.verdict = decision.Verdict
+	return fault
+}
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -9,6 +9,8 @@
 
 	"github.com/gravitational/trace"
 
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/admission"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
 	"github.com/hazelpitch/hazelpitch/internal/routing"
@@ -38,6 +40,7 @@
 	target   target
 	request  *chatRequest
 	routing  routing.Request
+	shape    admission.Shape
 	deadline time.Duration
 	sequence *stream.Sequence
 	// interrupter breaks the exchange off when the caller goes away.
@@ -58,8 +61,22 @@
 	mayHaveRun bool
 	done       bool
 	closed     bool
+	// collected gathers the whole answer when it is needed at the end.
+	collected *stream.Answer
+	// key is the caller's idempotency key, claim what was granted for it; the claim is nil
+	// for kinds that may be repeated and for requests without a key.
+	key   string
+	claim *v1.BeginClaim
+	whole bool
+	// place is the request's place in admission, from before the first exchange on.
+	place *ticket
 	// release gives back the gateway's slot for the request.
 	release func()
+	// beganAt is the time of the first exchange, firstTokenAt that of the first token.
+	beganAt      time.Duration
+	firstTokenAt time.Duration
+	usage        usage
+	overloaded   bool
 }
 
 // errWhole tells that the answer is whole and no event follows.
@@ -82,7 +99,7 @@
 		}
 		switch c.sequence.Accept(&event) {
 		case stream.StepDeliver:
-			c.resumes = 0
+			c.note(&event)
 			return event, nil
 		case stream.StepDrop:
 			c.gateway.metrics.eventsDropped.Inc()
@@ -101,6 +118,20 @@
 	}
 }
 
+// note remembers what admission learns from.
+func (c *completion) note(event *stream.Event) {
+	c.resumes = 0
+	if c.collected != nil {
+		c.collected.Add(event)
+	}
+	switch {
+	case event.Type == stream.EventUsage:
+		c.usage = readUsage(event.Usage)
+	case c.firstTokenAt == 0:
+		c.firstTokenAt = c.gateway.clock.now()
+	}
+}
+
 var errEngineFailed = errors.New("the engine reports an error")
 
 // connect makes the completion's answer readable again: by resuming the exchange under
@@ -134,11 +165,10 @@
 // checkLimits refuses when the caller is gone or the deadline has passed.
 func (c *completion) checkLimits() *refusal {
 	if c.interrupter.Interrupted() {
-		return c.giveUp(refuse(http.StatusRequestTimeout, typeServer, codeCallerGone, "the caller went away"))
+		return c.giveUp(refuseGone())
 	}
 	if c.gateway.clock.now() >= c.deadline {
-		return c.giveUp(refuse(http.StatusGatewayTimeout, typeServer, codeDeadlineExceeded,
-			"the deadline of the request's kind has passed").after(time.Second))
+		return c.giveUp(refuseDeadline())
 	}
 	return nil
 }
@@ -173,6 +203,9 @@
 	if fault != nil {
 		return c.refusal(fault)
 	}
+	if c.exchanges == 0 {
+		c.beganAt = c.gateway.clock.now()
+	}
 	c.exchanges++
 	c.backEnd = choice.BackEnd
 	c.exchange = upstream.NewExchange()
@@ -202,6 +235,7 @@
 		return nil
 	}
 	c.excluded = append(c.excluded, c.backEnd.Name)
+	c.overloaded = c.overloaded || failure.Code == enginecontract.CodeOverloaded
 	if failure.Status == 0 {
 		c.gateway.dispatcher.observe(routing.Failed{BackEnd: c.backEnd.Name, Exchange: c.exchange})
 		return nil
@@ -296,18 +330,12 @@
 // refusal gives a refusal the verdict of the whole request.
 func (c *completion) refusal(fault *refusal) *refusal {
 	c.done = true
-	if c.mayHaveRun {
-		if fault.code == codeNoBackEnd {
-			fault = refuseBackEnd() // one had it, and failed
-		}
-		fault.verdict = verdict.MayHaveRun
-	}
-	return fault
+	return fault.combine(c.mayHaveRun)
 }
 
 // finish ends the exchange after a whole answer.
 func (c *completion) finish() {
-	c.done = true
+	c.done, c.whole = true, true
 	c.open = false
 	// The end of the body follows [DONE]; reading it lets the connection be used again.
 	if _, err := c.scanner.Next(); errors.Is(err, io.EOF) {
@@ -325,6 +353,8 @@
 	}
 	c.closed = true
 	defer c.release()
+	defer c.settle()
+	defer c.finishClaim()
 	if c.done {
 		return
 	}
@@ -348,7 +378,7 @@
 func refusePick(err error) *refusal {
 	fault := refuse(http.StatusServiceUnavailable, typeServer, codeNoBackEnd, "no back end can take the request now")
 	if errors.Is(err, routing.ErrInfeasible) {
-		fault = refuse(http.StatusServiceUnavailable, typeRateLimit, codeOverloaded, "the request cannot be completed within its deadline now")
+		fault = refuseInfeasible()
 	}
 	var picked *routing.PickError
 	if errors.As(err, &picked) {
--- a/internal/gateway/engine_faults_test.go
+++ b/internal/gateway/engine_faults_test.go
@@ -12,9 +12,9 @@
 )
 
 var (
-	refusedNotRun  = fault{refuse: 429, code: enginecontract.CodeOverloaded, runState: enginecontract.RunStateNotRun}
-	refusedUnknown = fault{refuse: 500, code: enginecontract.CodeEngineError, runState: enginecontract.RunStateMayHaveRun}
-	crash          = fault{cutAfter: 3}
+	refusedNotRun  = engineFault{refuse: 429, code: enginecontract.CodeOverloaded, runState: enginecontract.RunStateNotRun}
+	refusedUnknown = engineFault{refuse: 500, code: enginecontract.CodeEngineError, runState: enginecontract.RunStateMayHaveRun}
+	crash          = engineFault{cutAfter: 3}
 )
 
 // engineFaultRow is one thing that goes wrong between gateway and engines.
@@ -23,8 +23,8 @@
 	kind string // default matching, which is repeatable
 	// first and second are the faults of the two engines. The gateway may choose either
 	// first, so rows that need an order give both the same.
-	first, second []fault
-	resumes       []fault
+	first, second []engineFault
+	resumes       []engineFault
 	// want describes the answer; runs bounds the executions at both engines together.
 	whole   bool
 	status  int // of an answer that is not whole, when not streamed
@@ -35,48 +35,48 @@
 
 var engineFaultRows = []engineFaultRow{
 	{name: "no fault", whole: true, minRuns: 1, maxRuns: 1},
-	{name: "noise in the stream", first: []fault{{noise: true}}, second: []fault{{noise: true}}, whole: true, minRuns: 1, maxRuns: 1},
-	{name: "refused before running, then served", first: []fault{refusedNotRun}, second: []fault{refusedNotRun},
+	{name: "noise in the stream", first: []engineFault{{noise: true}}, second: []engineFault{{noise: true}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "refused before running, then served", first: []engineFault{refusedNotRun}, second: []engineFault{refusedNotRun},
 		status: 503, verdict: verdict.NotRun},
-	{name: "one engine refuses", first: []fault{refusedNotRun}, whole: true, minRuns: 1, maxRuns: 1},
-	{name: "once-only kind, one engine refuses before running", kind: "once", first: []fault{refusedNotRun}, whole: true, minRuns: 1, maxRuns: 1},
-	{name: "engine changes role", first: []fault{{refuse: 409, code: enginecontract.CodeWrongRole, runState: enginecontract.RunStateNotRun}},
+	{name: "one engine refuses", first: []engineFault{refusedNotRun}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "once-only kind, one engine refuses before running", kind: "once", first: []engineFault{refusedNotRun}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "engine changes role", first: []engineFault{{refuse: 409, code: enginecontract.CodeWrongRole, runState: enginecontract.RunStateNotRun}},
 		whole: true, minRuns: 1, maxRuns: 1},
-	{name: "engine leaves", first: []fault{{refuse: 503, code: enginecontract.CodeLeaving, runState: enginecontract.RunStateNotRun}},
+	{name: "engine leaves", first: []engineFault{{refuse: 503, code: enginecontract.CodeLeaving, runState: enginecontract.RunStateNotRun}},
 		whole: true, minRuns: 1, maxRuns: 1},
-	{name: "link cut mid-stream, exchange lives on", first: []fault{{cutAfter: 3, resumable: true}}, second: []fault{{cutAfter: 3, resumable: true}},
+	{name: "link cut mid-stream, exchange lives on", first: []engineFault{{cutAfter: 3, resumable: true}}, second: []engineFault{{cutAfter: 3, resumable: true}},
 		whole: true, minRuns: 1, maxRuns: 1},
 	{name: "once-only kind, link cut mid-stream, exchange lives on", kind: "once",
-		first: []fault{{cutAfter: 3, resumable: true}}, second: []fault{{cutAfter: 3, resumable: true}}, whole: true, minRuns: 1, maxRuns: 1},
-	{name: "link cut twice", first: []fault{{cutAfter: 2, resumable: true}}, second: []fault{{cutAfter: 2, resumable: true}},
-		resumes: []fault{{cutAfter: 4, resumable: true}}, whole: true, minRuns: 1, maxRuns: 1},
-	{name: "link cut before the head, exchange lives on", first: []fault{{cutBeforeHead: true, resumable: true}},
-		second: []fault{{cutBeforeHead: true, resumable: true}}, whole: true, minRuns: 1, maxRuns: 1},
-	{name: "engine crashes mid-stream", first: []fault{crash}, second: nil, whole: true, minRuns: 1, maxRuns: 2},
-	{name: "both engines crash mid-stream", first: []fault{crash}, second: []fault{crash}, status: 502, verdict: verdict.MayHaveRun, minRuns: 2, maxRuns: 2},
-	{name: "once-only kind, engine crashes mid-stream", kind: "once", first: []fault{crash}, second: []fault{crash},
+		first: []engineFault{{cutAfter: 3, resumable: true}}, second: []engineFault{{cutAfter: 3, resumable: true}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "link cut twice", first: []engineFault{{cutAfter: 2, resumable: true}}, second: []engineFault{{cutAfter: 2, resumable: true}},
+		resumes: []engineFault{{cutAfter: 4, resumable: true}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "link cut before the head, exchange lives on", first: []engineFault{{cutBeforeHead: true, resumable: true}},
+		second: []engineFault{{cutBeforeHead: true, resumable: true}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "engine crashes mid-stream", first: []engineFault{crash}, second: nil, whole: true, minRuns: 1, maxRuns: 2},
+	{name: "both engines crash mid-stream", first: []engineFault{crash}, second: []engineFault{crash}, status: 502, verdict: verdict.MayHaveRun, minRuns: 2, maxRuns: 2},
+	{name: "once-only kind, engine crashes mid-stream", kind: "once", first: []engineFault{crash}, second: []engineFault{crash},
 		status: 502, verdict: verdict.MayHaveRun, minRuns: 1, maxRuns: 1},
-	{name: "once-only kind, engine crashes before the head", kind: "once", first: []fault{{cutBeforeHead: true}}, second: []fault{{cutBeforeHead: true}},
+	{name: "once-only kind, engine crashes before the head", kind: "once", first: []engineFault{{cutBeforeHead: true}}, second: []engineFault{{cutBeforeHead: true}},
 		status: 502, verdict: verdict.MayHaveRun, minRuns: 1, maxRuns: 1},
-	{name: "answer of another exchange", first: []fault{{foreignHead: true}}, second: []fault{{foreignHead: true}},
+	{name: "answer of another exchange", first: []engineFault{{foreignHead: true}}, second: []engineFault{{foreignHead: true}},
 		whole: true, minRuns: 1, maxRuns: 1},
-	{name: "event of another exchange", first: []fault{{foreignEvent: 3}}, second: []fault{{foreignEvent: 3}}, whole: true, minRuns: 1, maxRuns: 1},
-	{name: "event of another exchange, once-only kind", kind: "once", first: []fault{{foreignEvent: 3}}, second: []fault{{foreignEvent: 3}},
+	{name: "event of another exchange", first: []engineFault{{foreignEvent: 3}}, second: []engineFault{{foreignEvent: 3}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "event of another exchange, once-only kind", kind: "once", first: []engineFault{{foreignEvent: 3}}, second: []engineFault{{foreignEvent: 3}},
 		whole: true, minRuns: 1, maxRuns: 1},
-	{name: "each event twice", first: []fault{{duplicate: true}}, second: []fault{{duplicate: true}}, whole: true, minRuns: 1, maxRuns: 1},
-	{name: "a token is missing", first: []fault{{skip: 4}}, second: []fault{{skip: 4}}, whole: true, minRuns: 1, maxRuns: 1},
-	{name: "body ends early", first: []fault{{endAfter: 4}}, second: []fault{{endAfter: 4}}, whole: true, minRuns: 1, maxRuns: 1},
-	{name: "no [DONE]", first: []fault{{noDone: true}}, second: []fault{{noDone: true}}, whole: true, minRuns: 1, maxRuns: 1},
-	{name: "no finish event", first: []fault{{noFinish: true}}, second: []fault{{noFinish: true}}, whole: true, minRuns: 1, maxRuns: 1},
-	{name: "no usage event", first: []fault{{noUsage: true}}, second: []fault{{noUsage: true}}, whole: true, minRuns: 1, maxRuns: 1},
-	{name: "error event mid-stream, once-only kind", kind: "once", first: []fault{{errorAfter: 3}}, second: []fault{{errorAfter: 3}},
+	{name: "each event twice", first: []engineFault{{duplicate: true}}, second: []engineFault{{duplicate: true}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "a token is missing", first: []engineFault{{skip: 4}}, second: []engineFault{{skip: 4}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "body ends early", first: []engineFault{{endAfter: 4}}, second: []engineFault{{endAfter: 4}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "no [DONE]", first: []engineFault{{noDone: true}}, second: []engineFault{{noDone: true}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "no finish event", first: []engineFault{{noFinish: true}}, second: []engineFault{{noFinish: true}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "no usage event", first: []engineFault{{noUsage: true}}, second: []engineFault{{noUsage: true}}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "error event mid-stream, once-only kind", kind: "once", first: []engineFault{{errorAfter: 3}}, second: []engineFault{{errorAfter: 3}},
 		status: 502, verdict: verdict.MayHaveRun, minRuns: 1, maxRuns: 1},
-	{name: "error event mid-stream", first: []fault{{errorAfter: 3}}, whole: true, minRuns: 1, maxRuns: 2},
-	{name: "refused as may have run, once-only kind", kind: "once", first: []fault{refusedUnknown}, second: []fault{refusedUnknown},
+	{name: "error event mid-stream", first: []engineFault{{errorAfter: 3}}, whole: true, minRuns: 1, maxRuns: 2},
+	{name: "refused as may have run, once-only kind", kind: "once", first: []engineFault{refusedUnknown}, second: []engineFault{refusedUnknown},
 		status: 502, verdict: verdict.MayHaveRun},
-	{name: "refused as may have run", first: []fault{refusedUnknown}, whole: true, minRuns: 1, maxRuns: 1},
-	{name: "refused parameters", first: []fault{{refuse: 400, code: enginecontract.CodeInvalidRequest, runState: enginecontract.RunStateNotRun}},
-		second: []fault{{refuse: 400, code: enginecontract.CodeInvalidRequest, runState: enginecontract.RunStateNotRun}}, status: 400, verdict: verdict.NotRun},
+	{name: "refused as may have run", first: []engineFault{refusedUnknown}, whole: true, minRuns: 1, maxRuns: 1},
+	{name: "refused parameters", first: []engineFault{{refuse: 400, code: enginecontract.CodeInvalidRequest, runState: enginecontract.RunStateNotRun}},
+		second: []engineFault{{refuse: 400, code: enginecontract.CodeInvalidRequest, runState: enginecontract.RunStateNotRun}}, status: 400, verdict: verdict.NotRun},
 }
 
 func TestEngineFaults(t *testing.T) {
--- a/internal/gateway/engine_test.go
+++ b/internal/gateway/engine_test.go
@@ -23,8 +23,8 @@
 // wholeText is the whole answer's text.
 var wholeText = strings.Join(answerTokens, "")
 
-// fault is one thing that a test engine does wrong.
-type fault struct {
+// engineFault is one thing that a test engine does wrong.
+type engineFault struct {
 	// refuse answers with this status, code and run state before running.
 	refuse   int
 	code     string
@@ -61,8 +61,8 @@
 
 	mutex sync.Mutex
 	// faults are used up one by one by new exchanges, resumeFaults by resumes.
-	faults       []fault
-	resumeFaults []fault
+	faults       []engineFault
+	resumeFaults []engineFault
 	// runs counts the exchanges that began to run.
 	runs      int
 	cancelled []string
@@ -75,7 +75,7 @@
 	block chan struct{}
 }
 
-func startEngine(t testing.TB, faults ...fault) *testEngine {
+func startEngine(t testing.TB, faults ...engineFault) *testEngine {
 	engine := &testEngine{faults: faults, exchanges: map[string]int{}, role: enginecontract.RoleMixed}
 	engine.server = httptest.NewServer(engine)
 	t.Cleanup(func() {
@@ -93,9 +93,9 @@
 	return e.runs, len(e.requests), len(e.cancelled)
 }
 
-func (e *testEngine) nextFault(list *[]fault) fault {
+func (e *testEngine) nextFault(list *[]engineFault) engineFault {
 	if len(*list) == 0 {
-		return fault{}
+		return engineFault{}
 	}
 	next := (*list)[0]
 	*list = (*list)[1:]
@@ -167,7 +167,7 @@
 }
 
 // answer writes the stream from token first+1 on, with the faults.
-func (e *testEngine) answer(writer http.ResponseWriter, request *http.Request, exchange string, first int, wrong fault, body string) {
+func (e *testEngine) answer(writer http.ResponseWriter, request *http.Request, exchange string, first int, wrong engineFault, body string) {
 	switch {
 	case wrong.refuse != 0:
 		writeRefusal(writer, wrong.refuse, wrong.code, wrong.runState)
@@ -200,7 +200,7 @@
 }
 
 // token writes one token with the faults; it reports false when the stream ends here.
-func (e *testEngine) token(out *eventWriter, request *http.Request, number int, wrong fault) bool {
+func (e *testEngine) token(out *eventWriter, request *http.Request, number int, wrong engineFault) bool {
 	if wrong.noise {
 		out.raw(": comment\nevent: token\nid: 7\nunknown\n")
 	}
@@ -228,7 +228,7 @@
 	return true
 }
 
-func (e *testEngine) end(out *eventWriter, wrong fault) {
+func (e *testEngine) end(out *eventWriter, wrong engineFault) {
 	last := len(answerTokens)
 	if !wrong.noFinish {
 		delta := `"delta":{}`
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,8 @@
 	controllers   *controllers
 	callers       *callers
 	retries       *retryBudget
+	admitter      *admitter
+	claimer       *claimer
 	inFlight      inFlight
 	cancellations chan cancellation
 	draining      atomic.Bool
@@ -75,10 +77,15 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	admitter, err := newAdmitter(clock, config.Limits)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	registry, factory := metrics.NewRegistry(role, config.Name, config.Zone)
 	identity := &v1.NodeIdentity{
 		Name: config.Name, Zone: config.Zone, Address: config.Listen, Incarnation: uint64(time.Now().UnixNano()),
 	}
+	controllers := newControllers(config)
 	return &Gateway{
 		settings:      config,
 		clock:         clock,
@@ -88,10 +95,12 @@
 		upstream:      client,
 		dispatcher:    dispatcher,
 		view:          newView(clock, identity, dispatcher),
-		controllers:   newControllers(config),
+		controllers:   controllers,
 		callers:       newCallers(),
 		retries:       newRetryBudget(),
-		inFlight:      inFlight{limit: int64(config.Limits.InFlight)},
+		admitter:      admitter,
+		claimer:       newClaimer(clock, controllers, identity),
+		inFlight:      inFlight{limit: int64(config.Limits.InFlight + config.Limits.QueueLength)},
 		cancellations: make(chan cancellation, cancelQueueLength),
 	}, nil
 }
@@ -101,7 +110,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, background := errgroup.WithContext(background)
-	for _, duty := range []func(context.Context){g.view.run, g.syncLoop, g.reportLoop, g.callers.run, g.log.Run} {
+	for _, duty := range []func(context.Context){g.view.run, g.syncLoop, g.reportLoop, g.callers.run, g.admissionLoop, g.log.Run} {
 		group.Go(func() error { duty(background); return nil })
 	}
 	for range cancelWorkers {
@@ -123,6 +132,7 @@
 	case <-background.Done(): // a duty failed
 	}
 	drained := g.drain(server)
+	g.claimer.wait()
 	stop()
 	g.upstream.Close()
 	return trace.NewAggregate(group.Wait(), drained)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -41,8 +42,7 @@
 	revision  uint64
 	objects   []*v1.Object
 	directory *v1.Directory
-	claims    map[string]*v1.BeginClaimResponse
-	holders   map[string]string
+	claims    map[string]*heldClaim
 	leaving   atomic.Bool
 	down      atomic.Bool
 }
@@ -120,9 +120,74 @@
 	return connect.NewResponse(&v1.ReportResponse{}), nil
 }
 
+// BeginClaim grants a claim once, as the replicated state does.
+func (c *testController) BeginClaim(_ context.Context, request *connect.Request[v1.BeginClaimRequest]) (*connect.Response[v1.BeginClaimResponse], error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.down.Load() {
+		return nil, connect.NewError(connect.CodeUnavailable, http.ErrServerClosed)
+	}
+	claim := request.Msg.GetClaim()
+	name := claim.GetTenant() + "/" + claim.GetKind() + "/" + claim.GetKey()
+	held, ok := c.claims[name]
+	switch {
+	case !ok:
+		c.claims[name] = &heldClaim{attempt: claim.GetAttempt(), hash: claim.GetBodyHash()}
+		return connect.NewResponse(&v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_GRANTED}), nil
+	case !bytes.Equal(held.hash, claim.GetBodyHash()):
+		return connect.NewResponse(&v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_CONFLICT}), nil
+	case held.attempt == claim.GetAttempt() && held.outcome == nil:
+		return connect.NewResponse(&v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_GRANTED}), nil
+	case held.outcome == nil:
+		return connect.NewResponse(&v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_RUNNING}), nil
+	case held.outcome.GetMayHaveRun():
+		return connect.NewResponse(&v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_UNKNOWN}), nil
+	default:
+		return connect.NewResponse(&v1.BeginClaimResponse{
+			State: v1.ClaimState_CLAIM_STATE_FINISHED, Status: held.outcome.GetStatus(),
+			ContentType: held.outcome.GetContentType(), Body: held.outcome.GetBody(),
+		}), nil
+	}
+}
+
+// FinishClaim records an outcome, or releases the claim.
+func (c *testController) FinishClaim(_ context.Context, request *connect.Request[v1.FinishClaimRequest]) (*connect.Response[v1.FinishClaimResponse], error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	claim := request.Msg.GetClaim()
+	name := claim.GetTenant() + "/" + claim.GetKind() + "/" + claim.GetKey()
+	if held, ok := c.claims[name]; ok && held.attempt == claim.GetAttempt() {
+		held.outcome = claim
+		if claim.GetNotRun() {
+			delete(c.claims, name)
+		}
+	}
+	return connect.NewResponse(&v1.FinishClaimResponse{}), nil
+}
+
+// outcomes counts the claims with an outcome.
+func (c *testController) outcomes() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	recorded := 0
+	for _, held := range c.claims {
+		if held.outcome != nil {
+			recorded++
+		}
+	}
+	return recorded
+}
+
+// heldClaim is one claim at the test controller.
+type heldClaim struct {
+	attempt string
+	hash    []byte
+	outcome *v1.FinishClaim
+}
+
 func startController(t testing.TB, backEnds ...*v1.BackEnd) *testController {
 	controller := &testController{
-		revision: 1, objects: testObjects(), claims: map[string]*v1.BeginClaimResponse{}, holders: map[string]string{},
+		revision: 1, objects: testObjects(), claims: map[string]*heldClaim{},
 		directory: &v1.Directory{Version: 1, BackEnds: backEnds},
 	}
 	path, handler := hazelpitchv1connect.NewNodeServiceHandler(controller)
@@ -142,6 +207,11 @@
 	}
 }
 
+// pageBackEnd is a directory row of a page service.
+func pageBackEnd(name, address string) *v1.BackEnd {
+	return &v1.BackEnd{Name: name, Service: "portal", Zone: "z1", Address: address, State: v1.BackEndState_BACK_END_STATE_SERVING}
+}
+
 // testGateway is a running gateway.
 type testGateway struct {
 	url     string
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,6 +12,8 @@
 // gatewayMetrics are the counts of one gateway.
 type gatewayMetrics struct {
 	answers         *prometheus.CounterVec
+	inFlight        prometheus.Gauge
+	waiting         prometheus.Gauge
 	resumes         prometheus.Counter
 	eventsDropped   prometheus.Counter
 	foreignAnswers  prometheus.Counter
@@ -23,6 +25,8 @@
 func newGatewayMetrics(factory metrics.Factory) *gatewayMetrics {
 	return &gatewayMetrics{
 		answers:         factory.CounterVec("answers_total", "Answers to callers.", "status", "verdict"),
+		inFlight:        factory.Gauge("requests_in_flight", "Requests started and not yet answered to their end."),
+		waiting:         factory.Gauge("requests_waiting", "Requests that wait for their turn."),
 		resumes:         factory.Counter("stream_resumes_total", "Streams resumed at their engine after a cut link."),
 		eventsDropped:   factory.Counter("events_dropped_total", "Events dropped because they repeated what was delivered."),
 		foreignAnswers:  factory.Counter("foreign_answers_total", "Answers and events dropped because they belonged to another exchange."),
--- a/internal/gateway/page.go
+++ b/internal/gateway/page.go
@@ -8,6 +8,8 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/admission"
+	"github.com/hazelpitch/hazelpitch/internal/claims"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
 	"github.com/hazelpitch/hazelpitch/internal/routing"
@@ -36,6 +38,9 @@
 	excluded    []string
 	exchanges   int
 	mayHaveRun  bool
+	watch       *callerWatch
+	// key is the caller's idempotency key; empty when there is none.
+	key string
 }
 
 // pageAnswer is the whole answer of a page service.
@@ -53,9 +58,16 @@
 		g.refuse(context, fault)
 		return
 	}
-	watch := g.callers.watch(context.Conn(), page.interrupter)
-	defer watch.end()
-	answer, fault := page.run()
+	page.watch = g.callers.watch(context.Conn(), page.interrupter)
+	defer page.watch.end()
+	place, fault := g.admitter.admit(page.admissionRequest(), page.interrupter)
+	if fault != nil {
+		g.recordPage(page, outcomeOf(fault))
+		g.refuse(context, fault)
+		return
+	}
+	answer, fault := page.runClaimed()
+	place.finish(admission.Result{Failed: fault != nil})
 	if fault != nil {
 		g.recordPage(page, outcomeOf(fault))
 		g.refuse(context, fault)
@@ -92,6 +104,7 @@
 	g.retries.earn()
 	page := &pageRequest{
 		gateway: g, kind: kind, tenant: tenant, deadline: arrival + deadline, interrupter: &upstream.Interrupter{},
+		key: string(context.Request.Header.Peek(enginecontract.HeaderIdempotencyKey)),
 	}
 	page.message = upstream.Request{
 		Method:      string(context.Method()),
@@ -137,15 +150,66 @@
 	return nil
 }
 
+// runClaimed runs the request; one that may run at most once and carries a key runs only
+// under a claim. Without a key it is sent once, and only a true "not run" is sent again.
+func (p *pageRequest) runClaimed() (*pageAnswer, *refusal) {
+	if p.kind.Spec.GetRepeatable() || p.key == "" {
+		return p.run()
+	}
+	claimer := p.gateway.claimer
+	claim := claimer.claim(p.tenant, p.kind, p.key, []byte(p.message.Method), []byte(p.message.Target), p.message.Body)
+	decision := claimer.begin(claim, p.deadline, p.interrupter)
+	switch {
+	case decision.Replay != nil:
+		return replayedPage(decision.Replay), nil
+	case !decision.Run:
+		return nil, refuseClaim(decision)
+	}
+	// The outcome is worth recording also when the caller goes away: it will ask again.
+	p.watch.end()
+	answer, fault := p.run()
+	if fault != nil {
+		claimer.finish(claim, fault.verdict, claims.Outcome{})
+		return nil, fault
+	}
+	claimer.finish(claim, verdict.Ran, claims.Outcome{Status: answer.status, ContentType: answer.contentType(), Body: answer.body})
+	return answer, nil
+}
+
+// Headers of answers that were recorded when the request ran earlier.
+const (
+	headerReplayed    = "Idempotency-Replayed"
+	headerBodyOmitted = "Idempotency-Body-Omitted"
+)
+
+// replayedPage returns the recorded answer of an earlier sending.
+func replayedPage(outcome *claims.Outcome) *pageAnswer {
+	answer := &pageAnswer{status: outcome.Status, body: outcome.Body}
+	answer.headers = append(answer.headers, upstream.Header{Name: "Content-Type", Value: outcome.ContentType})
+	answer.headers = append(answer.headers, upstream.Header{Name: headerReplayed, Value: "true"})
+	if outcome.BodyOmitted {
+		answer.headers = append(answer.headers, upstream.Header{Name: headerBodyOmitted, Value: "true"})
+	}
+	return answer
+}
+
+func (a *pageAnswer) contentType() string {
+	for _, header := range a.headers {
+		if header.Name == "Content-Type" {
+			return header.Value
+		}
+	}
+	return ""
+}
+
 // run tries back ends until one answers or the verdict forbids another try.
 func (p *pageRequest) run() (*pageAnswer, *refusal) {
 	for {
 		if p.interrupter.Interrupted() {
-			return nil, p.refusal(refuse(http.StatusRequestTimeout, typeServer, codeCallerGone, "the caller went away"))
+			return nil, p.refusal(refuseGone())
 		}
 		if p.gateway.clock.now() >= p.deadline {
-			return nil, p.refusal(refuse(http.StatusGatewayTimeout, typeServer, codeDeadlineExceeded,
-				"the deadline of the request's kind has passed").after(time.Second))
+			return nil, p.refusal(refuseDeadline())
 		}
 		if p.exchanges > 0 && (p.exchanges >= maximumExchanges || !p.gateway.retries.spend()) {
 			return nil, p.refusal(refuseBackEnd())
@@ -164,7 +228,7 @@
 			continue
 		}
 		p.mayHaveRun = true
-		if !p.kind.Spec.GetRepeatable() {
+		if p.gateway.clock.now() < p.deadline && !p.kind.Spec.GetRepeatable() {
 			return nil, p.refusal(refuseBackEnd())
 		}
 	}
@@ -221,11 +285,22 @@
 }
 
 // refusal gives a refusal the verdict of the whole request.
-func (p *pageRequest) refusal(fault *refusal) *refusal {
-	if p.mayHaveRun {
-		fault.verdict = verdict.MayHaveRun
+func (p *pageRequest) refusal(fault *refusal) *refusal { return fault.combine(p.mayHaveRun) }
+
+// admissionRequest returns what admission needs to know.
+func (p *pageRequest) admissionRequest() admissionRequest {
+	return admissionRequest{
+		service: p.kind.Spec.GetService(),
+		limit:   tenantLimit(p.tenant),
+		request: admission.Request{
+			Tenant:       p.tenant.Name,
+			Weight:       p.tenant.Spec.GetWeight(),
+			Worth:        p.kind.Spec.GetWorth(),
+			OutputTokens: 1,
+			Bytes:        int64(len(p.message.Body)),
+			Deadline:     p.deadline,
+		},
 	}
-	return fault
 }
 
 func (g *Gateway) recordPage(page *pageRequest, outcome gatewaystate.Outcome) {
--- /dev/null
+++ b/internal/gateway/page_faults_test.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
+	"github.com/hazelpitch/hazelpitch/internal/standin/page"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+// pageFaultRow is one thing that goes wrong between gateway and page services; both
+// replicas show the same faults.
+type pageFaultRow struct {
+	name   string
+	method string
+	path   string
+	key    string
+	faults []fault.Fault
+	// down stops the replicas: connections are refused.
+	down    bool
+	status  int
+	verdict verdict.Verdict
+	// executions at both replicas together, at least and at most.
+	atLeast, atMost int
+}
+
+var pageFaultRows = []pageFaultRow{
+	{name: "listing", method: http.MethodGet, path: "/lots/7?view=full", status: 200, verdict: verdict.Ran, atLeast: 1, atMost: 1},
+	{name: "listing, refused once", method: http.MethodGet, path: "/lots/7", faults: []fault.Fault{{Kind: fault.Refuse, Count: 1}},
+		status: 503, verdict: verdict.NotRun},
+	{name: "listing, answer lost at both", method: http.MethodGet, path: "/lots/7", faults: []fault.Fault{{Kind: fault.LoseAnswer, Count: 1}},
+		status: 502, verdict: verdict.MayHaveRun, atLeast: 2, atMost: 2},
+	{name: "listing, truncated at both", method: http.MethodGet, path: "/lots/7", faults: []fault.Fault{{Kind: fault.Truncate, Count: 1, Tokens: 10}},
+		status: 502, verdict: verdict.MayHaveRun, atLeast: 2, atMost: 2},
+	{name: "listing, crossed at both", method: http.MethodGet, path: "/lots/7", faults: []fault.Fault{{Kind: fault.WrongEcho, Count: 1}},
+		status: 502, verdict: verdict.MayHaveRun, atLeast: 2, atMost: 2},
+	{name: "listing, replicas down", method: http.MethodGet, path: "/lots/7", down: true, status: 503, verdict: verdict.NotRun},
+	{name: "registration without a key", method: http.MethodPost, path: "/registrations", status: 200, verdict: verdict.Ran, atLeast: 1, atMost: 1},
+	{name: "registration without a key, answer lost", method: http.MethodPost, path: "/registrations",
+		faults: []fault.Fault{{Kind: fault.LoseAnswer, Count: 1}}, status: 502, verdict: verdict.MayHaveRun, atLeast: 1, atMost: 1},
+	{name: "registration without a key, replicas down", method: http.MethodPost, path: "/registrations", down: true, status: 503, verdict: verdict.NotRun},
+	{name: "registration", method: http.MethodPost, path: "/registrations", key: "k1", status: 200, verdict: verdict.Ran, atLeast: 1, atMost: 1},
+	{name: "registration, answer lost", method: http.MethodPost, path: "/registrations", key: "k1",
+		faults: []fault.Fault{{Kind: fault.LoseAnswer, Count: 1}}, status: 502, verdict: verdict.MayHaveRun, atLeast: 1, atMost: 1},
+	{name: "registration, answer truncated", method: http.MethodPost, path: "/registrations", key: "k1",
+		faults: []fault.Fault{{Kind: fault.Truncate, Count: 1, Tokens: 3}}, status: 502, verdict: verdict.MayHaveRun, atLeast: 1, atMost: 1},
+	{name: "registration, answer crossed", method: http.MethodPost, path: "/registrations", key: "k1",
+		faults: []fault.Fault{{Kind: fault.WrongEcho, Count: 1}}, status: 502, verdict: verdict.MayHaveRun, atLeast: 1, atMost: 1},
+	{name: "registration, fails while it runs", method: http.MethodPost, path: "/registrations", key: "k1",
+		faults: []fault.Fault{{Kind: fault.Error, Count: 1}}, status: 502, verdict: verdict.MayHaveRun, atLeast: 1, atMost: 1},
+	{name: "registration, refused by both", method: http.MethodPost, path: "/registrations", key: "k1",
+		faults: []fault.Fault{{Kind: fault.Refuse, Count: 1}}, status: 503, verdict: verdict.NotRun},
+	{name: "registration, answer late", method: http.MethodPost, path: "/registrations", key: "k1",
+		faults: []fault.Fault{{Kind: fault.Late, Count: 1, DelayMs: 4500}}, status: 504, verdict: verdict.MayHaveRun, atMost: 1},
+	{name: "ambiguous path", method: http.MethodGet, path: "/lots/%2e%2e/registrations", status: 400, verdict: verdict.NotRun},
+	{name: "unknown path", method: http.MethodGet, path: "/lotsize", status: 404, verdict: verdict.NotRun},
+}
+
+func TestPageFaults(t *testing.T) {
+	for _, row := range pageFaultRows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			row.check(t)
+		})
+	}
+}
+
+func startPage(t testing.TB, name string, faults []fault.Fault) *page.Service {
+	service, err := page.Start(page.Config{Name: name, Service: "portal", Zone: "z1", Address: "127.0.0.1:0", Faults: faults})
+	require.NoError(t, err)
+	t.Cleanup(service.Close)
+	return service
+}
+
+func (row pageFaultRow) check(t *testing.T) {
+	first, second := startPage(t, "p1", row.faults), startPage(t, "p2", row.faults)
+	controller := startController(t, pageBackEnd("p1", first.Address()), pageBackEnd("p2", second.Address()))
+	gateway := startGateway(t, testSettings(controller.address))
+	if row.down {
+		first.Crash()
+		second.Crash()
+	}
+	headers := map[string]string{}
+	if row.key != "" {
+		headers[enginecontract.HeaderIdempotencyKey] = row.key
+	}
+	answer := call(t, row.method, gateway.url+row.path, "name=Ana", headers)
+	require.Equal(t, row.status, answer.status, answer.body)
+	require.Equal(t, row.verdict.String(), answer.verdict, answer.body)
+	executions := first.Runs().Served + second.Runs().Served
+	require.GreaterOrEqual(t, executions, row.atLeast)
+	require.LessOrEqual(t, executions, row.atMost)
+	if row.status == http.StatusOK && row.method == http.MethodGet {
+		require.Equal(t, page.Page(row.path), answer.body)
+	}
+	require.Empty(t, answer.header.Get(enginecontract.HeaderExchange))
+	require.Empty(t, answer.header.Get(enginecontract.HeaderEngineState))
+	row.checkResend(t, gateway, answer, headers, func() int { return first.Runs().Served + second.Runs().Served })
+}
+
+// checkResend sends the request again, as a caller does who lost the answer: under a key
+// it never runs a second time unless it had not run.
+func (row pageFaultRow) checkResend(t *testing.T, gateway *testGateway, first callerAnswer, headers map[string]string, executions func() int) {
+	if row.key == "" || row.verdict == verdict.NotRun {
+		return
+	}
+	before := executions()
+	again := call(t, row.method, gateway.url+row.path, "name=Ana", headers)
+	require.Equal(t, before, executions())
+	if row.verdict == verdict.Ran {
+		require.Equal(t, first.status, again.status)
+		require.Equal(t, first.body, again.body)
+		require.Equal(t, "true", again.header.Get(headerReplayed))
+		changed := call(t, row.method, gateway.url+row.path, "name=Eva", headers)
+		require.Equal(t, http.StatusUnprocessableEntity, changed.status)
+		require.Equal(t, codeKeyReused, changed.errorCode)
+		return
+	}
+	require.Equal(t, http.StatusConflict, again.status)
+	require.Equal(t, verdict.MayHaveRun.String(), again.verdict)
+}
+
+// TestClaimNeedsController shows that a request that may run at most once does not run
+// when no controller can grant its claim.
+func TestClaimNeedsController(t *testing.T) {
+	service := startPage(t, "p1", nil)
+	controller := startController(t, pageBackEnd("p1", service.Address()))
+	gateway := startGateway(t, testSettings(controller.address))
+	call(t, http.MethodGet, gateway.url+"/lots/1", "", nil) // the gateway meets the tenant
+	controller.down.Store(true)
+	answer := call(t, http.MethodPost, gateway.url+"/registrations", "x", map[string]string{enginecontract.HeaderIdempotencyKey: "k"})
+	require.Equal(t, http.StatusServiceUnavailable, answer.status)
+	require.Equal(t, codeClaimUnreachable, answer.errorCode)
+	require.Equal(t, verdict.NotRun.String(), answer.verdict)
+	require.Equal(t, 1, service.Runs().Served)
+}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -34,10 +34,16 @@
 	codeUnknownKind      = "unknown_kind"
 	codeModelNotFound    = "model_not_found"
 	codeOverloaded       = "overloaded"
+	codeRateLimit        = "rate_limit_exceeded"
 	codeNoBackEnd        = "no_back_end"
 	codeBackEndFailed    = "back_end_failed"
 	codeDeadlineExceeded = "deadline_exceeded"
 	codeNotReady         = "not_ready"
+	codeClaimUnreachable = "claim_not_made"
+	codeClaimRefused     = "claim_refused"
+	codeStillRunning     = "still_running"
+	codeOutcomeUnknown   = "outcome_unknown"
+	codeKeyReused        = "idempotency_key_reused"
 	codeCallerGone       = "caller_gone"
 	codeInternal         = "internal_error"
 )
@@ -72,6 +78,18 @@
 	return r
 }
 
+// combine returns the refusal that is true of a request of which an earlier exchange may
+// have run.
+func (r *refusal) combine(mayHaveRun bool) *refusal {
+	if !mayHaveRun {
+		return r
+	}
+	if r.code == codeNoBackEnd {
+		r = refuseBackEnd() // there was one, and it failed
+	}
+	return r.mayHaveRun()
+}
+
 // body returns the refusal in the chat protocol's shape.
 func (r *refusal) body() stream.ErrorBody {
 	return stream.ErrorBody{
@@ -84,7 +102,7 @@
 func (r *refusal) write(response *fasthttp.Response) {
 	body, _ := json.Marshal(r.body()) // strings always marshal
 	response.SetStatusCode(r.status)
-	response.Header.SetContentType("application/json")
+	response.Header.SetContentType(contentTypeJSON)
 	response.Header.Set(verdict.Header, r.verdict.String())
 	if r.retryAfter > 0 {
 		seconds := int(math.Ceil(r.retryAfter.Seconds()))
@@ -93,6 +111,11 @@
 	response.SetBody(body)
 }
 
+func refuseDeadline() *refusal {
+	return refuse(http.StatusGatewayTimeout, typeServer, codeDeadlineExceeded,
+		"the deadline of the request's kind has passed").after(time.Second)
+}
+
 func refuseInternal() *refusal {
 	return refuse(http.StatusInternalServerError, typeServer, codeInternal, "the gateway failed; the request may have run").mayHaveRun()
 }
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -28,7 +28,7 @@
 }
 
 func (g *Gateway) reportOnce(ctx context.Context) error {
-	build := buildReport{reply: make(chan *v1.ReportRequest, 1)}
+	build := buildReport{shareDemands: g.admitter.demands(), reply: make(chan *v1.ReportRequest, 1)}
 	if !g.view.send(ctx, build) {
 		return trace.Wrap(ctx.Err())
 	}
@@ -42,7 +42,7 @@
 		g.view.send(ctx, loseReport{request: request})
 		return err
 	}
-	g.view.send(ctx, applyReport{sentAt: sentAt, response: response})
+	g.admitter.apply(sentAt, response.GetShares())
 	return nil
 }
 
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -6,7 +6,9 @@
 	"github.com/valyala/fasthttp"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/admission"
 	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
+	"github.com/hazelpitch/hazelpitch/internal/limits"
 	"github.com/hazelpitch/hazelpitch/internal/routing"
 )
 
@@ -89,19 +91,34 @@
 	return refuse(http.StatusNotFound, typeInvalidRequest, codeModelNotFound, "there is no such model")
 }
 
-// routingRequest returns what routing needs to know of a chat request.
-func (t *target) routingRequest(tenant *gatewaystate.Tenant, request *chatRequest) routing.Request {
-	output := int(t.kind.Spec.GetExpectedOutputTokens())
-	if request.maximumTokens > 0 && (output == 0 || request.maximumTokens < output) {
-		output = request.maximumTokens
+// shape returns what the estimate of a request's tokens follows from.
+func (t *target) shape(tenant *gatewaystate.Tenant, request *chatRequest) admission.Shape {
+	return admission.Shape{
+		Tenant:              tenant.Name,
+		Kind:                t.kind.Name,
+		PromptBytes:         len(request.prompt),
+		MaximumOutputTokens: request.maximumTokens,
+		Declared: admission.Declared{
+			PromptTokens: int(t.kind.Spec.GetExpectedPromptTokens()),
+			OutputTokens: int(t.kind.Spec.GetExpectedOutputTokens()),
+		},
 	}
+}
+
+// routingRequest returns what routing needs to know of a chat request.
+func (t *target) routingRequest(tenant *gatewaystate.Tenant, request *chatRequest, estimate admission.Estimate) routing.Request {
 	return routing.Request{
 		Service:      t.kind.Spec.GetService(),
 		Model:        t.kind.Model,
 		Version:      t.version,
 		Adapter:      t.adapter,
-		PromptTokens: request.promptTokens(),
-		OutputTokens: output,
+		PromptTokens: estimate.PromptTokens,
+		OutputTokens: estimate.OutputTokens,
 		PrefixBlocks: routing.PrefixBlocks(tenant.Spec.GetCacheSalt(), request.prompt),
 	}
 }
+
+// tenantLimit returns a tenant's limits over the whole fleet.
+func tenantLimit(tenant *gatewaystate.Tenant) limits.Limit {
+	return limits.Limit{TokensPerSecond: tenant.Spec.GetTokensPerSecond(), Concurrency: tenant.Spec.GetConcurrency()}
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -175,17 +175,6 @@
 	c.reply <- v.state.ReportRequest(v.clock.now(), c.shareDemands)
 }
 
-// applyReport hands over the leader's answer.
-type applyReport struct {
-	sentAt   time.Duration
-	response *v1.ReportResponse
-}
-
-func (c applyReport) run(v *view) {
-	v.state.ApplyReport(c.sentAt, c.response)
-	v.snapshot.Store(v.state.Snapshot())
-}
-
 // loseReport puts the counts of a lost report back.
 type loseReport struct{ request *v1.ReportRequest }
 
--- a/internal/gatewaystate/report.go
+++ b/internal/gatewaystate/report.go
@@ -83,15 +83,3 @@
 	}
 	s.reportedAt -= time.Duration(request.GetWindowMs()) * time.Millisecond
 }
-
-// ApplyReport takes the shares granted in answer to a report sent at sentAt: a share's
-// validity counts from then, so that it never outlives the leader's record of it.
-func (s *State) ApplyReport(sentAt time.Duration, response *v1.ReportResponse) {
-	for _, share := range response.GetShares() {
-		s.shares[share.GetTenant()] = Share{
-			TokensPerSecond: share.GetTokensPerSecond(),
-			Concurrency:     share.GetConcurrency(),
-			ExpiresAt:       sentAt + time.Duration(share.GetValidMs())*time.Millisecond,
-		}
-	}
-}
--- a/internal/gatewaystate/snapshot.go
+++ b/internal/gatewaystate/snapshot.go
@@ -22,14 +22,6 @@
 	adapters  map[string]*v1.Adapter
 	keys      map[string]*Tenant // by hash of API key
 	rejected  map[string]struct{}
-	shares    map[string]Share
-}
-
-// Share is this gateway's part of a tenant's limits.
-type Share struct {
-	TokensPerSecond uint64
-	Concurrency     uint32
-	ExpiresAt       time.Duration
 }
 
 // Tenant returns the tenant that an API key's hash (lower-case hex SHA-256) belongs to.
@@ -95,16 +87,6 @@
 	return slices.Sorted(maps.Keys(s.models))
 }
 
-// Share returns the gateway's part of a tenant's limits and whether it still holds.
-func (s *Snapshot) Share(now time.Duration, tenant string) (Share, bool) {
-	share, ok := s.shares[tenant]
-	return share, ok && now < share.ExpiresAt
-}
-
-// Shares returns every share last granted, expired ones among them, by tenant. The map
-// is shared and must not be changed.
-func (s *Snapshot) Shares() map[string]Share { return s.shares }
-
 // fill derives the lookups from the declared objects.
 func (s *Snapshot) fill(objects map[objectKey]*v1.Object, lastUsed func(string) *Tenant) {
 	s.kinds = map[string]*Kind{}
--- a/internal/gatewaystate/state.go
+++ b/internal/gatewaystate/state.go
@@ -37,7 +37,6 @@
 	tenants       map[string]*atomic.Int64 // last use, by tenant
 	unknownKeys   map[string]struct{}
 	rejectedKeys  map[string]struct{}
-	shares        map[string]Share
 	demands       map[demandKey]*v1.Demand
 	reportedAt    time.Duration
 	syncedAt      time.Duration
@@ -58,7 +57,6 @@
 		tenants:              map[string]*atomic.Int64{},
 		unknownKeys:          map[string]struct{}{},
 		rejectedKeys:         map[string]struct{}{},
-		shares:               map[string]Share{},
 		demands:              map[demandKey]*v1.Demand{},
 		configurationChanged: true,
 	}
@@ -216,7 +214,6 @@
 
 func (s *State) forgetTenant(name string) {
 	delete(s.tenants, name)
-	delete(s.shares, name)
 	delete(s.configuration.objects, objectKey{v1.ObjectType_OBJECT_TYPE_TENANT, name})
 	s.configurationChanged = true
 }
@@ -234,7 +231,6 @@
 	}
 	next.Revision = s.configuration.revision
 	next.SyncedAt = s.syncedAt
-	next.shares = maps.Clone(s.shares)
 	s.configurationChanged = false
 	s.snapshot = next
 	return next
--- a/internal/stream/writer.go
+++ b/internal/stream/writer.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"strconv"
 
+	"github.com/tidwall/gjson"
+
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 )
 
@@ -58,6 +60,21 @@
 	}
 }
 
+// AppendWhole appends a whole answer, as Answer.JSON returned it, as a stream of its own:
+// one event with all of the text, the finish event, the usage event and the end.
+func (w *Writer) AppendWhole(buffer, whole []byte) []byte {
+	choice := gjson.GetBytes(whole, "choices.0")
+	reason, _ := json.Marshal(choice.Get("finish_reason").String()) // a string always marshals
+	text, end := `"text":`+choice.Get("text").Raw, `"text":""`
+	if message := choice.Get("message"); message.Exists() {
+		text, end = `"delta":`+message.Raw, `"delta":{}`
+	}
+	buffer = w.AppendEvent(buffer, &Event{Choices: []byte(`[{"index":0,` + text + `,"finish_reason":null}]`)})
+	buffer = w.AppendEvent(buffer, &Event{Choices: []byte(`[{"index":0,` + end + `,"finish_reason":` + string(reason) + `}]`)})
+	buffer = w.AppendEvent(buffer, &Event{Type: EventUsage, Usage: []byte(gjson.GetBytes(whole, "usage").Raw)})
+	return w.AppendDone(buffer)
+}
+
 // AppendDone appends the end of a whole stream.
 func (w *Writer) AppendDone(buffer []byte) []byte {
 	buffer = append(buffer, "data: "...)
--- a/internal/upstream/interrupter.go
+++ b/internal/upstream/interrupter.go
@@ -12,13 +12,33 @@
 	mutex      sync.Mutex
 	connection *trackedConnection
 	fired      bool
+	done       chan struct{}
+}
+
+// Done returns a channel that is closed by Interrupt.
+func (i *Interrupter) Done() <-chan struct{} {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.done == nil {
+		i.done = make(chan struct{})
+		if i.fired {
+			close(i.done)
+		}
+	}
+	return i.done
 }
 
 // Interrupt breaks off the exchange under way and forbids later ones.
 func (i *Interrupter) Interrupt() {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
+	if i.fired {
+		return
+	}
 	i.fired = true
+	if i.done != nil {
+		close(i.done)
+	}
 	if i.connection != nil {
 		_ = i.connection.SetDeadline(longPast) // a closed connection fails by itself
 	}
