Show that callers who go away or stall free their engine, and claims outlive them

Cause: disconnects and slow readers had no test. Change: tests over raw sockets: gone before and after the first token, streamed and whole; gone under a claim; a reader that stalls. Conclusion: one cancel at the engine for each; a claimed request runs once to its end and its resend gets the recorded answer.

--- /dev/null
+++ b/internal/gateway/callers_test.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/standin/page"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+const (
+	eventually = 15 * time.Second
+	often      = 10 * time.Millisecond
+)
+
+// rawRequest is a request as bytes on a connection.
+func rawRequest(method, path, kind, key, body string) string {
+	request := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: gateway\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n", method, path, testKey, len(body))
+	if kind != "" {
+		request += HeaderKind + ": " + kind + "\r\n"
+	}
+	if key != "" {
+		request += enginecontract.HeaderIdempotencyKey + ": " + key + "\r\n"
+	}
+	return request + "\r\n" + body
+}
+
+func dial(t *testing.T, gateway *testGateway, text string) net.Conn {
+	connection, err := net.Dial("tcp", gateway.address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = connection.Close() })
+	_, err = connection.Write([]byte(text))
+	require.NoError(t, err)
+	return connection
+}
+
+// TestCallerGone shows that a caller's disconnect cancels the request at the engine, at
+// any point of the answer.
+func TestCallerGone(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		body string
+		// block holds the answer back before its head; otherwise tokens come slowly and the
+		// caller goes after the first.
+		block bool
+	}{
+		{name: "streamed, before the first token", body: streamBody, block: true},
+		{name: "streamed, after the first token", body: streamBody},
+		{name: "whole, before the first token", body: wholeBody, block: true},
+		{name: "whole, in the middle", body: wholeBody},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			engine := startEngine(t)
+			engine.tokenTime = 300 * time.Millisecond
+			if row.block {
+				engine.block = make(chan struct{})
+				defer close(engine.block)
+			}
+			controller := startController(t, engineBackEnd("e1", engine.address(), v1.Role_ROLE_MIXED))
+			gateway := startGateway(t, testSettings(controller.address))
+			connection := dial(t, gateway, rawRequest(http.MethodPost, "/v1/chat/completions", "matching", "", row.body))
+			if !row.block && row.body == streamBody {
+				_, err := bufio.NewReader(connection).ReadString('}')
+				require.NoError(t, err)
+			}
+			require.Eventually(t, func() bool { _, requests, _ := engine.counts(); return requests == 1 }, eventually, often)
+			require.NoError(t, connection.Close())
+			require.Eventually(t, func() bool { _, _, cancels := engine.counts(); return cancels == 1 }, eventually, often)
+		})
+	}
+}
+
+// TestCallerGoneUnderClaim shows that a claimed request runs to its end without its
+// caller, whose resend gets the recorded answer.
+func TestCallerGoneUnderClaim(t *testing.T) {
+	service, err := page.Start(page.Config{Name: "p1", Service: "portal", Address: "127.0.0.1:0", ServiceTime: 700 * time.Millisecond})
+	require.NoError(t, err)
+	t.Cleanup(service.Close)
+	engine := startEngine(t)
+	engine.tokenTime = 100 * time.Millisecond
+	controller := startController(t, pageBackEnd("p1", service.Address()), engineBackEnd("e1", engine.address(), v1.Role_ROLE_MIXED))
+	gateway := startGateway(t, testSettings(controller.address))
+
+	registration := dial(t, gateway, rawRequest(http.MethodPost, "/registrations", "", "k1", "lot=7"))
+	chat := dial(t, gateway, rawRequest(http.MethodPost, "/v1/chat/completions", "once", "k2", streamBody))
+	_, err = bufio.NewReader(chat).ReadString('}')
+	require.NoError(t, err)
+	require.NoError(t, chat.Close())
+	require.NoError(t, registration.Close())
+	require.Eventually(t, func() bool { return controller.outcomes() == 2 }, eventually, often)
+
+	again := call(t, http.MethodPost, gateway.url+"/registrations", "lot=7", map[string]string{enginecontract.HeaderIdempotencyKey: "k1"})
+	require.Equal(t, http.StatusOK, again.status)
+	require.Equal(t, page.Receipt("/registrations", "k1", []byte("lot=7")), again.body)
+	for _, body := range []string{streamBody, wholeBody} {
+		answer := call(t, http.MethodPost, gateway.url+"/v1/chat/completions", body,
+			map[string]string{HeaderKind: "once", enginecontract.HeaderIdempotencyKey: "k2"})
+		require.Equal(t, wholeText, answer.text, answer.body)
+		require.True(t, answer.whole)
+		require.Equal(t, verdict.Ran.String(), answer.verdict)
+	}
+	runs, _, cancels := engine.counts()
+	require.Equal(t, 1, runs)
+	require.Zero(t, cancels)
+	require.Equal(t, 1, service.Runs().Served)
+}
+
+// TestSlowCaller shows that a caller who does not read is dropped and its request
+// cancelled.
+func TestSlowCaller(t *testing.T) {
+	engine := startEngine(t)
+	engine.tokens = make([]string, 4000)
+	for i := range engine.tokens {
+		engine.tokens[i] = strings.Repeat("x", 4000)
+	}
+	controller := startController(t, engineBackEnd("e1", engine.address(), v1.Role_ROLE_MIXED))
+	config := testSettings(controller.address)
+	config.Limits.WriteTimeout = 200 * time.Millisecond
+	gateway := startGateway(t, config)
+	dial(t, gateway, rawRequest(http.MethodPost, "/v1/chat/completions", "matching", "", streamBody))
+	require.Eventually(t, func() bool { _, _, cancels := engine.counts(); return cancels == 1 }, eventually, often)
+}
--- a/internal/gateway/engine_test.go
+++ b/internal/gateway/engine_test.go
@@ -70,13 +70,15 @@
 	bodies    []string
 	exchanges map[string]int // exchange to its first token's number
 	tokenTime time.Duration
-	role      enginecontract.Role
+	// tokens are those of each answer; default answerTokens.
+	tokens []string
+	role   enginecontract.Role
 	// block, when set, holds every run until it is closed.
 	block chan struct{}
 }
 
 func startEngine(t testing.TB, faults ...engineFault) *testEngine {
-	engine := &testEngine{faults: faults, exchanges: map[string]int{}, role: enginecontract.RoleMixed}
+	engine := &testEngine{faults: faults, exchanges: map[string]int{}, tokens: answerTokens, role: enginecontract.RoleMixed}
 	engine.server = httptest.NewServer(engine)
 	t.Cleanup(func() {
 		engine.server.CloseClientConnections()
@@ -185,7 +187,7 @@
 	writer.Header().Set("Content-Type", "text/event-stream")
 	chat := !gjson.Get(body, "prompt").Exists()
 	out := &eventWriter{writer: writer, exchange: exchange, chat: chat}
-	for number := first + 1; number <= len(answerTokens); number++ {
+	for number := first + 1; number <= len(e.tokens); number++ {
 		if e.tokenTime > 0 {
 			time.Sleep(e.tokenTime)
 		}
@@ -210,10 +212,10 @@
 		foreign.token(number, "ANOTHER CALLER'S TEXT")
 	}
 	if wrong.skip != number {
-		out.token(number, answerTokens[number-1])
+		out.token(number, e.tokens[number-1])
 	}
 	if wrong.duplicate {
-		out.token(number, answerTokens[number-1])
+		out.token(number, e.tokens[number-1])
 	}
 	switch number {
 	case wrong.stallAfter:
@@ -229,7 +231,7 @@
 }
 
 func (e *testEngine) end(out *eventWriter, wrong engineFault) {
-	last := len(answerTokens)
+	last := len(e.tokens)
 	if !wrong.noFinish {
 		delta := `"delta":{}`
 		if !out.chat {
