Run the whole path: hazelbench fleet, load and demo

Cause: the thin whole path needs one command that boots a deployment, sends real requests and measures them. Change: internal/fleet starts controllers and gateways as processes of their own by running this program again (hidden subcommand serve, the servers' own code with the zones' latencies); internal/load sends open-loop traffic, checks every answer and compares verdicts with what the stand-ins ran; hazelbench demo puts both together.

--- /dev/null
+++ b/cmd/hazelbench/main.go
@@ -0,0 +1,18 @@
+// Command hazelbench is the project's test tool: stand-ins of the outside systems,
+// fleets on loopback addresses, load, experiments and simulations.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/hazelpitch/hazelpitch/internal/benchcommand"
+)
+
+func main() {
+	os.Exit(benchcommand.Run(context.Background(), os.Args[1:], benchcommand.Environment{
+		Program: "hazelbench",
+		Stdout:  os.Stdout,
+		Stderr:  os.Stderr,
+	}))
+}
--- /dev/null
+++ b/cmd/hazelbench/main_test.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/require"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"hazelbench": main})
+}
+
+func TestCommandLine(t *testing.T) {
+	deploy, err := filepath.Abs("../../deploy")
+	require.NoError(t, err)
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(environment *testscript.Env) error {
+			environment.Setenv("DEPLOY", deploy)
+			environment.Setenv("TMPDIR", os.TempDir())
+			return nil
+		},
+	})
+}
--- /dev/null
+++ b/internal/benchcommand/demo.go
@@ -0,0 +1,162 @@
+package benchcommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/fleet"
+	"github.com/hazelpitch/hazelpitch/internal/load"
+	"github.com/hazelpitch/hazelpitch/internal/standin/engine"
+)
+
+const (
+	// roleChangeAfter is how long the load runs before the role change.
+	roleChangeAfter = 4 * time.Second
+	// roleChangeTimeout bounds the role change: drain and change.
+	roleChangeTimeout = 40 * time.Second
+	statePoll         = 20 * time.Millisecond
+)
+
+// demoFlags are the flags of `hazelbench demo`.
+type demoFlags struct {
+	Deployment string        `long:"deployment" value-name:"DIR" default:"deploy/rawabi" description:"directory with fleet.yaml, load.yaml, settings and declarations"`
+	Duration   time.Duration `long:"duration" default:"20s" description:"how long the load runs"`
+	Scale      float64       `long:"scale" default:"1" description:"multiplies every rate"`
+	Directory  string        `long:"directory" value-name:"DIR" description:"where the run's settings, data and logs go; default: a temporary directory that is removed at the end"`
+}
+
+func demoCommand() command {
+	return command{
+		name:  "demo",
+		short: "boot a deployment, send it real requests, change a role under load, print a summary",
+		long: "Boots a deployment at its full size on a free loopback network, sends one request of each kind through a " +
+			"gateway, streams one answer here, changes one engine's role under load, and prints what was measured. It " +
+			"fails when anything was cut, lost, mixed or run twice.",
+		runner: new(demoFlags),
+	}
+}
+
+func (d *demoFlags) run(ctx context.Context, environment Environment, rest []string) error {
+	if err := noArguments(rest); err != nil {
+		return err
+	}
+	directory, remove, err := runDirectory(d.Directory)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer remove()
+	out := environment.Stdout
+	started, err := fleet.Start(fleet.Options{Deployment: d.Deployment, Directory: directory, Serve: serveArguments})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer started.Close()
+	fmt.Fprintf(out, "%s on %s: %d controllers, %d gateways, %d engines, %d page services in %d zones\n",
+		started.Description.Name, started.Description.Network, len(started.Of(fleet.RoleController)), len(started.Of(fleet.RoleGateway)),
+		len(started.Outside.Engines), len(started.Outside.Pages), len(started.Description.Zones))
+	if err := boot(ctx, started, true, out); err != nil {
+		return trace.Wrap(err)
+	}
+	options := loadOptions(d.Deployment, started.Description, started.Addresses(fleet.RoleGateway))
+	options.Length, options.Scale, options.Seed = d.Duration, d.Scale, 1
+	if err := d.probe(options, out); err != nil {
+		return trace.Wrap(err)
+	}
+	report, err := d.changeRoleUnderLoad(ctx, started, options, out)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	report.Write(out)
+	return report.Failed()
+}
+
+// probe sends one request of each kind and streams one answer to the terminal.
+func (d *demoFlags) probe(options load.Options, out io.Writer) error {
+	results, err := load.Probe(options)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, result := range results {
+		fmt.Fprintf(out, "  %-22s %s, %s, %.1f ms, %d tokens %s\n", result.Kind, result.Outcome, result.Verdict,
+			float64(result.Total.Microseconds())/1000, result.Tokens, result.Detail)
+		if result.Outcome != load.Completed {
+			return trace.Errorf("the first %s was not completed: %d %s %s", result.Kind, result.Status, result.Code, result.Detail)
+		}
+	}
+	fmt.Fprint(out, "one answer as it streams:")
+	result, err := load.Show(options, out)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if result.Outcome != load.Completed {
+		return trace.Errorf("the streamed answer was not completed: %d %s %s", result.Status, result.Code, result.Detail)
+	}
+	return nil
+}
+
+// changeRoleUnderLoad runs the load and changes one engine's role in its middle.
+func (d *demoFlags) changeRoleUnderLoad(ctx context.Context, started *fleet.Fleet, options load.Options, out io.Writer) (load.Report, error) {
+	fmt.Fprintf(out, "load for %v:\n", d.Duration)
+	changed := make(chan error, 1)
+	go func() {
+		time.Sleep(min(roleChangeAfter, d.Duration/2))
+		changed <- changeRole(ctx, started, out)
+	}()
+	report, err := load.Run(ctx, options)
+	changeErr := <-changed
+	if err != nil {
+		return report, trace.Wrap(err)
+	}
+	if changeErr != nil {
+		report.Write(out)
+		return report, trace.Wrap(changeErr)
+	}
+	report.Engines.RoleChanges = started.Outside.Totals().RoleChanges
+	return report, nil
+}
+
+// changeRole orders a busy mixed engine to decode and waits until it serves so.
+func changeRole(ctx context.Context, started *fleet.Fleet, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, roleChangeTimeout)
+	defer cancel()
+	chosen, inFlight := busiest(started.Outside.Engines, enginecontract.RoleMixed)
+	if chosen == nil {
+		return trace.NotFound("no engine is mixed")
+	}
+	began := time.Now()
+	answer, err := started.Operator().Execute(ctx, fmt.Sprintf("set role of engine %s to %s", chosen.Name(), enginecontract.RoleDecode))
+	if err != nil {
+		return trace.Wrap(err, "ordering the role change")
+	}
+	fmt.Fprintf(out, "  role change of %s to decode with %d in flight: %s\n", chosen.Name(), inFlight, answer.GetMessage())
+	for {
+		state, running := chosen.State()
+		if running && state.Role == enginecontract.RoleDecode && state.State == enginecontract.StateServing {
+			fmt.Fprintf(out, "  role changed after %.1f s\n", time.Since(began).Seconds())
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return trace.Errorf("%s is still %s and %s (order %s)", chosen.Name(), state.Role, state.State, state.OrderPhase)
+		case <-time.After(statePoll):
+		}
+	}
+}
+
+// busiest returns the engine of a role with the most in flight.
+func busiest(engines []*engine.Engine, role enginecontract.Role) (*engine.Engine, int) {
+	var found *engine.Engine
+	most := -1
+	for _, present := range engines {
+		state, running := present.State()
+		if running && state.Role == role && state.InFlight > most {
+			found, most = present, state.InFlight
+		}
+	}
+	return found, most
+}
--- /dev/null
+++ b/internal/benchcommand/fleet.go
@@ -0,0 +1,137 @@
+package benchcommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/fleet"
+	"github.com/hazelpitch/hazelpitch/internal/load"
+)
+
+// bootTimeout bounds the time from a fleet's start until its gateways are ready.
+const bootTimeout = 60 * time.Second
+
+// fleetFlags are the flags of `hazelbench fleet`.
+type fleetFlags struct {
+	Deployment string `long:"deployment" value-name:"DIR" default:"deploy/rawabi" description:"directory with fleet.yaml, settings and declarations"`
+	Network    string `long:"network" value-name:"127.N" description:"first two numbers of the addresses; default: the deployment's own; free takes any that is free"`
+	Directory  string `long:"directory" value-name:"DIR" description:"where the run's settings, data and logs go; default: a temporary directory that is removed at the end"`
+	NoApply    bool   `long:"no-apply" description:"leave the declarations to the operator"`
+}
+
+// freeNetwork is the value of --network that takes any free network.
+const freeNetwork = "free"
+
+func fleetCommand() command {
+	return command{
+		name:  "fleet",
+		short: "run a whole deployment on loopback addresses until interrupted",
+		long: "Starts the outside systems as stand-ins in this process, controllers and gateways as processes of " +
+			"their own, with the latencies between the zones, and applies the declarations. docs/BENCH.md tells more.",
+		runner: new(fleetFlags),
+	}
+}
+
+func (f *fleetFlags) run(ctx context.Context, environment Environment, rest []string) error {
+	if err := noArguments(rest); err != nil {
+		return err
+	}
+	directory, remove, err := runDirectory(f.Directory)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer remove()
+	options := fleet.Options{Deployment: f.Deployment, Directory: directory, Network: f.Network, Serve: serveArguments}
+	if options.Network == "" {
+		description, err := fleet.LoadDescription(f.Deployment)
+		if err != nil {
+			return &usageError{cause: err}
+		}
+		options.Network = description.Network
+	}
+	if options.Network == freeNetwork {
+		options.Network = ""
+	}
+	started, err := fleet.Start(options)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer started.Close()
+	if err := boot(ctx, started, !f.NoApply, environment.Stderr); err != nil {
+		return trace.Wrap(err)
+	}
+	describe(started, environment.Stdout)
+	<-ctx.Done()
+	return nil
+}
+
+// noArguments refuses arguments that are not flags.
+func noArguments(rest []string) error {
+	if len(rest) > 0 {
+		return &usageError{cause: trace.BadParameter("unexpected argument %q", rest[0])}
+	}
+	return nil
+}
+
+// runDirectory returns the directory of a run and what removes it at the end.
+func runDirectory(wanted string) (string, func(), error) {
+	if wanted != "" {
+		return wanted, func() {}, trace.ConvertSystemError(os.MkdirAll(wanted, 0o755))
+	}
+	directory, err := os.MkdirTemp("", "hazelbench-")
+	if err != nil {
+		return "", nil, trace.ConvertSystemError(err)
+	}
+	return directory, func() { _ = os.RemoveAll(directory) }, nil // a temporary directory may stay
+}
+
+// boot waits for the controllers, applies the declarations and waits for the gateways.
+func boot(ctx context.Context, started *fleet.Fleet, apply bool, progress io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, bootTimeout)
+	defer cancel()
+	began := time.Now()
+	if err := started.WaitReady(ctx, fleet.RoleController); err != nil {
+		return trace.Wrap(err)
+	}
+	fmt.Fprintf(progress, "controllers ready after %.1f s\n", time.Since(began).Seconds())
+	if !apply {
+		return nil
+	}
+	files, err := load.Declarations(started.Deployment)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	answer, err := started.Operator().Apply(ctx, files)
+	if err != nil {
+		return trace.Wrap(err, "applying the declarations")
+	}
+	if answer.GetOutcome() != v1.ApplyOutcome_APPLY_OUTCOME_ACCEPTED && answer.GetOutcome() != v1.ApplyOutcome_APPLY_OUTCOME_UNCHANGED {
+		return trace.Errorf("the declarations were not accepted: %s %s", answer.GetOutcome(), answer.GetDetail())
+	}
+	fmt.Fprintf(progress, "declarations in force as revision %d after %.1f s\n", answer.GetRevision(), time.Since(began).Seconds())
+	if err := started.WaitReady(ctx, fleet.RoleGateway); err != nil {
+		return trace.Wrap(err)
+	}
+	fmt.Fprintf(progress, "gateways ready after %.1f s\n", time.Since(began).Seconds())
+	return nil
+}
+
+// describe prints where everything listens.
+func describe(started *fleet.Fleet, out io.Writer) {
+	for _, process := range started.Processes {
+		fmt.Fprintf(out, "%-10s %-28s %s  admin %s  log %s\n", process.Role, process.Name, process.Listen, process.AdminListen, process.LogPath)
+	}
+	for _, present := range started.Outside.Engines {
+		fmt.Fprintf(out, "%-10s %-28s %s\n", "engine", present.Name(), present.Address())
+	}
+	for _, present := range started.Outside.Pages {
+		fmt.Fprintf(out, "%-10s %-28s %s\n", "page", present.Name(), present.Address())
+	}
+	fmt.Fprintf(out, "machine list %s, weight store %s\n", started.Outside.Machines.Address(), started.Outside.WeightStore.Address())
+}
--- a/internal/fleet/description.go
+++ b/internal/fleet/description.go
@@ -130,8 +130,8 @@
 	return nil
 }
 
-// on returns the description on another network.
-func (d Description) on(network string) Description {
+// On returns the description on another network.
+func (d Description) On(network string) Description {
 	moved := d
 	moved.Network = network
 	moved.MachineList.Address = network + strings.TrimPrefix(d.MachineList.Address, d.Network)
--- a/internal/fleet/description_test.go
+++ b/internal/fleet/description_test.go
@@ -74,7 +74,7 @@
 func TestTopologyOfRawabi(t *testing.T) {
 	description, err := LoadDescription(filepath.Join(deployments, "rawabi"))
 	require.NoError(t, err)
-	topology := NewTopology(description.on("127.9"))
+	topology := NewTopology(description.On("127.9"))
 	for _, test := range []struct {
 		one, other string
 		want       time.Duration
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,169 @@
+// Package fleet boots a whole deployment on loopback addresses: the outside systems
+// as stand-ins in this process, controllers and gateways as real processes of their
+// own, with the latencies between zones injected by address.
+package fleet
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginemodel"
+	"github.com/hazelpitch/hazelpitch/internal/metrics"
+)
+
+// readyPoll is the time between looks at whether a process is ready.
+const readyPoll = 50 * time.Millisecond
+
+// Options are what a fleet is started with.
+type Options struct {
+	// Deployment is the directory with fleet.yaml, settings and declarations.
+	Deployment string
+	// Directory holds the run's settings, data and logs. It must exist.
+	Directory string
+	// Network is the first two numbers of the addresses; empty takes a free network.
+	Network string
+	// Profile of the stand-in engines; the zero value is the default profile.
+	Profile enginemodel.Profile
+	// Serve makes the arguments for this program to run a server. Required.
+	Serve ServeArguments
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Description Description
+	Outside     *Outside
+	Processes   []*Process
+	Directory   string
+	Deployment  string
+	reserved    *reservation
+}
+
+// Start boots a deployment: stand-ins first, then controllers, then gateways. It
+// returns once the processes run; see WaitReady.
+func Start(options Options) (*Fleet, error) {
+	description, err := LoadDescription(options.Deployment)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var reserved *reservation
+	if options.Network == "" {
+		reserved, err = reserveAny()
+	} else {
+		reserved, err = reserve(options.Network)
+	}
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	fleet := &Fleet{
+		Description: description.On(reserved.network), Directory: options.Directory,
+		Deployment: options.Deployment, reserved: reserved,
+	}
+	if err := fleet.start(options, description); err != nil {
+		fleet.Close()
+		return nil, trace.Wrap(err)
+	}
+	return fleet, nil
+}
+
+func (f *Fleet) start(options Options, written Description) error {
+	directory, err := filepath.Abs(options.Directory)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	options.Directory = directory
+	processes, err := prepare(options, written, f.Description.Network)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if options.Profile.Name == "" {
+		options.Profile = enginemodel.DefaultProfile()
+	}
+	f.Outside, err = StartOutside(f.Description, options.Profile)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	f.Processes = processes
+	for _, process := range processes {
+		if process.Role == RoleController {
+			if err := os.MkdirAll(filepath.Join(directory, "data", process.Name), 0o755); err != nil {
+				return trace.ConvertSystemError(err)
+			}
+		}
+		if err := process.Start(); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// WaitReady waits until the processes of a role say that they can serve.
+func (f *Fleet) WaitReady(ctx context.Context, role Role) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, process := range f.Of(role) {
+		group.Go(func() error { return process.waitReady(ctx) })
+	}
+	return trace.Wrap(group.Wait())
+}
+
+func (p *Process) waitReady(ctx context.Context) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for {
+		status, body, err := fasthttp.Get(nil, "http://"+p.AdminListen+metrics.PathReady)
+		if err == nil && status == fasthttp.StatusOK {
+			return nil
+		}
+		if !p.Running() {
+			return trace.Errorf("%s has ended; its log is %s", p.Name, p.LogPath)
+		}
+		select {
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err(), "%s is not ready: %s (its log is %s)", p.Name, body, p.LogPath)
+		case <-ticker.C:
+		}
+	}
+}
+
+// Of returns the processes of a role.
+func (f *Fleet) Of(role Role) []*Process {
+	var found []*Process
+	for _, process := range f.Processes {
+		if process.Role == role {
+			found = append(found, process)
+		}
+	}
+	return found
+}
+
+// Addresses returns where the processes of a role listen.
+func (f *Fleet) Addresses(role Role) []string {
+	var addresses []string
+	for _, process := range f.Of(role) {
+		addresses = append(addresses, process.Listen)
+	}
+	return addresses
+}
+
+// Close stops everything: gateways, then controllers, then the stand-ins.
+func (f *Fleet) Close() {
+	for _, role := range []Role{RoleGateway, RoleController} {
+		var group errgroup.Group
+		for _, process := range f.Of(role) {
+			group.Go(func() error {
+				process.Stop()
+				return nil
+			})
+		}
+		_ = group.Wait() // none of them fails
+	}
+	if f.Outside != nil {
+		f.Outside.Close()
+	}
+	f.reserved.release()
+}
--- a/internal/fleet/outside.go
+++ b/internal/fleet/outside.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"fmt"
 	"slices"
 
 	"github.com/gravitational/trace"
@@ -14,9 +13,6 @@
 	"github.com/hazelpitch/hazelpitch/internal/standin/weightstore"
 )
 
-// firstReplicaHost is the last number of the first replica's address in a zone.
-const firstReplicaHost = 20
-
 // Outside is the stand-ins of a fleet, all in this process.
 type Outside struct {
 	Engines     []*engine.Engine
@@ -46,16 +42,14 @@
 		return trace.Wrap(err)
 	}
 	var machines []enginecontract.Machine
-	for _, service := range description.Services {
-		for _, zone := range description.Zones {
-			for replica := range service.Replicas[zone.Name] {
-				machine, err := o.startReplica(description, service, zone, replica, profile)
-				if err != nil {
-					return trace.Wrap(err)
-				}
-				machines = append(machines, machine)
-			}
+	for _, replica := range description.Replicas() {
+		if err := o.startReplica(description, replica, profile); err != nil {
+			return trace.Wrap(err)
 		}
+		machines = append(machines, enginecontract.Machine{
+			Name: replica.Name, Service: replica.Service.Name, Zone: replica.Zone,
+			Address: replica.Address, State: enginecontract.StateServing,
+		})
 	}
 	o.Machines, err = machinelist.Start(machinelist.Config{
 		Address: description.MachineList.Address, Lag: description.MachineList.Lag, Listen: topology.Listen,
@@ -63,37 +57,30 @@
 	return trace.Wrap(err)
 }
 
-func (o *Outside) startReplica(description Description, service Service, zone Zone, replica int, profile enginemodel.Profile) (enginecontract.Machine, error) {
-	topology := NewTopology(description)
-	machine := enginecontract.Machine{
-		Name: fmt.Sprintf("%s-%s-%d", service.Name, zone.Name, replica+1), Service: service.Name, Zone: zone.Name,
-		Address: description.address(zone.Subnet, firstReplicaHost+replica, service.Port), State: enginecontract.StateServing,
-	}
-	if service.Type == TypePage {
+func (o *Outside) startReplica(description Description, replica Replica, profile enginemodel.Profile) error {
+	listen := NewTopology(description).Listen
+	service := replica.Service
+	if replica.Type == TypePage {
 		started, err := page.Start(page.Config{
-			Name: machine.Name, Service: service.Name, Zone: zone.Name, Address: machine.Address,
-			ServiceTime: service.ServiceTime, Faults: service.Faults, Listen: topology.Listen,
+			Name: replica.Name, Service: service.Name, Zone: replica.Zone, Address: replica.Address,
+			ServiceTime: service.ServiceTime, Faults: service.Faults, Listen: listen,
 		})
 		if err != nil {
-			return machine, trace.Wrap(err)
+			return trace.Wrap(err)
 		}
 		o.Pages = append(o.Pages, started)
-		return machine, nil
-	}
-	role := enginecontract.RoleMixed
-	if len(service.Roles) > 0 {
-		role = service.Roles[replica%len(service.Roles)]
+		return nil
 	}
 	started, err := engine.Start(engine.Config{
-		Name: machine.Name, Service: service.Name, Zone: zone.Name, Address: machine.Address,
-		Role: role, Model: service.Model, Version: service.Version, Profile: profile,
-		WeightStore: description.WeightStore.Address, Faults: service.Faults, Listen: topology.Listen,
+		Name: replica.Name, Service: service.Name, Zone: replica.Zone, Address: replica.Address,
+		Role: replica.Role, Model: service.Model, Version: service.Version, Profile: profile,
+		WeightStore: description.WeightStore.Address, Faults: service.Faults, Listen: listen,
 	})
 	if err != nil {
-		return machine, trace.Wrap(err)
+		return trace.Wrap(err)
 	}
 	o.Engines = append(o.Engines, started)
-	return machine, nil
+	return nil
 }
 
 // Engine returns the engine of a name, or nil.
@@ -109,15 +96,7 @@
 func (o *Outside) Totals() engine.Totals {
 	var sum engine.Totals
 	for _, present := range o.Engines {
-		totals := present.Runs().Totals
-		sum.Started += totals.Started
-		sum.Finished += totals.Finished
-		sum.Prefilled += totals.Prefilled
-		sum.Cancelled += totals.Cancelled
-		sum.Refused += totals.Refused
-		sum.Imported += totals.Imported
-		sum.RoleChanges += totals.RoleChanges
-		sum.CutByChange += totals.CutByChange
+		sum = sum.Plus(present.Runs().Totals)
 	}
 	return sum
 }
--- /dev/null
+++ b/internal/fleet/process.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// stopPatience is how long a process may take to stop before it is killed.
+const stopPatience = 10 * time.Second
+
+// Role is which server a process is.
+type Role string
+
+// Roles of processes.
+const (
+	RoleController Role = "controller"
+	RoleGateway    Role = "gateway"
+)
+
+// Process is one controller or gateway of a fleet, a real process of its own. It is
+// safe for concurrent use.
+type Process struct {
+	Name string
+	Role Role
+	Zone string
+	// Listen and AdminListen are its IP:ports.
+	Listen      string
+	AdminListen string
+	// SettingsPath is the file it was started with.
+	SettingsPath string
+	// LogPath holds its standard error over all starts.
+	LogPath string
+
+	arguments []string
+	mutex     sync.Mutex
+	command   *exec.Cmd
+	ended     chan struct{} // closed when the present process has ended
+	starts    int
+}
+
+// Start starts the process; it does nothing when it runs.
+func (p *Process) Start() error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.running() {
+		return nil
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	log, err := os.OpenFile(p.LogPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer func() { _ = log.Close() }() // the process has its own descriptor
+	command := exec.Command(program, p.arguments...)
+	command.Stdout, command.Stderr = log, log
+	command.Dir = filepath.Dir(p.SettingsPath)
+	// The process ends when its standard input does: it doesn't outlive this one.
+	if _, err := command.StdinPipe(); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := command.Start(); err != nil {
+		return trace.Wrap(err, "starting %s", p.Name)
+	}
+	ended := make(chan struct{})
+	p.command, p.ended = command, ended
+	p.starts++
+	go func() {
+		_ = command.Wait() // how it ended is in its log
+		close(ended)
+	}()
+	return nil
+}
+
+// running tells whether the present process has not ended. The mutex is held.
+func (p *Process) running() bool {
+	if p.command == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// Running tells whether the process runs.
+func (p *Process) Running() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.running()
+}
+
+// Starts counts how often the process was started.
+func (p *Process) Starts() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.starts
+}
+
+// Kill ends the process at once (SIGKILL) and waits for its end.
+func (p *Process) Kill() { p.signalAndWait(syscall.SIGKILL) }
+
+// Stop asks the process to stop (SIGTERM), waits, and kills it when it takes too long.
+// It reports whether the process stopped by itself.
+func (p *Process) Stop() bool {
+	p.signal(syscall.SIGTERM)
+	p.mutex.Lock()
+	ended := p.ended
+	p.mutex.Unlock()
+	if ended == nil {
+		return true
+	}
+	select {
+	case <-ended:
+		return true
+	case <-time.After(stopPatience):
+		p.signalAndWait(syscall.SIGKILL)
+		return false
+	}
+}
+
+// Pause stops the process's execution for a time (SIGSTOP, then SIGCONT).
+func (p *Process) Pause(pause time.Duration) {
+	p.signal(syscall.SIGSTOP)
+	time.AfterFunc(pause, func() { p.signal(syscall.SIGCONT) })
+}
+
+func (p *Process) signal(what syscall.Signal) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.running() {
+		_ = p.command.Process.Signal(what) // it may just have ended
+	}
+}
+
+func (p *Process) signalAndWait(what syscall.Signal) {
+	p.signal(what)
+	p.mutex.Lock()
+	ended := p.ended
+	p.mutex.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
--- /dev/null
+++ b/internal/fleet/settings.go
@@ -0,0 +1,84 @@
+package fleet
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/settings"
+)
+
+// settingsDirectory of a deployment.
+const settingsDirectory = "settings"
+
+// ServeArguments are the arguments that make this program run one of the servers
+// with the latencies of a fleet.
+type ServeArguments func(role Role, settingsPath, descriptionPath string, more ...string) []string
+
+// prepare copies a deployment's settings and description into the run's directory,
+// moved to the fleet's network, and returns a Process for each settings file.
+func prepare(options Options, description Description, network string) ([]*Process, error) {
+	move := func(text []byte) []byte {
+		return []byte(strings.ReplaceAll(string(text), description.Network+".", network+"."))
+	}
+	text, err := os.ReadFile(filepath.Join(options.Deployment, DescriptionFile))
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	moved := strings.Replace(string(move(text)), "network: "+description.Network, "network: "+network, 1)
+	descriptionPath := filepath.Join(options.Directory, DescriptionFile)
+	if err := os.WriteFile(descriptionPath, []byte(moved), 0o644); err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	var processes []*Process
+	for _, role := range []Role{RoleController, RoleGateway} {
+		paths, err := filepath.Glob(filepath.Join(options.Deployment, settingsDirectory, string(role)+"-*.yaml"))
+		if err != nil || len(paths) == 0 {
+			return nil, trace.BadParameter("%s/%s holds no %s-*.yaml", options.Deployment, settingsDirectory, role)
+		}
+		for _, path := range paths {
+			text, err := os.ReadFile(path)
+			if err != nil {
+				return nil, trace.ConvertSystemError(err)
+			}
+			own := filepath.Join(options.Directory, filepath.Base(path))
+			if err := os.WriteFile(own, move(text), 0o644); err != nil {
+				return nil, trace.ConvertSystemError(err)
+			}
+			process, err := newProcess(options, role, own, descriptionPath)
+			if err != nil {
+				return nil, trace.Wrap(err)
+			}
+			processes = append(processes, process)
+		}
+	}
+	return processes, nil
+}
+
+// newProcess describes the process of one settings file.
+func newProcess(options Options, role Role, path, descriptionPath string) (*Process, error) {
+	process := &Process{Role: role, SettingsPath: path}
+	source := settings.Source{Path: path}
+	var more []string
+	if role == RoleController {
+		loaded, err := settings.LoadController(source)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		process.Name, process.Zone = loaded.Name, loaded.Zone
+		process.Listen, process.AdminListen = loaded.Listen, loaded.AdminListen
+		more = []string{"--data-directory", filepath.Join(options.Directory, "data", loaded.Name)}
+	} else {
+		loaded, err := settings.LoadGateway(source)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		process.Name, process.Zone = loaded.Name, loaded.Zone
+		process.Listen, process.AdminListen = loaded.Listen, loaded.AdminListen
+	}
+	process.LogPath = filepath.Join(options.Directory, process.Name+".log")
+	process.arguments = options.Serve(role, path, descriptionPath, more...)
+	return process, nil
+}
--- /dev/null
+++ b/internal/load/outcome.go
@@ -0,0 +1,43 @@
+package load
+
+import "time"
+
+// Outcome is how one request ended for its caller.
+type Outcome string
+
+// Outcomes.
+const (
+	// Completed is a whole answer that is the request's own.
+	Completed Outcome = "completed"
+	// Refused is an answer of 400 and above.
+	Refused Outcome = "refused"
+	// Cut is an answer that began and has no end.
+	Cut Outcome = "cut"
+	// Expired is an answer that the gateway ended with an error because its deadline
+	// had passed: without worth, and told truly.
+	Expired Outcome = "expired"
+	// Mixed is an answer that isn't the request's own.
+	Mixed Outcome = "mixed"
+	// Lost is a connection that ended without any answer.
+	Lost Outcome = "lost"
+	// NotSent is an arrival beyond the limit of requests in flight.
+	NotSent Outcome = "not-sent"
+)
+
+// Result is one request's end.
+type Result struct {
+	Kind    string
+	Outcome Outcome
+	// Verdict is the answer's X-Run-Verdict; empty without an answer.
+	Verdict string
+	Status  int
+	Code    string
+	// FirstByte and Total are times since the request was due, not since it was sent.
+	FirstByte time.Duration
+	Total     time.Duration
+	Tokens    int
+	// Prompt is the key of a chat's prompt; Key is a page request's idempotency key.
+	Prompt string
+	Key    string
+	Detail string
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,116 @@
+// Package load sends a deployment's traffic through its gateways as callers do, at
+// times drawn beforehand (open loop), checks each answer to its last byte, and
+// reports goodput, latencies, refusals by verdict and role changes.
+package load
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// maxInFlight bounds the requests in flight; arrivals beyond it are counted as not sent.
+const maxInFlight = 8192
+
+// Options are what a run is started with.
+type Options struct {
+	// Deployment is the directory with load.yaml and the declarations.
+	Deployment string
+	Target     Target
+	// Engines and Pages are the stand-ins that are asked what they ran.
+	Engines []string
+	Pages   []string
+	Length  time.Duration
+	// Scale multiplies every rate; 0 is 1.
+	Scale float64
+	Seed  uint64
+	// Progress, when not nil, is called after each request's end.
+	Progress func(done, all int)
+}
+
+// Run sends the traffic, waits for every answer and returns the report.
+func Run(ctx context.Context, options Options) (Report, error) {
+	traffic, kinds, err := describe(options.Deployment)
+	if err != nil {
+		return Report{}, trace.Wrap(err)
+	}
+	if options.Scale == 0 {
+		options.Scale = 1
+	}
+	before, err := ReadExecutions(options.Engines, options.Pages)
+	if err != nil {
+		return Report{}, trace.Wrap(err)
+	}
+	began := time.Now()
+	results := sendAll(ctx, options, traffic, kinds, began)
+	length := time.Since(began)
+	after, err := ReadExecutions(options.Engines, options.Pages)
+	if err != nil {
+		return Report{}, trace.Wrap(err)
+	}
+	report := summarize(results, kinds)
+	report.Deployment, report.Direct, report.Seed = options.Deployment, options.Target.Direct(), options.Seed
+	report.Seconds = length.Seconds()
+	report.Engines = after.Engines.Minus(before.Engines)
+	report.Audit = audit(results, after)
+	return report, nil
+}
+
+// declared checks that each kind of the traffic is declared.
+func declared(traffic Traffic, kinds map[string]Kind) error {
+	for _, request := range traffic.Requests {
+		if _, found := kinds[request.Kind]; !found {
+			return trace.BadParameter("%s names kind %q, which the declarations don't", TrafficFile, request.Kind)
+		}
+	}
+	return nil
+}
+
+// sendAll sends every arrival at its time and collects the results.
+func sendAll(ctx context.Context, options Options, traffic Traffic, kinds map[string]Kind, began time.Time) []Result {
+	arrivals := draw(traffic, options.Length, options.Scale, options.Seed)
+	builder := newMaker(options, traffic, kinds, began)
+	sender := newClient(options.Target)
+	collected := make(chan Result, maxInFlight)
+	slots := make(chan struct{}, maxInFlight)
+	var sending sync.WaitGroup
+	go func() {
+		defer func() {
+			sending.Wait()
+			close(collected)
+		}()
+		for _, next := range arrivals {
+			built := builder.make(next)
+			due := began.Add(next.at)
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(time.Until(due)):
+			}
+			select {
+			case slots <- struct{}{}:
+			default:
+				collected <- Result{Kind: built.kind, Outcome: NotSent}
+				continue
+			}
+			sending.Go(func() {
+				defer func() { <-slots }()
+				collected <- sender.send(built, due, io.Discard)
+				if built.resend {
+					collected <- sender.send(built, time.Now(), io.Discard)
+				}
+			})
+		}
+	}()
+	var results []Result
+	for result := range collected {
+		results = append(results, result)
+		if options.Progress != nil {
+			options.Progress(len(results), len(arrivals))
+		}
+	}
+	return results
+}
--- /dev/null
+++ b/internal/load/stream_test.go
@@ -0,0 +1,88 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/standin/answertext"
+	"github.com/hazelpitch/hazelpitch/internal/standin/engine"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+const hash = 42
+
+func tokenEvent(prompt uint64, index int) string {
+	text := answertext.AppendToken(nil, prompt, index)
+	return fmt.Sprintf("data: {\"choices\":[{\"delta\":{\"content\":\"%s\"},\"finish_reason\":null}]}\n\n", text)
+}
+
+const (
+	finishEvent = "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"length\"}]}\n\n"
+	usageEvent  = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":2}}\n\n"
+	doneEvent   = "data: [DONE]\n\n"
+)
+
+// TestStreamCheck shows that the check of an answer sees each way to be not whole
+// or not one's own.
+func TestStreamCheck(t *testing.T) {
+	first, second := tokenEvent(hash, 0), tokenEvent(hash, 1)
+	tests := []struct {
+		name   string
+		stream []string
+		want   Outcome
+	}{
+		{"whole", []string{first, second, finishEvent, usageEvent, doneEvent}, Completed},
+		{"no end", []string{first, second, finishEvent, usageEvent}, Cut},
+		{"cut after a token", []string{first}, Cut},
+		{"error event", []string{first, "data: {\"error\":{\"code\":\"engine_error\"}}\n\n"}, Cut},
+		{"deadline told too early", []string{first, "data: {\"error\":{\"code\":\"deadline_exceeded\"}}\n\n"}, Cut},
+		{"a token missing", []string{second, finishEvent, usageEvent, doneEvent}, Mixed},
+		{"a token twice", []string{first, first, second, finishEvent, usageEvent, doneEvent}, Mixed},
+		{"another's token", []string{first, tokenEvent(hash+1, 1), finishEvent, usageEvent, doneEvent}, Mixed},
+		{"too short", []string{first, finishEvent, usageEvent, doneEvent}, Mixed},
+		{"too long", []string{first, second, tokenEvent(hash, 2), finishEvent, usageEvent, doneEvent}, Mixed},
+		{"no finish", []string{first, second, usageEvent, doneEvent}, Mixed},
+		{"no usage", []string{first, second, finishEvent, doneEvent}, Mixed},
+		{"no JSON", []string{"data: {\n\n"}, Mixed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var result Result
+			of := request{chat: true, promptHash: hash, promptTokens: 9, outputTokens: 2, deadline: time.Hour}
+			result.checkStream(of, strings.NewReader(strings.Join(test.stream, "")), time.Now(), io.Discard)
+			require.Equal(t, test.want, result.Outcome, result.Detail)
+		})
+	}
+}
+
+func TestAuditFindsFalseVerdictsAndDoubles(t *testing.T) {
+	ran := Executions{
+		prompts: map[string]engine.Run{"started": {Started: 1}, "prefilled": {Prefilled: 1}},
+		keys:    map[string]int{"once": 1, "twice": 2},
+	}
+	tests := []struct {
+		name   string
+		result Result
+		want   Audit
+	}{
+		{"true not run", Result{Prompt: "none", Verdict: verdict.NotRun.String()}, Audit{}},
+		{"false not run", Result{Prompt: "started", Verdict: verdict.NotRun.String()}, Audit{FalseNotRun: 1}},
+		{"not run, but read", Result{Prompt: "prefilled", Verdict: verdict.NotRun.String()}, Audit{FalseNotRun: 1}},
+		{"may have run", Result{Prompt: "started", Verdict: verdict.MayHaveRun.String()}, Audit{}},
+		{"false ran", Result{Key: "none", Verdict: verdict.Ran.String()}, Audit{FalseRan: 1}},
+		{"completed, but not run", Result{Key: "none", Outcome: Completed}, Audit{FalseRan: 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			found := audit([]Result{test.result}, ran)
+			require.Equal(t, 1, found.Doubled)
+			require.Equal(t, test.want.FalseNotRun, found.FalseNotRun)
+			require.Equal(t, test.want.FalseRan, found.FalseRan)
+		})
+	}
+}
--- a/internal/standin/engine/runs.go
+++ b/internal/standin/engine/runs.go
@@ -29,6 +29,28 @@
 	CutByChange int `json:"cut_by_change"`
 }
 
+// Plus is the sum of two counts.
+func (t Totals) Plus(other Totals) Totals {
+	t.Started += other.Started
+	t.Finished += other.Finished
+	t.Prefilled += other.Prefilled
+	t.Cancelled += other.Cancelled
+	t.Refused += other.Refused
+	t.Imported += other.Imported
+	t.RoleChanges += other.RoleChanges
+	t.CutByChange += other.CutByChange
+	return t
+}
+
+// Minus is what was counted since an earlier count.
+func (t Totals) Minus(earlier Totals) Totals {
+	return t.Plus(Totals{
+		Started: -earlier.Started, Finished: -earlier.Finished, Prefilled: -earlier.Prefilled,
+		Cancelled: -earlier.Cancelled, Refused: -earlier.Refused, Imported: -earlier.Imported,
+		RoleChanges: -earlier.RoleChanges, CutByChange: -earlier.CutByChange,
+	})
+}
+
 // Report is the answer to GET /bench/runs; prompts are by hash, in hexadecimal.
 type Report struct {
 	Engine  string         `json:"engine"`
