Repair the simulation's build after shares moved to package limits

Change: the simulated gateway, which asks for no shares, only marks the report as taken. Conclusion: shares in the simulation belong to a limits.Core when it asks for any.

--- a/internal/simulation/gateway.go
+++ b/internal/simulation/gateway.go
@@ -116,13 +116,11 @@
 
 // report tells the leader the demand.
 func (g *gateway) report() {
-	sentAt := g.local()
-	request := proto.CloneOf(g.state.ReportRequest(sentAt, nil))
+	request := proto.CloneOf(g.state.ReportRequest(g.local(), nil))
 	g.world.callController(&g.host, g.leaderOrAny(), controlTimeout,
 		func(id control.CallID) control.Input { return control.ReportReceived{Call: id, Request: request} },
 		func(answer controllerAnswer, answered bool) {
-			if response, ok := answer.response.(*v1.ReportResponse); answered && ok {
-				g.state.ApplyReport(sentAt, response)
+			if _, ok := answer.response.(*v1.ReportResponse); answered && ok {
 				return
 			}
 			g.state.ReportLost(request)
