Test authority, membership and shares by contract and fault tables

Cause: the pure parts had no tests of their own; the table of crossed answers found that a new leader never ended the order of an engine it had not seen listed.

--- a/internal/authority/commander.go
+++ b/internal/authority/commander.go
@@ -137,6 +137,7 @@
 	case inForce < c.epoch:
 		return c.beginAuthority(now)
 	}
+	c.adoptUnlisted(state)
 	var actions []Action
 	for _, name := range c.names {
 		actions = append(actions, c.stepEngine(now, state, c.engines[name])...)
@@ -144,6 +145,16 @@
 	return actions
 }
 
+// adoptUnlisted takes up engines that may hold an order and that this leader has never
+// seen listed: their orders have to end too.
+func (c *Commander) adoptUnlisted(state *controlstate.State) {
+	for _, record := range state.Engines() {
+		if record.Outstanding != nil && c.engines[record.State.Engine] == nil {
+			c.List(record.State.Engine, record.State.Address, false)
+		}
+	}
+}
+
 func (c *Commander) beginAuthority(now time.Duration) []Action {
 	if c.begun && now-c.begunAt < c.config.ProposalTimeout {
 		return nil
--- /dev/null
+++ b/internal/authority/harness_test.go
@@ -0,0 +1,203 @@
+package authority
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
+	"github.com/hazelpitch/hazelpitch/internal/standin/engine/orders"
+)
+
+const testStart = 1_700_000_000_000
+
+// bench is one leader's commander, the log's state and engines, with the messages
+// between them in the test's hands.
+type bench struct {
+	t         *testing.T
+	now       time.Duration
+	index     uint64
+	state     *controlstate.State
+	commander *Commander
+	engines   map[string]*orders.Machine
+	inFlight  map[string]int
+	// sent are the messages that wait to be delivered, in order.
+	sent []Action
+	// deliver decides whether Step's messages are delivered at once.
+	deliver bool
+}
+
+func newBench(t *testing.T, epoch uint64, off ...safeguard.Safeguard) *bench {
+	b := &bench{
+		t: t, now: time.Hour, state: controlstate.New(safeguard.Without(off...)),
+		commander: New(Config{Leader: "leader", Safeguards: safeguard.Without(off...)}),
+		engines:   map[string]*orders.Machine{}, inFlight: map[string]int{}, deliver: true,
+	}
+	b.commander.Lead(b.now, epoch)
+	return b
+}
+
+// addEngine adds an engine and lets the commander hear it.
+func (b *bench) addEngine(name, zone string, role enginecontract.Role) {
+	b.engines[name] = b.machine(name, zone, 1, orders.Durable{Role: role, Model: "base", Version: "1"})
+	b.commander.List(name, "127.0.0.1:1", true)
+	b.poll(name)
+}
+
+func (b *bench) machine(name, zone string, incarnation uint64, kept orders.Durable) *orders.Machine {
+	return orders.New(orders.Config{
+		Engine: name, Service: "assessor", Zone: zone, Incarnation: incarnation,
+		RoleChange: 3 * time.Second, WeightLoad: 3 * time.Second, AdapterLoad: time.Second,
+	}, kept)
+}
+
+func (b *bench) restart(name string) {
+	old := b.engines[name].State(0)
+	b.engines[name] = b.machine(name, old.Zone, old.Incarnation+1, b.engines[name].Durable())
+}
+
+func (b *bench) engineState(name string) enginecontract.EngineState {
+	b.engines[name].Advance(b.now, b.inFlight[name])
+	return b.engines[name].State(b.inFlight[name])
+}
+
+func (b *bench) poll(name string) { b.commander.Observed(b.now, name, b.engineState(name)) }
+
+// apply applies a command as if committed.
+func (b *bench) apply(command *v1.Command) controlstate.Result {
+	b.index++
+	command.ProposedAtMs = testStart + b.now.Milliseconds()
+	result := b.state.Apply(b.index, command)
+	switch body := command.Body.(type) {
+	case *v1.Command_RecordEngine:
+		b.commander.Applied(body.RecordEngine.Engine.Engine)
+	case *v1.Command_FinishOrder:
+		b.commander.Applied(body.FinishOrder.Engine)
+	case *v1.Command_IssueOrder:
+		b.commander.Withdraw(body.IssueOrder.Order.Engine)
+	}
+	return result
+}
+
+// step lets the commander act once.
+func (b *bench) step() {
+	for _, action := range b.commander.Step(b.now, b.state) {
+		if propose, isProposal := action.(Propose); isProposal {
+			b.apply(propose.Command)
+			continue
+		}
+		b.sent = append(b.sent, action)
+	}
+	if b.deliver {
+		b.deliverAll()
+	}
+}
+
+// run steps, polls and lets time pass.
+func (b *bench) run(span time.Duration) {
+	for end := b.now + span; b.now < end; b.now += 100 * time.Millisecond {
+		b.step()
+		for name := range b.engines {
+			b.poll(name)
+		}
+	}
+}
+
+func (b *bench) deliverAll() {
+	sent := b.sent
+	b.sent = nil
+	for _, action := range sent {
+		b.answer(b.exchange(action))
+	}
+}
+
+// answered is an engine's answer on its way to the commander.
+type answered struct {
+	action Action
+	answer enginecontract.OrderAnswer
+}
+
+// exchange delivers a message to its engine.
+func (b *bench) exchange(action Action) answered {
+	switch message := action.(type) {
+	case SendFence:
+		return answered{action, b.engines[message.Engine].Fence(b.now, enginecontract.Fence{Epoch: message.Epoch}, b.inFlight[message.Engine])}
+	case SendOrder:
+		return answered{action, b.engines[message.Engine].Order(b.now, message.Order, b.inFlight[message.Engine])}
+	}
+	b.t.Fatalf("%T is no message to an engine", action)
+	return answered{}
+}
+
+// answer delivers an engine's answer to the commander.
+func (b *bench) answer(answered answered) {
+	switch message := answered.action.(type) {
+	case SendFence:
+		b.commander.FenceAnswered(b.now, message.Engine, message.Epoch, &answered.answer)
+	case SendOrder:
+		b.commander.OrderAnswered(b.now, message.Engine, message.Order.Fence, &answered.answer)
+	}
+}
+
+// order prepares and commits an order.
+func (b *bench) order(order *v1.Order) error {
+	issue, err := b.commander.Prepare(b.now, testStart+b.now.Milliseconds(), b.state, order)
+	if err != nil {
+		return err
+	}
+	return b.apply(&v1.Command{Body: &v1.Command_IssueOrder{IssueOrder: issue}}).Err
+}
+
+func setRole(engine string, role v1.Role) *v1.Order {
+	return &v1.Order{Engine: engine, Action: v1.OrderAction_ORDER_ACTION_SET_ROLE, Role: role, Reason: "test"}
+}
+
+// mustOrder prepares and commits an order that must be allowed.
+func (b *bench) mustOrder(order *v1.Order) {
+	b.t.Helper()
+	require.NoError(b.t, b.order(order))
+}
+
+// abort commits a request to abort the outstanding order of an engine.
+func (b *bench) abort(name string) {
+	b.t.Helper()
+	result := b.apply(&v1.Command{Body: &v1.Command_AbortOrder{AbortOrder: &v1.AbortOrder{
+		Engine: name, Sequence: b.state.Engine(name).Outstanding.Sequence, Epoch: b.commander.Epoch(), Reason: "asked"}}})
+	require.NoError(b.t, result.Err)
+}
+
+// declare puts objects in force.
+func (b *bench) declare(objects ...*v1.Object) {
+	b.t.Helper()
+	result := b.apply(&v1.Command{Body: &v1.Command_ApplyDeclaration{ApplyDeclaration: &v1.ApplyDeclaration{Objects: objects}}})
+	require.Equal(b.t, v1.ApplyOutcome_APPLY_OUTCOME_ACCEPTED, result.Apply.Outcome, result.Apply.Detail)
+}
+
+func (b *bench) declareService(bounds ...*v1.Bound) {
+	objects := []*v1.Object{
+		{Key: &v1.ObjectKey{Type: v1.ObjectType_OBJECT_TYPE_MODEL, Name: "base"}, Spec: &v1.Object_Model{Model: &v1.Model{Version: "1"}}},
+		{Key: &v1.ObjectKey{Type: v1.ObjectType_OBJECT_TYPE_SERVICE, Name: "assessor"}, Spec: &v1.Object_Service{
+			Service: &v1.Service{Type: v1.ServiceType_SERVICE_TYPE_ENGINE, Model: "base"}}},
+	}
+	for i, bound := range bounds {
+		bound.Service = "assessor"
+		objects = append(objects, &v1.Object{
+			Key:  &v1.ObjectKey{Type: v1.ObjectType_OBJECT_TYPE_BOUND, Name: string(rune('a' + i))},
+			Spec: &v1.Object_Bound{Bound: bound},
+		})
+	}
+	b.declare(objects...)
+}
+
+// takeOver replaces the commander by that of a new leader, which knows only the log.
+func (b *bench) takeOver(epoch uint64) {
+	b.commander = New(Config{Leader: "next", Safeguards: b.commander.config.Safeguards})
+	b.commander.Lead(b.now, epoch)
+	for name := range b.engines {
+		b.commander.List(name, "127.0.0.1:1", true)
+	}
+}
--- /dev/null
+++ b/internal/membership/tracker_test.go
@@ -0,0 +1,250 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+)
+
+const (
+	serving  = v1.BackEndState_BACK_END_STATE_SERVING
+	changing = v1.BackEndState_BACK_END_STATE_CHANGING
+	leaving  = v1.BackEndState_BACK_END_STATE_LEAVING
+	gone     = v1.BackEndState_BACK_END_STATE_UNSPECIFIED
+)
+
+// platform is the machine list and the engines behind it.
+type platform struct {
+	tracker *Tracker
+	now     time.Duration
+	list    enginecontract.MachineList
+	states  map[string]*enginecontract.EngineState // nil answers are lost
+	listing bool
+}
+
+func newPlatform(config Config, machines ...enginecontract.Machine) *platform {
+	p := &platform{tracker: New(config), states: map[string]*enginecontract.EngineState{}, listing: true}
+	p.list = enginecontract.MachineList{Version: 1, Machines: machines}
+	for _, machine := range machines {
+		p.states[machine.Name] = &enginecontract.EngineState{
+			Engine: machine.Name, Service: machine.Service, Zone: machine.Zone, Incarnation: 1,
+			State: enginecontract.StateServing, Role: enginecontract.RoleMixed,
+		}
+	}
+	return p
+}
+
+func engineRow(name, service, zone string) enginecontract.Machine {
+	return enginecontract.Machine{Name: name, Service: service, Zone: zone, Address: "127.0.0.1:1", State: enginecontract.StateServing}
+}
+
+// run lets time pass: list readings each second, polls answered at once.
+func (p *platform) run(span time.Duration) {
+	for end := p.now + span; p.now < end; p.now += 50 * time.Millisecond {
+		if p.listing && p.now%time.Second == 0 {
+			p.tracker.ListRead(p.now, p.list)
+		}
+		for _, poll := range p.tracker.DuePolls(p.now) {
+			var answer *enginecontract.EngineState
+			var load *enginecontract.LoadReport
+			if state := p.states[poll.Name]; state != nil {
+				copied := *state
+				answer = &copied
+				load = &enginecontract.LoadReport{Engine: poll.Name, Incarnation: copied.Incarnation, AgeMs: 100}
+			}
+			p.tracker.PollAnswered(p.now, poll.Name, answer, load)
+		}
+		p.tracker.DropGone(p.now)
+	}
+}
+
+func (p *platform) stateOf(name string) v1.BackEndState { return p.tracker.BackEndState(p.now, name) }
+
+// TestLeavingBackEndIsOutWithinTheBound lets a back end leave while the list and its
+// own answers lag or are lost, and checks the stated bounds.
+func TestLeavingBackEndIsOutWithinTheBound(t *testing.T) {
+	cases := []struct {
+		name    string
+		service string
+		leave   func(*platform)
+		within  time.Duration
+		state   v1.BackEndState
+	}{
+		{"by its own word", "engines", func(p *platform) { p.states["x"].State = enginecontract.StateLeaving }, DefaultPollInterval, leaving},
+		{"drains by its own word", "engines", func(p *platform) { p.states["x"].State = enginecontract.StateDraining }, DefaultPollInterval, changing},
+		{"by the list", "engines", func(p *platform) {
+			p.list.Version++
+			p.list.Machines[0].State = enginecontract.StateLeaving
+		}, time.Second, leaving},
+		{"falls silent while listed as serving", "engines", func(p *platform) { p.states["x"] = nil }, DefaultFreshness, changing},
+		{"page service by the list", "pages", func(p *platform) {
+			p.list.Version++
+			p.list.Machines[0].State = enginecontract.StateLeaving
+		}, time.Second, leaving},
+		{"page service when the list is gone", "pages", func(p *platform) { p.listing = false }, DefaultFreshness, changing},
+		{"unlisted and silent", "engines", func(p *platform) {
+			p.states["x"] = nil
+			p.list.Version++
+			p.list.Machines = p.list.Machines[1:]
+		}, DefaultGoneAfter, gone},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPlatform(Config{}, engineRow("x", test.service, "zone-a"),
+				engineRow("y", "engines", "zone-a"), engineRow("z", "engines", "zone-a"))
+			p.tracker.SetPages(map[string]bool{"pages": true})
+			p.run(5 * time.Second)
+			require.Equal(t, serving, p.stateOf("x"))
+			test.leave(p)
+			p.run(test.within + 150*time.Millisecond)
+			require.Equal(t, test.state, p.stateOf("x"))
+		})
+	}
+}
+
+func TestReappearingMachine(t *testing.T) {
+	p := newPlatform(Config{}, engineRow("x", "engines", "zone-a"), engineRow("y", "engines", "zone-a"))
+	p.run(3 * time.Second)
+	p.states["x"].Incarnation = 2
+	p.run(2 * time.Second)
+	require.Equal(t, uint64(2), p.tracker.Machine("x").State.Incarnation)
+	require.False(t, p.tracker.Heard("x", p.now, &enginecontract.EngineState{
+		Engine: "x", Incarnation: 1, State: enginecontract.StateServing}), "a late word of the older process")
+	require.False(t, p.tracker.Heard("x", p.now, &enginecontract.EngineState{Engine: "y", Incarnation: 9}), "a crossed answer")
+	p.states["x"] = nil
+	p.list.Version++
+	p.list.Machines[0].Address = "127.0.0.2:1"
+	p.run(1100 * time.Millisecond)
+	require.Equal(t, changing, p.stateOf("x"), "another machine under the name has not been heard of")
+	require.Nil(t, p.tracker.Machine("x").Load)
+}
+
+func TestListVersions(t *testing.T) {
+	tracker := New(Config{})
+	list := func(version uint64) enginecontract.MachineList {
+		return enginecontract.MachineList{Version: version, Machines: []enginecontract.Machine{engineRow("x", "s", "z")}}
+	}
+	require.True(t, tracker.ListRead(0, list(5)))
+	require.False(t, tracker.ListRead(time.Second, list(4)), "a late copy")
+	require.True(t, tracker.ListRead(2*time.Second, list(5)))
+	require.True(t, tracker.ListRead(2*time.Second+DefaultListReset, list(1)), "the platform counts anew")
+}
+
+func TestControllerThatHearsTooFewSaysNothing(t *testing.T) {
+	p := newPlatform(Config{}, engineRow("x", "s", "z"), engineRow("y", "s", "z"), engineRow("w", "s", "z"))
+	_, credible := p.tracker.Directory(p.now, "z")
+	require.False(t, credible, "before anything was read")
+	p.run(3 * time.Second)
+	directory, credible := p.tracker.Directory(p.now, "z")
+	require.True(t, credible)
+	require.Len(t, directory.BackEnds, 3)
+	require.LessOrEqual(t, directory.Age, DefaultPollInterval)
+	p.states["x"] = nil
+	p.run(4 * time.Second)
+	_, credible = p.tracker.Directory(p.now, "z")
+	require.True(t, credible, "one of three is silent")
+	p.states["y"] = nil
+	p.run(4 * time.Second)
+	_, credible = p.tracker.Directory(p.now, "z")
+	require.False(t, credible, "two of three are silent")
+}
+
+func TestDirectoryVersionIsEqualForEqualBackEnds(t *testing.T) {
+	one := newPlatform(Config{}, engineRow("x", "s", "z"), engineRow("y", "s", "z"))
+	two := newPlatform(Config{}, engineRow("y", "s", "z"), engineRow("x", "s", "z"))
+	one.run(3 * time.Second)
+	two.run(7 * time.Second)
+	first, _ := one.tracker.Directory(one.now, "z")
+	second, _ := two.tracker.Directory(two.now, "z")
+	require.Equal(t, first.Version, second.Version, "at two controllers")
+	one.states["x"].Role = enginecontract.RoleDecode
+	one.run(2 * time.Second)
+	changed, _ := one.tracker.Directory(one.now, "z")
+	require.NotEqual(t, first.Version, changed.Version)
+}
+
+func TestSubsetIsBoundedSharedAndFair(t *testing.T) {
+	const zones, perZone = 10, 40
+	var machines []enginecontract.Machine
+	for zone := range zones {
+		for i := range perZone {
+			machines = append(machines, engineRow(fmt.Sprintf("engine-%d-%d", zone, i), "s", fmt.Sprint("zone-", zone)))
+		}
+	}
+	p := newPlatform(Config{PerService: 60}, machines...)
+	for i, machine := range machines {
+		if i%4 == 0 {
+			p.states[machine.Name].Role = enginecontract.RolePrefill
+		}
+	}
+	p.run(3 * time.Second)
+	uses := map[string]int{}
+	for zone := range zones {
+		directory, credible := p.tracker.Directory(p.now, fmt.Sprint("zone-", zone))
+		require.True(t, credible)
+		require.LessOrEqual(t, len(directory.BackEnds), 60)
+		own, prefill := 0, 0
+		for _, backEnd := range directory.BackEnds {
+			uses[backEnd.Name]++
+			if backEnd.Zone == fmt.Sprint("zone-", zone) {
+				own++
+			}
+			if backEnd.Role == v1.Role_ROLE_PREFILL {
+				prefill++
+			}
+		}
+		require.Equal(t, perZone, own, "its own zone first")
+		require.Equal(t, 15, prefill, "each role in proportion")
+		again, _ := p.tracker.Directory(p.now, fmt.Sprint("zone-", zone))
+		require.Equal(t, directory.Version, again.Version)
+	}
+	foreign := 0
+	for _, count := range uses {
+		require.LessOrEqual(t, count, 6, "no engine is in far more subsets than others")
+		foreign += count - 1
+	}
+	require.Equal(t, zones*(60-perZone), foreign)
+}
+
+func TestGateways(t *testing.T) {
+	tracker := New(Config{})
+	identity := func(name string, incarnation uint64) *v1.NodeIdentity {
+		return &v1.NodeIdentity{Name: name, Zone: "z", Incarnation: incarnation}
+	}
+	tracker.GatewayHeard(0, identity("a", 2), 7, false)
+	tracker.GatewayHeard(time.Second, identity("a", 1), 9, false)
+	require.Equal(t, uint64(7), tracker.Gateways()[0].Revision, "a late heartbeat of an older process")
+	require.True(t, tracker.GatewayGone(time.Second, 0, "a", 1), "a later process serves under the name")
+	require.False(t, tracker.GatewayGone(time.Second, 0, "a", 2))
+	require.True(t, tracker.GatewayGone(DefaultGatewayLost+time.Second, 0, "a", 2))
+	require.False(t, tracker.GatewayGone(DefaultGatewayLost+time.Second, 5*time.Second, "a", 2), "a new leader waits")
+	require.True(t, tracker.GatewayGone(DefaultGatewayLost+time.Second, 0, "never heard of", 1))
+	for i := range MaximumGateways + 5 {
+		tracker.GatewayHeard(time.Duration(i)*time.Millisecond, identity(fmt.Sprint("g", i), 1), 1, false)
+	}
+	require.Len(t, tracker.Gateways(), MaximumGateways)
+}
+
+// BenchmarkDirectory shows the cost of making a zone's directory against the fleet.
+func BenchmarkDirectory(b *testing.B) {
+	for _, size := range []int{93, 465, 930} {
+		b.Run(fmt.Sprintf("machines=%d", size), func(b *testing.B) {
+			var machines []enginecontract.Machine
+			for i := range size {
+				machines = append(machines, engineRow(fmt.Sprint("engine-", i), fmt.Sprint("service-", i%24), fmt.Sprint("zone-", i%10)))
+			}
+			p := newPlatform(Config{}, machines...)
+			p.run(3 * time.Second)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				p.tracker.makeDirectory(p.now, "zone-1")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/shares/divider_test.go
@@ -0,0 +1,186 @@
+package shares
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
+)
+
+// TestMain fixes the seed of the property tests, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func TestSplit(t *testing.T) {
+	cases := []struct {
+		name  string
+		limit uint64
+		wants []uint64
+		parts []uint64
+	}{
+		{"no one", 10, nil, []uint64{}},
+		{"no limit", 0, []uint64{5}, []uint64{0}},
+		{"one takes all", 10, []uint64{3}, []uint64{10}},
+		{"equal wants", 10, []uint64{9, 9}, []uint64{5, 5}},
+		{"the small want is met", 10, []uint64{2, 100}, []uint64{2, 8}},
+		{"room is left for all", 10, []uint64{1, 3}, []uint64{4, 6}},
+		{"fewer units than askers", 2, []uint64{1, 1, 1}, []uint64{0, 1, 1}},
+		{"idle askers", 9, []uint64{0, 0, 0}, []uint64{3, 3, 3}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			require.Equal(t, test.parts, split(test.limit, test.wants))
+		})
+	}
+	rapid.Check(t, func(r *rapid.T) {
+		limit := rapid.Uint64Range(0, 1000).Draw(r, "limit")
+		wants := rapid.SliceOfN(rapid.Uint64Range(0, 400), 1, 12).Draw(r, "wants")
+		var sum uint64
+		for i, part := range split(limit, wants) {
+			sum += part
+			require.GreaterOrEqual(r, part, min(wants[i], limit/uint64(len(wants))), "no less than an equal part")
+		}
+		require.Equal(r, limit, sum)
+	})
+}
+
+// testGateway is a gateway's side: it uses a share until that runs out.
+type testGateway struct {
+	name  string
+	share *v1.Share
+	until time.Duration
+}
+
+func (g *testGateway) holds(now time.Duration) (tokens uint64, concurrency uint32) {
+	if g.share == nil || now >= g.until {
+		return 0, 0
+	}
+	return g.share.TokensPerSecond, g.share.Concurrency
+}
+
+// report asks for a share; the answer is lost or arrives.
+func (g *testGateway) report(now time.Duration, divider *Divider, want uint64, limits Limits, lost bool) {
+	tokens, concurrency := g.holds(now)
+	share := divider.Divide(now, g.name, &v1.ShareDemand{
+		Tenant: "tenant", WantedTokensPerSecond: want, WantedConcurrency: uint32(want / 100),
+		HeldTokensPerSecond: tokens, HeldConcurrency: concurrency,
+	}, limits)
+	if !lost {
+		g.share, g.until = share, now+time.Duration(share.ValidMs)*time.Millisecond
+	}
+}
+
+// drawHistory runs gateways against one divider after the other and checks after
+// each report that no more than the limit is in use.
+func drawHistory(r *rapid.T, off ...safeguard.Safeguard) error {
+	limits := Limits{TokensPerSecond: rapid.Uint64Range(1, 1000).Draw(r, "tokens"), Concurrency: rapid.Uint32Range(1, 10).Draw(r, "concurrency")}
+	divider := New(0, safeguard.Without(off...))
+	divider.Lead(0, true)
+	gateways := make([]*testGateway, rapid.IntRange(1, 5).Draw(r, "gateways"))
+	for i := range gateways {
+		gateways[i] = &testGateway{name: fmt.Sprint("gateway-", i)}
+	}
+	now := time.Duration(0)
+	for range rapid.IntRange(1, 80).Draw(r, "reports") {
+		now += time.Duration(rapid.IntRange(0, 1500).Draw(r, "pause")) * time.Millisecond
+		if rapid.IntRange(0, 14).Draw(r, "leader change") == 0 {
+			divider = New(0, safeguard.Without(off...))
+			divider.Lead(now, false)
+		}
+		gateway := gateways[rapid.IntRange(0, len(gateways)-1).Draw(r, "gateway")]
+		gateway.report(now, divider, rapid.Uint64Range(0, 1200).Draw(r, "want"), limits, rapid.IntRange(0, 4).Draw(r, "lost") == 0)
+		var tokens uint64
+		var concurrency uint32
+		for _, other := range gateways {
+			t, c := other.holds(now)
+			tokens, concurrency = tokens+t, concurrency+c
+		}
+		if tokens > limits.TokensPerSecond || concurrency > limits.Concurrency {
+			return fmt.Errorf("%d tokens and %d requests in use of %v", tokens, concurrency, limits)
+		}
+	}
+	return nil
+}
+
+func TestSharesNeverExceedTheLimit(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) { require.NoError(r, drawHistory(r)) })
+}
+
+func TestSharesExceedTheLimitWithoutSettling(t *testing.T) {
+	exceeded := 0
+	rapid.Check(t, func(r *rapid.T) {
+		if drawHistory(r, SafeguardSettle) != nil {
+			exceeded++
+		}
+	})
+	require.Positive(t, exceeded)
+}
+
+func TestNewLeaderRenewsWhatGatewaysHold(t *testing.T) {
+	limits := Limits{TokensPerSecond: 100, Concurrency: 10}
+	divider := New(0, safeguard.Set{})
+	divider.Lead(0, true)
+	gateway := &testGateway{name: "gateway"}
+	gateway.report(0, divider, 500, limits, false)
+	require.Equal(t, uint64(100), gateway.share.TokensPerSecond)
+	next := New(0, safeguard.Set{})
+	next.Lead(time.Second, false)
+	gateway.report(time.Second, next, 500, limits, false)
+	require.Equal(t, uint64(100), gateway.share.TokensPerSecond, "renewed without a gap")
+	stranger := &testGateway{name: "stranger"}
+	stranger.report(time.Second, next, 500, limits, false)
+	require.Zero(t, stranger.share.TokensPerSecond)
+}
+
+func TestSharesFollowDemandWithinOneLifetime(t *testing.T) {
+	limits := Limits{TokensPerSecond: 1000}
+	divider := New(0, safeguard.Set{})
+	divider.Lead(0, true)
+	busy, quiet := &testGateway{name: "busy"}, &testGateway{name: "quiet"}
+	now := time.Duration(0)
+	for ; now < 10*time.Second; now += time.Second {
+		busy.report(now, divider, 5000, limits, false)
+		quiet.report(now, divider, 10, limits, false)
+	}
+	require.Equal(t, uint64(990), busy.share.TokensPerSecond)
+	for end := now + 3*time.Second; now < end; now += time.Second {
+		busy.report(now, divider, 10, limits, false)
+		quiet.report(now, divider, 5000, limits, false)
+	}
+	require.Equal(t, uint64(990), quiet.share.TokensPerSecond, "three reports later, when each answer arrives")
+	require.Len(t, divider.Granted(now), 2)
+	divider.DropExpired(now + 2*DefaultLifetime)
+	require.Empty(t, divider.Granted(now+2*DefaultLifetime))
+	require.Nil(t, divider.Divide(now, "busy", &v1.ShareDemand{Tenant: "free"}, Limits{}), "no limit, no share")
+}
+
+// BenchmarkDivide shows the cost of one tenant's share against the gateways that use it.
+func BenchmarkDivide(b *testing.B) {
+	for _, gateways := range []int{1, 10, 100, 390} {
+		b.Run(fmt.Sprintf("gateways=%d", gateways), func(b *testing.B) {
+			divider := New(0, safeguard.Set{})
+			divider.Lead(0, true)
+			demand := &v1.ShareDemand{Tenant: "tenant", WantedTokensPerSecond: 100, WantedConcurrency: 1}
+			names := make([]string, gateways)
+			for i := range names {
+				names[i] = fmt.Sprint("gateway-", i)
+			}
+			for i := range b.N {
+				now := time.Duration(i) * time.Second / time.Duration(gateways)
+				divider.Divide(now, names[i%gateways], demand, Limits{TokensPerSecond: 10_000, Concurrency: 100})
+			}
+		})
+	}
+}
