Add hazelctl: declare, ask and order from the command line

Cause: operators had no way in. Change: internal/operatorclient finds a controller that can answer, follows the leader and resends under the same identity; internal/operatorcommand has the subcommands with documented exit codes; format lays a file out and keeps its comments. testscript tests with real controllers: apply, equal change numbers, stale base, roles, prune, audit, a resend after kill -9 of a controller, TLS with replaced authority. Before: none, new code.

--- a/internal/keys/credentials.go
+++ b/internal/keys/credentials.go
@@ -46,6 +46,8 @@
 	pool        *x509.CertPool
 	certificate *tls.Certificate
 	identity    Identity
+	// authorityFleet is the fleet of the first certificate in the authority file.
+	authorityFleet string
 }
 
 // fileStamp tells two contents of a file apart without reading it.
@@ -83,6 +85,9 @@
 // Identity is who this process is; zero without a certificate.
 func (c *Credentials) Identity() Identity { return c.latest().identity }
 
+// AuthorityFleet is the fleet of the first authority that is trusted.
+func (c *Credentials) AuthorityFleet() string { return c.latest().authorityFleet }
+
 // latest returns the material in use, after reading changed files.
 func (c *Credentials) latest() material {
 	c.mutex.Lock()
@@ -108,9 +113,11 @@
 		return material{}, trace.ConvertSystemError(err)
 	}
 	result := material{pool: x509.NewCertPool()}
-	if !result.pool.AppendCertsFromPEM(authority) {
+	first, err := firstCertificate(authority)
+	if err != nil || !result.pool.AppendCertsFromPEM(authority) {
 		return material{}, trace.BadParameter("%s holds no certificate in PEM", c.files.Authority)
 	}
+	result.authorityFleet = first.Subject.CommonName
 	if c.files.Certificate == "" {
 		return result, nil
 	}
--- a/internal/keys/pem.go
+++ b/internal/keys/pem.go
@@ -37,3 +37,13 @@
 	}
 	return both.Leaf, signer, nil
 }
+
+// firstCertificate reads the first certificate of a PEM file.
+func firstCertificate(text []byte) (*x509.Certificate, error) {
+	block, _ := pem.Decode(text)
+	if block == nil || block.Type != pemCertificate {
+		return nil, trace.BadParameter("no certificate in PEM")
+	}
+	certificate, err := x509.ParseCertificate(block.Bytes)
+	return certificate, trace.Wrap(err)
+}
--- a/internal/language/syntax.go
+++ b/internal/language/syntax.go
@@ -16,6 +16,7 @@
 // blockSyntax is one declared object.
 type blockSyntax struct {
 	Pos      lexer.Position
+	EndPos   lexer.Position
 	Type     string           `parser:"@Word"`
 	Name     *nameSyntax      `parser:"@@"`
 	Settings []*settingSyntax `parser:"'{' (@@ ';'?)* '}'"`
@@ -23,9 +24,10 @@
 
 // settingSyntax is one field of a declared object.
 type settingSyntax struct {
-	Pos   lexer.Position
-	Field string       `parser:"@Word '='"`
-	Value *valueSyntax `parser:"@@"`
+	Pos    lexer.Position
+	EndPos lexer.Position
+	Field  string       `parser:"@Word '='"`
+	Value  *valueSyntax `parser:"@@"`
 }
 
 // valueSyntax is one scalar or a list of them.
--- /dev/null
+++ b/internal/operatorclient/client.go
@@ -0,0 +1,87 @@
+package operatorclient
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/keys"
+)
+
+// Client asks the controllers of one fleet. It is safe for concurrent use.
+type Client struct {
+	config    Config
+	http      *http.Client
+	transport *http.Transport
+	scheme    string
+
+	mutex sync.Mutex
+	// preferred is the controller that answered last.
+	preferred string
+}
+
+// New makes a client; it connects with the first call.
+func New(config Config) (*Client, error) {
+	if err := config.check(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if config.Timeout == 0 {
+		config.Timeout = DefaultTimeout
+	}
+	client := &Client{config: config, scheme: "http", transport: &http.Transport{}, preferred: config.Controllers[0]}
+	if config.Credentials != nil {
+		client.scheme = "https"
+		client.transport.TLSClientConfig = config.Credentials.ClientConfig(config.Fleet, keys.RoleController)
+	}
+	client.http = &http.Client{Transport: client.transport}
+	return client, nil
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Apply submits a declaration. A request without identity gets one; every attempt
+// carries the same.
+func (c *Client) Apply(ctx context.Context, request *v1.ApplyRequest) (*v1.ApplyResponse, error) {
+	if request.GetRequestId() == "" {
+		request.RequestId = uuid.NewString()
+	}
+	return call(ctx, c, request, hazelpitchv1connect.OperatorServiceClient.Apply)
+}
+
+// Plan tells what Apply would change.
+func (c *Client) Plan(ctx context.Context, request *v1.PlanRequest) (*v1.PlanResponse, error) {
+	return call(ctx, c, request, hazelpitchv1connect.OperatorServiceClient.Plan)
+}
+
+// Execute runs one query or command. A request without identity gets one; every
+// attempt carries the same.
+func (c *Client) Execute(ctx context.Context, request *v1.ExecuteRequest) (*v1.ExecuteResponse, error) {
+	if request.GetRequestId() == "" {
+		request.RequestId = uuid.NewString()
+	}
+	return call(ctx, c, request, hazelpitchv1connect.OperatorServiceClient.Execute)
+}
+
+// method is one method of the operator service's client.
+type method[Request, Response any] func(hazelpitchv1connect.OperatorServiceClient, context.Context, *connect.Request[Request]) (*connect.Response[Response], error)
+
+// once sends a request to one controller.
+func once[Request, Response any](ctx context.Context, c *Client, controller string, message *Request, method method[Request, Response]) (*Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	service := hazelpitchv1connect.NewOperatorServiceClient(c.http, c.scheme+"://"+controller)
+	request := connect.NewRequest(message)
+	request.Header().Set("Authorization", "Bearer "+c.config.Key)
+	response, err := method(service, ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
