Weigh load by its age, learn unread prompts and what a home is worth

Cause: reports say how many requests run but not how much prompt is unread, so load hardly counted; old reports made gateways rush; a fixed share of cache hits was expected at homes. New observation FirstToken.

--- a/internal/measure/chooser.go
+++ b/internal/measure/chooser.go
@@ -16,9 +16,18 @@
 	chooserClairvoyant = "clairvoyant"
 )
 
-// chooser picks an engine for a request at one gateway; -1 is none.
+// pick is the engine chosen for a request and what is expected of its cache.
+type pick struct {
+	engine int // -1 for none
+	cached int
+	home   bool
+}
+
+var nowhere = pick{engine: -1}
+
+// chooser picks an engine for a request at one gateway.
 type chooser interface {
-	choose(now time.Duration, asked *request, excluded []int) int
+	choose(now time.Duration, asked *request, excluded []int) pick
 	// observe passes on what the gateway sees.
 	observe(now time.Duration, observation routing.Observation)
 	// reported passes on the lagging load reports of all engines.
@@ -31,7 +40,7 @@
 	router *routing.Router
 }
 
-func (c *routerChooser) choose(now time.Duration, asked *request, excluded []int) int {
+func (c *routerChooser) choose(now time.Duration, asked *request, excluded []int) pick {
 	names := make([]string, len(excluded))
 	for i, index := range excluded {
 		names[i] = engineName(index)
@@ -41,9 +50,9 @@
 		PrefixBlocks: asked.routingBlocks,
 	}, names)
 	if err != nil {
-		return -1
+		return nowhere
 	}
-	return c.world.index[choice.BackEnd.Name]
+	return pick{engine: c.world.index[choice.BackEnd.Name], cached: choice.CachedTokens, home: choice.Home}
 }
 
 func (c *routerChooser) observe(now time.Duration, observation routing.Observation) {
@@ -69,8 +78,8 @@
 	engines int
 }
 
-func (c *randomChooser) choose(_ time.Duration, _ *request, excluded []int) int {
-	return anyOf(c.random, c.engines, excluded)
+func (c *randomChooser) choose(_ time.Duration, _ *request, excluded []int) pick {
+	return pick{engine: anyOf(c.random, c.engines, excluded)}
 }
 
 // leastLoadChooser picks the engine with the least reported load, as simple
@@ -88,7 +97,7 @@
 	}
 }
 
-func (c *leastLoadChooser) choose(_ time.Duration, _ *request, excluded []int) int {
+func (c *leastLoadChooser) choose(_ time.Duration, _ *request, excluded []int) pick {
 	best, ties := -1, 0
 	for i, load := range c.loads {
 		switch {
@@ -102,7 +111,7 @@
 			}
 		}
 	}
-	return best
+	return pick{engine: best}
 }
 
 // clairvoyantChooser sees every engine's present load and cache, and picks the one
@@ -112,7 +121,7 @@
 	world *world
 }
 
-func (c *clairvoyantChooser) choose(_ time.Duration, asked *request, excluded []int) int {
+func (c *clairvoyantChooser) choose(_ time.Duration, asked *request, excluded []int) pick {
 	best, least := -1, 0.0
 	for i, engine := range c.world.engines {
 		if contains(excluded, i) {
@@ -123,7 +132,7 @@
 			best, least = i, cost
 		}
 	}
-	return best
+	return pick{engine: best}
 }
 
 // trueCost is the prompt tokens to read before the request is written, with the
--- a/internal/measure/gateway.go
+++ b/internal/measure/gateway.go
@@ -102,16 +102,17 @@
 func (g *gateway) send(asked *request) {
 	w := g.world
 	chosen := g.chooser.choose(w.now, asked, nil)
-	if chosen < 0 {
+	if chosen.engine < 0 {
 		g.end(asked, admission.Result{Failed: true})
 		w.results.refused(asked)
 		return
 	}
-	current := &flight{request: asked, gateway: g, engine: chosen, exchange: strconv.Itoa(asked.number), started: w.now}
+	current := &flight{request: asked, gateway: g, engine: chosen.engine, exchange: strconv.Itoa(asked.number), started: w.now}
 	g.chooser.observe(w.now, routing.Sent{
-		BackEnd: engineName(chosen), Exchange: current.exchange, PromptTokens: asked.prompt, PrefixBlocks: asked.routingBlocks,
+		BackEnd: engineName(chosen.engine), Exchange: current.exchange, PromptTokens: asked.prompt - chosen.cached,
+		PrefixBlocks: asked.routingBlocks, Home: chosen.home,
 	})
-	w.agenda.add(w.now+w.latency(g, chosen), func() { g.arrive(current) })
+	w.agenda.add(w.now+w.latency(g, chosen.engine), func() { g.arrive(current) })
 }
 
 func (g *gateway) arrive(current *flight) {
@@ -130,7 +131,9 @@
 
 func (g *gateway) firstToken(current *flight, event enginemodel.Event) {
 	current.first = event.At
+	current.cached = event.CachedTokens
 	g.world.results.cached(current.request, event.CachedTokens)
+	g.chooser.observe(g.world.now, routing.FirstToken{BackEnd: engineName(current.engine), Exchange: current.exchange})
 	g.answered(current)
 }
 
@@ -161,5 +164,7 @@
 }
 
 func (g *gateway) finished(current *flight) {
-	g.chooser.observe(g.world.now, routing.Finished{BackEnd: engineName(current.engine), Exchange: current.exchange})
+	g.chooser.observe(g.world.now, routing.Finished{
+		BackEnd: engineName(current.engine), Exchange: current.exchange, PromptTokens: current.prompt, CachedTokens: current.cached,
+	})
 }
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -60,6 +60,7 @@
 	exchange string
 	started  time.Duration
 	first    time.Duration
+	cached   int
 }
 
 func newWorld(setup setup) (*world, error) {
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -19,6 +19,10 @@
 	// nameHash stays equal over incarnations, so that homes do not move.
 	nameHash uint64
 	work     ownWork
+	// reading is what is learned of all back ends like this one.
+	reading *readingMean
+	// load is the estimate of the decision under way.
+	load loadEstimate
 	// heldState is what the back end itself said at heldAt when it did not serve;
 	// empty when it serves as far as this gateway has been told.
 	heldState enginecontract.ServiceState
@@ -110,17 +114,3 @@
 	c.Load, c.LoadAt, c.HasLoad = load, at, true
 	c.work.reported(at)
 }
-
-// estimate is the load now: the last report corrected by this gateway's own work.
-func (c *Candidate) estimate() Load {
-	load := c.work.correction()
-	if c.HasLoad {
-		load.Running += c.Load.Running
-		load.Waiting += c.Load.Waiting
-		load.WaitingPromptTokens += c.Load.WaitingPromptTokens
-	}
-	load.Running = max(load.Running, 0)
-	load.Waiting = max(load.Waiting, 0)
-	load.WaitingPromptTokens = max(load.WaitingPromptTokens, 0)
-	return load
-}
--- a/internal/routing/observation.go
+++ b/internal/routing/observation.go
@@ -16,6 +16,7 @@
 	Exchange     string
 	PromptTokens int // expected to be read, less those expected in the cache
 	PrefixBlocks []uint64
+	Home         bool // of the Choice; routing learns from it what a home is worth
 }
 
 // Answered tells what an answer's headers said about the back end.
@@ -31,10 +32,21 @@
 	Age  time.Duration
 }
 
+// FirstToken tells that the first token of an exchange has come. Routing learns
+// from it how much of the prompts at a back end is still unread.
+type FirstToken struct {
+	BackEnd  string
+	Exchange string
+}
+
 // Finished tells that an exchange has ended without a fault of the back end.
 type Finished struct {
 	BackEnd  string
 	Exchange string
+	// PromptTokens and CachedTokens are what the answer's usage said; PromptTokens
+	// is 0 when it said nothing.
+	PromptTokens int
+	CachedTokens int
 }
 
 // Failed tells that an exchange has ended by a fault of the back end or of the
@@ -44,7 +56,8 @@
 	Exchange string
 }
 
-func (Sent) isObservation()     {}
-func (Answered) isObservation() {}
-func (Finished) isObservation() {}
-func (Failed) isObservation()   {}
+func (Sent) isObservation()       {}
+func (Answered) isObservation()   {}
+func (FirstToken) isObservation() {}
+func (Finished) isObservation()   {}
+func (Failed) isObservation()     {}
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -14,6 +14,10 @@
 		r.observeSent(now, seen)
 	case Answered:
 		r.observeAnswered(now, seen)
+	case FirstToken:
+		if candidate, known := r.candidates[seen.BackEnd]; known {
+			candidate.work.firstToken(now, seen.Exchange)
+		}
 	case Finished:
 		r.observeFinished(now, seen)
 	case Failed:
@@ -26,7 +30,7 @@
 	if !known {
 		return
 	}
-	candidate.work.add(now, seen.Exchange, seen.PromptTokens)
+	candidate.work.add(sentWork{exchange: seen.Exchange, at: now, promptTokens: seen.PromptTokens, asHome: seen.Home})
 	r.prefixes.remember(seen.PrefixBlocks, candidate.node)
 }
 
@@ -66,7 +70,12 @@
 	if !known {
 		return
 	}
-	candidate.work.finish(now, seen.Exchange, candidate.HasLoad)
+	if ended, found := candidate.work.finish(now, seen.Exchange, candidate.HasLoad); found {
+		candidate.reading.learn(now, ended)
+		if ended.asHome && seen.PromptTokens > 0 {
+			r.prefixes.homeShare.learn(seen.PromptTokens, seen.CachedTokens)
+		}
+	}
 	candidate.failures = 0
 }
 
--- a/internal/routing/own_work.go
+++ b/internal/routing/own_work.go
@@ -7,6 +7,10 @@
 	exchange     string
 	at           time.Duration
 	promptTokens int
+	// firstToken is when the first token came; 0 before.
+	firstToken time.Duration
+	// asHome tells that it was sent there as to the home of its prefix.
+	asHome bool
 }
 
 // ownWork is what this gateway has sent to one back end and seen finish since the
@@ -22,28 +26,38 @@
 	finished []time.Duration
 }
 
-func (w *ownWork) add(now time.Duration, exchange string, promptTokens int) {
-	w.sent = append(w.sent, sentWork{exchange: exchange, at: now, promptTokens: promptTokens})
+func (w *ownWork) add(sent sentWork) {
+	w.sent = append(w.sent, sent)
 	w.unreported++
-	w.unreportedPrompt += int64(promptTokens)
+	w.unreportedPrompt += int64(sent.promptTokens)
 }
 
-// finish removes the request and reports whether it was known.
-func (w *ownWork) finish(now time.Duration, exchange string, hasReport bool) bool {
+// firstToken notes that the prompt of an exchange has been read.
+func (w *ownWork) firstToken(now time.Duration, exchange string) {
 	for i := range w.sent {
-		if w.sent[i].exchange != exchange {
+		if w.sent[i].exchange == exchange && w.sent[i].firstToken == 0 {
+			w.sent[i].firstToken = now
+			return
+		}
+	}
+}
+
+// finish removes the request and returns what was known of it.
+func (w *ownWork) finish(now time.Duration, exchange string, hasReport bool) (sentWork, bool) {
+	for i, ended := range w.sent {
+		if ended.exchange != exchange {
 			continue
 		}
 		if i >= len(w.sent)-w.unreported {
 			w.unreported--
-			w.unreportedPrompt -= int64(w.sent[i].promptTokens)
+			w.unreportedPrompt -= int64(ended.promptTokens)
 		} else if hasReport {
 			w.finished = append(w.finished, now)
 		}
 		w.sent = append(w.sent[:i], w.sent[i+1:]...)
-		return true
+		return ended, true
 	}
-	return false
+	return sentWork{}, false
 }
 
 // reported drops the corrections that a report measured at the given time covers.
@@ -65,10 +79,14 @@
 	w.finished = kept
 }
 
-func (w *ownWork) correction() Load {
-	return Load{
-		Running:             -len(w.finished),
-		Waiting:             w.unreported,
-		WaitingPromptTokens: w.unreportedPrompt,
+// readingTokens sums the prompts of requests that a report covers and that have
+// not given their first token.
+func (w *ownWork) readingTokens() float64 {
+	var sum float64
+	for i := range w.sent[:len(w.sent)-w.unreported] {
+		if w.sent[i].firstToken == 0 {
+			sum += float64(w.sent[i].promptTokens)
+		}
 	}
+	return sum
 }
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -24,6 +24,7 @@
 	candidate *Candidate
 	cost      time.Duration
 	cached    float64
+	asHome    bool
 }
 
 // Pick chooses where to send the request. excluded names back ends that have
@@ -109,13 +110,11 @@
 		return part{}, err
 	}
 	r.prefixes.chooseHome(&decision.prefix, request.PrefixBlocks, r.kept)
+	r.estimateLoads(decision.Now)
 	r.score(decision)
 	chosen := r.scored[r.config.Picker.Pick(decision, r.scored)]
-	return part{
-		candidate: chosen.Candidate,
-		cost:      chosen.Cost,
-		cached:    decision.cachedTokens(chosen.Candidate),
-	}, nil
+	cached, asHome := decision.cachedTokens(chosen.Candidate)
+	return part{candidate: chosen.Candidate, cost: chosen.Cost, cached: cached, asHome: asHome}, nil
 }
 
 // filter fills kept with up to SubsetSize members that pass every filter, nearest
@@ -162,6 +161,7 @@
 		Expected:           max(whole.cost, 0),
 		ExpectedFirstToken: max(whole.cost-output, 0),
 		CachedTokens:       int(whole.cached),
+		Home:               whole.asHome,
 	}
 }
 
@@ -173,14 +173,13 @@
 		Expected:           max(prefill.cost+output.cost, 0),
 		ExpectedFirstToken: max(prefill.cost+output.cost-r.outputTime(decision.Request, output.candidate), 0),
 		CachedTokens:       int(prefill.cached),
+		Home:               prefill.asHome,
 	}
 }
 
 // outputTime is the expected time of writing the output beside what runs there.
 func (r *Router) outputTime(request *Request, candidate *Candidate) time.Duration {
-	load := candidate.estimate()
-	running := float64(load.Running + load.Waiting)
-	return time.Duration(request.OutputTokens) * r.config.TokenTimes.interval(running)
+	return time.Duration(request.OutputTokens) * r.config.TokenTimes.interval(candidate.load.requests)
 }
 
 // moreTelling returns the error of the later filter: it tells more about what
--- a/internal/routing/prefix_memory.go
+++ b/internal/routing/prefix_memory.go
@@ -9,9 +9,6 @@
 	rememberedNodes = 4
 	// tokensPerBlock is the usual number of prompt tokens in one prefix block.
 	tokensPerBlock = PrefixBlockBytes / 4
-	// homeShare is the part of the prompt expected in the cache of its home when
-	// this gateway has not sent it there itself: other gateways of the zone may have.
-	homeShare = 0.3
 )
 
 // placements are the back ends that got a block last, newest first; 0 is none.
@@ -30,13 +27,14 @@
 type prefixMemory struct {
 	blocks *simplelru.LRU[uint64, *rememberedBlock]
 	// requests counts all requests in the same way as the uses of blocks.
-	requests float64
-	weight   risingWeight
+	requests  float64
+	weight    risingWeight
+	homeShare homeShare
 }
 
 func newPrefixMemory(size int) (*prefixMemory, error) {
 	blocks, err := simplelru.NewLRU[uint64, *rememberedBlock](size, nil)
-	return &prefixMemory{blocks: blocks, weight: 1}, err
+	return &prefixMemory{blocks: blocks, weight: 1, homeShare: firstHomeShare}, err
 }
 
 // remember notes that the node reads a prompt with these blocks.
@@ -97,7 +95,7 @@
 			view.set(node, tokens)
 		}
 	}
-	view.homeTokens = homeShare * min(float64(len(blocks)*tokensPerBlock), float64(request.PromptTokens))
+	view.homeTokens = float64(m.homeShare) * min(float64(len(blocks)*tokensPerBlock), float64(request.PromptTokens))
 	return view
 }
 
@@ -154,16 +152,17 @@
 	}
 }
 
-// cachedTokens is the number of prompt tokens expected in the candidate's cache.
-func (d *Decision) cachedTokens(candidate *Candidate) float64 {
+// cachedTokens is the number of prompt tokens expected in the candidate's cache, and
+// whether they are expected there only because it is the prefix's home.
+func (d *Decision) cachedTokens(candidate *Candidate) (tokens float64, asHome bool) {
 	view := &d.prefix
 	for i := range view.known {
 		if view.nodes[i] == candidate.node {
-			return view.tokens[i]
+			tokens = view.tokens[i]
 		}
 	}
-	if candidate.node == view.home {
-		return view.homeTokens
+	if candidate.node == view.home && view.homeTokens > tokens {
+		return view.homeTokens, true
 	}
-	return 0
+	return tokens, false
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -12,6 +12,7 @@
 	candidates map[string]*Candidate
 	pools      map[poolKey]*pool
 	prefixes   *prefixMemory
+	readings   map[readingKey]*readingMean
 	// kept and scored are scratch space of one decision.
 	kept   []*Candidate
 	scored []Scored
@@ -40,6 +41,7 @@
 		candidates: make(map[string]*Candidate),
 		pools:      make(map[poolKey]*pool),
 		prefixes:   prefixes,
+		readings:   make(map[readingKey]*readingMean),
 	}, nil
 }
 
@@ -64,6 +66,7 @@
 	}
 	r.candidates = candidates
 	r.sortPools()
+	r.forgetReadings()
 }
 
 func (r *Router) sortPools() {
@@ -73,6 +76,7 @@
 }
 
 func (r *Router) addToPools(candidate *Candidate) {
+	candidate.reading = r.reading(candidate)
 	for _, key := range poolKeys(&candidate.BackEnd) {
 		if r.pools[key] == nil {
 			r.pools[key] = &pool{}
