--- a/internal/controller/operator_service.go
+++ b/internal/controller/operator_service.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return nil, connectError(trace.BadParameter("%v", err))
 	}
-	if required := language.RequiredRoleToApply(objects); !language.Allowed(operator.role, required) {
+	if required := language.RequiredRoleToApply(objects, request.Msg.GetPrune()); !language.Allowed(operator.role, required) {
 		return nil, connectError(trace.AccessDenied("operator %q is %s; this declaration needs %s",
 			operator.name, language.OperatorRoleWord(operator.role), language.OperatorRoleWord(required)))
 	}
--- a/internal/language/roles.go
+++ b/internal/language/roles.go
@@ -56,8 +56,11 @@
 func (DumpLogs) RequiredRole() v1.OperatorRole { return operator }
 
 // RequiredRoleToApply is the lowest role that may submit these objects: operator,
-// or administrator when operators are among them.
-func RequiredRoleToApply(objects []*v1.Object) v1.OperatorRole {
+// or administrator when operators are among them, or may be among what prune deletes.
+func RequiredRoleToApply(objects []*v1.Object, prune bool) v1.OperatorRole {
+	if prune {
+		return administrator
+	}
 	for _, object := range objects {
 		if object.GetKey().GetType() == v1.ObjectType_OBJECT_TYPE_OPERATOR {
 			return administrator
--- a/internal/language/statements_test.go
+++ b/internal/language/statements_test.go
@@ -94,13 +94,14 @@
 	require.ErrorContains(t, err, "longer than")
 }
 
-func TestEveryCommandNamesARoleAboveViewer(t *testing.T) {
+func TestRoles(t *testing.T) {
 	require.True(t, Allowed(administrator, operator))
 	require.True(t, Allowed(viewer, viewer))
 	require.False(t, Allowed(viewer, operator))
 	require.False(t, Allowed(v1.OperatorRole_OPERATOR_ROLE_UNSPECIFIED, v1.OperatorRole_OPERATOR_ROLE_UNSPECIFIED))
-	require.Equal(t, operator, RequiredRoleToApply([]*v1.Object{{Key: key(v1.ObjectType_OBJECT_TYPE_TENANT, "a")}}))
-	require.Equal(t, administrator, RequiredRoleToApply([]*v1.Object{{Key: key(v1.ObjectType_OBJECT_TYPE_OPERATOR, "a")}}))
+	require.Equal(t, operator, RequiredRoleToApply([]*v1.Object{{Key: key(v1.ObjectType_OBJECT_TYPE_TENANT, "a")}}, false))
+	require.Equal(t, administrator, RequiredRoleToApply([]*v1.Object{{Key: key(v1.ObjectType_OBJECT_TYPE_TENANT, "a")}}, true))
+	require.Equal(t, administrator, RequiredRoleToApply([]*v1.Object{{Key: key(v1.ObjectType_OBJECT_TYPE_OPERATOR, "a")}}, false))
 }
 
 func FuzzParseStatement(f *testing.F) {
