Suggest words in one place

Cause: internal/nearest and internal/language each searched for the nearest known word. Change: the language uses internal/nearest, whose edit distance is the library's.

--- a/internal/language/error.go
+++ b/internal/language/error.go
@@ -4,14 +4,16 @@
 	"errors"
 	"fmt"
 	"regexp"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
 
-	"github.com/agnivade/levenshtein"
 	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
 	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/nearest"
 )
 
 // Error is one mistake in a text, with its place and, where there is one, the
@@ -87,7 +89,7 @@
 // unknownWord reports a word that is not among the known ones.
 func unknownWord(position lexer.Position, what, word string, known []string) *Error {
 	mistake := errorAt(position, "unknown %s %q: expected %s", what, word, alternatives(known))
-	mistake.Suggestion = nearest(word, known)
+	mistake.Suggestion = suggest(word, known)
 	return mistake
 }
 
@@ -104,7 +106,7 @@
 		return errorAt(syntaxError.Position(), "%s", strings.TrimPrefix(syntaxError.Message(), "lexer: "))
 	}
 	mistake := errorAt(syntaxError.Position(), "unexpected %s: expected %s", foundText(unexpected), expectedText(unexpected, beginnings))
-	mistake.Suggestion = nearest(unexpected.Unexpected.Value, known)
+	mistake.Suggestion = suggest(unexpected.Unexpected.Value, known)
 	return mistake
 }
 
@@ -155,18 +157,12 @@
 	return strings.Join(words[:last], ", ") + " or " + words[last]
 }
 
-// nearest returns the known word that is closest to word, or "" when none is
-// close enough to be a slip of the pen.
-func nearest(word string, known []string) string {
-	best, bestDistance := "", 1+len(word)/3
-	for _, candidate := range known {
-		if candidate == word {
-			return ""
-		}
-		distance := levenshtein.ComputeDistance(strings.ToLower(word), candidate)
-		if distance <= bestDistance && (best == "" || distance < bestDistance) {
-			best, bestDistance = candidate, distance
-		}
+// suggest returns the known word that is closest to word, or "" when there is none
+// or the word itself is known.
+func suggest(word string, known []string) string {
+	if slices.Contains(known, word) {
+		return ""
 	}
-	return best
+	suggestion, _ := nearest.Word(strings.ToLower(word), known)
+	return suggestion
 }
--- a/internal/language/evaluate.go
+++ b/internal/language/evaluate.go
@@ -60,7 +60,7 @@
 
 // notFound names what is unknown and the nearest known name.
 func notFound(what, name string, known []string) error {
-	if suggestion := nearest(name, known); suggestion != "" {
+	if suggestion := suggest(name, known); suggestion != "" {
 		return trace.NotFound("%s %s is not known; did you mean %q?", what, quoteName(name), suggestion)
 	}
 	return trace.NotFound("%s %s is not known", what, quoteName(name))
--- a/internal/language/references.go
+++ b/internal/language/references.go
@@ -98,7 +98,7 @@
 			key := &v1.ObjectKey{Type: field.refers, Name: name}
 			if c.byKey[KeyText(key)] == nil {
 				known := c.names[field.refers]
-				c.add(object, field.word, nearest(name, known), "%s names %s, which is not declared", field.word, KeyText(key))
+				c.add(object, field.word, suggest(name, known), "%s names %s, which is not declared", field.word, KeyText(key))
 			}
 		}
 	}
--- a/internal/language/shape_word.go
+++ b/internal/language/shape_word.go
@@ -65,7 +65,7 @@
 		return protoreflect.ValueOfBool(false), nil
 	}
 	mistake := errorAt(scalar.Pos, "%s is not valid here: expected true or false", scalar.source())
-	mistake.Suggestion = nearest(scalar.Word, booleanWords)
+	mistake.Suggestion = suggest(scalar.Word, booleanWords)
 	return protoreflect.Value{}, mistake
 }
 
--- a/internal/nearest/nearest.go
+++ b/internal/nearest/nearest.go
@@ -2,6 +2,8 @@
 // messages that suggest a cure. It is pure and safe for concurrent use.
 package nearest
 
+import "github.com/agnivade/levenshtein"
+
 // maximumDistance is the largest edit distance at which a suggestion still helps.
 const maximumDistance = 3
 
@@ -11,32 +13,10 @@
 func Word(word string, candidates []string) (string, bool) {
 	best, bestDistance := "", maximumDistance+1
 	for _, candidate := range candidates {
-		distance := editDistance(word, candidate)
+		distance := levenshtein.ComputeDistance(word, candidate)
 		if distance < bestDistance && distance < max(len(candidate), len(word)) {
 			best, bestDistance = candidate, distance
 		}
 	}
 	return best, best != ""
 }
-
-// editDistance counts the insertions, deletions and substitutions of bytes that
-// turn one word into the other (Levenshtein distance).
-func editDistance(from, to string) int {
-	previous := make([]int, len(to)+1)
-	for column := range previous {
-		previous[column] = column
-	}
-	for row := 1; row <= len(from); row++ {
-		current := make([]int, len(to)+1)
-		current[0] = row
-		for column := 1; column <= len(to); column++ {
-			substitution := previous[column-1]
-			if from[row-1] != to[column-1] {
-				substitution++
-			}
-			current[column] = min(previous[column]+1, current[column-1]+1, substitution)
-		}
-		previous = current
-	}
-	return previous[len(to)]
-}
