Tell routing of first tokens, homes and cached tokens at the gateway

Cause: routing learns unread prompts and the worth of homes from these observations. Change: three additive lines in the completion's observations.

--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -129,6 +129,7 @@
 		c.usage = readUsage(event.Usage)
 	case c.firstTokenAt == 0:
 		c.firstTokenAt = c.gateway.clock.now()
+		c.gateway.dispatcher.observe(routing.FirstToken{BackEnd: c.backEnd.Name, Exchange: c.exchange})
 	}
 }
 
@@ -214,6 +215,7 @@
 	c.gateway.dispatcher.observe(routing.Sent{
 		BackEnd: c.backEnd.Name, Exchange: c.exchange,
 		PromptTokens: max(c.routing.PromptTokens-choice.CachedTokens, 0), PrefixBlocks: c.routing.PrefixBlocks,
+		Home: choice.Home,
 	})
 	answer, report, failure := c.gateway.upstream.Do(c.message())
 	c.gateway.dispatcher.observeReport(c.backEnd.Name, report)
@@ -343,7 +345,9 @@
 	}
 	c.answer.Close()
 	c.answer, c.scanner = nil, nil
-	c.gateway.dispatcher.observe(routing.Finished{BackEnd: c.backEnd.Name, Exchange: c.exchange})
+	c.gateway.dispatcher.observe(routing.Finished{
+		BackEnd: c.backEnd.Name, Exchange: c.exchange, PromptTokens: c.usage.promptTokens, CachedTokens: c.usage.cachedTokens,
+	})
 }
 
 // close ends whatever is under way; the caller may have gone in the middle of a stream.
