--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -46,6 +46,9 @@
 	// profile name; nil means planner.ProfileOf.
 	EngineProfile   func(name string) planner.EngineProfile
 	SnapshotEntries uint64
+	// RetainedEntries is how many entries before a snapshot are kept for controllers
+	// that lag a little; 0 means the default of internal/consensus.
+	RetainedEntries uint64
 	// Seed must come from a cryptographic source: cache salts are drawn from it.
 	Seed       [32]byte
 	Safeguards safeguard.Set
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -14,6 +14,9 @@
 	"github.com/hazelpitch/hazelpitch/internal/shares"
 )
 
+// catchUpAfter is the time without a tick after which the process must have been paused.
+const catchUpAfter = 4 * TickInterval
+
 // Core is one controller. It is owned by one goroutine.
 type Core struct {
 	config    Config
@@ -29,6 +32,8 @@
 
 	now     time.Duration
 	outputs []Output
+	// tickedAt is when the replicated log last saw the time by itself.
+	tickedAt time.Duration
 
 	// applied is the log index of the last applied entry, snapshotAt of the last snapshot.
 	applied    uint64
@@ -55,7 +60,7 @@
 	replicated, err := consensus.New(consensus.Config{
 		Fleet: config.Fleet, Name: config.Name, Address: config.Address, Zone: config.Zone, Peers: config.Peers,
 		ElectionTimeout: config.ElectionTimeout, HeartbeatInterval: config.HeartbeatInterval,
-		Seed: random.Uint64(), Safeguards: config.Safeguards,
+		RetainedEntries: config.RetainedEntries, Seed: random.Uint64(), Safeguards: config.Safeguards,
 	}, restored)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -79,6 +84,7 @@
 func (c *Core) Step(now time.Duration, input Input) []Output {
 	c.now = max(c.now, now)
 	c.outputs = nil
+	c.catchUp()
 	c.take(input)
 	c.drive()
 	c.checkLeadership()
@@ -89,11 +95,24 @@
 	return c.outputs
 }
 
+// catchUp lets the replicated log see the time after a pause before anything else, so
+// that no call is answered as if the leader had just been heard.
+func (c *Core) catchUp() {
+	if c.now-c.tickedAt > catchUpAfter {
+		c.tickConsensus()
+	}
+}
+
+func (c *Core) tickConsensus() {
+	c.tickedAt = c.now
+	c.consensus.Tick(c.now)
+}
+
 // take dispatches one input.
 func (c *Core) take(input Input) {
 	switch received := input.(type) {
 	case Tick:
-		c.consensus.Tick(c.now)
+		c.tickConsensus()
 	case PeerMessage:
 		// An error tells why the message was dropped; the sender repeats what matters.
 		_ = c.consensus.Step(c.now, received.Message)
--- a/internal/control/nodes.go
+++ b/internal/control/nodes.go
@@ -18,9 +18,13 @@
 	c.tracker.GatewayHeard(c.now, request.GetNode(), request.GetRevision(), request.GetLeaving())
 	delta := c.state.Delta(c.deltaRequest(request))
 	status := c.consensus.Status()
+	behind := status.Leader == "" || request.GetRevision() > c.state.Revision()
+	if behind {
+		delta.RejectedKeyHashes = nil // a newer configuration may know them
+	}
 	response := &v1.SyncResponse{
 		Revision: delta.Revision, Full: delta.Full, Objects: delta.Objects, RejectedKeyHashes: delta.RejectedKeyHashes,
-		LeaderAddress: status.LeaderAddress,
+		LeaderAddress: status.LeaderAddress, Behind: behind,
 	}
 	for _, member := range status.Membership.GetMembers() {
 		response.ControllerAddresses = append(response.ControllerAddresses, member.Address)
--- a/internal/gatewaystate/state.go
+++ b/internal/gatewaystate/state.go
@@ -100,8 +100,8 @@
 
 // SyncResult tells what an answer brought.
 type SyncResult struct {
-	// Behind tells that the controller has an older configuration than this gateway;
-	// nothing of its configuration was taken and another controller should be asked.
+	// Behind tells that the controller may miss configuration, so that another one
+	// should be asked; nothing older than this gateway has was taken.
 	Behind bool
 	// DirectoryChanged tells that BackEnds holds a new directory.
 	DirectoryChanged bool
@@ -114,8 +114,8 @@
 // ApplySync applies the answer to request, which was sent at sentAt and answered at now.
 func (s *State) ApplySync(sentAt, now time.Duration, request *v1.SyncRequest, response *v1.SyncResponse) SyncResult {
 	result := s.applyDirectory(sentAt, now, response)
+	result.Behind = response.GetBehind() || response.GetRevision() < s.configuration.revision
 	if response.GetRevision() < s.configuration.revision {
-		result.Behind = true
 		return result
 	}
 	s.applyConfiguration(now, request, response)
@@ -159,6 +159,9 @@
 		s.rejectedKeys[keyHash] = struct{}{}
 		s.configurationChanged = true
 	}
+	if response.GetBehind() {
+		return // another controller may know the keys that this one does not
+	}
 	for _, keyHash := range request.GetUnknownKeyHashes() {
 		delete(s.unknownKeys, keyHash)
 	}
