--- a/internal/enginemodel/profile.go
+++ b/internal/enginemodel/profile.go
@@ -95,6 +95,19 @@
 	return nil
 }
 
+// Faster returns the profile of an engine that is factor times as fast in all; 0 is 1.
+func (p Profile) Faster(factor float64) Profile {
+	if factor == 0 || factor == 1 {
+		return p
+	}
+	p.PrefillTokensPerSecond *= factor
+	p.KVTransferBytesPerSecond *= factor
+	for _, part := range []*time.Duration{&p.StepBase, &p.StepPerSequence, &p.StepPerContextToken, &p.RoleChange, &p.WeightLoad, &p.AdapterLoad} {
+		*part = time.Duration(float64(*part) / factor)
+	}
+	return p
+}
+
 // PrefillTime is the time to read tokens of a prompt without steps' fixed cost.
 func (p Profile) PrefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / p.PrefillTokensPerSecond * float64(time.Second))
--- a/internal/fleet/description.go
+++ b/internal/fleet/description.go
@@ -88,6 +88,8 @@
 	ServiceTime time.Duration `yaml:"service_time"`
 	// Replicas by zone.
 	Replicas map[string]int `yaml:"replicas"`
+	// Speed makes engines so many times as fast as their profile; 0 is 1.
+	Speed float64 `yaml:"speed"`
 	// Faults every replica starts with.
 	Faults []fault.Fault `yaml:"faults"`
 }
@@ -110,6 +112,11 @@
 	if _, err := netip.ParseAddr(d.Network + ".0.1"); err != nil || !strings.HasPrefix(d.Network, "127.") {
 		return trace.BadParameter("network %q: write the first two numbers of a loopback network, such as 127.41", d.Network)
 	}
+	for _, address := range []string{d.MachineList.Address, d.WeightStore.Address} {
+		if !strings.HasPrefix(address, d.Network+".") {
+			return trace.BadParameter("address %q is not on network %q: the network needs quotes, and every address its numbers", address, d.Network)
+		}
+	}
 	zones := map[string]bool{}
 	for _, zone := range d.Zones {
 		if zone.Subnet < 1 || zone.Subnet > 254 || zone.Subnet == d.ClientSubnet {
@@ -121,6 +128,9 @@
 		if service.Type != TypeEngine && service.Type != TypePage {
 			return trace.BadParameter("service %s: type %q is not engine or page", service.Name, service.Type)
 		}
+		if service.Speed < 0 {
+			return trace.BadParameter("service %s: speed must not be negative", service.Name)
+		}
 		for zone := range service.Replicas {
 			if !zones[zone] {
 				return trace.BadParameter("service %s: zone %q is not one of the zones", service.Name, zone)
--- a/internal/fleet/outside.go
+++ b/internal/fleet/outside.go
@@ -73,7 +73,7 @@
 	}
 	started, err := engine.Start(engine.Config{
 		Name: replica.Name, Service: service.Name, Zone: replica.Zone, Address: replica.Address,
-		Role: replica.Role, Model: service.Model, Version: service.Version, Profile: profile,
+		Role: replica.Role, Model: service.Model, Version: service.Version, Profile: profile.Faster(service.Speed),
 		WeightStore: description.WeightStore.Address, Faults: service.Faults, Listen: listen,
 	})
 	if err != nil {
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
-	moved := strings.Replace(string(move(text)), "network: "+description.Network, "network: "+network, 1)
+	moved := strings.Replace(string(move(text)), quoted(description.Network), quoted(network), 1)
 	descriptionPath := filepath.Join(options.Directory, DescriptionFile)
 	if err := os.WriteFile(descriptionPath, []byte(moved), 0o644); err != nil {
 		return nil, trace.ConvertSystemError(err)
@@ -57,6 +57,10 @@
 	return processes, nil
 }
 
+// quoted is a network as the description spells it: without quotes YAML would take
+// it for a number.
+func quoted(network string) string { return `network: "` + network + `"` }
+
 // newProcess describes the process of one settings file.
 func newProcess(options Options, role Role, path, descriptionPath string) (*Process, error) {
 	process := &Process{Role: role, SettingsPath: path}
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -85,7 +85,7 @@
 // send sends one request, due at a time, and returns how it ended. The text of a
 // chat's answer goes to show as it arrives.
 func (c *client) send(of request, due time.Time, show io.Writer) Result {
-	result := Result{Kind: of.kind, Prompt: of.promptKey, Key: of.key}
+	result := Result{Kind: of.kind, Due: of.arrival.at, Prompt: of.promptKey, Key: of.key}
 	call, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(call)
 	defer fasthttp.ReleaseResponse(answer)
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -32,6 +32,8 @@
 	Verdict string
 	Status  int
 	Code    string
+	// Due is when the request was due, since the run began.
+	Due time.Duration
 	// FirstByte and Total are times since the request was due, not since it was sent.
 	FirstByte time.Duration
 	Total     time.Duration
--- a/internal/load/probe.go
+++ b/internal/load/probe.go
@@ -6,10 +6,19 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+const (
+	// probePatience is how long a probe resends what was refused as not run: gateways
+	// may not know every back end yet.
+	probePatience = 15 * time.Second
+	probePause    = 200 * time.Millisecond
 )
 
 // Probe sends one request of each kind, one after the other, and returns how each
-// ended, in the order of the traffic.
+// ended, in the order of the traffic. What was refused as not run it sends again.
 func Probe(options Options) ([]Result, error) {
 	traffic, kinds, err := describe(options.Deployment)
 	if err != nil {
@@ -18,7 +27,7 @@
 	sender, builder := newClient(options.Target), newMaker(options, traffic, kinds, time.Now())
 	var results []Result
 	for number := range traffic.Requests {
-		results = append(results, sender.send(builder.make(arrival{kind: number, number: number}), time.Now(), io.Discard))
+		results = append(results, sender.sendUntilTaken(builder.make(arrival{kind: number, number: number})))
 	}
 	return results, nil
 }
@@ -57,3 +66,14 @@
 	}
 	return traffic, kinds, trace.Wrap(declared(traffic, kinds))
 }
+
+// sendUntilTaken sends a request again while it is refused as not run.
+func (c *client) sendUntilTaken(of request) Result {
+	for began := time.Now(); ; time.Sleep(probePause) {
+		result := c.send(of, time.Now(), io.Discard)
+		refused := result.Outcome == Refused && result.Verdict == verdict.NotRun.String()
+		if !refused || time.Since(began) > probePatience {
+			return result
+		}
+	}
+}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -54,13 +54,15 @@
 	InDeadline int     `json:"in_deadline"`
 	Goodput    float64 `json:"goodput"`
 	// Refusals counts refusals by "verdict code".
-	Refusals  map[string]int `json:"refusals,omitempty"`
-	Expired   int            `json:"expired"`
-	Cut       int            `json:"cut"`
-	Mixed     int            `json:"mixed"`
-	Lost      int            `json:"lost"`
-	FirstByte Percentiles    `json:"first_byte_ms"`
-	Total     Percentiles    `json:"total_ms"`
+	Refusals map[string]int `json:"refusals,omitempty"`
+	// RefusalExamples tells the first message of each.
+	RefusalExamples map[string]string `json:"refusal_examples,omitempty"`
+	Expired         int               `json:"expired"`
+	Cut             int               `json:"cut"`
+	Mixed           int               `json:"mixed"`
+	Lost            int               `json:"lost"`
+	FirstByte       Percentiles       `json:"first_byte_ms"`
+	Total           Percentiles       `json:"total_ms"`
 
 	worth            float64
 	firstByte, total *hdrhistogram.Histogram
@@ -94,7 +96,7 @@
 	for _, result := range results {
 		of := byKind[result.Kind]
 		if of == nil {
-			of = &KindReport{Kind: result.Kind, Refusals: make(map[string]int), worth: kinds[result.Kind].Worth, firstByte: newHistogram(), total: newHistogram()}
+			of = &KindReport{Kind: result.Kind, Refusals: make(map[string]int), RefusalExamples: make(map[string]string), worth: kinds[result.Kind].Worth, firstByte: newHistogram(), total: newHistogram()}
 			byKind[result.Kind] = of
 		}
 		of.add(result, kinds[result.Kind].Deadline)
@@ -137,7 +139,11 @@
 		_ = k.firstByte.RecordValue(min(result.FirstByte, maxLatency).Microseconds()) // clamped: it fits
 		_ = k.total.RecordValue(min(result.Total, maxLatency).Microseconds())
 	case Refused:
-		k.Refusals[strings.TrimSpace(result.Verdict+" "+result.Code)]++
+		name := strings.TrimSpace(result.Verdict + " " + result.Code)
+		k.Refusals[name]++
+		if k.RefusalExamples[name] == "" {
+			k.RefusalExamples[name] = fmt.Sprintf("%d %s (due at %v)", result.Status, result.Detail, result.Due.Round(time.Millisecond))
+		}
 	case Expired:
 		k.Expired++
 	case Cut:
@@ -175,6 +181,11 @@
 		r.Engines.RoleChanges, r.Cut+r.Engines.CutByChange, r.Mixed, r.Lost, r.Audit.FalseNotRun, r.Audit.FalseRan, r.Audit.Doubled)
 	fmt.Fprintf(out, "engines: %d runs started, %d finished, %d prompts read for another engine, %d caches imported, %d cancelled, %d refused\n",
 		r.Engines.Started, r.Engines.Finished, r.Engines.Prefilled, r.Engines.Imported, r.Engines.Cancelled, r.Engines.Refused)
+	for _, kind := range r.Kinds {
+		for name, example := range kind.RefusalExamples {
+			fmt.Fprintf(out, "  %s refused, %s: %s\n", kind.Kind, name, example)
+		}
+	}
 	for _, line := range append(append([]string(nil), r.Failures...), r.Audit.Findings...) {
 		fmt.Fprintln(out, "  "+line)
 	}
