Define the results of experiments

Cause: the report and the experiment tool need one shape of results. Change: package experiment with the JSON types of a run, its series and its events. Conclusion: the report can be written against these types.

--- /dev/null
+++ b/internal/experiment/result.go
@@ -0,0 +1,123 @@
+package experiment
+
+// Run is the result of one scenario under one policy and seed. It is what
+// `hazelbench experiment --json` prints, and holds no maps: the order of every list
+// is fixed, so that equal runs give equal bytes.
+type Run struct {
+	Scenario   string `json:"scenario"`
+	Deployment string `json:"deployment"`
+	Policy     string `json:"policy"`
+	Seed       uint64 `json:"seed"`
+	// LengthSeconds is the time during which requests arrived.
+	LengthSeconds float64 `json:"length_seconds"`
+	// OfferedWorth is the worth of all requests that arrived; Goodput is the worth of
+	// those that completed within their deadlines.
+	OfferedWorth float64 `json:"offered_worth"`
+	Goodput      float64 `json:"goodput"`
+	// BoundGoodput is the goodput of the clairvoyant plan for the same scenario and
+	// seed; nil when it was not computed.
+	BoundGoodput *float64 `json:"bound_goodput,omitempty"`
+	// RoleChanges counts finished role changes; RoleChangesOrdered all that were ordered.
+	RoleChanges        int `json:"role_changes"`
+	RoleChangesOrdered int `json:"role_changes_ordered"`
+	// Requests that arrived, and how they ended.
+	Requests  int `json:"requests"`
+	Completed int `json:"completed"`
+	// DeadlineMisses counts requests that ran but completed too late.
+	DeadlineMisses int `json:"deadline_misses"`
+	Refused        int `json:"refused"`
+	// Cut counts requests lost in a crash of their engine after they had begun.
+	Cut       int       `json:"cut"`
+	Refusals  []Refusal `json:"refusals"`
+	Tenants   []Tenant  `json:"tenants"`
+	Latencies Latencies `json:"latencies"`
+	Series    []Sample  `json:"series"`
+	Events    []Event   `json:"events"`
+}
+
+// Refusal counts refusals of one tenant with one verdict and reason.
+type Refusal struct {
+	Tenant  string `json:"tenant"`
+	Verdict string `json:"verdict"` // "not-run"
+	Reason  string `json:"reason"`
+	Count   int    `json:"count"`
+}
+
+// Tenant is one tenant's part of a run.
+type Tenant struct {
+	Tenant       string  `json:"tenant"`
+	Requests     int     `json:"requests"`
+	Completed    int     `json:"completed"`
+	Refused      int     `json:"refused"`
+	OfferedWorth float64 `json:"offered_worth"`
+	Goodput      float64 `json:"goodput"`
+}
+
+// Latencies of completed requests, in milliseconds.
+type Latencies struct {
+	FirstToken    Percentiles `json:"first_token_ms"`
+	BetweenTokens Percentiles `json:"between_tokens_ms"`
+	Whole         Percentiles `json:"whole_ms"`
+}
+
+// Percentiles of one distribution.
+type Percentiles struct {
+	Count int     `json:"count"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P99   float64 `json:"p99"`
+	Max   float64 `json:"max"`
+}
+
+// Sample is the state of the fleet at one whole second.
+type Sample struct {
+	AtSeconds float64 `json:"at_seconds"`
+	// Goodput and OfferedWorth are of the second before: completed and arrived worth.
+	Goodput      float64 `json:"goodput"`
+	OfferedWorth float64 `json:"offered_worth"`
+	// PromptTokens and OutputTokens of the requests that arrived in the second before.
+	PromptTokens int64 `json:"prompt_tokens"`
+	OutputTokens int64 `json:"output_tokens"`
+	// Queued requests wait at gateways; Waiting ones wait at engines; Running ones run.
+	Queued  int         `json:"queued"`
+	Waiting int         `json:"waiting"`
+	Running int         `json:"running"`
+	Roles   []RoleCount `json:"roles"`
+}
+
+// RoleCount counts the engines of one service and zone by role; Out are those
+// that drain, change or have crashed. Rows are sorted by service, then zone.
+type RoleCount struct {
+	Service string `json:"service"`
+	Zone    string `json:"zone"`
+	Prefill int    `json:"prefill"`
+	Decode  int    `json:"decode"`
+	Mixed   int    `json:"mixed"`
+	Out     int    `json:"out"`
+}
+
+// EventType says what an Event tells.
+type EventType string
+
+// Types of events.
+const (
+	EventChangeStarted  EventType = "change-started"
+	EventChangeFinished EventType = "change-finished"
+	EventFault          EventType = "fault"
+	EventRecovered      EventType = "recovered"
+	EventLeaderLost     EventType = "leader-lost"
+	EventLeaderElected  EventType = "leader-elected"
+)
+
+// Event is one thing that happened to the fleet. Events are in order of time.
+type Event struct {
+	AtSeconds float64   `json:"at_seconds"`
+	Type      EventType `json:"type"`
+	Service   string    `json:"service,omitempty"`
+	Engine    string    `json:"engine,omitempty"`
+	Zone      string    `json:"zone,omitempty"`
+	From      string    `json:"from,omitempty"`
+	To        string    `json:"to,omitempty"`
+	// Detail is the planner's reason, or what the fault was.
+	Detail string `json:"detail,omitempty"`
+}
