Describe a scenario as types

Cause: the experiment tool and the reader of scenario files need one description of a run. Change: internal/scenario holds the types of a scenario file, its engines, faults' targets and arrivals.

--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -47,6 +47,7 @@
 	"internal/load",
 	"internal/measure",
 	"internal/report",
+	"internal/scenario",
 	"internal/scale",
 	"internal/simulation",
 	"internal/standin",
