--- a/internal/benchcommand/commands.go
+++ b/internal/benchcommand/commands.go
@@ -16,5 +16,6 @@
 		demoCommand(),
 		fleetCommand(),
 		loadCommand(),
+		simulateCommand(),
 	}
 }
