Give demand sums and the virtual agenda packages of their own

Cause: the experiment tool must sum demand with the controller's own code and needs the agenda that the routing measurement has. Change: control's demand table becomes package demand, measure's agenda becomes package virtualtime; no behaviour changes. Conclusion: one copy each.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -10,6 +10,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/authority"
 	"github.com/hazelpitch/hazelpitch/internal/consensus"
 	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+	"github.com/hazelpitch/hazelpitch/internal/demand"
 	"github.com/hazelpitch/hazelpitch/internal/membership"
 	"github.com/hazelpitch/hazelpitch/internal/shares"
 )
@@ -25,7 +26,7 @@
 	commander *authority.Commander
 	tracker   *membership.Tracker
 	divider   *shares.Divider
-	demands   *demandTable
+	demands   *demand.Table
 	planning  *planning
 	// random is a cryptographically strong generator.
 	random *rand.ChaCha8
@@ -72,7 +73,7 @@
 		commander: authority.New(authority.Config{Leader: config.Name, Safeguards: config.Safeguards}),
 		tracker:   membership.New(membership.Config{}),
 		divider:   shares.New(0, config.Safeguards),
-		demands:   newDemandTable(),
+		demands:   demand.NewTable(),
 		planning:  newPlanning(),
 		random:    random,
 		pending:   map[uint64]pendingCall{},
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -48,7 +48,7 @@
 	}
 	if due(c.now, &c.duties.housekeeping, housekeepInterval) {
 		c.divider.DropExpired(c.now)
-		c.demands.dropOld(c.now)
+		c.demands.DropOld(c.now)
 	}
 	if due(c.now, &c.duties.engines, engineGoneInterval) {
 		c.removeGoneEngines()
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -1,5 +1,7 @@
 package control
 
+import "github.com/hazelpitch/hazelpitch/internal/demand"
+
 // checkLeadership follows the replicated log's view of who leads.
 func (c *Core) checkLeadership() {
 	leads := c.consensus.Leading()
@@ -26,7 +28,7 @@
 	// Shares are granted under an authority only, so that without one there are none.
 	epoch, _ := c.state.Authority()
 	c.divider.Lead(c.now, epoch == 0)
-	c.demands = newDemandTable()
+	c.demands = demand.NewTable()
 	c.planning = newPlanning()
 }
 
--- a/internal/control/planning.go
+++ b/internal/control/planning.go
@@ -69,7 +69,7 @@
 	model := c.state.Object(v1.ObjectType_OBJECT_TYPE_MODEL, declared.Model).GetModel()
 	observation := planner.Observation{
 		Now: c.now, Service: service,
-		Engines: c.observeEngines(service), Demands: c.demands.of(c.now, service),
+		Engines: c.observeEngines(service), Demands: c.demands.Rows(c.now, service),
 		Pins: map[string]enginecontract.Role{}, Profile: c.config.EngineProfile(model.GetProfile()),
 		RecentChanges: c.recentChanges(service),
 	}
--- a/internal/control/demand.go
+++ b/internal/demand/table.go
@@ -1,7 +1,10 @@
-package control
+// Package demand adds up the demand that gateways report, as the planner reads it. It
+// is pure, so that the controller and the experiment tool run the same code.
+package demand
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -10,8 +13,8 @@
 )
 
 const (
-	// demandLifetime is how long a gateway's report counts.
-	demandLifetime = 10 * time.Second
+	// reportLifetime is how long a gateway's report counts.
+	reportLifetime = 10 * time.Second
 	// defaultWindow is the window of a report that names none.
 	defaultWindow = time.Second
 	// maximumDemands bounds the kinds in one report; the rest is ignored.
@@ -20,20 +23,21 @@
 	maximumReporters = 2000
 )
 
-// demandTable holds each gateway's last report.
-type demandTable struct{ reports map[string]*demandReport }
+// Table holds each gateway's last report.
+type Table struct{ reports map[string]*report }
 
-type demandReport struct {
+type report struct {
 	zone    string
 	at      time.Duration
 	window  time.Duration
 	demands []*v1.Demand
 }
 
-func newDemandTable() *demandTable { return &demandTable{reports: map[string]*demandReport{}} }
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{reports: map[string]*report{}} }
 
-// take replaces a gateway's report.
-func (t *demandTable) take(now time.Duration, node *v1.NodeIdentity, request *v1.ReportRequest) {
+// Take replaces a gateway's report.
+func (t *Table) Take(now time.Duration, node *v1.NodeIdentity, request *v1.ReportRequest) {
 	window := time.Duration(request.WindowMs) * time.Millisecond
 	if window <= 0 {
 		window = defaultWindow
@@ -42,37 +46,37 @@
 		return
 	}
 	demands := request.Demands
-	t.reports[node.GetName()] = &demandReport{
+	t.reports[node.GetName()] = &report{
 		zone: node.GetZone(), at: now, window: window, demands: demands[:min(len(demands), maximumDemands)],
 	}
 }
 
-// dropOld forgets reports that no longer count.
-func (t *demandTable) dropOld(now time.Duration) {
+// DropOld forgets reports that no longer count.
+func (t *Table) DropOld(now time.Duration) {
 	for name, report := range t.reports {
-		if now-report.at > demandLifetime {
+		if now-report.at > reportLifetime {
 			delete(t.reports, name)
 		}
 	}
 }
 
-// demandKey identifies one row of the planner's demand.
-type demandKey struct{ kind, zone string }
+// rowKey identifies one row of the planner's demand.
+type rowKey struct{ kind, zone string }
 
-// demandSum adds up one row over the gateways.
-type demandSum struct {
+// rowSum adds up one row over the gateways.
+type rowSum struct {
 	arrivalsPerSecond     float64
 	arrivals              float64
 	promptTokens, outputs float64
 	age                   time.Duration
 }
 
-// of sums the demand of one service by kind and zone, sorted.
-func (t *demandTable) of(now time.Duration, service string) []planner.DemandObservation {
-	sums := map[demandKey]*demandSum{}
-	for _, name := range sortedKeys(t.reports) {
+// Rows sums the demand of one service by kind and zone, sorted.
+func (t *Table) Rows(now time.Duration, service string) []planner.DemandObservation {
+	sums := map[rowKey]*rowSum{}
+	for _, name := range slices.Sorted(maps.Keys(t.reports)) {
 		report := t.reports[name]
-		if now-report.at > demandLifetime {
+		if now-report.at > reportLifetime {
 			continue
 		}
 		for _, demand := range report.demands {
@@ -81,14 +85,14 @@
 			}
 		}
 	}
-	return demandRows(sums)
+	return sortedRows(sums)
 }
 
-func (r *demandReport) addTo(sums map[demandKey]*demandSum, now time.Duration, demand *v1.Demand) {
-	key := demandKey{demand.Kind, r.zone}
+func (r *report) addTo(sums map[rowKey]*rowSum, now time.Duration, demand *v1.Demand) {
+	key := rowKey{demand.Kind, r.zone}
 	sum := sums[key]
 	if sum == nil {
-		sum = &demandSum{}
+		sum = &rowSum{}
 		sums[key] = sum
 	}
 	sum.arrivals += float64(demand.Arrivals)
@@ -98,12 +102,12 @@
 	sum.age = max(sum.age, now-r.at)
 }
 
-func demandRows(sums map[demandKey]*demandSum) []planner.DemandObservation {
-	keys := make([]demandKey, 0, len(sums))
+func sortedRows(sums map[rowKey]*rowSum) []planner.DemandObservation {
+	keys := make([]rowKey, 0, len(sums))
 	for key := range sums {
 		keys = append(keys, key)
 	}
-	slices.SortFunc(keys, func(a, b demandKey) int {
+	slices.SortFunc(keys, func(a, b rowKey) int {
 		if a.kind != b.kind {
 			return cmp.Compare(a.kind, b.kind)
 		}
--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -24,6 +24,7 @@
 	"internal/consensus",
 	"internal/control",
 	"internal/controlstate",
+	"internal/demand",
 	"internal/enginecontract",
 	"internal/enginemodel",
 	"internal/gatewaystate",
@@ -51,6 +52,7 @@
 	"internal/scale",
 	"internal/simulation",
 	"internal/standin",
+	"internal/virtualtime",
 }
 
 // impureImports may not appear in a pure package.
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -12,6 +12,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/enginemodel"
 	"github.com/hazelpitch/hazelpitch/internal/routing"
+	"github.com/hazelpitch/hazelpitch/internal/virtualtime"
 )
 
 const (
@@ -40,7 +41,7 @@
 type world struct {
 	setup    setup
 	now      time.Duration
-	agenda   agenda
+	agenda   virtualtime.Agenda
 	engines  []*enginemodel.Engine
 	zones    []string // of each engine
 	index    map[string]int
@@ -110,7 +111,7 @@
 	w.report()
 	for i := range w.requests {
 		asked := &w.requests[i]
-		w.agenda.add(asked.at, func() { w.gateways[asked.gateway].receive(asked) })
+		w.agenda.Add(asked.at, func() { w.gateways[asked.gateway].receive(asked) })
 	}
 	for {
 		at, found := w.nextTime()
@@ -121,7 +122,7 @@
 		for i := range w.engines {
 			w.advance(i)
 		}
-		w.agenda.runUntil(at)
+		w.agenda.RunUntil(at)
 	}
 }
 
@@ -130,14 +131,14 @@
 	again = func() {
 		action()
 		if w.now+interval < until {
-			w.agenda.add(w.now+interval, again)
+			w.agenda.Add(w.now+interval, again)
 		}
 	}
-	w.agenda.add(interval, again)
+	w.agenda.Add(interval, again)
 }
 
 func (w *world) nextTime() (time.Duration, bool) {
-	best, found := w.agenda.next()
+	best, found := w.agenda.Next()
 	for _, engine := range w.engines {
 		if at, busy := engine.NextEvent(); busy && (!found || at < best) {
 			best, found = at, true
