--- a/internal/authority/commander_test.go
+++ b/internal/authority/commander_test.go
@@ -9,6 +9,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/controlstate"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/engineroles"
 )
 
 const (
@@ -183,7 +184,7 @@
 			require.Nil(t, b.state.Engine("engine").Outstanding)
 			if len(b.engines) > 0 {
 				require.Equal(t, test.role, b.engineState("engine").Role)
-				require.Equal(t, RoleOf(test.role), b.state.Engine("engine").State.Role, "the log knows what the engine is")
+				require.Equal(t, engineroles.FromContract(test.role), b.state.Engine("engine").State.Role, "the log knows what the engine is")
 			}
 		})
 	}
--- a/internal/authority/convert.go
+++ b/internal/authority/convert.go
@@ -3,36 +3,9 @@
 import (
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/engineroles"
 )
 
-// RoleOf converts an engine's role from the outside protocol.
-func RoleOf(role enginecontract.Role) v1.Role {
-	switch role {
-	case enginecontract.RolePrefill:
-		return v1.Role_ROLE_PREFILL
-	case enginecontract.RoleDecode:
-		return v1.Role_ROLE_DECODE
-	case enginecontract.RoleMixed:
-		return v1.Role_ROLE_MIXED
-	default:
-		return v1.Role_ROLE_UNSPECIFIED
-	}
-}
-
-// ContractRole converts a role to the outside protocol.
-func ContractRole(role v1.Role) enginecontract.Role {
-	switch role {
-	case v1.Role_ROLE_PREFILL:
-		return enginecontract.RolePrefill
-	case v1.Role_ROLE_DECODE:
-		return enginecontract.RoleDecode
-	case v1.Role_ROLE_MIXED:
-		return enginecontract.RoleMixed
-	default:
-		return ""
-	}
-}
-
 var contractActions = map[v1.OrderAction]enginecontract.Action{
 	v1.OrderAction_ORDER_ACTION_SET_ROLE:       enginecontract.ActionSetRole,
 	v1.OrderAction_ORDER_ACTION_LOAD_MODEL:     enginecontract.ActionLoadModel,
@@ -51,11 +24,11 @@
 	return enginecontract.Order{
 		Fence:        fenceOf(order),
 		Action:       contractActions[order.Action],
-		Role:         ContractRole(order.Role),
+		Role:         engineroles.ToContract(order.Role),
 		Model:        order.Model,
 		Version:      order.Version,
 		Adapter:      order.Adapter,
-		ExpectedRole: ContractRole(order.ExpectedRole),
+		ExpectedRole: engineroles.ToContract(order.ExpectedRole),
 		DrainMs:      max(order.DeadlineMs-order.IssuedAtMs, 0),
 	}
 }
@@ -64,7 +37,7 @@
 func recordOf(address string, state enginecontract.EngineState) *v1.EngineState {
 	return &v1.EngineState{
 		Engine: state.Engine, Service: state.Service, Zone: state.Zone, Address: address,
-		Role: RoleOf(state.Role), Model: state.Model, Version: state.Version,
+		Role: engineroles.FromContract(state.Role), Model: state.Model, Version: state.Version,
 		Adapters: state.Adapters, Incarnation: state.Incarnation,
 	}
 }
--- a/internal/authority/decide.go
+++ b/internal/authority/decide.go
@@ -9,6 +9,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/controlstate"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/engineroles"
 )
 
 // Prepare checks that an order may be given now and fills in the rest of it: epoch,
@@ -21,14 +22,14 @@
 	}
 	order := proto.CloneOf(wanted)
 	order.Epoch = c.epoch
-	order.ExpectedRole = RoleOf(engine.last.Role)
+	order.ExpectedRole = engineroles.FromContract(engine.last.Role)
 	order.EngineIncarnation = engine.last.Incarnation
 	order.IssuedAtMs = nowMs
 	if order.DeadlineMs == 0 {
 		order.DeadlineMs = nowMs + c.config.DrainTime.Milliseconds()
 	}
 	engine.ordering = &pendingOrder{
-		at: now, out: takesOut(order.Action), loads: drawsWeights(order.Action), target: ContractRole(order.Role),
+		at: now, out: takesOut(order.Action), loads: drawsWeights(order.Action), target: engineroles.ToContract(order.Role),
 	}
 	return &v1.IssueOrder{Order: order}, nil
 }
@@ -78,7 +79,7 @@
 		return trace.Wrap(ErrEngineState, "engine %q is %s, not drained", last.Engine, last.State)
 	case last.State != enginecontract.StateServing:
 		return trace.Wrap(ErrEngineState, "engine %q is %s; resume it first", last.Engine, last.State)
-	case wanted.Action == v1.OrderAction_ORDER_ACTION_SET_ROLE && RoleOf(last.Role) == wanted.Role:
+	case wanted.Action == v1.OrderAction_ORDER_ACTION_SET_ROLE && engineroles.FromContract(last.Role) == wanted.Role:
 		return trace.Wrap(ErrEngineState, "engine %q plays this role already", last.Engine)
 	}
 	return nil
--- a/internal/authority/limits.go
+++ b/internal/authority/limits.go
@@ -6,6 +6,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/controlstate"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/engineroles"
 )
 
 // defaultMaximumOut bounds the engines of a service that are out at once when no
@@ -122,7 +123,7 @@
 
 // checkRoles demands that a role change keeps the declared minimum and maximum.
 func (c *Commander) checkRoles(state *controlstate.State, engine *engine, wanted *v1.Order, bounds []*v1.Bound) error {
-	from, to := RoleOf(engine.last.Role), wanted.Role
+	from, to := engineroles.FromContract(engine.last.Role), wanted.Role
 	for _, bound := range bounds {
 		if bound.Zone != "" && bound.Zone != engine.last.Zone {
 			continue
@@ -130,11 +131,11 @@
 		count := c.countRole(state, engine.last.Service, bound.Zone, bound.Role)
 		if bound.Role == from && count <= int(bound.Minimum) {
 			return trace.Wrap(ErrRoleBound, "service %q in zone %q has %d engines in role %s; at least %d",
-				engine.last.Service, bound.Zone, count, ContractRole(from), bound.Minimum)
+				engine.last.Service, bound.Zone, count, engineroles.ToContract(from), bound.Minimum)
 		}
 		if bound.Role == to && bound.Maximum != 0 && count >= int(bound.Maximum) {
 			return trace.Wrap(ErrRoleBound, "service %q in zone %q has %d engines in role %s; at most %d",
-				engine.last.Service, bound.Zone, count, ContractRole(to), bound.Maximum)
+				engine.last.Service, bound.Zone, count, engineroles.ToContract(to), bound.Maximum)
 		}
 	}
 	return nil
@@ -148,11 +149,11 @@
 		if !engine.heard || engine.last.Service != service || (zone != "" && engine.last.Zone != zone) {
 			continue
 		}
-		plays := RoleOf(engine.last.Role)
+		plays := engineroles.FromContract(engine.last.Role)
 		if order := state.Engine(name).GetOutstanding(); order.GetAction() == v1.OrderAction_ORDER_ACTION_SET_ROLE {
 			plays = order.Role
 		} else if engine.ordering != nil && engine.ordering.target != "" {
-			plays = RoleOf(engine.ordering.target)
+			plays = engineroles.FromContract(engine.ordering.target)
 		}
 		if plays == role {
 			count++
--- a/internal/authority/reconcile.go
+++ b/internal/authority/reconcile.go
@@ -7,6 +7,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/engineroles"
 )
 
 // ended compares the outstanding order with the engine's own word and returns how
@@ -67,7 +68,7 @@
 func reached(order *v1.Order, state enginecontract.EngineState) bool {
 	switch order.Action {
 	case v1.OrderAction_ORDER_ACTION_SET_ROLE:
-		return RoleOf(state.Role) == order.Role
+		return engineroles.FromContract(state.Role) == order.Role
 	case v1.OrderAction_ORDER_ACTION_LOAD_MODEL:
 		return state.Model == order.Model && state.Version == order.Version
 	case v1.OrderAction_ORDER_ACTION_LOAD_ADAPTER:
--- a/internal/claimclient/client.go
+++ b/internal/claimclient/client.go
@@ -14,6 +14,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/claims"
+	"github.com/hazelpitch/hazelpitch/internal/pause"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
@@ -109,14 +110,7 @@
 
 // sleepUntil reports whether the time came before the context ended.
 func (c *Client) sleepUntil(ctx context.Context, until time.Duration) bool {
-	timer := time.NewTimer(until - c.now())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, until-c.now())
 }
 
 // failureOf reads what an error tells. An InvalidArgument stays one wherever it is
--- a/internal/control/planning.go
+++ b/internal/control/planning.go
@@ -4,8 +4,8 @@
 	"time"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
-	"github.com/hazelpitch/hazelpitch/internal/authority"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/engineroles"
 	"github.com/hazelpitch/hazelpitch/internal/planner"
 )
 
@@ -53,7 +53,7 @@
 	for _, change := range decision.Changes {
 		err := c.issueOrder(&v1.Order{
 			Engine: change.Engine, Action: v1.OrderAction_ORDER_ACTION_SET_ROLE,
-			Role: authority.RoleOf(change.To), Reason: change.Reason,
+			Role: engineroles.FromContract(change.To), Reason: change.Reason,
 		})
 		if err != nil {
 			reason += "; held back: " + err.Error()
@@ -83,13 +83,13 @@
 	for _, object := range c.state.ObjectsOfType(v1.ObjectType_OBJECT_TYPE_BOUND) {
 		if bound := object.GetBound(); bound.Service == service {
 			observation.Bounds = append(observation.Bounds, planner.RoleBound{
-				Zone: bound.Zone, Role: authority.ContractRole(bound.Role),
+				Zone: bound.Zone, Role: engineroles.ToContract(bound.Role),
 				Minimum: int(bound.Minimum), Maximum: int(bound.Maximum), MaximumOut: int(bound.MaximumOut),
 			})
 		}
 	}
 	for _, object := range c.state.ObjectsOfType(v1.ObjectType_OBJECT_TYPE_PIN) {
-		observation.Pins[object.GetPin().Engine] = authority.ContractRole(object.GetPin().Role)
+		observation.Pins[object.GetPin().Engine] = engineroles.ToContract(object.GetPin().Role)
 	}
 	observation.Policy = c.policyOf(service)
 	return observation
@@ -127,7 +127,7 @@
 			engine.RoleSince = c.sinceOrigin(record.RoleSinceMs)
 			if order := record.Outstanding; order != nil {
 				engine.OrderOutstanding = true
-				engine.TargetRole = authority.ContractRole(order.Role)
+				engine.TargetRole = engineroles.ToContract(order.Role)
 			}
 		}
 		engines = append(engines, engine)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -14,6 +14,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/control"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
+	"github.com/hazelpitch/hazelpitch/internal/pause"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 	"github.com/hazelpitch/hazelpitch/internal/storage"
 )
@@ -151,7 +152,7 @@
 		if err != nil || status.Consensus.Role != consensus.RoleLeader {
 			return
 		}
-		pause(limited, control.TickInterval)
+		pause.For(limited, control.TickInterval)
 	}
 	c.log.Warn().Msg("leadership was not handed over in time; the others elect a leader after their timeout")
 }
--- a/internal/controller/sender.go
+++ b/internal/controller/sender.go
@@ -8,6 +8,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/pause"
 )
 
 const (
@@ -80,7 +81,7 @@
 	request := connect.NewRequest(&v1.DeliverRequest{Messages: messages})
 	if _, err := s.client.Deliver(limited, request); err != nil {
 		s.dropped(len(messages))
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 		return
 	}
 	s.sent(len(messages))
@@ -96,16 +97,6 @@
 	return bytes
 }
 
-// pause waits for the duration or for the end of the context.
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // lane separates snapshots, which take long to carry, from everything else.
 type lane struct {
 	address  string
--- a/internal/controller/sender_test.go
+++ b/internal/controller/sender_test.go
@@ -11,6 +11,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/control"
+	"github.com/hazelpitch/hazelpitch/internal/pause"
 )
 
 // recordingPeer keeps what was delivered and fails while failing is set.
@@ -76,7 +77,7 @@
 		require.Equal(t, 1, *dropped)
 		peer.failing = false
 		sender.enqueue(&v1.ConsensusMessage{LogIndex: 2})
-		pause(t.Context(), 2*retryPause)
+		pause.For(t.Context(), 2*retryPause)
 		synctest.Wait()
 		require.Len(t, peer.delivered, 1)
 	})
--- a/internal/gateway/admitter.go
+++ b/internal/gateway/admitter.go
@@ -12,6 +12,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/admission"
 	"github.com/hazelpitch/hazelpitch/internal/limits"
+	"github.com/hazelpitch/hazelpitch/internal/pause"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 	"github.com/hazelpitch/hazelpitch/internal/upstream"
 )
@@ -200,7 +201,7 @@
 
 // admissionLoop gives up on requests that wait too long, until the context ends.
 func (g *Gateway) admissionLoop(ctx context.Context) {
-	for sleep(ctx, admissionInterval) {
+	for pause.For(ctx, admissionInterval) {
 		g.admitter.expire()
 		inFlight, waiting := g.admitter.counts()
 		g.metrics.inFlight.Set(float64(inFlight))
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hazelpitch/hazelpitch/internal/pause"
 	"github.com/hazelpitch/hazelpitch/internal/upstream"
 )
 
@@ -56,7 +57,7 @@
 
 // run looks at the connections until the context ends.
 func (c *callers) run(ctx context.Context) {
-	for sleep(ctx, callerCheckInterval) {
+	for pause.For(ctx, callerCheckInterval) {
 		for _, watch := range c.list() {
 			if gone(watch.connection) {
 				watch.interrupter.Interrupt()
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -8,6 +8,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
+	"github.com/hazelpitch/hazelpitch/internal/pause"
 )
 
 // shortestSyncInterval bounds the heartbeats that unknown keys cause.
@@ -30,7 +31,7 @@
 			g.log.Warn().Err(err).Msg("no controller answers; going on with what is known")
 		}
 		timer.Reset(g.settings.SyncInterval)
-		if !sleep(ctx, shortestSyncInterval) {
+		if !pause.For(ctx, shortestSyncInterval) {
 			return
 		}
 	}
@@ -90,15 +91,3 @@
 		return none, trace.Wrap(ctx.Err())
 	}
 }
-
-// sleep waits; it reports false when the context ended first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/gatewaystate/directory.go
+++ b/internal/gatewaystate/directory.go
@@ -5,6 +5,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/engineroles"
 	"github.com/hazelpitch/hazelpitch/internal/routing"
 )
 
@@ -39,7 +40,7 @@
 		Address:     listed.GetAddress(),
 		Incarnation: listed.GetIncarnation(),
 		State:       serviceState(listed.GetState()),
-		Role:        engineRole(listed.GetRole()),
+		Role:        engineroles.ToContract(listed.GetRole()),
 		Model:       listed.GetModel(),
 		Version:     listed.GetVersion(),
 		Adapters:    listed.GetAdapters(),
@@ -65,17 +66,3 @@
 		return enginecontract.StateChanging
 	}
 }
-
-// engineRole translates a role; page services have none.
-func engineRole(role v1.Role) enginecontract.Role {
-	switch role {
-	case v1.Role_ROLE_PREFILL:
-		return enginecontract.RolePrefill
-	case v1.Role_ROLE_DECODE:
-		return enginecontract.RoleDecode
-	case v1.Role_ROLE_MIXED:
-		return enginecontract.RoleMixed
-	default:
-		return ""
-	}
-}
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -12,6 +12,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/engineroles"
 )
 
 // Directory is what a gateway of a zone uses.
@@ -166,7 +167,7 @@
 		Address: machine.Row.Address, State: state,
 	}
 	if own := machine.State; own != nil {
-		backEnd.Role = roleOf(own.Role)
+		backEnd.Role = engineroles.FromContract(own.Role)
 		backEnd.Model = own.Model
 		backEnd.Version = own.Version
 		backEnd.Adapters = own.Adapters
@@ -198,19 +199,6 @@
 	}
 }
 
-func roleOf(role enginecontract.Role) v1.Role {
-	switch role {
-	case enginecontract.RolePrefill:
-		return v1.Role_ROLE_PREFILL
-	case enginecontract.RoleDecode:
-		return v1.Role_ROLE_DECODE
-	case enginecontract.RoleMixed:
-		return v1.Role_ROLE_MIXED
-	default:
-		return v1.Role_ROLE_UNSPECIFIED
-	}
-}
-
 // directoryVersion hashes the back ends without their loads. It is never 0, which
 // means that a gateway has no directory.
 func directoryVersion(backEnds []*v1.BackEnd) uint64 {
--- a/internal/operatorclient/failover.go
+++ b/internal/operatorclient/failover.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"slices"
-	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/pause"
 )
 
 // call sends a request to one controller after another until one answers for good
@@ -12,7 +13,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
 	defer cancel()
 	failures := &UnreachableError{}
-	pause := firstPause
+	between := firstPause
 	for {
 		for queue := c.order(); len(queue) > 0; {
 			controller := queue[0]
@@ -31,10 +32,10 @@
 			failures.record(controller, err)
 			queue = follow(queue, controller, leaderHint(err))
 		}
-		if !wait(ctx, pause) {
+		if !pause.For(ctx, between) {
 			return nil, failures
 		}
-		pause = min(2*pause, longestPause)
+		between = min(2*between, longestPause)
 	}
 }
 
@@ -80,15 +81,3 @@
 	}
 	e.Attempts = append(e.Attempts, Attempt{Controller: controller, Err: err})
 }
-
-// wait pauses between rounds; it reports whether there is time for another one.
-func wait(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
