--- /dev/null
+++ b/internal/scenario/keyset.go
@@ -0,0 +1,52 @@
+package scenario
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/hazelpitch/hazelpitch/internal/yamlfile"
+)
+
+// keySet is the keys that one type of group takes.
+type keySet struct {
+	required []string
+	optional []string
+}
+
+// shapeKeys are the keys of each type of shape.
+var shapeKeys = map[ShapeType]keySet{
+	ShapeStep:   {required: []string{"at", "factor"}, optional: []string{"until"}},
+	ShapeRamp:   {required: []string{"at", "until", "factor"}},
+	ShapeWave:   {required: []string{"period", "amplitude"}, optional: []string{"phase"}},
+	ShapeSquare: {required: []string{"period", "low", "high"}, optional: []string{"phase"}},
+	ShapeBurst:  {required: []string{"at", "length", "factor"}, optional: []string{"period"}},
+	ShapeDaily:  {required: []string{"period", "points"}},
+}
+
+var allShapeKeys = []string{"at", "until", "length", "factor", "period", "phase", "amplitude", "low", "high", "points"}
+
+// lawKeys are the keys of each law of a distribution.
+var lawKeys = map[Law]keySet{
+	LawFixed:       {required: []string{"value"}},
+	LawUniform:     {required: []string{"low", "high"}},
+	LawNormal:      {required: []string{"mean", "deviation"}, optional: []string{"low", "high"}},
+	LawLogNormal:   {required: []string{"mean", "deviation"}, optional: []string{"low", "high"}},
+	LawExponential: {required: []string{"mean"}, optional: []string{"low", "high"}},
+}
+
+var allLawKeys = []string{"value", "mean", "deviation", "low", "high"}
+
+// check reports keys of a group that are missing and keys that its type doesn't take.
+func (k keySet) check(document *yamlfile.Document, group, typeName string, all []string) {
+	for _, name := range all {
+		key := group + "." + name
+		required := slices.Contains(k.required, name)
+		switch {
+		case document.IsSet(key) && !required && !slices.Contains(k.optional, name):
+			document.Report(key, fmt.Sprintf("is not a key of %s", typeName), "remove it; keys of "+typeName+" are "+strings.Join(append(slices.Clone(k.required), k.optional...), ", "))
+		case !document.IsSet(key) && required:
+			document.Report(key, fmt.Sprintf("is missing; %s needs it", typeName), "set it")
+		}
+	}
+}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -36,6 +36,9 @@
 	Faults []Fault `yaml:"faults"`
 	// Trace adds arrivals read from a CSV file.
 	Trace Trace `yaml:"trace"`
+
+	// traced are the arrivals that Load read from the trace.
+	traced []Arrival
 }
 
 // Zone is one place.
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -2,13 +2,24 @@
 
 import (
 	"os"
-	"reflect"
 
-	"github.com/goccy/go-yaml/ast"
-	"github.com/goccy/go-yaml/parser"
 	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/yamlfile"
+)
+
+// Override sets one key from a flag, after the file has been read.
+type Override = yamlfile.Override
+
+// Problem is one fault of a settings file; Problems holds every fault found.
+type (
+	Problem  = yamlfile.Problem
+	Problems = yamlfile.Problems
 )
 
+// ParseOverride reads the argument of a --set flag, KEY=VALUE.
+func ParseOverride(argument string) (Override, error) { return yamlfile.ParseOverride(argument) }
+
 // Source says where the settings of one process come from.
 type Source struct {
 	// Path of the YAML file.
@@ -21,7 +32,11 @@
 // Problems when the file could be read and is at fault.
 func LoadController(source Source) (Controller, error) {
 	var controller Controller
-	err := load(source, &controller)
+	err := load(source, &controller, func(document *yamlfile.Document) {
+		checkTLS(document, controller.TLS)
+		checkTimeouts(document, &controller)
+		checkPeers(document, &controller)
+	})
 	return controller, trace.Wrap(err)
 }
 
@@ -29,46 +44,18 @@
 // Problems when the file could be read and is at fault.
 func LoadGateway(source Source) (Gateway, error) {
 	var gateway Gateway
-	err := load(source, &gateway)
+	err := load(source, &gateway, func(document *yamlfile.Document) { checkTLS(document, gateway.TLS) })
 	return gateway, trace.Wrap(err)
 }
 
-// load fills the struct that target points to: file, overrides, defaults, rules.
-func load(source Source, target any) error {
-	text, err := os.ReadFile(source.Path)
-	if err != nil {
+func load(source Source, target any, together func(*yamlfile.Document)) error {
+	if _, err := os.Stat(source.Path); err != nil {
 		return trace.BadParameter("cannot read the settings file: %v; give its path with --settings", err)
 	}
-	file, err := parser.ParseBytes(text, 0)
-	if err != nil {
-		return trace.BadParameter("%s: not valid YAML: %v", source.Path, err)
-	}
-	document := newDocument(source.Path)
-	value := reflect.ValueOf(target).Elem()
-	for _, body := range bodies(file) {
-		document.decode(body, value, "")
-	}
-	for _, override := range source.Overrides {
-		document.override(override, value)
-	}
-	if len(document.problems) == 0 {
-		document.applyDefaults(value, "")
-		document.checkRules(value, "")
-		document.checkTogether(target)
-	}
-	if len(document.problems) > 0 {
-		return trace.Wrap(document.problems)
-	}
-	return nil
-}
-
-// bodies returns the roots of the file's documents that are not empty.
-func bodies(file *ast.File) []ast.Node {
-	var roots []ast.Node
-	for _, document := range file.Docs {
-		if document.Body != nil {
-			roots = append(roots, document.Body)
-		}
-	}
-	return roots
+	return yamlfile.Load(yamlfile.Source{
+		Path:        source.Path,
+		Overrides:   source.Overrides,
+		MissingCure: func(key string) string { return "set it here or with --set " + key + "=VALUE" },
+		Together:    together,
+	}, target)
 }
--- a/internal/settings/together.go
+++ b/internal/settings/together.go
@@ -1,24 +1,16 @@
 package settings
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/hazelpitch/hazelpitch/internal/yamlfile"
+)
 
 // leastHeartbeatsPerElection is how many heartbeats fit into an election timeout
 // at least, so that one late heartbeat does not start an election.
 const leastHeartbeatsPerElection = 4
 
-// checkTogether reports keys that are right one by one and wrong together.
-func (d *document) checkTogether(target any) {
-	switch settings := target.(type) {
-	case *Controller:
-		d.checkTLS(settings.TLS)
-		d.checkTimeouts(settings)
-		d.checkPeers(settings)
-	case *Gateway:
-		d.checkTLS(settings.TLS)
-	}
-}
-
-func (d *document) checkTLS(tls TLS) {
+func checkTLS(document *yamlfile.Document, tls TLS) {
 	named := 0
 	for _, path := range []string{tls.Authority, tls.Certificate, tls.Key} {
 		if path != "" {
@@ -26,30 +18,30 @@
 		}
 	}
 	if named != 0 && named != 3 {
-		d.report("tls", "names some of its files", "set authority, certificate and key, or none of them")
+		document.Report("tls", "names some of its files", "set authority, certificate and key, or none of them")
 	}
 }
 
-func (d *document) checkTimeouts(controller *Controller) {
+func checkTimeouts(document *yamlfile.Document, controller *Controller) {
 	if controller.ElectionTimeout < leastHeartbeatsPerElection*controller.HeartbeatInterval {
-		d.report("election_timeout", fmt.Sprintf("%v is too short for heartbeats every %v", controller.ElectionTimeout, controller.HeartbeatInterval),
+		document.Report("election_timeout", fmt.Sprintf("%v is too short for heartbeats every %v", controller.ElectionTimeout, controller.HeartbeatInterval),
 			fmt.Sprintf("make it at least %d heartbeat intervals", leastHeartbeatsPerElection))
 	}
 }
 
-func (d *document) checkPeers(controller *Controller) {
+func checkPeers(document *yamlfile.Document, controller *Controller) {
 	names, addresses := map[string]bool{}, map[string]bool{}
 	for index, peer := range controller.Peers {
 		key := fmt.Sprintf("peers[%d]", index)
 		if names[peer.Name] {
-			d.report(key+".name", fmt.Sprintf("%q stands twice", peer.Name), "give each peer its own name")
+			document.Report(key+".name", fmt.Sprintf("%q stands twice", peer.Name), "give each peer its own name")
 		}
 		if addresses[peer.Address] {
-			d.report(key+".address", fmt.Sprintf("%q stands twice", peer.Address), "give each peer its own address")
+			document.Report(key+".address", fmt.Sprintf("%q stands twice", peer.Address), "give each peer its own address")
 		}
 		names[peer.Name], addresses[peer.Address] = true, true
 	}
 	if !controller.Join && !names[controller.Name] {
-		d.report("peers", fmt.Sprintf("does not hold this process, %q", controller.Name), "add it, or set join: true on a machine that joins later")
+		document.Report("peers", fmt.Sprintf("does not hold this process, %q", controller.Name), "add it, or set join: true on a machine that joins later")
 	}
 }
--- a/internal/settings/document.go
+++ b/internal/yamlfile/document.go
@@ -1,4 +1,4 @@
-package settings
+package yamlfile
 
 import (
 	"fmt"
@@ -14,25 +14,31 @@
 
 var durationType = reflect.TypeFor[time.Duration]()
 
-// document collects where each key was set and what is wrong with it.
-type document struct {
-	path string
+// Document collects where each key was set and what is wrong with it.
+type Document struct {
+	source Source
 	// places maps the dotted path of each key that was set to its place.
 	places   map[string]string
 	problems Problems
 }
 
-func newDocument(path string) *document {
-	return &document{path: path, places: map[string]string{"": path + ":1:1"}}
+func newDocument(source Source) *Document {
+	return &Document{source: source, places: map[string]string{"": source.Path + ":1:1"}}
+}
+
+// IsSet reports whether the file, an override or a default set the key.
+func (d *Document) IsSet(key string) bool {
+	_, set := d.places[key]
+	return set
 }
 
 // decode checks one YAML node against the type of the value and stores it there.
-func (d *document) decode(node ast.Node, value reflect.Value, key string) {
+func (d *Document) decode(node ast.Node, value reflect.Value, key string) {
 	if key != "" {
 		d.places[key] = d.place(node)
 	}
 	if _, null := node.(*ast.NullNode); null {
-		d.report(key, "has no value", "write a value or remove the key")
+		d.Report(key, "has no value", "write a value or remove the key")
 		return
 	}
 	switch {
@@ -49,10 +55,10 @@
 	}
 }
 
-func (d *document) decodeStruct(node ast.Node, value reflect.Value, key string) {
+func (d *Document) decodeStruct(node ast.Node, value reflect.Value, key string) {
 	pairs, ok := mappingPairs(node)
 	if !ok {
-		d.report(key, "is not a group of keys", "write one `key: value` a line below it")
+		d.Report(key, "is not a group of keys", "write one `key: value` a line below it")
 		return
 	}
 	for _, pair := range pairs {
@@ -61,21 +67,21 @@
 		field, known := fieldNamed(value, name)
 		if !known {
 			d.places[path] = d.place(pair.Key)
-			d.report(path, "unknown key", unknownKeyCure(name, value.Type()))
+			d.Report(path, "unknown key", unknownKeyCure(name, value.Type()))
 			continue
 		}
 		if _, twice := d.places[path]; twice {
-			d.report(path, "is set twice", "keep one of the two")
+			d.Report(path, "is set twice", "keep one of the two")
 			continue
 		}
 		d.decode(pair.Value, field, path)
 	}
 }
 
-func (d *document) decodeSlice(node ast.Node, value reflect.Value, key string) {
+func (d *Document) decodeSlice(node ast.Node, value reflect.Value, key string) {
 	sequence, ok := node.(*ast.SequenceNode)
 	if !ok {
-		d.report(key, "is not a list", "write one `- item` a line below it")
+		d.Report(key, "is not a list", "write one `- item` a line below it")
 		return
 	}
 	items := reflect.MakeSlice(value.Type(), len(sequence.Values), len(sequence.Values))
@@ -85,10 +91,10 @@
 	value.Set(items)
 }
 
-func (d *document) decodeMap(node ast.Node, value reflect.Value, key string) {
+func (d *Document) decodeMap(node ast.Node, value reflect.Value, key string) {
 	pairs, ok := mappingPairs(node)
 	if !ok {
-		d.report(key, "is not a group of keys", "write one `key: value` a line below it")
+		d.Report(key, "is not a group of keys", "write one `key: value` a line below it")
 		return
 	}
 	entries := reflect.MakeMapWithSize(value.Type(), len(pairs))
@@ -100,42 +106,51 @@
 	value.Set(entries)
 }
 
-func (d *document) decodeDuration(node ast.Node, value reflect.Value, key string) {
+func (d *Document) decodeDuration(node ast.Node, value reflect.Value, key string) {
 	text := strings.Trim(node.String(), `"'`)
 	duration, err := time.ParseDuration(text)
 	if err != nil {
-		d.report(key, fmt.Sprintf("%s is not a duration", text), "write a number with its unit, such as 500ms, 10s or 2m")
+		d.Report(key, fmt.Sprintf("%s is not a duration", text), "write a number with its unit, such as 500ms, 10s or 2m")
 		return
 	}
 	value.SetInt(int64(duration))
 }
 
-func (d *document) decodeScalar(node ast.Node, value reflect.Value, key string) {
-	cures := map[reflect.Kind]string{
-		reflect.String: "write text, in quotes if it looks like a number",
-		reflect.Int:    "write a whole number without a unit (bytes and entries are counted one by one)",
-		reflect.Bool:   "write true or false",
+// scalarCures tells how to write a value of each kind.
+var scalarCures = map[reflect.Kind]string{
+	reflect.String:  "write text, in quotes if it looks like a number",
+	reflect.Int:     "write a whole number without a unit (bytes and entries are counted one by one)",
+	reflect.Float64: "write a number without a unit, such as 2 or 0.5",
+	reflect.Bool:    "write true or false",
+}
+
+func (d *Document) decodeScalar(node ast.Node, value reflect.Value, key string) {
+	if !fits(node, value.Kind()) {
+		d.Report(key, fmt.Sprintf("%s has the wrong type or unit", node), scalarCures[value.Kind()])
+		return
+	}
+	if err := yaml.NodeToValue(node, value.Addr().Interface(), yaml.Strict()); err != nil {
+		d.Report(key, fmt.Sprintf("%s cannot be read", node), scalarCures[value.Kind()])
 	}
-	fits := false
+}
+
+// fits reports whether a scalar of the file can become a value of the kind.
+func fits(node ast.Node, kind reflect.Kind) bool {
 	switch node.(type) {
 	case *ast.StringNode, *ast.LiteralNode:
-		fits = value.Kind() == reflect.String
+		return kind == reflect.String
 	case *ast.IntegerNode:
-		fits = value.Kind() == reflect.Int
+		return kind == reflect.Int || kind == reflect.Float64
+	case *ast.FloatNode:
+		return kind == reflect.Float64
 	case *ast.BoolNode:
-		fits = value.Kind() == reflect.Bool
-	}
-	if !fits {
-		d.report(key, fmt.Sprintf("%s has the wrong type or unit", node), cures[value.Kind()])
-		return
-	}
-	if err := yaml.NodeToValue(node, value.Addr().Interface(), yaml.Strict()); err != nil {
-		d.report(key, fmt.Sprintf("%s cannot be read", node), cures[value.Kind()])
+		return kind == reflect.Bool
 	}
+	return false
 }
 
-// report adds a problem at the place of the key, or of the nearest group around it.
-func (d *document) report(key, fault, cure string) {
+// Report adds a problem of a key at the place of the key, or of the nearest group around it.
+func (d *Document) Report(key, fault, cure string) {
 	place, found := d.places[key]
 	for parent := key; !found; {
 		parent = parent[:max(strings.LastIndexAny(parent, ".["), 0)]
@@ -144,9 +159,9 @@
 	d.problems = append(d.problems, Problem{Place: place, Key: key, Fault: fault, Cure: cure})
 }
 
-func (d *document) place(node ast.Node) string {
+func (d *Document) place(node ast.Node) string {
 	position := node.GetToken().Position
-	return fmt.Sprintf("%s:%d:%d", d.path, position.Line, position.Column)
+	return fmt.Sprintf("%s:%d:%d", d.source.Path, position.Line, position.Column)
 }
 
 // mappingPairs returns the pairs of a mapping of any length.
@@ -168,17 +183,20 @@
 	return "known keys are " + strings.Join(keys, ", ")
 }
 
+// keysOf returns the keys of a struct; fields without a key are not the file's.
 func keysOf(structType reflect.Type) []string {
-	keys := make([]string, structType.NumField())
-	for index := range keys {
-		keys[index] = structType.Field(index).Tag.Get("yaml")
+	var keys []string
+	for index := range structType.NumField() {
+		if name := structType.Field(index).Tag.Get("yaml"); name != "" {
+			keys = append(keys, name)
+		}
 	}
 	return keys
 }
 
 func fieldNamed(value reflect.Value, name string) (reflect.Value, bool) {
 	for index := range value.NumField() {
-		if value.Type().Field(index).Tag.Get("yaml") == name {
+		if name != "" && value.Type().Field(index).Tag.Get("yaml") == name {
 			return value.Field(index), true
 		}
 	}
--- /dev/null
+++ b/internal/yamlfile/load.go
@@ -0,0 +1,72 @@
+// Package yamlfile reads YAML files into structs whose tags state the rules, and
+// names file, line, key and cure of everything that is wrong with them.
+//
+// The struct tags are: `yaml`, the key; `default`, its value as YAML when the key is
+// absent; `check`, the rules that rules.go defines. Every key of a file must be known.
+package yamlfile
+
+import (
+	"os"
+	"reflect"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/gravitational/trace"
+)
+
+// Source is one file and what to add to it.
+type Source struct {
+	// Path of the YAML file.
+	Path string
+	// Overrides are applied in order after the file.
+	Overrides []Override
+	// MissingCure returns the cure of a required key that is absent; nil tells to
+	// set it in the file.
+	MissingCure func(key string) string
+	// Together reports keys that are right one by one and wrong together. It is
+	// called when every key is known and of its type; single rules may be broken.
+	Together func(*Document)
+}
+
+// Load fills the struct that target points to: file, overrides, defaults, rules.
+// The error holds Problems when the file could be read and is at fault.
+func Load(source Source, target any) error {
+	text, err := os.ReadFile(source.Path)
+	if err != nil {
+		return trace.BadParameter("cannot read the file: %v", err)
+	}
+	file, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		return trace.BadParameter("%s: not valid YAML: %v", source.Path, err)
+	}
+	document := newDocument(source)
+	value := reflect.ValueOf(target).Elem()
+	for _, body := range bodies(file) {
+		document.decode(body, value, "")
+	}
+	for _, override := range source.Overrides {
+		document.override(override, value)
+	}
+	if len(document.problems) == 0 {
+		document.applyDefaults(value, "")
+		document.checkRules(value, "")
+		if source.Together != nil {
+			source.Together(document)
+		}
+	}
+	if len(document.problems) > 0 {
+		return trace.Wrap(document.problems)
+	}
+	return nil
+}
+
+// bodies returns the roots of the file's documents that are not empty.
+func bodies(file *ast.File) []ast.Node {
+	var roots []ast.Node
+	for _, document := range file.Docs {
+		if document.Body != nil {
+			roots = append(roots, document.Body)
+		}
+	}
+	return roots
+}
--- a/internal/settings/override.go
+++ b/internal/yamlfile/override.go
@@ -1,4 +1,4 @@
-package settings
+package yamlfile
 
 import (
 	"fmt"
@@ -31,20 +31,20 @@
 }
 
 // override stores the value of one flag in the field that its key names.
-func (d *document) override(override Override, value reflect.Value) {
+func (d *Document) override(override Override, value reflect.Value) {
 	place := fmt.Sprintf("flag %s %s", override.Flag, override.Value)
 	field, path := value, ""
 	for name := range strings.SplitSeq(override.Key, ".") {
 		path = join(path, name)
 		if field.Kind() != reflect.Struct {
 			d.places[path] = place
-			d.report(path, "is not a group of keys", "name a key of the settings file")
+			d.Report(path, "is not a group of keys", "name a key of the file")
 			return
 		}
 		next, known := fieldNamed(field, name)
 		if !known {
 			d.places[path] = place
-			d.report(path, "unknown key", unknownKeyCure(name, field.Type()))
+			d.Report(path, "unknown key", unknownKeyCure(name, field.Type()))
 			return
 		}
 		field = next
@@ -52,7 +52,7 @@
 	file, err := parser.ParseBytes([]byte(override.Value), 0)
 	if err != nil || len(bodies(file)) != 1 {
 		d.places[override.Key] = place
-		d.report(override.Key, "has no readable value", "write one value, in quotes if it holds spaces")
+		d.Report(override.Key, "has no readable value", "write one value, in quotes if it holds spaces")
 		return
 	}
 	before := len(d.problems)
--- a/internal/settings/problem.go
+++ b/internal/yamlfile/problem.go
@@ -1,11 +1,11 @@
-package settings
+package yamlfile
 
 import (
 	"fmt"
 	"strings"
 )
 
-// Problem is one fault of a settings file or of an override: where it is, which
+// Problem is one fault of a file or of an override: where it is, which
 // key it is about, what is wrong and how to cure it.
 type Problem struct {
 	// Place is FILE:LINE:COLUMN, or the flag that set the key.
--- a/internal/settings/rules.go
+++ b/internal/yamlfile/rules.go
@@ -1,21 +1,25 @@
-package settings
+package yamlfile
 
 import (
 	"encoding/hex"
 	"fmt"
 	"net/netip"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/goccy/go-yaml/parser"
+
+	"github.com/hazelpitch/hazelpitch/internal/nearest"
 )
 
 // sha256HexLength is the length of a SHA-256 hash written in hexadecimal.
 const sha256HexLength = 64
 
 // rule returns what is wrong with a value that was set and how to cure it, or "".
-type rule func(value reflect.Value) (fault, cure string)
+// The argument is what follows the rule's name and an equals sign.
+type rule func(value reflect.Value, argument string) (fault, cure string)
 
 // rules are the names that `check` tags use; "required" is handled by checkRules.
 var rules = map[string]rule{
@@ -24,16 +28,28 @@
 	"sha256":       checkSHA256,
 	"positive":     checkPositive,
 	"not-negative": checkNotNegative,
+	"at-least-1":   checkAtLeastOne,
+	"share":        checkShare,
+	"one-of":       checkOneOf,
 }
 
 // applyDefaults fills the keys that neither file nor flags set.
-func (d *document) applyDefaults(value reflect.Value, key string) {
+func (d *Document) applyDefaults(value reflect.Value, key string) {
 	for index := range value.NumField() {
 		field := value.Type().Field(index)
+		if field.Tag.Get("yaml") == "" {
+			continue
+		}
 		path := join(key, field.Tag.Get("yaml"))
-		if field.Type.Kind() == reflect.Struct {
+		switch {
+		case field.Type.Kind() == reflect.Struct:
 			d.applyDefaults(value.Field(index), path)
 			continue
+		case field.Type.Kind() == reflect.Slice && field.Type.Elem().Kind() == reflect.Struct:
+			for item := range value.Field(index).Len() {
+				d.applyDefaults(value.Field(index).Index(item), fmt.Sprintf("%s[%d]", path, item))
+			}
+			continue
 		}
 		text, hasDefault := field.Tag.Lookup("default")
 		if _, set := d.places[path]; set || !hasDefault {
@@ -49,9 +65,12 @@
 }
 
 // checkRules reports every broken rule of a struct's `check` tags.
-func (d *document) checkRules(value reflect.Value, key string) {
+func (d *Document) checkRules(value reflect.Value, key string) {
 	for index := range value.NumField() {
 		field := value.Type().Field(index)
+		if field.Tag.Get("yaml") == "" {
+			continue
+		}
 		path := join(key, field.Tag.Get("yaml"))
 		var names []string
 		if tag := field.Tag.Get("check"); tag != "" {
@@ -61,10 +80,10 @@
 	}
 }
 
-func (d *document) checkField(value reflect.Value, key string, names []string) {
+func (d *Document) checkField(value reflect.Value, key string, names []string) {
 	if value.IsZero() || (value.Kind() == reflect.Slice && value.Len() == 0) {
 		if len(names) > 0 && names[0] == "required" {
-			d.report(key, "is missing or empty", "set it here or with --set "+key+"=VALUE")
+			d.Report(key, "is missing or empty", d.missingCure(key))
 			return
 		}
 	}
@@ -84,20 +103,21 @@
 	}
 }
 
-func (d *document) checkValue(value reflect.Value, key string, names []string) {
+func (d *Document) checkValue(value reflect.Value, key string, names []string) {
 	if _, set := d.places[key]; !set {
 		return
 	}
 	for _, name := range names {
+		name, argument, _ := strings.Cut(name, "=")
 		if check, known := rules[name]; known {
-			if fault, cure := check(value); fault != "" {
-				d.report(key, fault, cure)
+			if fault, cure := check(value, argument); fault != "" {
+				d.Report(key, fault, cure)
 			}
 		}
 	}
 }
 
-func checkAddress(value reflect.Value) (fault, cure string) {
+func checkAddress(value reflect.Value, _ string) (fault, cure string) {
 	text := value.String()
 	address, err := netip.ParseAddrPort(text)
 	if err != nil {
@@ -109,14 +129,14 @@
 	return "", ""
 }
 
-func checkIP(value reflect.Value) (fault, cure string) {
+func checkIP(value reflect.Value, _ string) (fault, cure string) {
 	if _, err := netip.ParseAddr(value.String()); err != nil {
 		return fmt.Sprintf("%q is not an IP number", value.String()), "write an IP number such as 10.0.0.1; host names are not looked up"
 	}
 	return "", ""
 }
 
-func checkSHA256(value reflect.Value) (fault, cure string) {
+func checkSHA256(value reflect.Value, _ string) (fault, cure string) {
 	_, err := hex.DecodeString(value.String())
 	if err != nil || len(value.String()) != sha256HexLength {
 		return "is not a SHA-256 hash", fmt.Sprintf("write %d hexadecimal digits, as `hazelctl key` prints them", sha256HexLength)
@@ -124,23 +144,65 @@
 	return "", ""
 }
 
-func checkPositive(value reflect.Value) (fault, cure string) {
-	if value.Int() <= 0 {
-		return fmt.Sprintf("%s is not above zero", display(value)), "write a value above zero or remove the key for its default"
+func checkPositive(value reflect.Value, _ string) (fault, cure string) {
+	if number(value) <= 0 {
+		return display(value) + " is not above zero", "write a value above zero or remove the key for its default"
 	}
 	return "", ""
 }
 
-func checkNotNegative(value reflect.Value) (fault, cure string) {
-	if value.Int() < 0 {
-		return fmt.Sprintf("%s is below zero", display(value)), "write zero or more"
+func checkNotNegative(value reflect.Value, _ string) (fault, cure string) {
+	if number(value) < 0 {
+		return display(value) + " is below zero", "write zero or more"
 	}
 	return "", ""
 }
 
+func checkAtLeastOne(value reflect.Value, _ string) (fault, cure string) {
+	if number(value) < 1 {
+		return display(value) + " is below one", "write one or more"
+	}
+	return "", ""
+}
+
+func checkShare(value reflect.Value, _ string) (fault, cure string) {
+	if share := number(value); share < 0 || share > 1 {
+		return display(value) + " is not a share", "write a number from 0 to 1"
+	}
+	return "", ""
+}
+
+// checkOneOf holds text to the words of the argument, which bars separate.
+func checkOneOf(value reflect.Value, argument string) (fault, cure string) {
+	words := strings.Split(argument, "|")
+	if slices.Contains(words, value.String()) {
+		return "", ""
+	}
+	fault = fmt.Sprintf("%q is not known", value.String())
+	if suggestion, found := nearest.Word(value.String(), words); found {
+		return fault, fmt.Sprintf("did you mean %s?", suggestion)
+	}
+	return fault, "write one of " + strings.Join(words, ", ")
+}
+
+// number returns a duration, whole number or floating number.
+func number(value reflect.Value) float64 {
+	if value.CanFloat() {
+		return value.Float()
+	}
+	return float64(value.Int())
+}
+
 func display(value reflect.Value) string {
 	if value.Type() == durationType {
 		return time.Duration(value.Int()).String()
 	}
-	return fmt.Sprint(value.Int())
+	return fmt.Sprint(value.Interface())
+}
+
+func (d *Document) missingCure(key string) string {
+	if d.source.MissingCure == nil {
+		return "set it"
+	}
+	return d.source.MissingCure(key)
 }
