Emulate a fleet in virtual time for experiments of the planner

Cause: the planner's policies had nothing to be compared on; the HTTP stand-ins need minutes of real time for minutes of traffic. Change: internal/experiment runs engines of internal/enginemodel, gateways and a controller in virtual time, with lagging reports, role changes and faults, and records the result.

--- /dev/null
+++ b/internal/experiment/gateway.go
@@ -0,0 +1,363 @@
+package experiment
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/admission"
+	"github.com/hazelpitch/hazelpitch/internal/enginemodel"
+	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
+	"github.com/hazelpitch/hazelpitch/internal/routing"
+)
+
+// Figures of the product's gateway that the decisions depend on.
+const (
+	maximumExchanges          = 3
+	fastestTokenInterval      = 5 * time.Millisecond
+	slowPromptTokensPerSecond = 8_000
+	estimatorPairs            = 4096
+)
+
+// Reasons of refusals beyond admission's.
+const (
+	reasonNoBackEnd = "no back end takes the request"
+)
+
+// gateway is the gateway of one zone: the product's admission, routing, estimates and
+// demand report, joined as the gateway process joins them.
+type gateway struct {
+	world     *world
+	zone      string
+	identity  *v1.NodeIdentity
+	router    *routing.Router
+	estimator *admission.Estimator
+	state     *gatewaystate.State
+	services  map[string]*admission.Core
+	waiting   map[uint64]*request
+}
+
+func newGateway(w *world, zone int) (*gateway, error) {
+	name := w.scenario.Zones[zone].Name
+	made := &gateway{
+		world: w, zone: name, identity: &v1.NodeIdentity{Name: "gateway-" + name, Zone: name},
+		services: map[string]*admission.Core{}, waiting: map[uint64]*request{},
+	}
+	made.state = gatewaystate.New(gatewaystate.Config{Identity: made.identity})
+	var err error
+	if made.estimator, err = admission.NewEstimator(estimatorPairs); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	made.router, err = routing.New(routing.Config{
+		Zone: name, OtherZoneLatency: max(w.scenario.Latency.BetweenZones, 1), Seed: w.options.Seed + uint64(zone),
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	for _, service := range w.scenario.Services {
+		if made.services[service.Name], err = admission.New(admission.Config{}); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	return made, nil
+}
+
+// sync takes over the directory that the controllers pass on.
+func (g *gateway) sync() {
+	directory := make([]routing.BackEnd, 0, len(g.world.engines))
+	for _, engine := range g.world.engines {
+		row := routing.BackEnd{
+			Name: engine.declared.Name, Service: engine.declared.Service, Zone: engine.declared.Zone,
+			Incarnation: engine.incarnation, State: engine.state, Role: engine.role, ConfirmedAt: g.world.now,
+		}
+		if !engine.up || engine.paused {
+			continue // nobody has confirmed it: the directory drops it
+		}
+		if seen, found := engine.reported(); found {
+			row.Load, row.LoadAt, row.HasLoad = seen.routingLoad(), seen.at, true
+		}
+		directory = append(directory, row)
+	}
+	g.router.SetBackEnds(directory)
+	g.router.Confirm(g.world.now)
+}
+
+// report tells the controller the demand of the window that ends now.
+func (g *gateway) report() { g.world.control.take(g.identity, g.state.ReportRequest(g.world.now, nil)) }
+
+// receive takes in a request of a caller.
+func (g *gateway) receive(asked *request) {
+	g.world.recorder.arrived(asked)
+	estimate := g.estimator.Estimate(g.shape(asked))
+	asked.estimatedPrompt, asked.estimatedOutput = estimate.PromptTokens, estimate.OutputTokens
+	g.waiting[uint64(asked.Number)] = asked
+	service := g.services[asked.kind.Service]
+	g.refuse(service.Offer(g.world.now, admission.Request{
+		ID: uint64(asked.Number), Tenant: asked.tenant, Weight: 1, Worth: asked.kind.Worth,
+		PromptTokens: estimate.PromptTokens, OutputTokens: estimate.OutputTokens,
+		Bytes: int64(asked.PromptTokens * bytesPerToken), Deadline: asked.deadline,
+		MinimumTime: time.Duration(estimate.OutputTokens) * fastestTokenInterval,
+	}))
+	g.start(service)
+}
+
+func (g *gateway) shape(asked *request) admission.Shape {
+	declared := g.world.declared[asked.Kind]
+	return admission.Shape{
+		Tenant: asked.tenant, Kind: asked.kind.Name, PromptBytes: asked.PromptTokens * bytesPerToken,
+		Declared: admission.Declared{PromptTokens: declared.prompt, OutputTokens: declared.output},
+	}
+}
+
+// expire gives up on requests that wait too long.
+func (g *gateway) expire() {
+	for _, name := range slices.Sorted(maps.Keys(g.services)) {
+		g.refuse(g.services[name].Expire(g.world.now))
+		g.start(g.services[name])
+	}
+}
+
+func (g *gateway) refuse(refusals []admission.Refusal) {
+	for _, refusal := range refusals {
+		asked := g.waiting[refusal.ID]
+		delete(g.waiting, refusal.ID)
+		g.record(asked, gatewaystate.Outcome{Refused: true})
+		g.world.recorder.refused(asked, refusal.Reason.Error())
+	}
+}
+
+// record counts a finished request for the demand report.
+func (g *gateway) record(asked *request, outcome gatewaystate.Outcome) {
+	outcome.Service, outcome.Kind = asked.kind.Service, asked.kind.Name
+	outcome.PromptTokens = uint64(asked.estimatedPrompt)
+	if outcome.Completed {
+		outcome.OutputTokens = uint64(asked.OutputTokens)
+	}
+	g.state.Record(outcome)
+}
+
+func (g *gateway) start(service *admission.Core) {
+	for {
+		next, found := service.Next(g.world.now)
+		if !found {
+			return
+		}
+		asked := g.waiting[next.ID]
+		delete(g.waiting, next.ID)
+		asked.began = g.world.now
+		if asked.deadline > 0 {
+			g.world.agenda.Add(asked.deadline, func() { g.deadlinePassed(asked) })
+		}
+		g.begin(asked)
+	}
+}
+
+// begin picks engines for a request and sends it.
+func (g *gateway) begin(asked *request) {
+	w := g.world
+	if asked.exchanges >= maximumExchanges {
+		g.fail(asked, reasonNoBackEnd)
+		return
+	}
+	choice, err := g.router.Pick(w.now, routing.Request{
+		Service: asked.kind.Service, PromptTokens: asked.estimatedPrompt, OutputTokens: asked.estimatedOutput,
+		PrefixBlocks: asked.routingBlocks, Deadline: asked.deadline, WholeOnly: w.options.WholeOnly,
+	}, asked.excluded)
+	if err != nil {
+		g.fail(asked, pickReason(err))
+		return
+	}
+	asked.exchanges++
+	current := &flight{
+		request: asked, gateway: g, choice: choice, id: fmt.Sprintf("%s.%d", asked.exchange, asked.exchanges),
+		output: w.byName[choice.BackEnd.Name],
+	}
+	asked.present = current
+	unread := max(asked.estimatedPrompt-choice.CachedTokens, 0)
+	sent := routing.Sent{BackEnd: choice.BackEnd.Name, Exchange: current.id, PromptTokens: unread, PrefixBlocks: asked.routingBlocks, Home: choice.Home}
+	if choice.Prefill == nil {
+		g.router.Observe(w.now, sent)
+		g.send(current, current.output, enginemodel.PhaseFull)
+		return
+	}
+	current.prefill = w.byName[choice.Prefill.Name]
+	sent.BackEnd = choice.Prefill.Name
+	g.router.Observe(w.now, sent)
+	g.router.Observe(w.now, routing.Sent{BackEnd: choice.BackEnd.Name, Exchange: current.id})
+	g.send(current, current.prefill, enginemodel.PhasePrefillOnly)
+}
+
+// pickReason is routing's reason without the service's name.
+func pickReason(err error) string {
+	var known *routing.PickError
+	if errors.As(err, &known) {
+		return known.Reason.Error()
+	}
+	return err.Error()
+}
+
+// send hands a flight to an engine after the way there.
+func (g *gateway) send(current *flight, to *engine, phase enginemodel.Phase) {
+	way := g.world.latency(g.zone, to.declared.Zone)
+	g.world.after(way, func() {
+		if current.over {
+			return
+		}
+		taken, reached, overloaded := to.submit(current, phase)
+		if taken {
+			current.submitted = true
+			return
+		}
+		g.world.after(way, func() { g.notTaken(current, to, reached, overloaded) })
+	})
+}
+
+// notTaken tries again elsewhere after an engine refused.
+func (g *gateway) notTaken(current *flight, by *engine, reached, overloaded bool) {
+	if current.over {
+		return
+	}
+	g.release(current)
+	if reached {
+		g.router.Observe(g.world.now, routing.Answered{
+			BackEnd: by.declared.Name, Incarnation: by.incarnation, State: by.state, Role: by.role,
+		})
+	} else {
+		g.router.Observe(g.world.now, routing.Failed{BackEnd: by.declared.Name, Exchange: current.id})
+	}
+	current.overload = current.overload || overloaded
+	current.excluded = append(current.excluded, by.declared.Name)
+	g.begin(current.request)
+}
+
+// release ends a flight at the router and at its engines.
+func (g *gateway) release(current *flight) {
+	current.over = true
+	engines := []*engine{current.output}
+	if current.prefill != nil {
+		engines = append(engines, current.prefill)
+	}
+	for _, each := range engines {
+		each.cancel(current)
+		g.router.Observe(g.world.now, routing.Finished{BackEnd: each.declared.Name, Exchange: current.id})
+	}
+}
+
+// cut tells that an engine died under a flight: the request begins anew elsewhere.
+func (g *gateway) cut(current *flight, at *engine) {
+	if current.over {
+		return
+	}
+	g.release(current)
+	g.router.Observe(g.world.now, routing.Failed{BackEnd: at.declared.Name, Exchange: current.id})
+	current.excluded = append(current.excluded, at.declared.Name)
+	g.begin(current.request)
+}
+
+// prefillDone hands the KV cache to the engine that writes.
+func (g *gateway) prefillDone(current *flight) {
+	if current.over {
+		return
+	}
+	g.router.Observe(g.world.now, routing.Finished{
+		BackEnd: current.prefill.declared.Name, Exchange: current.id, PromptTokens: current.PromptTokens, CachedTokens: current.cached,
+	})
+	g.answered(current.prefill)
+	g.send(current, current.output, enginemodel.PhaseDecodeImported)
+}
+
+func (g *gateway) firstToken(current *flight) {
+	if current.over {
+		return
+	}
+	if current.first == 0 {
+		current.first = g.world.now
+	}
+	g.router.Observe(g.world.now, routing.FirstToken{BackEnd: current.output.declared.Name, Exchange: current.id})
+	g.answered(current.output)
+}
+
+// answered passes on what an answer's headers say of the engine.
+func (g *gateway) answered(by *engine) {
+	seen, found := by.reported()
+	if !found || !by.up {
+		return
+	}
+	load := seen.routingLoad()
+	g.router.Observe(g.world.now, routing.Answered{
+		BackEnd: by.declared.Name, Incarnation: by.incarnation, State: by.state, Role: by.role,
+		Load: &load, Age: g.world.now - seen.at,
+	})
+}
+
+func (g *gateway) done(current *flight) {
+	if current.over {
+		return
+	}
+	current.over = true
+	finished := routing.Finished{BackEnd: current.output.declared.Name, Exchange: current.id}
+	if current.prefill == nil {
+		finished.PromptTokens, finished.CachedTokens = current.PromptTokens, current.cached
+	}
+	g.router.Observe(g.world.now, finished)
+	g.answered(current.output)
+	asked := current.request
+	asked.ended = true
+	g.estimator.Learn(g.shape(asked), admission.Estimate{PromptTokens: asked.PromptTokens, OutputTokens: asked.OutputTokens})
+	g.record(asked, gatewaystate.Outcome{Completed: true})
+	g.world.recorder.completed(asked, g.world.now)
+	result := admission.Result{PromptTokens: asked.PromptTokens, OutputTokens: asked.OutputTokens, Overloaded: asked.overload}
+	if asked.exchanges == 1 {
+		own := time.Duration(float64(asked.estimatedPrompt) / slowPromptTokensPerSecond * float64(time.Second))
+		result.Wait = max(asked.first-asked.began-own, 0)
+	}
+	g.finish(asked, result)
+}
+
+// fail ends a request that no engine has taken to its end.
+func (g *gateway) fail(asked *request, reason string) {
+	asked.ended = true
+	g.record(asked, gatewaystate.Outcome{Refused: true})
+	if asked.present != nil && asked.present.submitted {
+		g.world.recorder.lost(asked)
+	} else {
+		g.world.recorder.refused(asked, reason)
+	}
+	g.finish(asked, admission.Result{Failed: true, Overloaded: asked.overload})
+}
+
+// deadlinePassed gives up on a request that still runs at its deadline.
+func (g *gateway) deadlinePassed(asked *request) {
+	if asked.ended {
+		return
+	}
+	asked.ended = true
+	if asked.present != nil && !asked.present.over {
+		g.release(asked.present)
+	}
+	g.record(asked, gatewaystate.Outcome{MissedDeadline: true})
+	g.world.recorder.missed(asked)
+	g.finish(asked, admission.Result{PromptTokens: asked.estimatedPrompt, Failed: true, Overloaded: asked.overload})
+}
+
+func (g *gateway) finish(asked *request, result admission.Result) {
+	service := g.services[asked.kind.Service]
+	service.Finish(g.world.now, uint64(asked.Number), result)
+	g.start(service)
+}
+
+// sortedFlights lists flights by the request's number.
+func sortedFlights(flights map[string]*flight) []*flight {
+	return slices.SortedFunc(maps.Values(flights), func(a, b *flight) int {
+		return cmp.Or(cmp.Compare(a.Number, b.Number), cmp.Compare(a.id, b.id))
+	})
+}
+
+// waitingCount is the number of requests in the gateway's queues.
+func (g *gateway) waitingCount() int { return len(g.waiting) }
--- /dev/null
+++ b/internal/experiment/recorder.go
@@ -0,0 +1,183 @@
+package experiment
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/planner"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+// recorder gathers the result of a run.
+type recorder struct {
+	world    *world
+	run      Run
+	second   Sample // sums of the second under way
+	refusals map[refusalKey]int
+	tenants  map[string]*Tenant
+
+	firstToken    []time.Duration
+	betweenTokens []time.Duration
+	whole         []time.Duration
+}
+
+type refusalKey struct {
+	tenant string
+	reason string
+}
+
+func newRecorder(w *world) *recorder {
+	return &recorder{
+		world: w, refusals: map[refusalKey]int{}, tenants: map[string]*Tenant{},
+		run: Run{
+			Scenario: w.scenario.Name, Deployment: w.scenario.Deployment, Policy: w.options.Policy.Name,
+			Seed: w.options.Seed, LengthSeconds: w.scenario.Duration.Seconds(),
+		},
+	}
+}
+
+func (r *recorder) tenant(name string) *Tenant {
+	if r.tenants[name] == nil {
+		r.tenants[name] = &Tenant{Tenant: name}
+	}
+	return r.tenants[name]
+}
+
+func (r *recorder) arrived(asked *request) {
+	r.run.Requests++
+	r.run.OfferedWorth += asked.kind.Worth
+	r.second.OfferedWorth += asked.kind.Worth
+	r.second.PromptTokens += int64(asked.PromptTokens)
+	r.second.OutputTokens += int64(asked.OutputTokens)
+	tenant := r.tenant(asked.tenant)
+	tenant.Requests++
+	tenant.OfferedWorth += asked.kind.Worth
+}
+
+func (r *recorder) completed(asked *request, at time.Duration) {
+	r.run.Completed++
+	r.run.Goodput += asked.kind.Worth
+	r.second.Goodput += asked.kind.Worth
+	tenant := r.tenant(asked.tenant)
+	tenant.Completed++
+	tenant.Goodput += asked.kind.Worth
+	r.firstToken = append(r.firstToken, asked.first-asked.At)
+	r.whole = append(r.whole, at-asked.At)
+	if asked.OutputTokens > 1 {
+		r.betweenTokens = append(r.betweenTokens, (at-asked.first)/time.Duration(asked.OutputTokens-1))
+	}
+}
+
+func (r *recorder) refused(asked *request, reason string) {
+	r.run.Refused++
+	r.tenant(asked.tenant).Refused++
+	r.refusals[refusalKey{tenant: asked.tenant, reason: reason}]++
+}
+
+func (r *recorder) missed(*request) { r.run.DeadlineMisses++ }
+
+func (r *recorder) lost(*request) { r.run.Cut++ }
+
+func (r *recorder) event(event Event) {
+	event.AtSeconds = r.world.now.Seconds()
+	r.run.Events = append(r.run.Events, event)
+}
+
+func (r *recorder) changeOrdered(engine *engine, change planner.Change) {
+	r.run.RoleChangesOrdered++
+	r.event(Event{
+		Type: EventChangeStarted, Service: engine.declared.Service, Engine: engine.declared.Name, Zone: engine.declared.Zone,
+		From: string(engine.role), To: string(change.To), Detail: change.Reason,
+	})
+}
+
+func (r *recorder) changeFinished(engine *engine, from enginecontract.Role) {
+	r.run.RoleChanges++
+	r.event(Event{
+		Type: EventChangeFinished, Service: engine.declared.Service, Engine: engine.declared.Name, Zone: engine.declared.Zone,
+		From: string(from), To: string(engine.role),
+	})
+}
+
+// sample ends the second under way.
+func (r *recorder) sample(w *world) {
+	sample := r.second
+	r.second = Sample{}
+	sample.AtSeconds = w.now.Seconds()
+	for _, gateway := range w.gateways {
+		sample.Queued += gateway.waitingCount()
+	}
+	for _, engine := range w.engines {
+		load := engine.model.Load()
+		sample.Waiting += load.Waiting
+		sample.Running += load.Running
+	}
+	sample.Roles = countRoles(w)
+	r.run.Series = append(r.run.Series, sample)
+}
+
+// countRoles counts engines by service and zone, in the scenario's order.
+func countRoles(w *world) []RoleCount {
+	var counts []RoleCount
+	for _, service := range w.scenario.Services {
+		for _, zone := range w.scenario.Zones {
+			count := RoleCount{Service: service.Name, Zone: zone.Name}
+			for _, engine := range w.engines {
+				if engine.declared.Service == service.Name && engine.declared.Zone == zone.Name {
+					count.add(engine)
+				}
+			}
+			counts = append(counts, count)
+		}
+	}
+	slices.SortFunc(counts, func(a, b RoleCount) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone))
+	})
+	return counts
+}
+
+func (c *RoleCount) add(engine *engine) {
+	switch {
+	case !engine.up || engine.state != enginecontract.StateServing:
+		c.Out++
+	case engine.role == enginecontract.RolePrefill:
+		c.Prefill++
+	case engine.role == enginecontract.RoleDecode:
+		c.Decode++
+	default:
+		c.Mixed++
+	}
+}
+
+// result is the finished run.
+func (r *recorder) result(*world) *Run {
+	for _, key := range slices.SortedFunc(maps.Keys(r.refusals), func(a, b refusalKey) int {
+		return cmp.Or(cmp.Compare(a.tenant, b.tenant), cmp.Compare(a.reason, b.reason))
+	}) {
+		r.run.Refusals = append(r.run.Refusals, Refusal{
+			Tenant: key.tenant, Verdict: verdict.NotRun.String(), Reason: key.reason, Count: r.refusals[key],
+		})
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.tenants)) {
+		r.run.Tenants = append(r.run.Tenants, *r.tenants[name])
+	}
+	r.run.Latencies = Latencies{
+		FirstToken: percentiles(r.firstToken), BetweenTokens: percentiles(r.betweenTokens), Whole: percentiles(r.whole),
+	}
+	return &r.run
+}
+
+// percentiles of durations, in milliseconds.
+func percentiles(values []time.Duration) Percentiles {
+	if len(values) == 0 {
+		return Percentiles{}
+	}
+	slices.Sort(values)
+	at := func(quantile float64) float64 {
+		return float64(values[int(quantile*float64(len(values)-1))]) / float64(time.Millisecond)
+	}
+	return Percentiles{Count: len(values), P50: at(0.5), P90: at(0.9), P99: at(0.99), Max: at(1)}
+}
--- /dev/null
+++ b/internal/experiment/world.go
@@ -0,0 +1,162 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/scenario"
+	"github.com/hazelpitch/hazelpitch/internal/virtualtime"
+)
+
+// world is one run: engines, gateways, the controller and the requests between them.
+type world struct {
+	options  Options
+	scenario *scenario.Scenario
+	now      time.Duration
+	agenda   virtualtime.Agenda
+	engines  []*engine
+	byName   map[string]*engine
+	gateways []*gateway // one in each zone
+	control  *controller
+	recorder *recorder
+	declared []declaredTokens // by kind
+}
+
+func newWorld(options Options) (*world, error) {
+	w := &world{options: options, scenario: &options.Scenario, byName: map[string]*engine{}}
+	if err := w.addEngines(); err != nil {
+		return nil, err
+	}
+	for i := range w.scenario.Zones {
+		gateway, err := newGateway(w, i)
+		if err != nil {
+			return nil, err
+		}
+		w.gateways = append(w.gateways, gateway)
+	}
+	w.declared = declareTokens(len(w.scenario.Kinds), options.Arrivals)
+	w.control = newController(w)
+	w.recorder = newRecorder(w)
+	return w, nil
+}
+
+func (w *world) addEngines() error {
+	all := w.scenario.Engines()
+	for _, service := range w.scenario.Services {
+		var own []scenario.Engine
+		for _, engine := range all {
+			if engine.Service == service.Name {
+				own = append(own, engine)
+			}
+		}
+		if w.options.Policy.InitialRoles != nil {
+			if roles := w.options.Policy.InitialRoles(service.Name, own); roles != nil {
+				for i := range own {
+					own[i].Role = roles[i]
+				}
+			}
+		}
+		for _, declared := range own {
+			made, err := newEngine(w, declared, service.EngineProfile())
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			w.engines = append(w.engines, made)
+			w.byName[declared.Name] = made
+		}
+	}
+	return nil
+}
+
+// run lets all arrivals and the grace after them pass.
+func (w *world) run() {
+	end := w.scenario.Duration + grace
+	w.enterFaults()
+	w.every(w.reportInterval(), end, w.sampleLoads)
+	w.every(expireInterval, end, func() {
+		for _, gateway := range w.gateways {
+			gateway.expire()
+		}
+	})
+	w.every(reportInterval, end, func() {
+		for _, gateway := range w.gateways {
+			gateway.sync()
+			gateway.report()
+		}
+	})
+	w.every(planInterval, w.scenario.Duration, func() { w.control.plan() })
+	w.every(time.Second, w.scenario.Duration, func() { w.recorder.sample(w) })
+	w.sampleLoads()
+	for _, gateway := range w.gateways {
+		gateway.sync()
+	}
+	w.enterArrival(0)
+	for {
+		at, found := w.nextTime()
+		if !found || at > end {
+			return
+		}
+		w.now = at
+		for _, engine := range w.engines {
+			engine.advance(at)
+		}
+		w.agenda.RunUntil(at)
+	}
+}
+
+// enterArrival enters one arrival, which enters the next: the agenda stays small.
+func (w *world) enterArrival(number int) {
+	if number >= len(w.options.Arrivals) {
+		return
+	}
+	arrival := &w.options.Arrivals[number]
+	w.agenda.Add(arrival.At, func() {
+		w.gateways[arrival.Zone].receive(w.newRequest(arrival))
+		w.enterArrival(number + 1)
+	})
+}
+
+func (w *world) every(interval, until time.Duration, action func()) {
+	var again func()
+	again = func() {
+		action()
+		if w.now+interval <= until {
+			w.agenda.Add(w.now+interval, again)
+		}
+	}
+	w.agenda.Add(interval, again)
+}
+
+func (w *world) after(delay time.Duration, action func()) { w.agenda.Add(w.now+delay, action) }
+
+func (w *world) nextTime() (time.Duration, bool) {
+	best, found := w.agenda.Next()
+	for _, engine := range w.engines {
+		if at, busy := engine.nextEvent(); busy && (!found || at < best) {
+			best, found = at, true
+		}
+	}
+	return max(best, w.now), found
+}
+
+func (w *world) reportInterval() time.Duration {
+	if w.scenario.Reports.Interval > 0 {
+		return w.scenario.Reports.Interval
+	}
+	return reportInterval
+}
+
+func (w *world) sampleLoads() {
+	for _, engine := range w.engines {
+		engine.sampleLoad()
+	}
+}
+
+// latency is the one-way time between two zones.
+func (w *world) latency(a, b string) time.Duration {
+	if a == b {
+		return 0
+	}
+	return w.scenario.Latency.BetweenZones
+}
