Separate the gateway's control runtime from its request path

Change: gateway.Control holds view, heartbeats, reports, limits, admission, routing and claims; Gateway embeds it. A Trial makes the decisions of one request without engines.

--- a/internal/gateway/admitter.go
+++ b/internal/gateway/admitter.go
@@ -200,12 +200,12 @@
 }
 
 // admissionLoop gives up on requests that wait too long, until the context ends.
-func (g *Gateway) admissionLoop(ctx context.Context) {
+func (c *Control) admissionLoop(ctx context.Context) {
 	for pause.For(ctx, admissionInterval) {
-		g.admitter.expire()
-		inFlight, waiting := g.admitter.counts()
-		g.metrics.inFlight.Set(float64(inFlight))
-		g.metrics.waiting.Set(float64(waiting))
+		c.admitter.expire()
+		inFlight, waiting := c.admitter.counts()
+		c.metrics.inFlight.Set(float64(inFlight))
+		c.metrics.waiting.Set(float64(waiting))
 	}
 }
 
--- a/internal/gateway/authenticate.go
+++ b/internal/gateway/authenticate.go
@@ -27,11 +27,16 @@
 		return nil, refuseKey()
 	}
 	sum := sha256.Sum256([]byte(key))
-	keyHash := hex.EncodeToString(sum[:])
-	tenant, status := g.view.snapshot.Load().Tenant(keyHash)
+	return g.tenantOfKey(hex.EncodeToString(sum[:]))
+}
+
+// tenantOfKey returns the tenant that a key's hash belongs to; it asks the controllers
+// about a hash that is not known here.
+func (c *Control) tenantOfKey(keyHash string) (*gatewaystate.Tenant, *refusal) {
+	tenant, status := c.view.snapshot.Load().Tenant(keyHash)
 	if status == gatewaystate.KeyUnknown {
-		status = g.askForKey(keyHash)
-		tenant, _ = g.view.snapshot.Load().Tenant(keyHash)
+		status = c.askForKey(keyHash)
+		tenant, _ = c.view.snapshot.Load().Tenant(keyHash)
 	}
 	switch {
 	case status == gatewaystate.KeyRejected:
@@ -40,17 +45,17 @@
 		return nil, refuse(http.StatusServiceUnavailable, typeServer, codeKeyNotChecked,
 			"the API key could not be checked now").after(time.Second)
 	}
-	tenant.Used(g.clock.now())
+	tenant.Used(c.clock.now())
 	return tenant, nil
 }
 
 // askForKey waits until a controller has said whose key it is, within keyCheckTimeout.
-func (g *Gateway) askForKey(keyHash string) gatewaystate.KeyStatus {
+func (c *Control) askForKey(keyHash string) gatewaystate.KeyStatus {
 	command := meetKey{keyHash: keyHash, reply: make(chan gatewaystate.KeyStatus, 1)}
 	timer := time.NewTimer(keyCheckTimeout)
 	defer timer.Stop()
 	select {
-	case g.view.commands <- command:
+	case c.view.commands <- command:
 	case <-timer.C:
 		return gatewaystate.KeyUnknown
 	}
@@ -58,7 +63,7 @@
 	case status := <-command.reply:
 		return status
 	case <-timer.C:
-		g.view.offer(forgetWaiting(command))
+		c.view.offer(forgetWaiting(command))
 		return gatewaystate.KeyUnknown
 	}
 }
--- /dev/null
+++ b/internal/gateway/control.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/metrics"
+	"github.com/hazelpitch/hazelpitch/internal/settings"
+)
+
+// Control is the control runtime of a gateway without its request path: the view of the
+// fleet and its heartbeats, the demand reports, the limits, admission, routing decisions
+// and claims. A Gateway runs on one; the bench runs many of them alone in one process.
+// It is safe for concurrent use.
+type Control struct {
+	settings    settings.Gateway
+	clock       clock
+	log         *logring.Log
+	registry    *prometheus.Registry
+	metrics     *gatewayMetrics
+	dispatcher  *dispatcher
+	view        *view
+	controllers *controllers
+	admitter    *admitter
+	claimer     *claimer
+}
+
+// ControlOptions are what a process may give NewControl besides the settings.
+type ControlOptions struct {
+	// Log receives the log. Required; whoever made it runs it.
+	Log *logring.Log
+	// Dial opens the connections to controllers; nil means TCP from source_address.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnRevision, when not nil, is called with each revision as it comes into force
+	// here; it must not block.
+	OnRevision func(revision uint64)
+}
+
+// NewControl returns a control runtime that has heard of no controller.
+func NewControl(config settings.Gateway, options ControlOptions) (*Control, error) {
+	clock := newClock()
+	dispatcher, err := newDispatcher(clock, config)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	admitter, err := newAdmitter(clock, config.Limits)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	registry, factory := metrics.NewRegistry(role, config.Name, config.Zone)
+	identity := &v1.NodeIdentity{
+		Name: config.Name, Zone: config.Zone, Address: config.Listen, Incarnation: uint64(time.Now().UnixNano()),
+	}
+	controllers := newControllers(config, options.Dial)
+	view := newView(clock, identity, dispatcher)
+	view.onRevision = options.OnRevision
+	return &Control{
+		settings:    config,
+		clock:       clock,
+		log:         options.Log,
+		registry:    registry,
+		metrics:     newGatewayMetrics(factory),
+		dispatcher:  dispatcher,
+		view:        view,
+		controllers: controllers,
+		admitter:    admitter,
+		claimer:     newClaimer(clock, controllers, identity),
+	}, nil
+}
+
+// Run carries out the control duties until the context ends.
+func (c *Control) Run(ctx context.Context) {
+	var group errgroup.Group
+	for _, duty := range c.duties() {
+		group.Go(func() error { duty(ctx); return nil })
+	}
+	_ = group.Wait() // no duty fails
+	c.controllers.http.CloseIdleConnections()
+}
+
+// duties are the loops of the control runtime, one goroutine each.
+func (c *Control) duties() []func(context.Context) {
+	return []func(context.Context){c.view.run, c.syncLoop, c.reportLoop, c.admissionLoop}
+}
+
+// Revision returns the revision of the configuration in force; 0 is none.
+func (c *Control) Revision() uint64 { return c.view.snapshot.Load().Revision }
--- a/internal/gateway/controllers.go
+++ b/internal/gateway/controllers.go
@@ -33,12 +33,15 @@
 	leader string
 }
 
-func newControllers(config settings.Gateway) *controllers {
-	dialer := &net.Dialer{Timeout: controllerCallTimeout}
-	if config.SourceAddress != "" {
-		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(config.SourceAddress)}
+func newControllers(config settings.Gateway, dial func(ctx context.Context, network, address string) (net.Conn, error)) *controllers {
+	if dial == nil {
+		dialer := &net.Dialer{Timeout: controllerCallTimeout}
+		if config.SourceAddress != "" {
+			dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(config.SourceAddress)}
+		}
+		dial = dialer.DialContext
 	}
-	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: controllerIdleTimeout}
+	transport := &http.Transport{DialContext: dial, IdleConnTimeout: controllerIdleTimeout}
 	c := &controllers{
 		http:    &http.Client{Transport: transport},
 		clients: map[string]hazelpitchv1connect.NodeServiceClient{},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,11 +7,9 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
-	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
@@ -21,21 +19,12 @@
 // role names the process in logs and metrics.
 const role = "gateway"
 
-// Gateway is one gateway process.
+// Gateway is one gateway process: a control runtime and the request path on it.
 type Gateway struct {
-	settings      settings.Gateway
-	clock         clock
-	log           *logring.Log
-	registry      *prometheus.Registry
-	metrics       *gatewayMetrics
+	*Control
 	upstream      *upstream.Client
-	dispatcher    *dispatcher
-	view          *view
-	controllers   *controllers
 	callers       *callers
 	retries       *retryBudget
-	admitter      *admitter
-	claimer       *claimer
 	inFlight      inFlight
 	cancellations chan cancellation
 	draining      atomic.Bool
@@ -50,11 +39,10 @@
 	if options.Log == nil {
 		options.Log = logring.New(config.Name, config.Log)
 	}
-	gateway, err := newGateway(config, options.Log)
+	gateway, err := newGateway(config, options)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	gateway.view.onRevision = options.OnRevision
 	callers, err := options.Listen("tcp", config.Listen)
 	if err != nil {
 		return trace.Wrap(err, "listen for callers on %s", config.Listen)
@@ -67,39 +55,20 @@
 	return gateway.run(ctx, callers, admin, options)
 }
 
-func newGateway(config settings.Gateway, log *logring.Log) (*Gateway, error) {
-	clock := newClock()
+func newGateway(config settings.Gateway, options Options) (*Gateway, error) {
 	client, err := upstream.NewClient(config.SourceAddress)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	dispatcher, err := newDispatcher(clock, config)
+	control, err := NewControl(config, ControlOptions{Log: options.Log, OnRevision: options.OnRevision})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	admitter, err := newAdmitter(clock, config.Limits)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	registry, factory := metrics.NewRegistry(role, config.Name, config.Zone)
-	identity := &v1.NodeIdentity{
-		Name: config.Name, Zone: config.Zone, Address: config.Listen, Incarnation: uint64(time.Now().UnixNano()),
-	}
-	controllers := newControllers(config)
 	return &Gateway{
-		settings:      config,
-		clock:         clock,
-		log:           log,
-		registry:      registry,
-		metrics:       newGatewayMetrics(factory),
+		Control:       control,
 		upstream:      client,
-		dispatcher:    dispatcher,
-		view:          newView(clock, identity, dispatcher),
-		controllers:   controllers,
 		callers:       newCallers(),
 		retries:       newRetryBudget(),
-		admitter:      admitter,
-		claimer:       newClaimer(clock, controllers, identity),
 		inFlight:      inFlight{limit: int64(config.Limits.InFlight + config.Limits.QueueLength)},
 		cancellations: make(chan cancellation, cancelQueueLength),
 	}, nil
@@ -110,7 +79,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, background := errgroup.WithContext(background)
-	for _, duty := range []func(context.Context){g.view.run, g.syncLoop, g.reportLoop, g.callers.run, g.admissionLoop, g.log.Run} {
+	for _, duty := range append(g.duties(), g.callers.run, g.log.Run) {
 		group.Go(func() error { duty(background); return nil })
 	}
 	for range cancelWorkers {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -11,8 +11,8 @@
 )
 
 // reportLoop tells the leader the demand met, each sync interval.
-func (g *Gateway) reportLoop(ctx context.Context) {
-	ticker := time.NewTicker(g.settings.SyncInterval)
+func (c *Control) reportLoop(ctx context.Context) {
+	ticker := time.NewTicker(c.settings.SyncInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -20,29 +20,29 @@
 			return
 		case <-ticker.C:
 		}
-		if err := g.reportOnce(ctx); err != nil && ctx.Err() == nil {
-			g.metrics.reportFailures.Inc()
-			g.log.Warn().Err(err).Msg("no leader takes the demand report; its counts go into the next")
+		if err := c.reportOnce(ctx); err != nil && ctx.Err() == nil {
+			c.metrics.reportFailures.Inc()
+			c.log.Warn().Err(err).Msg("no leader takes the demand report; its counts go into the next")
 		}
 	}
 }
 
-func (g *Gateway) reportOnce(ctx context.Context) error {
-	build := buildReport{shareDemands: g.admitter.demands(), reply: make(chan *v1.ReportRequest, 1)}
-	if !g.view.send(ctx, build) {
+func (c *Control) reportOnce(ctx context.Context) error {
+	build := buildReport{shareDemands: c.admitter.demands(), reply: make(chan *v1.ReportRequest, 1)}
+	if !c.view.send(ctx, build) {
 		return trace.Wrap(ctx.Err())
 	}
 	request, err := receive(ctx, build.reply)
 	if err != nil {
 		return err
 	}
-	sentAt := g.clock.now()
-	response, err := g.controllers.report(ctx, request)
+	sentAt := c.clock.now()
+	response, err := c.controllers.report(ctx, request)
 	if err != nil {
-		g.view.send(ctx, loseReport{request: request})
+		c.view.send(ctx, loseReport{request: request})
 		return err
 	}
-	g.admitter.apply(sentAt, response.GetShares())
+	c.admitter.apply(sentAt, response.GetShares())
 	return nil
 }
 
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -16,7 +16,7 @@
 
 // syncLoop sends a heartbeat to a controller each interval, and earlier when a request
 // brings an unknown key.
-func (g *Gateway) syncLoop(ctx context.Context) {
+func (c *Control) syncLoop(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -24,13 +24,13 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C:
-		case <-g.view.wakeSync:
+		case <-c.view.wakeSync:
 		}
-		if err := g.syncOnce(ctx); err != nil && ctx.Err() == nil {
-			g.metrics.syncFailures.Inc()
-			g.log.Warn().Err(err).Msg("no controller answers; going on with what is known")
+		if err := c.syncOnce(ctx); err != nil && ctx.Err() == nil {
+			c.metrics.syncFailures.Inc()
+			c.log.Warn().Err(err).Msg("no controller answers; going on with what is known")
 		}
-		timer.Reset(g.settings.SyncInterval)
+		timer.Reset(c.settings.SyncInterval)
 		if !pause.For(ctx, shortestSyncInterval) {
 			return
 		}
@@ -39,10 +39,10 @@
 
 // syncOnce asks one controller after the other until one is not behind. All failing is
 // an error; all behind is not, for the directory may still have been confirmed.
-func (g *Gateway) syncOnce(ctx context.Context) error {
+func (c *Control) syncOnce(ctx context.Context) error {
 	var failures []error
-	for _, address := range g.controllers.inOrder(false) {
-		result, err := g.syncWith(ctx, address)
+	for _, address := range c.controllers.inOrder(false) {
+		result, err := c.syncWith(ctx, address)
 		if err != nil {
 			failures = append(failures, err)
 			continue
@@ -50,32 +50,32 @@
 		if result.Behind {
 			continue
 		}
-		g.controllers.prefer(address)
+		c.controllers.prefer(address)
 		return nil
 	}
 	return trace.NewAggregate(failures...)
 }
 
-func (g *Gateway) syncWith(ctx context.Context, address string) (gatewaystate.SyncResult, error) {
+func (c *Control) syncWith(ctx context.Context, address string) (gatewaystate.SyncResult, error) {
 	build := buildSync{reply: make(chan *v1.SyncRequest, 1)}
-	if !g.view.send(ctx, build) {
+	if !c.view.send(ctx, build) {
 		return gatewaystate.SyncResult{}, trace.Wrap(ctx.Err())
 	}
 	request, err := receive(ctx, build.reply)
 	if err != nil {
 		return gatewaystate.SyncResult{}, err
 	}
-	sentAt := g.clock.now()
-	response, err := g.controllers.sync(ctx, address, request)
+	sentAt := c.clock.now()
+	response, err := c.controllers.sync(ctx, address, request)
 	if err != nil {
 		return gatewaystate.SyncResult{}, err
 	}
-	g.controllers.learn(response.GetControllerAddresses())
+	c.controllers.learn(response.GetControllerAddresses())
 	if leader := response.GetLeaderAddress(); leader != "" {
-		g.controllers.setLeader(leader)
+		c.controllers.setLeader(leader)
 	}
 	apply := applySync{sentAt: sentAt, request: request, response: response, reply: make(chan gatewaystate.SyncResult, 1)}
-	if !g.view.send(ctx, apply) {
+	if !c.view.send(ctx, apply) {
 		return gatewaystate.SyncResult{}, trace.Wrap(ctx.Err())
 	}
 	return receive(ctx, apply.reply)
--- /dev/null
+++ b/internal/gateway/trial_test.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/settings"
+)
+
+// TestControlDecidesWithoutRequestPath runs the control runtime alone: a trial gets the
+// back end, the claim and the refusals that a request would get.
+func TestControlDecidesWithoutRequestPath(t *testing.T) {
+	controllers := startController(t, engineBackEnd("e1", "127.0.0.1:1", v1.Role_ROLE_MIXED))
+	control, err := NewControl(testSettings(controllers.address), ControlOptions{Log: logring.New("g1", settings.Log{RingEntries: 16})})
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	stopped := make(chan struct{})
+	go func() { control.Run(ctx); close(stopped) }()
+	t.Cleanup(func() { stop(); <-stopped })
+	require.Eventually(t, func() bool { return control.Revision() == 1 }, 10*time.Second, time.Millisecond)
+
+	once := Trial{KeyHash: hashOf(testKey), Kind: "once", Prompt: "a prompt", PromptTokens: 9, OutputTokens: 4, IdempotencyKey: "k"}
+	run, err := control.BeginTrial(once)
+	require.NoError(t, err)
+	require.Equal(t, "e1", run.BackEnd)
+	_, err = control.BeginTrial(once)
+	require.ErrorContains(t, err, codeStillRunning)
+	run.End()
+	control.claimer.wait()
+	require.Equal(t, 1, controllers.outcomes())
+
+	_, err = control.BeginTrial(Trial{KeyHash: hashOf("no key of anyone"), Kind: "once"})
+	require.ErrorContains(t, err, codeInvalidKey)
+	_, err = control.BeginTrial(Trial{KeyHash: hashOf(testKey), Kind: "none"})
+	require.ErrorContains(t, err, codeUnknownKind)
+}
