--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -34,6 +34,12 @@
 	Duplicate Kind = "duplicate"
 	// Skip leaves one token's event out.
 	Skip Kind = "skip"
+	// FailExport answers 500 when another engine fetches a KV cache.
+	FailExport Kind = "fail-export"
+	// LoseHandle forgets a KV cache as soon as its handle has been given out.
+	LoseHandle Kind = "lose-handle"
+	// ForeignHandle binds a KV cache to another cache salt than the request's.
+	ForeignHandle Kind = "foreign-handle"
 	// CrashInChange kills the engine in the middle of an order's change, for Delay.
 	CrashInChange Kind = "crash-in-change"
 	// LoseOrderAnswer carries an order out and closes the connection without an answer.
