--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -3,6 +3,7 @@
 package fault
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -73,6 +74,7 @@
 type Set struct {
 	mutex  sync.Mutex
 	faults map[Kind]Fault
+	struck map[Kind]int
 }
 
 // NewSet returns a Set with faults switched on.
@@ -104,9 +106,20 @@
 		fault.Count--
 		s.faults[kind] = fault
 	}
+	if s.struck == nil {
+		s.struck = make(map[Kind]int)
+	}
+	s.struck[kind]++
 	return fault, true
 }
 
+// Struck returns how often each fault has struck.
+func (s *Set) Struck() map[Kind]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return maps.Clone(s.struck)
+}
+
 // Present returns a fault without counting it.
 func (s *Set) Present(kind Kind) (Fault, bool) {
 	s.mutex.Lock()
