Let requests wait a second at back ends before the window shrinks

Cause: with mixed engines beside pairs of readers and writers the admission window collapsed: a short prompt behind one long chunk at a reader waits more than 250 ms, the window shrank, and engines idled while more than 100 requests waited at each gateway. Change: the default wait target is 1 s.

--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -11,7 +11,7 @@
 	defaultQueueBytes      = 64 << 20
 	defaultInFlight        = 4096
 	defaultOutputWeight    = 8
-	defaultWaitTarget      = 250 * time.Millisecond
+	defaultWaitTarget      = time.Second
 	defaultInitialWindow   = 64 * 4000
 	defaultMinimumWindow   = 4 * 4000
 	defaultWorthBound      = 2
@@ -27,7 +27,7 @@
 	InFlight int
 	// OutputWeight is the cost of one output token in prompt tokens; default 8.
 	OutputWeight float64
-	// WaitTarget is the wait at back ends above which the window shrinks; default 250 ms.
+	// WaitTarget is the wait at back ends above which the window shrinks; default 1 s.
 	WaitTarget time.Duration
 	// InitialWindow and MinimumWindow bound the cost in flight, in prompt tokens;
 	// defaults 256,000 and 16,000. One request may always be in flight.
