Add hazelbench experiment with baselines and the clairvoyant plan

Cause: a planner's result says nothing without others beside it and a bound above it. Change: hazelbench experiment runs scenario files under policies: planner, previous (the planner as it was, kept in experiment/previousplanner), reactive, all-mixed, static-mean, static-best, clairvoyant. The clairvoyant plan is dynamic programming over splits with a fluid model of token times, run and refined in the emulator.

--- a/internal/benchcommand/commands.go
+++ b/internal/benchcommand/commands.go
@@ -14,6 +14,7 @@
 func commands() []command {
 	return []command{
 		demoCommand(),
+		experimentCommand(),
 		fleetCommand(),
 		loadCommand(),
 		simulateCommand(),
--- /dev/null
+++ b/internal/benchcommand/experiment.go
@@ -0,0 +1,125 @@
+package benchcommand
+
+import (
+	"context"
+	"encoding/json"
+	"io/fs"
+	"path/filepath"
+	"slices"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/experiment"
+	"github.com/hazelpitch/hazelpitch/internal/scenario"
+)
+
+// experimentFlags are the flags of `hazelbench experiment`.
+type experimentFlags struct {
+	Policies  []string `long:"policy" value-name:"NAME" description:"policy to run; may be repeated; \"all\" is every one; default planner"`
+	Seed      uint64   `long:"seed" default:"1" description:"first seed"`
+	Seeds     int      `long:"seeds" default:"1" description:"number of seeds, from the first on"`
+	Bound     bool     `long:"bound" description:"search for the clairvoyant plan and compare with it"`
+	WholeOnly bool     `long:"whole-only" description:"send each request to one engine; hand over no KV caches"`
+	Suite     string   `long:"suite" value-name:"DIR" description:"run every scenario file of a directory"`
+	Parallel  int      `long:"parallel" default:"4" description:"runs at the same time"`
+	JSON      bool     `long:"json" description:"print the runs as JSON"`
+}
+
+func experimentCommand() command {
+	return command{
+		name:  "experiment",
+		short: "run scenarios in virtual time and compare planning policies",
+		long: "Runs scenario files in virtual time with the product's own admission, routing and planner, or with another " +
+			"policy for the roles, and prints goodput, role changes and latencies. The same file, policy and seed give the " +
+			"same result. Policies: planner, previous, reactive, all-mixed, static-mean, static-best, clairvoyant.",
+		runner: new(experimentFlags),
+	}
+}
+
+func (e *experimentFlags) run(ctx context.Context, environment Environment, rest []string) error {
+	scenarios, err := e.scenarios(rest)
+	if err != nil {
+		return &usageError{cause: err}
+	}
+	policies, err := e.policies()
+	if err != nil {
+		return &usageError{cause: err}
+	}
+	if e.Seeds < 1 || e.Parallel < 1 {
+		return &usageError{cause: trace.BadParameter("--seeds and --parallel must be at least 1")}
+	}
+	suite := experiment.Suite{
+		Scenarios: scenarios, Policies: policies, FirstSeed: e.Seed, Seeds: e.Seeds,
+		Bound: e.Bound, WholeOnly: e.WholeOnly, Parallel: e.Parallel,
+	}
+	runs, err := suite.Run(ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if e.JSON {
+		return trace.Wrap(writeRuns(environment, runs))
+	}
+	experiment.WriteSummary(environment.Stdout, runs)
+	return nil
+}
+
+// scenarios reads the files of the arguments or of the suite.
+func (e *experimentFlags) scenarios(files []string) ([]scenario.Scenario, error) {
+	if e.Suite != "" {
+		found, err := suiteFiles(e.Suite)
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, found...)
+	}
+	if len(files) == 0 {
+		return nil, trace.BadParameter("name a scenario file, or a directory of them with --suite")
+	}
+	scenarios := make([]scenario.Scenario, len(files))
+	for i, file := range files {
+		read, err := scenario.Load(file)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		scenarios[i] = read
+	}
+	return scenarios, nil
+}
+
+// suiteFiles lists the scenario files in a directory and those below it, by path.
+func suiteFiles(directory string) ([]string, error) {
+	var files []string
+	err := filepath.WalkDir(directory, func(path string, entry fs.DirEntry, err error) error {
+		if err == nil && !entry.IsDir() && filepath.Ext(path) == ".yaml" {
+			files = append(files, path)
+		}
+		return err
+	})
+	return files, trace.Wrap(err, "--suite %s", directory)
+}
+
+func (e *experimentFlags) policies() ([]string, error) {
+	all := experiment.PolicyNames()
+	switch {
+	case slices.Contains(e.Policies, "all"):
+		return all, nil
+	case len(e.Policies) == 0:
+		return []string{experiment.PolicyPlanner}, nil
+	}
+	for _, name := range e.Policies {
+		if !slices.Contains(all, name) {
+			return nil, trace.BadParameter("--policy %s: there is no such policy; policies are %v and all", name, all)
+		}
+	}
+	return e.Policies, nil
+}
+
+// writeRuns prints one run as an object and several as a list.
+func writeRuns(environment Environment, runs []*experiment.Run) error {
+	encoder := json.NewEncoder(environment.Stdout)
+	encoder.SetIndent("", " ")
+	if len(runs) == 1 {
+		return encoder.Encode(runs[0])
+	}
+	return encoder.Encode(runs)
+}
--- /dev/null
+++ b/internal/experiment/clairvoyant.go
@@ -0,0 +1,189 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/scenario"
+)
+
+const (
+	// assumedDrain is the time a busy engine needs to finish what it has, which the
+	// plan counts as lost besides the role change itself.
+	assumedDrain = 2 * time.Second
+	// refinements bounds the runs of the local search.
+	refinements = 8
+)
+
+// priceFactors are the prices of a change, as factors of the declared one, with which
+// plans are made: cheaper ones change more. Factor 0 looks for goodput alone.
+var priceFactors = []float64{0, 1, 4}
+
+// leads are how much earlier than the model says the plans begin their changes.
+var leads = []time.Duration{0, 3 * time.Second}
+
+// clairvoyantPlan is the best that the search found.
+type clairvoyantPlan struct {
+	// declared is the run of the plan that is best under the declared trade: goodput
+	// less the price of its changes.
+	declared *Run
+	// goodput is the highest of all runs.
+	goodput float64
+}
+
+// clairvoyant searches for the plan that knows all arrivals: dynamic programming over
+// splits with the fluid model gives plans, the emulator runs them, and a local search
+// improves the best one. It begins in the scenario's roles and pays for its changes in
+// time as every policy does.
+func (s *Study) clairvoyant() (*clairvoyantPlan, error) {
+	if s.plan != nil {
+		return s.plan, nil
+	}
+	search := &planSearch{study: s}
+	seeds := []map[string]schedule{{}} // no change at all
+	for _, factor := range priceFactors {
+		for _, lead := range leads {
+			seeds = append(seeds, s.planAll(factor, lead))
+		}
+	}
+	seeds = append(seeds, s.topStatics()...)
+	for _, plan := range seeds {
+		if err := search.try(plan); err != nil {
+			return nil, err
+		}
+	}
+	if err := search.refine(); err != nil {
+		return nil, err
+	}
+	s.plan = &clairvoyantPlan{declared: search.bestRun, goodput: search.goodput}
+	return s.plan, nil
+}
+
+// planAll plans each service on its own.
+func (s *Study) planAll(factor float64, lead time.Duration) map[string]schedule {
+	plans := map[string]schedule{}
+	for i := range s.declared.Services {
+		service := &s.declared.Services[i]
+		plans[service.Name] = s.planService(service, factor, lead)
+	}
+	return plans
+}
+
+// topStatics are plans that go to a split of the model's liking at once and stay there.
+func (s *Study) topStatics() []map[string]schedule {
+	var plans []map[string]schedule
+	for place := range 2 {
+		plan := map[string]schedule{}
+		for i := range s.declared.Services {
+			service := &s.declared.Services[i]
+			ranked := s.rankSplits(service)
+			plan[service.Name] = schedule{{split: ranked[min(place, len(ranked)-1)]}}
+		}
+		plans = append(plans, plan)
+	}
+	return plans
+}
+
+// planService finds the best sequence of splits by dynamic programming, one step for
+// each time that a change takes.
+func (s *Study) planService(service *scenario.Service, factor float64, lead time.Duration) schedule {
+	outage := assumedDrain + service.EngineProfile().RoleChange
+	windows := windowsOf(&s.declared, s.arrivals, service.Name, outage, s.cached)
+	program := &program{
+		model: s.model(service), windows: windows, splits: allSplits(service),
+		initial: initialSplit(&s.declared, service.Name), most: maximumOut(service),
+		price: factor * service.Trade.ChangePrice, rates: map[rateKey]float64{},
+	}
+	return program.solve(lead)
+}
+
+// planSearch runs plans and keeps the best.
+type planSearch struct {
+	study    *Study
+	bestPlan map[string]schedule
+	bestRun  *Run
+	goodput  float64
+}
+
+func (p *planSearch) try(plan map[string]schedule) error {
+	run, err := p.study.simulate(schedulePolicy(PolicyClairvoyant, plan))
+	if err != nil {
+		return err
+	}
+	p.goodput = max(p.goodput, run.Goodput)
+	if p.bestRun == nil || p.value(run) > p.value(p.bestRun) {
+		p.bestRun, p.bestPlan = run, plan
+	}
+	return nil
+}
+
+// value is the worth of a run under the declared trade.
+func (p *planSearch) value(run *Run) float64 {
+	value := run.Goodput
+	for _, service := range p.study.declared.Services {
+		value -= service.Trade.ChangePrice * float64(changesOf(run, service.Name))
+	}
+	return value
+}
+
+func changesOf(run *Run, service string) int {
+	changes := 0
+	for _, event := range run.Events {
+		if event.Type == EventChangeStarted && event.Service == service {
+			changes++
+		}
+	}
+	return changes
+}
+
+// refine shifts and drops single steps of the best plan while that helps.
+func (p *planSearch) refine() error {
+	left := refinements
+	for improved := true; improved && left > 0; {
+		improved = false
+		for _, neighbour := range neighbours(p.bestPlan, p.study.declared.Services) {
+			if left == 0 {
+				return nil
+			}
+			left--
+			before := p.bestRun
+			if err := p.try(neighbour); err != nil {
+				return err
+			}
+			if p.bestRun != before {
+				improved = true
+				break
+			}
+		}
+	}
+	return nil
+}
+
+// neighbours are the plans with one step earlier, later or left out.
+func neighbours(plan map[string]schedule, services []scenario.Service) []map[string]schedule {
+	var result []map[string]schedule
+	for _, service := range services {
+		own := plan[service.Name]
+		for i := range own {
+			dropped := append(append(schedule{}, own[:i]...), own[i+1:]...)
+			earlier, later := append(schedule{}, own...), append(schedule{}, own...)
+			earlier[i].from -= neighbourShift
+			later[i].from += neighbourShift
+			for _, changed := range []schedule{dropped, earlier, later} {
+				result = append(result, replaced(plan, service.Name, changed))
+			}
+		}
+	}
+	return result
+}
+
+// neighbourShift is how far the local search moves one step in time.
+const neighbourShift = 4 * time.Second
+
+func replaced(plan map[string]schedule, service string, own schedule) map[string]schedule {
+	result := map[string]schedule{}
+	for name, schedule := range plan {
+		result[name] = schedule
+	}
+	result[service] = own
+	return result
+}
--- a/internal/experiment/controller.go
+++ b/internal/experiment/controller.go
@@ -70,17 +70,12 @@
 	observation := planner.Observation{
 		Now: c.world.now, Service: service.Name, Engines: c.observeEngines(service.Name),
 		Demands: c.demands.Rows(c.world.now, service.Name), Pins: service.Pins,
-		Profile: planner.ProfileOf(service.Profile),
+		Profile: plannerProfile(service),
 		Policy: planner.Policy{
 			ChangePrice: service.Trade.ChangePrice, ChangesPerHour: service.Trade.ChangesPerHour,
 			MinimumDwell: service.Trade.MinimumDwell, Horizon: service.Trade.Horizon,
 		},
 	}
-	observation.Profile.RoleChange = service.EngineProfile().RoleChange
-	if service.Speed > 0 {
-		observation.Profile.PrefillTokensPerSecond *= service.Speed
-		observation.Profile.DecodeTokensPerSecond *= service.Speed
-	}
 	for _, kind := range c.world.scenario.Kinds {
 		if kind.Service == service.Name {
 			observation.Kinds = append(observation.Kinds, planner.KindWorth{Kind: kind.Name, Worth: kind.Worth, Deadline: kind.Deadline})
@@ -177,3 +172,16 @@
 	}
 	return max(limit, 1)
 }
+
+// plannerProfile is what the declared profile of a service tells the planner.
+func plannerProfile(service *scenario.Service) planner.EngineProfile {
+	profile := planner.ProfileOf(service.Profile)
+	engine := service.EngineProfile()
+	profile.RoleChange = engine.RoleChange
+	profile.StepBase = engine.StepBase
+	profile.StepPerSequence = engine.StepPerSequence
+	profile.StepPerContextToken = engine.StepPerContextToken
+	profile.DecodeTokensPerSecond *= engine.PrefillTokensPerSecond / profile.PrefillTokensPerSecond
+	profile.PrefillTokensPerSecond = engine.PrefillTokensPerSecond
+	return profile
+}
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -218,6 +218,7 @@
 	if !e.up || e.paused || e.frozen {
 		return
 	}
+	e.model.TakeCacheEvents() // nobody listens, and they would pile up
 	e.readings = append(e.readings, reading{at: e.world.now, load: e.model.Load(), state: e.state, role: e.role})
 	visible := e.world.now - e.world.scenario.Reports.Lag
 	for len(e.readings) > 1 && e.readings[1].at <= visible {
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -1,15 +1,66 @@
 package experiment
 
 import (
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/experiment/previousplanner"
 	"github.com/hazelpitch/hazelpitch/internal/planner"
+	"github.com/hazelpitch/hazelpitch/internal/scenario"
 )
 
 // Names of policies.
 const (
+	// PolicyPlanner is the product's planner.
 	PolicyPlanner = "planner"
+	// PolicyPrevious is the planner before experiments measured it.
+	PolicyPrevious = "previous"
+	// PolicyReactive changes one engine when thresholds are passed.
+	PolicyReactive = "reactive"
+	// PolicyAllMixed lets every engine do everything.
+	PolicyAllMixed = "all-mixed"
+	// PolicyStaticMean keeps the split into readers and writers that fits the mean mix.
+	PolicyStaticMean = "static-mean"
+	// PolicyStaticBest keeps the split that is best in hindsight.
+	PolicyStaticBest = "static-best"
+	// PolicyClairvoyant knows all arrivals and pays for its changes.
+	PolicyClairvoyant = "clairvoyant"
 )
 
+// PolicyNames lists all policies in the order of tables.
+func PolicyNames() []string {
+	return []string{
+		PolicyPlanner, PolicyPrevious, PolicyReactive, PolicyAllMixed, PolicyStaticMean, PolicyStaticBest, PolicyClairvoyant,
+	}
+}
+
 // ProductPolicy is the product's own planner, beginning in the scenario's roles.
 func ProductPolicy() Policy {
 	return Policy{Name: PolicyPlanner, NewPlanner: func(string) planner.Planner { return planner.New() }}
 }
+
+// previousPolicy is the product's previous planner.
+func previousPolicy() Policy {
+	return Policy{Name: PolicyPrevious, NewPlanner: func(string) planner.Planner { return previousplanner.New() }}
+}
+
+func reactivePolicy() Policy {
+	return Policy{Name: PolicyReactive, NewPlanner: func(string) planner.Planner { return &reactivePlanner{} }}
+}
+
+// staticPolicy keeps one split for each service from the start.
+func staticPolicy(name string, splits map[string]planner.Split) Policy {
+	return Policy{
+		Name: name,
+		InitialRoles: func(service string, engines []scenario.Engine) []enginecontract.Role {
+			return spread(splits[service], engines)
+		},
+		NewPlanner: func(string) planner.Planner { return &schedulePlanner{} },
+	}
+}
+
+// schedulePolicy begins in the scenario's roles and follows a schedule for each service.
+func schedulePolicy(name string, schedules map[string]schedule) Policy {
+	return Policy{
+		Name:       name,
+		NewPlanner: func(service string) planner.Planner { return &schedulePlanner{schedule: schedules[service]} },
+	}
+}
--- /dev/null
+++ b/internal/experiment/schedule.go
@@ -0,0 +1,116 @@
+package experiment
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/planner"
+)
+
+// schedule is the split that one service is to have from each time on.
+type schedule []scheduledSplit
+
+type scheduledSplit struct {
+	from  time.Duration
+	split planner.Split
+}
+
+// at returns the split wanted at a time; false before the first.
+func (s schedule) at(now time.Duration) (planner.Split, bool) {
+	var wanted planner.Split
+	found := false
+	for _, step := range s {
+		if step.from > now {
+			break
+		}
+		wanted, found = step.split, true
+	}
+	return wanted, found
+}
+
+// movesBetween is the least number of engines that change between two splits.
+func movesBetween(a, b planner.Split) int {
+	moves := 0
+	for _, role := range planner.Roles() {
+		moves += max(b.Count(role)-a.Count(role), 0)
+	}
+	return moves
+}
+
+// schedulePlanner carries out a schedule: a planner that decides nothing itself.
+type schedulePlanner struct{ schedule schedule }
+
+// Plan implements planner.Planner.
+func (p *schedulePlanner) Plan(observation planner.Observation) planner.Decision {
+	wanted, found := p.schedule.at(observation.Now)
+	if !found {
+		return planner.Decision{Reason: "the schedule has not begun"}
+	}
+	present := planner.Split{}
+	for _, engine := range observation.Engines {
+		role := engine.Role
+		if engine.OrderOutstanding {
+			role = engine.TargetRole
+		}
+		present = present.Add(role, 1)
+	}
+	var decision planner.Decision
+	for {
+		from, to, differs := firstDifference(present, wanted)
+		if !differs {
+			return decision
+		}
+		engine, found := idlest(observation.Engines, from, decision.Changes)
+		if !found {
+			return decision
+		}
+		decision.Changes = append(decision.Changes, planner.Change{
+			Engine: engine.Name, From: from, To: to, Reason: fmt.Sprintf("the schedule wants %s", wanted),
+		})
+		present = present.Add(from, -1).Add(to, 1)
+	}
+}
+
+// firstDifference names a role with too many engines and one with too few.
+func firstDifference(present, wanted planner.Split) (from, to enginecontract.Role, differs bool) {
+	for _, role := range planner.Roles() {
+		switch surplus := present.Count(role) - wanted.Count(role); {
+		case surplus > 0 && from == "":
+			from = role
+		case surplus < 0 && to == "":
+			to = role
+		}
+	}
+	return from, to, from != "" && to != ""
+}
+
+// idlest is the serving engine of a role with the least work that is not chosen yet.
+func idlest(engines []planner.EngineObservation, role enginecontract.Role, chosen []planner.Change) (planner.EngineObservation, bool) {
+	var fit []planner.EngineObservation
+	for _, engine := range engines {
+		taken := slices.ContainsFunc(chosen, func(change planner.Change) bool { return change.Engine == engine.Name })
+		if engine.Role == role && !engine.OrderOutstanding && !taken && engine.State == enginecontract.StateServing {
+			fit = append(fit, engine)
+		}
+	}
+	if len(fit) == 0 {
+		return planner.EngineObservation{}, false
+	}
+	return slices.MinFunc(fit, func(a, b planner.EngineObservation) int {
+		return cmp.Or(cmp.Compare(workAt(a), workAt(b)), cmp.Compare(a.Name, b.Name))
+	}), true
+}
+
+// workAt is the work of an engine in flight, in output tokens, as reported.
+func workAt(engine planner.EngineObservation) int64 {
+	if engine.Load == nil {
+		return 0
+	}
+	return engine.Load.RunningOutputTokens + engine.Load.WaitingPromptTokens/outputWeight
+}
+
+// outputWeight is the work of one output token in prompt tokens.
+const outputWeight = 8
--- /dev/null
+++ b/internal/experiment/splits.go
@@ -0,0 +1,100 @@
+package experiment
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/planner"
+	"github.com/hazelpitch/hazelpitch/internal/scenario"
+)
+
+// allSplits lists the splits of a service's engines that its bounds over all zones
+// allow and that can serve a request.
+func allSplits(service *scenario.Service) []planner.Split {
+	total := engineCount(service)
+	var splits []planner.Split
+	for prefill := 0; prefill <= total; prefill++ {
+		for decode := 0; decode <= total-prefill; decode++ {
+			split := planner.Split{Prefill: prefill, Decode: decode, Mixed: total - prefill - decode}
+			if serves(split) && withinBounds(split, service) {
+				splits = append(splits, split)
+			}
+		}
+	}
+	return splits
+}
+
+func engineCount(service *scenario.Service) int {
+	total := 0
+	for _, count := range service.Engines {
+		total += count
+	}
+	return total
+}
+
+func serves(split planner.Split) bool {
+	return split.Mixed > 0 || (split.Prefill > 0 && split.Decode > 0)
+}
+
+func withinBounds(split planner.Split, service *scenario.Service) bool {
+	for _, bound := range service.Bounds {
+		if bound.Zone != "" {
+			continue
+		}
+		count := split.Count(bound.Role)
+		if count < bound.Minimum || (bound.Maximum > 0 && count > bound.Maximum) {
+			return false
+		}
+	}
+	return true
+}
+
+// spread gives engines the roles of a split, each role spread evenly over the zones.
+func spread(split planner.Split, engines []scenario.Engine) []enginecontract.Role {
+	order := make([]int, len(engines))
+	rank := make([]int, len(engines)) // place within the zone
+	counts := map[string]int{}
+	for i, engine := range engines {
+		order[i], rank[i] = i, counts[engine.Zone]
+		counts[engine.Zone]++
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(rank[a], rank[b]) })
+	roles := make([]enginecontract.Role, len(engines))
+	given := planner.Split{}
+	for place, index := range order {
+		role := mostOwed(split, given, place+1, len(engines))
+		roles[index] = role
+		given = given.Add(role, 1)
+	}
+	return roles
+}
+
+// mostOwed is the role that lacks most of its part after so many engines.
+func mostOwed(split, given planner.Split, places, total int) enginecontract.Role {
+	best, most := enginecontract.RoleMixed, -1.0
+	for _, role := range planner.Roles() {
+		if given.Count(role) >= split.Count(role) {
+			continue
+		}
+		owed := float64(split.Count(role)*places)/float64(total) - float64(given.Count(role))
+		if most < 0 && owed < 0 {
+			owed = 0
+		}
+		if owed > most {
+			best, most = role, owed
+		}
+	}
+	return best
+}
+
+// initialSplit counts the scenario's own roles of one service.
+func initialSplit(declared *scenario.Scenario, service string) planner.Split {
+	split := planner.Split{}
+	for _, engine := range declared.Engines() {
+		if engine.Service == service {
+			split = split.Add(engine.Role, 1)
+		}
+	}
+	return split
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,13 +56,11 @@
 }
 
 func newGateway(config settings.Gateway, options Options) (*Gateway, error) {
-	client, err := upstream.NewClient(upstream.Options{SourceAddress: config.SourceAddress, Dial: options.Dial, Safeguards: options.Safeguards})
+	client, err := upstream.NewClient(config.SourceAddress)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	control, err := NewControl(config, ControlOptions{
-		Log: options.Log, Dial: options.Dial, OnRevision: options.OnRevision, Safeguards: options.Safeguards,
-	})
+	control, err := NewControl(config, ControlOptions{Log: options.Log, OnRevision: options.OnRevision})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -47,7 +47,6 @@
 	"internal/fleet",
 	"internal/load",
 	"internal/measure",
-	"internal/property",
 	"internal/report",
 	"internal/scenario",
 	"internal/scale",
--- a/internal/planner/profiles.go
+++ b/internal/planner/profiles.go
@@ -9,6 +9,12 @@
 		PrefillTokensPerSecond: 20_000,
 		DecodeTokensPerSecond:  5_000,
 		MixedPenalty:           0.2,
+		StepBase:               10 * time.Millisecond,
+		StepPerSequence:        60 * time.Microsecond,
+		StepPerContextToken:    20 * time.Nanosecond,
+		MaxBatch:               128,
+		PrefillChunk:           8192,
+		MixedChunk:             512,
 		RoleChange:             4 * time.Second,
 	},
 }
--- a/internal/planner/split.go
+++ b/internal/planner/split.go
@@ -53,3 +53,6 @@
 func (s Split) String() string {
 	return fmt.Sprintf("%d prefill, %d decode, %d mixed", s.Prefill, s.Decode, s.Mixed)
 }
+
+// Roles returns the roles in the order in which decisions look at them.
+func Roles() []enginecontract.Role { return append([]enginecontract.Role(nil), roles...) }
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -89,6 +89,18 @@
 	DecodeTokensPerSecond float64
 	// MixedPenalty is the share of capacity lost when one engine does both, 0 to 1.
 	MixedPenalty float64
+	// A step of a batch takes StepBase, StepPerSequence for each sequence that writes
+	// a token in it, StepPerContextToken for each token of context those hold, and the
+	// time to read its chunk of prompt.
+	StepBase            time.Duration
+	StepPerSequence     time.Duration
+	StepPerContextToken time.Duration
+	// MaxBatch is the largest number of sequences in a batch.
+	MaxBatch int
+	// PrefillChunk and MixedChunk are the prompt tokens that one step reads at engines
+	// of the roles.
+	PrefillChunk int
+	MixedChunk   int
 	RoleChange   time.Duration
 	// CacheWarmup is the time an engine that has just begun to read prompts needs
 	// to fill its prefix cache; zero when caches are of no use.
--- a/internal/stream/sequence.go
+++ b/internal/stream/sequence.go
@@ -1,10 +1,6 @@
 package stream
 
-import (
-	"strings"
-
-	"github.com/hazelpitch/hazelpitch/internal/safeguard"
-)
+import "strings"
 
 // Step tells what to do with an event.
 type Step int
@@ -34,16 +30,13 @@
 	finished  bool
 	counted   bool
 	// keepText tells to gather the delivered text, for continuing at another engine.
-	keepText   bool
-	text       strings.Builder
-	safeguards safeguard.Set
+	keepText bool
+	text     strings.Builder
 }
 
 // NewSequence returns a sequence for one answer. With keepText it gathers the delivered
-// text, which continuing at another engine needs. safeguards is the zero Set but in tests.
-func NewSequence(keepText bool, safeguards safeguard.Set) *Sequence {
-	return &Sequence{keepText: keepText, safeguards: safeguards}
-}
+// text, which continuing at another engine needs.
+func NewSequence(keepText bool) *Sequence { return &Sequence{keepText: keepText} }
 
 // Begin names the exchange whose events are accepted from now on.
 func (s *Sequence) Begin(exchange string) { s.exchange = exchange }
@@ -60,12 +53,12 @@
 // Accept decides on one event and notes it when it is delivered.
 func (s *Sequence) Accept(event *Event) Step {
 	if event.Type == EventDone {
-		if s.finished && s.counted || !s.safeguards.On(WholeEnd) {
+		if s.finished && s.counted {
 			return StepWhole
 		}
 		return StepResume
 	}
-	if event.Exchange != s.exchange && s.safeguards.On(EventEcho) {
+	if event.Exchange != s.exchange {
 		return StepForeign
 	}
 	switch event.Type {
@@ -85,7 +78,6 @@
 
 func (s *Sequence) acceptToken(event *Event) Step {
 	switch {
-	case !s.safeguards.On(OffsetCheck):
 	case event.Offset <= s.delivered:
 		return StepDrop
 	case s.finished:
