Run control at any size with hollow gateways and engines

Cause: the target size (390 nodes, 930 replicas, 33,000 tenants) was known from design alone; nothing measured what control costs there.

Change: internal/scale starts real controllers as processes, hundreds of gateway control runtimes in one process and hollow engines in another, over sockets on loopback with latencies between zones and regions. Fleet starts, stops, cuts and heals nodes, engines, zones, regions and the leader, submits changes and tells when each node had them in force. hazelbench scale measures state, messages, bytes and processor time by role and duty.

--- a/internal/benchcommand/commands.go
+++ b/internal/benchcommand/commands.go
@@ -17,6 +17,7 @@
 		experimentCommand(),
 		fleetCommand(),
 		loadCommand(),
+		scaleCommand(),
 		simulateCommand(),
 	}
 }
