--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -88,7 +88,7 @@
 		target:      target,
 		request:     request,
 		deadline:    arrival + deadline,
-		sequence:    stream.NewSequence(target.kind.Spec.GetRepeatable()),
+		sequence:    stream.NewSequence(target.kind.Spec.GetRepeatable(), g.safeguards),
 		interrupter: &upstream.Interrupter{},
 		key:         string(context.Request.Header.Peek(enginecontract.HeaderIdempotencyKey)),
 	}
--- a/internal/gateway/claimer.go
+++ b/internal/gateway/claimer.go
@@ -13,6 +13,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/claims"
 	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
 	"github.com/hazelpitch/hazelpitch/internal/upstream"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -37,8 +38,8 @@
 	finishes    sync.WaitGroup
 }
 
-func newClaimer(clock clock, controllers *controllers, identity *v1.NodeIdentity) *claimer {
-	return &claimer{clock: clock, controllers: controllers, identity: identity, slots: make(chan struct{}, maximumFinishes)}
+func newClaimer(clock clock, controllers *controllers, identity *v1.NodeIdentity, safeguards safeguard.Set) *claimer {
+	return &claimer{config: claims.Config{Safeguards: safeguards}, clock: clock, controllers: controllers, identity: identity, slots: make(chan struct{}, maximumFinishes)}
 }
 
 // claim returns the claim of one sending of a request. content is everything that makes
--- /dev/null
+++ b/internal/gateway/completion_message.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/stream"
+	"github.com/hazelpitch/hazelpitch/internal/upstream"
+)
+
+// message builds the request of one exchange, which ends at until.
+func (c *completion) message(address, exchange string, until time.Duration) upstream.Request {
+	left := until - c.gateway.clock.now()
+	headers := []upstream.Header{
+		{Name: "Content-Type", Value: "application/json"},
+		{Name: enginecontract.HeaderPriority, Value: strconv.Itoa(int(c.target.kind.Spec.GetPriority()))},
+		{Name: enginecontract.HeaderCacheSalt, Value: c.tenant.Spec.GetCacheSalt()},
+		{Name: enginecontract.HeaderDeadline, Value: strconv.FormatInt(max(left.Milliseconds(), 1), 10)},
+	}
+	continueText := ""
+	if delivered := c.sequence.Delivered(); delivered > 0 {
+		continueText = c.sequence.Text()
+		headers = append(headers, upstream.Header{Name: enginecontract.HeaderContinueFrom, Value: strconv.Itoa(delivered)})
+	}
+	return upstream.Request{
+		Address:     address,
+		Method:      http.MethodPost,
+		Target:      c.request.path(),
+		Headers:     headers,
+		Body:        c.request.engineBody(c.target.name, continueText),
+		Exchange:    exchange,
+		Deadline:    c.gateway.clock.time(until),
+		Interrupter: c.interrupter,
+	}
+}
+
+func (c *completion) read(answer *upstream.Answer) {
+	c.answer = answer
+	c.scanner = stream.NewScanner(answer)
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -12,7 +11,9 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
+	"github.com/hazelpitch/hazelpitch/internal/upstream"
 )
 
 // Control is the control runtime of a gateway without its request path: the view of the
@@ -22,6 +23,7 @@
 type Control struct {
 	settings    settings.Gateway
 	clock       clock
+	safeguards  safeguard.Set
 	log         *logring.Log
 	registry    *prometheus.Registry
 	metrics     *gatewayMetrics
@@ -37,10 +39,12 @@
 	// Log receives the log. Required; whoever made it runs it.
 	Log *logring.Log
 	// Dial opens the connections to controllers; nil means TCP from source_address.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial upstream.DialFunc
 	// OnRevision, when not nil, is called with each revision as it comes into force
 	// here; it must not block.
 	OnRevision func(revision uint64)
+	// Safeguards is the zero Set but in tests.
+	Safeguards safeguard.Set
 }
 
 // NewControl returns a control runtime that has heard of no controller.
@@ -64,6 +68,7 @@
 	return &Control{
 		settings:    config,
 		clock:       clock,
+		safeguards:  options.Safeguards,
 		log:         options.Log,
 		registry:    registry,
 		metrics:     newGatewayMetrics(factory),
@@ -71,7 +76,7 @@
 		view:        view,
 		controllers: controllers,
 		admitter:    admitter,
-		claimer:     newClaimer(clock, controllers, identity),
+		claimer:     newClaimer(clock, controllers, identity, options.Safeguards),
 	}, nil
 }
 
--- a/internal/gateway/controllers.go
+++ b/internal/gateway/controllers.go
@@ -14,6 +14,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
+	"github.com/hazelpitch/hazelpitch/internal/upstream"
 )
 
 const (
@@ -33,7 +34,7 @@
 	leader string
 }
 
-func newControllers(config settings.Gateway, dial func(ctx context.Context, network, address string) (net.Conn, error)) *controllers {
+func newControllers(config settings.Gateway, dial upstream.DialFunc) *controllers {
 	if dial == nil {
 		dialer := &net.Dialer{Timeout: controllerCallTimeout}
 		if config.SourceAddress != "" {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,11 +56,13 @@
 }
 
 func newGateway(config settings.Gateway, options Options) (*Gateway, error) {
-	client, err := upstream.NewClient(config.SourceAddress)
+	client, err := upstream.NewClient(upstream.Options{SourceAddress: config.SourceAddress, Dial: options.Dial, Safeguards: options.Safeguards})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	control, err := NewControl(config, ControlOptions{Log: options.Log, OnRevision: options.OnRevision})
+	control, err := NewControl(config, ControlOptions{
+		Log: options.Log, Dial: options.Dial, OnRevision: options.OnRevision, Safeguards: options.Safeguards,
+	})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- /dev/null
+++ b/internal/gateway/hand_over_test.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/tidwall/gjson"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/enginemodel"
+	"github.com/hazelpitch/hazelpitch/internal/pause"
+	"github.com/hazelpitch/hazelpitch/internal/standin/answertext"
+	"github.com/hazelpitch/hazelpitch/internal/standin/engine"
+	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+const (
+	handOverTokens = 20
+	// standInSpeed makes stand-in engines fast enough for tests.
+	standInSpeed = 5
+)
+
+// once switches a fault on for one request.
+func once(kind fault.Kind, tokens int) []fault.Fault {
+	return []fault.Fault{{Kind: kind, Count: 1, Tokens: tokens, DelayMs: 5000}}
+}
+
+// handOverRow is one thing that goes wrong while a prompt is read by one engine and the
+// answer written by another. There are one prefill engine and two decode engines, each of
+// which shows the same faults.
+type handOverRow struct {
+	name            string
+	kind            string // default matching, which is repeatable
+	prefill, decode []fault.Fault
+	// prefillDown stops the prefill engine before the request; prefillDies stops it once a
+	// decode engine has the request and before it fetches the cache.
+	prefillDown, prefillDies bool
+	whole                    bool
+	status                   int
+	verdict                  verdict.Verdict
+	// What the engines ran together.
+	prefilled, imported, started int
+}
+
+var handOverRows = []handOverRow{
+	{name: "no fault", whole: true, prefilled: 1, imported: 1, started: 1},
+	{name: "no fault, once-only kind", kind: "once", whole: true, prefilled: 1, imported: 1, started: 1},
+	{name: "prefill engine refuses", prefill: once(fault.Refuse, 0), whole: true, started: 1},
+	{name: "prefill engine refuses, once-only kind", kind: "once", prefill: once(fault.Refuse, 0), whole: true, started: 1},
+	{name: "prefill engine is down", prefillDown: true, whole: true, started: 1},
+	{name: "prefill engine is down, once-only kind", kind: "once", prefillDown: true, whole: true, started: 1},
+	{name: "export's answer is lost", prefill: once(fault.LoseAnswer, 0), whole: true, prefilled: 1, started: 1},
+	{name: "export's answer is lost, once-only kind", kind: "once", prefill: once(fault.LoseAnswer, 0),
+		status: 502, verdict: verdict.MayHaveRun, prefilled: 1},
+	{name: "export's answer is another exchange's", prefill: once(fault.WrongEcho, 0), whole: true, prefilled: 1, started: 1},
+	{name: "export's answer is another exchange's, once-only kind", kind: "once", prefill: once(fault.WrongEcho, 0),
+		status: 502, verdict: verdict.MayHaveRun, prefilled: 1},
+	{name: "export fails", prefill: once(fault.Error, 0), whole: true, prefilled: 1, started: 1},
+	{name: "export fails, once-only kind", kind: "once", prefill: once(fault.Error, 0), status: 502, verdict: verdict.MayHaveRun, prefilled: 1},
+	{name: "export stalls", prefill: once(fault.Late, 0), whole: true, started: 1},
+	{name: "fetch of the cache fails", prefill: once(fault.FailExport, 0), whole: true, prefilled: 1, started: 1},
+	{name: "fetch of the cache fails, once-only kind", kind: "once", prefill: once(fault.FailExport, 0), whole: true, prefilled: 1, started: 1},
+	{name: "handle is lost", prefill: once(fault.LoseHandle, 0), whole: true, prefilled: 1, started: 1},
+	{name: "handle belongs to another tenant", prefill: once(fault.ForeignHandle, 0), whole: true, prefilled: 1, started: 1},
+	{name: "prefill engine dies before the fetch", decode: once(fault.Late, 0), prefillDies: true, whole: true, prefilled: 1, started: 1},
+	{name: "decode engines refuse", decode: once(fault.Refuse, 0), status: 502, verdict: verdict.MayHaveRun, prefilled: 2},
+	{name: "decode engine's answer is lost, exchange lives on", decode: once(fault.LoseAnswer, 0), whole: true, prefilled: 1, imported: 1, started: 1},
+	{name: "stream of the decode engine is cut, exchange lives on", decode: once(fault.Cut, 7), whole: true, prefilled: 1, imported: 1, started: 1},
+	{name: "stream of the decode engine is cut, once-only kind", kind: "once", decode: once(fault.Cut, 7), whole: true, prefilled: 1, imported: 1, started: 1},
+}
+
+func TestHandOver(t *testing.T) {
+	for _, row := range handOverRows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			row.check(t)
+		})
+	}
+}
+
+// startStandIn starts an engine of the bench.
+func startStandIn(t testing.TB, name string, role enginecontract.Role, faults ...fault.Fault) *engine.Engine {
+	started, err := engine.Start(engine.Config{
+		Name: name, Service: "engines", Zone: "z1", Address: "127.0.0.1:0", Role: role, Model: "base", Version: "v1",
+		Adapters: []string{"tuned"}, Profile: enginemodel.DefaultProfile().Faster(standInSpeed), Faults: faults,
+	})
+	require.NoError(t, err)
+	t.Cleanup(started.Close)
+	return started
+}
+
+func (row handOverRow) check(t *testing.T) {
+	prefill := startStandIn(t, "p1", enginecontract.RolePrefill, row.prefill...)
+	decodes := []*engine.Engine{
+		startStandIn(t, "d1", enginecontract.RoleDecode, row.decode...), startStandIn(t, "d2", enginecontract.RoleDecode, row.decode...),
+	}
+	controller := startController(t, engineBackEnd("p1", prefill.Address(), v1.Role_ROLE_PREFILL),
+		engineBackEnd("d1", decodes[0].Address(), v1.Role_ROLE_DECODE), engineBackEnd("d2", decodes[1].Address(), v1.Role_ROLE_DECODE))
+	gateway := startGateway(t, testSettings(controller.address))
+	if row.prefillDown {
+		prefill.Crash()
+	}
+	if row.prefillDies {
+		go func() {
+			// A decode engine that has taken its fault has the request, and waits before the fetch.
+			for len(decodes[0].Faults().Left())+len(decodes[1].Faults().Left()) == 2 && t.Context().Err() == nil {
+				pause.For(t.Context(), often)
+			}
+			prefill.Crash()
+		}()
+	}
+	kind := row.kind
+	if kind == "" {
+		kind = "matching"
+	}
+	answer := chat(t, gateway, kind, handOverBody)
+	row.checkAnswer(t, answer)
+	ran := prefill.Runs().Totals.Plus(decodes[0].Runs().Totals).Plus(decodes[1].Runs().Totals)
+	require.Equal(t, row.started, ran.Started)
+	require.Equal(t, row.imported, ran.Imported)
+	require.LessOrEqual(t, ran.Prefilled, row.prefilled, "a prompt that is given up on may not be read to its end")
+	if row.whole && row.imported > 0 {
+		require.Equal(t, row.prefilled, ran.Prefilled)
+	}
+}
+
+var handOverBody = fmt.Sprintf(`{"model":"base","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
+	handOverTokens, handOverPrompt)
+
+var handOverPrompt = strings.Repeat("The lot's dossier says much of its hydraulics. ", 40)
+
+func (row handOverRow) checkAnswer(t *testing.T, answer callerAnswer) {
+	prompt := answertext.Prompt([]answertext.Message{{Role: "user", Content: gjson.Get(handOverBody, "messages.0.content").String()}})
+	text := answertext.Text(answertext.Hash(prompt), handOverTokens)
+	for name := range answer.header {
+		require.NotContains(t, []string{"X-Kv-Handle", "X-Kv-Source", "X-Cache-Salt", "X-Exchange-Id"}, name)
+	}
+	if row.whole {
+		require.Equal(t, http.StatusOK, answer.status, answer.body)
+		require.Equal(t, text, answer.text, answer.body)
+		require.True(t, answer.whole, answer.body)
+		return
+	}
+	require.False(t, answer.whole, answer.body)
+	require.Equal(t, row.status, answer.status, answer.body)
+	require.Equal(t, row.verdict.String(), answer.verdict, answer.body)
+	for _, secret := range []string{"kv", "handle", "salt", "exchange", "d1", "p1", "127.0.0.1"} {
+		require.NotContains(t, answer.body, secret)
+	}
+}
+
+// TestUsableHandle shows that a handle which could end a header or fill one is not passed on.
+func TestUsableHandle(t *testing.T) {
+	for handle, usable := range map[string]bool{
+		"": false, "0123abcd": true, "a b": false, "a\r\nX-Cache-Salt: other": false, "a\x00": false, "é": false,
+		strings.Repeat("a", maximumHandleLength): true, strings.Repeat("a", maximumHandleLength+1): false,
+	} {
+		require.Equal(t, usable, usableHandle(handle), "%q", handle)
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,7 @@
 	eventsDropped   prometheus.Counter
 	foreignAnswers  prometheus.Counter
 	connectionsKept prometheus.Counter
+	handOvers       *prometheus.CounterVec
 	syncFailures    prometheus.Counter
 	reportFailures  prometheus.Counter
 }
@@ -31,6 +32,7 @@
 		eventsDropped:   factory.Counter("events_dropped_total", "Events dropped because they repeated what was delivered."),
 		foreignAnswers:  factory.Counter("foreign_answers_total", "Answers and events dropped because they belonged to another exchange."),
 		connectionsKept: factory.Counter("connections_kept_total", "Connections to engines kept after a whole stream."),
+		handOvers:       factory.CounterVec("hand_overs_total", "Prompts to be read by one engine and answered by another, by how that ended.", "outcome"),
 		syncFailures:    factory.Counter("sync_failures_total", "Heartbeats that no controller answered."),
 		reportFailures:  factory.Counter("report_failures_total", "Demand reports that no leader took."),
 	}
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -4,12 +4,18 @@
 	"net"
 
 	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
+	"github.com/hazelpitch/hazelpitch/internal/upstream"
 )
 
 // Options are what a process may give Run besides its settings.
 type Options struct {
 	// Listen opens the listeners; nil means net.Listen.
 	Listen func(network, address string) (net.Listener, error)
+	// Dial opens the connections to back ends and controllers; nil means the system's.
+	Dial upstream.DialFunc
+	// Safeguards is the zero Set but in tests.
+	Safeguards safeguard.Set
 	// Log receives the log; nil means a ring of its own.
 	Log *logring.Log
 	// Started, when not nil, is closed once callers can connect.
--- a/internal/gateway/page.go
+++ b/internal/gateway/page.go
@@ -153,7 +153,7 @@
 // runClaimed runs the request; one that may run at most once and carries a key runs only
 // under a claim. Without a key it is sent once, and only a true "not run" is sent again.
 func (p *pageRequest) runClaimed() (*pageAnswer, *refusal) {
-	if p.kind.Spec.GetRepeatable() || p.key == "" {
+	if p.kind.Spec.GetRepeatable() || p.key == "" || !p.gateway.safeguards.On(ClaimBeforeRun) {
 		return p.run()
 	}
 	claimer := p.gateway.claimer
@@ -228,7 +228,7 @@
 			continue
 		}
 		p.mayHaveRun = true
-		if p.gateway.clock.now() < p.deadline && !p.kind.Spec.GetRepeatable() {
+		if p.gateway.clock.now() < p.deadline && !p.kind.Spec.GetRepeatable() && p.gateway.safeguards.On(RetryOnlyNotRun) {
 			return nil, p.refusal(refuseBackEnd())
 		}
 	}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"math"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/routing"
 	"github.com/hazelpitch/hazelpitch/internal/stream"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -119,3 +121,24 @@
 func refuseInternal() *refusal {
 	return refuse(http.StatusInternalServerError, typeServer, codeInternal, "the gateway failed; the request may have run").mayHaveRun()
 }
+
+func refuseBackEnd() *refusal {
+	return refuse(http.StatusBadGateway, typeServer, codeBackEndFailed, "no back end completed the request").after(time.Second)
+}
+
+func refuseParameters() *refusal {
+	return refuseBody("the engine refuses the request's parameters")
+}
+
+// refusePick translates routing's reason.
+func refusePick(err error) *refusal {
+	fault := refuse(http.StatusServiceUnavailable, typeServer, codeNoBackEnd, "no back end can take the request now")
+	if errors.Is(err, routing.ErrInfeasible) {
+		fault = refuseInfeasible()
+	}
+	var picked *routing.PickError
+	if errors.As(err, &picked) {
+		fault.after(picked.RetryAfter)
+	}
+	return fault
+}
--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -47,6 +47,7 @@
 	"internal/fleet",
 	"internal/load",
 	"internal/measure",
+	"internal/property",
 	"internal/report",
 	"internal/scenario",
 	"internal/scale",
--- /dev/null
+++ b/internal/property/backends.go
@@ -0,0 +1,110 @@
+package property
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/enginemodel"
+	"github.com/hazelpitch/hazelpitch/internal/standin/engine"
+	"github.com/hazelpitch/hazelpitch/internal/standin/page"
+)
+
+// pageTime is how long a page service takes for one request.
+const pageTime = 5 * time.Millisecond
+
+// backEnds are the engines and page services of a run.
+type backEnds struct {
+	engines []*engine.Engine
+	pages   []*page.Service
+}
+
+// startBackEnds starts the stand-ins and returns their rows of the directory.
+func startBackEnds(joined *network, engines, pages int) (*backEnds, []*v1.BackEnd, error) {
+	started := &backEnds{}
+	var rows []*v1.BackEnd
+	for number := range engines {
+		name, address := fmt.Sprintf("engine-%d", number+1), engineHost(number)+":8100"
+		opened, err := engine.Start(engine.Config{
+			Name: name, Service: engineService, Zone: zone, Address: address, Model: model, Version: modelVersion,
+			Role: enginecontract.RoleMixed, Profile: profile(), Listen: joined.listen,
+		})
+		if err != nil {
+			return nil, nil, trace.Wrap(err)
+		}
+		started.engines = append(started.engines, opened)
+		rows = append(rows, &v1.BackEnd{
+			Name: name, Service: engineService, Zone: zone, Address: address, Role: v1.Role_ROLE_MIXED, Model: model,
+			Version: modelVersion, State: v1.BackEndState_BACK_END_STATE_SERVING,
+		})
+	}
+	for number := range pages {
+		name, address := fmt.Sprintf("page-%d", number+1), fmt.Sprintf("10.3.0.%d:8200", number+1)
+		opened, err := page.Start(page.Config{
+			Name: name, Service: pageService, Zone: zone, Address: address, ServiceTime: pageTime, Listen: joined.listen,
+		})
+		if err != nil {
+			return nil, nil, trace.Wrap(err)
+		}
+		started.pages = append(started.pages, opened)
+		rows = append(rows, &v1.BackEnd{
+			Name: name, Service: pageService, Zone: zone, Address: address, State: v1.BackEndState_BACK_END_STATE_SERVING,
+		})
+	}
+	return started, rows, nil
+}
+
+func engineHost(number int) string { return fmt.Sprintf("10.2.0.%d", number+1) }
+
+// profile writes a token each 20 ms, so that faults meet streams.
+func profile() enginemodel.Profile {
+	chosen := enginemodel.DefaultProfile()
+	chosen.PrefillTokensPerSecond = 1e5
+	chosen.StepBase = 20 * time.Millisecond
+	return chosen
+}
+
+func (b *backEnds) close() {
+	for _, each := range b.engines {
+		each.Close()
+	}
+	for _, each := range b.pages {
+		each.Close()
+	}
+}
+
+// clear switches every fault off and starts what is down.
+func (b *backEnds) clear() error {
+	for _, each := range b.engines {
+		each.Faults().Replace(nil)
+		if err := each.Restart(); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	for _, each := range b.pages {
+		each.Faults().Replace(nil)
+		if err := each.Restart(); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// executions counts what ran, by the marks of requests.
+func (b *backEnds) executions() map[string]int {
+	counted := map[string]int{}
+	for _, each := range b.engines {
+		for prompt, run := range each.Runs().Prompts {
+			counted[prompt] += run.Started
+		}
+	}
+	for _, each := range b.pages {
+		for key, count := range each.Runs().Executions {
+			counted[key] += count
+		}
+	}
+	return counted
+}
--- /dev/null
+++ b/internal/property/controllers.go
@@ -0,0 +1,124 @@
+package property
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/gravitational/trace"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
+)
+
+// controllers stand for a quorum: two addresses before one replicated state, whose claims
+// are the real ones. It is safe for concurrent use.
+type controllers struct {
+	hazelpitchv1connect.UnimplementedNodeServiceHandler
+	configuration configuration
+	server        *http.Server
+	addresses     []string
+	// toLose is the number of claim calls whose answers are still to be lost.
+	toLose      atomic.Int64
+	answersLost atomic.Int64
+
+	mutex sync.Mutex
+	state *controlstate.State
+	index uint64
+}
+
+var errAnswerLost = errors.New("the answer is lost")
+
+func startControllers(joined *network, addresses []string, declared configuration, off safeguard.Set) (*controllers, error) {
+	started := &controllers{configuration: declared, addresses: addresses, state: controlstate.New(off)}
+	path, handler := hazelpitchv1connect.NewNodeServiceHandler(started)
+	routes := http.NewServeMux()
+	routes.Handle(path, handler)
+	started.server = &http.Server{Handler: routes, ReadHeaderTimeout: time.Minute}
+	for _, address := range addresses {
+		listener, err := joined.listen("tcp", address)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		go func() { _ = started.server.Serve(listener) }() // it returns when the server closes
+	}
+	return started, nil
+}
+
+func (c *controllers) close() { _ = c.server.Close() } // its listeners close without errors
+
+// apply carries out one command, as the log's leader does.
+func (c *controllers) apply(command *v1.Command) controlstate.Result {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.index++
+	command.ProposedAtMs = time.Now().UnixMilli()
+	return c.state.Apply(c.index, command)
+}
+
+// loseGateway tells the state that a gateway's process is gone.
+func (c *controllers) loseGateway(name string) {
+	c.apply(&v1.Command{Body: &v1.Command_LoseGateway{LoseGateway: &v1.LoseGateway{
+		Gateway: name, Incarnation: uint64(time.Now().UnixNano()),
+	}}})
+}
+
+// Sync answers with the whole configuration that the gateway does not have yet.
+func (c *controllers) Sync(_ context.Context, request *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error) {
+	response := &v1.SyncResponse{Revision: 1, LeaderAddress: c.addresses[0], DirectoryVersion: 1}
+	if request.Msg.GetDirectoryVersion() != 1 {
+		response.Directory = c.configuration.directory
+	}
+	if request.Msg.GetRevision() == 0 {
+		response.Objects = append(response.Objects, c.configuration.objects...)
+	}
+	for _, hash := range request.Msg.GetUnknownKeyHashes() {
+		if owner := c.configuration.tenants[hash]; owner != nil {
+			response.Objects = append(response.Objects, owner)
+		} else {
+			response.RejectedKeyHashes = append(response.RejectedKeyHashes, hash)
+		}
+	}
+	return connect.NewResponse(response), nil
+}
+
+// Report takes a report and grants nothing: no tenant of a run has limits.
+func (c *controllers) Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error) {
+	return connect.NewResponse(&v1.ReportResponse{}), nil
+}
+
+// BeginClaim applies a claim to the replicated state.
+func (c *controllers) BeginClaim(_ context.Context, request *connect.Request[v1.BeginClaimRequest]) (*connect.Response[v1.BeginClaimResponse], error) {
+	result := c.apply(&v1.Command{Body: &v1.Command_BeginClaim{BeginClaim: request.Msg.GetClaim()}})
+	if err := c.answer(result.Err); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(result.Claim), nil
+}
+
+// FinishClaim applies an outcome to the replicated state.
+func (c *controllers) FinishClaim(_ context.Context, request *connect.Request[v1.FinishClaimRequest]) (*connect.Response[v1.FinishClaimResponse], error) {
+	result := c.apply(&v1.Command{Body: &v1.Command_FinishClaim{FinishClaim: request.Msg.GetClaim()}})
+	if err := c.answer(result.Err); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&v1.FinishClaimResponse{}), nil
+}
+
+// answer fails a call whose command was refused, and one whose answer is to be lost.
+func (c *controllers) answer(refused error) error {
+	if c.toLose.Add(-1) >= 0 {
+		c.answersLost.Add(1)
+		return connect.NewError(connect.CodeUnavailable, errAnswerLost)
+	}
+	if refused != nil {
+		return connect.NewError(connect.CodeInvalidArgument, refused)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/property/ledger.go
@@ -0,0 +1,99 @@
+package property
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+// maximumExchanges is how often a gateway may begin one repeatable request.
+const maximumExchanges = 4
+
+// ledger keeps what callers were told. It is safe for concurrent use.
+type ledger struct {
+	mutex    sync.Mutex
+	sendings map[*request][]*sending
+}
+
+func newLedger() *ledger { return &ledger{sendings: map[*request][]*sending{}} }
+
+func (l *ledger) add(told *sending) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.sendings[told.request] = append(l.sendings[told.request], told)
+}
+
+// requests lists the requests in their order.
+func (l *ledger) requests() []*request {
+	listed := make([]*request, 0, len(l.sendings))
+	for each := range l.sendings {
+		listed = append(listed, each)
+	}
+	slices.SortFunc(listed, func(a, b *request) int { return a.number - b.number })
+	return listed
+}
+
+// check holds what callers were told against what ran, and returns what does not agree.
+func (l *ledger) check(executions map[string]int) []Violation {
+	var found []Violation
+	for _, each := range l.requests() {
+		found = append(found, l.checkRuns(each, executions[each.mark])...)
+		for _, told := range l.sendings[each] {
+			found = append(found, checkAnswer(told)...)
+		}
+	}
+	return found
+}
+
+// checkRuns holds the verdicts on all sendings of one request against its executions.
+func (l *ledger) checkRuns(of *request, runs int) []Violation {
+	var found []Violation
+	notRun, ran := 0, 0
+	for _, told := range l.sendings[of] {
+		switch told.told {
+		case verdict.NotRun.String():
+			notRun++
+		case verdict.Ran.String():
+			ran++
+		}
+	}
+	mayRun := len(l.sendings[of]) - notRun
+	summary := fmt.Sprintf("request %d (%s, key %q): %d sendings, %d told not run, %d told ran; it ran %d times",
+		of.number, of.kind, of.key, len(l.sendings[of]), notRun, ran, runs)
+	bound := mayRun
+	switch {
+	case of.claimed():
+		bound = min(mayRun, 1)
+	case !of.once():
+		bound = mayRun * maximumExchanges
+	}
+	switch {
+	case runs > 0 && mayRun == 0, runs > bound && !of.once():
+		found = append(found, Violation{FalseNotRun, summary})
+	case runs > bound:
+		found = append(found, Violation{RunTwice, summary})
+	}
+	if ran > 0 && runs == 0 {
+		found = append(found, Violation{FalseRan, summary})
+	}
+	return found
+}
+
+// checkAnswer holds one answer against the request's own.
+func checkAnswer(told *sending) []Violation {
+	of := told.request
+	what := fmt.Sprintf("request %d (%s): got %q of %q", of.number, of.kind, told.text, of.expected)
+	switch {
+	case told.text == of.expected:
+		return nil
+	case !strings.HasPrefix(of.expected, told.text):
+		return []Violation{{Mixed, what}}
+	case told.whole:
+		return []Violation{{Short, what}}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/property/request.go
@@ -0,0 +1,86 @@
+package property
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/standin/answertext"
+	"github.com/hazelpitch/hazelpitch/internal/standin/engine"
+	"github.com/hazelpitch/hazelpitch/internal/standin/page"
+)
+
+// request is one request of a caller; each of its sendings carries the same bytes.
+type request struct {
+	number int
+	kind   string
+	// mark is what back ends count it by.
+	mark   string
+	method string
+	path   string
+	body   string
+	// key is the idempotency key; empty when there is none.
+	key    string
+	tenant int
+	stream bool
+	// expected is the text of its whole answer.
+	expected string
+}
+
+// once tells that the request may run at most once.
+func (r *request) once() bool { return r.kind == kindOnce || r.kind == kindRegister }
+
+// claimed tells that the request may run at most once over all of its sendings.
+func (r *request) claimed() bool { return r.once() && r.key != "" }
+
+// shares of the kinds among a run's requests, in percent.
+const (
+	shareQuestion    = 35
+	shareOrder       = 25
+	shareUnkeyed     = 10
+	shareListing     = 8
+	maximumOutput    = 40
+	longestPromptPad = 40
+)
+
+func drawRequest(random *rand.Rand, seed uint64, number int) *request {
+	made := &request{number: number, tenant: random.IntN(len(tenantKeys)), stream: random.IntN(2) == 0}
+	name := fmt.Sprintf("run %d request %d", seed, number)
+	switch draw := random.IntN(100); {
+	case draw < shareQuestion:
+		made.kind = kindRepeatable
+	case draw < shareQuestion+shareOrder:
+		made.kind, made.key = kindOnce, name
+	case draw < shareQuestion+shareOrder+shareUnkeyed:
+		made.kind = kindOnce
+	case draw < shareQuestion+shareOrder+shareUnkeyed+shareListing:
+		made.kind, made.key = kindListing, name
+	default:
+		made.kind, made.key = kindRegister, name
+	}
+	switch made.kind {
+	case kindListing:
+		made.method, made.path = "GET", fmt.Sprintf("%s/%d", pathListing, number)
+		made.mark, made.expected = name, page.Page(made.path)
+	case kindRegister:
+		made.method, made.path, made.body = "POST", pathRegister, "deposit of "+name
+		made.mark, made.expected = name, page.Receipt(made.path, made.key, []byte(made.body))
+	default:
+		made.chat(name+strings.Repeat(" lot", random.IntN(longestPromptPad)), 1+random.IntN(maximumOutput))
+	}
+	return made
+}
+
+// chat makes the request one to an engine.
+func (r *request) chat(prompt string, output int) {
+	messages := []map[string]string{{"role": "user", "content": prompt}}
+	body, _ := json.Marshal(map[string]any{ // strings and numbers always marshal
+		"model": model, "stream": r.stream, "max_tokens": output, "messages": messages,
+		"stream_options": map[string]bool{"include_usage": true},
+	})
+	hash := answertext.Hash(answertext.Prompt([]answertext.Message{{Role: "user", Content: prompt}}))
+	r.method, r.path, r.body = "POST", enginecontract.PathChat, string(body)
+	r.mark, r.expected = engine.PromptKey(hash), answertext.Text(hash, output)
+}
--- /dev/null
+++ b/internal/property/run.go
@@ -0,0 +1,156 @@
+package property
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
+)
+
+const (
+	controllerHost = "10.4.0.1"
+	// settleTime lets every outcome be recorded and every abandoned exchange end.
+	settleTime = 45 * time.Second
+	// quietTime lets the processes' last goroutines end once everything is closed.
+	quietTime = 5 * time.Minute
+	// faultStream keeps the faults' draws apart from the callers'.
+	faultStream = 1 << 32
+)
+
+// Options are what a run is made of.
+type Options struct {
+	Seed uint64
+	// Requests is how many each caller sends.
+	Requests int
+	Counts   Counts
+	// Off are the safeguards that are switched off.
+	Off safeguard.Set
+}
+
+// DefaultCounts are the actors of a run.
+func DefaultCounts() Counts { return Counts{Callers: 8, Gateways: 3, Engines: 4, Pages: 2} }
+
+// Run carries out one run. It is meant for a synctest bubble. The error tells that the
+// run could not be carried out; what it found is in the report.
+func Run(options Options) (*Report, error) {
+	w, err := newWorld(options)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	w.underFaults()
+	if err := w.backEnds.clear(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	time.Sleep(settleTime)
+	w.checkCaches()
+	if err := w.gateways.close(); err != nil {
+		w.report.Violations = append(w.report.Violations, Violation{CutByStop, err.Error()})
+	}
+	executions := w.backEnds.executions()
+	w.report.Violations = append(w.report.Violations, w.ledger.check(executions)...)
+	w.count(executions)
+	w.backEnds.close()
+	w.controllers.close()
+	time.Sleep(quietTime)
+	return w.report, nil
+}
+
+// world is everything of one run.
+type world struct {
+	options     Options
+	network     *network
+	backEnds    *backEnds
+	controllers *controllers
+	gateways    *gateways
+	ledger      *ledger
+	report      *Report
+}
+
+func newWorld(options Options) (*world, error) {
+	joined := newNetwork()
+	served, rows, err := startBackEnds(joined, options.Counts.Engines, options.Counts.Pages)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	addresses := []string{controllerHost + ":7000", controllerHost + ":7001"}
+	quorum, err := startControllers(joined, addresses, newConfiguration(rows), options.Off)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &world{
+		options: options, network: joined, backEnds: served, controllers: quorum,
+		gateways: startGateways(joined, quorum, options.Counts.Gateways, options.Off),
+		ledger:   newLedger(),
+		report:   &Report{Seed: options.Seed, Told: map[string]int{}},
+	}, nil
+}
+
+// underFaults lets all callers send while faults strike.
+func (w *world) underFaults() {
+	ctx, stop := context.WithCancel(context.Background())
+	striking := &faults{
+		random:  rand.New(rand.NewPCG(w.options.Seed, faultStream)),
+		network: w.network, backEnds: w.backEnds, gateways: w.gateways, controllers: w.controllers, counts: w.options.Counts,
+	}
+	var callers, others sync.WaitGroup
+	others.Go(func() { w.report.Faults = striking.run(ctx) })
+	for number := range w.options.Counts.Callers {
+		callers.Go(func() { w.call(number) })
+	}
+	callers.Wait()
+	stop()
+	others.Wait()
+}
+
+// call sends the requests of one caller.
+func (w *world) call(number int) {
+	sender := newCaller(w.network, w.gateways, w.options.Counts.Gateways, number, w.options.Seed, w.ledger)
+	for sent := range w.options.Requests {
+		sender.carry(drawRequest(sender.random, w.options.Seed, number*w.options.Requests+sent))
+	}
+}
+
+// cachedPrompts is the number of prompts that two tenants send one after the other.
+const cachedPrompts = 4
+
+// checkCaches lets the second tenant send prompts that the first has just sent, without
+// faults: nothing of them may be cached for it.
+func (w *world) checkCaches() {
+	sender := newCaller(w.network, w.gateways, w.options.Counts.Gateways, 0, w.options.Seed, newLedger())
+	for number := range cachedPrompts {
+		prompt := fmt.Sprintf("run %d prompt %d", w.options.Seed, number) + strings.Repeat(" of the same dossier", 200)
+		for range 2 * w.options.Counts.Engines {
+			for tenant := range tenantKeys {
+				asked := &request{kind: kindRepeatable, tenant: tenant}
+				asked.chat(prompt, 1)
+				got := sender.send(w.gateways.address(0), asked)
+				w.report.Violations = append(w.report.Violations, checkAnswer(got)...)
+				if tenant > 0 && got.cachedTokens > 0 {
+					w.report.Violations = append(w.report.Violations, Violation{SharedCache, fmt.Sprintf("%d tokens of %q", got.cachedTokens, prompt[:20])})
+				}
+			}
+			break
+		}
+	}
+}
+
+// count fills in the report's figures.
+func (w *world) count(executions map[string]int) {
+	w.report.Requests = len(w.ledger.sendings)
+	for _, each := range w.ledger.requests() {
+		w.report.Executions += executions[each.mark]
+		for _, told := range w.ledger.sendings[each] {
+			w.report.Sendings++
+			w.report.Told[told.told]++
+			if told.whole {
+				w.report.Whole++
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/property/sending.go
@@ -0,0 +1,100 @@
+package property
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/tidwall/gjson"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/gateway"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+// sending is what a caller was told about one sending of a request.
+type sending struct {
+	request *request
+	status  int
+	// told is the verdict; empty when the caller got no answer or not its end.
+	told string
+	// whole tells that the answer came to its end as the protocol says.
+	whole bool
+	text  string
+	// cachedTokens is the part of the prompt that was cached.
+	cachedTokens int
+	code         string
+}
+
+// final tells that the caller has its outcome.
+func (s *sending) final() bool { return s.whole }
+
+// send sends a request to a gateway and reads what comes back.
+func send(ctx context.Context, client *http.Client, address string, of *request) *sending {
+	got := &sending{request: of}
+	call, err := http.NewRequestWithContext(ctx, of.method, "http://"+address+of.path, strings.NewReader(of.body))
+	if err != nil { // the addresses and paths of a run always parse
+		panic(trace.Wrap(err))
+	}
+	call.Header.Set("Authorization", "Bearer "+tenantKeys[of.tenant])
+	if of.path == enginecontract.PathChat {
+		call.Header.Set(gateway.HeaderKind, of.kind)
+	}
+	if of.key != "" {
+		call.Header.Set(enginecontract.HeaderIdempotencyKey, of.key)
+	}
+	answer, err := client.Do(call)
+	if err != nil {
+		return got
+	}
+	defer func() { _ = answer.Body.Close() }()
+	got.status = answer.StatusCode
+	if strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream") {
+		got.readEvents(answer.Body)
+		return got
+	}
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		got.text = strings.TrimSpace(string(body)) // a part, without a verdict
+		return got
+	}
+	got.told = answer.Header.Get(verdict.Header)
+	got.readWhole(string(body))
+	return got
+}
+
+func (s *sending) readWhole(body string) {
+	if s.status != http.StatusOK {
+		s.code = gjson.Get(body, "error.code").String()
+		return
+	}
+	s.whole = true
+	if s.request.path != enginecontract.PathChat {
+		s.text = body
+		return
+	}
+	s.text = gjson.Get(body, "choices.0.message.content").String()
+	s.cachedTokens = int(gjson.Get(body, "usage.prompt_tokens_details.cached_tokens").Int())
+}
+
+// readEvents reads a stream; its verdict is known at its end alone.
+func (s *sending) readEvents(body io.Reader) {
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, found := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case !found:
+		case data == enginecontract.DoneMarker:
+			s.whole, s.told = true, verdict.Ran.String()
+		case gjson.Get(data, "error").Exists():
+			s.code = gjson.Get(data, "error.code").String()
+			s.told = gjson.Get(data, "run_verdict").String()
+		default:
+			s.text += gjson.Get(data, "choices.0.delta.content").String()
+			s.cachedTokens += int(gjson.Get(data, "usage.prompt_tokens_details.cached_tokens").Int())
+		}
+	}
+}
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
 )
 
 // kvFetchTimeout bounds the fetch of another engine's KV cache.
@@ -35,11 +36,17 @@
 	_, _ = rand.Read(name) // it never fails
 	handle := hex.EncodeToString(name)
 	bytes := int64(of.promptTokens) * l.engine.config.Profile.KVBytesPerToken
-	l.handles[handle] = &kvHandle{
+	kept := &kvHandle{
 		salt:    of.salt,
 		cache:   kvCache{Prompt: PromptKey(of.prompt), PromptTokens: of.promptTokens, Bytes: bytes},
 		expires: l.now() + KVHandleLifetime,
 	}
+	if _, strikes := l.takeFault(fault.ForeignHandle); strikes {
+		kept.salt += "-of-another"
+	}
+	if _, strikes := l.takeFault(fault.LoseHandle); !strikes {
+		l.handles[handle] = kept
+	}
 	return enginecontract.PrefillAnswer{
 		Exchange: of.id, KVHandle: handle, KVBytes: bytes, PromptTokens: of.promptTokens, CachedTokens: of.cached,
 	}
@@ -50,6 +57,10 @@
 	l.lockThawed()
 	defer l.mutex.Unlock()
 	handle := l.handles[name]
+	if _, strikes := l.takeFault(fault.FailExport); strikes {
+		mayHaveRun(fasthttp.StatusInternalServerError, "engine_error", "failed on demand").write(&ctx.Response)
+		return
+	}
 	switch {
 	case handle == nil:
 		notRun(fasthttp.StatusNotFound, "kv_unknown", "no KV cache has this handle").write(&ctx.Response)
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -3,6 +3,7 @@
 package fault
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -34,6 +35,12 @@
 	Duplicate Kind = "duplicate"
 	// Skip leaves one token's event out.
 	Skip Kind = "skip"
+	// FailExport answers 500 when another engine fetches a KV cache.
+	FailExport Kind = "fail-export"
+	// LoseHandle forgets a KV cache as soon as its handle has been given out.
+	LoseHandle Kind = "lose-handle"
+	// ForeignHandle binds a KV cache to another cache salt than the request's.
+	ForeignHandle Kind = "foreign-handle"
 	// CrashInChange kills the engine in the middle of an order's change, for Delay.
 	CrashInChange Kind = "crash-in-change"
 	// LoseOrderAnswer carries an order out and closes the connection without an answer.
@@ -67,6 +74,7 @@
 type Set struct {
 	mutex  sync.Mutex
 	faults map[Kind]Fault
+	struck map[Kind]int
 }
 
 // NewSet returns a Set with faults switched on.
@@ -98,9 +106,20 @@
 		fault.Count--
 		s.faults[kind] = fault
 	}
+	if s.struck == nil {
+		s.struck = make(map[Kind]int)
+	}
+	s.struck[kind]++
 	return fault, true
 }
 
+// Struck returns how often each fault has struck.
+func (s *Set) Struck() map[Kind]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return maps.Clone(s.struck)
+}
+
 // Present returns a fault without counting it.
 func (s *Set) Present(kind Kind) (Fault, bool) {
 	s.mutex.Lock()
--- a/internal/stream/sequence.go
+++ b/internal/stream/sequence.go
@@ -1,6 +1,10 @@
 package stream
 
-import "strings"
+import (
+	"strings"
+
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
+)
 
 // Step tells what to do with an event.
 type Step int
@@ -30,13 +34,16 @@
 	finished  bool
 	counted   bool
 	// keepText tells to gather the delivered text, for continuing at another engine.
-	keepText bool
-	text     strings.Builder
+	keepText   bool
+	text       strings.Builder
+	safeguards safeguard.Set
 }
 
 // NewSequence returns a sequence for one answer. With keepText it gathers the delivered
-// text, which continuing at another engine needs.
-func NewSequence(keepText bool) *Sequence { return &Sequence{keepText: keepText} }
+// text, which continuing at another engine needs. safeguards is the zero Set but in tests.
+func NewSequence(keepText bool, safeguards safeguard.Set) *Sequence {
+	return &Sequence{keepText: keepText, safeguards: safeguards}
+}
 
 // Begin names the exchange whose events are accepted from now on.
 func (s *Sequence) Begin(exchange string) { s.exchange = exchange }
@@ -53,12 +60,12 @@
 // Accept decides on one event and notes it when it is delivered.
 func (s *Sequence) Accept(event *Event) Step {
 	if event.Type == EventDone {
-		if s.finished && s.counted {
+		if s.finished && s.counted || !s.safeguards.On(WholeEnd) {
 			return StepWhole
 		}
 		return StepResume
 	}
-	if event.Exchange != s.exchange {
+	if event.Exchange != s.exchange && s.safeguards.On(EventEcho) {
 		return StepForeign
 	}
 	switch event.Type {
@@ -78,6 +85,7 @@
 
 func (s *Sequence) acceptToken(event *Event) Step {
 	switch {
+	case !s.safeguards.On(OffsetCheck):
 	case event.Offset <= s.delivered:
 		return StepDrop
 	case s.finished:
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -1,11 +1,14 @@
 package upstream
 
 import (
+	"context"
 	"net"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
 )
 
 // Limits of the connections to one back end.
@@ -17,31 +20,45 @@
 	maximumBufferedResponse = 4 << 20
 )
 
+// DialFunc opens a connection to an IP:port.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Options are what a client may be given.
+type Options struct {
+	// SourceAddress is the IP that connections leave from; empty leaves the choice to
+	// the system.
+	SourceAddress string
+	// Dial replaces the system's connections; nil for those.
+	Dial DialFunc
+	// Safeguards is the zero Set but in tests.
+	Safeguards safeguard.Set
+}
+
 // Client holds the connections to back ends.
 type Client struct {
-	http fasthttp.Client
+	http       fasthttp.Client
+	safeguards safeguard.Set
 }
 
-// NewClient returns a client whose connections leave from the source IP; an empty source
-// leaves the choice to the system.
-func NewClient(source string) (*Client, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	if source != "" {
-		ip := net.ParseIP(source)
-		if ip == nil {
-			return nil, trace.BadParameter("source address %q is not an IP number", source)
+// NewClient returns a client.
+func NewClient(options Options) (*Client, error) {
+	dial := options.Dial
+	if dial == nil {
+		var err error
+		if dial, err = dialFrom(options.SourceAddress); err != nil {
+			return nil, trace.Wrap(err)
 		}
-		dialer.LocalAddr = &net.TCPAddr{IP: ip}
 	}
-	client := &Client{}
+	client := &Client{safeguards: options.Safeguards}
 	client.http = fasthttp.Client{
 		Transport: &transport{},
 		DialTimeout: func(address string, timeout time.Duration) (net.Conn, error) {
-			limited := *dialer
-			if timeout > 0 && timeout < limited.Timeout {
-				limited.Timeout = timeout
+			if timeout <= 0 || timeout > dialTimeout {
+				timeout = dialTimeout
 			}
-			connection, err := limited.Dial("tcp", address)
+			limited, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			connection, err := dial(limited, "tcp", address)
 			if err != nil {
 				return nil, trace.Wrap(err)
 			}
@@ -59,5 +76,18 @@
 	return client, nil
 }
 
+// dialFrom returns the system's connections from a source IP.
+func dialFrom(source string) (DialFunc, error) {
+	dialer := &net.Dialer{}
+	if source != "" {
+		ip := net.ParseIP(source)
+		if ip == nil {
+			return nil, trace.BadParameter("source address %q is not an IP number", source)
+		}
+		dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return dialer.DialContext, nil
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -80,7 +80,7 @@
 	if err := c.http.Do(message, response); err != nil {
 		fasthttp.ReleaseRequest(message)
 		fasthttp.ReleaseResponse(response)
-		return nil, Report{}, &Failure{Verdict: sentVerdict(attempt.sent), Cause: err}
+		return nil, Report{}, &Failure{Verdict: c.sentVerdict(attempt.sent), Cause: err}
 	}
 	answer := &Answer{
 		Status:   response.StatusCode(),
@@ -90,7 +90,7 @@
 		response: response,
 		body:     response.BodyStream(),
 	}
-	if failure := answer.check(request.Exchange); failure != nil {
+	if failure := c.check(answer, request.Exchange); failure != nil {
 		answer.Close()
 		return nil, answer.Report, failure
 	}
@@ -99,8 +99,8 @@
 
 // sentVerdict is the verdict when there is no answer: only a request of which nothing was
 // sent has certainly not run.
-func sentVerdict(sent bool) verdict.Verdict {
-	if sent {
+func (c *Client) sentVerdict(sent bool) verdict.Verdict {
+	if sent && c.safeguards.On(SentMayHaveRun) {
 		return verdict.MayHaveRun
 	}
 	return verdict.NotRun
@@ -128,9 +128,9 @@
 }
 
 // check decides whether the answer belongs to the exchange and may be used.
-func (a *Answer) check(exchange string) *Failure {
+func (c *Client) check(a *Answer, exchange string) *Failure {
 	header := &a.response.Header
-	if string(header.Peek(enginecontract.HeaderExchange)) != exchange {
+	if string(header.Peek(enginecontract.HeaderExchange)) != exchange && c.safeguards.On(EchoCheck) {
 		return &Failure{Verdict: verdict.MayHaveRun, Cause: trace.Wrap(ErrForeignAnswer)}
 	}
 	runState := string(header.Peek(enginecontract.HeaderRunState))
