Tell the verdict of a stream after its last byte

Cause: the head of a stream leaves before its outcome is known, so that a caller with the whole answer was told may-have-run, and the load client showed that.

Change: a stream announces the trailer X-Run-Verdict-Final and sets it after [DONE] or after the error event; the head stays may-have-run. The load client reads a stream to its end and takes the trailer, so that the audit checks it too.

Conclusion: every whole answer tells ran where the protocol permits it; a client that drops trailers still has [DONE], which only a whole answer has.

--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -146,12 +146,16 @@
 		g.refuse(context, fault)
 		return
 	}
-	reader := &chatStream{completion: completion, watch: watch, writer: stream.NewWriter(identity, completion.request.includeUsage)}
-	reader.take(event, err)
 	response := &context.Response
 	response.Header.SetContentType(contentTypeEvents)
 	response.Header.Set("Cache-Control", "no-store")
 	response.Header.Set(verdict.Header, verdict.MayHaveRun.String())
+	_ = response.Header.SetTrailer(verdict.Trailer) // the name is allowed
+	reader := &chatStream{
+		completion: completion, watch: watch, header: &response.Header,
+		writer: stream.NewWriter(identity, completion.request.includeUsage),
+	}
+	reader.take(event, err)
 	response.SetBodyStream(reader, -1)
 }
 
@@ -160,6 +164,7 @@
 type chatStream struct {
 	completion *completion
 	watch      *callerWatch
+	header     *fasthttp.ResponseHeader
 	writer     *stream.Writer
 	pending    []byte
 	ended      error
@@ -191,6 +196,7 @@
 		s.ended = io.EOF
 		gateway.record(s.completion, gatewaystate.Outcome{Completed: true})
 		gateway.metrics.answer(http.StatusOK, verdict.Ran)
+		s.header.Set(verdict.Trailer, verdict.Ran.String())
 		return
 	}
 	s.pending = s.writer.AppendEvent(s.pending[:0], &event)
@@ -202,6 +208,7 @@
 	s.ended = io.EOF
 	s.completion.gateway.record(s.completion, outcomeOf(fault))
 	s.completion.gateway.metrics.answer(fault.status, fault.verdict)
+	s.header.Set(verdict.Trailer, fault.verdict.String())
 }
 
 // Close implements io.Closer.
--- a/internal/gateway/client_test.go
+++ b/internal/gateway/client_test.go
@@ -33,6 +33,8 @@
 	// errorCode and errorVerdict are those of the body or of the stream's error event.
 	errorCode    string
 	errorVerdict string
+	// finalVerdict is that of a stream's trailer.
+	finalVerdict string
 }
 
 const (
@@ -54,6 +56,7 @@
 	answer := callerAnswer{status: response.StatusCode, header: response.Header, verdict: response.Header.Get(verdict.Header)}
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		readEvents(&answer, response.Body)
+		answer.finalVerdict = response.Trailer.Get(verdict.Trailer)
 		return answer
 	}
 	content, err := io.ReadAll(response.Body)
--- a/internal/gateway/engine_faults_test.go
+++ b/internal/gateway/engine_faults_test.go
@@ -115,6 +115,7 @@
 		require.Equal(t, wholeText, answer.text, answer.body)
 		require.True(t, answer.whole, answer.body)
 		require.Equal(t, 200, answer.status)
+		requireFinalVerdict(t, answer, verdict.Ran, streamed)
 		return
 	}
 	require.False(t, answer.whole, answer.body)
@@ -123,5 +124,20 @@
 	if !streamed || answer.status != 200 {
 		require.Equal(t, row.status, answer.status, answer.body)
 		require.Equal(t, row.verdict.String(), answer.verdict)
+		return
+	}
+	requireFinalVerdict(t, answer, row.verdict, streamed)
+}
+
+// requireFinalVerdict checks what an answer says in the end: a stream in its trailer, a
+// whole answer in its head.
+func requireFinalVerdict(t *testing.T, answer callerAnswer, want verdict.Verdict, streamed bool) {
+	t.Helper()
+	if streamed {
+		require.Equal(t, verdict.MayHaveRun.String(), answer.verdict, "the head of a stream knows no more")
+		require.Equal(t, want.String(), answer.finalVerdict)
+		return
 	}
+	require.Equal(t, want.String(), answer.verdict)
+	require.Empty(t, answer.finalVerdict)
 }
--- a/internal/gateway/hand_over_test.go
+++ b/internal/gateway/hand_over_test.go
@@ -144,6 +144,7 @@
 		require.Equal(t, http.StatusOK, answer.status, answer.body)
 		require.Equal(t, text, answer.text, answer.body)
 		require.True(t, answer.whole, answer.body)
+		requireFinalVerdict(t, answer, verdict.Ran, true)
 		return
 	}
 	require.False(t, answer.whole, answer.body)
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -112,6 +112,7 @@
 		result.refused(body)
 	case of.chat:
 		result.checkStream(of, body, due, show)
+		result.takeFinalVerdict(body, &answer.Header)
 	default:
 		result.checkPage(of, body, due)
 	}
@@ -119,6 +120,17 @@
 	return result
 }
 
+// takeFinalVerdict reads a stream to its end, where its last verdict is. A stream that was
+// cut has none.
+func (r *Result) takeFinalVerdict(body io.Reader, header *fasthttp.ResponseHeader) {
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		return
+	}
+	if final := header.Peek(verdict.Trailer); len(final) > 0 {
+		r.Verdict = string(final)
+	}
+}
+
 func (c *client) fill(call *fasthttp.Request, of request) {
 	call.SetRequestURI("http://" + c.target.address(of) + of.path)
 	call.Header.SetMethod(of.method)
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -28,7 +28,8 @@
 type Result struct {
 	Kind    string
 	Outcome Outcome
-	// Verdict is the answer's X-Run-Verdict; empty without an answer.
+	// Verdict is the answer's last: a stream's X-Run-Verdict-Final, or else X-Run-Verdict;
+	// empty without an answer.
 	Verdict string
 	Status  int
 	Code    string
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -16,8 +16,13 @@
 	Ran
 )
 
-// Header carries the verdict on every answer to a caller.
-const Header = "X-Run-Verdict"
+const (
+	// Header carries the verdict on every answer to a caller, as it was known when the
+	// head of the answer left. On a stream it is may-have-run until the end tells more.
+	Header = "X-Run-Verdict"
+	// Trailer carries the verdict after the last byte of a stream.
+	Trailer = "X-Run-Verdict-Final"
+)
 
 // String returns the wire form of the verdict.
 func (v Verdict) String() string {
