Lose leaders of a real fleet under load and check every condition

Change: hazelbench leader-loss boots a deployment and, under load, configuration changes by racing operators and role changes, kills the leader and restarts it, stops it past its lease and resumes it, kills a second controller right after the first came back, replaces a controller's disk, and restarts one that missed changes. Stand-in engines remember the orders they accepted; gateways show the revision in force as a metric. Conditions: orders at engines against the log, revisions at gateways and in leader's answers, one winner of equal change numbers, every accepted change kept, and the load's own audit.

--- a/internal/benchcommand/commands.go
+++ b/internal/benchcommand/commands.go
@@ -16,6 +16,7 @@
 		demoCommand(),
 		experimentCommand(),
 		fleetCommand(),
+		leaderLossCommand(),
 		loadCommand(),
 		scaleCommand(),
 		simulateCommand(),
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -23,7 +23,7 @@
 const transferTimeout = 2 * time.Second
 
 // statusInterval is the time between readings of the Core for the metrics.
-const statusInterval = 500 * time.Millisecond
+const statusInterval = 100 * time.Millisecond
 
 // Run runs a controller until the context ends; it then hands leadership over,
 // finishes the calls in hand and closes the data directory. It returns an error when
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -91,7 +91,7 @@
 	f.Processes = processes
 	for _, process := range processes {
 		if process.Role == RoleController {
-			if err := os.MkdirAll(filepath.Join(directory, "data", process.Name), 0o755); err != nil {
+			if err := os.MkdirAll(process.DataDirectory, 0o755); err != nil {
 				return trace.ConvertSystemError(err)
 			}
 		}
@@ -106,12 +106,13 @@
 func (f *Fleet) WaitReady(ctx context.Context, role Role) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for _, process := range f.Of(role) {
-		group.Go(func() error { return process.waitReady(ctx) })
+		group.Go(func() error { return process.WaitReady(ctx) })
 	}
 	return trace.Wrap(group.Wait())
 }
 
-func (p *Process) waitReady(ctx context.Context) error {
+// WaitReady waits until the process says that it can serve.
+func (p *Process) WaitReady(ctx context.Context) error {
 	ticker := time.NewTicker(readyPoll)
 	defer ticker.Stop()
 	for {
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -24,19 +24,29 @@
 type Operator struct {
 	key       string
 	addresses []string
+	pause     time.Duration
 	http      *http.Client
 }
 
 // Operator returns the fleet's administrator.
-func (f *Fleet) Operator() *Operator {
+func (f *Fleet) Operator() *Operator { return f.OperatorWith(operatorTimeout, operatorRetryPause) }
+
+// OperatorWith returns the fleet's administrator, who waits so long for the answer of
+// one controller and, after a failure, so long before the next is asked.
+func (f *Fleet) OperatorWith(attempt, pause time.Duration) *Operator {
 	return &Operator{
-		key: f.Description.Operator.Key, addresses: f.Addresses(RoleController), http: &http.Client{Timeout: operatorTimeout},
+		key: f.Description.Operator.Key, addresses: f.Addresses(RoleController), pause: pause,
+		http: &http.Client{Timeout: attempt},
 	}
 }
 
 // Apply submits declaration files and returns the answer of a quorum.
 func (o *Operator) Apply(ctx context.Context, files []*v1.SourceFile) (*v1.ApplyResponse, error) {
-	request := &v1.ApplyRequest{RequestId: uuid.NewString(), Files: files}
+	return o.Submit(ctx, &v1.ApplyRequest{RequestId: uuid.NewString(), Files: files})
+}
+
+// Submit submits a request as it is; every attempt carries the same identity.
+func (o *Operator) Submit(ctx context.Context, request *v1.ApplyRequest) (*v1.ApplyResponse, error) {
 	return call(ctx, o, request, hazelpitchv1connect.OperatorServiceClient.Apply)
 }
 
@@ -67,7 +77,7 @@
 		select {
 		case <-ctx.Done():
 			return nil, trace.Wrap(err, "controller %s", address)
-		case <-time.After(operatorRetryPause):
+		case <-time.After(operator.pause):
 		}
 	}
 }
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -36,6 +36,8 @@
 	SettingsPath string
 	// LogPath holds its standard error over all starts.
 	LogPath string
+	// DataDirectory is a controller's disk; empty for gateways.
+	DataDirectory string
 
 	arguments []string
 	mutex     sync.Mutex
@@ -131,8 +133,28 @@
 
 // Pause stops the process's execution for a time (SIGSTOP, then SIGCONT).
 func (p *Process) Pause(pause time.Duration) {
-	p.signal(syscall.SIGSTOP)
-	time.AfterFunc(pause, func() { p.signal(syscall.SIGCONT) })
+	p.Suspend()
+	time.AfterFunc(pause, p.Resume)
+}
+
+// Suspend stops the process's execution (SIGSTOP) until Resume.
+func (p *Process) Suspend() { p.signal(syscall.SIGSTOP) }
+
+// Resume goes on with the process's execution (SIGCONT).
+func (p *Process) Resume() { p.signal(syscall.SIGCONT) }
+
+// ReplaceDisk empties the disk of a controller that does not run: its next start is
+// on a new disk.
+func (p *Process) ReplaceDisk() error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.DataDirectory == "" || p.running() {
+		return trace.BadParameter("%s runs, or has no disk", p.Name)
+	}
+	if err := os.RemoveAll(p.DataDirectory); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	return trace.ConvertSystemError(os.MkdirAll(p.DataDirectory, 0o755))
 }
 
 func (p *Process) signal(what syscall.Signal) {
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -73,7 +73,8 @@
 		}
 		process.Name, process.Zone = loaded.Name, loaded.Zone
 		process.Listen, process.AdminListen = loaded.Listen, loaded.AdminListen
-		more = []string{"--data-directory", filepath.Join(options.Directory, "data", loaded.Name)}
+		process.DataDirectory = filepath.Join(options.Directory, "data", loaded.Name)
+		more = []string{"--data-directory", process.DataDirectory}
 	} else {
 		loaded, err := settings.LoadGateway(source)
 		if err != nil {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -64,14 +64,15 @@
 	}
 	controllers := newControllers(config, options.Dial)
 	view := newView(clock, identity, dispatcher)
-	view.onRevision = options.OnRevision
+	counts := newGatewayMetrics(factory)
+	view.onRevision = counts.tellRevision(options.OnRevision)
 	return &Control{
 		settings:    config,
 		clock:       clock,
 		safeguards:  options.Safeguards,
 		log:         options.Log,
 		registry:    registry,
-		metrics:     newGatewayMetrics(factory),
+		metrics:     counts,
 		dispatcher:  dispatcher,
 		view:        view,
 		controllers: controllers,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,7 @@
 	handOvers       *prometheus.CounterVec
 	syncFailures    prometheus.Counter
 	reportFailures  prometheus.Counter
+	revision        prometheus.Gauge
 }
 
 func newGatewayMetrics(factory metrics.Factory) *gatewayMetrics {
@@ -35,6 +36,7 @@
 		handOvers:       factory.CounterVec("hand_overs_total", "Prompts to be read by one engine and answered by another, by how that ended.", "outcome"),
 		syncFailures:    factory.Counter("sync_failures_total", "Heartbeats that no controller answered."),
 		reportFailures:  factory.Counter("report_failures_total", "Demand reports that no leader took."),
+		revision:        factory.Gauge("revision", "Revision of the configuration in force here."),
 	}
 }
 
@@ -42,3 +44,13 @@
 func (m *gatewayMetrics) answer(status int, given verdict.Verdict) {
 	m.answers.WithLabelValues(strconv.Itoa(status), given.String()).Inc()
 }
+
+// tellRevision returns what is told each revision that comes into force.
+func (m *gatewayMetrics) tellRevision(listener func(revision uint64)) func(revision uint64) {
+	return func(revision uint64) {
+		m.revision.Set(float64(revision))
+		if listener != nil {
+			listener(revision)
+		}
+	}
+}
--- /dev/null
+++ b/internal/leaderloss/conclude.go
@@ -0,0 +1,119 @@
+package leaderloss
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/standin/engine"
+)
+
+// conclude checks what can be checked at the end only and fills in the report.
+func (r *run) conclude(ctx context.Context, report *Report) error {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	accepted := r.changes.all()
+	if err := r.checkKept(ctx, accepted); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := r.measureInForce(ctx, accepted); err != nil {
+		return trace.Wrap(err)
+	}
+	for _, ordered := range r.fleet.Outside.Engines {
+		if err := r.checkOrders(ctx, ordered); err != nil {
+			return trace.Wrap(err)
+		}
+		report.Orders += len(ordered.AcceptedOrders())
+	}
+	report.Changes = len(accepted)
+	r.recorder.fill(report)
+	return nil
+}
+
+// checkKept demands that every accepted change is among the revisions, with its
+// number, and that the marker holds what the last of them said.
+func (r *run) checkKept(ctx context.Context, accepted []acceptedChange) error {
+	answer, err := r.operator.Execute(ctx, "show revisions")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	const columnRevision, columnNumber = 0, 3
+	numbers := make(map[string]string)
+	for _, row := range answer.GetRows() {
+		numbers[row.GetCells()[columnRevision]] = row.GetCells()[columnNumber]
+	}
+	var last acceptedChange
+	for _, change := range accepted {
+		finding := ""
+		if kept := numbers[fmt.Sprint(change.revision)]; kept != fmt.Sprint(change.number) {
+			finding = fmt.Sprintf("change %d was accepted as revision %d, which now is change %q", change.number, change.revision, kept)
+		}
+		r.recorder.checked(conditionKept, finding)
+		if change.revision > last.revision {
+			last = change
+		}
+	}
+	return r.checkMarker(ctx, last)
+}
+
+func (r *run) checkMarker(ctx context.Context, last acceptedChange) error {
+	answer, err := r.operator.Execute(ctx, fmt.Sprintf("show models where name = %s", markerName))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	const columnVersion = 1
+	finding := "the marker is not declared any more"
+	if rows := answer.GetRows(); len(rows) == 1 {
+		finding = ""
+		if found := rows[0].GetCells()[columnVersion]; found != last.version {
+			finding = fmt.Sprintf("revision %d was accepted last and made the marker %q; it is %q", last.revision, last.version, found)
+		}
+	}
+	r.recorder.checked(conditionKept, finding)
+	return nil
+}
+
+// measureInForce measures for each change how long it took until every gateway had
+// it in force. The last ones are left out when the run ended before.
+func (r *run) measureInForce(ctx context.Context, accepted []acceptedChange) error {
+	for _, change := range accepted {
+		slowest := change.accepted
+		everywhere := true
+		for _, gateway := range r.inForce {
+			at, reached := gateway.reached(change.revision)
+			everywhere = everywhere && reached
+			if at.After(slowest) {
+				slowest = at
+			}
+		}
+		if everywhere {
+			r.recorder.measured(acceptedInForce, slowest.Sub(change.accepted))
+		}
+	}
+	return nil
+}
+
+// checkOrders compares what an engine accepted with the log.
+func (r *run) checkOrders(ctx context.Context, ordered *engine.Engine) error {
+	answer, err := r.operator.Execute(ctx, "show orders of engine "+ordered.Name())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	const columnFence = 1
+	logged := make(map[enginecontract.Fence]bool)
+	for _, row := range answer.GetRows() {
+		fence, err := parseFence(row.GetCells()[columnFence])
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		logged[fence] = true
+	}
+	var before engine.AcceptedOrder
+	for _, accepted := range ordered.AcceptedOrders() {
+		r.recorder.checked(conditionOrders, conflict(before, accepted, logged))
+		before = accepted
+	}
+	return nil
+}
--- a/internal/standin/engine/control.go
+++ b/internal/standin/engine/control.go
@@ -72,7 +72,11 @@
 	}
 	l.lockThawed()
 	l.advance()
+	before := l.machine.State(l.inFlight())
 	answer := l.machine.Order(l.now(), order, l.inFlight())
+	if answer.Accepted {
+		l.engine.accepted.add(order, before)
+	}
 	l.followOrder(l.now())
 	l.mutex.Unlock()
 	l.poke()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -19,6 +19,8 @@
 	config Config
 	faults *fault.Set
 	runs   *runs
+	// accepted holds the orders of all lives.
+	accepted acceptedOrders
 
 	mutex sync.Mutex
 	// address is fixed by the first start.
