Let a change that has begun get its answer before the leader-loss run judges

Change: a change that has begun is not cancelled; it ends within the time that every state has.

Conclusion: the check is as strict as it was.

--- a/internal/leaderloss/changes.go
+++ b/internal/leaderloss/changes.go
@@ -39,10 +39,11 @@
 	accepted []acceptedChange
 }
 
-// run submits one change after the other until the context ends.
+// run submits one change after the other until the context ends. A change that has
+// begun gets its answer: one given up may still be accepted, unseen by the checks.
 func (c *changes) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := c.race(ctx); err != nil && ctx.Err() == nil {
+		if err := c.race(context.WithoutCancel(ctx)); err != nil {
 			return trace.Wrap(err)
 		}
 		sleep(ctx, changePause)
@@ -53,6 +54,8 @@
 // race submits two changes with equal numbers: exactly one must win, and the other
 // must learn which.
 func (c *changes) race(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
 	number := c.nextNumber()
 	type outcome struct {
 		version  string
