--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -45,6 +45,7 @@
 	"internal/enginemodel",
 	"internal/experiment",
 	"internal/fleet",
+	"internal/leaderloss",
 	"internal/load",
 	"internal/measure",
 	"internal/property",
