Call a gateway ready only once it knows back ends

Cause: /ready answered 200 as soon as a gateway had a configuration; controllers say which back ends serve up to 1.5 s after they have read the machine list. Callers sent to a gateway in between were refused: 503 no_back_end.

Change: /ready demands a directory as well.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,6 +133,8 @@
 		return trace.ConnectionProblem(nil, "the gateway is stopping")
 	case g.view.snapshot.Load().Revision == 0:
 		return trace.ConnectionProblem(nil, "no controller has given a configuration yet")
+	case !g.view.knowsBackEnds.Load():
+		return trace.ConnectionProblem(nil, "no controller has said yet which back ends serve")
 	default:
 		return nil
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -25,6 +25,8 @@
 	waiting  map[string][]chan gatewaystate.KeyStatus
 	// onRevision, when not nil, is told each revision that comes into force.
 	onRevision func(revision uint64)
+	// knowsBackEnds is set once a controller has said which back ends serve.
+	knowsBackEnds atomic.Bool
 }
 
 // viewCommand is one thing for the owner to do.
@@ -94,6 +96,9 @@
 	case result.DirectoryConfirmed:
 		v.dispatcher.confirm(result.ConfirmedAt)
 	}
+	if result.DirectoryConfirmed {
+		v.knowsBackEnds.Store(true)
+	}
 	snapshot := v.state.Snapshot()
 	before := v.snapshot.Swap(snapshot)
 	if v.onRevision != nil && snapshot.Revision != before.Revision {
