Show that the property run finds each missing safeguard

Cause: a run that stays green proves little unless it turns red without the safeguards; and it knew no hand-overs between prefill and decode engines.

Change: engines of all three roles, so that prompts are handed over; the stand-in engine can end an answer early with the mark of a whole one, the stand-in page service crosses whole answers. Salts and retries of chat requests have switches for tests. A table switches each of eleven safeguards off and asks for the breach that it stands against. Faults are a table with weights.

NoLateRun cannot be seen here, for a gateway waits for each call for a claim before it decides; the tests of claims cover it.

--- a/internal/gateway/completion_connect.go
+++ b/internal/gateway/completion_connect.go
@@ -23,7 +23,7 @@
 			}
 			continue
 		}
-		if c.open && !c.target.kind.Spec.GetRepeatable() {
+		if c.open && !c.target.kind.Spec.GetRepeatable() && c.gateway.safeguards.On(RetryOnlyNotRun) {
 			return c.giveUp(refuseBackEnd())
 		}
 		if c.open {
--- a/internal/gateway/completion_message.go
+++ b/internal/gateway/completion_message.go
@@ -16,7 +16,7 @@
 	headers := []upstream.Header{
 		{Name: "Content-Type", Value: "application/json"},
 		{Name: enginecontract.HeaderPriority, Value: strconv.Itoa(int(c.target.kind.Spec.GetPriority()))},
-		{Name: enginecontract.HeaderCacheSalt, Value: c.tenant.Spec.GetCacheSalt()},
+		{Name: enginecontract.HeaderCacheSalt, Value: c.cacheSalt()},
 		{Name: enginecontract.HeaderDeadline, Value: strconv.FormatInt(max(left.Milliseconds(), 1), 10)},
 	}
 	continueText := ""
@@ -36,6 +36,14 @@
 	}
 }
 
+// cacheSalt keeps the tenant's cached prompts and exported caches from other tenants.
+func (c *completion) cacheSalt() string {
+	if !c.gateway.safeguards.On(SaltPerTenant) {
+		return ""
+	}
+	return c.tenant.Spec.GetCacheSalt()
+}
+
 func (c *completion) read(answer *upstream.Answer) {
 	c.answer = answer
 	c.scanner = stream.NewScanner(answer)
--- a/internal/property/backends.go
+++ b/internal/property/backends.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -9,6 +10,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/enginemodel"
+	"github.com/hazelpitch/hazelpitch/internal/engineroles"
 	"github.com/hazelpitch/hazelpitch/internal/standin/engine"
 	"github.com/hazelpitch/hazelpitch/internal/standin/page"
 )
@@ -16,6 +18,11 @@
 // pageTime is how long a page service takes for one request.
 const pageTime = 5 * time.Millisecond
 
+// engineRoles are the roles of a run's engines, in turn.
+var engineRoles = []enginecontract.Role{
+	enginecontract.RoleMixed, enginecontract.RolePrefill, enginecontract.RoleDecode, enginecontract.RoleMixed, enginecontract.RoleDecode,
+}
+
 // backEnds are the engines and page services of a run.
 type backEnds struct {
 	engines []*engine.Engine
@@ -30,14 +37,15 @@
 		name, address := fmt.Sprintf("engine-%d", number+1), engineHost(number)+":8100"
 		opened, err := engine.Start(engine.Config{
 			Name: name, Service: engineService, Zone: zone, Address: address, Model: model, Version: modelVersion,
-			Role: enginecontract.RoleMixed, Profile: profile(), Listen: joined.listen,
+			Role: engineRoles[number%len(engineRoles)], Profile: profile(), Listen: joined.listen,
+			Dial: func(to string) (net.Conn, error) { return joined.dial(engineHost(number), to) },
 		})
 		if err != nil {
 			return nil, nil, trace.Wrap(err)
 		}
 		started.engines = append(started.engines, opened)
 		rows = append(rows, &v1.BackEnd{
-			Name: name, Service: engineService, Zone: zone, Address: address, Role: v1.Role_ROLE_MIXED, Model: model,
+			Name: name, Service: engineService, Zone: zone, Address: address, Role: engineroles.FromContract(engineRoles[number%len(engineRoles)]), Model: model,
 			Version: modelVersion, State: v1.BackEndState_BACK_END_STATE_SERVING,
 		})
 	}
@@ -93,6 +101,15 @@
 	return nil
 }
 
+// handOvers counts the caches that engines took over.
+func (b *backEnds) handOvers() int {
+	sum := 0
+	for _, each := range b.engines {
+		sum += each.Runs().Totals.Imported
+	}
+	return sum
+}
+
 // executions counts what ran, by the marks of requests.
 func (b *backEnds) executions() map[string]int {
 	counted := map[string]int{}
--- a/internal/property/faults.go
+++ b/internal/property/faults.go
@@ -6,7 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/hazelpitch/hazelpitch/internal/standin/engine"
 	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
+	"github.com/hazelpitch/hazelpitch/internal/standin/page"
 )
 
 const (
@@ -25,8 +27,8 @@
 // engineFaults and pageFaults are what stand-ins may be told to show.
 var (
 	engineFaults = []fault.Kind{
-		fault.Refuse, fault.Error, fault.LoseAnswer, fault.Cut, fault.Truncate, fault.Stall, fault.Late,
-		fault.Crossed, fault.WrongEcho, fault.Duplicate, fault.Skip,
+		fault.Refuse, fault.Error, fault.LoseAnswer, fault.Cut, fault.Truncate, fault.EarlyDone, fault.Stall,
+		fault.Late, fault.Crossed, fault.WrongEcho, fault.Duplicate, fault.Skip,
 	}
 	pageFaults = []fault.Kind{
 		fault.Refuse, fault.Error, fault.LoseAnswer, fault.Late, fault.WrongEcho, fault.Truncate, fault.Cut,
@@ -40,7 +42,7 @@
 	backEnds    *backEnds
 	gateways    *gateways
 	controllers *controllers
-	counts      Counts
+	options     Options
 	// later waits for what ends by itself: restarts and healing.
 	later sync.WaitGroup
 }
@@ -66,7 +68,7 @@
 	for _, each := range f.backEnds.pages {
 		collect(struck, "page ", each.Faults())
 	}
-	struck["claim answer lost"] += int(f.controllers.answersLost.Load())
+	struck[claimsLost] += int(f.controllers.answersLost.Load())
 	return struck
 }
 
@@ -77,36 +79,67 @@
 	}
 }
 
-// strike draws one fault and returns its name; told faults are counted when they strike.
+// Names of the faults that processes and links may show.
+const (
+	toldEngine     = "told to an engine"
+	toldPage       = "told to a page service"
+	engineCrashed  = "engine crashed"
+	pageCrashed    = "page service crashed"
+	enginePaused   = "engine paused"
+	linksCut       = "links cut"
+	gatewayKilled  = "gateway killed"
+	gatewayStopped = "gateway stopped"
+	claimsLost     = "claim answers lost"
+	controlLost    = "controllers out of reach"
+)
+
+// strikes are the faults that may be drawn, with their weights. Each reports whether it
+// struck at once; what a stand-in is told is counted when it strikes.
+var strikes = []struct {
+	name   string
+	weight int
+	strike func(*faults) bool
+}{
+	{toldEngine, 9, (*faults).tellEngine},
+	{toldPage, 3, (*faults).tellPage},
+	{engineCrashed, 1, (*faults).crashEngine},
+	{pageCrashed, 1, (*faults).crashPage},
+	{enginePaused, 1, (*faults).pauseEngine},
+	{linksCut, 1, (*faults).cutLinks},
+	{gatewayKilled, 1, (*faults).killGateway},
+	{gatewayStopped, 1, (*faults).stopGateway},
+	{claimsLost, 1, (*faults).loseClaims},
+	{controlLost, 1, (*faults).isolateControllers},
+}
+
+// likelyWeight is the weight of the fault that a run is to show most.
+const likelyWeight = 20
+
+// strike draws one fault and returns its name, or nothing when none struck at once.
 func (f *faults) strike() string {
-	switch draw := f.random.IntN(20); {
-	case draw < 9:
-		f.tell(f.backEnds.engines[f.random.IntN(f.counts.Engines)].Faults(), engineFaults)
-		return ""
-	case draw < 12:
-		f.tell(f.backEnds.pages[f.random.IntN(f.counts.Pages)].Faults(), pageFaults)
-		return ""
-	case draw < 13:
-		return f.crashEngine()
-	case draw < 14:
-		return f.crashPage()
-	case draw < 15:
-		f.backEnds.engines[f.random.IntN(f.counts.Engines)].Freeze(f.down())
-		return "engine paused"
-	case draw < 16:
-		return f.cutLinks()
-	case draw < 17:
-		f.gateways.kill(f.random.IntN(f.counts.Gateways))
-		return "gateway killed"
-	case draw < 18:
-		f.gateways.replace(f.random.IntN(f.counts.Gateways))
-		return "gateway stopped"
-	case draw < 19:
-		f.controllers.toLose.Store(1 + f.random.Int64N(maximumLostAnswers))
+	sum := 0
+	for _, each := range strikes {
+		sum += f.weight(each.name, each.weight)
+	}
+	draw := f.random.IntN(sum)
+	for _, each := range strikes {
+		draw -= f.weight(each.name, each.weight)
+		if draw >= 0 {
+			continue
+		}
+		if each.strike(f) {
+			return each.name
+		}
 		return ""
-	default:
-		return f.isolateControllers()
 	}
+	return ""
+}
+
+func (f *faults) weight(name string, weight int) int {
+	if name == f.options.Likely {
+		return likelyWeight
+	}
+	return weight
 }
 
 func (f *faults) down() time.Duration { return time.Duration(f.random.Int64N(int64(longestDown))) }
@@ -122,6 +155,9 @@
 
 // tell adds one fault to those that a stand-in has still to show.
 func (f *faults) tell(set *fault.Set, kinds []fault.Kind) {
+	if f.options.Only != "" {
+		kinds = []fault.Kind{f.options.Only}
+	}
 	left := set.Left()
 	set.Replace(append(left, fault.Fault{
 		Kind: kinds[f.random.IntN(len(kinds))], Count: 1 + f.random.IntN(maximumStrikes),
@@ -129,35 +165,72 @@
 	}))
 }
 
-func (f *faults) crashEngine() string {
-	struck := f.backEnds.engines[f.random.IntN(f.counts.Engines)]
+func (f *faults) tellEngine() bool {
+	f.tell(f.engine().Faults(), engineFaults)
+	return false
+}
+
+func (f *faults) tellPage() bool {
+	f.tell(f.page().Faults(), pageFaults)
+	return false
+}
+
+func (f *faults) engine() *engine.Engine {
+	return f.backEnds.engines[f.random.IntN(f.options.Counts.Engines)]
+}
+
+func (f *faults) page() *page.Service {
+	return f.backEnds.pages[f.random.IntN(f.options.Counts.Pages)]
+}
+
+func (f *faults) gateway() int { return f.random.IntN(f.options.Counts.Gateways) }
+
+func (f *faults) crashEngine() bool {
+	struck := f.engine()
 	struck.Crash()
 	f.after(func() { _ = struck.Restart() }) // clear starts it again in any case
-	return "engine crashed"
+	return true
 }
 
-func (f *faults) crashPage() string {
-	struck := f.backEnds.pages[f.random.IntN(f.counts.Pages)]
+func (f *faults) crashPage() bool {
+	struck := f.page()
 	struck.Crash()
 	f.after(func() { _ = struck.Restart() }) // clear starts it again in any case
-	return "page service crashed"
+	return true
+}
+
+func (f *faults) pauseEngine() bool {
+	f.engine().Freeze(f.down())
+	return true
 }
 
 // cutLinks breaks the connections between one gateway and one engine, or one caller.
-func (f *faults) cutLinks() string {
-	host := f.gateways.present(f.random.IntN(f.counts.Gateways)).host
-	other := engineHost(f.random.IntN(f.counts.Engines))
+func (f *faults) cutLinks() bool {
+	host := f.gateways.present(f.gateway()).host
+	other := engineHost(f.random.IntN(f.options.Counts.Engines))
 	if f.random.IntN(3) == 0 {
-		other = callerHost(f.random.IntN(f.counts.Callers))
+		other = callerHost(f.random.IntN(f.options.Counts.Callers))
 	}
-	if f.network.cut(host, other) == 0 {
-		return ""
-	}
-	return "links cut"
+	return f.network.cut(host, other) > 0
+}
+
+func (f *faults) killGateway() bool {
+	f.gateways.kill(f.gateway())
+	return true
+}
+
+func (f *faults) stopGateway() bool {
+	f.gateways.replace(f.gateway())
+	return true
+}
+
+func (f *faults) loseClaims() bool {
+	f.controllers.toLose.Store(1 + f.random.Int64N(maximumLostAnswers))
+	return false
 }
 
-func (f *faults) isolateControllers() string {
+func (f *faults) isolateControllers() bool {
 	f.network.isolate(controllerHost)
 	f.after(func() { f.network.heal(controllerHost) })
-	return "controllers out of reach"
+	return true
 }
--- a/internal/property/report.go
+++ b/internal/property/report.go
@@ -46,6 +46,8 @@
 	Told map[string]int
 	// Executions at engines and page services.
 	Executions int
+	// HandOvers are the caches that decode engines took over from prefill engines.
+	HandOvers int
 	// Faults counts what struck, by name.
 	Faults     map[string]int
 	Violations []Violation
@@ -66,6 +68,7 @@
 	r.Sendings += other.Sendings
 	r.Whole += other.Whole
 	r.Executions += other.Executions
+	r.HandOvers += other.HandOvers
 	for verdict, count := range other.Told {
 		r.Told[verdict] += count
 	}
@@ -78,8 +81,8 @@
 // String lists the counts.
 func (r *Report) String() string {
 	var text strings.Builder
-	fmt.Fprintf(&text, "%d requests in %d sendings, %d whole answers, %d executions, %d faults, %d violations\n",
-		r.Requests, r.Sendings, r.Whole, r.Executions, r.FaultCount(), len(r.Violations))
+	fmt.Fprintf(&text, "%d requests in %d sendings, %d whole answers, %d executions, %d hand-overs, %d faults, %d violations\n",
+		r.Requests, r.Sendings, r.Whole, r.Executions, r.HandOvers, r.FaultCount(), len(r.Violations))
 	for _, verdict := range slices.Sorted(maps.Keys(r.Told)) {
 		fmt.Fprintf(&text, "  told %-28q %d\n", verdict, r.Told[verdict])
 	}
--- a/internal/property/run.go
+++ b/internal/property/run.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/hazelpitch/hazelpitch/internal/safeguard"
+	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
 )
 
 const (
@@ -29,12 +30,16 @@
 	// Requests is how many each caller sends.
 	Requests int
 	Counts   Counts
+	// Only, when not empty, is the only fault that stand-ins are told to show.
+	Only fault.Kind
+	// Likely, when not empty, is the name of the fault that strikes most.
+	Likely string
 	// Off are the safeguards that are switched off.
 	Off safeguard.Set
 }
 
 // DefaultCounts are the actors of a run.
-func DefaultCounts() Counts { return Counts{Callers: 8, Gateways: 3, Engines: 4, Pages: 2} }
+func DefaultCounts() Counts { return Counts{Callers: 8, Gateways: 3, Engines: 5, Pages: 2} }
 
 // Run carries out one run. It is meant for a synctest bubble. The error tells that the
 // run could not be carried out; what it found is in the report.
@@ -55,6 +60,7 @@
 	executions := w.backEnds.executions()
 	w.report.Violations = append(w.report.Violations, w.ledger.check(executions)...)
 	w.count(executions)
+	w.report.HandOvers = w.backEnds.handOvers()
 	w.backEnds.close()
 	w.controllers.close()
 	time.Sleep(quietTime)
@@ -96,7 +102,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	striking := &faults{
 		random:  rand.New(rand.NewPCG(w.options.Seed, faultStream)),
-		network: w.network, backEnds: w.backEnds, gateways: w.gateways, controllers: w.controllers, counts: w.options.Counts,
+		network: w.network, backEnds: w.backEnds, gateways: w.gateways, controllers: w.controllers, options: w.options,
 	}
 	var callers, others sync.WaitGroup
 	others.Go(func() { w.report.Faults = striking.run(ctx) })
@@ -125,17 +131,15 @@
 	sender := newCaller(w.network, w.gateways, w.options.Counts.Gateways, 0, w.options.Seed, newLedger())
 	for number := range cachedPrompts {
 		prompt := fmt.Sprintf("run %d prompt %d", w.options.Seed, number) + strings.Repeat(" of the same dossier", 200)
-		for range 2 * w.options.Counts.Engines {
-			for tenant := range tenantKeys {
-				asked := &request{kind: kindRepeatable, tenant: tenant}
-				asked.chat(prompt, 1)
-				got := sender.send(w.gateways.address(0), asked)
-				w.report.Violations = append(w.report.Violations, checkAnswer(got)...)
-				if tenant > 0 && got.cachedTokens > 0 {
-					w.report.Violations = append(w.report.Violations, Violation{SharedCache, fmt.Sprintf("%d tokens of %q", got.cachedTokens, prompt[:20])})
-				}
+		for tenant := range tenantKeys {
+			asked := &request{kind: kindRepeatable, tenant: tenant}
+			asked.chat(prompt, 1)
+			got := sender.send(w.gateways.address(0), asked)
+			w.report.Violations = append(w.report.Violations, checkAnswer(got)...)
+			if tenant > 0 && got.cachedTokens > 0 {
+				detail := fmt.Sprintf("%d tokens of prompt %d were cached for another tenant", got.cachedTokens, number)
+				w.report.Violations = append(w.report.Violations, Violation{SharedCache, detail})
 			}
-			break
 		}
 	}
 }
--- /dev/null
+++ b/internal/property/safeguards_test.go
@@ -0,0 +1,62 @@
+package property
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/claims"
+	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+	"github.com/hazelpitch/hazelpitch/internal/gateway"
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
+	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
+	"github.com/hazelpitch/hazelpitch/internal/stream"
+	"github.com/hazelpitch/hazelpitch/internal/upstream"
+)
+
+// seedsUntilFound bounds the runs in which a missing safeguard has to be found.
+const seedsUntilFound = 12
+
+func TestEachSafeguardIsNeeded(t *testing.T) {
+	rows := []struct {
+		off    safeguard.Safeguard
+		breach Breach
+		// only is the fault that the safeguard stands against; empty for all of them.
+		only fault.Kind
+		// likely is the fault of processes and links that it stands against most.
+		likely string
+	}{
+		{upstream.EchoCheck, Mixed, fault.WrongEcho, ""},
+		{upstream.SentMayHaveRun, RunTwice, fault.LoseAnswer, ""},
+		{stream.EventEcho, Mixed, fault.Crossed, ""},
+		{stream.OffsetCheck, Mixed, fault.Duplicate, ""},
+		{stream.WholeEnd, Short, fault.EarlyDone, ""},
+		{claims.GrantRequired, RunTwice, fault.LoseAnswer, controlLost},
+		{claims.ReleaseOnlyNotRun, RunTwice, fault.LoseAnswer, ""},
+		{controlstate.ClaimCheck, RunTwice, "", ""},
+		{gateway.ClaimBeforeRun, RunTwice, "", ""},
+		{gateway.SaltPerTenant, SharedCache, "", ""},
+		{gateway.RetryOnlyNotRun, RunTwice, fault.LoseAnswer, ""},
+	}
+	for _, row := range rows {
+		t.Run(string(row.off), func(t *testing.T) {
+			found := func() (uint64, string) {
+				for seed := range uint64(seedsUntilFound) {
+					report := run(t, Options{
+						Seed: seed + 1, Requests: *requests, Counts: DefaultCounts(),
+						Only: row.only, Likely: row.likely, Off: safeguard.Without(row.off),
+					})
+					at := slices.IndexFunc(report.Violations, func(v Violation) bool { return v.Breach == row.breach })
+					if at >= 0 {
+						return seed + 1, report.Violations[at].Detail
+					}
+				}
+				return 0, ""
+			}
+			seed, detail := found()
+			require.NotZero(t, seed, "no run shows that the safeguard is needed")
+			t.Logf("seed %d: %s: %s", seed, row.breach, detail)
+		})
+	}
+}
--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/enginemodel"
@@ -47,6 +48,8 @@
 	CacheEventLag time.Duration
 	Faults        []fault.Fault
 	Safeguards    safeguard.Set
+	// Dial opens connections to other engines; it defaults to TCP from the engine's IP.
+	Dial fasthttp.DialFunc
 	// Listen defaults to net.Listen.
 	Listen ListenFunc
 }
@@ -67,6 +70,9 @@
 	if c.CacheEventLag == 0 {
 		c.CacheEventLag = DefaultCacheEventLag
 	}
+	if c.Dial == nil {
+		c.Dial = dialFrom(c.Address)
+	}
 	if c.Listen == nil {
 		c.Listen = net.Listen
 	}
--- a/internal/standin/engine/contract_test.go
+++ b/internal/standin/engine/contract_test.go
@@ -119,6 +119,11 @@
 			require.False(t, got.done)
 			require.Len(t, got.offsets, 3)
 		}, true, 1},
+		{fault.EarlyDone, func(t *testing.T, got answer) {
+			require.True(t, got.done)
+			require.False(t, got.finished)
+			require.Len(t, got.offsets, 3)
+		}, true, 1},
 		{fault.Late, func(t *testing.T, got answer) { requireWhole(t, got, 0, tokens) }, true, 1},
 		{fault.Crossed, func(t *testing.T, got answer) {
 			requireWhole(t, got, 0, tokens)
--- a/internal/standin/engine/life.go
+++ b/internal/standin/engine/life.go
@@ -55,7 +55,7 @@
 	return &life{
 		engine: engine,
 		origin: time.Now(),
-		client: &fasthttp.Client{NoDefaultUserAgentHeader: true, Dial: dialFrom(engine.address)},
+		client: &fasthttp.Client{NoDefaultUserAgentHeader: true, Dial: config.Dial},
 		ctx:    ctx,
 		cancel: cancel,
 		driven: make(chan struct{}),
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -6,14 +6,15 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/standin/crashable"
 	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
 )
 
 // streamFaults are the faults that strike one stream.
 type streamFaults struct {
-	cut, truncate, stall, skip int // after so many tokens of this stream; -1 is never
-	crossed, duplicate         bool
+	cut, truncate, stall, skip, earlyDone int // after so many tokens of this stream; -1 is never
+	crossed, duplicate                    bool
 }
 
 func (l *life) drawStreamFaults() streamFaults {
@@ -23,7 +24,7 @@
 		}
 		return -1
 	}
-	drawn := streamFaults{cut: after(fault.Cut), truncate: after(fault.Truncate), stall: after(fault.Stall), skip: after(fault.Skip)}
+	drawn := streamFaults{cut: after(fault.Cut), truncate: after(fault.Truncate), stall: after(fault.Stall), skip: after(fault.Skip), earlyDone: after(fault.EarlyDone)}
 	_, drawn.crossed = l.takeFault(fault.Crossed)
 	_, drawn.duplicate = l.takeFault(fault.Duplicate)
 	return drawn
@@ -88,7 +89,7 @@
 		case fault.Stall:
 			s.stall()
 			return
-		case fault.Truncate:
+		case fault.Truncate, fault.EarlyDone:
 			return
 		}
 		if ended || cancelled {
@@ -112,6 +113,9 @@
 			return fault.Truncate
 		case s.faults.stall:
 			return fault.Stall
+		case s.faults.earlyDone:
+			s.buffer = append(s.buffer, "data: "+enginecontract.DoneMarker+"\n\n"...)
+			return fault.EarlyDone
 		}
 		if s.faults.crossed && s.sent == 1 {
 			s.appendCrossed()
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -23,13 +23,16 @@
 	Cut Kind = "cut"
 	// Truncate ends the answer in good order after Tokens tokens, without its end.
 	Truncate Kind = "truncate"
+	// EarlyDone ends the answer after Tokens tokens with the mark of a whole one.
+	EarlyDone Kind = "early-done"
 	// Stall stops the answer after Tokens tokens and leaves the connection open.
 	Stall Kind = "stall"
 	// Late holds the answer back for Delay.
 	Late Kind = "late"
 	// Crossed mixes events of another exchange into the answer.
 	Crossed Kind = "crossed"
-	// WrongEcho answers with another exchange's identity.
+	// WrongEcho answers with another exchange's identity; a page service answers with
+	// another request's answer too.
 	WrongEcho Kind = "wrong-echo"
 	// Duplicate sends each event twice.
 	Duplicate Kind = "duplicate"
--- a/internal/standin/page/page.go
+++ b/internal/standin/page/page.go
@@ -226,6 +226,7 @@
 	}
 	if _, strikes := s.faults.Take(fault.WrongEcho); strikes {
 		ctx.Response.Header.Set(enginecontract.HeaderExchange, otherExchange)
+		body = Receipt("/another", "of another caller", nil)
 	}
 	s.send(ctx, body)
 }
