Count a back end's own confirmation from the sending of the request it answers

Change: routing.Answered names the exchange; a serving state confirms as of the sending of that exchange. The gateway passes the exchange with each report. A row in routing's table of own answers.

--- a/internal/gateway/completion_connect.go
+++ b/internal/gateway/completion_connect.go
@@ -58,7 +58,7 @@
 	c.gateway.metrics.resumes.Inc()
 	answer, report, failure := c.gateway.upstream.Resume(
 		c.backEnd.Address, c.exchange, c.sequence.Delivered(), c.gateway.clock.time(c.deadline), c.interrupter)
-	c.gateway.dispatcher.observeReport(c.backEnd.Name, report)
+	c.gateway.dispatcher.observeReport(c.backEnd.Name, c.exchange, report)
 	if failure != nil {
 		if failure.Code == enginecontract.CodeExchangeUnknown || failure.Verdict == verdict.NotRun {
 			c.resumes = maximumResumes // the engine does not have it, or does not take connections
@@ -114,7 +114,7 @@
 			upstream.Header{Name: enginecontract.HeaderKVSource, Value: cache.source})
 	}
 	answer, report, failure := c.gateway.upstream.Do(message)
-	c.gateway.dispatcher.observeReport(c.backEnd.Name, report)
+	c.gateway.dispatcher.observeReport(c.backEnd.Name, c.exchange, report)
 	if cache != nil {
 		c.noteImport(failure)
 	}
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -46,12 +46,14 @@
 	d.router.Observe(d.clock.now(), observation)
 }
 
-// observeReport tells the router what a back end said of itself.
-func (d *dispatcher) observeReport(backEnd string, report upstream.Report) {
+// observeReport tells the router what a back end said of itself in the answer to an exchange.
+func (d *dispatcher) observeReport(backEnd, exchange string, report upstream.Report) {
 	if report.State == "" && report.Load == "" {
 		return
 	}
-	d.observe(routing.Answered{BackEnd: backEnd, State: report.State, Role: report.Role, Load: parseLoad(report.Load)})
+	d.observe(routing.Answered{
+		BackEnd: backEnd, Exchange: exchange, State: report.State, Role: report.Role, Load: parseLoad(report.Load),
+	})
 }
 
 func (d *dispatcher) setBackEnds(backEnds []routing.BackEnd) {
--- a/internal/gateway/hand_over.go
+++ b/internal/gateway/hand_over.go
@@ -55,7 +55,7 @@
 	message := c.message(choice.Prefill.Address, exchange, c.gateway.clock.now()+patience)
 	message.Headers = append(message.Headers, upstream.Header{Name: enginecontract.HeaderPrefillOnly, Value: "1"})
 	answer, report, failure := c.gateway.upstream.Do(message)
-	dispatcher.observeReport(choice.Prefill.Name, report)
+	dispatcher.observeReport(choice.Prefill.Name, exchange, report)
 	var read enginecontract.PrefillAnswer
 	if failure == nil {
 		read, failure = readPrefill(answer, exchange)
--- a/internal/gateway/page.go
+++ b/internal/gateway/page.go
@@ -245,7 +245,7 @@
 		upstream.Header{Name: enginecontract.HeaderDeadline, Value: strconv.FormatInt(max(left.Milliseconds(), 1), 10)})
 	p.gateway.dispatcher.observe(routing.Sent{BackEnd: backEnd.Name, Exchange: message.Exchange})
 	answer, report, failure := p.gateway.upstream.Do(message)
-	p.gateway.dispatcher.observeReport(backEnd.Name, report)
+	p.gateway.dispatcher.observeReport(backEnd.Name, message.Exchange, report)
 	if failure == nil {
 		defer answer.Close()
 		var whole *pageAnswer
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -91,10 +91,11 @@
 	c.avoidUntil, c.failures = 0, 0
 }
 
-// reportState takes over the state that the back end itself gave in an answer. Its
-// "serving" confirms it and ends a hold, but never overrules a directory that says
-// otherwise.
-func (c *Candidate) reportState(at time.Duration, state enginecontract.ServiceState) {
+// reportState takes over the state that the back end itself gave in an answer that
+// arrived at a time, to a request sent at another. Its "serving" confirms it as of
+// the sending, for an answer may be long under way, and ends a hold, but never
+// overrules a directory that says otherwise.
+func (c *Candidate) reportState(at, sentAt time.Duration, state enginecontract.ServiceState) {
 	if c.heldState == enginecontract.StateLeaving || at < c.heldAt {
 		return
 	}
@@ -103,7 +104,7 @@
 		return
 	}
 	c.heldState = ""
-	c.ConfirmedAt = max(c.ConfirmedAt, at)
+	c.ConfirmedAt = max(c.ConfirmedAt, min(at, sentAt))
 }
 
 // reportLoad takes over the load that the back end itself gave in an answer.
--- a/internal/routing/observation.go
+++ b/internal/routing/observation.go
@@ -23,6 +23,9 @@
 type Answered struct {
 	BackEnd     string
 	Incarnation uint64 // 0 when the answer did not tell
+	// Exchange is the request that was answered. The state may be as old as its
+	// sending, so a confirmation counts from then; empty counts from the arrival.
+	Exchange string
 	// State is empty when the answer did not tell.
 	State enginecontract.ServiceState
 	// Role is empty when the answer did not tell.
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -47,7 +47,7 @@
 		r.changeRole(candidate, seen.Role)
 	}
 	if seen.State != "" {
-		candidate.reportState(at, seen.State)
+		candidate.reportState(at, candidate.work.sentAt(seen.Exchange, at), seen.State)
 	}
 	if seen.Load != nil {
 		candidate.reportLoad(at, *seen.Load)
--- a/internal/routing/own_work.go
+++ b/internal/routing/own_work.go
@@ -32,6 +32,16 @@
 	w.unreportedPrompt += int64(sent.promptTokens)
 }
 
+// sentAt returns when an exchange was sent, or the given time when it is not known.
+func (w *ownWork) sentAt(exchange string, unknown time.Duration) time.Duration {
+	for i := range w.sent {
+		if w.sent[i].exchange == exchange {
+			return w.sent[i].at
+		}
+	}
+	return unknown
+}
+
 // firstToken notes that the prompt of an exchange has been read.
 func (w *ownWork) firstToken(now time.Duration, exchange string) {
 	for i := range w.sent {
--- a/internal/routing/pick_test.go
+++ b/internal/routing/pick_test.go
@@ -145,6 +145,13 @@
 	}{
 		{name: "answer keeps it confirmed", now: 6 * second,
 			do: func(r *Router) { r.Observe(3*second, answered(enginecontract.StateServing)) }},
+		{name: "a late answer confirms as of the sending", now: 6 * second, err: ErrNoneConfirmed,
+			do: func(r *Router) {
+				r.Observe(second, Sent{BackEnd: "m1", Exchange: "late"})
+				late := answered(enginecontract.StateServing)
+				late.Exchange = "late"
+				r.Observe(5*second, late)
+			}},
 		{name: "draining stops new work at once", now: second, err: ErrNoneConfirmed,
 			do: func(r *Router) { r.Observe(second, answered(enginecontract.StateDraining)) }},
 		{name: "older directory does not undo draining", now: 3 * second, err: ErrNoneConfirmed,
--- a/internal/simulation/gateway.go
+++ b/internal/simulation/gateway.go
@@ -170,7 +170,7 @@
 				g.router.Observe(g.local(), routing.Failed{BackEnd: name, Exchange: exchange})
 				return
 			}
-			g.router.Observe(g.local(), routing.Answered{BackEnd: name, Incarnation: answer.incarnation, State: answer.state})
+			g.router.Observe(g.local(), routing.Answered{BackEnd: name, Exchange: exchange, Incarnation: answer.incarnation, State: answer.state})
 			g.router.Observe(g.local(), routing.Finished{BackEnd: name, Exchange: exchange})
 			g.state.Record(gatewaystate.Outcome{Service: service, Kind: "matching", Completed: answer.accepted, Refused: !answer.accepted})
 		})
