Simulate standbys, a controller cut off for long, and a second disk lost right after a repair

Cause: three cases that the users have seen were met only by chance or not at all: a control machine cut off in silence for a long time, a second machine lost right after a repair, and standbys beside five voters. Four mechanisms (pre-vote, quorum check, commit before send, ordered revisions at a node) had no switch, so that no test could show that they are needed.

--- a/internal/authority/decide.go
+++ b/internal/authority/decide.go
@@ -34,6 +34,18 @@
 	return &v1.IssueOrder{Order: order}, nil
 }
 
+// Proposed tells that a prepared order was proposed as the log's entry at index. The
+// order is sent by Step once it is committed, and never from here.
+func (c *Commander) Proposed(issue *v1.IssueOrder, index uint64) []Action {
+	if c.config.Safeguards.On(SafeguardCommitBeforeSend) {
+		return nil
+	}
+	order := proto.CloneOf(issue.GetOrder())
+	order.Sequence = index
+	engine := c.engine(order.GetEngine())
+	return []Action{SendOrder{Engine: engine.name, Address: engine.address, Order: contractOrder(order)}}
+}
+
 // Withdraw tells that a prepared order was not proposed.
 func (c *Commander) Withdraw(name string) {
 	if engine := c.engines[name]; engine != nil {
--- a/internal/benchcommand/simulate.go
+++ b/internal/benchcommand/simulate.go
@@ -21,7 +21,7 @@
 type simulateFlags struct {
 	Seeds      string `long:"seeds" value-name:"A..B" default:"1..100" description:"seeds to run, both ends included; one number runs one seed"`
 	Steps      int    `long:"steps" default:"20000" description:"events of each run until its faults end"`
-	Deployment string `long:"deployment" value-name:"NAME" default:"small" description:"fleet to simulate: empleandes, five, rawabi or small"`
+	Deployment string `long:"deployment" value-name:"NAME" default:"small" description:"fleet to simulate: empleandes, five, rawabi, small or standby"`
 	Workers    int    `long:"workers" description:"seeds run at once; default: GOMAXPROCS"`
 	JSON       bool   `long:"json" description:"print the totals as JSON"`
 
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -132,7 +132,7 @@
 		return
 	}
 	if c.now >= c.electionDueAt && c.members.votes(c.id) {
-		c.campaign(true)
+		c.campaign(c.config.Safeguards.On(SafeguardPreVote))
 	}
 }
 
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -48,7 +48,8 @@
 // election timeout.
 func (c *Core) tickLeader() {
 	heard := c.quorumTime(c.now, func(p *progress) time.Duration { return p.heardAt })
-	if c.now-max(heard, c.leaderSince) >= c.config.ElectionTimeout {
+	silent := c.now-max(heard, c.leaderSince) >= c.config.ElectionTimeout
+	if silent && c.config.Safeguards.On(SafeguardQuorumCheck) {
 		c.becomeFollower(c.term, "")
 		return
 	}
--- a/internal/consensus/safeguards.go
+++ b/internal/consensus/safeguards.go
@@ -10,6 +10,10 @@
 	SafeguardVotePersistence safeguard.Safeguard = "vote-persistence"
 	// SafeguardLeaseWait refuses votes while the lease of a leader may be valid.
 	SafeguardLeaseWait safeguard.Safeguard = "lease-wait"
+	// SafeguardPreVote raises the term only once a quorum would vote for the new one.
+	SafeguardPreVote safeguard.Safeguard = "pre-vote"
+	// SafeguardQuorumCheck lets a leader step down that no quorum has answered.
+	SafeguardQuorumCheck safeguard.Safeguard = "quorum-check"
 	// SafeguardLogComparison refuses votes to candidates whose log is behind.
 	SafeguardLogComparison safeguard.Safeguard = "log-comparison"
 	// SafeguardCommitOwnTerm lets a leader count replicas only for entries of its own term.
--- a/internal/control/engines.go
+++ b/internal/control/engines.go
@@ -60,14 +60,19 @@
 // command carries out what the commander wants.
 func (c *Core) command() {
 	for _, action := range c.commander.Step(c.now, c.state) {
-		switch wanted := action.(type) {
-		case authority.Propose:
-			c.proposeQuietly(wanted.Command)
-		case authority.SendOrder:
-			c.emit(SendOrder{Engine: wanted.Engine, Address: wanted.Address, Order: wanted.Order})
-		case authority.SendFence:
-			c.emit(SendFence{Engine: wanted.Engine, Address: wanted.Address, Epoch: wanted.Epoch})
-		}
+		c.carryOutAction(action)
+	}
+}
+
+// carryOutAction does what one action asks for.
+func (c *Core) carryOutAction(action authority.Action) {
+	switch wanted := action.(type) {
+	case authority.Propose:
+		c.proposeQuietly(wanted.Command)
+	case authority.SendOrder:
+		c.emit(SendOrder{Engine: wanted.Engine, Address: wanted.Address, Order: wanted.Order})
+	case authority.SendFence:
+		c.emit(SendFence{Engine: wanted.Engine, Address: wanted.Address, Epoch: wanted.Epoch})
 	}
 }
 
@@ -78,9 +83,13 @@
 	if err != nil {
 		return err
 	}
-	_, err = c.propose(&v1.Command{Body: &v1.Command_IssueOrder{IssueOrder: issue}}, 0, nil)
+	index, err := c.propose(&v1.Command{Body: &v1.Command_IssueOrder{IssueOrder: issue}}, 0, nil)
 	if err != nil {
 		c.commander.Withdraw(order.Engine)
+		return err
+	}
+	for _, action := range c.commander.Proposed(issue, index) {
+		c.carryOutAction(action)
 	}
-	return err
+	return nil
 }
--- a/internal/gatewaystate/state.go
+++ b/internal/gatewaystate/state.go
@@ -8,6 +8,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/routing"
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
 )
 
 // Bounds of what a gateway remembers.
@@ -27,8 +28,12 @@
 	Identity *v1.NodeIdentity
 	// TenantCapacity is the most tenants remembered; 0 means DefaultTenantCapacity.
 	TenantCapacity int
+	Safeguards     safeguard.Set
 }
 
+// SafeguardOrderedRevisions takes no configuration below the revision in force.
+const SafeguardOrderedRevisions safeguard.Safeguard = "ordered revisions at a node"
+
 // State is the gateway's view of the fleet.
 type State struct {
 	config        Config
@@ -115,7 +120,7 @@
 func (s *State) ApplySync(sentAt, now time.Duration, request *v1.SyncRequest, response *v1.SyncResponse) SyncResult {
 	result := s.applyDirectory(sentAt, now, response)
 	result.Behind = response.GetBehind() || response.GetRevision() < s.configuration.revision
-	if response.GetRevision() < s.configuration.revision {
+	if response.GetRevision() < s.configuration.revision && s.config.Safeguards.On(SafeguardOrderedRevisions) {
 		return result
 	}
 	s.applyConfiguration(now, request, response)
--- a/internal/simulation/controller.go
+++ b/internal/simulation/controller.go
@@ -42,8 +42,10 @@
 // simulated disk.
 type controller struct {
 	host
-	zone    string
-	peers   []consensus.Peer
+	zone  string
+	peers []consensus.Peer
+	// standby tells that this controller is a learner beside the voters.
+	standby bool
 	disk    *memory.Disk
 	disks   int // disks this machine has had
 	storage *storage.Storage
--- /dev/null
+++ b/internal/simulation/faults_process.go
@@ -0,0 +1,164 @@
+package simulation
+
+import "time"
+
+// start begins a fault and returns what ends it, or nil when it cannot be begun now.
+func (f *faults) start(kind FaultKind) func() {
+	w := f.world
+	controller := w.controllers[w.random.IntN(len(w.controllers))]
+	engine := w.engines[w.random.IntN(len(w.engines))]
+	gateway := w.gateways[w.random.IntN(len(w.gateways))]
+	switch kind {
+	case FaultCrashController:
+		return f.crashController(kind, controller)
+	case FaultReplaceDisk:
+		return f.replaceDisk(kind, controller)
+	case FaultSecondLoss:
+		return f.loseSecondDisk(kind, controller)
+	case FaultPauseController:
+		return f.pause(kind, &controller.host)
+	case FaultStallController:
+		return f.stall(kind, controller)
+	case FaultSlowDisk:
+		f.note(kind, "%s", controller.name)
+		controller.slowDisk = true
+		return func() { controller.slowDisk = false }
+	case FaultCrashEngine:
+		return f.crashEngine(kind, engine)
+	case FaultPauseEngine:
+		return f.pause(kind, &engine.host)
+	case FaultEngineLeaves:
+		return f.engineLeaves(kind, engine)
+	case FaultCrashGateway:
+		return f.crashGateway(kind, gateway)
+	case FaultPauseGateway:
+		return f.pause(kind, &gateway.host)
+	case FaultListLag:
+		w.platform.lag = w.duration(longestListLag)
+		f.note(kind, "%v", w.platform.lag)
+		return func() { w.platform.lag = 0 }
+	default:
+		return f.startNetwork(kind, controller, engine, gateway)
+	}
+}
+
+// crashController kills a controller and starts it again at the end.
+func (f *faults) crashController(kind FaultKind, c *controller) func() {
+	if !c.alive {
+		return nil
+	}
+	f.note(kind, "%s", c.name)
+	c.crash()
+	return c.start
+}
+
+// replaceDisk kills a controller and starts it on an empty disk at the end. It waits
+// until every earlier replacement is complete: more lost disks than a minority are
+// more than any replicated log can bear.
+func (f *faults) replaceDisk(kind FaultKind, c *controller) func() {
+	if !c.alive || !f.world.everyDiskVotes() {
+		return nil
+	}
+	f.note(kind, "%s", c.name)
+	c.crash()
+	c.replaceDisk()
+	return c.start
+}
+
+// repairPoll is how often the end of a repair is looked for: a second loss comes that
+// soon after it.
+const repairPoll = 5 * time.Millisecond
+
+// loseSecondDisk replaces the disk of one controller and, as soon as that is a voter
+// and the lost one is not, that of another, which stays down until the end.
+func (f *faults) loseSecondDisk(kind FaultKind, first *controller) func() {
+	start := f.replaceDisk(kind, first)
+	if start == nil {
+		return nil
+	}
+	start()
+	second := f.world.controllers[f.world.random.IntN(len(f.world.controllers))]
+	end := func() {}
+	ended := false
+	var look func()
+	look = func() {
+		switch {
+		case ended || second == first:
+		case !f.world.everyDiskVotes():
+			f.world.after(repairPoll, look)
+		default:
+			if restart := f.replaceDisk(kind, second); restart != nil {
+				end = restart
+			}
+		}
+	}
+	look()
+	return func() {
+		ended = true
+		end()
+	}
+}
+
+// pause stops a process for a while.
+func (f *faults) pause(kind FaultKind, h *host) func() {
+	if !h.alive || h.paused {
+		return nil
+	}
+	f.note(kind, "%s", h.name)
+	h.pause()
+	return h.resume
+}
+
+// stall pauses a controller between deciding and acting.
+func (f *faults) stall(kind FaultKind, c *controller) func() {
+	if !c.alive || c.paused || c.stalled {
+		return nil
+	}
+	f.note(kind, "%s", c.name)
+	c.stalled = true
+	return func() {
+		c.stalled = false
+		c.resume()
+	}
+}
+
+// crashEngine kills an engine, whatever it is doing.
+func (f *faults) crashEngine(kind FaultKind, e *engine) func() {
+	if !e.alive {
+		return nil
+	}
+	f.note(kind, "%s in phase %s", e.name, e.durable.Phase)
+	e.kill()
+	return func() {
+		if !e.gone {
+			e.start()
+		}
+	}
+}
+
+// engineLeaves takes a machine away; another one of the same name comes later.
+func (f *faults) engineLeaves(kind FaultKind, e *engine) func() {
+	if !e.alive || e.paused || e.leaving {
+		return nil
+	}
+	f.note(kind, "%s", e.name)
+	e.leave()
+	f.world.platform.update()
+	return func() {
+		e.leaving = false
+		e.machine = nil
+		e.kill()
+		e.start()
+		f.world.platform.update()
+	}
+}
+
+// crashGateway kills a gateway.
+func (f *faults) crashGateway(kind FaultKind, g *gateway) func() {
+	if !g.alive {
+		return nil
+	}
+	f.note(kind, "%s", g.name)
+	g.kill()
+	return g.start
+}
--- a/internal/simulation/options.go
+++ b/internal/simulation/options.go
@@ -26,9 +26,11 @@
 
 // Deployment is the fleet that is simulated.
 type Deployment struct {
-	Name        string
-	Zones       []string
+	Name  string
+	Zones []string
+	// Controllers are the initial voters, Standbys the learners beside them.
 	Controllers int
+	Standbys    int
 	Gateways    int
 	Services    []ServiceSize
 	Operators   int
@@ -58,6 +60,10 @@
 		Controllers: 3, Gateways: 3, Operators: 3,
 		Services: []ServiceSize{{Name: "lot-assessor", Engines: 18}},
 	},
+	"standby": {
+		Name: "standby", Zones: []string{"zone-a", "zone-b", "zone-c"}, Controllers: 5, Standbys: 2, Gateways: 2,
+		Services: []ServiceSize{{Name: "matching", Engines: 3}}, Operators: 2,
+	},
 	"five": {
 		Name: "five", Zones: []string{"zone-a", "zone-b", "zone-c"}, Controllers: 5, Gateways: 2,
 		Services: []ServiceSize{{Name: "matching", Engines: 3}}, Operators: 2,
@@ -68,7 +74,7 @@
 func FindDeployment(name string) (Deployment, error) {
 	deployment, found := Deployments[name]
 	if !found {
-		return Deployment{}, trace.BadParameter("no deployment %q; known are empleandes, five, rawabi and small", name)
+		return Deployment{}, trace.BadParameter("no deployment %q; known are empleandes, five, rawabi, small and standby", name)
 	}
 	return deployment, nil
 }
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -90,7 +90,7 @@
 // unsettled tells what is not yet as it has to be after the faults; empty when all is.
 func (w *world) unsettled(target uint64) string {
 	if !w.everyDiskVotes() {
-		return "not every disk is a voter: " + w.membership()
+		return "not every disk is a member in its place: " + w.membership()
 	}
 	for _, c := range w.controllers {
 		if c.core.State().Revision() < target {
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -69,6 +69,12 @@
 			host: w.newHost(peer.Name), zone: peer.Zone, peers: peers, disk: memory.New(), disks: 1,
 		})
 	}
+	for i := range w.options.Deployment.Standbys {
+		w.controllers = append(w.controllers, &controller{
+			host: w.newHost(numbered("standby", i)), zone: w.options.Deployment.zone(i), peers: peers,
+			disk: memory.New(), disks: 1, standby: true,
+		})
+	}
 }
 
 // addEngines makes the engines, all of them mixed.
