Let a leaving back end go although a controller knows only the machine list's word

Cause: a controller that has just started lists a leaving engine without an incarnation, for it has not polled it yet. Routing took that row for one of an earlier incarnation, ignored it, and then let the same directory confirm the engine as serving. An older reading of another controller could also undo 'leaving' while keeping the newer confirmation time.

Change: a row without an incarnation counts with its state; a row of an earlier incarnation confirms nothing; of two readings the newer one's not-serving stays; an answer to an exchange that is not known any more confirms nothing. Three rows in routing's table of own answers.

--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -30,6 +30,8 @@
 	// avoidUntil is the end of the cooling down after failures in a row.
 	avoidUntil time.Duration
 	failures   int
+	// outdated tells that the directory's row is about an earlier incarnation.
+	outdated bool
 }
 
 func newCandidate(backEnd BackEnd) *Candidate {
@@ -47,8 +49,16 @@
 
 // update takes over a newer row of the directory. What this gateway has learned
 // later from the back end itself stays.
+//
+// A row without an incarnation comes of a controller that has only the machine list:
+// its state counts. A row of an earlier incarnation tells nothing, and so nothing
+// confirms it later.
 func (c *Candidate) update(row BackEnd) {
-	if row.Incarnation < c.Incarnation {
+	if row.Incarnation == 0 {
+		row.Incarnation = c.Incarnation
+	}
+	c.outdated = row.Incarnation < c.Incarnation
+	if c.outdated {
 		return
 	}
 	if row.Incarnation > c.Incarnation {
@@ -58,6 +68,9 @@
 	c.BackEnd = row
 	if previous.ConfirmedAt > row.ConfirmedAt {
 		c.ConfirmedAt, c.Role = previous.ConfirmedAt, previous.Role
+		if previous.State != enginecontract.StateServing {
+			c.State = previous.State // the newer reading
+		}
 	}
 	if previous.HasLoad && (!row.HasLoad || previous.LoadAt >= row.LoadAt) {
 		c.Load, c.LoadAt, c.HasLoad = previous.Load, previous.LoadAt, true
@@ -70,6 +83,9 @@
 // confirm tells that the directory still said the same at the given time. It ends
 // a hold, but not that of a back end that is leaving: leaving is final.
 func (c *Candidate) confirm(at time.Duration) {
+	if c.outdated {
+		return
+	}
 	c.ConfirmedAt = max(c.ConfirmedAt, at)
 	if c.heldState != enginecontract.StateLeaving && at >= c.heldAt+busyHold {
 		c.heldState = ""
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -39,15 +39,19 @@
 	if !known || (seen.Incarnation != 0 && seen.Incarnation < candidate.Incarnation) {
 		return
 	}
+	at := now - r.zoneLatency(candidate.Zone) - seen.Age
+	sentAt := at
+	if seen.Exchange != "" {
+		sentAt = candidate.work.sentAt(seen.Exchange)
+	}
 	if seen.Incarnation > candidate.Incarnation {
 		candidate.restart(seen.Incarnation)
 	}
-	at := now - r.zoneLatency(candidate.Zone) - seen.Age
 	if seen.Role != "" && seen.Role != candidate.Role {
 		r.changeRole(candidate, seen.Role)
 	}
 	if seen.State != "" {
-		candidate.reportState(at, candidate.work.sentAt(seen.Exchange, at), seen.State)
+		candidate.reportState(at, sentAt, seen.State)
 	}
 	if seen.Load != nil {
 		candidate.reportLoad(at, *seen.Load)
--- a/internal/routing/own_work.go
+++ b/internal/routing/own_work.go
@@ -32,14 +32,15 @@
 	w.unreportedPrompt += int64(sent.promptTokens)
 }
 
-// sentAt returns when an exchange was sent, or the given time when it is not known.
-func (w *ownWork) sentAt(exchange string, unknown time.Duration) time.Duration {
+// sentAt returns when an exchange was sent; one that is not known any more was sent
+// too long ago to tell anything.
+func (w *ownWork) sentAt(exchange string) time.Duration {
 	for i := range w.sent {
 		if w.sent[i].exchange == exchange {
 			return w.sent[i].at
 		}
 	}
-	return unknown
+	return neverConfirmed
 }
 
 // firstToken notes that the prompt of an exchange has been read.
--- a/internal/routing/pick_test.go
+++ b/internal/routing/pick_test.go
@@ -182,6 +182,28 @@
 				r.Observe(second, Answered{BackEnd: "m1", Incarnation: 3, State: enginecontract.StateLeaving})
 				r.Observe(2*second, answered(enginecontract.StateServing))
 			}},
+		{name: "leaving counts without an incarnation", now: 3 * second, err: ErrNoneConfirmed,
+			do: func(r *Router) {
+				listed := engine("m1", enginecontract.RoleMixed, withState(enginecontract.StateLeaving))
+				listed.Incarnation = 0
+				r.SetBackEnds([]BackEnd{listed})
+				r.Confirm(3 * second)
+			}},
+		{name: "an older reading does not undo leaving", now: 5 * second, err: ErrNoneConfirmed,
+			do: func(r *Router) {
+				leaving := confirmed(4 * second)
+				leaving.State = enginecontract.StateLeaving
+				r.SetBackEnds([]BackEnd{leaving})
+				r.SetBackEnds([]BackEnd{confirmed(3 * second)})
+			}},
+		{name: "a row of an earlier incarnation confirms nothing", now: 6 * second, err: ErrNoneConfirmed,
+			do: func(r *Router) {
+				next := confirmed(second)
+				next.Incarnation = 2
+				r.SetBackEnds([]BackEnd{next})
+				r.SetBackEnds([]BackEnd{confirmed(5 * second)})
+				r.Confirm(6 * second)
+			}},
 		{name: "directory confirmed without change", now: 6 * second,
 			do: func(r *Router) { r.Confirm(3 * second) }},
 		{name: "own serving does not overrule the directory", now: 2 * second, err: ErrNoneConfirmed,
