--- a/internal/benchcommand/commands.go
+++ b/internal/benchcommand/commands.go
@@ -15,6 +15,7 @@
 	return []command{
 		demoCommand(),
 		experimentCommand(),
+		reportCommand(),
 		fleetCommand(),
 		leaderLossCommand(),
 		loadCommand(),
--- /dev/null
+++ b/internal/report/chart.go
@@ -0,0 +1,221 @@
+package report
+
+import (
+	"bytes"
+	"html/template"
+	"image/color"
+
+	"github.com/gravitational/trace"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+const (
+	chartWidth  = 22 * vg.Centimeter
+	chartHeight = 7 * vg.Centimeter
+	lineWidth   = 1.2 * vg.Millimeter / 3
+	// headroomPerEntry is the part of the highest value that the vertical axis reaches
+	// beyond it for each entry of the legend.
+	headroomPerEntry = 0.11
+	// nominalMargin is the space beside the first and the last bar, in bars.
+	nominalMargin = 0.6
+)
+
+// chart is one plot with its caption.
+type chart struct {
+	Caption string
+	SVG     template.HTML
+}
+
+// line is one line of a chart.
+type line struct {
+	name   string
+	points plotter.XYs
+	color  color.Color
+	dashed bool
+}
+
+// mark is a time to show as a vertical line.
+type mark struct {
+	at    float64
+	color color.Color
+}
+
+// newPlot returns an empty plot over time or names.
+func newPlot(x, y string) *plot.Plot {
+	made := plot.New()
+	made.X.Label.Text, made.Y.Label.Text = x, y
+	made.Legend.Top, made.Legend.Left = true, true
+	made.Legend.XOffs = vg.Millimeter
+	return made
+}
+
+// lineChart draws lines over seconds.
+func lineChart(caption, unit string, lines []line) (chart, error) {
+	made := newPlot("seconds", unit)
+	for _, drawn := range lines {
+		if err := addLine(made, drawn); err != nil {
+			return chart{}, trace.Wrap(err)
+		}
+	}
+	makeRoom(made, len(lines))
+	return render(caption, made, chartHeight)
+}
+
+// makeRoom begins the vertical axis at zero and lets it reach beyond the highest
+// value, so that the legend covers nothing.
+func makeRoom(in *plot.Plot, legendEntries int) {
+	in.Y.Min = 0
+	in.Y.Max *= 1 + headroomPerEntry*float64(legendEntries)
+}
+
+func addLine(to *plot.Plot, drawn line) error {
+	if len(drawn.points) == 0 {
+		return nil
+	}
+	made, err := plotter.NewLine(drawn.points)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	made.Color, made.Width = drawn.color, lineWidth
+	if drawn.dashed {
+		made.Dashes = []vg.Length{2 * vg.Millimeter, vg.Millimeter}
+	}
+	to.Add(made)
+	to.Legend.Add(drawn.name, made)
+	return nil
+}
+
+// stackChart draws layers on top of each other, with marks across them.
+func stackChart(caption, unit string, layers []line, marks []mark) (chart, error) {
+	made := newPlot("seconds", unit)
+	var below plotter.XYs
+	for _, layer := range layers {
+		top := stacked(layer.points, below)
+		area, err := plotter.NewPolygon(outline(top, below))
+		if err != nil {
+			return chart{}, trace.Wrap(err)
+		}
+		area.Color, area.LineStyle.Width = layer.color, 0
+		made.Add(area)
+		made.Legend.Add(layer.name, area)
+		below = top
+	}
+	height := made.Y.Max
+	for _, mark := range marks {
+		drawn, err := plotter.NewLine(plotter.XYs{{X: mark.at, Y: 0}, {X: mark.at, Y: height}})
+		if err != nil {
+			return chart{}, trace.Wrap(err)
+		}
+		drawn.Color, drawn.Width = mark.color, lineWidth
+		drawn.Dashes = []vg.Length{vg.Millimeter, vg.Millimeter}
+		made.Add(drawn)
+	}
+	makeRoom(made, len(layers))
+	return render(caption, made, chartHeight)
+}
+
+// stacked adds a layer to the one below it; nil is the axis.
+func stacked(layer, below plotter.XYs) plotter.XYs {
+	top := make(plotter.XYs, len(layer))
+	for index, point := range layer {
+		top[index] = point
+		if below != nil {
+			top[index].Y += below[index].Y
+		}
+	}
+	return top
+}
+
+// outline goes along the top and back along what is below.
+func outline(top, below plotter.XYs) plotter.XYs {
+	around := append(plotter.XYs(nil), top...)
+	for index := len(top) - 1; index >= 0; index-- {
+		back := plotter.XY{X: top[index].X}
+		if below != nil {
+			back.Y = below[index].Y
+		}
+		around = append(around, back)
+	}
+	return around
+}
+
+// bars is one colour of a bar chart: a value for each name.
+type bars struct {
+	name   string
+	values []float64
+	color  color.Color
+}
+
+// barLayout is how the groups of a bar chart stand.
+type barLayout int
+
+// Layouts of bar charts.
+const (
+	layoutSideBySide barLayout = iota
+	layoutStacked
+	// layoutReference is side by side, with a line at 100 to compare with.
+	layoutReference
+)
+
+// reference is where layoutReference has its line.
+const reference = 100
+
+// barChart draws groups of bars.
+func barChart(caption, unit string, names []string, groups []bars, layout barLayout) (chart, error) {
+	made := newPlot("", unit)
+	width := barWidth(len(names), len(groups), layout)
+	var below *plotter.BarChart
+	for index, group := range groups {
+		drawn, err := plotter.NewBarChart(plotter.Values(group.values), width)
+		if err != nil {
+			return chart{}, trace.Wrap(err)
+		}
+		drawn.Color, drawn.LineStyle.Width = group.color, 0
+		if layout == layoutStacked && below != nil {
+			drawn.StackOn(below)
+		}
+		if layout != layoutStacked {
+			drawn.Offset = width * (vg.Length(index) - vg.Length(len(groups)-1)/2)
+		}
+		below = drawn
+		made.Add(drawn)
+		made.Legend.Add(group.name, drawn)
+	}
+	made.NominalX(names...)
+	made.X.Min, made.X.Max = -nominalMargin, float64(len(names))-1+nominalMargin
+	if layout == layoutReference {
+		ends := plotter.XYs{{X: made.X.Min, Y: reference}, {X: made.X.Max, Y: reference}}
+		if err := addLine(made, line{name: "100%", points: ends, color: colorReference, dashed: true}); err != nil {
+			return chart{}, trace.Wrap(err)
+		}
+	}
+	makeRoom(made, len(groups)+1)
+	return render(caption, made, chartHeight)
+}
+
+// barWidth shares three quarters of the chart's width among all bars.
+func barWidth(names, groups int, layout barLayout) vg.Length {
+	sideBySide := groups
+	if layout == layoutStacked {
+		sideBySide = 1
+	}
+	const used, mostWidth = 0.75, 1.5 * vg.Centimeter
+	return min(used*chartWidth/vg.Length(max(names*sideBySide, 1)), mostWidth)
+}
+
+// render draws a plot as SVG to stand within an HTML page.
+func render(caption string, drawn *plot.Plot, height vg.Length) (chart, error) {
+	canvas := vgsvg.New(chartWidth, height)
+	drawn.Draw(draw.New(canvas))
+	var text bytes.Buffer
+	if _, err := canvas.WriteTo(&text); err != nil {
+		return chart{}, trace.Wrap(err)
+	}
+	// The XML header before the element has no place within HTML.
+	start := max(bytes.Index(text.Bytes(), []byte("<svg")), 0)
+	return chart{Caption: caption, SVG: template.HTML(text.Bytes()[start:])}, nil // drawn here, with its text escaped
+}
