Refuse requests that two readers could understand differently

Cause: a table of malformed requests on raw connections found three that the gateway took: a length beside a transfer encoding, a space in a header's name, a folded header line. The server library reads these leniently; a proxy before the gateway might not, which is how a second request is smuggled.

Change: the raw header lines are checked: names must be tokens, no line may be folded, and the body's length may be given in one way only. Tests give a stopping gateway 1 ms of notice in place of 500 ms (Options.NoticeTime) and run side by side.

--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -46,6 +46,7 @@
 // TestCallerGone shows that a caller's disconnect cancels the request at the engine, at
 // any point of the answer.
 func TestCallerGone(t *testing.T) {
+	t.Parallel()
 	for _, row := range []struct {
 		name string
 		body string
@@ -83,6 +84,7 @@
 // TestCallerGoneUnderClaim shows that a claimed request runs to its end without its
 // caller, whose resend gets the recorded answer.
 func TestCallerGoneUnderClaim(t *testing.T) {
+	t.Parallel()
 	service, err := page.Start(page.Config{Name: "p1", Service: "portal", Address: "127.0.0.1:0", ServiceTime: 700 * time.Millisecond})
 	require.NoError(t, err)
 	t.Cleanup(service.Close)
@@ -118,6 +120,7 @@
 // TestSlowCaller shows that a caller who does not read is dropped and its request
 // cancelled.
 func TestSlowCaller(t *testing.T) {
+	t.Parallel()
 	engine := startEngine(t)
 	engine.tokens = make([]string, 4000)
 	for i := range engine.tokens {
--- a/internal/gateway/chat_test.go
+++ b/internal/gateway/chat_test.go
@@ -15,6 +15,7 @@
 // TestChatLibrary shows that a client of the well-known library gets a whole and a
 // streamed answer.
 func TestChatLibrary(t *testing.T) {
+	t.Parallel()
 	engine := startEngine(t)
 	controller := startController(t, engineBackEnd("e1", engine.address(), v1.Role_ROLE_MIXED))
 	gateway := startGateway(t, testSettings(controller.address))
--- a/internal/gateway/engine_faults_test.go
+++ b/internal/gateway/engine_faults_test.go
@@ -80,6 +80,7 @@
 }
 
 func TestEngineFaults(t *testing.T) {
+	t.Parallel()
 	for _, row := range engineFaultRows {
 		for mode, body := range map[string]string{"whole": wholeBody, "streamed": streamBody} {
 			t.Run(row.name+"/"+mode, func(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,9 @@
 	if options.Listen == nil {
 		options.Listen = net.Listen
 	}
+	if options.NoticeTime == 0 {
+		options.NoticeTime = defaultNoticeTime
+	}
 	if options.Log == nil {
 		options.Log = logring.New(config.Name, config.Log)
 	}
@@ -102,22 +105,22 @@
 	case <-ctx.Done():
 	case <-background.Done(): // a duty failed
 	}
-	drained := g.drain(server)
+	drained := g.drain(server, options.NoticeTime)
 	g.claimer.wait()
 	stop()
 	g.upstream.Close()
 	return trace.NewAggregate(group.Wait(), drained)
 }
 
-// noticeTime is how long a stopping gateway still takes requests, so that those who send
+// defaultNoticeTime is how long a stopping gateway still takes requests, so that those who send
 // to it learn that it leaves before it closes its door.
-const noticeTime = 500 * time.Millisecond
+const defaultNoticeTime = 500 * time.Millisecond
 
 // drain stops taking requests and waits for those in flight.
-func (g *Gateway) drain(server *fasthttp.Server) error {
+func (g *Gateway) drain(server *fasthttp.Server, notice time.Duration) error {
 	g.draining.Store(true)
 	g.view.offer(leave{})
-	time.Sleep(noticeTime)
+	time.Sleep(notice)
 	limited, cancel := context.WithTimeout(context.Background(), g.settings.DrainTimeout)
 	defer cancel()
 	if err := server.ShutdownWithContext(limited); err != nil {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -245,6 +245,7 @@
 	}}
 	started := make(chan struct{})
 	options.Started = started
+	options.NoticeTime = time.Millisecond
 	ctx, stop := context.WithCancel(context.Background())
 	running.stop = stop
 	go func() { running.done <- Run(ctx, config, options) }()
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"net/http"
 	"strings"
 
@@ -17,21 +18,63 @@
 
 // checkHeaders refuses headers that readers may understand differently.
 func checkHeaders(header *fasthttp.RequestHeader) *refusal {
+	if fault := checkHeaderLines(header.RawHeaders()); fault != nil {
+		return fault
+	}
 	for _, name := range singleHeaders {
 		if len(header.PeekAll(name)) > 1 {
-			return refuse(http.StatusBadRequest, typeInvalidRequest, codeInvalidHeader, "the header "+name+" appears twice")
+			return refuseHeader("the header " + name + " appears twice")
 		}
 	}
-	if len(header.Peek("Transfer-Encoding")) > 0 && len(header.Peek("Content-Length")) > 0 {
-		return refuse(http.StatusBadRequest, typeInvalidRequest, codeInvalidHeader, "both length and transfer encoding are given")
-	}
 	key := string(header.Peek(enginecontract.HeaderIdempotencyKey))
 	if len(key) > maximumIdempotencyKey || strings.ContainsFunc(key, notPrintable) {
-		return refuse(http.StatusBadRequest, typeInvalidRequest, codeInvalidHeader, "the idempotency key must be short and printable")
+		return refuseHeader("the idempotency key must be short and printable")
+	}
+	return nil
+}
+
+// checkHeaderLines refuses what the server reads leniently and another reader might not:
+// folded lines, names that are no tokens, and two ways of telling the body's length.
+func checkHeaderLines(raw []byte) *refusal {
+	var lengths, encodings int
+	for line := range bytes.Lines(raw) {
+		name, _, found := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		switch {
+		case len(name) == 0 && !found:
+			continue // the empty line at the end
+		case !found || !isToken(name):
+			return refuseHeader("a header's name is malformed or its line is folded")
+		case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
+			lengths++
+		case bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
+			encodings++
+		}
+	}
+	if lengths+encodings > 1 {
+		return refuseHeader("the body's length is given twice")
 	}
 	return nil
 }
 
+// isToken reports whether a header's name is one by RFC 9110.
+func isToken(name []byte) bool {
+	if len(name) == 0 {
+		return false
+	}
+	for _, character := range name {
+		isLetter := 'a' <= character|0x20 && character|0x20 <= 'z'
+		isDigit := '0' <= character && character <= '9'
+		if !isLetter && !isDigit && !bytes.ContainsRune([]byte("!#$%&'*+-.^_`|~"), rune(character)) {
+			return false
+		}
+	}
+	return true
+}
+
+func refuseHeader(message string) *refusal {
+	return refuse(http.StatusBadRequest, typeInvalidRequest, codeInvalidHeader, message)
+}
+
 // maximumIdempotencyKey bounds a key's length in bytes.
 const maximumIdempotencyKey = 128
 
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/safeguard"
@@ -20,6 +21,8 @@
 	Log *logring.Log
 	// Started, when not nil, is closed once callers can connect.
 	Started chan<- struct{}
+	// NoticeTime is how long a stopping gateway still takes requests; 0 means 500 ms.
+	NoticeTime time.Duration
 	// OnRevision, when not nil, is called with each revision as it comes into force
 	// here; it must not block.
 	OnRevision func(revision uint64)
--- a/internal/gateway/page_faults_test.go
+++ b/internal/gateway/page_faults_test.go
@@ -61,6 +61,7 @@
 }
 
 func TestPageFaults(t *testing.T) {
+	t.Parallel()
 	for _, row := range pageFaultRows {
 		t.Run(row.name, func(t *testing.T) {
 			t.Parallel()
@@ -127,6 +128,7 @@
 // TestClaimNeedsController shows that a request that may run at most once does not run
 // when no controller can grant its claim.
 func TestClaimNeedsController(t *testing.T) {
+	t.Parallel()
 	service := startPage(t, "p1", nil)
 	controller := startController(t, pageBackEnd("p1", service.Address()))
 	gateway := startGateway(t, testSettings(controller.address))
