Measure the next engine order at an engine that waits for one

Cause: all engines whose roles are changed could be draining when the leader was lost; the next order then waited up to 4.3 s for a drain, which says nothing about the authority.

Change: one spare engine is ordered only after a loss. The time until every engine has seen the next leader's fence is measured as well.

--- a/internal/leaderloss/faults.go
+++ b/internal/leaderloss/faults.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/hazelpitch/hazelpitch/internal/fleet"
 )
@@ -166,31 +167,51 @@
 	return trace.NewAggregate(all...)
 }
 
-// lose takes the leader away and measures until a change is accepted and until an
-// engine accepts an order, both from another leader.
+// lose takes the leader away and measures until another leader has a change accepted,
+// its fence at every engine, and an order accepted by an engine that waits for one.
 func (r *run) lose(ctx context.Context, takeAway func()) error {
-	epoch := highestEpoch(r.fleet.Outside.Engines)
-	began := time.Now()
-	takeAway()
-	err := r.until(ctx, "a change is accepted after the leader's loss", func() bool {
-		_, accepted := r.changes.acceptedAfter(began)
-		return accepted
-	})
-	if err != nil {
+	engines := r.fleet.Outside.Engines
+	if err := r.until(ctx, r.spare.Name()+" serves", func() bool { return serves(r.spare) }); err != nil {
 		return trace.Wrap(err)
 	}
-	err = r.until(ctx, "an engine accepts an order after the leader's loss", func() bool {
-		_, accepted := orderAfter(r.fleet.Outside.Engines, epoch)
-		return accepted
-	})
-	if err != nil {
-		return trace.Wrap(err)
+	epoch := highestEpoch(engines)
+	began := time.Now()
+	takeAway()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() {
+		for ctx.Err() == nil {
+			r.orders.change(ctx, r.spare)
+		}
+	}()
+	return r.awaitNextLeader(ctx, began, epoch)
+}
+
+// awaitNextLeader measures what the next leader does, from the loss of the last one.
+func (r *run) awaitNextLeader(ctx context.Context, began time.Time, epoch uint64) error {
+	signs := []struct {
+		measured string
+		seen     func() (time.Time, bool)
+	}{
+		{lossToChange, func() (time.Time, bool) { return r.changes.acceptedAfter(began) }},
+		{lossToFence, func() (time.Time, bool) { return time.Now(), fencedAbove(r.fleet.Outside.Engines, epoch) }},
+		{lossToOrder, func() (time.Time, bool) { return orderAbove(r.spare, epoch) }},
+	}
+	waits, ctx := errgroup.WithContext(ctx)
+	for _, sign := range signs {
+		waits.Go(func() error {
+			var at time.Time
+			err := r.until(ctx, sign.measured, func() (seen bool) {
+				at, seen = sign.seen()
+				return seen
+			})
+			if err == nil {
+				r.recorder.measured(sign.measured, at.Sub(began))
+			}
+			return trace.Wrap(err)
+		})
 	}
-	change, _ := r.changes.acceptedAfter(began)
-	order, _ := orderAfter(r.fleet.Outside.Engines, epoch)
-	r.recorder.measured(lossToChange, change.Sub(began))
-	r.recorder.measured(lossToOrder, order.Sub(began))
-	return nil
+	return trace.Wrap(waits.Wait())
 }
 
 // restart starts a controller again and waits until it has all that was accepted.
--- a/internal/leaderloss/orders.go
+++ b/internal/leaderloss/orders.go
@@ -17,26 +17,30 @@
 	orderPatience = time.Second
 )
 
-// orders changes the roles of some engines all the time.
-type orders struct {
-	operator *fleet.Operator
-	engines  []*engine.Engine
-}
+// orders gives orders to change roles, as an operator does.
+type orders struct{ operator *fleet.Operator }
 
 // run changes one engine's role to and fro until the context ends. A refusal, as one
 // by the bound on engines out, is tried again.
 func (o *orders) run(ctx context.Context, changed *engine.Engine) {
 	for ctx.Err() == nil {
-		if state, running := changed.State(); running && state.State == enginecontract.StateServing {
-			try, cancel := context.WithTimeout(ctx, orderPatience)
-			// What became of it shows at the engine.
-			_, _ = o.operator.Execute(try, fmt.Sprintf("set role of engine %s to %s", changed.Name(), otherRole(state.Role)))
-			cancel()
-		}
+		o.change(ctx, changed)
 		sleep(ctx, orderPause)
 	}
 }
 
+// change tries to change the role of an engine that serves. What became of it shows
+// at the engine.
+func (o *orders) change(ctx context.Context, changed *engine.Engine) {
+	state, running := changed.State()
+	if !running || state.State != enginecontract.StateServing {
+		return
+	}
+	try, cancel := context.WithTimeout(ctx, orderPatience)
+	defer cancel()
+	_, _ = o.operator.Execute(try, fmt.Sprintf("set role of engine %s to %s", changed.Name(), otherRole(state.Role)))
+}
+
 // otherRole is the role that an engine is changed to.
 func otherRole(role enginecontract.Role) enginecontract.Role {
 	if role == enginecontract.RoleMixed {
@@ -79,16 +83,29 @@
 	return highest
 }
 
-// orderAfter returns when an engine first accepted an order of an epoch above the
-// given one.
-func orderAfter(engines []*engine.Engine, epoch uint64) (time.Time, bool) {
-	var first time.Time
+// fencedAbove reports whether every engine has seen an epoch above the given one.
+func fencedAbove(engines []*engine.Engine, epoch uint64) bool {
 	for _, present := range engines {
-		for _, accepted := range present.AcceptedOrders() {
-			if accepted.Order.Fence.Epoch > epoch && (first.IsZero() || accepted.At.Before(first)) {
-				first = accepted.At
-			}
+		if state, running := present.State(); running && state.HighestFence.Epoch <= epoch {
+			return false
 		}
 	}
-	return first, !first.IsZero()
+	return true
+}
+
+// orderAbove returns when an engine first accepted an order of an epoch above the
+// given one.
+func orderAbove(ordered *engine.Engine, epoch uint64) (time.Time, bool) {
+	for _, accepted := range ordered.AcceptedOrders() {
+		if accepted.Order.Fence.Epoch > epoch {
+			return accepted.At, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// serves reports whether an engine takes new work and holds no order.
+func serves(present *engine.Engine) bool {
+	state, running := present.State()
+	return running && state.State == enginecontract.StateServing
 }
--- a/internal/leaderloss/report.go
+++ b/internal/leaderloss/report.go
@@ -16,6 +16,7 @@
 // Names of measurements.
 const (
 	lossToChange    = "leader loss to next accepted change"
+	lossToFence     = "leader loss to the next fence at every engine"
 	lossToOrder     = "leader loss to next engine order"
 	acceptedInForce = "change accepted to in force at the slowest gateway"
 	restartMissed   = "restart to caught up after missed changes"
@@ -106,7 +107,7 @@
 func (r *recorder) fill(report *Report) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for _, name := range []string{lossToChange, lossToOrder, acceptedInForce, diskToVoter, restartMissed} {
+	for _, name := range []string{lossToChange, lossToFence, lossToOrder, acceptedInForce, diskToVoter, restartMissed} {
 		if times := r.times[name]; len(times) > 0 {
 			report.Measurements = append(report.Measurements, summarize(name, times))
 		}
--- a/internal/leaderloss/run.go
+++ b/internal/leaderloss/run.go
@@ -32,17 +32,24 @@
 	fleet       *fleet.Fleet
 	operator    *fleet.Operator
 	controllers []*fleet.Process
-	changed     []*engine.Engine
-	recorder    *recorder
-	changes     *changes
-	inForce     map[string]*revisions
-	faults      []string
+	orders      *orders
+	// changed are the engines whose roles are changed all the time; spare is ordered
+	// only after a loss, so that no drain holds up the measured order.
+	changed  []*engine.Engine
+	spare    *engine.Engine
+	recorder *recorder
+	changes  *changes
+	inForce  map[string]*revisions
+	faults   []string
 }
 
 // Run loses leaders in every way, one after the other, and reports. An error means
 // that the run could not go on; broken conditions are in the report.
 func Run(ctx context.Context, options Options) (Report, error) {
-	r := newRun(options)
+	r, err := newRun(options)
+	if err != nil {
+		return Report{}, trace.Wrap(err)
+	}
 	if err := r.widenBounds(ctx); err != nil {
 		return Report{}, trace.Wrap(err)
 	}
@@ -76,19 +83,25 @@
 	err    error
 }
 
-func newRun(options Options) *run {
+func newRun(options Options) (*run, error) {
+	chosen := chooseEngines(options.Fleet.Outside.Engines, options.Orderers+1)
+	if len(chosen) < 2 {
+		return nil, trace.BadParameter("the deployment has %d mixed engines; at least 2 are needed", len(chosen))
+	}
 	r := &run{
 		options: options, fleet: options.Fleet, recorder: newRecorder(),
 		operator:    options.Fleet.OperatorWith(attemptTimeout, attemptPause),
 		controllers: options.Fleet.Of(fleet.RoleController),
-		changed:     chooseEngines(options.Fleet.Outside.Engines, options.Orderers),
+		spare:       chosen[0],
+		changed:     chosen[1:],
 		inForce:     make(map[string]*revisions),
 	}
+	r.orders = &orders{operator: r.operator}
 	r.changes = &changes{operator: r.operator, recorder: r.recorder, number: 1}
 	for _, gateway := range options.Fleet.Of(fleet.RoleGateway) {
 		r.inForce[gateway.Name] = &revisions{}
 	}
-	return r
+	return r, nil
 }
 
 // widenBounds lets all engines whose roles are changed be out at once, so that a
@@ -105,7 +118,7 @@
 	widened := []*v1.Object{}
 	for _, object := range objects {
 		if bound := object.GetBound(); bound != nil {
-			bound.MaximumOut = uint32(len(r.changed) + 1)
+			bound.MaximumOut = uint32(len(r.changed) + 2)
 			widened = append(widened, object)
 		}
 	}
@@ -123,9 +136,8 @@
 // startDuties starts what goes on during all faults.
 func (r *run) startDuties(ctx context.Context, duties *errgroup.Group) {
 	duties.Go(func() error { return r.changes.run(ctx) })
-	orders := &orders{operator: r.operator, engines: r.changed}
 	for _, changed := range r.changed {
-		duties.Go(func() error { orders.run(ctx, changed); return nil })
+		duties.Go(func() error { r.orders.run(ctx, changed); return nil })
 	}
 	for _, gateway := range r.fleet.Of(fleet.RoleGateway) {
 		duties.Go(func() error { r.inForce[gateway.Name].follow(ctx, gateway, r.recorder); return nil })
