End streams with a true verdict when a stopping gateway runs out of time

Cause: a test of the stop found that a stream which outlasts drain_timeout was left to the end of the process: the caller saw a reset without a verdict, and the engine went on writing for its resume window. The wait for claims' outcomes had no bound. TestPageFaults also sent its resend before the first outcome was recorded, and got 409 still_running on a busy machine.

Change: after drain_timeout the requests in flight are interrupted: an error event with the code gateway_stopping, the trailer's verdict, Retry-After where a status is still open, and a cancel at the engine, within 2 s; outcomes get the same bound. Interruptions carry their cause. TestPageFaults waits for the outcome and is stricter: an outcome that is not known must be told as outcome_unknown.

Conclusion: a gateway that stops finishes its streams or says that it does not.

--- a/internal/gateway/admitter.go
+++ b/internal/gateway/admitter.go
@@ -92,7 +92,7 @@
 	select {
 	case fault = <-started:
 	case <-interrupter.Done():
-		fault = a.withdraw(place, started)
+		fault = a.withdraw(place, started, interrupter.Cause())
 	}
 	if fault != nil {
 		a.settle(place, 0)
@@ -126,21 +126,21 @@
 	return place, started, nil
 }
 
-// withdraw takes a request of a caller that went away out of its queue, unless it has
+// withdraw takes a request that was interrupted out of its queue, unless it has
 // just been started or refused.
-func (a *admitter) withdraw(place *ticket, started <-chan *refusal) *refusal {
+func (a *admitter) withdraw(place *ticket, started <-chan *refusal, cause error) *refusal {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if place.service.Remove(place.id) {
 		delete(a.waiting, place.id)
-		return refuseGone()
+		return refuseInterrupted(cause)
 	}
 	if fault := <-started; fault != nil {
 		return fault
 	}
 	place.service.Finish(a.clock.now(), place.id, admission.Result{Failed: true})
 	a.start(place.service, a.clock.now())
-	return refuseGone()
+	return refuseInterrupted(cause)
 }
 
 // service returns the queue of a service; the mutex is held.
@@ -244,10 +244,6 @@
 	return inFlight, waiting
 }
 
-func refuseGone() *refusal {
-	return refuse(http.StatusRequestTimeout, typeServer, codeCallerGone, "the caller went away")
-}
-
 // refuseLimit translates a tenant's own limit.
 func refuseLimit(err error) *refusal {
 	var known *limits.Refusal
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -60,13 +60,20 @@
 	for pause.For(ctx, callerCheckInterval) {
 		for _, watch := range c.list() {
 			if gone(watch.connection) {
-				watch.interrupter.Interrupt()
+				watch.interrupter.Interrupt(errCallerGone)
 				watch.end()
 			}
 		}
 	}
 }
 
+// interruptAll interrupts every request whose caller is watched.
+func (c *callers) interruptAll(cause error) {
+	for _, watch := range c.list() {
+		watch.interrupter.Interrupt(cause)
+	}
+}
+
 func (c *callers) list() []*callerWatch {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/gateway/claimer.go
+++ b/internal/gateway/claimer.go
@@ -158,8 +158,21 @@
 // background runs work that a stopping gateway waits for.
 func (c *claimer) background(work func()) { c.finishes.Go(work) }
 
-// wait returns once every outcome has been recorded or given up on.
-func (c *claimer) wait() { c.finishes.Wait() }
+// wait returns once every outcome has been recorded or given up on; it reports false when
+// the context ended first. Claims without an outcome are told to have maybe run.
+func (c *claimer) wait(ctx context.Context) bool {
+	done := make(chan struct{})
+	go func() {
+		c.finishes.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
 
 // refuseClaim translates a decision not to run a request.
 func refuseClaim(decision claims.Decision) *refusal {
--- a/internal/gateway/completion_connect.go
+++ b/internal/gateway/completion_connect.go
@@ -40,8 +40,8 @@
 
 // checkLimits refuses when the caller is gone or the deadline has passed.
 func (c *completion) checkLimits() *refusal {
-	if c.interrupter.Interrupted() {
-		return c.giveUp(refuseGone())
+	if cause := c.interrupter.Cause(); cause != nil {
+		return c.giveUp(refuseInterrupted(cause))
 	}
 	if c.gateway.clock.now() >= c.deadline {
 		return c.giveUp(refuseDeadline())
--- a/internal/gateway/engine_test.go
+++ b/internal/gateway/engine_test.go
@@ -73,8 +73,10 @@
 	// tokens are those of each answer; default answerTokens.
 	tokens []string
 	role   enginecontract.Role
-	// block, when set, holds every run until it is closed.
-	block chan struct{}
+	// block, when set, holds every run until it is closed; holdAfter lets so many tokens
+	// pass before.
+	block     chan struct{}
+	holdAfter int
 }
 
 func startEngine(t testing.TB, faults ...engineFault) *testEngine {
@@ -128,18 +130,26 @@
 	if runs && (!wrong.cutBeforeHead || wrong.resumable) {
 		e.exchanges[exchange] = first
 	}
-	block := e.block
 	e.mutex.Unlock()
-	if block != nil {
-		select {
-		case <-block:
-		case <-request.Context().Done():
-			return
-		}
+	if e.holdAfter == 0 && !e.hold(request) {
+		return
 	}
 	e.answer(writer, request, exchange, first, wrong, string(body))
 }
 
+// hold waits for the block's end; it reports false when the gateway went away.
+func (e *testEngine) hold(request *http.Request) bool {
+	if e.block == nil {
+		return true
+	}
+	select {
+	case <-e.block:
+		return true
+	case <-request.Context().Done():
+		return false
+	}
+}
+
 func (e *testEngine) serveExchange(writer http.ResponseWriter, request *http.Request, id string) {
 	e.mutex.Lock()
 	_, known := e.exchanges[id]
@@ -197,6 +207,9 @@
 		if number-first == wrong.cutAfter {
 			panic(http.ErrAbortHandler)
 		}
+		if number == e.holdAfter && !e.hold(request) {
+			return
+		}
 	}
 	e.end(out, wrong)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,18 +105,23 @@
 	case <-ctx.Done():
 	case <-background.Done(): // a duty failed
 	}
+	until := time.Now().Add(options.NoticeTime + g.settings.DrainTimeout + endTime)
 	drained := g.drain(server, options.NoticeTime)
-	g.claimer.wait()
+	recorded := g.recordOutcomes(until)
 	stop()
 	g.upstream.Close()
-	return trace.NewAggregate(group.Wait(), drained)
+	return trace.NewAggregate(group.Wait(), drained, recorded)
 }
 
 // defaultNoticeTime is how long a stopping gateway still takes requests, so that those who send
 // to it learn that it leaves before it closes its door.
 const defaultNoticeTime = 500 * time.Millisecond
 
-// drain stops taking requests and waits for those in flight.
+// endTime bounds the wait for interrupted streams to end, and for outcomes to be recorded.
+const endTime = 2 * time.Second
+
+// drain stops taking requests and waits for those in flight. Streams that outlast
+// drain_timeout end with an error and a true verdict, as far as endTime allows.
 func (g *Gateway) drain(server *fasthttp.Server, notice time.Duration) error {
 	g.draining.Store(true)
 	g.view.offer(leave{})
@@ -124,11 +129,25 @@
 	limited, cancel := context.WithTimeout(context.Background(), g.settings.DrainTimeout)
 	defer cancel()
 	if err := server.ShutdownWithContext(limited); err != nil {
+		g.callers.interruptAll(errStopping)
+		ending, cancel := context.WithTimeout(context.Background(), endTime)
+		defer cancel()
+		_ = server.ShutdownWithContext(ending) // the first failure tells more
 		return trace.Wrap(err, "requests were still in flight after drain_timeout (%s)", g.settings.DrainTimeout)
 	}
 	return nil
 }
 
+// recordOutcomes waits until the outcomes of claims are recorded.
+func (g *Gateway) recordOutcomes(until time.Time) error {
+	limited, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	if !g.claimer.wait(limited) {
+		return trace.LimitExceeded("outcomes of claims were not recorded; resends will be told that they may have run")
+	}
+	return nil
+}
+
 // ready tells whether callers should be sent here.
 func (g *Gateway) ready() error {
 	switch {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -20,6 +20,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
 
@@ -44,7 +45,9 @@
 	directory *v1.Directory
 	claims    map[string]*heldClaim
 	leaving   atomic.Bool
-	down      atomic.Bool
+	// known is the directory version that the gateway said it has.
+	known atomic.Uint64
+	down  atomic.Bool
 }
 
 func object(revision uint64, kind v1.ObjectType, name string) *v1.Object {
@@ -93,6 +96,7 @@
 	if request.Msg.GetLeaving() {
 		c.leaving.Store(true)
 	}
+	c.known.Store(request.Msg.GetDirectoryVersion())
 	response := &v1.SyncResponse{Revision: c.revision, LeaderAddress: c.address, DirectoryVersion: c.directory.GetVersion()}
 	if request.Msg.GetDirectoryVersion() != c.directory.GetVersion() {
 		response.Directory = c.directory
@@ -165,6 +169,14 @@
 	return connect.NewResponse(&v1.FinishClaimResponse{}), nil
 }
 
+// replaceBackEnds replaces the directory and returns its version.
+func (c *testController) replaceBackEnds(backEnds ...*v1.BackEnd) uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.directory = &v1.Directory{Version: c.directory.GetVersion() + 1, BackEnds: backEnds}
+	return c.directory.GetVersion()
+}
+
 // outcomes counts the claims with an outcome.
 func (c *testController) outcomes() int {
 	c.mutex.Lock()
@@ -219,6 +231,8 @@
 	admin   string
 	stop    context.CancelFunc
 	done    chan error
+	// cut tells that the test expects a stop that cuts what is in flight.
+	cut bool
 }
 
 func testSettings(controllers ...string) settings.Gateway {
@@ -233,7 +247,15 @@
 	}
 }
 
+// startGateway starts a gateway and waits until callers may be sent there.
 func startGateway(t testing.TB, config settings.Gateway) *testGateway {
+	running := startUnready(t, config)
+	require.Eventually(t, func() bool { return running.probe(t, metrics.PathReady) == http.StatusOK }, eventually, often)
+	return running
+}
+
+// startUnready starts a gateway that may not have heard of a controller yet.
+func startUnready(t testing.TB, config settings.Gateway) *testGateway {
 	running := &testGateway{done: make(chan error, 1)}
 	var addresses []string
 	options := Options{Listen: func(network, address string) (net.Listener, error) {
@@ -254,15 +276,18 @@
 	running.url = "http://" + running.address
 	t.Cleanup(func() {
 		stop()
-		require.NoError(t, <-running.done)
+		err := <-running.done
+		require.Equal(t, running.cut, err != nil, "%v", err)
 	})
-	require.Eventually(t, func() bool {
-		answer, err := http.Get("http://" + running.admin + "/ready")
-		if err != nil {
-			return false
-		}
-		_ = answer.Body.Close()
-		return answer.StatusCode == http.StatusOK
-	}, 10*time.Second, 10*time.Millisecond)
 	return running
 }
+
+// probe returns the status of a path of the admin server, 0 when it does not answer.
+func (g *testGateway) probe(t testing.TB, path string) int {
+	answer, err := http.Get("http://" + g.admin + path)
+	if err != nil {
+		return 0
+	}
+	require.NoError(t, answer.Body.Close())
+	return answer.StatusCode
+}
--- a/internal/gateway/page.go
+++ b/internal/gateway/page.go
@@ -205,8 +205,8 @@
 // run tries back ends until one answers or the verdict forbids another try.
 func (p *pageRequest) run() (*pageAnswer, *refusal) {
 	for {
-		if p.interrupter.Interrupted() {
-			return nil, p.refusal(refuseGone())
+		if cause := p.interrupter.Cause(); cause != nil {
+			return nil, p.refusal(refuseInterrupted(cause))
 		}
 		if p.gateway.clock.now() >= p.deadline {
 			return nil, p.refusal(refuseDeadline())
--- a/internal/gateway/page_faults_test.go
+++ b/internal/gateway/page_faults_test.go
@@ -100,6 +100,10 @@
 	}
 	require.Empty(t, answer.header.Get(enginecontract.HeaderExchange))
 	require.Empty(t, answer.header.Get(enginecontract.HeaderEngineState))
+	if row.key != "" && row.verdict != verdict.NotRun {
+		// The answer does not wait for its outcome to be recorded.
+		require.Eventually(t, func() bool { return controller.outcomes() == 1 }, eventually, often)
+	}
 	row.checkResend(t, gateway, answer, headers, func() int { return first.Runs().Served + second.Runs().Served })
 }
 
@@ -123,6 +127,7 @@
 	}
 	require.Equal(t, http.StatusConflict, again.status)
 	require.Equal(t, verdict.MayHaveRun.String(), again.verdict)
+	require.Equal(t, codeOutcomeUnknown, again.errorCode)
 }
 
 // TestClaimNeedsController shows that a request that may run at most once does not run
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -47,6 +47,7 @@
 	codeOutcomeUnknown   = "outcome_unknown"
 	codeKeyReused        = "idempotency_key_reused"
 	codeCallerGone       = "caller_gone"
+	codeStopping         = "gateway_stopping"
 	codeInternal         = "internal_error"
 )
 
@@ -118,6 +119,20 @@
 		"the deadline of the request's kind has passed").after(time.Second)
 }
 
+// Causes of interruptions.
+var (
+	errCallerGone = errors.New("the caller went away")
+	errStopping   = errors.New("the gateway stops and could not wait for the answer")
+)
+
+// refuseInterrupted ends a request that was interrupted.
+func refuseInterrupted(cause error) *refusal {
+	if errors.Is(cause, errStopping) {
+		return refuse(http.StatusServiceUnavailable, typeServer, codeStopping, cause.Error()).after(time.Second)
+	}
+	return refuse(http.StatusRequestTimeout, typeServer, codeCallerGone, errCallerGone.Error())
+}
+
 func refuseInternal() *refusal {
 	return refuse(http.StatusInternalServerError, typeServer, codeInternal, "the gateway failed; the request may have run").mayHaveRun()
 }
--- a/internal/gateway/trial_test.go
+++ b/internal/gateway/trial_test.go
@@ -31,7 +31,7 @@
 	_, err = control.BeginTrial(once)
 	require.ErrorContains(t, err, codeStillRunning)
 	run.End()
-	control.claimer.wait()
+	require.True(t, control.claimer.wait(t.Context()))
 	require.Equal(t, 1, controllers.outcomes())
 
 	_, err = control.BeginTrial(Trial{KeyHash: hashOf("no key of anyone"), Kind: "once"})
--- a/internal/upstream/interrupter.go
+++ b/internal/upstream/interrupter.go
@@ -11,7 +11,7 @@
 type Interrupter struct {
 	mutex      sync.Mutex
 	connection *trackedConnection
-	fired      bool
+	cause      error // nil until interrupted
 	done       chan struct{}
 }
 
@@ -21,21 +21,22 @@
 	defer i.mutex.Unlock()
 	if i.done == nil {
 		i.done = make(chan struct{})
-		if i.fired {
+		if i.cause != nil {
 			close(i.done)
 		}
 	}
 	return i.done
 }
 
-// Interrupt breaks off the exchange under way and forbids later ones.
-func (i *Interrupter) Interrupt() {
+// Interrupt breaks off the exchange under way and forbids later ones. Only the first
+// cause counts; it must not be nil.
+func (i *Interrupter) Interrupt(cause error) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	if i.fired {
+	if i.cause != nil {
 		return
 	}
-	i.fired = true
+	i.cause = cause
 	if i.done != nil {
 		close(i.done)
 	}
@@ -45,10 +46,13 @@
 }
 
 // Interrupted reports whether Interrupt was called.
-func (i *Interrupter) Interrupted() bool {
+func (i *Interrupter) Interrupted() bool { return i.Cause() != nil }
+
+// Cause returns why the request was interrupted; nil when it was not.
+func (i *Interrupter) Cause() error {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	return i.fired
+	return i.cause
 }
 
 var longPast = time.Unix(1, 0)
@@ -57,7 +61,7 @@
 func (i *Interrupter) attach(connection *trackedConnection, deadline time.Time) error {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	if i.fired {
+	if i.cause != nil {
 		return ErrInterrupted
 	}
 	i.connection = connection
@@ -75,7 +79,7 @@
 func (i *Interrupter) setReadDeadline(deadline time.Time) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	if i.connection != nil && !i.fired {
+	if i.connection != nil && i.cause == nil {
 		_ = i.connection.SetReadDeadline(deadline) // a closed connection fails the read itself
 	}
 }
