Let requests wait for a share of their tenant's limit instead of refusing them

Cause: a gateway that newly meets a tenant has 1/128 of its limit until its next report is answered, up to a second later. The first gateway was then given the whole limit, so others got nothing until it had acknowledged a smaller share, two reports later. One long prompt used up the initial share and left a debt, and all that followed was refused. At 390 gateways the same held for good: shares are smaller than two requests a second.

Change: a request that the share does not cover waits while the controllers may have more than was asked for: the gateway reports at once (at most every 100 ms, shares only) and decides with the answer. A tenant that lately got less than it asked for is at its limit: it is refused at once, unless its share yields the tokens within a second. The divider gives out an eighth of what no one wants, at most as much again as is wanted, so that a gateway which newly meets a tenant gets what it wants while all want less than half of the limit. The first, unfinished window of demand counts over at least 250 ms, not over a second.

--- a/internal/control/nodes.go
+++ b/internal/control/nodes.go
@@ -74,7 +74,9 @@
 	request := received.Request
 	node := request.GetNode()
 	c.tracker.GatewayHeard(c.now, node, request.Revision, false)
-	c.demands.Take(c.now, node, request)
+	if request.WindowMs > 0 || len(request.Demands) > 0 { // else it asks for shares only
+		c.demands.Take(c.now, node, request)
+	}
 	response := &v1.ReportResponse{}
 	for _, demand := range c.shareDemands(request) {
 		tenant := c.state.Object(v1.ObjectType_OBJECT_TYPE_TENANT, demand.Tenant).GetTenant()
--- a/internal/gateway/admitter.go
+++ b/internal/gateway/admitter.go
@@ -9,7 +9,6 @@
 
 	"github.com/gravitational/trace"
 
-	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/admission"
 	"github.com/hazelpitch/hazelpitch/internal/limits"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
@@ -22,6 +21,9 @@
 	admissionInterval = 50 * time.Millisecond
 	// estimatorPairs bounds the pairs of tenant and kind whose tokens are remembered.
 	estimatorPairs = 4096
+	// tenantWaiterPart is the part of the requests waiting for shares that one tenant may
+	// have: a quarter.
+	tenantWaiterPart = 4
 )
 
 // admitter decides which requests start: it holds tenants to their limits and lets
@@ -36,10 +38,14 @@
 	estimator *admission.Estimator
 	services  map[string]*admission.Core
 	waiting   map[uint64]chan<- *refusal
+	// asking are the requests that wait for a share of their tenant's limit.
+	asking map[uint64]*askingRequest
+	// wakeReport asks the report loop for an urgent report.
+	wakeReport chan struct{}
 }
 
 func newAdmitter(clock clock, bounds settings.GatewayLimits) (*admitter, error) {
-	limiter, err := limits.New(limits.Config{})
+	limiter, err := limits.New(limits.Config{Waiters: bounds.QueueLength, TenantWaiters: max(bounds.QueueLength/tenantWaiterPart, 1)})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -54,6 +60,9 @@
 		estimator: estimator,
 		services:  map[string]*admission.Core{},
 		waiting:   map[uint64]chan<- *refusal{},
+		asking:    map[uint64]*askingRequest{},
+
+		wakeReport: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -101,8 +110,8 @@
 	return place, nil
 }
 
-// offer charges the tenant and puts the request into its queue. The channel gets nil when
-// the request may start.
+// offer charges the tenant and puts the request into its queue, at once or when a share
+// of the tenant's limit has come. The channel gets nil when the request may start.
 func (a *admitter) offer(wanted admissionRequest) (*ticket, <-chan *refusal, *refusal) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -111,27 +120,38 @@
 	if err != nil {
 		return nil, nil, refuseInternal()
 	}
-	tokens := wanted.request.PromptTokens + wanted.request.OutputTokens
-	charge, err := a.limits.Acquire(now, wanted.request.Tenant, wanted.limit, tokens)
-	if err != nil {
-		return nil, nil, refuseLimit(err)
-	}
 	a.nextID++
 	wanted.request.ID = a.nextID
+	place := &ticket{admitter: a, service: service, id: a.nextID, shape: wanted.shape}
 	started := make(chan *refusal, 1)
-	a.waiting[a.nextID] = started
-	place := &ticket{admitter: a, service: service, id: a.nextID, charge: charge, shape: wanted.shape}
-	a.tell(service.Offer(now, wanted.request))
-	a.start(service, now)
+	place.charge, err = a.limits.Acquire(now, limitRequest(wanted))
+	switch {
+	case errors.Is(err, limits.ErrWaiting):
+		a.waiting[place.id] = started
+		a.asking[place.id] = &askingRequest{request: wanted.request, place: place}
+		a.askUrgently()
+	case err != nil:
+		return nil, nil, refuseLimit(err)
+	default:
+		a.waiting[place.id] = started
+		a.enqueue(now, service, wanted.request)
+	}
 	return place, started, nil
 }
 
+// enqueue puts a charged request into the queue of its service; the mutex is held.
+func (a *admitter) enqueue(now time.Duration, service *admission.Core, request admission.Request) {
+	a.tell(service.Offer(now, request))
+	a.start(service, now)
+}
+
 // withdraw takes a request that was interrupted out of its queue, unless it has
 // just been started or refused.
 func (a *admitter) withdraw(place *ticket, started <-chan *refusal, cause error) *refusal {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if place.service.Remove(place.id) {
+	if a.limits.Forget(place.id) || place.service.Remove(place.id) {
+		delete(a.asking, place.id)
 		delete(a.waiting, place.id)
 		return refuseInterrupted(cause)
 	}
@@ -213,26 +233,13 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	now := a.clock.now()
+	a.resolve(now)
 	for _, service := range a.services {
 		a.tell(service.Expire(now))
 		a.start(service, now)
 	}
 }
 
-// demands returns what to report to the leader.
-func (a *admitter) demands() []*v1.ShareDemand {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	return a.limits.Demands(a.clock.now())
-}
-
-// apply takes the shares granted in answer to a report sent at sentAt.
-func (a *admitter) apply(sentAt time.Duration, shares []*v1.Share) {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	a.limits.Apply(a.clock.now(), sentAt, shares)
-}
-
 // counts returns the requests in flight and waiting, over all services.
 func (a *admitter) counts() (inFlight, waiting int) {
 	a.mutex.Lock()
@@ -241,7 +248,7 @@
 		inFlight += service.InFlight()
 		waiting += service.Waiting()
 	}
-	return inFlight, waiting
+	return inFlight, waiting + a.limits.Waiting()
 }
 
 // refuseLimit translates a tenant's own limit.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -22,6 +22,7 @@
 // It is safe for concurrent use.
 type Control struct {
 	settings    settings.Gateway
+	identity    *v1.NodeIdentity
 	clock       clock
 	safeguards  safeguard.Set
 	log         *logring.Log
@@ -68,6 +69,7 @@
 	view.onRevision = counts.tellRevision(options.OnRevision)
 	return &Control{
 		settings:    config,
+		identity:    identity,
 		clock:       clock,
 		safeguards:  options.Safeguards,
 		log:         options.Log,
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -48,6 +48,8 @@
 	// known is the directory version that the gateway said it has.
 	known atomic.Uint64
 	down  atomic.Bool
+	// report answers reports; nil answers without shares.
+	report func(*v1.ReportRequest) (*v1.ReportResponse, error)
 }
 
 func object(revision uint64, kind v1.ObjectType, name string) *v1.Object {
@@ -120,8 +122,15 @@
 	return connect.NewResponse(response), nil
 }
 
-func (c *testController) Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error) {
-	return connect.NewResponse(&v1.ReportResponse{}), nil
+func (c *testController) Report(_ context.Context, request *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error) {
+	if c.report == nil {
+		return connect.NewResponse(&v1.ReportResponse{}), nil
+	}
+	response, err := c.report(request.Msg)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(response), nil
 }
 
 // BeginClaim grants a claim once, as the replicated state does.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,7 @@
 	syncFailures    prometheus.Counter
 	reportFailures  prometheus.Counter
 	revision        prometheus.Gauge
+	urgentReports   prometheus.Counter
 }
 
 func newGatewayMetrics(factory metrics.Factory) *gatewayMetrics {
@@ -37,6 +38,7 @@
 		syncFailures:    factory.Counter("sync_failures_total", "Heartbeats that no controller answered."),
 		reportFailures:  factory.Counter("report_failures_total", "Demand reports that no leader took."),
 		revision:        factory.Gauge("revision", "Revision of the configuration in force here."),
+		urgentReports:   factory.Counter("urgent_reports_total", "Reports sent early because requests waited for a share of their tenant's limit."),
 	}
 }
 
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -8,19 +8,27 @@
 	"github.com/gravitational/trace"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/pause"
 )
 
-// reportLoop tells the leader the demand met, each sync interval.
+// urgentInterval is the least time between a report and an urgent one.
+const urgentInterval = 100 * time.Millisecond
+
+// reportLoop tells the leader the demand met, each sync interval, and in between what
+// waiting requests need.
 func (c *Control) reportLoop(ctx context.Context) {
 	ticker := time.NewTicker(c.settings.SyncInterval)
 	defer ticker.Stop()
 	for {
+		reportOnce := c.reportOnce
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-c.admitter.wakeReport:
+			reportOnce = c.reportUrgently
 		}
-		if err := c.reportOnce(ctx); err != nil && ctx.Err() == nil {
+		if err := reportOnce(ctx); err != nil && ctx.Err() == nil {
 			c.metrics.reportFailures.Inc()
 			c.log.Warn().Err(err).Msg("no leader takes the demand report; its counts go into the next")
 		}
@@ -28,6 +36,7 @@
 }
 
 func (c *Control) reportOnce(ctx context.Context) error {
+	sentAt := c.clock.now()
 	build := buildReport{shareDemands: c.admitter.demands(), reply: make(chan *v1.ReportRequest, 1)}
 	if !c.view.send(ctx, build) {
 		return trace.Wrap(ctx.Err())
@@ -36,10 +45,32 @@
 	if err != nil {
 		return err
 	}
+	if err := c.exchangeReport(ctx, sentAt, request); err != nil {
+		c.view.send(ctx, loseReport{request: request})
+		return err
+	}
+	return nil
+}
+
+// reportUrgently asks for the shares that requests wait for. It counts no demand.
+func (c *Control) reportUrgently(ctx context.Context) error {
 	sentAt := c.clock.now()
+	demands := c.admitter.urgentDemands()
+	if len(demands) == 0 {
+		return nil
+	}
+	c.metrics.urgentReports.Inc()
+	request := &v1.ReportRequest{Node: c.identity, ShareDemands: demands, Revision: c.view.snapshot.Load().Revision}
+	err := c.exchangeReport(ctx, sentAt, request)
+	pause.For(ctx, urgentInterval)
+	return err
+}
+
+// exchangeReport sends a report and takes the shares it brings. Their leases count from
+// sentAt, which is before the demand was taken.
+func (c *Control) exchangeReport(ctx context.Context, sentAt time.Duration, request *v1.ReportRequest) error {
 	response, err := c.controllers.report(ctx, request)
 	if err != nil {
-		c.view.send(ctx, loseReport{request: request})
 		return err
 	}
 	c.admitter.apply(sentAt, response.GetShares())
--- /dev/null
+++ b/internal/gateway/shares_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/standin/page"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+// TestWaitForShare holds a tenant of 128 tokens a second to its limit at a gateway that
+// newly meets it: the first request uses up the initial share of one token a second, and
+// the next one fares by what the leader answers to the urgent report.
+func TestWaitForShare(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		report func(*v1.ReportRequest) (*v1.ReportResponse, error)
+		status int
+	}{
+		{name: "the leader grants a share", status: http.StatusOK, report: grantShare(100_000)},
+		{name: "the tenant is at its limit", status: http.StatusTooManyRequests, report: grantShare(1)},
+		{name: "no leader answers", status: http.StatusTooManyRequests, report: func(*v1.ReportRequest) (*v1.ReportResponse, error) {
+			return nil, connect.NewError(connect.CodeUnavailable, http.ErrServerClosed)
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			service, err := page.Start(page.Config{Name: "p1", Service: "portal", Address: "127.0.0.1:0"})
+			require.NoError(t, err)
+			t.Cleanup(service.Close)
+			engine := startEngine(t)
+			controller := startController(t, pageBackEnd("p1", service.Address()), engineBackEnd("e1", engine.address(), v1.Role_ROLE_MIXED))
+			controller.limitTenant("one", 128)
+			urgent := make(chan *v1.ReportRequest, 100)
+			controller.report = func(request *v1.ReportRequest) (*v1.ReportResponse, error) {
+				if request.GetWindowMs() == 0 {
+					urgent <- request
+					return row.report(request)
+				}
+				return &v1.ReportResponse{}, nil
+			}
+			gateway := startGateway(t, testSettings(controller.address))
+			headers := map[string]string{HeaderKind: "matching"}
+			require.Equal(t, http.StatusOK, call(t, http.MethodPost, gateway.url+"/v1/chat/completions", wholeBody, headers).status)
+			answer := call(t, http.MethodGet, gateway.url+"/lots", "", nil)
+			require.Equal(t, row.status, answer.status, answer.body)
+			require.NotEmpty(t, urgent)
+			require.Equal(t, "one", (<-urgent).GetShareDemands()[0].GetTenant())
+			if row.status != http.StatusOK {
+				require.Equal(t, verdict.NotRun.String(), answer.verdict)
+				require.Equal(t, codeRateLimit, answer.errorCode)
+				require.NotEmpty(t, answer.header.Get("Retry-After"))
+				require.Zero(t, service.Runs().Served)
+			}
+		})
+	}
+}
+
+// grantShare answers each demand with a share of so many tokens a second.
+func grantShare(tokens uint64) func(*v1.ReportRequest) (*v1.ReportResponse, error) {
+	return func(request *v1.ReportRequest) (*v1.ReportResponse, error) {
+		response := &v1.ReportResponse{}
+		for _, demand := range request.GetShareDemands() {
+			response.Shares = append(response.Shares, &v1.Share{Tenant: demand.GetTenant(), TokensPerSecond: tokens, ValidMs: 4000})
+		}
+		return response, nil
+	}
+}
+
+// limitTenant sets a tenant's limit.
+func (c *testController) limitTenant(name string, tokensPerSecond uint64) {
+	for _, each := range c.objects {
+		if each.GetTenant() != nil && each.GetKey().GetName() == name {
+			each.GetTenant().TokensPerSecond = tokensPerSecond
+		}
+	}
+}
--- a/internal/limits/account.go
+++ b/internal/limits/account.go
@@ -5,6 +5,8 @@
 const (
 	// demandWindow is the time over which demand is measured.
 	demandWindow = time.Second
+	// shortestWindow is the least time over which a window that is not over yet counts.
+	shortestWindow = 250 * time.Millisecond
 	// demandWeight is the weight of the newest window in the measured demand.
 	demandWeight = 0.5
 	// idleAfter is how long a tenant without requests is still reported.
@@ -19,7 +21,12 @@
 	level    float64
 	filledAt time.Duration
 	inFlight int
-	demand   demand
+	// waiting is the number of requests that wait for a share.
+	waiting int
+	// waitingTokens are their tokens.
+	waitingTokens float64
+	demand        demand
+	asked         askedShare
 }
 
 // capacity of the token bucket under the share in force.
@@ -33,14 +40,14 @@
 	a.filledAt = now
 }
 
-// tokenWait is the time until a request of this size passes: 0 for at once,
-// negative when it will not under the present lease.
-func (a *account) tokenWait(now, burst time.Duration, tokens float64) time.Duration {
+// tokenWait is the time until a request of this size passes behind others that wait with
+// so many tokens: 0 for at once, negative when it will not under the present lease.
+func (a *account) tokenWait(now, burst time.Duration, size, ahead float64) time.Duration {
 	rate := a.shares.rate(now)
 	if rate <= 0 {
 		return -1
 	}
-	missing := min(tokens, a.capacity(now, burst)) - a.level
+	missing := ahead + min(size, a.capacity(now, burst)) - a.level
 	if missing <= 0 {
 		return 0
 	}
@@ -84,5 +91,9 @@
 // wanted is the token rate to ask the controllers for.
 func (d *demand) wanted(now time.Duration) float64 {
 	d.turn(now)
-	return max(d.perSecond, d.asked/demandWindow.Seconds())
+	elapsed := min(max(now-d.windowAt, shortestWindow), demandWindow)
+	if d.perSecond > 0 {
+		elapsed = demandWindow // the window began with requests
+	}
+	return max(d.perSecond, d.asked/elapsed.Seconds())
 }
--- a/internal/limits/config.go
+++ b/internal/limits/config.go
@@ -12,6 +12,10 @@
 	defaultInitialDivisor = 128
 	defaultLeasePeriod    = 3 * time.Second
 	defaultDemands        = 256
+	defaultWaiters        = 1024
+	defaultTenantWaiters  = 256
+	defaultLongestWait    = 2 * time.Second
+	defaultTokenWait      = time.Second
 )
 
 // Config holds the fixed parameters of a Core.
@@ -27,10 +31,20 @@
 	LeasePeriod time.Duration
 	// Demands bounds the tenants in one report; default 256.
 	Demands int
+	// Waiters bounds the requests that wait for a share; default 1024. TenantWaiters
+	// bounds those of one tenant; default 256.
+	Waiters       int
+	TenantWaiters int
+	// LongestWait bounds the wait for a larger share; default 2 s. LongestTokenWait
+	// bounds the wait for tokens at a share that will not grow; default 1 s.
+	LongestWait      time.Duration
+	LongestTokenWait time.Duration
 }
 
 func (c *Config) checkAndSetDefaults() error {
-	if c.Tenants < 0 || c.Burst < 0 || c.InitialDivisor < 0 || c.LeasePeriod < 0 || c.Demands < 0 {
+	negative := c.Tenants < 0 || c.Burst < 0 || c.InitialDivisor < 0 || c.LeasePeriod < 0 || c.Demands < 0 ||
+		c.Waiters < 0 || c.TenantWaiters < 0 || c.LongestWait < 0 || c.LongestTokenWait < 0
+	if negative {
 		return trace.BadParameter("limits: no field of Config may be negative: %+v", *c)
 	}
 	setDefault(&c.Tenants, defaultTenants)
@@ -38,6 +52,10 @@
 	setDefault(&c.InitialDivisor, defaultInitialDivisor)
 	setDefault(&c.LeasePeriod, defaultLeasePeriod)
 	setDefault(&c.Demands, defaultDemands)
+	setDefault(&c.Waiters, defaultWaiters)
+	setDefault(&c.TenantWaiters, defaultTenantWaiters)
+	setDefault(&c.LongestWait, defaultLongestWait)
+	setDefault(&c.LongestTokenWait, defaultTokenWait)
 	return nil
 }
 
--- a/internal/limits/core.go
+++ b/internal/limits/core.go
@@ -23,6 +23,8 @@
 	// reportFrom is where the next report starts when there are more tenants than
 	// one report holds.
 	reportFrom string
+	// waiters are the requests that wait for a share, in the order of arrival.
+	waiters []*waiter
 }
 
 // Charge is a request that was acquired. The zero Charge is of no tenant.
@@ -45,30 +47,41 @@
 }
 
 // Acquire charges a request of a tenant with its estimated tokens. The error is a
-// *Refusal; nothing is charged then. Each Charge is given back with one Settle.
-func (c *Core) Acquire(now time.Duration, tenant string, limit Limit, tokens int) (Charge, error) {
-	if limit.unlimited() {
+// *Refusal, and nothing is charged then; or ErrWaiting: the request waits for a larger
+// share, and Resolve decides it. Each Charge is given back with one Settle.
+func (c *Core) Acquire(now time.Duration, request Request) (Charge, error) {
+	if request.Limit.unlimited() {
 		return Charge{}, nil
 	}
-	account, err := c.account(now, tenant, limit)
+	account, err := c.account(now, request.Tenant, request.Limit)
 	if err != nil {
 		return Charge{}, err
 	}
 	account.fill(now, c.config.Burst)
-	size := float64(max(tokens, 1))
-	account.demand.ask(now, size, account.inFlight+1)
-	if err := c.check(now, account, size); err != nil {
-		return Charge{}, err
+	size := request.size()
+	account.demand.ask(now, size, account.inFlight+account.waiting+1)
+	if refusal := c.check(now, account, size, account.waitingTokens); refusal != nil {
+		if !c.mayWait(now, account, refusal) {
+			return Charge{}, refusal
+		}
+		c.wait(now, account, request)
+		return Charge{}, ErrWaiting
 	}
+	return c.charge(account, request.Tenant, size), nil
+}
+
+func (c *Core) charge(account *account, tenant string, size float64) Charge {
 	account.inFlight++
-	if limit.TokensPerSecond != 0 {
+	if account.limit.TokensPerSecond != 0 {
 		account.level -= size
 	}
 	account.demand.used += size
-	return Charge{tenant: tenant, tokens: size}, nil
+	return Charge{tenant: tenant, tokens: size}
 }
 
-func (c *Core) check(now time.Duration, account *account, tokens float64) error {
+// check returns why a request of this size, behind others that wait with so many tokens,
+// may not start now; nil when it may.
+func (c *Core) check(now time.Duration, account *account, size, ahead float64) *Refusal {
 	if account.limit.Concurrency != 0 && account.inFlight >= account.shares.concurrency(now) {
 		if account.shares.concurrency(now) == 0 {
 			return &Refusal{Reason: ErrNoShare, RetryAfter: minimumRetryAfter}
@@ -78,12 +91,12 @@
 	if account.limit.TokensPerSecond == 0 {
 		return nil
 	}
-	wait := account.tokenWait(now, c.config.Burst, tokens)
+	wait := account.tokenWait(now, c.config.Burst, size, ahead)
 	switch {
 	case wait < 0:
 		return &Refusal{Reason: ErrNoShare, RetryAfter: minimumRetryAfter}
 	case wait > 0:
-		return &Refusal{Reason: ErrTokens, RetryAfter: min(max(wait, minimumRetryAfter), maximumRetryAfter)}
+		return &Refusal{Reason: ErrTokens, RetryAfter: min(max(wait, minimumRetryAfter), maximumRetryAfter), wait: wait}
 	default:
 		return nil
 	}
@@ -118,6 +131,7 @@
 			continue
 		}
 		account.fill(now, c.config.Burst)
+		account.asked.answer(sentAt)
 		account.shares.granted = lease{
 			tokensPerSecond: float64(share.GetTokensPerSecond()),
 			concurrency:     share.GetConcurrency(),
@@ -178,14 +192,14 @@
 	account.level = min(account.level, account.capacity(now, c.config.Burst))
 }
 
-// makeRoom forgets the tenant without requests in flight that was met least lately.
+// makeRoom forgets the tenant without requests in flight or waiting that was met least lately.
 func (c *Core) makeRoom() error {
 	for range evictionProbes {
 		if c.accounts.Len() < c.config.Tenants {
 			return nil
 		}
 		tenant, oldest, _ := c.accounts.GetOldest()
-		if oldest.inFlight == 0 {
+		if oldest.inFlight == 0 && oldest.waiting == 0 {
 			c.accounts.Remove(tenant)
 			continue
 		}
--- a/internal/limits/core_test.go
+++ b/internal/limits/core_test.go
@@ -30,12 +30,24 @@
 	core.Apply(now, sentAt, []*v1.Share{{Tenant: tenant, TokensPerSecond: tokens, Concurrency: concurrency, ValidMs: 4000}})
 }
 
+// atLimit makes the last share granted less than was asked for.
+func atLimit(core *Core) {
+	if account, met := core.accounts.Peek(tenant); met {
+		account.asked.report(0, 1_000_000, 1_000)
+		account.asked.answer(0)
+		if account.shares.granted.expiresAt < 105*time.Second {
+			account.asked.report(0, 1_000_000, 1_000) // no controller answers
+		}
+	}
+}
+
 // TestAcquire is the contract of Acquire with its fault rows: what was done before,
-// and how a last request of 1,000 tokens at 105 s fares.
+// and how a last request of 1,000 tokens at 105 s fares. The controllers have no more
+// for the tenant than it holds, and no request waits for tokens: a refusal comes at once.
 func TestAcquire(t *testing.T) {
 	const s = time.Second
 	use := func(core *Core, now time.Duration, tokens int) Charge {
-		charge, _ := core.Acquire(now, tenant, testLimit, tokens)
+		charge, _ := core.Acquire(now, Request{Tenant: tenant, Limit: testLimit, Tokens: tokens})
 		return charge
 	}
 	rows := []struct {
@@ -49,7 +61,9 @@
 		{name: "tenant newly met", before: func(*Core) {}, limit: testLimit},
 		{name: "initial tokens are used up", before: func(c *Core) { use(c, 105*s, 1000) }, limit: testLimit, err: ErrTokens, retry: s},
 		{name: "initial concurrency is used up", limit: Limit{Concurrency: 5},
-			before: func(c *Core) { _, _ = c.Acquire(105*s, tenant, Limit{Concurrency: 5}, 1) }, err: ErrConcurrency, retry: s},
+			before: func(c *Core) {
+				_, _ = c.Acquire(105*s, Request{Tenant: tenant, Limit: Limit{Concurrency: 5}, Tokens: 1})
+			}, err: ErrConcurrency, retry: s},
 		{name: "a granted share allows more", limit: testLimit,
 			before: func(c *Core) { use(c, 103*s, 1000); grant(c, 103*s, 103*s, 64_000, 10); use(c, 105*s, 60_000) }},
 		{name: "a debt is paid off first", limit: testLimit, err: ErrTokens, retry: 2 * s,
@@ -85,9 +99,11 @@
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
-			core := newTestCore(t)
+			core := newTestCore(t, func(c *Config) { c.LongestTokenWait = 1 })
 			row.before(core)
-			_, err := core.Acquire(105*s, tenant, row.limit, 1000)
+			atLimit(core)
+			_, err := core.Acquire(105*s, Request{ID: 7, Tenant: tenant, Limit: row.limit, Tokens: 1000})
+			require.Zero(t, core.Waiting())
 			if row.err == nil {
 				require.NoError(t, err)
 				return
@@ -103,16 +119,16 @@
 func TestTenantsAreBounded(t *testing.T) {
 	core := newTestCore(t, func(c *Config) { c.Tenants = 8 })
 	for i := range 100 {
-		charge, err := core.Acquire(0, fmt.Sprint("idle", i), testLimit, 1)
+		charge, err := core.Acquire(0, Request{Tenant: fmt.Sprint("idle", i), Limit: testLimit, Tokens: 1})
 		require.NoError(t, err)
 		core.Settle(0, charge, 1)
 	}
 	require.Equal(t, 8, core.accounts.Len())
 	for i := range 8 {
-		_, err := core.Acquire(0, fmt.Sprint("busy", i), testLimit, 1)
+		_, err := core.Acquire(0, Request{Tenant: fmt.Sprint("busy", i), Limit: testLimit, Tokens: 1})
 		require.NoError(t, err)
 	}
-	_, err := core.Acquire(0, "one too many", testLimit, 1)
+	_, err := core.Acquire(0, Request{Tenant: "one too many", Limit: testLimit, Tokens: 1})
 	require.ErrorIs(t, err, ErrTenants, "a tenant with requests in flight is never forgotten")
 	require.Equal(t, 8, core.accounts.Len())
 }
@@ -120,10 +136,10 @@
 func TestDemands(t *testing.T) {
 	core := newTestCore(t, func(c *Config) { c.Demands = 2 })
 	for _, name := range []string{"c", "a", "b"} {
-		_, err := core.Acquire(0, name, testLimit, 500)
+		_, err := core.Acquire(0, Request{Tenant: name, Limit: testLimit, Tokens: 500})
 		require.NoError(t, err)
 	}
-	_, err := core.Acquire(0, "a", testLimit, 5000)
+	_, err := core.Acquire(0, Request{Tenant: "a", Limit: testLimit, Tokens: 5000})
 	require.Error(t, err)
 	first := core.Demands(time.Second)
 	require.Len(t, first, 2, "a report is bounded")
@@ -145,6 +161,7 @@
 		var now, last time.Duration
 		var acquired, yielded, capacity float64
 		var charges []Charge
+		var id uint64
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause")) * time.Millisecond
 			if account, met := core.accounts.Peek(tenant); met {
@@ -152,6 +169,12 @@
 				capacity = max(capacity, account.capacity(now, core.config.Burst))
 			}
 			last = now
+			for _, decision := range core.Resolve(now) {
+				if decision.Err == nil {
+					charges = append(charges, decision.Charge)
+					acquired += decision.Charge.tokens
+				}
+			}
 			switch rapid.IntRange(0, 4).Draw(t, "action") {
 			case 0:
 				grant(core, now, now, uint64(rapid.IntRange(0, 20_000).Draw(t, "share")), 50)
@@ -162,7 +185,8 @@
 				}
 			default:
 				tokens := rapid.IntRange(1, largest).Draw(t, "tokens")
-				if charge, err := core.Acquire(now, tenant, testLimit, tokens); err == nil {
+				id++
+				if charge, err := core.Acquire(now, Request{ID: id, Tenant: tenant, Limit: testLimit, Tokens: tokens}); err == nil {
 					charges = append(charges, charge)
 					acquired += float64(tokens)
 				}
--- a/internal/limits/demands.go
+++ b/internal/limits/demands.go
@@ -12,7 +12,10 @@
 // asked for something lately, sorted by name, at most Config.Demands of them. When
 // there are more, successive reports take turns.
 func (c *Core) Demands(now time.Duration) []*v1.ShareDemand {
-	tenants := c.demandingTenants(now)
+	return c.reports(now, c.demandingTenants(now))
+}
+
+func (c *Core) reports(now time.Duration, tenants []string) []*v1.ShareDemand {
 	demands := make([]*v1.ShareDemand, 0, len(tenants))
 	for _, tenant := range tenants {
 		account, _ := c.accounts.Peek(tenant)
@@ -26,7 +29,7 @@
 	var tenants []string
 	for _, tenant := range c.accounts.Keys() {
 		account, _ := c.accounts.Peek(tenant)
-		if account.inFlight > 0 || now-account.demand.lastAt < idleAfter {
+		if account.inFlight > 0 || account.waiting > 0 || now-account.demand.lastAt < idleAfter {
 			tenants = append(tenants, tenant)
 		}
 	}
@@ -49,12 +52,13 @@
 		UsedTokens:            uint64(math.Round(a.demand.used)),
 		WantedTokensPerSecond: uint64(math.Ceil(a.demand.wanted(now))),
 		InFlight:              uint32(a.inFlight),
-		WantedConcurrency:     uint32(max(a.demand.peak, a.inFlight)),
+		WantedConcurrency:     uint32(max(a.demand.peak, a.inFlight+a.waiting)),
 	}
 	if granted := &a.shares.granted; now < granted.expiresAt {
 		message.HeldTokensPerSecond = uint64(granted.tokensPerSecond)
 		message.HeldConcurrency = granted.concurrency
 	}
 	a.demand.used, a.demand.peak = 0, 0
+	a.asked.report(now, message.WantedTokensPerSecond, message.WantedConcurrency)
 	return message
 }
--- /dev/null
+++ b/internal/limits/fleet_test.go
@@ -0,0 +1,327 @@
+package limits_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/limits"
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
+	"github.com/hazelpitch/hazelpitch/internal/shares"
+)
+
+const (
+	fleetStep      = 10 * time.Millisecond
+	reportInterval = time.Second
+	// urgentInterval is the least time between a report and an urgent one.
+	urgentInterval = 100 * time.Millisecond
+	// settledAfter is when the start is over.
+	settledAfter = 10 * time.Second
+	meanTokens   = 2000
+	holdTime     = time.Second
+	fleetTenant  = "tenant"
+)
+
+// fleet is one tenant's requests against gateways and the leader's divider, in
+// virtual time. A report is answered one step after it was sent.
+type fleet struct {
+	random   *rand.Rand
+	limit    limits.Limit
+	offered  float64 // tokens a second
+	divider  *shares.Divider
+	gateways []*fleetGateway
+	now      time.Duration
+	// perStep are the tokens acquired in each step.
+	perStep []float64
+	// undivided gives every gateway the whole limit.
+	undivided bool
+	count     fleetCount
+}
+
+// fleetCount is what became of the requests.
+type fleetCount struct {
+	offered, refused int
+	// refusedSettled counts the refusals after the start.
+	offeredSettled, refusedSettled int
+	reports, waited                int
+	longestWait                    time.Duration
+}
+
+type fleetGateway struct {
+	name     string
+	core     *limits.Core
+	reportAt time.Duration
+	cut      bool
+	answer   []*v1.Share
+	sentAt   time.Duration
+	running  []runningCharge
+	waiting  map[uint64]waitingRequest
+}
+
+type waitingRequest struct {
+	tokens int
+	since  time.Duration
+}
+
+type runningCharge struct {
+	charge limits.Charge
+	tokens int
+	endsAt time.Duration
+}
+
+func newFleet(t testing.TB, gateways int, limit limits.Limit, offered float64) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(1, 2)), limit: limit, offered: offered, divider: shares.New(0, safeguard.Set{})}
+	f.divider.Lead(0, true)
+	for i := range gateways {
+		core, err := limits.New(limits.Config{})
+		require.NoError(t, err)
+		offset := time.Duration(i) * reportInterval / time.Duration(gateways)
+		f.gateways = append(f.gateways, &fleetGateway{name: fmt.Sprint("gateway-", i), core: core, reportAt: offset.Truncate(fleetStep), waiting: map[uint64]waitingRequest{}})
+	}
+	return f
+}
+
+func (f *fleet) run(until time.Duration) {
+	for f.now < until {
+		f.perStep = append(f.perStep, 0)
+		for _, gateway := range f.gateways {
+			f.takeAnswer(gateway)
+			f.settle(gateway)
+			f.report(gateway)
+		}
+		f.arrive()
+		f.now += fleetStep
+	}
+}
+
+func (f *fleet) takeAnswer(gateway *fleetGateway) {
+	if gateway.answer != nil {
+		gateway.core.Apply(f.now, gateway.sentAt, gateway.answer)
+		gateway.answer = nil
+	}
+	for _, decision := range gateway.core.Resolve(f.now) {
+		waited := gateway.waiting[decision.ID]
+		delete(gateway.waiting, decision.ID)
+		f.count.longestWait = max(f.count.longestWait, f.now-waited.since)
+		if decision.Err != nil {
+			f.refuse()
+			continue
+		}
+		f.start(gateway, decision.Charge, waited.tokens)
+	}
+}
+
+func (f *fleet) settle(gateway *fleetGateway) {
+	for len(gateway.running) > 0 && gateway.running[0].endsAt <= f.now {
+		ended := gateway.running[0]
+		gateway.running = gateway.running[1:]
+		gateway.core.Settle(f.now, ended.charge, ended.tokens)
+	}
+}
+
+// report sends the report that is due, or an urgent one.
+func (f *fleet) report(gateway *fleetGateway) {
+	if f.now >= gateway.reportAt {
+		gateway.reportAt += reportInterval
+		f.ask(gateway, gateway.core.Demands(f.now))
+		return
+	}
+	if f.now < gateway.sentAt+urgentInterval {
+		return
+	}
+	if urgent := gateway.core.UrgentDemands(f.now); len(urgent) > 0 {
+		f.ask(gateway, urgent)
+	}
+}
+
+func (f *fleet) ask(gateway *fleetGateway, demands []*v1.ShareDemand) {
+	if gateway.cut {
+		return
+	}
+	f.count.reports++
+	gateway.sentAt = f.now
+	fleetLimits := shares.Limits{TokensPerSecond: f.limit.TokensPerSecond, Concurrency: f.limit.Concurrency}
+	for _, demand := range demands {
+		share := f.divider.Divide(f.now, gateway.name, demand, fleetLimits)
+		if f.undivided {
+			share.TokensPerSecond, share.Concurrency = fleetLimits.TokensPerSecond, fleetLimits.Concurrency
+		}
+		gateway.answer = append(gateway.answer, share)
+	}
+}
+
+// arrive offers this step's requests to gateways drawn evenly.
+func (f *fleet) arrive() {
+	expected := f.offered / meanTokens * fleetStep.Seconds()
+	for wait := f.random.ExpFloat64(); wait < expected; wait += f.random.ExpFloat64() {
+		gateway := f.gateways[f.random.IntN(len(f.gateways))]
+		f.offer(gateway, meanTokens/2+f.random.IntN(meanTokens))
+	}
+}
+
+func (f *fleet) offer(gateway *fleetGateway, tokens int) {
+	f.count.offered++
+	if f.now >= settledAfter {
+		f.count.offeredSettled++
+	}
+	id := uint64(f.count.offered)
+	charge, err := gateway.core.Acquire(f.now, limits.Request{ID: id, Tenant: fleetTenant, Limit: f.limit, Tokens: tokens})
+	if errors.Is(err, limits.ErrWaiting) {
+		gateway.waiting[id] = waitingRequest{tokens, f.now}
+		f.count.waited++
+		return
+	}
+	if err != nil {
+		f.refuse()
+		return
+	}
+	f.start(gateway, charge, tokens)
+}
+
+func (f *fleet) refuse() {
+	f.count.refused++
+	if f.now >= settledAfter {
+		f.count.refusedSettled++
+	}
+}
+
+func (f *fleet) start(gateway *fleetGateway, charge limits.Charge, tokens int) {
+	f.perStep[len(f.perStep)-1] += float64(tokens)
+	gateway.running = append(gateway.running, runningCharge{charge, tokens, f.now + holdTime})
+}
+
+// peak is the largest use of the limit over any window of this length, as a multiple.
+func (f *fleet) peak(window time.Duration) float64 {
+	steps := int(window / fleetStep)
+	var sum, most float64
+	for i, tokens := range f.perStep {
+		sum += tokens
+		if i >= steps {
+			sum -= f.perStep[i-steps]
+		}
+		most = max(most, sum)
+	}
+	return most / (float64(f.limit.TokensPerSecond) * window.Seconds())
+}
+
+// use is the mean use of the limit after the start, as a share of it.
+func (f *fleet) use() float64 {
+	var sum float64
+	from := int(settledAfter / fleetStep)
+	for _, tokens := range f.perStep[from:] {
+		sum += tokens
+	}
+	return sum / (float64(f.limit.TokensPerSecond) * (f.now - settledAfter).Seconds())
+}
+
+// bound is the stated bound of what a fleet may use of its limit within a window: the
+// limit, one full bucket, for each gateway that meets the tenant the initial share and one
+// request, and for gateways cut off one lease period's worth.
+func (f *fleet) bound(window time.Duration) float64 {
+	perSecond := float64(f.limit.TokensPerSecond)
+	allowed := perSecond * (window + time.Second).Seconds()
+	initial := perSecond / 128 * (time.Second + 2*3*time.Second).Seconds()
+	allowed += float64(len(f.gateways)) * (initial + 1.5*meanTokens)
+	if slices.ContainsFunc(f.gateways, func(gateway *fleetGateway) bool { return gateway.cut }) {
+		allowed += perSecond * shares.DefaultLifetime.Seconds()
+	}
+	return allowed / (perSecond * window.Seconds())
+}
+
+// TestFleetStaysWithinBound holds the stated overshoot bound over whole fleets, and shows
+// that it can be broken. Below its limit a tenant is not refused.
+func TestFleetStaysWithinBound(t *testing.T) {
+	rows := []struct {
+		name     string
+		gateways int
+		offered  float64
+		cut      int
+		undivide bool
+		breaks   bool
+	}{
+		{name: "one gateway below the limit", gateways: 1, offered: 0.5},
+		{name: "one gateway above the limit", gateways: 1, offered: 2},
+		{name: "eight gateways below the limit", gateways: 8, offered: 0.5},
+		{name: "eight gateways above the limit", gateways: 8, offered: 2},
+		{name: "half of the gateways are cut off", gateways: 8, offered: 3, cut: 4},
+		{name: "all gateways are cut off", gateways: 8, offered: 3, cut: 8},
+		{name: "each gateway holds the whole limit", gateways: 8, offered: 3, undivide: true, breaks: true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			f := newFleet(t, row.gateways, limits.Limit{TokensPerSecond: 1_000_000, Concurrency: 4000}, row.offered*1_000_000)
+			f.undivided = row.undivide
+			f.run(10 * time.Second)
+			f.cutOff(row.cut)
+			f.run(25 * time.Second)
+			if row.cut == row.gateways {
+				f.requireNothingLeft(t)
+			}
+			exceeded := false
+			for _, window := range []time.Duration{time.Second, 5 * time.Second, 10 * time.Second} {
+				exceeded = exceeded || f.peak(window) > f.bound(window)
+			}
+			require.Equal(t, row.breaks, exceeded)
+			require.LessOrEqual(t, f.count.longestWait, 2*time.Second+fleetStep)
+			if row.offered < 1 {
+				require.Zero(t, f.count.refused)
+			}
+		})
+	}
+}
+
+// requireNothingLeft runs the gateways until their shares have ended, after which no
+// request passes.
+func (f *fleet) requireNothingLeft(t *testing.T) {
+	f.run(settledAfter + 11*shares.DefaultLifetime)
+	left := len(f.perStep)
+	f.run(f.now + 2*time.Second)
+	require.Zero(t, slices.Max(f.perStep[left:]))
+}
+
+// cutOff cuts the first gateways off from the controllers.
+func (f *fleet) cutOff(gateways int) {
+	for _, gateway := range f.gateways[:gateways] {
+		gateway.cut = true
+	}
+}
+
+// BenchmarkFleet holds one tenant to its limit of 1,000,000 tokens a second over
+// gateways that it meets all at once, for 30 s, at half and at twice its limit.
+func BenchmarkFleet(b *testing.B) {
+	for _, gateways := range []int{1, 8, 64, 390} {
+		for _, load := range []float64{0.5, 2} {
+			b.Run(fmt.Sprintf("gateways=%d/offered=%v", gateways, load), func(b *testing.B) {
+				benchmarkFleet(b, gateways, load, 0)
+			})
+		}
+		b.Run(fmt.Sprintf("gateways=%d/offered=2/half-cut-off", gateways), func(b *testing.B) {
+			benchmarkFleet(b, gateways, 2, (gateways+1)/2)
+		})
+	}
+}
+
+func benchmarkFleet(b *testing.B, gateways int, load float64, cut int) {
+	var f *fleet
+	for range b.N {
+		f = newFleet(b, gateways, limits.Limit{TokensPerSecond: 1_000_000}, load*1_000_000)
+		f.run(settledAfter)
+		f.cutOff(cut)
+		f.run(30 * time.Second)
+	}
+	b.ReportMetric(f.peak(time.Second), "peak-1s")
+	b.ReportMetric(f.peak(10*time.Second), "peak-10s")
+	b.ReportMetric(f.bound(10*time.Second), "bound-10s")
+	b.ReportMetric(100*f.use(), "use-%")
+	b.ReportMetric(float64(f.count.refused-f.count.refusedSettled), "refused-start")
+	b.ReportMetric(float64(f.count.refusedSettled), "refused-after")
+	b.ReportMetric(float64(f.count.offered), "offered")
+	b.ReportMetric(float64(f.count.waited), "waited")
+	b.ReportMetric(float64(f.count.reports)/30/float64(gateways), "reports/gateway/s")
+}
--- a/internal/limits/refusal.go
+++ b/internal/limits/refusal.go
@@ -19,11 +19,16 @@
 	ErrTenants = errors.New("too many tenants at this gateway")
 )
 
+// ErrWaiting: the request is neither started nor refused; it waits for a larger share.
+var ErrWaiting = errors.New("the request waits for a share of the limit")
+
 // Refusal says why a request may not start and when to come back. Its text names
 // nothing of other tenants.
 type Refusal struct {
 	Reason     error
 	RetryAfter time.Duration
+	// wait is the time until the present share has yielded the tokens.
+	wait time.Duration
 }
 
 // Error implements error.
--- /dev/null
+++ b/internal/limits/waiter.go
@@ -0,0 +1,152 @@
+package limits
+
+import (
+	"slices"
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// Request is a request of a tenant with a limit.
+type Request struct {
+	// ID names the request while it waits; it is unique in the Core.
+	ID     uint64
+	Tenant string
+	Limit  Limit
+	// Tokens is the estimate of prompt and output.
+	Tokens int
+	// Deadline is the latest time at which waiting makes sense; 0 is none.
+	Deadline time.Duration
+}
+
+// size is what the request is charged.
+func (r *Request) size() float64 { return float64(max(r.Tokens, 1)) }
+
+// Decision ends the wait of a request: Err is nil or a *Refusal.
+type Decision struct {
+	ID     uint64
+	Charge Charge
+	Err    error
+}
+
+// waiter is a request that waits for the answer to a report, and then for the tokens
+// that the share yields.
+type waiter struct {
+	request Request
+	since   time.Duration
+}
+
+// giveUpAt is when the wait ends at the latest.
+func (w *waiter) giveUpAt(longest time.Duration) time.Duration {
+	if w.request.Deadline == 0 {
+		return w.since + longest
+	}
+	return min(w.since+longest, w.request.Deadline)
+}
+
+// mayWait reports whether a request that may not start now may wait: there is room, and
+// it may start in time by what the controllers can still give, or by the present share.
+func (c *Core) mayWait(now time.Duration, account *account, refusal *Refusal) bool {
+	if account.waiting >= c.config.TenantWaiters || len(c.waiters) >= c.config.Waiters {
+		return false
+	}
+	return account.mayGrow(now, c.config.LongestWait) || refusal.Reason == ErrTokens && refusal.wait <= c.config.LongestTokenWait
+}
+
+func (c *Core) wait(now time.Duration, account *account, request Request) {
+	account.waiting++
+	account.waitingTokens += request.size()
+	c.waiters = append(c.waiters, &waiter{request: request, since: now})
+}
+
+// leave takes a request out of the count of those that wait.
+func (a *account) leave(w *waiter) {
+	a.waiting--
+	a.waitingTokens -= w.request.size()
+}
+
+// Resolve decides the requests whose wait is over, in the order of their arrival. Call
+// it after each Apply and at short intervals.
+func (c *Core) Resolve(now time.Duration) []Decision {
+	var decisions []Decision
+	// ahead are the tokens of those that wait on, by tenant.
+	ahead := map[string]float64{}
+	c.waiters = slices.DeleteFunc(c.waiters, func(w *waiter) bool {
+		decision, over := c.resolve(now, w, ahead)
+		if over {
+			decisions = append(decisions, decision)
+		}
+		return over
+	})
+	return decisions
+}
+
+// resolve decides one waiting request, if its wait is over.
+func (c *Core) resolve(now time.Duration, w *waiter, ahead map[string]float64) (Decision, bool) {
+	decision := Decision{ID: w.request.ID}
+	account, found := c.accounts.Peek(w.request.Tenant)
+	if !found { // an account with waiting requests is never forgotten
+		decision.Err = &Refusal{Reason: ErrNoShare, RetryAfter: minimumRetryAfter}
+		return decision, true
+	}
+	account.fill(now, c.config.Burst)
+	size := w.request.size()
+	refusal := c.check(now, account, size, ahead[w.request.Tenant])
+	if refusal == nil {
+		account.leave(w)
+		decision.Charge = c.charge(account, w.request.Tenant, size)
+		return decision, true
+	}
+	if c.mayGoOn(now, account, w, refusal) {
+		ahead[w.request.Tenant] += size
+		return Decision{}, false
+	}
+	account.leave(w)
+	decision.Err = refusal
+	return decision, true
+}
+
+// mayGoOn reports whether a request waits on: the controllers may still give more, or the
+// present share yields the missing tokens in time.
+func (c *Core) mayGoOn(now time.Duration, account *account, w *waiter, refusal *Refusal) bool {
+	giveUpAt := w.giveUpAt(c.config.LongestWait)
+	if now >= giveUpAt {
+		return false
+	}
+	if account.mayGrow(now, c.config.LongestWait) {
+		return true
+	}
+	return refusal.Reason == ErrTokens && now+refusal.wait <= min(giveUpAt, w.since+c.config.LongestTokenWait)
+}
+
+// Forget takes back a waiting request whose caller has gone away. It reports whether the
+// request was waiting.
+func (c *Core) Forget(id uint64) bool {
+	position := slices.IndexFunc(c.waiters, func(w *waiter) bool { return w.request.ID == id })
+	if position < 0 {
+		return false
+	}
+	if account, found := c.accounts.Peek(c.waiters[position].request.Tenant); found {
+		account.leave(c.waiters[position])
+	}
+	c.waiters = slices.Delete(c.waiters, position, position+1)
+	return true
+}
+
+// Waiting is the number of requests that wait for a share.
+func (c *Core) Waiting() int { return len(c.waiters) }
+
+// UrgentDemands returns what to report at once: the tenants with waiting requests that
+// arrived after their last report, unless the controllers have no more for them.
+func (c *Core) UrgentDemands(now time.Duration) []*v1.ShareDemand {
+	var tenants []string
+	for _, w := range c.waiters {
+		account, found := c.accounts.Peek(w.request.Tenant)
+		if found && account.asked.reportedAt <= w.since && account.mayGrow(now, c.config.LongestWait) {
+			tenants = append(tenants, w.request.Tenant)
+		}
+	}
+	slices.Sort(tenants)
+	tenants = slices.Compact(tenants)
+	return c.reports(now, tenants[:min(len(tenants), c.config.Demands)])
+}
--- a/internal/shares/divider.go
+++ b/internal/shares/divider.go
@@ -15,6 +15,10 @@
 // beyond it gets no share until others run out.
 const MaximumLeases = 500_000
 
+// roomDivisor sets the part of a tenant's limit that no one wants which one gateway
+// gets: an eighth. The rest stays for gateways that meet the tenant next.
+const roomDivisor = 8
+
 // SafeguardSettle makes a new leader wait until its predecessor's shares have run
 // out before it grants more than gateways hold.
 const SafeguardSettle safeguard.Safeguard = "share settling"
@@ -141,9 +145,11 @@
 	fair := owner.fair(gateway, limits)
 	othersTokens, othersConcurrency := owner.heldByOthers(now, gateway)
 	share := grant{
-		tokens:      min(fair.TokensPerSecond, subtract(limits.TokensPerSecond, othersTokens)),
-		concurrency: min(fair.Concurrency, subtract(limits.Concurrency, othersConcurrency)),
-		expiresAt:   now + d.lifetime,
+		tokens: min(fair.TokensPerSecond,
+			withRoom(lease.demand.WantedTokensPerSecond, subtract(limits.TokensPerSecond, othersTokens))),
+		concurrency: min(fair.Concurrency,
+			withRoom(lease.demand.WantedConcurrency, subtract(limits.Concurrency, othersConcurrency))),
+		expiresAt: now + d.lifetime,
 	}
 	if now < d.settledAt && d.safeguards.On(SafeguardSettle) {
 		// What the predecessor granted sums up to the limit at most: renew no more.
@@ -168,6 +174,17 @@
 	}
 }
 
+// withRoom is what is wanted and a part of what is left beyond it, but no more than as
+// much again: room to grow for this gateway until it asks again, while most is left for
+// gateways that meet the tenant next.
+func withRoom[T uint32 | uint64](wanted, available T) T {
+	if available <= wanted {
+		return available
+	}
+	room := (available - wanted + roomDivisor - 1) / roomDivisor
+	return wanted + min(room, wanted+1)
+}
+
 // heldByOthers sums what other gateways may still use.
 func (t *tenant) heldByOthers(now time.Duration, gateway string) (tokens uint64, concurrency uint32) {
 	for name, lease := range t.leases {
--- a/internal/shares/divider_test.go
+++ b/internal/shares/divider_test.go
@@ -144,6 +144,20 @@
 	require.Zero(t, stranger.share.TokensPerSecond)
 }
 
+// TestNewcomersGetAShareAtOnce shows that below half of the limit each gateway that meets
+// the tenant gets what it wants with its first report, one after the other.
+func TestNewcomersGetAShareAtOnce(t *testing.T) {
+	limits := Limits{TokensPerSecond: 20 * 601, Concurrency: 20 * 7}
+	divider := New(0, safeguard.Set{})
+	divider.Lead(0, true)
+	for i := range 20 {
+		newcomer := &testGateway{name: fmt.Sprint("gateway-", i)}
+		newcomer.report(time.Duration(i)*10*time.Millisecond, divider, 300, limits, false)
+		require.GreaterOrEqual(t, newcomer.share.TokensPerSecond, uint64(300), newcomer.name)
+		require.GreaterOrEqual(t, newcomer.share.Concurrency, uint32(3), newcomer.name)
+	}
+}
+
 func TestSharesFollowDemandWithinOneLifetime(t *testing.T) {
 	limits := Limits{TokensPerSecond: 1000}
 	divider := New(0, safeguard.Set{})
--- a/internal/shares/doc.go
+++ b/internal/shares/doc.go
@@ -10,5 +10,9 @@
 // nothing beyond what gateways say they hold until every share of its predecessor
 // has run out.
 //
+// What no one wants is given out only in part: a gateway gets an eighth of it beyond
+// what it wants, at most as much again, so that a gateway which newly meets a tenant gets
+// what it wants at once while all together want less than half of the limit.
+//
 // A Divider is pure and belongs to one goroutine.
 package shares
