Audit refusals, order adapter versions, and explain what holds an engine back

Change: refusals of commands and declarations at the leader are audited with their reason, and stay no answer to a later try. Engines tell adapter versions; load-adapter of another version takes the old one's place while that serves on. Controllers show the revision that is on their disk. explain engine has state, adapter, held back and planner rows.

No times measured.

--- a/internal/authority/commander.go
+++ b/internal/authority/commander.go
@@ -1,6 +1,7 @@
 package authority
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -251,5 +252,5 @@
 func sameEngine(a, b *v1.EngineState) bool {
 	return a.Service == b.Service && a.Zone == b.Zone && a.Address == b.Address && a.Role == b.Role &&
 		a.Model == b.Model && a.Version == b.Version && a.Incarnation == b.Incarnation &&
-		slices.Equal(a.Adapters, b.Adapters)
+		slices.Equal(a.Adapters, b.Adapters) && maps.Equal(a.AdapterVersions, b.AdapterVersions)
 }
--- a/internal/authority/convert.go
+++ b/internal/authority/convert.go
@@ -38,7 +38,7 @@
 	return &v1.EngineState{
 		Engine: state.Engine, Service: state.Service, Zone: state.Zone, Address: address,
 		Role: engineroles.FromContract(state.Role), Model: state.Model, Version: state.Version,
-		Adapters: state.Adapters, Incarnation: state.Incarnation,
+		Adapters: state.Adapters, AdapterVersions: state.AdapterVersions, Incarnation: state.Incarnation,
 	}
 }
 
--- a/internal/authority/reconcile.go
+++ b/internal/authority/reconcile.go
@@ -72,7 +72,8 @@
 	case v1.OrderAction_ORDER_ACTION_LOAD_MODEL:
 		return state.Model == order.Model && state.Version == order.Version
 	case v1.OrderAction_ORDER_ACTION_LOAD_ADAPTER:
-		return slices.Contains(state.Adapters, order.Adapter)
+		version, told := state.AdapterVersions[order.Adapter]
+		return slices.Contains(state.Adapters, order.Adapter) && (!told || version == order.Version)
 	case v1.OrderAction_ORDER_ACTION_UNLOAD_ADAPTER:
 		return !slices.Contains(state.Adapters, order.Adapter)
 	case v1.OrderAction_ORDER_ACTION_DRAIN:
--- a/internal/control/adapters.go
+++ b/internal/control/adapters.go
@@ -8,7 +8,9 @@
 )
 
 // adapterOrder returns the order that loads a declared adapter of the engine's model,
-// or unloads one that is not declared; nil when the engine has what is declared.
+// or another version of it, or unloads one that is not declared; nil when the engine
+// has what is declared. A new version takes the old one's place at the engine, which
+// serves the old one until then.
 func adapterOrder(state *controlstate.State, engine *v1.EngineState) *v1.Order {
 	declared := map[string]bool{}
 	for _, object := range state.ObjectsOfType(v1.ObjectType_OBJECT_TYPE_ADAPTER) {
@@ -17,10 +19,11 @@
 			continue
 		}
 		declared[object.Key.Name] = true
-		if !slices.Contains(engine.Adapters, object.Key.Name) {
+		version, told := engine.AdapterVersions[object.Key.Name]
+		if !slices.Contains(engine.Adapters, object.Key.Name) || (told && version != adapter.Version) {
 			return &v1.Order{Engine: engine.Engine, Action: v1.OrderAction_ORDER_ACTION_LOAD_ADAPTER,
 				Model: adapter.Model, Version: adapter.Version, Adapter: object.Key.Name,
-				Reason: "the adapter is declared for the engine's model"}
+				Reason: "this version of the adapter is declared for the engine's model"}
 		}
 	}
 	for _, adapter := range engine.Adapters {
--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -17,7 +17,7 @@
 	order.Reason = fmt.Sprintf("operator %s: %s", received.Operator, received.Request.Text)
 	issue, err := c.commander.Prepare(c.now, c.wallMs(), c.state, order)
 	if err != nil {
-		c.refuse(received.Call, err)
+		c.refuseAudited(received, err)
 		return
 	}
 	issue.RequestId = received.Request.RequestId
@@ -35,10 +35,10 @@
 	record := c.state.Engine(engine)
 	switch {
 	case record == nil:
-		c.refuse(received.Call, trace.Wrap(controlstate.ErrUnknownEngine, "engine %q; see `show engines`", engine))
+		c.refuseAudited(received, trace.Wrap(controlstate.ErrUnknownEngine, "engine %q; see `show engines`", engine))
 		return
 	case record.Outstanding == nil:
-		c.refuse(received.Call, trace.Wrap(controlstate.ErrNoSuchOrder, "engine %q holds no order", engine))
+		c.refuseAudited(received, trace.Wrap(controlstate.ErrNoSuchOrder, "engine %q holds no order", engine))
 		return
 	}
 	abort := &v1.AbortOrder{
@@ -93,7 +93,7 @@
 func (c *Core) unpin(received ExecuteReceived, engine string) {
 	pinned := c.pinOf(engine)
 	if pinned == nil {
-		c.refuse(received.Call, trace.NotFound("engine %q is not pinned", engine))
+		c.refuseAudited(received, trace.NotFound("engine %q is not pinned", engine))
 		return
 	}
 	c.declareForOperator(received, &v1.Object{Key: pinned.Key, Deleted: true})
@@ -101,7 +101,7 @@
 
 func (c *Core) deleteObject(received ExecuteReceived, key *v1.ObjectKey) {
 	if c.state.Object(key.GetType(), key.GetName()) == nil {
-		c.refuse(received.Call, trace.NotFound("%s is not declared", controlstate.KeyOf(key)))
+		c.refuseAudited(received, trace.NotFound("%s is not declared", controlstate.KeyOf(key)))
 		return
 	}
 	c.declareForOperator(received, &v1.Object{Key: key, Deleted: true})
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -49,6 +49,10 @@
 	leadingTerm  uint64
 	leadingSince time.Duration
 	duties       duties
+	// heldBack says, by engine, which declared change could not be ordered and why.
+	heldBack map[string]string
+	// revisions are the log indexes of the last applied revisions.
+	revisions revisionIndex
 }
 
 // New returns the Core of a controller that starts with what its disk held.
@@ -125,6 +129,8 @@
 		c.takePlan(received)
 	case ExecuteReceived:
 		c.takeExecute(received)
+	case RefusalReceived:
+		c.takeRefusal(received)
 	case SyncReceived:
 		c.takeSync(received)
 	case ReportReceived:
--- a/internal/control/drive.go
+++ b/internal/control/drive.go
@@ -46,6 +46,7 @@
 	c.state = state
 	c.applied = snapshot.GetMetadata().GetIndex()
 	c.snapshotAt = c.applied
+	c.revisions.add(c.applied, c.state.Revision())
 	c.refreshPages()
 }
 
@@ -71,6 +72,7 @@
 	}
 	result := c.state.Apply(entry.Index, command)
 	c.noteApplied(command)
+	c.revisions.add(entry.Index, c.state.Revision())
 	if waiting {
 		call.finish(c, result)
 	}
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"github.com/gravitational/trace"
+
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+	"github.com/hazelpitch/hazelpitch/internal/language"
 )
 
 // Intervals of the leader's duties.
@@ -91,8 +94,11 @@
 // reconcileDeclared orders engines to be what is declared: pinned roles, the models'
 // versions in force, and adapters. What may not be ordered now is tried again.
 func (c *Core) reconcileDeclared() {
+	c.heldBack = map[string]string{}
 	for _, order := range declaredOrders(c.state) {
-		_ = c.issueOrder(order)
+		if err := c.issueOrder(order); err != nil {
+			c.heldBack[order.Engine] = language.OrderText(order) + ": " + trace.UserMessage(err)
+		}
 	}
 }
 
--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -15,12 +15,8 @@
 		c.refuse(received.Call, err)
 		return
 	}
-	if required := statement.RequiredRole(); !language.Allowed(received.Role, required) {
-		c.refuse(received.Call, trace.AccessDenied("operator %q has role %s; this needs %s",
-			received.Operator, language.OperatorRoleWord(received.Role), language.OperatorRoleWord(required)))
-		return
-	}
-	if _, dump := statement.(language.DumpLogs); dump {
+	denied := c.checkRole(received, statement)
+	if _, dump := statement.(language.DumpLogs); dump && denied == nil {
 		c.dumpLogs(received)
 		return
 	}
@@ -28,6 +24,10 @@
 		return
 	}
 	command, isCommand := statement.(language.Command)
+	if denied != nil {
+		c.refuseAudited(received, denied)
+		return
+	}
 	if !isCommand {
 		c.evaluate(received, statement)
 		return
@@ -35,6 +35,39 @@
 	c.executeCommand(received, command)
 }
 
+// checkRole demands the role that a statement needs.
+func (c *Core) checkRole(received ExecuteReceived, statement language.Statement) error {
+	required := statement.RequiredRole()
+	if language.Allowed(received.Role, required) {
+		return nil
+	}
+	return trace.AccessDenied("operator %q has role %s; this needs %s",
+		received.Operator, language.OperatorRoleWord(received.Role), language.OperatorRoleWord(required))
+}
+
+// refuseAudited refuses a command at the leader; the audit trail tells why.
+func (c *Core) refuseAudited(received ExecuteReceived, err error) {
+	c.auditRefusal(received.Operator, received.Request.RequestId, received.Request.Text, err)
+	c.refuse(received.Call, err)
+}
+
+// takeRefusal refuses a call that the runtime has found not to be allowed; the audit
+// trail tells why.
+func (c *Core) takeRefusal(received RefusalReceived) {
+	if !c.demandLeader(received.Call) {
+		return
+	}
+	c.auditRefusal(received.Operator, received.RequestID, received.Text, received.Err)
+	c.refuse(received.Call, received.Err)
+}
+
+// auditRefusal writes a refused command into the audit trail.
+func (c *Core) auditRefusal(operator, requestID, text string, err error) {
+	c.proposeQuietly(&v1.Command{Body: &v1.Command_RecordRequest{RecordRequest: &v1.RecordRequest{
+		Operator: operator, RequestId: requestID, Text: text, Refusal: trace.UserMessage(err),
+	}}})
+}
+
 // evaluate answers a query from the applied state.
 func (c *Core) evaluate(received ExecuteReceived, statement language.Statement) {
 	response, err := language.Evaluate(statement, &view{core: c})
--- a/internal/control/input.go
+++ b/internal/control/input.go
@@ -48,6 +48,14 @@
 	Request  *v1.ExecuteRequest
 }
 
+// RefusalReceived is a call of an authenticated operator that the runtime refuses;
+// the audit trail keeps why.
+type RefusalReceived struct {
+	Call                      CallID
+	Operator, RequestID, Text string
+	Err                       error
+}
+
 // SyncReceived is a gateway's heartbeat.
 type SyncReceived struct {
 	Call    CallID
@@ -99,6 +107,7 @@
 func (Tick) isInput()                {}
 func (PeerMessage) isInput()         {}
 func (Persisted) isInput()           {}
+func (RefusalReceived) isInput()     {}
 func (ApplyReceived) isInput()       {}
 func (PlanReceived) isInput()        {}
 func (ExecuteReceived) isInput()     {}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -30,6 +30,7 @@
 	c.divider.Lead(c.now, epoch == 0)
 	c.demands = demand.NewTable()
 	c.planning = newPlanning()
+	c.heldBack = nil
 }
 
 func (c *Core) stopLeading() {
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -18,12 +18,12 @@
 func (c *Core) changeMembers(received ExecuteReceived, command language.Command) {
 	members, message, err := memberStep(c.consensus.Status().Membership, command)
 	if err != nil {
-		c.refuse(received.Call, err)
+		c.refuseAudited(received, err)
 		return
 	}
 	index, term, err := c.consensus.ProposeMembership(c.now, members)
 	if err != nil {
-		c.refuse(received.Call, c.proposalError(err))
+		c.refuseAudited(received, c.proposalError(err))
 		return
 	}
 	c.wait(index, term, received.Call, func(core *Core, _ controlstate.Result) {
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -47,8 +47,9 @@
 		name := record.State.Engine
 		engine := language.EngineView{
 			State: record.State, RoleSinceMs: record.RoleSinceMs, Outstanding: record.Outstanding,
-			Serving: v.core.tracker.BackEndState(v.core.now, name),
-			Pinned:  v.core.pinOf(name).GetPin().GetRole(),
+			Serving:  v.core.tracker.BackEndState(v.core.now, name),
+			Pinned:   v.core.pinOf(name).GetPin().GetRole(),
+			HeldBack: v.core.heldBack[name],
 		}
 		if machine := v.core.tracker.Machine(name); machine != nil && machine.Load != nil {
 			engine.Load = machine.BackEndLoad()
@@ -74,9 +75,8 @@
 			Name: member.Member.Name, Program: "controller", Zone: member.Member.Zone,
 			Address: member.Member.Address, HeardAtMs: member.HeardAtMs,
 		}
-		if member.Leader {
-			node.Revision = v.core.state.Revision()
-		}
+		revision, known := v.core.revisions.at(member.MatchIndex)
+		node.Revision, node.RevisionUnknown = revision, !known
 		nodes = append(nodes, node)
 	}
 	slices.SortFunc(nodes, func(a, b language.NodeView) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/controller/input_names.go
+++ b/internal/controller/input_names.go
@@ -11,7 +11,7 @@
 		return "consensus"
 	case control.Persisted:
 		return "persisted"
-	case control.ApplyReceived, control.PlanReceived:
+	case control.ApplyReceived, control.PlanReceived, control.RefusalReceived:
 		return "configuration"
 	case control.ExecuteReceived:
 		return "query"
--- a/internal/controller/operator_service.go
+++ b/internal/controller/operator_service.go
@@ -48,17 +48,27 @@
 	if err != nil {
 		return nil, connectError(trace.BadParameter("%v", err))
 	}
-	if required := language.RequiredRoleToApply(objects, request.Msg.GetPrune()); !language.Allowed(operator.role, required) {
-		return nil, connectError(trace.AccessDenied("operator %q is %s; this declaration needs %s",
-			operator.name, language.OperatorRoleWord(operator.role), language.OperatorRoleWord(required)))
-	}
+	denied := checkRoleToApply(operator, objects, request.Msg)
 	return serve(ctx, o.service, request,
 		func(call control.CallID) control.Input {
+			if denied != nil {
+				return control.RefusalReceived{Call: call, Operator: operator.name, RequestID: request.Msg.GetRequestId(), Text: "apply", Err: denied}
+			}
 			return control.ApplyReceived{Call: call, Operator: operator.name, Request: request.Msg, Objects: objects}
 		},
 		forwardToOperator(hazelpitchv1connect.OperatorServiceClient.Apply))
 }
 
+// checkRoleToApply demands the role that a declaration needs.
+func checkRoleToApply(operator operatorIdentity, objects []*v1.Object, request *v1.ApplyRequest) error {
+	required := language.RequiredRoleToApply(objects, request.GetPrune())
+	if language.Allowed(operator.role, required) {
+		return nil
+	}
+	return trace.AccessDenied("operator %q is %s; this declaration needs %s",
+		operator.name, language.OperatorRoleWord(operator.role), language.OperatorRoleWord(required))
+}
+
 // Plan tells what Apply would change.
 func (o operatorService) Plan(ctx context.Context, request *connect.Request[v1.PlanRequest]) (*connect.Response[v1.PlanResponse], error) {
 	if _, err := o.authenticate(ctx, request.Header()); err != nil {
--- a/internal/controller/operator_service_test.go
+++ b/internal/controller/operator_service_test.go
@@ -29,6 +29,8 @@
 			return []control.Output{respond(received.Call, input)}
 		case control.ExecuteReceived:
 			return []control.Output{respond(received.Call, input)}
+		case control.RefusalReceived:
+			return []control.Output{respond(received.Call, input)}
 		}
 		return nil
 	}
@@ -58,8 +60,12 @@
 }
 
 func TestOperatorsAreAuthenticatedAndTheirRoleIsChecked(t *testing.T) {
-	var operator string
+	var operator, refused string
 	server := testController(t, func(call control.CallID, input control.Input) control.Answer {
+		if refusal, is := input.(control.RefusalReceived); is {
+			refused = refusal.Operator + " " + refusal.RequestID
+			return control.Answer{Call: call, Err: refusal.Err}
+		}
 		operator = input.(control.ApplyReceived).Operator
 		return control.Answer{Call: call, Response: &v1.ApplyResponse{Revision: 4}}
 	})
@@ -75,6 +81,7 @@
 		require.Equal(t, row.code, connect.CodeOf(err), row.key)
 	}
 	require.Empty(t, operator)
+	require.Equal(t, "vera r", refused, "the core audits the refusal")
 	response, err := apply(server, "first")
 	require.NoError(t, err)
 	require.Equal(t, uint64(4), response.Msg.GetRevision())
--- a/internal/controlstate/requests.go
+++ b/internal/controlstate/requests.go
@@ -88,6 +88,12 @@
 
 // recordRequest remembers an operator's command that changed nothing in the log itself.
 func (s *State) recordRequest(at int64, request *v1.RecordRequest) Result {
+	if request.Refusal != "" {
+		s.addAudit(at, &v1.AuditRecord{
+			Operator: request.Operator, RequestId: request.RequestId, Text: request.Text, Outcome: "refused: " + request.Refusal,
+		})
+		return Result{}
+	}
 	first, err := s.FirstAnswer(request.Operator, request.RequestId, request.Text)
 	if err != nil {
 		return Result{Err: err}
--- a/internal/enginecontract/messages.go
+++ b/internal/enginecontract/messages.go
@@ -107,6 +107,9 @@
 	Model       string       `json:"model"`
 	Version     string       `json:"version"`
 	Adapters    []string     `json:"adapters,omitempty"`
+	// AdapterVersions holds the version of each adapter by name. An adapter that is
+	// missing here counts as having the declared version.
+	AdapterVersions map[string]string `json:"adapter_versions,omitempty"`
 	// HighestFence is the highest fence seen; it survives a restart of the engine.
 	HighestFence Fence `json:"highest_fence"`
 	// OrderFence and OrderPhase describe the last accepted order.
--- a/internal/language/evaluate_engine.go
+++ b/internal/language/evaluate_engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 )
@@ -15,13 +16,18 @@
 	state := engine.State
 	e.add("role", RoleWord(state.GetRole()), engine.RoleSinceMs, 0, e.roleReason(engine))
 	e.pin(name)
-	e.add("state", stateWord(engine.Serving), 0, 0, "")
+	e.add("state", stateWord(engine.Serving), 0, 0, e.stateReason(engine))
 	e.add("service", state.GetService(), 0, 0, "machine list")
 	e.add("zone", state.GetZone(), 0, 0, "machine list")
 	e.model(state)
+	e.adapters(state)
 	if order := engine.Outstanding; order != nil {
 		e.add("order", fenceText(order)+" "+actionText(order), order.GetIssuedAtMs(), 0, order.GetReason())
 	}
+	if engine.HeldBack != "" {
+		e.add("held back", engine.HeldBack, 0, 0, "declared, and not ordered yet")
+	}
+	e.planner(state.GetService())
 	if load := engine.Load; load != nil {
 		value := fmt.Sprintf("%d running, %d waiting, %.0f%% of the KV cache", load.GetRunning(), load.GetWaiting(), 100*load.GetKvCacheUsed())
 		e.add("load", value, max(0, e.view.NowMs()-engine.LoadAgeMs), 0, "last report")
@@ -57,6 +63,50 @@
 	return "reported by the engine; no order is remembered"
 }
 
+// stateReason says why an engine gets no new work, as far as an order is the reason.
+func (e *explanation) stateReason(engine EngineView) string {
+	if engine.Serving == v1.BackEndState_BACK_END_STATE_SERVING {
+		return ""
+	}
+	if engine.Outstanding != nil {
+		return "order " + fenceText(engine.Outstanding) + " is under way"
+	}
+	orders := e.view.Orders(engine.State.GetEngine())
+	for i := len(orders) - 1; i >= 0; i-- {
+		order := orders[i].Order
+		if order.GetAction() == v1.OrderAction_ORDER_ACTION_RESUME {
+			break
+		}
+		if order.GetAction() == v1.OrderAction_ORDER_ACTION_DRAIN && orders[i].Outcome == v1.OrderOutcome_ORDER_OUTCOME_DONE {
+			return "order " + fenceText(order) + ": " + order.GetReason()
+		}
+	}
+	return "reported by the engine or the machine list"
+}
+
+// adapters explains each adapter that an engine serves.
+func (e *explanation) adapters(state *v1.EngineState) {
+	declared := map[string]*v1.Object{}
+	for _, object := range e.view.Objects() {
+		if object.GetAdapter() != nil {
+			declared[object.GetKey().GetName()] = object
+		}
+	}
+	for _, name := range state.GetAdapters() {
+		version := state.GetAdapterVersions()[name]
+		object := declared[name]
+		if object == nil {
+			e.add("adapter", strings.TrimSpace(name+" "+version), 0, 0, "reported by the engine; the adapter is not declared")
+			continue
+		}
+		reason := e.revisionReason(object.GetRevision())
+		if wanted := object.GetAdapter().GetVersion(); version != "" && version != wanted {
+			reason = "version " + wanted + " is declared, not loaded yet; " + reason
+		}
+		e.add("adapter", strings.TrimSpace(name+" "+version), object.GetAcceptedAtMs(), object.GetRevision(), reason)
+	}
+}
+
 // pin explains the pin of an engine, if there is one.
 func (e *explanation) pin(name string) {
 	for _, object := range e.view.Objects() {
@@ -68,7 +118,7 @@
 
 // model compares the version an engine serves with the one declared.
 func (e *explanation) model(state *v1.EngineState) {
-	value := state.GetModel() + " " + state.GetVersion()
+	value := strings.TrimSpace(state.GetModel() + " " + state.GetVersion())
 	for _, object := range e.view.Objects() {
 		if model := object.GetModel(); model != nil && object.GetKey().GetName() == state.GetModel() {
 			reason := e.revisionReason(object.GetRevision())
--- a/internal/language/evaluate_explain.go
+++ b/internal/language/evaluate_explain.go
@@ -141,8 +141,13 @@
 			e.add(KeyText(object.GetKey()), summary(schema, schema.message(object, false)), object.GetAcceptedAtMs(), object.GetRevision(), e.revisionReason(object.GetRevision()))
 		}
 	}
+	e.planner(name)
+}
+
+// planner tells the planner's last decision for a service.
+func (e *explanation) planner(service string) {
 	for _, decision := range e.view.PlannerReasons() {
-		if decision.Service == name {
+		if decision.Service == service {
 			e.add("planner", fmt.Sprintf("%d changes", decision.Changes), decision.AtMs, 0, decision.Reason)
 		}
 	}
--- a/internal/language/order_text.go
+++ b/internal/language/order_text.go
@@ -12,6 +12,9 @@
 	return fmt.Sprintf("%d/%d", order.GetEpoch(), order.GetSequence())
 }
 
+// OrderText writes what an order asks, such as "set role decode".
+func OrderText(order *v1.Order) string { return actionText(order) }
+
 // actionText writes what an order asks, such as "set role decode".
 func actionText(order *v1.Order) string {
 	words := []string{strings.ReplaceAll(enumWord(order.GetAction().String(), "ORDER_ACTION_"), "_", " ")}
--- a/internal/language/rows.go
+++ b/internal/language/rows.go
@@ -1,5 +1,11 @@
 package language
 
+import (
+	"strings"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
 func revisionRows(view View) [][]Value {
 	var rows [][]Value
 	for _, revision := range view.Revisions() {
@@ -41,6 +47,7 @@
 			TextValue(stateWord(engine.Serving)),
 			TextValue(engine.State.GetModel()),
 			TextValue(engine.State.GetVersion()),
+			TextValue(adaptersText(engine.State)),
 			timeCell(engine.RoleSinceMs),
 			TextValue(order),
 			countCell(engine.Load.GetRunning()),
@@ -51,6 +58,23 @@
 	return rows
 }
 
+// adaptersText lists an engine's adapters as "name version".
+func adaptersText(state *v1.EngineState) string {
+	var texts []string
+	for _, adapter := range state.GetAdapters() {
+		texts = append(texts, strings.TrimSpace(adapter+" "+state.GetAdapterVersions()[adapter]))
+	}
+	return strings.Join(texts, ", ")
+}
+
+// revisionCell is empty, and below every number, when the revision is not known.
+func revisionCell(node NodeView) Value {
+	if node.RevisionUnknown {
+		return Value{Numeric: true, Number: -1}
+	}
+	return countCell(node.Revision)
+}
+
 func nodeRows(view View) [][]Value {
 	var rows [][]Value
 	for _, node := range view.Nodes() {
@@ -59,7 +83,7 @@
 			TextValue(node.Program),
 			TextValue(node.Zone),
 			TextValue(node.Address),
-			countCell(node.Revision),
+			revisionCell(node),
 			silenceCell(view.NowMs(), node.HeardAtMs),
 			booleanCell(node.Leaving),
 		})
--- a/internal/language/view.go
+++ b/internal/language/view.go
@@ -65,6 +65,9 @@
 	// Load is what the engine reported last, LoadAgeMs ago; nil when it never did.
 	Load      *v1.BackEndLoad
 	LoadAgeMs int64
+	// HeldBack says which declared change the engine waits for and why it has not
+	// been ordered; empty when nothing waits, or on a controller that is not the leader.
+	HeldBack string
 }
 
 // NodeView is one gateway or controller.
@@ -73,11 +76,14 @@
 	Program string // gateway or controller
 	Zone    string
 	Address string
-	// Revision is the one in force at the node when it was last heard.
-	Revision    uint64
-	HeardAtMs   int64
-	Leaving     bool
-	Incarnation uint64
+	// Revision is the one in force at a gateway when it was last heard, and the one
+	// on a controller's disk. RevisionUnknown tells that the answering controller
+	// does not know it.
+	Revision        uint64
+	RevisionUnknown bool
+	HeardAtMs       int64
+	Leaving         bool
+	Incarnation     uint64
 }
 
 // MemberView is one member of the controllers' quorum.
--- a/internal/language/view_test.go
+++ b/internal/language/view_test.go
@@ -39,6 +39,7 @@
 }
 func (v *view) Nodes() []NodeView {
 	return []NodeView{
+		{Name: "controller-a", Program: "controller", RevisionUnknown: true},
 		{Name: "gateway-a", Program: "gateway", Zone: "sala-ate", Revision: 3, HeardAtMs: viewNow - 500},
 		{Name: "gateway-b", Program: "gateway", Zone: "sala-ate", Revision: 2},
 	}
@@ -70,25 +71,29 @@
 	}
 	policy := &v1.Object{Key: key(v1.ObjectType_OBJECT_TYPE_POLICY, "calm"), Revision: 1, Spec: &v1.Object_Policy{Policy: &v1.Policy{Service: "motor", ChangePrice: 3}}}
 	service := &v1.Object{Key: key(v1.ObjectType_OBJECT_TYPE_SERVICE, "motor"), Revision: 1, Spec: &v1.Object_Service{Service: &v1.Service{Type: v1.ServiceType_SERVICE_TYPE_ENGINE, Model: "emparejo"}}}
+	adapter := &v1.Object{Key: key(v1.ObjectType_OBJECT_TYPE_ADAPTER, "minas"), Revision: 2, AcceptedAtMs: viewNow - 98_000, Spec: &v1.Object_Adapter{Adapter: &v1.Adapter{Model: "emparejo", Version: "2"}}}
 	setRole := func(engine string, sequence uint64, role v1.Role, reason string) *v1.Order {
 		return &v1.Order{Engine: engine, Epoch: 4, Sequence: sequence, Action: v1.OrderAction_ORDER_ACTION_SET_ROLE, Role: role, Reason: reason, IssuedAtMs: viewNow - 5000}
 	}
 	outstanding := setRole("motor-2", 8, v1.Role_ROLE_PREFILL, "prompts wait")
+	drain := &v1.Order{Engine: "motor-3", Epoch: 4, Sequence: 6, Action: v1.OrderAction_ORDER_ACTION_DRAIN, Reason: "operator ana: drain engine motor-3"}
 	return &view{
 		revisions: []RevisionView{
 			{Revision: 1, ChangeNumber: 1, Operator: "ana", SourceRevision: "abc123", Objects: 3, AcceptedAtMs: viewNow - 99_000},
 			{Revision: 2, ChangeNumber: 2, Operator: "beto", Objects: 1, AcceptedAtMs: viewNow - 98_000},
 			{Revision: 3, ChangeNumber: 3, Operator: "ana", SourceRevision: "def456", Objects: 1, AcceptedAtMs: viewNow - 97_000},
 		},
-		objects: []*v1.Object{tenant(3, 500, 3), service, policy},
+		objects: []*v1.Object{tenant(3, 500, 3), adapter, service, policy},
 		history: []*v1.Object{tenant(2, 100, 1), tenant(2, 500, 2), tenant(3, 500, 3)},
 		engines: []EngineView{
-			{State: &v1.EngineState{Engine: "motor-1", Service: "motor", Zone: "sala-ate", Role: v1.Role_ROLE_DECODE, Model: "emparejo", Version: "1"}, Serving: v1.BackEndState_BACK_END_STATE_SERVING, RoleSinceMs: viewNow - 4000, Load: &v1.BackEndLoad{Running: 7}, LoadAgeMs: 1500},
-			{State: &v1.EngineState{Engine: "motor-2", Service: "motor", Zone: "sala-callao", Role: v1.Role_ROLE_DECODE}, Serving: v1.BackEndState_BACK_END_STATE_CHANGING, Outstanding: outstanding},
+			{State: &v1.EngineState{Engine: "motor-1", Service: "motor", Zone: "sala-ate", Role: v1.Role_ROLE_DECODE, Model: "emparejo", Version: "1", Adapters: []string{"minas", "selva"}, AdapterVersions: map[string]string{"minas": "1"}}, Serving: v1.BackEndState_BACK_END_STATE_SERVING, RoleSinceMs: viewNow - 4000, Load: &v1.BackEndLoad{Running: 7}, LoadAgeMs: 1500},
+			{State: &v1.EngineState{Engine: "motor-2", Service: "motor", Zone: "sala-callao", Role: v1.Role_ROLE_DECODE}, Serving: v1.BackEndState_BACK_END_STATE_CHANGING, Outstanding: outstanding, HeldBack: "load adapter minas 2: 2 of 2 loads are under way"},
+			{State: &v1.EngineState{Engine: "motor-3", Service: "motor", Zone: "sala-callao", Role: v1.Role_ROLE_MIXED}, Serving: v1.BackEndState_BACK_END_STATE_CHANGING},
 		},
 		orders: []OrderView{
 			{Order: setRole("motor-1", 7, v1.Role_ROLE_DECODE, "output waits"), Outcome: v1.OrderOutcome_ORDER_OUTCOME_DONE, FinishedAtMs: viewNow - 4000},
 			{Order: outstanding},
+			{Order: drain, Outcome: v1.OrderOutcome_ORDER_OUTCOME_DONE},
 		},
 	}
 }
--- a/internal/standin/engine/orders/durable.go
+++ b/internal/standin/engine/orders/durable.go
@@ -10,6 +10,8 @@
 	Model        string
 	Version      string
 	Adapters     []string
+	// AdapterVersions by adapter; those of the first start are not known.
+	AdapterVersions map[string]string
 	// Order is the last accepted order and Phase how far it has come.
 	Order enginecontract.Order
 	Phase enginecontract.OrderPhase
--- a/internal/standin/engine/orders/machine.go
+++ b/internal/standin/engine/orders/machine.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -50,6 +51,7 @@
 func (m *Machine) Durable() Durable {
 	kept := m.durable
 	kept.Adapters = slices.Clone(kept.Adapters)
+	kept.AdapterVersions = maps.Clone(kept.AdapterVersions)
 	return kept
 }
 
@@ -145,7 +147,7 @@
 	case enginecontract.ActionLoadModel:
 		return order.Model == m.durable.Model && order.Version == m.durable.Version
 	case enginecontract.ActionLoadAdapter:
-		return slices.Contains(m.durable.Adapters, order.Adapter)
+		return slices.Contains(m.durable.Adapters, order.Adapter) && m.durable.AdapterVersions[order.Adapter] == order.Version
 	case enginecontract.ActionUnloadAdapter:
 		return !slices.Contains(m.durable.Adapters, order.Adapter)
 	}
@@ -191,17 +193,32 @@
 	case enginecontract.ActionSetRole:
 		m.durable.Role = order.Role
 	case enginecontract.ActionLoadModel:
-		m.durable.Model, m.durable.Version, m.durable.Adapters = order.Model, order.Version, nil
+		m.durable.Model, m.durable.Version, m.durable.Adapters, m.durable.AdapterVersions = order.Model, order.Version, nil, nil
 	case enginecontract.ActionLoadAdapter:
-		m.durable.Adapters = append(slices.Clone(m.durable.Adapters), order.Adapter)
-		slices.Sort(m.durable.Adapters)
+		m.loadAdapter(order.Adapter, order.Version)
 	case enginecontract.ActionUnloadAdapter:
 		m.durable.Adapters = slices.DeleteFunc(slices.Clone(m.durable.Adapters), func(name string) bool { return name == order.Adapter })
+		m.durable.AdapterVersions = maps.Clone(m.durable.AdapterVersions)
+		delete(m.durable.AdapterVersions, order.Adapter)
 	case enginecontract.ActionDrain:
 		m.durable.Held = true
 	}
 }
 
+// loadAdapter adds an adapter, or puts another version in its place.
+func (m *Machine) loadAdapter(name, version string) {
+	if !slices.Contains(m.durable.Adapters, name) {
+		m.durable.Adapters = append(slices.Clone(m.durable.Adapters), name)
+		slices.Sort(m.durable.Adapters)
+	}
+	versions := maps.Clone(m.durable.AdapterVersions)
+	if versions == nil {
+		versions = make(map[string]string)
+	}
+	versions[name] = version
+	m.durable.AdapterVersions = versions
+}
+
 // NextEvent is when Advance has something to do by time alone; false when nothing.
 func (m *Machine) NextEvent() (time.Duration, bool) {
 	switch {
@@ -266,6 +283,8 @@
 // State is the engine's state as its contract shows it.
 func (m *Machine) State(inFlight int) enginecontract.EngineState {
 	return enginecontract.EngineState{
+		AdapterVersions: maps.Clone(m.durable.AdapterVersions),
+
 		Engine:       m.config.Engine,
 		Service:      m.config.Service,
 		Zone:         m.config.Zone,
--- a/internal/standin/engine/orders/machine_test.go
+++ b/internal/standin/engine/orders/machine_test.go
@@ -150,6 +150,28 @@
 	require.False(t, machine.Serves("a"))
 }
 
+// TestAnotherAdapterVersionTakesTheOldOnesPlace loads a second version: the first is
+// served until the second is there, and a restart in between keeps the first.
+func TestAnotherAdapterVersionTakesTheOldOnesPlace(t *testing.T) {
+	load := func(sequence uint64, version string) enginecontract.Order {
+		return enginecontract.Order{Fence: enginecontract.Fence{Epoch: 1, Sequence: sequence}, Action: enginecontract.ActionLoadAdapter, Adapter: "a", Version: version}
+	}
+	for _, restart := range []bool{false, true} {
+		machine := newMachine()
+		require.True(t, machine.Order(0, load(1, "1"), 0).Accepted)
+		machine.Advance(time.Second, 0)
+		require.True(t, machine.Order(time.Second, load(2, "2"), 0).Accepted)
+		require.True(t, machine.Serves("a"))
+		require.Equal(t, map[string]string{"a": "1"}, machine.State(0).AdapterVersions)
+		if restart {
+			machine = New(Config{Engine: "e1", Incarnation: 2}, machine.Durable())
+		}
+		machine.Advance(2*time.Second, 0)
+		require.Equal(t, map[string]string{"a": map[bool]string{false: "2", true: "1"}[restart]}, machine.State(0).AdapterVersions)
+		require.Equal(t, []string{"a"}, machine.State(0).Adapters)
+	}
+}
+
 // TestNoOrderCutsOrOverlaps sends orders of racing leaders, resends and crashes at
 // random and checks what must always hold.
 func TestNoOrderCutsOrOverlaps(t *testing.T) {
