--- a/internal/benchcommand/fleet.go
+++ b/internal/benchcommand/fleet.go
@@ -12,6 +12,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/fleet"
 	"github.com/hazelpitch/hazelpitch/internal/load"
+	"github.com/hazelpitch/hazelpitch/internal/scenario"
 )
 
 // bootTimeout bounds the time from a fleet's start until its gateways are ready.
@@ -23,6 +24,9 @@
 	Network    string `long:"network" value-name:"127.N" description:"first two numbers of the addresses; default: the deployment's own; free takes any that is free"`
 	Directory  string `long:"directory" value-name:"DIR" description:"where the run's settings, data and logs go; default: a temporary directory that is removed at the end"`
 	NoApply    bool   `long:"no-apply" description:"leave the declarations to the operator"`
+	Scenario   string `long:"scenario" value-name:"FILE" description:"take engines and latencies from a scenario, send its requests, print the result and end"`
+	Seed       uint64 `long:"seed" default:"1" description:"draws the scenario's requests"`
+	JSON       bool   `long:"json" description:"print the scenario's result as hazelbench experiment does"`
 }
 
 // freeNetwork is the value of --network that takes any free network.
@@ -47,16 +51,9 @@
 		return trace.Wrap(err)
 	}
 	defer remove()
-	options := fleet.Options{Deployment: f.Deployment, Directory: directory, Network: f.Network, Serve: serveArguments}
-	if options.Network == "" {
-		description, err := fleet.LoadDescription(f.Deployment)
-		if err != nil {
-			return &usageError{cause: err}
-		}
-		options.Network = description.Network
-	}
-	if options.Network == freeNetwork {
-		options.Network = ""
+	options, err := f.options(directory)
+	if err != nil {
+		return &usageError{cause: err}
 	}
 	started, err := fleet.Start(options)
 	if err != nil {
@@ -66,11 +63,37 @@
 	if err := boot(ctx, started, !f.NoApply, environment.Stderr); err != nil {
 		return trace.Wrap(err)
 	}
+	if options.Scenario != nil {
+		return runScenario(ctx, started, *options.Scenario, f.Seed, f.JSON, environment)
+	}
 	describe(started, environment.Stdout)
 	<-ctx.Done()
 	return nil
 }
 
+// options are what the fleet is started with; an error is a mistake in the files.
+func (f *fleetFlags) options(directory string) (fleet.Options, error) {
+	options := fleet.Options{Deployment: f.Deployment, Directory: directory, Network: f.Network, Serve: serveArguments}
+	if f.Scenario != "" {
+		read, err := scenario.Load(f.Scenario)
+		if err != nil {
+			return options, trace.Wrap(err)
+		}
+		options.Scenario = &read
+	}
+	switch f.Network {
+	case freeNetwork:
+		options.Network = ""
+	case "":
+		description, err := fleet.LoadDescription(f.Deployment)
+		if err != nil {
+			return options, trace.Wrap(err)
+		}
+		options.Network = description.Network
+	}
+	return options, nil
+}
+
 // noArguments refuses arguments that are not flags.
 func noArguments(rest []string) error {
 	if len(rest) > 0 {
--- a/internal/experiment/recorder.go
+++ b/internal/experiment/recorder.go
@@ -165,19 +165,7 @@
 		r.run.Tenants = append(r.run.Tenants, *r.tenants[name])
 	}
 	r.run.Latencies = Latencies{
-		FirstToken: percentiles(r.firstToken), BetweenTokens: percentiles(r.betweenTokens), Whole: percentiles(r.whole),
+		FirstToken: PercentilesOf(r.firstToken), BetweenTokens: PercentilesOf(r.betweenTokens), Whole: PercentilesOf(r.whole),
 	}
 	return &r.run
 }
-
-// percentiles of durations, in milliseconds.
-func percentiles(values []time.Duration) Percentiles {
-	if len(values) == 0 {
-		return Percentiles{}
-	}
-	slices.Sort(values)
-	at := func(quantile float64) float64 {
-		return float64(values[int(quantile*float64(len(values)-1))]) / float64(time.Millisecond)
-	}
-	return Percentiles{Count: len(values), P50: at(0.5), P90: at(0.9), P99: at(0.99), Max: at(1)}
-}
--- a/internal/fleet/description.go
+++ b/internal/fleet/description.go
@@ -90,6 +90,10 @@
 	Replicas map[string]int `yaml:"replicas"`
 	// Speed makes engines so many times as fast as their profile; 0 is 1.
 	Speed float64 `yaml:"speed"`
+	// RoleChange is the time of an engine's role change; 0 is the profile's.
+	RoleChange time.Duration `yaml:"role_change"`
+	// LoadLag is the age of engines' load reports; 0 is the stand-in's default.
+	LoadLag time.Duration `yaml:"load_lag"`
 	// Faults every replica starts with.
 	Faults []fault.Fault `yaml:"faults"`
 }
@@ -131,6 +135,9 @@
 		if service.Speed < 0 {
 			return trace.BadParameter("service %s: speed must not be negative", service.Name)
 		}
+		if service.RoleChange < 0 || service.LoadLag < 0 {
+			return trace.BadParameter("service %s: role_change and load_lag must not be negative", service.Name)
+		}
 		for zone := range service.Replicas {
 			if !zones[zone] {
 				return trace.BadParameter("service %s: zone %q is not one of the zones", service.Name, zone)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/enginemodel"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
+	"github.com/hazelpitch/hazelpitch/internal/scenario"
 )
 
 // readyPoll is the time between looks at whether a process is ready.
@@ -30,6 +31,9 @@
 	Network string
 	// Profile of the stand-in engines; the zero value is the default profile.
 	Profile enginemodel.Profile
+	// Scenario, when not nil, sets engines, their roles, latencies and lags in place of
+	// the deployment's description.
+	Scenario *scenario.Scenario
 	// Serve makes the arguments for this program to run a server. Required.
 	Serve ServeArguments
 }
@@ -51,6 +55,11 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if options.Scenario != nil {
+		if description, err = description.ForScenario(*options.Scenario); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
 	var reserved *reservation
 	if options.Network == "" {
 		reserved, err = reserveAny()
@@ -77,7 +86,7 @@
 		return trace.ConvertSystemError(err)
 	}
 	options.Directory = directory
-	processes, err := prepare(options, written, f.Description.Network)
+	processes, err := prepare(options, written.Network, f.Description)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/fleet/outside.go
+++ b/internal/fleet/outside.go
@@ -71,10 +71,14 @@
 		o.Pages = append(o.Pages, started)
 		return nil
 	}
+	own := profile.Faster(service.Speed)
+	if service.RoleChange > 0 {
+		own.RoleChange = service.RoleChange
+	}
 	started, err := engine.Start(engine.Config{
 		Name: replica.Name, Service: service.Name, Zone: replica.Zone, Address: replica.Address,
-		Role: replica.Role, Model: service.Model, Version: service.Version, Profile: profile.Faster(service.Speed),
-		WeightStore: description.WeightStore.Address, Faults: service.Faults, Listen: listen,
+		Role: replica.Role, Model: service.Model, Version: service.Version, Profile: own,
+		WeightStore: description.WeightStore.Address, LoadLag: service.LoadLag, Faults: service.Faults, Listen: listen,
 	})
 	if err != nil {
 		return trace.Wrap(err)
--- /dev/null
+++ b/internal/fleet/scenario.go
@@ -0,0 +1,41 @@
+package fleet
+
+import (
+	"slices"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/scenario"
+)
+
+// ForScenario returns the description with the engines, roles, speeds, latencies and
+// report lag of a scenario. Page services stay as they are. It fails when the
+// scenario has zones or services that the description lacks.
+func (d Description) ForScenario(of scenario.Scenario) (Description, error) {
+	if of.Deployment != d.Name {
+		return Description{}, trace.BadParameter("scenario %s is for deployment %s, not %s; give --deployment", of.Name, of.Deployment, d.Name)
+	}
+	for _, zone := range of.Zones {
+		if !slices.ContainsFunc(d.Zones, func(present Zone) bool { return present.Name == zone.Name }) {
+			return Description{}, trace.BadParameter("scenario %s: deployment %s has no zone %q", of.Name, d.Name, zone.Name)
+		}
+	}
+	changed := d
+	changed.Latency = Latency{BetweenZones: of.Latency.BetweenZones, ToClients: of.Latency.ToClients}
+	changed.Services = slices.Clone(d.Services)
+	for _, wanted := range of.Services {
+		index := slices.IndexFunc(d.Services, func(present Service) bool {
+			return present.Name == wanted.Name && present.Type == TypeEngine
+		})
+		if index < 0 {
+			return Description{}, trace.BadParameter("scenario %s: deployment %s has no engines of service %q", of.Name, d.Name, wanted.Name)
+		}
+		service := &changed.Services[index]
+		service.Replicas = wanted.Engines
+		service.Roles = wanted.InitialRoles
+		service.Speed = wanted.Speed
+		service.RoleChange = wanted.RoleChange
+		service.LoadLag = of.Reports.Lag
+	}
+	return changed, nil
+}
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 
+	"github.com/goccy/go-yaml"
 	"github.com/gravitational/trace"
 
 	"github.com/hazelpitch/hazelpitch/internal/settings"
@@ -17,19 +18,19 @@
 // with the latencies of a fleet.
 type ServeArguments func(role Role, settingsPath, descriptionPath string, more ...string) []string
 
-// prepare copies a deployment's settings and description into the run's directory,
-// moved to the fleet's network, and returns a Process for each settings file.
-func prepare(options Options, description Description, network string) ([]*Process, error) {
+// prepare writes the description into the run's directory, copies the deployment's
+// settings there, moved from the network they were written for to the description's,
+// and returns a Process for each settings file.
+func prepare(options Options, written string, description Description) ([]*Process, error) {
 	move := func(text []byte) []byte {
-		return []byte(strings.ReplaceAll(string(text), description.Network+".", network+"."))
+		return []byte(strings.ReplaceAll(string(text), written+".", description.Network+"."))
 	}
-	text, err := os.ReadFile(filepath.Join(options.Deployment, DescriptionFile))
+	text, err := yaml.Marshal(description)
 	if err != nil {
-		return nil, trace.ConvertSystemError(err)
+		return nil, trace.Wrap(err)
 	}
-	moved := strings.Replace(string(move(text)), quoted(description.Network), quoted(network), 1)
 	descriptionPath := filepath.Join(options.Directory, DescriptionFile)
-	if err := os.WriteFile(descriptionPath, []byte(moved), 0o644); err != nil {
+	if err := os.WriteFile(descriptionPath, text, 0o644); err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
 	var processes []*Process
@@ -57,10 +58,6 @@
 	return processes, nil
 }
 
-// quoted is a network as the description spells it: without quotes YAML would take
-// it for a number.
-func quoted(network string) string { return `network: "` + network + `"` }
-
 // newProcess describes the process of one settings file.
 func newProcess(options Options, role Role, path, descriptionPath string) (*Process, error) {
 	process := &Process{Role: role, SettingsPath: path}
--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -49,6 +49,7 @@
 	"internal/load",
 	"internal/measure",
 	"internal/property",
+	"internal/processrun",
 	"internal/report",
 	"internal/scenario",
 	"internal/scale",
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -36,6 +36,9 @@
 type Target struct {
 	// Gateways are IP:ports; requests take them in turn.
 	Gateways []string
+	// GatewayZones are the gateways' zones, in their order; requests of a zone go to
+	// the gateways there.
+	GatewayZones []string
 	// Engines and Pages take their place in a direct run, without gateways.
 	Engines []string
 	Pages   []string
@@ -50,7 +53,7 @@
 
 // address of the back end or gateway that takes a request.
 func (t Target) address(of request) string {
-	list := t.Gateways
+	list := t.gatewaysOf(of.zone)
 	if t.Direct() {
 		list = t.Pages
 		if of.chat {
@@ -60,6 +63,20 @@
 	return list[of.arrival.number%len(list)]
 }
 
+// gatewaysOf returns the gateways of a zone; of the empty zone all of them.
+func (t Target) gatewaysOf(zone string) []string {
+	if zone == "" {
+		return t.Gateways
+	}
+	var found []string
+	for index, present := range t.GatewayZones {
+		if present == zone {
+			found = append(found, t.Gateways[index])
+		}
+	}
+	return found
+}
+
 // client sends requests and checks answers. It is safe for concurrent use.
 type client struct {
 	target Target
@@ -85,7 +102,7 @@
 // send sends one request, due at a time, and returns how it ended. The text of a
 // chat's answer goes to show as it arrives.
 func (c *client) send(of request, due time.Time, show io.Writer) Result {
-	result := Result{Kind: of.kind, Due: of.arrival.at, Prompt: of.promptKey, Key: of.key}
+	result := Result{Kind: of.kind, Tenant: of.tenant, Due: of.arrival.at, Prompt: of.promptKey, Key: of.key}
 	call, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(call)
 	defer fasthttp.ReleaseResponse(answer)
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -26,7 +26,9 @@
 
 // Result is one request's end.
 type Result struct {
-	Kind    string
+	Kind string
+	// Tenant is the position of the caller's key in Target.Keys, before it wraps.
+	Tenant  int
 	Outcome Outcome
 	// Verdict is the answer's last: a stream's X-Run-Verdict-Final, or else X-Run-Verdict;
 	// empty without an answer.
--- a/internal/load/prompt.go
+++ b/internal/load/prompt.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"strings"
 
 	"github.com/hazelpitch/hazelpitch/internal/standin/answertext"
@@ -24,13 +23,13 @@
 	return &prompts{seed: seed, dossiers: make(map[string]string)}
 }
 
-// text returns a prompt of about tokens tokens.
-func (p *prompts) text(kind string, chat ChatTraffic, number, tokens int, source *rand.Rand) string {
-	shared := int(float64(tokens) * chat.SharedShare)
+// text returns a prompt of about tokens tokens. Its first shared tokens are the
+// beginning of a dossier.
+func (p *prompts) text(dossier string, shared, number, tokens int) string {
 	var built strings.Builder
 	built.Grow((tokens + 16) * bytesPerToken)
-	if chat.Dossiers > 0 {
-		built.WriteString(p.dossier(kind, source.IntN(chat.Dossiers), chat.PromptTokens.High)[:shared*bytesPerToken])
+	if shared > 0 {
+		built.WriteString(p.dossier(dossier, shared)[:shared*bytesPerToken])
 	}
 	fmt.Fprintf(&built, " request %x-%d ", p.seed, number)
 	for built.Len() < tokens*bytesPerToken {
@@ -39,10 +38,10 @@
 	return built.String()
 }
 
-// dossier returns the text that prompts of one dossier begin with.
-func (p *prompts) dossier(kind string, number, tokens int) string {
-	name := fmt.Sprintf("%s-%d", kind, number)
-	if text, found := p.dossiers[name]; found {
+// dossier returns the text that prompts of one dossier begin with, of at least so
+// many tokens. A longer one begins with the shorter ones.
+func (p *prompts) dossier(name string, tokens int) string {
+	if text := p.dossiers[name]; len(text) >= tokens*bytesPerToken {
 		return text
 	}
 	var built strings.Builder
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -13,9 +13,11 @@
 
 // request is one request ready to be sent.
 type request struct {
-	arrival  arrival
-	kind     string
-	tenant   int
+	arrival arrival
+	kind    string
+	tenant  int
+	// zone of the gateway to call; empty takes all gateways in turn.
+	zone     string
 	method   string
 	path     string
 	body     []byte
@@ -59,13 +61,16 @@
 
 // newMaker returns the maker of a run; its prompts and keys are the run's own.
 func newMaker(options Options, traffic Traffic, kinds map[string]Kind, began time.Time) *maker {
-	label := options.Seed ^ uint64(began.UnixNano())
+	label := runLabel(options.Seed, began)
 	return &maker{
 		traffic: traffic, kinds: kinds, tenants: len(options.Target.Keys), seed: options.Seed,
 		prompts: newPrompts(label), runLabel: fmt.Sprintf("run-%x", label),
 	}
 }
 
+// runLabel differs between runs, also of the same seed.
+func runLabel(seed uint64, began time.Time) uint64 { return seed ^ uint64(began.UnixNano()) }
+
 func (m *maker) make(of arrival) request {
 	wanted := m.traffic.Requests[of.kind]
 	source := rand.New(rand.NewPCG(m.seed, uint64(of.number)+1<<32))
@@ -80,22 +85,32 @@
 
 func (m *maker) chat(made *request, chat ChatTraffic, source *rand.Rand) {
 	tokens := chat.PromptTokens.draw(source)
-	made.outputTokens = chat.OutputTokens.draw(source)
-	content := m.prompts.text(made.kind, chat, made.arrival.number, tokens, source)
+	outputTokens := chat.OutputTokens.draw(source)
+	dossier, shared := "", 0
+	if chat.Dossiers > 0 {
+		dossier = fmt.Sprintf("%s-%d", made.kind, source.IntN(chat.Dossiers))
+		shared = int(float64(tokens) * chat.SharedShare)
+	}
+	made.chatBody(chat.Model, m.prompts.text(dossier, shared, made.arrival.number, tokens), outputTokens)
+}
+
+// chatBody makes the request a streamed chat and notes what its answer must be.
+func (r *request) chatBody(model, content string, outputTokens int) {
 	prompt := answertext.Prompt([]answertext.Message{{Role: "user", Content: content}})
-	made.chat = true
-	made.method, made.path = "POST", "/v1/chat/completions"
-	made.promptHash = answertext.Hash(prompt)
-	made.promptKey = engine.PromptKey(made.promptHash)
-	made.promptTokens = answertext.PromptTokens(prompt)
+	r.chat = true
+	r.method, r.path = "POST", "/v1/chat/completions"
+	r.outputTokens = outputTokens
+	r.promptHash = answertext.Hash(prompt)
+	r.promptKey = engine.PromptKey(r.promptHash)
+	r.promptTokens = answertext.PromptTokens(prompt)
 	body, err := json.Marshal(chatBody{
-		Model: chat.Model, Messages: []chatMessage{{Role: "user", Content: content}},
-		MaxTokens: made.outputTokens, Stream: true, StreamOptions: streamOptions{IncludeUsage: true},
+		Model: model, Messages: []chatMessage{{Role: "user", Content: content}},
+		MaxTokens: outputTokens, Stream: true, StreamOptions: streamOptions{IncludeUsage: true},
 	})
 	if err != nil { // the shape always marshals
 		panic(err)
 	}
-	made.body = body
+	r.body = body
 }
 
 func (m *maker) page(made *request, page PageTraffic, source *rand.Rand) {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -31,6 +31,13 @@
 	Progress func(done, all int)
 }
 
+// plan is all requests of a run.
+type plan struct {
+	arrivals []arrival
+	kinds    map[string]Kind
+	make     func(arrival) request
+}
+
 // Run sends the traffic, waits for every answer and returns the report.
 func Run(ctx context.Context, options Options) (Report, error) {
 	traffic, kinds, err := describe(options.Deployment)
@@ -40,23 +47,34 @@
 	if options.Scale == 0 {
 		options.Scale = 1
 	}
+	planned := plan{
+		arrivals: draw(traffic, options.Length, options.Scale, options.Seed),
+		kinds:    kinds,
+		make:     newMaker(options, traffic, kinds, time.Now()).make,
+	}
+	report, _, err := run(ctx, options, planned)
+	return report, trace.Wrap(err)
+}
+
+// run sends what was planned and compares the answers with what the stand-ins ran.
+func run(ctx context.Context, options Options, planned plan) (Report, []Result, error) {
 	before, err := ReadExecutions(options.Engines, options.Pages)
 	if err != nil {
-		return Report{}, trace.Wrap(err)
+		return Report{}, nil, trace.Wrap(err)
 	}
 	began := time.Now()
-	results := sendAll(ctx, options, traffic, kinds, began)
+	results := sendAll(ctx, options, planned, began)
 	length := time.Since(began)
 	after, err := ReadExecutions(options.Engines, options.Pages)
 	if err != nil {
-		return Report{}, trace.Wrap(err)
+		return Report{}, nil, trace.Wrap(err)
 	}
-	report := summarize(results, kinds)
+	report := summarize(results, planned.kinds)
 	report.Deployment, report.Direct, report.Seed = options.Deployment, options.Target.Direct(), options.Seed
 	report.Seconds = length.Seconds()
 	report.Engines = after.Engines.Minus(before.Engines)
 	report.Audit = audit(results, after)
-	return report, nil
+	return report, results, nil
 }
 
 // declared checks that each kind of the traffic is declared.
@@ -70,9 +88,7 @@
 }
 
 // sendAll sends every arrival at its time and collects the results.
-func sendAll(ctx context.Context, options Options, traffic Traffic, kinds map[string]Kind, began time.Time) []Result {
-	arrivals := draw(traffic, options.Length, options.Scale, options.Seed)
-	builder := newMaker(options, traffic, kinds, began)
+func sendAll(ctx context.Context, options Options, planned plan, began time.Time) []Result {
 	sender := newClient(options.Target)
 	collected := make(chan Result, maxInFlight)
 	slots := make(chan struct{}, maxInFlight)
@@ -82,8 +98,8 @@
 			sending.Wait()
 			close(collected)
 		}()
-		for _, next := range arrivals {
-			built := builder.make(next)
+		for _, next := range planned.arrivals {
+			built := planned.make(next)
 			due := began.Add(next.at)
 			select {
 			case <-ctx.Done():
@@ -93,7 +109,7 @@
 			select {
 			case slots <- struct{}{}:
 			default:
-				collected <- Result{Kind: built.kind, Outcome: NotSent}
+				collected <- Result{Kind: built.kind, Tenant: built.tenant, Due: built.arrival.at, Outcome: NotSent}
 				continue
 			}
 			sending.Go(func() {
@@ -109,7 +125,7 @@
 	for result := range collected {
 		results = append(results, result)
 		if options.Progress != nil {
-			options.Progress(len(results), len(arrivals))
+			options.Progress(len(results), len(planned.arrivals))
 		}
 	}
 	return results
--- /dev/null
+++ b/internal/load/scenario.go
@@ -0,0 +1,73 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/scenario"
+)
+
+// RunScenario sends the requests of a scenario in place of the deployment's traffic,
+// and returns each request's end besides the report. Options' Length and Scale have
+// no part in it. It fails when the scenario asks for what the deployment lacks.
+func RunScenario(ctx context.Context, options Options, of scenario.Scenario) (Report, []Result, error) {
+	kinds, err := Kinds(options.Deployment)
+	if err != nil {
+		return Report{}, nil, trace.Wrap(err)
+	}
+	if err := fitsDeployment(options, of, kinds); err != nil {
+		return Report{}, nil, trace.Wrap(err)
+	}
+	return run(ctx, options, planScenario(options, of, kinds, time.Now()))
+}
+
+// fitsDeployment checks that the scenario's kinds, tenants and zones are there.
+func fitsDeployment(options Options, of scenario.Scenario, kinds map[string]Kind) error {
+	for _, kind := range of.Kinds {
+		declared, found := kinds[kind.Name]
+		if !found {
+			return trace.BadParameter("scenario %s: kind %q is not declared in %s", of.Name, kind.Name, options.Deployment)
+		}
+		if declared.Worth != kind.Worth || declared.Deadline != kind.Deadline {
+			return trace.BadParameter("scenario %s: kind %q has worth %v and deadline %v, and %s declares %v and %v; make them equal",
+				of.Name, kind.Name, kind.Worth, kind.Deadline, options.Deployment, declared.Worth, declared.Deadline)
+		}
+	}
+	if of.Tenants.Count > len(options.Target.Keys) {
+		return trace.BadParameter("scenario %s: %d tenants, and %s has keys of %d; lower tenants.count", of.Name, of.Tenants.Count, options.Deployment, len(options.Target.Keys))
+	}
+	for _, zone := range of.Zones {
+		if !slices.Contains(options.Target.GatewayZones, zone.Name) {
+			return trace.BadParameter("scenario %s: no gateway in zone %q of %s", of.Name, zone.Name, options.Deployment)
+		}
+	}
+	return nil
+}
+
+// planScenario turns the scenario's arrivals into requests.
+func planScenario(options Options, of scenario.Scenario, kinds map[string]Kind, began time.Time) plan {
+	drawn := of.Arrivals(options.Seed)
+	texts := newPrompts(runLabel(options.Seed, began))
+	planned := plan{kinds: kinds, arrivals: make([]arrival, len(drawn))}
+	for index, next := range drawn {
+		planned.arrivals[index] = arrival{at: next.At, kind: next.Kind, number: next.Number}
+	}
+	planned.make = func(asked arrival) request {
+		return scenarioRequest(of, drawn[asked.number], asked, texts)
+	}
+	return planned
+}
+
+func scenarioRequest(of scenario.Scenario, drawn scenario.Arrival, asked arrival, texts *prompts) request {
+	kind := of.Kinds[drawn.Kind]
+	made := request{
+		arrival: asked, kind: kind.Name, tenant: drawn.Tenant, zone: of.Zones[drawn.Zone].Name, deadline: kind.Deadline,
+	}
+	dossier := fmt.Sprintf("%s-%d-%d", kind.Name, drawn.Tenant, drawn.Subject)
+	made.chatBody(of.ModelOf(kind), texts.text(dossier, drawn.SharedTokens, drawn.Number, drawn.PromptTokens), drawn.OutputTokens)
+	return made
+}
--- /dev/null
+++ b/internal/load/scenario_test.go
@@ -0,0 +1,77 @@
+package load
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/scenario"
+)
+
+const processScenario = "../../bench/scenarios/processes/step-on-processes.yaml"
+
+func scenarioOptions() Options {
+	return Options{
+		Deployment: filepath.Join(deployments, "empleandes"), Seed: 3,
+		Target: Target{
+			Gateways:     []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"},
+			GatewayZones: []string{"sala-ate", "sala-callao", "sala-chorrillos", "sala-surquillo"},
+			Keys:         []string{"a", "b", "c"},
+		},
+	}
+}
+
+func TestScenarioRequestsAreThoseOfTheExperiment(t *testing.T) {
+	of, err := scenario.Load(processScenario)
+	require.NoError(t, err)
+	options := scenarioOptions()
+	kinds, err := Kinds(options.Deployment)
+	require.NoError(t, err)
+	require.NoError(t, fitsDeployment(options, of, kinds))
+	planned := planScenario(options, of, kinds, time.Now())
+	drawn := of.Arrivals(options.Seed)
+	require.Len(t, planned.arrivals, len(drawn))
+	for number, want := range drawn[:50] {
+		made := planned.make(planned.arrivals[number])
+		require.Equal(t, want.At, made.arrival.at)
+		require.Equal(t, of.Kinds[want.Kind].Name, made.kind)
+		require.Equal(t, want.Tenant, made.tenant)
+		require.Equal(t, want.OutputTokens, made.outputTokens)
+		require.InDelta(t, want.PromptTokens, made.promptTokens, 10, "the chat's template adds a few tokens")
+		require.Equal(t, []string{options.Target.address(made)}, options.Target.gatewaysOf(of.Zones[want.Zone].Name))
+	}
+}
+
+func TestPromptsOfOneDossierBeginAlike(t *testing.T) {
+	texts := newPrompts(1)
+	short, long := texts.text("d", 10, 1, 20), texts.text("d", 50, 2, 80)
+	again := texts.text("d", 10, 3, 20)
+	require.Equal(t, short[:40], long[:40])
+	require.Equal(t, short[:40], again[:40])
+	require.NotEqual(t, short, again)
+	require.NotEqual(t, short[:40], texts.text("e", 10, 4, 20)[:40])
+}
+
+func TestScenarioMustFitTheDeclarations(t *testing.T) {
+	options := scenarioOptions()
+	kinds, err := Kinds(options.Deployment)
+	require.NoError(t, err)
+	for name, row := range map[string]struct {
+		change func(*scenario.Scenario)
+		want   string
+	}{
+		"kind":    {func(of *scenario.Scenario) { of.Kinds[0].Name = "grading" }, `kind "grading" is not declared`},
+		"worth":   {func(of *scenario.Scenario) { of.Kinds[0].Worth = 3 }, "has worth 3"},
+		"tenants": {func(of *scenario.Scenario) { of.Tenants.Count = 4 }, "4 tenants"},
+		"zone":    {func(of *scenario.Scenario) { of.Zones[0].Name = "amman" }, `no gateway in zone "amman"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			of, err := scenario.Load(processScenario)
+			require.NoError(t, err)
+			row.change(&of)
+			require.ErrorContains(t, fitsDeployment(options, of, kinds), row.want)
+		})
+	}
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -143,6 +143,18 @@
 	return present.state(), true
 }
 
+// Load is the engine's load without lag; false while it is crashed.
+func (e *Engine) Load() (enginecontract.LoadReport, bool) {
+	present := e.current()
+	if present == nil {
+		return enginecontract.LoadReport{}, false
+	}
+	present.mutex.Lock()
+	defer present.mutex.Unlock()
+	present.advance()
+	return present.loadReport(), true
+}
+
 func (e *Engine) current() *life {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
