Fit slopes of control's cost over several sizes

Cause: docs/CAPACITY.md wants slopes, and where a cost isn't linear.

A run that fails in its changes still prints what it counted.

--- a/internal/benchcommand/scale.go
+++ b/internal/benchcommand/scale.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -35,6 +36,7 @@
 	Burst         int           `long:"burst" default:"0" description:"changes submitted one after the other after the window"`
 	Steady        int           `long:"steady" default:"0" description:"changes submitted with a pause between them after that"`
 	SteadyPause   time.Duration `long:"steady-pause" default:"1s" description:"that pause; 2,300 a day are one every 37.6s"`
+	Sweep         string        `long:"sweep" choice:"nodes" choice:"replicas" choice:"tenants" description:"measure several sizes of one dimension, the rest held small, and fit lines"`
 	Inside        bool          `long:"inside" description:"run controllers and engines inside this process; processor time is not told apart"`
 	JSON          bool          `long:"json" description:"print JSON in place of tables"`
 	Seed          uint64        `long:"seed" default:"1" description:"seed of the requests"`
@@ -81,17 +83,37 @@
 	if s.Inside {
 		options.Arguments = nil
 	}
+	if s.Sweep != "" {
+		return s.sweep(ctx, environment, options)
+	}
 	measured, err := scale.Run(ctx, options)
+	if measured != nil { // a run that failed at its end has still counted
+		if writeErr := s.write(environment.Stdout, measured); err == nil {
+			err = writeErr
+		}
+	}
+	return trace.Wrap(err)
+}
+
+// tables is a result that can be printed.
+type tables interface{ Write(out io.Writer) }
+
+func (s *scaleFlags) write(out io.Writer, result tables) error {
+	if !s.JSON {
+		result.Write(out)
+		return nil
+	}
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return trace.Wrap(encoder.Encode(result))
+}
+
+func (s *scaleFlags) sweep(ctx context.Context, environment Environment, options scale.RunOptions) error {
+	swept, err := scale.RunSweep(ctx, scale.Dimension(s.Sweep), options, s.Nodes, func() (string, func(), error) { return runDirectory("") })
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if s.JSON {
-		encoder := json.NewEncoder(environment.Stdout)
-		encoder.SetIndent("", "  ")
-		return trace.Wrap(encoder.Encode(measured))
-	}
-	measured.Write(environment.Stdout)
-	return nil
+	return s.write(environment.Stdout, swept)
 }
 
 func memberArguments(specPath string) []string { return []string{scaleMemberName, specPath} }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -30,7 +30,8 @@
 // declareTimeout bounds the start of a fleet and its declarations.
 const declareTimeout = 2 * time.Minute
 
-// Run starts a fleet, measures it and stops it.
+// Run starts a fleet, measures it and stops it. When changes fail after the window, it
+// returns what was measured with the error.
 func Run(ctx context.Context, options RunOptions) (*Measurement, error) {
 	if options.Progress == nil {
 		options.Progress = io.Discard
