Let faults of fleet.yaml kill, pause and cut off any process at a time

Change: fleet.yaml takes faults (kill, pause, cut-off) of a process, stand-in or zone at a time; a gate in the zones' latency holds bytes up in silence, told to the processes on their standard input.

--- a/internal/benchcommand/fleet.go
+++ b/internal/benchcommand/fleet.go
@@ -63,6 +63,9 @@
 	if err := boot(ctx, started, !f.NoApply, environment.Stderr); err != nil {
 		return trace.Wrap(err)
 	}
+	if err := started.StrikeFaults(ctx, environment.Stderr); err != nil {
+		return trace.Wrap(err)
+	}
 	if options.Scenario != nil {
 		return runScenario(ctx, started, *options.Scenario, f.Seed, f.JSON, environment)
 	}
--- a/internal/benchcommand/serve.go
+++ b/internal/benchcommand/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 
@@ -33,14 +32,15 @@
 		fmt.Fprintln(environment.Stderr, err)
 		return ExitUsage
 	}
+	topology := fleet.NewTopology(description)
 	go func() {
-		_, _ = io.Copy(io.Discard, os.Stdin) // it ends when the fleet does
+		_ = fleet.ObeyCuts(os.Stdin, topology.Gate()) // it ends when the fleet does
 		os.Exit(ExitFailed)
 	}()
 	return servercommand.Run(ctx, arguments[1:], servercommand.Environment{
 		Program: environment.Program + " " + serveName,
 		Stdout:  environment.Stdout,
 		Stderr:  environment.Stderr,
-		Listen:  fleet.NewTopology(description).Listen,
+		Listen:  topology.Listen,
 	})
 }
--- a/internal/fleet/description.go
+++ b/internal/fleet/description.go
@@ -16,6 +16,9 @@
 	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
 )
 
+// networkBits is the length of a network's prefix: its first two numbers.
+const networkBits = 16
+
 // DescriptionFile is the name of a deployment's fleet description.
 const DescriptionFile = "fleet.yaml"
 
@@ -32,6 +35,8 @@
 	MachineList  MachineList  `yaml:"machine_list"`
 	WeightStore  WeightStore  `yaml:"weight_store"`
 	Services     []Service    `yaml:"services"`
+	// Faults that happen once the fleet is ready.
+	Faults []Fault `yaml:"faults"`
 }
 
 // Zone is one place; its addresses are NETWORK.SUBNET.0 to 255.
@@ -128,6 +133,11 @@
 		}
 		zones[zone.Name] = true
 	}
+	for _, fault := range d.Faults {
+		if err := fault.check(); err != nil {
+			return trace.Wrap(err)
+		}
+	}
 	for _, service := range d.Services {
 		if service.Type != TypeEngine && service.Type != TypePage {
 			return trace.BadParameter("service %s: type %q is not engine or page", service.Name, service.Type)
@@ -156,6 +166,11 @@
 	return moved
 }
 
+// prefix is the network as a prefix; check has made sure that it is one.
+func (d Description) prefix() netip.Prefix {
+	return netip.PrefixFrom(netip.MustParseAddr(d.Network+".0.0"), networkBits)
+}
+
 // address is the IP:port of a host in a subnet.
 func (d Description) address(subnet, host, port int) string {
 	return d.Network + "." + strconv.Itoa(subnet) + "." + strconv.Itoa(host) + ":" + strconv.Itoa(port)
--- /dev/null
+++ b/internal/fleet/fault_test.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginemodel"
+)
+
+func TestFaultsAreChecked(t *testing.T) {
+	for name, row := range map[string]struct {
+		fault Fault
+		want  string
+	}{
+		"good":           {Fault{Fault: FaultKill, Process: "gateway", At: time.Second}, ""},
+		"unknown":        {Fault{Fault: "burn", Process: "gateway"}, `fault "burn": write kill, pause or cut-off`},
+		"no target":      {Fault{Fault: FaultKill}, "give either process or zone"},
+		"two targets":    {Fault{Fault: FaultKill, Process: "gateway", Zone: "a"}, "give either process or zone"},
+		"negative":       {Fault{Fault: FaultKill, Zone: "a", At: -1}, "must not be negative"},
+		"endless pause":  {Fault{Fault: FaultPause, Zone: "a"}, "give its length"},
+		"endless cutoff": {Fault{Fault: FaultCutOff, Zone: "a"}, "give its length"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if row.want == "" {
+				require.NoError(t, row.fault.check())
+				return
+			}
+			require.ErrorContains(t, row.fault.check(), row.want)
+		})
+	}
+}
+
+// standIns starts the stand-ins of Rawabi, which can be cut off, without processes.
+func standIns(t *testing.T) *Fleet {
+	t.Helper()
+	description, err := LoadDescription(filepath.Join(deployments, "rawabi"))
+	require.NoError(t, err)
+	reserved, err := reserveAny()
+	require.NoError(t, err)
+	t.Cleanup(reserved.release)
+	description.Faults = []Fault{{Fault: FaultCutOff, Zone: "amman-hall-a", Length: time.Hour}}
+	description = description.On(reserved.network)
+	outside, err := StartOutside(description, enginemodel.DefaultProfile())
+	require.NoError(t, err)
+	t.Cleanup(outside.Close)
+	return &Fleet{Description: description, Outside: outside, cuts: &cuts{gate: outside.topology.Gate()}}
+}
+
+func TestTargets(t *testing.T) {
+	started := standIns(t)
+	count := func(fault Fault) int {
+		found, err := started.targets(fault)
+		require.NoError(t, err)
+		return len(found)
+	}
+	require.Equal(t, 1, count(Fault{Fault: FaultKill, Process: "lot-assessor-amman-hall-a-1"}))
+	require.Equal(t, 1, count(Fault{Fault: FaultPause, Process: "yard-portal-amman-hall-b-1"}))
+	require.Equal(t, 1, count(Fault{Fault: FaultCutOff, Process: MachineListName}))
+	require.Equal(t, 7, count(Fault{Fault: FaultKill, Zone: "amman-hall-a"}), "six engines and a page service")
+	_, err := started.targets(Fault{Fault: FaultKill, Process: WeightStoreName})
+	require.ErrorContains(t, err, "weight-store can be cut off alone")
+	_, err = started.targets(Fault{Fault: FaultKill, Process: "nobody"})
+	require.ErrorContains(t, err, `no process "nobody"`)
+}
+
+func TestKillAndReturn(t *testing.T) {
+	started := standIns(t)
+	fault := Fault{Fault: FaultKill, Process: "lot-assessor-amman-hall-a-1", Length: time.Millisecond}
+	targets, err := started.targets(fault)
+	require.NoError(t, err)
+	struck := started.Outside.Engine(fault.Process)
+	before, _ := struck.State()
+	require.NoError(t, started.strike(t.Context(), fault, targets))
+	after, running := struck.State()
+	require.True(t, running)
+	require.Equal(t, before.Incarnation+1, after.Incarnation)
+
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.NoError(t, started.strike(ended, fault, targets), "a fleet that ends leaves it down")
+	_, running = struck.State()
+	require.False(t, running)
+}
+
+// TestObeyCuts cuts an engine off by the commands that a fleet writes to processes.
+func TestObeyCuts(t *testing.T) {
+	started := standIns(t)
+	target := started.Outside.Engine("lot-assessor-amman-hall-a-1").Address()
+	address := netip.MustParseAddrPort(target).Addr().String()
+	commands, input := io.Pipe()
+	obeyed := make(chan error, 1)
+	go func() { obeyed <- ObeyCuts(commands, started.Outside.topology.Gate()) }()
+
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(started.Description.ClientAddress())}}
+	connection, err := dialer.Dial("tcp", target)
+	require.NoError(t, err)
+	defer func() { _ = connection.Close() }()
+	ask := func() {
+		_, err := io.WriteString(connection, "GET /control/state HTTP/1.1\r\nHost: engine\r\n\r\n")
+		require.NoError(t, err)
+	}
+	buffer := make([]byte, 4096)
+	answered := func() {
+		count, err := connection.Read(buffer)
+		require.NoError(t, err)
+		require.True(t, strings.HasPrefix(string(buffer[:count]), "HTTP/1.1 200"), string(buffer[:count]))
+	}
+	tell := func(line string) {
+		_, err := io.WriteString(input, line+"\n")
+		require.NoError(t, err)
+		// The pipe hands a line over only once the one before it has been decoded.
+		_, err = io.WriteString(input, "\n")
+		require.NoError(t, err)
+	}
+	ask()
+	answered()
+	tell(`{"number":1,"group":["` + address + `/32"]}`)
+	tell(`{"number":9,"group":[]}`)
+	ask()
+	require.NoError(t, connection.SetReadDeadline(time.Now().Add(30*time.Millisecond)))
+	_, err = connection.Read(buffer)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.NoError(t, connection.SetReadDeadline(time.Time{}))
+	tell(`{"number":1,"group":[]}`)
+	answered()
+
+	require.NoError(t, input.Close())
+	require.NoError(t, <-obeyed)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -46,6 +46,7 @@
 	Directory   string
 	Deployment  string
 	reserved    *reservation
+	cuts        *cuts
 }
 
 // Start boots a deployment: stand-ins first, then controllers, then gateways. It
@@ -97,6 +98,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	f.cuts = &cuts{gate: f.Outside.topology.Gate()}
 	f.Processes = processes
 	for _, process := range processes {
 		if process.Role == RoleController {
--- a/internal/fleet/outside.go
+++ b/internal/fleet/outside.go
@@ -19,11 +19,13 @@
 	Pages       []*page.Service
 	Machines    *machinelist.Server
 	WeightStore *weightstore.Server
+
+	topology Topology
 }
 
 // StartOutside starts the stand-ins of a description.
 func StartOutside(description Description, profile enginemodel.Profile) (*Outside, error) {
-	outside := &Outside{}
+	outside := &Outside{topology: NewTopology(description)}
 	if err := outside.start(description, profile); err != nil {
 		outside.Close()
 		return nil, trace.Wrap(err)
@@ -32,7 +34,7 @@
 }
 
 func (o *Outside) start(description Description, profile enginemodel.Profile) error {
-	topology := NewTopology(description)
+	topology := o.topology
 	var err error
 	o.WeightStore, err = weightstore.Start(weightstore.Config{
 		Address: description.WeightStore.Address, BytesPerSecond: description.WeightStore.BytesPerSecond,
@@ -58,7 +60,7 @@
 }
 
 func (o *Outside) startReplica(description Description, replica Replica, profile enginemodel.Profile) error {
-	listen := NewTopology(description).Listen
+	listen := o.topology.Listen
 	service := replica.Service
 	if replica.Type == TypePage {
 		started, err := page.Start(page.Config{
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -42,6 +43,7 @@
 	arguments []string
 	mutex     sync.Mutex
 	command   *exec.Cmd
+	input     io.Writer     // standard input of the present process
 	ended     chan struct{} // closed when the present process has ended
 	starts    int
 }
@@ -66,14 +68,15 @@
 	command.Stdout, command.Stderr = log, log
 	command.Dir = filepath.Dir(p.SettingsPath)
 	// The process ends when its standard input does: it doesn't outlive this one.
-	if _, err := command.StdinPipe(); err != nil {
+	input, err := command.StdinPipe()
+	if err != nil {
 		return trace.Wrap(err)
 	}
 	if err := command.Start(); err != nil {
 		return trace.Wrap(err, "starting %s", p.Name)
 	}
 	ended := make(chan struct{})
-	p.command, p.ended = command, ended
+	p.command, p.ended, p.input = command, ended, input
 	p.starts++
 	go func() {
 		_ = command.Wait() // how it ended is in its log
@@ -95,6 +98,15 @@
 	}
 }
 
+// tell writes to the present process's standard input.
+func (p *Process) tell(line []byte) error {
+	p.mutex.Lock()
+	input := p.input
+	p.mutex.Unlock()
+	_, err := input.Write(line)
+	return trace.Wrap(err, "telling %s", p.Name)
+}
+
 // Running tells whether the process runs.
 func (p *Process) Running() bool {
 	p.mutex.Lock()
--- a/internal/fleet/topology.go
+++ b/internal/fleet/topology.go
@@ -13,6 +13,7 @@
 	clientSubnet byte
 	subnets      map[byte]bool
 	latency      Latency
+	gate         *zonedelay.Gate // nil when nothing is ever cut off
 }
 
 // NewTopology returns the topology of a description.
@@ -20,12 +21,19 @@
 	topology := Topology{
 		clientSubnet: byte(description.ClientSubnet), latency: description.Latency, subnets: make(map[byte]bool),
 	}
+	if description.cutsOff() {
+		topology.gate = zonedelay.NewGate(description.prefix())
+	}
 	for _, zone := range description.Zones {
 		topology.subnets[byte(zone.Subnet)] = true
 	}
 	return topology
 }
 
+// Gate cuts addresses off from the topology's listeners; nil when the description's
+// faults cut nothing off.
+func (t Topology) Gate() *zonedelay.Gate { return t.gate }
+
 // Between is the one-way latency between two addresses. Addresses outside the fleet
 // (the bench's own controls) are next door.
 func (t Topology) Between(one, other netip.Addr) time.Duration {
@@ -54,7 +62,6 @@
 	if err != nil {
 		return inner, nil
 	}
-	return zonedelay.Wrap(inner, func(remote netip.Addr) time.Duration {
-		return t.Between(local.Addr(), remote.Unmap())
-	}), nil
+	latency := func(remote netip.Addr) time.Duration { return t.Between(local.Addr(), remote.Unmap()) }
+	return zonedelay.WrapGated(inner, latency, t.gate), nil
 }
--- a/internal/zonedelay/conn.go
+++ b/internal/zonedelay/conn.go
@@ -28,6 +28,8 @@
 type conn struct {
 	net.Conn
 	latency time.Duration
+	// passes waits until bytes may pass; false when the connection closed first.
+	passes  func(closed <-chan struct{}) bool
 	arrived chan chunk
 	leaving chan chunk
 
@@ -41,10 +43,11 @@
 	closed    chan struct{}
 }
 
-func newConn(inner net.Conn, latency time.Duration) *conn {
+func newConn(inner net.Conn, latency time.Duration, passes func(closed <-chan struct{}) bool) *conn {
 	delayed := &conn{
 		Conn:          inner,
 		latency:       latency,
+		passes:        passes,
 		arrived:       make(chan chunk, queueLength),
 		leaving:       make(chan chunk, queueLength),
 		readDeadline:  newDeadline(),
@@ -61,6 +64,9 @@
 	for {
 		buffer := make([]byte, chunkBytes)
 		count, err := c.Conn.Read(buffer)
+		if !c.passes(c.closed) {
+			return
+		}
 		select {
 		case c.arrived <- chunk{buffer[:count], time.Now().Add(c.latency), err}:
 		case <-c.closed:
@@ -82,7 +88,7 @@
 	for {
 		select {
 		case next := <-c.leaving:
-			if !c.write(next) {
+			if !c.passes(c.closed) || !c.write(next) {
 				return
 			}
 		case <-c.closed:
--- a/internal/zonedelay/listener.go
+++ b/internal/zonedelay/listener.go
@@ -18,9 +18,16 @@
 	return &listener{Listener: inner, latency: latency}
 }
 
+// WrapGated returns a listener whose connections are delayed by latency and held up
+// by a gate's cuts.
+func WrapGated(inner net.Listener, latency LatencyFunc, gate *Gate) net.Listener {
+	return &listener{Listener: inner, latency: latency, gate: gate}
+}
+
 type listener struct {
 	net.Listener
 	latency LatencyFunc
+	gate    *Gate // nil is always open
 }
 
 // Accept returns the next connection, delayed by its remote address.
@@ -34,8 +41,19 @@
 		return accepted, nil
 	}
 	latency := l.latency(remote.Addr())
-	if latency <= 0 {
+	if latency <= 0 && l.gate == nil {
 		return accepted, nil
 	}
-	return newConn(accepted, latency), nil
+	return newConn(accepted, latency, l.passes(accepted, remote.Addr())), nil
+}
+
+// passes returns what holds a connection up while its ends are cut from each other.
+func (l *listener) passes(accepted net.Conn, remote netip.Addr) func(closed <-chan struct{}) bool {
+	local, err := netip.ParseAddrPort(accepted.LocalAddr().String())
+	if err != nil {
+		return func(<-chan struct{}) bool { return true }
+	}
+	return func(closed <-chan struct{}) bool {
+		return l.gate.pass(local.Addr().Unmap(), remote.Unmap(), closed)
+	}
 }
