Plan roles by a fluid model of token times over the demand behind

Cause: the previous planner knew one rate of reading and one of writing, looked at single changes only, and weighed a mix by its last seconds: it changed roles on a calm load and in a square wave, and left the demand of refused requests uncounted as output. Change: the planner weighs whole target splits with the fluid model (engine-seconds from the engine profile), over the demand of the recent past and of the horizon behind; it charges drain, change, cold cache and the declared price, and asks for a hundredth of the arriving worth as the least gain. Output tokens are averaged over requests that wrote some. The clairvoyant search also plans without mixed engines. The tests' profile is now the default one, since the model needs all its figures; nothing else in the tests changed.

--- a/internal/benchcommand/experiment.go
+++ b/internal/benchcommand/experiment.go
@@ -31,7 +31,7 @@
 		short: "run scenarios in virtual time and compare planning policies",
 		long: "Runs scenario files in virtual time with the product's own admission, routing and planner, or with another " +
 			"policy for the roles, and prints goodput, role changes and latencies. The same file, policy and seed give the " +
-			"same result. Policies: planner, previous, reactive, all-mixed, static-mean, static-best, clairvoyant.",
+			"same result. Policies: planner, previous, reactive, unchanged, all-mixed, static-mean, static-best, clairvoyant.",
 		runner: new(experimentFlags),
 	}
 }
--- a/internal/demand/table.go
+++ b/internal/demand/table.go
@@ -65,8 +65,11 @@
 
 // rowSum adds up one row over the gateways.
 type rowSum struct {
-	arrivalsPerSecond     float64
-	arrivals              float64
+	arrivalsPerSecond float64
+	arrivals          float64
+	// written counts the requests that wrote output.
+	written               float64
+	completedPerSecond    float64
 	promptTokens, outputs float64
 	age                   time.Duration
 }
@@ -97,6 +100,8 @@
 	}
 	sum.arrivals += float64(demand.Arrivals)
 	sum.arrivalsPerSecond += float64(demand.Arrivals) / r.window.Seconds()
+	sum.completedPerSecond += float64(demand.Completed) / r.window.Seconds()
+	sum.written += float64(demand.Completed + demand.MissedDeadline)
 	sum.promptTokens += float64(demand.PromptTokens)
 	sum.outputs += float64(demand.OutputTokens)
 	sum.age = max(sum.age, now-r.at)
@@ -119,9 +124,12 @@
 		row := planner.DemandObservation{
 			Kind: key.kind, Zone: key.zone, ArrivalsPerSecond: sum.arrivalsPerSecond, Age: sum.age,
 		}
+		row.CompletedPerSecond = sum.completedPerSecond
 		if sum.arrivals > 0 {
 			row.PromptTokens = sum.promptTokens / sum.arrivals
-			row.OutputTokens = sum.outputs / sum.arrivals
+		}
+		if sum.written > 0 { // refused requests have written nothing
+			row.OutputTokens = sum.outputs / sum.written
 		}
 		rows = append(rows, row)
 	}
--- a/internal/experiment/clairvoyant.go
+++ b/internal/experiment/clairvoyant.go
@@ -1,8 +1,10 @@
 package experiment
 
 import (
+	"slices"
 	"time"
 
+	"github.com/hazelpitch/hazelpitch/internal/planner"
 	"github.com/hazelpitch/hazelpitch/internal/scenario"
 )
 
@@ -14,12 +16,25 @@
 	refinements = 8
 )
 
-// priceFactors are the prices of a change, as factors of the declared one, with which
-// plans are made: cheaper ones change more. Factor 0 looks for goodput alone.
-var priceFactors = []float64{0, 1, 4}
+// planVariant is one way to make a plan with the model.
+type planVariant struct {
+	// priceFactor multiplies the declared price of a change; 0 looks for goodput alone.
+	priceFactor float64
+	// lead is how much earlier than the model says changes begin.
+	lead time.Duration
+	// pairsOnly plans without mixed engines.
+	pairsOnly bool
+}
 
-// leads are how much earlier than the model says the plans begin their changes.
-var leads = []time.Duration{0, 3 * time.Second}
+var planVariants = []planVariant{
+	{priceFactor: 0, pairsOnly: true},
+	{priceFactor: 1, pairsOnly: true},
+	{priceFactor: 1, pairsOnly: true, lead: 4 * time.Second},
+	{priceFactor: 4, pairsOnly: true},
+	{priceFactor: 0},
+	{priceFactor: 1},
+	{priceFactor: 1, lead: 4 * time.Second},
+}
 
 // clairvoyantPlan is the best that the search found.
 type clairvoyantPlan struct {
@@ -40,10 +55,8 @@
 	}
 	search := &planSearch{study: s}
 	seeds := []map[string]schedule{{}} // no change at all
-	for _, factor := range priceFactors {
-		for _, lead := range leads {
-			seeds = append(seeds, s.planAll(factor, lead))
-		}
+	for _, variant := range planVariants {
+		seeds = append(seeds, s.planAll(variant))
 	}
 	seeds = append(seeds, s.topStatics()...)
 	for _, plan := range seeds {
@@ -59,11 +72,11 @@
 }
 
 // planAll plans each service on its own.
-func (s *Study) planAll(factor float64, lead time.Duration) map[string]schedule {
+func (s *Study) planAll(variant planVariant) map[string]schedule {
 	plans := map[string]schedule{}
 	for i := range s.declared.Services {
 		service := &s.declared.Services[i]
-		plans[service.Name] = s.planService(service, factor, lead)
+		plans[service.Name] = s.planService(service, variant)
 	}
 	return plans
 }
@@ -85,15 +98,19 @@
 
 // planService finds the best sequence of splits by dynamic programming, one step for
 // each time that a change takes.
-func (s *Study) planService(service *scenario.Service, factor float64, lead time.Duration) schedule {
+func (s *Study) planService(service *scenario.Service, variant planVariant) schedule {
 	outage := assumedDrain + service.EngineProfile().RoleChange
 	windows := windowsOf(&s.declared, s.arrivals, service.Name, outage, s.cached)
+	splits := allSplits(service)
+	if variant.pairsOnly {
+		splits = slices.DeleteFunc(splits, func(split planner.Split) bool { return split.Mixed > 0 })
+	}
 	program := &program{
-		model: s.model(service), windows: windows, splits: allSplits(service),
+		model: s.model(service), windows: windows, splits: splits,
 		initial: initialSplit(&s.declared, service.Name), most: maximumOut(service),
-		price: factor * service.Trade.ChangePrice, rates: map[rateKey]float64{},
+		price: variant.priceFactor * service.Trade.ChangePrice, rates: map[rateKey]float64{},
 	}
-	return program.solve(lead)
+	return program.solve(variant.lead)
 }
 
 // planSearch runs plans and keeps the best.
--- a/internal/experiment/hindsight.go
+++ b/internal/experiment/hindsight.go
@@ -49,6 +49,8 @@
 		return s.simulate(previousPolicy())
 	case PolicyReactive:
 		return s.simulate(reactivePolicy())
+	case PolicyUnchanged:
+		return s.simulate(schedulePolicy(name, nil))
 	case PolicyAllMixed:
 		return s.simulate(staticPolicy(name, s.eachService(func(service *scenario.Service) planner.Split {
 			return planner.Split{Mixed: engineCount(service)}
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -15,6 +15,8 @@
 	PolicyPrevious = "previous"
 	// PolicyReactive changes one engine when thresholds are passed.
 	PolicyReactive = "reactive"
+	// PolicyUnchanged keeps the scenario's roles.
+	PolicyUnchanged = "unchanged"
 	// PolicyAllMixed lets every engine do everything.
 	PolicyAllMixed = "all-mixed"
 	// PolicyStaticMean keeps the split into readers and writers that fits the mean mix.
@@ -28,7 +30,7 @@
 // PolicyNames lists all policies in the order of tables.
 func PolicyNames() []string {
 	return []string{
-		PolicyPlanner, PolicyPrevious, PolicyReactive, PolicyAllMixed, PolicyStaticMean, PolicyStaticBest, PolicyClairvoyant,
+		PolicyPlanner, PolicyPrevious, PolicyReactive, PolicyUnchanged, PolicyAllMixed, PolicyStaticMean, PolicyStaticBest, PolicyClairvoyant,
 	}
 }
 
--- a/internal/planner/cost.go
+++ b/internal/planner/cost.go
@@ -1,71 +1,30 @@
 package planner
 
-import (
-	"math"
-
-	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+// Bounds of the assumed drain time, in seconds.
+const (
+	shortestDrain = 0.5
+	longestDrain  = 15.0
 )
 
-// fallbackDrain is the assumed drain time, in seconds, of an engine whose load is
-// unknown and whose profile tells nothing.
-const fallbackDrain = 5.0
-
 // outage estimates for how many seconds an engine is out of its old role before it
 // works in the new one: it drains, loads weights if it must, and changes.
-func outage(engine EngineObservation, load workload, profile EngineProfile) float64 {
-	return drainTime(engine, load) + seconds(profile.RoleChange) + seconds(profile.WeightLoad)
+func outage(observation Observation, demands []KindDemand) float64 {
+	return drainTime(observation.Profile, demands) + seconds(observation.Profile.RoleChange) + seconds(observation.Profile.WeightLoad)
 }
 
-// drainTime estimates how long the engine's own work takes to finish: the work of
-// one typical request, and what waits at the engine.
-func drainTime(engine EngineObservation, load workload) float64 {
-	if engine.Load == nil {
-		return fallbackDrain
-	}
-	if engine.Load.Running == 0 && engine.Load.Waiting == 0 {
-		return 0
-	}
-	rate, work := 0.0, 0.0
-	for _, kind := range load {
-		rate += kind.arrivals
-		work += kind.arrivals * workAt(engine.Role, kind)
+// drainTime estimates how long an engine's own work takes to finish: the output of a
+// typical request, in a batch of half the largest size.
+func drainTime(profile EngineProfile, demands []KindDemand) float64 {
+	rate, output, context := 0.0, 0.0, 0.0
+	for _, demand := range demands {
+		rate += demand.ArrivalsPerSecond
+		output += demand.ArrivalsPerSecond * demand.OutputTokens
+		context += demand.ArrivalsPerSecond * demand.ContextTokens
 	}
 	if rate <= 0 {
-		return fallbackDrain
-	}
-	inFlight := float64(engine.Load.Running + engine.Load.Waiting)
-	// Requests of one batch finish side by side; a batch of n takes about n times
-	// the engine-seconds of one, half of which is already done.
-	return math.Max(work/rate*inFlight/2, work/rate)
-}
-
-// workAt is the engine-seconds of one request at an engine of a role.
-func workAt(role enginecontract.Role, kind kindLoad) float64 {
-	switch role {
-	case enginecontract.RolePrefill:
-		return kind.prefill
-	case enginecontract.RoleDecode:
-		return kind.decode
-	}
-	return kind.prefill + kind.decode
-}
-
-// cacheLoss is the worth that an engine-sized share of cached prompt tokens stands
-// for while a new reader's cache is cold: the prompts it would have found cached
-// are read again.
-func cacheLoss(to enginecontract.Role, estimates []estimate, load workload, split Split, profile EngineProfile) float64 {
-	if to == enginecontract.RoleDecode || profile.CacheWarmup <= 0 || profile.PrefillTokensPerSecond <= 0 {
-		return 0
-	}
-	extra := 0.0
-	for _, current := range estimates {
-		extra += current.arrivals * current.prompt * current.cached / profile.PrefillTokensPerSecond
-	}
-	readers := float64(split.Prefill + split.Mixed + 1)
-	engineSeconds := load.prefillEngines() + load.decodeEngines()
-	if engineSeconds <= 0 {
-		return 0
+		return shortestDrain
 	}
-	worthOfEngineSecond := load.worthRate() / engineSeconds
-	return extra / readers * worthOfEngineSecond * seconds(profile.CacheWarmup) / 2
+	batch := float64(profile.MaxBatch) / 2
+	step := seconds(profile.StepBase) + batch*(seconds(profile.StepPerSequence)+context/rate*seconds(profile.StepPerContextToken))
+	return min(max(output/rate*step, shortestDrain), longestDrain)
 }
--- a/internal/planner/model.go
+++ b/internal/planner/model.go
@@ -30,16 +30,26 @@
 // outputWeight is the work of one output token in prompt tokens, as admission counts it.
 const outputWeight = 8
 
+// Shares of the pools' capacity that requests attain, and the least prompt
+// tokens that a reader's step holds on average: arrivals vary, and short prompts fill
+// no chunk.
+// TestModelAgreesWithTheEmulator in package experiment shows how well they fit.
+const (
+	usablePair  = 0.95
+	usableMixed = 0.87
+	leastChunk  = 800
+	// hybridShare is what is left of all capacity where mixed engines stand beside
+	// pairs: routing then balances requests of unlike speeds.
+	hybridShare = 1
+)
+
 // Model estimates the worth that a split of engines completes each second. It is a
 // fluid model: each request takes engine-seconds of the pools it passes through, what
 // exceeds a pool's capacity is shed by worth per token, and nothing waits.
-type Model struct {
-	profile EngineProfile
-	usable  float64
-}
+type Model struct{ profile EngineProfile }
 
 // NewModel returns the model of a service whose engines have the profile.
-func NewModel(profile EngineProfile) Model { return Model{profile: profile, usable: usableShare} }
+func NewModel(profile EngineProfile) Model { return Model{profile: profile} }
 
 // usage is the engine-seconds of one request in each pool that may serve it.
 type usage struct {
@@ -58,7 +68,7 @@
 	steps := func(chunk int) float64 { return kind.PromptTokens / float64(chunk) }
 	batch := kind.OutputTokens / float64(p.MaxBatch)
 	return usage{
-		prefill: reading + step*steps(p.PrefillChunk),
+		prefill: reading + step*steps(min(p.PrefillChunk, max(leastChunk, int(kind.PromptTokens)))),
 		decode:  writing + step*batch,
 		mixed:   reading + writing + step*max(steps(p.MixedChunk), batch),
 	}
@@ -66,11 +76,7 @@
 
 // Goodput returns the worth per second that a split completes under a demand.
 func (m Model) Goodput(split Split, demands []KindDemand) float64 {
-	left := usage{
-		prefill: m.usable * float64(split.Prefill),
-		decode:  m.usable * float64(split.Decode),
-		mixed:   m.usable * float64(split.Mixed),
-	}
+	left := m.capacity(split)
 	total := 0.0
 	for _, kind := range byDensity(demands) {
 		total += kind.Worth * left.serve(kind.ArrivalsPerSecond, m.usageOf(kind))
@@ -78,6 +84,19 @@
 	return total
 }
 
+// capacity is the engine-seconds per second that the pools of a split attain.
+func (m Model) capacity(split Split) usage {
+	share := 1.0
+	if split.Mixed > 0 && split.Prefill > 0 && split.Decode > 0 {
+		share = hybridShare
+	}
+	return usage{
+		prefill: share * usablePair * float64(split.Prefill),
+		decode:  share * usablePair * float64(split.Decode),
+		mixed:   share * usableMixed * float64(split.Mixed),
+	}
+}
+
 // byDensity orders demands as admission would start them.
 func byDensity(demands []KindDemand) []KindDemand {
 	ordered := slices.Clone(demands)
@@ -121,21 +140,25 @@
 		need.mixed += kind.ArrivalsPerSecond * each.mixed
 		arriving += kind.ArrivalsPerSecond * kind.Worth
 	}
+	capacity := m.capacity(split)
 	whole := 0.0 // the part of the demand that mixed engines can take
 	if need.mixed > 0 {
-		whole = min(m.usable*float64(split.Mixed)/need.mixed, 1)
-	}
-	fullest := 0.0
-	for _, pool := range []struct {
-		engines int
-		need    float64
-	}{{split.Prefill, need.prefill * (1 - whole)}, {split.Decode, need.decode * (1 - whole)}} {
-		if pool.need > 0 {
-			fullest = max(fullest, min(pool.need/(m.usable*float64(max(pool.engines, 0))+1e-9), 1))
-		}
+		whole = min(capacity.mixed/need.mixed, 1)
 	}
+	fullest := max(fullness(need.prefill*(1-whole), capacity.prefill), fullness(need.decode*(1-whole), capacity.decode))
 	return marginShare * arriving * (1 - fullest)
 }
 
 // marginShare is the preference for an idle fleet as a share of the arriving worth.
 const marginShare = 0.01
+
+// fullness is the utilisation of a pool, at most 1.
+func fullness(need, capacity float64) float64 {
+	switch {
+	case need <= 0:
+		return 0
+	case capacity <= need:
+		return 1
+	}
+	return need / capacity
+}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -45,11 +45,9 @@
 		Demands: []planner.DemandObservation{
 			{Kind: "matching", Zone: "zone-0", ArrivalsPerSecond: readingHeavy, PromptTokens: 8000, OutputTokens: 60},
 		},
-		Kinds:  []planner.KindWorth{{Kind: "matching", Worth: 5, Deadline: 5 * time.Second}},
-		Policy: planner.Policy{ChangePrice: 1, Horizon: time.Minute},
-		Profile: planner.EngineProfile{
-			PrefillTokensPerSecond: 20_000, DecodeTokensPerSecond: 5_000, MixedPenalty: 0.2, RoleChange: 4 * time.Second,
-		},
+		Kinds:   []planner.KindWorth{{Kind: "matching", Worth: 5, Deadline: 5 * time.Second}},
+		Policy:  planner.Policy{ChangePrice: 1, Horizon: time.Minute},
+		Profile: planner.ProfileOf(planner.DefaultProfileName),
 	}
 }
 
--- a/internal/planner/split.go
+++ b/internal/planner/split.go
@@ -56,3 +56,47 @@
 
 // Roles returns the roles in the order in which decisions look at them.
 func Roles() []enginecontract.Role { return append([]enginecontract.Role(nil), roles...) }
+
+// Moves is the least number of engines that change between two splits.
+func (s Split) Moves(to Split) int {
+	moves := 0
+	for _, role := range roles {
+		moves += max(to.Count(role)-s.Count(role), 0)
+	}
+	return moves
+}
+
+// common is what two splits have in common.
+func (s Split) common(other Split) Split {
+	return Split{
+		Prefill: min(s.Prefill, other.Prefill), Decode: min(s.Decode, other.Decode), Mixed: min(s.Mixed, other.Mixed),
+	}
+}
+
+// firstMove names the role that has most engines too many for a target and the one
+// that has most too few.
+func (s Split) firstMove(to Split) (from, into enginecontract.Role, differs bool) {
+	surplus, lack := 0, 0
+	for _, role := range roles {
+		difference := s.Count(role) - to.Count(role)
+		if difference > surplus {
+			surplus, from = difference, role
+		}
+		if -difference > lack {
+			lack, into = -difference, role
+		}
+	}
+	return from, into, surplus > 0 && lack > 0
+}
+
+// towards is the split after some moves to a target.
+func (s Split) towards(to Split, moves int) Split {
+	for range moves {
+		from, into, differs := s.firstMove(to)
+		if !differs {
+			return s
+		}
+		s = s.Add(from, -1).Add(into, 1)
+	}
+	return s
+}
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -53,6 +53,8 @@
 	// Mean tokens of one request.
 	PromptTokens float64
 	OutputTokens float64
+	// CompletedPerSecond is the rate of requests that completed; OutputTokens are theirs.
+	CompletedPerSecond float64
 	// CachedShare is the share of prompt tokens found in prefix caches, 0 to 1.
 	CachedShare float64
 	Age         time.Duration
