Let gateways call controllers with TLS, and log who leads

Refusals in the audit trail broke lines in two, and a controller's log ring said nothing of leaders.

Change: gateways load authority, certificate and key as controllers do and take up replaced files with the next connection; refusals are one line; a controller logs each change of leader and term with its member identity.

--- a/internal/control/declared_test.go
+++ b/internal/control/declared_test.go
@@ -100,6 +100,7 @@
 			record := w.rowsOf("show audit of operator bob")[0]
 			require.Contains(t, record, "|bob|r|"+test.text+"|refused: ")
 			require.Contains(t, record, test.why)
+			require.NotContains(t, record, "\n")
 		})
 	}
 }
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/gravitational/trace"
-
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/controlstate"
 	"github.com/hazelpitch/hazelpitch/internal/language"
@@ -97,7 +95,7 @@
 	c.heldBack = map[string]string{}
 	for _, order := range declaredOrders(c.state) {
 		if err := c.issueOrder(order); err != nil {
-			c.heldBack[order.Engine] = language.OrderText(order) + ": " + trace.UserMessage(err)
+			c.heldBack[order.Engine] = language.OrderText(order) + ": " + oneLine(err)
 		}
 	}
 }
--- a/internal/control/errors.go
+++ b/internal/control/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/gravitational/trace"
 
@@ -43,6 +44,15 @@
 	}
 }
 
+// oneLine is an error's message for a cell of a table: its parts, the outermost first.
+func oneLine(err error) string {
+	var parts []string
+	for _, part := range strings.Split(trace.UserMessage(err), "\n") {
+		parts = append(parts, strings.TrimSpace(part))
+	}
+	return strings.Join(parts, ": ")
+}
+
 // classify gives an error the kind that tells a client what it may do.
 func classify(err error) error {
 	message := trace.UserMessage(err)
--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -64,7 +64,7 @@
 // auditRefusal writes a refused command into the audit trail.
 func (c *Core) auditRefusal(operator, requestID, text string, err error) {
 	c.proposeQuietly(&v1.Command{Body: &v1.Command_RecordRequest{RecordRequest: &v1.RecordRequest{
-		Operator: operator, RequestId: requestID, Text: text, Refusal: trace.UserMessage(err),
+		Operator: operator, RequestId: requestID, Text: text, Refusal: oneLine(err),
 	}}})
 }
 
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -51,6 +51,7 @@
 func (c *controller) watchStatus(ctx context.Context) {
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
+	leader, term := "", uint64(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -61,6 +62,11 @@
 		if err != nil {
 			return
 		}
+		if told := status.Consensus; told.LeaderAddress != leader || told.Term != term {
+			leader, term = told.LeaderAddress, told.Term
+			c.log.Info().Str("leader", leader).Uint64("term", term).Str("role", told.Role.String()).
+				Str("member", told.ID).Uint64("revision", status.Revision).Msg("the leader has changed; empty means that none is known")
+		}
 		c.instruments.term.Set(float64(status.Consensus.Term))
 		c.instruments.commitIndex.Set(float64(status.Consensus.Commit))
 		c.instruments.appliedIndex.Set(float64(status.AppliedIndex))
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -63,7 +63,10 @@
 	identity := &v1.NodeIdentity{
 		Name: config.Name, Zone: config.Zone, Address: config.Listen, Incarnation: uint64(time.Now().UnixNano()),
 	}
-	controllers := newControllers(config, options.Dial)
+	controllers, err := newControllers(config, options.Dial, options.Log)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	view := newView(clock, identity, dispatcher)
 	counts := newGatewayMetrics(factory)
 	view.onRevision = counts.tellRevision(options.OnRevision)
--- a/internal/gateway/controllers.go
+++ b/internal/gateway/controllers.go
@@ -13,6 +13,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 	"github.com/hazelpitch/hazelpitch/internal/upstream"
 )
@@ -24,7 +25,9 @@
 
 // controllers holds the connections to all controllers. It is safe for concurrent use.
 type controllers struct {
-	http    *http.Client
+	http *http.Client
+	// scheme is https when the fleet uses TLS.
+	scheme  string
 	mutex   sync.Mutex
 	clients map[string]hazelpitchv1connect.NodeServiceClient
 	// order is the order of trying for calls that any controller answers; the last one
@@ -34,7 +37,11 @@
 	leader string
 }
 
-func newControllers(config settings.Gateway, dial upstream.DialFunc) *controllers {
+func newControllers(config settings.Gateway, dial upstream.DialFunc, log *logring.Log) (*controllers, error) {
+	encryption, err := loadEncryption(config, log)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if dial == nil {
 		dialer := &net.Dialer{Timeout: controllerCallTimeout}
 		if config.SourceAddress != "" {
@@ -42,13 +49,14 @@
 		}
 		dial = dialer.DialContext
 	}
-	transport := &http.Transport{DialContext: dial, IdleConnTimeout: controllerIdleTimeout}
+	transport := &http.Transport{DialContext: dial, IdleConnTimeout: controllerIdleTimeout, TLSClientConfig: encryption}
 	c := &controllers{
 		http:    &http.Client{Transport: transport},
+		scheme:  scheme(encryption),
 		clients: map[string]hazelpitchv1connect.NodeServiceClient{},
 	}
 	c.learn(config.Controllers)
-	return c
+	return c, nil
 }
 
 // learn adds addresses that are not known yet.
@@ -59,7 +67,7 @@
 		if _, known := c.clients[address]; known || address == "" {
 			continue
 		}
-		c.clients[address] = hazelpitchv1connect.NewNodeServiceClient(c.http, "http://"+address)
+		c.clients[address] = hazelpitchv1connect.NewNodeServiceClient(c.http, c.scheme+"://"+address)
 		c.order = append(c.order, address)
 	}
 }
