Divide a tenant's limits by time, not by report

Cause: each report made the leader divide each tenant's limits among all gateways anew: sorting names, splitting twice and summing all leases, so that the leader's work grew with the square of the gateways and saturated its core at 390.

Change: a division is used again for 250 ms; what gateways hold is kept as a sum that is never less than what they may use; a gateway that wants more since the last division may have as much as the best served. What is granted is still capped by what others hold.

--- a/internal/shares/divider.go
+++ b/internal/shares/divider.go
@@ -38,25 +38,6 @@
 	leases     int
 }
 
-// tenant holds the leases of one tenant, by gateway.
-type tenant struct{ leases map[string]*lease }
-
-// lease is what one gateway wants and holds.
-type lease struct {
-	demand v1.ShareDemand
-	// heardAt is when the gateway last asked.
-	heardAt time.Duration
-	// granted are the shares that may still be in use at the gateway, oldest first.
-	granted []grant
-}
-
-// grant is one share as granted.
-type grant struct {
-	tokens      uint64
-	concurrency uint32
-	expiresAt   time.Duration
-}
-
 // New returns a Divider of a controller that does not lead. A lifetime of zero means
 // the default.
 func New(lifetime time.Duration, safeguards safeguard.Set) *Divider {
@@ -83,72 +64,37 @@
 	if limits == (Limits{}) {
 		return nil
 	}
-	lease := d.lease(now, gateway, demand)
-	if lease == nil {
-		return &v1.Share{Tenant: demand.Tenant}
-	}
-	lease.demand.WantedTokensPerSecond = demand.WantedTokensPerSecond
-	lease.demand.WantedConcurrency = max(demand.WantedConcurrency, demand.InFlight)
-	lease.heardAt = now
-	lease.acknowledge(now, demand)
-	return d.grant(now, gateway, demand, limits)
-}
-
-// lease finds or makes the lease of a gateway; nil when the bound is reached.
-func (d *Divider) lease(now time.Duration, gateway string, demand *v1.ShareDemand) *lease {
 	owner := d.tenants[demand.Tenant]
 	if owner == nil {
 		owner = &tenant{leases: map[string]*lease{}}
 		d.tenants[demand.Tenant] = owner
 	}
-	if known := owner.leases[gateway]; known != nil {
-		return known
-	}
-	if d.leases >= MaximumLeases {
-		return nil
-	}
-	d.leases++
-	created := &lease{heardAt: now}
-	owner.leases[gateway] = created
-	return created
-}
-
-// acknowledge forgets the grants that the gateway no longer uses: the ones before
-// the newest that equals what it says it holds, and those that have run out.
-func (l *lease) acknowledge(now time.Duration, demand *v1.ShareDemand) {
-	l.granted = slices.DeleteFunc(l.granted, func(g grant) bool { return g.expiresAt <= now })
-	for i := len(l.granted) - 1; i > 0; i-- {
-		held := l.granted[i]
-		if held.tokens == demand.HeldTokensPerSecond && held.concurrency == demand.HeldConcurrency {
-			l.granted = slices.Clone(l.granted[i:])
-			return
+	lease := owner.leases[gateway]
+	if lease == nil {
+		if d.leases >= MaximumLeases {
+			return &v1.Share{Tenant: demand.Tenant}
 		}
+		lease = owner.add(gateway)
+		d.leases++
 	}
-}
-
-// held is the most the gateway may still use.
-func (l *lease) held(now time.Duration) (tokens uint64, concurrency uint32) {
-	for _, granted := range l.granted {
-		if granted.expiresAt > now {
-			tokens = max(tokens, granted.tokens)
-			concurrency = max(concurrency, granted.concurrency)
-		}
+	lease.take(now, demand)
+	if owner.mustDivide(now, limits) {
+		d.leases -= owner.dropSilent(now, d.lifetime)
+		owner.divide(now, limits)
 	}
-	return tokens, concurrency
+	return d.grant(now, owner, lease, demand, limits)
 }
 
 // grant works out and records a new share.
-func (d *Divider) grant(now time.Duration, gateway string, demand *v1.ShareDemand, limits Limits) *v1.Share {
-	owner := d.tenants[demand.Tenant]
-	lease := owner.leases[gateway]
-	d.dropSilent(now, owner, gateway)
-	fair := owner.fair(gateway, limits)
-	othersTokens, othersConcurrency := owner.heldByOthers(now, gateway)
+func (d *Divider) grant(now time.Duration, owner *tenant, lease *lease, demand *v1.ShareDemand, limits Limits) *v1.Share {
+	owner.count(now, lease)
+	fair := owner.fair(lease)
+	availableTokens := subtract(limits.TokensPerSecond, owner.heldTokens-lease.countedTokens)
+	availableConcurrency := subtract(uint64(limits.Concurrency), owner.heldConcurrency-lease.countedConcurrency)
 	share := grant{
-		tokens: min(fair.TokensPerSecond,
-			withRoom(lease.demand.WantedTokensPerSecond, subtract(limits.TokensPerSecond, othersTokens))),
+		tokens: min(fair.TokensPerSecond, withRoom(lease.wantedTokens, availableTokens)),
 		concurrency: min(fair.Concurrency,
-			withRoom(lease.demand.WantedConcurrency, subtract(limits.Concurrency, othersConcurrency))),
+			uint32(withRoom(lease.wantedConcurrency, availableConcurrency))),
 		expiresAt: now + d.lifetime,
 	}
 	if now < d.settledAt && d.safeguards.On(SafeguardSettle) {
@@ -157,27 +103,17 @@
 		share.concurrency = min(share.concurrency, demand.HeldConcurrency)
 	}
 	lease.granted = append(lease.granted, share)
+	owner.count(now, lease)
 	return &v1.Share{
 		Tenant: demand.Tenant, TokensPerSecond: share.tokens, Concurrency: share.concurrency,
 		ValidMs: uint32(d.lifetime.Milliseconds()),
 	}
 }
 
-// dropSilent forgets the gateways that have not asked for a lifetime: all they held
-// has run out.
-func (d *Divider) dropSilent(now time.Duration, owner *tenant, asking string) {
-	for name, lease := range owner.leases {
-		if name != asking && now-lease.heardAt >= d.lifetime {
-			delete(owner.leases, name)
-			d.leases--
-		}
-	}
-}
-
 // withRoom is what is wanted and a part of what is left beyond it, but no more than as
 // much again: room to grow for this gateway until it asks again, while most is left for
 // gateways that meet the tenant next.
-func withRoom[T uint32 | uint64](wanted, available T) T {
+func withRoom(wanted, available uint64) uint64 {
 	if available <= wanted {
 		return available
 	}
@@ -185,39 +121,6 @@
 	return wanted + min(room, wanted+1)
 }
 
-// heldByOthers sums what other gateways may still use.
-func (t *tenant) heldByOthers(now time.Duration, gateway string) (tokens uint64, concurrency uint32) {
-	for name, lease := range t.leases {
-		if name == gateway {
-			continue
-		}
-		moreTokens, moreConcurrency := lease.held(now)
-		tokens += moreTokens
-		concurrency += moreConcurrency
-	}
-	return tokens, concurrency
-}
-
-// fair is the gateway's part when all that ask are served by demand.
-func (t *tenant) fair(gateway string, limits Limits) Limits {
-	names := make([]string, 0, len(t.leases))
-	for name := range t.leases {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	tokens := make([]uint64, len(names))
-	concurrency := make([]uint64, len(names))
-	for i, name := range names {
-		tokens[i] = t.leases[name].demand.WantedTokensPerSecond
-		concurrency[i] = uint64(t.leases[name].demand.WantedConcurrency)
-	}
-	position, _ := slices.BinarySearch(names, gateway)
-	return Limits{
-		TokensPerSecond: split(limits.TokensPerSecond, tokens)[position],
-		Concurrency:     uint32(split(uint64(limits.Concurrency), concurrency)[position]),
-	}
-}
-
 // Granted lists the shares that may be in use, by tenant and gateway.
 func (d *Divider) Granted(now time.Duration) []Granted {
 	var list []Granted
@@ -243,7 +146,7 @@
 // DropExpired forgets the tenants whose shares have all run out. Call it now and then.
 func (d *Divider) DropExpired(now time.Duration) {
 	for name, owner := range d.tenants {
-		d.dropSilent(now, owner, "")
+		d.leases -= owner.dropSilent(now, d.lifetime)
 		if len(owner.leases) == 0 {
 			delete(d.tenants, name)
 		}
@@ -259,7 +162,7 @@
 	return keys
 }
 
-func subtract[T uint32 | uint64](a, b T) T {
+func subtract(a, b uint64) uint64 {
 	if b >= a {
 		return 0
 	}
--- /dev/null
+++ b/internal/shares/tenant_test.go
@@ -0,0 +1,51 @@
+package shares
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/safeguard"
+)
+
+// TestDivisionsFollowTimeNotReports: with the target's 390 gateways the work of a report
+// must not grow with the gateways.
+func TestDivisionsFollowTimeNotReports(t *testing.T) {
+	const gateways = 390
+	limits := Limits{TokensPerSecond: 1_000_000, Concurrency: 10_000}
+	divider := New(0, safeguard.Set{})
+	divider.Lead(0, true)
+	now := time.Duration(0)
+	second := func() int {
+		before := 0
+		if owner := divider.tenants["tenant"]; owner != nil {
+			before = owner.divisions
+		}
+		for gateway := range gateways {
+			now += time.Second / gateways
+			demand := &v1.ShareDemand{Tenant: "tenant", WantedTokensPerSecond: uint64(1000 + gateway), WantedConcurrency: 5}
+			require.NotNil(t, divider.Divide(now, fmt.Sprint("gateway-", gateway), demand, limits))
+		}
+		return divider.tenants["tenant"].divisions - before
+	}
+	require.Equal(t, gateways, second(), "each new gateway is taken in at once")
+	require.LessOrEqual(t, second(), int(time.Second/divideInterval)+1)
+
+	owner := divider.tenants["tenant"]
+	var tokens, concurrency uint64
+	for _, lease := range owner.leases {
+		heldTokens, heldConcurrency := lease.held(now)
+		tokens, concurrency = tokens+heldTokens, concurrency+uint64(heldConcurrency)
+	}
+	require.GreaterOrEqual(t, owner.heldTokens, tokens, "the sums never miss what may be in use")
+	require.GreaterOrEqual(t, owner.heldConcurrency, concurrency)
+	require.LessOrEqual(t, owner.heldTokens, limits.TokensPerSecond)
+
+	divider.DropExpired(now + DefaultLifetime + time.Second)
+	require.Zero(t, divider.leases)
+	require.Zero(t, owner.heldTokens)
+	require.Zero(t, owner.heldConcurrency)
+}
