--- a/internal/fleet/description.go
+++ b/internal/fleet/description.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"bytes"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -9,11 +8,11 @@
 	"strings"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/gravitational/trace"
 
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
+	"github.com/hazelpitch/hazelpitch/internal/yamlfile"
 )
 
 // networkBits is the length of a network's prefix: its first two numbers.
@@ -24,50 +23,51 @@
 
 // Description is what the bench starts around a deployment's own processes.
 type Description struct {
-	Name string `yaml:"name"`
+	Name string `yaml:"name" check:"required"`
 	// Network is the first two numbers of every address, such as 127.41.
-	Network      string       `yaml:"network"`
-	Zones        []Zone       `yaml:"zones"`
-	ClientSubnet int          `yaml:"client_subnet"`
+	Network      string       `yaml:"network" check:"required"`
+	Zones        []Zone       `yaml:"zones" check:"required"`
+	ClientSubnet int          `yaml:"client_subnet" check:"required"`
 	Latency      Latency      `yaml:"latency"`
 	Operator     Credential   `yaml:"operator"`
 	Tenants      []Credential `yaml:"tenants"`
 	MachineList  MachineList  `yaml:"machine_list"`
 	WeightStore  WeightStore  `yaml:"weight_store"`
-	Services     []Service    `yaml:"services"`
+	Services     []Service    `yaml:"services" check:"required"`
 	// Faults that happen once the fleet is ready.
 	Faults []Fault `yaml:"faults"`
 }
 
 // Zone is one place; its addresses are NETWORK.SUBNET.0 to 255.
 type Zone struct {
-	Name   string `yaml:"name"`
-	Subnet int    `yaml:"subnet"`
+	Name string `yaml:"name" check:"required"`
+	// Subnet is the third number of the zone's addresses.
+	Subnet int `yaml:"subnet" check:"required"`
 }
 
 // Latency is the one-way latency between places.
 type Latency struct {
-	BetweenZones time.Duration `yaml:"between_zones"`
-	ToClients    time.Duration `yaml:"to_clients"`
+	BetweenZones time.Duration `yaml:"between_zones" check:"not-negative"`
+	ToClients    time.Duration `yaml:"to_clients" check:"not-negative"`
 }
 
 // Credential is a name with its key, for the bench alone.
 type Credential struct {
-	Name string `yaml:"name"`
-	Key  string `yaml:"key"`
+	Name string `yaml:"name" check:"required"`
+	Key  string `yaml:"key" check:"required"`
 }
 
 // MachineList is the stand-in of the platform's list.
 type MachineList struct {
-	Address string        `yaml:"address"`
+	Address string        `yaml:"address" check:"required,address"`
 	Lag     time.Duration `yaml:"lag"`
 }
 
 // WeightStore is the stand-in of the weight store.
 type WeightStore struct {
-	Address        string           `yaml:"address"`
-	BytesPerSecond int              `yaml:"bytes_per_second"`
-	MaxReaders     int              `yaml:"max_readers"`
+	Address        string           `yaml:"address" check:"required,address"`
+	BytesPerSecond int              `yaml:"bytes_per_second" check:"required,positive"`
+	MaxReaders     int              `yaml:"max_readers" check:"required,positive"`
 	Weights        map[string]int64 `yaml:"weights"`
 }
 
@@ -82,79 +82,39 @@
 
 // Service is a group of stand-ins.
 type Service struct {
-	Name    string      `yaml:"name"`
-	Type    ServiceType `yaml:"type"`
-	Port    int         `yaml:"port"`
+	Name    string      `yaml:"name" check:"required"`
+	Type    ServiceType `yaml:"type" check:"required,one-of=engine|page"`
+	Port    int         `yaml:"port" check:"required,positive"`
 	Model   string      `yaml:"model"`
 	Version string      `yaml:"version"`
 	// Roles of the first start, in turn within each zone.
-	Roles []enginecontract.Role `yaml:"roles"`
+	Roles []enginecontract.Role `yaml:"roles" check:"one-of=prefill|decode|mixed"`
 	// ServiceTime of a page service.
-	ServiceTime time.Duration `yaml:"service_time"`
+	ServiceTime time.Duration `yaml:"service_time" check:"not-negative"`
 	// Replicas by zone.
-	Replicas map[string]int `yaml:"replicas"`
+	Replicas map[string]int `yaml:"replicas" check:"not-negative"`
 	// Speed makes engines so many times as fast as their profile; 0 is 1.
-	Speed float64 `yaml:"speed"`
+	Speed float64 `yaml:"speed" check:"not-negative"`
 	// RoleChange is the time of an engine's role change; 0 is the profile's.
-	RoleChange time.Duration `yaml:"role_change"`
+	RoleChange time.Duration `yaml:"role_change" check:"not-negative"`
 	// LoadLag is the age of engines' load reports; 0 is the stand-in's default.
-	LoadLag time.Duration `yaml:"load_lag"`
+	LoadLag time.Duration `yaml:"load_lag" check:"not-negative"`
 	// Faults every replica starts with.
 	Faults []fault.Fault `yaml:"faults"`
 }
 
-// LoadDescription reads and checks the description of a deployment's directory.
+// LoadDescription reads and checks the description of a deployment's directory. The
+// error holds yamlfile.Problems, with file, line, key and cure, when it is at fault.
 func LoadDescription(directory string) (Description, error) {
 	path := filepath.Join(directory, DescriptionFile)
-	text, err := os.ReadFile(path)
-	if err != nil {
+	if _, err := os.Stat(path); err != nil {
 		return Description{}, trace.BadParameter("can't read the fleet description: %v; --deployment names a directory such as deploy/rawabi", err)
 	}
 	var description Description
-	if err := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(&description); err != nil {
-		return Description{}, trace.BadParameter("%s: %v", path, err)
-	}
-	return description, trace.Wrap(description.check(), path)
-}
-
-func (d Description) check() error {
-	if _, err := netip.ParseAddr(d.Network + ".0.1"); err != nil || !strings.HasPrefix(d.Network, "127.") {
-		return trace.BadParameter("network %q: write the first two numbers of a loopback network, such as 127.41", d.Network)
-	}
-	for _, address := range []string{d.MachineList.Address, d.WeightStore.Address} {
-		if !strings.HasPrefix(address, d.Network+".") {
-			return trace.BadParameter("address %q is not on network %q: the network needs quotes, and every address its numbers", address, d.Network)
-		}
-	}
-	zones := map[string]bool{}
-	for _, zone := range d.Zones {
-		if zone.Subnet < 1 || zone.Subnet > 254 || zone.Subnet == d.ClientSubnet {
-			return trace.BadParameter("zone %s: subnet %d must be from 1 to 254 and not the clients'", zone.Name, zone.Subnet)
-		}
-		zones[zone.Name] = true
-	}
-	for _, fault := range d.Faults {
-		if err := fault.check(); err != nil {
-			return trace.Wrap(err)
-		}
-	}
-	for _, service := range d.Services {
-		if service.Type != TypeEngine && service.Type != TypePage {
-			return trace.BadParameter("service %s: type %q is not engine or page", service.Name, service.Type)
-		}
-		if service.Speed < 0 {
-			return trace.BadParameter("service %s: speed must not be negative", service.Name)
-		}
-		if service.RoleChange < 0 || service.LoadLag < 0 {
-			return trace.BadParameter("service %s: role_change and load_lag must not be negative", service.Name)
-		}
-		for zone := range service.Replicas {
-			if !zones[zone] {
-				return trace.BadParameter("service %s: zone %q is not one of the zones", service.Name, zone)
-			}
-		}
-	}
-	return nil
+	err := yamlfile.Load(yamlfile.Source{Path: path, Together: func(document *yamlfile.Document) {
+		description.check(document)
+	}}, &description)
+	return description, trace.Wrap(err)
 }
 
 // On returns the description on another network.
--- a/internal/fleet/description_test.go
+++ b/internal/fleet/description_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -91,15 +92,36 @@
 func TestBadDescriptions(t *testing.T) {
 	_, err := LoadDescription(t.TempDir())
 	require.ErrorContains(t, err, "--deployment")
-	for _, change := range []func(*Description){
-		func(d *Description) { d.Network = "10.1" },
-		func(d *Description) { d.Zones[0].Subnet = 0 },
-		func(d *Description) { d.Services[0].Type = "oven" },
-		func(d *Description) { d.Services[0].Replicas["nowhere"] = 1 },
+	text, err := os.ReadFile(filepath.Join(deployments, "rawabi", DescriptionFile))
+	require.NoError(t, err)
+	for name, row := range map[string]struct{ old, new, want string }{
+		"unknown key":     {"client_subnet:", "client_subnets:", ":11:1: client_subnets: unknown key; did you mean client_subnet?"},
+		"no loopback":     {`network: "127.41"`, `network: "10.1"`, ":6:10: network: \"10.1\" is no loopback network"},
+		"number":          {`network: "127.41"`, `network: 127.41`, "network: 127.41 has the wrong type or unit; write text, in quotes"},
+		"subnet 0":        {"subnet: 1}", "subnet: 0}", "zones[0].subnet: 0 is no subnet"},
+		"clients' subnet": {"subnet: 1}", "subnet: 100}", "zones[0].subnet: 100 is no subnet"},
+		"other network":   {`"127.41.1.6:7400"`, `"127.42.1.6:7400"`, "machine_list.address: \"127.42.1.6:7400\" is not on network"},
+		"host name":       {`"127.41.1.6:7400"`, "list:7400", "machine_list.address: \"list:7400\" is not IP:port"},
+		"no unit":         {"lag: 2s", "lag: 2", "machine_list.lag: 2 is not a duration"},
+		"service type":    {"type: engine", "type: engines", "services[0].type: \"engines\" is not known; did you mean engine?"},
+		"role":            {"[prefill, prefill,", "[prefil, prefill,", "services[0].roles[0]: \"prefil\" is not known; did you mean prefill?"},
+		"zone":            {"amman-hall-a: 6", "nowhere: 6", "services[0].replicas.nowhere: is not one of the zones"},
+		"fault":           {"services:", "faults: [{fault: burn, zone: amman-hall-a}]\nservices:", "faults[0].fault: \"burn\" is not known; write one of kill, pause, cut-off"},
+		"no target":       {"services:", "faults: [{fault: kill}]\nservices:", "faults[0]: needs one target; give either process or zone"},
+		"two targets":     {"services:", "faults: [{fault: kill, process: a, zone: amman-hall-a}]\nservices:", "faults[0]: needs one target"},
+		"fault's zone":    {"services:", "faults: [{fault: kill, zone: a}]\nservices:", "faults[0].zone: \"a\" is not one of the zones"},
+		"negative time":   {"services:", "faults: [{fault: kill, process: a, at: -1s}]\nservices:", "faults[0].at: -1s is below zero"},
+		"endless pause":   {"services:", "faults: [{fault: pause, process: a}]\nservices:", "faults[0].length: is missing; pause needs it"},
+		"endless cut-off": {"services:", "faults: [{fault: cut-off, process: a}]\nservices:", "faults[0].length: is missing; cut-off needs it"},
+		"stand-in fault":  {"    model:", "    faults: [{kind: refuze, count: 1}]\n    model:", "services[0].faults[0].kind: \"refuze\" is not known; did you mean refuse?"},
 	} {
-		description, err := LoadDescription(filepath.Join(deployments, "rawabi"))
-		require.NoError(t, err)
-		change(&description)
-		require.Error(t, description.check())
+		t.Run(name, func(t *testing.T) {
+			require.Contains(t, string(text), row.old)
+			directory := t.TempDir()
+			changed := strings.Replace(string(text), row.old, row.new, 1)
+			require.NoError(t, os.WriteFile(filepath.Join(directory, DescriptionFile), []byte(changed), 0o600))
+			_, err := LoadDescription(directory)
+			require.ErrorContains(t, err, row.want)
+		})
 	}
 }
--- a/internal/fleet/fault.go
+++ b/internal/fleet/fault.go
@@ -1,9 +1,10 @@
 package fleet
 
 import (
+	"fmt"
 	"time"
 
-	"github.com/gravitational/trace"
+	"github.com/hazelpitch/hazelpitch/internal/yamlfile"
 )
 
 // FaultType is what goes wrong with a process, a stand-in or a zone.
@@ -40,18 +41,17 @@
 	Length time.Duration `yaml:"length" check:"not-negative"`
 }
 
-func (f Fault) check() error {
-	switch {
-	case f.Fault != FaultKill && f.Fault != FaultPause && f.Fault != FaultCutOff:
-		return trace.BadParameter("fault %q: write kill, pause or cut-off", f.Fault)
-	case (f.Process == "") == (f.Zone == ""):
-		return trace.BadParameter("fault %s at %v: give either process or zone", f.Fault, f.At)
-	case f.At < 0 || f.Length < 0:
-		return trace.BadParameter("fault %s: at and length must not be negative", f.Fault)
-	case f.Length == 0 && f.Fault != FaultKill:
-		return trace.BadParameter("fault %s at %v: give its length, such as 10s", f.Fault, f.At)
+// check reports keys of a fault that are wrong together.
+func (f Fault) check(document *yamlfile.Document, key string, zones map[string]bool) {
+	if (f.Process == "") == (f.Zone == "") {
+		document.Report(key, "needs one target", "give either process or zone")
+	}
+	if f.Zone != "" && !zones[f.Zone] {
+		document.Report(key+".zone", fmt.Sprintf("%q is not one of the zones", f.Zone), "name a zone of this file")
+	}
+	if f.Length == 0 && f.Fault != FaultKill {
+		document.Report(key+".length", fmt.Sprintf("is missing; %s needs it", f.Fault), "set how long it lasts, such as 10s")
 	}
-	return nil
 }
 
 // cutsOff tells whether the description's faults cut anything off.
--- a/internal/fleet/fault_test.go
+++ b/internal/fleet/fault_test.go
@@ -16,29 +16,6 @@
 	"github.com/hazelpitch/hazelpitch/internal/enginemodel"
 )
 
-func TestFaultsAreChecked(t *testing.T) {
-	for name, row := range map[string]struct {
-		fault Fault
-		want  string
-	}{
-		"good":           {Fault{Fault: FaultKill, Process: "gateway", At: time.Second}, ""},
-		"unknown":        {Fault{Fault: "burn", Process: "gateway"}, `fault "burn": write kill, pause or cut-off`},
-		"no target":      {Fault{Fault: FaultKill}, "give either process or zone"},
-		"two targets":    {Fault{Fault: FaultKill, Process: "gateway", Zone: "a"}, "give either process or zone"},
-		"negative":       {Fault{Fault: FaultKill, Zone: "a", At: -1}, "must not be negative"},
-		"endless pause":  {Fault{Fault: FaultPause, Zone: "a"}, "give its length"},
-		"endless cutoff": {Fault{Fault: FaultCutOff, Zone: "a"}, "give its length"},
-	} {
-		t.Run(name, func(t *testing.T) {
-			if row.want == "" {
-				require.NoError(t, row.fault.check())
-				return
-			}
-			require.ErrorContains(t, row.fault.check(), row.want)
-		})
-	}
-}
-
 // standIns starts the stand-ins of Rawabi, which can be cut off, without processes.
 func standIns(t *testing.T) *Fleet {
 	t.Helper()
--- a/internal/load/traffic.go
+++ b/internal/load/traffic.go
@@ -1,13 +1,14 @@
 package load
 
 import (
-	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/yamlfile"
 )
 
 // TrafficFile is the name of a deployment's traffic description.
@@ -15,15 +16,15 @@
 
 // Traffic is what callers send to a deployment.
 type Traffic struct {
-	Requests []RequestKind `yaml:"requests"`
+	Requests []RequestKind `yaml:"requests" check:"required"`
 }
 
 // RequestKind is the traffic of one kind of request; its worth and deadline come
 // from the deployment's declarations.
 type RequestKind struct {
-	Kind string `yaml:"kind"`
+	Kind string `yaml:"kind" check:"required"`
 	// Rate is the mean number of arrivals a second.
-	Rate float64 `yaml:"rate"`
+	Rate float64 `yaml:"rate" check:"not-negative"`
 	// Swing makes the rate go up and down.
 	Swing Swing `yaml:"swing"`
 	// Chat is set for requests to engines, Page for all others.
@@ -33,32 +34,32 @@
 
 // Swing is a periodic change of a rate: rate × (1 + amplitude × sin(2π(t/period + phase))).
 type Swing struct {
-	Amplitude float64       `yaml:"amplitude"`
-	Period    time.Duration `yaml:"period"`
+	Amplitude float64       `yaml:"amplitude" check:"share"`
+	Period    time.Duration `yaml:"period" check:"not-negative"`
 	Phase     float64       `yaml:"phase"`
 }
 
 // ChatTraffic describes prompts and answers.
 type ChatTraffic struct {
-	Model        string `yaml:"model"`
+	Model        string `yaml:"model" check:"required"`
 	PromptTokens Range  `yaml:"prompt_tokens"`
 	OutputTokens Range  `yaml:"output_tokens"`
 	// Dossiers is the number of texts that prompts begin with; each prompt shares
 	// SharedShare of its tokens with the others of its dossier.
-	Dossiers    int     `yaml:"dossiers"`
-	SharedShare float64 `yaml:"shared_share"`
+	Dossiers    int     `yaml:"dossiers" check:"not-negative"`
+	SharedShare float64 `yaml:"shared_share" check:"share"`
 }
 
 // PageTraffic describes plain requests.
 type PageTraffic struct {
-	Method string `yaml:"method"`
-	Path   string `yaml:"path"`
+	Method string `yaml:"method" check:"required,one-of=GET|POST|PUT|DELETE"`
+	Path   string `yaml:"path" check:"required"`
 	// BodyBytes is the size of a request's body.
-	BodyBytes int `yaml:"body_bytes"`
+	BodyBytes int `yaml:"body_bytes" check:"not-negative"`
 	// Once gives each request an idempotency key: it may run at most once.
 	Once bool `yaml:"once"`
 	// ResendShare is the share of those requests that the caller sends twice.
-	ResendShare float64 `yaml:"resend_share"`
+	ResendShare float64 `yaml:"resend_share" check:"share"`
 }
 
 // Range is an inclusive range that values are drawn from evenly.
@@ -67,37 +68,38 @@
 	High int `yaml:"high"`
 }
 
-// LoadTraffic reads and checks a deployment's traffic.
+// LoadTraffic reads and checks a deployment's traffic. The error holds
+// yamlfile.Problems, with file, line, key and cure, when the file is at fault.
 func LoadTraffic(directory string) (Traffic, error) {
 	path := filepath.Join(directory, TrafficFile)
-	text, err := os.ReadFile(path)
-	if err != nil {
+	if _, err := os.Stat(path); err != nil {
 		return Traffic{}, trace.BadParameter("can't read the traffic: %v; --deployment names a directory such as deploy/rawabi", err)
 	}
 	var traffic Traffic
-	if err := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(&traffic); err != nil {
-		return Traffic{}, trace.BadParameter("%s: %v", path, err)
-	}
-	for _, request := range traffic.Requests {
-		if err := request.check(); err != nil {
-			return Traffic{}, trace.Wrap(err, path)
+	err := yamlfile.Load(yamlfile.Source{Path: path, Together: func(document *yamlfile.Document) {
+		for index, request := range traffic.Requests {
+			request.check(document, fmt.Sprintf("requests[%d]", index))
 		}
-	}
-	return traffic, nil
+	}}, &traffic)
+	return traffic, trace.Wrap(err)
 }
 
-func (r RequestKind) check() error {
-	switch {
-	case (r.Chat == nil) == (r.Page == nil):
-		return trace.BadParameter("kind %q: give either chat or page", r.Kind)
-	case r.Rate < 0 || r.Swing.Amplitude < 0 || r.Swing.Amplitude > 1:
-		return trace.BadParameter("kind %q: rate must not be negative and amplitude from 0 to 1", r.Kind)
-	case r.Swing.Amplitude > 0 && r.Swing.Period <= 0:
-		return trace.BadParameter("kind %q: a swing needs a period above 0", r.Kind)
-	case r.Chat != nil && (!r.Chat.PromptTokens.valid() || !r.Chat.OutputTokens.valid()):
-		return trace.BadParameter("kind %q: prompt_tokens and output_tokens need 1 <= low <= high", r.Kind)
+// check reports keys of a kind that are wrong together.
+func (r RequestKind) check(document *yamlfile.Document, key string) {
+	if (r.Chat == nil) == (r.Page == nil) {
+		document.Report(key, "is neither chat nor page, or both", "give either chat or page")
+	}
+	if r.Swing.Amplitude > 0 && r.Swing.Period <= 0 {
+		document.Report(key+".swing.period", "is missing; a swing with an amplitude needs it", "set it above 0, such as 40s")
+	}
+	if r.Chat != nil {
+		r.Chat.PromptTokens.check(document, key+".chat.prompt_tokens")
+		r.Chat.OutputTokens.check(document, key+".chat.output_tokens")
 	}
-	return nil
 }
 
-func (r Range) valid() bool { return r.Low >= 1 && r.Low <= r.High }
+func (r Range) check(document *yamlfile.Document, key string) {
+	if r.Low < 1 || r.Low > r.High {
+		document.Report(key, fmt.Sprintf("%d to %d is no range of tokens", r.Low, r.High), "write 1 <= low <= high")
+	}
+}
--- a/internal/scenario/document_test.go
+++ b/internal/scenario/document_test.go
@@ -6,12 +6,12 @@
 	"path/filepath"
 	"reflect"
 	"regexp"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelpitch/hazelpitch/internal/scenario"
+	"github.com/hazelpitch/hazelpitch/internal/yamlfile"
 )
 
 // formatPage is the page that describes scenario files.
@@ -22,55 +22,30 @@
 	return string(text)
 }
 
-// documentedKey is a key of the format with its struct tag.
-type documentedKey struct {
-	path string
-	tag  reflect.StructTag
-	leaf bool
-}
-
-// keysOf lists the keys of a struct and of the groups in it.
-func keysOf(of reflect.Type, prefix string) []documentedKey {
-	var keys []documentedKey
-	for index := range of.NumField() {
-		field := of.Field(index)
-		name := field.Tag.Get("yaml")
-		if name == "" {
-			continue
-		}
-		path, inner := prefix+name, field.Type
-		leaf := inner.Kind() != reflect.Struct
-		if inner.Kind() == reflect.Slice && inner.Elem().Kind() == reflect.Struct {
-			keys = append(keys, keysOf(inner.Elem(), path+"[].")...)
-		}
-		if inner.Kind() == reflect.Struct {
-			keys = append(keys, keysOf(inner, path+".")...)
-		}
-		keys = append(keys, documentedKey{path: path, tag: field.Tag, leaf: leaf})
-	}
-	return keys
-}
+// keys are the keys of scenario files.
+func keys() []yamlfile.Key { return yamlfile.Keys(reflect.TypeFor[scenario.Scenario]()) }
 
 func TestEveryKeyIsDocumented(t *testing.T) {
 	page := formatPage(t)
-	for _, key := range keysOf(reflect.TypeFor[scenario.Scenario](), "") {
-		if !key.leaf {
-			continue
+	for _, key := range keys() {
+		row := regexp.MustCompile(fmt.Sprintf("(?m)^\\| `%s` \\| (.*?) \\|", regexp.QuoteMeta(key.Path))).FindStringSubmatch(page)
+		if key.Group && row == nil {
+			continue // its keys have rows of their own
 		}
-		row := regexp.MustCompile(fmt.Sprintf("(?m)^\\| `%s` \\| (.*?) \\|", regexp.QuoteMeta(key.path))).FindStringSubmatch(page)
-		require.NotNil(t, row, "docs/SCENARIOS.md has no row of %s", key.path)
-		if value, found := key.tag.Lookup("default"); found {
-			require.Equal(t, "`"+value+"`", row[1], "default of %s", key.path)
+		require.NotNil(t, row, "docs/SCENARIOS.md has no row of %s", key.Path)
+		if key.Default != "" {
+			require.Equal(t, "`"+key.Default+"`", row[1], "default of %s", key.Path)
+		}
+		if !key.Group {
+			require.Equal(t, key.Required, row[1] == "required", "%s is told to be required", key.Path)
 		}
-		required := strings.Contains(key.tag.Get("check"), "required")
-		require.Equal(t, required, row[1] == "required", "%s is told to be required", key.path)
 	}
 }
 
 func TestEveryDocumentedKeyExists(t *testing.T) {
 	known := map[string]bool{}
-	for _, key := range keysOf(reflect.TypeFor[scenario.Scenario](), "") {
-		known[key.path] = true
+	for _, key := range keys() {
+		known[key.Path] = true
 	}
 	rows := regexp.MustCompile("(?m)^\\| `([a-z_]+(?:\\[\\])?\\.[^`]*)` \\|").FindAllStringSubmatch(formatPage(t), -1)
 	require.NotEmpty(t, rows)
@@ -81,13 +56,9 @@
 
 func TestEveryWordIsDocumented(t *testing.T) {
 	page := formatPage(t)
-	for _, key := range keysOf(reflect.TypeFor[scenario.Scenario](), "") {
-		_, words, found := strings.Cut(key.tag.Get("check"), "one-of=")
-		if !found {
-			continue
-		}
-		for word := range strings.SplitSeq(words, "|") {
-			require.Contains(t, page, "`"+word+"`", "a value of %s", key.path)
+	for _, key := range keys() {
+		for _, word := range key.Words {
+			require.Contains(t, page, "`"+word+"`", "a value of %s", key.Path)
 		}
 	}
 }
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -61,7 +61,7 @@
 
 // Fault is one fault switched on.
 type Fault struct {
-	Kind Kind `json:"kind" yaml:"kind"`
+	Kind Kind `json:"kind" yaml:"kind" check:"required,one-of=refuse|error|lose-answer|cut|truncate|early-done|stall|late|crossed|wrong-echo|duplicate|skip|fail-export|lose-handle|foreign-handle|crash-in-change|lose-order-answer|load-lag|cache-event-lag|cache-event-gap"`
 	// Count is how many requests it meets; Always for all of them.
 	Count int `json:"count" yaml:"count"`
 	// Tokens is where in an answer it strikes, for the kinds that say so.
--- /dev/null
+++ b/internal/standin/fault/fault_test.go
@@ -0,0 +1,60 @@
+package fault_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"reflect"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
+	"github.com/hazelpitch/hazelpitch/internal/yamlfile"
+)
+
+// TestFilesTakeEveryKind holds the words that files take to the constants.
+func TestFilesTakeEveryKind(t *testing.T) {
+	file, err := parser.ParseFile(token.NewFileSet(), "fault.go", nil, 0)
+	require.NoError(t, err)
+	var kinds []string
+	ast.Inspect(file, func(node ast.Node) bool {
+		declared, isValue := node.(*ast.ValueSpec)
+		if !isValue {
+			return true
+		}
+		if named, isName := declared.Type.(*ast.Ident); isName && named.Name == "Kind" {
+			text, err := strconv.Unquote(declared.Values[0].(*ast.BasicLit).Value)
+			require.NoError(t, err)
+			kinds = append(kinds, text)
+		}
+		return true
+	})
+	require.NotEmpty(t, kinds)
+	for _, key := range yamlfile.Keys(reflect.TypeFor[fault.Fault]()) {
+		if key.Path == "kind" {
+			require.ElementsMatch(t, kinds, key.Words)
+		}
+	}
+}
+
+func TestTakeCounts(t *testing.T) {
+	set := fault.NewSet(fault.Fault{Kind: fault.Refuse, Count: 2}, fault.Fault{Kind: fault.Late, Count: fault.Always, DelayMs: 3})
+	for _, want := range []bool{true, true, false} {
+		_, strikes := set.Take(fault.Refuse)
+		require.Equal(t, want, strikes)
+	}
+	for range 5 {
+		late, strikes := set.Take(fault.Late)
+		require.True(t, strikes)
+		require.Equal(t, int64(3), late.Delay().Milliseconds())
+	}
+	require.Equal(t, map[fault.Kind]int{fault.Refuse: 2, fault.Late: 5}, set.Struck())
+	require.Len(t, set.Left(), 1)
+	_, found := set.Present(fault.Refuse)
+	require.False(t, found)
+	set.Replace(nil)
+	_, strikes := set.Take(fault.Late)
+	require.False(t, strikes)
+}
--- a/internal/yamlfile/document.go
+++ b/internal/yamlfile/document.go
@@ -44,6 +44,9 @@
 	switch {
 	case value.Type() == durationType:
 		d.decodeDuration(node, value, key)
+	case value.Kind() == reflect.Pointer:
+		value.Set(reflect.New(value.Type().Elem()))
+		d.decode(node, value.Elem(), key)
 	case value.Kind() == reflect.Struct:
 		d.decodeStruct(node, value, key)
 	case value.Kind() == reflect.Slice:
@@ -119,6 +122,7 @@
 // scalarCures tells how to write a value of each kind.
 var scalarCures = map[reflect.Kind]string{
 	reflect.String:  "write text, in quotes if it looks like a number",
+	reflect.Int64:   "write a whole number without a unit (bytes and entries are counted one by one)",
 	reflect.Int:     "write a whole number without a unit (bytes and entries are counted one by one)",
 	reflect.Float64: "write a number without a unit, such as 2 or 0.5",
 	reflect.Bool:    "write true or false",
@@ -140,7 +144,7 @@
 	case *ast.StringNode, *ast.LiteralNode:
 		return kind == reflect.String
 	case *ast.IntegerNode:
-		return kind == reflect.Int || kind == reflect.Float64
+		return kind == reflect.Int || kind == reflect.Int64 || kind == reflect.Float64
 	case *ast.FloatNode:
 		return kind == reflect.Float64
 	case *ast.BoolNode:
--- a/internal/yamlfile/rules.go
+++ b/internal/yamlfile/rules.go
@@ -45,6 +45,11 @@
 		case field.Type.Kind() == reflect.Struct:
 			d.applyDefaults(value.Field(index), path)
 			continue
+		case field.Type.Kind() == reflect.Pointer:
+			if !value.Field(index).IsNil() {
+				d.applyDefaults(value.Field(index).Elem(), path)
+			}
+			continue
 		case field.Type.Kind() == reflect.Slice && field.Type.Elem().Kind() == reflect.Struct:
 			for item := range value.Field(index).Len() {
 				d.applyDefaults(value.Field(index).Index(item), fmt.Sprintf("%s[%d]", path, item))
@@ -88,6 +93,10 @@
 		}
 	}
 	switch value.Kind() {
+	case reflect.Pointer:
+		if !value.IsNil() {
+			d.checkField(value.Elem(), key, names)
+		}
 	case reflect.Struct:
 		d.checkRules(value, key)
 	case reflect.Slice:
