Let the planner trust measured losses over its model

Change: demand carries the requests that were refused or late; the present split counts for what it measurably serves when that is more than the model says.

--- a/internal/demand/table.go
+++ b/internal/demand/table.go
@@ -70,6 +70,7 @@
 	// written counts the requests that wrote output.
 	written               float64
 	completedPerSecond    float64
+	lostPerSecond         float64
 	promptTokens, outputs float64
 	age                   time.Duration
 }
@@ -101,6 +102,7 @@
 	sum.arrivals += float64(demand.Arrivals)
 	sum.arrivalsPerSecond += float64(demand.Arrivals) / r.window.Seconds()
 	sum.completedPerSecond += float64(demand.Completed) / r.window.Seconds()
+	sum.lostPerSecond += float64(demand.Refused+demand.MissedDeadline) / r.window.Seconds()
 	sum.written += float64(demand.Completed + demand.MissedDeadline)
 	sum.promptTokens += float64(demand.PromptTokens)
 	sum.outputs += float64(demand.OutputTokens)
@@ -124,7 +126,7 @@
 		row := planner.DemandObservation{
 			Kind: key.kind, Zone: key.zone, ArrivalsPerSecond: sum.arrivalsPerSecond, Age: sum.age,
 		}
-		row.CompletedPerSecond = sum.completedPerSecond
+		row.CompletedPerSecond, row.LostPerSecond = sum.completedPerSecond, sum.lostPerSecond
 		if sum.arrivals > 0 {
 			row.PromptTokens = sum.promptTokens / sum.arrivals
 		}
--- a/internal/planner/demand.go
+++ b/internal/planner/demand.go
@@ -10,6 +10,7 @@
 	kind      string
 	arrivals  float64 // per second
 	completed float64 // per second
+	lost      float64 // per second
 	prompt    float64 // tokens
 	output    float64 // tokens of those that completed; 0 when none did
 }
@@ -27,6 +28,7 @@
 		sum.output = weightedMean(sum.completed, sum.output, demand.CompletedPerSecond, demand.OutputTokens)
 		sum.arrivals += demand.ArrivalsPerSecond
 		sum.completed += demand.CompletedPerSecond
+		sum.lost += demand.LostPerSecond
 	}
 	result := make([]estimate, 0, len(byKind))
 	for _, sum := range byKind {
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -55,6 +55,8 @@
 	OutputTokens float64
 	// CompletedPerSecond is the rate of requests that completed; OutputTokens are theirs.
 	CompletedPerSecond float64
+	// LostPerSecond is the rate of requests that were refused or missed their deadline.
+	LostPerSecond float64
 	// CachedShare is the share of prompt tokens found in prefix caches, 0 to 1.
 	CachedShare float64
 	Age         time.Duration
--- a/internal/planner/weighing.go
+++ b/internal/planner/weighing.go
@@ -48,7 +48,12 @@
 	for _, demand := range w.mean {
 		w.arriving += demand.ArrivalsPerSecond * demand.Worth
 	}
-	w.stay = w.rate(w.split)
+	lost := 0.0
+	for _, each := range w.weighted {
+		lost += each.weight * each.lost
+	}
+	// What is measured of the present split outdoes the model where it is better.
+	w.stay = max(w.rate(w.split), w.arriving-lost)
 	return w
 }
 
@@ -72,7 +77,7 @@
 // decide picks the best target and makes the first changes towards it.
 func (w *weighing) decide() Decision {
 	if w.stay >= servedShare*w.arriving {
-		return hold("no change pays back: the model serves all that arrives, %s", w.describe())
+		return hold("no change pays back: all that arrives is served, %s", w.describe())
 	}
 	allowed, forbidden := w.reachable()
 	best, found := w.bestTarget(allowed)
