Let a node begin only with the leader's revision, so that a restart reverts nothing

Cause: a gateway that restarts holds no revision, and any controller that had heard of a leader could give it its own: an older one than it had in force before.

Change: a controller answers a node without a revision as one that may be behind unless it leads with a valid lease; such a node takes no configuration from an answer that may be behind, and asks the next controller, as it did before when one was behind. The simulator's check holds over restarts of gateways. TestDeclarationReachesEveryController expected a follower's first answer to count: that was the fault; it now demands that only the leader's does, and that every controller answers a node that has the revision.

Conclusion: a gateway that restarts while no controller leads waits until one does; those that run go on with what they have.

--- a/internal/control/core_test.go
+++ b/internal/control/core_test.go
@@ -22,14 +22,19 @@
 			require.Equal(t, v1.ApplyOutcome_APPLY_OUTCOME_ACCEPTED, response.Outcome)
 			w.run(5 * time.Second)
 			for _, name := range w.names {
-				answer := w.sync(w.controllers[name], &v1.SyncRequest{
+				request := &v1.SyncRequest{
 					Node:             &v1.NodeIdentity{Name: "gateway-1", Zone: "zone-a", Incarnation: 1},
 					UnknownKeyHashes: []string{strings.Repeat("ab", 32), strings.Repeat("cd", 32)},
-				})
+				}
+				answer := w.sync(w.controllers[name], request)
 				require.Equal(t, uint64(1), answer.Revision, name)
 				require.True(t, answer.Full)
 				require.Len(t, answer.Objects, 3)
-				require.Equal(t, []string{strings.Repeat("cd", 32)}, answer.RejectedKeyHashes)
+				require.Equal(t, w.leader().name != name, answer.Behind, "only the leader's revision may be the first")
+				request.Revision = 1
+				known := w.sync(w.controllers[name], request)
+				require.False(t, known.Behind)
+				require.Equal(t, []string{strings.Repeat("cd", 32)}, known.RejectedKeyHashes)
 				require.Len(t, answer.Directory.BackEnds, 1)
 				require.Equal(t, v1.BackEndState_BACK_END_STATE_SERVING, answer.Directory.BackEnds[0].State)
 				require.Less(t, answer.DirectoryAgeMs, uint32(2500))
--- a/internal/control/nodes.go
+++ b/internal/control/nodes.go
@@ -18,7 +18,7 @@
 	c.tracker.GatewayHeard(c.now, request.GetNode(), request.GetRevision(), request.GetLeaving())
 	delta := c.state.Delta(c.deltaRequest(request))
 	status := c.consensus.Status()
-	behind := status.Leader == "" || request.GetRevision() > c.state.Revision()
+	behind := status.Leader == "" || request.GetRevision() > c.state.Revision() || !c.mayBegin(request)
 	if behind {
 		delta.RejectedKeyHashes = nil // a newer configuration may know them
 	}
@@ -33,6 +33,13 @@
 	c.answer(Answer{Call: received.Call, Response: response})
 }
 
+// mayBegin reports whether a node may begin with this controller's revision. A node
+// that has none may have had a later one in force before it restarted: only the
+// leader's is surely no older.
+func (c *Core) mayBegin(request *v1.SyncRequest) bool {
+	return request.GetRevision() != 0 || c.mayAnswerAsLeader()
+}
+
 func (c *Core) deltaRequest(request *v1.SyncRequest) controlstate.DeltaRequest {
 	asked := controlstate.DeltaRequest{
 		Revision: request.Revision, HeldTenants: request.HeldTenants, UnknownKeyHashes: request.UnknownKeyHashes,
--- a/internal/gatewaystate/state.go
+++ b/internal/gatewaystate/state.go
@@ -120,7 +120,7 @@
 func (s *State) ApplySync(sentAt, now time.Duration, request *v1.SyncRequest, response *v1.SyncResponse) SyncResult {
 	result := s.applyDirectory(sentAt, now, response)
 	result.Behind = response.GetBehind() || response.GetRevision() < s.configuration.revision
-	if response.GetRevision() < s.configuration.revision && s.config.Safeguards.On(SafeguardOrderedRevisions) {
+	if !s.mayTake(response) {
 		return result
 	}
 	s.applyConfiguration(now, request, response)
@@ -128,6 +128,17 @@
 	return result
 }
 
+// mayTake reports whether an answer's configuration may come into force. It never is
+// older than the one in force; and a node that has none may have had a later one before
+// it restarted, so that it begins only with one that is not behind.
+func (s *State) mayTake(response *v1.SyncResponse) bool {
+	if !s.config.Safeguards.On(SafeguardOrderedRevisions) {
+		return true
+	}
+	begins := s.configuration.revision == 0
+	return response.GetRevision() >= s.configuration.revision && !(begins && response.GetBehind())
+}
+
 // applyDirectory counts freshness from the time the request was sent: the readings are
 // at least as young as that, less their age.
 func (s *State) applyDirectory(sentAt, now time.Duration, response *v1.SyncResponse) SyncResult {
--- a/internal/simulation/checks_spread.go
+++ b/internal/simulation/checks_spread.go
@@ -40,13 +40,14 @@
 // controllerStarted takes note of a new process, which begins at its snapshot.
 func (s *spreadChecks) controllerStarted(c *controller) { delete(s.controllers, c.name) }
 
-// gatewayStarted takes note of a new process, which knows nothing yet.
-func (c *checks) gatewayStarted(g *gateway) { delete(c.spread.gateways, g.name) }
-
-// gatewaySynced checks that a gateway never goes back, and that what it has in force
-// is what was accepted as its revision.
-func (c *checks) gatewaySynced(g *gateway, response *v1.SyncResponse) {
+// gatewaySynced checks that a gateway never goes back, over restarts too, and that
+// what it has in force is what was accepted as its revision. A gateway without any
+// configuration serves no one.
+func (c *checks) gatewaySynced(g *gateway) {
 	revision := g.state.Revision()
+	if revision == 0 {
+		return
+	}
 	if revision < c.spread.gateways[g.name] {
 		c.fail("revisions never revert", "%s goes from revision %d to %d", g.name, c.spread.gateways[g.name], revision)
 	}
--- a/internal/simulation/gateway.go
+++ b/internal/simulation/gateway.go
@@ -53,7 +53,6 @@
 	g.router = router
 	g.asked = g.world.random.IntN(len(g.world.controllers))
 	g.claims = newClaimant(g)
-	g.world.checks.gatewayStarted(g)
 	g.world.trace.add(g.world.now, g.name, "starts, incarnation %d", g.incarnation)
 	g.sync()
 	g.every(syncInterval, g.sync)
@@ -118,7 +117,7 @@
 	if result.DirectoryConfirmed {
 		g.router.Confirm(result.ConfirmedAt)
 	}
-	g.world.checks.gatewaySynced(g, response)
+	g.world.checks.gatewaySynced(g)
 	return !result.Behind
 }
 
