Split the load's client and the page stand-in, and serve faults in one place

Change: target, answer and stream check of the load stand in files of their own, as do handlers and content of the page stand-in; fault.Set serves GET and PUT of faults. Conclusion: no behaviour changed but the text of the engine's refusal of a bad list of faults.

--- /dev/null
+++ b/internal/load/answer.go
@@ -0,0 +1,48 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/standin/page"
+)
+
+// refused reads the code of an error's body.
+func (r *Result) refused(body io.Reader) {
+	r.Outcome = Refused
+	text, err := io.ReadAll(body)
+	if err != nil {
+		r.Detail = err.Error()
+	}
+	var problem struct {
+		Error struct {
+			Code    string `json:"code"`
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(text, &problem) == nil {
+		r.Code, r.Detail = problem.Error.Code, problem.Error.Message
+	}
+}
+
+// checkPage compares a page or receipt with what its request makes it.
+func (r *Result) checkPage(of request, body io.Reader, due time.Time) {
+	text, err := io.ReadAll(body)
+	r.FirstByte = time.Since(due)
+	want := page.Page(of.path)
+	if of.method != fasthttp.MethodGet {
+		want = page.Receipt(of.path, of.key, of.body)
+	}
+	switch {
+	case err != nil:
+		r.Outcome, r.Detail = Cut, err.Error()
+	case string(text) != want:
+		r.Outcome, r.Detail = Mixed, fmt.Sprintf("%d bytes in place of %d", len(text), len(want))
+	default:
+		r.Outcome = Completed
+	}
+}
--- /dev/null
+++ b/internal/load/stream.go
@@ -0,0 +1,149 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/standin/answertext"
+)
+
+const (
+	// codeDeadline is the code of an error event that ends an answer at its deadline.
+	codeDeadline = "deadline_exceeded"
+	streamBuffer = 16 << 10
+)
+
+// event is what the check reads of one event.
+type event struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *struct {
+		PromptTokens     int `json:"prompt_tokens"`
+		CompletionTokens int `json:"completion_tokens"`
+	} `json:"usage"`
+	Error *struct {
+		Code    string `json:"code"`
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+var (
+	dataPrefix = []byte("data: ")
+	doneMarker = []byte("[DONE]")
+)
+
+// checkStream reads an event stream to its end and compares it with what the prompt
+// makes it: every token in order, the finish, the usage, the end.
+func (r *Result) checkStream(of request, body io.Reader, due time.Time, show io.Writer) {
+	reader := bufio.NewReaderSize(body, streamBuffer)
+	check := streamCheck{request: of, result: r, due: due, show: show}
+	for {
+		line, err := reader.ReadSlice('\n')
+		if err != nil {
+			r.Outcome = Cut
+			r.Detail = fmt.Sprintf("ended after %d of %d tokens: %v", r.Tokens, of.outputTokens, err)
+			return
+		}
+		data, found := bytes.CutPrefix(bytes.TrimSpace(line), dataPrefix)
+		if !found {
+			continue
+		}
+		if bytes.Equal(data, doneMarker) {
+			check.end()
+			return
+		}
+		if !check.add(data) {
+			return
+		}
+	}
+}
+
+// streamCheck is how far a stream has been checked.
+type streamCheck struct {
+	request  request
+	result   *Result
+	due      time.Time
+	show     io.Writer
+	expected []byte // text of the next tokens, made one at a time
+	finished bool
+	usage    int
+	prompt   int
+}
+
+// add checks one event; false ends the check with the result set.
+func (s *streamCheck) add(data []byte) bool {
+	var read event
+	if err := json.Unmarshal(data, &read); err != nil {
+		return s.fail(Mixed, "an event isn't JSON: "+err.Error())
+	}
+	if read.Error != nil {
+		s.result.Code = read.Error.Code
+		if deadline := s.request.deadline; read.Error.Code == codeDeadline && deadline > 0 && time.Since(s.due) >= deadline {
+			return s.fail(Expired, "")
+		}
+		return s.fail(Cut, "error event: "+read.Error.Message)
+	}
+	if read.Usage != nil {
+		s.usage, s.prompt = read.Usage.CompletionTokens, read.Usage.PromptTokens
+	}
+	for _, choice := range read.Choices {
+		if choice.FinishReason != nil {
+			s.finished = true
+		}
+		if !s.addText(choice.Delta.Content) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *streamCheck) addText(text string) bool {
+	for len(text) > 0 {
+		if s.result.Tokens == 0 {
+			s.result.FirstByte = time.Since(s.due)
+		}
+		if s.result.Tokens >= s.request.outputTokens {
+			return s.fail(Mixed, "more tokens than asked for")
+		}
+		s.expected = answertext.AppendToken(s.expected[:0], s.request.promptHash, s.result.Tokens)
+		if len(text) < len(s.expected) || text[:len(s.expected)] != string(s.expected) {
+			return s.fail(Mixed, fmt.Sprintf("token %d is not this prompt's", s.result.Tokens))
+		}
+		_, _ = s.show.Write(s.expected) // what can't be shown is checked all the same
+		text = text[len(s.expected):]
+		s.result.Tokens++
+	}
+	return true
+}
+
+// end checks the whole at the end of the stream.
+func (s *streamCheck) end() {
+	var err error
+	switch {
+	case s.result.Tokens != s.request.outputTokens:
+		err = fmt.Errorf("ended in good order after %d of %d tokens", s.result.Tokens, s.request.outputTokens)
+	case !s.finished:
+		err = errors.New("no finish reason")
+	case s.usage != s.request.outputTokens || s.prompt != s.request.promptTokens:
+		err = fmt.Errorf("usage %d+%d in place of %d+%d", s.prompt, s.usage, s.request.promptTokens, s.request.outputTokens)
+	}
+	if err != nil {
+		s.fail(Mixed, err.Error())
+		return
+	}
+	s.result.Outcome = Completed
+}
+
+func (s *streamCheck) fail(outcome Outcome, detail string) bool {
+	s.result.Outcome, s.result.Detail = outcome, detail
+	return false
+}
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -1,14 +1,12 @@
 package engine
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
-	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
 )
 
 // Paths of the bench alone; no engine outside the bench has them.
@@ -69,15 +67,8 @@
 	switch {
 	case path == PathBenchRuns && ctx.IsGet():
 		writeJSON(&ctx.Response, l.engine.Runs())
-	case path == PathBenchFaults && ctx.IsGet():
-		writeJSON(&ctx.Response, l.engine.faults.Left())
-	case path == PathBenchFaults && ctx.IsPut():
-		var faults []fault.Fault
-		if err := json.Unmarshal(ctx.PostBody(), &faults); err != nil {
-			invalid("a list of faults is wanted: " + err.Error()).write(&ctx.Response)
-			return
-		}
-		l.engine.faults.Replace(faults)
+	case path == PathBenchFaults && (ctx.IsGet() || ctx.IsPut()):
+		l.engine.faults.Serve(ctx)
 	default:
 		notRun(fasthttp.StatusNotFound, "not_found", "no such path").write(&ctx.Response)
 	}
--- /dev/null
+++ b/internal/standin/fault/serve.go
@@ -0,0 +1,27 @@
+package fault
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Serve answers the bench's requests about a stand-in's faults: GET tells those that
+// can still strike, PUT switches on exactly those of its body.
+func (s *Set) Serve(ctx *fasthttp.RequestCtx) {
+	if !ctx.IsPut() {
+		text, err := json.Marshal(s.Left())
+		if err != nil { // the shape always marshals
+			panic(err)
+		}
+		ctx.Response.Header.SetContentType("application/json")
+		ctx.Response.SetBody(text)
+		return
+	}
+	var faults []Fault
+	if err := json.Unmarshal(ctx.PostBody(), &faults); err != nil {
+		ctx.Error("a list of faults is wanted: "+err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	s.Replace(faults)
+}
--- /dev/null
+++ b/internal/standin/page/serve.go
@@ -0,0 +1,141 @@
+package page
+
+import (
+	"bufio"
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/standin/crashable"
+	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
+)
+
+func (s *Service) handle(ctx *fasthttp.RequestCtx) {
+	s.mutex.Lock()
+	pause := time.Until(s.frozenUntil)
+	s.mutex.Unlock()
+	time.Sleep(max(pause, 0))
+	switch path := string(ctx.Path()); {
+	case path == PathBenchRuns:
+		s.writeJSON(ctx, s.Runs())
+	case path == PathBenchFaults:
+		s.faults.Serve(ctx)
+	case path == enginecontract.PathHealth:
+		s.serveHealth(ctx)
+	default:
+		s.serveRequest(ctx)
+	}
+}
+
+func (s *Service) serveHealth(ctx *fasthttp.RequestCtx) {
+	s.setState(ctx)
+	if s.isLeaving() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// serveRequest runs one request of a caller.
+func (s *Service) serveRequest(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Header.SetBytesV(enginecontract.HeaderExchange, ctx.Request.Header.Peek(enginecontract.HeaderExchange))
+	s.setState(ctx)
+	if late, strikes := s.faults.Take(fault.Late); strikes {
+		time.Sleep(late.Delay())
+	}
+	if s.isLeaving() {
+		s.refuse(ctx, "leaving")
+		return
+	}
+	if _, strikes := s.faults.Take(fault.Refuse); strikes {
+		s.refuse(ctx, "refused on demand")
+		return
+	}
+	body := s.run(ctx)
+	if _, strikes := s.faults.Take(fault.LoseAnswer); strikes {
+		crashable.Break(ctx.Conn())
+		return
+	}
+	if _, strikes := s.faults.Take(fault.Error); strikes {
+		ctx.Response.Header.Set(enginecontract.HeaderRunState, enginecontract.RunStateMayHaveRun)
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		ctx.SetBodyString("failed on demand")
+		return
+	}
+	if _, strikes := s.faults.Take(fault.WrongEcho); strikes {
+		ctx.Response.Header.Set(enginecontract.HeaderExchange, otherExchange)
+		body = Receipt("/another", "of another caller", nil)
+	}
+	s.send(ctx, body)
+}
+
+// run executes the request and counts it by its idempotency key.
+func (s *Service) run(ctx *fasthttp.RequestCtx) string {
+	time.Sleep(s.config.ServiceTime)
+	key := string(ctx.Request.Header.Peek(enginecontract.HeaderIdempotencyKey))
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.report.Served++
+	if key != "" {
+		s.report.Executions[key]++
+	}
+	if ctx.IsGet() {
+		return Page(string(ctx.RequestURI()))
+	}
+	return Receipt(string(ctx.Path()), key, ctx.PostBody())
+}
+
+// send answers with a body, whole or as the faults want.
+func (s *Service) send(ctx *fasthttp.RequestCtx, body string) {
+	ctx.Response.Header.SetContentType("text/html; charset=utf-8")
+	if ctx.IsPost() {
+		ctx.Response.Header.SetContentType("application/json")
+	}
+	cut, strikes := s.faults.Take(fault.Truncate)
+	if !strikes {
+		cut, strikes = s.faults.Take(fault.Cut)
+	}
+	if !strikes {
+		ctx.SetBodyString(body)
+		return
+	}
+	connection := ctx.Conn()
+	ctx.Response.SetBodyStreamWriter(func(out *bufio.Writer) {
+		_, _ = out.WriteString(body[:min(cut.Tokens, len(body))]) // the connection breaks in any case
+		_ = out.Flush()
+		crashable.Break(connection)
+	})
+	ctx.Response.Header.SetContentLength(len(body))
+}
+
+func (s *Service) refuse(ctx *fasthttp.RequestCtx, why string) {
+	s.mutex.Lock()
+	s.report.Refused++
+	s.mutex.Unlock()
+	ctx.Response.Header.Set(enginecontract.HeaderRunState, enginecontract.RunStateNotRun)
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	ctx.SetBodyString(why)
+}
+
+func (s *Service) setState(ctx *fasthttp.RequestCtx) {
+	state := enginecontract.StateServing
+	if s.isLeaving() {
+		state = enginecontract.StateLeaving
+	}
+	ctx.Response.Header.Set(enginecontract.HeaderEngineState, string(state))
+}
+
+func (s *Service) isLeaving() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.leaving
+}
+
+func (s *Service) writeJSON(ctx *fasthttp.RequestCtx, value any) {
+	text, err := json.Marshal(value)
+	if err != nil { // the shapes here always marshal
+		panic(err)
+	}
+	ctx.Response.Header.SetContentType("application/json")
+	ctx.Response.SetBody(text)
+}
