Follow trends of demand and learn the model's error

Cause: waiting for measured losses answers a hiring wave half a minute late. Change: the planner plans also for where the trend of each kind's rate leads, and learns by which factor the present split outdoes the model in place of taking the measured rate as it is.

--- a/internal/planner/history.go
+++ b/internal/planner/history.go
@@ -16,9 +16,11 @@
 	cacheTimeConstant = 60 * time.Second
 	// recentTimeConstant weighs the recent past, by which shifts are noticed.
 	recentTimeConstant = 12 * time.Second
-	// recentPart is the part of the weight that goes to the recent past; the rest goes
-	// to the whole horizon behind, by which mixes that come and go are remembered.
-	recentPart = 0.6
+	// recentPart and forecastPart are the parts of the weight that go to the recent past
+	// and to where its trend leads; the rest goes to the whole horizon behind, by which
+	// mixes that come and go are remembered.
+	recentPart   = 0.3
+	forecastPart = 0.4
 	// Bins divide the horizon; their length is bounded so that one is neither noise
 	// nor a whole shift.
 	binsPerHorizon = 40
@@ -28,17 +30,22 @@
 
 // history remembers the demand of one service over the horizon behind.
 type history struct {
-	last  time.Duration
-	begun bool
-	kinds map[string]*kindTokens
-	bins  []bin // oldest first
-	cache cacheEstimate
+	last time.Duration
+	// elapsed is the time between the last two observations.
+	elapsed time.Duration
+	begun   bool
+	kinds   map[string]*kindTokens
+	bins    []bin // oldest first
+	cache   cacheEstimate
+	// correction is by how much the present split measurably outdoes the model.
+	correction correction
 }
 
 // kindTokens are the smoothed tokens of one kind's requests.
 type kindTokens struct {
 	prompt float64
 	output float64
+	rate   trend
 }
 
 // bin is the mean rate of each kind over a short span.
@@ -55,6 +62,8 @@
 	demands []KindDemand
 	// lost is the worth per second that was refused or came too late.
 	lost float64
+	// forecast tells that this is where trends lead and not what has been.
+	forecast bool
 }
 
 func newHistory() *history { return &history{kinds: map[string]*kindTokens{}} }
@@ -65,11 +74,15 @@
 	if h.begun && elapsed <= 0 {
 		return
 	}
-	h.last, h.begun = observation.Now, true
+	if !h.begun {
+		elapsed = 0
+	}
+	h.last, h.elapsed, h.begun = observation.Now, elapsed, true
 	sums := sumZones(demands)
 	for _, sum := range sums {
 		h.learnTokens(sum, elapsed)
 	}
+	h.followRates(sums, elapsed)
 	horizon := horizonOf(observation.Policy)
 	length := min(max(horizon/binsPerHorizon, shortestBin), longestBin)
 	if len(h.bins) == 0 || observation.Now-h.bins[len(h.bins)-1].from >= length {
@@ -106,6 +119,17 @@
 	}
 }
 
+// followRates takes the rates into the trends; a kind that is not reported has none.
+func (h *history) followRates(sums []estimate, elapsed time.Duration) {
+	rates := make(map[string]float64, len(sums))
+	for _, sum := range sums {
+		rates[sum.kind] = sum.arrivals
+	}
+	for kind, tokens := range h.kinds {
+		tokens.rate.observe(rates[kind], elapsed)
+	}
+}
+
 // gainOf is how far a smoothed value moves towards a reading after a time.
 func gainOf(elapsed, constant time.Duration) float64 {
 	return 1 - math.Exp(-seconds(elapsed)/seconds(constant))
@@ -113,22 +137,39 @@
 
 // demands returns the demands of the horizon behind with their weights, which sum to 1.
 func (h *history) demands(now time.Duration, worths []KindWorth, horizon time.Duration) []weightedDemand {
-	result := make([]weightedDemand, len(h.bins))
+	result := make([]weightedDemand, len(h.bins), len(h.bins)+1)
 	recent, long := make([]float64, len(h.bins)), make([]float64, len(h.bins))
 	for i, bin := range h.bins {
 		age := seconds(now - bin.from)
 		recent[i] = float64(bin.readings) * math.Exp(-age/seconds(recentTimeConstant))
 		long[i] = float64(bin.readings) * math.Exp(-2*age/seconds(horizon))
-		result[i].demands = h.demandsOf(bin, worths)
+		result[i].demands = h.demandsOf(bin.meanRates(), worths)
 		for _, demand := range result[i].demands {
 			result[i].lost += demand.Worth * bin.lost[demand.Kind] / float64(bin.readings)
 		}
 	}
 	recentSum, longSum := sumOf(recent), sumOf(long)
 	for i := range result {
-		result[i].weight = recentPart*recent[i]/recentSum + (1-recentPart)*long[i]/longSum
+		result[i].weight = recentPart*recent[i]/recentSum + (1-recentPart-forecastPart)*long[i]/longSum
+	}
+	return append(result, weightedDemand{weight: forecastPart, forecast: true, demands: h.demandsOf(h.forecast(), worths)})
+}
+
+// forecast is where the trends of all kinds lead.
+func (h *history) forecast() map[string]float64 {
+	rates := make(map[string]float64, len(h.kinds))
+	for kind, tokens := range h.kinds {
+		rates[kind] = tokens.rate.forecast()
+	}
+	return rates
+}
+
+func (b bin) meanRates() map[string]float64 {
+	rates := make(map[string]float64, len(b.rates))
+	for kind, sum := range b.rates {
+		rates[kind] = sum / float64(b.readings)
 	}
-	return result
+	return rates
 }
 
 func sumOf(values []float64) float64 {
@@ -139,13 +180,13 @@
 	return total
 }
 
-// demandsOf turns the rates of a bin into demands, by kind.
-func (h *history) demandsOf(bin bin, worths []KindWorth) []KindDemand {
-	demands := make([]KindDemand, 0, len(bin.rates))
-	for kind, sum := range bin.rates {
+// demandsOf turns rates into demands, by kind.
+func (h *history) demandsOf(rates map[string]float64, worths []KindWorth) []KindDemand {
+	demands := make([]KindDemand, 0, len(rates))
+	for kind, rate := range rates {
 		tokens := h.kinds[kind]
 		demand := KindDemand{
-			Kind: kind, ArrivalsPerSecond: sum / float64(bin.readings), PromptTokens: tokens.prompt * (1 - h.cache.share()),
+			Kind: kind, ArrivalsPerSecond: rate, PromptTokens: tokens.prompt * (1 - h.cache.share()),
 			OutputTokens: tokens.output, ContextTokens: tokens.prompt + tokens.output/2, Worth: 1,
 		}
 		for _, worth := range worths {
--- a/internal/planner/weighing.go
+++ b/internal/planner/weighing.go
@@ -28,6 +28,7 @@
 	model       Model
 	weighted    []weightedDemand
 	mean        []KindDemand
+	correction  correction
 	split       Split
 	horizon     time.Duration
 	outage      float64 // seconds that one change takes an engine out
@@ -48,17 +49,35 @@
 	for _, demand := range w.mean {
 		w.arriving += demand.ArrivalsPerSecond * demand.Worth
 	}
-	lost := 0.0
+	w.learn(history)
+	w.correction = history.correction
+	w.stay = w.rate(w.split)
+	return w
+}
+
+// learn compares what the present split served of the past demand with the model.
+func (w *weighing) learn(history *history) {
+	arriving, lost, modelled := 0.0, 0.0, 0.0
 	for _, each := range w.weighted {
+		if each.forecast {
+			continue
+		}
+		modelled += each.weight * w.model.Goodput(w.split, each.demands)
 		lost += each.weight * each.lost
+		for _, demand := range each.demands {
+			arriving += each.weight * demand.ArrivalsPerSecond * demand.Worth
+		}
 	}
-	// What is measured of the present split outdoes the model where it is better.
-	w.stay = max(w.rate(w.split), w.arriving-lost)
-	return w
+	history.correction.observe(arriving, lost, modelled, history.elapsed)
 }
 
-// rate is the worth per second that a split completes under the weighted demands.
+// rate is the worth per second that a split completes under the weighted demands, by
+// the model and what has been learned of its error.
 func (w *weighing) rate(split Split) float64 {
+	return w.correction.apply(w.modelRate(split), w.arriving)
+}
+
+func (w *weighing) modelRate(split Split) float64 {
 	total := 0.0
 	for _, each := range w.weighted {
 		total += each.weight * w.model.Goodput(split, each.demands)
