--- a/internal/planner/model.go
+++ b/internal/planner/model.go
@@ -40,7 +40,7 @@
 	leastChunk  = 800
 	// hybridShare is what is left of all capacity where mixed engines stand beside
 	// pairs: routing then balances requests of unlike speeds.
-	hybridShare = 0.9
+	hybridShare = 0.8
 )
 
 // Model estimates the worth that a split of engines completes each second. It is a
