Begin authority above what engines remember when a quorum was formed anew

Change: a leader most of whose engines hold fences of later epochs gives its term up for one above them (consensus RaiseTerm, bounded); a minority of engines is not believed.

--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -116,6 +116,29 @@
 	require.Less(t, cluster.now-before, DefaultElectionTimeout)
 }
 
+// TestRaiseTerm gives up a term for one far above: the same members elect a leader
+// there, and what was accepted stays.
+func TestRaiseTerm(t *testing.T) {
+	cluster := newTestCluster(t, 3, 5)
+	leader := cluster.waitLeader()
+	_, _, err := leader.Propose(cluster.now, []byte("x"))
+	require.NoError(t, err)
+	cluster.until("commit", func() bool { return len(cluster.applied[cluster.leader()]) == 2 })
+	require.Error(t, leader.RaiseTerm(cluster.now, maximumRaisedTerm+1))
+	require.True(t, leader.Leading())
+	require.NoError(t, leader.RaiseTerm(cluster.now, 500))
+	require.False(t, leader.Leading())
+	require.False(t, leader.LeaseValid(cluster.now))
+	require.ErrorIs(t, leader.RaiseTerm(cluster.now, 600), ErrNotLeader)
+	next := cluster.waitLeader()
+	require.Greater(t, next.Term(), uint64(500))
+	require.NoError(t, next.RaiseTerm(cluster.now, 400))
+	require.True(t, next.Leading(), "a lower term changes nothing")
+	_, _, err = next.Propose(cluster.now, []byte("y"))
+	require.NoError(t, err)
+	cluster.until("commit", func() bool { return len(cluster.applied[cluster.leader()]) == 3 })
+}
+
 func TestMembershipRules(t *testing.T) {
 	cluster := newTestCluster(t, 3, 6)
 	leader := cluster.waitLeader()
--- a/internal/control/declared_test.go
+++ b/internal/control/declared_test.go
@@ -75,6 +75,20 @@
 	w.until("no longer held back", func() bool { return !strings.Contains(explained(), "held back") })
 }
 
+// TestAuthorityBeginsAboveWhatEnginesRemember starts controllers on empty disks before
+// engines that have obeyed another quorum for long: they are ordered all the same.
+func TestAuthorityBeginsAboveWhatEnginesRemember(t *testing.T) {
+	const lastEpoch = 90
+	w := newWorld(t, 3, nil)
+	engine := w.addEngine("engine-1", "assessor", "zone-a", enginecontract.RoleMixed)
+	engine.machine.Fence(0, enginecontract.Fence{Epoch: lastEpoch, Sequence: 7}, 0)
+	w.apply("services", append(serviceObjects(), pinObjectFor("engine-1", v1.Role_ROLE_DECODE))...)
+	w.until("pinned role", func() bool { return engine.machine.Role() == enginecontract.RoleDecode })
+	w.until("end in the log", func() bool { return w.waitLeader().core.state.Engine("engine-1").Outstanding == nil })
+	require.Greater(t, engine.machine.State(0).OrderFence.Epoch, uint64(lastEpoch))
+	requireSoundOrders(t, w)
+}
+
 // TestRefusedCommandsAreAudited refuses commands for their operator's role, for the
 // state of things and for unknown names.
 func TestRefusedCommandsAreAudited(t *testing.T) {
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -36,6 +36,9 @@
 	if !c.leading || !c.consensus.LeaseValid(c.now) {
 		return
 	}
+	if c.giveWay() {
+		return
+	}
 	c.command()
 	if due(c.now, &c.duties.claims, claimInterval) {
 		c.loseGateways()
@@ -56,6 +59,13 @@
 	}
 }
 
+// giveWay gives up this term when most engines hold fences of later ones: the quorum
+// was formed anew, and authority has to begin above what the engines remember.
+func (c *Core) giveWay() bool {
+	epoch, overtaken := c.commander.Overtaken()
+	return overtaken && c.consensus.RaiseTerm(c.now, epoch) == nil
+}
+
 // loseGateways makes the claims of gateways that are gone unknown.
 func (c *Core) loseGateways() {
 	for _, holder := range c.state.ClaimHolders() {
