Choose and describe a zone's back ends again only when they change

Cause: each controller made each zone's directory ten times a second from nothing: sorting 930 machines by hash and encoding hundreds of back ends to number them, whether or not anything had changed.

Change: a zone's choice is kept until machines, zones, services or roles change; a machine's digest until a reading differs; back ends are described only when they are sent.

A directory that flaps is sent whole to each node of its zone; that is a gap for docs/CAPACITY.md.

--- a/internal/control/nodes.go
+++ b/internal/control/nodes.go
@@ -60,7 +60,7 @@
 	}
 	response.DirectoryVersion = directory.Version
 	if directory.Version != request.DirectoryVersion {
-		response.Directory = &v1.Directory{Version: directory.Version, BackEnds: directory.BackEnds}
+		response.Directory = &v1.Directory{Version: directory.Version, BackEnds: directory.BackEnds(c.now)}
 	}
 }
 
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -8,26 +8,28 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
-	"github.com/hazelpitch/hazelpitch/internal/engineroles"
 )
 
 // Directory is what a gateway of a zone uses.
 type Directory struct {
 	// Version is equal for equal back ends, loads apart.
-	Version  uint64
-	BackEnds []*v1.BackEnd
+	Version uint64
 	// Age is the greatest age of the readings behind the serving back ends.
 	Age time.Duration
+
+	tracker  *Tracker
+	machines []*Machine
 }
 
 // zoneDirectory is a directory that is used again for a short time.
 type zoneDirectory struct {
 	directory Directory
 	madeAt    time.Duration
+	// shape is the tracker's when the machines were chosen.
+	shape uint64
 }
 
 // Directory returns the back ends for the gateways of a zone. It reports false while
@@ -39,15 +41,31 @@
 		return Directory{Age: math.MaxInt64}, false
 	}
 	cached := t.directories[zone]
-	if cached == nil || now-cached.madeAt > t.config.DirectoryLife || now < cached.madeAt {
-		cached = &zoneDirectory{directory: t.makeDirectory(now, zone), madeAt: now}
+	if cached == nil || cached.shape != t.shape {
+		cached = &zoneDirectory{directory: Directory{tracker: t, machines: t.chosen(zone)}, shape: t.shape}
 		t.directories[zone] = cached
+		t.describe(now, cached)
+	} else if now-cached.madeAt > t.config.DirectoryLife || now < cached.madeAt {
+		t.describe(now, cached)
 	}
 	directory := cached.directory
 	directory.Age += now - cached.madeAt
 	return directory, true
 }
 
+// BackEnds describes the back ends with their loads as they are known now.
+func (d Directory) BackEnds(now time.Duration) []*v1.BackEnd {
+	backEnds := make([]*v1.BackEnd, len(d.machines))
+	for position, machine := range d.machines {
+		backEnds[position] = machine.backEnd(machine.described.state)
+		if machine.Load != nil {
+			backEnds[position].Load = loadOf(machine.Load)
+			backEnds[position].LoadAgeMs = uint32(min(machine.LoadAge(now).Milliseconds(), math.MaxUint32))
+		}
+	}
+	return backEnds
+}
+
 // credible reports whether this controller's readings say something about the engines.
 func (t *Tracker) credible(now time.Duration) bool {
 	if !t.listed || now-t.firstListAt < t.config.PollInterval+t.config.PollInterval/2 {
@@ -66,17 +84,29 @@
 	return 2*answering >= engines
 }
 
-func (t *Tracker) makeDirectory(now time.Duration, zone string) Directory {
-	directory := Directory{}
+// chosen lists the machines of a zone's directory, the services by name.
+func (t *Tracker) chosen(zone string) []*Machine {
+	var machines []*Machine
 	for _, service := range t.services() {
-		for _, machine := range t.subset(service, zone) {
-			backEnd, age := t.backEnd(now, machine)
-			directory.BackEnds = append(directory.BackEnds, backEnd)
-			directory.Age = max(directory.Age, age)
-		}
+		machines = append(machines, t.subset(service, zone)...)
+	}
+	return machines
+}
+
+// describe brings version and age of a zone's directory up to now.
+func (t *Tracker) describe(now time.Duration, cached *zoneDirectory) {
+	directory := &cached.directory
+	directory.Age = 0
+	digest := xxhash.New()
+	var buffer [8]byte
+	for _, machine := range directory.machines {
+		state, age := machine.backEndState(now, t.listAt, t.config.Freshness)
+		binary.BigEndian.PutUint64(buffer[:], machine.describe(state))
+		_, _ = digest.Write(buffer[:]) // never fails, by its documentation
+		directory.Age = max(directory.Age, age)
 	}
-	directory.Version = directoryVersion(directory.BackEnds)
-	return directory
+	directory.Version = max(digest.Sum64(), 1) // 0 means that a gateway has no directory
+	cached.madeAt = now
 }
 
 // services lists the machines by service, the services by name.
@@ -159,27 +189,6 @@
 	return xxhash.Sum64String(zone + "\x00" + name)
 }
 
-// backEnd describes a machine to gateways, with the age of the reading when it serves.
-func (t *Tracker) backEnd(now time.Duration, machine *Machine) (*v1.BackEnd, time.Duration) {
-	state, age := machine.backEndState(now, t.listAt, t.config.Freshness)
-	backEnd := &v1.BackEnd{
-		Name: machine.Row.Name, Service: machine.Row.Service, Zone: machine.Row.Zone,
-		Address: machine.Row.Address, State: state,
-	}
-	if own := machine.State; own != nil {
-		backEnd.Role = engineroles.FromContract(own.Role)
-		backEnd.Model = own.Model
-		backEnd.Version = own.Version
-		backEnd.Adapters = own.Adapters
-		backEnd.Incarnation = own.Incarnation
-	}
-	if machine.Load != nil {
-		backEnd.Load = loadOf(machine.Load)
-		backEnd.LoadAgeMs = uint32(min(machine.LoadAge(now).Milliseconds(), math.MaxUint32))
-	}
-	return backEnd, age
-}
-
 // BackEndState is what gateways are told of a machine.
 func (t *Tracker) BackEndState(now time.Duration, name string) v1.BackEndState {
 	machine := t.machines[name]
@@ -199,29 +208,6 @@
 	}
 }
 
-// directoryVersion hashes the back ends without their loads. It is never 0, which
-// means that a gateway has no directory.
-func directoryVersion(backEnds []*v1.BackEnd) uint64 {
-	digest := xxhash.New()
-	options := proto.MarshalOptions{Deterministic: true}
-	var buffer []byte
-	for _, backEnd := range backEnds {
-		load, age := backEnd.Load, backEnd.LoadAgeMs
-		backEnd.Load, backEnd.LoadAgeMs = nil, 0
-		data, err := options.MarshalAppend(buffer[:0], backEnd)
-		backEnd.Load, backEnd.LoadAgeMs = load, age
-		if err != nil {
-			continue // names that are not UTF-8 never get this far
-		}
-		buffer = data
-		var size [8]byte
-		binary.BigEndian.PutUint64(size[:], uint64(len(data)))
-		digest.Write(size[:])
-		digest.Write(data)
-	}
-	return max(digest.Sum64(), 1)
-}
-
 // BackEndLoad is the machine's last load report in the internal protocol; nil when
 // there is none.
 func (m *Machine) BackEndLoad() *v1.BackEndLoad {
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -24,6 +24,8 @@
 	pollInFlight bool
 	pollSentAt   time.Duration
 	nextPollAt   time.Duration
+
+	described description
 }
 
 // LoadAge is how old the load report's readings are.
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -23,6 +23,9 @@
 
 	gateways    map[string]*Gateway
 	directories map[string]*zoneDirectory
+	// shape counts the changes of what the choice of a zone's back ends follows from:
+	// the machines, their zones, services and roles.
+	shape uint64
 }
 
 // New returns a Tracker that has heard of no one.
@@ -68,11 +71,15 @@
 		t.machines[row.Name] = machine
 		position, _ := slices.BinarySearch(t.names, row.Name)
 		t.names = slices.Insert(t.names, position, row.Name)
+		t.shape++
 	}
 	if machine.Row.Address != row.Address {
 		// Another machine under the same name: nothing heard so far is about it.
 		machine.State, machine.Load, machine.pollInFlight = nil, nil, false
 	}
+	if machine.Row.Zone != row.Zone || machine.Row.Service != row.Service || machine.Row.Address != row.Address {
+		t.shape++
+	}
 	machine.Row = row
 	machine.Listed = true
 	machine.SeenAt = now
@@ -149,6 +156,9 @@
 			machine.Load = nil
 		}
 	}
+	if machine.State == nil || machine.State.Role != state.Role {
+		t.shape++
+	}
 	machine.State = state
 	machine.AnsweredAt = at
 	return true
@@ -181,6 +191,7 @@
 		delete(t.machines, name)
 	}
 	if len(gone) > 0 {
+		t.shape++
 		t.names = slices.DeleteFunc(t.names, func(name string) bool { return slices.Contains(gone, name) })
 	}
 	return gone
--- a/internal/membership/tracker_test.go
+++ b/internal/membership/tracker_test.go
@@ -142,7 +142,7 @@
 	p.run(3 * time.Second)
 	directory, credible := p.tracker.Directory(p.now, "z")
 	require.True(t, credible)
-	require.Len(t, directory.BackEnds, 3)
+	require.Len(t, directory.BackEnds(p.now), 3)
 	require.LessOrEqual(t, directory.Age, DefaultPollInterval)
 	p.states["x"] = nil
 	p.run(4 * time.Second)
@@ -187,9 +187,9 @@
 	for zone := range zones {
 		directory, credible := p.tracker.Directory(p.now, fmt.Sprint("zone-", zone))
 		require.True(t, credible)
-		require.LessOrEqual(t, len(directory.BackEnds), 60)
+		require.LessOrEqual(t, len(directory.BackEnds(p.now)), 60)
 		own, prefill := 0, 0
-		for _, backEnd := range directory.BackEnds {
+		for _, backEnd := range directory.BackEnds(p.now) {
 			uses[backEnd.Name]++
 			if backEnd.Zone == fmt.Sprint("zone-", zone) {
 				own++
@@ -242,8 +242,10 @@
 			p.run(3 * time.Second)
 			b.ReportAllocs()
 			b.ResetTimer()
-			for range b.N {
-				p.tracker.makeDirectory(p.now, "zone-1")
+			for i := range b.N {
+				// Each call is too late for the directory made before.
+				now := p.now + time.Duration(i%2)*2*DefaultDirectoryLife
+				p.tracker.Directory(now, "zone-1")
 			}
 		})
 	}
