Compare all scenarios and policies in one table of the report

Cause: a report of a whole set had one table for each scenario and none over all. Change: the page and the terminal summary begin with a table of scenarios by policies: goodput and role changes. Figures: go test ./internal/report passes. Conclusion: a set can be judged at a glance.

--- /dev/null
+++ b/internal/report/overview.go
@@ -0,0 +1,51 @@
+package report
+
+import (
+	"fmt"
+	"slices"
+)
+
+// overview is one line for each scenario and one column for each policy.
+type overview struct {
+	Header []string
+	Rows   [][]string
+}
+
+// absent stands where a policy has no run of a scenario.
+const absent = ""
+
+// overview compares the policies over all scenarios by goodput and role changes.
+func (s Summary) overview() overview {
+	var policies []string
+	for _, group := range s.Groups {
+		for _, policy := range group.Policies {
+			if !slices.Contains(policies, policy.Policy) {
+				policies = append(policies, policy.Policy)
+			}
+		}
+	}
+	made := overview{Header: append([]string{"scenario"}, policies...)}
+	for _, group := range s.Groups {
+		row := []string{group.title()}
+		for _, name := range policies {
+			row = append(row, group.cell(name))
+		}
+		made.Rows = append(made.Rows, row)
+	}
+	return made
+}
+
+// cell is a policy's goodput, as a share of the bound where there is one, and its
+// role changes.
+func (g Group) cell(name string) string {
+	index := slices.IndexFunc(g.Policies, func(policy PolicySummary) bool { return policy.Policy == name })
+	if index < 0 {
+		return absent
+	}
+	policy := g.Policies[index]
+	share, of := policy.ShareOfOffered, "offered"
+	if policy.ShareOfBound != nil {
+		share, of = *policy.ShareOfBound, "bound"
+	}
+	return fmt.Sprintf("%s of %s, %s changes", asPercent(share.Median), of, asCount(policy.RoleChanges.Median))
+}
--- a/internal/report/page.go
+++ b/internal/report/page.go
@@ -17,6 +17,7 @@
 
 // pageData is what the template shows.
 type pageData struct {
+	Overview overview
 	Header   []string
 	Sections []section
 }
@@ -38,7 +39,7 @@
 
 // WriteHTML writes the page. It needs nothing beside itself: no script, no network.
 func (s Summary) WriteHTML(out io.Writer) error {
-	data := pageData{Header: tableHeader}
+	data := pageData{Overview: s.overview(), Header: tableHeader}
 	for index := range s.Groups {
 		made, err := s.Groups[index].section()
 		if err != nil {
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -87,17 +87,30 @@
 	return root
 }
 
-func TestPageComparesPolicies(t *testing.T) {
+// rowsOf returns the cells of the body's rows of all tables of a class.
+func rowsOf(root *html.Node, class string) [][]string {
 	var rows [][]string
-	for _, row := range elements(page(t, runs()), "tr") {
-		var cells []string
-		for _, cell := range elements(row, "td") {
-			cells = append(cells, text(cell))
+	for _, table := range elements(root, "table") {
+		if len(table.Attr) == 0 || table.Attr[0].Val != class {
+			continue
+		}
+		for _, row := range elements(table, "tr") {
+			var cells []string
+			for _, cell := range elements(row, "td") {
+				cells = append(cells, text(cell))
+			}
+			if cells != nil {
+				rows = append(rows, cells)
+			}
 		}
-		rows = append(rows, cells)
 	}
-	require.Equal(t, []string{"planner", "3", "960 (940–970)", "96.0% (94.0%–97.0%)", "76.8% (75.2%–77.6%)", "1", "7", "43", "0", "120", "913", "0", "5678"}, rows[1])
-	require.Equal(t, []string{"static-mean", "1", "600", "60.0%", "48.0%"}, rows[2][:5])
+	return rows
+}
+
+func TestPageComparesPolicies(t *testing.T) {
+	rows := rowsOf(page(t, runs()), "comparison")
+	require.Equal(t, []string{"planner", "3", "960 (940–970)", "96.0% (94.0%–97.0%)", "76.8% (75.2%–77.6%)", "1", "7", "43", "0", "120", "913", "0", "5678"}, rows[0])
+	require.Equal(t, []string{"static-mean", "1", "600", "60.0%", "48.0%"}, rows[1][:5])
 }
 
 func TestPageShowsEveryPlot(t *testing.T) {
@@ -159,6 +172,16 @@
 	require.Equal(t, 500.0, summary.Groups[1].Policies[0].Goodput.Median)
 }
 
+func TestOverviewComparesPoliciesOverScenarios(t *testing.T) {
+	other := newRun("clairvoyant", 1, 1000)
+	other.Scenario = "calm"
+	rows := rowsOf(page(t, append(runs(), other)), "overview")
+	require.Equal(t, [][]string{
+		{"rawabi / step", "96.0% of bound, 1 changes", "60.0% of bound, 1 changes", ""},
+		{"rawabi / calm", "", "", "100.0% of bound, 1 changes"},
+	}, rows)
+}
+
 func TestNoBound(t *testing.T) {
 	run := newRun("planner", 1, 900)
 	run.BoundGoodput = nil
--- a/internal/report/terminal.go
+++ b/internal/report/terminal.go
@@ -7,19 +7,32 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 )
 
-// WriteText writes the summary as tables for a terminal.
+// WriteText writes the summary as tables for a terminal: one for each scenario, and
+// before them, when there are several, one that compares the policies over all.
 func (s Summary) WriteText(out io.Writer) {
+	if len(s.Groups) > 1 {
+		overview := s.overview()
+		writeTable(out, "all scenarios", overview.Header, overview.Rows)
+	}
 	for _, group := range s.Groups {
-		writer := table.NewWriter()
-		writer.SetOutputMirror(out)
-		writer.SetStyle(table.StyleLight)
-		writer.SetTitle("%s", group.title())
-		writer.AppendHeader(row(tableHeader))
+		var rows [][]string
 		for _, policy := range group.Policies {
-			writer.AppendRow(row(policy.cells()))
+			rows = append(rows, policy.cells())
 		}
-		writer.Render()
+		writeTable(out, group.title(), tableHeader, rows)
+	}
+}
+
+func writeTable(out io.Writer, title string, header []string, rows [][]string) {
+	writer := table.NewWriter()
+	writer.SetOutputMirror(out)
+	writer.SetStyle(table.StyleLight)
+	writer.SetTitle("%s", title)
+	writer.AppendHeader(row(header))
+	for _, cells := range rows {
+		writer.AppendRow(row(cells))
 	}
+	writer.Render()
 }
 
 func (g Group) title() string { return fmt.Sprintf("%s / %s", g.Deployment, g.Scenario) }
