Let changes pay for a while before the first is made

Cause: a forecast that swings with an 8 s wave passed the least gain for a moment; a planner without memory took the first partial reports for a steep rise.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -5,6 +5,14 @@
 	"time"
 )
 
+const (
+	// warmUp is how long a planner that remembers nothing watches before it decides.
+	warmUp = 20 * time.Second
+	// persistence is the part of the horizon for which changes must pay at every
+	// decision before the first is made: mixes that swing faster are not followed.
+	persistence = 1.0 / 40
+)
+
 // defaultHorizon is how far ahead a change must pay back when no policy says so.
 const defaultHorizon = 60 * time.Second
 
@@ -12,7 +20,15 @@
 // demand of the recent past and of the horizon behind, and goes there when the worth it
 // adds over the horizon pays for the changes: the engines out, the cold caches, the
 // declared price. It remembers demand only. It is not safe for concurrent use.
-type FluidPlanner struct{ history *history }
+type FluidPlanner struct {
+	history *history
+	// began is the time of the first observation; paysSince that from which on every
+	// decision has found a change that pays, while pays is set.
+	began     time.Duration
+	begun     bool
+	pays      bool
+	paysSince time.Duration
+}
 
 // New returns the planner of one service.
 func New() *FluidPlanner { return &FluidPlanner{history: newHistory()} }
@@ -25,10 +41,33 @@
 		return hold("demand reports are missing or older than %s", maximumDemandAge)
 	}
 	p.history.observe(observation, freshDemands(observation))
+	if !p.begun {
+		p.began, p.begun = observation.Now, true
+	}
 	if refusal := mayNotChange(observation); refusal != nil {
 		return *refusal
 	}
-	return newWeighing(observation, p.history).decide()
+	decision := newWeighing(observation, p.history).decide()
+	return p.settle(observation, decision)
+}
+
+// settle lets changes pass once they have paid for long enough.
+func (p *FluidPlanner) settle(observation Observation, decision Decision) Decision {
+	if len(decision.Changes) == 0 {
+		p.pays = false
+		return decision
+	}
+	if !p.pays {
+		p.pays, p.paysSince = true, observation.Now
+	}
+	wait := time.Duration(persistence * float64(horizonOf(observation.Policy)))
+	switch {
+	case observation.Now-p.began < warmUp:
+		return hold("the planner has watched for less than %s; now it would say: %s", warmUp, decision.Reason)
+	case observation.Now-p.paysSince < wait:
+		return hold("it has paid for less than %s: %s", wait, decision.Reason)
+	}
+	return decision
 }
 
 // mayNotChange tells why no change may be made now, or nil.
--- a/internal/planner/trend.go
+++ b/internal/planner/trend.go
@@ -7,16 +7,20 @@
 const (
 	fastTimeConstant = 6 * time.Second
 	slowTimeConstant = 20 * time.Second
-	forecastLead     = 12 * time.Second
+	// settled is how long a rate has been followed before its slope means anything.
+	settled      = 20 * time.Second
+	forecastLead = 12 * time.Second
 	// mostGrowth bounds a forecast as a factor of the present rate.
 	mostGrowth = 1.5
 )
 
 // trend follows one rate by two means of different age; their distance is its slope.
 type trend struct {
-	begun bool
-	fast  float64
-	slow  float64
+	fast float64
+	slow float64
+	// followed is how long the rate has been observed.
+	followed time.Duration
+	begun    bool
 }
 
 func (t *trend) observe(rate float64, elapsed time.Duration) {
@@ -24,6 +28,10 @@
 		t.begun, t.fast, t.slow = true, rate, rate
 		return
 	}
+	t.followed += elapsed
+	if t.followed < settled { // a first reading may tell of a part of the window only
+		t.slow = t.fast
+	}
 	t.fast += gainOf(elapsed, fastTimeConstant) * (rate - t.fast)
 	t.slow += gainOf(elapsed, slowTimeConstant) * (rate - t.slow)
 }
