Refuse requests early by the pace that their kind has lately had

Under overload requests were started with seconds too little left, ran to their deadline and took the engines' time from those that could still end. Requests that missed without a first token counted as having waited 0, which held the window open.

Change: admission learns per kind the time to the first token, with its mean deviation, as soon as the token comes, and the time between tokens; a request is refused on arrival, while it waits or when its turn comes if that leaves too little time.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -13,6 +13,7 @@
 	config   Config
 	window   window
 	rate     serviceRate
+	paces    paces
 	sequence uint64
 
 	tenants map[string]*tenantQueue
@@ -26,7 +27,9 @@
 	entries     map[uint64]*entry
 	started     map[uint64]*entry
 	queuedBytes int64
-	queuedCost  float64
+	// refused are the requests that Next gave up on.
+	refused    []Refusal
+	queuedCost float64
 	// worthLevel is the running mean of worthClass over offered requests.
 	worthLevel float64
 }
@@ -36,8 +39,13 @@
 	if err := config.checkAndSetDefaults(); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	paces, err := newPaces()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	return &Core{
 		config:  config,
+		paces:   paces,
 		window:  window{size: config.InitialWindow, minimum: config.MinimumWindow, target: config.WaitTarget},
 		tenants: make(map[string]*tenantQueue),
 		waiting: btree.NewG(treeDegree, fairOrder),
@@ -74,20 +82,19 @@
 	return c.shed()
 }
 
-// Next returns the request to start now, if there is one and the window has room.
-// The caller must end it with Finish, and calls Expire with the same now before.
+// Next returns the request to start now, if there is one and the window has room. The
+// caller must end it with Finish. Requests that could not end in time any more are given
+// up on instead; Refused returns them.
 func (c *Core) Next(now time.Duration) (Request, bool) {
-	queue, found := c.waiting.Min()
-	if !found || c.window.count >= c.config.InFlight {
-		return Request{}, false
-	}
-	next, _ := queue.entries.Min()
-	if !c.window.admits(next.cost) || next.start < now {
+	next, found := c.nextInTime(now)
+	if !found || c.window.count >= c.config.InFlight || !c.window.admits(next.cost) {
 		return Request{}, false
 	}
+	queue := next.queue
 	c.dequeue(next)
 	c.window.start(next.cost)
 	next.startedAt = now
+	c.paces.started(now, &next.Request)
 	c.virtualTime = max(c.virtualTime, queue.startTag)
 	queue.inFlight++
 	queue.finishTag = queue.startTag + next.cost/c.part(next)
@@ -96,6 +103,42 @@
 	return next.Request, true
 }
 
+// nextInTime returns the request whose turn it is, after giving up on those before it
+// whose start is too late.
+func (c *Core) nextInTime(now time.Duration) (*entry, bool) {
+	for {
+		queue, found := c.waiting.Min()
+		if !found {
+			return nil, false
+		}
+		next, _ := queue.entries.Min()
+		late := c.lateness(now, next, 0)
+		if late <= 0 {
+			return next, true
+		}
+		c.refused = append(c.refused, c.giveUp(next, ErrDeadline, retryAfter(late)))
+	}
+}
+
+// Refused returns, once, the requests that Next has given up on.
+func (c *Core) Refused() []Refusal {
+	refused := c.refused
+	c.refused = nil
+	return refused
+}
+
+// FirstToken notes that a started request has brought its first token, wait later than
+// its own work explains. The pace of its class follows at once.
+func (c *Core) FirstToken(now time.Duration, id uint64, wait time.Duration) {
+	writing, found := c.started[id]
+	if !found || writing.firstToken > 0 {
+		return
+	}
+	writing.firstToken = max(now-writing.startedAt, 1)
+	c.paces.firstToken(now, writing.Class, writing.firstToken)
+	writing.wait = wait
+}
+
 // Finish ends a started request and corrects the tenant's part by what was used.
 func (c *Core) Finish(now time.Duration, id uint64, result Result) {
 	ended, found := c.started[id]
@@ -104,6 +147,7 @@
 	}
 	delete(c.started, id)
 	c.window.finish(now, ended, result)
+	c.paces.finished(now, ended, result)
 	used := ended.cost
 	if result.PromptTokens+result.OutputTokens > 0 {
 		used = c.cost(result.PromptTokens, result.OutputTokens)
--- a/internal/admission/deadline.go
+++ b/internal/admission/deadline.go
@@ -12,7 +12,7 @@
 // or is predicted not to. The owner calls it often (every 50 ms) and answers the
 // callers at once.
 func (c *Core) Expire(now time.Duration) []Refusal {
-	var given []Refusal
+	given := c.Refused()
 	for {
 		first, found := c.byStart.Min()
 		if !found || first.start >= now {
@@ -26,9 +26,6 @@
 // expirePredicted gives up on requests that will start too late at the present
 // rate. Giving up on one lets those behind it start earlier.
 func (c *Core) expirePredicted(now time.Duration) []Refusal {
-	if c.rate.perSecond == 0 {
-		return nil
-	}
 	type lateEntry struct {
 		entry    *entry
 		lateness time.Duration
@@ -53,25 +50,26 @@
 	return given
 }
 
-// lateness is by how much the predicted start of e misses its latest start, with
-// slack; 0 or less when it is in time. ahead is the cost of the tenant's requests
+// lateness is by how much the predicted start of e misses the latest start that lets it
+// end in time, with slack; 0 or less when it is in time. ahead is the cost of the tenant's requests
 // that go before it.
 func (c *Core) lateness(now time.Duration, e *entry, ahead float64) time.Duration {
 	if e.start == noDeadline {
 		return 0
 	}
-	if e.start < now {
-		return now - e.start
+	start := e.Deadline - c.paces.serviceTime(now, &e.Request)
+	if start < now {
+		return now - start
 	}
 	if c.rate.perSecond == 0 || ahead == 0 {
 		return 0
 	}
 	share := c.rate.perSecond * e.queue.weight / c.waitingWeight(e.queue)
 	wait := time.Duration(ahead / share * float64(time.Second))
-	if time.Duration(float64(wait)/c.config.PredictionSlack) <= e.start-now {
+	if time.Duration(float64(wait)/c.config.PredictionSlack) <= start-now {
 		return 0
 	}
-	return now + wait - e.start
+	return now + wait - start
 }
 
 // waitingWeight is the sum of weights of the tenants that wait, with this one.
--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -6,8 +6,11 @@
 // towards requests worth more per token. Within a tenant, requests worth more per
 // token go first, and among equals the one that must start soonest. A request that
 // cannot meet its deadline any more is refused at once with a time to come back,
-// on arrival or while it waits. When the queue is full, the request worth least
-// per token is refused among the tenants that hold more than their fair part of it.
+// on arrival, while it waits or when its turn comes. How long it would take follows
+// from the pace at which requests of its class have lately come to their first token
+// and from token to token; without a recent one, from its own minimum. When the queue
+// is full, the request worth least per token is refused among the tenants that hold
+// more than their fair part of it.
 //
 // How much is in flight is bounded by a window that grows while the back ends
 // answer without waiting and shrinks when they do not.
--- a/internal/admission/entry.go
+++ b/internal/admission/entry.go
@@ -17,6 +17,10 @@
 	start      time.Duration // latest start
 	sequence   uint64        // order of arrival
 	startedAt  time.Duration // set when the request starts
+	// firstToken is the time from the start to the first token; 0 before it.
+	firstToken time.Duration
+	// wait is the part of firstToken that its own work does not explain.
+	wait time.Duration
 }
 
 // lowestWorthClass is the class of a request that is worth nothing.
--- /dev/null
+++ b/internal/admission/pace_test.go
@@ -0,0 +1,158 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// seen is one request that has ended, by class.
+type seen struct {
+	class  string
+	result Result
+	// firstToken is the time from its start to the first token; 0 for none.
+	firstToken time.Duration
+	// took is the time from its start to its end; the next one starts then.
+	took time.Duration
+}
+
+func completed(class string, firstToken, interval time.Duration) seen {
+	const tokens = 101
+	return seen{class: class, took: firstToken + (tokens-1)*interval,
+		firstToken: firstToken, result: Result{PromptTokens: 1000, OutputTokens: tokens}}
+}
+
+// TestEarlyRefusalFollowsThePace lets requests end one after the other and then offers one
+// of class "slow" with 100 tokens of output that says itself to take half a second.
+func TestEarlyRefusalFollowsThePace(t *testing.T) {
+	slow := completed("slow", 2*time.Second, 20*time.Millisecond)
+	rows := []struct {
+		name     string
+		before   []seen
+		pause    time.Duration
+		deadline time.Duration // from the offer on
+		want     error
+	}{
+		{"nothing is known", nil, 0, time.Second, nil},
+		{"its own minimum holds when nothing is known", nil, 0, 400 * time.Millisecond, ErrDeadline},
+		{"the pace leaves no time", []seen{slow, slow}, 0, 3900 * time.Millisecond, ErrDeadline},
+		{"the pace leaves just enough time", []seen{slow, slow}, 0, 4100 * time.Millisecond, nil},
+		{"another class is slow", []seen{completed("other", 2*time.Second, 20*time.Millisecond)}, 0, time.Second, nil},
+		{"the pace is old", []seen{slow, slow}, paceLifetime + 1, time.Second, nil},
+		{"requests that varied need a margin",
+			[]seen{completed("slow", time.Second, 0), completed("slow", 4*time.Second, 0)}, 0, 1500 * time.Millisecond, ErrDeadline},
+		{"one gave up without a token", []seen{completed("slow", 100*time.Millisecond, 0),
+			{class: "slow", took: 30 * time.Second, result: Result{Failed: true, Missed: true}}}, 0, 2 * time.Second, ErrDeadline},
+		{"one failed for a reason of its own", []seen{completed("slow", 100*time.Millisecond, 0),
+			{class: "slow", took: time.Second, result: Result{Failed: true}}}, 0, 2 * time.Second, nil},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			core := newTestCore(t)
+			var now time.Duration
+			for number, each := range row.before {
+				require.Empty(t, core.Offer(now, offered(uint64(number), "a", func(r *Request) { r.Class = each.class })))
+				_, found := core.Next(now)
+				require.True(t, found)
+				if each.firstToken > 0 {
+					core.FirstToken(now+each.firstToken, uint64(number), 0)
+				}
+				now += each.took
+				core.Finish(now, uint64(number), each.result)
+			}
+			now += row.pause
+			refused := core.Offer(now, offered(100, "a", deadline(now+row.deadline, 500*time.Millisecond),
+				func(r *Request) { r.Class, r.OutputTokens = "slow", 100 }))
+			if row.want == nil {
+				require.Empty(t, refused)
+				return
+			}
+			require.Len(t, refused, 1)
+			require.ErrorIs(t, refused[0].Reason, row.want)
+			require.GreaterOrEqual(t, refused[0].RetryAfter, minimumRetryAfter)
+		})
+	}
+}
+
+// TestOneRequestConfirmsAnOldPace offers ten requests that an old pace would refuse: one
+// is let through, and the others are refused until it has shown a better pace.
+func TestOneRequestConfirmsAnOldPace(t *testing.T) {
+	core := newTestCore(t)
+	ask := func(now time.Duration, id uint64) []Refusal {
+		return core.Offer(now, offered(id, "a", deadline(now+time.Second, 0), func(r *Request) { r.Class = "slow" }))
+	}
+	require.Empty(t, ask(0, 0))
+	_, found := core.Next(0)
+	require.True(t, found)
+	core.FirstToken(3*time.Second, 0, 0)
+	core.Finish(3*time.Second, 0, Result{PromptTokens: 1000})
+	now := 3*time.Second + paceLifetime + 1
+	require.Empty(t, ask(now, 1))
+	_, found = core.Next(now)
+	require.True(t, found, "the first one tries")
+	for id := range uint64(9) {
+		require.Len(t, ask(now, 10+id), 1, "the others do not")
+	}
+	for id := uint64(1); id < 6; id++ {
+		core.FirstToken(now+10*time.Millisecond, id, 0)
+		core.Finish(now+10*time.Millisecond, id, Result{PromptTokens: 1000})
+		now += paceLifetime + 20*time.Millisecond
+		require.Empty(t, ask(now, id+1))
+		_, found = core.Next(now)
+		require.True(t, found)
+	}
+	require.Empty(t, ask(now, 100), "the pace is good again")
+}
+
+// TestNextGivesUpOnTheLate lets two requests wait until one of them is late: Next starts
+// the other and hands the late one back at once.
+func TestNextGivesUpOnTheLate(t *testing.T) {
+	core := newTestCore(t, oneAtATime)
+	require.Empty(t, core.Offer(0, offered(1, "a")))
+	_, found := core.Next(0)
+	require.True(t, found)
+	require.Empty(t, core.Offer(0, offered(2, "a", deadline(time.Second, 0))))
+	require.Empty(t, core.Offer(0, offered(3, "a", deadline(time.Minute, 0))))
+	core.Finish(2*time.Second, 1, Result{})
+	next, found := core.Next(2 * time.Second)
+	require.True(t, found)
+	require.Equal(t, uint64(3), next.ID)
+	require.Equal(t, []Refusal{{2, ErrDeadline, time.Second}}, core.Refused())
+	require.Empty(t, core.Refused())
+	require.False(t, core.Remove(2))
+}
+
+// TestMissedDeadlinesShrinkTheWindow tells misses from failures that say nothing of load.
+func TestMissedDeadlinesShrinkTheWindow(t *testing.T) {
+	rows := []struct {
+		name    string
+		result  Result
+		tokenAt time.Duration // 0 for no first token
+		wait    time.Duration
+		shrinks bool
+	}{
+		{"missed", Result{Failed: true, Missed: true}, 0, 0, true},
+		{"failed", Result{Failed: true}, 0, 0, false},
+		{"failed after a long wait for its first token", Result{Failed: true}, time.Minute, time.Minute, true},
+		{"completed without waiting", Result{}, time.Millisecond, 0, false},
+		{"completed after long waits", Result{}, time.Minute, time.Minute, true},
+		{"completed after long waits, of which the end tells", Result{Wait: time.Minute}, 0, 0, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			core := newTestCore(t)
+			before := core.window.size
+			for id := range uint64(20) {
+				require.Empty(t, core.Offer(0, offered(id, "a")))
+				_, found := core.Next(0)
+				require.True(t, found)
+				if row.tokenAt > 0 {
+					core.FirstToken(row.tokenAt, id, row.wait)
+				}
+				core.Finish(time.Minute, id, row.result)
+			}
+			require.Equal(t, row.shrinks, core.window.size < before)
+		})
+	}
+}
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -7,6 +7,8 @@
 	// ID is unique among the requests offered to a Core and not yet finished or refused.
 	ID     uint64
 	Tenant string
+	// Class names requests that take alike long at back ends: their kind.
+	Class string
 	// Weight is the tenant's part under contention; 0 counts as 1.
 	Weight uint32
 	// Worth of the request when it completes in time.
--- a/internal/admission/result.go
+++ b/internal/admission/result.go
@@ -7,11 +7,14 @@
 	// PromptTokens and OutputTokens were used; both 0 when unknown.
 	PromptTokens int
 	OutputTokens int
-	// Wait is how much longer than its own work the request took: to its end, or
-	// to its first token when the end says nothing about the back end.
+	// Wait is how much longer than its own work the request took; it counts when
+	// FirstToken was not told.
 	Wait time.Duration
+	// Missed tells that it was given up because its deadline had passed.
+	Missed bool
 	// Overloaded tells that a back end refused it for too much load.
 	Overloaded bool
-	// Failed tells that it ended for a reason that says nothing about load.
+	// Failed tells that it did not complete. Unless it Missed or was Overloaded, that says
+	// nothing about load.
 	Failed bool
 }
--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -16,6 +16,9 @@
 	// waitSmoothing is the weight of one request in the mean wait: one outlier
 	// tells little where the work of requests varies.
 	waitSmoothing = 0.1
+	// missedWait is what a request that missed its deadline counts for in the mean wait at
+	// least, whatever it waited for.
+	missedWait = 2
 	// roundTripSmoothing is the weight of one request in the mean round trip.
 	roundTripSmoothing = 0.05
 )
@@ -33,8 +36,8 @@
 	used       float64 // cost in flight
 	count      int     // requests in flight
 	roundTrip  time.Duration
-	// waited is the running mean of waits, each as a share of what it may be.
-	waited float64
+	// meanWait is the running mean of waits, each as a share of what it may be.
+	meanWait float64
 }
 
 // admits reports whether one more request of this cost may start.
@@ -55,8 +58,16 @@
 	if w.count == 0 {
 		w.used = 0
 	}
-	w.measure(now-ended.startedAt, float64(result.Wait)/float64(w.allowedWait(ended)))
-	if result.Overloaded || w.waited > 1 {
+	w.measureRoundTrip(now - ended.startedAt)
+	switch {
+	case result.Missed:
+		w.measureWait(missedWait)
+	case ended.firstToken > 0:
+		w.measureWait(float64(ended.wait) / float64(w.allowedWait(ended)))
+	case !result.Failed:
+		w.measureWait(float64(result.Wait) / float64(w.allowedWait(ended)))
+	}
+	if result.Overloaded || w.meanWait > 1 {
 		w.shrink(now)
 		return
 	}
@@ -70,12 +81,15 @@
 	return max(w.target, time.Duration(waitShare*float64(ended.MinimumTime)))
 }
 
-func (w *window) measure(took time.Duration, waited float64) {
+func (w *window) measureRoundTrip(took time.Duration) {
 	if w.roundTrip == 0 {
 		w.roundTrip = took
 	}
 	w.roundTrip += time.Duration(roundTripSmoothing * float64(took-w.roundTrip))
-	w.waited += waitSmoothing * (waited - w.waited)
+}
+
+func (w *window) measureWait(share float64) {
+	w.meanWait += waitSmoothing * (share - w.meanWait)
 }
 
 func (w *window) grow(cost float64) {
--- a/internal/experiment/gateway.go
+++ b/internal/experiment/gateway.go
@@ -99,7 +99,7 @@
 	g.waiting[uint64(asked.Number)] = asked
 	service := g.services[asked.kind.Service]
 	g.refuse(service.Offer(g.world.now, admission.Request{
-		ID: uint64(asked.Number), Tenant: asked.tenant, Weight: 1, Worth: asked.kind.Worth,
+		ID: uint64(asked.Number), Tenant: asked.tenant, Class: asked.kind.Name, Weight: 1, Worth: asked.kind.Worth,
 		PromptTokens: estimate.PromptTokens, OutputTokens: estimate.OutputTokens,
 		Bytes: int64(asked.PromptTokens * bytesPerToken), Deadline: asked.deadline,
 		MinimumTime: time.Duration(estimate.OutputTokens) * fastestTokenInterval,
@@ -146,6 +146,7 @@
 	for {
 		next, found := service.Next(g.world.now)
 		if !found {
+			g.refuse(service.Refused())
 			return
 		}
 		asked := g.waiting[next.ID]
@@ -278,11 +279,21 @@
 	}
 	if current.first == 0 {
 		current.first = g.world.now
+		g.tellFirstToken(current.request)
 	}
 	g.router.Observe(g.world.now, routing.FirstToken{BackEnd: current.output.declared.Name, Exchange: current.id})
 	g.answered(current.output)
 }
 
+// tellFirstToken lets admission learn how long back ends take; retries say nothing of that.
+func (g *gateway) tellFirstToken(asked *request) {
+	if asked.exchanges != 1 {
+		return
+	}
+	own := time.Duration(float64(asked.estimatedPrompt) / slowPromptTokensPerSecond * float64(time.Second))
+	g.services[asked.kind.Service].FirstToken(g.world.now, uint64(asked.Number), max(g.world.now-asked.began-own, 0))
+}
+
 // answered passes on what an answer's headers say of the engine.
 func (g *gateway) answered(by *engine) {
 	seen, found := by.reported()
@@ -313,10 +324,6 @@
 	g.record(asked, gatewaystate.Outcome{Completed: true})
 	g.world.recorder.completed(asked, g.world.now)
 	result := admission.Result{PromptTokens: asked.PromptTokens, OutputTokens: asked.OutputTokens, Overloaded: asked.overload}
-	if asked.exchanges == 1 {
-		own := time.Duration(float64(asked.estimatedPrompt) / slowPromptTokensPerSecond * float64(time.Second))
-		result.Wait = max(asked.first-asked.began-own, 0)
-	}
 	g.finish(asked, result)
 }
 
@@ -343,7 +350,7 @@
 	}
 	g.record(asked, gatewaystate.Outcome{MissedDeadline: true})
 	g.world.recorder.missed(asked)
-	g.finish(asked, admission.Result{PromptTokens: asked.estimatedPrompt, Failed: true, Overloaded: asked.overload})
+	g.finish(asked, admission.Result{PromptTokens: asked.estimatedPrompt, Failed: true, Missed: true, Overloaded: asked.overload})
 }
 
 func (g *gateway) finish(asked *request, result admission.Result) {
--- a/internal/gateway/accounting.go
+++ b/internal/gateway/accounting.go
@@ -42,6 +42,7 @@
 		limit:   tenantLimit(c.tenant),
 		request: admission.Request{
 			Tenant:       c.tenant.Name,
+			Class:        c.target.kind.Name,
 			Weight:       c.tenant.Spec.GetWeight(),
 			Worth:        c.target.kind.Spec.GetWorth(),
 			PromptTokens: prompt,
@@ -53,6 +54,15 @@
 	}
 }
 
+// tellFirstToken lets admission learn how long back ends take; retries say nothing of that.
+func (c *completion) tellFirstToken() {
+	if c.exchanges != 1 {
+		return
+	}
+	own := time.Duration(float64(c.routing.PromptTokens) / slowPromptTokensPerSecond * float64(time.Second))
+	c.place.firstToken(max(c.firstTokenAt-c.beganAt-own, 0))
+}
+
 // settle gives the request's place in admission back with what was learned.
 func (c *completion) settle() {
 	result := admission.Result{
@@ -60,13 +70,10 @@
 		OutputTokens: c.sequence.Delivered(),
 		Overloaded:   c.overloaded,
 		Failed:       !c.sequence.Finished(),
+		Missed:       !c.sequence.Finished() && c.gateway.clock.now() >= c.deadline,
 	}
 	if c.mayHaveRun && result.PromptTokens == 0 {
 		result.PromptTokens = c.routing.PromptTokens // the engine did not live to count them
 	}
-	if c.firstTokenAt > 0 && c.exchanges == 1 {
-		own := time.Duration(float64(c.routing.PromptTokens) / slowPromptTokensPerSecond * float64(time.Second))
-		result.Wait = max(c.firstTokenAt-c.beganAt-own, 0)
-	}
 	c.place.finish(result)
 }
--- a/internal/gateway/admitter.go
+++ b/internal/gateway/admitter.go
@@ -181,6 +181,7 @@
 	for {
 		next, ok := service.Next(now)
 		if !ok {
+			a.tell(service.Refused())
 			return
 		}
 		a.waiting[next.ID] <- nil
@@ -203,6 +204,14 @@
 	a.limits.Settle(a.clock.now(), place.charge, used)
 }
 
+// firstToken tells that the started request has brought its first token, wait later than
+// its own work explains.
+func (t *ticket) firstToken(wait time.Duration) {
+	t.admitter.mutex.Lock()
+	defer t.admitter.mutex.Unlock()
+	t.service.FirstToken(t.admitter.clock.now(), t.id, wait)
+}
+
 // finish gives a started request's place back. Only the first call counts.
 func (t *ticket) finish(result admission.Result) {
 	t.once.Do(func() {
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -128,6 +128,7 @@
 		c.usage = readUsage(event.Usage)
 	case c.firstTokenAt == 0:
 		c.firstTokenAt = c.gateway.clock.now()
+		c.tellFirstToken()
 		c.gateway.dispatcher.observe(routing.FirstToken{BackEnd: c.backEnd.Name, Exchange: c.exchange})
 	}
 }
--- a/internal/gateway/page.go
+++ b/internal/gateway/page.go
@@ -302,6 +302,7 @@
 		limit:   tenantLimit(p.tenant),
 		request: admission.Request{
 			Tenant:       p.tenant.Name,
+			Class:        p.kind.Name,
 			Weight:       p.tenant.Spec.GetWeight(),
 			Worth:        p.kind.Spec.GetWorth(),
 			OutputTokens: 1,
