Measure isolation, shedding, decisions and claims by command

Cause: only routing's choices were measured, and by no command that a reader can run.

Change: hazelbench measure [routing|decisions|isolation|shedding|claims] prints a table for each; tests hold the order of the virtual-time ones.

Figures: before, none but routing's.

--- a/internal/benchcommand/commands.go
+++ b/internal/benchcommand/commands.go
@@ -20,6 +20,7 @@
 		gatewayLossCommand(),
 		leaderLossCommand(),
 		loadCommand(),
+		measureCommand(),
 		scaleCommand(),
 		simulateCommand(),
 	}
--- /dev/null
+++ b/internal/measure/admission_test.go
@@ -0,0 +1,60 @@
+package measure
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/admission"
+)
+
+const testLength = 20 * time.Second
+
+// TestNeighbourKeepsItsGoodput holds what fair queues promise: a tenant within its part
+// does not feel a flood. The last rows show that the flood is one.
+func TestNeighbourKeepsItsGoodput(t *testing.T) {
+	want := map[string]struct{ least, most float64 }{
+		"product, no flood":                   {0.99, 1},
+		"product, flood":                      {0.95, 1},
+		"one queue first in first out, flood": {0, 0.5},
+		"no admission, flood":                 {0, 0.5},
+	}
+	for _, row := range isolationRows() {
+		t.Run(row.name, func(t *testing.T) {
+			world, err := isolationWorld(row, testLength)
+			require.NoError(t, err)
+			counted := world.run().tenant(neighbour)
+			share := counted.worth / counted.offered
+			require.Contains(t, want, row.name)
+			require.GreaterOrEqual(t, share, want[row.name].least)
+			require.LessOrEqual(t, share, want[row.name].most)
+		})
+	}
+}
+
+// TestLeastWorthIsGivenUpFirst holds the order under overload, and that nearly nothing
+// that was started is late.
+func TestLeastWorthIsGivenUpFirst(t *testing.T) {
+	world, err := sheddingWorld(&admission.Config{}, testLength)
+	require.NoError(t, err)
+	results := world.run()
+	share := func(worth float64) float64 {
+		counted := results.kind(worthName(worth))
+		return counted.worth / counted.offered
+	}
+	require.Greater(t, share(12), 0.95)
+	require.Greater(t, share(3), share(0.5)+0.3)
+	all := results.tenant("one")
+	require.Less(t, float64(all.late), 0.02*float64(all.completed+all.late+all.refused))
+}
+
+func TestClaimCostsAreCounted(t *testing.T) {
+	cost, err := costOfClaims(100)
+	require.NoError(t, err)
+	require.Positive(t, cost.logBytes)
+	require.Greater(t, cost.snapshotBytes, 100*claimOutcomeBytes)
+}
+
+func TestDecisionsAreMade(t *testing.T) { require.NoError(t, Decisions(io.Discard)) }
--- a/internal/measure/gateway.go
+++ b/internal/measure/gateway.go
@@ -58,7 +58,7 @@
 	}
 	g.waiting[uint64(asked.number)] = asked
 	g.refuse(g.admission.Offer(g.world.now, admission.Request{
-		ID: uint64(asked.number), Tenant: asked.tenant, Weight: asked.weight, Worth: asked.worth,
+		ID: uint64(asked.number), Tenant: asked.tenant, Class: asked.tenant + "/" + asked.kind, Weight: asked.weight, Worth: asked.worth,
 		PromptTokens: asked.prompt, OutputTokens: asked.output, Bytes: int64(4 * asked.prompt),
 		Deadline: asked.deadline, MinimumTime: minimumTime(asked),
 	}))
@@ -90,6 +90,7 @@
 	for {
 		next, found := g.admission.Next(g.world.now)
 		if !found {
+			g.refuse(g.admission.Refused())
 			return
 		}
 		asked := g.waiting[next.ID]
@@ -133,6 +134,10 @@
 	current.first = event.At
 	current.cached = event.CachedTokens
 	g.world.results.cached(current.request, event.CachedTokens)
+	if g.admission != nil {
+		own := enginemodel.DefaultProfile().PrefillTime(current.prompt)
+		g.admission.FirstToken(g.world.now, uint64(current.number), max(g.world.now-current.started-own, 0))
+	}
 	g.chooser.observe(g.world.now, routing.FirstToken{BackEnd: engineName(current.engine), Exchange: current.exchange})
 	g.answered(current)
 }
@@ -144,7 +149,6 @@
 	w.results.done(current, w.now+w.latency(g, current.engine))
 	g.end(current.request, admission.Result{
 		PromptTokens: current.prompt, OutputTokens: current.output,
-		Wait: w.now - current.started - minimumTime(current.request),
 	})
 	if g.admission != nil {
 		g.startWaiting()
--- /dev/null
+++ b/internal/measure/isolation.go
@@ -0,0 +1,89 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"github.com/hazelpitch/hazelpitch/internal/admission"
+)
+
+const (
+	isolationSeed = 11
+	neighbour     = "neighbour"
+	flooding      = "flooding"
+)
+
+// neighbourLoad is a tenant's steady load, a third of what the engines can do.
+func neighbourLoad(length time.Duration) workload {
+	return workload{
+		tenant: neighbour, worth: 1, requestsPerSecond: 10, to: length, deadline: 10 * time.Second,
+		ownTokens: 4096, outputTokens: 30,
+	}
+}
+
+// floodLoad is ten times what the engines can do.
+func floodLoad(length time.Duration) workload {
+	flood := neighbourLoad(length)
+	flood.tenant, flood.requestsPerSecond = flooding, 320
+	return flood
+}
+
+// admissionRow is one way to admit, with or without the flood.
+type admissionRow struct {
+	name      string
+	admission *admission.Config
+	flood     bool
+}
+
+func isolationRows() []admissionRow {
+	return []admissionRow{
+		{"product, no flood", &admission.Config{}, false},
+		{"product, flood", &admission.Config{}, true},
+		{"one queue first in first out, flood", &admission.Config{FirstInFirstOut: true}, true},
+		{"no admission, flood", nil, true},
+	}
+}
+
+func isolationWorld(row admissionRow, length time.Duration) (*world, error) {
+	made := setup{
+		seed: isolationSeed, engines: 12, zones: 4, gateways: 4, reportLag: 2 * time.Second, zoneDelay: 1500 * time.Microsecond,
+		chooser: chooserRouter, admission: row.admission, workloads: []workload{neighbourLoad(length)},
+	}
+	if row.flood {
+		made.workloads = append(made.workloads, floodLoad(length))
+	}
+	return newWorld(made)
+}
+
+// Isolation measures a tenant's goodput beside a tenant that sends ten times what the
+// engines can do, and writes a table.
+func Isolation(output io.Writer) error {
+	const length = 2 * time.Minute
+	rows := table.NewWriter()
+	rows.SetTitle("a neighbour's goodput with and without a flooding tenant, 12 engines, 4 gateways, equal weights")
+	rows.AppendHeader(table.Row{"admission", "neighbour in time", "refused", "late", "flooding in time", "refused", "late"})
+	for _, row := range isolationRows() {
+		world, err := isolationWorld(row, length)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		results := world.run()
+		rows.AppendRow(append(append(table.Row{row.name}, shares(results.tenant(neighbour))...), shares(results.tenant(flooding))...))
+	}
+	_, err := fmt.Fprintln(output, rows.Render())
+	return trace.Wrap(err)
+}
+
+// shares renders the worth in time, the requests refused and those late, as parts of all.
+func shares(of *tenantResult) table.Row {
+	if of.offered == 0 {
+		return table.Row{"-", "-", "-"}
+	}
+	all := float64(of.completed + of.refused + of.late)
+	share := func(part float64) string { return fmt.Sprintf("%.3f", part) }
+	return table.Row{share(of.worth / of.offered), share(float64(of.refused) / all), share(float64(of.late) / all)}
+}
--- a/internal/measure/results.go
+++ b/internal/measure/results.go
@@ -9,6 +9,7 @@
 // results are what one run came to, by tenant where it says so.
 type results struct {
 	tenants      map[string]*tenantResult
+	kinds        map[string]*tenantResult
 	promptTokens int64
 	cachedTokens int64
 	firstTokens  []time.Duration
@@ -17,7 +18,7 @@
 	imbalance []float64
 }
 
-// tenantResult counts one tenant's requests.
+// tenantResult counts the requests of one tenant or kind.
 type tenantResult struct {
 	refused   int
 	completed int
@@ -26,20 +27,26 @@
 	offered   float64 // worth of all requests
 }
 
-func (r *results) tenant(name string) *tenantResult {
-	if r.tenants == nil {
-		r.tenants = map[string]*tenantResult{}
-	}
-	if r.tenants[name] == nil {
-		r.tenants[name] = &tenantResult{}
+func newResults() results {
+	return results{tenants: map[string]*tenantResult{}, kinds: map[string]*tenantResult{}}
+}
+
+func (r *results) tenant(name string) *tenantResult { return counted(r.tenants, name) }
+
+func (r *results) kind(name string) *tenantResult { return counted(r.kinds, name) }
+
+func counted(of map[string]*tenantResult, name string) *tenantResult {
+	if of[name] == nil {
+		of[name] = &tenantResult{}
 	}
-	return r.tenants[name]
+	return of[name]
 }
 
 func (r *results) refused(asked *request) {
-	tenant := r.tenant(asked.tenant)
-	tenant.refused++
-	tenant.offered += asked.worth
+	for _, of := range []*tenantResult{r.tenant(asked.tenant), r.kind(asked.kind)} {
+		of.refused++
+		of.offered += asked.worth
+	}
 }
 
 func (r *results) cached(asked *request, tokens int) {
@@ -49,14 +56,18 @@
 
 func (r *results) done(current *flight, at time.Duration) {
 	r.firstTokens = append(r.firstTokens, current.first-current.at)
-	tenant := r.tenant(current.tenant)
-	tenant.offered += current.worth
+	r.tenant(current.tenant).done(current, at)
+	r.kind(current.kind).done(current, at)
+}
+
+func (t *tenantResult) done(current *flight, at time.Duration) {
+	t.offered += current.worth
 	if at > current.deadline {
-		tenant.late++
+		t.late++
 		return
 	}
-	tenant.completed++
-	tenant.worth += current.worth
+	t.completed++
+	t.worth += current.worth
 }
 
 // hitShare is the part of all prompt tokens that was found in prefix caches.
--- a/internal/measure/workload.go
+++ b/internal/measure/workload.go
@@ -21,6 +21,7 @@
 	at       time.Duration
 	gateway  int
 	tenant   string
+	kind     string
 	weight   uint32
 	worth    float64
 	prompt   int
@@ -35,6 +36,7 @@
 // workload describes requests of one sort.
 type workload struct {
 	tenant            string
+	kind              string
 	worth             float64
 	requestsPerSecond float64
 	from, to          time.Duration
@@ -69,7 +71,7 @@
 			subject = subjects.Uint64()
 		}
 		made := request{
-			at: at, gateway: random.IntN(gateways), tenant: w.tenant, weight: 1, worth: w.worth,
+			at: at, gateway: random.IntN(gateways), tenant: w.tenant, kind: w.kind, weight: 1, worth: w.worth,
 			prompt:   w.sharedTokens + w.subjectTokens + w.ownTokens,
 			output:   1 + int(float64(w.outputTokens)*(0.5+random.Float64())),
 			deadline: at + w.deadline,
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -65,7 +65,7 @@
 }
 
 func newWorld(setup setup) (*world, error) {
-	w := &world{setup: setup, index: map[string]int{}}
+	w := &world{setup: setup, index: map[string]int{}, results: newResults()}
 	random := rand.New(rand.NewPCG(setup.seed, 1))
 	for i := range setup.engines {
 		engine, err := enginemodel.New(enginemodel.DefaultProfile(), enginecontract.RoleMixed)
