--- /dev/null
+++ b/internal/experiment/benchmarks.go
@@ -0,0 +1,195 @@
+package experiment
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// WriteBenchmarks writes the page of a suite's runs: for each scenario and policy the
+// goodput as a share of the clairvoyant bound, the role changes and the deadline misses,
+// as the median over the seeds with the least and the greatest.
+func WriteBenchmarks(path, commandLine string, runs []*Run) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	writer := &errorWriter{out: file}
+	writeBenchmarks(writer, commandLine, runs)
+	return trace.NewAggregate(writer.err, file.Close())
+}
+
+// errorWriter remembers the first error, so that every line need not look for it.
+type errorWriter struct {
+	out io.Writer
+	err error
+}
+
+func (w *errorWriter) line(format string, values ...any) {
+	if w.err == nil {
+		_, w.err = fmt.Fprintf(w.out, format+"\n", values...)
+	}
+}
+
+const benchmarksIntroduction = `# Benchmarks of the planner
+
+Written by
+
+    %s
+
+in virtual time (package internal/experiment): the engines follow
+[the engine profile](ENGINE-PROFILE.md), and the decisions are the product's own.
+The same command gives the same page.
+
+* **of bound**: worth completed in time as a share of the bound, the highest worth that
+  any plan reached in the search for the clairvoyant plan of the same scenario and seed.
+  Above 100%% the search has missed a better plan.
+* **of offered**: the same as a share of the worth that arrived.
+* **changes**: finished role changes. **missed**: requests that ran and came too late.
+* Each cell is the median over seeds %s, with the least and the greatest in brackets.
+* Policies: planner (the product's), previous (the product's before these experiments),
+  reactive (thresholds), unchanged (the scenario's first roles), all-mixed, static-mean
+  (readers and writers for the mean mix), static-best (best split in hindsight),
+  clairvoyant (knows all arrivals, pays for changes, best under the declared trade).
+`
+
+func writeBenchmarks(w *errorWriter, commandLine string, runs []*Run) {
+	w.line(benchmarksIntroduction, commandLine, seedRange(runs))
+	writeGoals(w, runs)
+	for _, group := range groupRuns(runs, scenarioKey) {
+		w.line("## %s\n", scenarioKey(group[0]))
+		w.line("| policy | of bound | of offered | changes | missed | refused |")
+		w.line("| --- | --- | --- | --- | --- | --- |")
+		for _, own := range groupRuns(group, func(run *Run) string { return run.Policy }) {
+			w.line("| %s | %s | %s | %s | %s | %s |", own[0].Policy,
+				spreadOf(own, shareOfBound, "%.1f%%"), spreadOf(own, shareOfOffered, "%.1f%%"),
+				spreadOf(own, func(run *Run) float64 { return float64(run.RoleChanges) }, "%.0f"),
+				spreadOf(own, func(run *Run) float64 { return float64(run.DeadlineMisses) }, "%.0f"),
+				spreadOf(own, func(run *Run) float64 { return float64(run.Refused) }, "%.0f"))
+		}
+		w.line("")
+	}
+}
+
+// writeGoals sums up each scenario in one line against the aims.
+func writeGoals(w *errorWriter, runs []*Run) {
+	w.line("## The planner against its aims\n")
+	w.line("Aims: 95%% of the bound; 1.5 times static-mean on shifting mixes; no useless change on calm")
+	w.line("and square wave; for Rawabi no more changes than the clairvoyant plan and a quarter.\n")
+	w.line("| scenario | of bound | 95%% | times static-mean | times previous | changes | clairvoyant's changes | highest policy of bound |")
+	w.line("| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, group := range groupRuns(runs, scenarioKey) {
+		own := policyRuns(group, PolicyPlanner)
+		if len(own) == 0 {
+			continue
+		}
+		reached := "yes"
+		if median(own, shareOfBound) < 95 {
+			reached = "**no**"
+		}
+		w.line("| %s | %s | %s | %s | %s | %s | %s | %s |", scenarioKey(own[0]), spreadOf(own, shareOfBound, "%.1f%%"), reached,
+			timesOf(own, policyRuns(group, PolicyStaticMean)), timesOf(own, policyRuns(group, PolicyPrevious)),
+			spreadOf(own, changesMade, "%.0f"), spreadOf(policyRuns(group, PolicyClairvoyant), changesMade, "%.0f"), highest(group))
+	}
+	w.line("")
+}
+
+func scenarioKey(run *Run) string { return run.Deployment + " / " + run.Scenario }
+
+func changesMade(run *Run) float64 { return float64(run.RoleChanges) }
+
+func shareOfBound(run *Run) float64 {
+	if run.BoundGoodput == nil || *run.BoundGoodput == 0 {
+		return 0
+	}
+	return 100 * run.Goodput / *run.BoundGoodput
+}
+
+func shareOfOffered(run *Run) float64 { return 100 * run.Goodput / max(run.OfferedWorth, 1e-9) }
+
+// highest names the policy with the highest median share of the bound.
+func highest(group []*Run) string {
+	best, share := "", -1.0
+	for _, own := range groupRuns(group, func(run *Run) string { return run.Policy }) {
+		if value := median(own, shareOfBound); value > share {
+			best, share = own[0].Policy, value
+		}
+	}
+	return fmt.Sprintf("%s %.1f%%", best, share)
+}
+
+// timesOf is the ratio of the medians of goodput.
+func timesOf(own, other []*Run) string {
+	if len(other) == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", median(own, shareOfOffered)/max(median(other, shareOfOffered), 1e-9))
+}
+
+// groupRuns groups runs by a key, in the order of the keys' first appearance.
+func groupRuns(runs []*Run, key func(*Run) string) [][]*Run {
+	place := map[string]int{}
+	var groups [][]*Run
+	for _, run := range runs {
+		at, known := place[key(run)]
+		if !known {
+			at = len(groups)
+			place[key(run)] = at
+			groups = append(groups, nil)
+		}
+		groups[at] = append(groups[at], run)
+	}
+	return groups
+}
+
+func policyRuns(runs []*Run, policy string) []*Run {
+	return slices.DeleteFunc(slices.Clone(runs), func(run *Run) bool { return run.Policy != policy })
+}
+
+func sortedValues(runs []*Run, value func(*Run) float64) []float64 {
+	values := make([]float64, len(runs))
+	for i, run := range runs {
+		values[i] = value(run)
+	}
+	slices.Sort(values)
+	return values
+}
+
+func median(runs []*Run, value func(*Run) float64) float64 {
+	values := sortedValues(runs, value)
+	if len(values) == 0 {
+		return 0
+	}
+	return (values[(len(values)-1)/2] + values[len(values)/2]) / 2
+}
+
+// spreadOf is the median with the least and the greatest.
+func spreadOf(runs []*Run, value func(*Run) float64, format string) string {
+	values := sortedValues(runs, value)
+	if len(values) == 0 {
+		return "-"
+	}
+	text := func(number float64) string { return fmt.Sprintf(format, number) }
+	middle := text(median(runs, value))
+	least, greatest := text(values[0]), text(values[len(values)-1])
+	if least == greatest {
+		return middle
+	}
+	return fmt.Sprintf("%s (%s to %s)", middle, least, greatest)
+}
+
+func seedRange(runs []*Run) string {
+	var seeds []uint64
+	for _, run := range runs {
+		if !slices.Contains(seeds, run.Seed) {
+			seeds = append(seeds, run.Seed)
+		}
+	}
+	slices.SortFunc(seeds, cmp.Compare[uint64])
+	return strings.Trim(strings.ReplaceAll(fmt.Sprint(seeds), " ", ", "), "[]")
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -12,9 +12,6 @@
 const (
 	callerIdleTimeout = 75 * time.Second
 	overloadedRetry   = time.Second
-	// connectionsPerRequest bounds the connections, most of which are idle, by the requests
-	// that may be in flight: one too many requests gets an answer with a verdict.
-	connectionsPerRequest = 4
 )
 
 // newServer returns the server for callers.
@@ -27,7 +24,7 @@
 		MaxRequestBodySize:           limits.BodyBytes,
 		ReadTimeout:                  limits.ReadTimeout,
 		IdleTimeout:                  callerIdleTimeout,
-		Concurrency:                  connectionsPerRequest * (limits.InFlight + limits.QueueLength),
+		Concurrency:                  limits.InFlight + limits.QueueLength,
 		NoDefaultServerHeader:        true,
 		NoDefaultContentType:         true,
 		DisablePreParseMultipartForm: true,
@@ -49,7 +46,7 @@
 	}
 	if !g.inFlight.tryAcquire() {
 		g.refuse(context, refuse(http.StatusServiceUnavailable, typeRateLimit, codeOverloaded,
-			"the gateway has too many requests in flight").after(overloadedRetry).beforeClaim(idempotencyKey(context)))
+			"the gateway has too many requests in flight").after(overloadedRetry))
 		return
 	}
 	release := sync.OnceFunc(g.inFlight.release)
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -17,14 +17,12 @@
 	kind    string
 	tenant  int
 	// zone of the gateway to call; empty takes all gateways in turn.
-	zone   string
-	method string
-	path   string
-	body   []byte
-	chat   bool
-	resend bool
-	// detour is how many gateways further than its own the request goes.
-	detour   int
+	zone     string
+	method   string
+	path     string
+	body     []byte
+	chat     bool
+	resend   bool
 	deadline time.Duration
 	// What the answer must be.
 	promptHash   uint64
