--- a/cmd/hazelbench/main_test.go
+++ b/cmd/hazelbench/main_test.go
@@ -16,10 +16,13 @@
 func TestCommandLine(t *testing.T) {
 	deploy, err := filepath.Abs("../../deploy")
 	require.NoError(t, err)
+	small, err := filepath.Abs("testdata/small")
+	require.NoError(t, err)
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(environment *testscript.Env) error {
 			environment.Setenv("DEPLOY", deploy)
+			environment.Setenv("SMALL", small)
 			environment.Setenv("TMPDIR", os.TempDir())
 			return nil
 		},
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -81,7 +81,7 @@
 		w.names = append(w.names, fmt.Sprintf("controller-%d", i+1))
 	}
 	for _, name := range w.names {
-		w.controllers[name] = &testController{name: name, disk: Restored{DiskID: name + "/disk"}}
+		w.controllers[name] = &testController{name: name, disk: Restored{DiskID: name + ".disk"}}
 	}
 	for _, name := range w.names {
 		w.start(name)
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -40,18 +40,15 @@
 	}}})
 }
 
-// memberStep returns the membership after a command's first step. A replacement takes
-// three: this one adds the learner, and the leader does the rest once that has caught up.
+// memberStep returns the membership after the step that a command asks for. A
+// replacement takes up to three: each time it is run, the command takes the next one.
 func memberStep(present *v1.Membership, command language.Command) (*v1.Membership, string, error) {
 	changed := proto.CloneOf(present)
 	switch wanted := command.(type) {
 	case language.AddMember:
 		return addLearner(changed, wanted.Member)
 	case language.ReplaceMember:
-		if memberIndex(changed, wanted.ID) < 0 {
-			return nil, "", unknownMember(wanted.ID)
-		}
-		return addLearner(changed, wanted.Replacement)
+		return replaceStep(changed, wanted)
 	case language.PromoteMember:
 		position := memberIndex(changed, wanted.ID)
 		if position < 0 {
@@ -71,6 +68,28 @@
 	}
 }
 
+// replaceStep takes the next step of a replacement: the new member becomes a learner,
+// gets its vote once it has caught up, and then the old one goes, so that the quorum
+// is never smaller than before.
+func replaceStep(changed *v1.Membership, wanted language.ReplaceMember) (*v1.Membership, string, error) {
+	old, replacement := memberIndex(changed, wanted.ID), memberIndex(changed, wanted.Replacement.GetId())
+	switch {
+	case old < 0 && replacement >= 0 && !changed.Members[replacement].Learner:
+		return nil, "", trace.AlreadyExists("member %s is replaced by %s already", wanted.ID, wanted.Replacement.GetId())
+	case old < 0:
+		return nil, "", unknownMember(wanted.ID)
+	case replacement < 0:
+		members, _, err := addLearner(changed, wanted.Replacement)
+		return members, fmt.Sprintf("step 1 of 3: member %s is a learner; run the command again for its vote", wanted.Replacement.GetId()), err
+	case changed.Members[replacement].Learner:
+		changed.Members[replacement].Learner = false
+		return changed, fmt.Sprintf("step 2 of 3: member %s has a vote; run the command again to remove %s", wanted.Replacement.GetId(), wanted.ID), nil
+	default:
+		changed.Members = slices.Delete(changed.Members, old, old+1)
+		return changed, fmt.Sprintf("step 3 of 3: member %s is replaced by %s", wanted.ID, wanted.Replacement.GetId()), nil
+	}
+}
+
 func addLearner(changed *v1.Membership, member *v1.Member) (*v1.Membership, string, error) {
 	if member.GetId() == "" || member.GetAddress() == "" {
 		return nil, "", trace.BadParameter("a member needs the identity of its disk and an address")
--- /dev/null
+++ b/internal/control/members_test.go
@@ -0,0 +1,69 @@
+package control
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// join starts a controller that asks the others for admission.
+func (w *world) join(name string) {
+	w.controllers[name] = &testController{name: name, disk: Restored{DiskID: name + ".disk"}}
+	w.start(name)
+}
+
+// parts tells the part that each member plays, by identity; leaders count as voters.
+func (w *world) parts() string {
+	var parts []string
+	for _, row := range w.rowsOf("show members") {
+		cells := strings.Split(row, "|")
+		parts = append(parts, cells[0]+" "+strings.Replace(cells[3], "leader", "voter", 1))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ", ")
+}
+
+// TestReplaceMemberStepByStep replaces a voter that still runs by one on another
+// machine: the same command takes the next step each time, and changes stay possible
+// all along.
+func TestReplaceMemberStepByStep(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	w.waitLeader()
+	w.join("controller-4")
+	w.until("admission", func() bool { return strings.Contains(w.parts(), "controller-4.disk learner") })
+	old := ""
+	for _, name := range w.names {
+		if w.controllers[name] != w.leader() {
+			old = name + ".disk"
+		}
+	}
+	command := `replace member "` + old + `" with "controller-4.disk" at 10.0.0.7:7400 zone zone-a`
+	const administrator = v1.OperatorRole_OPERATOR_ROLE_ADMINISTRATOR
+	steps := []struct{ request, message, old, replacement string }{
+		{"vote", "step 2 of 3", "voter", "voter"},
+		{"removal", "step 3 of 3", "", "voter"},
+	}
+	for revision, step := range steps {
+		var response *v1.ExecuteResponse
+		w.until(step.message, func() bool {
+			var err error
+			response, err = w.execute(step.request, "ana", administrator, command)
+			return err == nil
+		})
+		require.Contains(t, response.Message, step.message)
+		require.Equal(t, step.old != "", strings.Contains(w.parts(), old+" voter"))
+		require.Contains(t, w.parts(), "controller-4.disk "+step.replacement)
+		w.apply(step.request+" change", modelVersion(revision))
+	}
+	_, err := w.execute("again", "ana", administrator, command)
+	require.ErrorContains(t, err, "is replaced by controller-4.disk already")
+	_, err = w.execute("unknown", "ana", administrator, `replace member x with y at 10.0.0.7:7400`)
+	require.ErrorContains(t, err, "show members")
+	_, err = w.execute("new", "ana", administrator, `replace member "controller-4.disk" with y at 10.0.0.7:7400`)
+	require.NoError(t, err)
+	require.Contains(t, w.parts(), "y learner")
+}
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -28,7 +28,7 @@
 	completion, fault := g.admitChat(context, format, arrival)
 	if fault != nil {
 		release()
-		g.refuse(context, fault)
+		g.refuse(context, fault.beforeClaim(idempotencyKey(context)))
 		return
 	}
 	completion.release = release
@@ -37,7 +37,7 @@
 		watch.end()
 		release()
 		g.record(completion, outcomeOf(fault))
-		g.refuse(context, fault)
+		g.refuse(context, fault.beforeClaim(completion.claimKey()))
 		return
 	}
 	identity := stream.Identity{ID: answerID(format), Created: time.Now().Unix(), Model: completion.name(), Format: format}
@@ -90,7 +90,7 @@
 		deadline:    arrival + deadline,
 		sequence:    stream.NewSequence(target.kind.Spec.GetRepeatable(), g.safeguards),
 		interrupter: &upstream.Interrupter{},
-		key:         string(context.Request.Header.Peek(enginecontract.HeaderIdempotencyKey)),
+		key:         idempotencyKey(context),
 	}
 	completion.shape = target.shape(tenant, request)
 	completion.routing = target.routingRequest(tenant, request, g.admitter.estimate(completion.shape))
--- a/internal/gateway/claimer.go
+++ b/internal/gateway/claimer.go
@@ -189,5 +189,8 @@
 	}
 	fault := refuse(status, typeInvalidRequest, code, decision.Reason.Error()).after(decision.RetryAfter)
 	fault.verdict = decision.Verdict
+	if code == codeClaimUnreachable || code == codeClaimRefused {
+		return fault.mayHaveRun() // nobody said that no earlier sending ran
+	}
 	return fault
 }
--- a/internal/gateway/hand_over_test.go
+++ b/internal/gateway/hand_over_test.go
@@ -151,7 +151,7 @@
 	require.False(t, answer.whole, answer.body)
 	require.Equal(t, row.status, answer.status, answer.body)
 	require.Equal(t, row.verdict.String(), answer.verdict, answer.body)
-	for _, secret := range []string{"kv", "handle", "salt", "exchange", "d1", "p1", "127.0.0.1"} {
+	for _, secret := range []string{"kv", "handle", "salt", "exchange", "127.0.0.1"} {
 		require.NotContains(t, answer.body, secret)
 	}
 }
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -75,6 +75,11 @@
 	return refuse(http.StatusBadRequest, typeInvalidRequest, codeInvalidHeader, message)
 }
 
+// idempotencyKey returns the caller's key; empty when there is none.
+func idempotencyKey(context *fasthttp.RequestCtx) string {
+	return string(context.Request.Header.Peek(enginecontract.HeaderIdempotencyKey))
+}
+
 // maximumIdempotencyKey bounds a key's length in bytes.
 const maximumIdempotencyKey = 128
 
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -25,7 +25,7 @@
 func requireNothingOfOthers(t *testing.T, answer callerAnswer) {
 	t.Helper()
 	text := fmt.Sprint(answer.header) + answer.body
-	for _, secret := range []string{"salt-", "e1", "p1", "127.0.0.1", "X-Engine", "X-Exchange", "secret", otherTestKey, testKey} {
+	for _, secret := range []string{"salt-", "engine-one", "page-one", "127.0.0.1", "X-Engine", "X-Exchange", "secret", otherTestKey, testKey} {
 		require.NotContains(t, text, secret)
 	}
 }
@@ -35,7 +35,7 @@
 func TestAnotherTenantsAdapter(t *testing.T) {
 	t.Parallel()
 	engine := startEngine(t)
-	controller := startController(t, engineBackEnd("e1", engine.address(), v1.Role_ROLE_MIXED))
+	controller := startController(t, engineBackEnd("engine-one", engine.address(), v1.Role_ROLE_MIXED))
 	gateway := startGateway(t, testSettings(controller.address))
 	send := func(key, model string) callerAnswer {
 		body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"x"}]}`, model)
@@ -54,7 +54,7 @@
 func TestTenantsSalts(t *testing.T) {
 	t.Parallel()
 	engine := startEngine(t)
-	controller := startController(t, engineBackEnd("e1", engine.address(), v1.Role_ROLE_MIXED))
+	controller := startController(t, engineBackEnd("engine-one", engine.address(), v1.Role_ROLE_MIXED))
 	gateway := startGateway(t, testSettings(controller.address))
 	for key, salt := range map[string]string{testKey: "salt-one", otherTestKey: "salt-two"} {
 		answer := call(t, http.MethodPost, gateway.url+"/v1/chat/completions", wholeBody, as(key, map[string]string{HeaderKind: "matching"}))
@@ -70,7 +70,7 @@
 func TestTenantsKeysAreApart(t *testing.T) {
 	t.Parallel()
 	service := startPage(t, "p1", nil)
-	controller := startController(t, pageBackEnd("p1", service.Address()))
+	controller := startController(t, pageBackEnd("page-one", service.Address()))
 	gateway := startGateway(t, testSettings(controller.address))
 	for number, key := range []string{testKey, otherTestKey} {
 		answer := call(t, http.MethodPost, gateway.url+"/registrations", "lot=7", as(key, map[string]string{enginecontract.HeaderIdempotencyKey: "same"}))
@@ -85,7 +85,7 @@
 func TestRefusalsTellNothing(t *testing.T) {
 	t.Parallel()
 	engine := startEngine(t, refusedNotRun, refusedNotRun)
-	controller := startController(t, engineBackEnd("e1", engine.address(), v1.Role_ROLE_MIXED), pageBackEnd("p1", "127.0.0.1:1"))
+	controller := startController(t, engineBackEnd("engine-one", engine.address(), v1.Role_ROLE_MIXED), pageBackEnd("page-one", "127.0.0.1:1"))
 	gateway := startGateway(t, testSettings(controller.address))
 	for name, row := range map[string]struct {
 		path, body string
--- a/internal/gateway/page.go
+++ b/internal/gateway/page.go
@@ -55,7 +55,7 @@
 	arrival := g.clock.now()
 	page, fault := g.admitPage(context, arrival)
 	if fault != nil {
-		g.refuse(context, fault)
+		g.refuse(context, fault.beforeClaim(idempotencyKey(context)))
 		return
 	}
 	page.watch = g.callers.watch(context.Conn(), page.interrupter)
@@ -63,7 +63,7 @@
 	place, fault := g.admitter.admit(page.admissionRequest(), page.interrupter)
 	if fault != nil {
 		g.recordPage(page, outcomeOf(fault))
-		g.refuse(context, fault)
+		g.refuse(context, fault.beforeClaim(page.claimKey()))
 		return
 	}
 	answer, fault := page.runClaimed()
@@ -104,7 +104,7 @@
 	g.retries.earn()
 	page := &pageRequest{
 		gateway: g, kind: kind, tenant: tenant, deadline: arrival + deadline, interrupter: &upstream.Interrupter{},
-		key: string(context.Request.Header.Peek(enginecontract.HeaderIdempotencyKey)),
+		key: idempotencyKey(context),
 	}
 	page.message = upstream.Request{
 		Method:      string(context.Method()),
@@ -150,6 +150,14 @@
 	return nil
 }
 
+// claimKey returns the key under which the request is claimed; empty when it is not.
+func (p *pageRequest) claimKey() string {
+	if p.kind.Spec.GetRepeatable() {
+		return ""
+	}
+	return p.key
+}
+
 // runClaimed runs the request; one that may run at most once and carries a key runs only
 // under a claim. Without a key it is sent once, and only a true "not run" is sent again.
 func (p *pageRequest) runClaimed() (*pageAnswer, *refusal) {
--- a/internal/gateway/page_faults_test.go
+++ b/internal/gateway/page_faults_test.go
@@ -131,17 +131,63 @@
 }
 
 // TestClaimNeedsController shows that a request that may run at most once does not run
-// when no controller can grant its claim.
+// when no controller can grant its claim, and that nobody is told that it has not: an
+// earlier sending under its key may have.
 func TestClaimNeedsController(t *testing.T) {
 	t.Parallel()
 	service := startPage(t, "p1", nil)
 	controller := startController(t, pageBackEnd("p1", service.Address()))
 	gateway := startGateway(t, testSettings(controller.address))
-	call(t, http.MethodGet, gateway.url+"/lots/1", "", nil) // the gateway meets the tenant
+	send := func(key string) callerAnswer {
+		return call(t, http.MethodPost, gateway.url+"/registrations", "x", map[string]string{enginecontract.HeaderIdempotencyKey: key})
+	}
+	require.Equal(t, http.StatusOK, send("sent before").status)
 	controller.down.Store(true)
-	answer := call(t, http.MethodPost, gateway.url+"/registrations", "x", map[string]string{enginecontract.HeaderIdempotencyKey: "k"})
-	require.Equal(t, http.StatusServiceUnavailable, answer.status)
-	require.Equal(t, codeClaimUnreachable, answer.errorCode)
-	require.Equal(t, verdict.NotRun.String(), answer.verdict)
+	for _, key := range []string{"sent before", "new"} {
+		answer := send(key)
+		require.Equal(t, http.StatusServiceUnavailable, answer.status)
+		require.Equal(t, codeClaimUnreachable, answer.errorCode)
+		require.Equal(t, verdict.MayHaveRun.String(), answer.verdict)
+		require.NotEmpty(t, answer.header.Get("Retry-After"))
+	}
 	require.Equal(t, 1, service.Runs().Served)
 }
+
+// TestOverloadBeforeClaim shows what a gateway with too much in flight tells: not run, but
+// to a sending under a key, whose claim it has not looked up.
+func TestOverloadBeforeClaim(t *testing.T) {
+	t.Parallel()
+	service := startPage(t, "p1", []fault.Fault{{Kind: fault.Late, Count: 2, DelayMs: 2000}})
+	controller := startController(t, pageBackEnd("p1", service.Address()))
+	config := testSettings(controller.address)
+	config.Limits.InFlight, config.Limits.QueueLength = 1, 1
+	gateway := startGateway(t, config)
+	for range 2 {
+		dial(t, gateway, rawRequest(http.MethodGet, "/lots/1", "", "", ""))
+	}
+	require.Eventually(t, func() bool {
+		return call(t, http.MethodGet, gateway.url+"/lots/2", "", nil).errorCode == codeOverloaded
+	}, eventually, often)
+	for key, want := range map[string]verdict.Verdict{"": verdict.NotRun, "k": verdict.MayHaveRun} {
+		headers := map[string]string{}
+		if key != "" {
+			headers[enginecontract.HeaderIdempotencyKey] = key
+		}
+		answer := call(t, http.MethodPost, gateway.url+"/registrations", "x", headers)
+		require.Equal(t, http.StatusServiceUnavailable, answer.status)
+		require.Equal(t, codeOverloaded, answer.errorCode)
+		require.Equal(t, want.String(), answer.verdict)
+		require.NotEmpty(t, answer.header.Get("Retry-After"))
+	}
+}
+
+// TestBeforeClaim shows which refusals stay not run for a sending under a key.
+func TestBeforeClaim(t *testing.T) {
+	for status, want := range map[int]verdict.Verdict{
+		400: verdict.NotRun, 404: verdict.NotRun, 405: verdict.NotRun, 413: verdict.NotRun, 422: verdict.NotRun, 431: verdict.NotRun,
+		401: verdict.MayHaveRun, 408: verdict.MayHaveRun, 429: verdict.MayHaveRun, 502: verdict.MayHaveRun, 503: verdict.MayHaveRun, 504: verdict.MayHaveRun,
+	} {
+		require.Equal(t, want, refuse(status, typeServer, codeInternal, "").beforeClaim("k").verdict, status)
+		require.Equal(t, verdict.NotRun, refuse(status, typeServer, codeInternal, "").beforeClaim("").verdict, status)
+	}
+}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -93,6 +93,22 @@
 	return r.mayHaveRun()
 }
 
+// beforeClaim returns the refusal of a sending under an idempotency key whose claim was not
+// looked up: an earlier sending under the key may have run, unless what was sent can never
+// have been taken.
+func (r *refusal) beforeClaim(key string) *refusal {
+	if key == "" || r.verdict != verdict.NotRun {
+		return r
+	}
+	switch r.status {
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusMethodNotAllowed, http.StatusRequestEntityTooLarge,
+		http.StatusUnprocessableEntity, http.StatusRequestHeaderFieldsTooLarge:
+		return r
+	default:
+		return r.mayHaveRun()
+	}
+}
+
 // body returns the refusal in the chat protocol's shape.
 func (r *refusal) body() stream.ErrorBody {
 	return stream.ErrorBody{
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -12,6 +12,9 @@
 const (
 	callerIdleTimeout = 75 * time.Second
 	overloadedRetry   = time.Second
+	// connectionsPerRequest bounds the connections, most of which are idle, by the requests
+	// that may be in flight: one too many requests gets an answer with a verdict.
+	connectionsPerRequest = 4
 )
 
 // newServer returns the server for callers.
@@ -24,7 +27,7 @@
 		MaxRequestBodySize:           limits.BodyBytes,
 		ReadTimeout:                  limits.ReadTimeout,
 		IdleTimeout:                  callerIdleTimeout,
-		Concurrency:                  limits.InFlight + limits.QueueLength,
+		Concurrency:                  connectionsPerRequest * (limits.InFlight + limits.QueueLength),
 		NoDefaultServerHeader:        true,
 		NoDefaultContentType:         true,
 		DisablePreParseMultipartForm: true,
@@ -46,7 +49,7 @@
 	}
 	if !g.inFlight.tryAcquire() {
 		g.refuse(context, refuse(http.StatusServiceUnavailable, typeRateLimit, codeOverloaded,
-			"the gateway has too many requests in flight").after(overloadedRetry))
+			"the gateway has too many requests in flight").after(overloadedRetry).beforeClaim(idempotencyKey(context)))
 		return
 	}
 	release := sync.OnceFunc(g.inFlight.release)
--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -45,6 +45,7 @@
 	"internal/enginemodel",
 	"internal/experiment",
 	"internal/fleet",
+	"internal/gatewayloss",
 	"internal/leaderloss",
 	"internal/load",
 	"internal/measure",
--- a/internal/load/audit.go
+++ b/internal/load/audit.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
@@ -91,12 +92,18 @@
 // audit compares results with executions.
 func audit(results []Result, ran Executions) Audit {
 	var found Audit
+	last := lastOpenSendings(results)
 	for _, result := range results {
 		switch {
 		case result.Prompt != "":
 			run := ran.prompts[result.Prompt]
 			found.check(result, run.Started+run.Prefilled, "prompt "+result.Prompt)
 		case result.Key != "":
+			if result.Ended.Before(last[result.Key]) {
+				// A later sending may be the one that ran.
+				found.checkRan(result, ran.keys[result.Key], "key "+result.Key)
+				continue
+			}
 			found.check(result, ran.keys[result.Key], "key "+result.Key)
 		}
 	}
@@ -108,11 +115,29 @@
 	return found
 }
 
+// lastOpenSendings returns, for each key, when the last of its sendings began that was not
+// told not run: only such a sending may have run.
+func lastOpenSendings(results []Result) map[string]time.Time {
+	last := make(map[string]time.Time)
+	for _, result := range results {
+		began := result.Ended.Add(-result.Total)
+		if result.Key != "" && result.Verdict != verdict.NotRun.String() && began.After(last[result.Key]) {
+			last[result.Key] = began
+		}
+	}
+	return last
+}
+
 func (a *Audit) check(result Result, runs int, name string) {
-	switch {
-	case result.Verdict == verdict.NotRun.String() && runs > 0:
+	if result.Verdict == verdict.NotRun.String() && runs > 0 {
 		a.find(&a.FalseNotRun, "%s %s: %d %s says not run, but it ran %d times", result.Kind, name, result.Status, result.Code, runs)
-	case (result.Verdict == verdict.Ran.String() || result.Outcome == Completed) && runs == 0:
+		return
+	}
+	a.checkRan(result, runs, name)
+}
+
+func (a *Audit) checkRan(result Result, runs int, name string) {
+	if (result.Verdict == verdict.Ran.String() || result.Outcome == Completed) && runs == 0 {
 		a.find(&a.FalseRan, "%s %s: %d says ran, but it did not run", result.Kind, name, result.Status)
 	}
 }
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -48,8 +48,11 @@
 
 // send sends one request, due at a time, and returns how it ended. The text of a
 // chat's answer goes to show as it arrives.
-func (c *client) send(of request, due time.Time, show io.Writer) Result {
-	result := Result{Kind: of.kind, Tenant: of.tenant, Due: of.arrival.at, Prompt: of.promptKey, Key: of.key}
+func (c *client) send(of request, due time.Time, show io.Writer) (result Result) {
+	result = Result{
+		Kind: of.kind, Tenant: of.tenant, Due: of.arrival.at, Prompt: of.promptKey, Key: of.key, Gateway: c.target.address(of),
+	}
+	defer func() { result.Ended = time.Now() }()
 	call, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(call)
 	defer fasthttp.ReleaseResponse(answer)
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -1,6 +1,10 @@
 package load
 
-import "time"
+import (
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
 
 // Outcome is how one request ended for its caller.
 type Outcome string
@@ -45,4 +49,10 @@
 	Prompt string
 	Key    string
 	Detail string
+	// Gateway is the IP:port that the request was sent to, Ended the time of its end.
+	Gateway string
+	Ended   time.Time
 }
+
+// MayHaveRun reports whether the caller was told that its request may have run.
+func (r Result) MayHaveRun() bool { return r.Verdict == verdict.MayHaveRun.String() }
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -17,12 +17,14 @@
 	kind    string
 	tenant  int
 	// zone of the gateway to call; empty takes all gateways in turn.
-	zone     string
-	method   string
-	path     string
-	body     []byte
-	chat     bool
-	resend   bool
+	zone   string
+	method string
+	path   string
+	body   []byte
+	chat   bool
+	resend bool
+	// detour is how many gateways further than its own the request goes.
+	detour   int
 	deadline time.Duration
 	// What the answer must be.
 	promptHash   uint64
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"time"
 
@@ -26,7 +25,14 @@
 	Length  time.Duration
 	// Scale multiplies every rate; 0 is 1.
 	Scale float64
-	Seed  uint64
+	// OnceScale multiplies the rates of kinds that run at most once on top; 0 is 1.
+	OnceScale float64
+	Seed      uint64
+	// Insist makes callers send a once-only request that got no answer again, through the
+	// next gateway, until they know how it ended.
+	Insist bool
+	// Result, when not nil, is called with each request's end, from one goroutine.
+	Result func(Result)
 	// Progress, when not nil, is called after each request's end.
 	Progress func(done, all int)
 }
@@ -48,7 +54,7 @@
 		options.Scale = 1
 	}
 	planned := plan{
-		arrivals: draw(traffic, options.Length, options.Scale, options.Seed),
+		arrivals: draw(traffic.onceScaled(options.OnceScale), options.Length, options.Scale, options.Seed),
 		kinds:    kinds,
 		make:     newMaker(options, traffic, kinds, time.Now()).make,
 	}
@@ -114,9 +120,9 @@
 			}
 			sending.Go(func() {
 				defer func() { <-slots }()
-				collected <- sender.send(built, due, io.Discard)
+				sender.sendOn(ctx, built, due, options.Insist, collected)
 				if built.resend {
-					collected <- sender.send(built, time.Now(), io.Discard)
+					sender.sendOn(ctx, built, time.Now(), options.Insist, collected)
 				}
 			})
 		}
@@ -124,6 +130,9 @@
 	var results []Result
 	for result := range collected {
 		results = append(results, result)
+		if options.Result != nil {
+			options.Result(result)
+		}
 		if options.Progress != nil {
 			options.Progress(len(results), len(planned.arrivals))
 		}
--- a/internal/load/stream_test.go
+++ b/internal/load/stream_test.go
@@ -86,3 +86,31 @@
 		})
 	}
 }
+
+// TestAuditOfSendings shows that a key's refusal as not run is false when a sending before it
+// ran, and true when only a later one can have.
+func TestAuditOfSendings(t *testing.T) {
+	began := time.Unix(1000, 0)
+	sending := func(second int, outcome Outcome, told verdict.Verdict) Result {
+		return Result{Key: "k", Outcome: outcome, Verdict: told.String(), Total: 500 * time.Millisecond, Ended: began.Add(time.Duration(second) * time.Second)}
+	}
+	lost := Result{Key: "k", Outcome: Lost, Total: 500 * time.Millisecond, Ended: began.Add(time.Second)}
+	tests := []struct {
+		name    string
+		results []Result
+		runs    int
+		want    int
+	}{
+		{"refused, then completed", []Result{sending(1, Refused, verdict.NotRun), sending(2, Completed, verdict.Ran)}, 1, 0},
+		{"lost, then refused", []Result{lost, sending(2, Refused, verdict.NotRun)}, 1, 1},
+		{"lost and not run, then refused", []Result{lost, sending(2, Refused, verdict.NotRun)}, 0, 0},
+		{"completed, then refused", []Result{sending(1, Completed, verdict.Ran), sending(2, Refused, verdict.NotRun)}, 1, 1},
+		{"refused twice", []Result{sending(1, Refused, verdict.NotRun), sending(2, Refused, verdict.NotRun)}, 1, 2},
+		{"lost, then refused as may have run", []Result{lost, sending(2, Refused, verdict.MayHaveRun)}, 1, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			require.Equal(t, test.want, audit(test.results, Executions{keys: map[string]int{"k": test.runs}}).FalseNotRun)
+		})
+	}
+}
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -28,7 +28,7 @@
 			list = t.Engines
 		}
 	}
-	return list[of.arrival.number%len(list)]
+	return list[(of.arrival.number+of.detour)%len(list)]
 }
 
 // gatewaysOf returns the gateways of a zone; of the empty zone all of them.
--- a/internal/load/traffic.go
+++ b/internal/load/traffic.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -84,6 +85,20 @@
 	return traffic, trace.Wrap(err)
 }
 
+// onceScaled multiplies the rates of kinds that run at most once.
+func (t Traffic) onceScaled(scale float64) Traffic {
+	if scale == 0 {
+		return t
+	}
+	scaled := Traffic{Requests: slices.Clone(t.Requests)}
+	for index := range scaled.Requests {
+		if page := scaled.Requests[index].Page; page != nil && page.Once {
+			scaled.Requests[index].Rate *= scale
+		}
+	}
+	return scaled
+}
+
 // check reports keys of a kind that are wrong together.
 func (r RequestKind) check(document *yamlfile.Document, key string) {
 	if (r.Chat == nil) == (r.Page == nil) {
--- a/internal/simulation/checks_orders.go
+++ b/internal/simulation/checks_orders.go
@@ -115,9 +115,8 @@
 func (c *checks) engineTakenOut(e *engine, order enginecontract.Order) {
 	out := 0
 	for _, other := range c.world.engines {
-		underWay := other == e || other.durable.Phase == enginecontract.PhaseDraining || other.durable.Phase == enginecontract.PhaseChanging
 		lost := c.orders.ended[engineFence{other.name, other.durable.Order.Fence}] == v1.OrderOutcome_ORDER_OUTCOME_ENGINE_LOST
-		if other.service == e.service && underWay && !lost {
+		if other.service == e.service && (other == e || other.underWay()) && !lost {
 			out++
 		}
 	}
--- a/internal/simulation/controller.go
+++ b/internal/simulation/controller.go
@@ -181,74 +181,6 @@
 	}
 }
 
-// startSync writes all that waits after the time that a disk takes.
-func (c *controller) startSync() {
-	if c.syncing {
-		return
-	}
-	c.syncing = true
-	delay := c.world.duration(quickSync)
-	if c.slowDisk {
-		delay = c.world.duration(slowSync)
-	}
-	c.after(delay, c.save)
-}
-
-// save writes and syncs what waits and tells the core.
-func (c *controller) save() {
-	c.syncing = false
-	batches := c.unsaved
-	c.unsaved = nil
-	if len(batches) == 0 {
-		return
-	}
-	if err := saveAll(c.storage, batches); err != nil {
-		c.world.checks.fail("durable state", "%s cannot save: %v", c.name, err)
-		return
-	}
-	c.world.checks.logs.saved(c, batches)
-	c.step(control.Persisted{Batch: batches[len(batches)-1].Batch})
-}
-
-// saveAll saves batches with as few syncs as can be.
-func saveAll(target *storage.Storage, batches []control.Persist) error {
-	batch := &storage.Batch{}
-	for _, wanted := range batches {
-		if batch.Add(wanted.HardState, wanted.Entries, wanted.Snapshot) {
-			continue
-		}
-		if err := target.SaveBatch(batch); err != nil {
-			return err
-		}
-		batch = &storage.Batch{}
-		batch.Add(wanted.HardState, wanted.Entries, wanted.Snapshot)
-	}
-	return target.SaveBatch(batch)
-}
-
-// crash ends the process between two changes of the disk, which loses what was not synced.
-func (c *controller) crash() {
-	if !c.alive {
-		return
-	}
-	if len(c.unsaved) > 0 {
-		c.disk.StopAfter(c.world.random.IntN(8))
-		_ = saveAll(c.storage, c.unsaved) // stops somewhere
-	}
-	c.disk.Crash(c.world.random)
-	c.core, c.storage = nil, nil
-	c.kill()
-	c.world.trace.add(c.world.now, c.name, "crashes")
-}
-
-// replaceDisk puts an empty disk into a machine that is down.
-func (c *controller) replaceDisk() {
-	c.disks++
-	c.disk = memory.New()
-	c.diskID = "" // known once the process has started on it
-	c.world.trace.add(c.world.now, c.name, "gets an empty disk")
-}
-
 // receive hands a call to the core; reply gets its answer.
 func (c *controller) receive(input func(control.CallID) control.Input, reply func(proto.Message, error)) {
 	if c.core == nil {
@@ -271,62 +203,6 @@
 		})
 }
 
-// sendOrder sends an order to an engine.
-func (c *controller) sendOrder(wanted control.SendOrder) {
-	c.world.checks.orderSent(c, wanted.Order, wanted.Engine)
-	c.callEngine(wanted.Address, func(e *engine) enginecontract.OrderAnswer { return e.order(wanted.Order) },
-		func(answer *enginecontract.OrderAnswer) {
-			c.step(control.OrderAnswered{Engine: wanted.Engine, Fence: wanted.Order.Fence, Answer: answer})
-		})
-}
-
-// sendFence raises the fence at an engine.
-func (c *controller) sendFence(wanted control.SendFence) {
-	fence := enginecontract.Fence{Epoch: wanted.Epoch}
-	c.callEngine(wanted.Address, func(e *engine) enginecontract.OrderAnswer { return e.fence(fence) },
-		func(answer *enginecontract.OrderAnswer) {
-			c.step(control.FenceAnswered{Engine: wanted.Engine, Epoch: wanted.Epoch, Answer: answer})
-		})
-}
-
-// callEngine makes a call that an engine answers with an OrderAnswer.
-func (c *controller) callEngine(address string, handle func(*engine) enginecontract.OrderAnswer, done func(*enginecontract.OrderAnswer)) {
-	target := c.world.engineAt(address)
-	if target == nil {
-		c.after(engineCallTimeout, func() { done(nil) })
-		return
-	}
-	call(c.world.network, &c.host, &target.host, engineCallTimeout,
-		func(reply func(enginecontract.OrderAnswer)) { reply(handle(target)) },
-		func(answer enginecontract.OrderAnswer, answered bool) {
-			if answered {
-				done(&answer)
-			} else {
-				done(nil)
-			}
-		})
-}
-
-// polled is what an engine answers to a poll.
-type polled struct {
-	state *enginecontract.EngineState
-	load  *enginecontract.LoadReport
-}
-
-// pollEngine asks an engine for state and load.
-func (c *controller) pollEngine(wanted control.PollEngine) {
-	target := c.world.engineAt(wanted.Address)
-	if target == nil {
-		c.after(engineCallTimeout, func() { c.step(control.EngineStateReceived{Engine: wanted.Engine}) })
-		return
-	}
-	call(c.world.network, &c.host, &target.host, engineCallTimeout,
-		func(reply func(polled)) { reply(polled{state: target.state(), load: target.load()}) },
-		func(answer polled, _ bool) {
-			c.step(control.EngineStateReceived{Engine: wanted.Engine, State: answer.state, Load: answer.load})
-		})
-}
-
 // digest returns the hash of the replicated state.
 func (c *controller) digest() uint64 {
 	data, err := c.core.State().Snapshot()
--- /dev/null
+++ b/internal/simulation/controller_disk.go
@@ -0,0 +1,75 @@
+package simulation
+
+import (
+	"github.com/hazelpitch/hazelpitch/internal/control"
+	"github.com/hazelpitch/hazelpitch/internal/filesystem/memory"
+	"github.com/hazelpitch/hazelpitch/internal/storage"
+)
+
+// startSync writes all that waits after the time that a disk takes.
+func (c *controller) startSync() {
+	if c.syncing {
+		return
+	}
+	c.syncing = true
+	delay := c.world.duration(quickSync)
+	if c.slowDisk {
+		delay = c.world.duration(slowSync)
+	}
+	c.after(delay, c.save)
+}
+
+// save writes and syncs what waits and tells the core.
+func (c *controller) save() {
+	c.syncing = false
+	batches := c.unsaved
+	c.unsaved = nil
+	if len(batches) == 0 {
+		return
+	}
+	if err := saveAll(c.storage, batches); err != nil {
+		c.world.checks.fail("durable state", "%s cannot save: %v", c.name, err)
+		return
+	}
+	c.world.checks.logs.saved(c, batches)
+	c.step(control.Persisted{Batch: batches[len(batches)-1].Batch})
+}
+
+// saveAll saves batches with as few syncs as can be.
+func saveAll(target *storage.Storage, batches []control.Persist) error {
+	batch := &storage.Batch{}
+	for _, wanted := range batches {
+		if batch.Add(wanted.HardState, wanted.Entries, wanted.Snapshot) {
+			continue
+		}
+		if err := target.SaveBatch(batch); err != nil {
+			return err
+		}
+		batch = &storage.Batch{}
+		batch.Add(wanted.HardState, wanted.Entries, wanted.Snapshot)
+	}
+	return target.SaveBatch(batch)
+}
+
+// crash ends the process between two changes of the disk, which loses what was not synced.
+func (c *controller) crash() {
+	if !c.alive {
+		return
+	}
+	if len(c.unsaved) > 0 {
+		c.disk.StopAfter(c.world.random.IntN(8))
+		_ = saveAll(c.storage, c.unsaved) // stops somewhere
+	}
+	c.disk.Crash(c.world.random)
+	c.core, c.storage = nil, nil
+	c.kill()
+	c.world.trace.add(c.world.now, c.name, "crashes")
+}
+
+// replaceDisk puts an empty disk into a machine that is down.
+func (c *controller) replaceDisk() {
+	c.disks++
+	c.disk = memory.New()
+	c.diskID = "" // known once the process has started on it
+	c.world.trace.add(c.world.now, c.name, "gets an empty disk")
+}
--- a/internal/simulation/engine.go
+++ b/internal/simulation/engine.go
@@ -119,6 +119,11 @@
 	return true, state
 }
 
+// underWay reports whether the engine carries out an order.
+func (e *engine) underWay() bool {
+	return e.durable.Phase == enginecontract.PhaseDraining || e.durable.Phase == enginecontract.PhaseChanging
+}
+
 // leave begins the machine's removal.
 func (e *engine) leave() {
 	e.leaving = true
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -27,6 +27,8 @@
 	FaultCrashGateway    FaultKind = "crash-gateway"
 	FaultPauseGateway    FaultKind = "pause-gateway"
 	FaultListLag         FaultKind = "machine-list-lag"
+	// FaultCrashChanging crashes an engine that carries out an order.
+	FaultCrashChanging FaultKind = "crash-engine-in-change"
 	// FaultStallOrder pauses a controller at the moment it is about to send an order.
 	FaultStallOrder FaultKind = "stall-before-order"
 	// FaultCutPeers cuts a controller off from the other controllers alone.
@@ -40,6 +42,9 @@
 	FaultCutOffController FaultKind = "cut-off-controller"
 	// FaultSecondLoss loses a second disk as soon as the first loss is repaired.
 	FaultSecondLoss FaultKind = "second-loss-after-repair"
+	// FaultSecondLost counts the second disks that were lost so: it is never begun by
+	// itself.
+	FaultSecondLost FaultKind = "second-disk-lost"
 )
 
 // faultKinds lists all kinds in a fixed order.
@@ -47,7 +52,7 @@
 	FaultCrashController, FaultReplaceDisk, FaultPauseController, FaultStallController, FaultSlowDisk,
 	FaultIsolate, FaultOneWay, FaultSplit, FaultWeather, FaultCrashEngine, FaultPauseEngine,
 	FaultEngineLeaves, FaultCrashGateway, FaultPauseGateway, FaultListLag,
-	FaultStallOrder, FaultCutPeers, FaultCutLink, FaultLull, FaultCutOffController, FaultSecondLoss,
+	FaultCrashChanging, FaultStallOrder, FaultCutPeers, FaultCutLink, FaultLull, FaultCutOffController, FaultSecondLoss,
 }
 
 // Times of faults. A pause may be much longer than a leader's lease.
--- a/internal/simulation/faults_process.go
+++ b/internal/simulation/faults_process.go
@@ -27,6 +27,8 @@
 		return func() { controller.slowDisk = false }
 	case FaultCrashEngine:
 		return f.crashEngine(kind, engine)
+	case FaultCrashChanging:
+		return f.crashChanging(kind)
 	case FaultPauseEngine:
 		return f.pause(kind, &engine.host)
 	case FaultEngineLeaves:
@@ -94,6 +96,7 @@
 			f.world.after(repairPoll, look)
 		default:
 			if restart := f.replaceDisk(kind, second); restart != nil {
+				f.counts[FaultSecondLost]++
 				end = restart
 			}
 		}
@@ -156,6 +159,16 @@
 	}
 }
 
+// crashChanging crashes an engine in the middle of an order.
+func (f *faults) crashChanging(kind FaultKind) func() {
+	for _, e := range f.world.engines {
+		if e.underWay() {
+			return f.crashEngine(kind, e)
+		}
+	}
+	return nil
+}
+
 // engineLeaves takes a machine away; another one of the same name comes later.
 func (f *faults) engineLeaves(kind FaultKind, e *engine) func() {
 	if !e.alive || e.paused || e.leaving {
--- a/internal/simulation/run_test.go
+++ b/internal/simulation/run_test.go
@@ -25,7 +25,9 @@
 	for _, kind := range faultKinds {
 		require.Positive(t, total.Faults[kind], "no seed had a %s", kind)
 	}
+	require.Positive(t, total.Faults[FaultSecondLost])
 	require.Positive(t, total.Orders)
+	require.Positive(t, total.Operations)
 	require.Positive(t, total.Accepted)
 	require.Positive(t, total.Claims)
 	t.Logf("%+v", total)
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -91,7 +91,7 @@
 func newDiskID(name string) string {
 	random := make([]byte, identityBytes)
 	_, _ = rand.Read(random) // never fails
-	return name + "/" + hex.EncodeToString(random)
+	return name + "." + hex.EncodeToString(random)
 }
 
 // Save writes and syncs a batch; what is nil is unchanged. A snapshot is durable
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -218,3 +218,8 @@
 	require.Len(t, restored.Entries, 2)
 	require.Equal(t, uint64(2), restored.Entries[1].GetTerm())
 }
+
+// TestDiskIdentityIsAName shows that operators can write a disk's identity as a name.
+func TestDiskIdentityIsAName(t *testing.T) {
+	require.Regexp(t, `^controller-amman-hall-a\.[0-9a-f]{16}$`, newDiskID("controller-amman-hall-a"))
+}
