Let a gateway that meets a tenant wait for the next division of its limit

Cause: each gateway that newly meets a tenant made the leader divide the tenant's limit among all its gateways at once; with 33,000 tenants such meetings never end.

Change: until the next division, at most 250 ms away, a new gateway may have as much as the best served; what others hold still caps it.

--- a/internal/shares/lease.go
+++ b/internal/shares/lease.go
@@ -18,8 +18,10 @@
 	// countedTokens and countedConcurrency are its part of the tenant's sums.
 	countedTokens      uint64
 	countedConcurrency uint64
-	// part is what the last division gave it.
-	part Limits
+	// part is what the last division gave it; divided is false when there was none since
+	// the gateway first asked.
+	part    Limits
+	divided bool
 }
 
 // grant is one share as granted.
--- a/internal/shares/tenant.go
+++ b/internal/shares/tenant.go
@@ -18,7 +18,7 @@
 	// than what the gateways may still use.
 	heldTokens      uint64
 	heldConcurrency uint64
-	// divided tells that the parts of the last division hold for all leases.
+	// divided tells that there has been a division.
 	divided   bool
 	dividedAt time.Duration
 	limits    Limits
@@ -34,7 +34,6 @@
 	t.leases[gateway] = created
 	position, _ := slices.BinarySearch(t.names, gateway)
 	t.names = slices.Insert(t.names, position, gateway)
-	t.divided = false
 	return created
 }
 
@@ -84,15 +83,18 @@
 	t.largest = Limits{}
 	for i, name := range t.names {
 		part := Limits{TokensPerSecond: tokens[i], Concurrency: uint32(concurrency[i])}
-		t.leases[name].part = part
+		t.leases[name].part, t.leases[name].divided = part, true
 		t.largest.TokensPerSecond = max(t.largest.TokensPerSecond, part.TokensPerSecond)
 		t.largest.Concurrency = max(t.largest.Concurrency, part.Concurrency)
 	}
 }
 
-// fair is a gateway's part. One that wants more than it did at the last division may
-// have as much as the best served until the next.
+// fair is a gateway's part. One that is new since the last division, or wants more than
+// it did then, may have as much as the best served until the next.
 func (t *tenant) fair(l *lease) Limits {
+	if !l.divided {
+		return t.largest
+	}
 	return Limits{
 		TokensPerSecond: max(l.part.TokensPerSecond, min(l.wantedTokens, t.largest.TokensPerSecond)),
 		Concurrency:     max(l.part.Concurrency, uint32(min(l.wantedConcurrency, uint64(t.largest.Concurrency)))),
