Route pairs in trials and count them by distance

Cause: trials routed to one engine only, so nothing told where KV caches would go.

Change: a trial takes the pair that routing chooses; hazelbench scale counts requests and hand-overs inside a zone, between zones and between regions.

--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -32,8 +32,12 @@
 
 // TrialRun is a trial that was admitted, claimed and given a back end. It is ended once.
 type TrialRun struct {
-	// BackEnd is the name of the engine that routing chose.
+	// BackEnd is the name of the engine that routing chose to answer, Zone its zone.
 	BackEnd string
+	Zone    string
+	// PrefillZone is the zone of the engine that reads the prompt and hands its KV cache
+	// over; empty when BackEnd does everything.
+	PrefillZone string
 
 	control  *Control
 	trial    Trial
@@ -62,7 +66,7 @@
 	request := &chatRequest{prompt: []byte(trial.Prompt), maximumTokens: trial.OutputTokens}
 	shape := run.target.shape(tenant, request)
 	routed := run.target.routingRequest(tenant, request, c.admitter.estimate(shape))
-	routed.Deadline, routed.WholeOnly = deadline, true
+	routed.Deadline = deadline
 	run.place, fault = c.admitter.admit(run.admissionRequest(shape, deadline), interrupter)
 	if fault != nil {
 		run.record(outcomeOf(fault))
@@ -90,11 +94,23 @@
 		r.finishClaim(verdict.NotRun)
 		return refusePick(err)
 	}
-	r.BackEnd, r.exchange = choice.BackEnd.Name, upstream.NewExchange()
+	r.BackEnd, r.Zone, r.exchange = choice.BackEnd.Name, choice.BackEnd.Zone, upstream.NewExchange()
+	reader := r.BackEnd
+	if choice.Prefill != nil {
+		reader, r.PrefillZone = choice.Prefill.Name, choice.Prefill.Zone
+		r.control.dispatcher.observe(routing.Sent{BackEnd: r.BackEnd, Exchange: r.exchange})
+	}
+	prompt := upstream.NewExchange()
+	if choice.Prefill == nil {
+		prompt = r.exchange
+	}
 	r.control.dispatcher.observe(routing.Sent{
-		BackEnd: r.BackEnd, Exchange: r.exchange, PromptTokens: r.trial.PromptTokens,
+		BackEnd: reader, Exchange: prompt, PromptTokens: max(r.trial.PromptTokens-choice.CachedTokens, 0),
 		PrefixBlocks: routed.PrefixBlocks, Home: choice.Home,
 	})
+	if choice.Prefill != nil { // the prompt is read at once here
+		r.control.dispatcher.observe(routing.Finished{BackEnd: reader, Exchange: prompt, PromptTokens: r.trial.PromptTokens})
+	}
 	return nil
 }
 
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -86,6 +86,8 @@
 	measured.Traffic = TrafficCounts{
 		Begun: traffic.Begun.Load() - begun, Refused: traffic.Refused.Load() - refused,
 		Claimed: traffic.Claimed.Load() - claimed, Refusals: traffic.Refusals(),
+		Distance: Distances{Zone: traffic.Local.Load(), Region: traffic.Zones.Load(), Far: traffic.Regions.Load()},
+		HandOver: Distances{Zone: traffic.PairsLocal.Load(), Region: traffic.PairsZones.Load(), Far: traffic.PairsRegions.Load()},
 	}
 	measured.LeaderChanges = after.controllers[leader].sum("hazelpitch_controller_term") - before.controllers[leader].sum("hazelpitch_controller_term")
 	measured.Revision = uint64(after.controllers[leader].sum("hazelpitch_controller_revision"))
--- a/internal/scale/measurement.go
+++ b/internal/scale/measurement.go
@@ -56,6 +56,17 @@
 	Refused  int64            `json:"refused"`
 	Claimed  int64            `json:"claimed"`
 	Refusals map[string]int64 `json:"refusals"`
+	// Since the start of the traffic: requests by the distance from node to engine, and
+	// KV caches handed over by the distance between the engines.
+	Distance Distances `json:"distance"`
+	HandOver Distances `json:"hand_over"`
+}
+
+// Distances counts by distance: inside a zone, between zones of a region, between regions.
+type Distances struct {
+	Zone   int64 `json:"zone"`
+	Region int64 `json:"region"`
+	Far    int64 `json:"far"`
 }
 
 // Measurement is one window of a fleet.
--- a/internal/scale/node.go
+++ b/internal/scale/node.go
@@ -44,6 +44,7 @@
 		Listen:        net.JoinHostPort(plan.nodeSource(number), "8080"),
 		SourceAddress: plan.nodeSource(number),
 		Controllers:   controllersFor(plan, number),
+		ZoneLatency:   plan.zoneLatencies(zone),
 		SyncInterval:  syncInterval,
 		Limits:        settings.GatewayLimits{InFlight: nodeInFlight, QueueLength: nodeQueueLength},
 		Log:           settings.Log{RingEntries: ringEntries},
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -63,8 +65,19 @@
 	return nil
 }
 
+const zonePrefix = "zone-"
+
 // ZoneName is the name of a zone by its number from 0.
-func ZoneName(zone int) string { return fmt.Sprintf("zone-%02d", zone) }
+func ZoneName(zone int) string { return fmt.Sprintf(zonePrefix+"%02d", zone) }
+
+// zoneNumber is the number of a zone's name.
+func zoneNumber(name string) int {
+	number, err := strconv.Atoi(strings.TrimPrefix(name, zonePrefix))
+	if err != nil {
+		return -1
+	}
+	return number
+}
 
 // NodeName is the name of a gateway by its number from 0.
 func NodeName(node int) string { return fmt.Sprintf("node-%04d", node) }
@@ -144,6 +157,17 @@
 	return fmt.Sprintf("%s:%d", p.host(0, machineListHost), callPort)
 }
 
+// zoneLatencies are the latencies from a zone to the others, by name.
+func (p Plan) zoneLatencies(zone int) map[string]time.Duration {
+	latencies := map[string]time.Duration{}
+	for other := range p.Zones {
+		if other != zone {
+			latencies[ZoneName(other)] = p.latency(zone, other)
+		}
+	}
+	return latencies
+}
+
 // zoneOf is the zone of an address; false for addresses outside the fleet's zones.
 func (p Plan) zoneOf(address netip.Addr) (int, bool) {
 	if !address.Is4() {
--- a/internal/scale/table.go
+++ b/internal/scale/table.go
@@ -16,6 +16,9 @@
 	fmt.Fprintf(out, "%d nodes, %d replicas, %d models, %d tenants, %d zones in %d regions, %d voters, %d standbys; window %.1f s, revision %d, leader changes %.0f\n",
 		plan.Nodes, plan.Replicas, plan.Models, plan.Tenants, plan.Zones, plan.Regions, plan.Controllers, plan.Standbys, m.Seconds, m.Revision, m.LeaderChanges)
 	fmt.Fprintf(out, "requests decided: %d begun, %d refused %v, %d claimed\n", m.Traffic.Begun, m.Traffic.Refused, m.Traffic.Refusals, m.Traffic.Claimed)
+	fmt.Fprintf(out, "since the start, inside a zone / between zones / between regions: node to engine %d / %d / %d, KV hand-over %d / %d / %d\n",
+		m.Traffic.Distance.Zone, m.Traffic.Distance.Region, m.Traffic.Distance.Far,
+		m.Traffic.HandOver.Zone, m.Traffic.HandOver.Region, m.Traffic.HandOver.Far)
 	roles := table.NewWriter()
 	roles.AppendHeader(table.Row{"role", "members", "% of a core", "memory MB", "disk MB", "received KB/s", "sent KB/s", "largest KB/s"})
 	for _, usage := range m.Roles {
--- a/internal/scale/traffic.go
+++ b/internal/scale/traffic.go
@@ -42,10 +42,37 @@
 	Ended   atomic.Int64
 	Claimed atomic.Int64
 
+	// Local, Zones and Regions count the requests answered by an engine in the node's
+	// zone, its region, or another one; PairsLocal, PairsZones and PairsRegions the KV
+	// caches handed over inside a zone, between zones of a region, and between regions.
+	Local, Zones, Regions                atomic.Int64
+	PairsLocal, PairsZones, PairsRegions atomic.Int64
+
 	mutex    sync.Mutex
 	refusals map[string]int64
 }
 
+// place counts where a request went.
+func (t *Traffic) place(plan Plan, zone int, run *gateway.TrialRun) {
+	answering := zoneNumber(run.Zone)
+	plan.count(zone, answering, &t.Local, &t.Zones, &t.Regions)
+	if run.PrefillZone != "" {
+		plan.count(zoneNumber(run.PrefillZone), answering, &t.PairsLocal, &t.PairsZones, &t.PairsRegions)
+	}
+}
+
+// count adds to the counter for the distance of two zones.
+func (p Plan) count(one, other int, local, zones, regions *atomic.Int64) {
+	switch {
+	case one == other:
+		local.Add(1)
+	case p.Region(one) == p.Region(other):
+		zones.Add(1)
+	default:
+		regions.Add(1)
+	}
+}
+
 // Refusals counts the refusals by what they said up to the first colon.
 func (t *Traffic) Refusals() map[string]int64 {
 	t.mutex.Lock()
@@ -97,7 +124,7 @@
 			trial.IdempotencyKey = fmt.Sprintf("%s-%d-%d", node.Name, number, source.Uint64())
 			traffic.Claimed.Add(1)
 		}
-		go runTrial(control, trial, options.Duration, traffic)
+		go f.runTrial(control, node.Zone, trial, options.Duration, traffic)
 	}
 }
 
@@ -109,13 +136,14 @@
 	}
 }
 
-func runTrial(control *gateway.Control, trial gateway.Trial, duration time.Duration, traffic *Traffic) {
+func (f *Fleet) runTrial(control *gateway.Control, zone int, trial gateway.Trial, duration time.Duration, traffic *Traffic) {
 	traffic.Begun.Add(1)
 	run, err := control.BeginTrial(trial)
 	if err != nil {
 		traffic.refuse(err)
 		return
 	}
+	traffic.place(f.Plan, zone, run)
 	time.AfterFunc(duration, func() {
 		run.End()
 		traffic.Ended.Add(1)
