Hold not-run under a key against the sendings before it

Cause: gateways now answer for all sendings under an idempotency key, while the property run took a not run for that sending alone; its checks had no test of their own.

Change: a not run counts as false when the request ran and every sending that may have run had ended before that one began.

--- a/internal/claims/doc.go
+++ b/internal/claims/doc.go
@@ -11,8 +11,9 @@
 // another attempt only by the verdict not run. Claims are remembered until they
 // expire (at most 24 h); a key that is used again later is a new request.
 //
-// A verdict is about one sending of the caller: "not run" after a resend says that
-// this sending did not run, and leaves the verdicts of earlier ones as they are.
+// A verdict here is about one sending of the caller. What the caller is told covers all
+// sendings under its key: the gateway says "may have run" when a claim could not be made
+// and nobody knows of earlier sendings.
 //
 // Begin and Finish each belong to one goroutine. Times are durations since an
 // origin of the caller's choice and must not go back.
--- a/internal/property/ledger.go
+++ b/internal/property/ledger.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -71,17 +72,36 @@
 		bound = mayRun * maximumExchanges
 	}
 	switch {
-	case runs > 0 && mayRun == 0, runs > bound && !of.once():
+	case runs > 0 && mayRun == 0:
 		found = append(found, Violation{FalseNotRun, summary})
+	case runs > bound && !of.once():
+		found = append(found, Violation{RepeatedTooOften, summary})
 	case runs > bound:
 		found = append(found, Violation{RunTwice, summary})
 	}
+	if runs > 0 && mayRun > 0 && of.claimed() && l.hidesRun(of) {
+		found = append(found, Violation{FalseNotRun, summary + ", before one that was told not run"})
+	}
 	if ran > 0 && runs == 0 {
 		found = append(found, Violation{FalseRan, summary})
 	}
 	return found
 }
 
+// hidesRun tells that a sending was told not run although all that may have run had ended
+// before it began. Under a key the verdict covers the earlier sendings too.
+func (l *ledger) hidesRun(of *request) bool {
+	var last time.Time // end of the last sending that may have run
+	for _, told := range l.sendings[of] {
+		if told.told != verdict.NotRun.String() && told.ended.After(last) {
+			last = told.ended
+		}
+	}
+	return slices.ContainsFunc(l.sendings[of], func(told *sending) bool {
+		return told.told == verdict.NotRun.String() && told.began.After(last)
+	})
+}
+
 // checkAnswer holds one answer against the request's own.
 func checkAnswer(told *sending) []Violation {
 	of := told.request
--- a/internal/property/report.go
+++ b/internal/property/report.go
@@ -18,6 +18,8 @@
 	FalseRan Breach = "false ran"
 	// RunTwice: a request that may run once ran more often.
 	RunTwice Breach = "run twice"
+	// RepeatedTooOften: a repeatable request ran more often than gateways may begin it.
+	RepeatedTooOften Breach = "repeated too often"
 	// Mixed: an answer has text that is not its own.
 	Mixed Breach = "mixed answer"
 	// Short: an answer was called whole and is not.
--- a/internal/property/sending.go
+++ b/internal/property/sending.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/tidwall/gjson"
@@ -18,7 +19,9 @@
 // sending is what a caller was told about one sending of a request.
 type sending struct {
 	request *request
-	status  int
+	// began and ended bound the time in which it was under way.
+	began, ended time.Time
+	status       int
 	// told is the verdict; empty when the caller got no answer or not its end.
 	told string
 	// whole tells that the answer came to its end as the protocol says.
@@ -34,7 +37,8 @@
 
 // send sends a request to a gateway and reads what comes back.
 func send(ctx context.Context, client *http.Client, address string, of *request) *sending {
-	got := &sending{request: of}
+	got := &sending{request: of, began: time.Now()}
+	defer func() { got.ended = time.Now() }()
 	call, err := http.NewRequestWithContext(ctx, of.method, "http://"+address+of.path, strings.NewReader(of.body))
 	if err != nil { // the addresses and paths of a run always parse
 		panic(trace.Wrap(err))
