Give tenants that return after a pause a share again

Cause: the leases of shares counted from a time read before the demand was taken. The answer then seemed to belong to an earlier report, the newest one seemed unanswered for ever, and a tenant that came back after its shares had ended was refused at once with "no share of the limit at this gateway", because controllers that do not answer are not waited for.

Change: the time of a demand is the one that its answer is matched with. The property test of shares draws up to 16 gateways with shorter pauses, so that divisions are used again.

--- a/internal/gateway/admitter_shares.go
+++ b/internal/gateway/admitter_shares.go
@@ -49,25 +49,28 @@
 	}
 }
 
-// demands returns what to report to the leader.
-func (a *admitter) demands() []*v1.ShareDemand {
+// demands returns what to report to the leader, and the time of that, which apply needs.
+func (a *admitter) demands() ([]*v1.ShareDemand, time.Duration) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return a.limits.Demands(a.clock.now())
+	now := a.clock.now()
+	return a.limits.Demands(now), now
 }
 
-// urgentDemands returns the demands of tenants whose requests wait for a share.
-func (a *admitter) urgentDemands() []*v1.ShareDemand {
+// urgentDemands returns the demands of tenants whose requests wait for a share, and the
+// time of that.
+func (a *admitter) urgentDemands() ([]*v1.ShareDemand, time.Duration) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return a.limits.UrgentDemands(a.clock.now())
+	now := a.clock.now()
+	return a.limits.UrgentDemands(now), now
 }
 
-// apply takes the shares granted in answer to a report sent at sentAt.
-func (a *admitter) apply(sentAt time.Duration, shares []*v1.Share) {
+// apply takes the shares granted in answer to the demands of that time.
+func (a *admitter) apply(demandedAt time.Duration, shares []*v1.Share) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	now := a.clock.now()
-	a.limits.Apply(now, sentAt, shares)
+	a.limits.Apply(now, demandedAt, shares)
 	a.resolve(now)
 }
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -36,8 +36,8 @@
 }
 
 func (c *Control) reportOnce(ctx context.Context) error {
-	sentAt := c.clock.now()
-	build := buildReport{shareDemands: c.admitter.demands(), reply: make(chan *v1.ReportRequest, 1)}
+	demands, demandedAt := c.admitter.demands()
+	build := buildReport{shareDemands: demands, reply: make(chan *v1.ReportRequest, 1)}
 	if !c.view.send(ctx, build) {
 		return trace.Wrap(ctx.Err())
 	}
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	if err := c.exchangeReport(ctx, sentAt, request); err != nil {
+	if err := c.exchangeReport(ctx, demandedAt, request); err != nil {
 		c.view.send(ctx, loseReport{request: request})
 		return err
 	}
@@ -54,26 +54,25 @@
 
 // reportUrgently asks for the shares that requests wait for. It counts no demand.
 func (c *Control) reportUrgently(ctx context.Context) error {
-	sentAt := c.clock.now()
-	demands := c.admitter.urgentDemands()
+	demands, demandedAt := c.admitter.urgentDemands()
 	if len(demands) == 0 {
 		return nil
 	}
 	c.metrics.urgentReports.Inc()
 	request := &v1.ReportRequest{Node: c.identity, ShareDemands: demands, Revision: c.view.snapshot.Load().Revision}
-	err := c.exchangeReport(ctx, sentAt, request)
+	err := c.exchangeReport(ctx, demandedAt, request)
 	pause.For(ctx, urgentInterval)
 	return err
 }
 
 // exchangeReport sends a report and takes the shares it brings. Their leases count from
-// sentAt, which is before the demand was taken.
-func (c *Control) exchangeReport(ctx context.Context, sentAt time.Duration, request *v1.ReportRequest) error {
+// the time of the demand, which is before it was sent.
+func (c *Control) exchangeReport(ctx context.Context, demandedAt time.Duration, request *v1.ReportRequest) error {
 	response, err := c.controllers.report(ctx, request)
 	if err != nil {
 		return err
 	}
-	c.admitter.apply(sentAt, response.GetShares())
+	c.admitter.apply(demandedAt, response.GetShares())
 	return nil
 }
 
--- a/internal/limits/core.go
+++ b/internal/limits/core.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// Apply takes the shares that a controller granted in answer to a report sent at
-// sentAt; leases count from there. Shares of tenants that are not remembered, or
+// Apply takes the shares that a controller granted in answer to the demands that were
+// returned at sentAt, exactly; leases count from there. Shares of tenants that are not remembered, or
 // older than those in force, are ignored.
 func (c *Core) Apply(now, sentAt time.Duration, shares []*v1.Share) {
 	for _, share := range shares {
--- a/internal/shares/divider_test.go
+++ b/internal/shares/divider_test.go
@@ -88,13 +88,13 @@
 	limits := Limits{TokensPerSecond: rapid.Uint64Range(1, 1000).Draw(r, "tokens"), Concurrency: rapid.Uint32Range(1, 10).Draw(r, "concurrency")}
 	divider := New(0, safeguard.Without(off...))
 	divider.Lead(0, true)
-	gateways := make([]*testGateway, rapid.IntRange(1, 5).Draw(r, "gateways"))
+	gateways := make([]*testGateway, rapid.IntRange(1, 16).Draw(r, "gateways"))
 	for i := range gateways {
 		gateways[i] = &testGateway{name: fmt.Sprint("gateway-", i)}
 	}
 	now := time.Duration(0)
-	for range rapid.IntRange(1, 80).Draw(r, "reports") {
-		now += time.Duration(rapid.IntRange(0, 1500).Draw(r, "pause")) * time.Millisecond
+	for range rapid.IntRange(1, 160).Draw(r, "reports") {
+		now += time.Duration(rapid.IntRange(0, 3000/len(gateways)).Draw(r, "pause")) * time.Millisecond
 		if rapid.IntRange(0, 14).Draw(r, "leader change") == 0 {
 			divider = New(0, safeguard.Without(off...))
 			divider.Lead(now, false)
