--- /dev/null
+++ b/internal/stream/scanner_fuzz_test.go
@@ -0,0 +1,36 @@
+package stream
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/tidwall/gjson"
+)
+
+// FuzzScanner reads arbitrary event streams: each event keeps to the contract's bounds,
+// carries valid JSON, and the stream ends with an error.
+func FuzzScanner(f *testing.F) {
+	f.Add([]byte("data: {\"exchange\":\"e\",\"offset\":1,\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: [DONE]\n\n"))
+	f.Add([]byte("data: {\"usage\":{\"prompt_tokens\":1}}\n\n"))
+	f.Add([]byte("data: {\"error\":{\"code\":\"overloaded\"}}\n\n"))
+	f.Add([]byte("data: {\"choices\":[{\"finish_reason\":\"stop\",\"text\":\"\\u00e9\"}],\"tokens\":3}\r\n"))
+	f.Add([]byte(": comment\ndata:{\"offset\":-1}\n"))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		scanner := NewScanner(bytes.NewReader(body))
+		for range len(body) + 1 {
+			event, err := scanner.Next()
+			if err != nil {
+				return
+			}
+			require.GreaterOrEqual(t, event.Offset, 0)
+			if event.Type == EventToken {
+				require.Positive(t, event.Tokens)
+			}
+			for _, part := range [][]byte{event.Choices, event.Usage} {
+				require.True(t, len(part) == 0 || gjson.ValidBytes(part), "%q", part)
+			}
+		}
+		require.Fail(t, "the scanner does not come to the end")
+	})
+}
