Let a new disk find a leader that it has never heard of

Change: a member that does not lead passes a probe on to the leader, once. Members that operators add by hand have no name and replace no one (two of them counted as one machine). Faults swap-voter (promote a standby, remove a voter, its machine comes back empty) and stop-controller (a leader hands over and ends). The fleet is settled when every disk is a member and as many vote as before.

--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 )
 
@@ -51,6 +53,7 @@
 			Type: v1.MessageType_MESSAGE_TYPE_PROBE_ANSWER, Formed: !c.members.empty()})
 		c.out.messages = append(c.out.messages, answer)
 		c.admit(message.GetSender())
+		c.relayProbe(message)
 		return
 	}
 	if message.GetTo() != c.id || !c.members.empty() {
@@ -93,6 +96,20 @@
 	c.electionDueAt = c.now
 }
 
+// relayedRound marks a probe that a member has passed on to the leader.
+const relayedRound = 1
+
+// relayProbe passes a probe on to the leader, which may be a controller that the
+// sender has never heard of. A probe is relayed once only.
+func (c *Core) relayProbe(message *v1.ConsensusMessage) {
+	if c.role == RoleLeader || c.leader == "" || message.GetRound() == relayedRound {
+		return
+	}
+	relayed := proto.CloneOf(message)
+	relayed.Round = relayedRound
+	c.out.messages = append(c.out.messages, Message{Address: c.address(c.leader), Message: relayed})
+}
+
 // admit lets a leader take up an unknown member as a learner.
 func (c *Core) admit(sender *v1.Member) {
 	if c.role != RoleLeader || sender.GetId() == "" || sender.GetName() == "" {
@@ -149,7 +166,11 @@
 }
 
 // sameName returns another member with the same name, a voter before a learner, or nil.
+// Members that operators add have no name and replace no one.
 func (c *Core) sameName(member *v1.Member) *v1.Member {
+	if member.GetName() == "" {
+		return nil
+	}
 	var found *v1.Member
 	for _, id := range c.members.ids() {
 		other := c.members.byID[id]
--- a/internal/simulation/controller.go
+++ b/internal/simulation/controller.go
@@ -43,10 +43,8 @@
 // simulated disk.
 type controller struct {
 	host
-	zone  string
-	peers []consensus.Peer
-	// standby tells that this controller is a learner beside the voters.
-	standby bool
+	zone    string
+	peers   []consensus.Peer
 	disk    *memory.Disk
 	disks   int // disks this machine has had
 	storage *storage.Storage
@@ -101,12 +99,19 @@
 	c.readMachineList()
 }
 
+// startIfDown starts the process unless something else has done so already.
+func (c *controller) startIfDown() {
+	if !c.alive {
+		c.start()
+	}
+}
+
 // newDiskID names a new disk.
 func (c *controller) newDiskID() string {
 	if !c.world.safeguards.On(SafeguardDiskIdentity) {
-		return c.name + "/1"
+		return c.name + ".1"
 	}
-	return fmt.Sprintf("%s/%d", c.name, c.disks)
+	return fmt.Sprintf("%s.%d", c.name, c.disks)
 }
 
 // config is the configuration of the core.
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -42,6 +42,11 @@
 	FaultCutOffController FaultKind = "cut-off-controller"
 	// FaultSecondLoss loses a second disk as soon as the first loss is repaired.
 	FaultSecondLoss FaultKind = "second-loss-after-repair"
+	// FaultStopController stops a controller as planned: a leader hands over first.
+	FaultStopController FaultKind = "stop-controller"
+	// FaultSwapVoter lets an administrator give a standby the vote of another machine,
+	// which then comes back with an empty disk.
+	FaultSwapVoter FaultKind = "swap-voter"
 	// FaultSecondLost counts the second disks that were lost so: it is never begun by
 	// itself.
 	FaultSecondLost FaultKind = "second-disk-lost"
@@ -53,6 +58,7 @@
 	FaultIsolate, FaultOneWay, FaultSplit, FaultWeather, FaultCrashEngine, FaultPauseEngine,
 	FaultEngineLeaves, FaultCrashGateway, FaultPauseGateway, FaultListLag,
 	FaultCrashChanging, FaultStallOrder, FaultCutPeers, FaultCutLink, FaultLull, FaultCutOffController, FaultSecondLoss,
+	FaultStopController, FaultSwapVoter,
 }
 
 // Times of faults. A pause may be much longer than a leader's lease.
--- /dev/null
+++ b/internal/simulation/faults_members.go
@@ -0,0 +1,108 @@
+package simulation
+
+import (
+	"fmt"
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/control"
+)
+
+const (
+	// stopGrace is the longest time between the request to stop and the end.
+	stopGrace = 300 * time.Millisecond
+	// administratorPause is the time between two tries of an administrator's command.
+	administratorPause = 500 * time.Millisecond
+)
+
+// stopController asks a controller to stop, which lets a leader hand over, and ends
+// its process soon after.
+func (f *faults) stopController(kind FaultKind, c *controller) func() {
+	if !c.alive || c.paused || c.stalled {
+		return nil
+	}
+	f.note(kind, "%s", c.name)
+	over := false
+	c.step(control.StopRequested{})
+	c.after(f.world.duration(stopGrace), func() {
+		if !over {
+			c.crash()
+		}
+	})
+	return func() {
+		over = true
+		c.startIfDown()
+	}
+}
+
+// swapVoter promotes a standby and removes a voter, whose machine then starts on an
+// empty disk and becomes a standby.
+func (f *faults) swapVoter(kind FaultKind) func() {
+	w := f.world
+	if w.options.Deployment.Standbys == 0 || w.swapping || !w.everyDiskVotes() {
+		return nil
+	}
+	w.swapping = true
+	promoted, removed := w.drawMember(true), w.drawMember(false)
+	machine := w.controllerWithDisk(removed)
+	f.note(kind, "%s for %s", promoted, removed)
+	w.administrate("promote member "+promoted, func(members map[string]bool) bool {
+		learner, member := members[promoted]
+		return member && !learner
+	}, func() {
+		w.administrate("remove member "+removed, func(members map[string]bool) bool {
+			_, member := members[removed]
+			return !member
+		}, func() {
+			w.swapping = false
+			running := machine.alive
+			machine.crash()
+			machine.replaceDisk()
+			if running {
+				machine.start()
+			}
+		})
+	})
+	return func() {}
+}
+
+// drawMember draws the disk of a learner or of a voter.
+func (w *world) drawMember(learner bool) string {
+	var found []string
+	for _, member := range w.leaderMembership().GetMembers() {
+		if member.GetLearner() == learner {
+			found = append(found, member.GetId())
+		}
+	}
+	return found[w.random.IntN(len(found))]
+}
+
+// controllerWithDisk returns the controller whose disk it is.
+func (w *world) controllerWithDisk(disk string) *controller {
+	for _, c := range w.controllers {
+		if c.diskID == disk {
+			return c
+		}
+	}
+	return nil
+}
+
+// administrate gives a command until the committed membership is as wanted; members
+// tells of each disk whether it is a learner.
+func (w *world) administrate(text string, reached func(members map[string]bool) bool, then func()) {
+	members := map[string]bool{}
+	for _, member := range w.leaderMembership().GetMembers() {
+		members[member.GetId()] = member.GetLearner()
+	}
+	if len(members) > 0 && reached(members) {
+		then()
+		return
+	}
+	w.administrations++
+	request := &v1.ExecuteRequest{RequestId: fmt.Sprintf("administrator-%d", w.administrations), Text: text}
+	w.operators[0].callController(func(id control.CallID) control.Input {
+		return control.ExecuteReceived{Call: id, Operator: "administrator", Role: v1.OperatorRole_OPERATOR_ROLE_ADMINISTRATOR, Request: request}
+	}, func(controllerAnswer, bool) {
+		w.operators[0].after(administratorPause, func() { w.administrate(text, reached, then) })
+	})
+}
--- a/internal/simulation/faults_process.go
+++ b/internal/simulation/faults_process.go
@@ -15,6 +15,10 @@
 		return f.replaceDisk(kind, controller)
 	case FaultSecondLoss:
 		return f.loseSecondDisk(kind, controller)
+	case FaultStopController:
+		return f.stopController(kind, controller)
+	case FaultSwapVoter:
+		return f.swapVoter(kind)
 	case FaultPauseController:
 		return f.pause(kind, &controller.host)
 	case FaultStallController:
@@ -57,7 +61,7 @@
 	}
 	f.note(kind, "%s", c.name)
 	c.crash()
-	return c.start
+	return c.startIfDown
 }
 
 // replaceDisk kills a controller and starts it on an empty disk at the end. It waits
@@ -70,7 +74,7 @@
 	f.note(kind, "%s", c.name)
 	c.crash()
 	c.replaceDisk()
-	return c.start
+	return c.startIfDown
 }
 
 // repairPoll is how often the end of a repair is looked for: a second loss comes that
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -27,6 +27,10 @@
 	operators   []*operatorClient
 	platform    *platform
 	faults      *faults
+	// administrations numbers the administrators' commands.
+	administrations int
+	// swapping tells that an administrator is giving a vote to another machine.
+	swapping bool
 	// lulls counts the lulls under way.
 	lulls int
 	// healed tells that the time of faults is over.
@@ -74,7 +78,7 @@
 	for i := range w.options.Deployment.Standbys {
 		w.controllers = append(w.controllers, &controller{
 			host: w.newHost(numbered("standby", i)), zone: w.options.Deployment.zone(i), peers: peers,
-			disk: memory.New(), disks: 1, standby: true,
+			disk: memory.New(), disks: 1,
 		})
 	}
 }
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -87,7 +87,8 @@
 	return restored, nil
 }
 
-// newDiskID returns an identity that no other disk has.
+// newDiskID returns an identity that no other disk has. It is a name in the operators'
+// language, so that commands on members can be given.
 func newDiskID(name string) string {
 	random := make([]byte, identityBytes)
 	_, _ = rand.Read(random) // never fails
