Split the long test table of the commander and the control harness

Cause: a test function of 147 lines and a harness file of 393. Change: the 22 cases are four tables by what happens, in a file of their own; the harness is four files: world, engines, calls, objects. No case or check is changed.

--- /dev/null
+++ b/internal/authority/answers_test.go
@@ -0,0 +1,193 @@
+package authority
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/engineroles"
+)
+
+// answerCase is something that happens once an order to change the role of an engine
+// from mixed to decode has been committed, and how the order ends.
+type answerCase struct {
+	name    string
+	happens func(*bench)
+	outcome v1.OrderOutcome
+	// role of the engine in the end; empty when it is gone.
+	role enginecontract.Role
+}
+
+// deliveries bring the order and its answers late, twice, crossed or not at all.
+func deliveries() []answerCase {
+	return []answerCase{
+		{"all well", func(*bench) {}, done, enginecontract.RoleDecode},
+		{"order answered twice", func(b *bench) {
+			b.step()
+			answer := b.exchange(b.sent[0])
+			b.answer(answer)
+			b.answer(answer)
+		}, done, enginecontract.RoleDecode},
+		{"order delivered twice, answers crossed", func(b *bench) {
+			b.step()
+			first, second := b.exchange(b.sent[0]), b.exchange(b.sent[0])
+			b.answer(second)
+			b.answer(first)
+		}, done, enginecontract.RoleDecode},
+		{"order lost", func(b *bench) {
+			b.step()
+			b.commander.OrderAnswered(b.now, "engine", b.sent[0].(SendOrder).Order.Fence, nil)
+			b.sent = nil
+		}, done, enginecontract.RoleDecode},
+		{"answer lost", func(b *bench) {
+			b.step()
+			b.exchange(b.sent[0])
+			b.commander.OrderAnswered(b.now, "engine", b.sent[0].(SendOrder).Order.Fence, nil)
+			b.sent = nil
+		}, done, enginecontract.RoleDecode},
+		{"poll from before the order arrives after its answer", func(b *bench) {
+			before, sentAt := b.engineState("engine"), b.now
+			b.now += time.Millisecond
+			b.step()
+			b.answer(b.exchange(b.sent[0]))
+			b.sent = nil
+			b.commander.Observed(sentAt, "engine", before)
+		}, done, enginecontract.RoleDecode},
+	}
+}
+
+// engineFaults break the engine, or find it in another state than the log has.
+func engineFaults() []answerCase {
+	return []answerCase{
+		{"engine restarts before the order arrives", func(b *bench) { b.restart("engine") }, done, enginecontract.RoleDecode},
+		{"engine restarts in the middle", func(b *bench) {
+			b.step()
+			b.deliverAll()
+			b.now += time.Second
+			b.restart("engine")
+		}, engineLost, enginecontract.RoleMixed},
+		{"drain takes too long", func(b *bench) {
+			b.inFlight["engine"] = 1
+			b.step()
+			b.deliverAll()
+			b.run(DefaultDrainTime)
+		}, aborted, enginecontract.RoleMixed},
+		{"engine holds another role", func(b *bench) {
+			kept := b.engines["engine"].Durable()
+			kept.Role = enginecontract.RolePrefill
+			b.engines["engine"] = b.machine("engine", "zone-a", 1, kept)
+		}, refused, enginecontract.RolePrefill},
+		{"a stranger's fence is higher", func(b *bench) {
+			b.engines["engine"].Fence(b.now, enginecontract.Fence{Epoch: 9}, 0)
+		}, refused, enginecontract.RoleMixed},
+		{"engine is gone", func(b *bench) {
+			delete(b.engines, "engine")
+			b.commander.List("engine", "127.0.0.1:1", false)
+			b.deliver = false
+			b.run(DefaultLostAfter + time.Second)
+		}, engineLost, ""},
+	}
+}
+
+// aborts take the order back at each moment.
+func aborts() []answerCase {
+	return []answerCase{
+		{"aborted while draining", func(b *bench) {
+			b.inFlight["engine"] = 1
+			b.step()
+			b.deliverAll()
+			b.abort("engine")
+		}, aborted, enginecontract.RoleMixed},
+		{"aborted before it was sent", func(b *bench) { b.abort("engine") }, aborted, enginecontract.RoleMixed},
+		{"abort overtakes the order", func(b *bench) {
+			b.step()
+			order := b.sent
+			b.sent = nil
+			b.abort("engine")
+			b.deliver = true
+			b.run(time.Second)
+			b.exchange(order[0])
+		}, aborted, enginecontract.RoleMixed},
+		{"aborted while changing", func(b *bench) {
+			b.step()
+			b.deliverAll()
+			b.now += time.Second
+			b.abort("engine")
+		}, done, enginecontract.RoleDecode},
+	}
+}
+
+// newLeaders let another leader find the order at each moment.
+func newLeaders() []answerCase {
+	return []answerCase{
+		{"new leader, order never arrived", func(b *bench) { b.takeOver(6) }, aborted, enginecontract.RoleMixed},
+		{"new leader, late copy of the order", func(b *bench) {
+			b.step()
+			late := b.sent
+			b.sent = nil
+			b.takeOver(6)
+			b.deliver = true
+			b.run(2 * time.Second)
+			b.exchange(late[0])
+		}, aborted, enginecontract.RoleMixed},
+		{"new leader, engine drains", func(b *bench) {
+			b.inFlight["engine"] = 1
+			b.step()
+			b.deliverAll()
+			b.takeOver(6)
+			b.run(2 * time.Second)
+			b.inFlight["engine"] = 0
+		}, done, enginecontract.RoleDecode},
+		{"new leader, engine is done", func(b *bench) {
+			b.step()
+			b.deliverAll()
+			b.now += 5 * time.Second
+			b.takeOver(6)
+		}, done, enginecontract.RoleDecode},
+		{"new leader, aborted by the old one", func(b *bench) {
+			b.inFlight["engine"] = 1
+			b.step()
+			b.deliverAll()
+			b.abort("engine")
+			b.takeOver(6)
+		}, aborted, enginecontract.RoleMixed},
+		{"engine is gone, new leader", func(b *bench) {
+			delete(b.engines, "engine")
+			b.deliver = false
+			b.takeOver(6)
+			b.run(listedPatience*DefaultLostAfter + time.Second)
+		}, engineLost, ""},
+	}
+}
+
+// TestAnswersOfEngines brings the answers of an engine late, twice, crossed or not at
+// all, and breaks engine and leader, at the moment an order has been committed.
+func TestAnswersOfEngines(t *testing.T) {
+	for _, cases := range [][]answerCase{deliveries(), engineFaults(), aborts(), newLeaders()} {
+		for _, test := range cases {
+			t.Run(test.name, test.run)
+		}
+	}
+}
+
+func (c answerCase) run(t *testing.T) {
+	b := newBench(t, 5)
+	b.addEngine("engine", "zone-a", enginecontract.RoleMixed)
+	b.run(time.Second)
+	b.mustOrder(setRole("engine", decode))
+	b.deliver = false
+	c.happens(b)
+	b.deliver = len(b.engines) > 0
+	b.run(20 * time.Second)
+	ended := b.state.Orders("engine")
+	require.Len(t, ended, 1)
+	require.Equal(t, c.outcome.String(), ended[0].Outcome.String(), ended[0].Detail)
+	require.Nil(t, b.state.Engine("engine").Outstanding)
+	if len(b.engines) > 0 {
+		require.Equal(t, c.role, b.engineState("engine").Role)
+		require.Equal(t, engineroles.FromContract(c.role), b.state.Engine("engine").State.Role, "the log knows what the engine is")
+	}
+}
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -14,8 +14,6 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/consensus"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
-	"github.com/hazelpitch/hazelpitch/internal/planner"
-	"github.com/hazelpitch/hazelpitch/internal/standin/engine/orders"
 )
 
 // testWallOrigin is the wall-clock time at virtual time 0.
@@ -62,15 +60,6 @@
 	cut bool
 }
 
-// testEngine is one engine around the stand-in's order machine.
-type testEngine struct {
-	name, address string
-	machine       *orders.Machine
-	incarnation   uint64
-	inFlight      int
-	down          bool
-}
-
 func newWorld(t *testing.T, voters int, configure func(*Config)) *world {
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(1, 2)), controllers: map[string]*testController{},
@@ -282,112 +271,3 @@
 	}
 	c.disk.Entries = kept
 }
-
-// addEngine adds an engine in a role to the fleet and to the machine list.
-func (w *world) addEngine(name, service, zone string, role enginecontract.Role) *testEngine {
-	engine := &testEngine{name: name, address: name, incarnation: 1}
-	engine.machine = orders.New(w.engineConfig(name, service, zone, 1), orders.Durable{Role: role, Model: "base", Version: "1"})
-	w.engines[name] = engine
-	w.list.Version++
-	w.list.Machines = append(w.list.Machines, enginecontract.Machine{
-		Name: name, Service: service, Zone: zone, Address: name, State: enginecontract.StateServing,
-	})
-	return engine
-}
-
-func (w *world) engineConfig(name, service, zone string, incarnation uint64) orders.Config {
-	return orders.Config{
-		Engine: name, Service: service, Zone: zone, Incarnation: incarnation,
-		RoleChange: 3 * time.Second, WeightLoad: 3 * time.Second, AdapterLoad: time.Second,
-	}
-}
-
-// restartEngine crashes an engine and starts it again with what it kept.
-func (w *world) restartEngine(name string) {
-	engine := w.engines[name]
-	state := engine.machine.State(0)
-	engine.incarnation++
-	engine.inFlight = 0
-	engine.machine = orders.New(w.engineConfig(name, state.Service, state.Zone, engine.incarnation), engine.machine.Durable())
-}
-
-// leader returns the controller that orders, or nil.
-func (w *world) leader() *testController {
-	for _, name := range w.names {
-		if controller := w.controllers[name]; controller.core != nil && !controller.cut && controller.core.leading &&
-			controller.core.consensus.LeaseValid(w.now) {
-			return controller
-		}
-	}
-	return nil
-}
-
-func (w *world) waitLeader() *testController {
-	w.t.Helper()
-	w.until("leader", func() bool { return w.leader() != nil })
-	return w.leader()
-}
-
-// call sends a call to a controller and waits for the answer.
-func (w *world) call(controller *testController, input func(CallID) Input) Answer {
-	w.t.Helper()
-	id := w.send(controller, input)
-	w.until("answer", func() bool { _, answered := w.answers[id]; return answered })
-	return w.answers[id]
-}
-
-// send sends a call to a controller without waiting.
-func (w *world) send(controller *testController, input func(CallID) Input) CallID {
-	w.lastCall++
-	id := w.lastCall
-	w.step(controller, input(id))
-	return id
-}
-
-// apply submits objects to the leader.
-func (w *world) apply(requestID string, objects ...*v1.Object) *v1.ApplyResponse {
-	w.t.Helper()
-	answer := w.call(w.waitLeader(), func(id CallID) Input {
-		return ApplyReceived{Call: id, Operator: "alice", Request: &v1.ApplyRequest{RequestId: requestID}, Objects: objects}
-	})
-	require.NoError(w.t, answer.Err)
-	return answer.Response.(*v1.ApplyResponse)
-}
-
-// sync is a gateway's heartbeat to one controller.
-func (w *world) sync(controller *testController, request *v1.SyncRequest) *v1.SyncResponse {
-	w.t.Helper()
-	answer := w.call(controller, func(id CallID) Input { return SyncReceived{Call: id, Request: request} })
-	require.NoError(w.t, answer.Err)
-	return answer.Response.(*v1.SyncResponse)
-}
-
-func serviceObjects() []*v1.Object {
-	return []*v1.Object{
-		{Key: &v1.ObjectKey{Type: v1.ObjectType_OBJECT_TYPE_MODEL, Name: "base"},
-			Spec: &v1.Object_Model{Model: &v1.Model{Version: "1"}}},
-		{Key: &v1.ObjectKey{Type: v1.ObjectType_OBJECT_TYPE_SERVICE, Name: "assessor"},
-			Spec: &v1.Object_Service{Service: &v1.Service{Type: v1.ServiceType_SERVICE_TYPE_ENGINE, Model: "base"}}},
-	}
-}
-
-func tenantObject(name, keyHash string) *v1.Object {
-	return &v1.Object{
-		Key:  &v1.ObjectKey{Type: v1.ObjectType_OBJECT_TYPE_TENANT, Name: name},
-		Spec: &v1.Object_Tenant{Tenant: &v1.Tenant{ApiKeyHashes: []string{keyHash}, Weight: 1, TokensPerSecond: 1000, Concurrency: 10}},
-	}
-}
-
-func pinObjectFor(engine string, role v1.Role) *v1.Object {
-	return &v1.Object{
-		Key:  &v1.ObjectKey{Type: v1.ObjectType_OBJECT_TYPE_PIN, Name: engine},
-		Spec: &v1.Object_Pin{Pin: &v1.Pin{Engine: engine, Role: role}},
-	}
-}
-
-// scriptedPlanner wants each of its changes once.
-type scriptedPlanner struct{ changes []planner.Change }
-
-func (p *scriptedPlanner) Plan(planner.Observation) planner.Decision {
-	return planner.Decision{Changes: p.changes, Reason: "scripted"}
-}
