--- a/internal/scenario/bench_test.go
+++ b/internal/scenario/bench_test.go
@@ -71,6 +71,21 @@
 	}
 }
 
+// TestEveryScenarioOfTheBenchLoads reads the files beside the two sets, too.
+func TestEveryScenarioOfTheBenchLoads(t *testing.T) {
+	for _, pattern := range []string{"held-out/*.yaml", "scenarios/processes/*.yaml"} {
+		paths, err := filepath.Glob(filepath.Join(root, "bench", filepath.FromSlash(pattern)))
+		require.NoError(t, err)
+		require.NotEmpty(t, paths, pattern)
+		for _, path := range paths {
+			read, err := scenario.Load(path)
+			require.NoError(t, err)
+			require.Equal(t, read.Name+".yaml", filepath.Base(path))
+			require.NotEmpty(t, read.Arrivals(1), path)
+		}
+	}
+}
+
 func requireKind(t *testing.T, read scenario.Scenario, name string, declared *v1.Kind) {
 	t.Helper()
 	for _, kind := range read.Kinds {
--- a/internal/yamlfile/load.go
+++ b/internal/yamlfile/load.go
@@ -6,11 +6,14 @@
 package yamlfile
 
 import (
+	"errors"
+	"fmt"
 	"os"
 	"reflect"
 
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
 	"github.com/gravitational/trace"
 )
 
@@ -37,7 +40,7 @@
 	}
 	file, err := parser.ParseBytes(text, 0)
 	if err != nil {
-		return trace.BadParameter("%s: not valid YAML: %v", source.Path, err)
+		return trace.Wrap(Problems{syntaxProblem(source.Path, err)})
 	}
 	document := newDocument(source)
 	value := reflect.ValueOf(target).Elem()
@@ -70,3 +73,24 @@
 	}
 	return roots
 }
+
+// placed is an error of the YAML library that knows where it is.
+type placed interface {
+	GetToken() *token.Token
+	GetMessage() string
+}
+
+// syntaxProblem tells why a file is not YAML, and where.
+func syntaxProblem(path string, err error) Problem {
+	problem := Problem{
+		Place: path, Key: "the file", Fault: "not valid YAML: " + err.Error(),
+		Cure: "indent keys of one group alike, and quote text that holds a colon and a space",
+	}
+	var at placed
+	if errors.As(err, &at) && at.GetToken() != nil {
+		position := at.GetToken().Position
+		problem.Place = fmt.Sprintf("%s:%d:%d", path, position.Line, position.Column)
+		problem.Fault = "not valid YAML: " + at.GetMessage()
+	}
+	return problem
+}
--- a/internal/yamlfile/yamlfile_test.go
+++ b/internal/yamlfile/yamlfile_test.go
@@ -75,6 +75,9 @@
 		"type behind pointer": {"name: a\ninner: 3\n", "inner: is not a group of keys"},
 		"no value":            {"name: a\ninner:\n", "inner: has no value"},
 		"unread field":        {"name: a\nunread: 3\n", "unread: unknown key"},
+		"colon in text":       {"name: a\ntext: {}\nmode: one: two\n", "file.yaml:3:7: the file: not valid YAML: mapping value is not allowed in this context; indent keys of one group alike, and quote text"},
+		"tab":                 {"name: a\ninner:\n\tcount: 2\n", "not valid YAML"},
+		"open bracket":        {"name: [\n", "file.yaml:1:"},
 		"empty key":           {"name: a\n\"\": 3\n", "unknown key"},
 	} {
 		t.Run(name, func(t *testing.T) {
