--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -40,7 +40,6 @@
 	codeNoBackEnd        = "no_back_end"
 	codeBackEndFailed    = "back_end_failed"
 	codeDeadlineExceeded = "deadline_exceeded"
-	codeNotReady         = "not_ready"
 	codeClaimUnreachable = "claim_not_made"
 	codeClaimRefused     = "claim_refused"
 	codeStillRunning     = "still_running"
