--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -4,7 +4,6 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -17,64 +16,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-var start = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
-
-// clock is a settable clock.
-type clock struct{ now time.Time }
-
-func (c *clock) Now() time.Time { return c.now }
-
-// newFleet writes an authority and returns its directory.
-func newFleet(t *testing.T, fleet string) (string, *Authority) {
-	t.Helper()
-	directory := t.TempDir()
-	authority, pair, err := NewAuthority(fleet, start)
-	require.NoError(t, err)
-	require.NoError(t, WriteAuthority(directory, pair))
-	return directory, authority
-}
-
-// issue writes a certificate that is valid for a day.
-func issue(t *testing.T, directory string, authority *Authority, role Role, name string, now time.Time) Files {
-	t.Helper()
-	pair, err := authority.Issue(role, name, 24*time.Hour, now)
-	require.NoError(t, err)
-	files, err := WriteCertificate(directory, name, pair)
-	require.NoError(t, err)
-	return files
-}
-
-func load(t *testing.T, files Files, clock *clock) *Credentials {
-	t.Helper()
-	credentials, err := Load(files, Options{Now: clock.Now})
-	require.NoError(t, err)
-	return credentials
-}
-
-// handshake joins a client and a server and returns the error of each side.
-func handshake(server, client *tls.Config) (serverErr, clientErr error) {
-	serverSide, clientSide := net.Pipe()
-	defer clientSide.Close()
-	done := make(chan error, 1)
-	go func() {
-		defer serverSide.Close()
-		connection := tls.Server(serverSide, server)
-		err := connection.Handshake()
-		if err == nil {
-			_, err = connection.Write([]byte("x"))
-		}
-		done <- err
-	}()
-	connection := tls.Client(clientSide, client)
-	clientErr = connection.Handshake()
-	if clientErr == nil {
-		// A server's refusal of the client's certificate arrives with the first read.
-		_, clientErr = connection.Read(make([]byte, 1))
-	}
-	clientSide.Close()
-	return <-done, clientErr
-}
-
 func TestBearerKeys(t *testing.T) {
 	key := NewBearer()
 	require.NotEqual(t, key, NewBearer())
