--- a/internal/benchcommand/experiment.go
+++ b/internal/benchcommand/experiment.go
@@ -24,6 +24,7 @@
 	Suite     string   `long:"suite" value-name:"DIR" description:"run every scenario file of a directory"`
 	Write     string   `long:"write" value-name:"FILE" description:"write the table of the runs as a page, with all policies and the bound"`
 	Keep      string   `long:"keep" value-name:"FILE" description:"add finished runs to a file and take those that are in it from there; delete it when code or scenarios have changed"`
+	KeptOnly  bool     `long:"kept-only" description:"with --keep: run nothing, take what the file has"`
 	Parallel  int      `long:"parallel" default:"4" description:"runs at the same time"`
 	JSON      bool     `long:"json" description:"print the runs as JSON"`
 }
@@ -53,7 +54,7 @@
 	}
 	suite := experiment.Suite{
 		Scenarios: scenarios, Policies: policies, FirstSeed: e.Seed, Seeds: e.Seeds,
-		Bound: e.Bound || e.Write != "", WholeOnly: e.WholeOnly, Parallel: e.Parallel, Keep: e.Keep,
+		Bound: e.Bound || e.Write != "", WholeOnly: e.WholeOnly, Parallel: e.Parallel, Keep: e.Keep, KeptOnly: e.KeptOnly,
 	}
 	runs, err := suite.Run(ctx)
 	if err != nil {
--- a/internal/experiment/benchmarks.go
+++ b/internal/experiment/benchmarks.go
@@ -51,7 +51,8 @@
   Above 100%% the search has missed a better plan.
 * **of offered**: the same as a share of the worth that arrived.
 * **changes**: finished role changes. **missed**: requests that ran and came too late.
-* Each cell is the median over seeds %s, with the least and the greatest in brackets.
+* Each cell is the median over the seeds %s, with the least and the greatest in brackets;
+  shares of the bound are over the seeds %s, for which the search has run.
 * Policies: planner (the product's), previous (the product's before these experiments),
   reactive (thresholds), unchanged (the scenario's first roles), all-mixed, static-mean
   (readers and writers for the mean mix), static-best (best split in hindsight),
@@ -59,7 +60,7 @@
 `
 
 func writeBenchmarks(w *errorWriter, commandLine string, runs []*Run) {
-	w.line(benchmarksIntroduction, commandLine, seedRange(runs))
+	w.line(benchmarksIntroduction, commandLine, seedRange(runs), seedRange(withBound(runs)))
 	writeGoals(w, runs)
 	for _, group := range groupRuns(runs, scenarioKey) {
 		w.line("## %s\n", scenarioKey(group[0]))
@@ -67,7 +68,7 @@
 		w.line("| --- | --- | --- | --- | --- | --- |")
 		for _, own := range groupRuns(group, func(run *Run) string { return run.Policy }) {
 			w.line("| %s | %s | %s | %s | %s | %s |", own[0].Policy,
-				spreadOf(own, shareOfBound, "%.1f%%"), spreadOf(own, shareOfOffered, "%.1f%%"),
+				spreadOf(withBound(own), shareOfBound, "%.1f%%"), spreadOf(own, shareOfOffered, "%.1f%%"),
 				spreadOf(own, func(run *Run) float64 { return float64(run.RoleChanges) }, "%.0f"),
 				spreadOf(own, func(run *Run) float64 { return float64(run.DeadlineMisses) }, "%.0f"),
 				spreadOf(own, func(run *Run) float64 { return float64(run.Refused) }, "%.0f"))
@@ -89,10 +90,10 @@
 			continue
 		}
 		reached := "yes"
-		if median(own, shareOfBound) < 95 {
+		if median(withBound(own), shareOfBound) < 95 {
 			reached = "**no**"
 		}
-		w.line("| %s | %s | %s | %s | %s | %s | %s | %s |", scenarioKey(own[0]), spreadOf(own, shareOfBound, "%.1f%%"), reached,
+		w.line("| %s | %s | %s | %s | %s | %s | %s | %s |", scenarioKey(own[0]), spreadOf(withBound(own), shareOfBound, "%.1f%%"), reached,
 			timesOf(own, policyRuns(group, PolicyStaticMean)), timesOf(own, policyRuns(group, PolicyPrevious)),
 			spreadOf(own, changesMade, "%.0f"), spreadOf(policyRuns(group, PolicyClairvoyant), changesMade, "%.0f"), highest(group))
 	}
@@ -116,7 +117,7 @@
 func highest(group []*Run) string {
 	best, share := "", -1.0
 	for _, own := range groupRuns(group, func(run *Run) string { return run.Policy }) {
-		if value := median(own, shareOfBound); value > share {
+		if value := median(withBound(own), shareOfBound); value > share {
 			best, share = own[0].Policy, value
 		}
 	}
@@ -151,6 +152,11 @@
 	return slices.DeleteFunc(slices.Clone(runs), func(run *Run) bool { return run.Policy != policy })
 }
 
+// withBound leaves out runs whose bound has not been searched for.
+func withBound(runs []*Run) []*Run {
+	return slices.DeleteFunc(slices.Clone(runs), func(run *Run) bool { return run.BoundGoodput == nil })
+}
+
 func sortedValues(runs []*Run, value func(*Run) float64) []float64 {
 	values := make([]float64, len(runs))
 	for i, run := range runs {
--- a/internal/experiment/clairvoyant.go
+++ b/internal/experiment/clairvoyant.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -51,7 +52,7 @@
 	if s.plan != nil {
 		return s.plan, nil
 	}
-	search := &planSearch{study: s}
+	search := &planSearch{study: s, tried: map[string]bool{}}
 	seeds := []map[string]schedule{{}} // no change at all
 	for _, variant := range planVariants {
 		seeds = append(seeds, s.planAll(variant))
@@ -109,13 +110,20 @@
 
 // planSearch runs plans and keeps the best.
 type planSearch struct {
-	study    *Study
+	study *Study
+	// tried holds the plans that have been run, as texts.
+	tried    map[string]bool
 	bestPlan map[string]schedule
 	bestRun  *Run
 	goodput  float64
 }
 
 func (p *planSearch) try(plan map[string]schedule) error {
+	text := fmt.Sprint(plan) // maps print in the order of their keys
+	if p.tried[text] {
+		return nil
+	}
+	p.tried[text] = true
 	run, err := p.study.simulate(schedulePolicy(PolicyClairvoyant, plan))
 	if err != nil {
 		return err
--- a/internal/experiment/suite.go
+++ b/internal/experiment/suite.go
@@ -22,6 +22,8 @@
 	Parallel int
 	// Keep is a file of finished runs that are not run again; empty for none.
 	Keep string
+	// KeptOnly takes only what is in that file and runs nothing.
+	KeptOnly bool
 }
 
 // Run returns the runs by scenario, seed and policy, in that order.
@@ -60,6 +62,9 @@
 	var runs []*Run
 	for _, policy := range s.Policies {
 		run, found := kept.find(&declared, policy, seed)
+		if !found && s.KeptOnly {
+			continue
+		}
 		if !found {
 			var err error
 			if run, err = study.Run(policy); err != nil {
@@ -90,6 +95,9 @@
 			return nil
 		}
 	}
+	if s.KeptOnly {
+		return nil
+	}
 	bound, err := study.Bound()
 	for _, run := range runs {
 		run.BoundGoodput = &bound
