Refuse faults that no stand-in knows or that never strike

Cause: a misspelt kind in PUT /bench/faults, or a fault without a count in fleet.yaml, was taken and never struck. Change: unknown kinds are answered with 400 and the known ones; count is required in files. Conclusion: a run can't miss its fault in silence.

--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -4,8 +4,12 @@
 
 import (
 	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
+
+	"github.com/gravitational/trace"
 )
 
 // Kind names one way to fail.
@@ -56,14 +60,32 @@
 	CacheEventGap Kind = "cache-event-gap"
 )
 
+// kinds are all kinds, for checks.
+var kinds = []Kind{
+	Refuse, Error, LoseAnswer, Cut, Truncate, EarlyDone, Stall, Late, Crossed, WrongEcho, Duplicate, Skip, FailExport,
+	LoseHandle, ForeignHandle, CrashInChange, LoseOrderAnswer, LoadLag, CacheEventLag, CacheEventGap,
+}
+
+// check returns an error that names what is wrong with a fault.
+func (f Fault) check() error {
+	if slices.Contains(kinds, f.Kind) {
+		return nil
+	}
+	words := make([]string, len(kinds))
+	for index, kind := range kinds {
+		words[index] = string(kind)
+	}
+	return trace.BadParameter("kind %q is not known; write one of %s", f.Kind, strings.Join(words, ", "))
+}
+
 // Always is the Count of a fault that stays until it is cleared.
 const Always = -1
 
 // Fault is one fault switched on.
 type Fault struct {
 	Kind Kind `json:"kind" yaml:"kind" check:"required,one-of=refuse|error|lose-answer|cut|truncate|early-done|stall|late|crossed|wrong-echo|duplicate|skip|fail-export|lose-handle|foreign-handle|crash-in-change|lose-order-answer|load-lag|cache-event-lag|cache-event-gap"`
-	// Count is how many requests it meets; Always for all of them.
-	Count int `json:"count" yaml:"count"`
+	// Count is how many requests it meets; Always for all of them. 0 is none.
+	Count int `json:"count" yaml:"count" check:"required"`
 	// Tokens is where in an answer it strikes, for the kinds that say so.
 	Tokens int `json:"tokens,omitempty" yaml:"tokens"`
 	// DelayMs is how long it lasts, for the kinds that say so.
--- a/internal/standin/fault/fault_test.go
+++ b/internal/standin/fault/fault_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
 	"github.com/hazelpitch/hazelpitch/internal/yamlfile"
@@ -37,6 +38,34 @@
 			require.ElementsMatch(t, kinds, key.Words)
 		}
 	}
+	for _, kind := range kinds {
+		var ctx fasthttp.RequestCtx
+		ctx.Request.Header.SetMethod("PUT")
+		ctx.Request.SetBodyString(`[{"kind":"` + kind + `","count":1}]`)
+		fault.NewSet().Serve(&ctx)
+		require.Equal(t, fasthttp.StatusOK, ctx.Response.StatusCode(), kind)
+	}
+}
+
+func TestServe(t *testing.T) {
+	set := fault.NewSet()
+	ask := func(method, body string) (int, string) {
+		var ctx fasthttp.RequestCtx
+		ctx.Request.Header.SetMethod(method)
+		ctx.Request.SetBodyString(body)
+		set.Serve(&ctx)
+		return ctx.Response.StatusCode(), string(ctx.Response.Body())
+	}
+	status, _ := ask("PUT", `[{"kind":"late","count":1,"delay_ms":5}]`)
+	require.Equal(t, fasthttp.StatusOK, status)
+	status, body := ask("GET", "")
+	require.Equal(t, fasthttp.StatusOK, status)
+	require.JSONEq(t, `[{"kind":"late","count":1,"delay_ms":5}]`, body)
+	for _, wrong := range []string{`{}`, `[{"kind":"refuze","count":1}]`, `[{"kind":"refuse","count":1},{}]`} {
+		status, _ = ask("PUT", wrong)
+		require.Equal(t, fasthttp.StatusBadRequest, status, wrong)
+	}
+	require.Len(t, set.Left(), 1, "wrong lists change nothing")
 }
 
 func TestTakeCounts(t *testing.T) {
--- a/internal/standin/fault/serve.go
+++ b/internal/standin/fault/serve.go
@@ -23,5 +23,11 @@
 		ctx.Error("a list of faults is wanted: "+err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
+	for _, wanted := range faults {
+		if err := wanted.check(); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+	}
 	s.Replace(faults)
 }
