Let violations of the property run tell the history of their sendings

Cause: a violation named counts alone; which sending was told what had to be looked for.

Change: a violation lists each sending with its times, status, verdict and code.

Conclusion: a violation can be read as it is.

--- a/internal/property/ledger.go
+++ b/internal/property/ledger.go
@@ -13,6 +13,9 @@
 // maximumExchanges is how often a gateway may begin one repeatable request.
 const maximumExchanges = 4
 
+// epoch is when a bubble's time begins; histories count from it.
+var epoch = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
 // ledger keeps what callers were told. It is safe for concurrent use.
 type ledger struct {
 	mutex    sync.Mutex
@@ -52,7 +55,7 @@
 // checkRuns holds the verdicts on all sendings of one request against its executions.
 func (l *ledger) checkRuns(of *request, runs int) []Violation {
 	var found []Violation
-	notRun, ran := 0, 0
+	notRun, ran, history := 0, 0, ""
 	for _, told := range l.sendings[of] {
 		switch told.told {
 		case verdict.NotRun.String():
@@ -61,9 +64,12 @@
 			ran++
 		}
 	}
+	for _, told := range l.sendings[of] {
+		history += fmt.Sprintf("; %v to %v: %d %s %s", told.began.Sub(epoch), told.ended.Sub(epoch), told.status, told.told, told.code)
+	}
 	mayRun := len(l.sendings[of]) - notRun
-	summary := fmt.Sprintf("request %d (%s, key %q): %d sendings, %d told not run, %d told ran; it ran %d times",
-		of.number, of.kind, of.key, len(l.sendings[of]), notRun, ran, runs)
+	summary := fmt.Sprintf("request %d (%s, key %q): %d sendings, %d told not run, %d told ran; it ran %d times%s",
+		of.number, of.kind, of.key, len(l.sendings[of]), notRun, ran, runs, history)
 	bound := mayRun
 	switch {
 	case of.claimed():
