--- a/internal/limits/core_test.go
+++ b/internal/limits/core_test.go
@@ -44,76 +44,86 @@
 // TestAcquire is the contract of Acquire with its fault rows: what was done before,
 // and how a last request of 1,000 tokens at 105 s fares. The controllers have no more
 // for the tenant than it holds, and no request waits for tokens: a refusal comes at once.
+// s is one second, for tables of times.
+const s = time.Second
+
+// use acquires tokens for the test's tenant, whatever comes of it.
+func use(core *Core, now time.Duration, tokens int) Charge {
+	charge, _ := core.Acquire(now, Request{Tenant: tenant, Limit: testLimit, Tokens: tokens})
+	return charge
+}
+
+// acquireRow is what a core has seen when a request of 1,000 tokens comes at 105 s.
+type acquireRow struct {
+	name   string
+	before func(*Core)
+	limit  Limit
+	err    error
+	retry  time.Duration
+}
+
+var acquireRows = []acquireRow{
+	{name: "tenant without limits", before: func(*Core) {}, limit: Limit{}},
+	{name: "tenant newly met", before: func(*Core) {}, limit: testLimit},
+	{name: "initial tokens are used up", before: func(c *Core) { use(c, 105*s, 1000) }, limit: testLimit, err: ErrTokens, retry: s},
+	{name: "initial concurrency is used up", limit: Limit{Concurrency: 5},
+		before: func(c *Core) {
+			_, _ = c.Acquire(105*s, Request{Tenant: tenant, Limit: Limit{Concurrency: 5}, Tokens: 1})
+		}, err: ErrConcurrency, retry: s},
+	{name: "a granted share allows more", limit: testLimit,
+		before: func(c *Core) { use(c, 103*s, 1000); grant(c, 103*s, 103*s, 64_000, 10); use(c, 105*s, 60_000) }},
+	{name: "a debt is paid off first", limit: testLimit, err: ErrTokens, retry: 2 * s,
+		before: func(c *Core) { use(c, 104*s, 1); grant(c, 104*s, 104*s, 2000, 10); use(c, 105*s, 5000) }},
+	{name: "a charge that did not run is given back", limit: testLimit,
+		before: func(c *Core) { c.Settle(105*s, use(c, 105*s, 1000), 0) }},
+	{name: "a charge that used more leaves a debt", limit: testLimit, err: ErrTokens, retry: 4 * s,
+		before: func(c *Core) { c.Settle(105*s, use(c, 105*s, 1000), 4000) }},
+	{name: "granted concurrency is used up", limit: testLimit, err: ErrConcurrency, retry: s,
+		before: func(c *Core) {
+			use(c, 104*s, 1)
+			grant(c, 104*s, 104*s, 64_000, 2)
+			use(c, 105*s, 1)
+		}},
+	{name: "cut off for two periods: a quarter is left", limit: testLimit, err: ErrTokens, retry: s,
+		before: func(c *Core) {
+			use(c, 93*s, 1)
+			grant(c, 93*s, 93*s, 8000, 100) // ends at 97 s; 4,000 until 101 s, 2,000 until 105 s, then 1,000
+			use(c, 105*s, 1000)
+		}},
+	{name: "cut off for long: nothing is left", limit: testLimit, err: ErrNoShare, retry: s,
+		before: func(c *Core) { use(c, 40*s, 1); grant(c, 40*s, 40*s, 64_000, 100) }},
+	{name: "nothing granted while the initial share lasts", limit: testLimit,
+		before: func(c *Core) { use(c, 103*s, 1); grant(c, 104*s, 104*s, 0, 0) }},
+	{name: "nothing granted after the initial share", limit: testLimit, err: ErrNoShare, retry: s,
+		before: func(c *Core) { use(c, 40*s, 1); grant(c, 104*s, 104*s, 0, 0) }},
+	{name: "an older grant does not replace a newer one", limit: testLimit,
+		before: func(c *Core) { use(c, 104*s, 1); grant(c, 104*s, 104*s, 64_000, 10); grant(c, 105*s, 103*s, 0, 0) }},
+	{name: "a lowered limit holds at once", limit: Limit{TokensPerSecond: 1000}, err: ErrTokens, retry: s,
+		before: func(c *Core) { use(c, 104*s, 1); grant(c, 104*s, 104*s, 64_000, 10); use(c, 105*s, 63_500) }},
+	{name: "grants to tenants not met are ignored", limit: testLimit,
+		before: func(c *Core) { grant(c, 104*s, 104*s, 0, 0) }},
+}
+
 func TestAcquire(t *testing.T) {
-	const s = time.Second
-	use := func(core *Core, now time.Duration, tokens int) Charge {
-		charge, _ := core.Acquire(now, Request{Tenant: tenant, Limit: testLimit, Tokens: tokens})
-		return charge
-	}
-	rows := []struct {
-		name   string
-		before func(*Core)
-		limit  Limit
-		err    error
-		retry  time.Duration
-	}{
-		{name: "tenant without limits", before: func(*Core) {}, limit: Limit{}},
-		{name: "tenant newly met", before: func(*Core) {}, limit: testLimit},
-		{name: "initial tokens are used up", before: func(c *Core) { use(c, 105*s, 1000) }, limit: testLimit, err: ErrTokens, retry: s},
-		{name: "initial concurrency is used up", limit: Limit{Concurrency: 5},
-			before: func(c *Core) {
-				_, _ = c.Acquire(105*s, Request{Tenant: tenant, Limit: Limit{Concurrency: 5}, Tokens: 1})
-			}, err: ErrConcurrency, retry: s},
-		{name: "a granted share allows more", limit: testLimit,
-			before: func(c *Core) { use(c, 103*s, 1000); grant(c, 103*s, 103*s, 64_000, 10); use(c, 105*s, 60_000) }},
-		{name: "a debt is paid off first", limit: testLimit, err: ErrTokens, retry: 2 * s,
-			before: func(c *Core) { use(c, 104*s, 1); grant(c, 104*s, 104*s, 2000, 10); use(c, 105*s, 5000) }},
-		{name: "a charge that did not run is given back", limit: testLimit,
-			before: func(c *Core) { c.Settle(105*s, use(c, 105*s, 1000), 0) }},
-		{name: "a charge that used more leaves a debt", limit: testLimit, err: ErrTokens, retry: 4 * s,
-			before: func(c *Core) { c.Settle(105*s, use(c, 105*s, 1000), 4000) }},
-		{name: "granted concurrency is used up", limit: testLimit, err: ErrConcurrency, retry: s,
-			before: func(c *Core) {
-				use(c, 104*s, 1)
-				grant(c, 104*s, 104*s, 64_000, 2)
-				use(c, 105*s, 1)
-			}},
-		{name: "cut off for two periods: a quarter is left", limit: testLimit, err: ErrTokens, retry: s,
-			before: func(c *Core) {
-				use(c, 93*s, 1)
-				grant(c, 93*s, 93*s, 8000, 100) // ends at 97 s; 4,000 until 101 s, 2,000 until 105 s, then 1,000
-				use(c, 105*s, 1000)
-			}},
-		{name: "cut off for long: nothing is left", limit: testLimit, err: ErrNoShare, retry: s,
-			before: func(c *Core) { use(c, 40*s, 1); grant(c, 40*s, 40*s, 64_000, 100) }},
-		{name: "nothing granted while the initial share lasts", limit: testLimit,
-			before: func(c *Core) { use(c, 103*s, 1); grant(c, 104*s, 104*s, 0, 0) }},
-		{name: "nothing granted after the initial share", limit: testLimit, err: ErrNoShare, retry: s,
-			before: func(c *Core) { use(c, 40*s, 1); grant(c, 104*s, 104*s, 0, 0) }},
-		{name: "an older grant does not replace a newer one", limit: testLimit,
-			before: func(c *Core) { use(c, 104*s, 1); grant(c, 104*s, 104*s, 64_000, 10); grant(c, 105*s, 103*s, 0, 0) }},
-		{name: "a lowered limit holds at once", limit: Limit{TokensPerSecond: 1000}, err: ErrTokens, retry: s,
-			before: func(c *Core) { use(c, 104*s, 1); grant(c, 104*s, 104*s, 64_000, 10); use(c, 105*s, 63_500) }},
-		{name: "grants to tenants not met are ignored", limit: testLimit,
-			before: func(c *Core) { grant(c, 104*s, 104*s, 0, 0) }},
+	for _, row := range acquireRows {
+		t.Run(row.name, row.check)
 	}
-	for _, row := range rows {
-		t.Run(row.name, func(t *testing.T) {
-			core := newTestCore(t, func(c *Config) { c.LongestTokenWait = 1 })
-			row.before(core)
-			atLimit(core)
-			_, err := core.Acquire(105*s, Request{ID: 7, Tenant: tenant, Limit: row.limit, Tokens: 1000})
-			require.Zero(t, core.Waiting())
-			if row.err == nil {
-				require.NoError(t, err)
-				return
-			}
-			var refusal *Refusal
-			require.ErrorAs(t, err, &refusal)
-			require.ErrorIs(t, err, row.err)
-			require.Equal(t, row.retry, refusal.RetryAfter.Round(time.Millisecond))
-		})
+}
+
+func (row acquireRow) check(t *testing.T) {
+	core := newTestCore(t, func(c *Config) { c.LongestTokenWait = 1 })
+	row.before(core)
+	atLimit(core)
+	_, err := core.Acquire(105*s, Request{ID: 7, Tenant: tenant, Limit: row.limit, Tokens: 1000})
+	require.Zero(t, core.Waiting())
+	if row.err == nil {
+		require.NoError(t, err)
+		return
 	}
+	var refusal *Refusal
+	require.ErrorAs(t, err, &refusal)
+	require.ErrorIs(t, err, row.err)
+	require.Equal(t, row.retry, refusal.RetryAfter.Round(time.Millisecond))
 }
 
 func TestTenantsAreBounded(t *testing.T) {
--- /dev/null
+++ b/internal/routing/load_estimate_test.go
@@ -0,0 +1,80 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+)
+
+func TestLoadIsCorrectedByOwnWork(t *testing.T) {
+	router := newTestRouter(t, engine("m1", enginecontract.RoleMixed, withLoad(Load{Running: 4})))
+	m1 := router.candidates["m1"]
+	load := func() loadEstimate { return m1.othersLoad().plus(m1.ownLoad()) }
+	for i := range 3 {
+		router.Observe(time.Second, Sent{BackEnd: "m1", Exchange: fmt.Sprint(i), PromptTokens: 100})
+	}
+	require.Equal(t, loadEstimate{requests: 7, unreadTokens: 300}, load())
+
+	router.Observe(2*time.Second, Answered{BackEnd: "m1", Load: &Load{Running: 7}, Age: 500 * time.Millisecond})
+	require.Equal(t, loadEstimate{requests: 7}, load(), "the report covers what was sent before it was measured")
+
+	router.Observe(3*time.Second, Finished{BackEnd: "m1", Exchange: "1"})
+	require.Equal(t, loadEstimate{requests: 6}, load(), "the report still counts the finished one")
+
+	router.Observe(4*time.Second, Answered{BackEnd: "m1", Load: &Load{Running: 6}})
+	require.Equal(t, loadEstimate{requests: 6}, load())
+}
+
+// TestUnreadPromptsAreLearned: own requests are known to be read at their first
+// token, and others' are taken to be like them.
+func TestUnreadPromptsAreLearned(t *testing.T) {
+	router := newTestRouter(t, engine("m1", enginecontract.RoleMixed, withLoad(Load{Running: 4})))
+	m1 := router.candidates["m1"]
+	load := func() loadEstimate { return m1.othersLoad().plus(m1.ownLoad()) }
+	send := func(exchange string) {
+		router.Observe(0, Sent{BackEnd: "m1", Exchange: exchange, PromptTokens: 1000})
+	}
+	send("a")
+	router.Observe(time.Second, FirstToken{BackEnd: "m1", Exchange: "a"})
+	router.Observe(4*time.Second, Finished{BackEnd: "m1", Exchange: "a"})
+	require.Equal(t, loadEstimate{requests: 4, unreadTokens: 4 * 250}, load(), "a quarter of its time a request is unread")
+
+	send("b")
+	router.Observe(5*time.Second, Answered{BackEnd: "m1", Load: &Load{Running: 5}})
+	require.Equal(t, loadEstimate{requests: 5, unreadTokens: 4*250 + 1000}, load())
+	router.Observe(6*time.Second, FirstToken{BackEnd: "m1", Exchange: "b"})
+	require.Equal(t, loadEstimate{requests: 5, unreadTokens: 4 * 250}, load(), "the own prompt is read")
+}
+
+// TestOldReportsCountLess: of two back ends whose reports are old, the one that was
+// idle then is hardly preferred.
+func TestOldReportsCountLess(t *testing.T) {
+	busy := engine("m1", enginecontract.RoleMixed, withLoad(Load{WaitingPromptTokens: 100_000}))
+	router := newTestRouter(t, busy, engine("m2", enginecontract.RoleMixed, withLoad(Load{})))
+	difference := func(now time.Duration) float64 {
+		_, err := router.Pick(now, request(), nil)
+		require.NoError(t, err)
+		return router.candidates["m1"].load.unreadTokens - router.candidates["m2"].load.unreadTokens
+	}
+	require.InDelta(t, 100_000, difference(0), 1)
+	require.InDelta(t, 50_000, difference(loadHalfLife), 1)
+	require.InDelta(t, 100_000/256.0, difference(ConfirmationLimit), 1)
+}
+
+// TestHomeShareIsLearned from answers of requests that were sent to a home.
+func TestHomeShareIsLearned(t *testing.T) {
+	router := newTestRouter(t, engine("m1", enginecontract.RoleMixed))
+	run := func(home bool, cached int) {
+		router.Observe(0, Sent{BackEnd: "m1", Exchange: "x", PromptTokens: 1000, Home: home})
+		router.Observe(0, Finished{BackEnd: "m1", Exchange: "x", PromptTokens: 1000, CachedTokens: cached})
+	}
+	for range 300 {
+		run(false, 1000)
+		run(true, 100)
+	}
+	require.InDelta(t, 0.1, float64(router.prefixes.homeShare), 0.01)
+}
