Audit dump logs at the leader

Cause: it was the one command without a record in the audit trail. Change: a leader that dumps its ring records the command; a follower, which may not write to the log, has it in its own ring. Figures: go test ./internal/control -run DumpOfLogs fails before and passes after.

--- a/internal/control/declared_test.go
+++ b/internal/control/declared_test.go
@@ -119,6 +119,14 @@
 	}
 }
 
+func TestDumpOfLogsIsAudited(t *testing.T) {
+	w, _ := newStatementWorld(t)
+	_, err := w.execute("r", "bob", v1.OperatorRole_OPERATOR_ROLE_OPERATOR, "dump logs")
+	require.NoError(t, err)
+	w.until("audit record", func() bool { return len(w.rowsOf("show audit of operator bob")) == 1 })
+	require.Contains(t, w.rowsOf("show audit of operator bob")[0], "|bob|r|dump logs|done|")
+}
+
 // TestRefusedDeclarationIsAudited refuses a declaration that the runtime has found its
 // operator may not submit.
 func TestRefusedDeclarationIsAudited(t *testing.T) {
--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -80,9 +80,14 @@
 }
 
 // dumpLogs asks the runtime of this controller, leader or not, to write its log ring.
+// Only a leader can put that into the audit trail; others have it in the ring.
 func (c *Core) dumpLogs(received ExecuteReceived) {
+	answer := "controller " + c.config.Name + " writes out its log ring"
 	c.emit(DumpLogs{Operator: received.Operator})
-	c.answerMessage(received.Call, "controller "+c.config.Name+" writes out its log ring")
+	if c.mayAnswerAsLeader() {
+		c.rememberCommand(received, answer)
+	}
+	c.answerMessage(received.Call, answer)
 }
 
 // executeCommand carries out one command. A resend that is still remembered gets its
