Carry out dump logs

Cause: the controller's runtime did not know the output DumpLogs: the command was answered, and an error 'does not know this output' was logged (whose dump of the ring hid the fault). Change: the runtime logs who asked and has the ring written in the background. Figures: TestDumpLogsWritesTheRing fails before (cause: error) and passes after.

--- a/internal/controller/outputs.go
+++ b/internal/controller/outputs.go
@@ -45,6 +45,9 @@
 		if lost := c.engines.accept(output); lost != nil {
 			c.loop.addLost(lost)
 		}
+	case control.DumpLogs:
+		c.log.Info().Str("operator", output.Operator).Msg("an operator asked for the log ring")
+		c.log.RequestDump()
 	default:
 		c.log.Error().Type("output", output).Msg("the controller does not know this output of its core")
 	}
--- a/internal/logring/log.go
+++ b/internal/logring/log.go
@@ -75,6 +75,10 @@
 	return l.sink.dumper.dump(causeRequest)
 }
 
+// RequestDump asks for a dump on an operator's request in the background; Run writes
+// it. It never blocks.
+func (l *Log) RequestDump() { l.sink.dumper.request(causeRequest) }
+
 // Recent writes the entries in memory to the writer, oldest first.
 func (l *Log) Recent(writer io.Writer) error {
 	entries, _ := l.sink.ring.snapshot(0)
