--- a/internal/report/figures.go
+++ b/internal/report/figures.go
@@ -106,7 +106,7 @@
 			marks = append(marks, mark{at: event.AtSeconds, color: colorFault})
 		}
 	}
-	caption := fmt.Sprintf("Roles of %s under %s: %d role changes (black lines), faults (red lines)", service, label(run), changes)
+	caption := fmt.Sprintf("Roles of %s under %s, role changes: %d (black lines), faults (red lines)", service, label(run), changes)
 	return stackChart(caption, "engines", layers, marks)
 }
 
--- a/internal/report/overview.go
+++ b/internal/report/overview.go
@@ -47,5 +47,5 @@
 	if policy.ShareOfBound != nil {
 		share, of = *policy.ShareOfBound, "bound"
 	}
-	return fmt.Sprintf("%s of %s, %s changes", asPercent(share.Median), of, asCount(policy.RoleChanges.Median))
+	return fmt.Sprintf("%s of %s, changes: %s", asPercent(share.Median), of, asCount(policy.RoleChanges.Median))
 }
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -123,8 +123,8 @@
 		"Goodput as a share of the clairvoyant bound, median of the seeds",
 		"Goodput over time, seed 1",
 		"Mix: tokens of the requests that arrived",
-		"Roles of assessor under planner: 1 role changes (black lines), faults (red lines)",
-		"Roles of assessor under static-mean: 1 role changes (black lines), faults (red lines)",
+		"Roles of assessor under planner, role changes: 1 (black lines), faults (red lines)",
+		"Roles of assessor under static-mean, role changes: 1 (black lines), faults (red lines)",
 		"Time to the first token of completed requests",
 		"Time between tokens of completed requests",
 		"Time to the last token of completed requests",
@@ -177,8 +177,8 @@
 	other.Scenario = "calm"
 	rows := rowsOf(page(t, append(runs(), other)), "overview")
 	require.Equal(t, [][]string{
-		{"rawabi / step", "96.0% of bound, 1 changes", "60.0% of bound, 1 changes", ""},
-		{"rawabi / calm", "", "", "100.0% of bound, 1 changes"},
+		{"rawabi / step", "96.0% of bound, changes: 1", "60.0% of bound, changes: 1", ""},
+		{"rawabi / calm", "", "", "100.0% of bound, changes: 1"},
 	}, rows)
 }
 
