Log refused peers with the reason

Cause: a controller told why it refused a peer in the handshake only on standard error, past the log ring; the peer itself sees 'bad certificate' alone. Change: the HTTP server's messages go into the log ring. Figures: TestRefusedPeersAreLoggedWithTheReason (wrong role, expired) passes; without the server's logger it waits in vain. Conclusion: /log tells who was refused and why.

--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -83,14 +84,16 @@
 }
 
 // serveHTTP answers on the listener until the context ends, and then finishes the
-// calls in hand within shutdownTimeout. It closes the listener.
-func serveHTTP(ctx context.Context, listener net.Listener, routes http.Handler, encryption *tls.Config) error {
+// calls in hand within shutdownTimeout. It closes the listener. The logger is told of
+// peers that are refused in the handshake, and why.
+func serveHTTP(ctx context.Context, listener net.Listener, routes http.Handler, encryption *tls.Config, logger *log.Logger) error {
 	server := &http.Server{
 		Handler:           routes,
 		ReadHeaderTimeout: headerReadTimeout,
 		IdleTimeout:       idleTimeout,
 		Protocols:         protocols(),
 		TLSConfig:         encryption,
+		ErrorLog:          logger,
 	}
 	served := make(chan error, 1)
 	go func() {
