Keep one tenant's claims and outcomes from taking the others' room

Cause: claims were bounded by number alone: one tenant could hold all 200,000, and outcomes of 32 KiB would take 6.4 GB. A gateway that was told that no claim fits asked again for 3 s before it gave up.

Change: a tenant holds at most an eighth of the claims; bodies of outcomes take at most 128 MiB, a tenant's an eighth of it, and are left out beyond. ErrFull decides at once with Retry-After 30 s; a controller with too many calls waiting now says Unavailable, which is asked again elsewhere.

TestOneTenantLeavesRoomForOthers, TestRefusalsDecideAtOnce.

Conclusion: a tenant that floods with keys is refused by itself.

--- a/internal/claims/begin.go
+++ b/internal/claims/begin.go
@@ -65,6 +65,10 @@
 		b.decision = &Decision{Reason: ErrRefused, Verdict: verdict.NotRun}
 		return
 	}
+	if failure.Full {
+		b.decision = &Decision{Reason: ErrFull, Verdict: verdict.NotRun, RetryAfter: retryAfterFull}
+		return
+	}
 	b.resend.failed(now, failure.Leader)
 }
 
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -54,6 +54,30 @@
 	}
 }
 
+// TestRefusalsDecideAtOnce: what no other controller or later call changes is not asked
+// again.
+func TestRefusalsDecideAtOnce(t *testing.T) {
+	rows := []struct {
+		name    string
+		failure Failure
+		want    Decision
+	}{
+		{"invalid", Failure{Permanent: true}, Decision{Reason: ErrRefused}},
+		{"too many claims", Failure{Full: true}, Decision{Reason: ErrFull, RetryAfter: 30 * time.Second}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			begin := NewBegin(Config{}, 0, 0, testClaim, []string{first, second})
+			begin.Next(0)
+			begin.Failed(millisecond, row.failure)
+			require.True(t, begin.Next(millisecond).Done)
+			row.want.Verdict = verdict.NotRun
+			require.Equal(t, &row.want, begin.Decision())
+			require.False(t, begin.MustRelease())
+		})
+	}
+}
+
 // TestResend is whom Begin asks after which failures.
 func TestResend(t *testing.T) {
 	rows := []struct {
--- a/internal/claims/decision.go
+++ b/internal/claims/decision.go
@@ -13,6 +13,8 @@
 	ErrUnreachable = errors.New("the claim could not be made in time")
 	// ErrRefused: the controllers refused the claim as invalid or beyond a bound.
 	ErrRefused = errors.New("the claim was refused")
+	// ErrFull: the controllers keep no more claims of this tenant, or in all, for now.
+	ErrFull = errors.New("too many requests with idempotency keys are remembered")
 	// ErrRunning: another sending of this request is running.
 	ErrRunning = errors.New("this request is already running")
 	// ErrUnknown: another sending of this request may have run; its outcome is lost.
@@ -25,6 +27,7 @@
 const (
 	retryAfterUnreachable = 2 * time.Second
 	retryAfterRunning     = time.Second
+	retryAfterFull        = 30 * time.Second
 )
 
 // Decision is what to do with a request after Begin. Exactly one of Run, Replay
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -31,7 +31,8 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if len(c.waiting) >= pendingCallLimit {
-		return 0, nil, connect.NewError(connect.CodeResourceExhausted,
+		// Not ResourceExhausted, which says that the replicated state has no room.
+		return 0, nil, connect.NewError(connect.CodeUnavailable,
 			trace.LimitExceeded("%d calls are waiting for this controller; try again later", pendingCallLimit))
 	}
 	c.last++
--- a/internal/controlstate/bounds.go
+++ b/internal/controlstate/bounds.go
@@ -23,6 +23,12 @@
 	RememberedOrders = 8192
 	// MaximumClaims is the number of claims kept; more are refused until some expire.
 	MaximumClaims = 200_000
+	// MaximumTenantClaims is the part of them that one tenant may hold.
+	MaximumTenantClaims = MaximumClaims / 8
+	// MaximumAllOutcomeBytes bounds the bodies kept as outcomes of claims, and
+	// MaximumTenantOutcomeBytes those of one tenant; beyond, bodies are left out.
+	MaximumAllOutcomeBytes    = 128 << 20
+	MaximumTenantOutcomeBytes = MaximumAllOutcomeBytes / 8
 	// MaximumReleasedAttempts is the number of attempts that are remembered to have
 	// given one claim back; the oldest is forgotten.
 	MaximumReleasedAttempts = 16
--- a/internal/controlstate/claims.go
+++ b/internal/controlstate/claims.go
@@ -24,10 +24,11 @@
 	// expiredBefore: claims that expire up to this time are forgotten, and late
 	// copies of their commands are refused.
 	expiredBefore int64
+	uses          claimUses
 }
 
 func newClaimTable() *claimTable {
-	return &claimTable{records: map[claimKey]*v1.ClaimRecord{}}
+	return &claimTable{records: map[claimKey]*v1.ClaimRecord{}, uses: newClaimUses()}
 }
 
 // beginClaim grants a claim to one attempt, or tells how far another has come.
@@ -42,20 +43,34 @@
 	key := claimKey{begin.Tenant, begin.Kind, begin.Key}
 	record := s.claims.records[key]
 	switch {
-	case record == nil && len(s.claims.records) >= MaximumClaims:
-		return Result{Err: trace.Wrap(ErrClaimsFull, "%d claims", len(s.claims.records))}
+	case record == nil && s.claims.uses.full(begin.Tenant):
+		return Result{Err: trace.Wrap(ErrClaimsFull, "%d claims, of this tenant %d", s.claims.uses.all.claims, s.claims.uses.tenants[begin.Tenant].claims)}
 	case record == nil || !s.safeguards.On(ClaimCheck):
-		s.claims.records[key] = newClaim(begin, expires, nil)
+		s.claims.put(key, newClaim(begin, expires, nil))
 		return Result{Claim: claimAnswer(v1.ClaimState_CLAIM_STATE_GRANTED)}
 	case !bytes.Equal(record.BodyHash, begin.BodyHash):
 		return Result{Claim: claimAnswer(v1.ClaimState_CLAIM_STATE_CONFLICT)}
 	case record.Released && !slices.Contains(record.ReleasedAttempts, begin.Attempt):
-		s.claims.records[key] = newClaim(begin, max(expires, record.ExpiresAtMs), record.ReleasedAttempts)
+		s.claims.put(key, newClaim(begin, max(expires, record.ExpiresAtMs), record.ReleasedAttempts))
 		return Result{Claim: claimAnswer(v1.ClaimState_CLAIM_STATE_GRANTED)}
 	}
 	return Result{Claim: answerHeld(record, begin.Attempt)}
 }
 
+// put replaces the record of a key.
+func (t *claimTable) put(key claimKey, record *v1.ClaimRecord) {
+	t.remove(key)
+	t.records[key] = record
+	t.uses.add(record, 1)
+}
+
+func (t *claimTable) remove(key claimKey) {
+	if record := t.records[key]; record != nil {
+		t.uses.add(record, -1)
+		delete(t.records, key)
+	}
+}
+
 func checkClaim(begin *v1.BeginClaim) error {
 	switch {
 	case begin.Tenant == "" || begin.Kind == "" || begin.Key == "" || begin.Attempt == "":
@@ -122,9 +137,9 @@
 	case finish.NotRun:
 		release(updated)
 	default:
-		recordOutcome(updated, finish)
+		recordOutcome(updated, finish, t.uses.fits(finish.Tenant, len(finish.Body)))
 	}
-	t.records[key] = updated
+	t.put(key, updated)
 	return nil
 }
 
@@ -142,12 +157,12 @@
 	return record.State == v1.ClaimState_CLAIM_STATE_GRANTED && !record.Released
 }
 
-func recordOutcome(record *v1.ClaimRecord, finish *v1.FinishClaim) {
+func recordOutcome(record *v1.ClaimRecord, finish *v1.FinishClaim, keepBody bool) {
 	record.State = v1.ClaimState_CLAIM_STATE_FINISHED
 	record.Status = finish.Status
 	record.ContentType = finish.ContentType
 	record.Body = finish.Body
-	if len(finish.Body) > MaximumOutcomeBytes {
+	if !keepBody {
 		record.Body = nil
 		record.BodyOmitted = true
 	}
@@ -158,7 +173,7 @@
 	t.expiredBefore = max(t.expiredBefore, before)
 	for key, record := range t.records {
 		if record.ExpiresAtMs <= t.expiredBefore {
-			delete(t.records, key)
+			t.remove(key)
 		}
 	}
 }
@@ -171,7 +186,7 @@
 		}
 		updated := proto.CloneOf(record)
 		updated.State = v1.ClaimState_CLAIM_STATE_UNKNOWN
-		t.records[key] = updated
+		t.put(key, updated)
 	}
 }
 
--- a/internal/controlstate/claims_test.go
+++ b/internal/controlstate/claims_test.go
@@ -1,6 +1,7 @@
 package controlstate
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -115,6 +116,42 @@
 	require.True(t, answer.BodyOmitted)
 }
 
+// TestOneTenantLeavesRoomForOthers fills a tenant's claims, and then its outcomes.
+func TestOneTenantLeavesRoomForOthers(t *testing.T) {
+	s := newTestState(t)
+	begin := func(tenant string, number int) error {
+		return s.run(&v1.Command{Body: &v1.Command_BeginClaim{BeginClaim: &v1.BeginClaim{
+			Tenant: tenant, Kind: "alert", Key: strconv.Itoa(number), Attempt: "a", ExpiresAtMs: s.now + 1000}}}).Err
+	}
+	finish := func(tenant string, number, bytes int) bool {
+		require.NoError(t, s.run(&v1.Command{Body: &v1.Command_FinishClaim{FinishClaim: &v1.FinishClaim{
+			Tenant: tenant, Kind: "alert", Key: strconv.Itoa(number), Attempt: "a", Status: 200, Body: make([]byte, bytes)}}}).Err)
+		return !s.claims.records[claimKey{tenant, "alert", strconv.Itoa(number)}].BodyOmitted
+	}
+	for number := range MaximumTenantClaims {
+		require.NoError(t, begin("flooding", number))
+	}
+	require.ErrorIs(t, begin("flooding", MaximumTenantClaims), ErrClaimsFull)
+	require.NoError(t, begin("flooding", 0), "a resend of a claim that is held")
+	require.NoError(t, begin("neighbour", 0))
+
+	const kept = MaximumTenantOutcomeBytes / MaximumOutcomeBytes
+	for number := range kept {
+		require.True(t, finish("flooding", number, MaximumOutcomeBytes))
+	}
+	require.False(t, finish("flooding", kept, 1), "its part is full")
+	require.True(t, finish("neighbour", 0, MaximumOutcomeBytes))
+
+	data, err := s.Snapshot()
+	require.NoError(t, err)
+	restored, err := Restore(data, s.safeguards)
+	require.NoError(t, err)
+	require.Equal(t, s.claims.uses, restored.claims.uses)
+
+	s.run(&v1.Command{Body: &v1.Command_ExpireClaims{ExpireClaims: &v1.ExpireClaims{BeforeMs: s.now + 2*MaximumClaimLifetime.Milliseconds()}}})
+	require.Equal(t, newClaimUses(), s.claims.uses)
+}
+
 func TestSafeguardOfClaims(t *testing.T) {
 	s := newTestState(t, ClaimCheck)
 	s.claim("k", "first", 1, "g", 1)
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -58,7 +58,7 @@
 	}
 	state.claims.expiredBefore = record.ClaimsExpiredBeforeMs
 	for _, claim := range record.Claims {
-		state.claims.records[claimKey{claim.Tenant, claim.Kind, claim.Key}] = claim
+		state.claims.put(claimKey{claim.Tenant, claim.Kind, claim.Key}, claim)
 	}
 	return state, nil
 }
--- a/internal/gateway/claimer.go
+++ b/internal/gateway/claimer.go
@@ -150,6 +150,8 @@
 	switch failed.Code() {
 	case connect.CodeInvalidArgument, connect.CodePermissionDenied, connect.CodeUnimplemented:
 		return claims.Failure{Leader: leader, Permanent: true}
+	case connect.CodeResourceExhausted:
+		return claims.Failure{Leader: leader, Full: true}
 	default:
 		return claims.Failure{Leader: leader}
 	}
@@ -184,7 +186,7 @@
 		status, code = http.StatusConflict, codeOutcomeUnknown
 	case errors.Is(decision.Reason, claims.ErrConflict):
 		status, code = http.StatusUnprocessableEntity, codeKeyReused
-	case errors.Is(decision.Reason, claims.ErrRefused):
+	case errors.Is(decision.Reason, claims.ErrRefused) || errors.Is(decision.Reason, claims.ErrFull):
 		code = codeClaimRefused
 	}
 	fault := refuse(status, typeInvalidRequest, code, decision.Reason.Error()).after(decision.RetryAfter)
