Let the clairvoyant search know of crashes and begin from the planner's plan as well

Change: the dynamic program has less capacity while engines are down; the plan that the product's planner carried out is one more beginning of the search. Conclusion: a bound of a search: above it there may be better plans, below it none that the search has run.

--- a/internal/experiment/clairvoyant.go
+++ b/internal/experiment/clairvoyant.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/planner"
 	"github.com/hazelpitch/hazelpitch/internal/scenario"
 )
@@ -45,8 +46,8 @@
 }
 
 // clairvoyant searches for the plan that knows all arrivals: dynamic programming over
-// splits with the fluid model gives plans, the emulator runs them, and a local search
-// improves the best one. It begins in the scenario's roles and pays for its changes in
+// splits with the fluid model gives plans, the emulator runs them and the plan that the
+// product's planner made, and a local search improves the best one. It begins in the scenario's roles and pays for its changes in
 // time as every policy does.
 func (s *Study) clairvoyant() (*clairvoyantPlan, error) {
 	if s.plan != nil {
@@ -58,6 +59,11 @@
 		seeds = append(seeds, s.planAll(variant))
 	}
 	seeds = append(seeds, s.staticPlan())
+	planned, err := s.runPlanner()
+	if err != nil {
+		return nil, err
+	}
+	seeds = append(seeds, s.planOf(planned))
 	for _, plan := range seeds {
 		if err := search.try(plan); err != nil {
 			return nil, err
@@ -91,11 +97,32 @@
 	return plan
 }
 
+// planOf is the plan that a run of another policy carried out, from which the search may
+// begin as well.
+func (s *Study) planOf(run *Run) map[string]schedule {
+	plan := map[string]schedule{}
+	splits := map[string]planner.Split{}
+	for _, service := range s.declared.Services {
+		splits[service.Name] = initialSplit(&s.declared, service.Name)
+	}
+	for _, event := range run.Events {
+		if event.Type != EventChangeStarted {
+			continue
+		}
+		changed := splits[event.Service].Add(enginecontract.Role(event.From), -1).Add(enginecontract.Role(event.To), 1)
+		splits[event.Service] = changed
+		at := time.Duration(event.AtSeconds * float64(time.Second))
+		plan[event.Service] = append(plan[event.Service], scheduledSplit{from: at, split: changed})
+	}
+	return plan
+}
+
 // planService finds the best sequence of splits by dynamic programming, one step for
 // each time that a change takes.
 func (s *Study) planService(service *scenario.Service, variant planVariant) schedule {
 	outage := assumedDrain + service.EngineProfile().RoleChange
 	windows := windowsOf(&s.declared, s.arrivals, service.Name, outage, s.cached)
+	markOutages(&s.declared, service, windows)
 	splits := allSplits(service)
 	if variant.pairsOnly {
 		splits = slices.DeleteFunc(splits, func(split planner.Split) bool { return split.Mixed > 0 })
--- a/internal/experiment/hindsight.go
+++ b/internal/experiment/hindsight.go
@@ -26,6 +26,7 @@
 	WholeOnly bool
 	cached    []float64
 	best      *Run
+	planned   *Run
 	plan      *clairvoyantPlan
 }
 
@@ -44,7 +45,7 @@
 func (s *Study) Run(name string) (*Run, error) {
 	switch name {
 	case PolicyPlanner:
-		return s.simulate(ProductPolicy())
+		return s.runPlanner()
 	case PolicyPrevious:
 		return s.simulate(previousPolicy())
 	case PolicyReactive:
@@ -69,6 +70,16 @@
 	return nil, trace.BadParameter("there is no policy %q; policies are %v", name, PolicyNames())
 }
 
+// runPlanner runs the product's planner once.
+func (s *Study) runPlanner() (*Run, error) {
+	if s.planned != nil {
+		return s.planned, nil
+	}
+	var err error
+	s.planned, err = s.simulate(ProductPolicy())
+	return s.planned, err
+}
+
 // Bound is the highest goodput of all plans that the search for the clairvoyant plan
 // has run.
 func (s *Study) Bound() (float64, error) {
@@ -141,12 +152,13 @@
 // rankSplits orders the splits of a service by the model's worth over the whole run.
 func (s *Study) rankSplits(service *scenario.Service) []planner.Split {
 	windows := windowsOf(&s.declared, s.arrivals, service.Name, hindsightWindow, s.cached)
+	markOutages(&s.declared, service, windows)
 	model := s.model(service)
 	worth := map[planner.Split]float64{}
 	splits := allSplits(service)
 	for _, split := range splits {
 		for _, window := range windows {
-			worth[split] += (model.Goodput(split, window.demands) + model.Margin(split, window.demands)) * (window.to - window.from).Seconds()
+			worth[split] += window.rate(model, split) * (window.to - window.from).Seconds()
 		}
 	}
 	slices.SortStableFunc(splits, func(a, b planner.Split) int { return cmp.Compare(worth[b], worth[a]) })
--- a/internal/experiment/program.go
+++ b/internal/experiment/program.go
@@ -89,8 +89,7 @@
 	if rate, known := p.rates[key]; known {
 		return rate
 	}
-	demands := p.windows[step].demands
-	rate := p.model.Goodput(split, demands) + p.model.Margin(split, demands)
+	rate := p.windows[step].rate(p.model, split)
 	p.rates[key] = rate
 	return rate
 }
--- a/internal/experiment/windows.go
+++ b/internal/experiment/windows.go
@@ -11,6 +11,8 @@
 type window struct {
 	from, to time.Duration
 	demands  []planner.KindDemand
+	// up is the share of the service's engines that have not crashed.
+	up float64
 }
 
 // windowsOf cuts a run's arrivals for one service into spans of one length. cached is the
@@ -20,7 +22,7 @@
 	windows := make([]window, count)
 	sums := make([][]demandSum, count)
 	for i := range windows {
-		windows[i] = window{from: time.Duration(i) * span, to: min(time.Duration(i+1)*span, declared.Duration)}
+		windows[i] = window{from: time.Duration(i) * span, to: min(time.Duration(i+1)*span, declared.Duration), up: 1}
 		sums[i] = make([]demandSum, len(declared.Kinds))
 	}
 	for _, arrival := range arrivals {
