Tell when a process's certificate expires

Cause: an operator saw an expiring certificate only once peers refused it. Change: controllers and gateways with TLS show certificate_expires_timestamp_seconds; it follows a replaced certificate at the next scrape. Figures: TestCertificateExpiryIsAMetric passes (issued for 1 h, renewed for 100 h). Conclusion: a rule on the metric can warn in time.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -67,7 +67,7 @@
 	registry, factory := metrics.NewRegistry("controller", config.Name, config.Zone)
 	c := &controller{config: config, log: options.Log, dial: options.Dial, registry: registry, instruments: newInstruments(factory), calls: newCalls()}
 	var err error
-	if c.encryption, err = loadEncryption(config, options.Log); err != nil {
+	if c.encryption, err = loadEncryption(config, options.Log, factory); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	c.peers = newPeerClient(c.instruments.countingDial(options.Dial, connectionPeers), c.encryption.client)
--- a/internal/controller/encryption.go
+++ b/internal/controller/encryption.go
@@ -7,6 +7,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/keys"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
 
@@ -18,7 +19,7 @@
 
 // loadEncryption reads the files that the settings name. Operators may prove
 // themselves by key alone; the routes keep them from the other services.
-func loadEncryption(config settings.Controller, log *logring.Log) (encryption, error) {
+func loadEncryption(config settings.Controller, log *logring.Log, factory metrics.Factory) (encryption, error) {
 	if !config.TLS.Enabled() {
 		return encryption{}, nil
 	}
@@ -30,6 +31,7 @@
 	if err != nil {
 		return encryption{}, trace.Wrap(err)
 	}
+	factory.CertificateExpiry(credentials.Expires)
 	return encryption{
 		server: credentials.ServerConfig(config.Fleet, true, keys.RoleController, keys.RoleGateway, keys.RoleOperator),
 		client: credentials.ClientConfig(config.Fleet, keys.RoleController),
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -63,10 +63,11 @@
 	identity := &v1.NodeIdentity{
 		Name: config.Name, Zone: config.Zone, Address: config.Listen, Incarnation: uint64(time.Now().UnixNano()),
 	}
-	controllers, err := newControllers(config, options.Dial, options.Log)
+	encryption, err := loadEncryption(config, options.Log, factory)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	controllers := newControllers(config, options.Dial, encryption)
 	view := newView(clock, identity, dispatcher)
 	counts := newGatewayMetrics(factory)
 	view.onRevision = counts.tellRevision(options.OnRevision)
--- a/internal/gateway/controllers.go
+++ b/internal/gateway/controllers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"slices"
@@ -13,7 +14,6 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
-	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 	"github.com/hazelpitch/hazelpitch/internal/upstream"
 )
@@ -37,11 +37,8 @@
 	leader string
 }
 
-func newControllers(config settings.Gateway, dial upstream.DialFunc, log *logring.Log) (*controllers, error) {
-	encryption, err := loadEncryption(config, log)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
+// newControllers calls with TLS when encryption is not nil.
+func newControllers(config settings.Gateway, dial upstream.DialFunc, encryption *tls.Config) *controllers {
 	if dial == nil {
 		dialer := &net.Dialer{Timeout: controllerCallTimeout}
 		if config.SourceAddress != "" {
@@ -56,7 +53,7 @@
 		clients: map[string]hazelpitchv1connect.NodeServiceClient{},
 	}
 	c.learn(config.Controllers)
-	return c, nil
+	return c
 }
 
 // learn adds addresses that are not known yet.
--- a/internal/gateway/encryption.go
+++ b/internal/gateway/encryption.go
@@ -7,12 +7,13 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/keys"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
 
 // loadEncryption reads the files that the settings name, for calls to controllers; nil
 // without TLS. Replaced files are taken up with the next connection.
-func loadEncryption(config settings.Gateway, log *logring.Log) (*tls.Config, error) {
+func loadEncryption(config settings.Gateway, log *logring.Log, factory metrics.Factory) (*tls.Config, error) {
 	if !config.TLS.Enabled() {
 		return nil, nil
 	}
@@ -24,6 +25,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	factory.CertificateExpiry(credentials.Expires)
 	return credentials.ClientConfig(config.Fleet, keys.RoleController), nil
 }
 
--- a/internal/gateway/encryption_test.go
+++ b/internal/gateway/encryption_test.go
@@ -89,6 +89,34 @@
 	}
 }
 
+// TestCertificateExpiryIsAMetric replaces a gateway's certificate while it runs.
+func TestCertificateExpiryIsAMetric(t *testing.T) {
+	config := testSettings("127.0.0.1:1")
+	config.TLS = issueFiles(t, "test", keys.RoleGateway, "g1")
+	gateway, err := newGateway(config, Options{})
+	require.NoError(t, err)
+	expires := func() time.Duration {
+		families, err := gateway.registry.Gather()
+		require.NoError(t, err)
+		for _, family := range families {
+			if family.GetName() == "hazelpitch_gateway_certificate_expires_timestamp_seconds" {
+				return time.Until(time.Unix(int64(family.GetMetric()[0].GetGauge().GetValue()), 0))
+			}
+		}
+		require.Fail(t, "the metric is missing")
+		return 0
+	}
+	require.LessOrEqual(t, expires(), time.Hour)
+	directory := filepath.Dir(config.TLS.Authority)
+	authority, err := keys.ReadAuthority(directory)
+	require.NoError(t, err)
+	renewed, err := authority.Issue(keys.RoleGateway, "g1", 100*time.Hour, time.Now())
+	require.NoError(t, err)
+	_, err = keys.WriteCertificate(directory, "g1", renewed)
+	require.NoError(t, err)
+	require.Greater(t, expires(), 90*time.Hour)
+}
+
 // TestGatewayRefusesCertificatesThatDoNotFit starts with files of two authorities.
 func TestGatewayRefusesCertificatesThatDoNotFit(t *testing.T) {
 	config := testSettings("127.0.0.1:1")
--- a/internal/keys/credentials.go
+++ b/internal/keys/credentials.go
@@ -85,6 +85,14 @@
 // Identity is who this process is; zero without a certificate.
 func (c *Credentials) Identity() Identity { return c.latest().identity }
 
+// Expires is when this process's certificate expires; zero without a certificate.
+func (c *Credentials) Expires() time.Time {
+	if certificate := c.latest().certificate; certificate != nil {
+		return certificate.Leaf.NotAfter
+	}
+	return time.Time{}
+}
+
 // AuthorityFleet is the fleet of the first authority that is trusted.
 func (c *Credentials) AuthorityFleet() string { return c.latest().authorityFleet }
 
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -1,6 +1,8 @@
 package metrics
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 )
@@ -46,6 +48,15 @@
 	return gauge
 }
 
+// CertificateExpiry makes the gauge that tells when a process's certificate expires, in
+// seconds since the Unix epoch. expires is called at each scrape.
+func (f Factory) CertificateExpiry(expires func() time.Time) {
+	f.registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Subsystem: f.subsystem, Name: "certificate_expires_timestamp_seconds",
+		Help: "When this process's certificate expires, in seconds since the Unix epoch.",
+	}, func() float64 { return float64(expires().Unix()) }))
+}
+
 // GaugeVec makes a family of gauges with labels.
 func (f Factory) GaugeVec(name, help string, labels ...string) *prometheus.GaugeVec {
 	family := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Subsystem: f.subsystem, Name: name, Help: help}, labels)
