Split the gateway's page path and share what it doubled with the chat path

Change: page.go, page_message.go, page_claim.go, page_exchange.go; controller_test.go; attempts.go holds what both paths do. No behaviour changes.

GOMAXPROCS=4 go test ./internal/gateway ./internal/property pass before and after.

Conclusion: one place for each rule.

--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -18,9 +18,6 @@
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
-// defaultDeadline holds for kinds that declare none.
-const defaultDeadline = 2 * time.Minute
-
 // serveChat answers one request of the chat or completions protocol. It calls release
 // once the whole answer has been written, which for a stream is after it returns.
 func (g *Gateway) serveChat(context *fasthttp.RequestCtx, format stream.Format, release func()) {
@@ -37,7 +34,7 @@
 		watch.end()
 		release()
 		g.record(completion, outcomeOf(fault))
-		g.refuse(context, fault.beforeClaim(completion.claimKey()))
+		g.refuse(context, fault.beforeClaim(claimKey(completion.target.kind, completion.key)))
 		return
 	}
 	identity := stream.Identity{ID: answerID(format), Created: time.Now().Unix(), Model: completion.name(), Format: format}
@@ -77,17 +74,13 @@
 	if fault != nil {
 		return nil, fault
 	}
-	deadline := target.kind.Deadline()
-	if deadline == 0 {
-		deadline = defaultDeadline
-	}
 	g.retries.earn()
 	completion := &completion{
 		gateway:     g,
 		tenant:      tenant,
 		target:      target,
 		request:     request,
-		deadline:    arrival + deadline,
+		deadline:    deadlineOf(target.kind, arrival),
 		sequence:    stream.NewSequence(target.kind.Spec.GetRepeatable(), g.safeguards),
 		interrupter: &upstream.Interrupter{},
 		key:         idempotencyKey(context),
--- a/internal/gateway/claimed_chat.go
+++ b/internal/gateway/claimed_chat.go
@@ -11,14 +11,6 @@
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
-// claimKey returns the key under which the request is claimed; empty when it is not.
-func (c *completion) claimKey() string {
-	if c.target.kind.Spec.GetRepeatable() {
-		return ""
-	}
-	return c.key
-}
-
 // claimRun asks for the right to run a request that may run at most once. It returns nil
 // when the request runs now, under a claim or because it needs none.
 func (c *completion) claimRun(identity stream.Identity, watch *callerWatch) *claims.Decision {
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// maximumExchanges bounds the exchanges that one request may begin.
-	maximumExchanges = 4
 	// maximumResumes bounds the resumes of one exchange without progress between them.
 	maximumResumes = 3
 	// resumePause is the wait before a resume that follows a failed one.
--- a/internal/gateway/completion_connect.go
+++ b/internal/gateway/completion_connect.go
@@ -40,11 +40,8 @@
 
 // checkLimits refuses when the caller is gone or the deadline has passed.
 func (c *completion) checkLimits() *refusal {
-	if cause := c.interrupter.Cause(); cause != nil {
-		return c.giveUp(refuseInterrupted(cause))
-	}
-	if c.gateway.clock.now() >= c.deadline {
-		return c.giveUp(refuseDeadline())
+	if fault := c.gateway.over(c.interrupter, c.deadline); fault != nil {
+		return c.giveUp(fault)
 	}
 	return nil
 }
@@ -72,7 +69,7 @@
 // begin picks engines and sends the request there. Without a refusal and without an
 // answer the caller tries again.
 func (c *completion) begin() *refusal {
-	if c.exchanges > 0 && (c.exchanges >= maximumExchanges || !c.gateway.retries.spend()) {
+	if !c.gateway.mayBegin(c.exchanges) {
 		return c.refusal(refuseBackEnd())
 	}
 	choice, fault := c.pick()
--- a/internal/gateway/completion_message.go
+++ b/internal/gateway/completion_message.go
@@ -12,12 +12,11 @@
 
 // message builds the request of one exchange, which ends at until.
 func (c *completion) message(address, exchange string, until time.Duration) upstream.Request {
-	left := until - c.gateway.clock.now()
 	headers := []upstream.Header{
 		{Name: "Content-Type", Value: "application/json"},
 		{Name: enginecontract.HeaderPriority, Value: strconv.Itoa(int(c.target.kind.Spec.GetPriority()))},
 		{Name: enginecontract.HeaderCacheSalt, Value: c.cacheSalt()},
-		{Name: enginecontract.HeaderDeadline, Value: strconv.FormatInt(max(left.Milliseconds(), 1), 10)},
+		deadlineHeader(until - c.gateway.clock.now()),
 	}
 	continueText := ""
 	if delivered := c.sequence.Delivered(); delivered > 0 {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -1,25 +1,17 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"slices"
-	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
-	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
@@ -34,24 +26,6 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// testController answers as a controller does, from a fixed state.
-type testController struct {
-	hazelpitchv1connect.UnimplementedNodeServiceHandler
-	address string
-
-	mutex     sync.Mutex
-	revision  uint64
-	objects   []*v1.Object
-	directory *v1.Directory
-	claims    map[string]*heldClaim
-	leaving   atomic.Bool
-	// known is the directory version that the gateway said it has.
-	known atomic.Uint64
-	down  atomic.Bool
-	// report answers reports; nil answers without shares.
-	report func(*v1.ReportRequest) (*v1.ReportResponse, error)
-}
-
 func object(revision uint64, kind v1.ObjectType, name string) *v1.Object {
 	return &v1.Object{Key: &v1.ObjectKey{Type: kind, Name: name}, Revision: revision}
 }
@@ -89,144 +63,6 @@
 	}
 }
 
-func (c *testController) Sync(_ context.Context, request *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.down.Load() {
-		return nil, connect.NewError(connect.CodeUnavailable, http.ErrServerClosed)
-	}
-	if request.Msg.GetLeaving() {
-		c.leaving.Store(true)
-	}
-	c.known.Store(request.Msg.GetDirectoryVersion())
-	response := &v1.SyncResponse{Revision: c.revision, LeaderAddress: c.address, DirectoryVersion: c.directory.GetVersion()}
-	if request.Msg.GetDirectoryVersion() != c.directory.GetVersion() {
-		response.Directory = c.directory
-	}
-	for _, each := range c.objects {
-		isTenant := each.GetKey().GetType() == v1.ObjectType_OBJECT_TYPE_TENANT
-		if !isTenant && each.GetRevision() > request.Msg.GetRevision() {
-			response.Objects = append(response.Objects, each)
-		}
-	}
-	for _, hash := range request.Msg.GetUnknownKeyHashes() {
-		owner := slices.IndexFunc(c.objects, func(each *v1.Object) bool {
-			return slices.Contains(each.GetTenant().GetApiKeyHashes(), hash)
-		})
-		if owner < 0 {
-			response.RejectedKeyHashes = append(response.RejectedKeyHashes, hash)
-			continue
-		}
-		response.Objects = append(response.Objects, c.objects[owner])
-	}
-	return connect.NewResponse(response), nil
-}
-
-func (c *testController) Report(_ context.Context, request *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error) {
-	if c.report == nil {
-		return connect.NewResponse(&v1.ReportResponse{}), nil
-	}
-	response, err := c.report(request.Msg)
-	if err != nil {
-		return nil, err
-	}
-	return connect.NewResponse(response), nil
-}
-
-// BeginClaim grants a claim once, as the replicated state does.
-func (c *testController) BeginClaim(_ context.Context, request *connect.Request[v1.BeginClaimRequest]) (*connect.Response[v1.BeginClaimResponse], error) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.down.Load() {
-		return nil, connect.NewError(connect.CodeUnavailable, http.ErrServerClosed)
-	}
-	claim := request.Msg.GetClaim()
-	name := claim.GetTenant() + "/" + claim.GetKind() + "/" + claim.GetKey()
-	held, ok := c.claims[name]
-	switch {
-	case !ok:
-		c.claims[name] = &heldClaim{attempt: claim.GetAttempt(), hash: claim.GetBodyHash()}
-		return connect.NewResponse(&v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_GRANTED}), nil
-	case !bytes.Equal(held.hash, claim.GetBodyHash()):
-		return connect.NewResponse(&v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_CONFLICT}), nil
-	case held.attempt == claim.GetAttempt() && held.outcome == nil:
-		return connect.NewResponse(&v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_GRANTED}), nil
-	case held.outcome == nil:
-		return connect.NewResponse(&v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_RUNNING}), nil
-	case held.outcome.GetMayHaveRun():
-		return connect.NewResponse(&v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_UNKNOWN}), nil
-	default:
-		return connect.NewResponse(&v1.BeginClaimResponse{
-			State: v1.ClaimState_CLAIM_STATE_FINISHED, Status: held.outcome.GetStatus(),
-			ContentType: held.outcome.GetContentType(), Body: held.outcome.GetBody(),
-		}), nil
-	}
-}
-
-// FinishClaim records an outcome, or releases the claim.
-func (c *testController) FinishClaim(_ context.Context, request *connect.Request[v1.FinishClaimRequest]) (*connect.Response[v1.FinishClaimResponse], error) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	claim := request.Msg.GetClaim()
-	name := claim.GetTenant() + "/" + claim.GetKind() + "/" + claim.GetKey()
-	if held, ok := c.claims[name]; ok && held.attempt == claim.GetAttempt() {
-		held.outcome = claim
-		if claim.GetNotRun() {
-			delete(c.claims, name)
-		}
-	}
-	return connect.NewResponse(&v1.FinishClaimResponse{}), nil
-}
-
-// replaceBackEnds replaces the directory and returns its version.
-func (c *testController) replaceBackEnds(backEnds ...*v1.BackEnd) uint64 {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.directory = &v1.Directory{Version: c.directory.GetVersion() + 1, BackEnds: backEnds}
-	return c.directory.GetVersion()
-}
-
-// begun counts the claims that were granted.
-func (c *testController) begun() int {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return len(c.claims)
-}
-
-// outcomes counts the claims with an outcome.
-func (c *testController) outcomes() int {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	recorded := 0
-	for _, held := range c.claims {
-		if held.outcome != nil {
-			recorded++
-		}
-	}
-	return recorded
-}
-
-// heldClaim is one claim at the test controller.
-type heldClaim struct {
-	attempt string
-	hash    []byte
-	outcome *v1.FinishClaim
-}
-
-func startController(t testing.TB, backEnds ...*v1.BackEnd) *testController {
-	controller := &testController{
-		revision: 1, objects: testObjects(), claims: map[string]*heldClaim{},
-		directory: &v1.Directory{Version: 1, BackEnds: backEnds},
-	}
-	path, handler := hazelpitchv1connect.NewNodeServiceHandler(controller)
-	routes := http.NewServeMux()
-	routes.Handle(path, handler)
-	server := httptest.NewServer(routes)
-	t.Cleanup(server.Close)
-	controller.address = strings.TrimPrefix(server.URL, "http://")
-	return controller
-}
-
 // engineBackEnd is a directory row of an engine.
 func engineBackEnd(name, address string, role v1.Role) *v1.BackEnd {
 	return &v1.BackEnd{
--- /dev/null
+++ b/internal/gateway/page_exchange.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/hazelpitch/hazelpitch/internal/routing"
+	"github.com/hazelpitch/hazelpitch/internal/upstream"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+// run tries back ends until one answers or the verdict forbids another try.
+func (p *pageRequest) run() (*pageAnswer, *refusal) {
+	for {
+		if fault := p.gateway.over(p.interrupter, p.deadline); fault != nil {
+			return nil, p.refusal(fault)
+		}
+		if !p.gateway.mayBegin(p.exchanges) {
+			return nil, p.refusal(refuseBackEnd())
+		}
+		choice, err := p.gateway.dispatcher.pick(routing.Request{Service: p.kind.Spec.GetService(), Deadline: p.deadline}, p.excluded)
+		if err != nil {
+			return nil, p.refusal(refusePick(err))
+		}
+		answer, failure := p.exchange(choice.BackEnd)
+		if failure == nil {
+			return answer, nil
+		}
+		p.gateway.log.Info().Err(failure).Str("back_end", choice.BackEnd.Name).Msg("exchange failed")
+		p.excluded = append(p.excluded, choice.BackEnd.Name)
+		if failure.Verdict == verdict.NotRun {
+			continue
+		}
+		p.mayHaveRun = true
+		if p.gateway.clock.now() < p.deadline && !p.kind.Spec.GetRepeatable() && p.gateway.safeguards.On(RetryOnlyNotRun) {
+			return nil, p.refusal(refuseBackEnd())
+		}
+	}
+}
+
+// exchange sends the request to one back end and reads its whole answer.
+func (p *pageRequest) exchange(backEnd routing.BackEnd) (*pageAnswer, *upstream.Failure) {
+	p.exchanges++
+	message := p.message
+	message.Address = backEnd.Address
+	message.Exchange = upstream.NewExchange()
+	message.Headers = append(append([]upstream.Header(nil), message.Headers...),
+		deadlineHeader(p.deadline-p.gateway.clock.now()))
+	p.gateway.dispatcher.observe(routing.Sent{BackEnd: backEnd.Name, Exchange: message.Exchange})
+	answer, report, failure := p.gateway.upstream.Do(message)
+	p.gateway.dispatcher.observeReport(backEnd.Name, message.Exchange, report)
+	if failure == nil {
+		defer answer.Close()
+		var whole *pageAnswer
+		if whole, failure = readPage(answer); failure == nil {
+			p.gateway.dispatcher.observe(routing.Finished{BackEnd: backEnd.Name, Exchange: message.Exchange})
+			return whole, nil
+		}
+	}
+	if failure.Status == 0 {
+		p.gateway.dispatcher.observe(routing.Failed{BackEnd: backEnd.Name, Exchange: message.Exchange})
+	} else {
+		p.gateway.dispatcher.observe(routing.Finished{BackEnd: backEnd.Name, Exchange: message.Exchange})
+	}
+	return nil, failure
+}
+
+// readPage reads a whole answer; one without a declared length cannot be known whole, and
+// a server error without a run state may have run.
+func readPage(answer *upstream.Answer) (*pageAnswer, *upstream.Failure) {
+	if !answer.HasLength() {
+		return nil, &upstream.Failure{Verdict: verdict.MayHaveRun, Cause: upstream.ErrTruncated}
+	}
+	body, err := answer.ReadAll()
+	if err != nil {
+		return nil, &upstream.Failure{Verdict: verdict.MayHaveRun, Cause: err}
+	}
+	if answer.Status >= http.StatusInternalServerError {
+		return nil, &upstream.Failure{Verdict: verdict.MayHaveRun, Status: answer.Status, Cause: upstream.ErrRefused}
+	}
+	whole := &pageAnswer{status: answer.Status, body: body}
+	for _, name := range passedResponseHeaders {
+		if value := answer.Header(name); value != "" {
+			whole.headers = append(whole.headers, upstream.Header{Name: name, Value: value})
+		}
+	}
+	return whole, nil
+}
+
+// refusal gives a refusal the verdict of the whole request.
+func (p *pageRequest) refusal(fault *refusal) *refusal { return fault.combine(p.mayHaveRun) }
