--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -105,24 +105,36 @@
 	}
 }
 
-// submit takes a request on. The answer is what the caller hears at once: whether the
-// request runs, and if not, whether the engine was there at all.
-func (e *engine) submit(flight *flight, phase enginemodel.Phase) (taken, reached bool, overloaded bool) {
-	if !e.up {
-		return false, false, false
-	}
-	if e.state != enginecontract.StateServing {
-		return false, true, false
+// submission is how an engine answers a request that is sent to it.
+type submission int
+
+const (
+	submissionTaken submission = iota
+	// submissionUnreachable: the engine's process is gone.
+	submissionUnreachable
+	// submissionNotServing: the engine drains or changes.
+	submissionNotServing
+	// submissionOverloaded: the engine has no room for it.
+	submissionOverloaded
+)
+
+// submit takes a request on, if the engine can.
+func (e *engine) submit(flight *flight, phase enginemodel.Phase) submission {
+	switch {
+	case !e.up:
+		return submissionUnreachable
+	case e.state != enginecontract.StateServing:
+		return submissionNotServing
 	}
 	err := e.model.Submit(e.local(e.world.now), enginemodel.Request{
 		ID: flight.id, PromptTokens: flight.PromptTokens, OutputTokens: flight.OutputTokens,
 		Priority: flight.kind.Priority, PrefixBlocks: flight.engineBlocks, Phase: phase,
 	})
 	if err != nil {
-		return false, true, true
+		return submissionOverloaded
 	}
 	e.flights[flight.id] = flight
-	return true, true, false
+	return submissionTaken
 }
 
 // cancel ends a flight's work at the engine.
--- a/internal/experiment/options.go
+++ b/internal/experiment/options.go
@@ -56,5 +56,5 @@
 		return nil, trace.Wrap(err)
 	}
 	world.run()
-	return world.recorder.result(world), nil
+	return world.recorder.result(), nil
 }
--- a/internal/experiment/recorder.go
+++ b/internal/experiment/recorder.go
@@ -153,7 +153,7 @@
 }
 
 // result is the finished run.
-func (r *recorder) result(*world) *Run {
+func (r *recorder) result() *Run {
 	for _, key := range slices.SortedFunc(maps.Keys(r.refusals), func(a, b refusalKey) int {
 		return cmp.Or(cmp.Compare(a.tenant, b.tenant), cmp.Compare(a.reason, b.reason))
 	}) {
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -89,7 +89,8 @@
 // EngineProfile is what the planner assumes an engine can do.
 type EngineProfile struct {
 	PrefillTokensPerSecond float64
-	// DecodeTokensPerSecond is one engine's output rate at full batch.
+	// DecodeTokensPerSecond is one engine's output rate at full batch. The fluid model
+	// derives it from the times below; the bench's baseline planner reads it.
 	DecodeTokensPerSecond float64
 	// MixedPenalty is the share of capacity lost when one engine does both, 0 to 1.
 	MixedPenalty float64
