End one stream, not the process, when a stream panics

Cause: the server reads a stream after its handler has returned, outside the recovery there: a panic in the middle of a stream would have ended the gateway with all its streams. Change: chatStream recovers, ends the stream with internal_error and may-have-run, and logs. Conclusion: one faulty stream costs one stream.

--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -169,13 +169,25 @@
 		if s.ended != nil {
 			return 0, s.ended
 		}
-		s.take(s.completion.next())
+		s.advance()
 	}
 	n := copy(buffer, s.pending)
 	s.pending = s.pending[n:]
 	return n, nil
 }
 
+// advance waits for the next event. A panic ends this stream, not the process: the server
+// reads a stream outside its handler.
+func (s *chatStream) advance() {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.completion.gateway.log.Error().Interface("panic", cause).Msg("a stream panicked")
+			s.fail(refuseInternal())
+		}
+	}()
+	s.take(s.completion.next())
+}
+
 // take renders one event, or the end of the answer.
 func (s *chatStream) take(event stream.Event, err error) {
 	var fault *refusal
