Do not spin while the spare engine is out in a leader-loss run

Cause: after a loss the spare engine was tried again without a pause while it drained. Change: it is ordered as the other engines are, with their pause between tries.

--- a/internal/leaderloss/conclude.go
+++ b/internal/leaderloss/conclude.go
@@ -18,9 +18,7 @@
 	if err := r.checkKept(ctx, accepted); err != nil {
 		return trace.Wrap(err)
 	}
-	if err := r.measureInForce(ctx, accepted); err != nil {
-		return trace.Wrap(err)
-	}
+	r.measureInForce(accepted)
 	for _, ordered := range r.fleet.Outside.Engines {
 		if err := r.checkOrders(ctx, ordered); err != nil {
 			return trace.Wrap(err)
@@ -77,7 +75,7 @@
 
 // measureInForce measures for each change how long it took until every gateway had
 // it in force. The last ones are left out when the run ended before.
-func (r *run) measureInForce(ctx context.Context, accepted []acceptedChange) error {
+func (r *run) measureInForce(accepted []acceptedChange) {
 	for _, change := range accepted {
 		slowest := change.accepted
 		everywhere := true
@@ -92,7 +90,6 @@
 			r.recorder.measured(acceptedInForce, slowest.Sub(change.accepted))
 		}
 	}
-	return nil
 }
 
 // checkOrders compares what an engine accepted with the log.
--- a/internal/leaderloss/faults.go
+++ b/internal/leaderloss/faults.go
@@ -179,11 +179,7 @@
 	takeAway()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	go func() {
-		for ctx.Err() == nil {
-			r.orders.change(ctx, r.spare)
-		}
-	}()
+	go r.orders.run(ctx, r.spare)
 	return r.awaitNextLeader(ctx, began, epoch)
 }
 
