--- a/internal/authority/commander_test.go
+++ b/internal/authority/commander_test.go
@@ -135,6 +135,22 @@
 	require.ErrorIs(t, b.order(setRole("engine", decode)), ErrEngineSilent)
 }
 
+// TestSilentEngineCountsAgainstTheBound lets a leader take over while an engine that it
+// has never heard carries out its predecessor's order: no second engine may go out.
+func TestSilentEngineCountsAgainstTheBound(t *testing.T) {
+	b := newBench(t, 5)
+	b.addEngine("silent", "zone-a", enginecontract.RoleMixed)
+	b.addEngine("other", "zone-a", enginecontract.RoleMixed)
+	b.run(time.Second)
+	b.mustOrder(setRole("silent", decode))
+	b.step()
+	delete(b.engines, "silent")
+	b.takeOver(6)
+	b.commander.List("silent", "", true)
+	b.run(time.Second)
+	require.ErrorIs(t, b.order(setRole("other", decode)), ErrTooManyOut)
+}
+
 func TestSafeguardsOfAuthority(t *testing.T) {
 	t.Run("fence", func(t *testing.T) {
 		b := newBench(t, 5, SafeguardFence)
--- a/internal/authority/engine.go
+++ b/internal/authority/engine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 )
 
@@ -66,6 +67,16 @@
 	e.heardAt = at
 }
 
+// placed returns the service and the zone of the engine by its own word or, before
+// this leader has heard it, by the log: an order that an earlier leader gave it may
+// be under way.
+func (e *engine) placed(record *v1.EngineRecord) (service, zone string) {
+	if e.heard {
+		return e.last.Service, e.last.Zone
+	}
+	return record.GetState().GetService(), record.GetState().GetZone()
+}
+
 // fenced reports whether the engine's present process holds the epoch's fence.
 func (e *engine) fenced(epoch uint64) bool {
 	return e.fencedEpoch == epoch && e.heard && e.fencedIncarnation == e.last.Incarnation
--- a/internal/authority/limits.go
+++ b/internal/authority/limits.go
@@ -93,11 +93,10 @@
 func (c *Commander) countOut(state *controlstate.State, service, zone string) int {
 	count := 0
 	for _, name := range c.names {
-		engine := c.engines[name]
-		if !engine.heard || engine.last.Service != service || (zone != "" && engine.last.Zone != zone) {
+		engine, record := c.engines[name], state.Engine(name)
+		if ownService, ownZone := engine.placed(record); ownService != service || (zone != "" && ownZone != zone) {
 			continue
 		}
-		record := state.Engine(name)
 		outstanding := record.GetOutstanding() != nil && takesOut(record.Outstanding.Action)
 		pending := engine.ordering != nil && engine.ordering.out
 		own := engine.last.State == enginecontract.StateDraining || engine.last.State == enginecontract.StateChanging
