Let a learner that its leader has lost ask to be admitted again

The disk held the uncommitted membership, so it did not ask again, and the next leader did not know it: the machine never came back.

Voters do not: a removed machine does not come back by itself.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -131,6 +131,7 @@
 		c.tickFormation()
 		return
 	}
+	c.tickLearner()
 	if c.now >= c.electionDueAt && c.members.votes(c.id) {
 		c.campaign(c.config.Safeguards.On(SafeguardPreVote))
 	}
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -27,18 +27,36 @@
 	if c.now < c.probeDueAt {
 		return
 	}
-	c.probeDueAt = c.now + c.config.ElectionTimeout/2
 	c.probeAnswers = make(map[string]*v1.Member)
 	for _, peer := range c.config.Peers {
 		if peer.Name == c.config.Name {
 			c.probeAnswers[peer.Name] = c.self()
+		}
+	}
+	c.probePeers()
+	c.formWhenComplete()
+}
+
+// probePeers asks the other peers whether a quorum exists, and to be admitted.
+func (c *Core) probePeers() {
+	c.probeDueAt = c.now + c.config.ElectionTimeout/2
+	for _, peer := range c.config.Peers {
+		if peer.Name == c.config.Name {
 			continue
 		}
 		probe := c.envelope("", &v1.ConsensusMessage{Type: v1.MessageType_MESSAGE_TYPE_PROBE})
 		probe.Address = peer.Address
 		c.out.messages = append(c.out.messages, probe)
 	}
-	c.formWhenComplete()
+}
+
+// tickLearner lets a learner that no leader has spoken to for long ask to be admitted
+// again: the leader that admitted it may have lost its term before that was committed.
+func (c *Core) tickLearner() {
+	silence := c.now - c.leaderHeardAt
+	if c.members.byID[c.id].GetLearner() && silence >= replacementSilence*c.config.ElectionTimeout && c.now >= c.probeDueAt {
+		c.probePeers()
+	}
 }
 
 // self describes this member as a voter.
--- a/internal/consensus/relay_test.go
+++ b/internal/consensus/relay_test.go
@@ -50,3 +50,32 @@
 		})
 	}
 }
+
+// TestForgottenLearnerAsksAgain leaves a learner without any leader: its admission may
+// have been lost with the leader that proposed it, so it asks for another. A voter
+// does not.
+func TestForgottenLearnerAsksAgain(t *testing.T) {
+	for _, learner := range []bool{true, false} {
+		member := fuzzMember(t)
+		member.members.byID["a/1"].Learner = learner
+		member.setMembers(member.members.membership)
+		probes := func(at time.Duration) int {
+			member.Tick(at)
+			ready, _ := member.Ready()
+			count := 0
+			for _, message := range ready.Messages {
+				if message.Message.GetType() == v1.MessageType_MESSAGE_TYPE_PROBE {
+					count++
+				}
+			}
+			return count
+		}
+		require.Zero(t, probes(0))
+		require.Zero(t, probes((replacementSilence-1)*DefaultElectionTimeout))
+		want := 0
+		if learner {
+			want = 2
+		}
+		require.Equal(t, want, probes(replacementSilence*DefaultElectionTimeout))
+	}
+}
--- a/internal/simulation/run_test.go
+++ b/internal/simulation/run_test.go
@@ -53,6 +53,22 @@
 	}
 }
 
+// TestSeedsThatFailed runs the seeds in which long sweeps found faults.
+func TestSeedsThatFailed(t *testing.T) {
+	for _, row := range []struct {
+		deployment string
+		seed       uint64
+	}{
+		{"five", 206},       // a learner was forgotten with the leader that admitted it
+		{"standby", 879},    // the same
+		{"rawabi", 1809},    // a new leader did not count an order at a silent engine
+		{"empleandes", 395}, // the same
+	} {
+		result := Run(Options{Seed: row.seed, Steps: 8000, Deployment: Deployments[row.deployment]})
+		require.Nil(t, result.Violation, "%s, seed %d", row.deployment, row.seed)
+	}
+}
+
 // TestSameSeedSameTrace runs seeds twice: nothing but the seed decides.
 func TestSameSeedSameTrace(t *testing.T) {
 	for seed := range uint64(5) {
