--- a/internal/planner/weighing.go
+++ b/internal/planner/weighing.go
@@ -146,8 +146,8 @@
 		most = min(most, budget-changesInBudgetWindow(w.observation))
 	}
 	total := w.split.Total()
-	for prefill := 0; prefill <= total; prefill++ {
-		for decode := 0; decode <= total-prefill; decode++ {
+	for prefill := max(w.split.Prefill-most, 0); prefill <= min(w.split.Prefill+most, total); prefill++ {
+		for decode := max(w.split.Decode-most, 0); decode <= min(w.split.Decode+most, total-prefill); decode++ {
 			split := Split{Prefill: prefill, Decode: decode, Mixed: total - prefill - decode}
 			moves := w.split.Moves(split)
 			switch {
