Draw the number of actors of a property run from its seed

Cause: all runs had eight callers, three gateways, five engines and two page services.

Change: 2 to 12 callers, 1 to 5 gateways, 3 to 8 engines, 1 to 3 page services by seed.

--- a/internal/property/property_test.go
+++ b/internal/property/property_test.go
@@ -45,7 +45,7 @@
 func TestPromisesHold(t *testing.T) {
 	total := &Report{Faults: map[string]int{}, Told: map[string]int{}}
 	for seed := range uint64(*seeds) {
-		report := run(t, Options{Seed: seed + 1, Requests: *requests, Counts: DefaultCounts()})
+		report := run(t, Options{Seed: seed + 1, Requests: *requests, Counts: DrawCounts(seed + 1)})
 		require.Empty(t, report.Violations, "seed %d", seed+1)
 		total.Add(report)
 	}
--- a/internal/property/run.go
+++ b/internal/property/run.go
@@ -20,8 +20,10 @@
 	settleTime = 45 * time.Second
 	// quietTime lets the processes' last goroutines end once everything is closed.
 	quietTime = 5 * time.Minute
-	// faultStream keeps the faults' draws apart from the callers'.
+	// faultStream and countStream keep the draws of faults and actors apart from the
+	// callers'.
 	faultStream = 1 << 32
+	countStream = 1 << 33
 )
 
 // Options are what a run is made of.
@@ -41,6 +43,16 @@
 // DefaultCounts are the actors of a run.
 func DefaultCounts() Counts { return Counts{Callers: 8, Gateways: 3, Engines: 5, Pages: 2} }
 
+// DrawCounts draws the actors of a run from its seed.
+func DrawCounts(seed uint64) Counts {
+	random := rand.New(rand.NewPCG(seed, countStream))
+	return Counts{
+		Callers: 2 + random.IntN(11), Gateways: 1 + random.IntN(5),
+		// Three engines have a role each.
+		Engines: 3 + random.IntN(6), Pages: 1 + random.IntN(3),
+	}
+}
+
 // Run carries out one run. It is meant for a synctest bubble. The error tells that the
 // run could not be carried out; what it found is in the report.
 func Run(options Options) (*Report, error) {
