Add hazelbench gateway-cost: time and processor time that a gateway adds

Change: hazelbench gateway-cost boots a deployment and calls one gateway process from its own zone: plain requests directly and through it in turns, 200 streams at once, and the same streams with each link to an engine cut after every 20 tokens.

--- a/internal/benchcommand/commands.go
+++ b/internal/benchcommand/commands.go
@@ -17,6 +17,7 @@
 		experimentCommand(),
 		reportCommand(),
 		fleetCommand(),
+		gatewayCostCommand(),
 		gatewayLossCommand(),
 		leaderLossCommand(),
 		loadCommand(),
--- /dev/null
+++ b/internal/gatewaycost/run.go
@@ -0,0 +1,221 @@
+package gatewaycost
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hazelpitch/hazelpitch/internal/fleet"
+	"github.com/hazelpitch/hazelpitch/internal/load"
+	"github.com/hazelpitch/hazelpitch/internal/metrics"
+	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
+)
+
+// cutAfter is after how many tokens a link is cut.
+const cutAfter = 20
+
+// Options are what a run is started with.
+type Options struct {
+	// Fleet is booted, with its declarations in force.
+	Fleet *fleet.Fleet
+	// Key is a tenant's, Source the callers' IP, in the gateway's zone.
+	Key     string
+	Source  string
+	Gateway *fleet.Process
+	// Page is the IP:port of a page service in the gateway's zone.
+	Page string
+	// PageRequests are sent one after the other, directly and through the gateway.
+	PageRequests int
+	// Streams are open at once, each of Tokens tokens.
+	Streams int
+	Tokens  int
+}
+
+// run is one run.
+type run struct {
+	Options
+	caller *caller
+	path   string
+	kind   string
+	model  string
+}
+
+// Run measures and reports.
+func Run(ctx context.Context, options Options) (Report, error) {
+	r := &run{Options: options, caller: newCaller(options.Key, options.Source)}
+	if err := r.chooseKinds(); err != nil {
+		return Report{}, trace.Wrap(err)
+	}
+	var report Report
+	for _, part := range []func(context.Context, *Report) error{r.measurePages, r.measureStreams, r.measureCuts} {
+		if err := part(ctx, &report); err != nil {
+			return Report{}, trace.Wrap(err)
+		}
+	}
+	return report, nil
+}
+
+// chooseKinds takes the first page kind that is read and the chat kind with the longest
+// deadline, so that none of the streams is refused.
+func (r *run) chooseKinds() error {
+	traffic, err := load.LoadTraffic(r.Fleet.Deployment)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	kinds, err := load.Kinds(r.Fleet.Deployment)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, request := range traffic.Requests {
+		if request.Chat != nil && (r.kind == "" || kinds[request.Kind].Deadline > kinds[r.kind].Deadline) {
+			r.kind, r.model = request.Kind, request.Chat.Model
+		}
+		if request.Page != nil && request.Page.Method == fasthttp.MethodGet && r.path == "" {
+			r.path = request.Page.Path
+		}
+	}
+	if r.kind == "" || r.path == "" {
+		return trace.BadParameter("%s needs a chat kind and a page kind with GET", load.TrafficFile)
+	}
+	return nil
+}
+
+// measurePages sends plain requests in turns directly and through the gateway.
+func (r *run) measurePages(ctx context.Context, report *Report) error {
+	direct, through := newHistogram(), newHistogram()
+	if _, err := r.caller.page(r.Gateway.Listen, r.path); err != nil { // the gateway meets the tenant
+		return trace.Wrap(err)
+	}
+	before, err := processorTime(r.Gateway)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for range r.PageRequests {
+		if ctx.Err() != nil {
+			return trace.Wrap(ctx.Err())
+		}
+		for address, times := range map[string]*hdrhistogram.Histogram{r.Page: direct, r.Gateway.Listen: through} {
+			took, err := r.caller.page(address, r.path)
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			_ = times.RecordValue(took.Microseconds()) // far below the histogram's bound
+		}
+	}
+	after, err := processorTime(r.Gateway)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	report.DirectPage, report.GatewayPage = percentiles(direct), percentiles(through)
+	report.ProcessorPerPage = (after - before).Seconds() * microsPerSecond / float64(r.PageRequests)
+	return nil
+}
+
+// measureStreams opens streams at once and divides the processor time by their tokens.
+func (r *run) measureStreams(ctx context.Context, report *Report) error {
+	before, err := processorTime(r.Gateway)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	began := time.Now()
+	streams, err := r.streams(ctx, 0)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	after, err := processorTime(r.Gateway)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, each := range streams {
+		report.Tokens += each.tokens
+	}
+	report.TokensPerSecond = float64(report.Tokens) / time.Since(began).Seconds()
+	report.ProcessorPerToken = (after - before).Seconds() * microsPerSecond / float64(report.Tokens)
+	report.Gap = gaps(streams)
+	return nil
+}
+
+// measureCuts cuts each link to an engine after cutAfter tokens, the resumed ones too.
+func (r *run) measureCuts(ctx context.Context, report *Report) error {
+	for _, present := range r.Fleet.Outside.Engines {
+		present.Faults().Replace([]fault.Fault{{Kind: fault.Cut, Count: cutsOf(r.Streams, r.Tokens), Tokens: cutAfter}})
+	}
+	streams, err := r.streams(ctx, r.Streams)
+	for _, present := range r.Fleet.Outside.Engines {
+		report.Cuts += cutsOf(r.Streams, r.Tokens) - left(present.Faults().Left())
+		present.Faults().Replace(nil)
+	}
+	report.GapAfterCut = gaps(streams)
+	return trace.Wrap(err)
+}
+
+// cutsOf is the number of cuts that streams can meet at one engine.
+func cutsOf(streams, tokens int) int { return streams * (tokens/cutAfter + 1) }
+
+func left(faults []fault.Fault) int {
+	sum := 0
+	for _, each := range faults {
+		sum += each.Count
+	}
+	return sum
+}
+
+// streams sends chat requests at once and waits for their ends.
+func (r *run) streams(ctx context.Context, first int) ([]streamed, error) {
+	group, _ := errgroup.WithContext(ctx)
+	var mutex sync.Mutex
+	var all []streamed
+	for number := range r.Streams {
+		group.Go(func() error {
+			seen, err := r.caller.stream(r.Gateway.Listen, r.kind, chatBody(r.model, r.Tokens, first+number))
+			if err == nil && seen.tokens != r.Tokens {
+				err = trace.Errorf("a stream had %d tokens in place of %d", seen.tokens, r.Tokens)
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			all = append(all, seen)
+			return trace.Wrap(err)
+		})
+	}
+	err := group.Wait()
+	return all, trace.Wrap(err)
+}
+
+// processorMetric is the processor time that a process has used, in seconds.
+const processorMetric = "process_cpu_seconds_total"
+
+// processorTime asks a process how much processor time it has used.
+func processorTime(process *fleet.Process) (time.Duration, error) {
+	_, body, err := fasthttp.Get(nil, "http://"+process.AdminListen+metrics.PathMetrics)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	for line := range strings.Lines(string(body)) {
+		text, found := strings.CutPrefix(line, processorMetric+" ")
+		if !found {
+			continue
+		}
+		seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+		return time.Duration(seconds * float64(time.Second)), trace.Wrap(err)
+	}
+	return 0, trace.NotFound("%s has no %s", process.Name, processorMetric)
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, callTimeout.Microseconds(), latencyDigits)
+}
+
+func gaps(streams []streamed) Percentiles {
+	times := newHistogram()
+	for _, each := range streams {
+		_ = times.RecordValue(each.longestGap.Microseconds()) // below the histogram's bound
+	}
+	return percentiles(times)
+}
--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -45,6 +45,7 @@
 	"internal/enginemodel",
 	"internal/experiment",
 	"internal/fleet",
+	"internal/gatewaycost",
 	"internal/gatewayloss",
 	"internal/leaderloss",
 	"internal/load",
