--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -23,6 +23,8 @@
 	cancelTimeout = 300 * time.Millisecond
 	// tokenStall is the longest silence between two tokens before the link counts as cut.
 	tokenStall = 5 * time.Second
+	// silenceSlack is how much longer a silence may last, so that the bound moves seldom.
+	silenceSlack = 500 * time.Millisecond
 )
 
 // completion runs one chat request over as many exchanges as its kind allows, and gives
@@ -42,7 +44,9 @@
 	backEnd  routing.BackEnd
 	exchange string
 	answer   *upstream.Answer
-	scanner  *stream.Scanner
+	// silentUntil is the bound set on the answer's next read.
+	silentUntil time.Duration
+	scanner     *stream.Scanner
 	// open tells that the exchange may be running at its engine.
 	open bool
 	// exchanges counts the exchanges begun, resumes those of the present exchange since
@@ -88,7 +92,7 @@
 				return stream.Event{}, fault
 			}
 		}
-		c.answer.SetReadDeadline(c.gateway.clock.time(min(c.deadline, c.gateway.clock.now()+tokenStall)))
+		c.boundSilence()
 		event, err := c.scanner.Next()
 		if err != nil {
 			c.cut(trace.Wrap(err))
@@ -115,6 +119,17 @@
 	}
 }
 
+// boundSilence lets the next read fail after tokenStall, or at the deadline. The bound is
+// moved at most twice a second, since each move costs a timer.
+func (c *completion) boundSilence() {
+	needed := min(c.deadline, c.gateway.clock.now()+tokenStall)
+	if c.silentUntil >= needed {
+		return
+	}
+	c.silentUntil = min(c.deadline, needed+silenceSlack)
+	c.answer.SetReadDeadline(c.gateway.clock.time(c.silentUntil))
+}
+
 // note remembers what admission learns from.
 func (c *completion) note(event *stream.Event) {
 	c.resumes = 0
--- a/internal/gateway/completion_message.go
+++ b/internal/gateway/completion_message.go
@@ -44,6 +44,6 @@
 }
 
 func (c *completion) read(answer *upstream.Answer) {
-	c.answer = answer
+	c.answer, c.silentUntil = answer, 0
 	c.scanner = stream.NewScanner(answer)
 }
--- /dev/null
+++ b/internal/gateway/stream_bench_test.go
@@ -0,0 +1,29 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// benchmarkTokens is the number of tokens of one streamed answer.
+const benchmarkTokens = 500
+
+// BenchmarkStreamedToken streams answers through a gateway over real HTTP. Engine and
+// caller run in the same process: the profile, not the time, tells what a token costs.
+func BenchmarkStreamedToken(b *testing.B) {
+	engine := startEngine(b)
+	engine.tokens = make([]string, benchmarkTokens)
+	for i := range engine.tokens {
+		engine.tokens[i] = " word"
+	}
+	controller := startController(b, engineBackEnd("e1", engine.address(), v1.Role_ROLE_MIXED))
+	gateway := startGateway(b, testSettings(controller.address))
+	b.ResetTimer()
+	for range b.N {
+		require.True(b, chat(b, gateway, "matching", streamBody).whole)
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*benchmarkTokens), "ns/token")
+}
