Name the bad network as its fault is named

Cause: the constant spoke of weather, the fault's name of the network.

Change: FaultBadNetwork and badNetwork; names only.

Figures: GOMAXPROCS=2 go test ./internal/simulation passes.

Conclusion: one name for one thing.

--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -20,7 +20,7 @@
 	FaultIsolate         FaultKind = "isolate-host"
 	FaultOneWay          FaultKind = "one-way-partition"
 	FaultSplit           FaultKind = "split-zones"
-	FaultWeather         FaultKind = "bad-network"
+	FaultBadNetwork      FaultKind = "bad-network"
 	FaultCrashEngine     FaultKind = "crash-engine"
 	FaultPauseEngine     FaultKind = "pause-engine"
 	FaultEngineLeaves    FaultKind = "engine-leaves"
@@ -55,7 +55,7 @@
 // faultKinds lists all kinds in a fixed order.
 var faultKinds = []FaultKind{
 	FaultCrashController, FaultReplaceDisk, FaultPauseController, FaultStallController, FaultSlowDisk,
-	FaultIsolate, FaultOneWay, FaultSplit, FaultWeather, FaultCrashEngine, FaultPauseEngine,
+	FaultIsolate, FaultOneWay, FaultSplit, FaultBadNetwork, FaultCrashEngine, FaultPauseEngine,
 	FaultEngineLeaves, FaultCrashGateway, FaultPauseGateway, FaultListLag,
 	FaultCrashChanging, FaultStallOrder, FaultCutPeers, FaultCutLink, FaultLull, FaultCutOffController, FaultSecondLoss,
 	FaultStopController, FaultSwapVoter,
--- a/internal/simulation/faults_network.go
+++ b/internal/simulation/faults_network.go
@@ -9,8 +9,8 @@
 	victim := hosts[w.random.IntN(len(hosts))]
 	var cut []link
 	switch kind {
-	case FaultWeather:
-		return f.badWeather(kind)
+	case FaultBadNetwork:
+		return f.badNetwork(kind)
 	case FaultCutOffController:
 		victim = &c.host
 		cut = w.linksOf(victim)
@@ -58,8 +58,8 @@
 	}
 }
 
-// badWeather loses, doubles and delays messages everywhere.
-func (f *faults) badWeather(kind FaultKind) func() {
+// badNetwork loses, doubles and delays messages everywhere.
+func (f *faults) badNetwork(kind FaultKind) func() {
 	w := f.world
 	loss, duplication, slowness := w.random.Float64()*0.3, w.random.Float64()*0.2, w.random.Float64()*0.2
 	f.note(kind, "loss %.2f, duplication %.2f, slowness %.2f", loss, duplication, slowness)
