--- a/internal/property/faults.go
+++ b/internal/property/faults.go
@@ -29,6 +29,7 @@
 	engineFaults = []fault.Kind{
 		fault.Refuse, fault.Error, fault.LoseAnswer, fault.Cut, fault.Truncate, fault.EarlyDone, fault.Stall,
 		fault.Late, fault.Crossed, fault.WrongEcho, fault.Duplicate, fault.Skip,
+		fault.FailExport, fault.LoseHandle, fault.ForeignHandle,
 	}
 	pageFaults = []fault.Kind{
 		fault.Refuse, fault.Error, fault.LoseAnswer, fault.Late, fault.WrongEcho, fault.Truncate, fault.Cut,
