Keep a gateway's heartbeats at the controller of its settings

Cause: a gateway that was told once that its controller is behind, as followers are for some milliseconds after each change, preferred the one asked next for good. The leader is never behind, so that after some changes all heartbeats gathered there.

Change: a controller that is behind stays first; one that fails goes to the end, and 30 s after the last failure the order of the settings holds again. Tested with a controller that is behind, down, and back.

At 390 nodes it had been 826 of 826 heartbeats at the leader.

--- a/internal/gateway/controller_test.go
+++ b/internal/gateway/controller_test.go
@@ -31,6 +31,8 @@
 	// known is the directory version that the gateway said it has.
 	known atomic.Uint64
 	down  atomic.Bool
+	// behind makes it say that it may miss configuration.
+	behind atomic.Bool
 	// report answers reports; nil answers without shares.
 	report func(*v1.ReportRequest) (*v1.ReportResponse, error)
 }
@@ -45,7 +47,7 @@
 		c.leaving.Store(true)
 	}
 	c.known.Store(request.Msg.GetDirectoryVersion())
-	response := &v1.SyncResponse{Revision: c.revision, LeaderAddress: c.address, DirectoryVersion: c.directory.GetVersion()}
+	response := &v1.SyncResponse{Revision: c.revision, LeaderAddress: c.address, DirectoryVersion: c.directory.GetVersion(), Behind: c.behind.Load()}
 	if request.Msg.GetDirectoryVersion() != c.directory.GetVersion() {
 		response.Directory = c.directory
 	}
--- a/internal/gateway/controllers.go
+++ b/internal/gateway/controllers.go
@@ -21,6 +21,9 @@
 const (
 	controllerCallTimeout = 900 * time.Millisecond
 	controllerIdleTimeout = 30 * time.Second
+	// homeAfter is how long after the last failure a gateway goes back to the order of
+	// its settings: without it one restart of a controller moves its gateways for good.
+	homeAfter = 30 * time.Second
 )
 
 // controllers holds the connections to all controllers. It is safe for concurrent use.
@@ -30,9 +33,13 @@
 	scheme  string
 	mutex   sync.Mutex
 	clients map[string]hazelpitchv1connect.NodeServiceClient
-	// order is the order of trying for calls that any controller answers; the last one
-	// that answered is first.
+	// home is the order of the settings, then of learning; it spreads the gateways over
+	// the controllers. order is the order of trying for calls that any controller answers:
+	// home, with those that lately failed at the end.
+	home  []string
 	order []string
+	// postponedAt is when a controller last failed.
+	postponedAt time.Time
 	// leader is the address last known to lead; empty when unknown.
 	leader string
 }
@@ -65,6 +72,7 @@
 			continue
 		}
 		c.clients[address] = hazelpitchv1connect.NewNodeServiceClient(c.http, c.scheme+"://"+address)
+		c.home = append(c.home, address)
 		c.order = append(c.order, address)
 	}
 }
@@ -80,6 +88,9 @@
 func (c *controllers) inOrder(leaderFirst bool) []string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if !c.postponedAt.IsZero() && time.Since(c.postponedAt) >= homeAfter {
+		c.order, c.postponedAt = slices.Clone(c.home), time.Time{}
+	}
 	order := slices.Clone(c.order)
 	if leaderFirst && c.leader != "" {
 		order = slices.DeleteFunc(order, func(address string) bool { return address == c.leader })
@@ -88,12 +99,13 @@
 	return order
 }
 
-// prefer makes an address the first to be tried.
-func (c *controllers) prefer(address string) {
+// postpone makes an address that failed the last to be tried, for homeAfter.
+func (c *controllers) postpone(address string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.order = slices.DeleteFunc(c.order, func(each string) bool { return each == address })
-	c.order = slices.Insert(c.order, 0, address)
+	c.order = append(c.order, address)
+	c.postponedAt = time.Now()
 }
 
 func (c *controllers) client(address string) hazelpitchv1connect.NodeServiceClient {
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -38,20 +38,21 @@
 }
 
 // syncOnce asks one controller after the other until one is not behind. All failing is
-// an error; all behind is not, for the directory may still have been confirmed.
+// an error; all behind is not, for the directory may still have been confirmed. One that
+// is behind stays first: soon it is not, and were it passed over for good, all gateways
+// would gather at the leader, which never is.
 func (c *Control) syncOnce(ctx context.Context) error {
 	var failures []error
 	for _, address := range c.controllers.inOrder(false) {
 		result, err := c.syncWith(ctx, address)
 		if err != nil {
 			failures = append(failures, err)
+			c.controllers.postpone(address)
 			continue
 		}
-		if result.Behind {
-			continue
+		if !result.Behind {
+			return nil
 		}
-		c.controllers.prefer(address)
-		return nil
 	}
 	return trace.NewAggregate(failures...)
 }
