--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"slices"
 	"sync"
@@ -13,7 +14,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hazelpitch/hazelpitch/internal/pause"
-	"net/http"
 )
 
 const (
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -1,68 +1,15 @@
 package scale
 
 import (
-	"bytes"
-	"cmp"
 	"context"
 	"maps"
-	"path"
 	"path/filepath"
-	"runtime/pprof"
 	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
-	"golang.org/x/sync/errgroup"
-
-	"github.com/hazelpitch/hazelpitch/internal/pause"
 )
 
-// reading is all counters at one time.
-type reading struct {
-	at          time.Time
-	controllers []scrape
-	processor   []time.Duration // of controllers
-	engines     time.Duration
-	own         time.Duration
-	nodes       []nodeReading
-}
-
-type nodeReading struct{ received, sent, dials int64 }
-
-func (f *Fleet) read(ctx context.Context) (*reading, error) {
-	taken := &reading{
-		controllers: make([]scrape, len(f.controllers)), processor: make([]time.Duration, len(f.controllers)),
-		nodes: make([]nodeReading, len(f.Nodes)),
-	}
-	var group errgroup.Group
-	for controller, member := range f.controllers {
-		group.Go(func() error {
-			var err error
-			if taken.controllers[controller], err = f.scrapeController(ctx, controller); err != nil {
-				return trace.Wrap(err)
-			}
-			if pid := member.pid(); pid != 0 {
-				taken.processor[controller], err = processorTime(pid)
-			}
-			return trace.Wrap(err)
-		})
-	}
-	if err := group.Wait(); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	if pid := f.engines.pid(); pid != 0 {
-		var err error
-		if taken.engines, err = processorTime(pid); err != nil {
-			return nil, trace.Wrap(err)
-		}
-	}
-	for number, node := range f.Nodes {
-		taken.nodes[number] = nodeReading{node.received.Load(), node.sent.Load(), node.dials.Load()}
-	}
-	taken.own, taken.at = ownProcessorTime(), time.Now()
-	return taken, nil
-}
-
 // Measure counts what the fleet uses over a window.
 func (f *Fleet) Measure(ctx context.Context, window time.Duration, traffic *Traffic) (*Measurement, error) {
 	leader, err := f.Leader(ctx)
@@ -100,66 +47,6 @@
 // separate reports whether the members are processes of their own.
 func (f *Fleet) separate() bool { return f.engines.pid() != 0 }
 
-// profileWindow waits for the window and takes processor profiles when the members are
-// processes of their own.
-func (f *Fleet) profileWindow(ctx context.Context, window time.Duration, leader int) ([]ProfileUsage, error) {
-	if !f.separate() {
-		if !pause.For(ctx, window) {
-			return nil, trace.Wrap(ctx.Err())
-		}
-		return nil, nil
-	}
-	var own bytes.Buffer
-	if err := pprof.StartCPUProfile(&own); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	parts := make([]map[string]float64, len(f.controllers))
-	var group errgroup.Group
-	for controller := range f.controllers {
-		group.Go(func() (err error) {
-			parts[controller], err = f.profileController(ctx, controller, window)
-			return trace.Wrap(err)
-		})
-	}
-	err := group.Wait()
-	pprof.StopCPUProfile()
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	gateways, err := profileParts(&own, gatewayParts, window)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	usages := profileUsages(RoleGateway, gateways, len(f.Nodes))
-	sums, counts := map[Role]map[string]float64{}, map[Role]int{}
-	for controller, each := range parts {
-		role := f.roleOf(controller, leader)
-		if sums[role] == nil {
-			sums[role] = map[string]float64{}
-		}
-		counts[role]++
-		for part, share := range each {
-			sums[role][part] += share
-		}
-	}
-	for _, role := range controllerRoles {
-		usages = append(usages, profileUsages(role, sums[role], counts[role])...)
-	}
-	return usages, nil
-}
-
-var controllerRoles = []Role{RoleLeader, RoleVoter, RoleStandby}
-
-// profileUsages lists parts, the largest first, for one member of a role.
-func profileUsages(role Role, parts map[string]float64, members int) []ProfileUsage {
-	var usages []ProfileUsage
-	for _, part := range slices.Sorted(maps.Keys(parts)) {
-		usages = append(usages, ProfileUsage{Role: role, Part: part, Processor: parts[part] / float64(members)})
-	}
-	slices.SortStableFunc(usages, func(a, b ProfileUsage) int { return cmp.Compare(b.Processor, a.Processor) })
-	return usages
-}
-
 func (f *Fleet) roleOf(controller, leader int) Role {
 	switch {
 	case controller == leader:
@@ -249,46 +136,3 @@
 	count := float64(members)
 	return DutyUsage{Role: role, Duty: duty, Messages: d.Messages / count, Received: d.Received / count, Sent: d.Sent / count, Core: d.Core / count}
 }
-
-// addDuties adds one controller's calls by procedure, steps of its core by input, and
-// bytes by kind of connection.
-func addDuties(duties map[string]*DutyUsage, before, after scrape, seconds float64) {
-	duty := func(name string) *DutyUsage {
-		if duties[name] == nil {
-			duties[name] = &DutyUsage{}
-		}
-		return duties[name]
-	}
-	perSecond := func(family, label string, labels ...string) map[string]float64 {
-		rates := map[string]float64{}
-		then := before.filter(family, labels).byLabel(family, label)
-		for name, value := range after.filter(family, labels).byLabel(family, label) {
-			rates[name] = (value - then[name]) / seconds
-		}
-		return rates
-	}
-	for procedure, rate := range perSecond("hazelpitch_controller_calls_total", "procedure") {
-		duty("call " + path.Base(procedure)).Messages += rate
-	}
-	for procedure, rate := range perSecond("hazelpitch_controller_message_bytes_total", "procedure", "direction", "received") {
-		duty("call " + path.Base(procedure)).Received += rate
-	}
-	for procedure, rate := range perSecond("hazelpitch_controller_message_bytes_total", "procedure", "direction", "sent") {
-		duty("call " + path.Base(procedure)).Sent += rate
-	}
-	for input, rate := range perSecond("hazelpitch_controller_core_steps_total", "input") {
-		duty("step " + input).Messages += rate
-	}
-	for input, rate := range perSecond("hazelpitch_controller_core_step_seconds_total", "input") {
-		duty("step " + input).Core += rate
-	}
-	for connection, rate := range perSecond("hazelpitch_controller_wire_bytes_total", "connection", "direction", "received") {
-		duty("wire " + connection).Received += rate
-	}
-	for connection, rate := range perSecond("hazelpitch_controller_wire_bytes_total", "connection", "direction", "sent") {
-		duty("wire " + connection).Sent += rate
-	}
-	for name, rate := range perSecond("hazelpitch_controller_engine_exchanges_total", "duty") {
-		duty("engine " + name).Messages += rate
-	}
-}
--- a/internal/scale/measurement.go
+++ b/internal/scale/measurement.go
@@ -80,7 +80,7 @@
 	Traffic  TrafficCounts  `json:"traffic"`
 	// LeaderChanges counts the terms begun in the window.
 	LeaderChanges float64 `json:"leader_changes"`
-	// SyncFailures and ReportFailures are calls of nodes that no controller answered.
+	// Spreads are the changes submitted after the window.
 	Spreads []ChangeSpread `json:"spreads"`
 }
 
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -126,7 +126,6 @@
 	callPort        = 7400
 	adminPort       = 7401
 	firstEnginePort = 8000
-	clientSubnet    = 250 // of the bench itself: next door to everything
 )
 
 func (p Plan) host(zone, host int) string {
