Let a new leader renew whole shares while it settles

Cause: for the 4 s in which a new leader may grant no more than gateways hold, it granted the smaller of that and of the moment's demand: a share that shrank in a quiet second could not grow back, and tenants far below their limits were refused after each leader's loss.

Change: while it settles a leader renews what a gateway holds, within what is left of the limit. The property test of histories with leader changes (never beyond the limit) holds as before.

TestNewLeaderRenewsWhatGatewaysHold fails before.

--- a/internal/shares/divider.go
+++ b/internal/shares/divider.go
@@ -98,9 +98,11 @@
 		expiresAt: now + d.lifetime,
 	}
 	if now < d.settledAt && d.safeguards.On(SafeguardSettle) {
-		// What the predecessor granted sums up to the limit at most: renew no more.
-		share.tokens = min(share.tokens, demand.HeldTokensPerSecond)
-		share.concurrency = min(share.concurrency, demand.HeldConcurrency)
+		// What the predecessor granted sums up to the limit at most: renew that, and no
+		// more. Nor less for want of demand in this moment: it could not grow back
+		// before the predecessor's shares have run out.
+		share.tokens = min(availableTokens, demand.HeldTokensPerSecond)
+		share.concurrency = uint32(min(availableConcurrency, uint64(demand.HeldConcurrency)))
 	}
 	lease.granted = append(lease.granted, share)
 	owner.count(now, lease)
--- a/internal/shares/divider_test.go
+++ b/internal/shares/divider_test.go
@@ -135,10 +135,16 @@
 	gateway := &testGateway{name: "gateway"}
 	gateway.report(0, divider, 500, limits, false)
 	require.Equal(t, uint64(100), gateway.share.TokensPerSecond)
+	granted := gateway.share
 	next := New(0, safeguard.Set{})
 	next.Lead(time.Second, false)
 	gateway.report(time.Second, next, 500, limits, false)
 	require.Equal(t, uint64(100), gateway.share.TokensPerSecond, "renewed without a gap")
+	gateway.report(1500*time.Millisecond, next, 0, limits, false)
+	require.Equal(t, uint64(100), gateway.share.TokensPerSecond, "a moment without demand takes nothing that could not come back")
+	require.Equal(t, granted.Concurrency, gateway.share.Concurrency)
+	gateway.report(2*time.Second, next, 500, limits, false)
+	require.Equal(t, uint64(100), gateway.share.TokensPerSecond)
 	stranger := &testGateway{name: "stranger"}
 	stranger.report(time.Second, next, 500, limits, false)
 	require.Zero(t, stranger.share.TokensPerSecond)
