--- a/internal/load/scenario_test.go
+++ b/internal/load/scenario_test.go
@@ -44,6 +44,27 @@
 	}
 }
 
+func TestAddresses(t *testing.T) {
+	target := Target{
+		Gateways: []string{"g1", "g2"}, GatewayZones: []string{"north", "south"}, Engines: []string{"e1"}, Pages: []string{"p1"},
+	}
+	direct := target
+	direct.Gateways = nil
+	for _, test := range []struct {
+		target Target
+		of     request
+		want   string
+	}{
+		{target, request{chat: true, zone: "south"}, "g2"},
+		{target, request{chat: true, arrival: arrival{number: 1}}, "g2"},
+		{target, request{}, "g1"},
+		{direct, request{chat: true, zone: "south"}, "e1"},
+		{direct, request{zone: "south"}, "p1"},
+	} {
+		require.Equal(t, test.want, test.target.address(test.of))
+	}
+}
+
 func TestPromptsOfOneDossierBeginAlike(t *testing.T) {
 	texts := newPrompts(1)
 	short, long := texts.text("d", 10, 1, 20), texts.text("d", 50, 2, 80)
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -21,12 +21,14 @@
 
 // address of the back end or gateway that takes a request.
 func (t Target) address(of request) string {
-	list := t.gatewaysOf(of.zone)
-	if t.Direct() {
+	var list []string
+	switch {
+	case !t.Direct():
+		list = t.gatewaysOf(of.zone)
+	case of.chat:
+		list = t.Engines
+	default:
 		list = t.Pages
-		if of.chat {
-			list = t.Engines
-		}
 	}
 	return list[(of.arrival.number+of.detour)%len(list)]
 }
