Let a region that is cut off go on serving, and operators get past its old leader

Cause: (1) a gateway whose own controllers have no quorum asked each unreachable one in the same round, 0.9 s each, so that its directory was confirmed less often than back ends need. (2) A controller that hears fewer than half of the engines said nothing of any, also not of its own region's that answer. (3) A key that a gateway had not met waited for a controller that is not behind, though one that is behind had answered whose it is. (4) A follower passed a change on to a leader that was cut off and waited 10 s for it.

Change: (1) once a controller that is behind has confirmed the directory one more is asked in that round, another one in the next. (2) Silent engines are told of as unspecified when most are silent: gateways keep what they know and it is not confirmed; engines that answer are told of as ever. (3) Keys with an owner are answered at once. (4) A passed-on call ends when another leader is known.

--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -14,7 +14,8 @@
 func (c *controller) serve(ctx context.Context) error {
 	shared := &service{
 		loop: c.loop, calls: c.calls, peers: c.peers, peerURL: peerURL(c.config.TLS.Enabled()), log: c.log,
-		answered: func(procedure, code string) { c.instruments.calls.WithLabelValues(procedure, code).Inc() },
+		leaderAddress: func() string { return c.core.Status().Consensus.LeaderAddress },
+		answered:      func(procedure, code string) { c.instruments.calls.WithLabelValues(procedure, code).Inc() },
 	}
 	operator := operatorService{service: shared, firstKeyHash: c.config.OperatorKeyHash, lookUp: c.core.Operator}
 	routes := handler(c.config.Fleet, c.instruments.countMessages(), consensusService{loop: c.loop, fleet: c.config.Fleet}, nodeService{shared}, operator)
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -11,11 +11,20 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/control"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/pause"
 )
 
 // callTimeout ends a call whose client set no shorter deadline.
 const callTimeout = 10 * time.Second
 
+// leaderPoll is the time between two looks at who leads while a call is passed on.
+const leaderPoll = 100 * time.Millisecond
+
+// errLeaderChanged answers a call that was passed on to a leader which does not lead any
+// more as far as this controller knows. It may have had an effect.
+var errLeaderChanged = trace.ConnectionProblem(nil,
+	"the leader changed before it answered; send the call again with the same identity")
+
 // service is what the handlers of the three services share.
 type service struct {
 	loop  *loop
@@ -25,6 +34,8 @@
 	// peerURL makes the base URL of another controller.
 	peerURL func(address string) string
 	log     *logring.Log
+	// leaderAddress is the leader's as far as this controller knows. It runs on the loop.
+	leaderAddress func() string
 	// answered counts calls by procedure and code.
 	answered func(procedure, code string)
 }
@@ -46,7 +57,12 @@
 		passedOn := connect.NewRequest(request.Msg)
 		passedOn.Header().Set(headerForwarded, "1")
 		passedOn.Header().Set(headerAuthorization, request.Header().Get(headerAuthorization))
-		response, err = forward(ctx, s.peers, s.peerURL(notLeader.Leader), passedOn)
+		leading, stop := s.whileLeading(ctx, notLeader.Leader)
+		defer stop()
+		response, err = forward(leading, s.peers, s.peerURL(notLeader.Leader), passedOn)
+		if err != nil && errors.Is(context.Cause(leading), errLeaderChanged) {
+			err = errLeaderChanged
+		}
 	}
 	err = connectError(err)
 	s.count(request.Spec().Procedure, err)
@@ -56,6 +72,25 @@
 	return connect.NewResponse(response.Msg), nil
 }
 
+// whileLeading returns a context that ends when the controller behind the address is no
+// longer known to lead: a leader that is cut off would be waited for in vain.
+func (s *service) whileLeading(ctx context.Context, address string) (context.Context, context.CancelFunc) {
+	leading, cancel := context.WithCancelCause(ctx)
+	go func() {
+		for pause.For(leading, leaderPoll) {
+			var known string
+			if err := s.loop.inspect(leading, func() { known = s.leaderAddress() }); err != nil {
+				return
+			}
+			if known != address {
+				cancel(errLeaderChanged)
+				return
+			}
+		}
+	}()
+	return leading, func() { cancel(context.Canceled) }
+}
+
 func serveHere[Request, Response any](ctx context.Context, s *service, input func(control.CallID) control.Input) (*connect.Response[Response], error) {
 	message, err := s.calls.do(ctx, s.loop, input)
 	if err != nil {
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -40,19 +40,25 @@
 // syncOnce asks one controller after the other until one is not behind. All failing is
 // an error; all behind is not, for the directory may still have been confirmed. One that
 // is behind stays first: soon it is not, and were it passed over for good, all gateways
-// would gather at the leader, which never is.
+// would gather at the leader, which never is. Once one that is behind has confirmed the
+// directory only one more is asked, another in each round: when a region is cut off, all
+// others may be out of reach, and waiting for each would leave the directory unconfirmed.
 func (c *Control) syncOnce(ctx context.Context) error {
 	var failures []error
+	confirmed := false
 	for _, address := range c.controllers.inOrder(false) {
 		result, err := c.syncWith(ctx, address)
 		if err != nil {
 			failures = append(failures, err)
 			c.controllers.postpone(address)
-			continue
+		} else if !result.Behind {
+			return nil
 		}
-		if !result.Behind {
+		if confirmed {
+			c.controllers.postpone(address)
 			return nil
 		}
+		confirmed = err == nil && result.DirectoryConfirmed
 	}
 	return trace.NewAggregate(failures...)
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -104,16 +104,18 @@
 	if v.onRevision != nil && snapshot.Revision != before.Revision {
 		v.onRevision(snapshot.Revision)
 	}
-	if !result.Behind {
-		v.answerWaiting(c.request.GetUnknownKeyHashes(), snapshot)
-	}
+	v.answerWaiting(c.request.GetUnknownKeyHashes(), snapshot, result.Behind)
 	c.reply <- result
 }
 
-// answerWaiting tells the requests that wait for the asked keys.
-func (v *view) answerWaiting(asked []string, snapshot *gatewaystate.Snapshot) {
+// answerWaiting tells the requests that wait for the asked keys. A controller that may be
+// behind knows whom a key belongs to, but not that it belongs to no one.
+func (v *view) answerWaiting(asked []string, snapshot *gatewaystate.Snapshot, behind bool) {
 	for _, keyHash := range asked {
 		_, status := snapshot.Tenant(keyHash)
+		if behind && status != gatewaystate.KeyAccepted {
+			continue
+		}
 		for _, reply := range v.waiting[keyHash] {
 			reply <- status
 		}
--- a/internal/gatewaystate/directory.go
+++ b/internal/gatewaystate/directory.go
@@ -16,18 +16,33 @@
 }
 
 // replace takes a directory whose readings were made at readAt or later. now is the time
-// the answer arrived; the ages of loads count from it.
+// the answer arrived; the ages of loads count from it. Of a back end whose state is
+// unspecified the controller says nothing: what was known of it stays.
 func (d *directory) replace(now, readAt time.Duration, next *v1.Directory) {
+	known := map[string]routing.BackEnd{}
+	for _, backEnd := range d.backEnds {
+		known[backEnd.Name] = backEnd
+	}
 	d.version = next.GetVersion()
 	d.backEnds = make([]routing.BackEnd, 0, len(next.GetBackEnds()))
 	for _, listed := range next.GetBackEnds() {
-		d.backEnds = append(d.backEnds, backEndOf(now, readAt, listed))
+		backEnd := backEndOf(now, readAt, listed)
+		if listed.GetState() == v1.BackEndState_BACK_END_STATE_UNSPECIFIED {
+			if before, was := known[backEnd.Name]; was {
+				backEnd = before
+			}
+			backEnd.Unconfirmed = true
+		}
+		d.backEnds = append(d.backEnds, backEnd)
 	}
 }
 
 // confirm tells that readings made at readAt or later still hold the directory.
 func (d *directory) confirm(readAt time.Duration) {
 	for i := range d.backEnds {
+		if d.backEnds[i].Unconfirmed {
+			continue
+		}
 		d.backEnds[i].ConfirmedAt = max(d.backEnds[i].ConfirmedAt, readAt)
 	}
 }
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -34,10 +34,12 @@
 
 // Directory returns the back ends for the gateways of a zone. It reports false while
 // this controller's readings are not good enough to say anything: before every
-// machine was polled once, and when fewer than half of the engines answer, which
-// tells more about this controller's network than about the engines.
+// machine was polled once. When fewer than half of the engines answer, that tells more
+// about this controller's network than about the silent ones, whose state is then
+// unspecified; those that answer are told of all the same, so that a region which is cut
+// off goes on with its own.
 func (t *Tracker) Directory(now time.Duration, zone string) (Directory, bool) {
-	if !t.credible(now) {
+	if !t.polled(now) {
 		return Directory{Age: math.MaxInt64}, false
 	}
 	cached := t.directories[zone]
@@ -66,22 +68,24 @@
 	return backEnds
 }
 
-// credible reports whether this controller's readings say something about the engines.
-func (t *Tracker) credible(now time.Duration) bool {
-	if !t.listed || now-t.firstListAt < t.config.PollInterval+t.config.PollInterval/2 {
-		return false
-	}
+// polled reports whether every machine of the first list was polled.
+func (t *Tracker) polled(now time.Duration) bool {
+	return t.listed && now-t.firstListAt >= t.config.PollInterval+t.config.PollInterval/2
+}
+
+// hearsFew reports whether fewer than half of the engines answer this controller.
+func (t *Tracker) hearsFew(now time.Duration) bool {
 	engines, answering := 0, 0
 	for _, machine := range t.machines {
 		if machine.page || !machine.Listed {
 			continue
 		}
 		engines++
-		if machine.State != nil && now-machine.AnsweredAt <= t.config.Freshness {
+		if !machine.silent(now, t.config.Freshness) {
 			answering++
 		}
 	}
-	return 2*answering >= engines
+	return 2*answering < engines
 }
 
 // chosen lists the machines of a zone's directory, the services by name.
@@ -99,8 +103,12 @@
 	directory.Age = 0
 	digest := xxhash.New()
 	var buffer [8]byte
+	hearsFew := t.hearsFew(now)
 	for _, machine := range directory.machines {
 		state, age := machine.backEndState(now, t.listAt, t.config.Freshness)
+		if hearsFew && state == v1.BackEndState_BACK_END_STATE_CHANGING && machine.silent(now, t.config.Freshness) {
+			state = v1.BackEndState_BACK_END_STATE_UNSPECIFIED
+		}
 		binary.BigEndian.PutUint64(buffer[:], machine.describe(state))
 		_, _ = digest.Write(buffer[:]) // never fails, by its documentation
 		directory.Age = max(directory.Age, age)
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -48,7 +48,7 @@
 		}
 		return v1.BackEndState_BACK_END_STATE_SERVING, now - listAt
 	}
-	if m.State == nil || now-m.AnsweredAt > freshness {
+	if m.silent(now, freshness) {
 		return v1.BackEndState_BACK_END_STATE_CHANGING, 0
 	}
 	switch m.State.State {
@@ -60,3 +60,8 @@
 		return v1.BackEndState_BACK_END_STATE_CHANGING, 0
 	}
 }
+
+// silent reports whether an engine has not answered lately. Page services are not asked.
+func (m *Machine) silent(now, freshness time.Duration) bool {
+	return !m.page && (m.State == nil || now-m.AnsweredAt > freshness)
+}
--- a/internal/routing/backend.go
+++ b/internal/routing/backend.go
@@ -22,6 +22,9 @@
 	Adapters []string
 	// ConfirmedAt is the last time a fresh source said that State holds.
 	ConfirmedAt time.Duration
+	// Unconfirmed tells that the directory says nothing of the state: what is known stays,
+	// and a directory that still says the same does not confirm it.
+	Unconfirmed bool
 	// Load is the load as it was at LoadAt; it counts only when HasLoad is set.
 	Load    Load
 	LoadAt  time.Duration
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -86,10 +86,12 @@
 }
 
 // Confirm tells that a fresh source still says what the directory says: the state
-// of every back end in it held at the given time.
+// of every back end in it held at the given time, except where it says nothing.
 func (r *Router) Confirm(at time.Duration) {
 	for _, candidate := range r.candidates {
-		candidate.confirm(at)
+		if !candidate.Unconfirmed {
+			candidate.confirm(at)
+		}
 	}
 }
 
