Let results of experiments go without their fleets

Cause: a suite's results pointed into their recorders, which held engines, gateways and requests of every finished run: hazelbench experiment grew by 39 MB for each run, to 20 GB in one suite.

--- a/internal/experiment/recorder.go
+++ b/internal/experiment/recorder.go
@@ -167,5 +167,6 @@
 	r.run.Latencies = Latencies{
 		FirstToken: PercentilesOf(r.firstToken), BetweenTokens: PercentilesOf(r.betweenTokens), Whole: PercentilesOf(r.whole),
 	}
-	return &r.run
+	result := r.run // a pointer into the recorder would keep the world alive
+	return &result
 }
