Leave small answers to nodes uncompressed

Cause: every answer to a heartbeat or a report, some hundred bytes, was compressed; the leader's core is what breaks first, and a node uses a quarter of its bytes.

Change: controllers compress answers from 4 KB on: whole configurations and directories.

--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -24,6 +24,9 @@
 	maximumNodeMessage = 16 << 20
 	// maximumPeerMessage bounds what controllers send each other; a snapshot is one message.
 	maximumPeerMessage = 256 << 20
+	// compressMinimum is the size from which answers are compressed: heartbeats and
+	// reports stay below it, whole configurations and directories are above.
+	compressMinimum = 4 << 10
 	// shutdownTimeout is how long a stopping controller waits for calls in hand.
 	shutdownTimeout = time.Second
 )
@@ -73,7 +76,7 @@
 // controllers are among them everywhere, for they pass calls on to the leader.
 func handler(fleet string, interceptor connect.Interceptor, consensus consensusService, node nodeService, operator operatorService) http.Handler {
 	routes := http.NewServeMux()
-	intercepted := connect.WithInterceptors(interceptor)
+	intercepted := connect.WithHandlerOptions(connect.WithInterceptors(interceptor), connect.WithCompressMinBytes(compressMinimum))
 	path, service := hazelpitchv1connect.NewConsensusServiceHandler(consensus, connect.WithReadMaxBytes(maximumPeerMessage), intercepted)
 	routes.Handle(path, keys.RequireRole(service, fleet, keys.RoleController))
 	path, service = hazelpitchv1connect.NewNodeServiceHandler(node, connect.WithReadMaxBytes(maximumNodeMessage), intercepted)
