Count the prompts that back ends have yet to read when refusing early

Cause: the pace of a kind tells of requests that have had their first token; in a sudden overload it comes seconds late, and requests started meanwhile missed their deadlines.

Change: admission counts the prompt tokens that it has started and that have no first token, of the request's priority and above, over the rate at which first tokens come; that wait counts when it is longer than the pace says.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -14,6 +14,7 @@
 	window   window
 	rate     serviceRate
 	paces    paces
+	reading  reading
 	sequence uint64
 
 	tenants map[string]*tenantQueue
@@ -46,6 +47,7 @@
 	return &Core{
 		config:  config,
 		paces:   paces,
+		reading: newReading(),
 		window:  window{size: config.InitialWindow, minimum: config.MinimumWindow, target: config.WaitTarget},
 		tenants: make(map[string]*tenantQueue),
 		waiting: btree.NewG(treeDegree, fairOrder),
@@ -95,6 +97,7 @@
 	c.window.start(next.cost)
 	next.startedAt = now
 	c.paces.started(now, &next.Request)
+	c.reading.started(next)
 	c.virtualTime = max(c.virtualTime, queue.startTag)
 	queue.inFlight++
 	queue.finishTag = queue.startTag + next.cost/c.part(next)
@@ -137,6 +140,7 @@
 	writing.firstToken = max(now-writing.startedAt, 1)
 	c.paces.firstToken(now, writing.Class, writing.firstToken)
 	writing.wait = wait
+	c.reading.ended(now, writing, true)
 }
 
 // Finish ends a started request and corrects the tenant's part by what was used.
@@ -146,6 +150,9 @@
 		return
 	}
 	delete(c.started, id)
+	if ended.firstToken == 0 {
+		c.reading.ended(now, ended, false)
+	}
 	c.window.finish(now, ended, result)
 	c.paces.finished(now, ended, result)
 	used := ended.cost
--- a/internal/admission/deadline.go
+++ b/internal/admission/deadline.go
@@ -57,7 +57,7 @@
 	if e.start == noDeadline {
 		return 0
 	}
-	start := e.Deadline - c.paces.serviceTime(now, &e.Request)
+	start := e.Deadline - c.paces.serviceTime(now, &e.Request, c.reading.wait(e.Priority))
 	if start < now {
 		return now - start
 	}
--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -92,13 +92,13 @@
 }
 
 // serviceTime is how long a request of this class takes from its start, by what has
-// lately been seen and with one deviation of the first token's time as a margin. It is
-// never less than the request's own minimum, and just that when nothing was seen lately.
-func (p paces) serviceTime(now time.Duration, asked *Request) time.Duration {
+// lately been seen and with one deviation of the first token's time as a margin; reading
+// is the time that back ends need for the prompts started before it. It is never less than the request's own minimum, and just that when nothing was seen lately.
+func (p paces) serviceTime(now time.Duration, asked *Request, reading time.Duration) time.Duration {
 	known, found := p.classes.Peek(asked.Class)
 	if !found || known.stale(now) {
 		return asked.MinimumTime
 	}
-	expected := known.firstToken + known.deviation + time.Duration(asked.OutputTokens)*known.interval
+	expected := max(known.firstToken+known.deviation, reading) + time.Duration(asked.OutputTokens)*known.interval
 	return max(expected, asked.MinimumTime)
 }
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -9,6 +9,8 @@
 	Tenant string
 	// Class names requests that take alike long at back ends: their kind.
 	Class string
+	// Priority is the order in which back ends read prompts, higher first.
+	Priority int32
 	// Weight is the tenant's part under contention; 0 counts as 1.
 	Weight uint32
 	// Worth of the request when it completes in time.
--- a/internal/experiment/gateway.go
+++ b/internal/experiment/gateway.go
@@ -95,7 +95,7 @@
 	g.waiting[uint64(asked.Number)] = asked
 	service := g.services[asked.kind.Service]
 	g.refuse(service.Offer(g.world.now, admission.Request{
-		ID: uint64(asked.Number), Tenant: asked.tenant, Class: asked.kind.Name, Weight: 1, Worth: asked.kind.Worth,
+		ID: uint64(asked.Number), Tenant: asked.tenant, Class: asked.kind.Name, Priority: int32(asked.kind.Priority), Weight: 1, Worth: asked.kind.Worth,
 		PromptTokens: estimate.PromptTokens, OutputTokens: estimate.OutputTokens,
 		Bytes: int64(asked.PromptTokens * bytesPerToken), Deadline: asked.deadline,
 		MinimumTime: time.Duration(estimate.OutputTokens) * fastestTokenInterval,
--- a/internal/gateway/accounting.go
+++ b/internal/gateway/accounting.go
@@ -43,6 +43,7 @@
 		request: admission.Request{
 			Tenant:       c.tenant.Name,
 			Class:        c.target.kind.Name,
+			Priority:     c.target.kind.Spec.GetPriority(),
 			Weight:       c.tenant.Spec.GetWeight(),
 			Worth:        c.target.kind.Spec.GetWorth(),
 			PromptTokens: prompt,
--- a/internal/gateway/page.go
+++ b/internal/gateway/page.go
@@ -106,6 +106,7 @@
 		request: admission.Request{
 			Tenant:       p.tenant.Name,
 			Class:        p.kind.Name,
+			Priority:     p.kind.Spec.GetPriority(),
 			Weight:       p.tenant.Spec.GetWeight(),
 			Worth:        p.kind.Spec.GetWorth(),
 			OutputTokens: 1,
