--- a/internal/benchcommand/experiment.go
+++ b/internal/benchcommand/experiment.go
@@ -61,7 +61,7 @@
 		return trace.Wrap(err)
 	}
 	if e.Write != "" {
-		return trace.Wrap(experiment.WriteBenchmarks(e.Write, e.commandLine(), runs))
+		return trace.Wrap(experiment.WriteBenchmarks(e.Write, e.commandLine(), !e.KeptOnly, runs))
 	}
 	if e.JSON {
 		return trace.Wrap(writeRuns(environment, runs))
--- a/internal/experiment/benchmarks.go
+++ b/internal/experiment/benchmarks.go
@@ -13,14 +13,15 @@
 
 // WriteBenchmarks writes the page of a suite's runs: for each scenario and policy the
 // goodput as a share of the clairvoyant bound, the role changes and the deadline misses,
-// as the median over the seeds with the least and the greatest.
-func WriteBenchmarks(path, commandLine string, runs []*Run) error {
+// as the median over the seeds with the least and the greatest. whole tells that every
+// run of the suite is among them.
+func WriteBenchmarks(path, commandLine string, whole bool, runs []*Run) error {
 	file, err := os.Create(path)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
 	writer := &errorWriter{out: file}
-	writeBenchmarks(writer, commandLine, runs)
+	writeBenchmarks(writer, commandLine, whole, runs)
 	return trace.NewAggregate(writer.err, file.Close())
 }
 
@@ -44,7 +45,7 @@
 
 in virtual time (package internal/experiment): the engines follow
 [the engine profile](ENGINE-PROFILE.md), and the decisions are the product's own.
-The same command gives the same page.
+%s
 
 * **of bound**: worth completed in time as a share of the bound, the highest worth that
   any plan reached in the search for the clairvoyant plan of the same scenario and seed.
@@ -60,8 +61,12 @@
   clairvoyant (knows all arrivals, pays for changes, best under the declared trade).
 `
 
-func writeBenchmarks(w *errorWriter, commandLine string, runs []*Run) {
-	w.line(benchmarksIntroduction, commandLine, seedRange(runs), seedRange(withBound(runs)))
+func writeBenchmarks(w *errorWriter, commandLine string, whole bool, runs []*Run) {
+	extent := "The same command gives the same page."
+	if !whole {
+		extent = "The sweep was broken off: rows, seeds and bounds that are missing were not run. The\ncommand runs them all."
+	}
+	w.line(benchmarksIntroduction, commandLine, extent, seedRange(runs), seedRange(withBound(runs)))
 	writeGoals(w, runs)
 	for _, group := range groupRuns(runs, scenarioKey) {
 		w.line("## %s\n", scenarioKey(group[0]))
