Add drills of the losses that a fleet must outlive

It tells times to recover, calls and bytes at controllers and nodes before and after, requests refused and sent to lost engines, and whether every node and controller came to the last revision and none went back; it exits non-zero when a promise does not hold.

--- a/internal/benchcommand/scale.go
+++ b/internal/benchcommand/scale.go
@@ -38,6 +38,8 @@
 	SteadyPause   time.Duration `long:"steady-pause" default:"1s" description:"that pause; 2,300 a day are one every 37.6s"`
 	Sweep         string        `long:"sweep" choice:"nodes" choice:"replicas" choice:"tenants" description:"measure several sizes of one dimension, the rest held small, and fit lines"`
 	Inside        bool          `long:"inside" description:"run controllers and engines inside this process; processor time is not told apart"`
+	Drill         string        `long:"drill" value-name:"NAME" description:"bring about a loss and measure what recovers and when: day, leader, rack, region, regions, restart, two-faults or zone; see docs/DRILLS.md"`
+	Hold          time.Duration `long:"hold" default:"20s" description:"how long the loss of a drill lasts"`
 	JSON          bool          `long:"json" description:"print JSON in place of tables"`
 	Seed          uint64        `long:"seed" default:"1" description:"seed of the requests"`
 	Directory     string        `long:"directory" value-name:"DIR" description:"where data and logs go; default: a temporary directory that is removed at the end"`
@@ -83,6 +85,9 @@
 	if s.Inside {
 		options.Arguments = nil
 	}
+	if s.Drill != "" {
+		return s.drill(ctx, environment, options)
+	}
 	if s.Sweep != "" {
 		return s.sweep(ctx, environment, options)
 	}
@@ -116,6 +121,23 @@
 	return s.write(environment.Stdout, swept)
 }
 
+func (s *scaleFlags) drill(ctx context.Context, environment Environment, options scale.RunOptions) error {
+	drill, err := scale.FindDrill(s.Drill)
+	if err != nil {
+		return &usageError{cause: err}
+	}
+	report, err := scale.RunDrill(ctx, drill, scale.DrillOptions{
+		Options: options.Options, Traffic: options.Traffic, Settle: s.Settle, Hold: s.Hold, Progress: options.Progress,
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := s.write(environment.Stdout, report); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(report.Failed())
+}
+
 func memberArguments(specPath string) []string { return []string{scaleMemberName, specPath} }
 
 // scaleMember runs one member of a scale fleet until it is stopped or the fleet ends.
--- a/internal/scale/cuts.go
+++ b/internal/scale/cuts.go
@@ -26,6 +26,21 @@
 			}
 		}
 	}
+	return f.addCuts(cuts)
+}
+
+// CutRegions cuts two regions from each other; both still reach all others.
+func (f *Fleet) CutRegions(one, other int) error {
+	var cuts []Cut
+	for _, zone := range f.Plan.RegionZones(one) {
+		for _, far := range f.Plan.RegionZones(other) {
+			cuts = append(cuts, Cut{One: zone, Other: far})
+		}
+	}
+	return f.addCuts(cuts)
+}
+
+func (f *Fleet) addCuts(cuts []Cut) error {
 	f.mutex.Lock()
 	f.cuts = append(f.cuts, cuts...)
 	f.mutex.Unlock()
--- /dev/null
+++ b/internal/scale/drill_restart.go
@@ -0,0 +1,35 @@
+package scale
+
+import (
+	"context"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	// herdFactor and herdFloor bound the busiest controller's peak of calls when a zone
+	// restarts: that many times the usual peak, or that many calls a second for each
+	// node that restarts when this is more.
+	herdFactor = 2
+	herdFloor  = 4
+)
+
+// runRestart restarts all nodes of the first zone at once.
+func runRestart(ctx context.Context, d *drilling) error {
+	lost := loss{nodes: d.fleet.NodesIn(0)}
+	if err := d.lose(lost); err != nil {
+		return trace.Wrap(err)
+	}
+	d.watch.window()
+	if err := d.comesBack(ctx, lost); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := d.hold(ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	load := d.watch.peek()
+	bound := max(herdFactor*d.report.Calm.PeakCalls, float64(herdFloor*len(lost.nodes)))
+	d.require(load.PeakCalls <= bound, "the restart took the busiest controller to %.0f calls a second, more than %.0f", load.PeakCalls, bound)
+	d.require(load.LeaderChanges == 0, "the restart changed the leader")
+	return nil
+}
--- a/internal/scale/traffic.go
+++ b/internal/scale/traffic.go
@@ -33,6 +33,9 @@
 	ClaimedShare float64
 	// Duration of a request; 0 means that of the target.
 	Duration time.Duration
+	// Decided, when not nil, is told what was decided on each request: the engine it was
+	// sent to, or the refusal.
+	Decided func(node *Node, engine string, refusal error)
 }
 
 // Traffic counts what became of the requests.
@@ -86,12 +89,18 @@
 
 func (t *Traffic) refuse(err error) {
 	t.Refused.Add(1)
-	code, _, _ := strings.Cut(err.Error(), ":")
+	code := refusalCode(err)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.refusals[code]++
 }
 
+// refusalCode is what a refusal says up to the first colon.
+func refusalCode(err error) string {
+	code, _, _ := strings.Cut(err.Error(), ":")
+	return code
+}
+
 // StartTraffic lets every node make the decisions of requests until the context ends.
 // The requests run at no engine.
 func (f *Fleet) StartTraffic(ctx context.Context, options TrafficOptions) *Traffic {
@@ -124,7 +133,7 @@
 			trial.IdempotencyKey = fmt.Sprintf("%s-%d-%d", node.Name, number, source.Uint64())
 			traffic.Claimed.Add(1)
 		}
-		go f.runTrial(control, node.Zone, trial, options.Duration, traffic)
+		go f.runTrial(control, node, trial, options, traffic)
 	}
 }
 
@@ -136,15 +145,22 @@
 	}
 }
 
-func (f *Fleet) runTrial(control *gateway.Control, zone int, trial gateway.Trial, duration time.Duration, traffic *Traffic) {
+func (f *Fleet) runTrial(control *gateway.Control, node *Node, trial gateway.Trial, options TrafficOptions, traffic *Traffic) {
 	traffic.Begun.Add(1)
 	run, err := control.BeginTrial(trial)
+	if options.Decided != nil {
+		engine := ""
+		if err == nil {
+			engine = run.BackEnd
+		}
+		options.Decided(node, engine, err)
+	}
 	if err != nil {
 		traffic.refuse(err)
 		return
 	}
-	traffic.place(f.Plan, zone, run)
-	time.AfterFunc(duration, func() {
+	traffic.place(f.Plan, node.Zone, run)
+	time.AfterFunc(options.Duration, func() {
 		run.End()
 		traffic.Ended.Add(1)
 	})
