Leave idle time out of the rate at which prompts are read

Cause: the rate was measured over the time since the last first token, also when nothing was unread meanwhile.

Change: the measurement begins anew when a prompt starts while none is unread.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -97,7 +97,7 @@
 	c.window.start(next.cost)
 	next.startedAt = now
 	c.paces.started(now, &next.Request)
-	c.reading.started(next)
+	c.reading.started(now, next)
 	c.virtualTime = max(c.virtualTime, queue.startTag)
 	queue.inFlight++
 	queue.finishTag = queue.startTag + next.cost/c.part(next)
--- a/internal/admission/reading.go
+++ b/internal/admission/reading.go
@@ -12,7 +12,13 @@
 
 func newReading() reading { return reading{unread: map[int32]int64{}} }
 
-func (r *reading) started(e *entry) { r.unread[e.Priority] += int64(max(e.PromptTokens, 1)) }
+// started counts a prompt in. Time without any tells nothing of the rate.
+func (r *reading) started(now time.Duration, e *entry) {
+	if len(r.unread) == 0 {
+		r.rate.restart(now)
+	}
+	r.unread[e.Priority] += int64(max(e.PromptTokens, 1))
+}
 
 // ended takes a prompt out; read tells that its first token came.
 func (r *reading) ended(now time.Duration, e *entry, read bool) {
--- a/internal/admission/reading_test.go
+++ b/internal/admission/reading_test.go
@@ -61,3 +61,29 @@
 		})
 	}
 }
+
+// TestIdleTimeSaysNothingOfTheRate lets one prompt be read, and ten more a minute later:
+// the minute must not count.
+func TestIdleTimeSaysNothingOfTheRate(t *testing.T) {
+	core := newTestCore(t)
+	start := func(now time.Duration, id uint64) {
+		require.Empty(t, core.Offer(now, offered(id, "a", func(r *Request) { r.Class = "read" })))
+		_, found := core.Next(now)
+		require.True(t, found)
+	}
+	end := func(now time.Duration, id uint64) {
+		core.FirstToken(now, id, 0)
+		core.Finish(now, id, Result{PromptTokens: 1000})
+	}
+	start(0, 1)
+	end(100*time.Millisecond, 1)
+	for id := range uint64(10) {
+		start(time.Minute, 10+id)
+	}
+	for id := range uint64(8) {
+		end(time.Minute+time.Duration(id+1)*100*time.Millisecond, 10+id)
+	}
+	now := time.Minute + 800*time.Millisecond
+	require.InDelta(t, 200*time.Millisecond, core.reading.wait(0), float64(20*time.Millisecond))
+	require.Empty(t, core.Offer(now, offered(100, "a", deadline(now+2*time.Second, 0), func(r *Request) { r.Class = "read" })))
+}
--- a/internal/admission/service_rate.go
+++ b/internal/admission/service_rate.go
@@ -16,6 +16,11 @@
 	started   bool
 }
 
+// restart leaves the time up to now out of the measurement.
+func (s *serviceRate) restart(now time.Duration) {
+	s.started, s.since, s.finished = true, now, 0
+}
+
 func (s *serviceRate) finish(now time.Duration, cost float64, queued bool) {
 	if !s.started {
 		s.started, s.since = true, now
