Split the choice of faults by where they strike

Cause: one function of 50 lines.

Change: faults of a controller's process or disk in a function of their own; nothing else.

--- a/internal/simulation/faults_process.go
+++ b/internal/simulation/faults_process.go
@@ -9,26 +9,6 @@
 	engine := w.engines[w.random.IntN(len(w.engines))]
 	gateway := w.gateways[w.random.IntN(len(w.gateways))]
 	switch kind {
-	case FaultCrashController:
-		return f.crashController(kind, controller)
-	case FaultReplaceDisk:
-		return f.replaceDisk(kind, controller)
-	case FaultSecondLoss:
-		return f.loseSecondDisk(kind, controller)
-	case FaultStopController:
-		return f.stopController(kind, controller)
-	case FaultSwapVoter:
-		return f.swapVoter(kind)
-	case FaultPauseController:
-		return f.pause(kind, &controller.host)
-	case FaultStallController:
-		return f.stall(kind, controller)
-	case FaultStallOrder:
-		return f.stallBeforeOrder(kind, controller)
-	case FaultSlowDisk:
-		f.note(kind, "%s", controller.name)
-		controller.slowDisk = true
-		return func() { controller.slowDisk = false }
 	case FaultCrashEngine:
 		return f.crashEngine(kind, engine)
 	case FaultCrashChanging:
@@ -50,10 +30,42 @@
 		f.note(kind, "%v", w.platform.lag)
 		return func() { w.platform.lag = 0 }
 	default:
+		if end, ours := f.startAtController(kind, controller); ours {
+			return end
+		}
 		return f.startNetwork(kind, controller, engine, gateway)
 	}
 }
 
+// startAtController begins a fault of a controller's process or disk; it reports false
+// for other kinds.
+func (f *faults) startAtController(kind FaultKind, controller *controller) (end func(), ours bool) {
+	switch kind {
+	case FaultCrashController:
+		return f.crashController(kind, controller), true
+	case FaultReplaceDisk:
+		return f.replaceDisk(kind, controller), true
+	case FaultSecondLoss:
+		return f.loseSecondDisk(kind, controller), true
+	case FaultStopController:
+		return f.stopController(kind, controller), true
+	case FaultSwapVoter:
+		return f.swapVoter(kind), true
+	case FaultPauseController:
+		return f.pause(kind, &controller.host), true
+	case FaultStallController:
+		return f.stall(kind, controller), true
+	case FaultStallOrder:
+		return f.stallBeforeOrder(kind, controller), true
+	case FaultSlowDisk:
+		f.note(kind, "%s", controller.name)
+		controller.slowDisk = true
+		return func() { controller.slowDisk = false }, true
+	default:
+		return nil, false
+	}
+}
+
 // crashController kills a controller and starts it again at the end.
 func (f *faults) crashController(kind FaultKind, c *controller) func() {
 	if !c.alive {
