Let being turned away for a planned change spend no retries

Cause: while engines drained for a role change, gateways that had not heard of it spent the retry budget on their refusals; then requests whose prompt had been read ended as back_end_failed, may-have-run, although other engines could write their answers. Ruled out: cuts in mid-stream (0), resumes (0 in the gateways' metrics). Retries after failures spend it as before. TestPlannedChangesCostNoAnswer fails (502 in place of 200) without it; TestRetriesDoNotAmplify is unchanged.

--- a/internal/gateway/accounting.go
+++ b/internal/gateway/accounting.go
@@ -57,7 +57,7 @@
 
 // tellFirstToken lets admission learn how long back ends take; retries say nothing of that.
 func (c *completion) tellFirstToken() {
-	if c.exchanges != 1 {
+	if c.tried.total() != 1 {
 		return
 	}
 	own := time.Duration(float64(c.routing.PromptTokens) / slowPromptTokensPerSecond * float64(time.Second))
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -49,11 +49,11 @@
 	scanner     *stream.Scanner
 	// open tells that the exchange may be running at its engine.
 	open bool
-	// exchanges counts the exchanges begun, resumes those of the present exchange since
+	// tried counts the exchanges, resumes those of the present exchange since
 	// the last progress.
-	exchanges int
-	resumes   int
-	excluded  []string
+	tried    attempts
+	resumes  int
+	excluded []string
 	// wholeOnly tells that a hand-over was lost: one engine does the rest.
 	wholeOnly bool
 	// mayHaveRun tells that some exchange of this request may have run, promptSent that
--- a/internal/gateway/completion_connect.go
+++ b/internal/gateway/completion_connect.go
@@ -69,17 +69,17 @@
 // begin picks engines and sends the request there. Without a refusal and without an
 // answer the caller tries again.
 func (c *completion) begin() *refusal {
-	if !c.gateway.mayBegin(c.exchanges) {
+	if !c.gateway.mayBegin(c.tried) {
 		return c.refusal(refuseBackEnd())
 	}
 	choice, fault := c.pick()
 	if fault != nil {
 		return c.refusal(fault)
 	}
-	if c.exchanges == 0 {
+	if c.tried.total() == 0 {
 		c.beganAt = c.gateway.clock.now()
 	}
-	c.exchanges++
+	c.tried.begun++
 	if choice.Prefill == nil {
 		return c.send(&choice, nil)
 	}
@@ -132,6 +132,7 @@
 		c.mayHaveRun = true
 		return nil
 	}
+	c.tried.note(failure)
 	c.overloaded = c.overloaded || failure.Code == enginecontract.CodeOverloaded
 	if failure.Code != enginecontract.CodeKVImportFailed {
 		c.excluded = append(c.excluded, c.backEnd.Name) // a failed import says nothing against the engine
--- a/internal/gateway/completion_end.go
+++ b/internal/gateway/completion_end.go
@@ -37,7 +37,7 @@
 	c.open = false
 	c.gateway.dispatcher.observe(routing.Finished{BackEnd: c.backEnd.Name, Exchange: c.exchange})
 	cancelled := c.gateway.upstream.Cancel(c.backEnd.Address, c.exchange, time.Now().Add(cancelTimeout))
-	if cancelled == verdict.NotRun && c.exchanges == 1 && !c.promptSent {
+	if cancelled == verdict.NotRun && c.tried.total() == 1 && !c.promptSent {
 		c.mayHaveRun = false
 	}
 	return c.refusal(fault)
--- a/internal/gateway/hand_over.go
+++ b/internal/gateway/hand_over.go
@@ -105,6 +105,7 @@
 	c.gateway.log.Info().Err(failure).Str("back_end", prefill.Name).Msg("prompt not read for a hand-over")
 	c.gateway.metrics.handOvers.WithLabelValues(handOverNotRead).Inc()
 	c.excluded = append(c.excluded, prefill.Name)
+	c.tried.note(failure)
 	c.overloaded = c.overloaded || failure.Code == enginecontract.CodeOverloaded
 	if failure.Status != 0 || c.interrupter.Interrupted() {
 		c.gateway.dispatcher.observe(routing.Finished{BackEnd: prefill.Name, Exchange: exchange})
--- a/internal/gateway/page.go
+++ b/internal/gateway/page.go
@@ -21,7 +21,7 @@
 	deadline    time.Duration
 	interrupter *upstream.Interrupter
 	excluded    []string
-	exchanges   int
+	tried       attempts
 	mayHaveRun  bool
 	watch       *callerWatch
 	// key is the caller's idempotency key; empty when there is none.
--- a/internal/gateway/page_exchange.go
+++ b/internal/gateway/page_exchange.go
@@ -14,7 +14,7 @@
 		if fault := p.gateway.over(p.interrupter, p.deadline); fault != nil {
 			return nil, p.refusal(fault)
 		}
-		if !p.gateway.mayBegin(p.exchanges) {
+		if !p.gateway.mayBegin(p.tried) {
 			return nil, p.refusal(refuseBackEnd())
 		}
 		choice, err := p.gateway.dispatcher.pick(routing.Request{Service: p.kind.Spec.GetService(), Deadline: p.deadline}, p.excluded)
@@ -27,6 +27,7 @@
 		}
 		p.gateway.log.Info().Err(failure).Str("back_end", choice.BackEnd.Name).Msg("exchange failed")
 		p.excluded = append(p.excluded, choice.BackEnd.Name)
+		p.tried.note(failure)
 		if failure.Verdict == verdict.NotRun {
 			continue
 		}
@@ -39,7 +40,7 @@
 
 // exchange sends the request to one back end and reads its whole answer.
 func (p *pageRequest) exchange(backEnd routing.BackEnd) (*pageAnswer, *upstream.Failure) {
-	p.exchanges++
+	p.tried.begun++
 	message := p.message
 	message.Address = backEnd.Address
 	message.Exchange = upstream.NewExchange()
--- a/internal/gateway/repeating_test.go
+++ b/internal/gateway/repeating_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -105,3 +107,31 @@
 	require.LessOrEqual(t, one+two, requests+int(retryShare*requests)+maximumRetryCredit)
 	require.Greater(t, one+two, requests, "some retries are made")
 }
+
+// A planned change that gateways have not heard of yet costs no request its answer, however
+// many requests meet it: being turned away spends no retries.
+func TestPlannedChangesCostNoAnswer(t *testing.T) {
+	t.Parallel()
+	const requests = 60
+	turnedAwayBy := []string{enginecontract.CodeDraining, enginecontract.CodeChanging, enginecontract.CodeLeaving, enginecontract.CodeWrongRole, enginecontract.CodeDraining}
+	serving := startEngine(t)
+	backEnds := []*v1.BackEnd{engineBackEnd("serving", serving.address(), v1.Role_ROLE_MIXED)}
+	refused := 0
+	var changing []*testEngine
+	for i, code := range turnedAwayBy {
+		faults := slices.Repeat([]engineFault{{refuse: http.StatusConflict, code: code, runState: enginecontract.RunStateNotRun}}, requests)
+		engine := startEngine(t, faults...)
+		changing = append(changing, engine)
+		backEnds = append(backEnds, engineBackEnd(fmt.Sprintf("changing-%d", i), engine.address(), v1.Role_ROLE_MIXED))
+	}
+	gateway := startGateway(t, testSettings(startController(t, backEnds...).address))
+	for range requests {
+		answer := chat(t, gateway, "matching", wholeBody)
+		require.Equal(t, http.StatusOK, answer.status, answer.body)
+	}
+	for _, engine := range changing {
+		_, times, _ := engine.counts()
+		refused += times
+	}
+	require.Greater(t, refused, maximumRetryCredit+int(retryShare*requests), "more were turned away than retries could pay for")
+}
