Make the gateway's tests wait for states, not for a quick machine

Cause: found by running the package in three copies pinned to one CPU of a shared machine (load 60 to 70). TestOverloadBeforeClaim: its own call could take one of the places that it had meant to fill, and had then to repeat everything within a delay of 2 s (since of 3.5 s). TestGatewayCallsControllersWithTLS/another_role: in TLS 1.3 a client may write before the alert of the controller comes, and then sees a broken pipe in place of "bad certificate". By reading: TestCallerGoneUnderClaim and TestResendElsewhere closed the caller's connection before the service was known to have the request, so that it might never run, TestCallerGone had 2.1 s to close before the answer was whole, kinds had deadlines of 4 s and 8 s and callers a read timeout of 2 s.

Change: two of three requests keep both places to the end of TestOverloadBeforeClaim, and the first answer is the refusal; the refusal of another role is read, with its reason, from the controller that tells it, the gateway must fail and stay without a revision; callers leave once the service or engine has the request; engines hold their answer until the test ends; kinds whose tests aren't about deadlines have 60 s, two new kinds keep 4 s and 8 s for the late registration and the stalled export. The two keys of TestClaimNeedsController wait side by side.

Conclusion: no assertion was dropped; two were made to hold whatever the order of the processes.

--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -13,12 +13,13 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
 	"github.com/hazelpitch/hazelpitch/internal/standin/page"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
 const (
-	eventually = 15 * time.Second
+	eventually = time.Minute
 	often      = 10 * time.Millisecond
 )
 
@@ -50,27 +51,24 @@
 	for _, row := range []struct {
 		name string
 		body string
-		// block holds the answer back before its head; otherwise tokens come slowly and the
-		// caller goes after the first.
-		block bool
+		// holdAfter is the number of tokens that the engine writes before it waits for the
+		// test's end; 0 holds back the head.
+		holdAfter int
 	}{
-		{name: "streamed, before the first token", body: streamBody, block: true},
-		{name: "streamed, after the first token", body: streamBody},
-		{name: "whole, before the first token", body: wholeBody, block: true},
-		{name: "whole, in the middle", body: wholeBody},
+		{name: "streamed, before the first token", body: streamBody},
+		{name: "streamed, after the first token", body: streamBody, holdAfter: 1},
+		{name: "whole, before the first token", body: wholeBody},
+		{name: "whole, in the middle", body: wholeBody, holdAfter: 3},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			t.Parallel()
 			engine := startEngine(t)
-			engine.tokenTime = 300 * time.Millisecond
-			if row.block {
-				engine.block = make(chan struct{})
-				defer close(engine.block)
-			}
+			engine.block, engine.holdAfter = make(chan struct{}), row.holdAfter
+			defer close(engine.block)
 			controller := startController(t, engineBackEnd("e1", engine.address(), v1.Role_ROLE_MIXED))
 			gateway := startGateway(t, testSettings(controller.address))
 			connection := dial(t, gateway, rawRequest(http.MethodPost, "/v1/chat/completions", "matching", "", row.body))
-			if !row.block && row.body == streamBody {
+			if row.holdAfter > 0 && row.body == streamBody {
 				_, err := bufio.NewReader(connection).ReadString('}')
 				require.NoError(t, err)
 			}
@@ -81,13 +79,17 @@
 	}
 }
 
+// waitUntilRunning waits until a service whose first answer is late has the request.
+func waitUntilRunning(t *testing.T, service *page.Service) {
+	t.Helper()
+	require.Eventually(t, func() bool { return service.Faults().Struck()[fault.Late] == 1 }, eventually, often)
+}
+
 // TestCallerGoneUnderClaim shows that a claimed request runs to its end without its
 // caller, whose resend gets the recorded answer.
 func TestCallerGoneUnderClaim(t *testing.T) {
 	t.Parallel()
-	service, err := page.Start(page.Config{Name: "p1", Service: "portal", Address: "127.0.0.1:0", ServiceTime: 700 * time.Millisecond})
-	require.NoError(t, err)
-	t.Cleanup(service.Close)
+	service := startPage(t, "p1", []fault.Fault{{Kind: fault.Late, Count: 1, DelayMs: 700}})
 	engine := startEngine(t)
 	engine.tokenTime = 100 * time.Millisecond
 	controller := startController(t, pageBackEnd("p1", service.Address()), engineBackEnd("e1", engine.address(), v1.Role_ROLE_MIXED))
@@ -95,8 +97,9 @@
 
 	registration := dial(t, gateway, rawRequest(http.MethodPost, "/registrations", "", "k1", "lot=7"))
 	chat := dial(t, gateway, rawRequest(http.MethodPost, "/v1/chat/completions", "once", "k2", streamBody))
-	_, err = bufio.NewReader(chat).ReadString('}')
+	_, err := bufio.NewReader(chat).ReadString('}')
 	require.NoError(t, err)
+	waitUntilRunning(t, service)
 	require.NoError(t, chat.Close())
 	require.NoError(t, registration.Close())
 	require.Eventually(t, func() bool { return controller.outcomes() == 2 }, eventually, often)
--- a/internal/gateway/controller_test.go
+++ b/internal/gateway/controller_test.go
@@ -141,13 +141,6 @@
 	return c.directory.GetVersion()
 }
 
-// begun counts the claims that were granted.
-func (c *testController) begun() int {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return len(c.claims)
-}
-
 // outcomes counts the claims with an outcome.
 func (c *testController) outcomes() int {
 	c.mutex.Lock()
--- a/internal/gateway/encryption_test.go
+++ b/internal/gateway/encryption_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"crypto/tls"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -37,8 +39,27 @@
 	return settings.TLS{Authority: filepath.Join(directory, keys.AuthorityCertificateFile), Certificate: files.Certificate, Key: files.Key}
 }
 
+// serverErrors keeps what a server logs. It is safe for concurrent use.
+type serverErrors struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+// Write implements io.Writer.
+func (e *serverErrors) Write(line []byte) (int, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.text.Write(line)
+}
+
+func (e *serverErrors) contain(text string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return strings.Contains(e.text.String(), text)
+}
+
 // startEncryptedController answers as startController's does, with TLS, to gateways alone.
-func startEncryptedController(t *testing.T, files settings.TLS) string {
+func startEncryptedController(t *testing.T, files settings.TLS) (string, *serverErrors) {
 	t.Helper()
 	credentials, err := keys.Load(keys.Files{Authority: files.Authority, Certificate: files.Certificate, Key: files.Key}, keys.Options{})
 	require.NoError(t, err)
@@ -47,9 +68,11 @@
 	routes.Handle(path, handler)
 	server := httptest.NewUnstartedServer(routes)
 	server.Listener = tls.NewListener(server.Listener, credentials.ServerConfig("test", false, keys.RoleGateway))
+	told := &serverErrors{}
+	server.Config.ErrorLog = log.New(told, "", 0)
 	server.Start()
 	t.Cleanup(server.Close)
-	return strings.TrimPrefix(server.URL, "http://")
+	return strings.TrimPrefix(server.URL, "http://"), told
 }
 
 // TestGatewayCallsControllersWithTLS syncs with certificates of the fleet, and with
@@ -59,16 +82,21 @@
 	directory := filepath.Dir(controllerFiles.Authority)
 	authority, err := keys.ReadAuthority(directory)
 	require.NoError(t, err)
-	address := startEncryptedController(t, controllerFiles)
+	address, told := startEncryptedController(t, controllerFiles)
 	tests := []struct {
 		name    string
 		files   settings.TLS
 		refused string
+		// refusedThere is what the controller tells when it is the one that refuses. In TLS
+		// 1.3 a client may write its request before the alert comes, and then sees a broken
+		// connection in place of the alert.
+		refusedThere string
 	}{
-		{"gateway of the fleet", issueWith(t, authority, directory, keys.RoleGateway, "g1"), ""},
-		{"another authority", issueFiles(t, "test", keys.RoleGateway, "g1"), "not of this fleet's authority"},
-		{"another role", issueWith(t, authority, directory, keys.RoleOperator, "ana"), "bad certificate"},
-		{"no TLS", settings.TLS{}, "400 Bad Request"},
+		{name: "gateway of the fleet", files: issueWith(t, authority, directory, keys.RoleGateway, "g1")},
+		{name: "another authority", files: issueFiles(t, "test", keys.RoleGateway, "g1"), refused: "not of this fleet's authority"},
+		{name: "another role", files: issueWith(t, authority, directory, keys.RoleOperator, "ana"),
+			refused: "sync with controller", refusedThere: "hazelpitch://test/operator/ana refused: its role may not do this"},
+		{name: "no TLS", refused: "400 Bad Request"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -84,6 +112,7 @@
 				return
 			}
 			require.ErrorContains(t, err, test.refused)
+			require.Eventually(t, func() bool { return told.contain(test.refusedThere) }, eventually, often)
 			require.Zero(t, gateway.Revision())
 		})
 	}
--- a/internal/gateway/hand_over_test.go
+++ b/internal/gateway/hand_over_test.go
@@ -62,7 +62,7 @@
 		status: 502, verdict: verdict.MayHaveRun, prefilled: 1},
 	{name: "export fails", prefill: once(fault.Error, 0), whole: true, prefilled: 1, started: 1},
 	{name: "export fails, once-only kind", kind: "once", prefill: once(fault.Error, 0), status: 502, verdict: verdict.MayHaveRun, prefilled: 1},
-	{name: "export stalls", prefill: once(fault.Late, 0), whole: true, started: 1},
+	{name: "export stalls", kind: "brisk", prefill: once(fault.Late, 0), whole: true, started: 1},
 	{name: "fetch of the cache fails", prefill: once(fault.FailExport, 0), whole: true, prefilled: 1, started: 1},
 	{name: "fetch of the cache fails, once-only kind", kind: "once", prefill: once(fault.FailExport, 0), whole: true, prefilled: 1, started: 1},
 	{name: "handle is lost", prefill: once(fault.LoseHandle, 0), whole: true, prefilled: 1, started: 1},
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -19,6 +19,16 @@
 const (
 	testKey      = "key-of-tenant-one"
 	otherTestKey = "key-of-tenant-two"
+	// generousMs is the deadline of kinds whose tests aren't about deadlines: only a hung
+	// request comes near it, however busy the machine is.
+	generousMs = 60_000
+	// lateMs is the deadline of the kind that is answered late, late the delay beyond it.
+	lateMs = 4000
+	late   = lateMs + 500
+	// briskMs is the deadline of the kind whose deadline bounds the wait for a prefill engine.
+	briskMs = 8000
+	// patience bounds reading and writing in tests that aren't about slow callers.
+	patience = time.Minute
 )
 
 func hashOf(key string) string {
@@ -56,10 +66,12 @@
 		tenant("one", testKey, "salt-one"), tenant("two", otherTestKey, "salt-two"), model, adapter,
 		service("engines", &v1.Service{Type: v1.ServiceType_SERVICE_TYPE_ENGINE, Model: "base"}),
 		service("portal", &v1.Service{Type: v1.ServiceType_SERVICE_TYPE_PAGE}),
-		kind("matching", &v1.Kind{Worth: 5, DeadlineMs: 8000, Repeatable: true, Service: "engines", Priority: 7}),
-		kind("once", &v1.Kind{Worth: 5, DeadlineMs: 8000, Service: "engines"}),
-		kind("listing", &v1.Kind{Worth: 1, DeadlineMs: 4000, Repeatable: true, Service: "portal", Path: "/lots"}),
-		kind("registration", &v1.Kind{Worth: 9, DeadlineMs: 4000, Service: "portal", Path: "/registrations"}),
+		kind("matching", &v1.Kind{Worth: 5, DeadlineMs: generousMs, Repeatable: true, Service: "engines", Priority: 7}),
+		kind("brisk", &v1.Kind{Worth: 5, DeadlineMs: briskMs, Repeatable: true, Service: "engines"}),
+		kind("once", &v1.Kind{Worth: 5, DeadlineMs: generousMs, Service: "engines"}),
+		kind("listing", &v1.Kind{Worth: 1, DeadlineMs: generousMs, Repeatable: true, Service: "portal", Path: "/lots"}),
+		kind("registration", &v1.Kind{Worth: 9, DeadlineMs: generousMs, Service: "portal", Path: "/registrations"}),
+		kind("urgent", &v1.Kind{Worth: 9, DeadlineMs: lateMs, Service: "portal", Path: "/urgent"}),
 	}
 }
 
@@ -93,7 +105,7 @@
 		SyncInterval: 100 * time.Millisecond, DrainTimeout: 10 * time.Second,
 		Limits: settings.GatewayLimits{
 			HeaderBytes: 16384, BodyBytes: 1 << 20, InFlight: 256, QueueLength: 64,
-			ReadTimeout: 2 * time.Second, WriteTimeout: time.Second,
+			ReadTimeout: patience, WriteTimeout: patience,
 		},
 		Log: settings.Log{RingEntries: 256},
 	}
--- a/internal/gateway/page_faults_test.go
+++ b/internal/gateway/page_faults_test.go
@@ -54,8 +54,8 @@
 		faults: []fault.Fault{{Kind: fault.Error, Count: 1}}, status: 502, verdict: verdict.MayHaveRun, atLeast: 1, atMost: 1},
 	{name: "registration, refused by both", method: http.MethodPost, path: "/registrations", key: "k1",
 		faults: []fault.Fault{{Kind: fault.Refuse, Count: 1}}, status: 503, verdict: verdict.NotRun},
-	{name: "registration, answer late", method: http.MethodPost, path: "/registrations", key: "k1",
-		faults: []fault.Fault{{Kind: fault.Late, Count: 1, DelayMs: 4500}}, status: 504, verdict: verdict.MayHaveRun, atMost: 1},
+	{name: "registration, answer late", method: http.MethodPost, path: "/urgent", key: "k1",
+		faults: []fault.Fault{{Kind: fault.Late, Count: 1, DelayMs: late}}, status: 504, verdict: verdict.MayHaveRun, atMost: 1},
 	{name: "ambiguous path", method: http.MethodGet, path: "/lots/%2e%2e/registrations", status: 400, verdict: verdict.NotRun},
 	{name: "unknown path", method: http.MethodGet, path: "/lotsize", status: 404, verdict: verdict.NotRun},
 }
@@ -143,31 +143,40 @@
 	}
 	require.Equal(t, http.StatusOK, send("sent before").status)
 	controller.down.Store(true)
+	t.Cleanup(func() { require.Equal(t, 1, service.Runs().Served) }) // once the rows have ended
 	for _, key := range []string{"sent before", "new"} {
-		answer := send(key)
-		require.Equal(t, http.StatusServiceUnavailable, answer.status)
-		require.Equal(t, codeClaimUnreachable, answer.errorCode)
-		require.Equal(t, verdict.MayHaveRun.String(), answer.verdict)
-		require.NotEmpty(t, answer.header.Get("Retry-After"))
+		t.Run(key, func(t *testing.T) {
+			t.Parallel() // each waits for as long as a claim is asked for
+			answer := send(key)
+			require.Equal(t, http.StatusServiceUnavailable, answer.status)
+			require.Equal(t, codeClaimUnreachable, answer.errorCode)
+			require.Equal(t, verdict.MayHaveRun.String(), answer.verdict)
+			require.NotEmpty(t, answer.header.Get("Retry-After"))
+		})
 	}
-	require.Equal(t, 1, service.Runs().Served)
 }
 
 // TestOverloadBeforeClaim shows what a gateway with too much in flight tells: not run, but
 // to a sending under a key, whose claim it has not looked up.
 func TestOverloadBeforeClaim(t *testing.T) {
 	t.Parallel()
-	service := startPage(t, "p1", []fault.Fault{{Kind: fault.Late, Count: fault.Always, DelayMs: 3500}})
+	service := startPage(t, "p1", []fault.Fault{{Kind: fault.Late, Count: fault.Always, DelayMs: generousMs}})
 	controller := startController(t, pageBackEnd("p1", service.Address()))
 	config := testSettings(controller.address)
 	config.Limits.InFlight, config.Limits.QueueLength = 1, 1
 	gateway := startGateway(t, config)
-	require.Eventually(t, func() bool {
-		for range 2 { // the call may still be the first to arrive: then both places are taken anew
-			dial(t, gateway, rawRequest(http.MethodGet, "/lots/1", "", "", ""))
-		}
-		return call(t, http.MethodGet, gateway.url+"/lots/2", "", nil).errorCode == codeOverloaded
-	}, eventually, often)
+	// Two of three requests keep both places to the end of the test; the first answer is
+	// the refusal of the third.
+	answers := make(chan string, 3)
+	for range cap(answers) {
+		connection := dial(t, gateway, rawRequest(http.MethodGet, "/lots/1", "", "", ""))
+		go func() {
+			head := make([]byte, 4096)
+			length, _ := connection.Read(head)
+			answers <- string(head[:length])
+		}()
+	}
+	require.Contains(t, <-answers, codeOverloaded)
 	for key, want := range map[string]verdict.Verdict{"": verdict.NotRun, "k": verdict.MayHaveRun} {
 		headers := map[string]string{}
 		if key != "" {
--- a/internal/gateway/repeating_test.go
+++ b/internal/gateway/repeating_test.go
@@ -8,13 +8,13 @@
 	"strconv"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/tidwall/gjson"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
 	"github.com/hazelpitch/hazelpitch/internal/standin/page"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -51,9 +51,7 @@
 // or a restarted one, does not run again.
 func TestResendElsewhere(t *testing.T) {
 	t.Parallel()
-	service, err := page.Start(page.Config{Name: "p1", Service: "portal", Address: "127.0.0.1:0", ServiceTime: 300 * time.Millisecond})
-	require.NoError(t, err)
-	t.Cleanup(service.Close)
+	service := startPage(t, "p1", []fault.Fault{{Kind: fault.Late, Count: 1, DelayMs: 300}})
 	controller := startController(t, pageBackEnd("p1", service.Address()))
 	first := startGateway(t, testSettings(controller.address))
 	second := startGateway(t, testSettings(controller.address))
@@ -62,7 +60,7 @@
 	}
 	// The caller goes away and asks another gateway while the request still runs.
 	lost := dial(t, first, rawRequest(http.MethodPost, "/registrations", "", "k", "lot=7"))
-	require.Eventually(t, func() bool { return controller.begun() == 1 }, eventually, often)
+	waitUntilRunning(t, service)
 	require.NoError(t, lost.Close())
 	early := send(second)
 	if early.status != http.StatusOK { // it may have ended by now
