Give each script of hazelctl its own address

Cause: the scripts took free ports of 127.0.0.1, closed them and listened on them later. They lie in the range of outgoing connections, so that another process or another script could take one in between, or while the cluster script's first controller is down (found by reading, not seen to fail).

Change: each script of each run has an address 127.x.y.z of its own and fixed ports below that range.

Conclusion: no port of a script can be taken by others; what is asserted is the same.

--- a/cmd/hazelctl/main_test.go
+++ b/cmd/hazelctl/main_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
+	"sync/atomic"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -23,34 +23,23 @@
 	})
 }
 
-// portsOfScript is how many free ports a script finds in PORT_1, PORT_2 and so on.
-const portsOfScript = 8
-
 func TestScripts(t *testing.T) {
+	var scripts atomic.Int32
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
 		Setup: func(environment *testscript.Env) error {
-			for i, port := range freePorts(t) {
-				environment.Setenv(fmt.Sprintf("PORT_%d", i+1), fmt.Sprint(port))
-			}
+			environment.Setenv("HOST", ownHost(scripts.Add(1)))
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){"expand": expand},
 	})
 }
 
-// freePorts finds ports that nobody listens on.
-func freePorts(t *testing.T) []int {
-	var ports []int
-	for range portsOfScript {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer listener.Close()
-		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
-	}
-	return ports
+// ownHost is an address of this machine that no other script and no other run uses, so that
+// a script's ports, which are below those of outgoing connections, are free, also while a
+// controller is down.
+func ownHost(script int32) string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+script%32, os.Getpid()>>8&0xff, os.Getpid()&0xff)
 }
 
 // expand replaces $NAME in the named files by the environment's values.
