--- a/internal/scale/drill_restart.go
+++ b/internal/scale/drill_restart.go
@@ -16,6 +16,7 @@
 
 // runRestart restarts all nodes of the first zone at once.
 func runRestart(ctx context.Context, d *drilling) error {
+	d.changeIsInForce(ctx, d.fleet.Nodes) // so that there is something to come back with
 	lost := loss{nodes: d.fleet.NodesIn(0)}
 	if err := d.lose(lost); err != nil {
 		return trace.Wrap(err)
--- a/internal/scale/drill_test.go
+++ b/internal/scale/drill_test.go
@@ -16,7 +16,7 @@
 		accepted int
 	}{
 		{name: "rack", accepted: 2},
-		{name: "restart", accepted: 1},
+		{name: "restart", accepted: 2},
 		{name: "leader", accepted: 2 + burstOperators*burstPerOperator},
 	} {
 		t.Run(row.name, func(t *testing.T) {
