Give back ends of tests addresses that nobody else takes while they are down

Cause: TestHandOver/prefill_engine_is_down,_once-only_kind got 502 in place of 200 in one run. Its engine had listened on a free port of 127.0.0.1; once it is down, another test that runs beside it may listen there and answer. This is the likely cause: Crash returns after the listener is closed, and a refused connection counts as not run; the one run kept no log that proves it. Tests of the stand-ins restart on their port, which an outgoing connection may have taken; not seen to fail. TestCrashAndFreeze measured from after the freeze had begun, and TestUnreachableControllersAreAllNamed had 300 ms to reach two controllers; neither was seen to fail.

Change: every gateway and stand-in of the gateway's tests has an address of its own; stand-ins that restart and the closed address of upstream's tests are on addresses that nobody dials from. Answers may hold no loopback address at all (127.). The freeze is measured from before it begins, against its whole length. The operators' client is ended once its controller has been asked three times.

Conclusion: what a test has taken down stays down until the test brings it back.

--- a/internal/gateway/hand_over_test.go
+++ b/internal/gateway/hand_over_test.go
@@ -87,7 +87,7 @@
 // startStandIn starts an engine of the bench.
 func startStandIn(t testing.TB, name string, role enginecontract.Role, faults ...fault.Fault) *engine.Engine {
 	started, err := engine.Start(engine.Config{
-		Name: name, Service: "engines", Zone: "z1", Address: "127.0.0.1:0", Role: role, Model: "base", Version: "v1",
+		Name: name, Service: "engines", Zone: "z1", Address: ownAddress(), Role: role, Model: "base", Version: "v1",
 		Adapters: []string{"tuned"}, Profile: enginemodel.DefaultProfile().Faster(standInSpeed), Faults: faults,
 	})
 	require.NoError(t, err)
@@ -151,7 +151,7 @@
 	require.False(t, answer.whole, answer.body)
 	require.Equal(t, row.status, answer.status, answer.body)
 	require.Equal(t, row.verdict.String(), answer.verdict, answer.body)
-	for _, secret := range []string{"kv", "handle", "salt", "exchange", "127.0.0.1"} {
+	for _, secret := range []string{"kv", "handle", "salt", "exchange", "127."} {
 		require.NotContains(t, answer.body, secret)
 	}
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +34,16 @@
 	patience = time.Minute
 )
 
+// hostsOfRun counts the addresses that ownAddress has given.
+var hostsOfRun atomic.Uint32
+
+// ownAddress is a free port of an address that nobody else in this run listens on: what
+// stops listening there is down, since no other test can take its port.
+func ownAddress() string {
+	number := hostsOfRun.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:0", 33+os.Getpid()%31, number>>8&0xff, number&0xff)
+}
+
 func hashOf(key string) string {
 	sum := sha256.Sum256([]byte(key))
 	return hex.EncodeToString(sum[:])
@@ -101,7 +114,7 @@
 
 func testSettings(controllers ...string) settings.Gateway {
 	return settings.Gateway{
-		Name: "g1", Fleet: "test", Zone: "z1", Listen: "127.0.0.1:0", AdminListen: "127.0.0.1:0", Controllers: controllers,
+		Name: "g1", Fleet: "test", Zone: "z1", Listen: ownAddress(), AdminListen: ownAddress(), Controllers: controllers,
 		SyncInterval: 100 * time.Millisecond, DrainTimeout: 10 * time.Second,
 		Limits: settings.GatewayLimits{
 			HeaderBytes: 16384, BodyBytes: 1 << 20, InFlight: 256, QueueLength: 64,
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -25,7 +25,7 @@
 func requireNothingOfOthers(t *testing.T, answer callerAnswer) {
 	t.Helper()
 	text := fmt.Sprint(answer.header) + answer.body
-	for _, secret := range []string{"salt-", "engine-one", "page-one", "127.0.0.1", "X-Engine", "X-Exchange", "secret", otherTestKey, testKey} {
+	for _, secret := range []string{"salt-", "engine-one", "page-one", "127.", "X-Engine", "X-Exchange", "secret", otherTestKey, testKey} {
 		require.NotContains(t, text, secret)
 	}
 }
--- a/internal/gateway/page_faults_test.go
+++ b/internal/gateway/page_faults_test.go
@@ -71,7 +71,7 @@
 }
 
 func startPage(t testing.TB, name string, faults []fault.Fault) *page.Service {
-	service, err := page.Start(page.Config{Name: name, Service: "portal", Zone: "z1", Address: "127.0.0.1:0", Faults: faults})
+	service, err := page.Start(page.Config{Name: name, Service: "portal", Zone: "z1", Address: ownAddress(), Faults: faults})
 	require.NoError(t, err)
 	t.Cleanup(service.Close)
 	return service
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -8,7 +8,6 @@
 	"github.com/stretchr/testify/require"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
-	"github.com/hazelpitch/hazelpitch/internal/standin/page"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
@@ -29,9 +28,7 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			t.Parallel()
-			service, err := page.Start(page.Config{Name: "p1", Service: "portal", Address: "127.0.0.1:0"})
-			require.NoError(t, err)
-			t.Cleanup(service.Close)
+			service := startPage(t, "p1", nil)
 			engine := startEngine(t)
 			controller := startController(t, pageBackEnd("p1", service.Address()), engineBackEnd("e1", engine.address(), v1.Role_ROLE_MIXED))
 			controller.limitTenant("one", 128)
--- a/internal/operatorclient/client_test.go
+++ b/internal/operatorclient/client_test.go
@@ -143,9 +143,14 @@
 }
 
 func TestUnreachableControllersAreAllNamed(t *testing.T) {
-	_, silent := serve(t, fails(connect.CodeUnavailable, ""))
+	ctx, giveUp := context.WithCancel(t.Context())
+	fake, silent := serve(t, fails(connect.CodeUnavailable, ""), fails(connect.CodeUnavailable, ""), func() error {
+		giveUp() // both have answered twice
+		return fails(connect.CodeUnavailable, "")()
+	})
 	const closed = "127.0.0.1:1"
-	_, err := newClient(t, 300*time.Millisecond, closed, silent).Apply(t.Context(), &v1.ApplyRequest{})
+	_, err := newClient(t, enough, closed, silent).Apply(ctx, &v1.ApplyRequest{})
+	require.Equal(t, 3, fake.calls())
 	var unreachable *UnreachableError
 	require.ErrorAs(t, err, &unreachable)
 	require.ErrorContains(t, err, closed)
--- a/internal/processrun/record_test.go
+++ b/internal/processrun/record_test.go
@@ -100,7 +100,7 @@
 func TestWatcherSeesACrashAndTheReturn(t *testing.T) {
 	of := small(t, "")
 	started, err := engine.Start(engine.Config{
-		Name: "assessor-hall-a-1", Service: "assessor", Zone: "hall-a", Address: "127.0.0.1:0",
+		Name: "assessor-hall-a-1", Service: "assessor", Zone: "hall-a", Address: "127.0.0.4:0", // nobody dials from there: the port stays free for the restart
 		Role: enginecontract.RoleMixed, Model: "assessor",
 	})
 	require.NoError(t, err)
--- a/internal/standin/engine/client_test.go
+++ b/internal/standin/engine/client_test.go
@@ -35,7 +35,8 @@
 func startEngine(t *testing.T, change func(*Config)) *Engine {
 	t.Helper()
 	config := Config{
-		Name: "e1", Service: "judge", Zone: "a", Address: "127.0.0.1:0", Model: "m", Version: "1",
+		// Nobody dials from 127.0.0.3: the port of a crashed engine stays free for its restart.
+		Name: "e1", Service: "judge", Zone: "a", Address: "127.0.0.3:0", Model: "m", Version: "1",
 		Profile: quickProfile(), LoadLag: time.Millisecond, CacheEventLag: time.Millisecond,
 	}
 	if change != nil {
--- a/internal/standin/page/page_test.go
+++ b/internal/standin/page/page_test.go
@@ -29,7 +29,8 @@
 
 func start(t *testing.T, faults ...fault.Fault) *Service {
 	t.Helper()
-	service, err := Start(Config{Name: "p1", Service: "portal", Address: "127.0.0.1:0", Faults: faults})
+	// Nobody dials from 127.0.0.2: the port of a crashed service stays free for its restart.
+	service, err := Start(Config{Name: "p1", Service: "portal", Address: "127.0.0.2:0", Faults: faults})
 	require.NoError(t, err)
 	t.Cleanup(service.Close)
 	return service
@@ -115,10 +116,11 @@
 	service.Crash()
 	require.Error(t, register(t, service).err)
 	require.NoError(t, service.Restart())
-	service.Freeze(10 * time.Millisecond)
+	const frozen = 10 * time.Millisecond
 	began := time.Now()
+	service.Freeze(frozen)
 	require.Equal(t, http.StatusOK, register(t, service).status)
-	require.GreaterOrEqual(t, time.Since(began), 5*time.Millisecond)
+	require.GreaterOrEqual(t, time.Since(began), frozen)
 }
 
 func TestBenchSwitchesFaultsOverHTTP(t *testing.T) {
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -108,9 +108,10 @@
 	}
 }
 
-// closedAddress returns an address that refuses connections.
+// closedAddress returns an address that refuses connections: nobody else listens on
+// 127.0.0.5 or dials from there.
 func closedAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.5:0")
 	require.NoError(t, err)
 	require.NoError(t, listener.Close())
 	return listener.Addr().String()
