Let a controller without a vote forget a leader that is silent

Cause: a standby never campaigns, and only a campaign made a member forget its leader. Cut off from the leader it went on naming it, told its gateways that it is not behind, and these asked no other controller: a change accepted while two regions were apart was not in force at them for as long as the cut lasted. Change: a member that may not campaign forgets its leader when its election timeout passes. TestSilentLeaderIsForgotten fails for a learner without it.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -132,9 +132,14 @@
 		return
 	}
 	c.tickLearner()
-	if c.now >= c.electionDueAt && c.members.votes(c.id) {
+	if c.now < c.electionDueAt {
+		return
+	}
+	if c.members.votes(c.id) {
 		c.campaign(c.config.Safeguards.On(SafeguardPreVote))
+		return
 	}
+	c.leader = "" // it can't elect another one, but must not be taken to hear this one
 }
 
 // Step takes a message of another member. The error tells why a message was
--- a/internal/consensus/relay_test.go
+++ b/internal/consensus/relay_test.go
@@ -79,3 +79,20 @@
 		require.Equal(t, want, probes(replacementSilence*DefaultElectionTimeout))
 	}
 }
+
+// TestSilentLeaderIsForgotten cuts a member off: it knows no leader after the longest
+// election timeout, also when it has no vote, so that nodes ask other controllers.
+func TestSilentLeaderIsForgotten(t *testing.T) {
+	for _, learner := range []bool{true, false} {
+		member := fuzzMember(t)
+		member.members.byID["a/1"].Learner = learner
+		member.setMembers(member.members.membership)
+		require.NoError(t, member.Step(time.Second, &v1.ConsensusMessage{
+			Fleet: "fleet", From: "b/1", To: "a/1", Type: v1.MessageType_MESSAGE_TYPE_APPEND, Term: 2, LogIndex: 1, LogTerm: 1,
+		}))
+		member.Tick(time.Second + DefaultElectionTimeout/2)
+		require.Equal(t, "b/1", member.Status().Leader, "learner: %v", learner)
+		member.Tick(time.Second + 2*DefaultElectionTimeout)
+		require.Empty(t, member.Status().Leader, "learner: %v", learner)
+	}
+}
