Let a claimed request run to its end when a look at the callers began before

Cause: TestResendElsewhere got outcome_unknown in place of still_running in one run: callers.run takes a list of the watched connections and then looks at each. A request that got its claim and ended its watch in between was interrupted all the same when its caller had gone, and its outcome was recorded as may have run, though claimed requests run on without their caller. interruptAll had the same gap. TestWaitForShare/the_tenant_is_at_its_limit failed once because a regular report, each 100 ms there, asked for the share before the urgent one that the test expects.

Change: a watch that has ended interrupts nothing, checked under the lock that ends it, with the new TestEndedWatchInterruptsNothing. TestWaitForShare has a sync interval of a minute, so that only the urgent report can ask; its assertions are the same.

Conclusion: a gap in the product is closed; it was rare, and the row that shows it needs no timing.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -55,12 +55,22 @@
 	delete(w.callers.watched, w)
 }
 
+// interrupt interrupts the exchange unless the watch has ended: from then on a claimed
+// request runs to its end, whatever a look that had begun before finds.
+func (w *callerWatch) interrupt(cause error) {
+	w.callers.mutex.Lock()
+	defer w.callers.mutex.Unlock()
+	if _, watched := w.callers.watched[w]; watched {
+		w.interrupter.Interrupt(cause)
+	}
+}
+
 // run looks at the connections until the context ends.
 func (c *callers) run(ctx context.Context) {
 	for pause.For(ctx, callerCheckInterval) {
 		for _, watch := range c.list() {
 			if gone(watch.connection) {
-				watch.interrupter.Interrupt(errCallerGone)
+				watch.interrupt(errCallerGone)
 				watch.end()
 			}
 		}
@@ -70,7 +80,7 @@
 // interruptAll interrupts every request whose caller is watched.
 func (c *callers) interruptAll(cause error) {
 	for _, watch := range c.list() {
-		watch.interrupter.Interrupt(cause)
+		watch.interrupt(cause)
 	}
 }
 
--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -15,6 +15,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
 	"github.com/hazelpitch/hazelpitch/internal/standin/page"
+	"github.com/hazelpitch/hazelpitch/internal/upstream"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
@@ -136,3 +137,27 @@
 	dial(t, gateway, rawRequest(http.MethodPost, "/v1/chat/completions", "matching", "", streamBody))
 	require.Eventually(t, func() bool { _, _, cancels := engine.counts(); return cancels == 1 }, eventually, often)
 }
+
+// TestEndedWatchInterruptsNothing shows that a look at the callers which began before a
+// claimed request took its right to run does not interrupt it afterwards.
+func TestEndedWatchInterruptsNothing(t *testing.T) {
+	listener, err := net.Listen("tcp", ownAddress())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = connection.Close() })
+	for name, ended := range map[string]bool{"watched": false, "ended": true} {
+		t.Run(name, func(t *testing.T) {
+			callers, interrupter := newCallers(), &upstream.Interrupter{}
+			watch := callers.watch(connection, interrupter)
+			looked := callers.list()
+			require.Len(t, looked, 1)
+			if ended {
+				watch.end()
+			}
+			looked[0].interrupt(errCallerGone)
+			require.Equal(t, !ended, interrupter.Interrupted())
+		})
+	}
+}
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
@@ -40,7 +41,9 @@
 				}
 				return &v1.ReportResponse{}, nil
 			}
-			gateway := startGateway(t, testSettings(controller.address))
+			config := testSettings(controller.address)
+			config.SyncInterval = time.Minute // no regular report asks for the share first
+			gateway := startGateway(t, config)
 			headers := map[string]string{HeaderKind: "matching"}
 			require.Equal(t, http.StatusOK, call(t, http.MethodPost, gateway.url+"/v1/chat/completions", wholeBody, headers).status)
 			answer := call(t, http.MethodGet, gateway.url+"/lots", "", nil)
