--- a/internal/benchcommand/experiment.go
+++ b/internal/benchcommand/experiment.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io/fs"
 	"path/filepath"
@@ -128,10 +127,8 @@
 
 // writeRuns prints one run as an object and several as a list.
 func writeRuns(environment Environment, runs []*experiment.Run) error {
-	encoder := json.NewEncoder(environment.Stdout)
-	encoder.SetIndent("", " ")
 	if len(runs) == 1 {
-		return encoder.Encode(runs[0])
+		return printJSON(environment.Stdout, runs[0])
 	}
-	return encoder.Encode(runs)
+	return printJSON(environment.Stdout, runs)
 }
--- a/internal/benchcommand/gateway_cost.go
+++ b/internal/benchcommand/gateway_cost.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 
@@ -43,19 +42,11 @@
 	if g.PageRequests < 1 || g.Streams < 1 || g.Tokens < 1 {
 		return &usageError{cause: trace.BadParameter("--page-requests, --streams and --tokens must be above 0")}
 	}
-	directory, remove, err := runDirectory(g.Directory)
+	started, end, err := ownFleet(ctx, g.Deployment, g.Directory, environment.Stderr)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	defer remove()
-	started, err := fleet.Start(fleet.Options{Deployment: g.Deployment, Directory: directory, Serve: serveArguments})
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	defer started.Close()
-	if err := boot(ctx, started, true, environment.Stderr); err != nil {
-		return trace.Wrap(err)
-	}
+	defer end()
 	options, err := g.options(started)
 	if err != nil {
 		return trace.Wrap(err)
@@ -64,13 +55,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if !g.JSON {
-		report.Write(environment.Stdout)
-		return nil
-	}
-	encoder := json.NewEncoder(environment.Stdout)
-	encoder.SetIndent("", "  ")
-	return trace.Wrap(encoder.Encode(report))
+	return printReport(environment.Stdout, g.JSON, report)
 }
 
 // options takes the first gateway in whose zone there is a page service.
--- a/internal/benchcommand/gateway_loss.go
+++ b/internal/benchcommand/gateway_loss.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -43,19 +42,11 @@
 	if g.Rounds < 1 || g.Scale <= 0 || g.OnceScale <= 0 || g.Calm < 0 || g.PageTime < 0 {
 		return &usageError{cause: trace.BadParameter("--rounds, --scale and --once-scale must be above 0")}
 	}
-	directory, remove, err := runDirectory(g.Directory)
+	started, end, err := ownFleet(ctx, g.Deployment, g.Directory, environment.Stderr)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	defer remove()
-	started, err := fleet.Start(fleet.Options{Deployment: g.Deployment, Directory: directory, Serve: serveArguments})
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	defer started.Close()
-	if err := boot(ctx, started, true, environment.Stderr); err != nil {
-		return trace.Wrap(err)
-	}
+	defer end()
 	options := loadOptions(g.Deployment, started.Description, started.Addresses(fleet.RoleGateway))
 	options.Length, options.Scale, options.OnceScale, options.Seed, options.Insist = longestLoad, g.Scale, g.OnceScale, g.Seed, true
 	report, err := gatewayloss.Run(ctx, gatewayloss.Options{
@@ -64,14 +55,8 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if g.JSON {
-		encoder := json.NewEncoder(environment.Stdout)
-		encoder.SetIndent("", "  ")
-		if err := encoder.Encode(report); err != nil {
-			return trace.Wrap(err)
-		}
-	} else {
-		report.Write(environment.Stdout)
+	if err := printReport(environment.Stdout, g.JSON, report); err != nil {
+		return trace.Wrap(err)
 	}
 	return report.Failed()
 }
--- a/internal/benchcommand/leader_loss.go
+++ b/internal/benchcommand/leader_loss.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -47,19 +46,11 @@
 	if l.Rounds < 1 || l.Missed < 1 || l.Orderers < 1 || l.Pause <= 0 || l.Scale <= 0 {
 		return &usageError{cause: trace.BadParameter("--rounds, --missed, --orderers, --pause and --scale must be above 0")}
 	}
-	directory, remove, err := runDirectory(l.Directory)
+	started, end, err := ownFleet(ctx, l.Deployment, l.Directory, environment.Stderr)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	defer remove()
-	started, err := fleet.Start(fleet.Options{Deployment: l.Deployment, Directory: directory, Serve: serveArguments})
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	defer started.Close()
-	if err := boot(ctx, started, true, environment.Stderr); err != nil {
-		return trace.Wrap(err)
-	}
+	defer end()
 	options := loadOptions(l.Deployment, started.Description, started.Addresses(fleet.RoleGateway))
 	options.Length, options.Scale, options.Seed = longestLoad, l.Scale, l.Seed
 	report, err := leaderloss.Run(ctx, leaderloss.Options{
@@ -69,14 +60,8 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if l.JSON {
-		encoder := json.NewEncoder(environment.Stdout)
-		encoder.SetIndent("", "  ")
-		if err := encoder.Encode(report); err != nil {
-			return trace.Wrap(err)
-		}
-	} else {
-		report.Write(environment.Stdout)
+	if err := printReport(environment.Stdout, l.JSON, report); err != nil {
+		return trace.Wrap(err)
 	}
 	return report.Failed()
 }
--- a/internal/benchcommand/load.go
+++ b/internal/benchcommand/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -67,14 +66,8 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if l.JSON {
-		encoder := json.NewEncoder(environment.Stdout)
-		encoder.SetIndent("", "  ")
-		if err := encoder.Encode(report); err != nil {
-			return trace.Wrap(err)
-		}
-	} else {
-		report.Write(environment.Stdout)
+	if err := printReport(environment.Stdout, l.JSON, report); err != nil {
+		return trace.Wrap(err)
 	}
 	return report.Failed()
 }
--- a/internal/benchcommand/report.go
+++ b/internal/benchcommand/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -47,9 +46,7 @@
 		}
 	}
 	if r.JSON {
-		encoder := json.NewEncoder(environment.Stdout)
-		encoder.SetIndent("", "  ")
-		return trace.Wrap(encoder.Encode(summary))
+		return printJSON(environment.Stdout, summary)
 	}
 	summary.WriteText(environment.Stdout)
 	return nil
--- a/internal/benchcommand/scale.go
+++ b/internal/benchcommand/scale.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"os"
 	"time"
 
@@ -93,32 +91,19 @@
 	}
 	measured, err := scale.Run(ctx, options)
 	if measured != nil { // a run that failed at its end has still counted
-		if writeErr := s.write(environment.Stdout, measured); err == nil {
+		if writeErr := printReport(environment.Stdout, s.JSON, measured); err == nil {
 			err = writeErr
 		}
 	}
 	return trace.Wrap(err)
 }
 
-// tables is a result that can be printed.
-type tables interface{ Write(out io.Writer) }
-
-func (s *scaleFlags) write(out io.Writer, result tables) error {
-	if !s.JSON {
-		result.Write(out)
-		return nil
-	}
-	encoder := json.NewEncoder(out)
-	encoder.SetIndent("", "  ")
-	return trace.Wrap(encoder.Encode(result))
-}
-
 func (s *scaleFlags) sweep(ctx context.Context, environment Environment, options scale.RunOptions) error {
 	swept, err := scale.RunSweep(ctx, scale.Dimension(s.Sweep), options, s.Nodes, func() (string, func(), error) { return runDirectory("") })
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	return s.write(environment.Stdout, swept)
+	return printReport(environment.Stdout, s.JSON, swept)
 }
 
 func (s *scaleFlags) drill(ctx context.Context, environment Environment, options scale.RunOptions) error {
@@ -132,7 +117,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if err := s.write(environment.Stdout, report); err != nil {
+	if err := printReport(environment.Stdout, s.JSON, report); err != nil {
 		return trace.Wrap(err)
 	}
 	return trace.Wrap(report.Failed())
--- a/internal/benchcommand/simulation_summary.go
+++ b/internal/benchcommand/simulation_summary.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -82,9 +81,7 @@
 func (s *simulationSummary) write(out io.Writer, asJSON bool) error {
 	s.TraceHash = fmt.Sprintf("%016x", s.digest.Sum64())
 	if asJSON {
-		encoder := json.NewEncoder(out)
-		encoder.SetIndent("", "  ")
-		return trace.Wrap(encoder.Encode(s))
+		return printJSON(out, s)
 	}
 	fmt.Fprintf(out, "%s: %d seeds from %d, %d steps, %.0f s of virtual time\n", s.Deployment, s.Seeds, s.FirstSeed, s.Steps, s.VirtualSeconds)
 	fmt.Fprintf(out, "%d leaders, %d accepted changes, %d engine orders, %d claimed requests, %d operator operations\n",
