Let the hollow fleet use the operator that the real fleet has

Cause: internal/scale had its own copy of the call that tries controllers in turn and resends under one identity (internal/fleet's Operator), and runs and drills began with the same lines. Change: scale calls fleet.NewOperator with its own timeouts; startDeclared begins both. The operator waits by internal/pause.

--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -11,6 +11,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/pause"
 )
 
 const (
@@ -33,11 +34,15 @@
 
 // OperatorWith returns the fleet's administrator, who waits so long for the answer of
 // one controller and, after a failure, so long before the next is asked.
-func (f *Fleet) OperatorWith(attempt, pause time.Duration) *Operator {
-	return &Operator{
-		key: f.Description.Operator.Key, addresses: f.Addresses(RoleController), pause: pause,
-		http: &http.Client{Timeout: attempt},
-	}
+func (f *Fleet) OperatorWith(attempt, between time.Duration) *Operator {
+	return NewOperator(f.Description.Operator.Key, f.Addresses(RoleController), attempt, between)
+}
+
+// NewOperator returns an operator with that key who asks the controllers at these
+// addresses, waits so long for the answer of one, and after a failure so long before the
+// next is asked.
+func NewOperator(key string, addresses []string, attempt, between time.Duration) *Operator {
+	return &Operator{key: key, addresses: addresses, pause: between, http: &http.Client{Timeout: attempt}}
 }
 
 // Apply submits declaration files and returns the answer of a quorum.
@@ -74,10 +79,8 @@
 		case connect.CodeInvalidArgument, connect.CodeUnauthenticated, connect.CodePermissionDenied, connect.CodeUnimplemented:
 			return nil, trace.Wrap(err, "controller %s", address)
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, operator.pause) {
 			return nil, trace.Wrap(err, "controller %s", address)
-		case <-time.After(operator.pause):
 		}
 	}
 }
--- a/internal/scale/drill.go
+++ b/internal/scale/drill.go
@@ -84,16 +84,11 @@
 	if options.Progress == nil {
 		options.Progress = io.Discard
 	}
-	fleet, err := Start(options.Options)
+	fleet, err := startDeclared(ctx, options.Options)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	defer fleet.Close()
-	declaring, cancel := context.WithTimeout(ctx, declareTimeout)
-	defer cancel()
-	if err := fleet.Declare(declaring); err != nil {
-		return nil, trace.Wrap(err)
-	}
 	running, stop := context.WithCancel(ctx)
 	defer stop()
 	d := &drilling{
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -42,7 +42,7 @@
 
 	directory   string
 	guard       net.Listener
-	operator    *http.Client
+	scraper     *http.Client
 	controllers []host
 	engines     host
 
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	fleet := &Fleet{Plan: plan, directory: options.Directory, guard: guard, operator: newOperatorClient(), stopped: map[string]bool{}}
+	fleet := &Fleet{Plan: plan, directory: options.Directory, guard: guard, scraper: &http.Client{Timeout: operatorTimeout}, stopped: map[string]bool{}}
 	makeHost := func(name string) host {
 		if options.Arguments == nil {
 			return &insideHost{}
--- a/internal/scale/operator.go
+++ b/internal/scale/operator.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
-	"connectrpc.com/connect"
-	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
-	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
-	"github.com/hazelpitch/hazelpitch/internal/pause"
+	"github.com/hazelpitch/hazelpitch/internal/fleet"
 )
 
 const (
@@ -38,8 +34,10 @@
 }
 
 func (f *Fleet) submitFile(ctx context.Context, file *v1.SourceFile, addresses []string) (*v1.ApplyResponse, time.Time, error) {
-	message := &v1.ApplyRequest{RequestId: uuid.NewString(), Files: []*v1.SourceFile{file}}
-	response, err := callAny(ctx, f, addresses, message, hazelpitchv1connect.OperatorServiceClient.Apply)
+	if len(addresses) == 0 {
+		return nil, time.Time{}, trace.NotFound("no controller to ask")
+	}
+	response, err := operatorAt(addresses).Apply(ctx, []*v1.SourceFile{file})
 	if err != nil {
 		return nil, time.Time{}, trace.Wrap(err, "applying %s", file.Name)
 	}
@@ -52,39 +50,14 @@
 
 // Execute runs one query or command of the operators' language.
 func (f *Fleet) Execute(ctx context.Context, text string) (*v1.ExecuteResponse, error) {
-	message := &v1.ExecuteRequest{RequestId: uuid.NewString(), Text: text}
-	return callAny(ctx, f, f.controllerAddresses(), message, hazelpitchv1connect.OperatorServiceClient.Execute)
+	return operatorAt(f.controllerAddresses()).Execute(ctx, text)
 }
 
-// callAny tries the controllers in turn until one answers or the context ends. A change
-// keeps its request identity, so that a resend changes nothing twice.
-func callAny[Request, Response any](ctx context.Context, f *Fleet, addresses []string, message *Request,
-	method func(hazelpitchv1connect.OperatorServiceClient, context.Context, *connect.Request[Request]) (*connect.Response[Response], error),
-) (*Response, error) {
-	if len(addresses) == 0 {
-		return nil, trace.NotFound("no controller to ask")
-	}
-	for attempt := 0; ; attempt++ {
-		address := addresses[attempt%len(addresses)]
-		client := hazelpitchv1connect.NewOperatorServiceClient(f.operator, "http://"+address)
-		request := connect.NewRequest(message)
-		request.Header().Set("Authorization", "Bearer "+operatorKey)
-		response, err := method(client, ctx, request)
-		if err == nil {
-			return response.Msg, nil
-		}
-		switch connect.CodeOf(err) {
-		case connect.CodeInvalidArgument, connect.CodeUnauthenticated, connect.CodePermissionDenied, connect.CodeUnimplemented:
-			return nil, trace.Wrap(err, "controller %s", address)
-		}
-		if !pause.For(ctx, operatorRetryPause) {
-			return nil, trace.Wrap(err, "controller %s", address)
-		}
-	}
+// operatorAt is the fleet's operator, who asks the controllers at these addresses.
+func operatorAt(addresses []string) *fleet.Operator {
+	return fleet.NewOperator(operatorKey, addresses, operatorTimeout, operatorRetryPause)
 }
 
-func newOperatorClient() *http.Client { return &http.Client{Timeout: operatorTimeout} }
-
 func (f *Fleet) controllerAddresses() []string {
 	addresses := make([]string, len(f.controllers))
 	for controller := range addresses {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -37,16 +37,11 @@
 		options.Progress = io.Discard
 	}
 	began := time.Now()
-	fleet, err := Start(options.Options)
+	fleet, err := startDeclared(ctx, options.Options)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	defer fleet.Close()
-	declaring, cancel := context.WithTimeout(ctx, declareTimeout)
-	defer cancel()
-	if err := fleet.Declare(declaring); err != nil {
-		return nil, trace.Wrap(err)
-	}
 	fmt.Fprintf(options.Progress, "in force at %d nodes after %.1f s\n", len(fleet.Nodes), time.Since(began).Seconds())
 	running, stop := context.WithCancel(ctx)
 	defer stop()
@@ -78,3 +73,18 @@
 	}
 	return nil
 }
+
+// startDeclared starts a fleet and waits until its declarations are in force everywhere.
+func startDeclared(ctx context.Context, options Options) (*Fleet, error) {
+	fleet, err := Start(options)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	declaring, cancel := context.WithTimeout(ctx, declareTimeout)
+	defer cancel()
+	if err := fleet.Declare(declaring); err != nil {
+		fleet.Close()
+		return nil, trace.Wrap(err)
+	}
+	return fleet, nil
+}
--- a/internal/scale/scrape.go
+++ b/internal/scale/scrape.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	response, err := f.operator.Do(request)
+	response, err := f.scraper.Do(request)
 	if err != nil {
 		return nil, trace.Wrap(err, "metrics of %s", ControllerName(controller))
 	}
