--- a/cmd/hazelpitch/main.go
+++ b/cmd/hazelpitch/main.go
@@ -17,6 +17,7 @@
 		Site: servercommand.Site{
 			Dialect:         platform.Dialect(),
 			ReadListing:     platform.ReadListing,
+			OrderStage:      platform.OrderStage,
 			OperatorHandler: platform.OperatorHandler,
 		},
 	}))
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -40,6 +40,11 @@
 	// ListingInterval is the time between the leader's readings of the outside list of
 	// back ends; 0 means that there is no such list.
 	ListingInterval time.Duration
+	// PriorPrefillShare is the part of the listed engines that read prompts until work is
+	// known; 0 leaves the roles of listed engines alone.
+	PriorPrefillShare float64
+	// OrderWait is how long a new leader waits before its first order to a listed engine.
+	OrderWait time.Duration
 	// WallOrigin is the wall-clock time at time 0 of Step, in milliseconds since
 	// the Unix epoch.
 	WallOrigin        int64
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -58,6 +58,7 @@
 	listing listing
 	watches map[CallID]watch
 	relays  map[string]time.Duration
+	stages  stages
 }
 
 // New returns the Core of a controller that starts with what its disk held.
@@ -89,6 +90,7 @@
 		pending:   map[uint64]pendingCall{},
 		watches:   map[CallID]watch{},
 		relays:    map[string]time.Duration{},
+		stages:    newStages(),
 	}, nil
 }
 
@@ -163,6 +165,8 @@
 		c.takeWatch(received)
 	case ListingReceived:
 		c.takeListing(received)
+	case StageOrdered:
+		c.takeStageOrdered(received)
 	case StopRequested:
 		c.takeStop()
 	case EngineStateReceived:
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -41,6 +41,7 @@
 	}
 	c.command()
 	c.tickListing()
+	c.tickStages()
 	if due(c.now, &c.duties.claims, claimInterval) {
 		c.loseGateways()
 		c.expireClaims()
--- /dev/null
+++ b/internal/control/harness_site_test.go
@@ -0,0 +1,107 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// listLag is how old the outside list is when it is read.
+const listLag = 800 * time.Millisecond
+
+// siteEngines are listed engines whose roles the list shows late.
+type siteEngines struct {
+	world   *world
+	roles   map[string]v1.Role
+	history []listedRoles
+	// orders counts the orders that engines took; lose drops the answer of an order.
+	orders int
+	lose   bool
+}
+
+type listedRoles struct {
+	at    time.Duration
+	roles map[string]v1.Role
+}
+
+// newSite returns a world of controllers that know only the first three addresses and
+// serve a site with engines, the first ones reading prompts.
+func newSite(w *world, engines, prefill int) *siteEngines {
+	site := &siteEngines{world: w, roles: map[string]v1.Role{}}
+	for index := range engines {
+		role := v1.Role_ROLE_DECODE
+		if index < prefill {
+			role = v1.Role_ROLE_PREFILL
+		}
+		site.roles[fmt.Sprintf("engine-%02d", index)] = role
+	}
+	site.note()
+	w.site = site
+	return site
+}
+
+func (s *siteEngines) note() {
+	copied := map[string]v1.Role{}
+	for id, role := range s.roles {
+		copied[id] = role
+	}
+	s.history = append(s.history, listedRoles{at: s.world.now, roles: copied})
+}
+
+// list returns the list as it stood listLag ago.
+func (s *siteEngines) list() []*v1.ListedBackEnd {
+	shown := s.history[0].roles
+	for _, noted := range s.history {
+		if noted.at <= s.world.now-listLag {
+			shown = noted.roles
+		}
+	}
+	var listed []*v1.ListedBackEnd
+	for _, id := range sortedKeys(shown) {
+		listed = append(listed, &v1.ListedBackEnd{Id: id, Service: "s", Zone: "zone-" + id[len(id)-1:], Slots: 32, Role: shown[id]})
+	}
+	return listed
+}
+
+// take carries out an order.
+func (s *siteEngines) take(order ChangeStage) StageOrdered {
+	s.roles[order.BackEnd.GetId()] = order.Role
+	s.orders++
+	s.note()
+	if s.lose {
+		return StageOrdered{ID: order.BackEnd.GetId(), Outcome: StageLost}
+	}
+	return StageOrdered{ID: order.BackEnd.GetId(), Outcome: StageTaken}
+}
+
+func (s *siteEngines) prefill() int {
+	count := 0
+	for _, role := range s.roles {
+		if role == v1.Role_ROLE_PREFILL {
+			count++
+		}
+	}
+	return count
+}
+
+// seeded configures a controller that knows the seeds only.
+func seeded(config *Config) {
+	config.Peers = nil
+	config.Seeds = []string{"controller-1", "controller-2", "controller-3"}
+	config.Bootstrap = true
+	config.FormationSize = 3
+	config.ListingInterval = 500 * time.Millisecond
+	config.PriorPrefillShare = 0.67
+	config.OrderWait = 3 * time.Second
+}
+
+// carryOutSite carries out the outputs of a site's controller.
+func (w *world) carryOutSite(controller *testController, life int, output Output) {
+	switch wanted := output.(type) {
+	case ReadListing:
+		w.deliver("list", controller, life, ListingReceived{BackEnds: w.site.list()})
+	case ChangeStage:
+		w.after(linkDelay, func() { w.deliver("engine", controller, life, w.site.take(wanted)) })
+	}
+}
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -47,6 +47,8 @@
 	answers  map[CallID]Answer
 	lastCall CallID
 	config   func(*Config)
+	// site is set in worlds of listed engines.
+	site *siteEngines
 }
 
 // testController is one controller with its disk.
@@ -185,6 +187,7 @@
 }
 
 func (w *world) carryOut(controller *testController, life int, output Output) {
+	w.carryOutSite(controller, life, output)
 	switch wanted := output.(type) {
 	case Persist:
 		w.after(linkDelay, func() {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -36,6 +36,7 @@
 	c.planning = newPlanning()
 	c.heldBack = nil
 	c.listing = listing{}
+	c.stages = newStages()
 	c.relays = map[string]time.Duration{}
 }
 
--- a/internal/control/listing.go
+++ b/internal/control/listing.go
@@ -31,13 +31,16 @@
 // listing is the leader's view of the outside list of back ends.
 type listing struct {
 	// version is the term and a count, so that no two leaders use one; 0 is none yet.
-	version  uint64
+	version uint64
+	// raw is the list as read; backEnds is what relays get, with changes of roles marked.
+	raw      []*v1.ListedBackEnd
 	backEnds []*v1.ListedBackEnd
 	// readAt is when the reading behind the list began.
 	readAt    time.Duration
 	askedAt   time.Duration
 	dueAt     time.Duration
 	underWay  bool
+	read      bool
 	readCount uint32
 }
 
@@ -70,12 +73,23 @@
 	sorted := slices.Clone(received.BackEnds)
 	slices.SortFunc(sorted, func(a, b *v1.ListedBackEnd) int { return strings.Compare(a.GetId(), b.GetId()) })
 	c.listing.readAt = c.listing.askedAt
-	if c.listing.version != 0 && slices.EqualFunc(sorted, c.listing.backEnds, sameBackEnd) {
+	c.listing.raw = sorted
+	c.listing.read = true
+	c.refreshListing()
+}
+
+// refreshListing begins a new version when what relays get has changed.
+func (c *Core) refreshListing() {
+	if !c.listing.read {
+		return
+	}
+	current := c.marked(c.listing.raw)
+	if c.listing.version != 0 && slices.EqualFunc(current, c.listing.backEnds, sameBackEnd) {
 		return
 	}
 	c.listing.readCount++
 	c.listing.version = c.leadingTerm<<termShift | uint64(c.listing.readCount)
-	c.listing.backEnds = sorted
+	c.listing.backEnds = current
 }
 
 // sameBackEnd compares two entries but for the time that a cold one needs, which runs on.
--- /dev/null
+++ b/internal/control/site_test.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+func (w *world) putDocument(controller *testController, number uint64, content string) Answer {
+	w.t.Helper()
+	return w.call(controller, func(id CallID) Input {
+		return PutDocumentReceived{Call: id, Document: &v1.Document{Number: number, Content: []byte(content)}}
+	})
+}
+
+func (w *world) readDocument(controller *testController) Answer {
+	w.t.Helper()
+	return w.call(controller, func(id CallID) Input { return ReadDocumentReceived{Call: id} })
+}
+
+func TestHighestDocumentHolds(t *testing.T) {
+	w := newWorld(t, 5, seeded)
+	newSite(w, 0, 0)
+	leader := w.waitLeader()
+	require.NoError(t, w.putDocument(leader, 7, "seven").Err)
+	require.NoError(t, w.putDocument(leader, 7, "other content").Err, "a resend is acknowledged")
+	require.NoError(t, w.putDocument(leader, 3, "three").Err, "an overtaken document is acknowledged")
+	read := w.readDocument(leader)
+	require.NoError(t, read.Err)
+	require.Equal(t, "seven", string(read.Response.(*v1.Document).GetContent()))
+	for _, name := range w.names {
+		if controller := w.controllers[name]; controller != leader {
+			var notLeader *NotLeaderError
+			require.ErrorAs(t, w.readDocument(controller).Err, &notLeader)
+			require.Equal(t, leader.name, notLeader.Leader)
+		}
+	}
+}
+
+func TestAcknowledgedDocumentOutlivesTheLossOfPower(t *testing.T) {
+	w := newWorld(t, 5, seeded)
+	newSite(w, 0, 0)
+	require.NoError(t, w.putDocument(w.waitLeader(), 9, "kept").Err)
+	for _, name := range w.names {
+		w.crash(name)
+	}
+	for _, name := range w.names {
+		w.start(name)
+	}
+	read := w.readDocument(w.waitLeader())
+	require.NoError(t, read.Err)
+	require.Equal(t, "kept", string(read.Response.(*v1.Document).GetContent()))
+}
+
+// A leader that is cut off must neither acknowledge nor answer reads once its lease ends.
+func TestCutOffLeaderIsNotSure(t *testing.T) {
+	w := newWorld(t, 5, seeded)
+	newSite(w, 0, 0)
+	former := w.waitLeader()
+	require.NoError(t, w.putDocument(former, 1, "one").Err)
+	former.cut = true
+	w.until("another leader", func() bool { leader := w.leader(); return leader != nil && leader != former })
+	require.NoError(t, w.putDocument(w.leader(), 2, "two").Err)
+	require.Error(t, w.readDocument(former).Err)
+	require.Error(t, w.putDocument(former, 3, "three").Err)
+}
+
+func TestWatchAnswersAtOnceWhenSomethingIsNew(t *testing.T) {
+	w := newWorld(t, 3, seeded)
+	newSite(w, 4, 2)
+	leader := w.waitLeader()
+	w.run(2 * time.Second)
+	watch := func(request *v1.WatchRequest) CallID {
+		request.Node = &v1.NodeIdentity{Name: "relay-1"}
+		return w.send(leader, func(id CallID) Input { return WatchReceived{Call: id, Request: request} })
+	}
+	first := w.answers[watch(&v1.WatchRequest{WaitMs: 400})].Response.(*v1.WatchResponse)
+	require.Len(t, first.GetBackEnds(), 4)
+	require.False(t, first.GetBehind())
+
+	waiting := watch(&v1.WatchRequest{WaitMs: 400, ListingVersion: first.GetListingVersion()})
+	_, answered := w.answers[waiting]
+	require.False(t, answered, "nothing is new")
+	require.NoError(t, w.putDocument(leader, 5, "five").Err)
+	told := w.answers[waiting].Response.(*v1.WatchResponse)
+	require.Equal(t, uint64(5), told.GetDocument().GetNumber())
+	require.Empty(t, told.GetBackEnds())
+
+	idle := watch(&v1.WatchRequest{WaitMs: 400, ListingVersion: first.GetListingVersion(), DocumentNumber: 5})
+	w.run(450 * time.Millisecond)
+	require.Nil(t, w.answers[idle].Response.(*v1.WatchResponse).GetDocument())
+
+	for _, name := range w.names {
+		if controller := w.controllers[name]; controller != leader {
+			answer := w.call(controller, func(id CallID) Input { return WatchReceived{Call: id, Request: &v1.WatchRequest{WaitMs: 400}} })
+			require.True(t, answer.Response.(*v1.WatchResponse).GetBehind())
+			require.Equal(t, leader.name, answer.Response.(*v1.WatchResponse).GetLeaderAddress())
+		}
+	}
+}
+
+// The list shows a change of role late; an engine that was ordered must not be ordered back.
+func TestStagesSettleThoughTheListLags(t *testing.T) {
+	w := newWorld(t, 3, seeded)
+	site := newSite(w, 18, 7)
+	w.waitLeader()
+	w.run(20 * time.Second)
+	require.Equal(t, 12, site.prefill())
+	require.Equal(t, 5, site.orders)
+}
+
+func TestLostAnswersOfStageOrdersAreSettledByTheList(t *testing.T) {
+	w := newWorld(t, 3, seeded)
+	site := newSite(w, 18, 7)
+	site.lose = true
+	w.waitLeader()
+	w.run(30 * time.Second)
+	require.Equal(t, 12, site.prefill())
+	require.LessOrEqual(t, site.orders, 10)
+}
+
+func TestNewLeaderWaitsBeforeItsFirstOrder(t *testing.T) {
+	w := newWorld(t, 3, seeded)
+	site := newSite(w, 18, 7)
+	w.waitLeader()
+	w.run(2 * time.Second)
+	require.Zero(t, site.orders)
+}
--- /dev/null
+++ b/internal/control/stages.go
@@ -0,0 +1,228 @@
+package control
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/stageplan"
+)
+
+// ChangeStage orders a listed engine into a role; StageOrdered follows, or the loss of it.
+type ChangeStage struct {
+	BackEnd *v1.ListedBackEnd
+	Role    v1.Role
+	// Holder and Fence say who orders: fences of later leaders are higher.
+	Holder string
+	Fence  uint64
+}
+
+// StageOrdered is what became of ChangeStage.
+type StageOrdered struct {
+	ID      string
+	Outcome StageOutcome
+}
+
+// StageOutcome is what is known of an order to a listed engine.
+type StageOutcome int
+
+// Outcomes of orders.
+const (
+	// StageLost orders may be carried out now, later or never.
+	StageLost StageOutcome = iota
+	// StageTaken orders are being carried out, or the engine holds the role already.
+	StageTaken
+	// StageRefused orders were not sent or not taken and never will be.
+	StageRefused
+)
+
+func (ChangeStage) isOutput() {}
+func (StageOrdered) isInput() {}
+
+const (
+	// stageInterval is the time between two looks at the engines' stages.
+	stageInterval = 500 * time.Millisecond
+	// stageOrderLimit is how long an order may take to show in the list before the engine
+	// may be ordered again.
+	stageOrderLimit = 8 * time.Second
+	// stageRefusedPause is the wait after an order that was not taken.
+	stageRefusedPause = 2 * time.Second
+	// stageHold is the time between two changes under load.
+	stageHold = 4 * time.Second
+	// stageDeadband is by how many engines the wanted number must differ.
+	stageDeadband = 1
+	// workMemory is how long a relay's report of its work counts.
+	workMemory = 4 * time.Second
+)
+
+// stageOrder is an order that does not show in the list yet.
+type stageOrder struct {
+	role  v1.Role
+	until time.Duration
+	// refused orders only keep the engine from being ordered again at once.
+	refused bool
+}
+
+// relayWork is what one relay reported last, by service.
+type relayWork struct {
+	at      time.Duration
+	demands []*v1.RoleDemand
+}
+
+// stages is the leader's view of the roles of listed engines.
+type stages struct {
+	plans  map[string]*stageplan.Plan
+	orders map[string]stageOrder
+	work   map[string]relayWork
+	dueAt  time.Duration
+}
+
+func newStages() stages {
+	return stages{plans: map[string]*stageplan.Plan{}, orders: map[string]stageOrder{}, work: map[string]relayWork{}}
+}
+
+// noteWork takes a relay's report of its work.
+func (c *Core) noteWork(request *v1.WatchRequest) {
+	if len(request.GetDemands()) > 0 {
+		c.stages.work[request.GetNode().GetName()] = relayWork{at: c.now, demands: request.GetDemands()}
+	}
+}
+
+// tickStages orders engines into the roles that the plan wants. A new leader first lets
+// the time of its predecessor's orders pass.
+func (c *Core) tickStages() {
+	if c.config.PriorPrefillShare <= 0 || c.listing.version == 0 || c.now-c.leadingSince < c.config.OrderWait {
+		return
+	}
+	if !due(c.now, &c.stages.dueAt, stageInterval) {
+		return
+	}
+	c.dropStageOrders()
+	engines := map[string][]stageplan.Engine{}
+	for _, backEnd := range c.listing.raw {
+		order, ordered := c.stages.orders[backEnd.GetId()]
+		role := backEnd.GetRole()
+		if ordered && !order.refused {
+			role = order.role // the list shows it later
+		}
+		if stage, is := stageOf(role); is && !backEnd.GetLeaving() {
+			engines[backEnd.GetService()] = append(engines[backEnd.GetService()], stageplan.Engine{
+				ID: backEnd.GetId(), Zone: backEnd.GetZone(), Slots: int(backEnd.GetSlots()), Stage: stage, Busy: ordered,
+			})
+		}
+	}
+	for _, service := range sortedKeys(engines) {
+		c.planStages(service, engines[service])
+	}
+}
+
+func (c *Core) planStages(service string, engines []stageplan.Engine) {
+	plan := c.stages.plans[service]
+	if plan == nil {
+		plan = stageplan.New(stageplan.Config{PriorPrefillShare: c.config.PriorPrefillShare, Hold: stageHold, Deadband: stageDeadband})
+		c.stages.plans[service] = plan
+	}
+	for _, change := range plan.Next(c.now, engines, c.serviceWork(service)) {
+		c.orderStage(change)
+	}
+}
+
+// serviceWork sums what relays reported of a service lately.
+func (c *Core) serviceWork(service string) stageplan.Work {
+	work := stageplan.Work{}
+	for _, name := range sortedKeys(c.stages.work) {
+		reported := c.stages.work[name]
+		if c.now-reported.at > workMemory {
+			delete(c.stages.work, name)
+			continue
+		}
+		for _, demand := range reported.demands {
+			if demand.GetService() != service || demand.GetWindowMs() == 0 {
+				continue
+			}
+			work.Known = true
+			work.Prompts += float64(demand.GetPrefillMs()) / float64(demand.GetWindowMs())
+			work.Streams += float64(demand.GetDecodeMs()) / float64(demand.GetWindowMs())
+		}
+	}
+	return work
+}
+
+// orderStage orders one engine, and keeps relays from sending it work meanwhile.
+func (c *Core) orderStage(change stageplan.Change) {
+	role := v1.Role_ROLE_DECODE
+	if change.Stage == stageplan.StagePrefill {
+		role = v1.Role_ROLE_PREFILL
+	}
+	for _, backEnd := range c.listing.raw {
+		if backEnd.GetId() != change.Engine {
+			continue
+		}
+		c.stages.orders[change.Engine] = stageOrder{role: role, until: c.now + stageOrderLimit}
+		c.emit(ChangeStage{BackEnd: backEnd, Role: role, Holder: c.config.Name, Fence: c.leadingTerm})
+	}
+	c.refreshListing()
+}
+
+// takeStageOrdered takes the outcome of an order. One that was refused gives the engine
+// back to the relays and lets it be ordered again after a pause; one that was lost counts
+// as taken until the list shows what became of it.
+func (c *Core) takeStageOrdered(received StageOrdered) {
+	order, ordered := c.stages.orders[received.ID]
+	if !ordered || received.Outcome != StageRefused {
+		return
+	}
+	order.refused, order.until = true, c.now+stageRefusedPause
+	c.stages.orders[received.ID] = order
+	c.refreshListing()
+}
+
+// dropStageOrders forgets orders that show in the list or have taken too long.
+func (c *Core) dropStageOrders() {
+	if len(c.stages.orders) == 0 {
+		return
+	}
+	listed := map[string]v1.Role{}
+	for _, backEnd := range c.listing.raw {
+		listed[backEnd.GetId()] = backEnd.GetRole()
+	}
+	for id, order := range c.stages.orders {
+		role, is := listed[id]
+		if !is || role == order.role && !order.refused || c.now >= order.until {
+			delete(c.stages.orders, id)
+		}
+	}
+	c.refreshListing()
+}
+
+// marked returns the back ends with those marked whose role is being changed.
+func (c *Core) marked(backEnds []*v1.ListedBackEnd) []*v1.ListedBackEnd {
+	if len(c.stages.orders) == 0 {
+		return backEnds
+	}
+	marked := make([]*v1.ListedBackEnd, len(backEnds))
+	for index, backEnd := range backEnds {
+		marked[index] = backEnd
+		order, ordered := c.stages.orders[backEnd.GetId()]
+		if !ordered || order.refused || order.role == backEnd.GetRole() {
+			continue
+		}
+		changing := proto.CloneOf(backEnd)
+		changing.Changing = true
+		marked[index] = changing
+	}
+	return marked
+}
+
+// stageOf translates a role; it reports false for back ends that are no engines.
+func stageOf(role v1.Role) (stageplan.Stage, bool) {
+	switch role {
+	case v1.Role_ROLE_PREFILL:
+		return stageplan.StagePrefill, true
+	case v1.Role_ROLE_DECODE:
+		return stageplan.StageDecode, true
+	default:
+		return 0, false
+	}
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -52,6 +52,7 @@
 		return
 	}
 	c.relays[name] = c.now
+	c.noteWork(request)
 }
 
 // answerWatches answers the watches that have something new or have waited long enough,
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -62,6 +62,7 @@
 	peers       *http.Client
 	site        *Site
 	listing     *listingReader
+	stageOrders *stageOrderer
 	operator    net.Listener
 }
 
@@ -149,6 +150,7 @@
 		return
 	}
 	c.start(group, func() error { c.listing.run(ctx); return nil })
+	c.start(group, func() error { c.stageOrders.run(ctx); return nil })
 	handler := c.site.OperatorHandler(documentStore{loop: c.loop, calls: c.calls})
 	c.start(group, func() error { return serveHTTP(ctx, c.operator, handler, nil, newServerLogger(c.log)) })
 }
--- a/internal/controller/input_names.go
+++ b/internal/controller/input_names.go
@@ -21,6 +21,8 @@
 		return "watch"
 	case control.PutDocumentReceived, control.ReadDocumentReceived:
 		return "document"
+	case control.StageOrdered:
+		return "orders"
 	case control.ListingReceived:
 		return "listing"
 	case control.ReportReceived:
--- a/internal/controller/outputs.go
+++ b/internal/controller/outputs.go
@@ -27,6 +27,7 @@
 	}
 	if c.site != nil {
 		c.listing = newListingReader(c.site, dial, c.loop.send)
+		c.stageOrders = newStageOrderer(c.site, dial, c.loop.send, c.log)
 	}
 	peers := &senders{lanes: make(map[lane]*sender), start: func(address string) *sender {
 		sender := c.newSender(address)
@@ -50,6 +51,10 @@
 		}
 	case control.ReadListing:
 		c.listing.request()
+	case control.ChangeStage:
+		if !c.stageOrders.accept(output) {
+			c.loop.addLost(control.StageOrdered{ID: output.BackEnd.GetId(), Outcome: control.StageRefused})
+		}
 	case control.DumpLogs:
 		c.log.Info().Str("operator", output.Operator).Msg("an operator asked for the log ring")
 		c.log.RequestDump()
--- a/internal/controller/site.go
+++ b/internal/controller/site.go
@@ -24,12 +24,27 @@
 	ListingInterval time.Duration
 	// ReadListing reads the outside list of back ends.
 	ReadListing func(ctx context.Context, client *http.Client) ([]serving.BackEnd, error)
+	// PriorPrefillShare and OrderWait: see control.Config.
+	PriorPrefillShare float64
+	OrderWait         time.Duration
+	// OrderStage orders an engine into a role. The error tells why the outcome is not
+	// control.StageTaken.
+	OrderStage func(ctx context.Context, client *http.Client, order StageOrder) (control.StageOutcome, error)
 	// OperatorListen is the IP:port for operators.
 	OperatorListen string
 	// OperatorHandler answers operators from the store.
 	OperatorHandler func(store DocumentStore) http.Handler
 }
 
+// StageOrder is one order to an engine.
+type StageOrder struct {
+	Engine serving.BackEnd
+	Stage  serving.Stage
+	// Holder and Fence say who orders.
+	Holder string
+	Fence  uint64
+}
+
 // DocumentStore keeps the operator's document. Errors are control.NotLeaderError when
 // another controller must be asked, bad parameters for documents that are never taken, and
 // anything else when it is not known whether the call had an effect.
--- a/internal/logring/log.go
+++ b/internal/logring/log.go
@@ -20,6 +20,15 @@
 	sink *Sink
 }
 
+// NewWithStream returns a log whose entries also go to the writer as they come, which
+// must not block; Run must be called as for New.
+func NewWithStream(name string, bounds settings.Log, stream zerolog.LevelWriter) *Log {
+	log := New(name, bounds)
+	both := zerolog.MultiLevelWriter(log.sink, stream)
+	log.Logger = log.Output(both)
+	return log
+}
+
 // New returns a log for the named process. Run must be called for dumps caused by
 // errors and signals to be written.
 func New(name string, bounds settings.Log) *Log {
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -33,10 +33,11 @@
 
 // pick chooses the back end for a request, or nil when none is left. Back ends that failed
 // lately are taken only when no other is left.
-func (r *Relay) pick(view *view, wanted choice, tried *attempts) *backEnd {
+func (r *Relay) pick(wanted choice, tried *attempts) *backEnd {
+	view := r.view.Load() // the newest list: a request may wait long between two picks
 	candidates := make([]candidate, 0, 16)
 	for _, backEnd := range view.byService[wanted.service] {
-		if backEnd.Leaving || backEnd.Stage != wanted.stage || tried.isExcluded(backEnd) {
+		if backEnd.Leaving || backEnd.Changing || backEnd.Stage != wanted.stage || tried.isExcluded(backEnd) {
 			continue
 		}
 		candidates = append(candidates, candidate{backEnd: backEnd, load: backEnd.look(wanted.now)})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,6 +29,7 @@
 	exchanger *exchanger
 	budget    *retryBudget
 	watcher   *watcher
+	work      *workMeter
 
 	view atomic.Pointer[view]
 	// contactAt is the time of the last word of a leader.
@@ -73,6 +74,7 @@
 		clock:    steady,
 		log:      requestLog{logger: options.Log.Logger},
 		budget:   newRetryBudget(config.RetryBudget.Ratio, config.RetryBudget.Window, config.RetryBudget.Slack),
+		work:     newWorkMeter(),
 		random:   lockedRandom{source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 	}
 	relay.connections.open = map[*clientConnection]bool{}
--- a/internal/relay/release.go
+++ b/internal/relay/release.go
@@ -12,7 +12,7 @@
 
 // release tells an engine that a prompt it holds will not be taken. Its answer only shows
 // whether the connection can be used again.
-func (e *exchanger) release(held *heldPrompt, path, requestID string) {
+func (e *exchanger) release(held *heldPrompt, path string) {
 	now := e.clock.now()
 	connection := held.engine.pool.take(now, unsafeIdleLimit)
 	if connection == nil {
@@ -27,7 +27,6 @@
 	defer connection.close()
 	_ = connection.SetDeadline(e.clock.at(now + releaseTimeout))
 	head := append([]byte(nil), "DELETE "+path+" HTTP/1.1\r\nHost: "+held.engine.Address+"\r\n"...)
-	head = appendHeader(head, e.names.RequestID, requestID)
 	head = appendHeader(head, e.names.ExpectInstance, held.engine.ID)
 	if _, err := connection.Write(append(head, "\r\n"...)); err != nil {
 		return
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -16,6 +16,8 @@
 	close bool
 	// started tells that bytes of an answer may have left.
 	started bool
+	// status is that of the answer begun.
+	status  int
 	chunked bool
 	// failed is set once the client cannot be written to any more.
 	failed  bool
@@ -86,6 +88,7 @@
 
 // begin returns the status line.
 func (r *replier) begin(status int) []byte {
+	r.status = status
 	head := append(r.scratch[:0], "HTTP/1.1 "...)
 	head = strconv.AppendInt(head, int64(status), 10)
 	head = append(head, ' ')
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -30,6 +30,7 @@
 	deadline time.Duration
 
 	canceller canceller
+	trace     requestTrace
 }
 
 // clientDeadline returns the time that the client gives, or fallback when it names none.
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/rs/zerolog"
 )
 
@@ -13,6 +15,25 @@
 		Str("verdict", fault.verdict.String()).Bool("arrived", fault.arrived).AnErr("cause", fault.cause).Msg("attempt failed")
 }
 
+// requestTrace is what became of a request, for the line at its end.
+type requestTrace struct {
+	// prefillEngine and engine are the back ends that took the request last.
+	prefillEngine, engine string
+	prefillAt, sentAt     time.Duration
+	// firstAt is when the first event of a stream was passed on.
+	firstAt time.Duration
+}
+
+// ended notes how a request ended; times are milliseconds since its arrival.
+func (l requestLog) ended(request *request, reply *replier, clock clock) {
+	trace := request.trace
+	since := func(at time.Duration) int64 { return max((at - request.arrivedAt).Milliseconds(), 0) }
+	l.logger.Info().Str("event", "request_ended").Str("request", request.id).Str("route", request.route.Name).
+		Int("status", reply.status).Bool("cut", reply.failed).Str("prefill", trace.prefillEngine).Str("back_end", trace.engine).
+		Int("prompt", request.prompt.PromptTokens).Int64("prefill_sent_ms", since(trace.prefillAt)).Int64("sent_ms", since(trace.sentAt)).
+		Int64("first_ms", since(trace.firstAt)).Int64("ended_ms", since(clock.now())).Send()
+}
+
 // refused notes a final answer of the relay's own.
 func (l requestLog) refused(request *request, refused refusal, tried *attempts) {
 	l.logger.Info().Str("request", request.id).Str("route", request.route.Name).Int("status", refused.status).
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -28,17 +28,17 @@
 
 // serveStream serves a stream. From model engines a long prompt is read at a prefill
 // engine and generated from at a decoding one.
-func (r *Relay) serveStream(view *view, request *request, reply *replier) {
+func (r *Relay) serveStream(request *request, reply *replier) {
 	tried := &attempts{relay: r, request: request}
 	stream := &streamReply{relay: r, request: request, reply: reply, tried: tried,
 		last: string(request.header.Peek(r.dialect.Headers.LastEventID))}
-	held := r.readPrompt(view, request, tried)
+	held := r.readPrompt(request, tried)
 	for tried.mayContinue() {
 		wanted := choice{service: request.service.Name, stage: answeringStage(request.service), zone: r.settings.Zone, now: r.clock.now()}
 		if held != nil {
 			wanted.zone = held.engine.Zone
 		}
-		backEnd := r.pick(view, wanted, tried)
+		backEnd := r.pick(wanted, tried)
 		if backEnd == nil {
 			break
 		}
@@ -51,24 +51,27 @@
 		tried.note(backEnd, fault)
 	}
 	if held != nil {
-		r.release(held, request)
+		r.release(held)
 	}
 	r.finishRefused(tried, reply)
 }
 
 // readPrompt lets a prefill engine read a long prompt. It returns nil when the prompt is
 // short or no engine has read it; a decoding engine then reads it itself.
-func (r *Relay) readPrompt(view *view, request *request, tried *attempts) *heldPrompt {
+func (r *Relay) readPrompt(request *request, tried *attempts) *heldPrompt {
 	if request.service.Engine == nil || request.prompt.PromptTokens <= shortPrompt {
 		return nil
 	}
-	engine := r.pick(view, choice{
+	engine := r.pick(choice{
 		service: request.service.Name, stage: serving.StagePrefill, key: request.prompt.SharedKey(),
 		zone: r.settings.Zone, now: r.clock.now(),
 	}, tried)
 	if engine == nil {
 		return nil
 	}
+	r.work.prompt(r.clock.now(), request.service.Name, 1)
+	defer func() { r.work.prompt(r.clock.now(), request.service.Name, -1) }()
+	request.trace.prefillEngine, request.trace.prefillAt = engine.ID, r.clock.now()
 	answer, fault := r.exchanger.send(&message{
 		request: request, backEnd: engine, deadline: request.deadline, promptTokens: request.prompt.PromptTokens,
 		set: append(r.priority(request), header{r.dialect.Headers.Stage, r.dialect.PrefillStage}),
@@ -101,6 +104,6 @@
 
 // release gives a prompt up that nobody will take, in the background: it would take room
 // until it lapses.
-func (r *Relay) release(held *heldPrompt, request *request) {
-	go r.exchanger.release(held, r.dialect.HandlePath(held.handle), request.id)
+func (r *Relay) release(held *heldPrompt) {
+	go r.exchanger.release(held, r.dialect.HandlePath(held.handle))
 }
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -37,11 +37,12 @@
 	request.prompt = serving.ParsePrompt(string(request.header.Peek(names.Model)),
 		string(request.header.Peek(names.Tokens)), string(request.header.Peek(names.PromptParts)))
 	r.budget.request(r.clock.now(), request.service.Name)
+	defer r.log.ended(request, reply, r.clock)
 	if request.route.Kind == serving.KindStream {
-		r.serveStream(view, request, reply)
+		r.serveStream(request, reply)
 		return
 	}
-	r.servePlain(view, request, reply)
+	r.servePlain(request, reply)
 }
 
 // refuseRoute answers a request without a route. Only a relay whose view is fresh can be
@@ -64,15 +65,16 @@
 }
 
 // servePlain serves a request whose back ends answer it whole.
-func (r *Relay) servePlain(view *view, request *request, reply *replier) {
+func (r *Relay) servePlain(request *request, reply *replier) {
 	tried := &attempts{relay: r, request: request}
 	for tried.mayContinue() {
-		backEnd := r.pick(view, choice{
+		backEnd := r.pick(choice{
 			service: request.service.Name, stage: answeringStage(request.service), zone: r.settings.Zone, now: r.clock.now(),
 		}, tried)
 		if backEnd == nil {
 			break
 		}
+		request.trace.engine, request.trace.sentAt = backEnd.ID, r.clock.now()
 		answer, fault := r.exchanger.send(&message{request: request, backEnd: backEnd, deadline: request.deadline})
 		if fault == nil {
 			fault = r.passPlain(answer, tried, reply)
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -35,6 +35,9 @@
 	if s.last != "" {
 		set = append(set, header{names.LastEventID, s.last})
 	}
+	s.relay.work.stream(s.relay.clock.now(), s.request.service.Name, 1)
+	defer func() { s.relay.work.stream(s.relay.clock.now(), s.request.service.Name, -1) }()
+	s.request.trace.engine, s.request.trace.sentAt = engine.ID, s.relay.clock.now()
 	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.request.deadline, set: set})
 	if fault != nil {
 		return fault
@@ -104,6 +107,7 @@
 	if s.reply.started {
 		s.reply.chunk(s.pieces)
 	} else {
+		s.request.trace.firstAt = s.relay.clock.now()
 		s.reply.beginChunks(answer, s.pieces)
 	}
 	s.pieces = s.pieces[:0]
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -102,6 +102,7 @@
 		ListingVersion: view.listingVersion,
 		WaitMs:         uint32(watchWait.Milliseconds()),
 		Leaving:        w.relay.stopping.Load(),
+		Demands:        w.relay.work.report(w.relay.clock.now()),
 	}
 	if view.table != nil {
 		request.DocumentNumber = view.table.Configuration.Number
@@ -195,7 +196,7 @@
 }
 
 func sameEntry(a, b serving.BackEnd) bool {
-	return a.Address == b.Address && a.Service == b.Service && a.Leaving == b.Leaving && a.Stage == b.Stage && a.Slots == b.Slots
+	return a.Address == b.Address && a.Service == b.Service && a.Leaving == b.Leaving && a.Changing == b.Changing && a.Stage == b.Stage && a.Slots == b.Slots
 }
 
 // readWhileNoneLeads reads the list here once no controller has led for a while, so that
--- a/internal/servercommand/log.go
+++ b/internal/servercommand/log.go
@@ -7,13 +7,28 @@
 	"github.com/gravitational/trace"
 
 	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/logstream"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
 
+// withStreamedLog is withLog for a server that also writes its log to standard output.
+func withStreamedLog(ctx context.Context, environment Environment, name string, bounds settings.Log, serve func(context.Context, *logring.Log) error) error {
+	stream := logstream.New(environment.Stdout)
+	streamContext, stopStream := context.WithCancel(context.WithoutCancel(ctx))
+	var streaming sync.WaitGroup
+	streaming.Go(func() { stream.Run(streamContext) })
+	defer streaming.Wait()
+	defer stopStream()
+	return runWithLog(ctx, logring.NewWithStream(name, bounds, stream), serve)
+}
+
 // withLog runs a server with its log ring. The ring is written out on errors and
 // signals while the server runs, and when it fails or panics.
 func withLog(ctx context.Context, name string, bounds settings.Log, serve func(context.Context, *logring.Log) error) error {
-	log := logring.New(name, bounds)
+	return runWithLog(ctx, logring.New(name, bounds), serve)
+}
+
+func runWithLog(ctx context.Context, log *logring.Log, serve func(context.Context, *logring.Log) error) error {
 	defer log.DumpOnPanic()
 	logContext, stopLog := context.WithCancel(context.WithoutCancel(ctx))
 	var logging sync.WaitGroup
--- a/internal/servercommand/relay.go
+++ b/internal/servercommand/relay.go
@@ -26,7 +26,7 @@
 		return nil
 	}
 	limitMemory(loaded.MemoryLimit)
-	return withLog(ctx, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
+	return withStreamedLog(ctx, environment, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
 		return relay.Run(ctx, loaded, relay.Options{
 			Dialect: environment.Site.Dialect, ReadListing: environment.Site.listingAt(loaded.ListingAddress),
 			Listen: environment.Listen, Log: log,
--- a/internal/servercommand/site.go
+++ b/internal/servercommand/site.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/hazelpitch/hazelpitch/internal/control"
 	"github.com/hazelpitch/hazelpitch/internal/controller"
 	"github.com/hazelpitch/hazelpitch/internal/relay"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
@@ -18,6 +19,8 @@
 	Dialect relay.Dialect
 	// ReadListing reads the list of back ends at an address.
 	ReadListing func(ctx context.Context, client *http.Client, address string) ([]serving.BackEnd, error)
+	// OrderStage orders an engine into a role.
+	OrderStage func(ctx context.Context, client *http.Client, order controller.StageOrder) (control.StageOutcome, error)
 	// OperatorHandler answers operators; port is the one at which every controller does.
 	OperatorHandler func(store controller.DocumentStore, port string) http.Handler
 }
--- a/internal/servercommand/site_controller.go
+++ b/internal/servercommand/site_controller.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/controller"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
@@ -14,6 +15,9 @@
 // siteControllerFlags are the flags of the controller of a site.
 type siteControllerFlags struct{ siteFlags }
 
+// orderSlack is added to a new leader's wait, for orders that are under way.
+const orderSlack = 500 * time.Millisecond
+
 func (s *siteControllerFlags) run(ctx context.Context, environment Environment) error {
 	source, err := s.source()
 	if err != nil {
@@ -31,14 +35,16 @@
 	_, operatorPort, _ := net.SplitHostPort(loaded.OperatorListen) // checked when the file was read
 	site := &controller.Site{
 		Seeds: loaded.PeerSeeds(), Bootstrap: loaded.Bootstrap, FormationSize: loaded.FormationSize(),
-		ListingInterval: loaded.ListingInterval,
-		ReadListing:     environment.Site.listingAt(loaded.ListingAddress),
-		OperatorListen:  loaded.OperatorListen,
+		ListingInterval:   loaded.ListingInterval,
+		ReadListing:       environment.Site.listingAt(loaded.ListingAddress),
+		PriorPrefillShare: loaded.PrefillShare, OrderWait: loaded.OrderWait + orderSlack,
+		OrderStage:     environment.Site.OrderStage,
+		OperatorListen: loaded.OperatorListen,
 		OperatorHandler: func(store controller.DocumentStore) http.Handler {
 			return environment.Site.OperatorHandler(store, operatorPort)
 		},
 	}
-	return withLog(ctx, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
+	return withStreamedLog(ctx, environment, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
 		return controller.Run(ctx, loaded.Controller(siteFleet), controller.Options{Listen: environment.Listen, Site: site, Log: log})
 	})
 }
--- a/internal/serving/backend.go
+++ b/internal/serving/backend.go
@@ -26,7 +26,9 @@
 	Slots   int
 	// Leaving back ends get no new work.
 	Leaving bool
-	Cold    time.Duration
-	Stage   Stage
-	Models  []string
+	// Changing back ends get no new work while their stage changes.
+	Changing bool
+	Cold     time.Duration
+	Stage    Stage
+	Models   []string
 }
--- a/internal/serving/listed.go
+++ b/internal/serving/listed.go
@@ -17,7 +17,7 @@
 func (b BackEnd) Listed() *v1.ListedBackEnd {
 	return &v1.ListedBackEnd{
 		Id: b.ID, Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: uint32(max(b.Slots, 0)),
-		Leaving: b.Leaving, ColdMs: uint32(max(b.Cold.Milliseconds(), 0)), Role: stages[b.Stage], Models: b.Models,
+		Leaving: b.Leaving, Changing: b.Changing, ColdMs: uint32(max(b.Cold.Milliseconds(), 0)), Role: stages[b.Stage], Models: b.Models,
 	}
 }
 
@@ -28,10 +28,17 @@
 		Slots: int(listed.GetSlots()), Leaving: listed.GetLeaving(),
 		Cold: time.Duration(listed.GetColdMs()) * time.Millisecond, Models: listed.GetModels(),
 	}
-	for stage, role := range stages {
-		if role == listed.GetRole() {
-			backEnd.Stage = stage
+	backEnd.Changing = listed.GetChanging()
+	backEnd.Stage = StageOfRole(listed.GetRole())
+	return backEnd
+}
+
+// StageOfRole translates a role of the internal protocol.
+func StageOfRole(role v1.Role) Stage {
+	for stage, known := range stages {
+		if known == role {
+			return stage
 		}
 	}
-	return backEnd
+	return StageWhole
 }
--- a/internal/settings/site_controller.go
+++ b/internal/settings/site_controller.go
@@ -28,7 +28,13 @@
 	// ListingAddress is the IP:port of the outside list of back ends. Required.
 	ListingAddress string `yaml:"listing_address" check:"required,address"`
 	// ListingInterval is the time between the leader's readings of it; default 500ms.
-	ListingInterval   time.Duration `yaml:"listing_interval" default:"500ms" check:"positive"`
+	ListingInterval time.Duration `yaml:"listing_interval" default:"500ms" check:"positive"`
+	// PrefillShare is the part of the engines that read prompts until their work is known;
+	// 0 leaves the engines' roles alone; default 0.67.
+	PrefillShare float64 `yaml:"prefill_share" default:"0.67" check:"not-negative"`
+	// OrderWait is how long a new leader waits before its first order to an engine, so that
+	// its predecessor's have ended; default 3s.
+	OrderWait         time.Duration `yaml:"order_wait" default:"3s" check:"not-negative"`
 	ElectionTimeout   time.Duration `yaml:"election_timeout" default:"600ms" check:"positive"`
 	HeartbeatInterval time.Duration `yaml:"heartbeat_interval" default:"100ms" check:"positive"`
 	// MemoryLimit is the size in MiB that the process must stay under; 0 for no limit.
