Choose engines by the time until a prompt is read, with the work of all relays known

Cause: each relay saw only its own work at engines.

Change: relays tell each other their work at engines and what it has cached (UDP notices, absolute figures, 16 peers at most); an engine is chosen by waiting plus twice the reading, lateness weighing three times, with a home engine per shared prompt; short readings rank before long ones and only what goes first counts as waiting; the pace of each engine is learnt. An engine changes stage only when one stage has too little time and the other much. SIGHUP and a changed file are read: seeds and retry budget take effect.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -50,6 +50,7 @@
 	probeDueAt      time.Duration
 	probeAnswers    map[string]*v1.Member
 	reports         formationReports
+	laterSeeds      []string
 	addresses       map[string]string
 	transferElected bool
 
--- a/internal/consensus/formation_seeds.go
+++ b/internal/consensus/formation_seeds.go
@@ -39,6 +39,14 @@
 // seeded reports whether the settings name seeds in place of all peers.
 func (c *Core) seeded() bool { return len(c.config.Seeds) > 0 }
 
+// SetSeeds takes the seeds that the settings name now, for a member that has yet to find the
+// quorum. Who may form it was settled at the start.
+func (c *Core) SetSeeds(seeds []string) {
+	if c.seeded() && len(seeds) > 0 {
+		c.laterSeeds = seeds
+	}
+}
+
 // formsQuorum reports whether this member may form the quorum from reports.
 func (c *Core) formsQuorum() bool {
 	return c.seeded() && c.config.Bootstrap && c.config.Seeds[0] == c.config.Address
@@ -61,7 +69,8 @@
 // probeSeeds probes the seeds and every member known.
 func (c *Core) probeSeeds() {
 	c.probeDueAt = c.now + c.config.ElectionTimeout/4
-	addresses := append(slices.Clone(c.config.Seeds), c.Addresses()...)
+	addresses := append(slices.Clone(c.config.Seeds), c.laterSeeds...)
+	addresses = append(addresses, c.Addresses()...)
 	slices.Sort(addresses)
 	for _, address := range slices.Compact(addresses) {
 		if address != c.config.Address {
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -57,7 +57,7 @@
 	// listing, watches and relays serve the relays of opaque requests.
 	listing listing
 	watches map[CallID]watch
-	relays  map[string]time.Duration
+	relays  map[string]relayRecord
 	stages  stages
 }
 
@@ -89,7 +89,7 @@
 		random:    random,
 		pending:   map[uint64]pendingCall{},
 		watches:   map[CallID]watch{},
-		relays:    map[string]time.Duration{},
+		relays:    map[string]relayRecord{},
 		stages:    newStages(),
 	}, nil
 }
@@ -167,6 +167,8 @@
 		c.takeListing(received)
 	case StageOrdered:
 		c.takeStageOrdered(received)
+	case SeedsChanged:
+		c.consensus.SetSeeds(received.Seeds)
 	case StopRequested:
 		c.takeStop()
 	case EngineStateReceived:
--- a/internal/control/input.go
+++ b/internal/control/input.go
@@ -104,6 +104,10 @@
 	Load   *enginecontract.LoadReport
 }
 
+// SeedsChanged brings the seeds that the settings name now.
+type SeedsChanged struct{ Seeds []string }
+
+func (SeedsChanged) isInput()        {}
 func (Tick) isInput()                {}
 func (PeerMessage) isInput()         {}
 func (Persisted) isInput()           {}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -1,10 +1,6 @@
 package control
 
-import (
-	"time"
-
-	"github.com/hazelpitch/hazelpitch/internal/demand"
-)
+import "github.com/hazelpitch/hazelpitch/internal/demand"
 
 // checkLeadership follows the replicated log's view of who leads.
 func (c *Core) checkLeadership() {
@@ -37,7 +33,7 @@
 	c.heldBack = nil
 	c.listing = listing{}
 	c.stages = newStages()
-	c.relays = map[string]time.Duration{}
+	c.relays = map[string]relayRecord{}
 }
 
 func (c *Core) stopLeading() {
--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -49,9 +49,7 @@
 	// stageRefusedPause is the wait after an order that was not taken.
 	stageRefusedPause = 2 * time.Second
 	// stageHold is the time between two changes under load.
-	stageHold = 4 * time.Second
-	// stageDeadband is by how many engines the wanted number must differ.
-	stageDeadband = 1
+	stageHold = 3 * time.Second
 	// workMemory is how long a relay's report of its work counts.
 	workMemory = 4 * time.Second
 )
@@ -108,7 +106,7 @@
 		}
 		if stage, is := stageOf(role); is && !backEnd.GetLeaving() {
 			engines[backEnd.GetService()] = append(engines[backEnd.GetService()], stageplan.Engine{
-				ID: backEnd.GetId(), Zone: backEnd.GetZone(), Slots: int(backEnd.GetSlots()), Stage: stage, Busy: ordered,
+				ID: backEnd.GetId(), Zone: backEnd.GetZone(), Stage: stage, Busy: ordered,
 			})
 		}
 	}
@@ -120,7 +118,7 @@
 func (c *Core) planStages(service string, engines []stageplan.Engine) {
 	plan := c.stages.plans[service]
 	if plan == nil {
-		plan = stageplan.New(stageplan.Config{PriorPrefillShare: c.config.PriorPrefillShare, Hold: stageHold, Deadband: stageDeadband})
+		plan = stageplan.New(stageplan.Config{PriorPrefillShare: c.config.PriorPrefillShare, Hold: stageHold})
 		c.stages.plans[service] = plan
 	}
 	for _, change := range plan.Next(c.now, engines, c.serviceWork(service)) {
@@ -142,8 +140,8 @@
 				continue
 			}
 			work.Known = true
-			work.Prompts += float64(demand.GetPrefillMs()) / float64(demand.GetWindowMs())
-			work.Streams += float64(demand.GetDecodeMs()) / float64(demand.GetWindowMs())
+			work.Prefill += float64(demand.GetPrefillMs()) / float64(demand.GetWindowMs())
+			work.Decode += float64(demand.GetDecodeMs()) / float64(demand.GetWindowMs())
 		}
 	}
 	return work
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -26,6 +26,12 @@
 	relayCountAfter = 3 * time.Second
 )
 
+// relayRecord is what the leader remembers of a relay.
+type relayRecord struct {
+	heardAt       time.Duration
+	noticeAddress string
+}
+
 // watch is a relay's question that waits.
 type watch struct {
 	request *v1.WatchRequest
@@ -51,7 +57,7 @@
 		delete(c.relays, name)
 		return
 	}
-	c.relays[name] = c.now
+	c.relays[name] = relayRecord{heardAt: c.now, noticeAddress: request.GetNoticeAddress()}
 	c.noteWork(request)
 }
 
@@ -100,7 +106,9 @@
 	if c.listing.version != 0 {
 		response.ListingAgeMs = milliseconds(c.now - c.listing.readAt)
 	}
+	c.forgetRelays()
 	response.Relays = c.relayCount()
+	response.RelayAddresses = c.noticeAddresses()
 	return response
 }
 
@@ -109,10 +117,26 @@
 	if c.now-c.leadingSince < relayCountAfter {
 		return 0
 	}
-	for name, heardAt := range c.relays {
-		if c.now-heardAt > relayMemory {
+	return uint32(len(c.relays))
+}
+
+// forgetRelays forgets relays that have not been heard of for long.
+func (c *Core) forgetRelays() {
+	for name, record := range c.relays {
+		if c.now-record.heardAt > relayMemory {
 			delete(c.relays, name)
 		}
 	}
-	return uint32(len(c.relays))
+}
+
+// noticeAddresses returns where relays take load notices, sorted.
+func (c *Core) noticeAddresses() []string {
+	var addresses []string
+	for _, record := range c.relays {
+		if record.noticeAddress != "" {
+			addresses = append(addresses, record.noticeAddress)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
 }
--- a/internal/controller/input_names.go
+++ b/internal/controller/input_names.go
@@ -17,6 +17,8 @@
 		return "query"
 	case control.SyncReceived:
 		return "sync"
+	case control.SeedsChanged:
+		return "settings"
 	case control.WatchReceived:
 		return "watch"
 	case control.PutDocumentReceived, control.ReadDocumentReceived:
--- a/internal/controller/site.go
+++ b/internal/controller/site.go
@@ -20,6 +20,8 @@
 	Seeds         []string
 	Bootstrap     bool
 	FormationSize int
+	// ReloadedSeeds brings seeds that the settings name now; nil for none.
+	ReloadedSeeds <-chan []string
 	// ListingInterval is the time between the leader's readings of the list.
 	ListingInterval time.Duration
 	// ReadListing reads the outside list of back ends.
@@ -45,6 +47,20 @@
 	Fence  uint64
 }
 
+// takeSeeds hands seeds that were read again to the Core until the context ends.
+func (c *controller) takeSeeds(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case seeds := <-c.site.ReloadedSeeds:
+			if c.loop.send(ctx, control.SeedsChanged{Seeds: seeds}) != nil {
+				return
+			}
+		}
+	}
+}
+
 // DocumentStore keeps the operator's document. Errors are control.NotLeaderError when
 // another controller must be asked, bad parameters for documents that are never taken, and
 // anything else when it is not known whether the call had an effect.
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -11,18 +13,23 @@
 // shows it; requests that still use it may outlive that.
 type backEnd struct {
 	serving.BackEnd
-	pool pool
+	// hash identifies the back end in load notices.
+	hash  uint64
+	pool  pool
+	cache *promptCache
 
 	mutex sync.Mutex
 	load  load
 }
 
+func newBackEnd(entry serving.BackEnd, cacheTokens int) *backEnd {
+	return &backEnd{BackEnd: entry, hash: xxhash.Sum64String(entry.ID), cache: newPromptCache(cacheTokens)}
+}
+
 // load is what the relay knows of a back end's work and health.
 type load struct {
-	// running counts this relay's requests at the back end, promptTokens their prompts
-	// that it still has to read, as far as is known.
-	running      int
-	promptTokens int
+	// own is this relay's work at the back end.
+	own work
 	// told is the back end's own word of its running and waiting requests.
 	told   int
 	toldAt time.Duration
@@ -38,24 +45,24 @@
 	// further one up to avoidLongest.
 	avoidFirst   = 250 * time.Millisecond
 	avoidLongest = 4 * time.Second
+	// busyPause is how long a back end that refused for want of room is avoided.
+	busyPause = 50 * time.Millisecond
 	// toldLifetime is how long a back end's own word of its load counts.
 	toldLifetime = 500 * time.Millisecond
 )
 
-// begin notes a request that is about to be sent.
-func (b *backEnd) begin(promptTokens int) {
+// begin notes work that is about to be sent.
+func (b *backEnd) begin(begun work) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.load.running++
-	b.load.promptTokens += promptTokens
+	b.load.own = b.load.own.plus(begun)
 }
 
-// end notes that a request of begin has ended.
-func (b *backEnd) end(promptTokens int) {
+// end notes that work of begin has ended.
+func (b *backEnd) end(ended work) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.load.running--
-	b.load.promptTokens -= promptTokens
+	b.load.own = b.load.own.minus(ended)
 }
 
 // succeeded notes that the back end answered.
@@ -79,7 +86,7 @@
 func (b *backEnd) busy(now time.Duration) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.load.avoidUntil = max(b.load.avoidUntil, now+avoidFirst/5)
+	b.load.avoidUntil = max(b.load.avoidUntil, now+busyPause)
 }
 
 // tell notes the back end's own word of its load.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -41,8 +41,10 @@
 	deadline time.Duration
 	// firstByte bounds the wait for the answer's head; 0 leaves it to the deadline.
 	firstByte time.Duration
-	// promptTokens is the part of the prompt that the back end has to read, as far as known.
-	promptTokens int
+	// work is what the message asks of the back end, as far as known.
+	work work
+	// reads are the beginnings of the prompt that the back end reads.
+	reads []promptPrefix
 }
 
 // answer is the head of a back end's answer; its body is still on the connection.
@@ -60,25 +62,46 @@
 
 // exchanger carries messages to back ends.
 type exchanger struct {
-	names  HeaderNames
-	writer requestWriter
-	clock  clock
-	dial   func(ctx context.Context, network, address string) (net.Conn, error)
-	log    requestLog
+	names   HeaderNames
+	writer  requestWriter
+	clock   clock
+	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	log     requestLog
+	notices *notices
 }
 
 // send sends the message and reads the head of the answer to it. The answer must be closed.
 func (e *exchanger) send(message *message) (*answer, *failure) {
-	message.backEnd.begin(message.promptTokens)
+	message.backEnd.begin(message.work)
+	e.noteWork(message, message.reads)
 	answer, fault := e.exchange(message)
 	if fault == nil {
 		return answer, nil
 	}
-	message.backEnd.end(message.promptTokens)
+	message.backEnd.end(message.work)
+	e.noteWork(message, nil)
 	e.judge(message.backEnd, fault)
 	return nil, fault
 }
 
+// noteWork tells other relays that the work at an engine has changed.
+func (e *exchanger) noteWork(message *message, reads []promptPrefix) {
+	if message.backEnd.isEngine() {
+		e.notices.note(message.backEnd, reads)
+		message.backEnd.cache.add(reads)
+	}
+}
+
+// promptRead notes that the back end has read the whole prompt.
+func (a *answer) promptRead() {
+	if a.message.work.promptTokens() == 0 {
+		return
+	}
+	a.message.backEnd.end(work{tokens: a.message.work.tokens})
+	a.message.work.tokens = [ranks]int{}
+	a.exchanger.noteWork(a.message, nil)
+}
+
 // judge lets the back end's health follow from a failure.
 func (e *exchanger) judge(backEnd *backEnd, fault *failure) {
 	switch {
@@ -315,7 +338,8 @@
 	}
 	a.closed = true
 	a.message.request.canceller.detach()
-	a.message.backEnd.end(a.message.promptTokens)
+	a.message.backEnd.end(a.message.work)
+	a.exchanger.noteWork(a.message, nil)
 	if a.body.whole {
 		a.message.backEnd.succeeded()
 	}
--- /dev/null
+++ b/internal/relay/load_table.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// noticeLifetime is how long another relay's word of its work counts.
+const noticeLifetime = 1200 * time.Millisecond
+
+// loadTable holds what other relays tell of their work at engines. It is safe for
+// concurrent use.
+type loadTable struct {
+	mutex   sync.Mutex
+	engines map[uint64]map[uint64]toldWork
+	// sequences are the newest notices of each relay.
+	sequences map[uint64]uint64
+}
+
+// toldWork is one relay's work at one engine, and when it was told.
+type toldWork struct {
+	work work
+	at   time.Duration
+}
+
+func newLoadTable() *loadTable {
+	return &loadTable{engines: map[uint64]map[uint64]toldWork{}, sequences: map[uint64]uint64{}}
+}
+
+// take notes what a relay told; older notices than the last are dropped. It reports
+// whether the notice was new.
+func (t *loadTable) take(now time.Duration, notice *v1.LoadNotice) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	relay := notice.GetRelay()
+	if notice.GetSequence() <= t.sequences[relay] {
+		return false
+	}
+	t.sequences[relay] = notice.GetSequence()
+	for _, engine := range notice.GetEngines() {
+		relays := t.engines[engine.GetEngine()]
+		if relays == nil {
+			relays = map[uint64]toldWork{}
+			t.engines[engine.GetEngine()] = relays
+		}
+		told := work{prompts: int(engine.GetPrompts()), streams: int(engine.GetStreams()), tokens: tokensFromWire(engine.GetPromptTokens())}
+		if told == (work{}) {
+			delete(relays, relay)
+			continue
+		}
+		relays[relay] = toldWork{work: told, at: now}
+	}
+	return true
+}
+
+// others sums what other relays have under way at an engine.
+func (t *loadTable) others(now time.Duration, engine uint64) work {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	sum := work{}
+	for relay, told := range t.engines[engine] {
+		if now-told.at > noticeLifetime {
+			delete(t.engines[engine], relay)
+			continue
+		}
+		sum = sum.plus(told.work)
+	}
+	return sum
+}
+
+// keep forgets engines that are no longer listed.
+func (t *loadTable) keep(listed map[uint64]bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for engine := range t.engines {
+		if !listed[engine] {
+			delete(t.engines, engine)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/notices.go
@@ -0,0 +1,204 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/pause"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+const (
+	// noticePause gathers what changes within it into one notice.
+	noticePause = 3 * time.Millisecond
+	// noticeRefresh is the time between two notices of work that goes on.
+	noticeRefresh = 500 * time.Millisecond
+	// maximumNotice bounds a datagram; engines that do not fit follow in the next.
+	maximumNotice = 1200
+	// maximumNoticePeers bounds the relays that get notices, for the sake of large fleets.
+	maximumNoticePeers = 16
+	// noticeEngines is how many engines fit into a notice for certain.
+	noticeEngines = 12
+)
+
+// notices exchanges load notices with other relays, so that all of them see the work that
+// engines have. Nothing depends on them but the quality of choices.
+type notices struct {
+	relay  *Relay
+	socket net.PacketConn
+	self   uint64
+	// address is where this relay takes notices.
+	address string
+	table   *loadTable
+	changed chan struct{}
+
+	mutex    sync.Mutex
+	peers    []net.Addr
+	peerList []string
+	// pending are the engines whose work has changed since the last notice, with what they
+	// have begun to read.
+	pending  map[*backEnd][]promptPrefix
+	sequence uint64
+}
+
+func newNotices(relay *Relay, socket net.PacketConn, self uint64) *notices {
+	return &notices{
+		relay: relay, socket: socket, self: self, address: socket.LocalAddr().String(), table: newLoadTable(),
+		changed: make(chan struct{}, 1), pending: map[*backEnd][]promptPrefix{},
+	}
+}
+
+// setPeers takes the addresses of all relays.
+func (n *notices) setPeers(addresses []string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if slices.Equal(addresses, n.peerList) {
+		return
+	}
+	n.peerList = slices.Clone(addresses)
+	n.peers = nil
+	own := max(slices.Index(addresses, n.address), 0)
+	for offset := 1; offset < len(addresses) && len(n.peers) < maximumNoticePeers; offset++ {
+		peer, err := net.ResolveUDPAddr("udp", addresses[(own+offset)%len(addresses)])
+		if err == nil && peer.String() != n.address {
+			n.peers = append(n.peers, peer)
+		}
+	}
+}
+
+// note tells that the work at an engine has changed, and what it has begun to read.
+func (n *notices) note(engine *backEnd, read []promptPrefix) {
+	n.mutex.Lock()
+	n.pending[engine] = append(n.pending[engine], read...)
+	n.mutex.Unlock()
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+}
+
+// send sends notices until the context ends.
+func (n *notices) send(ctx context.Context) {
+	refresh := time.NewTicker(noticeRefresh)
+	defer refresh.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-refresh.C:
+			n.refresh()
+		case <-n.changed:
+			if !pause.For(ctx, noticePause) {
+				return
+			}
+		}
+		n.sendPending()
+	}
+}
+
+// refresh adds the engines at which this relay has work to the next notice.
+func (n *notices) refresh() {
+	now := n.relay.clock.now()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, backEnds := range n.relay.view.Load().byService {
+		for _, backEnd := range backEnds {
+			if _, waits := n.pending[backEnd]; !waits && backEnd.isEngine() && backEnd.look(now).own != (work{}) {
+				n.pending[backEnd] = nil
+			}
+		}
+	}
+}
+
+// sendPending sends what has changed to all peers.
+func (n *notices) sendPending() {
+	for {
+		notice, peers := n.next()
+		if notice == nil {
+			return
+		}
+		datagram, err := proto.Marshal(notice)
+		if err != nil || len(datagram) > maximumNotice {
+			continue // figures are absolute: the refresh repeats them
+		}
+		for _, peer := range peers {
+			_, _ = n.socket.WriteTo(datagram, peer) // a lost notice is repeated by the refresh
+		}
+	}
+}
+
+// next takes up to noticeEngines engines out of what is pending.
+func (n *notices) next() (*v1.LoadNotice, []net.Addr) {
+	now := n.relay.clock.now()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if len(n.pending) == 0 {
+		return nil, nil
+	}
+	n.sequence++
+	notice := &v1.LoadNotice{Relay: n.self, Sequence: n.sequence}
+	for engine, read := range n.pending {
+		if len(notice.Engines) == noticeEngines {
+			break
+		}
+		delete(n.pending, engine)
+		own := engine.look(now).own
+		told := &v1.EngineWork{
+			Engine: engine.hash, Prompts: uint32(max(own.prompts, 0)), PromptTokens: own.wireTokens(), Streams: uint32(max(own.streams, 0)),
+		}
+		for _, prefix := range read {
+			told.Parts = append(told.Parts, uint64(prefix.hash))
+			told.PartTokens = append(told.PartTokens, uint32(max(prefix.tokens, 0)))
+		}
+		notice.Engines = append(notice.Engines, told)
+	}
+	return notice, n.peers
+}
+
+// receive takes notices until the socket is closed.
+func (n *notices) receive() {
+	buffer := make([]byte, 2*maximumNotice)
+	for {
+		length, _, err := n.socket.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(noticePause)
+			continue
+		}
+		notice := &v1.LoadNotice{}
+		if proto.Unmarshal(buffer[:length], notice) != nil || notice.GetRelay() == n.self {
+			continue
+		}
+		if n.table.take(n.relay.clock.now(), notice) {
+			n.learnParts(notice)
+		}
+	}
+}
+
+// learnParts notes what engines have begun to read for other relays.
+func (n *notices) learnParts(notice *v1.LoadNotice) {
+	byHash := n.relay.view.Load().engines
+	for _, told := range notice.GetEngines() {
+		engine := byHash[told.GetEngine()]
+		if engine == nil || len(told.GetParts()) != len(told.GetPartTokens()) {
+			continue
+		}
+		read := make([]promptPrefix, len(told.GetParts()))
+		for index, hash := range told.GetParts() {
+			read[index] = promptPrefix{hash: prefixHash(hash), tokens: int(told.GetPartTokens()[index])}
+		}
+		engine.cache.add(read)
+	}
+}
+
+// isEngine reports whether the back end is a model engine.
+func (b *backEnd) isEngine() bool { return b.Stage != serving.StageWhole }
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -7,6 +7,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
+	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
 
 // Options are what the process around a relay decides.
@@ -18,8 +19,12 @@
 	ReadListing func(ctx context.Context, client *http.Client) ([]serving.BackEnd, error)
 	// Listen opens a listener; nil means net.Listen.
 	Listen func(network, address string) (net.Listener, error)
+	// ListenPacket opens a datagram socket; nil means net.ListenPacket.
+	ListenPacket func(network, address string) (net.PacketConn, error)
 	// Dial opens outgoing connections; nil means the system's.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Reloaded brings settings that were read again; nil for none.
+	Reloaded <-chan settings.Relay
 	// Log is required.
 	Log *logring.Log
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,7 +29,9 @@
 	exchanger *exchanger
 	budget    *retryBudget
 	watcher   *watcher
+	notices   *notices
 	work      *workMeter
+	pace      *pace
 
 	view atomic.Pointer[view]
 	// contactAt is the time of the last word of a leader.
@@ -49,6 +51,9 @@
 	if options.Listen == nil {
 		options.Listen = net.Listen
 	}
+	if options.ListenPacket == nil {
+		options.ListenPacket = net.ListenPacket
+	}
 	if options.Dial == nil {
 		options.Dial = (&net.Dialer{}).DialContext
 	}
@@ -62,6 +67,15 @@
 		_ = listener.Close()
 		return trace.Wrap(err, "cannot listen on %s; check the key ready_listen", config.ReadyListen)
 	}
+	socket, err := options.ListenPacket("udp", config.NoticeListen)
+	if err != nil {
+		_ = listener.Close()
+		_ = ready.Close()
+		return trace.Wrap(err, "cannot listen on %s; check the key notice_listen", config.NoticeListen)
+	}
+	relay.notices = newNotices(relay, socket, relay.watcher.incarnation)
+	relay.exchanger.notices = relay.notices
+	go relay.takeSettings(ctx, options.Reloaded)
 	return trace.Wrap(relay.run(ctx, listener, ready))
 }
 
@@ -75,6 +89,7 @@
 		log:      requestLog{logger: options.Log.Logger},
 		budget:   newRetryBudget(config.RetryBudget.Ratio, config.RetryBudget.Window, config.RetryBudget.Slack),
 		work:     newWorkMeter(),
+		pace:     newPace(),
 		random:   lockedRandom{source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 	}
 	relay.connections.open = map[*clientConnection]bool{}
@@ -101,6 +116,8 @@
 		return nil
 	})
 	group.Go(func() error { r.watcher.run(working); return nil })
+	group.Go(func() error { r.notices.send(working); return nil })
+	group.Go(func() error { r.notices.receive(); return nil })
 	group.Go(func() error { return r.accept(working, listener) })
 	select {
 	case <-working.Done():
@@ -110,9 +127,25 @@
 	stopWorking()
 	_ = listener.Close()
 	_ = readyServer.Close()
+	_ = r.notices.socket.Close()
 	return trace.Wrap(group.Wait())
 }
 
+// takeSettings puts in force what may change while the relay runs: the controllers and the
+// retry budget.
+func (r *Relay) takeSettings(ctx context.Context, reloaded <-chan settings.Relay) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case again := <-reloaded:
+			seeds := again.ControllerAddresses()
+			r.watcher.seeds.Store(&seeds)
+			r.budget.setBounds(again.RetryBudget.Ratio, again.RetryBudget.Window, again.RetryBudget.Slack)
+		}
+	}
+}
+
 // accept serves each connection in a goroutine of its own until the listener closes.
 func (r *Relay) accept(ctx context.Context, listener net.Listener) error {
 	for {
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -20,8 +20,23 @@
 	// prefillEngine and engine are the back ends that took the request last.
 	prefillEngine, engine string
 	prefillAt, sentAt     time.Duration
+	// toRead and ahead are the tokens that the prefill engine had to read for this request
+	// and for others when it was picked, as far as was known.
+	toRead, ahead int
 	// firstAt is when the first event of a stream was passed on.
 	firstAt time.Duration
+	// lastAt is when the last events were passed on, longestGap the longest pause before any.
+	lastAt, longestGap time.Duration
+}
+
+// passed notes that events were passed on.
+func (t *requestTrace) passed(now time.Duration) {
+	if t.firstAt == 0 {
+		t.firstAt = now
+	} else {
+		t.longestGap = max(t.longestGap, now-t.lastAt)
+	}
+	t.lastAt = now
 }
 
 // ended notes how a request ended; times are milliseconds since its arrival.
@@ -30,8 +45,8 @@
 	since := func(at time.Duration) int64 { return max((at - request.arrivedAt).Milliseconds(), 0) }
 	l.logger.Info().Str("event", "request_ended").Str("request", request.id).Str("route", request.route.Name).
 		Int("status", reply.status).Bool("cut", reply.failed).Str("prefill", trace.prefillEngine).Str("back_end", trace.engine).
-		Int("prompt", request.prompt.PromptTokens).Int64("prefill_sent_ms", since(trace.prefillAt)).Int64("sent_ms", since(trace.sentAt)).
-		Int64("first_ms", since(trace.firstAt)).Int64("ended_ms", since(clock.now())).Send()
+		Int("prompt", request.prompt.PromptTokens).Int("to_read", trace.toRead).Int("ahead", trace.ahead).Int64("prefill_sent_ms", since(trace.prefillAt)).Int64("sent_ms", since(trace.sentAt)).
+		Int64("gap_ms", trace.longestGap.Milliseconds()).Int64("first_ms", since(trace.firstAt)).Int64("ended_ms", since(clock.now())).Send()
 }
 
 // refused notes a final answer of the relay's own.
--- a/internal/relay/retry_budget.go
+++ b/internal/relay/retry_budget.go
@@ -22,11 +22,10 @@
 // that the whole fleet has. Since every relay keeps to its part, the fleet keeps to the
 // whole without asking anyone. It is safe for concurrent use.
 type retryBudget struct {
-	ratio  float64
-	window time.Duration
-	slack  float64
-
 	mutex    sync.Mutex
+	ratio    float64
+	window   time.Duration
+	slack    float64
 	relays   int
 	services map[string]*budgetWindow
 }
@@ -43,6 +42,16 @@
 	return &retryBudget{ratio: ratio, window: window, slack: slack, relays: relaysUnknown, services: map[string]*budgetWindow{}}
 }
 
+// setBounds changes the bounds. A window of another length begins empty.
+func (b *retryBudget) setBounds(ratio float64, window time.Duration, slack float64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if window != b.window {
+		b.services = map[string]*budgetWindow{}
+	}
+	b.ratio, b.window, b.slack = ratio, window, slack
+}
+
 // setRelays tells how many relays share the slack.
 func (b *retryBudget) setRelays(count int) {
 	b.mutex.Lock()
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strconv"
 
 	"github.com/valyala/fasthttp"
 
@@ -62,20 +63,30 @@
 	if request.service.Engine == nil || request.prompt.PromptTokens <= shortPrompt {
 		return nil
 	}
+	parts := prefixes(request.prompt)
 	engine := r.pick(choice{
-		service: request.service.Name, stage: serving.StagePrefill, key: request.prompt.SharedKey(),
-		zone: r.settings.Zone, now: r.clock.now(),
+		service: request.service.Name, stage: serving.StagePrefill, prompt: parts, tokens: request.prompt.PromptTokens,
+		rank: request.route.Priority * prioritySteps,
+		zone: r.settings.Zone, now: r.clock.now(), target: request.route.Target,
 	}, tried)
 	if engine == nil {
 		return nil
 	}
-	r.work.prompt(r.clock.now(), request.service.Name, 1)
-	defer func() { r.work.prompt(r.clock.now(), request.service.Name, -1) }()
-	request.trace.prefillEngine, request.trace.prefillAt = engine.ID, r.clock.now()
+	now := r.clock.now()
+	toRead := max(request.prompt.PromptTokens-engine.cache.cached(parts), 0)
+	ahead := r.notices.table.others(now, engine.hash).plus(engine.look(now).own)
+	rank := readingRank(request.route.Priority*prioritySteps, toRead)
+	request.trace.toRead, request.trace.ahead = toRead, ahead.tokensUpTo(rank)
+	request.trace.prefillEngine, request.trace.prefillAt = engine.ID, now
+	r.work.add(request.service.Name, prefillTime(r.pace.of(engine.hash), toRead), 0)
 	answer, fault := r.exchanger.send(&message{
-		request: request, backEnd: engine, deadline: request.deadline, promptTokens: request.prompt.PromptTokens,
-		set: append(r.priority(request), header{r.dialect.Headers.Stage, r.dialect.PrefillStage}),
+		request: request, backEnd: engine, deadline: request.deadline, reads: parts,
+		work: reading(toRead, rank).plus(work{prompts: 1}),
+		set:  []header{r.rankHeader(rank), {r.dialect.Headers.Stage, r.dialect.PrefillStage}},
 	})
+	if fault == nil && ahead.prompts == 0 {
+		r.pace.observe(engine.hash, toRead, r.clock.now()-now)
+	}
 	if fault != nil {
 		r.log.attemptFailed(request, engine, fault)
 		if fault.verdict == verdict.NotRun && fault.arrived {
@@ -96,10 +107,29 @@
 	return &heldPrompt{engine: engine, handle: handle}
 }
 
-// priority ranks the request at an engine as its route says.
-func (r *Relay) priority(request *request) []header {
-	rank := min(max(request.route.Priority, 0), 9)
-	return []header{{r.dialect.Headers.Priority, string(rune('0' + rank))}}
+const (
+	// prioritySteps is the number of ranks that one rank of a route is divided into.
+	prioritySteps = 3
+	// shortReading and longReading divide the prompts of one rank: short ones go first, as
+	// they wait least and delay others least.
+	shortReading = 5_000
+	longReading  = 14_000
+)
+
+// readingRank ranks the reading of a prompt: by its route, and then by its length.
+func readingRank(rank, toRead int) int {
+	if toRead > shortReading {
+		rank++
+	}
+	if toRead > longReading {
+		rank++
+	}
+	return min(rank, ranks-1)
+}
+
+// rankHeader ranks a request at an engine.
+func (r *Relay) rankHeader(rank int) header {
+	return header{r.dialect.Headers.Priority, strconv.Itoa(min(max(rank, 0), ranks-1))}
 }
 
 // release gives a prompt up that nobody will take, in the background: it would take room
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -75,7 +75,7 @@
 			break
 		}
 		request.trace.engine, request.trace.sentAt = backEnd.ID, r.clock.now()
-		answer, fault := r.exchanger.send(&message{request: request, backEnd: backEnd, deadline: request.deadline})
+		answer, fault := r.exchanger.send(&message{request: request, backEnd: backEnd, deadline: request.deadline, work: work{streams: 1}})
 		if fault == nil {
 			fault = r.passPlain(answer, tried, reply)
 		}
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -28,17 +29,22 @@
 // client has its final answer; otherwise the stream may go on at another engine.
 func (s *streamReply) run(engine *backEnd, held *heldPrompt) *failure {
 	names := s.relay.dialect.Headers
-	set := s.relay.priority(s.request)
+	rank := s.request.route.Priority * prioritySteps
+	set := []header{s.relay.rankHeader(rank)}
 	if held != nil {
 		set = append(set, header{names.KVSource, held.source()})
 	}
 	if s.last != "" {
 		set = append(set, header{names.LastEventID, s.last})
 	}
-	s.relay.work.stream(s.relay.clock.now(), s.request.service.Name, 1)
-	defer func() { s.relay.work.stream(s.relay.clock.now(), s.request.service.Name, -1) }()
-	s.request.trace.engine, s.request.trace.sentAt = engine.ID, s.relay.clock.now()
-	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.request.deadline, set: set})
+	began := s.relay.clock.now()
+	defer func() { s.noteDecodeTime(engine, held, s.relay.clock.now()-began) }()
+	s.request.trace.engine, s.request.trace.sentAt = engine.ID, began
+	asked := work{streams: 1}
+	if held == nil {
+		asked = asked.plus(reading(s.request.prompt.PromptTokens, rank))
+	}
+	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.request.deadline, set: set, work: asked})
 	if fault != nil {
 		return fault
 	}
@@ -49,6 +55,19 @@
 	return s.passEvents(answer)
 }
 
+// noteDecodeTime notes how long the stream kept its engine busy: a slot's share of its
+// time, and the reading of the prompt where no other engine had read it.
+func (s *streamReply) noteDecodeTime(engine *backEnd, held *heldPrompt, took time.Duration) {
+	if !engine.isEngine() {
+		return
+	}
+	busy := took / time.Duration(max(engine.Slots, 1))
+	if held == nil {
+		busy += decodeSlowdown * time.Duration(s.request.prompt.PromptTokens) * s.relay.pace.of(engine.hash)
+	}
+	s.relay.work.add(s.request.service.Name, 0, busy)
+}
+
 func isEventStream(answer *answer) bool {
 	return answer.status == fasthttp.StatusOK &&
 		strings.HasPrefix(string(answer.head.ContentType()), "text/event-stream")
@@ -104,10 +123,11 @@
 	if len(s.pieces) == 0 {
 		return
 	}
+	s.request.trace.passed(s.relay.clock.now())
+	answer.promptRead()
 	if s.reply.started {
 		s.reply.chunk(s.pieces)
 	} else {
-		s.request.trace.firstAt = s.relay.clock.now()
 		s.reply.beginChunks(answer, s.pieces)
 	}
 	s.pieces = s.pieces[:0]
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -39,6 +40,8 @@
 	listing     *http.Client
 	readListing func(ctx context.Context, client *http.Client) ([]serving.BackEnd, error)
 	incarnation uint64
+	// seeds are the controllers that the settings name.
+	seeds atomic.Pointer[[]string]
 	// controllers are the addresses known: the seeds at first, then what controllers tell.
 	controllers []string
 	// target is asked next.
@@ -52,7 +55,7 @@
 func newWatcher(relay *Relay, options Options) *watcher {
 	transport := &http.Transport{DialContext: options.Dial, Protocols: new(http.Protocols)}
 	transport.Protocols.SetUnencryptedHTTP2(true)
-	return &watcher{
+	watcher := &watcher{
 		relay:       relay,
 		http:        &http.Client{Transport: transport},
 		listing:     &http.Client{Transport: &http.Transport{DialContext: options.Dial}, Timeout: listingTimeout},
@@ -61,6 +64,8 @@
 		controllers: relay.settings.ControllerAddresses(),
 		known:       map[string]*backEnd{},
 	}
+	watcher.seeds.Store(&watcher.controllers)
+	return watcher
 }
 
 // run watches until the context ends.
@@ -82,6 +87,7 @@
 	client := hazelpitchv1connect.NewNodeServiceClient(w.http, "http://"+address)
 	response, err := client.Watch(limited, connect.NewRequest(w.request()))
 	if err != nil {
+		w.setControllers(w.controllers)
 		w.target++
 		return false
 	}
@@ -93,6 +99,13 @@
 	return true
 }
 
+// setControllers takes the controllers that one told, and keeps the seeds beside them.
+func (w *watcher) setControllers(told []string) {
+	w.controllers = append(slices.Clone(told), *w.seeds.Load()...)
+	slices.Sort(w.controllers)
+	w.controllers = slices.Compact(w.controllers)
+}
+
 func (w *watcher) request() *v1.WatchRequest {
 	view := w.relay.view.Load()
 	request := &v1.WatchRequest{
@@ -102,6 +115,7 @@
 		ListingVersion: view.listingVersion,
 		WaitMs:         uint32(watchWait.Milliseconds()),
 		Leaving:        w.relay.stopping.Load(),
+		NoticeAddress:  w.relay.notices.address,
 		Demands:        w.relay.work.report(w.relay.clock.now()),
 	}
 	if view.table != nil {
@@ -114,9 +128,7 @@
 // or another controller when that one knows none.
 func (w *watcher) learnControllers(response *v1.WatchResponse, asked string) {
 	if told := response.GetControllerAddresses(); len(told) > 0 {
-		w.controllers = append(slices.Clone(told), w.relay.settings.ControllerAddresses()...)
-		slices.Sort(w.controllers)
-		w.controllers = slices.Compact(w.controllers)
+		w.setControllers(told)
 	}
 	leader := response.GetLeaderAddress()
 	if !response.GetBehind() {
@@ -142,6 +154,7 @@
 		next.listingVersion = version
 	}
 	next.relays = int(response.GetRelays())
+	w.relay.notices.setPeers(response.GetRelayAddresses())
 	w.relay.budget.setRelays(next.relays)
 	w.relay.view.Store(&next)
 	w.relay.contactAt.Store(int64(w.relay.clock.now()))
@@ -168,13 +181,19 @@
 func (w *watcher) takeBackEnds(listed []serving.BackEnd, next *view) {
 	known := make(map[string]*backEnd, len(listed))
 	next.byService = map[string][]*backEnd{}
+	next.engines = map[uint64]*backEnd{}
+	listedEngines := map[uint64]bool{}
 	for _, entry := range listed {
 		current := w.known[entry.ID]
 		if current == nil || !sameEntry(current.BackEnd, entry) {
-			current = w.replace(current, entry)
+			current = w.replace(current, entry, cacheTokens(next, entry.Service))
 		}
 		known[entry.ID] = current
 		next.byService[entry.Service] = append(next.byService[entry.Service], current)
+		if current.isEngine() {
+			next.engines[current.hash] = current
+			listedEngines[current.hash] = true
+		}
 	}
 	for id, gone := range w.known {
 		if known[id] == nil {
@@ -182,19 +201,36 @@
 		}
 	}
 	w.known = known
+	w.relay.notices.table.keep(listedEngines)
+	w.relay.pace.keep(listedEngines)
 	next.listed = true
 }
 
 // replace makes the record of a back end whose entry is new or has changed.
-func (w *watcher) replace(former *backEnd, entry serving.BackEnd) *backEnd {
-	replaced := &backEnd{BackEnd: entry}
+func (w *watcher) replace(former *backEnd, entry serving.BackEnd, cacheTokens int) *backEnd {
+	replaced := newBackEnd(entry, cacheTokens)
 	if former != nil {
 		replaced.load.avoidUntil = former.look(0).avoidUntil
+		replaced.cache = former.cache
 		former.pool.close()
 	}
 	return replaced
 }
 
+// defaultCacheTokens is an engine's memory until the configuration tells it.
+const defaultCacheTokens = 400_000
+
+// cacheTokens is the memory of a service's engines.
+func cacheTokens(view *view, service string) int {
+	if view.table == nil {
+		return defaultCacheTokens
+	}
+	if known := view.table.Service(service); known != nil && known.Engine != nil && known.Engine.CacheTokens > 0 {
+		return known.Engine.CacheTokens
+	}
+	return defaultCacheTokens
+}
+
 func sameEntry(a, b serving.BackEnd) bool {
 	return a.Address == b.Address && a.Service == b.Service && a.Leaving == b.Leaving && a.Changing == b.Changing && a.Stage == b.Stage && a.Slots == b.Slots
 }
--- a/internal/servercommand/relay.go
+++ b/internal/servercommand/relay.go
@@ -26,10 +26,22 @@
 		return nil
 	}
 	limitMemory(loaded.MemoryLimit)
+	reloaded := make(chan settings.Relay)
 	return withStreamedLog(ctx, environment, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
+		go watchSettings(ctx, r.Settings, log, func() error {
+			again, err := settings.LoadRelay(source)
+			if err != nil {
+				return err
+			}
+			select {
+			case reloaded <- again:
+			case <-ctx.Done():
+			}
+			return nil
+		})
 		return relay.Run(ctx, loaded, relay.Options{
 			Dialect: environment.Site.Dialect, ReadListing: environment.Site.listingAt(loaded.ListingAddress),
-			Listen: environment.Listen, Log: log,
+			Listen: environment.Listen, Reloaded: reloaded, Log: log,
 		})
 	})
 }
--- /dev/null
+++ b/internal/servercommand/reload.go
@@ -0,0 +1,49 @@
+package servercommand
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/logring"
+)
+
+// reloadPoll is the time between two looks at whether the settings file has changed.
+const reloadPoll = 2 * time.Second
+
+// watchSettings calls load, which reads the settings again and hands them on, on SIGHUP
+// and whenever the file has changed. Settings that cannot be read leave those in force.
+// It returns when the context ends.
+func watchSettings(ctx context.Context, path string, log *logring.Log, load func() error) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticker := time.NewTicker(reloadPoll)
+	defer ticker.Stop()
+	changedAt := modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		case <-ticker.C:
+			if modified(path).Equal(changedAt) {
+				continue
+			}
+		}
+		changedAt = modified(path)
+		err := load()
+		log.Info().Str("event", "settings_reloaded").Str("path", path).Err(err).Send()
+	}
+}
+
+// modified is when the file was changed last; the zero time when that cannot be told.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/internal/servercommand/site_controller.go
+++ b/internal/servercommand/site_controller.go
@@ -33,8 +33,10 @@
 	}
 	limitMemory(loaded.MemoryLimit)
 	_, operatorPort, _ := net.SplitHostPort(loaded.OperatorListen) // checked when the file was read
+	seeds := make(chan []string)
 	site := &controller.Site{
-		Seeds: loaded.PeerSeeds(), Bootstrap: loaded.Bootstrap, FormationSize: loaded.FormationSize(),
+		ReloadedSeeds: seeds,
+		Seeds:         loaded.PeerSeeds(), Bootstrap: loaded.Bootstrap, FormationSize: loaded.FormationSize(),
 		ListingInterval:   loaded.ListingInterval,
 		ReadListing:       environment.Site.listingAt(loaded.ListingAddress),
 		PriorPrefillShare: loaded.PrefillShare, OrderWait: loaded.OrderWait + orderSlack,
@@ -45,6 +47,17 @@
 		},
 	}
 	return withStreamedLog(ctx, environment, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
+		go watchSettings(ctx, s.Settings, log, func() error {
+			again, err := settings.LoadSiteController(source)
+			if err != nil {
+				return err
+			}
+			select {
+			case seeds <- again.PeerSeeds():
+			case <-ctx.Done():
+			}
+			return nil
+		})
 		return controller.Run(ctx, loaded.Controller(siteFleet), controller.Options{Listen: environment.Listen, Site: site, Log: log})
 	})
 }
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -21,6 +21,8 @@
 	ControllerPort int `yaml:"controller_port" check:"required,positive"`
 	// ListingAddress is the IP:port of the outside list of back ends. Required.
 	ListingAddress string `yaml:"listing_address" check:"required,address"`
+	// NoticeListen is the IP:port for load notices of other relays (UDP). Required.
+	NoticeListen string `yaml:"notice_listen" check:"required,address"`
 	// Grace is how long a stopping relay may take; default 8s.
 	Grace       time.Duration `yaml:"grace" default:"8s" check:"positive"`
 	RetryBudget RetryBudget   `yaml:"retry_budget"`
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -1,10 +1,10 @@
 // Package stageplan decides which engines of a site read prompts and which generate. It is
 // pure: the owner tells it the engines and the work, and orders what it answers.
 //
-// Reading prompts fills an engine with one prompt at a time; generating fills it with many
-// streams. The plan weighs both by the time that requests spend at the engines: so many
-// concurrent prompts, and so many concurrent streams of which an engine bears several, want
-// engines in proportion. Before any work is known a prior share is used.
+// The plan weighs both kinds of work by the engine time that they take. An engine changes
+// when one stage has more work than it can do in time and the other much less, since a change
+// takes the engine away for seconds and its cache from those that used it. Before any work
+// is known a prior share is used.
 package stageplan
 
 import (
@@ -27,16 +27,16 @@
 type Engine struct {
 	ID    string
 	Zone  string
-	Slots int
 	Stage Stage
 	// Busy engines take no order: they leave, or one is under way.
 	Busy bool
 }
 
-// Work is what the engines of a service do on average: concurrent prompts and streams.
+// Work is the engine time that a service's requests take per time: how many engines they
+// would keep busy.
 type Work struct {
-	Prompts float64
-	Streams float64
+	Prefill float64
+	Decode  float64
 	// Known is false before anything was reported.
 	Known bool
 }
@@ -53,25 +53,31 @@
 	PriorPrefillShare float64
 	// Hold is the time without changes after one under load.
 	Hold time.Duration
-	// Deadband is by how many engines the wanted number must differ before one changes.
-	Deadband float64
 }
 
 const (
-	// streamSlotShare is the part of its slots that a decoding engine fills before it
-	// counts as one engine's worth of work.
-	streamSlotShare = 0.25
+	// prefillUse and decodeUse are the parts of their time for which engines may be busy
+	// before others have to help them.
+	prefillUse = 0.6
+	decodeUse  = 0.45
+	// imbalance is how many times busier, by these measures, one stage must be than the
+	// other before an engine changes: it is away meanwhile, and its cache is lost to its
+	// former stage.
+	imbalance = 1.6
 	// leastDecode and leastPrefill are the engines that each stage keeps, so that the loss
 	// of one leaves another.
 	leastDecode  = 2
 	leastPrefill = 2
-	// leastWork is the concurrent work below which engines count as idle.
-	leastWork = 0.5
+	// leastWork is the work below which a part of the engines, by their number, is idle.
+	leastWork = 0.02
+	// smoothing is the weight of a new observation of the work.
+	smoothing = 0.2
 )
 
 // Plan follows one service's engines.
 type Plan struct {
 	config    Config
+	work      Work
 	changedAt time.Duration
 	changed   bool
 }
@@ -79,55 +85,80 @@
 // New returns a plan.
 func New(config Config) *Plan { return &Plan{config: config} }
 
-// Next returns the changes to order now, none most of the time.
+// Next returns the changes to order now, none most of the time. Call it at steady intervals.
 func (p *Plan) Next(now time.Duration, engines []Engine, work Work) []Change {
 	if len(engines) < leastDecode+leastPrefill {
 		return nil
 	}
-	idle := !work.Known || work.Prompts+work.Streams < leastWork
-	if !idle && p.changed && now-p.changedAt < p.config.Hold {
-		return nil
+	p.observe(work)
+	var changes []Change
+	if !work.Known || p.work.Prefill+p.work.Decode < leastWork*float64(len(engines)) {
+		changes = p.towardsPrior(engines)
+	} else if !p.changed || now-p.changedAt >= p.config.Hold {
+		changes = p.underLoad(engines)
+	}
+	if len(changes) > 0 {
+		p.changedAt, p.changed = now, true
+	}
+	return changes
+}
+
+// observe smooths the work, which swings within seconds.
+func (p *Plan) observe(work Work) {
+	if !work.Known {
+		return
 	}
-	current, underWay := countPrefill(engines)
-	if underWay && !idle {
+	if !p.work.Known {
+		p.work = work
+		return
+	}
+	p.work.Prefill += smoothing * (work.Prefill - p.work.Prefill)
+	p.work.Decode += smoothing * (work.Decode - p.work.Decode)
+}
+
+// towardsPrior changes as many idle engines at once as the prior share asks for, but only
+// before any work was known: later, engines keep what they have cached.
+func (p *Plan) towardsPrior(engines []Engine) []Change {
+	if p.work.Known {
 		return nil
 	}
-	wanted := p.wantedPrefill(engines, work, idle)
-	difference := wanted - float64(current)
-	if math.Abs(difference) < p.config.Deadband {
+	total := float64(len(engines))
+	wanted := math.Round(min(max(p.config.PriorPrefillShare*total, leastPrefill), total-leastDecode))
+	difference := int(wanted) - countPrefill(engines)
+	return choose(engines, difference > 0, max(difference, -difference))
+}
+
+// underLoad changes one engine from the stage that has time to the one that has too little.
+func (p *Plan) underLoad(engines []Engine) []Change {
+	if slices.ContainsFunc(engines, func(engine Engine) bool { return engine.Busy }) {
 		return nil
 	}
-	count := 1
-	if idle {
-		count = int(math.Abs(math.Round(difference)))
+	prefill := countPrefill(engines)
+	decode := len(engines) - prefill
+	if prefill == 0 || decode == 0 {
+		return choose(engines, prefill == 0, leastDecode)
 	}
-	changes := choose(engines, difference > 0, count)
-	if len(changes) > 0 {
-		p.changedAt, p.changed = now, true
+	prefillNeed := p.work.Prefill / prefillUse / float64(prefill)
+	decodeNeed := p.work.Decode / decodeUse / float64(decode)
+	switch {
+	case prefillNeed > 1 && prefillNeed > imbalance*decodeNeed && decode > leastDecode:
+		return choose(engines, true, 1)
+	case decodeNeed > 1 && decodeNeed > imbalance*prefillNeed && prefill > leastPrefill:
+		return choose(engines, false, 1)
+	default:
+		return nil
 	}
-	return changes
 }
 
-// countPrefill counts the engines that read prompts, and tells whether any is busy.
-func countPrefill(engines []Engine) (count int, busy bool) {
+// countPrefill counts the engines that read prompts.
+func countPrefill(engines []Engine) int {
+	count := 0
 	for _, engine := range engines {
 		if engine.Stage == StagePrefill {
 			count++
 		}
-		busy = busy || engine.Busy
-	}
-	return count, busy
-}
-
-// wantedPrefill returns how many engines should read prompts.
-func (p *Plan) wantedPrefill(engines []Engine, work Work, idle bool) float64 {
-	total := float64(len(engines))
-	share := p.config.PriorPrefillShare
-	if !idle {
-		streams := work.Streams / max(1, streamSlotShare*float64(engines[0].Slots))
-		share = work.Prompts / (work.Prompts + streams)
 	}
-	return math.Round(min(max(share*total, leastPrefill), total-leastDecode))
+	return count
 }
 
 // choose picks the engines that change: from the zone that has most of the stage they
