Read prompts where it is cheapest, notice stalls, refuse what would wait too long

Engines that go dark held streams until their clients gave up; an engine under a role change got requests as soon as the list showed its new stage (503, shed).

Silence marks an engine as failed and tells other relays; only what may run elsewhere is broken off. An engine is left alone for its role change once the list shows it. A prompt that would wait for more than 1.2 targets is refused with the time to come back. Each stage keeps 0.3 of the engines.

--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -34,6 +34,15 @@
 	}
 }
 
+// noteReading takes a failed reading of the prompt, which runs nothing: one that an engine
+// rejected counts as a sending, one that broke off after it was taken up does not.
+func (a *attempts) noteReading(fault *failure) {
+	if fault.verdict == verdict.NotRun && fault.arrived {
+		a.sent++
+		a.last = fault
+	}
+}
+
 // mayContinue reports whether another sending is allowed: by the client, the time, the
 // route's attempts, what the request may have done, and the retry budget.
 func (a *attempts) mayContinue() bool {
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -33,9 +33,11 @@
 	// told is the back end's own word of its running and waiting requests.
 	told   int
 	toldAt time.Duration
-	// failures counts exchanges in a row that broke or timed out; avoidUntil keeps new
-	// requests away while others can take them.
+	// failures counts exchanges in a row that broke or stalled, refusals those in a row that
+	// were refused for want of room; avoidUntil keeps new requests away while other back
+	// ends can take them.
 	failures   int
+	refusals   int
 	avoidUntil time.Duration
 }
 
@@ -45,8 +47,12 @@
 	// further one up to avoidLongest.
 	avoidFirst   = 250 * time.Millisecond
 	avoidLongest = 4 * time.Second
-	// busyPause is how long a back end that refused for want of room is avoided.
-	busyPause = 50 * time.Millisecond
+	// busyFirst is how long a back end that refused for want of room is avoided; it doubles
+	// with each further refusal up to busyLongest.
+	busyFirst   = 50 * time.Millisecond
+	busyLongest = time.Second
+	// suspectPause is how long a back end is avoided that failed for another relay.
+	suspectPause = 400 * time.Millisecond
 	// toldLifetime is how long a back end's own word of its load counts.
 	toldLifetime = 500 * time.Millisecond
 )
@@ -69,24 +75,40 @@
 func (b *backEnd) succeeded() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.load.failures = 0
+	b.load.failures, b.load.refusals = 0, 0
 	b.load.avoidUntil = 0
 }
 
-// failed notes that an exchange broke, and avoids the back end for a while.
+// failed notes that an exchange broke or stalled, and avoids the back end for a while.
 func (b *backEnd) failed(now time.Duration) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	pause := avoidFirst << min(b.load.failures, 8)
+	b.load.avoidUntil = now + doubled(avoidFirst, b.load.failures, avoidLongest)
 	b.load.failures++
-	b.load.avoidUntil = now + min(pause, avoidLongest)
 }
 
 // busy notes that the back end refused for want of room.
 func (b *backEnd) busy(now time.Duration) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.load.avoidUntil = max(b.load.avoidUntil, now+busyPause)
+	b.load.avoidUntil = max(b.load.avoidUntil, now+doubled(busyFirst, b.load.refusals, busyLongest))
+	b.load.refusals++
+}
+
+// suspect notes that the back end failed for another relay.
+func (b *backEnd) suspect(now time.Duration) { b.avoid(now + suspectPause) }
+
+// avoid keeps new requests away until a time.
+func (b *backEnd) avoid(until time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.load.avoidUntil = max(b.load.avoidUntil, until)
+}
+
+// doubled returns the first pause doubled so many times, up to the longest.
+func doubled(first time.Duration, times int, longest time.Duration) time.Duration {
+	const mostDoublings = 16
+	return min(first<<min(times, mostDoublings), longest)
 }
 
 // tell notes the back end's own word of its load.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -39,8 +39,10 @@
 	set []header
 	// deadline ends the exchange; the back end is told what is left of it.
 	deadline time.Duration
-	// firstByte bounds the wait for the answer's head; 0 leaves it to the deadline.
-	firstByte time.Duration
+	// stall is the silence after which the back end counts as failed; mayBreak tells that the
+	// exchange is then broken off, since the request may go elsewhere.
+	stall    time.Duration
+	mayBreak bool
 	// work is what the message asks of the back end, as far as known.
 	work work
 	// reads are the beginnings of the prompt that the back end reads.
@@ -109,10 +111,16 @@
 	case errors.Is(fault, errNotExecuted):
 		backEnd.busy(e.clock.now())
 	default:
-		backEnd.failed(e.clock.now())
+		e.noteFailure(backEnd)
 	}
 }
 
+// noteFailure avoids a back end that failed, and tells other relays.
+func (e *exchanger) noteFailure(backEnd *backEnd) {
+	backEnd.failed(e.clock.now())
+	e.notices.noteFailure(backEnd)
+}
+
 // exchange connects, writes and reads the head of the answer.
 func (e *exchanger) exchange(message *message) (*answer, *failure) {
 	connection, fault := e.connect(message)
@@ -177,9 +185,10 @@
 	if fault != nil {
 		return nil, fault
 	}
-	if message.firstByte > 0 {
-		firstByteAt := min(e.clock.now()+message.firstByte, message.deadline)
-		_ = connection.SetReadDeadline(e.clock.at(firstByteAt))
+	var watch *stallWatch
+	if message.stall > 0 {
+		watch = e.watchStall(connection, message.backEnd, message.stall, message.mayBreak)
+		defer watch.stop()
 	}
 	answer, fault := e.readHead(connection, message)
 	unread := false
@@ -189,9 +198,6 @@
 	if fault != nil {
 		return nil, fault
 	}
-	if message.firstByte > 0 {
-		_ = connection.SetReadDeadline(e.clock.at(message.deadline))
-	}
 	answer.unread = unread
 	if fault := e.check(answer); fault != nil {
 		answer.discard()
@@ -243,6 +249,8 @@
 		fault.cause = errCancelled
 	case errors.Is(err, os.ErrDeadlineExceeded) && e.clock.now() >= message.request.deadline:
 		fault.cause = errDeadline
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		fault.cause = errStalled
 	}
 	return fault
 }
--- a/internal/relay/load_table.go
+++ b/internal/relay/load_table.go
@@ -71,11 +71,11 @@
 }
 
 // keep forgets engines that are no longer listed.
-func (t *loadTable) keep(listed map[uint64]bool) {
+func (t *loadTable) keep(listed map[uint64]*backEnd) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for engine := range t.engines {
-		if !listed[engine] {
+		if listed[engine] == nil {
 			delete(t.engines, engine)
 		}
 	}
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -44,14 +44,16 @@
 	peerList []string
 	// pending are the engines whose work has changed since the last notice, with what they
 	// have begun to read.
-	pending  map[*backEnd][]promptPrefix
+	pending map[*backEnd][]promptPrefix
+	// failures are the back ends that failed since the last notice.
+	failures map[*backEnd]bool
 	sequence uint64
 }
 
 func newNotices(relay *Relay, socket net.PacketConn, self uint64) *notices {
 	return &notices{
 		relay: relay, socket: socket, self: self, address: socket.LocalAddr().String(), table: newLoadTable(),
-		changed: make(chan struct{}, 1), pending: map[*backEnd][]promptPrefix{},
+		changed: make(chan struct{}, 1), pending: map[*backEnd][]promptPrefix{}, failures: map[*backEnd]bool{},
 	}
 }
 
@@ -84,6 +86,14 @@
 	}
 }
 
+// noteFailure tells that exchanges with a back end broke or stalled.
+func (n *notices) noteFailure(backEnd *backEnd) {
+	n.mutex.Lock()
+	n.failures[backEnd] = true
+	n.mutex.Unlock()
+	n.note(backEnd, nil)
+}
+
 // send sends notices until the context ends.
 func (n *notices) send(ctx context.Context) {
 	refresh := time.NewTicker(noticeRefresh)
@@ -153,6 +163,8 @@
 		told := &v1.EngineWork{
 			Engine: engine.hash, Prompts: uint32(max(own.prompts, 0)), PromptTokens: own.wireTokens(), Streams: uint32(max(own.streams, 0)),
 		}
+		told.Failed = n.failures[engine]
+		delete(n.failures, engine)
 		for _, prefix := range read {
 			told.Parts = append(told.Parts, uint64(prefix.hash))
 			told.PartTokens = append(told.PartTokens, uint32(max(prefix.tokens, 0)))
@@ -179,19 +191,22 @@
 			continue
 		}
 		if n.table.take(n.relay.clock.now(), notice) {
-			n.learnParts(notice)
+			n.learn(notice)
 		}
 	}
 }
 
-// learnParts notes what engines have begun to read for other relays.
-func (n *notices) learnParts(notice *v1.LoadNotice) {
-	byHash := n.relay.view.Load().engines
+// learn notes what engines have begun to read for other relays, and which back ends failed.
+func (n *notices) learn(notice *v1.LoadNotice) {
+	byHash := n.relay.view.Load().byHash
 	for _, told := range notice.GetEngines() {
 		engine := byHash[told.GetEngine()]
 		if engine == nil || len(told.GetParts()) != len(told.GetPartTokens()) {
 			continue
 		}
+		if told.GetFailed() {
+			engine.suspect(n.relay.clock.now())
+		}
 		read := make([]promptPrefix, len(told.GetParts()))
 		for index, hash := range told.GetParts() {
 			read[index] = promptPrefix{hash: prefixHash(hash), tokens: int(told.GetPartTokens()[index])}
--- a/internal/relay/pace.go
+++ b/internal/relay/pace.go
@@ -64,11 +64,11 @@
 }
 
 // keep forgets engines that are no longer listed.
-func (p *pace) keep(listed map[uint64]bool) {
+func (p *pace) keep(listed map[uint64]*backEnd) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for engine := range p.engines {
-		if !listed[engine] {
+		if listed[engine] == nil {
 			delete(p.engines, engine)
 		}
 	}
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -17,7 +17,7 @@
 	stage serving.Stage
 	// zone is preferred: this relay's, or that of the engine that holds the prompt.
 	zone string
-	// prompt is what a prefill engine is to read, tokens its length.
+	// prompt is what the engine is to read, tokens its length; 0 when another one has read it.
 	prompt []promptPrefix
 	tokens int
 	// rank is the route's at engines.
@@ -37,16 +37,31 @@
 	homeTime = 15 * time.Millisecond
 	// promptTargetShare is the part of a route's target that the reading of a prompt may take.
 	promptTargetShare = 0.8
+	// residualShare is the part of a reading under way that is left on average.
+	residualShare = 0.6
 	// lateWeight is how much worse it is to be late than to wait.
 	lateWeight = 3
-	// streamTokens weighs one running stream of a decoding engine against prompt tokens
-	// that it still has to read.
-	streamTokens = 100
+	// streamTime is what one running stream of a decoding engine weighs.
+	streamTime = 2 * time.Millisecond
+	// streamHarm is how much dearer reading at a decoding engine is for each stream that
+	// it holds up.
+	streamHarm = 0.1
+	// handOverTime is what handing a prompt from one engine to another takes.
+	handOverTime = 25 * time.Millisecond
 )
 
-// pick chooses the back end for a request, or nil when none is left. Back ends that failed
-// lately are taken only when no other is left.
+// pick chooses the back end for a request, or nil when none is left.
 func (r *Relay) pick(wanted choice, tried *attempts) *backEnd {
+	best := r.best(wanted, tried)
+	if best == nil {
+		return nil
+	}
+	return best.backEnd
+}
+
+// best returns the candidate of least cost, or nil. Back ends that failed lately are taken
+// only when no other is left.
+func (r *Relay) best(wanted choice, tried *attempts) *candidate {
 	view := r.view.Load() // the newest list: a request may wait long between two picks
 	candidates := make([]candidate, 0, 16)
 	for _, backEnd := range view.byService[wanted.service] {
@@ -70,6 +85,8 @@
 	backEnd *backEnd
 	load    load
 	cost    float64
+	// waiting is how long the reading of a prompt waits at a prefill engine.
+	waiting time.Duration
 }
 
 // cost weighs a candidate; less is better.
@@ -78,7 +95,7 @@
 	case serving.StagePrefill:
 		return prefillCost(wanted, candidate, r.totalWork(wanted.now, candidate), r.pace.of(candidate.backEnd.hash))
 	case serving.StageDecode:
-		return decodeCost(wanted, candidate, r.totalWork(wanted.now, candidate))
+		return decodeCost(wanted, candidate, r.totalWork(wanted.now, candidate), r.pace.of(candidate.backEnd.hash))
 	default:
 		return plainCost(wanted, candidate)
 	}
@@ -102,10 +119,12 @@
 // out. Reading weighs double while there is time, since it takes an engine from others and
 // fills its cache with what another one holds; being late weighs more than either. Each
 // prompt has a home, the same for every relay, which wins among equals.
+// It notes the waiting in the candidate.
 func prefillCost(wanted choice, candidate *candidate, total work, perToken time.Duration) float64 {
 	toRead := max(wanted.tokens-candidate.backEnd.cache.cached(wanted.prompt), 0)
 	reading := prefillTime(perToken, toRead)
-	waiting := time.Duration(total.prompts)*prefillOverhead + time.Duration(total.tokensUpTo(readingRank(wanted.rank, toRead)))*perToken
+	waiting := waitingTime(total, readingRank(wanted.rank, toRead), perToken)
+	candidate.waiting = waiting
 	cost := waiting + 2*reading
 	if late := waiting + reading - time.Duration(promptTargetShare*float64(wanted.target)); late > 0 {
 		cost += lateWeight * late
@@ -116,6 +135,17 @@
 	return cost.Seconds() + homeTime.Seconds()*distanceFromHome(wanted.prompt, candidate.backEnd)
 }
 
+// waitingTime is how long a reading of the rank waits at an engine: for what goes before
+// it, and for what is left of the reading under way, which is not interrupted.
+func waitingTime(total work, rank int, perToken time.Duration) time.Duration {
+	before := total.tokensUpTo(rank)
+	tokens := float64(before)
+	if after := total.promptTokens() - before; after > 0 {
+		tokens += residualShare * float64(after) / float64(max(total.prompts, 1))
+	}
+	return time.Duration(total.prompts)*prefillOverhead + time.Duration(tokens*float64(perToken))
+}
+
 // distanceFromHome is in [0, 1): each prompt orders the engines in a way of its own.
 func distanceFromHome(prompt []promptPrefix, engine *backEnd) float64 {
 	if len(prompt) < 2 {
@@ -126,17 +156,25 @@
 	return float64(mixed>>11) / (1 << 53)
 }
 
-// decodeCost weighs the streams at an engine and the prompts that it still has to read.
-func decodeCost(wanted choice, candidate *candidate, total work) float64 {
-	cost := float64(total.promptTokens() + total.streams*streamTokens)
+// decodeCost is the time until a decoding engine begins to generate, with a share for the
+// streams that it runs. An engine that has to read the prompt itself takes twice as long
+// for it and holds its streams up meanwhile.
+func decodeCost(wanted choice, candidate *candidate, total work, perToken time.Duration) float64 {
+	perToken *= decodeSlowdown
+	cost := time.Duration(total.tokensUpTo(wanted.rank))*perToken + time.Duration(total.streams)*streamTime
 	if candidate.backEnd.Zone != wanted.zone {
-		cost += zonePenalty * streamTokens
+		cost += zoneTime
 	}
-	return cost
+	if wanted.tokens > 0 {
+		toRead := max(wanted.tokens-candidate.backEnd.cache.cached(wanted.prompt), 0)
+		harm := 1 + streamHarm*float64(total.streams)
+		cost += prefillOverhead + time.Duration(harm*float64(time.Duration(toRead)*perToken))
+	}
+	return cost.Seconds()
 }
 
-// cheapest returns the back end of least cost; equal ones are drawn.
-func cheapest(candidates []candidate, draw func() float64) *backEnd {
+// cheapest returns the candidate of least cost, or nil; equal ones are drawn.
+func cheapest(candidates []candidate, draw func() float64) *candidate {
 	var best *candidate
 	ties := 0
 	for index := range candidates {
@@ -151,8 +189,5 @@
 			}
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	return best.backEnd
+	return best
 }
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -22,13 +22,19 @@
 	prefillAt, sentAt     time.Duration
 	// toRead and ahead are the tokens that the prefill engine had to read for this request
 	// and for others when it was picked, as far as was known.
-	toRead, ahead int
+	toRead, ahead, aheadAll int
 	// firstAt is when the first event of a stream was passed on.
 	firstAt time.Duration
 	// lastAt is when the last events were passed on, longestGap the longest pause before any.
 	lastAt, longestGap time.Duration
 }
 
+// prefill notes which engine was asked to read the prompt, and what it had to do.
+func (t *requestTrace) prefill(engine *backEnd, now time.Duration, toRead, ahead, aheadAll int) {
+	t.prefillEngine, t.prefillAt = engine.ID, now
+	t.toRead, t.ahead, t.aheadAll = toRead, ahead, aheadAll
+}
+
 // passed notes that events were passed on.
 func (t *requestTrace) passed(now time.Duration) {
 	if t.firstAt == 0 {
@@ -45,7 +51,7 @@
 	since := func(at time.Duration) int64 { return max((at - request.arrivedAt).Milliseconds(), 0) }
 	l.logger.Info().Str("event", "request_ended").Str("request", request.id).Str("route", request.route.Name).
 		Int("status", reply.status).Bool("cut", reply.failed).Str("prefill", trace.prefillEngine).Str("back_end", trace.engine).
-		Int("prompt", request.prompt.PromptTokens).Int("to_read", trace.toRead).Int("ahead", trace.ahead).Int64("prefill_sent_ms", since(trace.prefillAt)).Int64("sent_ms", since(trace.sentAt)).
+		Int("prompt", request.prompt.PromptTokens).Int("to_read", trace.toRead).Int("ahead", trace.ahead).Int("ahead_all", trace.aheadAll).Int64("prefill_sent_ms", since(trace.prefillAt)).Int64("sent_ms", since(trace.sentAt)).
 		Int64("gap_ms", trace.longestGap.Milliseconds()).Int64("first_ms", since(trace.firstAt)).Int64("ended_ms", since(clock.now())).Send()
 }
 
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -3,20 +3,15 @@
 import (
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/serving"
-	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
-const (
-	// shortPrompt is the length up to which a decoding engine reads a prompt itself: a hand-over
-	// would take longer than it saves.
-	shortPrompt = 2_048
-	// maximumPrefillAnswer bounds the answer to a reading of a prompt.
-	maximumPrefillAnswer = 16 << 10
-)
+// maximumPrefillAnswer bounds the answer to a reading of a prompt.
+const maximumPrefillAnswer = 16 << 10
 
 // heldPrompt is a prompt that an engine has read for another one.
 type heldPrompt struct {
@@ -27,29 +22,34 @@
 // source is how a decoding engine is told where the prompt is.
 func (h *heldPrompt) source() string { return h.engine.Address + "/" + h.handle }
 
-// serveStream serves a stream. From model engines a long prompt is read at a prefill
-// engine and generated from at a decoding one.
+// serveStream serves a stream. From model engines the prompt is read at a prefill engine and
+// generated from at a decoding one, or both are done at a decoding one.
 func (r *Relay) serveStream(request *request, reply *replier) {
 	tried := &attempts{relay: r, request: request}
 	stream := &streamReply{relay: r, request: request, reply: reply, tried: tried,
-		last: string(request.header.Peek(r.dialect.Headers.LastEventID))}
-	held := r.readPrompt(request, tried)
+		parts: prefixes(request.prompt), last: string(request.header.Peek(r.dialect.Headers.LastEventID))}
+	begun := r.beginStream(stream)
+	if begun.refused != nil {
+		r.log.refused(request, *begun.refused, tried)
+		reply.refuse(*begun.refused)
+		return
+	}
+	engine, held := begun.engine, begun.held
 	for tried.mayContinue() {
-		wanted := choice{service: request.service.Name, stage: answeringStage(request.service), zone: r.settings.Zone, now: r.clock.now()}
-		if held != nil {
-			wanted.zone = held.engine.Zone
+		if engine == nil {
+			engine = r.pick(stream.wanted(held), tried)
 		}
-		backEnd := r.pick(wanted, tried)
-		if backEnd == nil {
+		if engine == nil {
 			break
 		}
-		fault := stream.run(backEnd, held)
+		fault := stream.run(engine, held)
 		held = nil // a handle serves once
 		if fault == nil {
 			return
 		}
-		r.log.attemptFailed(request, backEnd, fault)
-		tried.note(backEnd, fault)
+		r.log.attemptFailed(request, engine, fault)
+		tried.note(engine, fault)
+		engine = nil
 	}
 	if held != nil {
 		r.release(held)
@@ -57,45 +57,86 @@
 	r.finishRefused(tried, reply)
 }
 
-// readPrompt lets a prefill engine read a long prompt. It returns nil when the prompt is
-// short or no engine has read it; a decoding engine then reads it itself.
-func (r *Relay) readPrompt(request *request, tried *attempts) *heldPrompt {
-	if request.service.Engine == nil || request.prompt.PromptTokens <= shortPrompt {
-		return nil
+// start says where a stream begins: at a decoding engine that reads the prompt itself, with a
+// prompt that a prefill engine has read, or nowhere because too much waits.
+type start struct {
+	engine  *backEnd
+	held    *heldPrompt
+	refused *refusal
+}
+
+// beginStream decides where the prompt is read, and has it read there when that is at a
+// prefill engine.
+func (r *Relay) beginStream(stream *streamReply) start {
+	request := stream.request
+	if request.service.Engine == nil || request.prompt.PromptTokens == 0 {
+		return start{}
 	}
-	parts := prefixes(request.prompt)
-	engine := r.pick(choice{
-		service: request.service.Name, stage: serving.StagePrefill, prompt: parts, tokens: request.prompt.PromptTokens,
-		rank: request.route.Priority * prioritySteps,
-		zone: r.settings.Zone, now: r.clock.now(), target: request.route.Target,
-	}, tried)
-	if engine == nil {
-		return nil
+	direct := r.best(stream.wanted(nil), stream.tried)
+	apart := r.best(choice{
+		service: request.service.Name, stage: serving.StagePrefill, prompt: stream.parts, tokens: request.prompt.PromptTokens,
+		rank: stream.rank(), zone: r.settings.Zone, now: r.clock.now(), target: request.route.Target,
+	}, stream.tried)
+	switch {
+	case apart == nil && direct == nil:
+		return start{}
+	case apart == nil || direct != nil && r.readsDirectly(stream, direct, apart):
+		return start{engine: direct.backEnd}
+	case apart.waiting > time.Duration(longestWaitShare*float64(request.route.Target)):
+		return start{refused: &refusal{
+			status: fasthttp.StatusServiceUnavailable, reason: "too many prompts wait to be read", retryAfter: apart.waiting / 2,
+		}}
+	default:
+		return start{held: r.readPrompt(stream, apart.backEnd)}
 	}
-	now := r.clock.now()
-	toRead := max(request.prompt.PromptTokens-engine.cache.cached(parts), 0)
+}
+
+const (
+	// longestDirect is the longest reading that a decoding engine takes on while a prefill
+	// engine could: its streams would pause too long.
+	longestDirect = 2_048
+	// longestWaitShare is how many targets of its route a prompt may wait to be read: one that
+	// waits longer would be late, and those behind it too.
+	longestWaitShare = 1.2
+)
+
+// readsDirectly reports whether a decoding engine had better read the prompt itself.
+func (r *Relay) readsDirectly(stream *streamReply, direct, apart *candidate) bool {
+	request := stream.request
+	toRead := request.prompt.PromptTokens - direct.backEnd.cache.cached(stream.parts)
+	return toRead <= longestDirect && direct.cost <= apart.cost+handOverTime.Seconds()
+}
+
+// readPrompt lets a prefill engine read a prompt. It returns nil when it has not.
+func (r *Relay) readPrompt(stream *streamReply, engine *backEnd) *heldPrompt {
+	request, now := stream.request, r.clock.now()
+	toRead := max(request.prompt.PromptTokens-engine.cache.cached(stream.parts), 0)
+	rank := readingRank(stream.rank(), toRead)
 	ahead := r.notices.table.others(now, engine.hash).plus(engine.look(now).own)
-	rank := readingRank(request.route.Priority*prioritySteps, toRead)
-	request.trace.toRead, request.trace.ahead = toRead, ahead.tokensUpTo(rank)
-	request.trace.prefillEngine, request.trace.prefillAt = engine.ID, now
-	r.work.add(request.service.Name, prefillTime(r.pace.of(engine.hash), toRead), 0)
+	request.trace.prefill(engine, now, toRead, ahead.tokensUpTo(rank), ahead.promptTokens())
+	perToken := r.pace.of(engine.hash)
+	r.work.add(request.service.Name, prefillTime(perToken, toRead), 0)
 	answer, fault := r.exchanger.send(&message{
-		request: request, backEnd: engine, deadline: request.deadline, reads: parts,
-		work: reading(toRead, rank).plus(work{prompts: 1}),
-		set:  []header{r.rankHeader(rank), {r.dialect.Headers.Stage, r.dialect.PrefillStage}},
+		request: request, backEnd: engine, deadline: request.deadline, reads: stream.parts,
+		work:     reading(toRead, rank).plus(work{prompts: 1}),
+		stall:    prefillStall + time.Duration(prefillStallShare*float64(waitingTime(ahead, ranks-1, perToken)+prefillTime(perToken, toRead))),
+		mayBreak: true,
+		set:      []header{r.rankHeader(rank), {r.dialect.Headers.Stage, r.dialect.PrefillStage}},
 	})
-	if fault == nil && ahead.prompts == 0 {
-		r.pace.observe(engine.hash, toRead, r.clock.now()-now)
-	}
 	if fault != nil {
 		r.log.attemptFailed(request, engine, fault)
-		if fault.verdict == verdict.NotRun && fault.arrived {
-			tried.sent++ // a rejected reading counts as an attempt
-			tried.last = fault
-		}
+		stream.tried.noteReading(fault)
 		return nil
 	}
+	if ahead.prompts == 0 {
+		r.pace.observe(engine.hash, toRead, r.clock.now()-now)
+	}
 	defer answer.finish()
+	return r.takeHandle(answer, engine)
+}
+
+// takeHandle reads the answer to the reading of a prompt; nil when it is none.
+func (r *Relay) takeHandle(answer *answer, engine *backEnd) *heldPrompt {
 	body, err := io.ReadAll(io.LimitReader(answer, maximumPrefillAnswer))
 	if err != nil || answer.status != fasthttp.StatusOK {
 		return nil
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -75,7 +75,8 @@
 			break
 		}
 		request.trace.engine, request.trace.sentAt = backEnd.ID, r.clock.now()
-		answer, fault := r.exchanger.send(&message{request: request, backEnd: backEnd, deadline: request.deadline, work: work{streams: 1}})
+		answer, fault := r.exchanger.send(&message{request: request, backEnd: backEnd, deadline: request.deadline, work: work{streams: 1},
+			stall: stallLimit(request.route), mayBreak: request.route.Repeatable() && tried.sent+1 < request.route.MaxAttempts})
 		if fault == nil {
 			fault = r.passPlain(answer, tried, reply)
 		}
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -19,18 +19,36 @@
 	request *request
 	reply   *replier
 	tried   *attempts
+	// parts are the beginnings of the prompt.
+	parts []promptPrefix
 	// last is the identity of the last event that the client has.
 	last string
 	// pieces are events that wait for the next write.
 	pieces []byte
 }
 
+// rank is that of the route at engines.
+func (s *streamReply) rank() int { return s.request.route.Priority * prioritySteps }
+
+// wanted describes the engine that is to generate, and to read the prompt unless held.
+func (s *streamReply) wanted(held *heldPrompt) choice {
+	wanted := choice{
+		service: s.request.service.Name, stage: answeringStage(s.request.service), rank: s.rank(),
+		zone: s.relay.settings.Zone, now: s.relay.clock.now(),
+	}
+	if held != nil {
+		wanted.zone = held.engine.Zone
+		return wanted
+	}
+	wanted.prompt, wanted.tokens = s.parts, s.request.prompt.PromptTokens
+	return wanted
+}
+
 // run sends the request to an engine and passes its stream on. The failure is nil when the
 // client has its final answer; otherwise the stream may go on at another engine.
 func (s *streamReply) run(engine *backEnd, held *heldPrompt) *failure {
 	names := s.relay.dialect.Headers
-	rank := s.request.route.Priority * prioritySteps
-	set := []header{s.relay.rankHeader(rank)}
+	set := []header{s.relay.rankHeader(s.rank())}
 	if held != nil {
 		set = append(set, header{names.KVSource, held.source()})
 	}
@@ -42,9 +60,10 @@
 	s.request.trace.engine, s.request.trace.sentAt = engine.ID, began
 	asked := work{streams: 1}
 	if held == nil {
-		asked = asked.plus(reading(s.request.prompt.PromptTokens, rank))
+		asked = asked.plus(reading(max(s.request.prompt.PromptTokens-engine.cache.cached(s.parts), 0), s.rank()))
 	}
-	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.request.deadline, set: set, work: asked})
+	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.request.deadline, set: set, work: asked, reads: s.parts,
+		stall: stallLimit(s.request.route) + prefillTime(s.relay.pace.of(engine.hash), decodeSlowdown*asked.promptTokens()), mayBreak: s.mayMove()})
 	if fault != nil {
 		return fault
 	}
@@ -68,6 +87,11 @@
 	s.relay.work.add(s.request.service.Name, 0, busy)
 }
 
+// mayMove reports whether the stream may be taken up at another engine.
+func (s *streamReply) mayMove() bool {
+	return s.request.route.Repeatable() && s.tried.sent+1 < s.request.route.MaxAttempts
+}
+
 func isEventStream(answer *answer) bool {
 	return answer.status == fasthttp.StatusOK &&
 		strings.HasPrefix(string(answer.head.ContentType()), "text/event-stream")
@@ -85,8 +109,11 @@
 // passEvents passes events on as they arrive.
 func (s *streamReply) passEvents(answer *answer) *failure {
 	events := newEventReader(answer)
+	watch := s.relay.exchanger.watchStall(answer.connection, answer.message.backEnd, stallLimit(s.request.route), s.mayMove())
+	defer watch.stop()
 	for {
 		event, err := events.next()
+		watch.heard()
 		if err != nil && !errors.Is(err, io.EOF) {
 			s.flush(answer)
 			return asFailure(err)
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -15,8 +15,8 @@
 	listed bool
 	// byService holds the back ends of each service, by identity.
 	byService map[string][]*backEnd
-	// engines holds the model engines by the hash that load notices name them with.
-	engines map[uint64]*backEnd
+	// byHash holds the back ends by the hash that load notices name them with.
+	byHash map[uint64]*backEnd
 	// relays is the number of relays that share budgets.
 	relays int
 }
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -181,19 +181,15 @@
 func (w *watcher) takeBackEnds(listed []serving.BackEnd, next *view) {
 	known := make(map[string]*backEnd, len(listed))
 	next.byService = map[string][]*backEnd{}
-	next.engines = map[uint64]*backEnd{}
-	listedEngines := map[uint64]bool{}
+	next.byHash = map[uint64]*backEnd{}
 	for _, entry := range listed {
 		current := w.known[entry.ID]
 		if current == nil || !sameEntry(current.BackEnd, entry) {
-			current = w.replace(current, entry, cacheTokens(next, entry.Service))
+			current = w.replace(current, entry, next)
 		}
 		known[entry.ID] = current
 		next.byService[entry.Service] = append(next.byService[entry.Service], current)
-		if current.isEngine() {
-			next.engines[current.hash] = current
-			listedEngines[current.hash] = true
-		}
+		next.byHash[current.hash] = current
 	}
 	for id, gone := range w.known {
 		if known[id] == nil {
@@ -201,22 +197,38 @@
 		}
 	}
 	w.known = known
-	w.relay.notices.table.keep(listedEngines)
-	w.relay.pace.keep(listedEngines)
+	w.relay.notices.table.keep(next.byHash)
+	w.relay.pace.keep(next.byHash)
 	next.listed = true
 }
 
 // replace makes the record of a back end whose entry is new or has changed.
-func (w *watcher) replace(former *backEnd, entry serving.BackEnd, cacheTokens int) *backEnd {
-	replaced := newBackEnd(entry, cacheTokens)
-	if former != nil {
-		replaced.load.avoidUntil = former.look(0).avoidUntil
-		replaced.cache = former.cache
-		former.pool.close()
+func (w *watcher) replace(former *backEnd, entry serving.BackEnd, view *view) *backEnd {
+	replaced := newBackEnd(entry, cacheTokens(view, entry.Service))
+	if former == nil {
+		return replaced
+	}
+	replaced.load.avoidUntil = former.look(0).avoidUntil
+	replaced.cache = former.cache
+	if former.Stage != entry.Stage {
+		// The list shows the new stage before the engine is back.
+		replaced.avoid(w.relay.clock.now() + roleChange(view, entry.Service))
 	}
+	former.pool.close()
 	return replaced
 }
 
+// roleChange is how long an engine of the service is away when its stage changes.
+func roleChange(view *view, service string) time.Duration {
+	if view.table == nil {
+		return 0
+	}
+	if known := view.table.Service(service); known != nil && known.Engine != nil {
+		return known.Engine.RoleChange
+	}
+	return 0
+}
+
 // defaultCacheTokens is an engine's memory until the configuration tells it.
 const defaultCacheTokens = 400_000
 
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -64,10 +64,10 @@
 	// other before an engine changes: it is away meanwhile, and its cache is lost to its
 	// former stage.
 	imbalance = 1.6
-	// leastDecode and leastPrefill are the engines that each stage keeps, so that the loss
-	// of one leaves another.
-	leastDecode  = 2
-	leastPrefill = 2
+	// leastShare is the part of the engines that each stage keeps, and leastEngines their
+	// least number, so that a loss leaves others.
+	leastShare   = 0.3
+	leastEngines = 2
 	// leastWork is the work below which a part of the engines, by their number, is idle.
 	leastWork = 0.02
 	// smoothing is the weight of a new observation of the work.
@@ -87,7 +87,7 @@
 
 // Next returns the changes to order now, none most of the time. Call it at steady intervals.
 func (p *Plan) Next(now time.Duration, engines []Engine, work Work) []Change {
-	if len(engines) < leastDecode+leastPrefill {
+	if len(engines) < 2*leastEngines {
 		return nil
 	}
 	p.observe(work)
@@ -123,7 +123,8 @@
 		return nil
 	}
 	total := float64(len(engines))
-	wanted := math.Round(min(max(p.config.PriorPrefillShare*total, leastPrefill), total-leastDecode))
+	least := float64(least(len(engines)))
+	wanted := math.Round(min(max(p.config.PriorPrefillShare*total, least), total-least))
 	difference := int(wanted) - countPrefill(engines)
 	return choose(engines, difference > 0, max(difference, -difference))
 }
@@ -136,20 +137,25 @@
 	prefill := countPrefill(engines)
 	decode := len(engines) - prefill
 	if prefill == 0 || decode == 0 {
-		return choose(engines, prefill == 0, leastDecode)
+		return choose(engines, prefill == 0, leastEngines)
 	}
 	prefillNeed := p.work.Prefill / prefillUse / float64(prefill)
 	decodeNeed := p.work.Decode / decodeUse / float64(decode)
 	switch {
-	case prefillNeed > 1 && prefillNeed > imbalance*decodeNeed && decode > leastDecode:
+	case prefillNeed > 1 && prefillNeed > imbalance*decodeNeed && decode > least(len(engines)):
 		return choose(engines, true, 1)
-	case decodeNeed > 1 && decodeNeed > imbalance*prefillNeed && prefill > leastPrefill:
+	case decodeNeed > 1 && decodeNeed > imbalance*prefillNeed && prefill > least(len(engines)):
 		return choose(engines, false, 1)
 	default:
 		return nil
 	}
 }
 
+// least is the number of engines that each stage keeps.
+func least(total int) int {
+	return max(leastEngines, int(math.Round(leastShare*float64(total))))
+}
+
 // countPrefill counts the engines that read prompts.
 func countPrefill(engines []Engine) int {
 	count := 0
