Keep a slow engine from starting a cascade of moved streams

Change: an answer is broken off for silence only when nothing has come from its engine on any answer; a stream with a long prompt is moved only to an engine that has nothing to read; a connection is given 300 ms to open.

--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -39,6 +39,8 @@
 	failures   int
 	refusals   int
 	avoidUntil time.Duration
+	// heardAt is when anything came from the back end last.
+	heardAt time.Duration
 }
 
 // Health of a back end as learnt from exchanges.
@@ -105,6 +107,13 @@
 	b.load.avoidUntil = max(b.load.avoidUntil, until)
 }
 
+// heard notes that something came from the back end.
+func (b *backEnd) heard(now time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.load.heardAt = now
+}
+
 // doubled returns the first pause doubled so many times, up to the longest.
 func doubled(first time.Duration, times int, longest time.Duration) time.Duration {
 	const mostDoublings = 16
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -18,7 +18,7 @@
 
 const (
 	// dialTimeout bounds the opening of a connection to a back end.
-	dialTimeout = time.Second
+	dialTimeout = 300 * time.Millisecond
 	// maximumStaleAnswers bounds how many answers to earlier requests are read past.
 	maximumStaleAnswers = 2
 	// maximumStaleBody bounds the body of an answer that is read past.
@@ -299,6 +299,7 @@
 // check decides whether the answer is one for the client. Answers that say that the
 // request has not run become failures.
 func (e *exchanger) check(answer *answer) *failure {
+	answer.message.backEnd.heard(e.clock.now())
 	e.noteLoad(answer)
 	if answer.status == fasthttp.StatusMisdirectedRequest {
 		return &failure{verdict: verdict.NotRun, arrived: true, cause: errMisdirected}
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -37,7 +37,7 @@
 	engine, held := begun.engine, begun.held
 	for tried.mayContinue() {
 		if engine == nil {
-			engine = r.pick(stream.wanted(held), tried)
+			engine = r.nextEngine(stream, held)
 		}
 		if engine == nil {
 			break
@@ -57,6 +57,23 @@
 	r.finishRefused(tried, reply)
 }
 
+// nextEngine picks the decoding engine that goes on with a stream. Without a prompt that is
+// held it has to read the prompt itself; a long one only where nothing else waits to be
+// read, since its streams would stall and be moved with their prompts to the next engine.
+func (r *Relay) nextEngine(stream *streamReply, held *heldPrompt) *backEnd {
+	best := r.best(stream.wanted(held), stream.tried)
+	if best == nil {
+		return nil
+	}
+	if held == nil && stream.request.service.Engine != nil {
+		toRead := stream.request.prompt.PromptTokens - best.backEnd.cache.cached(stream.parts)
+		if toRead > longestDirect && r.totalWork(r.clock.now(), best).promptTokens() > longestDirect {
+			return nil
+		}
+	}
+	return best.backEnd
+}
+
 // start says where a stream begins: at a decoding engine that reads the prompt itself, with a
 // prompt that a prefill engine has read, or nowhere because too much waits.
 type start struct {
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/serving"
@@ -28,29 +27,43 @@
 	return max(plainStall, stallTargets*route.Target)
 }
 
-// stallWatch looks for the silence of a back end during one answer. When it comes, the back
-// end counts as failed; the answer is broken off only where the request may run elsewhere.
+// stallWatch looks for the silence of a back end during one answer. When nothing has come
+// from the back end for that long, on this answer or any other, it counts as failed; the
+// answer is broken off only where the request may run elsewhere. A back end that sends
+// other answers is slow and not gone: leaving it would only move its load.
 type stallWatch struct {
-	timer *time.Timer
-	limit time.Duration
-	// stalled tells that the answer was broken off.
-	stalled atomic.Bool
+	exchanger  *exchanger
+	connection *upstreamConnection
+	backEnd    *backEnd
+	mayBreak   bool
+	limit      time.Duration
+	timer      *time.Timer
 }
 
 // watchStall begins to look. mayBreak says whether the answer may be broken off.
 func (e *exchanger) watchStall(connection *upstreamConnection, backEnd *backEnd, limit time.Duration, mayBreak bool) *stallWatch {
-	watch := &stallWatch{limit: limit}
-	watch.timer = time.AfterFunc(limit, func() {
-		e.noteFailure(backEnd)
-		if mayBreak {
-			watch.stalled.Store(true)
-			_ = connection.SetDeadline(time.Unix(1, 0)) // a closed connection fails by itself
-		}
-	})
+	watch := &stallWatch{exchanger: e, connection: connection, backEnd: backEnd, mayBreak: mayBreak, limit: limit}
+	watch.timer = time.AfterFunc(limit, watch.check)
 	return watch
 }
 
+// check runs when the answer has been silent for the limit.
+func (w *stallWatch) check() {
+	silence := w.exchanger.clock.now() - w.backEnd.look(w.exchanger.clock.now()).heardAt
+	if silence < w.limit {
+		w.timer.Reset(w.limit - silence)
+		return
+	}
+	w.exchanger.noteFailure(w.backEnd)
+	if w.mayBreak {
+		_ = w.connection.SetDeadline(time.Unix(1, 0)) // a closed connection fails by itself
+	}
+}
+
 // heard notes that something has come.
-func (w *stallWatch) heard() { w.timer.Reset(w.limit) }
+func (w *stallWatch) heard() {
+	w.backEnd.heard(w.exchanger.clock.now())
+	w.timer.Reset(w.limit)
+}
 
 func (w *stallWatch) stop() { w.timer.Stop() }
