--- a/internal/relay/client_request.go
+++ b/internal/relay/client_request.go
@@ -89,6 +89,7 @@
 	if !strings.HasPrefix(target, "/") || strings.ContainsAny(target, " \t\r\n#") {
 		return bad("the target must be a path")
 	}
+	framings := 0 // the library keeps one of several: only the lines as sent tell
 	for line := range bytes.Lines(head.RawHeaders()) {
 		name, _, found := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
 		if len(name) == 0 && !found {
@@ -97,15 +98,18 @@
 		if !found || !isToken(name) {
 			return bad("a header's name is malformed or its line is folded")
 		}
+		if bytes.EqualFold(name, []byte("Content-Length")) || bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+			framings++
+		}
+	}
+	if framings > 1 {
+		return bad("the body's length is given twice")
 	}
 	for _, name := range r.single {
 		if len(head.PeekAll(name)) > 1 {
 			return bad("the header " + name + " appears twice")
 		}
 	}
-	if len(head.Peek("Content-Length")) > 0 && len(head.Peek("Transfer-Encoding")) > 0 {
-		return bad("the body's length is given twice")
-	}
 	if encoding := head.Peek("Transfer-Encoding"); len(encoding) > 0 && !bytes.EqualFold(encoding, []byte("chunked")) {
 		return bad("the transfer encoding is not chunked")
 	}
--- /dev/null
+++ b/internal/relay/harness_test.go
@@ -0,0 +1,268 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+	"github.com/hazelpitch/hazelpitch/internal/settings"
+)
+
+// testDialect has names of its own: what the relay does must not depend on any site's.
+func testDialect() Dialect {
+	return Dialect{
+		Headers: HeaderNames{
+			RequestID: "T-Id", DeadlineMs: "T-Deadline", PromptParts: "T-Parts", Model: "T-Model", Tokens: "T-Tokens",
+			LastEventID: "T-Last", Seal: "T-Seal", ExpectInstance: "T-Expect", Load: "T-Load", NotExecuted: "T-Not-Run",
+			Priority: "T-Rank", Stage: "T-Stage", KVSource: "T-Source", EngineOnly: []string{"T-Pin"},
+		},
+		PrefillStage:       "read",
+		ReadyPath:          "/ready",
+		HandlePath:         func(handle string) string { return "/handle/" + handle },
+		ParsePrefillAnswer: func(body []byte) (string, error) { return string(body), nil },
+	}
+}
+
+// received is one request as a back end read it.
+type received struct {
+	line   string
+	head   *fasthttp.RequestHeader
+	body   string
+	number int // of the request on its connection, from 1
+}
+
+// script answers requests of one back end on the raw connection. It returns false when the
+// connection is to be closed.
+type script func(connection net.Conn, request received) bool
+
+// scriptedBackEnd is a back end that answers as its script says.
+type scriptedBackEnd struct {
+	entry    serving.BackEnd
+	mutex    sync.Mutex
+	requests []received
+	// closed counts connections that the relay has closed.
+	closed int
+}
+
+func (b *scriptedBackEnd) seen() []received {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return append([]received(nil), b.requests...)
+}
+
+func startBackEnd(t *testing.T, id string, stage serving.Stage, answer script) *scriptedBackEnd {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	backEnd := &scriptedBackEnd{entry: serving.BackEnd{
+		ID: id, Service: "service", Address: listener.Addr().String(), Zone: "zone", Slots: 8, Stage: stage,
+	}}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go backEnd.serve(connection, answer)
+		}
+	}()
+	return backEnd
+}
+
+func (b *scriptedBackEnd) serve(connection net.Conn, answer script) {
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for number := 1; ; number++ {
+		head := &fasthttp.RequestHeader{}
+		if err := head.Read(reader); err != nil {
+			b.mutex.Lock()
+			b.closed++
+			b.mutex.Unlock()
+			return
+		}
+		body := make([]byte, max(head.ContentLength(), 0))
+		request := received{line: string(head.Method()) + " " + string(head.RequestURI()), head: head, number: number}
+		if string(head.Peek("T-Early")) == "" {
+			if _, err := io.ReadFull(reader, body); err != nil {
+				return
+			}
+		}
+		request.body = string(body)
+		kept := request
+		kept.head = &fasthttp.RequestHeader{} // reading a header changes it: the script has its own
+		head.CopyTo(kept.head)
+		b.mutex.Lock()
+		b.requests = append(b.requests, kept)
+		b.mutex.Unlock()
+		if !answer(connection, request) {
+			return
+		}
+	}
+}
+
+// reply writes a whole answer with a seal.
+func reply(connection net.Conn, request received, status int, body string, headers ...string) {
+	head := fmt.Sprintf("HTTP/1.1 %d X\r\nT-Id: %s\r\nT-Seal: seal\r\nContent-Length: %d\r\n", status, request.head.Peek("T-Id"), len(body))
+	for _, header := range headers {
+		head += header + "\r\n"
+	}
+	_, _ = io.WriteString(connection, head+"\r\n"+body)
+}
+
+// answering is a script that always answers alike.
+func answering(status int, body string, headers ...string) script {
+	return func(connection net.Conn, request received) bool {
+		reply(connection, request, status, body, headers...)
+		return true
+	}
+}
+
+// refusing is a script that has not run the request.
+func refusing(status int) script {
+	return answering(status, "", "T-Not-Run: 1")
+}
+
+// writing is a script that writes raw bytes and closes the connection; ID stands for the
+// request's identity.
+func writing(raw string) script {
+	return func(connection net.Conn, request received) bool {
+		_, _ = io.WriteString(connection, strings.ReplaceAll(raw, "ID", string(request.head.Peek("T-Id"))))
+		return false
+	}
+}
+
+// resetting resets the connection after raw bytes.
+func resetting(raw string) script {
+	return func(connection net.Conn, request received) bool {
+		_, _ = io.WriteString(connection, strings.ReplaceAll(raw, "ID", string(request.head.Peek("T-Id"))))
+		time.Sleep(5 * time.Millisecond) // lets the bytes arrive before the reset drops them
+		_ = connection.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+}
+
+// testRelay is a relay with a fixed view, and its address.
+type testRelay struct {
+	*Relay
+	address string
+}
+
+// route returns a route for /path/ of host test.
+func route(change func(*serving.Route)) serving.Route {
+	made := serving.Route{
+		Name: "route", Host: "test", Prefix: "/path/", Kind: serving.KindUnsafe, Timeout: 5 * time.Second,
+		Target: 500 * time.Millisecond, MaxAttempts: 2, Splits: []serving.Split{{Service: "service", Weight: 1}},
+	}
+	if change != nil {
+		change(&made)
+	}
+	return made
+}
+
+func newTestRelay(t *testing.T, made serving.Route, backEnds ...*scriptedBackEnd) *testRelay {
+	t.Helper()
+	config := settings.Relay{
+		Name: "relay", Zone: "zone", Grace: time.Second,
+		RetryBudget: settings.RetryBudget{Ratio: 1, Window: 10 * time.Second, Slack: 1000},
+	}
+	relay := newRelay(config, Options{
+		Dialect: testDialect(), Log: logring.New("relay", settings.Log{RingEntries: 64}),
+		Dial: (&net.Dialer{}).DialContext,
+	})
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	relay.notices = newNotices(relay, socket, 1)
+	relay.exchanger.notices = relay.notices
+	relay.budget.setRelays(1)
+	relay.contactAt.Store(int64(relay.clock.now()))
+	service := serving.Service{Name: "service"}
+	for _, backEnd := range backEnds {
+		if backEnd.entry.Stage != serving.StageWhole {
+			service.Engine = &serving.Engine{Slots: 8, CacheTokens: 100_000}
+		}
+	}
+	configuration := serving.Configuration{Number: 1, Routes: []serving.Route{made}, Services: []serving.Service{service}}
+	require.NoError(t, configuration.Check())
+	next := &view{table: serving.NewTable(&configuration), byService: map[string][]*backEnd{}}
+	entries := make([]serving.BackEnd, 0, len(backEnds))
+	for _, backEnd := range backEnds {
+		entries = append(entries, backEnd.entry)
+	}
+	relay.watcher.takeBackEnds(entries, next)
+	relay.view.Store(next)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _ = relay.accept(ctx, listener) }()
+	t.Cleanup(func() { cancel(); _ = listener.Close(); _ = socket.Close() })
+	return &testRelay{Relay: relay, address: listener.Addr().String()}
+}
+
+// clientAnswer is an answer as a client read it.
+type clientAnswer struct {
+	status int
+	head   *fasthttp.ResponseHeader
+	body   string
+	// whole tells that the body came to its declared end.
+	whole bool
+}
+
+// testClient is one connection of a client.
+type testClient struct {
+	t          *testing.T
+	connection net.Conn
+	reader     *bufio.Reader
+	sent       int
+}
+
+func (r *testRelay) client(t *testing.T) *testClient {
+	t.Helper()
+	connection, err := net.Dial("tcp", r.address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = connection.Close() })
+	return &testClient{t: t, connection: connection, reader: bufio.NewReader(connection)}
+}
+
+// send sends a request with further header lines and a body.
+func (c *testClient) send(method, target, body string, headers ...string) {
+	c.t.Helper()
+	c.sent++
+	message := method + " " + target + " HTTP/1.1\r\nHost: test\r\nT-Id: id-" + strconv.Itoa(c.sent) + "\r\n"
+	if body != "" {
+		message += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	}
+	for _, header := range headers {
+		message += header + "\r\n"
+	}
+	_, err := io.WriteString(c.connection, message+"\r\n"+body)
+	require.NoError(c.t, err)
+}
+
+// read reads an answer to its end.
+func (c *testClient) read() clientAnswer {
+	c.t.Helper()
+	head := &fasthttp.ResponseHeader{}
+	require.NoError(c.t, head.Read(c.reader))
+	framed := newFramedBody(head, "", c.reader)
+	body, err := io.ReadAll(framed)
+	return clientAnswer{status: head.StatusCode(), head: head, body: string(body), whole: err == nil && framed.whole}
+}
+
+func (c *testClient) do(method, target, body string, headers ...string) clientAnswer {
+	c.t.Helper()
+	c.send(method, target, body, headers...)
+	return c.read()
+}
--- /dev/null
+++ b/internal/relay/stream_test.go
@@ -0,0 +1,207 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+const streamHead = "HTTP/1.1 200 OK\r\nT-Id: ID\r\nT-Seal: SEAL\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// streaming is a script that sends events as chunks; "cut" ends it amid an event.
+func streaming(seal string, events ...string) script {
+	return func(connection net.Conn, request received) bool {
+		head := strings.NewReplacer("ID", string(request.head.Peek("T-Id")), "SEAL", seal).Replace(streamHead)
+		_, _ = io.WriteString(connection, head)
+		for _, event := range events {
+			if event == "cut" {
+				_, _ = connection.Write(appendChunk(nil, []byte("id: 99\ndata: ha")))
+				return false
+			}
+			_, _ = connection.Write(appendChunk(nil, []byte(event)))
+		}
+		_, _ = io.WriteString(connection, "0\r\n\r\n")
+		return true
+	}
+}
+
+func stream(resumable bool) func(*serving.Route) {
+	return func(r *serving.Route) { r.Kind, r.Resumable = serving.KindStream, resumable }
+}
+
+const (
+	eventOne   = "id: 1\ndata: a\n\n"
+	eventTwo   = "id: 2\ndata: b\n\n"
+	eventThree = "id: 3\ndata: c\n\n"
+)
+
+// preferring makes the first back end of the relay's service the one that is picked.
+func (r *testRelay) preferring(id string) *testRelay {
+	for _, backEnd := range r.view.Load().byService["service"] {
+		if backEnd.ID != id {
+			backEnd.begin(work{streams: 50})
+		}
+	}
+	return r
+}
+
+func TestStreamPassesWhole(t *testing.T) {
+	backEnd := startBackEnd(t, "one", serving.StageWhole, streaming("first", eventOne, eventTwo+eventThree))
+	answer := newTestRelay(t, route(stream(false)), backEnd).client(t).do("GET", "/path/", "")
+	require.Equal(t, eventOne+eventTwo+eventThree, answer.body)
+	require.True(t, answer.whole)
+}
+
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	first := startBackEnd(t, "first", serving.StageWhole, streaming("first", eventOne, "cut"))
+	second := startBackEnd(t, "second", serving.StageWhole, streaming("second", eventOne, eventTwo, eventThree))
+	relay := newTestRelay(t, route(stream(true)), first, second).preferring("first")
+	answer := relay.client(t).do("GET", "/path/", "")
+	require.True(t, answer.whole)
+	require.Equal(t, eventOne+eventTwo+eventThree, answer.body, "no event twice, none missing, no piece of the broken one")
+	require.Equal(t, "first", string(answer.head.Peek("T-Seal")))
+	require.Equal(t, "1", string(second.seen()[0].head.Peek("T-Last")))
+}
+
+func TestBrokenStreamThatMayNotRunAgainDoesNotLookWhole(t *testing.T) {
+	first := startBackEnd(t, "first", serving.StageWhole, streaming("first", eventOne, "cut"))
+	second := startBackEnd(t, "second", serving.StageWhole, streaming("second", eventTwo))
+	relay := newTestRelay(t, route(stream(false)), first, second).preferring("first")
+	answer := relay.client(t).do("GET", "/path/", "")
+	require.False(t, answer.whole)
+	require.Equal(t, eventOne, answer.body)
+	require.Empty(t, second.seen())
+}
+
+func TestStreamThatBreaksBeforeItsFirstEvent(t *testing.T) {
+	for resumable, want := range map[bool]int{true: 200, false: 502} {
+		first := startBackEnd(t, "first", serving.StageWhole, streaming("first", "cut"))
+		second := startBackEnd(t, "second", serving.StageWhole, streaming("second", eventOne))
+		relay := newTestRelay(t, route(stream(resumable)), first, second).preferring("first")
+		answer := relay.client(t).do("GET", "/path/", "")
+		require.Equal(t, want, answer.status)
+		require.True(t, answer.whole)
+		if resumable {
+			require.Equal(t, "second", string(answer.head.Peek("T-Seal")))
+		}
+	}
+}
+
+func TestClientResumesAtItsLastEvent(t *testing.T) {
+	backEnd := startBackEnd(t, "one", serving.StageWhole, streaming("first", eventTwo, eventThree))
+	client := newTestRelay(t, route(stream(true)), backEnd).client(t)
+	answer := client.do("GET", "/path/", "", "T-Last: 1")
+	require.Equal(t, eventTwo+eventThree, answer.body)
+	require.Equal(t, "1", string(backEnd.seen()[0].head.Peek("T-Last")))
+}
+
+// prompt declares a prompt long enough to be read apart.
+var longPrompt = []string{"T-Model: m", "T-Tokens: 9000,50", "T-Parts: aa:6000,bb:3000"}
+
+func TestPromptIsReadApart(t *testing.T) {
+	reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle-7"))
+	decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
+	answer := newTestRelay(t, route(stream(false)), reader, decoder).client(t).do("POST", "/path/", "x", longPrompt...)
+	require.Equal(t, eventOne, answer.body)
+	require.Equal(t, "read", string(reader.seen()[0].head.Peek("T-Stage")))
+	request := decoder.seen()[0]
+	require.Equal(t, reader.entry.Address+"/handle-7", string(request.head.Peek("T-Source")))
+	require.Empty(t, request.head.Peek("T-Stage"))
+	require.Equal(t, "aa:6000,bb:3000", string(request.head.Peek("T-Parts")))
+}
+
+func TestShortPromptIsReadByAnIdleDecodingEngine(t *testing.T) {
+	reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
+	decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
+	answer := newTestRelay(t, route(stream(false)), reader, decoder).client(t).do("POST", "/path/", "x", "T-Tokens: 300,5", "T-Parts: aa:100,bb:200")
+	require.Equal(t, eventOne, answer.body)
+	require.Empty(t, reader.seen())
+}
+
+// What goes wrong with the reading of a prompt must not end the request where the route
+// allows another sending.
+func TestReadingsThatFail(t *testing.T) {
+	for name, test := range map[string]struct {
+		reader   script
+		attempts int
+		status   int
+	}{
+		"rejected, one attempt":  {refusing(503), 1, 503},
+		"rejected, two attempts": {refusing(503), 2, 200},
+		"broken":                 {writing(""), 1, 200},
+		"no handle":              {answering(500, "failed"), 1, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reader := startBackEnd(t, "reader", serving.StagePrefill, test.reader)
+			decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
+			made := route(func(r *serving.Route) { stream(false)(r); r.MaxAttempts = test.attempts })
+			answer := newTestRelay(t, made, reader, decoder).client(t).do("POST", "/path/", "x", longPrompt...)
+			require.Equal(t, test.status, answer.status)
+			if test.status == 200 {
+				require.Empty(t, decoder.seen()[0].head.Peek("T-Source"))
+			} else {
+				require.Empty(t, decoder.seen())
+			}
+		})
+	}
+}
+
+func TestLapsedHandleIsReadAgain(t *testing.T) {
+	reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
+	lapsed := startBackEnd(t, "lapsed", serving.StageDecode, refusing(503))
+	decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
+	relay := newTestRelay(t, route(stream(false)), reader, lapsed, decoder).preferring("lapsed")
+	answer := relay.client(t).do("POST", "/path/", "x", longPrompt...)
+	require.Equal(t, eventOne, answer.body)
+	require.Empty(t, decoder.seen()[0].head.Peek("T-Source"), "a handle serves once")
+}
+
+// An unused hold on a prompt is given up without an identity: it is no request of a client.
+func TestUnusedHandleIsReleased(t *testing.T) {
+	reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle-9"))
+	answer := newTestRelay(t, route(stream(false)), reader).client(t).do("POST", "/path/", "x", longPrompt...)
+	require.Equal(t, 503, answer.status)
+	require.Eventually(t, func() bool { return len(reader.seen()) == 2 }, time.Minute, time.Millisecond)
+	released := reader.seen()[1]
+	require.Equal(t, "DELETE /handle/handle-9", released.line)
+	require.Empty(t, released.head.Peek("T-Id"))
+}
+
+// A long prompt that has lost its engine is not read by one whose streams it would stall.
+func TestLongPromptIsNotMovedToABusyEngine(t *testing.T) {
+	reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
+	broken := startBackEnd(t, "broken", serving.StageDecode, streaming("broken", "cut"))
+	busy := startBackEnd(t, "busy", serving.StageDecode, streaming("busy", eventOne))
+	relay := newTestRelay(t, route(stream(true)), reader, broken, busy).preferring("broken")
+	for _, backEnd := range relay.view.Load().byService["service"] {
+		if backEnd.ID == "busy" {
+			backEnd.begin(reading(10_000, 0))
+		}
+	}
+	answer := relay.client(t).do("POST", "/path/", "x", longPrompt...)
+	require.Equal(t, 502, answer.status)
+	require.Empty(t, busy.seen())
+}
+
+// A prompt that would wait for long is refused at once, with the time to come back.
+func TestPromptThatWouldWaitIsRefusedAtOnce(t *testing.T) {
+	reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
+	decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
+	relay := newTestRelay(t, route(stream(true)), reader, decoder)
+	for _, backEnd := range relay.view.Load().byService["service"] {
+		if backEnd.ID == "reader" {
+			backEnd.begin(reading(100_000, 0).plus(work{prompts: 5}))
+		}
+	}
+	answer := relay.client(t).do("POST", "/path/", "x", longPrompt...)
+	require.Equal(t, 503, answer.status)
+	require.NotEmpty(t, answer.head.Peek("Retry-After"))
+	require.Empty(t, reader.seen())
+	require.Empty(t, decoder.seen())
+}
