Elect after 400 ms of silence, and send clients back after 1 s where nothing is known yet

Change: election timeout 600 -> 400 ms, heartbeats 100 -> 80 ms, Retry-After 0.5 -> 1 s while no configuration is known.

--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -70,7 +70,7 @@
 const (
 	retryAfterBusy      = 150 * time.Millisecond
 	retryAfterNoBackEnd = 250 * time.Millisecond
-	retryAfterStart     = 500 * time.Millisecond
+	retryAfterStart     = 1000 * time.Millisecond
 )
 
 // refusal is the final answer when no sending brought one. It promises that the request
--- a/internal/settings/site_controller.go
+++ b/internal/settings/site_controller.go
@@ -35,8 +35,8 @@
 	// OrderWait is how long a new leader waits before its first order to an engine, so that
 	// its predecessor's have ended; default 3s.
 	OrderWait         time.Duration `yaml:"order_wait" default:"3s" check:"not-negative"`
-	ElectionTimeout   time.Duration `yaml:"election_timeout" default:"600ms" check:"positive"`
-	HeartbeatInterval time.Duration `yaml:"heartbeat_interval" default:"100ms" check:"positive"`
+	ElectionTimeout   time.Duration `yaml:"election_timeout" default:"400ms" check:"positive"`
+	HeartbeatInterval time.Duration `yaml:"heartbeat_interval" default:"80ms" check:"positive"`
 	// MemoryLimit is the size in MiB that the process must stay under; 0 for no limit.
 	MemoryLimit int `yaml:"memory_limit" check:"not-negative"`
 	Log         Log `yaml:"log"`
