Take cached parts of prompts from other engines in place of reading them again

Change: a prefill engine that has not cached a prompt's beginning takes it from the engine that has most of it; the cost weighs the way (link, bytes per token) against reading.

--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -41,6 +41,8 @@
 	Stage string
 	// KVSource names where an engine finds a prompt that another one has read.
 	KVSource string
+	// KVFetch names an engine from which another one takes what it has cached of a prompt.
+	KVFetch string
 	// EngineOnly are further headers that steer engines; clients may not set them.
 	EngineOnly []string
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -27,7 +27,7 @@
 func newRequestWriter(names HeaderNames) requestWriter {
 	own := map[string]bool{
 		names.DeadlineMs: true, names.ExpectInstance: true, names.Priority: true,
-		names.Stage: true, names.KVSource: true,
+		names.Stage: true, names.KVSource: true, names.KVFetch: true,
 	}
 	for _, name := range names.EngineOnly {
 		own[name] = true
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -22,6 +22,9 @@
 	tokens int
 	// rank is the route's at engines.
 	rank int
+	// held is where most of the prompt is cached, tokenMove the time to move one token.
+	held      holder
+	tokenMove time.Duration
 	// target is the time to the first event that is in time.
 	target time.Duration
 	now    time.Duration
@@ -37,6 +40,12 @@
 	homeTime = 15 * time.Millisecond
 	// promptTargetShare is the part of a route's target that the reading of a prompt may take.
 	promptTargetShare = 0.8
+	// leastFetch is the least number of tokens that are worth taking from another engine.
+	leastFetch = 1_000
+	// fetchSetup is what taking them costs beside their way.
+	fetchSetup = 12 * time.Millisecond
+	// defaultTokenMove is the way of one token where the links are not known.
+	defaultTokenMove = 2 * time.Microsecond
 	// residualShare is the part of a reading under way that is left on average.
 	residualShare = 0.6
 	// lateWeight is how much worse it is to be late than to wait.
@@ -85,6 +94,10 @@
 	backEnd *backEnd
 	load    load
 	cost    float64
+	// toRead is what a prefill engine has to read itself; fetchFrom is where it takes the
+	// rest that it has not cached, nil for nowhere.
+	toRead    int
+	fetchFrom *backEnd
 	// waiting is how long the reading of a prompt waits at a prefill engine.
 	waiting time.Duration
 }
@@ -115,18 +128,24 @@
 	return cost
 }
 
-// prefillCost is the time until the engine has read this prompt, what it has cached left
-// out. Reading weighs double while there is time, since it takes an engine from others and
-// fills its cache with what another one holds; being late weighs more than either. Each
-// prompt has a home, the same for every relay, which wins among equals.
-// It notes the waiting in the candidate.
+// prefillCost is the time until the engine has read this prompt; what it has cached, and
+// what it can take from another engine's cache, is left out. Reading weighs double while
+// there is time, since it takes an engine from others; being late weighs more than either.
+// Each prompt has a home, the same for every relay, which wins among equals. It notes in the
+// candidate what it found.
 func prefillCost(wanted choice, candidate *candidate, total work, perToken time.Duration) float64 {
-	toRead := max(wanted.tokens-candidate.backEnd.cache.cached(wanted.prompt), 0)
-	reading := prefillTime(perToken, toRead)
-	waiting := waitingTime(total, readingRank(wanted.rank, toRead), perToken)
-	candidate.waiting = waiting
-	cost := waiting + 2*reading
-	if late := waiting + reading - time.Duration(promptTargetShare*float64(wanted.target)); late > 0 {
+	own := candidate.backEnd.cache.cached(wanted.prompt)
+	candidate.toRead = max(wanted.tokens-own, 0)
+	fetching := time.Duration(0)
+	if fetched := wanted.held.tokens - own; fetched >= leastFetch && wanted.held.engine != candidate.backEnd {
+		candidate.toRead = max(wanted.tokens-wanted.held.tokens, 0)
+		candidate.fetchFrom = wanted.held.engine
+		fetching = fetchSetup + time.Duration(fetched)*wanted.tokenMove
+	}
+	reading := prefillTime(perToken, candidate.toRead)
+	candidate.waiting = waitingTime(total, readingRank(wanted.rank, candidate.toRead), perToken)
+	cost := candidate.waiting + fetching + 2*reading
+	if late := candidate.waiting + fetching + reading - time.Duration(promptTargetShare*float64(wanted.target)); late > 0 {
 		cost += lateWeight * late
 	}
 	if candidate.backEnd.Zone != wanted.zone {
@@ -135,6 +154,35 @@
 	return cost.Seconds() + homeTime.Seconds()*distanceFromHome(wanted.prompt, candidate.backEnd)
 }
 
+// holder is the engine that has most of a prompt's beginning cached.
+type holder struct {
+	engine *backEnd
+	tokens int
+}
+
+// holderOf finds the engine of the service that has most of the prompt cached and has not
+// failed lately. What it holds does not depend on its stage.
+func (r *Relay) holderOf(service string, prompt []promptPrefix, now time.Duration) holder {
+	best := holder{}
+	for _, engine := range r.view.Load().byService[service] {
+		if engine.look(now).failures > 0 {
+			continue
+		}
+		if tokens := engine.cache.cached(prompt); tokens > best.tokens {
+			best = holder{engine: engine, tokens: tokens}
+		}
+	}
+	return best
+}
+
+// tokenMoveTime is how long the memory of one token is on its way between engines.
+func tokenMoveTime(engine *serving.Engine) time.Duration {
+	if engine == nil || engine.LinkBytes <= 0 {
+		return defaultTokenMove
+	}
+	return time.Duration(float64(engine.TokenBytes) / engine.LinkBytes * float64(time.Second))
+}
+
 // waitingTime is how long a reading of the rank waits at an engine: for what goes before
 // it, and for what is left of the reading under way, which is not interrupted.
 func waitingTime(total work, rank int, perToken time.Duration) time.Duration {
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -93,6 +93,7 @@
 	apart := r.best(choice{
 		service: request.service.Name, stage: serving.StagePrefill, prompt: stream.parts, tokens: request.prompt.PromptTokens,
 		rank: stream.rank(), zone: r.settings.Zone, now: r.clock.now(), target: request.route.Target,
+		held: r.holderOf(request.service.Name, stream.parts, r.clock.now()), tokenMove: tokenMoveTime(request.service.Engine),
 	}, stream.tried)
 	switch {
 	case apart == nil && direct == nil:
@@ -104,7 +105,7 @@
 			status: fasthttp.StatusServiceUnavailable, reason: "too many prompts wait to be read", retryAfter: apart.waiting / 2,
 		}}
 	default:
-		return start{held: r.readPrompt(stream, apart.backEnd)}
+		return start{held: r.readPrompt(stream, apart)}
 	}
 }
 
@@ -125,28 +126,30 @@
 }
 
 // readPrompt lets a prefill engine read a prompt. It returns nil when it has not.
-func (r *Relay) readPrompt(stream *streamReply, engine *backEnd) *heldPrompt {
-	request, now := stream.request, r.clock.now()
-	toRead := max(request.prompt.PromptTokens-engine.cache.cached(stream.parts), 0)
-	rank := readingRank(stream.rank(), toRead)
+func (r *Relay) readPrompt(stream *streamReply, chosen *candidate) *heldPrompt {
+	request, engine, now := stream.request, chosen.backEnd, r.clock.now()
+	rank := readingRank(stream.rank(), chosen.toRead)
 	ahead := r.notices.table.others(now, engine.hash).plus(engine.look(now).own)
-	request.trace.prefill(engine, now, toRead, ahead.tokensUpTo(rank), ahead.promptTokens())
+	request.trace.prefill(engine, now, chosen.toRead, ahead.tokensUpTo(rank), ahead.promptTokens())
 	perToken := r.pace.of(engine.hash)
-	r.work.add(request.service.Name, prefillTime(perToken, toRead), 0)
+	r.work.add(request.service.Name, prefillTime(perToken, chosen.toRead), 0)
+	set := []header{r.rankHeader(rank), {r.dialect.Headers.Stage, r.dialect.PrefillStage}}
+	if chosen.fetchFrom != nil {
+		set = append(set, header{r.dialect.Headers.KVFetch, chosen.fetchFrom.Address})
+	}
 	answer, fault := r.exchanger.send(&message{
-		request: request, backEnd: engine, deadline: request.deadline, reads: stream.parts,
-		work:     reading(toRead, rank).plus(work{prompts: 1}),
-		stall:    prefillStall + time.Duration(prefillStallShare*float64(waitingTime(ahead, ranks-1, perToken)+prefillTime(perToken, toRead))),
+		request: request, backEnd: engine, deadline: request.deadline, reads: stream.parts, set: set,
+		work:     reading(chosen.toRead, rank).plus(work{prompts: 1}),
+		stall:    prefillStall + time.Duration(prefillStallShare*float64(waitingTime(ahead, ranks-1, perToken)+prefillTime(perToken, chosen.toRead))),
 		mayBreak: true,
-		set:      []header{r.rankHeader(rank), {r.dialect.Headers.Stage, r.dialect.PrefillStage}},
 	})
 	if fault != nil {
 		r.log.attemptFailed(request, engine, fault)
 		stream.tried.noteReading(fault)
 		return nil
 	}
-	if ahead.prompts == 0 {
-		r.pace.observe(engine.hash, toRead, r.clock.now()-now)
+	if ahead.prompts == 0 && chosen.fetchFrom == nil {
+		r.pace.observe(engine.hash, chosen.toRead, r.clock.now()-now)
 	}
 	defer answer.finish()
 	return r.takeHandle(answer, engine)
