--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -90,7 +90,7 @@
 func (e *exchanger) noteWork(message *message, reads []promptPrefix) {
 	if message.backEnd.isEngine() {
 		e.notices.note(message.backEnd, reads)
-		message.backEnd.cache.add(reads)
+		message.backEnd.cache.add(e.clock.now(), reads)
 	}
 }
 
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -211,7 +211,7 @@
 		for index, hash := range told.GetParts() {
 			read[index] = promptPrefix{hash: prefixHash(hash), tokens: int(told.GetPartTokens()[index])}
 		}
-		engine.cache.add(read)
+		engine.cache.add(n.relay.clock.now(), read)
 	}
 }
 
--- a/internal/relay/prompt_cache.go
+++ b/internal/relay/prompt_cache.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"math"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -37,28 +39,44 @@
 	return found
 }
 
+// cachedPart is one part that an engine was sent to read.
+type cachedPart struct {
+	tokens int
+	// since is when the engine was asked to read it; it holds it once it has.
+	since time.Duration
+}
+
 // promptCache is what one engine most likely has in its memory of prompts, from what was
 // sent to it. It is safe for concurrent use.
 type promptCache struct {
 	mutex    sync.Mutex
 	capacity int
 	tokens   int
-	parts    *simplelru.LRU[prefixHash, int]
+	parts    *simplelru.LRU[prefixHash, cachedPart]
 }
 
 func newPromptCache(capacity int) *promptCache {
 	cache := &promptCache{capacity: int(float64(capacity) * cacheShare)}
-	cache.parts, _ = simplelru.NewLRU(maximumCachedParts, func(_ prefixHash, tokens int) { cache.tokens -= tokens }) // the size is positive
+	cache.parts, _ = simplelru.NewLRU(maximumCachedParts, func(_ prefixHash, part cachedPart) { cache.tokens -= part.tokens }) // the size is positive
 	return cache
 }
 
-// cached returns how many tokens of the prompt's beginning are held.
-func (c *promptCache) cached(wanted []promptPrefix) int {
+// cached returns how many tokens of the prompt's beginning the engine holds, or will hold
+// before it reads this prompt.
+func (c *promptCache) cached(wanted []promptPrefix) int { return c.cachedSince(wanted, forever) }
+
+// forever is later than any time of the process.
+const forever = time.Duration(math.MaxInt64)
+
+// cachedSince returns how many tokens of the prompt's beginning the engine was sent to read
+// by a time.
+func (c *promptCache) cachedSince(wanted []promptPrefix, by time.Duration) int {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	tokens := 0
 	for _, prefix := range wanted {
-		if !c.parts.Contains(prefix.hash) {
+		part, held := c.parts.Peek(prefix.hash)
+		if !held || part.since > by {
 			break
 		}
 		tokens += prefix.tokens
@@ -66,15 +84,15 @@
 	return tokens
 }
 
-// add notes beginnings that the engine reads; the parts unused longest give way.
-func (c *promptCache) add(read []promptPrefix) {
+// add notes beginnings that the engine is sent to read; the parts unused longest give way.
+func (c *promptCache) add(now time.Duration, read []promptPrefix) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, prefix := range read {
 		if _, held := c.parts.Get(prefix.hash); held {
 			continue
 		}
-		c.parts.Add(prefix.hash, prefix.tokens)
+		c.parts.Add(prefix.hash, cachedPart{tokens: prefix.tokens, since: now})
 		c.tokens += prefix.tokens
 	}
 	for c.tokens > c.capacity {
