Read a prompt at a second prefill engine where the first has failed and attempts allow

Change: routes with two attempts have it read at another prefill engine; the further reading counts as an attempt and in the budget.

--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -36,7 +36,8 @@
 
 // noteReading takes a failed reading of the prompt, which runs nothing: one that an engine
 // rejected counts as a sending, one that broke off after it was taken up does not.
-func (a *attempts) noteReading(fault *failure) {
+func (a *attempts) noteReading(engine *backEnd, fault *failure) {
+	a.excluded = append(a.excluded, engine)
 	if fault.verdict == verdict.NotRun && fault.arrived {
 		a.sent++
 		a.last = fault
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -90,11 +90,7 @@
 		return start{}
 	}
 	direct := r.best(stream.wanted(nil), stream.tried)
-	apart := r.best(choice{
-		service: request.service.Name, stage: serving.StagePrefill, prompt: stream.parts, tokens: request.prompt.PromptTokens,
-		rank: stream.rank(), zone: r.settings.Zone, now: r.clock.now(), target: request.route.Target,
-		held: r.holderOf(request.service.Name, stream.parts, r.clock.now()), tokenMove: tokenMoveTime(request.service.Engine),
-	}, stream.tried)
+	apart := r.best(r.wantedReader(stream), stream.tried)
 	switch {
 	case apart == nil && direct == nil:
 		return start{}
@@ -105,10 +101,36 @@
 			status: fasthttp.StatusServiceUnavailable, reason: "too many prompts wait to be read", retryAfter: apart.waiting / 2,
 		}}
 	default:
-		return start{held: r.readPrompt(stream, apart)}
+		return start{held: r.readTwice(stream, apart)}
+	}
+}
+
+// wantedReader describes the prefill engine that is to read a stream's prompt.
+func (r *Relay) wantedReader(stream *streamReply) choice {
+	request, now := stream.request, r.clock.now()
+	return choice{
+		service: request.service.Name, stage: serving.StagePrefill, prompt: stream.parts, tokens: request.prompt.PromptTokens,
+		rank: stream.rank(), zone: r.settings.Zone, now: now, target: request.route.Target,
+		held: r.holderOf(request.service.Name, stream.parts, now), tokenMove: tokenMoveTime(request.service.Engine),
 	}
 }
 
+// readTwice lets a prefill engine read a prompt, and another one when the first has failed
+// and the route's attempts leave one for the reading and one for the run.
+func (r *Relay) readTwice(stream *streamReply, chosen *candidate) *heldPrompt {
+	held := r.readPrompt(stream, chosen)
+	tried := stream.tried
+	if held != nil || tried.over() || tried.sent+1 >= stream.request.route.MaxAttempts {
+		return held
+	}
+	next := r.best(r.wantedReader(stream), tried)
+	if next == nil || !r.budget.take(r.clock.now(), stream.request.service.Name) {
+		return nil
+	}
+	tried.sent++ // a further reading counts as an attempt
+	return r.readPrompt(stream, next)
+}
+
 const (
 	// longestDirect is the longest reading that a decoding engine takes on while a prefill
 	// engine could: its streams would pause too long.
@@ -145,14 +167,18 @@
 	})
 	if fault != nil {
 		r.log.attemptFailed(request, engine, fault)
-		stream.tried.noteReading(fault)
+		stream.tried.noteReading(engine, fault)
 		return nil
 	}
 	if ahead.prompts == 0 && chosen.fetchFrom == nil {
 		r.pace.observe(engine.hash, chosen.toRead, r.clock.now()-now)
 	}
 	defer answer.finish()
-	return r.takeHandle(answer, engine)
+	held := r.takeHandle(answer, engine)
+	if held == nil {
+		stream.tried.excluded = append(stream.tried.excluded, engine)
+	}
+	return held
 }
 
 // takeHandle reads the answer to the reading of a prompt; nil when it is none.
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -205,3 +205,23 @@
 	require.Empty(t, reader.seen())
 	require.Empty(t, decoder.seen())
 }
+
+// A further reading counts as an attempt: it is made only where one is left for the run.
+func TestFailedReadingIsRepeatedWhereAttemptsAllow(t *testing.T) {
+	for attempts, source := range map[int]bool{1: false, 2: true} {
+		broken := startBackEnd(t, "broken", serving.StagePrefill, writing(""))
+		reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
+		decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
+		made := route(func(r *serving.Route) { stream(true)(r); r.MaxAttempts = attempts })
+		relay := newTestRelay(t, made, broken, reader, decoder)
+		for _, backEnd := range relay.view.Load().byService["service"] {
+			if backEnd.ID == "reader" {
+				backEnd.begin(reading(5000, 0))
+			}
+		}
+		answer := relay.client(t).do("POST", "/path/", "x", longPrompt...)
+		require.Equal(t, eventOne, answer.body)
+		require.Equal(t, source, len(decoder.seen()[0].head.Peek("T-Source")) > 0, "attempts %d", attempts)
+		require.Len(t, reader.seen(), attempts-1)
+	}
+}
