--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -34,7 +34,9 @@
 	"internal/planner",
 	"internal/routing",
 	"internal/safeguard",
+	"internal/serving",
 	"internal/shares",
+	"internal/stageplan",
 	"internal/standin/engine/orders",
 	"internal/verdict",
 }
