--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -99,7 +99,7 @@
 func (c *controller) openCore() error {
 	disk, restored, err := storage.Open(storage.Options{Directory: c.config.DataDirectory, Fleet: c.config.Fleet, Name: c.config.Name})
 	if err != nil {
-		return trace.Wrap(err)
+		return &DiskError{cause: trace.Wrap(err)}
 	}
 	c.disk = disk
 	origin := time.Now()
--- /dev/null
+++ b/internal/controller/disk_error.go
@@ -0,0 +1,16 @@
+package controller
+
+// DiskError is the error of Run when the data directory cannot be opened or written. What
+// was being written may or may not be there: whoever goes on has to read it again.
+type DiskError struct{ cause error }
+
+// Error returns the cause's text.
+func (d *DiskError) Error() string {
+	if d.cause == nil {
+		return "the disk failed"
+	}
+	return d.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (d *DiskError) Unwrap() error { return d.cause }
--- a/internal/controller/syncer.go
+++ b/internal/controller/syncer.go
@@ -34,7 +34,7 @@
 		case batches := <-s.loop.persist:
 			started := time.Now()
 			if err := s.writer.Write(batches); err != nil {
-				return trace.Wrap(err, "cannot write the log; check the disk behind data_directory")
+				return &DiskError{cause: trace.Wrap(err, "cannot write the log; check the disk behind data_directory")}
 			}
 			s.observe(len(batches), time.Since(started))
 			select {
--- a/internal/servercommand/site_controller.go
+++ b/internal/servercommand/site_controller.go
@@ -58,6 +58,8 @@
 			}
 			return nil
 		})
-		return controller.Run(ctx, loaded.Controller(siteFleet), controller.Options{Listen: environment.Listen, Site: site, Log: log})
+		return outliveDisk(ctx, log, func() error {
+			return controller.Run(ctx, loaded.Controller(siteFleet), controller.Options{Listen: environment.Listen, Site: site, Log: log})
+		})
 	})
 }
