Let decoding engines take cached parts of prompts too

Change: a decoding engine takes the cached beginning from the engine that has it and reads up to 2,048 tokens itself, where that is sooner.

Conclusion: prefill engines are left to what is really new.

--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -136,14 +136,7 @@
 // Each prompt has a home, the same for every relay, which wins among equals. It notes in the
 // candidate what it found.
 func prefillCost(wanted choice, candidate *candidate, total work, perToken time.Duration) float64 {
-	own := candidate.backEnd.cache.cached(wanted.prompt)
-	candidate.toRead = max(wanted.tokens-own, 0)
-	fetching := time.Duration(0)
-	if fetched := wanted.held.tokens - own; fetched >= leastFetch && wanted.held.engine != candidate.backEnd {
-		candidate.toRead = max(wanted.tokens-wanted.held.tokens, 0)
-		candidate.fetchFrom = wanted.held.engine
-		fetching = fetchSetup + time.Duration(fetched)*wanted.tokenMove
-	}
+	fetching := candidate.planReading(wanted)
 	reading := prefillTime(perToken, candidate.toRead)
 	candidate.waiting = waitingTime(total, readingRank(wanted.rank, candidate.toRead), perToken)
 	cost := candidate.waiting + fetching + 2*reading
@@ -156,6 +149,20 @@
 	return cost.Seconds() + homeTime.Seconds()*distanceFromHome(wanted.prompt, candidate.backEnd)
 }
 
+// planReading notes what the engine has to read itself and where it takes the rest from; it
+// returns how long that takes.
+func (c *candidate) planReading(wanted choice) time.Duration {
+	own := c.backEnd.cache.cached(wanted.prompt)
+	c.toRead = max(wanted.tokens-own, 0)
+	fetched := wanted.held.tokens - own
+	if fetched < leastFetch || wanted.held.engine == c.backEnd {
+		return 0
+	}
+	c.toRead = max(wanted.tokens-wanted.held.tokens, 0)
+	c.fetchFrom = wanted.held.engine
+	return fetchSetup + time.Duration(fetched)*wanted.tokenMove
+}
+
 // holder is the engine that has most of a prompt's beginning cached.
 type holder struct {
 	engine *backEnd
@@ -222,9 +229,9 @@
 		cost += zoneTime
 	}
 	if wanted.tokens > 0 {
-		toRead := max(wanted.tokens-candidate.backEnd.cache.cached(wanted.prompt), 0)
+		cost += candidate.planReading(wanted)
 		harm := 1 + streamHarm*float64(total.streams)
-		cost += prefillOverhead + time.Duration(harm*float64(time.Duration(toRead)*perToken))
+		cost += prefillOverhead + time.Duration(harm*float64(time.Duration(candidate.toRead)*perToken))
 	}
 	return cost.Seconds()
 }
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -34,22 +34,23 @@
 		reply.refuse(*begun.refused)
 		return
 	}
-	engine, held := begun.engine, begun.held
+	chosen, held := begun.direct, begun.held
 	for tried.mayContinue() {
-		if engine == nil {
-			engine = r.nextEngine(stream, held)
+		if chosen == nil {
+			chosen = r.nextEngine(stream, held)
 		}
-		if engine == nil {
+		if chosen == nil {
 			break
 		}
-		fault := stream.run(engine, held)
+		engine := chosen.backEnd
+		fault := stream.run(chosen, held)
 		held = nil // a handle serves once
 		if fault == nil {
 			return
 		}
 		r.log.attemptFailed(request, engine, fault)
 		tried.note(engine, fault)
-		engine = nil
+		chosen = nil
 	}
 	if held != nil {
 		r.release(held)
@@ -60,24 +61,23 @@
 // nextEngine picks the decoding engine that goes on with a stream. Without a prompt that is
 // held it has to read the prompt itself; a long one only where nothing else waits to be
 // read, since its streams would stall and be moved with their prompts to the next engine.
-func (r *Relay) nextEngine(stream *streamReply, held *heldPrompt) *backEnd {
+func (r *Relay) nextEngine(stream *streamReply, held *heldPrompt) *candidate {
 	best := r.best(stream.wanted(held), stream.tried)
 	if best == nil {
 		return nil
 	}
 	if held == nil && stream.request.service.Engine != nil {
-		toRead := stream.request.prompt.PromptTokens - best.backEnd.cache.cached(stream.parts)
-		if toRead > longestDirect && r.totalWork(r.clock.now(), best).promptTokens() > longestDirect {
+		if best.toRead > longestDirect && r.totalWork(r.clock.now(), best).promptTokens() > longestDirect {
 			return nil
 		}
 	}
-	return best.backEnd
+	return best
 }
 
 // start says where a stream begins: at a decoding engine that reads the prompt itself, with a
 // prompt that a prefill engine has read, or nowhere because too much waits.
 type start struct {
-	engine  *backEnd
+	direct  *candidate
 	held    *heldPrompt
 	refused *refusal
 }
@@ -95,7 +95,7 @@
 	case apart == nil && direct == nil:
 		return start{}
 	case apart == nil || direct != nil && r.readsDirectly(stream, direct, apart):
-		return start{engine: direct.backEnd}
+		return start{direct: direct}
 	case apart.waiting > time.Duration(longestWaitShare*float64(request.route.Target)):
 		return start{refused: &refusal{
 			status: fasthttp.StatusServiceUnavailable, reason: "too many prompts wait to be read", retryAfter: apart.waiting / 2,
@@ -142,9 +142,7 @@
 
 // readsDirectly reports whether a decoding engine had better read the prompt itself.
 func (r *Relay) readsDirectly(stream *streamReply, direct, apart *candidate) bool {
-	request := stream.request
-	toRead := request.prompt.PromptTokens - direct.backEnd.cache.cached(stream.parts)
-	return toRead <= longestDirect && direct.cost <= apart.cost+handOverTime.Seconds()
+	return direct.toRead <= longestDirect && direct.cost <= apart.cost+handOverTime.Seconds()
 }
 
 // readPrompt lets a prefill engine read a prompt. It returns nil when it has not.
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -41,12 +41,17 @@
 		return wanted
 	}
 	wanted.prompt, wanted.tokens = s.parts, s.request.prompt.PromptTokens
+	if s.request.service.Engine != nil && wanted.tokens > 0 {
+		wanted.held = s.relay.holderOf(s.request.service.Name, s.parts, wanted.now)
+		wanted.tokenMove = tokenMoveTime(s.request.service.Engine)
+	}
 	return wanted
 }
 
 // run sends the request to an engine and passes its stream on. The failure is nil when the
 // client has its final answer; otherwise the stream may go on at another engine.
-func (s *streamReply) run(engine *backEnd, held *heldPrompt) *failure {
+func (s *streamReply) run(chosen *candidate, held *heldPrompt) *failure {
+	engine := chosen.backEnd
 	names := s.relay.dialect.Headers
 	set := []header{s.relay.rankHeader(s.rank())}
 	if held != nil {
@@ -56,11 +61,14 @@
 		set = append(set, header{names.LastEventID, s.last})
 	}
 	began := s.relay.clock.now()
-	defer func() { s.noteDecodeTime(engine, held, s.relay.clock.now()-began) }()
+	defer func() { s.noteDecodeTime(engine, chosen.toRead, s.relay.clock.now()-began) }()
 	s.request.trace.engine, s.request.trace.sentAt = engine.ID, began
 	asked := work{streams: 1}
 	if held == nil {
-		asked = asked.plus(reading(max(s.request.prompt.PromptTokens-engine.cache.cached(s.parts), 0), s.rank()))
+		asked = asked.plus(reading(chosen.toRead, s.rank()))
+		if chosen.fetchFrom != nil {
+			set = append(set, header{names.KVFetch, chosen.fetchFrom.Address})
+		}
 	}
 	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.request.deadline, set: set, work: asked, reads: s.parts,
 		stall: stallLimit(s.request.route) + prefillTime(s.relay.pace.of(engine.hash), decodeSlowdown*asked.promptTokens()), mayBreak: s.mayMove()})
@@ -76,13 +84,13 @@
 
 // noteDecodeTime notes how long the stream kept its engine busy: a slot's share of its
 // time, and the reading of the prompt where no other engine had read it.
-func (s *streamReply) noteDecodeTime(engine *backEnd, held *heldPrompt, took time.Duration) {
+func (s *streamReply) noteDecodeTime(engine *backEnd, toRead int, took time.Duration) {
 	if !engine.isEngine() {
 		return
 	}
 	busy := took / time.Duration(max(engine.Slots, 1))
-	if held == nil {
-		busy += decodeSlowdown * time.Duration(s.request.prompt.PromptTokens) * s.relay.pace.of(engine.hash)
+	if toRead > 0 {
+		busy += decodeSlowdown * time.Duration(toRead) * s.relay.pace.of(engine.hash)
 	}
 	s.relay.work.add(s.request.service.Name, 0, busy)
 }
