Name the log's events in one place, and share what gateways and relays check alike

Cause: lines of relays were named by free text; ordinary requests had a line each.

Change: internal/events types the events, docs/EVENTS.md lists them (a test holds both together); refused, failed, cut and late requests have a line, one ordinary in 16; lines tell the configuration and the age of the leader's word. internal/wirecheck holds the shared checks; answer.go, request_trace.go.

Conclusion: no change in behaviour but the log.

--- a/internal/controller/stage_orders.go
+++ b/internal/controller/stage_orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/control"
+	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
@@ -62,7 +63,7 @@
 		Holder: change.Holder, Fence: change.Fence,
 	}
 	outcome, err := s.order(ctx, s.client, order)
-	s.log.Info().Str("event", "stage_ordered").Str("engine", order.Engine.ID).Stringer("role", change.Role).
+	s.log.Info().Str(events.FieldEvent, string(events.StageOrdered)).Str("engine", order.Engine.ID).Stringer("role", change.Role).
 		Uint64("fence", order.Fence).Bool("taken", outcome == control.StageTaken).Bool("lost", outcome == control.StageLost).Err(err).Send()
 	_ = s.deliver(ctx, control.StageOrdered{ID: order.Engine.ID, Outcome: outcome}) // fails only when the process stops
 }
--- /dev/null
+++ b/internal/events/events.go
@@ -0,0 +1,58 @@
+// Package events names the events and fields of the log lines of relays and their
+// controllers. docs/EVENTS.md lists them; a test holds the two together.
+package events
+
+// Event is the kind of a log line, in its field "event".
+type Event string
+
+// Events of relays.
+const (
+	// RequestEnded: a request got its final answer, or its client left.
+	RequestEnded Event = "request_ended"
+	// AttemptFailed: a sending to a back end brought no answer.
+	AttemptFailed Event = "attempt_failed"
+	// RequestRefused: the relay gave an answer of its own.
+	RequestRefused Event = "request_refused"
+	// ConfigurationInForce: another configuration is in force at the relay.
+	ConfigurationInForce Event = "configuration_in_force"
+	// ConfigurationUnreadable: a configuration came that cannot be read.
+	ConfigurationUnreadable Event = "configuration_unreadable"
+	// ListingInForce: another list of back ends is in force at the relay.
+	ListingInForce Event = "listing_in_force"
+	// LeaderLost and LeaderFound: the relay has lost, or found again, a controller that leads.
+	LeaderLost  Event = "leader_lost"
+	LeaderFound Event = "leader_found"
+	// RelayStarted and RelayStopping: the process begins to serve, or is asked to stop.
+	RelayStarted  Event = "relay_started"
+	RelayStopping Event = "relay_stopping"
+)
+
+// Events of controllers.
+const (
+	// StageOrdered: an engine was ordered into a stage.
+	StageOrdered Event = "stage_ordered"
+	// DiskFailed: the data directory failed; the controller begins anew.
+	DiskFailed Event = "disk_failed"
+)
+
+// Events of every process.
+const (
+	// SettingsReloaded: the settings file was read again.
+	SettingsReloaded Event = "settings_reloaded"
+	// LogLinesDropped: the log's ring was full; the counts are lines since the last count.
+	LogLinesDropped Event = "log_lines_dropped"
+)
+
+// All lists every event.
+var All = []Event{
+	RequestEnded, AttemptFailed, RequestRefused, ConfigurationInForce, ConfigurationUnreadable, ListingInForce,
+	LeaderLost, LeaderFound, RelayStarted, RelayStopping, StageOrdered, DiskFailed, SettingsReloaded, LogLinesDropped,
+}
+
+// Names of fields that lines of several events have.
+const (
+	FieldEvent   = "event"
+	FieldProcess = "process"
+	FieldTime    = "time"
+	FieldRequest = "request"
+)
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/wirecheck"
 )
 
 // singleHeaders may appear once: two values would let two readers differ.
@@ -42,7 +43,7 @@
 		switch {
 		case len(name) == 0 && !found:
 			continue // the empty line at the end
-		case !found || !isToken(name):
+		case !found || !wirecheck.IsToken(name):
 			return refuseHeader("a header's name is malformed or its line is folded")
 		case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
 			lengths++
@@ -56,21 +57,6 @@
 	return nil
 }
 
-// isToken reports whether a header's name is one by RFC 9110.
-func isToken(name []byte) bool {
-	if len(name) == 0 {
-		return false
-	}
-	for _, character := range name {
-		isLetter := 'a' <= character|0x20 && character|0x20 <= 'z'
-		isDigit := '0' <= character && character <= '9'
-		if !isLetter && !isDigit && !bytes.ContainsRune([]byte("!#$%&'*+-.^_`|~"), rune(character)) {
-			return false
-		}
-	}
-	return true
-}
-
 func refuseHeader(message string) *refusal {
 	return refuse(http.StatusBadRequest, typeInvalidRequest, codeInvalidHeader, message)
 }
--- a/internal/logstream/stream.go
+++ b/internal/logstream/stream.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 
 	"github.com/rs/zerolog"
+
+	"github.com/hazelpitch/hazelpitch/internal/events"
 )
 
 const (
@@ -111,7 +113,7 @@
 		return len(line), nil
 	})
 	logger := zerolog.New(counted)
-	logger.Warn().Str("event", "log_lines_dropped").Int64("ordinary", ordinary).Int64("urgent", urgent).Send()
+	logger.Warn().Str(events.FieldEvent, string(events.LogLinesDropped)).Int64("ordinary", ordinary).Int64("urgent", urgent).Send()
 	return batch
 }
 
--- /dev/null
+++ b/internal/relay/answer.go
@@ -0,0 +1,112 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// answer is the head of a back end's answer; its body is still on the connection.
+type answer struct {
+	status     int
+	head       *fasthttp.ResponseHeader
+	body       *framedBody
+	connection *upstreamConnection
+	message    *message
+	exchanger  *exchanger
+	// unread tells that the back end answered before it had read the whole request.
+	unread bool
+	closed bool
+}
+
+// promptRead notes that the back end has read the whole prompt.
+func (a *answer) promptRead() {
+	if a.message.work.promptTokens() == 0 {
+		return
+	}
+	a.message.backEnd.end(work{tokens: a.message.work.tokens})
+	a.message.work.tokens = [ranks]int{}
+	a.exchanger.noteWork(a.message, nil)
+}
+
+// Read reads the body; io.EOF means that it came to its declared end.
+func (a *answer) Read(buffer []byte) (int, error) {
+	n, err := a.body.Read(buffer)
+	if err == nil || errors.Is(err, io.EOF) {
+		return n, err
+	}
+	return n, a.exchanger.broken(a.message, true, err)
+}
+
+// finish ends an exchange whose answer was taken; the connection is used again when the
+// whole body was read and nothing followed it.
+func (a *answer) finish() {
+	if a.closed {
+		return
+	}
+	a.message.backEnd.end(a.message.work)
+	a.exchanger.noteWork(a.message, nil)
+	if a.body.whole {
+		a.message.backEnd.succeeded()
+	}
+	a.release()
+}
+
+// discard ends an exchange whose answer is a failure. A short body is read, so that the
+// connection can be used again.
+func (a *answer) discard() {
+	if a.body.framing == framedByLength && a.body.left <= upstreamBuffer {
+		readPast(a.body)
+	}
+	a.release()
+}
+
+// release gives the connection back, or closes it.
+func (a *answer) release() {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	a.message.request.canceller.detach()
+	if !a.reusable() {
+		a.connection.close()
+		return
+	}
+	a.connection.served++
+	if limit := keepAlive(a.head); limit > 0 {
+		a.connection.idleLimit = limit
+	}
+	_ = a.connection.SetDeadline(time.Time{}) // a closed connection fails its next request
+	a.message.backEnd.pool.give(a.connection, a.exchanger.clock.now())
+}
+
+func (a *answer) reusable() bool {
+	return a.body.whole && !a.unread && a.body.framing != framedByClose && !a.head.ConnectionClose() &&
+		a.connection.reader.Buffered() == 0 && !a.message.request.canceller.isCancelled()
+}
+
+// keepAliveMargin is taken off the time for which a back end keeps a connection.
+const keepAliveMargin = 300 * time.Millisecond
+
+// keepAlive returns how long the back end keeps an idle connection; 0 when it does not say.
+func keepAlive(head *fasthttp.ResponseHeader) time.Duration {
+	for part := range strings.SplitSeq(string(head.Peek("Keep-Alive")), ",") {
+		value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !found {
+			continue
+		}
+		if count, err := strconv.Atoi(value); err == nil {
+			return max(time.Duration(count)*time.Second-keepAliveMargin, time.Millisecond)
+		}
+	}
+	return 0
+}
+
+// bodiless reports whether an answer has no body by its status or method.
+func (a *answer) bodiless() bool {
+	return a.message.request.method == fasthttp.MethodHead || a.status == fasthttp.StatusNoContent || a.status == fasthttp.StatusNotModified
+}
--- a/internal/relay/client_request.go
+++ b/internal/relay/client_request.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/wirecheck"
 )
 
 // requestFault is a request that cannot be read or must not be passed on.
@@ -95,7 +97,7 @@
 		if len(name) == 0 && !found {
 			continue
 		}
-		if !found || !isToken(name) {
+		if !found || !wirecheck.IsToken(name) {
 			return bad("a header's name is malformed or its line is folded")
 		}
 		if bytes.EqualFold(name, []byte("Content-Length")) || bytes.EqualFold(name, []byte("Transfer-Encoding")) {
@@ -140,18 +142,3 @@
 	}
 	return body, nil
 }
-
-// isToken reports whether a header's name is one by RFC 9110.
-func isToken(name []byte) bool {
-	if len(name) == 0 {
-		return false
-	}
-	for _, character := range name {
-		isLetter := 'a' <= character|0x20 && character|0x20 <= 'z'
-		isDigit := '0' <= character && character <= '9'
-		if !isLetter && !isDigit && !bytes.ContainsRune([]byte("!#$%&'*+-.^_`|~"), rune(character)) {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
@@ -104,6 +106,7 @@
 
 // run serves until the context ends and everything taken is answered.
 func (r *Relay) run(ctx context.Context, listener, ready net.Listener) error {
+	r.event(events.RelayStarted).Str("address", listener.Addr().String()).Send()
 	background := context.WithoutCancel(ctx)
 	group, working := errgroup.WithContext(background)
 	working, stopWorking := context.WithCancel(working)
@@ -122,6 +125,7 @@
 	select {
 	case <-working.Done():
 	case <-ctx.Done():
+		r.event(events.RelayStopping).Str("address", listener.Addr().String()).Int("serving", r.connections.serving()).Send()
 		r.drain(listener)
 	}
 	stopWorking()
@@ -131,6 +135,11 @@
 	return trace.Wrap(group.Wait())
 }
 
+// event begins a line on the process.
+func (r *Relay) event(event events.Event) *zerolog.Event {
+	return r.log.logger.WithLevel(zerolog.WarnLevel).Str(events.FieldEvent, string(event))
+}
+
 // takeSettings puts in force what may change while the relay runs: the controllers and the
 // retry budget.
 func (r *Relay) takeSettings(ctx context.Context, reloaded <-chan settings.Relay) {
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -129,8 +129,3 @@
 		r.failed = true
 	}
 }
-
-// bodiless reports whether an answer has no body by its status or method.
-func (a *answer) bodiless() bool {
-	return a.message.request.method == fasthttp.MethodHead || a.status == fasthttp.StatusNoContent || a.status == fasthttp.StatusNotModified
-}
--- /dev/null
+++ b/internal/relay/request_trace.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// requestTrace is what became of a request, for the line at its end.
+type requestTrace struct {
+	// prefillEngine and engine are the back ends that took the request last.
+	prefillEngine, engine string
+	prefillAt, sentAt     time.Duration
+	// toRead and ahead are the tokens that the prefill engine had to read for this request
+	// and for others when it was picked, as far as was known.
+	toRead, ahead, aheadAll int
+	// firstAt is when the first event of a stream was passed on.
+	firstAt time.Duration
+	// lastAt is when the last events were passed on, longestGap the longest pause before any.
+	lastAt, longestGap time.Duration
+}
+
+// prefill notes which engine was asked to read the prompt, and what it had to do.
+func (t *requestTrace) prefill(engine *backEnd, now time.Duration, toRead, ahead, aheadAll int) {
+	t.prefillEngine, t.prefillAt = engine.ID, now
+	t.toRead, t.ahead, t.aheadAll = toRead, ahead, aheadAll
+}
+
+// passed notes that events were passed on.
+func (t *requestTrace) passed(now time.Duration) {
+	if t.firstAt == 0 {
+		t.firstAt = now
+	} else {
+		t.longestGap = max(t.longestGap, now-t.lastAt)
+	}
+	t.lastAt = now
+}
+
+// late reports whether a served request was later than its route's targets.
+func (t *requestTrace) late(request *request, ended time.Duration) bool {
+	firstAt := t.firstAt
+	if request.route.Kind != serving.KindStream {
+		firstAt = ended
+	}
+	pause := request.route.TargetGap > 0 && t.longestGap > request.route.TargetGap
+	return firstAt-request.arrivedAt > request.route.Target || pause
+}
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -37,7 +37,7 @@
 	request.prompt = serving.ParsePrompt(string(request.header.Peek(names.Model)),
 		string(request.header.Peek(names.Tokens)), string(request.header.Peek(names.PromptParts)))
 	r.budget.request(r.clock.now(), request.service.Name)
-	defer r.log.ended(request, reply, r.clock)
+	defer func() { r.log.ended(request, reply, r.belief()) }()
 	if request.route.Kind == serving.KindStream {
 		r.serveStream(request, reply)
 		return
--- a/internal/relay/upstream_connection.go
+++ b/internal/relay/upstream_connection.go
@@ -2,10 +2,10 @@
 
 import (
 	"bufio"
-	"errors"
 	"net"
-	"syscall"
 	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/wirecheck"
 )
 
 const (
@@ -36,23 +36,5 @@
 // quiet reports whether the connection is open and nothing has arrived on it. It reads
 // without waiting.
 func (c *upstreamConnection) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	system, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := system.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(descriptor uintptr) bool {
-		var one [1]byte
-		_, readErr := syscall.Read(int(descriptor), one[:])
-		quiet = errors.Is(readErr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
+	return c.reader.Buffered() == 0 && wirecheck.Idle(c.Conn) == nil
 }
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
@@ -48,6 +48,8 @@
 	target int
 	// known are the back ends by identity, so that their state outlives a reading.
 	known map[string]*backEnd
+	// lost tells that no controller led when this was last looked at.
+	lost bool
 	// ownReadingDueAt is when this relay may read the list itself again.
 	ownReadingDueAt time.Duration
 }
@@ -68,9 +70,24 @@
 	return watcher
 }
 
+// noteContact writes a line when a leader is lost or found again.
+func (w *watcher) noteContact() {
+	lost := w.relay.clock.now()-w.relay.lastContact() > contactLimit
+	if lost == w.lost {
+		return
+	}
+	w.lost = lost
+	event := events.LeaderFound
+	if lost {
+		event = events.LeaderLost
+	}
+	w.relay.event(event).Strs("controllers", w.controllers).Send()
+}
+
 // run watches until the context ends.
 func (w *watcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		w.noteContact()
 		if w.watchOnce(ctx) {
 			continue
 		}
@@ -150,8 +167,8 @@
 		w.takeDocument(document, &next)
 	}
 	if version := response.GetListingVersion(); version != 0 && version != current.listingVersion {
-		w.takeBackEnds(translate(response.GetBackEnds()), &next)
 		next.listingVersion = version
+		w.takeBackEnds(translate(response.GetBackEnds()), &next)
 	}
 	next.relays = int(response.GetRelays())
 	w.relay.notices.setPeers(response.GetRelayAddresses())
@@ -170,11 +187,11 @@
 		err = configuration.Check()
 	}
 	if err != nil {
-		w.relay.log.logger.Error().Err(err).Uint64("number", document.GetNumber()).Msg("the configuration cannot be read")
+		w.relay.event(events.ConfigurationUnreadable).Err(err).Uint64("number", document.GetNumber()).Send()
 		return
 	}
 	next.table = serving.NewTable(&configuration)
-	w.relay.log.logger.Info().Str("number", strconv.FormatUint(configuration.Number, 10)).Msg("configuration in force")
+	w.relay.event(events.ConfigurationInForce).Uint64("number", configuration.Number).Send()
 }
 
 // takeBackEnds puts a reading of the list in force.
@@ -197,6 +214,7 @@
 		}
 	}
 	w.known = known
+	w.relay.event(events.ListingInForce).Uint64("version", next.listingVersion).Int("back_ends", len(listed)).Send()
 	w.relay.notices.table.keep(next.byHash)
 	w.relay.pace.keep(next.byHash)
 	next.listed = true
@@ -260,8 +278,8 @@
 		return
 	}
 	next := *w.relay.view.Load()
-	w.takeBackEnds(listed, &next)
 	next.listingVersion = 0
+	w.takeBackEnds(listed, &next)
 	w.relay.view.Store(&next)
 }
 
--- a/internal/servercommand/outlive_disk.go
+++ b/internal/servercommand/outlive_disk.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/controller"
+	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
 )
@@ -27,7 +28,7 @@
 		if !errors.As(err, &failed) {
 			return err
 		}
-		log.Warn().Str("event", "disk_failed").Err(err).Dur("pause", wait).Send()
+		log.Warn().Str(events.FieldEvent, string(events.DiskFailed)).Err(err).Dur("pause", wait).Send()
 		if !pause.For(ctx, wait) {
 			return nil
 		}
--- a/internal/servercommand/reload.go
+++ b/internal/servercommand/reload.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 )
 
@@ -35,7 +36,7 @@
 		}
 		changedAt = modified(path)
 		err := load()
-		log.Info().Str("event", "settings_reloaded").Str("path", path).Err(err).Send()
+		log.Info().Str(events.FieldEvent, string(events.SettingsReloaded)).Str("path", path).Err(err).Send()
 	}
 }
 
