Tell the story of a request from logs: hazelctl explain request

Cause: lines of several processes had to be put in order by hand, and their times had whole seconds.

Conclusion: one command from a complaint to its lines.

--- a/internal/logring/log.go
+++ b/internal/logring/log.go
@@ -14,6 +14,9 @@
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
 
+// Lines of several processes are put in order by their times.
+func init() { zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00" }
+
 // Log is a process's logger and the ring behind it. It is safe for concurrent use.
 type Log struct {
 	zerolog.Logger
--- a/internal/operatorcommand/commands.go
+++ b/internal/operatorcommand/commands.go
@@ -23,6 +23,9 @@
 		{name: "run", description: "run a command such as 'drain engine X'", command: &runCommand{global: global}},
 		{name: "check", description: "check declarations without a controller", command: &checkCommand{global: global}},
 		{name: "format", description: "lay out a declaration file", command: &formatCommand{}},
+		{name: "explain", description: "explain from logs what became of something", entries: []entry{
+			{name: "request", description: "tell the story of one request from the logs of relays", command: &explainRequestCommand{}},
+		}},
 		{name: "authority", description: "the fleet authority", entries: []entry{
 			{name: "init", description: "make the fleet authority that issues certificates", command: &authorityInitCommand{global: global}},
 		}},
