Ask engines at a relay's start what they have cached

Cause: relays that start anew, all of them after a closing fault, took every prompt for unread: they refused what would 'wait' and had parts read again at other engines (docs/OPERATIONS.md, first example).

Change: a relay asks each engine once, at its start; parts are known by their identity instead of the prompt's beginning up to them.

--- a/cmd/hazelpitch/main.go
+++ b/cmd/hazelpitch/main.go
@@ -17,6 +17,7 @@
 		Site: servercommand.Site{
 			Dialect:         platform.Dialect(),
 			ReadListing:     platform.ReadListing,
+			ReadCache:       platform.ReadCache,
 			OrderStage:      platform.OrderStage,
 			OperatorHandler: platform.OperatorHandler,
 		},
--- /dev/null
+++ b/internal/relay/cache_reader_test.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// age makes everything cached older.
+func (c *promptCache) age(by time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, hash := range c.parts.Keys() {
+		part, _ := c.parts.Peek(hash)
+		part.since -= by
+		c.parts.Add(hash, part)
+	}
+}
+
+// A relay that starts anew sends a prompt to the engine that has cached it, and has parts
+// that another engine holds taken from there.
+func TestRelayLearnsCachesAtItsStart(t *testing.T) {
+	cold := startBackEnd(t, "cold", serving.StagePrefill, answering(200, "handle"))
+	warm := startBackEnd(t, "warm", serving.StagePrefill, answering(200, "handle"))
+	decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
+	relay := newTestRelay(t, route(stream(false)), cold, warm, decoder)
+	var asked []string
+	relay.readCachesOnce(t.Context(), func(_ context.Context, _ *http.Client, engine serving.BackEnd) ([]serving.CachedPart, error) {
+		asked = append(asked, engine.ID)
+		if engine.ID != "warm" {
+			return nil, errors.New("does not answer")
+		}
+		return []serving.CachedPart{{Model: "m", Part: serving.PromptPart{ID: "aa", Tokens: 6000}}}, nil
+	}, nil)
+	require.ElementsMatch(t, []string{"cold", "warm", "decoder"}, asked)
+
+	require.Equal(t, eventOne, relay.client(t).do("POST", "/path/", "x", longPrompt...).body)
+	require.Len(t, warm.seen(), 1)
+
+	for _, backEnd := range relay.view.Load().byService["service"] {
+		if backEnd.ID == "warm" {
+			backEnd.begin(reading(200_000, 0).plus(work{prompts: 1}))
+		}
+	}
+	for _, backEnd := range relay.view.Load().byService["service"] {
+		backEnd.cache.age(time.Hour) // the parts were read long ago
+	}
+	require.Equal(t, eventOne, relay.client(t).do("POST", "/path/", "x", "T-Model: m", "T-Tokens: 9000,50", "T-Parts: aa:6000,cc:3000").body)
+	require.Equal(t, warm.entry.Address, string(cold.seen()[0].head.Peek("T-Fetch")))
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -45,8 +45,8 @@
 	mayBreak bool
 	// work is what the message asks of the back end, as far as known.
 	work work
-	// reads are the beginnings of the prompt that the back end reads.
-	reads []promptPrefix
+	// reads are the parts of the prompt that the back end reads.
+	reads []promptPart
 }
 
 // exchanger carries messages to back ends.
@@ -74,7 +74,7 @@
 }
 
 // noteWork tells other relays that the work at an engine has changed.
-func (e *exchanger) noteWork(message *message, reads []promptPrefix) {
+func (e *exchanger) noteWork(message *message, reads []promptPart) {
 	if message.backEnd.isEngine() {
 		e.notices.note(message.backEnd, reads)
 		message.backEnd.cache.add(e.clock.now(), reads)
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -26,7 +26,7 @@
 		Headers: HeaderNames{
 			RequestID: "T-Id", DeadlineMs: "T-Deadline", PromptParts: "T-Parts", Model: "T-Model", Tokens: "T-Tokens",
 			LastEventID: "T-Last", Seal: "T-Seal", ExpectInstance: "T-Expect", Load: "T-Load", NotExecuted: "T-Not-Run",
-			Priority: "T-Rank", Stage: "T-Stage", KVSource: "T-Source", EngineOnly: []string{"T-Pin"},
+			Priority: "T-Rank", Stage: "T-Stage", KVSource: "T-Source", KVFetch: "T-Fetch", EngineOnly: []string{"T-Pin"},
 		},
 		PrefillStage:       "read",
 		ReadyPath:          "/ready",
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -44,7 +44,7 @@
 	peerList []string
 	// pending are the engines whose work has changed since the last notice, with what they
 	// have begun to read.
-	pending map[*backEnd][]promptPrefix
+	pending map[*backEnd][]promptPart
 	// failures are the back ends that failed since the last notice.
 	failures map[*backEnd]bool
 	sequence uint64
@@ -53,7 +53,7 @@
 func newNotices(relay *Relay, socket net.PacketConn, self uint64) *notices {
 	return &notices{
 		relay: relay, socket: socket, self: self, address: socket.LocalAddr().String(), table: newLoadTable(),
-		changed: make(chan struct{}, 1), pending: map[*backEnd][]promptPrefix{}, failures: map[*backEnd]bool{},
+		changed: make(chan struct{}, 1), pending: map[*backEnd][]promptPart{}, failures: map[*backEnd]bool{},
 	}
 }
 
@@ -76,7 +76,7 @@
 }
 
 // note tells that the work at an engine has changed, and what it has begun to read.
-func (n *notices) note(engine *backEnd, read []promptPrefix) {
+func (n *notices) note(engine *backEnd, read []promptPart) {
 	n.mutex.Lock()
 	n.pending[engine] = append(n.pending[engine], read...)
 	n.mutex.Unlock()
@@ -207,9 +207,9 @@
 		if told.GetFailed() {
 			engine.suspect(n.relay.clock.now())
 		}
-		read := make([]promptPrefix, len(told.GetParts()))
+		read := make([]promptPart, len(told.GetParts()))
 		for index, hash := range told.GetParts() {
-			read[index] = promptPrefix{hash: prefixHash(hash), tokens: int(told.GetPartTokens()[index])}
+			read[index] = promptPart{hash: partHash(hash), tokens: int(told.GetPartTokens()[index])}
 		}
 		engine.cache.add(n.relay.clock.now(), read)
 	}
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -17,6 +17,8 @@
 	// ReadListing reads the outside list of back ends; required. It is called only while
 	// no controller leads.
 	ReadListing func(ctx context.Context, client *http.Client) ([]serving.BackEnd, error)
+	// ReadCache reads what an engine has cached; nil where that cannot be asked.
+	ReadCache func(ctx context.Context, client *http.Client, engine serving.BackEnd) ([]serving.CachedPart, error)
 	// Listen opens a listener; nil means net.Listen.
 	Listen func(network, address string) (net.Listener, error)
 	// ListenPacket opens a datagram socket; nil means net.ListenPacket.
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -18,7 +18,7 @@
 	// zone is preferred: this relay's, or that of the engine that holds the prompt.
 	zone string
 	// prompt is what the engine is to read, tokens its length; 0 when another one has read it.
-	prompt []promptPrefix
+	prompt []promptPart
 	tokens int
 	// rank is the route's at engines.
 	rank int
@@ -171,7 +171,7 @@
 
 // holderOf finds the engine of the service that has most of the prompt in its cache, read
 // already, and has not failed lately. What it holds does not depend on its stage.
-func (r *Relay) holderOf(service string, prompt []promptPrefix, now time.Duration) holder {
+func (r *Relay) holderOf(service string, prompt []promptPart, now time.Duration) holder {
 	best := holder{}
 	for _, engine := range r.view.Load().byService[service] {
 		if engine.look(now).failures > 0 {
@@ -210,7 +210,7 @@
 }
 
 // distanceFromHome is in [0, 1): each prompt orders the engines in a way of its own.
-func distanceFromHome(prompt []promptPrefix, engine *backEnd) float64 {
+func distanceFromHome(prompt []promptPart, engine *backEnd) float64 {
 	if len(prompt) < 2 {
 		return 0
 	}
--- a/internal/relay/prompt_cache.go
+++ b/internal/relay/prompt_cache.go
@@ -18,25 +18,24 @@
 	maximumCachedParts = 4096
 )
 
-// prefixHash identifies the beginning of a prompt up to and including one of its parts.
-type prefixHash uint64
+// partHash identifies a part of prompts for one model.
+type partHash uint64
 
-// promptPrefix is the beginning of a prompt up to one part; tokens are that part's own.
-type promptPrefix struct {
-	hash   prefixHash
+func hashPart(model, id string) partHash { return partHash(xxhash.Sum64String(model + "/" + id)) }
+
+// promptPart is one part of a prompt with its length.
+type promptPart struct {
+	hash   partHash
 	tokens int
 }
 
-// prefixes returns the beginnings of a prompt, the shortest first.
-func prefixes(prompt serving.Prompt) []promptPrefix {
-	found := make([]promptPrefix, 0, len(prompt.Parts))
-	digest := xxhash.New()
-	_, _ = digest.WriteString(prompt.Model) // never fails
+// partsOf returns the parts of a prompt in order.
+func partsOf(prompt serving.Prompt) []promptPart {
+	parts := make([]promptPart, 0, len(prompt.Parts))
 	for _, part := range prompt.Parts {
-		_, _ = digest.WriteString("/" + part.ID)
-		found = append(found, promptPrefix{hash: prefixHash(digest.Sum64()), tokens: part.Tokens})
+		parts = append(parts, promptPart{hash: hashPart(prompt.Model, part.ID), tokens: part.Tokens})
 	}
-	return found
+	return parts
 }
 
 // cachedPart is one part that an engine was sent to read.
@@ -52,25 +51,25 @@
 	mutex    sync.Mutex
 	capacity int
 	tokens   int
-	parts    *simplelru.LRU[prefixHash, cachedPart]
+	parts    *simplelru.LRU[partHash, cachedPart]
 }
 
 func newPromptCache(capacity int) *promptCache {
 	cache := &promptCache{capacity: int(float64(capacity) * cacheShare)}
-	cache.parts, _ = simplelru.NewLRU(maximumCachedParts, func(_ prefixHash, part cachedPart) { cache.tokens -= part.tokens }) // the size is positive
+	cache.parts, _ = simplelru.NewLRU(maximumCachedParts, func(_ partHash, part cachedPart) { cache.tokens -= part.tokens }) // the size is positive
 	return cache
 }
 
 // cached returns how many tokens of the prompt's beginning the engine holds, or will hold
 // before it reads this prompt.
-func (c *promptCache) cached(wanted []promptPrefix) int { return c.cachedSince(wanted, forever) }
+func (c *promptCache) cached(wanted []promptPart) int { return c.cachedSince(wanted, forever) }
 
 // forever is later than any time of the process.
 const forever = time.Duration(math.MaxInt64)
 
 // cachedSince returns how many tokens of the prompt's beginning the engine was sent to read
 // by a time.
-func (c *promptCache) cachedSince(wanted []promptPrefix, by time.Duration) int {
+func (c *promptCache) cachedSince(wanted []promptPart, by time.Duration) int {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	tokens := 0
@@ -85,7 +84,7 @@
 }
 
 // add notes beginnings that the engine is sent to read; the parts unused longest give way.
-func (c *promptCache) add(now time.Duration, read []promptPrefix) {
+func (c *promptCache) add(now time.Duration, read []promptPart) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, prefix := range read {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -78,6 +78,10 @@
 	relay.notices = newNotices(relay, socket, relay.watcher.incarnation)
 	relay.exchanger.notices = relay.notices
 	go relay.takeSettings(ctx, options.Reloaded)
+	if options.ReadCache != nil {
+		client := &http.Client{Transport: &http.Transport{DialContext: options.Dial, DisableKeepAlives: true}, Timeout: cacheReadTimeout}
+		go relay.readCachesOnce(ctx, options.ReadCache, client)
+	}
 	return trace.Wrap(relay.run(ctx, listener, ready))
 }
 
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -27,7 +27,7 @@
 func (r *Relay) serveStream(request *request, reply *replier) {
 	tried := &attempts{relay: r, request: request}
 	stream := &streamReply{relay: r, request: request, reply: reply, tried: tried,
-		parts: prefixes(request.prompt), last: string(request.header.Peek(r.dialect.Headers.LastEventID))}
+		parts: partsOf(request.prompt), last: string(request.header.Peek(r.dialect.Headers.LastEventID))}
 	begun := r.beginStream(stream)
 	if begun.refused != nil {
 		r.log.refused(request, *begun.refused, tried)
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -19,8 +19,8 @@
 	request *request
 	reply   *replier
 	tried   *attempts
-	// parts are the beginnings of the prompt.
-	parts []promptPrefix
+	// parts are those of the prompt, in order.
+	parts []promptPart
 	// last is the identity of the last event that the client has.
 	last string
 	// pieces are events that wait for the next write.
--- a/internal/servercommand/relay.go
+++ b/internal/servercommand/relay.go
@@ -41,7 +41,8 @@
 		})
 		return relay.Run(ctx, loaded, relay.Options{
 			Dialect: environment.Site.Dialect, ReadListing: environment.Site.listingAt(loaded.ListingAddress),
-			Listen: environment.Listen, Reloaded: reloaded, Log: log,
+			ReadCache: environment.Site.ReadCache,
+			Listen:    environment.Listen, Reloaded: reloaded, Log: log,
 		})
 	})
 }
--- a/internal/servercommand/site.go
+++ b/internal/servercommand/site.go
@@ -19,6 +19,8 @@
 	Dialect relay.Dialect
 	// ReadListing reads the list of back ends at an address.
 	ReadListing func(ctx context.Context, client *http.Client, address string) ([]serving.BackEnd, error)
+	// ReadCache reads what an engine has cached.
+	ReadCache func(ctx context.Context, client *http.Client, engine serving.BackEnd) ([]serving.CachedPart, error)
 	// OrderStage orders an engine into a role.
 	OrderStage func(ctx context.Context, client *http.Client, order controller.StageOrder) (control.StageOutcome, error)
 	// OperatorHandler answers operators; port is the one at which every controller does.
--- a/internal/serving/prompt.go
+++ b/internal/serving/prompt.go
@@ -23,6 +23,12 @@
 	Tokens int
 }
 
+// CachedPart is a part of prompts that an engine has cached for a model.
+type CachedPart struct {
+	Model string
+	Part  PromptPart
+}
+
 // ParsePrompt reads the declarations: "PROMPT,OUTPUT" and "ID:TOKENS,ID:TOKENS". What
 // cannot be read is left out, since the declarations only guide routing.
 func ParsePrompt(model, tokens, parts string) Prompt {
