Give decoding engines no more to read than their streams' pauses allow

Change: what an engine may have to read at once follows from the route's gap, the tokens of an event and the pace; beyond it an engine costs more for each stream that it would make late.

--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -25,6 +26,10 @@
 	// held is where most of the prompt is cached, tokenMove the time to move one token.
 	held      holder
 	tokenMove time.Duration
+	// gap is the longest pause between a stream's events that is in time, stride the tokens
+	// of one event.
+	gap    time.Duration
+	stride int
 	// target is the time to the first event that is in time.
 	target time.Duration
 	now    time.Duration
@@ -57,6 +62,12 @@
 	// streamHarm is how much dearer reading at a decoding engine is for each stream that
 	// it holds up.
 	streamHarm = 0.1
+	// decodePiece is how many tokens of a prompt a decoding engine reads in one step, and
+	// decodeStep how long a step without reading takes about.
+	decodePiece = 512
+	decodeStep  = 6 * time.Millisecond
+	// pauseHarm is what it costs for each stream that its engine makes late by reading.
+	pauseHarm = 15 * time.Millisecond
 	// handOverTime is what handing a prompt from one engine to another takes.
 	handOverTime = 25 * time.Millisecond
 )
@@ -232,10 +243,24 @@
 		cost += candidate.planReading(wanted)
 		harm := 1 + streamHarm*float64(total.streams)
 		cost += prefillOverhead + time.Duration(harm*float64(time.Duration(candidate.toRead)*perToken))
+		if total.promptTokens()+candidate.toRead > readingRoom(wanted.gap, wanted.stride, perToken) {
+			cost += time.Duration(total.streams) * pauseHarm
+		}
 	}
 	return cost.Seconds()
 }
 
+// readingRoom is how many tokens a decoding engine can read at once before the events of its
+// streams come more slowly than the gap allows: an event's tokens come one a step, and each
+// step reads one piece.
+func readingRoom(gap time.Duration, stride int, perToken time.Duration) int {
+	piece := decodePiece * perToken
+	if gap <= 0 || stride <= 0 || time.Duration(stride)*(piece+decodeStep) <= gap {
+		return math.MaxInt
+	}
+	return max(int((gap-time.Duration(stride)*decodeStep)/piece), 1) * decodePiece
+}
+
 // cheapest returns the candidate of least cost, or nil; equal ones are drawn.
 func cheapest(candidates []candidate, draw func() float64) *candidate {
 	var best *candidate
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -44,6 +44,7 @@
 	if s.request.service.Engine != nil && wanted.tokens > 0 {
 		wanted.held = s.relay.holderOf(s.request.service.Name, s.parts, wanted.now)
 		wanted.tokenMove = tokenMoveTime(s.request.service.Engine)
+		wanted.gap, wanted.stride = s.request.route.TargetGap, s.request.service.Engine.Stride
 	}
 	return wanted
 }
--- a/internal/serving/configuration.go
+++ b/internal/serving/configuration.go
@@ -80,6 +80,8 @@
 	// CacheTokens is an engine's memory, TokenBytes the size of one token in it.
 	CacheTokens int
 	TokenBytes  int
+	// Stride is how many tokens one event of a stream holds; 0 when not told.
+	Stride int
 	// LinkBytes is what an engine's link to others carries in a second; 0 when not told.
 	LinkBytes float64
 	// HandleLife is how long a prompt that was read is kept for a decoding engine.
