--- a/internal/relay/client_connection.go
+++ b/internal/relay/client_connection.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// clientBuffer holds the whole head of a request.
+	// clientBuffer holds the whole head of a request where the operator sets no larger bound;
+	// lineRoom is added to that bound for the request line.
 	clientBuffer = 16 << 10
+	lineRoom     = 4 << 10
 	// writeSlack is how long a client may take for the last bytes after a request's deadline.
 	writeSlack = time.Second
 )
@@ -24,8 +26,10 @@
 	watchErr error
 }
 
-func newClientConnection(connection net.Conn) *clientConnection {
-	return &clientConnection{Conn: connection, reader: bufio.NewReaderSize(connection, clientBuffer)}
+// newClientConnection reads heads of up to the bound.
+func newClientConnection(connection net.Conn, headerBytes int) *clientConnection {
+	size := max(headerBytes, clientBuffer) + lineRoom
+	return &clientConnection{Conn: connection, reader: bufio.NewReaderSize(connection, size)}
 }
 
 // watch looks for the client's end of the connection while a request is served, and
--- a/internal/relay/plain_test.go
+++ b/internal/relay/plain_test.go
@@ -235,3 +235,13 @@
 	}
 	require.Equal(t, 20+int(10*budgetSlackShare), len(failing[0].seen())+len(failing[1].seen()))
 }
+
+// A head as large as the operator allows is taken.
+func TestLargeHeadsWithinTheLimit(t *testing.T) {
+	backEnd := startBackEnd(t, "one", serving.StageWhole, answering(200, "ok"))
+	client := newTestRelay(t, route(nil), backEnd).client(t)
+	large := "Large: " + strings.Repeat("x", clientBuffer-200)
+	// The stand-in's own reader is smaller: that the relay passes it on is what counts.
+	client.send("GET", "/path/"+strings.Repeat("p", 1000), "", large)
+	require.NotEqual(t, 431, client.read().status)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -164,7 +164,7 @@
 	for {
 		connection, err := listener.Accept()
 		if err == nil {
-			go r.serveConnection(newClientConnection(connection))
+			go r.serveConnection(newClientConnection(connection, r.limits().HeaderBytes))
 			continue
 		}
 		if ctx.Err() != nil || r.stopping.Load() {
@@ -186,6 +186,9 @@
 		return limits
 	}
 	told := table.Configuration.Limits
+	if told.HeaderBytes > 0 {
+		limits.HeaderBytes = told.HeaderBytes
+	}
 	if told.BodyBytes > 0 {
 		limits.BodyBytes = told.BodyBytes
 	}
