--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -76,7 +76,7 @@
 // noteWork tells other relays that the work at an engine has changed.
 func (e *exchanger) noteWork(message *message, reads []promptPart) {
 	if message.backEnd.isEngine() {
-		e.notices.note(message.backEnd, reads)
+		e.notices.note(message.backEnd, reads, message.work.prompts > 0)
 		message.backEnd.cache.add(e.clock.now(), reads)
 	}
 }
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -22,8 +22,10 @@
 	noticeRefresh = 500 * time.Millisecond
 	// maximumNotice bounds a datagram; engines that do not fit follow in the next.
 	maximumNotice = 1200
-	// maximumNoticePeers bounds the relays that get notices, for the sake of large fleets.
-	maximumNoticePeers = 16
+	// nearPeers is how many relays get notices of streams, farPeers how many get those of
+	// prompts and failures, which are fewer and matter more.
+	nearPeers = 16
+	farPeers  = 96
 	// noticeEngines is how many engines fit into a notice for certain.
 	noticeEngines = 12
 )
@@ -39,21 +41,29 @@
 	table   *loadTable
 	changed chan struct{}
 
-	mutex    sync.Mutex
+	mutex sync.Mutex
+	// peers are those that get notices of prompts; the first nearPeers get all.
 	peers    []net.Addr
 	peerList []string
-	// pending are the engines whose work has changed since the last notice, with what they
-	// have begun to read.
-	pending map[*backEnd][]promptPart
+	// pending are the back ends of which there is something to tell.
+	pending map[*backEnd]pendingNotice
 	// failures are the back ends that failed since the last notice.
 	failures map[*backEnd]bool
 	sequence uint64
 }
 
+// pendingNotice is what is to be told of one back end, beside its work.
+type pendingNotice struct {
+	// read are the parts that the engine has begun to read.
+	read []promptPart
+	// far tells that prompts or failures are concerned.
+	far bool
+}
+
 func newNotices(relay *Relay, socket net.PacketConn, self uint64) *notices {
 	return &notices{
 		relay: relay, socket: socket, self: self, address: socket.LocalAddr().String(), table: newLoadTable(),
-		changed: make(chan struct{}, 1), pending: map[*backEnd][]promptPart{}, failures: map[*backEnd]bool{},
+		changed: make(chan struct{}, 1), pending: map[*backEnd]pendingNotice{}, failures: map[*backEnd]bool{},
 	}
 }
 
@@ -67,7 +77,7 @@
 	n.peerList = slices.Clone(addresses)
 	n.peers = nil
 	own := max(slices.Index(addresses, n.address), 0)
-	for offset := 1; offset < len(addresses) && len(n.peers) < maximumNoticePeers; offset++ {
+	for offset := 1; offset < len(addresses) && len(n.peers) < farPeers; offset++ {
 		peer, err := net.ResolveUDPAddr("udp", addresses[(own+offset)%len(addresses)])
 		if err == nil && peer.String() != n.address {
 			n.peers = append(n.peers, peer)
@@ -75,10 +85,14 @@
 	}
 }
 
-// note tells that the work at an engine has changed, and what it has begun to read.
-func (n *notices) note(engine *backEnd, read []promptPart) {
+// note tells that the work at an engine has changed, and what it has begun to read; far
+// tells that prompts or failures are concerned.
+func (n *notices) note(engine *backEnd, read []promptPart, far bool) {
 	n.mutex.Lock()
-	n.pending[engine] = append(n.pending[engine], read...)
+	waiting := n.pending[engine]
+	waiting.read = append(waiting.read, read...)
+	waiting.far = waiting.far || far
+	n.pending[engine] = waiting
 	n.mutex.Unlock()
 	select {
 	case n.changed <- struct{}{}:
@@ -91,7 +105,7 @@
 	n.mutex.Lock()
 	n.failures[backEnd] = true
 	n.mutex.Unlock()
-	n.note(backEnd, nil)
+	n.note(backEnd, nil, true)
 }
 
 // send sends notices until the context ends.
@@ -120,8 +134,9 @@
 	defer n.mutex.Unlock()
 	for _, backEnds := range n.relay.view.Load().byService {
 		for _, backEnd := range backEnds {
-			if _, waits := n.pending[backEnd]; !waits && backEnd.isEngine() && backEnd.look(now).own != (work{}) {
-				n.pending[backEnd] = nil
+			own := backEnd.look(now).own
+			if _, waits := n.pending[backEnd]; !waits && backEnd.isEngine() && own != (work{}) {
+				n.pending[backEnd] = pendingNotice{far: own.prompts > 0}
 			}
 		}
 	}
@@ -144,7 +159,7 @@
 	}
 }
 
-// next takes up to noticeEngines engines out of what is pending.
+// next takes up to noticeEngines engines out of what is pending, and says who gets the notice.
 func (n *notices) next() (*v1.LoadNotice, []net.Addr) {
 	now := n.relay.clock.now()
 	n.mutex.Lock()
@@ -154,24 +169,29 @@
 	}
 	n.sequence++
 	notice := &v1.LoadNotice{Relay: n.self, Sequence: n.sequence}
-	for engine, read := range n.pending {
+	far := false
+	for engine, waiting := range n.pending {
 		if len(notice.Engines) == noticeEngines {
 			break
 		}
 		delete(n.pending, engine)
+		far = far || waiting.far
 		own := engine.look(now).own
 		told := &v1.EngineWork{
 			Engine: engine.hash, Prompts: uint32(max(own.prompts, 0)), PromptTokens: own.wireTokens(), Streams: uint32(max(own.streams, 0)),
 		}
 		told.Failed = n.failures[engine]
 		delete(n.failures, engine)
-		for _, prefix := range read {
-			told.Parts = append(told.Parts, uint64(prefix.hash))
-			told.PartTokens = append(told.PartTokens, uint32(max(prefix.tokens, 0)))
+		for _, part := range waiting.read {
+			told.Parts = append(told.Parts, uint64(part.hash))
+			told.PartTokens = append(told.PartTokens, uint32(max(part.tokens, 0)))
 		}
 		notice.Engines = append(notice.Engines, told)
 	}
-	return notice, n.peers
+	if far {
+		return notice, n.peers
+	}
+	return notice, n.peers[:min(len(n.peers), nearPeers)]
 }
 
 // receive takes notices until the socket is closed.
