Leave a connection alone once it is given back

A request that a back end refused gave its connection back and then closed it, under whoever took it in between. A stall look that was under way when its answer ended could set the timer again, or a deadline on a connection that carried another request by then. Beside them: the list of the engines' cache holders was searched twice for each stream, the lookup of a service's engines and the opening of connections stood twice, the view held a number nobody read, and the exchanger a log it did not write to.

Change: an answer is checked where nothing closes its connection afterwards; a stall watch that is stopped does nothing; one choice serves both stages; view.engine, exchanger.open; the dead fields are gone.

Conclusion: refused requests cost no new connection, and no request meets another one's deadline.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -55,7 +55,6 @@
 	writer  requestWriter
 	clock   clock
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
-	log     requestLog
 	notices *notices
 }
 
@@ -110,6 +109,10 @@
 		connection.close()
 		return nil, fault
 	}
+	if fault := e.check(answer); fault != nil {
+		answer.discard() // it gives the connection back, or closes it
+		return nil, fault
+	}
 	return answer, nil
 }
 
@@ -129,7 +132,7 @@
 	connection := message.backEnd.pool.take(now, limit)
 	if connection == nil {
 		var err error
-		if connection, err = e.open(message, now); err != nil {
+		if connection, err = e.open(message.backEnd, min(dialTimeout, message.deadline-now)); err != nil {
 			return nil, &failure{verdict: verdict.NotRun, cause: fmt.Errorf("%w: %w", errDial, err)}
 		}
 	}
@@ -141,10 +144,11 @@
 	return connection, nil
 }
 
-func (e *exchanger) open(message *message, now time.Duration) (*upstreamConnection, error) {
-	limited, cancel := context.WithTimeout(context.Background(), min(dialTimeout, message.deadline-now))
+// open opens a connection to a back end within a time.
+func (e *exchanger) open(backEnd *backEnd, limit time.Duration) (*upstreamConnection, error) {
+	limited, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	connection, err := e.dial(limited, "tcp", message.backEnd.Address)
+	connection, err := e.dial(limited, "tcp", backEnd.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -176,10 +180,6 @@
 		return nil, fault
 	}
 	answer.unread = unread
-	if fault := e.check(answer); fault != nil {
-		answer.discard()
-		return nil, fault
-	}
 	return answer, nil
 }
 
--- a/internal/relay/plain_test.go
+++ b/internal/relay/plain_test.go
@@ -245,3 +245,17 @@
 	client.send("GET", "/path/"+strings.Repeat("p", 1000), "", large)
 	require.NotEqual(t, 431, client.read().status)
 }
+
+// A back end that refuses a request keeps its connection, and so does the relay: one that was
+// given back must not be closed under the request that takes it next.
+func TestConnectionOfARefusedRequestIsUsedAgain(t *testing.T) {
+	backEnd := startBackEnd(t, "one", serving.StageWhole, refusing(503))
+	relay := newTestRelay(t, route(func(r *serving.Route) { r.MaxAttempts = 1 }), backEnd)
+	client := relay.client(t)
+	for range 3 {
+		require.Equal(t, 503, client.do("POST", "/path/", "x").status)
+	}
+	seen := backEnd.seen()
+	require.Len(t, seen, 3)
+	require.Equal(t, 3, seen[2].number, "all came on one connection")
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -101,7 +101,7 @@
 	relay.connections.open = map[*clientConnection]bool{}
 	relay.contactAt.Store(int64(-contactLimit))
 	relay.exchanger = &exchanger{
-		names: options.Dialect.Headers, writer: newRequestWriter(options.Dialect.Headers), clock: steady, dial: options.Dial, log: relay.log,
+		names: options.Dialect.Headers, writer: newRequestWriter(options.Dialect.Headers), clock: steady, dial: options.Dial,
 	}
 	relay.view.Store(&view{byService: map[string][]*backEnd{}})
 	relay.watcher = newWatcher(relay, options)
--- a/internal/relay/release.go
+++ b/internal/relay/release.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -16,13 +15,10 @@
 	now := e.clock.now()
 	connection := held.engine.pool.take(now, unsafeIdleLimit)
 	if connection == nil {
-		limited, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-		defer cancel()
-		opened, err := e.dial(limited, "tcp", held.engine.Address)
-		if err != nil {
+		var err error
+		if connection, err = e.open(held.engine, releaseTimeout); err != nil {
 			return
 		}
-		connection = newUpstreamConnection(opened)
 	}
 	defer connection.close()
 	_ = connection.SetDeadline(e.clock.at(now + releaseTimeout))
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -89,8 +89,9 @@
 	if request.service.Engine == nil || request.prompt.PromptTokens == 0 {
 		return start{}
 	}
-	direct := r.best(stream.wanted(nil), stream.tried)
-	apart := r.best(r.wantedReader(stream), stream.tried)
+	wanted := stream.wanted(nil)
+	direct := r.best(wanted, stream.tried)
+	apart := r.best(wanted.atPrefill(request.route), stream.tried)
 	switch {
 	case apart == nil && direct == nil:
 		return start{}
@@ -105,14 +106,11 @@
 	}
 }
 
-// wantedReader describes the prefill engine that is to read a stream's prompt.
-func (r *Relay) wantedReader(stream *streamReply) choice {
-	request, now := stream.request, r.clock.now()
-	return choice{
-		service: request.service.Name, stage: serving.StagePrefill, prompt: stream.parts, tokens: request.prompt.PromptTokens,
-		rank: stream.rank(), zone: r.settings.Zone, now: now, target: request.route.Target,
-		held: r.holderOf(request.service.Name, stream.parts, now), tokenMove: tokenMoveTime(request.service.Engine),
-	}
+// atPrefill is the choice of the prefill engine that reads the prompt in place of the decoding
+// one.
+func (c choice) atPrefill(route *serving.Route) choice {
+	c.stage, c.target = serving.StagePrefill, route.Target
+	return c
 }
 
 // readTwice lets a prefill engine read a prompt, and another one when the first has failed
@@ -123,7 +121,7 @@
 	if held != nil || tried.over() || tried.sent+1 >= stream.request.route.MaxAttempts {
 		return held
 	}
-	next := r.best(r.wantedReader(stream), tried)
+	next := r.best(stream.wanted(nil).atPrefill(stream.request.route), tried)
 	if next == nil || !r.budget.take(r.clock.now(), stream.request.service.Name) {
 		return nil
 	}
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"sync"
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/serving"
@@ -38,17 +39,28 @@
 	mayBreak   bool
 	limit      time.Duration
 	timer      *time.Timer
+
+	mutex sync.Mutex
+	// stopped tells that the connection may be another request's.
+	stopped bool
 }
 
 // watchStall begins to look. mayBreak says whether the answer may be broken off.
 func (e *exchanger) watchStall(connection *upstreamConnection, backEnd *backEnd, limit time.Duration, mayBreak bool) *stallWatch {
 	watch := &stallWatch{exchanger: e, connection: connection, backEnd: backEnd, mayBreak: mayBreak, limit: limit}
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
 	watch.timer = time.AfterFunc(limit, watch.check)
 	return watch
 }
 
 // check runs when the answer has been silent for the limit.
 func (w *stallWatch) check() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.stopped {
+		return
+	}
 	silence := w.exchanger.clock.now() - w.backEnd.look(w.exchanger.clock.now()).heardAt
 	if silence < w.limit {
 		w.timer.Reset(w.limit - silence)
@@ -66,4 +78,10 @@
 	w.timer.Reset(w.limit)
 }
 
-func (w *stallWatch) stop() { w.timer.Stop() }
+// stop ends the look; it waits for one that is under way.
+func (w *stallWatch) stop() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
--- /dev/null
+++ b/internal/relay/stall_test.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// deadlineRecorder counts the deadlines that are set on a connection.
+type deadlineRecorder struct {
+	net.Conn
+	set int
+}
+
+func (d *deadlineRecorder) SetDeadline(time.Time) error { d.set++; return nil }
+
+func newStallExchanger(t *testing.T) *exchanger {
+	t.Helper()
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	steady := newClock()
+	return &exchanger{clock: steady, notices: newNotices(&Relay{clock: steady}, socket, 1)}
+}
+
+// A look that is under way when its answer ends must touch nothing any more: the connection
+// may carry another request by then.
+func TestStoppedStallWatchTouchesNothing(t *testing.T) {
+	exchanger := newStallExchanger(t)
+	for name, heardAt := range map[string]time.Duration{"silent": -time.Hour, "heard of": time.Hour} {
+		recorder := &deadlineRecorder{}
+		backEnd := newBackEnd(serving.BackEnd{ID: "one"}, 1000)
+		backEnd.heard(heardAt)
+		watch := exchanger.watchStall(newUpstreamConnection(recorder), backEnd, time.Hour, true)
+		watch.stop()
+		watch.check()
+		require.Zero(t, recorder.set, name)
+		require.Zero(t, backEnd.look(0).failures, name)
+		require.False(t, watch.timer.Stop(), "%s: the timer was set again", name)
+	}
+}
+
+func TestSilenceBreaksOffOnlyWhatMayMove(t *testing.T) {
+	for mayBreak, deadlines := range map[bool]int{true: 1, false: 0} {
+		exchanger := newStallExchanger(t)
+		synctest.Test(t, func(t *testing.T) {
+			exchanger.clock = newClock()
+			recorder := &deadlineRecorder{}
+			backEnd := newBackEnd(serving.BackEnd{ID: "one"}, 1000)
+			watch := exchanger.watchStall(newUpstreamConnection(recorder), backEnd, time.Second, mayBreak)
+			time.Sleep(time.Second + time.Millisecond)
+			synctest.Wait()
+			watch.stop()
+			require.Equal(t, deadlines, recorder.set)
+			require.Equal(t, 1, backEnd.look(0).failures)
+		})
+	}
+}
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -17,8 +17,17 @@
 	byService map[string][]*backEnd
 	// byHash holds the back ends by the hash that load notices name them with.
 	byHash map[uint64]*backEnd
-	// relays is the number of relays that share budgets.
-	relays int
+}
+
+// engine returns what the configuration tells of a service's engines; nil for nothing.
+func (v *view) engine(service string) *serving.Engine {
+	if v.table == nil {
+		return nil
+	}
+	if known := v.table.Service(service); known != nil {
+		return known.Engine
+	}
+	return nil
 }
 
 // ready reports whether requests can be served.
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -170,9 +170,8 @@
 		next.listingVersion = version
 		w.takeBackEnds(translate(response.GetBackEnds()), &next)
 	}
-	next.relays = int(response.GetRelays())
 	w.relay.notices.setPeers(response.GetRelayAddresses())
-	w.relay.budget.setRelays(next.relays)
+	w.relay.budget.setRelays(int(response.GetRelays()))
 	w.relay.view.Store(&next)
 	w.relay.contactAt.Store(int64(w.relay.clock.now()))
 }
@@ -238,11 +237,8 @@
 
 // roleChange is how long an engine of the service is away when its stage changes.
 func roleChange(view *view, service string) time.Duration {
-	if view.table == nil {
-		return 0
-	}
-	if known := view.table.Service(service); known != nil && known.Engine != nil {
-		return known.Engine.RoleChange
+	if engine := view.engine(service); engine != nil {
+		return engine.RoleChange
 	}
 	return 0
 }
@@ -252,11 +248,8 @@
 
 // cacheTokens is the memory of a service's engines.
 func cacheTokens(view *view, service string) int {
-	if view.table == nil {
-		return defaultCacheTokens
-	}
-	if known := view.table.Service(service); known != nil && known.Engine != nil && known.Engine.CacheTokens > 0 {
-		return known.Engine.CacheTokens
+	if engine := view.engine(service); engine != nil && engine.CacheTokens > 0 {
+		return engine.CacheTokens
 	}
 	return defaultCacheTokens
 }
