Find four safeguards whose absence no test found

Cause: of twelve safeguards switched off by hand in a scratch clone, five left the tests green: the higher number in the replicated state, the first start alone forming a quorum, a dead voter leaving before its replacement votes, an unread body, and bytes behind an answer.

Change: tests for the first four; each is red without its safeguard. The fifth stands behind a second check of the same (quiet, when a connection is taken) and cannot be seen alone. No product code changes.

Conclusion: eleven of twelve are held by a test of their own.

--- a/internal/consensus/formation_seeds_test.go
+++ b/internal/consensus/formation_seeds_test.go
@@ -196,3 +196,46 @@
 		return leader != "" && c.cores[leader].members.votes(away+"/first")
 	})
 }
+
+// Later, an emptied first seed forms no quorum even with enough other members on empty disks.
+func TestOnlyTheFirstStartFormsAQuorum(t *testing.T) {
+	c := newSeededCluster(t, 5, 7)
+	c.commit("kept")
+	for _, name := range c.names {
+		c.cores[name] = nil
+	}
+	c.inbox = nil
+	c.wipe(c.names[0], "second")
+	for _, name := range []string{"controller-6", "controller-7", "controller-8"} {
+		c.names = append(c.names, name)
+		c.disks[name] = &testDisk{restored: Restored{DiskID: name + "/first"}}
+		c.start(name)
+	}
+	for range 5000 {
+		c.step()
+	}
+	require.True(t, c.cores[c.names[0]].members.empty(), "the quorum of the first start may still exist")
+}
+
+// A voter that is surely gone leaves before its replacement votes: the quorum never grows by a
+// dead member.
+func TestQuorumDoesNotGrowByADeadVoter(t *testing.T) {
+	c := newSeededCluster(t, 5, 8)
+	c.commit("kept")
+	c.bootstrap = false
+	c.cores[c.names[1]] = nil
+	for range 4000 {
+		c.step()
+	}
+	c.names = append(c.names, "controller-6")
+	c.disks["controller-6"] = &testDisk{restored: Restored{DiskID: "controller-6/first"}}
+	c.start("controller-6")
+	c.until("replacement", func() bool {
+		leader := c.leader()
+		if leader == "" {
+			return false
+		}
+		require.LessOrEqual(t, len(voterIDs(c.cores[leader])), 5)
+		return c.cores[leader].members.votes("controller-6/first")
+	})
+}
--- a/internal/control/site_test.go
+++ b/internal/control/site_test.go
@@ -129,3 +129,20 @@
 	w.run(2 * time.Second)
 	require.Zero(t, site.orders)
 }
+
+// Two documents are under way at once, the lower one last: the highest holds all the same.
+func TestHighestDocumentHoldsWhenBothAreUnderWay(t *testing.T) {
+	w := newWorld(t, 3, seeded)
+	newSite(w, 0, 0)
+	leader := w.waitLeader()
+	put := func(number uint64) CallID {
+		return w.send(leader, func(id CallID) Input {
+			return PutDocumentReceived{Call: id, Document: &v1.Document{Number: number, Content: []byte{byte(number)}}}
+		})
+	}
+	higher, lower := put(9), put(7)
+	w.run(time.Second)
+	require.NoError(t, w.answers[higher].Err)
+	require.NoError(t, w.answers[lower].Err)
+	require.Equal(t, uint64(9), w.readDocument(leader).Response.(*v1.Document).GetNumber())
+}
--- a/internal/relay/plain_test.go
+++ b/internal/relay/plain_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -259,3 +260,31 @@
 	require.Len(t, seen, 3)
 	require.Equal(t, 3, seen[2].number, "all came on one connection")
 }
+
+// After an early answer the rest of the body is due on the connection: the next request must
+// not go there.
+func TestConnectionWithAnUnreadBodyIsNotUsedAgain(t *testing.T) {
+	end := make(chan struct{})
+	defer close(end)
+	backEnd := startBackEnd(t, "one", serving.StageWhole, func(connection net.Conn, request received) bool {
+		reply(connection, request, 200, "ok")
+		if len(request.head.Peek("T-Early")) > 0 {
+			<-end // the connection stays open, and what is on its way unread
+		}
+		return true
+	})
+	relay := newTestRelay(t, route(nil), backEnd)
+	relay.exchanger.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err == nil {
+			err = connection.(*net.TCPConn).SetWriteBuffer(4 << 10) // the body does not fit in between
+		}
+		return connection, err
+	}
+	client := relay.client(t)
+	require.Equal(t, 200, client.do("POST", "/path/", strings.Repeat("x", 3<<20), "T-Early: 1").status)
+	require.Equal(t, 200, client.do("POST", "/path/", "next").status)
+	seen := backEnd.seen()
+	require.Equal(t, "next", seen[len(seen)-1].body)
+	require.Equal(t, 1, seen[len(seen)-1].number)
+}
