Let a prompt wait for the reading of its shared part

Cause: memory that a prefill engine has read for another engine cannot be used by anybody else until that engine has taken it. Ruled out: the engine's rank order (nothing was ahead).

Change: relays know of each part of a prompt whether an engine is reading it or keeps it for any request, and tell each other so. A prompt that counts on parts that are being read waits at its relay, its work counted at the engine, until the memory was taken, and then chooses its engine anew. A reading that failed is told as well. Taking parts from another engine's cache goes by the same knowledge instead of an estimate.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -30,7 +30,7 @@
 	}
 	a.message.backEnd.end(work{tokens: a.message.work.tokens})
 	a.message.work.tokens = [ranks]int{}
-	a.exchanger.noteWork(a.message, nil)
+	a.exchanger.noteWork(a.message)
 }
 
 // Read reads the body; io.EOF means that it came to its declared end.
@@ -49,7 +49,7 @@
 		return
 	}
 	a.message.backEnd.end(a.message.work)
-	a.exchanger.noteWork(a.message, nil)
+	a.exchanger.noteWork(a.message)
 	if a.body.whole {
 		a.message.backEnd.succeeded()
 	}
--- /dev/null
+++ b/internal/relay/await_reading_test.go
@@ -0,0 +1,154 @@
+package relay
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// steps collects the order in which back ends got requests.
+type steps struct {
+	mutex sync.Mutex
+	taken []string
+}
+
+func (s *steps) add(step string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.taken = append(s.taken, step)
+}
+
+func (s *steps) all() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return append([]string(nil), s.taken...)
+}
+
+// engineOf returns the relay's record of a back end.
+func (r *testRelay) engineOf(id string) *backEnd {
+	for _, backEnd := range r.view.Load().byService["service"] {
+		if backEnd.ID == id {
+			return backEnd
+		}
+	}
+	return nil
+}
+
+// Memory that an engine has read for another one cannot be used by further requests before
+// it was taken. A prompt that shares its beginning must not arrive there earlier, since the
+// engine would read the shared part again.
+func TestPromptWaitsForTheReadingOfItsSharedPart(t *testing.T) {
+	order, readingDone := &steps{}, make(chan struct{})
+	reader := startBackEnd(t, "reader", serving.StagePrefill, func(connection net.Conn, request received) bool {
+		order.add("read " + string(request.head.Peek("T-Parts")))
+		<-readingDone
+		reply(connection, request, 200, "handle")
+		return true
+	})
+	decoder := startBackEnd(t, "decoder", serving.StageDecode, func(connection net.Conn, request received) bool {
+		order.add("generate " + string(request.head.Peek("T-Parts")))
+		return streaming("decoder", eventOne)(connection, request)
+	})
+	relay := newTestRelay(t, route(stream(false)), reader, decoder)
+	relay.readingSlack = time.Hour // the test waits for states, not for time
+	first, second := relay.client(t), relay.client(t)
+	first.send("POST", "/path/", "x", longPrompt...)
+	engine := relay.engineOf("reader")
+	require.Eventually(t, func() bool { return len(reader.seen()) == 1 }, time.Minute, time.Millisecond)
+	second.send("POST", "/path/", "x", "T-Model: m", "T-Tokens: 9500,50", "T-Parts: aa:6000,cc:3500")
+	require.Eventually(t, func() bool { return engine.look(0).own.prompts == 2 }, time.Minute, time.Millisecond, "the work of the second counts meanwhile")
+	close(readingDone)
+	require.Equal(t, eventOne, first.read().body)
+	require.Equal(t, eventOne, second.read().body)
+	taken := order.all()
+	require.Equal(t, []string{"read aa:6000,bb:3000", "generate aa:6000,bb:3000"}, taken[:2])
+	require.Equal(t, work{}, engine.look(0).own)
+}
+
+// A reading that fails wakes those that wait for it: they have their prompt read elsewhere or
+// anew.
+func TestPromptDoesNotWaitForAReadingThatFailed(t *testing.T) {
+	fail, failed := make(chan struct{}), false
+	reader := startBackEnd(t, "reader", serving.StagePrefill, func(connection net.Conn, request received) bool {
+		if !failed {
+			failed = true
+			<-fail
+			return false
+		}
+		reply(connection, request, 200, "handle")
+		return true
+	})
+	decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
+	relay := newTestRelay(t, route(stream(false)), reader, decoder)
+	relay.readingSlack = time.Hour
+	first, second := relay.client(t), relay.client(t)
+	first.send("POST", "/path/", "x", longPrompt...)
+	require.Eventually(t, func() bool { return len(reader.seen()) == 1 }, time.Minute, time.Millisecond)
+	second.send("POST", "/path/", "x", "T-Model: m", "T-Tokens: 9500,50", "T-Parts: aa:6000,cc:3500")
+	require.Eventually(t, func() bool { return relay.engineOf("reader").look(0).own.prompts == 2 }, time.Minute, time.Millisecond)
+	close(fail)
+	require.Equal(t, eventOne, second.read().body)
+}
+
+// A client that leaves ends the wait of its request.
+func TestWaitForAReadingEndsWithItsClient(t *testing.T) {
+	readingDone := make(chan struct{})
+	reader := startBackEnd(t, "reader", serving.StagePrefill, func(connection net.Conn, request received) bool {
+		<-readingDone
+		reply(connection, request, 200, "handle")
+		return true
+	})
+	t.Cleanup(func() { close(readingDone) })
+	decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
+	relay := newTestRelay(t, route(stream(false)), reader, decoder)
+	relay.readingSlack = time.Hour
+	first, second := relay.client(t), relay.client(t)
+	first.send("POST", "/path/", "x", longPrompt...)
+	require.Eventually(t, func() bool { return len(reader.seen()) == 1 }, time.Minute, time.Millisecond)
+	second.send("POST", "/path/", "x", "T-Model: m", "T-Tokens: 9500,50", "T-Parts: aa:6000,cc:3500")
+	engine := relay.engineOf("reader")
+	require.Eventually(t, func() bool { return engine.look(0).own.prompts == 2 }, time.Minute, time.Millisecond)
+	_ = second.connection.Close()
+	require.Eventually(t, func() bool { return engine.look(0).own.prompts == 1 }, time.Minute, time.Millisecond)
+	require.Len(t, reader.seen(), 1)
+}
+
+// Other relays learn what an engine reads, keeps and does not read after all.
+func TestNoticesTellOfKeptAndDroppedParts(t *testing.T) {
+	reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
+	relay := newTestRelay(t, route(stream(false)), reader)
+	engine := relay.engineOf("reader")
+	parts := []promptPart{{hash: 1, tokens: 4000}, {hash: 2, tokens: 2000}}
+	now := relay.clock.now()
+	tell := func(change func(*v1.EngineWork)) {
+		told := &v1.EngineWork{Engine: engine.hash}
+		change(told)
+		relay.notices.learn(&v1.LoadNotice{Engines: []*v1.EngineWork{told}})
+	}
+	tell(func(told *v1.EngineWork) { told.Parts, told.PartTokens = wireParts(parts) })
+	tokens, unusable := engine.cache.cached(parts, now)
+	require.Equal(t, [2]int{6000, 6000}, [2]int{tokens, unusable})
+	require.Zero(t, engine.cache.usable(parts, now))
+
+	tell(func(told *v1.EngineWork) { told.KeptParts, told.KeptTokens = wireParts(parts[:1]) })
+	tell(func(told *v1.EngineWork) { told.DroppedParts = []uint64{1, 2} })
+	tokens, unusable = engine.cache.cached(parts, now)
+	require.Equal(t, [2]int{4000, 0}, [2]int{tokens, unusable}, "what is kept is not dropped")
+	require.Equal(t, 4000, engine.cache.usable(parts, now))
+}
+
+// A part of which nothing more is heard counts as kept once its memory must have lapsed.
+func TestSilentReadingCountsAsKeptLater(t *testing.T) {
+	cache := newPromptCache(100_000)
+	parts := []promptPart{{hash: 1, tokens: 4000}}
+	require.Equal(t, parts, cache.begin(0, parts))
+	require.Empty(t, cache.begin(0, parts), "it is being read already")
+	require.Zero(t, cache.usable(parts, keptAfter))
+	require.Equal(t, 4000, cache.usable(parts, keptAfter+1))
+}
--- a/internal/relay/cache_reader.go
+++ b/internal/relay/cache_reader.go
@@ -34,7 +34,7 @@
 			}
 			parts, err := read(ctx, client, engine.BackEnd)
 			if err == nil {
-				engine.cache.add(r.clock.now(), hashed(parts))
+				engine.cache.keep(r.clock.now(), hashed(parts))
 			}
 			if !pause.For(ctx, cacheReadPause) {
 				return
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -45,8 +45,9 @@
 	mayBreak bool
 	// work is what the message asks of the back end, as far as known.
 	work work
-	// reads are the parts of the prompt that the back end reads.
-	reads []promptPart
+	// reads are the parts of the prompt that the back end reads, begun those of them that it
+	// did not hold when the message was sent.
+	reads, begun []promptPart
 }
 
 // exchanger carries messages to back ends.
@@ -61,25 +62,55 @@
 // send sends the message and reads the head of the answer to it. The answer must be closed.
 func (e *exchanger) send(message *message) (*answer, *failure) {
 	message.backEnd.begin(message.work)
-	e.noteWork(message, message.reads)
+	e.noteReading(message)
 	answer, fault := e.exchange(message)
 	if fault == nil {
 		return answer, nil
 	}
 	message.backEnd.end(message.work)
-	e.noteWork(message, nil)
+	e.noteWork(message)
+	e.noteGivenUp(message)
 	e.judge(message.backEnd, fault)
 	return nil, fault
 }
 
 // noteWork tells other relays that the work at an engine has changed.
-func (e *exchanger) noteWork(message *message, reads []promptPart) {
+func (e *exchanger) noteWork(message *message) {
 	if message.backEnd.isEngine() {
-		e.notices.note(message.backEnd, reads, message.work.prompts > 0)
-		message.backEnd.cache.add(e.clock.now(), reads)
+		e.notices.note(message.backEnd, nil, message.work.prompts > 0)
 	}
 }
 
+// noteReading notes, here and at other relays, what an engine begins to read.
+func (e *exchanger) noteReading(message *message) {
+	if message.backEnd.isEngine() {
+		message.begun = message.backEnd.cache.begin(e.clock.now(), message.reads)
+		e.notices.note(message.backEnd, message.reads, message.work.prompts > 0)
+	}
+}
+
+// noteKept notes, here and at other relays, that an engine keeps parts for any request.
+func (e *exchanger) noteKept(engine *backEnd, parts []promptPart) {
+	if engine.isEngine() && len(parts) > 0 {
+		engine.cache.keep(e.clock.now(), parts)
+		e.notices.noteKept(engine, parts)
+	}
+}
+
+// noteGivenUp notes, here and at other relays, that an engine does not read to its end what
+// it was sent to read.
+func (e *exchanger) noteGivenUp(message *message) {
+	if !message.backEnd.isEngine() || len(message.begun) == 0 {
+		return
+	}
+	dropped := make([]partHash, len(message.begun))
+	for index, part := range message.begun {
+		dropped[index] = part.hash
+	}
+	message.backEnd.cache.drop(dropped)
+	e.notices.noteDropped(message.backEnd, dropped)
+}
+
 // judge lets the back end's health follow from a failure.
 func (e *exchanger) judge(backEnd *backEnd, fault *failure) {
 	switch {
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -54,8 +54,10 @@
 
 // pendingNotice is what is to be told of one back end, beside its work.
 type pendingNotice struct {
-	// read are the parts that the engine has begun to read.
-	read []promptPart
+	// read are the parts that the engine has begun to read, kept those that it has read and
+	// keeps for any request, dropped those whose reading was given up.
+	read, kept []promptPart
+	dropped    []partHash
 	// far tells that prompts or failures are concerned.
 	far bool
 }
@@ -88,10 +90,27 @@
 // note tells that the work at an engine has changed, and what it has begun to read; far
 // tells that prompts or failures are concerned.
 func (n *notices) note(engine *backEnd, read []promptPart, far bool) {
+	n.add(engine, pendingNotice{read: read, far: far})
+}
+
+// noteKept tells that an engine keeps parts for any request.
+func (n *notices) noteKept(engine *backEnd, kept []promptPart) {
+	n.add(engine, pendingNotice{kept: kept, far: true})
+}
+
+// noteDropped tells that the reading of parts was given up.
+func (n *notices) noteDropped(engine *backEnd, dropped []partHash) {
+	n.add(engine, pendingNotice{dropped: dropped, far: true})
+}
+
+// add joins what is to be told with what waits of the same back end.
+func (n *notices) add(engine *backEnd, told pendingNotice) {
 	n.mutex.Lock()
 	waiting := n.pending[engine]
-	waiting.read = append(waiting.read, read...)
-	waiting.far = waiting.far || far
+	waiting.read = append(waiting.read, told.read...)
+	waiting.kept = append(waiting.kept, told.kept...)
+	waiting.dropped = append(waiting.dropped, told.dropped...)
+	waiting.far = waiting.far || told.far
 	n.pending[engine] = waiting
 	n.mutex.Unlock()
 	select {
@@ -182,9 +201,10 @@
 		}
 		told.Failed = n.failures[engine]
 		delete(n.failures, engine)
-		for _, part := range waiting.read {
-			told.Parts = append(told.Parts, uint64(part.hash))
-			told.PartTokens = append(told.PartTokens, uint32(max(part.tokens, 0)))
+		told.Parts, told.PartTokens = wireParts(waiting.read)
+		told.KeptParts, told.KeptTokens = wireParts(waiting.kept)
+		for _, hash := range waiting.dropped {
+			told.DroppedParts = append(told.DroppedParts, uint64(hash))
 		}
 		notice.Engines = append(notice.Engines, told)
 	}
@@ -221,18 +241,52 @@
 	byHash := n.relay.view.Load().byHash
 	for _, told := range notice.GetEngines() {
 		engine := byHash[told.GetEngine()]
-		if engine == nil || len(told.GetParts()) != len(told.GetPartTokens()) {
+		if engine == nil {
 			continue
 		}
 		if told.GetFailed() {
 			engine.suspect(n.relay.clock.now())
 		}
-		read := make([]promptPart, len(told.GetParts()))
-		for index, hash := range told.GetParts() {
-			read[index] = promptPart{hash: partHash(hash), tokens: int(told.GetPartTokens()[index])}
+		now := n.relay.clock.now()
+		if read := partsFromWire(told.GetParts(), told.GetPartTokens()); len(read) > 0 {
+			engine.cache.begin(now, read)
+		}
+		if dropped := told.GetDroppedParts(); len(dropped) > 0 {
+			engine.cache.drop(hashesFromWire(dropped))
 		}
-		engine.cache.add(n.relay.clock.now(), read)
+		if kept := partsFromWire(told.GetKeptParts(), told.GetKeptTokens()); len(kept) > 0 {
+			engine.cache.keep(now, kept)
+		}
+	}
+}
+
+// wireParts returns the hashes and lengths of parts for a notice.
+func wireParts(parts []promptPart) (hashes []uint64, tokens []uint32) {
+	for _, part := range parts {
+		hashes = append(hashes, uint64(part.hash))
+		tokens = append(tokens, uint32(max(part.tokens, 0)))
+	}
+	return hashes, tokens
+}
+
+// partsFromWire is the reverse of wireParts; what does not fit together is left out.
+func partsFromWire(hashes []uint64, tokens []uint32) []promptPart {
+	if len(hashes) != len(tokens) {
+		return nil
+	}
+	parts := make([]promptPart, len(hashes))
+	for index, hash := range hashes {
+		parts[index] = promptPart{hash: partHash(hash), tokens: int(tokens[index])}
+	}
+	return parts
+}
+
+func hashesFromWire(told []uint64) []partHash {
+	hashes := make([]partHash, len(told))
+	for index, hash := range told {
+		hashes[index] = partHash(hash)
 	}
+	return hashes
 }
 
 // isEngine reports whether the back end is a model engine.
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -70,7 +70,10 @@
 	// rest that it has not cached, nil for nowhere.
 	toRead    int
 	fetchFrom *backEnd
-	// waiting is how long the reading of a prompt waits at a prefill engine.
+	// unusable is how much of the prompt the engine is reading for other requests, which
+	// cannot be used before those have it.
+	unusable int
+	// waiting is how long the reading of a prompt waits at the engine.
 	waiting time.Duration
 }
 
--- a/internal/relay/pick_cost.go
+++ b/internal/relay/pick_cost.go
@@ -22,8 +22,6 @@
 	promptTargetShare = 0.8
 	// leastFetch is the least number of tokens that are worth taking from another engine.
 	leastFetch = 1_000
-	// readSlack is how long after its reading a part can be taken from an engine.
-	readSlack = 60 * time.Millisecond
 	// fetchSetup is what taking them costs beside their way.
 	fetchSetup = 12 * time.Millisecond
 	// defaultTokenMove is the way of one token where the links are not known.
@@ -95,7 +93,8 @@
 // planReading notes what the engine has to read itself and where it takes the rest from; it
 // returns how long that takes.
 func (c *candidate) planReading(wanted choice) time.Duration {
-	own := c.backEnd.cache.cached(wanted.prompt)
+	own, unusable := c.backEnd.cache.cached(wanted.prompt, wanted.now)
+	c.unusable = unusable
 	c.toRead = max(wanted.tokens-own, 0)
 	fetched := wanted.held.tokens - own
 	if fetched < leastFetch || wanted.held.engine == c.backEnd {
@@ -112,27 +111,21 @@
 	tokens int
 }
 
-// holderOf finds the engine of the service that has most of the prompt in its cache, read
-// already, and has not failed lately. What it holds does not depend on its stage.
+// holderOf finds the engine of the service that keeps most of the prompt for any request and
+// has not failed lately. What it holds does not depend on its stage.
 func (r *Relay) holderOf(service string, prompt []promptPart, now time.Duration) holder {
 	best := holder{}
 	for _, engine := range r.view.Load().byService[service] {
 		if engine.look(now).failures > 0 {
 			continue
 		}
-		if tokens := engine.cache.cachedSince(prompt, now-r.unreadTime(engine, now)); tokens > best.tokens {
+		if tokens := engine.cache.usable(prompt, now); tokens > best.tokens {
 			best = holder{engine: engine, tokens: tokens}
 		}
 	}
 	return best
 }
 
-// unreadTime is how long ago an engine must have been sent a prompt to have read it by now.
-func (r *Relay) unreadTime(engine *backEnd, now time.Duration) time.Duration {
-	total := engine.look(now).own.plus(r.notices.table.others(now, engine.hash))
-	return readSlack + time.Duration(total.promptTokens())*r.pace.of(engine.hash)
-}
-
 // tokenMoveTime is how long the memory of one token is on its way between engines.
 func tokenMoveTime(engine *serving.Engine) time.Duration {
 	if engine == nil || engine.LinkBytes <= 0 {
@@ -167,7 +160,8 @@
 // for it and holds its streams up meanwhile.
 func decodeCost(wanted choice, candidate *candidate, total work, perToken time.Duration) float64 {
 	perToken *= decodeSlowdown
-	cost := time.Duration(total.tokensUpTo(wanted.rank))*perToken + time.Duration(total.streams)*streamTime
+	candidate.waiting = time.Duration(total.tokensUpTo(wanted.rank)) * perToken
+	cost := candidate.waiting + time.Duration(total.streams)*streamTime
 	if candidate.backEnd.Zone != wanted.zone {
 		cost += zoneTime
 	}
--- a/internal/relay/prompt_cache.go
+++ b/internal/relay/prompt_cache.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -41,10 +40,20 @@
 // cachedPart is one part that an engine was sent to read.
 type cachedPart struct {
 	tokens int
-	// since is when the engine was asked to read it; it holds it once it has.
+	// since is when the engine was asked to read it.
 	since time.Duration
+	// kept tells that the engine has read it and keeps it for any request. While it is being
+	// read, and until the memory that was read for another engine is taken from there, no
+	// other request can use it.
+	kept bool
 }
 
+// keptAfter is the age at which a part counts as kept although nobody has told so: by then
+// it was read, and memory that nobody took has lapsed.
+const keptAfter = 5 * time.Second
+
+func (p cachedPart) isKept(now time.Duration) bool { return p.kept || now-p.since > keptAfter }
+
 // promptCache is what one engine most likely has in its memory of prompts, from what was
 // sent to it. It is safe for concurrent use.
 type promptCache struct {
@@ -52,30 +61,42 @@
 	capacity int
 	tokens   int
 	parts    *simplelru.LRU[partHash, cachedPart]
+	// changed is closed and replaced when a part is kept or dropped.
+	changed chan struct{}
 }
 
 func newPromptCache(capacity int) *promptCache {
-	cache := &promptCache{capacity: int(float64(capacity) * cacheShare)}
+	cache := &promptCache{capacity: int(float64(capacity) * cacheShare), changed: make(chan struct{})}
 	cache.parts, _ = simplelru.NewLRU(maximumCachedParts, func(_ partHash, part cachedPart) { cache.tokens -= part.tokens }) // the size is positive
 	return cache
 }
 
-// cached returns how many tokens of the prompt's beginning the engine holds, or will hold
-// before it reads this prompt.
-func (c *promptCache) cached(wanted []promptPart) int { return c.cachedSince(wanted, forever) }
-
-// forever is later than any time of the process.
-const forever = time.Duration(math.MaxInt64)
+// cached returns how many tokens of the prompt's beginning the engine holds or is reading,
+// and how many of them no other request can use yet.
+func (c *promptCache) cached(wanted []promptPart, now time.Duration) (tokens, unusable int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, prefix := range wanted {
+		part, held := c.parts.Peek(prefix.hash)
+		if !held {
+			break
+		}
+		tokens += prefix.tokens
+		if !part.isKept(now) {
+			unusable += prefix.tokens
+		}
+	}
+	return tokens, unusable
+}
 
-// cachedSince returns how many tokens of the prompt's beginning the engine was sent to read
-// by a time.
-func (c *promptCache) cachedSince(wanted []promptPart, by time.Duration) int {
+// usable returns how many tokens of the prompt's beginning the engine keeps for any request.
+func (c *promptCache) usable(wanted []promptPart, now time.Duration) int {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	tokens := 0
 	for _, prefix := range wanted {
 		part, held := c.parts.Peek(prefix.hash)
-		if !held || part.since > by {
+		if !held || !part.isKept(now) {
 			break
 		}
 		tokens += prefix.tokens
@@ -83,20 +104,72 @@
 	return tokens
 }
 
-// add notes beginnings that the engine is sent to read; the parts unused longest give way.
-func (c *promptCache) add(now time.Duration, read []promptPart) {
+// begin notes parts that the engine is sent to read, and returns those that it did not hold;
+// the parts unused longest give way.
+func (c *promptCache) begin(now time.Duration, read []promptPart) (begun []promptPart) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, prefix := range read {
 		if _, held := c.parts.Get(prefix.hash); held {
 			continue
 		}
-		c.parts.Add(prefix.hash, cachedPart{tokens: prefix.tokens, since: now})
-		c.tokens += prefix.tokens
+		c.insert(prefix, cachedPart{tokens: prefix.tokens, since: now})
+		begun = append(begun, prefix)
+	}
+	c.makeRoom()
+	return begun
+}
+
+// keep notes parts that the engine has read and keeps for any request.
+func (c *promptCache) keep(now time.Duration, read []promptPart) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, prefix := range read {
+		if part, held := c.parts.Peek(prefix.hash); !held || !part.kept {
+			c.insert(prefix, cachedPart{tokens: prefix.tokens, since: now, kept: true})
+		}
 	}
+	c.makeRoom()
+	c.tellChange()
+}
+
+// drop forgets parts whose reading was given up.
+func (c *promptCache) drop(given []partHash) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, hash := range given {
+		if part, held := c.parts.Peek(hash); held && !part.kept {
+			c.parts.Remove(hash)
+		}
+	}
+	c.tellChange()
+}
+
+// changes returns a channel that is closed when a part is kept or dropped next.
+func (c *promptCache) changes() <-chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.changed
+}
+
+// insert puts a part in place of what was known of it. The mutex is held.
+func (c *promptCache) insert(prefix promptPart, part cachedPart) {
+	c.parts.Remove(prefix.hash)
+	c.parts.Add(prefix.hash, part)
+	c.tokens += part.tokens
+}
+
+// makeRoom forgets the parts unused longest. The mutex is held.
+func (c *promptCache) makeRoom() {
 	for c.tokens > c.capacity {
 		if _, _, removed := c.parts.RemoveOldest(); !removed {
 			return
 		}
 	}
 }
+
+// tellChange wakes those that wait for a change. The mutex is held.
+func (c *promptCache) tellChange() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,6 +34,8 @@
 	notices   *notices
 	work      *workMeter
 	pace      *pace
+	// readingSlack is how long beyond the expected a request waits for another's reading.
+	readingSlack time.Duration
 
 	view atomic.Pointer[view]
 	// contactAt is the time of the last word of a leader.
@@ -96,7 +98,9 @@
 		budget:   newRetryBudget(config.RetryBudget.Ratio, config.RetryBudget.Window, config.RetryBudget.Slack),
 		work:     newWorkMeter(),
 		pace:     newPace(),
-		random:   lockedRandom{source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
+
+		readingSlack: readingSlack,
+		random:       lockedRandom{source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 	}
 	relay.connections.open = map[*clientConnection]bool{}
 	relay.contactAt.Store(int64(-contactLimit))
--- a/internal/relay/release.go
+++ b/internal/relay/release.go
@@ -27,5 +27,7 @@
 	if _, err := connection.Write(append(head, "\r\n"...)); err != nil {
 		return
 	}
-	_ = (&fasthttp.ResponseHeader{}).Read(connection.reader)
+	if (&fasthttp.ResponseHeader{}).Read(connection.reader) == nil {
+		e.noteKept(held.engine, held.parts)
+	}
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -48,6 +48,8 @@
 	mutex      sync.Mutex
 	connection *upstreamConnection
 	cancelled  bool
+	// done is closed by cancel; nil until somebody waits for it.
+	done chan struct{}
 }
 
 // attach makes the connection the one to break off; it reports false when the request is
@@ -69,12 +71,28 @@
 func (c *canceller) cancel() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.done != nil && !c.cancelled {
+		close(c.done)
+	}
 	c.cancelled = true
 	if c.connection != nil {
 		_ = c.connection.SetDeadline(time.Unix(1, 0)) // a closed connection fails by itself
 	}
 }
 
+// gone returns a channel that is closed when the client has gone.
+func (c *canceller) gone() <-chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.done == nil {
+		c.done = make(chan struct{})
+		if c.cancelled {
+			close(c.done)
+		}
+	}
+	return c.done
+}
+
 func (c *canceller) isCancelled() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -17,6 +17,7 @@
 type heldPrompt struct {
 	engine *backEnd
 	handle string
+	parts  []promptPart
 }
 
 // source is how a decoding engine is told where the prompt is.
@@ -89,21 +90,37 @@
 	if request.service.Engine == nil || request.prompt.PromptTokens == 0 {
 		return start{}
 	}
-	wanted := stream.wanted(nil)
-	direct := r.best(wanted, stream.tried)
-	apart := r.best(wanted.atPrefill(request.route), stream.tried)
+	chosen := r.placeReading(stream)
+	for waits := 0; waits < mostReadingWaits && chosen != nil && chosen.unusable >= leastUnusable; waits++ {
+		if !r.awaitReading(stream, chosen) {
+			break
+		}
+		chosen = r.placeReading(stream)
+	}
 	switch {
-	case apart == nil && direct == nil:
+	case chosen == nil:
 		return start{}
-	case apart == nil || direct != nil && r.readsDirectly(stream, direct, apart):
-		return start{direct: direct}
-	case apart.waiting > time.Duration(longestWaitShare*float64(request.route.Target)):
+	case chosen.backEnd.Stage != serving.StagePrefill:
+		return start{direct: chosen}
+	case chosen.waiting > time.Duration(longestWaitShare*float64(request.route.Target)):
 		return start{refused: &refusal{
-			status: fasthttp.StatusServiceUnavailable, reason: "too many prompts wait to be read", retryAfter: apart.waiting / 2,
+			status: fasthttp.StatusServiceUnavailable, reason: "too many prompts wait to be read", retryAfter: chosen.waiting / 2,
 		}}
 	default:
-		return start{held: r.readTwice(stream, apart)}
+		return start{held: r.readTwice(stream, chosen)}
+	}
+}
+
+// placeReading chooses the engine that reads the prompt: a prefill engine, or the decoding one
+// that generates; nil when none is left.
+func (r *Relay) placeReading(stream *streamReply) *candidate {
+	wanted := stream.wanted(nil)
+	direct := r.best(wanted, stream.tried)
+	apart := r.best(wanted.atPrefill(stream.request.route), stream.tried)
+	if apart == nil || direct != nil && r.readsDirectly(direct, apart) {
+		return direct
 	}
+	return apart
 }
 
 // atPrefill is the choice of the prefill engine that reads the prompt in place of the decoding
@@ -139,7 +156,7 @@
 )
 
 // readsDirectly reports whether a decoding engine had better read the prompt itself.
-func (r *Relay) readsDirectly(stream *streamReply, direct, apart *candidate) bool {
+func (r *Relay) readsDirectly(direct, apart *candidate) bool {
 	return direct.toRead <= longestDirect && direct.cost <= apart.cost+handOverTime.Seconds()
 }
 
@@ -170,7 +187,7 @@
 		r.pace.observe(engine.hash, chosen.toRead, r.clock.now()-now)
 	}
 	defer answer.finish()
-	held := r.takeHandle(answer, engine)
+	held := r.takeHandle(answer, stream.parts)
 	if held == nil {
 		stream.tried.excluded = append(stream.tried.excluded, engine)
 	}
@@ -178,7 +195,7 @@
 }
 
 // takeHandle reads the answer to the reading of a prompt; nil when it is none.
-func (r *Relay) takeHandle(answer *answer, engine *backEnd) *heldPrompt {
+func (r *Relay) takeHandle(answer *answer, parts []promptPart) *heldPrompt {
 	body, err := io.ReadAll(io.LimitReader(answer, maximumPrefillAnswer))
 	if err != nil || answer.status != fasthttp.StatusOK {
 		return nil
@@ -187,7 +204,7 @@
 	if err != nil {
 		return nil
 	}
-	return &heldPrompt{engine: engine, handle: handle}
+	return &heldPrompt{engine: answer.message.backEnd, handle: handle, parts: parts}
 }
 
 const (
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -25,6 +25,10 @@
 	last string
 	// pieces are events that wait for the next write.
 	pieces []byte
+	// held is the prompt that the engine of the present run takes, nil where it reads itself.
+	held *heldPrompt
+	// begun tells that the present run has brought events.
+	begun bool
 }
 
 // rank is that of the route at engines.
@@ -53,6 +57,7 @@
 // client has its final answer; otherwise the stream may go on at another engine.
 func (s *streamReply) run(chosen *candidate, held *heldPrompt) *failure {
 	engine := chosen.backEnd
+	s.held, s.begun = held, false
 	names := s.relay.dialect.Headers
 	set := []header{s.relay.rankHeader(s.rank())}
 	if held != nil {
@@ -117,6 +122,11 @@
 
 // passEvents passes events on as they arrive.
 func (s *streamReply) passEvents(answer *answer) *failure {
+	defer func() {
+		if !s.begun {
+			s.relay.exchanger.noteGivenUp(answer.message)
+		}
+	}()
 	events := newEventReader(answer)
 	watch := s.relay.exchanger.watchStall(answer.connection, answer.message.backEnd, stallLimit(s.request.route), s.mayMove())
 	defer watch.stop()
@@ -160,7 +170,7 @@
 		return
 	}
 	s.request.trace.passed(s.relay.clock.now())
-	answer.promptRead()
+	s.noteBegun(answer)
 	if s.reply.started {
 		s.reply.chunk(s.pieces)
 	} else {
@@ -169,6 +179,21 @@
 	s.pieces = s.pieces[:0]
 }
 
+// noteBegun notes at a run's first event that its engine has read the prompt or taken it from
+// another one: both keep it for other requests from now on.
+func (s *streamReply) noteBegun(answer *answer) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	answer.promptRead()
+	exchanger := s.relay.exchanger
+	exchanger.noteKept(answer.message.backEnd, s.parts)
+	if s.held != nil {
+		exchanger.noteKept(s.held.engine, s.parts)
+	}
+}
+
 // end writes what is left and tells that the stream is whole.
 func (s *streamReply) end(answer *answer, rest event) {
 	if len(rest.bytes) > 0 && (rest.id == "" || s.last == "" || rest.after(s.last)) {
