Learn engines' pace from all relays' readings and from a prompt's length

Each relay learnt that by itself, with a weight of a fifth an observation, and took the time of long prompts, which grows faster than their length, for slowness.

Change: the time counts tokens with what they attend to; what a relay observes is told to all; an observation that is faster than known weighs 0.6, a slower one 0.2, since a reading may have waited for what nobody told.

--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -58,6 +59,8 @@
 	// keeps for any request, dropped those whose reading was given up.
 	read, kept []promptPart
 	dropped    []partHash
+	// tokenTime is the newest observation of the time per token, 0 for none.
+	tokenTime time.Duration
 	// far tells that prompts or failures are concerned.
 	far bool
 }
@@ -103,6 +106,13 @@
 	n.add(engine, pendingNotice{dropped: dropped, far: true})
 }
 
+// notePace tells the time per token that an engine was seen to take.
+func (n *notices) notePace(engine *backEnd, tokenTime time.Duration) {
+	if tokenTime > 0 {
+		n.add(engine, pendingNotice{tokenTime: tokenTime, far: true})
+	}
+}
+
 // add joins what is to be told with what waits of the same back end.
 func (n *notices) add(engine *backEnd, told pendingNotice) {
 	n.mutex.Lock()
@@ -110,6 +120,9 @@
 	waiting.read = append(waiting.read, told.read...)
 	waiting.kept = append(waiting.kept, told.kept...)
 	waiting.dropped = append(waiting.dropped, told.dropped...)
+	if told.tokenTime > 0 {
+		waiting.tokenTime = told.tokenTime
+	}
 	waiting.far = waiting.far || told.far
 	n.pending[engine] = waiting
 	n.mutex.Unlock()
@@ -199,6 +212,7 @@
 		told := &v1.EngineWork{
 			Engine: engine.hash, Prompts: uint32(max(own.prompts, 0)), PromptTokens: own.wireTokens(), Streams: uint32(max(own.streams, 0)),
 		}
+		told.TokenNs = uint32(min(waiting.tokenTime, math.MaxUint32))
 		told.Failed = n.failures[engine]
 		delete(n.failures, engine)
 		told.Parts, told.PartTokens = wireParts(waiting.read)
@@ -247,6 +261,7 @@
 		if told.GetFailed() {
 			engine.suspect(n.relay.clock.now())
 		}
+		n.relay.pace.observe(engine.hash, time.Duration(told.GetTokenNs()))
 		now := n.relay.clock.now()
 		if read := partsFromWire(told.GetParts(), told.GetPartTokens()); len(read) > 0 {
 			engine.cache.begin(now, read)
--- a/internal/relay/pace.go
+++ b/internal/relay/pace.go
@@ -6,13 +6,20 @@
 )
 
 const (
-	// defaultPace is how long a prefill engine takes for one token of a prompt until it is
-	// known better.
-	defaultPace = 30 * time.Microsecond
+	// defaultPace is how long a prefill engine takes for the first token of a prompt until it
+	// is known better.
+	defaultPace = 25 * time.Microsecond
+	// attentionShare is by how much of that each token takes longer for each one before it,
+	// as it attends to all of them.
+	attentionShare = 1.4e-5
 	// prefillOverhead is the time for a prompt beside its tokens.
 	prefillOverhead = 25 * time.Millisecond
-	// paceWeight is the weight of a new observation.
-	paceWeight = 0.2
+	// paceWeight is the weight of a new observation of the fleet. Of one engine, fasterWeight
+	// counts when it was faster than known and slowerWeight when it was slower: a reading may
+	// have waited for what no relay told, and an engine that is thought slow is asked less.
+	paceWeight   = 0.1
+	fasterWeight = 0.6
+	slowerWeight = 0.2
 	// leastPaceTokens is the length from which a reading tells the pace.
 	leastPaceTokens = 1500
 	// slowestPace bounds what one observation can say, as a multiple of the fleet's pace:
@@ -32,25 +39,37 @@
 
 func newPace() *pace { return &pace{overall: defaultPace, engines: map[uint64]time.Duration{}} }
 
-// observe notes how long an engine took to read tokens with nothing ahead of them.
-func (p *pace) observe(engine uint64, tokens int, took time.Duration) {
-	if tokens < leastPaceTokens || took <= prefillOverhead {
+// observedPace is the time per token that a reading with nothing ahead of it shows; 0 when
+// it was too short to show any.
+func observedPace(effort int, took time.Duration) time.Duration {
+	if effort < leastPaceTokens || took <= prefillOverhead {
+		return 0
+	}
+	return (took - prefillOverhead) / time.Duration(effort)
+}
+
+// observe notes the time per token of one reading at an engine, seen here or by another relay.
+func (p *pace) observe(engine uint64, perToken time.Duration) {
+	if perToken <= 0 {
 		return
 	}
-	perToken := (took - prefillOverhead) / time.Duration(tokens)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	perToken = min(perToken, slowestPace*p.overall)
-	p.overall = blend(p.overall, perToken)
+	p.overall = blend(p.overall, perToken, paceWeight)
 	known, is := p.engines[engine]
 	if !is {
 		known = p.overall
 	}
-	p.engines[engine] = blend(known, perToken)
+	weight := slowerWeight
+	if perToken < known {
+		weight = fasterWeight
+	}
+	p.engines[engine] = blend(known, perToken, weight)
 }
 
-func blend(known, observed time.Duration) time.Duration {
-	return time.Duration((1-paceWeight)*float64(known) + paceWeight*float64(observed))
+func blend(known, observed time.Duration, weight float64) time.Duration {
+	return time.Duration((1-weight)*float64(known) + weight*float64(observed))
 }
 
 // of returns the time per token at an engine.
@@ -74,7 +93,12 @@
 	}
 }
 
-// prefillTime is how long a prefill engine takes for so many tokens.
-func prefillTime(perToken time.Duration, tokens int) time.Duration {
-	return prefillOverhead + time.Duration(tokens)*perToken
+// readingEffort is what reading tokens takes after those before them, counted in first tokens.
+func readingEffort(before, tokens int) int {
+	return tokens + int(attentionShare*float64(tokens)*(float64(before)+float64(tokens)/2))
+}
+
+// prefillTime is how long a prefill engine takes for so much effort.
+func prefillTime(perToken time.Duration, effort int) time.Duration {
+	return prefillOverhead + time.Duration(effort)*perToken
 }
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -70,6 +70,8 @@
 	// rest that it has not cached, nil for nowhere.
 	toRead    int
 	fetchFrom *backEnd
+	// effort is what reading toRead takes, counted in first tokens of a prompt.
+	effort int
 	// unusable is how much of the prompt the engine is reading for other requests, which
 	// cannot be used before those have it.
 	unusable int
--- a/internal/relay/pick_cost.go
+++ b/internal/relay/pick_cost.go
@@ -78,7 +78,7 @@
 // candidate what it found.
 func prefillCost(wanted choice, candidate *candidate, total work, perToken time.Duration) float64 {
 	fetching := candidate.planReading(wanted)
-	reading := prefillTime(perToken, candidate.toRead)
+	reading := prefillTime(perToken, candidate.effort)
 	candidate.waiting = waitingTime(total, readingRank(wanted.rank, candidate.toRead), perToken)
 	cost := candidate.waiting + fetching + 2*reading
 	if late := candidate.waiting + fetching + reading - time.Duration(promptTargetShare*float64(wanted.target)); late > 0 {
@@ -95,16 +95,22 @@
 func (c *candidate) planReading(wanted choice) time.Duration {
 	own, unusable := c.backEnd.cache.cached(wanted.prompt, wanted.now)
 	c.unusable = unusable
-	c.toRead = max(wanted.tokens-own, 0)
+	c.leaveToRead(wanted.tokens, own)
 	fetched := wanted.held.tokens - own
 	if fetched < leastFetch || wanted.held.engine == c.backEnd {
 		return 0
 	}
-	c.toRead = max(wanted.tokens-wanted.held.tokens, 0)
+	c.leaveToRead(wanted.tokens, wanted.held.tokens)
 	c.fetchFrom = wanted.held.engine
 	return fetchSetup + time.Duration(fetched)*wanted.tokenMove
 }
 
+// leaveToRead notes what of a prompt's tokens is to be read after those that are held.
+func (c *candidate) leaveToRead(tokens, held int) {
+	c.toRead = max(tokens-held, 0)
+	c.effort = readingEffort(held, c.toRead)
+}
+
 // holder is the engine that has most of a prompt's beginning cached.
 type holder struct {
 	engine *backEnd
@@ -168,8 +174,8 @@
 	if wanted.tokens > 0 {
 		cost += candidate.planReading(wanted)
 		harm := 1 + streamHarm*float64(total.streams)
-		cost += prefillOverhead + time.Duration(harm*float64(time.Duration(candidate.toRead)*perToken))
-		if total.promptTokens()+candidate.toRead > readingRoom(wanted.gap, wanted.stride, perToken) {
+		cost += prefillOverhead + time.Duration(harm*float64(time.Duration(candidate.effort)*perToken))
+		if total.promptTokens()+candidate.effort > readingRoom(wanted.gap, wanted.stride, perToken) {
 			cost += time.Duration(total.streams) * pauseHarm
 		}
 	}
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -167,15 +167,15 @@
 	ahead := r.notices.table.others(now, engine.hash).plus(engine.look(now).own)
 	request.trace.prefill(engine, now, chosen.toRead, ahead.tokensUpTo(rank), ahead.promptTokens())
 	perToken := r.pace.of(engine.hash)
-	r.work.add(request.service.Name, prefillTime(perToken, chosen.toRead), 0)
+	r.work.add(request.service.Name, prefillTime(perToken, chosen.effort), 0)
 	set := []header{r.rankHeader(rank), {r.dialect.Headers.Stage, r.dialect.PrefillStage}}
 	if chosen.fetchFrom != nil {
 		set = append(set, header{r.dialect.Headers.KVFetch, chosen.fetchFrom.Address})
 	}
 	answer, fault := r.exchanger.send(&message{
 		request: request, backEnd: engine, deadline: request.deadline, reads: stream.parts, set: set,
-		work:     reading(chosen.toRead, rank).plus(work{prompts: 1}),
-		stall:    prefillStall + time.Duration(prefillStallShare*float64(waitingTime(ahead, ranks-1, perToken)+prefillTime(perToken, chosen.toRead))),
+		work:     reading(chosen.effort, rank).plus(work{prompts: 1}),
+		stall:    prefillStall + time.Duration(prefillStallShare*float64(waitingTime(ahead, ranks-1, perToken)+prefillTime(perToken, chosen.effort))),
 		mayBreak: true,
 	})
 	if fault != nil {
@@ -184,7 +184,7 @@
 		return nil
 	}
 	if ahead.prompts == 0 && chosen.fetchFrom == nil {
-		r.pace.observe(engine.hash, chosen.toRead, r.clock.now()-now)
+		r.notePace(engine, observedPace(chosen.effort, r.clock.now()-now))
 	}
 	defer answer.finish()
 	held := r.takeHandle(answer, stream.parts)
@@ -194,6 +194,12 @@
 	return held
 }
 
+// notePace notes, here and at other relays, the time per token of a reading.
+func (r *Relay) notePace(engine *backEnd, perToken time.Duration) {
+	r.pace.observe(engine.hash, perToken)
+	r.notices.notePace(engine, perToken)
+}
+
 // takeHandle reads the answer to the reading of a prompt; nil when it is none.
 func (r *Relay) takeHandle(answer *answer, parts []promptPart) *heldPrompt {
 	body, err := io.ReadAll(io.LimitReader(answer, maximumPrefillAnswer))
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -67,11 +67,11 @@
 		set = append(set, header{names.LastEventID, s.last})
 	}
 	began := s.relay.clock.now()
-	defer func() { s.noteDecodeTime(engine, chosen.toRead, s.relay.clock.now()-began) }()
+	defer func() { s.noteDecodeTime(engine, chosen.effort, s.relay.clock.now()-began) }()
 	s.request.trace.engine, s.request.trace.sentAt = engine.ID, began
 	asked := work{streams: 1}
 	if held == nil {
-		asked = asked.plus(reading(chosen.toRead, s.rank()))
+		asked = asked.plus(reading(chosen.effort, s.rank()))
 		if chosen.fetchFrom != nil {
 			set = append(set, header{names.KVFetch, chosen.fetchFrom.Address})
 		}
@@ -90,13 +90,13 @@
 
 // noteDecodeTime notes how long the stream kept its engine busy: a slot's share of its
 // time, and the reading of the prompt where no other engine had read it.
-func (s *streamReply) noteDecodeTime(engine *backEnd, toRead int, took time.Duration) {
+func (s *streamReply) noteDecodeTime(engine *backEnd, effort int, took time.Duration) {
 	if !engine.isEngine() {
 		return
 	}
 	busy := took / time.Duration(max(engine.Slots, 1))
-	if toRead > 0 {
-		busy += decodeSlowdown * time.Duration(toRead) * s.relay.pace.of(engine.hash)
+	if effort > 0 {
+		busy += decodeSlowdown * time.Duration(effort) * s.relay.pace.of(engine.hash)
 	}
 	s.relay.work.add(s.request.service.Name, 0, busy)
 }
