Elect at once after a common restart

Cause: after a closing fault that stops everything, relays had no configuration for 0.7 to 0.9 s although the processes ran. Of that an election timeout of 400 ms and its spread went by before the first vote, since a voter that restarts may have promised a lease just before.

Change: a voter that has heard no leader since its start probes all others; when every voter answers that it has heard none either, no lease can exist, and the prober campaigns at once. Attempts to connect between the system's own processes end after 250 ms. The controller's first tick comes at its start.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -53,6 +53,7 @@
 	laterSeeds      []string
 	addresses       map[string]string
 	transferElected bool
+	restart         restart
 
 	// Leader.
 	progress       map[string]*progress
@@ -113,6 +114,7 @@
 		c.now = now
 		c.leaderHeardAt = now
 		c.resetElection()
+		c.startRestart()
 	}
 }
 
@@ -139,6 +141,7 @@
 	}
 	c.tickLearner()
 	c.tickOutsider()
+	c.tickRestart()
 	if c.now < c.electionDueAt {
 		return
 	}
@@ -201,6 +204,9 @@
 	case v1.MessageType_MESSAGE_TYPE_PRE_VOTE_ANSWER:
 		c.takePreVote(message)
 		return
+	case v1.MessageType_MESSAGE_TYPE_RESTART_PROBE:
+		c.answerRestartProbe(message)
+		return
 	}
 	if message.GetTerm() < c.term {
 		c.correctStale(message)
@@ -220,6 +226,8 @@
 		c.takeAppendAnswer(message)
 	case v1.MessageType_MESSAGE_TYPE_TIMEOUT_NOW:
 		c.takeTimeoutNow(message)
+	case v1.MessageType_MESSAGE_TYPE_RESTART_ANSWER:
+		c.takeRestartAnswer(message)
 	}
 }
 
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -13,6 +13,7 @@
 	if preVote {
 		c.role = RolePreCandidate
 		c.transferElected = false
+		c.restart.voters = nil
 		for _, member := range c.members.voters() {
 			if member != c.id {
 				c.send(member, &v1.ConsensusMessage{Type: v1.MessageType_MESSAGE_TYPE_PRE_VOTE,
@@ -31,7 +32,8 @@
 			continue
 		}
 		c.sendSynced(member, &v1.ConsensusMessage{Type: v1.MessageType_MESSAGE_TYPE_VOTE,
-			LogIndex: last.index, LogTerm: last.term, Transfer: c.transferElected})
+			LogIndex: last.index, LogTerm: last.term, Transfer: c.transferElected,
+			RestartedVoters: c.restart.voters})
 	}
 }
 
@@ -91,7 +93,8 @@
 
 // answerVote votes at most once a term, for a candidate whose log is not behind.
 func (c *Core) answerVote(message *v1.ConsensusMessage) {
-	if !message.GetTransfer() && c.leaderMayHoldLease() && message.GetTerm() > c.term {
+	mayWait := !message.GetTransfer() && !c.noLeaseLeft(message)
+	if mayWait && c.leaderMayHoldLease() && message.GetTerm() > c.term {
 		return
 	}
 	if message.GetTerm() > c.term {
@@ -122,6 +125,7 @@
 func (c *Core) becomeLeader() {
 	c.role = RoleLeader
 	c.leader = c.id
+	c.endRestart()
 	c.votes = nil
 	c.leaderSince = c.now
 	c.transfer = transfer{}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -142,6 +142,7 @@
 func (c *Core) followLeader(message *v1.ConsensusMessage) {
 	c.becomeFollower(message.GetTerm(), message.GetFrom())
 	c.leaderHeardAt = c.now
+	c.endRestart()
 }
 
 // answerAppend takes a leader's entries, or tells where the logs part.
--- a/internal/consensus/safeguards.go
+++ b/internal/consensus/safeguards.go
@@ -24,4 +24,7 @@
 	SafeguardConflictCheck safeguard.Safeguard = "conflict-check"
 	// SafeguardMembershipStep allows one uncommitted change of one voter at a time.
 	SafeguardMembershipStep safeguard.Safeguard = "membership-step"
+	// SafeguardAllRestarted elects without waiting for a lease only when every voter, and not
+	// just a quorum, has heard no leader since its start.
+	SafeguardAllRestarted safeguard.Safeguard = "all-restarted"
 )
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -66,6 +66,7 @@
 func (l *loop) run(ctx context.Context) {
 	ticker := time.NewTicker(control.TickInterval)
 	defer ticker.Stop()
+	l.step(control.Tick{}) // a quorum that was stopped as a whole need not wait for the ticker
 	for ctx.Err() == nil {
 		if l.takeUrgent(ticker) || l.takeLost() {
 			continue
--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/keys"
 )
 
@@ -53,7 +54,7 @@
 // newPeerClient returns the HTTP client towards other controllers.
 func newPeerClient(dial Dial, encryption *tls.Config) *http.Client {
 	transport := &http.Transport{
-		DialContext:     dial,
+		DialContext:     dialing.Within(dial, dialing.PeerTimeout),
 		TLSClientConfig: encryption,
 		IdleConnTimeout: idleTimeout,
 		Protocols:       new(http.Protocols),
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -12,6 +12,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
@@ -55,7 +56,7 @@
 }
 
 func newWatcher(relay *Relay, options Options) *watcher {
-	transport := &http.Transport{DialContext: options.Dial, Protocols: new(http.Protocols)}
+	transport := &http.Transport{DialContext: dialing.Within(options.Dial, dialing.PeerTimeout), Protocols: new(http.Protocols)}
 	transport.Protocols.SetUnencryptedHTTP2(true)
 	watcher := &watcher{
 		relay:       relay,
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -50,6 +50,9 @@
 	// FaultSecondLost counts the second disks that were lost so: it is never begun by
 	// itself.
 	FaultSecondLost FaultKind = "second-disk-lost"
+	// FaultRestartTogether kills all controllers at once, or all but one that is cut off from
+	// them, and starts them again soon. It happens only where it is emphasised.
+	FaultRestartTogether FaultKind = "restart-together"
 )
 
 // faultKinds lists all kinds in a fixed order.
@@ -61,11 +64,16 @@
 	FaultStopController, FaultSwapVoter,
 }
 
+// emphasisedKinds lists kinds that only happen where they are emphasised.
+var emphasisedKinds = []FaultKind{FaultRestartTogether}
+
 // Times of faults. A pause may be much longer than a leader's lease.
 const (
 	longestGap   = 1600 * time.Millisecond
 	longestFault = 6 * time.Second
-	emphasised   = 12
+	// longestStop is how long a controller that was killed with all others stays down.
+	longestStop = 300 * time.Millisecond
+	emphasised  = 12
 	// A long fault lasts between these.
 	shortestLongFault = 10 * time.Second
 	longestLongFault  = 25 * time.Second
@@ -122,6 +130,8 @@
 	switch kind {
 	case FaultCutOffController, FaultCutPeers, FaultSecondLoss, FaultStallOrder:
 		return shortestLongFault + f.world.duration(longestLongFault-shortestLongFault)
+	case FaultRestartTogether:
+		return f.world.duration(longestStop)
 	default:
 		return f.world.duration(longestFault)
 	}
@@ -129,12 +139,13 @@
 
 // draw chooses a kind by its weight.
 func (f *faults) draw() FaultKind {
+	kinds := slices.Concat(faultKinds, emphasisedKinds)
 	total := 0.0
-	for _, kind := range faultKinds {
+	for _, kind := range kinds {
 		total += f.weights[kind]
 	}
 	at := f.world.random.Float64() * total
-	for _, kind := range faultKinds {
+	for _, kind := range kinds {
 		at -= f.weights[kind]
 		if at < 0 {
 			return kind
--- a/internal/simulation/faults_process.go
+++ b/internal/simulation/faults_process.go
@@ -43,6 +43,8 @@
 	switch kind {
 	case FaultCrashController:
 		return f.crashController(kind, controller), true
+	case FaultRestartTogether:
+		return f.restartTogether(kind, controller), true
 	case FaultReplaceDisk:
 		return f.replaceDisk(kind, controller), true
 	case FaultSecondLoss:
@@ -76,6 +78,38 @@
 	return c.startIfDown
 }
 
+// restartTogether kills all controllers at once and starts them again at the end. Half of the
+// time one of them goes on, cut off from the others until they have had the time to elect.
+func (f *faults) restartTogether(kind FaultKind, spared *controller) func() {
+	w := f.world
+	var cuts []link
+	if w.random.IntN(2) == 0 {
+		spared = nil
+		f.note(kind, "all")
+	} else {
+		f.note(kind, "all but %s", spared.name)
+		cuts = w.peerLinks(spared)
+	}
+	for _, cut := range cuts {
+		w.network.cuts[cut]++
+	}
+	for _, each := range w.controllers {
+		if each != spared && each.alive {
+			each.crash()
+		}
+	}
+	return func() {
+		for _, each := range w.controllers {
+			each.startIfDown()
+		}
+		w.after(longestFault, func() {
+			for _, cut := range cuts {
+				w.network.cuts[cut]--
+			}
+		})
+	}
+}
+
 // replaceDisk kills a controller and starts it on an empty disk at the end. It waits
 // until every earlier replacement is complete: more lost disks than a minority are
 // more than any replicated log can bear.
--- a/internal/simulation/page_test.go
+++ b/internal/simulation/page_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
@@ -13,7 +14,7 @@
 	page, err := os.ReadFile("../../docs/SIMULATION.md")
 	require.NoError(t, err)
 	var names []string
-	for _, kind := range append(faultKinds, FaultSecondLost) {
+	for _, kind := range slices.Concat(faultKinds, emphasisedKinds, []FaultKind{FaultSecondLost}) {
 		names = append(names, string(kind))
 	}
 	for name := range Deployments {
--- a/internal/simulation/run_test.go
+++ b/internal/simulation/run_test.go
@@ -36,6 +36,21 @@
 	t.Logf("%+v", total)
 }
 
+// TestRestartsTogether runs seeds in which all controllers are killed at once again and again.
+func TestRestartsTogether(t *testing.T) {
+	total := Result{Faults: map[FaultKind]int{}}
+	Sweep(Options{Steps: 5000, Emphasis: kinds(FaultRestartTogether)}, 1, 100, workers, func(result Result) bool {
+		if result.Violation != nil {
+			t.Errorf("seed %d: %v\n%s", result.Seed, result.Violation, strings.Join(result.Trace[max(0, len(result.Trace)-60):], "\n"))
+			return false
+		}
+		total.add(result)
+		return true
+	})
+	require.Positive(t, total.Faults[FaultRestartTogether])
+	require.Positive(t, total.Operations)
+}
+
 // TestDeployments runs the fleets of the users.
 func TestDeployments(t *testing.T) {
 	for name, deployment := range Deployments {
--- a/internal/simulation/safeguards_test.go
+++ b/internal/simulation/safeguards_test.go
@@ -34,6 +34,7 @@
 	{off: off(consensus.SafeguardLearnerCatchUp), check: "caught up before voting", emphasis: kinds(FaultReplaceDisk, FaultSlowDisk)},
 	{off: off(consensus.SafeguardConflictCheck), check: "agreement", emphasis: kinds(FaultCrashController, FaultIsolate)},
 	{off: off(consensus.SafeguardLeaseWait), check: "one leader at a time", emphasis: kinds(FaultCutLink, FaultLull)},
+	{off: off(consensus.SafeguardAllRestarted), check: "one leader at a time", emphasis: kinds(FaultRestartTogether)},
 	{off: off(consensus.SafeguardQuorumCheck), check: "no leader without a quorum"},
 	{off: off(consensus.SafeguardPreVote), check: "no term without a quorum"},
 	{off: off(SafeguardDiskSync), check: "durable state", emphasis: kinds(FaultCrashController)},
