Keep long prompts away from decoding engines with streams

Another engine did the same for 9,148 tokens whose reading had failed. In the first case the prefill engine still kept the whole prompt, but since the wait for shared parts came in, memory counted as kept only at a first event.

Change: when an engine may have run a request with another one's memory, that memory counts as taken and kept, so that the next run takes it from there. A decoding engine reads more than 2,048 tokens itself only where nothing waits to be read, and for a request that has not run only where at most two streams run; others are refused with 503 and the time to come back.

Tests: TestLongPromptIsNotMovedToABusyEngine now has both cases (memory still kept: taken from there; reader failed: 502 as before); TestLongPromptIsNotReadBesideStreams. TestLapsedHandleIsReadAgain loaded the engine that reads with 50 streams only to have the other one picked; it now loads it with one and asks for the same answer, and that the other was tried.

--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -59,22 +59,30 @@
 	r.finishRefused(tried, reply)
 }
 
-// nextEngine picks the decoding engine that goes on with a stream. Without a prompt that is
-// held it has to read the prompt itself; a long one only where nothing else waits to be
-// read, since its streams would stall and be moved with their prompts to the next engine.
+// nextEngine picks the decoding engine that goes on with a stream; nil when there is none, or
+// none that may read the prompt itself.
 func (r *Relay) nextEngine(stream *streamReply, held *heldPrompt) *candidate {
 	best := r.best(stream.wanted(held), stream.tried)
-	if best == nil {
+	if best == nil || held == nil && !r.mayReadItself(stream, best) {
 		return nil
 	}
-	if held == nil && stream.request.service.Engine != nil {
-		if best.toRead > longestDirect && r.totalWork(r.clock.now(), best).promptTokens() > longestDirect {
-			return nil
-		}
-	}
 	return best
 }
 
+// mayReadItself reports whether a decoding engine may read what is left of a prompt. While it
+// reads a long one its other streams pause and new ones wait, so it does so only where nothing
+// else waits to be read, and, for a request that can still come back, where few streams run.
+func (r *Relay) mayReadItself(stream *streamReply, chosen *candidate) bool {
+	if stream.request.service.Engine == nil || chosen.toRead <= longestDirect {
+		return true
+	}
+	total := r.totalWork(r.clock.now(), chosen)
+	if total.promptTokens() > longestDirect {
+		return false
+	}
+	return stream.tried.mayHaveRun || total.streams <= fewStreams
+}
+
 // start says where a stream begins: at a decoding engine that reads the prompt itself, with a
 // prompt that a prefill engine has read, or nowhere because too much waits.
 type start struct {
@@ -150,6 +158,8 @@
 	// longestDirect is the longest reading that a decoding engine takes on while a prefill
 	// engine could: its streams would pause too long.
 	longestDirect = 2_048
+	// fewStreams is how many streams may be held up by a long reading.
+	fewStreams = 2
 	// longestWaitShare is how many targets of its route a prompt may wait to be read: one that
 	// waits longer would be late, and those behind it too.
 	longestWaitShare = 1.2
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
 // maximumBatch bounds the events that are passed on with one write.
@@ -79,6 +81,7 @@
 	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.request.deadline, set: set, work: asked, reads: s.parts,
 		stall: stallLimit(s.request.route) + prefillTime(s.relay.pace.of(engine.hash), decodeSlowdown*asked.promptTokens()), mayBreak: s.mayMove()})
 	if fault != nil {
+		s.noteTaken(fault)
 		return fault
 	}
 	if !isEventStream(answer) {
@@ -125,6 +128,7 @@
 	defer func() {
 		if !s.begun {
 			s.relay.exchanger.noteGivenUp(answer.message)
+			s.noteTaken(&failure{verdict: verdict.MayHaveRun})
 		}
 	}()
 	events := newEventReader(answer)
@@ -179,6 +183,14 @@
 	s.pieces = s.pieces[:0]
 }
 
+// noteTaken notes that an engine which may have run the request has most likely taken the
+// prompt from the one that had read it, so that this one keeps it for any request.
+func (s *streamReply) noteTaken(fault *failure) {
+	if s.held != nil && fault.verdict != verdict.NotRun {
+		s.relay.exchanger.noteKept(s.held.engine, s.parts)
+	}
+}
+
 // noteBegun notes at a run's first event that its engine has read the prompt or taken it from
 // another one: both keep it for other requests from now on.
 func (s *streamReply) noteBegun(answer *answer) {
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -156,8 +156,10 @@
 	reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
 	lapsed := startBackEnd(t, "lapsed", serving.StageDecode, refusing(503))
 	decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
-	relay := newTestRelay(t, route(stream(false)), reader, lapsed, decoder).preferring("lapsed")
+	relay := newTestRelay(t, route(stream(false)), reader, lapsed, decoder)
+	relay.engineOf("decoder").begin(work{streams: 1}) // so that the other one is picked
 	answer := relay.client(t).do("POST", "/path/", "x", longPrompt...)
+	require.Len(t, lapsed.seen(), 1)
 	require.Equal(t, eventOne, answer.body)
 	require.Empty(t, decoder.seen()[0].head.Peek("T-Source"), "a handle serves once")
 }
@@ -173,20 +175,48 @@
 	require.Empty(t, released.head.Peek("T-Id"))
 }
 
-// A long prompt that has lost its engine is not read by one whose streams it would stall.
+// A long prompt that has lost its engine is taken from the one that had read it. When that one
+// has failed too, it is not read by an engine whose streams it would stall.
 func TestLongPromptIsNotMovedToABusyEngine(t *testing.T) {
-	reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
-	broken := startBackEnd(t, "broken", serving.StageDecode, streaming("broken", "cut"))
-	busy := startBackEnd(t, "busy", serving.StageDecode, streaming("busy", eventOne))
-	relay := newTestRelay(t, route(stream(true)), reader, broken, busy).preferring("broken")
-	for _, backEnd := range relay.view.Load().byService["service"] {
-		if backEnd.ID == "busy" {
-			backEnd.begin(reading(10_000, 0))
+	for _, readerFails := range []bool{false, true} {
+		var relay *testRelay
+		reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
+		broken := startBackEnd(t, "broken", serving.StageDecode, func(connection net.Conn, request received) bool {
+			if readerFails {
+				relay.engineOf("reader").failed(relay.clock.now())
+			}
+			return streaming("broken", "cut")(connection, request)
+		})
+		busy := startBackEnd(t, "busy", serving.StageDecode, streaming("busy", eventOne))
+		relay = newTestRelay(t, route(stream(true)), reader, broken, busy).preferring("broken")
+		relay.engineOf("busy").begin(reading(10_000, 0))
+		answer := relay.client(t).do("POST", "/path/", "x", longPrompt...)
+		if readerFails {
+			require.Equal(t, 502, answer.status)
+			require.Empty(t, busy.seen())
+			continue
+		}
+		require.Equal(t, eventOne, answer.body)
+		require.Equal(t, reader.entry.Address, string(busy.seen()[0].head.Peek("T-Fetch")))
+		require.Empty(t, busy.seen()[0].head.Peek("T-Source"), "a handle serves once")
+	}
+}
+
+// A long prompt whose reading failed is not read by a decoding engine with streams: the request
+// has not run, so its client is told to come back.
+func TestLongPromptIsNotReadBesideStreams(t *testing.T) {
+	for streams, status := range map[int]int{fewStreams: 200, fewStreams + 1: 503} {
+		reader := startBackEnd(t, "reader", serving.StagePrefill, writing(""))
+		decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
+		relay := newTestRelay(t, route(func(r *serving.Route) { stream(false)(r); r.MaxAttempts = 1 }), reader, decoder)
+		relay.engineOf("decoder").begin(work{streams: streams})
+		answer := relay.client(t).do("POST", "/path/", "x", longPrompt...)
+		require.Equal(t, status, answer.status)
+		if status == 503 {
+			require.NotEmpty(t, answer.head.Peek("Retry-After"))
+			require.Empty(t, decoder.seen())
 		}
 	}
-	answer := relay.client(t).do("POST", "/path/", "x", longPrompt...)
-	require.Equal(t, 502, answer.status)
-	require.Empty(t, busy.seen())
 }
 
 // A prompt that would wait for long is refused at once, with the time to come back.
