Copy shared parts between engines only for a gain

Relays sent each prompt to the engine that would read it soonest and let it take the shared part from the one that had it, so every engine came to hold copies of everything; an engine's memory then lasted ten seconds, and relays took only three quarters of it to hold parts.

Change: a copy costs 6 us a token in the choice of the engine, since it drives other parts out; 0.95 of an engine's memory counts as holding parts.

--- a/internal/relay/pick_cost.go
+++ b/internal/relay/pick_cost.go
@@ -22,6 +22,9 @@
 	promptTargetShare = 0.8
 	// leastFetch is the least number of tokens that are worth taking from another engine.
 	leastFetch = 1_000
+	// copyHarm is what each token costs of which another engine takes a copy: the copy drives
+	// other parts out of its memory, which then have to be read again.
+	copyHarm = 6 * time.Microsecond
 	// fetchSetup is what taking them costs beside their way.
 	fetchSetup = 12 * time.Millisecond
 	// defaultTokenMove is the way of one token where the links are not known.
@@ -81,6 +84,9 @@
 	reading := prefillTime(perToken, candidate.effort)
 	candidate.waiting = waitingTime(total, readingRank(wanted.rank, candidate.toRead), perToken)
 	cost := candidate.waiting + fetching + 2*reading
+	if candidate.fetchFrom != nil {
+		cost += time.Duration(wanted.held.tokens) * copyHarm
+	}
 	if late := candidate.waiting + fetching + reading - time.Duration(promptTargetShare*float64(wanted.target)); late > 0 {
 		cost += lateWeight * late
 	}
--- a/internal/relay/prompt_cache.go
+++ b/internal/relay/prompt_cache.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// cacheShare is the part of an engine's memory that is taken to hold parts of prompts.
-	cacheShare = 0.75
+	// cacheShare is the part of an engine's memory that is taken to hold parts of prompts; what
+	// runs there needs the rest.
+	cacheShare = 0.95
 	// maximumCachedParts bounds the parts remembered of one engine.
 	maximumCachedParts = 4096
 )
