Give splits of a route their weights' share of few requests

Change: each relay draws for each route from a sequence that fills the range evenly; decoding engines count with 0.75 of their memory.

Tests: TestSplitsKeepToTheirWeights (any 40 requests within 2), TestSplitDrawsAreBounded.

--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -22,8 +22,9 @@
 	load  load
 }
 
-func newBackEnd(entry serving.BackEnd, cacheTokens int) *backEnd {
-	return &backEnd{BackEnd: entry, hash: xxhash.Sum64String(entry.ID), cache: newPromptCache(cacheTokens)}
+// newBackEnd returns the record of a listed back end; memory is an engine's, in tokens.
+func newBackEnd(entry serving.BackEnd, memory int) *backEnd {
+	return &backEnd{BackEnd: entry, hash: xxhash.Sum64String(entry.ID), cache: newPromptCache(cacheCapacity(entry.Stage, memory))}
 }
 
 // load is what the relay knows of a back end's work and health.
--- a/internal/relay/prompt_cache.go
+++ b/internal/relay/prompt_cache.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// cacheShare is the part of an engine's memory that is taken to hold parts of prompts; what
-	// runs there needs the rest.
-	cacheShare = 0.95
+	// prefillCacheShare and decodeCacheShare are the parts of an engine's memory that are taken to
+	// hold parts of prompts; what runs there needs the rest, which is more where streams run.
+	prefillCacheShare = 0.95
+	decodeCacheShare  = 0.75
 	// maximumCachedParts bounds the parts remembered of one engine.
 	maximumCachedParts = 4096
 )
@@ -66,8 +67,17 @@
 	changed chan struct{}
 }
 
+// cacheCapacity is how many tokens of prompts an engine of a stage keeps in its memory.
+func cacheCapacity(stage serving.Stage, memory int) int {
+	if stage == serving.StageDecode {
+		return int(decodeCacheShare * float64(memory))
+	}
+	return int(prefillCacheShare * float64(memory))
+}
+
+// newPromptCache returns the cache of an engine that keeps so many tokens.
 func newPromptCache(capacity int) *promptCache {
-	cache := &promptCache{capacity: int(float64(capacity) * cacheShare), changed: make(chan struct{})}
+	cache := &promptCache{capacity: capacity, changed: make(chan struct{})}
 	cache.parts, _ = simplelru.NewLRU(maximumCachedParts, func(_ partHash, part cachedPart) { cache.tokens -= part.tokens }) // the size is positive
 	return cache
 }
@@ -146,6 +156,14 @@
 	c.tellChange()
 }
 
+// resize takes the capacity of another stage.
+func (c *promptCache) resize(capacity int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.capacity = capacity
+	c.makeRoom()
+}
+
 // changes returns a channel that is closed when a part is kept or dropped next.
 func (c *promptCache) changes() <-chan struct{} {
 	c.mutex.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -47,6 +47,7 @@
 
 	connections connections
 	random      lockedRandom
+	splits      *splitDraws
 }
 
 // Run runs a relay until the context ends; it then serves what it has taken and returns
@@ -102,6 +103,7 @@
 		readingSlack: readingSlack,
 		random:       lockedRandom{source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 	}
+	relay.splits = newSplitDraws(relay.draw)
 	relay.connections.open = map[*clientConnection]bool{}
 	relay.contactAt.Store(int64(-contactLimit))
 	relay.exchanger = &exchanger{
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -33,7 +33,7 @@
 	names := r.dialect.Headers
 	request.deadline = request.arrivedAt +
 		min(request.route.Timeout, clientDeadline(request.header, names.DeadlineMs, request.route.Timeout))
-	request.service = view.table.Service(request.route.Choose(r.draw()))
+	request.service = view.table.Service(r.chooseService(request.route))
 	request.prompt = serving.ParsePrompt(string(request.header.Peek(names.Model)),
 		string(request.header.Peek(names.Tokens)), string(request.header.Peek(names.PromptParts)))
 	r.budget.request(r.clock.now(), request.service.Name)
@@ -45,6 +45,14 @@
 	r.servePlain(request, reply)
 }
 
+// chooseService chooses among a route's services by their weights.
+func (r *Relay) chooseService(route *serving.Route) string {
+	if len(route.Splits) == 1 {
+		return route.Splits[0].Service
+	}
+	return route.Choose(r.splits.next(route.Name))
+}
+
 // refuseRoute answers a request without a route. Only a relay whose view is fresh can be
 // sure that there is none.
 func (r *Relay) refuseRoute() refusal {
--- /dev/null
+++ b/internal/relay/split_draws_test.go
@@ -0,0 +1,44 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// Each service of a route gets its share of any few dozen requests, wherever they begin.
+func TestSplitsKeepToTheirWeights(t *testing.T) {
+	for _, weight := range []int{1, 10, 50, 75, 90} {
+		split := serving.Route{Splits: []serving.Split{{Service: "one", Weight: weight}, {Service: "two", Weight: 100 - weight}}}
+		random := rand.New(rand.NewPCG(uint64(weight), 1))
+		draws := newSplitDraws(random.Float64)
+		var chosen []bool
+		for range 2000 {
+			chosen = append(chosen, split.Choose(draws.next("route")) == "one")
+		}
+		const window = 40
+		for start := range len(chosen) - window {
+			count := 0
+			for _, one := range chosen[start : start+window] {
+				if one {
+					count++
+				}
+			}
+			require.InDelta(t, float64(window*weight)/100, count, 2, "weight %d, from %d", weight, start)
+		}
+	}
+}
+
+// Routes that come and go do not fill the memory.
+func TestSplitDrawsAreBounded(t *testing.T) {
+	draws := newSplitDraws(func() float64 { return 0.5 })
+	for count := range 3 * mostSplitRoutes {
+		draw := draws.next(fmt.Sprint(count))
+		require.True(t, draw >= 0 && draw < 1)
+		require.LessOrEqual(t, len(draws.last), mostSplitRoutes)
+	}
+}
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -229,6 +229,7 @@
 	replaced.load.avoidUntil = former.look(0).avoidUntil
 	replaced.cache = former.cache
 	if former.Stage != entry.Stage {
+		replaced.cache.resize(cacheCapacity(entry.Stage, cacheTokens(view, entry.Service)))
 		// The list shows the new stage before the engine is back.
 		replaced.avoid(w.relay.clock.now() + roleChange(view, entry.Service))
 	}
