Order an engine no more that has seen a later leader's fence

A refusal for the fence (412) was taken like any other, and the order repeated every two seconds.

Change: StageFenced is an outcome of its own; that leader orders that engine no more.

--- a/internal/control/harness_site_test.go
+++ b/internal/control/harness_site_test.go
@@ -18,6 +18,9 @@
 	// orders counts the orders that engines took; lose drops the answer of an order.
 	orders int
 	lose   bool
+	// asked counts all orders, fenced refuses them for a higher fence.
+	asked  int
+	fenced bool
 }
 
 type listedRoles struct {
@@ -66,6 +69,10 @@
 
 // take carries out an order.
 func (s *siteEngines) take(order ChangeStage) StageOrdered {
+	s.asked++
+	if s.fenced {
+		return StageOrdered{ID: order.BackEnd.GetId(), Outcome: StageFenced}
+	}
 	s.roles[order.BackEnd.GetId()] = order.Role
 	s.orders++
 	s.note()
--- a/internal/control/site_test.go
+++ b/internal/control/site_test.go
@@ -122,6 +122,18 @@
 	require.LessOrEqual(t, site.orders, 10)
 }
 
+// A leader whose fence is too low orders no engine a second time.
+func TestFencedOrdersAreNotRepeated(t *testing.T) {
+	w := newWorld(t, 3, seeded)
+	site := newSite(w, 18, 7)
+	site.fenced = true
+	w.waitLeader()
+	w.run(time.Minute)
+	require.Zero(t, site.orders)
+	require.Positive(t, site.asked)
+	require.LessOrEqual(t, site.asked, 18, "each engine is asked once at most")
+}
+
 func TestNewLeaderWaitsBeforeItsFirstOrder(t *testing.T) {
 	w := newWorld(t, 3, seeded)
 	site := newSite(w, 18, 7)
--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -35,6 +36,8 @@
 	StageTaken
 	// StageRefused orders were not sent or not taken and never will be.
 	StageRefused
+	// StageFenced orders were refused since the engine has seen a later leader's fence.
+	StageFenced
 )
 
 func (ChangeStage) isOutput() {}
@@ -50,6 +53,8 @@
 	stageRefusedPause = 2 * time.Second
 	// stageHold is the time between two changes under load.
 	stageHold = 3 * time.Second
+	// never is later than any time.
+	never = time.Duration(math.MaxInt64)
 	// workMemory is how long a relay's report of its work counts.
 	workMemory = 4 * time.Second
 )
@@ -168,10 +173,17 @@
 // as taken until the list shows what became of it.
 func (c *Core) takeStageOrdered(received StageOrdered) {
 	order, ordered := c.stages.orders[received.ID]
-	if !ordered || received.Outcome != StageRefused {
+	if !ordered {
+		return
+	}
+	switch received.Outcome {
+	case StageRefused:
+		order.refused, order.until = true, c.now+stageRefusedPause
+	case StageFenced:
+		order.refused, order.until = true, never // this leader's fence will not rise
+	default:
 		return
 	}
-	order.refused, order.until = true, c.now+stageRefusedPause
 	c.stages.orders[received.ID] = order
 	c.refreshListing()
 }
