Tell a relay's figures as Prometheus metrics

Change: relays serve the admin pages of the other processes at admin_listen, with requests by kind and outcome, refusals by reason, sendings beyond the first, waits for shared readings, times to the first event and to the end, configuration number, age of the leader's last word, back ends by state and dropped lines.

Tests: internal/relay/relay_metrics_test.go; go test ./... passes, and go test -race of internal/relay and internal/consensus.

--- a/internal/logring/log.go
+++ b/internal/logring/log.go
@@ -21,6 +21,16 @@
 type Log struct {
 	zerolog.Logger
 	sink *Sink
+	// stream takes the entries as they come; nil for a log without one.
+	stream zerolog.LevelWriter
+}
+
+// DroppedLines returns how many lines the stream has dropped, 0 without one.
+func (l *Log) DroppedLines() int64 {
+	if counting, counts := l.stream.(interface{ Dropped() int64 }); counts {
+		return counting.Dropped()
+	}
+	return 0
 }
 
 // NewWithStream returns a log whose entries also go to the writer as they come, which
@@ -29,6 +39,7 @@
 	log := New(name, bounds)
 	both := zerolog.MultiLevelWriter(log.sink, stream)
 	log.Logger = log.Output(both)
+	log.stream = stream
 	return log
 }
 
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -48,6 +48,12 @@
 	return gauge
 }
 
+// GaugeFunc makes a gauge that is read at each scrape.
+func (f Factory) GaugeFunc(name, help string, read func() float64) {
+	f.registerer.MustRegister(prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Namespace: namespace, Subsystem: f.subsystem, Name: name, Help: help}, read))
+}
+
 // CertificateExpiry makes the gauge that tells when a process's certificate expires, in
 // seconds since the Unix epoch. expires is called at each scrape.
 func (f Factory) CertificateExpiry(expires func() time.Time) {
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -56,7 +56,17 @@
 	if a.sent >= a.request.route.MaxAttempts || a.mayHaveRun && !a.request.route.Repeatable() {
 		return false
 	}
-	return a.relay.budget.take(a.relay.clock.now(), a.request.service.Name)
+	return a.relay.sendAgain(a.request)
+}
+
+// sendAgain reports whether the retry budget allows another sending, and takes it from there.
+func (r *Relay) sendAgain(request *request) bool {
+	if !r.budget.take(r.clock.now(), request.service.Name) {
+		r.metrics.denied.Inc()
+		return false
+	}
+	r.metrics.again.Inc()
+	return true
 }
 
 // over reports whether the client has gone or the request's time is over.
--- a/internal/relay/await_reading.go
+++ b/internal/relay/await_reading.go
@@ -19,6 +19,7 @@
 // counts at the engine, so that other relays know of it. It reports false when the time for
 // it is over or the client has gone.
 func (r *Relay) awaitReading(stream *streamReply, chosen *candidate) bool {
+	r.metrics.waits.Inc()
 	asked := &message{backEnd: chosen.backEnd, work: reading(chosen.effort, readingRank(stream.rank(), chosen.toRead)).plus(work{prompts: 1})}
 	asked.backEnd.begin(asked.work)
 	r.exchanger.noteWork(asked)
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -53,18 +53,6 @@
 	sequence uint64
 }
 
-// pendingNotice is what is to be told of one back end, beside its work.
-type pendingNotice struct {
-	// read are the parts that the engine has begun to read, kept those that it has read and
-	// keeps for any request, dropped those whose reading was given up.
-	read, kept []promptPart
-	dropped    []partHash
-	// tokenTime is the newest observation of the time per token, 0 for none.
-	tokenTime time.Duration
-	// far tells that prompts or failures are concerned.
-	far bool
-}
-
 func newNotices(relay *Relay, socket net.PacketConn, self uint64) *notices {
 	return &notices{
 		relay: relay, socket: socket, self: self, address: socket.LocalAddr().String(), table: newLoadTable(),
@@ -90,56 +78,6 @@
 	}
 }
 
-// note tells that the work at an engine has changed, and what it has begun to read; far
-// tells that prompts or failures are concerned.
-func (n *notices) note(engine *backEnd, read []promptPart, far bool) {
-	n.add(engine, pendingNotice{read: read, far: far})
-}
-
-// noteKept tells that an engine keeps parts for any request.
-func (n *notices) noteKept(engine *backEnd, kept []promptPart) {
-	n.add(engine, pendingNotice{kept: kept, far: true})
-}
-
-// noteDropped tells that the reading of parts was given up.
-func (n *notices) noteDropped(engine *backEnd, dropped []partHash) {
-	n.add(engine, pendingNotice{dropped: dropped, far: true})
-}
-
-// notePace tells the time per token that an engine was seen to take.
-func (n *notices) notePace(engine *backEnd, tokenTime time.Duration) {
-	if tokenTime > 0 {
-		n.add(engine, pendingNotice{tokenTime: tokenTime, far: true})
-	}
-}
-
-// add joins what is to be told with what waits of the same back end.
-func (n *notices) add(engine *backEnd, told pendingNotice) {
-	n.mutex.Lock()
-	waiting := n.pending[engine]
-	waiting.read = append(waiting.read, told.read...)
-	waiting.kept = append(waiting.kept, told.kept...)
-	waiting.dropped = append(waiting.dropped, told.dropped...)
-	if told.tokenTime > 0 {
-		waiting.tokenTime = told.tokenTime
-	}
-	waiting.far = waiting.far || told.far
-	n.pending[engine] = waiting
-	n.mutex.Unlock()
-	select {
-	case n.changed <- struct{}{}:
-	default:
-	}
-}
-
-// noteFailure tells that exchanges with a back end broke or stalled.
-func (n *notices) noteFailure(backEnd *backEnd) {
-	n.mutex.Lock()
-	n.failures[backEnd] = true
-	n.mutex.Unlock()
-	n.note(backEnd, nil, true)
-}
-
 // send sends notices until the context ends.
 func (n *notices) send(ctx context.Context) {
 	refresh := time.NewTicker(noticeRefresh)
@@ -275,34 +213,5 @@
 	}
 }
 
-// wireParts returns the hashes and lengths of parts for a notice.
-func wireParts(parts []promptPart) (hashes []uint64, tokens []uint32) {
-	for _, part := range parts {
-		hashes = append(hashes, uint64(part.hash))
-		tokens = append(tokens, uint32(max(part.tokens, 0)))
-	}
-	return hashes, tokens
-}
-
-// partsFromWire is the reverse of wireParts; what does not fit together is left out.
-func partsFromWire(hashes []uint64, tokens []uint32) []promptPart {
-	if len(hashes) != len(tokens) {
-		return nil
-	}
-	parts := make([]promptPart, len(hashes))
-	for index, hash := range hashes {
-		parts[index] = promptPart{hash: partHash(hash), tokens: int(tokens[index])}
-	}
-	return parts
-}
-
-func hashesFromWire(told []uint64) []partHash {
-	hashes := make([]partHash, len(told))
-	for index, hash := range told {
-		hashes[index] = partHash(hash)
-	}
-	return hashes
-}
-
 // isEngine reports whether the back end is a model engine.
 func (b *backEnd) isEngine() bool { return b.Stage != serving.StageWhole }
--- /dev/null
+++ b/internal/relay/read_prompt.go
@@ -0,0 +1,152 @@
+package relay
+
+import (
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// maximumPrefillAnswer bounds the answer to a reading of a prompt.
+const maximumPrefillAnswer = 16 << 10
+
+const (
+	// prioritySteps is the number of ranks that one rank of a route is divided into.
+	prioritySteps = 3
+	// shortReading and longReading divide the prompts of one rank: short ones go first, as
+	// they wait least and delay others least.
+	shortReading = 5_000
+	longReading  = 14_000
+)
+
+// heldPrompt is a prompt that an engine has read for another one.
+type heldPrompt struct {
+	engine *backEnd
+	handle string
+	parts  []promptPart
+}
+
+// source is how a decoding engine is told where the prompt is.
+func (h *heldPrompt) source() string { return h.engine.Address + "/" + h.handle }
+
+// serveStream serves a stream. From model engines the prompt is read at a prefill engine and
+// generated from at a decoding one, or both are done at a decoding one.
+func (r *Relay) serveStream(request *request, reply *replier) {
+	tried := &attempts{relay: r, request: request}
+	stream := &streamReply{relay: r, request: request, reply: reply, tried: tried,
+		parts: partsOf(request.prompt), last: string(request.header.Peek(r.dialect.Headers.LastEventID))}
+	begun := r.beginStream(stream)
+	if begun.refused != nil {
+		r.log.refused(request, *begun.refused, tried)
+		reply.refuse(*begun.refused)
+		return
+	}
+	chosen, held := begun.direct, begun.held
+	for tried.mayContinue() {
+		if chosen == nil {
+			chosen = r.nextEngine(stream, held)
+		}
+		if chosen == nil {
+			break
+		}
+		engine := chosen.backEnd
+		fault := stream.run(chosen, held)
+		held = nil // a handle serves once
+		if fault == nil {
+			return
+		}
+		r.log.attemptFailed(request, engine, fault)
+		tried.note(engine, fault)
+		chosen = nil
+	}
+	if held != nil {
+		r.release(held)
+	}
+	r.finishRefused(tried, reply)
+}
+
+// readTwice lets a prefill engine read a prompt, and another one when the first has failed
+// and the route's attempts leave one for the reading and one for the run.
+func (r *Relay) readTwice(stream *streamReply, chosen *candidate) *heldPrompt {
+	held := r.readPrompt(stream, chosen)
+	tried := stream.tried
+	if held != nil || tried.over() || tried.sent+1 >= stream.request.route.MaxAttempts {
+		return held
+	}
+	next := r.best(stream.wanted(nil).atPrefill(stream.request.route), tried)
+	if next == nil || !r.sendAgain(stream.request) {
+		return nil
+	}
+	tried.sent++ // a further reading counts as an attempt
+	return r.readPrompt(stream, next)
+}
+
+// readPrompt lets a prefill engine read a prompt. It returns nil when it has not.
+func (r *Relay) readPrompt(stream *streamReply, chosen *candidate) *heldPrompt {
+	request, engine, now := stream.request, chosen.backEnd, r.clock.now()
+	rank := readingRank(stream.rank(), chosen.toRead)
+	ahead := r.notices.table.others(now, engine.hash).plus(engine.look(now).own)
+	request.trace.prefill(engine, now, chosen.toRead, ahead.tokensUpTo(rank), ahead.promptTokens())
+	perToken := r.pace.of(engine.hash)
+	r.work.add(request.service.Name, prefillTime(perToken, chosen.effort), 0)
+	set := []header{r.rankHeader(rank), {r.dialect.Headers.Stage, r.dialect.PrefillStage}}
+	if chosen.fetchFrom != nil {
+		set = append(set, header{r.dialect.Headers.KVFetch, chosen.fetchFrom.Address})
+	}
+	answer, fault := r.exchanger.send(&message{
+		request: request, backEnd: engine, deadline: request.deadline, reads: stream.parts, set: set,
+		work:     reading(chosen.effort, rank).plus(work{prompts: 1}),
+		stall:    prefillStall + time.Duration(prefillStallShare*float64(waitingTime(ahead, ranks-1, perToken)+prefillTime(perToken, chosen.effort))),
+		mayBreak: true,
+	})
+	if fault != nil {
+		r.log.attemptFailed(request, engine, fault)
+		stream.tried.noteReading(engine, fault)
+		return nil
+	}
+	if ahead.prompts == 0 && chosen.fetchFrom == nil {
+		r.notePace(engine, observedPace(chosen.effort, r.clock.now()-now))
+	}
+	defer answer.finish()
+	held := r.takeHandle(answer, stream.parts)
+	if held == nil {
+		stream.tried.excluded = append(stream.tried.excluded, engine)
+	}
+	return held
+}
+
+// notePace notes, here and at other relays, the time per token of a reading.
+func (r *Relay) notePace(engine *backEnd, perToken time.Duration) {
+	r.pace.observe(engine.hash, perToken)
+	r.notices.notePace(engine, perToken)
+}
+
+// takeHandle reads the answer to the reading of a prompt; nil when it is none.
+func (r *Relay) takeHandle(answer *answer, parts []promptPart) *heldPrompt {
+	body, err := io.ReadAll(io.LimitReader(answer, maximumPrefillAnswer))
+	if err != nil || answer.status != fasthttp.StatusOK {
+		return nil
+	}
+	handle, err := r.dialect.ParsePrefillAnswer(body)
+	if err != nil {
+		return nil
+	}
+	return &heldPrompt{engine: answer.message.backEnd, handle: handle, parts: parts}
+}
+
+// readingRank ranks the reading of a prompt: by its route, and then by its length.
+func readingRank(rank, toRead int) int {
+	if toRead > shortReading {
+		rank++
+	}
+	if toRead > longReading {
+		rank++
+	}
+	return min(rank, ranks-1)
+}
+
+// release gives a prompt up that nobody will take, in the background: it would take room
+// until it lapses.
+func (r *Relay) release(held *heldPrompt) {
+	go r.exchanger.release(held, r.dialect.HandlePath(held.handle))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
@@ -48,6 +50,10 @@
 	connections connections
 	random      lockedRandom
 	splits      *splitDraws
+	metrics     *relayMetrics
+	// admin is where health and metrics are told, nil for nowhere; ring is the log behind it.
+	admin net.Listener
+	ring  *logring.Log
 }
 
 // Run runs a relay until the context ends; it then serves what it has taken and returns
@@ -78,6 +84,12 @@
 		_ = ready.Close()
 		return trace.Wrap(err, "cannot listen on %s; check the key notice_listen", config.NoticeListen)
 	}
+	if config.AdminListen != "" {
+		if relay.admin, err = options.Listen("tcp", config.AdminListen); err != nil {
+			_, _, _ = listener.Close(), ready.Close(), socket.Close()
+			return trace.Wrap(err, "cannot listen on %s; check the key admin_listen", config.AdminListen)
+		}
+	}
 	relay.notices = newNotices(relay, socket, relay.watcher.incarnation)
 	relay.exchanger.notices = relay.notices
 	go relay.takeSettings(ctx, options.Reloaded)
@@ -96,6 +108,7 @@
 		single:   singleHeaders(options.Dialect.Headers),
 		clock:    steady,
 		log:      requestLog{logger: options.Log.Logger},
+		ring:     options.Log,
 		budget:   newRetryBudget(config.RetryBudget.Ratio, config.RetryBudget.Window, config.RetryBudget.Slack),
 		work:     newWorkMeter(),
 		pace:     newPace(),
@@ -104,6 +117,7 @@
 		random:       lockedRandom{source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 	}
 	relay.splits = newSplitDraws(relay.draw)
+	relay.metrics = newRelayMetrics(relay, options.Log)
 	relay.connections.open = map[*clientConnection]bool{}
 	relay.contactAt.Store(int64(-contactLimit))
 	relay.exchanger = &exchanger{
@@ -128,6 +142,10 @@
 		}
 		return nil
 	})
+	if r.admin != nil {
+		server := &metrics.AdminServer{Registry: r.metrics.registry, Log: r.ring, Ready: r.notReady}
+		group.Go(func() error { return trace.Wrap(server.Serve(working, r.admin)) })
+	}
 	group.Go(func() error { r.watcher.run(working); return nil })
 	group.Go(func() error { r.notices.send(working); return nil })
 	group.Go(func() error { r.notices.receive(); return nil })
@@ -145,6 +163,17 @@
 	return trace.Wrap(group.Wait())
 }
 
+// notReady tells why the relay cannot serve; nil when it can.
+func (r *Relay) notReady() error {
+	if r.stopping.Load() {
+		return trace.ConnectionProblem(nil, "the relay stops")
+	}
+	if !r.view.Load().ready() {
+		return trace.ConnectionProblem(nil, "no configuration or no list of back ends is known yet")
+	}
+	return nil
+}
+
 // event begins a line on the process.
 func (r *Relay) event(event events.Event) *zerolog.Event {
 	return r.log.logger.WithLevel(zerolog.WarnLevel).Str(events.FieldEvent, string(event))
--- /dev/null
+++ b/internal/relay/relay_metrics.go
@@ -0,0 +1,140 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/metrics"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// role names the process in metrics.
+const role = "relay"
+
+// outcome is how a request ended for its client.
+type outcome string
+
+// Outcomes of requests.
+const (
+	// outcomeInTime answers met their route's targets; outcomeLate ones did not.
+	outcomeInTime outcome = "in_time"
+	outcomeLate   outcome = "late"
+	// outcomeRefused requests were told by the relay that they have not run.
+	outcomeRefused outcome = "refused"
+	// outcomeFailed requests got another failure, a back end's or the relay's own.
+	outcomeFailed outcome = "failed"
+	// outcomeCut answers ended before they were whole, or their client had gone.
+	outcomeCut outcome = "cut"
+)
+
+// outcomeOf tells how a request ended.
+func outcomeOf(request *request, reply *replier, now time.Duration) outcome {
+	switch {
+	case reply.failed || reply.status == 0:
+		return outcomeCut
+	case reply.refused != nil && reply.refused.promisesNotRun():
+		return outcomeRefused
+	case reply.status >= 400:
+		return outcomeFailed
+	case request.trace.late(request, now):
+		return outcomeLate
+	default:
+		return outcomeInTime
+	}
+}
+
+// relayMetrics are the counts of one relay.
+type relayMetrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	again    prometheus.Counter
+	denied   prometheus.Counter
+	waits    prometheus.Counter
+	first    prometheus.Histogram
+	whole    prometheus.Histogram
+}
+
+// newRelayMetrics makes the metrics of a relay and its log.
+func newRelayMetrics(relay *Relay, log *logring.Log) *relayMetrics {
+	registry, factory := metrics.NewRegistry(role, relay.settings.Name, relay.settings.Zone)
+	made := &relayMetrics{
+		registry: registry,
+		requests: factory.CounterVec("requests_total", "Requests with a route, by how they ended.", "kind", "outcome"),
+		refusals: factory.CounterVec("refusals_total", "Final answers of the relay's own, by reason.", "reason"),
+		again:    factory.Counter("sendings_again_total", "Sendings of requests beyond the first."),
+		denied:   factory.Counter("sendings_denied_total", "Sendings beyond the first that the retry budget did not allow."),
+		waits:    factory.Counter("reading_waits_total", "Waits of prompts for the reading of parts that they share."),
+		first:    factory.Histogram("first_event_seconds", "Time from a request to the first event of its stream."),
+		whole:    factory.Histogram("answer_seconds", "Time from a request to the end of its answer."),
+	}
+	factory.GaugeFunc("configuration_number", "Number of the configuration in force here; 0 before the first.", func() float64 {
+		return float64(relay.belief().configuration)
+	})
+	factory.GaugeFunc("leader_age_seconds", "Time since the last word of a leader.", func() float64 {
+		return relay.belief().leaderAge.Seconds()
+	})
+	for _, state := range backEndStates {
+		factory.GaugeFunc("back_ends_"+string(state), "Back ends of the list in this state.", func() float64 {
+			return float64(relay.countBackEnds(state))
+		})
+	}
+	factory.GaugeFunc("log_lines_dropped", "Lines of the log dropped since the start.", func() float64 {
+		return float64(log.DroppedLines())
+	})
+	return made
+}
+
+// backEndState is how a back end stands with this relay.
+type backEndState string
+
+// States of back ends.
+const (
+	backEndReady    backEndState = "ready"
+	backEndAvoided  backEndState = "avoided"
+	backEndLeaving  backEndState = "leaving"
+	backEndChanging backEndState = "changing"
+)
+
+var backEndStates = []backEndState{backEndReady, backEndAvoided, backEndLeaving, backEndChanging}
+
+// countBackEnds counts the listed back ends in a state.
+func (r *Relay) countBackEnds(state backEndState) int {
+	now, count := r.clock.now(), 0
+	for _, backEnds := range r.view.Load().byService {
+		for _, backEnd := range backEnds {
+			if backEnd.state(now) == state {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// state tells how the back end stands.
+func (b *backEnd) state(now time.Duration) backEndState {
+	switch {
+	case b.Leaving:
+		return backEndLeaving
+	case b.Changing:
+		return backEndChanging
+	case now < b.look(now).avoidUntil:
+		return backEndAvoided
+	default:
+		return backEndReady
+	}
+}
+
+// ended counts a request that has ended.
+func (m *relayMetrics) ended(request *request, reply *replier, now time.Duration) {
+	m.requests.WithLabelValues(request.route.Kind.String(), string(outcomeOf(request, reply, now))).Inc()
+	if reply.refused != nil {
+		m.refusals.WithLabelValues(reply.refused.reason).Inc()
+	}
+	m.whole.Observe((now - request.arrivedAt).Seconds())
+	if request.route.Kind == serving.KindStream && request.trace.firstAt > 0 {
+		m.first.Observe((request.trace.firstAt - request.arrivedAt).Seconds())
+	}
+}
--- /dev/null
+++ b/internal/relay/relay_metrics_test.go
@@ -0,0 +1,52 @@
+package relay
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/metrics"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// scrape returns the relay's metrics as text.
+func (r *testRelay) scrape(t *testing.T) string {
+	t.Helper()
+	server := &metrics.AdminServer{Registry: r.metrics.registry, Log: r.ring, Ready: r.notReady}
+	recorder := httptest.NewRecorder()
+	server.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, metrics.PathMetrics, nil))
+	require.Equal(t, http.StatusOK, recorder.Code)
+	return recorder.Body.String()
+}
+
+const metricLabels = `name="relay",role="relay",zone="zone"`
+
+// What became of requests can be read from the metrics.
+func TestMetricsTellHowRequestsEnded(t *testing.T) {
+	broken := startBackEnd(t, "broken", serving.StageWhole, refusing(503))
+	sound := startBackEnd(t, "sound", serving.StageWhole, streaming("sound", eventOne))
+	relay := newTestRelay(t, route(stream(true)), broken, sound).preferring("broken")
+	client := relay.client(t)
+	require.Equal(t, eventOne, client.do("GET", "/path/", "").body)
+	relay.engineOf("sound").begin(work{})
+	text := relay.scrape(t)
+	require.Contains(t, text, `hazelpitch_relay_requests_total{kind="stream",`+metricLabels[:12]+`,outcome="in_time",`+metricLabels[13:]+`} 1`)
+	require.Contains(t, text, "hazelpitch_relay_sendings_again_total{"+metricLabels+"} 1")
+	require.Contains(t, text, "hazelpitch_relay_first_event_seconds_count{"+metricLabels+"} 1")
+	require.Contains(t, text, "hazelpitch_relay_configuration_number{"+metricLabels+"} 1")
+	require.Contains(t, text, "hazelpitch_relay_back_ends_avoided{"+metricLabels+"} 1")
+	require.Contains(t, text, "hazelpitch_relay_back_ends_ready{"+metricLabels+"} 1")
+	require.Contains(t, text, "hazelpitch_relay_log_lines_dropped{"+metricLabels+"} 0")
+}
+
+// Refusals are told with their reason.
+func TestMetricsTellWhyRequestsWereRefused(t *testing.T) {
+	busy := startBackEnd(t, "busy", serving.StageWhole, refusing(503))
+	relay := newTestRelay(t, route(nil), busy)
+	require.Equal(t, 503, relay.client(t).do("GET", "/path/", "").status)
+	text := relay.scrape(t)
+	require.Contains(t, text, `reason="the back ends are busy"`)
+	require.Contains(t, text, `outcome="refused"`)
+}
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -16,8 +16,9 @@
 	close bool
 	// started tells that bytes of an answer may have left.
 	started bool
-	// status is that of the answer begun.
+	// status is that of the answer begun, refused the relay's own answer, nil for none.
 	status  int
+	refused *refusal
 	chunked bool
 	// failed is set once the client cannot be written to any more.
 	failed  bool
@@ -32,8 +33,19 @@
 	retryAfter time.Duration
 }
 
+// promisesNotRun reports whether the answer tells that the request has not run and never will.
+func (r refusal) promisesNotRun() bool {
+	switch r.status {
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests, fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
 // refuse sends an answer of the relay's own.
 func (r *replier) refuse(refused refusal) {
+	r.refused = &refused
 	body := refused.reason + "\n"
 	head := r.begin(refused.status)
 	head = appendHeader(head, "Content-Type", "text/plain")
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -37,7 +37,7 @@
 	request.prompt = serving.ParsePrompt(string(request.header.Peek(names.Model)),
 		string(request.header.Peek(names.Tokens)), string(request.header.Peek(names.PromptParts)))
 	r.budget.request(r.clock.now(), request.service.Name)
-	defer func() { r.log.ended(request, reply, r.belief()) }()
+	defer r.noteEnded(request, reply)
 	if request.route.Kind == serving.KindStream {
 		r.serveStream(request, reply)
 		return
@@ -45,6 +45,13 @@
 	r.servePlain(request, reply)
 }
 
+// noteEnded writes the line at a request's end and counts it.
+func (r *Relay) noteEnded(request *request, reply *replier) {
+	belief := r.belief()
+	r.log.ended(request, reply, belief)
+	r.metrics.ended(request, reply, belief.now)
+}
+
 // chooseService chooses among a route's services by their weights.
 func (r *Relay) chooseService(route *serving.Route) string {
 	if len(route.Splits) == 1 {
--- a/internal/serving/configuration.go
+++ b/internal/serving/configuration.go
@@ -18,6 +18,9 @@
 	KindStream
 )
 
+// String names the kind in logs and metrics.
+func (k Kind) String() string { return [...]string{"unsafe", "safe", "stream"}[k] }
+
 // Configuration is the operator's whole configuration. It is replaced as a whole.
 type Configuration struct {
 	// Number rises with every configuration; the highest holds.
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -23,6 +23,8 @@
 	ListingAddress string `yaml:"listing_address" check:"required,address"`
 	// NoticeListen is the IP:port for load notices of other relays (UDP). Required.
 	NoticeListen string `yaml:"notice_listen" check:"required,address"`
+	// AdminListen is the IP:port for health, metrics and the log ring; empty for nowhere.
+	AdminListen string `yaml:"admin_listen" check:"address"`
 	// Grace is how long a stopping relay may take; default 8s.
 	Grace       time.Duration `yaml:"grace" default:"8s" check:"positive"`
 	RetryBudget RetryBudget   `yaml:"retry_budget"`
