Make the gauge of a certificate's expiry with GaugeFunc

Cause: GaugeFunc came in with the relays' metrics and wrote again what CertificateExpiry did for one gauge.

Change: CertificateExpiry calls it; name, help and value stay as they were.

--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -57,10 +57,8 @@
 // CertificateExpiry makes the gauge that tells when a process's certificate expires, in
 // seconds since the Unix epoch. expires is called at each scrape.
 func (f Factory) CertificateExpiry(expires func() time.Time) {
-	f.registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Namespace: namespace, Subsystem: f.subsystem, Name: "certificate_expires_timestamp_seconds",
-		Help: "When this process's certificate expires, in seconds since the Unix epoch.",
-	}, func() float64 { return float64(expires().Unix()) }))
+	f.GaugeFunc("certificate_expires_timestamp_seconds", "When this process's certificate expires, in seconds since the Unix epoch.",
+		func() float64 { return float64(expires().Unix()) })
 }
 
 // GaugeVec makes a family of gauges with labels.
