Wait for a request's end before its counts are read

A relay counts a request after its client has read the answer, and the test scraped at once; TestMetricsTellHowRequestsEnded had the same race, and besides counted on a pause of 50 ms that had not lapsed yet. Change (tests only): scrape waits until no request is being served; the pause of the avoided back end is set for an hour, so the gauge's value is certain. Checks are as before. Conclusion: the fault was the tests', not the relay's.

--- a/internal/relay/relay_metrics_test.go
+++ b/internal/relay/relay_metrics_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -11,9 +12,11 @@
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
-// scrape returns the relay's metrics as text.
+// scrape returns the relay's metrics as text. A request is counted after its client has
+// read the answer, so it first waits until none is served.
 func (r *testRelay) scrape(t *testing.T) string {
 	t.Helper()
+	require.Eventually(t, func() bool { return r.connections.serving() == 0 }, time.Minute, time.Millisecond)
 	server := &metrics.AdminServer{Registry: r.metrics.registry, Log: r.ring, Ready: r.notReady}
 	recorder := httptest.NewRecorder()
 	server.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, metrics.PathMetrics, nil))
@@ -30,7 +33,7 @@
 	relay := newTestRelay(t, route(stream(true)), broken, sound).preferring("broken")
 	client := relay.client(t)
 	require.Equal(t, eventOne, client.do("GET", "/path/", "").body)
-	relay.engineOf("sound").begin(work{})
+	relay.engineOf("broken").avoid(relay.clock.now() + time.Hour) // the pause after one refusal is short
 	text := relay.scrape(t)
 	require.Contains(t, text, `hazelpitch_relay_requests_total{kind="stream",`+metricLabels[:12]+`,outcome="in_time",`+metricLabels[13:]+`} 1`)
 	require.Contains(t, text, "hazelpitch_relay_sendings_again_total{"+metricLabels+"} 1")
