Count an engine that refuses though it has room as failed, for all relays

Cause: an engine whose stage is being changed refuses every run (503, not executed) until it is back, 2.3 s and more. Change: a refusal by an engine with less than half of its slots in use, as far as the relay knows, counts as a failure (avoided for 250 ms, doubling; other relays avoid it too).

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -68,7 +68,7 @@
 	message.backEnd.end(message.work)
 	e.noteWork(message)
 	e.noteGivenUp(message)
-	e.judge(message.backEnd, fault)
+	e.judge(message, fault)
 	return nil, fault
 }
 
--- a/internal/relay/exchange_notes.go
+++ b/internal/relay/exchange_notes.go
@@ -44,16 +44,38 @@
 }
 
 // judge lets the back end's health follow from a failure.
-func (e *exchanger) judge(backEnd *backEnd, fault *failure) {
+func (e *exchanger) judge(message *message, fault *failure) {
 	switch {
 	case errors.Is(fault, errCancelled):
 	case errors.Is(fault, errNotExecuted):
-		backEnd.busy(e.clock.now())
+		e.noteRefusal(message)
 	default:
-		e.noteFailure(backEnd)
+		e.noteFailure(message.backEnd)
 	}
 }
 
+// noteRefusal avoids a back end that has not run a request. An engine that refuses although
+// most of its slots are free does not want for room: its stage is being changed, for instance,
+// and it will refuse other relays too. It counts as failed. One refusal of a prompt that
+// another engine has read is no such sign, since that memory may have been out of reach.
+func (e *exchanger) noteRefusal(message *message) {
+	engine := message.backEnd
+	alone := message.work.promptTokens() == 0 && engine.look(e.clock.now()).refusals == 0
+	if alone || !e.hasRoom(engine) {
+		engine.busy(e.clock.now())
+		return
+	}
+	e.noteFailure(engine)
+}
+
+// hasRoom reports whether most slots of an engine are free, as far as is known here.
+func (e *exchanger) hasRoom(engine *backEnd) bool {
+	now := e.clock.now()
+	seen := engine.look(now)
+	known := seen.own.plus(e.notices.table.others(now, engine.hash))
+	return engine.isEngine() && max(known.streams+known.prompts, seen.told) < engine.Slots/2
+}
+
 // noteFailure avoids a back end that failed, and tells other relays.
 func (e *exchanger) noteFailure(backEnd *backEnd) {
 	backEnd.failed(e.clock.now())
