--- a/internal/relay/load_table.go
+++ b/internal/relay/load_table.go
@@ -17,6 +17,8 @@
 	engines map[uint64]map[uint64]toldWork
 	// sequences are the newest notices of each relay.
 	sequences map[uint64]uint64
+	// heardAt is when the last notice came.
+	heardAt time.Duration
 }
 
 // toldWork is one relay's work at one engine, and when it was told.
@@ -39,6 +41,7 @@
 		return false
 	}
 	t.sequences[relay] = notice.GetSequence()
+	t.heardAt = now
 	for _, engine := range notice.GetEngines() {
 		relays := t.engines[engine.GetEngine()]
 		if relays == nil {
@@ -55,6 +58,13 @@
 	return true
 }
 
+// lastHeard is when the last notice of another relay came.
+func (t *loadTable) lastHeard() time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.heardAt
+}
+
 // others sums what other relays have under way at an engine.
 func (t *loadTable) others(now time.Duration, engine uint64) work {
 	t.mutex.Lock()
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -55,6 +55,8 @@
 	waits    prometheus.Counter
 	first    prometheus.Histogram
 	whole    prometheus.Histogram
+	gaps     prometheus.Histogram
+	queueing prometheus.Histogram
 }
 
 // newRelayMetrics makes the metrics of a relay and its log.
@@ -69,6 +71,8 @@
 		waits:    factory.Counter("reading_waits_total", "Waits of prompts for the reading of parts that they share."),
 		first:    factory.Histogram("first_event_seconds", "Time from a request to the first event of its stream."),
 		whole:    factory.Histogram("answer_seconds", "Time from a request to the end of its answer."),
+		gaps:     factory.Histogram("gap_seconds", "Longest pause between events of a stream."),
+		queueing: factory.Histogram("reading_queue_seconds", "Time from a request until its prompt was sent to be read."),
 	}
 	factory.GaugeFunc("configuration_number", "Number of the configuration in force here; 0 before the first.", func() float64 {
 		return float64(relay.belief().configuration)
@@ -76,6 +80,18 @@
 	factory.GaugeFunc("leader_age_seconds", "Time since the last word of a leader.", func() float64 {
 		return relay.belief().leaderAge.Seconds()
 	})
+	factory.GaugeFunc("configuration_age_seconds", "Time since the configuration was put in force here.", func() float64 {
+		return (relay.clock.now() - relay.view.Load().configuredAt).Seconds()
+	})
+	factory.GaugeFunc("listing_age_seconds", "Time since the list of back ends changed here.", func() float64 {
+		return (relay.clock.now() - relay.view.Load().listedAt).Seconds()
+	})
+	factory.GaugeFunc("notice_age_seconds", "Time since the last word of another relay on its work.", func() float64 {
+		return (relay.clock.now() - relay.notices.table.lastHeard()).Seconds()
+	})
+	factory.GaugeFunc("retry_budget_left", "Sendings beyond the first that the service with fewest left allows.", func() float64 {
+		return relay.budget.least(relay.clock.now())
+	})
 	for _, state := range backEndStates {
 		factory.GaugeFunc("back_ends_"+string(state), "Back ends of the list in this state.", func() float64 {
 			return float64(relay.countBackEnds(state))
@@ -136,5 +152,9 @@
 	m.whole.Observe((now - request.arrivedAt).Seconds())
 	if request.route.Kind == serving.KindStream && request.trace.firstAt > 0 {
 		m.first.Observe((request.trace.firstAt - request.arrivedAt).Seconds())
+		m.gaps.Observe(request.trace.longestGap.Seconds())
+	}
+	if request.trace.prefillAt > 0 {
+		m.queueing.Observe((request.trace.prefillAt - request.arrivedAt).Seconds())
 	}
 }
--- a/internal/relay/relay_metrics_test.go
+++ b/internal/relay/relay_metrics_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
@@ -44,6 +45,23 @@
 	require.Contains(t, text, "hazelpitch_relay_log_lines_dropped{"+metricLabels+"} 0")
 }
 
+// The age of each input and what is left of the retry budget can be read.
+func TestMetricsTellInputsAndBudget(t *testing.T) {
+	broken := startBackEnd(t, "broken", serving.StageWhole, refusing(503))
+	sound := startBackEnd(t, "sound", serving.StageWhole, streaming("sound", eventOne))
+	relay := newTestRelay(t, route(stream(true)), broken, sound).preferring("broken")
+	relay.budget.setBounds(0, time.Hour, 10)
+	require.Contains(t, relay.scrape(t), "hazelpitch_relay_retry_budget_left{"+metricLabels+"} 7\n")
+	require.Equal(t, 200, relay.client(t).do("GET", "/path/", "").status)
+	relay.notices.table.take(relay.clock.now(), &v1.LoadNotice{Relay: 2, Sequence: 1})
+	text := relay.scrape(t)
+	require.Contains(t, text, "hazelpitch_relay_retry_budget_left{"+metricLabels+"} 6\n")
+	for _, age := range []string{"leader", "configuration", "listing", "notice"} {
+		require.Regexp(t, "hazelpitch_relay_"+age+`_age_seconds\{\S+\} [0-9.e+-]+`, text)
+	}
+	require.Contains(t, text, "hazelpitch_relay_gap_seconds_count{"+metricLabels+"} 1\n")
+}
+
 // Refusals are told with their reason.
 func TestMetricsTellWhyRequestsWereRefused(t *testing.T) {
 	busy := startBackEnd(t, "busy", serving.StageWhole, refusing(503))
--- a/internal/relay/retry_budget.go
+++ b/internal/relay/retry_budget.go
@@ -88,9 +88,23 @@
 	return b.hasRoom(b.advance(now, service))
 }
 
-// hasRoom compares what was spent in the window, its oldest bucket counted whole, with
-// what the requests in the window allow, its oldest bucket not counted.
-func (b *retryBudget) hasRoom(window *budgetWindow) bool {
+// least is how many sendings may be made to the service that has fewest left.
+func (b *retryBudget) least(now time.Duration) float64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	least := b.left(&budgetWindow{})
+	for service := range b.services {
+		least = min(least, b.left(b.advance(now, service)))
+	}
+	return least
+}
+
+// hasRoom reports whether one more sending may be made.
+func (b *retryBudget) hasRoom(window *budgetWindow) bool { return b.left(window) >= 1 }
+
+// left is what the requests in the window allow, its oldest bucket not counted, less what was
+// spent in it, its oldest bucket counted whole.
+func (b *retryBudget) left(window *budgetWindow) float64 {
 	requests, extras := 0, 0
 	for index := range window.extras {
 		extras += window.extras[index]
@@ -99,7 +113,7 @@
 		}
 	}
 	allowed := b.ratio*budgetRatioShare*float64(requests) + b.slack*budgetSlackShare/float64(b.relays)
-	return float64(extras+1) <= allowed
+	return allowed - float64(extras)
 }
 
 // advance returns the service's window with its last bucket at now.
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -9,6 +11,8 @@
 type view struct {
 	// table is nil before the first configuration.
 	table *serving.Table
+	// configuredAt and listedAt are when the configuration and the list were put in force.
+	configuredAt, listedAt time.Duration
 	// listingVersion is the controllers' version of the list; 0 for one read here.
 	listingVersion uint64
 	// listed tells that a list has been read at all.
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -190,7 +190,7 @@
 		w.relay.event(events.ConfigurationUnreadable).Err(err).Uint64("number", document.GetNumber()).Send()
 		return
 	}
-	next.table = serving.NewTable(&configuration)
+	next.table, next.configuredAt = serving.NewTable(&configuration), w.relay.clock.now()
 	w.relay.event(events.ConfigurationInForce).Uint64("number", configuration.Number).Send()
 }
 
@@ -217,7 +217,7 @@
 	w.relay.event(events.ListingInForce).Uint64("version", next.listingVersion).Int("back_ends", len(listed)).Send()
 	w.relay.notices.table.keep(next.byHash)
 	w.relay.pace.keep(next.byHash)
-	next.listed = true
+	next.listed, next.listedAt = true, w.relay.clock.now()
 }
 
 // replace makes the record of a back end whose entry is new or has changed.
