--- a/internal/servercommand/controller.go
+++ b/internal/servercommand/controller.go
@@ -29,7 +29,7 @@
 		fmt.Fprintf(environment.Stdout, "%s: the settings of controller %s are valid\n", c.Settings, loaded.Name)
 		return nil
 	}
-	return withLog(ctx, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
+	return withLog(ctx, environment, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
 		return controller.Run(ctx, loaded, controller.Options{Listen: environment.Listen, Log: log})
 	})
 }
--- a/internal/servercommand/gateway.go
+++ b/internal/servercommand/gateway.go
@@ -25,7 +25,7 @@
 		fmt.Fprintf(environment.Stdout, "%s: the settings of gateway %s are valid\n", g.Settings, loaded.Name)
 		return nil
 	}
-	return withLog(ctx, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
+	return withLog(ctx, environment, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
 		return gateway.Run(ctx, loaded, gateway.Options{Listen: environment.Listen, Log: log})
 	})
 }
--- a/internal/servercommand/log.go
+++ b/internal/servercommand/log.go
@@ -11,8 +11,9 @@
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
 
-// withStreamedLog is withLog for a server that also writes its log to standard output.
-func withStreamedLog(ctx context.Context, environment Environment, name string, bounds settings.Log, serve func(context.Context, *logring.Log) error) error {
+// withLog runs a server whose log goes to standard output, line by line, and to a ring that
+// is written out on errors and signals while the server runs, and when it fails or panics.
+func withLog(ctx context.Context, environment Environment, name string, bounds settings.Log, serve func(context.Context, *logring.Log) error) error {
 	stream := logstream.New(environment.Stdout)
 	streamContext, stopStream := context.WithCancel(context.WithoutCancel(ctx))
 	var streaming sync.WaitGroup
@@ -22,12 +23,6 @@
 	return runWithLog(ctx, logring.NewWithStream(name, bounds, stream), serve)
 }
 
-// withLog runs a server with its log ring. The ring is written out on errors and
-// signals while the server runs, and when it fails or panics.
-func withLog(ctx context.Context, name string, bounds settings.Log, serve func(context.Context, *logring.Log) error) error {
-	return runWithLog(ctx, logring.New(name, bounds), serve)
-}
-
 func runWithLog(ctx context.Context, log *logring.Log, serve func(context.Context, *logring.Log) error) error {
 	defer log.DumpOnPanic()
 	logContext, stopLog := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/servercommand/relay.go
+++ b/internal/servercommand/relay.go
@@ -27,7 +27,7 @@
 	}
 	limitMemory(loaded.MemoryLimit)
 	reloaded := make(chan settings.Relay)
-	return withStreamedLog(ctx, environment, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
+	return withLog(ctx, environment, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
 		go watchSettings(ctx, r.Settings, log, func() error {
 			again, err := settings.LoadRelay(source)
 			if err != nil {
--- a/internal/servercommand/site_controller.go
+++ b/internal/servercommand/site_controller.go
@@ -46,7 +46,7 @@
 			return environment.Site.OperatorHandler(store, operatorPort)
 		},
 	}
-	return withStreamedLog(ctx, environment, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
+	return withLog(ctx, environment, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
 		go watchSettings(ctx, s.Settings, log, func() error {
 			again, err := settings.LoadSiteController(source)
 			if err != nil {
