One Dial type and one dialing.From; one walk over a prompt's cached beginning

Cause: three types for the same function (controller.Dial, upstream.DialFunc, an unnamed one in relay) and two functions that dial from a source address, of which the controller's took an address that is none for any; promptCache.cached and usable walked over the same parts. Change: dialing.Dial and dialing.From serve all; a controller now refuses a bad source address, as gateways do. promptCache.cached returns a beginning (held, unusable, usable). No behaviour else. Conclusion: three twins fewer.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -12,6 +12,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/consensus"
 	"github.com/hazelpitch/hazelpitch/internal/control"
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
@@ -33,7 +34,11 @@
 		options.Listen = net.Listen
 	}
 	if options.Dial == nil {
-		options.Dial = dialFrom(config.SourceAddress)
+		dial, err := dialing.From(config.SourceAddress, dialTimeout)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		options.Dial = dial
 	}
 	controller, err := open(config, options)
 	if err != nil {
@@ -56,7 +61,7 @@
 	encryption  encryption
 	registry    *prometheus.Registry
 	instruments instruments
-	dial        Dial
+	dial        dialing.Dial
 	listener    net.Listener
 	admin       net.Listener
 	peers       *http.Client
--- a/internal/controller/engines.go
+++ b/internal/controller/engines.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/control"
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 )
 
@@ -31,9 +32,6 @@
 	maximumControlBody = 8 << 20
 )
 
-// Dial opens a connection to an IP:port.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
-
 // engines exchanges orders, fences and readings with engines and turns every
 // exchange, answered or lost, into exactly one input.
 type engines struct {
@@ -46,7 +44,7 @@
 	exchanged func(duty string, answered bool)
 }
 
-func newEngines(dial Dial, deliver func(context.Context, control.Input) error, exchanged func(string, bool)) *engines {
+func newEngines(dial dialing.Dial, deliver func(context.Context, control.Input) error, exchanged func(string, bool)) *engines {
 	return &engines{
 		client:    newOutsideClient(dial),
 		orders:    make(chan control.Output, orderQueue),
@@ -57,7 +55,7 @@
 }
 
 // newOutsideClient returns the HTTP client towards engines and the machine list.
-func newOutsideClient(dial Dial) *fasthttp.Client {
+func newOutsideClient(dial dialing.Dial) *fasthttp.Client {
 	return &fasthttp.Client{
 		NoDefaultUserAgentHeader:  true,
 		MaxConnsPerHost:           orderWorkers,
--- a/internal/controller/engines_test.go
+++ b/internal/controller/engines_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelpitch/hazelpitch/internal/control"
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 )
 
@@ -48,7 +49,9 @@
 		t.Run(name, func(t *testing.T) {
 			server := httptest.NewServer(row.serve)
 			defer server.Close()
-			engines := newEngines(dialFrom("127.0.0.1"), nil, func(string, bool) {})
+			dial, err := dialing.From("127.0.0.1", dialTimeout)
+			require.NoError(t, err)
+			engines := newEngines(dial, nil, func(string, bool) {})
 			require.Equal(t, row.want, engines.exchange(withAddress(row.output, server.Listener.Addr().String())))
 		})
 	}
--- a/internal/controller/options.go
+++ b/internal/controller/options.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 )
 
@@ -12,7 +13,7 @@
 	// the latency between zones.
 	Listen func(network, address string) (net.Listener, error)
 	// Dial opens outgoing connections; nil means TCP from settings.source_address.
-	Dial Dial
+	Dial dialing.Dial
 	// Site is set where the controller serves relays; nil elsewhere.
 	Site *Site
 	// Log is required. Run dumps its ring on errors and signals.
--- a/internal/controller/site.go
+++ b/internal/controller/site.go
@@ -9,6 +9,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/control"
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -118,7 +119,7 @@
 // listingReadTimeout bounds one reading of the list.
 const listingReadTimeout = time.Second
 
-func newListingReader(site *Site, dial Dial, deliver func(context.Context, control.Input) error) *listingReader {
+func newListingReader(site *Site, dial dialing.Dial, deliver func(context.Context, control.Input) error) *listingReader {
 	return &listingReader{
 		read:   site.ReadListing,
 		client: &http.Client{Transport: &http.Transport{DialContext: dial}, Timeout: listingReadTimeout},
--- a/internal/controller/stage_orders.go
+++ b/internal/controller/stage_orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/control"
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
@@ -27,7 +28,7 @@
 	log     *logring.Log
 }
 
-func newStageOrderer(site *Site, dial Dial, deliver func(context.Context, control.Input) error, log *logring.Log) *stageOrderer {
+func newStageOrderer(site *Site, dial dialing.Dial, deliver func(context.Context, control.Input) error, log *logring.Log) *stageOrderer {
 	return &stageOrderer{
 		order:  site.OrderStage,
 		client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}, Timeout: stageOrderTimeout},
--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -32,15 +32,6 @@
 	shutdownTimeout = time.Second
 )
 
-// dialFrom returns a Dial that leaves from the given IP; "" is any.
-func dialFrom(sourceAddress string) Dial {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	if sourceAddress != "" {
-		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(sourceAddress)}
-	}
-	return dialer.DialContext
-}
-
 // protocols are HTTP/1.1 and HTTP/2 without TLS as well: HTTP/2 sends the headers
 // of a repeated call as a few bytes and needs one connection per peer.
 func protocols() *http.Protocols {
@@ -52,7 +43,7 @@
 }
 
 // newPeerClient returns the HTTP client towards other controllers.
-func newPeerClient(dial Dial, encryption *tls.Config) *http.Client {
+func newPeerClient(dial dialing.Dial, encryption *tls.Config) *http.Client {
 	transport := &http.Transport{
 		DialContext:     dialing.Within(dial, dialing.PeerTimeout),
 		TLSClientConfig: encryption,
--- a/internal/controller/wire.go
+++ b/internal/controller/wire.go
@@ -7,6 +7,8 @@
 	"connectrpc.com/connect"
 	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
+
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 )
 
 // Values of the label connection of the wire byte counters.
@@ -52,7 +54,7 @@
 }
 
 // countingDial counts the bytes on the connections that dial opens.
-func (i instruments) countingDial(dial Dial, connection string) Dial {
+func (i instruments) countingDial(dial dialing.Dial, connection string) dialing.Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -9,11 +9,11 @@
 	"golang.org/x/sync/errgroup"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/safeguard"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
-	"github.com/hazelpitch/hazelpitch/internal/upstream"
 )
 
 // Control is the control runtime of a gateway without its request path: the view of the
@@ -40,7 +40,7 @@
 	// Log receives the log. Required; whoever made it runs it.
 	Log *logring.Log
 	// Dial opens the connections to controllers; nil means TCP from source_address.
-	Dial upstream.DialFunc
+	Dial dialing.Dial
 	// OnRevision, when not nil, is called with each revision as it comes into force
 	// here; it must not block.
 	OnRevision func(revision uint64)
--- a/internal/gateway/controllers.go
+++ b/internal/gateway/controllers.go
@@ -14,8 +14,8 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
-	"github.com/hazelpitch/hazelpitch/internal/upstream"
 )
 
 const (
@@ -45,7 +45,7 @@
 }
 
 // newControllers calls with TLS when encryption is not nil.
-func newControllers(config settings.Gateway, dial upstream.DialFunc, encryption *tls.Config) *controllers {
+func newControllers(config settings.Gateway, dial dialing.Dial, encryption *tls.Config) *controllers {
 	if dial == nil {
 		dialer := &net.Dialer{Timeout: controllerCallTimeout}
 		if config.SourceAddress != "" {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -4,9 +4,9 @@
 	"net"
 	"time"
 
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/safeguard"
-	"github.com/hazelpitch/hazelpitch/internal/upstream"
 )
 
 // Options are what a process may give Run besides its settings.
@@ -14,7 +14,7 @@
 	// Listen opens the listeners; nil means net.Listen.
 	Listen func(network, address string) (net.Listener, error)
 	// Dial opens the connections to back ends and controllers; nil means the system's.
-	Dial upstream.DialFunc
+	Dial dialing.Dial
 	// Safeguards is the zero Set but in tests.
 	Safeguards safeguard.Set
 	// Log receives the log; nil means a ring of its own.
--- a/internal/property/network.go
+++ b/internal/property/network.go
@@ -7,7 +7,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/hazelpitch/hazelpitch/internal/upstream"
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 )
 
 // backlog bounds the connections that wait to be accepted.
@@ -54,7 +54,7 @@
 }
 
 // dialFrom returns the dialer of one host.
-func (n *network) dialFrom(host string) upstream.DialFunc {
+func (n *network) dialFrom(host string) dialing.Dial {
 	return func(_ context.Context, _, address string) (net.Conn, error) { return n.dial(host, address) }
 }
 
--- a/internal/relay/await_reading.go
+++ b/internal/relay/await_reading.go
@@ -33,7 +33,7 @@
 	cache := chosen.backEnd.cache
 	for {
 		changed := cache.changes()
-		if _, unusable := cache.cached(stream.parts, r.clock.now()); unusable < leastUnusable {
+		if cache.cached(stream.parts, r.clock.now()).unusable < leastUnusable {
 			return true
 		}
 		select {
--- a/internal/relay/await_reading_test.go
+++ b/internal/relay/await_reading_test.go
@@ -130,15 +130,11 @@
 		relay.notices.learn(&v1.LoadNotice{Engines: []*v1.EngineWork{told}})
 	}
 	tell(func(told *v1.EngineWork) { told.Parts, told.PartTokens = wireParts(parts) })
-	tokens, unusable := engine.cache.cached(parts, now)
-	require.Equal(t, [2]int{6000, 6000}, [2]int{tokens, unusable})
-	require.Zero(t, engine.cache.usable(parts, now))
+	require.Equal(t, beginning{held: 6000, unusable: 6000}, engine.cache.cached(parts, now))
 
 	tell(func(told *v1.EngineWork) { told.KeptParts, told.KeptTokens = wireParts(parts[:1]) })
 	tell(func(told *v1.EngineWork) { told.DroppedParts = []uint64{1, 2} })
-	tokens, unusable = engine.cache.cached(parts, now)
-	require.Equal(t, [2]int{4000, 0}, [2]int{tokens, unusable}, "what is kept is not dropped")
-	require.Equal(t, 4000, engine.cache.usable(parts, now))
+	require.Equal(t, beginning{held: 4000, usable: 4000}, engine.cache.cached(parts, now), "what is kept is not dropped")
 }
 
 // A part of which nothing more is heard counts as kept once its memory must have lapsed.
@@ -147,6 +143,6 @@
 	parts := []promptPart{{hash: 1, tokens: 4000}}
 	require.Equal(t, parts, cache.begin(0, parts))
 	require.Empty(t, cache.begin(0, parts), "it is being read already")
-	require.Zero(t, cache.usable(parts, keptAfter))
-	require.Equal(t, 4000, cache.usable(parts, keptAfter+1))
+	require.Zero(t, cache.cached(parts, keptAfter).usable)
+	require.Equal(t, 4000, cache.cached(parts, keptAfter+1).usable)
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
@@ -53,7 +54,7 @@
 	names   HeaderNames
 	writer  requestWriter
 	clock   clock
-	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	dial    dialing.Dial
 	notices *notices
 }
 
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
@@ -24,7 +25,7 @@
 	// ListenPacket opens a datagram socket; nil means net.ListenPacket.
 	ListenPacket func(network, address string) (net.PacketConn, error)
 	// Dial opens outgoing connections; nil means the system's.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial dialing.Dial
 	// Reloaded brings settings that were read again; nil for none.
 	Reloaded <-chan settings.Relay
 	// Log is required.
--- a/internal/relay/pick_cost.go
+++ b/internal/relay/pick_cost.go
@@ -99,10 +99,10 @@
 // planReading notes what the engine has to read itself and where it takes the rest from; it
 // returns how long that takes.
 func (c *candidate) planReading(wanted choice) time.Duration {
-	own, unusable := c.backEnd.cache.cached(wanted.prompt, wanted.now)
-	c.unusable = unusable
-	c.leaveToRead(wanted.tokens, own)
-	fetched := wanted.held.tokens - own
+	own := c.backEnd.cache.cached(wanted.prompt, wanted.now)
+	c.unusable = own.unusable
+	c.leaveToRead(wanted.tokens, own.held)
+	fetched := wanted.held.tokens - own.held
 	if fetched < leastFetch || wanted.held.engine == c.backEnd {
 		return 0
 	}
@@ -131,7 +131,7 @@
 		if engine.look(now).failures > 0 {
 			continue
 		}
-		if tokens := engine.cache.usable(prompt, now); tokens > best.tokens {
+		if tokens := engine.cache.cached(prompt, now).usable; tokens > best.tokens {
 			best = holder{engine: engine, tokens: tokens}
 		}
 	}
--- a/internal/relay/prompt_cache.go
+++ b/internal/relay/prompt_cache.go
@@ -82,37 +82,32 @@
 	return cache
 }
 
-// cached returns how many tokens of the prompt's beginning the engine holds or is reading,
-// and how many of them no other request can use yet.
-func (c *promptCache) cached(wanted []promptPart, now time.Duration) (tokens, unusable int) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for _, prefix := range wanted {
-		part, held := c.parts.Peek(prefix.hash)
-		if !held {
-			break
-		}
-		tokens += prefix.tokens
-		if !part.isKept(now) {
-			unusable += prefix.tokens
-		}
-	}
-	return tokens, unusable
+// beginning is how much an engine has of a prompt's beginning, in tokens.
+type beginning struct {
+	// held is what it has or is reading, unusable what of that no other request can use yet,
+	// and usable what stands before the first such part.
+	held, unusable, usable int
 }
 
-// usable returns how many tokens of the prompt's beginning the engine keeps for any request.
-func (c *promptCache) usable(wanted []promptPart, now time.Duration) int {
+// cached returns how much of the prompt's beginning the engine has.
+func (c *promptCache) cached(wanted []promptPart, now time.Duration) beginning {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	tokens := 0
+	var found beginning
 	for _, prefix := range wanted {
 		part, held := c.parts.Peek(prefix.hash)
-		if !held || !part.isKept(now) {
+		if !held {
 			break
 		}
-		tokens += prefix.tokens
+		found.held += prefix.tokens
+		switch {
+		case !part.isKept(now):
+			found.unusable += prefix.tokens
+		case found.unusable == 0:
+			found.usable += prefix.tokens
+		}
 	}
-	return tokens
+	return found
 }
 
 // begin notes parts that the engine is sent to read, and returns those that it did not hold;
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/safeguard"
 )
 
@@ -20,16 +21,13 @@
 	maximumBufferedResponse = 4 << 20
 )
 
-// DialFunc opens a connection to an IP:port.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // Options are what a client may be given.
 type Options struct {
 	// SourceAddress is the IP that connections leave from; empty leaves the choice to
 	// the system.
 	SourceAddress string
 	// Dial replaces the system's connections; nil for those.
-	Dial DialFunc
+	Dial dialing.Dial
 	// Safeguards is the zero Set but in tests.
 	Safeguards safeguard.Set
 }
@@ -45,7 +43,7 @@
 	dial := options.Dial
 	if dial == nil {
 		var err error
-		if dial, err = dialFrom(options.SourceAddress); err != nil {
+		if dial, err = dialing.From(options.SourceAddress, 0); err != nil {
 			return nil, trace.Wrap(err)
 		}
 	}
@@ -76,18 +74,5 @@
 	return client, nil
 }
 
-// dialFrom returns the system's connections from a source IP.
-func dialFrom(source string) (DialFunc, error) {
-	dialer := &net.Dialer{}
-	if source != "" {
-		ip := net.ParseIP(source)
-		if ip == nil {
-			return nil, trace.BadParameter("source address %q is not an IP number", source)
-		}
-		dialer.LocalAddr = &net.TCPAddr{IP: ip}
-	}
-	return dialer.DialContext, nil
-}
-
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
