Take engines' memory from the configuration when it comes

Change: a configuration in force resizes the caches of the listed engines. TestConfigurationTellsTheMemoryOfListedEngines fails without it.

--- a/internal/relay/cache_reader_test.go
+++ b/internal/relay/cache_reader_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -54,3 +55,19 @@
 	require.Equal(t, eventOne, relay.client(t).do("POST", "/path/", "x", "T-Model: m", "T-Tokens: 9000,50", "T-Parts: aa:6000,cc:3000").body)
 	require.Equal(t, warm.entry.Address, string(cold.seen()[0].head.Peek("T-Fetch")))
 }
+
+// Engines are listed before the first configuration is known. Their memory is the configured
+// one from then on.
+func TestConfigurationTellsTheMemoryOfListedEngines(t *testing.T) {
+	relay := newTestRelay(t, route(stream(true)), startBackEnd(t, "reader", serving.StagePrefill, refusing(503)))
+	next := &view{}
+	relay.watcher.takeBackEnds([]serving.BackEnd{{ID: "new", Service: "service", Stage: serving.StagePrefill}}, next)
+	engine := next.byService["service"][0]
+	require.Equal(t, cacheCapacity(serving.StagePrefill, defaultCacheTokens), engine.cache.capacity)
+	relay.dialect.ParseConfiguration = func([]byte) (serving.Configuration, error) {
+		return serving.Configuration{Number: 1, Services: []serving.Service{{Name: "service", Engine: &serving.Engine{Slots: 8, CacheTokens: 600_000}}}}, nil
+	}
+	relay.watcher.takeDocument(&v1.Document{Number: 1}, next)
+	require.NotNil(t, next.table)
+	require.Equal(t, cacheCapacity(serving.StagePrefill, 600_000), engine.cache.capacity)
+}
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -191,9 +191,20 @@
 		return
 	}
 	next.table, next.configuredAt = serving.NewTable(&configuration), w.relay.clock.now()
+	w.resizeCaches(next)
 	w.relay.event(events.ConfigurationInForce).Uint64("number", configuration.Number).Send()
 }
 
+// resizeCaches takes the engines' memory from the configuration in force: engines may be
+// listed before it is known.
+func (w *watcher) resizeCaches(next *view) {
+	for service, backEnds := range next.byService {
+		for _, engine := range backEnds {
+			engine.cache.resize(cacheCapacity(engine.Stage, cacheTokens(next, service)))
+		}
+	}
+}
+
 // takeBackEnds puts a reading of the list in force.
 func (w *watcher) takeBackEnds(listed []serving.BackEnd, next *view) {
 	known := make(map[string]*backEnd, len(listed))
