--- a/cmd/hazelpitch/main.go
+++ b/cmd/hazelpitch/main.go
@@ -14,12 +14,6 @@
 		Program: "hazelpitch",
 		Stdout:  os.Stdout,
 		Stderr:  os.Stderr,
-		Site: servercommand.Site{
-			Dialect:         platform.Dialect(),
-			ReadListing:     platform.ReadListing,
-			ReadCache:       platform.ReadCache,
-			OrderStage:      platform.OrderStage,
-			OperatorHandler: platform.OperatorHandler,
-		},
+		Site:    platform.Site(),
 	}))
 }
--- a/internal/relay/exchange_notes.go
+++ b/internal/relay/exchange_notes.go
@@ -72,7 +72,7 @@
 func (e *exchanger) hasRoom(engine *backEnd) bool {
 	now := e.clock.now()
 	seen := engine.look(now)
-	known := seen.own.plus(e.notices.table.others(now, engine.hash))
+	known := e.notices.table.total(now, engine, seen)
 	return engine.isEngine() && max(known.streams+known.prompts, seen.told) < engine.Slots/2
 }
 
--- a/internal/relay/load_table.go
+++ b/internal/relay/load_table.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -80,13 +81,15 @@
 	return sum
 }
 
+// total is the work of all relays at an engine, as far as is known; seen is what this relay
+// knows of the engine itself.
+func (t *loadTable) total(now time.Duration, engine *backEnd, seen load) work {
+	return seen.own.plus(t.others(now, engine.hash))
+}
+
 // keep forgets engines that are no longer listed.
 func (t *loadTable) keep(listed map[uint64]*backEnd) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for engine := range t.engines {
-		if listed[engine] == nil {
-			delete(t.engines, engine)
-		}
-	}
+	maps.DeleteFunc(t.engines, func(engine uint64, _ map[uint64]toldWork) bool { return listed[engine] == nil })
 }
--- a/internal/relay/pace.go
+++ b/internal/relay/pace.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -86,11 +87,7 @@
 func (p *pace) keep(listed map[uint64]*backEnd) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for engine := range p.engines {
-		if listed[engine] == nil {
-			delete(p.engines, engine)
-		}
-	}
+	maps.DeleteFunc(p.engines, func(engine uint64, _ time.Duration) bool { return listed[engine] == nil })
 }
 
 // readingEffort is what reading tokens takes after those before them, counted in first tokens.
--- a/internal/relay/pick_cost.go
+++ b/internal/relay/pick_cost.go
@@ -62,7 +62,7 @@
 
 // totalWork is the work of all relays at an engine, as far as is known.
 func (r *Relay) totalWork(now time.Duration, candidate *candidate) work {
-	return candidate.load.own.plus(r.notices.table.others(now, candidate.backEnd.hash))
+	return r.notices.table.total(now, candidate.backEnd, candidate.load)
 }
 
 // plainCost is the number of requests at a back end.
--- a/internal/relay/read_prompt.go
+++ b/internal/relay/read_prompt.go
@@ -85,7 +85,7 @@
 func (r *Relay) readPrompt(stream *streamReply, chosen *candidate) *heldPrompt {
 	request, engine, now := stream.request, chosen.backEnd, r.clock.now()
 	rank := readingRank(stream.rank(), chosen.toRead)
-	ahead := r.notices.table.others(now, engine.hash).plus(engine.look(now).own)
+	ahead := r.notices.table.total(now, engine, engine.look(now))
 	request.trace.prefill(engine, now, chosen.toRead, ahead.tokensUpTo(rank), ahead.promptTokens())
 	perToken := r.pace.of(engine.hash)
 	r.work.add(request.service.Name, prefillTime(perToken, chosen.effort), 0)
--- a/internal/servercommand/relay.go
+++ b/internal/servercommand/relay.go
@@ -28,17 +28,8 @@
 	limitMemory(loaded.MemoryLimit)
 	reloaded := make(chan settings.Relay)
 	return withLog(ctx, environment, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
-		go watchSettings(ctx, r.Settings, log, func() error {
-			again, err := settings.LoadRelay(source)
-			if err != nil {
-				return err
-			}
-			select {
-			case reloaded <- again:
-			case <-ctx.Done():
-			}
-			return nil
-		})
+		read := func() (settings.Relay, error) { return settings.LoadRelay(source) }
+		go watchSettings(ctx, r.Settings, log, reloading(ctx, read, reloaded))
 		return relay.Run(ctx, loaded, relay.Options{
 			Dialect: environment.Site.Dialect, ReadListing: environment.Site.listingAt(loaded.ListingAddress),
 			ReadCache: environment.Site.ReadCache,
--- a/internal/servercommand/reload.go
+++ b/internal/servercommand/reload.go
@@ -40,6 +40,21 @@
 	}
 }
 
+// reloading returns a load for watchSettings that sends what it has read to a channel.
+func reloading[T any](ctx context.Context, read func() (T, error), reloaded chan<- T) func() error {
+	return func() error {
+		again, err := read()
+		if err != nil {
+			return err
+		}
+		select {
+		case reloaded <- again:
+		case <-ctx.Done():
+		}
+		return nil
+	}
+}
+
 // modified is when the file was changed last; the zero time when that cannot be told.
 func modified(path string) time.Time {
 	info, err := os.Stat(path)
--- a/internal/servercommand/reload_test.go
+++ b/internal/servercommand/reload_test.go
@@ -61,3 +61,17 @@
 		return false
 	}
 }
+
+// What was read again is handed on; what cannot be read is not, and a stopping process waits
+// for nobody.
+func TestReloadingHandsOnWhatWasRead(t *testing.T) {
+	unread := errors.New("not readable now")
+	reloaded := make(chan int, 1)
+	require.NoError(t, reloading(t.Context(), func() (int, error) { return 7, nil }, reloaded)())
+	require.Equal(t, 7, <-reloaded)
+	require.ErrorIs(t, reloading(t.Context(), func() (int, error) { return 8, unread }, reloaded)(), unread)
+	require.Empty(t, reloaded)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.NoError(t, reloading(ended, func() (int, error) { return 9, nil }, make(chan int))())
+}
--- a/internal/servercommand/site_controller.go
+++ b/internal/servercommand/site_controller.go
@@ -47,17 +47,11 @@
 		},
 	}
 	return withLog(ctx, environment, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
-		go watchSettings(ctx, s.Settings, log, func() error {
+		readSeeds := func() ([]string, error) {
 			again, err := settings.LoadSiteController(source)
-			if err != nil {
-				return err
-			}
-			select {
-			case seeds <- again.PeerSeeds():
-			case <-ctx.Done():
-			}
-			return nil
-		})
+			return again.PeerSeeds(), err
+		}
+		go watchSettings(ctx, s.Settings, log, reloading(ctx, readSeeds, seeds))
 		return outliveDisk(ctx, log, func() error {
 			return controller.Run(ctx, loaded.Controller(siteFleet), controller.Options{Listen: environment.Listen, Site: site, Log: log})
 		})
