Let an order to an engine expire before a successor may order

Cause: engines of some deployments take any fence. An order of a leader was bounded by nothing but 1.5 s a call: it waited in a queue of 64 behind silent engines, and a connection that was given up was closed as usual, so that the kernel delivered its bytes whenever the way was free again. Its successor orders 3.5 s after its election: an older order could come after that. Change: an order carries the time after which it must not arrive, half a second after its emission, which is what a successor waits beyond the lease of the platform. Eight orders are under way at once, so that silent engines hold up no others.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -45,6 +45,10 @@
 	PriorPrefillShare float64
 	// OrderWait is how long a new leader waits before its first order to a listed engine.
 	OrderWait time.Duration
+	// OrderLife is how long after its emission an order may reach a listed engine. A successor
+	// begins to lead after the emission, so its first order comes OrderWait later: OrderWait
+	// less OrderLife is the least time between the orders of two leaders.
+	OrderLife time.Duration
 	// WallOrigin is the wall-clock time at time 0 of Step, in milliseconds since
 	// the Unix epoch.
 	WallOrigin        int64
--- a/internal/control/harness_site_test.go
+++ b/internal/control/harness_site_test.go
@@ -10,6 +10,12 @@
 // listLag is how old the outside list is when it is read.
 const listLag = 800 * time.Millisecond
 
+// testTurn is the least time between orders of two leaders, testOrderLife that of one order.
+const (
+	testTurn      = 3 * time.Second
+	testOrderLife = 500 * time.Millisecond
+)
+
 // siteEngines are listed engines whose roles the list shows late.
 type siteEngines struct {
 	world   *world
@@ -21,6 +27,17 @@
 	// asked counts all orders, fenced refuses them for a higher fence.
 	asked  int
 	fenced bool
+	// held is how long orders are under way beside the link's delay: in a queue, in a socket,
+	// or in a process that stands still.
+	held time.Duration
+	// arrivals are the orders as they reached engines.
+	arrivals []arrivedOrder
+}
+
+// arrivedOrder is an order that reached an engine.
+type arrivedOrder struct {
+	at    time.Duration
+	order ChangeStage
 }
 
 type listedRoles struct {
@@ -70,6 +87,7 @@
 // take carries out an order.
 func (s *siteEngines) take(order ChangeStage) StageOrdered {
 	s.asked++
+	s.arrivals = append(s.arrivals, arrivedOrder{at: s.world.now, order: order})
 	if s.fenced {
 		return StageOrdered{ID: order.BackEnd.GetId(), Outcome: StageFenced}
 	}
@@ -82,6 +100,14 @@
 	return StageOrdered{ID: order.BackEnd.GetId(), Outcome: StageTaken}
 }
 
+// arrive carries out an order that the runtime sends in time, and no other.
+func (s *siteEngines) arrive(order ChangeStage) StageOrdered {
+	if s.world.now > order.NotAfter {
+		return StageOrdered{ID: order.BackEnd.GetId(), Outcome: StageRefused}
+	}
+	return s.take(order)
+}
+
 func (s *siteEngines) prefill() int {
 	count := 0
 	for _, role := range s.roles {
@@ -100,7 +126,8 @@
 	config.FormationSize = 3
 	config.ListingInterval = 500 * time.Millisecond
 	config.PriorPrefillShare = 0.67
-	config.OrderWait = 3 * time.Second
+	config.OrderWait = testTurn + testOrderLife
+	config.OrderLife = testOrderLife
 }
 
 // carryOutSite carries out the outputs of a site's controller.
@@ -109,6 +136,6 @@
 	case ReadListing:
 		w.deliver("list", controller, life, ListingReceived{BackEnds: w.site.list()})
 	case ChangeStage:
-		w.after(linkDelay, func() { w.deliver("engine", controller, life, w.site.take(wanted)) })
+		w.after(w.site.held+linkDelay, func() { w.deliver("engine", controller, life, w.site.arrive(wanted)) })
 	}
 }
--- a/internal/control/site_test.go
+++ b/internal/control/site_test.go
@@ -158,3 +158,31 @@
 	require.NoError(t, w.answers[lower].Err)
 	require.Equal(t, uint64(9), w.readDocument(leader).Response.(*v1.Document).GetNumber())
 }
+
+// Engines that look at no fence take the order of a former leader whenever it comes. However
+// long its orders are held on their way, none may come after, or shortly before, its
+// successor's first one.
+func TestOrdersOfAFormerLeaderDoNotOverlapItsSuccessors(t *testing.T) {
+	for _, held := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 4 * time.Second, 8 * time.Second} {
+		t.Run(held.String(), func(t *testing.T) {
+			w := newWorld(t, 5, seeded)
+			site := newSite(w, 18, 0)
+			site.held = held
+			former := w.waitLeader()
+			w.run(testTurn + testOrderLife + time.Second) // its first orders are under way
+			former.cut = true
+			w.until("another leader", func() bool { leader := w.leader(); return leader != nil && leader != former })
+			site.held = 0
+			w.run(20 * time.Second)
+			require.NotEmpty(t, site.arrivals)
+			for index, next := range site.arrivals[1:] {
+				previous := site.arrivals[index]
+				require.GreaterOrEqual(t, next.order.Fence, previous.order.Fence)
+				if next.order.Holder != previous.order.Holder {
+					require.Greater(t, next.order.Fence, previous.order.Fence)
+					require.GreaterOrEqual(t, next.at-previous.at, testTurn)
+				}
+			}
+		})
+	}
+}
--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -17,6 +17,9 @@
 	// Holder and Fence say who orders: fences of later leaders are higher.
 	Holder string
 	Fence  uint64
+	// NotAfter is the time of Step after which the order must not reach the engine any more:
+	// engines may take any fence, and a successor may order by then.
+	NotAfter time.Duration
 }
 
 // StageOrdered is what became of ChangeStage.
@@ -163,7 +166,9 @@
 			continue
 		}
 		c.stages.orders[change.Engine] = stageOrder{role: role, until: c.now + stageOrderLimit}
-		c.emit(ChangeStage{BackEnd: backEnd, Role: role, Holder: c.config.Name, Fence: c.leadingTerm})
+		c.emit(ChangeStage{
+			BackEnd: backEnd, Role: role, Holder: c.config.Name, Fence: c.leadingTerm, NotAfter: c.now + c.config.OrderLife,
+		})
 	}
 	c.refreshListing()
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -156,7 +156,9 @@
 	}
 	c.start(group, func() error { c.listing.run(ctx); return nil })
 	c.start(group, func() error { c.takeSeeds(ctx); return nil })
-	c.start(group, func() error { c.stageOrders.run(ctx); return nil })
+	for range stageOrderWorkers {
+		c.start(group, func() error { c.stageOrders.run(ctx); return nil })
+	}
 	handler := c.site.OperatorHandler(documentStore{loop: c.loop, calls: c.calls})
 	c.start(group, func() error { return serveHTTP(ctx, c.operator, handler, nil, newServerLogger(c.log)) })
 }
--- a/internal/controller/outputs.go
+++ b/internal/controller/outputs.go
@@ -27,7 +27,7 @@
 	}
 	if c.site != nil {
 		c.listing = newListingReader(c.site, dial, c.loop.send)
-		c.stageOrders = newStageOrderer(c.site, dial, c.loop.send, c.log)
+		c.stageOrders = newStageOrderer(c.site, dial, c.loop.now, c.loop.send, c.log)
 	}
 	peers := &senders{lanes: make(map[lane]*sender), start: func(address string) *sender {
 		sender := c.newSender(address)
--- a/internal/controller/site.go
+++ b/internal/controller/site.go
@@ -27,9 +27,10 @@
 	ListingInterval time.Duration
 	// ReadListing reads the outside list of back ends.
 	ReadListing func(ctx context.Context, client *http.Client) ([]serving.BackEnd, error)
-	// PriorPrefillShare and OrderWait: see control.Config.
+	// PriorPrefillShare, OrderWait and OrderLife: see control.Config.
 	PriorPrefillShare float64
 	OrderWait         time.Duration
+	OrderLife         time.Duration
 	// OrderStage orders an engine into a role. The error tells why the outcome is not
 	// control.StageTaken.
 	OrderStage func(ctx context.Context, client *http.Client, order StageOrder) (control.StageOutcome, error)
--- a/internal/controller/stage_orders.go
+++ b/internal/controller/stage_orders.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/hazelpitch/hazelpitch/internal/control"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/events"
@@ -13,26 +15,29 @@
 )
 
 const (
-	// stageOrderTimeout bounds one order to a listed engine.
-	stageOrderTimeout = 1500 * time.Millisecond
+	// stageOrderWorkers is how many orders are under way at once, so that an engine that is
+	// silent does not hold up the orders to others.
+	stageOrderWorkers = 8
 	// stageOrderQueue bounds the orders that wait; the Core repeats those that are lost.
 	stageOrderQueue = 64
 )
 
-// stageOrderer carries orders to listed engines, each in a goroutine of its own.
+// stageOrderer carries orders to listed engines. An order whose time is over is not sent:
+// engines may take the fence of a former leader, so nothing of it may reach them once its
+// successor may order.
 type stageOrderer struct {
 	order   func(ctx context.Context, client *http.Client, order StageOrder) (control.StageOutcome, error)
-	client  *http.Client
+	dial    dialing.Dial
+	now     func() time.Duration
 	queue   chan control.ChangeStage
 	deliver func(context.Context, control.Input) error
 	log     *logring.Log
 }
 
-func newStageOrderer(site *Site, dial dialing.Dial, deliver func(context.Context, control.Input) error, log *logring.Log) *stageOrderer {
+func newStageOrderer(site *Site, dial dialing.Dial, now func() time.Duration, deliver func(context.Context, control.Input) error, log *logring.Log) *stageOrderer {
 	return &stageOrderer{
-		order:  site.OrderStage,
-		client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}, Timeout: stageOrderTimeout},
-		queue:  make(chan control.ChangeStage, stageOrderQueue), deliver: deliver, log: log,
+		order: site.OrderStage, dial: dial, now: now,
+		queue: make(chan control.ChangeStage, stageOrderQueue), deliver: deliver, log: log,
 	}
 }
 
@@ -63,8 +68,20 @@
 		Engine: serving.BackEndFromListed(change.BackEnd), Stage: serving.StageOfRole(change.Role),
 		Holder: change.Holder, Fence: change.Fence,
 	}
-	outcome, err := s.order(ctx, s.client, order)
+	outcome, err := s.send(ctx, order, change.NotAfter)
 	s.log.Info().Str(events.FieldEvent, string(events.StageOrdered)).Str("engine", order.Engine.ID).Stringer("role", change.Role).
 		Uint64("fence", order.Fence).Bool("taken", outcome == control.StageTaken).Bool("lost", outcome == control.StageLost).Err(err).Send()
 	_ = s.deliver(ctx, control.StageOrdered{ID: order.Engine.ID, Outcome: outcome}) // fails only when the process stops
 }
+
+// send sends the order within its time, on connections of its own.
+func (s *stageOrderer) send(ctx context.Context, order StageOrder, notAfter time.Duration) (control.StageOutcome, error) {
+	remaining := func() time.Duration { return notAfter - s.now() }
+	if remaining() <= 0 {
+		return control.StageRefused, trace.Wrap(dialing.ErrExpired)
+	}
+	limited, cancel := context.WithTimeout(ctx, remaining())
+	defer cancel()
+	transport := &http.Transport{DialContext: dialing.Expiring(s.dial, remaining), DisableKeepAlives: true}
+	return s.order(limited, &http.Client{Transport: transport}, order)
+}
--- /dev/null
+++ b/internal/controller/stage_orders_test.go
@@ -0,0 +1,49 @@
+package controller
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/control"
+	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/settings"
+)
+
+func newTestOrderer(now func() time.Duration, order func(context.Context, *http.Client, StageOrder) (control.StageOutcome, error)) (*stageOrderer, chan control.Input) {
+	delivered := make(chan control.Input, stageOrderQueue)
+	deliver := func(_ context.Context, input control.Input) error { delivered <- input; return nil }
+	return newStageOrderer(&Site{OrderStage: order}, nil, now, deliver, logring.New("c1", settings.Log{RingEntries: 16})), delivered
+}
+
+// An order that waited in the queue beyond its time is not sent, and the Core is told so.
+func TestExpiredStageOrderIsNotSent(t *testing.T) {
+	for name, row := range map[string]struct {
+		now  time.Duration
+		sent int
+		want control.StageOutcome
+	}{
+		"in time":        {now: 9 * time.Second, sent: 1, want: control.StageTaken},
+		"at its end":     {now: 10 * time.Second, want: control.StageRefused},
+		"long after it":  {now: time.Hour, want: control.StageRefused},
+		"woken too late": {now: 10*time.Second + 1, want: control.StageRefused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := 0
+			orderer, delivered := newTestOrderer(func() time.Duration { return row.now },
+				func(ctx context.Context, _ *http.Client, _ StageOrder) (control.StageOutcome, error) {
+					sent++
+					_, bounded := ctx.Deadline()
+					require.True(t, bounded)
+					return control.StageTaken, nil
+				})
+			orderer.carryOut(t.Context(), control.ChangeStage{BackEnd: &v1.ListedBackEnd{Id: "engine"}, NotAfter: 10 * time.Second})
+			require.Equal(t, row.sent, sent)
+			require.Equal(t, control.StageOrdered{ID: "engine", Outcome: row.want}, <-delivered)
+		})
+	}
+}
--- a/internal/servercommand/site_controller.go
+++ b/internal/servercommand/site_controller.go
@@ -15,8 +15,9 @@
 // siteControllerFlags are the flags of the controller of a site.
 type siteControllerFlags struct{ siteFlags }
 
-// orderSlack is added to a new leader's wait, for orders that are under way.
-const orderSlack = 500 * time.Millisecond
+// orderLife is how long an order to an engine may be under way; it is added to a new leader's
+// wait, so that the orders of two leaders keep that wait between them.
+const orderLife = 500 * time.Millisecond
 
 func (s *siteControllerFlags) run(ctx context.Context, environment Environment) error {
 	source, err := s.source()
@@ -39,7 +40,7 @@
 		Seeds:         loaded.PeerSeeds(), Bootstrap: loaded.Bootstrap, FormationSize: loaded.FormationSize(),
 		ListingInterval:   loaded.ListingInterval,
 		ReadListing:       environment.Site.listingAt(loaded.ListingAddress),
-		PriorPrefillShare: loaded.PrefillShare, OrderWait: loaded.OrderWait + orderSlack,
+		PriorPrefillShare: loaded.PrefillShare, OrderWait: loaded.OrderWait + orderLife, OrderLife: orderLife,
 		OrderStage:     environment.Site.OrderStage,
 		OperatorListen: loaded.OperatorListen,
 		OperatorHandler: func(store controller.DocumentStore) http.Handler {
