--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -31,6 +31,7 @@
 	"internal/language",
 	"internal/limits",
 	"internal/membership",
+	"internal/placement",
 	"internal/planner",
 	"internal/routing",
 	"internal/safeguard",
--- /dev/null
+++ b/internal/placement/cost.go
@@ -0,0 +1,137 @@
+package placement
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// weighPlain takes the number of requests at a back end as its cost.
+func (p Parameters) weighPlain(request Request, candidate *Candidate, engine Engine) {
+	candidate.Cost = float64(engine.Running)
+	if engine.Zone != request.Zone {
+		candidate.Cost += p.ZonePenalty
+	}
+}
+
+// weighPrefill takes as its cost the time until the engine has read this prompt; what it has
+// cached, and what it can take from another engine's cache, is left out. Reading weighs double
+// while there is time, since it takes an engine from others; being late weighs more than either.
+// Each prompt has a home, the same for every relay, which wins among equals.
+func (p Parameters) weighPrefill(request Request, candidate *Candidate, engine Engine, held holder) {
+	fetching := p.planReading(request, candidate, engine, held)
+	reading := PrefillTime(engine.PerToken, candidate.Effort)
+	candidate.Waiting = p.WaitingTime(engine.Work, p.ReadingRank(request.Rank, candidate.ToRead), engine.PerToken)
+	cost := candidate.Waiting + fetching + 2*reading
+	if candidate.FetchFrom != None {
+		cost += time.Duration(held.tokens) * p.CopyHarm
+	}
+	if late := candidate.Waiting + fetching + reading - time.Duration(p.PromptTargetShare*float64(request.Target)); late > 0 {
+		cost += p.LateWeight * late
+	}
+	if engine.Zone != request.Zone {
+		cost += p.ZoneTime
+	}
+	candidate.Cost = cost.Seconds() + p.HomeTime.Seconds()*distanceFromHome(request.Prompt, engine.Hash)
+}
+
+// planReading notes what the engine has to read itself and where it takes the rest from; it
+// returns how long that takes.
+func (p Parameters) planReading(request Request, candidate *Candidate, engine Engine, held holder) time.Duration {
+	candidate.Unusable = engine.Cached.Unusable
+	candidate.leaveToRead(request.Tokens, engine.Cached.Held)
+	fetched := held.tokens - engine.Cached.Held
+	if fetched < p.LeastFetch || held.index == candidate.Index {
+		return 0
+	}
+	candidate.leaveToRead(request.Tokens, held.tokens)
+	candidate.FetchFrom = held.index
+	return p.FetchSetup + time.Duration(fetched)*request.TokenMove
+}
+
+// leaveToRead notes what of a prompt's tokens is to be read after those that are held.
+func (c *Candidate) leaveToRead(tokens, held int) {
+	c.ToRead = max(tokens-held, 0)
+	c.Effort = ReadingEffort(held, c.ToRead)
+}
+
+// holder is the engine that has most of a prompt's beginning cached.
+type holder struct{ index, tokens int }
+
+// holderOf finds the engine that keeps most of the prompt for any request and has not failed
+// lately. What it holds does not depend on its stage.
+func holderOf(engines []Engine) holder {
+	best := holder{index: None}
+	for index, engine := range engines {
+		if engine.Failures == 0 && engine.Cached.Usable > best.tokens {
+			best = holder{index: index, tokens: engine.Cached.Usable}
+		}
+	}
+	return best
+}
+
+// WaitingTime is how long a reading of the rank waits at an engine: for what goes before it,
+// and for what is left of the reading under way, which is not interrupted.
+func (p Parameters) WaitingTime(total Work, rank int, perToken time.Duration) time.Duration {
+	before := total.TokensUpTo(rank)
+	tokens := float64(before)
+	if after := total.PromptTokens() - before; after > 0 {
+		tokens += p.ResidualShare * float64(after) / float64(max(total.Prompts, 1))
+	}
+	return time.Duration(total.Prompts)*prefillOverhead + time.Duration(tokens*float64(perToken))
+}
+
+// distanceFromHome is in [0, 1): each prompt orders the engines in a way of its own.
+func distanceFromHome(prompt []Part, engine uint64) float64 {
+	if len(prompt) < 2 {
+		return 0
+	}
+	shared := prompt[len(prompt)-2].Hash
+	mixed := xxhash.Sum64String(strconv.FormatUint(uint64(shared)^engine, 16))
+	return float64(mixed>>11) / (1 << 53)
+}
+
+// weighDecode takes as its cost the time until a decoding engine begins to generate, with a
+// share for the streams that it runs. An engine that has to read the prompt itself takes longer
+// for it and holds its streams up meanwhile.
+func (p Parameters) weighDecode(request Request, candidate *Candidate, engine Engine, held holder) {
+	perToken := engine.PerToken * p.DecodeSlowdown
+	candidate.Waiting = time.Duration(engine.Work.TokensUpTo(request.Rank)) * perToken
+	cost := candidate.Waiting + time.Duration(engine.Work.Streams)*p.StreamTime
+	if engine.Zone != request.Zone {
+		cost += p.ZoneTime
+	}
+	if request.Tokens > 0 {
+		cost += p.planReading(request, candidate, engine, held)
+		harm := 1 + p.StreamHarm*float64(engine.Work.Streams)
+		cost += prefillOverhead + time.Duration(harm*float64(time.Duration(candidate.Effort)*perToken))
+		if engine.Work.PromptTokens()+candidate.Effort > p.readingRoom(request.Gap, request.Stride, perToken) {
+			cost += time.Duration(engine.Work.Streams) * p.PauseHarm
+		}
+	}
+	candidate.Cost = cost.Seconds()
+}
+
+// readingRoom is how many tokens a decoding engine can read at once before the events of its
+// streams come more slowly than the gap allows: an event's tokens come one a step, and each
+// step reads one piece.
+func (p Parameters) readingRoom(gap time.Duration, stride int, perToken time.Duration) int {
+	piece := time.Duration(p.DecodePiece) * perToken
+	if gap <= 0 || stride <= 0 || time.Duration(stride)*(piece+p.DecodeStep) <= gap {
+		return math.MaxInt
+	}
+	return max(int((gap-time.Duration(stride)*p.DecodeStep)/piece), 1) * p.DecodePiece
+}
+
+// ReadingRank ranks the reading of a prompt: by its route, and then by its length.
+func (p Parameters) ReadingRank(rank, toRead int) int {
+	if toRead > p.ShortReading {
+		rank++
+	}
+	if toRead > p.LongReading {
+		rank++
+	}
+	return min(rank, Ranks-1)
+}
--- /dev/null
+++ b/internal/placement/decide.go
@@ -0,0 +1,89 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// Action is what a decision on the reading of a prompt asks for.
+type Action int
+
+// Actions.
+const (
+	// Unplaced requests have no engine that could read their prompt now.
+	Unplaced Action = iota
+	// ReadDirectly has a decoding engine read the prompt and generate.
+	ReadDirectly
+	// ReadApart has a prefill engine read the prompt for a decoding one.
+	ReadApart
+	// AwaitReading waits until the engine has read shared parts for another request.
+	AwaitReading
+	// Refuse gives the request up, which has not run.
+	Refuse
+)
+
+// Decision is what becomes of the reading of a prompt. Engine is set but for Unplaced.
+type Decision struct {
+	Action Action
+	Engine *Candidate
+	// Reason says in words why, and RetryAfter when a refused request had better come back.
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// PlaceReading decides where a prompt is read: at the prefill engine or at the decoding one that
+// generates, whichever has it sooner.
+func (p Parameters) PlaceReading(request Request, engines []Engine, draw func() float64) Decision {
+	direct := p.best(request, serving.StageDecode, engines, draw)
+	apart := p.Reader(request, engines, draw)
+	decision := p.direct(direct, apart)
+	switch chosen := decision.Engine; {
+	case chosen == nil:
+		return Decision{Action: Unplaced, Reason: "no engine can read the prompt"}
+	case chosen.Unusable >= p.LeastUnusable && request.Waits < p.MostWaits:
+		return Decision{Action: AwaitReading, Engine: chosen, Reason: "the engine reads shared parts for another request"}
+	case decision.Action == ReadApart && chosen.Waiting > time.Duration(p.LongestWaitShare*float64(request.Target)):
+		return Decision{Action: Refuse, Engine: chosen, Reason: "too many prompts wait to be read", RetryAfter: chosen.Waiting / 2}
+	default:
+		return decision
+	}
+}
+
+// direct decides between the decoding engine and the prefill engine; either may be nil.
+func (p Parameters) direct(direct, apart *Candidate) Decision {
+	switch {
+	case apart == nil:
+		return Decision{Action: ReadDirectly, Engine: direct, Reason: "no prefill engine is left"}
+	case direct != nil && p.readsDirectly(direct, apart):
+		return Decision{Action: ReadDirectly, Engine: direct, Reason: "the decoding engine has it as soon"}
+	default:
+		return Decision{Action: ReadApart, Engine: apart, Reason: "a prefill engine has it sooner"}
+	}
+}
+
+// readsDirectly reports whether a decoding engine had better read the prompt itself.
+func (p Parameters) readsDirectly(direct, apart *Candidate) bool {
+	return direct.ToRead <= p.LongestDirect && direct.Cost <= apart.Cost+p.HandOverTime.Seconds()
+}
+
+// Reader picks the prefill engine that reads a prompt; nil when there is none.
+func (p Parameters) Reader(request Request, engines []Engine, draw func() float64) *Candidate {
+	return p.best(request, serving.StagePrefill, engines, draw)
+}
+
+// Generator picks the back end that answers; nil when there is none, or none that may read what
+// is left of the prompt itself. While a decoding engine reads a long prompt its other streams
+// pause and new ones wait, so it does so only where nothing else waits to be read, and, for a
+// request that can still come back, where few streams run.
+func (p Parameters) Generator(request Request, engines []Engine, draw func() float64) *Candidate {
+	best := p.best(request, request.Stage, engines, draw)
+	if best == nil || request.Stage != serving.StageDecode || best.ToRead <= p.LongestDirect {
+		return best
+	}
+	work := engines[best.Index].Work
+	if work.PromptTokens() > p.LongestDirect || !request.MayHaveRun && work.Streams > p.FewStreams {
+		return nil
+	}
+	return best
+}
--- /dev/null
+++ b/internal/placement/pace.go
@@ -0,0 +1,91 @@
+package placement
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// defaultPace is how long a prefill engine takes for the first token of a prompt until it
+	// is known better.
+	defaultPace = 25 * time.Microsecond
+	// attentionShare is by how much of that each token takes longer for each one before it,
+	// as it attends to all of them.
+	attentionShare = 1.4e-5
+	// prefillOverhead is the time for a prompt beside its tokens.
+	prefillOverhead = 25 * time.Millisecond
+	// paceWeight is the weight of a new observation of the fleet. Of one engine, fasterWeight
+	// counts when it was faster than known and slowerWeight when it was slower: a reading may
+	// have waited for what no relay told, and an engine that is thought slow is asked less.
+	paceWeight   = 0.1
+	fasterWeight = 0.6
+	slowerWeight = 0.2
+	// leastPaceTokens is the length from which a reading tells the pace.
+	leastPaceTokens = 1500
+	// slowestPace bounds what one observation can say, as a multiple of the fleet's pace:
+	// readings may have waited for what this relay does not know.
+	slowestPace = 6
+)
+
+// Pace learns how long engines take for one token of a prompt, each engine and all together.
+type Pace struct {
+	overall time.Duration
+	engines map[uint64]time.Duration
+}
+
+// NewPace returns a Pace that has seen nothing.
+func NewPace() *Pace { return &Pace{overall: defaultPace, engines: map[uint64]time.Duration{}} }
+
+// ObservedPace is the time per token that a reading with nothing ahead of it shows; 0 when it
+// was too short to show any.
+func ObservedPace(effort int, took time.Duration) time.Duration {
+	if effort < leastPaceTokens || took <= prefillOverhead {
+		return 0
+	}
+	return (took - prefillOverhead) / time.Duration(effort)
+}
+
+// Observe notes the time per token of one reading at an engine.
+func (p *Pace) Observe(engine uint64, perToken time.Duration) {
+	if perToken <= 0 {
+		return
+	}
+	perToken = min(perToken, slowestPace*p.overall)
+	p.overall = blend(p.overall, perToken, paceWeight)
+	known, is := p.engines[engine]
+	if !is {
+		known = p.overall
+	}
+	weight := slowerWeight
+	if perToken < known {
+		weight = fasterWeight
+	}
+	p.engines[engine] = blend(known, perToken, weight)
+}
+
+func blend(known, observed time.Duration, weight float64) time.Duration {
+	return time.Duration((1-weight)*float64(known) + weight*float64(observed))
+}
+
+// Of returns the time per token at an engine.
+func (p *Pace) Of(engine uint64) time.Duration {
+	if known, is := p.engines[engine]; is {
+		return known
+	}
+	return p.overall
+}
+
+// Keep forgets the engines that are not listed.
+func (p *Pace) Keep(listed func(engine uint64) bool) {
+	maps.DeleteFunc(p.engines, func(engine uint64, _ time.Duration) bool { return !listed(engine) })
+}
+
+// ReadingEffort is what reading tokens takes after those before them, counted in first tokens.
+func ReadingEffort(before, tokens int) int {
+	return tokens + int(attentionShare*float64(tokens)*(float64(before)+float64(tokens)/2))
+}
+
+// PrefillTime is how long a prefill engine takes for so much effort.
+func PrefillTime(perToken time.Duration, effort int) time.Duration {
+	return prefillOverhead + time.Duration(effort)*perToken
+}
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 )
 
 // answer is the head of a back end's answer; its body is still on the connection.
@@ -25,11 +27,11 @@
 
 // promptRead notes that the back end has read the whole prompt.
 func (a *answer) promptRead() {
-	if a.message.work.promptTokens() == 0 {
+	if a.message.work.PromptTokens() == 0 {
 		return
 	}
-	a.message.backEnd.end(work{tokens: a.message.work.tokens})
-	a.message.work.tokens = [ranks]int{}
+	a.message.backEnd.end(placement.Work{Tokens: a.message.work.Tokens})
+	a.message.work.Tokens = [placement.Ranks]int{}
 	a.exchanger.noteWork(a.message)
 }
 
--- a/internal/relay/await_reading.go
+++ b/internal/relay/await_reading.go
@@ -1,13 +1,12 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/placement"
+)
 
 const (
-	// leastUnusable is the least number of tokens that are worth waiting for while the engine
-	// reads them for another request.
-	leastUnusable = 1_000
-	// mostReadingWaits bounds how often one request waits.
-	mostReadingWaits = 3
 	// readingSlack is how much longer than expected a request waits for a reading to end and
 	// its memory to be taken, beside readingSlackShare times the expectation.
 	readingSlack      = 200 * time.Millisecond
@@ -18,22 +17,22 @@
 // request that is sent there before would have the same parts read again. Meanwhile its work
 // counts at the engine, so that other relays know of it. It reports false when the time for
 // it is over or the client has gone.
-func (r *Relay) awaitReading(stream *streamReply, chosen *candidate) bool {
+func (r *Relay) awaitReading(stream *streamReply, chosen *place) bool {
 	r.metrics.waits.Inc()
-	asked := &message{backEnd: chosen.backEnd, work: reading(chosen.effort, readingRank(stream.rank(), chosen.toRead)).plus(work{prompts: 1})}
+	asked := &message{backEnd: chosen.backEnd, work: placement.Reading(chosen.Effort, r.policy.ReadingRank(stream.rank(), chosen.ToRead)).Plus(placement.Work{Prompts: 1})}
 	asked.backEnd.begin(asked.work)
 	r.exchanger.noteWork(asked)
 	defer func() {
 		asked.backEnd.end(asked.work)
 		r.exchanger.noteWork(asked)
 	}()
-	limit := r.readingSlack + time.Duration(readingSlackShare*float64(chosen.waiting))
+	limit := r.readingSlack + time.Duration(readingSlackShare*float64(chosen.Waiting))
 	timer := time.NewTimer(min(limit, stream.request.deadline-r.clock.now()))
 	defer timer.Stop()
 	cache := chosen.backEnd.cache
 	for {
 		changed := cache.changes()
-		if cache.cached(stream.parts, r.clock.now()).unusable < leastUnusable {
+		if cache.cached(stream.parts, r.clock.now()).Unusable < r.policy.LeastUnusable {
 			return true
 		}
 		select {
--- a/internal/relay/await_reading_test.go
+++ b/internal/relay/await_reading_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -50,7 +51,7 @@
 	first.send("POST", "/path/", "x", longPrompt...)
 	require.Eventually(t, func() bool { return len(reader.seen()) == 1 }, time.Minute, time.Millisecond)
 	second.send("POST", "/path/", "x", "T-Model: m", "T-Tokens: 9500,50", "T-Parts: aa:6000,cc:3500")
-	require.Eventually(t, func() bool { return r.engineOf("reader").look(0).own.prompts == 2 }, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return r.engineOf("reader").look(0).own.Prompts == 2 }, time.Minute, time.Millisecond)
 	return first, second
 }
 
@@ -76,7 +77,7 @@
 	require.Equal(t, eventOne, second.read().body)
 	taken := order.all()
 	require.Equal(t, []string{"read aa:6000,bb:3000", "generate aa:6000,bb:3000"}, taken[:2])
-	require.Eventually(t, func() bool { return relay.engineOf("reader").look(0).own == (work{}) }, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return relay.engineOf("reader").look(0).own == (placement.Work{}) }, time.Minute, time.Millisecond)
 }
 
 // A reading that fails wakes those that wait for it: they have their prompt read elsewhere or
@@ -113,7 +114,7 @@
 	_, second := relay.sendSharing(t, reader)
 	engine := relay.engineOf("reader")
 	_ = second.connection.Close()
-	require.Eventually(t, func() bool { return engine.look(0).own.prompts == 1 }, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return engine.look(0).own.Prompts == 1 }, time.Minute, time.Millisecond)
 	require.Len(t, reader.seen(), 1)
 }
 
@@ -122,7 +123,7 @@
 	reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
 	relay := newTestRelay(t, route(stream(false)), reader)
 	engine := relay.engineOf("reader")
-	parts := []promptPart{{hash: 1, tokens: 4000}, {hash: 2, tokens: 2000}}
+	parts := []placement.Part{{Hash: 1, Tokens: 4000}, {Hash: 2, Tokens: 2000}}
 	now := relay.clock.now()
 	tell := func(change func(*v1.EngineWork)) {
 		told := &v1.EngineWork{Engine: engine.hash}
@@ -130,19 +131,19 @@
 		relay.notices.learn(&v1.LoadNotice{Engines: []*v1.EngineWork{told}})
 	}
 	tell(func(told *v1.EngineWork) { told.Parts, told.PartTokens = wireParts(parts) })
-	require.Equal(t, beginning{held: 6000, unusable: 6000}, engine.cache.cached(parts, now))
+	require.Equal(t, placement.Beginning{Held: 6000, Unusable: 6000}, engine.cache.cached(parts, now))
 
 	tell(func(told *v1.EngineWork) { told.KeptParts, told.KeptTokens = wireParts(parts[:1]) })
 	tell(func(told *v1.EngineWork) { told.DroppedParts = []uint64{1, 2} })
-	require.Equal(t, beginning{held: 4000, usable: 4000}, engine.cache.cached(parts, now), "what is kept is not dropped")
+	require.Equal(t, placement.Beginning{Held: 4000, Usable: 4000}, engine.cache.cached(parts, now), "what is kept is not dropped")
 }
 
 // A part of which nothing more is heard counts as kept once its memory must have lapsed.
 func TestSilentReadingCountsAsKeptLater(t *testing.T) {
 	cache := newPromptCache(100_000)
-	parts := []promptPart{{hash: 1, tokens: 4000}}
+	parts := []placement.Part{{Hash: 1, Tokens: 4000}}
 	require.Equal(t, parts, cache.begin(0, parts))
 	require.Empty(t, cache.begin(0, parts), "it is being read already")
-	require.Zero(t, cache.cached(parts, keptAfter).usable)
-	require.Equal(t, 4000, cache.cached(parts, keptAfter+1).usable)
+	require.Zero(t, cache.cached(parts, placement.KeptAfter).Usable)
+	require.Equal(t, 4000, cache.cached(parts, placement.KeptAfter+1).Usable)
 }
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -24,13 +25,13 @@
 
 // newBackEnd returns the record of a listed back end; memory is an engine's, in tokens.
 func newBackEnd(entry serving.BackEnd, memory int) *backEnd {
-	return &backEnd{BackEnd: entry, hash: xxhash.Sum64String(entry.ID), cache: newPromptCache(cacheCapacity(entry.Stage, memory))}
+	return &backEnd{BackEnd: entry, hash: xxhash.Sum64String(entry.ID), cache: newPromptCache(placement.CacheCapacity(entry.Stage, memory))}
 }
 
 // load is what the relay knows of a back end's work and health.
 type load struct {
 	// own is this relay's work at the back end.
-	own work
+	own placement.Work
 	// told is the back end's own word of its running and waiting requests.
 	told   int
 	toldAt time.Duration
@@ -61,17 +62,17 @@
 )
 
 // begin notes work that is about to be sent.
-func (b *backEnd) begin(begun work) {
+func (b *backEnd) begin(begun placement.Work) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.load.own = b.load.own.plus(begun)
+	b.load.own = b.load.own.Plus(begun)
 }
 
 // end notes that work of begin has ended.
-func (b *backEnd) end(ended work) {
+func (b *backEnd) end(ended placement.Work) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.load.own = b.load.own.minus(ended)
+	b.load.own = b.load.own.Minus(ended)
 }
 
 // succeeded notes that the back end answered.
--- a/internal/relay/cache_reader.go
+++ b/internal/relay/cache_reader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/pause"
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -43,10 +44,10 @@
 	}
 }
 
-func hashed(parts []serving.CachedPart) []promptPart {
-	converted := make([]promptPart, 0, len(parts))
+func hashed(parts []serving.CachedPart) []placement.Part {
+	converted := make([]placement.Part, 0, len(parts))
 	for _, part := range parts {
-		converted = append(converted, promptPart{hash: hashPart(part.Model, part.Part.ID), tokens: part.Part.Tokens})
+		converted = append(converted, placement.Part{Hash: placement.HashPart(part.Model, part.Part.ID), Tokens: part.Part.Tokens})
 	}
 	return converted
 }
--- a/internal/relay/cache_reader_test.go
+++ b/internal/relay/cache_reader_test.go
@@ -5,22 +5,23 @@
 	"errors"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
-// age makes everything cached older.
-func (c *promptCache) age(by time.Duration) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for _, hash := range c.parts.Keys() {
-		part, _ := c.parts.Peek(hash)
-		part.since -= by
-		c.parts.Add(hash, part)
+// settle lets everything that engines hold of a prompt have been read.
+func (r *testRelay) settle(parts []placement.Part) {
+	now := r.clock.now()
+	for _, engine := range r.view.Load().byService["service"] {
+		held := engine.cache.cached(parts, now).Held
+		for count, tokens := 0, 0; count < len(parts) && tokens < held; count++ {
+			tokens += parts[count].Tokens
+			engine.cache.keep(now, parts[:count+1])
+		}
 	}
 }
 
@@ -46,12 +47,10 @@
 
 	for _, backEnd := range relay.view.Load().byService["service"] {
 		if backEnd.ID == "warm" {
-			backEnd.begin(reading(200_000, 0).plus(work{prompts: 1}))
+			backEnd.begin(placement.Reading(200_000, 0).Plus(placement.Work{Prompts: 1}))
 		}
 	}
-	for _, backEnd := range relay.view.Load().byService["service"] {
-		backEnd.cache.age(time.Hour) // the parts were read long ago
-	}
+	relay.settle(placement.PartsOf(serving.ParsePrompt("m", "9000,50", "aa:6000,bb:3000")))
 	require.Equal(t, eventOne, relay.client(t).do("POST", "/path/", "x", "T-Model: m", "T-Tokens: 9000,50", "T-Parts: aa:6000,cc:3000").body)
 	require.Equal(t, warm.entry.Address, string(cold.seen()[0].head.Peek("T-Fetch")))
 }
@@ -63,11 +62,11 @@
 	next := &view{}
 	relay.watcher.takeBackEnds([]serving.BackEnd{{ID: "new", Service: "service", Stage: serving.StagePrefill}}, next)
 	engine := next.byService["service"][0]
-	require.Equal(t, cacheCapacity(serving.StagePrefill, defaultCacheTokens), engine.cache.capacity)
+	require.Equal(t, placement.CacheCapacity(serving.StagePrefill, defaultCacheTokens), engine.cache.cache.Capacity())
 	relay.dialect.ParseConfiguration = func([]byte) (serving.Configuration, error) {
 		return serving.Configuration{Number: 1, Services: []serving.Service{{Name: "service", Engine: &serving.Engine{Slots: 8, CacheTokens: 600_000}}}}, nil
 	}
 	relay.watcher.takeDocument(&v1.Document{Number: 1}, next)
 	require.NotNil(t, next.table)
-	require.Equal(t, cacheCapacity(serving.StagePrefill, 600_000), engine.cache.capacity)
+	require.Equal(t, placement.CacheCapacity(serving.StagePrefill, 600_000), engine.cache.cache.Capacity())
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
@@ -43,10 +44,10 @@
 	stall    time.Duration
 	mayBreak bool
 	// work is what the message asks of the back end, as far as known.
-	work work
+	work placement.Work
 	// reads are the parts of the prompt that the back end reads, begun those of them that it
 	// did not hold when the message was sent.
-	reads, begun []promptPart
+	reads, begun []placement.Part
 }
 
 // exchanger carries messages to back ends.
--- a/internal/relay/exchange_notes.go
+++ b/internal/relay/exchange_notes.go
@@ -4,12 +4,14 @@
 	"errors"
 	"strconv"
 	"strings"
+
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 )
 
 // noteWork tells other relays that the work at an engine has changed.
 func (e *exchanger) noteWork(message *message) {
 	if message.backEnd.isEngine() {
-		e.notices.note(message.backEnd, nil, message.work.prompts > 0)
+		e.notices.note(message.backEnd, nil, message.work.Prompts > 0)
 	}
 }
 
@@ -17,12 +19,12 @@
 func (e *exchanger) noteReading(message *message) {
 	if message.backEnd.isEngine() {
 		message.begun = message.backEnd.cache.begin(e.clock.now(), message.reads)
-		e.notices.note(message.backEnd, message.reads, message.work.prompts > 0)
+		e.notices.note(message.backEnd, message.reads, message.work.Prompts > 0)
 	}
 }
 
 // noteKept notes, here and at other relays, that an engine keeps parts for any request.
-func (e *exchanger) noteKept(engine *backEnd, parts []promptPart) {
+func (e *exchanger) noteKept(engine *backEnd, parts []placement.Part) {
 	if engine.isEngine() && len(parts) > 0 {
 		engine.cache.keep(e.clock.now(), parts)
 		e.notices.noteKept(engine, parts)
@@ -35,9 +37,9 @@
 	if !message.backEnd.isEngine() || len(message.begun) == 0 {
 		return
 	}
-	dropped := make([]partHash, len(message.begun))
+	dropped := make([]placement.PartHash, len(message.begun))
 	for index, part := range message.begun {
-		dropped[index] = part.hash
+		dropped[index] = part.Hash
 	}
 	message.backEnd.cache.drop(dropped)
 	e.notices.noteDropped(message.backEnd, dropped)
@@ -60,7 +62,7 @@
 // another engine has read is no such sign, since that memory may have been out of reach.
 func (e *exchanger) noteRefusal(message *message) {
 	engine := message.backEnd
-	alone := message.work.promptTokens() == 0 && engine.look(e.clock.now()).refusals == 0
+	alone := message.work.PromptTokens() == 0 && engine.look(e.clock.now()).refusals == 0
 	if alone || !e.hasRoom(engine) {
 		engine.busy(e.clock.now())
 		return
@@ -73,7 +75,7 @@
 	now := e.clock.now()
 	seen := engine.look(now)
 	known := e.notices.table.total(now, engine, seen)
-	return engine.isEngine() && max(known.streams+known.prompts, seen.told) < engine.Slots/2
+	return engine.isEngine() && max(known.Streams+known.Prompts, seen.told) < engine.Slots/2
 }
 
 // noteFailure avoids a back end that failed, and tells other relays.
--- a/internal/relay/load_table.go
+++ b/internal/relay/load_table.go
@@ -6,6 +6,8 @@
 	"time"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 )
 
 // noticeLifetime is how long another relay's word of its work counts.
@@ -24,7 +26,7 @@
 
 // toldWork is one relay's work at one engine, and when it was told.
 type toldWork struct {
-	work work
+	work placement.Work
 	at   time.Duration
 }
 
@@ -49,8 +51,8 @@
 			relays = map[uint64]toldWork{}
 			t.engines[engine.GetEngine()] = relays
 		}
-		told := work{prompts: int(engine.GetPrompts()), streams: int(engine.GetStreams()), tokens: tokensFromWire(engine.GetPromptTokens())}
-		if told == (work{}) {
+		told := placement.Work{Prompts: int(engine.GetPrompts()), Streams: int(engine.GetStreams()), Tokens: tokensFromWire(engine.GetPromptTokens())}
+		if told == (placement.Work{}) {
 			delete(relays, relay)
 			continue
 		}
@@ -67,24 +69,24 @@
 }
 
 // others sums what other relays have under way at an engine.
-func (t *loadTable) others(now time.Duration, engine uint64) work {
+func (t *loadTable) others(now time.Duration, engine uint64) placement.Work {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	sum := work{}
+	sum := placement.Work{}
 	for relay, told := range t.engines[engine] {
 		if now-told.at > noticeLifetime {
 			delete(t.engines[engine], relay)
 			continue
 		}
-		sum = sum.plus(told.work)
+		sum = sum.Plus(told.work)
 	}
 	return sum
 }
 
 // total is the work of all relays at an engine, as far as is known; seen is what this relay
 // knows of the engine itself.
-func (t *loadTable) total(now time.Duration, engine *backEnd, seen load) work {
-	return seen.own.plus(t.others(now, engine.hash))
+func (t *loadTable) total(now time.Duration, engine *backEnd, seen load) placement.Work {
+	return seen.own.Plus(t.others(now, engine.hash))
 }
 
 // keep forgets engines that are no longer listed.
--- a/internal/relay/newest_list_test.go
+++ b/internal/relay/newest_list_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -50,8 +51,8 @@
 	leaving := startBackEnd(t, "leaving", serving.StageWhole, answering(200, "leaving"))
 	staying := startBackEnd(t, "staying", serving.StageWhole, answering(200, "staying"))
 	relay = newTestRelay(t, route(nil), refuses, leaving, staying)
-	relay.engineOf("leaving").begin(work{streams: 1})
-	relay.engineOf("staying").begin(work{streams: 2})
+	relay.engineOf("leaving").begin(placement.Work{Streams: 1})
+	relay.engineOf("staying").begin(placement.Work{Streams: 2})
 	require.Equal(t, "staying", relay.client(t).do("GET", "/path/", "").body)
 	require.Empty(t, leaving.seen())
 }
--- a/internal/relay/notice_pending.go
+++ b/internal/relay/notice_pending.go
@@ -1,13 +1,17 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/placement"
+)
 
 // pendingNotice is what is to be told of one back end, beside its work.
 type pendingNotice struct {
 	// read are the parts that the engine has begun to read, kept those that it has read and
 	// keeps for any request, dropped those whose reading was given up.
-	read, kept []promptPart
-	dropped    []partHash
+	read, kept []placement.Part
+	dropped    []placement.PartHash
 	// tokenTime is the newest observation of the time per token, 0 for none.
 	tokenTime time.Duration
 	// far tells that prompts or failures are concerned.
@@ -16,17 +20,17 @@
 
 // note tells that the work at an engine has changed, and what it has begun to read; far
 // tells that prompts or failures are concerned.
-func (n *notices) note(engine *backEnd, read []promptPart, far bool) {
+func (n *notices) note(engine *backEnd, read []placement.Part, far bool) {
 	n.add(engine, pendingNotice{read: read, far: far})
 }
 
 // noteKept tells that an engine keeps parts for any request.
-func (n *notices) noteKept(engine *backEnd, kept []promptPart) {
+func (n *notices) noteKept(engine *backEnd, kept []placement.Part) {
 	n.add(engine, pendingNotice{kept: kept, far: true})
 }
 
 // noteDropped tells that the reading of parts was given up.
-func (n *notices) noteDropped(engine *backEnd, dropped []partHash) {
+func (n *notices) noteDropped(engine *backEnd, dropped []placement.PartHash) {
 	n.add(engine, pendingNotice{dropped: dropped, far: true})
 }
 
--- a/internal/relay/notice_wire.go
+++ b/internal/relay/notice_wire.go
@@ -1,30 +1,56 @@
 package relay
 
+import (
+	"slices"
+
+	"github.com/hazelpitch/hazelpitch/internal/placement"
+)
+
+// wireTokens returns the tokens by rank for a notice, without trailing zeros.
+func wireTokens(asked placement.Work) []uint32 {
+	var told []uint32
+	for rank, tokens := range asked.Tokens {
+		if tokens > 0 {
+			told = append(told, make([]uint32, rank+1-len(told))...)
+			told[rank] = uint32(tokens)
+		}
+	}
+	return told
+}
+
+// tokensFromWire is the reverse of wireTokens.
+func tokensFromWire(told []uint32) (tokens [placement.Ranks]int) {
+	for rank, count := range slices.All(told[:min(len(told), placement.Ranks)]) {
+		tokens[rank] = int(count)
+	}
+	return tokens
+}
+
 // wireParts returns the hashes and lengths of parts for a notice.
-func wireParts(parts []promptPart) (hashes []uint64, tokens []uint32) {
+func wireParts(parts []placement.Part) (hashes []uint64, tokens []uint32) {
 	for _, part := range parts {
-		hashes = append(hashes, uint64(part.hash))
-		tokens = append(tokens, uint32(max(part.tokens, 0)))
+		hashes = append(hashes, uint64(part.Hash))
+		tokens = append(tokens, uint32(max(part.Tokens, 0)))
 	}
 	return hashes, tokens
 }
 
 // partsFromWire is the reverse of wireParts; what does not fit together is left out.
-func partsFromWire(hashes []uint64, tokens []uint32) []promptPart {
+func partsFromWire(hashes []uint64, tokens []uint32) []placement.Part {
 	if len(hashes) != len(tokens) {
 		return nil
 	}
-	parts := make([]promptPart, len(hashes))
+	parts := make([]placement.Part, len(hashes))
 	for index, hash := range hashes {
-		parts[index] = promptPart{hash: partHash(hash), tokens: int(tokens[index])}
+		parts[index] = placement.Part{Hash: placement.PartHash(hash), Tokens: int(tokens[index])}
 	}
 	return parts
 }
 
-func hashesFromWire(told []uint64) []partHash {
-	hashes := make([]partHash, len(told))
+func hashesFromWire(told []uint64) []placement.PartHash {
+	hashes := make([]placement.PartHash, len(told))
 	for index, hash := range told {
-		hashes[index] = partHash(hash)
+		hashes[index] = placement.PartHash(hash)
 	}
 	return hashes
 }
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -13,6 +13,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -105,8 +106,8 @@
 	for _, backEnds := range n.relay.view.Load().byService {
 		for _, backEnd := range backEnds {
 			own := backEnd.look(now).own
-			if _, waits := n.pending[backEnd]; !waits && backEnd.isEngine() && own != (work{}) {
-				n.pending[backEnd] = pendingNotice{far: own.prompts > 0}
+			if _, waits := n.pending[backEnd]; !waits && backEnd.isEngine() && own != (placement.Work{}) {
+				n.pending[backEnd] = pendingNotice{far: own.Prompts > 0}
 			}
 		}
 	}
@@ -148,7 +149,7 @@
 		far = far || waiting.far
 		own := engine.look(now).own
 		told := &v1.EngineWork{
-			Engine: engine.hash, Prompts: uint32(max(own.prompts, 0)), PromptTokens: own.wireTokens(), Streams: uint32(max(own.streams, 0)),
+			Engine: engine.hash, Prompts: uint32(max(own.Prompts, 0)), PromptTokens: wireTokens(own), Streams: uint32(max(own.Streams, 0)),
 		}
 		told.TokenNs = uint32(min(waiting.tokenTime, math.MaxUint32))
 		told.Failed = n.failures[engine]
--- a/internal/relay/pace.go
+++ b/internal/relay/pace.go
@@ -1,101 +1,37 @@
 package relay
 
 import (
-	"maps"
 	"sync"
 	"time"
-)
 
-const (
-	// defaultPace is how long a prefill engine takes for the first token of a prompt until it
-	// is known better.
-	defaultPace = 25 * time.Microsecond
-	// attentionShare is by how much of that each token takes longer for each one before it,
-	// as it attends to all of them.
-	attentionShare = 1.4e-5
-	// prefillOverhead is the time for a prompt beside its tokens.
-	prefillOverhead = 25 * time.Millisecond
-	// paceWeight is the weight of a new observation of the fleet. Of one engine, fasterWeight
-	// counts when it was faster than known and slowerWeight when it was slower: a reading may
-	// have waited for what no relay told, and an engine that is thought slow is asked less.
-	paceWeight   = 0.1
-	fasterWeight = 0.6
-	slowerWeight = 0.2
-	// leastPaceTokens is the length from which a reading tells the pace.
-	leastPaceTokens = 1500
-	// slowestPace bounds what one observation can say, as a multiple of the fleet's pace:
-	// readings may have waited for what this relay does not know.
-	slowestPace = 6
-	// decodeSlowdown is how much slower a decoding engine reads prompts than a prefill engine.
-	decodeSlowdown = 2
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 )
 
-// pace learns how long engines take for one token of a prompt, each engine and all
-// together. It is safe for concurrent use.
+// pace is a placement.Pace that goroutines share.
 type pace struct {
-	mutex   sync.Mutex
-	overall time.Duration
-	engines map[uint64]time.Duration
+	mutex sync.Mutex
+	pace  *placement.Pace
 }
 
-func newPace() *pace { return &pace{overall: defaultPace, engines: map[uint64]time.Duration{}} }
-
-// observedPace is the time per token that a reading with nothing ahead of it shows; 0 when
-// it was too short to show any.
-func observedPace(effort int, took time.Duration) time.Duration {
-	if effort < leastPaceTokens || took <= prefillOverhead {
-		return 0
-	}
-	return (took - prefillOverhead) / time.Duration(effort)
-}
+func newPace() *pace { return &pace{pace: placement.NewPace()} }
 
 // observe notes the time per token of one reading at an engine, seen here or by another relay.
 func (p *pace) observe(engine uint64, perToken time.Duration) {
-	if perToken <= 0 {
-		return
-	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	perToken = min(perToken, slowestPace*p.overall)
-	p.overall = blend(p.overall, perToken, paceWeight)
-	known, is := p.engines[engine]
-	if !is {
-		known = p.overall
-	}
-	weight := slowerWeight
-	if perToken < known {
-		weight = fasterWeight
-	}
-	p.engines[engine] = blend(known, perToken, weight)
-}
-
-func blend(known, observed time.Duration, weight float64) time.Duration {
-	return time.Duration((1-weight)*float64(known) + weight*float64(observed))
+	p.pace.Observe(engine, perToken)
 }
 
 // of returns the time per token at an engine.
 func (p *pace) of(engine uint64) time.Duration {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if known, is := p.engines[engine]; is {
-		return known
-	}
-	return p.overall
+	return p.pace.Of(engine)
 }
 
 // keep forgets engines that are no longer listed.
 func (p *pace) keep(listed map[uint64]*backEnd) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	maps.DeleteFunc(p.engines, func(engine uint64, _ time.Duration) bool { return listed[engine] == nil })
-}
-
-// readingEffort is what reading tokens takes after those before them, counted in first tokens.
-func readingEffort(before, tokens int) int {
-	return tokens + int(attentionShare*float64(tokens)*(float64(before)+float64(tokens)/2))
-}
-
-// prefillTime is how long a prefill engine takes for so much effort.
-func prefillTime(perToken time.Duration, effort int) time.Duration {
-	return prefillOverhead + time.Duration(effort)*perToken
+	p.pace.Keep(func(engine uint64) bool { return listed[engine] != nil })
 }
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -1,99 +1,75 @@
 package relay
 
 import (
-	"slices"
 	"time"
 
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
-// choice says what a back end is wanted for.
-type choice struct {
-	service string
-	// stage is StageWhole for services without engines.
-	stage serving.Stage
-	// zone is preferred: this relay's, or that of the engine that holds the prompt.
-	zone string
-	// prompt is what the engine is to read, tokens its length; 0 when another one has read it.
-	prompt []promptPart
-	tokens int
-	// rank is the route's at engines.
-	rank int
-	// held is where most of the prompt is cached, tokenMove the time to move one token.
-	held      holder
-	tokenMove time.Duration
-	// gap is the longest pause between a stream's events that is in time, stride the tokens
-	// of one event.
-	gap    time.Duration
-	stride int
-	// target is the time to the first event that is in time.
-	target time.Duration
-	now    time.Duration
+// survey is what is known of a service's back ends at one moment, for one decision.
+type survey struct {
+	backEnds []*backEnd
+	engines  []placement.Engine
 }
 
-// pick chooses the back end for a request, or nil when none is left.
-func (r *Relay) pick(wanted choice, tried *attempts) *backEnd {
-	best := r.best(wanted, tried)
-	if best == nil {
-		return nil
+// survey looks at the newest list: a request may wait long between two picks.
+func (r *Relay) survey(service string, prompt []placement.Part, tried *attempts, now time.Duration) survey {
+	backEnds := r.view.Load().byService[service]
+	seen := survey{backEnds: backEnds, engines: make([]placement.Engine, len(backEnds))}
+	for index, backEnd := range backEnds {
+		load := backEnd.look(now)
+		engine := placement.Engine{
+			Hash: backEnd.hash, Zone: backEnd.Zone, Stage: backEnd.Stage,
+			Closed:     backEnd.Leaving || backEnd.Changing || tried.isExcluded(backEnd),
+			AvoidUntil: load.avoidUntil, Failures: load.failures, Running: max(load.own.Streams, load.told),
+		}
+		if backEnd.isEngine() {
+			engine.Work = r.notices.table.total(now, backEnd, load)
+			engine.PerToken = r.pace.of(backEnd.hash)
+			engine.Cached = backEnd.cache.cached(prompt, now)
+		}
+		seen.engines[index] = engine
 	}
-	return best.backEnd
+	return seen
 }
 
-// best returns the candidate of least cost, or nil. Back ends that failed lately are taken
-// only when no other is left.
-func (r *Relay) best(wanted choice, tried *attempts) *candidate {
-	view := r.view.Load() // the newest list: a request may wait long between two picks
-	candidates := make([]candidate, 0, 16)
-	for _, backEnd := range view.byService[wanted.service] {
-		if backEnd.Leaving || backEnd.Changing || backEnd.Stage != wanted.stage || tried.isExcluded(backEnd) {
-			continue
-		}
-		candidates = append(candidates, candidate{backEnd: backEnd, load: backEnd.look(wanted.now)})
-	}
-	healthy := slices.DeleteFunc(slices.Clone(candidates), func(c candidate) bool { return wanted.now < c.load.avoidUntil })
-	if len(healthy) > 0 {
-		candidates = healthy
+// place is a back end that was picked, with what picking it means.
+type place struct {
+	placement.Candidate
+	backEnd *backEnd
+	// fetchFrom is the engine from which it takes the beginning of the prompt, nil for none.
+	fetchFrom *backEnd
+}
+
+// place returns the back end of a candidate; nil for none.
+func (s survey) place(candidate *placement.Candidate) *place {
+	if candidate == nil {
+		return nil
 	}
-	for index := range candidates {
-		candidates[index].cost = r.cost(wanted, &candidates[index])
+	chosen := &place{Candidate: *candidate, backEnd: s.backEnds[candidate.Index]}
+	if candidate.FetchFrom != placement.None {
+		chosen.fetchFrom = s.backEnds[candidate.FetchFrom]
 	}
-	return cheapest(candidates, r.draw)
+	return chosen
 }
 
-// candidate is a back end that may be picked, with its load at the moment.
-type candidate struct {
-	backEnd *backEnd
-	load    load
-	cost    float64
-	// toRead is what a prefill engine has to read itself; fetchFrom is where it takes the
-	// rest that it has not cached, nil for nowhere.
-	toRead    int
-	fetchFrom *backEnd
-	// effort is what reading toRead takes, counted in first tokens of a prompt.
-	effort int
-	// unusable is how much of the prompt the engine is reading for other requests, which
-	// cannot be used before those have it.
-	unusable int
-	// waiting is how long the reading of a prompt waits at the engine.
-	waiting time.Duration
+// pickWhole chooses the back end of a service that answers requests whole, or nil when none is
+// left.
+func (r *Relay) pickWhole(request *request, tried *attempts) *place {
+	now := r.clock.now()
+	seen := r.survey(request.service.Name, nil, tried, now)
+	wanted := placement.Request{Now: now, Stage: answeringStage(request.service), Zone: r.settings.Zone}
+	return seen.place(r.policy.Generator(wanted, seen.engines, r.draw))
 }
 
-// cheapest returns the candidate of least cost, or nil; equal ones are drawn.
-func cheapest(candidates []candidate, draw func() float64) *candidate {
-	var best *candidate
-	ties := 0
-	for index := range candidates {
-		candidate := &candidates[index]
-		switch {
-		case best == nil || candidate.cost < best.cost:
-			best, ties = candidate, 1
-		case candidate.cost == best.cost:
-			ties++
-			if draw()*float64(ties) < 1 {
-				best = candidate
-			}
-		}
+// defaultTokenMove is the way of one token where the links are not known.
+const defaultTokenMove = 2 * time.Microsecond
+
+// tokenMoveTime is how long the memory of one token is on its way between engines.
+func tokenMoveTime(engine *serving.Engine) time.Duration {
+	if engine == nil || engine.LinkBytes <= 0 {
+		return defaultTokenMove
 	}
-	return best
+	return time.Duration(float64(engine.TokenBytes) / engine.LinkBytes * float64(time.Second))
 }
--- a/internal/relay/plain_test.go
+++ b/internal/relay/plain_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -85,7 +86,7 @@
 				first := startBackEnd(t, "first", serving.StageWhole, fault.first)
 				second := startBackEnd(t, "second", serving.StageWhole, answering(200, "whole"))
 				relay := newTestRelay(t, route(func(r *serving.Route) { r.Kind = kind }), first, second)
-				relay.view.Load().byService["service"][1].begin(work{streams: 5}) // the first is picked first
+				relay.view.Load().byService["service"][1].begin(placement.Work{Streams: 5}) // the first is picked first
 				answer := relay.client(t).do("POST", "/path/", "x")
 				require.Equal(t, want, answer.status)
 				require.True(t, answer.whole)
--- a/internal/relay/read_prompt.go
+++ b/internal/relay/read_prompt.go
@@ -5,25 +5,21 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 )
 
 // maximumPrefillAnswer bounds the answer to a reading of a prompt.
 const maximumPrefillAnswer = 16 << 10
 
-const (
-	// prioritySteps is the number of ranks that one rank of a route is divided into.
-	prioritySteps = 3
-	// shortReading and longReading divide the prompts of one rank: short ones go first, as
-	// they wait least and delay others least.
-	shortReading = 5_000
-	longReading  = 14_000
-)
+// prioritySteps is the number of ranks that one rank of a route is divided into.
+const prioritySteps = 3
 
 // heldPrompt is a prompt that an engine has read for another one.
 type heldPrompt struct {
 	engine *backEnd
 	handle string
-	parts  []promptPart
+	parts  []placement.Part
 }
 
 // source is how a decoding engine is told where the prompt is.
@@ -34,7 +30,7 @@
 func (r *Relay) serveStream(request *request, reply *replier) {
 	tried := &attempts{relay: r, request: request}
 	stream := &streamReply{relay: r, request: request, reply: reply, tried: tried,
-		parts: partsOf(request.prompt), last: string(request.header.Peek(r.dialect.Headers.LastEventID))}
+		parts: placement.PartsOf(request.prompt), last: string(request.header.Peek(r.dialect.Headers.LastEventID))}
 	begun := r.beginStream(stream)
 	if begun.refused != nil {
 		r.log.refused(request, *begun.refused, tried)
@@ -67,13 +63,13 @@
 
 // readTwice lets a prefill engine read a prompt, and another one when the first has failed
 // and the route's attempts leave one for the reading and one for the run.
-func (r *Relay) readTwice(stream *streamReply, chosen *candidate) *heldPrompt {
+func (r *Relay) readTwice(stream *streamReply, chosen *place) *heldPrompt {
 	held := r.readPrompt(stream, chosen)
 	tried := stream.tried
 	if held != nil || tried.over() || tried.sent+1 >= stream.request.route.MaxAttempts {
 		return held
 	}
-	next := r.best(stream.wanted(nil).atPrefill(stream.request.route), tried)
+	next := r.nextReader(stream)
 	if next == nil || !r.sendAgain(stream.request) {
 		return nil
 	}
@@ -82,21 +78,21 @@
 }
 
 // readPrompt lets a prefill engine read a prompt. It returns nil when it has not.
-func (r *Relay) readPrompt(stream *streamReply, chosen *candidate) *heldPrompt {
+func (r *Relay) readPrompt(stream *streamReply, chosen *place) *heldPrompt {
 	request, engine, now := stream.request, chosen.backEnd, r.clock.now()
-	rank := readingRank(stream.rank(), chosen.toRead)
+	rank := r.policy.ReadingRank(stream.rank(), chosen.ToRead)
 	ahead := r.notices.table.total(now, engine, engine.look(now))
-	request.trace.prefill(engine, now, chosen.toRead, ahead.tokensUpTo(rank), ahead.promptTokens())
+	request.trace.prefill(engine, now, chosen.ToRead, ahead.TokensUpTo(rank), ahead.PromptTokens())
 	perToken := r.pace.of(engine.hash)
-	r.work.add(request.service.Name, prefillTime(perToken, chosen.effort), 0)
+	r.work.add(request.service.Name, placement.PrefillTime(perToken, chosen.Effort), 0)
 	set := []header{r.rankHeader(rank), {r.dialect.Headers.Stage, r.dialect.PrefillStage}}
 	if chosen.fetchFrom != nil {
 		set = append(set, header{r.dialect.Headers.KVFetch, chosen.fetchFrom.Address})
 	}
 	answer, fault := r.exchanger.send(&message{
 		request: request, backEnd: engine, deadline: request.deadline, reads: stream.parts, set: set,
-		work:     reading(chosen.effort, rank).plus(work{prompts: 1}),
-		stall:    prefillStall + time.Duration(prefillStallShare*float64(waitingTime(ahead, ranks-1, perToken)+prefillTime(perToken, chosen.effort))),
+		work:     placement.Reading(chosen.Effort, rank).Plus(placement.Work{Prompts: 1}),
+		stall:    prefillStall + time.Duration(prefillStallShare*float64(r.policy.WaitingTime(ahead, placement.Ranks-1, perToken)+placement.PrefillTime(perToken, chosen.Effort))),
 		mayBreak: true,
 	})
 	if fault != nil {
@@ -104,8 +100,8 @@
 		stream.tried.noteReading(engine, fault)
 		return nil
 	}
-	if ahead.prompts == 0 && chosen.fetchFrom == nil {
-		r.notePace(engine, observedPace(chosen.effort, r.clock.now()-now))
+	if ahead.Prompts == 0 && chosen.fetchFrom == nil {
+		r.notePace(engine, placement.ObservedPace(chosen.Effort, r.clock.now()-now))
 	}
 	defer answer.finish()
 	held := r.takeHandle(answer, stream.parts)
@@ -122,7 +118,7 @@
 }
 
 // takeHandle reads the answer to the reading of a prompt; nil when it is none.
-func (r *Relay) takeHandle(answer *answer, parts []promptPart) *heldPrompt {
+func (r *Relay) takeHandle(answer *answer, parts []placement.Part) *heldPrompt {
 	body, err := io.ReadAll(io.LimitReader(answer, maximumPrefillAnswer))
 	if err != nil || answer.status != fasthttp.StatusOK {
 		return nil
@@ -134,17 +130,6 @@
 	return &heldPrompt{engine: answer.message.backEnd, handle: handle, parts: parts}
 }
 
-// readingRank ranks the reading of a prompt: by its route, and then by its length.
-func readingRank(rank, toRead int) int {
-	if toRead > shortReading {
-		rank++
-	}
-	if toRead > longReading {
-		rank++
-	}
-	return min(rank, ranks-1)
-}
-
 // release gives a prompt up that nobody will take, in the background: it would take room
 // until it lapses.
 func (r *Relay) release(held *heldPrompt) {
--- a/internal/relay/refusal_test.go
+++ b/internal/relay/refusal_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -13,7 +14,7 @@
 var refusedByEngine = &failure{verdict: verdict.NotRun, arrived: true, cause: errNotExecuted}
 
 // refuse lets an engine of the relay refuse a message of some work.
-func (r *testRelay) refuse(engine *backEnd, asked work) {
+func (r *testRelay) refuse(engine *backEnd, asked placement.Work) {
 	r.exchanger.judge(&message{backEnd: engine, work: asked}, refusedByEngine)
 }
 
@@ -35,7 +36,7 @@
 // the change learn it from one refusal, whichever relay had it.
 func TestRefusalOfAnEngineWithRoomCountsAsFailure(t *testing.T) {
 	relay, engine := newRefusingRelay(t, serving.StageDecode)
-	relay.refuse(engine, work{streams: 1}.plus(reading(500, 0)))
+	relay.refuse(engine, placement.Work{Streams: 1}.Plus(placement.Reading(500, 0)))
 	require.Equal(t, 1, engine.look(relay.clock.now()).failures)
 	require.True(t, relay.isToldFailed(engine))
 }
@@ -43,14 +44,14 @@
 // A full engine is not broken: it is avoided for a short while, and only here.
 func TestRefusalOfAFullEngineIsNoFailure(t *testing.T) {
 	for name, fill := range map[string]func(*testRelay, *backEnd){
-		"own work":      func(_ *testRelay, engine *backEnd) { engine.begin(work{streams: 6}) },
+		"own work":      func(_ *testRelay, engine *backEnd) { engine.begin(placement.Work{Streams: 6}) },
 		"its own word":  func(relay *testRelay, engine *backEnd) { engine.tell(relay.clock.now()+time.Hour, 4, 3) },
-		"both together": func(_ *testRelay, engine *backEnd) { engine.begin(work{streams: 2, prompts: 2}) },
+		"both together": func(_ *testRelay, engine *backEnd) { engine.begin(placement.Work{Streams: 2, Prompts: 2}) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			relay, engine := newRefusingRelay(t, serving.StageDecode)
 			fill(relay, engine)
-			relay.refuse(engine, work{streams: 1}.plus(reading(500, 0)))
+			relay.refuse(engine, placement.Work{Streams: 1}.Plus(placement.Reading(500, 0)))
 			require.Zero(t, engine.look(relay.clock.now()).failures)
 			require.Equal(t, 1, engine.look(relay.clock.now()).refusals)
 			require.False(t, relay.isToldFailed(engine))
@@ -62,10 +63,10 @@
 // row come from the engine.
 func TestRefusalOfAHandOverCountsWhenRepeated(t *testing.T) {
 	relay, engine := newRefusingRelay(t, serving.StageDecode)
-	relay.refuse(engine, work{streams: 1})
+	relay.refuse(engine, placement.Work{Streams: 1})
 	require.Zero(t, engine.look(relay.clock.now()).failures)
 	require.False(t, relay.isToldFailed(engine))
-	relay.refuse(engine, work{streams: 1})
+	relay.refuse(engine, placement.Work{Streams: 1})
 	require.Equal(t, 1, engine.look(relay.clock.now()).failures)
 	require.True(t, relay.isToldFailed(engine))
 }
@@ -73,7 +74,7 @@
 // A back end without a stage has no load that relays tell each other: it is only busy.
 func TestRefusalOfAWholeBackEndIsNoFailure(t *testing.T) {
 	relay, engine := newRefusingRelay(t, serving.StageWhole)
-	relay.refuse(engine, work{streams: 1})
-	relay.refuse(engine, work{streams: 1})
+	relay.refuse(engine, placement.Work{Streams: 1})
+	relay.refuse(engine, placement.Work{Streams: 1})
 	require.Zero(t, engine.look(relay.clock.now()).failures)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
@@ -36,6 +37,8 @@
 	notices   *notices
 	work      *workMeter
 	pace      *pace
+	// policy holds the weights of the decisions on where requests run.
+	policy placement.Parameters
 	// readingSlack is how long beyond the expected a request waits for another's reading.
 	readingSlack time.Duration
 
@@ -112,6 +115,7 @@
 		budget:   newRetryBudget(config.RetryBudget.Ratio, config.RetryBudget.Window, config.RetryBudget.Slack),
 		work:     newWorkMeter(),
 		pace:     newPace(),
+		policy:   placement.DefaultParameters(),
 
 		readingSlack: readingSlack,
 		random:       lockedRandom{source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
--- a/internal/relay/request_trace.go
+++ b/internal/relay/request_trace.go
@@ -14,6 +14,8 @@
 	// toRead and ahead are the tokens that the prefill engine had to read for this request
 	// and for others when it was picked, as far as was known.
 	toRead, ahead, aheadAll int
+	// placed says why the prompt is read where it is.
+	placed string
 	// firstAt is when the first event of a stream was passed on.
 	firstAt time.Duration
 	// lastAt is when the last events were passed on, longestGap the longest pause before any.
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -83,14 +84,13 @@
 func (r *Relay) servePlain(request *request, reply *replier) {
 	tried := &attempts{relay: r, request: request}
 	for tried.mayContinue() {
-		backEnd := r.pick(choice{
-			service: request.service.Name, stage: answeringStage(request.service), zone: r.settings.Zone, now: r.clock.now(),
-		}, tried)
-		if backEnd == nil {
+		chosen := r.pickWhole(request, tried)
+		if chosen == nil {
 			break
 		}
+		backEnd := chosen.backEnd
 		request.trace.engine, request.trace.sentAt = backEnd.ID, r.clock.now()
-		answer, fault := r.exchanger.send(&message{request: request, backEnd: backEnd, deadline: request.deadline, work: work{streams: 1},
+		answer, fault := r.exchanger.send(&message{request: request, backEnd: backEnd, deadline: request.deadline, work: placement.Work{Streams: 1},
 			stall: stallLimit(request.route), mayBreak: request.route.Repeatable() && tried.sent+1 < request.route.MaxAttempts})
 		if fault == nil {
 			fault = r.passPlain(answer, tried, reply)
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
@@ -22,7 +23,7 @@
 	reply   *replier
 	tried   *attempts
 	// parts are those of the prompt, in order.
-	parts []promptPart
+	parts []placement.Part
 	// last is the identity of the last event that the client has.
 	last string
 	// pieces are events that wait for the next write.
@@ -37,27 +38,26 @@
 func (s *streamReply) rank() int { return s.request.route.Priority * prioritySteps }
 
 // wanted describes the engine that is to generate, and to read the prompt unless held.
-func (s *streamReply) wanted(held *heldPrompt) choice {
-	wanted := choice{
-		service: s.request.service.Name, stage: answeringStage(s.request.service), rank: s.rank(),
-		zone: s.relay.settings.Zone, now: s.relay.clock.now(),
+func (s *streamReply) wanted(held *heldPrompt) placement.Request {
+	wanted := placement.Request{
+		Now: s.relay.clock.now(), Stage: answeringStage(s.request.service), Zone: s.relay.settings.Zone, Rank: s.rank(),
+		MayHaveRun: s.tried.mayHaveRun,
 	}
 	if held != nil {
-		wanted.zone = held.engine.Zone
+		wanted.Zone = held.engine.Zone
 		return wanted
 	}
-	wanted.prompt, wanted.tokens = s.parts, s.request.prompt.PromptTokens
-	if s.request.service.Engine != nil && wanted.tokens > 0 {
-		wanted.held = s.relay.holderOf(s.request.service.Name, s.parts, wanted.now)
-		wanted.tokenMove = tokenMoveTime(s.request.service.Engine)
-		wanted.gap, wanted.stride = s.request.route.TargetGap, s.request.service.Engine.Stride
+	wanted.Prompt, wanted.Tokens = s.parts, s.request.prompt.PromptTokens
+	if engine := s.request.service.Engine; engine != nil && wanted.Tokens > 0 {
+		wanted.TokenMove = tokenMoveTime(engine)
+		wanted.Target, wanted.Gap, wanted.Stride = s.request.route.Target, s.request.route.TargetGap, engine.Stride
 	}
 	return wanted
 }
 
 // run sends the request to an engine and passes its stream on. The failure is nil when the
 // client has its final answer; otherwise the stream may go on at another engine.
-func (s *streamReply) run(chosen *candidate, held *heldPrompt) *failure {
+func (s *streamReply) run(chosen *place, held *heldPrompt) *failure {
 	engine := chosen.backEnd
 	s.held, s.begun = held, false
 	names := s.relay.dialect.Headers
@@ -69,17 +69,17 @@
 		set = append(set, header{names.LastEventID, s.last})
 	}
 	began := s.relay.clock.now()
-	defer func() { s.noteDecodeTime(engine, chosen.effort, s.relay.clock.now()-began) }()
+	defer func() { s.noteDecodeTime(engine, chosen.Effort, s.relay.clock.now()-began) }()
 	s.request.trace.engine, s.request.trace.sentAt = engine.ID, began
-	asked := work{streams: 1}
+	asked := placement.Work{Streams: 1}
 	if held == nil {
-		asked = asked.plus(reading(chosen.effort, s.rank()))
+		asked = asked.Plus(placement.Reading(chosen.Effort, s.rank()))
 		if chosen.fetchFrom != nil {
 			set = append(set, header{names.KVFetch, chosen.fetchFrom.Address})
 		}
 	}
 	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.request.deadline, set: set, work: asked, reads: s.parts,
-		stall: stallLimit(s.request.route) + prefillTime(s.relay.pace.of(engine.hash), decodeSlowdown*asked.promptTokens()), mayBreak: s.mayMove()})
+		stall: stallLimit(s.request.route) + placement.PrefillTime(s.relay.pace.of(engine.hash), int(s.relay.policy.DecodeSlowdown)*asked.PromptTokens()), mayBreak: s.mayMove()})
 	if fault != nil {
 		s.noteTaken(fault)
 		return fault
@@ -99,7 +99,7 @@
 	}
 	busy := took / time.Duration(max(engine.Slots, 1))
 	if effort > 0 {
-		busy += decodeSlowdown * time.Duration(effort) * s.relay.pace.of(engine.hash)
+		busy += s.relay.policy.DecodeSlowdown * time.Duration(effort) * s.relay.pace.of(engine.hash)
 	}
 	s.relay.work.add(s.request.service.Name, 0, busy)
 }
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -45,7 +46,7 @@
 func (r *testRelay) preferring(id string) *testRelay {
 	for _, backEnd := range r.view.Load().byService["service"] {
 		if backEnd.ID != id {
-			backEnd.begin(work{streams: 50})
+			backEnd.begin(placement.Work{Streams: 50})
 		}
 	}
 	return r
@@ -157,7 +158,7 @@
 	lapsed := startBackEnd(t, "lapsed", serving.StageDecode, refusing(503))
 	decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
 	relay := newTestRelay(t, route(stream(false)), reader, lapsed, decoder)
-	relay.engineOf("decoder").begin(work{streams: 1}) // so that the other one is picked
+	relay.engineOf("decoder").begin(placement.Work{Streams: 1}) // so that the other one is picked
 	answer := relay.client(t).do("POST", "/path/", "x", longPrompt...)
 	require.Len(t, lapsed.seen(), 1)
 	require.Equal(t, eventOne, answer.body)
@@ -189,7 +190,7 @@
 		})
 		busy := startBackEnd(t, "busy", serving.StageDecode, streaming("busy", eventOne))
 		relay = newTestRelay(t, route(stream(true)), reader, broken, busy).preferring("broken")
-		relay.engineOf("busy").begin(reading(10_000, 0))
+		relay.engineOf("busy").begin(placement.Reading(10_000, 0))
 		answer := relay.client(t).do("POST", "/path/", "x", longPrompt...)
 		if readerFails {
 			require.Equal(t, 502, answer.status)
@@ -205,11 +206,11 @@
 // A long prompt whose reading failed is not read by a decoding engine with streams: the request
 // has not run, so its client is told to come back.
 func TestLongPromptIsNotReadBesideStreams(t *testing.T) {
-	for streams, status := range map[int]int{fewStreams: 200, fewStreams + 1: 503} {
+	for streams, status := range map[int]int{placement.DefaultParameters().FewStreams: 200, placement.DefaultParameters().FewStreams + 1: 503} {
 		reader := startBackEnd(t, "reader", serving.StagePrefill, writing(""))
 		decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
 		relay := newTestRelay(t, route(func(r *serving.Route) { stream(false)(r); r.MaxAttempts = 1 }), reader, decoder)
-		relay.engineOf("decoder").begin(work{streams: streams})
+		relay.engineOf("decoder").begin(placement.Work{Streams: streams})
 		answer := relay.client(t).do("POST", "/path/", "x", longPrompt...)
 		require.Equal(t, status, answer.status)
 		if status == 503 {
@@ -226,7 +227,7 @@
 	relay := newTestRelay(t, route(stream(true)), reader, decoder)
 	for _, backEnd := range relay.view.Load().byService["service"] {
 		if backEnd.ID == "reader" {
-			backEnd.begin(reading(100_000, 0).plus(work{prompts: 5}))
+			backEnd.begin(placement.Reading(100_000, 0).Plus(placement.Work{Prompts: 5}))
 		}
 	}
 	answer := relay.client(t).do("POST", "/path/", "x", longPrompt...)
@@ -246,7 +247,7 @@
 		relay := newTestRelay(t, made, broken, reader, decoder)
 		for _, backEnd := range relay.view.Load().byService["service"] {
 			if backEnd.ID == "reader" {
-				backEnd.begin(reading(5000, 0))
+				backEnd.begin(placement.Reading(5000, 0))
 			}
 		}
 		answer := relay.client(t).do("POST", "/path/", "x", longPrompt...)
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -15,6 +15,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -200,7 +201,7 @@
 func (w *watcher) resizeCaches(next *view) {
 	for service, backEnds := range next.byService {
 		for _, engine := range backEnds {
-			engine.cache.resize(cacheCapacity(engine.Stage, cacheTokens(next, service)))
+			engine.cache.resize(placement.CacheCapacity(engine.Stage, cacheTokens(next, service)))
 		}
 	}
 }
@@ -240,7 +241,7 @@
 	replaced.load.avoidUntil = former.look(0).avoidUntil
 	replaced.cache = former.cache
 	if former.Stage != entry.Stage {
-		replaced.cache.resize(cacheCapacity(entry.Stage, cacheTokens(view, entry.Service)))
+		replaced.cache.resize(placement.CacheCapacity(entry.Stage, cacheTokens(view, entry.Service)))
 		// The list shows the new stage before the engine is back.
 		replaced.avoid(w.relay.clock.now() + roleChange(view, entry.Service))
 	}
