--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -13,6 +13,8 @@
 	AttemptFailed Event = "attempt_failed"
 	// RequestRefused: the relay gave an answer of its own.
 	RequestRefused Event = "request_refused"
+	// RunMoved: a run was moved from an engine that takes no more work.
+	RunMoved Event = "run_moved"
 	// ConfigurationInForce: another configuration is in force at the relay.
 	ConfigurationInForce Event = "configuration_in_force"
 	// ConfigurationUnreadable: a configuration came that cannot be read.
@@ -45,7 +47,7 @@
 
 // All lists every event.
 var All = []Event{
-	RequestEnded, AttemptFailed, RequestRefused, ConfigurationInForce, ConfigurationUnreadable, ListingInForce,
+	RequestEnded, AttemptFailed, RequestRefused, RunMoved, ConfigurationInForce, ConfigurationUnreadable, ListingInForce,
 	LeaderLost, LeaderFound, RelayStarted, RelayStopping, StageOrdered, DiskFailed, SettingsReloaded, LogLinesDropped,
 }
 
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -18,9 +18,13 @@
 	hash  uint64
 	pool  pool
 	cache *promptCache
+	// changedAt is when the engine was marked as changing its stage, or no longer so.
+	changedAt time.Duration
 
 	mutex sync.Mutex
 	load  load
+	// movers move the runs under way when the engine takes no more work.
+	movers map[*runMover]bool
 }
 
 // newBackEnd returns the record of a listed back end; memory is an engine's, in tokens.
@@ -140,3 +144,29 @@
 	}
 	return seen
 }
+
+// addMover registers a run that may be moved.
+func (b *backEnd) addMover(mover *runMover) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.movers == nil {
+		b.movers = map[*runMover]bool{}
+	}
+	b.movers[mover] = true
+}
+
+// removeMover forgets a run that has ended.
+func (b *backEnd) removeMover(mover *runMover) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	delete(b.movers, mover)
+}
+
+// moveRuns moves the runs under way to other engines.
+func (b *backEnd) moveRuns() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for mover := range b.movers {
+		go mover.move()
+	}
+}
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -13,6 +13,13 @@
 	HandlePath func(handle string) string
 	// ParsePrefillAnswer returns the handle of a prompt that an engine has read.
 	ParsePrefillAnswer func(body []byte) (handle string, err error)
+	// MovePath is the path at which an engine copies a run to another one.
+	MovePath string
+	// MoveBody asks to copy a run to the engine at an address. The run stops first, or goes on
+	// meanwhile.
+	MoveBody func(request, address string, stop bool) []byte
+	// ParseMoveAnswer returns the handle of the copy; "" when there is none.
+	ParseMoveAnswer func(body []byte) (handle string)
 	// ParseConfiguration reads the operator's document.
 	ParseConfiguration func(content []byte) (serving.Configuration, error)
 }
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -32,6 +32,11 @@
 		ReadyPath:          "/ready",
 		HandlePath:         func(handle string) string { return "/handle/" + handle },
 		ParsePrefillAnswer: func(body []byte) (string, error) { return string(body), nil },
+		MovePath:           "/move",
+		MoveBody: func(request, address string, stop bool) []byte {
+			return fmt.Appendf(nil, "%s %s %t", request, address, stop)
+		},
+		ParseMoveAnswer: func(body []byte) string { return string(body) },
 	}
 }
 
@@ -191,7 +196,7 @@
 	service := serving.Service{Name: "service"}
 	for _, backEnd := range backEnds {
 		if backEnd.entry.Stage != serving.StageWhole {
-			service.Engine = &serving.Engine{Slots: 8, CacheTokens: 100_000}
+			service.Engine = &serving.Engine{Slots: 8, CacheTokens: 100_000, Movable: true}
 		}
 	}
 	configuration := serving.Configuration{Number: 1, Routes: []serving.Route{made}, Services: []serving.Service{service}}
--- a/internal/relay/newest_list_test.go
+++ b/internal/relay/newest_list_test.go
@@ -12,15 +12,21 @@
 
 // leave puts a list in force in which a back end leaves.
 func (r *testRelay) leave(id string) {
+	r.relist(func(entry *serving.BackEnd) { entry.Leaving = entry.Leaving || entry.ID == id })
+}
+
+// relist puts a list in force whose entries are changed.
+func (r *testRelay) relist(change func(entry *serving.BackEnd)) {
 	next := *r.view.Load()
 	var listed []serving.BackEnd
 	for _, known := range next.byService["service"] {
 		entry := known.BackEnd
-		entry.Leaving = entry.Leaving || entry.ID == id
+		change(&entry)
 		listed = append(listed, entry)
 	}
 	r.watcher.takeBackEnds(listed, &next)
 	r.view.Store(&next)
+	r.watcher.moveRuns()
 }
 
 // A prompt may be read for seconds. The engine that generates is picked from the list as it is
--- a/internal/relay/read_prompt.go
+++ b/internal/relay/read_prompt.go
@@ -38,7 +38,10 @@
 		return
 	}
 	chosen, held := begun.direct, begun.held
-	for tried.mayContinue() {
+	for stream.moved != nil || tried.mayContinue() {
+		if moved := stream.moved; moved != nil {
+			stream.moved, chosen, held = nil, moved.place, moved.held
+		}
 		if chosen == nil {
 			chosen = r.nextEngine(stream, held)
 		}
@@ -51,6 +54,10 @@
 		if fault == nil {
 			return
 		}
+		if stream.moved != nil {
+			tried.mayHaveRun = true
+			continue
+		}
 		r.log.attemptFailed(request, engine, fault)
 		tried.note(engine, fault)
 		chosen = nil
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -33,6 +33,12 @@
 		Int64("retry_after_ms", refused.retryAfter.Milliseconds()).Int("sent", tried.sent).Bool("may_have_run", tried.mayHaveRun).Send()
 }
 
+// moved notes that a run was moved from an engine that takes no more work, or stopped there
+// without a copy.
+func (l requestLog) moved(request *request, from, to *backEnd, copied bool) {
+	l.line(zerolog.InfoLevel, events.RunMoved, request).Str("back_end", from.ID).Str("to", to.ID).Bool("copied", copied).Send()
+}
+
 // ended notes how a request ended. Of ordinary requests one in sampled has a line, chosen
 // by its identity, so that every process keeps the same ones.
 func (l requestLog) ended(request *request, reply *replier, belief belief) {
--- /dev/null
+++ b/internal/relay/run_mover.go
@@ -0,0 +1,139 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/placement"
+)
+
+// moveTimeout bounds the copying of one run.
+const moveTimeout = time.Second
+
+// movedRun says where a run goes on that was moved from its engine.
+type movedRun struct {
+	place *place
+	held  *heldPrompt
+}
+
+// runMover moves one run to another engine when its own takes no more work: its streams need not
+// hold up the engine's change of stage, nor end with an engine that leaves. It is registered with
+// the engine while events of the run come.
+type runMover struct {
+	stream *streamReply
+	engine *backEnd
+
+	mutex sync.Mutex
+	// stopping tells that the run has been asked to stop, outcome then gets where it goes on,
+	// nil for nowhere.
+	stopping bool
+	ended    bool
+	outcome  chan *movedRun
+}
+
+// newRunMover registers a run with its engine. Its end must be told.
+func newRunMover(stream *streamReply, engine *backEnd) *runMover {
+	mover := &runMover{stream: stream, engine: engine, outcome: make(chan *movedRun, 1)}
+	engine.addMover(mover)
+	return mover
+}
+
+// end notes that no more events of the run come. It returns where the run goes on; nil when it
+// was not moved.
+func (m *runMover) end() *movedRun {
+	m.engine.removeMover(m)
+	m.mutex.Lock()
+	m.ended = true
+	stopping := m.stopping
+	m.mutex.Unlock()
+	if !stopping {
+		return nil
+	}
+	return <-m.outcome
+}
+
+// stop begins the part of the move in which the run stands still; it reports false when there is
+// nothing to move any more.
+func (m *runMover) stop() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.stopping = !m.ended
+	return m.stopping
+}
+
+// move copies the run's memory while the run goes on, and then what is new, while it stands
+// still. A run whose memory could not be copied stays where it is.
+func (m *runMover) move() {
+	relay, request := m.stream.relay, m.stream.request
+	target := relay.pickForRun(m)
+	if target == nil {
+		return
+	}
+	target.backEnd.begin(placement.Work{Streams: 1})
+	defer target.backEnd.end(placement.Work{Streams: 1})
+	copied, handle := relay.exchanger.copyRun(m.engine, relay.dialect, request.id, target.backEnd.Address, false)
+	if !copied {
+		return
+	}
+	if !m.stop() {
+		relay.release(&heldPrompt{engine: m.engine, handle: handle})
+		return
+	}
+	copied, handle = relay.exchanger.copyRun(m.engine, relay.dialect, request.id, target.backEnd.Address, true)
+	relay.log.moved(request, m.engine, target.backEnd, copied)
+	m.outcome <- m.destination(target, copied, handle)
+}
+
+// destination is where a run that has stopped goes on: at the engine that has its copy, or where
+// it was when the rest could not be copied.
+func (m *runMover) destination(target *place, copied bool, handle string) *movedRun {
+	if handle == "" {
+		return nil
+	}
+	if !copied {
+		target = &place{backEnd: m.engine, Candidate: placement.Candidate{FetchFrom: placement.None}}
+	}
+	return &movedRun{place: target, held: &heldPrompt{engine: m.engine, handle: handle, parts: m.stream.parts}}
+}
+
+// pickForRun picks the engine that takes over a run; nil when none has a slot for it.
+func (r *Relay) pickForRun(mover *runMover) *place {
+	request, now := mover.stream.request, r.clock.now()
+	tried := &attempts{relay: r, request: request, excluded: []*backEnd{mover.engine}}
+	seen := r.survey(request.service.Name, nil, tried, now)
+	for index, engine := range seen.engines {
+		seen.engines[index].Closed = engine.Closed || engine.Hash == mover.engine.hash || engine.Work.Streams >= seen.backEnds[index].Slots
+	}
+	wanted := placement.Request{Now: now, Stage: answeringStage(request.service), Zone: mover.engine.Zone, Rank: mover.stream.rank()}
+	return seen.place(r.policy.Generator(wanted, seen.engines, r.draw))
+}
+
+// copyRun has an engine copy a run to the engine at an address. It reports whether it did, and
+// the handle under which the run goes on.
+func (e *exchanger) copyRun(engine *backEnd, dialect Dialect, request, address string, stop bool) (copied bool, handle string) {
+	now := e.clock.now()
+	connection, err := e.open(engine, moveTimeout)
+	if err != nil {
+		return false, ""
+	}
+	defer connection.close()
+	_ = connection.SetDeadline(e.clock.at(now + moveTimeout))
+	body := dialect.MoveBody(request, address, stop)
+	head := &fasthttp.RequestHeader{}
+	head.SetMethod(fasthttp.MethodPost)
+	head.SetRequestURI(dialect.MovePath)
+	head.SetHost(engine.Address)
+	head.SetContentType("application/json")
+	head.SetContentLength(len(body))
+	head.Set(e.names.ExpectInstance, engine.ID)
+	if _, err := connection.Write(append(head.Header(), body...)); err != nil {
+		return false, ""
+	}
+	answer := fasthttp.Response{}
+	if err := answer.ReadLimitBody(connection.reader, maximumPrefillAnswer); err != nil {
+		return false, ""
+	}
+	return answer.StatusCode() == fasthttp.StatusOK, dialect.ParseMoveAnswer(answer.Body())
+}
--- /dev/null
+++ b/internal/relay/run_mover_test.go
@@ -0,0 +1,164 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// movableEngine streams one event and then waits; calls to move its run get the answers given, by
+// whether the run is to stop. Asked to stop, it breaks the stream off.
+type movableEngine struct {
+	*scriptedBackEnd
+	began   chan struct{}
+	stopped chan struct{}
+}
+
+// moveAnswer is the answer to a call that moves a run.
+type moveAnswer struct {
+	status int
+	body   string
+}
+
+func startMovableEngine(t *testing.T, copying, stopping moveAnswer) *movableEngine {
+	engine := &movableEngine{began: make(chan struct{}), stopped: make(chan struct{})}
+	engine.scriptedBackEnd = startBackEnd(t, "former", serving.StageDecode, func(connection net.Conn, request received) bool {
+		switch {
+		case request.line != "POST /move":
+			head := strings.NewReplacer("ID", string(request.head.Peek("T-Id")), "SEAL", "former").Replace(streamHead)
+			_, _ = io.WriteString(connection, head)
+			_, _ = connection.Write(appendChunk(nil, []byte(eventOne)))
+			close(engine.began)
+			<-engine.stopped
+			return false
+		case strings.HasSuffix(request.body, "false"):
+			reply(connection, request, copying.status, copying.body)
+		default:
+			close(engine.stopped)
+			reply(connection, request, stopping.status, stopping.body)
+		}
+		return true
+	})
+	return engine
+}
+
+// moves are the calls that moved a run.
+func (e *movableEngine) moves() []string {
+	var bodies []string
+	for _, request := range e.seen() {
+		if request.line == "POST /move" {
+			bodies = append(bodies, request.body)
+		}
+	}
+	return bodies
+}
+
+// A run whose engine takes no more work goes on at another one, in one answer and without a piece
+// lost or doubled, though its route allows one attempt and may not be repeated.
+func TestRunMovesFromAnEngineThatTakesNoMoreWork(t *testing.T) {
+	for name, change := range map[string]func(entry *serving.BackEnd){
+		"leaving":             func(entry *serving.BackEnd) { entry.Leaving = entry.Leaving || entry.ID == "former" },
+		"changing its stage":  func(entry *serving.BackEnd) { entry.Changing = entry.Changing || entry.ID == "former" },
+		"leaving and no move": func(*serving.BackEnd) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			former := startMovableEngine(t, moveAnswer{200, "handle"}, moveAnswer{200, "handle"})
+			next := startBackEnd(t, "next", serving.StageDecode, streaming("next", eventOne, eventTwo+eventThree))
+			relay := newTestRelay(t, route(func(r *serving.Route) { stream(false)(r); r.MaxAttempts = 1 }), former.scriptedBackEnd, next).preferring("former")
+			client := relay.client(t)
+			client.send("POST", "/path/", "x")
+			<-former.began
+			require.Eventually(t, func() bool { return relay.engineOf("former").movable() == 1 }, time.Minute, time.Millisecond)
+			relay.engineOf("next").end(relay.engineOf("next").look(0).own) // it has slots now
+			relay.relist(change)
+			if name == "leaving and no move" {
+				close(former.stopped)
+				answer := client.read()
+				require.False(t, answer.whole, "a run that was not moved is cut")
+				require.Empty(t, former.moves())
+				return
+			}
+			answer := client.read()
+			require.True(t, answer.whole)
+			require.Equal(t, eventOne+eventTwo+eventThree, answer.body)
+			require.Equal(t, "former", string(answer.head.Peek("T-Seal")))
+			require.Equal(t, []string{"id-1 " + next.entry.Address + " false", "id-1 " + next.entry.Address + " true"}, former.moves())
+			resumed := next.seen()[0].head
+			require.Equal(t, former.entry.Address+"/handle", string(resumed.Peek("T-Source")))
+			require.Equal(t, "1", string(resumed.Peek("T-Last")))
+		})
+	}
+}
+
+// A run that stopped and could not be copied goes on where its memory is.
+func TestStoppedRunGoesOnWhereItsMemoryIs(t *testing.T) {
+	former := startMovableEngine(t, moveAnswer{200, "copy"}, moveAnswer{503, "kept"})
+	next := startBackEnd(t, "next", serving.StageDecode, streaming("next", eventTwo))
+	relay := newTestRelay(t, route(func(r *serving.Route) { stream(false)(r); r.MaxAttempts = 1 }), former.scriptedBackEnd, next).preferring("former")
+	client := relay.client(t)
+	client.send("POST", "/path/", "x")
+	<-former.began
+	require.Eventually(t, func() bool { return relay.engineOf("former").movable() == 1 }, time.Minute, time.Millisecond)
+	mover := relay.engineOf("former").anyMover()
+	target := &place{backEnd: relay.engineOf("next")}
+	require.Equal(t, relay.engineOf("former"), mover.destination(target, false, "kept").place.backEnd)
+	require.Equal(t, relay.engineOf("next"), mover.destination(target, true, "copy").place.backEnd)
+	require.Nil(t, mover.destination(target, false, ""), "nothing is known of its memory")
+	close(former.stopped)
+	require.False(t, client.read().whole)
+}
+
+// A run stays where it is when its engine cannot copy it, or no engine has a slot for it.
+func TestRunThatCannotBeCopiedStays(t *testing.T) {
+	for name, row := range map[string]struct {
+		copying moveAnswer
+		full    bool
+		moves   int
+	}{
+		"no room or no way": {copying: moveAnswer{503, ""}, moves: 1},
+		"no such run":       {copying: moveAnswer{404, ""}, moves: 1},
+		"no slot elsewhere": {copying: moveAnswer{200, "handle"}, full: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			former := startMovableEngine(t, row.copying, moveAnswer{200, "handle"})
+			next := startBackEnd(t, "next", serving.StageDecode, streaming("next", eventTwo))
+			relay := newTestRelay(t, route(stream(false)), former.scriptedBackEnd, next).preferring("former")
+			client := relay.client(t)
+			client.send("POST", "/path/", "x")
+			<-former.began
+			engine := relay.engineOf("former")
+			require.Eventually(t, func() bool { return engine.movable() == 1 }, time.Minute, time.Millisecond)
+			if !row.full {
+				relay.engineOf("next").end(relay.engineOf("next").look(0).own)
+			}
+			engine.anyMover().move()
+			require.Len(t, former.moves(), row.moves)
+			require.Empty(t, next.seen())
+			close(former.stopped)
+			client.read()
+		})
+	}
+}
+
+// movable counts the runs that may be moved.
+func (b *backEnd) movable() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(b.movers)
+}
+
+// anyMover returns one of the runs that may be moved; nil when there is none.
+func (b *backEnd) anyMover() *runMover {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for mover := range b.movers {
+		return mover
+	}
+	return nil
+}
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -32,6 +32,10 @@
 	held *heldPrompt
 	// begun tells that the present run has brought events.
 	begun bool
+	// mover moves the present run to another engine; nil where that cannot be. moved is where a
+	// run goes on that was moved.
+	mover *runMover
+	moved *movedRun
 }
 
 // rank is that of the route at engines.
@@ -125,6 +129,7 @@
 
 // passEvents passes events on as they arrive.
 func (s *streamReply) passEvents(answer *answer) *failure {
+	defer s.endMover()
 	defer func() {
 		if !s.begun {
 			s.relay.exchanger.noteGivenUp(answer.message)
@@ -139,6 +144,7 @@
 		watch.heard()
 		if err != nil && !errors.Is(err, io.EOF) {
 			s.flush(answer)
+			s.moved = s.endMover()
 			return asFailure(err)
 		}
 		if err == nil {
@@ -198,6 +204,9 @@
 		return
 	}
 	s.begun = true
+	if engine := s.request.service.Engine; engine != nil && engine.Movable {
+		s.mover = newRunMover(s, answer.message.backEnd)
+	}
 	answer.promptRead()
 	exchanger := s.relay.exchanger
 	exchanger.noteKept(answer.message.backEnd, s.parts)
@@ -206,6 +215,17 @@
 	}
 }
 
+// endMover notes that the present run brings no more events. It returns where the run goes on, nil
+// when it was not moved.
+func (s *streamReply) endMover() *movedRun {
+	if s.mover == nil {
+		return nil
+	}
+	mover := s.mover
+	s.mover = nil
+	return mover.end()
+}
+
 // end writes what is left and tells that the stream is whole.
 func (s *streamReply) end(answer *answer, rest event) {
 	if len(rest.bytes) > 0 && (rest.id == "" || s.last == "" || rest.after(s.last)) {
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -50,6 +50,8 @@
 	target int
 	// known are the back ends by identity, so that their state outlives a reading.
 	known map[string]*backEnd
+	// closed are those of them that take no more work since the last list.
+	closed []*backEnd
 	// lost tells that no controller led when this was last looked at.
 	lost bool
 	// ownReadingDueAt is when this relay may read the list itself again.
@@ -175,6 +177,7 @@
 	w.relay.notices.setPeers(response.GetRelayAddresses())
 	w.relay.budget.setRelays(int(response.GetRelays()))
 	w.relay.view.Store(&next)
+	w.moveRuns()
 	w.relay.contactAt.Store(int64(w.relay.clock.now()))
 }
 
@@ -225,6 +228,7 @@
 			gone.pool.close()
 		}
 	}
+	w.closed = closedSince(w.known, known)
 	w.known = known
 	w.relay.event(events.ListingInForce).Uint64("version", next.listingVersion).Int("back_ends", len(listed)).Send()
 	w.relay.notices.table.keep(next.byHash)
@@ -232,23 +236,55 @@
 	next.listed, next.listedAt = true, w.relay.clock.now()
 }
 
+// closedSince returns the former records of back ends that take no more work since then.
+func closedSince(former, present map[string]*backEnd) []*backEnd {
+	var closed []*backEnd
+	for id, backEnd := range former {
+		if next := present[id]; next != nil && (next.Leaving || next.Changing) && !backEnd.Leaving && !backEnd.Changing {
+			closed = append(closed, backEnd)
+		}
+	}
+	return closed
+}
+
+// moveRuns moves the runs at back ends that were closed, now that the view shows where to.
+func (w *watcher) moveRuns() {
+	for _, closed := range w.closed {
+		closed.moveRuns()
+	}
+	w.closed = nil
+}
+
 // replace makes the record of a back end whose entry is new or has changed.
 func (w *watcher) replace(former *backEnd, entry serving.BackEnd, view *view) *backEnd {
 	replaced := newBackEnd(entry, cacheTokens(view, entry.Service))
 	if former == nil {
 		return replaced
 	}
+	now := w.relay.clock.now()
 	replaced.load.avoidUntil = former.look(0).avoidUntil
 	replaced.cache = former.cache
+	replaced.changedAt = former.changedAt
+	if former.Changing != entry.Changing || former.Stage != entry.Stage && !former.Changing {
+		replaced.changedAt = now
+	}
 	if former.Stage != entry.Stage {
 		replaced.cache.resize(placement.CacheCapacity(entry.Stage, cacheTokens(view, entry.Service)))
-		// The list shows the new stage before the engine is back.
-		replaced.avoid(w.relay.clock.now() + roleChange(view, entry.Service))
+		replaced.avoid(awayFrom(former, replaced) + roleChange(view, entry.Service))
 	}
 	former.pool.close()
 	return replaced
 }
 
+// awayFrom is when an engine whose stage has changed went away: when it was marked, or, where it
+// was not, when the list showed the new stage.
+func awayFrom(former, replaced *backEnd) time.Duration {
+	if former.Changing {
+		return former.changedAt
+	}
+	return replaced.changedAt
+}
+
 // roleChange is how long an engine of the service is away when its stage changes.
 func roleChange(view *view, service string) time.Duration {
 	if engine := view.engine(service); engine != nil {
@@ -288,6 +324,7 @@
 	next.listingVersion = 0
 	w.takeBackEnds(listed, &next)
 	w.relay.view.Store(&next)
+	w.moveRuns()
 }
 
 // translate turns the controllers' entries into back ends.
--- a/internal/serving/configuration.go
+++ b/internal/serving/configuration.go
@@ -91,6 +91,8 @@
 	HandleLife time.Duration
 	// RoleChange is how long an engine is away when its role changes.
 	RoleChange time.Duration
+	// Movable runs can be moved to another engine while they generate.
+	Movable bool
 }
 
 // Limits bound what a client may send and how long it may take.
