Let the engines' stages follow the work while it runs, several at once

Change: the work meter counts streams while they run, and refused readings. The plan changes as many engines as share the lack of time evenly, a quarter of all at most, where that makes the busier stage 1.3 times less busy; engines are changed back after three holds at the earliest. Decoding engines count as full at 0.7 of their slots (0.45). A prompt that a decoding engine reads itself counts as reading. TestOneChangeAtATimeUnderLoad held the rule of one at a time, which is given up; TestChangesUnderLoadAreBoundedAndApart takes its place. Rows of TestSteadyMixSettles have other work, since 0.7 of the slots are use now.

--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -50,6 +50,8 @@
 		case placement.ReadApart:
 			return start{held: r.readTwice(stream, chosen)}
 		case placement.Refuse:
+			// What is refused counts as asked for, so that more engines read.
+			r.work.read(request.service.Name, placement.PrefillTime(r.pace.of(chosen.backEnd.hash), chosen.Effort))
 			return start{refused: &refusal{
 				status: fasthttp.StatusServiceUnavailable, reason: decision.Reason, retryAfter: decision.RetryAfter,
 			}}
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"strings"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -73,7 +72,11 @@
 		set = append(set, header{names.LastEventID, s.last})
 	}
 	began := s.relay.clock.now()
-	defer func() { s.noteDecodeTime(engine, chosen.Effort, s.relay.clock.now()-began) }()
+	if engine.isEngine() {
+		ended := s.relay.work.run(began, s.request.service.Name, engine.Slots)
+		defer func() { ended(s.relay.clock.now()) }()
+		s.noteReadingTime(engine, chosen.Effort)
+	}
 	s.request.trace.engine, s.request.trace.sentAt = engine.ID, began
 	asked := placement.Work{Streams: 1}
 	if held == nil {
@@ -95,17 +98,12 @@
 	return s.passEvents(answer)
 }
 
-// noteDecodeTime notes how long the stream kept its engine busy: a slot's share of its
-// time, and the reading of the prompt where no other engine had read it.
-func (s *streamReply) noteDecodeTime(engine *backEnd, effort int, took time.Duration) {
-	if !engine.isEngine() {
-		return
-	}
-	busy := took / time.Duration(max(engine.Slots, 1))
+// noteReadingTime notes a prompt that a decoding engine reads itself: prefill engines could read
+// it as well, in the time that counts.
+func (s *streamReply) noteReadingTime(engine *backEnd, effort int) {
 	if effort > 0 {
-		busy += s.relay.policy.DecodeSlowdown * time.Duration(effort) * s.relay.pace.of(engine.hash)
+		s.relay.work.read(s.request.service.Name, placement.PrefillTime(s.relay.pace.of(engine.hash), effort))
 	}
-	s.relay.work.add(s.request.service.Name, 0, busy)
 }
 
 // mayMove reports whether the stream may be taken up at another engine.
--- a/internal/relay/work_meter.go
+++ b/internal/relay/work_meter.go
@@ -19,24 +19,95 @@
 }
 
 // serviceWork is the engine time of one service in the window that runs.
-type serviceWork struct{ prefill, decode time.Duration }
+type serviceWork struct {
+	prefill, decode time.Duration
+	// running is how many decoding engines the streams that run now would fill; decode counts
+	// them up to countedTo.
+	running   float64
+	countedTo time.Duration
+	// ran and ranSquared are sums over the runs that have ended, in seconds and their squares;
+	// older runs count less.
+	ran, ranSquared float64
+}
+
+// runMemory is by how much each run that ends makes the older ones count less.
+const runMemory = 0.995
 
 // workWindow is the time over which work is summed.
 const workWindow = time.Second
 
 func newWorkMeter() *workMeter { return &workMeter{services: map[string]*serviceWork{}} }
 
-// add notes engine time of a service.
-func (m *workMeter) add(service string, prefill, decode time.Duration) {
+// read notes time that a request of a service asks of prefill engines.
+func (m *workMeter) read(service string, took time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.of(service).prefill += took
+}
+
+// generate notes time that a request of a service asks of decoding engines.
+func (m *workMeter) generate(service string, took time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.of(service).decode += took
+}
+
+// run notes that a stream begins to fill a slot of a decoding engine with so many slots, or to
+// wait for one; the function that it returns notes its end.
+func (m *workMeter) run(now time.Duration, service string, slots int) (ended func(now time.Duration)) {
+	share := 1 / float64(max(slots, 1))
+	m.change(now, service, share)
+	return func(ended time.Duration) {
+		m.change(ended, service, -share)
+		m.ended(service, ended-now)
+	}
+}
+
+// ended notes how long a run has kept its slot.
+func (m *workMeter) ended(service string, took time.Duration) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	work := m.of(service)
+	work.ran = runMemory*work.ran + took.Seconds()
+	work.ranSquared = runMemory*work.ranSquared + took.Seconds()*took.Seconds()
+}
+
+// residence is how long those that fill slots at a moment keep them, on average: long runs fill
+// slots for longer and so count for more. Half of that weighted mean is taken, which is the mean
+// where lengths spread as they do without memory. It is 0 before any run has ended.
+func (m *workMeter) residence(service string) time.Duration {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	work := m.of(service)
+	if work.ran <= 0 {
+		return 0
+	}
+	return time.Duration(work.ranSquared / work.ran / 2 * float64(time.Second))
+}
+
+// change changes how many decoding engines a service's streams fill.
+func (m *workMeter) change(now time.Duration, service string, by float64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	work := m.of(service)
+	work.countTo(now)
+	work.running = max(work.running+by, 0)
+}
+
+// of returns the work of a service. The mutex is held.
+func (m *workMeter) of(service string) *serviceWork {
 	work := m.services[service]
 	if work == nil {
 		work = &serviceWork{}
 		m.services[service] = work
 	}
-	work.prefill += prefill
-	work.decode += decode
+	return work
+}
+
+// countTo counts the streams that run up to a time.
+func (w *serviceWork) countTo(now time.Duration) {
+	w.decode += time.Duration(w.running * float64(now-w.countedTo))
+	w.countedTo = now
 }
 
 // report returns the work of the last whole window.
@@ -49,11 +120,12 @@
 	}
 	m.reported = nil
 	for service, work := range m.services {
+		work.countTo(now)
 		m.reported = append(m.reported, &v1.RoleDemand{
 			Service: service, WindowMs: uint32(window.Milliseconds()),
 			PrefillMs: uint64(work.prefill.Milliseconds()), DecodeMs: uint64(work.decode.Milliseconds()),
 		})
-		*work = serviceWork{}
+		work.prefill, work.decode = 0, 0
 	}
 	slices.SortFunc(m.reported, func(a, b *v1.RoleDemand) int { return strings.Compare(a.GetService(), b.GetService()) })
 	m.since = now
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -59,11 +59,14 @@
 	// prefillUse and decodeUse are the parts of their time for which engines may be busy
 	// before others have to help them.
 	prefillUse = 0.6
-	decodeUse  = 0.45
-	// imbalance is how many times busier, by these measures, one stage must be than the
-	// other before an engine changes: it is away meanwhile, and its cache is lost to its
-	// former stage.
-	imbalance = 1.6
+	decodeUse  = 0.7
+	// improvement is how many times less busy, by these measures, a change must make the busier
+	// stage: engines are away meanwhile, and their caches are lost to their former stage.
+	improvement = 1.3
+	// turnBackHolds is how many holds must pass before engines are changed back.
+	turnBackHolds = 3
+	// mostAtOnce is the part of the engines that may change at once.
+	mostAtOnce = 0.25
 	// leastShare is the part of the engines that each stage keeps, and leastEngines their
 	// least number, so that a loss leaves others.
 	leastShare   = 0.3
@@ -80,6 +83,8 @@
 	work      Work
 	changedAt time.Duration
 	changed   bool
+	// towards is the stage that engines were last changed into.
+	towards Stage
 }
 
 // New returns a plan.
@@ -96,13 +101,22 @@
 		changes = p.towardsPrior(engines)
 	} else if !p.changed || now-p.changedAt >= p.config.Hold {
 		changes = p.underLoad(engines)
+		if p.turnsBack(now, changes) {
+			return nil
+		}
 	}
 	if len(changes) > 0 {
-		p.changedAt, p.changed = now, true
+		p.changedAt, p.changed, p.towards = now, true, changes[0].Stage
 	}
 	return changes
 }
 
+// turnsBack reports whether changes would take back others that are not old enough for that: a
+// mix that swings within seconds is better borne than chased.
+func (p *Plan) turnsBack(now time.Duration, changes []Change) bool {
+	return len(changes) > 0 && p.changed && changes[0].Stage != p.towards && now-p.changedAt < turnBackHolds*p.config.Hold
+}
+
 // observe smooths the work, which swings within seconds.
 func (p *Plan) observe(work Work) {
 	if !work.Known {
@@ -129,26 +143,37 @@
 	return choose(engines, difference > 0, max(difference, -difference))
 }
 
-// underLoad changes one engine from the stage that has time to the one that has too little.
+// underLoad changes as many engines as it takes to share the lack of time evenly between the
+// stages, but only when one of them has too little and a change eases that much.
 func (p *Plan) underLoad(engines []Engine) []Change {
-	if slices.ContainsFunc(engines, func(engine Engine) bool { return engine.Busy }) {
-		return nil
-	}
 	prefill := countPrefill(engines)
-	decode := len(engines) - prefill
-	if prefill == 0 || decode == 0 {
+	if prefill == 0 || prefill == len(engines) {
 		return choose(engines, prefill == 0, leastEngines)
 	}
-	prefillNeed := p.work.Prefill / prefillUse / float64(prefill)
-	decodeNeed := p.work.Decode / decodeUse / float64(decode)
-	switch {
-	case prefillNeed > 1 && prefillNeed > imbalance*decodeNeed && decode > least(len(engines)):
-		return choose(engines, true, 1)
-	case decodeNeed > 1 && decodeNeed > imbalance*prefillNeed && prefill > least(len(engines)):
-		return choose(engines, false, 1)
-	default:
+	now := p.need(prefill, len(engines))
+	best := p.bestPrefill(len(engines))
+	if now <= 1 || now < improvement*p.need(best, len(engines)) {
 		return nil
 	}
+	count := max(best-prefill, prefill-best)
+	return choose(engines, best > prefill, min(count, max(int(mostAtOnce*float64(len(engines))), 1)))
+}
+
+// need is how many times busier than it may be the busier stage is when so many engines of a
+// number read prompts.
+func (p *Plan) need(prefill, total int) float64 {
+	return max(p.work.Prefill/prefillUse/float64(prefill), p.work.Decode/decodeUse/float64(total-prefill))
+}
+
+// bestPrefill is the number of engines that should read prompts.
+func (p *Plan) bestPrefill(total int) int {
+	best := least(total)
+	for prefill := best + 1; prefill <= total-least(total); prefill++ {
+		if p.need(prefill, total) < p.need(best, total) {
+			best = prefill
+		}
+	}
+	return best
 }
 
 // least is the number of engines that each stage keeps.
