Spread refused clients over their time, and let prompts that cost little wait longer

Change: a refused client is told a time between a sixth and a third of what it has left, drawn. How long a prompt may wait goes by the part of it that has to be read against the part that usually has, which is learnt, between 0.6 and 1.3 of the former bound. Tests: decide_test.go: TestPromptsThatCostLittleMayWaitLonger, TestRefusedClientsAreSpread, and TestNoRefusalWhileAnEngineIsIdle over engines 0.1 to 10 times as fast, links 0.1 to 10 times, 4 to 64 prompts at once.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -43,13 +43,29 @@
 		return Decision{Action: Unplaced, Reason: "no engine can read the prompt"}
 	case chosen.Unusable >= p.LeastUnusable && request.Waits < p.MostWaits:
 		return Decision{Action: AwaitReading, Engine: chosen, Reason: "the engine reads shared parts for another request"}
-	case decision.Action == ReadApart && chosen.Waiting > time.Duration(p.LongestWaitShare*float64(request.Target)):
-		return Decision{Action: Refuse, Engine: chosen, Reason: "too many prompts wait to be read", RetryAfter: chosen.Waiting / 2}
+	case decision.Action == ReadApart && chosen.Waiting > p.longestWait(request, chosen.ToRead):
+		return Decision{Action: Refuse, Engine: chosen, Reason: "too many prompts wait to be read", RetryAfter: p.comeBack(request, draw)}
 	default:
 		return decision
 	}
 }
 
+// longestWait is how long a prompt may wait to be read. One of which more than usual is kept may
+// wait longer, and one of which less is kept must not wait as long: the worth of an answer goes by
+// the size of its prompt, and what it costs others by the part that is read.
+func (p Parameters) longestWait(request Request, toRead int) time.Duration {
+	share := float64(max(toRead, 1)) / float64(max(request.Tokens, 1))
+	scale := min(max(request.UsualShare/share, p.LeastWaitScale), p.MostWaitScale)
+	return time.Duration(p.LongestWaitShare * scale * float64(request.Target))
+}
+
+// comeBack is when a refused client had better come back: those that are refused together are
+// spread over the time in which they can still be served, and do not meet the same crowd again.
+func (p Parameters) comeBack(request Request, draw func() float64) time.Duration {
+	latest := p.ComeBackShare * float64(request.TimeLeft)
+	return time.Duration(latest * (1 - p.ComeBackSpread*draw()))
+}
+
 // direct decides between the decoding engine and the prefill engine; either may be nil.
 func (p Parameters) direct(direct, apart *Candidate) Decision {
 	switch {
--- /dev/null
+++ b/internal/placement/decide_test.go
@@ -0,0 +1,112 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// crowd is a request whose prefill engine has so much before it.
+func crowd(before, tokens, kept int) (Request, []Engine) {
+	request := Request{
+		Stage: serving.StageDecode, Tokens: tokens, Prompt: []Part{{Hash: 1, Tokens: tokens}}, Target: 500 * time.Millisecond,
+		UsualShare: 0.5, TimeLeft: 6 * time.Second,
+	}
+	return request, []Engine{{
+		Stage: serving.StagePrefill, PerToken: 25 * time.Microsecond, Work: Reading(before, 0),
+		Cached: Beginning{Held: kept, Usable: kept},
+	}}
+}
+
+// Under a crowd, what costs little for its size is read, and what costs much is told to come back.
+func TestPromptsThatCostLittleMayWaitLonger(t *testing.T) {
+	for name, row := range map[string]struct {
+		kept int
+		want Action
+	}{
+		"most of it is kept":    {9_000, ReadApart},
+		"as much as usual":      {5_000, Refuse},
+		"nothing of it is kept": {0, Refuse},
+	} {
+		t.Run(name, func(t *testing.T) {
+			request, engines := crowd(28_000, 10_000, row.kept)
+			require.Equal(t, row.want, DefaultParameters().PlaceReading(request, engines, rand.Float64).Action)
+		})
+	}
+	request, engines := crowd(18_000, 10_000, 0)
+	require.Equal(t, Refuse, DefaultParameters().PlaceReading(request, engines, rand.Float64).Action)
+	request, engines = crowd(18_000, 10_000, 5_000)
+	require.Equal(t, ReadApart, DefaultParameters().PlaceReading(request, engines, rand.Float64).Action)
+}
+
+// Those that are refused together are told to come back at different times, in which they can
+// still be served.
+func TestRefusedClientsAreSpread(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	request, engines := crowd(100_000, 10_000, 0)
+	earliest, latest := time.Hour, time.Duration(0)
+	for range 200 {
+		decision := DefaultParameters().PlaceReading(request, engines, random.Float64)
+		require.Equal(t, Refuse, decision.Action)
+		earliest, latest = min(earliest, decision.RetryAfter), max(latest, decision.RetryAfter)
+	}
+	require.Less(t, earliest, 1_050*time.Millisecond)
+	require.Greater(t, latest, 1_950*time.Millisecond)
+	require.LessOrEqual(t, latest, 2*time.Second)
+}
+
+// On engines of any speed, with links of any speed and any number of slots, nothing is refused
+// while an engine that reads is idle, and work is shared: no reader gets nothing.
+func TestNoRefusalWhileAnEngineIsIdle(t *testing.T) {
+	for _, speed := range []float64{0.1, 1, 10} {
+		for _, link := range []float64{0.1, 1, 10} {
+			for _, slots := range []int{4, 16, 64} {
+				t.Run(fmt.Sprintf("speed %v, link %v, %d slots", speed, link, slots), func(t *testing.T) {
+					checkSharing(t, speed, link, slots)
+				})
+			}
+		}
+	}
+}
+
+// checkSharing sends prompts to a small fleet without an end of any reading.
+func checkSharing(t *testing.T, speed, link float64, slots int) {
+	random := rand.New(rand.NewPCG(3, 4))
+	perToken := time.Duration(25_000/speed) * time.Nanosecond
+	engines := make([]Engine, 6)
+	for index := range engines {
+		engines[index] = Engine{Hash: uint64(index), Stage: serving.StagePrefill, PerToken: perToken}
+	}
+	engines[5].Stage = serving.StageDecode
+	target := time.Duration(20_000) * perToken
+	for range slots {
+		request := Request{
+			Stage: serving.StageDecode, Tokens: 8_000, Prompt: []Part{{Hash: PartHash(random.Uint64()), Tokens: 4_000}, {Hash: PartHash(random.Uint64()), Tokens: 4_000}},
+			Target: max(target, 200*time.Millisecond), TokenMove: time.Duration(2_000/link) * time.Nanosecond, UsualShare: 1, TimeLeft: 5 * time.Second,
+		}
+		decision := DefaultParameters().PlaceReading(request, engines, random.Float64)
+		idle := false
+		for _, engine := range engines {
+			idle = idle || engine.Stage == serving.StagePrefill && engine.Work == (Work{})
+		}
+		if idle {
+			require.NotEqual(t, Refuse, decision.Action)
+			require.NotEqual(t, Unplaced, decision.Action)
+		}
+		if decision.Action == ReadApart {
+			chosen := &engines[decision.Engine.Index]
+			chosen.Work = chosen.Work.Plus(Reading(decision.Engine.Effort, 0)).Plus(Work{Prompts: 1})
+		}
+	}
+	if slots < len(engines) {
+		return
+	}
+	for index, engine := range engines[:5] {
+		require.NotZero(t, engine.Work.Prompts, "engine %d gets nothing", index)
+	}
+}
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -20,6 +20,10 @@
 	paceWeight   = 0.1
 	fasterWeight = 0.6
 	slowerWeight = 0.2
+	// priorShare is the part of prompts that is read until it is known better, shareWeight the
+	// weight of a new prompt.
+	priorShare  = 0.55
+	shareWeight = 0.02
 	// leastPaceTokens is the length from which a reading tells the pace.
 	leastPaceTokens = 1500
 	// slowestPace bounds what one observation can say, as a multiple of the fleet's pace:
@@ -27,14 +31,18 @@
 	slowestPace = 6
 )
 
-// Pace learns how long engines take for one token of a prompt, each engine and all together.
+// Pace learns how long engines take for one token of a prompt, each engine and all together, and
+// how much of prompts they have to read.
 type Pace struct {
+	share   float64
 	overall time.Duration
 	engines map[uint64]time.Duration
 }
 
 // NewPace returns a Pace that has seen nothing.
-func NewPace() *Pace { return &Pace{overall: defaultPace, engines: map[uint64]time.Duration{}} }
+func NewPace() *Pace {
+	return &Pace{share: priorShare, overall: defaultPace, engines: map[uint64]time.Duration{}}
+}
 
 // ObservedPace is the time per token that a reading with nothing ahead of it shows; 0 when it
 // was too short to show any.
@@ -67,6 +75,16 @@
 	return time.Duration((1-weight)*float64(known) + weight*float64(observed))
 }
 
+// ObserveShare notes how much of a prompt had to be read.
+func (p *Pace) ObserveShare(tokens, toRead int) {
+	if tokens > 0 {
+		p.share += shareWeight * (float64(toRead)/float64(tokens) - p.share)
+	}
+}
+
+// UsualShare is the part of prompts that usually has to be read.
+func (p *Pace) UsualShare() float64 { return p.share }
+
 // Of returns the time per token at an engine.
 func (p *Pace) Of(engine uint64) time.Duration {
 	if known, is := p.engines[engine]; is {
--- a/internal/placement/parameters.go
+++ b/internal/placement/parameters.go
@@ -46,6 +46,12 @@
 	// LongestWaitShare is how many targets of its route a prompt may wait to be read: one that
 	// waits longer would be late, and those behind it too.
 	LongestWaitShare float64
+	// LeastWaitScale and MostWaitScale bound by how much a prompt may wait less, or longer, for
+	// the part of it that is kept.
+	LeastWaitScale, MostWaitScale float64
+	// ComeBackShare is the part of a refused client's time after which it had better come back at
+	// the latest, and ComeBackSpread the part of that over which clients are spread.
+	ComeBackShare, ComeBackSpread float64
 	// LeastUnusable is the least number of tokens that are worth waiting for while the engine
 	// reads them for another request, MostWaits how often one request waits.
 	LeastUnusable, MostWaits int
@@ -76,6 +82,10 @@
 		LongestDirect:     2_048,
 		FewStreams:        2,
 		LongestWaitShare:  1.2,
+		LeastWaitScale:    0.6,
+		MostWaitScale:     1.3,
+		ComeBackShare:     1.0 / 3,
+		ComeBackSpread:    0.5,
 		LeastUnusable:     1_000,
 		MostWaits:         3,
 		ShortReading:      5_000,
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -25,6 +25,10 @@
 	Tokens int
 	// TokenMove is how long the memory of one token is on its way between engines.
 	TokenMove time.Duration
+	// UsualShare is the part of prompts that usually has to be read, in (0, 1].
+	UsualShare float64
+	// TimeLeft is what is left of the client's time.
+	TimeLeft time.Duration
 	// Waits counts how often the request has waited for another one's reading.
 	Waits int
 	// MayHaveRun tells that the request cannot be refused as not run any more.
--- a/internal/relay/pace.go
+++ b/internal/relay/pace.go
@@ -29,6 +29,20 @@
 	return p.pace.Of(engine)
 }
 
+// observeShare notes how much of a prompt had to be read.
+func (p *pace) observeShare(tokens, toRead int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.pace.ObserveShare(tokens, toRead)
+}
+
+// usualShare is the part of prompts that usually has to be read.
+func (p *pace) usualShare() float64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.pace.UsualShare()
+}
+
 // keep forgets engines that are no longer listed.
 func (p *pace) keep(listed map[uint64]*backEnd) {
 	p.mutex.Lock()
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -65,9 +65,13 @@
 func (r *Relay) placeReading(stream *streamReply, waits int) (placement.Decision, *place) {
 	wanted := stream.wanted(nil)
 	wanted.Waits = waits
+	wanted.UsualShare, wanted.TimeLeft = r.pace.usualShare(), stream.request.deadline-wanted.Now
 	seen := r.survey(stream.request.service.Name, wanted.Prompt, stream.tried, wanted.Now)
 	decision := r.policy.PlaceReading(wanted, seen.engines, r.draw)
 	stream.request.trace.placed = decision.Reason
+	if decision.Action == placement.ReadApart {
+		r.pace.observeShare(wanted.Tokens, decision.Engine.ToRead)
+	}
 	return decision, seen.place(decision.Engine)
 }
 
