Tell requests that would wait long for a slot to come back

Cause: when a burst of triage-note filled all slots of the decoding engines, more of them queued there for 1 to 2 s, past their aim of 0.25 s, and their clients gave up. Change: where every decoding engine has so many requests beyond its slots that the wait, by how long those that fill slots keep them, is over 0.6 targets, a request that is not let in first is refused with the time to come back, which is up to a third of its 15 s. It counts as work of decoding engines. Tests: TestRequestsComeBackWhenSlotsAreTaken, TestResidenceGoesByTheRunsThatFillSlots.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -27,6 +27,8 @@
 type Decision struct {
 	Action Action
 	Engine *Candidate
+	// Short is the stage whose engines have too little time for a request that is refused.
+	Short serving.Stage
 	// Reason says in words why, and RetryAfter when a refused request had better come back.
 	Reason     string
 	RetryAfter time.Duration
@@ -41,15 +43,37 @@
 	switch chosen := decision.Engine; {
 	case chosen == nil:
 		return Decision{Action: Unplaced, Reason: "no engine can read the prompt"}
+	case p.slotsTaken(request, engines):
+		return Decision{Action: Refuse, Engine: chosen, Short: serving.StageDecode, Reason: "too many requests wait for a slot", RetryAfter: p.comeBack(request, draw)}
 	case chosen.Unusable >= p.LeastUnusable && request.Waits < p.MostWaits:
 		return Decision{Action: AwaitReading, Engine: chosen, Reason: "the engine reads shared parts for another request"}
 	case decision.Action == ReadApart && chosen.Waiting > p.longestWait(request, chosen.ToRead):
-		return Decision{Action: Refuse, Engine: chosen, Reason: "too many prompts wait to be read", RetryAfter: p.comeBack(request, draw)}
+		return Decision{Action: Refuse, Engine: chosen, Short: serving.StagePrefill, Reason: "too many prompts wait to be read", RetryAfter: p.comeBack(request, draw)}
 	default:
 		return decision
 	}
 }
 
+// slotsTaken reports whether a request would wait for a slot too long at every decoding engine.
+// Those of the first rank are let in before all others, so that they wait for one another only.
+func (p Parameters) slotsTaken(request Request, engines []Engine) bool {
+	if request.Rank == 0 || request.Residence <= 0 {
+		return false
+	}
+	open := false
+	for _, engine := range engines {
+		if !engine.isOpen(serving.StageDecode) || engine.Slots <= 0 {
+			continue
+		}
+		open = true
+		wait := time.Duration(engine.Work.Streams-engine.Slots) * request.Residence / time.Duration(engine.Slots)
+		if wait < time.Duration(p.LongestSlotWait*float64(request.Target)) {
+			return false
+		}
+	}
+	return open
+}
+
 // longestWait is how long a prompt may wait to be read. One of which more than usual is kept may
 // wait longer, and one of which less is kept must not wait as long: the worth of an answer goes by
 // the size of its prompt, and what it costs others by the part that is read.
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -110,3 +110,32 @@
 		require.NotZero(t, engine.Work.Prompts, "engine %d gets nothing", index)
 	}
 }
+
+// A request that would wait long for a slot everywhere is told to come back, unless it is let in
+// before those that wait.
+func TestRequestsComeBackWhenSlotsAreTaken(t *testing.T) {
+	for name, row := range map[string]struct {
+		streams [2]int
+		rank    int
+		known   time.Duration
+		want    Action
+	}{
+		"a slot is free":         {streams: [2]int{60, 10}, rank: 3, known: 2 * time.Second, want: ReadDirectly},
+		"a slot is soon free":    {streams: [2]int{60, 51}, rank: 3, known: 2 * time.Second, want: ReadDirectly},
+		"many wait everywhere":   {streams: [2]int{60, 60}, rank: 3, known: 2 * time.Second, want: Refuse},
+		"it is let in first":     {streams: [2]int{60, 60}, rank: 0, known: 2 * time.Second, want: ReadDirectly},
+		"runs end at once":       {streams: [2]int{60, 60}, rank: 3, known: 20 * time.Millisecond, want: ReadDirectly},
+		"nothing is known of it": {streams: [2]int{60, 60}, rank: 3, want: ReadDirectly},
+	} {
+		t.Run(name, func(t *testing.T) {
+			request := Request{Stage: serving.StageDecode, Rank: row.rank, Tokens: 200, Target: 250 * time.Millisecond, Residence: row.known, TimeLeft: 9 * time.Second}
+			var engines []Engine
+			for _, streams := range row.streams {
+				engines = append(engines, Engine{Stage: serving.StageDecode, Slots: 48, PerToken: time.Microsecond, Work: Work{Streams: streams}})
+			}
+			decision := DefaultParameters().PlaceReading(request, engines, rand.Float64)
+			require.Equal(t, row.want, decision.Action)
+			require.Equal(t, row.want == Refuse, decision.RetryAfter > 0)
+		})
+	}
+}
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -12,6 +12,8 @@
 	Hash  uint64
 	Zone  string
 	Stage serving.Stage
+	// Slots is how many requests it runs at once.
+	Slots int
 	// Closed back ends take no new work: they leave, change their stage or were tried already.
 	Closed bool
 	// AvoidUntil is the time before which the back end is taken only when no other is left;
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -27,6 +27,8 @@
 	TokenMove time.Duration
 	// UsualShare is the part of prompts that usually has to be read, in (0, 1].
 	UsualShare float64
+	// Residence is how long requests that run now keep their slots, on average; 0 when not known.
+	Residence time.Duration
 	// TimeLeft is what is left of the client's time.
 	TimeLeft time.Duration
 	// Waits counts how often the request has waited for another one's reading.
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -20,7 +20,7 @@
 	for index, backEnd := range backEnds {
 		load := backEnd.look(now)
 		engine := placement.Engine{
-			Hash: backEnd.hash, Zone: backEnd.Zone, Stage: backEnd.Stage,
+			Hash: backEnd.hash, Zone: backEnd.Zone, Stage: backEnd.Stage, Slots: backEnd.Slots,
 			Closed:     backEnd.Leaving || backEnd.Changing || tried.isExcluded(backEnd),
 			AvoidUntil: load.avoidUntil, Failures: load.failures, Running: max(load.own.Streams, load.told),
 		}
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -2,10 +2,12 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
 // nextEngine picks the decoding engine that goes on with a stream; nil when there is none, or
@@ -50,8 +52,7 @@
 		case placement.ReadApart:
 			return start{held: r.readTwice(stream, chosen)}
 		case placement.Refuse:
-			// What is refused counts as asked for, so that more engines read.
-			r.work.read(request.service.Name, placement.PrefillTime(r.pace.of(chosen.backEnd.hash), chosen.Effort))
+			r.noteRefusedWork(stream, decision, chosen)
 			return start{refused: &refusal{
 				status: fasthttp.StatusServiceUnavailable, reason: decision.Reason, retryAfter: decision.RetryAfter,
 			}}
@@ -61,10 +62,22 @@
 	}
 }
 
+// noteRefusedWork counts what is refused as asked for, so that more engines take the stage that is
+// short of them.
+func (r *Relay) noteRefusedWork(stream *streamReply, decision placement.Decision, chosen *place) {
+	service := stream.request.service.Name
+	if decision.Short == serving.StageDecode {
+		r.work.generate(service, r.work.residence(service)/time.Duration(max(chosen.backEnd.Slots, 1)))
+		return
+	}
+	r.work.read(service, placement.PrefillTime(r.pace.of(chosen.backEnd.hash), chosen.Effort))
+}
+
 // placeReading decides where the prompt is read, after so many waits for others' readings.
 func (r *Relay) placeReading(stream *streamReply, waits int) (placement.Decision, *place) {
 	wanted := stream.wanted(nil)
 	wanted.Waits = waits
+	wanted.Residence = r.work.residence(stream.request.service.Name)
 	wanted.UsualShare, wanted.TimeLeft = r.pace.usualShare(), stream.request.deadline-wanted.Now
 	seen := r.survey(stream.request.service.Name, wanted.Prompt, stream.tried, wanted.Now)
 	decision := r.policy.PlaceReading(wanted, seen.engines, r.draw)
--- a/internal/relay/work_meter_test.go
+++ b/internal/relay/work_meter_test.go
@@ -35,3 +35,17 @@
 	require.Empty(t, reader.seen())
 	require.NotZero(t, relay.work.services["service"].prefill)
 }
+
+// Slots are filled by the runs that last: short ones among them tell little.
+func TestResidenceGoesByTheRunsThatFillSlots(t *testing.T) {
+	meter := newWorkMeter()
+	require.Zero(t, meter.residence("service"))
+	for index := range 400 {
+		took := 10 * time.Millisecond
+		if index%4 == 0 {
+			took = 4 * time.Second
+		}
+		meter.run(0, "service", 4)(took)
+	}
+	require.InDelta(t, 2, meter.residence("service").Seconds(), 0.05)
+}
