Give up what is set aside for a moved run whose client leaves; count moves; the list's code apart

Change: the handle is given up; runs_moved_total{copied}; watch_list.go holds what puts a list in force.

--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -53,6 +53,7 @@
 	again    prometheus.Counter
 	denied   prometheus.Counter
 	waits    prometheus.Counter
+	moves    *prometheus.CounterVec
 	first    prometheus.Histogram
 	whole    prometheus.Histogram
 	gaps     prometheus.Histogram
@@ -69,6 +70,7 @@
 		again:    factory.Counter("sendings_again_total", "Sendings of requests beyond the first."),
 		denied:   factory.Counter("sendings_denied_total", "Sendings beyond the first that the retry budget did not allow."),
 		waits:    factory.Counter("reading_waits_total", "Waits of prompts for the reading of parts that they share."),
+		moves:    factory.CounterVec("runs_moved_total", "Runs that stopped at one engine to go on at another, by whether they were copied.", "copied"),
 		first:    factory.Histogram("first_event_seconds", "Time from a request to the first event of its stream."),
 		whole:    factory.Histogram("answer_seconds", "Time from a request to the end of its answer."),
 		gaps:     factory.Histogram("gap_seconds", "Longest pause between events of a stream."),
--- a/internal/relay/run_mover.go
+++ b/internal/relay/run_mover.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -83,6 +84,7 @@
 	}
 	copied, handle = relay.exchanger.copyRun(m.engine, relay.dialect, request.id, target.backEnd.Address, true)
 	relay.log.moved(request, m.engine, target.backEnd, copied)
+	relay.metrics.moves.WithLabelValues(strconv.FormatBool(copied)).Inc()
 	m.outcome <- m.destination(target, copied, handle)
 }
 
--- a/internal/relay/run_mover_test.go
+++ b/internal/relay/run_mover_test.go
@@ -92,6 +92,7 @@
 			resumed := next.seen()[0].head
 			require.Equal(t, former.entry.Address+"/handle", string(resumed.Peek("T-Source")))
 			require.Equal(t, "1", string(resumed.Peek("T-Last")))
+			require.Contains(t, relay.scrape(t), `hazelpitch_relay_runs_moved_total{copied="true",`+metricLabels+`} 1`)
 		})
 	}
 }
@@ -162,3 +163,21 @@
 	}
 	return nil
 }
+
+// Memory that was set aside for a run whose client leaves meanwhile is given up.
+func TestMovedRunOfAClientThatLeftIsGivenUp(t *testing.T) {
+	former := startMovableEngine(t, moveAnswer{200, "handle"}, moveAnswer{200, "handle"})
+	next := startBackEnd(t, "next", serving.StageDecode, streaming("next", eventTwo))
+	relay := newTestRelay(t, route(stream(false)), former.scriptedBackEnd, next)
+	request := &request{id: "id-1", route: &relay.view.Load().table.Configuration.Routes[0], service: relay.view.Load().table.Service("service"), deadline: time.Hour}
+	stream := &streamReply{relay: relay.Relay, request: request, tried: &attempts{relay: relay.Relay, request: request}}
+	stream.mover = newRunMover(stream, relay.engineOf("former"))
+	require.True(t, stream.mover.stop())
+	stream.mover.outcome <- stream.mover.destination(&place{backEnd: relay.engineOf("next")}, true, "handle")
+	stream.dropMoved()
+	require.Eventually(t, func() bool {
+		seen := former.seen()
+		return len(seen) == 1 && seen[0].line == "DELETE /handle/handle"
+	}, time.Minute, time.Millisecond)
+	require.Zero(t, relay.engineOf("former").movable())
+}
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -127,7 +127,7 @@
 
 // passEvents passes events on as they arrive.
 func (s *streamReply) passEvents(answer *answer) *failure {
-	defer s.endMover()
+	defer s.dropMoved()
 	defer func() {
 		if !s.begun {
 			s.relay.exchanger.noteGivenUp(answer.message)
@@ -224,6 +224,13 @@
 	return mover.end()
 }
 
+// dropMoved gives up the memory of a run that was moved for a client that has gone.
+func (s *streamReply) dropMoved() {
+	if moved := s.endMover(); moved != nil {
+		s.relay.release(moved.held)
+	}
+}
+
 // end writes what is left and tells that the stream is whole.
 func (s *streamReply) end(answer *answer, rest event) {
 	if len(rest.bytes) > 0 && (rest.id == "" || s.last == "" || rest.after(s.last)) {
--- /dev/null
+++ b/internal/relay/watch_list.go
@@ -0,0 +1,118 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// resizeCaches takes the engines' memory from the configuration in force: engines may be
+// listed before it is known.
+func (w *watcher) resizeCaches(next *view) {
+	for service, backEnds := range next.byService {
+		for _, engine := range backEnds {
+			engine.cache.resize(placement.CacheCapacity(engine.Stage, cacheTokens(next, service)))
+		}
+	}
+}
+
+// takeBackEnds puts a reading of the list in force.
+func (w *watcher) takeBackEnds(listed []serving.BackEnd, next *view) {
+	known := make(map[string]*backEnd, len(listed))
+	next.byService = map[string][]*backEnd{}
+	next.byHash = map[uint64]*backEnd{}
+	for _, entry := range listed {
+		current := w.known[entry.ID]
+		if current == nil || !sameEntry(current.BackEnd, entry) {
+			current = w.replace(current, entry, next)
+		}
+		known[entry.ID] = current
+		next.byService[entry.Service] = append(next.byService[entry.Service], current)
+		next.byHash[current.hash] = current
+	}
+	for id, gone := range w.known {
+		if known[id] == nil {
+			gone.pool.close()
+		}
+	}
+	w.closed = closedSince(w.known, known)
+	w.known = known
+	w.relay.event(events.ListingInForce).Uint64("version", next.listingVersion).Int("back_ends", len(listed)).Send()
+	w.relay.notices.table.keep(next.byHash)
+	w.relay.pace.keep(next.byHash)
+	next.listed, next.listedAt = true, w.relay.clock.now()
+}
+
+// closedSince returns the former records of back ends that take no more work since then.
+func closedSince(former, present map[string]*backEnd) []*backEnd {
+	var closed []*backEnd
+	for id, backEnd := range former {
+		if next := present[id]; next != nil && (next.Leaving || next.Changing) && !backEnd.Leaving && !backEnd.Changing {
+			closed = append(closed, backEnd)
+		}
+	}
+	return closed
+}
+
+// moveRuns moves the runs at back ends that were closed, now that the view shows where to.
+func (w *watcher) moveRuns() {
+	for _, closed := range w.closed {
+		closed.moveRuns()
+	}
+	w.closed = nil
+}
+
+// replace makes the record of a back end whose entry is new or has changed.
+func (w *watcher) replace(former *backEnd, entry serving.BackEnd, view *view) *backEnd {
+	replaced := newBackEnd(entry, cacheTokens(view, entry.Service))
+	if former == nil {
+		return replaced
+	}
+	now := w.relay.clock.now()
+	replaced.load.avoidUntil = former.look(0).avoidUntil
+	replaced.cache = former.cache
+	replaced.changedAt = former.changedAt
+	if former.Changing != entry.Changing || former.Stage != entry.Stage && !former.Changing {
+		replaced.changedAt = now
+	}
+	if former.Stage != entry.Stage {
+		replaced.cache.resize(placement.CacheCapacity(entry.Stage, cacheTokens(view, entry.Service)))
+		replaced.avoid(awayFrom(former, replaced) + roleChange(view, entry.Service))
+	}
+	former.pool.close()
+	return replaced
+}
+
+// awayFrom is when an engine whose stage has changed went away: when it was marked, or, where it
+// was not, when the list showed the new stage.
+func awayFrom(former, replaced *backEnd) time.Duration {
+	if former.Changing {
+		return former.changedAt
+	}
+	return replaced.changedAt
+}
+
+// roleChange is how long an engine of the service is away when its stage changes.
+func roleChange(view *view, service string) time.Duration {
+	if engine := view.engine(service); engine != nil {
+		return engine.RoleChange
+	}
+	return 0
+}
+
+// defaultCacheTokens is an engine's memory until the configuration tells it.
+const defaultCacheTokens = 400_000
+
+// cacheTokens is the memory of a service's engines.
+func cacheTokens(view *view, service string) int {
+	if engine := view.engine(service); engine != nil && engine.CacheTokens > 0 {
+		return engine.CacheTokens
+	}
+	return defaultCacheTokens
+}
+
+func sameEntry(a, b serving.BackEnd) bool {
+	return a.Address == b.Address && a.Service == b.Service && a.Leaving == b.Leaving && a.Changing == b.Changing && a.Stage == b.Stage && a.Slots == b.Slots
+}
