Pick the taker of a run in the pure package; counts are no durations

Cause: read as a newcomer: how many times late counts, and how many times slower a decoding engine reads, had the type of a duration; and which engine takes over a run was decided in internal/relay. Change: both are whole numbers; placement.Taker picks the engine with a free slot. Test: TestTakerHasASlotFree.

--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -29,7 +29,7 @@
 		cost += time.Duration(held.tokens) * p.CopyHarm
 	}
 	if late := candidate.Waiting + fetching + reading - time.Duration(p.PromptTargetShare*float64(request.Target)); late > 0 {
-		cost += p.LateWeight * late
+		cost += time.Duration(p.LateWeight) * late
 	}
 	if engine.Zone != request.Zone {
 		cost += p.ZoneTime
@@ -97,7 +97,7 @@
 // share for the streams that it runs. An engine that has to read the prompt itself takes longer
 // for it and holds its streams up meanwhile.
 func (p Parameters) weighDecode(request Request, candidate *Candidate, engine Engine, held holder) {
-	perToken := engine.PerToken * p.DecodeSlowdown
+	perToken := engine.PerToken * time.Duration(p.DecodeSlowdown)
 	candidate.Waiting = time.Duration(engine.Work.TokensUpTo(request.Rank)) * perToken
 	cost := candidate.Waiting + time.Duration(engine.Work.Streams)*p.StreamTime
 	if engine.Zone != request.Zone {
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/serving"
@@ -112,6 +113,15 @@
 	return p.best(request, serving.StagePrefill, engines, draw)
 }
 
+// Taker picks the decoding engine with a free slot that takes over a run; nil when there is none.
+func (p Parameters) Taker(request Request, engines []Engine, draw func() float64) *Candidate {
+	free := slices.Clone(engines)
+	for index, engine := range free {
+		free[index].Closed = engine.Closed || engine.Work.Streams >= engine.Slots
+	}
+	return p.best(request, serving.StageDecode, free, draw)
+}
+
 // Generator picks the back end that answers; nil when there is none, or none that may read what
 // is left of the prompt itself. While a decoding engine reads a long prompt its other streams
 // pause and new ones wait, so it does so only where nothing else waits to be read, and, for a
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -139,3 +139,16 @@
 		})
 	}
 }
+
+// A run is taken over by an engine that has a slot free, or by none.
+func TestTakerHasASlotFree(t *testing.T) {
+	engine := func(streams int, stage serving.Stage, closed bool) Engine {
+		return Engine{Stage: stage, Slots: 8, Closed: closed, Work: Work{Streams: streams}}
+	}
+	engines := []Engine{engine(8, serving.StageDecode, false), engine(0, serving.StageDecode, true), engine(0, serving.StagePrefill, false)}
+	require.Nil(t, DefaultParameters().Taker(Request{Stage: serving.StageDecode}, engines, rand.Float64))
+	engines = append(engines, engine(7, serving.StageDecode, false))
+	taker := DefaultParameters().Taker(Request{Stage: serving.StageDecode}, engines, rand.Float64)
+	require.Equal(t, 3, taker.Index)
+	require.False(t, engines[0].Closed, "what is known of engines is left alone")
+}
--- a/internal/placement/parameters.go
+++ b/internal/placement/parameters.go
@@ -14,7 +14,7 @@
 	// PromptTargetShare is the part of a route's target that the reading of a prompt may take.
 	PromptTargetShare float64
 	// LateWeight is how much worse it is to be late than to wait.
-	LateWeight time.Duration
+	LateWeight int
 	// LeastFetch is the least number of tokens that are worth taking from another engine,
 	// FetchSetup what taking them costs beside their way.
 	LeastFetch int
@@ -36,7 +36,7 @@
 	// PauseHarm is what it costs for each stream that its engine makes late by reading.
 	PauseHarm time.Duration
 	// DecodeSlowdown is how much slower a decoding engine reads prompts than a prefill engine.
-	DecodeSlowdown time.Duration
+	DecodeSlowdown int
 	// HandOverTime is what handing a prompt from one engine to another takes.
 	HandOverTime time.Duration
 	// LongestDirect is the longest reading, in tokens, that a decoding engine takes on while a
--- a/internal/relay/run_mover.go
+++ b/internal/relay/run_mover.go
@@ -105,11 +105,8 @@
 	request, now := mover.stream.request, r.clock.now()
 	tried := &attempts{relay: r, request: request, excluded: []*backEnd{mover.engine}}
 	seen := r.survey(request.service.Name, nil, tried, now)
-	for index, engine := range seen.engines {
-		seen.engines[index].Closed = engine.Closed || engine.Hash == mover.engine.hash || engine.Work.Streams >= seen.backEnds[index].Slots
-	}
 	wanted := placement.Request{Now: now, Stage: answeringStage(request.service), Zone: mover.engine.Zone, Rank: mover.stream.rank()}
-	return seen.place(r.policy.Generator(wanted, seen.engines, r.draw))
+	return seen.place(r.policy.Taker(wanted, seen.engines, r.draw))
 }
 
 // copyRun has an engine copy a run to the engine at an address. It reports whether it did, and
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -86,7 +86,7 @@
 		}
 	}
 	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.request.deadline, set: set, work: asked, reads: s.parts,
-		stall: stallLimit(s.request.route) + placement.PrefillTime(s.relay.pace.of(engine.hash), int(s.relay.policy.DecodeSlowdown)*asked.PromptTokens()), mayBreak: s.mayMove()})
+		stall: stallLimit(s.request.route) + placement.PrefillTime(s.relay.pace.of(engine.hash), s.relay.policy.DecodeSlowdown*asked.PromptTokens()), mayBreak: s.mayMove()})
 	if fault != nil {
 		s.noteTaken(fault)
 		return fault
