--- a/internal/dialing/expiring.go
+++ b/internal/dialing/expiring.go
@@ -24,9 +24,7 @@
 		if left <= 0 {
 			return nil, ErrExpired
 		}
-		limited, cancel := context.WithTimeout(ctx, left)
-		defer cancel()
-		connection, err := dial(limited, network, address)
+		connection, err := Within(dial, left)(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -40,7 +40,7 @@
 func (p Parameters) PlaceReading(request Request, engines []Engine, draw func() float64) Decision {
 	direct := p.best(request, serving.StageDecode, engines, draw)
 	apart := p.Reader(request, engines, draw)
-	decision := p.direct(direct, apart)
+	decision := p.chooseReader(direct, apart)
 	switch chosen := decision.Engine; {
 	case chosen == nil:
 		return Decision{Action: Unplaced, Reason: "no engine can read the prompt"}
@@ -91,8 +91,8 @@
 	return time.Duration(latest * (1 - p.ComeBackSpread*draw()))
 }
 
-// direct decides between the decoding engine and the prefill engine; either may be nil.
-func (p Parameters) direct(direct, apart *Candidate) Decision {
+// chooseReader decides between the decoding engine and the prefill engine; either may be nil.
+func (p Parameters) chooseReader(direct, apart *Candidate) Decision {
 	switch {
 	case apart == nil:
 		return Decision{Action: ReadDirectly, Engine: direct, Reason: "no prefill engine is left"}
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -18,8 +18,8 @@
 	hash  uint64
 	pool  pool
 	cache *promptCache
-	// changedAt is when the engine was marked as changing its stage, or no longer so.
-	changedAt time.Duration
+	// changingSince is when the engine was marked last as changing its stage.
+	changingSince time.Duration
 
 	mutex sync.Mutex
 	load  load
--- a/internal/relay/read_prompt.go
+++ b/internal/relay/read_prompt.go
@@ -91,7 +91,7 @@
 	ahead := r.notices.table.total(now, engine, engine.look(now))
 	request.trace.prefill(engine, now, chosen.ToRead, ahead.TokensUpTo(rank), ahead.PromptTokens())
 	perToken := r.pace.of(engine.hash)
-	r.work.read(request.service.Name, placement.PrefillTime(perToken, chosen.Effort))
+	r.noteAskedReading(request.service.Name, engine, chosen.Effort)
 	set := []header{r.rankHeader(rank), {r.dialect.Headers.Stage, r.dialect.PrefillStage}}
 	if chosen.fetchFrom != nil {
 		set = append(set, header{r.dialect.Headers.KVFetch, chosen.fetchFrom.Address})
--- a/internal/relay/release.go
+++ b/internal/relay/release.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -9,8 +10,8 @@
 // releaseTimeout bounds the giving up of a prompt; it lapses by itself later.
 const releaseTimeout = time.Second
 
-// release tells an engine that a prompt it holds will not be taken. Its answer only shows
-// whether the connection can be used again.
+// release tells an engine that a prompt it holds will not be taken. Once it has answered, it keeps
+// the prompt's parts for any request.
 func (e *exchanger) release(held *heldPrompt, path string) {
 	now := e.clock.now()
 	connection := held.engine.pool.take(now, unsafeIdleLimit)
@@ -22,12 +23,24 @@
 	}
 	defer connection.close()
 	_ = connection.SetDeadline(e.clock.at(now + releaseTimeout))
-	head := append([]byte(nil), "DELETE "+path+" HTTP/1.1\r\nHost: "+held.engine.Address+"\r\n"...)
-	head = appendHeader(head, e.names.ExpectInstance, held.engine.ID)
-	if _, err := connection.Write(append(head, "\r\n"...)); err != nil {
+	if e.writeCall(connection, held.engine, fasthttp.MethodDelete, path, nil) != nil {
 		return
 	}
 	if (&fasthttp.ResponseHeader{}).Read(connection.reader) == nil {
 		e.noteKept(held.engine, held.parts)
 	}
 }
+
+// writeCall writes a call of the relay's own to an engine, which refuses it when another one has
+// its address. A body is JSON; nil is none.
+func (e *exchanger) writeCall(connection *upstreamConnection, engine *backEnd, method, path string, body []byte) error {
+	head := append([]byte(nil), method+" "+path+" HTTP/1.1\r\nHost: "+engine.Address+"\r\n"...)
+	head = appendHeader(head, e.names.ExpectInstance, engine.ID)
+	if body != nil {
+		head = appendHeader(head, fasthttp.HeaderContentType, "application/json")
+		head = appendHeader(head, fasthttp.HeaderContentLength, strconv.Itoa(len(body)))
+	}
+	head = append(head, "\r\n"...)
+	_, err := connection.Write(append(head, body...))
+	return err
+}
--- a/internal/relay/run_mover.go
+++ b/internal/relay/run_mover.go
@@ -119,15 +119,7 @@
 	}
 	defer connection.close()
 	_ = connection.SetDeadline(e.clock.at(now + moveTimeout))
-	body := dialect.MoveBody(request, address, stop)
-	head := &fasthttp.RequestHeader{}
-	head.SetMethod(fasthttp.MethodPost)
-	head.SetRequestURI(dialect.MovePath)
-	head.SetHost(engine.Address)
-	head.SetContentType("application/json")
-	head.SetContentLength(len(body))
-	head.Set(e.names.ExpectInstance, engine.ID)
-	if _, err := connection.Write(append(head.Header(), body...)); err != nil {
+	if e.writeCall(connection, engine, fasthttp.MethodPost, dialect.MovePath, dialect.MoveBody(request, address, stop)) != nil {
 		return false, ""
 	}
 	answer := fasthttp.Response{}
--- a/internal/relay/run_mover_test.go
+++ b/internal/relay/run_mover_test.go
@@ -48,6 +48,16 @@
 	return engine
 }
 
+// beginRun has the relay begin a run at the engine, and returns its client.
+func (e *movableEngine) beginRun(t *testing.T, relay *testRelay) *testClient {
+	t.Helper()
+	client := relay.client(t)
+	client.send("POST", "/path/", "x")
+	<-e.began
+	require.Eventually(t, func() bool { return relay.engineOf("former").movable() == 1 }, time.Minute, time.Millisecond)
+	return client
+}
+
 // moves are the calls that moved a run.
 func (e *movableEngine) moves() []string {
 	var bodies []string
@@ -71,10 +81,7 @@
 			former := startMovableEngine(t, moveAnswer{200, "handle"}, moveAnswer{200, "handle"})
 			next := startBackEnd(t, "next", serving.StageDecode, streaming("next", eventOne, eventTwo+eventThree))
 			relay := newTestRelay(t, route(func(r *serving.Route) { stream(false)(r); r.MaxAttempts = 1 }), former.scriptedBackEnd, next).preferring("former")
-			client := relay.client(t)
-			client.send("POST", "/path/", "x")
-			<-former.began
-			require.Eventually(t, func() bool { return relay.engineOf("former").movable() == 1 }, time.Minute, time.Millisecond)
+			client := former.beginRun(t, relay)
 			relay.engineOf("next").end(relay.engineOf("next").look(0).own) // it has slots now
 			relay.relist(change)
 			if name == "leaving and no move" {
@@ -102,10 +109,7 @@
 	former := startMovableEngine(t, moveAnswer{200, "copy"}, moveAnswer{503, "kept"})
 	next := startBackEnd(t, "next", serving.StageDecode, streaming("next", eventTwo))
 	relay := newTestRelay(t, route(func(r *serving.Route) { stream(false)(r); r.MaxAttempts = 1 }), former.scriptedBackEnd, next).preferring("former")
-	client := relay.client(t)
-	client.send("POST", "/path/", "x")
-	<-former.began
-	require.Eventually(t, func() bool { return relay.engineOf("former").movable() == 1 }, time.Minute, time.Millisecond)
+	client := former.beginRun(t, relay)
 	mover := relay.engineOf("former").anyMover()
 	target := &place{backEnd: relay.engineOf("next")}
 	require.Equal(t, relay.engineOf("former"), mover.destination(target, false, "kept").place.backEnd)
@@ -130,11 +134,8 @@
 			former := startMovableEngine(t, row.copying, moveAnswer{200, "handle"})
 			next := startBackEnd(t, "next", serving.StageDecode, streaming("next", eventTwo))
 			relay := newTestRelay(t, route(stream(false)), former.scriptedBackEnd, next).preferring("former")
-			client := relay.client(t)
-			client.send("POST", "/path/", "x")
-			<-former.began
+			client := former.beginRun(t, relay)
 			engine := relay.engineOf("former")
-			require.Eventually(t, func() bool { return engine.movable() == 1 }, time.Minute, time.Millisecond)
 			if !row.full {
 				relay.engineOf("next").end(relay.engineOf("next").look(0).own)
 			}
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -70,7 +70,12 @@
 		r.work.generate(service, r.work.residence(service)/time.Duration(max(chosen.backEnd.Slots, 1)))
 		return
 	}
-	r.work.read(service, placement.PrefillTime(r.pace.of(chosen.backEnd.hash), chosen.Effort))
+	r.noteAskedReading(service, chosen.backEnd, chosen.Effort)
+}
+
+// noteAskedReading counts a reading as work that prefill engines are asked for.
+func (r *Relay) noteAskedReading(service string, engine *backEnd, effort int) {
+	r.work.read(service, placement.PrefillTime(r.pace.of(engine.hash), effort))
 }
 
 // placeReading decides where the prompt is read, after so many waits for others' readings.
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -75,7 +75,9 @@
 	if engine.isEngine() {
 		ended := s.relay.work.run(began, s.request.service.Name, engine.Slots)
 		defer func() { ended(s.relay.clock.now()) }()
-		s.noteReadingTime(engine, chosen.Effort)
+		if chosen.Effort > 0 { // prefill engines could read it as well, in the time that counts
+			s.relay.noteAskedReading(s.request.service.Name, engine, chosen.Effort)
+		}
 	}
 	s.request.trace.engine, s.request.trace.sentAt = engine.ID, began
 	asked := placement.Work{Streams: 1}
@@ -98,14 +100,6 @@
 	return s.passEvents(answer)
 }
 
-// noteReadingTime notes a prompt that a decoding engine reads itself: prefill engines could read
-// it as well, in the time that counts.
-func (s *streamReply) noteReadingTime(engine *backEnd, effort int) {
-	if effort > 0 {
-		s.relay.work.read(s.request.service.Name, placement.PrefillTime(s.relay.pace.of(engine.hash), effort))
-	}
-}
-
 // mayMove reports whether the stream may be taken up at another engine.
 func (s *streamReply) mayMove() bool {
 	return s.request.route.Repeatable() && s.tried.sent+1 < s.request.route.MaxAttempts
--- a/internal/relay/watch_list.go
+++ b/internal/relay/watch_list.go
@@ -73,25 +73,25 @@
 	now := w.relay.clock.now()
 	replaced.load.avoidUntil = former.look(0).avoidUntil
 	replaced.cache = former.cache
-	replaced.changedAt = former.changedAt
-	if former.Changing != entry.Changing || former.Stage != entry.Stage && !former.Changing {
-		replaced.changedAt = now
+	replaced.changingSince = former.changingSince
+	if entry.Changing && !former.Changing {
+		replaced.changingSince = now
 	}
 	if former.Stage != entry.Stage {
 		replaced.cache.resize(placement.CacheCapacity(entry.Stage, cacheTokens(view, entry.Service)))
-		replaced.avoid(awayFrom(former, replaced) + roleChange(view, entry.Service))
+		replaced.avoid(awaySince(former, now) + roleChange(view, entry.Service))
 	}
 	former.pool.close()
 	return replaced
 }
 
-// awayFrom is when an engine whose stage has changed went away: when it was marked, or, where it
-// was not, when the list showed the new stage.
-func awayFrom(former, replaced *backEnd) time.Duration {
+// awaySince is when an engine whose stage has changed went away: when it was marked, or, where it
+// was not, now that the list shows the new stage.
+func awaySince(former *backEnd, now time.Duration) time.Duration {
 	if former.Changing {
-		return former.changedAt
+		return former.changingSince
 	}
-	return replaced.changedAt
+	return now
 }
 
 // roleChange is how long an engine of the service is away when its stage changes.
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -139,8 +139,13 @@
 	total := float64(len(engines))
 	least := float64(least(len(engines)))
 	wanted := math.Round(min(max(p.config.PriorPrefillShare*total, least), total-least))
-	difference := int(wanted) - countPrefill(engines)
-	return choose(engines, difference > 0, max(difference, -difference))
+	return changeTo(engines, int(wanted), len(engines))
+}
+
+// changeTo picks the engines that change, at most so many, until the wanted number reads prompts.
+func changeTo(engines []Engine, prefill, most int) []Change {
+	difference := prefill - countPrefill(engines)
+	return choose(engines, difference > 0, min(max(difference, -difference), most))
 }
 
 // underLoad changes as many engines as it takes to share the lack of time evenly between the
@@ -155,8 +160,7 @@
 	if now <= 1 || now < improvement*p.need(best, len(engines)) {
 		return nil
 	}
-	count := max(best-prefill, prefill-best)
-	return choose(engines, best > prefill, min(count, max(int(mostAtOnce*float64(len(engines))), 1)))
+	return changeTo(engines, best, max(int(mostAtOnce*float64(len(engines))), 1))
 }
 
 // need is how many times busier than it may be the busier stage is when so many engines of a
