--- /dev/null
+++ b/internal/cell/division_test.go
@@ -0,0 +1,128 @@
+package cell
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fleet returns engines spread over zones.
+func fleet(zones, perZone int) []Member {
+	var members []Member
+	for zone := range zones {
+		for number := range perZone {
+			members = append(members, Member{Hash: mix(uint64(zone+1), uint64(number+1)), Zone: fmt.Sprint("zone-", zone)})
+		}
+	}
+	return members
+}
+
+// Whatever the size of the fleet, cells have about the same size, and each engine one cell.
+func TestCellsKeepTheirSize(t *testing.T) {
+	for name, row := range map[string]struct {
+		zones, perZone, cells int
+		ownZones              bool
+	}{
+		"one small zone":        {zones: 1, perZone: 5, cells: 1},
+		"a small site":          {zones: 3, perZone: 3, cells: 1},
+		"two zones of twelve":   {zones: 2, perZone: 12, cells: 2, ownZones: true},
+		"zones share two cells": {zones: 4, perZone: 8, cells: 2},
+		"hundreds of engines":   {zones: 5, perZone: 32, cells: 10, ownZones: true},
+		"the target size":       {zones: 10, perZone: 93, cells: 60, ownZones: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			members := fleet(row.zones, row.perZone)
+			division := Divide("service", members)
+			require.Len(t, division.Cells(), row.cells)
+			seen := 0
+			for index, cell := range division.Cells() {
+				require.Equal(t, row.ownZones, cell.Zone != "")
+				require.NotEmpty(t, cell.Members)
+				require.LessOrEqual(t, len(cell.Members), 2*Size)
+				for _, member := range cell.Members {
+					of, known := division.Of(members[member].Hash)
+					require.True(t, known)
+					require.Equal(t, index, of)
+					seen++
+				}
+			}
+			require.Equal(t, len(members), seen)
+		})
+	}
+}
+
+// Relays read lists in different orders and still divide alike.
+func TestDivisionDoesNotDependOnTheOrder(t *testing.T) {
+	members := fleet(3, 20)
+	shuffled := slices.Clone(members)
+	rand.New(rand.NewPCG(1, 2)).Shuffle(len(shuffled), func(a, b int) { shuffled[a], shuffled[b] = shuffled[b], shuffled[a] })
+	one, other := Divide("service", members), Divide("service", shuffled)
+	for _, member := range members {
+		a, _ := one.Of(member.Hash)
+		b, _ := other.Of(member.Hash)
+		require.Equal(t, one.Cells()[a].ID, other.Cells()[b].ID)
+	}
+}
+
+// An engine that leaves takes no other one out of its cell, and few prompts out of their home.
+func TestOneEngineLessChangesLittle(t *testing.T) {
+	members := fleet(5, 32)
+	before, after := Divide("service", members), Divide("service", members[1:])
+	for _, member := range members[1:] {
+		a, _ := before.Of(member.Hash)
+		b, _ := after.Of(member.Hash)
+		require.Equal(t, before.Cells()[a].ID, after.Cells()[b].ID)
+	}
+	const prompts = 5000
+	moved := 0
+	for key := range uint64(prompts) {
+		if before.Homes(key, "", 1)[0] != after.Homes(key, "", 1)[0] {
+			moved++
+		}
+	}
+	require.Less(t, moved, prompts/50)
+}
+
+// Prompts are spread over cells as engines are, and every cell is some prompt's second choice.
+func TestHomesFollowTheEngines(t *testing.T) {
+	division := Divide("service", fleet(5, 32))
+	const prompts = 20000
+	first, second := map[int]int{}, map[int]int{}
+	for key := range uint64(prompts) {
+		homes := division.Homes(key, "", 2)
+		require.NotEqual(t, homes[0], homes[1])
+		first[homes[0]]++
+		second[homes[1]]++
+	}
+	for index, cell := range division.Cells() {
+		share := float64(len(cell.Members)) / 160
+		require.InDelta(t, share, float64(first[index])/prompts, 0.2*share)
+		require.NotZero(t, second[index])
+	}
+}
+
+// A zone that is asked for goes first, and the others follow.
+func TestHomesOfAZone(t *testing.T) {
+	division := Divide("service", fleet(5, 32))
+	for key := range uint64(100) {
+		homes := division.Homes(key, "zone-3", 4)
+		require.Len(t, homes, 4)
+		require.Equal(t, "zone-3", division.Cells()[homes[0]].Zone)
+		require.Equal(t, "zone-3", division.Cells()[homes[1]].Zone)
+		require.NotEqual(t, "zone-3", division.Cells()[homes[2]].Zone)
+	}
+	require.Empty(t, Divide("service", nil).Homes(1, "", 3))
+}
+
+// A cell is found by its identity, and one of another fleet is not.
+func TestFind(t *testing.T) {
+	division := Divide("service", fleet(2, 16))
+	index, known := division.Find(division.Cells()[1].ID)
+	require.True(t, known)
+	require.Equal(t, 1, index)
+	_, known = division.Find(Divide("other", fleet(2, 16)).Cells()[0].ID)
+	require.False(t, known)
+}
--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -2,11 +2,13 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/cell"
 	"github.com/hazelpitch/hazelpitch/internal/stageplan"
 )
 
@@ -114,15 +116,31 @@
 		}
 		if stage, is := stageOf(role); is && !backEnd.GetLeaving() {
 			engines[backEnd.GetService()] = append(engines[backEnd.GetService()], stageplan.Engine{
-				ID: backEnd.GetId(), Zone: backEnd.GetZone(), Stage: stage, Busy: ordered,
+				ID: backEnd.GetId(), Group: backEnd.GetZone(), Stage: stage, Busy: ordered,
 			})
 		}
 	}
 	for _, service := range sortedKeys(engines) {
+		groupByCell(service, engines[service])
 		c.planStages(service, engines[service])
 	}
 }
 
+// groupByCell adds the engines' cells to their zones: an owner that decides on one cell needs
+// engines of both stages there.
+func groupByCell(service string, engines []stageplan.Engine) {
+	members := make([]cell.Member, len(engines))
+	for index, engine := range engines {
+		members[index] = cell.Member{Hash: cell.HashEngine(engine.ID), Zone: engine.Group}
+	}
+	division := cell.Divide(service, members)
+	for index, member := range members {
+		if number, known := division.Of(member.Hash); known {
+			engines[index].Group = member.Zone + "/" + strconv.Itoa(number)
+		}
+	}
+}
+
 func (c *Core) planStages(service string, engines []stageplan.Engine) {
 	plan := c.stages.plans[service]
 	if plan == nil {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -2,8 +2,11 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 )
 
@@ -108,10 +111,22 @@
 	}
 	c.forgetRelays()
 	response.Relays = c.relayCount()
-	response.RelayAddresses = c.noticeAddresses()
+	addresses := c.noticeAddresses()
+	response.RelayList = hashOfList(addresses)
+	if response.RelayList != request.GetRelayList() {
+		response.RelayAddresses = addresses
+	}
 	return response
 }
 
+// hashOfList identifies a list of addresses; 0 for an empty one.
+func hashOfList(addresses []string) uint64 {
+	if len(addresses) == 0 {
+		return 0
+	}
+	return xxhash.Sum64String(strings.Join(addresses, ","))
+}
+
 // relayCount returns how many relays were heard of lately; 0 while it is not known.
 func (c *Core) relayCount() uint32 {
 	if c.now-c.leadingSince < relayCountAfter {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -13,6 +13,8 @@
 	AttemptFailed Event = "attempt_failed"
 	// RequestRefused: the relay gave an answer of its own.
 	RequestRefused Event = "request_refused"
+	// OwnerDoubted: a relay that owns engines does not answer and is passed over for a while.
+	OwnerDoubted Event = "owner_doubted"
 	// RunMoved: a run was moved from an engine that takes no more work.
 	RunMoved Event = "run_moved"
 	// ConfigurationInForce: another configuration is in force at the relay.
@@ -48,7 +50,7 @@
 // All lists every event.
 var All = []Event{
 	RequestEnded, AttemptFailed, RequestRefused, RunMoved, ConfigurationInForce, ConfigurationUnreadable, ListingInForce,
-	LeaderLost, LeaderFound, RelayStarted, RelayStopping, StageOrdered, DiskFailed, SettingsReloaded, LogLinesDropped,
+	LeaderLost, LeaderFound, OwnerDoubted, RelayStarted, RelayStopping, StageOrdered, DiskFailed, SettingsReloaded, LogLinesDropped,
 }
 
 // Names of fields that lines of several events have.
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -57,6 +57,13 @@
 	c.Effort = ReadingEffort(held, c.ToRead)
 }
 
+// Holder returns the index of the engine that keeps most of the prompt for any request, and how
+// many tokens; None when none keeps any.
+func Holder(engines []Engine) (index, tokens int) {
+	found := holderOf(engines)
+	return found.index, found.tokens
+}
+
 // holder is the engine that has most of a prompt's beginning cached.
 type holder struct{ index, tokens int }
 
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -30,8 +30,8 @@
 	Engine *Candidate
 	// Short is the stage whose engines have too little time for a request that is refused.
 	Short serving.Stage
-	// Reason says in words why, and RetryAfter when a refused request had better come back.
-	Reason     string
+	// Reason says why, and RetryAfter when a refused request had better come back.
+	Reason     Reason
 	RetryAfter time.Duration
 }
 
@@ -43,13 +43,13 @@
 	decision := p.chooseReader(direct, apart)
 	switch chosen := decision.Engine; {
 	case chosen == nil:
-		return Decision{Action: Unplaced, Reason: "no engine can read the prompt"}
+		return Decision{Action: Unplaced, Reason: NoReader}
 	case p.slotsTaken(request, engines):
-		return Decision{Action: Refuse, Engine: chosen, Short: serving.StageDecode, Reason: "too many requests wait for a slot", RetryAfter: p.comeBack(request, draw)}
+		return Decision{Action: Refuse, Engine: chosen, Short: serving.StageDecode, Reason: SlotsTaken, RetryAfter: p.comeBack(request, draw)}
 	case chosen.Unusable >= p.LeastUnusable && request.Waits < p.MostWaits:
-		return Decision{Action: AwaitReading, Engine: chosen, Reason: "the engine reads shared parts for another request"}
+		return Decision{Action: AwaitReading, Engine: chosen, Reason: SharedPartsRead}
 	case decision.Action == ReadApart && chosen.Waiting > p.longestWait(request, chosen.ToRead):
-		return Decision{Action: Refuse, Engine: chosen, Short: serving.StagePrefill, Reason: "too many prompts wait to be read", RetryAfter: p.comeBack(request, draw)}
+		return Decision{Action: Refuse, Engine: chosen, Short: serving.StagePrefill, Reason: TooManyPrompts, RetryAfter: p.comeBack(request, draw)}
 	default:
 		return decision
 	}
@@ -95,11 +95,11 @@
 func (p Parameters) chooseReader(direct, apart *Candidate) Decision {
 	switch {
 	case apart == nil:
-		return Decision{Action: ReadDirectly, Engine: direct, Reason: "no prefill engine is left"}
+		return Decision{Action: ReadDirectly, Engine: direct, Reason: NoPrefillEngine}
 	case direct != nil && p.readsDirectly(direct, apart):
-		return Decision{Action: ReadDirectly, Engine: direct, Reason: "the decoding engine has it as soon"}
+		return Decision{Action: ReadDirectly, Engine: direct, Reason: DecodingAsSoon}
 	default:
-		return Decision{Action: ReadApart, Engine: apart, Reason: "a prefill engine has it sooner"}
+		return Decision{Action: ReadApart, Engine: apart, Reason: PrefillSooner}
 	}
 }
 
@@ -137,3 +137,36 @@
 	}
 	return best
 }
+
+// Spills reports whether a request had better be offered to engines elsewhere as well: it found
+// none here, was refused, or would wait long.
+func (p Parameters) Spills(request Request, decision Decision) bool {
+	switch decision.Action {
+	case Unplaced, Refuse:
+		return true
+	case AwaitReading:
+		return false
+	default:
+		return decision.Engine.Waiting > time.Duration(p.SpillShare*float64(request.Target)) && request.Target > 0
+	}
+}
+
+// IsBetter reports whether a decision is better than another one elsewhere.
+func (d Decision) IsBetter(other Decision) bool {
+	if d.order() != other.order() {
+		return d.order() < other.order()
+	}
+	return d.Engine != nil && other.Engine != nil && d.Engine.Cost < other.Engine.Cost
+}
+
+// order sorts decisions by what they mean for a request.
+func (d Decision) order() int {
+	switch d.Action {
+	case Refuse:
+		return 1
+	case Unplaced:
+		return 2
+	default:
+		return 0
+	}
+}
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -71,6 +71,13 @@
 	p.engines[engine] = blend(known, perToken, weight)
 }
 
+// Learn takes the time per token of an engine from a relay that knows it better.
+func (p *Pace) Learn(engine uint64, perToken time.Duration) {
+	if perToken > 0 {
+		p.engines[engine] = perToken
+	}
+}
+
 func blend(known, observed time.Duration, weight float64) time.Duration {
 	return time.Duration((1-weight)*float64(known) + weight*float64(observed))
 }
--- a/internal/placement/parameters.go
+++ b/internal/placement/parameters.go
@@ -46,6 +46,9 @@
 	// LongestWaitShare is how many targets of its route a prompt may wait to be read: one that
 	// waits longer would be late, and those behind it too.
 	LongestWaitShare float64
+	// SpillShare is the part of its route's target that a request may wait at the engines that
+	// keep its prompt before others are asked as well.
+	SpillShare float64
 	// LongestSlotWait is how many targets of its route a request may wait for a slot.
 	LongestSlotWait float64
 	// LeastWaitScale and MostWaitScale bound by how much a prompt may wait less, or longer, for
@@ -84,6 +87,7 @@
 		LongestDirect:     2_048,
 		FewStreams:        2,
 		LongestWaitShare:  1.2,
+		SpillShare:        0.2,
 		LongestSlotWait:   0.6,
 		LeastWaitScale:    0.6,
 		MostWaitScale:     1.3,
--- /dev/null
+++ b/internal/placement/spill_test.go
@@ -0,0 +1,33 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A request is offered elsewhere when it would wait long, is refused or finds none; the better
+// decision then counts.
+func TestSpills(t *testing.T) {
+	p := DefaultParameters()
+	request := Request{Target: time.Second}
+	waiting := func(wait time.Duration, cost float64) Decision {
+		return Decision{Action: ReadApart, Engine: &Candidate{Waiting: wait, Cost: cost}}
+	}
+	short := waiting(100*time.Millisecond, 0.5)
+	long := waiting(400*time.Millisecond, 0.9)
+	refused := Decision{Action: Refuse, Engine: &Candidate{Cost: 2}}
+	require.False(t, p.Spills(request, short))
+	require.True(t, p.Spills(request, long))
+	require.True(t, p.Spills(request, refused))
+	require.True(t, p.Spills(request, Decision{}))
+	require.False(t, p.Spills(Request{}, long), "a prompt that is read already stays near its memory")
+
+	require.True(t, short.IsBetter(long))
+	require.False(t, long.IsBetter(short))
+	require.True(t, long.IsBetter(refused))
+	require.True(t, refused.IsBetter(Decision{}), "a refusal says when to come back")
+	require.False(t, Decision{}.IsBetter(refused))
+	require.False(t, Decision{}.IsBetter(Decision{}))
+}
--- /dev/null
+++ b/internal/relay/asker_test.go
@@ -0,0 +1,303 @@
+package relay
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/cell"
+	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// shortPrompt is one that a decoding engine reads itself.
+var shortPrompt = []string{"T-Model: m", "T-Tokens: 300,50", "T-Parts: aa:100,bb:200"}
+
+// ownedBy lets other relays own all engines of this one, in their order.
+func (r *testRelay) ownedBy(owners ...string) {
+	r.owners.mutex.Lock()
+	defer r.owners.mutex.Unlock()
+	for _, divided := range r.owners.current.Load().services["service"].division.Cells() {
+		r.owners.ranked[divided.ID] = owners
+	}
+	r.owners.rebuild()
+}
+
+// tellsOfItsWork lets the relay send its notices.
+func (r *testRelay) tellsOfItsWork(t *testing.T) {
+	t.Helper()
+	go r.notices.send(t.Context())
+}
+
+// silentRelay takes datagrams and answers none.
+func silentRelay(t *testing.T) string {
+	t.Helper()
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	return socket.LocalAddr().String()
+}
+
+// newPair returns a relay and the owner of its engines; both know the same back ends.
+func newPair(t *testing.T, backEnds ...*scriptedBackEnd) (asking, owner *testRelay) {
+	t.Helper()
+	asking = newTestRelay(t, route(stream(true)), backEnds...)
+	owner = newTestRelay(t, route(stream(true)), backEnds...)
+	asking.asker.self, asking.notices.self = 1, 1
+	owner.asker.self, owner.notices.self = 2, 2
+	asking.ownedBy(owner.datagrams.address)
+	return asking, owner
+}
+
+// patient lets answers take any time: tests wait for states.
+func (r *testRelay) patient() *testRelay {
+	for range 1000 {
+		r.asker.health.Answered("", time.Hour)
+	}
+	return r
+}
+
+// The owner knows what no other relay knows: the work that it has assigned, from the moment at
+// which it did.
+func TestOwnerDecides(t *testing.T) {
+	busy := startBackEnd(t, "busy", serving.StageDecode, streaming("busy", eventOne))
+	idle := startBackEnd(t, "idle", serving.StageDecode, streaming("idle", eventOne))
+	asking, owner := newPair(t, busy, idle)
+	asking.patient()
+	owner.engineOf("busy").begin(placement.Work{Streams: 8}.Plus(placement.Reading(100_000, 0)))
+	require.Equal(t, eventOne, asking.client(t).do("POST", "/path/", "x", shortPrompt...).body)
+	require.Empty(t, busy.seen())
+	require.Len(t, idle.seen(), 1)
+	reserved := owner.owner.reserved.At(owner.engineOf("idle").hash)
+	require.Equal(t, 1, reserved.Streams, "it counts until the relay tells of it")
+
+	asking.tellsOfItsWork(t)
+	require.Eventually(t, func() bool {
+		owner.owner.mutex.Lock()
+		defer owner.owner.mutex.Unlock()
+		return owner.owner.reserved.At(owner.engineOf("idle").hash) == placement.Work{}
+	}, time.Minute, time.Millisecond)
+}
+
+// An owner that does not answer costs a request little: the stand-in decides, and without one the
+// relay itself.
+func TestRequestsDoNotNeedTheirOwner(t *testing.T) {
+	for name, owners := range map[string]func(t *testing.T, standIn *testRelay) []string{
+		"the stand-in decides": func(t *testing.T, standIn *testRelay) []string {
+			return []string{silentRelay(t), standIn.datagrams.address}
+		},
+		"nobody answers":        func(t *testing.T, _ *testRelay) []string { return []string{silentRelay(t), silentRelay(t)} },
+		"nobody owns":           func(*testing.T, *testRelay) []string { return nil },
+		"an address is garbled": func(*testing.T, *testRelay) []string { return []string{"nowhere"} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			engine := startBackEnd(t, "engine", serving.StageDecode, streaming("engine", eventOne))
+			asking, standIn := newPair(t, engine)
+			asking.ownedBy(owners(t, standIn)...)
+			for range 3 {
+				require.Equal(t, eventOne, asking.client(t).do("POST", "/path/", "x", shortPrompt...).body)
+			}
+		})
+	}
+}
+
+// An owner that stays silent is not asked again for a while, and hears no notices; the stand-in
+// does.
+func TestSilentOwnerLosesItsPart(t *testing.T) {
+	engine := startBackEnd(t, "engine", serving.StageDecode, streaming("engine", eventOne))
+	asking, standIn := newPair(t, engine)
+	silent := silentRelay(t)
+	asking.ownedBy(silent, standIn.datagrams.address, "127.0.0.1:1")
+	now := asking.clock.now()
+	require.Equal(t, []string{silent, standIn.datagrams.address}, asking.asker.owners(now, asking.engineOf("engine")))
+	asking.asker.judge(silent, false, time.Millisecond)
+	asking.asker.judge(silent, false, time.Millisecond)
+	require.Equal(t, []string{standIn.datagrams.address, "127.0.0.1:1"}, asking.asker.owners(asking.clock.now(), asking.engineOf("engine")))
+}
+
+// An owner that is behind may answer with an engine that leaves by the newest list here. Its word
+// is not followed.
+func TestOwnerThatIsBehindIsNotFollowed(t *testing.T) {
+	leaving := startBackEnd(t, "leaving", serving.StageDecode, streaming("leaving", eventOne))
+	staying := startBackEnd(t, "staying", serving.StageDecode, streaming("staying", eventOne))
+	asking, owner := newPair(t, leaving, staying)
+	asking.patient()
+	owner.engineOf("staying").begin(placement.Work{Streams: 8}.Plus(placement.Reading(100_000, 0)))
+	asking.leave("leaving")
+	asking.ownedBy(owner.datagrams.address)
+	require.Equal(t, eventOne, asking.client(t).do("POST", "/path/", "x", shortPrompt...).body)
+	require.Empty(t, leaving.seen())
+	require.Len(t, staying.seen(), 1)
+	require.Zero(t, owner.owner.reserved.At(owner.engineOf("staying").hash))
+}
+
+// A question for a cell that the owner does not know, or about another service, is answered at
+// once.
+func TestOwnerOfOtherCells(t *testing.T) {
+	engine := startBackEnd(t, "engine", serving.StageDecode, streaming("engine", eventOne))
+	_, owner := newPair(t, engine)
+	for name, asked := range map[string]*v1.PlacementRequest{
+		"another cell":    {Service: "service", Cell: 1, Relay: 1, Number: 3},
+		"another service": {Service: "other", Relay: 1, Number: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var answers []*v1.PlacementAnswer
+			owner.owner.answer(asked, func(answer *v1.PlacementAnswer) { answers = append(answers, answer) })
+			require.Len(t, answers, 1)
+			require.Equal(t, v1.PlacementAction_PLACEMENT_ACTION_UNPLACED, answers[0].GetAction())
+			require.Equal(t, uint64(3), answers[0].GetNumber())
+		})
+	}
+}
+
+// A prompt that shares its beginning waits at the owner while an engine reads that for a request
+// of another relay, and is answered when it is read.
+func TestOwnerLetsPromptsWaitForSharedParts(t *testing.T) {
+	reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
+	decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
+	asking, owner := newPair(t, reader, decoder)
+	asking.patient()
+	owner.readingSlack = time.Hour
+	parts := placement.PartsOf(serving.ParsePrompt("m", "9000,50", "aa:6000,bb:3000"))
+	owner.engineOf("reader").cache.begin(owner.clock.now(), parts)
+	client := asking.client(t)
+	client.send("POST", "/path/", "x", "T-Model: m", "T-Tokens: 9500,50", "T-Parts: aa:6000,cc:3500")
+	require.Eventually(t, func() bool { return owner.engineOf("reader").look(0).own.Prompts == 1 }, time.Minute, time.Millisecond)
+	require.Empty(t, reader.seen())
+	owner.engineOf("reader").cache.keep(owner.clock.now(), parts)
+	require.Equal(t, eventOne, client.read().body)
+	require.Len(t, reader.seen(), 1)
+}
+
+// The wait of a client that leaves ends at the owner as well.
+func TestWaitAtTheOwnerEndsWithItsClient(t *testing.T) {
+	reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
+	decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
+	asking, owner := newPair(t, reader, decoder)
+	asking.patient()
+	owner.readingSlack = time.Hour
+	owner.engineOf("reader").cache.begin(owner.clock.now(), placement.PartsOf(serving.ParsePrompt("m", "9000,50", "aa:6000,bb:3000")))
+	client := asking.client(t)
+	client.send("POST", "/path/", "x", "T-Model: m", "T-Tokens: 9500,50", "T-Parts: aa:6000,cc:3500")
+	require.Eventually(t, func() bool { return owner.engineOf("reader").look(0).own.Prompts == 1 }, time.Minute, time.Millisecond)
+	_ = client.connection.Close()
+	require.Eventually(t, func() bool { return owner.engineOf("reader").look(0).own == placement.Work{} }, time.Minute, time.Millisecond)
+	require.Empty(t, reader.seen())
+}
+
+// What an assignment would have had read is forgotten when its relay gives it up.
+func TestCancelledAssignmentIsForgotten(t *testing.T) {
+	reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
+	_, owner := newPair(t, reader, startBackEnd(t, "decoder", serving.StageDecode, refusing(503)))
+	parts := []placement.Part{{Hash: 1, Tokens: 4000}, {Hash: 2, Tokens: 3000}}
+	query := &engineQuery{purpose: toRead, service: "service", request: placement.Request{Prompt: parts, Tokens: 7000, Target: time.Second}}
+	asker := placement.Asker{Relay: 1, Number: 1}
+	answer := owner.owner.decide(query, owner.view.Load().byService["service"], &asker)
+	require.Equal(t, 7000, answer.chosen.backEnd.cache.cached(parts, 0).Held)
+	owner.takeDatagram(&v1.RelayDatagram{Content: &v1.RelayDatagram_Cancel{Cancel: &v1.PlacementCancel{Relay: 1, Number: 1}}}, "")
+	require.Zero(t, answer.chosen.backEnd.cache.cached(parts, 0).Held)
+	require.Zero(t, owner.owner.reserved.At(answer.chosen.backEnd.hash))
+}
+
+// Datagrams that are garbled, of another format, or answer nothing that was asked are counted and
+// dropped.
+func TestStrayDatagramsAreDropped(t *testing.T) {
+	relay := newTestRelay(t, route(stream(true)), startBackEnd(t, "engine", serving.StageDecode, refusing(503)))
+	other, err := proto.Marshal(&v1.RelayDatagram{Format: datagramFormat + 1})
+	require.NoError(t, err)
+	require.Nil(t, relay.datagrams.parse([]byte("no datagram")))
+	require.Nil(t, relay.datagrams.parse(other))
+	relay.takeDatagram(&v1.RelayDatagram{}, "")
+	relay.asker.take(&v1.PlacementAnswer{Number: 99})
+	number, answers := relay.asker.begin()
+	relay.asker.take(&v1.PlacementAnswer{Number: number, Relay: relay.asker.self + 1})
+	require.Empty(t, answers, "an answer to an earlier start of this relay")
+	for reason, count := range map[dropReason]float64{dropGarbled: 1, dropFormat: 1, dropUnknown: 3} {
+		require.Equal(t, count, testutil.ToFloat64(relay.metrics.datagramsDropped.WithLabelValues(string(reason))), reason)
+	}
+}
+
+// Questions and answers come over as they were, and what does not fit is bounded.
+func TestPlacementWire(t *testing.T) {
+	engine := startBackEnd(t, "engine", serving.StageDecode, refusing(503))
+	relay := newTestRelay(t, route(stream(true)), engine)
+	view := relay.view.Load()
+	known := relay.engineOf("engine")
+	query := &engineQuery{
+		purpose: toTakeOver, service: "service", excluded: []uint64{4}, holder: &promptHolder{engine: known, tokens: 12},
+		request: placement.Request{
+			Stage: serving.StageDecode, Zone: "zone", Rank: 6, Target: time.Second, Gap: time.Millisecond, Stride: 7, Tokens: 70,
+			Prompt: []placement.Part{{Hash: 1, Tokens: 60}, {Hash: 2, Tokens: 10}}, TokenMove: 33, Residence: time.Minute,
+			TimeLeft: 4 * time.Second, MayHaveRun: true,
+		},
+	}
+	asked := queryToWire(query, 1, 2, 3)
+	require.Equal(t, query, queryFromWire(asked, view))
+
+	decided := engineAnswer{
+		decision: placement.Decision{Action: placement.ReadApart, Reason: placement.PrefillSooner, RetryAfter: time.Second, Short: serving.StageDecode},
+		holder:   &promptHolder{engine: known, tokens: 5},
+		chosen: &place{
+			backEnd: known, fetchFrom: known, perToken: time.Microsecond, ahead: placement.Work{Prompts: 1, Streams: 2}.Plus(placement.Reading(9, 3)),
+			Candidate: placement.Candidate{Index: placement.None, FetchFrom: placement.None, ToRead: 3, Effort: 4, Unusable: 5, Waiting: time.Second, Cost: 0.25},
+		},
+	}
+	decided.decision.Engine = &decided.chosen.Candidate
+	none := func(*backEnd) bool { return false }
+	read, valid := answerFromWire(answerToWire(asked, decided), view, none)
+	require.True(t, valid)
+	require.Equal(t, decided, read)
+
+	_, valid = answerFromWire(&v1.PlacementAnswer{Action: v1.PlacementAction_PLACEMENT_ACTION_READ_APART, Engine: 77}, view, none)
+	require.False(t, valid, "an engine that is not listed")
+	_, valid = answerFromWire(answerToWire(asked, decided), view, func(*backEnd) bool { return true })
+	require.False(t, valid, "an engine that was tried already")
+	read, valid = answerFromWire(&v1.PlacementAnswer{Action: 99}, view, none)
+	require.True(t, valid)
+	require.Equal(t, placement.Unplaced, read.decision.Action)
+}
+
+// FuzzDatagram takes any bytes from other relays; nothing of them may stop a relay.
+func FuzzDatagram(f *testing.F) {
+	whole, err := proto.Marshal(&v1.RelayDatagram{Format: datagramFormat, Content: &v1.RelayDatagram_Request{Request: &v1.PlacementRequest{
+		Service: "service", Parts: []uint64{1}, PartTokens: []uint32{5}, Rank: 1 << 31, Tokens: 1 << 31, TargetUs: 1 << 63,
+	}}})
+	require.NoError(f, err)
+	f.Add(whole)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, content []byte) {
+		datagram := &v1.RelayDatagram{}
+		if proto.Unmarshal(content, datagram) != nil {
+			return
+		}
+		view := &view{byHash: map[uint64]*backEnd{0: newBackEnd(serving.BackEnd{ID: "one", Stage: serving.StagePrefill}, 1000)}}
+		query := queryFromWire(datagram.GetRequest(), view)
+		require.GreaterOrEqual(t, query.request.Tokens, 0)
+		require.GreaterOrEqual(t, query.request.Target, time.Duration(0))
+		answer, _ := answerFromWire(datagram.GetAnswer(), view, func(*backEnd) bool { return false })
+		if answer.chosen != nil {
+			require.GreaterOrEqual(t, answer.chosen.Waiting, time.Duration(0))
+			require.GreaterOrEqual(t, answer.chosen.ToRead, 0)
+		}
+	})
+}
+
+// Few relays own many engines each; many own none.
+func TestOwnedEngines(t *testing.T) {
+	relay := newTestRelay(t, route(stream(true)), startBackEnd(t, "engine", serving.StageDecode, refusing(503)))
+	require.Len(t, relay.owners.ownedEngines(), 1)
+	divided := relay.owners.current.Load().services["service"].division.Cells()[0]
+	addresses := []string{relay.datagrams.address, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"}
+	relay.setRelays(addresses)
+	owners := cell.Owners(divided.ID, addresses, ownersOfCell)
+	want := 0
+	if owners[0] == relay.datagrams.address || owners[1] == relay.datagrams.address {
+		want = 1
+	}
+	require.Len(t, relay.owners.ownedEngines(), want)
+}
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -4,8 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/hazelpitch/hazelpitch/internal/cell"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
@@ -29,7 +28,7 @@
 
 // newBackEnd returns the record of a listed back end; memory is an engine's, in tokens.
 func newBackEnd(entry serving.BackEnd, memory int) *backEnd {
-	return &backEnd{BackEnd: entry, hash: xxhash.Sum64String(entry.ID), cache: newPromptCache(placement.CacheCapacity(entry.Stage, memory))}
+	return &backEnd{BackEnd: entry, hash: cell.HashEngine(entry.ID), cache: newPromptCache(placement.CacheCapacity(entry.Stage, memory))}
 }
 
 // load is what the relay knows of a back end's work and health.
--- a/internal/relay/cache_reader.go
+++ b/internal/relay/cache_reader.go
@@ -15,35 +15,65 @@
 	cacheReadTimeout = 500 * time.Millisecond
 	// cacheReadPause is the time between two readings, so that engines are not held up at once.
 	cacheReadPause = 10 * time.Millisecond
-	// viewPoll is the time between two looks at whether there is a view yet.
-	viewPoll = 20 * time.Millisecond
+	// ownedLookPause is the time between two looks at which engines are this relay's.
+	ownedLookPause = 200 * time.Millisecond
+	// cacheReadAgain is how long what was read of an engine is good for: a relay that loses an
+	// engine to another one and gets it back has not heard of what was read there meanwhile.
+	cacheReadAgain = 30 * time.Second
 )
 
-// readCachesOnce asks every engine once, at the relay's start, what it has cached: engines
-// outlive relays, and a relay that does not know would have prompts read again elsewhere.
-// Later it learns from notices.
-func (r *Relay) readCachesOnce(ctx context.Context, read func(context.Context, *http.Client, serving.BackEnd) ([]serving.CachedPart, error), client *http.Client) {
-	for !r.view.Load().ready() {
-		if !pause.For(ctx, viewPoll) {
+// cacheReader asks engines what they have cached when this relay becomes their owner or stand-in:
+// engines outlive owners, and an owner that does not know would have prompts read again. Later it
+// learns from notices.
+type cacheReader struct {
+	relay  *Relay
+	read   func(context.Context, *http.Client, serving.BackEnd) ([]serving.CachedPart, error)
+	client *http.Client
+	// owned are the engines that were this relay's at the last look, readAt when they were read.
+	owned  map[*promptCache]bool
+	readAt map[*promptCache]time.Duration
+}
+
+// run looks for engines that are new to this relay until the context ends.
+func (c *cacheReader) run(ctx context.Context) {
+	for pause.For(ctx, ownedLookPause) {
+		if c.relay.view.Load().ready() {
+			c.readNew(ctx)
+		}
+	}
+}
+
+// readNew reads the engines that have become this relay's.
+func (c *cacheReader) readNew(ctx context.Context) {
+	owned := map[*promptCache]bool{}
+	for _, engine := range c.relay.owners.ownedEngines() {
+		owned[engine.cache] = true
+		if c.owned[engine.cache] || engine.Leaving || !c.isDue(engine) {
+			continue
+		}
+		c.readAt[engine.cache] = c.relay.clock.now()
+		parts, err := c.read(ctx, c.client, engine.BackEnd)
+		if err == nil {
+			engine.cache.keep(c.relay.clock.now(), hashed(parts))
+		}
+		if !pause.For(ctx, cacheReadPause) {
 			return
 		}
 	}
-	for _, backEnds := range r.view.Load().byService {
-		for _, engine := range backEnds {
-			if !engine.isEngine() || engine.Leaving {
-				continue
-			}
-			parts, err := read(ctx, client, engine.BackEnd)
-			if err == nil {
-				engine.cache.keep(r.clock.now(), hashed(parts))
-			}
-			if !pause.For(ctx, cacheReadPause) {
-				return
-			}
+	c.owned = owned
+	for cache := range c.readAt {
+		if !owned[cache] && c.relay.clock.now()-c.readAt[cache] >= cacheReadAgain {
+			delete(c.readAt, cache)
 		}
 	}
 }
 
+// isDue reports whether an engine was not read lately.
+func (c *cacheReader) isDue(engine *backEnd) bool {
+	readAt, was := c.readAt[engine.cache]
+	return !was || c.relay.clock.now()-readAt >= cacheReadAgain
+}
+
 func hashed(parts []serving.CachedPart) []placement.Part {
 	converted := make([]placement.Part, 0, len(parts))
 	for _, part := range parts {
--- a/internal/relay/cache_reader_test.go
+++ b/internal/relay/cache_reader_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -33,14 +34,18 @@
 	decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
 	relay := newTestRelay(t, route(stream(false)), cold, warm, decoder)
 	var asked []string
-	relay.readCachesOnce(t.Context(), func(_ context.Context, _ *http.Client, engine serving.BackEnd) ([]serving.CachedPart, error) {
+	reader := &cacheReader{relay: relay.Relay, readAt: map[*promptCache]time.Duration{}}
+	reader.read = func(_ context.Context, _ *http.Client, engine serving.BackEnd) ([]serving.CachedPart, error) {
 		asked = append(asked, engine.ID)
 		if engine.ID != "warm" {
 			return nil, errors.New("does not answer")
 		}
 		return []serving.CachedPart{{Model: "m", Part: serving.PromptPart{ID: "aa", Tokens: 6000}}}, nil
-	}, nil)
+	}
+	reader.readNew(t.Context())
 	require.ElementsMatch(t, []string{"cold", "warm", "decoder"}, asked)
+	reader.readNew(t.Context())
+	require.Len(t, asked, 3, "an engine is read once while it is owned")
 
 	require.Equal(t, eventOne, relay.client(t).do("POST", "/path/", "x", longPrompt...).body)
 	require.Len(t, warm.seen(), 1)
--- /dev/null
+++ b/internal/relay/engine_query.go
@@ -0,0 +1,131 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/placement"
+)
+
+// purpose is what an engine is wanted for.
+type purpose int
+
+// Purposes.
+const (
+	// toBegin wants an engine that reads a prompt first, or one that reads it and generates.
+	toBegin purpose = iota
+	// toRead wants one for a prompt whose first reading has failed.
+	toRead
+	// toGenerate wants one that generates.
+	toGenerate
+	// toTakeOver wants one with a free slot for a run that moves.
+	toTakeOver
+)
+
+// engineQuery is the question where a request should run.
+type engineQuery struct {
+	purpose purpose
+	service string
+	request placement.Request
+	// excluded are the engines that must not be taken, by their hashes.
+	excluded []uint64
+	// holder is the engine of another cell that keeps the beginning of the prompt; nil for none.
+	holder *promptHolder
+}
+
+// promptHolder is an engine that keeps the beginning of a prompt for any request.
+type promptHolder struct {
+	engine *backEnd
+	tokens int
+}
+
+// excludes reports whether an engine must not be taken.
+func (q *engineQuery) excludes(engine *backEnd) bool {
+	for _, hash := range q.excluded {
+		if hash == engine.hash {
+			return true
+		}
+	}
+	return false
+}
+
+// queryOf asks for an engine for a request that has tried some.
+func queryOf(purpose purpose, tried *attempts, wanted placement.Request) *engineQuery {
+	query := &engineQuery{purpose: purpose, service: tried.request.service.Name, request: wanted}
+	for _, engine := range tried.excluded {
+		query.excluded = append(query.excluded, engine.hash)
+	}
+	return query
+}
+
+// decideFrom decides by what is known of the engines.
+func (q *engineQuery) decideFrom(policy placement.Parameters, seen survey, draw func() float64) placement.Decision {
+	switch q.purpose {
+	case toBegin:
+		return policy.PlaceReading(q.request, seen.engines, draw)
+	case toRead:
+		return decisionFor(placement.ReadApart, policy.Reader(q.request, seen.engines, draw))
+	case toTakeOver:
+		return decisionFor(placement.ReadDirectly, policy.Taker(q.request, seen.engines, draw))
+	default:
+		return decisionFor(placement.ReadDirectly, policy.Generator(q.request, seen.engines, draw))
+	}
+}
+
+// decisionFor is the decision for an engine, or for none.
+func decisionFor(action placement.Action, chosen *placement.Candidate) placement.Decision {
+	if chosen == nil {
+		return placement.Decision{Action: placement.Unplaced, Reason: placement.NoReader}
+	}
+	return placement.Decision{Action: action, Engine: chosen}
+}
+
+// workOf is the work that a decision gives its engine.
+func (q *engineQuery) workOf(policy placement.Parameters, decision placement.Decision) placement.Work {
+	if decision.Action == placement.ReadApart {
+		return readingWork(policy, q.request.Rank, decision.Engine)
+	}
+	work := placement.Work{Streams: 1}
+	if q.request.Tokens > 0 {
+		work = work.Plus(placement.Reading(decision.Engine.Effort, q.request.Rank))
+	}
+	return work
+}
+
+// readingWork is the work of a prompt that is read apart.
+func readingWork(policy placement.Parameters, rank int, engine *placement.Candidate) placement.Work {
+	return placement.Reading(engine.Effort, policy.ReadingRank(rank, engine.ToRead)).Plus(placement.Work{Prompts: 1})
+}
+
+// engineAnswer is a decision with what stands behind it.
+type engineAnswer struct {
+	decision placement.Decision
+	// chosen is the engine that was decided on, nil for none.
+	chosen *place
+	// holder is the engine of the cell that keeps most of the prompt, nil for none.
+	holder *promptHolder
+}
+
+// assignment is an owner's answer that gave an engine work.
+type assignment struct {
+	owner  string
+	number uint64
+}
+
+// place is a back end that was picked, with what picking it means.
+type place struct {
+	placement.Candidate
+	backEnd *backEnd
+	// fetchFrom is the engine from which it takes the beginning of the prompt, nil for none.
+	fetchFrom *backEnd
+	// ahead is the work of all relays there when it was picked, as far as was known, and
+	// perToken its time for one token of a prompt.
+	ahead    placement.Work
+	perToken time.Duration
+	// assigned names the owner's answer; zero where this relay decided.
+	assigned assignment
+}
+
+// ownPlace is a place for a back end that was not weighed.
+func ownPlace(backEnd *backEnd) *place {
+	return &place{backEnd: backEnd, Candidate: placement.Candidate{FetchFrom: placement.None}}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -45,6 +45,8 @@
 	mayBreak bool
 	// work is what the message asks of the back end, as far as known.
 	work placement.Work
+	// chosen is how the back end was picked; nil where that does not matter.
+	chosen *place
 	// reads are the parts of the prompt that the back end reads, begun those of them that it
 	// did not hold when the message was sent.
 	reads, begun []placement.Part
--- a/internal/relay/exchange_notes.go
+++ b/internal/relay/exchange_notes.go
@@ -8,10 +8,18 @@
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 )
 
+// assigned is the number of the question that was answered with the message's back end; 0 for none.
+func (m *message) assigned() uint64 {
+	if m.chosen == nil {
+		return 0
+	}
+	return m.chosen.assigned.number
+}
+
 // noteWork tells other relays that the work at an engine has changed.
 func (e *exchanger) noteWork(message *message) {
 	if message.backEnd.isEngine() {
-		e.notices.note(message.backEnd, nil, message.work.Prompts > 0)
+		e.notices.note(message.backEnd)
 	}
 }
 
@@ -19,7 +27,7 @@
 func (e *exchanger) noteReading(message *message) {
 	if message.backEnd.isEngine() {
 		message.begun = message.backEnd.cache.begin(e.clock.now(), message.reads)
-		e.notices.note(message.backEnd, message.reads, message.work.Prompts > 0)
+		e.notices.noteBegun(message.backEnd, message.reads, message.assigned())
 	}
 }
 
@@ -63,19 +71,24 @@
 func (e *exchanger) noteRefusal(message *message) {
 	engine := message.backEnd
 	alone := message.work.PromptTokens() == 0 && engine.look(e.clock.now()).refusals == 0
-	if alone || !e.hasRoom(engine) {
+	if alone || !e.hasRoom(message) {
 		engine.busy(e.clock.now())
 		return
 	}
 	e.noteFailure(engine)
 }
 
-// hasRoom reports whether most slots of an engine are free, as far as is known here.
-func (e *exchanger) hasRoom(engine *backEnd) bool {
-	now := e.clock.now()
+// hasRoom reports whether most slots of a message's engine are free, as far as is known here or
+// was known to those who picked it.
+func (e *exchanger) hasRoom(message *message) bool {
+	engine, now := message.backEnd, e.clock.now()
 	seen := engine.look(now)
 	known := e.notices.table.total(now, engine, seen)
-	return engine.isEngine() && max(known.Streams+known.Prompts, seen.told) < engine.Slots/2
+	busy := max(known.Streams+known.Prompts, seen.told)
+	if chosen := message.chosen; chosen != nil {
+		busy = max(busy, chosen.ahead.Streams+chosen.ahead.Prompts)
+	}
+	return engine.isEngine() && busy < engine.Slots/2
 }
 
 // noteFailure avoids a back end that failed, and tells other relays.
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -189,8 +189,9 @@
 	})
 	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
 	require.NoError(t, err)
-	relay.notices = newNotices(relay, socket, 1)
-	relay.exchanger.notices = relay.notices
+	relay.meetOthers(socket)
+	relay.setRelays([]string{relay.datagrams.address})
+	go relay.datagrams.receive(relay.takeDatagram)
 	relay.budget.setRelays(1)
 	relay.contactAt.Store(int64(relay.clock.now()))
 	service := serving.Service{Name: "service"}
--- a/internal/relay/notice_pending.go
+++ b/internal/relay/notice_pending.go
@@ -12,32 +12,39 @@
 	// keeps for any request, dropped those whose reading was given up.
 	read, kept []placement.Part
 	dropped    []placement.PartHash
+	// assigned are the numbers of questions whose assignments have begun.
+	assigned []uint64
 	// tokenTime is the newest observation of the time per token, 0 for none.
 	tokenTime time.Duration
-	// far tells that prompts or failures are concerned.
-	far bool
 }
 
-// note tells that the work at an engine has changed, and what it has begun to read; far
-// tells that prompts or failures are concerned.
-func (n *notices) note(engine *backEnd, read []placement.Part, far bool) {
-	n.add(engine, pendingNotice{read: read, far: far})
+// note tells that the work at an engine has changed.
+func (n *notices) note(engine *backEnd) { n.add(engine, pendingNotice{}) }
+
+// noteBegun tells what an engine has begun to read, and the number of the question that was
+// answered with it, 0 for none.
+func (n *notices) noteBegun(engine *backEnd, read []placement.Part, assigned uint64) {
+	told := pendingNotice{read: read}
+	if assigned != 0 {
+		told.assigned = []uint64{assigned}
+	}
+	n.add(engine, told)
 }
 
 // noteKept tells that an engine keeps parts for any request.
 func (n *notices) noteKept(engine *backEnd, kept []placement.Part) {
-	n.add(engine, pendingNotice{kept: kept, far: true})
+	n.add(engine, pendingNotice{kept: kept})
 }
 
 // noteDropped tells that the reading of parts was given up.
 func (n *notices) noteDropped(engine *backEnd, dropped []placement.PartHash) {
-	n.add(engine, pendingNotice{dropped: dropped, far: true})
+	n.add(engine, pendingNotice{dropped: dropped})
 }
 
 // notePace tells the time per token that an engine was seen to take.
 func (n *notices) notePace(engine *backEnd, tokenTime time.Duration) {
 	if tokenTime > 0 {
-		n.add(engine, pendingNotice{tokenTime: tokenTime, far: true})
+		n.add(engine, pendingNotice{tokenTime: tokenTime})
 	}
 }
 
@@ -48,10 +55,10 @@
 	waiting.read = append(waiting.read, told.read...)
 	waiting.kept = append(waiting.kept, told.kept...)
 	waiting.dropped = append(waiting.dropped, told.dropped...)
+	waiting.assigned = append(waiting.assigned, told.assigned...)
 	if told.tokenTime > 0 {
 		waiting.tokenTime = told.tokenTime
 	}
-	waiting.far = waiting.far || told.far
 	n.pending[engine] = waiting
 	n.mutex.Unlock()
 	select {
@@ -65,5 +72,5 @@
 	n.mutex.Lock()
 	n.failures[backEnd] = true
 	n.mutex.Unlock()
-	n.note(backEnd, nil, true)
+	n.note(backEnd)
 }
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"math"
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -22,31 +20,24 @@
 	noticePause = 3 * time.Millisecond
 	// noticeRefresh is the time between two notices of work that goes on.
 	noticeRefresh = 500 * time.Millisecond
-	// maximumNotice bounds a datagram; engines that do not fit follow in the next.
-	maximumNotice = 1200
-	// nearPeers is how many relays get notices of streams, farPeers how many get those of
-	// prompts and failures, which are fewer and matter more.
-	nearPeers = 16
-	farPeers  = 96
-	// noticeEngines is how many engines fit into a notice for certain.
-	noticeEngines = 12
+	// failurePeers is how many relays hear of the failures of back ends that have no owner.
+	failurePeers = 16
+	// noticeRoom is the part of a datagram, in bytes, that a notice's engines may take.
+	noticeRoom = maximumDatagram - 64
 )
 
-// notices exchanges load notices with other relays, so that all of them see the work that
-// engines have. Nothing depends on them but the quality of choices.
+// notices tells the owners of engines what this relay has under way there, and takes what other
+// relays tell. Nothing depends on them but the quality of choices.
 type notices struct {
-	relay  *Relay
-	socket net.PacketConn
-	self   uint64
-	// address is where this relay takes notices.
-	address string
-	table   *loadTable
-	changed chan struct{}
+	relay     *Relay
+	datagrams *datagrams
+	self      uint64
+	table     *loadTable
+	changed   chan struct{}
 
 	mutex sync.Mutex
-	// peers are those that get notices of prompts; the first nearPeers get all.
-	peers    []net.Addr
-	peerList []string
+	// peers are the relays that hear of failures of back ends without an owner.
+	peers []string
 	// pending are the back ends of which there is something to tell.
 	pending map[*backEnd]pendingNotice
 	// failures are the back ends that failed since the last notice.
@@ -54,9 +45,9 @@
 	sequence uint64
 }
 
-func newNotices(relay *Relay, socket net.PacketConn, self uint64) *notices {
+func newNotices(relay *Relay, datagrams *datagrams, self uint64) *notices {
 	return &notices{
-		relay: relay, socket: socket, self: self, address: socket.LocalAddr().String(), table: newLoadTable(),
+		relay: relay, datagrams: datagrams, self: self, table: newLoadTable(),
 		changed: make(chan struct{}, 1), pending: map[*backEnd]pendingNotice{}, failures: map[*backEnd]bool{},
 	}
 }
@@ -65,15 +56,10 @@
 func (n *notices) setPeers(addresses []string) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	if slices.Equal(addresses, n.peerList) {
-		return
-	}
-	n.peerList = slices.Clone(addresses)
 	n.peers = nil
-	own := max(slices.Index(addresses, n.address), 0)
-	for offset := 1; offset < len(addresses) && len(n.peers) < farPeers; offset++ {
-		peer, err := net.ResolveUDPAddr("udp", addresses[(own+offset)%len(addresses)])
-		if err == nil && peer.String() != n.address {
+	own := max(slices.Index(addresses, n.datagrams.address), 0)
+	for offset := 1; offset < len(addresses) && len(n.peers) < failurePeers; offset++ {
+		if peer := addresses[(own+offset)%len(addresses)]; peer != n.datagrams.address {
 			n.peers = append(n.peers, peer)
 		}
 	}
@@ -105,87 +91,87 @@
 	defer n.mutex.Unlock()
 	for _, backEnds := range n.relay.view.Load().byService {
 		for _, backEnd := range backEnds {
-			own := backEnd.look(now).own
-			if _, waits := n.pending[backEnd]; !waits && backEnd.isEngine() && own != (placement.Work{}) {
-				n.pending[backEnd] = pendingNotice{far: own.Prompts > 0}
+			if !backEnd.isEngine() {
+				break
+			}
+			if _, waits := n.pending[backEnd]; !waits && backEnd.look(now).own != (placement.Work{}) {
+				n.pending[backEnd] = pendingNotice{}
 			}
 		}
 	}
 }
 
-// sendPending sends what has changed to all peers.
+// sendPending tells what has changed to those whom it concerns.
 func (n *notices) sendPending() {
-	for {
-		notice, peers := n.next()
-		if notice == nil {
-			return
+	for receiver, told := range n.takePending() {
+		for len(told) > 0 {
+			fits := fitting(told)
+			n.sequence++
+			n.datagrams.send(receiver, &v1.RelayDatagram{Content: &v1.RelayDatagram_Notice{Notice: &v1.LoadNotice{
+				Relay: n.self, Sequence: n.sequence, Engines: told[:fits],
+			}}})
+			told = told[fits:]
 		}
-		datagram, err := proto.Marshal(notice)
-		if err != nil || len(datagram) > maximumNotice {
-			continue // figures are absolute: the refresh repeats them
-		}
-		for _, peer := range peers {
-			_, _ = n.socket.WriteTo(datagram, peer) // a lost notice is repeated by the refresh
+	}
+}
+
+// fitting is how many of the engines fit into one notice, one at least.
+func fitting(told []*v1.EngineWork) int {
+	room := noticeRoom
+	for index, engine := range told {
+		const tagAndLength = 4
+		if room -= proto.Size(engine) + tagAndLength; room < 0 {
+			return max(index, 1)
 		}
 	}
+	return len(told)
 }
 
-// next takes up to noticeEngines engines out of what is pending, and says who gets the notice.
-func (n *notices) next() (*v1.LoadNotice, []net.Addr) {
+// takePending returns what waits to be told, by the address of the relay that it concerns.
+func (n *notices) takePending() map[string][]*v1.EngineWork {
 	now := n.relay.clock.now()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	if len(n.pending) == 0 {
-		return nil, nil
-	}
-	n.sequence++
-	notice := &v1.LoadNotice{Relay: n.self, Sequence: n.sequence}
-	far := false
+	byReceiver := map[string][]*v1.EngineWork{}
 	for engine, waiting := range n.pending {
-		if len(notice.Engines) == noticeEngines {
-			break
-		}
-		delete(n.pending, engine)
-		far = far || waiting.far
-		own := engine.look(now).own
-		told := &v1.EngineWork{
-			Engine: engine.hash, Prompts: uint32(max(own.Prompts, 0)), PromptTokens: wireTokens(own), Streams: uint32(max(own.Streams, 0)),
+		told := n.workOf(now, engine, waiting)
+		for _, receiver := range n.receivers(now, engine) {
+			byReceiver[receiver] = append(byReceiver[receiver], told)
 		}
-		told.TokenNs = uint32(min(waiting.tokenTime, math.MaxUint32))
-		told.Failed = n.failures[engine]
-		delete(n.failures, engine)
-		told.Parts, told.PartTokens = wireParts(waiting.read)
-		told.KeptParts, told.KeptTokens = wireParts(waiting.kept)
-		for _, hash := range waiting.dropped {
-			told.DroppedParts = append(told.DroppedParts, uint64(hash))
-		}
-		notice.Engines = append(notice.Engines, told)
 	}
-	if far {
-		return notice, n.peers
+	clear(n.pending)
+	clear(n.failures)
+	return byReceiver
+}
+
+// workOf is this relay's work at an engine, and what has happened there. The mutex is held.
+func (n *notices) workOf(now time.Duration, engine *backEnd, waiting pendingNotice) *v1.EngineWork {
+	own := engine.look(now).own
+	told := &v1.EngineWork{
+		Engine: engine.hash, Prompts: uint32(max(own.Prompts, 0)), PromptTokens: wireTokens(own), Streams: uint32(max(own.Streams, 0)),
+		TokenNs: uint32(min(waiting.tokenTime, math.MaxUint32)), Failed: n.failures[engine], Assigned: waiting.assigned,
 	}
-	return notice, n.peers[:min(len(n.peers), nearPeers)]
+	told.Parts, told.PartTokens = wireParts(waiting.read)
+	told.KeptParts, told.KeptTokens = wireParts(waiting.kept)
+	for _, hash := range waiting.dropped {
+		told.DroppedParts = append(told.DroppedParts, uint64(hash))
+	}
+	return told
 }
 
-// receive takes notices until the socket is closed.
-func (n *notices) receive() {
-	buffer := make([]byte, 2*maximumNotice)
-	for {
-		length, _, err := n.socket.ReadFrom(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			time.Sleep(noticePause)
-			continue
-		}
-		notice := &v1.LoadNotice{}
-		if proto.Unmarshal(buffer[:length], notice) != nil || notice.GetRelay() == n.self {
-			continue
-		}
-		if n.table.take(n.relay.clock.now(), notice) {
-			n.learn(notice)
-		}
+// receivers are the relays that hear of an engine: its owner and the stand-in, as far as they
+// answer. Of a back end without an owner some peers hear. The mutex is held.
+func (n *notices) receivers(now time.Duration, engine *backEnd) []string {
+	if !engine.isEngine() {
+		return n.peers
+	}
+	return n.relay.asker.owners(now, engine)
+}
+
+// take takes another relay's notice.
+func (n *notices) take(notice *v1.LoadNotice) {
+	if notice.GetRelay() != n.self && n.table.take(n.relay.clock.now(), notice) {
+		n.learn(notice)
 	}
 }
 
@@ -193,6 +179,7 @@
 func (n *notices) learn(notice *v1.LoadNotice) {
 	byHash := n.relay.view.Load().byHash
 	for _, told := range notice.GetEngines() {
+		n.relay.owner.told(notice.GetRelay(), told.GetAssigned())
 		engine := byHash[told.GetEngine()]
 		if engine == nil {
 			continue
--- /dev/null
+++ b/internal/relay/ownership.go
@@ -0,0 +1,167 @@
+package relay
+
+import (
+	"hash/fnv"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/hazelpitch/hazelpitch/internal/cell"
+	"github.com/hazelpitch/hazelpitch/internal/placement"
+)
+
+const (
+	// ownersOfCell is how many relays know a cell: its owner, and a stand-in that hears the same
+	// notices and so can take its place at once.
+	ownersOfCell = 2
+	// rankedOwners is how many relays are ranked for a cell, so that some are left when the first
+	// do not answer.
+	rankedOwners = 5
+)
+
+// cells are the engines of one service in cells, with the relays that own each.
+type cells struct {
+	division *cell.Division
+	// members are the engines of each cell, owners its relays by rank.
+	members [][]*backEnd
+	owners  [][]string
+}
+
+// ownership says which relays decide on which engines, as far as this relay knows. It is
+// replaced as a whole and never changed.
+type ownership struct {
+	services map[string]*cells
+}
+
+// of returns the cells of a service and the index of an engine's; nil for a back end that belongs
+// to none.
+func (o *ownership) of(engine *backEnd) (found *cells, index int) {
+	known := o.services[engine.Service]
+	if known == nil {
+		return nil, 0
+	}
+	index, is := known.division.Of(engine.hash)
+	if !is {
+		return nil, 0
+	}
+	return known, index
+}
+
+// ownerTable keeps the ownership of the newest lists of engines and relays.
+type ownerTable struct {
+	// self is the address of this relay's datagrams.
+	self    string
+	current atomic.Pointer[ownership]
+
+	mutex  sync.Mutex
+	relays []string
+	// ranked are the owners of cells by rank for these relays, by the cells' identities.
+	ranked map[uint64][]string
+	view   *view
+}
+
+func newOwnerTable(self string) *ownerTable {
+	table := &ownerTable{self: self, ranked: map[uint64][]string{}}
+	table.current.Store(&ownership{services: map[string]*cells{}})
+	return table
+}
+
+// setRelays takes the addresses of all relays; it reports whether they are others than before.
+func (t *ownerTable) setRelays(addresses []string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if slices.Equal(addresses, t.relays) {
+		return false
+	}
+	t.relays = slices.Clone(addresses)
+	t.ranked = map[uint64][]string{}
+	t.rebuild()
+	return true
+}
+
+// setView takes a list of engines that was put in force.
+func (t *ownerTable) setView(next *view) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.view = next
+	t.rebuild()
+}
+
+// rebuild divides the engines and ranks the owners. The mutex is held.
+func (t *ownerTable) rebuild() {
+	next := &ownership{services: map[string]*cells{}}
+	if t.view != nil {
+		for service, backEnds := range t.view.byService {
+			if len(backEnds) > 0 && backEnds[0].isEngine() {
+				next.services[service] = t.divide(service, backEnds)
+			}
+		}
+	}
+	t.current.Store(next)
+}
+
+// divide divides the engines of a service. The mutex is held.
+func (t *ownerTable) divide(service string, backEnds []*backEnd) *cells {
+	members := make([]cell.Member, len(backEnds))
+	for index, backEnd := range backEnds {
+		members[index] = cell.Member{Hash: backEnd.hash, Zone: backEnd.Zone}
+	}
+	made := &cells{division: cell.Divide(service, members)}
+	for _, divided := range made.division.Cells() {
+		engines := make([]*backEnd, len(divided.Members))
+		for index, member := range divided.Members {
+			engines[index] = backEnds[member]
+		}
+		made.members = append(made.members, engines)
+		made.owners = append(made.owners, t.rank(divided.ID))
+	}
+	return made
+}
+
+// rank returns the owners of a cell by rank. The mutex is held.
+func (t *ownerTable) rank(id uint64) []string {
+	ranked, known := t.ranked[id]
+	if !known {
+		ranked = cell.Owners(id, t.relays, rankedOwners)
+		t.ranked[id] = ranked
+	}
+	return ranked
+}
+
+// ownedEngines are the engines of the cells that this relay owns or stands in for.
+func (t *ownerTable) ownedEngines() []*backEnd {
+	var owned []*backEnd
+	for _, service := range t.current.Load().services {
+		for index, owners := range service.owners {
+			if slices.Contains(owners[:min(ownersOfCell, len(owners))], t.self) {
+				owned = append(owned, service.members[index]...)
+			}
+		}
+	}
+	return owned
+}
+
+// homes returns the indexes of the cells in which a prompt had better run, the best first. Only
+// a shared part that is worth fetching ties a prompt to cells of other zones.
+func (c *cells) homes(prompt []placement.Part, request, zone string, least, count int) []int {
+	if shared := sharedTokens(prompt); shared >= least {
+		return c.division.Homes(uint64(prompt[len(prompt)-2].Hash), "", count)
+	}
+	return c.division.Homes(hashOfRequest(request), zone, count)
+}
+
+// sharedTokens is the length of a prompt without its last part, which is its own.
+func sharedTokens(prompt []placement.Part) int {
+	shared := 0
+	for _, part := range prompt[:max(len(prompt)-1, 0)] {
+		shared += part.Tokens
+	}
+	return shared
+}
+
+// hashOfRequest spreads requests that no part ties to a cell.
+func hashOfRequest(id string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(id)) // never fails
+	return hash.Sum64()
+}
--- a/internal/relay/pace.go
+++ b/internal/relay/pace.go
@@ -29,6 +29,13 @@
 	return p.pace.Of(engine)
 }
 
+// learn takes the time per token of an engine from a relay that knows it better.
+func (p *pace) learn(engine uint64, perToken time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.pace.Learn(engine, perToken)
+}
+
 // observeShare notes how much of a prompt had to be read.
 func (p *pace) observeShare(tokens, toRead int) {
 	p.mutex.Lock()
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -7,21 +7,20 @@
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
-// survey is what is known of a service's back ends at one moment, for one decision.
+// survey is what is known of back ends of a service at one moment, for one decision.
 type survey struct {
 	backEnds []*backEnd
 	engines  []placement.Engine
 }
 
-// survey looks at the newest list: a request may wait long between two picks.
-func (r *Relay) survey(service string, prompt []placement.Part, tried *attempts, now time.Duration) survey {
-	backEnds := r.view.Load().byService[service]
+// surveyOf looks at back ends that are not excluded.
+func (r *Relay) surveyOf(backEnds []*backEnd, prompt []placement.Part, isExcluded func(*backEnd) bool, now time.Duration) survey {
 	seen := survey{backEnds: backEnds, engines: make([]placement.Engine, len(backEnds))}
 	for index, backEnd := range backEnds {
 		load := backEnd.look(now)
 		engine := placement.Engine{
 			Hash: backEnd.hash, Zone: backEnd.Zone, Stage: backEnd.Stage, Slots: backEnd.Slots,
-			Closed:     backEnd.Leaving || backEnd.Changing || tried.isExcluded(backEnd),
+			Closed:     backEnd.Leaving || backEnd.Changing || isExcluded(backEnd),
 			AvoidUntil: load.avoidUntil, Failures: load.failures, Running: max(load.own.Streams, load.told),
 		}
 		if backEnd.isEngine() {
@@ -34,12 +33,30 @@
 	return seen
 }
 
-// place is a back end that was picked, with what picking it means.
-type place struct {
-	placement.Candidate
-	backEnd *backEnd
-	// fetchFrom is the engine from which it takes the beginning of the prompt, nil for none.
-	fetchFrom *backEnd
+// with adds an engine that takes no work here and from which the beginning of a prompt can be
+// taken.
+func (s survey) with(holder *promptHolder) survey {
+	for index, known := range s.backEnds {
+		if known == holder.engine {
+			s.engines[index].Cached.Usable = max(s.engines[index].Cached.Usable, holder.tokens)
+			return s
+		}
+	}
+	s.backEnds = append(s.backEnds[:len(s.backEnds):len(s.backEnds)], holder.engine)
+	s.engines = append(s.engines, placement.Engine{
+		Hash: holder.engine.hash, Zone: holder.engine.Zone, Stage: holder.engine.Stage, Closed: true,
+		Cached: placement.Beginning{Held: holder.tokens, Usable: holder.tokens},
+	})
+	return s
+}
+
+// holder is the engine that keeps most of the prompt; nil for none.
+func (s survey) holder() *promptHolder {
+	index, tokens := placement.Holder(s.engines)
+	if index == placement.None {
+		return nil
+	}
+	return &promptHolder{engine: s.backEnds[index], tokens: tokens}
 }
 
 // place returns the back end of a candidate; nil for none.
@@ -47,7 +64,8 @@
 	if candidate == nil {
 		return nil
 	}
-	chosen := &place{Candidate: *candidate, backEnd: s.backEnds[candidate.Index]}
+	seen := s.engines[candidate.Index]
+	chosen := &place{Candidate: *candidate, backEnd: s.backEnds[candidate.Index], ahead: seen.Work, perToken: seen.PerToken}
 	if candidate.FetchFrom != placement.None {
 		chosen.fetchFrom = s.backEnds[candidate.FetchFrom]
 	}
@@ -55,10 +73,10 @@
 }
 
 // pickWhole chooses the back end of a service that answers requests whole, or nil when none is
-// left.
+// left. It looks at the newest list: a request may wait long between two picks.
 func (r *Relay) pickWhole(request *request, tried *attempts) *place {
 	now := r.clock.now()
-	seen := r.survey(request.service.Name, nil, tried, now)
+	seen := r.surveyOf(r.view.Load().byService[request.service.Name], nil, tried.isExcluded, now)
 	wanted := placement.Request{Now: now, Stage: answeringStage(request.service), Zone: r.settings.Zone}
 	return seen.place(r.policy.Generator(wanted, seen.engines, r.draw))
 }
--- /dev/null
+++ b/internal/relay/placement_owner.go
@@ -0,0 +1,185 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/placement"
+)
+
+// maximumWaiting bounds the questions of other relays that wait for readings at one owner.
+const maximumWaiting = 2048
+
+// placementOwner decides where requests run on the engines of cells, for this relay and for others
+// that ask. It counts what it has assigned, so that each decision sees those before it.
+type placementOwner struct {
+	relay *Relay
+
+	mutex    sync.Mutex
+	reserved *placement.Reservations
+	// waiting are the questions that wait for another request's reading; closing a channel ends
+	// the wait.
+	waiting map[placement.Asker]chan struct{}
+}
+
+func newPlacementOwner(relay *Relay) *placementOwner {
+	return &placementOwner{relay: relay, reserved: placement.NewReservations(), waiting: map[placement.Asker]chan struct{}{}}
+}
+
+// decide decides among the engines. The work that it assigns counts from now on when another
+// relay has asked; asker is nil for this relay's own requests, whose work begins at once.
+func (o *placementOwner) decide(query *engineQuery, engines []*backEnd, asker *placement.Asker) engineAnswer {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	now := o.relay.clock.now()
+	query.request.Now, query.request.UsualShare = now, o.relay.pace.usualShare()
+	o.expire(now)
+	seen := o.relay.surveyOf(engines, query.request.Prompt, query.excludes, now)
+	for index := range seen.engines {
+		seen.engines[index].Work = seen.engines[index].Work.Plus(o.reserved.At(seen.engines[index].Hash))
+	}
+	answer := engineAnswer{holder: seen.holder()}
+	if query.holder != nil {
+		seen = seen.with(query.holder)
+	}
+	answer.decision = query.decideFrom(o.relay.policy, seen, o.relay.draw)
+	answer.chosen = seen.place(answer.decision.Engine)
+	if answer.decision.Action == placement.ReadApart && query.purpose == toBegin {
+		o.relay.pace.observeShare(query.request.Tokens, answer.decision.Engine.ToRead)
+	}
+	if asker != nil {
+		o.reserve(now, *asker, query, answer)
+	}
+	return answer
+}
+
+// reserve counts the work that an answer gives its engine. The mutex is held.
+func (o *placementOwner) reserve(now time.Duration, asker placement.Asker, query *engineQuery, answer engineAnswer) {
+	if action := answer.decision.Action; action != placement.ReadApart && action != placement.ReadDirectly {
+		return
+	}
+	reserved := placement.Reservation{Engine: answer.chosen.backEnd.hash, Work: query.workOf(o.relay.policy, answer.decision)}
+	for _, part := range answer.chosen.backEnd.cache.begin(now, query.request.Prompt) {
+		reserved.Begun = append(reserved.Begun, part.Hash)
+	}
+	if former, had := o.reserved.Add(now, asker, reserved); had {
+		o.giveUp(former)
+	}
+}
+
+// expire ends reservations of which nothing was told in time. The mutex is held.
+func (o *placementOwner) expire(now time.Duration) {
+	for _, reserved := range o.reserved.Expire(now) {
+		o.giveUp(reserved)
+	}
+}
+
+// giveUp forgets what a reservation's engine would have read. The mutex is held.
+func (o *placementOwner) giveUp(reserved placement.Reservation) {
+	if engine := o.relay.view.Load().byHash[reserved.Engine]; engine != nil && len(reserved.Begun) > 0 {
+		engine.cache.drop(reserved.Begun)
+	}
+}
+
+// told ends the reservations of questions whose work a relay tells of from now on.
+func (o *placementOwner) told(relay uint64, numbers []uint64) {
+	if len(numbers) == 0 {
+		return
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, number := range numbers {
+		o.reserved.Take(placement.Asker{Relay: relay, Number: number})
+	}
+}
+
+// cancel ends a question: its wait, or the reservation that it got.
+func (o *placementOwner) cancel(asked *v1.PlacementCancel) {
+	asker := placement.Asker{Relay: asked.GetRelay(), Number: asked.GetNumber()}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if stop, waits := o.waiting[asker]; waits {
+		close(stop)
+		delete(o.waiting, asker)
+	}
+	if reserved, had := o.reserved.Take(asker); had {
+		o.giveUp(reserved)
+	}
+}
+
+// answer answers another relay's question. One that had better wait for a reading is told so, and
+// answered again after it.
+func (o *placementOwner) answer(asked *v1.PlacementRequest, reply func(*v1.PlacementAnswer)) {
+	current := o.relay.owners.current.Load().services[asked.GetService()]
+	if current == nil {
+		reply(unplacedAnswer(asked))
+		return
+	}
+	index, known := current.division.Find(asked.GetCell())
+	if !known {
+		reply(unplacedAnswer(asked))
+		return
+	}
+	engines := current.members[index]
+	query := queryFromWire(asked, o.relay.view.Load())
+	asker := placement.Asker{Relay: asked.GetRelay(), Number: asked.GetNumber()}
+	decided := o.decide(query, engines, &asker)
+	if decided.decision.Action != placement.AwaitReading {
+		reply(answerToWire(asked, decided))
+		return
+	}
+	stop := o.beginWait(asker)
+	if stop == nil {
+		query.request.Waits = o.relay.policy.MostWaits
+		reply(answerToWire(asked, o.decide(query, engines, &asker)))
+		return
+	}
+	go o.answerAfterWait(asked, query, engines, decided, stop, reply)
+}
+
+// beginWait notes a question that waits; nil when too many do, or when it does already.
+func (o *placementOwner) beginWait(asker placement.Asker) (stop chan struct{}) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if _, waits := o.waiting[asker]; waits || len(o.waiting) >= maximumWaiting {
+		return nil
+	}
+	stop = make(chan struct{})
+	o.waiting[asker] = stop
+	return stop
+}
+
+// answerAfterWait waits for readings of other requests, and answers then.
+func (o *placementOwner) answerAfterWait(asked *v1.PlacementRequest, query *engineQuery, engines []*backEnd, decided engineAnswer, stop chan struct{}, reply func(*v1.PlacementAnswer)) {
+	asker := placement.Asker{Relay: asked.GetRelay(), Number: asked.GetNumber()}
+	for decided.decision.Action == placement.AwaitReading {
+		limit := min(o.relay.waitLimit(decided.chosen), query.request.TimeLeft)
+		waiting := answerToWire(asked, decided)
+		waiting.WaitingUs = microseconds(limit)
+		reply(waiting)
+		waited := o.relay.awaitKept(&keptWait{
+			chosen: decided.chosen, parts: query.request.Prompt, rank: query.request.Rank, limit: limit, stop: stop,
+		})
+		query.request.Waits++
+		if !waited {
+			query.request.Waits = o.relay.policy.MostWaits
+		}
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		decided = o.decide(query, engines, &asker)
+	}
+	o.mutex.Lock()
+	if _, waits := o.waiting[asker]; !waits { // it was cancelled meanwhile
+		reserved, _ := o.reserved.Take(asker)
+		o.giveUp(reserved)
+		o.mutex.Unlock()
+		return
+	}
+	delete(o.waiting, asker)
+	o.mutex.Unlock()
+	reply(answerToWire(asked, decided))
+}
--- a/internal/relay/read_prompt.go
+++ b/internal/relay/read_prompt.go
@@ -88,8 +88,7 @@
 func (r *Relay) readPrompt(stream *streamReply, chosen *place) *heldPrompt {
 	request, engine, now := stream.request, chosen.backEnd, r.clock.now()
 	rank := r.policy.ReadingRank(stream.rank(), chosen.ToRead)
-	ahead := r.notices.table.total(now, engine, engine.look(now))
-	request.trace.prefill(engine, now, chosen.ToRead, ahead.TokensUpTo(rank), ahead.PromptTokens())
+	request.trace.prefill(chosen, now, rank)
 	perToken := r.pace.of(engine.hash)
 	r.noteAskedReading(request.service.Name, engine, chosen.Effort)
 	set := []header{r.rankHeader(rank), {r.dialect.Headers.Stage, r.dialect.PrefillStage}}
@@ -97,9 +96,9 @@
 		set = append(set, header{r.dialect.Headers.KVFetch, chosen.fetchFrom.Address})
 	}
 	answer, fault := r.exchanger.send(&message{
-		request: request, backEnd: engine, deadline: request.deadline, reads: stream.parts, set: set,
-		work:     placement.Reading(chosen.Effort, rank).Plus(placement.Work{Prompts: 1}),
-		stall:    prefillStall + time.Duration(prefillStallShare*float64(r.policy.WaitingTime(ahead, placement.Ranks-1, perToken)+placement.PrefillTime(perToken, chosen.Effort))),
+		request: request, backEnd: engine, deadline: request.deadline, reads: stream.parts, set: set, chosen: chosen,
+		work:     readingWork(r.policy, stream.rank(), &chosen.Candidate),
+		stall:    prefillStall + time.Duration(prefillStallShare*float64(r.policy.WaitingTime(chosen.ahead, placement.Ranks-1, perToken)+placement.PrefillTime(perToken, chosen.Effort))),
 		mayBreak: true,
 	})
 	if fault != nil {
@@ -107,7 +106,7 @@
 		stream.tried.noteReading(engine, fault)
 		return nil
 	}
-	if ahead.Prompts == 0 && chosen.fetchFrom == nil {
+	if chosen.ahead.Prompts == 0 && chosen.fetchFrom == nil {
 		r.notePace(engine, placement.ObservedPace(chosen.Effort, r.clock.now()-now))
 	}
 	defer answer.finish()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
@@ -34,7 +35,13 @@
 	exchanger *exchanger
 	budget    *retryBudget
 	watcher   *watcher
+	// datagrams, notices and asker are what this relay has to do with others; owner decides on
+	// the engines that owners says are this relay's.
+	datagrams *datagrams
 	notices   *notices
+	asker     *asker
+	owner     *placementOwner
+	owners    *ownerTable
 	work      *workMeter
 	pace      *pace
 	// policy holds the weights of the decisions on where requests run.
@@ -93,12 +100,12 @@
 			return trace.Wrap(err, "cannot listen on %s; check the key admin_listen", config.AdminListen)
 		}
 	}
-	relay.notices = newNotices(relay, socket, relay.watcher.incarnation)
-	relay.exchanger.notices = relay.notices
+	relay.meetOthers(socket)
 	go relay.takeSettings(ctx, options.Reloaded)
 	if options.ReadCache != nil {
 		client := &http.Client{Transport: &http.Transport{DialContext: options.Dial, DisableKeepAlives: true}, Timeout: cacheReadTimeout}
-		go relay.readCachesOnce(ctx, options.ReadCache, client)
+		reader := &cacheReader{relay: relay, read: options.ReadCache, client: client, readAt: map[*promptCache]time.Duration{}}
+		go reader.run(ctx)
 	}
 	return trace.Wrap(relay.run(ctx, listener, ready))
 }
@@ -132,6 +139,48 @@
 	return relay
 }
 
+// meetOthers sets up what goes by datagrams between relays.
+func (r *Relay) meetOthers(socket net.PacketConn) {
+	r.datagrams = newDatagrams(socket, r.metrics.datagramsDropped)
+	r.notices = newNotices(r, r.datagrams, r.watcher.incarnation)
+	r.exchanger.notices = r.notices
+	r.asker = newAsker(r, r.datagrams, r.watcher.incarnation)
+	r.owner = newPlacementOwner(r)
+	r.owners = newOwnerTable(r.datagrams.address)
+}
+
+// takeDatagram hands a datagram to those whom it concerns.
+func (r *Relay) takeDatagram(datagram *v1.RelayDatagram, from string) {
+	switch content := datagram.GetContent().(type) {
+	case *v1.RelayDatagram_Notice:
+		r.notices.take(content.Notice)
+	case *v1.RelayDatagram_Request:
+		r.owner.answer(content.Request, func(answer *v1.PlacementAnswer) {
+			r.datagrams.send(from, &v1.RelayDatagram{Content: &v1.RelayDatagram_Answer{Answer: answer}})
+		})
+	case *v1.RelayDatagram_Answer:
+		r.asker.take(content.Answer)
+	case *v1.RelayDatagram_Cancel:
+		r.owner.cancel(content.Cancel)
+	default:
+		r.datagrams.drop(dropUnknown)
+	}
+}
+
+// setRelays takes the addresses of all relays.
+func (r *Relay) setRelays(addresses []string) {
+	if !r.owners.setRelays(addresses) {
+		return
+	}
+	listed := make(map[string]bool, len(addresses))
+	for _, address := range addresses {
+		listed[address] = true
+	}
+	r.notices.setPeers(addresses)
+	r.asker.setRelays(listed)
+	r.datagrams.keep(listed)
+}
+
 // run serves until the context ends and everything taken is answered.
 func (r *Relay) run(ctx context.Context, listener, ready net.Listener) error {
 	r.event(events.RelayStarted).Str("address", listener.Addr().String()).Send()
@@ -152,7 +201,7 @@
 	}
 	group.Go(func() error { r.watcher.run(working); return nil })
 	group.Go(func() error { r.notices.send(working); return nil })
-	group.Go(func() error { r.notices.receive(); return nil })
+	group.Go(func() error { r.datagrams.receive(r.takeDatagram); return nil })
 	group.Go(func() error { return r.accept(working, listener) })
 	select {
 	case <-working.Done():
@@ -163,7 +212,7 @@
 	stopWorking()
 	_ = listener.Close()
 	_ = readyServer.Close()
-	_ = r.notices.socket.Close()
+	_ = r.datagrams.socket.Close()
 	return trace.Wrap(group.Wait())
 }
 
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -54,27 +54,35 @@
 	denied   prometheus.Counter
 	waits    prometheus.Counter
 	moves    *prometheus.CounterVec
-	first    prometheus.Histogram
-	whole    prometheus.Histogram
-	gaps     prometheus.Histogram
-	queueing prometheus.Histogram
+	// asked counts questions to owners of engines by what became of them, spills the requests
+	// that were offered to a further cell.
+	asked            *prometheus.CounterVec
+	spills           prometheus.Counter
+	datagramsDropped *prometheus.CounterVec
+	first            prometheus.Histogram
+	whole            prometheus.Histogram
+	gaps             prometheus.Histogram
+	queueing         prometheus.Histogram
 }
 
 // newRelayMetrics makes the metrics of a relay and its log.
 func newRelayMetrics(relay *Relay, log *logring.Log) *relayMetrics {
 	registry, factory := metrics.NewRegistry(role, relay.settings.Name, relay.settings.Zone)
 	made := &relayMetrics{
-		registry: registry,
-		requests: factory.CounterVec("requests_total", "Requests with a route, by how they ended.", "kind", "outcome"),
-		refusals: factory.CounterVec("refusals_total", "Final answers of the relay's own, by reason.", "reason"),
-		again:    factory.Counter("sendings_again_total", "Sendings of requests beyond the first."),
-		denied:   factory.Counter("sendings_denied_total", "Sendings beyond the first that the retry budget did not allow."),
-		waits:    factory.Counter("reading_waits_total", "Waits of prompts for the reading of parts that they share."),
-		moves:    factory.CounterVec("runs_moved_total", "Runs that stopped at one engine to go on at another, by whether they were copied.", "copied"),
-		first:    factory.Histogram("first_event_seconds", "Time from a request to the first event of its stream."),
-		whole:    factory.Histogram("answer_seconds", "Time from a request to the end of its answer."),
-		gaps:     factory.Histogram("gap_seconds", "Longest pause between events of a stream."),
-		queueing: factory.Histogram("reading_queue_seconds", "Time from a request until its prompt was sent to be read."),
+		registry:         registry,
+		requests:         factory.CounterVec("requests_total", "Requests with a route, by how they ended.", "kind", "outcome"),
+		refusals:         factory.CounterVec("refusals_total", "Final answers of the relay's own, by reason.", "reason"),
+		again:            factory.Counter("sendings_again_total", "Sendings of requests beyond the first."),
+		denied:           factory.Counter("sendings_denied_total", "Sendings beyond the first that the retry budget did not allow."),
+		waits:            factory.Counter("reading_waits_total", "Waits of prompts for the reading of parts that they share."),
+		moves:            factory.CounterVec("runs_moved_total", "Runs that stopped at one engine to go on at another, by whether they were copied.", "copied"),
+		asked:            factory.CounterVec("placement_questions_total", "Decisions on engines, by who made them.", "outcome"),
+		spills:           factory.Counter("placement_spills_total", "Offers of requests to a further cell of engines."),
+		datagramsDropped: factory.CounterVec("datagrams_dropped_total", "Datagrams between relays that were not taken, by reason.", "reason"),
+		first:            factory.Histogram("first_event_seconds", "Time from a request to the first event of its stream."),
+		whole:            factory.Histogram("answer_seconds", "Time from a request to the end of its answer."),
+		gaps:             factory.Histogram("gap_seconds", "Longest pause between events of a stream."),
+		queueing:         factory.Histogram("reading_queue_seconds", "Time from a request until its prompt was sent to be read."),
 	}
 	factory.GaugeFunc("configuration_number", "Number of the configuration in force here; 0 before the first.", func() float64 {
 		return float64(relay.belief().configuration)
@@ -91,6 +99,9 @@
 	factory.GaugeFunc("notice_age_seconds", "Time since the last word of another relay on its work.", func() float64 {
 		return (relay.clock.now() - relay.notices.table.lastHeard()).Seconds()
 	})
+	factory.GaugeFunc("owned_engines", "Engines on which this relay decides for all relays, or stands in for the one that does.", func() float64 {
+		return float64(len(relay.owners.ownedEngines()))
+	})
 	factory.GaugeFunc("retry_budget_left", "Sendings beyond the first that the service with fewest left allows.", func() float64 {
 		return relay.budget.least(relay.clock.now())
 	})
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -55,7 +55,7 @@
 	since := func(at time.Duration) int64 { return max((at - request.arrivedAt).Milliseconds(), 0) }
 	l.line(level, events.RequestEnded, request).
 		Int("status", reply.status).Bool("cut", reply.failed).Bool("late", late).
-		Str("placed", trace.placed).Str("prefill", trace.prefillEngine).Str("back_end", trace.engine).
+		Str("placed", trace.placed).Str("owner", trace.owner).Str("prefill", trace.prefillEngine).Str("back_end", trace.engine).
 		Int("prompt", request.prompt.PromptTokens).Int("to_read", trace.toRead).Int("ahead", trace.ahead).Int("ahead_all", trace.aheadAll).
 		Int64("prefill_sent_ms", since(trace.prefillAt)).Int64("sent_ms", since(trace.sentAt)).Int64("gap_ms", trace.longestGap.Milliseconds()).
 		Int64("first_ms", since(trace.firstAt)).Int64("ended_ms", since(belief.now)).
--- a/internal/relay/request_trace.go
+++ b/internal/relay/request_trace.go
@@ -16,16 +16,18 @@
 	toRead, ahead, aheadAll int
 	// placed says why the prompt is read where it is.
 	placed string
+	// owner is the relay that decided on the last engine, empty for this one.
+	owner string
 	// firstAt is when the first event of a stream was passed on.
 	firstAt time.Duration
 	// lastAt is when the last events were passed on, longestGap the longest pause before any.
 	lastAt, longestGap time.Duration
 }
 
-// prefill notes which engine was asked to read the prompt, and what it had to do.
-func (t *requestTrace) prefill(engine *backEnd, now time.Duration, toRead, ahead, aheadAll int) {
-	t.prefillEngine, t.prefillAt = engine.ID, now
-	t.toRead, t.ahead, t.aheadAll = toRead, ahead, aheadAll
+// prefill notes which engine was asked to read the prompt at a rank, and what it had to do.
+func (t *requestTrace) prefill(chosen *place, now time.Duration, rank int) {
+	t.prefillEngine, t.prefillAt = chosen.backEnd.ID, now
+	t.toRead, t.ahead, t.aheadAll = chosen.ToRead, chosen.ahead.TokensUpTo(rank), chosen.ahead.PromptTokens()
 }
 
 // passed notes that events were passed on.
--- a/internal/relay/run_mover.go
+++ b/internal/relay/run_mover.go
@@ -95,7 +95,7 @@
 		return nil
 	}
 	if !copied {
-		target = &place{backEnd: m.engine, Candidate: placement.Candidate{FetchFrom: placement.None}}
+		target = ownPlace(m.engine)
 	}
 	return &movedRun{place: target, held: &heldPrompt{engine: m.engine, handle: handle, parts: m.stream.parts}}
 }
@@ -104,9 +104,8 @@
 func (r *Relay) pickForRun(mover *runMover) *place {
 	request, now := mover.stream.request, r.clock.now()
 	tried := &attempts{relay: r, request: request, excluded: []*backEnd{mover.engine}}
-	seen := r.survey(request.service.Name, nil, tried, now)
 	wanted := placement.Request{Now: now, Stage: answeringStage(request.service), Zone: mover.engine.Zone, Rank: mover.stream.rank()}
-	return seen.place(r.policy.Taker(wanted, seen.engines, r.draw))
+	return r.decide(request, queryOf(toTakeOver, tried, wanted), mover.engine).chosen
 }
 
 // copyRun has an engine copy a run to the engine at an address. It reports whether it did, and
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -13,16 +14,16 @@
 // nextEngine picks the decoding engine that goes on with a stream; nil when there is none, or
 // none that may read the prompt itself.
 func (r *Relay) nextEngine(stream *streamReply, held *heldPrompt) *place {
-	wanted := stream.wanted(held)
-	seen := r.survey(stream.request.service.Name, wanted.Prompt, stream.tried, wanted.Now)
-	return seen.place(r.policy.Generator(wanted, seen.engines, r.draw))
+	var near *backEnd
+	if held != nil {
+		near = held.engine
+	}
+	return r.decide(stream.request, queryOf(toGenerate, stream.tried, stream.wanted(held)), near).chosen
 }
 
 // nextReader picks the prefill engine that reads the prompt; nil when there is none.
 func (r *Relay) nextReader(stream *streamReply) *place {
-	wanted := stream.wanted(nil)
-	seen := r.survey(stream.request.service.Name, wanted.Prompt, stream.tried, wanted.Now)
-	return seen.place(r.policy.Reader(wanted, seen.engines, r.draw))
+	return r.decide(stream.request, queryOf(toRead, stream.tried, stream.wanted(nil)), nil).chosen
 }
 
 // start says where a stream begins: at a decoding engine that reads the prompt itself, with a
@@ -54,7 +55,7 @@
 		case placement.Refuse:
 			r.noteRefusedWork(stream, decision, chosen)
 			return start{refused: &refusal{
-				status: fasthttp.StatusServiceUnavailable, reason: decision.Reason, retryAfter: decision.RetryAfter,
+				status: fasthttp.StatusServiceUnavailable, reason: decision.Reason.String(), retryAfter: decision.RetryAfter,
 			}}
 		default:
 			return start{}
@@ -83,14 +84,31 @@
 	wanted := stream.wanted(nil)
 	wanted.Waits = waits
 	wanted.Residence = r.work.residence(stream.request.service.Name)
-	wanted.UsualShare, wanted.TimeLeft = r.pace.usualShare(), stream.request.deadline-wanted.Now
-	seen := r.survey(stream.request.service.Name, wanted.Prompt, stream.tried, wanted.Now)
-	decision := r.policy.PlaceReading(wanted, seen.engines, r.draw)
-	stream.request.trace.placed = decision.Reason
-	if decision.Action == placement.ReadApart {
-		r.pace.observeShare(wanted.Tokens, decision.Engine.ToRead)
+	wanted.TimeLeft = stream.request.deadline - wanted.Now
+	answer := r.decide(stream.request, queryOf(toBegin, stream.tried, wanted), nil)
+	stream.request.trace.placed = answer.decision.Reason.String()
+	return answer.decision, answer.chosen
+}
+
+// decide has the owners of the request's home cells decide on its engine. Near an engine, its own
+// cell is the first.
+func (r *Relay) decide(request *request, query *engineQuery, near *backEnd) engineAnswer {
+	ownership := r.owners.current.Load()
+	known := ownership.services[query.service]
+	if known == nil || request.service.Engine == nil {
+		return r.owner.decide(query, r.view.Load().byService[query.service], nil)
+	}
+	homes := known.homes(query.request.Prompt, request.id, r.settings.Zone, r.policy.LeastFetch, mostHomes)
+	if near != nil {
+		if of, index := ownership.of(near); of == known {
+			homes = append([]int{index}, slices.DeleteFunc(homes, func(home int) bool { return home == index })...)
+		}
+	}
+	answer := r.asker.decide(known, homes, query, request.canceller.gone())
+	if answer.chosen != nil {
+		request.trace.owner = answer.chosen.assigned.owner
 	}
-	return decision, seen.place(decision.Engine)
+	return answer
 }
 
 // rankHeader ranks a request at an engine.
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -25,7 +25,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = socket.Close() })
 	steady := newClock()
-	return &exchanger{clock: steady, notices: newNotices(&Relay{clock: steady}, socket, 1)}
+	return &exchanger{clock: steady, notices: newNotices(&Relay{clock: steady}, newDatagrams(socket, nil), 1)}
 }
 
 // A look that is under way when its answer ends must touch nothing any more: the connection
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -87,7 +87,7 @@
 			set = append(set, header{names.KVFetch, chosen.fetchFrom.Address})
 		}
 	}
-	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.request.deadline, set: set, work: asked, reads: s.parts,
+	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.request.deadline, set: set, work: asked, reads: s.parts, chosen: chosen,
 		stall: stallLimit(s.request.route) + placement.PrefillTime(s.relay.pace.of(engine.hash), s.relay.policy.DecodeSlowdown*asked.PromptTokens()), mayBreak: s.mayMove()})
 	if fault != nil {
 		s.noteTaken(fault)
--- a/internal/relay/watch_list.go
+++ b/internal/relay/watch_list.go
@@ -43,6 +43,7 @@
 	w.relay.notices.table.keep(next.byHash)
 	w.relay.pace.keep(next.byHash)
 	next.listed, next.listedAt = true, w.relay.clock.now()
+	w.relay.owners.setView(next)
 }
 
 // closedSince returns the former records of back ends that take no more work since then.
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -53,6 +53,9 @@
 	closed []*backEnd
 	// lost tells that no controller led when this was last looked at.
 	lost bool
+	// relayList is the hash of the list of relays that is held, 0 for none; relays is its length.
+	relayList uint64
+	relays    int
 	// ownReadingDueAt is when this relay may read the list itself again.
 	ownReadingDueAt time.Duration
 }
@@ -135,7 +138,8 @@
 		ListingVersion: view.listingVersion,
 		WaitMs:         uint32(watchWait.Milliseconds()),
 		Leaving:        w.relay.stopping.Load(),
-		NoticeAddress:  w.relay.notices.address,
+		NoticeAddress:  w.relay.datagrams.address,
+		RelayList:      w.relayList,
 		Demands:        w.relay.work.report(w.relay.clock.now()),
 	}
 	if view.table != nil {
@@ -173,13 +177,27 @@
 		next.listingVersion = version
 		w.takeBackEnds(translate(response.GetBackEnds()), &next)
 	}
-	w.relay.notices.setPeers(response.GetRelayAddresses())
+	w.takeRelays(response)
 	w.relay.budget.setRelays(int(response.GetRelays()))
 	w.relay.view.Store(&next)
 	w.moveRuns()
 	w.relay.contactAt.Store(int64(w.relay.clock.now()))
 }
 
+// takeRelays puts a list of relays in force. A new leader hears of them one by one: until it
+// knows how many there are, its list counts only where it tells more than is held.
+func (w *watcher) takeRelays(response *v1.WatchResponse) {
+	addresses := response.GetRelayAddresses()
+	if len(addresses) == 0 || response.GetRelayList() == w.relayList {
+		return
+	}
+	if response.GetRelays() == 0 && len(addresses) < w.relays {
+		return
+	}
+	w.relayList, w.relays = response.GetRelayList(), len(addresses)
+	w.relay.setRelays(addresses)
+}
+
 // takeDocument puts a configuration in force if its number is above the one held.
 func (w *watcher) takeDocument(document *v1.Document, next *view) {
 	if next.table != nil && document.GetNumber() <= next.table.Configuration.Number {
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -25,8 +26,9 @@
 
 // Engine is one engine as the list shows it.
 type Engine struct {
-	ID    string
-	Zone  string
+	ID string
+	// Group is the zone and the cell of the engine: each group keeps engines of both stages.
+	Group string
 	Stage Stage
 	// Busy engines take no order: they leave, or one is under way.
 	Busy bool
@@ -196,43 +198,68 @@
 	return count
 }
 
-// choose picks the engines that change: from the zone that has most of the stage they
+// choose picks the engines that change: from the group that has most of the stage they
 // leave, so that both stages stay spread.
 func choose(engines []Engine, toPrefill bool, count int) []Change {
 	from, to := StagePrefill, StageDecode
 	if toPrefill {
 		from, to = StageDecode, StagePrefill
 	}
-	left := slices.Clone(engines)
-	slices.SortFunc(left, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
+	groups := groupsOf(engines, from)
 	var changes []Change
 	for len(changes) < count {
-		index := fullestZone(left, from)
-		if index < 0 {
+		fullest := fullestGroup(groups)
+		if fullest == nil {
 			break
 		}
-		changes = append(changes, Change{Engine: left[index].ID, Stage: to})
-		left[index].Stage = to
+		changes = append(changes, Change{Engine: fullest.free[0], Stage: to})
+		fullest.free = fullest.free[1:]
+		fullest.count--
 	}
 	return changes
 }
 
-// fullestZone returns an engine that may leave the stage, in the zone that has most of the
-// stage; -1 when there is none.
-func fullestZone(engines []Engine, stage Stage) int {
-	perZone := map[string]int{}
+// group counts the engines of one stage in one group.
+type group struct {
+	name  string
+	count int
+	// free are those of them that take an order, by identity.
+	free []string
+}
+
+// groupsOf counts the engines of a stage by group.
+func groupsOf(engines []Engine, stage Stage) []*group {
+	byName := map[string]*group{}
 	for _, engine := range engines {
-		if engine.Stage == stage {
-			perZone[engine.Zone]++
+		if engine.Stage != stage {
+			continue
+		}
+		if byName[engine.Group] == nil {
+			byName[engine.Group] = &group{name: engine.Group}
 		}
+		byName[engine.Group].count++
+		if !engine.Busy {
+			byName[engine.Group].free = append(byName[engine.Group].free, engine.ID)
+		}
+	}
+	groups := slices.Collect(maps.Values(byName))
+	for _, counted := range groups {
+		slices.Sort(counted.free)
 	}
-	best := -1
-	for index, engine := range engines {
-		if engine.Stage != stage || engine.Busy {
+	slices.SortFunc(groups, func(a, b *group) int { return cmp.Compare(a.name, b.name) })
+	return groups
+}
+
+// fullestGroup returns the group with most engines of those that have a free one, among equals
+// the one with the first engine; nil when there is none.
+func fullestGroup(groups []*group) *group {
+	var best *group
+	for _, counted := range groups {
+		if len(counted.free) == 0 {
 			continue
 		}
-		if best < 0 || perZone[engine.Zone] > perZone[engines[best].Zone] {
-			best = index
+		if best == nil || counted.count > best.count || counted.count == best.count && counted.free[0] < best.free[0] {
+			best = counted
 		}
 	}
 	return best
--- a/internal/stageplan/plan_test.go
+++ b/internal/stageplan/plan_test.go
@@ -16,7 +16,7 @@
 func fleet(total, prefill int) []Engine {
 	var engines []Engine
 	for index := range total {
-		engine := Engine{ID: fmt.Sprintf("e%02d", index), Zone: fmt.Sprint("z", index%3), Stage: StageDecode}
+		engine := Engine{ID: fmt.Sprintf("e%02d", index), Group: fmt.Sprint("z", index%3), Stage: StageDecode}
 		if index < prefill {
 			engine.Stage = StagePrefill
 		}
@@ -43,7 +43,7 @@
 	decodeZones := map[string]int{}
 	for _, engine := range engines {
 		if engine.Stage == StageDecode {
-			decodeZones[engine.Zone]++
+			decodeZones[engine.Group]++
 		}
 	}
 	require.Len(t, decodeZones, 3, "each zone keeps an engine that generates")
