--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -6,6 +6,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/hazelpitch/hazelpitch/internal/consensus"
+	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/planner"
 	"github.com/hazelpitch/hazelpitch/internal/safeguard"
 )
@@ -43,6 +44,8 @@
 	// PriorPrefillShare is the part of the listed engines that read prompts until work is
 	// known; 0 leaves the roles of listed engines alone.
 	PriorPrefillShare float64
+	// Without are mechanisms that are left out; none for users.
+	Without mechanism.Set
 	// OrderWait is how long a new leader waits before its first order to a listed engine.
 	OrderWait time.Duration
 	// OrderLife is how long after its emission an order may reach a listed engine. A successor
--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -9,6 +9,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/cell"
+	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/stageplan"
 )
 
@@ -121,7 +122,9 @@
 		}
 	}
 	for _, service := range sortedKeys(engines) {
-		groupByCell(service, engines[service])
+		if c.config.Without.On(mechanism.StageGroups) {
+			groupByCell(service, engines[service])
+		}
 		c.planStages(service, engines[service])
 	}
 }
@@ -144,7 +147,7 @@
 func (c *Core) planStages(service string, engines []stageplan.Engine) {
 	plan := c.stages.plans[service]
 	if plan == nil {
-		plan = stageplan.New(stageplan.Config{PriorPrefillShare: c.config.PriorPrefillShare, Hold: stageHold})
+		plan = stageplan.New(stageplan.Config{PriorPrefillShare: c.config.PriorPrefillShare, Hold: stageHold, Without: c.config.Without})
 		c.stages.plans[service] = plan
 	}
 	for _, change := range plan.Next(c.now, engines, c.serviceWork(service)) {
--- a/internal/controller/core_config.go
+++ b/internal/controller/core_config.go
@@ -34,6 +34,7 @@
 	if site != nil {
 		built.Seeds, built.Bootstrap, built.FormationSize = site.Seeds, site.Bootstrap, site.FormationSize
 		built.ListingInterval = site.ListingInterval
+		built.Without = site.Without
 		built.PriorPrefillShare, built.OrderWait, built.OrderLife = site.PriorPrefillShare, site.OrderWait, site.OrderLife
 	}
 	return built
--- a/internal/controller/site.go
+++ b/internal/controller/site.go
@@ -10,6 +10,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/control"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
+	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -27,6 +28,8 @@
 	ListingInterval time.Duration
 	// ReadListing reads the outside list of back ends.
 	ReadListing func(ctx context.Context, client *http.Client) ([]serving.BackEnd, error)
+	// Without are mechanisms that are left out; none for users.
+	Without mechanism.Set
 	// PriorPrefillShare, OrderWait and OrderLife: see control.Config.
 	PriorPrefillShare float64
 	OrderWait         time.Duration
--- /dev/null
+++ b/internal/mechanism/mechanism.go
@@ -0,0 +1,120 @@
+// Package mechanism names the mechanisms of the decisions on requests and engines, so that plays
+// can leave one out and show what it is worth. None of them keeps a promise: what does is a
+// safeguard, which no setting reaches (package safeguard). Processes that serve users run with the
+// zero Set, in which every mechanism is on.
+package mechanism
+
+import (
+	"github.com/gravitational/trace"
+)
+
+// Mechanism is one mechanism that a play may leave out.
+type Mechanism string
+
+// Mechanisms of placement.
+const (
+	Homes            Mechanism = "homes"
+	Fetching         Mechanism = "fetching"
+	CopyHarm         Mechanism = "copy-harm"
+	AwaitReading     Mechanism = "await-reading"
+	DirectReading    Mechanism = "direct-reading"
+	RefusalByWait    Mechanism = "refusal-by-wait"
+	RefusalBySlots   Mechanism = "refusal-by-slots"
+	ComeBackSpread   Mechanism = "come-back-spread"
+	ShortBeforeLong  Mechanism = "short-before-long"
+	ZoneAffinity     Mechanism = "zone-affinity"
+	WaitByReading    Mechanism = "wait-by-reading"
+	StreamHarm       Mechanism = "stream-harm"
+	ResidualOfReader Mechanism = "residual-of-reader"
+)
+
+// Mechanisms of relays.
+const (
+	Owners           Mechanism = "owners"
+	Reservations     Mechanism = "reservations"
+	Spills           Mechanism = "spills"
+	Notices          Mechanism = "notices"
+	CacheReading     Mechanism = "cache-reading"
+	LearntPace       Mechanism = "learnt-pace"
+	RunMoves         Mechanism = "run-moves"
+	RefusalSuspicion Mechanism = "refusal-suspicion"
+	StallWatch       Mechanism = "stall-watch"
+)
+
+// Mechanisms of the plan of stages.
+const (
+	StagePlan     Mechanism = "stage-plan"
+	SeveralAtOnce Mechanism = "several-at-once"
+	TurnBack      Mechanism = "turn-back"
+	LeastShare    Mechanism = "least-share"
+	StageGroups   Mechanism = "stage-groups"
+)
+
+// Description says what a mechanism does.
+type Description struct {
+	Name Mechanism
+	// Package is where it acts.
+	Package string
+	Meaning string
+}
+
+// All describes every mechanism.
+var All = []Description{
+	{Homes, "placement", "a prompt prefers one engine of its cell among equals"},
+	{Fetching, "placement", "an engine takes the beginning of a prompt from another one"},
+	{CopyHarm, "placement", "a copy of a part costs what it drives out of memory"},
+	{AwaitReading, "placement", "a prompt waits while an engine reads its shared parts for another request"},
+	{DirectReading, "placement", "decoding engines read short prompts themselves"},
+	{RefusalByWait, "placement", "a prompt that would wait too long to be read is refused"},
+	{RefusalBySlots, "placement", "a request that would wait long for a slot is refused"},
+	{ComeBackSpread, "placement", "refused clients are told different times to come back"},
+	{ShortBeforeLong, "placement", "short prompts are read before long ones of the same rank"},
+	{ZoneAffinity, "placement", "back ends of the own zone are preferred"},
+	{WaitByReading, "placement", "the wait that is borne goes by what is to be read of a prompt"},
+	{StreamHarm, "placement", "reading at a decoding engine costs the pauses of its streams"},
+	{ResidualOfReader, "placement", "what is left of a reading under way counts as a wait"},
+	{Owners, "relay", "the owner of a cell of engines decides for all relays"},
+	{Reservations, "relay", "an owner counts what it has assigned until that is told"},
+	{Spills, "relay", "a request that would wait long is offered to a further cell"},
+	{Notices, "relay", "relays tell owners of their work"},
+	{CacheReading, "relay", "a new owner asks engines what they keep"},
+	{LearntPace, "relay", "the engines' speeds are learnt from their readings"},
+	{RunMoves, "relay", "runs are moved from engines that leave or change"},
+	{RefusalSuspicion, "relay", "an engine that refuses although it has room counts as failed"},
+	{StallWatch, "relay", "an answer that stays silent is broken off where the request may go elsewhere"},
+	{StagePlan, "stageplan", "engines change their stages as the work asks"},
+	{SeveralAtOnce, "stageplan", "several engines change at once"},
+	{TurnBack, "stageplan", "engines that changed are not turned back at once"},
+	{LeastShare, "stageplan", "each stage keeps a least share of the engines"},
+	{StageGroups, "stageplan", "engines change so that each cell keeps both stages"},
+}
+
+// Set is the set of mechanisms that are left out. The zero Set leaves none out. A Set is not
+// changed after it was made.
+type Set struct {
+	off map[Mechanism]bool
+}
+
+// Without returns the Set that leaves the named mechanisms out; an unknown name is an error.
+func Without(names []string) (Set, error) {
+	off := make(map[Mechanism]bool, len(names))
+	for _, name := range names {
+		if !isKnown(Mechanism(name)) {
+			return Set{}, trace.BadParameter("no mechanism is named %q; see the list in docs/ABLATION.md", name)
+		}
+		off[Mechanism(name)] = true
+	}
+	return Set{off: off}, nil
+}
+
+func isKnown(name Mechanism) bool {
+	for _, known := range All {
+		if known.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// On reports whether the mechanism is in force.
+func (s Set) On(mechanism Mechanism) bool { return !s.off[mechanism] }
--- /dev/null
+++ b/internal/mechanism/mechanism_test.go
@@ -0,0 +1,31 @@
+package mechanism
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The zero Set leaves nothing out, and a Set just what it names.
+func TestSets(t *testing.T) {
+	set, err := Without([]string{string(Homes), string(Owners)})
+	require.NoError(t, err)
+	for _, known := range All {
+		require.True(t, Set{}.On(known.Name))
+		require.Equal(t, known.Name != Homes && known.Name != Owners, set.On(known.Name), known.Name)
+	}
+	_, err = Without([]string{"nonsense"})
+	require.ErrorContains(t, err, `no mechanism is named "nonsense"`)
+}
+
+// The page lists every mechanism, so that the table's rows can be read.
+func TestPageListsEveryMechanism(t *testing.T) {
+	page, err := os.ReadFile("../../docs/ABLATION.md")
+	require.NoError(t, err)
+	for _, known := range All {
+		require.NotEmpty(t, known.Package)
+		require.True(t, strings.Contains(string(page), "| without "+string(known.Name)+" | "+known.Meaning), known.Name)
+	}
+}
--- a/internal/placement/parameters.go
+++ b/internal/placement/parameters.go
@@ -15,6 +15,9 @@
 	PromptTargetShare float64
 	// LateWeight is how much worse it is to be late than to wait.
 	LateWeight int
+	// LeastShared is the least shared beginning of a prompt, in tokens, that ties it to the engines
+	// that keep it, wherever they are.
+	LeastShared int
 	// LeastFetch is the least number of tokens that are worth taking from another engine,
 	// FetchSetup what taking them costs beside their way.
 	LeastFetch int
@@ -73,6 +76,7 @@
 		HomeTime:          15 * time.Millisecond,
 		PromptTargetShare: 0.8,
 		LateWeight:        3,
+		LeastShared:       1_000,
 		LeastFetch:        1_000,
 		FetchSetup:        12 * time.Millisecond,
 		CopyHarm:          6 * time.Microsecond,
--- a/internal/relay/asker.go
+++ b/internal/relay/asker.go
@@ -8,6 +8,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/cell"
 	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 )
 
@@ -203,6 +204,9 @@
 // decideIn has the owner of a cell decide, or its stand-in, or this relay where neither answers.
 func (a *asker) decideIn(known *cells, index int, query *engineQuery, stop <-chan struct{}) engineAnswer {
 	id := known.division.Cells()[index].ID
+	if !a.relay.without.On(mechanism.Owners) {
+		return a.relay.owner.decide(query, known.members[index], nil)
+	}
 	for _, owner := range a.trusted(a.relay.clock.now(), known.owners[index], ownersAsked) {
 		if owner == a.datagrams.address {
 			a.relay.metrics.asked.WithLabelValues(askedOwn).Inc()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
+	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -59,6 +60,8 @@
 	clock   clock
 	dial    dialing.Dial
 	notices *notices
+	// without are mechanisms that are left out.
+	without mechanism.Set
 }
 
 // send sends the message and reads the head of the answer to it. The answer must be closed.
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
@@ -103,6 +104,9 @@
 
 // sendPending tells what has changed to those whom it concerns.
 func (n *notices) sendPending() {
+	if !n.relay.without.On(mechanism.Notices) {
+		return
+	}
 	for receiver, told := range n.takePending() {
 		for len(told) > 0 {
 			fits := fitting(told)
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -7,6 +7,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
@@ -28,6 +29,8 @@
 	Dial dialing.Dial
 	// Reloaded brings settings that were read again; nil for none.
 	Reloaded <-chan settings.Relay
+	// Without are mechanisms that are left out; none for users.
+	Without mechanism.Set
 	// Log is required.
 	Log *logring.Log
 }
--- a/internal/relay/pace.go
+++ b/internal/relay/pace.go
@@ -11,6 +11,8 @@
 type pace struct {
 	mutex sync.Mutex
 	pace  *placement.Pace
+	// fixed paces are not learnt.
+	fixed bool
 }
 
 func newPace() *pace { return &pace{pace: placement.NewPace()} }
@@ -19,7 +21,9 @@
 func (p *pace) observe(engine uint64, perToken time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.pace.Observe(engine, perToken)
+	if !p.fixed {
+		p.pace.Observe(engine, perToken)
+	}
 }
 
 // of returns the time per token at an engine.
@@ -33,7 +37,9 @@
 func (p *pace) learn(engine uint64, perToken time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.pace.Learn(engine, perToken)
+	if !p.fixed {
+		p.pace.Learn(engine, perToken)
+	}
 }
 
 // observeShare notes how much of a prompt had to be read.
--- a/internal/relay/placement_owner.go
+++ b/internal/relay/placement_owner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 )
 
@@ -48,7 +49,7 @@
 	if answer.decision.Action == placement.ReadApart && query.purpose == toBegin {
 		o.relay.pace.observeShare(query.request.Tokens, answer.decision.Engine.ToRead)
 	}
-	if asker != nil {
+	if asker != nil && o.relay.without.On(mechanism.Reservations) {
 		o.reserve(now, *asker, query, answer)
 	}
 	return answer
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
@@ -46,6 +47,8 @@
 	pace      *pace
 	// policy holds the weights of the decisions on where requests run.
 	policy placement.Parameters
+	// without are mechanisms that are left out.
+	without mechanism.Set
 	// readingSlack is how long beyond the expected a request waits for another's reading.
 	readingSlack time.Duration
 
@@ -102,7 +105,7 @@
 	}
 	relay.meetOthers(socket)
 	go relay.takeSettings(ctx, options.Reloaded)
-	if options.ReadCache != nil {
+	if options.ReadCache != nil && options.Without.On(mechanism.CacheReading) {
 		client := &http.Client{Transport: &http.Transport{DialContext: options.Dial, DisableKeepAlives: true}, Timeout: cacheReadTimeout}
 		reader := &cacheReader{relay: relay, read: options.ReadCache, client: client, readAt: map[*promptCache]time.Duration{}}
 		go reader.run(ctx)
@@ -122,7 +125,8 @@
 		budget:   newRetryBudget(config.RetryBudget.Ratio, config.RetryBudget.Window, config.RetryBudget.Slack),
 		work:     newWorkMeter(),
 		pace:     newPace(),
-		policy:   placement.DefaultParameters(),
+		policy:   placement.DefaultParameters().Without(options.Without),
+		without:  options.Without,
 
 		readingSlack: readingSlack,
 		random:       lockedRandom{source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
@@ -133,7 +137,9 @@
 	relay.contactAt.Store(int64(-contactLimit))
 	relay.exchanger = &exchanger{
 		names: options.Dialect.Headers, writer: newRequestWriter(options.Dialect.Headers), clock: steady, dial: options.Dial,
+		without: options.Without,
 	}
+	relay.pace.fixed = !options.Without.On(mechanism.LearntPace)
 	relay.view.Store(&view{byService: map[string][]*backEnd{}})
 	relay.watcher = newWatcher(relay, options)
 	return relay
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -98,7 +98,7 @@
 	if known == nil || request.service.Engine == nil {
 		return r.owner.decide(query, r.view.Load().byService[query.service], nil)
 	}
-	homes := known.homes(query.request.Prompt, request.id, r.settings.Zone, r.policy.LeastFetch, mostHomes)
+	homes := known.homes(query.request.Prompt, request.id, r.settings.Zone, r.policy.LeastShared, mostHomes)
 	if near != nil {
 		if of, index := ownership.of(near); of == known {
 			homes = append([]int{index}, slices.DeleteFunc(homes, func(home int) bool { return home == index })...)
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -47,6 +48,7 @@
 
 // watchStall begins to look. mayBreak says whether the answer may be broken off.
 func (e *exchanger) watchStall(connection *upstreamConnection, backEnd *backEnd, limit time.Duration, mayBreak bool) *stallWatch {
+	mayBreak = mayBreak && e.without.On(mechanism.StallWatch)
 	watch := &stallWatch{exchanger: e, connection: connection, backEnd: backEnd, mayBreak: mayBreak, limit: limit}
 	watch.mutex.Lock()
 	defer watch.mutex.Unlock()
--- a/internal/relay/watch_list.go
+++ b/internal/relay/watch_list.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
@@ -59,8 +60,10 @@
 
 // moveRuns moves the runs at back ends that were closed, now that the view shows where to.
 func (w *watcher) moveRuns() {
-	for _, closed := range w.closed {
-		closed.moveRuns()
+	if w.relay.without.On(mechanism.RunMoves) {
+		for _, closed := range w.closed {
+			closed.moveRuns()
+		}
 	}
 	w.closed = nil
 }
--- a/internal/servercommand/relay.go
+++ b/internal/servercommand/relay.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 
+	"github.com/gravitational/trace"
+
 	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/relay"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
@@ -21,6 +24,10 @@
 	if err != nil {
 		return &settingsError{cause: err}
 	}
+	without, err := mechanism.Without(loaded.Without)
+	if err != nil {
+		return &settingsError{cause: trace.Wrap(err, "%s: the key without", r.Settings)}
+	}
 	if r.Check {
 		fmt.Fprintf(environment.Stdout, "%s: the settings of relay %s are valid\n", r.Settings, loaded.Name)
 		return nil
@@ -33,7 +40,7 @@
 		return relay.Run(ctx, loaded, relay.Options{
 			Dialect: environment.Site.Dialect, ReadListing: environment.Site.listingAt(loaded.ListingAddress),
 			ReadCache: environment.Site.ReadCache,
-			Listen:    environment.Listen, Reloaded: reloaded, Log: log,
+			Listen:    environment.Listen, Reloaded: reloaded, Without: without, Log: log,
 		})
 	})
 }
--- a/internal/servercommand/site_controller.go
+++ b/internal/servercommand/site_controller.go
@@ -7,8 +7,11 @@
 	"net/http"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/hazelpitch/hazelpitch/internal/controller"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
 
@@ -28,6 +31,10 @@
 	if err != nil {
 		return &settingsError{cause: err}
 	}
+	without, err := mechanism.Without(loaded.Without)
+	if err != nil {
+		return &settingsError{cause: trace.Wrap(err, "%s: the key without", s.Settings)}
+	}
 	if s.Check {
 		fmt.Fprintf(environment.Stdout, "%s: the settings of controller %s are valid\n", s.Settings, loaded.Name)
 		return nil
@@ -40,6 +47,7 @@
 		Seeds:         loaded.PeerSeeds(), Bootstrap: loaded.Bootstrap, FormationSize: loaded.FormationSize(),
 		ListingInterval:   loaded.ListingInterval,
 		ReadListing:       environment.Site.listingAt(loaded.ListingAddress),
+		Without:           without,
 		PriorPrefillShare: loaded.PrefillShare, OrderWait: loaded.OrderWait + orderLife, OrderLife: orderLife,
 		OrderStage:     environment.Site.OrderStage,
 		OperatorListen: loaded.OperatorListen,
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -30,7 +30,10 @@
 	RetryBudget RetryBudget   `yaml:"retry_budget"`
 	// MemoryLimit is the size in MiB that the process must stay under; 0 for no limit.
 	MemoryLimit int `yaml:"memory_limit" check:"not-negative"`
-	Log         Log `yaml:"log"`
+	// Without names mechanisms that are left out, to measure what they are worth (docs/ABLATION.md);
+	// none for users.
+	Without []string `yaml:"without"`
+	Log     Log      `yaml:"log"`
 }
 
 // RetryBudget bounds the sendings beyond the first of each request, over all relays.
--- a/internal/settings/site_controller.go
+++ b/internal/settings/site_controller.go
@@ -39,7 +39,10 @@
 	HeartbeatInterval time.Duration `yaml:"heartbeat_interval" default:"80ms" check:"positive"`
 	// MemoryLimit is the size in MiB that the process must stay under; 0 for no limit.
 	MemoryLimit int `yaml:"memory_limit" check:"not-negative"`
-	Log         Log `yaml:"log"`
+	// Without names mechanisms that are left out, to measure what they are worth (docs/ABLATION.md);
+	// none for users.
+	Without []string `yaml:"without"`
+	Log     Log      `yaml:"log"`
 }
 
 // PeerSeeds are the IP:port at which the controllers named listen for peers.
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -13,6 +13,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 )
 
 // Stage is what an engine does.
@@ -55,6 +57,8 @@
 	PriorPrefillShare float64
 	// Hold is the time without changes after one under load.
 	Hold time.Duration
+	// Without are mechanisms that are left out; none for users.
+	Without mechanism.Set
 }
 
 const (
@@ -94,7 +98,7 @@
 
 // Next returns the changes to order now, none most of the time. Call it at steady intervals.
 func (p *Plan) Next(now time.Duration, engines []Engine, work Work) []Change {
-	if len(engines) < 2*leastEngines {
+	if len(engines) < 2*leastEngines || !p.config.Without.On(mechanism.StagePlan) {
 		return nil
 	}
 	p.observe(work)
@@ -116,7 +120,7 @@
 // turnsBack reports whether changes would take back others that are not old enough for that: a
 // mix that swings within seconds is better borne than chased.
 func (p *Plan) turnsBack(now time.Duration, changes []Change) bool {
-	return len(changes) > 0 && p.changed && changes[0].Stage != p.towards && now-p.changedAt < turnBackHolds*p.config.Hold
+	return len(changes) > 0 && p.changed && p.config.Without.On(mechanism.TurnBack) && changes[0].Stage != p.towards && now-p.changedAt < turnBackHolds*p.config.Hold
 }
 
 // observe smooths the work, which swings within seconds.
@@ -139,7 +143,7 @@
 		return nil
 	}
 	total := float64(len(engines))
-	least := float64(least(len(engines)))
+	least := float64(p.least(len(engines)))
 	wanted := math.Round(min(max(p.config.PriorPrefillShare*total, least), total-least))
 	return changeTo(engines, int(wanted), len(engines))
 }
@@ -162,7 +166,11 @@
 	if now <= 1 || now < improvement*p.need(best, len(engines)) {
 		return nil
 	}
-	return changeTo(engines, best, max(int(mostAtOnce*float64(len(engines))), 1))
+	most := max(int(mostAtOnce*float64(len(engines))), 1)
+	if !p.config.Without.On(mechanism.SeveralAtOnce) {
+		most = 1
+	}
+	return changeTo(engines, best, most)
 }
 
 // need is how many times busier than it may be the busier stage is when so many engines of a
@@ -173,8 +181,8 @@
 
 // bestPrefill is the number of engines that should read prompts.
 func (p *Plan) bestPrefill(total int) int {
-	best := least(total)
-	for prefill := best + 1; prefill <= total-least(total); prefill++ {
+	best := p.least(total)
+	for prefill := best + 1; prefill <= total-p.least(total); prefill++ {
 		if p.need(prefill, total) < p.need(best, total) {
 			best = prefill
 		}
@@ -183,7 +191,10 @@
 }
 
 // least is the number of engines that each stage keeps.
-func least(total int) int {
+func (p *Plan) least(total int) int {
+	if !p.config.Without.On(mechanism.LeastShare) {
+		return leastEngines
+	}
 	return max(leastEngines, int(math.Round(leastShare*float64(total))))
 }
 
