A run that was moved and finds no engine is not run again

Change: a moved run counts as a sending, and nothing that may have run is sent again on a route that must not be repeated, whatever was counted.

Measured: TestMovedRunThatFindsNoEngineIsNotRunAgain fails before (the other engine gets the request) and passes after; go test ./internal/relay: ok.

Conclusion: the verdict alone decides on repeating; the count bounds attempts.

--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -34,6 +34,13 @@
 	}
 }
 
+// noteMoved takes a run that was moved from a back end: it ran there, and goes on at another one as
+// the same run.
+func (a *attempts) noteMoved() {
+	a.sent++
+	a.mayHaveRun = true
+}
+
 // noteReading takes a failed reading of the prompt, which runs nothing: one that an engine
 // rejected counts as a sending, one that broke off after it was taken up does not.
 func (a *attempts) noteReading(engine *backEnd, fault *failure) {
@@ -47,13 +54,13 @@
 // mayContinue reports whether another sending is allowed: by the client, the time, the
 // route's attempts, what the request may have done, and the retry budget.
 func (a *attempts) mayContinue() bool {
-	if a.over() {
+	if a.over() || a.mayHaveRun && !a.request.route.Repeatable() {
 		return false
 	}
 	if a.sent == 0 {
 		return true
 	}
-	if a.sent >= a.request.route.MaxAttempts || a.mayHaveRun && !a.request.route.Repeatable() {
+	if a.sent >= a.request.route.MaxAttempts {
 		return false
 	}
 	return a.relay.sendAgain(a.request)
--- a/internal/relay/read_prompt.go
+++ b/internal/relay/read_prompt.go
@@ -55,7 +55,7 @@
 			return
 		}
 		if stream.moved != nil {
-			tried.mayHaveRun = true
+			tried.noteMoved()
 			continue
 		}
 		r.log.attemptFailed(request, engine, fault)
--- a/internal/relay/run_mover_test.go
+++ b/internal/relay/run_mover_test.go
@@ -182,3 +182,26 @@
 	}, time.Minute, time.Millisecond)
 	require.Zero(t, relay.engineOf("former").movable())
 }
+
+// A run that was moved to an engine which cannot be reached has run: it must not begin anew
+// elsewhere where its route does not allow that.
+func TestMovedRunThatFindsNoEngineIsNotRunAgain(t *testing.T) {
+	for name, row := range map[string]struct {
+		resumable bool
+		again     int
+	}{"not to be repeated": {}, "may be repeated": {resumable: true, again: 1}} {
+		t.Run(name, func(t *testing.T) {
+			former := startMovableEngine(t, moveAnswer{200, "handle"}, moveAnswer{200, "handle"})
+			gone := startBackEnd(t, "gone", serving.StageDecode, refusing(503))
+			gone.entry.Address = "127.0.0.1:1"
+			other := startBackEnd(t, "other", serving.StageDecode, streaming("other", eventTwo+eventThree))
+			relay := newTestRelay(t, route(func(r *serving.Route) { stream(row.resumable)(r); r.MaxAttempts = 2 }), former.scriptedBackEnd, gone, other).preferring("former")
+			client := former.beginRun(t, relay)
+			relay.engineOf("gone").end(relay.engineOf("gone").look(0).own) // it has slots now, the other has none
+			relay.relist(func(entry *serving.BackEnd) { entry.Leaving = entry.Leaving || entry.ID == "former" })
+			answer := client.read()
+			require.Equal(t, row.resumable, answer.whole)
+			require.Len(t, other.seen(), row.again)
+		})
+	}
+}
