Relays wait at controllers while none leads, and a new leader keeps their list of each other

Cause: where no controller was known to lead, each watch was answered at once and came again after 40 ms: 291 relays made 7,000 calls a second to controllers that were electing. A new leader hears of relays one by one and sent each growing list to all.

--- /dev/null
+++ b/internal/control/relay_list.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+const (
+	// relayMemory is how long a relay counts after it was last heard.
+	relayMemory = 15 * time.Second
+	// relayCountAfter is how long a new leader listens before it tells how many relays
+	// there are.
+	relayCountAfter = 3 * time.Second
+)
+
+// relayRecord is what the leader remembers of a relay.
+type relayRecord struct {
+	heardAt       time.Duration
+	noticeAddress string
+}
+
+// noteRelay counts the relay, or forgets it when it leaves.
+func (c *Core) noteRelay(request *v1.WatchRequest) {
+	name := request.GetNode().GetName()
+	if request.GetLeaving() {
+		delete(c.relays, name)
+		c.news.fresh = false
+		return
+	}
+	if c.relays[name].noticeAddress != request.GetNoticeAddress() {
+		c.news.fresh = false
+	}
+	c.relays[name] = relayRecord{heardAt: c.now, noticeAddress: request.GetNoticeAddress()}
+	c.noteWork(request)
+}
+
+// refreshRelayList makes the list of relays anew when they are others.
+func (c *Core) refreshRelayList() {
+	if c.news.fresh {
+		return
+	}
+	c.news.relayList = c.noticeAddresses()
+	c.news.relayHash = hashOfList(c.news.relayList)
+	c.news.fresh = true
+}
+
+// hashOfList identifies a list of addresses; 0 for an empty one.
+func hashOfList(addresses []string) uint64 {
+	if len(addresses) == 0 {
+		return 0
+	}
+	return xxhash.Sum64String(strings.Join(addresses, ","))
+}
+
+// relayCount returns how many relays were heard of lately; 0 while it is not known.
+func (c *Core) relayCount() uint32 {
+	if c.now-c.leadingSince < relayCountAfter {
+		return 0
+	}
+	return uint32(len(c.relays))
+}
+
+// forgetRelays forgets relays that have not been heard of for long. Call it now and then.
+func (c *Core) forgetRelays() {
+	for name, record := range c.relays {
+		if c.now-record.heardAt > relayMemory {
+			delete(c.relays, name)
+			c.news.fresh = false
+		}
+	}
+}
+
+// noticeAddresses returns where relays take load notices, sorted.
+func (c *Core) noticeAddresses() []string {
+	var addresses []string
+	for _, record := range c.relays {
+		if record.noticeAddress != "" {
+			addresses = append(addresses, record.noticeAddress)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
--- /dev/null
+++ b/internal/control/site_news.go
@@ -0,0 +1,51 @@
+package control
+
+import (
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/packed"
+)
+
+// siteNews is what the leader tells relays, made once however many ask.
+type siteNews struct {
+	// relayList and relayHash are the addresses of the relays and their hash while fresh is set.
+	relayList []string
+	relayHash uint64
+	fresh     bool
+	// document is the document with the number, compressed.
+	document []byte
+	number   uint64
+	// told is what all watches that wait were held against last, firstDue is when the first of them
+	// has waited long enough.
+	told     siteState
+	firstDue time.Duration
+}
+
+// siteState is what decides whether there is something new for relays.
+type siteState struct {
+	leads bool
+	// leader is the address of the controller that leads as far as is known here.
+	leader          string
+	number, listing uint64
+}
+
+// siteState returns what holds now.
+func (c *Core) siteState() siteState {
+	state := siteState{leads: c.leading && c.mayAnswerAsLeader(), number: c.state.Document().GetNumber(), listing: c.listing.version}
+	if state.leads {
+		return state
+	}
+	if leader := c.consensus.Status().LeaderAddress; leader != c.config.Address {
+		state.leader = leader
+	}
+	return state
+}
+
+// packedDocument is the document, compressed once for its number.
+func (c *Core) packedDocument(document *v1.Document) []byte {
+	if c.news.document == nil || c.news.number != document.GetNumber() {
+		c.news.document, c.news.number = packed.Pack(document), document.GetNumber()
+	}
+	return c.news.document
+}
