A client that leaves does not judge the owner that was asked for it

Cause: when a client left while an owner's answer was awaited, the owner counted as one that had answered, which cleared its misses and put the wait into the round trips: with many clients that give up, a dead owner would have been trusted on. Found by reading.

Change: such a question is cancelled and judges nobody; no further owner is asked for it.

Measured: TestClientThatLeavesDoesNotJudgeTheOwner fails without it; go test ./internal/relay: ok.

Conclusion: only answers and time-outs tell of an owner.

--- a/internal/relay/asker.go
+++ b/internal/relay/asker.go
@@ -137,8 +137,11 @@
 	limit := a.timeout()
 	a.datagrams.send(owner, &v1.RelayDatagram{Content: &v1.RelayDatagram_Request{Request: queryToWire(query, a.self, number, id)}})
 	told := a.await(answers, limit, stop)
-	took := a.relay.clock.now() - asked
-	a.judge(owner, told != nil || isClosed(stop), took)
+	if told == nil && isClosed(stop) { // the client has gone: that says nothing of the owner
+		a.cancel(assignment{owner: owner, number: number})
+		return engineAnswer{}, false
+	}
+	a.judge(owner, told != nil, a.relay.clock.now()-asked)
 	for waits := 0; told != nil && told.GetAction() == v1.PlacementAction_PLACEMENT_ACTION_WAIT && waits <= a.relay.policy.MostWaits; waits++ {
 		a.relay.metrics.waits.Inc()
 		told = a.await(answers, fromMicroseconds(told.GetWaitingUs())+furtherAnswerSlack, stop)
--- a/internal/relay/asker_test.go
+++ b/internal/relay/asker_test.go
@@ -301,3 +301,16 @@
 	}
 	require.Len(t, relay.owners.ownedEngines(), want)
 }
+
+// A client that leaves before the answer says nothing of the owner, good or bad.
+func TestClientThatLeavesDoesNotJudgeTheOwner(t *testing.T) {
+	engine := startBackEnd(t, "engine", serving.StageDecode, streaming("engine", eventOne))
+	asking, _ := newPair(t, engine)
+	silent := silentRelay(t)
+	asking.asker.judge(silent, false, time.Millisecond)
+	gone := make(chan struct{})
+	close(gone)
+	_, answered := asking.asker.ask(silent, 1, &engineQuery{service: "service"}, gone)
+	require.False(t, answered)
+	require.True(t, asking.asker.health.Missed(0, silent), "the earlier miss still counts, and no other one does")
+}
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -26,6 +26,9 @@
 		if answer, answered := a.ask(owner, id, query, stop); answered {
 			return answer
 		}
+		if isClosed(stop) {
+			break
+		}
 	}
 	a.relay.metrics.asked.WithLabelValues(askedNobody).Inc()
 	return a.relay.owner.decide(query, known.members[index], nil)
