--- a/internal/cell/growth_test.go
+++ b/internal/cell/growth_test.go
@@ -160,3 +160,22 @@
 		})
 	}
 }
+
+// A part that every fifth prompt wants does not hold its cell up: the load beyond its engines goes to
+// the next cells, which read it once each.
+func TestHotPartSpreadsOverCells(t *testing.T) {
+	fleet := newSimulatedFleet(5, 32)
+	const hot = placement.PartHash(1 << 40)
+	requests := requestsPerEngine * len(fleet.engines) * int(played.Seconds())
+	for number := range requests {
+		part := placement.PartHash(fleet.random.IntN(partsPerEngine*len(fleet.engines)) + 1)
+		if number%5 == 0 {
+			part = hot
+		}
+		fleet.serve(time.Duration(number)*played/time.Duration(requests), part)
+	}
+	prompts := fleet.requests * (partTokens + ownTokens)
+	require.Less(t, float64(fleet.again)/float64(prompts), 0.02)
+	require.Less(t, float64(fleet.offers)/float64(fleet.requests), 1.5)
+	require.Less(t, fleet.busiest(), 5.0, "all of it at its home would be 32 times the mean")
+}
--- /dev/null
+++ b/internal/relay/owner_faults_test.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// scriptedOwner is an owner whose datagrams a test reads and writes.
+type scriptedOwner struct {
+	t      *testing.T
+	socket net.PacketConn
+}
+
+func newScriptedOwner(t *testing.T) *scriptedOwner {
+	t.Helper()
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	return &scriptedOwner{t: t, socket: socket}
+}
+
+func (o *scriptedOwner) address() string { return o.socket.LocalAddr().String() }
+
+// read returns the next datagram and where it came from.
+func (o *scriptedOwner) read() (*v1.RelayDatagram, net.Addr) {
+	o.t.Helper()
+	buffer := make([]byte, 2*maximumDatagram)
+	length, from, err := o.socket.ReadFrom(buffer)
+	require.NoError(o.t, err)
+	datagram := &v1.RelayDatagram{}
+	require.NoError(o.t, proto.Unmarshal(buffer[:length], datagram))
+	return datagram, from
+}
+
+// write sends a datagram.
+func (o *scriptedOwner) write(to net.Addr, datagram *v1.RelayDatagram) {
+	o.t.Helper()
+	datagram.Format = datagramFormat
+	content, err := proto.Marshal(datagram)
+	require.NoError(o.t, err)
+	_, err = o.socket.WriteTo(content, to)
+	require.NoError(o.t, err)
+}
+
+// An owner that is slow, or whose answers are lost while it hears questions, is told that its answer
+// is not followed; one that comes late changes nothing.
+func TestLateAnswerOfAnOwnerIsNotFollowed(t *testing.T) {
+	near := startBackEnd(t, "near", serving.StageDecode, streaming("near", eventOne))
+	far := startBackEnd(t, "far", serving.StageDecode, streaming("far", eventOne))
+	relay := newTestRelay(t, route(stream(true)), near, far)
+	owner := newScriptedOwner(t)
+	relay.ownedBy(owner.address())
+	relay.engineOf("far").begin(placement.Work{Streams: 7})
+	require.Equal(t, eventOne, relay.client(t).do("POST", "/path/", "x", shortPrompt...).body)
+	require.Len(t, near.seen(), 1, "the relay decided by itself")
+
+	asked, from := owner.read()
+	require.NotNil(t, asked.GetRequest())
+	cancelled, _ := owner.read()
+	require.Equal(t, asked.GetRequest().GetNumber(), cancelled.GetCancel().GetNumber())
+	owner.write(from, &v1.RelayDatagram{Content: &v1.RelayDatagram_Answer{Answer: &v1.PlacementAnswer{
+		Number: asked.GetRequest().GetNumber(), Relay: asked.GetRequest().GetRelay(),
+		Action: v1.PlacementAction_PLACEMENT_ACTION_READ_DIRECTLY, Engine: relay.engineOf("far").hash,
+	}}})
+	require.Eventually(t, func() bool {
+		return testutil.ToFloat64(relay.metrics.datagramsDropped.WithLabelValues(string(dropUnknown))) == 1
+	}, time.Minute, time.Millisecond)
+	require.Empty(t, far.seen())
+}
+
+// An owner that goes on asking for patience is left after so many waits.
+func TestOwnerThatKeepsARequestWaitingIsLeft(t *testing.T) {
+	engine := startBackEnd(t, "engine", serving.StageDecode, streaming("engine", eventOne))
+	relay := newTestRelay(t, route(stream(true)), engine)
+	relay.patient()
+	owner := newScriptedOwner(t)
+	relay.ownedBy(owner.address())
+	client := relay.client(t)
+	client.send("POST", "/path/", "x", shortPrompt...)
+	asked, from := owner.read()
+	for range relay.policy.MostWaits + 1 {
+		owner.write(from, &v1.RelayDatagram{Content: &v1.RelayDatagram_Answer{Answer: &v1.PlacementAnswer{
+			Number: asked.GetRequest().GetNumber(), Relay: asked.GetRequest().GetRelay(),
+			Action: v1.PlacementAction_PLACEMENT_ACTION_WAIT, Engine: relay.engineOf("engine").hash,
+		}}})
+	}
+	require.Equal(t, eventOne, client.read().body)
+}
+
+// Two relays may both think that they own an engine. Each counts what it has assigned; what they
+// cannot know of each other comes with the notices of the relays that asked.
+func TestTwoOwnersOfOneEngine(t *testing.T) {
+	engine := startBackEnd(t, "engine", serving.StageDecode, streaming("engine", eventOne))
+	one, other := newPair(t, engine)
+	query := func() *engineQuery {
+		return &engineQuery{purpose: toGenerate, service: "service", request: placement.Request{Stage: serving.StageDecode}}
+	}
+	for number := range uint64(3) {
+		one.owner.decide(query(), one.view.Load().byService["service"], &placement.Asker{Relay: 7, Number: number})
+		other.owner.decide(query(), other.view.Load().byService["service"], &placement.Asker{Relay: 8, Number: number})
+	}
+	hash := one.engineOf("engine").hash
+	require.Equal(t, 3, one.owner.reserved.At(hash).Streams)
+	told := &v1.LoadNotice{Relay: 8, Sequence: 1, Engines: []*v1.EngineWork{{Engine: hash, Streams: 3, Assigned: []uint64{0, 1, 2}}}}
+	one.notices.take(told)
+	other.notices.take(told)
+	answer := one.owner.decide(query(), one.view.Load().byService["service"], nil)
+	require.Equal(t, 6, answer.chosen.ahead.Streams, "its own, and what it was told")
+	answer = other.owner.decide(query(), other.view.Load().byService["service"], nil)
+	require.Equal(t, 3, answer.chosen.ahead.Streams, "what was told takes the place of what was assigned")
+}
+
+// Relays that come and go change who owns what; the list in force decides, and a relay that was
+// left out owns nothing.
+func TestOwnersFollowTheListOfRelays(t *testing.T) {
+	relay := newTestRelay(t, route(stream(true)), startBackEnd(t, "engine", serving.StageDecode, refusing(503)))
+	engine, now := relay.engineOf("engine"), relay.clock.now()
+	require.Empty(t, relay.asker.owners(now, engine), "nobody else is to be told")
+	relay.setRelays([]string{"127.0.0.1:1", "127.0.0.1:2"})
+	require.Empty(t, relay.owners.ownedEngines())
+	require.ElementsMatch(t, []string{"127.0.0.1:1", "127.0.0.1:2"}, relay.asker.owners(now, engine))
+	relay.setRelays([]string{"127.0.0.1:2", relay.datagrams.address})
+	require.Len(t, relay.owners.ownedEngines(), 1)
+	require.Equal(t, []string{"127.0.0.1:2"}, relay.asker.owners(now, engine))
+}
