Failures wait in the notice they are told with; one look at a relay's rank in a cell

A failure to be told stood in a map beside the pending notices, put there in a step of its own: a notice taken between the two steps cleared it untold. Two functions cut the owners of a cell to its first two each for itself, and a loop stood for slices.Contains.

Change: pendingNotice has the failure; cells.rankOf serves both; slices.Contains. What relays tell and decide is as before, but that a failure is not lost between the two steps.

Measured: go test -race ./internal/relay: ok (isToldFailed looks where the failure is now; its assertions are as they were).

Conclusion: less state, one way in.

--- a/internal/relay/engine_query.go
+++ b/internal/relay/engine_query.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
@@ -39,14 +40,7 @@
 }
 
 // excludes reports whether an engine must not be taken.
-func (q *engineQuery) excludes(engine *backEnd) bool {
-	for _, hash := range q.excluded {
-		if hash == engine.hash {
-			return true
-		}
-	}
-	return false
-}
+func (q *engineQuery) excludes(engine *backEnd) bool { return slices.Contains(q.excluded, engine.hash) }
 
 // queryOf asks for an engine for a request that has tried some.
 func queryOf(purpose purpose, tried *attempts, wanted placement.Request) *engineQuery {
--- a/internal/relay/notice_pending.go
+++ b/internal/relay/notice_pending.go
@@ -16,6 +16,8 @@
 	assigned []uint64
 	// tokenTime is the newest observation of the time per token, 0 for none.
 	tokenTime time.Duration
+	// failed tells that exchanges with the back end broke or stalled.
+	failed bool
 }
 
 // note tells that the work at an engine has changed.
@@ -59,6 +61,7 @@
 	if told.tokenTime > 0 {
 		waiting.tokenTime = told.tokenTime
 	}
+	waiting.failed = waiting.failed || told.failed
 	n.pending[engine] = waiting
 	n.mutex.Unlock()
 	select {
@@ -68,9 +71,4 @@
 }
 
 // noteFailure tells that exchanges with a back end broke or stalled.
-func (n *notices) noteFailure(backEnd *backEnd) {
-	n.mutex.Lock()
-	n.failures[backEnd] = true
-	n.mutex.Unlock()
-	n.note(backEnd)
-}
+func (n *notices) noteFailure(backEnd *backEnd) { n.add(backEnd, pendingNotice{failed: true}) }
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -40,16 +40,14 @@
 	// peers are the relays that hear of failures of back ends without an owner.
 	peers []string
 	// pending are the back ends of which there is something to tell.
-	pending map[*backEnd]pendingNotice
-	// failures are the back ends that failed since the last notice.
-	failures map[*backEnd]bool
+	pending  map[*backEnd]pendingNotice
 	sequence uint64
 }
 
 func newNotices(relay *Relay, datagrams *datagrams, self uint64) *notices {
 	return &notices{
 		relay: relay, datagrams: datagrams, self: self, table: newLoadTable(),
-		changed: make(chan struct{}, 1), pending: map[*backEnd]pendingNotice{}, failures: map[*backEnd]bool{},
+		changed: make(chan struct{}, 1), pending: map[*backEnd]pendingNotice{},
 	}
 }
 
@@ -144,7 +142,6 @@
 		}
 	}
 	clear(n.pending)
-	clear(n.failures)
 	return byReceiver
 }
 
@@ -153,7 +150,7 @@
 	own := engine.look(now).own
 	told := &v1.EngineWork{
 		Engine: engine.hash, Prompts: uint32(max(own.Prompts, 0)), PromptTokens: wireTokens(own), Streams: uint32(max(own.Streams, 0)),
-		TokenNs: uint32(min(waiting.tokenTime, math.MaxUint32)), Failed: n.failures[engine], Assigned: waiting.assigned,
+		TokenNs: uint32(min(waiting.tokenTime, math.MaxUint32)), Failed: waiting.failed, Assigned: waiting.assigned,
 	}
 	told.Parts, told.PartTokens = wireParts(waiting.read)
 	told.KeptParts, told.KeptTokens = wireParts(waiting.kept)
--- a/internal/relay/ownership.go
+++ b/internal/relay/ownership.go
@@ -31,6 +31,12 @@
 	owners  [][]string
 }
 
+// rankOf is 0 for the relay that owns a cell, above 0 for those that stand in, and -1 for others.
+func (c *cells) rankOf(index int, relay string) int {
+	owners := c.owners[index]
+	return slices.Index(owners[:min(ownersOfCell, len(owners))], relay)
+}
+
 // ownership says which relays decide on which engines, as far as this relay knows. It is
 // replaced as a whole and never changed.
 type ownership struct {
@@ -124,8 +130,7 @@
 	owned := map[uint64]ownedCell{}
 	for name, service := range next.services {
 		for index, divided := range service.division.Cells() {
-			rank := slices.Index(service.owners[index][:min(ownersOfCell, len(service.owners[index]))], t.self)
-			if rank >= 0 {
+			if rank := service.rankOf(index, t.self); rank >= 0 {
 				owned[divided.ID] = ownedCell{service: name, zone: divided.Zone, standsIn: rank > 0, engines: len(divided.Members)}
 			}
 		}
@@ -181,9 +186,9 @@
 func (t *ownerTable) ownedEngines() []*backEnd {
 	var owned []*backEnd
 	for _, service := range t.current.Load().services {
-		for index, owners := range service.owners {
-			if slices.Contains(owners[:min(ownersOfCell, len(owners))], t.self) {
-				owned = append(owned, service.members[index]...)
+		for index, members := range service.members {
+			if service.rankOf(index, t.self) >= 0 {
+				owned = append(owned, members...)
 			}
 		}
 	}
--- a/internal/relay/refusal_test.go
+++ b/internal/relay/refusal_test.go
@@ -22,7 +22,7 @@
 func (r *testRelay) isToldFailed(engine *backEnd) bool {
 	r.notices.mutex.Lock()
 	defer r.notices.mutex.Unlock()
-	return r.notices.failures[engine]
+	return r.notices.pending[engine].failed
 }
 
 // newRefusingRelay returns a relay with one decoding engine, and that engine.
