--- a/internal/cell/division.go
+++ b/internal/cell/division.go
@@ -13,6 +13,11 @@
 	// ownCellShare is the part of Size from which the engines of a zone are cells of their own;
 	// those of smaller zones share theirs, so that a prompt's engines do not become too few.
 	ownCellShare = 0.75
+	// keepSlack is by how much a zone may have fewer engines than its part and keep all prompts of
+	// its own.
+	keepSlack = 1.3
+	// keepSalt draws which of them it keeps.
+	keepSalt = 0x9e3779b97f4a7c15
 )
 
 // Member is an engine that is divided.
@@ -20,6 +25,9 @@
 	// Hash identifies the engine, the same at every relay.
 	Hash uint64
 	Zone string
+	// Closed engines take no new work. They stay in their cell, which others can take from what they
+	// keep.
+	Closed bool
 }
 
 // Cell is a group of engines that one owner decides on.
@@ -30,6 +38,8 @@
 	Zone string
 	// Members are the indexes of its engines among those that were divided.
 	Members []int
+	// Open is how many of them take new work.
+	Open int
 }
 
 // Division is a service's engines in cells.
@@ -37,12 +47,14 @@
 	cells []Cell
 	// of is the cell of each engine, by the engine's hash.
 	of map[uint64]int
+	// open are the engines of each zone that take new work.
+	open map[string]int
 }
 
 // Divide divides the engines of a service. Each engine draws its cell by its hash, so that one
 // that comes or goes leaves the others where they are.
 func Divide(service string, members []Member) *Division {
-	division := &Division{of: make(map[uint64]int, len(members))}
+	division := &Division{of: make(map[uint64]int, len(members)), open: map[string]int{}}
 	perZone := map[string]int{}
 	for _, member := range members {
 		perZone[member.Zone]++
@@ -62,6 +74,10 @@
 		group := groupOf(member.Zone, perZone[member.Zone])
 		chosen := first[group] + chooseCell(division.cells[first[group]:first[group]+cellCount(groups[group])], member.Hash)
 		division.cells[chosen].Members = append(division.cells[chosen].Members, index)
+		if !member.Closed {
+			division.cells[chosen].Open++
+			division.open[member.Zone]++
+		}
 		division.of[member.Hash] = chosen
 	}
 	return division
@@ -115,37 +131,72 @@
 }
 
 // Homes returns the indexes of up to count cells in which a prompt with the key had better run,
-// the best first. Cells draw for it with the number of their engines as weight, so that the load
-// follows the engines and a change of one cell moves little. A zone, if given, goes first: it is
-// for prompts of which so little is kept that their way weighs more.
+// the best first. Cells draw for it with the number of their engines that take work as weight, so
+// that the load follows the engines and a change of one cell moves little. A zone, if given, goes
+// first: it is for prompts of which so little is kept that their way weighs more. The last home is
+// then one of another zone, so that a zone which has lost its engines passes its work on.
 func (d *Division) Homes(key uint64, zone string, count int) []int {
-	type drawn struct {
-		index  int
-		inZone bool
-		score  float64
+	draws := d.draw(key)
+	if zone != "" && d.keeps(key, zone) {
+		draws = zoneFirst(draws, zone, count)
+	}
+	homes := make([]int, 0, count)
+	for _, draw := range draws[:min(count, len(draws))] {
+		homes = append(homes, draw.index)
 	}
+	return homes
+}
+
+// drawn is a cell with what it drew for a key.
+type drawn struct {
+	index int
+	zone  string
+	score float64
+}
+
+// draw lets the cells that take work draw for a key, the best first. Where none takes any, all draw.
+func (d *Division) draw(key uint64) []drawn {
 	draws := make([]drawn, 0, len(d.cells))
 	for index, cell := range d.cells {
-		if len(cell.Members) == 0 {
-			continue
+		weight := cell.Open
+		if len(d.open) == 0 {
+			weight = len(cell.Members)
+		}
+		if weight > 0 {
+			draws = append(draws, drawn{index: index, zone: cell.Zone, score: float64(weight) / -math.Log(unit(mix(cell.ID, key)))})
 		}
-		draws = append(draws, drawn{
-			index: index, inZone: zone != "" && cell.Zone == zone,
-			score: float64(len(cell.Members)) / -math.Log(unit(mix(cell.ID, key))),
-		})
 	}
-	slices.SortFunc(draws, func(a, b drawn) int {
-		if a.inZone != b.inZone {
-			if a.inZone {
-				return -1
-			}
-			return 1
+	slices.SortFunc(draws, func(a, b drawn) int { return cmp.Compare(b.score, a.score) })
+	return draws
+}
+
+// keeps reports whether a zone keeps a prompt of its own to itself: all of them while it has about its
+// part of the engines that take work, and fewer the fewer it has.
+func (d *Division) keeps(key uint64, zone string) bool {
+	all := 0
+	for _, count := range d.open {
+		all += count
+	}
+	if all == 0 {
+		return true
+	}
+	part := float64(d.open[zone]*len(d.open)) / float64(all)
+	return unit(mix(key, keepSalt)) < part*keepSlack
+}
+
+// zoneFirst puts the cells of a zone first, but for the last of so many homes.
+func zoneFirst(draws []drawn, zone string, count int) []drawn {
+	var inside, outside []drawn
+	for _, draw := range draws {
+		if draw.zone == zone {
+			inside = append(inside, draw)
+		} else {
+			outside = append(outside, draw)
 		}
-		return cmp.Compare(b.score, a.score)
-	})
-	homes := make([]int, 0, count)
-	for _, draw := range draws[:min(count, len(draws))] {
-		homes = append(homes, draw.index)
 	}
-	return homes
+	first := len(inside)
+	if len(outside) > 0 && count > 1 {
+		first = min(first, count-1)
+	}
+	return slices.Concat(inside[:first], outside, inside[first:])
 }
--- a/internal/cell/division_test.go
+++ b/internal/cell/division_test.go
@@ -126,3 +126,38 @@
 	_, known = division.Find(Divide("other", fleet(2, 16)).Cells()[0].ID)
 	require.False(t, known)
 }
+
+// A zone that has lost most of its engines passes on the prompts of its own that it cannot bear, and
+// cells without an engine that takes work are no homes.
+func TestAZoneWithoutEnginesPassesItsWorkOn(t *testing.T) {
+	members := fleet(3, 32)
+	for index := range members {
+		members[index].Closed = members[index].Zone == "zone-1"
+	}
+	division := Divide("service", members)
+	for key := range uint64(100) {
+		homes := division.Homes(key, "zone-1", 3)
+		require.Len(t, homes, 3)
+		for _, home := range homes {
+			require.NotEqual(t, "zone-1", division.Cells()[home].Zone)
+		}
+	}
+
+	for index := range members { // a quarter of them is back
+		members[index].Closed = members[index].Zone == "zone-1" && index%4 > 0
+	}
+	division = Divide("service", members)
+	kept := 0
+	for key := range uint64(1000) {
+		if division.Cells()[division.Homes(key, "zone-1", 3)[0]].Zone == "zone-1" {
+			kept++
+		}
+	}
+	require.Greater(t, kept, 100)
+	require.Less(t, kept, 600)
+
+	for index := range members {
+		members[index].Closed = true
+	}
+	require.Len(t, Divide("service", members).Homes(1, "zone-1", 3), 3, "where none takes work, all are homes")
+}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -9,6 +9,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/planner"
 	"github.com/hazelpitch/hazelpitch/internal/safeguard"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/usage"
 )
 
@@ -55,6 +56,12 @@
 	OrderLife time.Duration
 	// Usage tells how tenants' usage is counted and told; the zero value leaves it.
 	Usage usage.Config
+	// ReadConfiguration reads the operator's document where the number of replicas is ours to order;
+	// nil leaves it. It must be pure.
+	ReadConfiguration func(content []byte) (serving.Configuration, error)
+	// SteadyShare is the part of a service's replicas that is never replaced by ones which the platform
+	// may take away.
+	SteadyShare float64
 	// DutyInterval is the least time between two calls of the platform's singleton duties, DutyLife
 	// how long after its emission one may reach the platform. A new leader calls OrderWait after it
 	// begins to lead.
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -11,6 +11,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/consensus"
 	"github.com/hazelpitch/hazelpitch/internal/controlstate"
 	"github.com/hazelpitch/hazelpitch/internal/demand"
+	"github.com/hazelpitch/hazelpitch/internal/duty"
 	"github.com/hazelpitch/hazelpitch/internal/membership"
 	"github.com/hazelpitch/hazelpitch/internal/shares"
 	"github.com/hazelpitch/hazelpitch/internal/truetime"
@@ -62,6 +63,9 @@
 	news    siteNews
 	stages  stages
 	usage   siteUsage
+	// desk keeps the leader's calls of duties.
+	desk     *duty.Desk
+	replicas siteReplicas
 	// clock is what this controller knows of the time of day.
 	clock *truetime.Clock
 }
@@ -97,6 +101,7 @@
 		relays:    map[string]relayRecord{},
 		stages:    newStages(),
 		usage:     newSiteUsage(config),
+		desk:      newDesk(config),
 		clock:     truetime.New(),
 	}, nil
 }
@@ -178,8 +183,10 @@
 		c.takeStageOrdered(received)
 	case TellUsageReceived:
 		c.takeTellUsage(received)
-	case DutyAnswered:
-		c.takeDutyAnswered(received)
+	case UsageCalled:
+		c.takeUsageCalled(received)
+	case ReplicasOrdered:
+		c.takeReplicasOrdered(received)
 	case SeedsChanged:
 		c.consensus.SetSeeds(received.Seeds)
 	case StopRequested:
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -43,6 +43,7 @@
 	c.tickListing()
 	c.tickStages()
 	c.tickUsage()
+	c.tickReplicas()
 	if due(c.now, &c.duties.claims, claimInterval) {
 		c.loseGateways()
 		c.expireClaims()
--- a/internal/control/harness_site_test.go
+++ b/internal/control/harness_site_test.go
@@ -133,10 +133,18 @@
 // carryOutSite carries out the outputs of a site's controller.
 func (w *world) carryOutSite(controller *testController, life int, output Output) {
 	switch wanted := output.(type) {
+	case OrderReplicas:
+		w.replicas.call(controller, life, wanted)
 	case ReadListing:
+		if w.replicas != nil {
+			w.deliver("list", controller, life, ListingReceived{BackEnds: w.replicas.list()})
+			return
+		}
 		w.deliver("list", controller, life, ListingReceived{BackEnds: w.site.list()})
 	case CallUsage:
-		w.usage.call(controller, life, wanted)
+		if w.usage != nil {
+			w.usage.call(controller, life, wanted)
+		}
 	case ChangeStage:
 		w.after(w.site.held+linkDelay, func() { w.deliver("engine", controller, life, w.site.arrive(wanted)) })
 	}
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -51,6 +51,8 @@
 	site *siteEngines
 	// usage is set in worlds where usage is counted.
 	usage *usagePlatform
+	// replicas is set in worlds where replicas are ordered.
+	replicas *replicaPlatform
 	// clockError is by how much controllers' clocks are wrong.
 	clockError map[string]time.Duration
 }
--- a/internal/control/harness_usage_test.go
+++ b/internal/control/harness_usage_test.go
@@ -49,7 +49,7 @@
 // call takes a call that the runtime sends, if it is in time.
 func (p *usagePlatform) call(controller *testController, life int, call CallUsage) {
 	answer := func(outcome duty.Outcome) {
-		p.world.deliver("platform", controller, life, DutyAnswered{Matter: MatterUsage, Window: call.Window, Fence: call.Fence, Outcome: outcome})
+		p.world.deliver("platform", controller, life, UsageCalled{Call: call, Outcome: outcome})
 	}
 	if controller.cut {
 		answer(duty.Lost)
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -36,6 +36,8 @@
 	c.relays = map[string]relayRecord{}
 	c.news = siteNews{}
 	c.usage = newSiteUsage(c.config)
+	c.desk = newDesk(c.config)
+	c.replicas = newSiteReplicas()
 }
 
 func (c *Core) stopLeading() {
--- /dev/null
+++ b/internal/control/replicas.go
@@ -0,0 +1,221 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/duty"
+	"github.com/hazelpitch/hazelpitch/internal/replicaplan"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// OrderReplicas orders how many replicas a group has; ReplicasOrdered follows, or the loss of it.
+type OrderReplicas struct {
+	DutyCall
+	Group   replicaplan.Group
+	Desired int
+	// Listed is how many the list showed, Work how many were busy of late.
+	Listed int
+	Work   float64
+}
+
+// ReplicasOrdered is what became of an order.
+type ReplicasOrdered struct {
+	Order   OrderReplicas
+	Outcome duty.Outcome
+}
+
+func (OrderReplicas) isOutput()  {}
+func (ReplicasOrdered) isInput() {}
+
+const (
+	// replicaInterval is the time between two looks at what is wanted.
+	replicaInterval = 250 * time.Millisecond
+	// staleListing is the age of a list from which nothing new is wished for.
+	staleListing = 1500 * time.Millisecond
+	// wishRetry is the wait before a wish that is not agreed on yet is proposed again.
+	wishRetry = time.Second
+)
+
+// siteReplicas is what the leader does for the number of replicas.
+type siteReplicas struct {
+	dueAt time.Duration
+	// number is that of the configuration that scalings were read from.
+	number   uint64
+	scalings map[string]replicaplan.Scaling
+	services map[string]*serviceReplicas
+}
+
+// serviceReplicas is the work on one service.
+type serviceReplicas struct {
+	plan       *replicaplan.Plan
+	orders     *replicaplan.Orders
+	proposed   replicaplan.Wishes
+	proposedAt time.Duration
+	// first tells that this leader made the first wishes ever: nobody has ordered before it.
+	first bool
+}
+
+func newSiteReplicas() siteReplicas {
+	return siteReplicas{services: map[string]*serviceReplicas{}}
+}
+
+// tickReplicas wishes for replicas, and orders those that are agreed on. A leader that knows too little
+// keeps what is there.
+func (c *Core) tickReplicas() {
+	if c.config.ReadConfiguration == nil {
+		return
+	}
+	if c.listing.version == 0 || c.now-c.listing.readAt > staleListing {
+		return
+	}
+	c.readScalings()
+	plans := due(c.now, &c.replicas.dueAt, replicaInterval)
+	for _, service := range sortedKeys(c.replicas.scalings) {
+		if plans {
+			c.planReplicas(service)
+		}
+		if work := c.replicas.services[service]; work != nil {
+			c.orderReplicas(work, wishesOf(c.state.Replicas(service)), c.listedGroups(service))
+		}
+	}
+}
+
+// readScalings reads what the operator allows when the configuration has changed.
+func (c *Core) readScalings() {
+	document := c.state.Document()
+	if document.GetNumber() == c.replicas.number {
+		return
+	}
+	c.replicas.number = document.GetNumber()
+	configuration, err := c.config.ReadConfiguration(document.GetContent())
+	if err != nil {
+		return // it was read when it was accepted: a later release's, which relays tell of
+	}
+	c.replicas.scalings = map[string]replicaplan.Scaling{}
+	for _, service := range configuration.Services {
+		if service.Scaling != nil && len(service.Scaling.ZonePrices) > 0 {
+			c.replicas.scalings[service.Name] = c.scalingOf(service)
+		}
+	}
+}
+
+func (c *Core) scalingOf(service serving.Service) replicaplan.Scaling {
+	return replicaplan.Scaling{
+		SteadyShare: c.config.SteadyShare,
+		Service:     service.Name, Least: service.Scaling.Least, Most: service.Scaling.Most, Boot: service.Scaling.Boot,
+		SpotPrice: service.Scaling.SpotPrice, ZonePrices: service.Scaling.ZonePrices,
+	}
+}
+
+// planReplicas wishes for what the plan wants of a service, and orders what is agreed on.
+func (c *Core) planReplicas(service string) {
+	work := c.replicas.services[service]
+	if work == nil {
+		scaling := c.replicas.scalings[service]
+		work = &serviceReplicas{plan: replicaplan.New(scaling), orders: replicaplan.NewOrders()}
+		c.replicas.services[service] = work
+	}
+	work.plan.SetScaling(c.replicas.scalings[service])
+	work.first = work.first || c.state.Replicas(service) == nil
+	if !work.first && c.now-c.leadingSince < c.config.OrderWait {
+		return // little is known yet
+	}
+	agreed := wishesOf(c.state.Replicas(service))
+	listed := c.listedGroups(service)
+	reported := c.serviceWork(service)
+	wanted := work.plan.Next(c.now, replicaplan.Seen{Listed: listed, Agreed: agreed, Work: reported.Prefill + reported.Decode})
+	if !wanted.Equal(agreed) && (!wanted.Equal(work.proposed) || c.now-work.proposedAt >= wishRetry) {
+		work.proposed, work.proposedAt = wanted, c.now
+		c.proposeQuietly(&v1.Command{Body: &v1.Command_WishReplicas{WishReplicas: wishRecord(service, wanted)}})
+	}
+}
+
+// orderReplicas makes the calls that the list does not show yet.
+func (c *Core) orderReplicas(work *serviceReplicas, agreed replicaplan.Wishes, listed map[replicaplan.Group]replicaplan.Listed) {
+	for _, order := range work.orders.Due(c.now, work.plan.Boot(), agreed, listed) {
+		matter := duty.Matter("replicas of " + order.Group.Service + " in " + order.Group.Zone)
+		if !c.desk.May(c.now, matter) || !work.first && c.now-c.leadingSince < c.config.OrderWait {
+			continue
+		}
+		work.orders.Began(c.now, order)
+		c.emit(OrderReplicas{
+			DutyCall: c.beginCall(matter), Group: order.Group, Desired: order.Desired, Listed: listed[order.Group].Ready + listed[order.Group].Changing, Work: work.plan.Work(),
+		})
+	}
+}
+
+// takeReplicasOrdered takes what became of an order. One that was declined although it asks for no
+// more than there are was overtaken; otherwise there are none to be had.
+func (c *Core) takeReplicasOrdered(received ReplicasOrdered) {
+	order, outcome := received.Order, received.Outcome
+	if !c.leading || order.Fence != c.leadingTerm {
+		return
+	}
+	if outcome == duty.Declined && order.Desired <= order.Listed {
+		outcome = duty.Overtaken
+	}
+	c.endCall(order.DutyCall, outcome)
+	if work := c.replicas.services[order.Group.Service]; work != nil {
+		work.orders.Answered(c.now, replicaplan.Order{Group: order.Group, Desired: order.Desired}, outcome)
+	}
+}
+
+// outgoingServices are those whose replicas that stay are about to be given up for cheap ones that are
+// on their way.
+func (c *Core) outgoingServices() map[string]bool {
+	outgoing := map[string]bool{}
+	for name, work := range c.replicas.services {
+		listed := c.listedGroups(name)
+		agreed := wishesOf(c.state.Replicas(name))
+		outgoing[name] = work.plan.SteadyLast(agreed.Base) == 0 && work.orders.OnTheWay(agreed, listed)
+	}
+	return outgoing
+}
+
+// listedGroups counts the listed replicas of a service.
+func (c *Core) listedGroups(service string) map[replicaplan.Group]replicaplan.Listed {
+	listed := map[replicaplan.Group]replicaplan.Listed{}
+	for _, backEnd := range c.listing.raw {
+		if backEnd.GetService() != service {
+			continue
+		}
+		group := replicaplan.Group{Service: service, Zone: backEnd.GetZone(), Spot: backEnd.GetSpot()}
+		counted := listed[group]
+		order, ordered := c.stages.orders[backEnd.GetId()]
+		switch {
+		case backEnd.GetLeaving():
+			counted.Leaving++
+		case ordered && !order.refused:
+			counted.Changing++
+		default:
+			counted.Ready++
+		}
+		listed[group] = counted
+	}
+	return listed
+}
+
+// wishesOf reads wishes from the log's record; nil is none.
+func wishesOf(record *v1.WishReplicas) replicaplan.Wishes {
+	wishes := replicaplan.Wishes{Base: int(record.GetBase()), Counts: map[replicaplan.Group]int{}}
+	for _, wish := range record.GetWishes() {
+		wishes.Counts[replicaplan.Group{Service: record.GetService(), Zone: wish.GetZone(), Spot: wish.GetSpot()}] = int(wish.GetCount())
+	}
+	return wishes
+}
+
+// wishRecord is the reverse of wishesOf.
+func wishRecord(service string, wishes replicaplan.Wishes) *v1.WishReplicas {
+	record := &v1.WishReplicas{Service: service, Base: uint32(max(wishes.Base, 0))}
+	groups := make([]replicaplan.Group, 0, len(wishes.Counts))
+	for group := range wishes.Counts {
+		groups = append(groups, group)
+	}
+	slices.SortFunc(groups, replicaplan.Group.Compare)
+	for _, group := range groups {
+		record.Wishes = append(record.Wishes, &v1.ReplicaWish{Zone: group.Zone, Spot: group.Spot, Count: uint32(max(wishes.Counts[group], 0))})
+	}
+	return record
+}
--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -59,6 +59,8 @@
 	stageRefusedPause = 2 * time.Second
 	// stageHold is the time between two changes under load.
 	stageHold = 3 * time.Second
+	// freshFor is how long after an engine was first listed it counts as one that keeps nothing yet.
+	freshFor = 2 * time.Second
 	// never is later than any time.
 	never = time.Duration(math.MaxInt64)
 	// workMemory is how long a relay's report of its work counts.
@@ -81,6 +83,9 @@
 
 // stages is the leader's view of the roles of listed engines.
 type stages struct {
+	// seenAt is when each engine was listed first, as far as this leader saw it; those of its first
+	// list have served before.
+	seenAt map[string]time.Duration
 	plans  map[string]*stageplan.Plan
 	orders map[string]stageOrder
 	work   map[string]relayWork
@@ -108,6 +113,8 @@
 		return
 	}
 	c.dropStageOrders()
+	c.noteSeen()
+	outgoing := c.outgoingServices()
 	engines := map[string][]stageplan.Engine{}
 	for _, backEnd := range c.listing.raw {
 		order, ordered := c.stages.orders[backEnd.GetId()]
@@ -115,9 +122,13 @@
 		if ordered && !order.refused {
 			role = order.role // the list shows it later
 		}
+		if !backEnd.GetSpot() && outgoing[backEnd.GetService()] {
+			continue // it leaves as soon as those are there that take its place
+		}
 		if stage, is := stageOf(role); is && !backEnd.GetLeaving() {
 			engines[backEnd.GetService()] = append(engines[backEnd.GetService()], stageplan.Engine{
 				ID: backEnd.GetId(), Group: backEnd.GetZone(), Stage: stage, Busy: ordered,
+				Fresh: c.now-c.stages.seenAt[backEnd.GetId()] < freshFor,
 			})
 		}
 	}
@@ -129,6 +140,23 @@
 	}
 }
 
+// noteSeen remembers when engines were listed first.
+func (c *Core) noteSeen() {
+	first := c.stages.seenAt == nil
+	seenAt := make(map[string]time.Duration, len(c.listing.raw))
+	for _, backEnd := range c.listing.raw {
+		at, seen := c.stages.seenAt[backEnd.GetId()]
+		switch {
+		case !seen && first:
+			at = -freshFor
+		case !seen:
+			at = c.now
+		}
+		seenAt[backEnd.GetId()] = at
+	}
+	c.stages.seenAt = seenAt
+}
+
 // groupByCell adds the engines' cells to their zones: an owner that decides on one cell needs
 // engines of both stages there.
 func groupByCell(service string, engines []stageplan.Engine) {
--- a/internal/control/usage.go
+++ b/internal/control/usage.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"time"
-
 	"github.com/gravitational/trace"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
@@ -18,31 +16,23 @@
 	Report *v1.UsageReport
 }
 
-// CallUsage tells the platform the counts of a window; DutyAnswered follows, or the loss of it.
+// CallUsage tells the platform the counts of a window; UsageCalled follows, or the loss of it.
 type CallUsage struct {
+	DutyCall
 	Window usage.Window
 	Counts usage.Counts
-	// Holder and Fence say who calls: fences of later leaders are higher.
-	Holder string
-	Fence  uint64
-	// NotAfter is the time of Step after which the call must not reach the platform any more.
-	NotAfter time.Duration
 	// Late tells that the window was due before.
 	Late bool
 }
 
-// DutyAnswered is what became of a call on a matter.
-type DutyAnswered struct {
-	Matter  duty.Matter
+// UsageCalled is what became of a call.
+type UsageCalled struct {
+	Call    CallUsage
 	Outcome duty.Outcome
-	// Window is that of a call of usage.
-	Window usage.Window
-	// Fence is that of the call.
-	Fence uint64
 }
 
 func (TellUsageReceived) isInput() {}
-func (DutyAnswered) isInput()      {}
+func (UsageCalled) isInput()       {}
 func (CallUsage) isOutput()        {}
 
 // MatterUsage is the matter of all calls of usage.
@@ -54,7 +44,6 @@
 // siteUsage is what the leader does for usage.
 type siteUsage struct {
 	teller *usage.Teller
-	desk   *duty.Desk
 	// waiting are the calls whose reports go into the next command, in order.
 	waiting []usageCall
 }
@@ -66,7 +55,7 @@
 }
 
 func newSiteUsage(config Config) siteUsage {
-	return siteUsage{teller: usage.NewTeller(config.Usage), desk: duty.NewDesk(duty.Config{Interval: config.DutyInterval})}
+	return siteUsage{teller: usage.NewTeller(config.Usage)}
 }
 
 // takeTellUsage takes a relay's report. Those of one tick go into one command.
@@ -125,33 +114,31 @@
 // callUsage tells the platform the window that is next. A new leader first lets the time of its
 // predecessor's calls pass.
 func (c *Core) callUsage(trueTimeMs int64) {
-	if c.now-c.leadingSince < c.config.OrderWait || !c.usage.desk.May(c.now, MatterUsage) {
+	if !c.mayCall(MatterUsage) {
 		return
 	}
 	closed, due := c.usage.teller.Telling(trueTimeMs, c.state.Usage())
 	if !due {
 		return
 	}
-	c.usage.desk.Began(c.now, MatterUsage)
 	c.emit(CallUsage{
-		Window: closed.Window, Counts: closed.Counts, Holder: c.config.Name, Fence: c.leadingTerm,
-		NotAfter: c.now + c.config.DutyLife, Late: c.usage.teller.Late(closed.Window, trueTimeMs),
+		DutyCall: c.beginCall(MatterUsage), Window: closed.Window, Counts: closed.Counts,
+		Late: c.usage.teller.Late(closed.Window, trueTimeMs),
 	})
 }
 
-// takeDutyAnswered takes what became of a call, which may be that of an earlier term.
-func (c *Core) takeDutyAnswered(received DutyAnswered) {
+// takeUsageCalled takes what became of a call, which may be that of an earlier term.
+func (c *Core) takeUsageCalled(received UsageCalled) {
 	if !c.leading {
 		return
 	}
-	if received.Fence == c.leadingTerm {
-		c.usage.desk.Answered(c.now, received.Matter, received.Outcome)
-	}
+	c.endCall(received.Call.DutyCall, received.Outcome)
 	if received.Outcome != duty.Taken {
 		return
 	}
-	c.usage.teller.Told(received.Window)
-	c.proposeQuietly(&v1.Command{Body: &v1.Command_SettleUsage{SettleUsage: &v1.SettleUsage{Window: int64(received.Window)}}})
+	window := received.Call.Window
+	c.usage.teller.Told(window)
+	c.proposeQuietly(&v1.Command{Body: &v1.Command_SettleUsage{SettleUsage: &v1.SettleUsage{Window: int64(window)}}})
 }
 
 // refuseUsage answers the reports that were not proposed.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -160,7 +160,9 @@
 	for range stageOrderWorkers {
 		c.start(group, func() error { c.stageOrders.run(ctx); return nil })
 	}
-	c.start(group, func() error { c.duties.run(ctx); return nil })
+	for range dutyWorkers {
+		c.start(group, func() error { c.duties.run(ctx); return nil })
+	}
 	handler := c.site.OperatorHandler(documentStore{loop: c.loop, calls: c.calls})
 	c.start(group, func() error { return serveHTTP(ctx, c.operator, handler, nil, newServerLogger(c.log)) })
 }
--- a/internal/controller/duty_calls.go
+++ b/internal/controller/duty_calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -15,8 +16,11 @@
 )
 
 const (
+	// dutyWorkers is how many calls are under way at once: one for each matter, so that one that is
+	// not answered does not hold up the others.
+	dutyWorkers = 8
 	// dutyQueue bounds the calls that wait; the Core has one under way for each matter.
-	dutyQueue = 16
+	dutyQueue = 64
 	// dutyAnswerWait is how long beyond its life a call is waited for: what has reached the platform
 	// may be answered late.
 	dutyAnswerWait = 2 * time.Second
@@ -25,20 +29,20 @@
 // dutyCaller makes the calls of the platform's singleton duties. A call whose time is over is not
 // sent: a successor may call by then.
 type dutyCaller struct {
-	tell    func(ctx context.Context, client *http.Client, report UsageReport) (duty.Outcome, error)
+	site    *Site
 	dial    dialing.Dial
 	now     func() time.Duration
-	queue   chan control.CallUsage
+	queue   chan control.Output
 	deliver func(context.Context, control.Input) error
 	log     *logring.Log
 }
 
 func newDutyCaller(site *Site, dial dialing.Dial, now func() time.Duration, deliver func(context.Context, control.Input) error, log *logring.Log) *dutyCaller {
-	return &dutyCaller{tell: site.TellUsage, dial: dial, now: now, queue: make(chan control.CallUsage, dutyQueue), deliver: deliver, log: log}
+	return &dutyCaller{site: site, dial: dial, now: now, queue: make(chan control.Output, dutyQueue), deliver: deliver, log: log}
 }
 
 // accept queues a call; it never blocks and reports false when the queue is full.
-func (d *dutyCaller) accept(call control.CallUsage) bool {
+func (d *dutyCaller) accept(call control.Output) bool {
 	select {
 	case d.queue <- call:
 		return true
@@ -54,34 +58,56 @@
 		case <-ctx.Done():
 			return
 		case call := <-d.queue:
-			d.carryOut(ctx, call)
+			_ = d.deliver(ctx, d.carryOut(ctx, call)) // fails only when the process stops
 		}
 	}
 }
 
-func (d *dutyCaller) carryOut(ctx context.Context, call control.CallUsage) {
-	outcome, err := d.send(ctx, call)
+// carryOut makes a call and returns what became of it.
+func (d *dutyCaller) carryOut(ctx context.Context, call control.Output) control.Input {
+	switch call := call.(type) {
+	case control.OrderReplicas:
+		return d.orderReplicas(ctx, call)
+	case control.CallUsage:
+		return d.tellUsage(ctx, call)
+	default:
+		d.log.Error().Type("call", call).Msg("the controller does not know this call of its core")
+		return control.Tick{}
+	}
+}
+
+func (d *dutyCaller) tellUsage(ctx context.Context, call control.CallUsage) control.Input {
+	outcome, err := d.send(ctx, call.DutyCall, func(ctx context.Context, client *http.Client) (duty.Outcome, error) {
+		return d.site.TellUsage(ctx, client, UsageReport{Window: call.Window, Counts: call.Counts, Holder: call.Holder, Fence: call.Fence})
+	})
 	requests := uint64(0)
 	for _, count := range call.Counts {
 		requests += count
 	}
 	d.log.Info().Str(events.FieldEvent, string(events.UsageTold)).Int64("window", int64(call.Window)).Int("tenants", len(call.Counts)).
 		Uint64("requests", requests).Uint64("fence", call.Fence).Stringer("outcome", outcome).Bool("late", call.Late).Err(err).Send()
-	answered := control.DutyAnswered{Matter: control.MatterUsage, Window: call.Window, Fence: call.Fence, Outcome: outcome}
-	_ = d.deliver(ctx, answered) // fails only when the process stops
+	return control.UsageCalled{Call: call, Outcome: outcome}
 }
 
-// send makes the call within its time, on a connection of its own.
-func (d *dutyCaller) send(ctx context.Context, call control.CallUsage) (duty.Outcome, error) {
+func (d *dutyCaller) orderReplicas(ctx context.Context, call control.OrderReplicas) control.Input {
+	outcome, err := d.send(ctx, call.DutyCall, func(ctx context.Context, client *http.Client) (duty.Outcome, error) {
+		return d.site.OrderReplicas(ctx, client, ReplicaOrder{Group: call.Group, Desired: call.Desired, Holder: call.Holder, Fence: call.Fence})
+	})
+	d.log.Info().Str(events.FieldEvent, string(events.ReplicasOrdered)).Str("service", call.Group.Service).Str("zone", call.Group.Zone).
+		Bool("spot", call.Group.Spot).Int("desired", call.Desired).Int("listed", call.Listed).Float64("work", math.Round(call.Work)).Uint64("fence", call.Fence).
+		Stringer("outcome", outcome).Err(err).Send()
+	return control.ReplicasOrdered{Order: call, Outcome: outcome}
+}
+
+// send makes a call within its time, on a connection of its own.
+func (d *dutyCaller) send(ctx context.Context, call control.DutyCall, make func(context.Context, *http.Client) (duty.Outcome, error)) (duty.Outcome, error) {
 	remaining := func() time.Duration { return call.NotAfter - d.now() }
 	if remaining() <= 0 {
 		return duty.Refused, trace.Wrap(dialing.ErrExpired)
 	}
 	limited, cancel := context.WithTimeout(ctx, remaining()+dutyAnswerWait)
 	defer cancel()
-	return d.tell(limited, expiringClient(d.dial, remaining), UsageReport{
-		Window: call.Window, Counts: call.Counts, Holder: call.Holder, Fence: call.Fence,
-	})
+	return make(limited, expiringClient(d.dial, remaining))
 }
 
 // expiringClient is a client for one call that must not arrive late.
--- a/internal/controller/input_names.go
+++ b/internal/controller/input_names.go
@@ -25,8 +25,10 @@
 		return "document"
 	case control.StageOrdered:
 		return "orders"
-	case control.TellUsageReceived, control.DutyAnswered:
+	case control.TellUsageReceived, control.UsageCalled:
 		return "usage"
+	case control.ReplicasOrdered:
+		return "replicas"
 	case control.ListingReceived:
 		return "listing"
 	case control.ReportReceived:
--- a/internal/controller/outputs.go
+++ b/internal/controller/outputs.go
@@ -59,7 +59,11 @@
 		}
 	case control.CallUsage:
 		if !c.duties.accept(output) {
-			c.loop.addLost(control.DutyAnswered{Matter: control.MatterUsage, Window: output.Window, Fence: output.Fence, Outcome: duty.Refused})
+			c.loop.addLost(control.UsageCalled{Call: output, Outcome: duty.Refused})
+		}
+	case control.OrderReplicas:
+		if !c.duties.accept(output) {
+			c.loop.addLost(control.ReplicasOrdered{Order: output, Outcome: duty.Refused})
 		}
 	case control.DumpLogs:
 		c.log.Info().Str("operator", output.Operator).Msg("an operator asked for the log ring")
--- a/internal/controller/site.go
+++ b/internal/controller/site.go
@@ -12,6 +12,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/duty"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
+	"github.com/hazelpitch/hazelpitch/internal/replicaplan"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/usage"
 )
@@ -46,6 +47,13 @@
 	// TellUsage tells the platform the counts of a window; nil where nobody wants them. The error
 	// tells why the outcome is not duty.Taken.
 	TellUsage func(ctx context.Context, client *http.Client, report UsageReport) (duty.Outcome, error)
+	// ReadConfiguration and OrderReplicas are set where the number of replicas is ours to order: one
+	// reads the operator's document, the other orders replicas. The error tells why the outcome is
+	// not duty.Taken.
+	ReadConfiguration func(content []byte) (serving.Configuration, error)
+	// SteadyShare: see control.Config.
+	SteadyShare   float64
+	OrderReplicas func(ctx context.Context, client *http.Client, order ReplicaOrder) (duty.Outcome, error)
 	// OperatorListen is the IP:port for operators.
 	OperatorListen string
 	// OperatorHandler answers operators from the store.
@@ -61,6 +69,15 @@
 	Fence  uint64
 }
 
+// ReplicaOrder orders how many replicas a group has.
+type ReplicaOrder struct {
+	Group   replicaplan.Group
+	Desired int
+	// Holder and Fence say who orders.
+	Holder string
+	Fence  uint64
+}
+
 // StageOrder is one order to an engine.
 type StageOrder struct {
 	Engine serving.BackEnd
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -24,6 +24,7 @@
 		Claims: s.claims.sorted(), ClaimsExpiredBeforeMs: s.claims.expiredBefore,
 		Document: s.document,
 		Usage:    s.usage.Snapshot(),
+		Replicas: sortedValues(s.replicas),
 	}
 	s.catalogue.byRevision.Ascend(func(object *v1.Object) bool {
 		record.Objects = append(record.Objects, object)
@@ -65,6 +66,9 @@
 	}
 	state.document = record.Document
 	state.usage = usage.Restore(record.Usage)
+	for _, wish := range record.Replicas {
+		state.replicas[wish.Service] = wish
+	}
 	return state, nil
 }
 
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -34,6 +34,9 @@
 	document *v1.Document
 
 	usage *usage.Ledger
+
+	// replicas are the replicas that are wanted, by service.
+	replicas map[string]*v1.WishReplicas
 }
 
 // New returns the state before the first command.
@@ -49,6 +52,7 @@
 		orders:     newRecent[*v1.OrderRecord](RememberedOrders),
 		claims:     newClaimTable(),
 		usage:      usage.NewLedger(),
+		replicas:   map[string]*v1.WishReplicas{},
 	}
 }
 
@@ -110,6 +114,9 @@
 	case *v1.Command_SettleUsage:
 		s.usage.Settle(usage.Window(body.SettleUsage.GetWindow()))
 		return Result{}
+	case *v1.Command_WishReplicas:
+		s.replicas[body.WishReplicas.GetService()] = body.WishReplicas
+		return Result{}
 	case *v1.Command_RecordRequest:
 		return s.recordRequest(at, body.RecordRequest)
 	default:
@@ -120,6 +127,9 @@
 // AppliedIndex is the log index of the last command.
 func (s *State) AppliedIndex() uint64 { return s.appliedIndex }
 
+// Replicas is what is wanted of a service's replicas; nil before anything is. It must not be changed.
+func (s *State) Replicas(service string) *v1.WishReplicas { return s.replicas[service] }
+
 // Usage is what is agreed on of the tenants' usage. It must not be changed.
 func (s *State) Usage() *usage.Ledger { return s.usage }
 
--- /dev/null
+++ b/internal/dialing/watched_test.go
@@ -0,0 +1,34 @@
+package dialing
+
+import (
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// A connection that has gone silent cannot be brought about on loopback: the options that find it are
+// looked at.
+func TestWatchedConnectionsFindASilentPeer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	connection, err := Watched()(t.Context(), "tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer connection.Close()
+	raw, err := connection.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(descriptor uintptr) {
+		for option, want := range map[int]int{
+			unix.TCP_USER_TIMEOUT: 700, unix.TCP_KEEPIDLE: 1, unix.TCP_KEEPINTVL: 1, unix.TCP_KEEPCNT: 2,
+		} {
+			got, err := unix.GetsockoptInt(int(descriptor), unix.IPPROTO_TCP, option)
+			require.NoError(t, err)
+			require.Equal(t, want, got)
+		}
+		alive, err := unix.GetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_KEEPALIVE)
+		require.NoError(t, err)
+		require.Equal(t, 1, alive)
+	}))
+}
--- a/internal/duty/outcome.go
+++ b/internal/duty/outcome.go
@@ -13,7 +13,12 @@
 	Refused
 	// Overtaken calls were refused since the platform has seen a later holder's fencing token.
 	Overtaken
+	// Declined calls were refused for a later holder's fencing token, or since there is nothing of
+	// what they ask for: the platform does not tell which.
+	Declined
 )
 
 // String names the outcome in logs and metrics.
-func (o Outcome) String() string { return [...]string{"lost", "taken", "refused", "overtaken"}[o] }
+func (o Outcome) String() string {
+	return [...]string{"lost", "taken", "refused", "overtaken", "declined"}[o]
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -43,6 +43,8 @@
 	StageOrdered Event = "stage_ordered"
 	// UsageTold: the platform was told what tenants used in a window.
 	UsageTold Event = "usage_told"
+	// ReplicasOrdered: the platform was asked for another number of replicas.
+	ReplicasOrdered Event = "replicas_ordered"
 	// DiskFailed: the data directory failed; the controller begins anew.
 	DiskFailed Event = "disk_failed"
 )
@@ -58,7 +60,7 @@
 // All lists every event.
 var All = []Event{
 	RequestEnded, AttemptFailed, RequestRefused, KeyRefused, RunMoved, ConfigurationInForce, ConfigurationUnreadable, ListingInForce,
-	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageTold, DiskFailed, SettingsReloaded, LogLinesDropped,
+	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageTold, ReplicasOrdered, DiskFailed, SettingsReloaded, LogLinesDropped,
 }
 
 // Names of fields that lines of several events have.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -134,7 +134,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return newUpstreamConnection(connection), nil
+	opened := newUpstreamConnection(connection)
+	opened.wentSilent = backEnd.pool.drop // others may have gone silent as well
+	return opened, nil
 }
 
 // exchangeOn writes the message on the connection and reads the head of its answer.
--- a/internal/relay/ownership.go
+++ b/internal/relay/ownership.go
@@ -158,7 +158,7 @@
 func (t *ownerTable) divide(service string, backEnds []*backEnd) *cells {
 	members := make([]cell.Member, len(backEnds))
 	for index, backEnd := range backEnds {
-		members[index] = cell.Member{Hash: backEnd.hash, Zone: backEnd.Zone}
+		members[index] = cell.Member{Hash: backEnd.hash, Zone: backEnd.Zone, Closed: backEnd.Leaving}
 	}
 	made := &cells{division: cell.Divide(service, members)}
 	for _, divided := range made.division.Cells() {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -56,9 +56,18 @@
 
 // close closes the idle connections; others are closed when they come back.
 func (p *pool) close() {
+	p.mutex.Lock()
+	p.closed = true
+	p.mutex.Unlock()
+	p.drop()
+}
+
+// drop closes the idle connections: what has befallen one that was open as long as they were may have
+// befallen them.
+func (p *pool) drop() {
 	p.mutex.Lock()
 	idle := p.idle
-	p.idle, p.closed = nil, true
+	p.idle = nil
 	p.mutex.Unlock()
 	for _, connection := range idle {
 		connection.close()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
@@ -84,7 +85,7 @@
 		options.ListenPacket = net.ListenPacket
 	}
 	if options.Dial == nil {
-		options.Dial = (&net.Dialer{}).DialContext
+		options.Dial = dialing.Watched()
 	}
 	relay := newRelay(config, options)
 	listener, err := options.Listen("tcp", config.Listen)
--- /dev/null
+++ b/internal/relay/silent_test.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// silentConnection goes silent when it is told to: the kernel then ends reading from it.
+type silentConnection struct {
+	net.Conn
+	silent chan struct{}
+}
+
+// Read fails as the kernel does once the peer has not confirmed anything for long.
+func (c *silentConnection) Read(buffer []byte) (int, error) {
+	select {
+	case <-c.silent:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: syscall.ETIMEDOUT}
+	default:
+		return c.Conn.Read(buffer)
+	}
+}
+
+// Connections that go silent without a reset cost one request a retry, and not each of them one.
+func TestTheOtherConnectionsAreDroppedWithASilentOne(t *testing.T) {
+	backEnd := startBackEnd(t, "one", serving.StageWhole, answering(200, "ok"))
+	relay := newTestRelay(t, route(safe), backEnd, startBackEnd(t, "two", serving.StageWhole, answering(200, "ok")))
+	relay.preferring("one")
+	silent, opened := make(chan struct{}), 0
+	relay.exchanger.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		opened++
+		if err != nil || opened > 3 {
+			return connection, err
+		}
+		return &silentConnection{Conn: connection, silent: silent}, nil
+	}
+	known := relay.view.Load().byService["service"][0]
+	if known.ID != "one" {
+		known = relay.view.Load().byService["service"][1]
+	}
+	for range 3 {
+		connection, err := relay.exchanger.open(known, time.Second)
+		require.NoError(t, err)
+		connection.served = 1
+		known.pool.give(connection, relay.clock.now())
+	}
+	close(silent)
+	require.Equal(t, 200, relay.client(t).do("GET", "/path/", "").status, "it runs elsewhere")
+	require.Empty(t, known.pool.idle)
+}
--- a/internal/relay/upstream_connection.go
+++ b/internal/relay/upstream_connection.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/wirecheck"
@@ -23,12 +25,23 @@
 	served    int
 	idleSince time.Duration
 	idleLimit time.Duration
+	// wentSilent is called when the peer has not confirmed anything for too long; nil for nothing.
+	wentSilent func()
 }
 
 func newUpstreamConnection(connection net.Conn) *upstreamConnection {
-	return &upstreamConnection{
-		Conn: connection, reader: bufio.NewReaderSize(connection, upstreamBuffer), idleLimit: defaultIdleLimit,
+	made := &upstreamConnection{Conn: connection, idleLimit: defaultIdleLimit}
+	made.reader = bufio.NewReaderSize(made, upstreamBuffer)
+	return made
+}
+
+// Read implements io.Reader.
+func (c *upstreamConnection) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if c.wentSilent != nil && errors.Is(err, syscall.ETIMEDOUT) {
+		c.wentSilent()
 	}
+	return n, err
 }
 
 func (c *upstreamConnection) close() { _ = c.Conn.Close() }
--- /dev/null
+++ b/internal/replicaplan/config.go
@@ -0,0 +1,50 @@
+package replicaplan
+
+import "time"
+
+const (
+	// goodUse is the part of their time for which replicas may be busy while requests are served in
+	// time.
+	goodUse = 0.5
+	// worstUse is the part for which they may be busy at all: so many are kept, some of them of the
+	// kind that stays, that a further loss leaves that.
+	worstUse = 0.85
+	// steadyStep is the number by which replicas that stay are added at least: a need that grows slowly
+	// asks for few orders.
+	steadyStep = 6
+	// lowerAfter is how long fewer replicas that stay must have been wanted before they are given up, and
+	// lowerSpotsAfter how long fewer cheap ones: those cost little, and what they keep is worth more.
+	lowerAfter      = time.Second
+	lowerSpotsAfter = 30 * time.Second
+	// orderSlack is added to the boot of replicas before an order counts as not carried out. Calls
+	// may be carried out seconds late.
+	orderSlack = 6 * time.Second
+	// shortagePause is the wait before replicas are asked for again where none were to be had.
+	shortagePause = 1500 * time.Millisecond
+	// listSettles is how long the list must not have changed before replicas are given up: at a start it
+	// fills by and by, and shows only then what is there.
+	listSettles = 1200 * time.Millisecond
+	// unknownShare is the part of all replicas, in percent, that must be left after a loss while the
+	// work is not known.
+	unknownShare = 66
+	// workRise and workMemory are the times over which work is smoothed as it rises and as it falls:
+	// bursts are shorter than a boot.
+	workRise   = 2 * time.Second
+	workMemory = 10 * time.Second
+)
+
+// Scaling is what the operator allows for a service.
+type Scaling struct {
+	Service string
+	// Least and Most bound the replicas of both kinds together in each zone.
+	Least, Most int
+	// Boot is how long a new replica takes until it serves.
+	Boot time.Duration
+	// SpotPrice is the price of a replica that may be taken away, as a part of that of one that
+	// stays; 0 where there are none.
+	SpotPrice float64
+	// SteadyShare is the part of the replicas that the operator began with which always stays.
+	SteadyShare float64
+	// ZonePrices are the prices of a replica by zone.
+	ZonePrices map[string]float64
+}
--- /dev/null
+++ b/internal/replicaplan/plan.go
@@ -0,0 +1,264 @@
+package replicaplan
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Seen is what a plan goes by.
+type Seen struct {
+	Listed map[Group]Listed
+	Agreed Wishes
+	// Work is how many replicas the requests keep busy; it counts once it is above 0.
+	Work float64
+}
+
+// Plan follows one service.
+type Plan struct {
+	scaling Scaling
+	// listed is how many replicas were listed last, and changedAt when that changed.
+	listed    map[Group]int
+	changedAt time.Duration
+	// work is the work of late, smoothed, as of workAt.
+	work   float64
+	workAt time.Duration
+	// surplusSince are the groups of which fewer are wanted than are agreed on, and since when.
+	surplusSince map[Group]time.Duration
+}
+
+// New returns the plan of a leader that begins.
+func New(scaling Scaling) *Plan {
+	return &Plan{scaling: scaling, surplusSince: map[Group]time.Duration{}}
+}
+
+// SetScaling takes what the operator allows now.
+func (p *Plan) SetScaling(scaling Scaling) { p.scaling = scaling }
+
+// Boot is how long a new replica takes until it serves.
+func (p *Plan) Boot() time.Duration { return p.scaling.Boot }
+
+// Work is how many replicas the requests of late kept busy.
+func (p *Plan) Work() float64 { return p.work }
+
+// Next returns the wishes of the service, which are the agreed ones most of the time. The first ones
+// are what is there.
+func (p *Plan) Next(now time.Duration, seen Seen) Wishes {
+	p.observe(now, seen)
+	if len(seen.Agreed.Counts) == 0 && (!p.hasSpots() || p.scaling.SteadyShare >= 1) {
+		return seen.Agreed // nothing is to be replaced, and what is there is the operator's choice
+	}
+	wanted := p.wanted(seen)
+	if wanted.Base == 0 {
+		return seen.Agreed // nothing is listed yet
+	}
+	for group, count := range wanted.Counts {
+		agreed := seen.Agreed.of(group, seen.Listed[group])
+		count = p.settled(now, group, count, agreed)
+		if _, named := seen.Agreed.Counts[group]; !named && !group.Spot && (count == agreed || !p.listSettled(now)) {
+			delete(wanted.Counts, group) // it is left as it is
+			continue
+		}
+		wanted.Counts[group] = count
+	}
+	return wanted
+}
+
+// listSettled reports whether the list has shown the same for a while.
+func (p *Plan) listSettled(now time.Duration) bool { return now-p.changedAt >= listSettles }
+
+// SteadyLast is how many replicas that stay are wanted beside a base of the cheap kind, once all of
+// those are there.
+func (p *Plan) SteadyLast(base int) int {
+	zones := len(p.zones())
+	if zones == 0 || !p.hasSpots() {
+		return base
+	}
+	spots := p.total(base) - p.floor(base)
+	largest := (spots + zones - 1) / zones
+	return max(p.needed(base)-(spots-largest), p.floor(base))
+}
+
+// observe remembers what was listed last, and smooths the work.
+func (p *Plan) observe(now time.Duration, seen Seen) {
+	listed := map[Group]int{}
+	for group, counted := range seen.Listed {
+		listed[group] = counted.staying()
+	}
+	if p.listed == nil || !maps.Equal(p.listed, listed) {
+		p.listed, p.changedAt = listed, now
+	}
+	memory := workMemory
+	if seen.Work > p.work {
+		memory = workRise
+	}
+	weight := 1 - math.Exp(-(now-p.workAt).Seconds()/memory.Seconds())
+	p.work += weight * (seen.Work - p.work)
+	p.workAt = now
+}
+
+// wanted is how many replicas are wanted now, before any lowering is put off.
+func (p *Plan) wanted(seen Seen) Wishes {
+	wishes := Wishes{Base: max(seen.Agreed.Base, p.steadyListed(seen)), Counts: map[Group]int{}}
+	total := p.total(wishes.Base)
+	spots := p.spots(total-p.floor(wishes.Base), seen)
+	usable, largest := 0, 0
+	for zone, count := range spots {
+		group := p.group(zone, true)
+		wishes.Counts[group] = count
+		held := min(p.usable(seen.Listed[group]), count)
+		usable += held
+		largest = max(largest, held)
+	}
+	agreed := p.steadyAgreed(seen)
+	steady := max(p.needed(wishes.Base)-(usable-largest), p.floor(wishes.Base))
+	if steady > agreed {
+		steady = min((steady/steadyStep+1)*steadyStep, total)
+	}
+	steady = max(steady, min(wishes.Base-usable, agreed))
+	for zone, count := range p.spread(steady, spots, seen) {
+		wishes.Counts[p.group(zone, false)] = count
+	}
+	return wishes
+}
+
+// usable is how many replicas of a group count as able to work. Those that change their part are away
+// for seconds, which matters only once there is work.
+func (p *Plan) usable(listed Listed) int {
+	if p.work <= 0 {
+		return listed.staying()
+	}
+	return listed.Ready
+}
+
+// steadyAgreed is how many replicas that stay are agreed on, or there where none were ordered.
+func (p *Plan) steadyAgreed(seen Seen) int {
+	sum := 0
+	for _, zone := range p.zones() {
+		group := p.group(zone, false)
+		sum += seen.Agreed.of(group, seen.Listed[group])
+	}
+	return sum
+}
+
+// steadyListed is how many replicas that stay are listed. More than were agreed on are the operator's.
+func (p *Plan) steadyListed(seen Seen) int {
+	sum := 0
+	for _, zone := range p.zones() {
+		sum += seen.Listed[p.group(zone, false)].staying()
+	}
+	return sum
+}
+
+// floor is how many replicas always stay.
+func (p *Plan) floor(base int) int {
+	if !p.hasSpots() {
+		return base
+	}
+	return min(int(math.Ceil(float64(base)*p.scaling.SteadyShare)), base)
+}
+
+// total is how many replicas are wanted in all: those that the operator began with, or more for the
+// work, and of the cheap kind as many more as can be taken at once.
+func (p *Plan) total(base int) int {
+	left := max(base, int(math.Ceil(p.work/goodUse)))
+	floor := p.floor(base)
+	if zones := len(p.zones()); p.hasSpots() && zones > 1 {
+		return floor + ((left-floor)*zones+zones-2)/(zones-1)
+	}
+	return left
+}
+
+// needed is how many replicas must be left after the largest part that can be taken at once is gone.
+func (p *Plan) needed(base int) int {
+	if p.work <= 0 {
+		return base * unknownShare / 100
+	}
+	return min(int(math.Ceil(p.work/worstUse)), p.total(base))
+}
+
+// hasSpots reports whether replicas may be had that are cheap and may be taken away.
+func (p *Plan) hasSpots() bool { return p.scaling.SpotPrice > 0 && p.scaling.SpotPrice < 1 }
+
+// spots spreads replicas of the cheap kind evenly over the zones, as far as there is room beside those
+// that stay.
+func (p *Plan) spots(total int, seen Seen) map[string]int {
+	counts := map[string]int{}
+	zones := p.zones()
+	for index, zone := range zones {
+		if !p.hasSpots() {
+			counts[zone] = 0
+			continue
+		}
+		share := total / len(zones)
+		if index < total%len(zones) {
+			share++
+		}
+		steady := p.group(zone, false)
+		room := p.scaling.Most - max(seen.Agreed.of(steady, seen.Listed[steady]), seen.Listed[steady].staying())
+		counts[zone] = max(min(share, room), min(share, seen.Agreed.Counts[p.group(zone, true)]))
+	}
+	return counts
+}
+
+// spread spreads replicas that stay over the zones. Those that are agreed on stay where they are, evenly
+// where they are too many; further ones go where they are cheapest, no more than half of
+// all into one zone while others have room. Zones without any keep the least that the operator allows.
+func (p *Plan) spread(count int, spots map[string]int, seen Seen) map[string]int {
+	zones := p.zones()
+	slices.SortStableFunc(zones, func(a, b string) int { return cmp.Compare(p.scaling.ZonePrices[a], p.scaling.ZonePrices[b]) })
+	counts := map[string]int{}
+	left := count
+	even := (count + len(zones) - 1) / max(len(zones), 1)
+	for _, limit := range []int{even, p.scaling.Most} {
+		for _, zone := range zones {
+			group := p.group(zone, false)
+			kept := max(min(seen.Agreed.of(group, seen.Listed[group]), limit, counts[zone]+left), counts[zone])
+			left -= kept - counts[zone]
+			counts[zone] = kept
+		}
+	}
+	for _, limit := range []int{(count + 1) / 2, p.scaling.Most} {
+		for _, zone := range zones {
+			added := max(min(left, limit-counts[zone], p.scaling.Most-spots[zone]-counts[zone]), 0)
+			counts[zone] += added
+			left -= added
+		}
+	}
+	for _, zone := range zones {
+		if spots[zone] == 0 {
+			counts[zone] = max(counts[zone], p.scaling.Least)
+		}
+	}
+	return counts
+}
+
+// settled puts off lowering a group until it has been wanted for a while and the list has settled.
+func (p *Plan) settled(now time.Duration, group Group, wanted, agreed int) int {
+	if wanted >= agreed {
+		delete(p.surplusSince, group)
+		return wanted
+	}
+	since, known := p.surplusSince[group]
+	if !known {
+		since = now
+		p.surplusSince[group] = now
+	}
+	patience := lowerAfter
+	if group.Spot {
+		patience = lowerSpotsAfter
+	}
+	if now-since < patience || !p.listSettled(now) {
+		return agreed
+	}
+	return wanted
+}
+
+func (p *Plan) group(zone string, spot bool) Group {
+	return Group{Service: p.scaling.Service, Zone: zone, Spot: spot}
+}
+
+// zones are those in which replicas may be, sorted.
+func (p *Plan) zones() []string { return slices.Sorted(maps.Keys(p.scaling.ZonePrices)) }
--- a/internal/servercommand/site.go
+++ b/internal/servercommand/site.go
@@ -28,6 +28,10 @@
 	Duties func(names []string) Duties
 	// TellUsage tells the platform at an address what tenants used in a window.
 	TellUsage func(ctx context.Context, client *http.Client, address string, report controller.UsageReport) (duty.Outcome, error)
+	// OrderReplicas orders replicas from the platform at an address.
+	OrderReplicas func(ctx context.Context, client *http.Client, address string, order controller.ReplicaOrder) (duty.Outcome, error)
+	// ReadConfiguration reads the operator's document.
+	ReadConfiguration func(content []byte) (serving.Configuration, error)
 	// OperatorHandler answers operators; port is the one at which every controller does.
 	OperatorHandler func(store controller.DocumentStore, port string) http.Handler
 }
@@ -36,6 +40,8 @@
 type Duties struct {
 	// Usage tells that what tenants use is counted and told.
 	Usage bool
+	// Replicas tells that the number of replicas is ours to order.
+	Replicas bool
 }
 
 // listingAt returns a reader of the list at the address.
@@ -45,6 +51,13 @@
 	}
 }
 
+// orderingReplicasAt returns what orders replicas from the platform at the address.
+func (s Site) orderingReplicasAt(address string) func(context.Context, *http.Client, controller.ReplicaOrder) (duty.Outcome, error) {
+	return func(ctx context.Context, client *http.Client, order controller.ReplicaOrder) (duty.Outcome, error) {
+		return s.OrderReplicas(ctx, client, address, order)
+	}
+}
+
 // tellingUsageAt returns what tells the platform at the address what tenants used.
 func (s Site) tellingUsageAt(address string) func(context.Context, *http.Client, controller.UsageReport) (duty.Outcome, error) {
 	return func(ctx context.Context, client *http.Client, report controller.UsageReport) (duty.Outcome, error) {
--- a/internal/servercommand/site_controller.go
+++ b/internal/servercommand/site_controller.go
@@ -62,7 +62,13 @@
 			return environment.Site.OperatorHandler(store, operatorPort)
 		},
 	}
-	if environment.Site.Duties(loaded.Duties).Usage {
+	duties := environment.Site.Duties(loaded.Duties)
+	if duties.Replicas {
+		site.SteadyShare = loaded.SteadyShare
+		site.ReadConfiguration = environment.Site.ReadConfiguration
+		site.OrderReplicas = environment.Site.orderingReplicasAt(loaded.ListingAddress)
+	}
+	if duties.Usage {
 		site.Usage = usage.Config{Window: loaded.UsageWindow, Due: loaded.UsageDue}
 		site.TellUsage = environment.Site.tellingUsageAt(loaded.ListingAddress)
 	}
--- a/internal/serving/backend.go
+++ b/internal/serving/backend.go
@@ -28,7 +28,9 @@
 	Leaving bool
 	// Changing back ends get no new work while their stage changes.
 	Changing bool
-	Cold     time.Duration
-	Stage    Stage
-	Models   []string
+	// Spot back ends are cheap, and the platform may take them away.
+	Spot   bool
+	Cold   time.Duration
+	Stage  Stage
+	Models []string
 }
--- a/internal/serving/configuration.go
+++ b/internal/serving/configuration.go
@@ -80,6 +80,21 @@
 	MaxConnections int
 	// Engine is nil where the back ends are not model engines.
 	Engine *Engine
+	// Scaling is nil where the number of back ends is not ours to order.
+	Scaling *Scaling
+}
+
+// Scaling bounds how many back ends of a service may be ordered, and tells what they cost.
+type Scaling struct {
+	// Least and Most bound the back ends in each zone.
+	Least, Most int
+	// Boot is how long a new back end takes until it serves.
+	Boot time.Duration
+	// SpotPrice is the price of a back end that the platform may take away, as a part of that of
+	// one that stays; 0 where there are none.
+	SpotPrice float64
+	// ZonePrices are the prices of a back end for a time, by zone.
+	ZonePrices map[string]float64
 }
 
 // Engine describes the model engines of a service.
--- a/internal/settings/together.go
+++ b/internal/settings/together.go
@@ -45,3 +45,9 @@
 		document.Report("peers", fmt.Sprintf("does not hold this process, %q", controller.Name), "add it, or set join: true on a machine that joins later")
 	}
 }
+
+func checkSteadyShare(document *yamlfile.Document, controller *SiteController) {
+	if controller.SteadyShare > 1 {
+		document.Report("steady_share", fmt.Sprintf("%v is more than all replicas", controller.SteadyShare), "write a part from 0 to 1")
+	}
+}
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -34,6 +34,8 @@
 	Stage Stage
 	// Busy engines take no order: they leave, or one is under way.
 	Busy bool
+	// Fresh engines have just begun to serve: they run and keep nothing that a change would cost.
+	Fresh bool
 }
 
 // Work is the engine time that a service's requests take per time: how many engines they
@@ -102,6 +104,11 @@
 		return nil
 	}
 	p.observe(work)
+	if work.Known {
+		if changes := p.placeFresh(engines); len(changes) > 0 {
+			return changes // they cost nothing, so that no time has to pass after them
+		}
+	}
 	var changes []Change
 	if !work.Known || p.work.Prefill+p.work.Decode < leastWork*float64(len(engines)) {
 		changes = p.towardsPrior(engines)
