Tell relays what has changed in the document, and large ones no faster than they can be read

Cause: with each change a relay got the whole document, which at the target size of 33,000 tenants is 632 kB compressed and takes 0.145 s of a core to read; a storm of changes would fill links and relays.

Change: the leader keeps the last four documents that it told of and tells zstd patches against the one that a relay holds; documents are told at 2 MB of content a second at most, the last one always. A patch that does not fit has the whole asked for. A document of the number held is no longer told again and again when it cannot be read. Unconfirmed bytes end a connection after 1 s, not 0.7.

--- a/internal/control/site_news.go
+++ b/internal/control/site_news.go
@@ -13,6 +13,8 @@
 	relayList []string
 	relayHash uint64
 	fresh     bool
+	// documents are those that relays are told of.
+	documents toldDocuments
 	// document is the document with the number, compressed.
 	document []byte
 	number   uint64
@@ -32,8 +34,9 @@
 
 // siteState returns what holds now.
 func (c *Core) siteState() siteState {
-	state := siteState{leads: c.leading && c.mayAnswerAsLeader(), number: c.state.Document().GetNumber(), listing: c.listing.version}
+	state := siteState{leads: c.leading && c.mayAnswerAsLeader(), listing: c.listing.version}
 	if state.leads {
+		state.number = c.news.documents.advance(c.now, c.state.Document()).GetNumber()
 		return state
 	}
 	if leader := c.consensus.Status().LeaderAddress; leader != c.config.Address {
@@ -42,6 +45,19 @@
 	return state
 }
 
+// tellDocument tells a relay the newest document that is told, whole or as what has changed.
+func (c *Core) tellDocument(request *v1.WatchRequest, response *v1.WatchResponse) {
+	document := c.news.documents.newest()
+	if document.GetNumber() <= request.GetDocumentNumber() {
+		return
+	}
+	if patch := c.news.documents.patchFrom(request.GetDocumentNumber()); patch != nil {
+		response.DocumentPatch, response.PatchedNumber = patch, document.GetNumber()
+		return
+	}
+	response.PackedDocument = c.packedDocument(document)
+}
+
 // packedDocument is the document, compressed once for its number.
 func (c *Core) packedDocument(document *v1.Document) []byte {
 	if c.news.document == nil || c.news.number != document.GetNumber() {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -85,7 +85,7 @@
 
 // hasNews reports whether a relay does not hold what is in force.
 func (c *Core) hasNews(request *v1.WatchRequest) bool {
-	return c.state.Document().GetNumber() > request.GetDocumentNumber() ||
+	return c.news.documents.newest().GetNumber() > request.GetDocumentNumber() ||
 		c.listing.version != 0 && c.listing.version != request.GetListingVersion()
 }
 
@@ -101,9 +101,7 @@
 	if behind {
 		return response
 	}
-	if document := c.state.Document(); document.GetNumber() > request.GetDocumentNumber() {
-		response.PackedDocument = c.packedDocument(document)
-	}
+	c.tellDocument(request, response)
 	response.ListingVersion = c.listing.version
 	if c.listing.version != 0 && c.listing.version != request.GetListingVersion() {
 		c.listing.history.tell(response, request.GetListingVersion())
--- a/internal/dialing/watched.go
+++ b/internal/dialing/watched.go
@@ -10,8 +10,8 @@
 
 const (
 	// unconfirmedLimit is how long sent bytes may go without the peer's confirmation before their
-	// connection counts as dead: the kernel sends them again after 0.2 and 0.6 s.
-	unconfirmedLimit = 700 * time.Millisecond
+	// connection counts as dead: the kernel has sent them again after 0.2 and 0.6 s by then.
+	unconfirmedLimit = time.Second
 	// probeInterval and probeCount are those of keep-alive probes, which find a connection that has
 	// gone silent while nothing is sent.
 	probeInterval = time.Second
--- /dev/null
+++ b/internal/relay/held_document_test.go
@@ -0,0 +1,37 @@
+package relay
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/packed"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// A patch makes the next document of the one held; one that does not fit has the whole asked for, and
+// the configuration in force stays meanwhile.
+func TestDocumentsAreMadeByPatches(t *testing.T) {
+	relay := newTestRelay(t, route(nil))
+	relay.dialect.ParseConfiguration = func(content []byte) (serving.Configuration, error) {
+		return serving.Configuration{Number: uint64(content[0]), Services: []serving.Service{{Name: "service"}}}, nil
+	}
+	watcher := relay.watcher
+	first := &v1.Document{Number: 2, Content: []byte{2, 'a'}}
+	watcher.take(&v1.WatchResponse{PackedDocument: packed.Pack(first)})
+	require.Equal(t, uint64(2), watcher.request().GetDocumentNumber())
+	patch, err := packed.Patch(first.GetContent(), []byte{3, 'b'})
+	require.NoError(t, err)
+	watcher.take(&v1.WatchResponse{DocumentPatch: patch, PatchedNumber: 3})
+	require.Equal(t, uint64(3), relay.view.Load().table.Configuration.Number)
+	require.Equal(t, uint64(3), watcher.request().GetDocumentNumber())
+
+	watcher.take(&v1.WatchResponse{DocumentPatch: []byte("garbled"), PatchedNumber: 4})
+	require.Equal(t, uint64(3), relay.view.Load().table.Configuration.Number)
+	require.Zero(t, watcher.request().GetDocumentNumber(), "the whole is asked for")
+	watcher.take(&v1.WatchResponse{PackedDocument: packed.Pack(&v1.Document{Number: 3, Content: []byte{3, 'b'}})})
+	require.Equal(t, uint64(3), watcher.request().GetDocumentNumber(), "and held, though it is in force already")
+	watcher.take(&v1.WatchResponse{PackedDocument: packed.Pack(&v1.Document{Number: 4, Content: []byte{4}})})
+	require.Equal(t, uint64(4), relay.view.Load().table.Configuration.Number)
+}
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -55,6 +55,9 @@
 	closed []*backEnd
 	// lost tells that no controller led when this was last looked at.
 	lost bool
+	// held is the document in force as the leader told it; patches are made against it. Its number is 0
+	// where the whole document is wanted.
+	held *v1.Document
 	// relayList is the hash of the list of relays that is held, 0 for none.
 	relayList uint64
 	// listing is the list of back ends as the leader told it last.
@@ -146,9 +149,7 @@
 		RelayList:      w.relayList,
 		Demands:        w.relay.work.report(w.relay.clock.now()),
 	}
-	if view.table != nil {
-		request.DocumentNumber = view.table.Configuration.Number
-	}
+	request.DocumentNumber = w.held.GetNumber()
 	return request
 }
 
@@ -199,6 +200,9 @@
 
 // document reads the document of a response; nil for none.
 func (w *watcher) document(response *v1.WatchResponse) *v1.Document {
+	if len(response.GetDocumentPatch()) > 0 {
+		return w.patched(response)
+	}
 	if len(response.GetPackedDocument()) == 0 {
 		return nil
 	}
@@ -210,6 +214,18 @@
 	return document
 }
 
+// patched makes the document in force of the one held; nil where that fails, and the whole one is
+// asked for next.
+func (w *watcher) patched(response *v1.WatchResponse) *v1.Document {
+	content, err := packed.ApplyPatch(w.held.GetContent(), response.GetDocumentPatch())
+	if err != nil {
+		w.relay.event(events.ConfigurationUnreadable).Err(err).Uint64("number", response.GetPatchedNumber()).Send()
+		w.held = nil
+		return nil
+	}
+	return &v1.Document{Number: response.GetPatchedNumber(), Content: content}
+}
+
 // takeRelays puts a list of relays in force. A new leader hears of them one by one: until it
 // knows how many there are, its list counts only where it tells more than is held.
 func (w *watcher) takeRelays(response *v1.WatchResponse) {
@@ -227,7 +243,15 @@
 
 // takeDocument puts a configuration in force if its number is above the one held.
 func (w *watcher) takeDocument(document *v1.Document, next *view) {
-	if next.table != nil && document.GetNumber() <= next.table.Configuration.Number {
+	number := uint64(0)
+	if next.table != nil {
+		number = next.table.Configuration.Number
+	}
+	if document.GetNumber() < number {
+		return
+	}
+	w.held = document
+	if document.GetNumber() == number {
 		return
 	}
 	configuration, err := w.relay.dialect.ParseConfiguration(document.GetContent())
