A switch for the stages of engines that have just begun to serve

Placing engines that come back is a suspect.

Change: the mechanism fresh-stages can be left out, as the others.

--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -48,6 +48,7 @@
 	TurnBack      Mechanism = "turn-back"
 	LeastShare    Mechanism = "least-share"
 	StageGroups   Mechanism = "stage-groups"
+	FreshStages   Mechanism = "fresh-stages"
 )
 
 // Description says what a mechanism does.
@@ -87,6 +88,7 @@
 	{TurnBack, "stageplan", "engines that changed are not turned back at once"},
 	{LeastShare, "stageplan", "each stage keeps a least share of the engines"},
 	{StageGroups, "stageplan", "engines change so that each cell keeps both stages"},
+	{FreshStages, "stageplan", "engines that have just begun to serve take the stage that their cell lacks"},
 }
 
 // Set is the set of mechanisms that are left out. The zero Set leaves none out. A Set is not
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -104,7 +104,7 @@
 		return nil
 	}
 	p.observe(work)
-	if work.Known {
+	if work.Known && p.config.Without.On(mechanism.FreshStages) {
 		if changes := p.placeFresh(engines); len(changes) > 0 {
 			return changes // they cost nothing, so that no time has to pass after them
 		}
