Change fresh engines only where their cell lacks a stage badly

Change: it happens where a cell lacks a stage by three tenths of its engines, as after a zone's return.

Test: TestASmallLackIsBorne.

Conclusion: kept for whole zones; small lacks are left to the plan under load.

--- a/internal/stageplan/fresh.go
+++ b/internal/stageplan/fresh.go
@@ -7,6 +7,10 @@
 	"slices"
 )
 
+// leastLack is the part of a group's engines by which a stage must have too few before fresh ones are
+// changed for it: each is away for seconds, which costs more than a small lack.
+const leastLack = 0.3
+
 // groupStages counts the stages of the engines of one group.
 type groupStages struct {
 	name           string
@@ -29,6 +33,9 @@
 		if lacks < 0 {
 			lacks, stage = -lacks, StageDecode
 		}
+		if float64(lacks) < leastLack*float64(group.total) {
+			continue
+		}
 		free := group.fresh[other(stage)]
 		for _, engine := range free[:min(lacks, len(free))] {
 			changes = append(changes, Change{Engine: engine, Stage: stage})
--- a/internal/stageplan/fresh_test.go
+++ b/internal/stageplan/fresh_test.go
@@ -29,6 +29,18 @@
 	require.Empty(t, plan.Next(2*time.Second, engines, work))
 }
 
+// A small lack is borne: an engine that changes is away for seconds.
+func TestASmallLackIsBorne(t *testing.T) {
+	plan := New(config())
+	engines := fleet(30, 18)
+	for index := range engines {
+		if engines[index].Group == "z1" && index < 6 {
+			engines[index].Stage, engines[index].Fresh = StageDecode, true
+		}
+	}
+	require.Empty(t, plan.placeFresh(engines))
+}
+
 func TestFreshEnginesThatAreOrderedAreLeft(t *testing.T) {
 	plan := New(config())
 	engines := fleet(12, 6)
