--- a/api/hazelpitch/v1/hazelpitchv1connect/node.connect.go
+++ b/api/hazelpitch/v1/hazelpitchv1connect/node.connect.go
@@ -43,8 +43,8 @@
 	NodeServiceFinishClaimProcedure = "/hazelpitch.v1.NodeService/FinishClaim"
 	// NodeServiceWatchProcedure is the fully-qualified name of the NodeService's Watch RPC.
 	NodeServiceWatchProcedure = "/hazelpitch.v1.NodeService/Watch"
-	// NodeServiceTellUsageProcedure is the fully-qualified name of the NodeService's TellUsage RPC.
-	NodeServiceTellUsageProcedure = "/hazelpitch.v1.NodeService/TellUsage"
+	// NodeServiceReportUsageProcedure is the fully-qualified name of the NodeService's ReportUsage RPC.
+	NodeServiceReportUsageProcedure = "/hazelpitch.v1.NodeService/ReportUsage"
 )
 
 // NodeServiceClient is a client for the hazelpitch.v1.NodeService service.
@@ -56,9 +56,9 @@
 	// Watch answers once the document or the back ends differ from what the caller
 	// holds, or after the caller's wait. Only the leader waits; others name it at once.
 	Watch(context.Context, *connect.Request[v1.WatchRequest]) (*connect.Response[v1.WatchResponse], error)
-	// TellUsage answers once the report is agreed on; only the leader takes it. Without an answer
+	// ReportUsage answers once the report is agreed on; only the leader takes it. Without an answer
 	// the same report is sent again.
-	TellUsage(context.Context, *connect.Request[v1.TellUsageRequest]) (*connect.Response[v1.TellUsageResponse], error)
+	ReportUsage(context.Context, *connect.Request[v1.ReportUsageRequest]) (*connect.Response[v1.ReportUsageResponse], error)
 }
 
 // NewNodeServiceClient constructs a client for the hazelpitch.v1.NodeService service. By default,
@@ -102,10 +102,10 @@
 			connect.WithSchema(nodeServiceMethods.ByName("Watch")),
 			connect.WithClientOptions(opts...),
 		),
-		tellUsage: connect.NewClient[v1.TellUsageRequest, v1.TellUsageResponse](
+		reportUsage: connect.NewClient[v1.ReportUsageRequest, v1.ReportUsageResponse](
 			httpClient,
-			baseURL+NodeServiceTellUsageProcedure,
-			connect.WithSchema(nodeServiceMethods.ByName("TellUsage")),
+			baseURL+NodeServiceReportUsageProcedure,
+			connect.WithSchema(nodeServiceMethods.ByName("ReportUsage")),
 			connect.WithClientOptions(opts...),
 		),
 	}
@@ -118,7 +118,7 @@
 	beginClaim  *connect.Client[v1.BeginClaimRequest, v1.BeginClaimResponse]
 	finishClaim *connect.Client[v1.FinishClaimRequest, v1.FinishClaimResponse]
 	watch       *connect.Client[v1.WatchRequest, v1.WatchResponse]
-	tellUsage   *connect.Client[v1.TellUsageRequest, v1.TellUsageResponse]
+	reportUsage *connect.Client[v1.ReportUsageRequest, v1.ReportUsageResponse]
 }
 
 // Sync calls hazelpitch.v1.NodeService.Sync.
@@ -146,9 +146,9 @@
 	return c.watch.CallUnary(ctx, req)
 }
 
-// TellUsage calls hazelpitch.v1.NodeService.TellUsage.
-func (c *nodeServiceClient) TellUsage(ctx context.Context, req *connect.Request[v1.TellUsageRequest]) (*connect.Response[v1.TellUsageResponse], error) {
-	return c.tellUsage.CallUnary(ctx, req)
+// ReportUsage calls hazelpitch.v1.NodeService.ReportUsage.
+func (c *nodeServiceClient) ReportUsage(ctx context.Context, req *connect.Request[v1.ReportUsageRequest]) (*connect.Response[v1.ReportUsageResponse], error) {
+	return c.reportUsage.CallUnary(ctx, req)
 }
 
 // NodeServiceHandler is an implementation of the hazelpitch.v1.NodeService service.
@@ -160,9 +160,9 @@
 	// Watch answers once the document or the back ends differ from what the caller
 	// holds, or after the caller's wait. Only the leader waits; others name it at once.
 	Watch(context.Context, *connect.Request[v1.WatchRequest]) (*connect.Response[v1.WatchResponse], error)
-	// TellUsage answers once the report is agreed on; only the leader takes it. Without an answer
+	// ReportUsage answers once the report is agreed on; only the leader takes it. Without an answer
 	// the same report is sent again.
-	TellUsage(context.Context, *connect.Request[v1.TellUsageRequest]) (*connect.Response[v1.TellUsageResponse], error)
+	ReportUsage(context.Context, *connect.Request[v1.ReportUsageRequest]) (*connect.Response[v1.ReportUsageResponse], error)
 }
 
 // NewNodeServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -202,10 +202,10 @@
 		connect.WithSchema(nodeServiceMethods.ByName("Watch")),
 		connect.WithHandlerOptions(opts...),
 	)
-	nodeServiceTellUsageHandler := connect.NewUnaryHandler(
-		NodeServiceTellUsageProcedure,
-		svc.TellUsage,
-		connect.WithSchema(nodeServiceMethods.ByName("TellUsage")),
+	nodeServiceReportUsageHandler := connect.NewUnaryHandler(
+		NodeServiceReportUsageProcedure,
+		svc.ReportUsage,
+		connect.WithSchema(nodeServiceMethods.ByName("ReportUsage")),
 		connect.WithHandlerOptions(opts...),
 	)
 	return "/hazelpitch.v1.NodeService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -220,8 +220,8 @@
 			nodeServiceFinishClaimHandler.ServeHTTP(w, r)
 		case NodeServiceWatchProcedure:
 			nodeServiceWatchHandler.ServeHTTP(w, r)
-		case NodeServiceTellUsageProcedure:
-			nodeServiceTellUsageHandler.ServeHTTP(w, r)
+		case NodeServiceReportUsageProcedure:
+			nodeServiceReportUsageHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -251,6 +251,6 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hazelpitch.v1.NodeService.Watch is not implemented"))
 }
 
-func (UnimplementedNodeServiceHandler) TellUsage(context.Context, *connect.Request[v1.TellUsageRequest]) (*connect.Response[v1.TellUsageResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hazelpitch.v1.NodeService.TellUsage is not implemented"))
+func (UnimplementedNodeServiceHandler) ReportUsage(context.Context, *connect.Request[v1.ReportUsageRequest]) (*connect.Response[v1.ReportUsageResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hazelpitch.v1.NodeService.ReportUsage is not implemented"))
 }
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -59,9 +59,9 @@
 	// ReadConfiguration reads the operator's document where the number of replicas is ours to order;
 	// nil leaves it. It must be pure.
 	ReadConfiguration func(content []byte) (serving.Configuration, error)
-	// SteadyShare is the part of a service's replicas that is never replaced by ones which the platform
+	// OnDemandShare is the part of a service's replicas that is never replaced by ones which the platform
 	// may take away.
-	SteadyShare float64
+	OnDemandShare float64
 	// DutyInterval is the least time between two calls of the platform's singleton duties, DutyLife
 	// how long after its emission one may reach the platform. A new leader calls OrderWait after it
 	// begins to lead.
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -63,9 +63,9 @@
 	news    siteNews
 	stages  stages
 	usage   siteUsage
-	// desk keeps the leader's calls of duties.
-	desk     *duty.Desk
-	replicas siteReplicas
+	// dutyCalls keeps the leader's calls of duties.
+	dutyCalls *duty.Schedule
+	replicas  siteReplicas
 	// clock is what this controller knows of the time of day.
 	clock *truetime.Clock
 }
@@ -101,7 +101,7 @@
 		relays:    map[string]relayRecord{},
 		stages:    newStages(),
 		usage:     newSiteUsage(config),
-		desk:      newDesk(config),
+		dutyCalls: newDutySchedule(config),
 		clock:     truetime.New(),
 	}, nil
 }
@@ -181,10 +181,10 @@
 		c.takeListing(received)
 	case StageOrdered:
 		c.takeStageOrdered(received)
-	case TellUsageReceived:
-		c.takeTellUsage(received)
-	case UsageCalled:
-		c.takeUsageCalled(received)
+	case UsageReceived:
+		c.takeUsage(received)
+	case UsageDelivered:
+		c.takeUsageDelivered(received)
 	case ReplicasOrdered:
 		c.takeReplicasOrdered(received)
 	case SeedsChanged:
--- a/internal/control/duty_call.go
+++ b/internal/control/duty_call.go
@@ -8,7 +8,7 @@
 
 // DutyCall is what all calls of the platform's singleton duties have.
 type DutyCall struct {
-	Matter duty.Matter
+	Subject duty.Subject
 	// Holder and Fence say who calls: fences of later leaders are higher.
 	Holder string
 	Fence  uint64
@@ -16,25 +16,25 @@
 	NotAfter time.Duration
 }
 
-// mayCall reports whether a call on a matter may be made now. A new leader first lets the time of its
+// mayCall reports whether a call on a subject may be made now. A new leader first lets the time of its
 // predecessor's calls pass.
-func (c *Core) mayCall(matter duty.Matter) bool {
-	return c.now-c.leadingSince >= c.config.OrderWait && c.desk.May(c.now, matter)
+func (c *Core) mayCall(subject duty.Subject) bool {
+	return c.now-c.leadingSince >= c.config.OrderWait && c.dutyCalls.May(c.now, subject)
 }
 
-// beginCall begins a call on a matter; endCall must follow.
-func (c *Core) beginCall(matter duty.Matter) DutyCall {
-	c.desk.Began(c.now, matter)
-	return DutyCall{Matter: matter, Holder: c.config.Name, Fence: c.leadingTerm, NotAfter: c.now + c.config.DutyLife}
+// beginCall begins a call on a subject; endCall must follow.
+func (c *Core) beginCall(subject duty.Subject) DutyCall {
+	c.dutyCalls.Began(c.now, subject)
+	return DutyCall{Subject: subject, Holder: c.config.Name, Fence: c.leadingTerm, NotAfter: c.now + c.config.DutyLife}
 }
 
 // endCall notes what became of a call. That of an earlier term tells nothing of this one's.
 func (c *Core) endCall(call DutyCall, outcome duty.Outcome) {
 	if call.Fence == c.leadingTerm {
-		c.desk.Answered(c.now, call.Matter, outcome)
+		c.dutyCalls.Answered(c.now, call.Subject, outcome)
 	}
 }
 
-func newDesk(config Config) *duty.Desk {
-	return duty.NewDesk(duty.Config{Interval: config.DutyInterval})
+func newDutySchedule(config Config) *duty.Schedule {
+	return duty.NewSchedule(duty.Config{Interval: config.DutyInterval})
 }
--- a/internal/control/harness_replicas_test.go
+++ b/internal/control/harness_replicas_test.go
@@ -29,7 +29,7 @@
 type arrivedReplicaOrder struct {
 	at    time.Duration
 	order OrderReplicas
-	// agreed tells that a controller had applied a wish for the group by then: it is committed.
+	// agreed tells that a controller had applied a number for the group by then: it is committed.
 	agreed bool
 }
 
@@ -45,12 +45,12 @@
 }
 
 // startReplicas adds a platform with so many replicas that stay in each zone.
-func (w *world) startReplicas(steady int) *replicaPlatform {
+func (w *world) startReplicas(onDemand int) *replicaPlatform {
 	platform := &replicaPlatform{
 		world: w, looks: true, highest: map[string]uint64{}, serving: map[replicaplan.Group]int{}, life: map[replicaplan.Group]int{},
 	}
 	for _, zone := range []string{"a", "b", "c"} {
-		platform.serving[replicaplan.Group{Service: "s", Zone: zone}] = steady
+		platform.serving[replicaplan.Group{Service: "s", Zone: zone}] = onDemand
 	}
 	w.replicas = platform
 	return platform
@@ -98,15 +98,15 @@
 	})
 }
 
-// agreed reports whether a wish for the order's group is committed.
+// agreed reports whether a number for the order's group is committed.
 func (p *replicaPlatform) agreed(order OrderReplicas) bool {
 	count := 0
 	for _, controller := range p.world.controllers {
 		if controller.core == nil {
 			continue
 		}
-		for _, wish := range controller.core.State().Replicas("s").GetWishes() {
-			if wish.GetZone() == order.Group.Zone && wish.GetSpot() == order.Group.Spot {
+		for _, agreed := range controller.core.State().Replicas("s").GetCounts() {
+			if agreed.GetZone() == order.Group.Zone && agreed.GetSpot() == order.Group.Spot {
 				count++
 				break
 			}
@@ -130,13 +130,13 @@
 }
 
 // kinds counts all replicas that serve by kind.
-func (p *replicaPlatform) kinds() (steady, spots int) {
+func (p *replicaPlatform) kinds() (onDemand, spots int) {
 	for group, count := range p.serving {
 		if group.Spot {
 			spots += count
 		} else {
-			steady += count
+			onDemand += count
 		}
 	}
-	return steady, spots
+	return onDemand, spots
 }
--- a/internal/control/harness_site_test.go
+++ b/internal/control/harness_site_test.go
@@ -141,7 +141,7 @@
 			return
 		}
 		w.deliver("list", controller, life, ListingReceived{BackEnds: w.site.list()})
-	case CallUsage:
+	case DeliverUsage:
 		if w.usage != nil {
 			w.usage.call(controller, life, wanted)
 		}
--- a/internal/control/harness_usage_test.go
+++ b/internal/control/harness_usage_test.go
@@ -29,9 +29,9 @@
 	looks bool
 	// lose decides whether the answer to a call is lost, held for how long a call is under way beside
 	// the link's delay, late for how long it is carried out after it has arrived.
-	lose func(call CallUsage) bool
+	lose func(call DeliverUsage) bool
 	held time.Duration
-	late func(call CallUsage) time.Duration
+	late func(call DeliverUsage) time.Duration
 	// refuse has it answer that it is busy.
 	refuse bool
 
@@ -43,13 +43,13 @@
 // arrivedCall is a call that reached the platform.
 type arrivedCall struct {
 	at   time.Duration
-	call CallUsage
+	call DeliverUsage
 }
 
 // call takes a call that the runtime sends, if it is in time.
-func (p *usagePlatform) call(controller *testController, life int, call CallUsage) {
+func (p *usagePlatform) call(controller *testController, life int, call DeliverUsage) {
 	answer := func(outcome duty.Outcome) {
-		p.world.deliver("platform", controller, life, UsageCalled{Call: call, Outcome: outcome})
+		p.world.deliver("platform", controller, life, UsageDelivered{Call: call, Outcome: outcome})
 	}
 	if controller.cut {
 		answer(duty.Lost)
@@ -78,7 +78,7 @@
 }
 
 // carryOut takes a call as it stands now. No window may ever be accepted with two contents.
-func (p *usagePlatform) carryOut(call CallUsage) duty.Outcome {
+func (p *usagePlatform) carryOut(call DeliverUsage) duty.Outcome {
 	if p.looks && call.Fence < p.highest {
 		return duty.Overtaken
 	}
@@ -186,7 +186,7 @@
 		return
 	}
 	relay.calledAt = w.now
-	relay.call = w.send(leader, func(id CallID) Input { return TellUsageReceived{Call: id, Report: relay.underWay} })
+	relay.call = w.send(leader, func(id CallID) Input { return UsageReceived{Call: id, Report: relay.underWay} })
 }
 
 // requireTold demands that every window from first to last was told as it was.
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -36,7 +36,7 @@
 	c.relays = map[string]relayRecord{}
 	c.news = siteNews{}
 	c.usage = newSiteUsage(c.config)
-	c.desk = newDesk(c.config)
+	c.dutyCalls = newDutySchedule(c.config)
 	c.replicas = newSiteReplicas()
 }
 
--- a/internal/control/replicas.go
+++ b/internal/control/replicas.go
@@ -32,10 +32,10 @@
 const (
 	// replicaInterval is the time between two looks at what is wanted.
 	replicaInterval = 250 * time.Millisecond
-	// staleListing is the age of a list from which nothing new is wished for.
+	// staleListing is the age of a list by which nothing is decided any more.
 	staleListing = 1500 * time.Millisecond
-	// wishRetry is the wait before a wish that is not agreed on yet is proposed again.
-	wishRetry = time.Second
+	// proposalRetry is the wait before desired numbers that are not agreed on yet are proposed again.
+	proposalRetry = time.Second
 )
 
 // siteReplicas is what the leader does for the number of replicas.
@@ -51,9 +51,9 @@
 type serviceReplicas struct {
 	plan       *replicaplan.Plan
 	orders     *replicaplan.Orders
-	proposed   replicaplan.Wishes
+	proposed   replicaplan.Desired
 	proposedAt time.Duration
-	// first tells that this leader made the first wishes ever: nobody has ordered before it.
+	// first tells that this leader was the first to propose desired numbers: nobody has ordered before it.
 	first bool
 }
 
@@ -61,10 +61,10 @@
 	return siteReplicas{services: map[string]*serviceReplicas{}}
 }
 
-// tickReplicas wishes for replicas, and orders those that are agreed on. A leader that knows too little
-// keeps what is there.
+// tickReplicas decides how many replicas are desired, and orders what is agreed on. A leader that knows
+// too little keeps what is there.
 func (c *Core) tickReplicas() {
-	if c.config.ReadConfiguration == nil {
+	if c.config.ReadConfiguration == nil || c.config.OnDemandShare >= 1 && !c.state.OrdersReplicas() {
 		return
 	}
 	if c.listing.version == 0 || c.now-c.listing.readAt > staleListing {
@@ -77,7 +77,7 @@
 			c.planReplicas(service)
 		}
 		if work := c.replicas.services[service]; work != nil {
-			c.orderReplicas(work, wishesOf(c.state.Replicas(service)), c.listedGroups(service))
+			c.orderReplicas(work, desiredOf(c.state.Replicas(service)), c.listedGroups(service))
 		}
 	}
 }
@@ -103,13 +103,13 @@
 
 func (c *Core) scalingOf(service serving.Service) replicaplan.Scaling {
 	return replicaplan.Scaling{
-		SteadyShare: c.config.SteadyShare,
-		Service:     service.Name, Least: service.Scaling.Least, Most: service.Scaling.Most, Boot: service.Scaling.Boot,
+		OnDemandShare: c.config.OnDemandShare,
+		Service:       service.Name, Least: service.Scaling.Least, Most: service.Scaling.Most, Boot: service.Scaling.Boot,
 		SpotPrice: service.Scaling.SpotPrice, ZonePrices: service.Scaling.ZonePrices,
 	}
 }
 
-// planReplicas wishes for what the plan wants of a service, and orders what is agreed on.
+// planReplicas desired for what the plan wants of a service, and orders what is agreed on.
 func (c *Core) planReplicas(service string) {
 	work := c.replicas.services[service]
 	if work == nil {
@@ -122,26 +122,26 @@
 	if !work.first && c.now-c.leadingSince < c.config.OrderWait {
 		return // little is known yet
 	}
-	agreed := wishesOf(c.state.Replicas(service))
+	agreed := desiredOf(c.state.Replicas(service))
 	listed := c.listedGroups(service)
 	reported := c.serviceWork(service)
 	wanted := work.plan.Next(c.now, replicaplan.Seen{Listed: listed, Agreed: agreed, Work: reported.Prefill + reported.Decode})
-	if !wanted.Equal(agreed) && (!wanted.Equal(work.proposed) || c.now-work.proposedAt >= wishRetry) {
+	if !wanted.Equal(agreed) && (!wanted.Equal(work.proposed) || c.now-work.proposedAt >= proposalRetry) {
 		work.proposed, work.proposedAt = wanted, c.now
-		c.proposeQuietly(&v1.Command{Body: &v1.Command_WishReplicas{WishReplicas: wishRecord(service, wanted)}})
+		c.proposeQuietly(&v1.Command{Body: &v1.Command_SetReplicas{SetReplicas: desiredRecord(service, wanted)}})
 	}
 }
 
 // orderReplicas makes the calls that the list does not show yet.
-func (c *Core) orderReplicas(work *serviceReplicas, agreed replicaplan.Wishes, listed map[replicaplan.Group]replicaplan.Listed) {
+func (c *Core) orderReplicas(work *serviceReplicas, agreed replicaplan.Desired, listed map[replicaplan.Group]replicaplan.Listed) {
 	for _, order := range work.orders.Due(c.now, work.plan.Boot(), agreed, listed) {
-		matter := duty.Matter("replicas of " + order.Group.Service + " in " + order.Group.Zone)
-		if !c.desk.May(c.now, matter) || !work.first && c.now-c.leadingSince < c.config.OrderWait {
+		subject := duty.Subject("replicas of " + order.Group.Service + " in " + order.Group.Zone)
+		if !c.dutyCalls.May(c.now, subject) || !work.first && c.now-c.leadingSince < c.config.OrderWait {
 			continue
 		}
 		work.orders.Began(c.now, order)
 		c.emit(OrderReplicas{
-			DutyCall: c.beginCall(matter), Group: order.Group, Desired: order.Desired, Listed: listed[order.Group].Ready + listed[order.Group].Changing, Work: work.plan.Work(),
+			DutyCall: c.beginCall(subject), Group: order.Group, Desired: order.Desired, Listed: listed[order.Group].Ready + listed[order.Group].Changing, Work: work.plan.Work(),
 		})
 	}
 }
@@ -168,8 +168,8 @@
 	outgoing := map[string]bool{}
 	for name, work := range c.replicas.services {
 		listed := c.listedGroups(name)
-		agreed := wishesOf(c.state.Replicas(name))
-		outgoing[name] = work.plan.SteadyLast(agreed.Base) == 0 && work.orders.OnTheWay(agreed, listed)
+		agreed := desiredOf(c.state.Replicas(name))
+		outgoing[name] = work.plan.OnDemandLast(agreed.Base) == 0 && work.orders.OnTheWay(agreed, listed)
 	}
 	return outgoing
 }
@@ -197,25 +197,25 @@
 	return listed
 }
 
-// wishesOf reads wishes from the log's record; nil is none.
-func wishesOf(record *v1.WishReplicas) replicaplan.Wishes {
-	wishes := replicaplan.Wishes{Base: int(record.GetBase()), Counts: map[replicaplan.Group]int{}}
-	for _, wish := range record.GetWishes() {
-		wishes.Counts[replicaplan.Group{Service: record.GetService(), Zone: wish.GetZone(), Spot: wish.GetSpot()}] = int(wish.GetCount())
+// desiredOf reads desired from the log's record; nil is none.
+func desiredOf(record *v1.SetReplicas) replicaplan.Desired {
+	desired := replicaplan.Desired{Base: int(record.GetBase()), Counts: map[replicaplan.Group]int{}}
+	for _, count := range record.GetCounts() {
+		desired.Counts[replicaplan.Group{Service: record.GetService(), Zone: count.GetZone(), Spot: count.GetSpot()}] = int(count.GetCount())
 	}
-	return wishes
+	return desired
 }
 
-// wishRecord is the reverse of wishesOf.
-func wishRecord(service string, wishes replicaplan.Wishes) *v1.WishReplicas {
-	record := &v1.WishReplicas{Service: service, Base: uint32(max(wishes.Base, 0))}
-	groups := make([]replicaplan.Group, 0, len(wishes.Counts))
-	for group := range wishes.Counts {
+// desiredRecord is the reverse of desiredOf.
+func desiredRecord(service string, desired replicaplan.Desired) *v1.SetReplicas {
+	record := &v1.SetReplicas{Service: service, Base: uint32(max(desired.Base, 0))}
+	groups := make([]replicaplan.Group, 0, len(desired.Counts))
+	for group := range desired.Counts {
 		groups = append(groups, group)
 	}
 	slices.SortFunc(groups, replicaplan.Group.Compare)
 	for _, group := range groups {
-		record.Wishes = append(record.Wishes, &v1.ReplicaWish{Zone: group.Zone, Spot: group.Spot, Count: uint32(max(wishes.Counts[group], 0))})
+		record.Counts = append(record.Counts, &v1.ReplicaCount{Zone: group.Zone, Spot: group.Spot, Count: uint32(max(desired.Counts[group], 0))})
 	}
 	return record
 }
--- a/internal/control/replicas_test.go
+++ b/internal/control/replicas_test.go
@@ -14,8 +14,8 @@
 	leader := w.waitLeader()
 	require.NoError(t, w.putDocument(leader, 1, "one").Err)
 	w.run(30 * time.Second)
-	steady, spots := platform.kinds()
-	require.Zero(t, steady)
+	onDemand, spots := platform.kinds()
+	require.Zero(t, onDemand)
 	require.Equal(t, 45, spots)
 	require.NotEmpty(t, platform.arrivals)
 	for _, arrival := range platform.arrivals {
@@ -66,8 +66,8 @@
 				w.run(2 * time.Second)
 			}
 			w.run(time.Minute)
-			steady, spots := platform.kinds()
-			require.Zero(t, steady)
+			onDemand, spots := platform.kinds()
+			require.Zero(t, onDemand)
 			require.Equal(t, 45, spots)
 			for index, next := range platform.arrivals[1:] {
 				previous := platform.arrivals[index]
--- a/internal/control/usage.go
+++ b/internal/control/usage.go
@@ -9,15 +9,15 @@
 	"github.com/hazelpitch/hazelpitch/internal/usage"
 )
 
-// TellUsageReceived is a relay's report of what tenants used. The answer is a TellUsageResponse once
+// UsageReceived is a relay's report of what tenants used. The answer is a ReportUsageResponse once
 // the report is agreed on.
-type TellUsageReceived struct {
+type UsageReceived struct {
 	Call   CallID
 	Report *v1.UsageReport
 }
 
-// CallUsage tells the platform the counts of a window; UsageCalled follows, or the loss of it.
-type CallUsage struct {
+// DeliverUsage tells the platform the counts of a window; UsageDelivered follows, or the loss of it.
+type DeliverUsage struct {
 	DutyCall
 	Window usage.Window
 	Counts usage.Counts
@@ -25,25 +25,25 @@
 	Late bool
 }
 
-// UsageCalled is what became of a call.
-type UsageCalled struct {
-	Call    CallUsage
+// UsageDelivered is what became of a call.
+type UsageDelivered struct {
+	Call    DeliverUsage
 	Outcome duty.Outcome
 }
 
-func (TellUsageReceived) isInput() {}
-func (UsageCalled) isInput()       {}
-func (CallUsage) isOutput()        {}
+func (UsageReceived) isInput()  {}
+func (UsageDelivered) isInput() {}
+func (DeliverUsage) isOutput()  {}
 
-// MatterUsage is the matter of all calls of usage.
-const MatterUsage duty.Matter = "usage"
+// SubjectUsage is the subject of all calls of usage.
+const SubjectUsage duty.Subject = "usage"
 
 // errUsageNotCounted answers a report that cannot be taken yet, or is not wanted here.
 var errUsageNotCounted = trace.ConnectionProblem(nil, "usage is not counted here yet; send the report again")
 
 // siteUsage is what the leader does for usage.
 type siteUsage struct {
-	teller *usage.Teller
+	reporter *usage.Reporter
 	// waiting are the calls whose reports go into the next command, in order.
 	waiting []usageCall
 }
@@ -55,11 +55,11 @@
 }
 
 func newSiteUsage(config Config) siteUsage {
-	return siteUsage{teller: usage.NewTeller(config.Usage)}
+	return siteUsage{reporter: usage.NewReporter(config.Usage)}
 }
 
-// takeTellUsage takes a relay's report. Those of one tick go into one command.
-func (c *Core) takeTellUsage(received TellUsageReceived) {
+// takeUsage takes a relay's report. Those of one tick go into one command.
+func (c *Core) takeUsage(received UsageReceived) {
 	if !c.demandLeader(received.Call) {
 		return
 	}
@@ -68,7 +68,7 @@
 		return
 	}
 	if c.state.Usage().Taken(received.Report) {
-		c.answer(Answer{Call: received.Call, Response: &v1.TellUsageResponse{}})
+		c.answer(Answer{Call: received.Call, Response: &v1.ReportUsageResponse{}})
 		return
 	}
 	c.usage.waiting = append(c.usage.waiting, usageCall{id: received.Call, report: received.Report})
@@ -84,10 +84,10 @@
 	if !agreed {
 		return
 	}
-	if through, due := c.usage.teller.Closing(c.now, now, c.state.Usage()); due {
+	if through, due := c.usage.reporter.Closing(c.now, now, c.state.Usage()); due {
 		c.proposeQuietly(&v1.Command{Body: &v1.Command_CloseUsage{CloseUsage: &v1.CloseUsage{Through: int64(through)}}})
 	}
-	c.callUsage(now)
+	c.deliverUsage(now)
 }
 
 // recordUsage proposes the reports that wait as one command.
@@ -106,29 +106,29 @@
 	command := &v1.Command{Body: &v1.Command_RecordUsage{RecordUsage: record}}
 	c.proposeForCalls(command, calls, func(core *Core, _ controlstate.Result) {
 		for _, call := range calls {
-			core.answer(Answer{Call: call, Response: &v1.TellUsageResponse{}})
+			core.answer(Answer{Call: call, Response: &v1.ReportUsageResponse{}})
 		}
 	})
 }
 
-// callUsage tells the platform the window that is next. A new leader first lets the time of its
+// deliverUsage tells the platform the window that is next. A new leader first lets the time of its
 // predecessor's calls pass.
-func (c *Core) callUsage(trueTimeMs int64) {
-	if !c.mayCall(MatterUsage) {
+func (c *Core) deliverUsage(trueTimeMs int64) {
+	if !c.mayCall(SubjectUsage) {
 		return
 	}
-	closed, due := c.usage.teller.Telling(trueTimeMs, c.state.Usage())
+	closed, due := c.usage.reporter.Next(trueTimeMs, c.state.Usage())
 	if !due {
 		return
 	}
-	c.emit(CallUsage{
-		DutyCall: c.beginCall(MatterUsage), Window: closed.Window, Counts: closed.Counts,
-		Late: c.usage.teller.Late(closed.Window, trueTimeMs),
+	c.emit(DeliverUsage{
+		DutyCall: c.beginCall(SubjectUsage), Window: closed.Window, Counts: closed.Counts,
+		Late: c.usage.reporter.Late(closed.Window, trueTimeMs),
 	})
 }
 
-// takeUsageCalled takes what became of a call, which may be that of an earlier term.
-func (c *Core) takeUsageCalled(received UsageCalled) {
+// takeUsageDelivered takes what became of a call, which may be that of an earlier term.
+func (c *Core) takeUsageDelivered(received UsageDelivered) {
 	if !c.leading {
 		return
 	}
@@ -137,7 +137,7 @@
 		return
 	}
 	window := received.Call.Window
-	c.usage.teller.Told(window)
+	c.usage.reporter.Delivered(window)
 	c.proposeQuietly(&v1.Command{Body: &v1.Command_SettleUsage{SettleUsage: &v1.SettleUsage{Window: int64(window)}}})
 }
 
--- a/internal/control/usage_test.go
+++ b/internal/control/usage_test.go
@@ -29,14 +29,14 @@
 // with one content.
 var faultsOfUsage = map[string]func(w *world, platform *usagePlatform){
 	"the answer to every call is lost at first": func(w *world, platform *usagePlatform) {
-		platform.lose = func(CallUsage) bool { return w.random.IntN(3) > 0 }
+		platform.lose = func(DeliverUsage) bool { return w.random.IntN(3) > 0 }
 	},
 	"the platform is busy for a while": func(w *world, platform *usagePlatform) {
 		platform.refuse = true
 		w.after(5*time.Second, func() { platform.refuse = false })
 	},
 	"calls are carried out seconds late": func(w *world, platform *usagePlatform) {
-		platform.late = func(CallUsage) time.Duration {
+		platform.late = func(DeliverUsage) time.Duration {
 			if w.random.IntN(2) == 0 {
 				return 0
 			}
@@ -50,7 +50,7 @@
 	},
 	"the leader dies after the call before its answer": func(w *world, platform *usagePlatform) {
 		leader, before := w.leader(), len(platform.arrivals)
-		platform.lose = func(CallUsage) bool { return true }
+		platform.lose = func(DeliverUsage) bool { return true }
 		w.until("a call", func() bool { return len(platform.arrivals) > before })
 		platform.lose = nil
 		w.restart(leader)
--- a/internal/controller/core_config.go
+++ b/internal/controller/core_config.go
@@ -36,7 +36,7 @@
 		built.ListingInterval = site.ListingInterval
 		built.Without = site.Without
 		built.Usage, built.DutyInterval, built.DutyLife = site.Usage, site.DutyInterval, site.DutyLife
-		built.ReadConfiguration, built.SteadyShare = site.ReadConfiguration, site.SteadyShare
+		built.ReadConfiguration, built.OnDemandShare = site.ReadConfiguration, site.OnDemandShare
 		built.PriorPrefillShare, built.OrderWait, built.OrderLife = site.PriorPrefillShare, site.OrderWait, site.OrderLife
 	}
 	return built
--- a/internal/controller/duty_calls.go
+++ b/internal/controller/duty_calls.go
@@ -16,10 +16,10 @@
 )
 
 const (
-	// dutyWorkers is how many calls are under way at once: one for each matter, so that one that is
+	// dutyWorkers is how many calls are under way at once: one for each subject, so that one that is
 	// not answered does not hold up the others.
 	dutyWorkers = 8
-	// dutyQueue bounds the calls that wait; the Core has one under way for each matter.
+	// dutyQueue bounds the calls that wait; the Core has one under way for each subject.
 	dutyQueue = 64
 	// dutyAnswerWait is how long beyond its life a call is waited for: what has reached the platform
 	// may be answered late.
@@ -68,25 +68,25 @@
 	switch call := call.(type) {
 	case control.OrderReplicas:
 		return d.orderReplicas(ctx, call)
-	case control.CallUsage:
-		return d.tellUsage(ctx, call)
+	case control.DeliverUsage:
+		return d.reportUsage(ctx, call)
 	default:
 		d.log.Error().Type("call", call).Msg("the controller does not know this call of its core")
 		return control.Tick{}
 	}
 }
 
-func (d *dutyCaller) tellUsage(ctx context.Context, call control.CallUsage) control.Input {
+func (d *dutyCaller) reportUsage(ctx context.Context, call control.DeliverUsage) control.Input {
 	outcome, err := d.send(ctx, call.DutyCall, func(ctx context.Context, client *http.Client) (duty.Outcome, error) {
-		return d.site.TellUsage(ctx, client, UsageReport{Window: call.Window, Counts: call.Counts, Holder: call.Holder, Fence: call.Fence})
+		return d.site.ReportUsage(ctx, client, UsageReport{Window: call.Window, Counts: call.Counts, Holder: call.Holder, Fence: call.Fence})
 	})
 	requests := uint64(0)
 	for _, count := range call.Counts {
 		requests += count
 	}
-	d.log.Info().Str(events.FieldEvent, string(events.UsageTold)).Int64("window", int64(call.Window)).Int("tenants", len(call.Counts)).
+	d.log.Info().Str(events.FieldEvent, string(events.UsageDelivered)).Int64("window", int64(call.Window)).Int("tenants", len(call.Counts)).
 		Uint64("requests", requests).Uint64("fence", call.Fence).Stringer("outcome", outcome).Bool("late", call.Late).Err(err).Send()
-	return control.UsageCalled{Call: call, Outcome: outcome}
+	return control.UsageDelivered{Call: call, Outcome: outcome}
 }
 
 func (d *dutyCaller) orderReplicas(ctx context.Context, call control.OrderReplicas) control.Input {
--- a/internal/controller/input_names.go
+++ b/internal/controller/input_names.go
@@ -25,7 +25,7 @@
 		return "document"
 	case control.StageOrdered:
 		return "orders"
-	case control.TellUsageReceived, control.UsageCalled:
+	case control.UsageReceived, control.UsageDelivered:
 		return "usage"
 	case control.ReplicasOrdered:
 		return "replicas"
--- a/internal/controller/node_service.go
+++ b/internal/controller/node_service.go
@@ -39,14 +39,14 @@
 		forwardToNode(hazelpitchv1connect.NodeServiceClient.Watch))
 }
 
-// TellUsage takes a relay's report of what tenants used; it is passed on, since a leader that has
+// ReportUsage takes a relay's report of what tenants used; it is passed on, since a leader that has
 // just changed must not cost a report.
-func (n nodeService) TellUsage(ctx context.Context, request *connect.Request[v1.TellUsageRequest]) (*connect.Response[v1.TellUsageResponse], error) {
+func (n nodeService) ReportUsage(ctx context.Context, request *connect.Request[v1.ReportUsageRequest]) (*connect.Response[v1.ReportUsageResponse], error) {
 	return serve(ctx, n.service, request,
 		func(call control.CallID) control.Input {
-			return control.TellUsageReceived{Call: call, Report: request.Msg.GetReport()}
+			return control.UsageReceived{Call: call, Report: request.Msg.GetReport()}
 		},
-		forwardToNode(hazelpitchv1connect.NodeServiceClient.TellUsage))
+		forwardToNode(hazelpitchv1connect.NodeServiceClient.ReportUsage))
 }
 
 // BeginClaim asks for the right to run a request that may run at most once.
--- a/internal/controller/outputs.go
+++ b/internal/controller/outputs.go
@@ -57,9 +57,9 @@
 		if !c.stageOrders.accept(output) {
 			c.loop.addLost(control.StageOrdered{ID: output.BackEnd.GetId(), Outcome: control.StageRefused})
 		}
-	case control.CallUsage:
+	case control.DeliverUsage:
 		if !c.duties.accept(output) {
-			c.loop.addLost(control.UsageCalled{Call: output, Outcome: duty.Refused})
+			c.loop.addLost(control.UsageDelivered{Call: output, Outcome: duty.Refused})
 		}
 	case control.OrderReplicas:
 		if !c.duties.accept(output) {
--- a/internal/controller/site.go
+++ b/internal/controller/site.go
@@ -44,15 +44,15 @@
 	Usage        usage.Config
 	DutyInterval time.Duration
 	DutyLife     time.Duration
-	// TellUsage tells the platform the counts of a window; nil where nobody wants them. The error
+	// ReportUsage tells the platform the counts of a window; nil where nobody wants them. The error
 	// tells why the outcome is not duty.Taken.
-	TellUsage func(ctx context.Context, client *http.Client, report UsageReport) (duty.Outcome, error)
+	ReportUsage func(ctx context.Context, client *http.Client, report UsageReport) (duty.Outcome, error)
 	// ReadConfiguration and OrderReplicas are set where the number of replicas is ours to order: one
 	// reads the operator's document, the other orders replicas. The error tells why the outcome is
 	// not duty.Taken.
 	ReadConfiguration func(content []byte) (serving.Configuration, error)
-	// SteadyShare: see control.Config.
-	SteadyShare   float64
+	// OnDemandShare: see control.Config.
+	OnDemandShare float64
 	OrderReplicas func(ctx context.Context, client *http.Client, order ReplicaOrder) (duty.Outcome, error)
 	// OperatorListen is the IP:port for operators.
 	OperatorListen string
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -66,8 +66,8 @@
 	}
 	state.document = record.Document
 	state.usage = usage.Restore(record.Usage)
-	for _, wish := range record.Replicas {
-		state.replicas[wish.Service] = wish
+	for _, numbers := range record.Replicas {
+		state.replicas[numbers.Service] = numbers
 	}
 	return state, nil
 }
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -36,7 +36,7 @@
 	usage *usage.Ledger
 
 	// replicas are the replicas that are wanted, by service.
-	replicas map[string]*v1.WishReplicas
+	replicas map[string]*v1.SetReplicas
 }
 
 // New returns the state before the first command.
@@ -52,7 +52,7 @@
 		orders:     newRecent[*v1.OrderRecord](RememberedOrders),
 		claims:     newClaimTable(),
 		usage:      usage.NewLedger(),
-		replicas:   map[string]*v1.WishReplicas{},
+		replicas:   map[string]*v1.SetReplicas{},
 	}
 }
 
@@ -114,8 +114,8 @@
 	case *v1.Command_SettleUsage:
 		s.usage.Settle(usage.Window(body.SettleUsage.GetWindow()))
 		return Result{}
-	case *v1.Command_WishReplicas:
-		s.replicas[body.WishReplicas.GetService()] = body.WishReplicas
+	case *v1.Command_SetReplicas:
+		s.replicas[body.SetReplicas.GetService()] = body.SetReplicas
 		return Result{}
 	case *v1.Command_RecordRequest:
 		return s.recordRequest(at, body.RecordRequest)
@@ -127,8 +127,11 @@
 // AppliedIndex is the log index of the last command.
 func (s *State) AppliedIndex() uint64 { return s.appliedIndex }
 
+// OrdersReplicas reports whether numbers of replicas were ever agreed on.
+func (s *State) OrdersReplicas() bool { return len(s.replicas) > 0 }
+
 // Replicas is what is wanted of a service's replicas; nil before anything is. It must not be changed.
-func (s *State) Replicas(service string) *v1.WishReplicas { return s.replicas[service] }
+func (s *State) Replicas(service string) *v1.SetReplicas { return s.replicas[service] }
 
 // Usage is what is agreed on of the tenants' usage. It must not be changed.
 func (s *State) Usage() *usage.Ledger { return s.usage }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -41,8 +41,8 @@
 const (
 	// StageOrdered: an engine was ordered into a stage.
 	StageOrdered Event = "stage_ordered"
-	// UsageTold: the platform was told what tenants used in a window.
-	UsageTold Event = "usage_told"
+	// UsageDelivered: the platform was told what tenants used in a window.
+	UsageDelivered Event = "usage_delivered"
 	// ReplicasOrdered: the platform was asked for another number of replicas.
 	ReplicasOrdered Event = "replicas_ordered"
 	// DiskFailed: the data directory failed; the controller begins anew.
@@ -60,7 +60,7 @@
 // All lists every event.
 var All = []Event{
 	RequestEnded, AttemptFailed, RequestRefused, KeyRefused, RunMoved, ConfigurationInForce, ConfigurationUnreadable, ListingInForce,
-	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageTold, ReplicasOrdered, DiskFailed, SettingsReloaded, LogLinesDropped,
+	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageDelivered, ReplicasOrdered, DiskFailed, SettingsReloaded, LogLinesDropped,
 }
 
 // Names of fields that lines of several events have.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -171,7 +171,7 @@
 		group.Go(func() error { return trace.Wrap(server.Serve(working, r.admin)) })
 	}
 	group.Go(func() error { r.watcher.run(working); return nil })
-	group.Go(func() error { r.usageTeller().Run(working); return nil })
+	group.Go(func() error { r.usageReporter().Run(working); return nil })
 	group.Go(func() error { r.notices.send(working); return nil })
 	group.Go(func() error { r.datagrams.receive(r.takeDatagram); return nil })
 	group.Go(func() error { return r.accept(working, listener) })
--- a/internal/relay/usage.go
+++ b/internal/relay/usage.go
@@ -27,10 +27,10 @@
 	r.usage.Began(moment, request.tenant.Name)
 }
 
-// usageTeller tells the leader what tenants use.
-func (r *Relay) usageTeller() *usagereport.Teller {
-	return &usagereport.Teller{
-		Meter: r.usage, Tell: r.watcher.tellUsage, Failed: r.metrics.usageRetold.Inc,
+// usageReporter tells the leader what tenants use.
+func (r *Relay) usageReporter() *usagereport.Reporter {
+	return &usagereport.Reporter{
+		Meter: r.usage, Send: r.watcher.reportUsage, Failed: r.metrics.usageRetold.Inc,
 		Relays: func() int { return int(r.relayCount.Load()) },
 	}
 }
@@ -42,10 +42,10 @@
 	}
 }
 
-// tellUsage sends a report to the controller that led last, as far as is known here. One that does not
+// reportUsage sends a report to the controller that led last, as far as is known here. One that does not
 // lead passes it on.
-func (w *watcher) tellUsage(ctx context.Context, report *v1.UsageReport) error {
+func (w *watcher) reportUsage(ctx context.Context, report *v1.UsageReport) error {
 	client := hazelpitchv1connect.NewNodeServiceClient(w.http, "http://"+*w.leader.Load())
-	_, err := client.TellUsage(ctx, connect.NewRequest(&v1.TellUsageRequest{Report: report}))
+	_, err := client.ReportUsage(ctx, connect.NewRequest(&v1.ReportUsageRequest{Report: report}))
 	return err
 }
--- a/internal/replicaplan/config.go
+++ b/internal/replicaplan/config.go
@@ -6,14 +6,14 @@
 	// goodUse is the part of their time for which replicas may be busy while requests are served in
 	// time.
 	goodUse = 0.5
-	// worstUse is the part for which they may be busy at all: so many are kept, some of them of the
-	// kind that stays, that a further loss leaves that.
+	// worstUse is the part for which they may be busy at all: so many are kept, some of them on
+	// demand, that a further loss leaves that.
 	worstUse = 0.85
-	// steadyStep is the number by which replicas that stay are added at least: a need that grows slowly
+	// onDemandStep is the number by which replicas on demand are added at least: a need that grows slowly
 	// asks for few orders.
-	steadyStep = 6
-	// lowerAfter is how long fewer replicas that stay must have been wanted before they are given up, and
-	// lowerSpotsAfter how long fewer cheap ones: those cost little, and what they keep is worth more.
+	onDemandStep = 6
+	// lowerAfter is how long fewer replicas on demand must have been wanted before they are given up, and
+	// lowerSpotsAfter how long fewer spot ones: those cost little, and what they keep is worth more.
 	lowerAfter      = time.Second
 	lowerSpotsAfter = 30 * time.Second
 	// orderSlack is added to the boot of replicas before an order counts as not carried out. Calls
@@ -43,8 +43,8 @@
 	// SpotPrice is the price of a replica that may be taken away, as a part of that of one that
 	// stays; 0 where there are none.
 	SpotPrice float64
-	// SteadyShare is the part of the replicas that the operator began with which always stays.
-	SteadyShare float64
+	// OnDemandShare is the part of the replicas that the operator began with which always stays.
+	OnDemandShare float64
 	// ZonePrices are the prices of a replica by zone.
 	ZonePrices map[string]float64
 }
--- a/internal/replicaplan/orders.go
+++ b/internal/replicaplan/orders.go
@@ -33,7 +33,7 @@
 func NewOrders() *Orders { return &Orders{made: map[Group]madeOrder{}} }
 
 // Due returns the orders that are to be made now, those for more replicas first.
-func (o *Orders) Due(now, boot time.Duration, agreed Wishes, listed map[Group]Listed) []Order {
+func (o *Orders) Due(now, boot time.Duration, agreed Desired, listed map[Group]Listed) []Order {
 	var due []Order
 	for _, group := range slices.SortedFunc(maps.Keys(agreed.Counts), Group.Compare) {
 		desired := agreed.Counts[group]
@@ -76,9 +76,9 @@
 	o.made[order.Group] = made
 }
 
-// OnTheWay reports whether replicas of the cheap kind are wanted, and in each zone they are there or
+// OnTheWay reports whether spot replicas are wanted, and in each zone they are there or
 // were ordered and not declined.
-func (o *Orders) OnTheWay(agreed Wishes, listed map[Group]Listed) bool {
+func (o *Orders) OnTheWay(agreed Desired, listed map[Group]Listed) bool {
 	wanted := 0
 	for group, count := range agreed.Counts {
 		if !group.Spot {
--- a/internal/replicaplan/plan.go
+++ b/internal/replicaplan/plan.go
@@ -11,7 +11,7 @@
 // Seen is what a plan goes by.
 type Seen struct {
 	Listed map[Group]Listed
-	Agreed Wishes
+	Agreed Desired
 	// Work is how many replicas the requests keep busy; it counts once it is above 0.
 	Work float64
 }
@@ -43,11 +43,11 @@
 // Work is how many replicas the requests of late kept busy.
 func (p *Plan) Work() float64 { return p.work }
 
-// Next returns the wishes of the service, which are the agreed ones most of the time. The first ones
-// are what is there.
-func (p *Plan) Next(now time.Duration, seen Seen) Wishes {
+// Next returns the numbers desired, which are the agreed ones most of the time. Groups that need no
+// change are not named.
+func (p *Plan) Next(now time.Duration, seen Seen) Desired {
 	p.observe(now, seen)
-	if len(seen.Agreed.Counts) == 0 && (!p.hasSpots() || p.scaling.SteadyShare >= 1) {
+	if len(seen.Agreed.Counts) == 0 && (!p.hasSpots() || p.scaling.OnDemandShare >= 1) {
 		return seen.Agreed // nothing is to be replaced, and what is there is the operator's choice
 	}
 	wanted := p.wanted(seen)
@@ -69,9 +69,9 @@
 // listSettled reports whether the list has shown the same for a while.
 func (p *Plan) listSettled(now time.Duration) bool { return now-p.changedAt >= listSettles }
 
-// SteadyLast is how many replicas that stay are wanted beside a base of the cheap kind, once all of
+// OnDemandLast is how many replicas on demand are wanted beside spot replicas, once all of
 // those are there.
-func (p *Plan) SteadyLast(base int) int {
+func (p *Plan) OnDemandLast(base int) int {
 	zones := len(p.zones())
 	if zones == 0 || !p.hasSpots() {
 		return base
@@ -100,28 +100,28 @@
 }
 
 // wanted is how many replicas are wanted now, before any lowering is put off.
-func (p *Plan) wanted(seen Seen) Wishes {
-	wishes := Wishes{Base: max(seen.Agreed.Base, p.steadyListed(seen)), Counts: map[Group]int{}}
-	total := p.total(wishes.Base)
-	spots := p.spots(total-p.floor(wishes.Base), seen)
+func (p *Plan) wanted(seen Seen) Desired {
+	desired := Desired{Base: max(seen.Agreed.Base, p.onDemandListed(seen)), Counts: map[Group]int{}}
+	total := p.total(desired.Base)
+	spots := p.spots(total-p.floor(desired.Base), seen)
 	usable, largest := 0, 0
 	for zone, count := range spots {
 		group := p.group(zone, true)
-		wishes.Counts[group] = count
+		desired.Counts[group] = count
 		held := min(p.usable(seen.Listed[group]), count)
 		usable += held
 		largest = max(largest, held)
 	}
-	agreed := p.steadyAgreed(seen)
-	steady := max(p.needed(wishes.Base)-(usable-largest), p.floor(wishes.Base))
-	if steady > agreed {
-		steady = min((steady/steadyStep+1)*steadyStep, total)
+	agreed := p.onDemandAgreed(seen)
+	onDemand := max(p.needed(desired.Base)-(usable-largest), p.floor(desired.Base))
+	if onDemand > agreed {
+		onDemand = min((onDemand/onDemandStep+1)*onDemandStep, total)
 	}
-	steady = max(steady, min(wishes.Base-usable, agreed))
-	for zone, count := range p.spread(steady, spots, seen) {
-		wishes.Counts[p.group(zone, false)] = count
+	onDemand = max(onDemand, min(desired.Base-usable, agreed))
+	for zone, count := range p.spread(onDemand, spots, seen) {
+		desired.Counts[p.group(zone, false)] = count
 	}
-	return wishes
+	return desired
 }
 
 // usable is how many replicas of a group count as able to work. Those that change their part are away
@@ -133,8 +133,8 @@
 	return listed.Ready
 }
 
-// steadyAgreed is how many replicas that stay are agreed on, or there where none were ordered.
-func (p *Plan) steadyAgreed(seen Seen) int {
+// onDemandAgreed is how many replicas on demand are agreed on, or there where none were ordered.
+func (p *Plan) onDemandAgreed(seen Seen) int {
 	sum := 0
 	for _, zone := range p.zones() {
 		group := p.group(zone, false)
@@ -143,8 +143,8 @@
 	return sum
 }
 
-// steadyListed is how many replicas that stay are listed. More than were agreed on are the operator's.
-func (p *Plan) steadyListed(seen Seen) int {
+// onDemandListed is how many replicas on demand are listed. More than were agreed on are the operator's.
+func (p *Plan) onDemandListed(seen Seen) int {
 	sum := 0
 	for _, zone := range p.zones() {
 		sum += seen.Listed[p.group(zone, false)].staying()
@@ -152,16 +152,16 @@
 	return sum
 }
 
-// floor is how many replicas always stay.
+// floor is how many replicas on demand are always kept.
 func (p *Plan) floor(base int) int {
 	if !p.hasSpots() {
 		return base
 	}
-	return min(int(math.Ceil(float64(base)*p.scaling.SteadyShare)), base)
+	return min(int(math.Ceil(float64(base)*p.scaling.OnDemandShare)), base)
 }
 
 // total is how many replicas are wanted in all: those that the operator began with, or more for the
-// work, and of the cheap kind as many more as can be taken at once.
+// work, and as many more spot replicas as can be taken at once.
 func (p *Plan) total(base int) int {
 	left := max(base, int(math.Ceil(p.work/goodUse)))
 	floor := p.floor(base)
@@ -179,11 +179,10 @@
 	return min(int(math.Ceil(p.work/worstUse)), p.total(base))
 }
 
-// hasSpots reports whether replicas may be had that are cheap and may be taken away.
+// hasSpots reports whether spot replicas are to be had: cheap ones that may be taken away.
 func (p *Plan) hasSpots() bool { return p.scaling.SpotPrice > 0 && p.scaling.SpotPrice < 1 }
 
-// spots spreads replicas of the cheap kind evenly over the zones, as far as there is room beside those
-// that stay.
+// spots spreads spot replicas evenly over the zones, as far as there is room beside those on demand.
 func (p *Plan) spots(total int, seen Seen) map[string]int {
 	counts := map[string]int{}
 	zones := p.zones()
@@ -196,14 +195,14 @@
 		if index < total%len(zones) {
 			share++
 		}
-		steady := p.group(zone, false)
-		room := p.scaling.Most - max(seen.Agreed.of(steady, seen.Listed[steady]), seen.Listed[steady].staying())
+		onDemand := p.group(zone, false)
+		room := p.scaling.Most - max(seen.Agreed.of(onDemand, seen.Listed[onDemand]), seen.Listed[onDemand].staying())
 		counts[zone] = max(min(share, room), min(share, seen.Agreed.Counts[p.group(zone, true)]))
 	}
 	return counts
 }
 
-// spread spreads replicas that stay over the zones. Those that are agreed on stay where they are, evenly
+// spread spreads replicas on demand over the zones. Those that are agreed on stay where they are, evenly
 // where they are too many; further ones go where they are cheapest, no more than half of
 // all into one zone while others have room. Zones without any keep the least that the operator allows.
 func (p *Plan) spread(count int, spots map[string]int, seen Seen) map[string]int {
--- a/internal/replicaplan/plan_test.go
+++ b/internal/replicaplan/plan_test.go
@@ -45,14 +45,14 @@
 	order Order
 }
 
-func newPlatform(scaling Scaling, steady int) *platform {
+func newPlatform(scaling Scaling, onDemand int) *platform {
 	made := &platform{
 		scaling: scaling, desired: map[Group]int{}, ready: map[Group]int{}, booting: map[Group][]time.Duration{}, changes: map[Group]int{},
 		lost: func() bool { return false }, late: func() time.Duration { return 0 },
 	}
 	for _, zone := range testZones {
 		group := Group{Service: "s", Zone: zone}
-		made.desired[group], made.ready[group] = steady, steady
+		made.desired[group], made.ready[group] = onDemand, onDemand
 	}
 	return made
 }
@@ -131,26 +131,26 @@
 	p.delayed = kept
 }
 
-func (p *platform) all() (steady, spots int) {
+func (p *platform) all() (onDemand, spots int) {
 	for group, count := range p.ready {
 		if group.Spot {
 			spots += count
 		} else {
-			steady += count
+			onDemand += count
 		}
 	}
-	return steady, spots
+	return onDemand, spots
 }
 
 // leader follows a plan and its orders.
 type leader struct {
 	plan   *Plan
 	orders *Orders
-	agreed *Wishes
+	agreed *Desired
 	work   float64
 }
 
-func newLeader(scaling Scaling, agreed *Wishes) *leader {
+func newLeader(scaling Scaling, agreed *Desired) *leader {
 	return &leader{plan: New(scaling), orders: NewOrders(), agreed: agreed}
 }
 
@@ -173,15 +173,15 @@
 
 func TestCheapReplicasTakeThePlaceOfThoseThatStay(t *testing.T) {
 	platform := newPlatform(testScaling(), 40)
-	leader := newLeader(testScaling(), &Wishes{})
+	leader := newLeader(testScaling(), &Desired{})
 	leader.work = 20
 	for platform.now < 30*time.Second {
 		leader.run(platform, 250*time.Millisecond)
-		steady, spots := platform.all()
-		require.GreaterOrEqual(t, steady+spots, 120, "none is given up before another serves")
+		onDemand, spots := platform.all()
+		require.GreaterOrEqual(t, onDemand+spots, 120, "none is given up before another serves")
 	}
-	steady, spots := platform.all()
-	require.Zero(t, steady)
+	onDemand, spots := platform.all()
+	require.Zero(t, onDemand)
 	require.Equal(t, 180, spots, "a zone's part can go and the operator's number is left")
 	for _, zone := range testZones {
 		require.Equal(t, 60, platform.ready[Group{Service: "s", Zone: zone, Spot: true}])
@@ -191,9 +191,9 @@
 // Half of the replicas stay, evenly over the zones, and cheap ones take the place of the others.
 func TestAPartAlwaysStays(t *testing.T) {
 	scaling := testScaling()
-	scaling.SteadyShare = 0.5
+	scaling.OnDemandShare = 0.5
 	platform := newPlatform(scaling, 40)
-	leader := newLeader(scaling, &Wishes{})
+	leader := newLeader(scaling, &Desired{})
 	leader.work = 20
 	leader.run(platform, 30*time.Second)
 	for _, zone := range testZones {
@@ -204,17 +204,17 @@
 		platform.reclaim(zone, 30*time.Second)
 	}
 	leader.run(platform, 5*time.Second)
-	steady, spots := platform.all()
+	onDemand, spots := platform.all()
 	require.Zero(t, spots)
-	require.GreaterOrEqual(t, steady, 60)
+	require.GreaterOrEqual(t, onDemand, 60)
 }
 
 // Where all replicas stay nothing is ordered, whatever becomes of them.
 func TestWhatIsThereIsKeptWhereNoRiskIsTaken(t *testing.T) {
 	scaling := testScaling()
-	scaling.SteadyShare = 1
+	scaling.OnDemandShare = 1
 	platform := newPlatform(scaling, 40)
-	leader := newLeader(scaling, &Wishes{})
+	leader := newLeader(scaling, &Desired{})
 	leader.work = 110
 	leader.run(platform, 10*time.Second)
 	platform.ready[Group{Service: "s", Zone: "a"}] = 10 // some have crashed and come back
@@ -228,15 +228,15 @@
 // A list that fills by and by never makes a leader give up what it does not show yet.
 func TestAListThatFillsIsNotTakenForAll(t *testing.T) {
 	platform := newPlatform(testScaling(), 1)
-	leader := newLeader(testScaling(), &Wishes{})
+	leader := newLeader(testScaling(), &Desired{})
 	for count := 1; count <= 40; count++ {
 		for _, zone := range testZones {
 			group := Group{Service: "s", Zone: zone}
 			platform.ready[group], platform.desired[group] = count, count
 		}
 		leader.run(platform, 500*time.Millisecond)
-		steady, _ := platform.all()
-		require.Equal(t, 3*count, steady)
+		onDemand, _ := platform.all()
+		require.Equal(t, 3*count, onDemand)
 	}
 	leader.run(platform, 30*time.Second)
 	require.Equal(t, 120, leader.agreed.Base)
@@ -244,19 +244,19 @@
 
 func TestALossIsMadeGood(t *testing.T) {
 	platform := newPlatform(testScaling(), 40)
-	leader := newLeader(testScaling(), &Wishes{})
+	leader := newLeader(testScaling(), &Desired{})
 	leader.work = 60
 	leader.run(platform, 30*time.Second)
-	steady, spots := platform.all()
-	require.Zero(t, steady)
+	onDemand, spots := platform.all()
+	require.Zero(t, onDemand)
 	platform.reclaim("b", 12*time.Second)
 	leader.run(platform, 10*time.Second)
-	steady, left := platform.all()
+	onDemand, left := platform.all()
 	require.Equal(t, spots-60, left)
-	require.GreaterOrEqual(t, float64(steady+left-60)*worstUse, leader.work, "a further loss leaves enough")
+	require.GreaterOrEqual(t, float64(onDemand+left-60)*worstUse, leader.work, "a further loss leaves enough")
 	leader.run(platform, 40*time.Second)
-	steady, again := platform.all()
-	require.Zero(t, steady, "those that stay are given up when the cheap ones are back")
+	onDemand, again := platform.all()
+	require.Zero(t, onDemand, "those that stay are given up when the cheap ones are back")
 	require.Equal(t, spots, again)
 }
 
@@ -282,13 +282,13 @@
 			random := rand.New(rand.NewPCG(seed, 7))
 			scaling := testScaling()
 			scaling.SpotPrice = []float64{0, 0.1, 0.5, 1.2}[random.IntN(4)]
-			scaling.SteadyShare = []float64{0, 0.5, 1}[random.IntN(3)]
+			scaling.OnDemandShare = []float64{0, 0.5, 1}[random.IntN(3)]
 			for _, zone := range testZones {
 				scaling.ZonePrices[zone] = 0.5 + random.Float64()
 			}
 			platform := newPlatform(scaling, 10+random.IntN(30))
 			fault(platform, random)
-			leader := newLeader(scaling, &Wishes{})
+			leader := newLeader(scaling, &Desired{})
 			leader.work = float64(5 + random.IntN(30))
 			leader.run(platform, 20*time.Second)
 			for range 3 {
@@ -309,9 +309,9 @@
 				changes += count
 			}
 			leader.run(platform, 60*time.Second)
-			steady, spots := platform.all()
-			require.GreaterOrEqual(t, steady+spots, leader.agreed.Base, "%s, seed %d", name, seed)
-			require.GreaterOrEqual(t, float64(steady), scaling.SteadyShare*float64(leader.agreed.Base), "%s, seed %d", name, seed)
+			onDemand, spots := platform.all()
+			require.GreaterOrEqual(t, onDemand+spots, leader.agreed.Base, "%s, seed %d", name, seed)
+			require.GreaterOrEqual(t, float64(onDemand), scaling.OnDemandShare*float64(leader.agreed.Base), "%s, seed %d", name, seed)
 			for _, zone := range testZones {
 				group := Group{Service: "s", Zone: zone}
 				cheap := Group{Service: "s", Zone: zone, Spot: true}
@@ -331,7 +331,7 @@
 // A new leader orders nothing of its own accord: what it finds is what was agreed on.
 func TestANewLeaderOrdersNothingByItself(t *testing.T) {
 	platform := newPlatform(testScaling(), 40)
-	former := newLeader(testScaling(), &Wishes{})
+	former := newLeader(testScaling(), &Desired{})
 	former.work = 30
 	former.run(platform, 40*time.Second)
 	next := newLeader(testScaling(), former.agreed)
--- a/internal/servercommand/site.go
+++ b/internal/servercommand/site.go
@@ -26,8 +26,8 @@
 	OrderStage func(ctx context.Context, client *http.Client, order controller.StageOrder) (control.StageOutcome, error)
 	// Duties reads the names of the platform's singleton duties.
 	Duties func(names []string) Duties
-	// TellUsage tells the platform at an address what tenants used in a window.
-	TellUsage func(ctx context.Context, client *http.Client, address string, report controller.UsageReport) (duty.Outcome, error)
+	// ReportUsage tells the platform at an address what tenants used in a window.
+	ReportUsage func(ctx context.Context, client *http.Client, address string, report controller.UsageReport) (duty.Outcome, error)
 	// OrderReplicas orders replicas from the platform at an address.
 	OrderReplicas func(ctx context.Context, client *http.Client, address string, order controller.ReplicaOrder) (duty.Outcome, error)
 	// ReadConfiguration reads the operator's document.
@@ -58,9 +58,9 @@
 	}
 }
 
-// tellingUsageAt returns what tells the platform at the address what tenants used.
-func (s Site) tellingUsageAt(address string) func(context.Context, *http.Client, controller.UsageReport) (duty.Outcome, error) {
+// reportingUsageAt returns what tells the platform at the address what tenants used.
+func (s Site) reportingUsageAt(address string) func(context.Context, *http.Client, controller.UsageReport) (duty.Outcome, error) {
 	return func(ctx context.Context, client *http.Client, report controller.UsageReport) (duty.Outcome, error) {
-		return s.TellUsage(ctx, client, address, report)
+		return s.ReportUsage(ctx, client, address, report)
 	}
 }
--- a/internal/servercommand/site_controller.go
+++ b/internal/servercommand/site_controller.go
@@ -64,13 +64,13 @@
 	}
 	duties := environment.Site.Duties(loaded.Duties)
 	if duties.Replicas {
-		site.SteadyShare = loaded.SteadyShare
+		site.OnDemandShare = loaded.OnDemandShare
 		site.ReadConfiguration = environment.Site.ReadConfiguration
 		site.OrderReplicas = environment.Site.orderingReplicasAt(loaded.ListingAddress)
 	}
 	if duties.Usage {
 		site.Usage = usage.Config{Window: loaded.UsageWindow, Due: loaded.UsageDue}
-		site.TellUsage = environment.Site.tellingUsageAt(loaded.ListingAddress)
+		site.ReportUsage = environment.Site.reportingUsageAt(loaded.ListingAddress)
 	}
 	return withLog(ctx, environment, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
 		readSeeds := func() ([]string, error) {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -60,7 +60,7 @@
 // holds Problems when the file could be read and is at fault.
 func LoadSiteController(source Source) (SiteController, error) {
 	var controller SiteController
-	err := load(source, &controller, func(document *yamlfile.Document) { checkSteadyShare(document, &controller) })
+	err := load(source, &controller, func(document *yamlfile.Document) { checkOnDemandShare(document, &controller) })
 	return controller, trace.Wrap(err)
 }
 
--- a/internal/settings/site_controller.go
+++ b/internal/settings/site_controller.go
@@ -37,9 +37,9 @@
 	OrderWait time.Duration `yaml:"order_wait" default:"3s" check:"not-negative"`
 	// Duties names the calls to the platform that one holder makes at a time; none by default.
 	Duties []string `yaml:"duties"`
-	// SteadyShare is the part of a service's replicas that always stays; the others give way to cheap
+	// OnDemandShare is the part of a service's replicas that always stays; the others give way to cheap
 	// ones that the platform may take away, where it has them; default 1, which takes no risk.
-	SteadyShare float64 `yaml:"steady_share" default:"1" check:"not-negative"`
+	OnDemandShare float64 `yaml:"on_demand_share" default:"1" check:"not-negative"`
 	// DutyRate is how many such calls a second the platform takes; default 10.
 	DutyRate float64 `yaml:"duty_rate" default:"10" check:"positive"`
 	// UsageWindow is the length of the windows in which tenants' usage is counted, UsageDue how long
--- a/internal/settings/site_controller_test.go
+++ b/internal/settings/site_controller_test.go
@@ -24,20 +24,20 @@
 	loaded, err := settings.LoadSiteController(settings.Source{Path: write(t, siteControllerFile)})
 	require.NoError(t, err)
 	require.Empty(t, loaded.Duties)
-	require.Equal(t, 1.0, loaded.SteadyShare, "no risk unless the operator takes it")
+	require.Equal(t, 1.0, loaded.OnDemandShare, "no risk unless the operator takes it")
 	require.Equal(t, 5*time.Second, loaded.UsageWindow)
 
-	loaded, err = settings.LoadSiteController(settings.Source{Path: write(t, siteControllerFile+"duties: [a, b]\nsteady_share: 0.5\nusage_window: 2s\n")})
+	loaded, err = settings.LoadSiteController(settings.Source{Path: write(t, siteControllerFile+"duties: [a, b]\non_demand_share: 0.5\nusage_window: 2s\n")})
 	require.NoError(t, err)
 	require.Equal(t, []string{"a", "b"}, loaded.Duties)
-	require.Equal(t, 0.5, loaded.SteadyShare)
+	require.Equal(t, 0.5, loaded.OnDemandShare)
 	require.Equal(t, 2*time.Second, loaded.UsageWindow)
 
 	for text, want := range map[string]string{
-		"steady_share: 1.5\n": "steady_share: 1.5 is more than all replicas; write a part from 0 to 1",
-		"steady_share: -1\n":  "steady_share: -1 is below zero",
-		"duty_rate: 0\n":      "duty_rate: 0 is not above zero",
-		"usage_window: 0s\n":  "usage_window: 0s is not above zero",
+		"on_demand_share: 1.5\n": "on_demand_share: 1.5 is more than all replicas; write a part from 0 to 1",
+		"on_demand_share: -1\n":  "on_demand_share: -1 is below zero",
+		"duty_rate: 0\n":         "duty_rate: 0 is not above zero",
+		"usage_window: 0s\n":     "usage_window: 0s is not above zero",
 	} {
 		_, err = settings.LoadSiteController(settings.Source{Path: write(t, siteControllerFile+text)})
 		require.ErrorContains(t, err, want, strings.TrimSpace(text))
--- a/internal/settings/together.go
+++ b/internal/settings/together.go
@@ -46,8 +46,8 @@
 	}
 }
 
-func checkSteadyShare(document *yamlfile.Document, controller *SiteController) {
-	if controller.SteadyShare > 1 {
-		document.Report("steady_share", fmt.Sprintf("%v is more than all replicas", controller.SteadyShare), "write a part from 0 to 1")
+func checkOnDemandShare(document *yamlfile.Document, controller *SiteController) {
+	if controller.OnDemandShare > 1 {
+		document.Report("on_demand_share", fmt.Sprintf("%v is more than all replicas", controller.OnDemandShare), "write a part from 0 to 1")
 	}
 }
--- a/internal/usagereport/meter_test.go
+++ b/internal/usagereport/meter_test.go
@@ -95,9 +95,9 @@
 		reachable, failed := false, 0
 		taken := map[uint64]bool{}
 		sum := uint64(0)
-		teller := &Teller{
+		reporter := &Reporter{
 			Meter: meter, Relays: func() int { return 60 }, Failed: func() { failed++ },
-			Tell: func(_ context.Context, report *v1.UsageReport) error {
+			Send: func(_ context.Context, report *v1.UsageReport) error {
 				lost := len(taken)%2 == 0 && !taken[report.GetSequence()] // the answer to every other report is lost
 				if !reachable {
 					return errors.New("no leader")
@@ -114,7 +114,7 @@
 				return nil
 			},
 		}
-		go teller.Run(ctx)
+		go reporter.Run(ctx)
 		for index := range 100 {
 			meter.Began(time.Duration(index), "a")
 			time.Sleep(10 * time.Millisecond)
--- /dev/null
+++ b/internal/usagereport/reporter.go
@@ -0,0 +1,61 @@
+package usagereport
+
+import (
+	"context"
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/pause"
+)
+
+const (
+	// leastGap is the least time between two reports; what is counted meanwhile goes together.
+	leastGap = 20 * time.Millisecond
+	// reportsPerSecond is how many reports the leader gets about at most from all relays.
+	reportsPerSecond = 600
+	// sendTimeout ends the wait for the answer to a report, which is then sent again.
+	sendTimeout = 600 * time.Millisecond
+	// retryPause is the wait before a report is sent again.
+	retryPause = 100 * time.Millisecond
+)
+
+// Send sends a report to the leader and returns nil once it was taken.
+type Send func(ctx context.Context, report *v1.UsageReport) error
+
+// Reporter sends what a meter counts to the leader.
+type Reporter struct {
+	Meter *Meter
+	Send  Send
+	// Relays returns how many relays there are, as far as is known.
+	Relays func() int
+	// Failed counts reports that have to be sent again.
+	Failed func()
+}
+
+// Run reports until the context ends.
+func (r *Reporter) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.Meter.wake:
+		}
+		r.Flush(ctx)
+		pause.For(ctx, max(time.Duration(r.Relays())*time.Second/reportsPerSecond, leastGap))
+	}
+}
+
+// Flush reports everything that is counted, until it was taken or the context ends.
+func (r *Reporter) Flush(ctx context.Context) {
+	for report := r.Meter.Next(); report != nil && ctx.Err() == nil; report = r.Meter.Next() {
+		limited, cancel := context.WithTimeout(ctx, sendTimeout)
+		err := r.Send(limited, report)
+		cancel()
+		if err == nil {
+			r.Meter.Taken()
+			continue
+		}
+		r.Failed()
+		pause.For(ctx, retryPause)
+	}
+}
