Names: reports that are sent, not told

Change: names of a metric (usage_unreported, usage_sendings_again_total), a method and a test; no behaviour.

--- a/internal/control/usage_test.go
+++ b/internal/control/usage_test.go
@@ -124,7 +124,7 @@
 	w.waitLeader()
 	w.run(20 * time.Second)
 	first := w.trueWindow()
-	w.until("nothing untold", func() bool { return relays.relays[0].underWay == nil && len(relays.relays[0].counts) == 0 })
+	w.until("nothing unreported", func() bool { return relays.relays[0].underWay == nil && len(relays.relays[0].counts) == 0 })
 	relays.relays[0].dead = true
 	relays.relays = append(relays.relays, &testRelayUsage{relay: 99, counts: map[usage.Window]usage.Counts{}})
 	w.run(20 * time.Second)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -180,7 +180,7 @@
 	case <-ctx.Done():
 		r.event(events.RelayStopping).Str("address", listener.Addr().String()).Int("serving", r.connections.serving()).Send()
 		r.drain(listener)
-		r.awaitUsageTold()
+		r.awaitUsageReported()
 	}
 	stopWorking()
 	_ = listener.Close()
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -52,10 +52,10 @@
 	refusals *prometheus.CounterVec
 	again    prometheus.Counter
 	denied   prometheus.Counter
-	// usageRetold counts reports of usage that had to be sent again.
-	usageRetold prometheus.Counter
-	waits       prometheus.Counter
-	moves       *prometheus.CounterVec
+	// usageSentAgain counts reports of usage that had to be sent again.
+	usageSentAgain prometheus.Counter
+	waits          prometheus.Counter
+	moves          *prometheus.CounterVec
 	// asked counts questions to owners of engines by what became of them, spills the requests
 	// that were offered to a further cell.
 	asked            *prometheus.CounterVec
@@ -76,7 +76,7 @@
 		refusals:         factory.CounterVec("refusals_total", "Final answers of the relay's own, by reason.", "reason"),
 		again:            factory.Counter("sendings_again_total", "Sendings of requests beyond the first."),
 		denied:           factory.Counter("sendings_denied_total", "Sendings beyond the first that the retry budget did not allow."),
-		usageRetold:      factory.Counter("usage_retellings_total", "Reports of tenants' usage that were not taken and had to be sent again."),
+		usageSentAgain:   factory.Counter("usage_sendings_again_total", "Reports of tenants' usage that were not taken and had to be sent again."),
 		waits:            factory.Counter("reading_waits_total", "Waits of prompts for the reading of parts that they share."),
 		moves:            factory.CounterVec("runs_moved_total", "Runs that stopped at one engine to go on at another, by whether they were copied.", "copied"),
 		asked:            factory.CounterVec("placement_questions_total", "Decisions on engines, by who made them.", "outcome"),
@@ -108,8 +108,8 @@
 	factory.GaugeFunc("retry_budget_left", "Sendings beyond the first that the service with fewest left allows.", func() float64 {
 		return relay.budget.least(relay.clock.now())
 	})
-	factory.GaugeFunc("usage_untold", "Requests that began to run and that no leader has been told of yet.", func() float64 {
-		return float64(relay.usage.Untold())
+	factory.GaugeFunc("usage_unreported", "Requests that began to run and that no leader has been told of yet.", func() float64 {
+		return float64(relay.usage.Unreported())
 	})
 	for _, state := range backEndStates {
 		factory.GaugeFunc("back_ends_"+string(state), "Back ends of the list in this state.", func() float64 {
--- a/internal/relay/usage.go
+++ b/internal/relay/usage.go
@@ -30,14 +30,14 @@
 // usageReporter tells the leader what tenants use.
 func (r *Relay) usageReporter() *usagereport.Reporter {
 	return &usagereport.Reporter{
-		Meter: r.usage, Send: r.watcher.reportUsage, Failed: r.metrics.usageRetold.Inc,
+		Meter: r.usage, Send: r.watcher.reportUsage, Failed: r.metrics.usageSentAgain.Inc,
 		Relays: func() int { return int(r.relayCount.Load()) },
 	}
 }
 
-// awaitUsageTold lets a stopping relay tell what it has counted.
-func (r *Relay) awaitUsageTold() {
-	for limit := r.clock.now() + lastUsageWait; r.usage.Untold() > 0 && r.clock.now() < limit; {
+// awaitUsageReported lets a stopping relay tell what it has counted.
+func (r *Relay) awaitUsageReported() {
+	for limit := r.clock.now() + lastUsageWait; r.usage.Unreported() > 0 && r.clock.now() < limit; {
 		time.Sleep(lastUsagePoll)
 	}
 }
--- a/internal/usagereport/meter.go
+++ b/internal/usagereport/meter.go
@@ -28,7 +28,7 @@
 	counts   map[countKey]uint64
 	unplaced []begin
 	sequence uint64
-	// underWay is the report that is told until it is taken; nil for none.
+	// underWay is the report that is sent until it is taken; nil for none.
 	underWay *v1.UsageReport
 }
 
@@ -99,7 +99,7 @@
 	m.unplaced = nil
 }
 
-// Next returns the report that is to be told: the last one until it was taken; nil for none.
+// Next returns the report that is to be sent: the last one until it was taken; nil for none.
 func (m *Meter) Next() *v1.UsageReport {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -126,16 +126,16 @@
 	m.underWay = nil
 }
 
-// Untold returns how many requests have not been told yet.
-func (m *Meter) Untold() uint64 {
+// Unreported returns how many requests have not been reported yet.
+func (m *Meter) Unreported() uint64 {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	untold := uint64(len(m.unplaced))
+	unreported := uint64(len(m.unplaced))
 	for _, count := range m.counts {
-		untold += count
+		unreported += count
 	}
 	for _, count := range m.underWay.GetCounts() {
-		untold += count.GetCount()
+		unreported += count.GetCount()
 	}
-	return untold
+	return unreported
 }
--- a/internal/usagereport/meter_test.go
+++ b/internal/usagereport/meter_test.go
@@ -45,7 +45,7 @@
 	require.Equal(t, uint64(1), report.GetSequence())
 }
 
-// A report that was not taken is told again as it was; what began since goes into the next one.
+// A report that was not taken is sent again as it was; what began since goes into the next one.
 func TestAReportIsTheSameUntilItIsTaken(t *testing.T) {
 	meter := NewMeter(7)
 	meter.Hear(0, start, window)
@@ -54,12 +54,12 @@
 	report := proto.CloneOf(meter.Next())
 	meter.Began(0, "a")
 	require.True(t, proto.Equal(report, meter.Next()))
-	require.Equal(t, uint64(2), meter.Untold())
+	require.Equal(t, uint64(2), meter.Unreported())
 	meter.Taken()
 	require.Equal(t, uint64(2), meter.Next().GetSequence())
 	meter.Taken()
 	require.Nil(t, meter.Next())
-	require.Zero(t, meter.Untold())
+	require.Zero(t, meter.Unreported())
 }
 
 // The leader's word is late by as long as it was under way: the fastest one holds, until it is old.
@@ -81,12 +81,12 @@
 	meter.Hear(0, start, 0)
 	meter.Began(0, "a")
 	meter.Hear(0, start, 0)
-	require.Zero(t, meter.Untold())
+	require.Zero(t, meter.Unreported())
 	require.Nil(t, meter.Next())
 }
 
-// What is counted while nobody can be reached is told once, whole, when somebody can.
-func TestTellerTellsEverythingOnce(t *testing.T) {
+// What is counted while nobody can be reached is reported once, whole, when somebody can.
+func TestReporterSendsEverythingOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -121,7 +121,7 @@
 		}
 		reachable = true
 		time.Sleep(time.Second)
-		require.Zero(t, meter.Untold())
+		require.Zero(t, meter.Unreported())
 		require.Equal(t, uint64(100), sum)
 		require.Positive(t, failed)
 		require.LessOrEqual(t, len(taken), 3, "what is counted meanwhile goes together")
