Tests that fail without the last home of another zone, and with a list that fills slowly

Cause: two safeguards taken away by hand left the tests green (a zone's last home; a list that fills while others boot at once). Change: the tests bring both about; taking the safeguards away turns them red.

--- a/internal/cell/division_test.go
+++ b/internal/cell/division_test.go
@@ -115,6 +115,13 @@
 		require.NotEqual(t, "zone-3", division.Cells()[homes[2]].Zone)
 	}
 	require.Empty(t, Divide("service", nil).Homes(1, "", 3))
+
+	division = Divide("service", fleet(3, 64)) // four cells in each zone: the last home is another zone's
+	for key := range uint64(100) {
+		homes := division.Homes(key, "zone-1", 3)
+		require.Equal(t, "zone-1", division.Cells()[homes[1]].Zone)
+		require.NotEqual(t, "zone-1", division.Cells()[homes[2]].Zone)
+	}
 }
 
 // A cell is found by its identity, and one of another fleet is not.
--- a/internal/replicaplan/plan_test.go
+++ b/internal/replicaplan/plan_test.go
@@ -227,8 +227,10 @@
 
 // A list that fills by and by never makes a leader give up what it does not show yet.
 func TestAListThatFillsIsNotTakenForAll(t *testing.T) {
-	platform := newPlatform(testScaling(), 1)
-	leader := newLeader(testScaling(), &Desired{})
+	scaling := testScaling()
+	scaling.Boot = 100 * time.Millisecond // others serve before the list has filled
+	platform := newPlatform(scaling, 1)
+	leader := newLeader(scaling, &Desired{})
 	for count := 1; count <= 40; count++ {
 		for _, zone := range testZones {
 			group := Group{Service: "s", Zone: zone}
