--- a/internal/controller/duty_calls.go
+++ b/internal/controller/duty_calls.go
@@ -100,14 +100,14 @@
 }
 
 // send makes a call within its time, on a connection of its own.
-func (d *dutyCaller) send(ctx context.Context, call control.DutyCall, make func(context.Context, *http.Client) (duty.Outcome, error)) (duty.Outcome, error) {
+func (d *dutyCaller) send(ctx context.Context, call control.DutyCall, exchange func(context.Context, *http.Client) (duty.Outcome, error)) (duty.Outcome, error) {
 	remaining := func() time.Duration { return call.NotAfter - d.now() }
 	if remaining() <= 0 {
 		return duty.Refused, trace.Wrap(dialing.ErrExpired)
 	}
 	limited, cancel := context.WithTimeout(ctx, remaining()+dutyAnswerWait)
 	defer cancel()
-	return make(limited, expiringClient(d.dial, remaining))
+	return exchange(limited, expiringClient(d.dial, remaining))
 }
 
 // expiringClient is a client for one call that must not arrive late.
