Requests that are the same to a replica can be told from the logs

Cause: an incident in which the same request comes back under other identities; no line told which requests are the same. Change: internal/quarantine.Signature (caller, method, target, body), as "content" in attempt_failed, request_refused and request_ended. No decision uses it. Command: go test ./internal/quarantine ./internal/relay ./internal/events

--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -37,6 +37,7 @@
 	"internal/packed",
 	"internal/placement",
 	"internal/planner",
+	"internal/quarantine",
 	"internal/replicaplan",
 	"internal/routing",
 	"internal/safeguard",
--- /dev/null
+++ b/internal/quarantine/signature_test.go
@@ -0,0 +1,33 @@
+package quarantine
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestSignaturesTellRequestsApartByWhatAReplicaRuns(t *testing.T) {
+	base := SignatureOf("tenant", "POST", "/path/a?b", []byte("body"))
+	require.Equal(t, base, SignatureOf("tenant", "POST", "/path/a?b", []byte("body")))
+	for name, other := range map[string]Signature{
+		"caller":                   SignatureOf("another", "POST", "/path/a?b", []byte("body")),
+		"method":                   SignatureOf("tenant", "PUT", "/path/a?b", []byte("body")),
+		"target":                   SignatureOf("tenant", "POST", "/path/a?c", []byte("body")),
+		"body":                     SignatureOf("tenant", "POST", "/path/a?b", []byte("bodz")),
+		"no caller":                SignatureOf("", "POST", "/path/a?b", []byte("body")),
+		"shifted between parts":    SignatureOf("tenantP", "OST", "/path/a?b", []byte("body")),
+		"target shifted to a body": SignatureOf("tenant", "POST", "/path/a?", []byte("bbody")),
+	} {
+		require.NotEqual(t, base, other, name)
+	}
+}
+
+func TestSignaturesTravelAsBytes(t *testing.T) {
+	signature := SignatureOf("", "GET", "/", nil)
+	again, valid := SignatureFrom(signature[:])
+	require.True(t, valid)
+	require.Equal(t, signature, again)
+	require.Len(t, signature.String(), 2*SignatureBytes)
+	_, valid = SignatureFrom(signature[1:])
+	require.False(t, valid)
+}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -20,6 +21,8 @@
 	host   string
 	header *fasthttp.RequestHeader
 	body   []byte
+	// signature tells which other requests are the same to a back end, whatever their identity.
+	signature quarantine.Signature
 
 	route   *serving.Route
 	service *serving.Service
@@ -41,6 +44,14 @@
 	trace     requestTrace
 }
 
+// caller is the name of the tenant whose request it is; empty for nobody's.
+func (r *request) caller() string {
+	if r.tenant == nil {
+		return ""
+	}
+	return r.tenant.Name
+}
+
 // clientDeadline returns the time that the client gives, or fallback when it names none.
 func clientDeadline(header *fasthttp.RequestHeader, name string, fallback time.Duration) time.Duration {
 	count, err := strconv.ParseFloat(string(header.Peek(name)), 64)
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -32,13 +32,13 @@
 
 // attemptFailed notes a sending to a back end that brought no answer.
 func (l requestLog) attemptFailed(request *request, backEnd *backEnd, fault *failure) {
-	l.line(zerolog.WarnLevel, events.AttemptFailed, request).Str("back_end", backEnd.ID).
+	l.line(zerolog.WarnLevel, events.AttemptFailed, request).Stringer("content", request.signature).Str("back_end", backEnd.ID).
 		Str("verdict", fault.verdict.String()).Bool("arrived", fault.arrived).AnErr("cause", fault.cause).Send()
 }
 
 // refused notes a final answer of the relay's own.
 func (l requestLog) refused(request *request, refused refusal, tried *attempts) {
-	l.line(zerolog.WarnLevel, events.RequestRefused, request).Int("status", refused.status).Str("reason", refused.reason).
+	l.line(zerolog.WarnLevel, events.RequestRefused, request).Stringer("content", request.signature).Int("status", refused.status).Str("reason", refused.reason).
 		Int64("retry_after_ms", refused.retryAfter.Milliseconds()).Int("sent", tried.sent).Bool("may_have_run", tried.mayHaveRun).Send()
 }
 
@@ -62,7 +62,7 @@
 		level = zerolog.InfoLevel
 	}
 	since := func(at time.Duration) int64 { return max((at - request.arrivedAt).Milliseconds(), 0) }
-	l.line(level, events.RequestEnded, request).
+	l.line(level, events.RequestEnded, request).Stringer("content", request.signature).
 		Int("status", reply.status).Bool("cut", reply.failed).Bool("late", late).
 		Str("placed", trace.placed).Str("owner", trace.owner).Str("prefill", trace.prefillEngine).Str("back_end", trace.engine).
 		Int("prompt", request.prompt.PromptTokens).Int("to_read", trace.toRead).Int("ahead", trace.ahead).Int("ahead_all", trace.aheadAll).
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -36,6 +37,7 @@
 		r.refuseKey(request, fault, reply)
 		return
 	}
+	request.signature = quarantine.SignatureOf(request.caller(), request.method, request.target, request.body)
 	request.rank = placement.RankOf(view.table.Level(request.tenant, request.route))
 	names := r.dialect.Headers
 	request.deadline = request.arrivedAt +
