--- a/api/hazelpitch/v1/hazelpitchv1connect/node.connect.go
+++ b/api/hazelpitch/v1/hazelpitchv1connect/node.connect.go
@@ -45,6 +45,14 @@
 	NodeServiceWatchProcedure = "/hazelpitch.v1.NodeService/Watch"
 	// NodeServiceReportUsageProcedure is the fully-qualified name of the NodeService's ReportUsage RPC.
 	NodeServiceReportUsageProcedure = "/hazelpitch.v1.NodeService/ReportUsage"
+	// NodeServiceReportReplicaEndsProcedure is the fully-qualified name of the NodeService's
+	// ReportReplicaEnds RPC.
+	NodeServiceReportReplicaEndsProcedure = "/hazelpitch.v1.NodeService/ReportReplicaEnds"
+	// NodeServiceBeginTrialProcedure is the fully-qualified name of the NodeService's BeginTrial RPC.
+	NodeServiceBeginTrialProcedure = "/hazelpitch.v1.NodeService/BeginTrial"
+	// NodeServiceReleaseRequestProcedure is the fully-qualified name of the NodeService's
+	// ReleaseRequest RPC.
+	NodeServiceReleaseRequestProcedure = "/hazelpitch.v1.NodeService/ReleaseRequest"
 )
 
 // NodeServiceClient is a client for the hazelpitch.v1.NodeService service.
@@ -59,6 +67,13 @@
 	// ReportUsage answers once the report is agreed on; only the leader takes it. Without an answer
 	// the same report is sent again.
 	ReportUsage(context.Context, *connect.Request[v1.ReportUsageRequest]) (*connect.Response[v1.ReportUsageResponse], error)
+	// ReportReplicaEnds answers once the ends are agreed on; only the leader takes them. Without an
+	// answer the same ends are sent again.
+	ReportReplicaEnds(context.Context, *connect.Request[v1.ReportReplicaEndsRequest]) (*connect.Response[v1.ReportReplicaEndsResponse], error)
+	// BeginTrial asks for the right to run a held request once more.
+	BeginTrial(context.Context, *connect.Request[v1.BeginTrialRequest]) (*connect.Response[v1.BeginTrialResponse], error)
+	// ReleaseRequest tells that a held request has run to a good end.
+	ReleaseRequest(context.Context, *connect.Request[v1.ReleaseRequestRequest]) (*connect.Response[v1.ReleaseRequestResponse], error)
 }
 
 // NewNodeServiceClient constructs a client for the hazelpitch.v1.NodeService service. By default,
@@ -108,17 +123,38 @@
 			connect.WithSchema(nodeServiceMethods.ByName("ReportUsage")),
 			connect.WithClientOptions(opts...),
 		),
+		reportReplicaEnds: connect.NewClient[v1.ReportReplicaEndsRequest, v1.ReportReplicaEndsResponse](
+			httpClient,
+			baseURL+NodeServiceReportReplicaEndsProcedure,
+			connect.WithSchema(nodeServiceMethods.ByName("ReportReplicaEnds")),
+			connect.WithClientOptions(opts...),
+		),
+		beginTrial: connect.NewClient[v1.BeginTrialRequest, v1.BeginTrialResponse](
+			httpClient,
+			baseURL+NodeServiceBeginTrialProcedure,
+			connect.WithSchema(nodeServiceMethods.ByName("BeginTrial")),
+			connect.WithClientOptions(opts...),
+		),
+		releaseRequest: connect.NewClient[v1.ReleaseRequestRequest, v1.ReleaseRequestResponse](
+			httpClient,
+			baseURL+NodeServiceReleaseRequestProcedure,
+			connect.WithSchema(nodeServiceMethods.ByName("ReleaseRequest")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // nodeServiceClient implements NodeServiceClient.
 type nodeServiceClient struct {
-	sync        *connect.Client[v1.SyncRequest, v1.SyncResponse]
-	report      *connect.Client[v1.ReportRequest, v1.ReportResponse]
-	beginClaim  *connect.Client[v1.BeginClaimRequest, v1.BeginClaimResponse]
-	finishClaim *connect.Client[v1.FinishClaimRequest, v1.FinishClaimResponse]
-	watch       *connect.Client[v1.WatchRequest, v1.WatchResponse]
-	reportUsage *connect.Client[v1.ReportUsageRequest, v1.ReportUsageResponse]
+	sync              *connect.Client[v1.SyncRequest, v1.SyncResponse]
+	report            *connect.Client[v1.ReportRequest, v1.ReportResponse]
+	beginClaim        *connect.Client[v1.BeginClaimRequest, v1.BeginClaimResponse]
+	finishClaim       *connect.Client[v1.FinishClaimRequest, v1.FinishClaimResponse]
+	watch             *connect.Client[v1.WatchRequest, v1.WatchResponse]
+	reportUsage       *connect.Client[v1.ReportUsageRequest, v1.ReportUsageResponse]
+	reportReplicaEnds *connect.Client[v1.ReportReplicaEndsRequest, v1.ReportReplicaEndsResponse]
+	beginTrial        *connect.Client[v1.BeginTrialRequest, v1.BeginTrialResponse]
+	releaseRequest    *connect.Client[v1.ReleaseRequestRequest, v1.ReleaseRequestResponse]
 }
 
 // Sync calls hazelpitch.v1.NodeService.Sync.
@@ -151,6 +187,21 @@
 	return c.reportUsage.CallUnary(ctx, req)
 }
 
+// ReportReplicaEnds calls hazelpitch.v1.NodeService.ReportReplicaEnds.
+func (c *nodeServiceClient) ReportReplicaEnds(ctx context.Context, req *connect.Request[v1.ReportReplicaEndsRequest]) (*connect.Response[v1.ReportReplicaEndsResponse], error) {
+	return c.reportReplicaEnds.CallUnary(ctx, req)
+}
+
+// BeginTrial calls hazelpitch.v1.NodeService.BeginTrial.
+func (c *nodeServiceClient) BeginTrial(ctx context.Context, req *connect.Request[v1.BeginTrialRequest]) (*connect.Response[v1.BeginTrialResponse], error) {
+	return c.beginTrial.CallUnary(ctx, req)
+}
+
+// ReleaseRequest calls hazelpitch.v1.NodeService.ReleaseRequest.
+func (c *nodeServiceClient) ReleaseRequest(ctx context.Context, req *connect.Request[v1.ReleaseRequestRequest]) (*connect.Response[v1.ReleaseRequestResponse], error) {
+	return c.releaseRequest.CallUnary(ctx, req)
+}
+
 // NodeServiceHandler is an implementation of the hazelpitch.v1.NodeService service.
 type NodeServiceHandler interface {
 	Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error)
@@ -163,6 +214,13 @@
 	// ReportUsage answers once the report is agreed on; only the leader takes it. Without an answer
 	// the same report is sent again.
 	ReportUsage(context.Context, *connect.Request[v1.ReportUsageRequest]) (*connect.Response[v1.ReportUsageResponse], error)
+	// ReportReplicaEnds answers once the ends are agreed on; only the leader takes them. Without an
+	// answer the same ends are sent again.
+	ReportReplicaEnds(context.Context, *connect.Request[v1.ReportReplicaEndsRequest]) (*connect.Response[v1.ReportReplicaEndsResponse], error)
+	// BeginTrial asks for the right to run a held request once more.
+	BeginTrial(context.Context, *connect.Request[v1.BeginTrialRequest]) (*connect.Response[v1.BeginTrialResponse], error)
+	// ReleaseRequest tells that a held request has run to a good end.
+	ReleaseRequest(context.Context, *connect.Request[v1.ReleaseRequestRequest]) (*connect.Response[v1.ReleaseRequestResponse], error)
 }
 
 // NewNodeServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -208,6 +266,24 @@
 		connect.WithSchema(nodeServiceMethods.ByName("ReportUsage")),
 		connect.WithHandlerOptions(opts...),
 	)
+	nodeServiceReportReplicaEndsHandler := connect.NewUnaryHandler(
+		NodeServiceReportReplicaEndsProcedure,
+		svc.ReportReplicaEnds,
+		connect.WithSchema(nodeServiceMethods.ByName("ReportReplicaEnds")),
+		connect.WithHandlerOptions(opts...),
+	)
+	nodeServiceBeginTrialHandler := connect.NewUnaryHandler(
+		NodeServiceBeginTrialProcedure,
+		svc.BeginTrial,
+		connect.WithSchema(nodeServiceMethods.ByName("BeginTrial")),
+		connect.WithHandlerOptions(opts...),
+	)
+	nodeServiceReleaseRequestHandler := connect.NewUnaryHandler(
+		NodeServiceReleaseRequestProcedure,
+		svc.ReleaseRequest,
+		connect.WithSchema(nodeServiceMethods.ByName("ReleaseRequest")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/hazelpitch.v1.NodeService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case NodeServiceSyncProcedure:
@@ -222,6 +298,12 @@
 			nodeServiceWatchHandler.ServeHTTP(w, r)
 		case NodeServiceReportUsageProcedure:
 			nodeServiceReportUsageHandler.ServeHTTP(w, r)
+		case NodeServiceReportReplicaEndsProcedure:
+			nodeServiceReportReplicaEndsHandler.ServeHTTP(w, r)
+		case NodeServiceBeginTrialProcedure:
+			nodeServiceBeginTrialHandler.ServeHTTP(w, r)
+		case NodeServiceReleaseRequestProcedure:
+			nodeServiceReleaseRequestHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -254,3 +336,15 @@
 func (UnimplementedNodeServiceHandler) ReportUsage(context.Context, *connect.Request[v1.ReportUsageRequest]) (*connect.Response[v1.ReportUsageResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hazelpitch.v1.NodeService.ReportUsage is not implemented"))
 }
+
+func (UnimplementedNodeServiceHandler) ReportReplicaEnds(context.Context, *connect.Request[v1.ReportReplicaEndsRequest]) (*connect.Response[v1.ReportReplicaEndsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hazelpitch.v1.NodeService.ReportReplicaEnds is not implemented"))
+}
+
+func (UnimplementedNodeServiceHandler) BeginTrial(context.Context, *connect.Request[v1.BeginTrialRequest]) (*connect.Response[v1.BeginTrialResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hazelpitch.v1.NodeService.BeginTrial is not implemented"))
+}
+
+func (UnimplementedNodeServiceHandler) ReleaseRequest(context.Context, *connect.Request[v1.ReleaseRequestRequest]) (*connect.Response[v1.ReleaseRequestResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hazelpitch.v1.NodeService.ReleaseRequest is not implemented"))
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -66,6 +66,8 @@
 	// dutyCalls keeps the leader's calls of duties.
 	dutyCalls *duty.Schedule
 	replicas  siteReplicas
+	// quarantine keeps requests away from replicas that they would end.
+	quarantine requestQuarantine
 	// clock is what this controller knows of the time of day.
 	clock *truetime.Clock
 }
@@ -103,6 +105,8 @@
 		usage:     newSiteUsage(config),
 		dutyCalls: newDutySchedule(config),
 		clock:     truetime.New(),
+
+		quarantine: newRequestQuarantine(),
 	}, nil
 }
 
@@ -185,6 +189,12 @@
 		c.takeUsage(received)
 	case UsageDelivered:
 		c.takeUsageDelivered(received)
+	case ReplicaEndsReceived:
+		c.takeReplicaEnds(received)
+	case TrialAsked:
+		c.takeTrialAsked(received)
+	case RequestReleased:
+		c.takeRequestReleased(received)
 	case ReplicasOrdered:
 		c.takeReplicasOrdered(received)
 	case SeedsChanged:
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -18,7 +18,7 @@
 
 // duties are the times at which the leader's duties are due next.
 type duties struct {
-	claims, reconcile, housekeeping, engines, plan time.Duration
+	claims, reconcile, housekeeping, engines, plan, suspects time.Duration
 }
 
 // due reports whether a duty is due and sets its next time.
@@ -44,6 +44,7 @@
 	c.tickStages()
 	c.tickUsage()
 	c.tickReplicas()
+	c.tickQuarantine()
 	if due(c.now, &c.duties.claims, claimInterval) {
 		c.loseGateways()
 		c.expireClaims()
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -38,6 +38,7 @@
 	c.usage = newSiteUsage(c.config)
 	c.dutyCalls = newDutySchedule(c.config)
 	c.replicas = newSiteReplicas()
+	c.quarantine = newRequestQuarantine()
 }
 
 func (c *Core) stopLeading() {
--- a/internal/control/nodes.go
+++ b/internal/control/nodes.go
@@ -29,6 +29,12 @@
 	for _, member := range status.Membership.GetMembers() {
 		response.ControllerAddresses = append(response.ControllerAddresses, member.Address)
 	}
+	if !behind {
+		held, version := c.heldRequests()
+		if response.HeldVersion = version; version != request.GetHeldVersion() {
+			response.Held = held
+		}
+	}
 	c.addDirectory(response, request)
 	c.answer(Answer{Call: received.Call, Response: response})
 }
--- /dev/null
+++ b/internal/control/quarantine.go
@@ -0,0 +1,166 @@
+package control
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
+)
+
+// ReplicaEndsReceived tells under which requests replicas have ended. The answer is a
+// ReportReplicaEndsResponse once that is agreed on.
+type ReplicaEndsReceived struct {
+	Call CallID
+	Ends []*v1.ReplicaEnd
+}
+
+// TrialAsked asks for the right to run a held request once more; the answer is a BeginTrialResponse.
+type TrialAsked struct {
+	Call      CallID
+	Signature []byte
+}
+
+// RequestReleased tells that a held request has run to a good end; the answer is a
+// ReleaseRequestResponse.
+type RequestReleased struct {
+	Call      CallID
+	Signature []byte
+}
+
+func (ReplicaEndsReceived) isInput() {}
+func (TrialAsked) isInput()          {}
+func (RequestReleased) isInput()     {}
+
+// mostEndsReported bounds the ends in one report; the rest is ignored, and told again.
+const mostEndsReported = 4096
+
+// requestQuarantine is what a controller keeps for the requests that are held.
+type requestQuarantine struct {
+	keeper *quarantine.Keeper
+	// held is what nodes are told, version its hash, 0 for nothing.
+	held    []*v1.HeldRequest
+	version uint64
+	// ledger and ledgerVersion are what held was made of.
+	ledger        *quarantine.Ledger
+	ledgerVersion uint64
+}
+
+func newRequestQuarantine() requestQuarantine {
+	return requestQuarantine{keeper: quarantine.NewKeeper()}
+}
+
+// takeReplicaEnds takes a node's word on ends of replicas. What is known already is answered at once.
+func (c *Core) takeReplicaEnds(received ReplicaEndsReceived) {
+	if !c.demandLeader(received.Call) {
+		return
+	}
+	ends := received.Ends[:min(len(received.Ends), mostEndsReported)]
+	command := &v1.Command{Body: &v1.Command_RecordReplicaEnds{RecordReplicaEnds: &v1.RecordReplicaEnds{Ends: ends}}}
+	c.proposeForCall(command, received.Call, func(core *Core, _ controlstate.Result) {
+		core.answer(Answer{Call: received.Call, Response: core.replicaEndsResponse(ends)})
+	})
+}
+
+// replicaEndsResponse tells which of the requests are held now.
+func (c *Core) replicaEndsResponse(ends []*v1.ReplicaEnd) *v1.ReportReplicaEndsResponse {
+	response := &v1.ReportReplicaEndsResponse{}
+	for _, end := range ends {
+		if signature, valid := quarantine.SignatureFrom(end.GetSignature()); valid && c.state.Suspects().Held(signature) {
+			response.Held = append(response.Held, end.GetSignature())
+		}
+	}
+	return response
+}
+
+// takeTrialAsked grants a trial that is due. It is agreed on before it is granted, so that another
+// leader knows of it.
+func (c *Core) takeTrialAsked(received TrialAsked) {
+	if !c.demandLeader(received.Call) {
+		return
+	}
+	suspect := c.trialDue(received.Signature)
+	if suspect == nil {
+		c.answer(Answer{Call: received.Call, Response: &v1.BeginTrialResponse{}})
+		return
+	}
+	grant := &v1.GrantTrial{Signature: received.Signature, GrantedBefore: suspect.Trials}
+	c.proposeForCall(&v1.Command{Body: &v1.Command_GrantTrial{GrantTrial: grant}}, received.Call, func(core *Core, result controlstate.Result) {
+		core.answer(Answer{Call: received.Call, Response: &v1.BeginTrialResponse{Granted: result.Err == nil}})
+	})
+}
+
+// trialDue returns the held request with a signature if it may be tried now; nil otherwise.
+func (c *Core) trialDue(bytes []byte) *quarantine.Suspect {
+	signature, valid := quarantine.SignatureFrom(bytes)
+	if !valid {
+		return nil
+	}
+	c.quarantine.keeper.Observe(c.now, c.state.Suspects())
+	suspect := c.state.Suspects().Suspect(signature)
+	if suspect == nil || !c.quarantine.keeper.TrialDue(c.now, suspect) {
+		return nil
+	}
+	return suspect
+}
+
+// takeRequestReleased forgets a request that has run to a good end.
+func (c *Core) takeRequestReleased(received RequestReleased) {
+	if !c.demandLeader(received.Call) {
+		return
+	}
+	c.proposeForCall(releaseCommand(received.Signature), received.Call, func(core *Core, _ controlstate.Result) {
+		core.answer(Answer{Call: received.Call, Response: &v1.ReleaseRequestResponse{}})
+	})
+}
+
+func releaseCommand(signatures ...[]byte) *v1.Command {
+	return &v1.Command{Body: &v1.Command_ReleaseRequests{ReleaseRequests: &v1.ReleaseRequests{Signatures: signatures}}}
+}
+
+// tickQuarantine sees which trials are due, and forgets requests that have not come again.
+func (c *Core) tickQuarantine() {
+	ledger := c.state.Suspects()
+	c.quarantine.keeper.Observe(c.now, ledger)
+	c.quarantine.tell(c, ledger)
+	if !due(c.now, &c.duties.suspects, housekeepInterval) {
+		return
+	}
+	var forgotten [][]byte
+	for _, signature := range c.quarantine.keeper.Forgettable(c.now, ledger) {
+		forgotten = append(forgotten, signature[:])
+	}
+	if len(forgotten) > 0 {
+		c.proposeQuietly(releaseCommand(forgotten...))
+	}
+}
+
+// heldRequests returns what nodes are told of held requests, and its version.
+func (c *Core) heldRequests() (held []*v1.HeldRequest, version uint64) {
+	ledger := c.state.Suspects()
+	if c.quarantine.ledger != ledger || c.quarantine.ledgerVersion != ledger.Version() {
+		c.quarantine.tell(c, ledger)
+	}
+	return c.quarantine.held, c.quarantine.version
+}
+
+// tell makes what nodes are told.
+func (q *requestQuarantine) tell(core *Core, ledger *quarantine.Ledger) {
+	q.ledger, q.ledgerVersion = ledger, ledger.Version()
+	q.held = nil
+	sum := xxhash.New()
+	for _, suspect := range ledger.Suspects() {
+		if !suspect.Held() {
+			continue
+		}
+		told := &v1.HeldRequest{Signature: suspect.Signature[:], TrialDue: core.leading && q.keeper.TrialDue(core.now, suspect)}
+		q.held = append(q.held, told)
+		_, _ = sum.Write(told.Signature) // a hash takes everything
+		if told.TrialDue {
+			_, _ = sum.Write([]byte{1})
+		}
+	}
+	if q.version = 0; len(q.held) > 0 {
+		q.version = max(sum.Sum64(), 1)
+	}
+}
--- a/internal/control/site_news.go
+++ b/internal/control/site_news.go
@@ -30,12 +30,15 @@
 	// leader is the address of the controller that leads as far as is known here.
 	leader          string
 	number, listing uint64
+	// held is the version of the held requests.
+	held uint64
 }
 
 // siteState returns what holds now.
 func (c *Core) siteState() siteState {
 	state := siteState{leads: c.leading && c.mayAnswerAsLeader(), listing: c.listing.version}
 	if state.leads {
+		_, state.held = c.heldRequests()
 		state.number = c.news.documents.advance(c.now, c.state.Document()).GetNumber()
 		return state
 	}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -85,7 +85,8 @@
 
 // hasNews reports whether a relay does not hold what is in force.
 func (c *Core) hasNews(request *v1.WatchRequest) bool {
-	return c.news.documents.newest().GetNumber() > request.GetDocumentNumber() ||
+	_, held := c.heldRequests()
+	return c.news.documents.newest().GetNumber() > request.GetDocumentNumber() || held != request.GetHeldVersion() ||
 		c.listing.version != 0 && c.listing.version != request.GetListingVersion()
 }
 
@@ -109,6 +110,10 @@
 	if c.listing.version != 0 {
 		response.ListingAgeMs = milliseconds(c.now - c.listing.readAt)
 	}
+	held, version := c.heldRequests()
+	if response.HeldVersion = version; version != request.GetHeldVersion() {
+		response.Held = held
+	}
 	response.TrueTimeMs, _ = c.trueTime()
 	response.UsageWindowMs = milliseconds(c.config.Usage.Window)
 	response.Relays = c.relayCount()
--- a/internal/controller/input_names.go
+++ b/internal/controller/input_names.go
@@ -27,6 +27,8 @@
 		return "orders"
 	case control.UsageReceived, control.UsageDelivered:
 		return "usage"
+	case control.ReplicaEndsReceived, control.TrialAsked, control.RequestReleased:
+		return "quarantine"
 	case control.ReplicasOrdered:
 		return "replicas"
 	case control.ListingReceived:
--- a/internal/controller/node_service.go
+++ b/internal/controller/node_service.go
@@ -49,6 +49,33 @@
 		forwardToNode(hazelpitchv1connect.NodeServiceClient.ReportUsage))
 }
 
+// ReportReplicaEnds takes a node's word on replicas that ended; it is passed on to the leader.
+func (n nodeService) ReportReplicaEnds(ctx context.Context, request *connect.Request[v1.ReportReplicaEndsRequest]) (*connect.Response[v1.ReportReplicaEndsResponse], error) {
+	return serve(ctx, n.service, request,
+		func(call control.CallID) control.Input {
+			return control.ReplicaEndsReceived{Call: call, Ends: request.Msg.GetEnds()}
+		},
+		forwardToNode(hazelpitchv1connect.NodeServiceClient.ReportReplicaEnds))
+}
+
+// BeginTrial asks for the right to run a held request once more; it is passed on to the leader.
+func (n nodeService) BeginTrial(ctx context.Context, request *connect.Request[v1.BeginTrialRequest]) (*connect.Response[v1.BeginTrialResponse], error) {
+	return serve(ctx, n.service, request,
+		func(call control.CallID) control.Input {
+			return control.TrialAsked{Call: call, Signature: request.Msg.GetSignature()}
+		},
+		forwardToNode(hazelpitchv1connect.NodeServiceClient.BeginTrial))
+}
+
+// ReleaseRequest tells that a held request has run well; it is passed on to the leader.
+func (n nodeService) ReleaseRequest(ctx context.Context, request *connect.Request[v1.ReleaseRequestRequest]) (*connect.Response[v1.ReleaseRequestResponse], error) {
+	return serve(ctx, n.service, request,
+		func(call control.CallID) control.Input {
+			return control.RequestReleased{Call: call, Signature: request.Msg.GetSignature()}
+		},
+		forwardToNode(hazelpitchv1connect.NodeServiceClient.ReleaseRequest))
+}
+
 // BeginClaim asks for the right to run a request that may run at most once.
 func (n nodeService) BeginClaim(ctx context.Context, request *connect.Request[v1.BeginClaimRequest]) (*connect.Response[v1.BeginClaimResponse], error) {
 	return serve(ctx, n.service, request,
--- a/internal/controlstate/errors.go
+++ b/internal/controlstate/errors.go
@@ -20,6 +20,8 @@
 	ErrClaimExpired = errors.New("the claim has expired")
 	// ErrClaimNotHeld: the attempt does not hold the claim.
 	ErrClaimNotHeld = errors.New("the attempt does not hold the claim")
+	// ErrNoTrial: the request may not be tried.
+	ErrNoTrial = errors.New("no trial is granted")
 	// ErrInvalidCommand: the command is malformed.
 	ErrInvalidCommand = errors.New("the command is invalid")
 )
--- a/internal/controlstate/safeguards.go
+++ b/internal/controlstate/safeguards.go
@@ -17,4 +17,6 @@
 	BaseRevisionCheck safeguard.Safeguard = "base revision check"
 	// ClaimCheck grants a claim to one attempt only.
 	ClaimCheck safeguard.Safeguard = "claim check"
+	// Quarantine holds requests back under which too many replicas have ended.
+	Quarantine safeguard.Safeguard = "quarantine"
 )
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 	"github.com/hazelpitch/hazelpitch/internal/safeguard"
 	"github.com/hazelpitch/hazelpitch/internal/usage"
 )
@@ -25,6 +26,7 @@
 		Document: s.document,
 		Usage:    s.usage.Snapshot(),
 		Replicas: sortedValues(s.replicas),
+		Suspects: s.suspects.Snapshot(),
 	}
 	s.catalogue.byRevision.Ascend(func(object *v1.Object) bool {
 		record.Objects = append(record.Objects, object)
@@ -66,6 +68,7 @@
 	}
 	state.document = record.Document
 	state.usage = usage.Restore(record.Usage)
+	state.suspects = quarantine.Restore(record.Suspects)
 	for _, numbers := range record.Replicas {
 		state.replicas[numbers.Service] = numbers
 	}
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -4,6 +4,7 @@
 	"github.com/gravitational/trace"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 	"github.com/hazelpitch/hazelpitch/internal/safeguard"
 	"github.com/hazelpitch/hazelpitch/internal/usage"
 )
@@ -37,6 +38,9 @@
 
 	// replicas are the replicas that are wanted, by service.
 	replicas map[string]*v1.SetReplicas
+
+	// suspects are the requests under which replicas have ended.
+	suspects *quarantine.Ledger
 }
 
 // New returns the state before the first command.
@@ -53,6 +57,7 @@
 		claims:     newClaimTable(),
 		usage:      usage.NewLedger(),
 		replicas:   map[string]*v1.SetReplicas{},
+		suspects:   quarantine.NewLedger(),
 	}
 }
 
@@ -117,6 +122,12 @@
 	case *v1.Command_SetReplicas:
 		s.replicas[body.SetReplicas.GetService()] = body.SetReplicas
 		return Result{}
+	case *v1.Command_RecordReplicaEnds:
+		return s.recordReplicaEnds(body.RecordReplicaEnds)
+	case *v1.Command_GrantTrial:
+		return s.grantTrial(body.GrantTrial)
+	case *v1.Command_ReleaseRequests:
+		return s.releaseRequests(body.ReleaseRequests)
 	case *v1.Command_RecordRequest:
 		return s.recordRequest(at, body.RecordRequest)
 	default:
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -15,6 +15,15 @@
 	RequestRefused Event = "request_refused"
 	// KeyRefused: a request was not admitted for want of a key that is known.
 	KeyRefused Event = "key_refused"
+	// BackEndEnded: a back end ended while it ran requests.
+	BackEndEnded Event = "back_end_ended"
+	// RequestHeld: a request is kept away from back ends, since some have ended under it.
+	RequestHeld Event = "request_held"
+	// RequestTried: a held request is sent to one back end once more.
+	RequestTried Event = "request_tried"
+	// GuardCallFailed: the leader did not take what was found of ended back ends, or did not say
+	// whether a held request may be tried.
+	GuardCallFailed Event = "guard_call_failed"
 	// OwnerDoubted: a relay that owns engines does not answer and is passed over for a while.
 	OwnerDoubted Event = "owner_doubted"
 	// CellOwned and CellLeft: the relay decides from now on, or no longer, on a cell of engines, or
@@ -60,6 +69,7 @@
 // All lists every event.
 var All = []Event{
 	RequestEnded, AttemptFailed, RequestRefused, KeyRefused, RunMoved, ConfigurationInForce, ConfigurationUnreadable, ListingInForce,
+	BackEndEnded, RequestHeld, RequestTried, GuardCallFailed,
 	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageDelivered, ReplicasOrdered, DiskFailed, SettingsReloaded, LogLinesDropped,
 }
 
--- /dev/null
+++ b/internal/quarantine/keeper.go
@@ -0,0 +1,76 @@
+package quarantine
+
+import "time"
+
+// trialWaits are the times for which a request is held before its first trial and after each further
+// one; the last holds from then on. A request that replicas broke off by bad luck is served within
+// seconds; one that ends replicas costs two of them in its first minutes, and one an hour later on.
+var trialWaits = []time.Duration{10 * time.Second, time.Minute, 10 * time.Minute, time.Hour}
+
+const (
+	// forgetSuspect is how long a request is remembered that is not held and under which no further
+	// replica ends.
+	forgetSuspect = 10 * time.Minute
+	// forgetHeld is likewise for a request that is held and does not come again.
+	forgetHeld = 24 * time.Hour
+)
+
+// Keeper is what the leader keeps beside the ledger: since when each request is as it is. Its times are
+// durations since an origin that never go back. A new leader knows none of them, and waits anew.
+type Keeper struct {
+	seen    map[Signature]observed
+	version uint64
+}
+
+// observed is a request as the leader saw it last, and since when it is so.
+type observed struct {
+	replicas int
+	trials   uint32
+	since    time.Duration
+}
+
+// NewKeeper returns the keeper of a leader that begins.
+func NewKeeper() *Keeper { return &Keeper{seen: map[Signature]observed{}} }
+
+// Observe takes what the ledger holds.
+func (k *Keeper) Observe(now time.Duration, ledger *Ledger) {
+	if k.version == ledger.Version() && len(k.seen) == len(ledger.Suspects()) {
+		return
+	}
+	k.version = ledger.Version()
+	seen := make(map[Signature]observed, len(ledger.Suspects()))
+	for _, suspect := range ledger.Suspects() {
+		before, known := k.seen[suspect.Signature]
+		if !known || before.replicas != len(suspect.Replicas) || before.trials != suspect.Trials {
+			before = observed{replicas: len(suspect.Replicas), trials: suspect.Trials, since: now}
+		}
+		seen[suspect.Signature] = before
+	}
+	k.seen = seen
+}
+
+// TrialDue reports whether a held request may be tried once more.
+func (k *Keeper) TrialDue(now time.Duration, suspect *Suspect) bool {
+	before, known := k.seen[suspect.Signature]
+	return known && suspect.Held() && now-before.since >= waitAfter(suspect.Trials)
+}
+
+// waitAfter is the time for which a request is held after so many trials.
+func waitAfter(trials uint32) time.Duration {
+	return trialWaits[min(int(trials), len(trialWaits)-1)]
+}
+
+// Forgettable returns the requests that need not be remembered any longer.
+func (k *Keeper) Forgettable(now time.Duration, ledger *Ledger) []Signature {
+	var forgettable []Signature
+	for _, suspect := range ledger.Suspects() {
+		limit := forgetSuspect
+		if suspect.Held() {
+			limit = forgetHeld
+		}
+		if before, known := k.seen[suspect.Signature]; known && now-before.since >= limit {
+			forgettable = append(forgettable, suspect.Signature)
+		}
+	}
+	return forgettable
+}
--- /dev/null
+++ b/internal/quarantine/ledger_test.go
@@ -0,0 +1,94 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+// numbered returns a signature of its own for each number.
+func numbered(number int) Signature {
+	var signature Signature
+	binary.BigEndian.PutUint64(signature[:], uint64(number))
+	return signature
+}
+
+func TestARequestIsHeldOnceEnoughReplicasEndedUnderIt(t *testing.T) {
+	ledger := NewLedger()
+	signature := numbered(1)
+	for replica := range uint64(HoldAfter) {
+		require.False(t, ledger.Held(signature), "after %d ends", replica)
+		for range 3 { // relays tell what others have told, and tell again what got no answer
+			ledger.Record(signature, replica)
+		}
+	}
+	require.True(t, ledger.Held(signature))
+	require.False(t, ledger.Held(numbered(2)))
+	ledger.Release(signature)
+	require.False(t, ledger.Held(signature))
+	require.Empty(t, ledger.Suspects())
+}
+
+func TestATrialIsGrantedOnce(t *testing.T) {
+	ledger := NewLedger()
+	signature := numbered(1)
+	require.False(t, ledger.Grant(signature, 0), "it is not known")
+	ledger.Record(signature, 1)
+	require.False(t, ledger.Grant(signature, 0), "it is not held")
+	ledger.Record(signature, 2)
+	ledger.Record(signature, 3)
+	require.True(t, ledger.Grant(signature, 0))
+	require.False(t, ledger.Grant(signature, 0), "another asked at the same time")
+	require.True(t, ledger.Grant(signature, 1))
+}
+
+func TestTheLedgerIsBounded(t *testing.T) {
+	ledger := NewLedger()
+	for number := range 2 * mostSuspects {
+		ledger.Record(numbered(number), 1)
+	}
+	require.Len(t, ledger.Suspects(), mostSuspects)
+	require.Equal(t, numbered(mostSuspects), ledger.Suspects()[0].Signature, "the oldest give way")
+	for number := range MostHeld + 10 {
+		for replica := range uint64(4 * mostReplicas) {
+			ledger.Record(numbered(-number-1), replica)
+		}
+	}
+	held := 0
+	for _, suspect := range ledger.Suspects() {
+		require.LessOrEqual(t, len(suspect.Replicas), mostReplicas)
+		if suspect.Held() {
+			held++
+		}
+	}
+	require.Equal(t, MostHeld, held)
+	require.Equal(t, held, ledger.held)
+	require.Len(t, ledger.Suspects(), len(ledger.known))
+	require.False(t, ledger.Held(numbered(-1)), "the first one held gave way")
+	require.True(t, ledger.Held(numbered(-MostHeld-10)))
+}
+
+func TestSnapshotsHoldTheLedger(t *testing.T) {
+	require.Nil(t, NewLedger().Snapshot())
+	ledger := NewLedger()
+	for number := range 20 {
+		for replica := range uint64(1 + number%5) {
+			ledger.Record(numbered(number), replica)
+		}
+	}
+	require.True(t, ledger.Grant(numbered(4), 0))
+	records := ledger.Snapshot()
+	restored := Restore(append(records, &v1.SuspectRequest{Signature: []byte("short")}))
+	again := restored.Snapshot()
+	require.Len(t, again, len(records))
+	for index := range records {
+		require.True(t, proto.Equal(records[index], again[index]))
+	}
+	require.Equal(t, ledger.held, restored.held)
+	require.True(t, restored.Held(numbered(4)))
+	require.False(t, restored.Grant(numbered(4), 0), "a trial was granted before")
+}
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -41,7 +41,7 @@
 	if err == nil || errors.Is(err, io.EOF) {
 		return n, err
 	}
-	return n, a.exchanger.broken(a.message, true, err)
+	return n, a.exchanger.broken(a.connection, a.message, true, err)
 }
 
 // finish ends an exchange whose answer was taken; the connection is used again when the
@@ -54,10 +54,18 @@
 	a.exchanger.noteWork(a.message)
 	if a.body.whole {
 		a.message.backEnd.succeeded()
+		a.noteRanWell()
 	}
 	a.release()
 }
 
+// noteRanWell notes that the back end has run the request to its end.
+func (a *answer) noteRanWell() {
+	if !a.message.reading {
+		a.exchanger.guard.RanWell(a.message.request.signature)
+	}
+}
+
 // discard ends an exchange whose answer is a failure. A short body is read, so that the
 // connection can be used again.
 func (a *answer) discard() {
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
@@ -20,6 +21,8 @@
 	mayHaveRun bool
 	excluded   []*backEnd
 	last       *failure
+	// held tells that the request must not be sent to any back end again.
+	held bool
 }
 
 // note takes the outcome of a sending that brought no answer.
@@ -32,6 +35,8 @@
 	if fault.verdict != verdict.NotRun {
 		a.mayHaveRun = true
 	}
+	a.relay.noteEnded(backEnd, fault)
+	a.noteBroken(backEnd, fault)
 }
 
 // noteMoved takes a run that was moved from a back end: it ran there, and goes on at another one as
@@ -49,12 +54,20 @@
 		a.sent++
 		a.last = fault
 	}
+	a.relay.noteEnded(engine, fault)
+	a.noteBroken(engine, fault)
 }
 
 // mayContinue reports whether another sending is allowed: by the client, the time, the
 // route's attempts, what the request may have done, and the retry budget.
 func (a *attempts) mayContinue() bool {
-	if a.over() || a.mayHaveRun && !a.request.route.Repeatable() {
+	if a.over() || a.held || a.mayHaveRun && !a.request.route.Repeatable() {
+		return false
+	}
+	if a.request.trial {
+		return a.sent == 0
+	}
+	if a.held = a.relay.guard.Held(a.request.signature); a.held {
 		return false
 	}
 	if a.sent == 0 {
@@ -100,6 +113,8 @@
 		return refusal{status: fasthttp.StatusGatewayTimeout, reason: "no whole answer came in time"}
 	case a.mayHaveRun:
 		return refusal{status: fasthttp.StatusBadGateway, reason: "the back end failed"}
+	case a.held:
+		return refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonHeld, retryAfter: crashguard.ComeBackAfter}
 	case late:
 		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "no back end took the request in time", retryAfter: retryAfterBusy}
 	case a.last != nil && errors.Is(a.last, errNotExecuted):
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
@@ -48,6 +49,8 @@
 	work placement.Work
 	// chosen is how the back end was picked; nil where that does not matter.
 	chosen *place
+	// reading tells that the prompt is read and nothing runs.
+	reading bool
 	// reads are the parts of the prompt that the back end reads, begun those of them that it
 	// did not hold when the message was sent.
 	reads, begun []placement.Part
@@ -60,6 +63,7 @@
 	clock   clock
 	dial    dialing.Dial
 	notices *notices
+	guard   *crashguard.Guard
 	// without are mechanisms that are left out.
 	without mechanism.Set
 }
@@ -176,7 +180,7 @@
 	if len(message.request.body) < longBody {
 		head = append(head, message.request.body...)
 		if n, err := connection.Write(head); err != nil {
-			return nil, e.broken(message, n > 0, err)
+			return nil, e.broken(connection, message, n > 0, err)
 		}
 		return nil, nil
 	}
@@ -203,7 +207,7 @@
 
 // broken is the failure of a connection that broke. What was not sent at all cannot have
 // run; anything else may have.
-func (e *exchanger) broken(message *message, sent bool, err error) *failure {
+func (e *exchanger) broken(connection *upstreamConnection, message *message, sent bool, err error) *failure {
 	fault := &failure{verdict: verdict.MayHaveRun, arrived: true, cause: fmt.Errorf("%w: %w", errBroken, err)}
 	if !sent {
 		fault.verdict, fault.arrived = verdict.NotRun, false
@@ -215,6 +219,8 @@
 		fault.cause = errDeadline
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		fault.cause = errStalled
+	case connection.silent:
+		fault.cause = errSilent
 	}
 	return fault
 }
@@ -225,7 +231,7 @@
 	for range maximumStaleAnswers + 1 {
 		head := &fasthttp.ResponseHeader{}
 		if err := readFinalHead(head, connection); err != nil {
-			return nil, e.broken(message, true, err)
+			return nil, e.broken(connection, message, true, err)
 		}
 		answer := &answer{
 			status: head.StatusCode(), head: head, connection: connection, message: message, exchanger: e,
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -30,6 +30,7 @@
 	errDeadline     = errors.New("the request's time is over")
 	errDial         = errors.New("the back end cannot be connected to")
 	errStalled      = errors.New("the back end was silent for too long")
+	errSilent       = errors.New("the back end's machine has confirmed nothing for too long")
 	errBroken       = errors.New("the connection broke before the answer was whole")
 	errNoAnswer     = errors.New("the bytes received are no answer")
 	errNotExecuted  = errors.New("the back end has not run the request")
--- /dev/null
+++ b/internal/relay/quarantine.go
@@ -0,0 +1,158 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/crashguard"
+	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
+)
+
+// endWait is how long a request waits, before it is sent to another back end, until the controllers have
+// agreed on the end of the one that broke it off.
+const endWait = 300 * time.Millisecond
+
+// reasonHeld is why a request is refused under which back ends have ended.
+const reasonHeld = "back ends have ended while they ran this request"
+
+// newGuard makes the guard of a relay.
+func newGuard(relay *Relay) *crashguard.Guard {
+	return crashguard.New(crashguard.Options{
+		Leader: guardLeader{relay}, Now: relay.clock.now, Probe: relay.probe, Observer: guardObserver{relay},
+	})
+}
+
+// admitHeld refuses a request that must not run. It reports whether the request goes on.
+func (r *Relay) admitHeld(request *request, reply *replier) bool {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	switch r.guard.Admit(ctx, request.signature) {
+	case crashguard.Held:
+		r.finishRefused(&attempts{relay: r, request: request, held: true}, reply)
+		return false
+	case crashguard.Trial:
+		request.trial = true
+		r.log.trial(request)
+	}
+	return true
+}
+
+// noteBroken lets the guard find out whether a back end has ended that broke a request off. Where the
+// request may go on, that is awaited.
+func (a *attempts) noteBroken(backEnd *backEnd, fault *failure) {
+	relay, request := a.relay, a.request
+	if !fault.arrived || backEnd.Leaving {
+		return
+	}
+	if errors.Is(fault, errStalled) || errors.Is(fault, errSilent) {
+		relay.guard.WentSilent(request.signature, backEnd.ID)
+		return
+	}
+	if !errors.Is(fault, errBroken) {
+		return
+	}
+	replica := crashguard.Replica{ID: backEnd.ID, Address: backEnd.Address}
+	if !request.route.Repeatable() || a.sent >= request.route.MaxAttempts {
+		go relay.guard.Broke(request.signature, replica, 0)
+		return
+	}
+	a.held = relay.guard.Broke(request.signature, replica, min(endWait, request.deadline-relay.clock.now()))
+}
+
+// noteEnded tells the guard that nothing serves at a back end's address, or another one.
+func (r *Relay) noteEnded(backEnd *backEnd, fault *failure) {
+	refused := errors.Is(fault, errDial) && errors.Is(fault, syscall.ECONNREFUSED)
+	if refused || errors.Is(fault, errMisdirected) {
+		r.guard.Ended(backEnd.ID)
+	}
+}
+
+// probe looks whether a back end takes connections; one that was opened is used later.
+func (r *Relay) probe(_ context.Context, replica crashguard.Replica) crashguard.Sight {
+	known := r.backEndOf(replica.ID)
+	if known == nil {
+		return crashguard.Unclear // the list does not show it any more
+	}
+	connection, err := r.exchanger.open(known, dialTimeout)
+	switch {
+	case err == nil:
+		known.pool.give(connection, r.clock.now())
+		return crashguard.Serves
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+		return crashguard.Gone
+	default:
+		return crashguard.Unclear
+	}
+}
+
+// backEndOf returns a back end of the list; nil when the list does not show it.
+func (r *Relay) backEndOf(id string) *backEnd {
+	for _, backEnds := range r.view.Load().byService {
+		for _, backEnd := range backEnds {
+			if backEnd.ID == id {
+				return backEnd
+			}
+		}
+	}
+	return nil
+}
+
+// guardLeader makes the guard's calls to the controller that led last, as far as is known here. One
+// that does not lead passes them on.
+type guardLeader struct{ relay *Relay }
+
+func (g guardLeader) client() hazelpitchv1connect.NodeServiceClient {
+	watcher := g.relay.watcher
+	return hazelpitchv1connect.NewNodeServiceClient(watcher.http, "http://"+*watcher.leader.Load())
+}
+
+// ReportReplicaEnds implements crashguard.Leader.
+func (g guardLeader) ReportReplicaEnds(ctx context.Context, ends []*v1.ReplicaEnd) ([][]byte, error) {
+	response, err := g.client().ReportReplicaEnds(ctx, connect.NewRequest(&v1.ReportReplicaEndsRequest{Ends: ends}))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg.GetHeld(), nil
+}
+
+// BeginTrial implements crashguard.Leader.
+func (g guardLeader) BeginTrial(ctx context.Context, signature []byte) (bool, error) {
+	response, err := g.client().BeginTrial(ctx, connect.NewRequest(&v1.BeginTrialRequest{Signature: signature}))
+	if err != nil {
+		return false, err
+	}
+	return response.Msg.GetGranted(), nil
+}
+
+// ReleaseRequest implements crashguard.Leader.
+func (g guardLeader) ReleaseRequest(ctx context.Context, signature []byte) error {
+	_, err := g.client().ReleaseRequest(ctx, connect.NewRequest(&v1.ReleaseRequestRequest{Signature: signature}))
+	return err
+}
+
+// guardObserver writes lines and counts of what the guard finds.
+type guardObserver struct{ relay *Relay }
+
+// ReplicaEnded implements crashguard.Observer.
+func (o guardObserver) ReplicaEnded(replica string, requests int) {
+	o.relay.metrics.replicaEnds.Inc()
+	o.relay.event(events.BackEndEnded).Str("back_end", replica).Int("requests", requests).Send()
+}
+
+// RequestHeld implements crashguard.Observer.
+func (o guardObserver) RequestHeld(signature quarantine.Signature) {
+	o.relay.event(events.RequestHeld).Stringer("content", signature).Send()
+}
+
+// ReportFailed implements crashguard.Observer.
+func (o guardObserver) ReportFailed(err error) {
+	o.relay.metrics.guardCallsFailed.Inc()
+	o.relay.event(events.GuardCallFailed).Err(err).Send()
+}
--- /dev/null
+++ b/internal/relay/quarantine_test.go
@@ -0,0 +1,185 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/crashguard"
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// endingBody is the body of a request that ends every back end that runs it.
+const endingBody = "ends its back end"
+
+// startEndingBackEnd starts a back end that is gone once it begins to run the ending request.
+func startEndingBackEnd(t *testing.T, id string, stage serving.Stage, sound script) *scriptedBackEnd {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	backEnd := &scriptedBackEnd{entry: serving.BackEnd{
+		ID: id, Service: "service", Address: listener.Addr().String(), Zone: "zone", Slots: 8, Stage: stage,
+	}}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go backEnd.serve(connection, func(connection net.Conn, request received) bool {
+				if request.body == endingBody {
+					_ = listener.Close()
+					return false
+				}
+				return sound(connection, request)
+			})
+		}
+	}()
+	return backEnd
+}
+
+// grantingLeader grants every trial, and holds nothing.
+type grantingLeader struct{ released chan []byte }
+
+func (grantingLeader) ReportReplicaEnds(context.Context, []*v1.ReplicaEnd) ([][]byte, error) {
+	return nil, nil
+}
+func (grantingLeader) BeginTrial(context.Context, []byte) (bool, error) { return true, nil }
+func (l grantingLeader) ReleaseRequest(_ context.Context, signature []byte) error {
+	l.released <- signature
+	return nil
+}
+
+// guardedBy has the relay's guard ask a leader.
+func (r *testRelay) guardedBy(t *testing.T, leader crashguard.Leader) {
+	r.guard = crashguard.New(crashguard.Options{
+		Leader: leader, Now: r.clock.now, Probe: r.probe, Observer: guardObserver{r.Relay},
+	})
+	r.exchanger.guard = r.guard
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go r.guard.Run(ctx)
+}
+
+// holding has the relay told that a request is held.
+func (r *testRelay) holding(trialDue bool, method, target, body string) quarantine.Signature {
+	signature := quarantine.SignatureOf("", method, target, []byte(body))
+	r.guard.Take(1, []*v1.HeldRequest{{Signature: signature[:], TrialDue: trialDue}})
+	return signature
+}
+
+// A route's attempts, however many, end three back ends at most, also where no controller answers.
+// Requests that run beside are served.
+func TestARequestEndsNoMoreThanThreeBackEnds(t *testing.T) {
+	for name, kind := range map[string]func(*serving.Route){"whole answers": safe, "streams": stream(true)} {
+		t.Run(name, func(t *testing.T) {
+			var backEnds []*scriptedBackEnd
+			for number := range 8 {
+				backEnds = append(backEnds, startEndingBackEnd(t, fmt.Sprint(number), serving.StageWhole, answering(200, "ok")))
+			}
+			relay := newTestRelay(t, route(func(made *serving.Route) { kind(made); made.MaxAttempts = 7 }), backEnds...)
+			client := relay.client(t)
+			answer := client.do("POST", "/path/", endingBody)
+			require.Equal(t, 502, answer.status, "it has run")
+			for retry := range 5 {
+				again := relay.client(t).do("POST", "/path/", endingBody, fmt.Sprint("T-Model: ", retry))
+				require.Equal(t, 503, again.status, "it has not run")
+				require.Equal(t, "10.000", string(again.head.Peek("Retry-After")))
+				require.Equal(t, 200, relay.client(t).do("POST", "/path/", "sound").status)
+			}
+			arrived := 0
+			for _, backEnd := range backEnds {
+				for _, request := range backEnd.seen() {
+					if request.body == endingBody {
+						arrived++
+					}
+				}
+			}
+			require.Equal(t, quarantine.HoldAfter, arrived)
+		})
+	}
+}
+
+// Back ends that only break connections off are not ended, and the request is sent on as the route says.
+func TestBrokenConnectionsHoldNothing(t *testing.T) {
+	var backEnds []*scriptedBackEnd
+	for number := range 6 {
+		backEnds = append(backEnds, startBackEnd(t, fmt.Sprint(number), serving.StageWhole, resetting("")))
+	}
+	relay := newTestRelay(t, route(func(made *serving.Route) { safe(made); made.MaxAttempts = 6 }), backEnds...)
+	require.Equal(t, 502, relay.client(t).do("POST", "/path/", "sound").status)
+	require.False(t, relay.guard.Held(quarantine.SignatureOf("", "POST", "/path/", []byte("sound"))))
+	for _, backEnd := range backEnds {
+		require.Len(t, backEnd.seen(), 1)
+	}
+}
+
+// What is held reaches no back end, neither to be run nor to be read.
+func TestHeldRequestsReachNobody(t *testing.T) {
+	reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
+	engine := startBackEnd(t, "engine", serving.StageDecode, streaming("seal", eventOne))
+	relay := newTestRelay(t, route(stream(true)), reader, engine)
+	relay.holding(false, "POST", "/path/", "x")
+	answer := relay.client(t).do("POST", "/path/", "x", longPrompt...)
+	require.Equal(t, 503, answer.status)
+	require.Empty(t, reader.seen())
+	require.Empty(t, engine.seen())
+	require.Equal(t, eventOne, relay.client(t).do("POST", "/path/", "y", longPrompt...).body)
+}
+
+// A trial reaches one engine once, which reads the prompt itself; one that runs well releases the
+// request for all.
+func TestATrialReachesOneBackEnd(t *testing.T) {
+	for name, answer := range map[string]script{"ends well": streaming("seal", eventOne), "breaks": resetting("")} {
+		t.Run(name, func(t *testing.T) {
+			reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
+			engines := []*scriptedBackEnd{startBackEnd(t, "one", serving.StageDecode, answer), startBackEnd(t, "two", serving.StageDecode, answer)}
+			relay := newTestRelay(t, route(stream(true)), reader, engines[0], engines[1])
+			leader := grantingLeader{released: make(chan []byte, 1)}
+			relay.guardedBy(t, leader)
+			signature := relay.holding(true, "POST", "/path/", "x")
+			got := relay.client(t).do("POST", "/path/", "x", longPrompt...)
+			require.Empty(t, reader.seen())
+			require.Len(t, append(engines[0].seen(), engines[1].seen()...), 1)
+			if name == "breaks" {
+				require.Equal(t, 502, got.status)
+				require.True(t, relay.guard.Held(signature))
+				return
+			}
+			require.Equal(t, eventOne, got.body)
+			require.Equal(t, signature[:], <-leader.released)
+			require.Equal(t, eventOne, relay.client(t).do("POST", "/path/", "x", longPrompt...).body)
+		})
+	}
+}
+
+// A request that waits, or whose back end has broken it off, when it becomes held is not sent on.
+func TestARequestThatBecomesHeldIsNotSentOn(t *testing.T) {
+	var relay *testRelay
+	first := startBackEnd(t, "first", serving.StageWhole, func(net.Conn, received) bool {
+		relay.holding(false, "POST", "/path/", "x")
+		return false
+	})
+	second := startBackEnd(t, "second", serving.StageWhole, answering(200, "ok"))
+	relay = newTestRelay(t, route(safe), first, second).preferring("first")
+	require.Equal(t, 502, relay.client(t).do("POST", "/path/", "x").status, "it may have run")
+	require.Empty(t, second.seen())
+}
+
+// Tenants do not have each other's requests held.
+func TestTheSameRequestOfAnotherTenantIsNotHeld(t *testing.T) {
+	backEnd := startBackEnd(t, "one", serving.StageWhole, answering(200, "ok"))
+	tenants := []serving.Tenant{{Name: "a", Keys: []string{"ka"}}, {Name: "b", Keys: []string{"kb"}}}
+	relay := newKeyedRelay(t, route(safe), tenants, backEnd)
+	signature := quarantine.SignatureOf("a", "POST", "/path/", []byte("x"))
+	relay.guard.Take(1, []*v1.HeldRequest{{Signature: signature[:]}})
+	require.Equal(t, 503, relay.client(t).do("POST", "/path/", "x", "T-Key: key ka").status)
+	require.Equal(t, 200, relay.client(t).do("POST", "/path/", "x", "T-Key: key kb").status)
+}
+
--- a/internal/relay/read_prompt.go
+++ b/internal/relay/read_prompt.go
@@ -93,7 +93,7 @@
 		set = append(set, header{r.dialect.Headers.KVFetch, chosen.fetchFrom.Address})
 	}
 	answer, fault := r.exchanger.send(&message{
-		request: request, backEnd: engine, deadline: request.deadline, reads: stream.parts, set: set, chosen: chosen,
+		request: request, backEnd: engine, deadline: request.deadline, reads: stream.parts, set: set, chosen: chosen, reading: true,
 		work:     readingWork(r.policy, stream.rank(), &chosen.Candidate),
 		stall:    prefillStall + time.Duration(prefillStallShare*float64(r.policy.WaitingTime(chosen.ahead, placement.Ranks-1, perToken)+placement.PrefillTime(perToken, chosen.Effort))),
 		mayBreak: true,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
@@ -38,6 +39,8 @@
 	exchanger *exchanger
 	budget    *retryBudget
 	watcher   *watcher
+	// guard keeps requests away from back ends that they would end.
+	guard *crashguard.Guard
 	// datagrams, notices and asker are what this relay has to do with others; owner decides on
 	// the engines that owners says are this relay's.
 	datagrams *datagrams
@@ -148,6 +151,8 @@
 	relay.pace.fixed = !options.Without.On(mechanism.LearntPace)
 	relay.view.Store(&view{byService: map[string][]*backEnd{}})
 	relay.watcher = newWatcher(relay, options)
+	relay.guard = newGuard(relay)
+	relay.exchanger.guard = relay.guard
 	relay.usage = usagereport.NewMeter(relay.watcher.incarnation)
 	return relay
 }
@@ -172,6 +177,7 @@
 	}
 	group.Go(func() error { r.watcher.run(working); return nil })
 	group.Go(func() error { r.usageReporter().Run(working); return nil })
+	group.Go(func() error { r.guard.Run(working); return nil })
 	group.Go(func() error { r.notices.send(working); return nil })
 	group.Go(func() error { r.datagrams.receive(r.takeDatagram); return nil })
 	group.Go(func() error { return r.accept(working, listener) })
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -54,8 +54,12 @@
 	denied   prometheus.Counter
 	// usageSentAgain counts reports of usage that had to be sent again.
 	usageSentAgain prometheus.Counter
-	waits          prometheus.Counter
-	moves          *prometheus.CounterVec
+	// replicaEnds counts back ends that ended while they ran requests of this relay,
+	// guardCallsFailed calls to the leader on them that failed.
+	replicaEnds      prometheus.Counter
+	guardCallsFailed prometheus.Counter
+	waits            prometheus.Counter
+	moves            *prometheus.CounterVec
 	// asked counts questions to owners of engines by what became of them, spills the requests
 	// that were offered to a further cell.
 	asked            *prometheus.CounterVec
@@ -77,6 +81,8 @@
 		again:            factory.Counter("sendings_again_total", "Sendings of requests beyond the first."),
 		denied:           factory.Counter("sendings_denied_total", "Sendings beyond the first that the retry budget did not allow."),
 		usageSentAgain:   factory.Counter("usage_sendings_again_total", "Reports of tenants' usage that were not taken and had to be sent again."),
+		replicaEnds:      factory.Counter("back_ends_ended_total", "Back ends that ended while they ran requests of this relay."),
+		guardCallsFailed: factory.Counter("guard_calls_failed_total", "Calls to the leader on ended back ends and held requests that failed."),
 		waits:            factory.Counter("reading_waits_total", "Waits of prompts for the reading of parts that they share."),
 		moves:            factory.CounterVec("runs_moved_total", "Runs that stopped at one engine to go on at another, by whether they were copied.", "copied"),
 		asked:            factory.CounterVec("placement_questions_total", "Decisions on engines, by who made them.", "outcome"),
@@ -108,6 +114,9 @@
 	factory.GaugeFunc("retry_budget_left", "Sendings beyond the first that the service with fewest left allows.", func() float64 {
 		return relay.budget.least(relay.clock.now())
 	})
+	factory.GaugeFunc("requests_held", "Requests that are kept away from back ends, since some have ended under them.", func() float64 {
+		return float64(relay.guard.HeldCount())
+	})
 	factory.GaugeFunc("usage_unreported", "Requests that began to run and that no leader has been told of yet.", func() float64 {
 		return float64(relay.usage.Unreported())
 	})
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -23,6 +23,8 @@
 	body   []byte
 	// signature tells which other requests are the same to a back end, whatever their identity.
 	signature quarantine.Signature
+	// trial tells that the request is held, and may be sent to one back end once.
+	trial bool
 
 	route   *serving.Route
 	service *serving.Service
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -30,6 +30,11 @@
 	l.line(zerolog.WarnLevel, events.KeyRefused, request).Int("status", status).Str("reason", string(fault)).Send()
 }
 
+// trial notes that a held request is sent to a back end once more.
+func (l requestLog) trial(request *request) {
+	l.line(zerolog.WarnLevel, events.RequestTried, request).Stringer("content", request.signature).Send()
+}
+
 // attemptFailed notes a sending to a back end that brought no answer.
 func (l requestLog) attemptFailed(request *request, backEnd *backEnd, fault *failure) {
 	l.line(zerolog.WarnLevel, events.AttemptFailed, request).Stringer("content", request.signature).Str("back_end", backEnd.ID).
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -38,8 +38,8 @@
 // prefill engine.
 func (r *Relay) beginStream(stream *streamReply) start {
 	request := stream.request
-	if request.service.Engine == nil || request.prompt.PromptTokens == 0 {
-		return start{}
+	if request.service.Engine == nil || request.prompt.PromptTokens == 0 || request.trial {
+		return start{} // a trial reaches one engine, which reads the prompt itself
 	}
 	for waits := 0; ; waits++ {
 		decision, chosen := r.placeReading(stream, waits)
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -46,7 +46,10 @@
 	request.prompt = serving.ParsePrompt(string(request.header.Peek(names.Model)),
 		string(request.header.Peek(names.Tokens)), string(request.header.Peek(names.PromptParts)))
 	r.budget.request(r.clock.now(), request.service.Name)
-	defer r.noteEnded(request, reply)
+	defer r.noteAnswered(request, reply)
+	if !r.admitHeld(request, reply) {
+		return
+	}
 	if request.route.Kind == serving.KindStream {
 		r.serveStream(request, reply)
 		return
@@ -54,8 +57,8 @@
 	r.servePlain(request, reply)
 }
 
-// noteEnded writes the line at a request's end and counts it.
-func (r *Relay) noteEnded(request *request, reply *replier) {
+// noteAnswered writes the line at a request's end and counts it.
+func (r *Relay) noteAnswered(request *request, reply *replier) {
 	belief := r.belief()
 	r.log.ended(request, reply, belief)
 	r.metrics.ended(request, reply, belief.now)
--- a/internal/relay/upstream_connection.go
+++ b/internal/relay/upstream_connection.go
@@ -27,6 +27,8 @@
 	idleLimit time.Duration
 	// wentSilent is called when the peer has not confirmed anything for too long; nil for nothing.
 	wentSilent func()
+	// silent tells that it was.
+	silent bool
 }
 
 func newUpstreamConnection(connection net.Conn) *upstreamConnection {
@@ -38,8 +40,11 @@
 // Read implements io.Reader.
 func (c *upstreamConnection) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
-	if c.wentSilent != nil && errors.Is(err, syscall.ETIMEDOUT) {
-		c.wentSilent()
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		c.silent = true
+		if c.wentSilent != nil {
+			c.wentSilent()
+		}
 	}
 	return n, err
 }
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -147,6 +147,7 @@
 		Leaving:        w.relay.stopping.Load(),
 		NoticeAddress:  w.relay.datagrams.address,
 		RelayList:      w.relayList,
+		HeldVersion:    w.relay.guard.Version(),
 		Demands:        w.relay.work.report(w.relay.clock.now()),
 	}
 	request.DocumentNumber = w.held.GetNumber()
@@ -185,6 +186,7 @@
 			w.takeBackEnds(translate(listed), &next)
 		}
 	}
+	w.relay.guard.Take(response.GetHeldVersion(), response.GetHeld())
 	w.takeRelays(response)
 	w.relay.usage.Hear(w.relay.clock.now(), response.GetTrueTimeMs(), time.Duration(response.GetUsageWindowMs())*time.Millisecond)
 	w.relay.budget.setRelays(int(response.GetRelays()))
