Gateways keep requests away from back ends that they would end

Cause: the same as at relays, in the other request plane: a chat or page request that ends its back end is sent to up to four of them, by every gateway, at every resend. Change: gateways use the same guard and tell the same controllers; held requests come with the heartbeat. Answer 503 request_held. The guard's calls to controllers stand once, in crashguard. Command: go test ./internal/gateway -run TestGatewaysKeepRequestsAwayThatEndBackEnds

--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -13,6 +13,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/claims"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 	"github.com/hazelpitch/hazelpitch/internal/stream"
 	"github.com/hazelpitch/hazelpitch/internal/upstream"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
@@ -84,7 +85,12 @@
 		sequence:    stream.NewSequence(target.kind.Spec.GetRepeatable(), g.safeguards),
 		interrupter: &upstream.Interrupter{},
 		key:         idempotencyKey(context),
+		signature:   quarantine.SignatureOf(tenant.Name, http.MethodPost, string(context.Path()), context.PostBody()),
 	}
+	if completion.trial, fault = g.admitHeld(completion.signature); fault != nil {
+		return nil, fault
+	}
+	completion.wholeOnly = completion.trial // a trial reaches one engine
 	completion.shape = target.shape(tenant, request)
 	completion.routing = target.routingRequest(tenant, request, g.admitter.estimate(completion.shape))
 	completion.routing.Deadline = completion.deadline
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -9,6 +9,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/admission"
 	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 	"github.com/hazelpitch/hazelpitch/internal/routing"
 	"github.com/hazelpitch/hazelpitch/internal/stream"
 	"github.com/hazelpitch/hazelpitch/internal/upstream"
@@ -54,6 +55,11 @@
 	tried    attempts
 	resumes  int
 	excluded []string
+	// signature tells which other requests are the same to an engine; trial that it is held and may be
+	// sent to one engine once, held that it must not be sent to any again.
+	signature quarantine.Signature
+	trial     bool
+	held      bool
 	// wholeOnly tells that a hand-over was lost: one engine does the rest.
 	wholeOnly bool
 	// mayHaveRun tells that some exchange of this request may have run, promptSent that
--- a/internal/gateway/completion_connect.go
+++ b/internal/gateway/completion_connect.go
@@ -24,6 +24,7 @@
 			continue
 		}
 		if c.open && !c.target.kind.Spec.GetRepeatable() && c.gateway.safeguards.On(RetryOnlyNotRun) {
+			c.noteBroken(0)
 			return c.giveUp(refuseBackEnd())
 		}
 		if c.open {
@@ -69,7 +70,10 @@
 // begin picks engines and sends the request there. Without a refusal and without an
 // answer the caller tries again.
 func (c *completion) begin() *refusal {
-	if !c.gateway.mayBegin(c.tried) {
+	if c.held = c.held || !c.trial && c.gateway.guard.Held(c.signature); c.held {
+		return c.refusal(refuseHeld())
+	}
+	if c.trial && c.tried.begun > 0 || !c.gateway.mayBegin(c.tried) {
 		return c.refusal(refuseBackEnd())
 	}
 	choice, fault := c.pick()
--- a/internal/gateway/completion_end.go
+++ b/internal/gateway/completion_end.go
@@ -22,6 +22,13 @@
 	c.excluded = append(c.excluded, c.backEnd.Name)
 	c.gateway.dispatcher.observe(routing.Failed{BackEnd: c.backEnd.Name, Exchange: c.exchange})
 	c.gateway.cancelLater(c.backEnd.Address, c.exchange)
+	c.noteBroken(endWait)
+}
+
+// noteBroken lets the guard find out whether the engine has ended that broke the request off, and waits
+// for that.
+func (c *completion) noteBroken(wait time.Duration) {
+	c.held = c.gateway.guard.Broke(c.signature, replicaOf(c.backEnd), min(wait, c.deadline-c.gateway.clock.now()))
 }
 
 // giveUp ends an open exchange at its engine and returns the refusal with the verdict that
@@ -52,6 +59,7 @@
 // finish ends the exchange after a whole answer.
 func (c *completion) finish() {
 	c.done, c.whole = true, true
+	c.gateway.guard.RanWell(c.signature)
 	c.open = false
 	// The end of the body follows [DONE]; reading it lets the connection be used again.
 	if _, err := c.scanner.Next(); errors.Is(err, io.EOF) {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
@@ -33,13 +34,16 @@
 	controllers *controllers
 	admitter    *admitter
 	claimer     *claimer
+	// guard keeps requests away from back ends that they would end.
+	guard *crashguard.Guard
 }
 
 // ControlOptions are what a process may give NewControl besides the settings.
 type ControlOptions struct {
 	// Log receives the log. Required; whoever made it runs it.
 	Log *logring.Log
-	// Dial opens the connections to controllers; nil means TCP from source_address.
+	// Dial opens the connections to controllers, and looks whether back ends serve; nil means TCP from
+	// source_address.
 	Dial dialing.Dial
 	// OnRevision, when not nil, is called with each revision as it comes into force
 	// here; it must not block.
@@ -84,6 +88,7 @@
 		controllers: controllers,
 		admitter:    admitter,
 		claimer:     newClaimer(clock, controllers, identity, options.Safeguards),
+		guard:       newGuard(clock, config, options, controllers, counts),
 	}, nil
 }
 
@@ -99,7 +104,7 @@
 
 // duties are the loops of the control runtime, one goroutine each.
 func (c *Control) duties() []func(context.Context) {
-	return []func(context.Context){c.view.run, c.syncLoop, c.reportLoop, c.admissionLoop}
+	return []func(context.Context){c.view.run, c.syncLoop, c.reportLoop, c.admissionLoop, c.guard.Run}
 }
 
 // Revision returns the revision of the configuration in force; 0 is none.
--- a/internal/gateway/controller_test.go
+++ b/internal/gateway/controller_test.go
@@ -166,11 +166,16 @@
 		revision: 1, objects: testObjects(), claims: map[string]*heldClaim{},
 		directory: &v1.Directory{Version: 1, BackEnds: backEnds},
 	}
-	path, handler := hazelpitchv1connect.NewNodeServiceHandler(controller)
+	controller.serveAs(t, controller)
+	return controller
+}
+
+// serveAs serves the node service by a handler, at an address of its own.
+func (c *testController) serveAs(t testing.TB, service hazelpitchv1connect.NodeServiceHandler) {
+	path, handler := hazelpitchv1connect.NewNodeServiceHandler(service)
 	routes := http.NewServeMux()
 	routes.Handle(path, handler)
 	server := httptest.NewServer(routes)
 	t.Cleanup(server.Close)
-	controller.address = strings.TrimPrefix(server.URL, "http://")
-	return controller
+	c.address = strings.TrimPrefix(server.URL, "http://")
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,22 +23,28 @@
 	reportFailures  prometheus.Counter
 	revision        prometheus.Gauge
 	urgentReports   prometheus.Counter
+	// replicaEnds counts back ends that ended while they ran requests of this gateway,
+	// guardCallsFailed calls to the leader on them that failed.
+	replicaEnds      prometheus.Counter
+	guardCallsFailed prometheus.Counter
 }
 
 func newGatewayMetrics(factory metrics.Factory) *gatewayMetrics {
 	return &gatewayMetrics{
-		answers:         factory.CounterVec("answers_total", "Answers to callers.", "status", "verdict"),
-		inFlight:        factory.Gauge("requests_in_flight", "Requests started and not yet answered to their end."),
-		waiting:         factory.Gauge("requests_waiting", "Requests that wait for their turn."),
-		resumes:         factory.Counter("stream_resumes_total", "Streams resumed at their engine after a cut link."),
-		eventsDropped:   factory.Counter("events_dropped_total", "Events dropped because they repeated what was delivered."),
-		foreignAnswers:  factory.Counter("foreign_answers_total", "Answers and events dropped because they belonged to another exchange."),
-		connectionsKept: factory.Counter("connections_kept_total", "Connections to engines kept after a whole stream."),
-		handOvers:       factory.CounterVec("hand_overs_total", "Prompts to be read by one engine and answered by another, by how that ended.", "outcome"),
-		syncFailures:    factory.Counter("sync_failures_total", "Heartbeats that no controller answered."),
-		reportFailures:  factory.Counter("report_failures_total", "Demand reports that no leader took."),
-		revision:        factory.Gauge("revision", "Revision of the configuration in force here."),
-		urgentReports:   factory.Counter("urgent_reports_total", "Reports sent early because requests waited for a share of their tenant's limit."),
+		answers:          factory.CounterVec("answers_total", "Answers to callers.", "status", "verdict"),
+		inFlight:         factory.Gauge("requests_in_flight", "Requests started and not yet answered to their end."),
+		waiting:          factory.Gauge("requests_waiting", "Requests that wait for their turn."),
+		resumes:          factory.Counter("stream_resumes_total", "Streams resumed at their engine after a cut link."),
+		eventsDropped:    factory.Counter("events_dropped_total", "Events dropped because they repeated what was delivered."),
+		foreignAnswers:   factory.Counter("foreign_answers_total", "Answers and events dropped because they belonged to another exchange."),
+		connectionsKept:  factory.Counter("connections_kept_total", "Connections to engines kept after a whole stream."),
+		handOvers:        factory.CounterVec("hand_overs_total", "Prompts to be read by one engine and answered by another, by how that ended.", "outcome"),
+		syncFailures:     factory.Counter("sync_failures_total", "Heartbeats that no controller answered."),
+		reportFailures:   factory.Counter("report_failures_total", "Demand reports that no leader took."),
+		revision:         factory.Gauge("revision", "Revision of the configuration in force here."),
+		urgentReports:    factory.Counter("urgent_reports_total", "Reports sent early because requests waited for a share of their tenant's limit."),
+		replicaEnds:      factory.Counter("back_ends_ended_total", "Back ends that ended while they ran requests of this gateway."),
+		guardCallsFailed: factory.Counter("guard_calls_failed_total", "Calls to the leader on ended back ends and held requests that failed."),
 	}
 }
 
--- a/internal/gateway/page.go
+++ b/internal/gateway/page.go
@@ -8,6 +8,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/admission"
 	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 	"github.com/hazelpitch/hazelpitch/internal/upstream"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -26,6 +27,10 @@
 	watch       *callerWatch
 	// key is the caller's idempotency key; empty when there is none.
 	key string
+	// signature tells which other requests are the same to a back end; trial that it is held and may
+	// be sent to one back end once.
+	signature quarantine.Signature
+	trial     bool
 }
 
 // pageAnswer is the whole answer of a page service.
@@ -95,6 +100,10 @@
 		Deadline:    g.clock.time(page.deadline),
 		Interrupter: page.interrupter,
 	}
+	page.signature = quarantine.SignatureOf(tenant.Name, page.message.Method, page.message.Target, page.message.Body)
+	if page.trial, fault = g.admitHeld(page.signature); fault != nil {
+		return nil, fault
+	}
 	return page, nil
 }
 
--- a/internal/gateway/page_exchange.go
+++ b/internal/gateway/page_exchange.go
@@ -14,7 +14,10 @@
 		if fault := p.gateway.over(p.interrupter, p.deadline); fault != nil {
 			return nil, p.refusal(fault)
 		}
-		if !p.gateway.mayBegin(p.tried) {
+		if !p.trial && p.gateway.guard.Held(p.signature) {
+			return nil, p.refusal(refuseHeld())
+		}
+		if p.trial && p.tried.begun > 0 || !p.gateway.mayBegin(p.tried) {
 			return nil, p.refusal(refuseBackEnd())
 		}
 		choice, err := p.gateway.dispatcher.pick(routing.Request{Service: p.kind.Spec.GetService(), Deadline: p.deadline}, p.excluded)
@@ -23,6 +26,7 @@
 		}
 		answer, failure := p.exchange(choice.BackEnd)
 		if failure == nil {
+			p.gateway.guard.RanWell(p.signature)
 			return answer, nil
 		}
 		p.gateway.log.Info().Err(failure).Str("back_end", choice.BackEnd.Name).Msg("exchange failed")
@@ -32,12 +36,26 @@
 			continue
 		}
 		p.mayHaveRun = true
+		p.noteBroken(choice.BackEnd, failure)
 		if p.gateway.clock.now() < p.deadline && !p.kind.Spec.GetRepeatable() && p.gateway.safeguards.On(RetryOnlyNotRun) {
 			return nil, p.refusal(refuseBackEnd())
 		}
 	}
 }
 
+// noteBroken lets the guard find out whether a back end has ended that broke the request off, and
+// waits for that where the request may go on.
+func (p *pageRequest) noteBroken(backEnd routing.BackEnd, failure *upstream.Failure) {
+	if failure.Status != 0 || p.interrupter.Cause() != nil {
+		return
+	}
+	wait := endWait
+	if !p.kind.Spec.GetRepeatable() {
+		wait = 0
+	}
+	p.gateway.guard.Broke(p.signature, replicaOf(backEnd), min(wait, p.deadline-p.gateway.clock.now()))
+}
+
 // exchange sends the request to one back end and reads its whole answer.
 func (p *pageRequest) exchange(backEnd routing.BackEnd) (*pageAnswer, *upstream.Failure) {
 	p.tried.begun++
--- /dev/null
+++ b/internal/gateway/quarantine_test.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+// endingWord is in the body of requests that end every back end that runs them.
+const endingWord = "ends its back end"
+
+// endingBackEnds are back ends of one service that are gone once they run the ending request.
+type endingBackEnds struct {
+	mutex sync.Mutex
+	ends  int
+}
+
+// start starts one of them, which answers other requests by the handler, and returns its address.
+func (e *endingBackEnds) start(t *testing.T, answer http.Handler) string {
+	server := httptest.NewUnstartedServer(nil)
+	server.Config.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		body, _ := io.ReadAll(request.Body)
+		if !strings.Contains(string(body), endingWord) {
+			request.Body = io.NopCloser(strings.NewReader(string(body)))
+			answer.ServeHTTP(writer, request)
+			return
+		}
+		e.mutex.Lock()
+		e.ends++
+		e.mutex.Unlock()
+		_ = server.Listener.Close()
+		go server.CloseClientConnections() // it waits for this handler
+		panic(http.ErrAbortHandler)
+	})
+	server.Start()
+	t.Cleanup(func() { server.CloseClientConnections(); _ = server.Listener.Close() })
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func (e *endingBackEnds) ended() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.ends
+}
+
+// holdingController holds requests as controllers do.
+type holdingController struct {
+	*testController
+	ledger *quarantine.Ledger
+}
+
+// ReportReplicaEnds implements the node service.
+func (c *holdingController) ReportReplicaEnds(_ context.Context, request *connect.Request[v1.ReportReplicaEndsRequest]) (*connect.Response[v1.ReportReplicaEndsResponse], error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	response := &v1.ReportReplicaEndsResponse{}
+	for _, end := range request.Msg.Ends {
+		signature, _ := quarantine.SignatureFrom(end.Signature)
+		c.ledger.Record(signature, end.Replica)
+		if c.ledger.Held(signature) {
+			response.Held = append(response.Held, end.Signature)
+		}
+	}
+	return connect.NewResponse(response), nil
+}
+
+// The other request plane keeps such requests away from engines and from back ends of pages, also
+// where each attempt comes through another gateway.
+func TestGatewaysKeepRequestsAwayThatEndBackEnds(t *testing.T) {
+	planes := map[string]struct {
+		path, body, kind string
+		row              func(name, address string) *v1.BackEnd
+		sound            func(t *testing.T) http.Handler
+	}{
+		"engines": {
+			path: "/v1/chat/completions", body: `{"model":"base","messages":[{"role":"user","content":%q}]}`, kind: "matching",
+			row:   func(name, address string) *v1.BackEnd { return engineBackEnd(name, address, v1.Role_ROLE_MIXED) },
+			sound: func(t *testing.T) http.Handler { return startEngine(t) },
+		},
+		"pages": {
+			path: "/lots", body: `%s`, row: pageBackEnd,
+			sound: func(*testing.T) http.Handler {
+				return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+					writer.Header().Set("X-Exchange-Id", request.Header.Get("X-Exchange-Id"))
+					_, _ = io.WriteString(writer, "page")
+				})
+			},
+		},
+	}
+	for name, plane := range planes {
+		t.Run(name, func(t *testing.T) {
+			ending := &endingBackEnds{}
+			var backEnds []*v1.BackEnd
+			for number := range 8 {
+				backEnds = append(backEnds, plane.row(fmt.Sprint("b", number), ending.start(t, plane.sound(t))))
+			}
+			controller := &holdingController{testController: startController(t, backEnds...), ledger: quarantine.NewLedger()}
+			controller.serveAs(t, controller)
+			var gateways []*testGateway
+			for range 2 {
+				gateways = append(gateways, startGateway(t, testSettings(controller.address)))
+			}
+			send := func(gateway *testGateway, content string) callerAnswer {
+				return call(t, http.MethodPost, gateway.url+plane.path, fmt.Sprintf(plane.body, content), map[string]string{HeaderKind: plane.kind})
+			}
+			for _, gateway := range gateways {
+				require.Equal(t, http.StatusOK, send(gateway, "sound").status)
+			}
+			for retry := range 8 {
+				require.NotEqual(t, http.StatusOK, send(gateways[retry%2], endingWord).status)
+			}
+			// A gateway hears with its next heartbeat what is held; until then it may run the request once.
+			require.LessOrEqual(t, ending.ended(), quarantine.HoldAfter+len(gateways)-1)
+			require.Eventually(t, func() bool {
+				answer := send(gateways[0], endingWord)
+				return answer.errorCode == codeRequestHeld && answer.verdict == verdict.NotRun.String() && answer.header.Get("Retry-After") == "10"
+			}, eventually, often)
+			require.Equal(t, http.StatusOK, send(gateways[1], "sound").status)
+		})
+	}
+}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/routing"
 	"github.com/hazelpitch/hazelpitch/internal/stream"
@@ -45,6 +46,7 @@
 	codeStillRunning     = "still_running"
 	codeOutcomeUnknown   = "outcome_unknown"
 	codeKeyReused        = "idempotency_key_reused"
+	codeRequestHeld      = "request_held"
 	codeCallerGone       = "caller_gone"
 	codeStopping         = "gateway_stopping"
 	codeInternal         = "internal_error"
@@ -134,6 +136,12 @@
 		"the deadline of the request's kind has passed").after(time.Second)
 }
 
+// refuseHeld answers a request under which back ends have ended.
+func refuseHeld() *refusal {
+	return refuse(http.StatusServiceUnavailable, typeServer, codeRequestHeld,
+		"back ends have ended while they ran this request; it is held for a while").after(crashguard.ComeBackAfter)
+}
+
 // Causes of interruptions.
 var (
 	errCallerGone = errors.New("the caller went away")
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -72,11 +72,15 @@
 	if err != nil {
 		return gatewaystate.SyncResult{}, err
 	}
+	request.HeldVersion = c.guard.Version()
 	sentAt := c.clock.now()
 	response, err := c.controllers.sync(ctx, address, request)
 	if err != nil {
 		return gatewaystate.SyncResult{}, err
 	}
+	if !response.GetBehind() {
+		c.guard.Take(response.GetHeldVersion(), response.GetHeld())
+	}
 	c.controllers.learn(response.GetControllerAddresses())
 	if leader := response.GetLeaderAddress(); leader != "" {
 		c.controllers.setLeader(leader)
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -6,9 +6,6 @@
 	"syscall"
 	"time"
 
-	"connectrpc.com/connect"
-
-	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/events"
@@ -24,8 +21,11 @@
 
 // newGuard makes the guard of a relay.
 func newGuard(relay *Relay) *crashguard.Guard {
+	leader := crashguard.Calls{Client: func() hazelpitchv1connect.NodeServiceClient {
+		return hazelpitchv1connect.NewNodeServiceClient(relay.watcher.http, "http://"+*relay.watcher.leader.Load())
+	}}
 	return crashguard.New(crashguard.Options{
-		Leader: guardLeader{relay}, Now: relay.clock.now, Probe: relay.probe, Observer: guardObserver{relay},
+		Leader: leader, Now: relay.clock.now, Probe: relay.probe, Observer: guardObserver{relay},
 	})
 }
 
@@ -81,15 +81,10 @@
 		return crashguard.Unclear // the list does not show it any more
 	}
 	connection, err := r.exchanger.open(known, dialTimeout)
-	switch {
-	case err == nil:
+	if err == nil {
 		known.pool.give(connection, r.clock.now())
-		return crashguard.Serves
-	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
-		return crashguard.Gone
-	default:
-		return crashguard.Unclear
 	}
+	return crashguard.SightOf(err)
 }
 
 // backEndOf returns a back end of the list; nil when the list does not show it.
@@ -104,39 +99,6 @@
 	return nil
 }
 
-// guardLeader makes the guard's calls to the controller that led last, as far as is known here. One
-// that does not lead passes them on.
-type guardLeader struct{ relay *Relay }
-
-func (g guardLeader) client() hazelpitchv1connect.NodeServiceClient {
-	watcher := g.relay.watcher
-	return hazelpitchv1connect.NewNodeServiceClient(watcher.http, "http://"+*watcher.leader.Load())
-}
-
-// ReportReplicaEnds implements crashguard.Leader.
-func (g guardLeader) ReportReplicaEnds(ctx context.Context, ends []*v1.ReplicaEnd) ([][]byte, error) {
-	response, err := g.client().ReportReplicaEnds(ctx, connect.NewRequest(&v1.ReportReplicaEndsRequest{Ends: ends}))
-	if err != nil {
-		return nil, err
-	}
-	return response.Msg.GetHeld(), nil
-}
-
-// BeginTrial implements crashguard.Leader.
-func (g guardLeader) BeginTrial(ctx context.Context, signature []byte) (bool, error) {
-	response, err := g.client().BeginTrial(ctx, connect.NewRequest(&v1.BeginTrialRequest{Signature: signature}))
-	if err != nil {
-		return false, err
-	}
-	return response.Msg.GetGranted(), nil
-}
-
-// ReleaseRequest implements crashguard.Leader.
-func (g guardLeader) ReleaseRequest(ctx context.Context, signature []byte) error {
-	_, err := g.client().ReleaseRequest(ctx, connect.NewRequest(&v1.ReleaseRequestRequest{Signature: signature}))
-	return err
-}
-
 // guardObserver writes lines and counts of what the guard finds.
 type guardObserver struct{ relay *Relay }
 
--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -182,4 +182,3 @@
 	require.Equal(t, 503, relay.client(t).do("POST", "/path/", "x", "T-Key: key ka").status)
 	require.Equal(t, 200, relay.client(t).do("POST", "/path/", "x", "T-Key: key kb").status)
 }
-
