Ends of back ends that are seen late, or only by the list

Cause: a relay that stood still while a back end ended finds another start at its address, and one whose list has dropped the back end did not look at all; the end then counted for no request. Change: the list's word on another start at the address counts as an end; a back end that is not listed any more is looked at by its address. Figures: two tests, which fail without (TestTheListTells..., TestABackEndThatIsNotListed...). Command: go test ./internal/relay

--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -10,6 +10,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
 // endWait is how long a request waits, before it is sent to another back end, until the controllers have
@@ -77,8 +78,9 @@
 // probe looks whether a back end takes connections; one that was opened is used later.
 func (r *Relay) probe(_ context.Context, replica crashguard.Replica) crashguard.Sight {
 	known := r.backEndOf(replica.ID)
-	if known == nil {
-		return crashguard.Unclear // the list does not show it any more
+	if known == nil { // the list does not show it any more: its pool is closed
+		known = newBackEnd(serving.BackEnd{ID: replica.ID, Address: replica.Address}, 0)
+		known.pool.close()
 	}
 	connection, err := r.exchanger.open(known, dialTimeout)
 	if err == nil {
@@ -87,6 +89,22 @@
 	return crashguard.SightOf(err)
 }
 
+// noteReplaced tells the guard of back ends whose address another start has by now.
+func (r *Relay) noteReplaced(gone []*backEnd, present map[string]*backEnd) {
+	if len(gone) == 0 {
+		return
+	}
+	taken := make(map[string]bool, len(present))
+	for _, backEnd := range present {
+		taken[backEnd.Address] = true
+	}
+	for _, backEnd := range gone {
+		if taken[backEnd.Address] {
+			r.guard.Ended(backEnd.ID)
+		}
+	}
+}
+
 // backEndOf returns a back end of the list; nil when the list does not show it.
 func (r *Relay) backEndOf(id string) *backEnd {
 	for _, backEnds := range r.view.Load().byService {
--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -182,3 +182,36 @@
 	require.Equal(t, 503, relay.client(t).do("POST", "/path/", "x", "T-Key: key ka").status)
 	require.Equal(t, 200, relay.client(t).do("POST", "/path/", "x", "T-Key: key kb").status)
 }
+
+// A relay that stood still while a back end ended finds another start at the address, which takes
+// connections. The list tells that the former one has ended.
+func TestTheListTellsThatABackEndHasEnded(t *testing.T) {
+	var backEnds []*scriptedBackEnd
+	for number := range 3 {
+		backEnds = append(backEnds, startBackEnd(t, fmt.Sprint(number), serving.StageWhole, resetting("")))
+	}
+	relay := newTestRelay(t, route(func(made *serving.Route) { safe(made); made.MaxAttempts = 3 }), backEnds...)
+	signature := quarantine.SignatureOf("", "POST", "/path/", []byte("x"))
+	require.Equal(t, 502, relay.client(t).do("POST", "/path/", "x").status)
+	require.False(t, relay.guard.Held(signature))
+	var entries []serving.BackEnd
+	for _, backEnd := range backEnds {
+		entry := backEnd.entry
+		entry.ID += " again"
+		entries = append(entries, entry)
+	}
+	next := *relay.view.Load()
+	relay.watcher.takeBackEnds(entries, &next)
+	require.True(t, relay.guard.Held(signature))
+}
+
+// A back end that the list has dropped by the time its end is noticed is looked at all the same.
+func TestABackEndThatIsNotListedAnyMoreIsLookedAt(t *testing.T) {
+	relay := newTestRelay(t, route(safe), startBackEnd(t, "one", serving.StageWhole, answering(200, "ok")))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	replica := crashguard.Replica{ID: "gone", Address: listener.Addr().String()}
+	require.Equal(t, crashguard.Serves, relay.probe(t.Context(), replica))
+	require.NoError(t, listener.Close())
+	require.Equal(t, crashguard.Gone, relay.probe(t.Context(), replica))
+}
--- a/internal/relay/watch_list.go
+++ b/internal/relay/watch_list.go
@@ -33,11 +33,14 @@
 		next.byService[entry.Service] = append(next.byService[entry.Service], current)
 		next.byHash[current.hash] = current
 	}
-	for id, gone := range w.known {
+	var gone []*backEnd
+	for id, former := range w.known {
 		if known[id] == nil {
-			gone.pool.close()
+			former.pool.close()
+			gone = append(gone, former)
 		}
 	}
+	w.relay.noteReplaced(gone, known)
 	w.closed = closedSince(w.known, known)
 	w.known = known
 	w.relay.event(events.ListingInForce).Uint64("version", next.listingVersion).Int("back_ends", len(listed)).Send()
