Leases and ages count the time for which a machine was suspended

Cause: every process measured with Go's steady clock, which stands still while the machine is suspended: a leader that woke up took its lease for valid and answered as one, relays took an old view for fresh, and connections for just used. Change: internal/bootclock counts suspensions (CLOCK_BOOTTIME less CLOCK_MONOTONIC); controllers look at each step, relays and gateways each millisecond. A relay sets the deadlines of exchanges under way anew after it has woken up, and drops a controller's answer that may have lain there. Without counting, two lead at once: TestAClockThatDoesNotCountSuspensionsBreaksTheLease.

--- a/internal/control/configuration_faults_test.go
+++ b/internal/control/configuration_faults_test.go
@@ -181,3 +181,40 @@
 	require.ErrorAs(t, answer.Err, &notLeader)
 	require.True(t, w.sync(old, gatewaySync(1)).Behind)
 }
+
+// suspended returns a leader whose machine was suspended until another had taken over, and has just
+// woken up, and for how long it was away. A revision was accepted meanwhile.
+func suspended(w *world) (old *testController, away time.Duration) {
+	old = w.waitLeader()
+	w.apply("one", modelVersion(1))
+	began := w.now
+	old.cut = true
+	old.life++ // it stands still
+	w.until("next leader", func() bool { return w.leader() != nil && w.leader() != old })
+	w.apply("two", modelVersion(2))
+	return old, w.now - began
+}
+
+// A leader whose machine was suspended answers nothing as a leader, since its clock counts that time.
+func TestALeaderThatWasSuspendedAnswersNothing(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	old, _ := suspended(w)
+	require.False(t, old.core.MayLead(w.now))
+	require.True(t, w.sync(old, gatewaySync(1)).Behind)
+	answer := w.call(old, func(id CallID) Input { return TrialAsked{Call: id, Signature: endingSignature[:]} })
+	var notLeader *NotLeaderError
+	require.ErrorAs(t, answer.Err, &notLeader)
+}
+
+// With a clock that does not count suspensions the promise breaks: two lead at once, and the one that
+// was away answers with what is old.
+func TestAClockThatDoesNotCountSuspensionsBreaksTheLease(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	old, away := suspended(w)
+	old.uncounted = away
+	require.True(t, old.core.MayLead(w.now-away), "it takes its lease for valid")
+	require.NotNil(t, w.leader())
+	answer := w.sync(old, gatewaySync(1))
+	require.False(t, answer.Behind)
+	require.Equal(t, uint64(1), answer.Revision, "what it tells is old")
+}
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -66,6 +66,8 @@
 	life int
 	// cut: nothing reaches the controller and nothing leaves it.
 	cut bool
+	// uncounted is the time for which the machine was suspended and that its clock has not counted.
+	uncounted time.Duration
 }
 
 func newWorld(t *testing.T, voters int, configure func(*Config)) *world {
@@ -184,7 +186,7 @@
 		return
 	}
 	life := controller.life
-	for _, output := range controller.core.Step(w.now, input) {
+	for _, output := range controller.core.Step(w.now-controller.uncounted, input) {
 		w.carryOut(controller, life, output)
 	}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -10,9 +10,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hazelpitch/hazelpitch/internal/bootclock"
 	"github.com/hazelpitch/hazelpitch/internal/consensus"
 	"github.com/hazelpitch/hazelpitch/internal/control"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
+	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
@@ -70,6 +72,8 @@
 	stageOrders *stageOrderer
 	duties      *dutyCaller
 	operator    net.Listener
+	// steady is the clock that the Core's decisions go by.
+	steady *bootclock.Clock
 }
 
 // open acquires everything that can fail before the first goroutine starts.
@@ -108,13 +112,14 @@
 		return &DiskError{cause: trace.Wrap(err)}
 	}
 	c.disk = disk
+	c.steady = bootclock.New(0)
 	origin := time.Now()
 	c.core, err = control.New(coreConfig(c.config, c.site, origin), restored)
 	if err != nil {
 		c.close()
 		return trace.Wrap(err)
 	}
-	c.loop = newLoop(c.core, func() time.Duration { return time.Since(origin) })
+	c.loop = newLoop(c.core, c.steady.Now)
 	return nil
 }
 
@@ -130,6 +135,7 @@
 	c.startOutputs(working, group)
 	c.start(group, func() error { c.loop.run(working); return nil })
 	c.start(group, func() error { return c.newSyncer().run(working) })
+	c.start(group, func() error { c.steady.Watch(working, c.noteSuspension); return nil })
 	c.startReaders(working, group)
 	c.start(group, func() error { c.watchStatus(working); return nil })
 	c.start(group, func() error { return c.serveAdmin(working) })
@@ -175,6 +181,12 @@
 	})
 }
 
+// noteSuspension writes down that the machine was suspended. The Core's time has gone on meanwhile: a
+// lease that ended is over with its next step.
+func (c *controller) noteSuspension(suspended time.Duration) {
+	c.log.Warn().Str(events.FieldEvent, string(events.MachineSuspended)).Int64("suspended_ms", suspended.Milliseconds()).Send()
+}
+
 // handOver gives leadership to another voter, if this controller has it, and waits
 // for the change within transferTimeout.
 func (c *controller) handOver(ctx context.Context) {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -62,6 +62,8 @@
 const (
 	// SettingsReloaded: the settings file was read again.
 	SettingsReloaded Event = "settings_reloaded"
+	// MachineSuspended: the machine was suspended and has woken up.
+	MachineSuspended Event = "machine_suspended"
 	// LogLinesDropped: the log's ring was full; the counts are lines since the last count.
 	LogLinesDropped Event = "log_lines_dropped"
 )
@@ -70,7 +72,7 @@
 var All = []Event{
 	RequestEnded, AttemptFailed, RequestRefused, KeyRefused, RunMoved, ConfigurationInForce, ConfigurationUnreadable, ListingInForce,
 	BackEndEnded, RequestHeld, RequestTried, GuardCallFailed,
-	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageDelivered, ReplicasOrdered, DiskFailed, SettingsReloaded, LogLinesDropped,
+	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageDelivered, ReplicasOrdered, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
 
 // Names of fields that lines of several events have.
--- a/internal/gateway/clock.go
+++ b/internal/gateway/clock.go
@@ -1,14 +1,23 @@
 package gateway
 
-import "time"
+import (
+	"time"
 
-// clock gives the monotonic time since the process's origin, as pure packages want it.
-type clock struct{ origin time.Time }
+	"github.com/hazelpitch/hazelpitch/internal/bootclock"
+)
 
-func newClock() clock { return clock{origin: time.Now()} }
+// clock gives the steady time since the process's origin, in which suspensions count, as pure packages
+// want it.
+type clock struct{ steady *bootclock.Clock }
+
+// suspensionLook is the time between two looks for a suspension: nothing that is decided here within
+// it hangs on a lease.
+const suspensionLook = time.Millisecond
+
+func newClock() clock { return clock{steady: bootclock.New(suspensionLook)} }
 
 // now returns the time since the origin.
-func (c clock) now() time.Duration { return time.Since(c.origin) }
+func (c clock) now() time.Duration { return c.steady.Now() }
 
 // time returns the wall-clock form of a time since the origin, for I/O deadlines.
-func (c clock) time(at time.Duration) time.Time { return c.origin.Add(at) }
+func (c clock) time(at time.Duration) time.Time { return c.steady.At(at) }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -104,7 +104,15 @@
 
 // duties are the loops of the control runtime, one goroutine each.
 func (c *Control) duties() []func(context.Context) {
-	return []func(context.Context){c.view.run, c.syncLoop, c.reportLoop, c.admissionLoop, c.guard.Run}
+	return []func(context.Context){c.view.run, c.syncLoop, c.reportLoop, c.admissionLoop, c.guard.Run, c.watchSuspensions}
+}
+
+// watchSuspensions writes down that the machine was suspended. What is believed has aged by then, since
+// the clock counts suspensions.
+func (c *Control) watchSuspensions(ctx context.Context) {
+	c.clock.steady.Watch(ctx, func(suspended time.Duration) {
+		c.log.Warn().Int64("suspended_ms", suspended.Milliseconds()).Msg("the machine was suspended")
+	})
 }
 
 // Revision returns the revision of the configuration in force; 0 is none.
--- a/internal/relay/clock.go
+++ b/internal/relay/clock.go
@@ -1,13 +1,21 @@
 package relay
 
-import "time"
+import (
+	"time"
 
-// clock turns the steady clock into durations since the process's origin.
-type clock struct{ origin time.Time }
+	"github.com/hazelpitch/hazelpitch/internal/bootclock"
+)
 
-func newClock() clock { return clock{origin: time.Now()} }
+// clock gives the steady time since the process's origin, in which suspensions count.
+type clock struct{ steady *bootclock.Clock }
 
-func (c clock) now() time.Duration { return time.Since(c.origin) }
+// suspensionLook is the time between two looks for a suspension: nothing that is decided here within
+// it hangs on a lease.
+const suspensionLook = time.Millisecond
+
+func newClock() clock { return clock{steady: bootclock.New(suspensionLook)} }
+
+func (c clock) now() time.Duration { return c.steady.Now() }
 
 // at is the moment on the system's clock, for deadlines of connections.
-func (c clock) at(moment time.Duration) time.Time { return c.origin.Add(moment) }
+func (c clock) at(moment time.Duration) time.Time { return c.steady.At(moment) }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -122,11 +122,11 @@
 			return nil, &failure{verdict: verdict.NotRun, cause: fmt.Errorf("%w: %w", errDial, err)}
 		}
 	}
-	if !message.request.canceller.attach(connection) {
+	_ = connection.SetDeadline(e.clock.at(message.deadline)) // a closed connection fails by itself
+	if !message.request.canceller.attach(connection, message.deadline) {
 		connection.close()
 		return nil, &failure{verdict: verdict.NotRun, cause: errCancelled}
 	}
-	_ = connection.SetDeadline(e.clock.at(message.deadline)) // a closed connection fails by itself
 	return connection, nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -142,7 +142,7 @@
 	}
 	relay.splits = newSplitDraws(relay.draw)
 	relay.metrics = newRelayMetrics(relay, options.Log)
-	relay.connections.open = map[*clientConnection]bool{}
+	relay.connections.open, relay.connections.requests = map[*clientConnection]bool{}, map[*clientConnection]*request{}
 	relay.contactAt.Store(int64(-longestWatchWait - contactSlack))
 	relay.exchanger = &exchanger{
 		names: options.Dialect.Headers, writer: newRequestWriter(options.Dialect.Headers), clock: steady, dial: options.Dial,
@@ -177,6 +177,7 @@
 	}
 	group.Go(func() error { r.watcher.run(working); return nil })
 	group.Go(func() error { r.usageReporter().Run(working); return nil })
+	group.Go(func() error { r.clock.steady.Watch(working, r.noteSuspension); return nil })
 	group.Go(func() error { r.guard.Run(working); return nil })
 	group.Go(func() error { r.notices.send(working); return nil })
 	group.Go(func() error { r.datagrams.receive(r.takeDatagram); return nil })
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -68,20 +68,31 @@
 type canceller struct {
 	mutex      sync.Mutex
 	connection *upstreamConnection
-	cancelled  bool
+	// deadline is when the exchange on the connection ends.
+	deadline  time.Duration
+	cancelled bool
 	// done is closed by cancel; nil until somebody waits for it.
 	done chan struct{}
 }
 
-// attach makes the connection the one to break off; it reports false when the request is
-// cancelled already.
-func (c *canceller) attach(connection *upstreamConnection) bool {
+// attach makes the connection the one to break off, on which an exchange ends by a deadline; it
+// reports false when the request is cancelled already.
+func (c *canceller) attach(connection *upstreamConnection, deadline time.Duration) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.connection = connection
+	c.connection, c.deadline = connection, deadline
 	return !c.cancelled
 }
 
+// resetDeadline sets the deadline of the exchange under way anew, after the machine was suspended.
+func (c *canceller) resetDeadline(steady clock) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.connection != nil && !c.cancelled {
+		_ = c.connection.SetDeadline(steady.at(c.deadline)) // a closed connection fails by itself
+	}
+}
+
 func (c *canceller) detach() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/relay/serve_connection.go
+++ b/internal/relay/serve_connection.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,20 +14,37 @@
 // connections are the open connections of clients.
 type connections struct {
 	mutex sync.Mutex
-	// open tells for each whether a request is being served on it.
-	open map[*clientConnection]bool
+	// open tells for each whether a request is being served on it; requests which, once it is read.
+	open     map[*clientConnection]bool
+	requests map[*clientConnection]*request
 }
 
 func (c *connections) set(connection *clientConnection, serving bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.open[connection] = serving
+	delete(c.requests, connection)
+}
+
+// setRequest notes which request is being served on a connection.
+func (c *connections) setRequest(connection *clientConnection, request *request) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.requests[connection] = request
+}
+
+// served are the requests that are being served.
+func (c *connections) served() []*request {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return slices.Collect(maps.Values(c.requests))
 }
 
 func (c *connections) remove(connection *clientConnection) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	delete(c.open, connection)
+	delete(c.requests, connection)
 }
 
 // serving counts the connections on which a request is being served.
@@ -80,6 +99,7 @@
 		reply.refuse(refusal{status: fasthttp.StatusServiceUnavailable, reason: "this relay stops", retryAfter: retryAfterStop})
 		return false
 	}
+	r.connections.setRequest(connection, request)
 	connection.watch(request.canceller.cancel)
 	r.serveRequest(request, reply)
 	return !reply.close && !reply.failed && !request.canceller.isCancelled()
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -115,6 +115,7 @@
 	limited, cancel := context.WithTimeout(ctx, w.wait()+watchSlack)
 	defer cancel()
 	client := hazelpitchv1connect.NewNodeServiceClient(w.http, "http://"+address)
+	asked := w.relay.clock.now()
 	response, err := client.Watch(limited, connect.NewRequest(w.request()))
 	if err != nil {
 		w.setControllers(w.controllers)
@@ -125,6 +126,9 @@
 	if response.Msg.GetBehind() {
 		return false
 	}
+	if w.lateAnswer(asked) {
+		return true // it is asked again at once
+	}
 	w.take(response.Msg)
 	return true
 }
