An engine that ends while it reads a prompt for another counts as well

Cause: in gateways only the engine that generates was looked at. Change: hand-overs tell the guard of prefill engines that broke off. Command: go test ./internal/gateway -run TestGatewaysKeepRequestsAwayThatEndBackEnds

--- a/internal/gateway/completion_connect.go
+++ b/internal/gateway/completion_connect.go
@@ -24,7 +24,7 @@
 			continue
 		}
 		if c.open && !c.target.kind.Spec.GetRepeatable() && c.gateway.safeguards.On(RetryOnlyNotRun) {
-			c.noteBroken(0)
+			c.noteBroken(c.backEnd, 0)
 			return c.giveUp(refuseBackEnd())
 		}
 		if c.open {
--- a/internal/gateway/completion_end.go
+++ b/internal/gateway/completion_end.go
@@ -22,13 +22,13 @@
 	c.excluded = append(c.excluded, c.backEnd.Name)
 	c.gateway.dispatcher.observe(routing.Failed{BackEnd: c.backEnd.Name, Exchange: c.exchange})
 	c.gateway.cancelLater(c.backEnd.Address, c.exchange)
-	c.noteBroken(endWait)
+	c.noteBroken(c.backEnd, endWait)
 }
 
-// noteBroken lets the guard find out whether the engine has ended that broke the request off, and waits
+// noteBroken lets the guard find out whether an engine has ended that broke the request off, and waits
 // for that.
-func (c *completion) noteBroken(wait time.Duration) {
-	c.held = c.gateway.guard.Broke(c.signature, replicaOf(c.backEnd), min(wait, c.deadline-c.gateway.clock.now()))
+func (c *completion) noteBroken(engine routing.BackEnd, wait time.Duration) {
+	c.held = c.gateway.guard.Broke(c.signature, replicaOf(engine), min(wait, c.deadline-c.gateway.clock.now()))
 }
 
 // giveUp ends an open exchange at its engine and returns the refusal with the verdict that
--- a/internal/gateway/hand_over.go
+++ b/internal/gateway/hand_over.go
@@ -107,6 +107,9 @@
 	c.excluded = append(c.excluded, prefill.Name)
 	c.tried.note(failure)
 	c.overloaded = c.overloaded || failure.Code == enginecontract.CodeOverloaded
+	if failure.Status == 0 && failure.Verdict != verdict.NotRun && !c.interrupter.Interrupted() {
+		c.noteBroken(*prefill, endWait)
+	}
 	if failure.Status != 0 || c.interrupter.Interrupted() {
 		c.gateway.dispatcher.observe(routing.Finished{BackEnd: prefill.Name, Exchange: exchange})
 	} else {
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -79,19 +80,34 @@
 // The other request plane keeps such requests away from engines and from back ends of pages, also
 // where each attempt comes through another gateway.
 func TestGatewaysKeepRequestsAwayThatEndBackEnds(t *testing.T) {
+	const chat = `{"model":"base","messages":[{"role":"user","content":%q}]}`
 	planes := map[string]struct {
 		path, body, kind string
-		row              func(name, address string) *v1.BackEnd
-		sound            func(t *testing.T) http.Handler
+		row              func(number int, address string) *v1.BackEnd
+		sound            func(t *testing.T, number int) http.Handler
 	}{
 		"engines": {
-			path: "/v1/chat/completions", body: `{"model":"base","messages":[{"role":"user","content":%q}]}`, kind: "matching",
-			row:   func(name, address string) *v1.BackEnd { return engineBackEnd(name, address, v1.Role_ROLE_MIXED) },
-			sound: func(t *testing.T) http.Handler { return startEngine(t) },
+			path: "/v1/chat/completions", body: chat, kind: "matching",
+			row: func(number int, address string) *v1.BackEnd {
+				return engineBackEnd(fmt.Sprint("b", number), address, v1.Role_ROLE_MIXED)
+			},
+			sound: func(t *testing.T, _ int) http.Handler { return startEngine(t) },
+		},
+		"engines that read prompts for others": {
+			path: "/v1/chat/completions", body: chat, kind: "matching",
+			row: func(number int, address string) *v1.BackEnd {
+				return engineBackEnd(fmt.Sprint("b", number), address, []v1.Role{v1.Role_ROLE_PREFILL, v1.Role_ROLE_DECODE}[number%2])
+			},
+			sound: func(t *testing.T, number int) http.Handler {
+				engine := startEngine(t)
+				engine.role = []enginecontract.Role{enginecontract.RolePrefill, enginecontract.RoleDecode}[number%2]
+				return engine
+			},
 		},
 		"pages": {
-			path: "/lots", body: `%s`, row: pageBackEnd,
-			sound: func(*testing.T) http.Handler {
+			path: "/lots", body: `%s`,
+			row: func(number int, address string) *v1.BackEnd { return pageBackEnd(fmt.Sprint("b", number), address) },
+			sound: func(*testing.T, int) http.Handler {
 				return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 					writer.Header().Set("X-Exchange-Id", request.Header.Get("X-Exchange-Id"))
 					_, _ = io.WriteString(writer, "page")
@@ -104,7 +120,7 @@
 			ending := &endingBackEnds{}
 			var backEnds []*v1.BackEnd
 			for number := range 8 {
-				backEnds = append(backEnds, plane.row(fmt.Sprint("b", number), ending.start(t, plane.sound(t))))
+				backEnds = append(backEnds, plane.row(number, ending.start(t, plane.sound(t, number))))
 			}
 			controller := &holdingController{testController: startController(t, backEnds...), ledger: quarantine.NewLedger()}
 			controller.serveAs(t, controller)
