A soak of real relays and controllers under faults from outside

Change: hazelbench soak: processes on loopback, platform/standin (list, back ends, operator, clients; names from platform), seeded faults (kill, freeze, terminate, reload, wipe, all controllers; crash, drain, reset, silence, delay of back ends), histories of what was seen, one checker a rule with a table of histories that break it and just do not. The check on names of the platform lets the stand-ins in platform/ speak them; no product code may import those.

--- a/internal/benchcommand/commands.go
+++ b/internal/benchcommand/commands.go
@@ -23,5 +23,6 @@
 		loadCommand(),
 		measureCommand(),
 		simulateCommand(),
+		soakCommand(),
 	}
 }
--- a/internal/benchcommand/run.go
+++ b/internal/benchcommand/run.go
@@ -50,6 +50,9 @@
 	if len(arguments) > 0 && arguments[0] == serveName {
 		return serve(ctx, arguments[1:], environment)
 	}
+	if len(arguments) > 0 && arguments[0] == serveSiteName {
+		return serveSite(ctx, arguments[1:], environment)
+	}
 	parser := flags.NewNamedParser(environment.Program, flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "The project's own stand-ins, fleets, load, experiments and simulations."
 	runners := make(map[string]runner)
--- /dev/null
+++ b/internal/benchcommand/soak.go
@@ -0,0 +1,124 @@
+package benchcommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/servercommand"
+	"github.com/hazelpitch/hazelpitch/internal/soak"
+	"github.com/hazelpitch/hazelpitch/platform"
+)
+
+// serveSiteName is the hidden subcommand that a soak starts this program with:
+// serve-site relay|site-controller FLAGS. It runs the server's own code.
+const serveSiteName = "serve-site"
+
+// serveSite runs one server until it ends, or until its standard input does: a soak holds the other end,
+// so that its servers end with it.
+func serveSite(ctx context.Context, arguments []string, environment Environment) int {
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin) // it ends when the soak does
+		os.Exit(ExitFailed)
+	}()
+	return servercommand.Run(ctx, arguments, servercommand.Environment{
+		Program: environment.Program + " " + serveSiteName, Stdout: environment.Stdout, Stderr: environment.Stderr, Site: platform.Site(),
+	})
+}
+
+// soakFlags are the flags of `hazelbench soak`.
+type soakFlags struct {
+	Seed        uint64        `long:"seed" default:"1" description:"first seed; each draws requests and faults anew"`
+	Seeds       int           `long:"seeds" default:"1" description:"how many seeds are run, one after another"`
+	Length      time.Duration `long:"length" default:"20s" description:"how long faults go on in each seed"`
+	Calm        time.Duration `long:"calm" default:"16s" description:"how long each seed goes on after its last fault"`
+	Controllers int           `long:"controllers" default:"3" description:"controllers, each a process"`
+	Relays      int           `long:"relays" default:"4" description:"relays, each a process"`
+	Pages       int           `long:"pages" default:"8" description:"back ends that answer whole"`
+	Engines     int           `long:"engines" default:"8" description:"back ends that answer in streams"`
+	Clients     int           `long:"clients" default:"24" description:"clients that send at the same time"`
+	Poisons     int           `long:"poisons" default:"2" description:"requests that end each back end that runs them, sent again and again"`
+	Program     string        `long:"program" value-name:"FILE" description:"hazelpitch as users get it; default: the same code in this program"`
+	Directory   string        `long:"directory" value-name:"DIR" description:"where settings, disks and logs go; default: a temporary directory, which stays where a rule was broken"`
+	Untimed     bool          `long:"untimed" description:"leave out the rules with time bounds: for machines that are busy"`
+	Verbose     bool          `long:"verbose" description:"print each fault as it strikes"`
+}
+
+func soakCommand() command {
+	return command{
+		name:  "soak",
+		short: "run relays and controllers as real processes under faults from outside, and check every rule",
+		long: "For each seed: starts controllers and relays on loopback with stand-ins of the users' platform around them, sends " +
+			"requests of all kinds, some of which end their back ends, changes the configuration, kills, freezes, stops, restarts " +
+			"and wipes processes, crashes, drains, resets, silences and slows back ends, and checks the rules on what clients, " +
+			"back ends and the operator saw. It fails when a rule was broken, and prints the command that runs the seed again.",
+		runner: new(soakFlags),
+	}
+}
+
+func (s *soakFlags) run(ctx context.Context, environment Environment, rest []string) error {
+	if err := noArguments(rest); err != nil {
+		return err
+	}
+	if s.Controllers < 1 || s.Relays < 1 || s.Pages < 2 || s.Engines < 2 || s.Clients < 1 || s.Seeds < 1 || s.Poisons < 0 || s.Length <= 0 || s.Calm < 0 {
+		return &usageError{cause: trace.BadParameter("--controllers, --relays, --clients, --seeds and --length must be above 0, --pages and --engines above 1, --poisons and --calm not below 0")}
+	}
+	var failures []error
+	for number := range s.Seeds {
+		if err := s.runSeed(ctx, environment, s.Seed+uint64(number)); err != nil {
+			failures = append(failures, err)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return trace.NewAggregate(failures...)
+}
+
+// runSeed runs one seed; its files stay where a rule was broken.
+func (s *soakFlags) runSeed(ctx context.Context, environment Environment, seed uint64) error {
+	directory, err := s.directory(seed)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	report, err := soak.Run(ctx, s.options(environment, seed, directory))
+	if err != nil {
+		return trace.Wrap(err, "seed %d; its logs are in %s", seed, directory)
+	}
+	fmt.Fprintln(environment.Stdout, report)
+	if err := report.Failed(); err != nil {
+		fmt.Fprintf(environment.Stdout, "  again: %s soak --seed %d --length %s --calm %s --controllers %d --relays %d --pages %d --engines %d --clients %d --poisons %d\n  logs: %s\n",
+			environment.Program, seed, s.Length, s.Calm, s.Controllers, s.Relays, s.Pages, s.Engines, s.Clients, s.Poisons, directory)
+		return trace.Wrap(err)
+	}
+	if s.Directory == "" {
+		return trace.ConvertSystemError(os.RemoveAll(directory))
+	}
+	return nil
+}
+
+// directory is where a seed's files go.
+func (s *soakFlags) directory(seed uint64) (string, error) {
+	if s.Directory == "" {
+		made, err := os.MkdirTemp("", fmt.Sprintf("hazelbench-soak-%d-", seed))
+		return made, trace.ConvertSystemError(err)
+	}
+	made := filepath.Join(s.Directory, fmt.Sprint("seed-", seed))
+	return made, trace.ConvertSystemError(os.MkdirAll(made, 0o755))
+}
+
+func (s *soakFlags) options(environment Environment, seed uint64, directory string) soak.Options {
+	options := soak.Options{
+		Seed: seed, Controllers: s.Controllers, Relays: s.Relays, Pages: s.Pages, Engines: s.Engines, Clients: s.Clients, Poisons: s.Poisons,
+		Length: s.Length, Calm: s.Calm, Directory: directory, Program: s.Program, Serve: serveSiteName, Timed: !s.Untimed,
+	}
+	if s.Verbose {
+		options.Progress = func(line string) { fmt.Fprintln(environment.Stderr, line) }
+	}
+	return options
+}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -40,6 +40,8 @@
 	// DataDirectory is a controller's disk; empty for gateways.
 	DataDirectory string
 
+	// program is what runs; empty for this program itself.
+	program   string
 	arguments []string
 	mutex     sync.Mutex
 	command   *exec.Cmd
@@ -55,7 +57,7 @@
 	if p.running() {
 		return nil
 	}
-	program, err := os.Executable()
+	program, err := p.executable()
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -85,6 +87,28 @@
 	return nil
 }
 
+// NewProcess returns a process that does not run yet: a program, empty for this one itself, with its
+// arguments. Its settings file and its disk are the caller's.
+func NewProcess(name, program string, arguments []string, settingsPath, logPath, dataDirectory string) *Process {
+	return &Process{
+		Name: name, program: program, arguments: arguments, SettingsPath: settingsPath, LogPath: logPath, DataDirectory: dataDirectory,
+	}
+}
+
+// executable is the path of what runs.
+func (p *Process) executable() (string, error) {
+	if p.program != "" {
+		return p.program, nil
+	}
+	return os.Executable()
+}
+
+// Reload tells the process that its settings have changed (SIGHUP).
+func (p *Process) Reload() { p.signal(syscall.SIGHUP) }
+
+// Terminate asks the process to stop (SIGTERM) and does not wait for it.
+func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
+
 // running tells whether the present process has not ended. The mutex is held.
 func (p *Process) running() bool {
 	if p.command == nil {
--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -66,8 +66,10 @@
 	"internal/report",
 	"internal/scenario",
 	"internal/simulation",
+	"internal/soak",
 	"internal/standin",
 	"internal/virtualtime",
+	"platform/standin",
 }
 
 // impureImports may not appear in a pure package.
--- a/internal/importrules/platform_test.go
+++ b/internal/importrules/platform_test.go
@@ -10,8 +10,12 @@
 	"github.com/stretchr/testify/require"
 )
 
-// platformFolder alone knows how the users' platform speaks.
-const platformFolder = "platform"
+// platformFolder alone knows how the users' platform speaks; standInFolder in it has the stand-ins that
+// speak it from the other side, which no product code imports (TestProductDoesNotImportBench).
+const (
+	platformFolder = "platform"
+	standInFolder  = "platform/standin"
+)
 
 // platformNames are names of the platform that no other code may hold: headers, paths and
 // fields of its documents. X-Kv-Source is left out: the product's own contract with engines
@@ -28,7 +32,7 @@
 
 func TestOnlyThePlatformFolderKnowsThePlatformsNames(t *testing.T) {
 	for _, file := range sourceFiles(t) {
-		if file.directory == platformFolder {
+		if file.directory == platformFolder || file.directory == standInFolder {
 			continue
 		}
 		for _, text := range literals(t, file.syntax) {
--- /dev/null
+++ b/internal/soak/check/budget.go
@@ -0,0 +1,114 @@
+package check
+
+import (
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/soak/history"
+)
+
+const (
+	// crashesAllowed is how many back ends one request may end, retriesAllowed how often it may reach
+	// others after that.
+	crashesAllowed = 3
+	retriesAllowed = 3
+	// overAttempts is how many requests may run on more back ends than their route allows.
+	overAttempts = 3
+)
+
+// crashers finds requests that reach back ends though three have ended under them.
+func crashers(seen *history.History) []Finding {
+	contents := map[string]string{}
+	for _, sending := range seen.Sendings {
+		contents[sending.ID] = sending.Content
+	}
+	ended, later, third := map[string]int{}, map[string]int{}, map[string]time.Duration{}
+	var findings []Finding
+	for _, arrival := range seen.Arrivals {
+		content := contents[arrival.ID]
+		if content == "" {
+			continue
+		}
+		since, known := third[content]
+		if known && arrival.At > since+seen.Bounds.Contact && seen.InTouch(arrival.Machine, arrival.At) {
+			later[content]++
+			if later[content] == retriesAllowed+1 {
+				findings = append(findings, found(Budget, arrival.At, "request %s, under which %d back ends had ended, reached %s: retry %d", arrival.ID, ended[content], arrival.Replica, later[content]))
+			}
+		}
+		if arrival.Crashed {
+			ended[content]++
+			if ended[content] == crashesAllowed {
+				third[content] = arrival.EndedAt
+			}
+		}
+	}
+	return findings
+}
+
+// attemptsOver finds requests that ran on more back ends than their route allows. Back ends that ended
+// meanwhile are left out.
+func attemptsOver(seen *history.History) []Finding {
+	arrivals := arrivalsByID(seen)
+	var findings []Finding
+	over := 0
+	for _, sending := range seen.Sendings {
+		ran := 0
+		for _, run := range runsOf(arrivals[sending.ID]) {
+			if !run.Crashed {
+				ran++
+			}
+		}
+		if most := seen.Routes[sending.Route].MaxAttempts; most > 0 && ran > most {
+			over++
+			if over == overAttempts+1 {
+				findings = append(findings, found(Budget, sending.SentAt, "request %s ran on %d back ends, its route allows %d; %d such requests", sending.ID, ran, most, over))
+			}
+		}
+	}
+	return findings
+}
+
+// retriesOver finds windows with more sendings beyond the first than the budget.
+func retriesOver(seen *history.History) []Finding {
+	window := seen.Bounds.RetryWindow
+	if window <= 0 {
+		return nil
+	}
+	first := map[string]bool{}
+	var again []time.Duration
+	for _, arrival := range seen.Arrivals {
+		if arrival.ReadOnly {
+			continue
+		}
+		if first[arrival.ID] {
+			again = append(again, arrival.At)
+		}
+		first[arrival.ID] = true
+	}
+	for last, at := range again {
+		begin := last
+		for begin > 0 && again[begin-1] > at-window {
+			begin--
+		}
+		most := 0
+		for _, since := range []time.Duration{at - window, at - window - window/2, at - 2*window} {
+			most = max(most, sentBetween(seen, since, since+window))
+		}
+		allowed := seen.Bounds.RetryRatio*float64(most) + seen.Bounds.RetrySlack
+		if count := last - begin + 1; float64(count) > allowed {
+			return []Finding{found(Budget, at, "%d sendings beyond the first within %s, %.1f are allowed", count, window, allowed)}
+		}
+	}
+	return nil
+}
+
+// sentBetween counts the attempts of clients in a span.
+func sentBetween(seen *history.History, from, to time.Duration) int {
+	count := 0
+	for _, sending := range seen.Sendings {
+		if sending.SentAt > from && sending.SentAt <= to {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/soak/check/drain.go
@@ -0,0 +1,26 @@
+package check
+
+import (
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/soak/history"
+)
+
+// drain finds requests that relays in touch sent to a back end later than allowed after it was listed as
+// leaving.
+func drain(seen *history.History) []Finding {
+	leftAt := map[string]time.Duration{}
+	for _, listing := range seen.Listings {
+		if _, known := leftAt[listing.Replica]; !known && listing.State != history.Ready {
+			leftAt[listing.Replica] = listing.At
+		}
+	}
+	var findings []Finding
+	for _, arrival := range seen.Arrivals {
+		left, leaving := leftAt[arrival.Replica]
+		if leaving && arrival.Status != 421 && arrival.At > left+seen.Bounds.Drain && seen.InTouch(arrival.Machine, arrival.At) {
+			findings = append(findings, found(Drain, arrival.At, "request %s reached %s %s after it was listed as leaving", arrival.ID, arrival.Replica, arrival.At-left))
+		}
+	}
+	return findings
+}
--- /dev/null
+++ b/internal/soak/check/finding.go
@@ -0,0 +1,79 @@
+package check
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/soak/history"
+)
+
+// Rule names a rule.
+type Rule string
+
+// Rules.
+const (
+	Mixed   Rule = "MIXED"
+	Twice   Rule = "TWICE"
+	Refused Rule = "REFUSED"
+	Unasked Rule = "UNASKED"
+	Order   Rule = "ORDER"
+	Lost    Rule = "LOST"
+	Drain   Rule = "DRAIN"
+	Config  Rule = "CONFIG"
+	Budget  Rule = "BUDGET"
+	One     Rule = "ONE"
+	Gone    Rule = "GONE"
+	Recover Rule = "RECOVER"
+)
+
+// Finding is a rule that was broken.
+type Finding struct {
+	Rule Rule
+	At   time.Duration
+	Text string
+}
+
+// String writes the finding on a line.
+func (f Finding) String() string {
+	return fmt.Sprintf("%s at %.3f s: %s", f.Rule, f.At.Seconds(), f.Text)
+}
+
+// checker looks for one rule.
+type checker func(*history.History) []Finding
+
+// safety are the rules that hold whatever happens and however slow the machine is; timed those with a
+// time bound.
+var (
+	safety = []checker{mixed, twice, refused, unasked, order, attemptsOver, one}
+	timed  = []checker{lost, drain, config, gone, recovered, crashers, retriesOver}
+)
+
+// Safety finds broken rules that hang on no time.
+func Safety(seen *history.History) []Finding { return run(safety, seen) }
+
+// All finds every broken rule.
+func All(seen *history.History) []Finding { return run(append(slices.Clone(safety), timed...), seen) }
+
+func run(checkers []checker, seen *history.History) []Finding {
+	var findings []Finding
+	for _, look := range checkers {
+		findings = append(findings, look(seen)...)
+	}
+	return slices.SortedStableFunc(slices.Values(findings), func(a, b Finding) int { return cmp.Compare(a.At, b.At) })
+}
+
+// found makes a finding.
+func found(rule Rule, at time.Duration, format string, arguments ...any) Finding {
+	return Finding{Rule: rule, At: at, Text: fmt.Sprintf(format, arguments...)}
+}
+
+// arrivalsByID are the arrivals of each request.
+func arrivalsByID(seen *history.History) map[string][]history.Arrival {
+	arrivals := map[string][]history.Arrival{}
+	for _, arrival := range seen.Arrivals {
+		arrivals[arrival.ID] = append(arrivals[arrival.ID], arrival)
+	}
+	return arrivals
+}
--- /dev/null
+++ b/internal/soak/check/gone.go
@@ -0,0 +1,53 @@
+package check
+
+import (
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/soak/history"
+)
+
+const (
+	// goneSlack is how long after a client has left its request may still reach back ends, and how long
+	// these may work on it.
+	goneSlack = 500 * time.Millisecond
+	// goneArrivals is how many requests may reach back ends later than that.
+	goneArrivals = 3
+	// goneLeast is from how many requests on the share counts that is still worked on.
+	goneLeast = 8
+)
+
+// gone finds requests of clients that have left: some that reach back ends half a second later, or more
+// than a quarter of those that would last so long still being worked on.
+func gone(seen *history.History) []Finding {
+	left := map[string]history.Sending{}
+	for _, sending := range seen.Sendings {
+		if sending.ClosedAt > 0 && seen.Routes[sending.Route].Repeatable && seen.InTouch(sending.Front, sending.ClosedAt+goneSlack) {
+			left[sending.ID] = sending
+		}
+	}
+	late, lasting, working := 0, 0, 0
+	var findings []Finding
+	for _, arrival := range seen.Arrivals {
+		sending, known := left[arrival.ID]
+		if !known {
+			continue
+		}
+		due := sending.ClosedAt + goneSlack
+		if arrival.At > due {
+			if late++; late == goneArrivals+1 {
+				findings = append(findings, found(Gone, arrival.At, "request %s reached %s %s after its client had left; %d such requests", arrival.ID, arrival.Replica, arrival.At-sending.ClosedAt, late))
+			}
+			continue
+		}
+		if arrival.Ran && arrival.EndedAt > sending.ClosedAt {
+			lasting++
+			if arrival.EndedAt > due {
+				working++
+			}
+		}
+	}
+	if lasting >= goneLeast && 4*working > lasting {
+		findings = append(findings, found(Gone, 0, "%d of %d requests were still worked on half a second after their clients had left", working, lasting))
+	}
+	return findings
+}
--- /dev/null
+++ b/internal/soak/check/lost.go
@@ -0,0 +1,76 @@
+package check
+
+import (
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/soak/history"
+)
+
+// lost finds requests that planned work cut, though nothing unplanned happened near them, and
+// acknowledged configurations that do not exist at the end.
+func lost(seen *history.History) []Finding {
+	findings := cutByPlans(seen)
+	newest := newestAcked(seen, 1<<62)
+	for index := len(seen.Reads) - 1; index >= 0; index-- {
+		if read := seen.Reads[index]; read.Status == 200 {
+			if read.Number < newest {
+				findings = append(findings, found(Lost, read.At, "configuration %d was acknowledged, the last one that was read is %d", newest, read.Number))
+			}
+			break
+		}
+	}
+	return findings
+}
+
+func cutByPlans(seen *history.History) []Finding {
+	arrivals := arrivalsByID(seen)
+	var findings []Finding
+	for _, sending := range seen.Sendings {
+		took := sending.EndedAt - sending.SentAt
+		read := len(arrivals[sending.ID]) > 0 || took > seen.Bounds.LossSlack
+		if sending.Status != 0 || !read || sending.ClosedAt != 0 || took >= sending.Deadline || brokenOff(arrivals[sending.ID]) {
+			continue
+		}
+		if planned, unplanned := faultsNear(seen, sending); planned && !unplanned {
+			findings = append(findings, found(Lost, sending.EndedAt, "request %s at %s was cut by planned work", sending.ID, sending.Front))
+		}
+	}
+	return findings
+}
+
+// brokenOff reports whether a back end broke the request off.
+func brokenOff(arrivals []history.Arrival) bool {
+	for _, arrival := range arrivals {
+		if arrival.Crashed {
+			return true
+		}
+	}
+	return false
+}
+
+// faultsNear tells whether planned work went on at a request's relay, and whether anything unplanned
+// happened from the contact time before the request until its end.
+func faultsNear(seen *history.History, sending history.Sending) (planned, unplanned bool) {
+	for _, fault := range seen.Faults {
+		overlaps := fault.From <= sending.EndedAt && fault.To+seen.Bounds.Contact >= sending.SentAt
+		switch {
+		case !overlaps:
+		case !fault.Kind.Planned():
+			unplanned = true
+		case fault.Target == sending.Front:
+			planned = true
+		}
+	}
+	return planned, unplanned
+}
+
+// newestAcked is the highest number that was acknowledged by a moment.
+func newestAcked(seen *history.History, by time.Duration) uint64 {
+	newest := uint64(0)
+	for _, change := range seen.Changes {
+		if change.AckedAt > 0 && change.AckedAt <= by {
+			newest = max(newest, change.Number)
+		}
+	}
+	return newest
+}
--- /dev/null
+++ b/internal/soak/check/order.go
@@ -0,0 +1,54 @@
+package check
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/hazelpitch/hazelpitch/internal/soak/history"
+)
+
+// streamEnd is the last event's data in every stream of a run's back ends.
+const streamEnd = "end"
+
+// order finds streams that lack a piece, hold one twice or out of order, join two runs where that is not
+// allowed, or end as whole before their last piece.
+func order(seen *history.History) []Finding {
+	var findings []Finding
+	for _, sending := range seen.Sendings {
+		route := seen.Routes[sending.Route]
+		if !route.Stream || !sending.Succeeded() {
+			continue
+		}
+		if fault := faultOfStream(sending, route); fault != "" {
+			findings = append(findings, found(Order, sending.EndedAt, "stream %s %s", sending.ID, fault))
+		}
+	}
+	return findings
+}
+
+// faultOfStream says what is wrong with a stream; empty for nothing. Events are "id: N", then
+// "data: RUN TEXT", where RUN is the identity of the back end.
+func faultOfStream(sending history.Sending, route history.Route) string {
+	expected, run, ended := 1, "", false
+	for event := range strings.SplitSeq(strings.TrimSuffix(sending.Body, "\n\n"), "\n\n") {
+		var number int
+		var from, text string
+		if _, err := fmt.Sscanf(event, "id: %d\ndata: %s %s", &number, &from, &text); err != nil {
+			if sending.Whole {
+				return fmt.Sprintf("holds %q, which is no event", event)
+			}
+			return "" // it broke off in the middle of an event
+		}
+		switch {
+		case number != expected:
+			return fmt.Sprintf("has event %d in place of %d", number, expected)
+		case run != "" && from != run && !route.Resumable:
+			return fmt.Sprintf("joins runs of %s and %s", run, from)
+		}
+		expected, run, ended = number+1, from, text == streamEnd
+	}
+	if sending.Whole && !ended {
+		return "ends as whole before its last event"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/soak/check/refused.go
@@ -0,0 +1,19 @@
+package check
+
+import "github.com/hazelpitch/hazelpitch/internal/soak/history"
+
+// refused finds requests that may not be repeated and ran although an answer said that they have not run
+// and never will.
+func refused(seen *history.History) []Finding {
+	arrivals := arrivalsByID(seen)
+	var findings []Finding
+	for _, sending := range seen.Sendings {
+		if seen.Routes[sending.Route].Repeatable || !sending.PromisesNotRun() {
+			continue
+		}
+		if runs := runsOf(arrivals[sending.ID]); len(runs) > 0 {
+			findings = append(findings, found(Refused, sending.EndedAt, "request %s was answered %d and ran at %s", sending.ID, sending.Status, runs[0].Replica))
+		}
+	}
+	return findings
+}
--- /dev/null
+++ b/internal/soak/check/unasked.go
@@ -0,0 +1,22 @@
+package check
+
+import "github.com/hazelpitch/hazelpitch/internal/soak/history"
+
+// unasked finds requests at back ends that no client sent, or that were changed on the way.
+func unasked(seen *history.History) []Finding {
+	sent := map[string]history.Sending{}
+	for _, sending := range seen.Sendings {
+		sent[sending.ID] = sending
+	}
+	var findings []Finding
+	for _, arrival := range seen.Arrivals {
+		sending, known := sent[arrival.ID]
+		switch {
+		case !known && arrival.Ran:
+			findings = append(findings, found(Unasked, arrival.At, "back end %s ran request %q, which no client sent", arrival.Replica, arrival.ID))
+		case known && (arrival.Method != sending.Method || arrival.Target != sending.Target || arrival.BodyHash != sending.BodyHash):
+			findings = append(findings, found(Unasked, arrival.At, "request %s reached %s changed: %s %s", arrival.ID, arrival.Replica, arrival.Method, arrival.Target))
+		}
+	}
+	return findings
+}
--- /dev/null
+++ b/internal/soak/history/arrival.go
@@ -0,0 +1,26 @@
+package history
+
+import "time"
+
+// Arrival is a request at a back end.
+type Arrival struct {
+	ID      string
+	Replica string
+	Service string
+	// Machine is the name of the relay that took the request from its client; empty where no client
+	// sent it.
+	Machine                  string
+	At                       time.Duration
+	Method, Target, BodyHash string
+	// Deadline is the time that the back end was given; 0 for none.
+	Deadline time.Duration
+	// ReadOnly tells that only its prompt was to be read.
+	ReadOnly bool
+	// Ran tells that the back end began to run it, Crashed that it ended under it.
+	Ran, Crashed bool
+	EndedAt      time.Duration
+	Status       int
+	Seal, Body   string
+	// Cancelled tells that the back end saw its connection close before the end, at EndedAt.
+	Cancelled bool
+}
--- /dev/null
+++ b/internal/soak/history/fault.go
@@ -0,0 +1,54 @@
+package history
+
+import "time"
+
+// FaultKind is what was done to a process.
+type FaultKind string
+
+// Kinds of faults.
+const (
+	// Kill ends a process at once; it is started again when the fault ends.
+	Kill FaultKind = "kill"
+	// Freeze stops its execution, Terminate asks it to stop, Reload tells it that its settings changed.
+	Freeze    FaultKind = "freeze"
+	Terminate FaultKind = "terminate"
+	Reload    FaultKind = "reload"
+	// Wipe ends it at once and empties its disk.
+	Wipe FaultKind = "wipe"
+	// Crash ends a back end, Drain takes it away as planned.
+	Crash FaultKind = "crash"
+	Drain FaultKind = "drain"
+	// Reset resets the connections between relays and a back end, Silence drops what they carry, Delay
+	// slows them.
+	Reset   FaultKind = "reset"
+	Silence FaultKind = "silence"
+	Delay   FaultKind = "delay"
+)
+
+// Planned reports whether the fault is work that an operator plans.
+func (k FaultKind) Planned() bool { return k == Terminate || k == Reload || k == Drain }
+
+// Fault is what happened to a process or to its connections.
+type Fault struct {
+	Kind   FaultKind
+	Target string
+	// From and To are when it began and ended: a process that was stopped runs again at To.
+	From, To time.Duration
+}
+
+// Strikes reports whether the fault touched a target within a span before a moment, or still does.
+func (f Fault) Strikes(target string, at, span time.Duration) bool {
+	return f.Target == target && f.From <= at && f.To+span >= at
+}
+
+// InTouch reports whether nothing has struck a relay, and none of the controllers, within the contact
+// time before a moment.
+func (h *History) InTouch(relay string, at time.Duration) bool {
+	for _, fault := range h.Faults {
+		struck := fault.Target == relay || h.Controllers[fault.Target]
+		if struck && fault.From <= at && fault.To+h.Bounds.Contact >= at {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/soak/history/recorder.go
@@ -0,0 +1,104 @@
+package history
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Recorder takes down what is seen while a run goes on.
+type Recorder struct {
+	origin time.Time
+	mutex  sync.Mutex
+	kept   History
+}
+
+// NewRecorder begins a history now.
+func NewRecorder(bounds Bounds, routes map[string]Route, controllers map[string]bool) *Recorder {
+	return &Recorder{origin: time.Now(), kept: History{Bounds: bounds, Routes: routes, Controllers: controllers}}
+}
+
+// Now is the time since the run began.
+func (r *Recorder) Now() time.Duration { return time.Since(r.origin) }
+
+// Sending takes an attempt that has ended.
+func (r *Recorder) Sending(sending Sending) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.kept.Sendings = append(r.kept.Sendings, sending)
+}
+
+// Arrival takes a request that a back end has done with.
+func (r *Recorder) Arrival(arrival Arrival) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.kept.Arrivals = append(r.kept.Arrivals, arrival)
+}
+
+// Change takes a configuration whose sending has ended.
+func (r *Recorder) Change(change Change) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.kept.Changes = append(r.kept.Changes, change)
+}
+
+// Read takes a reading of the configuration.
+func (r *Recorder) Read(read Read) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.kept.Reads = append(r.kept.Reads, read)
+}
+
+// Order takes an order as it reached a back end.
+func (r *Recorder) Order(order Order) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.kept.Orders = append(r.kept.Orders, order)
+}
+
+// Listed takes a change of the list.
+func (r *Recorder) Listed(listing Listing) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.kept.Listings = append(r.kept.Listings, listing)
+}
+
+// Fault takes a fault that has ended.
+func (r *Recorder) Fault(fault Fault) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.kept.Faults = append(r.kept.Faults, fault)
+}
+
+// History returns what was taken down, sorted by time.
+func (r *Recorder) History() *History {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	kept := r.kept
+	kept.Sendings = sorted(kept.Sendings, func(s Sending) time.Duration { return s.SentAt })
+	kept.Arrivals = sorted(kept.Arrivals, func(a Arrival) time.Duration { return a.At })
+	noteMachines(&kept)
+	kept.Changes = sorted(kept.Changes, func(c Change) time.Duration { return c.SentAt })
+	kept.Reads = sorted(kept.Reads, func(r Read) time.Duration { return r.At })
+	kept.Orders = sorted(kept.Orders, func(o Order) time.Duration { return o.At })
+	kept.Listings = sorted(kept.Listings, func(l Listing) time.Duration { return l.At })
+	kept.Faults = sorted(kept.Faults, func(f Fault) time.Duration { return f.From })
+	return &kept
+}
+
+// noteMachines notes for each arrival which relay took it: an attempt is sent to one relay.
+func noteMachines(kept *History) {
+	fronts := make(map[string]string, len(kept.Sendings))
+	for _, sending := range kept.Sendings {
+		fronts[sending.ID] = sending.Front
+	}
+	for index, arrival := range kept.Arrivals {
+		kept.Arrivals[index].Machine = fronts[arrival.ID]
+	}
+}
+
+// sorted returns a copy in the order of time.
+func sorted[Entry any](entries []Entry, at func(Entry) time.Duration) []Entry {
+	return slices.SortedStableFunc(slices.Values(entries), func(a, b Entry) int { return cmp.Compare(at(a), at(b)) })
+}
--- /dev/null
+++ b/internal/soak/report.go
@@ -0,0 +1,79 @@
+package soak
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/soak/check"
+	"github.com/hazelpitch/hazelpitch/internal/soak/history"
+)
+
+// Report is what one seed showed.
+type Report struct {
+	Seed uint64 `json:"seed"`
+	// Sendings are the clients' attempts, Served those that got a success, Refused those that were told
+	// that they have not run.
+	Sendings int `json:"sendings"`
+	Served   int `json:"served"`
+	Refused  int `json:"refused"`
+	// Arrivals are requests at back ends, Crashed those under which one ended.
+	Arrivals int `json:"arrivals"`
+	Crashed  int `json:"crashed"`
+	// Changes are the configurations that were acknowledged.
+	Changes  int                       `json:"changes"`
+	Orders   int                       `json:"orders"`
+	Faults   map[history.FaultKind]int `json:"faults"`
+	Findings []check.Finding           `json:"findings"`
+}
+
+// reportOf counts what was seen.
+func reportOf(options Options, seen *history.History, faults map[history.FaultKind]int, findings []check.Finding) Report {
+	report := Report{
+		Seed: options.Seed, Sendings: len(seen.Sendings), Arrivals: len(seen.Arrivals), Orders: len(seen.Orders), Faults: faults, Findings: findings,
+	}
+	for _, sending := range seen.Sendings {
+		switch {
+		case sending.Succeeded():
+			report.Served++
+		case sending.PromisesNotRun():
+			report.Refused++
+		}
+	}
+	for _, arrival := range seen.Arrivals {
+		if arrival.Crashed {
+			report.Crashed++
+		}
+	}
+	for _, change := range seen.Changes {
+		if change.AckedAt > 0 {
+			report.Changes++
+		}
+	}
+	return report
+}
+
+// String writes the report on a few lines.
+func (r Report) String() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "seed %d: %d attempts, %d served, %d refused; %d arrivals, %d ended their back end; %d configurations, %d orders; faults:",
+		r.Seed, r.Sendings, r.Served, r.Refused, r.Arrivals, r.Crashed, r.Changes, r.Orders)
+	for _, kind := range slices.Sorted(maps.Keys(r.Faults)) {
+		fmt.Fprintf(&text, " %s %d", kind, r.Faults[kind])
+	}
+	for _, finding := range r.Findings {
+		fmt.Fprintf(&text, "\n  %s", finding)
+	}
+	return text.String()
+}
+
+// Failed returns an error when a rule was broken.
+func (r Report) Failed() error {
+	if len(r.Findings) == 0 {
+		return nil
+	}
+	return trace.CompareFailed("seed %d broke %d rules", r.Seed, len(r.Findings))
+}
