--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -184,6 +184,10 @@
 	}},
 	{"requests that outlast their time without an answer", Config, outlastingBy(2 * second)},
 	{"requests that end with their time", "", outlastingBy(second)},
+	{"requests whose relay freezes just after it took them", "", func(h *history.History) {
+		outlastingBy(4 * second)(h)
+		h.Faults = []history.Fault{{Kind: history.Freeze, Target: "front", From: second / 10, To: 4 * second}}
+	}},
 	{"back ends work on for clients that have left", Gone, left(2 * second)},
 	{"back ends stop soon", "", left(second / 4)},
 	{"requests reach back ends after their clients have left", Gone, func(h *history.History) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -53,9 +56,21 @@
 	sending.running.Wait()
 	made.readAtTheEnd(ctx)
 	seen := made.recorder.History()
+	if err := writeHistory(options, seen); err != nil {
+		return Report{}, trace.Wrap(err)
+	}
 	return reportOf(options, seen, striking.kinds, findings(options, seen)), trace.Wrap(ctx.Err())
 }
 
+// writeHistory leaves what was seen beside the logs.
+func writeHistory(options Options, seen *history.History) error {
+	content, err := json.Marshal(seen)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.ConvertSystemError(os.WriteFile(filepath.Join(options.Directory, "history.json"), content, 0o600))
+}
+
 func findings(options Options, seen *history.History) []check.Finding {
 	if options.Timed {
 		return check.All(seen)
