--- a/internal/bootclock/clock.go
+++ b/internal/bootclock/clock.go
@@ -24,6 +24,10 @@
 // moment, and what lies between them must not count.
 const leastSuspension = 20 * time.Millisecond
 
+// RequestLook is the time between two looks of processes that serve requests: nothing that they decide
+// within it hangs on a lease.
+const RequestLook = time.Millisecond
+
 // New returns a Clock whose origin is now. A suspension counts once the process has run for lookEvery
 // after it: a look costs two calls of the system. With 0 each reading looks, as leases need it.
 func New(lookEvery time.Duration) *Clock { return NewSuspendable(lookEvery, suspended) }
--- a/internal/gateway/clock.go
+++ b/internal/gateway/clock.go
@@ -10,11 +10,7 @@
 // want it.
 type clock struct{ steady *bootclock.Clock }
 
-// suspensionLook is the time between two looks for a suspension: nothing that is decided here within
-// it hangs on a lease.
-const suspensionLook = time.Millisecond
-
-func newClock() clock { return clock{steady: bootclock.New(suspensionLook)} }
+func newClock() clock { return clock{steady: bootclock.New(bootclock.RequestLook)} }
 
 // now returns the time since the origin.
 func (c clock) now() time.Duration { return c.steady.Now() }
--- a/internal/relay/clock.go
+++ b/internal/relay/clock.go
@@ -9,11 +9,7 @@
 // clock gives the steady time since the process's origin, in which suspensions count.
 type clock struct{ steady *bootclock.Clock }
 
-// suspensionLook is the time between two looks for a suspension: nothing that is decided here within
-// it hangs on a lease.
-const suspensionLook = time.Millisecond
-
-func newClock() clock { return clock{steady: bootclock.New(suspensionLook)} }
+func newClock() clock { return clock{steady: bootclock.New(bootclock.RequestLook)} }
 
 func (c clock) now() time.Duration { return c.steady.Now() }
 
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -70,10 +70,17 @@
 }
 
 func startBackEnd(t *testing.T, id string, stage serving.Stage, answer script) *scriptedBackEnd {
+	t.Helper()
+	return serveBackEnd(t, id, stage, func(net.Listener) script { return answer })
+}
+
+// serveBackEnd starts a back end whose script may stop its listening.
+func serveBackEnd(t *testing.T, id string, stage serving.Stage, scriptOf func(net.Listener) script) *scriptedBackEnd {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
+	answer := scriptOf(listener)
 	backEnd := &scriptedBackEnd{entry: serving.BackEnd{
 		ID: id, Service: "service", Address: listener.Addr().String(), Zone: "zone", Slots: 8, Stage: stage,
 	}}
--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -20,28 +20,15 @@
 // startEndingBackEnd starts a back end that is gone once it begins to run the ending request.
 func startEndingBackEnd(t *testing.T, id string, stage serving.Stage, sound script) *scriptedBackEnd {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	backEnd := &scriptedBackEnd{entry: serving.BackEnd{
-		ID: id, Service: "service", Address: listener.Addr().String(), Zone: "zone", Slots: 8, Stage: stage,
-	}}
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
+	return serveBackEnd(t, id, stage, func(listener net.Listener) script {
+		return func(connection net.Conn, request received) bool {
+			if request.body == endingBody {
+				_ = listener.Close()
+				return false
 			}
-			go backEnd.serve(connection, func(connection net.Conn, request received) bool {
-				if request.body == endingBody {
-					_ = listener.Close()
-					return false
-				}
-				return sound(connection, request)
-			})
+			return sound(connection, request)
 		}
-	}()
-	return backEnd
+	})
 }
 
 // grantingLeader grants every trial, and holds nothing.
--- a/internal/soak/check/config.go
+++ b/internal/soak/check/config.go
@@ -32,10 +32,7 @@
 
 // handledAsBefore finds arrivals at a service that only an older configuration names.
 func handledAsBefore(seen *history.History) []Finding {
-	sent := map[string]history.Sending{}
-	for _, sending := range seen.Sendings {
-		sent[sending.ID] = sending
-	}
+	sent := sendingsByID(seen)
 	var findings []Finding
 	for _, arrival := range seen.Arrivals {
 		sending, known := sent[arrival.ID]
--- a/internal/soak/check/finding.go
+++ b/internal/soak/check/finding.go
@@ -69,6 +69,15 @@
 	return Finding{Rule: rule, At: at, Text: fmt.Sprintf(format, arguments...)}
 }
 
+// sendingsByID are the attempts by their identities.
+func sendingsByID(seen *history.History) map[string]history.Sending {
+	sendings := make(map[string]history.Sending, len(seen.Sendings))
+	for _, sending := range seen.Sendings {
+		sendings[sending.ID] = sending
+	}
+	return sendings
+}
+
 // arrivalsByID are the arrivals of each request.
 func arrivalsByID(seen *history.History) map[string][]history.Arrival {
 	arrivals := map[string][]history.Arrival{}
--- a/internal/soak/check/unasked.go
+++ b/internal/soak/check/unasked.go
@@ -4,10 +4,7 @@
 
 // unasked finds requests at back ends that no client sent, or that were changed on the way.
 func unasked(seen *history.History) []Finding {
-	sent := map[string]history.Sending{}
-	for _, sending := range seen.Sendings {
-		sent[sending.ID] = sending
-	}
+	sent := sendingsByID(seen)
 	var findings []Finding
 	for _, arrival := range seen.Arrivals {
 		sending, known := sent[arrival.ID]
--- a/internal/soak/history/recorder.go
+++ b/internal/soak/history/recorder.go
@@ -23,52 +23,31 @@
 func (r *Recorder) Now() time.Duration { return time.Since(r.origin) }
 
 // Sending takes an attempt that has ended.
-func (r *Recorder) Sending(sending Sending) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.kept.Sendings = append(r.kept.Sendings, sending)
-}
+func (r *Recorder) Sending(sending Sending) { add(r, &r.kept.Sendings, sending) }
 
 // Arrival takes a request that a back end has done with.
-func (r *Recorder) Arrival(arrival Arrival) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.kept.Arrivals = append(r.kept.Arrivals, arrival)
-}
+func (r *Recorder) Arrival(arrival Arrival) { add(r, &r.kept.Arrivals, arrival) }
 
 // Change takes a configuration whose sending has ended.
-func (r *Recorder) Change(change Change) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.kept.Changes = append(r.kept.Changes, change)
-}
+func (r *Recorder) Change(change Change) { add(r, &r.kept.Changes, change) }
 
 // Read takes a reading of the configuration.
-func (r *Recorder) Read(read Read) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.kept.Reads = append(r.kept.Reads, read)
-}
+func (r *Recorder) Read(read Read) { add(r, &r.kept.Reads, read) }
 
 // Order takes an order as it reached a back end.
-func (r *Recorder) Order(order Order) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.kept.Orders = append(r.kept.Orders, order)
-}
+func (r *Recorder) Order(order Order) { add(r, &r.kept.Orders, order) }
 
 // Listed takes a change of the list.
-func (r *Recorder) Listed(listing Listing) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.kept.Listings = append(r.kept.Listings, listing)
-}
+func (r *Recorder) Listed(listing Listing) { add(r, &r.kept.Listings, listing) }
 
 // Fault takes a fault that has ended.
-func (r *Recorder) Fault(fault Fault) {
+func (r *Recorder) Fault(fault Fault) { add(r, &r.kept.Faults, fault) }
+
+// add takes an entry of one kind.
+func add[Entry any](r *Recorder, kept *[]Entry, entry Entry) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.kept.Faults = append(r.kept.Faults, fault)
+	*kept = append(*kept, entry)
 }
 
 // History returns what was taken down, sorted by time.
