Operators see and release held requests

Cause: a held request could be seen in relays' logs only, and nobody could let it run before its trial. Change: show suspects (content, ended, held, trials) and release request CONTENT (operator), in the audit trail like other commands. Command: go test ./internal/language ./internal/control

--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -107,6 +107,8 @@
 		})
 	case language.AbortOrder:
 		c.abortForOperator(received, wanted.Engine)
+	case language.ReleaseRequest:
+		c.releaseForOperator(received, wanted.Content)
 	case language.PinEngine:
 		c.declareForOperator(received, c.pinObject(wanted))
 	case language.UnpinEngine:
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/controlstate"
@@ -118,6 +119,20 @@
 	return &v1.Command{Body: &v1.Command_ReleaseRequests{ReleaseRequests: &v1.ReleaseRequests{Signatures: signatures}}}
 }
 
+// releaseForOperator forgets a request that an operator names by its signature.
+func (c *Core) releaseForOperator(received ExecuteReceived, content string) {
+	signature, valid := quarantine.ParseSignature(content)
+	if !valid || c.state.Suspects().Suspect(signature) == nil {
+		c.refuseAudited(received, trace.NotFound("no replica has ended under request %q; see `show suspects`", content))
+		return
+	}
+	c.proposeForCall(releaseCommand(signature[:]), received.Call, func(core *Core, _ controlstate.Result) {
+		answer := "request " + content + " may run again"
+		core.rememberCommand(received, answer)
+		core.answerMessage(received.Call, answer)
+	})
+}
+
 // tickQuarantine sees which trials are due, and forgets requests that have not come again.
 func (c *Core) tickQuarantine() {
 	ledger := c.state.Suspects()
--- a/internal/control/quarantine_test.go
+++ b/internal/control/quarantine_test.go
@@ -173,3 +173,22 @@
 	}
 	require.Empty(t, w.toldHeld())
 }
+
+func TestOperatorsSeeAndReleaseHeldRequests(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	w.waitLeader()
+	w.holdRequest()
+	run := func(text string) Answer {
+		return w.call(w.waitLeader(), func(id CallID) Input {
+			return ExecuteReceived{Call: id, Operator: "ana", Role: v1.OperatorRole_OPERATOR_ROLE_OPERATOR, Request: &v1.ExecuteRequest{RequestId: text, Text: text}}
+		})
+	}
+	listed := run("show suspects where held = true")
+	require.NoError(t, listed.Err)
+	require.Contains(t, listed.Response.(*v1.ExecuteResponse).String(), endingSignature.String())
+	require.ErrorContains(t, run(`release request "0a1b"`).Err, "show suspects")
+	released := run(`release request "` + endingSignature.String() + `"`)
+	require.NoError(t, released.Err)
+	require.Contains(t, released.Response.(*v1.ExecuteResponse).GetMessage(), "may run again")
+	require.Empty(t, w.toldHeld())
+}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -132,6 +132,17 @@
 	return claims
 }
 
+// Suspects implements language.View.
+func (v *view) Suspects() []language.SuspectView {
+	var suspects []language.SuspectView
+	for _, suspect := range v.core.state.Suspects().Suspects() {
+		suspects = append(suspects, language.SuspectView{
+			Content: suspect.Signature.String(), Ended: len(suspect.Replicas), Held: suspect.Held(), Trials: int(suspect.Trials),
+		})
+	}
+	return suspects
+}
+
 // Audit implements language.View.
 func (v *view) Audit() []language.AuditRecord {
 	records := v.core.state.Audit()
--- a/internal/language/reference_test.go
+++ b/internal/language/reference_test.go
@@ -139,7 +139,7 @@
 		statement Statement
 	}{
 		{"show", Show{}}, {"explain", Explain{}}, {"history", History{}}, {"drain", DrainEngine{}}, {"resume", ResumeEngine{}},
-		{"set", SetEngineRole{}}, {"pin", PinEngine{}}, {"unpin", UnpinEngine{}}, {"abort", AbortOrder{}}, {"delete", DeleteObject{}},
+		{"set", SetEngineRole{}}, {"pin", PinEngine{}}, {"unpin", UnpinEngine{}}, {"abort", AbortOrder{}}, {"release", ReleaseRequest{}}, {"delete", DeleteObject{}},
 		{"add", AddMember{}}, {"promote", PromoteMember{}}, {"remove", RemoveMember{}}, {"replace", ReplaceMember{}}, {"dump", DumpLogs{}},
 	}
 	var text strings.Builder
--- a/internal/language/roles.go
+++ b/internal/language/roles.go
@@ -37,6 +37,9 @@
 // RequiredRole is operator.
 func (AbortOrder) RequiredRole() v1.OperatorRole { return operator }
 
+// RequiredRole is operator.
+func (ReleaseRequest) RequiredRole() v1.OperatorRole { return operator }
+
 // RequiredRole is administrator.
 func (DeleteObject) RequiredRole() v1.OperatorRole { return administrator }
 
@@ -74,35 +77,37 @@
 	return held != v1.OperatorRole_OPERATOR_ROLE_UNSPECIFIED && held >= required
 }
 
-func (Show) isStatement()          {}
-func (Explain) isStatement()       {}
-func (History) isStatement()       {}
-func (DrainEngine) isStatement()   {}
-func (ResumeEngine) isStatement()  {}
-func (SetEngineRole) isStatement() {}
-func (PinEngine) isStatement()     {}
-func (UnpinEngine) isStatement()   {}
-func (AbortOrder) isStatement()    {}
-func (DeleteObject) isStatement()  {}
-func (AddMember) isStatement()     {}
-func (PromoteMember) isStatement() {}
-func (RemoveMember) isStatement()  {}
-func (ReplaceMember) isStatement() {}
-func (DumpLogs) isStatement()      {}
+func (Show) isStatement()           {}
+func (Explain) isStatement()        {}
+func (History) isStatement()        {}
+func (DrainEngine) isStatement()    {}
+func (ResumeEngine) isStatement()   {}
+func (SetEngineRole) isStatement()  {}
+func (PinEngine) isStatement()      {}
+func (UnpinEngine) isStatement()    {}
+func (AbortOrder) isStatement()     {}
+func (ReleaseRequest) isStatement() {}
+func (DeleteObject) isStatement()   {}
+func (AddMember) isStatement()      {}
+func (PromoteMember) isStatement()  {}
+func (RemoveMember) isStatement()   {}
+func (ReplaceMember) isStatement()  {}
+func (DumpLogs) isStatement()       {}
 
 func (Show) isQuery()    {}
 func (Explain) isQuery() {}
 func (History) isQuery() {}
 
-func (DrainEngine) isCommand()   {}
-func (ResumeEngine) isCommand()  {}
-func (SetEngineRole) isCommand() {}
-func (PinEngine) isCommand()     {}
-func (UnpinEngine) isCommand()   {}
-func (AbortOrder) isCommand()    {}
-func (DeleteObject) isCommand()  {}
-func (AddMember) isCommand()     {}
-func (PromoteMember) isCommand() {}
-func (RemoveMember) isCommand()  {}
-func (ReplaceMember) isCommand() {}
-func (DumpLogs) isCommand()      {}
+func (DrainEngine) isCommand()    {}
+func (ResumeEngine) isCommand()   {}
+func (SetEngineRole) isCommand()  {}
+func (PinEngine) isCommand()      {}
+func (UnpinEngine) isCommand()    {}
+func (AbortOrder) isCommand()     {}
+func (ReleaseRequest) isCommand() {}
+func (DeleteObject) isCommand()   {}
+func (AddMember) isCommand()      {}
+func (PromoteMember) isCommand()  {}
+func (RemoveMember) isCommand()   {}
+func (ReplaceMember) isCommand()  {}
+func (DumpLogs) isCommand()       {}
--- a/internal/language/rows.go
+++ b/internal/language/rows.go
@@ -1,6 +1,7 @@
 package language
 
 import (
+	"strconv"
 	"strings"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
@@ -147,6 +148,19 @@
 	return rows
 }
 
+func suspectRows(view View) [][]Value {
+	var rows [][]Value
+	for _, suspect := range view.Suspects() {
+		rows = append(rows, []Value{
+			TextValue(suspect.Content),
+			countCell(uint64(suspect.Ended)),
+			TextValue(strconv.FormatBool(suspect.Held)),
+			countCell(uint64(suspect.Trials)),
+		})
+	}
+	return rows
+}
+
 func auditRows(view View) [][]Value {
 	var rows [][]Value
 	for _, record := range view.Audit() {
--- a/internal/language/statement.go
+++ b/internal/language/statement.go
@@ -74,6 +74,12 @@
 // AbortOrder aborts the order an engine holds, where that is still possible.
 type AbortOrder struct{ Engine string }
 
+// ReleaseRequest forgets under which request replicas have ended, so that it may run again.
+type ReleaseRequest struct {
+	// Content is the request's signature in hexadecimal digits, as logs and `show suspects` name it.
+	Content string
+}
+
 // DeleteObject deletes one declared object as a new revision.
 type DeleteObject struct{ Key *v1.ObjectKey }
 
--- a/internal/language/statement_syntax.go
+++ b/internal/language/statement_syntax.go
@@ -19,6 +19,7 @@
 	Pin     *roleSyntax    `parser:"| 'pin' 'engine' @@"`
 	Unpin   *nameSyntax    `parser:"| 'unpin' 'engine' @@"`
 	Abort   *nameSyntax    `parser:"| 'abort' 'order' 'of' 'engine' @@"`
+	Release *nameSyntax    `parser:"| 'release' 'request' @@"`
 	Delete  *subjectSyntax `parser:"| 'delete' @@"`
 	Add     *memberSyntax  `parser:"| 'add' 'member' @@"`
 	Promote *nameSyntax    `parser:"| 'promote' 'member' @@"`
--- a/internal/language/statements_test.go
+++ b/internal/language/statements_test.go
@@ -34,6 +34,8 @@
 		"pin engine motor-3 to decode":                             {PinEngine{"motor-3", decode}, operator},
 		"unpin engine motor-3":                                     {UnpinEngine{"motor-3"}, operator},
 		"abort order of engine motor-3":                            {AbortOrder{"motor-3"}, operator},
+		"release request a1b0":                                     {ReleaseRequest{"a1b0"}, operator},
+		`release request "0a1b"`:                                   {ReleaseRequest{"0a1b"}, operator},
 		"delete tenant minera.sur":                                 {DeleteObject{key(v1.ObjectType_OBJECT_TYPE_TENANT, "minera.sur")}, administrator},
 		"add member d4 at 10.0.0.7:7400 zone sala-ate":             {AddMember{member}, administrator},
 		`add member d4 at "10.0.0.7:7400" zone "sala-ate"`:         {AddMember{member}, administrator},
@@ -87,7 +89,7 @@
 			require.Contains(t, trace.Unwrap(err).Error(), "statement:"+want)
 		})
 	}
-	require.Equal(t, []string{"show", "explain", "history", "drain", "resume", "set", "pin", "unpin", "abort", "delete", "add", "promote", "remove", "replace", "dump"}, beginnings)
+	require.Equal(t, []string{"show", "explain", "history", "drain", "resume", "set", "pin", "unpin", "abort", "release", "delete", "add", "promote", "remove", "replace", "dump"}, beginnings)
 	_, err := ParseStatement("shwo tenants")
 	require.ErrorContains(t, err, `did you mean "show"?`)
 	_, err = ParseStatement("drain engine a" + strings.Repeat(" ", MaximumStatementBytes))
--- a/internal/language/tables.go
+++ b/internal/language/tables.go
@@ -48,6 +48,12 @@
 		text("state", "granted, finished or unknown."),
 		text("expires", "Time the claim is forgotten."),
 	}},
+	{word: "suspects", purpose: "Requests under which replicas have ended, oldest first.", rows: suspectRows, columns: []column{
+		text("content", "The request's signature, as logs name it."),
+		number("ended", "Replicas that have ended under it."),
+		text("held", "true while it is kept away from replicas."),
+		number("trials", "How often it was tried again since."),
+	}},
 	{word: "audit", purpose: "What operators submitted, oldest first.", ofTypes: []string{"operator"}, rows: auditRows, columns: []column{
 		number("sequence", "Place in the trail."),
 		text("at", "Time of the submission."),
--- a/internal/language/view.go
+++ b/internal/language/view.go
@@ -29,6 +29,8 @@
 	Orders(engine string) []OrderView
 	// Claims lists the claims that are remembered, by tenant, kind and key.
 	Claims() []ClaimView
+	// Suspects lists the requests under which replicas have ended, oldest first.
+	Suspects() []SuspectView
 	// Audit lists the audit trail as far as it is remembered, oldest first.
 	Audit() []AuditRecord
 	// Shares lists the parts of tenants' limits that gateways hold now, by
@@ -116,6 +118,14 @@
 	ExpiresAtMs int64
 }
 
+// SuspectView is one request under which replicas have ended.
+type SuspectView struct {
+	Content string
+	Ended   int
+	Held    bool
+	Trials  int
+}
+
 // AuditRecord is one submission of an operator, accepted or not.
 type AuditRecord struct {
 	Sequence  uint64
--- a/internal/language/view_test.go
+++ b/internal/language/view_test.go
@@ -50,6 +50,9 @@
 func (v *view) Claims() []ClaimView {
 	return []ClaimView{{Tenant: "minera", Kind: "alert", Key: "k", State: v1.ClaimState_CLAIM_STATE_UNKNOWN}}
 }
+func (v *view) Suspects() []SuspectView {
+	return []SuspectView{{Content: "0a1b", Ended: 3, Held: true, Trials: 1}, {Content: "2c3d", Ended: 1}}
+}
 func (v *view) Audit() []AuditRecord {
 	return []AuditRecord{{Sequence: 1, AtMs: viewNow - 2000, Operator: "ana", Text: "apply", Outcome: "accepted", Revision: 1}, {Sequence: 2, AtMs: viewNow - 1000, Operator: "beto", Text: "drain engine motor-1", Outcome: "refused"}}
 }
--- a/internal/quarantine/signature.go
+++ b/internal/quarantine/signature.go
@@ -38,5 +38,14 @@
 	return Signature(bytes), true
 }
 
+// ParseSignature reads a signature as String writes it; false when it is none.
+func ParseSignature(text string) (signature Signature, valid bool) {
+	bytes, err := hex.DecodeString(text)
+	if err != nil {
+		return Signature{}, false
+	}
+	return SignatureFrom(bytes)
+}
+
 // String returns the signature in hexadecimal digits, as logs name it.
 func (s Signature) String() string { return hex.EncodeToString(s[:]) }
--- a/internal/quarantine/signature_test.go
+++ b/internal/quarantine/signature_test.go
@@ -28,6 +28,13 @@
 	require.True(t, valid)
 	require.Equal(t, signature, again)
 	require.Len(t, signature.String(), 2*SignatureBytes)
+	parsed, valid := ParseSignature(signature.String())
+	require.True(t, valid)
+	require.Equal(t, signature, parsed)
+	for _, text := range []string{"", "zz", "0a1b", signature.String() + "00"} {
+		_, valid = ParseSignature(text)
+		require.False(t, valid, text)
+	}
 	_, valid = SignatureFrom(signature[1:])
 	require.False(t, valid)
 }
