--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -79,6 +79,11 @@
 	return a.relay.sendAgain(a.request)
 }
 
+// leaveAnother reports whether the request may be sent to a further back end after the present one.
+func (a *attempts) leaveAnother() bool {
+	return a.request.route.Repeatable() && !a.request.trial && a.sent+1 < a.request.route.MaxAttempts
+}
+
 // sendAgain reports whether the retry budget allows another sending, and takes it from there.
 func (r *Relay) sendAgain(request *request) bool {
 	if !r.budget.take(r.clock.now(), request.service.Name) {
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -102,7 +102,7 @@
 		backEnd := chosen.backEnd
 		request.trace.engine, request.trace.sentAt = backEnd.ID, r.clock.now()
 		answer, fault := r.exchanger.send(&message{request: request, backEnd: backEnd, deadline: request.deadline, work: placement.Work{Streams: 1},
-			stall: stallLimit(request.route), mayBreak: request.route.Repeatable() && tried.sent+1 < request.route.MaxAttempts})
+			stall: stallLimit(request.route), mayBreak: tried.leaveAnother()})
 		if fault == nil || fault.verdict != verdict.NotRun {
 			r.noteRun(request, request.trace.sentAt)
 		}
@@ -161,8 +161,7 @@
 // mayReplace reports whether a back end's own failure may be replaced by another one's
 // answer. It takes nothing from the budget: mayContinue does.
 func (r *Relay) mayReplace(answer *answer, tried *attempts) bool {
-	route := answer.message.request.route
-	return route.Repeatable() && tried.sent+1 < route.MaxAttempts && !tried.over() && r.othersLeft(answer, tried) &&
+	return tried.leaveAnother() && !tried.over() && r.othersLeft(answer, tried) &&
 		r.budget.allows(r.clock.now(), answer.message.request.service.Name)
 }
 
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -101,9 +101,7 @@
 }
 
 // mayMove reports whether the stream may be taken up at another engine.
-func (s *streamReply) mayMove() bool {
-	return s.request.route.Repeatable() && s.tried.sent+1 < s.request.route.MaxAttempts
-}
+func (s *streamReply) mayMove() bool { return s.tried.leaveAnother() }
 
 func isEventStream(answer *answer) bool {
 	return answer.status == fasthttp.StatusOK &&
