A pause between the readings of two clocks is no suspension

Cause: found in the reading of the change: the clock that does not count suspensions was read first, so that a process that stood still between the two readings (a share of a core that is spent, 100 ms) took that for a suspension and went ahead by it for good. Command: go test ./internal/bootclock

--- a/internal/bootclock/clock.go
+++ b/internal/bootclock/clock.go
@@ -34,7 +34,19 @@
 
 // NewSuspendable returns a Clock for tests, of a machine that was suspended for as long as told.
 func NewSuspendable(lookEvery time.Duration, suspended func() time.Duration) *Clock {
-	return &Clock{origin: time.Now(), suspended: suspended, before: suspended(), lookEvery: lookEvery}
+	return &Clock{origin: time.Now(), suspended: suspended, before: atLeast(suspended), lookEvery: lookEvery}
+}
+
+// originReadings is how often the origin is read: a reading may tell too little.
+const originReadings = 5
+
+// atLeast returns the longest of some readings.
+func atLeast(suspended func() time.Duration) time.Duration {
+	longest := suspended()
+	for range originReadings - 1 {
+		longest = max(longest, suspended())
+	}
+	return longest
 }
 
 // Now returns the time since the origin.
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -51,7 +51,7 @@
 	return requestQuarantine{keeper: quarantine.NewKeeper()}
 }
 
-// takeReplicaEnds takes a node's word on ends of replicas. What is known already is answered at once.
+// takeReplicaEnds takes a node's word on ends of replicas.
 func (c *Core) takeReplicaEnds(received ReplicaEndsReceived) {
 	if !c.demandLeader(received.Call) {
 		return
