A relay that holds nothing waits longer for a whole answer

Cause: after all processes were killed at 300 machines nothing was served for 30 s: relays that hold nothing gave up their watch after 0.7 s and asked again, and the leader began anew with each. Change: their patience begins at 1 s and doubles to 4 s while answers do not come in time; relays that hold a view ask another controller as soon as before.

--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -26,7 +26,8 @@
 	watchWait        = 400 * time.Millisecond
 	longestWatchWait = time.Second
 	watchesPerSecond = 300
-	// watchSlack is what a watch may take beyond its wait before another controller is asked.
+	// watchSlack is what a watch of a relay that holds a view may take beyond its wait before another
+	// controller is asked.
 	watchSlack = 300 * time.Millisecond
 	// searchPause is the wait before another controller is asked.
 	searchPause    = 40 * time.Millisecond
@@ -63,6 +64,8 @@
 	// listing is the list of back ends as the leader told it last.
 	listing heldListing
 	own     ownListing
+	// patience is how long an answer is awaited while nothing is held.
+	patience patience
 }
 
 func newWatcher(relay *Relay, options Options) *watcher {
@@ -112,16 +115,20 @@
 func (w *watcher) watchOnce(ctx context.Context) bool {
 	address := w.controllers[w.target%len(w.controllers)]
 	w.leader.Store(&address)
-	limited, cancel := context.WithTimeout(ctx, w.wait()+watchSlack)
+	limited, cancel := context.WithTimeout(ctx, w.wait()+w.slack())
 	defer cancel()
 	client := hazelpitchv1connect.NewNodeServiceClient(w.http, "http://"+address)
 	asked := w.relay.clock.now()
 	response, err := client.Watch(limited, connect.NewRequest(w.request()))
 	if err != nil {
+		if limited.Err() != nil {
+			w.patience.missedAnswer()
+		}
 		w.setControllers(w.controllers)
 		w.target++
 		return false
 	}
+	w.patience.answered()
 	w.learnControllers(response.Msg, address)
 	if response.Msg.GetBehind() {
 		return false
@@ -199,6 +206,9 @@
 	w.relay.contactAt.Store(int64(w.relay.clock.now()))
 }
 
+// slack is what a watch may take beyond its wait before another controller is asked.
+func (w *watcher) slack() time.Duration { return w.patience.slack(w.relay.view.Load().ready()) }
+
 // wait is how long a controller lets a watch wait.
 func (w *watcher) wait() time.Duration {
 	return min(max(time.Duration(w.relay.relayCount.Load())*time.Second/watchesPerSecond, watchWait), longestWatchWait)
