--- a/internal/relay/patience.go
+++ b/internal/relay/patience.go
@@ -23,6 +23,9 @@
 	return doubled(firstPatience, p.missed, longestPatience)
 }
 
-// answered notes an answer, missed that none came in time.
-func (p *patience) answered()     { p.missed = 0 }
+// answered notes an answer of a leader: what other controllers answer at once says nothing of how long
+// that one takes.
+func (p *patience) answered() { p.missed = 0 }
+
+// missedAnswer notes that no answer came in time.
 func (p *patience) missedAnswer() { p.missed++ }
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -128,7 +128,6 @@
 		w.target++
 		return false
 	}
-	w.patience.answered()
 	w.learnControllers(response.Msg, address)
 	if response.Msg.GetBehind() {
 		return false
@@ -136,6 +135,7 @@
 	if w.lateAnswer(asked) {
 		return true // it is asked again at once
 	}
+	w.patience.answered()
 	w.take(response.Msg)
 	return true
 }
