--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -29,6 +29,10 @@
 	// watchSlack is what a watch of a relay that holds a view may take beyond its wait before another
 	// controller is asked.
 	watchSlack = 300 * time.Millisecond
+	// wholeSlack is likewise for a relay that holds nothing and is sent configuration and list whole, as
+	// all are at once when all have started: to give up and ask again has the controller begin anew
+	// with each relay, which makes all answers later still.
+	wholeSlack = 4 * time.Second
 	// searchPause is the wait before another controller is asked.
 	searchPause    = 40 * time.Millisecond
 	listingTimeout = time.Second
@@ -64,8 +68,6 @@
 	// listing is the list of back ends as the leader told it last.
 	listing heldListing
 	own     ownListing
-	// patience is how long an answer is awaited while nothing is held.
-	patience patience
 }
 
 func newWatcher(relay *Relay, options Options) *watcher {
@@ -121,9 +123,6 @@
 	asked := w.relay.clock.now()
 	response, err := client.Watch(limited, connect.NewRequest(w.request()))
 	if err != nil {
-		if limited.Err() != nil {
-			w.patience.missedAnswer()
-		}
 		w.setControllers(w.controllers)
 		w.target++
 		return false
@@ -135,7 +134,6 @@
 	if w.lateAnswer(asked) {
 		return true // it is asked again at once
 	}
-	w.patience.answered()
 	w.take(response.Msg)
 	return true
 }
@@ -207,7 +205,12 @@
 }
 
 // slack is what a watch may take beyond its wait before another controller is asked.
-func (w *watcher) slack() time.Duration { return w.patience.slack(w.relay.view.Load().ready()) }
+func (w *watcher) slack() time.Duration {
+	if w.relay.view.Load().ready() {
+		return watchSlack
+	}
+	return wholeSlack
+}
 
 // wait is how long a controller lets a watch wait.
 func (w *watcher) wait() time.Duration {
