--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -124,6 +124,8 @@
 		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "no back end took the request in time", retryAfter: retryAfterBusy}
 	case a.last != nil && errors.Is(a.last, errNotExecuted):
 		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "the back ends are busy", retryAfter: retryAfterBusy}
+	case len(a.relay.view.Load().byService[a.request.service.Name]) == 0:
+		return refusal{status: fasthttp.StatusServiceUnavailable, reason: string(lacksBackEnds), retryAfter: retryAfterNoBackEnd}
 	default:
 		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "no back end can take the request", retryAfter: retryAfterNoBackEnd}
 	}
--- a/internal/relay/engine_query.go
+++ b/internal/relay/engine_query.go
@@ -97,6 +97,16 @@
 	chosen *place
 	// holder is the engine of the cell that keeps most of the prompt, nil for none.
 	holder *promptHolder
+	// unowned tells that neither the owner of the engines nor its stand-in answered, and this relay decided.
+	unowned bool
+}
+
+// reason tells why the decision is what it is.
+func (a *engineAnswer) reason() string {
+	if a.unowned {
+		return string(lacksOwner) + ": " + a.decision.Reason.String()
+	}
+	return a.decision.Reason.String()
 }
 
 // assignment is an owner's answer that gave an engine work.
--- /dev/null
+++ b/internal/relay/lack_test.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// An operator tells from a request's line and answer what its relay did not know.
+func TestRefusalsNameWhatIsLacking(t *testing.T) {
+	known := func(relay *testRelay) view { return *relay.view.Load() }
+	for lacking, forget := range map[lack]func(*view){
+		lacksConfiguration: func(view *view) { view.table, view.listed = nil, false },
+		lacksListing:       func(view *view) { view.listed = false },
+		lacksBackEnds:      func(view *view) { view.byService = map[string][]*backEnd{} },
+	} {
+		relay := newTestRelay(t, route(nil), startBackEnd(t, "one", serving.StageWhole, answering(200, "ok")))
+		lines := &strings.Builder{}
+		relay.log = requestLog{logger: zerolog.New(zerolog.SyncWriter(lines))}
+		next := known(relay)
+		forget(&next)
+		relay.view.Store(&next)
+		answer := relay.client(t).do("GET", "/path/", "")
+		require.Equal(t, 503, answer.status)
+		require.Equal(t, string(lacking)+"\n", answer.body)
+		require.Contains(t, lines.String(), `"reason":"`+string(lacking)+`"`)
+		require.Contains(t, lines.String(), `"event":"request_refused"`)
+	}
+}
+
+// A decision that the relay made because no owner answered says so.
+func TestDecisionsWithoutAnOwnerSaySo(t *testing.T) {
+	relay := newTestRelay(t, route(stream(false)), startBackEnd(t, "engine", serving.StageDecode, streaming("engine", eventOne)))
+	query := &engineQuery{purpose: toGenerate, service: "service", request: placement.Request{Stage: serving.StageDecode}}
+	known := relay.owners.current.Load().services["service"]
+	own := relay.asker.decideIn(known, 0, query, nil)
+	require.NotContains(t, own.reason(), string(lacksOwner))
+	relay.ownedBy(newScriptedOwner(t).address())
+	known = relay.owners.current.Load().services["service"]
+	decided := relay.asker.decideIn(known, 0, query, nil)
+	require.Contains(t, decided.reason(), string(lacksOwner))
+}
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -31,7 +31,9 @@
 		}
 	}
 	a.relay.metrics.asked.WithLabelValues(askedNobody).Inc()
-	return a.relay.owner.decide(query, known.members[index], nil)
+	answer := a.relay.owner.decide(query, known.members[index], nil)
+	answer.unowned = true
+	return answer
 }
 
 // decide offers a request to its home cells, one after another until one takes it well. What the
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -201,8 +201,8 @@
 	if r.stopping.Load() {
 		return trace.ConnectionProblem(nil, "the relay stops")
 	}
-	if !r.view.Load().ready() {
-		return trace.ConnectionProblem(nil, "no configuration or no list of back ends is known yet")
+	if lacking := r.view.Load().lack(); lacking != "" {
+		return trace.ConnectionProblem(nil, "%s", lacking)
 	}
 	return nil
 }
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -47,6 +47,12 @@
 		Int64("retry_after_ms", refused.retryAfter.Milliseconds()).Int("sent", tried.sent).Bool("may_have_run", tried.mayHaveRun).Send()
 }
 
+// refusedForLack notes a request that came before the relay knew what it needs. Its route may not be known.
+func (l requestLog) refusedForLack(request *request, lacking lack, belief belief) {
+	l.logger.WithLevel(zerolog.WarnLevel).Str(events.FieldEvent, string(events.RequestRefused)).Str(events.FieldRequest, request.id).
+		Str("reason", string(lacking)).Uint64("configuration", belief.configuration).Int64("leader_age_ms", belief.leaderAge.Milliseconds()).Send()
+}
+
 // moved notes that a run was moved from an engine that takes no more work, or stopped there
 // without a copy.
 func (l requestLog) moved(request *request, from, to *backEnd, copied bool) {
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -55,7 +55,7 @@
 		case placement.Refuse:
 			r.noteRefusedWork(stream, decision, chosen)
 			return start{refused: &refusal{
-				status: fasthttp.StatusServiceUnavailable, reason: decision.Reason.String(), retryAfter: decision.RetryAfter,
+				status: fasthttp.StatusServiceUnavailable, reason: stream.request.trace.placed, retryAfter: decision.RetryAfter,
 			}}
 		default:
 			return start{}
@@ -86,7 +86,7 @@
 	wanted.Residence = r.work.residence(stream.request.service.Name)
 	wanted.TimeLeft = stream.request.deadline - wanted.Now
 	answer := r.decide(stream.request, queryOf(toBegin, stream.tried, wanted), nil)
-	stream.request.trace.placed = answer.decision.Reason.String()
+	stream.request.trace.placed = answer.reason()
 	return answer.decision, answer.chosen
 }
 
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -24,8 +24,8 @@
 		reply.refuse(refusal{status: fasthttp.StatusBadRequest, reason: "the header " + r.dialect.Headers.RequestID + " is missing"})
 		return
 	}
-	if !view.ready() {
-		reply.refuse(refusal{status: fasthttp.StatusServiceUnavailable, reason: "no configuration is known yet", retryAfter: retryAfterStart})
+	if lacking := view.lack(); lacking != "" {
+		r.refuseForLack(request, lacking, reply)
 		return
 	}
 	request.route = view.table.Route(request.host, pathOf(request.target))
@@ -103,6 +103,7 @@
 		request.trace.engine, request.trace.sentAt = backEnd.ID, r.clock.now()
 		answer, fault := r.exchanger.send(&message{request: request, backEnd: backEnd, deadline: request.deadline, work: placement.Work{Streams: 1},
 			stall: stallLimit(request.route), mayBreak: tried.leaveAnother()})
+		r.work.answer(request.service.Name, r.clock.now()-request.trace.sentAt, backEnd.Slots)
 		if fault == nil || fault.verdict != verdict.NotRun {
 			r.noteRun(request, request.trace.sentAt)
 		}
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -35,4 +35,4 @@
 }
 
 // ready reports whether requests can be served.
-func (v *view) ready() bool { return v.table != nil && v.listed }
+func (v *view) ready() bool { return v.lack() == "" }
