Relays know the back ends that the work needs, the leader reads the list as far as it holds them

Change: - internal/subsetting: how many back ends the observed work needs (up at once, down late), the part of them drawn by a hash of the address, and which relays may own cells. Relays tell the work of whole answers as well; a new leader takes over what its predecessor wanted from what relays were told. - The leader reads as many pages of the list as hold what is wanted, the whole list each 20 s or when the part runs short; a list that does not keep its order is read whole, 50 calls a second at most. - internal/listing: versions, changes, what a relay holds, and its own readings, moved from control and relay. A relay reads the list itself only with a configuration, all relays together 80 calls a second whatever the list's length, and keeps to those back ends that all were told of.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -57,7 +57,7 @@
 	revisions revisionIndex
 
 	// listing, watches and relays serve the relays of opaque requests.
-	listing listing
+	listing siteListing
 	watches map[CallID]watch
 	relays  map[string]relayRecord
 	news    siteNews
--- a/internal/control/harness_site_test.go
+++ b/internal/control/harness_site_test.go
@@ -32,6 +32,10 @@
 	held time.Duration
 	// arrivals are the orders as they reached engines.
 	arrivals []arrivedOrder
+	// shown takes the place of the list where it is set, in pages of pageSize; readings are those of it.
+	shown    []*v1.ListedBackEnd
+	pageSize int
+	readings []listReading
 }
 
 // arrivedOrder is an order that reached an engine.
@@ -71,6 +75,9 @@
 
 // list returns the list as it stood listLag ago.
 func (s *siteEngines) list() []*v1.ListedBackEnd {
+	if s.shown != nil {
+		return s.shown
+	}
 	shown := s.history[0].roles
 	for _, noted := range s.history {
 		if noted.at <= s.world.now-listLag {
@@ -84,6 +91,26 @@
 	return listed
 }
 
+// listReading is one reading of the list.
+type listReading struct {
+	at    time.Duration
+	calls int
+}
+
+// read reads so many pages of the list, or all for 0.
+func (s *siteEngines) read(pages int) ListingReceived {
+	list := s.list()
+	received := ListingReceived{BackEnds: list, Calls: 1, Whole: true}
+	if s.pageSize > 0 {
+		received.Calls = (len(list) + s.pageSize - 1) / s.pageSize
+		if pages > 0 && pages < received.Calls {
+			received = ListingReceived{BackEnds: list[:pages*s.pageSize], Calls: pages}
+		}
+	}
+	s.readings = append(s.readings, listReading{at: s.world.now, calls: received.Calls})
+	return received
+}
+
 // take carries out an order.
 func (s *siteEngines) take(order ChangeStage) StageOrdered {
 	s.asked++
@@ -137,10 +164,10 @@
 		w.replicas.call(controller, life, wanted)
 	case ReadListing:
 		if w.replicas != nil {
-			w.deliver("list", controller, life, ListingReceived{BackEnds: w.replicas.list()})
+			w.deliver("list", controller, life, ListingReceived{BackEnds: w.replicas.list(), Calls: 1, Whole: true})
 			return
 		}
-		w.deliver("list", controller, life, ListingReceived{BackEnds: w.site.list()})
+		w.deliver("list", controller, life, w.site.read(wanted.Pages))
 	case DeliverUsage:
 		if w.usage != nil {
 			w.usage.call(controller, life, wanted)
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -31,7 +31,7 @@
 	c.demands = demand.NewTable()
 	c.planning = newPlanning()
 	c.heldBack = nil
-	c.listing = listing{}
+	c.listing = siteListing{}
 	c.stages = newStages()
 	c.relays = map[string]relayRecord{}
 	c.news = siteNews{}
--- a/internal/control/listing.go
+++ b/internal/control/listing.go
@@ -2,24 +2,29 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/listing"
 )
 
 // ReadListing asks the runtime to read the outside list of back ends; ListingReceived
 // follows, or the loss of it. Only the leader asks, so that the calls do not grow with the
 // number of controllers.
-type ReadListing struct{}
+type ReadListing struct {
+	// Pages is how many pages to read from the start; 0 is all.
+	Pages int
+}
 
 // ListingReceived is a reading of the list of back ends. BackEnds is ignored when the
 // reading failed.
 type ListingReceived struct {
 	BackEnds []*v1.ListedBackEnd
 	Failed   bool
+	// Calls is how many calls the reading took.
+	Calls int
+	// Whole tells that the whole list was read.
+	Whole bool
 }
 
 func (ReadListing) isOutput()    {}
@@ -28,23 +33,34 @@
 // listingTimeout is how long a reading may be under way before the next one begins.
 const listingTimeout = 2 * time.Second
 
-// listing is the leader's view of the outside list of back ends.
-type listing struct {
+// siteListing is the leader's view of the outside list of back ends.
+type siteListing struct {
 	// version is a hash of the list, so that the same list has the same version under every leader;
 	// 0 is none yet.
 	version uint64
-	history listingHistory
-	// raw is the list as read; backEnds is what relays get, with changes of roles marked.
+	history listing.History
+	// plan says how much of the list is read.
+	plan listingPlan
+	// raw is the list as far as it counts, told the part of it that relays are told of, and backEnds the
+	// same with changes of roles marked.
 	raw      []*v1.ListedBackEnd
+	told     []*v1.ListedBackEnd
 	backEnds []*v1.ListedBackEnd
+	// demands say how many back ends of each service relays are to know.
+	demands map[string]*backEndDemand
 	// readAt is when the reading behind the list began.
 	readAt   time.Duration
 	askedAt  time.Duration
 	dueAt    time.Duration
 	underWay bool
 	read     bool
+	// total is how many back ends the whole list held.
+	total int
 }
 
+// partial reports whether relays are told of a part of the back ends.
+func (l *siteListing) partial() bool { return len(l.told) < l.total }
+
 // tickListing asks for a reading when one is due.
 func (c *Core) tickListing() {
 	if c.config.ListingInterval <= 0 {
@@ -58,8 +74,16 @@
 	}
 	c.listing.underWay = true
 	c.listing.askedAt = c.now
-	c.listing.dueAt = c.now + c.config.ListingInterval
-	c.emit(ReadListing{})
+	c.listing.dueAt = c.now + c.listing.plan.interval(c.config.ListingInterval)
+	c.emit(ReadListing{Pages: c.pagesToRead()})
+}
+
+// pagesToRead is how many pages of the list are read next; 0 is all. Who orders replicas counts them all.
+func (c *Core) pagesToRead() int {
+	if len(c.replicas.scalings) > 0 {
+		return 0
+	}
+	return c.listing.plan.nextPages(c.now)
 }
 
 // takeListing takes a reading; a new version begins when it differs from the last.
@@ -68,10 +92,16 @@
 	if received.Failed || !c.leading {
 		return
 	}
-	sorted := slices.Clone(received.BackEnds)
-	slices.SortFunc(sorted, func(a, b *v1.ListedBackEnd) int { return strings.Compare(a.GetId(), b.GetId()) })
 	c.listing.readAt = c.listing.askedAt
-	c.listing.raw = sorted
+	c.listing.raw = received.BackEnds
+	wanted := c.wantedBackEnds(received.BackEnds)
+	if received.Whole {
+		c.listing.total = len(received.BackEnds)
+		c.listing.raw = c.listing.plan.tookWhole(c.now, received.BackEnds, received.Calls, wanted)
+	} else {
+		c.listing.plan.tookPart(received.BackEnds, wanted)
+	}
+	c.chooseTold()
 	c.listing.read = true
 	c.refreshListing()
 }
@@ -81,24 +111,11 @@
 	if !c.listing.read {
 		return
 	}
-	current := c.marked(c.listing.raw)
-	if c.listing.version != 0 && slices.EqualFunc(current, c.listing.backEnds, sameBackEnd) {
+	current := c.marked(c.listing.told)
+	if c.listing.version != 0 && slices.EqualFunc(current, c.listing.backEnds, listing.Same) {
 		return
 	}
-	c.listing.version = versionOf(current)
+	c.listing.version = listing.VersionOf(current)
 	c.listing.backEnds = current
-	c.listing.history.add(c.listing.version, current)
-}
-
-// sameBackEnd compares two entries but for the time that a cold one needs, which runs on.
-func sameBackEnd(a, b *v1.ListedBackEnd) bool {
-	if (a.GetColdMs() == 0) != (b.GetColdMs() == 0) {
-		return false
-	}
-	if a.GetColdMs() == b.GetColdMs() {
-		return proto.Equal(a, b)
-	}
-	other := proto.CloneOf(b)
-	other.ColdMs = a.GetColdMs()
-	return proto.Equal(a, other)
+	c.listing.history.Add(c.listing.version, current)
 }
--- a/internal/control/relay_list.go
+++ b/internal/control/relay_list.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/subsetting"
 )
 
 const (
@@ -37,14 +38,15 @@
 	}
 	c.relays[name] = relayRecord{heardAt: c.now, noticeAddress: request.GetNoticeAddress()}
 	c.noteWork(request)
+	c.adoptDemand(request)
 }
 
-// refreshRelayList makes the list of relays anew when they are others.
+// refreshRelayList makes the list of relays that may own cells anew when relays or engines are others.
 func (c *Core) refreshRelayList() {
 	if c.news.fresh {
 		return
 	}
-	c.news.relayList = c.noticeAddresses()
+	c.news.relayList = subsetting.Candidates(c.noticeAddresses(), len(c.listing.told))
 	c.news.relayHash = hashOfList(c.news.relayList)
 	c.news.fresh = true
 }
--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -116,7 +116,7 @@
 	c.noteSeen()
 	outgoing := c.outgoingServices()
 	engines := map[string][]stageplan.Engine{}
-	for _, backEnd := range c.listing.raw {
+	for _, backEnd := range c.listing.told {
 		order, ordered := c.stages.orders[backEnd.GetId()]
 		role := backEnd.GetRole()
 		if ordered && !order.refused {
@@ -143,8 +143,8 @@
 // noteSeen remembers when engines were listed first.
 func (c *Core) noteSeen() {
 	first := c.stages.seenAt == nil
-	seenAt := make(map[string]time.Duration, len(c.listing.raw))
-	for _, backEnd := range c.listing.raw {
+	seenAt := make(map[string]time.Duration, len(c.listing.told))
+	for _, backEnd := range c.listing.told {
 		at, seen := c.stages.seenAt[backEnd.GetId()]
 		switch {
 		case !seen && first:
@@ -178,14 +178,24 @@
 		plan = stageplan.New(stageplan.Config{PriorPrefillShare: c.config.PriorPrefillShare, Hold: stageHold, Without: c.config.Without})
 		c.stages.plans[service] = plan
 	}
-	for _, change := range plan.Next(c.now, engines, c.serviceWork(service)) {
+	for _, change := range plan.Next(c.now, engines, c.serviceWork(service).Work) {
 		c.orderStage(change)
 	}
 }
 
+// reportedWork is how many back ends of a service the work that relays report would keep busy.
+type reportedWork struct {
+	stageplan.Work
+	// whole is the same for requests that are answered whole.
+	whole float64
+}
+
+// busy is how many back ends the work would keep busy.
+func (w reportedWork) busy() float64 { return w.Prefill + w.Decode + w.whole }
+
 // serviceWork sums what relays reported of a service lately.
-func (c *Core) serviceWork(service string) stageplan.Work {
-	work := stageplan.Work{}
+func (c *Core) serviceWork(service string) reportedWork {
+	work := reportedWork{}
 	for _, name := range sortedKeys(c.stages.work) {
 		reported := c.stages.work[name]
 		if c.now-reported.at > workMemory {
@@ -199,6 +209,7 @@
 			work.Known = true
 			work.Prefill += float64(demand.GetPrefillMs()) / float64(demand.GetWindowMs())
 			work.Decode += float64(demand.GetDecodeMs()) / float64(demand.GetWindowMs())
+			work.whole += float64(demand.GetWholeMs()) / float64(demand.GetWindowMs())
 		}
 	}
 	return work
@@ -210,7 +221,7 @@
 	if change.Stage == stageplan.StagePrefill {
 		role = v1.Role_ROLE_PREFILL
 	}
-	for _, backEnd := range c.listing.raw {
+	for _, backEnd := range c.listing.told {
 		if backEnd.GetId() != change.Engine {
 			continue
 		}
@@ -248,7 +259,7 @@
 		return
 	}
 	listed := map[string]v1.Role{}
-	for _, backEnd := range c.listing.raw {
+	for _, backEnd := range c.listing.told {
 		listed[backEnd.GetId()] = backEnd.GetRole()
 	}
 	for id, order := range c.stages.orders {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -105,10 +105,13 @@
 	c.tellDocument(request, response)
 	response.ListingVersion = c.listing.version
 	if c.listing.version != 0 && c.listing.version != request.GetListingVersion() {
-		c.listing.history.tell(response, request.GetListingVersion())
+		c.listing.history.Tell(response, request.GetListingVersion())
+		response.Wanted = c.wantedRecords()
 	}
 	if c.listing.version != 0 {
 		response.ListingAgeMs = milliseconds(c.now - c.listing.readAt)
+		response.ListingCalls = uint32(c.listing.plan.calls)
+		response.ListingPartial = c.listing.partial()
 	}
 	held, version := c.heldRequests()
 	if response.HeldVersion = version; version != request.GetHeldVersion() {
--- a/internal/control/listing_history_test.go
+++ b/internal/control/watch_test.go
@@ -10,58 +10,6 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 )
 
-func listedBackEnds(count int) []*v1.ListedBackEnd {
-	list := make([]*v1.ListedBackEnd, count)
-	for index := range list {
-		list[index] = &v1.ListedBackEnd{Id: fmt.Sprintf("i-%03d", index), Service: "service", Address: "10.0.0.1:80", Slots: 4}
-	}
-	return list
-}
-
-// A relay that holds a kept version is told what has changed, any other one the whole list. Both are
-// made once.
-func TestListingIsToldByWhatHasChanged(t *testing.T) {
-	history := listingHistory{}
-	first := listedBackEnds(200)
-	history.add(1, first)
-	second := append(listedBackEnds(200)[1:], &v1.ListedBackEnd{Id: "new"})
-	second[0].Leaving = true
-	history.add(2, second)
-
-	told, again := &v1.WatchResponse{}, &v1.WatchResponse{}
-	history.tell(told, 1)
-	history.tell(again, 1)
-	change := told.GetListingChange()
-	require.Same(t, change, again.GetListingChange())
-	require.Equal(t, uint64(1), change.GetFromVersion())
-	require.Equal(t, []string{"i-000"}, change.GetGone())
-	require.Len(t, change.GetChanged(), 2)
-	require.Empty(t, told.GetPackedListing())
-
-	stranger := &v1.WatchResponse{}
-	history.tell(stranger, 99)
-	require.Nil(t, stranger.GetListingChange())
-	require.Len(t, wholeListing(t, stranger), 200)
-
-	for version := range uint64(keptListings) {
-		history.add(10+version, first)
-	}
-	late := &v1.WatchResponse{}
-	history.tell(late, 1)
-	require.Len(t, wholeListing(t, late), 200, "an old version is forgotten")
-	require.Len(t, history.lists, keptListings)
-}
-
-// The same list has the same version, whoever leads and however long cold back ends still need.
-func TestVersionOfAListing(t *testing.T) {
-	one, other := listedBackEnds(5), listedBackEnds(5)
-	one[2].ColdMs, other[2].ColdMs = 900, 400
-	require.Equal(t, versionOf(one), versionOf(other))
-	other[2].ColdMs = 0
-	require.NotEqual(t, versionOf(one), versionOf(other))
-	require.NotZero(t, versionOf(nil))
-}
-
 // A new leader does not send its list to relays that hold the same one.
 func TestNewLeaderSendsNoListThatIsHeld(t *testing.T) {
 	w := newWorld(t, 3, seeded)
--- a/internal/controller/outputs.go
+++ b/internal/controller/outputs.go
@@ -52,7 +52,7 @@
 			c.loop.addLost(lost)
 		}
 	case control.ReadListing:
-		c.listing.request()
+		c.listing.request(output.Pages)
 	case control.ChangeStage:
 		if !c.stageOrders.accept(output) {
 			c.loop.addLost(control.StageOrdered{ID: output.BackEnd.GetId(), Outcome: control.StageRefused})
--- a/internal/controller/site.go
+++ b/internal/controller/site.go
@@ -29,8 +29,8 @@
 	ReloadedSeeds <-chan []string
 	// ListingInterval is the time between the leader's readings of the list.
 	ListingInterval time.Duration
-	// ReadListing reads the outside list of back ends.
-	ReadListing func(ctx context.Context, client *http.Client) ([]serving.BackEnd, error)
+	// ReadListing reads so many pages of the outside list of back ends; 0 pages are all.
+	ReadListing func(ctx context.Context, client *http.Client, pages int) (serving.Listing, error)
 	// Without are mechanisms that are left out; none for users.
 	Without mechanism.Set
 	// PriorPrefillShare, OrderWait and OrderLife: see control.Config.
@@ -149,9 +149,10 @@
 
 // listingReader reads the outside list whenever the Core asks for it.
 type listingReader struct {
-	read    func(ctx context.Context, client *http.Client) ([]serving.BackEnd, error)
-	client  *http.Client
-	wanted  chan struct{}
+	read   func(ctx context.Context, client *http.Client, pages int) (serving.Listing, error)
+	client *http.Client
+	// wanted holds how many pages to read.
+	wanted  chan int
 	deliver func(context.Context, control.Input) error
 }
 
@@ -162,14 +163,14 @@
 	return &listingReader{
 		read:   site.ReadListing,
 		client: &http.Client{Transport: &http.Transport{DialContext: dial}, Timeout: listingReadTimeout},
-		wanted: make(chan struct{}, 1), deliver: deliver,
+		wanted: make(chan int, 1), deliver: deliver,
 	}
 }
 
-// request asks for a reading; it never blocks.
-func (l *listingReader) request() {
+// request asks for a reading of so many pages, 0 for all; it never blocks.
+func (l *listingReader) request(pages int) {
 	select {
-	case l.wanted <- struct{}{}:
+	case l.wanted <- pages:
 	default:
 	}
 }
@@ -177,14 +178,15 @@
 // run reads until the context ends.
 func (l *listingReader) run(ctx context.Context) {
 	for {
+		var pages int
 		select {
 		case <-ctx.Done():
 			return
-		case <-l.wanted:
+		case pages = <-l.wanted:
 		}
-		backEnds, err := l.read(ctx, l.client)
-		received := control.ListingReceived{Failed: err != nil}
-		for _, backEnd := range backEnds {
+		listing, err := l.read(ctx, l.client, pages)
+		received := control.ListingReceived{Failed: err != nil, Calls: listing.Calls, Whole: listing.Whole}
+		for _, backEnd := range listing.BackEnds {
 			received.BackEnds = append(received.BackEnds, backEnd.Listed())
 		}
 		if l.deliver(ctx, received) != nil {
--- a/internal/relay/held_listing.go
+++ b/internal/listing/held.go
@@ -1,19 +1,19 @@
-package relay
+package listing
 
 import (
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/packed"
 )
 
-// heldListing is the list of back ends as the leader told it, to which changes are applied.
-type heldListing struct {
+// Held is the list of back ends as the leader told it, to which changes are applied.
+type Held struct {
 	version uint64
 	entries []*v1.ListedBackEnd
 }
 
-// take takes the list of a response to a watch that told the version held. It reports false when the
+// Take takes the list of a response to a watch that told the version held. It reports false when the
 // list cannot be made out: it is asked for again then.
-func (h *heldListing) take(held uint64, response *v1.WatchResponse) ([]*v1.ListedBackEnd, bool) {
+func (h *Held) Take(held uint64, response *v1.WatchResponse) ([]*v1.ListedBackEnd, bool) {
 	if change := response.GetListingChange(); change != nil {
 		if held != h.version || change.GetFromVersion() != h.version {
 			return nil, false
--- a/internal/relay/held_listing_test.go
+++ b/internal/listing/held_test.go
@@ -1,4 +1,4 @@
-package relay
+package listing
 
 import (
 	"testing"
@@ -18,14 +18,14 @@
 
 // A relay follows the changes of the list, and asks for the whole list when it cannot.
 func TestHeldListingFollowsChanges(t *testing.T) {
-	held := heldListing{}
+	held := Held{}
 	whole := packed.Pack(&v1.Listing{BackEnds: []*v1.ListedBackEnd{{Id: "a"}, {Id: "b"}, {Id: "c"}}})
-	entries, read := held.take(0, &v1.WatchResponse{ListingVersion: 5, PackedListing: whole})
+	entries, read := held.Take(0, &v1.WatchResponse{ListingVersion: 5, PackedListing: whole})
 	require.True(t, read)
 	require.Equal(t, []string{"a", "b", "c"}, identities(entries))
 
 	change := &v1.ListingChange{FromVersion: 5, Changed: []*v1.ListedBackEnd{{Id: "b", Leaving: true}, {Id: "d"}}, Gone: []string{"a"}}
-	entries, read = held.take(5, &v1.WatchResponse{ListingVersion: 6, ListingChange: change})
+	entries, read = held.Take(5, &v1.WatchResponse{ListingVersion: 6, ListingChange: change})
 	require.True(t, read)
 	require.Equal(t, []string{"c", "b", "d"}, identities(entries))
 	require.True(t, entries[1].GetLeaving())
@@ -35,21 +35,10 @@
 		"a garbled list":           {ListingVersion: 9, PackedListing: []byte("garbled")},
 		"nothing":                  {ListingVersion: 9},
 	} {
-		_, read = held.take(6, response)
+		_, read = held.Take(6, response)
 		require.False(t, read, name)
 		require.Equal(t, uint64(6), held.version)
 	}
-	_, read = held.take(0, &v1.WatchResponse{ListingVersion: 7, ListingChange: &v1.ListingChange{FromVersion: 6}})
+	_, read = held.Take(0, &v1.WatchResponse{ListingVersion: 7, ListingChange: &v1.ListingChange{FromVersion: 6}})
 	require.False(t, read, "the list in force was read elsewhere meanwhile")
 }
-
-// However many relays there are, the leader answers about as many watches a second, and relays do
-// not doubt it sooner than its answers can come.
-func TestWatchesSlowDownAsRelaysGrow(t *testing.T) {
-	relay := newTestRelay(t, route(nil), startBackEnd(t, "one", 0, refusing(503)))
-	for relays, wait := range map[int64]string{0: "400ms", 7: "400ms", 120: "400ms", 240: "800ms", 300: "1s", 5000: "1s"} {
-		relay.relayCount.Store(relays)
-		require.Equal(t, wait, relay.watcher.wait().String())
-		require.Greater(t, relay.contactLimit(), relay.watcher.wait())
-	}
-}
--- a/internal/control/listing_history.go
+++ b/internal/listing/history.go
@@ -1,6 +1,7 @@
-package control
+package listing
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,13 +11,13 @@
 	"github.com/hazelpitch/hazelpitch/internal/packed"
 )
 
-// keptListings is how many versions of the list are kept, so that relays which hold one of them
+// keptVersions is how many versions of the list are kept, so that relays which hold one of them
 // are told what has changed and not the whole list.
-const keptListings = 12
+const keptVersions = 12
 
-// listingHistory holds the newest versions of the list of back ends. What it sends is made once for
+// History holds the newest versions of the list of back ends. What it sends is made once for
 // a version, however many relays ask.
-type listingHistory struct {
+type History struct {
 	// versions are those kept, the current one last.
 	versions []uint64
 	lists    map[uint64][]*v1.ListedBackEnd
@@ -26,27 +27,27 @@
 	whole []byte
 }
 
-// add makes a list the current one.
-func (h *listingHistory) add(version uint64, list []*v1.ListedBackEnd) {
+// Add makes a list the current one.
+func (h *History) Add(version uint64, list []*v1.ListedBackEnd) {
 	if h.lists == nil {
 		h.lists = map[uint64][]*v1.ListedBackEnd{}
 	}
 	h.versions = append(slices.DeleteFunc(h.versions, func(kept uint64) bool { return kept == version }), version)
 	h.lists[version] = list
-	if len(h.versions) > keptListings {
+	if len(h.versions) > keptVersions {
 		delete(h.lists, h.versions[0])
 		h.versions = h.versions[1:]
 	}
 	h.changes, h.whole = map[uint64]*v1.ListingChange{}, nil
 }
 
-// tell adds to a response what a relay needs that holds a version of the list.
-func (h *listingHistory) tell(response *v1.WatchResponse, held uint64) {
+// Tell adds to a response what a relay needs that holds a version of the list.
+func (h *History) Tell(response *v1.WatchResponse, held uint64) {
 	current := h.versions[len(h.versions)-1]
 	former, kept := h.lists[held]
 	if kept {
 		if h.changes[held] == nil {
-			h.changes[held] = listingChange(held, former, h.lists[current])
+			h.changes[held] = changeOf(held, former, h.lists[current])
 		}
 		response.ListingChange = h.changes[held]
 		return
@@ -57,26 +58,26 @@
 	response.PackedListing = h.whole
 }
 
-// listingChange is what makes one list out of another.
-func listingChange(version uint64, from, to []*v1.ListedBackEnd) *v1.ListingChange {
+// changeOf is what makes one list out of another.
+func changeOf(version uint64, from, to []*v1.ListedBackEnd) *v1.ListingChange {
 	change := &v1.ListingChange{FromVersion: version}
 	former := make(map[string]*v1.ListedBackEnd, len(from))
 	for _, entry := range from {
 		former[entry.GetId()] = entry
 	}
 	for _, entry := range to {
-		if known := former[entry.GetId()]; known == nil || !sameBackEnd(known, entry) {
+		if known := former[entry.GetId()]; known == nil || !Same(known, entry) {
 			change.Changed = append(change.Changed, entry)
 		}
 		delete(former, entry.GetId())
 	}
-	change.Gone = sortedKeys(former)
+	change.Gone = slices.Sorted(maps.Keys(former))
 	return change
 }
 
-// versionOf is a hash of what a list holds, but for the time that cold back ends need, which runs
+// VersionOf is a hash of what a list holds, but for the time that cold back ends need, which runs
 // on. No list has version 0.
-func versionOf(list []*v1.ListedBackEnd) uint64 {
+func VersionOf(list []*v1.ListedBackEnd) uint64 {
 	digest := xxhash.New()
 	var content []byte
 	for _, entry := range list {
@@ -89,3 +90,16 @@
 	}
 	return max(digest.Sum64(), 1)
 }
+
+// Same compares two entries but for the time that a cold one needs, which runs on.
+func Same(a, b *v1.ListedBackEnd) bool {
+	if (a.GetColdMs() == 0) != (b.GetColdMs() == 0) {
+		return false
+	}
+	if a.GetColdMs() == b.GetColdMs() {
+		return proto.Equal(a, b)
+	}
+	other := proto.CloneOf(b)
+	other.ColdMs = a.GetColdMs()
+	return proto.Equal(a, other)
+}
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -16,9 +16,9 @@
 type Options struct {
 	// Dialect is required.
 	Dialect Dialect
-	// ReadListing reads the outside list of back ends; required. It is called only while
-	// no controller leads.
-	ReadListing func(ctx context.Context, client *http.Client) ([]serving.BackEnd, error)
+	// ReadListing reads so many pages of the outside list of back ends, 0 for all; required. It is
+	// called only while no controller leads.
+	ReadListing func(ctx context.Context, client *http.Client, pages int) (serving.Listing, error)
 	// ReadCache reads what an engine has cached; nil where that cannot be asked.
 	ReadCache func(ctx context.Context, client *http.Client, engine serving.BackEnd) ([]serving.CachedPart, error)
 	// Listen opens a listener; nil means net.Listen.
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -14,6 +14,7 @@
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/listing"
 	"github.com/hazelpitch/hazelpitch/internal/packed"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
@@ -39,7 +40,7 @@
 	relay       *Relay
 	http        *http.Client
 	platform    *http.Client
-	readListing func(ctx context.Context, client *http.Client) ([]serving.BackEnd, error)
+	readListing func(ctx context.Context, client *http.Client, pages int) (serving.Listing, error)
 	incarnation uint64
 	// seeds are the controllers that the settings name.
 	seeds atomic.Pointer[[]string]
@@ -58,11 +59,18 @@
 	// held is the document in force as the leader told it; patches are made against it. Its number is 0
 	// where the whole document is wanted.
 	held *v1.Document
-	// relayList is the hash of the list of relays that is held, 0 for none.
-	relayList uint64
+	// relayList is the hash of the list of relays that is held, 0 for none, and relaysListed their number.
+	relayList    uint64
+	relaysListed int
 	// listing is the list of back ends as the leader told it last.
-	listing heldListing
-	own     ownListing
+	listing listing.Held
+	// wanted is how many back ends of each service the leader wanted last, and partial whether it told of a
+	// part of them.
+	wanted  []*v1.WantedBackEnds
+	partial bool
+	own     listing.OwnReading
+	// listingCalls is how many calls a reading of the outside list takes, 0 while it is not known.
+	listingCalls int
 }
 
 func newWatcher(relay *Relay, options Options) *watcher {
@@ -155,6 +163,7 @@
 		Demands:        w.relay.work.report(w.relay.clock.now()),
 	}
 	request.DocumentNumber = w.held.GetNumber()
+	request.Wanted = w.wanted
 	return request
 }
 
@@ -185,15 +194,16 @@
 	}
 	if version := response.GetListingVersion(); version != 0 && version != current.listingVersion {
 		next.listingVersion = 0 // the whole list is asked for unless this one can be read
-		if listed, read := w.listing.take(current.listingVersion, response); read {
-			next.listingVersion = version
+		if listed, read := w.listing.Take(current.listingVersion, response); read {
+			next.listingVersion, w.wanted = version, response.GetWanted()
 			w.takeBackEnds(translate(listed), &next)
 		}
 	}
 	w.relay.guard.Take(response.GetHeldVersion(), response.GetHeld())
 	w.takeRelays(response)
+	w.takeRelayCount(response)
+	w.listingCalls, w.partial = int(response.GetListingCalls()), response.GetListingPartial()
 	w.relay.usage.Hear(w.relay.clock.now(), response.GetTrueTimeMs(), time.Duration(response.GetUsageWindowMs())*time.Millisecond)
-	w.relay.budget.setRelays(int(response.GetRelays()))
 	w.relay.view.Store(&next)
 	w.moveRuns()
 	w.relay.contactAt.Store(int64(w.relay.clock.now()))
@@ -239,14 +249,21 @@
 	if len(addresses) == 0 || response.GetRelayList() == w.relayList {
 		return
 	}
-	if response.GetRelays() == 0 && len(addresses) < int(w.relay.relayCount.Load()) {
+	if response.GetRelays() == 0 && len(addresses) < w.relaysListed {
 		return
 	}
-	w.relayList = response.GetRelayList()
-	w.relay.relayCount.Store(int64(len(addresses)))
+	w.relayList, w.relaysListed = response.GetRelayList(), len(addresses)
 	w.relay.setRelays(addresses)
 }
 
+// takeRelayCount takes the number of all relays; a new leader does not know it yet.
+func (w *watcher) takeRelayCount(response *v1.WatchResponse) {
+	if count := response.GetRelays(); count > 0 {
+		w.relay.relayCount.Store(int64(count))
+		w.relay.budget.setRelays(int(count))
+	}
+}
+
 // takeDocument puts a configuration in force if its number is above the one held.
 func (w *watcher) takeDocument(document *v1.Document, next *view) {
 	number := uint64(0)
@@ -276,22 +293,36 @@
 // readWhileNoneLeads reads the list here once no controller has led for a while, so that
 // back ends that leave are known without one.
 func (w *watcher) readWhileNoneLeads(ctx context.Context) {
-	lead := ownListingAfter + w.wait() - watchWait
-	held := w.relay.view.Load().listed
-	if !w.own.isDue(w.relay.clock.now(), max(w.relay.lastContact(), 0)+lead, held, int(w.relay.relayCount.Load()), w.relay.draw) {
+	lead := listing.OwnReadingAfter + w.wait() - watchWait
+	held := w.relay.view.Load()
+	if held.table == nil {
+		return // a list serves nobody without a configuration, which only controllers tell
+	}
+	calls := int(w.relay.relayCount.Load()) * max(w.listingCalls, 1)
+	if !w.own.IsDue(w.relay.clock.now(), max(w.relay.lastContact(), 0)+lead, held.listed, calls, w.relay.draw) {
 		return
 	}
-	listed, err := w.readListing(ctx, w.platform)
+	read, err := w.readListing(ctx, w.platform, 0)
 	if err != nil {
 		return
 	}
+	w.listingCalls = read.Calls
 	next := *w.relay.view.Load()
 	next.listingVersion = 0
-	w.takeBackEnds(listed, &next)
+	w.takeBackEnds(w.toldBackEnds(read.BackEnds), &next)
 	w.relay.view.Store(&next)
 	w.moveRuns()
 }
 
+// toldBackEnds keeps of a list that this relay has read those that the leader told it of, where these are a
+// part: all relays must keep to the same part.
+func (w *watcher) toldBackEnds(listed []serving.BackEnd) []serving.BackEnd {
+	if !w.partial {
+		return listed
+	}
+	return slices.DeleteFunc(listed, func(backEnd serving.BackEnd) bool { return w.known[backEnd.ID] == nil })
+}
+
 // translate turns the controllers' entries into back ends.
 func translate(entries []*v1.ListedBackEnd) []serving.BackEnd {
 	backEnds := make([]serving.BackEnd, 0, len(entries))
--- a/internal/relay/work_meter.go
+++ b/internal/relay/work_meter.go
@@ -21,6 +21,8 @@
 // serviceWork is the engine time of one service in the window that runs.
 type serviceWork struct {
 	prefill, decode time.Duration
+	// whole is the time for which requests that are answered whole would fill all slots of one back end.
+	whole time.Duration
 	// running is how many decoding engines the streams that run now would fill; decode counts
 	// them up to countedTo.
 	running   float64
@@ -52,6 +54,13 @@
 	m.of(service).decode += took
 }
 
+// answer notes for how long a request that is answered whole has kept one of a back end's slots.
+func (m *workMeter) answer(service string, took time.Duration, slots int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.of(service).whole += took / time.Duration(max(slots, 1))
+}
+
 // run notes that a stream begins to fill a slot of a decoding engine with so many slots, or to
 // wait for one; the function that it returns notes its end.
 func (m *workMeter) run(now time.Duration, service string, slots int) (ended func(now time.Duration)) {
@@ -123,9 +132,9 @@
 		work.countTo(now)
 		m.reported = append(m.reported, &v1.RoleDemand{
 			Service: service, WindowMs: uint32(window.Milliseconds()),
-			PrefillMs: uint64(work.prefill.Milliseconds()), DecodeMs: uint64(work.decode.Milliseconds()),
+			PrefillMs: uint64(work.prefill.Milliseconds()), DecodeMs: uint64(work.decode.Milliseconds()), WholeMs: uint64(work.whole.Milliseconds()),
 		})
-		work.prefill, work.decode = 0, 0
+		work.prefill, work.decode, work.whole = 0, 0, 0
 	}
 	slices.SortFunc(m.reported, func(a, b *v1.RoleDemand) int { return strings.Compare(a.GetService(), b.GetService()) })
 	m.since = now
--- a/internal/servercommand/site.go
+++ b/internal/servercommand/site.go
@@ -18,8 +18,8 @@
 // the outside list.
 type Site struct {
 	Dialect relay.Dialect
-	// ReadListing reads the list of back ends at an address.
-	ReadListing func(ctx context.Context, client *http.Client, address string) ([]serving.BackEnd, error)
+	// ReadListing reads so many pages of the list of back ends at an address; 0 pages are all.
+	ReadListing func(ctx context.Context, client *http.Client, address string, pages int) (serving.Listing, error)
 	// ReadCache reads what an engine has cached.
 	ReadCache func(ctx context.Context, client *http.Client, engine serving.BackEnd) ([]serving.CachedPart, error)
 	// OrderStage orders an engine into a role.
@@ -45,9 +45,9 @@
 }
 
 // listingAt returns a reader of the list at the address.
-func (s Site) listingAt(address string) func(context.Context, *http.Client) ([]serving.BackEnd, error) {
-	return func(ctx context.Context, client *http.Client) ([]serving.BackEnd, error) {
-		return s.ReadListing(ctx, client, address)
+func (s Site) listingAt(address string) func(context.Context, *http.Client, int) (serving.Listing, error) {
+	return func(ctx context.Context, client *http.Client, pages int) (serving.Listing, error) {
+		return s.ReadListing(ctx, client, address, pages)
 	}
 }
 
--- /dev/null
+++ b/internal/subsetting/chooser_test.go
@@ -0,0 +1,24 @@
+package subsetting
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The loss of a zone brings in others at once, and its return leaves them.
+func TestPartBearsTheLossOfAZone(t *testing.T) {
+	chooser := &Chooser{}
+	before := chooser.Next(10_000, LeastEngines)
+	require.Equal(t, PartFor(10_000, LeastEngines), before)
+	during := chooser.Next(8_000, LeastEngines)
+	require.Less(t, during.Halvings, before.Halvings)
+	require.Equal(t, during, chooser.Next(10_000, LeastEngines))
+}
+
+// A list that was not whole at first does not keep all back ends in the part.
+func TestPartFollowsAFleetThatIsMuchLargerThanItSeemed(t *testing.T) {
+	chooser := &Chooser{}
+	require.Equal(t, Part{}, chooser.Next(300, LeastEngines))
+	require.Equal(t, PartFor(10_000, LeastEngines), chooser.Next(10_000, LeastEngines))
+}
--- /dev/null
+++ b/internal/subsetting/prefix_test.go
@@ -0,0 +1,37 @@
+package subsetting
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// mixed lists engines, and one back end of another service in 30.
+func mixed(count int) []Listed {
+	list := make([]Listed, count)
+	for index := range list {
+		list[index] = Listed{Service: "engines", Open: index%10 != 0}
+		if index%30 == 29 {
+			list[index].Service = "pages"
+		}
+	}
+	return list
+}
+
+// What must be read of a list follows what is wanted, not its length.
+func TestPrefixDoesNotGrowWithTheList(t *testing.T) {
+	wanted := map[string]int{"engines": LeastEngines, "pages": LeastWhole}
+	for _, count := range []int{2_000, 10_000, 20_000, 100_000} {
+		require.Equal(t, 30*LeastWhole, Prefix(mixed(count), wanted))
+	}
+	require.Equal(t, 30*LeastWhole, Prefix(mixed(30*LeastWhole), wanted))
+}
+
+// Where there are fewer than are wanted the list is read to the last of them.
+func TestPrefixHoldsAllWhereThereAreFew(t *testing.T) {
+	list := append(mixed(300), Listed{Service: "rare", Open: true})
+	require.Equal(t, len(list), Prefix(list, map[string]int{"engines": 5, "rare": 3}))
+	require.Equal(t, 0, Prefix(list, nil))
+	closed := append(list, Listed{Service: "rare"})
+	require.Equal(t, len(list), Prefix(closed, map[string]int{"rare": 3}), "those that leave are not looked for")
+}
