Watches that have waited are found without a look at all others

Cause: each watch that waited its time out made the leader sort and look at all that wait: relays squared a second.

Change: waiting watches stand in a heap by the time at which they are due.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -58,7 +58,7 @@
 
 	// listing, watches and relays serve the relays of opaque requests.
 	listing siteListing
-	watches map[CallID]watch
+	watches waitingWatches
 	relays  map[string]relayRecord
 	news    siteNews
 	stages  stages
@@ -99,7 +99,6 @@
 		planning:  newPlanning(),
 		random:    random,
 		pending:   map[uint64]pendingCall{},
-		watches:   map[CallID]watch{},
 		relays:    map[string]relayRecord{},
 		stages:    newStages(),
 		usage:     newSiteUsage(config),
--- a/internal/control/site_news.go
+++ b/internal/control/site_news.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"time"
-
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/packed"
 )
@@ -18,10 +16,8 @@
 	// document is the document with the number, compressed.
 	document []byte
 	number   uint64
-	// told is what all watches that wait were held against last, firstDue is when the first of them
-	// has waited long enough.
-	told     siteState
-	firstDue time.Duration
+	// told is what all watches that wait were held against last.
+	told siteState
 }
 
 // siteState is what decides whether there is something new for relays.
--- /dev/null
+++ b/internal/control/waiting_watches_test.go
@@ -0,0 +1,55 @@
+package control
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+)
+
+func callsOf(watches []*waitingWatch) (calls []CallID) {
+	for _, waited := range watches {
+		calls = append(calls, waited.call)
+	}
+	return calls
+}
+
+// Questions are found when their time has passed, in its order, whatever the order in which they came.
+func TestWaitingWatchesAreTakenAsTheyAreDue(t *testing.T) {
+	const count = 2000
+	random := rand.New(rand.NewPCG(1, 2))
+	waiting := waitingWatches{}
+	var due []time.Duration
+	for number := range count {
+		at := time.Duration(random.IntN(1000)) * time.Millisecond
+		due = append(due, at)
+		waiting.add(&waitingWatch{call: CallID(number), request: &v1.WatchRequest{}, dueAt: at})
+	}
+	slices.Sort(due)
+	var taken []time.Duration
+	for now := time.Duration(0); now < time.Second; now += 7 * time.Millisecond {
+		for _, waited := range waiting.takeDue(now) {
+			require.LessOrEqual(t, waited.dueAt, now)
+			require.Greater(t, waited.dueAt, now-7*time.Millisecond)
+			taken = append(taken, waited.dueAt)
+		}
+	}
+	require.Equal(t, due[:len(taken)], taken)
+	require.Len(t, waiting.byDue, count-len(taken))
+}
+
+// News is told in the order in which relays asked, and those whom it does not concern go on waiting.
+func TestWaitingWatchesThatHaveNews(t *testing.T) {
+	waiting := waitingWatches{}
+	for number := range 9 {
+		waiting.add(&waitingWatch{call: CallID(number), request: &v1.WatchRequest{DocumentNumber: uint64(number % 3)}, dueAt: time.Duration(9-number) * time.Second})
+	}
+	old := func(request *v1.WatchRequest) bool { return request.GetDocumentNumber() < 2 }
+	require.Equal(t, []CallID{0, 1, 3, 4, 6, 7}, callsOf(waiting.takeIf(old)))
+	require.Empty(t, waiting.takeIf(old))
+	require.Equal(t, []CallID{8, 5, 2}, callsOf(waiting.takeDue(time.Minute)))
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -24,12 +24,6 @@
 	leaderlessWait = 150 * time.Millisecond
 )
 
-// watch is a relay's question that waits.
-type watch struct {
-	request *v1.WatchRequest
-	dueAt   time.Duration
-}
-
 // takeWatch answers a relay at once when there is something new, and otherwise lets it wait.
 func (c *Core) takeWatch(received WatchReceived) {
 	request := received.Request
@@ -45,10 +39,7 @@
 	if !state.leads {
 		wait = min(wait, leaderlessWait)
 	}
-	if len(c.watches) == 0 || c.now+wait < c.news.firstDue {
-		c.news.firstDue = c.now + wait
-	}
-	c.watches[received.Call] = watch{request: request, dueAt: c.now + wait}
+	c.watches.add(&waitingWatch{call: received.Call, request: request, dueAt: c.now + wait})
 }
 
 // isAnswered reports whether a relay is answered at once: the leader has something new for it, or
@@ -63,23 +54,21 @@
 
 // answerWatches answers the watches that have something new or have waited long enough.
 func (c *Core) answerWatches() {
-	if len(c.watches) == 0 {
+	if len(c.watches.byDue) == 0 {
 		return
 	}
 	state := c.siteState()
-	if state == c.news.told && c.now < c.news.firstDue {
-		return
+	if state != c.news.told {
+		c.news.told = state
+		c.answerEach(state, c.watches.takeIf(func(request *v1.WatchRequest) bool { return c.isAnswered(state, request) }))
 	}
-	c.news.told = state
-	c.news.firstDue = never
-	for _, call := range sortedKeys(c.watches) {
-		waiting := c.watches[call]
-		if c.now < waiting.dueAt && !c.isAnswered(state, waiting.request) {
-			c.news.firstDue = min(c.news.firstDue, waiting.dueAt)
-			continue
-		}
-		delete(c.watches, call)
-		c.answer(Answer{Call: call, Response: c.watchResponse(waiting.request, !state.leads)})
+	c.answerEach(state, c.watches.takeDue(c.now))
+}
+
+// answerEach answers watches that do not wait any more.
+func (c *Core) answerEach(state siteState, watches []*waitingWatch) {
+	for _, waited := range watches {
+		c.answer(Answer{Call: waited.call, Response: c.watchResponse(waited.request, !state.leads)})
 	}
 }
 
