Following the leader is a package of its own

Cause: the relay's watcher found the leader, kept the controllers, and put in force what it was told, in one type in the largest folder.

Change: internal/leaderwatch finds the controller that leads and asks it; the relay keeps knowledge.go (what it is told) and known_back_ends.go.

--- a/internal/importrules/steady_clock_test.go
+++ b/internal/importrules/steady_clock_test.go
@@ -13,7 +13,7 @@
 // decidingFolders decide on requests, engines, membership or leadership while the time of day may
 // jump.
 var decidingFolders = []string{
-	"internal/relay", "internal/usage", "internal/duty", "internal/replicaplan", "internal/truetime", "internal/placement", "internal/cell", "internal/listing", "internal/subsetting", "internal/stageplan", "internal/control", "internal/controller",
+	"internal/relay", "internal/leaderwatch", "internal/usage", "internal/duty", "internal/replicaplan", "internal/truetime", "internal/placement", "internal/cell", "internal/listing", "internal/subsetting", "internal/stageplan", "internal/control", "internal/controller",
 	"internal/consensus", "internal/membership", "internal/authority", "internal/dialing", "internal/pause", "platform",
 }
 
--- /dev/null
+++ b/internal/leaderwatch/rate.go
@@ -0,0 +1,21 @@
+package leaderwatch
+
+import "time"
+
+const (
+	// shortestWait is how long a controller lets a watch wait for something new at least, LongestWait at
+	// most: the leader answers about watchesPerSecond watches a second, however many nodes there are.
+	shortestWait     = 400 * time.Millisecond
+	LongestWait      = time.Second
+	watchesPerSecond = 300
+	// slack is what a watch may take beyond its wait before another controller is asked.
+	slack = 300 * time.Millisecond
+)
+
+// WaitFor is how long a controller lets a watch wait where there are so many nodes.
+func WaitFor(nodes int) time.Duration {
+	return min(max(time.Duration(nodes)*time.Second/watchesPerSecond, shortestWait), LongestWait)
+}
+
+// SpareWait is how much longer watches wait than where there are few nodes.
+func SpareWait(nodes int) time.Duration { return WaitFor(nodes) - shortestWait }
--- /dev/null
+++ b/internal/leaderwatch/watcher.go
@@ -0,0 +1,112 @@
+package leaderwatch
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
+	"github.com/hazelpitch/hazelpitch/internal/pause"
+)
+
+// searchPause is the wait before another controller is asked.
+const searchPause = 40 * time.Millisecond
+
+// Holder is the node that watches. Its methods are called by one goroutine.
+type Holder interface {
+	// Asks is called before each question, with the controllers that are known.
+	Asks(controllers []string)
+	// Request tells what the node holds.
+	Request(wait time.Duration) *v1.WatchRequest
+	// Take takes what the leader told.
+	Take(told *v1.WatchResponse)
+	// NoneLeads is called after a question that no leader answered.
+	NoneLeads(ctx context.Context)
+}
+
+// Config is what a Watcher needs; all fields are required.
+type Config struct {
+	// Seeds are the controllers that the settings name, as IP:port.
+	Seeds []string
+	Dial  dialing.Dial
+	// Now is the steady time since an origin, in which suspensions count.
+	Now func() time.Duration
+	// Nodes is how many nodes watch, as far as that is known.
+	Nodes  func() int
+	Holder Holder
+}
+
+// Watcher follows the leader.
+type Watcher struct {
+	config      Config
+	http        *http.Client
+	controllers *controllers
+	// leader is the controller that is asked now or was asked last.
+	leader atomic.Pointer[string]
+}
+
+// New returns a Watcher that has asked nobody yet.
+func New(config Config) *Watcher {
+	transport := &http.Transport{DialContext: dialing.Within(config.Dial, dialing.PeerTimeout), Protocols: new(http.Protocols)}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	watcher := &Watcher{config: config, http: &http.Client{Transport: transport}, controllers: newControllers(config.Seeds)}
+	watcher.leader.Store(new(string))
+	return watcher
+}
+
+// SetSeeds takes the controllers that the settings name now.
+func (w *Watcher) SetSeeds(seeds []string) { w.controllers.seeds.Store(&seeds) }
+
+// Leader calls the controller that led last, as far as is known here.
+func (w *Watcher) Leader() hazelpitchv1connect.NodeServiceClient { return w.client(*w.leader.Load()) }
+
+func (w *Watcher) client(address string) hazelpitchv1connect.NodeServiceClient {
+	return hazelpitchv1connect.NewNodeServiceClient(w.http, "http://"+address)
+}
+
+// Wait is how long a controller lets a watch wait now.
+func (w *Watcher) Wait() time.Duration { return WaitFor(w.config.Nodes()) }
+
+// Run watches until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.config.Holder.Asks(w.controllers.known)
+		if w.watchOnce(ctx) {
+			continue
+		}
+		w.config.Holder.NoneLeads(ctx)
+		pause.For(ctx, searchPause)
+	}
+}
+
+// watchOnce asks the controller that most likely leads; it reports whether that one led.
+func (w *Watcher) watchOnce(ctx context.Context) bool {
+	address := w.controllers.next()
+	w.leader.Store(&address)
+	wait := w.Wait()
+	limited, cancel := context.WithTimeout(ctx, wait+slack)
+	defer cancel()
+	asked := w.config.Now()
+	response, err := w.client(address).Watch(limited, connect.NewRequest(w.config.Holder.Request(wait)))
+	if err != nil {
+		w.controllers.failed()
+		return false
+	}
+	w.controllers.learn(response.Msg, address)
+	if response.Msg.GetBehind() {
+		return false
+	}
+	if !w.IsLate(asked) {
+		w.config.Holder.Take(response.Msg)
+	}
+	return true // where it was late the leader is asked again at once
+}
+
+// IsLate reports whether the answer to a question can have lain at this machine while it stood still: what
+// it says may be old by now.
+func (w *Watcher) IsLate(asked time.Duration) bool { return w.config.Now()-asked > w.Wait()+slack }
--- a/internal/relay/cache_reader_test.go
+++ b/internal/relay/cache_reader_test.go
@@ -65,13 +65,13 @@
 func TestConfigurationTellsTheMemoryOfListedEngines(t *testing.T) {
 	relay := newTestRelay(t, route(stream(true)), startBackEnd(t, "reader", serving.StagePrefill, refusing(503)))
 	next := &view{}
-	relay.watcher.takeBackEnds([]serving.BackEnd{{ID: "new", Service: "service", Stage: serving.StagePrefill}}, next)
+	relay.knowledge.takeBackEnds([]serving.BackEnd{{ID: "new", Service: "service", Stage: serving.StagePrefill}}, next)
 	engine := next.byService["service"][0]
 	require.Equal(t, placement.CacheCapacity(serving.StagePrefill, defaultCacheTokens), engine.cache.cache.Capacity())
 	relay.dialect.ParseConfiguration = func([]byte) (serving.Configuration, error) {
 		return serving.Configuration{Number: 1, Services: []serving.Service{{Name: "service", Engine: &serving.Engine{Slots: 8, CacheTokens: 600_000}}}}, nil
 	}
-	relay.watcher.takeDocument(&v1.Document{Number: 1}, next)
+	relay.knowledge.takeDocument(&v1.Document{Number: 1}, next)
 	require.NotNil(t, next.table)
 	require.Equal(t, placement.CacheCapacity(serving.StagePrefill, 600_000), engine.cache.cache.Capacity())
 }
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -222,7 +222,7 @@
 	for _, backEnd := range backEnds {
 		entries = append(entries, backEnd.entry)
 	}
-	relay.watcher.takeBackEnds(entries, next)
+	relay.knowledge.takeBackEnds(entries, next)
 	relay.view.Store(next)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/relay/held_document_test.go
+++ b/internal/relay/held_document_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -17,21 +18,21 @@
 	relay.dialect.ParseConfiguration = func(content []byte) (serving.Configuration, error) {
 		return serving.Configuration{Number: uint64(content[0]), Services: []serving.Service{{Name: "service"}}}, nil
 	}
-	watcher := relay.watcher
+	knowledge := relay.knowledge
 	first := &v1.Document{Number: 2, Content: []byte{2, 'a'}}
-	watcher.take(&v1.WatchResponse{PackedDocument: packed.Pack(first)})
-	require.Equal(t, uint64(2), watcher.request().GetDocumentNumber())
+	knowledge.Take(&v1.WatchResponse{PackedDocument: packed.Pack(first)})
+	require.Equal(t, uint64(2), knowledge.Request(time.Second).GetDocumentNumber())
 	patch, err := packed.Patch(first.GetContent(), []byte{3, 'b'})
 	require.NoError(t, err)
-	watcher.take(&v1.WatchResponse{DocumentPatch: patch, PatchedNumber: 3})
+	knowledge.Take(&v1.WatchResponse{DocumentPatch: patch, PatchedNumber: 3})
 	require.Equal(t, uint64(3), relay.view.Load().table.Configuration.Number)
-	require.Equal(t, uint64(3), watcher.request().GetDocumentNumber())
+	require.Equal(t, uint64(3), knowledge.Request(time.Second).GetDocumentNumber())
 
-	watcher.take(&v1.WatchResponse{DocumentPatch: []byte("garbled"), PatchedNumber: 4})
+	knowledge.Take(&v1.WatchResponse{DocumentPatch: []byte("garbled"), PatchedNumber: 4})
 	require.Equal(t, uint64(3), relay.view.Load().table.Configuration.Number)
-	require.Zero(t, watcher.request().GetDocumentNumber(), "the whole is asked for")
-	watcher.take(&v1.WatchResponse{PackedDocument: packed.Pack(&v1.Document{Number: 3, Content: []byte{3, 'b'}})})
-	require.Equal(t, uint64(3), watcher.request().GetDocumentNumber(), "and held, though it is in force already")
-	watcher.take(&v1.WatchResponse{PackedDocument: packed.Pack(&v1.Document{Number: 4, Content: []byte{4}})})
+	require.Zero(t, knowledge.Request(time.Second).GetDocumentNumber(), "the whole is asked for")
+	knowledge.Take(&v1.WatchResponse{PackedDocument: packed.Pack(&v1.Document{Number: 3, Content: []byte{3, 'b'}})})
+	require.Equal(t, uint64(3), knowledge.Request(time.Second).GetDocumentNumber(), "and held, though it is in force already")
+	knowledge.Take(&v1.WatchResponse{PackedDocument: packed.Pack(&v1.Document{Number: 4, Content: []byte{4}})})
 	require.Equal(t, uint64(4), relay.view.Load().table.Configuration.Number)
 }
--- /dev/null
+++ b/internal/relay/knowledge.go
@@ -0,0 +1,236 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/leaderwatch"
+	"github.com/hazelpitch/hazelpitch/internal/listing"
+	"github.com/hazelpitch/hazelpitch/internal/packed"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// listingTimeout bounds one call for the outside list.
+const listingTimeout = time.Second
+
+// knowledge is what the relay knows of the fleet: configuration, back ends, relays that own them. It takes
+// what the leader tells, and reads the list of back ends itself while none leads.
+type knowledge struct {
+	relay       *Relay
+	platform    *http.Client
+	readListing func(ctx context.Context, client *http.Client, pages int) (serving.Listing, error)
+	incarnation uint64
+	// known are the back ends by identity, so that their state outlives a reading.
+	known map[string]*backEnd
+	// closed are those of them that take no more work since the last list.
+	closed []*backEnd
+	// lost tells that no controller led when this was last looked at.
+	lost bool
+	// held is the document in force as the leader told it; patches are made against it. Its number is 0
+	// where the whole document is wanted.
+	held *v1.Document
+	// relayList is the hash of the list of relays that is held, 0 for none, and relaysListed their number.
+	relayList    uint64
+	relaysListed int
+	// listing is the list of back ends as the leader told it last.
+	listing listing.Held
+	// wanted is how many back ends of each service the leader wanted last, and partial whether it told of a
+	// part of them.
+	wanted  []*v1.WantedBackEnds
+	partial bool
+	own     listing.OwnReading
+	// listingCalls is how many calls a reading of the outside list takes, 0 while it is not known.
+	listingCalls int
+}
+
+func newKnowledge(relay *Relay, options Options) *knowledge {
+	return &knowledge{
+		relay:       relay,
+		platform:    &http.Client{Transport: &http.Transport{DialContext: options.Dial}, Timeout: listingTimeout},
+		readListing: options.ReadListing,
+		incarnation: rand.Uint64(),
+		known:       map[string]*backEnd{},
+	}
+}
+
+// Asks implements leaderwatch.Holder: it writes a line when a leader is lost or found again.
+func (k *knowledge) Asks(controllers []string) {
+	lost := k.relay.clock.now()-k.relay.lastContact() > k.relay.contactLimit()
+	if lost == k.lost {
+		return
+	}
+	k.lost = lost
+	event := events.LeaderFound
+	if lost {
+		event = events.LeaderLost
+	}
+	k.relay.event(event).Strs("controllers", controllers).Send()
+}
+
+// Request implements leaderwatch.Holder.
+func (k *knowledge) Request(wait time.Duration) *v1.WatchRequest {
+	view := k.relay.view.Load()
+	request := &v1.WatchRequest{
+		Node: &v1.NodeIdentity{
+			Name: k.relay.settings.Name, Zone: k.relay.settings.Zone, Address: k.relay.settings.Listen, Incarnation: k.incarnation,
+		},
+		ListingVersion: view.listingVersion,
+		WaitMs:         uint32(wait.Milliseconds()),
+		Leaving:        k.relay.stopping.Load(),
+		NoticeAddress:  k.relay.datagrams.address,
+		RelayList:      k.relayList,
+		HeldVersion:    k.relay.guard.Version(),
+		Demands:        k.relay.work.report(k.relay.clock.now()),
+	}
+	request.DocumentNumber = k.held.GetNumber()
+	request.Wanted = k.wanted
+	return request
+}
+
+// Take implements leaderwatch.Holder: it puts in force what the leader told.
+func (k *knowledge) Take(response *v1.WatchResponse) {
+	current := k.relay.view.Load()
+	next := *current
+	if document := k.document(response); document != nil {
+		k.takeDocument(document, &next)
+	}
+	if version := response.GetListingVersion(); version != 0 && version != current.listingVersion {
+		next.listingVersion = 0 // the whole list is asked for unless this one can be read
+		if listed, read := k.listing.Take(current.listingVersion, response); read {
+			next.listingVersion, k.wanted = version, response.GetWanted()
+			k.takeBackEnds(translate(listed), &next)
+		}
+	}
+	k.relay.guard.Take(response.GetHeldVersion(), response.GetHeld())
+	k.takeRelays(response)
+	k.takeRelayCount(response)
+	k.listingCalls, k.partial = int(response.GetListingCalls()), response.GetListingPartial()
+	k.relay.usage.Hear(k.relay.clock.now(), response.GetTrueTimeMs(), time.Duration(response.GetUsageWindowMs())*time.Millisecond)
+	k.relay.view.Store(&next)
+	k.moveRuns()
+	k.relay.contactAt.Store(int64(k.relay.clock.now()))
+}
+
+// document reads the document of a response; nil for none.
+func (k *knowledge) document(response *v1.WatchResponse) *v1.Document {
+	if len(response.GetDocumentPatch()) > 0 {
+		return k.patched(response)
+	}
+	if len(response.GetPackedDocument()) == 0 {
+		return nil
+	}
+	document := &v1.Document{}
+	if err := packed.Unpack(response.GetPackedDocument(), document); err != nil {
+		k.relay.event(events.ConfigurationUnreadable).Err(err).Send()
+		return nil
+	}
+	return document
+}
+
+// patched makes the document in force of the one held; nil where that fails, and the whole one is
+// asked for next.
+func (k *knowledge) patched(response *v1.WatchResponse) *v1.Document {
+	content, err := packed.ApplyPatch(k.held.GetContent(), response.GetDocumentPatch())
+	if err != nil {
+		k.relay.event(events.ConfigurationUnreadable).Err(err).Uint64("number", response.GetPatchedNumber()).Send()
+		k.held = nil
+		return nil
+	}
+	return &v1.Document{Number: response.GetPatchedNumber(), Content: content}
+}
+
+// takeRelays puts a list of relays in force. A new leader hears of them one by one: until it
+// knows how many there are, its list counts only where it tells more than is held.
+func (k *knowledge) takeRelays(response *v1.WatchResponse) {
+	addresses := response.GetRelayAddresses()
+	if len(addresses) == 0 || response.GetRelayList() == k.relayList {
+		return
+	}
+	if response.GetRelays() == 0 && len(addresses) < k.relaysListed {
+		return
+	}
+	k.relayList, k.relaysListed = response.GetRelayList(), len(addresses)
+	k.relay.setRelays(addresses)
+}
+
+// takeRelayCount takes the number of all relays; a new leader does not know it yet.
+func (k *knowledge) takeRelayCount(response *v1.WatchResponse) {
+	if count := response.GetRelays(); count > 0 {
+		k.relay.relayCount.Store(int64(count))
+		k.relay.budget.setRelays(int(count))
+	}
+}
+
+// takeDocument puts a configuration in force if its number is above the one held.
+func (k *knowledge) takeDocument(document *v1.Document, next *view) {
+	number := uint64(0)
+	if next.table != nil {
+		number = next.table.Configuration.Number
+	}
+	if document.GetNumber() < number {
+		return
+	}
+	k.held = document
+	if document.GetNumber() == number {
+		return
+	}
+	configuration, err := k.relay.dialect.ParseConfiguration(document.GetContent())
+	if err == nil {
+		err = configuration.Check()
+	}
+	if err != nil {
+		k.relay.event(events.ConfigurationUnreadable).Err(err).Uint64("number", document.GetNumber()).Send()
+		return
+	}
+	next.table, next.configuredAt = serving.NewTable(&configuration), k.relay.clock.now()
+	k.resizeCaches(next)
+	k.relay.event(events.ConfigurationInForce).Uint64("number", configuration.Number).Int("tenants", len(configuration.Tenants)).Send()
+}
+
+// NoneLeads implements leaderwatch.Holder: it reads the list here once no controller has led for a while, so that
+// back ends that leave are known without one.
+func (k *knowledge) NoneLeads(ctx context.Context) {
+	relays := int(k.relay.relayCount.Load())
+	lead := listing.OwnReadingAfter + leaderwatch.SpareWait(relays)
+	held := k.relay.view.Load()
+	if held.table == nil {
+		return // a list serves nobody without a configuration, which only controllers tell
+	}
+	calls := relays * max(k.listingCalls, 1)
+	if !k.own.IsDue(k.relay.clock.now(), max(k.relay.lastContact(), 0)+lead, held.listed, calls, k.relay.draw) {
+		return
+	}
+	read, err := k.readListing(ctx, k.platform, 0)
+	if err != nil {
+		return
+	}
+	k.listingCalls = read.Calls
+	next := *k.relay.view.Load()
+	next.listingVersion = 0
+	k.takeBackEnds(k.toldBackEnds(read.BackEnds), &next)
+	k.relay.view.Store(&next)
+	k.moveRuns()
+}
+
+// toldBackEnds keeps of a list that this relay has read those that the leader told it of, where these are a
+// part: all relays must keep to the same part.
+func (k *knowledge) toldBackEnds(listed []serving.BackEnd) []serving.BackEnd {
+	if !k.partial {
+		return listed
+	}
+	return slices.DeleteFunc(listed, func(backEnd serving.BackEnd) bool { return k.known[backEnd.ID] == nil })
+}
+
+// translate turns the controllers' entries into back ends.
+func translate(entries []*v1.ListedBackEnd) []serving.BackEnd {
+	backEnds := make([]serving.BackEnd, 0, len(entries))
+	for _, entry := range entries {
+		backEnds = append(backEnds, serving.BackEndFromListed(entry))
+	}
+	return backEnds
+}
--- a/internal/relay/watch_list.go
+++ b/internal/relay/known_back_ends.go
@@ -11,7 +11,7 @@
 
 // resizeCaches takes the engines' memory from the configuration in force: engines may be
 // listed before it is known.
-func (w *watcher) resizeCaches(next *view) {
+func (k *knowledge) resizeCaches(next *view) {
 	for service, backEnds := range next.byService {
 		for _, engine := range backEnds {
 			engine.cache.resize(placement.CacheCapacity(engine.Stage, cacheTokens(next, service)))
@@ -20,34 +20,34 @@
 }
 
 // takeBackEnds puts a reading of the list in force.
-func (w *watcher) takeBackEnds(listed []serving.BackEnd, next *view) {
+func (k *knowledge) takeBackEnds(listed []serving.BackEnd, next *view) {
 	known := make(map[string]*backEnd, len(listed))
 	next.byService = map[string][]*backEnd{}
 	next.byHash = map[uint64]*backEnd{}
 	for _, entry := range listed {
-		current := w.known[entry.ID]
+		current := k.known[entry.ID]
 		if current == nil || !sameEntry(current.BackEnd, entry) {
-			current = w.replace(current, entry, next)
+			current = k.replace(current, entry, next)
 		}
 		known[entry.ID] = current
 		next.byService[entry.Service] = append(next.byService[entry.Service], current)
 		next.byHash[current.hash] = current
 	}
 	var gone []*backEnd
-	for id, former := range w.known {
+	for id, former := range k.known {
 		if known[id] == nil {
 			former.pool.close()
 			gone = append(gone, former)
 		}
 	}
-	w.relay.noteReplaced(gone, known)
-	w.closed = closedSince(w.known, known)
-	w.known = known
-	w.relay.event(events.ListingInForce).Uint64("version", next.listingVersion).Int("back_ends", len(listed)).Send()
-	w.relay.notices.table.keep(next.byHash)
-	w.relay.pace.keep(next.byHash)
-	next.listed, next.listedAt = true, w.relay.clock.now()
-	w.relay.owners.setView(next)
+	k.relay.noteReplaced(gone, known)
+	k.closed = closedSince(k.known, known)
+	k.known = known
+	k.relay.event(events.ListingInForce).Uint64("version", next.listingVersion).Int("back_ends", len(listed)).Send()
+	k.relay.notices.table.keep(next.byHash)
+	k.relay.pace.keep(next.byHash)
+	next.listed, next.listedAt = true, k.relay.clock.now()
+	k.relay.owners.setView(next)
 }
 
 // closedSince returns the former records of back ends that take no more work since then.
@@ -62,22 +62,22 @@
 }
 
 // moveRuns moves the runs at back ends that were closed, now that the view shows where to.
-func (w *watcher) moveRuns() {
-	if w.relay.without.On(mechanism.RunMoves) {
-		for _, closed := range w.closed {
+func (k *knowledge) moveRuns() {
+	if k.relay.without.On(mechanism.RunMoves) {
+		for _, closed := range k.closed {
 			closed.moveRuns()
 		}
 	}
-	w.closed = nil
+	k.closed = nil
 }
 
 // replace makes the record of a back end whose entry is new or has changed.
-func (w *watcher) replace(former *backEnd, entry serving.BackEnd, view *view) *backEnd {
+func (k *knowledge) replace(former *backEnd, entry serving.BackEnd, view *view) *backEnd {
 	replaced := newBackEnd(entry, cacheTokens(view, entry.Service))
 	if former == nil {
 		return replaced
 	}
-	now := w.relay.clock.now()
+	now := k.relay.clock.now()
 	replaced.load.avoidUntil = former.look(0).avoidUntil
 	replaced.cache = former.cache
 	replaced.changingSince = former.changingSince
--- a/internal/relay/newest_list_test.go
+++ b/internal/relay/newest_list_test.go
@@ -24,9 +24,9 @@
 		change(&entry)
 		listed = append(listed, entry)
 	}
-	r.watcher.takeBackEnds(listed, &next)
+	r.knowledge.takeBackEnds(listed, &next)
 	r.view.Store(&next)
-	r.watcher.moveRuns()
+	r.knowledge.moveRuns()
 }
 
 // A prompt may be read for seconds. The engine that generates is picked from the list as it is
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -9,9 +9,9 @@
 // meetOthers sets up what goes by datagrams between relays.
 func (r *Relay) meetOthers(socket net.PacketConn) {
 	r.datagrams = newDatagrams(socket, r.metrics.datagramsDropped)
-	r.notices = newNotices(r, r.datagrams, r.watcher.incarnation)
+	r.notices = newNotices(r, r.datagrams, r.knowledge.incarnation)
 	r.exchanger.notices = r.notices
-	r.asker = newAsker(r, r.datagrams, r.watcher.incarnation)
+	r.asker = newAsker(r, r.datagrams, r.knowledge.incarnation)
 	r.owner = newPlacementOwner(r)
 	r.owners = newOwnerTable(r.datagrams.address, r.event)
 }
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -6,7 +6,6 @@
 	"syscall"
 	"time"
 
-	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
@@ -22,9 +21,7 @@
 
 // newGuard makes the guard of a relay.
 func newGuard(relay *Relay) *crashguard.Guard {
-	leader := crashguard.Calls{Client: func() hazelpitchv1connect.NodeServiceClient {
-		return hazelpitchv1connect.NewNodeServiceClient(relay.watcher.http, "http://"+*relay.watcher.leader.Load())
-	}}
+	leader := crashguard.Calls{Client: relay.watcher.Leader}
 	return crashguard.New(crashguard.Options{
 		Leader: leader, Now: relay.clock.now, Probe: relay.probe, Observer: guardObserver{relay},
 	})
--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -192,7 +192,7 @@
 		entries = append(entries, entry)
 	}
 	next := *relay.view.Load()
-	relay.watcher.takeBackEnds(entries, &next)
+	relay.knowledge.takeBackEnds(entries, &next)
 	require.True(t, relay.guard.Held(signature))
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/leaderwatch"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
@@ -38,7 +39,9 @@
 	log       requestLog
 	exchanger *exchanger
 	budget    *retryBudget
-	watcher   *watcher
+	// watcher follows the leader; knowledge is what it tells.
+	watcher   *leaderwatch.Watcher
+	knowledge *knowledge
 	// guard keeps requests away from back ends that they would end.
 	guard *crashguard.Guard
 	// datagrams, notices and asker are what this relay has to do with others; owner decides on
@@ -143,17 +146,21 @@
 	relay.splits = newSplitDraws(relay.draw)
 	relay.metrics = newRelayMetrics(relay, options.Log)
 	relay.connections.open, relay.connections.requests = map[*clientConnection]bool{}, map[*clientConnection]*request{}
-	relay.contactAt.Store(int64(-longestWatchWait - contactSlack))
+	relay.contactAt.Store(int64(-leaderwatch.LongestWait - contactSlack))
 	relay.exchanger = &exchanger{
 		names: options.Dialect.Headers, writer: newRequestWriter(options.Dialect.Headers), clock: steady, dial: options.Dial,
 		without: options.Without,
 	}
 	relay.pace.fixed = !options.Without.On(mechanism.LearntPace)
 	relay.view.Store(&view{byService: map[string][]*backEnd{}})
-	relay.watcher = newWatcher(relay, options)
+	relay.knowledge = newKnowledge(relay, options)
+	relay.watcher = leaderwatch.New(leaderwatch.Config{
+		Seeds: config.ControllerAddresses(), Dial: options.Dial, Now: func() time.Duration { return relay.clock.now() },
+		Nodes: func() int { return int(relay.relayCount.Load()) }, Holder: relay.knowledge,
+	})
 	relay.guard = newGuard(relay)
 	relay.exchanger.guard = relay.guard
-	relay.usage = usagereport.NewMeter(relay.watcher.incarnation)
+	relay.usage = usagereport.NewMeter(relay.knowledge.incarnation)
 	return relay
 }
 
@@ -175,7 +182,7 @@
 		server := &metrics.AdminServer{Registry: r.metrics.registry, Log: r.ring, Ready: r.notReady}
 		group.Go(func() error { return trace.Wrap(server.Serve(working, r.admin)) })
 	}
-	group.Go(func() error { r.watcher.run(working); return nil })
+	group.Go(func() error { r.watcher.Run(working); return nil })
 	group.Go(func() error { r.usageReporter().Run(working); return nil })
 	group.Go(func() error { r.clock.steady.Watch(working, r.noteSuspension); return nil })
 	group.Go(func() error { r.guard.Run(working); return nil })
@@ -220,8 +227,7 @@
 		case <-ctx.Done():
 			return
 		case again := <-reloaded:
-			seeds := again.ControllerAddresses()
-			r.watcher.seeds.Store(&seeds)
+			r.watcher.SetSeeds(again.ControllerAddresses())
 			r.budget.setBounds(again.RetryBudget.Ratio, again.RetryBudget.Window, again.RetryBudget.Slack)
 		}
 	}
@@ -270,7 +276,7 @@
 }
 
 // contactLimit is how long after the last word of a leader the view still counts as fresh.
-func (r *Relay) contactLimit() time.Duration { return r.watcher.wait() + contactSlack }
+func (r *Relay) contactLimit() time.Duration { return r.watcher.Wait() + contactSlack }
 
 // lastContact is the time of the last word of a leader.
 func (r *Relay) lastContact() time.Duration { return time.Duration(r.contactAt.Load()) }
--- a/internal/relay/suspension.go
+++ b/internal/relay/suspension.go
@@ -16,9 +16,3 @@
 		request.canceller.resetDeadline(r.clock)
 	}
 }
-
-// lateAnswer reports whether a controller's answer to a question can have lain at this machine while it
-// stood still: what it says may be old by now.
-func (w *watcher) lateAnswer(asked time.Duration) bool {
-	return w.relay.clock.now()-asked > w.wait()+watchSlack
-}
--- a/internal/relay/suspension_test.go
+++ b/internal/relay/suspension_test.go
@@ -78,9 +78,9 @@
 	relay := newTestRelay(t, route(nil))
 	away := relay.suspendable()
 	asked := relay.clock.now()
-	require.False(t, relay.watcher.lateAnswer(asked))
+	require.False(t, relay.watcher.IsLate(asked))
 	away.Add(int64(5 * time.Second))
-	require.True(t, relay.watcher.lateAnswer(asked))
-	relay.watcher.take(&v1.WatchResponse{})
+	require.True(t, relay.watcher.IsLate(asked))
+	relay.knowledge.Take(&v1.WatchResponse{})
 	require.Less(t, relay.clock.now()-relay.lastContact(), relay.contactLimit(), "one that is asked for anew counts")
 }
--- a/internal/relay/usage.go
+++ b/internal/relay/usage.go
@@ -7,7 +7,6 @@
 	"connectrpc.com/connect"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
-	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/usagereport"
 )
 
@@ -30,7 +29,7 @@
 // usageReporter tells the leader what tenants use.
 func (r *Relay) usageReporter() *usagereport.Reporter {
 	return &usagereport.Reporter{
-		Meter: r.usage, Send: r.watcher.reportUsage, Failed: r.metrics.usageSentAgain.Inc,
+		Meter: r.usage, Send: r.reportUsage, Failed: r.metrics.usageSentAgain.Inc,
 		Relays: func() int { return int(r.relayCount.Load()) },
 	}
 }
@@ -44,8 +43,7 @@
 
 // reportUsage sends a report to the controller that led last, as far as is known here. One that does not
 // lead passes it on.
-func (w *watcher) reportUsage(ctx context.Context, report *v1.UsageReport) error {
-	client := hazelpitchv1connect.NewNodeServiceClient(w.http, "http://"+*w.leader.Load())
-	_, err := client.ReportUsage(ctx, connect.NewRequest(&v1.ReportUsageRequest{Report: report}))
+func (r *Relay) reportUsage(ctx context.Context, report *v1.UsageReport) error {
+	_, err := r.watcher.Leader().ReportUsage(ctx, connect.NewRequest(&v1.ReportUsageRequest{Report: report}))
 	return err
 }
--- a/internal/relay/watch_rate_test.go
+++ b/internal/relay/watch_rate_test.go
@@ -12,7 +12,7 @@
 	relay := newTestRelay(t, route(nil), startBackEnd(t, "one", 0, refusing(503)))
 	for relays, wait := range map[int64]string{0: "400ms", 7: "400ms", 120: "400ms", 240: "800ms", 300: "1s", 5000: "1s"} {
 		relay.relayCount.Store(relays)
-		require.Equal(t, wait, relay.watcher.wait().String())
-		require.Greater(t, relay.contactLimit(), relay.watcher.wait())
+		require.Equal(t, wait, relay.watcher.Wait().String())
+		require.Greater(t, relay.contactLimit(), relay.watcher.Wait())
 	}
 }
