News is told to relays over time, at a pace that follows the leader's processor

Cause: each change of list or configuration was told to all 985 relays at once, and all asked again at once: some tenths of a second of the leader's core in one piece, longer than its peers wait for it.

Those whose time has passed are answered all the same.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -59,10 +59,12 @@
 	// listing, watches and relays serve the relays of opaque requests.
 	listing siteListing
 	watches waitingWatches
-	relays  map[string]relayRecord
-	news    siteNews
-	stages  stages
-	usage   siteUsage
+	// newsPace spreads the telling of news.
+	newsPace newsPace
+	relays   map[string]relayRecord
+	news     siteNews
+	stages   stages
+	usage    siteUsage
 	// dutyCalls keeps the leader's calls of duties.
 	dutyCalls *duty.Schedule
 	replicas  siteReplicas
@@ -99,6 +101,7 @@
 		planning:  newPlanning(),
 		random:    random,
 		pending:   map[uint64]pendingCall{},
+		newsPace:  newNewsPace(),
 		relays:    map[string]relayRecord{},
 		stages:    newStages(),
 		usage:     newSiteUsage(config),
@@ -145,6 +148,7 @@
 	case Tick:
 		c.readClock(received)
 		c.tickConsensus()
+		c.newsPace.tick(c.now)
 	case PeerMessage:
 		c.hearClock(received.Message)
 		// An error tells why the message was dropped; the sender repeats what matters.
--- a/internal/control/waiting_watches.go
+++ b/internal/control/waiting_watches.go
@@ -18,36 +18,54 @@
 
 // waitingWatches are the questions that wait. One that has waited long enough is found without a look at
 // the others: as many relays ask as there are, each once a second or so.
-type waitingWatches struct{ byDue watchHeap }
+type waitingWatches struct {
+	// byDue are those for which there was nothing new.
+	byDue watchHeap
+	// untold are those for which there may be news, the first due first.
+	untold []*waitingWatch
+}
 
-// add lets a question wait.
+// add lets a question wait for something new.
 func (w *waitingWatches) add(waiting *waitingWatch) { heap.Push(&w.byDue, waiting) }
 
-// takeDue takes the questions that have waited long enough, the first due first.
-func (w *waitingWatches) takeDue(now time.Duration) []*waitingWatch {
-	var due []*waitingWatch
-	for len(w.byDue) > 0 && now >= w.byDue[0].dueAt {
-		due = append(due, heap.Pop(&w.byDue).(*waitingWatch))
-	}
-	return due
+// addUntold lets a question wait until it can be answered.
+func (w *waitingWatches) addUntold(waiting *waitingWatch) { w.untold = append(w.untold, waiting) }
+
+// news says that there may be something new for all that wait.
+func (w *waitingWatches) news() {
+	slices.SortFunc(w.byDue, w.byDue.compare)
+	w.untold = append(w.untold, w.byDue...)
+	w.byDue = nil
 }
 
-// takeIf takes the questions for which the condition holds, in the order in which they came.
-func (w *waitingWatches) takeIf(condition func(*v1.WatchRequest) bool) []*waitingWatch {
-	var taken, kept []*waitingWatch
-	for _, waiting := range w.byDue {
-		if condition(waiting.request) {
-			taken = append(taken, waiting)
+// takeUntold takes questions for which there is news, as long as more may be answered, and those of them
+// that have waited long enough all the same. Others wait on.
+func (w *waitingWatches) takeUntold(now time.Duration, hasNews func(*v1.WatchRequest) bool, more func() bool) []*waitingWatch {
+	var taken []*waitingWatch
+	for len(w.untold) > 0 {
+		first := w.untold[0]
+		if !hasNews(first.request) {
+			w.add(first)
+		} else if now >= first.dueAt || more() {
+			taken = append(taken, first)
 		} else {
-			kept = append(kept, waiting)
+			break
 		}
+		w.untold[0] = nil
+		w.untold = w.untold[1:]
 	}
-	w.byDue = kept
-	heap.Init(&w.byDue)
-	slices.SortFunc(taken, func(a, b *waitingWatch) int { return cmp.Compare(a.call, b.call) })
 	return taken
 }
 
+// takeDue takes the questions that have waited long enough for something new, the first due first.
+func (w *waitingWatches) takeDue(now time.Duration) []*waitingWatch {
+	var due []*waitingWatch
+	for len(w.byDue) > 0 && now >= w.byDue[0].dueAt {
+		due = append(due, heap.Pop(&w.byDue).(*waitingWatch))
+	}
+	return due
+}
+
 // watchHeap has the question that is due first at its top.
 type watchHeap []*waitingWatch
 
@@ -55,8 +73,11 @@
 func (h watchHeap) Len() int { return len(h) }
 
 // Less implements heap.Interface.
-func (h watchHeap) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(h[i].dueAt, h[j].dueAt), cmp.Compare(h[i].call, h[j].call)) < 0
+func (h watchHeap) Less(i, j int) bool { return h.compare(h[i], h[j]) < 0 }
+
+// compare orders questions by when they are due.
+func (watchHeap) compare(a, b *waitingWatch) int {
+	return cmp.Or(cmp.Compare(a.dueAt, b.dueAt), cmp.Compare(a.call, b.call))
 }
 
 // Swap implements heap.Interface.
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -24,22 +24,24 @@
 	leaderlessWait = 150 * time.Millisecond
 )
 
-// takeWatch answers a relay at once when there is something new, and otherwise lets it wait.
+// takeWatch lets a relay wait: until the pace of news allows an answer where there is something new, and for
+// something new elsewhere.
 func (c *Core) takeWatch(received WatchReceived) {
 	request := received.Request
 	state := c.siteState()
 	if state.leads {
 		c.noteRelay(request)
 	}
-	if c.isAnswered(state, request) {
-		c.answer(Answer{Call: received.Call, Response: c.watchResponse(request, !state.leads)})
-		return
-	}
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maximumWatchWait)
 	if !state.leads {
 		wait = min(wait, leaderlessWait)
 	}
-	c.watches.add(&waitingWatch{call: received.Call, request: request, dueAt: c.now + wait})
+	waiting := &waitingWatch{call: received.Call, request: request, dueAt: c.now + wait}
+	if c.isAnswered(state, request) {
+		c.watches.addUntold(waiting) // it is answered in this step where the pace allows it
+		return
+	}
+	c.watches.add(waiting)
 }
 
 // isAnswered reports whether a relay is answered at once: the leader has something new for it, or
@@ -54,14 +56,17 @@
 
 // answerWatches answers the watches that have something new or have waited long enough.
 func (c *Core) answerWatches() {
-	if len(c.watches.byDue) == 0 {
+	if len(c.watches.byDue) == 0 && len(c.watches.untold) == 0 {
 		return
 	}
 	state := c.siteState()
 	if state != c.news.told {
 		c.news.told = state
-		c.answerEach(state, c.watches.takeIf(func(request *v1.WatchRequest) bool { return c.isAnswered(state, request) }))
+		c.watches.news()
 	}
+	hasNews := func(request *v1.WatchRequest) bool { return c.isAnswered(state, request) }
+	mayTell := func() bool { return c.newsPace.take(c.now) }
+	c.answerEach(state, c.watches.takeUntold(c.now, hasNews, mayTell))
 	c.answerEach(state, c.watches.takeDue(c.now))
 }
 
