A relay that does not know how many others there are leaves the outside list alone

Change: no reading without the number of relays. Test: TestRelayThatKnowsNoOthersLeavesTheList, red before.

--- a/internal/relay/knowledge.go
+++ b/internal/relay/knowledge.go
@@ -196,6 +196,9 @@
 // back ends that leave are known without one.
 func (k *knowledge) NoneLeads(ctx context.Context) {
 	relays := int(k.relay.relayCount.Load())
+	if relays == 0 {
+		return // it cannot tell how many others would read it as well
+	}
 	lead := listing.OwnReadingAfter + leaderwatch.SpareWait(relays)
 	held := k.relay.view.Load()
 	if held.table == nil {
--- a/internal/relay/own_reading_test.go
+++ b/internal/relay/own_reading_test.go
@@ -27,6 +27,7 @@
 		}
 		return read, nil
 	}
+	r.relayCount.Store(1)
 	r.suspendable().Add(int64(10 * listing.OwnReadingAfter)) // since then no leader was heard
 	return &readings
 }
@@ -41,6 +42,15 @@
 	require.Zero(t, *readings)
 }
 
+// Nor must one that does not know how many others there are: none of them would wait for its turn.
+func TestRelayThatKnowsNoOthersLeavesTheList(t *testing.T) {
+	relay := newTestRelay(t, route(nil), startBackEnd(t, "one", serving.StageWhole, refusing(503)))
+	readings := relay.listsRead(10)
+	relay.relayCount.Store(0)
+	relay.knowledge.NoneLeads(t.Context())
+	require.Zero(t, *readings)
+}
+
 // A relay that reads the list itself keeps to those back ends that the last leader told all relays of, where
 // they are a part: owners and those who ask them must mean the same cells.
 func TestRelayKeepsToThePartItWasTold(t *testing.T) {
