Engines to spare are not ordered into stages before there is work

Change: the prior share is ordered only where all engines are known; elsewhere the plan waits for work. Test: TestSpareEnginesAreNotOrderedBeforeThereIsWork.

--- a/internal/control/fleet_size_test.go
+++ b/internal/control/fleet_size_test.go
@@ -246,6 +246,19 @@
 	}
 }
 
+// Where relays know a part of the engines, none is ordered into another stage before there is work: others
+// are there, and a change takes an engine away for seconds.
+func TestSpareEnginesAreNotOrderedBeforeThereIsWork(t *testing.T) {
+	for engines, expected := range map[int]bool{160: true, 10_000: false} {
+		w := newWorld(t, 3, seeded)
+		site := newSite(w, 4, 2)
+		site.shown, site.pageSize = fleetOf(engines), 200
+		w.waitLeader()
+		w.run(10 * time.Second)
+		require.Equal(t, expected, site.asked > 0, "%d engines, half of which read prompts", engines)
+	}
+}
+
 // Engines that go from the part of the list that is read are made good for by others further behind.
 func TestPartOfTheListThatRunsShortIsReadFurther(t *testing.T) {
 	w := newFleetWorld(t, 4, 2)
--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -173,12 +173,16 @@
 }
 
 func (c *Core) planStages(service string, engines []stageplan.Engine) {
+	work := c.serviceWork(service).Work
+	if !work.Known && c.listing.partial() {
+		return // engines that nobody knows yet are brought in where one stage turns out to be short
+	}
 	plan := c.stages.plans[service]
 	if plan == nil {
 		plan = stageplan.New(stageplan.Config{PriorPrefillShare: c.config.PriorPrefillShare, Hold: stageHold, Without: c.config.Without})
 		c.stages.plans[service] = plan
 	}
-	for _, change := range plan.Next(c.now, engines, c.serviceWork(service).Work) {
+	for _, change := range plan.Next(c.now, engines, work) {
 		c.orderStage(change)
 	}
 }
