Relays turn to a new leader over time

Change: a relay that had a leader waits a random part of a millisecond for each relay before it asks a new one: 12 ms for 12 relays, a second for 1,000. Test: TestNodesTurnToANewLeaderOverTime.

--- a/internal/leaderwatch/controllers.go
+++ b/internal/leaderwatch/controllers.go
@@ -16,6 +16,8 @@
 	known []string
 	// target is the index of the one that is asked next; it may lie behind the end.
 	target int
+	// leader is the one that leads, as far as one that does not has told; empty for none.
+	leader string
 }
 
 func newControllers(seeds []string) *controllers {
@@ -31,6 +33,7 @@
 func (c *controllers) failed() {
 	c.set(c.known)
 	c.target++
+	c.leader = ""
 }
 
 // set takes the controllers that one told, and keeps the seeds beside them.
@@ -50,6 +53,7 @@
 	if !response.GetBehind() {
 		leader = asked
 	}
+	c.leader = leader
 	next := slices.Index(c.known, leader)
 	if next < 0 || response.GetBehind() && leader == asked {
 		c.target = max(slices.Index(c.known, asked), 0) + 1
--- a/internal/leaderwatch/rate.go
+++ b/internal/leaderwatch/rate.go
@@ -12,6 +12,12 @@
 	slack = 300 * time.Millisecond
 )
 
+// newLeaderAsks is how many nodes a second turn to a new leader, so that it is not kept from its peers at once.
+const newLeaderAsks = 1000
+
+// spreadFor is the time over which so many nodes turn to a new leader.
+func spreadFor(nodes int) time.Duration { return time.Duration(nodes) * time.Second / newLeaderAsks }
+
 // WaitFor is how long a controller lets a watch wait where there are so many nodes.
 func WaitFor(nodes int) time.Duration {
 	return min(max(time.Duration(nodes)*time.Second/watchesPerSecond, shortestWait), LongestWait)
--- a/internal/leaderwatch/watcher.go
+++ b/internal/leaderwatch/watcher.go
@@ -37,7 +37,9 @@
 	// Now is the steady time since an origin, in which suspensions count.
 	Now func() time.Duration
 	// Nodes is how many nodes watch, as far as that is known.
-	Nodes  func() int
+	Nodes func() int
+	// Draw returns a random number in [0, 1).
+	Draw   func() float64
 	Holder Holder
 }
 
@@ -48,6 +50,8 @@
 	controllers *controllers
 	// leader is the controller that is asked now or was asked last.
 	leader atomic.Pointer[string]
+	// led is the controller that led last.
+	led string
 }
 
 // New returns a Watcher that has asked nobody yet.
@@ -87,6 +91,9 @@
 // watchOnce asks the controller that most likely leads; it reports whether that one led.
 func (w *Watcher) watchOnce(ctx context.Context) bool {
 	address := w.controllers.next()
+	if w.turnsToNewLeader(address) {
+		pause.For(ctx, time.Duration(w.config.Draw()*float64(spreadFor(w.config.Nodes()))))
+	}
 	w.leader.Store(&address)
 	wait := w.Wait()
 	limited, cancel := context.WithTimeout(ctx, wait+slack)
@@ -101,12 +108,19 @@
 	if response.Msg.GetBehind() {
 		return false
 	}
+	w.led = address
 	if !w.IsLate(asked) {
 		w.config.Holder.Take(response.Msg)
 	}
 	return true // where it was late the leader is asked again at once
 }
 
+// turnsToNewLeader reports whether a controller that is about to be asked is told to lead, and did not
+// before. A node that has not heard of any leader yet holds nothing and asks at once.
+func (w *Watcher) turnsToNewLeader(address string) bool {
+	return w.led != "" && address != w.led && address == w.controllers.leader
+}
+
 // IsLate reports whether the answer to a question can have lain at this machine while it stood still: what
 // it says may be old by now.
 func (w *Watcher) IsLate(asked time.Duration) bool { return w.config.Now()-asked > w.Wait()+slack }
--- a/internal/leaderwatch/watcher_test.go
+++ b/internal/leaderwatch/watcher_test.go
@@ -68,7 +68,7 @@
 	holder := &recordingHolder{taken: make(chan *v1.WatchResponse)}
 	watcher := New(Config{
 		Seeds: []string{"127.0.0.1:1", follower}, Dial: (&net.Dialer{}).DialContext,
-		Now: func() time.Duration { return 0 }, Nodes: func() int { return 1 }, Holder: holder,
+		Now: func() time.Duration { return 0 }, Nodes: func() int { return 1 }, Draw: func() float64 { return 0 }, Holder: holder,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -88,8 +88,23 @@
 	holder := &recordingHolder{taken: make(chan *v1.WatchResponse, 1)}
 	watcher := New(Config{
 		Seeds: []string{leader}, Dial: (&net.Dialer{}).DialContext,
-		Now: func() time.Duration { return time.Duration(now.Load()) }, Nodes: func() int { return 1 }, Holder: holder,
+		Now: func() time.Duration { return time.Duration(now.Load()) }, Nodes: func() int { return 1 }, Draw: func() float64 { return 0 }, Holder: holder,
 	})
 	require.True(t, watcher.watchOnce(t.Context()), "the leader is asked again at once")
 	require.Empty(t, holder.taken)
 }
+
+// Nodes that had a leader turn to the next one over a time that grows with their number; one that has heard of
+// none yet asks at once.
+func TestNodesTurnToANewLeaderOverTime(t *testing.T) {
+	require.Equal(t, 12*time.Millisecond, spreadFor(12))
+	require.Equal(t, time.Second, spreadFor(1000))
+	watcher := New(Config{Seeds: []string{"a", "b"}, Dial: (&net.Dialer{}).DialContext})
+	watcher.controllers.learn(&v1.WatchResponse{Behind: true, LeaderAddress: "b"}, "a")
+	require.False(t, watcher.turnsToNewLeader("b"), "it holds nothing")
+	watcher.led = "a"
+	require.True(t, watcher.turnsToNewLeader("b"))
+	require.False(t, watcher.turnsToNewLeader("a"), "it led before")
+	watcher.controllers.failed()
+	require.False(t, watcher.turnsToNewLeader("b"), "one that is tried for want of another")
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -156,7 +156,7 @@
 	relay.knowledge = newKnowledge(relay, options)
 	relay.watcher = leaderwatch.New(leaderwatch.Config{
 		Seeds: config.ControllerAddresses(), Dial: options.Dial, Now: func() time.Duration { return relay.clock.now() },
-		Nodes: func() int { return int(relay.relayCount.Load()) }, Holder: relay.knowledge,
+		Nodes: func() int { return int(relay.relayCount.Load()) }, Draw: relay.draw, Holder: relay.knowledge,
 	})
 	relay.guard = newGuard(relay)
 	relay.exchanger.guard = relay.guard
