A leader tells how much of its site it reads and tells, and at which pace

Cause: nothing showed an operator why relays know a part of the back ends, or that a leader is short of its processor.

Tests: fleet_size_test.go.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -247,6 +247,7 @@
 	Gateways     int
 	Machines     int
 	PendingCalls int
+	Site         SiteStatus
 }
 
 // Status returns what this controller knows about itself.
@@ -255,6 +256,7 @@
 		Consensus: c.consensus.Status(), Ordering: c.leading && c.consensus.LeaseValid(c.now),
 		Revision: c.state.Revision(), AppliedIndex: c.applied,
 		Gateways: len(c.tracker.Gateways()), Machines: len(c.tracker.Machines()), PendingCalls: len(c.pending),
+		Site: c.siteStatus(),
 	}
 }
 
--- a/internal/control/fleet_size_test.go
+++ b/internal/control/fleet_size_test.go
@@ -214,6 +214,11 @@
 		require.LessOrEqual(t, calls, most)
 		require.GreaterOrEqual(t, told, min(engines, 240))
 		require.LessOrEqual(t, told, 640)
+		status := w.leader().core.Status().Site
+		require.Equal(t, SiteStatus{
+			Relays: 1, BackEnds: engines, Told: told, Pages: status.Pages, NewsPerSecond: firstNews, QuorumSilence: status.QuorumSilence,
+		}, status)
+		require.Equal(t, engines > 1_000, status.Pages > 0)
 	}
 }
 
--- /dev/null
+++ b/internal/control/site_status.go
@@ -0,0 +1,31 @@
+package control
+
+import "time"
+
+// SiteStatus is what a leader knows of the relays and back ends that it serves; empty at others.
+type SiteStatus struct {
+	// Relays is how many relays were heard of lately, WaitingWatches how many of their questions wait.
+	Relays, WaitingWatches int
+	// BackEnds is how many the outside list held when it was read whole last, Told how many of them relays
+	// know, and Pages how many pages of the list are read most of the time; 0 is all.
+	BackEnds, Told, Pages int
+	// NewsPerSecond is the pace at which news is told to relays.
+	NewsPerSecond float64
+	// QuorumSilence is how long ago a quorum was heard of.
+	QuorumSilence time.Duration
+}
+
+// siteStatus returns what this leader knows of its site.
+func (c *Core) siteStatus() SiteStatus {
+	if !c.leading {
+		return SiteStatus{}
+	}
+	status := SiteStatus{
+		Relays: len(c.relays), WaitingWatches: len(c.watches.byDue) + len(c.watches.untold),
+		BackEnds: c.listing.total, Told: len(c.listing.told), NewsPerSecond: c.newsPace.perSecond, QuorumSilence: c.consensus.QuorumSilence(),
+	}
+	if c.listing.plan.readsPart() {
+		status.Pages = c.listing.plan.pages
+	}
+	return status
+}
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -27,6 +27,7 @@
 	revision       prometheus.Gauge
 	gateways       prometheus.Gauge
 	machines       prometheus.Gauge
+	site           siteInstruments
 }
 
 func newInstruments(factory metrics.Factory) instruments {
@@ -50,5 +51,6 @@
 		revision:       factory.Gauge("revision", "Revision of the configuration in force here."),
 		gateways:       factory.Gauge("gateways", "Gateways heard of lately by this controller."),
 		machines:       factory.Gauge("machines", "Back ends this controller knows."),
+		site:           newSiteInstruments(factory),
 	}
 }
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -75,6 +75,7 @@
 		c.instruments.leader.Set(boolean(status.Ordering))
 		c.instruments.gateways.Set(float64(status.Gateways))
 		c.instruments.machines.Set(float64(status.Machines))
+		c.instruments.site.set(status.Site)
 	}
 }
 
--- /dev/null
+++ b/internal/controller/site_metrics.go
@@ -0,0 +1,38 @@
+package controller
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/hazelpitch/hazelpitch/internal/control"
+	"github.com/hazelpitch/hazelpitch/internal/metrics"
+)
+
+// siteInstruments are the metrics of a leader that serves relays; 0 at other controllers.
+type siteInstruments struct {
+	relays, waitingWatches     prometheus.Gauge
+	backEnds, told, pages      prometheus.Gauge
+	newsPerSecond, quorumHeard prometheus.Gauge
+}
+
+func newSiteInstruments(factory metrics.Factory) siteInstruments {
+	return siteInstruments{
+		relays:         factory.Gauge("relays", "Relays heard of lately."),
+		waitingWatches: factory.Gauge("watches_waiting", "Questions of relays that wait for something new or for their turn."),
+		backEnds:       factory.Gauge("back_ends_listed", "Back ends in the last reading of the whole outside list."),
+		told:           factory.Gauge("back_ends_told", "Back ends that relays are told of."),
+		pages:          factory.Gauge("listing_pages", "Pages of the outside list that are read most of the time; 0 is all."),
+		newsPerSecond:  factory.Gauge("news_per_second", "Relays that may be told of news a second."),
+		quorumHeard:    factory.Gauge("quorum_silence_seconds", "Time since a quorum of controllers was heard of."),
+	}
+}
+
+// set tells how a site stands.
+func (s siteInstruments) set(site control.SiteStatus) {
+	s.relays.Set(float64(site.Relays))
+	s.waitingWatches.Set(float64(site.WaitingWatches))
+	s.backEnds.Set(float64(site.BackEnds))
+	s.told.Set(float64(site.Told))
+	s.pages.Set(float64(site.Pages))
+	s.newsPerSecond.Set(site.NewsPerSecond)
+	s.quorumHeard.Set(site.QuorumSilence.Seconds())
+}
