--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -106,7 +106,11 @@
 const (
 	retryAfterBusy      = 150 * time.Millisecond
 	retryAfterNoBackEnd = 250 * time.Millisecond
-	retryAfterStart     = 1000 * time.Millisecond
+	retryAfterOld       = 1000 * time.Millisecond
+	// retryAfterStart and retryStartSpread are for relays that have just started: nearly all of them know what
+	// they need within 0.7 s, and clients had better not come back at once.
+	retryAfterStart  = 300 * time.Millisecond
+	retryStartSpread = 300 * time.Millisecond
 )
 
 // refusal is the final answer when no sending brought one. It promises that the request
--- a/internal/relay/knowledge.go
+++ b/internal/relay/knowledge.go
@@ -111,7 +111,7 @@
 	k.takeRelayCount(response)
 	k.listingCalls, k.partial = int(response.GetListingCalls()), response.GetListingPartial()
 	k.relay.usage.Hear(k.relay.clock.now(), response.GetTrueTimeMs(), time.Duration(response.GetUsageWindowMs())*time.Millisecond)
-	k.relay.view.Store(&next)
+	k.relay.setView(&next)
 	k.moveRuns()
 	k.relay.contactAt.Store(int64(k.relay.clock.now()))
 }
@@ -216,7 +216,7 @@
 	next := *k.relay.view.Load()
 	next.listingVersion = 0
 	k.takeBackEnds(k.toldBackEnds(read.BackEnds), &next)
-	k.relay.view.Store(&next)
+	k.relay.setView(&next)
 	k.moveRuns()
 }
 
--- a/internal/relay/lack.go
+++ b/internal/relay/lack.go
@@ -1,6 +1,10 @@
 package relay
 
-import "github.com/valyala/fasthttp"
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
 
 // lack is what a relay does not know though a request needs it; empty for nothing. It is the reason in the
 // request's line and its answer.
@@ -27,14 +31,16 @@
 	}
 }
 
-// refusal is the answer to a request for which something is lacking: it has not run.
-func (l lack) refusal() refusal {
-	return refusal{status: fasthttp.StatusServiceUnavailable, reason: string(l), retryAfter: retryAfterStart}
+// refusal is the answer to a request for which something is lacking: it has not run. The draw in [0, 1)
+// spreads the times at which clients come back.
+func (l lack) refusal(draw float64) refusal {
+	comeBack := retryAfterStart + time.Duration(draw*float64(retryStartSpread))
+	return refusal{status: fasthttp.StatusServiceUnavailable, reason: string(l), retryAfter: comeBack}
 }
 
 // refuseForLack answers a request that came before the relay knew what it needs.
 func (r *Relay) refuseForLack(request *request, lacking lack, reply *replier) {
-	refused := lacking.refusal()
+	refused := lacking.refusal(r.draw())
 	r.log.refusedForLack(request, lacking, r.belief())
 	r.metrics.refusals.WithLabelValues(refused.reason).Inc()
 	reply.refuse(refused)
--- a/internal/relay/lack_test.go
+++ b/internal/relay/lack_test.go
@@ -22,6 +22,7 @@
 		relay := newTestRelay(t, route(nil), startBackEnd(t, "one", serving.StageWhole, answering(200, "ok")))
 		lines := &strings.Builder{}
 		relay.log = requestLog{logger: zerolog.New(zerolog.SyncWriter(lines))}
+		relay.startWait = 0
 		next := known(relay)
 		forget(&next)
 		relay.view.Store(&next)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -59,6 +59,9 @@
 	policy placement.Parameters
 	// without are mechanisms that are left out.
 	without mechanism.Set
+	// startWait is how long requests wait for what the relay does not know yet, known ends that wait.
+	startWait time.Duration
+	known     *knownSignal
 	// readingSlack is how long beyond the expected a request waits for another's reading.
 	readingSlack time.Duration
 
@@ -141,6 +144,8 @@
 		without:  options.Without,
 
 		readingSlack: readingSlack,
+		startWait:    startWait,
+		known:        newKnownSignal(),
 		random:       lockedRandom{source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 	}
 	relay.splits = newSplitDraws(relay.draw)
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -59,7 +59,9 @@
 	replicaEnds      prometheus.Counter
 	guardCallsFailed prometheus.Counter
 	waits            prometheus.Counter
-	moves            *prometheus.CounterVec
+	// startWaits counts requests that came before the relay knew what they need.
+	startWaits prometheus.Counter
+	moves      *prometheus.CounterVec
 	// asked counts questions to owners of engines by what became of them, spills the requests
 	// that were offered to a further cell.
 	asked            *prometheus.CounterVec
@@ -84,6 +86,7 @@
 		replicaEnds:      factory.Counter("back_ends_ended_total", "Back ends that ended while they ran requests of this relay."),
 		guardCallsFailed: factory.Counter("guard_calls_failed_total", "Calls to the leader on ended back ends and held requests that failed."),
 		waits:            factory.Counter("reading_waits_total", "Waits of prompts for the reading of parts that they share."),
+		startWaits:       factory.Counter("start_waits_total", "Requests that waited for a configuration and a list, since they came right after the start."),
 		moves:            factory.CounterVec("runs_moved_total", "Runs that stopped at one engine to go on at another, by whether they were copied.", "copied"),
 		asked:            factory.CounterVec("placement_questions_total", "Decisions on engines, by who made them.", "outcome"),
 		spills:           factory.Counter("placement_spills_total", "Offers of requests to a further cell of engines."),
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -19,15 +19,15 @@
 // serveRequest finds the route of a request and serves it; the replier has then answered,
 // unless the client has gone.
 func (r *Relay) serveRequest(request *request, reply *replier) {
-	view := r.view.Load()
 	if request.id == "" {
 		reply.refuse(refusal{status: fasthttp.StatusBadRequest, reason: "the header " + r.dialect.Headers.RequestID + " is missing"})
 		return
 	}
-	if lacking := view.lack(); lacking != "" {
+	if lacking := r.awaitKnown(request); lacking != "" {
 		r.refuseForLack(request, lacking, reply)
 		return
 	}
+	view := r.view.Load()
 	request.route = view.table.Route(request.host, pathOf(request.target))
 	if request.route == nil {
 		reply.refuse(r.refuseByConfiguration(fasthttp.StatusNotFound, "no route has this host and path"))
@@ -76,7 +76,7 @@
 // view is fresh can be sure of that.
 func (r *Relay) refuseByConfiguration(status int, reason string) refusal {
 	if r.clock.now()-r.lastContact() > r.contactLimit() {
-		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "the configuration may be old", retryAfter: retryAfterStart}
+		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "the configuration may be old", retryAfter: retryAfterOld}
 	}
 	return refusal{status: status, reason: reason}
 }
