An owner that knows nothing yet is not an owner that places nothing

Change: such an answer says that the cell is not known, and the stand-in is asked, or the relay decides by itself. Test: TestOwnerThatKnowsNothingIsNotFollowed, red without it.

--- a/internal/relay/owner_faults_test.go
+++ b/internal/relay/owner_faults_test.go
@@ -131,3 +131,14 @@
 	require.Len(t, relay.owners.ownedEngines(), 1)
 	require.Equal(t, []string{"127.0.0.1:2"}, relay.asker.owners(now, engine))
 }
+
+// An owner that has just started knows no cells yet. Its word that it places nothing is none: the relay asks
+// the stand-in, or decides by itself.
+func TestOwnerThatKnowsNothingIsNotFollowed(t *testing.T) {
+	engine := startBackEnd(t, "engine", serving.StageDecode, streaming("engine", eventOne))
+	relay := newTestRelay(t, route(stream(false)), engine)
+	owner := newTestRelay(t, route(stream(false)))
+	relay.ownedBy(owner.datagrams.address)
+	require.Equal(t, eventOne, relay.client(t).do("POST", "/path/", "x", shortPrompt...).body)
+	require.EqualValues(t, 1, testutil.ToFloat64(relay.metrics.asked.WithLabelValues(askedStale)))
+}
--- a/internal/relay/placement_wire.go
+++ b/internal/relay/placement_wire.go
@@ -97,7 +97,7 @@
 func unplacedAnswer(asked *v1.PlacementRequest) *v1.PlacementAnswer {
 	return &v1.PlacementAnswer{
 		Relay: asked.GetRelay(), Number: asked.GetNumber(),
-		Action: v1.PlacementAction_PLACEMENT_ACTION_UNPLACED, Reason: uint32(placement.NoReader),
+		Action: v1.PlacementAction_PLACEMENT_ACTION_UNPLACED, Reason: uint32(placement.NoReader), UnknownCell: true,
 	}
 }
 
@@ -129,6 +129,9 @@
 // answerFromWire is the reverse of answerToWire. It reports false for an answer whose engines are
 // not listed here, or take no work by the newest list.
 func answerFromWire(told *v1.PlacementAnswer, view *view, excludes func(*backEnd) bool) (engineAnswer, bool) {
+	if told.GetUnknownCell() {
+		return engineAnswer{}, false
+	}
 	answer := engineAnswer{decision: placement.Decision{
 		Action: actionFromWire(told.GetAction()), Reason: placement.Reason(told.GetReason()),
 		RetryAfter: fromMicroseconds(told.GetRetryAfterUs()), Short: serving.StagePrefill,
