--- a/internal/control/news_pace.go
+++ b/internal/control/news_pace.go
@@ -41,9 +41,6 @@
 	p.limits = false
 }
 
-// NewsPace is how many relays may be told of news a second now. It follows how late the peers' answers are.
-func (c *Core) NewsPace() float64 { return c.newsPace.perSecond }
-
 // take reports whether one more relay may be told now, and counts it.
 func (p *newsPace) take(now time.Duration) bool {
 	most := p.perSecond * newsBurst.Seconds()
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -65,8 +65,6 @@
 	instruments instruments
 	dial        dialing.Dial
 	listener    net.Listener
-	// accepts lets relays and peers in over time.
-	accepts     *pacedListener
 	admin       net.Listener
 	peers       *http.Client
 	site        *Site
@@ -94,7 +92,6 @@
 		c.close()
 		return nil, trace.Wrap(err, "cannot listen on %s; check the key listen", config.Listen)
 	}
-	c.accepts = newPacedListener(c.listener, c.core.NewsPace()/newsPerAccept)
 	if c.admin, err = options.Listen("tcp", config.AdminListen); err != nil {
 		c.close()
 		return nil, trace.Wrap(err, "cannot listen on %s; check the key admin_listen", config.AdminListen)
--- a/internal/controller/outputs.go
+++ b/internal/controller/outputs.go
@@ -102,7 +102,4 @@
 	name := inputName(input)
 	c.instruments.steps.WithLabelValues(name).Inc()
 	c.instruments.stepSeconds.WithLabelValues(name).Add(took.Seconds())
-	if _, tick := input.(control.Tick); tick {
-		c.accepts.setPace(c.core.NewsPace() / newsPerAccept)
-	}
 }
