Lines of failed sendings tell the rest that a back end asked for, and a pause that was passed over

Cause: in an incident, replicas that had asked for rest were sent requests; no line told the rest, nor whether the relay had a pause for that replica when it was sent the request. Change: attempt_failed has retry_after_ms and avoided_ms; internal/backpressure reads Retry-After. No decision uses either. Command: go test ./internal/backpressure ./internal/relay ./internal/events ./internal/importrules

--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -20,6 +20,7 @@
 var purePackages = []string{
 	"internal/admission",
 	"internal/authority",
+	"internal/backpressure",
 	"internal/cell",
 	"internal/claims",
 	"internal/consensus",
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -130,6 +130,13 @@
 	b.load.avoidUntil = max(b.load.avoidUntil, until)
 }
 
+// avoidedFor is how much longer new requests are kept away while other back ends can take them.
+func (b *backEnd) avoidedFor(now time.Duration) time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return max(b.load.avoidUntil-now, 0)
+}
+
 // heard notes that something came from the back end.
 func (b *backEnd) heard(now time.Duration) {
 	b.mutex.Lock()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/backpressure"
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
@@ -71,12 +72,14 @@
 
 // send sends the message and reads the head of the answer to it. The answer must be closed.
 func (e *exchanger) send(message *message) (*answer, *failure) {
+	avoided := message.backEnd.avoidedFor(e.clock.now())
 	message.backEnd.begin(message.work)
 	e.noteReading(message)
 	answer, fault := e.exchange(message)
 	if fault == nil {
 		return answer, nil
 	}
+	fault.avoided = avoided
 	message.backEnd.end(message.work)
 	e.noteWork(message)
 	e.noteGivenUp(message)
@@ -280,7 +283,10 @@
 		return &failure{verdict: verdict.NotRun, arrived: true, cause: errMisdirected}
 	}
 	if len(answer.head.Peek(e.names.NotExecuted)) > 0 {
-		return &failure{verdict: verdict.NotRun, arrived: true, cause: fmt.Errorf("%w: status %d", errNotExecuted, answer.status)}
+		return &failure{
+			verdict: verdict.NotRun, arrived: true, cause: fmt.Errorf("%w: status %d", errNotExecuted, answer.status),
+			retryAfter: backpressure.RetryAfter(answer.head.Peek(fasthttp.HeaderRetryAfter)),
+		}
 	}
 	if len(answer.head.ContentEncoding()) > 0 {
 		return &failure{verdict: verdict.MayHaveRun, arrived: true, cause: fmt.Errorf("%w: it is encoded", errWrongAnswer)}
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -13,6 +14,10 @@
 	// arrived tells that the request may have reached the back end at all.
 	arrived bool
 	cause   error
+	// retryAfter is how long the back end asked not to be sent requests; 0 when it did not.
+	retryAfter time.Duration
+	// avoided is how much of a pause of the back end was left when it was sent the request.
+	avoided time.Duration
 }
 
 // Error implements error.
