Back ends that ask for rest, or say that they leave, are left alone

The rest that it asked for was not read, the pause that followed was 50 ms to 1 s, and a back end in a pause was picked all the same where others had been tried or none was left. That a back end leaves was taken from the list alone. Class: a peer's explicit word was replaced by an own guess. Change: internal/backpressure reads and keeps what each start of a back end asks for (pure; it outlives the record of the back end and its absence from the list). Relays: heads of all answers (requests, readings of prompts, releases, moves, lists of caches) are read, picks, questions to owners and their answers leave such back ends out, and nothing is written to one that rests. Gateways: the router drops them before it weighs anything, also where nothing else is left; exchanges are not resumed or cancelled there meanwhile. Controllers: engines that rest are not ordered. A request for which all back ends rest is refused at once, with when the first of them may be asked again.

--- a/internal/controller/site.go
+++ b/internal/controller/site.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/backpressure"
 	"github.com/hazelpitch/hazelpitch/internal/control"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/duty"
@@ -39,7 +40,7 @@
 	OrderLife         time.Duration
 	// OrderStage orders an engine into a role. The error tells why the outcome is not
 	// control.StageTaken.
-	OrderStage func(ctx context.Context, client *http.Client, order StageOrder) (control.StageOutcome, error)
+	OrderStage func(ctx context.Context, client *http.Client, order StageOrder) (StageAnswer, error)
 	// Usage, DutyInterval and DutyLife: see control.Config.
 	Usage        usage.Config
 	DutyInterval time.Duration
@@ -87,6 +88,12 @@
 	Fence  uint64
 }
 
+// StageAnswer is what became of a StageOrder, and what the engine asked for in its answer.
+type StageAnswer struct {
+	Outcome control.StageOutcome
+	Asked   backpressure.Asked
+}
+
 // takeSeeds hands seeds that were read again to the Core until the context ends.
 func (c *controller) takeSeeds(ctx context.Context) {
 	for {
--- a/internal/controller/stage_orders.go
+++ b/internal/controller/stage_orders.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"github.com/hazelpitch/hazelpitch/internal/backpressure"
 	"github.com/hazelpitch/hazelpitch/internal/control"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/events"
@@ -26,18 +29,23 @@
 // engines may take the fence of a former leader, so nothing of it may reach them once its
 // successor may order.
 type stageOrderer struct {
-	order   func(ctx context.Context, client *http.Client, order StageOrder) (control.StageOutcome, error)
+	order   func(ctx context.Context, client *http.Client, order StageOrder) (StageAnswer, error)
 	dial    dialing.Dial
 	now     func() time.Duration
 	queue   chan control.ChangeStage
 	deliver func(context.Context, control.Input) error
 	log     *logring.Log
+
+	mutex sync.Mutex
+	// wishes are what engines have asked of this process.
+	wishes *backpressure.Ledger
 }
 
 func newStageOrderer(site *Site, dial dialing.Dial, now func() time.Duration, deliver func(context.Context, control.Input) error, log *logring.Log) *stageOrderer {
 	return &stageOrderer{
 		order: site.OrderStage, dial: dial, now: now,
 		queue: make(chan control.ChangeStage, stageOrderQueue), deliver: deliver, log: log,
+		wishes: backpressure.NewLedger(),
 	}
 }
 
@@ -74,13 +82,37 @@
 	_ = s.deliver(ctx, control.StageOrdered{ID: order.Engine.ID, Outcome: outcome}) // fails only when the process stops
 }
 
-// send sends the order within its time, on connections of its own.
+// errEngineRests tells that an engine has asked not to be called for now.
+var errEngineRests = errors.New("the engine has asked to be left alone for now")
+
+// send sends the order within its time, on connections of its own. An engine that has asked for rest is not
+// called: the Core orders it again later.
 func (s *stageOrderer) send(ctx context.Context, order StageOrder, notAfter time.Duration) (control.StageOutcome, error) {
+	if s.rests(order.Engine.ID) {
+		return control.StageRefused, trace.Wrap(errEngineRests)
+	}
 	remaining := func() time.Duration { return notAfter - s.now() }
 	if remaining() <= 0 {
 		return control.StageRefused, trace.Wrap(dialing.ErrExpired)
 	}
 	limited, cancel := context.WithTimeout(ctx, remaining())
 	defer cancel()
-	return s.order(limited, expiringClient(s.dial, remaining), order)
+	answer, err := s.order(limited, expiringClient(s.dial, remaining), order)
+	s.noteAsked(order.Engine.ID, answer.Asked)
+	return answer.Outcome, err
+}
+
+// rests reports whether an engine has asked not to be called for now.
+func (s *stageOrderer) rests(identity string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.wishes.Of(identity).Rest(s.now()) > 0
+}
+
+// noteAsked takes what an engine has asked for, and forgets the engines whose rest is over.
+func (s *stageOrderer) noteAsked(identity string, asked backpressure.Asked) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.wishes.Of(identity).AskRest(s.now(), asked.Rest)
+	s.wishes.Keep(s.now(), func(string) bool { return false })
 }
--- a/internal/controller/stage_orders_test.go
+++ b/internal/controller/stage_orders_test.go
@@ -9,12 +9,13 @@
 	"github.com/stretchr/testify/require"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/backpressure"
 	"github.com/hazelpitch/hazelpitch/internal/control"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
 
-func newTestOrderer(now func() time.Duration, order func(context.Context, *http.Client, StageOrder) (control.StageOutcome, error)) (*stageOrderer, chan control.Input) {
+func newTestOrderer(now func() time.Duration, order func(context.Context, *http.Client, StageOrder) (StageAnswer, error)) (*stageOrderer, chan control.Input) {
 	delivered := make(chan control.Input, stageOrderQueue)
 	deliver := func(_ context.Context, input control.Input) error { delivered <- input; return nil }
 	return newStageOrderer(&Site{OrderStage: order}, nil, now, deliver, logring.New("c1", settings.Log{RingEntries: 16})), delivered
@@ -35,11 +36,11 @@
 		t.Run(name, func(t *testing.T) {
 			sent := 0
 			orderer, delivered := newTestOrderer(func() time.Duration { return row.now },
-				func(ctx context.Context, _ *http.Client, _ StageOrder) (control.StageOutcome, error) {
+				func(ctx context.Context, _ *http.Client, _ StageOrder) (StageAnswer, error) {
 					sent++
 					_, bounded := ctx.Deadline()
 					require.True(t, bounded)
-					return control.StageTaken, nil
+					return StageAnswer{Outcome: control.StageTaken}, nil
 				})
 			orderer.carryOut(t.Context(), control.ChangeStage{BackEnd: &v1.ListedBackEnd{Id: "engine"}, NotAfter: 10 * time.Second})
 			require.Equal(t, row.sent, sent)
@@ -47,3 +48,27 @@
 		})
 	}
 }
+
+// An engine that has asked for rest is not called until the rest is over; the Core is told that nothing was sent.
+func TestAnEngineThatAsksForRestIsNotOrdered(t *testing.T) {
+	now, sent := time.Duration(0), 0
+	orderer, delivered := newTestOrderer(func() time.Duration { return now },
+		func(context.Context, *http.Client, StageOrder) (StageAnswer, error) {
+			sent++
+			return StageAnswer{Outcome: control.StageRefused, Asked: backpressure.Asked{Rest: 3 * time.Second}}, nil
+		})
+	order := func(engine string) {
+		orderer.carryOut(t.Context(), control.ChangeStage{BackEnd: &v1.ListedBackEnd{Id: engine}, NotAfter: time.Hour})
+		require.Equal(t, control.StageOrdered{ID: engine, Outcome: control.StageRefused}, <-delivered)
+	}
+	order("rests")
+	require.Equal(t, 1, sent)
+	now = 3*time.Second - 1
+	order("rests")
+	require.Equal(t, 1, sent)
+	order("another")
+	require.Equal(t, 2, sent)
+	now = 3 * time.Second
+	order("rests")
+	require.Equal(t, 3, sent)
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -15,6 +15,10 @@
 	RequestRefused Event = "request_refused"
 	// KeyRefused: a request was not admitted for want of a key that is known.
 	KeyRefused Event = "key_refused"
+	// BackEndRests: a back end has asked not to be sent requests for a while.
+	BackEndRests Event = "back_end_rests"
+	// BackEndLeaves: a back end has said in an answer that it leaves.
+	BackEndLeaves Event = "back_end_leaves"
 	// BackEndEnded: a back end ended while it ran requests.
 	BackEndEnded Event = "back_end_ended"
 	// RequestHeld: a request is kept away from back ends, since some have ended under it.
@@ -71,7 +75,7 @@
 // All lists every event.
 var All = []Event{
 	RequestEnded, AttemptFailed, RequestRefused, KeyRefused, RunMoved, ConfigurationInForce, ConfigurationUnreadable, ListingInForce,
-	BackEndEnded, RequestHeld, RequestTried, GuardCallFailed,
+	BackEndRests, BackEndLeaves, BackEndEnded, RequestHeld, RequestTried, GuardCallFailed,
 	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageDelivered, ReplicasOrdered, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
 
--- a/internal/gateway/completion_connect.go
+++ b/internal/gateway/completion_connect.go
@@ -47,8 +47,12 @@
 	return nil
 }
 
-// resume asks the engine for the rest of the exchange under way.
+// resume asks the engine for what is left of the exchange under way.
 func (c *completion) resume() bool {
+	if c.gateway.dispatcher.rests(c.backEnd) {
+		c.resumes = maximumResumes // the engine has asked to be left alone
+		return false
+	}
 	if c.resumes > 0 {
 		time.Sleep(resumePause)
 	}
--- a/internal/gateway/completion_end.go
+++ b/internal/gateway/completion_end.go
@@ -21,7 +21,7 @@
 	c.open = false
 	c.excluded = append(c.excluded, c.backEnd.Name)
 	c.gateway.dispatcher.observe(routing.Failed{BackEnd: c.backEnd.Name, Exchange: c.exchange})
-	c.gateway.cancelLater(c.backEnd.Address, c.exchange)
+	c.gateway.cancelLater(c.backEnd, c.exchange)
 	c.noteBroken(c.backEnd, endWait)
 }
 
@@ -43,7 +43,7 @@
 	}
 	c.open = false
 	c.gateway.dispatcher.observe(routing.Finished{BackEnd: c.backEnd.Name, Exchange: c.exchange})
-	cancelled := c.gateway.upstream.Cancel(c.backEnd.Address, c.exchange, time.Now().Add(cancelTimeout))
+	cancelled := c.gateway.cancel(cancellation{backEnd: c.backEnd, exchange: c.exchange}, cancelTimeout)
 	if cancelled == verdict.NotRun && c.tried.total() == 1 && !c.promptSent {
 		c.mayHaveRun = false
 	}
@@ -92,6 +92,6 @@
 	if c.open {
 		c.open = false
 		c.gateway.dispatcher.observe(routing.Finished{BackEnd: c.backEnd.Name, Exchange: c.exchange})
-		c.gateway.cancelLater(c.backEnd.Address, c.exchange)
+		c.gateway.cancelLater(c.backEnd, c.exchange)
 	}
 }
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -48,14 +48,21 @@
 
 // observeReport tells the router what a back end said of itself in the answer to an exchange.
 func (d *dispatcher) observeReport(backEnd, exchange string, report upstream.Report) {
-	if report.State == "" && report.Load == "" {
+	if report.State == "" && report.Load == "" && report.Rest == 0 {
 		return
 	}
 	d.observe(routing.Answered{
-		BackEnd: backEnd, Exchange: exchange, State: report.State, Role: report.Role, Load: parseLoad(report.Load),
+		BackEnd: backEnd, Exchange: exchange, State: report.State, Role: report.Role, Load: parseLoad(report.Load), Rest: report.Rest,
 	})
 }
 
+// rests reports whether a back end has asked this gateway to be left alone for now.
+func (d *dispatcher) rests(backEnd routing.BackEnd) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.router.Rest(d.clock.now(), backEnd) > 0
+}
+
 func (d *dispatcher) setBackEnds(backEnds []routing.BackEnd) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/gateway/hand_over.go
+++ b/internal/gateway/hand_over.go
@@ -122,7 +122,7 @@
 		return nil // another pair may do
 	}
 	c.mayHaveRun, c.promptSent, c.wholeOnly = true, true, true
-	c.gateway.cancelLater(prefill.Address, exchange)
+	c.gateway.cancelLater(*prefill, exchange)
 	if !c.target.kind.Spec.GetRepeatable() {
 		return c.refusal(refuseBackEnd())
 	}
--- a/internal/relay/asker.go
+++ b/internal/relay/asker.go
@@ -151,7 +151,7 @@
 		a.cancel(assignment{owner: owner, number: number})
 		return engineAnswer{}, false
 	}
-	answer, valid := answerFromWire(told, a.relay.view.Load(), query.excludes)
+	answer, valid := answerFromWire(told, a.relay.view.Load(), query.excludes, a.relay.clock.now())
 	if !valid {
 		a.relay.metrics.asked.WithLabelValues(askedStale).Inc()
 		a.cancel(assignment{owner: owner, number: number})
--- a/internal/relay/asker_test.go
+++ b/internal/relay/asker_test.go
@@ -267,15 +267,15 @@
 	}
 	decided.decision.Engine = &decided.chosen.Candidate
 	none := func(*backEnd) bool { return false }
-	read, valid := answerFromWire(answerToWire(asked, decided), view, none)
+	read, valid := answerFromWire(answerToWire(asked, decided), view, none, 0)
 	require.True(t, valid)
 	require.Equal(t, decided, read)
 
-	_, valid = answerFromWire(&v1.PlacementAnswer{Action: v1.PlacementAction_PLACEMENT_ACTION_READ_APART, Engine: 77}, view, none)
+	_, valid = answerFromWire(&v1.PlacementAnswer{Action: v1.PlacementAction_PLACEMENT_ACTION_READ_APART, Engine: 77}, view, none, 0)
 	require.False(t, valid, "an engine that is not listed")
-	_, valid = answerFromWire(answerToWire(asked, decided), view, func(*backEnd) bool { return true })
+	_, valid = answerFromWire(answerToWire(asked, decided), view, func(*backEnd) bool { return true }, 0)
 	require.False(t, valid, "an engine that was tried already")
-	read, valid = answerFromWire(&v1.PlacementAnswer{Action: 99}, view, none)
+	read, valid = answerFromWire(&v1.PlacementAnswer{Action: 99}, view, none, 0)
 	require.True(t, valid)
 	require.Equal(t, placement.Unplaced, read.decision.Action)
 }
@@ -297,7 +297,7 @@
 		query := queryFromWire(datagram.GetRequest(), view)
 		require.GreaterOrEqual(t, query.request.Tokens, 0)
 		require.GreaterOrEqual(t, query.request.Target, time.Duration(0))
-		answer, _ := answerFromWire(datagram.GetAnswer(), view, func(*backEnd) bool { return false })
+		answer, _ := answerFromWire(datagram.GetAnswer(), view, func(*backEnd) bool { return false }, 0)
 		if answer.chosen != nil {
 			require.GreaterOrEqual(t, answer.chosen.Waiting, time.Duration(0))
 			require.GreaterOrEqual(t, answer.chosen.ToRead, 0)
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/hazelpitch/hazelpitch/internal/backpressure"
 	"github.com/hazelpitch/hazelpitch/internal/cell"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
@@ -17,6 +18,8 @@
 	hash  uint64
 	pool  pool
 	cache *promptCache
+	// wishes are what this start of the back end has asked of this relay.
+	wishes *backpressure.Wishes
 	// changingSince is when the engine was marked last as changing its stage.
 	changingSince time.Duration
 
@@ -28,7 +31,10 @@
 
 // newBackEnd returns the record of a listed back end; memory is an engine's, in tokens.
 func newBackEnd(entry serving.BackEnd, memory int) *backEnd {
-	return &backEnd{BackEnd: entry, hash: cell.HashEngine(entry.ID), cache: newPromptCache(placement.CacheCapacity(entry.Stage, memory))}
+	return &backEnd{
+		BackEnd: entry, hash: cell.HashEngine(entry.ID), wishes: &backpressure.Wishes{},
+		cache: newPromptCache(placement.CacheCapacity(entry.Stage, memory)),
+	}
 }
 
 // load is what the relay knows of a back end's work and health.
--- a/internal/relay/cache_reader.go
+++ b/internal/relay/cache_reader.go
@@ -27,7 +27,7 @@
 // learns from notices.
 type cacheReader struct {
 	relay  *Relay
-	read   func(context.Context, *http.Client, serving.BackEnd) ([]serving.CachedPart, error)
+	read   func(context.Context, *http.Client, serving.BackEnd) (serving.CacheReading, error)
 	client *http.Client
 	// owned are the engines that were this relay's at the last look, readAt when they were read.
 	owned  map[*promptCache]bool
@@ -48,13 +48,14 @@
 	owned := map[*promptCache]bool{}
 	for _, engine := range c.relay.owners.ownedEngines() {
 		owned[engine.cache] = true
-		if c.owned[engine.cache] || engine.Leaving || !c.isDue(engine) {
+		if c.owned[engine.cache] || engine.leaving() || engine.resting(c.relay.clock.now()) || !c.isDue(engine) {
 			continue
 		}
 		c.readAt[engine.cache] = c.relay.clock.now()
-		parts, err := c.read(ctx, c.client, engine.BackEnd)
+		cached, err := c.read(ctx, c.client, engine.BackEnd)
+		c.relay.noteAsked(engine, cached.Asked)
 		if err == nil {
-			engine.cache.keep(c.relay.clock.now(), hashed(parts))
+			engine.cache.keep(c.relay.clock.now(), hashed(cached.Parts))
 		}
 		if !pause.For(ctx, cacheReadPause) {
 			return
--- a/internal/relay/cache_reader_test.go
+++ b/internal/relay/cache_reader_test.go
@@ -35,12 +35,12 @@
 	relay := newTestRelay(t, route(stream(false)), cold, warm, decoder)
 	var asked []string
 	reader := &cacheReader{relay: relay.Relay, readAt: map[*promptCache]time.Duration{}}
-	reader.read = func(_ context.Context, _ *http.Client, engine serving.BackEnd) ([]serving.CachedPart, error) {
+	reader.read = func(_ context.Context, _ *http.Client, engine serving.BackEnd) (serving.CacheReading, error) {
 		asked = append(asked, engine.ID)
 		if engine.ID != "warm" {
-			return nil, errors.New("does not answer")
+			return serving.CacheReading{}, errors.New("does not answer")
 		}
-		return []serving.CachedPart{{Model: "m", Part: serving.PromptPart{ID: "aa", Tokens: 6000}}}, nil
+		return serving.CacheReading{Parts: []serving.CachedPart{{Model: "m", Part: serving.PromptPart{ID: "aa", Tokens: 6000}}}}, nil
 	}
 	reader.readNew(t.Context())
 	require.ElementsMatch(t, []string{"cold", "warm", "decoder"}, asked)
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -44,6 +44,8 @@
 	Load string
 	// NotExecuted on an answer says that the back end has not run the request.
 	NotExecuted string
+	// Leaving on an answer says that the back end leaves.
+	Leaving string
 	// Priority ranks a request at an engine; 0 goes first.
 	Priority string
 	// Stage asks for a part of an engine's work.
--- a/internal/relay/engine_query.go
+++ b/internal/relay/engine_query.go
@@ -42,15 +42,27 @@
 // excludes reports whether an engine must not be taken.
 func (q *engineQuery) excludes(engine *backEnd) bool { return slices.Contains(q.excluded, engine.hash) }
 
-// queryOf asks for an engine for a request that has tried some.
+// queryOf asks for an engine for a request that has tried some. What engines have asked of this relay the
+// owner does not know.
 func queryOf(purpose purpose, tried *attempts, wanted placement.Request) *engineQuery {
 	query := &engineQuery{purpose: purpose, service: tried.request.service.Name, request: wanted}
 	for _, engine := range tried.excluded {
 		query.excluded = append(query.excluded, engine.hash)
 	}
+	for _, engine := range tried.relay.view.Load().byService[query.service] {
+		if len(query.excluded) >= mostExcluded {
+			break // the answer is looked at again: one that rests is not taken
+		}
+		if engine.wishes.Leaving() && !engine.Leaving || engine.resting(wanted.Now) {
+			query.excluded = append(query.excluded, engine.hash)
+		}
+	}
 	return query
 }
 
+// mostExcluded bounds the engines that a question excludes, 8 to 10 bytes each in its datagram.
+const mostExcluded = 32
+
 // decideFrom decides by what is known of the engines.
 func (q *engineQuery) decideFrom(policy placement.Parameters, seen survey, draw func() float64) placement.Decision {
 	switch q.purpose {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -66,6 +66,8 @@
 	dial    dialing.Dial
 	notices *notices
 	guard   *crashguard.Guard
+	// noteAnswer takes what a back end asks for in the head of an answer.
+	noteAnswer func(*backEnd, *fasthttp.ResponseHeader)
 	// without are mechanisms that are left out.
 	without mechanism.Set
 }
@@ -115,6 +117,9 @@
 	if now >= message.deadline {
 		return nil, &failure{verdict: verdict.NotRun, cause: errDeadline}
 	}
+	if message.backEnd.resting(now) { // it was picked before the rest was asked for
+		return nil, &failure{verdict: verdict.NotRun, cause: errResting}
+	}
 	connection := message.backEnd.pool.take(now, idleLimitOf(message.request.route))
 	if connection == nil {
 		var err error
@@ -282,6 +287,7 @@
 	if answer.status == fasthttp.StatusMisdirectedRequest {
 		return &failure{verdict: verdict.NotRun, arrived: true, cause: errMisdirected}
 	}
+	e.noteAnswer(answer.message.backEnd, answer.head)
 	if len(answer.head.Peek(e.names.NotExecuted)) > 0 {
 		return &failure{
 			verdict: verdict.NotRun, arrived: true, cause: fmt.Errorf("%w: status %d", errNotExecuted, answer.status),
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -4,6 +4,8 @@
 	"errors"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
@@ -20,6 +22,16 @@
 	avoided time.Duration
 }
 
+// notePauses adds to a line the pauses that stood behind the failure, where there were any.
+func (f *failure) notePauses(line *zerolog.Event) {
+	if f.retryAfter > 0 {
+		line.Int64("retry_after_ms", f.retryAfter.Milliseconds())
+	}
+	if f.avoided > 0 {
+		line.Int64("avoided_ms", f.avoided.Milliseconds())
+	}
+}
+
 // Error implements error.
 func (f *failure) Error() string { return f.verdict.String() + ": " + f.cause.Error() }
 
@@ -39,6 +51,7 @@
 	errBroken       = errors.New("the connection broke before the answer was whole")
 	errNoAnswer     = errors.New("the bytes received are no answer")
 	errNotExecuted  = errors.New("the back end has not run the request")
+	errResting      = errors.New("the back end has asked to be left alone for now")
 	errMisdirected  = errors.New("another back end has the address")
 	errForeign      = errors.New("the answer belongs to another request")
 	errWrongAnswer  = errors.New("the answer does not fit the request")
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -20,7 +20,7 @@
 		load := backEnd.look(now)
 		engine := placement.Engine{
 			Hash: backEnd.hash, Zone: backEnd.Zone, Stage: backEnd.Stage, Slots: backEnd.Slots,
-			Closed:     backEnd.Leaving || backEnd.Changing || isExcluded(backEnd),
+			Closed:     backEnd.closed(now) || isExcluded(backEnd),
 			AvoidUntil: load.avoidUntil, Failures: load.failures + load.suspicions, Running: max(load.own.Streams, load.told),
 		}
 		if backEnd.isEngine() {
--- a/internal/relay/placement_wire.go
+++ b/internal/relay/placement_wire.go
@@ -127,8 +127,8 @@
 }
 
 // answerFromWire is the reverse of answerToWire. It reports false for an answer whose engines are
-// not listed here, or take no work by the newest list.
-func answerFromWire(told *v1.PlacementAnswer, view *view, excludes func(*backEnd) bool) (engineAnswer, bool) {
+// not listed here, or take no work by what is known here.
+func answerFromWire(told *v1.PlacementAnswer, view *view, excludes func(*backEnd) bool, now time.Duration) (engineAnswer, bool) {
 	if told.GetUnknownCell() {
 		return engineAnswer{}, false
 	}
@@ -146,7 +146,7 @@
 		return answer, true
 	}
 	engine := view.byHash[told.GetEngine()]
-	if engine == nil || engine.Leaving || engine.Changing || excludes(engine) {
+	if engine == nil || engine.closed(now) || excludes(engine) {
 		return engineAnswer{}, false
 	}
 	answer.chosen = &place{
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -46,7 +46,7 @@
 // request may go on, that is awaited.
 func (a *attempts) noteBroken(backEnd *backEnd, fault *failure) {
 	relay, request := a.relay, a.request
-	if !fault.arrived || backEnd.Leaving {
+	if !fault.arrived || backEnd.leaving() {
 		return
 	}
 	if errors.Is(fault, errStalled) || errors.Is(fault, errSilent) {
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -56,7 +56,9 @@
 	usageSentAgain prometheus.Counter
 	// replicaEnds counts back ends that ended while they ran requests of this relay,
 	// guardCallsFailed calls to the leader on them that failed.
-	replicaEnds      prometheus.Counter
+	replicaEnds prometheus.Counter
+	// rests counts the rests that back ends have asked of this relay.
+	rests            prometheus.Counter
 	guardCallsFailed prometheus.Counter
 	waits            prometheus.Counter
 	// startWaits counts requests that came before the relay knew what they need.
@@ -83,6 +85,7 @@
 		again:            factory.Counter("sendings_again_total", "Sendings of requests beyond the first."),
 		denied:           factory.Counter("sendings_denied_total", "Sendings beyond the first that the retry budget did not allow."),
 		usageSentAgain:   factory.Counter("usage_sendings_again_total", "Reports of tenants' usage that were not taken and had to be sent again."),
+		rests:            factory.Counter("back_end_rests_total", "Rests that back ends have asked of this relay."),
 		replicaEnds:      factory.Counter("back_ends_ended_total", "Back ends that ended while they ran requests of this relay."),
 		guardCallsFailed: factory.Counter("guard_calls_failed_total", "Calls to the leader on ended back ends and held requests that failed."),
 		waits:            factory.Counter("reading_waits_total", "Waits of prompts for the reading of parts that they share."),
@@ -143,9 +146,10 @@
 	backEndAvoided  backEndState = "avoided"
 	backEndLeaving  backEndState = "leaving"
 	backEndChanging backEndState = "changing"
+	backEndResting  backEndState = "resting"
 )
 
-var backEndStates = []backEndState{backEndReady, backEndAvoided, backEndLeaving, backEndChanging}
+var backEndStates = []backEndState{backEndReady, backEndAvoided, backEndLeaving, backEndChanging, backEndResting}
 
 // countBackEnds counts the listed back ends in a state.
 func (r *Relay) countBackEnds(state backEndState) int {
@@ -163,8 +167,10 @@
 // state tells how the back end stands.
 func (b *backEnd) state(now time.Duration) backEndState {
 	switch {
-	case b.Leaving:
+	case b.leaving():
 		return backEndLeaving
+	case b.resting(now):
+		return backEndResting
 	case b.Changing:
 		return backEndChanging
 	case now < b.look(now).avoidUntil:
--- a/internal/relay/release.go
+++ b/internal/relay/release.go
@@ -14,6 +14,9 @@
 // the prompt's parts for any request.
 func (e *exchanger) release(held *heldPrompt, path string) {
 	now := e.clock.now()
+	if held.engine.resting(now) {
+		return // the prompt lapses by itself
+	}
 	connection := held.engine.pool.take(now, unsafeIdleLimit)
 	if connection == nil {
 		var err error
@@ -26,7 +29,12 @@
 	if e.writeCall(connection, held.engine, fasthttp.MethodDelete, path, nil) != nil {
 		return
 	}
-	if (&fasthttp.ResponseHeader{}).Read(connection.reader) == nil {
+	head := &fasthttp.ResponseHeader{}
+	if head.Read(connection.reader) != nil || head.StatusCode() == fasthttp.StatusMisdirectedRequest {
+		return
+	}
+	e.noteAnswer(held.engine, head)
+	if head.StatusCode() == fasthttp.StatusOK {
 		e.noteKept(held.engine, held.parts)
 	}
 }
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -39,7 +39,7 @@
 func (l requestLog) attemptFailed(request *request, backEnd *backEnd, fault *failure) {
 	l.line(zerolog.WarnLevel, events.AttemptFailed, request).Stringer("content", request.signature).Str("back_end", backEnd.ID).
 		Str("verdict", fault.verdict.String()).Bool("arrived", fault.arrived).
-		Int64("retry_after_ms", fault.retryAfter.Milliseconds()).Int64("avoided_ms", fault.avoided.Milliseconds()).AnErr("cause", fault.cause).Send()
+		AnErr("cause", fault.cause).Func(fault.notePauses).Send()
 }
 
 // refused notes a final answer of the relay's own.
--- a/internal/relay/run_mover.go
+++ b/internal/relay/run_mover.go
@@ -112,6 +112,9 @@
 // the handle under which the run goes on.
 func (e *exchanger) copyRun(engine *backEnd, dialect Dialect, request, address string, stop bool) (copied bool, handle string) {
 	now := e.clock.now()
+	if engine.resting(now) {
+		return false, "" // the run stays where it is
+	}
 	connection, err := e.open(engine, moveTimeout)
 	if err != nil {
 		return false, ""
@@ -125,5 +128,8 @@
 	if err := answer.ReadLimitBody(connection.reader, maximumPrefillAnswer); err != nil {
 		return false, ""
 	}
+	if answer.StatusCode() != fasthttp.StatusMisdirectedRequest {
+		e.noteAnswer(engine, &answer.Header)
+	}
 	return answer.StatusCode() == fasthttp.StatusOK, dialect.ParseMoveAnswer(answer.Body())
 }
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -168,8 +168,9 @@
 
 // othersLeft reports whether a back end is left that has not been tried.
 func (r *Relay) othersLeft(answer *answer, tried *attempts) bool {
+	now := r.clock.now()
 	for _, backEnd := range r.view.Load().byService[answer.message.request.service.Name] {
-		if !backEnd.Leaving && backEnd != answer.message.backEnd && !tried.isExcluded(backEnd) {
+		if !backEnd.leaving() && !backEnd.resting(now) && backEnd != answer.message.backEnd && !tried.isExcluded(backEnd) {
 			return true
 		}
 	}
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hazelpitch/hazelpitch/internal/backpressure"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 )
 
@@ -32,13 +33,16 @@
 	failures   int
 	// outdated tells that the directory's row is about an earlier incarnation.
 	outdated bool
+	// wishes are what this incarnation has asked of this gateway.
+	wishes *backpressure.Wishes
 }
 
-func newCandidate(backEnd BackEnd) *Candidate {
+func newCandidate(backEnd BackEnd, wishes *backpressure.Wishes) *Candidate {
 	hash := hashName(backEnd.Name)
 	return &Candidate{
 		BackEnd:  backEnd,
 		nameHash: hash,
+		wishes:   wishes,
 		node:     nodeIdentity(hash, backEnd.Incarnation),
 	}
 }
@@ -94,7 +98,7 @@
 
 // serving reports whether both the directory and the back end itself say so.
 func (c *Candidate) serving() bool {
-	return c.State == enginecontract.StateServing && c.heldState == ""
+	return c.State == enginecontract.StateServing && c.heldState == "" && !c.wishes.Leaving()
 }
 
 // restart forgets what is true of one incarnation only.
--- a/internal/routing/errors.go
+++ b/internal/routing/errors.go
@@ -14,6 +14,8 @@
 	ErrNoneConfirmed = errors.New("no back end is confirmed to be serving")
 	// ErrAllExcluded: every serving back end has failed this request or is cooling down.
 	ErrAllExcluded = errors.New("every serving back end has failed lately")
+	// ErrAllResting: every back end that serves has asked to be left alone for now.
+	ErrAllResting = errors.New("every serving back end has asked to be left alone for now")
 	// ErrInfeasible: no back end can finish before the deadline.
 	ErrInfeasible = errors.New("no back end can finish before the deadline")
 )
--- a/internal/routing/observation.go
+++ b/internal/routing/observation.go
@@ -33,6 +33,8 @@
 	// Load is nil when the answer did not tell. It was measured Age ago.
 	Load *Load
 	Age  time.Duration
+	// Rest is how long the back end wants nothing from this gateway, from now on; 0 when it did not ask.
+	Rest time.Duration
 }
 
 // FirstToken tells that the first token of an exchange has come. Routing learns
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -45,7 +45,11 @@
 		sentAt = candidate.work.sentAt(seen.Exchange)
 	}
 	if seen.Incarnation > candidate.Incarnation {
-		candidate.restart(seen.Incarnation)
+		r.restart(candidate, seen.Incarnation)
+	}
+	candidate.wishes.AskRest(now, seen.Rest)
+	if seen.State == enginecontract.StateLeaving {
+		candidate.wishes.SayLeaving(now)
 	}
 	if seen.Role != "" && seen.Role != candidate.Role {
 		r.changeRole(candidate, seen.Role)
--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -48,7 +48,7 @@
 // StandardFilters returns the filters in force unless Config replaces them, in
 // the order in which they run.
 func StandardFilters() []Filter {
-	return []Filter{modelFilter{}, confirmationFilter{}, exclusionFilter{}}
+	return []Filter{modelFilter{}, confirmationFilter{}, restFilter{}, exclusionFilter{}}
 }
 
 // StandardScorers returns the scorers in force unless Config replaces them.
--- a/internal/routing/prefix_memory_test.go
+++ b/internal/routing/prefix_memory_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hazelpitch/hazelpitch/internal/backpressure"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 )
 
@@ -20,7 +21,7 @@
 func testCandidates(count int) []*Candidate {
 	candidates := make([]*Candidate, count)
 	for i := range candidates {
-		candidates[i] = newCandidate(BackEnd{Name: string(rune('a' + i)), Incarnation: 1})
+		candidates[i] = newCandidate(BackEnd{Name: string(rune('a' + i)), Incarnation: 1}, &backpressure.Wishes{})
 	}
 	return candidates
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -1,9 +1,12 @@
 package routing
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/backpressure"
 )
 
 // Router chooses back ends. See the package comment for its concurrency contract.
@@ -13,6 +16,8 @@
 	pools      map[poolKey]*pool
 	prefixes   *prefixMemory
 	readings   map[readingKey]*readingMean
+	// wishes are what back ends have asked of this gateway; they outlive candidates.
+	wishes *backpressure.Ledger
 	// kept and scored are scratch space of one decision.
 	kept   []*Candidate
 	scored []Scored
@@ -42,6 +47,7 @@
 		pools:      make(map[poolKey]*pool),
 		prefixes:   prefixes,
 		readings:   make(map[readingKey]*readingMean),
+		wishes:     backpressure.NewLedger(),
 	}, nil
 }
 
@@ -57,9 +63,13 @@
 		}
 		candidate, known := r.candidates[row.Name]
 		if known {
+			former := candidate.Incarnation
 			candidate.update(row)
+			if candidate.Incarnation != former {
+				candidate.wishes = r.wishesOf(candidate.BackEnd)
+			}
 		} else {
-			candidate = newCandidate(row)
+			candidate = newCandidate(row, r.wishesOf(row))
 		}
 		candidates[row.Name] = candidate
 		r.addToPools(candidate)
@@ -69,6 +79,42 @@
 	r.forgetReadings()
 }
 
+// restart forgets what is true of a back end's earlier incarnation only.
+func (r *Router) restart(candidate *Candidate, incarnation uint64) {
+	candidate.restart(incarnation)
+	candidate.wishes = r.wishesOf(candidate.BackEnd)
+}
+
+// wishesOf returns what an incarnation of a back end has asked of this gateway.
+func (r *Router) wishesOf(backEnd BackEnd) *backpressure.Wishes {
+	return r.wishes.Of(identityOf(backEnd))
+}
+
+// identityOf names one incarnation of a back end.
+func identityOf(backEnd BackEnd) string {
+	return backEnd.Name + "/" + strconv.FormatUint(backEnd.Incarnation, 10)
+}
+
+// shortestRest is when the first back end of a service that rests can be sent requests again.
+func (r *Router) shortestRest(now time.Duration, service string) time.Duration {
+	shortest := time.Duration(0)
+	for _, candidate := range r.candidates {
+		if rest := candidate.wishes.Rest(now); candidate.Service == service && rest > 0 && (shortest == 0 || rest < shortest) {
+			shortest = rest
+		}
+	}
+	return shortest
+}
+
+// Rest is how much longer a back end wants nothing from this gateway; 0 when it can be sent requests.
+func (r *Router) Rest(now time.Duration, backEnd BackEnd) time.Duration {
+	candidate, known := r.candidates[backEnd.Name]
+	if !known || candidate.Incarnation != backEnd.Incarnation {
+		return 0
+	}
+	return candidate.wishes.Rest(now)
+}
+
 func (r *Router) sortPools() {
 	for _, pool := range r.pools {
 		pool.sortMembers(r)
@@ -93,6 +139,22 @@
 			candidate.confirm(at)
 		}
 	}
+	if r.wishes.Len() > 2*len(r.candidates)+sparedWishes {
+		r.forgetWishes(at)
+	}
+}
+
+// sparedWishes is how many former incarnations may stay in the ledger of wishes before it is looked through,
+// which costs time in proportion to the directory.
+const sparedWishes = 64
+
+// forgetWishes forgets what incarnations that are gone have asked, as far as it does not hold any more.
+func (r *Router) forgetWishes(now time.Duration) {
+	listed := make(map[string]bool, len(r.candidates))
+	for _, candidate := range r.candidates {
+		listed[identityOf(candidate.BackEnd)] = true
+	}
+	r.wishes.Keep(now, func(identity string) bool { return listed[identity] })
 }
 
 func (r *Router) zoneLatency(zone string) time.Duration {
--- a/internal/servercommand/site.go
+++ b/internal/servercommand/site.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 
-	"github.com/hazelpitch/hazelpitch/internal/control"
 	"github.com/hazelpitch/hazelpitch/internal/controller"
 	"github.com/hazelpitch/hazelpitch/internal/duty"
 	"github.com/hazelpitch/hazelpitch/internal/relay"
@@ -21,9 +20,9 @@
 	// ReadListing reads so many pages of the list of back ends at an address; 0 pages are all.
 	ReadListing func(ctx context.Context, client *http.Client, address string, pages int) (serving.Listing, error)
 	// ReadCache reads what an engine has cached.
-	ReadCache func(ctx context.Context, client *http.Client, engine serving.BackEnd) ([]serving.CachedPart, error)
+	ReadCache func(ctx context.Context, client *http.Client, engine serving.BackEnd) (serving.CacheReading, error)
 	// OrderStage orders an engine into a role.
-	OrderStage func(ctx context.Context, client *http.Client, order controller.StageOrder) (control.StageOutcome, error)
+	OrderStage func(ctx context.Context, client *http.Client, order controller.StageOrder) (controller.StageAnswer, error)
 	// Duties reads the names of the platform's singleton duties.
 	Duties func(names []string) Duties
 	// ReportUsage tells the platform at an address what tenants used in a window.
--- a/internal/serving/prompt.go
+++ b/internal/serving/prompt.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"strings"
+
+	"github.com/hazelpitch/hazelpitch/internal/backpressure"
 )
 
 // Prompt is what a request declares of its prompt.
@@ -29,6 +31,13 @@
 	Part  PromptPart
 }
 
+// CacheReading is one engine's answer of what it has cached.
+type CacheReading struct {
+	Parts []CachedPart
+	// Asked is what the engine asked for in its answer, also in one that brought no parts.
+	Asked backpressure.Asked
+}
+
 // ParsePrompt reads the declarations: "PROMPT,OUTPUT" and "ID:TOKENS,ID:TOKENS". What
 // cannot be read is left out, since the declarations only guide routing.
 func ParsePrompt(model, tokens, parts string) Prompt {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/tidwall/gjson"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/backpressure"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -50,6 +51,8 @@
 	State enginecontract.ServiceState
 	Role  enginecontract.Role
 	Load  string
+	// Rest is how long the back end wants nothing from this gateway; 0 when it did not ask.
+	Rest time.Duration
 }
 
 // Answer is the beginning of a back end's answer. Close it.
@@ -124,6 +127,7 @@
 		State: enginecontract.ServiceState(header.Peek(enginecontract.HeaderEngineState)),
 		Role:  enginecontract.Role(header.Peek(enginecontract.HeaderEngineRole)),
 		Load:  string(header.Peek(enginecontract.HeaderEngineLoad)),
+		Rest:  backpressure.AskedIn(header.StatusCode(), header.Peek(fasthttp.HeaderRetryAfter), nil).Rest,
 	}
 }
 
