Starts of replicas are told apart by their time of birth, entries of other writers name no back end

Cause: a replica may start again under its identity now. All that relays, owners, controllers and the guard know hangs on the identity of the entry, so that what was known of a former start (caches, load, pools, rest, orders, ends) was taken for the new one's: a request that ends replicas ended them again and again, since the relay that looked found a replica that served. And one entry with a field of another type failed the whole reading of the list, one with an unknown state stood for a back end that leaves. The guard counts the end of a start whose identity another start has. What is wrong with the list is told by listing_fault when it changes (failed readings said nothing before). The soak makes both, and rests and back ends that say that they leave, with a check and rows that break it for each.

--- a/internal/controller/outputs.go
+++ b/internal/controller/outputs.go
@@ -27,7 +27,7 @@
 		interval: c.config.MachineListInterval, deliver: c.loop.send, log: c.log,
 	}
 	if c.site != nil {
-		c.listing = newListingReader(c.site, dial, c.loop.send)
+		c.listing = newListingReader(c.site, dial, c.loop.send, c.log)
 		c.stageOrders = newStageOrderer(c.site, dial, c.loop.now, c.loop.send, c.log)
 		c.duties = newDutyCaller(c.site, dial, c.loop.now, c.loop.send, c.log)
 	}
--- a/internal/controller/site.go
+++ b/internal/controller/site.go
@@ -12,6 +12,9 @@
 	"github.com/hazelpitch/hazelpitch/internal/control"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/duty"
+	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/listing"
+	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/replicaplan"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
@@ -161,16 +164,18 @@
 	// wanted holds how many pages to read.
 	wanted  chan int
 	deliver func(context.Context, control.Input) error
+	faults  listing.Faults
+	log     *logring.Log
 }
 
 // listingReadTimeout bounds one reading of the list.
 const listingReadTimeout = time.Second
 
-func newListingReader(site *Site, dial dialing.Dial, deliver func(context.Context, control.Input) error) *listingReader {
+func newListingReader(site *Site, dial dialing.Dial, deliver func(context.Context, control.Input) error, log *logring.Log) *listingReader {
 	return &listingReader{
 		read:   site.ReadListing,
 		client: &http.Client{Transport: &http.Transport{DialContext: dial}, Timeout: listingReadTimeout},
-		wanted: make(chan int, 1), deliver: deliver,
+		wanted: make(chan int, 1), deliver: deliver, log: log,
 	}
 }
 
@@ -191,9 +196,12 @@
 			return
 		case pages = <-l.wanted:
 		}
-		listing, err := l.read(ctx, l.client, pages)
-		received := control.ListingReceived{Failed: err != nil, Calls: listing.Calls, Whole: listing.Whole}
-		for _, backEnd := range listing.BackEnds {
+		read, err := l.read(ctx, l.client, pages)
+		if fault, isNews := l.faults.Next(read, err); isNews {
+			l.log.Warn().Str(events.FieldEvent, string(events.ListingFault)).Str("fault", fault).Send()
+		}
+		received := control.ListingReceived{Failed: err != nil, Calls: read.Calls, Whole: read.Whole}
+		for _, backEnd := range read.BackEnds {
 			received.BackEnds = append(received.BackEnds, backEnd.Listed())
 		}
 		if l.deliver(ctx, received) != nil {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -42,6 +42,8 @@
 	ConfigurationUnreadable Event = "configuration_unreadable"
 	// ListingInForce: another list of back ends is in force at the relay.
 	ListingInForce Event = "listing_in_force"
+	// ListingFault: something else is wrong with the outside list than before, or nothing any more.
+	ListingFault Event = "listing_fault"
 	// LeaderLost and LeaderFound: the relay has lost, or found again, a controller that leads.
 	LeaderLost  Event = "leader_lost"
 	LeaderFound Event = "leader_found"
@@ -74,7 +76,7 @@
 
 // All lists every event.
 var All = []Event{
-	RequestEnded, AttemptFailed, RequestRefused, KeyRefused, RunMoved, ConfigurationInForce, ConfigurationUnreadable, ListingInForce,
+	RequestEnded, AttemptFailed, RequestRefused, KeyRefused, RunMoved, ConfigurationInForce, ConfigurationUnreadable, ListingInForce, ListingFault,
 	BackEndRests, BackEndLeaves, BackEndEnded, RequestHeld, RequestTried, GuardCallFailed,
 	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageDelivered, ReplicasOrdered, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -160,7 +160,7 @@
 func (e *exchanger) exchangeOn(connection *upstreamConnection, message *message) (*answer, *failure) {
 	set := append([]header{
 		{e.names.DeadlineMs, milliseconds(message.deadline - e.clock.now())},
-		{e.names.ExpectInstance, message.backEnd.ID},
+		{e.names.ExpectInstance, message.backEnd.Expected()},
 	}, message.set...)
 	if tenant := message.request.tenant; tenant != nil {
 		set = append(set, header{e.names.Tenant, tenant.Name})
--- a/internal/relay/knowledge.go
+++ b/internal/relay/knowledge.go
@@ -47,6 +47,7 @@
 	wanted  []*v1.WantedBackEnds
 	partial bool
 	own     listing.OwnReading
+	faults  listing.Faults
 	// listingCalls is how many calls a reading of the outside list takes, 0 while it is not known.
 	listingCalls int
 }
@@ -213,6 +214,9 @@
 		return
 	}
 	read, err := k.readListing(ctx, k.platform, 0)
+	if fault, isNews := k.faults.Next(read, err); isNews {
+		k.relay.event(events.ListingFault).Str("fault", fault).Send()
+	}
 	if err != nil {
 		return
 	}
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -86,17 +86,18 @@
 	return crashguard.SightOf(err)
 }
 
-// noteReplaced tells the guard of back ends whose address another start has by now.
+// noteReplaced tells the guard of back ends whose address, or whose identity, another start has by now.
 func (r *Relay) noteReplaced(gone []*backEnd, present map[string]*backEnd) {
 	if len(gone) == 0 {
 		return
 	}
-	taken := make(map[string]bool, len(present))
+	taken, started := make(map[string]bool, len(present)), make(map[string]bool, len(present))
 	for _, backEnd := range present {
 		taken[backEnd.Address] = true
+		started[backEnd.Expected()] = true
 	}
 	for _, backEnd := range gone {
-		if taken[backEnd.Address] {
+		if taken[backEnd.Address] || started[backEnd.Expected()] {
 			r.guard.Ended(backEnd.ID)
 		}
 	}
--- a/internal/serving/backend.go
+++ b/internal/serving/backend.go
@@ -17,8 +17,12 @@
 
 // BackEnd is one start of one replica.
 type BackEnd struct {
-	// ID is the identity of this start.
-	ID      string
+	// ID is the identity of this start. No other start has it.
+	ID string
+	// Replica is the identity that starts of one replica share; empty where it is ID.
+	Replica string
+	// Born is when this start began, in Unix milliseconds; 0 where the list does not tell.
+	Born    int64
 	Service string
 	// Address is IP:port; after the back end is gone it may belong to another service.
 	Address string
@@ -34,3 +38,11 @@
 	Stage  Stage
 	Models []string
 }
+
+// Expected is the identity by which requests name the back end that is meant.
+func (b BackEnd) Expected() string {
+	if b.Replica == "" {
+		return b.ID
+	}
+	return b.Replica
+}
--- a/internal/serving/listed.go
+++ b/internal/serving/listed.go
@@ -18,7 +18,7 @@
 	return &v1.ListedBackEnd{
 		Id: b.ID, Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: uint32(max(b.Slots, 0)),
 		Leaving: b.Leaving, Changing: b.Changing, ColdMs: uint32(max(b.Cold.Milliseconds(), 0)), Role: stages[b.Stage], Models: b.Models,
-		Spot: b.Spot,
+		Spot: b.Spot, Replica: b.Replica, BornMs: b.Born,
 	}
 }
 
@@ -27,7 +27,7 @@
 	backEnd := BackEnd{
 		ID: listed.GetId(), Service: listed.GetService(), Address: listed.GetAddress(), Zone: listed.GetZone(),
 		Slots: int(listed.GetSlots()), Leaving: listed.GetLeaving(),
-		Spot: listed.GetSpot(),
+		Spot: listed.GetSpot(), Replica: listed.GetReplica(), Born: listed.GetBornMs(),
 		Cold: time.Duration(listed.GetColdMs()) * time.Millisecond, Models: listed.GetModels(),
 	}
 	backEnd.Changing = listed.GetChanging()
--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -197,6 +197,30 @@
 			h.Arrivals = append(h.Arrivals, ranAt(id, "x", 2*second))
 		}
 	}},
+	{"three requests in a rest that was asked for", Budget, resting(3, 2*second/3, "front")},
+	{"two of them", "", resting(2, 2*second/3, "front")},
+	{"three within the first half second", "", resting(3, second/10, "front")},
+	{"three after the rest", "", resting(3, 4*second, "front")},
+	{"three of a relay that was not asked", "", resting(3, 2*second/3, "other")},
+	{"three of a relay that was killed meanwhile", "", func(h *history.History) {
+		resting(3, 2*second/3, "front")(h)
+		h.Faults = []history.Fault{{Kind: history.Kill, Target: "front", From: second / 2, To: second / 2}}
+	}},
+	{"three by a relay that only read its settings again", Budget, func(h *history.History) {
+		resting(3, 2*second/3, "front")(h)
+		h.Faults = []history.Fault{{Kind: history.Reload, Target: "front", From: second / 2, To: second / 2}}
+	}},
+	{"new work long after a back end said that it leaves", Drain, saidToLeave(4*second, "front")},
+	{"new work soon after that", "", saidToLeave(2*second, "front")},
+	{"new work from a relay that was not told", "", saidToLeave(4*second, "other")},
+	{"new work from a relay that was frozen since", "", func(h *history.History) {
+		saidToLeave(4*second, "front")(h)
+		h.Faults = []history.Fault{{Kind: history.Freeze, Target: "front", From: 2 * second, To: 3 * second}}
+	}},
+	{"a request at a place that only another writer names", Route, func(h *history.History) {
+		h.Sendings = []history.Sending{request("1", "safe", 0)}
+		h.Arrivals = []history.Arrival{ranAt("1", "x", 0), ranAnd(ranAt("1", "odd", 0), func(a *history.Arrival) { a.Service, a.Ran = history.NoService, false })}
+	}},
 	{"nothing is served after the last fault", Recover, recovering(0)},
 	{"a third is served", "", recovering(3)},
 }
@@ -251,6 +275,34 @@
 	}
 }
 
+// resting is a back end that asks the relay for three seconds of rest, and gets further requests from a time on.
+func resting(count int, after time.Duration, front string) func(*history.History) {
+	return func(h *history.History) {
+		h.Bounds.RetryWindow = 0
+		shed := func(id, machine string, at time.Duration, rest time.Duration) {
+			h.Sendings = append(h.Sendings, sentAnd(request(id, "safe", at), func(s *history.Sending) { s.Front, s.Status, s.Seal = machine, 503, "" }))
+			h.Arrivals = append(h.Arrivals, ranAnd(ranAt(id, "x", at), func(a *history.Arrival) {
+				a.Machine, a.Ran, a.Status, a.Seal, a.Rest, a.EndedAt = machine, false, 503, "", rest, at
+			}))
+		}
+		shed("0", "front", 0, 3*second)
+		for number := range count {
+			shed(fmt.Sprint(number+1), front, after+time.Duration(number)*second/10, 0)
+		}
+	}
+}
+
+// saidToLeave is a back end that says that it leaves, and gets a request some time after.
+func saidToLeave(after time.Duration, front string) func(*history.History) {
+	return func(h *history.History) {
+		h.Sendings = []history.Sending{request("1", "safe", second), sentAnd(request("2", "safe", second+after), func(s *history.Sending) { s.Front = front })}
+		h.Arrivals = []history.Arrival{
+			ranAnd(ranAt("1", "x", second), func(a *history.Arrival) { a.Leaving = true }),
+			ranAnd(ranAt("2", "x", second+after), func(a *history.Arrival) { a.Machine = front }),
+		}
+	}
+}
+
 func reconfigured(at time.Duration) func(*history.History) {
 	return func(h *history.History) {
 		h.Changes = []history.Change{
@@ -320,7 +372,7 @@
 	for _, row := range rows {
 		broken[row.rule] = true
 	}
-	for _, rule := range []Rule{Mixed, Twice, Refused, Unasked, Order, Lost, Drain, Config, Budget, One, Gone, Recover} {
+	for _, rule := range []Rule{Mixed, Twice, Refused, Unasked, Order, Lost, Drain, Config, Budget, One, Gone, Recover, Route} {
 		require.True(t, broken[rule], rule)
 	}
 }
--- a/internal/soak/check/finding.go
+++ b/internal/soak/check/finding.go
@@ -26,6 +26,7 @@
 	One     Rule = "ONE"
 	Gone    Rule = "GONE"
 	Recover Rule = "RECOVER"
+	Route   Rule = "ROUTE"
 )
 
 // Finding is a rule that was broken.
@@ -46,8 +47,8 @@
 // safety are the rules that hold whatever happens and however slow the machine is; timed those with a
 // time bound.
 var (
-	safety = []checker{mixed, twice, refused, unasked, order, attemptsOver, one}
-	timed  = []checker{lost, drain, config, gone, recovered, crashers, retriesOver}
+	safety = []checker{mixed, twice, refused, unasked, order, attemptsOver, one, nowhere}
+	timed  = []checker{lost, drain, config, gone, recovered, crashers, retriesOver, rests, saidLeaving}
 )
 
 // Safety finds broken rules that hang on no time.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -21,6 +21,8 @@
 	longestAway   = 2500 * time.Millisecond
 	// drainServes is how long a back end that leaves serves on.
 	drainServes = 3500 * time.Millisecond
+	// restLength is how long a back end turns requests away and asks for rest.
+	restLength = 4 * time.Second
 	// stopGrace is how long a process may take to end after it was asked to.
 	stopGrace = 6 * time.Second
 )
@@ -187,17 +189,19 @@
 	replicas := append(append([]*standin.Replica(nil), f.site.pages...), f.site.engines...)
 	replica := replicas[f.random.IntN(len(replicas))]
 	away, length := f.drawn(longestAway), f.drawn(longestAway)
-	switch f.random.IntN(6) {
+	switch f.random.IntN(7) {
+	case 6:
+		f.strike(history.Rest, replica.Identity(), false, func() { replica.Rest(restLength); time.Sleep(restLength) })
 	case 0:
-		f.strike(history.Crash, replica.ID(), false, func() { replica.Crash(); time.Sleep(away); _ = replica.Start() })
+		f.strike(history.Crash, replica.Identity(), false, func() { replica.Crash(); time.Sleep(away); _ = replica.Start() })
 	case 1, 2:
-		f.strike(history.Drain, replica.ID(), false, func() { replica.Drain(drainServes); time.Sleep(away); _ = replica.Start() })
+		f.strike(history.Drain, replica.Identity(), false, func() { replica.Drain(drainServes); time.Sleep(away); _ = replica.Start() })
 	case 3:
-		f.strike(history.Reset, replica.ID(), false, replica.Reset)
+		f.strike(history.Reset, replica.Identity(), false, replica.Reset)
 	case 4:
-		f.strike(history.Silence, replica.ID(), false, func() { replica.Silence(length); time.Sleep(length) })
+		f.strike(history.Silence, replica.Identity(), false, func() { replica.Silence(length); time.Sleep(length) })
 	default:
-		f.strike(history.Delay, replica.ID(), false, func() { replica.Slow(30 * time.Millisecond); time.Sleep(length); replica.Slow(0) })
+		f.strike(history.Delay, replica.Identity(), false, func() { replica.Slow(30 * time.Millisecond); time.Sleep(length); replica.Slow(0) })
 	}
 }
 
--- a/internal/soak/history/fault.go
+++ b/internal/soak/history/fault.go
@@ -1,6 +1,9 @@
 package history
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // FaultKind is what was done to a process.
 type FaultKind string
@@ -18,6 +21,8 @@
 	// Crash ends a back end, Drain takes it away as planned.
 	Crash FaultKind = "crash"
 	Drain FaultKind = "drain"
+	// Rest makes a back end turn requests away and ask for rest.
+	Rest FaultKind = "rest"
 	// Reset resets the connections between relays and a back end, Silence drops what they carry, Delay
 	// slows them.
 	Reset   FaultKind = "reset"
@@ -52,3 +57,17 @@
 	}
 	return true
 }
+
+// Disturbed reports whether one of the targets was struck within a span of time by anything but a sign to read its
+// settings again, or by a back end's own rest or drain.
+func (h *History) Disturbed(from, to time.Duration, targets ...string) bool {
+	for _, fault := range h.Faults {
+		if fault.Kind == Reload || fault.Kind == Rest || fault.Kind == Drain || fault.From > to || fault.To < from {
+			continue
+		}
+		if slices.Contains(targets, fault.Target) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -107,7 +107,7 @@
 		service := []string{standin.ServicePages, standin.ServiceOther}[number%2]
 		replica, err := standin.StartReplica(standin.ReplicaOptions{
 			Service: service, Zone: "z", Address: at(address(groupPages, number), portOuter), Slots: 8,
-			Work: 8 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder,
+			Work: 8 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, KeepID: number/2%2 == 0,
 		})
 		if err != nil {
 			return trace.Wrap(err)
@@ -118,7 +118,7 @@
 		stage := []string{platform.StageDecode, platform.StagePrefill}[number%2]
 		replica, err := standin.StartReplica(standin.ReplicaOptions{
 			Service: standin.ServiceEngines, Zone: "z", Address: at(address(groupEngines, number), portOuter), Stage: stage, Slots: 16,
-			Work: 5 * time.Millisecond, Pause: 15 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder,
+			Work: 5 * time.Millisecond, Pause: 15 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, KeepID: number/2%2 == 0,
 		})
 		if err != nil {
 			return trace.Wrap(err)
