Back ends of services that the configuration does not name are told to no relay and not ordered

Cause: entries of other writers may name a service that nobody named; an engine of it was told to all relays, its cache was read and it was ordered into stages. Change: the leader reads the names of services of each new configuration (nothing else of it), leaves other entries out of the list, and reads the list at once when a configuration brings a service; a relay that reads the list itself does likewise.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -59,6 +59,9 @@
 	// ReadConfiguration reads the operator's document where the number of replicas is ours to order;
 	// nil leaves it. It must be pure.
 	ReadConfiguration func(content []byte) (serving.Configuration, error)
+	// NamedServices returns the services that an operator's document names, none where it cannot tell; nil
+	// leaves it. It must be pure, and quick: a leader calls it for each document.
+	NamedServices func(content []byte) []string
 	// OnDemandShare is the part of a service's replicas that is never replaced by ones which the platform
 	// may take away.
 	OnDemandShare float64
--- a/internal/control/listing.go
+++ b/internal/control/listing.go
@@ -46,6 +46,7 @@
 	raw      []*v1.ListedBackEnd
 	told     []*v1.ListedBackEnd
 	backEnds []*v1.ListedBackEnd
+	named    namedServices
 	// demands say how many back ends of each service relays are to know.
 	demands map[string]*backEndDemand
 	// readAt is when the reading behind the list began.
@@ -66,6 +67,7 @@
 	if c.config.ListingInterval <= 0 {
 		return
 	}
+	c.readNamedServices()
 	if c.listing.underWay && c.now-c.listing.askedAt < listingTimeout {
 		return
 	}
@@ -93,6 +95,7 @@
 		return
 	}
 	c.listing.readAt = c.listing.askedAt
+	received.BackEnds = c.ofNamedServices(received.BackEnds)
 	c.listing.raw = received.BackEnds
 	wanted := c.wantedBackEnds(received.BackEnds)
 	if received.Whole {
--- a/internal/controller/core_config.go
+++ b/internal/controller/core_config.go
@@ -37,6 +37,7 @@
 		built.Without = site.Without
 		built.Usage, built.DutyInterval, built.DutyLife = site.Usage, site.DutyInterval, site.DutyLife
 		built.ReadConfiguration, built.OnDemandShare = site.ReadConfiguration, site.OnDemandShare
+		built.NamedServices = site.NamedServices
 		built.PriorPrefillShare, built.OrderWait, built.OrderLife = site.PriorPrefillShare, site.OrderWait, site.OrderLife
 	}
 	return built
--- a/internal/controller/site.go
+++ b/internal/controller/site.go
@@ -55,7 +55,8 @@
 	// reads the operator's document, the other orders replicas. The error tells why the outcome is
 	// not duty.Taken.
 	ReadConfiguration func(content []byte) (serving.Configuration, error)
-	// OnDemandShare: see control.Config.
+	// NamedServices and OnDemandShare: see control.Config.
+	NamedServices func(content []byte) []string
 	OnDemandShare float64
 	OrderReplicas func(ctx context.Context, client *http.Client, order ReplicaOrder) (duty.Outcome, error)
 	// OperatorListen is the IP:port for operators.
--- a/internal/relay/knowledge.go
+++ b/internal/relay/knowledge.go
@@ -223,6 +223,7 @@
 	k.listingCalls = read.Calls
 	next := *k.relay.view.Load()
 	next.listingVersion = 0
+	read.BackEnds = slices.DeleteFunc(read.BackEnds, func(backEnd serving.BackEnd) bool { return next.table.Service(backEnd.Service) == nil })
 	k.takeBackEnds(k.toldBackEnds(read.BackEnds), &next)
 	k.relay.setView(&next)
 	k.moveRuns()
--- a/internal/servercommand/site.go
+++ b/internal/servercommand/site.go
@@ -31,6 +31,8 @@
 	OrderReplicas func(ctx context.Context, client *http.Client, address string, order controller.ReplicaOrder) (duty.Outcome, error)
 	// ReadConfiguration reads the operator's document.
 	ReadConfiguration func(content []byte) (serving.Configuration, error)
+	// NamedServices returns the services that the operator's document names, without reading the rest.
+	NamedServices func(content []byte) []string
 	// OperatorHandler answers operators; port is the one at which every controller does.
 	OperatorHandler func(store controller.DocumentStore, port string) http.Handler
 }
--- a/internal/servercommand/site_controller.go
+++ b/internal/servercommand/site_controller.go
@@ -55,6 +55,7 @@
 		Without:           without,
 		PriorPrefillShare: loaded.PrefillShare, OrderWait: loaded.OrderWait + orderLife, OrderLife: orderLife,
 		OrderStage:     environment.Site.OrderStage,
+		NamedServices:  environment.Site.NamedServices,
 		DutyLife:       orderLife,
 		DutyInterval:   time.Duration(float64(time.Second) / (loaded.DutyRate * dutyRateShare)),
 		OperatorListen: loaded.OperatorListen,
