An engine that has started again is known by its own word; tests of what heeds a rest

Cause: until the list shows another start under the same identity, its owner took for cached what the former start had read. Tests for every way to a back end: requests, readings, releases, moves, lists of caches, a back end picked before it asked, entries that change or are away for a while.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -19,6 +19,8 @@
 	BackEndRests Event = "back_end_rests"
 	// BackEndLeaves: a back end has said in an answer that it leaves.
 	BackEndLeaves Event = "back_end_leaves"
+	// BackEndStartedAgain: another start than the listed one has answered under a back end's identity.
+	BackEndStartedAgain Event = "back_end_started_again"
 	// BackEndEnded: a back end ended while it ran requests.
 	BackEndEnded Event = "back_end_ended"
 	// RequestHeld: a request is kept away from back ends, since some have ended under it.
@@ -77,7 +79,7 @@
 // All lists every event.
 var All = []Event{
 	RequestEnded, AttemptFailed, RequestRefused, KeyRefused, RunMoved, ConfigurationInForce, ConfigurationUnreadable, ListingInForce, ListingFault,
-	BackEndRests, BackEndLeaves, BackEndEnded, RequestHeld, RequestTried, GuardCallFailed,
+	BackEndRests, BackEndLeaves, BackEndStartedAgain, BackEndEnded, RequestHeld, RequestTried, GuardCallFailed,
 	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageDelivered, ReplicasOrdered, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
 
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/backpressure"
@@ -20,6 +21,8 @@
 	cache *promptCache
 	// wishes are what this start of the back end has asked of this relay.
 	wishes *backpressure.Wishes
+	// startedAgain tells that another start has answered in its place: the list does not show that yet.
+	startedAgain atomic.Bool
 	// changingSince is when the engine was marked last as changing its stage.
 	changingSince time.Duration
 
--- a/internal/relay/cache_reader.go
+++ b/internal/relay/cache_reader.go
@@ -54,6 +54,7 @@
 		c.readAt[engine.cache] = c.relay.clock.now()
 		cached, err := c.read(ctx, c.client, engine.BackEnd)
 		c.relay.noteAsked(engine, cached.Asked)
+		c.relay.noteBorn(engine, cached.Born)
 		if err == nil {
 			engine.cache.keep(c.relay.clock.now(), hashed(cached.Parts))
 		}
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -13,8 +13,8 @@
 	ReadyPath string
 	// HandlePath is the path at which an engine's hold on a prompt is released.
 	HandlePath func(handle string) string
-	// ParsePrefillAnswer returns the handle of a prompt that an engine has read.
-	ParsePrefillAnswer func(body []byte) (handle string, err error)
+	// ParsePrefillAnswer reads an engine's answer to the reading of a prompt.
+	ParsePrefillAnswer func(body []byte) (PrefillAnswer, error)
 	// MovePath is the path at which an engine copies a run to another one.
 	MovePath string
 	// MoveBody asks to copy a run to the engine at an address. The run stops first, or goes on
@@ -26,6 +26,14 @@
 	ParseConfiguration func(content []byte) (serving.Configuration, error)
 }
 
+// PrefillAnswer is an engine's answer to the reading of a prompt.
+type PrefillAnswer struct {
+	// Handle names the prompt that the engine holds; never empty.
+	Handle string
+	// Born is when the start that answered began, in Unix milliseconds; 0 where it does not tell.
+	Born int64
+}
+
 // HeaderNames are the names of headers, in their canonical form.
 type HeaderNames struct {
 	// RequestID identifies a request; every answer to it carries it back.
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -33,7 +33,7 @@
 		PrefillStage:       "read",
 		ReadyPath:          "/ready",
 		HandlePath:         func(handle string) string { return "/handle/" + handle },
-		ParsePrefillAnswer: func(body []byte) (string, error) { return string(body), nil },
+		ParsePrefillAnswer: parseTestPrefill,
 		MovePath:           "/move",
 		MoveBody: func(request, address string, stop bool) []byte {
 			return fmt.Appendf(nil, "%s %s %t", request, address, stop)
@@ -42,6 +42,13 @@
 	}
 }
 
+// parseTestPrefill reads "HANDLE" or "HANDLE BORN".
+func parseTestPrefill(body []byte) (PrefillAnswer, error) {
+	handle, told, _ := strings.Cut(string(body), " ")
+	born, _ := strconv.ParseInt(told, 10, 64)
+	return PrefillAnswer{Handle: handle, Born: born}, nil
+}
+
 // received is one request as a back end read it.
 type received struct {
 	line   string
--- a/internal/relay/prompt_cache.go
+++ b/internal/relay/prompt_cache.go
@@ -50,6 +50,14 @@
 	c.tellChange()
 }
 
+// clear forgets everything: another start of the engine holds nothing.
+func (c *promptCache) clear(capacity int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.cache = placement.NewCache(capacity)
+	c.tellChange()
+}
+
 // resize takes the capacity of another stage.
 func (c *promptCache) resize(capacity int) {
 	c.mutex.Lock()
--- a/internal/relay/read_prompt.go
+++ b/internal/relay/read_prompt.go
@@ -126,11 +126,12 @@
 	if err != nil || answer.status != fasthttp.StatusOK {
 		return nil
 	}
-	handle, err := r.dialect.ParsePrefillAnswer(body)
+	read, err := r.dialect.ParsePrefillAnswer(body)
 	if err != nil {
 		return nil
 	}
-	return &heldPrompt{engine: answer.message.backEnd, handle: handle, parts: parts}
+	r.noteBorn(answer.message.backEnd, read.Born)
+	return &heldPrompt{engine: answer.message.backEnd, handle: read.Handle, parts: parts}
 }
 
 // release gives a prompt up that nobody will take, in the background: it would take room
--- /dev/null
+++ b/internal/relay/wishes_test.go
@@ -0,0 +1,151 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/backpressure"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+const (
+	askingForRest = "Retry-After: 3600"
+	sayingLeaving = "T-Leaving: 1"
+)
+
+// A back end that rests or says that it leaves gets nothing more, whatever its answer was else. Requests go to another
+// one, or are refused as not run where none is left, with when the rest ends.
+func TestBackEndsThatAskForItAreLeftAlone(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer script
+		alone  bool
+	}{
+		"rests":                           {answering(503, "", "T-Not-Run: 1", askingForRest), true},
+		"rests, may have run it":          {answering(503, "", askingForRest), true},
+		"asks with a status that is none": {answering(429, "", "T-Not-Run: 1", askingForRest), false},
+		"leaves, serves":                  {answering(200, "served", sayingLeaving), true},
+		"leaves, fails":                   {answering(500, "failed", sayingLeaving), true},
+		"leaves, turns it away":           {answering(503, "", "T-Not-Run: 1", sayingLeaving), true},
+		"another's address":               {answering(421, "", "T-Not-Run: 1", askingForRest, sayingLeaving), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			asks := startBackEnd(t, "asks", serving.StageWhole, test.answer)
+			relay := newTestRelay(t, route(func(r *serving.Route) { r.MaxAttempts = 1 }), asks)
+			client := relay.client(t)
+			client.do("POST", "/path/", "x")
+			for range 3 {
+				answer := client.do("POST", "/path/", "x")
+				if test.alone {
+					require.Equal(t, 503, answer.status)
+					require.Empty(t, answer.head.Peek("T-Seal"))
+				}
+			}
+			if test.alone {
+				require.Len(t, asks.seen(), 1)
+			} else {
+				require.Len(t, asks.seen(), 4)
+			}
+		})
+	}
+}
+
+// When all back ends rest, callers are told when the first of them can be asked again.
+func TestCallersAreToldWhenARestEnds(t *testing.T) {
+	long := startBackEnd(t, "long", serving.StageWhole, answering(503, "", "T-Not-Run: 1", askingForRest))
+	short := startBackEnd(t, "short", serving.StageWhole, answering(503, "", "T-Not-Run: 1", "Retry-After: 600"))
+	relay := newTestRelay(t, route(nil), long, short)
+	answer := relay.client(t).do("POST", "/path/", "x")
+	require.Equal(t, 503, answer.status)
+	comeBack := backpressure.RetryAfter(answer.head.Peek("Retry-After"))
+	require.Greater(t, comeBack, 500*time.Second)
+	require.LessOrEqual(t, comeBack, 600*time.Second+restSpread)
+	require.Len(t, long.seen(), 1)
+	require.Len(t, short.seen(), 1)
+}
+
+// What a back end asked for holds though its entry changes, and though the list does not show it for a while; its next
+// start has asked for nothing.
+func TestWishesHoldForAStart(t *testing.T) {
+	asks := startBackEnd(t, "asks", serving.StageWhole, answering(503, "", "T-Not-Run: 1", askingForRest, sayingLeaving))
+	relay := newTestRelay(t, route(nil), asks)
+	relay.client(t).do("POST", "/path/", "x")
+	list := func(entries ...serving.BackEnd) *backEnd {
+		next := *relay.view.Load()
+		relay.knowledge.takeBackEnds(entries, &next)
+		relay.view.Store(&next)
+		if len(entries) == 0 {
+			return nil
+		}
+		return next.byService["service"][0]
+	}
+	changed := asks.entry
+	changed.Slots++
+	require.True(t, list(changed).leaving())
+	require.True(t, list(changed).resting(relay.clock.now()))
+	list()
+	require.True(t, list(asks.entry).leaving())
+	again := asks.entry
+	again.ID, again.Replica, again.Born = "asks/2", "asks", 2
+	require.False(t, list(again).leaving())
+	require.False(t, list(again).resting(relay.clock.now()))
+}
+
+// Readings of prompts, the release of prompts that were read, moves of runs and readings of what is cached heed a rest as
+// requests do.
+func TestCallsToEnginesHeedARest(t *testing.T) {
+	t.Run("reading", func(t *testing.T) {
+		rests := startBackEnd(t, "rests", serving.StagePrefill, answering(503, "", "T-Not-Run: 1", askingForRest))
+		decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
+		relay := newTestRelay(t, route(stream(false)), rests, decoder)
+		for range 3 {
+			require.Equal(t, eventOne, relay.client(t).do("POST", "/path/", "x", longPrompt...).body)
+		}
+		require.Len(t, rests.seen(), 1)
+	})
+	t.Run("release", func(t *testing.T) {
+		reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
+		relay := newTestRelay(t, route(stream(false)), reader)
+		relay.engineOf("reader").wishes.AskRest(relay.clock.now(), time.Hour)
+		relay.exchanger.release(&heldPrompt{engine: relay.engineOf("reader"), handle: "handle"}, "/handle/handle")
+		require.Empty(t, reader.seen())
+	})
+	t.Run("move", func(t *testing.T) {
+		engine := startBackEnd(t, "engine", serving.StageDecode, answering(503, "", askingForRest))
+		relay := newTestRelay(t, route(stream(false)), engine)
+		for range 3 {
+			copied, _ := relay.exchanger.copyRun(relay.engineOf("engine"), relay.dialect, "request", "10.0.0.1:80", false)
+			require.False(t, copied)
+		}
+		require.Len(t, engine.seen(), 1)
+	})
+	t.Run("what is cached", func(t *testing.T) {
+		engine := startBackEnd(t, "engine", serving.StagePrefill, answering(200, "handle"))
+		relay := newTestRelay(t, route(stream(false)), engine)
+		asked := 0
+		reader := &cacheReader{relay: relay.Relay, readAt: map[*promptCache]time.Duration{}}
+		reader.read = func(context.Context, *http.Client, serving.BackEnd) (serving.CacheReading, error) {
+			asked++
+			return serving.CacheReading{Asked: backpressure.Asked{Rest: time.Hour}}, nil
+		}
+		for range 3 {
+			reader.readNew(t.Context())
+			clear(reader.readAt)
+			reader.owned = nil
+		}
+		require.Equal(t, 1, asked)
+	})
+	t.Run("picked before it asked", func(t *testing.T) {
+		engine := startBackEnd(t, "engine", serving.StageWhole, answering(200, "ok"))
+		relay := newTestRelay(t, route(nil), engine)
+		relay.engineOf("engine").wishes.AskRest(relay.clock.now(), time.Hour)
+		_, fault := relay.exchanger.connect(&message{
+			request: &request{}, backEnd: relay.engineOf("engine"), deadline: relay.clock.now() + time.Minute,
+		})
+		require.ErrorIs(t, fault, errResting)
+		require.False(t, fault.arrived)
+	})
+}
--- a/internal/serving/prompt.go
+++ b/internal/serving/prompt.go
@@ -34,6 +34,8 @@
 // CacheReading is one engine's answer of what it has cached.
 type CacheReading struct {
 	Parts []CachedPart
+	// Born is when the start that answered began, in Unix milliseconds; 0 where it does not tell.
+	Born int64
 	// Asked is what the engine asked for in its answer, also in one that brought no parts.
 	Asked backpressure.Asked
 }
