Retry budget, split draws and work meter are packages of their own beside the relay

Change: internal/relay/retrybudget, splitdraw and workmeter; names follow, behaviour as before.

Command: go test ./internal/relay/...

--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -214,7 +214,7 @@
 	relay.meetOthers(socket)
 	relay.setRelays([]string{relay.datagrams.address})
 	go relay.datagrams.receive(relay.takeDatagram)
-	relay.budget.setRelays(1)
+	relay.budget.SetRelays(1)
 	relay.contactAt.Store(int64(relay.clock.now()))
 	service := serving.Service{Name: "service"}
 	for _, backEnd := range backEnds {
--- a/internal/relay/knowledge.go
+++ b/internal/relay/knowledge.go
@@ -90,7 +90,7 @@
 		NoticeAddress:  k.relay.datagrams.address,
 		RelayList:      k.relayList,
 		HeldVersion:    k.relay.guard.Version(),
-		Demands:        k.relay.work.report(k.relay.clock.now()),
+		Demands:        k.relay.work.Report(k.relay.clock.now()),
 	}
 	request.DocumentNumber = k.held.GetNumber()
 	request.Wanted = k.wanted
@@ -167,7 +167,7 @@
 func (k *knowledge) takeRelayCount(response *v1.WatchResponse) {
 	if count := response.GetRelays(); count > 0 {
 		k.relay.relayCount.Store(int64(count))
-		k.relay.budget.setRelays(int(count))
+		k.relay.budget.SetRelays(int(count))
 	}
 }
 
--- a/internal/relay/plain_test.go
+++ b/internal/relay/plain_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/retrybudget"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -228,14 +229,14 @@
 		startBackEnd(t, "two", serving.StageWhole, answering(500, "failed")),
 	}
 	relay := newTestRelay(t, route(safe), failing...)
-	relay.budget.setBounds(0, 10*time.Second, 10)
+	relay.budget.SetBounds(0, 10*time.Second, 10)
 	client := relay.client(t)
 	for range 20 {
 		answer := client.do("GET", "/path/", "")
 		require.Equal(t, 500, answer.status)
 		require.Equal(t, "seal", string(answer.head.Peek("T-Seal")), "the back end's own failure is passed on")
 	}
-	require.Equal(t, 20+int(10*budgetSlackShare), len(failing[0].seen())+len(failing[1].seen()))
+	require.Equal(t, 20+int(10*retrybudget.SlackShare), len(failing[0].seen())+len(failing[1].seen()))
 }
 
 // A head as large as the operator allows is taken.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,6 +21,9 @@
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/retrybudget"
+	"github.com/hazelpitch/hazelpitch/internal/relay/splitdraw"
+	"github.com/hazelpitch/hazelpitch/internal/relay/workmeter"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 	"github.com/hazelpitch/hazelpitch/internal/usagereport"
@@ -38,7 +41,7 @@
 	clock     clock
 	log       requestLog
 	exchanger *exchanger
-	budget    *retryBudget
+	budget    *retrybudget.Budget
 	// watcher follows the leader; knowledge is what it tells.
 	watcher   *leaderwatch.Watcher
 	knowledge *knowledge
@@ -51,7 +54,7 @@
 	asker     *asker
 	owner     *placementOwner
 	owners    *ownerTable
-	work      *workMeter
+	work      *workmeter.Meter
 	pace      *pace
 	// usage counts what tenants use.
 	usage *usagereport.Meter
@@ -77,7 +80,7 @@
 
 	connections connections
 	random      lockedRandom
-	splits      *splitDraws
+	splits      *splitdraw.Draws
 	metrics     *relayMetrics
 	// admin is where health and metrics are told, nil for nowhere; ring is the log behind it.
 	admin net.Listener
@@ -137,8 +140,8 @@
 		clock:    steady,
 		log:      requestLog{logger: options.Log.Logger},
 		ring:     options.Log,
-		budget:   newRetryBudget(config.RetryBudget.Ratio, config.RetryBudget.Window, config.RetryBudget.Slack),
-		work:     newWorkMeter(),
+		budget:   retrybudget.New(config.RetryBudget.Ratio, config.RetryBudget.Window, config.RetryBudget.Slack),
+		work:     workmeter.New(),
 		pace:     newPace(),
 		policy:   placement.DefaultParameters().Without(options.Without),
 		without:  options.Without,
@@ -148,7 +151,7 @@
 		known:        newKnownSignal(),
 		random:       lockedRandom{source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 	}
-	relay.splits = newSplitDraws(relay.draw)
+	relay.splits = splitdraw.New(relay.draw)
 	relay.metrics = newRelayMetrics(relay, options.Log)
 	relay.connections.open, relay.connections.requests = map[*clientConnection]bool{}, map[*clientConnection]*request{}
 	relay.contactAt.Store(int64(-leaderwatch.LongestWait - contactSlack))
@@ -234,7 +237,7 @@
 			return
 		case again := <-reloaded:
 			r.watcher.SetSeeds(again.ControllerAddresses())
-			r.budget.setBounds(again.RetryBudget.Ratio, again.RetryBudget.Window, again.RetryBudget.Slack)
+			r.budget.SetBounds(again.RetryBudget.Ratio, again.RetryBudget.Window, again.RetryBudget.Slack)
 		}
 	}
 }
--- a/internal/relay/relay_metrics_test.go
+++ b/internal/relay/relay_metrics_test.go
@@ -50,7 +50,7 @@
 	broken := startBackEnd(t, "broken", serving.StageWhole, refusing(503))
 	sound := startBackEnd(t, "sound", serving.StageWhole, streaming("sound", eventOne))
 	relay := newTestRelay(t, route(stream(true)), broken, sound).preferring("broken")
-	relay.budget.setBounds(0, time.Hour, 10)
+	relay.budget.SetBounds(0, time.Hour, 10)
 	require.Contains(t, relay.scrape(t), "hazelpitch_relay_retry_budget_left{"+metricLabels+"} 7\n")
 	require.Equal(t, 200, relay.client(t).do("GET", "/path/", "").status)
 	relay.notices.table.take(relay.clock.now(), &v1.LoadNotice{Relay: 2, Sequence: 1})
--- a/internal/relay/retry_budget_test.go
+++ b/internal/relay/retrybudget/budget_test.go
@@ -1,4 +1,4 @@
-package relay
+package retrybudget
 
 import (
 	"testing"
@@ -18,10 +18,10 @@
 		service      = "service"
 	)
 	rapid.Check(t, func(t *rapid.T) {
-		relays := make([]*retryBudget, rapid.IntRange(1, 12).Draw(t, "relays"))
+		relays := make([]*Budget, rapid.IntRange(1, 12).Draw(t, "relays"))
 		begin := func(index int) {
-			relays[index] = newRetryBudget(ratio, window, slack)
-			relays[index].setRelays(len(relays))
+			relays[index] = New(ratio, window, slack)
+			relays[index].SetRelays(len(relays))
 		}
 		for index := range relays {
 			begin(index)
@@ -34,10 +34,10 @@
 			failing := rapid.IntRange(0, 40).Draw(t, "failing")
 			taken := 0
 			for count := range arriving {
-				relays[(number+count)%len(relays)].request(now, service)
+				relays[(number+count)%len(relays)].NoteRequest(now, service)
 			}
 			for count := range failing {
-				if relays[(number+count)%len(relays)].take(now, service) {
+				if relays[(number+count)%len(relays)].Take(now, service) {
 					taken++
 				}
 			}
@@ -57,12 +57,12 @@
 }
 
 func TestABudgetWithoutWordOfTheOtherRelaysIsSmall(t *testing.T) {
-	budget := newRetryBudget(0, 10*time.Second, 640)
+	budget := New(0, 10*time.Second, 640)
 	taken := 0
-	for budget.take(time.Second, "service") {
+	for budget.Take(time.Second, "service") {
 		taken++
 	}
 	require.Equal(t, 7, taken, "a share of the slack as if there were 64 relays")
-	require.False(t, budget.take(10*time.Second, "service"))
-	require.True(t, budget.take(13*time.Second, "service"), "the window has passed")
+	require.False(t, budget.Take(10*time.Second, "service"))
+	require.True(t, budget.Take(13*time.Second, "service"), "the window has passed")
 }
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -68,7 +68,7 @@
 func (r *Relay) noteRefusedWork(stream *streamReply, decision placement.Decision, chosen *place) {
 	service := stream.request.service.Name
 	if decision.Short == serving.StageDecode {
-		r.work.generate(service, r.work.residence(service)/time.Duration(max(chosen.backEnd.Slots, 1)))
+		r.work.Generate(service, r.work.Residence(service)/time.Duration(max(chosen.backEnd.Slots, 1)))
 		return
 	}
 	r.noteAskedReading(service, chosen.backEnd, chosen.Effort)
@@ -76,14 +76,14 @@
 
 // noteAskedReading counts a reading as work that prefill engines are asked for.
 func (r *Relay) noteAskedReading(service string, engine *backEnd, effort int) {
-	r.work.read(service, placement.PrefillTime(r.pace.of(engine.hash), effort))
+	r.work.Read(service, placement.PrefillTime(r.pace.of(engine.hash), effort))
 }
 
 // placeReading decides where the prompt is read, after so many waits for others' readings.
 func (r *Relay) placeReading(stream *streamReply, waits int) (placement.Decision, *place) {
 	wanted := stream.wanted(nil)
 	wanted.Waits = waits
-	wanted.Residence = r.work.residence(stream.request.service.Name)
+	wanted.Residence = r.work.Residence(stream.request.service.Name)
 	wanted.TimeLeft = stream.request.deadline - wanted.Now
 	answer := r.decide(stream.request, queryOf(toBegin, stream.tried, wanted), nil)
 	stream.request.trace.placed = answer.reason()
--- a/internal/relay/split_draws.go
+++ b/internal/relay/splitdraw/draws.go
@@ -1,4 +1,6 @@
-package relay
+// Package splitdraw draws the service of a route that several services share, so that each gets its share of even a few
+// requests.
+package splitdraw
 
 import (
 	"math"
@@ -8,15 +10,15 @@
 const (
 	// drawStep is the golden ratio's part: its multiples fill [0, 1) as evenly as any.
 	drawStep = 0.6180339887498949
-	// mostSplitRoutes bounds the routes whose draws are remembered.
-	mostSplitRoutes = 4096
+	// mostRoutes bounds the routes whose draws are remembered.
+	mostRoutes = 4096
 )
 
-// splitDraws draws numbers in [0, 1) for the choice between a route's services. Each route has
+// Draws draws numbers in [0, 1) for the choice between a route's services. Each route has
 // a sequence of its own that fills the range evenly, so that each service gets its weight's
 // share of even a few dozen requests, where independent draws are off by tenths. It is safe for
 // concurrent use.
-type splitDraws struct {
+type Draws struct {
 	mutex sync.Mutex
 	// last are the newest draws by the names of routes.
 	last map[string]float64
@@ -24,17 +26,18 @@
 	first func() float64
 }
 
-func newSplitDraws(first func() float64) *splitDraws {
-	return &splitDraws{last: map[string]float64{}, first: first}
+// New returns draws whose sequences begin where first draws.
+func New(first func() float64) *Draws {
+	return &Draws{last: map[string]float64{}, first: first}
 }
 
-// next returns the next number of a route.
-func (d *splitDraws) next(route string) float64 {
+// Next returns the next number of a route.
+func (d *Draws) Next(route string) float64 {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	last, known := d.last[route]
 	if !known {
-		if len(d.last) >= mostSplitRoutes {
+		if len(d.last) >= mostRoutes {
 			clear(d.last) // routes come and go; their sequences may begin anew
 		}
 		last = d.first()
--- a/internal/relay/split_draws_test.go
+++ b/internal/relay/splitdraw/draws_test.go
@@ -1,4 +1,4 @@
-package relay
+package splitdraw
 
 import (
 	"fmt"
@@ -15,10 +15,10 @@
 	for _, weight := range []int{1, 10, 50, 75, 90} {
 		split := serving.Route{Splits: []serving.Split{{Service: "one", Weight: weight}, {Service: "two", Weight: 100 - weight}}}
 		random := rand.New(rand.NewPCG(uint64(weight), 1))
-		draws := newSplitDraws(random.Float64)
+		draws := New(random.Float64)
 		var chosen []bool
 		for range 2000 {
-			chosen = append(chosen, split.Choose(draws.next("route")) == "one")
+			chosen = append(chosen, split.Choose(draws.Next("route")) == "one")
 		}
 		const window = 40
 		for start := range len(chosen) - window {
@@ -35,10 +35,10 @@
 
 // Routes that come and go do not fill the memory.
 func TestSplitDrawsAreBounded(t *testing.T) {
-	draws := newSplitDraws(func() float64 { return 0.5 })
-	for count := range 3 * mostSplitRoutes {
-		draw := draws.next(fmt.Sprint(count))
+	draws := New(func() float64 { return 0.5 })
+	for count := range 3 * mostRoutes {
+		draw := draws.Next(fmt.Sprint(count))
 		require.True(t, draw >= 0 && draw < 1)
-		require.LessOrEqual(t, len(draws.last), mostSplitRoutes)
+		require.LessOrEqual(t, len(draws.last), mostRoutes)
 	}
 }
--- a/internal/relay/work_meter.go
+++ b/internal/relay/workmeter/meter.go
@@ -1,4 +1,5 @@
-package relay
+// Package workmeter sums the time for which requests keep back ends busy, as controllers plan stages and replicas by it.
+package workmeter
 
 import (
 	"slices"
@@ -9,9 +10,9 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 )
 
-// workMeter sums the time that requests keep prefill and decoding engines busy, by
+// Meter sums the time that requests keep prefill and decoding engines busy, by
 // service, for the plan of the engines' stages. It is safe for concurrent use.
-type workMeter struct {
+type Meter struct {
 	mutex    sync.Mutex
 	since    time.Duration
 	services map[string]*serviceWork
@@ -35,35 +36,36 @@
 // runMemory is by how much each run that ends makes the older ones count less.
 const runMemory = 0.995
 
-// workWindow is the time over which work is summed.
-const workWindow = time.Second
+// reportWindow is the time over which work is summed.
+const reportWindow = time.Second
 
-func newWorkMeter() *workMeter { return &workMeter{services: map[string]*serviceWork{}} }
+// New returns a meter that knows of no work.
+func New() *Meter { return &Meter{services: map[string]*serviceWork{}} }
 
-// read notes time that a request of a service asks of prefill engines.
-func (m *workMeter) read(service string, took time.Duration) {
+// Read notes time that a request of a service asks of prefill engines.
+func (m *Meter) Read(service string, took time.Duration) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.of(service).prefill += took
 }
 
-// generate notes time that a request of a service asks of decoding engines.
-func (m *workMeter) generate(service string, took time.Duration) {
+// Generate notes time that a request of a service asks of decoding engines.
+func (m *Meter) Generate(service string, took time.Duration) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.of(service).decode += took
 }
 
-// answer notes for how long a request that is answered whole has kept one of a back end's slots.
-func (m *workMeter) answer(service string, took time.Duration, slots int) {
+// Answer notes for how long a request that is answered whole has kept one of a back end's slots.
+func (m *Meter) Answer(service string, took time.Duration, slots int) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.of(service).whole += took / time.Duration(max(slots, 1))
 }
 
-// run notes that a stream begins to fill a slot of a decoding engine with so many slots, or to
+// Run notes that a stream begins to fill a slot of a decoding engine with so many slots, or to
 // wait for one; the function that it returns notes its end.
-func (m *workMeter) run(now time.Duration, service string, slots int) (ended func(now time.Duration)) {
+func (m *Meter) Run(now time.Duration, service string, slots int) (ended func(now time.Duration)) {
 	share := 1 / float64(max(slots, 1))
 	m.change(now, service, share)
 	return func(ended time.Duration) {
@@ -73,7 +75,7 @@
 }
 
 // ended notes how long a run has kept its slot.
-func (m *workMeter) ended(service string, took time.Duration) {
+func (m *Meter) ended(service string, took time.Duration) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	work := m.of(service)
@@ -81,10 +83,10 @@
 	work.ranSquared = runMemory*work.ranSquared + took.Seconds()*took.Seconds()
 }
 
-// residence is how long those that fill slots at a moment keep them, on average: long runs fill
+// Residence is how long those that fill slots at a moment keep them, on average: long runs fill
 // slots for longer and so count for more. Half of that weighted mean is taken, which is the mean
 // where lengths spread as they do without memory. It is 0 before any run has ended.
-func (m *workMeter) residence(service string) time.Duration {
+func (m *Meter) Residence(service string) time.Duration {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	work := m.of(service)
@@ -95,7 +97,7 @@
 }
 
 // change changes how many decoding engines a service's streams fill.
-func (m *workMeter) change(now time.Duration, service string, by float64) {
+func (m *Meter) change(now time.Duration, service string, by float64) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	work := m.of(service)
@@ -104,7 +106,7 @@
 }
 
 // of returns the work of a service. The mutex is held.
-func (m *workMeter) of(service string) *serviceWork {
+func (m *Meter) of(service string) *serviceWork {
 	work := m.services[service]
 	if work == nil {
 		work = &serviceWork{}
@@ -119,12 +121,12 @@
 	w.countedTo = now
 }
 
-// report returns the work of the last whole window.
-func (m *workMeter) report(now time.Duration) []*v1.RoleDemand {
+// Report returns the work of the last whole window.
+func (m *Meter) Report(now time.Duration) []*v1.RoleDemand {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	window := now - m.since
-	if window < workWindow {
+	if window < reportWindow {
 		return m.reported
 	}
 	m.reported = nil
