Connections to back ends and datagrams between relays are packages of their own

Change: internal/relay/connpool (pool and connection), internal/relay/datagram (the socket that relays share); names follow, behaviour as before. TestTheOtherConnectionsAreDroppedWithASilentOne asks the pool whether a connection rests there in place of looking at its field. Command: go test ./internal/relay/... ./platform

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 )
 
 // answer is the head of a back end's answer; its body is still on the connection.
@@ -17,7 +18,7 @@
 	status     int
 	head       *fasthttp.ResponseHeader
 	body       *framedBody
-	connection *upstreamConnection
+	connection *connpool.Connection
 	message    *message
 	exchanger  *exchanger
 	// unread tells that the back end answered before it had read the whole request.
@@ -69,7 +70,7 @@
 // discard ends an exchange whose answer is a failure. A short body is read, so that the
 // connection can be used again.
 func (a *answer) discard() {
-	if a.body.framing == framedByLength && a.body.left <= upstreamBuffer {
+	if a.body.framing == framedByLength && a.body.left <= connpool.BufferSize {
 		readPast(a.body)
 	}
 	a.release()
@@ -83,20 +84,20 @@
 	a.closed = true
 	a.message.request.canceller.detach()
 	if !a.reusable() {
-		a.connection.close()
+		a.connection.Discard()
 		return
 	}
-	a.connection.served++
+	a.connection.Served++
 	if limit := keepAlive(a.head); limit > 0 {
-		a.connection.idleLimit = limit
+		a.connection.IdleLimit = limit
 	}
 	_ = a.connection.SetDeadline(time.Time{}) // a closed connection fails its next request
-	a.message.backEnd.pool.give(a.connection, a.exchanger.clock.now())
+	a.message.backEnd.pool.Give(a.connection, a.exchanger.clock.now())
 }
 
 func (a *answer) reusable() bool {
 	return a.body.whole && !a.unread && a.body.framing != framedByClose && !a.head.ConnectionClose() &&
-		a.connection.reader.Buffered() == 0 && !a.message.request.canceller.isCancelled()
+		a.connection.Reader.Buffered() == 0 && !a.message.request.canceller.isCancelled()
 }
 
 // keepAliveMargin is taken off the time for which a back end keeps a connection.
--- a/internal/relay/asker.go
+++ b/internal/relay/asker.go
@@ -8,6 +8,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/cell"
 	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
 )
 
 const (
@@ -29,7 +30,7 @@
 // asker asks the owners of cells where this relay's requests run.
 type asker struct {
 	relay     *Relay
-	datagrams *datagrams
+	datagrams *datagram.Socket
 	self      uint64
 
 	mutex  sync.Mutex
@@ -39,7 +40,7 @@
 	health *cell.Health
 }
 
-func newAsker(relay *Relay, datagrams *datagrams, self uint64) *asker {
+func newAsker(relay *Relay, datagrams *datagram.Socket, self uint64) *asker {
 	return &asker{relay: relay, datagrams: datagrams, self: self, open: map[uint64]chan *v1.PlacementAnswer{}, health: cell.NewHealth()}
 }
 
@@ -57,7 +58,7 @@
 		return nil
 	}
 	trusted := a.trusted(now, known.owners[index], ownersOfCell)
-	return slices.DeleteFunc(trusted, func(owner string) bool { return owner == a.datagrams.address })
+	return slices.DeleteFunc(trusted, func(owner string) bool { return owner == a.datagrams.Address })
 }
 
 // trusted returns up to count of the owners that answer, in their order.
@@ -66,7 +67,7 @@
 	defer a.mutex.Unlock()
 	trusted := make([]string, 0, count)
 	for _, owner := range owners {
-		if len(trusted) < count && (owner == a.datagrams.address || a.health.Trusted(now, owner)) {
+		if len(trusted) < count && (owner == a.datagrams.Address || a.health.Trusted(now, owner)) {
 			trusted = append(trusted, owner)
 		}
 	}
@@ -79,13 +80,13 @@
 	waiting := a.open[answer.GetNumber()]
 	a.mutex.Unlock()
 	if waiting == nil || answer.GetRelay() != a.self {
-		a.datagrams.drop(dropUnknown)
+		a.datagrams.Drop(datagram.NotExpected)
 		return
 	}
 	select {
 	case waiting <- answer:
 	default:
-		a.datagrams.drop(dropTooMany)
+		a.datagrams.Drop(datagram.TooMany)
 	}
 }
 
@@ -135,7 +136,7 @@
 	defer a.end(number)
 	asked := a.relay.clock.now()
 	limit := a.timeout()
-	a.datagrams.send(owner, &v1.RelayDatagram{Content: &v1.RelayDatagram_Request{Request: queryToWire(query, a.self, number, id)}})
+	a.datagrams.Send(owner, &v1.RelayDatagram{Content: &v1.RelayDatagram_Request{Request: queryToWire(query, a.self, number, id)}})
 	told := a.await(answers, limit, stop)
 	if told == nil && isClosed(stop) { // the client has gone: that says nothing of the owner
 		a.cancel(assignment{owner: owner, number: number})
@@ -193,7 +194,7 @@
 	if assigned.owner == "" {
 		return
 	}
-	a.datagrams.send(assigned.owner, &v1.RelayDatagram{Content: &v1.RelayDatagram_Cancel{Cancel: &v1.PlacementCancel{
+	a.datagrams.Send(assigned.owner, &v1.RelayDatagram{Content: &v1.RelayDatagram_Cancel{Cancel: &v1.PlacementCancel{
 		Relay: a.self, Number: assigned.number,
 	}}})
 }
--- a/internal/relay/asker_test.go
+++ b/internal/relay/asker_test.go
@@ -12,6 +12,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/cell"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -48,7 +49,7 @@
 	t.Helper()
 	asking = newTestRelay(t, route(stream(true)), backEnds...)
 	owner = newTestRelay(t, route(stream(true)), backEnds...)
-	asking.ownedBy(owner.datagrams.address)
+	asking.ownedBy(owner.datagrams.Address)
 	return asking, owner
 }
 
@@ -109,7 +110,7 @@
 func TestRequestsDoNotNeedTheirOwner(t *testing.T) {
 	for name, owners := range map[string]func(t *testing.T, standIn *testRelay) []string{
 		"the stand-in decides": func(t *testing.T, standIn *testRelay) []string {
-			return []string{silentRelay(t), standIn.datagrams.address}
+			return []string{silentRelay(t), standIn.datagrams.Address}
 		},
 		"nobody answers":        func(t *testing.T, _ *testRelay) []string { return []string{silentRelay(t), silentRelay(t)} },
 		"nobody owns":           func(*testing.T, *testRelay) []string { return nil },
@@ -132,12 +133,12 @@
 	engine := startBackEnd(t, "engine", serving.StageDecode, streaming("engine", eventOne))
 	asking, standIn := newPair(t, engine)
 	silent := silentRelay(t)
-	asking.ownedBy(silent, standIn.datagrams.address, "127.0.0.1:1")
+	asking.ownedBy(silent, standIn.datagrams.Address, "127.0.0.1:1")
 	now := asking.clock.now()
-	require.Equal(t, []string{silent, standIn.datagrams.address}, asking.asker.owners(now, asking.engineOf("engine")))
+	require.Equal(t, []string{silent, standIn.datagrams.Address}, asking.asker.owners(now, asking.engineOf("engine")))
 	asking.asker.judge(silent, false, time.Millisecond)
 	asking.asker.judge(silent, false, time.Millisecond)
-	require.Equal(t, []string{standIn.datagrams.address, "127.0.0.1:1"}, asking.asker.owners(asking.clock.now(), asking.engineOf("engine")))
+	require.Equal(t, []string{standIn.datagrams.Address, "127.0.0.1:1"}, asking.asker.owners(asking.clock.now(), asking.engineOf("engine")))
 }
 
 // An owner that is behind may answer with an engine that leaves by the newest list here. Its word
@@ -148,7 +149,7 @@
 	asking, owner := newPair(t, leaving, staying)
 	owner.engineOf("staying").begin(placement.Work{Streams: 8}.Plus(placement.Reading(100_000, 0)))
 	asking.leave("leaving")
-	asking.ownedBy(owner.datagrams.address)
+	asking.ownedBy(owner.datagrams.Address)
 	require.Equal(t, eventOne, asking.client(t).do("POST", "/path/", "x", shortPrompt...).body)
 	require.Empty(t, leaving.seen())
 	require.Len(t, staying.seen(), 1)
@@ -226,16 +227,16 @@
 // dropped.
 func TestStrayDatagramsAreDropped(t *testing.T) {
 	relay := newTestRelay(t, route(stream(true)), startBackEnd(t, "engine", serving.StageDecode, refusing(503)))
-	other, err := proto.Marshal(&v1.RelayDatagram{Format: datagramFormat + 1})
+	other, err := proto.Marshal(&v1.RelayDatagram{Format: datagram.Format + 1})
 	require.NoError(t, err)
-	require.Nil(t, relay.datagrams.parse([]byte("no datagram")))
-	require.Nil(t, relay.datagrams.parse(other))
+	require.Nil(t, relay.datagrams.Parse([]byte("no datagram")))
+	require.Nil(t, relay.datagrams.Parse(other))
 	relay.takeDatagram(&v1.RelayDatagram{}, "")
 	relay.asker.take(&v1.PlacementAnswer{Number: 99})
 	number, answers := relay.asker.begin()
 	relay.asker.take(&v1.PlacementAnswer{Number: number, Relay: relay.asker.self + 1})
 	require.Empty(t, answers, "an answer to an earlier start of this relay")
-	for reason, count := range map[dropReason]float64{dropGarbled: 1, dropFormat: 1, dropUnknown: 3} {
+	for reason, count := range map[datagram.DropReason]float64{datagram.Garbled: 1, datagram.OtherFormat: 1, datagram.NotExpected: 3} {
 		require.Equal(t, count, testutil.ToFloat64(relay.metrics.datagramsDropped.WithLabelValues(string(reason))), reason)
 	}
 }
@@ -282,7 +283,7 @@
 
 // FuzzDatagram takes any bytes from other relays; nothing of them may stop a relay.
 func FuzzDatagram(f *testing.F) {
-	whole, err := proto.Marshal(&v1.RelayDatagram{Format: datagramFormat, Content: &v1.RelayDatagram_Request{Request: &v1.PlacementRequest{
+	whole, err := proto.Marshal(&v1.RelayDatagram{Format: datagram.Format, Content: &v1.RelayDatagram_Request{Request: &v1.PlacementRequest{
 		Service: "service", Parts: []uint64{1}, PartTokens: []uint32{5}, Rank: 1 << 31, Tokens: 1 << 31, TargetUs: 1 << 63,
 	}}})
 	require.NoError(f, err)
@@ -310,11 +311,11 @@
 	relay := newTestRelay(t, route(stream(true)), startBackEnd(t, "engine", serving.StageDecode, refusing(503)))
 	require.Len(t, relay.owners.ownedEngines(), 1)
 	divided := relay.owners.current.Load().services["service"].division.Cells()[0]
-	addresses := []string{relay.datagrams.address, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"}
+	addresses := []string{relay.datagrams.Address, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"}
 	relay.setRelays(addresses)
 	owners := cell.Owners(divided.ID, addresses, ownersOfCell)
 	want := 0
-	if owners[0] == relay.datagrams.address || owners[1] == relay.datagrams.address {
+	if owners[0] == relay.datagrams.Address || owners[1] == relay.datagrams.Address {
 		want = 1
 	}
 	require.Len(t, relay.owners.ownedEngines(), want)
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -8,6 +8,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/backpressure"
 	"github.com/hazelpitch/hazelpitch/internal/cell"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -17,7 +18,7 @@
 	serving.BackEnd
 	// hash identifies the back end in load notices.
 	hash  uint64
-	pool  pool
+	pool  connpool.Pool
 	cache *promptCache
 	// wishes are what this start of the back end has asked of this relay.
 	wishes *backpressure.Wishes
--- a/internal/relay/pool.go
+++ b/internal/relay/connpool/pool.go
@@ -1,43 +1,44 @@
-package relay
+// Package connpool keeps connections to back ends between requests.
+package connpool
 
 import (
 	"sync"
 	"time"
 )
 
-// pool holds the idle connections to one back end, the last used first.
-type pool struct {
+// Pool holds the idle connections to one back end, the last used first.
+type Pool struct {
 	mutex  sync.Mutex
-	idle   []*upstreamConnection
+	idle   []*Connection
 	closed bool
 }
 
-// take returns an idle connection that can carry a request, or nil. Connections that have
+// Take returns an idle connection that can carry a request, or nil. Connections that have
 // rested for longer than the limit are closed, as are those on which something arrived.
-func (p *pool) take(now, limit time.Duration) *upstreamConnection {
+func (p *Pool) Take(now, limit time.Duration) *Connection {
 	for {
 		connection := p.pop()
 		if connection == nil {
 			return nil
 		}
 		rested := now - connection.idleSince
-		if rested < limit && rested < connection.idleLimit && connection.quiet() {
+		if rested < limit && rested < connection.IdleLimit && connection.quiet() {
 			return connection
 		}
-		connection.close()
+		connection.Discard()
 	}
 }
 
-// holds reports whether an idle connection may carry a request, as far as it is known without looking at
+// Holds reports whether an idle connection may carry a request, as far as it is known without looking at
 // the connection.
-func (p *pool) holds(now, limit time.Duration) bool {
+func (p *Pool) Holds(now, limit time.Duration) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	last := len(p.idle) - 1
-	return last >= 0 && now-p.idle[last].idleSince < min(limit, p.idle[last].idleLimit)
+	return last >= 0 && now-p.idle[last].idleSince < min(limit, p.idle[last].IdleLimit)
 }
 
-func (p *pool) pop() *upstreamConnection {
+func (p *Pool) pop() *Connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	last := len(p.idle) - 1
@@ -49,8 +50,8 @@
 	return connection
 }
 
-// give puts a connection back, or closes it when the back end is gone.
-func (p *pool) give(connection *upstreamConnection, now time.Duration) {
+// Give puts a connection back, or closes it when the back end is gone.
+func (p *Pool) Give(connection *Connection, now time.Duration) {
 	connection.idleSince = now
 	p.mutex.Lock()
 	closed := p.closed
@@ -59,26 +60,26 @@
 	}
 	p.mutex.Unlock()
 	if closed {
-		connection.close()
+		connection.Discard()
 	}
 }
 
-// close closes the idle connections; others are closed when they come back.
-func (p *pool) close() {
+// Close closes the idle connections; others are closed when they come back.
+func (p *Pool) Close() {
 	p.mutex.Lock()
 	p.closed = true
 	p.mutex.Unlock()
-	p.drop()
+	p.Drop()
 }
 
-// drop closes the idle connections: what has befallen one that was open as long as they were may have
+// Drop closes the idle connections: what has befallen one that was open as long as they were may have
 // befallen them.
-func (p *pool) drop() {
+func (p *Pool) Drop() {
 	p.mutex.Lock()
 	idle := p.idle
 	p.idle = nil
 	p.mutex.Unlock()
 	for _, connection := range idle {
-		connection.close()
+		connection.Discard()
 	}
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -98,7 +99,7 @@
 	answer, fault := e.exchangeOn(connection, message)
 	if fault != nil {
 		message.request.canceller.detach()
-		connection.close()
+		connection.Discard()
 		return nil, fault
 	}
 	if fault := e.check(answer); fault != nil {
@@ -109,7 +110,7 @@
 }
 
 // connect returns a connection to the back end that belongs to the request's canceller.
-func (e *exchanger) connect(message *message) (*upstreamConnection, *failure) {
+func (e *exchanger) connect(message *message) (*connpool.Connection, *failure) {
 	now := e.clock.now()
 	if message.request.canceller.isCancelled() {
 		return nil, &failure{verdict: verdict.NotRun, cause: errCancelled}
@@ -120,7 +121,7 @@
 	if message.backEnd.resting(now) { // it was picked before the rest was asked for
 		return nil, &failure{verdict: verdict.NotRun, cause: errResting}
 	}
-	connection := message.backEnd.pool.take(now, idleLimitOf(message.request.route))
+	connection := message.backEnd.pool.Take(now, idleLimitOf(message.request.route))
 	if connection == nil {
 		var err error
 		if connection, err = e.open(message.backEnd, min(dialTimeout, message.deadline-now)); err != nil {
@@ -129,7 +130,7 @@
 	}
 	_ = connection.SetDeadline(e.clock.at(message.deadline)) // a closed connection fails by itself
 	if !message.request.canceller.attach(connection, message.deadline) {
-		connection.close()
+		connection.Discard()
 		return nil, &failure{verdict: verdict.NotRun, cause: errCancelled}
 	}
 	return connection, nil
@@ -138,26 +139,26 @@
 // idleLimitOf is how long a connection may have rested that carries a request of a route.
 func idleLimitOf(route *serving.Route) time.Duration {
 	if route.Repeatable() {
-		return defaultIdleLimit
+		return connpool.DefaultIdleLimit
 	}
 	return unsafeIdleLimit
 }
 
 // open opens a connection to a back end within a time.
-func (e *exchanger) open(backEnd *backEnd, limit time.Duration) (*upstreamConnection, error) {
+func (e *exchanger) open(backEnd *backEnd, limit time.Duration) (*connpool.Connection, error) {
 	limited, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	connection, err := e.dial(limited, "tcp", backEnd.Address)
 	if err != nil {
 		return nil, err
 	}
-	opened := newUpstreamConnection(connection)
-	opened.wentSilent = backEnd.pool.drop // others may have gone silent as well
+	opened := connpool.NewConnection(connection)
+	opened.WentSilent = backEnd.pool.Drop // others may have gone silent as well
 	return opened, nil
 }
 
 // exchangeOn writes the message on the connection and reads the head of its answer.
-func (e *exchanger) exchangeOn(connection *upstreamConnection, message *message) (*answer, *failure) {
+func (e *exchanger) exchangeOn(connection *connpool.Connection, message *message) (*answer, *failure) {
 	set := append([]header{
 		{e.names.DeadlineMs, milliseconds(message.deadline - e.clock.now())},
 		{e.names.ExpectInstance, message.backEnd.Expected()},
@@ -189,7 +190,7 @@
 
 // write sends head and body. A long body goes out beside the reading of the answer: the
 // channel then tells how its writing ended.
-func (e *exchanger) write(connection *upstreamConnection, message *message, head []byte) (<-chan error, *failure) {
+func (e *exchanger) write(connection *connpool.Connection, message *message, head []byte) (<-chan error, *failure) {
 	if len(message.request.body) < longBody {
 		head = append(head, message.request.body...)
 		if n, err := connection.Write(head); err != nil {
@@ -208,7 +209,7 @@
 
 // finishWriting ends the writing of a long body once the head of the answer has come. It
 // reports whether the back end has not taken the whole body.
-func (e *exchanger) finishWriting(connection *upstreamConnection, written <-chan error) (unread bool) {
+func (e *exchanger) finishWriting(connection *connpool.Connection, written <-chan error) (unread bool) {
 	select {
 	case err := <-written:
 		return err != nil
@@ -220,7 +221,7 @@
 
 // broken is the failure of a connection that broke. What was not sent at all cannot have
 // run; anything else may have.
-func (e *exchanger) broken(connection *upstreamConnection, message *message, sent bool, err error) *failure {
+func (e *exchanger) broken(connection *connpool.Connection, message *message, sent bool, err error) *failure {
 	fault := &failure{verdict: verdict.MayHaveRun, arrived: true, cause: fmt.Errorf("%w: %w", errBroken, err)}
 	if !sent {
 		fault.verdict, fault.arrived = verdict.NotRun, false
@@ -232,7 +233,7 @@
 		fault.cause = errDeadline
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		fault.cause = errStalled
-	case connection.silent:
+	case connection.Silent:
 		fault.cause = errSilent
 	}
 	return fault
@@ -240,7 +241,7 @@
 
 // readHead reads the head of the answer to the message. It reads past answers that belong
 // to earlier requests on the connection.
-func (e *exchanger) readHead(connection *upstreamConnection, message *message) (*answer, *failure) {
+func (e *exchanger) readHead(connection *connpool.Connection, message *message) (*answer, *failure) {
 	for range maximumStaleAnswers + 1 {
 		head := &fasthttp.ResponseHeader{}
 		if err := readFinalHead(head, connection); err != nil {
@@ -248,12 +249,12 @@
 		}
 		answer := &answer{
 			status: head.StatusCode(), head: head, connection: connection, message: message, exchanger: e,
-			body: newFramedBody(head, message.request.method, connection.reader),
+			body: newFramedBody(head, message.request.method, connection.Reader),
 		}
 		if string(head.Peek(e.names.RequestID)) == message.request.id {
 			return answer, nil
 		}
-		stale := connection.served > 0 && answer.body.framing != framedByClose
+		stale := connection.Served > 0 && answer.body.framing != framedByClose
 		if !stale || !readPast(answer.body) {
 			break
 		}
@@ -262,9 +263,9 @@
 }
 
 // readFinalHead reads heads until one that is not informational.
-func readFinalHead(head *fasthttp.ResponseHeader, connection *upstreamConnection) error {
+func readFinalHead(head *fasthttp.ResponseHeader, connection *connpool.Connection) error {
 	for {
-		if err := head.Read(connection.reader); err != nil {
+		if err := head.Read(connection.Reader); err != nil {
 			return err
 		}
 		if head.StatusCode() >= fasthttp.StatusOK {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -212,8 +212,8 @@
 	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
 	require.NoError(t, err)
 	relay.meetOthers(socket)
-	relay.setRelays([]string{relay.datagrams.address})
-	go relay.datagrams.receive(relay.takeDatagram)
+	relay.setRelays([]string{relay.datagrams.Address})
+	go relay.datagrams.Receive(relay.takeDatagram)
 	relay.budget.SetRelays(1)
 	relay.contactAt.Store(int64(relay.clock.now()))
 	service := serving.Service{Name: "service"}
--- a/internal/relay/knowledge.go
+++ b/internal/relay/knowledge.go
@@ -87,7 +87,7 @@
 		ListingVersion: view.listingVersion,
 		WaitMs:         uint32(wait.Milliseconds()),
 		Leaving:        k.relay.stopping.Load(),
-		NoticeAddress:  k.relay.datagrams.address,
+		NoticeAddress:  k.relay.datagrams.Address,
 		RelayList:      k.relayList,
 		HeldVersion:    k.relay.guard.Version(),
 		Demands:        k.relay.work.Report(k.relay.clock.now()),
--- a/internal/relay/known_back_ends.go
+++ b/internal/relay/known_back_ends.go
@@ -36,7 +36,7 @@
 	var gone []*backEnd
 	for id, former := range k.known {
 		if known[id] == nil {
-			former.pool.close()
+			former.pool.Close()
 			gone = append(gone, former)
 		}
 	}
@@ -90,7 +90,7 @@
 		replaced.cache.resize(placement.CacheCapacity(entry.Stage, cacheTokens(view, entry.Service)))
 		replaced.avoid(awaySince(former, now) + roleChange(view, entry.Service))
 	}
-	former.pool.close()
+	former.pool.Close()
 	return replaced
 }
 
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -13,6 +13,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -24,14 +25,14 @@
 	// failurePeers is how many relays hear of the failures of back ends that have no owner.
 	failurePeers = 16
 	// noticeRoom is the part of a datagram, in bytes, that a notice's engines may take.
-	noticeRoom = maximumDatagram - 64
+	noticeRoom = datagram.MaximumSize - 64
 )
 
 // notices tells the owners of engines what this relay has under way there, and takes what other
 // relays tell. Nothing depends on them but the quality of choices.
 type notices struct {
 	relay     *Relay
-	datagrams *datagrams
+	datagrams *datagram.Socket
 	self      uint64
 	table     *loadTable
 	changed   chan struct{}
@@ -44,7 +45,7 @@
 	sequence uint64
 }
 
-func newNotices(relay *Relay, datagrams *datagrams, self uint64) *notices {
+func newNotices(relay *Relay, datagrams *datagram.Socket, self uint64) *notices {
 	return &notices{
 		relay: relay, datagrams: datagrams, self: self, table: newLoadTable(),
 		changed: make(chan struct{}, 1), pending: map[*backEnd]pendingNotice{},
@@ -56,9 +57,9 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.peers = nil
-	own := max(slices.Index(addresses, n.datagrams.address), 0)
+	own := max(slices.Index(addresses, n.datagrams.Address), 0)
 	for offset := 1; offset < len(addresses) && len(n.peers) < failurePeers; offset++ {
-		if peer := addresses[(own+offset)%len(addresses)]; peer != n.datagrams.address {
+		if peer := addresses[(own+offset)%len(addresses)]; peer != n.datagrams.Address {
 			n.peers = append(n.peers, peer)
 		}
 	}
@@ -109,7 +110,7 @@
 		for len(told) > 0 {
 			fits := fitting(told)
 			n.sequence++
-			n.datagrams.send(receiver, &v1.RelayDatagram{Content: &v1.RelayDatagram_Notice{Notice: &v1.LoadNotice{
+			n.datagrams.Send(receiver, &v1.RelayDatagram{Content: &v1.RelayDatagram_Notice{Notice: &v1.LoadNotice{
 				Relay: n.self, Sequence: n.sequence, Engines: told[:fits],
 			}}})
 			told = told[fits:]
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -19,7 +19,7 @@
 		return a.relay.owner.decide(query, known.members[index], nil)
 	}
 	for _, owner := range a.trusted(a.relay.clock.now(), known.owners[index], ownersAsked) {
-		if owner == a.datagrams.address {
+		if owner == a.datagrams.Address {
 			a.relay.metrics.asked.WithLabelValues(askedOwn).Inc()
 			return a.relay.owner.decide(query, known.members[index], nil)
 		}
--- a/internal/relay/owner_faults_test.go
+++ b/internal/relay/owner_faults_test.go
@@ -11,6 +11,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -33,19 +34,19 @@
 // read returns the next datagram and where it came from.
 func (o *scriptedOwner) read() (*v1.RelayDatagram, net.Addr) {
 	o.t.Helper()
-	buffer := make([]byte, 2*maximumDatagram)
+	buffer := make([]byte, 2*datagram.MaximumSize)
 	length, from, err := o.socket.ReadFrom(buffer)
 	require.NoError(o.t, err)
-	datagram := &v1.RelayDatagram{}
-	require.NoError(o.t, proto.Unmarshal(buffer[:length], datagram))
-	return datagram, from
+	told := &v1.RelayDatagram{}
+	require.NoError(o.t, proto.Unmarshal(buffer[:length], told))
+	return told, from
 }
 
 // write sends a datagram.
-func (o *scriptedOwner) write(to net.Addr, datagram *v1.RelayDatagram) {
+func (o *scriptedOwner) write(to net.Addr, sent *v1.RelayDatagram) {
 	o.t.Helper()
-	datagram.Format = datagramFormat
-	content, err := proto.Marshal(datagram)
+	sent.Format = datagram.Format
+	content, err := proto.Marshal(sent)
 	require.NoError(o.t, err)
 	_, err = o.socket.WriteTo(content, to)
 	require.NoError(o.t, err)
@@ -72,7 +73,7 @@
 		Action: v1.PlacementAction_PLACEMENT_ACTION_READ_DIRECTLY, Engine: relay.engineOf("far").hash,
 	}}})
 	require.Eventually(t, func() bool {
-		return testutil.ToFloat64(relay.metrics.datagramsDropped.WithLabelValues(string(dropUnknown))) == 1
+		return testutil.ToFloat64(relay.metrics.datagramsDropped.WithLabelValues(string(datagram.NotExpected))) == 1
 	}, time.Minute, time.Millisecond)
 	require.Empty(t, far.seen())
 }
@@ -127,7 +128,7 @@
 	relay.setRelays([]string{"127.0.0.1:1", "127.0.0.1:2"})
 	require.Empty(t, relay.owners.ownedEngines())
 	require.ElementsMatch(t, []string{"127.0.0.1:1", "127.0.0.1:2"}, relay.asker.owners(now, engine))
-	relay.setRelays([]string{"127.0.0.1:2", relay.datagrams.address})
+	relay.setRelays([]string{"127.0.0.1:2", relay.datagrams.Address})
 	require.Len(t, relay.owners.ownedEngines(), 1)
 	require.Equal(t, []string{"127.0.0.1:2"}, relay.asker.owners(now, engine))
 }
@@ -138,7 +139,7 @@
 	engine := startBackEnd(t, "engine", serving.StageDecode, streaming("engine", eventOne))
 	relay := newTestRelay(t, route(stream(false)), engine)
 	owner := newTestRelay(t, route(stream(false)))
-	relay.ownedBy(owner.datagrams.address)
+	relay.ownedBy(owner.datagrams.Address)
 	require.Equal(t, eventOne, relay.client(t).do("POST", "/path/", "x", shortPrompt...).body)
 	require.EqualValues(t, 1, testutil.ToFloat64(relay.metrics.asked.WithLabelValues(askedStale)))
 }
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -4,33 +4,34 @@
 	"net"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
 )
 
 // meetOthers sets up what goes by datagrams between relays.
 func (r *Relay) meetOthers(socket net.PacketConn) {
-	r.datagrams = newDatagrams(socket, r.metrics.datagramsDropped)
+	r.datagrams = datagram.New(socket, r.metrics.datagramsDropped)
 	r.notices = newNotices(r, r.datagrams, r.knowledge.incarnation)
 	r.exchanger.notices = r.notices
 	r.asker = newAsker(r, r.datagrams, r.knowledge.incarnation)
 	r.owner = newPlacementOwner(r)
-	r.owners = newOwnerTable(r.datagrams.address, r.event)
+	r.owners = newOwnerTable(r.datagrams.Address, r.event)
 }
 
 // takeDatagram hands a datagram to those whom it concerns.
-func (r *Relay) takeDatagram(datagram *v1.RelayDatagram, from string) {
-	switch content := datagram.GetContent().(type) {
+func (r *Relay) takeDatagram(told *v1.RelayDatagram, from string) {
+	switch content := told.GetContent().(type) {
 	case *v1.RelayDatagram_Notice:
 		r.notices.take(content.Notice)
 	case *v1.RelayDatagram_Request:
 		r.owner.answer(content.Request, func(answer *v1.PlacementAnswer) {
-			r.datagrams.send(from, &v1.RelayDatagram{Content: &v1.RelayDatagram_Answer{Answer: answer}})
+			r.datagrams.Send(from, &v1.RelayDatagram{Content: &v1.RelayDatagram_Answer{Answer: answer}})
 		})
 	case *v1.RelayDatagram_Answer:
 		r.asker.take(content.Answer)
 	case *v1.RelayDatagram_Cancel:
 		r.owner.cancel(content.Cancel)
 	default:
-		r.datagrams.drop(dropUnknown)
+		r.datagrams.Drop(datagram.NotExpected)
 	}
 }
 
@@ -45,5 +46,5 @@
 	}
 	r.notices.setPeers(addresses)
 	r.asker.setRelays(listed)
-	r.datagrams.keep(listed)
+	r.datagrams.Keep(listed)
 }
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -79,7 +79,7 @@
 	seen := r.surveyOf(r.view.Load().byService[request.service.Name], nil, tried.isExcluded, now)
 	limit := idleLimitOf(request.route)
 	for index, backEnd := range seen.backEnds {
-		seen.engines[index].Connected = backEnd.pool.holds(now, limit)
+		seen.engines[index].Connected = backEnd.pool.Holds(now, limit)
 	}
 	wanted := placement.Request{Now: now, Stage: answeringStage(request.service), Zone: r.settings.Zone}
 	return seen.place(r.policy.Generator(wanted, seen.engines, r.draw))
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -77,11 +77,11 @@
 	known := r.backEndOf(replica.ID)
 	if known == nil { // the list does not show it any more: its pool is closed
 		known = newBackEnd(serving.BackEnd{ID: replica.ID, Address: replica.Address}, 0)
-		known.pool.close()
+		known.pool.Close()
 	}
 	connection, err := r.exchanger.open(known, dialTimeout)
 	if err == nil {
-		known.pool.give(connection, r.clock.now())
+		known.pool.Give(connection, r.clock.now())
 	}
 	return crashguard.SightOf(err)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,6 +21,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
 	"github.com/hazelpitch/hazelpitch/internal/relay/retrybudget"
 	"github.com/hazelpitch/hazelpitch/internal/relay/splitdraw"
 	"github.com/hazelpitch/hazelpitch/internal/relay/workmeter"
@@ -49,7 +50,7 @@
 	guard *crashguard.Guard
 	// datagrams, notices and asker are what this relay has to do with others; owner decides on
 	// the engines that owners says are this relay's.
-	datagrams *datagrams
+	datagrams *datagram.Socket
 	notices   *notices
 	asker     *asker
 	owner     *placementOwner
@@ -196,7 +197,7 @@
 	group.Go(func() error { r.clock.steady.Watch(working, r.noteSuspension); return nil })
 	group.Go(func() error { r.guard.Run(working); return nil })
 	group.Go(func() error { r.notices.send(working); return nil })
-	group.Go(func() error { r.datagrams.receive(r.takeDatagram); return nil })
+	group.Go(func() error { r.datagrams.Receive(r.takeDatagram); return nil })
 	group.Go(func() error { return r.accept(working, listener) })
 	select {
 	case <-working.Done():
@@ -208,7 +209,7 @@
 	stopWorking()
 	_ = listener.Close()
 	_ = readyServer.Close()
-	_ = r.datagrams.socket.Close()
+	_ = r.datagrams.Close()
 	return trace.Wrap(group.Wait())
 }
 
--- a/internal/relay/release.go
+++ b/internal/relay/release.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 )
 
 // releaseTimeout bounds the giving up of a prompt; it lapses by itself later.
@@ -17,20 +19,20 @@
 	if held.engine.resting(now) {
 		return // the prompt lapses by itself
 	}
-	connection := held.engine.pool.take(now, unsafeIdleLimit)
+	connection := held.engine.pool.Take(now, unsafeIdleLimit)
 	if connection == nil {
 		var err error
 		if connection, err = e.open(held.engine, releaseTimeout); err != nil {
 			return
 		}
 	}
-	defer connection.close()
+	defer connection.Discard()
 	_ = connection.SetDeadline(e.clock.at(now + releaseTimeout))
 	if e.writeCall(connection, held.engine, fasthttp.MethodDelete, path, nil) != nil {
 		return
 	}
 	head := &fasthttp.ResponseHeader{}
-	if head.Read(connection.reader) != nil || head.StatusCode() == fasthttp.StatusMisdirectedRequest {
+	if head.Read(connection.Reader) != nil || head.StatusCode() == fasthttp.StatusMisdirectedRequest {
 		return
 	}
 	e.noteAnswer(held.engine, head)
@@ -41,7 +43,7 @@
 
 // writeCall writes a call of the relay's own to an engine, which refuses it when another one has
 // its address. A body is JSON; nil is none.
-func (e *exchanger) writeCall(connection *upstreamConnection, engine *backEnd, method, path string, body []byte) error {
+func (e *exchanger) writeCall(connection *connpool.Connection, engine *backEnd, method, path string, body []byte) error {
 	head := append([]byte(nil), method+" "+path+" HTTP/1.1\r\nHost: "+engine.Address+"\r\n"...)
 	head = appendHeader(head, e.names.ExpectInstance, engine.Expected())
 	if body != nil {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
+	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -67,7 +68,7 @@
 // concurrent use; the zero value is ready.
 type canceller struct {
 	mutex      sync.Mutex
-	connection *upstreamConnection
+	connection *connpool.Connection
 	// deadline is when the exchange on the connection ends.
 	deadline  time.Duration
 	cancelled bool
@@ -77,7 +78,7 @@
 
 // attach makes the connection the one to break off, on which an exchange ends by a deadline; it
 // reports false when the request is cancelled already.
-func (c *canceller) attach(connection *upstreamConnection, deadline time.Duration) bool {
+func (c *canceller) attach(connection *connpool.Connection, deadline time.Duration) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.connection, c.deadline = connection, deadline
--- a/internal/relay/run_mover.go
+++ b/internal/relay/run_mover.go
@@ -119,13 +119,13 @@
 	if err != nil {
 		return false, ""
 	}
-	defer connection.close()
+	defer connection.Discard()
 	_ = connection.SetDeadline(e.clock.at(now + moveTimeout))
 	if e.writeCall(connection, engine, fasthttp.MethodPost, dialect.MovePath, dialect.MoveBody(request, address, stop)) != nil {
 		return false, ""
 	}
 	answer := fasthttp.Response{}
-	if err := answer.ReadLimitBody(connection.reader, maximumPrefillAnswer); err != nil {
+	if err := answer.ReadLimitBody(connection.Reader, maximumPrefillAnswer); err != nil {
 		return false, ""
 	}
 	if answer.StatusCode() != fasthttp.StatusMisdirectedRequest {
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -49,10 +50,10 @@
 	for range 3 {
 		connection, err := relay.exchanger.open(known, time.Second)
 		require.NoError(t, err)
-		connection.served = 1
-		known.pool.give(connection, relay.clock.now())
+		connection.Served = 1
+		known.pool.Give(connection, relay.clock.now())
 	}
 	close(silent)
 	require.Equal(t, 200, relay.client(t).do("GET", "/path/", "").status, "it runs elsewhere")
-	require.Empty(t, known.pool.idle)
+	require.False(t, known.pool.Holds(relay.clock.now(), connpool.DefaultIdleLimit), "none of them rests there")
 }
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
+	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -35,7 +36,7 @@
 // other answers is slow and not gone: leaving it would only move its load.
 type stallWatch struct {
 	exchanger  *exchanger
-	connection *upstreamConnection
+	connection *connpool.Connection
 	backEnd    *backEnd
 	mayBreak   bool
 	limit      time.Duration
@@ -47,7 +48,7 @@
 }
 
 // watchStall begins to look. mayBreak says whether the answer may be broken off.
-func (e *exchanger) watchStall(connection *upstreamConnection, backEnd *backEnd, limit time.Duration, mayBreak bool) *stallWatch {
+func (e *exchanger) watchStall(connection *connpool.Connection, backEnd *backEnd, limit time.Duration, mayBreak bool) *stallWatch {
 	mayBreak = mayBreak && e.without.On(mechanism.StallWatch)
 	watch := &stallWatch{exchanger: e, connection: connection, backEnd: backEnd, mayBreak: mayBreak, limit: limit}
 	watch.mutex.Lock()
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
+	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -25,7 +27,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = socket.Close() })
 	steady := newClock()
-	return &exchanger{clock: steady, notices: newNotices(&Relay{clock: steady}, newDatagrams(socket, nil), 1)}
+	return &exchanger{clock: steady, notices: newNotices(&Relay{clock: steady}, datagram.New(socket, nil), 1)}
 }
 
 // A look that is under way when its answer ends must touch nothing any more: the connection
@@ -36,7 +38,7 @@
 		recorder := &deadlineRecorder{}
 		backEnd := newBackEnd(serving.BackEnd{ID: "one"}, 1000)
 		backEnd.heard(heardAt)
-		watch := exchanger.watchStall(newUpstreamConnection(recorder), backEnd, time.Hour, true)
+		watch := exchanger.watchStall(connpool.NewConnection(recorder), backEnd, time.Hour, true)
 		watch.stop()
 		watch.check()
 		require.Zero(t, recorder.set, name)
@@ -52,7 +54,7 @@
 			exchanger.clock = newClock()
 			recorder := &deadlineRecorder{}
 			backEnd := newBackEnd(serving.BackEnd{ID: "one"}, 1000)
-			watch := exchanger.watchStall(newUpstreamConnection(recorder), backEnd, time.Second, mayBreak)
+			watch := exchanger.watchStall(connpool.NewConnection(recorder), backEnd, time.Second, mayBreak)
 			time.Sleep(time.Second + time.Millisecond)
 			synctest.Wait()
 			watch.stop()
