A start in whose place another one is listed has ended, whoever serves there

Seen: TestARequestIsKeptAwayFromReplicasThatComeBackUnderTheirIdentity failed once in a run of all tests, and once in ten runs of it alone. (1) The list may show the next start before the connections to the former one break: the guard hears of the end before it knows of the run, then looks, and finds a back end that serves; the end was never told. Change: (1) a look at a start that is listed no more, while another one is at its address or under its identity, finds it gone. The gateways had no such look at all: their directory's later incarnation, or one told in an answer, now ends the former one, before or after the break.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -20,7 +20,12 @@
 }
 
 // Replica is one start of a back end.
-type Replica struct{ ID, Address string }
+type Replica struct {
+	// ID is what only this start has, Name what all starts of the replica share; empty where that is ID.
+	ID, Name string
+	// Address is IP:port.
+	Address string
+}
 
 // Options are what a Guard works with.
 type Options struct {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -55,10 +55,6 @@
 // NewControl returns a control runtime that has heard of no controller.
 func NewControl(config settings.Gateway, options ControlOptions) (*Control, error) {
 	clock := newClock()
-	dispatcher, err := newDispatcher(clock, config)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
 	admitter, err := newAdmitter(clock, config.Limits)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -72,8 +68,12 @@
 		return nil, trace.Wrap(err)
 	}
 	controllers := newControllers(config, options.Dial, encryption)
-	view := newView(clock, identity, dispatcher)
 	counts := newGatewayMetrics(factory)
+	guard, dispatcher, err := newGuardedDispatcher(clock, config, options, controllers, counts)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	view := newView(clock, identity, dispatcher)
 	view.onRevision = counts.tellRevision(options.OnRevision)
 	return &Control{
 		settings:    config,
@@ -88,7 +88,7 @@
 		controllers: controllers,
 		admitter:    admitter,
 		claimer:     newClaimer(clock, controllers, identity, options.Safeguards),
-		guard:       newGuard(clock, config, options, controllers, counts),
+		guard:       guard,
 	}, nil
 }
 
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -22,10 +22,10 @@
 	router *routing.Router
 }
 
-func newDispatcher(clock clock, config settings.Gateway) (*dispatcher, error) {
+func newDispatcher(clock clock, config settings.Gateway, restarted func(former routing.BackEnd)) (*dispatcher, error) {
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(config.Name)) // never fails, by its documentation
-	router, err := routing.New(routing.Config{Zone: config.Zone, ZoneLatency: config.ZoneLatency, Seed: seed.Sum64()})
+	router, err := routing.New(routing.Config{Zone: config.Zone, ZoneLatency: config.ZoneLatency, Seed: seed.Sum64(), Restarted: restarted})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -63,6 +63,13 @@
 	return d.router.Rest(d.clock.now(), backEnd) > 0
 }
 
+// hasRestarted reports whether a later incarnation of a back end is known.
+func (d *dispatcher) hasRestarted(backEnd routing.BackEnd) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.router.HasRestarted(backEnd)
+}
+
 func (d *dispatcher) setBackEnds(backEnds []routing.BackEnd) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -4,8 +4,11 @@
 	"context"
 	"net"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
@@ -18,8 +21,20 @@
 // agreed on the end of the one that broke it off.
 const endWait = 300 * time.Millisecond
 
+// newGuardedDispatcher makes the guard of a gateway and its dispatcher, which tell each other of ends: the dispatcher of
+// incarnations that others took the place of, the guard asks it before it looks who serves there.
+func newGuardedDispatcher(clock clock, config settings.Gateway, options ControlOptions, controllers *controllers, counts *gatewayMetrics) (*crashguard.Guard, *dispatcher, error) {
+	var guard *crashguard.Guard
+	dispatcher, err := newDispatcher(clock, config, func(former routing.BackEnd) { guard.Ended(replicaOf(former).ID) })
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	guard = newGuard(clock, config, options, controllers, counts, dispatcher)
+	return guard, dispatcher, nil
+}
+
 // newGuard makes the guard of a gateway.
-func newGuard(clock clock, config settings.Gateway, options ControlOptions, controllers *controllers, counts *gatewayMetrics) *crashguard.Guard {
+func newGuard(clock clock, config settings.Gateway, options ControlOptions, controllers *controllers, counts *gatewayMetrics, dispatcher *dispatcher) *crashguard.Guard {
 	dial := options.Dial
 	if dial == nil {
 		dialer := &net.Dialer{}
@@ -34,6 +49,9 @@
 			return controllers.client(controllers.inOrder(true)[0])
 		}},
 		Probe: func(ctx context.Context, replica crashguard.Replica) crashguard.Sight {
+			if dispatcher.hasRestarted(backEndOf(replica)) {
+				return crashguard.Gone // whoever serves there now
+			}
 			connection, err := dial(ctx, "tcp", replica.Address)
 			if err == nil {
 				_ = connection.Close() // it was opened to look only
@@ -59,7 +77,13 @@
 
 // replicaOf names one start of a back end.
 func replicaOf(backEnd routing.BackEnd) crashguard.Replica {
-	return crashguard.Replica{ID: backEnd.Name + "/" + strconv.FormatUint(backEnd.Incarnation, 10), Address: backEnd.Address}
+	return crashguard.Replica{ID: backEnd.Name + "/" + strconv.FormatUint(backEnd.Incarnation, 10), Name: backEnd.Name, Address: backEnd.Address}
+}
+
+// backEndOf is the reverse of replicaOf, as far as a start is known by it.
+func backEndOf(replica crashguard.Replica) routing.BackEnd {
+	incarnation, _ := strconv.ParseUint(strings.TrimPrefix(replica.ID, replica.Name+"/"), 10, 64) // written by replicaOf
+	return routing.BackEnd{Name: replica.Name, Incarnation: incarnation, Address: replica.Address}
 }
 
 // guardObserver writes lines and counts of what the guard finds.
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -9,13 +9,18 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
+	"github.com/hazelpitch/hazelpitch/internal/routing"
+	"github.com/hazelpitch/hazelpitch/internal/settings"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
@@ -204,3 +209,42 @@
 		})
 	}
 }
+
+// A back end that starts again at its address, and is there when the gateway looks, has ended all the same: the directory
+// shows a later incarnation, before the connection breaks or after.
+func TestTheDirectoryTellsThatABackEndHasEnded(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(server.Close)
+	start := func(number int, incarnation uint64) routing.BackEnd {
+		return routing.BackEnd{Name: fmt.Sprint("b", number), Incarnation: incarnation, Address: strings.TrimPrefix(server.URL, "http://")}
+	}
+	for name, shownBefore := range map[string]bool{"before": true, "after": false} {
+		t.Run(name, func(t *testing.T) {
+			_, factory := metrics.NewRegistry(role, "g", "z")
+			options := ControlOptions{Log: logring.New("g", settings.Log{RingEntries: 16})}
+			config := testSettings("127.0.0.1:1")
+			guard, dispatcher, err := newGuardedDispatcher(newClock(), config, options, newControllers(config, nil, nil), newGatewayMetrics(factory))
+			require.NoError(t, err)
+			show := func(incarnation uint64) {
+				var rows []routing.BackEnd
+				for number := range quarantine.HoldAfter {
+					rows = append(rows, start(number, incarnation))
+				}
+				dispatcher.setBackEnds(rows)
+			}
+			show(1)
+			if shownBefore {
+				show(2)
+			}
+			signature := quarantine.SignatureOf("", "POST", "/", []byte("x"))
+			for number := range quarantine.HoldAfter {
+				guard.Broke(signature, replicaOf(start(number, 1)), time.Second)
+			}
+			if !shownBefore {
+				require.False(t, guard.Held(signature), "it serves")
+				show(2)
+			}
+			require.Eventually(t, func() bool { return guard.Held(signature) }, time.Minute, time.Millisecond)
+		})
+	}
+}
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -56,7 +56,7 @@
 	if !errors.Is(fault, errBroken) {
 		return
 	}
-	replica := crashguard.Replica{ID: backEnd.ID, Address: backEnd.Address}
+	replica := crashguard.Replica{ID: backEnd.ID, Name: backEnd.Expected(), Address: backEnd.Address}
 	if !request.route.Repeatable() || a.sent >= request.route.MaxAttempts {
 		go relay.guard.Broke(request.signature, replica, 0)
 		return
@@ -72,9 +72,13 @@
 	}
 }
 
-// probe looks whether a back end takes connections; one that was opened is used later.
+// probe looks whether a back end takes connections; one that was opened is used later. A start in whose place the
+// list shows another one has ended, whoever serves there: the list may show that before the connections break.
 func (r *Relay) probe(_ context.Context, replica crashguard.Replica) crashguard.Sight {
 	known := r.backEndOf(replica.ID)
+	if known == nil && r.isReplaced(replica) {
+		return crashguard.Gone
+	}
 	if known == nil { // the list does not show it any more: its pool is closed
 		known = newBackEnd(serving.BackEnd{ID: replica.ID, Address: replica.Address}, 0)
 		known.pool.Close()
@@ -86,6 +90,18 @@
 	return crashguard.SightOf(err)
 }
 
+// isReplaced reports whether the list shows another start at a back end's address, or under its identity.
+func (r *Relay) isReplaced(replica crashguard.Replica) bool {
+	for _, backEnds := range r.view.Load().byService {
+		for _, backEnd := range backEnds {
+			if backEnd.ID != replica.ID && (backEnd.Address == replica.Address || backEnd.Expected() == replica.Name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // noteReplaced tells the guard of back ends whose address, or whose identity, another start has by now.
 func (r *Relay) noteReplaced(gone []*backEnd, present map[string]*backEnd) {
 	if len(gone) == 0 {
--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -206,3 +206,31 @@
 	require.NoError(t, listener.Close())
 	require.Equal(t, crashguard.Gone, relay.probe(t.Context(), replica))
 }
+
+// The list may show the next start, at the same address and under the same identity or another, before the connections
+// to the former one break: what is found to serve there then is not what ended.
+func TestABackEndInWhosePlaceAnotherStartedHasEnded(t *testing.T) {
+	serves := startBackEnd(t, "serves", serving.StageWhole, answering(200, "ok"))
+	serves.entry.ID, serves.entry.Replica, serves.entry.Born = "one/2", "one", 2
+	relay := newTestRelay(t, route(safe), serves)
+	elsewhere, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = elsewhere.Close() })
+	for name, test := range map[string]struct {
+		replica crashguard.Replica
+		sight   crashguard.Sight
+	}{
+		"its own former start":        {crashguard.Replica{ID: "one/1", Name: "one", Address: elsewhere.Addr().String()}, crashguard.Gone},
+		"another's at its address":    {crashguard.Replica{ID: "two/1", Name: "two", Address: serves.entry.Address}, crashguard.Gone},
+		"the listed start":            {crashguard.Replica{ID: "one/2", Name: "one", Address: serves.entry.Address}, crashguard.Serves},
+		"one that is listed no more":  {crashguard.Replica{ID: "two/1", Name: "two", Address: elsewhere.Addr().String()}, crashguard.Serves},
+		"one whose name is not known": {crashguard.Replica{ID: "two/1", Address: elsewhere.Addr().String()}, crashguard.Serves},
+	} {
+		require.Equal(t, test.sight, relay.probe(t.Context(), test.replica), name)
+	}
+	signature := quarantine.SignatureOf("", "POST", "/path/", []byte("x"))
+	for born := range quarantine.HoldAfter {
+		relay.guard.Broke(signature, crashguard.Replica{ID: fmt.Sprint("one/0", born), Name: "one", Address: serves.entry.Address}, 0)
+	}
+	require.Eventually(t, func() bool { return relay.guard.Held(signature) }, time.Minute, time.Millisecond)
+}
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -48,6 +48,9 @@
 	HandOver time.Duration
 	// TokenTimes is the engines' speed before anything has been measured.
 	TokenTimes TokenTimes
+	// Restarted is told of a former incarnation of a back end once a later one is known; nil for nobody. It must not call
+	// the Router.
+	Restarted func(former BackEnd)
 	// Filters, Scorers and Picker replace the standard pipeline when set.
 	Filters []Filter
 	Scorers []Scorer
--- a/internal/routing/rest_test.go
+++ b/internal/routing/rest_test.go
@@ -73,3 +73,23 @@
 	}
 	require.LessOrEqual(t, router.wishes.Len(), sparedWishes+3)
 }
+
+// A later incarnation, shown by the directory or told in an answer, ends the former one.
+func TestALaterIncarnationEndsTheFormerOne(t *testing.T) {
+	var ended []uint64
+	router, err := New(Config{Zone: testZone, Restarted: func(former BackEnd) { ended = append(ended, former.Incarnation) }})
+	require.NoError(t, err)
+	row := func(incarnation uint64) BackEnd {
+		return engine("m1", enginecontract.RoleMixed, func(b *BackEnd) { b.Incarnation = incarnation })
+	}
+	router.SetBackEnds([]BackEnd{row(1)})
+	require.False(t, router.HasRestarted(row(1)))
+	router.SetBackEnds([]BackEnd{row(2)})
+	router.Observe(0, Answered{BackEnd: "m1", Incarnation: 3})
+	router.SetBackEnds([]BackEnd{row(2)})
+	router.SetBackEnds([]BackEnd{row(3)})
+	require.Equal(t, []uint64{1, 2}, ended)
+	require.True(t, router.HasRestarted(row(2)))
+	require.False(t, router.HasRestarted(row(3)))
+	require.False(t, router.HasRestarted(engine("unknown", enginecontract.RoleMixed)))
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -63,10 +63,11 @@
 		}
 		candidate, known := r.candidates[row.Name]
 		if known {
-			former := candidate.Incarnation
+			former := candidate.BackEnd
 			candidate.update(row)
-			if candidate.Incarnation != former {
+			if candidate.Incarnation != former.Incarnation {
 				candidate.wishes = r.wishesOf(candidate.BackEnd)
+				r.tellRestarted(former)
 			}
 		} else {
 			candidate = newCandidate(row, r.wishesOf(row))
@@ -81,8 +82,22 @@
 
 // restart forgets what is true of a back end's earlier incarnation only.
 func (r *Router) restart(candidate *Candidate, incarnation uint64) {
+	former := candidate.BackEnd
 	candidate.restart(incarnation)
 	candidate.wishes = r.wishesOf(candidate.BackEnd)
+	r.tellRestarted(former)
+}
+
+func (r *Router) tellRestarted(former BackEnd) {
+	if r.config.Restarted != nil {
+		r.config.Restarted(former)
+	}
+}
+
+// HasRestarted reports whether a later incarnation of a back end is known.
+func (r *Router) HasRestarted(backEnd BackEnd) bool {
+	candidate, known := r.candidates[backEnd.Name]
+	return known && candidate.Incarnation > backEnd.Incarnation
 }
 
 // wishesOf returns what an incarnation of a back end has asked of this gateway.
