An owner's rest is not its askers' rest

Cause: an engine that had asked one relay for rest was closed to all relays whose questions that relay answers as owner. Change: decisions for others leave rest aside; each relay excludes what rests for itself in its questions, in picks and where a connection is taken. TestAnOwnersRestIsNotItsAskersRest.

--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -13,14 +13,15 @@
 	engines  []placement.Engine
 }
 
-// surveyOf looks at back ends that are not excluded.
+// surveyOf looks at back ends that are not excluded. Those that rest are excluded by whoever asks: a back end that has
+// asked this relay for rest serves others.
 func (r *Relay) surveyOf(backEnds []*backEnd, prompt []placement.Part, isExcluded func(*backEnd) bool, now time.Duration) survey {
 	seen := survey{backEnds: backEnds, engines: make([]placement.Engine, len(backEnds))}
 	for index, backEnd := range backEnds {
 		load := backEnd.look(now)
 		engine := placement.Engine{
 			Hash: backEnd.hash, Zone: backEnd.Zone, Stage: backEnd.Stage, Slots: backEnd.Slots,
-			Closed:     backEnd.closed(now) || isExcluded(backEnd),
+			Closed:     backEnd.leaving() || backEnd.Changing || isExcluded(backEnd),
 			AvoidUntil: load.avoidUntil, Failures: load.failures + load.suspicions, Running: max(load.own.Streams, load.told),
 		}
 		if backEnd.isEngine() {
@@ -76,7 +77,8 @@
 // left. It looks at the newest list: a request may wait long between two picks.
 func (r *Relay) pickWhole(request *request, tried *attempts) *place {
 	now := r.clock.now()
-	seen := r.surveyOf(r.view.Load().byService[request.service.Name], nil, tried.isExcluded, now)
+	excluded := func(backEnd *backEnd) bool { return tried.isExcluded(backEnd) || backEnd.resting(now) }
+	seen := r.surveyOf(r.view.Load().byService[request.service.Name], nil, excluded, now)
 	limit := idleLimitOf(request.route)
 	for index, backEnd := range seen.backEnds {
 		seen.engines[index].Connected = backEnd.pool.Holds(now, limit)
--- a/internal/relay/wishes_test.go
+++ b/internal/relay/wishes_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelpitch/hazelpitch/internal/backpressure"
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -149,3 +150,19 @@
 		require.False(t, fault.arrived)
 	})
 }
+
+// A rest is between one relay and a back end: an owner that was asked for it still gives the back end to relays that were
+// not.
+func TestAnOwnersRestIsNotItsAskersRest(t *testing.T) {
+	rests := startBackEnd(t, "rests", serving.StageDecode, streaming("rests", eventOne))
+	relay := newTestRelay(t, route(stream(false)), rests)
+	engine := relay.engineOf("rests")
+	engine.wishes.AskRest(relay.clock.now(), time.Hour)
+	engines := relay.view.Load().byService["service"]
+	asked := &engineQuery{purpose: toGenerate, service: "service", request: placement.Request{Stage: serving.StageDecode}}
+	require.NotNil(t, relay.owner.decide(asked, engines, &placement.Asker{Relay: 7, Number: 1}).chosen)
+	asked.excluded = []uint64{engine.hash}
+	require.Nil(t, relay.owner.decide(asked, engines, &placement.Asker{Relay: 7, Number: 2}).chosen)
+	require.Equal(t, 503, relay.client(t).do("POST", "/path/", "x").status, "its own request")
+	require.Empty(t, rests.seen())
+}
