What back ends ask of a process are its signals

Cause: a newcomer's reading of the diff: the word for it was none of the field's. Change: names only (backpressure.Signals). Command: go test ./internal/... ./platform

--- a/internal/backpressure/ledger.go
+++ b/internal/backpressure/ledger.go
@@ -6,31 +6,31 @@
 // that lags may show it again for some seconds; those that leave end within seconds to minutes.
 const leavingMemory = 10 * time.Minute
 
-// Ledger holds the wishes of back ends by the identities of their starts, so that they outlive a back end's
-// absence from the list, and what else is known of it. It is not safe for concurrent use; the Wishes are.
-type Ledger struct{ wishes map[string]*Wishes }
+// Ledger holds the signals of back ends by the identities of their starts, so that they outlive a back end's
+// absence from the list, and what else is known of it. It is not safe for concurrent use; the Signals are.
+type Ledger struct{ signals map[string]*Signals }
 
-// NewLedger returns the ledger that knows of no wishes.
-func NewLedger() *Ledger { return &Ledger{wishes: map[string]*Wishes{}} }
+// NewLedger returns the ledger that knows of no signals.
+func NewLedger() *Ledger { return &Ledger{signals: map[string]*Signals{}} }
 
-// Of returns the wishes of one start of a back end, always the same ones for one identity.
-func (l *Ledger) Of(identity string) *Wishes {
-	wishes := l.wishes[identity]
-	if wishes == nil {
-		wishes = &Wishes{}
-		l.wishes[identity] = wishes
+// Of returns the signals of one start of a back end, always the same ones for one identity.
+func (l *Ledger) Of(identity string) *Signals {
+	signals := l.signals[identity]
+	if signals == nil {
+		signals = &Signals{}
+		l.signals[identity] = signals
 	}
-	return wishes
+	return signals
 }
 
 // Len is how many starts of back ends the ledger holds.
-func (l *Ledger) Len() int { return len(l.wishes) }
+func (l *Ledger) Len() int { return len(l.signals) }
 
 // Keep forgets the back ends that are not listed, once nothing that they asked for holds any more.
 func (l *Ledger) Keep(now time.Duration, isListed func(identity string) bool) {
-	for identity, wishes := range l.wishes {
-		if !isListed(identity) && wishes.forgettable(now) {
-			delete(l.wishes, identity)
+	for identity, signals := range l.signals {
+		if !isListed(identity) && signals.forgettable(now) {
+			delete(l.signals, identity)
 		}
 	}
 }
--- a/internal/controller/stage_orders.go
+++ b/internal/controller/stage_orders.go
@@ -37,15 +37,15 @@
 	log     *logring.Log
 
 	mutex sync.Mutex
-	// wishes are what engines have asked of this process.
-	wishes *backpressure.Ledger
+	// signals are what engines have asked of this process.
+	signals *backpressure.Ledger
 }
 
 func newStageOrderer(site *Site, dial dialing.Dial, now func() time.Duration, deliver func(context.Context, control.Input) error, log *logring.Log) *stageOrderer {
 	return &stageOrderer{
 		order: site.OrderStage, dial: dial, now: now,
 		queue: make(chan control.ChangeStage, stageOrderQueue), deliver: deliver, log: log,
-		wishes: backpressure.NewLedger(),
+		signals: backpressure.NewLedger(),
 	}
 }
 
@@ -106,13 +106,13 @@
 func (s *stageOrderer) rests(identity string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.wishes.Of(identity).Rest(s.now()) > 0
+	return s.signals.Of(identity).Rest(s.now()) > 0
 }
 
 // noteAsked takes what an engine has asked for, and forgets the engines whose rest is over.
 func (s *stageOrderer) noteAsked(identity string, asked backpressure.Asked) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.wishes.Of(identity).AskRest(s.now(), asked.Rest)
-	s.wishes.Keep(s.now(), func(string) bool { return false })
+	s.signals.Of(identity).AskRest(s.now(), asked.Rest)
+	s.signals.Keep(s.now(), func(string) bool { return false })
 }
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -20,8 +20,8 @@
 	hash  uint64
 	pool  connpool.Pool
 	cache *promptCache
-	// wishes are what this start of the back end has asked of this relay.
-	wishes *backpressure.Wishes
+	// signals are what this start of the back end has asked of this relay.
+	signals *backpressure.Signals
 	// startedAgain tells that another start has answered in its place: the list does not show that yet.
 	startedAgain atomic.Bool
 	// changingSince is when the engine was marked last as changing its stage.
@@ -36,7 +36,7 @@
 // newBackEnd returns the record of a listed back end; memory is an engine's, in tokens.
 func newBackEnd(entry serving.BackEnd, memory int) *backEnd {
 	return &backEnd{
-		BackEnd: entry, hash: cell.HashEngine(entry.ID), wishes: &backpressure.Wishes{},
+		BackEnd: entry, hash: cell.HashEngine(entry.ID), signals: &backpressure.Signals{},
 		cache: newPromptCache(placement.CacheCapacity(entry.Stage, memory)),
 	}
 }
--- a/internal/relay/wishes.go
+++ b/internal/relay/back_end_signals.go
@@ -12,10 +12,10 @@
 
 // leaving reports whether the back end leaves, by the list or by its own word: the list lags, and is not read
 // while nobody leads and the platform is silent.
-func (b *backEnd) leaving() bool { return b.Leaving || b.wishes.Leaving() }
+func (b *backEnd) leaving() bool { return b.Leaving || b.signals.Leaving() }
 
 // resting reports whether the back end has asked to be sent nothing for now.
-func (b *backEnd) resting(now time.Duration) bool { return b.wishes.Rest(now) > 0 }
+func (b *backEnd) resting(now time.Duration) bool { return b.signals.Rest(now) > 0 }
 
 // closed reports whether new requests must not be sent to the back end now.
 func (b *backEnd) closed(now time.Duration) bool {
@@ -35,9 +35,9 @@
 			r.metrics.rests.Inc()
 			r.event(events.BackEndRests).Str("back_end", backEnd.ID).Int64("rest_ms", asked.Rest.Milliseconds()).Send()
 		}
-		backEnd.wishes.AskRest(now, asked.Rest)
+		backEnd.signals.AskRest(now, asked.Rest)
 	}
-	if asked.Leaving && backEnd.wishes.SayLeaving(now) {
+	if asked.Leaving && backEnd.signals.SayLeaving(now) {
 		r.event(events.BackEndLeaves).Str("back_end", backEnd.ID).Bool("listed", backEnd.Leaving).Send()
 		if !backEnd.Leaving && r.without.On(mechanism.RunMoves) {
 			go backEnd.moveRuns()
@@ -57,7 +57,7 @@
 		if backEnd.leaving() {
 			continue
 		}
-		rest := backEnd.wishes.Rest(now)
+		rest := backEnd.signals.Rest(now)
 		if rest == 0 {
 			return 0
 		}
--- a/internal/relay/wishes_test.go
+++ b/internal/relay/back_end_signals_test.go
@@ -70,7 +70,7 @@
 
 // What a back end asked for holds though its entry changes, and though the list does not show it for a while; its next
 // start has asked for nothing.
-func TestWishesHoldForAStart(t *testing.T) {
+func TestSignalsHoldForAStart(t *testing.T) {
 	asks := startBackEnd(t, "asks", serving.StageWhole, answering(503, "", "T-Not-Run: 1", askingForRest, sayingLeaving))
 	relay := newTestRelay(t, route(nil), asks)
 	relay.client(t).do("POST", "/path/", "x")
@@ -110,7 +110,7 @@
 	t.Run("release", func(t *testing.T) {
 		reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
 		relay := newTestRelay(t, route(stream(false)), reader)
-		relay.engineOf("reader").wishes.AskRest(relay.clock.now(), time.Hour)
+		relay.engineOf("reader").signals.AskRest(relay.clock.now(), time.Hour)
 		relay.exchanger.release(&heldPrompt{engine: relay.engineOf("reader"), handle: "handle"}, "/handle/handle")
 		require.Empty(t, reader.seen())
 	})
@@ -142,7 +142,7 @@
 	t.Run("picked before it asked", func(t *testing.T) {
 		engine := startBackEnd(t, "engine", serving.StageWhole, answering(200, "ok"))
 		relay := newTestRelay(t, route(nil), engine)
-		relay.engineOf("engine").wishes.AskRest(relay.clock.now(), time.Hour)
+		relay.engineOf("engine").signals.AskRest(relay.clock.now(), time.Hour)
 		_, fault := relay.exchanger.connect(&message{
 			request: &request{}, backEnd: relay.engineOf("engine"), deadline: relay.clock.now() + time.Minute,
 		})
@@ -157,7 +157,7 @@
 	rests := startBackEnd(t, "rests", serving.StageDecode, streaming("rests", eventOne))
 	relay := newTestRelay(t, route(stream(false)), rests)
 	engine := relay.engineOf("rests")
-	engine.wishes.AskRest(relay.clock.now(), time.Hour)
+	engine.signals.AskRest(relay.clock.now(), time.Hour)
 	engines := relay.view.Load().byService["service"]
 	asked := &engineQuery{purpose: toGenerate, service: "service", request: placement.Request{Stage: serving.StageDecode}}
 	require.NotNil(t, relay.owner.decide(asked, engines, &placement.Asker{Relay: 7, Number: 1}).chosen)
--- a/internal/relay/engine_query.go
+++ b/internal/relay/engine_query.go
@@ -53,7 +53,7 @@
 		if len(query.excluded) >= mostExcluded {
 			break // the answer is looked at again: one that rests is not taken
 		}
-		if engine.wishes.Leaving() && !engine.Leaving || engine.resting(wanted.Now) {
+		if engine.signals.Leaving() && !engine.Leaving || engine.resting(wanted.Now) {
 			query.excluded = append(query.excluded, engine.hash)
 		}
 	}
--- a/internal/relay/knowledge.go
+++ b/internal/relay/knowledge.go
@@ -28,8 +28,8 @@
 	incarnation uint64
 	// known are the back ends by identity, so that their state outlives a reading.
 	known map[string]*backEnd
-	// wishes are what back ends have asked of this relay; they outlive known.
-	wishes *backpressure.Ledger
+	// signals are what back ends have asked of this relay; they outlive known.
+	signals *backpressure.Ledger
 	// closed are those of them that take no more work since the last list.
 	closed []*backEnd
 	// lost tells that no controller led when this was last looked at.
@@ -59,7 +59,7 @@
 		readListing: options.ReadListing,
 		incarnation: rand.Uint64(),
 		known:       map[string]*backEnd{},
-		wishes:      backpressure.NewLedger(),
+		signals:     backpressure.NewLedger(),
 	}
 }
 
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -33,16 +33,16 @@
 	failures   int
 	// outdated tells that the directory's row is about an earlier incarnation.
 	outdated bool
-	// wishes are what this incarnation has asked of this gateway.
-	wishes *backpressure.Wishes
+	// signals are what this incarnation has asked of this gateway.
+	signals *backpressure.Signals
 }
 
-func newCandidate(backEnd BackEnd, wishes *backpressure.Wishes) *Candidate {
+func newCandidate(backEnd BackEnd, signals *backpressure.Signals) *Candidate {
 	hash := hashName(backEnd.Name)
 	return &Candidate{
 		BackEnd:  backEnd,
 		nameHash: hash,
-		wishes:   wishes,
+		signals:  signals,
 		node:     nodeIdentity(hash, backEnd.Incarnation),
 	}
 }
@@ -98,7 +98,7 @@
 
 // serving reports whether both the directory and the back end itself say so.
 func (c *Candidate) serving() bool {
-	return c.State == enginecontract.StateServing && c.heldState == "" && !c.wishes.Leaving()
+	return c.State == enginecontract.StateServing && c.heldState == "" && !c.signals.Leaving()
 }
 
 // restart forgets what is true of one incarnation only.
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -47,9 +47,9 @@
 	if seen.Incarnation > candidate.Incarnation {
 		r.restart(candidate, seen.Incarnation)
 	}
-	candidate.wishes.AskRest(now, seen.Rest)
+	candidate.signals.AskRest(now, seen.Rest)
 	if seen.State == enginecontract.StateLeaving {
-		candidate.wishes.SayLeaving(now)
+		candidate.signals.SayLeaving(now)
 	}
 	if seen.Role != "" && seen.Role != candidate.Role {
 		r.changeRole(candidate, seen.Role)
--- a/internal/routing/prefix_memory_test.go
+++ b/internal/routing/prefix_memory_test.go
@@ -21,7 +21,7 @@
 func testCandidates(count int) []*Candidate {
 	candidates := make([]*Candidate, count)
 	for i := range candidates {
-		candidates[i] = newCandidate(BackEnd{Name: string(rune('a' + i)), Incarnation: 1}, &backpressure.Wishes{})
+		candidates[i] = newCandidate(BackEnd{Name: string(rune('a' + i)), Incarnation: 1}, &backpressure.Signals{})
 	}
 	return candidates
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -16,8 +16,8 @@
 	pools      map[poolKey]*pool
 	prefixes   *prefixMemory
 	readings   map[readingKey]*readingMean
-	// wishes are what back ends have asked of this gateway; they outlive candidates.
-	wishes *backpressure.Ledger
+	// signals are what back ends have asked of this gateway; they outlive candidates.
+	signals *backpressure.Ledger
 	// kept and scored are scratch space of one decision.
 	kept   []*Candidate
 	scored []Scored
@@ -47,7 +47,7 @@
 		pools:      make(map[poolKey]*pool),
 		prefixes:   prefixes,
 		readings:   make(map[readingKey]*readingMean),
-		wishes:     backpressure.NewLedger(),
+		signals:    backpressure.NewLedger(),
 	}, nil
 }
 
@@ -66,11 +66,11 @@
 			former := candidate.BackEnd
 			candidate.update(row)
 			if candidate.Incarnation != former.Incarnation {
-				candidate.wishes = r.wishesOf(candidate.BackEnd)
+				candidate.signals = r.signalsOf(candidate.BackEnd)
 				r.tellRestarted(former)
 			}
 		} else {
-			candidate = newCandidate(row, r.wishesOf(row))
+			candidate = newCandidate(row, r.signalsOf(row))
 		}
 		candidates[row.Name] = candidate
 		r.addToPools(candidate)
@@ -84,7 +84,7 @@
 func (r *Router) restart(candidate *Candidate, incarnation uint64) {
 	former := candidate.BackEnd
 	candidate.restart(incarnation)
-	candidate.wishes = r.wishesOf(candidate.BackEnd)
+	candidate.signals = r.signalsOf(candidate.BackEnd)
 	r.tellRestarted(former)
 }
 
@@ -100,9 +100,9 @@
 	return known && candidate.Incarnation > backEnd.Incarnation
 }
 
-// wishesOf returns what an incarnation of a back end has asked of this gateway.
-func (r *Router) wishesOf(backEnd BackEnd) *backpressure.Wishes {
-	return r.wishes.Of(identityOf(backEnd))
+// signalsOf returns what an incarnation of a back end has asked of this gateway.
+func (r *Router) signalsOf(backEnd BackEnd) *backpressure.Signals {
+	return r.signals.Of(identityOf(backEnd))
 }
 
 // identityOf names one incarnation of a back end.
@@ -114,7 +114,7 @@
 func (r *Router) shortestRest(now time.Duration, service string) time.Duration {
 	shortest := time.Duration(0)
 	for _, candidate := range r.candidates {
-		if rest := candidate.wishes.Rest(now); candidate.Service == service && rest > 0 && (shortest == 0 || rest < shortest) {
+		if rest := candidate.signals.Rest(now); candidate.Service == service && rest > 0 && (shortest == 0 || rest < shortest) {
 			shortest = rest
 		}
 	}
@@ -127,7 +127,7 @@
 	if !known || candidate.Incarnation != backEnd.Incarnation {
 		return 0
 	}
-	return candidate.wishes.Rest(now)
+	return candidate.signals.Rest(now)
 }
 
 func (r *Router) sortPools() {
@@ -154,22 +154,22 @@
 			candidate.confirm(at)
 		}
 	}
-	if r.wishes.Len() > 2*len(r.candidates)+sparedWishes {
-		r.forgetWishes(at)
+	if r.signals.Len() > 2*len(r.candidates)+sparedSignals {
+		r.forgetSignals(at)
 	}
 }
 
-// sparedWishes is how many former incarnations may stay in the ledger of wishes before it is looked through,
+// sparedSignals is how many former incarnations may stay in the ledger of signals before it is looked through,
 // which costs time in proportion to the directory.
-const sparedWishes = 64
+const sparedSignals = 64
 
-// forgetWishes forgets what incarnations that are gone have asked, as far as it does not hold any more.
-func (r *Router) forgetWishes(now time.Duration) {
+// forgetSignals forgets what incarnations that are gone have asked, as far as it does not hold any more.
+func (r *Router) forgetSignals(now time.Duration) {
 	listed := make(map[string]bool, len(r.candidates))
 	for _, candidate := range r.candidates {
 		listed[identityOf(candidate.BackEnd)] = true
 	}
-	r.wishes.Keep(now, func(identity string) bool { return listed[identity] })
+	r.signals.Keep(now, func(identity string) bool { return listed[identity] })
 }
 
 func (r *Router) zoneLatency(zone string) time.Duration {
--- a/internal/routing/rest_test.go
+++ b/internal/routing/signals_test.go
@@ -65,13 +65,13 @@
 }
 
 // Incarnations that are gone do not pile up.
-func TestWishesOfFormerIncarnationsAreForgotten(t *testing.T) {
+func TestSignalsOfFormerIncarnationsAreForgotten(t *testing.T) {
 	router := newTestRouter(t)
-	for start := range 10 * sparedWishes {
+	for start := range 10 * sparedSignals {
 		router.SetBackEnds([]BackEnd{engine("m"+strconv.Itoa(start), enginecontract.RoleMixed)})
 		router.Confirm(time.Duration(start) * second)
 	}
-	require.LessOrEqual(t, router.wishes.Len(), sparedWishes+3)
+	require.LessOrEqual(t, router.signals.Len(), sparedSignals+3)
 }
 
 // A later incarnation, shown by the directory or told in an answer, ends the former one.
