Limits that back ends name are read, logged and counted

Cause: the logs could not tell whether a limit was named to a relay, which one, and what was sent in spite of it. Change: the header that names a limit is read with the other words of an answer (absent, a decimal number, or one that cannot be read); event back_end_limits, metrics limited_sendings_total and back_ends_limited. What is sent does not change.

--- a/internal/backpressure/signals.go
+++ b/internal/backpressure/signals.go
@@ -10,35 +10,51 @@
 type Signals struct {
 	// restUntil and leavingSince are nanoseconds; 0 is never.
 	restUntil, leavingSince atomic.Int64
+	// limit is what the back end named last; nil is nothing.
+	limit atomic.Pointer[Limit]
 }
 
 // AskRest notes that the back end wants nothing for a while. A shorter rest that is asked for later does not
 // shorten one that was asked for before.
-func (w *Signals) AskRest(now, rest time.Duration) {
+func (s *Signals) AskRest(now, rest time.Duration) {
 	until := int64(now + rest)
 	for {
-		held := w.restUntil.Load()
-		if until <= held || w.restUntil.CompareAndSwap(held, until) {
+		held := s.restUntil.Load()
+		if until <= held || s.restUntil.CompareAndSwap(held, until) {
 			return
 		}
 	}
 }
 
 // Rest is how much longer the back end wants nothing; 0 when it can be sent requests.
-func (w *Signals) Rest(now time.Duration) time.Duration {
-	return max(time.Duration(w.restUntil.Load())-now, 0)
+func (s *Signals) Rest(now time.Duration) time.Duration {
+	return max(time.Duration(s.restUntil.Load())-now, 0)
 }
 
 // SayLeaving notes that the back end leaves, which is for good. It reports whether that is news.
-func (w *Signals) SayLeaving(now time.Duration) bool {
-	return w.leavingSince.CompareAndSwap(0, max(int64(now), 1))
+func (s *Signals) SayLeaving(now time.Duration) bool {
+	return s.leavingSince.CompareAndSwap(0, max(int64(now), 1))
 }
 
 // Leaving reports whether the back end has said that it leaves.
-func (w *Signals) Leaving() bool { return w.leavingSince.Load() != 0 }
+func (s *Signals) Leaving() bool { return s.leavingSince.Load() != 0 }
+
+// NameLimit notes the limit that the back end named last, the zero value for none. It reports whether that is news.
+func (s *Signals) NameLimit(limit Limit) bool {
+	former := s.limit.Swap(&limit)
+	return former == nil && limit.Named || former != nil && *former != limit
+}
+
+// Limit is what the back end named last.
+func (s *Signals) Limit() Limit {
+	if limit := s.limit.Load(); limit != nil {
+		return *limit
+	}
+	return Limit{}
+}
 
 // forgettable reports whether nothing depends on these signals any more, of a back end that is not listed.
-func (w *Signals) forgettable(now time.Duration) bool {
-	leaving := time.Duration(w.leavingSince.Load())
-	return w.Rest(now) == 0 && (leaving == 0 || now-leaving > leavingMemory)
+func (s *Signals) forgettable(now time.Duration) bool {
+	leaving := time.Duration(s.leavingSince.Load())
+	return s.Rest(now) == 0 && (leaving == 0 || now-leaving > leavingMemory)
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -19,6 +19,8 @@
 	BackEndRests Event = "back_end_rests"
 	// BackEndLeaves: a back end has said in an answer that it leaves.
 	BackEndLeaves Event = "back_end_leaves"
+	// BackEndLimits: a back end has named another limit than before for all relays together, or none any more.
+	BackEndLimits Event = "back_end_limits"
 	// BackEndStartedAgain: another start than the listed one has answered under a back end's identity.
 	BackEndStartedAgain Event = "back_end_started_again"
 	// BackEndEnded: a back end ended while it ran requests.
@@ -79,7 +81,7 @@
 // All lists every event.
 var All = []Event{
 	RequestEnded, AttemptFailed, RequestRefused, KeyRefused, RunMoved, ConfigurationInForce, ConfigurationUnreadable, ListingInForce, ListingFault,
-	BackEndRests, BackEndLeaves, BackEndStartedAgain, BackEndEnded, RequestHeld, RequestTried, GuardCallFailed,
+	BackEndRests, BackEndLeaves, BackEndLimits, BackEndStartedAgain, BackEndEnded, RequestHeld, RequestTried, GuardCallFailed,
 	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageDelivered, ReplicasOrdered, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
 
--- a/internal/relay/back_end_signals.go
+++ b/internal/relay/back_end_signals.go
@@ -24,7 +24,10 @@
 
 // noteAnswer takes what a back end asks for in the head of an answer of its own.
 func (r *Relay) noteAnswer(backEnd *backEnd, head *fasthttp.ResponseHeader) {
-	r.noteAsked(backEnd, backpressure.AskedIn(head.StatusCode(), head.Peek(fasthttp.HeaderRetryAfter), head.Peek(r.dialect.Headers.Leaving)))
+	names := r.dialect.Headers
+	r.noteAsked(backEnd, backpressure.AskedIn(head.StatusCode(), backpressure.Words{
+		RetryAfter: head.Peek(fasthttp.HeaderRetryAfter), Leaving: head.Peek(names.Leaving), Limit: head.PeekAll(names.Limit),
+	}))
 }
 
 // noteAsked takes what a back end has asked for.
@@ -43,6 +46,10 @@
 			go backEnd.moveRuns()
 		}
 	}
+	if asked.LimitUnreadable || backEnd.signals.NameLimit(asked.Limit) {
+		r.event(events.BackEndLimits).Str("back_end", backEnd.ID).Bool("named", asked.Limit.Named).
+			Float64("per_second", asked.Limit.PerSecond).Bool("unreadable", asked.LimitUnreadable).Send()
+	}
 }
 
 // restSpread is the time over which callers are spread that come back after a rest, so that the back end is
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -54,6 +54,8 @@
 	NotExecuted string
 	// Leaving on an answer says that the back end leaves.
 	Leaving string
+	// Limit on an answer names the requests a second that the back end takes of all relays together.
+	Limit string
 	// Priority ranks a request at an engine; 0 goes first.
 	Priority string
 	// Stage asks for a part of an engine's work.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/backpressure"
@@ -69,6 +70,8 @@
 	guard   *crashguard.Guard
 	// noteAnswer takes what a back end asks for in the head of an answer.
 	noteAnswer func(*backEnd, *fasthttp.ResponseHeader)
+	// limitedSendings counts sendings to back ends that have named a limit.
+	limitedSendings prometheus.Counter
 	// without are mechanisms that are left out.
 	without mechanism.Set
 }
@@ -77,6 +80,9 @@
 func (e *exchanger) send(message *message) (*answer, *failure) {
 	avoided := message.backEnd.avoidedFor(e.clock.now())
 	message.backEnd.begin(message.work)
+	if message.backEnd.signals.Limit().Named {
+		e.limitedSendings.Inc()
+	}
 	e.noteReading(message)
 	answer, fault := e.exchange(message)
 	if fault == nil {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -25,7 +25,7 @@
 	return Dialect{
 		Headers: HeaderNames{
 			RequestID: "T-Id", DeadlineMs: "T-Deadline", PromptParts: "T-Parts", Model: "T-Model", Tokens: "T-Tokens",
-			LastEventID: "T-Last", Seal: "T-Seal", ExpectInstance: "T-Expect", Load: "T-Load", NotExecuted: "T-Not-Run", Leaving: "T-Leaving",
+			LastEventID: "T-Last", Seal: "T-Seal", ExpectInstance: "T-Expect", Load: "T-Load", NotExecuted: "T-Not-Run", Leaving: "T-Leaving", Limit: "T-Limit",
 			Priority: "T-Rank", Stage: "T-Stage", KVSource: "T-Source", KVFetch: "T-Fetch", EngineOnly: []string{"T-Pin"},
 			Tenant: "T-Tenant", Authorization: "T-Key",
 		},
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -157,8 +157,8 @@
 	relay.connections.open, relay.connections.requests = map[*clientConnection]bool{}, map[*clientConnection]*request{}
 	relay.contactAt.Store(int64(-leaderwatch.LongestWait - contactSlack))
 	relay.exchanger = &exchanger{
-		noteAnswer: relay.noteAnswer,
-		names:      options.Dialect.Headers, writer: newRequestWriter(options.Dialect.Headers), clock: steady, dial: options.Dial,
+		noteAnswer: relay.noteAnswer, limitedSendings: relay.metrics.limitedSendings,
+		names: options.Dialect.Headers, writer: newRequestWriter(options.Dialect.Headers), clock: steady, dial: options.Dial,
 		without: options.Without,
 	}
 	relay.pace.fixed = !options.Without.On(mechanism.LearntPace)
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -57,6 +57,8 @@
 	// replicaEnds counts back ends that ended while they ran requests of this relay,
 	// guardCallsFailed calls to the leader on them that failed.
 	replicaEnds prometheus.Counter
+	// limitedSendings counts sendings to back ends that had named a limit to this relay.
+	limitedSendings prometheus.Counter
 	// rests counts the rests that back ends have asked of this relay.
 	rests            prometheus.Counter
 	guardCallsFailed prometheus.Counter
@@ -86,6 +88,7 @@
 		denied:           factory.Counter("sendings_denied_total", "Sendings beyond the first that the retry budget did not allow."),
 		usageSentAgain:   factory.Counter("usage_sendings_again_total", "Reports of tenants' usage that were not taken and had to be sent again."),
 		rests:            factory.Counter("back_end_rests_total", "Rests that back ends have asked of this relay."),
+		limitedSendings:  factory.Counter("limited_sendings_total", "Sendings to back ends that had named a limit for all relays together."),
 		replicaEnds:      factory.Counter("back_ends_ended_total", "Back ends that ended while they ran requests of this relay."),
 		guardCallsFailed: factory.Counter("guard_calls_failed_total", "Calls to the leader on ended back ends and held requests that failed."),
 		waits:            factory.Counter("reading_waits_total", "Waits of prompts for the reading of parts that they share."),
@@ -147,9 +150,10 @@
 	backEndLeaving  backEndState = "leaving"
 	backEndChanging backEndState = "changing"
 	backEndResting  backEndState = "resting"
+	backEndLimited  backEndState = "limited"
 )
 
-var backEndStates = []backEndState{backEndReady, backEndAvoided, backEndLeaving, backEndChanging, backEndResting}
+var backEndStates = []backEndState{backEndReady, backEndAvoided, backEndLeaving, backEndChanging, backEndResting, backEndLimited}
 
 // countBackEnds counts the listed back ends in a state.
 func (r *Relay) countBackEnds(state backEndState) int {
@@ -173,6 +177,8 @@
 		return backEndResting
 	case b.Changing:
 		return backEndChanging
+	case b.signals.Limit().Named:
+		return backEndLimited
 	case now < b.look(now).avoidUntil:
 		return backEndAvoided
 	default:
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -127,7 +127,7 @@
 		State: enginecontract.ServiceState(header.Peek(enginecontract.HeaderEngineState)),
 		Role:  enginecontract.Role(header.Peek(enginecontract.HeaderEngineRole)),
 		Load:  string(header.Peek(enginecontract.HeaderEngineLoad)),
-		Rest:  backpressure.AskedIn(header.StatusCode(), header.Peek(fasthttp.HeaderRetryAfter), nil).Rest,
+		Rest:  backpressure.AskedIn(header.StatusCode(), backpressure.Words{RetryAfter: header.Peek(fasthttp.HeaderRetryAfter)}).Rest,
 	}
 }
 
