--- a/internal/enginecontract/headers.go
+++ b/internal/enginecontract/headers.go
@@ -36,6 +36,9 @@
 	HeaderEngineLoad = "X-Engine-Load"
 	// HeaderEngineRole is the engine's role on every answer.
 	HeaderEngineRole = "X-Engine-Role"
+	// HeaderRequestLimit names, in all answers of a back end in need, the requests a second (a decimal number)
+	// that it takes of all gateways together.
+	HeaderRequestLimit = "X-Request-Limit"
 	// HeaderIdempotencyKey is passed on to page services.
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
--- /dev/null
+++ b/internal/gateway/limited_back_ends_test.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+)
+
+// limitedService is a page service that serves all and names a limit of one request a second.
+type limitedService struct {
+	address string
+
+	mutex   sync.Mutex
+	arrived []time.Time
+}
+
+func startLimited(t *testing.T) *limitedService {
+	t.Helper()
+	service := &limitedService{}
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		service.mutex.Lock()
+		service.arrived = append(service.arrived, time.Now())
+		service.mutex.Unlock()
+		writer.Header().Set(enginecontract.HeaderExchange, request.Header.Get(enginecontract.HeaderExchange))
+		writer.Header().Set(enginecontract.HeaderRequestLimit, "1")
+		writer.Header().Set("Content-Length", "2")
+		_, _ = writer.Write([]byte("ok")) // the gateway reads it again
+	}))
+	t.Cleanup(server.Close)
+	service.address = strings.TrimPrefix(server.URL, "http://")
+	return service
+}
+
+// most is the most requests that have arrived in any four seconds, but for the first ones.
+func (s *limitedService) most(skipped int) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	most, first := 0, skipped
+	for last := skipped; last < len(s.arrived); last++ {
+		for s.arrived[last].Sub(s.arrived[first]) > 4*time.Second {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// Each gateway sent on its own, and nobody read a limit that a back end names for all of them together. Here one names
+// a request a second, and three gateways that have passed that on get forty requests each.
+func TestALimitForAllGatewaysTogetherHolds(t *testing.T) {
+	t.Parallel()
+	service := startLimited(t)
+	controller := startController(t, pageBackEnd("p1", service.address))
+	var gateways []*testGateway
+	for _, name := range []string{"g1", "g2", "g3"} {
+		config := testSettings(controller.address)
+		config.Name = name
+		gateways = append(gateways, startGateway(t, config))
+	}
+	send := func(gateway *testGateway) int { return call(t, http.MethodGet, gateway.url+"/lots/7", "", nil).status }
+	for _, gateway := range gateways {
+		require.Eventually(t, func() bool { return send(gateway) == http.StatusOK }, eventually, often)
+	}
+	service.mutex.Lock()
+	told := len(service.arrived)
+	service.mutex.Unlock()
+	for range 40 {
+		for _, gateway := range gateways {
+			send(gateway)
+		}
+	}
+	const allowed = 1.5*1*4 + 5
+	require.LessOrEqual(t, float64(service.most(told)), allowed)
+	require.Eventually(t, func() bool {
+		send(gateways[1])
+		service.mutex.Lock()
+		defer service.mutex.Unlock()
+		return len(service.arrived) >= told+4
+	}, eventually, often, "the limit is used")
+	require.LessOrEqual(t, float64(service.most(told)), allowed)
+}
