What relays ask each other, and which of them answer, are packages of their own

Cause: the count of limits needs questions and answers by datagrams as placement does; the code stood in the asker of placement. Change: datagram.Questions numbers questions and hands answers over, peerhealth.Table keeps which relays answer.

--- a/internal/relay/asker_test.go
+++ b/internal/relay/asker_test.go
@@ -62,12 +62,15 @@
 
 // ask has the owner answer a question of another relay about its only cell; answers come one by one.
 func (r *testRelay) ask(query *engineQuery, number uint64) <-chan *v1.PlacementAnswer {
-	answers := make(chan *v1.PlacementAnswer, openAnswers)
+	answers := make(chan *v1.PlacementAnswer, answersAwaited)
 	id := r.owners.current.Load().services["service"].division.Cells()[0].ID
 	go r.owner.answer(queryToWire(query, otherRelay, number, id), func(answer *v1.PlacementAnswer) { answers <- answer })
 	return answers
 }
 
+// answersAwaited is how many answers a test reads at most.
+const answersAwaited = 4
+
 // otherRelay is the identity of a relay that asks in tests.
 const otherRelay = 77
 
@@ -136,8 +139,8 @@
 	asking.ownedBy(silent, standIn.datagrams.Address, "127.0.0.1:1")
 	now := asking.clock.now()
 	require.Equal(t, []string{silent, standIn.datagrams.Address}, asking.asker.owners(now, asking.engineOf("engine")))
-	asking.asker.judge(silent, false, time.Millisecond)
-	asking.asker.judge(silent, false, time.Millisecond)
+	asking.peers.Judge(asking.clock.now(), silent, false, time.Millisecond)
+	asking.peers.Judge(asking.clock.now(), silent, false, time.Millisecond)
 	require.Equal(t, []string{standIn.datagrams.Address, "127.0.0.1:1"}, asking.asker.owners(asking.clock.now(), asking.engineOf("engine")))
 }
 
@@ -233,7 +236,7 @@
 	require.Nil(t, relay.datagrams.Parse(other))
 	relay.takeDatagram(&v1.RelayDatagram{}, "")
 	relay.asker.take(&v1.PlacementAnswer{Number: 99})
-	number, answers := relay.asker.begin()
+	number, answers := relay.asker.questions.Begin()
 	relay.asker.take(&v1.PlacementAnswer{Number: number, Relay: relay.asker.self + 1})
 	require.Empty(t, answers, "an answer to an earlier start of this relay")
 	for reason, count := range map[datagram.DropReason]float64{datagram.Garbled: 1, datagram.OtherFormat: 1, datagram.NotExpected: 3} {
@@ -326,10 +329,13 @@
 	engine := startBackEnd(t, "engine", serving.StageDecode, streaming("engine", eventOne))
 	asking, _ := newPair(t, engine)
 	silent := silentRelay(t)
-	asking.asker.judge(silent, false, time.Millisecond)
+	asking.peers.Judge(asking.clock.now(), silent, false, time.Millisecond)
 	gone := make(chan struct{})
 	close(gone)
 	_, answered := asking.asker.ask(silent, 1, &engineQuery{service: "service"}, gone)
 	require.False(t, answered)
-	require.True(t, asking.asker.health.Missed(0, silent), "the earlier miss still counts, and no other one does")
+	now := asking.clock.now()
+	require.True(t, asking.peers.Trusted(now, silent), "no other miss counts")
+	asking.peers.Judge(now, silent, false, time.Millisecond)
+	require.False(t, asking.peers.Trusted(now, silent), "the earlier miss still counts")
 }
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -2,9 +2,12 @@
 
 import (
 	"net"
+	"time"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
+	"github.com/hazelpitch/hazelpitch/internal/relay/peerhealth"
 )
 
 // meetOthers sets up what goes by datagrams between relays.
@@ -12,7 +15,10 @@
 	r.datagrams = datagram.New(socket, r.metrics.datagramsDropped)
 	r.notices = newNotices(r, r.datagrams, r.knowledge.incarnation)
 	r.exchanger.notices = r.notices
-	r.asker = newAsker(r, r.datagrams, r.knowledge.incarnation)
+	r.peers = peerhealth.New(func(relay string, waited time.Duration) {
+		r.event(events.OwnerDoubted).Str("owner", relay).Int64("waited_ms", waited.Milliseconds()).Send()
+	})
+	r.asker = newAsker(r, r.datagrams, r.knowledge.incarnation, r.peers)
 	r.owner = newPlacementOwner(r)
 	r.owners = newOwnerTable(r.datagrams.Address, r.event)
 }
@@ -45,6 +51,6 @@
 		listed[address] = true
 	}
 	r.notices.setPeers(addresses)
-	r.asker.setRelays(listed)
+	r.peers.Keep(listed)
 	r.datagrams.Keep(listed)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
+	"github.com/hazelpitch/hazelpitch/internal/relay/peerhealth"
 	"github.com/hazelpitch/hazelpitch/internal/relay/retrybudget"
 	"github.com/hazelpitch/hazelpitch/internal/relay/splitdraw"
 	"github.com/hazelpitch/hazelpitch/internal/relay/workmeter"
@@ -53,10 +54,12 @@
 	datagrams *datagram.Socket
 	notices   *notices
 	asker     *asker
-	owner     *placementOwner
-	owners    *ownerTable
-	work      *workmeter.Meter
-	pace      *pace
+	// peers is which other relays answer.
+	peers  *peerhealth.Table
+	owner  *placementOwner
+	owners *ownerTable
+	work   *workmeter.Meter
+	pace   *pace
 	// usage counts what tenants use.
 	usage *usagereport.Meter
 	// policy holds the weights of the decisions on where requests run.
