A limit that a back end names holds for all relays together

Seen by callers: a replica in need was sent as much as before (21 and 16 requests in 4 s, 12 and 15 allowed); what it could not serve in time, its clients waited for. Cause: nobody read the limit, and each relay decided by itself; nothing counted what all of them send to one replica. Change: one relay at a time keeps the count of a back end (by rendezvous hashing over the listed relays, internal/fleetlimit, pure) and grants permits, one for each thing that is sent: requests, repeats, readings, moves, releases, readings of caches (internal/relay/permits carries them, a last look where the connection is taken). Others know of the limit from its notices, from the leader's watches and from the back end's answers; a success that names none lifts it. Why it holds: what may be granted at once by a first keeper, one that takes it for gone, and one that has just become first is at most one and a half times the limit (parts 1, 1/2, 1/4, 1/8); a keeper begins with an empty bucket; without a keeper's answer nothing is sent.

--- a/api/hazelpitch/v1/hazelpitchv1connect/node.connect.go
+++ b/api/hazelpitch/v1/hazelpitchv1connect/node.connect.go
@@ -53,6 +53,8 @@
 	// NodeServiceReleaseRequestProcedure is the fully-qualified name of the NodeService's
 	// ReleaseRequest RPC.
 	NodeServiceReleaseRequestProcedure = "/hazelpitch.v1.NodeService/ReleaseRequest"
+	// NodeServiceTakePermitProcedure is the fully-qualified name of the NodeService's TakePermit RPC.
+	NodeServiceTakePermitProcedure = "/hazelpitch.v1.NodeService/TakePermit"
 )
 
 // NodeServiceClient is a client for the hazelpitch.v1.NodeService service.
@@ -74,6 +76,9 @@
 	BeginTrial(context.Context, *connect.Request[v1.BeginTrialRequest]) (*connect.Response[v1.BeginTrialResponse], error)
 	// ReleaseRequest tells that a held request has run to a good end.
 	ReleaseRequest(context.Context, *connect.Request[v1.ReleaseRequestRequest]) (*connect.Response[v1.ReleaseRequestResponse], error)
+	// TakePermit asks for the right to send one request to a back end that names a limit for all gateways together;
+	// the leader keeps the counts.
+	TakePermit(context.Context, *connect.Request[v1.TakePermitRequest]) (*connect.Response[v1.TakePermitResponse], error)
 }
 
 // NewNodeServiceClient constructs a client for the hazelpitch.v1.NodeService service. By default,
@@ -141,6 +146,12 @@
 			connect.WithSchema(nodeServiceMethods.ByName("ReleaseRequest")),
 			connect.WithClientOptions(opts...),
 		),
+		takePermit: connect.NewClient[v1.TakePermitRequest, v1.TakePermitResponse](
+			httpClient,
+			baseURL+NodeServiceTakePermitProcedure,
+			connect.WithSchema(nodeServiceMethods.ByName("TakePermit")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -155,6 +166,7 @@
 	reportReplicaEnds *connect.Client[v1.ReportReplicaEndsRequest, v1.ReportReplicaEndsResponse]
 	beginTrial        *connect.Client[v1.BeginTrialRequest, v1.BeginTrialResponse]
 	releaseRequest    *connect.Client[v1.ReleaseRequestRequest, v1.ReleaseRequestResponse]
+	takePermit        *connect.Client[v1.TakePermitRequest, v1.TakePermitResponse]
 }
 
 // Sync calls hazelpitch.v1.NodeService.Sync.
@@ -202,6 +214,11 @@
 	return c.releaseRequest.CallUnary(ctx, req)
 }
 
+// TakePermit calls hazelpitch.v1.NodeService.TakePermit.
+func (c *nodeServiceClient) TakePermit(ctx context.Context, req *connect.Request[v1.TakePermitRequest]) (*connect.Response[v1.TakePermitResponse], error) {
+	return c.takePermit.CallUnary(ctx, req)
+}
+
 // NodeServiceHandler is an implementation of the hazelpitch.v1.NodeService service.
 type NodeServiceHandler interface {
 	Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error)
@@ -221,6 +238,9 @@
 	BeginTrial(context.Context, *connect.Request[v1.BeginTrialRequest]) (*connect.Response[v1.BeginTrialResponse], error)
 	// ReleaseRequest tells that a held request has run to a good end.
 	ReleaseRequest(context.Context, *connect.Request[v1.ReleaseRequestRequest]) (*connect.Response[v1.ReleaseRequestResponse], error)
+	// TakePermit asks for the right to send one request to a back end that names a limit for all gateways together;
+	// the leader keeps the counts.
+	TakePermit(context.Context, *connect.Request[v1.TakePermitRequest]) (*connect.Response[v1.TakePermitResponse], error)
 }
 
 // NewNodeServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -284,6 +304,12 @@
 		connect.WithSchema(nodeServiceMethods.ByName("ReleaseRequest")),
 		connect.WithHandlerOptions(opts...),
 	)
+	nodeServiceTakePermitHandler := connect.NewUnaryHandler(
+		NodeServiceTakePermitProcedure,
+		svc.TakePermit,
+		connect.WithSchema(nodeServiceMethods.ByName("TakePermit")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/hazelpitch.v1.NodeService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case NodeServiceSyncProcedure:
@@ -304,6 +330,8 @@
 			nodeServiceBeginTrialHandler.ServeHTTP(w, r)
 		case NodeServiceReleaseRequestProcedure:
 			nodeServiceReleaseRequestHandler.ServeHTTP(w, r)
+		case NodeServiceTakePermitProcedure:
+			nodeServiceTakePermitHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -348,3 +376,7 @@
 func (UnimplementedNodeServiceHandler) ReleaseRequest(context.Context, *connect.Request[v1.ReleaseRequestRequest]) (*connect.Response[v1.ReleaseRequestResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hazelpitch.v1.NodeService.ReleaseRequest is not implemented"))
 }
+
+func (UnimplementedNodeServiceHandler) TakePermit(context.Context, *connect.Request[v1.TakePermitRequest]) (*connect.Response[v1.TakePermitResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hazelpitch.v1.NodeService.TakePermit is not implemented"))
+}
--- /dev/null
+++ b/internal/backpressure/limit_state.go
@@ -0,0 +1,108 @@
+package backpressure
+
+import "time"
+
+// limitState is what a process knows of the limit of one start of a back end. It is never changed.
+type limitState struct {
+	limit Limit
+	// at is when it became known; own tells that the back end has named it to this process since another process told
+	// anything of it.
+	at  time.Duration
+	own bool
+	// waitUntil is until when permits are not asked for.
+	waitUntil time.Duration
+}
+
+// limitMemory is how long a limit is remembered of a back end that is not listed.
+const limitMemory = 10 * time.Minute
+
+// HearLimit takes the limit in an answer of the back end to a request that was sent at a time, the zero value for
+// none. An answer to a request that was sent before the present limit was known may be older than it: it is only
+// followed to a smaller one. It reports whether the limit has changed.
+func (s *Signals) HearLimit(now, sentAt time.Duration, limit Limit) (changed bool) {
+	for {
+		held := s.limit.Load()
+		former := stateOf(held)
+		if former.limit == limit && (former.own || held == nil) || former.limit.below(limit) && sentAt < former.at {
+			return false
+		}
+		next := former
+		next.own = true
+		if former.limit != limit {
+			next.limit, next.at, next.waitUntil = limit, now, 0
+		}
+		if s.limit.CompareAndSwap(held, &next) {
+			return former.limit != limit
+		}
+	}
+}
+
+// TellLimit takes the limit as another process knows it. It reports whether the limit has changed.
+func (s *Signals) TellLimit(now time.Duration, limit Limit) (changed bool) {
+	for {
+		held := s.limit.Load()
+		former := stateOf(held)
+		if former.limit == limit && !former.own {
+			return false
+		}
+		next := former
+		next.own = false
+		if former.limit != limit {
+			next.limit, next.at, next.waitUntil = limit, now, 0
+		}
+		if s.limit.CompareAndSwap(held, &next) {
+			return former.limit != limit
+		}
+	}
+}
+
+// AwaitPermit notes that no permit is to be had until a time, as long as the limit stays the same.
+func (s *Signals) AwaitPermit(until time.Duration) {
+	for {
+		held := s.limit.Load()
+		if held == nil || !held.limit.Named || until <= held.waitUntil {
+			return
+		}
+		next := *held
+		next.waitUntil = until
+		if s.limit.CompareAndSwap(held, &next) {
+			return
+		}
+	}
+}
+
+// PermitWait is how much longer no permit is to be had; 0 when one can be asked for, or none is needed.
+func (s *Signals) PermitWait(now time.Duration) time.Duration {
+	return max(stateOf(s.limit.Load()).waitUntil-now, 0)
+}
+
+// Limit is the limit as it is known, the zero value for none; own tells that the back end has named it to this process
+// since another one told anything of it.
+func (s *Signals) Limit() (limit Limit, own bool) {
+	known := stateOf(s.limit.Load())
+	return known.limit, known.own
+}
+
+// LimitKnownFor is how long the present limit, or that there is none any more, has been known; false when nothing was
+// ever heard of one.
+func (s *Signals) LimitKnownFor(now time.Duration) (time.Duration, bool) {
+	known := s.limit.Load()
+	if known == nil {
+		return 0, false
+	}
+	return now - known.at, true
+}
+
+// limitForgettable reports whether nothing depends on the limit of a back end that is not listed.
+func (s *Signals) limitForgettable(now time.Duration) bool {
+	known := stateOf(s.limit.Load())
+	return !known.limit.Named || now-known.at > limitMemory
+}
+
+// stateOf returns the state, the zero value where nothing is known.
+func stateOf(held *limitState) limitState {
+	if held == nil {
+		return limitState{}
+	}
+	return *held
+}
--- a/internal/backpressure/signals.go
+++ b/internal/backpressure/signals.go
@@ -10,8 +10,8 @@
 type Signals struct {
 	// restUntil and leavingSince are nanoseconds; 0 is never.
 	restUntil, leavingSince atomic.Int64
-	// limit is what the back end named last; nil is nothing.
-	limit atomic.Pointer[Limit]
+	// limit is what is known of its limit; nil is nothing.
+	limit atomic.Pointer[limitState]
 }
 
 // AskRest notes that the back end wants nothing for a while. A shorter rest that is asked for later does not
@@ -39,22 +39,8 @@
 // Leaving reports whether the back end has said that it leaves.
 func (s *Signals) Leaving() bool { return s.leavingSince.Load() != 0 }
 
-// NameLimit notes the limit that the back end named last, the zero value for none. It reports whether that is news.
-func (s *Signals) NameLimit(limit Limit) bool {
-	former := s.limit.Swap(&limit)
-	return former == nil && limit.Named || former != nil && *former != limit
-}
-
-// Limit is what the back end named last.
-func (s *Signals) Limit() Limit {
-	if limit := s.limit.Load(); limit != nil {
-		return *limit
-	}
-	return Limit{}
-}
-
 // forgettable reports whether nothing depends on these signals any more, of a back end that is not listed.
 func (s *Signals) forgettable(now time.Duration) bool {
 	leaving := time.Duration(s.leavingSince.Load())
-	return s.Rest(now) == 0 && (leaving == 0 || now-leaving > leavingMemory)
+	return s.Rest(now) == 0 && (leaving == 0 || now-leaving > leavingMemory) && s.limitForgettable(now)
 }
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -70,6 +70,8 @@
 	replicas  siteReplicas
 	// quarantine keeps requests away from replicas that they would end.
 	quarantine requestQuarantine
+	// limits are those that back ends name for all processes together.
+	limits namedLimits
 	// clock is what this controller knows of the time of day.
 	clock *truetime.Clock
 }
@@ -109,6 +111,7 @@
 		clock:     truetime.New(),
 
 		quarantine: newRequestQuarantine(),
+		limits:     newNamedLimits(),
 	}, nil
 }
 
@@ -196,6 +199,8 @@
 		c.takeReplicaEnds(received)
 	case TrialAsked:
 		c.takeTrialAsked(received)
+	case PermitAsked:
+		c.takePermitAsked(received)
 	case RequestReleased:
 		c.takeRequestReleased(received)
 	case ReplicasOrdered:
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -39,6 +39,7 @@
 	c.dutyCalls = newDutySchedule(c.config)
 	c.replicas = newSiteReplicas()
 	c.quarantine = newRequestQuarantine()
+	c.limits = newNamedLimits()
 }
 
 func (c *Core) stopLeading() {
--- a/internal/control/nodes.go
+++ b/internal/control/nodes.go
@@ -90,7 +90,8 @@
 	if request.WindowMs > 0 || len(request.Demands) > 0 { // else it asks for shares only
 		c.demands.Take(c.now, node, request)
 	}
-	response := &v1.ReportResponse{}
+	c.takeGatewaysLimits(request.GetLimits())
+	response := &v1.ReportResponse{Limits: c.gatewaysLimits()}
 	for _, demand := range c.shareDemands(request) {
 		tenant := c.state.Object(v1.ObjectType_OBJECT_TYPE_TENANT, demand.Tenant).GetTenant()
 		limits := shares.Limits{TokensPerSecond: tenant.GetTokensPerSecond(), Concurrency: tenant.GetConcurrency()}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -31,6 +31,7 @@
 	state := c.siteState()
 	if state.leads {
 		c.noteRelay(request)
+		c.takeRelaysLimits(request.GetLimits())
 	}
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maximumWatchWait)
 	if !state.leads {
@@ -112,6 +113,7 @@
 	if response.HeldVersion = version; version != request.GetHeldVersion() {
 		response.Held = held
 	}
+	response.Limits = c.relaysLimits()
 	response.TrueTimeMs, _ = c.trueTime()
 	response.UsageWindowMs = milliseconds(c.config.Usage.Window)
 	response.Relays = c.relayCount()
--- a/internal/controller/input_names.go
+++ b/internal/controller/input_names.go
@@ -29,6 +29,8 @@
 		return "usage"
 	case control.ReplicaEndsReceived, control.TrialAsked, control.RequestReleased:
 		return "quarantine"
+	case control.PermitAsked:
+		return "limits"
 	case control.ReplicasOrdered:
 		return "replicas"
 	case control.ListingReceived:
--- a/internal/controller/node_service.go
+++ b/internal/controller/node_service.go
@@ -67,6 +67,15 @@
 		forwardToNode(hazelpitchv1connect.NodeServiceClient.BeginTrial))
 }
 
+// TakePermit asks for the right to send a request to a back end that names a limit; it is passed on to the leader.
+func (n nodeService) TakePermit(ctx context.Context, request *connect.Request[v1.TakePermitRequest]) (*connect.Response[v1.TakePermitResponse], error) {
+	return serve(ctx, n.service, request,
+		func(call control.CallID) control.Input {
+			return control.PermitAsked{Call: call, Request: request.Msg}
+		},
+		forwardToNode(hazelpitchv1connect.NodeServiceClient.TakePermit))
+}
+
 // ReleaseRequest tells that a held request has run well; it is passed on to the leader.
 func (n nodeService) ReleaseRequest(ctx context.Context, request *connect.Request[v1.ReleaseRequestRequest]) (*connect.Response[v1.ReleaseRequestResponse], error) {
 	return serve(ctx, n.service, request,
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -117,7 +117,7 @@
 // has not run only when that is certain.
 func (a *attempts) refusal() refusal {
 	late := a.relay.clock.now() >= a.request.deadline || a.last != nil && errors.Is(a.last, errDeadline)
-	rest := a.relay.restLeft(a.request.service.Name)
+	comeBack := a.relay.comeBack(a.request.service.Name, answeringStage(a.request.service))
 	switch {
 	case a.mayHaveRun && late:
 		return refusal{status: fasthttp.StatusGatewayTimeout, reason: "no whole answer came in time"}
@@ -127,8 +127,10 @@
 		return refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonHeld, retryAfter: crashguard.ComeBackAfter}
 	case late:
 		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "no back end took the request in time", retryAfter: retryAfterBusy}
-	case rest > 0:
-		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "the back ends have asked to be left alone", retryAfter: rest}
+	case comeBack.limited:
+		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "the limits of the back ends leave no room", retryAfter: comeBack.after}
+	case comeBack.after > 0:
+		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "the back ends have asked to be left alone", retryAfter: comeBack.after}
 	case a.last != nil && errors.Is(a.last, errNotExecuted):
 		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "the back ends are busy", retryAfter: retryAfterBusy}
 	case len(a.relay.view.Load().byService[a.request.service.Name]) == 0:
--- a/internal/relay/back_end_signals.go
+++ b/internal/relay/back_end_signals.go
@@ -8,6 +8,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/backpressure"
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
 // leaving reports whether the back end leaves, by the list or by its own word: the list lags, and is not read
@@ -17,9 +18,20 @@
 // resting reports whether the back end has asked to be sent nothing for now.
 func (b *backEnd) resting(now time.Duration) bool { return b.signals.Rest(now) > 0 }
 
+// wait is how much longer nothing may be sent to the back end: it has asked for rest, or its limit leaves no room.
+func (b *backEnd) wait(now time.Duration) time.Duration {
+	return max(b.signals.Rest(now), b.signals.PermitWait(now))
+}
+
+// limited reports whether the back end names a limit for all relays together.
+func (b *backEnd) limited() bool {
+	limit, _ := b.signals.Limit()
+	return limit.Named
+}
+
 // closed reports whether new requests must not be sent to the back end now.
 func (b *backEnd) closed(now time.Duration) bool {
-	return b.Changing || b.leaving() || b.resting(now)
+	return b.Changing || b.leaving() || b.wait(now) > 0
 }
 
 // noteAnswer takes what a back end asks for in the head of an answer of its own.
@@ -46,34 +58,49 @@
 			go backEnd.moveRuns()
 		}
 	}
-	if asked.LimitUnreadable || backEnd.signals.NameLimit(asked.Limit) {
-		r.event(events.BackEndLimits).Str("back_end", backEnd.ID).Bool("named", asked.Limit.Named).
-			Float64("per_second", asked.Limit.PerSecond).Bool("unreadable", asked.LimitUnreadable).Send()
+	if asked.Limit.Named {
+		r.noteLimit(backEnd, asked.Limit, noRequest)
 	}
 }
 
-// restSpread is the time over which callers are spread that come back after a rest, so that the back end is
+// noRequest stands for the time of a request where a call of the relay's own was answered: that such an answer names no
+// limit, or a larger one, says nothing.
+const noRequest = time.Duration(-1)
+
+// comeBackSpread is the least time over which callers are spread that come back after a wait, so that the back end is
 // not asked by all of them at once.
-const restSpread = 300 * time.Millisecond
+const comeBackSpread = 300 * time.Millisecond
+
+// comeBack is when callers may come back for whom nothing can be sent to any back end of a service.
+type comeBack struct {
+	// after is when; 0 where something can be sent to one of them.
+	after time.Duration
+	// limited tells that it is a limit that leaves no room, rather than a rest.
+	limited bool
+}
 
-// restLeft is when a caller may come back for whom all back ends of the service rest; 0 when one of them does
-// not. Coming back sooner would be in vain.
-func (r *Relay) restLeft(service string) time.Duration {
-	now, shortest := r.clock.now(), time.Duration(0)
+// comeBack is when a caller may come back who would be answered by back ends of a stage. Coming back sooner would be in
+// vain. Those who are told so at different times of one wait are spread over as long again.
+func (r *Relay) comeBack(service string, stage serving.Stage) comeBack {
+	now, shortest := r.clock.now(), comeBack{}
 	for _, backEnd := range r.view.Load().byService[service] {
-		if backEnd.leaving() {
+		if backEnd.leaving() || backEnd.Stage != stage {
 			continue
 		}
-		rest := backEnd.signals.Rest(now)
-		if rest == 0 {
-			return 0
+		wait := backEnd.wait(now)
+		if wait == 0 {
+			return comeBack{}
 		}
-		if shortest == 0 || rest < shortest {
-			shortest = rest
+		if shortest.after == 0 || wait < shortest.after {
+			shortest = comeBack{after: wait, limited: backEnd.signals.Rest(now) < wait}
 		}
 	}
-	if shortest == 0 {
-		return 0
+	if shortest.after > 0 {
+		spread := comeBackSpread
+		if shortest.limited {
+			spread = max(spread, shortest.after)
+		}
+		shortest.after += time.Duration(r.draw() * float64(spread))
 	}
-	return shortest + time.Duration(r.draw()*float64(restSpread))
+	return shortest
 }
--- a/internal/relay/back_end_signals_test.go
+++ b/internal/relay/back_end_signals_test.go
@@ -63,7 +63,7 @@
 	require.Equal(t, 503, answer.status)
 	comeBack := backpressure.RetryAfter(answer.head.Peek("Retry-After"))
 	require.Greater(t, comeBack, 500*time.Second)
-	require.LessOrEqual(t, comeBack, 600*time.Second+restSpread)
+	require.LessOrEqual(t, comeBack, 600*time.Second+comeBackSpread)
 	require.Len(t, long.seen(), 1)
 	require.Len(t, short.seen(), 1)
 }
--- a/internal/relay/cache_reader.go
+++ b/internal/relay/cache_reader.go
@@ -48,7 +48,8 @@
 	owned := map[*promptCache]bool{}
 	for _, engine := range c.relay.owners.ownedEngines() {
 		owned[engine.cache] = true
-		if c.owned[engine.cache] || engine.leaving() || engine.resting(c.relay.clock.now()) || !c.isDue(engine) {
+		if c.owned[engine.cache] || engine.leaving() || engine.resting(c.relay.clock.now()) || !c.isDue(engine) ||
+			!c.relay.permitted(engine, ownCallRank, false) {
 			continue
 		}
 		c.readAt[engine.cache] = c.relay.clock.now()
--- a/internal/relay/engine_query.go
+++ b/internal/relay/engine_query.go
@@ -29,6 +29,8 @@
 	request placement.Request
 	// excluded are the engines that must not be taken, by their hashes.
 	excluded []uint64
+	// reserved tells that a permit for the run was taken already.
+	reserved bool
 	// holder is the engine of another cell that keeps the beginning of the prompt; nil for none.
 	holder *promptHolder
 }
@@ -53,7 +55,7 @@
 		if len(query.excluded) >= mostExcluded {
 			break // the answer is looked at again: one that rests is not taken
 		}
-		if engine.signals.Leaving() && !engine.Leaving || engine.resting(wanted.Now) {
+		if engine.signals.Leaving() && !engine.Leaving || engine.wait(wanted.Now) > 0 {
 			query.excluded = append(query.excluded, engine.hash)
 		}
 	}
@@ -139,6 +141,9 @@
 	perToken time.Duration
 	// assigned names the owner's answer; zero where this relay decided.
 	assigned assignment
+	// permittedAt is when a permit was taken for it, 0 for never; owed tells that the run must go on there.
+	permittedAt time.Duration
+	owed        bool
 }
 
 // ownPlace is a place for a back end that was not weighed.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -58,8 +58,18 @@
 	// reads are the parts of the prompt that the back end reads, begun those of them that it
 	// did not hold when the message was sent.
 	reads, begun []placement.Part
+	// sentAt is when it was sent.
+	sentAt time.Duration
 }
 
+// permitAt reports whether the message may go out by the permit that was taken when its back end was picked.
+func (m *message) permitAt(now time.Duration) bool {
+	return m.chosen != nil && m.chosen.permittedAt > 0 && now-m.chosen.permittedAt <= permitLifetime
+}
+
+// owed reports whether the request must go on at this back end.
+func (m *message) owed() bool { return m.chosen != nil && m.chosen.owed }
+
 // exchanger carries messages to back ends.
 type exchanger struct {
 	names   HeaderNames
@@ -70,6 +80,10 @@
 	guard   *crashguard.Guard
 	// noteAnswer takes what a back end asks for in the head of an answer.
 	noteAnswer func(*backEnd, *fasthttp.ResponseHeader)
+	// permitted reports whether a request of a rank may be sent to a back end that may name a limit.
+	permitted func(backEnd *backEnd, rank int, owed bool) bool
+	// noteLimit takes the limit in an answer to a request that was sent at a time.
+	noteLimit func(backEnd *backEnd, limit backpressure.Limit, sentAt time.Duration)
 	// limitedSendings counts sendings to back ends that have named a limit.
 	limitedSendings prometheus.Counter
 	// without are mechanisms that are left out.
@@ -80,9 +94,6 @@
 func (e *exchanger) send(message *message) (*answer, *failure) {
 	avoided := message.backEnd.avoidedFor(e.clock.now())
 	message.backEnd.begin(message.work)
-	if message.backEnd.signals.Limit().Named {
-		e.limitedSendings.Inc()
-	}
 	e.noteReading(message)
 	answer, fault := e.exchange(message)
 	if fault == nil {
@@ -127,6 +138,14 @@
 	if message.backEnd.resting(now) { // it was picked before the rest was asked for
 		return nil, &failure{verdict: verdict.NotRun, cause: errResting}
 	}
+	if message.backEnd.limited() {
+		if !message.permitAt(now) && !e.permitted(message.backEnd, message.request.rank.First, message.owed()) {
+			return nil, &failure{verdict: verdict.NotRun, cause: errLimited}
+		}
+		e.limitedSendings.Inc()
+		now = e.clock.now()
+	}
+	message.sentAt = now
 	connection := message.backEnd.pool.Take(now, idleLimitOf(message.request.route))
 	if connection == nil {
 		var err error
@@ -295,6 +314,7 @@
 		return &failure{verdict: verdict.NotRun, arrived: true, cause: errMisdirected}
 	}
 	e.noteAnswer(answer.message.backEnd, answer.head)
+	e.noteLimitOf(answer)
 	if len(answer.head.Peek(e.names.NotExecuted)) > 0 {
 		return &failure{
 			verdict: verdict.NotRun, arrived: true, cause: fmt.Errorf("%w: status %d", errNotExecuted, answer.status),
@@ -306,3 +326,12 @@
 	}
 	return nil
 }
+
+// noteLimitOf takes the limit that an answer names, or that a success names none.
+func (e *exchanger) noteLimitOf(answer *answer) {
+	limit, readable := backpressure.ParseLimit(answer.head.PeekAll(e.names.Limit))
+	isSuccess := answer.status >= fasthttp.StatusOK && answer.status < fasthttp.StatusMultipleChoices
+	if readable && (limit.Named || isSuccess) {
+		e.noteLimit(answer.message.backEnd, limit, answer.message.sentAt)
+	}
+}
--- a/internal/relay/exchange_notes.go
+++ b/internal/relay/exchange_notes.go
@@ -57,7 +57,7 @@
 // judge lets the back end's health follow from a failure.
 func (e *exchanger) judge(message *message, fault *failure) {
 	switch {
-	case errors.Is(fault, errCancelled), errors.Is(fault, errResting):
+	case errors.Is(fault, errCancelled), errors.Is(fault, errResting), errors.Is(fault, errLimited):
 	case errors.Is(fault, errNotExecuted):
 		e.noteRefusal(message)
 	default:
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -52,6 +52,7 @@
 	errNoAnswer     = errors.New("the bytes received are no answer")
 	errNotExecuted  = errors.New("the back end has not run the request")
 	errResting      = errors.New("the back end has asked to be left alone for now")
+	errLimited      = errors.New("the back end's limit leaves no room for now")
 	errMisdirected  = errors.New("another back end has the address")
 	errForeign      = errors.New("the answer belongs to another request")
 	errWrongAnswer  = errors.New("the answer does not fit the request")
--- a/internal/relay/knowledge.go
+++ b/internal/relay/knowledge.go
@@ -10,6 +10,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/backpressure"
 	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/fleetlimit"
 	"github.com/hazelpitch/hazelpitch/internal/leaderwatch"
 	"github.com/hazelpitch/hazelpitch/internal/listing"
 	"github.com/hazelpitch/hazelpitch/internal/packed"
@@ -92,6 +93,7 @@
 		HeldVersion:    k.relay.guard.Version(),
 		Demands:        k.relay.work.Report(k.relay.clock.now()),
 	}
+	request.Limits = fleetlimit.AllToWire(k.relay.permits.Limits())
 	request.DocumentNumber = k.held.GetNumber()
 	request.Wanted = k.wanted
 	return request
@@ -117,10 +119,20 @@
 	k.listingCalls, k.partial = int(response.GetListingCalls()), response.GetListingPartial()
 	k.relay.usage.Hear(k.relay.clock.now(), response.GetTrueTimeMs(), time.Duration(response.GetUsageWindowMs())*time.Millisecond)
 	k.relay.setView(&next)
+	k.takeLimits(response)
 	k.moveRuns()
 	k.relay.contactAt.Store(int64(k.relay.clock.now()))
 }
 
+// takeLimits takes the limits that the leader knows of, for back ends of which other relays have not told yet.
+func (k *knowledge) takeLimits(response *v1.WatchResponse) {
+	for _, told := range response.GetLimits() {
+		if named, valid := fleetlimit.FromWire(told); valid {
+			k.relay.takeLeadersLimit(named)
+		}
+	}
+}
+
 // document reads the document of a response; nil for none.
 func (k *knowledge) document(response *v1.WatchResponse) *v1.Document {
 	if len(response.GetDocumentPatch()) > 0 {
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -19,6 +19,7 @@
 		r.event(events.OwnerDoubted).Str("owner", relay).Int64("waited_ms", waited.Milliseconds()).Send()
 	})
 	r.asker = newAsker(r, r.datagrams, r.knowledge.incarnation, r.peers)
+	r.permits = newPermits(r)
 	r.owner = newPlacementOwner(r)
 	r.owners = newOwnerTable(r.datagrams.Address, r.event)
 }
@@ -36,6 +37,12 @@
 		r.asker.take(content.Answer)
 	case *v1.RelayDatagram_Cancel:
 		r.owner.cancel(content.Cancel)
+	case *v1.RelayDatagram_LimitAsk:
+		r.permits.Answer(content.LimitAsk, from)
+	case *v1.RelayDatagram_LimitAnswer:
+		r.permits.TakeAnswer(content.LimitAnswer)
+	case *v1.RelayDatagram_LimitNotice:
+		r.permits.TakeNotice(content.LimitNotice, from)
 	default:
 		r.datagrams.Drop(datagram.NotExpected)
 	}
@@ -52,5 +59,6 @@
 	}
 	r.notices.setPeers(addresses)
 	r.peers.Keep(listed)
+	r.permits.SetRelays(addresses)
 	r.datagrams.Keep(listed)
 }
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
@@ -73,11 +74,24 @@
 	return chosen
 }
 
-// pickWhole chooses the back end of a service that answers requests whole, or nil when none is
-// left. It looks at the newest list: a request may wait long between two picks.
+// pickWhole chooses the back end of a service that answers requests whole, or nil when none is left. One that names a
+// limit is chosen where it permits the request.
 func (r *Relay) pickWhole(request *request, tried *attempts) *place {
+	var denied []*backEnd
+	for {
+		chosen := r.pickAmong(request, func(backEnd *backEnd) bool { return tried.isExcluded(backEnd) || slices.Contains(denied, backEnd) })
+		if chosen == nil || r.permitPlace(chosen, request.rank) {
+			return chosen
+		}
+		denied = append(denied, chosen.backEnd)
+	}
+}
+
+// pickAmong chooses among the back ends that are not excluded. It looks at the newest list: a request may wait long
+// between two picks.
+func (r *Relay) pickAmong(request *request, isExcluded func(*backEnd) bool) *place {
 	now := r.clock.now()
-	excluded := func(backEnd *backEnd) bool { return tried.isExcluded(backEnd) || backEnd.resting(now) }
+	excluded := func(backEnd *backEnd) bool { return isExcluded(backEnd) || backEnd.wait(now) > 0 }
 	seen := r.surveyOf(r.view.Load().byService[request.service.Name], nil, excluded, now)
 	limit := idleLimitOf(request.route)
 	for index, backEnd := range seen.backEnds {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
 	"github.com/hazelpitch/hazelpitch/internal/relay/peerhealth"
+	"github.com/hazelpitch/hazelpitch/internal/relay/permits"
 	"github.com/hazelpitch/hazelpitch/internal/relay/retrybudget"
 	"github.com/hazelpitch/hazelpitch/internal/relay/splitdraw"
 	"github.com/hazelpitch/hazelpitch/internal/relay/workmeter"
@@ -55,11 +56,13 @@
 	notices   *notices
 	asker     *asker
 	// peers is which other relays answer.
-	peers  *peerhealth.Table
-	owner  *placementOwner
-	owners *ownerTable
-	work   *workmeter.Meter
-	pace   *pace
+	peers *peerhealth.Table
+	// permits gives permits to send to back ends that name a limit for all relays together.
+	permits *permits.Permits
+	owner   *placementOwner
+	owners  *ownerTable
+	work    *workmeter.Meter
+	pace    *pace
 	// usage counts what tenants use.
 	usage *usagereport.Meter
 	// policy holds the weights of the decisions on where requests run.
@@ -160,7 +163,7 @@
 	relay.connections.open, relay.connections.requests = map[*clientConnection]bool{}, map[*clientConnection]*request{}
 	relay.contactAt.Store(int64(-leaderwatch.LongestWait - contactSlack))
 	relay.exchanger = &exchanger{
-		noteAnswer: relay.noteAnswer, limitedSendings: relay.metrics.limitedSendings,
+		noteAnswer: relay.noteAnswer, noteLimit: relay.noteLimit, permitted: relay.permitted, limitedSendings: relay.metrics.limitedSendings,
 		names: options.Dialect.Headers, writer: newRequestWriter(options.Dialect.Headers), clock: steady, dial: options.Dial,
 		without: options.Without,
 	}
@@ -200,6 +203,7 @@
 	group.Go(func() error { r.clock.steady.Watch(working, r.noteSuspension); return nil })
 	group.Go(func() error { r.guard.Run(working); return nil })
 	group.Go(func() error { r.notices.send(working); return nil })
+	group.Go(func() error { r.permits.Run(working); return nil })
 	group.Go(func() error { r.datagrams.Receive(r.takeDatagram); return nil })
 	group.Go(func() error { return r.accept(working, listener) })
 	select {
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -57,8 +57,10 @@
 	// replicaEnds counts back ends that ended while they ran requests of this relay,
 	// guardCallsFailed calls to the leader on them that failed.
 	replicaEnds prometheus.Counter
-	// limitedSendings counts sendings to back ends that had named a limit to this relay.
+	// limitedSendings counts sendings to back ends that had named a limit, permits questions for permits to send there by
+	// what became of them.
 	limitedSendings prometheus.Counter
+	permits         *prometheus.CounterVec
 	// rests counts the rests that back ends have asked of this relay.
 	rests            prometheus.Counter
 	guardCallsFailed prometheus.Counter
@@ -89,6 +91,7 @@
 		usageSentAgain:   factory.Counter("usage_sendings_again_total", "Reports of tenants' usage that were not taken and had to be sent again."),
 		rests:            factory.Counter("back_end_rests_total", "Rests that back ends have asked of this relay."),
 		limitedSendings:  factory.Counter("limited_sendings_total", "Sendings to back ends that had named a limit for all relays together."),
+		permits:          factory.CounterVec("permits_total", "Questions whether a request may be sent to a back end that names a limit for all relays together.", "outcome"),
 		replicaEnds:      factory.Counter("back_ends_ended_total", "Back ends that ended while they ran requests of this relay."),
 		guardCallsFailed: factory.Counter("guard_calls_failed_total", "Calls to the leader on ended back ends and held requests that failed."),
 		waits:            factory.Counter("reading_waits_total", "Waits of prompts for the reading of parts that they share."),
@@ -177,7 +180,7 @@
 		return backEndResting
 	case b.Changing:
 		return backEndChanging
-	case b.signals.Limit().Named:
+	case b.limited():
 		return backEndLimited
 	case now < b.look(now).avoidUntil:
 		return backEndAvoided
--- a/internal/relay/release.go
+++ b/internal/relay/release.go
@@ -16,7 +16,7 @@
 // the prompt's parts for any request.
 func (e *exchanger) release(held *heldPrompt, path string) {
 	now := e.clock.now()
-	if held.engine.resting(now) {
+	if held.engine.resting(now) || !e.permitted(held.engine, ownCallRank, false) {
 		return // the prompt lapses by itself
 	}
 	connection := held.engine.pool.Take(now, unsafeIdleLimit)
--- a/internal/relay/run_mover.go
+++ b/internal/relay/run_mover.go
@@ -96,6 +96,7 @@
 	}
 	if !copied {
 		target = ownPlace(m.engine)
+		target.owed = true
 	}
 	return &movedRun{place: target, held: &heldPrompt{engine: m.engine, handle: handle, parts: m.stream.parts}}
 }
@@ -112,7 +113,7 @@
 // the handle under which the run goes on.
 func (e *exchanger) copyRun(engine *backEnd, dialect Dialect, request, address string, stop bool) (copied bool, handle string) {
 	now := e.clock.now()
-	if engine.resting(now) {
+	if engine.resting(now) || !e.permitted(engine, ownCallRank, false) {
 		return false, "" // the run stays where it is
 	}
 	connection, err := e.open(engine, moveTimeout)
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -12,8 +12,12 @@
 )
 
 // nextEngine picks the decoding engine that goes on with a stream; nil when there is none, or
-// none that may read the prompt itself.
+// none that may read the prompt itself. One for which a permit was taken before goes first.
 func (r *Relay) nextEngine(stream *streamReply, held *heldPrompt) *place {
+	if reserved := stream.reserved; reserved != nil {
+		stream.reserved = nil
+		return reserved
+	}
 	var near *backEnd
 	if held != nil {
 		near = held.engine
@@ -41,6 +45,12 @@
 	if request.service.Engine == nil || request.prompt.PromptTokens == 0 || request.trial {
 		return start{} // a trial reaches one engine, which reads the prompt itself
 	}
+	if r.allLimited(request.service.Name, answeringStage(request.service)) {
+		if stream.reserved = r.reserve(stream); stream.reserved == nil {
+			refused := stream.tried.refusal()
+			return start{refused: &refused}
+		}
+	}
 	for waits := 0; ; waits++ {
 		decision, chosen := r.placeReading(stream, waits)
 		switch decision.Action {
@@ -85,14 +95,37 @@
 	wanted.Waits = waits
 	wanted.Residence = r.work.Residence(stream.request.service.Name)
 	wanted.TimeLeft = stream.request.deadline - wanted.Now
-	answer := r.decide(stream.request, queryOf(toBegin, stream.tried, wanted), nil)
+	answer := r.decide(stream.request, stream.beginning(wanted), nil)
+	if answer.decision.Action == placement.ReadDirectly && stream.reserved != nil {
+		r.asker.cancel(answer.chosen.assigned)
+		answer.chosen, stream.reserved = stream.reserved, nil
+	}
 	stream.request.trace.placed = answer.reason()
 	return answer.decision, answer.chosen
 }
 
-// decide has the owners of the request's home cells decide on its engine. Near an engine, its own
-// cell is the first.
+// decide has the owners of the request's home cells decide on its engine. Near an engine, its own cell is the first. An
+// engine that names a limit is taken where it permits the request.
 func (r *Relay) decide(request *request, query *engineQuery, near *backEnd) engineAnswer {
+	for {
+		answer := r.decideOnce(request, query, near)
+		action := answer.decision.Action
+		if action != placement.ReadDirectly && action != placement.ReadApart || query.reserved && action == placement.ReadDirectly {
+			return answer
+		}
+		if r.permitPlace(answer.chosen, request.rank) {
+			return answer
+		}
+		r.asker.cancel(answer.chosen.assigned)
+		if len(query.excluded) >= mostExcluded {
+			return engineAnswer{decision: decisionFor(placement.Unplaced, nil)}
+		}
+		query.excluded, query.holder = append(query.excluded, answer.chosen.backEnd.hash), nil
+	}
+}
+
+// decideOnce has them decide among the engines that are not excluded.
+func (r *Relay) decideOnce(request *request, query *engineQuery, near *backEnd) engineAnswer {
 	ownership := r.owners.current.Load()
 	known := ownership.services[query.service]
 	if known == nil || request.service.Engine == nil {
@@ -115,3 +148,28 @@
 func (r *Relay) rankHeader(rank int) header {
 	return header{r.dialect.Headers.Priority, strconv.Itoa(min(max(rank, 0), placement.Ranks-1))}
 }
+
+// allLimited reports whether all engines of a stage that take work name limits.
+func (r *Relay) allLimited(service string, stage serving.Stage) bool {
+	limited := false
+	for _, engine := range r.view.Load().byService[service] {
+		if engine.Stage != stage || engine.leaving() || engine.Changing {
+			continue
+		}
+		if !engine.limited() {
+			return false
+		}
+		limited = true
+	}
+	return limited
+}
+
+// reserve takes a permit for the run before the prompt is read, where no engine generates without one: a prompt that
+// was read for a run that is then refused was read in vain. The run is owed once that has been done.
+func (r *Relay) reserve(stream *streamReply) *place {
+	reserved := r.nextEngine(stream, nil)
+	if reserved != nil {
+		reserved.owed = true
+	}
+	return reserved
+}
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -101,7 +101,7 @@
 		}
 		backEnd := chosen.backEnd
 		request.trace.engine, request.trace.sentAt = backEnd.ID, r.clock.now()
-		answer, fault := r.exchanger.send(&message{request: request, backEnd: backEnd, deadline: request.deadline, work: placement.Work{Streams: 1},
+		answer, fault := r.exchanger.send(&message{request: request, backEnd: backEnd, deadline: request.deadline, work: placement.Work{Streams: 1}, chosen: chosen,
 			stall: stallLimit(request.route), mayBreak: tried.leaveAnother()})
 		r.work.Answer(request.service.Name, r.clock.now()-request.trace.sentAt, backEnd.Slots)
 		if fault == nil || fault.verdict != verdict.NotRun {
@@ -170,7 +170,7 @@
 func (r *Relay) othersLeft(answer *answer, tried *attempts) bool {
 	now := r.clock.now()
 	for _, backEnd := range r.view.Load().byService[answer.message.request.service.Name] {
-		if !backEnd.leaving() && !backEnd.resting(now) && backEnd != answer.message.backEnd && !tried.isExcluded(backEnd) {
+		if !backEnd.leaving() && backEnd.wait(now) == 0 && backEnd != answer.message.backEnd && !tried.isExcluded(backEnd) {
 			return true
 		}
 	}
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -29,6 +29,8 @@
 	pieces []byte
 	// held is the prompt that the engine of the present run takes, nil where it reads itself.
 	held *heldPrompt
+	// reserved is the engine for which a permit was taken before the prompt is read; nil for none.
+	reserved *place
 	// begun tells that the present run has brought events.
 	begun bool
 	// mover moves the present run to another engine; nil where that cannot be. moved is where a
@@ -58,6 +60,13 @@
 	return wanted
 }
 
+// beginning is the question where the prompt is read.
+func (s *streamReply) beginning(wanted placement.Request) *engineQuery {
+	query := queryOf(toBegin, s.tried, wanted)
+	query.reserved = s.reserved != nil
+	return query
+}
+
 // run sends the request to an engine and passes its stream on. The failure is nil when the
 // client has its final answer; otherwise the stream may go on at another engine.
 func (s *streamReply) run(chosen *place, held *heldPrompt) *failure {
