A limit that a back end names holds for all gateways together

Seen by callers: three gateways sent a back end 120 requests in 4 s that named one a second (11 allowed). Cause: the same as in the relays' plane: nobody read the limit, and each gateway decided by itself. Change: the leader keeps the counts with the relays' Keeper (internal/fleetlimit) and answers TakePermit from memory; gateways ask before an exchange, a prompt to be read, a resumption and an end, tell what back ends named with their reports, and learn from the answers what others heard. internal/routing leaves out what has no room (limitFilter). Why it holds: only a leader whose lease is valid grants; a new one begins with an empty bucket once the former lease is over; without a leader's answer nothing is sent there. Before, after: TestALimitForAllGatewaysTogetherHolds 120 requests in 4 s, now within 11; TestPermitsOfGatewaysOutliveLeaders. Command: go test ./internal/gateway ./internal/control ./internal/routing -run Limit

--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hazelpitch/hazelpitch/internal/fleetlimit"
 	"github.com/hazelpitch/hazelpitch/internal/routing"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -43,10 +44,10 @@
 // cancelPatience is how long the answer to the end of an abandoned exchange is awaited.
 const cancelPatience = time.Second
 
-// cancel ends an exchange at its engine. One that has asked to be left alone ends it by itself, since nobody
-// reads it; nothing is known of it then.
+// cancel ends an exchange at its engine. One that has asked to be left alone, or whose limit leaves no room, ends it by
+// itself, since nobody reads it; nothing is known of it then.
 func (g *Gateway) cancel(ended cancellation, patience time.Duration) verdict.Verdict {
-	if g.dispatcher.rests(ended.backEnd) {
+	if g.dispatcher.rests(ended.backEnd) || !g.dispatcher.mayCall(ended.backEnd, fleetlimit.Ranks-1, false) {
 		return verdict.MayHaveRun
 	}
 	return g.upstream.Cancel(ended.backEnd.Address, ended.exchange, time.Now().Add(patience))
--- a/internal/gateway/completion_connect.go
+++ b/internal/gateway/completion_connect.go
@@ -49,8 +49,8 @@
 
 // resume asks the engine for what is left of the exchange under way.
 func (c *completion) resume() bool {
-	if c.gateway.dispatcher.rests(c.backEnd) {
-		c.resumes = maximumResumes // the engine has asked to be left alone
+	if c.gateway.dispatcher.rests(c.backEnd) || !c.gateway.dispatcher.mayCall(c.backEnd, c.routing.Rank, true) {
+		c.resumes = maximumResumes // the engine has asked to be left alone, or its limit leaves no room
 		return false
 	}
 	if c.resumes > 0 {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -69,7 +69,7 @@
 	}
 	controllers := newControllers(config, options.Dial, encryption)
 	counts := newGatewayMetrics(factory)
-	guard, dispatcher, err := newGuardedDispatcher(clock, config, options, controllers, counts)
+	guard, dispatcher, err := newGuardedDispatcher(clock, config, options, &permits{controllers: controllers, identity: identity, outcomes: counts.permits}, counts)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/gateway/controller_test.go
+++ b/internal/gateway/controller_test.go
@@ -10,11 +10,13 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/fleetlimit"
 )
 
 // testController answers as a controller does, from a fixed state.
@@ -35,6 +37,8 @@
 	// nil, is called with each heartbeat.
 	behind atomic.Bool
 	synced func()
+	// limits keeps the counts of back ends that name limits, as a leader does.
+	limits *fleetlimit.Keeper
 	// report answers reports; nil answers without shares.
 	report func(*v1.ReportRequest) (*v1.ReportResponse, error)
 }
@@ -88,6 +92,24 @@
 	return connect.NewResponse(response), nil
 }
 
+// TakePermit grants permits, as the leader does.
+func (c *testController) TakePermit(_ context.Context, request *connect.Request[v1.TakePermitRequest]) (*connect.Response[v1.TakePermitResponse], error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.down.Load() {
+		return nil, connect.NewError(connect.CodeUnavailable, http.ErrServerClosed)
+	}
+	named, _ := fleetlimit.FromWire(request.Msg.GetLimit())
+	ask := fleetlimit.Ask{BackEnd: named.BackEnd, Limit: named.Limit, Heard: request.Msg.GetHeard(), Rank: int(request.Msg.GetRank()), Owed: request.Msg.GetOwed()}
+	answer := c.limits.Ask(time.Since(began), ask, fleetlimit.Whole, 0)
+	return connect.NewResponse(&v1.TakePermitResponse{
+		Granted: answer.Granted, WaitUs: uint64(answer.Wait.Microseconds()), Limit: fleetlimit.ToWire(fleetlimit.Named{BackEnd: named.BackEnd, Limit: answer.Limit}),
+	}), nil
+}
+
+// began is the origin of the test controller's time.
+var began = time.Now()
+
 // BeginClaim grants a claim once, as the replicated state does.
 func (c *testController) BeginClaim(_ context.Context, request *connect.Request[v1.BeginClaimRequest]) (*connect.Response[v1.BeginClaimResponse], error) {
 	c.mutex.Lock()
@@ -164,7 +186,7 @@
 func startController(t testing.TB, backEnds ...*v1.BackEnd) *testController {
 	controller := &testController{
 		revision: 1, objects: testObjects(), claims: map[string]*heldClaim{},
-		directory: &v1.Directory{Version: 1, BackEnds: backEnds},
+		directory: &v1.Directory{Version: 1, BackEnds: backEnds}, limits: fleetlimit.NewKeeper(),
 	}
 	controller.serveAs(t, controller)
 	return controller
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -20,20 +20,22 @@
 	clock  clock
 	mutex  sync.Mutex
 	router *routing.Router
+	// permits asks whether requests may go to back ends that name limits.
+	permits *permits
 }
 
-func newDispatcher(clock clock, config settings.Gateway, restarted func(former routing.BackEnd)) (*dispatcher, error) {
+func newDispatcher(clock clock, config settings.Gateway, permits *permits, restarted func(former routing.BackEnd)) (*dispatcher, error) {
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(config.Name)) // never fails, by its documentation
 	router, err := routing.New(routing.Config{Zone: config.Zone, ZoneLatency: config.ZoneLatency, Seed: seed.Sum64(), Restarted: restarted})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &dispatcher{clock: clock, router: router}, nil
+	return &dispatcher{clock: clock, router: router, permits: permits}, nil
 }
 
-// pick chooses where to send a request.
-func (d *dispatcher) pick(request routing.Request, excluded []string) (routing.Choice, error) {
+// pickOnce chooses where to send a request.
+func (d *dispatcher) pickOnce(request routing.Request, excluded []string) (routing.Choice, error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	return d.router.Pick(d.clock.now(), request, excluded)
@@ -48,11 +50,11 @@
 
 // observeReport tells the router what a back end said of itself in the answer to an exchange.
 func (d *dispatcher) observeReport(backEnd, exchange string, report upstream.Report) {
-	if report.State == "" && report.Load == "" && report.Rest == 0 {
+	if report.State == "" && report.Load == "" && report.Rest == 0 && report.Limit == nil {
 		return
 	}
 	d.observe(routing.Answered{
-		BackEnd: backEnd, Exchange: exchange, State: report.State, Role: report.Role, Load: parseLoad(report.Load), Rest: report.Rest,
+		BackEnd: backEnd, Exchange: exchange, State: report.State, Role: report.Role, Load: parseLoad(report.Load), Rest: report.Rest, Limit: report.Limit,
 	})
 }
 
--- a/internal/gateway/limited_back_ends_test.go
+++ b/internal/gateway/limited_back_ends_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,9 +14,10 @@
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 )
 
-// limitedService is a page service that serves all and names a limit of one request a second.
+// limitedService is a page service that serves all and names a limit of one request a second until it is lifted.
 type limitedService struct {
 	address string
+	lifted  atomic.Bool
 
 	mutex   sync.Mutex
 	arrived []time.Time
@@ -29,7 +31,9 @@
 		service.arrived = append(service.arrived, time.Now())
 		service.mutex.Unlock()
 		writer.Header().Set(enginecontract.HeaderExchange, request.Header.Get(enginecontract.HeaderExchange))
-		writer.Header().Set(enginecontract.HeaderRequestLimit, "1")
+		if !service.lifted.Load() {
+			writer.Header().Set(enginecontract.HeaderRequestLimit, "1")
+		}
 		writer.Header().Set("Content-Length", "2")
 		_, _ = writer.Write([]byte("ok")) // the gateway reads it again
 	}))
@@ -85,4 +89,16 @@
 		return len(service.arrived) >= told+4
 	}, eventually, often, "the limit is used")
 	require.LessOrEqual(t, float64(service.most(told)), allowed)
+
+	service.lifted.Store(true)
+	require.Eventually(t, func() bool {
+		for range 10 {
+			for _, gateway := range gateways {
+				if send(gateway) != http.StatusOK {
+					return false
+				}
+			}
+		}
+		return true
+	}, eventually, often, "it is used as before")
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,8 @@
 	reportFailures  prometheus.Counter
 	revision        prometheus.Gauge
 	urgentReports   prometheus.Counter
+	// permits counts questions whether requests may go to back ends that name limits, by what became of them.
+	permits *prometheus.CounterVec
 	// replicaEnds counts back ends that ended while they ran requests of this gateway,
 	// guardCallsFailed calls to the leader on them that failed.
 	replicaEnds      prometheus.Counter
@@ -43,6 +45,7 @@
 		reportFailures:   factory.Counter("report_failures_total", "Demand reports that no leader took."),
 		revision:         factory.Gauge("revision", "Revision of the configuration in force here."),
 		urgentReports:    factory.Counter("urgent_reports_total", "Reports sent early because requests waited for a share of their tenant's limit."),
+		permits:          factory.CounterVec("permits_total", "Questions whether a request may be sent to a back end that names a limit for all gateways together.", "outcome"),
 		replicaEnds:      factory.Counter("back_ends_ended_total", "Back ends that ended while they ran requests of this gateway."),
 		guardCallsFailed: factory.Counter("guard_calls_failed_total", "Calls to the leader on ended back ends and held requests that failed."),
 	}
--- a/internal/gateway/page_exchange.go
+++ b/internal/gateway/page_exchange.go
@@ -20,7 +20,9 @@
 		if p.trial && p.tried.begun > 0 || !p.gateway.mayBegin(p.tried) {
 			return nil, p.refusal(refuseBackEnd())
 		}
-		choice, err := p.gateway.dispatcher.pick(routing.Request{Service: p.kind.Spec.GetService(), Deadline: p.deadline}, p.excluded)
+		choice, err := p.gateway.dispatcher.pick(routing.Request{
+			Service: p.kind.Spec.GetService(), Deadline: p.deadline, Rank: rankOfPriority(p.kind.Spec.GetPriority()),
+		}, p.excluded)
 		if err != nil {
 			return nil, p.refusal(refusePick(err))
 		}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -23,13 +23,13 @@
 
 // newGuardedDispatcher makes the guard of a gateway and its dispatcher, which tell each other of ends: the dispatcher of
 // incarnations that others took the place of, the guard asks it before it looks who serves there.
-func newGuardedDispatcher(clock clock, config settings.Gateway, options ControlOptions, controllers *controllers, counts *gatewayMetrics) (*crashguard.Guard, *dispatcher, error) {
+func newGuardedDispatcher(clock clock, config settings.Gateway, options ControlOptions, permits *permits, counts *gatewayMetrics) (*crashguard.Guard, *dispatcher, error) {
 	var guard *crashguard.Guard
-	dispatcher, err := newDispatcher(clock, config, func(former routing.BackEnd) { guard.Ended(replicaOf(former).ID) })
+	dispatcher, err := newDispatcher(clock, config, permits, func(former routing.BackEnd) { guard.Ended(replicaOf(former).ID) })
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
 	}
-	guard = newGuard(clock, config, options, controllers, counts, dispatcher)
+	guard = newGuard(clock, config, options, permits.controllers, counts, dispatcher)
 	return guard, dispatcher, nil
 }
 
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -223,7 +223,7 @@
 			_, factory := metrics.NewRegistry(role, "g", "z")
 			options := ControlOptions{Log: logring.New("g", settings.Log{RingEntries: 16})}
 			config := testSettings("127.0.0.1:1")
-			guard, dispatcher, err := newGuardedDispatcher(newClock(), config, options, newControllers(config, nil, nil), newGatewayMetrics(factory))
+			guard, dispatcher, err := newGuardedDispatcher(newClock(), config, options, &permits{controllers: newControllers(config, nil, nil)}, newGatewayMetrics(factory))
 			require.NoError(t, err)
 			show := func(incarnation uint64) {
 				var rows []routing.BackEnd
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -176,7 +177,11 @@
 	}
 	var picked *routing.PickError
 	if errors.As(err, &picked) {
-		fault.after(picked.RetryAfter)
+		wait := picked.RetryAfter
+		if errors.Is(err, routing.ErrAllLimited) { // callers come back one by one
+			wait += rand.N(max(wait, comeBackSpread))
+		}
+		fault.after(wait)
 	}
 	return fault
 }
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/fleetlimit"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
 )
 
@@ -68,10 +69,13 @@
 // exchangeReport sends a report and takes the shares it brings. Their leases count from
 // the time of the demand, which is before it was sent.
 func (c *Control) exchangeReport(ctx context.Context, demandedAt time.Duration, request *v1.ReportRequest) error {
+	heard := c.dispatcher.heardLimits()
+	request.Limits = fleetlimit.AllToWire(heard)
 	response, err := c.controllers.report(ctx, request)
 	if err != nil {
 		return err
 	}
+	c.dispatcher.limitsReported(heard, response)
 	c.admitter.apply(demandedAt, response.GetShares())
 	return nil
 }
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -114,6 +114,7 @@
 		Adapter:      t.adapter,
 		PromptTokens: estimate.PromptTokens,
 		OutputTokens: estimate.OutputTokens,
+		Rank:         rankOfPriority(t.kind.Spec.GetPriority()),
 		PrefixBlocks: routing.PrefixBlocks(tenant.Spec.GetCacheSalt(), request.prompt),
 	}
 }
--- /dev/null
+++ b/internal/routing/filter_limit.go
@@ -0,0 +1,10 @@
+package routing
+
+// limitFilter drops back ends whose limit for all gateways together leaves no room now, as far as is known here.
+type limitFilter struct{}
+
+func (limitFilter) Reason() error { return ErrAllLimited }
+
+func (limitFilter) Keep(decision *Decision, candidate *Candidate) bool {
+	return candidate.signals.PermitWait(decision.Now) == 0
+}
--- a/internal/routing/observation.go
+++ b/internal/routing/observation.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hazelpitch/hazelpitch/internal/backpressure"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 )
 
@@ -35,6 +36,9 @@
 	Age  time.Duration
 	// Rest is how long the back end wants nothing from this gateway, from now on; 0 when it did not ask.
 	Rest time.Duration
+	// Limit is what the back end takes of all gateways together, the zero value for no limit; nil when the answer said
+	// nothing of that.
+	Limit *backpressure.Limit
 }
 
 // FirstToken tells that the first token of an exchange has come. Routing learns
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -48,6 +48,9 @@
 		r.restart(candidate, seen.Incarnation)
 	}
 	candidate.signals.AskRest(now, seen.Rest)
+	if seen.Limit != nil {
+		r.observeLimit(now, sentAt, candidate, *seen.Limit)
+	}
 	if seen.State == enginecontract.StateLeaving {
 		candidate.signals.SayLeaving(now)
 	}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -34,8 +34,8 @@
 	decision.prefix = r.prefixes.view(&request)
 
 	choice, err := r.choose(decision)
-	if errors.Is(err, ErrAllResting) {
-		return Choice{}, &PickError{Reason: err, Service: request.Service, RetryAfter: r.shortestRest(now, request.Service)}
+	if errors.Is(err, ErrAllResting) || errors.Is(err, ErrAllLimited) {
+		return Choice{}, &PickError{Reason: err, Service: request.Service, RetryAfter: r.shortestWait(now, request.Service)}
 	}
 	if err != nil {
 		return Choice{}, &PickError{Reason: err, Service: request.Service, RetryAfter: retryAfterNoBackEnd}
@@ -188,7 +188,7 @@
 // moreTelling returns the error of the later filter: it tells more about what
 // would help.
 func moreTelling(a, b error) error {
-	for _, reason := range []error{ErrAllExcluded, ErrAllResting, ErrNoneConfirmed} {
+	for _, reason := range []error{ErrAllExcluded, ErrAllLimited, ErrAllResting, ErrNoneConfirmed} {
 		if errors.Is(a, reason) || errors.Is(b, reason) {
 			return reason
 		}
--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -48,7 +48,7 @@
 // StandardFilters returns the filters in force unless Config replaces them, in
 // the order in which they run.
 func StandardFilters() []Filter {
-	return []Filter{modelFilter{}, confirmationFilter{}, restFilter{}, exclusionFilter{}}
+	return []Filter{modelFilter{}, confirmationFilter{}, restFilter{}, limitFilter{}, exclusionFilter{}}
 }
 
 // StandardScorers returns the scorers in force unless Config replaces them.
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -16,6 +16,8 @@
 	PrefixBlocks []uint64
 	// Deadline is the time of the last byte, 0 for none.
 	Deadline time.Duration
+	// Rank orders requests where limits of back ends do not let all through, 0 the most urgent.
+	Rank int
 	// WholeOnly asks for one engine that does everything, as after a failed hand-over.
 	WholeOnly bool
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -18,6 +18,8 @@
 	readings   map[readingKey]*readingMean
 	// signals are what back ends have asked of this gateway; they outlive candidates.
 	signals *backpressure.Ledger
+	// limits are those that back ends have named, or ceased to name, since the leader was told last.
+	limits map[uint64]backpressure.Limit
 	// kept and scored are scratch space of one decision.
 	kept   []*Candidate
 	scored []Scored
@@ -48,6 +50,7 @@
 		prefixes:   prefixes,
 		readings:   make(map[readingKey]*readingMean),
 		signals:    backpressure.NewLedger(),
+		limits:     make(map[uint64]backpressure.Limit),
 	}, nil
 }
 
@@ -110,12 +113,14 @@
 	return backEnd.Name + "/" + strconv.FormatUint(backEnd.Incarnation, 10)
 }
 
-// shortestRest is when the first back end of a service that rests can be sent requests again.
-func (r *Router) shortestRest(now time.Duration, service string) time.Duration {
+// shortestWait is when the first back end of a service that rests, or whose limit leaves no room, can be sent requests
+// again.
+func (r *Router) shortestWait(now time.Duration, service string) time.Duration {
 	shortest := time.Duration(0)
 	for _, candidate := range r.candidates {
-		if rest := candidate.signals.Rest(now); candidate.Service == service && rest > 0 && (shortest == 0 || rest < shortest) {
-			shortest = rest
+		wait := max(candidate.signals.Rest(now), candidate.signals.PermitWait(now))
+		if candidate.Service == service && wait > 0 && (shortest == 0 || wait < shortest) {
+			shortest = wait
 		}
 	}
 	return shortest
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -53,6 +53,9 @@
 	Load  string
 	// Rest is how long the back end wants nothing from this gateway; 0 when it did not ask.
 	Rest time.Duration
+	// Limit is how many requests a second the back end takes of all gateways together, the zero value for no limit; nil
+	// where the answer said nothing of that: only a success says by its silence that there is none.
+	Limit *backpressure.Limit
 }
 
 // Answer is the beginning of a back end's answer. Close it.
@@ -123,12 +126,18 @@
 
 // readReport reads what a back end says of itself.
 func readReport(header *fasthttp.ResponseHeader) Report {
-	return Report{
+	report := Report{
 		State: enginecontract.ServiceState(header.Peek(enginecontract.HeaderEngineState)),
 		Role:  enginecontract.Role(header.Peek(enginecontract.HeaderEngineRole)),
 		Load:  string(header.Peek(enginecontract.HeaderEngineLoad)),
 		Rest:  backpressure.AskedIn(header.StatusCode(), backpressure.Words{RetryAfter: header.Peek(fasthttp.HeaderRetryAfter)}).Rest,
 	}
+	limit, readable := backpressure.ParseLimit(header.PeekAll(enginecontract.HeaderRequestLimit))
+	isSuccess := header.StatusCode() >= fasthttp.StatusOK && header.StatusCode() < fasthttp.StatusMultipleChoices
+	if readable && (limit.Named || isSuccess) {
+		report.Limit = &limit
+	}
+	return report
 }
 
 // check decides whether the answer belongs to the exchange and may be used.
