--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -217,6 +217,28 @@
 		saidToLeave(4*second, "front")(h)
 		h.Faults = []history.Fault{{Kind: history.Freeze, Target: "front", From: 2 * second, To: 3 * second}}
 	}},
+	{"more requests than a limit allows", Limit, limited(1, 5, 13, "front", "other")},
+	{"as many as it allows", "", limited(1, 5, 8, "front", "other")},
+	{"more, of relays that were not told", "", limited(1, 5, 13, "front", "front")},
+	{"more, soon after it was named", "", limited(1, second.Seconds(), 13, "front", "other")},
+	{"more, of a relay that was killed since", "", func(h *history.History) {
+		limited(1, 5, 13, "front", "other")(h)
+		for _, front := range []string{"front", "other"} {
+			h.Faults = append(h.Faults, history.Fault{Kind: history.Kill, Target: front, From: 3 * second, To: 3 * second})
+		}
+	}},
+	{"more, once none is named any more", "", func(h *history.History) {
+		limited(1, 5, 13, "front", "other")(h)
+		h.Limits = append(h.Limits, history.Limit{Replica: "x", At: 4 * second})
+	}},
+	{"more, while the limit was larger", "", func(h *history.History) {
+		limited(1, 5, 13, "front", "other")(h)
+		h.Limits = append(h.Limits, history.Limit{Replica: "x", At: 3 * second, Named: true, PerSecond: 6})
+	}},
+	{"as many as a larger limit allowed before", Limit, func(h *history.History) {
+		limited(6, 9, 14, "front", "other")(h)
+		h.Limits = append(h.Limits, history.Limit{Replica: "x", At: 4 * second, Named: true, PerSecond: 1})
+	}},
 	{"a request at a place that only another writer names", Route, func(h *history.History) {
 		h.Sendings = []history.Sending{request("1", "safe", 0)}
 		h.Arrivals = []history.Arrival{ranAt("1", "x", 0), ranAnd(ranAt("1", "odd", 0), func(a *history.Arrival) { a.Service, a.Ran = history.NoService, false })}
@@ -292,6 +314,28 @@
 	}
 }
 
+// limited is a back end that names a limit, tells some relays, and gets requests of two relays from a time on, in seconds:
+// three times within a second each of them, the rest spread over that second.
+func limited(perSecond, after float64, count int, told ...string) func(*history.History) {
+	return func(h *history.History) {
+		h.Bounds.RetryWindow = 0
+		h.Limits = []history.Limit{{Replica: "x", At: second, Named: true, PerSecond: perSecond}}
+		arrive := func(id, front string, at time.Duration) {
+			h.Sendings = append(h.Sendings, sentAnd(request(id, "safe", at), func(s *history.Sending) { s.Front, s.Seal = front, "s"+id }))
+			h.Arrivals = append(h.Arrivals, ranAnd(ranAt(id, "x", at), func(a *history.Arrival) {
+				a.Machine, a.Seal, a.Limited = front, "s"+id, at >= second
+			}))
+		}
+		for number, front := range told {
+			arrive(fmt.Sprint("told", number), front, second+second/10)
+		}
+		for number := range count {
+			front := []string{"front", "other"}[number%2]
+			arrive(fmt.Sprint(number), front, time.Duration(after*float64(second))+time.Duration(number)*second/time.Duration(count))
+		}
+	}
+}
+
 // saidToLeave is a back end that says that it leaves, and gets a request some time after.
 func saidToLeave(after time.Duration, front string) func(*history.History) {
 	return func(h *history.History) {
--- a/internal/soak/check/finding.go
+++ b/internal/soak/check/finding.go
@@ -27,6 +27,7 @@
 	Gone    Rule = "GONE"
 	Recover Rule = "RECOVER"
 	Route   Rule = "ROUTE"
+	Limit   Rule = "LIMIT"
 )
 
 // Finding is a rule that was broken.
@@ -48,7 +49,7 @@
 // time bound.
 var (
 	safety = []checker{mixed, twice, refused, unasked, order, attemptsOver, one, nowhere}
-	timed  = []checker{lost, drain, config, gone, recovered, crashers, retriesOver, rests, saidLeaving}
+	timed  = []checker{lost, drain, config, gone, recovered, crashers, retriesOver, rests, saidLeaving, limits}
 )
 
 // Safety finds broken rules that hang on no time.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -23,6 +23,11 @@
 	drainServes = 3500 * time.Millisecond
 	// restLength is how long a back end turns requests away and asks for rest.
 	restLength = 4 * time.Second
+	// longestLimitGap is the longest time between two back ends that name limits, longestLimit the longest time for which
+	// one names the same limit; largestLimit is the largest, in requests a second.
+	longestLimitGap = 2 * time.Second
+	longestLimit    = 6 * time.Second
+	largestLimit    = 6.0
 	// stopGrace is how long a process may take to end after it was asked to.
 	stopGrace = 6 * time.Second
 )
@@ -49,6 +54,7 @@
 
 // run strikes until the context ends, and returns when all faults are over.
 func (f *faults) run(ctx context.Context) {
+	f.running.Go(func() { f.limitReplicas(ctx) })
 	for ctx.Err() == nil {
 		sleep(ctx, time.Duration(f.random.Int64N(int64(longestGap))))
 		switch f.random.IntN(10) {
@@ -205,6 +211,26 @@
 	}
 }
 
+// limitReplicas has back ends name limits for all relays together, change them and take them back. It draws from a source
+// of its own, so that other faults do not depend on it.
+func (f *faults) limitReplicas(ctx context.Context) {
+	random := rand.New(rand.NewPCG(f.site.options.Seed, 4000))
+	replicas := append(append([]*standin.Replica(nil), f.site.pages...), f.site.engines...)
+	for ctx.Err() == nil {
+		sleep(ctx, time.Duration(random.Int64N(int64(longestLimitGap))))
+		replica := replicas[random.IntN(len(replicas))]
+		first, second := largestLimit*random.Float64(), largestLimit*random.Float64()
+		length := time.Duration(random.Int64N(int64(longestLimit)))
+		f.strike(history.Limited, replica.Identity()+" limit", false, func() {
+			replica.Limit(first)
+			time.Sleep(length)
+			replica.Limit(second)
+			time.Sleep(length)
+			replica.Lift()
+		})
+	}
+}
+
 // drawn draws a time up to the longest.
 func (f *faults) drawn(longest time.Duration) time.Duration {
 	return time.Duration(f.random.Int64N(int64(longest)))
--- a/internal/soak/history/arrival.go
+++ b/internal/soak/history/arrival.go
@@ -27,6 +27,8 @@
 	// that the back end leaves.
 	Rest    time.Duration
 	Leaving bool
+	// Limited tells that the answer names a limit for all relays together.
+	Limited bool
 	// Cancelled tells that the back end saw its connection close before the end, at EndedAt.
 	Cancelled bool
 }
--- a/internal/soak/history/fault.go
+++ b/internal/soak/history/fault.go
@@ -23,6 +23,8 @@
 	Drain FaultKind = "drain"
 	// Rest makes a back end turn requests away and ask for rest.
 	Rest FaultKind = "rest"
+	// Limited makes a back end name limits for all relays together.
+	Limited FaultKind = "limit"
 	// Reset resets the connections between relays and a back end, Silence drops what they carry, Delay
 	// slows them.
 	Reset   FaultKind = "reset"
@@ -59,10 +61,11 @@
 }
 
 // Disturbed reports whether one of the targets was struck within a span of time by anything but a sign to read its
-// settings again, or by a back end's own rest or drain.
+// settings again, or by a back end's own rest, drain or limit.
 func (h *History) Disturbed(from, to time.Duration, targets ...string) bool {
 	for _, fault := range h.Faults {
-		if fault.Kind == Reload || fault.Kind == Rest || fault.Kind == Drain || fault.From > to || fault.To < from {
+		isNone := fault.Kind == Reload || fault.Kind == Rest || fault.Kind == Drain || fault.Kind == Limited
+		if isNone || fault.From > to || fault.To < from {
 			continue
 		}
 		if slices.Contains(targets, fault.Target) {
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -34,6 +34,7 @@
 	Reads       []Read
 	Orders      []Order
 	Listings    []Listing
+	Limits      []Limit
 	Faults      []Fault
 }
 
--- a/internal/soak/history/recorder.go
+++ b/internal/soak/history/recorder.go
@@ -40,6 +40,9 @@
 // Listed takes a change of the list.
 func (r *Recorder) Listed(listing Listing) { add(r, &r.kept.Listings, listing) }
 
+// Limited takes the limit that a back end names from now on.
+func (r *Recorder) Limited(limit Limit) { add(r, &r.kept.Limits, limit) }
+
 // Fault takes a fault that has ended.
 func (r *Recorder) Fault(fault Fault) { add(r, &r.kept.Faults, fault) }
 
@@ -62,6 +65,7 @@
 	kept.Reads = sorted(kept.Reads, func(r Read) time.Duration { return r.At })
 	kept.Orders = sorted(kept.Orders, func(o Order) time.Duration { return o.At })
 	kept.Listings = sorted(kept.Listings, func(l Listing) time.Duration { return l.At })
+	kept.Limits = sorted(kept.Limits, func(l Limit) time.Duration { return l.At })
 	kept.Faults = sorted(kept.Faults, func(f Fault) time.Duration { return f.From })
 	return &kept
 }
