An engine that names a limit is ordered seldom

Seen by callers: nothing yet; the same cause was looked for wherever something reaches a replica: the leader's orders, two calls each, went out whatever the engine's answers named. Cause: the orderer read Retry-After only. Change: an order that was answered with a limit is followed by a pause of the span over which engines look at what they get. Why it holds: two calls in 4 s fit into the five requests that are tolerated beyond the limit, with what relays may send. Before, after: TestAnEngineThatNamesALimitIsOrderedSeldom 20 orders in 20 s, now 5. Command: go test ./internal/controller

--- a/internal/controller/stage_orders.go
+++ b/internal/controller/stage_orders.go
@@ -109,10 +109,19 @@
 	return s.signals.Of(identity).Rest(s.now()) > 0
 }
 
+// limitedOrderPause is the least time between two orders to an engine that names a limit for all processes together: the
+// span over which it looks at what it gets. Its tolerance of five requests beyond the limit covers the two calls of one
+// order in each.
+const limitedOrderPause = 4 * time.Second
+
 // noteAsked takes what an engine has asked for, and forgets the engines whose rest is over.
 func (s *stageOrderer) noteAsked(identity string, asked backpressure.Asked) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.signals.Of(identity).AskRest(s.now(), asked.Rest)
+	rest := asked.Rest
+	if asked.Limit.Named { // relays have the rest of what it allows: its order and the look before it are two calls
+		rest = max(rest, limitedOrderPause)
+	}
+	s.signals.Of(identity).AskRest(s.now(), rest)
 	s.signals.Keep(s.now(), func(string) bool { return false })
 }
--- a/internal/controller/stage_orders_test.go
+++ b/internal/controller/stage_orders_test.go
@@ -72,3 +72,22 @@
 	order("rests")
 	require.Equal(t, 3, sent)
 }
+
+// An engine that names a limit for all processes together gets one order within the span over which it looks at what
+// it gets; orders went out as often as the plan asked for them, whatever the engine's answers said.
+func TestAnEngineThatNamesALimitIsOrderedSeldom(t *testing.T) {
+	now, sent := time.Duration(0), 0
+	orderer, delivered := newTestOrderer(func() time.Duration { return now },
+		func(context.Context, *http.Client, StageOrder) (StageAnswer, error) {
+			sent++
+			return StageAnswer{Outcome: control.StageTaken, Asked: backpressure.Asked{Limit: backpressure.Limit{Named: true, PerSecond: 1}}}, nil
+		})
+	order := func() {
+		orderer.carryOut(t.Context(), control.ChangeStage{BackEnd: &v1.ListedBackEnd{Id: "limited"}, NotAfter: time.Hour})
+		<-delivered
+	}
+	for ; now < 20*time.Second; now += time.Second {
+		order()
+	}
+	require.Equal(t, 5, sent)
+}
