--- a/internal/fleetlimit/fleet_test.go
+++ b/internal/fleetlimit/fleet_test.go
@@ -39,6 +39,8 @@
 	doubted  map[string]time.Duration
 	waitsTil time.Duration
 	fresh    bool
+	// share is its own part of the limit, for fleets that divide it.
+	share bucket
 }
 
 // testFleet is a fleet in virtual time that sends to one back end.
@@ -48,6 +50,10 @@
 	processes []*testProcess
 	listed    []string
 	limit     backpressure.Limit
+	// way is how processes decide whether they may send.
+	way way
+	// busy is how many of the processes send.
+	busy int
 	// loss is the part of messages that is lost.
 	loss float64
 	// counted are the times of arrivals of processes that were not disturbed, all those of any.
@@ -55,10 +61,23 @@
 	denied       int
 }
 
+// way is a way of keeping a limit.
+type way int
+
+// Ways.
+const (
+	// oneKeeper is what runs.
+	oneKeeper way = iota
+	// equalShares gives each process its part of the limit, and one request in hand.
+	equalShares
+	// unheeded sends as if there were no limit.
+	unheeded
+)
+
 const undisturbed = -time.Hour
 
 func newTestFleet(seed uint64, count int, perSecond float64) *testFleet {
-	fleet := &testFleet{random: rand.New(rand.NewPCG(seed, 2)), limit: backpressure.Limit{Named: true, PerSecond: perSecond}}
+	fleet := &testFleet{random: rand.New(rand.NewPCG(seed, 2)), busy: count, limit: backpressure.Limit{Named: true, PerSecond: perSecond}}
 	for number := range count {
 		process := &testProcess{address: fmt.Sprintf("10.0.%d.%d:1", number/250, number%250), disturbedAt: undisturbed}
 		fleet.processes = append(fleet.processes, process)
@@ -102,7 +121,15 @@
 
 // permitted asks the keepers in their order.
 func (f *testFleet) permitted(process *testProcess) bool {
-	if !process.limit.Named {
+	if !process.limit.Named || f.way == unheeded {
+		return true
+	}
+	if f.way == equalShares {
+		process.share.set(f.now, process.limit.PerSecond/float64(len(f.processes)), 1)
+		if process.share.tokens < 1 {
+			return false
+		}
+		process.share.tokens--
 		return true
 	}
 	if f.now < process.waitsTil {
@@ -189,12 +216,12 @@
 func (f *testFleet) play(length time.Duration, perSecond float64, strike func()) {
 	for end := f.now + length; f.now < end; f.now += step {
 		strike()
-		for _, process := range f.processes {
+		for number, process := range f.processes {
 			if f.now >= process.listAt && f.now >= process.downUntil && f.listed != nil {
 				process.listAt = time.Duration(1<<62 - 1)
 				process.member.SetProcesses(f.now, f.listed)
 			}
-			if f.now >= process.downUntil && f.random.Float64() < perSecond*step.Seconds()/float64(len(f.processes)) {
+			if number < f.busy && f.now >= process.downUntil && f.random.Float64() < perSecond*step.Seconds()/float64(f.busy) {
 				f.send(process)
 			}
 		}
@@ -297,3 +324,29 @@
 		}
 	}
 }
+
+// The ways of keeping a limit, on the same requests: without one the limit is passed; a share for each process is passed
+// where processes are many, since each may send the one that it has in hand, and leaves a part unused where work is uneven.
+func TestWaysOfKeepingALimit(t *testing.T) {
+	for _, row := range []struct {
+		processes int
+		perSecond float64
+		busy      int
+	}{{7, 1, 7}, {7, 10, 2}, {60, 1, 60}, {400, 1, 400}, {400, 10, 400}, {400, 60, 40}} {
+		play := func(way way) (window int, used float64) {
+			fleet := newTestFleet(5, row.processes, row.perSecond)
+			fleet.way, fleet.busy = way, row.busy
+			fleet.play(60*time.Second, 100, func() {})
+			window, _ = most(fleet.counted)
+			return window, float64(len(fleet.all)) / 60 / row.perSecond
+		}
+		window, used := play(oneKeeper)
+		t.Logf("%d processes, %d of them busy, %g a second, %g tolerated in 4 s: one keeper %d and %.2f of the limit used", row.processes, row.busy, row.perSecond, tolerated(row.perSecond), window, used)
+		require.LessOrEqual(t, float64(window), tolerated(row.perSecond))
+		require.GreaterOrEqual(t, used, 0.8)
+		for name, way := range map[string]way{"equal shares": equalShares, "unheeded": unheeded} {
+			window, used := play(way)
+			t.Logf("    %s: %d and %.2f", name, window, used)
+		}
+	}
+}
