A permit serves one sending; what a relay sends, admits and draws stands in files of its own

Change: usePermit takes the permit; one updateLimit for all changes of what is known of a limit; sending.go, random.go; the reasons not to send stand in one function.

--- a/internal/backpressure/limit_state.go
+++ b/internal/backpressure/limit_state.go
@@ -20,57 +20,53 @@
 // none. An answer to a request that was sent before the present limit was known may be older than it: it is only
 // followed to a smaller one. It reports whether the limit has changed.
 func (s *Signals) HearLimit(now, sentAt time.Duration, limit Limit) (changed bool) {
-	for {
-		held := s.limit.Load()
-		former := stateOf(held)
-		if former.limit == limit && (former.own || held == nil) || former.limit.below(limit) && sentAt < former.at {
-			return false
-		}
-		next := former
-		next.own = true
-		if former.limit != limit {
-			next.limit, next.at, next.waitUntil = limit, now, 0
-		}
-		if s.limit.CompareAndSwap(held, &next) {
-			return former.limit != limit
-		}
+	if !limit.Named && s.limit.Load() == nil {
+		return false // the usual case
 	}
+	return s.updateLimit(func(former limitState) limitState {
+		if former.limit.below(limit) && sentAt < former.at {
+			return former
+		}
+		return former.with(now, limit, true)
+	})
 }
 
 // TellLimit takes the limit as another process knows it. It reports whether the limit has changed.
 func (s *Signals) TellLimit(now time.Duration, limit Limit) (changed bool) {
-	for {
-		held := s.limit.Load()
-		former := stateOf(held)
-		if former.limit == limit && !former.own {
-			return false
-		}
-		next := former
-		next.own = false
-		if former.limit != limit {
-			next.limit, next.at, next.waitUntil = limit, now, 0
-		}
-		if s.limit.CompareAndSwap(held, &next) {
-			return former.limit != limit
-		}
-	}
+	return s.updateLimit(func(former limitState) limitState { return former.with(now, limit, false) })
 }
 
 // AwaitPermit notes that no permit is to be had until a time, as long as the limit stays the same.
 func (s *Signals) AwaitPermit(until time.Duration) {
+	s.updateLimit(func(former limitState) limitState {
+		if former.limit.Named {
+			former.waitUntil = max(former.waitUntil, until)
+		}
+		return former
+	})
+}
+
+// updateLimit replaces what is known of the limit. It reports whether the limit itself has changed.
+func (s *Signals) updateLimit(change func(former limitState) limitState) (changed bool) {
 	for {
 		held := s.limit.Load()
-		if held == nil || !held.limit.Named || until <= held.waitUntil {
-			return
-		}
-		next := *held
-		next.waitUntil = until
-		if s.limit.CompareAndSwap(held, &next) {
-			return
+		former := stateOf(held)
+		next := change(former)
+		if next == former || s.limit.CompareAndSwap(held, &next) {
+			return next.limit != former.limit
 		}
 	}
 }
 
+// with is the state once a limit is known at a time. A wait for permits ends with the limit that it was for.
+func (s limitState) with(now time.Duration, limit Limit, own bool) limitState {
+	s.own = own
+	if s.limit != limit {
+		s.limit, s.at, s.waitUntil = limit, now, 0
+	}
+	return s
+}
+
 // PermitWait is how much longer no permit is to be had; 0 when one can be asked for, or none is needed.
 func (s *Signals) PermitWait(now time.Duration) time.Duration {
 	return max(stateOf(s.limit.Load()).waitUntil-now, 0)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -16,7 +16,6 @@
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
-	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
@@ -37,39 +36,6 @@
 	unsafeIdleLimit = time.Second
 )
 
-// message is one sending of a request to one back end.
-type message struct {
-	request *request
-	backEnd *backEnd
-	// set are headers that take the place of the client's.
-	set []header
-	// deadline ends the exchange; the back end is told what is left of it.
-	deadline time.Duration
-	// stall is the silence after which the back end counts as failed; mayBreak tells that the
-	// exchange is then broken off, since the request may go elsewhere.
-	stall    time.Duration
-	mayBreak bool
-	// work is what the message asks of the back end, as far as known.
-	work placement.Work
-	// chosen is how the back end was picked; nil where that does not matter.
-	chosen *place
-	// reading tells that the prompt is read and nothing runs.
-	reading bool
-	// reads are the parts of the prompt that the back end reads, begun those of them that it
-	// did not hold when the message was sent.
-	reads, begun []placement.Part
-	// sentAt is when it was sent.
-	sentAt time.Duration
-}
-
-// permitAt reports whether the message may go out by the permit that was taken when its back end was picked.
-func (m *message) permitAt(now time.Duration) bool {
-	return m.chosen != nil && m.chosen.permittedAt > 0 && now-m.chosen.permittedAt <= permitLifetime
-}
-
-// owed reports whether the request must go on at this back end.
-func (m *message) owed() bool { return m.chosen != nil && m.chosen.owed }
-
 // exchanger carries messages to back ends.
 type exchanger struct {
 	names   HeaderNames
@@ -126,25 +92,33 @@
 	return answer, nil
 }
 
-// connect returns a connection to the back end that belongs to the request's canceller.
-func (e *exchanger) connect(message *message) (*connpool.Connection, *failure) {
+// admit returns why a message must not go out now; nil where it may.
+func (e *exchanger) admit(message *message) *failure {
+	notRun := func(cause error) *failure { return &failure{verdict: verdict.NotRun, cause: cause} }
 	now := e.clock.now()
-	if message.request.canceller.isCancelled() {
-		return nil, &failure{verdict: verdict.NotRun, cause: errCancelled}
-	}
-	if now >= message.deadline {
-		return nil, &failure{verdict: verdict.NotRun, cause: errDeadline}
-	}
-	if message.backEnd.resting(now) { // it was picked before the rest was asked for
-		return nil, &failure{verdict: verdict.NotRun, cause: errResting}
-	}
-	if message.backEnd.limited() {
-		if !message.permitAt(now) && !e.permitted(message.backEnd, message.request.rank.First, message.owed()) {
-			return nil, &failure{verdict: verdict.NotRun, cause: errLimited}
-		}
+	switch {
+	case message.request.canceller.isCancelled():
+		return notRun(errCancelled)
+	case now >= message.deadline:
+		return notRun(errDeadline)
+	case message.backEnd.resting(now): // it was picked before the rest was asked for
+		return notRun(errResting)
+	case !message.backEnd.limited():
+		return nil
+	case !message.usePermit(now) && !e.permitted(message.backEnd, message.request.rank.First, message.owed()):
+		return notRun(errLimited)
+	default:
 		e.limitedSendings.Inc()
-		now = e.clock.now()
+		return nil
+	}
+}
+
+// connect returns a connection to the back end that belongs to the request's canceller.
+func (e *exchanger) connect(message *message) (*connpool.Connection, *failure) {
+	if fault := e.admit(message); fault != nil {
+		return nil, fault
 	}
+	now := e.clock.now()
 	message.sentAt = now
 	connection := message.backEnd.pool.Take(now, idleLimitOf(message.request.route))
 	if connection == nil {
@@ -326,12 +300,3 @@
 	}
 	return nil
 }
-
-// noteLimitOf takes the limit that an answer names, or that a success names none.
-func (e *exchanger) noteLimitOf(answer *answer) {
-	limit, readable := backpressure.ParseLimit(answer.head.PeekAll(e.names.Limit))
-	isSuccess := answer.status >= fasthttp.StatusOK && answer.status < fasthttp.StatusMultipleChoices
-	if readable && (limit.Named || isSuccess) {
-		e.noteLimit(answer.message.backEnd, limit, answer.message.sentAt)
-	}
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -297,18 +296,3 @@
 
 // lastContact is the time of the last word of a leader.
 func (r *Relay) lastContact() time.Duration { return time.Duration(r.contactAt.Load()) }
-
-// draw returns a random number in [0, 1).
-func (r *Relay) draw() float64 { return r.random.float64() }
-
-// lockedRandom is a random source that goroutines share.
-type lockedRandom struct {
-	mutex  sync.Mutex
-	source *rand.Rand
-}
-
-func (l *lockedRandom) float64() float64 {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.source.Float64()
-}
