Soak: relays are cut off from controllers and from each other

Cause: limits had to be shown while relays are killed, paused and cut; nothing cut relays off in runs of real processes. Change: the bench's own serve mode holds up connections to the controllers' port and loses datagrams on command (zonedelay.Outgoing, fleet.Process.CutOff); servercommand takes Dial and ListenPacket from the process around it, as it took Listen; a loop of the soak cuts relays from a random source of its own.

--- a/internal/benchcommand/soak.go
+++ b/internal/benchcommand/soak.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"fmt"
-	"io"
+	"net"
 	"os"
 	"path/filepath"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
+	"github.com/hazelpitch/hazelpitch/internal/fleet"
 	"github.com/hazelpitch/hazelpitch/internal/servercommand"
 	"github.com/hazelpitch/hazelpitch/internal/soak"
+	"github.com/hazelpitch/hazelpitch/internal/zonedelay"
 	"github.com/hazelpitch/hazelpitch/platform"
 )
 
@@ -22,12 +25,21 @@
 // serveSite runs one server until it ends, or until its standard input does: a soak holds the other end,
 // so that its servers end with it.
 func serveSite(ctx context.Context, arguments []string, environment Environment) int {
+	way := soak.Outgoing()
 	go func() {
-		_, _ = io.Copy(io.Discard, os.Stdin) // it ends when the soak does
+		_ = fleet.ObeyCuts(os.Stdin, way.Gate) // it ends when the soak does
 		os.Exit(ExitFailed)
 	}()
 	return servercommand.Run(ctx, arguments, servercommand.Environment{
 		Program: environment.Program + " " + serveSiteName, Stdout: environment.Stdout, Stderr: environment.Stderr, Site: platform.Site(),
+		Dial: dialing.Dial(way.Dial(zonedelay.DialFunc(dialing.Watched()), soak.PeerPort)),
+		ListenPacket: func(network, address string) (net.PacketConn, error) {
+			connection, err := net.ListenPacket(network, address)
+			if err != nil {
+				return nil, err
+			}
+			return way.Packets(connection), nil
+		},
 	})
 }
 
--- a/internal/fleet/cuts.go
+++ b/internal/fleet/cuts.go
@@ -61,6 +61,12 @@
 	return nil
 }
 
+// CutOff cuts groups of addresses off from the process until the function that it returns is called.
+func (p *Process) CutOff(number int, group []netip.Prefix) (heal func() error, err error) {
+	err = tell([]*Process{p}, cutCommand{Number: number, Group: group})
+	return func() error { return tell([]*Process{p}, cutCommand{Number: number}) }, err
+}
+
 // tell sends a command to the processes that run.
 func tell(processes []*Process, command cutCommand) error {
 	line, err := json.Marshal(command)
--- a/internal/servercommand/command.go
+++ b/internal/servercommand/command.go
@@ -13,6 +13,8 @@
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 )
 
 // Exit codes of the servers.
@@ -30,6 +32,10 @@
 	Stderr  io.Writer
 	// Listen opens listeners; nil means net.Listen.
 	Listen func(network, address string) (net.Listener, error)
+	// ListenPacket opens a relay's datagram socket; nil means net.ListenPacket.
+	ListenPacket func(network, address string) (net.PacketConn, error)
+	// Dial opens a relay's outgoing connections; nil means the system's.
+	Dial dialing.Dial
 	// Site is how relays and their controllers speak with what is around them.
 	Site Site
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -28,6 +28,9 @@
 	longestLimitGap = 2 * time.Second
 	longestLimit    = 6 * time.Second
 	largestLimit    = 6.0
+	// longestCutGap is the longest time between two cuts of relays, longestCut the longest for which one lasts.
+	longestCutGap = 4 * time.Second
+	longestCut    = 5 * time.Second
 	// stopGrace is how long a process may take to end after it was asked to.
 	stopGrace = 6 * time.Second
 )
@@ -55,6 +58,9 @@
 // run strikes until the context ends, and returns when all faults are over.
 func (f *faults) run(ctx context.Context) {
 	f.running.Go(func() { f.limitReplicas(ctx) })
+	if f.site.options.Program == "" { // only this program can be told of cuts
+		f.running.Go(func() { f.cutRelays(ctx) })
+	}
 	for ctx.Err() == nil {
 		sleep(ctx, time.Duration(f.random.Int64N(int64(longestGap))))
 		switch f.random.IntN(10) {
--- a/internal/soak/history/fault.go
+++ b/internal/soak/history/fault.go
@@ -16,6 +16,8 @@
 	Freeze    FaultKind = "freeze"
 	Terminate FaultKind = "terminate"
 	Reload    FaultKind = "reload"
+	// Cut cuts a relay off from controllers and other relays, in silence.
+	Cut FaultKind = "cut"
 	// Wipe ends it at once and empties its disk.
 	Wipe FaultKind = "wipe"
 	// Crash ends a back end, Drain takes it away as planned.
