What an answer asks for is read once; an engine that rested is read later

Cause: reading the diff: an answer's limit was parsed twice, and absence was judged in two planes by copies of the same rule. An engine that rested (and now one whose limit left no room) when it became this relay's counted as read, and its cache stayed unknown for as long as it was owned. Change: backpressure.AskedIn tells of a limit, or that a success names none; calls of a relay's own pass noRequest. The reader of caches counts an engine as read only when it was called. attempt_failed shows the rest that holds, not the Retry-After of other statuses. Before, after: TestAnEngineThatRestedIsReadLater 0 readings after the rest, now 1. Command: go test ./internal/relay ./internal/backpressure ./internal/upstream ./platform

--- a/internal/backpressure/asked.go
+++ b/internal/backpressure/asked.go
@@ -2,8 +2,12 @@
 
 import "time"
 
-// statusUnavailable is HTTP's status 503.
-const statusUnavailable = 503
+// HTTP's statuses: those of successes are from statusOK up to statusMultipleChoices, which is none.
+const (
+	statusOK              = 200
+	statusMultipleChoices = 300
+	statusUnavailable     = 503
+)
 
 // Asked is what one answer of a back end asks for; the zero value asks for nothing.
 type Asked struct {
@@ -11,10 +15,10 @@
 	Rest time.Duration
 	// Leaving tells that the back end leaves.
 	Leaving bool
-	// Limit is what the back end takes of all processes together; LimitUnreadable tells that it names one that is no
-	// decimal number, which says nothing.
-	Limit           Limit
-	LimitUnreadable bool
+	// Limit is what the back end takes of all processes together. Unlimited tells that the answer says by its silence that
+	// there is no limit: only a success does. Neither is set where the header cannot be read.
+	Limit     Limit
+	Unlimited bool
 }
 
 // Words are the headers of one answer with which a back end asks for something.
@@ -30,9 +34,13 @@
 func AskedIn(status int, words Words) Asked {
 	asked := Asked{Leaving: len(words.Leaving) > 0}
 	limit, readable := ParseLimit(words.Limit)
-	asked.Limit, asked.LimitUnreadable = limit, !readable
+	isSuccess := status >= statusOK && status < statusMultipleChoices
+	asked.Limit, asked.Unlimited = limit, readable && !limit.Named && isSuccess
 	if status == statusUnavailable {
 		asked.Rest = RetryAfter(words.RetryAfter)
 	}
 	return asked
 }
+
+// SpeaksOfLimit reports whether the answer said anything of a limit.
+func (a Asked) SpeaksOfLimit() bool { return a.Limit.Named || a.Unlimited }
--- a/internal/relay/back_end_limits_test.go
+++ b/internal/relay/back_end_limits_test.go
@@ -144,9 +144,9 @@
 	t.Run("a word of a call's own", func(t *testing.T) {
 		engine := startBackEnd(t, "engine", serving.StagePrefill, answering(200, "handle"))
 		relay := newTestRelay(t, route(stream(false)), engine)
-		relay.noteAsked(relay.engineOf("engine"), backpressure.Asked{Limit: small})
+		relay.noteAsked(relay.engineOf("engine"), backpressure.Asked{Limit: small}, noRequest)
 		require.True(t, relay.engineOf("engine").limited())
-		relay.noteAsked(relay.engineOf("engine"), backpressure.Asked{})
+		relay.noteAsked(relay.engineOf("engine"), backpressure.Asked{Unlimited: true}, noRequest)
 		require.True(t, relay.engineOf("engine").limited(), "an answer to a call says nothing by its silence")
 	})
 }
--- a/internal/relay/back_end_signals.go
+++ b/internal/relay/back_end_signals.go
@@ -34,16 +34,21 @@
 	return b.Changing || b.leaving() || b.wait(now) > 0
 }
 
-// noteAnswer takes what a back end asks for in the head of an answer of its own.
-func (r *Relay) noteAnswer(backEnd *backEnd, head *fasthttp.ResponseHeader) {
+// noRequest stands for the time of a request where a call of the relay's own was answered: that such an answer names no
+// limit, or a larger one, says nothing.
+const noRequest = time.Duration(-1)
+
+// noteAnswer takes what a back end asks for in the head of an answer to a request that was sent at a time, or to a call
+// of the relay's own (noRequest).
+func (r *Relay) noteAnswer(backEnd *backEnd, head *fasthttp.ResponseHeader, sentAt time.Duration) {
 	names := r.dialect.Headers
 	r.noteAsked(backEnd, backpressure.AskedIn(head.StatusCode(), backpressure.Words{
 		RetryAfter: head.Peek(fasthttp.HeaderRetryAfter), Leaving: head.Peek(names.Leaving), Limit: head.PeekAll(names.Limit),
-	}))
+	}), sentAt)
 }
 
-// noteAsked takes what a back end has asked for.
-func (r *Relay) noteAsked(backEnd *backEnd, asked backpressure.Asked) {
+// noteAsked takes what a back end has asked for in an answer to what was sent at a time.
+func (r *Relay) noteAsked(backEnd *backEnd, asked backpressure.Asked, sentAt time.Duration) {
 	now := r.clock.now()
 	if asked.Rest > 0 {
 		if !backEnd.resting(now) {
@@ -58,15 +63,11 @@
 			go backEnd.moveRuns()
 		}
 	}
-	if asked.Limit.Named {
-		r.noteLimit(backEnd, asked.Limit, noRequest)
+	if asked.SpeaksOfLimit() {
+		r.noteLimit(backEnd, asked.Limit, sentAt)
 	}
 }
 
-// noRequest stands for the time of a request where a call of the relay's own was answered: that such an answer names no
-// limit, or a larger one, says nothing.
-const noRequest = time.Duration(-1)
-
 // comeBackSpread is the least time over which callers are spread that come back after a wait, so that the back end is
 // not asked by all of them at once.
 const comeBackSpread = 300 * time.Millisecond
--- a/internal/relay/cache_reader.go
+++ b/internal/relay/cache_reader.go
@@ -47,14 +47,16 @@
 func (c *cacheReader) readNew(ctx context.Context) {
 	owned := map[*promptCache]bool{}
 	for _, engine := range c.relay.owners.ownedEngines() {
+		if !c.owned[engine.cache] && c.isDue(engine) && !engine.leaving() && !c.mayCall(engine) {
+			continue // it is read when it can be called
+		}
 		owned[engine.cache] = true
-		if c.owned[engine.cache] || engine.leaving() || engine.resting(c.relay.clock.now()) || !c.isDue(engine) ||
-			!c.relay.permitted(engine, ownCallRank, false) {
+		if c.owned[engine.cache] || engine.leaving() || !c.isDue(engine) {
 			continue
 		}
 		c.readAt[engine.cache] = c.relay.clock.now()
 		cached, err := c.read(ctx, c.client, engine.BackEnd)
-		c.relay.noteAsked(engine, cached.Asked)
+		c.relay.noteAsked(engine, cached.Asked, noRequest)
 		c.relay.noteBorn(engine, cached.Born)
 		if err == nil {
 			engine.cache.keep(c.relay.clock.now(), hashed(cached.Parts))
@@ -71,6 +73,11 @@
 	}
 }
 
+// mayCall reports whether an engine can be called now: it does not rest, and its limit has room.
+func (c *cacheReader) mayCall(engine *backEnd) bool {
+	return !engine.resting(c.relay.clock.now()) && c.relay.permitted(engine, ownCallRank, false)
+}
+
 // isDue reports whether an engine was not read lately.
 func (c *cacheReader) isDue(engine *backEnd) bool {
 	readAt, was := c.readAt[engine.cache]
--- a/internal/relay/cache_reader_test.go
+++ b/internal/relay/cache_reader_test.go
@@ -75,3 +75,24 @@
 	require.NotNil(t, next.table)
 	require.Equal(t, placement.CacheCapacity(serving.StagePrefill, 600_000), engine.cache.cache.Capacity())
 }
+
+// An engine that rests when it becomes this relay's is read once its rest is over: it was counted as read and stayed
+// unknown for as long as it was owned.
+func TestAnEngineThatRestedIsReadLater(t *testing.T) {
+	engine := startBackEnd(t, "engine", serving.StagePrefill, answering(200, "handle"))
+	relay := newTestRelay(t, route(stream(false)), engine)
+	away := relay.suspendable()
+	relay.engineOf("engine").signals.AskRest(relay.clock.now(), time.Minute)
+	asked := 0
+	reader := &cacheReader{relay: relay.Relay, readAt: map[*promptCache]time.Duration{}}
+	reader.read = func(context.Context, *http.Client, serving.BackEnd) (serving.CacheReading, error) {
+		asked++
+		return serving.CacheReading{}, nil
+	}
+	reader.readNew(t.Context())
+	require.Zero(t, asked)
+	away.Add(int64(time.Minute))
+	reader.readNew(t.Context())
+	reader.readNew(t.Context())
+	require.Equal(t, 1, asked)
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -12,7 +12,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
-	"github.com/hazelpitch/hazelpitch/internal/backpressure"
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
@@ -45,11 +44,9 @@
 	notices *notices
 	guard   *crashguard.Guard
 	// noteAnswer takes what a back end asks for in the head of an answer.
-	noteAnswer func(*backEnd, *fasthttp.ResponseHeader)
+	noteAnswer func(backEnd *backEnd, head *fasthttp.ResponseHeader, sentAt time.Duration)
 	// permitted reports whether a request of a rank may be sent to a back end that may name a limit.
 	permitted func(backEnd *backEnd, rank int, owed bool) bool
-	// noteLimit takes the limit in an answer to a request that was sent at a time.
-	noteLimit func(backEnd *backEnd, limit backpressure.Limit, sentAt time.Duration)
 	// limitedSendings counts sendings to back ends that have named a limit.
 	limitedSendings prometheus.Counter
 	// without are mechanisms that are left out.
@@ -287,12 +284,11 @@
 	if answer.status == fasthttp.StatusMisdirectedRequest {
 		return &failure{verdict: verdict.NotRun, arrived: true, cause: errMisdirected}
 	}
-	e.noteAnswer(answer.message.backEnd, answer.head)
-	e.noteLimitOf(answer)
+	e.noteAnswer(answer.message.backEnd, answer.head, answer.message.sentAt)
 	if len(answer.head.Peek(e.names.NotExecuted)) > 0 {
 		return &failure{
 			verdict: verdict.NotRun, arrived: true, cause: fmt.Errorf("%w: status %d", errNotExecuted, answer.status),
-			retryAfter: backpressure.RetryAfter(answer.head.Peek(fasthttp.HeaderRetryAfter)),
+			retryAfter: answer.message.backEnd.signals.Rest(e.clock.now()),
 		}
 	}
 	if len(answer.head.ContentEncoding()) > 0 {
--- a/internal/relay/exchange_notes.go
+++ b/internal/relay/exchange_notes.go
@@ -5,9 +5,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/valyala/fasthttp"
-
-	"github.com/hazelpitch/hazelpitch/internal/backpressure"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 )
@@ -117,12 +114,3 @@
 		answer.message.backEnd.tell(e.clock.now(), running, waiting)
 	}
 }
-
-// noteLimitOf takes the limit that an answer names, or that a success names none.
-func (e *exchanger) noteLimitOf(answer *answer) {
-	limit, readable := backpressure.ParseLimit(answer.head.PeekAll(e.names.Limit))
-	isSuccess := answer.status >= fasthttp.StatusOK && answer.status < fasthttp.StatusMultipleChoices
-	if readable && (limit.Named || isSuccess) {
-		e.noteLimit(answer.message.backEnd, limit, answer.message.sentAt)
-	}
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -162,7 +162,7 @@
 	relay.connections.open, relay.connections.requests = map[*clientConnection]bool{}, map[*clientConnection]*request{}
 	relay.contactAt.Store(int64(-leaderwatch.LongestWait - contactSlack))
 	relay.exchanger = &exchanger{
-		noteAnswer: relay.noteAnswer, noteLimit: relay.noteLimit, permitted: relay.permitted, limitedSendings: relay.metrics.limitedSendings,
+		noteAnswer: relay.noteAnswer, permitted: relay.permitted, limitedSendings: relay.metrics.limitedSendings,
 		names: options.Dialect.Headers, writer: newRequestWriter(options.Dialect.Headers), clock: steady, dial: options.Dial,
 		without: options.Without,
 	}
--- a/internal/relay/release.go
+++ b/internal/relay/release.go
@@ -35,7 +35,7 @@
 	if head.Read(connection.Reader) != nil || head.StatusCode() == fasthttp.StatusMisdirectedRequest {
 		return
 	}
-	e.noteAnswer(held.engine, head)
+	e.noteAnswer(held.engine, head, noRequest)
 	if head.StatusCode() == fasthttp.StatusOK {
 		e.noteKept(held.engine, held.parts)
 	}
--- a/internal/relay/run_mover.go
+++ b/internal/relay/run_mover.go
@@ -130,7 +130,7 @@
 		return false, ""
 	}
 	if answer.StatusCode() != fasthttp.StatusMisdirectedRequest {
-		e.noteAnswer(engine, &answer.Header)
+		e.noteAnswer(engine, &answer.Header, noRequest)
 	}
 	return answer.StatusCode() == fasthttp.StatusOK, dialect.ParseMoveAnswer(answer.Body())
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -126,16 +126,17 @@
 
 // readReport reads what a back end says of itself.
 func readReport(header *fasthttp.ResponseHeader) Report {
+	asked := backpressure.AskedIn(header.StatusCode(), backpressure.Words{
+		RetryAfter: header.Peek(fasthttp.HeaderRetryAfter), Limit: header.PeekAll(enginecontract.HeaderRequestLimit),
+	})
 	report := Report{
 		State: enginecontract.ServiceState(header.Peek(enginecontract.HeaderEngineState)),
 		Role:  enginecontract.Role(header.Peek(enginecontract.HeaderEngineRole)),
 		Load:  string(header.Peek(enginecontract.HeaderEngineLoad)),
-		Rest:  backpressure.AskedIn(header.StatusCode(), backpressure.Words{RetryAfter: header.Peek(fasthttp.HeaderRetryAfter)}).Rest,
+		Rest:  asked.Rest,
 	}
-	limit, readable := backpressure.ParseLimit(header.PeekAll(enginecontract.HeaderRequestLimit))
-	isSuccess := header.StatusCode() >= fasthttp.StatusOK && header.StatusCode() < fasthttp.StatusMultipleChoices
-	if readable && (limit.Named || isSuccess) {
-		report.Limit = &limit
+	if asked.SpeaksOfLimit() {
+		report.Limit = &asked.Limit
 	}
 	return report
 }
