--- a/internal/relay/back_end_signals_test.go
+++ b/internal/relay/back_end_signals_test.go
@@ -68,6 +68,21 @@
 	require.Len(t, short.seen(), 1)
 }
 
+// Where all engines that generate rest, callers are told when the first of them can be asked again, though engines that
+// read prompts do not rest.
+func TestCallersOfStreamsAreToldWhenARestEnds(t *testing.T) {
+	reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
+	rests := startBackEnd(t, "rests", serving.StageDecode, streaming("rests", eventOne))
+	relay := newTestRelay(t, route(stream(false)), reader, rests)
+	relay.engineOf("rests").signals.AskRest(relay.clock.now(), 600*time.Second)
+	answer := relay.client(t).do("POST", "/path/", "x", shortPrompt...)
+	require.Equal(t, 503, answer.status)
+	comeBack := backpressure.RetryAfter(answer.head.Peek("Retry-After"))
+	require.Greater(t, comeBack, 500*time.Second)
+	require.LessOrEqual(t, comeBack, 600*time.Second+comeBackSpread)
+	require.Empty(t, rests.seen())
+}
+
 // What a back end asked for holds though its entry changes, and though the list does not show it for a while; its next
 // start has asked for nothing.
 func TestSignalsHoldForAStart(t *testing.T) {
