Harnesses of tests stand in files of their own

Change: the virtual fleet of internal/fleetlimit and the histories of internal/soak/check stand beside their tests; none changed.

--- /dev/null
+++ b/internal/soak/check/histories_test.go
@@ -0,0 +1,215 @@
+package check
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/soak/history"
+)
+
+// seen is a history with the usual bounds and routes, changed by a row of a table.
+func seen(change func(*history.History)) *history.History {
+	made := &history.History{
+		Bounds: history.Bounds{
+			Contact: 3 * second, LossSlack: second / 20, ConfigApply: 2 * second, Drain: 3 * second, Lease: 3 * second, Recovery: 12 * second,
+			RetryRatio: 0.2, RetryWindow: 10 * second, RetrySlack: 5,
+		},
+		Routes: map[string]history.Route{
+			"safe":   {Repeatable: true, MaxAttempts: 2, Timeout: second},
+			"unsafe": {MaxAttempts: 2, Timeout: second},
+			"stream": {Repeatable: true, Stream: true, Resumable: true, MaxAttempts: 2, Timeout: 6 * second},
+			"once":   {Stream: true, MaxAttempts: 1, Timeout: 6 * second},
+		},
+		Controllers: map[string]bool{"core": true},
+	}
+	change(made)
+	return made
+}
+
+// request is an attempt with the usual answer.
+func request(id, route string, at time.Duration) history.Sending {
+	return history.Sending{
+		ID: id, Content: "c-" + id, Route: route, Method: "GET", Target: "/", Front: "front", SentAt: at, EndedAt: at + second/10,
+		Deadline: second, Status: 200, Seal: "s", Body: "b", AnswerID: id, Whole: true,
+	}
+}
+
+// ranAt is a back end's run of a request.
+func ranAt(id, replica string, at time.Duration) history.Arrival {
+	return history.Arrival{
+		ID: id, Replica: replica, Service: "a", Machine: "front", At: at, Method: "GET", Target: "/", Ran: true, EndedAt: at + second/10,
+		Status: 200, Seal: "s", Body: "b",
+	}
+}
+
+// sentAnd changes a request.
+func sentAnd(sending history.Sending, change func(*history.Sending)) history.Sending {
+	change(&sending)
+	return sending
+}
+
+// ranAnd changes a run.
+func ranAnd(arrival history.Arrival, change func(*history.Arrival)) history.Arrival {
+	change(&arrival)
+	return arrival
+}
+
+func crashed(arrival *history.Arrival) { arrival.Crashed, arrival.Status = true, 0 }
+
+// crashes are runs of one request under identities of their own, each of which ends its back end.
+func crashes(made *history.History, count int, from, step time.Duration) {
+	for number := range count {
+		id := fmt.Sprint("poison-", len(made.Sendings))
+		at := from + time.Duration(number)*step
+		made.Sendings = append(made.Sendings, sentAnd(request(id, "safe", at), func(s *history.Sending) { s.Content, s.Status, s.Seal = "poison", 502, "" }))
+		made.Arrivals = append(made.Arrivals, ranAnd(ranAt(id, fmt.Sprint("replica-", id), at), crashed))
+	}
+}
+
+func streamOf(body, route string, whole bool) func(*history.History) {
+	return func(h *history.History) {
+		h.Sendings = []history.Sending{sentAnd(request("1", route, 0), func(s *history.Sending) { s.Body, s.Whole = body, whole })}
+		h.Arrivals = []history.Arrival{ranAt("1", "x", 0)}
+	}
+}
+
+func attempted(requests int) func(*history.History) {
+	return func(h *history.History) {
+		h.Bounds.RetryWindow = 0
+		for number := range requests {
+			id := fmt.Sprint(number)
+			h.Sendings = append(h.Sendings, request(id, "safe", 0))
+			h.Arrivals = append(h.Arrivals, ranAt(id, "x", 0), ranAt(id, "y", 0), ranAt(id, "z", 0))
+		}
+	}
+}
+
+func sendingsAgain(h *history.History, count int, step time.Duration) {
+	for number := range count {
+		id, at := fmt.Sprint(number), time.Duration(number)*step
+		h.Sendings = append(h.Sendings, request(id, "safe", at))
+		h.Arrivals = append(h.Arrivals, ranAt(id, "x", at), ranAt(id, "y", at))
+	}
+}
+
+func ordersOf(orders ...history.Order) func(*history.History) {
+	return func(h *history.History) {
+		for _, order := range orders {
+			order.Replica = "x"
+			h.Orders = append(h.Orders, order)
+		}
+	}
+}
+
+func cutBy(kind history.FaultKind, target string) func(*history.History) {
+	return func(h *history.History) {
+		h.Sendings = []history.Sending{sentAnd(request("1", "safe", 5*second), func(s *history.Sending) { s.Status, s.Seal, s.AnswerID, s.Whole = 0, "", "", false })}
+		h.Faults = []history.Fault{{Kind: kind, Target: target, From: 5 * second, To: 6 * second}}
+	}
+}
+
+func leaving(after time.Duration) func(*history.History) {
+	return func(h *history.History) {
+		h.Listings = []history.Listing{{At: second, Replica: "x", State: history.Draining}}
+		h.Sendings = []history.Sending{request("1", "safe", second+after)}
+		h.Arrivals = []history.Arrival{ranAt("1", "x", second+after)}
+	}
+}
+
+// resting is a back end that asks the relay for three seconds of rest, and gets further requests from a time on.
+func resting(count int, after time.Duration, front string) func(*history.History) {
+	return func(h *history.History) {
+		h.Bounds.RetryWindow = 0
+		shed := func(id, machine string, at time.Duration, rest time.Duration) {
+			h.Sendings = append(h.Sendings, sentAnd(request(id, "safe", at), func(s *history.Sending) { s.Front, s.Status, s.Seal = machine, 503, "" }))
+			h.Arrivals = append(h.Arrivals, ranAnd(ranAt(id, "x", at), func(a *history.Arrival) {
+				a.Machine, a.Ran, a.Status, a.Seal, a.Rest, a.EndedAt = machine, false, 503, "", rest, at
+			}))
+		}
+		shed("0", "front", 0, 3*second)
+		for number := range count {
+			shed(fmt.Sprint(number+1), front, after+time.Duration(number)*second/10, 0)
+		}
+	}
+}
+
+// limited is a back end that names a limit, tells some relays, and gets requests of two relays from a time on, in seconds:
+// three times within a second each of them, the rest spread over that second.
+func limited(perSecond, after float64, count int, told ...string) func(*history.History) {
+	return func(h *history.History) {
+		h.Bounds.RetryWindow = 0
+		h.Limits = []history.Limit{{Replica: "x", At: second, Named: true, PerSecond: perSecond}}
+		arrive := func(id, front string, at time.Duration) {
+			h.Sendings = append(h.Sendings, sentAnd(request(id, "safe", at), func(s *history.Sending) { s.Front, s.Seal = front, "s"+id }))
+			h.Arrivals = append(h.Arrivals, ranAnd(ranAt(id, "x", at), func(a *history.Arrival) {
+				a.Machine, a.Seal, a.Limited = front, "s"+id, at >= second
+			}))
+		}
+		for number, front := range told {
+			arrive(fmt.Sprint("told", number), front, second+second/10)
+		}
+		for number := range count {
+			front := []string{"front", "other"}[number%2]
+			arrive(fmt.Sprint(number), front, time.Duration(after*float64(second))+time.Duration(number)*second/time.Duration(count))
+		}
+	}
+}
+
+// saidToLeave is a back end that says that it leaves, and gets a request some time after.
+func saidToLeave(after time.Duration, front string) func(*history.History) {
+	return func(h *history.History) {
+		h.Sendings = []history.Sending{request("1", "safe", second), sentAnd(request("2", "safe", second+after), func(s *history.Sending) { s.Front = front })}
+		h.Arrivals = []history.Arrival{
+			ranAnd(ranAt("1", "x", second), func(a *history.Arrival) { a.Leaving = true }),
+			ranAnd(ranAt("2", "x", second+after), func(a *history.Arrival) { a.Machine = front }),
+		}
+	}
+}
+
+func reconfigured(at time.Duration) func(*history.History) {
+	return func(h *history.History) {
+		h.Changes = []history.Change{
+			{Number: 1, SentAt: 0, AckedAt: second / 10, Services: map[string]string{"safe": "a"}},
+			{Number: 2, SentAt: second, AckedAt: 2 * second, Services: map[string]string{"safe": "b"}},
+		}
+		h.Sendings = []history.Sending{request("1", "safe", at)}
+		h.Arrivals = []history.Arrival{ranAt("1", "x", at)}
+	}
+}
+
+func outlastingBy(took time.Duration) func(*history.History) {
+	return func(h *history.History) {
+		for number := range 10 {
+			h.Sendings = append(h.Sendings, sentAnd(request(fmt.Sprint(number), "safe", 0), func(s *history.Sending) {
+				s.Status, s.Seal, s.EndedAt = 504, "", took
+			}))
+		}
+	}
+}
+
+func left(working time.Duration) func(*history.History) {
+	return func(h *history.History) {
+		for number := range 10 {
+			id := fmt.Sprint(number)
+			h.Sendings = append(h.Sendings, sentAnd(request(id, "safe", 0), func(s *history.Sending) { s.ClosedAt, s.Status = second, 0 }))
+			h.Arrivals = append(h.Arrivals, ranAnd(ranAt(id, "x", 0), func(a *history.Arrival) { a.EndedAt = second + working }))
+		}
+	}
+}
+
+func recovering(served int) func(*history.History) {
+	return func(h *history.History) {
+		h.Bounds.RetryWindow = 0
+		h.Faults = []history.Fault{{Kind: history.Kill, Target: "core", From: 10 * second, To: 11 * second}}
+		for number := range 60 {
+			at := time.Duration(number) * second
+			sending := request(fmt.Sprint(number), "safe", at)
+			if at > 23*second && number%10 >= served {
+				sending.Status, sending.Seal = 503, ""
+			} else {
+				h.Arrivals = append(h.Arrivals, ranAt(sending.ID, "x", at))
+			}
+			h.Sendings = append(h.Sendings, sending)
+		}
+	}
+}
