Fuzz targets of limits: the header, and what relays tell each other of them

Cause: bytes come in from back ends and other relays. Change: FuzzParseLimit, FuzzDatagram of internal/relay/permits. Command: go test ./internal/relay/permits -fuzz FuzzDatagram -fuzztime 20s -fuzzminimizetime 1x

--- a/internal/backpressure/limit_test.go
+++ b/internal/backpressure/limit_test.go
@@ -32,3 +32,19 @@
 	require.True(t, readable)
 	require.Equal(t, Limit{Named: true, PerSecond: 2}, smallest)
 }
+
+// Whatever stands in the header, a limit is a number from 0 to the largest that binds.
+func FuzzParseLimit(f *testing.F) {
+	for _, value := range []string{"1.5", "0", "-0", "1e-400", "1e400", "+.5", "99999.99", "e", ""} {
+		f.Add([]byte(value))
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		limit, readable := ParseLimit([][]byte{value})
+		if !readable || !limit.Named {
+			require.Equal(t, Limit{}, limit)
+			return
+		}
+		require.GreaterOrEqual(t, limit.PerSecond, 0.0)
+		require.LessOrEqual(t, limit.PerSecond, float64(mostLimit))
+	})
+}
--- /dev/null
+++ b/internal/relay/permits/datagram_fuzz_test.go
@@ -0,0 +1,53 @@
+package permits
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/fleetlimit"
+)
+
+// FuzzDatagram takes any bytes from other relays: nothing of them may stop a relay, grant without a keeper's word or make
+// it wait for long.
+func FuzzDatagram(f *testing.F) {
+	limit := &v1.NamedLimit{BackEnd: 1, Named: true, PerSecond: 1e308}
+	for _, seed := range []*v1.RelayDatagram{
+		{Content: &v1.RelayDatagram_LimitAsk{LimitAsk: &v1.LimitAsk{Limit: limit, Rank: 1 << 31, Heard: true}}},
+		{Content: &v1.RelayDatagram_LimitAnswer{LimitAnswer: &v1.LimitAnswer{Limit: limit, WaitUs: 1 << 63}}},
+		{Content: &v1.RelayDatagram_LimitNotice{LimitNotice: &v1.LimitNotice{Limits: []*v1.NamedLimit{limit, {PerSecond: -1, Named: true}}}}},
+	} {
+		content, err := proto.Marshal(seed)
+		require.NoError(f, err)
+		f.Add(content)
+	}
+	f.Fuzz(func(t *testing.T, content []byte) {
+		told := &v1.RelayDatagram{}
+		if proto.Unmarshal(content, told) != nil {
+			return
+		}
+		const self = "10.0.0.1:1"
+		member := fleetlimit.NewMember(self)
+		member.SetProcesses(0, []string{self})
+		if ask, valid := askFromWire(told.GetLimitAsk()); valid {
+			for now := time.Minute; now < 2*time.Minute; now += time.Second {
+				answer, kept := member.Ask(now, ask, true, 0.5)
+				require.True(t, kept)
+				require.GreaterOrEqual(t, answer.Wait, time.Duration(0))
+				require.LessOrEqual(t, answer.Wait, longestWait)
+			}
+		}
+		for _, limit := range told.GetLimitNotice().GetLimits() {
+			if named, valid := fleetlimit.FromWire(limit); valid {
+				require.GreaterOrEqual(t, named.Limit.PerSecond, 0.0)
+				member.Hear(time.Minute, "10.0.0.2:1", named)
+			}
+		}
+		answer, _ := answerFromWire(told.GetLimitAnswer())
+		require.GreaterOrEqual(t, answer.Wait, time.Duration(0))
+		require.LessOrEqual(t, answer.Wait, longestWait)
+	})
+}
