Tests of the relay share no state unguarded with what serves

Cause: the race detector found two tests that wrote the relay's clock, or read its log, while its goroutines used them. Change: each test relay has a clock that can be suspended from its start on; lines of a log are read under a lock. Assertions stand.

--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -9,12 +9,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/bootclock"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
@@ -179,6 +181,8 @@
 type testRelay struct {
 	*Relay
 	address string
+	// away is for how long its machine was suspended, in nanoseconds.
+	away *atomic.Int64
 }
 
 // route returns a route for /path/ of host test.
@@ -209,6 +213,9 @@
 		Dialect: testDialect(), Log: logring.New("relay", settings.Log{RingEntries: 64}),
 		Dial: (&net.Dialer{}).DialContext,
 	})
+	away := &atomic.Int64{}
+	relay.clock.steady = bootclock.NewSuspendable(0, func() time.Duration { return time.Duration(away.Load()) })
+	relay.exchanger.clock = relay.clock
 	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
 	require.NoError(t, err)
 	relay.meetOthers(socket)
@@ -236,7 +243,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { _ = relay.accept(ctx, listener) }()
 	t.Cleanup(func() { cancel(); _ = listener.Close(); _ = socket.Close() })
-	return &testRelay{Relay: relay, address: listener.Addr().String()}
+	return &testRelay{Relay: relay, address: listener.Addr().String(), away: away}
 }
 
 // clientAnswer is an answer as a client read it.
--- a/internal/relay/lack_test.go
+++ b/internal/relay/lack_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"strings"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -20,8 +19,8 @@
 		lacksBackEnds:      func(view *view) { view.byService = map[string][]*backEnd{} },
 	} {
 		relay := newTestRelay(t, route(nil), startBackEnd(t, "one", serving.StageWhole, answering(200, "ok")))
-		lines := &strings.Builder{}
-		relay.log = requestLog{logger: zerolog.New(zerolog.SyncWriter(lines))}
+		lines := &logLines{}
+		relay.log = requestLog{logger: zerolog.New(lines)}
 		relay.startWait = 0
 		next := known(relay)
 		forget(&next)
--- a/internal/relay/suspension_test.go
+++ b/internal/relay/suspension_test.go
@@ -9,18 +9,13 @@
 	"github.com/stretchr/testify/require"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
-	"github.com/hazelpitch/hazelpitch/internal/bootclock"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
-// suspendable gives the relay a clock of a machine that was suspended for as long as the returned value
-// says, in nanoseconds. It must be called before the relay serves.
+// suspendable returns for how long the relay's machine was suspended, in nanoseconds, which a test may change.
 func (r *testRelay) suspendable() *atomic.Int64 {
-	away := &atomic.Int64{}
-	r.clock.steady = bootclock.NewSuspendable(0, func() time.Duration { return time.Duration(away.Load()) })
-	r.exchanger.clock = r.clock
 	r.contactAt.Store(int64(r.clock.now()))
-	return away
+	return r.away
 }
 
 // A relay that was suspended does not take for fresh what it believed before.
