Processes tell which formats they know; news that a relay asks for again is seen

Cause: the logs of the incident can't tell whether relays of the former build can't read what a leader tells, or do not get it: no line says which formats a process knows, nor that a relay asks again for what it was told. Change: internal/formats numbers what processes tell each other; relays tell the range in each watch; lines relay_started, news_not_taken and of controllers' starts; metrics relays_of_former_formats and news_told_again. Nothing is decided by it yet. Command: go test ./internal/control ./internal/controller ./internal/events

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -61,10 +61,12 @@
 	watches waitingWatches
 	// newsPace spreads the telling of news.
 	newsPace newsPace
-	relays   map[string]relayRecord
+	relays   map[string]*relayRecord
 	news     siteNews
-	stages   stages
-	usage    siteUsage
+	// toldAgain counts the news that relays were told in vain.
+	toldAgain uint64
+	stages    stages
+	usage     siteUsage
 	// dutyCalls keeps the leader's calls of duties.
 	dutyCalls *duty.Schedule
 	replicas  siteReplicas
@@ -104,7 +106,7 @@
 		random:    random,
 		pending:   map[uint64]pendingCall{},
 		newsPace:  newNewsPace(),
-		relays:    map[string]relayRecord{},
+		relays:    map[string]*relayRecord{},
 		stages:    newStages(),
 		usage:     newSiteUsage(config),
 		dutyCalls: newDutySchedule(config),
--- a/internal/control/fleet_size_test.go
+++ b/internal/control/fleet_size_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 )
 
 // fleetZones is the number of zones of the fleets here.
@@ -66,7 +67,8 @@
 
 func newFleetRelay(index int) *fleetRelay {
 	return &fleetRelay{listed: map[string]*v1.ListedBackEnd{}, request: &v1.WatchRequest{
-		Node: &v1.NodeIdentity{Name: fmt.Sprint("relay-", index)}, NoticeAddress: fmt.Sprintf("10.1.%d.%d:7380", index>>8, index&255),
+		Formats: formats.Own().ToWire(),
+		Node:    &v1.NodeIdentity{Name: fmt.Sprint("relay-", index)}, NoticeAddress: fmt.Sprintf("10.1.%d.%d:7380", index>>8, index&255),
 	}}
 }
 
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -33,7 +33,7 @@
 	c.heldBack = nil
 	c.listing = siteListing{}
 	c.stages = newStages()
-	c.relays = map[string]relayRecord{}
+	c.relays = map[string]*relayRecord{}
 	c.news = siteNews{}
 	c.usage = newSiteUsage(c.config)
 	c.dutyCalls = newDutySchedule(c.config)
--- a/internal/control/relay_list.go
+++ b/internal/control/relay_list.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/subsetting"
 )
 
@@ -21,8 +22,15 @@
 
 // relayRecord is what the leader remembers of a relay.
 type relayRecord struct {
+	name string
+	// start is the random identity of its start.
+	start         uint64
 	heardAt       time.Duration
 	noticeAddress string
+	// formats are those that it knows.
+	formats formats.Range
+	// document and listing are what it was told last.
+	document, listing telling
 }
 
 // noteRelay counts the relay, or forgets it when it leaves.
@@ -33,10 +41,17 @@
 		c.news.fresh = false
 		return
 	}
-	if c.relays[name].noticeAddress != request.GetNoticeAddress() {
+	record := c.relays[name]
+	if record == nil || record.start != request.GetNode().GetIncarnation() {
+		record = &relayRecord{name: name, start: request.GetNode().GetIncarnation()}
+		c.relays[name] = record
 		c.news.fresh = false
 	}
-	c.relays[name] = relayRecord{heardAt: c.now, noticeAddress: request.GetNoticeAddress()}
+	if record.noticeAddress != request.GetNoticeAddress() {
+		c.news.fresh = false
+	}
+	record.heardAt, record.noticeAddress = c.now, request.GetNoticeAddress()
+	record.formats = formats.FromWire(request.GetFormats())
 	c.noteWork(request)
 	c.adoptDemand(request)
 }
--- a/internal/control/site_status.go
+++ b/internal/control/site_status.go
@@ -1,11 +1,19 @@
 package control
 
-import "time"
+import (
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/formats"
+)
 
 // SiteStatus is what a leader knows of the relays and back ends that it serves; empty at others.
 type SiteStatus struct {
 	// Relays is how many relays were heard of lately, WaitingWatches how many of their questions wait.
 	Relays, WaitingWatches int
+	// FormerRelays is how many of them do not know the newest format.
+	FormerRelays int
+	// ToldAgain counts the news that relays were told again, since they did not hold it after an answer.
+	ToldAgain uint64
 	// BackEnds is how many the outside list held when it was read whole last, Told how many of them relays
 	// know, and Pages how many pages of the list are read most of the time; 0 is all.
 	BackEnds, Told, Pages int
@@ -18,10 +26,11 @@
 // siteStatus returns what this leader knows of its site.
 func (c *Core) siteStatus() SiteStatus {
 	if !c.leading {
-		return SiteStatus{}
+		return SiteStatus{ToldAgain: c.toldAgain}
 	}
 	status := SiteStatus{
 		Relays: len(c.relays), WaitingWatches: len(c.watches.byDue) + len(c.watches.untold),
+		FormerRelays: c.formerRelays(), ToldAgain: c.toldAgain,
 		BackEnds: c.listing.total, Told: len(c.listing.told), NewsPerSecond: c.newsPace.perSecond, QuorumSilence: c.consensus.QuorumSilence(),
 	}
 	if c.listing.plan.readsPart() {
@@ -29,3 +38,14 @@
 	}
 	return status
 }
+
+// formerRelays is how many relays do not know the newest format.
+func (c *Core) formerRelays() int {
+	former := 0
+	for _, record := range c.relays {
+		if !record.formats.Knows(formats.Newest) {
+			former++
+		}
+	}
+	return former
+}
--- /dev/null
+++ b/internal/control/telling.go
@@ -0,0 +1,82 @@
+package control
+
+import (
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
+)
+
+// NewsNotTaken tells the runtime that a relay asks again for what it was told: it could not use the answer, or did not
+// get it.
+type NewsNotTaken struct {
+	Relay   string
+	Formats formats.Range
+	// News is what was told, Held the number or version that the relay still holds, and Told that which it was told.
+	News       News
+	Held, Told uint64
+}
+
+func (NewsNotTaken) isOutput() {}
+
+// News is a kind of what relays are told.
+type News string
+
+// What relays are told.
+const (
+	NewsDocument News = "document"
+	NewsListing  News = "listing"
+)
+
+// telling is what a relay was told last of one kind of news.
+type telling struct {
+	// held is what it held when it asked, told what it was told, as numbers or versions.
+	held, told uint64
+	// times is how often it was told that in a row, and at when last.
+	times int
+	at    time.Duration
+}
+
+// note notes that a relay which holds one number is told another.
+func (t *telling) note(now time.Duration, held, told uint64) {
+	if t.held != held || t.told != told {
+		*t = telling{held: held, told: told}
+	}
+	t.times++
+	t.at = now
+}
+
+// inVain reports how often a relay was told a number already which it still does not hold.
+func (t *telling) inVain(held, told uint64) int {
+	if t.held != held || t.told != told {
+		return 0
+	}
+	return t.times
+}
+
+// noteTold remembers what a relay is told in an answer.
+func (c *Core) noteTold(request *v1.WatchRequest, response *v1.WatchResponse) {
+	record, known := c.relays[request.GetNode().GetName()]
+	if !known {
+		return
+	}
+	if len(response.GetDocumentPatch()) > 0 || len(response.GetPackedDocument()) > 0 {
+		c.noteTelling(record, NewsDocument, &record.document, request.GetDocumentNumber(), c.news.documents.newest().GetNumber())
+	}
+	if response.GetListingChange() != nil || len(response.GetPackedListing()) > 0 {
+		c.noteTelling(record, NewsListing, &record.listing, request.GetListingVersion(), response.GetListingVersion())
+	}
+}
+
+// noteTelling counts what is told again, and says so once for each relay and news.
+func (c *Core) noteTelling(record *relayRecord, news News, told *telling, held, newest uint64) {
+	again := told.inVain(held, newest)
+	told.note(c.now, held, newest)
+	if again == 0 {
+		return
+	}
+	c.toldAgain++
+	if again == 1 {
+		c.emit(NewsNotTaken{Relay: record.name, Formats: record.formats, News: news, Held: held, Told: newest})
+	}
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -122,5 +122,6 @@
 	if response.RelayList != request.GetRelayList() && (response.Relays > 0 || request.GetRelayList() == 0) {
 		response.RelayAddresses = c.news.relayList // a new leader knows few: those who hold a list keep it
 	}
+	c.noteTold(request, response)
 	return response
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,6 +15,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/control"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
@@ -143,7 +144,7 @@
 		defer stopWorking()
 		return c.serve(serving)
 	})
-	c.log.Info().Str("listen", c.config.Listen).Msg("the controller runs")
+	c.log.Info().Str("listen", c.config.Listen).Uint("format", uint(formats.Newest)).Msg("the controller runs")
 	select {
 	case <-working.Done(): // something failed
 	case <-ctx.Done():
--- /dev/null
+++ b/internal/controller/news_not_taken.go
@@ -0,0 +1,15 @@
+package controller
+
+import (
+	"github.com/rs/zerolog"
+
+	"github.com/hazelpitch/hazelpitch/internal/control"
+	"github.com/hazelpitch/hazelpitch/internal/events"
+)
+
+// logNewsNotTaken writes the line of a relay that asks again for what it was told.
+func logNewsNotTaken(log zerolog.Logger, told control.NewsNotTaken) {
+	log.Warn().Str(events.FieldEvent, string(events.NewsNotTaken)).Str("relay", told.Relay).Str("news", string(told.News)).
+		Uint64("held", told.Held).Uint64("told", told.Told).
+		Uint("lowest_format", uint(told.Formats.Lowest)).Uint("highest_format", uint(told.Formats.Highest)).Send()
+}
--- a/internal/controller/outputs.go
+++ b/internal/controller/outputs.go
@@ -65,6 +65,8 @@
 		if !c.duties.accept(output) {
 			c.loop.addLost(control.ReplicasOrdered{Order: output, Outcome: duty.Refused})
 		}
+	case control.NewsNotTaken:
+		logNewsNotTaken(c.log.Logger, output)
 	case control.DumpLogs:
 		c.log.Info().Str("operator", output.Operator).Msg("an operator asked for the log ring")
 		c.log.RequestDump()
--- a/internal/controller/site_metrics.go
+++ b/internal/controller/site_metrics.go
@@ -10,6 +10,7 @@
 // siteInstruments are the metrics of a leader that serves relays; 0 at other controllers.
 type siteInstruments struct {
 	relays, waitingWatches     prometheus.Gauge
+	formerRelays, toldAgain    prometheus.Gauge
 	backEnds, told, pages      prometheus.Gauge
 	newsPerSecond, quorumHeard prometheus.Gauge
 }
@@ -17,6 +18,8 @@
 func newSiteInstruments(factory metrics.Factory) siteInstruments {
 	return siteInstruments{
 		relays:         factory.Gauge("relays", "Relays heard of lately."),
+		formerRelays:   factory.Gauge("relays_of_former_formats", "Relays heard of lately that do not know the newest format of this controller."),
+		toldAgain:      factory.Gauge("news_told_again", "Answers with news that a relay was told before and still did not hold, since this process began."),
 		waitingWatches: factory.Gauge("watches_waiting", "Questions of relays that wait for something new or for their turn."),
 		backEnds:       factory.Gauge("back_ends_listed", "Back ends in the last reading of the whole outside list."),
 		told:           factory.Gauge("back_ends_told", "Back ends that relays are told of."),
@@ -29,6 +32,8 @@
 // set tells how a site stands.
 func (s siteInstruments) set(site control.SiteStatus) {
 	s.relays.Set(float64(site.Relays))
+	s.formerRelays.Set(float64(site.FormerRelays))
+	s.toldAgain.Set(float64(site.ToldAgain))
 	s.waitingWatches.Set(float64(site.WaitingWatches))
 	s.backEnds.Set(float64(site.BackEnds))
 	s.told.Set(float64(site.Told))
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -64,6 +64,8 @@
 	UsageDelivered Event = "usage_delivered"
 	// ReplicasOrdered: the platform was asked for another number of replicas.
 	ReplicasOrdered Event = "replicas_ordered"
+	// NewsNotTaken: a relay asks again for what it was told.
+	NewsNotTaken Event = "news_not_taken"
 	// DiskFailed: the data directory failed; the controller begins anew.
 	DiskFailed Event = "disk_failed"
 )
@@ -82,7 +84,7 @@
 var All = []Event{
 	RequestEnded, AttemptFailed, RequestRefused, KeyRefused, RunMoved, ConfigurationInForce, ConfigurationUnreadable, ListingInForce, ListingFault,
 	BackEndRests, BackEndLeaves, BackEndLimits, BackEndStartedAgain, BackEndEnded, RequestHeld, RequestTried, GuardCallFailed,
-	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageDelivered, ReplicasOrdered, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
+	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageDelivered, ReplicasOrdered, NewsNotTaken, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
 
 // Names of fields that lines of several events have.
--- a/internal/relay/knowledge.go
+++ b/internal/relay/knowledge.go
@@ -11,6 +11,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/backpressure"
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/fleetlimit"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/leaderwatch"
 	"github.com/hazelpitch/hazelpitch/internal/listing"
 	"github.com/hazelpitch/hazelpitch/internal/packed"
@@ -94,6 +95,7 @@
 		Demands:        k.relay.work.Report(k.relay.clock.now()),
 	}
 	request.Limits = fleetlimit.AllToWire(k.relay.permits.Limits())
+	request.Formats = formats.Own().ToWire()
 	request.DocumentNumber = k.held.GetNumber()
 	request.Wanted = k.wanted
 	return request
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/leaderwatch"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
@@ -181,7 +182,7 @@
 
 // run serves until the context ends and everything taken is answered.
 func (r *Relay) run(ctx context.Context, listener, ready net.Listener) error {
-	r.event(events.RelayStarted).Str("address", listener.Addr().String()).Send()
+	r.event(events.RelayStarted).Str("address", listener.Addr().String()).Uint("format", uint(formats.Newest)).Send()
 	background := context.WithoutCancel(ctx)
 	group, working := errgroup.WithContext(background)
 	working, stopWorking := context.WithCancel(working)
