--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -55,6 +55,8 @@
 	replicas *replicaPlatform
 	// clockError is by how much controllers' clocks are wrong.
 	clockError map[string]time.Duration
+	// persisted, where it is set, is told each entry that a controller writes.
+	persisted func(controller *testController, entry *v1.Entry)
 }
 
 // testController is one controller with its disk.
@@ -68,6 +70,8 @@
 	cut bool
 	// uncounted is the time for which the machine was suspended and that its clock has not counted.
 	uncounted time.Duration
+	// former: the controller stands for one of the first format, and others read its messages as that writes them.
+	former bool
 }
 
 func newWorld(t *testing.T, voters int, configure func(*Config)) *world {
@@ -204,6 +208,11 @@
 	w.carryOutSite(controller, life, output)
 	switch wanted := output.(type) {
 	case Persist:
+		for _, entry := range wanted.Entries {
+			if w.persisted != nil {
+				w.persisted(controller, entry)
+			}
+		}
 		w.after(linkDelay, func() {
 			if controller.life == life {
 				controller.write(wanted)
@@ -213,7 +222,11 @@
 	case SendPeer:
 		peer := w.controllers[wanted.Address]
 		if peer != nil && !controller.cut {
-			w.deliver(controller.name, peer, peer.life, PeerMessage{Message: proto.CloneOf(wanted.Message)})
+			message := proto.CloneOf(wanted.Message)
+			if controller.former {
+				message = asFormer(w.t, message)
+			}
+			w.deliver(controller.name, peer, peer.life, PeerMessage{Message: message})
 		}
 	case Answer:
 		w.answers[wanted.Call] = wanted
