Relays of the former build are told whole documents; an answer in vain is not given again at once

What callers saw: with both builds side by side requests were handled by configurations that had been replaced seconds before (CONFIG). Cause: a leader of the new build told relays that hold a document what had changed, in a field that the former build does not know. Those relays took nothing, and asked again at once for as long as that build led. Change: a patch is told only to a relay that says it knows patches, and only once; what a relay was told twice and does not hold is told again with the answer that is due anyhow. A relay holds a document once it is in force, so that its number stands for what requests are served by, and pauses after an answer that it could not use: the leader may be of a build without this pace. Why it works: whole documents are known to both builds; whatever else a relay can't use costs one answer for each wait. Figures: TestARelayThatCanUseNoAnswerCostsNoMoreThanOthers, 24 answers at most in 8 s where there was no bound. Command: go test ./internal/control ./internal/relay ./internal/leaderwatch

--- a/internal/control/former_build_test.go
+++ b/internal/control/former_build_test.go
@@ -97,6 +97,35 @@
 	}
 }
 
+// A relay that cannot use what it is told, for whatever reason, asks again at once. It is answered as often as one for
+// which there is nothing new, and after the first answer it is told the whole.
+func TestARelayThatCanUseNoAnswerCostsNoMoreThanOthers(t *testing.T) {
+	w := newWorld(t, 3, seeded)
+	site := newSite(w, 0, 0)
+	site.shown = []*v1.ListedBackEnd{{Id: "i-1", Service: "s", Zone: "z", Slots: 4}}
+	leader := w.waitLeader()
+	require.NoError(t, w.putDocument(leader, 1, "one").Err)
+	newFormerRelay("another").ask(w, leader) // the leader keeps what it has told
+	require.NoError(t, w.putDocument(leader, 2, "two").Err)
+	w.run(2 * time.Second)
+	request := &v1.WatchRequest{Node: &v1.NodeIdentity{Name: "relay", Incarnation: 7}, WaitMs: 400, DocumentNumber: 1, Formats: formats.Own().ToWire()}
+	answers, patches := 0, 0
+	for end := w.now + 8*time.Second; w.now < end; answers++ {
+		answer := w.call(leader, func(id CallID) Input { return WatchReceived{Call: id, Request: proto.CloneOf(request)} })
+		if len(answer.Response.(*v1.WatchResponse).GetDocumentPatch()) > 0 {
+			patches++
+			require.Zero(t, answers, "the patch was in vain before")
+		}
+	}
+	require.Equal(t, 1, patches)
+	require.LessOrEqual(t, answers, 8*1000/400+2*tellingsAtOnce)
+
+	require.NoError(t, w.putDocument(leader, 3, "three").Err)
+	waiting := w.send(leader, func(id CallID) Input { return WatchReceived{Call: id, Request: proto.CloneOf(request)} })
+	w.run(10 * time.Millisecond)
+	require.Contains(t, w.answers, waiting, "other news is told at once")
+}
+
 // waitLeaderOtherThan waits until another controller leads.
 func (w *world) waitLeaderOtherThan(controller *testController) *testController {
 	w.t.Helper()
--- a/internal/control/site_news.go
+++ b/internal/control/site_news.go
@@ -2,6 +2,7 @@
 
 import (
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/packed"
 )
 
@@ -50,13 +51,25 @@
 	if document.GetNumber() <= request.GetDocumentNumber() {
 		return
 	}
-	if patch := c.news.documents.patchFrom(request.GetDocumentNumber()); patch != nil {
-		response.DocumentPatch, response.PatchedNumber = patch, document.GetNumber()
-		return
+	if c.readsPatch(request, document.GetNumber()) {
+		if patch := c.news.documents.patchFrom(request.GetDocumentNumber()); patch != nil {
+			response.DocumentPatch, response.PatchedNumber = patch, document.GetNumber()
+			return
+		}
 	}
 	response.PackedDocument = c.packedDocument(document)
 }
 
+// readsPatch reports whether a relay can be told what has changed: it has said that it knows patches, and has not been
+// told the same before in vain.
+func (c *Core) readsPatch(request *v1.WatchRequest, newest uint64) bool {
+	if !formats.FromWire(request.GetFormats()).Knows(formats.DocumentPatches) {
+		return false
+	}
+	record := c.relays[request.GetNode().GetName()]
+	return record == nil || record.document.inVain(request.GetDocumentNumber(), newest) == 0
+}
+
 // packedDocument is the document, compressed once for its number.
 func (c *Core) packedDocument(document *v1.Document) []byte {
 	if c.news.document == nil || c.news.number != document.GetNumber() {
--- a/internal/control/telling.go
+++ b/internal/control/telling.go
@@ -37,6 +37,11 @@
 	at    time.Duration
 }
 
+// tellingsAtOnce is how often a relay is told the same at once: the first answer may have been lost, or told in a form
+// that the relay could not use. One that asks on gets it as often as it is answered without news, so that a relay which
+// cannot use an answer costs no more than others.
+const tellingsAtOnce = 2
+
 // note notes that a relay which holds one number is told another.
 func (t *telling) note(now time.Duration, held, told uint64) {
 	if t.held != held || t.told != told {
@@ -46,7 +51,7 @@
 	t.at = now
 }
 
-// inVain reports how often a relay was told a number already which it still does not hold.
+// inVain is how often a relay was told a number already which it still does not hold.
 func (t *telling) inVain(held, told uint64) int {
 	if t.held != held || t.told != told {
 		return 0
@@ -54,6 +59,14 @@
 	return t.times
 }
 
+// tellings returns what a relay was told last.
+func (c *Core) tellings(request *v1.WatchRequest) (document, listing telling) {
+	if record := c.relays[request.GetNode().GetName()]; record != nil && record.start == request.GetNode().GetIncarnation() {
+		return record.document, record.listing
+	}
+	return telling{}, telling{}
+}
+
 // noteTold remembers what a relay is told in an answer.
 func (c *Core) noteTold(request *v1.WatchRequest, response *v1.WatchResponse) {
 	record, known := c.relays[request.GetNode().GetName()]
--- a/internal/control/told_documents_test.go
+++ b/internal/control/told_documents_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/packed"
 )
 
@@ -83,7 +84,9 @@
 	require.NoError(t, w.putDocument(leader, 5, content+"five").Err)
 	watch := func(number uint64) *v1.WatchResponse {
 		answer := w.call(leader, func(id CallID) Input {
-			return WatchReceived{Call: id, Request: &v1.WatchRequest{Node: &v1.NodeIdentity{Name: "relay"}, WaitMs: 100, DocumentNumber: number}}
+			return WatchReceived{Call: id, Request: &v1.WatchRequest{
+				Node: &v1.NodeIdentity{Name: "relay"}, WaitMs: 100, DocumentNumber: number, Formats: formats.Own().ToWire(),
+			}}
 		})
 		return answer.Response.(*v1.WatchResponse)
 	}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -79,11 +79,20 @@
 	}
 }
 
-// hasNews reports whether a relay does not hold what is in force.
+// hasNews reports whether a relay does not hold what is in force. What it was told twice and still does not hold is no
+// news: it is told again with the answer that is due.
 func (c *Core) hasNews(request *v1.WatchRequest) bool {
-	_, held := c.heldRequests()
-	return c.news.documents.newest().GetNumber() > request.GetDocumentNumber() || held != request.GetHeldVersion() ||
-		c.listing.version != 0 && c.listing.version != request.GetListingVersion()
+	document, listing := c.tellings(request)
+	newest, held := c.news.documents.newest().GetNumber(), request.GetDocumentNumber()
+	if newest > held && document.inVain(held, newest) < tellingsAtOnce {
+		return true
+	}
+	version, listed := c.listing.version, request.GetListingVersion()
+	if version != 0 && version != listed && listing.inVain(listed, version) < tellingsAtOnce {
+		return true
+	}
+	_, suspects := c.heldRequests()
+	return suspects != request.GetHeldVersion()
 }
 
 // watchResponse tells a relay what it does not hold. A controller that does not lead
--- a/internal/leaderwatch/watcher.go
+++ b/internal/leaderwatch/watcher.go
@@ -14,8 +14,13 @@
 	"github.com/hazelpitch/hazelpitch/internal/pause"
 )
 
-// searchPause is the wait before another controller is asked.
-const searchPause = 40 * time.Millisecond
+const (
+	// searchPause is the wait before another controller is asked.
+	searchPause = 40 * time.Millisecond
+	// unusedPause is the wait after an answer that could not be used: the leader may have nothing else to tell, and
+	// asking at once would go on without end.
+	unusedPause = 400 * time.Millisecond
+)
 
 // Holder is the node that watches. Its methods are called by one goroutine.
 type Holder interface {
@@ -23,8 +28,8 @@
 	Asks(controllers []string)
 	// Request tells what the node holds.
 	Request(wait time.Duration) *v1.WatchRequest
-	// Take takes what the leader told.
-	Take(told *v1.WatchResponse)
+	// Take takes what the leader told; false where something of it could not be used.
+	Take(told *v1.WatchResponse) bool
 	// NoneLeads is called after a question that no leader answered.
 	NoneLeads(ctx context.Context)
 }
@@ -120,8 +125,8 @@
 		return false
 	}
 	w.led = address
-	if !w.IsLate(asked) {
-		w.config.Holder.Take(response.Msg)
+	if !w.IsLate(asked) && !w.config.Holder.Take(response.Msg) {
+		pause.For(ctx, unusedPause)
 	}
 	return true // where it was late the leader is asked again at once
 }
--- a/internal/leaderwatch/watcher_test.go
+++ b/internal/leaderwatch/watcher_test.go
@@ -43,6 +43,8 @@
 type recordingHolder struct {
 	taken     chan *v1.WatchResponse
 	noneLeads atomic.Int64
+	// unusable: nothing of what it is told can be used.
+	unusable bool
 }
 
 func (*recordingHolder) Asks([]string) {}
@@ -51,7 +53,10 @@
 	return &v1.WatchRequest{WaitMs: uint32(wait.Milliseconds())}
 }
 
-func (r *recordingHolder) Take(told *v1.WatchResponse) { r.taken <- told }
+func (r *recordingHolder) Take(told *v1.WatchResponse) bool {
+	r.taken <- told
+	return !r.unusable
+}
 
 func (r *recordingHolder) NoneLeads(context.Context) { r.noneLeads.Add(1) }
 
@@ -117,3 +122,21 @@
 	watcher.controllers.failed()
 	require.False(t, watcher.turnsToNewLeader("b"), "one that is tried for want of another")
 }
+
+// An answer that cannot be used is not asked for again at once: a leader of another build would give the same again, as
+// fast as it is asked.
+func TestWatcherPausesAfterAnAnswerOfNoUse(t *testing.T) {
+	leader := startController(t, func() *v1.WatchResponse { return &v1.WatchResponse{} })
+	holder := &recordingHolder{taken: make(chan *v1.WatchResponse), unusable: true}
+	watcher := New(Config{
+		Seeds: []string{leader}, Dial: (&net.Dialer{}).DialContext,
+		Now: func() time.Duration { return 0 }, Nodes: func() int { return 1 }, Draw: func() float64 { return 0 }, Holder: holder,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go watcher.Run(ctx)
+	<-holder.taken
+	answered := time.Now()
+	<-holder.taken
+	require.GreaterOrEqual(t, time.Since(answered), unusedPause)
+}
--- a/internal/relay/held_document_test.go
+++ b/internal/relay/held_document_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/stretchr/testify/require"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
@@ -36,3 +37,26 @@
 	knowledge.Take(&v1.WatchResponse{PackedDocument: packed.Pack(&v1.Document{Number: 4, Content: []byte{4}})})
 	require.Equal(t, uint64(4), relay.view.Load().table.Configuration.Number)
 }
+
+// The number that the leader is told is that of the configuration in force: one that this build cannot put in force is
+// not held, and what has changed since the one in force is still understood.
+func TestADocumentThatCannotBePutInForceIsNotHeld(t *testing.T) {
+	relay := newTestRelay(t, route(nil))
+	relay.dialect.ParseConfiguration = func(content []byte) (serving.Configuration, error) {
+		if content[1] == '?' {
+			return serving.Configuration{}, trace.BadParameter("a field of another build")
+		}
+		return serving.Configuration{Number: uint64(content[0]), Services: []serving.Service{{Name: "service"}}}, nil
+	}
+	knowledge := relay.knowledge
+	tell := func(number byte, content byte) bool {
+		return knowledge.Take(&v1.WatchResponse{PackedDocument: packed.Pack(&v1.Document{Number: uint64(number), Content: []byte{number, content}})})
+	}
+	require.True(t, tell(2, 'a'))
+	require.False(t, tell(3, '?'))
+	require.Equal(t, uint64(2), knowledge.Request(time.Second).GetDocumentNumber())
+	patch, err := packed.Patch([]byte{2, 'a'}, []byte{4, 'b'})
+	require.NoError(t, err)
+	require.True(t, knowledge.Take(&v1.WatchResponse{DocumentPatch: patch, PatchedNumber: 4}))
+	require.Equal(t, uint64(4), relay.view.Load().table.Configuration.Number)
+}
--- a/internal/relay/knowledge.go
+++ b/internal/relay/knowledge.go
@@ -102,11 +102,12 @@
 }
 
 // Take implements leaderwatch.Holder: it puts in force what the leader told.
-func (k *knowledge) Take(response *v1.WatchResponse) {
+func (k *knowledge) Take(response *v1.WatchResponse) bool {
 	current := k.relay.view.Load()
 	next := *current
+	used := true
 	if document := k.document(response); document != nil {
-		k.takeDocument(document, &next)
+		used = k.takeDocument(document, &next)
 	}
 	if version := response.GetListingVersion(); version != 0 && version != current.listingVersion {
 		next.listingVersion = 0 // the whole list is asked for unless this one can be read
@@ -124,6 +125,7 @@
 	k.takeLimits(response)
 	k.moveRuns()
 	k.relay.contactAt.Store(int64(k.relay.clock.now()))
+	return used
 }
 
 // takeLimits takes the limits that the leader knows of, for back ends of which other relays have not told yet.
@@ -185,18 +187,19 @@
 	}
 }
 
-// takeDocument puts a configuration in force if its number is above the one held.
-func (k *knowledge) takeDocument(document *v1.Document, next *view) {
+// takeDocument puts a configuration in force if its number is above the one in force; false where it cannot be put in
+// force. Such a document is not held: the number that the leader is told stands for what requests are served by.
+func (k *knowledge) takeDocument(document *v1.Document, next *view) bool {
 	number := uint64(0)
 	if next.table != nil {
 		number = next.table.Configuration.Number
 	}
 	if document.GetNumber() < number {
-		return
+		return true
 	}
-	k.held = document
 	if document.GetNumber() == number {
-		return
+		k.held = document
+		return true
 	}
 	configuration, err := k.relay.dialect.ParseConfiguration(document.GetContent())
 	if err == nil {
@@ -204,11 +207,13 @@
 	}
 	if err != nil {
 		k.relay.event(events.ConfigurationUnreadable).Err(err).Uint64("number", document.GetNumber()).Send()
-		return
+		return false
 	}
+	k.held = document
 	next.table, next.configuredAt = serving.NewTable(&configuration), k.relay.clock.now()
 	k.resizeCaches(next)
 	k.relay.event(events.ConfigurationInForce).Uint64("number", configuration.Number).Int("tenants", len(configuration.Tenants)).Send()
+	return true
 }
 
 // NoneLeads implements leaderwatch.Holder: it reads the list here once no controller has led for a while, so that
