Commands that not all controllers know are put into the log once all do, by an agreement in it

Cause: the leader did not know which commands the others know. Change: controllers tell their formats in each message; the leader proposes an agreement (AgreeFormat) once all members have told that they know more, and at once when one knows less. Commands above what is agreed on are not proposed and have no effect; what they made begins anew with each agreement, and ends with an entry of a controller that tells no format: such a one has led. Each command names the agreement that it builds on: a controller whose state lacks that, or that meets a command of a newer build, halts with what to do and leaves its disk as it is. Held requests are kept by the leader itself while they cannot be agreed on. Why it works: what a voter of the former build has missed is in no other state after the agreement's entry, whoever applied what before it. Command: go test ./internal/control ./internal/controlstate

--- /dev/null
+++ b/internal/control/agreement.go
@@ -0,0 +1,129 @@
+package control
+
+import (
+	"errors"
+
+	"github.com/gravitational/trace"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
+)
+
+// Halt tells the runtime that this controller must not go on: it would hold another state than the others. Its disk
+// stays as it is.
+type Halt struct{ Err error }
+
+func (Halt) isOutput() {}
+
+// errHeldBack answers a call whose command not all members know.
+var errHeldBack = trace.ConnectionProblem(nil, "a controller that is a member does not know this yet; finish the upgrade, or send it again later")
+
+// memberFormats is what a controller knows of the formats of the others, and what it does about them as the leader.
+type memberFormats struct {
+	// told are the formats that members have told, by their identities.
+	told map[string]formats.Range
+	// proposed is the log index of the last agreement that this leader has proposed.
+	proposed uint64
+}
+
+// hearFormats takes which formats another controller knows.
+func (c *Core) hearFormats(message *v1.ConsensusMessage) {
+	c.formats.told[message.GetFrom()] = formats.FromWire(message.GetFormats())
+}
+
+// commonFormat is the highest format that all members know as far as they were heard of. It is certain once all were.
+func (c *Core) commonFormat() (common formats.Number, certain bool) {
+	common, certain = formats.Newest, true
+	status := c.consensus.Status()
+	for _, member := range status.Membership.GetMembers() {
+		if member.GetId() == status.ID {
+			continue
+		}
+		told, heard := c.formats.told[member.GetId()]
+		if !heard {
+			certain = false
+			continue
+		}
+		common = min(common, told.Highest)
+	}
+	return common, certain
+}
+
+// tickAgreement proposes another agreement when a member knows less than is agreed on, or all know more.
+func (c *Core) tickAgreement() {
+	common, certain := c.commonFormat()
+	agreed := c.state.AgreedFormat()
+	underWay := c.formats.proposed > c.applied
+	if !underWay && (common < agreed || certain && common > agreed) {
+		c.proposeAgreement(common)
+	}
+}
+
+func (c *Core) proposeAgreement(number formats.Number) {
+	agreement := &v1.AgreeFormat{Format: uint32(number), Suspects: c.suspects().Snapshot()}
+	index, err := c.propose(&v1.Command{Body: &v1.Command_AgreeFormat{AgreeFormat: agreement}}, 0, nil)
+	if err == nil {
+		c.formats.proposed = index
+	}
+}
+
+// isAgreed reports whether commands of a format take effect.
+func (c *Core) isAgreed(number formats.Number) bool { return number <= c.state.AgreedFormat() }
+
+// mayPropose reports whether all members know a command.
+func (c *Core) mayPropose(command *v1.Command) bool {
+	if _, isAgreement := command.GetBody().(*v1.Command_AgreeFormat); isAgreement {
+		return true
+	}
+	number, known := formats.OfCommand(command)
+	return known && c.isAgreed(number)
+}
+
+// suspects is what is known of requests under which replicas have ended: what is agreed on, or, while that cannot be,
+// what this controller has heard by itself and was agreed on before.
+func (c *Core) suspects() *quarantine.Ledger {
+	if c.isAgreed(formats.HeldRequests) {
+		return c.state.Suspects()
+	}
+	return c.ownSuspects
+}
+
+// changeSuspects carries out a command on the suspects: by the log where it is agreed that all members know it.
+func (c *Core) changeSuspects(command *v1.Command, call CallID, finish func(*Core, controlstate.Result)) {
+	if c.isAgreed(formats.HeldRequests) {
+		c.proposeForCall(command, call, finish)
+		return
+	}
+	result := controlstate.Result{}
+	if c.config.Safeguards.On(controlstate.Quarantine) {
+		result = controlstate.ApplyToSuspects(c.ownSuspects, command)
+	}
+	finish(c, result)
+}
+
+// forgetSuspects carries out a command for which no call waits.
+func (c *Core) forgetSuspects(command *v1.Command) {
+	if c.isAgreed(formats.HeldRequests) {
+		c.proposeQuietly(command)
+		return
+	}
+	controlstate.ApplyToSuspects(c.ownSuspects, command)
+}
+
+// keepSuspects keeps what was agreed on of the suspects once that is agreed on no longer.
+func (c *Core) keepSuspects(agreed *quarantine.Ledger) {
+	if !c.isAgreed(formats.HeldRequests) && c.state.Suspects() != agreed {
+		c.ownSuspects = agreed
+	}
+}
+
+// halt ends this controller's part if an entry could not be applied that others apply.
+func (c *Core) halt(err error) {
+	if c.halted || !errors.Is(err, controlstate.ErrUnknownCommand) && !errors.Is(err, controlstate.ErrStateLacks) {
+		return
+	}
+	c.halted = true
+	c.emit(Halt{Err: err})
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -12,7 +12,9 @@
 	"github.com/hazelpitch/hazelpitch/internal/controlstate"
 	"github.com/hazelpitch/hazelpitch/internal/demand"
 	"github.com/hazelpitch/hazelpitch/internal/duty"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/membership"
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 	"github.com/hazelpitch/hazelpitch/internal/shares"
 	"github.com/hazelpitch/hazelpitch/internal/truetime"
 )
@@ -74,6 +76,12 @@
 	quarantine requestQuarantine
 	// limits are those that back ends name for all processes together.
 	limits namedLimits
+	// formats are those that other controllers know.
+	formats memberFormats
+	// ownSuspects are requests under which replicas have ended, as far as this controller knows by itself.
+	ownSuspects *quarantine.Ledger
+	// halted: this controller takes no further part.
+	halted bool
 	// clock is what this controller knows of the time of day.
 	clock *truetime.Clock
 }
@@ -112,7 +120,9 @@
 		dutyCalls: newDutySchedule(config),
 		clock:     truetime.New(),
 
-		quarantine: newRequestQuarantine(),
+		formats:     memberFormats{told: map[string]formats.Range{}},
+		ownSuspects: quarantine.NewLedger(),
+		quarantine:  newRequestQuarantine(),
 		limits:     newNamedLimits(),
 	}, nil
 }
@@ -122,6 +132,9 @@
 func (c *Core) Step(now time.Duration, input Input) []Output {
 	c.now = max(c.now, now)
 	c.outputs = nil
+	if c.halted {
+		return nil
+	}
 	c.catchUp()
 	c.take(input)
 	c.drive()
@@ -156,6 +169,7 @@
 		c.newsPace.tick(c.consensus.QuorumIsLate())
 	case PeerMessage:
 		c.hearClock(received.Message)
+		c.hearFormats(received.Message)
 		// An error tells why the message was dropped; the sender repeats what matters.
 		_ = c.consensus.Step(c.now, received.Message)
 	case Persisted:
--- a/internal/control/drive.go
+++ b/internal/control/drive.go
@@ -1,18 +1,21 @@
 package control
 
 import (
+	"errors"
+
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/consensus"
 	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 )
 
 // drive carries out everything the replicated log asks for.
 func (c *Core) drive() {
 	for {
 		ready, some := c.consensus.Ready()
-		if !some {
+		if !some || c.halted {
 			return
 		}
 		c.carryOut(ready)
@@ -25,12 +28,18 @@
 	}
 	for _, message := range ready.Messages {
 		message.Message.TimeOfDayMs = c.clock.Own(c.now)
+		if message.Message.GetFrom() == c.consensus.Status().ID { // others' probes are passed on as they are
+			message.Message.Formats = formats.Own().ToWire()
+		}
 		c.emit(SendPeer{Address: message.Address, Message: message.Message})
 	}
 	if ready.Restore != nil {
 		c.restore(ready.Restore)
 	}
 	for _, entry := range ready.Committed {
+		if c.halted {
+			return
+		}
 		c.applyEntry(entry)
 	}
 	c.snapshotWhenDue()
@@ -39,12 +48,18 @@
 // restore replaces the state by a snapshot.
 func (c *Core) restore(snapshot *v1.Snapshot) {
 	state, err := controlstate.Restore(snapshot.GetData(), c.config.Safeguards)
+	if errors.Is(err, controlstate.ErrUnknownCommand) {
+		c.halt(err)
+		return
+	}
 	if err != nil {
 		// The snapshot was checked when it was written and when it was read: going on
 		// with another state than the peers' would break every promise.
 		panic("control: the replicated state cannot be restored: " + err.Error())
 	}
+	agreed := c.suspects()
 	c.state = state
+	c.keepSuspects(agreed)
 	c.applied = snapshot.GetMetadata().GetIndex()
 	c.snapshotAt = c.applied
 	c.revisions.add(c.applied, c.state.Revision())
@@ -71,7 +86,10 @@
 		// Every controller reads the same bytes and skips the same entry.
 		command = &v1.Command{}
 	}
+	agreed := c.suspects()
 	result := c.state.Apply(entry.Index, command)
+	c.halt(result.Err)
+	c.keepSuspects(agreed)
 	c.noteApplied(command)
 	c.revisions.add(entry.Index, c.state.Revision())
 	if waiting {
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -40,6 +40,7 @@
 		return
 	}
 	c.command()
+	c.tickAgreement()
 	c.tickListing()
 	c.tickStages()
 	c.tickUsage()
--- a/internal/control/former_build_test.go
+++ b/internal/control/former_build_test.go
@@ -10,20 +10,9 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/formats"
-	"github.com/hazelpitch/hazelpitch/internal/formats/released"
 	"github.com/hazelpitch/hazelpitch/internal/packed"
 )
 
-// asFormer returns a message as a process of the first format reads it.
-func asFormer[Message proto.Message](t *testing.T, message Message) Message {
-	t.Helper()
-	former, err := released.Load(formats.First)
-	require.NoError(t, err)
-	read, err := former.Read(message)
-	require.NoError(t, err)
-	return read.(Message)
-}
-
 // formerRelay is a relay of the first format: it knows whole documents, and asks with the number of the one in force.
 type formerRelay struct {
 	request  *v1.WatchRequest
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -70,8 +70,10 @@
 	cut bool
 	// uncounted is the time for which the machine was suspended and that its clock has not counted.
 	uncounted time.Duration
-	// former: the controller stands for one of the first format, and others read its messages as that writes them.
-	former bool
+	// former: the controller stands for one of the first format. What it reads and tells is what that one reads and
+	// tells, but for entries of the log, which that one keeps as they came: passedOver are those that it does not know.
+	former     bool
+	passedOver map[uint64][]byte
 }
 
 func newWorld(t *testing.T, voters int, configure func(*Config)) *world {
@@ -224,7 +226,10 @@
 		if peer != nil && !controller.cut {
 			message := proto.CloneOf(wanted.Message)
 			if controller.former {
-				message = asFormer(w.t, message)
+				message = controller.asFormerTells(w.t, message)
+			}
+			if peer.former {
+				message = peer.asFormerReads(w.t, message)
 			}
 			w.deliver(controller.name, peer, peer.life, PeerMessage{Message: message})
 		}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -40,6 +40,7 @@
 	c.replicas = newSiteReplicas()
 	c.quarantine = newRequestQuarantine()
 	c.limits = newNamedLimits()
+	c.formats.proposed = 0
 }
 
 func (c *Core) stopLeading() {
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -7,6 +7,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 )
 
 // maximumCommandBytes bounds one command in the log.
@@ -25,7 +26,11 @@
 // propose appends a command to the log. Call finish, when not nil, answers the call
 // once the entry is applied.
 func (c *Core) propose(command *v1.Command, call CallID, finish func(*Core, controlstate.Result)) (uint64, error) {
+	if !c.mayPropose(command) {
+		return 0, errHeldBack
+	}
 	command.ProposedAtMs = c.wallMs()
+	command.Format, command.AgreedAt = uint32(formats.Newest), c.state.AgreedAt()
 	data, err := proto.Marshal(command)
 	if err != nil {
 		return 0, trace.BadParameter("the command cannot be encoded: %v", err)
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -58,7 +58,7 @@
 	}
 	ends := received.Ends[:min(len(received.Ends), mostEndsReported)]
 	command := &v1.Command{Body: &v1.Command_RecordReplicaEnds{RecordReplicaEnds: &v1.RecordReplicaEnds{Ends: ends}}}
-	c.proposeForCall(command, received.Call, func(core *Core, _ controlstate.Result) {
+	c.changeSuspects(command, received.Call, func(core *Core, _ controlstate.Result) {
 		core.answer(Answer{Call: received.Call, Response: core.replicaEndsResponse(ends)})
 	})
 }
@@ -67,7 +67,7 @@
 func (c *Core) replicaEndsResponse(ends []*v1.ReplicaEnd) *v1.ReportReplicaEndsResponse {
 	response := &v1.ReportReplicaEndsResponse{}
 	for _, end := range ends {
-		if signature, valid := quarantine.SignatureFrom(end.GetSignature()); valid && c.state.Suspects().Held(signature) {
+		if signature, valid := quarantine.SignatureFrom(end.GetSignature()); valid && c.suspects().Held(signature) {
 			response.Held = append(response.Held, end.GetSignature())
 		}
 	}
@@ -86,7 +86,7 @@
 		return
 	}
 	grant := &v1.GrantTrial{Signature: received.Signature, GrantedBefore: suspect.Trials}
-	c.proposeForCall(&v1.Command{Body: &v1.Command_GrantTrial{GrantTrial: grant}}, received.Call, func(core *Core, result controlstate.Result) {
+	c.changeSuspects(&v1.Command{Body: &v1.Command_GrantTrial{GrantTrial: grant}}, received.Call, func(core *Core, result controlstate.Result) {
 		core.answer(Answer{Call: received.Call, Response: &v1.BeginTrialResponse{Granted: result.Err == nil}})
 	})
 }
@@ -97,8 +97,8 @@
 	if !valid {
 		return nil
 	}
-	c.quarantine.keeper.Observe(c.now, c.state.Suspects())
-	suspect := c.state.Suspects().Suspect(signature)
+	c.quarantine.keeper.Observe(c.now, c.suspects())
+	suspect := c.suspects().Suspect(signature)
 	if suspect == nil || !c.quarantine.keeper.TrialDue(c.now, suspect) {
 		return nil
 	}
@@ -110,7 +110,7 @@
 	if !c.demandLeader(received.Call) {
 		return
 	}
-	c.proposeForCall(releaseCommand(received.Signature), received.Call, func(core *Core, _ controlstate.Result) {
+	c.changeSuspects(releaseCommand(received.Signature), received.Call, func(core *Core, _ controlstate.Result) {
 		core.answer(Answer{Call: received.Call, Response: &v1.ReleaseRequestResponse{}})
 	})
 }
@@ -122,11 +122,11 @@
 // releaseForOperator forgets a request that an operator names by its signature.
 func (c *Core) releaseForOperator(received ExecuteReceived, content string) {
 	signature, valid := quarantine.ParseSignature(content)
-	if !valid || c.state.Suspects().Suspect(signature) == nil {
+	if !valid || c.suspects().Suspect(signature) == nil {
 		c.refuseAudited(received, trace.NotFound("no replica has ended under request %q; see `show suspects`", content))
 		return
 	}
-	c.proposeForCall(releaseCommand(signature[:]), received.Call, func(core *Core, _ controlstate.Result) {
+	c.changeSuspects(releaseCommand(signature[:]), received.Call, func(core *Core, _ controlstate.Result) {
 		answer := "request " + content + " may run again"
 		core.rememberCommand(received, answer)
 		core.answerMessage(received.Call, answer)
@@ -135,7 +135,7 @@
 
 // tickQuarantine sees which trials are due, and forgets requests that have not come again.
 func (c *Core) tickQuarantine() {
-	ledger := c.state.Suspects()
+	ledger := c.suspects()
 	c.quarantine.keeper.Observe(c.now, ledger)
 	c.quarantine.tell(c, ledger)
 	if !due(c.now, &c.duties.suspects, housekeepInterval) {
@@ -146,13 +146,13 @@
 		forgotten = append(forgotten, signature[:])
 	}
 	if len(forgotten) > 0 {
-		c.proposeQuietly(releaseCommand(forgotten...))
+		c.forgetSuspects(releaseCommand(forgotten...))
 	}
 }
 
 // heldRequests returns what nodes are told of held requests, and its version.
 func (c *Core) heldRequests() (held []*v1.HeldRequest, version uint64) {
-	ledger := c.state.Suspects()
+	ledger := c.suspects()
 	if c.quarantine.ledger != ledger || c.quarantine.ledgerVersion != ledger.Version() {
 		c.quarantine.tell(c, ledger)
 	}
--- a/internal/control/quarantine_test.go
+++ b/internal/control/quarantine_test.go
@@ -28,6 +28,7 @@
 // holdRequest has the ending request held.
 func (w *world) holdRequest() {
 	w.t.Helper()
+	w.waitAgreement()
 	for replica := range uint64(quarantine.HoldAfter - 1) {
 		require.Empty(w.t, w.tellEnd(endingSignature, replica))
 		require.Empty(w.t, w.tellEnd(endingSignature, replica), "the same end told again")
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -135,7 +135,7 @@
 // Suspects implements language.View.
 func (v *view) Suspects() []language.SuspectView {
 	var suspects []language.SuspectView
-	for _, suspect := range v.core.state.Suspects().Suspects() {
+	for _, suspect := range v.core.suspects().Suspects() {
 		suspects = append(suspects, language.SuspectView{
 			Content: suspect.Signature.String(), Ended: len(suspect.Replicas), Held: suspect.Held(), Trials: int(suspect.Trials),
 		})
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -73,6 +73,8 @@
 	stageOrders *stageOrderer
 	duties      *dutyCaller
 	operator    net.Listener
+	// halted gets why this controller must not go on.
+	halted chan error
 	// steady is the clock that the Core's decisions go by.
 	steady *bootclock.Clock
 }
@@ -80,7 +82,7 @@
 // open acquires everything that can fail before the first goroutine starts.
 func open(config settings.Controller, options Options) (*controller, error) {
 	registry, factory := metrics.NewRegistry("controller", config.Name, config.Zone)
-	c := &controller{config: config, log: options.Log, dial: options.Dial, site: options.Site, registry: registry, instruments: newInstruments(factory), calls: newCalls()}
+	c := &controller{config: config, log: options.Log, dial: options.Dial, site: options.Site, registry: registry, instruments: newInstruments(factory), calls: newCalls(), halted: make(chan error, 1)}
 	var err error
 	if c.encryption, err = loadEncryption(config, options.Log, factory); err != nil {
 		return nil, trace.Wrap(err)
@@ -137,6 +139,7 @@
 	c.start(group, func() error { c.loop.run(working); return nil })
 	c.start(group, func() error { return c.newSyncer().run(working) })
 	c.start(group, func() error { c.steady.Watch(working, c.noteSuspension); return nil })
+	c.start(group, func() error { return c.awaitHalt(working) })
 	c.startReaders(working, group)
 	c.start(group, func() error { c.watchStatus(working); return nil })
 	c.start(group, func() error { return c.serveAdmin(working) })
--- a/internal/controller/outputs.go
+++ b/internal/controller/outputs.go
@@ -65,6 +65,8 @@
 		if !c.duties.accept(output) {
 			c.loop.addLost(control.ReplicasOrdered{Order: output, Outcome: duty.Refused})
 		}
+	case control.Halt:
+		c.halted <- output.Err
 	case control.NewsNotTaken:
 		logNewsNotTaken(c.log.Logger, output)
 	case control.DumpLogs:
--- /dev/null
+++ b/internal/controlstate/agreement.go
@@ -0,0 +1,66 @@
+package controlstate
+
+import (
+	"github.com/gravitational/trace"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
+	"github.com/hazelpitch/hazelpitch/internal/usage"
+)
+
+// agreement says which commands take effect. Controllers of the first format pass over commands that they do not know,
+// so that commands of later formats count only while all voters know them, from an agreement on, and what they made
+// begins anew with each agreement: no replica can hold anything of it that another one has missed.
+type agreement struct {
+	// format is the highest format whose commands take effect, index the log index of the agreement on it.
+	format formats.Number
+	index  uint64
+}
+
+// AgreedFormat is the highest format whose commands take effect.
+func (s *State) AgreedFormat() formats.Number { return s.agreed.format }
+
+// AgreedAt is the log index of the agreement in force; 0 before the first.
+func (s *State) AgreedAt() uint64 { return s.agreed.index }
+
+// agree puts another agreement in force.
+func (s *State) agree(index uint64, body *v1.AgreeFormat) Result {
+	number := formats.Number(body.GetFormat())
+	if number > formats.Newest {
+		return Result{Err: trace.Wrap(ErrUnknownCommand, "log index %d agrees on format %d, this build knows %d; run the build that proposed it", index, number, formats.Newest)}
+	}
+	s.beginAgreement(index, number)
+	if number >= formats.HeldRequests {
+		s.suspects = quarantine.Restore(body.GetSuspects())
+	}
+	return Result{}
+}
+
+// beginAgreement lets what commands above the first format have made begin anew.
+func (s *State) beginAgreement(index uint64, number formats.Number) {
+	s.agreed = agreement{format: number, index: index}
+	s.usage = usage.NewLedger()
+	s.replicas = map[string]*v1.SetReplicas{}
+	s.suspects = quarantine.NewLedger()
+}
+
+// checkFormat returns why a command must not be applied; nil where it may. A command of a controller that tells no
+// format ends the agreement: that controller led, and may hold and hand on a state without what was agreed on.
+func (s *State) checkFormat(index uint64, command *v1.Command) error {
+	number, known := formats.OfCommand(command)
+	if !known && len(command.ProtoReflect().GetUnknown()) > 0 {
+		return trace.Wrap(ErrUnknownCommand, "log index %d holds a command of another build; run the build that proposed it", index)
+	}
+	if formats.Number(command.GetFormat()) == formats.First && s.agreed.format > formats.First {
+		s.beginAgreement(index, formats.First)
+	}
+	if command.GetAgreedAt() > s.agreed.index {
+		return trace.Wrap(ErrStateLacks, "log index %d builds on the agreement at index %d, this state has that at index %d; empty the data folder, so that this controller takes the state of the others",
+			index, command.GetAgreedAt(), s.agreed.index)
+	}
+	if _, isAgreement := command.GetBody().(*v1.Command_AgreeFormat); isAgreement || number <= s.agreed.format {
+		return nil
+	}
+	return trace.Wrap(ErrNotAgreed, "log index %d is of format %d, format %d is agreed on", index, number, s.agreed.format)
+}
--- a/internal/controlstate/errors.go
+++ b/internal/controlstate/errors.go
@@ -22,6 +22,12 @@
 	ErrClaimNotHeld = errors.New("the attempt does not hold the claim")
 	// ErrNoTrial: the request may not be tried.
 	ErrNoTrial = errors.New("no trial is granted")
+	// ErrNotAgreed: the command has no effect, since not all voters are known to know it.
+	ErrNotAgreed = errors.New("the command is of a format that is not agreed on")
+	// ErrUnknownCommand: this build cannot apply the command, which others can. The controller must stop.
+	ErrUnknownCommand = errors.New("the command is of a newer build")
+	// ErrStateLacks: the state is not that of the other controllers. The controller must stop.
+	ErrStateLacks = errors.New("the state lacks what others have agreed on")
 	// ErrInvalidCommand: the command is malformed.
 	ErrInvalidCommand = errors.New("the command is invalid")
 )
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 	"github.com/hazelpitch/hazelpitch/internal/safeguard"
 	"github.com/hazelpitch/hazelpitch/internal/usage"
@@ -27,6 +28,8 @@
 		Usage:    s.usage.Snapshot(),
 		Replicas: sortedValues(s.replicas),
 		Suspects: s.suspects.Snapshot(),
+
+		AgreedFormat: uint32(s.agreed.format), AgreedAt: s.agreed.index,
 	}
 	s.catalogue.byRevision.Ascend(func(object *v1.Object) bool {
 		record.Objects = append(record.Objects, object)
@@ -67,6 +70,7 @@
 		state.claims.put(claimKey{claim.Tenant, claim.Kind, claim.Key}, claim)
 	}
 	state.document = record.Document
+	state.agreed = agreement{format: formats.Number(record.AgreedFormat), index: record.AgreedAt}
 	state.usage = usage.Restore(record.Usage)
 	state.suspects = quarantine.Restore(record.Suspects)
 	for _, numbers := range record.Replicas {
@@ -100,6 +104,9 @@
 			return trace.BadParameter("the snapshot holds an object without a known type; restore the data folder from another controller")
 		}
 	}
+	if newest := formats.Newest; formats.Number(record.AgreedFormat) > newest {
+		return trace.Wrap(ErrUnknownCommand, "the snapshot is of format %d, this build knows %d; run the build that wrote it", record.AgreedFormat, newest)
+	}
 	for _, engine := range record.Engines {
 		if engine.State == nil {
 			return trace.BadParameter("the snapshot holds an engine without a state; restore the data folder from another controller")
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -13,6 +13,7 @@
 type State struct {
 	safeguards   safeguard.Set
 	appliedIndex uint64
+	agreed       agreement
 
 	// Configuration.
 	revision  uint64
@@ -82,6 +83,9 @@
 		return Result{Err: trace.Wrap(ErrInvalidCommand, "log index %d was applied before", index)}
 	}
 	s.appliedIndex = index
+	if err := s.checkFormat(index, command); err != nil {
+		return Result{Err: err}
+	}
 	at := command.GetProposedAtMs()
 	switch body := command.GetBody().(type) {
 	case *v1.Command_ApplyDeclaration:
@@ -108,6 +112,8 @@
 		return Result{}
 	case *v1.Command_PutDocument:
 		return s.putDocument(body.PutDocument)
+	case *v1.Command_AgreeFormat:
+		return s.agree(index, body.AgreeFormat)
 	case *v1.Command_RecordUsage:
 		for _, report := range body.RecordUsage.GetReports() {
 			s.usage.Record(report)
@@ -122,16 +128,12 @@
 	case *v1.Command_SetReplicas:
 		s.replicas[body.SetReplicas.GetService()] = body.SetReplicas
 		return Result{}
-	case *v1.Command_RecordReplicaEnds:
-		return s.recordReplicaEnds(body.RecordReplicaEnds)
-	case *v1.Command_GrantTrial:
-		return s.grantTrial(body.GrantTrial)
-	case *v1.Command_ReleaseRequests:
-		return s.releaseRequests(body.ReleaseRequests)
+	case *v1.Command_RecordReplicaEnds, *v1.Command_GrantTrial, *v1.Command_ReleaseRequests:
+		return s.applyToSuspects(command)
 	case *v1.Command_RecordRequest:
 		return s.recordRequest(at, body.RecordRequest)
 	default:
-		return Result{Err: trace.Wrap(ErrInvalidCommand, "log index %d has no known command; run one release on all controllers", index)}
+		return Result{Err: trace.Wrap(ErrInvalidCommand, "log index %d holds no command", index)}
 	}
 }
 
--- a/internal/controlstate/suspects.go
+++ b/internal/controlstate/suspects.go
@@ -10,34 +10,54 @@
 // Suspects is what is agreed on of requests under which replicas have ended. It must not be changed.
 func (s *State) Suspects() *quarantine.Ledger { return s.suspects }
 
-// recordReplicaEnds notes under which requests replicas have ended.
-func (s *State) recordReplicaEnds(record *v1.RecordReplicaEnds) Result {
+// applyToSuspects carries out a command on the requests under which replicas have ended.
+func (s *State) applyToSuspects(command *v1.Command) Result {
 	if !s.safeguards.On(Quarantine) {
 		return Result{}
 	}
+	return ApplyToSuspects(s.suspects, command)
+}
+
+// ApplyToSuspects carries out a command on what is known of requests under which replicas have ended. The leader also
+// does so by itself, on what it keeps while such commands are not agreed on.
+func ApplyToSuspects(suspects *quarantine.Ledger, command *v1.Command) Result {
+	switch body := command.GetBody().(type) {
+	case *v1.Command_RecordReplicaEnds:
+		recordReplicaEnds(suspects, body.RecordReplicaEnds)
+		return Result{}
+	case *v1.Command_GrantTrial:
+		return grantTrial(suspects, body.GrantTrial)
+	case *v1.Command_ReleaseRequests:
+		releaseRequests(suspects, body.ReleaseRequests)
+		return Result{}
+	default:
+		return Result{Err: trace.Wrap(ErrInvalidCommand, "the command is not about requests under which replicas have ended")}
+	}
+}
+
+// recordReplicaEnds notes under which requests replicas have ended.
+func recordReplicaEnds(suspects *quarantine.Ledger, record *v1.RecordReplicaEnds) {
 	for _, end := range record.GetEnds() {
 		if signature, valid := quarantine.SignatureFrom(end.GetSignature()); valid {
-			s.suspects.Record(signature, end.GetReplica())
+			suspects.Record(signature, end.GetReplica())
 		}
 	}
-	return Result{}
 }
 
 // grantTrial lets a held request run once more.
-func (s *State) grantTrial(grant *v1.GrantTrial) Result {
+func grantTrial(suspects *quarantine.Ledger, grant *v1.GrantTrial) Result {
 	signature, valid := quarantine.SignatureFrom(grant.GetSignature())
-	if !valid || !s.suspects.Grant(signature, grant.GetGrantedBefore()) {
+	if !valid || !suspects.Grant(signature, grant.GetGrantedBefore()) {
 		return Result{Err: trace.Wrap(ErrNoTrial, "the request is not held, or another trial was granted meanwhile")}
 	}
 	return Result{}
 }
 
 // releaseRequests forgets requests.
-func (s *State) releaseRequests(release *v1.ReleaseRequests) Result {
+func releaseRequests(suspects *quarantine.Ledger, release *v1.ReleaseRequests) {
 	for _, bytes := range release.GetSignatures() {
 		if signature, valid := quarantine.SignatureFrom(bytes); valid {
-			s.suspects.Release(signature)
+			suspects.Release(signature)
 		}
 	}
-	return Result{}
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -64,6 +64,8 @@
 	UsageDelivered Event = "usage_delivered"
 	// ReplicasOrdered: the platform was asked for another number of replicas.
 	ReplicasOrdered Event = "replicas_ordered"
+	// ControllerHalted: the controller ends, since it cannot apply what others have agreed on.
+	ControllerHalted Event = "controller_halted"
 	// NewsNotTaken: a relay asks again for what it was told.
 	NewsNotTaken Event = "news_not_taken"
 	// DiskFailed: the data directory failed; the controller begins anew.
@@ -84,7 +86,7 @@
 var All = []Event{
 	RequestEnded, AttemptFailed, RequestRefused, KeyRefused, RunMoved, ConfigurationInForce, ConfigurationUnreadable, ListingInForce, ListingFault,
 	BackEndRests, BackEndLeaves, BackEndLimits, BackEndStartedAgain, BackEndEnded, RequestHeld, RequestTried, GuardCallFailed,
-	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageDelivered, ReplicasOrdered, NewsNotTaken, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
+	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageDelivered, ReplicasOrdered, ControllerHalted, NewsNotTaken, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
 
 // Names of fields that lines of several events have.
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -18,7 +18,9 @@
 // Keeper is what the leader keeps beside the ledger: since when each request is as it is. Its times are
 // durations since an origin that never go back. A new leader knows none of them, and waits anew.
 type Keeper struct {
-	seen    map[Signature]observed
+	seen map[Signature]observed
+	// ledger is what was observed last, in its version.
+	ledger  *Ledger
 	version uint64
 }
 
@@ -34,10 +36,10 @@
 
 // Observe takes what the ledger holds.
 func (k *Keeper) Observe(now time.Duration, ledger *Ledger) {
-	if k.version == ledger.Version() && len(k.seen) == len(ledger.Suspects()) {
+	if k.ledger == ledger && k.version == ledger.Version() && len(k.seen) == len(ledger.Suspects()) {
 		return
 	}
-	k.version = ledger.Version()
+	k.ledger, k.version = ledger, ledger.Version()
 	seen := make(map[Signature]observed, len(ledger.Suspects()))
 	for _, suspect := range ledger.Suspects() {
 		before, known := k.seen[suspect.Signature]
