Relays of the former build are told back ends by their replicas' identities; a start stays the same under leaders of both builds

Cause: a leader tells identities of starts (i-1/1000), which the former build sends as the identity that a request expects: the replica answers 421 to each. And relays of the two builds meant different engines by their hashes, and cells; a relay of the new build under a leader of the former one took all back ends for others: pools, loads and runs gone. Change: relays that do not know starts are told the list in the first format, with the version that a former leader gives it; engines are hashed by their replicas in what relays tell each other and in planning; entries without births name the starts that are known. Why it works: each relay is told what it knows, all mean the same engine by the same hash, and no record is dropped for the build that leads. Command: go test ./...

--- a/internal/control/agreement.go
+++ b/internal/control/agreement.go
@@ -9,6 +9,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/controlstate"
 	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
+	"github.com/hazelpitch/hazelpitch/internal/usage"
 )
 
 // Halt tells the runtime that this controller must not go on: it would hold another state than the others. Its disk
@@ -62,13 +63,22 @@
 }
 
 func (c *Core) proposeAgreement(number formats.Number) {
-	agreement := &v1.AgreeFormat{Format: uint32(number), Suspects: c.suspects().Snapshot()}
+	agreement := &v1.AgreeFormat{Format: uint32(number), Suspects: c.suspects().Snapshot(), FirstWindow: c.currentWindow()}
 	index, err := c.propose(&v1.Command{Body: &v1.Command_AgreeFormat{AgreeFormat: agreement}}, 0, nil)
 	if err == nil {
 		c.formats.proposed = index
 	}
 }
 
+// currentWindow is the window of usage that is under way; 0 where none are counted, or the time of day is not known.
+func (c *Core) currentWindow() int64 {
+	now, known := c.trueTime()
+	if !known || c.config.Usage.Window <= 0 {
+		return 0
+	}
+	return int64(usage.WindowAt(now, c.config.Usage.Window))
+}
+
 // isAgreed reports whether commands of a format take effect.
 func (c *Core) isAgreed(number formats.Number) bool { return number <= c.state.AgreedFormat() }
 
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -123,7 +123,7 @@
 		formats:     memberFormats{told: map[string]formats.Range{}},
 		ownSuspects: quarantine.NewLedger(),
 		quarantine:  newRequestQuarantine(),
-		limits:     newNamedLimits(),
+		limits:      newNamedLimits(),
 	}, nil
 }
 
--- a/internal/control/listing.go
+++ b/internal/control/listing.go
@@ -39,6 +39,8 @@
 	// 0 is none yet.
 	version uint64
 	history listing.History
+	// former is the list for relays of the first format.
+	former formerListing
 	// plan says how much of the list is read.
 	plan listingPlan
 	// raw is the list as far as it counts, told the part of it that relays are told of, and backEnds the
--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -10,6 +10,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/cell"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/stageplan"
 )
 
@@ -115,7 +116,7 @@
 	c.dropStageOrders()
 	c.noteSeen()
 	outgoing := c.outgoingServices()
-	engines := map[string][]stageplan.Engine{}
+	engines, members := map[string][]stageplan.Engine{}, map[string][]cell.Member{}
 	for _, backEnd := range c.listing.told {
 		order, ordered := c.stages.orders[backEnd.GetId()]
 		role := backEnd.GetRole()
@@ -130,11 +131,12 @@
 				ID: backEnd.GetId(), Group: backEnd.GetZone(), Stage: stage, Busy: ordered,
 				Fresh: c.now-c.stages.seenAt[backEnd.GetId()] < freshFor,
 			})
+			members[backEnd.GetService()] = append(members[backEnd.GetService()], memberOf(backEnd))
 		}
 	}
 	for _, service := range sortedKeys(engines) {
 		if c.config.Without.On(mechanism.StageGroups) {
-			groupByCell(service, engines[service])
+			groupByCell(service, engines[service], members[service])
 		}
 		c.planStages(service, engines[service])
 	}
@@ -157,13 +159,14 @@
 	c.stages.seenAt = seenAt
 }
 
+// memberOf is an engine as relays divide engines into cells.
+func memberOf(backEnd *v1.ListedBackEnd) cell.Member {
+	return cell.Member{Hash: cell.HashEngine(serving.BackEndFromListed(backEnd).Expected()), Zone: backEnd.GetZone()}
+}
+
 // groupByCell adds the engines' cells to their zones: an owner that decides on one cell needs
 // engines of both stages there.
-func groupByCell(service string, engines []stageplan.Engine) {
-	members := make([]cell.Member, len(engines))
-	for index, engine := range engines {
-		members[index] = cell.Member{Hash: cell.HashEngine(engine.ID), Zone: engine.Group}
-	}
+func groupByCell(service string, engines []stageplan.Engine, members []cell.Member) {
 	division := cell.Divide(service, members)
 	for index, member := range members {
 		if number, known := division.Of(member.Hash); known {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 )
 
 // WatchReceived is a relay's question for what is new; the answer waits until there is
@@ -87,7 +88,8 @@
 	if newest > held && document.inVain(held, newest) < tellingsAtOnce {
 		return true
 	}
-	version, listed := c.listing.version, request.GetListingVersion()
+	version, _ := c.listingFor(request)
+	listed := request.GetListingVersion()
 	if version != 0 && version != listed && listing.inVain(listed, version) < tellingsAtOnce {
 		return true
 	}
@@ -99,7 +101,7 @@
 // tells only whom to ask.
 func (c *Core) watchResponse(request *v1.WatchRequest, behind bool) *v1.WatchResponse {
 	status := c.consensus.Status()
-	response := &v1.WatchResponse{LeaderAddress: status.LeaderAddress, Behind: behind}
+	response := &v1.WatchResponse{LeaderAddress: status.LeaderAddress, Behind: behind, Formats: formats.Own().ToWire()}
 	for _, member := range status.Membership.GetMembers() {
 		response.ControllerAddresses = append(response.ControllerAddresses, member.GetAddress())
 	}
@@ -108,18 +110,19 @@
 		return response
 	}
 	c.tellDocument(request, response)
-	response.ListingVersion = c.listing.version
-	if c.listing.version != 0 && c.listing.version != request.GetListingVersion() {
-		c.listing.history.Tell(response, request.GetListingVersion())
+	version, history := c.listingFor(request)
+	response.ListingVersion = version
+	if version != 0 && version != request.GetListingVersion() {
+		history.Tell(response, request.GetListingVersion())
 		response.Wanted = c.wantedRecords()
 	}
-	if c.listing.version != 0 {
+	if version != 0 {
 		response.ListingAgeMs = milliseconds(c.now - c.listing.readAt)
 		response.ListingCalls = uint32(c.listing.plan.calls)
 		response.ListingPartial = c.listing.partial()
 	}
-	held, version := c.heldRequests()
-	if response.HeldVersion = version; version != request.GetHeldVersion() {
+	held, heldVersion := c.heldRequests()
+	if response.HeldVersion = heldVersion; heldVersion != request.GetHeldVersion() {
 		response.Held = held
 	}
 	response.Limits = c.relaysLimits()
--- a/internal/controlstate/agreement.go
+++ b/internal/controlstate/agreement.go
@@ -34,6 +34,9 @@
 	if number >= formats.HeldRequests {
 		s.suspects = quarantine.Restore(body.GetSuspects())
 	}
+	if first := body.GetFirstWindow(); number >= formats.UsageWindows && first > 0 {
+		s.usage.CloseThrough(usage.Window(first - 1))
+	}
 	return Result{}
 }
 
--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -166,6 +166,9 @@
 	root := filepath.Join("..", "..")
 	var files []sourceFile
 	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if path == filepath.Join(root, "target") {
+			return fs.SkipDir // what builds leave there is no source of this tree
+		}
 		if err != nil || entry.IsDir() {
 			return err
 		}
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -16,7 +16,7 @@
 // shows it; requests that still use it may outlive that.
 type backEnd struct {
 	serving.BackEnd
-	// hash identifies the back end in load notices.
+	// hash identifies the replica in what relays tell each other: not all of them know the identities of starts.
 	hash  uint64
 	pool  connpool.Pool
 	cache *promptCache
@@ -24,6 +24,9 @@
 	signals *backpressure.Signals
 	// startedAgain tells that another start has answered in its place: the list does not show that yet.
 	startedAgain atomic.Bool
+	// toldBorn is when the start began by the list, where the record was made before the list told it; 0 where it was not
+	// told yet. It is used by the one goroutine that takes lists.
+	toldBorn int64
 	// changingSince is when the engine was marked last as changing its stage.
 	changingSince time.Duration
 
@@ -36,7 +39,7 @@
 // newBackEnd returns the record of a listed back end; memory is an engine's, in tokens.
 func newBackEnd(entry serving.BackEnd, memory int) *backEnd {
 	return &backEnd{
-		BackEnd: entry, hash: cell.HashEngine(entry.ID), signals: &backpressure.Signals{},
+		BackEnd: entry, hash: cell.HashEngine(entry.Expected()), signals: &backpressure.Signals{},
 		cache: newPromptCache(placement.CacheCapacity(entry.Stage, memory)),
 	}
 }
--- a/internal/relay/knowledge.go
+++ b/internal/relay/knowledge.go
@@ -42,6 +42,8 @@
 	// relayList is the hash of the list of relays that is held, 0 for none, and relaysListed their number.
 	relayList    uint64
 	relaysListed int
+	// formerListed: a leader of the first format, which does not tell starts apart, has told the last list.
+	formerListed bool
 	// listing is the list of back ends as the leader told it last.
 	listing listing.Held
 	// wanted is how many back ends of each service the leader wanted last, and partial whether it told of a
@@ -113,7 +115,8 @@
 		next.listingVersion = 0 // the whole list is asked for unless this one can be read
 		if listed, read := k.listing.Take(current.listingVersion, response); read {
 			next.listingVersion, k.wanted = version, response.GetWanted()
-			k.takeBackEnds(translate(listed), &next)
+			former := !formats.FromWire(response.GetFormats()).Knows(formats.StartsOfReplicas)
+			k.takeBackEnds(k.identified(translate(listed), former), &next)
 		}
 	}
 	k.relay.guard.Take(response.GetHeldVersion(), response.GetHeld())
@@ -243,7 +246,7 @@
 	next := *k.relay.view.Load()
 	next.listingVersion = 0
 	read.BackEnds = slices.DeleteFunc(read.BackEnds, func(backEnd serving.BackEnd) bool { return next.table.Service(backEnd.Service) == nil })
-	k.takeBackEnds(k.toldBackEnds(read.BackEnds), &next)
+	k.takeBackEnds(k.toldBackEnds(k.identified(read.BackEnds, false)), &next)
 	k.relay.setView(&next)
 	k.moveRuns()
 }
--- a/internal/relay/known_back_ends.go
+++ b/internal/relay/known_back_ends.go
@@ -82,7 +82,7 @@
 	now := k.relay.clock.now()
 	replaced.load.avoidUntil = former.look(0).avoidUntil
 	replaced.cache = former.cache
-	replaced.changingSince = former.changingSince
+	replaced.changingSince, replaced.toldBorn = former.changingSince, former.toldBorn
 	if entry.Changing && !former.Changing {
 		replaced.changingSince = now
 	}
