What a leader or a relay of the former build does not know is not taken for its word

Under a leader of the former build relays and gateways forgot which requests are held, and what usage waited to be placed; its refusals of calls that it does not have were answered by the same calls each 100 ms; relays of the former build were asked to keep counts of limits and passed over as owners for not answering, were sent to engines that name limits, and refused requests when an owner that knew nothing yet said so. Cause: a field that is absent was read as a word. Change: controllers say that they tell of held requests; without that what was told holds for as long as what a node holds by itself. Usage, calls of the list and what is wanted stay as they were told last. The leader tells which relays know the first format alone: they keep no counts. Owners leave engines that name limits out for them and do not answer them where they know nothing. Calls that fail again are spread out, up to the gap between reports. Why it works: each of it holds for one build as before, and an absent field changes nothing. The faults were found by reading both builds; the new tests hold the new behaviour and were not run on the code before. Command: go test ./internal/relay ./internal/crashguard ./internal/control ./internal/gateway

--- a/internal/control/agreement.go
+++ b/internal/control/agreement.go
@@ -100,6 +100,10 @@
 	return c.ownSuspects
 }
 
+// knowsHeld reports whether this controller knows which requests are held: while that is not agreed on only the leader
+// does.
+func (c *Core) knowsHeld() bool { return c.leading || c.isAgreed(formats.HeldRequests) }
+
 // changeSuspects carries out a command on the suspects: by the log where it is agreed that all members know it.
 func (c *Core) changeSuspects(command *v1.Command, call CallID, finish func(*Core, controlstate.Result)) {
 	if c.isAgreed(formats.HeldRequests) {
--- a/internal/control/former_build_test.go
+++ b/internal/control/former_build_test.go
@@ -11,6 +11,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/packed"
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 )
 
 // formerRelay is a relay of the first format: it knows whole documents, and asks with the number of the one in force.
@@ -176,3 +177,40 @@
 	require.Len(t, relay.listed, 1)
 	require.Equal(t, "10.0.0.1:81", relay.listed["i-1"].GetAddress())
 }
+
+// While a voter of the former build is there, held requests are the leader's own word: it tells relays and gateways of
+// them, others say nothing rather than that there are none, and it grants trials. They are agreed on once all know how.
+func TestRequestsAreHeldWhileAVoterDoesNotKnowOfThem(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	former := w.controllers[w.names[0]]
+	former.former = true
+	leader := w.waitLeaderOtherThan(former)
+	for replica := range uint64(quarantine.HoldAfter) {
+		w.tellEnd(endingSignature, replica)
+	}
+	require.Equal(t, formats.First, leader.core.State().AgreedFormat())
+	require.Empty(t, leader.core.State().Suspects().Suspects())
+	require.Len(t, w.toldHeld(), 1)
+	for _, name := range w.names {
+		controller := w.controllers[name]
+		told := w.sync(controller, &v1.SyncRequest{Node: &v1.NodeIdentity{Name: "gateway"}})
+		require.Equal(t, controller == leader, told.GetTellsHeld())
+		require.Equal(t, controller == leader, len(told.GetHeld()) == 1)
+	}
+	w.run(4 * time.Second)
+	require.True(t, w.askTrial())
+	require.False(t, w.askTrial(), "one at a time")
+
+	former.former = false // it is replaced
+	w.restart(former)
+	w.run(2 * time.Second)
+	w.waitAgreement()
+	require.Len(t, leader.core.State().Suspects().Suspects(), 1, "what the leader held is agreed on")
+	require.Equal(t, uint32(1), leader.core.State().Suspects().Suspects()[0].Trials)
+
+	former.former = true // and taken back
+	w.restart(former)
+	w.until("the end of the agreement", func() bool { return leader.core.State().AgreedFormat() == formats.First })
+	require.Empty(t, leader.core.State().Suspects().Suspects())
+	require.Len(t, w.toldHeld(), 1, "it is still held")
+}
--- a/internal/control/nodes.go
+++ b/internal/control/nodes.go
@@ -6,6 +6,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/shares"
 )
 
@@ -29,7 +30,9 @@
 	for _, member := range status.Membership.GetMembers() {
 		response.ControllerAddresses = append(response.ControllerAddresses, member.Address)
 	}
-	if !behind {
+	response.Formats = formats.Own().ToWire()
+	response.TellsHeld = !behind && c.knowsHeld()
+	if response.TellsHeld {
 		held, version := c.heldRequests()
 		if response.HeldVersion = version; version != request.GetHeldVersion() {
 			response.Held = held
--- a/internal/control/relay_list.go
+++ b/internal/control/relay_list.go
@@ -50,8 +50,11 @@
 	if record.noticeAddress != request.GetNoticeAddress() {
 		c.news.fresh = false
 	}
+	if told := formats.FromWire(request.GetFormats()); told != record.formats {
+		record.formats = told
+		c.news.fresh = false
+	}
 	record.heardAt, record.noticeAddress = c.now, request.GetNoticeAddress()
-	record.formats = formats.FromWire(request.GetFormats())
 	c.noteWork(request)
 	c.adoptDemand(request)
 }
@@ -62,10 +65,22 @@
 		return
 	}
 	c.news.relayList = subsetting.Candidates(c.noticeAddresses(), len(c.listing.told))
-	c.news.relayHash = hashOfList(c.news.relayList)
+	c.news.formerRelays = c.formerAmong(c.news.relayList)
+	c.news.relayHash = hashOfList(slices.Concat(c.news.relayList, c.news.formerRelays))
 	c.news.fresh = true
 }
 
+// formerAmong returns the addresses of a list at which relays keep no counts for others.
+func (c *Core) formerAmong(addresses []string) []string {
+	former := map[string]bool{}
+	for _, record := range c.relays {
+		if !record.formats.Knows(formats.PermitsOfRelays) {
+			former[record.noticeAddress] = true
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return !former[address] })
+}
+
 // hashOfList identifies a list of addresses; 0 for an empty one.
 func hashOfList(addresses []string) uint64 {
 	if len(addresses) == 0 {
--- a/internal/control/site_news.go
+++ b/internal/control/site_news.go
@@ -8,10 +8,12 @@
 
 // siteNews is what the leader tells relays, made once however many ask.
 type siteNews struct {
-	// relayList and relayHash are the addresses of the relays and their hash while fresh is set.
-	relayList []string
-	relayHash uint64
-	fresh     bool
+	// relayList are the addresses of the relays, formerRelays those of them that know the first format alone, and
+	// relayHash is the hash of both, while fresh is set.
+	relayList    []string
+	formerRelays []string
+	relayHash    uint64
+	fresh        bool
 	// documents are those that relays are told of.
 	documents toldDocuments
 	// document is the document with the number, compressed.
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -122,6 +122,7 @@
 		response.ListingPartial = c.listing.partial()
 	}
 	held, heldVersion := c.heldRequests()
+	response.TellsHeld = true
 	if response.HeldVersion = heldVersion; heldVersion != request.GetHeldVersion() {
 		response.Held = held
 	}
@@ -132,6 +133,7 @@
 	c.refreshRelayList()
 	response.RelayList = c.news.relayHash
 	if response.RelayList != request.GetRelayList() && (response.Relays > 0 || request.GetRelayList() == 0) {
+		response.FormerRelays = c.news.formerRelays
 		response.RelayAddresses = c.news.relayList // a new leader knows few: those who hold a list keep it
 	}
 	c.noteTold(request, response)
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -74,6 +74,10 @@
 	// told are the requests that the controllers hold, with whether a trial is due.
 	told    map[quarantine.Signature]bool
 	version uint64
+	// silentSince is when a controller answered first, since these were told, that says nothing of held requests; it
+	// holds while silent is set.
+	silent      bool
+	silentSince time.Duration
 	// local are the requests that this node holds, with when that ends.
 	local *recent[time.Duration]
 	// ended are the back ends that this node saw end under a request.
@@ -108,6 +112,7 @@
 func (g *Guard) Take(version uint64, held []*v1.HeldRequest) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	g.silent = false
 	if version == g.version {
 		return
 	}
@@ -126,6 +131,17 @@
 	g.told, g.version = told, version
 }
 
+// TakeSilence takes that the controllers say nothing of held requests: the leader's build knows of none. What was told
+// before holds for as long as what this node holds by itself, and nobody grants trials meanwhile.
+func (g *Guard) TakeSilence() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.silent {
+		return
+	}
+	g.silent, g.silentSince = true, g.options.Now()
+}
+
 // HeldCount is how many requests the controllers hold.
 func (g *Guard) HeldCount() int {
 	g.mutex.Lock()
@@ -141,7 +157,7 @@
 }
 
 func (g *Guard) isHeld(signature quarantine.Signature) bool {
-	if _, told := g.told[signature]; told {
+	if _, told := g.told[signature]; told && !(g.silent && g.options.Now()-g.silentSince >= localHold) {
 		return true
 	}
 	until, held := g.local.get(signature)
--- a/internal/crashguard/report.go
+++ b/internal/crashguard/report.go
@@ -12,8 +12,10 @@
 const (
 	// reportTimeout ends a call to the leader, which is then made again.
 	reportTimeout = 600 * time.Millisecond
-	// reportPause is the wait before a call is made again.
-	reportPause = 100 * time.Millisecond
+	// reportPause is the wait before a call is made again. It doubles up to longestReportPause: the leader's build may
+	// not know the call.
+	reportPause        = 100 * time.Millisecond
+	longestReportPause = 2 * time.Second
 	// mostUnreported bounds the ends of back ends that wait to be told.
 	mostUnreported = 256
 )
@@ -33,8 +35,8 @@
 			return
 		case <-g.wake:
 		}
-		for ctx.Err() == nil && !g.flush(ctx) {
-			pause.For(ctx, reportPause)
+		for wait := reportPause; ctx.Err() == nil && !g.flush(ctx); wait = min(2*wait, longestReportPause) {
+			pause.For(ctx, wait)
 		}
 	}
 }
--- /dev/null
+++ b/internal/crashguard/silence_test.go
@@ -0,0 +1,39 @@
+package crashguard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
+)
+
+// What controllers told of held requests outlives the word of those that know of none, for as long as a node holds
+// requests by itself: nobody grants trials meanwhile, and one that was held by bad luck has to be served again.
+func TestHeldRequestsOutliveASilentLeaderForAWhile(t *testing.T) {
+	now := time.Duration(0)
+	guard := New(Options{Now: func() time.Duration { return now }, Observer: silentObserver{}})
+	signature := quarantine.SignatureOf("", "", "", []byte("held"))
+	held := []*v1.HeldRequest{{Signature: signature[:]}}
+	guard.Take(7, held)
+	for ; now < localHold; now += time.Second {
+		guard.TakeSilence()
+		require.True(t, guard.Held(signature))
+	}
+	require.False(t, guard.Held(signature))
+	require.Equal(t, uint64(7), guard.Version())
+	guard.Take(7, nil)
+	require.True(t, guard.Held(signature), "the same version is told without its content")
+	guard.TakeSilence()
+	require.True(t, guard.Held(signature))
+	guard.Take(0, nil)
+	require.False(t, guard.Held(signature))
+}
+
+type silentObserver struct{}
+
+func (silentObserver) ReplicaEnded(string, int)         {}
+func (silentObserver) RequestHeld(quarantine.Signature) {}
+func (silentObserver) ReportFailed(error)               {}
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
 )
@@ -72,14 +73,17 @@
 	if err != nil {
 		return gatewaystate.SyncResult{}, err
 	}
-	request.HeldVersion = c.guard.Version()
+	request.HeldVersion, request.Formats = c.guard.Version(), formats.Own().ToWire()
 	sentAt := c.clock.now()
 	response, err := c.controllers.sync(ctx, address, request)
 	if err != nil {
 		return gatewaystate.SyncResult{}, err
 	}
-	if !response.GetBehind() {
+	switch {
+	case response.GetTellsHeld() || response.GetHeldVersion() != 0:
 		c.guard.Take(response.GetHeldVersion(), response.GetHeld())
+	case !response.GetBehind():
+		c.guard.TakeSilence()
 	}
 	c.controllers.learn(response.GetControllerAddresses())
 	if leader := response.GetLeaderAddress(); leader != "" {
--- a/internal/relay/asker_test.go
+++ b/internal/relay/asker_test.go
@@ -11,6 +11,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/cell"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
@@ -160,14 +161,17 @@
 }
 
 // A question for a cell that the owner does not know, or about another service, is answered at
-// once.
+// once; one of a relay that would refuse its request for that answer is not, and goes to another owner.
 func TestOwnerOfOtherCells(t *testing.T) {
 	engine := startBackEnd(t, "engine", serving.StageDecode, streaming("engine", eventOne))
 	_, owner := newPair(t, engine)
 	for name, asked := range map[string]*v1.PlacementRequest{
-		"another cell":    {Service: "service", Cell: 1, Relay: 1, Number: 3},
-		"another service": {Service: "other", Relay: 1, Number: 3},
+		"another cell":    {Service: "service", Cell: 1, Relay: 1, Number: 3, Formats: formats.Own().ToWire()},
+		"another service": {Service: "other", Relay: 1, Number: 3, Formats: formats.Own().ToWire()},
 	} {
+		former := proto.CloneOf(asked)
+		former.Formats = nil
+		owner.owner.answer(former, func(*v1.PlacementAnswer) { t.Error("a relay of the first format was answered") })
 		t.Run(name, func(t *testing.T) {
 			var answers []*v1.PlacementAnswer
 			owner.owner.answer(asked, func(answer *v1.PlacementAnswer) { answers = append(answers, answer) })
@@ -315,7 +319,7 @@
 	require.Len(t, relay.owners.ownedEngines(), 1)
 	divided := relay.owners.current.Load().services["service"].division.Cells()[0]
 	addresses := []string{relay.datagrams.Address, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"}
-	relay.setRelays(addresses)
+	relay.setRelays(addresses, nil)
 	owners := cell.Owners(divided.ID, addresses, ownersOfCell)
 	want := 0
 	if owners[0] == relay.datagrams.Address || owners[1] == relay.datagrams.Address {
--- a/internal/relay/engine_query.go
+++ b/internal/relay/engine_query.go
@@ -29,6 +29,8 @@
 	request placement.Request
 	// excluded are the engines that must not be taken, by their hashes.
 	excluded []uint64
+	// withoutPermits: the asking relay would send to an engine that names a limit without a permit.
+	withoutPermits bool
 	// reserved tells that a permit for the run was taken already.
 	reserved bool
 	// holder is the engine of another cell that keeps the beginning of the prompt; nil for none.
@@ -42,7 +44,9 @@
 }
 
 // excludes reports whether an engine must not be taken.
-func (q *engineQuery) excludes(engine *backEnd) bool { return slices.Contains(q.excluded, engine.hash) }
+func (q *engineQuery) excludes(engine *backEnd) bool {
+	return slices.Contains(q.excluded, engine.hash) || q.withoutPermits && engine.limited()
+}
 
 // queryOf asks for an engine for a request that has tried some. What engines have asked of this relay the
 // owner does not know.
--- /dev/null
+++ b/internal/relay/former_leader_test.go
@@ -0,0 +1,52 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
+)
+
+// A leader of the first format says nothing of what it does not know. That is no word that there is none of it: requests
+// stay held, usage is counted on, and the next leader is told what was wanted.
+func TestWhatALeaderDoesNotKnowHoldsOn(t *testing.T) {
+	relay := newTestRelay(t, route(nil))
+	signature := quarantine.SignatureOf("", "", "", []byte("ending"))
+	own := formats.Own().ToWire()
+	relay.knowledge.Take(&v1.WatchResponse{
+		Formats: own, TellsHeld: true, HeldVersion: 7, Held: []*v1.HeldRequest{{Signature: signature[:]}},
+		TrueTimeMs: 1_790_000_000_000, UsageWindowMs: 1000, ListingVersion: 1, ListingCalls: 25,
+		Wanted:        []*v1.WantedBackEnds{{Service: "service", Count: 300}},
+		ListingChange: &v1.ListingChange{Changed: []*v1.ListedBackEnd{{Id: "i-1", Service: "service", Address: "10.0.0.1:1", Slots: 1}}},
+	})
+	relay.usage.Began(relay.clock.now(), "tenant")
+	require.Equal(t, uint64(1), relay.usage.Unreported())
+
+	former := &v1.WatchResponse{ListingVersion: 2, ListingChange: &v1.ListingChange{FromVersion: 1, Gone: []string{"i-1"}}}
+	relay.knowledge.Take(former)
+	require.True(t, relay.guard.Held(signature))
+	require.Equal(t, uint64(1), relay.usage.Unreported())
+	require.Equal(t, 25, relay.knowledge.listingCalls)
+	request := relay.knowledge.Request(time.Second)
+	require.Len(t, request.GetWanted(), 1)
+	require.Equal(t, uint64(2), request.GetListingVersion())
+
+	relay.knowledge.Take(&v1.WatchResponse{Formats: own, TellsHeld: true, ListingVersion: 2})
+	require.False(t, relay.guard.Held(signature), "a leader that knows says that none is held")
+}
+
+// Counts of limits are kept by relays that know how.
+func TestRelaysOfTheFormerBuildKeepNoCounts(t *testing.T) {
+	relay := newTestRelay(t, route(nil))
+	others := []string{"127.0.0.1:1", "127.0.0.1:2", relay.datagrams.Address}
+	relay.knowledge.Take(&v1.WatchResponse{
+		Formats: formats.Own().ToWire(), RelayAddresses: others, RelayList: 5, Relays: 3, FormerRelays: others[:2],
+	})
+	require.Equal(t, []string{relay.datagrams.Address}, relay.permits.KeepersOf(4711))
+	relay.knowledge.Take(&v1.WatchResponse{Formats: formats.Own().ToWire(), RelayAddresses: others, RelayList: 6, Relays: 3})
+	require.Len(t, relay.permits.KeepersOf(4711), 3)
+}
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -219,7 +219,7 @@
 	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
 	require.NoError(t, err)
 	relay.meetOthers(socket)
-	relay.setRelays([]string{relay.datagrams.Address})
+	relay.setRelays([]string{relay.datagrams.Address}, nil)
 	go relay.datagrams.Receive(relay.takeDatagram)
 	relay.budget.SetRelays(1)
 	relay.contactAt.Store(int64(relay.clock.now()))
--- a/internal/relay/knowledge.go
+++ b/internal/relay/knowledge.go
@@ -114,16 +114,26 @@
 	if version := response.GetListingVersion(); version != 0 && version != current.listingVersion {
 		next.listingVersion = 0 // the whole list is asked for unless this one can be read
 		if listed, read := k.listing.Take(current.listingVersion, response); read {
-			next.listingVersion, k.wanted = version, response.GetWanted()
+			next.listingVersion = version
+			if wanted := response.GetWanted(); len(wanted) > 0 {
+				k.wanted = wanted // a leader of the first format tells none: the next one is told what is known
+			}
 			former := !formats.FromWire(response.GetFormats()).Knows(formats.StartsOfReplicas)
 			k.takeBackEnds(k.identified(translate(listed), former), &next)
 		}
 	}
-	k.relay.guard.Take(response.GetHeldVersion(), response.GetHeld())
+	if response.GetTellsHeld() || response.GetHeldVersion() != 0 {
+		k.relay.guard.Take(response.GetHeldVersion(), response.GetHeld())
+	} else {
+		k.relay.guard.TakeSilence()
+	}
 	k.takeRelays(response)
 	k.takeRelayCount(response)
-	k.listingCalls, k.partial = int(response.GetListingCalls()), response.GetListingPartial()
-	k.relay.usage.Hear(k.relay.clock.now(), response.GetTrueTimeMs(), time.Duration(response.GetUsageWindowMs())*time.Millisecond)
+	k.partial = response.GetListingPartial()
+	if calls := int(response.GetListingCalls()); calls > 0 {
+		k.listingCalls = calls // a leader that does not know yet, or of the first format, tells none
+	}
+	k.takeUsageWindow(response)
 	k.relay.setView(&next)
 	k.takeLimits(response)
 	k.moveRuns()
@@ -131,6 +141,16 @@
 	return used
 }
 
+// takeUsageWindow takes the windows in which usage is counted. A leader of the first format knows of none: what is
+// counted waits for one that does.
+func (k *knowledge) takeUsageWindow(response *v1.WatchResponse) {
+	window := time.Duration(response.GetUsageWindowMs()) * time.Millisecond
+	if window == 0 && !formats.FromWire(response.GetFormats()).Knows(formats.UsageWindows) {
+		return
+	}
+	k.relay.usage.Hear(k.relay.clock.now(), response.GetTrueTimeMs(), window)
+}
+
 // takeLimits takes the limits that the leader knows of, for back ends of which other relays have not told yet.
 func (k *knowledge) takeLimits(response *v1.WatchResponse) {
 	for _, told := range response.GetLimits() {
@@ -179,7 +199,7 @@
 		return
 	}
 	k.relayList, k.relaysListed = response.GetRelayList(), len(addresses)
-	k.relay.setRelays(addresses)
+	k.relay.setRelays(addresses, response.GetFormerRelays())
 }
 
 // takeRelayCount takes the number of all relays; a new leader does not know it yet.
--- a/internal/relay/owner_faults_test.go
+++ b/internal/relay/owner_faults_test.go
@@ -125,10 +125,10 @@
 	relay := newTestRelay(t, route(stream(true)), startBackEnd(t, "engine", serving.StageDecode, refusing(503)))
 	engine, now := relay.engineOf("engine"), relay.clock.now()
 	require.Empty(t, relay.asker.owners(now, engine), "nobody else is to be told")
-	relay.setRelays([]string{"127.0.0.1:1", "127.0.0.1:2"})
+	relay.setRelays([]string{"127.0.0.1:1", "127.0.0.1:2"}, nil)
 	require.Empty(t, relay.owners.ownedEngines())
 	require.ElementsMatch(t, []string{"127.0.0.1:1", "127.0.0.1:2"}, relay.asker.owners(now, engine))
-	relay.setRelays([]string{"127.0.0.1:2", relay.datagrams.Address})
+	relay.setRelays([]string{"127.0.0.1:2", relay.datagrams.Address}, nil)
 	require.Len(t, relay.owners.ownedEngines(), 1)
 	require.Equal(t, []string{"127.0.0.1:2"}, relay.asker.owners(now, engine))
 }
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"time"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
@@ -49,7 +50,9 @@
 }
 
 // setRelays takes the addresses of all relays.
-func (r *Relay) setRelays(addresses []string) {
+func (r *Relay) setRelays(addresses, former []string) {
+	keepers := slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return slices.Contains(former, address) })
+	r.permits.SetRelays(keepers)
 	if !r.owners.setRelays(addresses) {
 		return
 	}
@@ -59,6 +62,5 @@
 	}
 	r.notices.setPeers(addresses)
 	r.peers.Keep(listed)
-	r.permits.SetRelays(addresses)
 	r.datagrams.Keep(listed)
 }
--- a/internal/relay/permits/permits.go
+++ b/internal/relay/permits/permits.go
@@ -1,6 +1,7 @@
 package permits
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -66,6 +67,9 @@
 func (p *Permits) SetRelays(addresses []string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if slices.Equal(p.relays, addresses) {
+		return
+	}
 	p.relays = addresses
 	p.member.SetProcesses(p.config.Now(), addresses)
 }
@@ -74,7 +78,7 @@
 // none does there is no permit: what relays send by themselves would add up.
 func (p *Permits) Take(ask fleetlimit.Ask) (answer fleetlimit.Answer, answered bool) {
 	ask.Asker = p.config.Self
-	for _, keeper := range p.keepersOf(ask.BackEnd) {
+	for _, keeper := range p.KeepersOf(ask.BackEnd) {
 		if answer, answered = p.askKeeper(keeper, ask); answered {
 			return answer, true
 		}
@@ -82,7 +86,8 @@
 	return fleetlimit.Answer{Wait: time.Duration((0.5 + p.config.Draw()) * float64(unkeptWait))}, false
 }
 
-func (p *Permits) keepersOf(backEnd uint64) []string {
+// KeepersOf returns the addresses of the relays that keep the count of a back end, in the order in which they are asked.
+func (p *Permits) KeepersOf(backEnd uint64) []string {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return p.member.KeepersOf(backEnd)
@@ -144,7 +149,7 @@
 	notice := &v1.RelayDatagram{Content: &v1.RelayDatagram_LimitNotice{LimitNotice: &v1.LimitNotice{
 		Limits: []*v1.NamedLimit{fleetlimit.ToWire(named)}, Heard: true,
 	}}}
-	for _, keeper := range p.keepersOf(named.BackEnd) {
+	for _, keeper := range p.KeepersOf(named.BackEnd) {
 		if keeper == p.config.Socket.Address {
 			p.name(named)
 		} else {
--- a/internal/relay/permits/permits_test.go
+++ b/internal/relay/permits/permits_test.go
@@ -93,7 +93,7 @@
 		member.SetRelays(addresses)
 		member.advance(10 * time.Second)
 	}
-	keepers := members[0].keepersOf(backEnd)
+	keepers := members[0].KeepersOf(backEnd)
 	rank := func(member *testMember) int {
 		if index := slices.Index(keepers, member.address); index >= 0 {
 			return index
--- a/internal/relay/placement_owner.go
+++ b/internal/relay/placement_owner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 )
@@ -114,12 +115,12 @@
 func (o *placementOwner) answer(asked *v1.PlacementRequest, reply func(*v1.PlacementAnswer)) {
 	current := o.relay.owners.current.Load().services[asked.GetService()]
 	if current == nil {
-		reply(unplacedAnswer(asked))
+		replyUnknown(asked, reply)
 		return
 	}
 	index, known := current.division.Find(asked.GetCell())
 	if !known {
-		reply(unplacedAnswer(asked))
+		replyUnknown(asked, reply)
 		return
 	}
 	engines := current.members[index]
@@ -139,6 +140,14 @@
 	go o.answerAfterWait(asked, query, engines, decided, stop, reply)
 }
 
+// replyUnknown answers a question about a cell that is not known here. A relay of the first format would take the answer
+// for the word that nothing can be placed, and refuse the request: it gets none, and asks another one.
+func replyUnknown(asked *v1.PlacementRequest, reply func(*v1.PlacementAnswer)) {
+	if formats.FromWire(asked.GetFormats()) != (formats.Range{}) {
+		reply(unplacedAnswer(asked))
+	}
+}
+
 // beginWait notes a question that waits; nil when too many do, or when it does already.
 func (o *placementOwner) beginWait(asker placement.Asker) (stop chan struct{}) {
 	o.mutex.Lock()
--- a/internal/relay/placement_wire.go
+++ b/internal/relay/placement_wire.go
@@ -5,6 +5,7 @@
 	"time"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
@@ -59,6 +60,7 @@
 		Tokens: uint32(max(wanted.Tokens, 0)), TokenMoveNs: uint64(max(wanted.TokenMove, 0)), ResidenceUs: microseconds(wanted.Residence),
 		TimeLeftUs: microseconds(wanted.TimeLeft), MayHaveRun: wanted.MayHaveRun, Excluded: query.excluded,
 	}
+	asked.Formats = formats.Own().ToWire()
 	asked.Parts, asked.PartTokens = wireParts(wanted.Prompt[:min(len(wanted.Prompt), maximumParts)])
 	if query.holder != nil {
 		asked.Holder, asked.HolderTokens = query.holder.engine.hash, uint32(max(query.holder.tokens, 0))
@@ -71,6 +73,7 @@
 func queryFromWire(asked *v1.PlacementRequest, view *view) *engineQuery {
 	query := &engineQuery{
 		purpose: purposeFromWire(asked.GetPurpose()), service: asked.GetService(), excluded: asked.GetExcluded(),
+		withoutPermits: !formats.FromWire(asked.GetFormats()).Knows(formats.PermitsOfRelays),
 		request: placement.Request{
 			Stage: serving.StageDecode, Zone: asked.GetZone(), Rank: rankFromWire(asked),
 			Target: fromMicroseconds(asked.GetTargetUs()), Gap: fromMicroseconds(asked.GetGapUs()), Stride: tokensOf(asked.GetStride()),
--- a/internal/usagereport/meter.go
+++ b/internal/usagereport/meter.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -10,8 +12,13 @@
 	"github.com/hazelpitch/hazelpitch/internal/usage"
 )
 
-// mostUnplaced bounds the requests that are remembered one by one until the true time is known.
-const mostUnplaced = 4096
+const (
+	// mostUnplaced bounds the requests that are remembered one by one until the true time is known.
+	mostUnplaced = 4096
+	// mostCounts bounds the counts that wait until they are taken, some 5 MB of them; those of the oldest window give
+	// way. That is two hours of windows of a minute for 500 tenants.
+	mostCounts = 1 << 16
+)
 
 // Meter counts the requests that begin to run. It is safe for concurrent use. Moments are durations
 // since the origin of the process's steady clock.
@@ -66,6 +73,18 @@
 // place counts a request in its window.
 func (m *Meter) place(began begin) {
 	m.counts[countKey{usage.WindowAt(m.time.at(began.moment), m.window), began.tenant}]++
+	if len(m.counts) > mostCounts {
+		m.dropOldest()
+	}
+}
+
+// dropOldest forgets the counts of the oldest window.
+func (m *Meter) dropOldest() {
+	oldest := usage.Window(math.MaxInt64)
+	for key := range m.counts {
+		oldest = min(oldest, key.window)
+	}
+	maps.DeleteFunc(m.counts, func(key countKey, _ uint64) bool { return key.window == oldest })
 }
 
 // signal tells that there is something to tell.
--- a/internal/usagereport/reporter.go
+++ b/internal/usagereport/reporter.go
@@ -15,8 +15,10 @@
 	reportsPerSecond = 600
 	// sendTimeout ends the wait for the answer to a report, which is then sent again.
 	sendTimeout = 600 * time.Millisecond
-	// retryPause is the wait before a report is sent again.
-	retryPause = 100 * time.Millisecond
+	// retryPause is the wait before a report is sent again. It doubles up to longestRetryPause, or to the gap between
+	// reports where there are many relays: a leader may take none for as long as an upgrade lasts.
+	retryPause        = 100 * time.Millisecond
+	longestRetryPause = 400 * time.Millisecond
 )
 
 // Send sends a report to the leader and returns nil once it was taken.
@@ -41,21 +43,29 @@
 		case <-r.Meter.wake:
 		}
 		r.Flush(ctx)
-		pause.For(ctx, max(time.Duration(r.Relays())*time.Second/reportsPerSecond, leastGap))
+		pause.For(ctx, r.gap())
 	}
 }
 
 // Flush reports everything that is counted, until it was taken or the context ends.
 func (r *Reporter) Flush(ctx context.Context) {
+	wait := retryPause
 	for report := r.Meter.Next(); report != nil && ctx.Err() == nil; report = r.Meter.Next() {
 		limited, cancel := context.WithTimeout(ctx, sendTimeout)
 		err := r.Send(limited, report)
 		cancel()
 		if err == nil {
 			r.Meter.Taken()
+			wait = retryPause
 			continue
 		}
 		r.Failed()
-		pause.For(ctx, retryPause)
+		pause.For(ctx, wait)
+		wait = min(2*wait, max(longestRetryPause, r.gap()))
 	}
 }
+
+// gap is the time between two reports of one relay.
+func (r *Reporter) gap() time.Duration {
+	return max(time.Duration(r.Relays())*time.Second/reportsPerSecond, leastGap)
+}
