--- a/internal/benchcommand/soak.go
+++ b/internal/benchcommand/soak.go
@@ -56,6 +56,8 @@
 	Clients     int           `long:"clients" default:"24" description:"clients that send at the same time"`
 	Poisons     int           `long:"poisons" default:"2" description:"requests that end each back end that runs them, sent again and again"`
 	Program     string        `long:"program" value-name:"FILE" description:"hazelpitch as users get it; default: the same code in this program"`
+	Other       string        `long:"other" value-name:"FILE" description:"hazelpitch of another build: processes are replaced by it and back, in any order"`
+	Plain       bool          `long:"plain" description:"back ends ask for no rests, name no limits and start under new identities: for other builds that know nothing of these"`
 	Directory   string        `long:"directory" value-name:"DIR" description:"where settings, disks and logs go; default: a temporary directory, which stays where a rule was broken"`
 	Untimed     bool          `long:"untimed" description:"leave out the rules with time bounds: for machines that are busy"`
 	Verbose     bool          `long:"verbose" description:"print each fault as it strikes"`
@@ -104,8 +106,8 @@
 	}
 	fmt.Fprintln(environment.Stdout, report)
 	if err := report.Failed(); err != nil {
-		fmt.Fprintf(environment.Stdout, "  again: %s soak --seed %d --length %s --calm %s --controllers %d --relays %d --pages %d --engines %d --clients %d --poisons %d\n  logs: %s\n",
-			environment.Program, seed, s.Length, s.Calm, s.Controllers, s.Relays, s.Pages, s.Engines, s.Clients, s.Poisons, directory)
+		fmt.Fprintf(environment.Stdout, "  again: %s soak --seed %d --length %s --calm %s --controllers %d --relays %d --pages %d --engines %d --clients %d --poisons %d%s\n  logs: %s\n",
+			environment.Program, seed, s.Length, s.Calm, s.Controllers, s.Relays, s.Pages, s.Engines, s.Clients, s.Poisons, s.otherFlags(), directory)
 		return trace.Wrap(err)
 	}
 	if s.Directory == "" {
@@ -114,6 +116,18 @@
 	return nil
 }
 
+// otherFlags are the flags of a run with two builds, as they are written.
+func (s *soakFlags) otherFlags() string {
+	flags := ""
+	if s.Other != "" {
+		flags += " --other " + s.Other
+	}
+	if s.Plain {
+		flags += " --plain"
+	}
+	return flags
+}
+
 // directory is where a seed's files go.
 func (s *soakFlags) directory(seed uint64) (string, error) {
 	if s.Directory == "" {
@@ -128,6 +142,7 @@
 	options := soak.Options{
 		Seed: seed, Controllers: s.Controllers, Relays: s.Relays, Pages: s.Pages, Engines: s.Engines, Clients: s.Clients, Poisons: s.Poisons,
 		Length: s.Length, Calm: s.Calm, Directory: directory, Program: s.Program, Serve: serveSiteName, Timed: !s.Untimed,
+		Other: s.Other, Plain: s.Plain,
 	}
 	if s.Verbose {
 		options.Progress = func(line string) { fmt.Fprintln(environment.Stderr, line) }
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -95,6 +95,13 @@
 	}
 }
 
+// Replace lets the process be another program from its next start on, empty for this one itself.
+func (p *Process) Replace(program string, arguments []string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.program, p.arguments = program, arguments
+}
+
 // executable is the path of what runs.
 func (p *Process) executable() (string, error) {
 	if p.program != "" {
--- a/internal/soak/cuts.go
+++ b/internal/soak/cuts.go
@@ -34,6 +34,9 @@
 		relay := f.site.relays[random.IntN(len(f.site.relays))]
 		length := time.Duration(random.Int64N(int64(longestCut)))
 		groups := [][]netip.Prefix{{controllers}, {relays}, {controllers, relays}}[random.IntN(3)]
+		if f.isOther(relay.Name) {
+			continue // it cannot be told of cuts
+		}
 		f.strike(history.Cut, relay.Name, false, func() {
 			heal, err := relay.CutOff(number, groups)
 			if err != nil {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -47,17 +47,28 @@
 	// lost counts the controllers that are struck.
 	lost  int
 	kinds map[history.FaultKind]int
+	// other are the processes of the other build, by their names.
+	other map[string]bool
 }
 
 func newFaults(site *site) *faults {
-	return &faults{
-		site: site, random: rand.New(rand.NewPCG(site.options.Seed, 3000)), struck: map[string]bool{}, kinds: map[history.FaultKind]int{},
+	made := &faults{
+		site: site, random: rand.New(rand.NewPCG(site.options.Seed, 3000)), struck: map[string]bool{}, kinds: map[history.FaultKind]int{}, other: map[string]bool{},
 	}
+	for _, process := range made.processes() {
+		made.other[process.Name] = site.beginsWithOther()
+	}
+	return made
 }
 
 // run strikes until the context ends, and returns when all faults are over.
 func (f *faults) run(ctx context.Context) {
-	f.running.Go(func() { f.limitReplicas(ctx) })
+	if !f.site.options.Plain {
+		f.running.Go(func() { f.limitReplicas(ctx) })
+	}
+	if f.site.options.Other != "" {
+		f.running.Go(func() { f.replaceProcesses(ctx) })
+	}
 	if f.site.options.Program == "" { // only this program can be told of cuts
 		f.running.Go(func() { f.cutRelays(ctx) })
 	}
@@ -203,6 +214,9 @@
 	away, length := f.drawn(longestAway), f.drawn(longestAway)
 	switch f.random.IntN(7) {
 	case 6:
+		if f.site.options.Plain {
+			return
+		}
 		f.strike(history.Rest, replica.Identity(), false, func() { replica.Rest(restLength); time.Sleep(restLength) })
 	case 0:
 		f.strike(history.Crash, replica.Identity(), false, func() { replica.Crash(); time.Sleep(away); _ = replica.Start() })
--- a/internal/soak/history/fault.go
+++ b/internal/soak/history/fault.go
@@ -16,6 +16,8 @@
 	Freeze    FaultKind = "freeze"
 	Terminate FaultKind = "terminate"
 	Reload    FaultKind = "reload"
+	// Replace counts the processes that were replaced by those of another build. Each is a Terminate or a Kill, too.
+	Replace FaultKind = "replace"
 	// Cut cuts a relay off from controllers and other relays, in silence.
 	Cut FaultKind = "cut"
 	// Wipe ends it at once and empties its disk.
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -21,6 +21,10 @@
 	Directory string
 	// Program is the server that is run; empty for this program itself with Serve as its first argument.
 	Program, Serve string
+	// Other is the server of another build, empty for none: processes are replaced by it and back, in any order. Plain
+	// leaves out what back ends ask for that the first format knows nothing of: rests, limits, starts under one identity.
+	Other string
+	Plain bool
 	// Timed also checks the rules that have time bounds: not on a machine that is busy with other work.
 	Timed bool
 	// Progress is told each fault; nil for nobody.
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -36,6 +36,8 @@
 	controllers []*fleet.Process
 	relays      []*relayProcess
 	operator    *standin.Operator
+	// servers are the arguments of each process, without those that choose the build, by its name.
+	servers map[string][]string
 }
 
 // relayProcess is a relay and where it is reached.
@@ -70,12 +72,15 @@
 	for number := range options.Controllers {
 		names[controllerName(number)] = true
 	}
-	made := &site{options: options, recorder: history.NewRecorder(bounds, standin.Routes(), names)}
+	made := &site{options: options, servers: map[string][]string{}, recorder: history.NewRecorder(bounds, standin.Routes(), names)}
 	list, err := standin.StartList(at(address(groupList, 0), portOuter), made.recorder)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	made.list = list
+	if options.Plain {
+		list.LeaveOutOthers()
+	}
 	if err := made.startReplicas(); err != nil {
 		made.close()
 		return nil, trace.Wrap(err)
@@ -107,7 +112,7 @@
 		service := []string{standin.ServicePages, standin.ServiceOther}[number%2]
 		replica, err := standin.StartReplica(standin.ReplicaOptions{
 			Service: service, Zone: "z", Address: at(address(groupPages, number), portOuter), Slots: 8,
-			Work: 8 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, KeepID: number/2%2 == 0,
+			Work: 8 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, KeepID: !s.options.Plain && number/2%2 == 0,
 		})
 		if err != nil {
 			return trace.Wrap(err)
@@ -118,7 +123,7 @@
 		stage := []string{platform.StageDecode, platform.StagePrefill}[number%2]
 		replica, err := standin.StartReplica(standin.ReplicaOptions{
 			Service: standin.ServiceEngines, Zone: "z", Address: at(address(groupEngines, number), portOuter), Stage: stage, Slots: 16,
-			Work: 5 * time.Millisecond, Pause: 15 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, KeepID: number/2%2 == 0,
+			Work: 5 * time.Millisecond, Pause: 15 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, KeepID: !s.options.Plain && number/2%2 == 0,
 		})
 		if err != nil {
 			return trace.Wrap(err)
@@ -173,11 +178,26 @@
 	if err := os.WriteFile(path, content, 0o600); err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
-	arguments := []string{server, "--settings", path}
-	if s.options.Program == "" {
-		arguments = append([]string{s.options.Serve}, arguments...)
+	s.servers[name] = []string{server, "--settings", path}
+	process := fleet.NewProcess(name, "", nil, path, filepath.Join(s.options.Directory, name+".log"), data)
+	s.build(process, s.beginsWithOther())
+	return process, nil
+}
+
+// beginsWithOther reports whether all processes are of the other build at first: every second seed is an upgrade.
+func (s *site) beginsWithOther() bool { return s.options.Other != "" && s.options.Seed%2 == 1 }
+
+// build chooses the build of a process's next start.
+func (s *site) build(process *fleet.Process, other bool) {
+	arguments := s.servers[process.Name]
+	switch {
+	case other:
+		process.Replace(s.options.Other, arguments)
+	case s.options.Program == "":
+		process.Replace("", append([]string{s.options.Serve}, arguments...))
+	default:
+		process.Replace(s.options.Program, arguments)
 	}
-	return fleet.NewProcess(name, s.options.Program, arguments, path, filepath.Join(s.options.Directory, name+".log"), data), nil
 }
 
 // startedBefore writes into a controller's settings that the fleet has started before.
