A controller whose state lacks an agreement is made whole by the next; controllers of two builds in virtual time; configurations change in a soak's calm

Change: a command names the agreement it builds on; a controller whose state does not have that tells the first format alone until the next agreement, which the leader proposes for that, instead of halting. The rule that an entry of a former leader ends an agreement is taken out: the same is found out by the command after it. Halting is left for entries of newer builds.

--- a/internal/control/agreement.go
+++ b/internal/control/agreement.go
@@ -34,6 +34,15 @@
 	c.formats.told[message.GetFrom()] = formats.FromWire(message.GetFormats())
 }
 
+// ownFormats is what this controller tells of itself. One that missed what was agreed on tells the first format alone:
+// the leader then ends the agreement, and proposes the next one, with which all hold the same again.
+func (c *Core) ownFormats() formats.Range {
+	if c.state.MissedAgreement() {
+		return formats.Range{}
+	}
+	return formats.Own()
+}
+
 // commonFormat is the highest format that all members know as far as they were heard of. It is certain once all were.
 func (c *Core) commonFormat() (common formats.Number, certain bool) {
 	common, certain = formats.Newest, true
@@ -135,7 +144,7 @@
 
 // halt ends this controller's part if an entry could not be applied that others apply.
 func (c *Core) halt(err error) {
-	if c.halted || !errors.Is(err, controlstate.ErrUnknownCommand) && !errors.Is(err, controlstate.ErrStateLacks) {
+	if c.halted || !errors.Is(err, controlstate.ErrUnknownCommand) {
 		return
 	}
 	c.halted = true
--- a/internal/control/drive.go
+++ b/internal/control/drive.go
@@ -8,7 +8,6 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/consensus"
 	"github.com/hazelpitch/hazelpitch/internal/controlstate"
-	"github.com/hazelpitch/hazelpitch/internal/formats"
 )
 
 // drive carries out everything the replicated log asks for.
@@ -29,7 +28,7 @@
 	for _, message := range ready.Messages {
 		message.Message.TimeOfDayMs = c.clock.Own(c.now)
 		if message.Message.GetFrom() == c.consensus.Status().ID { // others' probes are passed on as they are
-			message.Message.Formats = formats.Own().ToWire()
+			message.Message.Formats = c.ownFormats().ToWire()
 		}
 		c.emit(SendPeer{Address: message.Address, Message: message.Message})
 	}
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -74,6 +74,8 @@
 	// tells, but for entries of the log, which that one keeps as they came: passedOver are those that it does not know.
 	former     bool
 	passedOver map[uint64][]byte
+	// foundSnapshot is the snapshot that it found on its disk.
+	foundSnapshot *v1.Snapshot
 }
 
 func newWorld(t *testing.T, voters int, configure func(*Config)) *world {
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -30,7 +30,9 @@
 		return 0, errHeldBack
 	}
 	command.ProposedAtMs = c.wallMs()
-	command.Format, command.AgreedAt = uint32(formats.Newest), c.state.AgreedAt()
+	if c.state.AgreedFormat() > formats.First {
+		command.AgreedAt = c.state.AgreedAt()
+	}
 	data, err := proto.Marshal(command)
 	if err != nil {
 		return 0, trace.BadParameter("the command cannot be encoded: %v", err)
--- a/internal/controlstate/agreement.go
+++ b/internal/controlstate/agreement.go
@@ -16,6 +16,9 @@
 	// format is the highest format whose commands take effect, index the log index of the agreement on it.
 	format formats.Number
 	index  uint64
+	// missed tells that others hold what was agreed on and this state does not: its controller was of the first format
+	// meanwhile. It is whole again with the next agreement.
+	missed bool
 }
 
 // AgreedFormat is the highest format whose commands take effect.
@@ -24,6 +27,9 @@
 // AgreedAt is the log index of the agreement in force; 0 before the first.
 func (s *State) AgreedAt() uint64 { return s.agreed.index }
 
+// MissedAgreement reports whether others hold what was agreed on and this state does not. The next agreement ends it.
+func (s *State) MissedAgreement() bool { return s.agreed.missed }
+
 // agree puts another agreement in force.
 func (s *State) agree(index uint64, body *v1.AgreeFormat) Result {
 	number := formats.Number(body.GetFormat())
@@ -48,19 +54,19 @@
 	s.suspects = quarantine.NewLedger()
 }
 
-// checkFormat returns why a command must not be applied; nil where it may. A command of a controller that tells no
-// format ends the agreement: that controller led, and may hold and hand on a state without what was agreed on.
+// checkFormat returns why a command must not be applied; nil where it may. A command that builds on an agreement which
+// this state does not have shows that the state was written by a controller of the first format, or taken from one.
 func (s *State) checkFormat(index uint64, command *v1.Command) error {
 	number, known := formats.OfCommand(command)
 	if !known && len(command.ProtoReflect().GetUnknown()) > 0 {
 		return trace.Wrap(ErrUnknownCommand, "log index %d holds a command of another build; run the build that proposed it", index)
 	}
-	if formats.Number(command.GetFormat()) == formats.First && s.agreed.format > formats.First {
-		s.beginAgreement(index, formats.First)
-	}
-	if command.GetAgreedAt() > s.agreed.index {
-		return trace.Wrap(ErrStateLacks, "log index %d builds on the agreement at index %d, this state has that at index %d; empty the data folder, so that this controller takes the state of the others",
-			index, command.GetAgreedAt(), s.agreed.index)
+	switch {
+	case command.GetAgreedAt() == 0:
+		s.agreed.missed = false // nothing is agreed on where it was proposed
+	case command.GetAgreedAt() > s.agreed.index:
+		s.beginAgreement(s.agreed.index, formats.First)
+		s.agreed.missed = true
 	}
 	if _, isAgreement := command.GetBody().(*v1.Command_AgreeFormat); isAgreement || number <= s.agreed.format {
 		return nil
--- a/internal/controlstate/errors.go
+++ b/internal/controlstate/errors.go
@@ -26,8 +26,6 @@
 	ErrNotAgreed = errors.New("the command is of a format that is not agreed on")
 	// ErrUnknownCommand: this build cannot apply the command, which others can. The controller must stop.
 	ErrUnknownCommand = errors.New("the command is of a newer build")
-	// ErrStateLacks: the state is not that of the other controllers. The controller must stop.
-	ErrStateLacks = errors.New("the state lacks what others have agreed on")
 	// ErrInvalidCommand: the command is malformed.
 	ErrInvalidCommand = errors.New("the command is invalid")
 )
--- a/internal/formats/released/descriptors.go
+++ b/internal/formats/released/descriptors.go
@@ -3,6 +3,7 @@
 import (
 	"embed"
 	"fmt"
+	"sync"
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
@@ -21,8 +22,22 @@
 // Descriptors are the messages and calls of one released format.
 type Descriptors struct{ files *protoregistry.Files }
 
+// loaded are the descriptors that were loaded already.
+var loaded sync.Map
+
 // Load returns the descriptors of a format. An error means that the build keeps none of it, or that the file is damaged.
 func Load(number formats.Number) (*Descriptors, error) {
+	if known, is := loaded.Load(number); is {
+		return known.(*Descriptors), nil
+	}
+	read, err := load(number)
+	if err == nil {
+		loaded.Store(number, read)
+	}
+	return read, err
+}
+
+func load(number formats.Number) (*Descriptors, error) {
 	content, err := sets.ReadFile(fmt.Sprintf("format-%d.binpb", number))
 	if err != nil {
 		return nil, trace.NotFound("no descriptors of format %d are kept: %v", number, err)
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -64,12 +64,23 @@
 	for _, kind := range slices.Sorted(maps.Keys(r.Faults)) {
 		fmt.Fprintf(&text, " %s %d", kind, r.Faults[kind])
 	}
+	printed := map[check.Rule]int{}
 	for _, finding := range r.Findings {
-		fmt.Fprintf(&text, "\n  %s", finding)
+		if printed[finding.Rule]++; printed[finding.Rule] <= mostPrinted {
+			fmt.Fprintf(&text, "\n  %s", finding)
+		}
+	}
+	for _, rule := range slices.Sorted(maps.Keys(printed)) {
+		if more := printed[rule] - mostPrinted; more > 0 {
+			fmt.Fprintf(&text, "\n  %s %d times more", rule, more)
+		}
 	}
 	return text.String()
 }
 
+// mostPrinted bounds the findings of one rule that a report writes out; history.json has what shows the others.
+const mostPrinted = 10
+
 // Failed returns an error when a rule was broken.
 func (r Report) Failed() error {
 	if len(r.Findings) == 0 {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -21,6 +21,9 @@
 	// revivalPause is the time between two looks for back ends that have ended under a request; they
 	// come back after it.
 	revivalPause = 1200 * time.Millisecond
+	// operatedCalm is the share of the calm, in percent, in which configurations still change: only then are all relays in
+	// touch, whatever builds they are of.
+	operatedCalm = 70
 	// finalReads is how often the configuration is read at the end until a controller tells it.
 	finalReads = 200
 )
@@ -47,11 +50,13 @@
 	striking := newFaults(made)
 	disturbed, endDisturbed := context.WithTimeout(ctx, options.Length)
 	defer endDisturbed()
+	operating, endOperating := context.WithTimeout(ctx, options.Length+options.Calm*operatedCalm/100)
+	defer endOperating()
 	operated := make(chan struct{})
-	go func() { defer close(operated); made.operate(disturbed) }()
+	go func() { defer close(operated); made.operate(operating) }()
 	striking.run(disturbed)
-	<-operated
 	sleep(ctx, options.Calm)
+	<-operated
 	endWhole()
 	sending.running.Wait()
 	made.readAtTheEnd(ctx)
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -80,6 +80,9 @@
 	made.list = list
 	if options.Plain {
 		list.LeaveOutOthers()
+		if options.Seed/2%2 == 1 {
+			list.LeaveOutBirths()
+		}
 	}
 	if err := made.startReplicas(); err != nil {
 		made.close()
