Controllers tell which format is agreed on and who holds back the next

Cause: an operator could not see whether an upgrade is whole. Change: line format_agreed, metrics agreed_format and members_of_former_formats. Command: go test ./internal/control ./internal/controller ./internal/events

--- a/internal/control/agreement.go
+++ b/internal/control/agreement.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"github.com/gravitational/trace"
 
@@ -46,21 +47,37 @@
 // commonFormat is the highest format that all members know as far as they were heard of. It is certain once all were.
 func (c *Core) commonFormat() (common formats.Number, certain bool) {
 	common, certain = formats.Newest, true
-	status := c.consensus.Status()
-	for _, member := range status.Membership.GetMembers() {
-		if member.GetId() == status.ID {
-			continue
-		}
-		told, heard := c.formats.told[member.GetId()]
-		if !heard {
+	for _, member := range c.otherMembers() {
+		if told, heard := c.formats.told[member.GetId()]; heard {
+			common = min(common, told.Highest)
+		} else {
 			certain = false
-			continue
 		}
-		common = min(common, told.Highest)
 	}
 	return common, certain
 }
 
+// otherMembers are the members of the quorum, learners too, without this controller.
+func (c *Core) otherMembers() []*v1.Member {
+	status := c.consensus.Status()
+	return slices.DeleteFunc(slices.Clone(status.Membership.GetMembers()), func(member *v1.Member) bool { return member.GetId() == status.ID })
+}
+
+// heldBackBy returns the names of the members that keep this leader from an agreement on its own format.
+func (c *Core) heldBackBy() []string {
+	if !c.leading {
+		return nil
+	}
+	var names []string
+	for _, member := range c.otherMembers() {
+		if told, heard := c.formats.told[member.GetId()]; !heard || !told.Knows(formats.Newest) {
+			names = append(names, member.GetName())
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // tickAgreement proposes another agreement when a member knows less than is agreed on, or all know more.
 func (c *Core) tickAgreement() {
 	common, certain := c.commonFormat()
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -268,6 +268,10 @@
 	Gateways     int
 	Machines     int
 	PendingCalls int
+	// AgreedFormat is the highest format whose commands take effect here, HeldBackBy the names of the members that know
+	// less than this build or have not been heard of, as far as a leader knows.
+	AgreedFormat formats.Number
+	HeldBackBy   []string
 	Site         SiteStatus
 }
 
@@ -277,7 +281,7 @@
 		Consensus: c.consensus.Status(), Ordering: c.leading && c.consensus.LeaseValid(c.now),
 		Revision: c.state.Revision(), AppliedIndex: c.applied,
 		Gateways: len(c.tracker.Gateways()), Machines: len(c.tracker.Machines()), PendingCalls: len(c.pending),
-		Site: c.siteStatus(),
+		AgreedFormat: c.state.AgreedFormat(), HeldBackBy: c.heldBackBy(), Site: c.siteStatus(),
 	}
 }
 
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -27,6 +27,8 @@
 	revision       prometheus.Gauge
 	gateways       prometheus.Gauge
 	machines       prometheus.Gauge
+	agreedFormat   prometheus.Gauge
+	heldBack       prometheus.Gauge
 	site           siteInstruments
 }
 
@@ -51,6 +53,8 @@
 		revision:       factory.Gauge("revision", "Revision of the configuration in force here."),
 		gateways:       factory.Gauge("gateways", "Gateways heard of lately by this controller."),
 		machines:       factory.Gauge("machines", "Back ends this controller knows."),
+		agreedFormat:   factory.Gauge("agreed_format", "Highest format whose entries of the log take effect here."),
+		heldBack:       factory.Gauge("members_of_former_formats", "Controllers that keep this leader from an agreement on its own format; 0 at others."),
 		site:           newSiteInstruments(factory),
 	}
 }
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/hazelpitch/hazelpitch/internal/control"
+	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 )
 
@@ -53,6 +56,7 @@
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
 	leader, term := "", uint64(0)
+	agreement := ""
 	for {
 		select {
 		case <-ctx.Done():
@@ -68,6 +72,13 @@
 			c.log.Info().Str("leader", leader).Uint64("term", term).Str("role", told.Role.String()).
 				Str("member", told.ID).Uint64("revision", status.Revision).Msg("the leader has changed; empty means that none is known")
 		}
+		if told := fmt.Sprint(status.AgreedFormat, status.HeldBackBy); told != agreement {
+			agreement = told
+			c.log.Info().Str(events.FieldEvent, string(events.FormatAgreed)).Uint("format", uint(status.AgreedFormat)).
+				Uint("own_format", uint(formats.Newest)).Strs("held_back_by", status.HeldBackBy).Send()
+		}
+		c.instruments.agreedFormat.Set(float64(status.AgreedFormat))
+		c.instruments.heldBack.Set(float64(len(status.HeldBackBy)))
 		c.instruments.term.Set(float64(status.Consensus.Term))
 		c.instruments.commitIndex.Set(float64(status.Consensus.Commit))
 		c.instruments.appliedIndex.Set(float64(status.AppliedIndex))
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -64,6 +64,8 @@
 	UsageDelivered Event = "usage_delivered"
 	// ReplicasOrdered: the platform was asked for another number of replicas.
 	ReplicasOrdered Event = "replicas_ordered"
+	// FormatAgreed: another format is agreed on, or other members keep a leader from its own.
+	FormatAgreed Event = "format_agreed"
 	// ControllerHalted: the controller ends, since it cannot apply what others have agreed on.
 	ControllerHalted Event = "controller_halted"
 	// NewsNotTaken: a relay asks again for what it was told.
@@ -86,7 +88,7 @@
 var All = []Event{
 	RequestEnded, AttemptFailed, RequestRefused, KeyRefused, RunMoved, ConfigurationInForce, ConfigurationUnreadable, ListingInForce, ListingFault,
 	BackEndRests, BackEndLeaves, BackEndLimits, BackEndStartedAgain, BackEndEnded, RequestHeld, RequestTried, GuardCallFailed,
-	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageDelivered, ReplicasOrdered, ControllerHalted, NewsNotTaken, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
+	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageDelivered, ReplicasOrdered, FormatAgreed, ControllerHalted, NewsNotTaken, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
 
 // Names of fields that lines of several events have.
