--- a/api/generate.sh
+++ b/api/generate.sh
@@ -9,3 +9,6 @@
   --go_out=. --go_opt=paths=source_relative \
   --connect-go_out=. --connect-go_opt=paths=source_relative \
   hazelpitch/v1/*.proto
+# What the newest format has, for the tests that hold later builds against it. A format that was released stays as it is.
+newest=$(sed -n 's/^\t[A-Za-z]* Number = \([0-9]*\)$/\1/p' ../internal/formats/number.go | tail -1)
+protoc -I . --include_imports --descriptor_set_out="../internal/formats/released/format-$newest.binpb" hazelpitch/v1/*.proto
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -67,6 +67,8 @@
 	ledger *quarantine.Ledger
 	// told are the gateways that have said that they know what is held.
 	told map[string]bool
+	// silent: it says nothing of what is held, as controllers of the first format.
+	silent bool
 }
 
 // heldVersion stands for what is held, once there is something.
@@ -81,7 +83,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, suspect := range c.ledger.Suspects() {
-		if suspect.Held() {
+		if suspect.Held() && !c.silent {
 			response.Msg.HeldVersion = heldVersion
 			response.Msg.Held = append(response.Msg.Held, &v1.HeldRequest{Signature: suspect.Signature[:]})
 		}
@@ -248,3 +250,38 @@
 		})
 	}
 }
+
+// A controller of the first format says nothing of held requests. That is not taken for the word that none is held.
+func TestGatewaysHoldRequestsOnUnderAControllerThatKnowsOfNone(t *testing.T) {
+	signature := quarantine.SignatureOf("", "", "", []byte("held"))
+	controller := &holdingController{testController: startController(t), ledger: quarantine.NewLedger(), told: map[string]bool{}}
+	for replica := range uint64(quarantine.HoldAfter) {
+		controller.ledger.Record(signature, replica)
+	}
+	controller.serveAs(t, controller)
+	startGateway(t, testSettings(controller.address))
+	require.Eventually(t, func() bool { return controller.heldEverywhere(1) }, eventually, often)
+	controller.setSilent(true)
+	for range 5 {
+		controller.awaitSync(t)
+		require.True(t, controller.heldEverywhere(1), "the gateway knows what was told before")
+	}
+}
+
+func (c *holdingController) setSilent(silent bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.silent = silent
+}
+
+// awaitSync waits for the next heartbeat.
+func (c *holdingController) awaitSync(t *testing.T) {
+	c.mutex.Lock()
+	clear(c.told)
+	c.mutex.Unlock()
+	require.Eventually(t, func() bool {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		return len(c.told) > 0
+	}, eventually, often)
+}
