Simulation: controllers are replaced by those of the first format and back

Cause: builds that run side by side are a fault like others; the simulation had one build. Change: internal/formats/formerbuild lets a controller stand for one of the first format, by the descriptors that were released: what it reads from messages and its disk, and what it writes to both; commands that it does not know have no effect and go on as they came. Simulation: fault replace-build, where it is emphasised; state digests are then of what all builds hold. The controllers' own tests use the same. Command: go test ./internal/simulation -run BuildsSideBySide; go test ./internal/control

--- a/internal/control/former_build_test.go
+++ b/internal/control/former_build_test.go
@@ -135,7 +135,7 @@
 	w := newWorld(t, 3, seeded)
 	newSite(w, 0, 0)
 	former := w.controllers[w.names[0]]
-	former.former = true
+	w.rebuild(former, 0)
 	unknown := 0
 	w.persisted = func(controller *testController, entry *v1.Entry) {
 		command := &v1.Command{}
@@ -183,7 +183,7 @@
 func TestRequestsAreHeldWhileAVoterDoesNotKnowOfThem(t *testing.T) {
 	w := newWorld(t, 3, nil)
 	former := w.controllers[w.names[0]]
-	former.former = true
+	w.rebuild(former, 0)
 	leader := w.waitLeaderOtherThan(former)
 	for replica := range uint64(quarantine.HoldAfter) {
 		w.tellEnd(endingSignature, replica)
@@ -201,15 +201,13 @@
 	require.True(t, w.askTrial())
 	require.False(t, w.askTrial(), "one at a time")
 
-	former.former = false // it is replaced
-	w.restart(former)
+	w.rebuild(former, time.Second)
 	w.run(2 * time.Second)
 	w.waitAgreement()
 	require.Len(t, leader.core.State().Suspects().Suspects(), 1, "what the leader held is agreed on")
 	require.Equal(t, uint32(1), leader.core.State().Suspects().Suspects()[0].Trials)
 
-	former.former = true // and taken back
-	w.restart(former)
+	w.rebuild(former, time.Second) // and taken back
 	w.until("the end of the agreement", func() bool { return leader.core.State().AgreedFormat() == formats.First })
 	require.Empty(t, leader.core.State().Suspects().Suspects())
 	require.Len(t, w.toldHeld(), 1, "it is still held")
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -14,6 +14,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/consensus"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/formats/formerbuild"
 )
 
 // testWallOrigin is the wall-clock time at virtual time 0.
@@ -70,12 +71,9 @@
 	cut bool
 	// uncounted is the time for which the machine was suspended and that its clock has not counted.
 	uncounted time.Duration
-	// former: the controller stands for one of the first format. What it reads and tells is what that one reads and
-	// tells, but for entries of the log, which that one keeps as they came: passedOver are those that it does not know.
+	// former: the controller stands for one of the first format, by its translator.
 	former     bool
-	passedOver map[uint64][]byte
-	// foundSnapshot is the snapshot that it found on its disk.
-	foundSnapshot *v1.Snapshot
+	translator *formerbuild.Controller
 }
 
 func newWorld(t *testing.T, voters int, configure func(*Config)) *world {
@@ -109,7 +107,7 @@
 	if w.config != nil {
 		w.config(&config)
 	}
-	core, err := New(config, controller.disk)
+	core, err := New(config, controller.findsAs(w.t))
 	require.NoError(w.t, err)
 	controller.core = core
 	controller.life++
@@ -212,6 +210,8 @@
 	w.carryOutSite(controller, life, output)
 	switch wanted := output.(type) {
 	case Persist:
+		written := controller.writesAs(w.t, &v1.ConsensusMessage{Entries: wanted.Entries, Snapshot: wanted.Snapshot})
+		wanted.Entries, wanted.Snapshot = written.GetEntries(), written.GetSnapshot()
 		for _, entry := range wanted.Entries {
 			if w.persisted != nil {
 				w.persisted(controller, entry)
@@ -226,13 +226,7 @@
 	case SendPeer:
 		peer := w.controllers[wanted.Address]
 		if peer != nil && !controller.cut {
-			message := proto.CloneOf(wanted.Message)
-			if controller.former {
-				message = controller.asFormerTells(w.t, message)
-			}
-			if peer.former {
-				message = peer.asFormerReads(w.t, message)
-			}
+			message := peer.readsAs(w.t, controller.writesAs(w.t, proto.CloneOf(wanted.Message)))
 			w.deliver(controller.name, peer, peer.life, PeerMessage{Message: message})
 		}
 	case Answer:
--- a/internal/control/mixed_builds_test.go
+++ b/internal/control/mixed_builds_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,42 +13,18 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/formats"
+	"github.com/hazelpitch/hazelpitch/internal/formats/formerbuild"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 )
 
 // rebuild ends a controller and starts it again later as the other build, on the disk as the one before left it.
 func (w *world) rebuild(controller *testController, away time.Duration) {
 	w.crash(controller.name)
-	if controller.former {
-		controller.leaveFormer(w.t)
-	} else {
-		controller.becomeFormer(w.t)
-	}
+	controller.translator = formerbuild.New()
 	controller.former = !controller.former
 	w.after(away, func() { w.start(controller.name) })
 }
 
-// becomeFormer turns the disk into what the former build reads of it.
-func (c *testController) becomeFormer(t *testing.T) {
-	c.passedOver, c.foundSnapshot = map[uint64][]byte{}, nil
-	message := &v1.ConsensusMessage{Entries: c.disk.Entries, Snapshot: c.disk.Snapshot}
-	read := c.asFormerReads(t, message)
-	if c.disk.Snapshot != nil {
-		c.foundSnapshot = proto.CloneOf(c.disk.Snapshot)
-	}
-	c.disk.Entries, c.disk.Snapshot = read.GetEntries(), read.GetSnapshot()
-}
-
-// leaveFormer turns the disk into what the former build has left there: entries as they came, and the snapshot that it
-// found unless it has written another one.
-func (c *testController) leaveFormer(t *testing.T) {
-	told := c.asFormerTells(t, &v1.ConsensusMessage{Entries: c.disk.Entries, Snapshot: c.disk.Snapshot})
-	c.disk.Entries, c.disk.Snapshot = told.GetEntries(), told.GetSnapshot()
-	if found := c.foundSnapshot; found != nil && found.GetMetadata().GetIndex() == c.disk.Snapshot.GetMetadata().GetIndex() {
-		c.disk.Snapshot = found
-	}
-}
-
 // mixedBuilds is a world whose controllers are replaced by the other build and back under faults.
 type mixedBuilds struct {
 	*world
@@ -64,7 +41,9 @@
 	w := newWorld(t, 5, func(config *Config) { config.SnapshotEntries = 25 })
 	m := &mixedBuilds{world: w, random: rand.New(rand.NewPCG(seed, 9)), sent: map[CallID]uint64{}, states: map[appliedBy][]byte{}}
 	for _, name := range w.names {
-		w.controllers[name].former = seed%2 == 0 // every second one is an upgrade
+		if seed%2 == 0 { // every second one is an upgrade
+			w.rebuild(w.controllers[name], 0)
+		}
 	}
 	return m
 }
@@ -110,15 +89,6 @@
 // appliedBy is the log index that a state has applied, and that of its agreement; 0 for what is of the first format.
 type appliedBy struct{ index, agreedAt uint64 }
 
-// firstFormatOf returns the part of a state that controllers of the first format hold.
-func firstFormatOf(t *testing.T, content []byte) []byte {
-	state := &v1.ReplicatedState{}
-	require.NoError(t, proto.Unmarshal(content, state))
-	former, err := proto.MarshalOptions{Deterministic: true}.Marshal(asFormer(t, state))
-	require.NoError(t, err)
-	return former
-}
-
 // compare holds a state against those of other controllers that have applied the same.
 func (m *mixedBuilds) compare(name string, applied appliedBy, state []byte) {
 	if known, seen := m.states[applied]; seen {
@@ -142,7 +112,9 @@
 		state := controller.core.State()
 		whole, err := state.Snapshot()
 		require.NoError(m.t, err)
-		m.compare(controller.name, appliedBy{index: state.AppliedIndex()}, firstFormatOf(m.t, whole))
+		former, err := formerbuild.StripState(whole)
+		require.NoError(m.t, err)
+		m.compare(controller.name, appliedBy{index: state.AppliedIndex()}, former)
 		if !state.MissedAgreement() {
 			m.compare(controller.name, appliedBy{index: state.AppliedIndex(), agreedAt: state.AgreedAt()}, whole)
 		}
@@ -204,12 +176,8 @@
 	}
 	agreedAt := leader.core.State().AgreedAt()
 	w.crash(lacking.name)
-	lacking.disk.Snapshot = proto.CloneOf(leader.disk.Snapshot)
-	stripSnapshot(t, lacking.disk.Snapshot)
-	lacking.disk.Entries = nil
-	for _, entry := range leader.disk.Entries {
-		lacking.disk.Entries = append(lacking.disk.Entries, proto.CloneOf(entry))
-	}
+	lacking.disk.Snapshot, _ = formerbuild.StripSnapshot(leader.disk.Snapshot)
+	lacking.disk.Entries = slices.Clone(leader.disk.Entries)
 	w.start(lacking.name)
 	w.run(time.Second)
 	require.NoError(t, w.putDocument(leader, 31, "content").Err)
--- a/internal/simulation/controller.go
+++ b/internal/simulation/controller.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
@@ -45,6 +44,7 @@
 	host
 	zone    string
 	peers   []consensus.Peer
+	build   build
 	disk    *memory.Disk
 	disks   int // disks this machine has had
 	storage *storage.Storage
@@ -87,7 +87,7 @@
 	c.shadow.load(restored)
 	c.quorumChecked, c.digestAt, c.membership = 0, 0, nil
 	c.world.checks.controllerStarted(c, restored)
-	c.core, err = control.New(c.config(), restored)
+	c.core, err = control.New(c.config(), c.finds(restored))
 	if err != nil {
 		c.world.checks.fail("durable state", "%s cannot start: %v", c.name, err)
 		c.kill()
@@ -135,7 +135,7 @@
 	if c.core == nil {
 		return
 	}
-	outputs := c.core.Step(c.local(), input)
+	outputs := c.writes(c.core.Step(c.local(), input))
 	c.world.checks.controllerStepped(c, outputs)
 	if c.stallsBeforeOrder && sendsOrder(outputs) {
 		c.stalled, c.stallsBeforeOrder = true, false
@@ -170,7 +170,7 @@
 	case control.SendPeer:
 		if peer := c.world.controllerAt(wanted.Address); peer != nil {
 			message := proto.CloneOf(wanted.Message)
-			c.world.network.send(&c.host, &peer.host, func() { peer.step(control.PeerMessage{Message: message}) })
+			c.world.network.send(&c.host, &peer.host, func() { peer.step(control.PeerMessage{Message: peer.reads(message)}) })
 		}
 	case control.Answer:
 		if reply, waits := c.calls[wanted.Call]; waits {
@@ -208,15 +208,6 @@
 		})
 }
 
-// digest returns the hash of the replicated state.
-func (c *controller) digest() uint64 {
-	data, err := c.core.State().Snapshot()
-	if err != nil {
-		c.world.checks.fail("agreement", "%s cannot write its state: %v", c.name, err)
-	}
-	return xxhash.Sum64(data)
-}
-
 // status returns what the core tells of the replicated log.
 func (c *controller) status() consensus.Status { return c.core.Consensus() }
 
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -53,6 +53,9 @@
 	// FaultRestartTogether kills all controllers at once, or all but one that is cut off from
 	// them, and starts them again soon. It happens only where it is emphasised.
 	FaultRestartTogether FaultKind = "restart-together"
+	// FaultReplaceBuild replaces a controller by one of the first format, or one of those by this build. It happens only
+	// where it is emphasised.
+	FaultReplaceBuild FaultKind = "replace-build"
 )
 
 // faultKinds lists all kinds in a fixed order.
@@ -65,7 +68,7 @@
 }
 
 // emphasisedKinds lists kinds that only happen where they are emphasised.
-var emphasisedKinds = []FaultKind{FaultRestartTogether}
+var emphasisedKinds = []FaultKind{FaultRestartTogether, FaultReplaceBuild}
 
 // Times of faults. A pause may be much longer than a leader's lease.
 const (
--- a/internal/simulation/faults_process.go
+++ b/internal/simulation/faults_process.go
@@ -45,6 +45,8 @@
 		return f.crashController(kind, controller), true
 	case FaultRestartTogether:
 		return f.restartTogether(kind, controller), true
+	case FaultReplaceBuild:
+		return f.replaceBuild(kind, controller), true
 	case FaultReplaceDisk:
 		return f.replaceDisk(kind, controller), true
 	case FaultSecondLoss:
--- a/internal/simulation/run_test.go
+++ b/internal/simulation/run_test.go
@@ -51,6 +51,22 @@
 	require.Positive(t, total.Operations)
 }
 
+// TestBuildsSideBySide runs seeds in which controllers are replaced by those of the first format and back, under all other
+// faults. What all of them hold stays one state, on disks, in snapshots and on the way.
+func TestBuildsSideBySide(t *testing.T) {
+	total := Result{Faults: map[FaultKind]int{}}
+	Sweep(Options{Steps: 5000, Emphasis: kinds(FaultReplaceBuild)}, 1, 60, workers, func(result Result) bool {
+		if result.Violation != nil {
+			t.Errorf("seed %d: %v\n%s", result.Seed, result.Violation, strings.Join(result.Trace[max(0, len(result.Trace)-60):], "\n"))
+			return false
+		}
+		total.add(result)
+		return true
+	})
+	require.Greater(t, total.Faults[FaultReplaceBuild], 60)
+	require.Positive(t, total.Operations)
+}
+
 // TestDeployments runs the fleets of the users.
 func TestDeployments(t *testing.T) {
 	for name, deployment := range Deployments {
