What a relay took was not told in vain; counts of limits are of starts again

Cause: found on reading the diff. A relay that reads the list of back ends by itself while none leads holds no version after it, and from the third time on its question under the same leader counted as one after answers in vain: it waited up to a second for the list. And since engines are hashed by their replicas, a limit that one start named was known to the next until a success lifted it. Change: what a relay was told is forgotten once it holds something else; limits go by the hash of the start, which all relays that keep counts know. Command: go test ./internal/control ./internal/relay ./platform

--- a/internal/control/former_build_test.go
+++ b/internal/control/former_build_test.go
@@ -116,6 +116,26 @@
 	require.Contains(t, w.answers, waiting, "other news is told at once")
 }
 
+// A relay that took what it was told, and later holds nothing again, is told at once, however often that happens: one that
+// lost its leader reads the list of back ends itself, and asks for the whole list after it.
+func TestWhatWasTakenWasNotToldInVain(t *testing.T) {
+	w := newWorld(t, 3, seeded)
+	site := newSite(w, 0, 0)
+	site.shown = []*v1.ListedBackEnd{{Id: "i-1", Service: "s", Zone: "z", Slots: 4}}
+	leader := w.waitLeader()
+	w.run(2 * time.Second)
+	request := &v1.WatchRequest{Node: &v1.NodeIdentity{Name: "relay", Incarnation: 7}, WaitMs: 400, Formats: formats.Own().ToWire()}
+	for range 5 {
+		request.ListingVersion = 0
+		asked := w.now
+		told := w.call(leader, func(id CallID) Input { return WatchReceived{Call: id, Request: proto.CloneOf(request)} }).Response.(*v1.WatchResponse)
+		require.Less(t, w.now-asked, 100*time.Millisecond)
+		require.Len(t, wholeListing(t, told), 1)
+		request.ListingVersion = told.GetListingVersion()
+		w.call(leader, func(id CallID) Input { return WatchReceived{Call: id, Request: proto.CloneOf(request)} })
+	}
+}
+
 // waitLeaderOtherThan waits until another controller leads.
 func (w *world) waitLeaderOtherThan(controller *testController) *testController {
 	w.t.Helper()
--- a/internal/control/relay_list.go
+++ b/internal/control/relay_list.go
@@ -54,6 +54,8 @@
 		record.formats = told
 		c.news.fresh = false
 	}
+	record.document.holds(request.GetDocumentNumber())
+	record.listing.holds(request.GetListingVersion())
 	record.heardAt, record.noticeAddress = c.now, request.GetNoticeAddress()
 	c.noteWork(request)
 	c.adoptDemand(request)
--- a/internal/control/telling.go
+++ b/internal/control/telling.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"time"
-
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/formats"
 )
@@ -32,9 +30,15 @@
 type telling struct {
 	// held is what it held when it asked, told what it was told, as numbers or versions.
 	held, told uint64
-	// times is how often it was told that in a row, and at when last.
+	// times is how often it was told that in a row.
 	times int
-	at    time.Duration
+}
+
+// holds takes what the relay holds now: once that is something else, what it was told before was not in vain.
+func (t *telling) holds(held uint64) {
+	if t.held != held {
+		*t = telling{}
+	}
 }
 
 // tellingsAtOnce is how often a relay is told the same at once: the first answer may have been lost, or told in a form
@@ -43,12 +47,11 @@
 const tellingsAtOnce = 2
 
 // note notes that a relay which holds one number is told another.
-func (t *telling) note(now time.Duration, held, told uint64) {
+func (t *telling) note(held, told uint64) {
 	if t.held != held || t.told != told {
 		*t = telling{held: held, told: told}
 	}
 	t.times++
-	t.at = now
 }
 
 // inVain is how often a relay was told a number already which it still does not hold.
@@ -84,7 +87,7 @@
 // noteTelling counts what is told again, and says so once for each relay and news.
 func (c *Core) noteTelling(record *relayRecord, news News, told *telling, held, newest uint64) {
 	again := told.inVain(held, newest)
-	told.note(c.now, held, newest)
+	told.note(held, newest)
 	if again == 0 {
 		return
 	}
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -16,10 +16,12 @@
 // shows it; requests that still use it may outlive that.
 type backEnd struct {
 	serving.BackEnd
-	// hash identifies the replica in what relays tell each other: not all of them know the identities of starts.
-	hash  uint64
-	pool  connpool.Pool
-	cache *promptCache
+	// hash identifies the replica in what relays tell each other: not all of them know the identities of starts. startHash
+	// identifies the start, among those that do.
+	hash      uint64
+	startHash uint64
+	pool      connpool.Pool
+	cache     *promptCache
 	// signals are what this start of the back end has asked of this relay.
 	signals *backpressure.Signals
 	// startedAgain tells that another start has answered in its place: the list does not show that yet.
@@ -39,7 +41,7 @@
 // newBackEnd returns the record of a listed back end; memory is an engine's, in tokens.
 func newBackEnd(entry serving.BackEnd, memory int) *backEnd {
 	return &backEnd{
-		BackEnd: entry, hash: cell.HashEngine(entry.Expected()), signals: &backpressure.Signals{},
+		BackEnd: entry, hash: cell.HashEngine(entry.Expected()), startHash: cell.HashEngine(entry.ID), signals: &backpressure.Signals{},
 		cache: newPromptCache(placement.CacheCapacity(entry.Stage, memory)),
 	}
 }
--- a/internal/relay/back_end_limits.go
+++ b/internal/relay/back_end_limits.go
@@ -29,7 +29,7 @@
 		return
 	}
 	r.limitEvent(backEnd, limit, "")
-	r.permits.Heard(fleetlimit.Named{BackEnd: backEnd.hash, Limit: limit})
+	r.permits.Heard(fleetlimit.Named{BackEnd: backEnd.startHash, Limit: limit})
 }
 
 // limitEvent writes a line on a limit that has changed; teller is the relay or controller that told it, empty for the
@@ -46,14 +46,14 @@
 
 // takeLimit takes the limit of a back end as another relay knows it.
 func (r *Relay) takeLimit(told fleetlimit.Named) {
-	if backEnd := r.view.Load().byHash[told.BackEnd]; backEnd != nil && backEnd.signals.TellLimit(r.clock.now(), told.Limit) {
+	if backEnd := r.view.Load().byStart[told.BackEnd]; backEnd != nil && backEnd.signals.TellLimit(r.clock.now(), told.Limit) {
 		r.limitEvent(backEnd, told.Limit, tellerRelay)
 	}
 }
 
 // takeLeadersLimit takes a limit as the leader knows it, where nothing else is known of it.
 func (r *Relay) takeLeadersLimit(told fleetlimit.Named) {
-	backEnd, now := r.view.Load().byHash[told.BackEnd], r.clock.now()
+	backEnd, now := r.view.Load().byStart[told.BackEnd], r.clock.now()
 	if backEnd == nil || !told.Limit.Named || backEnd.limited() {
 		return
 	}
@@ -75,7 +75,7 @@
 	if !owed && backEnd.signals.PermitWait(r.clock.now()) > 0 {
 		return false
 	}
-	answer, answered := r.permits.Take(fleetlimit.Ask{BackEnd: backEnd.hash, Limit: limit, Heard: own, Rank: rank, Owed: owed})
+	answer, answered := r.permits.Take(fleetlimit.Ask{BackEnd: backEnd.startHash, Limit: limit, Heard: own, Rank: rank, Owed: owed})
 	now := r.clock.now()
 	if answered && backEnd.signals.TellLimit(now, answer.Limit) {
 		r.limitEvent(backEnd, answer.Limit, tellerRelay)
--- a/internal/relay/known_back_ends.go
+++ b/internal/relay/known_back_ends.go
@@ -23,7 +23,7 @@
 func (k *knowledge) takeBackEnds(listed []serving.BackEnd, next *view) {
 	known := make(map[string]*backEnd, len(listed))
 	next.byService = map[string][]*backEnd{}
-	next.byHash = map[uint64]*backEnd{}
+	next.byHash, next.byStart = map[uint64]*backEnd{}, map[uint64]*backEnd{}
 	for _, entry := range listed {
 		current := k.known[entry.ID]
 		if current == nil || !sameEntry(current.BackEnd, entry) {
@@ -31,7 +31,7 @@
 		}
 		known[entry.ID] = current
 		next.byService[entry.Service] = append(next.byService[entry.Service], current)
-		next.byHash[current.hash] = current
+		next.byHash[current.hash], next.byStart[current.startHash] = current, current
 	}
 	var gone []*backEnd
 	for id, former := range k.known {
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -19,8 +19,9 @@
 	listed bool
 	// byService holds the back ends of each service, by identity.
 	byService map[string][]*backEnd
-	// byHash holds the back ends by the hash that load notices name them with.
-	byHash map[uint64]*backEnd
+	// byHash holds the back ends by the hash that relays name replicas with, byStart by that of their starts.
+	byHash  map[uint64]*backEnd
+	byStart map[uint64]*backEnd
 }
 
 // engine returns what the configuration tells of a service's engines; nil for nothing.
