Requests that have reached a stopping gateway are answered, on whatever connection

Callers saw: requests without an answer from a gateway that stops beside load (TestCommandLine/gateway_loss: 20 of them, once), also such as were sent before it was asked to stop. Cause: the gateway closed its port and its resting connections without a look at what waited there. The system resets connections that wait in a closed port's queue, and throws unread bytes of a closed connection away; the server's own shutdown drops a request that arrives as it closes a resting connection. Change: internal/closing. A port drops new handshakes, gives out what waits in its queue, and closes then; a resting connection ends after a last read found nothing, two seconds quiet at the earliest, so that who uses it is told by an answer. What a stop did is a line of the log.

--- /dev/null
+++ b/internal/closing/listener_test.go
@@ -0,0 +1,58 @@
+package closing
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// echo answers each byte of a connection with itself.
+func echo(connection net.Conn) {
+	defer func() { _ = connection.Close() }()
+	_, _ = io.Copy(connection, connection)
+}
+
+// Guards against callers whose connection waited in the kernel's queue as the door closed, and was reset.
+func TestConnectionsInTheQueueOfAClosingListenerAreAccepted(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := NewListener(inner)
+	const waiting = 50
+	clients := make([]net.Conn, waiting)
+	for number := range clients {
+		clients[number], err = net.Dial("tcp", inner.Addr().String())
+		require.NoError(t, err)
+		_, err = clients[number].Write([]byte{byte(number)})
+		require.NoError(t, err)
+	}
+	closed := make(chan error, 1)
+	go func() { closed <- listener.CloseWhenEmpty(time.Minute) }()
+	require.Eventually(t, listener.emptying.Load, time.Minute, time.Millisecond)
+	for range waiting {
+		connection, err := listener.Accept()
+		require.NoError(t, err)
+		go echo(connection)
+	}
+	_, err = listener.Accept()
+	require.ErrorIs(t, err, net.ErrClosed)
+	require.NoError(t, <-closed)
+	for number, client := range clients {
+		answer := make([]byte, 1)
+		_, err := io.ReadFull(client, answer)
+		require.NoError(t, err)
+		require.Equal(t, byte(number), answer[0])
+		require.NoError(t, client.Close())
+	}
+}
+
+func TestAClosingListenerWaitsForNobodyBeyondItsLimit(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, NewListener(inner).CloseWhenEmpty(time.Millisecond), "nobody accepts")
+	_, err = inner.Accept()
+	require.True(t, errors.Is(err, net.ErrClosed))
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -51,6 +51,14 @@
 	// LeaderLost and LeaderFound: the relay has lost, or found again, a controller that leads.
 	LeaderLost  Event = "leader_lost"
 	LeaderFound Event = "leader_found"
+	// GatewayStopping and GatewayStopped: a gateway is asked to stop, and has stopped: whether nothing was cut, how
+	// long its door was open and the stop took, and the connections that were still open.
+	GatewayStopping Event = "gateway_stopping"
+	GatewayStopped  Event = "gateway_stopped"
+	// RelayStopped: a relay has stopped, like GatewayStopped.
+	RelayStopped Event = "relay_stopped"
+	// SignalTaken: the process got a signal, and what it does about it.
+	SignalTaken Event = "signal_taken"
 	// RelayStarted and RelayStopping: the process begins to serve, or is asked to stop.
 	RelayStarted  Event = "relay_started"
 	RelayStopping Event = "relay_stopping"
@@ -88,7 +96,7 @@
 var All = []Event{
 	RequestEnded, AttemptFailed, RequestRefused, KeyRefused, RunMoved, ConfigurationInForce, ConfigurationUnreadable, ListingInForce, ListingFault,
 	BackEndRests, BackEndLeaves, BackEndLimits, BackEndStartedAgain, BackEndEnded, RequestHeld, RequestTried, GuardCallFailed,
-	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, StageOrdered, UsageDelivered, ReplicasOrdered, FormatAgreed, ControllerHalted, NewsNotTaken, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
+	LeaderLost, LeaderFound, OwnerDoubted, CellOwned, CellLeft, RelayStarted, RelayStopping, RelayStopped, GatewayStopping, GatewayStopped, SignalTaken, StageOrdered, UsageDelivered, ReplicasOrdered, FormatAgreed, ControllerHalted, NewsNotTaken, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
 
 // Names of fields that lines of several events have.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,8 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hazelpitch/hazelpitch/internal/closing"
+	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
@@ -28,13 +30,15 @@
 	inFlight      inFlight
 	cancellations chan cancellation
 	draining      atomic.Bool
+	// connections are the callers' open connections.
+	connections *closing.Set
 }
 
 // Run serves callers until the context ends, and then drains: it takes no new
 // connections, finishes what is in flight within settings.DrainTimeout and returns.
 func Run(ctx context.Context, config settings.Gateway, options Options) error {
 	if options.Listen == nil {
-		options.Listen = net.Listen
+		options.Listen = closing.Listen
 	}
 	if options.NoticeTime == 0 {
 		options.NoticeTime = defaultNoticeTime
@@ -76,6 +80,7 @@
 		retries:       newRetryBudget(),
 		inFlight:      inFlight{limit: int64(config.Limits.InFlight + config.Limits.QueueLength)},
 		cancellations: make(chan cancellation, cancelQueueLength),
+		connections:   closing.NewSet(),
 	}, nil
 }
 
@@ -96,7 +101,7 @@
 	})
 	server := g.newServer()
 	group.Go(func() error {
-		return trace.Wrap(server.Serve(&stallListener{Listener: callers, limit: g.settings.Limits.WriteTimeout}))
+		return trace.Wrap(server.Serve(&stallListener{Listener: callers, limit: g.settings.Limits.WriteTimeout, set: g.connections}))
 	})
 	if options.Started != nil {
 		close(options.Started)
@@ -106,7 +111,7 @@
 	case <-background.Done(): // a duty failed
 	}
 	until := time.Now().Add(options.NoticeTime + g.settings.DrainTimeout + endTime)
-	drained := g.drain(server, options.NoticeTime)
+	drained := g.drain(server, callers, options.NoticeTime)
 	recorded := g.recordOutcomes(until)
 	stop()
 	g.upstream.Close()
@@ -120,20 +125,35 @@
 // endTime bounds the wait for interrupted streams to end, and for outcomes to be recorded.
 const endTime = 2 * time.Second
 
-// drain stops taking requests and waits for those in flight. Streams that outlast
-// drain_timeout end with an error and a true verdict, as far as endTime allows.
-func (g *Gateway) drain(server *fasthttp.Server, notice time.Duration) error {
+// quietTime is how long nothing must have come on a resting connection before a stopping gateway ends it.
+// Callers that keep connections in use are told by an answer meanwhile that theirs ends.
+const quietTime = 2 * time.Second
+
+// drain stops taking requests and waits for those that have reached the gateway, on whatever connection.
+// Streams that outlast drain_timeout end with an error and a true verdict, as far as endTime allows.
+func (g *Gateway) drain(server *fasthttp.Server, callers net.Listener, notice time.Duration) error {
+	began := time.Now()
+	g.log.Info().Str(events.FieldEvent, string(events.GatewayStopping)).Int("connections", g.connections.Len()).Send()
 	g.draining.Store(true)
 	g.view.offer(leave{})
 	time.Sleep(notice)
 	limited, cancel := context.WithTimeout(context.Background(), g.settings.DrainTimeout)
 	defer cancel()
-	if err := server.ShutdownWithContext(limited); err != nil {
+	if err := closing.CloseWhenEmpty(callers, g.settings.DrainTimeout); err != nil {
+		g.log.Warn().Err(err).Msg("the callers' port did not close as it should")
+	}
+	doorClosed := time.Since(began)
+	clean := g.connections.End(limited, began, quietTime)
+	if !clean {
 		g.callers.interruptAll(errStopping)
-		ending, cancel := context.WithTimeout(context.Background(), endTime)
-		defer cancel()
-		_ = server.ShutdownWithContext(ending) // the first failure tells more
-		return trace.Wrap(err, "requests were still in flight after drain_timeout (%s)", g.settings.DrainTimeout)
+	}
+	ending, cancel := context.WithTimeout(context.Background(), endTime)
+	defer cancel()
+	_ = server.ShutdownWithContext(ending) // what is open then is told below
+	g.log.Info().Str(events.FieldEvent, string(events.GatewayStopped)).Bool("clean", clean).Dur("door_closed_ms", doorClosed).
+		Dur("took_ms", time.Since(began)).Int("connections", g.connections.Len()).Send()
+	if !clean {
+		return trace.LimitExceeded("requests were still in flight after drain_timeout (%s)", g.settings.DrainTimeout)
 	}
 	return nil
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -133,10 +133,15 @@
 
 // startUnready starts a gateway that may not have heard of a controller yet.
 func startUnready(t testing.TB, config settings.Gateway) *testGateway {
+	return startListening(t, config, net.Listen)
+}
+
+// startListening starts one with listeners of the test's.
+func startListening(t testing.TB, config settings.Gateway, listen func(network, address string) (net.Listener, error)) *testGateway {
 	running := &testGateway{done: make(chan error, 1)}
 	var addresses []string
 	options := Options{Listen: func(network, address string) (net.Listener, error) {
-		listener, err := net.Listen(network, address)
+		listener, err := listen(network, address)
 		if err == nil {
 			addresses = append(addresses, listener.Addr().String())
 		}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -32,6 +32,7 @@
 		NoDefaultContentType:         true,
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
+		ConnState:                    noteState,
 		SecureErrorLogMessage:        true,
 		Logger:                       serverLogger{log: g.log},
 	}
@@ -39,9 +40,7 @@
 
 // serve answers one request of a caller.
 func (g *Gateway) serve(context *fasthttp.RequestCtx) {
-	if g.draining.Load() {
-		context.SetConnectionClose()
-	}
+	defer g.tellEnd(context)
 	if fault := checkHeaders(&context.Request.Header); fault != nil {
 		context.SetConnectionClose()
 		g.refuse(context, fault)
@@ -68,6 +67,13 @@
 	}
 }
 
+// tellEnd tells the caller with its answer that a stopping gateway ends the connection.
+func (g *Gateway) tellEnd(context *fasthttp.RequestCtx) {
+	if g.draining.Load() {
+		context.SetConnectionClose()
+	}
+}
+
 // refuse answers with a refusal and counts it.
 func (g *Gateway) refuse(context *fasthttp.RequestCtx, fault *refusal) {
 	g.metrics.answer(fault.status, fault.verdict)
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -2,8 +2,11 @@
 
 import (
 	"net"
-	"syscall"
 	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/closing"
 )
 
 // stallSlack is the part of the limit by which a stall may last longer.
@@ -14,6 +17,8 @@
 type stallListener struct {
 	net.Listener
 	limit time.Duration
+	// set gets the connections.
+	set *closing.Set
 }
 
 // Accept implements net.Listener.
@@ -22,13 +27,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &stallConnection{Conn: connection, limit: l.limit}, nil
+	return &stallConnection{Connection: l.set.Track(connection), limit: l.limit}, nil
 }
 
 // stallConnection bounds each write by limit, and by a quarter more at most: the bound is
 // moved only when it has come that near, since each move costs a timer. One goroutine writes.
 type stallConnection struct {
-	net.Conn
+	*closing.Connection
 	limit time.Duration
 	until time.Time
 }
@@ -42,14 +47,19 @@
 			return 0, err
 		}
 	}
-	return c.Conn.Write(data)
+	return c.Connection.Write(data)
 }
 
-// SyscallConn implements syscall.Conn when the connection below does.
-func (c *stallConnection) SyscallConn() (syscall.RawConn, error) {
-	system, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, syscall.ENOTSUP
+// noteState tells a connection what the server uses it for.
+func noteState(connection net.Conn, state fasthttp.ConnState) {
+	tracked, is := connection.(*stallConnection)
+	if !is {
+		return
+	}
+	switch state {
+	case fasthttp.StateActive:
+		tracked.SetState(closing.Serving)
+	case fasthttp.StateIdle:
+		tracked.SetState(closing.Idle)
 	}
-	return system.SyscallConn()
 }
