The stand-in of a network sends the last bytes of a process that ends

Callers saw: in runs of our own fleets, answers that ended with a stopped process though it had written them whole. Cause: a delayed connection sends in a goroutine of its own, and the process ended without a wait for it. In a network such bytes are the system's and outlive the process. Found by reading, while the same fault was looked for in the stand-ins. Change: a process of a fleet waits until its closed connections have sent what they had; ports of a fleet know how to close without a loss. Command: go test ./internal/zonedelay ./internal/fleet

--- a/internal/benchcommand/serve.go
+++ b/internal/benchcommand/serve.go
@@ -37,6 +37,7 @@
 		_ = fleet.ObeyCuts(os.Stdin, topology.Gate()) // it ends when the fleet does
 		os.Exit(ExitFailed)
 	}()
+	defer topology.Flush()
 	return servercommand.Run(ctx, arguments[1:], servercommand.Environment{
 		Program: environment.Program + " " + serveName,
 		Stdout:  environment.Stdout,
--- a/internal/fleet/topology.go
+++ b/internal/fleet/topology.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/hazelpitch/hazelpitch/internal/closing"
 	"github.com/hazelpitch/hazelpitch/internal/zonedelay"
 )
 
@@ -14,12 +15,13 @@
 	subnets      map[byte]bool
 	latency      Latency
 	gate         *zonedelay.Gate // nil when nothing is ever cut off
+	unsent       *zonedelay.Unsent
 }
 
 // NewTopology returns the topology of a description.
 func NewTopology(description Description) Topology {
 	topology := Topology{
-		clientSubnet: byte(description.ClientSubnet), latency: description.Latency, subnets: make(map[byte]bool),
+		clientSubnet: byte(description.ClientSubnet), latency: description.Latency, subnets: make(map[byte]bool), unsent: new(zonedelay.Unsent),
 	}
 	if description.cutsOff() {
 		topology.gate = zonedelay.NewGate(description.prefix())
@@ -34,6 +36,12 @@
 // faults cut nothing off.
 func (t Topology) Gate() *zonedelay.Gate { return t.gate }
 
+// unsentLimit is how long a process that ends waits for the last bytes of its connections.
+const unsentLimit = time.Second
+
+// Flush waits until what connections had to send when they were closed is sent.
+func (t Topology) Flush() { t.unsent.Wait(unsentLimit) }
+
 // Between is the one-way latency between two addresses. Addresses outside the fleet
 // (the bench's own controls) are next door.
 func (t Topology) Between(one, other netip.Addr) time.Duration {
@@ -54,7 +62,7 @@
 
 // Listen opens a listener whose connections are as slow as the places are far.
 func (t Topology) Listen(network, address string) (net.Listener, error) {
-	inner, err := net.Listen(network, address)
+	inner, err := closing.Listen(network, address)
 	if err != nil {
 		return nil, err
 	}
@@ -63,5 +71,5 @@
 		return inner, nil
 	}
 	latency := func(remote netip.Addr) time.Duration { return t.Between(local.Addr(), remote.Unmap()) }
-	return zonedelay.WrapGated(inner, latency, t.gate), nil
+	return zonedelay.WrapGated(inner, latency, t.gate, t.unsent), nil
 }
--- a/internal/zonedelay/conn.go
+++ b/internal/zonedelay/conn.go
@@ -41,9 +41,11 @@
 
 	closeOnce sync.Once
 	closed    chan struct{}
+	// unsent counts the connection from its Close until its last bytes are sent.
+	unsent *Unsent
 }
 
-func newConn(inner net.Conn, latency time.Duration, passes func(closed <-chan struct{}) bool) *conn {
+func newConn(inner net.Conn, latency time.Duration, passes func(closed <-chan struct{}) bool, unsent *Unsent) *conn {
 	delayed := &conn{
 		Conn:          inner,
 		latency:       latency,
@@ -53,6 +55,7 @@
 		readDeadline:  newDeadline(),
 		writeDeadline: newDeadline(),
 		closed:        make(chan struct{}),
+		unsent:        unsent,
 	}
 	go delayed.receive()
 	go delayed.send()
@@ -84,6 +87,7 @@
 	defer func() {
 		_ = c.Close()
 		_ = c.Conn.Close()
+		c.unsent.sending.Done()
 	}()
 	for {
 		select {
@@ -167,7 +171,10 @@
 
 // Close closes the connection after what was written has been sent.
 func (c *conn) Close() error {
-	c.closeOnce.Do(func() { close(c.closed) })
+	c.closeOnce.Do(func() {
+		c.unsent.sending.Add(1)
+		close(c.closed)
+	})
 	return nil
 }
 
--- a/internal/zonedelay/gate_test.go
+++ b/internal/zonedelay/gate_test.go
@@ -15,7 +15,7 @@
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.9.2:0")
 	require.NoError(t, err)
-	wrapped := WrapGated(inner, func(netip.Addr) time.Duration { return 0 }, gate)
+	wrapped := WrapGated(inner, func(netip.Addr) time.Duration { return 0 }, gate, new(Unsent))
 	t.Cleanup(func() { _ = wrapped.Close() })
 	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP("127.0.9.1")}}
 	client, err = dialer.Dial("tcp", inner.Addr().String())
--- a/internal/zonedelay/listener.go
+++ b/internal/zonedelay/listener.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/netip"
 	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/closing"
 )
 
 // LatencyFunc returns the one-way latency to a remote address.
@@ -15,19 +17,25 @@
 // Wrap returns a listener whose connections are delayed by latency. Connections
 // without latency are passed on as they are.
 func Wrap(inner net.Listener, latency LatencyFunc) net.Listener {
-	return &listener{Listener: inner, latency: latency}
+	return &listener{Listener: inner, latency: latency, unsent: new(Unsent)}
 }
 
 // WrapGated returns a listener whose connections are delayed by latency and held up
-// by a gate's cuts.
-func WrapGated(inner net.Listener, latency LatencyFunc, gate *Gate) net.Listener {
-	return &listener{Listener: inner, latency: latency, gate: gate}
+// by a gate's cuts. What they still have to send counts as unsent.
+func WrapGated(inner net.Listener, latency LatencyFunc, gate *Gate, unsent *Unsent) net.Listener {
+	return &listener{Listener: inner, latency: latency, gate: gate, unsent: unsent}
 }
 
 type listener struct {
 	net.Listener
 	latency LatencyFunc
 	gate    *Gate // nil is always open
+	unsent  *Unsent
+}
+
+// CloseWhenEmpty closes the listener below once its queue is empty.
+func (l *listener) CloseWhenEmpty(limit time.Duration) error {
+	return closing.CloseWhenEmpty(l.Listener, limit)
 }
 
 // Accept returns the next connection, delayed by its remote address.
@@ -44,7 +52,7 @@
 	if latency <= 0 && l.gate == nil {
 		return accepted, nil
 	}
-	return newConn(accepted, latency, l.passes(accepted, remote.Addr())), nil
+	return newConn(accepted, latency, l.passes(accepted, remote.Addr()), l.unsent), nil
 }
 
 // passes returns what holds a connection up while its ends are cut from each other.
--- a/internal/zonedelay/outgoing.go
+++ b/internal/zonedelay/outgoing.go
@@ -33,7 +33,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return newConn(opened, 0, func(closed <-chan struct{}) bool { return o.Gate.pass(o.Self, to.Addr(), closed) }), nil
+		return newConn(opened, 0, func(closed <-chan struct{}) bool { return o.Gate.pass(o.Self, to.Addr(), closed) }, new(Unsent)), nil
 	}
 }
 
