Requests that have reached a stopping relay are answered, on whatever connection

Cause: the same as at the gateway: the port was closed with connections in its queue, which the system resets; the process ended once nothing was being served, with requests unread on open connections; and an accept that failed while the relay stopped ended accepting. Evidence: TestClientsThatReachAClosingDoorAreAnswered, 20 clients in the queue of a relay that stands still as its door closes. Change: the relay uses internal/closing: its port closes once the queue is empty, a connection that rests ends after a last read found nothing and nothing came on it for a fifth of the grace, accepting goes on until the port is closed. It goes once no connection is open. A line tells how a stop ended. Command: go test ./internal/relay -run ClosingDoor

--- a/internal/relay/client_connection.go
+++ b/internal/relay/client_connection.go
@@ -2,8 +2,9 @@
 
 import (
 	"bufio"
-	"net"
 	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/closing"
 )
 
 const (
@@ -17,7 +18,7 @@
 
 // clientConnection is one connection of a client.
 type clientConnection struct {
-	net.Conn
+	*closing.Connection
 	reader *bufio.Reader
 	// watched is closed when the goroutine that looks for the client's end has returned;
 	// nil when there is none.
@@ -27,9 +28,9 @@
 }
 
 // newClientConnection reads heads of up to the bound.
-func newClientConnection(connection net.Conn, headerBytes int) *clientConnection {
+func newClientConnection(connection *closing.Connection, headerBytes int) *clientConnection {
 	size := max(headerBytes, clientBuffer) + lineRoom
-	return &clientConnection{Conn: connection, reader: bufio.NewReaderSize(connection, size)}
+	return &clientConnection{Connection: connection, reader: bufio.NewReaderSize(connection, size)}
 }
 
 // watch looks for the client's end of the connection while a request is served, and
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -1,9 +1,14 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/closing"
+	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/pause"
 )
 
 const (
@@ -16,9 +21,11 @@
 	// leaveShare is the part of the grace for which a stopping relay at least stays, so that
 	// nobody is sent to it any more when it goes.
 	leaveShare = 0.4
+	// quietShare is the part of the grace for which nothing must have come on a connection that
+	// rests before it is ended: a client that has just opened one sends on it.
+	quietShare = 0.2
 	// lastShare is the part of the grace after which it goes whatever is under way.
 	lastShare = 0.95
-	drainPoll = 20 * time.Millisecond
 )
 
 // readyHandler answers whether this relay wants new connections.
@@ -34,26 +41,24 @@
 	return routes
 }
 
-// drain stops the relay without cutting a request: first it calls itself not ready and
-// serves on, then it refuses new requests, and it goes when those taken are answered.
-func (r *Relay) drain(listener net.Listener) {
-	began := r.clock.now()
-	grace := float64(r.settings.Grace)
+// drain stops the relay without cutting a request: first it calls itself not ready and serves on, then
+// it refuses new requests, then it closes its port and the connections that rest, after a last look at
+// each, and it goes when those taken are answered.
+func (r *Relay) drain(ctx context.Context, listener net.Listener) {
+	beganAt := r.clock.now()
+	began := r.clock.at(beganAt)
+	share := func(part float64) time.Duration { return time.Duration(part * float64(r.settings.Grace)) }
+	r.stopAt.Store(int64(beganAt + share(refuseShare)))
 	r.stopping.Store(true)
-	r.stopAt.Store(int64(began + time.Duration(grace*refuseShare)))
-	for {
-		passed := float64(r.clock.now() - began)
-		if passed >= grace*lastShare {
-			return
-		}
-		if passed >= grace*leaveShare {
-			_ = listener.Close() // connections that wait to be accepted are reset unread
-			if r.connections.serving() == 0 {
-				return
-			}
-		}
-		time.Sleep(drainPoll)
+	limited, cancel := context.WithDeadline(ctx, began.Add(share(lastShare)))
+	defer cancel()
+	pause.For(limited, share(leaveShare))
+	if err := closing.CloseWhenEmpty(listener, share(lastShare-leaveShare)); err != nil {
+		r.log.logger.Warn().Err(err).Msg("the clients' port did not close as it should")
 	}
+	clean := r.connections.tracked.End(limited, began, share(quietShare))
+	r.event(events.RelayStopped).Bool("clean", clean).Int("serving", r.connections.serving()).Int("connections", r.connections.tracked.Len()).
+		Dur("took_ms", r.clock.now()-beganAt).Send()
 }
 
 // refusesNew reports whether a stopping relay takes no new requests any more.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hazelpitch/hazelpitch/internal/closing"
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/events"
@@ -98,7 +100,7 @@
 // within the settings' grace.
 func Run(ctx context.Context, config settings.Relay, options Options) error {
 	if options.Listen == nil {
-		options.Listen = net.Listen
+		options.Listen = closing.Listen
 	}
 	if options.ListenPacket == nil {
 		options.ListenPacket = net.ListenPacket
@@ -160,7 +162,7 @@
 	}
 	relay.splits = splitdraw.New(relay.draw)
 	relay.metrics = newRelayMetrics(relay, options.Log)
-	relay.connections.open, relay.connections.requests = map[*clientConnection]bool{}, map[*clientConnection]*request{}
+	relay.connections = connections{open: map[*clientConnection]bool{}, requests: map[*clientConnection]*request{}, tracked: closing.NewSet()}
 	relay.contactAt.Store(int64(-leaderwatch.LongestWait - contactSlack))
 	relay.exchanger = &exchanger{
 		noteAnswer: relay.noteAnswer, permitted: relay.permitted, limitedSendings: relay.metrics.limitedSendings,
@@ -210,7 +212,7 @@
 	case <-working.Done():
 	case <-ctx.Done():
 		r.event(events.RelayStopping).Str("address", listener.Addr().String()).Int("serving", r.connections.serving()).Send()
-		r.drain(listener)
+		r.drain(working, listener)
 		r.awaitUsageReported()
 	}
 	stopWorking()
@@ -255,10 +257,10 @@
 	for {
 		connection, err := listener.Accept()
 		if err == nil {
-			go r.serveConnection(newClientConnection(connection, r.limits().HeaderBytes))
+			go r.serveConnection(newClientConnection(r.connections.tracked.Track(connection), r.limits().HeaderBytes))
 			continue
 		}
-		if ctx.Err() != nil || r.stopping.Load() {
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		r.log.logger.Warn().Err(err).Msg("a connection could not be accepted")
--- a/internal/relay/serve_connection.go
+++ b/internal/relay/serve_connection.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/closing"
 )
 
 // connections are the open connections of clients.
@@ -17,6 +19,8 @@
 	// open tells for each whether a request is being served on it; requests which, once it is read.
 	open     map[*clientConnection]bool
 	requests map[*clientConnection]*request
+	// tracked are the same connections, to end those that rest.
+	tracked *closing.Set
 }
 
 func (c *connections) set(connection *clientConnection, serving bool) {
@@ -70,11 +74,13 @@
 		if connection.await(idle) != nil {
 			return
 		}
+		connection.SetState(closing.Serving)
 		r.connections.set(connection, true)
 		if !r.serveNext(connection) {
 			return
 		}
 		r.connections.set(connection, false)
+		connection.SetState(closing.Idle)
 	}
 }
 
--- a/internal/relay/stopping_test.go
+++ b/internal/relay/stopping_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hazelpitch/hazelpitch/internal/closing"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -76,3 +77,33 @@
 		require.Equal(t, "whole", got.body)
 	}
 }
+
+// Guards against clients whose connection, their first or one in use, held a request that a stopping relay had not read when it
+// closed its door, and that got no answer: seen when the machine was so busy that the relay stood still.
+func TestClientsThatReachAClosingDoorAreAnswered(t *testing.T) {
+	backEnd := startBackEnd(t, "one", serving.StageWhole, answering(200, "ok"))
+	relay := newTestRelay(t, route(safe), backEnd)
+	listener, err := closing.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	relay.address = listener.Addr().String()
+	clients := make([]*testClient, 20)
+	for number := range clients {
+		clients[number] = relay.client(t)
+		clients[number].send("GET", "/path/", "")
+	}
+	stopped := make(chan struct{})
+	go func() {
+		relay.drain(t.Context(), listener)
+		close(stopped)
+	}()
+	require.Eventually(t, relay.refusesNew, time.Minute, time.Millisecond)
+	time.Sleep(time.Duration(float64(relay.settings.Grace) * (leaveShare - refuseShare + 0.1))) // the door is about to close
+	go func() { _ = relay.accept(t.Context(), listener) }()
+	for _, client := range clients {
+		got := client.read()
+		require.Equal(t, 503, got.status)
+		require.True(t, got.head.ConnectionClose(), "the client is told that its connection ends")
+	}
+	<-stopped
+	require.Zero(t, relay.connections.tracked.Len())
+}
