Signals are taken in one place from a server's first line to its last

Cause: each duty took its own signal and gave it back to the system's default, which ends a process, when its context ended: the settings' watch SIGHUP, the log SIGUSR1, the command SIGTERM and SIGINT. Gateways and controllers of our own interface took no SIGHUP at all. SIGPIPE, of a reader of the log that is gone, was taken by nobody. A dump that was asked for by a signal was dropped when one for an error waited that was then left out for its rate. Change: internal/lifecycle takes them for the whole life of a process; a pure table decides. A repeated SIGTERM does nothing, since a stop is bounded and supervisors repeat themselves (the other way weighed, that it ends the process at once, is what cut 79 requests); a second SIGINT, half a second after the first at least, ends it at once with 130, for a person at a terminal. Servers without a reload say so in a line. Each signal is a line. TestSettingsAreReadAgain and TestErrorsCauseDumpsAtABoundedRate get their wishes from where they come now; what they demand is the same.

--- a/cmd/hazelpitch/main.go
+++ b/cmd/hazelpitch/main.go
@@ -5,15 +5,18 @@
 	"context"
 	"os"
 
+	"github.com/hazelpitch/hazelpitch/internal/lifecycle"
 	"github.com/hazelpitch/hazelpitch/internal/servercommand"
 	"github.com/hazelpitch/hazelpitch/platform"
 )
 
 func main() {
+	signals := lifecycle.Take() // from the first line: none may end a server but on purpose
 	os.Exit(servercommand.Run(context.Background(), os.Args[1:], servercommand.Environment{
 		Program: "hazelpitch",
 		Stdout:  os.Stdout,
 		Stderr:  os.Stderr,
 		Site:    platform.Site(),
+		Signals: signals,
 	}))
 }
--- a/internal/logring/dumper.go
+++ b/internal/logring/dumper.go
@@ -36,6 +36,8 @@
 	now       func() time.Time
 	// wake asks the dumping goroutine for a dump; a full channel means one is due anyway.
 	wake chan string
+	// signalled asks it for one because of a signal, however short ago the last one was.
+	signalled chan struct{}
 
 	mutex     sync.Mutex
 	written   uint64
--- a/internal/logring/log.go
+++ b/internal/logring/log.go
@@ -4,9 +4,7 @@
 	"context"
 	"io"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -44,7 +42,7 @@
 }
 
 // New returns a log for the named process. Run must be called for dumps caused by
-// errors and signals to be written.
+// errors and requests to be written.
 func New(name string, bounds settings.Log) *Log {
 	return newLog(name, bounds, os.Stderr, time.Now)
 }
@@ -53,7 +51,7 @@
 	ring := newRing(max(bounds.RingEntries, 1))
 	sink := &Sink{ring: ring, dumper: &dumper{
 		ring: ring, name: name, directory: bounds.DumpDirectory,
-		fallback: fallback, now: now, wake: make(chan string, 1),
+		fallback: fallback, now: now, wake: make(chan string, 1), signalled: make(chan struct{}, 1),
 	}}
 	return &Log{
 		Logger: zerolog.New(sink).With().Timestamp().Str("process", name).Logger(),
@@ -61,22 +59,15 @@
 	}
 }
 
-// Run writes dumps on error entries and on SIGUSR1 until the context ends, and a
+// Run writes dumps on error entries and when they are asked for until the context ends, and a
 // last one for an error that came just before.
 func (l *Log) Run(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGUSR1)
-	defer signal.Stop(signals)
-	l.run(ctx, signals)
-}
-
-func (l *Log) run(ctx context.Context, signals <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
 			l.drain()
 			return
-		case <-signals:
+		case <-l.sink.dumper.signalled:
 			l.dump(causeSignal)
 		case cause := <-l.sink.dumper.wake:
 			l.dump(cause)
@@ -90,6 +81,11 @@
 		l.dump(cause)
 	default:
 	}
+	select {
+	case <-l.sink.dumper.signalled:
+		l.dump(causeSignal)
+	default:
+	}
 }
 
 // DumpOnRequest writes the ring out because an operator asked for it, and returns
@@ -102,6 +98,14 @@
 // it. It never blocks.
 func (l *Log) RequestDump() { l.sink.dumper.request(causeRequest) }
 
+// DumpOnSignal asks for a dump in the background because of a signal. It never blocks.
+func (l *Log) DumpOnSignal() {
+	select {
+	case l.sink.dumper.signalled <- struct{}{}:
+	default: // one is due anyway
+	}
+}
+
 // Recent writes the entries in memory to the writer, oldest first.
 func (l *Log) Recent(writer io.Writer) error {
 	entries, _ := l.sink.ring.snapshot(0)
--- a/internal/logring/log_test.go
+++ b/internal/logring/log_test.go
@@ -5,7 +5,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,8 +30,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var output bytes.Buffer
 		log := newLog("p", settings.Log{RingEntries: 8}, &output, time.Now)
-		signals := make(chan os.Signal)
-		go log.run(t.Context(), signals)
+		go log.Run(t.Context())
 		log.Info().Msg("before")
 		synctest.Wait()
 		require.Empty(t, output.String(), "nothing is written while nothing goes wrong")
@@ -53,7 +51,7 @@
 		require.Equal(t, 1, strings.Count(output.String(), `"first"`), "no entry is written twice")
 
 		log.Info().Msg("fourth")
-		signals <- syscall.SIGUSR1
+		log.DumpOnSignal()
 		synctest.Wait()
 		require.Contains(t, output.String(), "cause: signal, entries: 1")
 	})
--- a/internal/servercommand/command.go
+++ b/internal/servercommand/command.go
@@ -9,12 +9,11 @@
 	"fmt"
 	"io"
 	"net"
-	"os/signal"
-	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
+	"github.com/hazelpitch/hazelpitch/internal/lifecycle"
 )
 
 // Exit codes of the servers.
@@ -22,6 +21,8 @@
 	ExitStopped = 0 // stopped as asked, or the check passed
 	ExitFailed  = 1 // the server could not go on
 	ExitUsage   = 2 // bad flags or bad settings; nothing was started
+	// ExitInterrupted is the end of a server that was interrupted again while it stopped, as shells know it.
+	ExitInterrupted = 130
 )
 
 // Environment is what the process around a command decides.
@@ -38,6 +39,8 @@
 	Dial dialing.Dial
 	// Site is how relays and their controllers speak with what is around them.
 	Site Site
+	// Signals are the process's, taken in its first line; nil takes them when the command runs.
+	Signals *lifecycle.Signals
 }
 
 // subcommand is one server with its parsed flags.
@@ -48,9 +51,12 @@
 }
 
 // Run parses the arguments (without the program's name), runs the subcommand until
-// the context ends or SIGINT or SIGTERM arrives, and returns the exit code. A second
-// signal ends the process at once.
+// the context ends or SIGINT or SIGTERM arrives, and returns the exit code. A stop goes on whatever
+// signals follow, but for a second SIGINT: then Run returns though the server still stops.
 func Run(ctx context.Context, arguments []string, environment Environment) int {
+	if environment.Signals == nil {
+		environment.Signals = lifecycle.Take()
+	}
 	parser := flags.NewNamedParser(environment.Program, flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "The servers of a hazelpitch fleet. Each reads one settings file; flags override it."
 	servers := map[string]subcommand{
@@ -91,11 +97,21 @@
 }
 
 func runUntilSignal(ctx context.Context, name string, server subcommand, environment Environment) int {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	// After the first signal the default handling is back, so that a second one ends the process.
-	defer context.AfterFunc(ctx, stop)()
-	err := server.run(ctx, environment)
+	ctx, cancel := environment.Signals.Until(ctx)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- server.run(ctx, environment) }()
+	select {
+	case err := <-ended:
+		return exitCode(err, name, environment)
+	case <-environment.Signals.Interrupted():
+		fmt.Fprintf(environment.Stderr, "%s %s: interrupted again: it ends before its stop is over\n", environment.Program, name)
+		return ExitInterrupted
+	}
+}
+
+// exitCode tells on standard error why a server failed.
+func exitCode(err error, name string, environment Environment) int {
 	if err == nil {
 		return ExitStopped
 	}
--- a/internal/servercommand/controller.go
+++ b/internal/servercommand/controller.go
@@ -30,6 +30,7 @@
 		return nil
 	}
 	return withLog(ctx, environment, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
+		go refuseReloads(ctx, log, environment.Signals.Reloads())
 		return controller.Run(ctx, loaded, controller.Options{Listen: environment.Listen, Log: log})
 	})
 }
--- a/internal/servercommand/gateway.go
+++ b/internal/servercommand/gateway.go
@@ -26,6 +26,7 @@
 		return nil
 	}
 	return withLog(ctx, environment, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
+		go refuseReloads(ctx, log, environment.Signals.Reloads())
 		return gateway.Run(ctx, loaded, gateway.Options{Listen: environment.Listen, Log: log})
 	})
 }
--- a/internal/servercommand/log.go
+++ b/internal/servercommand/log.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"os"
 	"sync"
 
 	"github.com/gravitational/trace"
 
+	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/lifecycle"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/logstream"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
@@ -20,7 +23,11 @@
 	streaming.Go(func() { stream.Run(streamContext) })
 	defer streaming.Wait()
 	defer stopStream()
-	return runWithLog(ctx, logring.NewWithStream(name, bounds, stream), serve)
+	log := logring.NewWithStream(name, bounds, stream)
+	environment.Signals.SetLog(func(signal os.Signal, action lifecycle.Action) {
+		log.Info().Str(events.FieldEvent, string(events.SignalTaken)).Stringer("signal", signal).Str("action", string(action)).Send()
+	}, log.DumpOnSignal)
+	return runWithLog(ctx, log, serve)
 }
 
 func runWithLog(ctx context.Context, log *logring.Log, serve func(context.Context, *logring.Log) error) error {
--- a/internal/servercommand/relay.go
+++ b/internal/servercommand/relay.go
@@ -36,7 +36,7 @@
 	reloaded := make(chan settings.Relay)
 	return withLog(ctx, environment, loaded.Name, loaded.Log, func(ctx context.Context, log *logring.Log) error {
 		read := func() (settings.Relay, error) { return settings.LoadRelay(source) }
-		go watchSettings(ctx, r.Settings, log, reloading(ctx, read, reloaded))
+		go watchSettings(ctx, r.Settings, log, environment.Signals.Reloads(), reloading(ctx, read, reloaded))
 		return relay.Run(ctx, loaded, relay.Options{
 			Dialect: environment.Site.Dialect, ReadListing: environment.Site.listingAt(loaded.ListingAddress),
 			ReadCache: environment.Site.ReadCache,
--- a/internal/servercommand/reload.go
+++ b/internal/servercommand/reload.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/events"
@@ -14,13 +12,10 @@
 // reloadPoll is the time between two looks at whether the settings file has changed.
 const reloadPoll = 2 * time.Second
 
-// watchSettings calls load, which reads the settings again and hands them on, on SIGHUP
-// and whenever the file has changed. Settings that cannot be read leave those in force.
+// watchSettings calls load, which reads the settings again and hands them on, for each wish to
+// reload and whenever the file has changed. Settings that cannot be read leave those in force.
 // It returns when the context ends.
-func watchSettings(ctx context.Context, path string, log *logring.Log, load func() error) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func watchSettings(ctx context.Context, path string, log *logring.Log, reloads <-chan struct{}, load func() error) {
 	ticker := time.NewTicker(reloadPoll)
 	defer ticker.Stop()
 	changedAt := modified(path)
@@ -28,7 +23,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-reloads:
 		case <-ticker.C:
 			if modified(path).Equal(changedAt) {
 				continue
@@ -40,6 +35,18 @@
 	}
 }
 
+// refuseReloads tells, for each wish to reload, that this server takes other settings with a restart only.
+func refuseReloads(ctx context.Context, log *logring.Log, reloads <-chan struct{}) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reloads:
+			log.Warn().Msg("this server reads its settings when it starts: restart it to put others in force")
+		}
+	}
+}
+
 // reloading returns a load for watchSettings that sends what it has read to a channel.
 func reloading[T any](ctx context.Context, read func() (T, error), reloaded chan<- T) func() error {
 	return func() error {
--- a/internal/servercommand/reload_test.go
+++ b/internal/servercommand/reload_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -13,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hazelpitch/hazelpitch/internal/lifecycle"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
@@ -22,16 +22,14 @@
 func TestSettingsAreReadAgain(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	require.NoError(t, os.WriteFile(path, []byte("a"), 0o600))
-	caught := make(chan os.Signal, 1)
-	signal.Notify(caught, syscall.SIGHUP) // until the watcher's own handler is set
-	defer signal.Stop(caught)
+	signals := lifecycle.Take()
 	loads := make(chan time.Time, 1024)
 	ctx, cancel := context.WithCancel(t.Context())
 	var watching sync.WaitGroup
 	started := make(chan struct{})
 	watching.Go(func() {
 		close(started)
-		watchSettings(ctx, path, logring.New("relay", settings.Log{RingEntries: 8}), func() error {
+		watchSettings(ctx, path, logring.New("relay", settings.Log{RingEntries: 8}), signals.Reloads(), func() error {
 			loads <- modified(path)
 			return errors.New("not readable now")
 		})
--- a/internal/servercommand/site_controller.go
+++ b/internal/servercommand/site_controller.go
@@ -78,7 +78,7 @@
 			again, err := settings.LoadSiteController(source)
 			return again.PeerSeeds(), err
 		}
-		go watchSettings(ctx, s.Settings, log, reloading(ctx, readSeeds, seeds))
+		go watchSettings(ctx, s.Settings, log, environment.Signals.Reloads(), reloading(ctx, readSeeds, seeds))
 		return outliveDisk(ctx, log, func() error {
 			return controller.Run(ctx, loaded.Controller(siteFleet), controller.Options{Listen: environment.Listen, Site: site, Log: log})
 		})
