A controller does not build its whole status to know its own name

Cause (read, not measured before this): for each message to a peer, each watch and each sync the whole status was built, which walks the log behind the last commit for a membership and lists all members with their progress, to compare one name or to tell one address. Change: accessors for the identity, the leader, its address and the membership.

--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -62,6 +62,18 @@
 	return status
 }
 
+// ID is this member's identity.
+func (c *Core) ID() string { return c.id }
+
+// Leader is the identity of the leader of this term; empty while none is known.
+func (c *Core) Leader() string { return c.leader }
+
+// LeaderAddress is where the leader of this term answers; empty while none is known.
+func (c *Core) LeaderAddress() string { return c.members.byID[c.leader].GetAddress() }
+
+// Membership is the quorum in force here. It must not be changed.
+func (c *Core) Membership() *v1.Membership { return c.members.membership }
+
 // Leading reports whether this member is the leader of its term, as far as it knows.
 func (c *Core) Leading() bool { return c.role == RoleLeader }
 
--- a/internal/control/agreement.go
+++ b/internal/control/agreement.go
@@ -59,8 +59,7 @@
 
 // otherMembers are the members of the quorum, learners too, without this controller.
 func (c *Core) otherMembers() []*v1.Member {
-	status := c.consensus.Status()
-	return slices.DeleteFunc(slices.Clone(status.Membership.GetMembers()), func(member *v1.Member) bool { return member.GetId() == status.ID })
+	return slices.DeleteFunc(slices.Clone(c.consensus.Membership().GetMembers()), func(member *v1.Member) bool { return member.GetId() == c.consensus.ID() })
 }
 
 // heldBackBy returns the names of the members that keep this leader from an agreement on its own format.
--- a/internal/control/clock.go
+++ b/internal/control/clock.go
@@ -21,5 +21,5 @@
 // trueTime returns the time of day on which the controllers agree, in milliseconds since the start of
 // 1970; false while they do not.
 func (c *Core) trueTime() (timeOfDayMs int64, agreed bool) {
-	return c.clock.Agreed(c.now, len(c.consensus.Status().Membership.GetMembers()))
+	return c.clock.Agreed(c.now, len(c.consensus.Membership().GetMembers()))
 }
--- a/internal/control/drive.go
+++ b/internal/control/drive.go
@@ -27,7 +27,7 @@
 	}
 	for _, message := range ready.Messages {
 		message.Message.TimeOfDayMs = c.clock.Own(c.now)
-		if message.Message.GetFrom() == c.consensus.Status().ID { // others' probes are passed on as they are
+		if message.Message.GetFrom() == c.consensus.ID() { // others' probes are passed on as they are
 			message.Message.Formats = c.ownFormats().ToWire()
 		}
 		c.emit(SendPeer{Address: message.Address, Message: message.Message})
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -16,7 +16,7 @@
 // changeMembers changes the quorum by one step. The answer follows once the step is
 // committed by the old and the new members' quorum.
 func (c *Core) changeMembers(received ExecuteReceived, command language.Command) {
-	members, message, err := memberStep(c.consensus.Status().Membership, command)
+	members, message, err := memberStep(c.consensus.Membership(), command)
 	if err != nil {
 		c.refuseAudited(received, err)
 		return
--- a/internal/control/nodes.go
+++ b/internal/control/nodes.go
@@ -18,16 +18,15 @@
 	request := received.Request
 	c.tracker.GatewayHeard(c.now, request.GetNode(), request.GetRevision(), request.GetLeaving())
 	delta := c.state.Delta(c.deltaRequest(request))
-	status := c.consensus.Status()
-	behind := status.Leader == "" || request.GetRevision() > c.state.Revision() || !c.mayBegin(request)
+	behind := c.consensus.Leader() == "" || request.GetRevision() > c.state.Revision() || !c.mayBegin(request)
 	if behind {
 		delta.RejectedKeyHashes = nil // a newer configuration may know them
 	}
 	response := &v1.SyncResponse{
 		Revision: delta.Revision, Full: delta.Full, Objects: delta.Objects, RejectedKeyHashes: delta.RejectedKeyHashes,
-		LeaderAddress: status.LeaderAddress, Behind: behind,
+		LeaderAddress: c.consensus.LeaderAddress(), Behind: behind,
 	}
-	for _, member := range status.Membership.GetMembers() {
+	for _, member := range c.consensus.Membership().GetMembers() {
 		response.ControllerAddresses = append(response.ControllerAddresses, member.Address)
 	}
 	response.Formats = formats.Own().ToWire()
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -109,9 +109,8 @@
 
 // notLeader names the leader as far as it is known.
 func (c *Core) notLeader() error {
-	status := c.consensus.Status()
-	if status.Leader == status.ID {
+	if c.consensus.Leader() == c.consensus.ID() {
 		return &NotLeaderError{}
 	}
-	return &NotLeaderError{Leader: status.LeaderAddress}
+	return &NotLeaderError{Leader: c.consensus.LeaderAddress()}
 }
--- a/internal/control/site_news.go
+++ b/internal/control/site_news.go
@@ -41,7 +41,7 @@
 		state.number = c.news.documents.advance(c.now, c.state.Document()).GetNumber()
 		return state
 	}
-	if leader := c.consensus.Status().LeaderAddress; leader != c.config.Address {
+	if leader := c.consensus.LeaderAddress(); leader != c.config.Address {
 		state.leader = leader
 	}
 	return state
