Tests of gateways do not go by the time in which a key is checked

Cause: tests that are not about that time depended on it. A gateway that stands still for it refuses truly (not run, come back in a second). Change: the time is an option, as the notice of a stop is; gateways that tests wait for have a minute. What tests demand is the same; TestReadiness, which is refused for a key that nobody could check, has the usual time. Command: go test ./internal/gateway

--- a/internal/gateway/authenticate.go
+++ b/internal/gateway/authenticate.go
@@ -14,8 +14,8 @@
 
 const (
 	bearerPrefix = "Bearer "
-	// keyCheckTimeout bounds the wait for controllers to say whose key it is.
-	keyCheckTimeout = 2500 * time.Millisecond
+	// defaultKeyCheckTimeout bounds the wait for controllers to say whose key it is.
+	defaultKeyCheckTimeout = 2500 * time.Millisecond
 	// maximumKeyLength bounds what is hashed.
 	maximumKeyLength = 256
 )
@@ -49,10 +49,10 @@
 	return tenant, nil
 }
 
-// askForKey waits until a controller has said whose key it is, within keyCheckTimeout.
+// askForKey waits until a controller has said whose key it is, within the control's bound.
 func (c *Control) askForKey(keyHash string) gatewaystate.KeyStatus {
 	command := meetKey{keyHash: keyHash, reply: make(chan gatewaystate.KeyStatus, 1)}
-	timer := time.NewTimer(keyCheckTimeout)
+	timer := time.NewTimer(c.keyCheckTimeout)
 	defer timer.Stop()
 	select {
 	case c.view.commands <- command:
--- a/internal/gateway/closing_door_test.go
+++ b/internal/gateway/closing_door_test.go
@@ -86,12 +86,12 @@
 	controller := startController(t, engineBackEnd("e1", engine.address(), v1.Role_ROLE_MIXED))
 	still := newStillness()
 	config := testSettings(controller.address)
-	gateway := startListening(t, config, func(network, address string) (net.Listener, error) {
+	gateway := startWith(t, config, Options{KeyCheckTimeout: patience, Listen: func(network, address string) (net.Listener, error) {
 		if address == config.Listen {
 			return still.listen(network, address)
 		}
 		return net.Listen(network, address) // administration moves on
-	})
+	}})
 	require.Eventually(t, func() bool { return gateway.probe(t, metrics.PathReady) == http.StatusOK }, eventually, often)
 
 	sent := rawRequest(http.MethodPost, "/v1/chat/completions", "matching", "", wholeBody)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -36,6 +37,8 @@
 	claimer     *claimer
 	// guard keeps requests away from back ends that they would end.
 	guard *crashguard.Guard
+	// keyCheckTimeout bounds the wait for controllers to say whose key it is.
+	keyCheckTimeout time.Duration
 }
 
 // ControlOptions are what a process may give NewControl besides the settings.
@@ -50,6 +53,8 @@
 	OnRevision func(revision uint64)
 	// Safeguards is the zero Set but in tests.
 	Safeguards safeguard.Set
+	// KeyCheckTimeout bounds the wait for controllers to say whose key it is; 0 means 2.5 s.
+	KeyCheckTimeout time.Duration
 }
 
 // NewControl returns a control runtime that has heard of no controller.
@@ -89,6 +94,8 @@
 		admitter:    admitter,
 		claimer:     newClaimer(clock, controllers, identity, options.Safeguards),
 		guard:       guard,
+
+		keyCheckTimeout: cmp.Or(options.KeyCheckTimeout, defaultKeyCheckTimeout),
 	}, nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,7 +68,7 @@
 		return nil, trace.Wrap(err)
 	}
 	control, err := NewControl(config, ControlOptions{
-		Log: options.Log, Dial: options.Dial, OnRevision: options.OnRevision, Safeguards: options.Safeguards,
+		Log: options.Log, Dial: options.Dial, OnRevision: options.OnRevision, Safeguards: options.Safeguards, KeyCheckTimeout: options.KeyCheckTimeout,
 	})
 	if err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -126,27 +126,28 @@
 
 // startGateway starts a gateway and waits until callers may be sent there.
 func startGateway(t testing.TB, config settings.Gateway) *testGateway {
-	running := startUnready(t, config)
+	running := startWith(t, config, Options{Listen: net.Listen, KeyCheckTimeout: patience})
 	require.Eventually(t, func() bool { return running.probe(t, metrics.PathReady) == http.StatusOK }, eventually, often)
 	return running
 }
 
 // startUnready starts a gateway that may not have heard of a controller yet.
 func startUnready(t testing.TB, config settings.Gateway) *testGateway {
-	return startListening(t, config, net.Listen)
+	return startWith(t, config, Options{Listen: net.Listen})
 }
 
-// startListening starts one with listeners of the test's.
-func startListening(t testing.TB, config settings.Gateway, listen func(network, address string) (net.Listener, error)) *testGateway {
+// startWith starts one with options of the test's.
+func startWith(t testing.TB, config settings.Gateway, options Options) *testGateway {
 	running := &testGateway{done: make(chan error, 1)}
 	var addresses []string
-	options := Options{Listen: func(network, address string) (net.Listener, error) {
+	listen := options.Listen
+	options.Listen = func(network, address string) (net.Listener, error) {
 		listener, err := listen(network, address)
 		if err == nil {
 			addresses = append(addresses, listener.Addr().String())
 		}
 		return listener, err
-	}}
+	}
 	started := make(chan struct{})
 	options.Started = started
 	options.NoticeTime = time.Millisecond
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -23,6 +23,8 @@
 	Started chan<- struct{}
 	// NoticeTime is how long a stopping gateway still takes requests; 0 means 500 ms.
 	NoticeTime time.Duration
+	// KeyCheckTimeout bounds the wait for controllers to say whose key it is; 0 means 2.5 s.
+	KeyCheckTimeout time.Duration
 	// OnRevision, when not nil, is called with each revision as it comes into force
 	// here; it must not block.
 	OnRevision func(revision uint64)
