Soak: series of signals, and every request that reached a stopping relay is answered

The soak sent one signal a fault, and LOST looked at stops only where nothing else had happened near them for three seconds.

--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -113,6 +113,9 @@
 // Reload tells the process that its settings have changed (SIGHUP).
 func (p *Process) Reload() { p.signal(syscall.SIGHUP) }
 
+// Dump asks the process to write its log out (SIGUSR1).
+func (p *Process) Dump() { p.signal(syscall.SIGUSR1) }
+
 // Terminate asks the process to stop (SIGTERM) and does not wait for it.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -107,6 +107,22 @@
 	{"a planned stop cuts a request", Lost, cutBy(history.Terminate, "front")},
 	{"a kill cuts a request", "", cutBy(history.Kill, "front")},
 	{"a planned stop of another relay", "", cutBy(history.Terminate, "other")},
+	{"a stopping relay that closes its door on a request", Lost, unanswered(history.Terminate, "front", second/100)},
+	{"one that is not connected", "", func(h *history.History) {
+		unanswered(history.Terminate, "front", second/100)(h)
+		h.Sendings[0].Connected = false
+	}},
+	{"one that is killed", "", unanswered(history.Kill, "front", second/100)},
+	{"one beside another that stops", "", unanswered(history.Terminate, "other", second/100)},
+	{"one that is asked to read its settings again", Lost, func(h *history.History) {
+		unanswered(history.Terminate, "front", second/100)(h)
+		h.Faults = append(h.Faults, history.Fault{Kind: history.Reload, Target: "front", From: 5 * second, To: 5 * second})
+	}},
+	{"one that stands still as it stops", "", func(h *history.History) {
+		unanswered(history.Terminate, "front", second/100)(h)
+		h.Faults = append(h.Faults, history.Fault{Kind: history.Freeze, Target: "front", From: 5 * second, To: 6 * second})
+	}},
+	{"what a stopping relay gives up at the end of its grace", "", unanswered(history.Terminate, "front", 4*second)},
 	{"a configuration that is gone at the end", Lost, func(h *history.History) {
 		h.Changes = []history.Change{{Number: 7, SentAt: second, AckedAt: 2 * second}}
 		h.Reads = []history.Read{{SentAt: 3 * second, At: 3 * second, Status: 200, Number: 5}}
--- a/internal/soak/check/histories_test.go
+++ b/internal/soak/check/histories_test.go
@@ -108,6 +108,18 @@
 	}
 }
 
+// unanswered is a request that got no answer, so long after something was done to a relay.
+func unanswered(kind history.FaultKind, target string, after time.Duration) func(*history.History) {
+	return func(h *history.History) {
+		cutBy(kind, target)(h)
+		h.Bounds.Grace = 4 * second
+		h.Sendings[0].Connected = true
+		h.Sendings[0].EndedAt = h.Faults[0].From + after
+		h.Sendings[0].SentAt = h.Sendings[0].EndedAt - second/100
+		h.Faults[0].To = h.Faults[0].From + 5*second
+	}
+}
+
 func leaving(after time.Duration) func(*history.History) {
 	return func(h *history.History) {
 		h.Listings = []history.Listing{{At: second, Replica: "x", State: history.Draining}}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -49,11 +49,15 @@
 	kinds map[history.FaultKind]int
 	// other are the processes of the other build, by their names.
 	other map[string]bool
+	// signals draws series of signals; signalsMutex guards it.
+	signalsMutex sync.Mutex
+	signals      *rand.Rand
 }
 
 func newFaults(site *site) *faults {
 	made := &faults{
 		site: site, random: rand.New(rand.NewPCG(site.options.Seed, 3000)), struck: map[string]bool{}, kinds: map[history.FaultKind]int{}, other: map[string]bool{},
+		signals: rand.New(rand.NewPCG(site.options.Seed, 7000)),
 	}
 	for _, process := range made.processes() {
 		made.other[process.Name] = site.beginsWithOther()
@@ -186,7 +190,7 @@
 	case 0:
 		f.strike(history.Freeze, relay.Name, false, func() { relay.Suspend(); time.Sleep(freeze); relay.Resume() })
 	case 1:
-		f.strike(history.Reload, relay.Name, false, relay.Reload)
+		f.strike(history.Reload, relay.Name, false, func() { f.reloads(relay.Process) })
 	case 2, 3:
 		f.strike(history.Terminate, relay.Name, false, func() { f.terminate(relay.Process, away) })
 	default:
@@ -197,10 +201,15 @@
 // terminate asks a process to stop, waits for its end, and starts it again.
 func (f *faults) terminate(process *fleet.Process, away time.Duration) {
 	process.Terminate()
+	var signalling sync.WaitGroup
+	if !f.isOther(process.Name) { // another build may end by what follows
+		signalling.Go(func() { f.signalOn(process) })
+	}
 	for waited := time.Duration(0); process.Running() && waited < stopGrace; waited += stopPoll {
 		time.Sleep(stopPoll)
 	}
 	process.Kill()
+	signalling.Wait() // none of the series reaches the next start
 	time.Sleep(away)
 	_ = process.Start()
 }
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -8,6 +8,8 @@
 	Contact time.Duration
 	// ConfigApply is how long after its acknowledgement a configuration is in force everywhere.
 	ConfigApply time.Duration
+	// Grace is how long a relay that is asked to stop may take.
+	Grace time.Duration
 	// LossSlack is how long after its last byte was sent a request counts as read.
 	LossSlack time.Duration
 	// Drain is how long after it is listed as leaving a back end may get new work.
--- a/internal/soak/history/sending.go
+++ b/internal/soak/history/sending.go
@@ -17,6 +17,8 @@
 	Deadline time.Duration
 	// ClosedAt is when the client closed its connection before an answer came; 0 for never.
 	ClosedAt time.Duration
+	// Connected tells that the client had a connection to send on.
+	Connected bool
 	// Status is 0 where no answer came.
 	Status int
 	Seal   string
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -33,6 +33,6 @@
 
 // bounds are what the rules give; those of the users' smaller sites.
 var bounds = history.Bounds{
-	Contact: 3 * time.Second, ConfigApply: 2 * time.Second, Drain: 3 * time.Second, LossSlack: 200 * time.Millisecond,
+	Contact: 3 * time.Second, Grace: relayGrace, ConfigApply: 2 * time.Second, Drain: 3 * time.Second, LossSlack: 200 * time.Millisecond,
 	Lease: 3 * time.Second, Recovery: 12 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 54,
 }
