A fleet waits for a gateway's drain as long as its settings let it last

Cause: the fleet's supervisor killed a process 10 s after SIGTERM; the gateway's settings let it finish its streams for 60 s, and OPERATING.md says so. Beside load the stand-in engines, which share a process with the load, are slow enough for streams of over ten seconds. Change: the supervisor waits for drain_timeout, and its ten seconds beyond. TestAGatewaysDrainIsWaitedFor does not compile before.

--- /dev/null
+++ b/internal/fleet/patience_test.go
@@ -0,0 +1,21 @@
+package fleet
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against gateways that were killed in the middle of their drain, with the streams on them: the fleet waited ten
+// seconds, whatever drain_timeout gave them.
+func TestAGatewaysDrainIsWaitedFor(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "gateway-a.yaml")
+	const settings = "name: a\nfleet: f\nzone: z\nlisten: 127.0.0.1:1\nadmin_listen: 127.0.0.1:2\ncontrollers: [\"127.0.0.1:3\"]\ndrain_timeout: 25s\n"
+	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
+	process, err := newProcess(Options{Directory: t.TempDir(), Serve: func(Role, string, string, ...string) []string { return nil }}, RoleGateway, path, "")
+	require.NoError(t, err)
+	require.Equal(t, 25*time.Second, process.drainTimeout)
+}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -12,7 +12,8 @@
 	"github.com/gravitational/trace"
 )
 
-// stopPatience is how long a process may take to stop before it is killed.
+// stopPatience is how long a process may take to stop before it is killed, beyond what its settings give it
+// for what is in flight.
 const stopPatience = 10 * time.Second
 
 // Role is which server a process is.
@@ -40,6 +41,8 @@
 	// DataDirectory is a controller's disk; empty for gateways.
 	DataDirectory string
 
+	// drainTimeout is what the settings give the process to finish what is in flight when it is asked to stop.
+	drainTimeout time.Duration
 	// program is what runs; empty for this program itself.
 	program   string
 	arguments []string
@@ -171,7 +174,7 @@
 	select {
 	case <-ended:
 		return true
-	case <-time.After(stopPatience):
+	case <-time.After(p.drainTimeout + stopPatience):
 		p.signalAndWait(syscall.SIGKILL)
 		return false
 	}
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -77,6 +77,7 @@
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
+		process.drainTimeout = loaded.DrainTimeout
 		process.Name, process.Zone = loaded.Name, loaded.Zone
 		process.Listen, process.AdminListen = loaded.Listen, loaded.AdminListen
 	}
