--- a/internal/closing/listener_test.go
+++ b/internal/closing/listener_test.go
@@ -16,7 +16,7 @@
 	_, _ = io.Copy(connection, connection)
 }
 
-// Guards against callers whose connection waited in the kernel's queue as the door closed, and was reset.
+// Guards against callers whose connection waited in the kernel's queue as the port closed, and was reset.
 func TestConnectionsInTheQueueOfAClosingListenerAreAccepted(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/closing/set.go
+++ b/internal/closing/set.go
@@ -41,9 +41,9 @@
 	return len(s.open)
 }
 
-// End ends connections that rest, each once nothing has come on it for the quiet time, but none that
-// has rested from before began counts as longer than that. It returns true once no connection is open,
-// false when the context ends first.
+// End ends the connections that rest, each once nothing has come on it for the quiet time, counted from
+// the beginning of the stop at the earliest. It returns true once no connection is open, false when the
+// context ends first.
 func (s *Set) End(ctx context.Context, began time.Time, quiet time.Duration) bool {
 	ticker := time.NewTicker(endPoll)
 	defer ticker.Stop()
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -52,7 +52,7 @@
 	LeaderLost  Event = "leader_lost"
 	LeaderFound Event = "leader_found"
 	// GatewayStopping and GatewayStopped: a gateway is asked to stop, and has stopped: whether nothing was cut, how
-	// long its door was open and the stop took, and the connections that were still open.
+	// long its port was open and the stop took, and the connections that were still open.
 	GatewayStopping Event = "gateway_stopping"
 	GatewayStopped  Event = "gateway_stopped"
 	// RelayStopped: a relay has stopped, like GatewayStopped.
--- a/internal/gateway/closing_door_test.go
+++ b/internal/gateway/closing_port_test.go
@@ -78,9 +78,9 @@
 	return n, err
 }
 
-// Guards against requests that had reached a stopping gateway as it closed its door, on connections in use, on new ones and on
+// Guards against requests that had reached a stopping gateway as it closed its port, on connections in use, on new ones and on
 // ones that it had not accepted yet, and got no answer: seen when the machine was so busy that the gateway stood still.
-func TestRequestsThatReachAClosingDoorAreAnswered(t *testing.T) {
+func TestRequestsThatReachAClosingPortAreAnswered(t *testing.T) {
 	t.Parallel()
 	engine := startEngine(t)
 	controller := startController(t, engineBackEnd("e1", engine.address(), v1.Role_ROLE_MIXED))
@@ -113,7 +113,7 @@
 	}
 	gateway.stop()
 	require.Eventually(t, func() bool { return gateway.probe(t, metrics.PathReady) == http.StatusServiceUnavailable }, eventually, often)
-	time.Sleep(50 * time.Millisecond) // longer than the test's notice: the door is about to close
+	time.Sleep(50 * time.Millisecond) // longer than the test's notice: the port is about to close
 	still.resume()
 	for _, reader := range readers {
 		answer, err := http.ReadResponse(reader, nil)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,7 +119,7 @@
 }
 
 // defaultNoticeTime is how long a stopping gateway still takes requests, so that those who send
-// to it learn that it leaves before it closes its door.
+// to it learn that it leaves before it closes its port.
 const defaultNoticeTime = 500 * time.Millisecond
 
 // endTime bounds the wait for interrupted streams to end, and for outcomes to be recorded.
@@ -142,7 +142,7 @@
 	if err := closing.CloseWhenEmpty(callers, g.settings.DrainTimeout); err != nil {
 		g.log.Warn().Err(err).Msg("the callers' port did not close as it should")
 	}
-	doorClosed := time.Since(began)
+	portClosed := time.Since(began)
 	clean := g.connections.End(limited, began, quietTime)
 	if !clean {
 		g.callers.interruptAll(errStopping)
@@ -150,7 +150,7 @@
 	ending, cancel := context.WithTimeout(context.Background(), endTime)
 	defer cancel()
 	_ = server.ShutdownWithContext(ending) // what is open then is told below
-	g.log.Info().Str(events.FieldEvent, string(events.GatewayStopped)).Bool("clean", clean).Dur("door_closed_ms", doorClosed).
+	g.log.Info().Str(events.FieldEvent, string(events.GatewayStopped)).Bool("clean", clean).Dur("port_closed_ms", portClosed).
 		Dur("took_ms", time.Since(began)).Int("connections", g.connections.Len()).Send()
 	if !clean {
 		return trace.LimitExceeded("requests were still in flight after drain_timeout (%s)", g.settings.DrainTimeout)
--- a/internal/relay/stopping_test.go
+++ b/internal/relay/stopping_test.go
@@ -79,8 +79,8 @@
 }
 
 // Guards against clients whose connection, their first or one in use, held a request that a stopping relay had not read when it
-// closed its door, and that got no answer: seen when the machine was so busy that the relay stood still.
-func TestClientsThatReachAClosingDoorAreAnswered(t *testing.T) {
+// closed its port, and that got no answer: seen when the machine was so busy that the relay stood still.
+func TestClientsThatReachAClosingPortAreAnswered(t *testing.T) {
 	backEnd := startBackEnd(t, "one", serving.StageWhole, answering(200, "ok"))
 	relay := newTestRelay(t, route(safe), backEnd)
 	listener, err := closing.Listen("tcp", "127.0.0.1:0")
@@ -97,7 +97,7 @@
 		close(stopped)
 	}()
 	require.Eventually(t, relay.refusesNew, time.Minute, time.Millisecond)
-	time.Sleep(time.Duration(float64(relay.settings.Grace) * (leaveShare - refuseShare + 0.1))) // the door is about to close
+	time.Sleep(time.Duration(float64(relay.settings.Grace) * (leaveShare - refuseShare + 0.1))) // the port is about to close
 	go func() { _ = relay.accept(t.Context(), listener) }()
 	for _, client := range clients {
 		got := client.read()
--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -107,7 +107,7 @@
 	{"a planned stop cuts a request", Lost, cutBy(history.Terminate, "front")},
 	{"a kill cuts a request", "", cutBy(history.Kill, "front")},
 	{"a planned stop of another relay", "", cutBy(history.Terminate, "other")},
-	{"a stopping relay that closes its door on a request", Lost, unanswered(history.Terminate, "front", second/100)},
+	{"a stopping relay that closes its port on a request", Lost, unanswered(history.Terminate, "front", second/100)},
 	{"one that is not connected", "", func(h *history.History) {
 		unanswered(history.Terminate, "front", second/100)(h)
 		h.Sendings[0].Connected = false
--- a/internal/soak/check/finding.go
+++ b/internal/soak/check/finding.go
@@ -48,7 +48,7 @@
 // safety are the rules that hold whatever happens and however slow the machine is; timed those with a
 // time bound.
 var (
-	safety = []checker{mixed, twice, refused, unasked, order, attemptsOver, one, nowhere, closingDoor}
+	safety = []checker{mixed, twice, refused, unasked, order, attemptsOver, one, nowhere, unansweredByStopping}
 	timed  = []checker{lost, drain, config, gone, recovered, crashers, retriesOver, rests, saidLeaving, limits}
 )
 
--- a/internal/soak/check/door.go
+++ b/internal/soak/check/stopping.go
@@ -7,21 +7,21 @@
 // lastPart is the part of the grace at whose end a stopping relay may give up what is under way.
 const lastPart = 5.0 / 6
 
-// closingDoor finds requests that reached a relay which stops as planned, on a connection that was just
+// unansweredByStopping finds requests that reached a relay which stops as planned, on a connection that was just
 // opened or in use, and got no answer at all: the relay serves them or refuses them.
-func closingDoor(seen *history.History) []Finding {
+func unansweredByStopping(seen *history.History) []Finding {
 	var findings []Finding
 	for _, sending := range seen.Sendings {
 		unanswered := sending.Connected && sending.Status == 0 && sending.ClosedAt == 0 && sending.EndedAt-sending.SentAt < sending.Deadline
-		if unanswered && reachedClosingDoor(seen, sending) {
+		if unanswered && reachedClosingPort(seen, sending) {
 			findings = append(findings, found(Lost, sending.EndedAt, "request %s at %s, which was asked to stop, got no answer", sending.ID, sending.Front))
 		}
 	}
 	return findings
 }
 
-// reachedClosingDoor reports whether a request's relay was asked to stop, and nothing else was done to it.
-func reachedClosingDoor(seen *history.History, sending history.Sending) bool {
+// reachedClosingPort reports whether a request's relay was asked to stop, and nothing else was done to it.
+func reachedClosingPort(seen *history.History, sending history.Sending) bool {
 	stops := false
 	for _, fault := range seen.Faults {
 		if fault.Target != sending.Front || fault.From > sending.EndedAt || fault.To < sending.SentAt {
