--- a/internal/gateway/closing_port_test.go
+++ b/internal/gateway/closing_port_test.go
@@ -17,10 +17,7 @@
 )
 
 // stillness is a process that stands still: while it does, nothing is accepted and nothing read.
-type stillness struct {
-	moving  atomic.Pointer[chan struct{}]
-	waiting atomic.Int64
-}
+type stillness struct{ moving atomic.Pointer[chan struct{}] }
 
 func newStillness() *stillness {
 	made := &stillness{}
