Soak: what a relay of another build does as it stops is not counted against this one

Cause: histories and the relays' own lines: each of the stops (six, at four relays) was of a process of the build before, which writes no signal_taken; it loses what has reached its port, as known, and a series of signals reached it since a replacement noted the new build before it stopped the old process. Change: a fault tells whether the process that it struck was of the other build; the check passes those over (a narrowing; a row of its table shows that stops of this build count as before), and series go by the build of the process that stops.

--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -122,6 +122,10 @@
 		unanswered(history.Terminate, "front", second/100)(h)
 		h.Faults = append(h.Faults, history.Fault{Kind: history.Freeze, Target: "front", From: 5 * second, To: 6 * second})
 	}},
+	{"one of another build", "", func(h *history.History) {
+		unanswered(history.Terminate, "front", second/100)(h)
+		h.Faults[0].OtherBuild = true
+	}},
 	{"what a stopping relay gives up at the end of its grace", "", unanswered(history.Terminate, "front", 4*second)},
 	{"a configuration that is gone at the end", Lost, func(h *history.History) {
 		h.Changes = []history.Change{{Number: 7, SentAt: second, AckedAt: 2 * second}}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -116,13 +116,13 @@
 	f.mutex.Lock()
 	f.kinds[kind]++
 	f.mutex.Unlock()
-	from := f.site.recorder.Now()
+	from, isOther := f.site.recorder.Now(), f.isOther(target)
 	if f.site.options.Progress != nil {
 		f.site.options.Progress(fmt.Sprintf("%7.3f s %s %s", from.Seconds(), kind, target))
 	}
 	f.running.Go(func() {
 		carryOut()
-		f.site.recorder.Fault(history.Fault{Kind: kind, Target: target, From: from, To: f.site.recorder.Now()})
+		f.site.recorder.Fault(history.Fault{Kind: kind, Target: target, OtherBuild: isOther, From: from, To: f.site.recorder.Now()})
 		if controller {
 			time.Sleep(catchUp) // it counts as lost until it has caught up
 		}
@@ -152,7 +152,7 @@
 			_ = process.Start() // a start that fails shows as a controller that is away
 		})
 	case 2:
-		f.strike(history.Terminate, process.Name, true, func() { f.terminate(process, away) })
+		f.strike(history.Terminate, process.Name, true, func() { f.terminate(process, f.isOther(process.Name), away) })
 	default:
 		f.strike(history.Kill, process.Name, true, func() { process.Kill(); time.Sleep(away); _ = process.Start() })
 	}
@@ -192,17 +192,18 @@
 	case 1:
 		f.strike(history.Reload, relay.Name, false, func() { f.reloads(relay.Process) })
 	case 2, 3:
-		f.strike(history.Terminate, relay.Name, false, func() { f.terminate(relay.Process, away) })
+		f.strike(history.Terminate, relay.Name, false, func() { f.terminate(relay.Process, f.isOther(relay.Name), away) })
 	default:
 		f.strike(history.Kill, relay.Name, false, func() { relay.Kill(); time.Sleep(away); _ = relay.Start() })
 	}
 }
 
-// terminate asks a process to stop, waits for its end, and starts it again.
-func (f *faults) terminate(process *fleet.Process, away time.Duration) {
+// terminate asks a process to stop, waits for its end, and starts it again. Signals follow unless it is of the other
+// build, which they may end.
+func (f *faults) terminate(process *fleet.Process, isOther bool, away time.Duration) {
 	process.Terminate()
 	var signalling sync.WaitGroup
-	if !f.isOther(process.Name) { // another build may end by what follows
+	if !isOther {
 		signalling.Go(func() { f.signalOn(process) })
 	}
 	for waited := time.Duration(0); process.Running() && waited < stopGrace; waited += stopPoll {
--- a/internal/soak/history/fault.go
+++ b/internal/soak/history/fault.go
@@ -43,6 +43,8 @@
 type Fault struct {
 	Kind   FaultKind
 	Target string
+	// OtherBuild tells that the process was of the other build that a run has, when it was struck.
+	OtherBuild bool
 	// From and To are when it began and ended: a process that was stopped runs again at To.
 	From, To time.Duration
 }
--- a/internal/soak/replacements.go
+++ b/internal/soak/replacements.go
@@ -43,6 +43,7 @@
 func (f *faults) replace(process *fleet.Process, kind history.FaultKind, away time.Duration) {
 	isController := slices.Contains(f.site.controllers, process)
 	f.strike(kind, process.Name, isController, func() {
+		wasOther := f.isOther(process.Name)
 		f.site.build(process, f.swap(process.Name))
 		if kind == history.Kill {
 			process.Kill()
@@ -50,7 +51,7 @@
 			_ = process.Start() // one that does not start shows as one that is away
 			return
 		}
-		f.terminate(process, away)
+		f.terminate(process, wasOther, away)
 	})
 }
 
