Protocol, settings and switches for engine speeds and shared slots

Cause: relays drop the fourth figure of the load header, and each relay decides alone on services with few slots.

--- a/internal/formats/number.go
+++ b/internal/formats/number.go
@@ -6,10 +6,12 @@
 const (
 	// First is the format of processes that advertise no formats.
 	First Number = 0
-	// Second added everything that the constants below name.
+	// Second added everything that the constants below name with it.
 	Second Number = 1
+	// Third added the slots of services that relays share, and the speeds of engines.
+	Third Number = 2
 	// Newest is the highest format that this build supports.
-	Newest = Second
+	Newest = Third
 )
 
 // Features that formats have added. Each constant is the first format that has the feature.
@@ -28,4 +30,6 @@
 	UsageWindows = Second
 	// RelayPermits is the first format in which relays own limits and grant permits to each other.
 	RelayPermits = Second
+	// SlotQueues is the first format in which relays own the slots of services and grant them to each other.
+	SlotQueues = Third
 )
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -26,6 +26,8 @@
 	WaitByPrefill        Mechanism = "wait-by-reading"
 	StreamPauseCost      Mechanism = "stream-harm"
 	ResidualPrefill      Mechanism = "residual-of-reader"
+	PausePrediction      Mechanism = "pause-prediction"
+	WorkBySpeed          Mechanism = "work-by-speed"
 )
 
 // Mechanisms of relays.
@@ -39,6 +41,9 @@
 	RunMigration     Mechanism = "run-moves"
 	RefusalSuspicion Mechanism = "refusal-suspicion"
 	StallWatch       Mechanism = "stall-watch"
+	SlowRunMigration Mechanism = "slow-run-migration"
+	SlotQueues       Mechanism = "slot-queues"
+	ReturnPlans      Mechanism = "return-plans"
 )
 
 // Mechanisms of the stage plan.
@@ -49,6 +54,7 @@
 	MinimumShare      Mechanism = "least-share"
 	StageGroups       Mechanism = "stage-groups"
 	NewEngineStages   Mechanism = "fresh-stages"
+	StagesBySpeed     Mechanism = "stages-by-speed"
 )
 
 // Description describes a mechanism.
@@ -74,6 +80,8 @@
 	{WaitByPrefill, "placement", "the wait that is borne goes by what is to be read of a prompt"},
 	{StreamPauseCost, "placement", "reading at a decoding engine costs the pauses of its streams"},
 	{ResidualPrefill, "placement", "what is left of a reading under way counts as a wait"},
+	{PausePrediction, "placement", "streams and prefills go where the predicted pause between events keeps the gap targets"},
+	{WorkBySpeed, "placement", "prefills that a slow engine completes in time leave the fast engines to those that need them"},
 	{Owners, "relay", "the owner of a cell of engines decides for all relays"},
 	{Reservations, "relay", "an owner counts what it has assigned until that is told"},
 	{Spills, "relay", "a request that would wait long is offered to a further cell"},
@@ -83,12 +91,16 @@
 	{RunMigration, "relay", "runs are moved from engines that leave or change"},
 	{RefusalSuspicion, "relay", "an engine that refuses although it has room counts as failed"},
 	{StallWatch, "relay", "an answer that stays silent is broken off where the request may go elsewhere"},
+	{SlowRunMigration, "relay", "streams leave an engine that is too slow for their gap targets"},
+	{SlotQueues, "slotqueue", "one relay grants the slots of a service for all relays"},
+	{ReturnPlans, "returnplan", "refused clients are told times at which slots are set aside for them"},
 	{StagePlan, "stageplan", "engines change their stages as the work asks"},
 	{ConcurrentChanges, "stageplan", "several engines change at once"},
 	{TurnBackDelay, "stageplan", "engines that changed are not turned back at once"},
 	{MinimumShare, "stageplan", "each stage keeps a least share of the engines"},
 	{StageGroups, "stageplan", "engines change so that each cell keeps both stages"},
 	{NewEngineStages, "stageplan", "engines that have just begun to serve take the stage that their cell lacks"},
+	{StagesBySpeed, "stageplan", "engines that are too slow to decode within the gap targets prefill"},
 }
 
 // Set is a set of disabled mechanisms. The zero Set disables none. A Set is immutable.
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -31,6 +31,8 @@
 	Reloaded <-chan settings.Relay
 	// Without holds the mechanisms that are disabled; it is empty in production.
 	Without mechanism.Set
+	// Features are the optional features that the deployment calls for.
+	Features Features
 	// Log is required.
 	Log *logring.Log
 }
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -28,6 +28,9 @@
 	// GracePeriod is the longest time that a relay may take to stop; default 8s.
 	GracePeriod time.Duration `yaml:"grace" default:"8s" check:"positive"`
 	RetryBudget RetryBudget   `yaml:"retry_budget"`
+	// Contracts are the names of the platform's contracts that apply to the deployment. The platform's adapter derives
+	// from them which optional features the relay uses.
+	Contracts []string `yaml:"contracts"`
 	// MemoryLimit is the memory in MiB that the process must not exceed; 0 means no limit.
 	MemoryLimit int `yaml:"memory_limit" check:"not-negative"`
 	// DisabledMechanisms names mechanisms that are turned off to measure their effect;
