Decode engines are chosen by predicted pauses; speeds come from engines' reports

Cause: the fourth figure of the load header was dropped, placement counted with one decode step of 6 ms for all engines, and a third to a half of the streams on a slow engine paused too long. Change: internal/enginespeed estimates each engine's usual relative time and its slowdown at this moment; internal/relay/speeds holds the estimates, and the owner of a cell asks engines that have not reported their speed by a health check. Placement predicts the pauses of the new stream and of those that run, charges prefills at the fleet's average speed, and streams that would not end before their deadline move to a faster engine. Off where no back end reports its speed.

--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -30,6 +30,7 @@
 	"internal/duty",
 	"internal/enginecontract",
 	"internal/enginemodel",
+	"internal/enginespeed",
 	"internal/fleetlimit",
 	"internal/gatewaystate",
 	"internal/language",
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -91,7 +91,7 @@
 	{RunMigration, "relay", "runs are moved from engines that leave or change"},
 	{RefusalSuspicion, "relay", "an engine that refuses although it has room counts as failed"},
 	{StallWatch, "relay", "an answer that stays silent is broken off where the request may go elsewhere"},
-	{SlowRunMigration, "relay", "streams leave an engine that is too slow for their gap targets"},
+	{SlowRunMigration, "relay", "streams leave an engine that is too slow to end before their deadlines"},
 	{SlotQueues, "slotqueue", "one relay grants the slots of a service for all relays"},
 	{ReturnPlans, "returnplan", "refused clients are told times at which slots are set aside for them"},
 	{StagePlan, "stageplan", "engines change their stages as the work asks"},
--- a/internal/placement/candidate.go
+++ b/internal/placement/candidate.go
@@ -23,6 +23,8 @@
 	PendingTokens int
 	// QueueDelay is how long the prefill waits in the engine's queue.
 	QueueDelay time.Duration
+	// Pause is the forecast for the gap targets of the streams at a decode engine.
+	Pause PauseForecast
 	// Cost is in seconds for engines, and in running requests for back ends that answer whole requests. The
 	// candidate with the lowest cost is picked.
 	Cost float64
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -22,13 +22,14 @@
 
 // setPrefillCost sets the cost of a prefill engine: the time until it has prefilled the part of the prompt that
 // it neither has cached nor can fetch from another engine's cache. The prefill itself counts twice, since it keeps
-// the engine from other requests. Time beyond the prefill's share of the target weighs more than either. Each prompt
+// the engine from other requests; the second time at the fleet's average speed if that is given, so that a fast engine is
+// not cheaper for a prompt that a slow engine prefills in time. Time beyond the prefill's share of the target weighs more than either. Each prompt
 // has a home engine, the same at every relay, which is preferred by up to HomePreference.
 func (p Parameters) setPrefillCost(request Request, candidate *Candidate, engine Engine, source kvSource) {
 	transfer := p.planPrefill(request, candidate, engine, source)
-	prefill := PrefillTime(engine.PerToken, candidate.EffectiveTokens)
-	candidate.QueueDelay = p.PrefillQueueDelay(engine.Work, p.PrefillRank(request.Rank, candidate.PrefillTokens), engine.PerToken)
-	cost := candidate.QueueDelay + transfer + 2*prefill
+	prefill := PrefillTime(engine.tokenTime(), candidate.EffectiveTokens)
+	candidate.QueueDelay = p.PrefillQueueDelay(engine.Work, p.PrefillRank(request.Rank, candidate.PrefillTokens), engine.tokenTime())
+	cost := candidate.QueueDelay + transfer + prefill + p.occupancy(request, engine, candidate.EffectiveTokens)
 	if candidate.FetchFrom != None {
 		cost += time.Duration(source.tokens) * p.TransferEvictionCost
 	}
@@ -41,6 +42,15 @@
 	candidate.Cost = cost.Seconds() + p.HomePreference.Seconds()*homeDistance(request.Prompt, engine.Hash)
 }
 
+// occupancy returns the cost of a prefill to the other requests of the engine.
+func (p Parameters) occupancy(request Request, engine Engine, effectiveTokens int) time.Duration {
+	perToken := engine.tokenTime()
+	if request.FleetPerToken > 0 && p.OccupancyByFleet {
+		perToken = scale(request.FleetPerToken, engine.slowdown())
+	}
+	return PrefillTime(perToken, effectiveTokens)
+}
+
 // planPrefill sets the tokens that the engine prefills itself and the engine from which it fetches the others.
 // It returns the time of that KV transfer, or 0 if the engine fetches none.
 func (p Parameters) planPrefill(request Request, candidate *Candidate, engine Engine, source kvSource) time.Duration {
@@ -108,7 +118,7 @@
 // setDecodeCost sets the cost of a decode engine: the time until it starts to generate, plus a share for each
 // running stream. An engine that has to prefill the prompt itself takes longer and delays its streams meanwhile.
 func (p Parameters) setDecodeCost(request Request, candidate *Candidate, engine Engine, source kvSource) {
-	perToken := engine.PerToken * time.Duration(p.DecodeSlowdown)
+	perToken := engine.tokenTime() * time.Duration(p.DecodeSlowdown)
 	candidate.QueueDelay = time.Duration(engine.Work.TokensUpTo(request.Rank.First)) * perToken
 	cost := candidate.QueueDelay + time.Duration(engine.Work.Streams)*p.StreamCost
 	if engine.Zone != request.Zone {
@@ -118,9 +128,11 @@
 		cost += p.planPrefill(request, candidate, engine, source)
 		slowdown := 1 + p.StreamSlowdown*float64(engine.Work.Streams)
 		cost += prefillOverhead + time.Duration(slowdown*float64(time.Duration(candidate.EffectiveTokens)*perToken))
-		if engine.Work.PromptTokens()+candidate.EffectiveTokens > p.prefillBudget(request.Gap, request.Stride, perToken) {
-			cost += time.Duration(engine.Work.Streams) * p.StreamPauseCost
-		}
+	}
+	pauseCost, predicted := p.setPauseCost(request, candidate, engine, candidate.EffectiveTokens)
+	cost += pauseCost
+	if !predicted && request.Tokens > 0 && engine.Work.PromptTokens()+candidate.EffectiveTokens > p.prefillBudget(request.Gap, request.Stride, perToken) {
+		cost += time.Duration(engine.Work.Streams) * p.StreamPauseCost
 	}
 	candidate.Cost = cost.Seconds()
 }
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -28,6 +28,23 @@
 	Connected bool
 	// PerToken is how long the engine takes, as a prefill engine, to prefill the first token of a prompt.
 	PerToken time.Duration
+	// StepTime is the usual time of one decode step with the streams that run at the engine and one more; 0 if it is not
+	// known or not to be used.
+	StepTime time.Duration
+	// Slowdown is the time that work takes at the engine now, as a multiple of its usual time, and PeakSlowdown the
+	// multiple that engines of the service reach at times; 0 stands for 1.
+	Slowdown, PeakSlowdown float64
 	// Cached is the part of the request's prompt that the engine has cached.
 	Cached CachedPrefix
 }
+
+// slowdown returns the time that work takes at the engine now, as a multiple of its usual time.
+func (e Engine) slowdown() float64 {
+	if e.Slowdown <= 0 {
+		return 1
+	}
+	return e.Slowdown
+}
+
+// tokenTime returns how long the engine takes now, as a prefill engine, to prefill the first token of a prompt.
+func (e Engine) tokenTime() time.Duration { return scale(e.PerToken, e.slowdown()) }
--- a/internal/placement/parameters.go
+++ b/internal/placement/parameters.go
@@ -42,6 +42,20 @@
 	DecodeStep  time.Duration
 	// StreamPauseCost is the cost of each stream that exceeds its gap target because of a prefill.
 	StreamPauseCost time.Duration
+	// BrokenPauseCost is the cost of each stream that is predicted to exceed its gap target: an answer with one pause that
+	// is too long is late as a whole, like one that misses its latency target. PeakPauseRisk is the share of that cost for a
+	// stream that exceeds the target only if its engine is slowed down while it runs.
+	BrokenPauseCost time.Duration
+	PeakPauseRisk   float64
+	// SpillOnPause offers a request to other cells if streams would exceed their gap targets in this one.
+	SpillOnPause bool
+	// MinMigrationEvents is the smallest number of remaining events for which a stream moves to a faster engine: the
+	// transfer of its KV cache takes about as long as an event.
+	MinMigrationEvents int
+	// MigrationTimeShare is the share of the time until its deadline after which a stream may move to a faster engine.
+	MigrationTimeShare float64
+	// OccupancyByFleet makes the cost of a prefill to others independent of the engine's own speed.
+	OccupancyByFleet bool
 	// DecodeSlowdown is how many times slower a decode engine prefills than a prefill engine.
 	DecodeSlowdown int
 	// KVTransferTime is the time to transfer a prompt's KV cache from the prefill engine to the decode engine.
@@ -91,6 +105,12 @@
 		DecodeChunk:          512,
 		DecodeStep:           6 * time.Millisecond,
 		StreamPauseCost:      15 * time.Millisecond,
+		BrokenPauseCost:      400 * time.Millisecond,
+		PeakPauseRisk:        0.3,
+		SpillOnPause:         false,
+		MinMigrationEvents:   4,
+		MigrationTimeShare:   0.5,
+		OccupancyByFleet:     true,
 		DecodeSlowdown:       2,
 		KVTransferTime:       25 * time.Millisecond,
 		MaxDecodePrefill:     2_048,
--- a/internal/placement/prefill_speed.go
+++ b/internal/placement/prefill_speed.go
@@ -93,6 +93,15 @@
 // UncachedShare returns the usual share of prompt tokens that are prefilled.
 func (p *PrefillSpeed) UncachedShare() float64 { return p.uncachedShare }
 
+// FleetAverage returns the fleet's average time per token.
+func (p *PrefillSpeed) FleetAverage() time.Duration { return p.fleetAverage }
+
+// IsObserved reports whether there is an estimate for the engine itself.
+func (p *PrefillSpeed) IsObserved(engine uint64) bool {
+	_, known := p.perEngine[engine]
+	return known
+}
+
 // PerToken returns the estimated time per token at an engine; it falls back to the fleet's average.
 func (p *PrefillSpeed) PerToken(engine uint64) time.Duration {
 	if perToken, known := p.perEngine[engine]; known {
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -26,6 +26,9 @@
 	Tokens int
 	// TokenTransferTime is how long the KV transfer of one token between engines takes.
 	TokenTransferTime time.Duration
+	// FleetPerToken is how long prefill engines take on average for the first token of a prompt; 0 if the time of the
+	// evaluated engine counts instead.
+	FleetPerToken time.Duration
 	// UncachedShare is the usual share of prompt tokens that are prefilled, in (0, 1].
 	UncachedShare float64
 	// SlotHoldTime is how long running requests hold their slots on average; 0 if unknown.
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -62,6 +62,10 @@
 	peerFailures int
 	// lastReceivedAt is when the last bytes arrived from the back end.
 	lastReceivedAt time.Duration
+	// step is the shortest decode step, and timePercent the last relative time that the back end reported, since the last
+	// notice; 0 for none.
+	step        time.Duration
+	timePercent int
 }
 
 // Backoff after failed exchanges, and lifetime of reported loads.
@@ -172,6 +176,31 @@
 	b.load.reportedAt = now
 }
 
+// recordRelativeTime records a reported relative time, in percent, for the next notice.
+func (b *backEnd) recordRelativeTime(percent int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.load.timePercent = percent
+}
+
+// recordStep records an observed decode step for the next notice.
+func (b *backEnd) recordStep(step time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.load.step == 0 || step < b.load.step {
+		b.load.step = step
+	}
+}
+
+// takeSpeeds returns and clears the observations for the next notice.
+func (b *backEnd) takeSpeeds() (step time.Duration, timePercent int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	step, timePercent = b.load.step, b.load.timePercent
+	b.load.step, b.load.timePercent = 0, 0
+	return step, timePercent
+}
+
 // currentLoad returns the load, without the back end's report if that has expired.
 func (b *backEnd) currentLoad(now time.Duration) load {
 	b.mutex.Lock()
--- a/internal/relay/back_end_records.go
+++ b/internal/relay/back_end_records.go
@@ -47,6 +47,7 @@
 	f.relay.event(events.ListingApplied).Uint64("version", next.listingVersion).Int("back_ends", len(listed)).Send()
 	f.relay.notices.table.retain(next.byHash)
 	f.relay.prefillSpeed.retain(next.byHash)
+	f.relay.speeds.Retain(func(engine uint64) bool { return next.byHash[engine] != nil })
 	next.isListed, next.listedAt = true, f.relay.clock.now()
 	f.relay.owners.setView(next)
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
+	"github.com/hazelpitch/hazelpitch/internal/relay/speeds"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -42,7 +43,9 @@
 	clock   clock
 	dial    dialing.Dial
 	notices *loadNotices
-	guard   *crashguard.Guard
+	// speeds holds the estimates of engines' speeds.
+	speeds *speeds.Speeds
+	guard  *crashguard.Guard
 	// applyAnswerSignals applies the signals in the head of a back end's answer.
 	applyAnswerSignals func(backEnd *backEnd, head *fasthttp.ResponseHeader, sentAt time.Duration)
 	// acquirePermit reports whether a request of the given rank may be sent to a back end, which may have a limit.
--- a/internal/relay/exchange_records.go
+++ b/internal/relay/exchange_records.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"strconv"
-	"strings"
 
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
@@ -100,17 +98,17 @@
 
 // recordReportedLoad records the load that the back end reports in its answer.
 func (e *exchanger) recordReportedLoad(answer *answer) {
-	value := string(answer.head.Peek(e.names.Load))
-	if value == "" {
+	reported, valid := parseLoadHeader(string(answer.head.Peek(e.names.Load)))
+	if !valid {
 		return
 	}
-	fields := strings.Split(value, ",")
-	if len(fields) < 2 {
-		return
-	}
-	running, runningErr := strconv.Atoi(strings.TrimSpace(fields[0]))
-	waiting, waitingErr := strconv.Atoi(strings.TrimSpace(fields[1]))
-	if runningErr == nil && waitingErr == nil {
-		answer.message.backEnd.recordReportedLoad(e.clock.now(), running, waiting)
+	backEnd, now := answer.message.backEnd, e.clock.now()
+	backEnd.recordReportedLoad(now, reported.running, reported.waiting)
+	if reported.slowdownPercent > 0 && backEnd.isEngine() {
+		e.speeds.ObserveReport(now, backEnd.Service, backEnd.hash, relativeTime(reported.slowdownPercent))
+		backEnd.recordRelativeTime(reported.slowdownPercent)
 	}
 }
+
+// relativeTime converts the percentage by which a back end reports its speed: 1 means that work takes as long as usual.
+func relativeTime(percent int) float64 { return float64(percent) / 100 }
--- a/internal/relay/fleet_state.go
+++ b/internal/relay/fleet_state.go
@@ -102,6 +102,7 @@
 	request.Formats = formats.Supported().ToWire()
 	request.DocumentNumber = f.heldDocument.GetNumber()
 	request.Wanted = f.wantedBackEnds
+	request.EngineSpeeds = f.relay.engineSpeeds()
 	return request
 }
 
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -154,6 +154,8 @@
 		Engine: engine.hash, Prompts: uint32(max(ownWork.Prefills, 0)), PromptTokens: tokensToWire(ownWork), Streams: uint32(max(ownWork.Streams, 0)),
 		TokenNs: uint32(min(queued.timePerToken, math.MaxUint32)), Failed: queued.failed, Assigned: queued.queryNumbers,
 	}
+	step, timePercent := engine.takeSpeeds()
+	result.StepNs, result.TimePercent = uint32(min(step, math.MaxUint32)), uint32(timePercent)
 	result.Parts, result.PartTokens = blocksToWire(queued.started)
 	result.KeptParts, result.KeptTokens = blocksToWire(queued.cached)
 	for _, hash := range queued.abandoned {
@@ -192,6 +194,7 @@
 		}
 		n.relay.prefillSpeed.observe(engine.hash, time.Duration(entry.GetTokenNs()))
 		now := n.relay.clock.now()
+		n.applySpeeds(now, engine, entry)
 		if started := blocksFromWire(entry.GetParts(), entry.GetPartTokens()); len(started) > 0 {
 			engine.cache.beginPrefill(now, started)
 		}
@@ -205,5 +208,15 @@
 	}
 }
 
+// applySpeeds applies another relay's observations of an engine's speed.
+func (n *loadNotices) applySpeeds(now time.Duration, engine *backEnd, entry *v1.EngineWork) {
+	speeds := n.relay.speeds
+	speeds.ObserveReport(now, engine.Service, engine.hash, relativeTime(int(entry.GetTimePercent())))
+	if entry.GetStepNs() > 0 {
+		streams := n.table.totalWork(now, engine, engine.currentLoad(now)).Streams
+		speeds.ObserveStep(now, engine.Service, engine.hash, time.Duration(entry.GetStepNs()), streams)
+	}
+}
+
 // isEngine reports whether the back end is a model engine.
 func (b *backEnd) isEngine() bool { return b.Stage != serving.StageWhole }
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -21,6 +21,8 @@
 	ReadListing func(ctx context.Context, client *http.Client, pages int) (serving.Listing, error)
 	// ReadCache reads which blocks an engine has cached; nil when engines do not offer that.
 	ReadCache func(ctx context.Context, client *http.Client, engine serving.BackEnd) (serving.CacheReport, error)
+	// ProbeLoad asks an engine for its load by a health check; nil when engines do not offer that.
+	ProbeLoad func(ctx context.Context, client *http.Client, engine serving.BackEnd, path string) (LoadProbe, error)
 	// Listen opens a listener; nil means closing.Listen.
 	Listen func(network, address string) (net.Listener, error)
 	// ListenPacket opens a datagram socket; nil means net.ListenPacket.
--- a/internal/relay/ownership.go
+++ b/internal/relay/ownership.go
@@ -195,6 +195,19 @@
 	return owned
 }
 
+// firstOwnedEngines returns the engines of the cells of which this relay is the owner, not a deputy.
+func (t *ownerTable) firstOwnedEngines() []*backEnd {
+	var owned []*backEnd
+	for _, service := range t.current.Load().services {
+		for index, members := range service.members {
+			if service.rankOf(index, t.self) == 0 {
+				owned = append(owned, members...)
+			}
+		}
+	}
+	return owned
+}
+
 // homeCells returns the indexes of up to count cells in which a prompt should run, the best first. A prompt with a shared
 // prefix of at least minSharedTokens, which is long enough to be worth fetching, has the same cells in all zones. For any
 // other prompt, the cells of the given zone go first, and the request's identity spreads requests over the cells.
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -28,6 +28,7 @@
 		if backEnd.isEngine() {
 			engine.Work = r.notices.table.totalWork(now, backEnd, load)
 			engine.PerToken = r.prefillSpeed.timePerToken(backEnd.hash)
+			r.setSpeed(&engine, backEnd, now)
 			engine.Cached = backEnd.cache.lookup(prompt, now)
 		}
 		candidates.engines[index] = engine
@@ -35,6 +36,16 @@
 	return candidates
 }
 
+// setSpeed sets the speed of an engine, if the engines of its service report it. The prefill time of an engine without
+// observed prefills follows from its speed relative to the others.
+func (r *Relay) setSpeed(engine *placement.Engine, backEnd *backEnd, now time.Duration) {
+	estimate := r.speeds.EstimateOf(now, backEnd.Service, backEnd.hash, engine.Work.Streams+1)
+	engine.StepTime, engine.Slowdown, engine.PeakSlowdown = estimate.Step, estimate.Slowdown, estimate.Peak
+	if estimate.UsualTime > 0 && !r.prefillSpeed.isObserved(backEnd.hash) {
+		engine.PerToken = time.Duration(estimate.UsualTime * float64(r.prefillSpeed.average()))
+	}
+}
+
 // withHolder adds an engine that accepts no work in this cell but can transfer the prompt's prefix to another engine.
 func (c candidateSet) withHolder(holder *prefixHolder) candidateSet {
 	for index, known := range c.backEnds {
--- a/internal/relay/placement_owner.go
+++ b/internal/relay/placement_owner.go
@@ -35,6 +35,9 @@
 	defer o.mutex.Unlock()
 	now := o.relay.clock.now()
 	query.request.Now, query.request.UncachedShare = now, o.relay.prefillSpeed.uncachedShare()
+	if o.relay.speeds.HasReports(query.service) {
+		query.request.FleetPerToken = o.relay.prefillSpeed.average()
+	}
 	o.expireReservations(now)
 	candidates := o.relay.candidatesOf(engines, query.request.Prompt, query.excludes, now)
 	for index := range candidates.engines {
--- a/internal/relay/placement_wire.go
+++ b/internal/relay/placement_wire.go
@@ -119,6 +119,7 @@
 	}
 	answer.Engine, answer.ToRead, answer.Effort = selection.backEnd.hash, uint32(max(selection.PrefillTokens, 0)), uint32(max(selection.EffectiveTokens, 0))
 	answer.Unusable, answer.WaitingUs = uint32(max(selection.PendingTokens, 0)), microseconds(selection.QueueDelay)
+	answer.Pause = uint32(selection.Pause)
 	answer.CostUs = microseconds(time.Duration(selection.Cost * float64(time.Second)))
 	answer.Prompts, answer.Streams = uint32(max(selection.queuedWork.Prefills, 0)), uint32(max(selection.queuedWork.Streams, 0))
 	answer.PromptTokens, answer.TokenNs = tokensToWire(selection.queuedWork), uint64(max(selection.timePerToken, 0))
@@ -156,7 +157,7 @@
 		Candidate: placement.Candidate{
 			Index: placement.None, FetchFrom: placement.None, PrefillTokens: countFromWire(wireAnswer.GetToRead()), EffectiveTokens: countFromWire(wireAnswer.GetEffort()),
 			PendingTokens: countFromWire(wireAnswer.GetUnusable()), QueueDelay: fromMicroseconds(wireAnswer.GetWaitingUs()),
-			Cost: fromMicroseconds(wireAnswer.GetCostUs()).Seconds(),
+			Cost: fromMicroseconds(wireAnswer.GetCostUs()).Seconds(), Pause: placement.PauseForecast(min(wireAnswer.GetPause(), uint32(placement.PauseBroken))),
 		},
 		queuedWork: placement.Work{Prefills: countFromWire(wireAnswer.GetPrompts()), Streams: countFromWire(wireAnswer.GetStreams()), Tokens: tokensFromWire(wireAnswer.GetPromptTokens())},
 	}
--- a/internal/relay/prefill_speed.go
+++ b/internal/relay/prefill_speed.go
@@ -33,6 +33,20 @@
 	return p.speed.PerToken(engine)
 }
 
+// average returns the fleet's average prefill time per token.
+func (p *prefillSpeed) average() time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.speed.FleetAverage()
+}
+
+// isObserved reports whether prefills at the engine were observed.
+func (p *prefillSpeed) isObserved(engine uint64) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.speed.IsObserved(engine)
+}
+
 // adopt replaces an engine's time per token by the value of the engine's owner, which has more measurements.
 func (p *prefillSpeed) adopt(engine uint64, perToken time.Duration) {
 	p.mutex.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/relay/peerhealth"
 	"github.com/hazelpitch/hazelpitch/internal/relay/permits"
 	"github.com/hazelpitch/hazelpitch/internal/relay/retrybudget"
+	"github.com/hazelpitch/hazelpitch/internal/relay/speeds"
 	"github.com/hazelpitch/hazelpitch/internal/relay/splitdraw"
 	"github.com/hazelpitch/hazelpitch/internal/relay/workmeter"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
@@ -64,6 +65,8 @@
 	owners         *ownerTable
 	work           *workmeter.Meter
 	prefillSpeed   *prefillSpeed
+	// speeds estimates how fast engines decode, and how much they are slowed down.
+	speeds *speeds.Speeds
 	// usage counts the tenants' requests.
 	usage *usagereport.Meter
 	// policy holds the parameters of placement decisions.
@@ -136,6 +139,7 @@
 		reader := &cacheReader{relay: relay, read: options.ReadCache, client: client, readAt: map[*prefixCache]time.Duration{}}
 		go reader.run(ctx)
 	}
+	relay.startProber(ctx, options)
 	return trace.Wrap(relay.run(ctx, listener, ready))
 }
 
@@ -151,6 +155,7 @@
 		budget:             retrybudget.New(config.RetryBudget.Ratio, config.RetryBudget.Window, config.RetryBudget.Slack),
 		work:               workmeter.New(),
 		prefillSpeed:       newPrefillSpeed(),
+		speeds:             speeds.New(),
 		policy:             placement.DefaultParameters().Without(options.Without),
 		mechanisms:         options.Without,
 
@@ -166,7 +171,7 @@
 	relay.exchanger = &exchanger{
 		applyAnswerSignals: relay.applyAnswerSignals, acquirePermit: relay.acquirePermit, limitedSends: relay.metrics.limitedSends,
 		names: options.Dialect.Headers, writer: newRequestWriter(options.Dialect.Headers), clock: steady, dial: options.Dial,
-		mechanisms: options.Without,
+		mechanisms: options.Without, speeds: relay.speeds,
 	}
 	relay.prefillSpeed.fixed = !options.Without.IsEnabled(mechanism.MeasuredSpeeds)
 	relay.view.Store(&view{byService: map[string][]*backEnd{}})
--- a/internal/relay/run_mover.go
+++ b/internal/relay/run_mover.go
@@ -27,6 +27,8 @@
 	engine *backEnd
 
 	mutex sync.Mutex
+	// migrating is true while a migration is in progress, so that the run is not moved twice at once.
+	migrating bool
 	// stopping is true if the run has been asked to stop. outcome then receives where the run continues, nil for
 	// nowhere.
 	stopping   bool
@@ -55,6 +57,24 @@
 	return <-m.outcome
 }
 
+// beginMigration begins a migration. It returns false while another one is in progress.
+func (m *runMover) beginMigration() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.migrating {
+		return false
+	}
+	m.migrating = true
+	return true
+}
+
+// endMigration allows another migration, unless the run has been asked to stop: it then continues elsewhere.
+func (m *runMover) endMigration() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.migrating = m.stopping
+}
+
 // beginStop begins the phase of the migration in which the run is paused. It returns false when the run has ended already.
 func (m *runMover) beginStop() bool {
 	m.mutex.Lock()
@@ -66,11 +86,32 @@
 // migrate copies the run's KV cache while the run continues, and then the remainder while the run is paused. A run whose KV
 // cache cannot be copied stays at its engine.
 func (m *runMover) migrate() {
-	relay, request := m.stream.relay, m.stream.request
-	target := relay.pickForRun(m)
+	if target := m.stream.relay.pickForRun(m); target != nil {
+		m.migrateTo(target)
+	}
+}
+
+// migrateToFaster does what migrate does, if there is an engine at which the run keeps its gap target.
+func (m *runMover) migrateToFaster() {
+	target := m.stream.relay.pickForRun(m)
 	if target == nil {
 		return
 	}
+	if target.Pause != placement.PauseKept {
+		m.stream.relay.placements.cancel(target.assignment)
+		return
+	}
+	m.migrateTo(target)
+}
+
+// migrateTo migrates the run to a selected engine, unless another migration of it is in progress.
+func (m *runMover) migrateTo(target *backEndSelection) {
+	relay, request := m.stream.relay, m.stream.request
+	if !m.beginMigration() {
+		relay.placements.cancel(target.assignment)
+		return
+	}
+	defer m.endMigration()
 	target.backEnd.addWork(placement.Work{Streams: 1})
 	defer target.backEnd.removeWork(placement.Work{Streams: 1})
 	copied, handle := relay.exchanger.copyRun(m.engine, relay.dialect, request.id, target.backEnd.Address, false)
@@ -105,6 +146,9 @@
 	request, now := mover.stream.request, r.clock.now()
 	attempts := &attemptTracker{relay: r, request: request, excluded: []*backEnd{mover.engine}}
 	criteria := placement.Request{Now: now, Stage: answeringStage(request.service), Zone: mover.engine.Zone, Rank: mover.stream.rank()}
+	if engine := request.service.Engine; engine != nil {
+		criteria.Gap, criteria.Stride = request.route.TargetGap, engine.Stride
+	}
 	return r.decide(request, newEngineQuery(purposeTakeOver, attempts, criteria), mover.engine).selection
 }
 
--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -103,7 +103,8 @@
 		stream.attempts.recordFailedPrefill(engine, fault)
 		return nil
 	}
-	if selection.queuedWork.Prefills == 0 && selection.fetchFrom == nil {
+	isUndisturbed := selection.queuedWork.Prefills == 0 && selection.fetchFrom == nil
+	if isUndisturbed && !r.speeds.IsSlowedDown(r.clock.now(), engine.Service, engine.hash) {
 		r.recordPrefillSpeed(engine, placement.TimePerToken(selection.EffectiveTokens, r.clock.now()-now))
 	}
 	defer answer.finish()
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -4,10 +4,12 @@
 	"errors"
 	"io"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/speeds"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
@@ -37,6 +39,8 @@
 	// continues.
 	mover    *runMover
 	migrated *migratedRun
+	// hasLeftSlowEngine is true if the stream was asked to move because its engine was too slow. It moves only once.
+	hasLeftSlowEngine bool
 }
 
 // rank returns the request's rank in the queues of engines.
@@ -48,6 +52,9 @@
 		Now: s.relay.clock.now(), Stage: answeringStage(s.request.service), Zone: s.relay.settings.Zone, Rank: s.rank(),
 		MayHaveRun: s.attempts.mayHaveRun,
 	}
+	if engine := s.request.service.Engine; engine != nil {
+		criteria.Gap, criteria.Stride = s.request.route.TargetGap, engine.Stride
+	}
 	if prefill != nil {
 		criteria.Zone = prefill.engine.Zone
 		return criteria
@@ -55,7 +62,7 @@
 	criteria.Prompt, criteria.Tokens = s.prefixBlocks, s.request.prompt.PromptTokens
 	if engine := s.request.service.Engine; engine != nil && criteria.Tokens > 0 {
 		criteria.TokenTransferTime = tokenTransferTime(engine)
-		criteria.Target, criteria.Gap, criteria.Stride = s.request.route.Target, s.request.route.TargetGap, engine.Stride
+		criteria.Target = s.request.route.Target
 	}
 	return criteria
 }
@@ -136,6 +143,7 @@
 		}
 	}()
 	events := newEventReader(answer)
+	gaps := &speeds.GapMeter{}
 	watch := s.relay.exchanger.watchStall(answer.connection, answer.message.backEnd, stallLimit(s.request.route), s.mayContinueElsewhere())
 	defer watch.stop()
 	for {
@@ -148,6 +156,7 @@
 		}
 		if err == nil {
 			s.addEvent(event)
+			s.recordGap(gaps, answer.message.backEnd)
 		}
 		if errors.Is(err, io.EOF) {
 			s.finish(answer, event)
@@ -162,6 +171,33 @@
 	}
 }
 
+// recordGap records the arrival of an event of a run at an engine, from which the engine's speed is estimated.
+func (s *streamReply) recordGap(gaps *speeds.GapMeter, engine *backEnd) {
+	if s.request.service.Engine == nil {
+		return
+	}
+	now := s.relay.clock.now()
+	step := gaps.Arrived(now, s.request.service.Engine.Stride)
+	if step == 0 {
+		return
+	}
+	s.relay.speeds.ObserveStep(now, engine.Service, engine.hash, step, engine.currentLoad(now).ownWork.Streams)
+	engine.recordStep(step)
+	if s.mover != nil && !s.hasLeftSlowEngine && s.relay.speeds.HasReports(engine.Service) && s.relay.policy.ShouldMigrate(s.progress(now, gaps, step)) {
+		s.hasLeftSlowEngine = true
+		go s.mover.migrateToFaster()
+	}
+}
+
+// progress returns the progress of the current run, whose decode steps take the given time.
+func (s *streamReply) progress(now time.Duration, gaps *speeds.GapMeter, step time.Duration) placement.RunProgress {
+	stride := s.request.service.Engine.Stride
+	return placement.RunProgress{
+		EventTime: time.Duration(stride) * step, RemainingEvents: s.request.prompt.OutputTokens/stride - gaps.Events(),
+		TimeLeft: s.request.deadline - now, TimeAllowed: s.request.deadline - s.request.arrivedAt,
+	}
+}
+
 // addEvent appends an event to the next write, unless the client has it already.
 func (s *streamReply) addEvent(event event) {
 	if event.id != "" && s.lastEventID != "" && !event.isAfter(s.lastEventID) {
--- a/internal/servercommand/relay.go
+++ b/internal/servercommand/relay.go
@@ -39,8 +39,8 @@
 		go watchSettings(ctx, r.Settings, log, environment.Signals.Reloads(), sendReloaded(ctx, read, reloaded))
 		return relay.Run(ctx, loaded, relay.Options{
 			Dialect: environment.Site.Dialect, ReadListing: environment.Site.listingReaderAt(loaded.ListingAddress),
-			ReadCache: environment.Site.ReadCache, Features: environment.Site.RelayFeatures(loaded.Contracts),
-			Listen:    environment.Listen, ListenPacket: environment.ListenPacket, Dial: environment.Dial, Reloaded: reloaded, Without: without, Log: log,
+			ReadCache: environment.Site.ReadCache, ProbeLoad: environment.Site.ProbeLoad, Features: environment.Site.RelayFeatures(loaded.Contracts),
+			Listen: environment.Listen, ListenPacket: environment.ListenPacket, Dial: environment.Dial, Reloaded: reloaded, Without: without, Log: log,
 		})
 	})
 }
--- a/internal/servercommand/site.go
+++ b/internal/servercommand/site.go
@@ -21,6 +21,8 @@
 	ReadListing func(ctx context.Context, client *http.Client, address string, pages int) (serving.Listing, error)
 	// ReadCache reads the state of an engine's prefix cache.
 	ReadCache func(ctx context.Context, client *http.Client, engine serving.BackEnd) (serving.CacheReport, error)
+	// ProbeLoad asks an engine for its load by a health check at a path.
+	ProbeLoad func(ctx context.Context, client *http.Client, engine serving.BackEnd, path string) (relay.LoadProbe, error)
 	// RelayFeatures returns the optional features of relays that the contracts of a deployment call for.
 	RelayFeatures func(contracts []string) relay.Features
 	// OrderStage orders an engine to serve in another stage.
