Crash reports that are acknowledged around an agreement on a format survive it

Cause: AgreeFormat replaces the ledger of suspects by the one that it carries. Reports that the leader acknowledged between the proposal and the moment it applied the agreement were lost, and so were reports whose entries were in the log but not applied when the agreement on a higher format was proposed, and reports proposed after an agreement on the first format. Change: from the tick in which an agreement is needed until the leader has applied it, commands to the ledger wait at the leader; the agreement is proposed once the leader's earlier ones are applied. A leader that loses its leadership refuses the calls that wait. controlstate is unchanged, so replicas apply entries as before. Command: go test ./internal/control -run TestReports -count=3

--- a/internal/control/agreement.go
+++ b/internal/control/agreement.go
@@ -26,8 +26,11 @@
 type memberFormats struct {
 	// byMember are the format ranges that members have reported, by member identity.
 	byMember map[string]formats.Range
-	// proposedIndex is the log index of the last agreement that this leader has proposed.
-	proposedIndex uint64
+	// proposedIndex is the log index of the last agreement that this leader has proposed, and suspectsIndex that of its
+	// last command to the ledger of suspects; 0 before the first.
+	proposedIndex, suspectsIndex uint64
+	// needed is true while another format must be agreed on.
+	needed bool
 }
 
 // recordFormats records the format range that another controller reports.
@@ -80,16 +83,21 @@
 }
 
 // tickAgreement proposes a new agreement when a member supports only formats below the agreed one, or when all members
-// support a higher one.
+// support a higher one. The agreement replaces the ledger of suspects by the one that it carries, so it is proposed only
+// once this leader's commands to the ledger are applied, and further ones wait until it is applied.
 func (c *Core) tickAgreement() {
 	common, certain := c.commonFormat()
 	agreed := c.state.AgreedFormat()
-	pending := c.formats.proposedIndex > c.applied
-	if !pending && (common < agreed || certain && common > agreed) {
+	c.formats.needed = common < agreed || certain && common > agreed
+	if c.formats.needed && !c.isAgreementPending() && c.formats.suspectsIndex <= c.applied {
 		c.proposeAgreement(common)
 	}
+	c.resumeSuspectChanges()
 }
 
+// isAgreementPending reports whether this leader has proposed an agreement that is not applied yet.
+func (c *Core) isAgreementPending() bool { return c.formats.proposedIndex > c.applied }
+
 func (c *Core) proposeAgreement(number formats.Number) {
 	agreement := &v1.AgreeFormat{Format: uint32(number), Suspects: c.suspects().Snapshot(), FirstWindow: c.currentWindow()}
 	index, err := c.propose(&v1.Command{Body: &v1.Command_AgreeFormat{AgreeFormat: agreement}}, 0, nil)
@@ -133,29 +141,6 @@
 // is not agreed on, only the leader does.
 func (c *Core) knowsQuarantined() bool { return c.leading || c.isAgreed(formats.QuarantinedRequests) }
 
-// applySuspectChange applies a command to the ledger of suspects, through the log if its format is agreed on and
-// locally otherwise.
-func (c *Core) applySuspectChange(command *v1.Command, call CallID, finish func(*Core, controlstate.Result)) {
-	if c.isAgreed(formats.QuarantinedRequests) {
-		c.proposeForCall(command, call, finish)
-		return
-	}
-	result := controlstate.Result{}
-	if c.config.Safeguards.IsEnabled(controlstate.Quarantine) {
-		result = controlstate.ApplySuspectCommand(c.localSuspects, command)
-	}
-	finish(c, result)
-}
-
-// applySuspectChangeWithoutCall does what applySuspectChange does, for a command whose result no call waits for.
-func (c *Core) applySuspectChangeWithoutCall(command *v1.Command) {
-	if c.isAgreed(formats.QuarantinedRequests) {
-		c.proposeWithoutCall(command)
-		return
-	}
-	controlstate.ApplySuspectCommand(c.localSuspects, command)
-}
-
 // retainSuspects makes the agreed ledger the local one once the ledger's format is no longer agreed on.
 func (c *Core) retainSuspects(agreed *quarantine.Ledger) {
 	if !c.isAgreed(formats.QuarantinedRequests) && c.state.Suspects() != agreed {
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -80,6 +80,8 @@
 	formats memberFormats
 	// localSuspects is the ledger of suspects that is used while the ledger's format is not agreed on.
 	localSuspects *quarantine.Ledger
+	// heldSuspectChanges are commands to the ledger of suspects that wait until an agreement is applied.
+	heldSuspectChanges []suspectChange
 	// halted is true once this controller must not process further inputs.
 	halted bool
 	// clock estimates the time of day on which the controllers agree.
@@ -280,7 +282,7 @@
 	return Status{
 		Consensus: c.consensus.Status(), LeadsWithLease: c.leading && c.consensus.HasValidLease(c.now),
 		Revision: c.state.Revision(), AppliedIndex: c.applied,
-		Gateways: len(c.tracker.Gateways()), Machines: len(c.tracker.Machines()), PendingCalls: len(c.pending),
+		Gateways: len(c.tracker.Gateways()), Machines: len(c.tracker.Machines()), PendingCalls: len(c.pending) + len(c.heldSuspectChanges),
 		AgreedFormat: c.state.AgreedFormat(), AgreementBlockers: c.agreementBlockers(), Site: c.siteStatus(),
 	}
 }
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -74,6 +74,8 @@
 	// firstFormat means that the controller behaves like one of the first format, by means of its translator.
 	firstFormat bool
 	translator  *formerbuild.Translator
+	// advertised replaces the formats that the controller reports to the others, if it is set.
+	advertised *v1.FormatRange
 }
 
 func newTestCluster(t *testing.T, voters int, configure func(*Config)) *testCluster {
@@ -226,7 +228,11 @@
 	case SendPeer:
 		peer := w.controllers[wanted.Address]
 		if peer != nil && !controller.cut {
-			message := peer.received(w.t, controller.written(w.t, proto.CloneOf(wanted.Message)))
+			sent := proto.CloneOf(wanted.Message)
+			if controller.advertised != nil && sent.GetFrom() == controller.core.consensus.ID() {
+				sent.Formats = controller.advertised
+			}
+			message := peer.received(w.t, controller.written(w.t, sent))
 			w.deliver(controller.name, peer, peer.incarnation, PeerMessage{Message: message})
 		}
 	case Answer:
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -40,13 +40,14 @@
 	c.replicas = newSiteReplicas()
 	c.quarantine = newRequestQuarantine()
 	c.limits = newBackEndLimits()
-	c.formats.proposedIndex = 0
+	c.formats.proposedIndex, c.formats.suspectsIndex, c.formats.needed = 0, 0, false
 }
 
 func (c *Core) stopLeading() {
 	c.leading = false
 	c.commander.EndTerm()
 	c.refuseWaitingUsage()
+	c.refuseHeldSuspectChanges()
 }
 
 // failPending answers the calls whose entries the next leader may or may not commit. Their
