The plan of stages moves slow decode engines to prefill

Cause: streams on an engine that takes 1.7 times the usual time exceed their gap targets, while short prompts are prefilled in time there. The plan chose engines by the number of engines of a group alone. Changes under load and to the prior share prefer engines by speed within a group. A change names its reason. stages-by-speed switches all of it off. Nobody reports speeds to the plan yet. Result: of 90 engines with 30 decode engines, 9 of them slow, none decodes after two minutes; 9 with the mechanism off. Even engines get the same plan as with the mechanism off (2,000 random fleets), and moves by speed keep to their limits (2,000 random fleets). Command: go test ./internal/stageplan -count=3; go test ./internal/stageplan -run 'TestEven|TestMovesBySpeedKeep' -rapid.checks=2000

--- a/internal/stageplan/just_started.go
+++ b/internal/stageplan/just_started.go
@@ -15,8 +15,10 @@
 type groupStageCounts struct {
 	name           string
 	total, prefill int
-	// justStarted are the IDs of the engines of each stage that can change at no cost.
-	justStarted map[Stage][]string
+	// justStarted are the engines of each stage that can change at no cost.
+	justStarted map[Stage][]Engine
+	// hasFasterPrefill is true if a prefill engine that does not miss the gap can take an order.
+	hasFasterPrefill bool
 }
 
 // placeJustStarted assigns engines that have just started to serve to the stage of which their group is most short, so
@@ -36,14 +38,25 @@
 		if float64(shortfall) < minShortfallShare*float64(group.total) {
 			continue
 		}
-		available := group.justStarted[otherStage(stage)]
+		available := placeable(group, stage)
 		for _, engine := range available[:min(shortfall, len(available))] {
-			changes = append(changes, Change{Engine: engine, Stage: stage})
+			changes = append(changes, Change{Engine: engine.ID, Stage: stage, Reason: ByStart})
 		}
 	}
 	return changes
 }
 
+// placeable returns the engines of a group that have just started and may change to a stage. Engines that miss the gap
+// change to decode only if no other engine of the group can.
+func placeable(group *groupStageCounts, stage Stage) []Engine {
+	available := group.justStarted[otherStage(stage)]
+	if stage == StageDecode && group.hasFasterPrefill {
+		available = slices.DeleteFunc(available, func(engine Engine) bool { return engine.MissesGap })
+	}
+	sortForStage(available, stage)
+	return available
+}
+
 // prefillShare returns the share of prefill engines among the engines that have served for longer. It returns the prior
 // share if there are too few of these.
 func (p *Plan) prefillShare(engines []Engine) float64 {
@@ -60,7 +73,7 @@
 	for _, engine := range engines {
 		group := byName[engine.Group]
 		if group == nil {
-			group = &groupStageCounts{name: engine.Group, justStarted: map[Stage][]string{}}
+			group = &groupStageCounts{name: engine.Group, justStarted: map[Stage][]Engine{}}
 			byName[engine.Group] = group
 		}
 		group.total++
@@ -68,15 +81,14 @@
 			group.prefill++
 		}
 		if engine.JustStarted && !engine.Busy {
-			group.justStarted[engine.Stage] = append(group.justStarted[engine.Stage], engine.ID)
+			group.justStarted[engine.Stage] = append(group.justStarted[engine.Stage], engine)
+		}
+		if engine.Stage == StagePrefill && !engine.Busy && !engine.MissesGap {
+			group.hasFasterPrefill = true
 		}
 	}
 	maps.DeleteFunc(byName, func(_ string, group *groupStageCounts) bool { return len(group.justStarted) == 0 })
 	groups := slices.Collect(maps.Values(byName))
-	for _, group := range groups {
-		slices.Sort(group.justStarted[StagePrefill])
-		slices.Sort(group.justStarted[StageDecode])
-	}
 	slices.SortFunc(groups, func(a, b *groupStageCounts) int { return cmp.Compare(a.name, b.name) })
 	return groups
 }
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -35,6 +35,9 @@
 	Busy bool
 	// JustStarted engines have just started to serve: a change costs no running requests and no cache.
 	JustStarted bool
+	// MissesGap engines would break the gap targets of streams as decode engines; KeepsGap engines are known to keep
+	// them. Both are false if the speed is unknown.
+	MissesGap, KeepsGap bool
 }
 
 // Work is the engine time per unit of time that a service's requests take, that is, how many engines they keep busy.
@@ -49,6 +52,7 @@
 type Change struct {
 	Engine string
 	Stage  Stage
+	Reason Reason
 }
 
 // Config configures a plan. All fields are required.
@@ -90,12 +94,14 @@
 	work         Work
 	lastChangeAt time.Duration
 	hasChanged   bool
-	// lastStage is the stage to which the last changes moved engines.
+	// lastStage is the stage to which the last changes under load or to the prior share moved engines.
 	lastStage Stage
+	// movedBySpeed are the prefill engines that changesBySpeed has moved from decode.
+	movedBySpeed map[string]bool
 }
 
 // New returns a plan without observations.
-func New(config Config) *Plan { return &Plan{config: config} }
+func New(config Config) *Plan { return &Plan{config: config, movedBySpeed: map[string]bool{}} }
 
 // Next returns the changes to order now, usually none. It must be called at constant intervals.
 func (p *Plan) Next(now time.Duration, engines []Engine, work Work) []Change {
@@ -103,30 +109,38 @@
 		return nil
 	}
 	p.observe(work)
+	engines = p.withSpeeds(engines)
 	if work.Known && p.config.Without.IsEnabled(mechanism.NewEngineStages) {
 		if changes := p.placeJustStarted(engines); len(changes) > 0 {
 			return changes // they cost nothing, so the next ones need not wait
 		}
 	}
-	var changes []Change
+	if changes := p.changesByWork(now, engines, work); len(changes) > 0 {
+		p.lastChangeAt, p.hasChanged, p.lastStage = now, true, changes[0].Stage
+		return changes
+	}
+	return p.changesBySpeed(now, engines, work)
+}
+
+// changesByWork returns the changes that the work requires, or the prior share until the work is known.
+func (p *Plan) changesByWork(now time.Duration, engines []Engine, work Work) []Change {
 	if !work.Known || p.work.Prefill+p.work.Decode < minWorkShare*float64(len(engines)) {
-		changes = p.changesToPrior(engines)
-	} else if !p.hasChanged || now-p.lastChangeAt >= p.config.MinChangeInterval {
-		changes = p.changesUnderLoad(engines)
-		if p.reversesRecentChange(now, changes) {
-			return nil
-		}
+		return withReason(p.changesToPrior(engines), ByPrior)
 	}
-	if len(changes) > 0 {
-		p.lastChangeAt, p.hasChanged, p.lastStage = now, true, changes[0].Stage
+	if p.hasChanged && now-p.lastChangeAt < p.config.MinChangeInterval {
+		return nil
 	}
-	return changes
+	changes := p.changesUnderLoad(engines)
+	if len(changes) > 0 && p.reversesRecentChange(now, changes[0].Stage) {
+		return nil
+	}
+	return withReason(changes, ByLoad)
 }
 
-// reversesRecentChange reports whether changes would reverse others that are too recent. If the mix swings within
-// seconds, it is better not to follow it.
-func (p *Plan) reversesRecentChange(now time.Duration, changes []Change) bool {
-	return len(changes) > 0 && p.hasChanged && p.config.Without.IsEnabled(mechanism.TurnBackDelay) && changes[0].Stage != p.lastStage && now-p.lastChangeAt < turnBackIntervals*p.config.MinChangeInterval
+// reversesRecentChange reports whether changes to a stage would reverse others that are too recent. If the mix swings
+// within seconds, it is better not to follow it.
+func (p *Plan) reversesRecentChange(now time.Duration, stage Stage) bool {
+	return p.hasChanged && p.config.Without.IsEnabled(mechanism.TurnBackDelay) && stage != p.lastStage && now-p.lastChangeAt < turnBackIntervals*p.config.MinChangeInterval
 }
 
 // observe smooths the work, which swings within seconds.
@@ -188,7 +202,7 @@
 // bestPrefill returns the number of prefill engines, among total engines, with the lowest overload.
 func (p *Plan) bestPrefill(total int) int {
 	best := p.minEngines(total)
-	for prefill := best + 1; prefill <= total-p.minEngines(total); prefill++ {
+	for prefill := best + 1; prefill <= total-p.minDecodeEngines(total); prefill++ {
 		if p.overload(prefill, total) < p.overload(best, total) {
 			best = prefill
 		}
@@ -218,18 +232,18 @@
 // chooseChanges picks the engines that change, each from the group with the most engines of the old stage, so that both
 // stages stay spread over the groups.
 func chooseChanges(engines []Engine, toPrefill bool, count int) []Change {
-	from, to := StagePrefill, StageDecode
+	to := StageDecode
 	if toPrefill {
-		from, to = StageDecode, StagePrefill
+		to = StagePrefill
 	}
-	groups := groupsOf(engines, from)
+	groups := groupsOf(engines, otherStage(to))
 	var changes []Change
 	for len(changes) < count {
-		largest := largestGroup(groups)
+		largest := largestGroup(groups, to)
 		if largest == nil {
 			break
 		}
-		changes = append(changes, Change{Engine: largest.available[0], Stage: to})
+		changes = append(changes, Change{Engine: largest.available[0].ID, Stage: to})
 		largest.available = largest.available[1:]
 		largest.count--
 	}
@@ -240,8 +254,8 @@
 type stageGroup struct {
 	name  string
 	count int
-	// available are the IDs of those of the engines that can take an order.
-	available []string
+	// available are those of the engines that can take an order, in the order in which they change their stage.
+	available []Engine
 }
 
 // groupsOf counts the engines of a stage by group.
@@ -256,26 +270,26 @@
 		}
 		byName[engine.Group].count++
 		if !engine.Busy {
-			byName[engine.Group].available = append(byName[engine.Group].available, engine.ID)
+			byName[engine.Group].available = append(byName[engine.Group].available, engine)
 		}
 	}
 	groups := slices.Collect(maps.Values(byName))
 	for _, group := range groups {
-		slices.Sort(group.available)
+		sortForStage(group.available, otherStage(stage))
 	}
 	slices.SortFunc(groups, func(a, b *stageGroup) int { return cmp.Compare(a.name, b.name) })
 	return groups
 }
 
 // largestGroup returns the group with the most engines among those with an available one, or nil. Of equal groups it
-// returns the one with the first available ID.
-func largestGroup(groups []*stageGroup) *stageGroup {
+// returns the one whose first available engine comes first in the order of changes to a stage.
+func largestGroup(groups []*stageGroup, to Stage) *stageGroup {
 	var best *stageGroup
 	for _, group := range groups {
 		if len(group.available) == 0 {
 			continue
 		}
-		if best == nil || group.count > best.count || group.count == best.count && group.available[0] < best.available[0] {
+		if best == nil || group.count > best.count || group.count == best.count && compareForStage(group.available[0], best.available[0], to) < 0 {
 			best = group
 		}
 	}
