The leader plans stages by the speeds that relays report

Cause: the plan of stages knows engine speeds, but nobody passed it any. Change: the leader keeps WatchRequest.engine_speeds of listed engines for 10 s (engine_speeds.go) and passes them to the plan. Nothing of it is replicated. stage_ordered has the field reason; two metrics at the controller count moves by speed and engines that miss the gap. Result: of 18 engines in virtual time, the leader orders the three slow ones of nine decode engines to prefill, and none with stages-by-speed off; slow prefill engines are not ordered to decode under load; a new leader without reports orders none, nor does a leader whose reports stopped 10 s before. Leaving out the expiry, either check of the list, or the reset at a new leader fails a test each. go test ./internal/control ./internal/controller ./internal/stageplan ./internal/events ./internal/importrules passes. Command: go test ./internal/control -run 'Speed|Slow|ANewLeaderKnows' -count=3

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -68,7 +68,9 @@
 	// repeatedUpdates counts the updates that were sent again to a relay that had not applied them.
 	repeatedUpdates uint64
 	stages          stages
-	usage           siteUsage
+	// movesBySpeed counts the engines that were ordered to change their stage by speed.
+	movesBySpeed uint64
+	usage        siteUsage
 	// dutyCalls schedules the leader's calls of the platform's singleton duties.
 	dutyCalls *duty.Schedule
 	replicas  siteReplicas
--- a/internal/control/harness_site_test.go
+++ b/internal/control/harness_site_test.go
@@ -1,9 +1,14 @@
 package control
 
 import (
+	"cmp"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 )
 
@@ -34,8 +39,10 @@
 	arrivals []arrivedOrder
 	// listOverride replaces the list if it is set, in pages of pageSize; reads are the reads of the list.
 	listOverride []*v1.ListedBackEnd
-	pageSize     int
-	reads        []listRead
+	// zones is the number of zones over which the engines are spread; 0 means ten.
+	zones    int
+	pageSize int
+	reads    []listRead
 }
 
 // arrivedOrder is an order that reached an engine.
@@ -85,8 +92,11 @@
 		}
 	}
 	var listed []*v1.ListedBackEnd
+	zones := cmp.Or(s.zones, 10)
 	for _, id := range sortedKeys(shown) {
-		listed = append(listed, &v1.ListedBackEnd{Id: id, Service: "s", Zone: "zone-" + id[len(id)-1:], Slots: 32, Role: shown[id]})
+		number, err := strconv.Atoi(strings.TrimPrefix(id, "engine-"))
+		require.NoError(s.cluster.t, err)
+		listed = append(listed, &v1.ListedBackEnd{Id: id, Service: "s", Zone: fmt.Sprint("zone-", number%zones), Slots: 32, Role: shown[id]})
 	}
 	return listed
 }
--- a/internal/control/published_back_ends.go
+++ b/internal/control/published_back_ends.go
@@ -87,6 +87,7 @@
 	c.listing.published = c.publishedPart(c.listing.considered)
 	slices.SortFunc(c.listing.published, func(a, b *v1.ListedBackEnd) int { return strings.Compare(a.GetId(), b.GetId()) })
 	c.updates.relayListFresh = c.updates.relayListFresh && len(c.listing.published) == former
+	c.stages.speeds.listed = nil
 }
 
 // requiredBackEndRecords returns the required numbers of back ends as sent to relays, sorted by service.
--- a/internal/control/relay_list.go
+++ b/internal/control/relay_list.go
@@ -58,6 +58,7 @@
 	record.listing.observeHeld(request.GetListingVersion())
 	record.receivedAt, record.noticeAddress = c.now, request.GetNoticeAddress()
 	c.recordWork(request)
+	c.stages.speeds.record(c.now, request.GetEngineSpeeds(), c.listing.published)
 	c.adoptDemand(request)
 }
 
--- a/internal/control/site_status.go
+++ b/internal/control/site_status.go
@@ -19,6 +19,10 @@
 	BackEnds, PublishedBackEnds, Pages int
 	// UpdatesPerSecond is the current maximum rate at which the leader sends updates to relays.
 	UpdatesPerSecond float64
+	// MovesBySpeed counts the engines that were ordered to change their stage by speed; EnginesMissingGap is the number of
+	// engines that relays report as too slow to decode within the gap targets.
+	MovesBySpeed      uint64
+	EnginesMissingGap int
 	// QuorumSilence is the time since a quorum last answered this leader.
 	QuorumSilence time.Duration
 }
@@ -26,11 +30,12 @@
 // siteStatus returns the status of this leader's site.
 func (c *Core) siteStatus() SiteStatus {
 	if !c.leading {
-		return SiteStatus{RepeatedUpdates: c.repeatedUpdates}
+		return SiteStatus{RepeatedUpdates: c.repeatedUpdates, MovesBySpeed: c.movesBySpeed}
 	}
 	status := SiteStatus{
 		Relays: len(c.relays), WaitingWatches: len(c.watches.byDue) + len(c.watches.ready),
 		OutdatedRelays: c.countOutdatedRelays(), RepeatedUpdates: c.repeatedUpdates,
+		MovesBySpeed: c.movesBySpeed, EnginesMissingGap: c.stages.speeds.countMissingGap(),
 		BackEnds: c.listing.total, PublishedBackEnds: len(c.listing.published), UpdatesPerSecond: c.updatePace.perSecond, QuorumSilence: c.consensus.QuorumSilence(),
 	}
 	if c.listing.plan.readsPartially() {
--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -18,6 +18,7 @@
 type ChangeStage struct {
 	BackEnd *v1.ListedBackEnd
 	Role    v1.Role
+	Reason  stageplan.Reason
 	// Holder and Fence identify the ordering leader: later leaders have higher fences.
 	Holder string
 	Fence  uint64
@@ -90,11 +91,12 @@
 	plans         map[string]*stageplan.Plan
 	orders        map[string]stageOrder
 	work          map[string]relayWork
+	speeds        engineSpeeds
 	dueAt         time.Duration
 }
 
 func newStages() stages {
-	return stages{plans: map[string]*stageplan.Plan{}, orders: map[string]stageOrder{}, work: map[string]relayWork{}}
+	return stages{plans: map[string]*stageplan.Plan{}, orders: map[string]stageOrder{}, work: map[string]relayWork{}, speeds: newEngineSpeeds()}
 }
 
 // recordWork records a relay's report of its work.
@@ -115,6 +117,7 @@
 	}
 	c.dropStageOrders()
 	c.recordFirstListed()
+	c.stages.speeds.dropOutdated(c.now, c.listing.published)
 	outgoing := c.outgoingServices()
 	engines, members := map[string][]stageplan.Engine{}, map[string][]cell.Member{}
 	for _, backEnd := range c.listing.published {
@@ -127,11 +130,14 @@
 			continue // it leaves as soon as its replacements serve
 		}
 		if stage, isEngine := stageOf(role); isEngine && !backEnd.GetLeaving() {
+			member := memberOf(backEnd)
+			speed := c.stages.speeds.byEngine[member.Hash]
 			engines[backEnd.GetService()] = append(engines[backEnd.GetService()], stageplan.Engine{
 				ID: backEnd.GetId(), Group: backEnd.GetZone(), Stage: stage, Busy: ordered,
 				JustStarted: c.now-c.stages.firstListedAt[backEnd.GetId()] < freshEngineWindow,
+				MissesGap:   speed.missesGap, KeepsGap: speed.keepsGap,
 			})
-			members[backEnd.GetService()] = append(members[backEnd.GetService()], memberOf(backEnd))
+			members[backEnd.GetService()] = append(members[backEnd.GetService()], member)
 		}
 	}
 	for _, service := range sortedKeys(engines) {
@@ -233,8 +239,11 @@
 			continue
 		}
 		c.stages.orders[change.Engine] = stageOrder{role: role, until: c.now + stageOrderTimeout}
+		if change.Reason == stageplan.BySpeed {
+			c.movesBySpeed++
+		}
 		c.emit(ChangeStage{
-			BackEnd: backEnd, Role: role, Holder: c.config.Name, Fence: c.leadingTerm, NotAfter: c.now + c.config.OrderLifetime,
+			BackEnd: backEnd, Role: role, Reason: change.Reason, Holder: c.config.Name, Fence: c.leadingTerm, NotAfter: c.now + c.config.OrderLifetime,
 		})
 	}
 	c.refreshListing()
--- a/internal/controller/stage_orders.go
+++ b/internal/controller/stage_orders.go
@@ -78,7 +78,7 @@
 	}
 	outcome, err := s.send(ctx, order, change.NotAfter)
 	s.log.Info().Str(events.FieldEvent, string(events.StageOrdered)).Str("engine", order.Engine.ID).Stringer("role", change.Role).
-		Uint64("fence", order.Fence).Bool("taken", outcome == control.StageAccepted).Bool("lost", outcome == control.StageLost).Err(err).Send()
+		Str("reason", string(change.Reason)).Uint64("fence", order.Fence).Bool("taken", outcome == control.StageAccepted).Bool("lost", outcome == control.StageLost).Err(err).Send()
 	_ = s.deliver(ctx, control.StageChangeFinished{ID: order.Engine.ID, Outcome: outcome}) // fails only when the process stops
 }
 
