Idle engines change places by speed before any work is known

Cause: 28 engines were ordered to prefill before any speed was known; the slow ones among the decode engines then moved one by one while streams ran. Change: before relays report work, engines of a group that miss the gap and engines that keep it change places at once. The property test of the limits checked such exchanges against the limits for engines that serve; it now checks that they are balanced, once for each engine and only before work is known.

--- a/internal/stageplan/speed.go
+++ b/internal/stageplan/speed.go
@@ -60,12 +60,18 @@
 
 // changesBySpeed moves decode engines that miss the gap to prefill, while the decode engines that remain suffice without
 // them. Where they do not, prefill engines that keep the gap first move to decode. These changes do not delay later
-// changes under load.
+// changes under load. Before any work is known, engines that miss the gap and engines that keep it change places.
 func (p *Plan) changesBySpeed(now time.Duration, engines []Engine, work Work) []Change {
-	if !work.Known || !p.config.Without.IsEnabled(mechanism.StagesBySpeed) {
+	if !p.config.Without.IsEnabled(mechanism.StagesBySpeed) {
 		return nil
 	}
 	fleet := newSpeedFleet(engines)
+	if !p.work.Known {
+		return p.recordMoves(fleet.idleExchanges())
+	}
+	if !work.Known {
+		return nil
+	}
 	limit := p.maxSpeedMoves(len(engines)) - fleet.busy
 	if limit <= 0 || len(fleet.movable) == 0 {
 		return nil
@@ -78,13 +84,17 @@
 	} else {
 		changes = fleet.moves(spare, !p.reversesRecentChange(now, StagePrefill))
 	}
-	changes = withReason(changes[:min(limit, len(changes))], BySpeed)
+	return p.recordMoves(changes[:min(limit, len(changes))])
+}
+
+// recordMoves marks changes as changes by speed, and records the engines that move to prefill.
+func (p *Plan) recordMoves(changes []Change) []Change {
 	for _, change := range changes {
 		if change.Stage == StagePrefill {
 			p.movedBySpeed[change.Engine] = true
 		}
 	}
-	return changes
+	return withReason(changes, BySpeed)
 }
 
 // maxSpeedMoves returns the number of total engines that may be out of service when engines move by speed.
--- a/internal/stageplan/speed_fleet.go
+++ b/internal/stageplan/speed_fleet.go
@@ -88,3 +88,15 @@
 	}
 	return changes
 }
+
+// idleExchanges returns changes by which engines of one group that miss the gap and engines that keep it change places.
+// Idle engines have no caches to lose and no requests to delay, so that all of them change at once.
+func (f speedFleet) idleExchanges() []Change {
+	var changes []Change
+	for _, group := range f.movable {
+		for index := range min(len(group.missing), len(group.replacements)) {
+			changes = append(changes, Change{Engine: group.replacements[index], Stage: StageDecode}, Change{Engine: group.missing[index], Stage: StagePrefill})
+		}
+	}
+	return changes
+}
--- a/internal/stageplan/speed_test.go
+++ b/internal/stageplan/speed_test.go
@@ -424,6 +424,10 @@
 		return
 	}
 	earlier := &speedRun{engines: before}
+	if !run.plan.work.Known {
+		checkIdleExchanges(t, earlier, changes)
+		return
+	}
 	busy := 0
 	changing, keeping := map[string]int{}, map[string]int{}
 	for _, engine := range before {
@@ -453,3 +457,57 @@
 		require.LessOrEqual(t, run.plan.work.Decode, decodeUtilisation*float64(total))
 	}
 }
+
+// checkIdleExchanges checks changes before any work is known: each engine that misses the gap is replaced by one of its
+// group that keeps it, so that the groups have as many engines of both stages as before.
+func checkIdleExchanges(t *rapid.T, earlier *speedRun, changes []Change) {
+	balance, changed := map[string]int{}, map[string]bool{}
+	for _, change := range changes {
+		engine := earlier.engine(change.Engine)
+		require.False(t, engine.Busy)
+		require.False(t, changed[engine.ID], "an engine changes once")
+		changed[engine.ID] = true
+		require.NotEqual(t, engine.Stage, change.Stage)
+		if change.Stage == StageDecode {
+			require.True(t, engine.KeepsGap)
+			balance[engine.Group]++
+		} else {
+			require.True(t, engine.MissesGap)
+			balance[engine.Group]--
+		}
+	}
+	for group, difference := range balance {
+		require.Zero(t, difference, group)
+	}
+}
+
+// Before any work is known, engines have no caches and run nothing, so that all slow decode engines change places with
+// fast prefill engines of their groups at once. Guards against a fleet whose first streams pause for as long as it takes to
+// move slow engines one by one, and against exchanges by a plan that knows of work.
+func TestIdleEnginesChangePlacesAtOnce(t *testing.T) {
+	fleet := func() []Engine {
+		var engines []Engine
+		for _, group := range []string{"a", "b"} {
+			for number := range 4 {
+				engines = append(engines,
+					Engine{ID: fmt.Sprintf("%s-slow-%d", group, number), Group: group, Stage: StageDecode, MissesGap: true},
+					Engine{ID: fmt.Sprintf("%s-fast-%d", group, number), Group: group, Stage: StagePrefill, KeepsGap: true})
+			}
+		}
+		return engines
+	}
+	idle := newSpeedRun(t, fleet())
+	idle.run(2*changeTime, Work{}) // the prior share first, then the exchanges
+	_, missing := idle.count(StageDecode)
+	require.Zero(t, missing)
+	ordered := len(idle.changes)
+	idle.run(time.Minute, Work{})
+	require.Len(t, idle.changes, ordered, "they change once")
+
+	off := newSpeedRun(t, fleet(), mechanism.StagesBySpeed)
+	off.run(time.Minute, Work{})
+	_, missing = off.count(StageDecode)
+	require.Positive(t, missing)
+	busy := newSpeedRun(t, fleet())
+	require.Len(t, busy.step(Work{Prefill: 2, Decode: 2, Known: true}), 1, "a tenth of the engines at once")
+}
