The prior share of decode engines counts their speed

Cause: two thirds of the engines prefill until the work is known, whatever their speed. Where the fast ones decode, they idle while prompts queue. Change: with all speeds known, as much decode speed as the prior share says, by the fastest engines. Even engines: the same number as before.

--- a/internal/control/engine_speeds.go
+++ b/internal/control/engine_speeds.go
@@ -15,6 +15,8 @@
 	receivedAt time.Duration
 	// missesGap and keepsGap tell whether the engine would break the gap targets as a decode engine.
 	missesGap, keepsGap bool
+	// stepTime is the usual time of a decode step; 0 if unknown.
+	stepTime time.Duration
 }
 
 // engineSpeeds are the engine speeds that relays have reported to this leader, of listed engines only.
@@ -38,6 +40,7 @@
 			isKnown := speed.GetStepNs() > 0 || speed.GetTokenNs() > 0
 			s.byEngine[speed.GetEngine()] = engineSpeed{
 				receivedAt: now, missesGap: speed.GetMissesGap(), keepsGap: isKnown && !speed.GetMissesGap(),
+				stepTime: time.Duration(speed.GetStepNs()),
 			}
 		}
 	}
--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -135,7 +135,7 @@
 			engines[backEnd.GetService()] = append(engines[backEnd.GetService()], stageplan.Engine{
 				ID: backEnd.GetId(), Group: backEnd.GetZone(), Stage: stage, Busy: ordered,
 				JustStarted: c.now-c.stages.firstListedAt[backEnd.GetId()] < freshEngineWindow,
-				MissesGap:   speed.missesGap, KeepsGap: speed.keepsGap,
+				MissesGap:   speed.missesGap, KeepsGap: speed.keepsGap, StepTime: speed.stepTime,
 			})
 			members[backEnd.GetService()] = append(members[backEnd.GetService()], member)
 		}
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -38,6 +38,8 @@
 	// MissesGap engines would break the gap targets of streams as decode engines; KeepsGap engines are known to keep
 	// them. Both are false if the speed is unknown.
 	MissesGap, KeepsGap bool
+	// StepTime is the usual time of one decode step; 0 if unknown.
+	StepTime time.Duration
 }
 
 // Work is the engine time per unit of time that a service's requests take, that is, how many engines they keep busy.
@@ -162,10 +164,7 @@
 	if p.work.Known {
 		return nil
 	}
-	total := float64(len(engines))
-	minimum := float64(p.minEngines(len(engines)))
-	wanted := math.Round(min(max(p.config.PriorPrefillShare*total, minimum), total-minimum))
-	return changesTo(engines, int(wanted), len(engines))
+	return changesTo(engines, p.priorPrefill(engines), len(engines))
 }
 
 // changesTo returns the changes, at most limit, that lead to the wanted number of prefill engines.
--- a/internal/stageplan/speed_test.go
+++ b/internal/stageplan/speed_test.go
@@ -511,3 +511,26 @@
 	busy := newSpeedRun(t, fleet())
 	require.Len(t, busy.step(Work{Prefill: 2, Decode: 2, Known: true}), 1, "a tenth of the engines at once")
 }
+
+// Until the work is known, as much of the engines' speed decodes as the prior share says, not as many engines: guards
+// against fast engines that idle as decode engines while prompts queue at the others.
+func TestPriorShareCountsSpeed(t *testing.T) {
+	even := unevenFleet(90, 31)
+	for index := range even {
+		even[index].StepTime = 5 * time.Millisecond
+	}
+	plan := New(config())
+	require.Equal(t, plan.priorPrefill(unevenFleet(90, 31)), plan.priorPrefill(even))
+	uneven := unevenFleet(90, 31)
+	for index := range uneven {
+		uneven[index].StepTime = 3500 * time.Microsecond
+		if uneven[index].MissesGap {
+			uneven[index].StepTime = 8500 * time.Microsecond
+		}
+	}
+	require.Equal(t, 60, plan.priorPrefill(even))
+	require.Equal(t, 65, plan.priorPrefill(uneven), "25 fast engines decode as much as 30 of average speed")
+	require.Equal(t, 60, newSpeedRun(t, uneven, mechanism.StagesBySpeed).plan.priorPrefill(uneven))
+	uneven[0].StepTime = 0
+	require.Equal(t, 60, plan.priorPrefill(uneven), "the speed of one engine is unknown")
+}
