Only runs at slow engines move for their deadlines

Cause: after a loss of all power, hundreds of runs moved between engines that were slow only because they prefilled the prompts of returning clients. Change: a run moves if its engine is usually a quarter slower than the average.

--- a/internal/relay/speeds/speeds.go
+++ b/internal/relay/speeds/speeds.go
@@ -9,6 +9,10 @@
 	"github.com/hazelpitch/hazelpitch/internal/enginespeed"
 )
 
+// slowEngine is the usual time of work, relative to the average of the service's engines, above which an engine is slow: a
+// run that moves to an average engine then saves more time than the transfer of its KV cache takes.
+const slowEngine = 1.25
+
 // Speeds holds the estimates for the engines of all services.
 type Speeds struct {
 	mutex     sync.Mutex
@@ -80,6 +84,18 @@
 	return table != nil && table.IsSlowedDown(now, engine)
 }
 
+// IsSlow reports whether work usually takes considerably longer at an engine than at others of its service.
+func (s *Speeds) IsSlow(service string, engine uint64) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	table := s.byService[service]
+	if table == nil {
+		return false
+	}
+	usual, known := table.UsualTime(engine)
+	return known && usual > slowEngine*table.AverageTime()
+}
+
 // EstimateOf returns the estimate of an engine with a number of running streams.
 func (s *Speeds) EstimateOf(now time.Duration, service string, engine uint64, streams int) Estimate {
 	s.mutex.Lock()
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -183,7 +183,7 @@
 	}
 	s.relay.speeds.ObserveStep(now, engine.Service, engine.hash, step, engine.currentLoad(now).ownWork.Streams)
 	engine.recordStep(step)
-	if s.mover != nil && !s.hasLeftSlowEngine && s.relay.speeds.HasReports(engine.Service) && s.relay.policy.ShouldMigrate(s.progress(now, gaps, step)) {
+	if s.mover != nil && !s.hasLeftSlowEngine && s.relay.speeds.IsSlow(engine.Service, engine.hash) && s.relay.policy.ShouldMigrate(s.progress(now, gaps, step)) {
 		s.hasLeftSlowEngine = true
 		go s.mover.migrateToFaster()
 	}
