Soak checks: tenants below their share, and returns as told

Cause: a service with few slots needs to show that no tenant is starved and that clients that return at the time they were told are served.

Change: attempts record their tenant, their request and the time they were told to return. STARVED finds a tenant that asks for no more than an equal part of what is served within 4 s and of which nothing is served. RETURN finds returns as told that are not served, to relays without a fault meanwhile, nor one at the owner of the slots. The shares for RETURN, and for all requests of tenants below their share, come from the bounds and are 0 unless a run sets them. RETURN with a bound also fails below 20 returns, so that a run without any does not pass.

Result: 14 further rows of histories that break a rule or just do not pass: go test ./internal/soak/check

--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -204,6 +204,48 @@
 		h.Sendings = []history.Sending{request("1", "safe", 0)}
 		h.Arrivals = []history.Arrival{ranAt("1", "x", 0), changedArrival(ranAt("1", "odd", 0), func(a *history.Arrival) { a.Service, a.Ran = history.NoService, false })}
 	}},
+	{"a refusal of the service with few slots that promises not run, and it ran", Refused, func(h *history.History) {
+		h.Sendings = []history.Sending{changedSending(request("1", "unsafe", 0), func(s *history.Sending) {
+			s.Status, s.Seal, s.Tenant, s.RetryAfter = 429, "", "small", second
+		})}
+		h.Arrivals = []history.Arrival{ranAt("1", "x", second/10)}
+	}},
+	{"a small tenant of which nothing is served", Starved, competing(0, 12)},
+	{"a small tenant of which something is served", "", competing(1, 12)},
+	{"a small tenant of which less is served than must be", Starved, func(h *history.History) {
+		competing(10, 12)(h)
+		h.Bounds.TenantShare = 0.9
+	}},
+	{"a small tenant of which as much is served as must be", "", func(h *history.History) {
+		competing(11, 12)(h)
+		h.Bounds.TenantShare = 0.9
+	}},
+	{"a tenant that asks for more than its share", "", competing(0, 31)},
+	{"a small tenant whose relay is frozen", "", func(h *history.History) {
+		competing(0, 12)(h)
+		h.Faults = []history.Fault{{Kind: history.Freeze, Target: "front", From: 0, To: 4 * second}}
+	}},
+	{"returns as told that are not served", Return, returning(20, 17, 0.9)},
+	{"returns as told that are served", "", returning(20, 18, 0.9)},
+	{"returns as told that are not served and only counted", "", returning(20, 0, 0)},
+	{"too few returns as told", Return, returning(19, 19, 0.9)},
+	{"unserved returns after a fault of the owner of the slots", Return, func(h *history.History) {
+		returning(20, 0, 0.9)(h) // none of them counts, so that too few do
+		h.Faults = []history.Fault{{Kind: history.Kill, Target: "owner", From: second / 2, To: second}}
+	}},
+	{"unserved returns that are late, beside served ones in time", "", func(h *history.History) {
+		returning(25, 20, 0.9)(h)
+		for index := 20; index < 25; index++ {
+			h.Sendings[index].SentAt = h.Sendings[index].DueAt + second/2
+		}
+	}},
+	{"unserved returns during a fault of their relay, beside served ones at others", "", func(h *history.History) {
+		returning(25, 20, 0.9)(h)
+		for index := 20; index < 25; index++ {
+			h.Sendings[index].Front = "other"
+		}
+		h.Faults = []history.Fault{{Kind: history.Cut, Target: "other", From: second / 2, To: second}}
+	}},
 	{"nothing is served after the last fault", Recover, recovering(0)},
 	{"three of ten requests are served after the last fault", "", recovering(3)},
 }
@@ -229,7 +271,7 @@
 	for _, row := range rows {
 		broken[row.rule] = true
 	}
-	for _, rule := range []Rule{Mixed, Twice, Refused, Unasked, Order, Lost, Drain, Config, Budget, One, Gone, Recover, Route} {
+	for _, rule := range []Rule{Mixed, Twice, Refused, Unasked, Order, Lost, Drain, Config, Budget, One, Gone, Recover, Route, Limit, Starved, Return} {
 		require.True(t, broken[rule], rule)
 	}
 }
--- a/internal/soak/check/finding.go
+++ b/internal/soak/check/finding.go
@@ -28,6 +28,8 @@
 	Recover Rule = "RECOVER"
 	Route   Rule = "ROUTE"
 	Limit   Rule = "LIMIT"
+	Starved Rule = "STARVED"
+	Return  Rule = "RETURN"
 )
 
 // Finding is one violation of a rule.
@@ -49,7 +51,7 @@
 // bound.
 var (
 	safetyCheckers = []checker{mixed, twice, refused, unasked, order, overAttemptLimit, one, atUnknownAddresses, unansweredByStopping}
-	timedCheckers  = []checker{lost, drain, config, gone, recovered, overCrashLimit, overRetryBudget, sentDuringBackoff, sentAfterLeavingAnswer, limits}
+	timedCheckers  = []checker{lost, drain, config, gone, recovered, overCrashLimit, overRetryBudget, sentDuringBackoff, sentAfterLeavingAnswer, limits, starved, unservedReturns}
 )
 
 // Safety returns the violations of rules without time bounds, sorted by time.
--- a/internal/soak/check/histories_test.go
+++ b/internal/soak/check/histories_test.go
@@ -226,3 +226,44 @@
 		}
 	}
 }
+
+// competing returns a history in which a large tenant has 30 requests served within two seconds, beside a small tenant
+// with some attempts, of which the first ones are served.
+func competing(served, attempts int) func(*history.History) {
+	return func(h *history.History) {
+		send := func(tenant string, number int, isServed bool) {
+			id, at := fmt.Sprint(tenant, number), time.Duration(number)*second/20
+			sending := changedSending(request(id, "safe", at), func(s *history.Sending) { s.Tenant, s.Request = tenant, id })
+			if isServed {
+				h.Arrivals = append(h.Arrivals, ranAt(id, "x", at))
+			} else {
+				sending.Status, sending.Seal = 503, ""
+			}
+			h.Sendings = append(h.Sendings, sending)
+		}
+		for number := range 30 {
+			send("large", number, true)
+		}
+		for number := range attempts {
+			send("small", number, number < served)
+		}
+	}
+}
+
+// returning returns a history in which clients come back a second after they were refused, at the time they were told,
+// of which the first ones are served.
+func returning(count, served int, share float64) func(*history.History) {
+	return func(h *history.History) {
+		h.Bounds.ReturnShare, h.SlotOwner = share, "owner"
+		for number := range count {
+			id := fmt.Sprint(number)
+			sending := changedSending(request(id, "safe", second), func(s *history.Sending) { s.RefusedAt, s.DueAt = second/4, second })
+			if number < served {
+				h.Arrivals = append(h.Arrivals, ranAt(id, "x", second))
+			} else {
+				sending.Status, sending.Seal = 503, ""
+			}
+			h.Sendings = append(h.Sendings, sending)
+		}
+	}
+}
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -25,6 +25,9 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// ReturnShare is the share of the returns as told that must be served, TenantShare the share of the attempts that must
+	// be served of a tenant that asks for less than its share; 0 means that they are only counted.
+	ReturnShare, TenantShare float64
 }
 
 // History is what was observed in one run; each list is sorted by time.
@@ -33,14 +36,17 @@
 	Routes map[string]Route
 	// Controllers holds the names of the controllers.
 	Controllers map[string]bool
-	Sendings    []Sending
-	Arrivals    []Arrival
-	Changes     []Change
-	Reads       []Read
-	Orders      []Order
-	Listings    []Listing
-	Limits      []Limit
-	Faults      []Fault
+	// SlotOwner is the name of the relay that owns the shared slots of the service with few slots; empty when no slots
+	// are shared.
+	SlotOwner string
+	Sendings  []Sending
+	Arrivals  []Arrival
+	Changes   []Change
+	Reads     []Read
+	Orders    []Order
+	Listings  []Listing
+	Limits    []Limit
+	Faults    []Fault
 }
 
 // Route is the declaration of a kind of request.
--- a/internal/soak/history/recorder.go
+++ b/internal/soak/history/recorder.go
@@ -19,6 +19,13 @@
 	return &Recorder{origin: time.Now(), history: History{Bounds: bounds, Routes: routes, Controllers: controllers}}
 }
 
+// SetSlotOwner records which relay owns the shared slots.
+func (r *Recorder) SetSlotOwner(name string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.history.SlotOwner = name
+}
+
 // Now returns the time since the run began.
 func (r *Recorder) Now() time.Duration { return time.Since(r.origin) }
 
--- a/internal/soak/history/sending.go
+++ b/internal/soak/history/sending.go
@@ -27,6 +27,15 @@
 	AnswerID string
 	// Whole is true if the response was complete.
 	Whole bool
+	// Tenant is the name of the tenant that sent the attempt; empty for none.
+	Tenant string
+	// Request is equal for all attempts of one request of a tenant.
+	Request string
+	// RetryAfter is the time after which the response asked the client to return; 0 for none.
+	RetryAfter time.Duration
+	// DueAt is when the client was told to return with this attempt, in a response that it got at RefusedAt; both are 0
+	// for an attempt that is not a return as told.
+	RefusedAt, DueAt time.Duration
 }
 
 // PromisesNotRun reports whether the response says that the request has not run and never will.
@@ -34,5 +43,8 @@
 	return s.Seal == "" && (s.Status == 408 || s.Status == 421 || s.Status == 429 || s.Status == 503)
 }
 
+// WasRun reports whether the response is that of a back end that ran the request.
+func (s Sending) WasRun() bool { return s.Seal != "" }
+
 // Succeeded reports whether the client got a success status.
 func (s Sending) Succeeded() bool { return s.Status >= 200 && s.Status < 300 }
