Soak: uneven back ends, a service with few slots, and faults at its owner

Cause: nothing ran the new parts (engine speeds, shared slots, planned returns) with real processes under faults.

Other runs draw the same faults and requests as before.

--- a/internal/benchcommand/soak.go
+++ b/internal/benchcommand/soak.go
@@ -58,6 +58,9 @@
 	Program     string        `long:"program" value-name:"FILE" description:"hazelpitch as users get it; default: the same code in this program"`
 	Other       string        `long:"other" value-name:"FILE" description:"hazelpitch of another build: processes are replaced by it and back, in any order"`
 	Plain       bool          `long:"plain" description:"back ends ask for no rests, name no limits and start under new identities: for other builds that know nothing of these"`
+	Uneven      bool          `long:"uneven" description:"engines report slowdowns that change many times a second and work accordingly; a third of them are always slow"`
+	Pressure    bool          `long:"pressure" description:"add a service with fewer slots than relays and tenants that ask for more than it carries; in half of the seeds relays share its slots, and their owner is struck"`
+	Returns     bool          `long:"check-returns" description:"with --pressure, in the seeds that share slots: require that nine in ten of the clients that return as told, and of the attempts of tenants below their share, are served; faults leave out the owner of the slots and the back ends with few slots"`
 	Directory   string        `long:"directory" value-name:"DIR" description:"where settings, disks and logs go; default: a temporary directory, which stays where a rule was broken"`
 	Untimed     bool          `long:"untimed" description:"leave out the rules with time bounds: for machines that are busy"`
 	Verbose     bool          `long:"verbose" description:"print each fault as it strikes"`
@@ -82,6 +85,9 @@
 	if s.Controllers < 1 || s.Relays < 1 || s.Pages < 2 || s.Engines < 2 || s.Clients < 1 || s.Seeds < 1 || s.Poisons < 0 || s.Length <= 0 || s.Calm < 0 {
 		return &usageError{cause: trace.BadParameter("--controllers, --relays, --clients, --seeds and --length must be above 0, --pages and --engines above 1, --poisons and --calm not below 0")}
 	}
+	if s.Pressure && s.Relays < soak.MinPressureRelays || s.Returns && (!s.Pressure || s.Untimed || s.Other != "") {
+		return &usageError{cause: trace.BadParameter("--pressure takes --relays of at least %d; --check-returns takes --pressure, and neither --untimed nor --other", soak.MinPressureRelays)}
+	}
 	var failures []error
 	for number := range s.Seeds {
 		if err := s.runSeed(ctx, environment, s.Seed+uint64(number)); err != nil {
@@ -116,14 +122,20 @@
 	return nil
 }
 
-// buildFlags returns the flags --other and --plain as they were given, as text for the command that repeats a run.
+// buildFlags returns the flags for other builds and further parts as they were given, as text for the command that repeats
+// a run.
 func (s *soakFlags) buildFlags() string {
 	flags := ""
 	if s.Other != "" {
 		flags += " --other " + s.Other
 	}
-	if s.Plain {
-		flags += " --plain"
+	for _, flag := range []struct {
+		given bool
+		text  string
+	}{{s.Plain, " --plain"}, {s.Uneven, " --uneven"}, {s.Pressure, " --pressure"}, {s.Returns, " --check-returns"}} {
+		if flag.given {
+			flags += flag.text
+		}
 	}
 	return flags
 }
@@ -142,7 +154,7 @@
 	options := soak.Options{
 		Seed: seed, Controllers: s.Controllers, Relays: s.Relays, Pages: s.Pages, Engines: s.Engines, Clients: s.Clients, Poisons: s.Poisons,
 		FaultDuration: s.Length, QuietDuration: s.Calm, Directory: directory, Program: s.Program, Serve: serveSiteSubcommand, CheckTimeBounds: !s.Untimed,
-		OtherProgram: s.Other, FirstFormatOnly: s.Plain,
+		OtherProgram: s.Other, FirstFormatOnly: s.Plain, Uneven: s.Uneven, Pressure: s.Pressure, CheckReturns: s.Returns,
 	}
 	if s.Verbose {
 		options.Progress = func(line string) { fmt.Fprintln(environment.Stderr, line) }
--- a/internal/soak/cuts.go
+++ b/internal/soak/cuts.go
@@ -34,16 +34,22 @@
 		relay := f.site.relays[random.IntN(len(f.site.relays))]
 		length := time.Duration(random.Int64N(int64(longestCut)))
 		groups := [][]netip.Prefix{{controllers}, {relays}, {controllers, relays}}[random.IntN(3)]
-		if f.isOther(relay.Name) {
-			continue // the other build has no command to cut its network
-		}
-		f.inject(history.Cut, relay.Name, false, func() {
-			heal, err := relay.CutOff(number, groups)
-			if err != nil {
-				return // the process has exited in the meantime
-			}
-			time.Sleep(length)
-			_ = heal() // an error means that the process has exited, and the cut with it
-		})
+		f.cut(relay, number, length, groups)
 	}
 }
+
+// cut cuts a relay off from a group of addresses for a time. The number identifies the cut. Only this program accepts
+// commands that cut its network.
+func (f *faults) cut(relay *relayProcess, number int, length time.Duration, group []netip.Prefix) {
+	if f.site.options.Program != "" || f.isOther(relay.Name) {
+		return
+	}
+	f.inject(history.Cut, relay.Name, false, func() {
+		heal, err := relay.CutOff(number, group)
+		if err != nil {
+			return // the process has exited in the meantime
+		}
+		time.Sleep(length)
+		_ = heal() // an error means that the process has exited, and the cut with it
+	})
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -9,7 +9,6 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/fleet"
 	"github.com/hazelpitch/hazelpitch/internal/soak/history"
-	"github.com/hazelpitch/hazelpitch/platform/standin"
 )
 
 // Durations and sizes of faults.
@@ -63,6 +62,9 @@
 	for _, process := range created.processes() {
 		created.onOtherBuild[process.Name] = site.startsOnOtherBuild()
 	}
+	if site.options.checksReturns() {
+		created.struckTargets[site.slotOwners()[0].Name] = true // never free for a fault
+	}
 	return created
 }
 
@@ -77,6 +79,9 @@
 	if f.site.options.Program == "" { // only this program accepts commands that cut its network
 		f.running.Go(func() { f.cutRelays(ctx) })
 	}
+	if f.site.options.sharesSlots() && !f.site.options.checksReturns() {
+		f.running.Go(func() { f.strikeOwners(ctx) })
+	}
 	for ctx.Err() == nil {
 		sleep(ctx, time.Duration(f.random.Int64N(int64(longestGap))))
 		switch f.random.IntN(10) {
@@ -190,16 +195,26 @@
 	away, freeze := f.drawDuration(longestAway), f.drawDuration(longestFreeze)
 	switch f.random.IntN(5) {
 	case 0:
-		f.inject(history.Freeze, relay.Name, false, func() { relay.Suspend(); time.Sleep(freeze); relay.Resume() })
+		f.freeze(relay, freeze)
 	case 1:
 		f.inject(history.Reload, relay.Name, false, func() { f.sendReloads(relay.Process) })
 	case 2, 3:
 		f.inject(history.Terminate, relay.Name, false, func() { f.terminate(relay.Process, f.isOther(relay.Name), away) })
 	default:
-		f.inject(history.Kill, relay.Name, false, func() { relay.Kill(); time.Sleep(away); _ = relay.Start() })
+		f.kill(relay, away)
 	}
 }
 
+// freeze suspends a relay for a time.
+func (f *faults) freeze(relay *relayProcess, length time.Duration) {
+	f.inject(history.Freeze, relay.Name, false, func() { relay.Suspend(); time.Sleep(length); relay.Resume() })
+}
+
+// kill kills a relay and restarts it after a time.
+func (f *faults) kill(relay *relayProcess, away time.Duration) {
+	f.inject(history.Kill, relay.Name, false, func() { relay.Kill(); time.Sleep(away); _ = relay.Start() })
+}
+
 // terminate asks a process to stop, waits until it exits, and starts it again after the time away. While the process
 // stops, it is sent further signals, unless it runs the other build, which such signals may kill.
 func (f *faults) terminate(process *fleet.Process, isOther bool, away time.Duration) {
@@ -221,7 +236,7 @@
 const stopPoll = 20 * time.Millisecond
 
 func (f *faults) injectReplicaFault() {
-	replicas := append(append([]*standin.Replica(nil), f.site.pages...), f.site.engines...)
+	replicas := f.site.strikeableReplicas()
 	replica := replicas[f.random.IntN(len(replicas))]
 	away, length := f.drawDuration(longestAway), f.drawDuration(longestAway)
 	switch f.random.IntN(7) {
@@ -247,7 +262,7 @@
 // ends. It draws from its own random source, so that it does not change which other faults are drawn.
 func (f *faults) limitReplicas(ctx context.Context) {
 	random := rand.New(rand.NewPCG(f.site.options.Seed, 4000))
-	replicas := append(append([]*standin.Replica(nil), f.site.pages...), f.site.engines...)
+	replicas := f.site.strikeableReplicas()
 	for ctx.Err() == nil {
 		sleep(ctx, time.Duration(random.Int64N(int64(longestLimitGap))))
 		replica := replicas[random.IntN(len(replicas))]
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -26,6 +26,15 @@
 	// ask for backoff, limits, and incarnations under one identity.
 	OtherProgram    string
 	FirstFormatOnly bool
+	// Uneven makes engines, and back ends with few slots, report a slowdown that changes many times a second and work
+	// accordingly; a third of the engines are always slow and the others fast.
+	Uneven bool
+	// Pressure adds a service with fewer slots than there are relays, and tenants that ask for more than it carries at
+	// times. It takes MinPressureRelays relays. Some seeds make relays share the slots, and strike the relay that owns them.
+	Pressure bool
+	// CheckReturns requires, in seeds that share slots, that clients that return as told and tenants that ask for less than
+	// their share are served, and keeps faults from the owner of the slots and the back ends with few slots.
+	CheckReturns bool
 	// CheckTimeBounds also checks the rules with time bounds, which can fail on a machine that is busy with other work.
 	CheckTimeBounds bool
 	// Progress is called with one line for each fault; nil for no reports.
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -28,6 +28,8 @@
 	Orders   int                       `json:"orders"`
 	Faults   map[history.FaultKind]int `json:"faults"`
 	Findings []check.Finding           `json:"findings"`
+	// Pressure reports on the service with few slots; nil in runs without it.
+	Pressure *PressureReport `json:"pressure,omitempty"`
 }
 
 // reportOf counts the events of a recorded history.
@@ -35,6 +37,9 @@
 	report := Report{
 		Seed: options.Seed, Sendings: len(recorded.Sendings), Arrivals: len(recorded.Arrivals), Orders: len(recorded.Orders), Faults: faults, Findings: findings,
 	}
+	if options.Pressure {
+		report.Pressure = pressureReportOf(recorded)
+	}
 	for _, sending := range recorded.Sendings {
 		switch {
 		case sending.Succeeded():
@@ -64,6 +69,9 @@
 	for _, kind := range slices.Sorted(maps.Keys(r.Faults)) {
 		fmt.Fprintf(&text, " %s %d", kind, r.Faults[kind])
 	}
+	if r.Pressure != nil {
+		fmt.Fprintf(&text, "\n  %s", r.Pressure)
+	}
 	printed := map[check.Rule]int{}
 	for _, finding := range r.Findings {
 		if printed[finding.Rule]++; printed[finding.Rule] <= maxPrinted {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -89,7 +90,7 @@
 	limited, cancel := context.WithTimeout(ctx, formationTimeout)
 	defer cancel()
 	first := history.Change{Number: firstNumber, Services: standin.ServicesByRoute(standin.ServicePages)}
-	if s.operator.Put(limited, first, standin.Configuration(firstNumber, standin.ServicePages), 0).Status != http.StatusOK {
+	if s.operator.Put(limited, first, standin.Configuration(firstNumber, standin.ServicePages, s.options.Pressure), 0).Status != http.StatusOK {
 		return trace.ConnectionProblem(nil, "no controller accepted the first configuration within %s; see the logs in %s", formationTimeout, s.options.Directory)
 	}
 	for _, process := range s.controllers {
@@ -112,7 +113,7 @@
 func (s *site) restartCrashed(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, restartPause)
-		for _, replica := range append(append([]*standin.Replica(nil), s.pages...), s.engines...) {
+		for _, replica := range slices.Concat(s.pages, s.engines, s.few) {
 			_ = replica.Start() // a no-op when it runs; when its address is still in use, the next round retries
 		}
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -33,6 +34,7 @@
 	list        *standin.List
 	pages       []*standin.Replica
 	engines     []*standin.Replica
+	few         []*standin.Replica
 	controllers []*fleet.Process
 	relays      []*relayProcess
 	operator    *standin.Operator
@@ -44,6 +46,8 @@
 type relayProcess struct {
 	*fleet.Process
 	front, ready string
+	// peers is the address at which other relays reach it.
+	peers string
 }
 
 // networkRanges is the number of ranges into which the loopback network is divided, so that concurrent runs of
@@ -65,6 +69,7 @@
 	groupPages
 	groupEngines
 	groupList
+	groupFew
 )
 
 // newSite creates the settings of all processes and starts the stand-ins; no process runs yet.
@@ -73,7 +78,7 @@
 	for number := range options.Controllers {
 		names[controllerName(number)] = true
 	}
-	created := &site{options: options, servers: map[string][]string{}, recorder: history.NewRecorder(bounds, standin.Routes(), names)}
+	created := &site{options: options, servers: map[string][]string{}, recorder: history.NewRecorder(options.bounds(), standin.Routes(), names)}
 	list, err := standin.StartList(hostPort(address(groupList, 0), portOuter), created.recorder)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -105,12 +110,40 @@
 			return nil, trace.Wrap(err)
 		}
 	}
+	if options.sharesSlots() {
+		created.recorder.SetSlotOwner(created.slotOwners()[0].Name)
+	}
 	return created, nil
 }
 
 func controllerName(number int) string { return fmt.Sprint("core-", number+1) }
 
-// startReplicas starts the back ends: page services, half of them for each service, and engines.
+// usualSpeed returns the usual speed of a back end that reports its slowdown in uneven runs; 0 in others.
+func (s *site) usualSpeed(speed float64) float64 {
+	if !s.options.Uneven {
+		return 0
+	}
+	return speed
+}
+
+// engineSpeeds are the usual speeds of engines by number, as multiples of the usual time. Both stages have each speed.
+var engineSpeeds = []float64{slowEngine, slowEngine, fastEngine, fastEngine, fastEngine, fastEngine}
+
+const (
+	slowEngine = 1.7
+	fastEngine = 0.7
+)
+
+// strikeableReplicas returns the back ends that have faults.
+func (s *site) strikeableReplicas() []*standin.Replica {
+	replicas := slices.Concat(s.pages, s.engines)
+	if s.options.checksReturns() {
+		return replicas
+	}
+	return append(replicas, s.few...)
+}
+
+// startReplicas starts the back ends: page services, half of them for each service, engines, and those with few slots.
 func (s *site) startReplicas() error {
 	for number := range s.options.Pages {
 		service := []string{standin.ServicePages, standin.ServiceOther}[number%2]
@@ -127,13 +160,16 @@
 		stage := []string{platform.StageDecode, platform.StagePrefill}[number%2]
 		replica, err := standin.StartReplica(standin.ReplicaOptions{
 			Service: standin.ServiceEngines, Zone: "z", Address: hostPort(address(groupEngines, number), portOuter), Stage: stage, Slots: 16,
-			RunTime: 5 * time.Millisecond, EventInterval: 15 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
+			RunTime: 5 * time.Millisecond, EventInterval: 15 * time.Millisecond, UsualSpeed: s.usualSpeed(engineSpeeds[number%len(engineSpeeds)]), Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
 		})
 		if err != nil {
 			return trace.Wrap(err)
 		}
 		s.engines = append(s.engines, replica)
 	}
+	if s.options.Pressure {
+		return trace.Wrap(s.startFewReplicas())
+	}
 	return nil
 }
 
@@ -157,14 +193,18 @@
 
 func (s *site) addRelay(number int) error {
 	name, ip := fmt.Sprint("front-", number+1), address(groupRelays, number)
-	relay := &relayProcess{front: hostPort(ip, portOuter), ready: hostPort(ip, portReady)}
-	var err error
-	relay.Process, err = s.newProcess(name, "relay", "", map[string]any{
-		"name": name, "zone": "z", "listen": relay.front, "ready_listen": relay.ready, "notice_listen": hostPort(ip, portPeers),
+	relay := &relayProcess{front: hostPort(ip, portOuter), ready: hostPort(ip, portReady), peers: hostPort(ip, portPeers)}
+	config := map[string]any{
+		"name": name, "zone": "z", "listen": relay.front, "ready_listen": relay.ready, "notice_listen": relay.peers,
 		"admin_listen": hostPort(ip, portAdmin), "controllers": s.seeds(), "controller_port": portPeers,
 		"listing_address": s.list.Address(), "grace": relayGrace.String(),
 		"retry_budget": map[string]any{"ratio": bounds.RetryRatio, "window": bounds.RetryWindow.String(), "slack": bounds.RetrySlack},
-	})
+	}
+	if s.options.sharesSlots() {
+		config["contracts"] = []string{"pressure"}
+	}
+	var err error
+	relay.Process, err = s.newProcess(name, "relay", "", config)
 	s.relays = append(s.relays, relay)
 	return trace.Wrap(err)
 }
@@ -240,7 +280,7 @@
 	for _, process := range s.controllers {
 		process.Kill()
 	}
-	for _, replica := range append(s.pages, s.engines...) {
+	for _, replica := range slices.Concat(s.pages, s.engines, s.few) {
 		replica.Close()
 	}
 	s.list.Close()
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -77,6 +77,9 @@
 	for number := range t.site.options.Clients {
 		t.running.Go(func() { t.runClient(ctx, number) })
 	}
+	if t.site.options.Pressure {
+		t.startPressure(ctx)
+	}
 	for number := range t.site.options.Poisons {
 		t.running.Go(func() { t.sendPoison(ctx, number) })
 	}
@@ -158,7 +161,7 @@
 		return drawnChange{history.Change{Number: number, Invalid: true}, standin.InvalidConfiguration(number)}
 	}
 	pages := []string{standin.ServicePages, standin.ServiceOther}[random.IntN(2)]
-	return drawnChange{history.Change{Number: number, Services: standin.ServicesByRoute(pages)}, standin.Configuration(number, pages)}
+	return drawnChange{history.Change{Number: number, Services: standin.ServicesByRoute(pages)}, standin.Configuration(number, pages, s.options.Pressure)}
 }
 
 // sleep blocks for the given time, or until the context ends.
