--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -52,7 +52,9 @@
 	for number := 0; ctx.Err() == nil; number++ {
 		relay := c.traffic.loadBalancer.pickRelay(c.random)
 		c.attempt.ID, c.attempt.Front, c.attempt.Address = fmt.Sprintf("%s%04x", c.attempt.Request, number), relay.Name, relay.front
-		c.attempt.Timeout = c.timeLeft()
+		if c.attempt.Timeout = c.timeLeft(); c.attempt.Timeout <= 0 {
+			return
+		}
 		sent := c.client.Send(context.WithoutCancel(ctx), c.attempt)
 		wait, again := c.pauseAfter(sent, number+1)
 		if !again {
