Send the formats of relays with the list of relays

Cause: relays cannot tell which of the others know slot queues, so that they would ask relays of earlier builds for slots. Change: the leader fills WatchResponse.relay_formats, in the order of the addresses; the list's hash covers the formats. Relays of earlier builds ignore the field.

--- a/internal/control/relay_list.go
+++ b/internal/control/relay_list.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -68,7 +69,8 @@
 	}
 	c.updates.relayList = subsetting.OwnerCandidates(c.noticeAddresses(), len(c.listing.published))
 	c.updates.relaysWithoutPermits = c.withoutPermits(c.updates.relayList)
-	c.updates.relayListHash = hashAddresses(slices.Concat(c.updates.relayList, c.updates.relaysWithoutPermits))
+	c.updates.relayFormats = c.highestFormats(c.updates.relayList)
+	c.updates.relayListHash = hashRelayList(slices.Concat(c.updates.relayList, c.updates.relaysWithoutPermits), c.updates.relayFormats)
 	c.updates.relayListFresh = true
 }
 
@@ -83,12 +85,30 @@
 	return slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return !isWithoutPermits[address] })
 }
 
-// hashAddresses returns a hash of a list of addresses; 0 for an empty list.
-func hashAddresses(addresses []string) uint64 {
+// highestFormats returns the highest formats of the relays at the addresses, in the same order. Where two relays report
+// one address, as the former and the new process of a relay do, it is the lower of their formats.
+func (c *Core) highestFormats(addresses []string) []uint32 {
+	byAddress := make(map[string]uint32, len(c.relays))
+	for _, record := range c.relays {
+		highest := uint32(record.formats.Highest)
+		if known, isKnown := byAddress[record.noticeAddress]; !isKnown || highest < known {
+			byAddress[record.noticeAddress] = highest
+		}
+	}
+	highest := make([]uint32, len(addresses))
+	for index, address := range addresses {
+		highest[index] = byAddress[address]
+	}
+	return highest
+}
+
+// hashRelayList returns a hash of a list of addresses and of the relays' formats; 0 for an empty list. The formats are
+// part of it, so that relays are sent the list again when only a format has changed.
+func hashRelayList(addresses []string, highestFormats []uint32) uint64 {
 	if len(addresses) == 0 {
 		return 0
 	}
-	return xxhash.Sum64String(strings.Join(addresses, ","))
+	return xxhash.Sum64String(strings.Join(addresses, ",") + fmt.Sprint(highestFormats))
 }
 
 // relayCount returns the number of relays with a message within relayTimeout; 0 during this leader's first relayCountDelay.
--- a/internal/control/site_updates.go
+++ b/internal/control/site_updates.go
@@ -9,9 +9,11 @@
 // siteUpdates holds the contents of the leader's updates to relays, built once and sent to all relays.
 type siteUpdates struct {
 	// relayList are the addresses of the relays, relaysWithoutPermits the addresses of those that do not grant permits
-	// to other relays, and relayListHash is a hash of both lists. All three are current while relayListFresh is true.
+	// to other relays, relayFormats the highest formats of the relays in relayList, in the same order, and relayListHash
+	// is a hash of the three lists. All are current while relayListFresh is true.
 	relayList            []string
 	relaysWithoutPermits []string
+	relayFormats         []uint32
 	relayListHash        uint64
 	relayListFresh       bool
 	// documents are the documents that are published to relays.
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -133,6 +133,7 @@
 	response.RelayList = c.updates.relayListHash
 	if response.RelayList != request.GetRelayList() && (response.Relays > 0 || request.GetRelayList() == 0) {
 		response.FormerRelays = c.updates.relaysWithoutPermits
+		response.RelayFormats = c.updates.relayFormats
 		response.RelayAddresses = c.updates.relayList // a new leader knows few relays; relays keep the list that they hold
 	}
 	c.recordSent(request, response)
