Parse the load header in a function of its own

Cause: the slots need the slowdown, the fourth figure of the load header. Command: go test ./internal/relay -run 'Load|Fault'

--- a/internal/relay/exchange_records.go
+++ b/internal/relay/exchange_records.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"strconv"
-	"strings"
 
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
@@ -100,17 +98,7 @@
 
 // recordReportedLoad records the load that the back end reports in its answer.
 func (e *exchanger) recordReportedLoad(answer *answer) {
-	value := string(answer.head.Peek(e.names.Load))
-	if value == "" {
-		return
-	}
-	fields := strings.Split(value, ",")
-	if len(fields) < 2 {
-		return
-	}
-	running, runningErr := strconv.Atoi(strings.TrimSpace(fields[0]))
-	waiting, waitingErr := strconv.Atoi(strings.TrimSpace(fields[1]))
-	if runningErr == nil && waitingErr == nil {
-		answer.message.backEnd.recordReportedLoad(e.clock.now(), running, waiting)
+	if load, isReadable := parseLoadHeader(string(answer.head.Peek(e.names.Load))); isReadable {
+		answer.message.backEnd.recordReportedLoad(e.clock.now(), load.running, load.waiting)
 	}
 }
