--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -42,6 +42,7 @@
 	"internal/planner",
 	"internal/quarantine",
 	"internal/replicaplan",
+	"internal/returnplan",
 	"internal/routing",
 	"internal/safeguard",
 	"internal/serving",
