--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -47,6 +47,7 @@
 	"internal/safeguard",
 	"internal/serving",
 	"internal/shares",
+	"internal/slotqueue",
 	"internal/stageplan",
 	"internal/subsetting",
 	"internal/standin/engine/orders",
