--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -38,6 +38,14 @@
 	// owner's deputy.
 	CellAcquired Event = "cell_owned"
 	CellReleased Event = "cell_left"
+	// SlotsAcquired and SlotsReleased: the relay starts, or stops, to grant the slots of a service, as their owner or as the
+	// owner's deputy.
+	SlotsAcquired Event = "slots_owned"
+	SlotsReleased Event = "slots_left"
+	// SlotRefused: the owner of a service's slots refused a request for a slot.
+	SlotRefused Event = "slot_refused"
+	// SlotGranted: the owner of a service's slots granted a slot; only a sample of the grants is logged.
+	SlotGranted Event = "slot_granted"
 	// RunMigrated: a run was migrated from an engine that accepts no more work.
 	RunMigrated Event = "run_moved"
 	// ConfigurationApplied: the relay applied a different configuration.
@@ -97,7 +105,7 @@
 var All = []Event{
 	RequestEnded, AttemptFailed, RequestRefused, KeyRefused, RunMigrated, ConfigurationApplied, ConfigurationUnreadable, ListingApplied, ListingFaultChanged,
 	BackEndInBackoff, BackEndLeaving, BackEndLimitChanged, BackEndRestarted, BackEndCrashed, RequestQuarantined, QuarantineTrialStarted, GuardCallFailed,
-	LeaderLost, LeaderFound, OwnerSuspected, CellAcquired, CellReleased, RelayStarted, RelayStopping, RelayStopped, GatewayStopping, GatewayStopped, SignalReceived, StageOrdered, UsageDelivered, ReplicasOrdered, FormatAgreed, ControllerHalted, UpdateNotApplied, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
+	LeaderLost, LeaderFound, OwnerSuspected, CellAcquired, CellReleased, SlotsAcquired, SlotsReleased, SlotRefused, SlotGranted, RelayStarted, RelayStopping, RelayStopped, GatewayStopping, GatewayStopped, SignalReceived, StageOrdered, UsageDelivered, ReplicasOrdered, FormatAgreed, ControllerHalted, UpdateNotApplied, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
 
 // Names of fields that several events have in common.
