Relays send requests with slots of the owner

Change: where Features.SlotQueues is on and the mechanism slot-queues enabled, each attempt of servePlain acquires a slot of a service without engines and releases it when the answer is complete or has failed. The relay selects by itself as before when no owner answers, or the granted back end is not usable here. A refusal reaches the client as 503 with its return time unless the request may have run. Back ends that this relay must not use are excluded from its request, those that it avoids if others are left.

--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -24,6 +24,8 @@
 	lastFailure *failure
 	// isQuarantined is true if the request must not be sent to any further back end.
 	isQuarantined bool
+	// slotRefusal is the answer to the client when the owner of the service's slots has refused the request; nil otherwise.
+	slotRefusal *refusal
 }
 
 // recordFailure records an attempt that brought no answer, and excludes its back end from further attempts.
@@ -129,6 +131,8 @@
 		return refusal{status: fasthttp.StatusBadGateway, reason: "the back end failed"}
 	case a.isQuarantined:
 		return refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonQuarantined, retryAfter: crashguard.QuarantineRetryAfter}
+	case a.slotRefusal != nil:
+		return *a.slotRefusal
 	case isLate:
 		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "no back end took the request in time", retryAfter: retryAfterBusy}
 	case advice.isLimited:
--- a/internal/relay/exchange_records.go
+++ b/internal/relay/exchange_records.go
@@ -100,5 +100,6 @@
 func (e *exchanger) recordReportedLoad(answer *answer) {
 	if load, isReadable := parseLoadHeader(string(answer.head.Peek(e.names.Load))); isReadable {
 		answer.message.backEnd.recordReportedLoad(e.clock.now(), load.running, load.waiting)
+		answer.message.slowdownPercent = load.slowdownPercent
 	}
 }
--- a/internal/relay/fleet_state.go
+++ b/internal/relay/fleet_state.go
@@ -202,6 +202,7 @@
 	}
 	f.relayListHash, f.relayListSize = response.GetRelayList(), len(addresses)
 	f.relay.setRelays(addresses, response.GetFormerRelays())
+	f.relay.setSlotRelays(addresses, response.GetRelayFormats())
 }
 
 // applyRelayCount applies the number of relays; a new leader sends none until it knows how many there are.
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -21,6 +21,7 @@
 	})
 	r.placements = newPlacementClient(r, r.datagrams, r.fleet.incarnation, r.peers)
 	r.permits = newPermits(r)
+	r.slots = newSlots(r)
 	r.placementOwner = newPlacementOwner(r)
 	r.owners = newOwnerTable(r.datagrams.Address, r.event)
 }
@@ -44,6 +45,14 @@
 		r.permits.HandleAnswer(content.LimitAnswer)
 	case *v1.RelayDatagram_LimitNotice:
 		r.permits.HandleNotice(content.LimitNotice, from)
+	case *v1.RelayDatagram_SlotRequest:
+		r.slots.HandleRequest(content.SlotRequest, from)
+	case *v1.RelayDatagram_SlotAnswer:
+		r.slots.HandleAnswer(content.SlotAnswer)
+	case *v1.RelayDatagram_SlotReport:
+		r.slots.HandleReport(content.SlotReport)
+	case *v1.RelayDatagram_SlotPromises:
+		r.slots.HandlePromises(content.SlotPromises, from)
 	default:
 		r.datagrams.CountDrop(datagram.Unexpected)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/relay/peerhealth"
 	"github.com/hazelpitch/hazelpitch/internal/relay/permits"
 	"github.com/hazelpitch/hazelpitch/internal/relay/retrybudget"
+	"github.com/hazelpitch/hazelpitch/internal/relay/slots"
 	"github.com/hazelpitch/hazelpitch/internal/relay/splitdraw"
 	"github.com/hazelpitch/hazelpitch/internal/relay/workmeter"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
@@ -59,7 +60,10 @@
 	// peers records which other relays answer queries.
 	peers *peerhealth.Table
 	// permits obtains permits for back ends that declare a limit for all relays together.
-	permits        *permits.Permits
+	permits *permits.Permits
+	// slots obtains slots of back ends where relays share them, as sharesSlots says.
+	slots          *slots.Slots
+	sharesSlots    bool
 	placementOwner *placementOwner
 	owners         *ownerTable
 	work           *workmeter.Meter
@@ -153,6 +157,7 @@
 		prefillSpeed:       newPrefillSpeed(),
 		policy:             placement.DefaultParameters().Without(options.Without),
 		mechanisms:         options.Without,
+		sharesSlots:        options.Features.SlotQueues && options.Without.IsEnabled(mechanism.SlotQueues),
 
 		prefillWaitSlack: prefillWaitSlack,
 		startupWait:      startupWait,
@@ -205,6 +210,9 @@
 	group.Go(func() error { r.guard.Run(workCtx); return nil })
 	group.Go(func() error { r.notices.run(workCtx); return nil })
 	group.Go(func() error { r.permits.Run(workCtx); return nil })
+	if r.sharesSlots {
+		group.Go(func() error { return trace.Wrap(r.slots.Run(workCtx)) })
+	}
 	group.Go(func() error { r.datagrams.Receive(r.handleDatagram); return nil })
 	group.Go(func() error { return r.accept(workCtx, listener) })
 	select {
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
+	"github.com/hazelpitch/hazelpitch/internal/relay/slots"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -70,6 +71,7 @@
 	// placementQueries counts placement decisions by who made them; spills counts requests offered to a further cell.
 	placementQueries *prometheus.CounterVec
 	spills           prometheus.Counter
+	slots            *slots.Metrics
 	datagramsDropped *prometheus.CounterVec
 	firstEventTime   prometheus.Histogram
 	answerTime       prometheus.Histogram
@@ -96,6 +98,7 @@
 		startupWaits:     factory.Counter("start_waits_total", "Requests that waited for a configuration and a list, since they came right after the start."),
 		migrations:       factory.CounterVec("runs_moved_total", "Runs that stopped at one engine to go on at another, by whether they were copied.", "copied"),
 		placementQueries: factory.CounterVec("placement_questions_total", "Decisions on engines, by who made them.", "outcome"),
+		slots:            slots.NewMetrics(factory, func() *slots.Slots { return relay.slots }),
 		spills:           factory.Counter("placement_spills_total", "Offers of requests to a further cell of engines."),
 		datagramsDropped: factory.CounterVec("datagrams_dropped_total", "Datagrams between relays that were not taken, by reason.", "reason"),
 		firstEventTime:   factory.Histogram("first_event_seconds", "Time from a request to the first event of its stream."),
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -37,6 +37,8 @@
 	isUsageCounted bool
 	// rank is the request's rank in the queues of engines.
 	rank placement.Rank
+	// priorityLevel is the request's priority level, 0 the most urgent.
+	priorityLevel int
 
 	arrivedAt time.Duration
 	// deadline is when the final answer is due: the earlier of the client's deadline and the route's timeout.
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -38,7 +38,8 @@
 		return
 	}
 	request.signature = quarantine.SignatureOf(request.tenantName(), request.method, request.target, request.body)
-	request.rank = placement.RankOf(view.table.PriorityLevel(request.tenant, request.route))
+	level, levels := view.table.PriorityLevel(request.tenant, request.route)
+	request.priorityLevel, request.rank = level, placement.RankOf(level, levels)
 	names := r.dialect.Headers
 	request.deadline = request.arrivedAt +
 		min(request.route.Timeout, clientTimeout(request.header, names.DeadlineMs, request.route.Timeout))
@@ -95,30 +96,39 @@
 func (r *Relay) servePlain(request *request, reply *replier) {
 	attempts := &attemptTracker{relay: r, request: request}
 	for attempts.mayContinue() {
-		selection := r.pickForPlain(request, attempts)
+		selection, slot := r.pickWithSlot(request, attempts)
 		if selection == nil {
 			break
 		}
-		backEnd := selection.backEnd
-		request.trace.engine, request.trace.sentAt = backEnd.ID, r.clock.now()
-		answer, fault := r.exchanger.send(&message{request: request, backEnd: backEnd, deadline: request.deadline, work: placement.Work{Streams: 1}, selection: selection,
-			stall: stallLimit(request.route), mayAbort: attempts.hasFurtherAttempt()})
-		r.work.AddWholeAnswer(request.service.Name, r.clock.now()-request.trace.sentAt, backEnd.Slots)
-		if fault == nil || fault.verdict != verdict.NotRun {
-			r.recordRun(request, request.trace.sentAt)
-		}
-		if fault == nil {
-			fault = r.forwardPlain(answer, attempts, reply)
-		}
+		fault := r.attemptPlain(selection, slot, attempts, reply)
 		if fault == nil {
 			return
 		}
-		r.log.recordFailedAttempt(request, backEnd, fault)
-		attempts.recordFailure(backEnd, fault)
+		r.log.recordFailedAttempt(request, selection.backEnd, fault)
+		attempts.recordFailure(selection.backEnd, fault)
 	}
 	r.replyRefused(attempts, reply)
 }
 
+// attemptPlain sends a request to the selected back end and forwards the answer. It releases the slot when the answer is
+// complete or has failed, and returns nil when the client has its final answer.
+func (r *Relay) attemptPlain(selection *backEndSelection, slot plainSlot, attempts *attemptTracker, reply *replier) *failure {
+	request, backEnd := attempts.request, selection.backEnd
+	request.trace.engine, request.trace.sentAt = backEnd.ID, r.clock.now()
+	sent := &message{request: request, backEnd: backEnd, deadline: request.deadline, work: placement.Work{Streams: 1}, selection: selection,
+		stall: stallLimit(request.route), mayAbort: attempts.hasFurtherAttempt()}
+	answer, fault := r.exchanger.send(sent)
+	r.work.AddWholeAnswer(request.service.Name, r.clock.now()-request.trace.sentAt, backEnd.Slots)
+	if fault == nil || fault.verdict != verdict.NotRun {
+		r.recordRun(request, request.trace.sentAt)
+	}
+	if fault == nil {
+		fault = r.forwardPlain(answer, attempts, reply)
+	}
+	slot.release(slotResult(sent, fault, !reply.aborted, r.clock.now()))
+	return fault
+}
+
 // answeringStage returns the stage of the back ends that answer requests of a service.
 func answeringStage(service *serving.Service) serving.Stage {
 	if service.Engine == nil {
--- a/internal/relay/startup_wait.go
+++ b/internal/relay/startup_wait.go
@@ -24,6 +24,9 @@
 // setView replaces the view.
 func (r *Relay) setView(next *view) {
 	r.view.Store(next)
+	if r.sharesSlots {
+		r.slots.Refresh()
+	}
 	if next.isReady() {
 		r.viewReady.notify()
 	}
