Plan of returns: promises by level, waiting time and tenant

Cause: clients that are refused for lack of slots all return at the same moment, or at once, and are refused again (docs/design/speeds-and-slots.md, section D). Callers of more urgent levels and callers that have waited longer find places left free by their recent demand; tenants that ask for more than their fair share are spaced at it.

--- /dev/null
+++ b/internal/returnplan/demand_by_rank.go
@@ -0,0 +1,15 @@
+package returnplan
+
+import "time"
+
+// demandByRank estimates how many callers of each rank ask per second.
+type demandByRank [rankCount]demand
+
+// before returns the demand of all callers that come before this rank.
+func (d *demandByRank) before(now time.Duration, limit rank) float64 {
+	sum := 0.0
+	for i := range d[:limit] {
+		sum += d[i].at(now)
+	}
+	return sum
+}
