--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -21,6 +21,7 @@
 	})
 	r.placements = newPlacementClient(r, r.datagrams, r.fleet.incarnation, r.peers)
 	r.permits = newPermits(r)
+	r.slotAnswerTimeout = r.peers.Timeout
 	r.slots = newSlots(r)
 	r.placementOwner = newPlacementOwner(r)
 	r.owners = newOwnerTable(r.datagrams.Address, r.event)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -62,12 +62,14 @@
 	// permits obtains permits for back ends that declare a limit for all relays together.
 	permits *permits.Permits
 	// slots obtains slots of back ends where relays share them, as sharesSlots says.
-	slots          *slots.Slots
-	sharesSlots    bool
-	placementOwner *placementOwner
-	owners         *ownerTable
-	work           *workmeter.Meter
-	prefillSpeed   *prefillSpeed
+	slots       *slots.Slots
+	sharesSlots bool
+	// slotAnswerTimeout returns how long to wait for the answer of an owner of slots.
+	slotAnswerTimeout func() time.Duration
+	placementOwner    *placementOwner
+	owners            *ownerTable
+	work              *workmeter.Meter
+	prefillSpeed      *prefillSpeed
 	// usage counts the tenants' requests.
 	usage *usagereport.Meter
 	// policy holds the parameters of placement decisions.
--- a/internal/relay/slot_hooks.go
+++ b/internal/relay/slot_hooks.go
@@ -13,7 +13,8 @@
 func newSlots(relay *Relay) *slots.Slots {
 	return slots.New(slots.Config{
 		Socket: relay.datagrams, Incarnation: relay.fleet.incarnation, Now: func() time.Duration { return relay.clock.now() },
-		Draw: relay.draw, Peers: relay.peers, Services: relay.servicesWithSlots, BackEnds: relay.backEndsWithSlots,
+		Draw: relay.draw, Peers: relay.peers, AnswerTimeout: func() time.Duration { return relay.slotAnswerTimeout() },
+		Services: relay.servicesWithSlots, BackEnds: relay.backEndsWithSlots,
 		Without: relay.mechanisms, Event: relay.event, Metrics: relay.metrics.slots,
 	})
 }
--- a/internal/relay/slots/config.go
+++ b/internal/relay/slots/config.go
@@ -22,6 +22,8 @@
 	Draw func() float64
 	// Peers records which relays answer queries.
 	Peers *peerhealth.Table
+	// AnswerTimeout returns how long to wait for an owner's answer.
+	AnswerTimeout func() time.Duration
 	// Services returns the names of the services whose slots are shared; BackEnds returns the back ends of one of them.
 	Services func() []string
 	BackEnds func(service string) []slotqueue.BackEnd
--- a/internal/relay/slots/outcome.go
+++ b/internal/relay/slots/outcome.go
@@ -20,6 +20,7 @@
 // Outcome is the outcome of a request for a slot.
 type Outcome struct {
 	Kind Kind
-	// RetryAfter is when the client of a refused request should return.
+	// RetryAfter is when the client of a refused request should return; Promised is true if a slot is set aside for it then.
 	RetryAfter time.Duration
+	Promised   bool
 }
--- a/internal/relay/slots/query.go
+++ b/internal/relay/slots/query.go
@@ -33,7 +33,7 @@
 	for misses := 0; misses < allowedMisses; {
 		sentAt := q.slots.config.Now()
 		q.send(false)
-		answer, isOver = q.await(q.slots.config.Peers.Timeout())
+		answer, isOver = q.await(q.slots.config.AnswerTimeout())
 		if isOver {
 			return nil, true
 		}
@@ -94,7 +94,7 @@
 	q.slots.holdings.end(service, q.number)
 	isRefused := answer.GetOutcome() == v1.SlotOutcome_SLOT_OUTCOME_REFUSED && slotqueue.Reason(answer.GetReason()) != slotqueue.ReasonNotAwaited
 	if isRefused {
-		return Grant{}, Outcome{Kind: Refused, RetryAfter: retryAfterFromWire(answer)}
+		return Grant{}, Outcome{Kind: Refused, RetryAfter: retryAfterFromWire(answer), Promised: answer.GetIsPromised()}
 	}
 	if answer == nil {
 		q.send(true) // the owner may have queued or granted the request
