Queue of slots: order, grants, leases and reports

Cause: each relay decides alone on services with few slots. Change: internal/slotqueue as docs/design/speeds-and-slots.md has it. Start-time fair queueing of internal/admission is bound to its entries and to gateways windows and tokens; the queue has its own, smaller one.

--- /dev/null
+++ b/internal/slotqueue/back_end_table.go
@@ -0,0 +1,73 @@
+package slotqueue
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// backEndTable holds the listed back ends of the service.
+type backEndTable struct {
+	byHash map[uint64]*backEndState
+	// ordered are the back ends by hash.
+	ordered []*backEndState
+	// openSlots is the number of slots of the back ends that are not closed.
+	openSlots int
+}
+
+// set replaces the list. What is known of back ends that stay in it is kept.
+func (t *backEndTable) set(backEnds []BackEnd) {
+	previous := t.byHash
+	t.byHash = make(map[uint64]*backEndState, len(backEnds))
+	t.ordered, t.openSlots = nil, 0
+	for _, listed := range backEnds {
+		if t.byHash[listed.Hash] != nil {
+			continue
+		}
+		state := previous[listed.Hash]
+		if state == nil {
+			state = &backEndState{}
+		}
+		state.BackEnd = listed
+		t.byHash[listed.Hash] = state
+		t.ordered = append(t.ordered, state)
+		if !listed.Closed {
+			t.openSlots += max(listed.Slots, 0)
+		}
+	}
+	slices.SortFunc(t.ordered, func(a, b *backEndState) int { return cmp.Compare(a.Hash, b.Hash) })
+}
+
+// usable returns the back ends with a free slot.
+func (t *backEndTable) usable(now time.Duration, held map[uint64]int) []*backEndState {
+	var usable []*backEndState
+	for _, state := range t.ordered {
+		if state.isUsable(now, held[state.Hash]) {
+			usable = append(usable, state)
+		}
+	}
+	return usable
+}
+
+// firstUnblockedAfter returns when the first block of a back end ends that ends after a time.
+func (t *backEndTable) firstUnblockedAfter(after time.Duration) (at time.Duration, found bool) {
+	for _, state := range t.ordered {
+		if state.blockedUntil > after && (!found || state.blockedUntil < at) {
+			at, found = state.blockedUntil, true
+		}
+	}
+	return at, found
+}
+
+// leastLoaded returns the back end with the lowest load that is not excluded; nil if there is none.
+func leastLoaded(now time.Duration, usable []*backEndState, held map[uint64]int, excluded []uint64) *backEndState {
+	var chosen *backEndState
+	lowest := 0.0
+	for _, state := range usable {
+		load := state.loadWithOneMore(now, held[state.Hash])
+		if !slices.Contains(excluded, state.Hash) && (chosen == nil || load < lowest) {
+			chosen, lowest = state, load
+		}
+	}
+	return chosen
+}
--- /dev/null
+++ b/internal/slotqueue/granting.go
@@ -0,0 +1,139 @@
+package slotqueue
+
+import "time"
+
+const (
+	// lateReturn is how late most clients come that return at their time: the request's way to the owner.
+	lateReturn = 50 * time.Millisecond
+	// earlyReturn is how early a client may come that returns at its time.
+	earlyReturn = 20 * time.Millisecond
+	// heldBackRecheck is after how long newcomers that wait beside free slots are considered again.
+	heldBackRecheck = 10 * time.Millisecond
+)
+
+// grantFree grants the free slots to queued requests.
+func (q *Queue) grantFree() {
+	q.mayGrant = false
+	for {
+		first, on := q.firstGrantable()
+		if first == nil {
+			return
+		}
+		q.decided = append(q.decided, q.grant(first, on))
+	}
+}
+
+// firstGrantable returns the first queued request that can get a free slot, and the back end; nil if there is none.
+func (q *Queue) firstGrantable() (first *entry, on *backEndState) {
+	q.holdsBack = false
+	if q.waiting.count() == 0 || q.grants.isFull() || q.isLearning() && q.learnerIsAtLimit() {
+		return nil, nil
+	}
+	held := q.grants.byBackEnd
+	usable := q.backEnds.usable(q.now, held)
+	if len(usable) == 0 {
+		return nil, nil
+	}
+	keepsSlots := q.keepsSlotsForReturns(usable)
+	q.waiting.each(q.now+q.safeTime(), func(e *entry) bool {
+		if e.queuedAt < q.now && q.isOverdue(e) {
+			return true // the next Advance removes it
+		}
+		if keepsSlots && e.class == newcomer {
+			q.holdsBack = true
+			return true
+		}
+		if on = leastLoaded(q.now, usable, held, e.Excluded); on != nil {
+			first = e
+		}
+		return first == nil
+	})
+	return first, on
+}
+
+// isOverdue reports whether a queued request can no longer be completed before its deadline, or whether its deadline has
+// passed if it may have run.
+func (q *Queue) isOverdue(e *entry) bool {
+	if e.MayHaveRun {
+		return q.now >= e.DeadlineAt
+	}
+	return q.now+q.safeTime() > e.DeadlineAt
+}
+
+// learnerIsAtLimit reports whether a new owner has granted half of the slots.
+func (q *Queue) learnerIsAtLimit() bool {
+	return q.grants.grantedSince(q.beganAt) >= (q.backEnds.openSlots+1)/2
+}
+
+// keepsSlotsForReturns reports whether the free slots are kept for clients that are expected now and for which no slots
+// come free in time. Promises that are overdue by more than lateReturn keep no slot.
+func (q *Queue) keepsSlotsForReturns(usable []*backEndState) bool {
+	if q.config.Returns == nil {
+		return false
+	}
+	due := q.config.Returns.DueUntil(q.now, q.now)
+	if due == 0 {
+		return false
+	}
+	due -= q.config.Returns.DueUntil(q.now, q.now-lateReturn-earlyReturn)
+	free := 0
+	for _, state := range usable {
+		free += state.Slots - q.grants.byBackEnd[state.Hash]
+	}
+	return float64(due)-q.completionsPerSecond()*lateReturn.Seconds() > float64(free-1)
+}
+
+// grant grants a slot to a queued request.
+func (q *Queue) grant(e *entry, on *backEndState) Decision {
+	expected := q.slotTime().mean
+	lease := min(e.DeadlineAt-q.now, maximumLease)
+	decision := Decision{
+		ID: e.ID, Outcome: Granted, BackEnd: on.Hash, Lease: lease, Returned: e.class == returning,
+		Waited: q.now - e.queuedAt, QueueLength: q.waiting.count(),
+	}
+	q.waiting.start(e, expected)
+	delete(q.relays.state(e.ID.Relay).queued, e.ID.Number)
+	q.hold(&grant{
+		id: e.ID, backEnd: on.Hash, since: q.now, leaseUntil: q.now + lease, confirmedAt: q.now,
+		charge: &charge{level: e.Level, flow: e.flow, expected: expected},
+	})
+	q.memory.add(decision, e.DeadlineAt)
+	return decision
+}
+
+// hold records a slot in use.
+func (q *Queue) hold(g *grant) {
+	q.grants.add(g)
+	q.relays.state(g.id.Relay).held[g.id.Number] = g
+}
+
+// correctCharge charges the tenant of a grant for the time that it has held the slot.
+func (q *Queue) correctCharge(g *grant) {
+	if g.charge != nil {
+		q.waiting.finish(g.charge.level, g.charge.flow, q.now-g.since-g.charge.expected)
+		g.charge = nil
+	}
+}
+
+// endGrant frees a slot. The tenant's charge stays as expected unless correctCharge was called before: a holder that was
+// lost does not make its tenant pay for the time until the lease ended.
+func (q *Queue) endGrant(g *grant) {
+	if g.charge != nil {
+		q.waiting.finish(g.charge.level, g.charge.flow, 0)
+	}
+	q.grants.remove(g)
+	delete(q.relays.state(g.id.Relay).held, g.id.Number)
+	q.mayGrant = true
+}
+
+// expireLeases ends the grants whose lease has expired.
+func (q *Queue) expireLeases() {
+	for {
+		first, found := q.grants.byExpiry.Min()
+		if !found || first.expiresAt() > q.now {
+			return
+		}
+		q.expiredLeases++
+		q.endGrant(first)
+	}
+}
--- /dev/null
+++ b/internal/slotqueue/refusing.go
@@ -0,0 +1,107 @@
+package slotqueue
+
+import (
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/returnplan"
+)
+
+// returnFraction is the part of its time left within which a client waits for a return.
+const returnFraction = 3
+
+// refuseAtOnce refuses a new request that cannot be completed before its deadline. Its return is not promised: the
+// client would come back with still less time.
+func (q *Queue) refuseAtOnce(request Request) Decision {
+	wait := q.expectedWait(q.waiting.countAbove(request.Level + 1))
+	decision := Decision{
+		ID: request.ID, Outcome: Refused, Reason: ReasonDeadline, RetryAfter: wait,
+		QueueLength: q.waiting.count(), ExpectedWait: wait,
+	}
+	q.memory.add(decision, request.DeadlineAt)
+	return decision
+}
+
+// refuseForWait refuses a request that the requests ahead delay past its deadline, or past its target if a return can be
+// promised.
+func (q *Queue) refuseForWait(added *entry, ahead int, wait time.Duration) (Decision, bool) {
+	alone := q.now + q.safeTime()
+	switch {
+	case added.MayHaveRun:
+		return Decision{}, false
+	case alone+wait > added.DeadlineAt:
+		return q.refuse(added, ReasonWait, wait, q.promise(added, ahead, wait)), true
+	case added.class == returning || alone > added.TargetAt || alone+wait <= added.TargetAt:
+		// A client that has returned at its time is not sent away for its target a second time.
+		return Decision{}, false
+	}
+	given := q.promise(added, ahead, wait)
+	if !given.isPromised {
+		return Decision{}, false
+	}
+	return q.refuse(added, ReasonTarget, wait, given), true
+}
+
+// returnTime is when a refused client is to return.
+type returnTime struct {
+	after      time.Duration
+	isPromised bool
+}
+
+// promise asks the plan for a return within a third of the time left. Without a plan, the client is to return when there
+// is expected to be room.
+func (q *Queue) promise(e *entry, ahead int, wait time.Duration) returnTime {
+	if q.config.Returns == nil {
+		return returnTime{after: wait}
+	}
+	caller := returnplan.Caller{Signature: e.Signature, Tenant: e.Tenant, Level: e.Level, FirstRefusedAt: q.now}
+	latest := q.now + (e.DeadlineAt-q.now)/returnFraction
+	at, isPromised := q.config.Returns.Promise(q.now, caller, q.room(ahead), latest, q.config.Draw())
+	return returnTime{after: max(at-q.now, 0), isPromised: isPromised}
+}
+
+// refuse refuses a queued request.
+func (q *Queue) refuse(e *entry, reason Reason, wait time.Duration, given returnTime) Decision {
+	decision := Decision{
+		ID: e.ID, Outcome: Refused, Reason: reason, RetryAfter: given.after, Promised: given.isPromised,
+		Returned: e.class == returning, Waited: q.now - e.queuedAt, QueueLength: q.waiting.count(), ExpectedWait: wait,
+	}
+	q.dequeue(e)
+	q.memory.add(decision, e.DeadlineAt)
+	return decision
+}
+
+// shed refuses the newest of the least urgent requests of a full queue. It returns the decision if that is the added
+// request; otherwise Advance returns it.
+func (q *Queue) shed(added *entry) (Decision, bool) {
+	least, found := q.waiting.byUrgency.Max()
+	if !found {
+		return Decision{}, false
+	}
+	ahead := q.waiting.countBefore(least)
+	wait := q.expectedWait(ahead)
+	decision := q.refuse(least, ReasonQueueFull, wait, q.promise(least, ahead, wait))
+	if least != added {
+		q.decided = append(q.decided, decision)
+	}
+	return decision, least == added
+}
+
+// refuseLate refuses the queued requests that can no longer be completed before their deadline, and drops those that may
+// have run and whose deadline has passed.
+func (q *Queue) refuseLate() {
+	for {
+		first, found := q.waiting.refusable.Min()
+		if !found || !q.isOverdue(first) {
+			break
+		}
+		wait := q.expectedWait(q.waiting.countAbove(first.Level + 1))
+		q.decided = append(q.decided, q.refuse(first, ReasonDeadline, wait, returnTime{after: wait}))
+	}
+	for {
+		first, found := q.waiting.lasting.Min()
+		if !found || q.now < first.DeadlineAt {
+			break
+		}
+		q.dequeue(first)
+	}
+}
--- /dev/null
+++ b/internal/slotqueue/reporting.go
@@ -0,0 +1,88 @@
+package slotqueue
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// ApplyReport applies the report of one relay. A report that is older than one applied before is ignored.
+func (q *Queue) ApplyReport(now time.Duration, report Report) {
+	q.moveTo(now)
+	if !q.relays.admits(q.now, report.Relay) {
+		return
+	}
+	relay := q.relays.state(report.Relay)
+	if relay.hasReported && report.Sequence <= relay.sequence {
+		return
+	}
+	q.applyReleased(relay, report)
+	listed := q.applyHeld(relay, report)
+	q.endUnlisted(relay, report, listed)
+	relay.sequence, relay.hasReported, relay.reportedAt = report.Sequence, true, q.now
+	relay.answeredUpTo = max(relay.answeredUpTo, report.AnsweredUpTo)
+}
+
+// applyReleased releases the slots that a report lists as released. A deputy also learns from the results of slots that
+// no earlier report has listed, because they were used between two reports.
+func (q *Queue) applyReleased(relay *relayState, report Report) {
+	for _, number := range slices.Sorted(maps.Keys(report.Released)) {
+		if relay.held[number] == nil && number > relay.answeredUpTo {
+			q.recordResult(report.Released[number])
+			continue
+		}
+		q.Release(q.now, RequestID{Relay: report.Relay, Number: number}, report.Released[number])
+	}
+}
+
+// applyHeld records the slots that a report lists as held, and returns their numbers. A request that waits here has its
+// slot from another owner.
+func (q *Queue) applyHeld(relay *relayState, report Report) map[uint64]bool {
+	listed := make(map[uint64]bool, len(report.Held))
+	for _, held := range report.Held {
+		if _, isReleased := report.Released[held.Number]; isReleased {
+			continue
+		}
+		listed[held.Number] = true
+		if queued := relay.queued[held.Number]; queued != nil {
+			q.dequeue(queued)
+		}
+		q.applyHeldSlot(relay, report.Relay, held)
+	}
+	return listed
+}
+
+func (q *Queue) applyHeldSlot(relay *relayState, relayID uint64, held Held) {
+	known := relay.held[held.Number]
+	if known == nil && q.grants.isFull() {
+		return
+	}
+	if known == nil {
+		q.hold(&grant{
+			id: RequestID{Relay: relayID, Number: held.Number}, backEnd: held.BackEnd, since: q.now,
+			leaseUntil: q.now + maximumLease, confirmedAt: q.now,
+		})
+		return
+	}
+	if known.backEnd != held.BackEnd {
+		q.grants.move(known, held.BackEnd)
+		q.mayGrant = true
+	}
+}
+
+// endUnlisted ends the grants of a relay that its report no longer lists, drops its queued requests that have had their
+// final answer elsewhere, and confirms its other grants.
+func (q *Queue) endUnlisted(relay *relayState, report Report, listed map[uint64]bool) {
+	for _, number := range slices.Sorted(maps.Keys(relay.held)) {
+		if listed[number] || number > report.AnsweredUpTo {
+			q.grants.confirm(q.now, relay.held[number], listed[number])
+			continue
+		}
+		q.endGrant(relay.held[number])
+	}
+	for _, number := range slices.Sorted(maps.Keys(relay.queued)) {
+		if number <= report.AnsweredUpTo {
+			q.dequeue(relay.queued[number])
+		}
+	}
+}
--- a/internal/slotqueue/request.go
+++ b/internal/slotqueue/request.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// RequestID identifies a request of one incarnation of a relay.
+// RequestID identifies a request of one incarnation of a relay, which numbers its requests from 1.
 type RequestID struct {
 	Relay, Number uint64
 }
--- /dev/null
+++ b/internal/slotqueue/submit.go
@@ -0,0 +1,79 @@
+package slotqueue
+
+import "time"
+
+// knownDecision returns the decision on a request that is queued, holds a slot or was decided before.
+func (q *Queue) knownDecision(id RequestID) (Decision, bool) {
+	if queued, isQueued := q.waiting.entries[id]; isQueued {
+		return q.queuedDecision(queued, 0), true
+	}
+	if known, exists := q.memory.byID[id]; exists {
+		return known.decision, true
+	}
+	if held, isHeld := q.grants.byID[id]; isHeld {
+		return Decision{ID: id, Outcome: Granted, BackEnd: held.backEnd, Lease: held.leaseUntil - q.now}, true
+	}
+	if q.relays.hasFinalAnswer(id) {
+		return Decision{ID: id, Outcome: Refused, Reason: ReasonNotAwaited}, true
+	}
+	return Decision{}, false
+}
+
+// hasRoomForLasting reports whether a request that may have run can be queued: its deadline has not passed, and the
+// queue holds a request that may be refused in its place if it is full.
+func (q *Queue) hasRoomForLasting(request Request) bool {
+	return q.now < request.DeadlineAt && q.waiting.lasting.Len() < maximumQueued
+}
+
+// enqueue queues a request.
+func (q *Queue) enqueue(request Request) *entry {
+	added := q.waiting.add(q.now, request, q.classOf(request), q.now+q.safeTime())
+	q.relays.state(request.ID.Relay).queued[request.ID.Number] = added
+	return added
+}
+
+// classOf redeems the promise of a client that returns at its time. A further attempt of a relay at the same request
+// redeems no promise, since it would be that of another client with the same request.
+func (q *Queue) classOf(request Request) class {
+	isFurtherAttempt := request.MayHaveRun || len(request.Excluded) > 0
+	if q.config.Returns == nil || request.Signature == 0 || isFurtherAttempt {
+		return newcomer
+	}
+	if _, due := q.config.Returns.Redeem(q.now, request.Signature); due {
+		return returning
+	}
+	return newcomer
+}
+
+// dequeue removes a queued request.
+func (q *Queue) dequeue(e *entry) {
+	q.waiting.remove(e)
+	delete(q.relays.state(e.ID.Relay).queued, e.ID.Number)
+}
+
+// decideNew decides on a request that was just queued.
+func (q *Queue) decideNew(added *entry) Decision {
+	first, on := q.firstGrantable()
+	if first == added {
+		return q.grant(first, on)
+	}
+	q.mayGrant = q.mayGrant || first != nil
+	ahead := q.waiting.countBefore(added)
+	wait := q.expectedWait(ahead)
+	if decision, isRefused := q.refuseForWait(added, ahead, wait); isRefused {
+		return decision
+	}
+	if q.waiting.count() > maximumQueued {
+		if decision, isRefused := q.shed(added); isRefused {
+			return decision
+		}
+	}
+	return q.queuedDecision(added, wait)
+}
+
+func (q *Queue) queuedDecision(e *entry, wait time.Duration) Decision {
+	return Decision{
+		ID: e.ID, Outcome: Queued, Returned: e.class == returning, Waited: q.now - e.queuedAt,
+		QueueLength: q.waiting.count(), ExpectedWait: wait,
+	}
+}
