Queue of slots: queued requests without a chance are refused early; tests of loads

Cause: under overload, requests that could no longer get a slot in time waited until their deadline. Change: every 50 ms the queue is searched for requests that those ahead delay past their deadline. A request counts as in time with one mean deviation to spare: with the mean alone, slots went to requests of which half then missed their target. Command: go test -v ./internal/slotqueue

--- a/internal/slotqueue/harness_test.go
+++ b/internal/slotqueue/harness_test.go
@@ -65,10 +65,21 @@
 	number   uint64
 	sequence uint64
 	held     map[uint64]uint64
+	// awaited are its requests without a final answer.
+	awaited map[uint64]bool
 	// inFlight are its requests at each back end, by position.
 	inFlight []int
 }
 
+// answeredUpTo returns the number up to which the relay has had all final answers.
+func (r *testRelay) answeredUpTo() uint64 {
+	upTo := r.number
+	for number := range r.awaited {
+		upTo = min(upTo, number-1)
+	}
+	return upTo
+}
+
 // fleet is a fleet in virtual time in front of one service.
 type fleet struct {
 	random   *rand.Rand
@@ -99,7 +110,7 @@
 		listed = append(listed, BackEnd{Hash: uint64(100 + i), Slots: slots})
 	}
 	for i := range relays {
-		f.relays = append(f.relays, &testRelay{id: uint64(1000 + i), held: make(map[uint64]uint64), inFlight: make([]int, backEnds)})
+		f.relays = append(f.relays, &testRelay{id: uint64(1000 + i), held: make(map[uint64]uint64), awaited: make(map[uint64]bool), inFlight: make([]int, backEnds)})
 	}
 	f.queue.SetBackEnds(0, listed)
 	return f
@@ -145,6 +156,7 @@
 		return
 	}
 	relay.number++
+	relay.awaited[relay.number] = true
 	request := f.newRequest(RequestID{Relay: relay.id, Number: relay.number}, sent)
 	f.after(hop, func() {
 		f.answer(request.ID, f.queue.Submit(f.now, request), f.onAnswer(relay, sent))
@@ -174,6 +186,7 @@
 
 func (f *fleet) onAnswer(relay *testRelay, sent *outcome) func(Decision) {
 	return func(decision Decision) {
+		delete(relay.awaited, decision.ID.Number)
 		if decision.Outcome == Refused {
 			sent.refusal, sent.endedAt = decision.Reason, f.now
 			return
@@ -260,7 +273,7 @@
 
 func (f *fleet) report(relay *testRelay, released map[uint64]Result) {
 	relay.sequence++
-	report := Report{Relay: relay.id, Sequence: relay.sequence, Released: released}
+	report := Report{Relay: relay.id, Sequence: relay.sequence, Released: released, AnsweredUpTo: relay.answeredUpTo()}
 	for number, backEnd := range relay.held {
 		report.Held = append(report.Held, Held{Number: number, BackEnd: backEnd})
 	}
@@ -330,5 +343,3 @@
 	}
 	return float64(counted) / float64(max(of, 1))
 }
-
-func any1(outcome) bool { return true }
--- a/internal/slotqueue/queue.go
+++ b/internal/slotqueue/queue.go
@@ -21,6 +21,8 @@
 
 	// now is the latest time that a call has given; advancedAt is that of the last Advance.
 	now, advancedAt time.Duration
+	// reviewedAt is when refuseHopeless searched the queue last.
+	reviewedAt time.Duration
 	// beganAt is when the Queue's relay became the owner of the slots.
 	beganAt  time.Duration
 	hasBegun bool
@@ -123,6 +125,7 @@
 	}
 	q.refuseLate()
 	q.grantFree()
+	q.refuseHopeless()
 	q.advancedAt = q.now
 	decided := q.decided
 	q.decided = nil
--- /dev/null
+++ b/internal/slotqueue/review.go
@@ -0,0 +1,62 @@
+package slotqueue
+
+import "time"
+
+// reviewInterval is how often the queue is searched for requests that the requests ahead delay past their deadline: the
+// span in which returns are planned.
+const reviewInterval = 50 * time.Millisecond
+
+// refuseHopeless refuses the queued requests that the requests ahead delay past their deadline while their clients still
+// have time to return.
+func (q *Queue) refuseHopeless() {
+	if q.now-q.reviewedAt < reviewInterval || q.waiting.count() == 0 || q.backEnds.openSlots == 0 {
+		return
+	}
+	q.reviewedAt = q.now
+	ahead := 0
+	for _, e := range q.waiting.inExpectedOrder(q.now + q.safeTime()) {
+		wait := q.expectedWait(ahead)
+		if e.MayHaveRun || q.now+wait+q.safeTime() <= e.DeadlineAt {
+			ahead++
+			continue
+		}
+		q.decided = append(q.decided, q.refuse(e, ReasonWait, wait, q.promise(e, ahead, wait)))
+	}
+}
+
+// inExpectedOrder returns the queued requests in the order in which they are expected to get slots: within a level and
+// class, the first requests of all tenants, then their second ones.
+func (w *waiting) inExpectedOrder(completedAt time.Duration) []*entry {
+	ordered := make([]*entry, 0, w.count())
+	for _, l := range w.levels {
+		for c := range classCount {
+			ordered = l.appendInTurn(ordered, c, completedAt)
+		}
+	}
+	return ordered
+}
+
+func (l *level) appendInTurn(ordered []*entry, c class, completedAt time.Duration) []*entry {
+	var byFlow [][]*entry
+	var current *flow
+	l.each(c, completedAt, func(e *entry) bool {
+		if e.flow != current {
+			current = e.flow
+			byFlow = append(byFlow, nil)
+		}
+		last := len(byFlow) - 1
+		byFlow[last] = append(byFlow[last], e)
+		return true
+	})
+	for turn := 0; len(byFlow) > 0; turn++ {
+		remaining := byFlow[:0]
+		for _, entries := range byFlow {
+			ordered = append(ordered, entries[turn])
+			if turn+1 < len(entries) {
+				remaining = append(remaining, entries)
+			}
+		}
+		byFlow = remaining
+	}
+	return ordered
+}
