--- a/internal/returnplan/search.go
+++ b/internal/returnplan/search.go
@@ -28,7 +28,7 @@
 		promised, urgent := s.takePromised(end)
 		places := countBetween(s.room.PerSecond, max(start, s.now), end)
 		load := ahead + promised
-		if start > current && start >= s.notBefore && load < places && load+s.reserved(start, end, urgent) < places {
+		if start > current && start >= s.notBefore && load+s.reserved(start, end, urgent) < places {
 			return start, true
 		}
 		ahead = max(load-places, 0)
