Test of repeated questions behind the promises of others

Cause: a copy of the plan without the rule that a further promise comes after those of others passed all tests. Change: a test of this rule; the remembered time of a refusal is simply the last one, which is never earlier. Result: the test fails without the rule and passes with it. Command: go test ./internal/returnplan

--- a/internal/returnplan/refusals.go
+++ b/internal/returnplan/refusals.go
@@ -31,14 +31,13 @@
 	return last, true
 }
 
-// record remembers a refusal. A client that was told several times returns at the last of them.
+// record remembers a refusal.
 func (r *refusals) record(signature uint64, firstAt, toldAt time.Duration) {
-	last, known := r.bySignature[signature]
 	if signature == unknownSignature {
 		return
 	}
-	if known || len(r.bySignature) < maximumRefusals {
-		r.bySignature[signature] = refusal{firstAt: firstAt, toldAt: max(last.toldAt, toldAt)}
+	if _, known := r.bySignature[signature]; known || len(r.bySignature) < maximumRefusals {
+		r.bySignature[signature] = refusal{firstAt: firstAt, toldAt: toldAt}
 	}
 }
 
--- a/internal/returnplan/repetition_test.go
+++ b/internal/returnplan/repetition_test.go
@@ -38,6 +38,21 @@
 	require.False(t, due, "one promise lets one request in")
 }
 
+// TestRepetitionWaitsForOthers guards against a client that overtakes others by asking again when there is more room.
+func TestRepetitionWaitsForOthers(t *testing.T) {
+	owner := newTestOwner()
+	caller := Caller{Signature: 1 << 32}
+	_, promised := owner.plan.Promise(0, caller, Room{PerSecond: 180}, patience, 0)
+	require.True(t, promised)
+	for range 100 {
+		owner.refuse(0, Room{PerSecond: 180}, 0, 0)
+	}
+	lastOfOthers := owner.plan.book.byTime[100].DueAt
+	again, promised := owner.plan.Promise(0, caller, Room{PerSecond: 500}, patience, 0)
+	require.True(t, promised)
+	require.Greater(t, again, lastOfOthers)
+}
+
 // TestRepetitionWaitsForItsLevelOnly guards against further promises that queue behind less urgent ones.
 func TestRepetitionWaitsForItsLevelOnly(t *testing.T) {
 	owner := newTestOwner()
