--- /dev/null
+++ b/internal/slotqueue/overload_test.go
@@ -0,0 +1,468 @@
+package slotqueue_test
+
+import (
+	"cmp"
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/returnplan"
+	"github.com/hazelpitch/hazelpitch/internal/slotqueue"
+)
+
+const (
+	relayCount     = 71
+	backEndCount   = 3
+	slotsOfBackEnd = 6
+	// meanService is the mean time of a request at a back end; times are uniform from half of it to one and a half of it.
+	meanService = 100 * time.Millisecond
+	// overloadFactor is the load of first requests in multiples of what the slots can carry, for overloadSpan.
+	overloadFactor = 2
+	overloadSpan   = 10 * time.Second
+	// tenantCount tenants send requests; the first one sends half of them.
+	tenantCount = 20
+
+	// messageDelay is the time of one datagram between relays.
+	messageDelay = time.Millisecond
+	// repeatInterval is how often a relay repeats a request that has no decision; answerTimeout is how long it waits for
+	// the first answer of an owner before it asks the deputy.
+	repeatInterval = 100 * time.Millisecond
+	answerTimeout  = 30 * time.Millisecond
+	reportInterval = 250 * time.Millisecond
+
+	// attemptTarget and attemptDeadline are the latency target and the deadline of each request.
+	attemptTarget   = time.Second
+	attemptDeadline = 3 * time.Second
+	// patience is how long a client tries to be served.
+	patience = 5 * time.Second
+	// atOnceInterval is the time after which a client retries that does not do as told.
+	atOnceInterval = 20 * time.Millisecond
+	// servedThen is how long after its return a client that returns at its promised time must have a slot.
+	servedThen = 250 * time.Millisecond
+)
+
+// event is a call at a time of the virtual clock; sequence orders calls at the same time.
+type event struct {
+	at       time.Duration
+	sequence int
+	call     func()
+}
+
+// events is a heap of events.
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].sequence, e[j].sequence)) < 0
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// kind is how clients react to a refusal.
+type kind int
+
+const (
+	retriesAsTold kind = iota
+	retriesAtOnce
+	neverRetries
+	kindCount
+)
+
+// client is a client with one request, which it repeats when it is refused.
+type client struct {
+	kind      kind
+	tenant    uint64
+	signature uint64
+	startedAt time.Duration
+	servedAt  time.Duration // 0 if it was not served
+	attempts  int
+}
+
+// attempt is one request of a client at one relay.
+type attempt struct {
+	client    *client
+	relay     *testRelay
+	request   slotqueue.Request
+	sentAt    time.Duration
+	returnsTo *testOwner // the owner that told the client to return now; nil for none
+	promised  bool
+	answered  bool // an owner has answered, finally or not
+	decided   bool
+}
+
+// testRelay is a relay that requests slots.
+type testRelay struct {
+	identity, lastNumber, sequence uint64
+	attempts                       map[uint64]*attempt // without final answer, by number
+	held                           map[uint64]uint64   // back ends by number
+	asksDeputy                     bool                // the owner has not answered
+}
+
+// testOwner is a relay that owns slots, or its deputy.
+type testOwner struct {
+	queue *slotqueue.Queue
+	plan  *returnplan.Plan // nil for none
+	lost  bool
+}
+
+// overload is a service with twice the load that its slots can carry, in virtual time.
+type overload struct {
+	now      time.Duration
+	random   *rand.Rand
+	events   events
+	sequence int
+
+	relays        []*testRelay
+	owner, deputy *testOwner
+	replicates    bool // the deputy gets the owner's promises
+	clients       []*client
+	busy          time.Duration // slot time used until overloadSpan
+	returns       []returned
+}
+
+// returned is the outcome of an attempt by a client that returned when it was told.
+type returned struct {
+	at       time.Duration
+	toldBy   *testOwner
+	promised bool
+	wait     time.Duration
+	granted  bool
+}
+
+func (r returned) isServedThen() bool { return r.granted && r.wait <= servedThen }
+
+func newOverload(withPlan bool) *overload {
+	o := &overload{random: rand.New(rand.NewPCG(7, 11)), replicates: true}
+	o.owner, o.deputy = o.newOwner(withPlan), o.newOwner(withPlan)
+	for i := range relayCount {
+		o.relays = append(o.relays, &testRelay{identity: uint64(1000 + i), attempts: map[uint64]*attempt{}, held: map[uint64]uint64{}})
+	}
+	return o
+}
+
+func (o *overload) newOwner(withPlan bool) *testOwner {
+	owner := &testOwner{}
+	config := slotqueue.Config{Draw: o.random.Float64}
+	if withPlan {
+		owner.plan = returnplan.New(returnplan.DefaultSpan)
+		config.Returns = owner.plan
+	}
+	owner.queue = slotqueue.New(config)
+	var backEnds []slotqueue.BackEnd
+	for i := range backEndCount {
+		backEnds = append(backEnds, slotqueue.BackEnd{Hash: uint64(1 + i), Slots: slotsOfBackEnd})
+	}
+	owner.queue.SetBackEnds(0, backEnds)
+	return owner
+}
+
+// after schedules a call.
+func (o *overload) after(delay time.Duration, call func()) {
+	o.sequence++
+	heap.Push(&o.events, event{at: o.now + delay, sequence: o.sequence, call: call})
+}
+
+// run runs the service until clients have given up. Clients begin during overloadSpan.
+func (o *overload) run() {
+	interval := meanService / (backEndCount * slotsOfBackEnd * overloadFactor)
+	for at := time.Duration(0); at < overloadSpan; at += interval {
+		o.after(at, o.startClient)
+	}
+	for i, relay := range o.relays {
+		o.after(reportInterval*time.Duration(i)/relayCount, func() { o.reportRegularly(relay) })
+	}
+	for at := time.Duration(0); at < overloadSpan+patience; at += time.Millisecond {
+		o.after(at, o.advance)
+	}
+	for o.events.Len() > 0 {
+		next := heap.Pop(&o.events).(event)
+		o.now = next.at
+		next.call()
+	}
+}
+
+func (o *overload) startClient() {
+	tenant := uint64(1)
+	if o.random.IntN(2) == 0 {
+		tenant = uint64(2 + o.random.IntN(tenantCount-1))
+	}
+	starting := &client{
+		kind: kind(o.random.IntN(int(kindCount))), tenant: tenant, signature: o.random.Uint64() | 1, startedAt: o.now,
+	}
+	o.clients = append(o.clients, starting)
+	o.send(starting, nil, false)
+}
+
+// send sends a client's request to any relay.
+func (o *overload) send(sender *client, returnsTo *testOwner, promised bool) {
+	relay := o.relays[o.random.IntN(relayCount)]
+	relay.lastNumber++
+	sender.attempts++
+	sent := &attempt{
+		client: sender, relay: relay, sentAt: o.now, returnsTo: returnsTo, promised: promised,
+		request: slotqueue.Request{
+			ID: slotqueue.RequestID{Relay: relay.identity, Number: relay.lastNumber}, Tenant: sender.tenant,
+			Signature: sender.signature, TargetAt: o.now + attemptTarget, DeadlineAt: o.now + attemptDeadline,
+		},
+	}
+	relay.attempts[sent.request.ID.Number] = sent
+	if relay.asksDeputy {
+		o.ask(sent, o.deputy)
+		return
+	}
+	o.ask(sent, o.owner)
+}
+
+// ask asks an owner for a slot, and again until there is a decision.
+func (o *overload) ask(asked *attempt, owner *testOwner) {
+	if asked.decided {
+		return
+	}
+	asked.answered = false
+	o.after(messageDelay, func() {
+		if !owner.lost {
+			o.answer(owner, owner.queue.Submit(o.now, asked.request))
+		}
+	})
+	o.after(answerTimeout, func() {
+		if !asked.answered && !asked.decided {
+			asked.relay.asksDeputy = true
+			o.ask(asked, o.deputy)
+		}
+	})
+	o.after(repeatInterval, func() {
+		if asked.answered {
+			o.ask(asked, owner)
+		}
+	})
+}
+
+// answer sends a decision to the relay that has asked.
+func (o *overload) answer(owner *testOwner, decision slotqueue.Decision) {
+	o.after(messageDelay, func() {
+		relay := o.relays[decision.ID.Relay-o.relays[0].identity]
+		if asked := relay.attempts[decision.ID.Number]; asked != nil {
+			o.apply(owner, asked, decision)
+		}
+	})
+}
+
+func (o *overload) apply(owner *testOwner, asked *attempt, decision slotqueue.Decision) {
+	asked.answered = true
+	if decision.Outcome == slotqueue.Queued {
+		return
+	}
+	asked.decided = true
+	delete(asked.relay.attempts, asked.request.ID.Number)
+	if asked.returnsTo != nil {
+		o.returns = append(o.returns, returned{
+			at: asked.sentAt, toldBy: asked.returnsTo, promised: asked.promised,
+			wait: o.now - asked.sentAt, granted: decision.Outcome == slotqueue.Granted,
+		})
+	}
+	if decision.Outcome == slotqueue.Granted {
+		o.serve(asked, decision.BackEnd)
+		return
+	}
+	o.retry(owner, asked.client, decision)
+}
+
+// serve serves a request in its granted slot.
+func (o *overload) serve(granted *attempt, backEnd uint64) {
+	granted.client.servedAt = o.now
+	number := granted.request.ID.Number
+	granted.relay.held[number] = backEnd
+	service := meanService/2 + time.Duration(o.random.Int64N(int64(meanService)))
+	o.busy += max(min(o.now+service, overloadSpan)-o.now, 0)
+	o.after(service, func() {
+		delete(granted.relay.held, number)
+		o.report(granted.relay, map[uint64]slotqueue.Result{number: {ServiceTime: service}})
+	})
+}
+
+// retry lets a refused client return, or give up.
+func (o *overload) retry(owner *testOwner, refused *client, decision slotqueue.Decision) {
+	delay := atOnceInterval
+	if refused.kind == retriesAsTold {
+		delay = decision.RetryAfter
+	}
+	if refused.kind == neverRetries || o.now+delay > refused.startedAt+patience {
+		return
+	}
+	o.after(delay, func() {
+		if refused.kind == retriesAsTold {
+			o.send(refused, owner, decision.Promised)
+		} else {
+			o.send(refused, nil, false)
+		}
+	})
+}
+
+// advance runs the owner, and replicates its promises to the deputy.
+func (o *overload) advance() {
+	for _, owner := range []*testOwner{o.owner, o.deputy} {
+		if owner.lost {
+			continue
+		}
+		for _, decision := range owner.queue.Advance(o.now) {
+			o.answer(owner, decision)
+		}
+	}
+	if o.owner.plan == nil || o.owner.lost || !o.replicates {
+		return
+	}
+	for _, change := range o.owner.plan.Changes() {
+		o.after(messageDelay, func() { o.deputy.plan.ApplyChange(o.now, change) })
+	}
+}
+
+func (o *overload) reportRegularly(relay *testRelay) {
+	if o.now > overloadSpan+patience {
+		return
+	}
+	if len(relay.held) > 0 {
+		o.report(relay, nil)
+	}
+	o.after(reportInterval, func() { o.reportRegularly(relay) })
+}
+
+// report sends a relay's report to the owner and the deputy.
+func (o *overload) report(relay *testRelay, released map[uint64]slotqueue.Result) {
+	relay.sequence++
+	report := slotqueue.Report{Relay: relay.identity, Sequence: relay.sequence, AnsweredUpTo: relay.lastNumber, Released: released}
+	for number := range relay.attempts {
+		report.AnsweredUpTo = min(report.AnsweredUpTo, number-1)
+	}
+	for number, backEnd := range relay.held {
+		report.Held = append(report.Held, slotqueue.Held{Number: number, BackEnd: backEnd})
+	}
+	slices.SortFunc(report.Held, func(a, b slotqueue.Held) int { return cmp.Compare(a.Number, b.Number) })
+	o.after(messageDelay, func() {
+		for _, owner := range []*testOwner{o.owner, o.deputy} {
+			if !owner.lost {
+				owner.queue.ApplyReport(o.now, report)
+			}
+		}
+	})
+}
+
+// loseOwner lets the owner stop without notice at this time, and the deputy take over.
+func (o *overload) loseOwner(at time.Duration) {
+	o.after(at, func() {
+		o.owner.lost = true
+		o.deputy.queue.BeginOwnership(o.now)
+	})
+}
+
+// servedShare returns the part of the clients of a kind that were served, and their mean time until then.
+func (o *overload) servedShare(of kind) (share float64, meanWait time.Duration) {
+	count, served, wait := 0, 0, time.Duration(0)
+	for _, each := range o.clients {
+		if each.kind != of {
+			continue
+		}
+		count++
+		if each.servedAt > 0 {
+			served++
+			wait += each.servedAt - each.startedAt
+		}
+	}
+	return float64(served) / float64(count), wait / time.Duration(max(served, 1))
+}
+
+// returnsServedThen returns the number of returns that are counted, and the part of them that were served then.
+func (o *overload) returnsServedThen(counts func(returned) bool) (count int, share float64) {
+	served := 0
+	for _, each := range o.returns {
+		if counts(each) {
+			count++
+			if each.isServedThen() {
+				served++
+			}
+		}
+	}
+	return count, float64(served) / float64(max(count, 1))
+}
+
+func isPromised(r returned) bool { return r.promised }
+
+func isUnpromised(r returned) bool { return !r.promised }
+
+// utilisation returns the part of the slot time that was used during the overload.
+func (o *overload) utilisation() float64 {
+	return float64(o.busy) / float64(overloadSpan*backEndCount*slotsOfBackEnd)
+}
+
+func (o *overload) log(t *testing.T, name string) {
+	t.Helper()
+	promised, promisedShare := o.returnsServedThen(isPromised)
+	unpromised, unpromisedShare := o.returnsServedThen(isUnpromised)
+	asTold, waitAsTold := o.servedShare(retriesAsTold)
+	atOnce, waitAtOnce := o.servedShare(retriesAtOnce)
+	never, waitNever := o.servedShare(neverRetries)
+	t.Logf("%s: returns promised %d, served then %.3f, unpromised %d, served then %.3f; utilisation %.3f", name,
+		promised, promisedShare, unpromised, unpromisedShare, o.utilisation())
+	t.Logf("%s: served as told %.3f in %v, at once %.3f in %v, never %.3f in %v", name,
+		asTold, waitAsTold, atOnce, waitAtOnce, never, waitNever)
+}
+
+// TestTwiceTheLoadForTenSeconds guards against promises that are not kept, against clients that gain by retrying at
+// once, and against slots that are kept free for clients that never return.
+func TestTwiceTheLoadForTenSeconds(t *testing.T) {
+	planned, unplanned := newOverload(true), newOverload(false)
+	planned.run()
+	unplanned.run()
+	planned.log(t, "planned")
+	unplanned.log(t, "not planned")
+
+	count, share := planned.returnsServedThen(isPromised)
+	require.Greater(t, count, 300)
+	require.GreaterOrEqual(t, share, 0.9, "of the clients that return at their promised time, nine in ten are served then")
+	require.GreaterOrEqual(t, planned.utilisation(), 0.95)
+	asTold, _ := planned.servedShare(retriesAsTold)
+	atOnce, _ := planned.servedShare(retriesAtOnce)
+	require.LessOrEqual(t, atOnce, asTold, "clients that retry at once gain nothing")
+
+	_, share = unplanned.returnsServedThen(isUnpromised)
+	require.Less(t, share, 0.9)
+	asTold, _ = unplanned.servedShare(retriesAsTold)
+	atOnce, _ = unplanned.servedShare(retriesAtOnce)
+	require.Greater(t, atOnce, asTold, "without a plan, clients gain by retrying at once")
+}
+
+// TestOwnerIsLostWithPromisesGiven guards against promises that end with the owner, and against clients that are refused
+// because their promises were lost with it.
+func TestOwnerIsLostWithPromisesGiven(t *testing.T) {
+	const lostAt = 5 * time.Second
+	replicated, lost := newOverload(true), newOverload(true)
+	lost.replicates = false
+	for _, each := range []*overload{replicated, lost} {
+		each.loseOwner(lostAt)
+		each.run()
+	}
+	replicated.log(t, "promises replicated")
+	lost.log(t, "promises lost")
+
+	fromLostOwner := func(o *overload) (count int, share float64) {
+		return o.returnsServedThen(func(r returned) bool { return r.promised && r.toldBy == o.owner && r.at > lostAt })
+	}
+	count, share := fromLostOwner(replicated)
+	t.Logf("promises of the lost owner, replicated: %d, served then %.3f", count, share)
+	require.Greater(t, count, 20)
+	require.GreaterOrEqual(t, share, 0.9)
+
+	count, lostShare := fromLostOwner(lost)
+	t.Logf("promises of the lost owner, lost: %d, served then %.3f", count, lostShare)
+	require.Greater(t, count, 20)
+	require.Less(t, lostShare, share, "without replication the clients are newcomers")
+	require.Positive(t, lostShare, "and newcomers are not refused for it")
+}
