--- a/internal/relay/slots/service_holdings.go
+++ b/internal/relay/slots/service_holdings.go
@@ -12,9 +12,10 @@
 	// that a full report fits into a datagram beside the service's name.
 	maxHeldInReport     = 40
 	maxReleasedInReport = 16
-	// finalReports is how often the state without slots is reported after the last slot was released. Without them, a lost
-	// report would leave that slot in use at the owner until its lease expires.
-	finalReports = 2
+	// finalReports is how often the state without slots is reported after the last slot was released. Without it, a lost
+	// report would leave that slot in use at the owner until its lease expires. A second one would cost two more datagrams
+	// for each request of a relay with few requests.
+	finalReports = 1
 )
 
 // serviceHoldings are the slots of one service that this relay holds, and its unanswered requests.
