Batches of promises; decisions on slots at the level info

Cause: at twice the load, each refusal sent a datagram to the deputy, and the owner's lines on all relays' refusals would push out other warnings. Change: promises are collected for 3 ms as releases are; lines on single decisions are of the level info, which the ring drops first. Command: go test -count=3 ./internal/relay/slots ./internal/relay

--- a/internal/relay/slot_hooks.go
+++ b/internal/relay/slot_hooks.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/relay/slots"
 	"github.com/hazelpitch/hazelpitch/internal/slotqueue"
@@ -15,7 +18,9 @@
 		Socket: relay.datagrams, Incarnation: relay.fleet.incarnation, Now: func() time.Duration { return relay.clock.now() },
 		Draw: relay.draw, Peers: relay.peers, AnswerTimeout: func() time.Duration { return relay.slotAnswerTimeout() },
 		Services: relay.servicesWithSlots, BackEnds: relay.backEndsWithSlots,
-		Without: relay.mechanisms, Event: relay.event, Metrics: relay.metrics.slots,
+		Without: relay.mechanisms, Event: relay.event, DecisionEvent: func(event events.Event) *zerolog.Event {
+			return relay.log.logger.WithLevel(zerolog.InfoLevel).Str(events.FieldEvent, string(event))
+		}, Metrics: relay.metrics.slots,
 	})
 }
 
--- a/internal/relay/slots/config.go
+++ b/internal/relay/slots/config.go
@@ -29,7 +29,9 @@
 	BackEnds func(service string) []slotqueue.BackEnd
 	// Without holds the mechanisms that are disabled.
 	Without mechanism.Set
-	// Event begins a log line.
-	Event   func(events.Event) *zerolog.Event
-	Metrics *Metrics
+	// Event begins a log line about the relay. DecisionEvent begins one about a single decision, which may be dropped first
+	// when there are too many lines: the relays that were refused write lines of their own.
+	Event         func(events.Event) *zerolog.Event
+	DecisionEvent func(events.Event) *zerolog.Event
+	Metrics       *Metrics
 }
--- a/internal/relay/slots/datagram_fuzz_test.go
+++ b/internal/relay/slots/datagram_fuzz_test.go
@@ -74,7 +74,7 @@
 		Now: func() time.Duration { return *now }, Draw: func() float64 { return 0.5 },
 		Peers: peers, AnswerTimeout: peers.Timeout, Services: func() []string { return []string{service} },
 		BackEnds: func(string) []slotqueue.BackEnd { return []slotqueue.BackEnd{{Hash: 1, Slots: 1}, {Hash: 2, Slots: 1}} },
-		Event:    func(events.Event) *zerolog.Event { return nil }, Metrics: NewMetrics(factory, func() *Slots { return nil }),
+		Event:    func(events.Event) *zerolog.Event { return nil }, DecisionEvent: func(events.Event) *zerolog.Event { return nil }, Metrics: NewMetrics(factory, func() *Slots { return nil }),
 	})
 	owner.SetRelays([]string{"10.0.0.1:1", deputy})
 	_, answers := owner.queries.Open()
--- a/internal/relay/slots/faults_test.go
+++ b/internal/relay/slots/faults_test.go
@@ -104,7 +104,7 @@
 		require.Equal(t, Granted, outcome.Kind)
 		fleet.network.lose(func(_, _ string, content []byte) bool { return isReport(content) })
 		relay.Release(grant, slotqueue.Result{ServiceTime: usualTime})
-		time.Sleep(2 * reportBatchDelay)
+		time.Sleep(2 * batchDelay)
 		fleet.network.lose(nil)
 		time.Sleep(reportInterval + networkDelay)
 		require.Zero(t, fleet.owner().granter.heldCount())
--- a/internal/relay/slots/granter_log.go
+++ b/internal/relay/slots/granter_log.go
@@ -34,7 +34,7 @@
 
 // logDecision writes a log line with a decision and its inputs.
 func (g *granter) logDecision(event events.Event, owned *ownedService, decision *slotqueue.Decision) {
-	line := g.config.Event(event).Str("service", owned.name).Bool("stands_in", owned.isDeputy).
+	line := g.config.DecisionEvent(event).Str("service", owned.name).Bool("stands_in", owned.isDeputy).
 		Str("relay", strconv.FormatUint(decision.ID.Relay, 16)).Uint64("number", decision.ID.Number).
 		Int("queued", decision.QueueLength).Int("held", owned.queue.HeldCount()).
 		Int64("expected_wait_ms", decision.ExpectedWait.Milliseconds()).Int64("waited_ms", decision.Waited.Milliseconds())
--- a/internal/relay/slots/harness_test.go
+++ b/internal/relay/slots/harness_test.go
@@ -94,8 +94,8 @@
 		Now: func() time.Duration { return time.Since(f.began) }, Draw: func() float64 { return 0.5 },
 		Peers: peers, AnswerTimeout: peers.Timeout, Services: func() []string { return []string{service} },
 		BackEnds: func(string) []slotqueue.BackEnd { return f.listed() },
-		Event:    func(events.Event) *zerolog.Event { return nil },
-		Metrics:  NewMetrics(factory, func() *Slots { return relay.Slots }),
+		Event:    func(events.Event) *zerolog.Event { return nil }, DecisionEvent: func(events.Event) *zerolog.Event { return nil },
+		Metrics: NewMetrics(factory, func() *Slots { return relay.Slots }),
 	})
 	go relay.config.Socket.Receive(func(received *v1.RelayDatagram, from string) { relay.handle(received, from) })
 	go func() { _ = relay.Run(f.t.Context()) }()
@@ -228,7 +228,7 @@
 }
 
 // reportTime is how long the release of a slot takes to arrive at the owners.
-const reportTime = reportBatchDelay + networkDelay + time.Millisecond
+const reportTime = batchDelay + networkDelay + time.Millisecond
 
 // noSlotsInUse reports whether the owner and the deputy know of no slot in use.
 func (f *testFleet) noSlotsInUse() bool {
--- a/internal/relay/slots/promises_test.go
+++ b/internal/relay/slots/promises_test.go
@@ -91,7 +91,7 @@
 		fleet.serveAtOnce(fleet.relays[2:], 4)
 		promised, _ := fleet.overload(300*time.Millisecond, 1670*time.Microsecond, 1)
 		require.NotEmpty(t, promised)
-		time.Sleep(reportBatchDelay + 2*networkDelay)
+		time.Sleep(batchDelay + 2*networkDelay)
 		require.NotZero(t, fleet.owner().promisesDue())
 		require.Equal(t, fleet.owner().promisesDue(), fleet.deputy().promisesDue())
 
--- a/internal/relay/slots/reports.go
+++ b/internal/relay/slots/reports.go
@@ -15,8 +15,8 @@
 	// reportInterval is the time between two reports of a relay that holds slots. An owner that has just become one grants
 	// only half of the slots for 300 ms, in which it must have got a report of each relay.
 	reportInterval = 250 * time.Millisecond
-	// reportBatchDelay is the time during which released slots are collected into one report.
-	reportBatchDelay = 3 * time.Millisecond
+	// batchDelay is the time during which released slots are collected into one report, and promises into one message.
+	batchDelay = 3 * time.Millisecond
 	// promisesPerDatagram is how many promises one datagram holds; each takes up to 31 bytes.
 	promisesPerDatagram = 32
 )
@@ -37,10 +37,9 @@
 		case <-s.holdings.refreshDue:
 			isRefresh = true
 		case <-s.holdings.changed:
-			if !pause.For(ctx, reportBatchDelay) {
-				return
-			}
+			pause.For(ctx, batchDelay)
 		case <-s.granter.promisesChanged:
+			pause.For(ctx, batchDelay)
 		}
 		s.sendPromises()
 		s.sendReports(isRefresh)
