--- a/internal/relay/slots/harness_test.go
+++ b/internal/relay/slots/harness_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
@@ -120,11 +119,6 @@
 
 func (r *testRelay) now() time.Duration { return r.config.Now() }
 
-// requestsBy returns how many of the relay's requests ended with an outcome.
-func (r *testRelay) requestsBy(kind Kind) int {
-	return int(testutil.ToFloat64(r.config.Metrics.requests.WithLabelValues(string(kind))))
-}
-
 // withOwned calls look with the queue of the service at this relay, which must be its owner or deputy.
 func (r *testRelay) withOwned(look func(owned *ownedService)) {
 	r.granter.mutex.Lock()
@@ -181,13 +175,6 @@
 	return f.served, f.mostInUse
 }
 
-// resetCounts begins to count anew.
-func (f *testFleet) resetCounts() {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.served, f.mostInUse = 0, 0
-}
-
 // serve lets a relay serve one request: it acquires a slot, uses it for usualTime and releases it.
 func (f *testFleet) serve(relay *testRelay, request Request) Outcome {
 	grant, outcome := relay.Acquire(request, nil)
--- a/internal/relay/slots/query.go
+++ b/internal/relay/slots/query.go
@@ -97,7 +97,7 @@
 		return Grant{}, Outcome{Kind: Refused, RetryAfter: retryAfterFromWire(answer), Promised: answer.GetIsPromised()}
 	}
 	if answer == nil {
-		_ = q
+		q.send(true) // the owner may have queued or granted the request
 	}
 	if isOver {
 		return Grant{}, Outcome{Kind: Abandoned}
