Overload test: relays repeat their requests at one owner only, and runs go in parallel

Change: each repetition follows the last question; the runs of a test are parallel. Command: go test ./internal/slotqueue -run 'TwiceTheLoad|OwnerIsLost' -v

--- a/internal/slotqueue/overload_test.go
+++ b/internal/slotqueue/overload_test.go
@@ -106,6 +106,7 @@
 	promised  bool
 	answered  bool // an owner has answered, finally or not
 	decided   bool
+	asks      int
 }
 
 // testRelay is a relay that requests slots.
@@ -236,42 +237,47 @@
 		},
 	}
 	relay.attempts[sent.request.ID.Number] = sent
-	if relay.asksDeputy {
-		o.ask(sent, o.deputy)
-		return
-	}
-	o.ask(sent, o.owner)
+	o.ask(sent)
 }
 
-// ask asks an owner for a slot, and again until there is a decision.
-func (o *overload) ask(asked *attempt, owner *testOwner) {
+// ask asks the owner for a slot, and again until there is a decision.
+func (o *overload) ask(asked *attempt) {
 	if asked.decided {
 		return
 	}
+	owner := o.owner
+	if asked.relay.asksDeputy {
+		owner = o.deputy
+	}
 	asked.answered = false
-	o.after(messageDelay, func() {
-		if owner.lost {
-			return
-		}
-		if owner.begins {
-			owner.begins = false
-			owner.queue.BeginOwnership(o.now)
-		}
-		o.answer(owner, owner.queue.Submit(o.now, asked.request))
-	})
+	asked.asks++
+	question := asked.asks
+	o.after(messageDelay, func() { o.submit(owner, asked.request) })
 	o.after(answerTimeout, func() {
-		if !asked.answered && !asked.decided {
+		if question == asked.asks && !asked.answered {
 			asked.relay.asksDeputy = true
-			o.ask(asked, o.deputy)
+			o.ask(asked)
 		}
 	})
 	o.after(repeatInterval, func() {
-		if asked.answered {
-			o.ask(asked, owner)
+		if question == asked.asks {
+			o.ask(asked)
 		}
 	})
 }
 
+// submit lets an owner decide on a request. A deputy becomes the owner with the first one.
+func (o *overload) submit(owner *testOwner, request slotqueue.Request) {
+	if owner.lost {
+		return
+	}
+	if owner.begins {
+		owner.begins = false
+		owner.queue.BeginOwnership(o.now)
+	}
+	o.answer(owner, owner.queue.Submit(o.now, request))
+}
+
 // answer sends a decision to the relay that has asked.
 func (o *overload) answer(owner *testOwner, decision slotqueue.Decision) {
 	o.after(messageDelay, func() {
@@ -447,8 +453,10 @@
 // TestTwiceTheLoadForTenSeconds guards against promises that are not kept, against clients that gain by retrying at
 // once, and against slots that are kept free for clients that never return.
 func TestTwiceTheLoadForTenSeconds(t *testing.T) {
+	t.Parallel()
 	for _, target := range targets {
 		t.Run(target.String(), func(t *testing.T) {
+			t.Parallel()
 			var planned, unplanned tally
 			for _, seed := range seeds {
 				with, without := newOverload(seed, target, true), newOverload(seed, target, false)
@@ -478,9 +486,11 @@
 // TestOwnerIsLostWithPromisesGiven guards against promises that end with the owner, and against clients that are refused
 // because their promises were lost with it.
 func TestOwnerIsLostWithPromisesGiven(t *testing.T) {
+	t.Parallel()
 	const lostAt = 5 * time.Second
 	for _, target := range targets {
 		t.Run(target.String(), func(t *testing.T) {
+			t.Parallel()
 			var replicated, lost, fromLostOwner, fromLostOwnerUnknown tally
 			for _, seed := range seeds {
 				with, without := newOverload(seed, target, true), newOverload(seed, target, true)
