Queue of slots: tests of order, failures and invariants; two faults that they found

Cause: the property test and the bounds test of the queue failed. Change: a request whose slot a report lists as released, or that had another final answer, leaves the queue and is not queued again by a late repetition; before, it could get a second slot. The state of a relay that has neither reported nor queued requests is dropped at once; before, 34,816 relays stayed after 32,768 refused requests, where 4,096 is the bound.

--- a/internal/slotqueue/granting.go
+++ b/internal/slotqueue/granting.go
@@ -123,6 +123,7 @@
 	}
 	q.grants.remove(g)
 	delete(q.relays.state(g.id.Relay).held, g.id.Number)
+	q.relays.dropIfUnknown(g.id.Relay)
 	q.mayGrant = true
 }
 
--- /dev/null
+++ b/internal/slotqueue/queue_test.go
@@ -0,0 +1,379 @@
+package slotqueue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/returnplan"
+)
+
+const (
+	// settled is a time at which a Queue made at 0 knows the slots that relays hold.
+	settled = time.Second
+	relay   = uint64(7)
+)
+
+func newTestQueue(returns Returns, backEnds ...BackEnd) *Queue {
+	queue := New(Config{Returns: returns})
+	queue.SetBackEnds(0, backEnds)
+	return queue
+}
+
+func newTestRequest(number uint64) Request {
+	return Request{
+		ID: RequestID{Relay: relay, Number: number}, Tenant: 1,
+		TargetAt: settled + 10*time.Second, DeadlineAt: settled + 20*time.Second,
+	}
+}
+
+// with returns a changed copy of a request.
+func with(request Request, change func(*Request)) Request {
+	change(&request)
+	return request
+}
+
+// grantedInTurn releases the held request and returns the numbers of the requests that get the only slot, in order.
+func grantedInTurn(t *testing.T, queue *Queue, now time.Duration, held uint64) (numbers []uint64) {
+	t.Helper()
+	for {
+		queue.Release(now, RequestID{Relay: relay, Number: held}, Result{ServiceTime: 50 * time.Millisecond})
+		decided := queue.Advance(now)
+		if len(decided) == 0 {
+			return numbers
+		}
+		require.Len(t, decided, 1)
+		require.Equal(t, Granted, decided[0].Outcome)
+		held = decided[0].ID.Number
+		numbers = append(numbers, held)
+		now += 50 * time.Millisecond
+	}
+}
+
+// Requests must get slots by level, then by tenant in turn, then by the target that can still be met.
+func TestOrder(t *testing.T) {
+	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 1})
+	require.Equal(t, Granted, queue.Submit(settled, newTestRequest(1)).Outcome)
+	changes := []func(*Request){
+		2: func(r *Request) { r.Level = 1 },
+		3: func(r *Request) { r.TargetAt -= time.Second },
+		4: func(r *Request) { r.TargetAt = 0 },
+		5: func(r *Request) { r.Tenant = 2; r.TargetAt += time.Second },
+		6: func(r *Request) { r.TargetAt -= 2 * time.Second },
+		7: func(r *Request) { r.TargetAt, r.DeadlineAt = 0, r.DeadlineAt-time.Second },
+		8: func(r *Request) { r.Tenant = 2; r.TargetAt += time.Second },
+	}
+	for number, change := range changes {
+		if change != nil {
+			require.Equal(t, Queued, queue.Submit(settled, with(newTestRequest(uint64(number)), change)).Outcome)
+		}
+	}
+	// Tenant 1 has used the slot for one request, so that tenant 2 goes first.
+	require.Equal(t, []uint64{5, 6, 8, 3, 7, 4, 2}, grantedInTurn(t, queue, settled+50*time.Millisecond, 1))
+}
+
+// A queued request whose target can no longer be met must let those go first that can still meet theirs.
+func TestRequestsThatMissTheirTargetGoLater(t *testing.T) {
+	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 1})
+	queue.Submit(settled, newTestRequest(1))
+	queue.Submit(settled, with(newTestRequest(2), func(r *Request) { r.TargetAt = settled + 100*time.Millisecond }))
+	queue.Submit(settled, with(newTestRequest(3), func(r *Request) { r.TargetAt = settled + 300*time.Millisecond }))
+	require.Equal(t, []uint64{3, 2}, grantedInTurn(t, queue, settled+80*time.Millisecond, 1))
+}
+
+// A tenant that asks again after a pause must get its share at once, and no credit for the pause.
+func TestShareIsLentAndTakenBack(t *testing.T) {
+	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 1})
+	require.Equal(t, Granted, queue.Submit(settled, newTestRequest(1)).Outcome)
+	for number := uint64(2); number <= 20; number++ {
+		queue.Submit(settled, newTestRequest(number))
+	}
+	now, held := settled, uint64(1)
+	for range 10 { // lent to tenant 1
+		now += 50 * time.Millisecond
+		queue.Release(now, RequestID{Relay: relay, Number: held}, Result{ServiceTime: 50 * time.Millisecond})
+		held = queue.Advance(now)[0].ID.Number
+	}
+	for number := uint64(101); number <= 105; number++ {
+		queue.Submit(now, with(newTestRequest(number), func(r *Request) { r.Tenant = 2 }))
+	}
+	granted := grantedInTurn(t, queue, now+50*time.Millisecond, held)
+	require.Equal(t, []uint64{101, 12, 102, 13, 103, 14, 104, 15, 105, 16, 17, 18, 19, 20}, granted)
+}
+
+// A request that cannot be completed in time must be refused at once, even beside free slots.
+func TestRefusesWhatCannotBeCompleted(t *testing.T) {
+	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 1})
+	late := with(newTestRequest(1), func(r *Request) { r.DeadlineAt = settled + defaultServiceTime - 1 })
+	require.Equal(t, ReasonDeadline, queue.Submit(settled, late).Reason)
+	require.Zero(t, queue.HeldCount())
+	for number := uint64(2); number <= 11; number++ {
+		queue.Submit(settled, newTestRequest(number))
+	}
+	behind := with(newTestRequest(12), func(r *Request) { r.DeadlineAt = settled + 300*time.Millisecond })
+	decision := queue.Submit(settled, behind)
+	require.Equal(t, ReasonWait, decision.Reason, "ten requests of 50 ms are ahead")
+	require.Equal(t, 500*time.Millisecond, decision.RetryAfter)
+	require.False(t, decision.Promised)
+	require.Equal(t, decision, queue.Submit(settled, behind), "a repetition gets the same answer")
+}
+
+// A queued request must be refused once more urgent requests leave it no chance, and its slot must not be used.
+func TestRefusesQueuedRequestsWithoutAChance(t *testing.T) {
+	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 1})
+	queue.Submit(settled, newTestRequest(1))
+	pushed := with(newTestRequest(2), func(r *Request) { r.Level, r.DeadlineAt = 3, settled+400*time.Millisecond })
+	require.Equal(t, Queued, queue.Submit(settled, pushed).Outcome)
+	require.Empty(t, queue.Advance(settled))
+	for number := uint64(3); number <= 12; number++ {
+		queue.Submit(settled, newTestRequest(number))
+	}
+	decided := queue.Advance(settled + reviewInterval)
+	require.Len(t, decided, 1)
+	require.Equal(t, pushed.ID, decided[0].ID)
+	require.Equal(t, ReasonWait, decided[0].Reason)
+}
+
+// A request that may have run must never be refused: its client would be told that it did not run.
+func TestRequestsThatMayHaveRunAreNeverRefused(t *testing.T) {
+	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 1})
+	queue.Submit(settled, newTestRequest(1))
+	mayHaveRun := with(newTestRequest(2), func(r *Request) { r.MayHaveRun, r.DeadlineAt = true, settled+10*time.Millisecond })
+	require.Equal(t, Queued, queue.Submit(settled, mayHaveRun).Outcome)
+	require.Empty(t, queue.Advance(settled+5*time.Millisecond))
+	require.Equal(t, 1, queue.QueuedCount())
+	require.Empty(t, queue.Advance(settled+10*time.Millisecond))
+	require.Zero(t, queue.QueuedCount())
+	require.Equal(t, Queued, queue.Submit(settled+11*time.Millisecond, mayHaveRun).Outcome)
+	require.Zero(t, queue.QueuedCount())
+}
+
+// A full queue must refuse the newest of its least urgent requests and stay within its bound.
+func TestFullQueueRefusesTheNewestOfTheLeastUrgent(t *testing.T) {
+	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 1000})
+	for number := uint64(1); number <= 1000+maximumQueued; number++ {
+		request := with(newTestRequest(number), func(r *Request) { r.Level = int(number % 2) })
+		require.NotEqual(t, Refused, queue.Submit(settled, request).Outcome)
+	}
+	require.Equal(t, maximumQueued, queue.QueuedCount())
+	added := newTestRequest(5000)
+	require.Equal(t, Queued, queue.Submit(settled, added).Outcome)
+	at, needed := queue.NextAt()
+	require.True(t, needed)
+	require.LessOrEqual(t, at, settled, "the refused request must be told at once")
+	decided := queue.Advance(settled)
+	require.Len(t, decided, 1)
+	require.Equal(t, RequestID{Relay: relay, Number: 999 + maximumQueued}, decided[0].ID)
+	require.Equal(t, ReasonQueueFull, decided[0].Reason)
+	lowest := queue.Submit(settled, with(newTestRequest(5001), func(r *Request) { r.Level = 2 }))
+	require.Equal(t, ReasonQueueFull, lowest.Reason)
+	require.Equal(t, maximumQueued, queue.QueuedCount())
+}
+
+// Flows must stay bounded while many tenants come and go.
+func TestFlowsAreBounded(t *testing.T) {
+	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 10000})
+	for number := uint64(1); number <= 8000; number++ {
+		queue.Submit(settled, with(newTestRequest(number), func(r *Request) { r.Tenant = number }))
+	}
+	require.Equal(t, 8000, queue.HeldCount())
+	require.LessOrEqual(t, queue.waiting.flows, maximumFlows+1)
+	for number := uint64(1); number <= 8000; number++ {
+		queue.Release(settled, RequestID{Relay: relay, Number: number}, Result{})
+	}
+	require.Zero(t, queue.waiting.flows)
+	for _, l := range queue.waiting.levels {
+		require.Empty(t, l.flows)
+	}
+}
+
+// The back end with the lowest load by slots and slowdown must get the request; a slowdown counts for 250 ms.
+func TestChoiceOfBackEnd(t *testing.T) {
+	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 4}, BackEnd{Hash: 2, Slots: 8}, BackEnd{Hash: 3, Slots: 100, Closed: true})
+	submit := func(now time.Duration, number uint64, excluded ...uint64) uint64 {
+		decision := queue.Submit(now, with(newTestRequest(number), func(r *Request) { r.Excluded = excluded }))
+		require.Equal(t, Granted, decision.Outcome)
+		return decision.BackEnd
+	}
+	require.EqualValues(t, 2, submit(settled, 1), "1/8 is less than 1/4")
+	require.EqualValues(t, 1, submit(settled, 2, 2), "excluded")
+	queue.Release(settled, RequestID{relay, 1}, Result{ServiceTime: time.Millisecond, Slowdown: 6})
+	require.EqualValues(t, 1, submit(settled, 3), "2/4 is less than 1/8 * 6")
+	require.EqualValues(t, 2, submit(settled+slowdownValidity+1, 4), "the slowdown is over")
+	queue.Submit(settled+slowdownValidity+1, with(newTestRequest(5), func(r *Request) { r.Excluded = []uint64{1, 2} }))
+	require.Equal(t, 1, queue.QueuedCount(), "a closed back end gets no grant")
+}
+
+// A back end that turns requests away must get no grant for 50 ms, then for twice as long each time, up to 1 s.
+func TestBackEndThatTurnsRequestsAway(t *testing.T) {
+	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 2})
+	now, number := settled, uint64(1)
+	for _, block := range []time.Duration{50, 100, 200, 400, 800, 1000, 1000} {
+		require.Equal(t, Granted, queue.Submit(now, newTestRequest(number)).Outcome)
+		queue.Release(now, RequestID{relay, number}, Result{TurnedAway: true})
+		require.Equal(t, Queued, queue.Submit(now, newTestRequest(number+1)).Outcome)
+		require.Empty(t, queue.Advance(now))
+		at, needed := queue.NextAt()
+		require.True(t, needed)
+		require.Equal(t, now+block*time.Millisecond, at)
+		now, number = at, number+1
+		require.Len(t, queue.Advance(now), 1)
+		queue.Cancel(now, RequestID{relay, number})
+		number++
+	}
+	queue.Submit(now, newTestRequest(number))
+	queue.Submit(now, newTestRequest(number+1))
+	queue.Release(now, RequestID{relay, number}, Result{ServiceTime: time.Millisecond})
+	queue.Submit(now, newTestRequest(number+2))
+	queue.Release(now, RequestID{relay, number + 1}, Result{TurnedAway: true})
+	queue.Release(now, RequestID{relay, number + 2}, Result{TurnedAway: true})
+	queue.Submit(now, newTestRequest(number+3))
+	queue.Advance(now)
+	at, needed := queue.NextAt()
+	require.True(t, needed)
+	require.Equal(t, now+minimumBlock, at, "a success ends the doubling, and requests in flight during a block do not double it")
+}
+
+// Datagrams are repeated and overtake each other: a request gets one slot, and none after its cancellation.
+func TestRepetitionsAndCancellations(t *testing.T) {
+	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 1})
+	granted := queue.Submit(settled, newTestRequest(1))
+	require.Equal(t, granted, queue.Submit(settled+time.Millisecond, newTestRequest(1)))
+	require.Equal(t, 1, queue.HeldCount())
+	require.Equal(t, Queued, queue.Submit(settled, newTestRequest(2)).Outcome)
+	require.Equal(t, Queued, queue.Submit(settled, newTestRequest(2)).Outcome)
+	require.Equal(t, 1, queue.QueuedCount())
+	queue.Cancel(settled, RequestID{relay, 2})
+	require.Zero(t, queue.QueuedCount())
+	require.Equal(t, ReasonNotAwaited, queue.Submit(settled, newTestRequest(2)).Reason)
+	queue.Cancel(settled, RequestID{relay, 3})
+	require.Equal(t, ReasonNotAwaited, queue.Submit(settled, newTestRequest(3)).Reason)
+	queue.Cancel(settled, RequestID{relay, 1})
+	require.Zero(t, queue.HeldCount())
+}
+
+// After a slow spell the service must be tried again; otherwise the results of the spell refuse all requests for good.
+func TestServiceIsTriedAgainAfterASlowSpell(t *testing.T) {
+	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 1})
+	queue.Submit(settled, newTestRequest(1))
+	now := settled + 3*time.Second
+	queue.Release(now, RequestID{relay, 1}, Result{ServiceTime: 3 * time.Second})
+	short := func(number uint64, now time.Duration) Request {
+		return with(newTestRequest(number), func(r *Request) { r.DeadlineAt = now + time.Second })
+	}
+	require.Equal(t, ReasonDeadline, queue.Submit(now, short(2, now)).Reason)
+	now += probeAfter
+	require.Equal(t, Granted, queue.Submit(now, short(3, now)).Outcome)
+	require.Equal(t, ReasonDeadline, queue.Submit(now, short(4, now)).Reason, "one request is tried")
+}
+
+// While an idle service is tried again, the requests that wait behind the first one must not all be tried.
+func TestOneQueuedRequestTriesAServiceAgain(t *testing.T) {
+	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 3})
+	queue.Submit(settled, newTestRequest(1))
+	now := settled + 3*time.Second
+	queue.Release(now, RequestID{relay, 1}, Result{ServiceTime: 3 * time.Second})
+	now += probeAfter
+	queue.SetBackEnds(now, nil)
+	for number := uint64(2); number <= 4; number++ {
+		request := with(newTestRequest(number), func(r *Request) { r.DeadlineAt = now + time.Second })
+		require.Equal(t, Queued, queue.Submit(now, request).Outcome)
+	}
+	now += time.Millisecond
+	queue.SetBackEnds(now, []BackEnd{{Hash: 1, Slots: 3}})
+	queue.Advance(now)
+	require.Equal(t, 1, queue.HeldCount())
+	for _, decision := range queue.Advance(now) {
+		require.Equal(t, ReasonDeadline, decision.Reason)
+	}
+	require.Zero(t, queue.QueuedCount())
+}
+
+// fakeReturns promises a return after a fixed time and lets a set of signatures in.
+type fakeReturns struct {
+	after  time.Duration
+	due    map[uint64]bool
+	keep   int
+	caller returnplan.Caller
+	room   returnplan.Room
+}
+
+func (f *fakeReturns) Promise(now time.Duration, caller returnplan.Caller, room returnplan.Room, latest time.Duration, _ float64) (time.Duration, bool) {
+	f.caller, f.room = caller, room
+	return now + f.after, now+f.after <= latest
+}
+
+func (f *fakeReturns) Redeem(_ time.Duration, signature uint64) (returnplan.Promise, bool) {
+	due := f.due[signature]
+	delete(f.due, signature)
+	return returnplan.Promise{}, due
+}
+
+func (f *fakeReturns) DueUntil(now, until time.Duration) int {
+	if until < now {
+		return 0
+	}
+	return f.keep
+}
+
+func (f *fakeReturns) Expire(time.Duration) {}
+
+// Clients that return at their time must go before newcomers of their level, and after more urgent ones.
+func TestReturnsGoBeforeNewcomers(t *testing.T) {
+	queue := newTestQueue(&fakeReturns{after: time.Hour, due: map[uint64]bool{33: true, 44: true}}, BackEnd{Hash: 1, Slots: 1})
+	queue.Submit(settled, newTestRequest(1))
+	queue.Submit(settled, with(newTestRequest(2), func(r *Request) { r.Level = 1; r.TargetAt -= time.Second }))
+	queue.Submit(settled, with(newTestRequest(3), func(r *Request) { r.Level, r.Signature = 1, 33 }))
+	queue.Submit(settled, newTestRequest(5))
+	other := with(newTestRequest(6), func(r *Request) { r.Level, r.Tenant = 1, 2 })
+	require.Equal(t, 200*time.Millisecond, queue.Submit(settled, other).ExpectedWait, "the slot in use, then 5, 3 and 2, at 50 ms each")
+	queue.Cancel(settled, other.ID)
+	again := with(newTestRequest(4), func(r *Request) { r.Level, r.Signature, r.Excluded = 1, 44, []uint64{9} })
+	require.False(t, queue.Submit(settled, again).Returned, "a further attempt must not redeem the promise of another client")
+	require.Equal(t, []uint64{5, 3, 2, 4}, grantedInTurn(t, queue, settled+50*time.Millisecond, 1))
+}
+
+// A request that would miss its target is refused if its client can return soon; otherwise it must keep its place.
+func TestRefusalForTheTargetNeedsAPromise(t *testing.T) {
+	for _, after := range []time.Duration{time.Second, 10 * time.Second} {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			returns := &fakeReturns{after: after, due: map[uint64]bool{9: true}}
+			queue := newTestQueue(returns, BackEnd{Hash: 1, Slots: 1})
+			for number := uint64(1); number <= 10; number++ {
+				queue.Submit(settled, with(newTestRequest(number), func(r *Request) { r.TargetAt = settled + 200*time.Millisecond }))
+			}
+			missing := func(number uint64) Request {
+				return with(newTestRequest(number), func(r *Request) { r.Level, r.TargetAt = 1, settled+100*time.Millisecond })
+			}
+			decision := queue.Submit(settled, missing(11))
+			if after > 20*time.Second/returnFraction {
+				require.Equal(t, Queued, decision.Outcome, "a third of the 20 s left is too little for 10 s")
+				return
+			}
+			require.Equal(t, ReasonTarget, decision.Reason)
+			require.True(t, decision.Promised)
+			require.Equal(t, after, decision.RetryAfter)
+			require.Equal(t, 20.0, returns.room.PerSecond)
+			require.Equal(t, returnplan.Caller{Tenant: 1, Level: 1, FirstRefusedAt: settled}, returns.caller)
+			returned := with(missing(12), func(r *Request) { r.Signature = 9 })
+			require.Equal(t, Queued, queue.Submit(settled, returned).Outcome, "a client that returned at its time is not sent away again")
+		})
+	}
+}
+
+// While returns are due for which no slot comes free in time, a newcomer must not take the last slots.
+func TestSlotsAreKeptForReturns(t *testing.T) {
+	returns := &fakeReturns{after: time.Hour, due: map[uint64]bool{9: true}, keep: 2}
+	queue := newTestQueue(returns, BackEnd{Hash: 1, Slots: 2})
+	queue.serviceTime.add(2 * time.Second)
+	require.Equal(t, Queued, queue.Submit(settled, newTestRequest(1)).Outcome)
+	require.Empty(t, queue.Advance(settled))
+	at, needed := queue.NextAt()
+	require.True(t, needed)
+	require.Equal(t, settled+heldBackRecheck, at)
+	require.Equal(t, Granted, queue.Submit(settled, with(newTestRequest(2), func(r *Request) { r.Signature = 9 })).Outcome)
+	returns.keep = 0
+	require.Len(t, queue.Advance(at), 1)
+}
--- a/internal/slotqueue/relay_state.go
+++ b/internal/slotqueue/relay_state.go
@@ -16,6 +16,8 @@
 	queued map[uint64]*entry
 }
 
+func (s *relayState) isIdle() bool { return len(s.held) == 0 && len(s.queued) == 0 }
+
 // relayTable holds the relays that have reported recently, hold slots or have queued requests.
 type relayTable struct {
 	relays  map[uint64]*relayState
@@ -34,6 +36,14 @@
 	return found
 }
 
+// dropIfUnknown drops the state of a relay that has not reported, holds no slot and has no queued request.
+func (t *relayTable) dropIfUnknown(relay uint64) {
+	state, exists := t.relays[relay]
+	if exists && !state.hasReported && state.isIdle() {
+		delete(t.relays, relay)
+	}
+}
+
 // admits reports whether a report of a relay may be applied within the bound of the table.
 func (t *relayTable) admits(now time.Duration, relay uint64) bool {
 	if t.relays[relay] == nil && len(t.relays) >= maximumRelays {
@@ -49,7 +59,7 @@
 	}
 	t.sweptAt = now
 	for relay, state := range t.relays {
-		if len(state.held) == 0 && len(state.queued) == 0 && now-state.reportedAt >= relaySilence {
+		if state.isIdle() && now-state.reportedAt >= relaySilence {
 			delete(t.relays, relay)
 		}
 	}
--- a/internal/slotqueue/reporting.go
+++ b/internal/slotqueue/reporting.go
@@ -16,10 +16,10 @@
 	if relay.hasReported && report.Sequence <= relay.sequence {
 		return
 	}
+	relay.sequence, relay.hasReported, relay.reportedAt = report.Sequence, true, q.now
 	q.applyReleased(relay, report)
 	listed := q.applyHeld(relay, report)
 	q.endUnlisted(relay, report, listed)
-	relay.sequence, relay.hasReported, relay.reportedAt = report.Sequence, true, q.now
 	relay.answeredUpTo = max(relay.answeredUpTo, report.AnsweredUpTo)
 }
 
@@ -27,6 +27,7 @@
 // no earlier report has listed, because they were used between two reports.
 func (q *Queue) applyReleased(relay *relayState, report Report) {
 	for _, number := range slices.Sorted(maps.Keys(report.Released)) {
+		q.withdraw(relay.queued[number])
 		if relay.held[number] == nil && number > relay.answeredUpTo {
 			q.recordResult(report.Released[number])
 			continue
@@ -44,14 +45,22 @@
 			continue
 		}
 		listed[held.Number] = true
-		if queued := relay.queued[held.Number]; queued != nil {
-			q.dequeue(queued)
-		}
+		q.withdraw(relay.queued[held.Number])
 		q.applyHeldSlot(relay, report.Relay, held)
 	}
 	return listed
 }
 
+// withdraw removes a queued request that its relay no longer awaits, if there is one. Late repetitions are not queued
+// again.
+func (q *Queue) withdraw(queued *entry) {
+	if queued == nil {
+		return
+	}
+	q.dequeue(queued)
+	q.memory.add(Decision{ID: queued.ID, Outcome: Refused, Reason: ReasonNotAwaited}, queued.DeadlineAt)
+}
+
 func (q *Queue) applyHeldSlot(relay *relayState, relayID uint64, held Held) {
 	known := relay.held[held.Number]
 	if known == nil && q.grants.isFull() {
@@ -82,7 +91,7 @@
 	}
 	for _, number := range slices.Sorted(maps.Keys(relay.queued)) {
 		if number <= report.AnsweredUpTo {
-			q.dequeue(relay.queued[number])
+			q.withdraw(relay.queued[number])
 		}
 	}
 }
--- a/internal/slotqueue/submit.go
+++ b/internal/slotqueue/submit.go
@@ -49,6 +49,7 @@
 func (q *Queue) dequeue(e *entry) {
 	q.waiting.remove(e)
 	delete(q.relays.state(e.ID.Relay).queued, e.ID.Number)
+	q.relays.dropIfUnknown(e.ID.Relay)
 }
 
 // decideNew decides on a request that was just queued.
