Queue of slots: a new owner keeps its half of the slots for returns

Cause: the free slots that are kept for returns were counted over all slots, also while a new owner may grant half of them, so that newcomers took these. Change: only slots that the owner may grant count; newcomers that are held back are skipped as a class and not one by one.

--- a/internal/slotqueue/granting.go
+++ b/internal/slotqueue/granting.go
@@ -1,6 +1,9 @@
 package slotqueue
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// lateReturn is how late most clients come that return at their time: the request's way to the owner.
@@ -26,7 +29,7 @@
 // firstGrantable returns the first queued request that can get a free slot, and the back end; nil if there is none.
 func (q *Queue) firstGrantable() (first *entry, on *backEndState) {
 	q.holdsBack = false
-	if q.waiting.count() == 0 || q.grants.isFull() || q.isLearning() && q.learnerIsAtLimit() {
+	if q.waiting.count() == 0 || q.grants.isFull() || q.learnerAllowance() <= 0 {
 		return nil, nil
 	}
 	held := q.grants.byBackEnd
@@ -34,20 +37,20 @@
 	if len(usable) == 0 {
 		return nil, nil
 	}
-	keepsSlots := q.keepsSlotsForReturns(usable)
-	q.waiting.each(q.now+q.safeTime(), func(e *entry) bool {
+	last, keepsSlots := newcomer, q.keepsSlotsForReturns(usable)
+	if keepsSlots {
+		last = returning
+	}
+	q.waiting.each(last, q.now+q.safeTime(), func(e *entry) bool {
 		if e.queuedAt < q.now && q.isOverdue(e) {
 			return true // the next Advance removes it
 		}
-		if keepsSlots && e.class == newcomer {
-			q.holdsBack = true
-			return true
-		}
 		if on = leastLoaded(q.now, usable, held, e.Excluded); on != nil {
 			first = e
 		}
 		return first == nil
 	})
+	q.holdsBack = keepsSlots && first == nil
 	return first, on
 }
 
@@ -60,9 +63,20 @@
 	return q.now+q.safeTime() > e.DeadlineAt
 }
 
-// learnerIsAtLimit reports whether a new owner has granted half of the slots.
-func (q *Queue) learnerIsAtLimit() bool {
-	return q.grants.grantedSince(q.beganAt) >= (q.backEnds.openSlots+1)/2
+// grantableSlots returns how many slots the Queue may have granted at a time: half of all while it is new as an owner.
+func (q *Queue) grantableSlots() int {
+	if q.isLearning() {
+		return (q.backEnds.openSlots + 1) / 2
+	}
+	return q.backEnds.openSlots
+}
+
+// learnerAllowance returns how many slots a new owner may grant now; other owners are limited by the free slots alone.
+func (q *Queue) learnerAllowance() int {
+	if !q.isLearning() {
+		return math.MaxInt
+	}
+	return q.grantableSlots() - q.grants.grantedSince(q.beganAt)
 }
 
 // keepsSlotsForReturns reports whether the free slots are kept for clients that are expected now and for which no slots
@@ -80,7 +94,9 @@
 	for _, state := range usable {
 		free += state.Slots - q.grants.byBackEnd[state.Hash]
 	}
-	return float64(due)-q.completionsPerSecond()*lateReturn.Seconds() > float64(free-1)
+	free = min(free, q.learnerAllowance())
+	completions := float64(q.grantableSlots()) * float64(lateReturn) / float64(max(q.slotTime().mean, 1))
+	return float64(due)-completions > float64(free-1)
 }
 
 // grant grants a slot to a queued request.
--- a/internal/slotqueue/queue_test.go
+++ b/internal/slotqueue/queue_test.go
@@ -384,3 +384,19 @@
 	returns.keep = 0
 	require.Len(t, queue.Advance(at), 1)
 }
+
+// A new owner that may grant only half of the slots must keep these for returns: the other free slots do not count.
+func TestNewOwnerKeepsItsSlotsForReturns(t *testing.T) {
+	returns := &fakeReturns{after: time.Hour, due: map[uint64]bool{8: true, 9: true}, keep: 2}
+	queue := newTestQueue(returns, BackEnd{Hash: 1, Slots: 4})
+	queue.serviceTime.add(2 * time.Second)
+	queue.BeginOwnership(settled)
+	require.Equal(t, Queued, queue.Submit(settled, newTestRequest(1)).Outcome)
+	for number := uint64(8); number <= 9; number++ {
+		returning := with(newTestRequest(number), func(r *Request) { r.Signature = number })
+		require.Equal(t, Granted, queue.Submit(settled, returning).Outcome)
+	}
+	returns.keep = 0
+	require.Empty(t, queue.Advance(settled+learningTime-1))
+	require.Len(t, queue.Advance(settled+learningTime), 1)
+}
--- a/internal/slotqueue/submit.go
+++ b/internal/slotqueue/submit.go
@@ -19,8 +19,8 @@
 	return Decision{}, false
 }
 
-// hasRoomForLasting reports whether a request that may have run can be queued: its deadline has not passed, and the
-// queue holds a request that may be refused in its place if it is full.
+// hasRoomForLasting reports whether a request that may have run can be queued: its deadline has not passed, and requests of
+// its kind, none of which can be refused in its place, do not fill the queue.
 func (q *Queue) hasRoomForLasting(request Request) bool {
 	return q.now < request.DeadlineAt && q.waiting.lasting.Len() < maximumQueued
 }
--- a/internal/slotqueue/waiting.go
+++ b/internal/slotqueue/waiting.go
@@ -80,10 +80,11 @@
 	w.dropIdle(atLevel, f)
 }
 
-// each visits the queued requests in order until visit returns false.
-func (w *waiting) each(completedAt time.Duration, visit func(*entry) bool) {
+// each visits the queued requests of the classes up to the last one in order until visit returns false. completedAt is
+// when a request that starts now is completed.
+func (w *waiting) each(last class, completedAt time.Duration, visit func(*entry) bool) {
 	for _, l := range w.levels {
-		for c := range classCount {
+		for c := range last + 1 {
 			if !l.each(c, completedAt, visit) {
 				return
 			}
