--- a/internal/slotqueue/submit.go
+++ b/internal/slotqueue/submit.go
@@ -19,8 +19,8 @@
 	return Decision{}, false
 }
 
-// hasRoomForLasting reports whether a request that may have run can be queued: its deadline has not passed, and the
-// queue holds a request that may be refused in its place if it is full.
+// hasRoomForLasting reports whether a request that may have run can be queued: its deadline has not passed, and requests of
+// its kind, none of which can be refused in its place, do not fill the queue.
 func (q *Queue) hasRoomForLasting(request Request) bool {
 	return q.now < request.DeadlineAt && q.waiting.lasting.Len() < maximumQueued
 }
@@ -49,6 +49,7 @@
 func (q *Queue) dequeue(e *entry) {
 	q.waiting.remove(e)
 	delete(q.relays.state(e.ID.Relay).queued, e.ID.Number)
+	q.relays.dropIfUnknown(e.ID.Relay)
 }
 
 // decideNew decides on a request that was just queued.
@@ -58,9 +59,8 @@
 		return q.grant(first, on)
 	}
 	q.mayGrant = q.mayGrant || first != nil
-	ahead := q.waiting.countBefore(added)
-	wait := q.expectedWait(ahead)
-	if decision, isRefused := q.refuseForWait(added, ahead, wait); isRefused {
+	wait := q.expectedWait(q.waiting.countBefore(added))
+	if decision, isRefused := q.refuseForWait(added, wait); isRefused {
 		return decision
 	}
 	if q.waiting.count() > maximumQueued {
--- a/internal/slotqueue/waiting.go
+++ b/internal/slotqueue/waiting.go
@@ -80,10 +80,11 @@
 	w.dropIdle(atLevel, f)
 }
 
-// each visits the queued requests in order until visit returns false.
-func (w *waiting) each(completedAt time.Duration, visit func(*entry) bool) {
+// each visits the queued requests of the classes up to the last one in order until visit returns false. completedAt is
+// when a request that starts now is completed.
+func (w *waiting) each(last class, completedAt time.Duration, visit func(*entry) bool) {
 	for _, l := range w.levels {
-		for c := range classCount {
+		for c := range last + 1 {
 			if !l.each(c, completedAt, visit) {
 				return
 			}
@@ -105,6 +106,11 @@
 	return count
 }
 
+// countAheadOfReturns returns the number of queued requests that get a slot before a client that returns at its time.
+func (w *waiting) countAheadOfReturns(ofLevel int) int {
+	return w.countAbove(ofLevel) + w.levels[ofLevel].counts[returning]
+}
+
 // flowOf returns the flow of a request, a new one if its tenant has none.
 func (w *waiting) flowOf(request Request) *flow {
 	flows := w.levels[request.Level].flows
