Scripted owner of slots: a datagram that never comes fails the test

Cause: a fault made tests wait for the time limit of all tests, 10 minutes. Change: a read of the scripted owner fails after a minute.

--- a/internal/relay/plain_slot_test.go
+++ b/internal/relay/plain_slot_test.go
@@ -56,9 +56,10 @@
 	return &scriptedSlotOwner{scriptedOwner: newScriptedOwner(t)}
 }
 
-// next returns the next datagram and its sender, and records releases.
+// next returns the next datagram and its sender, and records releases. A datagram that never comes fails the test.
 func (o *scriptedSlotOwner) next() (*v1.RelayDatagram, net.Addr) {
 	o.t.Helper()
+	require.NoError(o.t, o.socket.SetReadDeadline(time.Now().Add(time.Minute)))
 	received, from := o.read()
 	o.released = append(o.released, received.GetSlotReport().GetReleased()...)
 	return received, from
@@ -204,12 +205,12 @@
 	client := relay.client(t)
 	client.send("POST", "/path/", "x")
 	request := owner.answerSlotRequest(&v1.SlotAnswer{Outcome: v1.SlotOutcome_SLOT_OUTCOME_QUEUED})
-	repetition, _ := owner.read()
+	repetition, _ := owner.next()
 	require.Equal(t, request.GetNumber(), repetition.GetSlotRequest().GetNumber(), "the relay knows that the request is queued")
 	require.NoError(t, client.connection.Close())
 	var from net.Addr
 	for isCancelled := false; !isCancelled; {
-		received, sender := owner.read()
+		received, sender := owner.next()
 		isCancelled, from = received.GetSlotRequest().GetCancelled() && received.GetSlotRequest().GetNumber() == request.GetNumber(), sender
 	}
 	late := granting(relay.engineOf("one").hash)
