--- a/internal/relay/exchange_records.go
+++ b/internal/relay/exchange_records.go
@@ -104,6 +104,7 @@
 	}
 	backEnd, now := answer.message.backEnd, e.clock.now()
 	backEnd.recordReportedLoad(now, reported.running, reported.waiting)
+	answer.message.slowdownPercent = reported.slowdownPercent
 	if reported.slowdownPercent > 0 && backEnd.isEngine() {
 		e.speeds.ObserveReport(now, backEnd.Service, backEnd.hash, relativeTime(reported.slowdownPercent))
 		backEnd.recordRelativeTime(reported.slowdownPercent)
