--- a/internal/relay/load_probe.go
+++ b/internal/relay/load_probe.go
@@ -75,6 +75,17 @@
 	return reported
 }
 
+// countSlowedEngines returns the number of engines of the cells that this relay owns that are slowed down now.
+func (r *Relay) countSlowedEngines() int {
+	now, count := r.clock.now(), 0
+	for _, engine := range r.owners.firstOwnedEngines() {
+		if r.speeds.IsSlowedDown(now, engine.Service, engine.hash) {
+			count++
+		}
+	}
+	return count
+}
+
 // missesGap reports whether decode steps of the given duration exceed the gap target of a service's routes.
 func missesGap(view *view, service string, step time.Duration) bool {
 	engine := view.engine(service)
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -71,6 +71,8 @@
 	// placementQueries counts placement decisions by who made them; spills counts requests offered to a further cell.
 	placementQueries *prometheus.CounterVec
 	spills           prometheus.Counter
+	// pauseForecasts counts runs by the forecast for the gap targets at their engines.
+	pauseForecasts   *prometheus.CounterVec
 	slots            *slots.Metrics
 	datagramsDropped *prometheus.CounterVec
 	firstEventTime   prometheus.Histogram
@@ -100,6 +102,7 @@
 		placementQueries: factory.CounterVec("placement_questions_total", "Decisions on engines, by who made them.", "outcome"),
 		slots:            slots.NewMetrics(factory, func() *slots.Slots { return relay.slots }),
 		spills:           factory.Counter("placement_spills_total", "Offers of requests to a further cell of engines."),
+		pauseForecasts:   factory.CounterVec("pause_forecasts_total", "Runs by the forecast for the gap targets of the streams at their engines.", "forecast"),
 		datagramsDropped: factory.CounterVec("datagrams_dropped_total", "Datagrams between relays that were not taken, by reason.", "reason"),
 		firstEventTime:   factory.Histogram("first_event_seconds", "Time from a request to the first event of its stream."),
 		answerTime:       factory.Histogram("answer_seconds", "Time from a request to the end of its answer."),
@@ -118,6 +121,9 @@
 	factory.GaugeFunc("listing_age_seconds", "Time since the list of back ends changed here.", func() float64 {
 		return (relay.clock.now() - relay.view.Load().listedAt).Seconds()
 	})
+	factory.GaugeFunc("slowed_engines", "Engines of the cells owned here that are slowed down now.", func() float64 {
+		return float64(relay.countSlowedEngines())
+	})
 	factory.GaugeFunc("notice_age_seconds", "Time since the last word of another relay on its work.", func() float64 {
 		return (relay.clock.now() - relay.notices.table.lastReceivedAt()).Seconds()
 	})
--- a/internal/relay/request_trace.go
+++ b/internal/relay/request_trace.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -17,6 +20,8 @@
 	tokensToPrefill, tokensAhead, tokensAheadAll int
 	// placementReason is the reason for the decision on where to prefill the prompt.
 	placementReason string
+	// pause is the forecast for the gap targets at the last decode engine, as of its selection.
+	pause placement.PauseForecast
 	// owner is the relay that selected the last engine; empty for this relay.
 	owner string
 	// firstAt is when the first event of a stream was forwarded.
@@ -31,6 +36,13 @@
 	t.tokensToPrefill, t.tokensAhead, t.tokensAheadAll = selection.PrefillTokens, selection.queuedWork.TokensUpTo(rank), selection.queuedWork.PromptTokens()
 }
 
+// addForecast adds the forecast for the gap targets to a log line, if there is one.
+func (t *requestTrace) addForecast(line *zerolog.Event) {
+	if t.pause != placement.PauseUnknown {
+		line.Str("pause", t.pause.String())
+	}
+}
+
 // recordEvents records that events were forwarded.
 func (t *requestTrace) recordEvents(now time.Duration) {
 	if t.firstAt == 0 {
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -96,6 +96,7 @@
 		}
 	}
 	s.request.trace.engine, s.request.trace.sentAt = engine.ID, began
+	s.recordForecast(selection.Pause)
 	work := placement.Work{Streams: 1}
 	if prefill == nil {
 		work = work.Plus(placement.PrefillWork(selection.EffectiveTokens, s.rank().First))
@@ -116,6 +117,14 @@
 	return s.forwardEvents(answer)
 }
 
+// recordForecast records the forecast for the stream's pauses at the engine of the current run.
+func (s *streamReply) recordForecast(forecast placement.PauseForecast) {
+	s.request.trace.pause = forecast
+	if forecast != placement.PauseUnknown {
+		s.relay.metrics.pauseForecasts.WithLabelValues(forecast.String()).Inc()
+	}
+}
+
 // mayContinueElsewhere reports whether the stream may continue at another engine.
 func (s *streamReply) mayContinueElsewhere() bool { return s.attempts.hasFurtherAttempt() }
 
