--- a/internal/stageplan/speed.go
+++ b/internal/stageplan/speed.go
@@ -13,9 +13,9 @@
 	// maxSpeedMoveShare is the share of the engines that may be out of service for changes when engines move by speed. A
 	// change takes seconds, and the engine's cache is lost for its former stage.
 	maxSpeedMoveShare = 0.1
-	// minKeepingShare is the share of the engines that must remain decode engines that do not miss the gap, so that a
-	// crash leaves enough of them.
-	minKeepingShare = 0.15
+	// minKeepingShare is the share of the engines that must remain decode engines that do not miss the gap, so that enough
+	// of them are left after a crash, and when all clients of an outage return at once.
+	minKeepingShare = 0.25
 )
 
 // withSpeeds returns the engines with the speeds that the plan goes by. Engines that were moved by speed count as
