End a grant that an earlier report listed and a later one does not

A grant whose release report was lost stayed in use until its lease expired, up to 5 s, while an older queued request of the same relay held AnsweredUpTo below its number. node.proto says that a slot which is not listed any more counts as released.

The grant now records that a report has listed it.

--- a/internal/relay/slots/service_holdings.go
+++ b/internal/relay/slots/service_holdings.go
@@ -81,6 +81,7 @@
 	if len(numbers) > maxHeldInReport {
 		report.AnsweredUpTo = min(report.AnsweredUpTo, numbers[maxHeldInReport]-1)
 		numbers = numbers[:maxHeldInReport]
+		report.IsCut = true
 	}
 	for _, number := range numbers {
 		report.Held = append(report.Held, slotqueue.Held{Number: number, BackEnd: s.held[number]})
--- a/internal/relay/slots/wire.go
+++ b/internal/relay/slots/wire.go
@@ -90,6 +90,8 @@
 func reportFromWire(report *v1.SlotReport) slotqueue.Report {
 	decoded := slotqueue.Report{
 		Relay: report.GetRelay(), Sequence: report.GetSequence(), AnsweredUpTo: report.GetAnsweredUpTo(),
+		// The message does not say whether the list is cut; a full one may be.
+		IsCut:    len(report.GetHeld()) >= maxHeldInReport,
 		Released: make(map[uint64]slotqueue.Result, len(report.GetReleased())),
 	}
 	for _, held := range report.GetHeld() {
--- a/internal/slotqueue/failure_test.go
+++ b/internal/slotqueue/failure_test.go
@@ -170,3 +170,40 @@
 	queue.Release(settled, RequestID{relay, 2}, Result{})
 	require.Len(t, queue.Advance(settled), 1)
 }
+
+// The report that released a slot is lost while an older request of the relay is queued at full load. The next report must
+// free the slot: the older request keeps AnsweredUpTo below it until it gets a slot itself.
+func TestLostReleaseBehindAQueuedRequest(t *testing.T) {
+	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 1})
+	other := with(newTestRequest(1), func(r *Request) { r.ID.Relay++ })
+	require.Equal(t, Granted, queue.Submit(settled, other).Outcome)
+	require.Equal(t, Queued, queue.Submit(settled, with(newTestRequest(1), func(r *Request) { r.Level = 1 })).Outcome)
+	require.Equal(t, Queued, queue.Submit(settled, newTestRequest(2)).Outcome)
+	queue.Release(settled, other.ID, Result{ServiceTime: 50 * time.Millisecond})
+	decided := queue.Advance(settled)
+	require.Len(t, decided, 1)
+	require.EqualValues(t, 2, decided[0].ID.Number)
+
+	now := settled + 250*time.Millisecond
+	queue.ApplyReport(now, Report{Relay: relay, Sequence: 1})
+	require.Equal(t, 1, queue.HeldCount(), "the grant is on its way")
+	queue.ApplyReport(now, Report{Relay: relay, Sequence: 2, Held: []Held{{Number: 2, BackEnd: 1}}})
+	require.Empty(t, queue.Advance(now))
+	now += 250 * time.Millisecond // the report with sequence 3 is lost
+	queue.ApplyReport(now, Report{Relay: relay, Sequence: 4})
+	decided = queue.Advance(now)
+	require.Len(t, decided, 1)
+	require.Equal(t, Granted, decided[0].Outcome)
+	require.EqualValues(t, 1, decided[0].ID.Number)
+}
+
+// A relay holds more slots than a report lists. A slot that moved behind the end of the list is still in use.
+func TestSlotsBehindTheEndOfACutReportStayInUse(t *testing.T) {
+	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 9})
+	queue.ApplyReport(settled, Report{Relay: relay, Sequence: 1, Held: []Held{{2, 1}, {3, 1}, {4, 1}}, IsCut: true})
+	queue.ApplyReport(settled, Report{Relay: relay, Sequence: 2, Held: []Held{{1, 1}, {3, 1}}, IsCut: true})
+	require.NotContains(t, queue.grants.byID, RequestID{relay, 2}, "it would be listed before 3")
+	require.Contains(t, queue.grants.byID, RequestID{relay, 4})
+	queue.ApplyReport(settled, Report{Relay: relay, Sequence: 3, Held: []Held{{1, 1}, {3, 1}}})
+	require.NotContains(t, queue.grants.byID, RequestID{relay, 4})
+}
--- a/internal/slotqueue/grant.go
+++ b/internal/slotqueue/grant.go
@@ -20,6 +20,8 @@
 	since time.Duration
 	// leaseUntil is when the grant ends unless a report lists it; confirmedAt is when its relay reported last, or since.
 	leaseUntil, confirmedAt time.Duration
+	// isReported is true once a report of its relay has listed the grant.
+	isReported bool
 	// charge is the charge of a grant of this Queue; nil for a grant of another owner.
 	charge *charge
 }
--- a/internal/slotqueue/grant_table.go
+++ b/internal/slotqueue/grant_table.go
@@ -66,6 +66,7 @@
 	t.byExpiry.Delete(g)
 	g.confirmedAt = now
 	if isListed {
+		g.isReported = true
 		g.leaseUntil = max(g.leaseUntil, now+maximumLease)
 	}
 	t.byExpiry.ReplaceOrInsert(g)
--- a/internal/slotqueue/reporting.go
+++ b/internal/slotqueue/reporting.go
@@ -79,11 +79,19 @@
 	}
 }
 
+// ends reports whether a report that does not list a grant shows that its slot is free. A slot that was listed before is,
+// also while an older request of the relay holds AnsweredUpTo down.
+func (r *Report) ends(unlisted *grant) bool {
+	number := unlisted.id.Number
+	isCovered := !r.IsCut || len(r.Held) > 0 && number < r.Held[len(r.Held)-1].Number
+	return number <= r.AnsweredUpTo || unlisted.isReported && isCovered
+}
+
 // endUnlisted ends the grants of a relay that its report no longer lists, drops its queued requests that have had their
 // final answer elsewhere, and confirms its other grants.
 func (q *Queue) endUnlisted(relay *relayState, report Report, listed map[uint64]bool) {
 	for _, number := range slices.Sorted(maps.Keys(relay.held)) {
-		if listed[number] || number > report.AnsweredUpTo {
+		if listed[number] || !report.ends(relay.held[number]) {
 			q.grants.confirm(q.now, relay.held[number], listed[number])
 			continue
 		}
