Refuse the late repetition of a cancelled request that had a slot

Cancel kept the remembered decision of a granted request, so that a repetition that arrived after the cancellation was answered Granted, for a slot that was free or granted to another request by then. Cancel now replaces the remembered decision.

TestRepetitionsAndCancellations covers it: go test ./internal/slotqueue passes.

--- a/internal/slotqueue/memory.go
+++ b/internal/slotqueue/memory.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// replace changes the decision on a request to another one, which is kept for at least as long as the first.
+func (m *memory) replace(decision Decision, deadlineAt time.Duration) {
+	known, exists := m.byID[decision.ID]
+	if !exists {
+		m.add(decision, deadlineAt)
+		return
+	}
+	known.decision = decision
+}
+
 // expire drops the decisions whose time has passed.
 func (m *memory) expire(now time.Duration) {
 	for {
--- a/internal/slotqueue/queue.go
+++ b/internal/slotqueue/queue.go
@@ -91,8 +91,8 @@
 	if queued, isQueued := q.waiting.entries[id]; isQueued {
 		q.dequeue(queued)
 	}
-	// A request that arrives after its cancellation must not be queued.
-	q.memory.add(Decision{ID: id, Outcome: Refused, Reason: ReasonNotAwaited}, q.now)
+	// A request that arrives after its cancellation must not be queued, nor told of a slot that it had before.
+	q.memory.replace(Decision{ID: id, Outcome: Refused, Reason: ReasonNotAwaited}, q.now)
 }
 
 // Release ends a grant. Unknown grants are ignored.
--- a/internal/slotqueue/queue_test.go
+++ b/internal/slotqueue/queue_test.go
@@ -252,6 +252,10 @@
 	require.Equal(t, ReasonNotAwaited, queue.Submit(settled, newTestRequest(3)).Reason)
 	queue.Cancel(settled, RequestID{relay, 1})
 	require.Zero(t, queue.HeldCount())
+	late := queue.Submit(settled, newTestRequest(1))
+	require.Equal(t, Refused, late.Outcome, "the slot of a cancelled request is free and may be that of another one")
+	require.Equal(t, ReasonNotAwaited, late.Reason)
+	require.Zero(t, queue.HeldCount())
 }
 
 // After a slow spell the service must be tried again; otherwise the results of the spell refuse all requests for good.
