Never tell a refused client to return at once

A request refused beside a free slot or while no slot was open got RetryAfter 0, and its client returned at once. A refusal without a promise now names at least one span of the plan (50 ms) and a random part of it. A promised time stays as the plan gave it, which is after the present span.

The overload harness takes the owners' draws from a source of their own: the draws of refusals would otherwise change the load.

go test ./internal/slotqueue -run 'TwiceTheLoadForTen|OwnerIsLost|RefusedClients|Property|Model|Rapid|Bounded'

--- a/internal/slotqueue/overload_test.go
+++ b/internal/slotqueue/overload_test.go
@@ -134,6 +134,7 @@
 	target   time.Duration
 	now      time.Duration
 	random   *rand.Rand
+	draws    *rand.Rand // of the owners, so that the load does not depend on how often they draw
 	events   events
 	sequence int
 
@@ -165,7 +166,9 @@
 func isUnpromised(o outcome) bool { return o.toldBy != nil && !o.promised }
 
 func newOverload(seed uint64, target time.Duration, withPlan bool) *overload {
-	o := &overload{target: target, random: rand.New(rand.NewPCG(seed, 0)), replicates: true}
+	o := &overload{
+		target: target, random: rand.New(rand.NewPCG(seed, 0)), draws: rand.New(rand.NewPCG(seed, 1)), replicates: true,
+	}
 	o.owner, o.deputy = o.newOwner(withPlan), o.newOwner(withPlan)
 	o.deputy.begins = true
 	for i := range relayCount {
@@ -176,7 +179,7 @@
 
 func (o *overload) newOwner(withPlan bool) *testOwner {
 	owner := &testOwner{}
-	config := slotqueue.Config{Draw: o.random.Float64}
+	config := slotqueue.Config{Draw: o.draws.Float64}
 	if withPlan {
 		owner.plan = returnplan.New(returnplan.DefaultSpan)
 		config.Returns = owner.plan
--- a/internal/slotqueue/property_test.go
+++ b/internal/slotqueue/property_test.go
@@ -134,7 +134,9 @@
 	}
 	if decision.Outcome == Refused {
 		require.False(t, request.MayHaveRun, "refused although it may have run")
-		require.GreaterOrEqual(t, decision.RetryAfter, time.Duration(0))
+		if decision.Reason != ReasonNotAwaited { // that one is not told to the client
+			require.Positive(t, decision.RetryAfter)
+		}
 		require.NotContains(t, m.queue.grants.byID, decision.ID)
 	}
 	m.final[decision.ID] = decision
--- a/internal/slotqueue/queue_test.go
+++ b/internal/slotqueue/queue_test.go
@@ -120,6 +120,34 @@
 	require.Equal(t, decision, queue.Submit(settled, behind), "a repetition gets the same answer")
 }
 
+// A refused client must not be told to return at once, and clients that are refused together must not all return at the
+// same moment: beside a free slot, while no slot is open, and with a plan that gives no promise.
+func TestRefusedClientsReturnAfterASpan(t *testing.T) {
+	draws := []float64{0, 0.25, 0.75}
+	for _, returns := range []Returns{nil, &fakeReturns{after: time.Hour}} {
+		for _, slots := range []int{0, 1} {
+			next := 0
+			queue := New(Config{Returns: returns, Draw: func() float64 {
+				next++
+				return draws[(next-1)%len(draws)]
+			}})
+			queue.SetBackEnds(0, []BackEnd{{Hash: 1, Slots: slots}})
+			for number, draw := range draws {
+				late := with(newTestRequest(uint64(number+1)), func(r *Request) { r.DeadlineAt = settled + defaultServiceTime - 1 })
+				decision := queue.Submit(settled, late)
+				require.Equal(t, ReasonDeadline, decision.Reason)
+				require.Equal(t, returnplan.DefaultSpan+time.Duration(draw*float64(returnplan.DefaultSpan)), decision.RetryAfter)
+			}
+		}
+	}
+	queue := newTestQueue(nil)
+	waiting := with(newTestRequest(1), func(r *Request) { r.DeadlineAt = settled + 300*time.Millisecond })
+	require.Equal(t, Queued, queue.Submit(settled, waiting).Outcome)
+	decided := queue.Advance(settled + 300*time.Millisecond)
+	require.Len(t, decided, 1)
+	require.GreaterOrEqual(t, decided[0].RetryAfter, returnplan.DefaultSpan, "its deadline passed in the queue")
+}
+
 // A queued request must be refused once more urgent requests leave it no chance, and its slot must not be used.
 func TestRefusesQueuedRequestsWithoutAChance(t *testing.T) {
 	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 1})
--- a/internal/slotqueue/refusing.go
+++ b/internal/slotqueue/refusing.go
@@ -14,7 +14,7 @@
 func (q *Queue) refuseAtOnce(request Request) Decision {
 	wait := q.expectedWait(q.waiting.countAbove(request.Level + 1))
 	decision := Decision{
-		ID: request.ID, Outcome: Refused, Reason: ReasonDeadline, RetryAfter: wait,
+		ID: request.ID, Outcome: Refused, Reason: ReasonDeadline, RetryAfter: q.unpromisedReturn(wait),
 		QueueLength: q.waiting.count(), ExpectedWait: wait,
 	}
 	q.memory.add(decision, request.DeadlineAt)
@@ -51,12 +51,25 @@
 // is expected to be room.
 func (q *Queue) promise(e *entry, wait time.Duration) returnTime {
 	if q.config.Returns == nil {
-		return returnTime{after: wait}
+		return returnTime{after: q.unpromisedReturn(wait)}
 	}
 	caller := returnplan.Caller{Signature: e.Signature, Tenant: e.Tenant, Level: e.Level, FirstRefusedAt: q.now}
 	latest := q.now + (e.DeadlineAt-q.now)/returnFraction
 	at, isPromised := q.config.Returns.Promise(q.now, caller, q.roomForReturns(e.Level), latest, q.config.Draw())
-	return returnTime{after: max(at-q.now, 0), isPromised: isPromised}
+	if !isPromised {
+		return returnTime{after: q.unpromisedReturn(at - q.now)}
+	}
+	return returnTime{after: at - q.now, isPromised: true}
+}
+
+// unpromisedReturn returns after how long a client is to return that is expected to find room after a wait. Clients that
+// were refused beside a free slot, or while no slot is open, would otherwise be told to return at once and all together.
+func (q *Queue) unpromisedReturn(wait time.Duration) time.Duration {
+	if wait >= 2*returnplan.DefaultSpan {
+		return wait
+	}
+	spread := time.Duration(q.config.Draw() * float64(returnplan.DefaultSpan))
+	return max(wait, returnplan.DefaultSpan+spread)
 }
 
 // refuse refuses a queued request.
@@ -94,7 +107,7 @@
 			break
 		}
 		wait := q.expectedWait(q.waiting.countAbove(first.Level + 1))
-		q.decided = append(q.decided, q.refuse(first, ReasonDeadline, wait, returnTime{after: wait}))
+		q.decided = append(q.decided, q.refuse(first, ReasonDeadline, wait, returnTime{after: q.unpromisedReturn(wait)}))
 	}
 	for {
 		first, found := q.waiting.lasting.Min()
