Refuse newcomers of a full queue before clients that return

A full queue refused the newest request of the least urgent level, which could be a client that had come back at its promised time. Newcomers of the same level are now refused first.

TestFullQueueKeepsReturns fails without the change and passes with it: go test ./internal/slotqueue -run 'FullQueue|Bounded|Order|Returns'

--- a/internal/slotqueue/entry.go
+++ b/internal/slotqueue/entry.go
@@ -30,10 +30,13 @@
 	return a.sequence < b.sequence
 }
 
-// urgencyOrder orders requests by level, then by arrival.
+// urgencyOrder orders requests by level, clients that return at their time before newcomers, then by arrival.
 func urgencyOrder(a, b *entry) bool {
 	if a.Level != b.Level {
 		return a.Level < b.Level
 	}
+	if a.class != b.class {
+		return a.class < b.class
+	}
 	return a.sequence < b.sequence
 }
--- a/internal/slotqueue/queue_test.go
+++ b/internal/slotqueue/queue_test.go
@@ -200,6 +200,23 @@
 	require.Equal(t, maximumQueued, queue.QueuedCount())
 }
 
+// A full queue must refuse a newcomer before a client of its level that returned at its promised time, even a later one.
+func TestFullQueueKeepsReturns(t *testing.T) {
+	queue := newTestQueue(&fakeReturns{after: time.Hour, due: map[uint64]bool{9: true}}, BackEnd{Hash: 1, Slots: 1})
+	for number := uint64(1); number <= 1+maximumQueued; number++ {
+		request := with(newTestRequest(number), func(r *Request) { r.DeadlineAt = settled + time.Hour; r.TargetAt = r.DeadlineAt })
+		require.NotEqual(t, Refused, queue.Submit(settled, request).Outcome)
+	}
+	returned := with(newTestRequest(5000), func(r *Request) { r.Signature, r.DeadlineAt = 9, settled+time.Hour })
+	decision := queue.Submit(settled, returned)
+	require.Equal(t, Queued, decision.Outcome)
+	require.True(t, decision.Returned)
+	decided := queue.Advance(settled)
+	require.Len(t, decided, 1)
+	require.Equal(t, ReasonQueueFull, decided[0].Reason)
+	require.EqualValues(t, 1+maximumQueued, decided[0].ID.Number, "the newest newcomer")
+}
+
 // Flows must stay bounded while many tenants come and go.
 func TestFlowsAreBounded(t *testing.T) {
 	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 10000})
