Compute the times at which slots come free once per review

A review walked the grants by age again for each queued request.

TestWaitsOfAReview guards that the waits stay the same.

--- a/internal/slotqueue/queue_test.go
+++ b/internal/slotqueue/queue_test.go
@@ -217,6 +217,23 @@
 	require.EqualValues(t, 1+maximumQueued, decided[0].ID.Number, "the newest newcomer")
 }
 
+// The waits that a review computes for all queued requests must be those that are computed for a single one, with free
+// slots, with all slots in use, and with more in use than are open.
+func TestWaitsOfAReview(t *testing.T) {
+	for _, slots := range []int{1, 3, 5, 8} {
+		queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 5})
+		for number := uint64(1); number <= 20; number++ {
+			now := settled + time.Duration(number)*time.Millisecond
+			require.NotEqual(t, Refused, queue.Submit(now, newTestRequest(number)).Outcome)
+		}
+		queue.SetBackEnds(settled, []BackEnd{{Hash: 1, Slots: slots}})
+		forecast := queue.newWaitForecast()
+		for ahead := range queue.QueuedCount() {
+			require.Equal(t, queue.expectedWait(ahead), forecast.wait(ahead), "%d slots, %d ahead", slots, ahead)
+		}
+	}
+}
+
 // Flows must stay bounded while many tenants come and go.
 func TestFlowsAreBounded(t *testing.T) {
 	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 10000})
--- a/internal/slotqueue/review.go
+++ b/internal/slotqueue/review.go
@@ -13,9 +13,9 @@
 		return
 	}
 	q.reviewedAt = q.now
-	ahead := 0
+	ahead, forecast := 0, q.newWaitForecast()
 	for _, e := range q.waiting.inExpectedOrder(q.now + q.safeTime()) {
-		wait := q.expectedWait(ahead)
+		wait := forecast.wait(ahead)
 		if e.MayHaveRun || q.now+wait+q.safeTime() <= e.DeadlineAt {
 			ahead++
 			continue
--- a/internal/slotqueue/room.go
+++ b/internal/slotqueue/room.go
@@ -69,19 +69,58 @@
 	if slots == 0 {
 		return 0
 	}
-	rounds := time.Duration(ahead / slots)
-	return q.untilFree(ahead%slots, slots) + rounds*q.slotTime().mean
+	nth := ahead % slots
+	until := time.Duration(0)
+	if free := slots - q.grants.count(); nth >= free {
+		until = q.untilReleased(q.grants.nthOldest(nth - free))
+	}
+	return until + time.Duration(ahead/slots)*q.slotTime().mean
+}
+
+// untilReleased returns the expected time until a slot in use is free.
+func (q *Queue) untilReleased(g *grant) time.Duration {
+	// A slot that is in use for longer than usual is expected to be free after the usual deviation.
+	return max(q.slotTime().mean-(q.now-g.since), q.slotTime().deviation)
+}
+
+// waitForecast holds the expected times until slots are free, so that the waits of all queued requests take one pass over
+// the grants. It is valid while no slot is granted or released.
+type waitForecast struct {
+	slots    int
+	slotTime time.Duration
+	// untilFree are the times until the first slots are free, as many as there are queued requests at most.
+	untilFree []time.Duration
 }
 
-// untilFree returns the expected time until the nth slot is free, counted from 0.
-func (q *Queue) untilFree(nth, slots int) time.Duration {
+func (q *Queue) newWaitForecast() *waitForecast {
+	slots := q.backEnds.openSlots
+	needed := min(slots, q.waiting.count())
+	forecast := &waitForecast{slots: slots, slotTime: q.slotTime().mean, untilFree: make([]time.Duration, 0, needed)}
 	free := slots - q.grants.count()
-	if nth < free {
+	for range min(free, needed) {
+		forecast.untilFree = append(forecast.untilFree, 0)
+	}
+	closed := max(-free, 0) // slots in use beyond the open ones are granted to nobody when they are released
+	q.grants.byAge.Ascend(func(g *grant) bool {
+		if closed > 0 {
+			closed--
+			return true
+		}
+		if len(forecast.untilFree) >= needed {
+			return false
+		}
+		forecast.untilFree = append(forecast.untilFree, q.untilReleased(g))
+		return true
+	})
+	return forecast
+}
+
+// wait returns what Queue.expectedWait returns; ahead is less than the number of queued requests.
+func (f *waitForecast) wait(ahead int) time.Duration {
+	if f.slots == 0 {
 		return 0
 	}
-	oldest := q.grants.nthOldest(nth - free)
-	// A slot that is in use for longer than usual is expected to be free after the usual deviation.
-	return max(q.slotTime().mean-(q.now-oldest.since), q.slotTime().deviation)
+	return f.untilFree[ahead%f.slots] + time.Duration(ahead/f.slots)*f.slotTime
 }
 
 // addQueueTimes adds the times at which something changes for the queued requests.
