Leave requests that exclude all open back ends to their relay at once

A further attempt that excluded every open back end was queued until its deadline, although no slot could be granted to it. Its relay is now told ReasonNotAwaited, for which it selects a back end by itself (Unavailable); this holds for new requests and, at a review, for queued ones.

Two checks follow the new rule. The property test required that no request with MayHaveRun is refused; it now allows ReasonNotAwaited only, and requires then that back ends are open and all of them excluded, for every request.

--- a/internal/relay/slots/slots_test.go
+++ b/internal/relay/slots/slots_test.go
@@ -48,6 +48,20 @@
 	})
 }
 
+// A further attempt at a request excludes all open back ends. Its relay must select a back end by itself after one answer
+// of each owner, not when the deadline has passed.
+func TestRequestThatExcludesAllBackEndsIsNotQueued(t *testing.T) {
+	inFleet(t, 3, 2, 1, func(t *testing.T, fleet *testFleet) {
+		relay := fleet.relays[2]
+		request := relay.request()
+		request.MayHaveRun, request.Excluded = true, []uint64{1, 2}
+		began := relay.now()
+		_, outcome := relay.Acquire(request, nil)
+		require.Equal(t, Outcome{Kind: Unavailable}, outcome)
+		require.Equal(t, 4*networkDelay, relay.now()-began)
+	})
+}
+
 // A client that leaves while its request is queued must free its place in the queue, and no slot may stay in use.
 func TestClientThatLeavesFreesItsPlace(t *testing.T) {
 	inFleet(t, 3, 1, 1, func(t *testing.T, fleet *testFleet) {
--- a/internal/slotqueue/back_end_table.go
+++ b/internal/slotqueue/back_end_table.go
@@ -49,6 +49,19 @@
 	return usable
 }
 
+// areAllExcluded reports whether back ends are open and a request must not be granted any of them.
+func (t *backEndTable) areAllExcluded(excluded []uint64) bool {
+	if len(excluded) == 0 || t.openSlots == 0 {
+		return false
+	}
+	for _, state := range t.ordered {
+		if !state.Closed && state.Slots > 0 && !slices.Contains(excluded, state.Hash) {
+			return false
+		}
+	}
+	return true
+}
+
 // firstUnblockedAfter returns when the first block of a back end ends that ends after a time.
 func (t *backEndTable) firstUnblockedAfter(after time.Duration) (at time.Duration, found bool) {
 	for _, state := range t.ordered {
--- a/internal/slotqueue/property_test.go
+++ b/internal/slotqueue/property_test.go
@@ -133,7 +133,11 @@
 		return
 	}
 	if decision.Outcome == Refused {
-		require.False(t, request.MayHaveRun, "refused although it may have run")
+		if decision.Reason == ReasonNotAwaited {
+			m.requireAllExcluded(t, request)
+		} else {
+			require.False(t, request.MayHaveRun, "refused although it may have run")
+		}
 		if decision.Reason != ReasonNotAwaited { // that one is not told to the client
 			require.Positive(t, decision.RetryAfter)
 		}
@@ -142,6 +146,18 @@
 	m.final[decision.ID] = decision
 }
 
+// requireAllExcluded requires that a request excludes all open back ends: only then is it left to a relay that awaits it.
+func (m *model) requireAllExcluded(t *rapid.T, request Request) {
+	open := 0
+	for hash, backEnd := range m.backEnds {
+		if !backEnd.Closed && backEnd.Slots > 0 {
+			open++
+			require.Contains(t, request.Excluded, hash)
+		}
+	}
+	require.NotZero(t, open)
+}
+
 // requireFree requires that the granted slots were free and allowed.
 func (m *model) requireFree(t *rapid.T, before map[uint64]int, decisions []Decision) {
 	for _, decision := range decisions {
--- a/internal/slotqueue/queue.go
+++ b/internal/slotqueue/queue.go
@@ -72,6 +72,9 @@
 	if decision, isKnown := q.knownDecision(request.ID); isKnown {
 		return decision
 	}
+	if q.backEnds.areAllExcluded(request.Excluded) {
+		return q.leaveToRelay(request)
+	}
 	if request.MayHaveRun && !q.hasRoomForLasting(request) {
 		return Decision{ID: request.ID, Outcome: Queued, QueueLength: q.waiting.count()}
 	}
--- a/internal/slotqueue/reason.go
+++ b/internal/slotqueue/reason.go
@@ -14,7 +14,8 @@
 	ReasonTarget
 	// ReasonQueueFull: the queue was full and the request was the newest of the least urgent ones.
 	ReasonQueueFull
-	// ReasonNotAwaited: its relay has cancelled the request or has had its final answer.
+	// ReasonNotAwaited: its relay has cancelled the request or has had its final answer, or the request excludes all open
+	// back ends. The relay refuses no client for this: if it still awaits the slot, it selects a back end by itself.
 	ReasonNotAwaited
 )
 
--- a/internal/slotqueue/refusing.go
+++ b/internal/slotqueue/refusing.go
@@ -21,6 +21,14 @@
 	return decision
 }
 
+// leaveToRelay decides on a request that excludes all open back ends. Its relay then selects a back end by itself, so that
+// this refuses no client, not even one whose request may have run.
+func (q *Queue) leaveToRelay(request Request) Decision {
+	decision := Decision{ID: request.ID, Outcome: Refused, Reason: ReasonNotAwaited, QueueLength: q.waiting.count()}
+	q.memory.add(decision, request.DeadlineAt)
+	return decision
+}
+
 // refuseForWait refuses a request that the requests ahead delay past its deadline, or past its target if a return can be
 // promised.
 func (q *Queue) refuseForWait(added *entry, wait time.Duration) (Decision, bool) {
--- a/internal/slotqueue/review.go
+++ b/internal/slotqueue/review.go
@@ -15,6 +15,11 @@
 	q.reviewedAt = q.now
 	ahead, forecast := 0, q.newWaitForecast()
 	for _, e := range q.waiting.inExpectedOrder(q.now + q.safeTime()) {
+		if q.backEnds.areAllExcluded(e.Excluded) { // the back ends have changed since it was queued
+			q.dequeue(e)
+			q.decided = append(q.decided, q.leaveToRelay(e.Request))
+			continue
+		}
 		wait := forecast.wait(ahead)
 		if e.MayHaveRun || q.now+wait+q.safeTime() <= e.DeadlineAt {
 			ahead++
