Name the review of the queue and the requests that may have run by the usual terms

review.go is now refuse_delayed.go, refuseHopeless refuseDelayed, and the queued requests that may have run are waiting.mayHaveRun, like the field of Request. Nothing else changes.

go test ./internal/slotqueue

--- a/internal/slotqueue/queue.go
+++ b/internal/slotqueue/queue.go
@@ -21,7 +21,7 @@
 
 	// now is the latest time that a call has given; advancedAt is that of the last Advance.
 	now, advancedAt time.Duration
-	// reviewedAt is when refuseHopeless searched the queue last.
+	// reviewedAt is when refuseDelayed searched the queue last.
 	reviewedAt time.Duration
 	// beganAt is when the Queue's relay became the owner of the slots.
 	beganAt  time.Duration
@@ -75,7 +75,7 @@
 	if q.backEnds.areAllExcluded(request.Excluded) {
 		return q.leaveToRelay(request)
 	}
-	if request.MayHaveRun && !q.hasRoomForLasting(request) {
+	if request.MayHaveRun && !q.hasRoomForMayHaveRun(request) {
 		return Decision{ID: request.ID, Outcome: Queued, QueueLength: q.waiting.count()}
 	}
 	if !request.MayHaveRun && q.now+q.expectedServiceTime() > request.DeadlineAt {
@@ -128,7 +128,7 @@
 	}
 	q.refuseLate()
 	q.grantFree()
-	q.refuseHopeless()
+	q.refuseDelayed()
 	q.advancedAt = q.now
 	decided := q.decided
 	q.decided = nil
--- a/internal/slotqueue/review.go
+++ b/internal/slotqueue/refuse_delayed.go
@@ -6,9 +6,9 @@
 // span in which returns are planned.
 const reviewInterval = 50 * time.Millisecond
 
-// refuseHopeless refuses the queued requests that the requests ahead delay past their deadline while their clients still
+// refuseDelayed refuses the queued requests that the requests ahead delay past their deadline while their clients still
 // have time to return.
-func (q *Queue) refuseHopeless() {
+func (q *Queue) refuseDelayed() {
 	if q.now-q.reviewedAt < reviewInterval || q.waiting.count() == 0 || q.backEnds.openSlots == 0 {
 		return
 	}
--- a/internal/slotqueue/review_benchmark_test.go
+++ b/internal/slotqueue/refuse_delayed_benchmark_test.go
@@ -22,7 +22,7 @@
 			}
 			for b.Loop() {
 				queue.reviewedAt = 0
-				queue.refuseHopeless()
+				queue.refuseDelayed()
 			}
 		})
 	}
--- a/internal/slotqueue/refusing.go
+++ b/internal/slotqueue/refusing.go
@@ -118,7 +118,7 @@
 		q.decided = append(q.decided, q.refuse(first, ReasonDeadline, wait, returnTime{after: q.unpromisedReturn(wait)}))
 	}
 	for {
-		first, found := q.waiting.lasting.Min()
+		first, found := q.waiting.mayHaveRun.Min()
 		if !found || q.now < first.DeadlineAt {
 			break
 		}
--- a/internal/slotqueue/room.go
+++ b/internal/slotqueue/room.go
@@ -141,7 +141,7 @@
 	if first, found := q.waiting.refusable.Min(); found {
 		next.add(max(first.DeadlineAt-q.safeTime()+1, q.now))
 	}
-	if first, found := q.waiting.lasting.Min(); found {
+	if first, found := q.waiting.mayHaveRun.Min(); found {
 		next.add(first.DeadlineAt)
 	}
 }
--- a/internal/slotqueue/submit.go
+++ b/internal/slotqueue/submit.go
@@ -19,10 +19,10 @@
 	return Decision{}, false
 }
 
-// hasRoomForLasting reports whether a request that may have run can be queued: its deadline has not passed, and requests of
+// hasRoomForMayHaveRun reports whether a request that may have run can be queued: its deadline has not passed, and requests of
 // its kind, none of which can be refused in its place, do not fill the queue.
-func (q *Queue) hasRoomForLasting(request Request) bool {
-	return q.now < request.DeadlineAt && q.waiting.lasting.Len() < maximumQueued
+func (q *Queue) hasRoomForMayHaveRun(request Request) bool {
+	return q.now < request.DeadlineAt && q.waiting.mayHaveRun.Len() < maximumQueued
 }
 
 // enqueue queues a request.
--- a/internal/slotqueue/waiting.go
+++ b/internal/slotqueue/waiting.go
@@ -21,16 +21,16 @@
 	flows    int
 	// byUrgency holds the requests that may be refused, the least urgent last.
 	byUrgency *btree.BTreeG[*entry]
-	// refusable and lasting hold the requests that may be refused and those that may have run, by deadline.
-	refusable, lasting *btree.BTreeG[*entry]
+	// refusable and mayHaveRun hold the requests that may be refused and those that may have run, by deadline.
+	refusable, mayHaveRun *btree.BTreeG[*entry]
 }
 
 func newWaiting() *waiting {
 	created := &waiting{
-		entries:   make(map[RequestID]*entry),
-		byUrgency: btree.NewG(treeDegree, urgencyOrder),
-		refusable: btree.NewG(treeDegree, deadlineOrder),
-		lasting:   btree.NewG(treeDegree, deadlineOrder),
+		entries:    make(map[RequestID]*entry),
+		byUrgency:  btree.NewG(treeDegree, urgencyOrder),
+		refusable:  btree.NewG(treeDegree, deadlineOrder),
+		mayHaveRun: btree.NewG(treeDegree, deadlineOrder),
 	}
 	for i := range created.levels {
 		created.levels[i] = newLevel()
@@ -48,7 +48,7 @@
 	w.entries[request.ID] = added
 	w.levels[request.Level].add(added)
 	if request.MayHaveRun {
-		w.lasting.ReplaceOrInsert(added)
+		w.mayHaveRun.ReplaceOrInsert(added)
 		return added
 	}
 	w.refusable.ReplaceOrInsert(added)
@@ -61,7 +61,7 @@
 	delete(w.entries, e.ID)
 	w.levels[e.Level].remove(e)
 	w.refusable.Delete(e)
-	w.lasting.Delete(e)
+	w.mayHaveRun.Delete(e)
 	w.byUrgency.Delete(e)
 	w.dropIdle(e.Level, e.flow)
 }
