--- a/internal/slotqueue/review.go
+++ b/internal/slotqueue/refuse_delayed.go
@@ -6,16 +6,21 @@
 // span in which returns are planned.
 const reviewInterval = 50 * time.Millisecond
 
-// refuseHopeless refuses the queued requests that the requests ahead delay past their deadline while their clients still
+// refuseDelayed refuses the queued requests that the requests ahead delay past their deadline while their clients still
 // have time to return.
-func (q *Queue) refuseHopeless() {
+func (q *Queue) refuseDelayed() {
 	if q.now-q.reviewedAt < reviewInterval || q.waiting.count() == 0 || q.backEnds.openSlots == 0 {
 		return
 	}
 	q.reviewedAt = q.now
-	ahead := 0
+	ahead, forecast := 0, q.newWaitForecast()
 	for _, e := range q.waiting.inExpectedOrder(q.now + q.safeTime()) {
-		wait := q.expectedWait(ahead)
+		if q.backEnds.areAllExcluded(e.Excluded) { // the back ends have changed since it was queued
+			q.dequeue(e)
+			q.decided = append(q.decided, q.leaveToRelay(e.Request))
+			continue
+		}
+		wait := forecast.wait(ahead)
 		if e.MayHaveRun || q.now+wait+q.safeTime() <= e.DeadlineAt {
 			ahead++
 			continue
