Name the parts of the return plan by the usual terms

Cause: "book", "question", "places" and "room" in unexported names and comments had no meaning to a reader who is new to the package. Change: book is promiseTable, question is promiseRequest, toldAt is returnAt, hasSpace is canAdd; comments speak of slots, capacity and reservation. Exported names, behaviour and the values that tests compare are unchanged.

--- a/internal/returnplan/account.go
+++ b/internal/returnplan/account.go
@@ -9,15 +9,15 @@
 type account struct {
 	level  *levelTenants
 	demand demand
-	// outstanding is the number of promises that are neither redeemed nor lapsed.
+	// outstanding is the number of promises that are neither redeemed nor expired.
 	outstanding int
-	// nextAt is the earliest time of the tenant's next promise, by step of waiting time: promises of a tenant that asks
-	// for more than its fair share are spaced at its share, and callers that have waited longer come first.
+	// nextAt is the earliest time of the tenant's next promise, by step of waiting time: promises of a tenant whose
+	// demand exceeds its fair share are spaced at its share, and callers that have waited longer come first.
 	nextAt [ranksPerLevel]time.Duration
 }
 
-// charge records a promise to a caller of a tenant whose fair share is this rate; +Inf if it asks for less than its
-// share.
+// charge records a promise to a caller of a tenant whose fair share is this rate; +Inf if its demand is less
+// than its share.
 func (a *account) charge(now time.Duration, step int, fairRate float64) {
 	spacing := horizon
 	if fairRate > 0 {
@@ -28,14 +28,14 @@
 	}
 }
 
-// addOutstanding counts promises that were made, or with a negative count redeemed or lapsed.
+// addOutstanding counts promises that were made, or with a negative count redeemed or expired.
 func (a *account) addOutstanding(count int) {
 	a.outstanding += count
 	a.level.outstanding += count
 }
 
-// exceedsEqualPart reports whether the tenant has more than an equal part of the level's promises.
-func (a *account) exceedsEqualPart() bool {
+// exceedsEqualShare reports whether the tenant has more than an equal share of the level's promises.
+func (a *account) exceedsEqualShare() bool {
 	return a.outstanding*len(a.level.accounts) > a.level.outstanding
 }
 
--- a/internal/returnplan/bounds_test.go
+++ b/internal/returnplan/bounds_test.go
@@ -42,7 +42,7 @@
 	require.Equal(t, maximumPromises, deputy.DueUntil(0, patience))
 	deputy.Expire(patience)
 	require.Zero(t, deputy.DueUntil(patience, 2*patience))
-	require.Empty(t, deputy.book.bySignature)
+	require.Empty(t, deputy.promises.bySignature)
 }
 
 // TestChangesAreBounded guards against changes that pile up while nobody sends them.
--- a/internal/returnplan/caller.go
+++ b/internal/returnplan/caller.go
@@ -11,7 +11,7 @@
 	Tenant uint64
 	// Level is the priority level, 0 the most urgent.
 	Level int
-	// FirstRefusedAt is when the client was first refused; the current time if that is not known. The plan itself knows
-	// it of clients that return at the time that it has told them.
+	// FirstRefusedAt is when the client was first refused; the current time if that is not known. The plan itself
+	// remembers it for clients that return at the time that it has given them.
 	FirstRefusedAt time.Duration
 }
--- a/internal/returnplan/demand.go
+++ b/internal/returnplan/demand.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// demandWindow is the time constant of the estimated demand. It is a few spans: until the demand is known, the first
-// callers of a new load are promised the places that others should have.
+// demandWindow is the time constant of the estimated demand. It is only a few spans, because until the estimate
+// follows a new load, its first callers are promised slots of callers that should come before them.
 const demandWindow = 100 * time.Millisecond
 
-// demand estimates how many callers ask per second. The zero value has recorded none.
+// demand estimates the callers per second. The zero value has recorded none.
 type demand struct {
 	perSecond float64
 	updatedAt time.Duration
--- a/internal/returnplan/demand_by_rank.go
+++ b/internal/returnplan/demand_by_rank.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// demandByRank estimates how many callers of each rank ask per second.
+// demandByRank estimates the callers of each rank per second.
 type demandByRank [rankCount]demand
 
 // before returns the demand of all callers that come before this rank.
--- a/internal/returnplan/harness_test.go
+++ b/internal/returnplan/harness_test.go
@@ -64,7 +64,7 @@
 // countBySpan returns the number of outstanding promises by span.
 func countBySpan(plan *Plan) map[time.Duration]int {
 	counts := map[time.Duration]int{}
-	for _, each := range plan.book.byTime {
+	for _, each := range plan.promises.byTime {
 		counts[each.DueAt.Truncate(span)]++
 	}
 	return counts
--- a/internal/returnplan/level_tenants.go
+++ b/internal/returnplan/level_tenants.go
@@ -20,8 +20,9 @@
 	return &levelTenants{accounts: map[uint64]*account{}, lastFairRate: math.Inf(1)}
 }
 
-// fairRate returns how many promises per second a tenant of the level may get; +Inf if there is only one
-// or if they ask for no more than perSecond together. The result is recomputed once per span, since it takes time in proportion to the tenants.
+// fairRate returns how many promises per second a tenant of the level may get; +Inf if there is only one tenant or if
+// their total demand does not exceed perSecond. The result is recomputed only once per span, since the time it takes is
+// proportional to the number of tenants.
 func (l *levelTenants) fairRate(now, span time.Duration, perSecond float64) float64 {
 	if len(l.accounts) == 1 {
 		return math.Inf(1)
@@ -36,8 +37,8 @@
 	return l.lastFairRate
 }
 
-// fairRate divides a rate by demand: a tenant that asks for less than an equal part gets what it asks for, and the
-// others share what is left equally. It returns the part of those others; +Inf if there are none.
+// fairRate divides a rate by demand: a tenant whose demand is less than an equal share gets its demand, and the
+// others divide the rest equally. It returns the share of those others; +Inf if there are none.
 func fairRate(perSecond float64, demands []float64) float64 {
 	slices.Sort(demands)
 	for i, each := range demands {
--- a/internal/returnplan/order_test.go
+++ b/internal/returnplan/order_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestMoreUrgentCallersComeFirst offers twice the room, a quarter of it by the more urgent level.
+// TestMoreUrgentCallersComeFirst offers twice the capacity, a quarter of it by the more urgent level.
 func TestMoreUrgentCallersComeFirst(t *testing.T) {
 	owner := newTestOwner()
 	room := Room{PerSecond: 180}
@@ -26,7 +26,8 @@
 	require.Greater(t, byLevel[1].mean(), time.Second)
 }
 
-// TestPlacesOfUrgentCallersAreLeftOnce guards against places that are left to urgent callers who have their promises.
+// TestPlacesOfUrgentCallersAreLeftOnce guards against slots that are reserved for urgent callers who already have
+// promises.
 func TestPlacesOfUrgentCallersAreLeftOnce(t *testing.T) {
 	owner := newTestOwner()
 	room := Room{PerSecond: 180}
@@ -34,9 +35,9 @@
 		owner.refuse(time.Duration(i)*5*time.Millisecond, room, 7, 0) // the first span is full
 	}
 	require.Equal(t, 9, countBySpan(owner.plan)[span])
-	for signature, promise := range owner.plan.book.bySignature {
+	for signature, promise := range owner.plan.promises.bySignature {
 		if signature <= 4 {
-			owner.plan.book.remove(promise[0])
+			owner.plan.promises.remove(promise[0])
 		}
 	}
 	expected := countBetween(owner.plan.demand.before(45*time.Millisecond, firstRank(1))*(1+catchUpShare), span, 2*span)
@@ -48,7 +49,7 @@
 	require.Equal(t, min(9, 5+9-max(expected, 5)), countBySpan(owner.plan)[span])
 }
 
-// TestLongerWaitingCallersComeFirst offers twice the room by callers of one level of which every fourth has waited.
+// TestLongerWaitingCallersComeFirst offers twice the capacity by callers of one level of which every fourth has waited.
 func TestLongerWaitingCallersComeFirst(t *testing.T) {
 	owner := newTestOwner()
 	room := Room{PerSecond: 180}
@@ -70,7 +71,7 @@
 	require.Greater(t, fresh.mean(), time.Second)
 }
 
-// TestTenantsGetFairShares offers more than twice the room by one large tenant, and a tenth of it by each of three
+// TestTenantsGetFairShares offers more than twice the capacity by one large tenant, and a tenth of it by each of three
 // small ones. The small ones' returns must not queue behind the large one's, and the large one gets what they leave.
 func TestTenantsGetFairShares(t *testing.T) {
 	owner := newTestOwner()
@@ -100,7 +101,7 @@
 	require.Greater(t, float64(booked), 0.95*2*(180*(1-catchUpShare)-54), "the large tenant gets the share that small ones do not use")
 }
 
-// TestTenantsOfLessUrgentLevelsShareWhatIsLeft guards against fair shares that count the places of urgent callers.
+// TestTenantsOfLessUrgentLevelsShareWhatIsLeft guards against fair shares that count the slots of urgent callers.
 func TestTenantsOfLessUrgentLevelsShareWhatIsLeft(t *testing.T) {
 	owner := newTestOwner()
 	room := Room{PerSecond: 180}
@@ -172,7 +173,7 @@
 	}
 }
 
-// TestSingleTenantGetsAllPlaces guards against places that are left to tenants that do not exist.
+// TestSingleTenantGetsAllPlaces guards against slots that are reserved for tenants that do not exist.
 func TestSingleTenantGetsAllPlaces(t *testing.T) {
 	owner := newTestOwner()
 	for i := range 3 * 540 {
--- a/internal/returnplan/plan.go
+++ b/internal/returnplan/plan.go
@@ -12,13 +12,13 @@
 	lateTolerance = 250 * time.Millisecond
 	// horizon is how far ahead promises are made. Few clients wait longer, and the capacity is not known so far ahead.
 	horizon = 30 * time.Second
-	// maximumExpected limits the expected time until there is room, beyond which the rate says nothing.
+	// maximumExpected limits the expected time until a slot is free; an estimate beyond it is not meaningful.
 	maximumExpected = 10 * time.Minute
-	// catchUpShare is how much more of the room is left to callers that come first than they ask for: until a change of
-	// the load is known others are promised their places, and with an eighth more they catch up within a few seconds.
-	// Newcomers use what nobody is promised.
+	// catchUpShare is the fraction by which more is reserved for callers that come first than their estimated demand.
+	// The estimate lags behind a change of the load, and meanwhile other callers are promised their slots; the extra
+	// share lets them catch up within a few seconds. Newcomers use the slots that are not promised.
 	catchUpShare = 1.0 / 8
-	// sweepInterval limits the time spent on looking for idle entries of tables.
+	// sweepInterval is the minimum time between two scans of a table for idle entries.
 	sweepInterval = time.Second
 	// unknownSignature is the signature of a request that is not recognised when its client returns.
 	unknownSignature = 0
@@ -27,7 +27,7 @@
 // Plan holds the promises for one service.
 type Plan struct {
 	span     time.Duration
-	book     *book
+	promises *promiseTable
 	tenants  *tenants
 	demand   demandByRank
 	refusals *refusals
@@ -40,41 +40,41 @@
 	if span <= 0 {
 		span = DefaultSpan
 	}
-	return &Plan{span: span, book: newBook(), tenants: newTenants(), refusals: newRefusals()}
+	return &Plan{span: span, promises: newPromiseTable(), tenants: newTenants(), refusals: newRefusals()}
 }
 
 // Promise returns when a refused client is to return. promised is true if a slot is set aside for it then, at latest at
-// the time latest; otherwise at is the expected time at which there is room. draw is a random number in [0, 1) that
+// the time latest; otherwise at is the expected time at which there is capacity. draw is a random number in [0, 1) that
 // spreads returns within a span.
-func (p *Plan) Promise(now time.Duration, caller Caller, room Room, latest time.Duration, draw float64) (at time.Duration, promised bool) {
+func (p *Plan) Promise(now time.Duration, caller Caller, capacity Room, latest time.Duration, draw float64) (at time.Duration, promised bool) {
 	p.Expire(now)
-	room = room.bounded()
+	capacity = capacity.bounded()
 	caller.Level = boundedLevel(caller.Level)
-	question := p.newQuestion(now, caller)
-	start, found := p.newSearch(question, room).firstSpan()
+	request := p.newPromiseRequest(now, caller)
+	start, found := p.newSearch(request, capacity).firstSpan()
 	switch {
 	case !found:
-		at = max(p.servedAt(now, room), question.notBefore) + spread(p.span, draw)
-	case start > latest || caller.Signature == unknownSignature || !p.book.hasSpace(caller.Signature):
+		at = max(p.servedAt(now, capacity), request.notBefore) + spread(p.span, draw)
+	case start > latest || caller.Signature == unknownSignature || !p.promises.canAdd(caller.Signature):
 		at = start + spread(p.span, draw)
 	default:
 		at, promised = start+spread(min(p.span, latest-start), draw), true
-		p.add(question, room, at)
+		p.add(request, capacity, at)
 	}
-	p.refusals.record(caller.Signature, question.FirstRefusedAt, at)
+	p.refusals.record(caller.Signature, request.FirstRefusedAt, at)
 	return at, promised
 }
 
-// newQuestion returns the question of a caller. The demand of a caller that returns earlier than it was told, or whose
-// signature has a promise already, is not counted, and it ranks as one that was not refused before.
-func (p *Plan) newQuestion(now time.Duration, caller Caller) *question {
+// newPromiseRequest returns the request of a caller. A caller that returns before the time that it was given, or whose
+// signature already has a promise, is not counted in the demand and ranks as one that was not refused before.
+func (p *Plan) newPromiseRequest(now time.Duration, caller Caller) *promiseRequest {
 	account := p.tenants.account(caller.Level, caller.Tenant)
 	last, known := p.refusals.find(now, caller.Signature)
 	if known {
 		caller.FirstRefusedAt = min(caller.FirstRefusedAt, last.firstAt)
 	}
 	var rank rank
-	if last.isEarly(now) || len(p.book.bySignature[caller.Signature]) > 0 {
+	if last.isEarly(now) || len(p.promises.bySignature[caller.Signature]) > 0 {
 		rank = rankOf(caller.Level, 0)
 	} else {
 		rank = rankOf(caller.Level, now-caller.FirstRefusedAt)
@@ -83,49 +83,49 @@
 	}
 	notBefore := max(account.nextAt[rank.step()].Truncate(p.span), p.notBefore(caller))
 	if last.isEarly(now) {
-		notBefore = max(notBefore, last.toldAt)
+		notBefore = max(notBefore, last.returnAt)
 	}
-	return &question{Caller: caller, now: now, account: account, rank: rank, notBefore: notBefore}
+	return &promiseRequest{Caller: caller, now: now, account: account, rank: rank, notBefore: notBefore}
 }
 
 // notBefore returns the earliest time of a further promise for a signature that has one already; 0 if it has none.
 func (p *Plan) notBefore(caller Caller) time.Duration {
-	own := p.book.bySignature[caller.Signature]
+	own := p.promises.bySignature[caller.Signature]
 	if len(own) == 0 {
 		return 0
 	}
-	others := p.book.latestOfOthers(caller.Level, caller.Signature)
+	others := p.promises.latestOfOthers(caller.Level, caller.Signature)
 	return max(own[len(own)-1].DueAt+p.span, others+1)
 }
 
 // add makes a promise.
-func (p *Plan) add(q *question, room Room, at time.Duration) {
-	promise := Promise{Signature: q.Signature, Tenant: q.Tenant, Level: q.Level, DueAt: at}
-	p.book.add(&entry{Promise: promise, rank: q.rank, account: q.account})
-	forLevel := room.PerSecond - p.demand.before(q.now, firstRank(q.Level))
-	q.account.charge(q.now, q.rank.step(), q.account.level.fairRate(q.now, p.span, forLevel*(1-catchUpShare)))
+func (p *Plan) add(request *promiseRequest, capacity Room, at time.Duration) {
+	promise := Promise{Signature: request.Signature, Tenant: request.Tenant, Level: request.Level, DueAt: at}
+	p.promises.add(&entry{Promise: promise, rank: request.rank, account: request.account})
+	forLevel := capacity.PerSecond - p.demand.before(request.now, firstRank(request.Level))
+	request.account.charge(request.now, request.rank.step(), request.account.level.fairRate(request.now, p.span, forLevel*(1-catchUpShare)))
 	p.recordChange(Change{Promise: promise})
 }
 
-// newSearch returns the search for a place.
-func (p *Plan) newSearch(q *question, room Room) *search {
+// newSearch returns the search for a span with a free slot for the request.
+func (p *Plan) newSearch(request *promiseRequest, capacity Room) *search {
 	result := &search{
-		now: q.now, span: p.span, room: room, rank: q.rank, notBefore: q.notBefore,
-		urgentPerSecond: p.demand.before(q.now, q.rank) * (1 + catchUpShare),
-		entries:         p.book.byTime[indexAt(p.book.byTime, q.now.Truncate(p.span)):],
+		now: request.now, span: p.span, capacity: capacity, rank: request.rank, notBefore: request.notBefore,
+		urgentPerSecond: p.demand.before(request.now, request.rank) * (1 + catchUpShare),
+		entries:         p.promises.byTime[indexAt(p.promises.byTime, request.now.Truncate(p.span)):],
 	}
-	if q.account.exceedsEqualPart() {
-		result.reservedPerSecond = room.PerSecond * catchUpShare
+	if request.account.exceedsEqualShare() {
+		result.reservedPerSecond = capacity.PerSecond * catchUpShare
 	}
 	return result
 }
 
 // servedAt returns when everything that is queued or promised now will have been served.
-func (p *Plan) servedAt(now time.Duration, room Room) time.Duration {
-	if room.PerSecond == 0 {
+func (p *Plan) servedAt(now time.Duration, capacity Room) time.Duration {
+	if capacity.PerSecond == 0 {
 		return now + horizon
 	}
-	seconds := float64(room.Backlog+len(p.book.byTime)+1) / room.PerSecond
+	seconds := float64(capacity.Backlog+len(p.promises.byTime)+1) / capacity.PerSecond
 	return now + time.Duration(min(seconds, maximumExpected.Seconds())*float64(time.Second))
 }
 
@@ -138,28 +138,28 @@
 // promise that is due later; the zero Promise if there is none.
 func (p *Plan) Redeem(now time.Duration, signature uint64) (promise Promise, due bool) {
 	p.Expire(now)
-	own := p.book.bySignature[signature]
+	own := p.promises.bySignature[signature]
 	if len(own) == 0 {
 		return Promise{}, false
 	}
-	earliest := own[0]
-	if earliest.DueAt > now+earlyTolerance {
-		return earliest.Promise, false
+	first := own[0]
+	if first.DueAt > now+earlyTolerance {
+		return first.Promise, false
 	}
-	p.book.remove(earliest)
-	p.recordChange(Change{Promise: earliest.Promise, Redeemed: true})
-	return earliest.Promise, true
+	p.promises.remove(first)
+	p.recordChange(Change{Promise: first.Promise, Redeemed: true})
+	return first.Promise, true
 }
 
-// DueUntil returns the number of promises that may be redeemed until then: the slots to keep free for returns.
+// DueUntil returns the number of promises that may be redeemed up to the given time: the slots to keep free for returns.
 func (p *Plan) DueUntil(now, until time.Duration) int {
 	p.Expire(now)
-	return indexAt(p.book.byTime, until+1)
+	return indexAt(p.promises.byTime, until+1)
 }
 
 // Expire drops the promises that were not redeemed in time. The other methods do this themselves.
 func (p *Plan) Expire(now time.Duration) {
-	p.book.removeDueBefore(now - lateTolerance)
+	p.promises.removeDueBefore(now - lateTolerance)
 	p.tenants.sweep(now)
 	p.refusals.sweep(now)
 }
--- a/internal/returnplan/plan_test.go
+++ b/internal/returnplan/plan_test.go
@@ -36,7 +36,7 @@
 				sum += counts[start]
 			}
 			require.InDelta(t, 2*test.perSecond, sum, 1, "a slot may come free at the border of two spans")
-			require.Equal(t, test.first, owner.plan.book.byTime[0].DueAt.Truncate(span))
+			require.Equal(t, test.first, owner.plan.promises.byTime[0].DueAt.Truncate(span))
 		})
 	}
 }
@@ -66,7 +66,7 @@
 	require.Equal(t, 1, plan.DueUntil(20*time.Millisecond, time.Second), "no slot is kept for an unpromised time")
 }
 
-// TestUnpromisedTimesAreTrue guards against clients that are told to come while the slots are taken.
+// TestUnpromisedTimesAreTrue guards against return times at which the slots are still taken.
 func TestUnpromisedTimesAreTrue(t *testing.T) {
 	cases := []struct {
 		name     string
@@ -129,7 +129,7 @@
 	require.LessOrEqual(t, again-after, span, "a lapsed promise does not delay the next one")
 }
 
-// TestRedeemedPlaceIsFree guards against a place that stays taken once its client has returned early.
+// TestRedeemedPlaceIsFree guards against a slot that stays reserved once its client has returned early.
 func TestRedeemedPlaceIsFree(t *testing.T) {
 	plan := New(span)
 	room := Room{PerSecond: 20}
--- a/internal/returnplan/promise.go
+++ b/internal/returnplan/promise.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Promise is a time at which a refused client was told to retry.
+// Promise is a time at which a refused client is to retry.
 type Promise struct {
 	// Signature and Tenant are those of the Caller.
 	Signature, Tenant uint64
--- a/internal/returnplan/book.go
+++ b/internal/returnplan/promise_table.go
@@ -10,64 +10,64 @@
 	// maximumPromises limits the promises of a service.
 	maximumPromises = 8192
 	// maximumPerSignature limits the promises for one signature, so that a client that repeats its request does not
-	// take the promises of others.
+	// use up maximumPromises.
 	maximumPerSignature = 64
 )
 
-// entry is a promise in the book.
+// entry is an outstanding promise.
 type entry struct {
 	Promise
 	rank    rank
 	account *account
 }
 
-// book holds the outstanding promises.
-type book struct {
+// promiseTable holds the outstanding promises.
+type promiseTable struct {
 	// byTime is sorted by DueAt; the lists of bySignature too.
 	byTime      []*entry
 	bySignature map[uint64][]*entry
 }
 
-func newBook() *book { return &book{bySignature: map[uint64][]*entry{}} }
+func newPromiseTable() *promiseTable { return &promiseTable{bySignature: map[uint64][]*entry{}} }
 
-// hasSpace reports whether one more promise for the signature is within the bounds.
-func (b *book) hasSpace(signature uint64) bool {
-	return len(b.byTime) < maximumPromises && len(b.bySignature[signature]) < maximumPerSignature
+// canAdd reports whether one more promise for the signature is within the bounds.
+func (t *promiseTable) canAdd(signature uint64) bool {
+	return len(t.byTime) < maximumPromises && len(t.bySignature[signature]) < maximumPerSignature
 }
 
-func (b *book) add(added *entry) {
-	b.byTime = insertByTime(b.byTime, added)
-	b.bySignature[added.Signature] = insertByTime(b.bySignature[added.Signature], added)
+func (t *promiseTable) add(added *entry) {
+	t.byTime = insertByTime(t.byTime, added)
+	t.bySignature[added.Signature] = insertByTime(t.bySignature[added.Signature], added)
 	added.account.addOutstanding(1)
 }
 
-func (b *book) remove(removed *entry) {
-	b.byTime = removeByTime(b.byTime, removed)
-	b.removeFromSignature(removed)
+func (t *promiseTable) remove(removed *entry) {
+	t.byTime = removeByTime(t.byTime, removed)
+	t.removeFromSignature(removed)
 }
 
-func (b *book) removeFromSignature(removed *entry) {
+func (t *promiseTable) removeFromSignature(removed *entry) {
 	removed.account.addOutstanding(-1)
-	rest := removeByTime(b.bySignature[removed.Signature], removed)
+	rest := removeByTime(t.bySignature[removed.Signature], removed)
 	if len(rest) == 0 {
-		delete(b.bySignature, removed.Signature)
+		delete(t.bySignature, removed.Signature)
 		return
 	}
-	b.bySignature[removed.Signature] = rest
+	t.bySignature[removed.Signature] = rest
 }
 
 // removeDueBefore removes the promises that were due before this time.
-func (b *book) removeDueBefore(at time.Duration) {
-	count := indexAt(b.byTime, at)
-	for _, lapsed := range b.byTime[:count] {
-		b.removeFromSignature(lapsed)
+func (t *promiseTable) removeDueBefore(at time.Duration) {
+	count := indexAt(t.byTime, at)
+	for _, expired := range t.byTime[:count] {
+		t.removeFromSignature(expired)
 	}
-	b.byTime = slices.Delete(b.byTime, 0, count)
+	t.byTime = slices.Delete(t.byTime, 0, count)
 }
 
 // latestOfOthers returns the time of the last promise of a level for any other signature; 0 if there is none.
-func (b *book) latestOfOthers(level int, signature uint64) time.Duration {
-	for _, each := range slices.Backward(b.byTime) {
+func (t *promiseTable) latestOfOthers(level int, signature uint64) time.Duration {
+	for _, each := range slices.Backward(t.byTime) {
 		if each.Level == level && each.Signature != signature {
 			return each.DueAt
 		}
--- a/internal/returnplan/property_test.go
+++ b/internal/returnplan/property_test.go
@@ -97,7 +97,7 @@
 	return time.Duration(rapid.Int64Range(0, int64(maximum)).Draw(r, label))
 }
 
-// TestPlanKeepsItsRules lets clients ask and return at random.
+// TestPlanKeepsItsRules lets clients request promises and return at random.
 func TestPlanKeepsItsRules(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		m := &model{plan: New(span), deputy: New(span)}
--- a/internal/returnplan/rank.go
+++ b/internal/returnplan/rank.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// maximumLevel is the least urgent level that is distinguished; less urgent ones are treated like it.
+// maximumLevel is the least urgent level that the plan distinguishes; less urgent ones count as this one.
 const maximumLevel = 15
 
 // waitSteps divide the callers of a level by the time since they were first refused, the longest first. Callers of one
-// step are equal. The steps grow fourfold from a quarter of a second, which is about one return.
+// step are equal. The limits grow fourfold from 250 ms, about the time until a first return.
 var waitSteps = [...]time.Duration{4 * time.Second, time.Second, 250 * time.Millisecond}
 
 const (
@@ -14,7 +14,7 @@
 	rankCount     = (maximumLevel + 1) * ranksPerLevel
 )
 
-// rank is the order in which callers get the places of a span: by level, then by the time that they have waited. Lower
+// rank is the order in which callers get the slots of a span: by level, then by the time that they have waited. Lower
 // ranks come first.
 type rank int
 
--- a/internal/returnplan/refusals.go
+++ b/internal/returnplan/refusals.go
@@ -2,19 +2,19 @@
 
 import "time"
 
-// maximumRefusals limits the remembered refusals; further ones are not remembered.
+// maximumRefusals limits the remembered refusals; beyond it, new signatures are not remembered.
 const maximumRefusals = 8192
 
 // refusal is what the plan remembers of the last refusal of a signature.
 type refusal struct {
-	// firstAt is when the client was first refused; toldAt is when it was last told to return, promised or not.
-	firstAt, toldAt time.Duration
+	// firstAt is when the client was first refused; returnAt is the time given at its last refusal, promised or not.
+	firstAt, returnAt time.Duration
 }
 
-// isEarly reports whether a client that asks now was told to return later.
-func (r refusal) isEarly(now time.Duration) bool { return now < r.toldAt-earlyTolerance }
+// isEarly reports whether a client that requests a slot now was to return later.
+func (r refusal) isEarly(now time.Duration) bool { return now < r.returnAt-earlyTolerance }
 
-// refusals remember which clients were told when to return, so that a client gains nothing by an earlier return.
+// refusals remember the return times given to clients, so that a client gains nothing by an earlier return.
 type refusals struct {
 	bySignature map[uint64]refusal
 	sweptAt     time.Duration
@@ -22,22 +22,23 @@
 
 func newRefusals() *refusals { return &refusals{bySignature: map[uint64]refusal{}} }
 
-// find returns the last refusal of the signature; known is false if there is none or if its client did not return in time.
+// find returns the last refusal of the signature; known is false if there is none or if its client did not
+// return in time.
 func (r *refusals) find(now time.Duration, signature uint64) (last refusal, known bool) {
 	last, known = r.bySignature[signature]
-	if !known || now > last.toldAt+lateTolerance {
+	if !known || now > last.returnAt+lateTolerance {
 		return refusal{}, false
 	}
 	return last, true
 }
 
 // record remembers a refusal.
-func (r *refusals) record(signature uint64, firstAt, toldAt time.Duration) {
+func (r *refusals) record(signature uint64, firstAt, returnAt time.Duration) {
 	if signature == unknownSignature {
 		return
 	}
 	if _, known := r.bySignature[signature]; known || len(r.bySignature) < maximumRefusals {
-		r.bySignature[signature] = refusal{firstAt: firstAt, toldAt: toldAt}
+		r.bySignature[signature] = refusal{firstAt: firstAt, returnAt: returnAt}
 	}
 }
 
@@ -48,7 +49,7 @@
 	}
 	r.sweptAt = now
 	for signature, each := range r.bySignature {
-		if now > each.toldAt+lateTolerance {
+		if now > each.returnAt+lateTolerance {
 			delete(r.bySignature, signature)
 		}
 	}
--- a/internal/returnplan/repetition_test.go
+++ b/internal/returnplan/repetition_test.go
@@ -38,7 +38,8 @@
 	require.False(t, due, "one promise lets one request in")
 }
 
-// TestRepetitionWaitsForOthers guards against a client that overtakes others by asking again when there is more room.
+// TestRepetitionWaitsForOthers guards against a client that overtakes others by repeating its request when there is
+// more capacity.
 func TestRepetitionWaitsForOthers(t *testing.T) {
 	owner := newTestOwner()
 	caller := Caller{Signature: 1 << 32}
@@ -47,7 +48,7 @@
 	for range 100 {
 		owner.refuse(0, Room{PerSecond: 180}, 0, 0)
 	}
-	lastOfOthers := owner.plan.book.byTime[100].DueAt
+	lastOfOthers := owner.plan.promises.byTime[100].DueAt
 	again, promised := owner.plan.Promise(0, caller, Room{PerSecond: 500}, patience, 0)
 	require.True(t, promised)
 	require.Greater(t, again, lastOfOthers)
@@ -60,7 +61,7 @@
 	for range 100 {
 		owner.refuse(0, room, 0, 1)
 	}
-	lastOfOthers := owner.plan.book.byTime[99].DueAt
+	lastOfOthers := owner.plan.promises.byTime[99].DueAt
 	room.PerSecond = 500
 	first, _ := owner.plan.Promise(0, Caller{Signature: 1 << 32}, room, patience, 0)
 	second, promised := owner.plan.Promise(0, Caller{Signature: 1 << 32}, room, patience, 0)
@@ -69,11 +70,11 @@
 	require.Less(t, second, lastOfOthers)
 }
 
-// TestRepetitionDoesNotRaiseDemand guards against a client that keeps places free for itself by asking often.
+// TestRepetitionDoesNotRaiseDemand guards against a client that has slots reserved for itself by repeating its request.
 func TestRepetitionDoesNotRaiseDemand(t *testing.T) {
-	demandAfter := func(questions int) float64 {
+	demandAfter := func(requests int) float64 {
 		plan := New(span)
-		for i := range questions {
+		for i := range requests {
 			now := time.Duration(i) * time.Millisecond
 			plan.Promise(now, Caller{Signature: 1, FirstRefusedAt: now}, Room{PerSecond: 180}, patience, 0.5)
 		}
@@ -83,8 +84,8 @@
 	require.Equal(t, demandAfter(1), demandAfter(100))
 }
 
-// TestEarlyRepetitionWithoutPromiseGainsNothing guards against a client that gets an earlier place than it was told by
-// asking until one is free.
+// TestEarlyRepetitionWithoutPromiseGainsNothing guards against a client that gets a slot before the time that it was
+// given by repeating its request until one is free.
 func TestEarlyRepetitionWithoutPromiseGainsNothing(t *testing.T) {
 	plan := New(span)
 	caller := Caller{Signature: 1}
@@ -102,7 +103,8 @@
 	require.Less(t, other, told)
 }
 
-// TestPlanKnowsFirstRefusal guards against clients that return as told, without a promise, and are ranked as newcomers.
+// TestPlanKnowsFirstRefusal guards against clients that return at the given time, without a promise, and are ranked as
+// newcomers.
 func TestPlanKnowsFirstRefusal(t *testing.T) {
 	cases := []struct {
 		name      string
@@ -120,8 +122,8 @@
 			plan := New(span)
 			told, _ := plan.Promise(0, Caller{Signature: 1}, Room{PerSecond: 180, Backlog: 180}, 0, 0.5)
 			now := test.returnsAt(told)
-			question := plan.newQuestion(now, Caller{Signature: 1, FirstRefusedAt: now})
-			require.Equal(t, test.waited, question.rank < rankOf(0, 0))
+			request := plan.newPromiseRequest(now, Caller{Signature: 1, FirstRefusedAt: now})
+			require.Equal(t, test.waited, request.rank < rankOf(0, 0))
 		})
 	}
 }
--- a/internal/returnplan/replication.go
+++ b/internal/returnplan/replication.go
@@ -12,7 +12,8 @@
 	return changes
 }
 
-// recordChange keeps a change for the deputy. Beyond the limit the oldest are dropped, since their promises lapse first.
+// recordChange keeps a change for the deputy. Beyond the limit the oldest are dropped, since their promises
+// expire first.
 func (p *Plan) recordChange(change Change) {
 	if len(p.changes) >= maximumChanges {
 		p.changes = p.changes[1:]
@@ -33,18 +34,18 @@
 
 func (p *Plan) applyPromise(now time.Duration, promise Promise) {
 	isCurrent := promise.DueAt >= now-lateTolerance && promise.DueAt <= now+horizon+p.span
-	if !isCurrent || promise.Signature == unknownSignature || p.isKnown(promise) || !p.book.hasSpace(promise.Signature) {
+	if !isCurrent || promise.Signature == unknownSignature || p.isKnown(promise) || !p.promises.canAdd(promise.Signature) {
 		return
 	}
 	promise.Level = boundedLevel(promise.Level)
 	account := p.tenants.account(promise.Level, promise.Tenant)
-	p.book.add(&entry{Promise: promise, rank: rankOf(promise.Level, 0), account: account})
+	p.promises.add(&entry{Promise: promise, rank: rankOf(promise.Level, 0), account: account})
 }
 
-// isKnown reports whether the promise is in the book. Promises for one signature are at least a span apart, and the
+// isKnown reports whether the promise is in the table. Promises for one signature are at least a span apart, and the
 // times of a change that arrives twice differ by less than half of that.
 func (p *Plan) isKnown(promise Promise) bool {
-	for _, each := range p.book.bySignature[promise.Signature] {
+	for _, each := range p.promises.bySignature[promise.Signature] {
 		if (each.DueAt - promise.DueAt).Abs() < p.span/2 {
 			return true
 		}
@@ -54,8 +55,8 @@
 
 // applyRedeemed removes the earliest promise for the signature unless it is due later than the redeemed one.
 func (p *Plan) applyRedeemed(promise Promise) {
-	own := p.book.bySignature[promise.Signature]
+	own := p.promises.bySignature[promise.Signature]
 	if len(own) > 0 && own[0].DueAt < promise.DueAt+p.span/2 {
-		p.book.remove(own[0])
+		p.promises.remove(own[0])
 	}
 }
--- a/internal/returnplan/tenants.go
+++ b/internal/returnplan/tenants.go
@@ -5,8 +5,8 @@
 const (
 	// maximumAccounts limits the accounts; further tenants of a level share one account.
 	maximumAccounts = 4096
-	// accountRetention is how long an account is kept after the tenant's last question. Meanwhile others leave places to
-	// the tenant.
+	// accountRetention is how long an account is kept after the tenant's last request. Until then
+	// slots are reserved for the tenant.
 	accountRetention = 5 * time.Second
 )
 
