--- a/internal/returnplan/bounds_test.go
+++ b/internal/returnplan/bounds_test.go
@@ -13,13 +13,13 @@
 	plan := New(span)
 	caller := Caller{Signature: 1}
 	for range maximumPerSignature {
-		_, promised := plan.Promise(0, caller, Room{PerSecond: 1000}, patience, 0.5)
+		_, promised := plan.Promise(0, caller, Room{PerSecond: 1000}, clientTimeout, 0.5)
 		require.True(t, promised)
 	}
-	at, promised := plan.Promise(0, caller, Room{PerSecond: 1000}, patience, 0.5)
+	at, promised := plan.Promise(0, caller, Room{PerSecond: 1000}, clientTimeout, 0.5)
 	require.False(t, promised)
 	require.Greater(t, at, time.Duration(0), "an unpromised time")
-	_, promised = plan.Promise(0, Caller{Signature: 2}, Room{PerSecond: 1000}, patience, 0.5)
+	_, promised = plan.Promise(0, Caller{Signature: 2}, Room{PerSecond: 1000}, clientTimeout, 0.5)
 	require.True(t, promised, "other signatures are not affected")
 }
 
@@ -39,9 +39,9 @@
 		deputy.ApplyChange(0, change)
 	}
 	deputy.ApplyChange(0, Change{Promise: Promise{Signature: math.MaxUint64, DueAt: time.Second}})
-	require.Equal(t, maximumPromises, deputy.DueUntil(0, patience))
-	deputy.Expire(patience)
-	require.Zero(t, deputy.DueUntil(patience, 2*patience))
+	require.Equal(t, maximumPromises, deputy.DueUntil(0, clientTimeout))
+	deputy.Expire(clientTimeout)
+	require.Zero(t, deputy.DueUntil(clientTimeout, 2*clientTimeout))
 	require.Empty(t, deputy.promises.bySignature)
 }
 
@@ -90,7 +90,7 @@
 		for _, draw := range []float64{-1, 0, 1, 2, math.NaN()} {
 			plan := New(0)
 			caller := Caller{Signature: 1, Level: math.MaxInt, FirstRefusedAt: time.Hour}
-			at, _ := plan.Promise(0, caller, room, patience, draw)
+			at, _ := plan.Promise(0, caller, room, clientTimeout, draw)
 			require.GreaterOrEqual(t, at, time.Duration(0))
 			require.LessOrEqual(t, at, maximumExpected+time.Second)
 		}
--- a/internal/returnplan/harness_test.go
+++ b/internal/returnplan/harness_test.go
@@ -10,8 +10,8 @@
 
 const (
 	span = 50 * time.Millisecond
-	// patience is how long the clients of the tests wait, unless a test says otherwise.
-	patience = 10 * time.Second
+	// clientTimeout is how long the clients of the tests wait, unless a test says otherwise.
+	clientTimeout = 10 * time.Second
 )
 
 // TestMain fixes the seed of the property tests so that every run gives the same result.
@@ -42,7 +42,7 @@
 func (o *testOwner) refuseCaller(now time.Duration, room Room, caller Caller) (at time.Duration, promised bool) {
 	o.signature++
 	caller.Signature = o.signature
-	return o.plan.Promise(now, caller, room, now+patience, o.random.Float64())
+	return o.plan.Promise(now, caller, room, now+clientTimeout, o.random.Float64())
 }
 
 // waits are the waiting times of the promises to one kind of callers.
--- a/internal/returnplan/plan.go
+++ b/internal/returnplan/plan.go
@@ -44,7 +44,7 @@
 }
 
 // Promise returns when a refused client is to return. promised is true if a slot is set aside for it then, at latest at
-// the time latest; otherwise at is the expected time at which there is capacity. draw is a random number in [0, 1) that
+// the time latest; otherwise at is the expected time at which a slot is free. draw is a random number in [0, 1) that
 // spreads returns within a span.
 func (p *Plan) Promise(now time.Duration, caller Caller, capacity Room, latest time.Duration, draw float64) (at time.Duration, promised bool) {
 	p.Expire(now)
@@ -151,7 +151,8 @@
 	return first.Promise, true
 }
 
-// DueUntil returns the number of promises that may be redeemed up to the given time: the slots to keep free for returns.
+// DueUntil returns the number of promises that may be redeemed up to the given time: the slots to keep free for
+// returns.
 func (p *Plan) DueUntil(now, until time.Duration) int {
 	p.Expire(now)
 	return indexAt(p.promises.byTime, until+1)
--- a/internal/returnplan/plan_test.go
+++ b/internal/returnplan/plan_test.go
@@ -46,7 +46,7 @@
 	plan := New(span)
 	room := Room{PerSecond: 80}
 	for i, draw := range []float64{0, 0.25, 0.5, 0.9999999999999999} {
-		at, promised := plan.Promise(0, Caller{Signature: uint64(1 + i)}, room, patience, draw)
+		at, promised := plan.Promise(0, Caller{Signature: uint64(1 + i)}, room, clientTimeout, draw)
 		require.True(t, promised)
 		require.Equal(t, span, at.Truncate(span))
 		require.InDelta(t, draw*float64(span), float64(at-span), 1)
@@ -104,7 +104,7 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			plan := New(span)
-			at, _ := plan.Promise(0, Caller{Signature: 1}, Room{PerSecond: 180}, patience, 0.5)
+			at, _ := plan.Promise(0, Caller{Signature: 1}, Room{PerSecond: 180}, clientTimeout, 0.5)
 			_, due := plan.Redeem(at+test.after, 1)
 			require.Equal(t, test.due, due)
 		})
@@ -115,16 +115,16 @@
 func TestUnredeemedPromiseLapses(t *testing.T) {
 	plan := New(span)
 	room := Room{PerSecond: 20} // one slot in each span
-	at, _ := plan.Promise(0, Caller{Signature: 1}, room, patience, 0.5)
+	at, _ := plan.Promise(0, Caller{Signature: 1}, room, clientTimeout, 0.5)
 	require.Zero(t, plan.DueUntil(0, at-1))
 	require.Equal(t, 1, plan.DueUntil(0, at))
 	require.Equal(t, 1, plan.DueUntil(at+lateTolerance, at+lateTolerance))
 	after := at + lateTolerance + 1
-	require.Zero(t, plan.DueUntil(after, patience))
+	require.Zero(t, plan.DueUntil(after, clientTimeout))
 	promise, due := plan.Redeem(after, 1)
 	require.False(t, due)
 	require.Zero(t, promise)
-	again, promised := plan.Promise(after, Caller{Signature: 1}, room, patience, 0)
+	again, promised := plan.Promise(after, Caller{Signature: 1}, room, clientTimeout, 0)
 	require.True(t, promised)
 	require.LessOrEqual(t, again-after, span, "a lapsed promise does not delay the next one")
 }
@@ -133,11 +133,11 @@
 func TestRedeemedPlaceIsFree(t *testing.T) {
 	plan := New(span)
 	room := Room{PerSecond: 20}
-	at, _ := plan.Promise(0, Caller{Signature: 1}, room, patience, 0)
+	at, _ := plan.Promise(0, Caller{Signature: 1}, room, clientTimeout, 0)
 	require.Equal(t, span, at)
 	_, due := plan.Redeem(at-earlyTolerance, 1)
 	require.True(t, due)
-	next, promised := plan.Promise(at-earlyTolerance, Caller{Signature: 2}, room, patience, 0)
+	next, promised := plan.Promise(at-earlyTolerance, Caller{Signature: 2}, room, clientTimeout, 0)
 	require.True(t, promised)
 	require.Equal(t, at, next)
 }
--- a/internal/returnplan/repetition_test.go
+++ b/internal/returnplan/repetition_test.go
@@ -13,7 +13,7 @@
 	room := Room{PerSecond: 180}
 	const impatient, patient = 1_000_001, 1_000_002
 	ask := func(now time.Duration, signature uint64) time.Duration {
-		at, promised := owner.plan.Promise(now, Caller{Signature: signature, FirstRefusedAt: 0}, room, now+patience, 0.5)
+		at, promised := owner.plan.Promise(now, Caller{Signature: signature, FirstRefusedAt: 0}, room, now+clientTimeout, 0.5)
 		require.True(t, promised)
 		return at
 	}
@@ -43,13 +43,13 @@
 func TestRepetitionWaitsForOthers(t *testing.T) {
 	owner := newTestOwner()
 	caller := Caller{Signature: 1 << 32}
-	_, promised := owner.plan.Promise(0, caller, Room{PerSecond: 180}, patience, 0)
+	_, promised := owner.plan.Promise(0, caller, Room{PerSecond: 180}, clientTimeout, 0)
 	require.True(t, promised)
 	for range 100 {
 		owner.refuse(0, Room{PerSecond: 180}, 0, 0)
 	}
 	lastOfOthers := owner.plan.promises.byTime[100].DueAt
-	again, promised := owner.plan.Promise(0, caller, Room{PerSecond: 500}, patience, 0)
+	again, promised := owner.plan.Promise(0, caller, Room{PerSecond: 500}, clientTimeout, 0)
 	require.True(t, promised)
 	require.Greater(t, again, lastOfOthers)
 }
@@ -63,8 +63,8 @@
 	}
 	lastOfOthers := owner.plan.promises.byTime[99].DueAt
 	room.PerSecond = 500
-	first, _ := owner.plan.Promise(0, Caller{Signature: 1 << 32}, room, patience, 0)
-	second, promised := owner.plan.Promise(0, Caller{Signature: 1 << 32}, room, patience, 0)
+	first, _ := owner.plan.Promise(0, Caller{Signature: 1 << 32}, room, clientTimeout, 0)
+	second, promised := owner.plan.Promise(0, Caller{Signature: 1 << 32}, room, clientTimeout, 0)
 	require.True(t, promised)
 	require.Equal(t, first+span, second)
 	require.Less(t, second, lastOfOthers)
@@ -76,7 +76,7 @@
 		plan := New(span)
 		for i := range requests {
 			now := time.Duration(i) * time.Millisecond
-			plan.Promise(now, Caller{Signature: 1, FirstRefusedAt: now}, Room{PerSecond: 180}, patience, 0.5)
+			plan.Promise(now, Caller{Signature: 1, FirstRefusedAt: now}, Room{PerSecond: 180}, clientTimeout, 0.5)
 		}
 		return plan.demand.before(time.Second, firstRank(maximumLevel+1))
 	}
@@ -95,7 +95,7 @@
 	free := Room{PerSecond: 180}
 	_, promised = plan.Promise(200*time.Millisecond, caller, free, 300*time.Millisecond, 0.5)
 	require.False(t, promised, "too early")
-	at, promised := plan.Promise(200*time.Millisecond, caller, free, patience, 0.5)
+	at, promised := plan.Promise(200*time.Millisecond, caller, free, clientTimeout, 0.5)
 	require.True(t, promised)
 	require.GreaterOrEqual(t, at, told)
 	other, promised := plan.Promise(200*time.Millisecond, Caller{Signature: 2}, free, 300*time.Millisecond, 0.5)
@@ -132,7 +132,7 @@
 func TestUnknownSignatureGetsNoPromise(t *testing.T) {
 	plan := New(span)
 	for range 3 {
-		at, promised := plan.Promise(0, Caller{}, Room{PerSecond: 180}, patience, 0.5)
+		at, promised := plan.Promise(0, Caller{}, Room{PerSecond: 180}, clientTimeout, 0.5)
 		require.False(t, promised)
 		require.Equal(t, 75*time.Millisecond, at, "when there is room")
 	}
@@ -147,7 +147,7 @@
 	const clients = 5
 	var times []time.Duration
 	for range clients {
-		at, promised := plan.Promise(0, Caller{Signature: 1}, Room{PerSecond: 180}, patience, 0.5)
+		at, promised := plan.Promise(0, Caller{Signature: 1}, Room{PerSecond: 180}, clientTimeout, 0.5)
 		require.True(t, promised)
 		times = append(times, at)
 	}
@@ -156,7 +156,7 @@
 		promise, due := plan.Redeem(at, 1)
 		require.True(t, due)
 		require.Equal(t, at, promise.DueAt, "the earliest first")
-		require.Equal(t, clients-1-i, plan.DueUntil(at, patience))
+		require.Equal(t, clients-1-i, plan.DueUntil(at, clientTimeout))
 	}
 }
 
--- a/internal/returnplan/replication_test.go
+++ b/internal/returnplan/replication_test.go
@@ -48,7 +48,7 @@
 	}
 	replicate(owner.plan, deputy, 0)
 	require.Empty(t, owner.plan.Changes(), "each change is returned once")
-	require.Equal(t, len(promises), deputy.DueUntil(clockOffset, clockOffset+patience))
+	require.Equal(t, len(promises), deputy.DueUntil(clockOffset, clockOffset+clientTimeout))
 	slices.SortFunc(promises, func(a, b Promise) int { return cmp.Compare(a.DueAt, b.DueAt) })
 	for _, expected := range promises {
 		promise, due := deputy.Redeem(expected.DueAt+clockOffset, expected.Signature)
@@ -67,7 +67,7 @@
 	_, due := owner.plan.Redeem(at+10*time.Millisecond, owner.signature)
 	require.True(t, due)
 	replicate(owner.plan, deputy, at+10*time.Millisecond)
-	require.Zero(t, deputy.DueUntil(clockOffset+at+12*time.Millisecond, clockOffset+patience))
+	require.Zero(t, deputy.DueUntil(clockOffset+at+12*time.Millisecond, clockOffset+clientTimeout))
 	_, due = deputy.Redeem(clockOffset+at+12*time.Millisecond, owner.signature)
 	require.False(t, due)
 }
@@ -111,8 +111,8 @@
 	promise, due := successor.Redeem(at, owner.signature)
 	require.False(t, due)
 	require.Zero(t, promise)
-	again, promised := successor.Promise(at, Caller{Signature: owner.signature, Tenant: 3}, room, at+patience, 0)
+	again, promised := successor.Promise(at, Caller{Signature: owner.signature, Tenant: 3}, room, at+clientTimeout, 0)
 	require.True(t, promised)
-	newcomer, _ := New(span).Promise(at, Caller{Signature: 99, Tenant: 3, FirstRefusedAt: at}, room, at+patience, 0)
+	newcomer, _ := New(span).Promise(at, Caller{Signature: 99, Tenant: 3, FirstRefusedAt: at}, room, at+clientTimeout, 0)
 	require.Equal(t, newcomer, again)
 }
--- a/internal/slotqueue/back_end_state.go
+++ b/internal/slotqueue/back_end_state.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// slowdownValidity is how long a reported slowdown counts; back ends slow down for a fraction of a second.
+	// slowdownValidity is how long a reported slowdown is used; slowdowns of back ends last a fraction of a second.
 	slowdownValidity = 250 * time.Millisecond
 	// minimumBlock and maximumBlock limit how long a back end that turned a request away gets no grant.
 	minimumBlock = 50 * time.Millisecond
@@ -15,7 +15,7 @@
 	BackEnd
 	slowdown   float64
 	slowdownAt time.Duration
-	// blockedUntil is until when the back end gets no grant; block is the length of its last block, 0 after a success.
+	// blockedUntil is when the back end may get grants again; block is the length of its last block, 0 after a success.
 	blockedUntil, block time.Duration
 }
 
@@ -26,7 +26,7 @@
 	}
 	switch {
 	case result.TurnedAway && now >= b.blockedUntil:
-		// Requests that were on their way when the block began do not lengthen it.
+		// Requests that were in flight when the block began do not extend it.
 		b.block = min(max(2*b.block, minimumBlock), maximumBlock)
 		b.blockedUntil = now + b.block
 	case !result.TurnedAway && result.ServiceTime > 0:
--- a/internal/slotqueue/back_end_table.go
+++ b/internal/slotqueue/back_end_table.go
@@ -15,7 +15,7 @@
 	openSlots int
 }
 
-// set replaces the list. What is known of back ends that stay in it is kept.
+// set replaces the list. The state of back ends that are still listed is kept.
 func (t *backEndTable) set(backEnds []BackEnd) {
 	previous := t.byHash
 	t.byHash = make(map[uint64]*backEndState, len(backEnds))
@@ -38,7 +38,7 @@
 	slices.SortFunc(t.ordered, func(a, b *backEndState) int { return cmp.Compare(a.Hash, b.Hash) })
 }
 
-// usable returns the back ends with a free slot.
+// usable returns the back ends that may get a grant.
 func (t *backEndTable) usable(now time.Duration, held map[uint64]int) []*backEndState {
 	var usable []*backEndState
 	for _, state := range t.ordered {
@@ -49,7 +49,7 @@
 	return usable
 }
 
-// areAllExcluded reports whether back ends are open and a request must not be granted any of them.
+// areAllExcluded reports whether there are open back ends and all of them are excluded.
 func (t *backEndTable) areAllExcluded(excluded []uint64) bool {
 	if len(excluded) == 0 || t.openSlots == 0 {
 		return false
@@ -62,7 +62,7 @@
 	return true
 }
 
-// firstUnblockedAfter returns when the first block of a back end ends that ends after a time.
+// firstUnblockedAfter returns the first end of a back end's block after the given time.
 func (t *backEndTable) firstUnblockedAfter(after time.Duration) (at time.Duration, found bool) {
 	for _, state := range t.ordered {
 		if state.blockedUntil > after && (!found || state.blockedUntil < at) {
@@ -72,7 +72,7 @@
 	return at, found
 }
 
-// leastLoaded returns the back end with the lowest load that is not excluded; nil if there is none.
+// leastLoaded returns the usable back end with the lowest load that is not excluded; nil if there is none.
 func leastLoaded(now time.Duration, usable []*backEndState, held map[uint64]int, excluded []uint64) *backEndState {
 	var chosen *backEndState
 	lowest := 0.0
--- a/internal/slotqueue/room.go
+++ b/internal/slotqueue/capacity.go
@@ -6,8 +6,8 @@
 	"github.com/hazelpitch/hazelpitch/internal/returnplan"
 )
 
-// probeAfter is how long an idle service may give no result until a request is granted by the expected service time of a
-// new service. Otherwise results of a slow spell could refuse all requests for good.
+// probeAfter is how long an idle service may give no result before defaultServiceTime limits its expected service time.
+// Otherwise the results of a slow period could make the Queue refuse all requests indefinitely.
 const probeAfter = time.Second
 
 // expectedServiceTime returns how long a back end is expected to work on a request.
@@ -18,9 +18,9 @@
 	return q.serviceTime.mean
 }
 
-// safeTime returns the time within which a request that gets a slot now is completed in most cases, with the way to the
-// relay and back.
-func (q *Queue) safeTime() time.Duration {
+// safeCompletionTime returns the time within which a request that gets a slot now is completed in most cases, with the
+// messages to and from the relay.
+func (q *Queue) safeCompletionTime() time.Duration {
 	held := q.slotTime()
 	if q.isProbing() {
 		return min(held.mean+held.deviation, defaultServiceTime)
@@ -28,7 +28,8 @@
 	return held.mean + held.deviation
 }
 
-// isProbing reports whether the service has been idle and without results for so long that its last ones do not count.
+// isProbing reports whether the service has been idle and without results for so long that its last ones are out of
+// date.
 func (q *Queue) isProbing() bool {
 	return q.grants.count() == 0 && q.now-q.lastResultAt >= probeAfter
 }
@@ -47,9 +48,9 @@
 	return float64(q.backEnds.openSlots) / max(q.slotTime().mean, 1).Seconds()
 }
 
-// roomForReturns describes the service to the plan of returns. Returns go before the queued newcomers of their level, so
-// that only more urgent requests and other returns are ahead of them.
-func (q *Queue) roomForReturns(ofLevel int) returnplan.Room {
+// capacityForReturns returns the capacity that the plan of returns computes with. Returns go before the queued
+// newcomers of their level, so that only more urgent requests and other returns are ahead of them.
+func (q *Queue) capacityForReturns(ofLevel int) returnplan.Room {
 	return returnplan.Room{PerSecond: q.completionsPerSecond(), Backlog: q.waiting.countAheadOfReturns(ofLevel)}
 }
 
@@ -62,7 +63,7 @@
 	return q.heldTime
 }
 
-// expectedWait returns the expected time until a request gets a slot that so many queued requests get theirs before. It
+// expectedWait returns the expected time until a request gets a slot if ahead queued requests get theirs first. It
 // is 0 while no back end is open: then nothing is known.
 func (q *Queue) expectedWait(ahead int) time.Duration {
 	slots := q.backEnds.openSlots
@@ -79,7 +80,7 @@
 
 // untilReleased returns the expected time until a slot in use is free.
 func (q *Queue) untilReleased(g *grant) time.Duration {
-	// A slot that is in use for longer than usual is expected to be free after the usual deviation.
+	// A slot that has been in use for longer than the mean is expected to be free after the mean deviation.
 	return max(q.slotTime().mean-(q.now-g.since), q.slotTime().deviation)
 }
 
@@ -100,7 +101,7 @@
 	for range min(free, needed) {
 		forecast.untilFree = append(forecast.untilFree, 0)
 	}
-	closed := max(-free, 0) // slots in use beyond the open ones are granted to nobody when they are released
+	closed := max(-free, 0) // slots in use beyond the open ones are not granted again when they are released
 	q.grants.byAge.Ascend(func(g *grant) bool {
 		if closed > 0 {
 			closed--
@@ -124,22 +125,22 @@
 }
 
 // addQueueTimes adds the times at which something changes for the queued requests.
-func (q *Queue) addQueueTimes(next *earliest) {
+func (q *Queue) addQueueTimes(next *earliestTime) {
 	if q.mayGrant {
 		next.add(q.now)
 	}
-	if q.holdsBack {
-		next.add(q.advancedAt + heldBackRecheck)
+	if q.newcomersWait {
+		next.add(q.advancedAt + newcomerRecheckInterval)
 	}
-	// Times since the last Advance may have passed already.
-	if q.beganAt+learningTime > q.advancedAt {
-		next.add(q.beganAt + learningTime)
+	// Times after the last Advance are added even if they have passed.
+	if q.beganAt+takeoverPeriod > q.advancedAt {
+		next.add(q.beganAt + takeoverPeriod)
 	}
 	if at, found := q.backEnds.firstUnblockedAfter(q.advancedAt); found {
 		next.add(at)
 	}
 	if first, found := q.waiting.refusable.Min(); found {
-		next.add(max(first.DeadlineAt-q.safeTime()+1, q.now))
+		next.add(max(first.DeadlineAt-q.safeCompletionTime()+1, q.now))
 	}
 	if first, found := q.waiting.mayHaveRun.Min(); found {
 		next.add(first.DeadlineAt)
--- a/internal/slotqueue/config.go
+++ b/internal/slotqueue/config.go
@@ -8,7 +8,7 @@
 	Draw func() float64
 }
 
-// middleDraw is the draw of a Config without Draw.
+// middleDraw replaces the random numbers of a Config without Draw.
 const middleDraw = 0.5
 
 func (c *Config) setDefaults() {
--- a/internal/slotqueue/decision.go
+++ b/internal/slotqueue/decision.go
@@ -19,11 +19,11 @@
 type Decision struct {
 	ID      RequestID
 	Outcome Outcome
-	// BackEnd is the hash of the granted back end; Lease is how long the grant is valid without being listed in a report.
+	// BackEnd is the hash of the granted back end; Lease is how long the grant is valid unless a report lists it.
 	BackEnd uint64
 	Lease   time.Duration
 	// RetryAfter is when the client of a refused request should return. If Promised is true, a slot is planned for it
-	// then; otherwise it is the expected time until there is room.
+	// then; otherwise it is the expected time until a slot is free.
 	RetryAfter time.Duration
 	Promised   bool
 	// Reason is why the request was refused; ReasonNone otherwise.
--- a/internal/slotqueue/failure_test.go
+++ b/internal/slotqueue/failure_test.go
@@ -106,7 +106,7 @@
 	require.Empty(t, queue.Advance(settled+100*time.Millisecond))
 	at, needed := queue.NextAt()
 	require.True(t, needed)
-	require.Equal(t, settled+learningTime, at)
+	require.Equal(t, settled+takeoverPeriod, at)
 	require.Len(t, queue.Advance(at), 1, "12 slots, of which 6 were granted and 5 reported")
 }
 
--- a/internal/slotqueue/fleet_test.go
+++ b/internal/slotqueue/fleet_test.go
@@ -81,13 +81,13 @@
 	for seed := range uint64(3) {
 		refusing := newServiceFleet(seed, throughQueue).run(runTime, clients)
 		patient := newServiceFleet(seed, firstComeFirstServed).run(runTime, clients)
-		completed := func(o outcome) bool { return o.isServed && !o.ranInVain() }
-		t.Logf("served in vain: %.4f, first come first served %.4f; completed of all: %.3f, %.3f",
-			fraction(refusing, isServed, outcome.ranInVain), fraction(patient, isServed, outcome.ranInVain),
+		completed := func(o outcome) bool { return o.isServed && !o.endedAfterDeadline() }
+		t.Logf("served after the deadline: %.4f, first come first served %.4f; completed of all: %.3f, %.3f",
+			fraction(refusing, isServed, outcome.endedAfterDeadline), fraction(patient, isServed, outcome.endedAfterDeadline),
 			fraction(refusing, isAny, completed), fraction(patient, isAny, completed))
-		require.LessOrEqual(t, fraction(refusing, isServed, outcome.ranInVain), 0.01)
+		require.LessOrEqual(t, fraction(refusing, isServed, outcome.endedAfterDeadline), 0.01)
 		require.GreaterOrEqual(t, fraction(refusing, isAny, completed), 0.58)
-		require.GreaterOrEqual(t, fraction(patient, isServed, outcome.ranInVain), 0.9)
+		require.GreaterOrEqual(t, fraction(patient, isServed, outcome.endedAfterDeadline), 0.9)
 	}
 }
 
--- a/internal/slotqueue/grant.go
+++ b/internal/slotqueue/grant.go
@@ -3,10 +3,11 @@
 import "time"
 
 const (
-	// maximumLease is how long a grant is valid without being listed in a report: a lost holder costs a slot no longer.
+	// maximumLease is how long a grant is valid unless a report lists it. It bounds how long a lost holder blocks a
+	// slot.
 	maximumLease = 5 * time.Second
-	// relaySilence is how long a relay may report nothing before it loses its grants: eight reports in a row, which are
-	// not lost by chance.
+	// relaySilence is how long a relay may report nothing before it loses its grants: eight report intervals, so that a
+	// few lost reports do not end grants.
 	relaySilence = 2 * time.Second
 )
 
@@ -14,7 +15,7 @@
 type grant struct {
 	id      RequestID
 	backEnd uint64
-	// sequence is the order in which the Queue learned of the grants.
+	// sequence is the order in which the grants were added.
 	sequence uint64
 	// since is when the slot was granted or first reported.
 	since time.Duration
--- a/internal/slotqueue/grant_table.go
+++ b/internal/slotqueue/grant_table.go
@@ -6,7 +6,7 @@
 	"github.com/google/btree"
 )
 
-// maximumHeld is the number of slots in use that a Queue counts: more than the slots of any service.
+// maximumHeld bounds the slots in use that a Queue tracks. A service is expected to have fewer.
 const maximumHeld = 16384
 
 // grantTable holds the slots in use that a Queue knows of.
@@ -44,19 +44,19 @@
 	delete(t.byID, g.id)
 	t.byAge.Delete(g)
 	t.byExpiry.Delete(g)
-	t.leave(g.backEnd)
+	t.decrement(g.backEnd)
 }
 
-func (t *grantTable) leave(backEnd uint64) {
+func (t *grantTable) decrement(backEnd uint64) {
 	t.byBackEnd[backEnd]--
 	if t.byBackEnd[backEnd] == 0 {
 		delete(t.byBackEnd, backEnd)
 	}
 }
 
-// move changes the back end of a grant to the one that its relay reports.
+// move changes the back end of a grant.
 func (t *grantTable) move(g *grant, backEnd uint64) {
-	t.leave(g.backEnd)
+	t.decrement(g.backEnd)
 	g.backEnd = backEnd
 	t.byBackEnd[backEnd]++
 }
--- a/internal/slotqueue/granting.go
+++ b/internal/slotqueue/granting.go
@@ -6,30 +6,30 @@
 )
 
 const (
-	// lateReturn is how late most clients come that return at their time: the request's way to the owner.
+	// lateReturn is by how much most clients miss their promised time: the time for the request to reach the owner.
 	lateReturn = 50 * time.Millisecond
-	// earlyReturn is how early a client may come that returns at its time.
+	// earlyReturn is how long before its promised time a client may return.
 	earlyReturn = 20 * time.Millisecond
-	// heldBackRecheck is after how long newcomers that wait beside free slots are considered again.
-	heldBackRecheck = 10 * time.Millisecond
+	// newcomerRecheckInterval is how often newcomers are considered again while free slots are reserved for returns.
+	newcomerRecheckInterval = 10 * time.Millisecond
 )
 
 // grantFree grants the free slots to queued requests.
 func (q *Queue) grantFree() {
 	q.mayGrant = false
 	for {
-		first, on := q.firstGrantable()
+		first, backEnd := q.firstGrantable()
 		if first == nil {
 			return
 		}
-		q.decided = append(q.decided, q.grant(first, on))
+		q.decided = append(q.decided, q.grant(first, backEnd))
 	}
 }
 
 // firstGrantable returns the first queued request that can get a free slot, and the back end; nil if there is none.
-func (q *Queue) firstGrantable() (first *entry, on *backEndState) {
-	q.holdsBack = false
-	if q.waiting.count() == 0 || q.grants.isFull() || q.learnerAllowance() <= 0 {
+func (q *Queue) firstGrantable() (first *entry, backEnd *backEndState) {
+	q.newcomersWait = false
+	if q.waiting.count() == 0 || q.grants.isFull() || q.takeoverAllowance() <= 0 {
 		return nil, nil
 	}
 	held := q.grants.byBackEnd
@@ -37,51 +37,52 @@
 	if len(usable) == 0 {
 		return nil, nil
 	}
-	last, keepsSlots := newcomer, q.keepsSlotsForReturns(usable)
-	if keepsSlots {
+	last, reservesSlots := newcomer, q.reservesSlotsForReturns(usable)
+	if reservesSlots {
 		last = returning
 	}
-	q.waiting.each(last, q.now+q.safeTime(), func(e *entry) bool {
+	q.waiting.each(last, q.now+q.safeCompletionTime(), func(e *entry) bool {
 		if e.queuedAt < q.now && q.isOverdue(e) {
 			return true // the next Advance removes it
 		}
-		if on = leastLoaded(q.now, usable, held, e.Excluded); on != nil {
+		if backEnd = leastLoaded(q.now, usable, held, e.Excluded); backEnd != nil {
 			first = e
 		}
 		return first == nil
 	})
-	q.holdsBack = keepsSlots && first == nil
-	return first, on
+	q.newcomersWait = reservesSlots && first == nil
+	return first, backEnd
 }
 
-// isOverdue reports whether a queued request can no longer be completed before its deadline, or whether its deadline has
-// passed if it may have run.
+// isOverdue reports whether a queued request can no longer be completed before its deadline. A request that may have
+// run is overdue only once its deadline has passed.
 func (q *Queue) isOverdue(e *entry) bool {
 	if e.MayHaveRun {
 		return q.now >= e.DeadlineAt
 	}
-	return q.now+q.safeTime() > e.DeadlineAt
+	return q.now+q.safeCompletionTime() > e.DeadlineAt
 }
 
-// grantableSlots returns how many slots the Queue may have granted at a time: half of all while it is new as an owner.
+// grantableSlots returns how many slots the Queue may have granted at a time: half of the open ones during
+// takeoverPeriod.
 func (q *Queue) grantableSlots() int {
-	if q.isLearning() {
+	if q.isTakingOver() {
 		return (q.backEnds.openSlots + 1) / 2
 	}
 	return q.backEnds.openSlots
 }
 
-// learnerAllowance returns how many slots a new owner may grant now; other owners are limited by the free slots alone.
-func (q *Queue) learnerAllowance() int {
-	if !q.isLearning() {
+// takeoverAllowance returns how many slots a new owner may grant now; other owners are limited by the free slots alone.
+func (q *Queue) takeoverAllowance() int {
+	if !q.isTakingOver() {
 		return math.MaxInt
 	}
 	return q.grantableSlots() - q.grants.grantedSince(q.beganAt)
 }
 
-// keepsSlotsForReturns reports whether the free slots are kept for clients that are expected now and for which no slots
-// come free in time. Promises that are overdue by more than lateReturn keep no slot.
-func (q *Queue) keepsSlotsForReturns(usable []*backEndState) bool {
+// reservesSlotsForReturns reports whether the free slots are reserved for clients that are expected now and for which
+// no slots come free in time. No slot is reserved for promises that are overdue by more than lateReturn.
+func (q *Queue) reservesSlotsForReturns(usable []*backEndState) bool {
 	if q.config.Returns == nil {
 		return false
 	}
@@ -94,26 +95,26 @@
 	for _, state := range usable {
 		free += state.Slots - q.grants.byBackEnd[state.Hash]
 	}
-	free = min(free, q.learnerAllowance())
+	free = min(free, q.takeoverAllowance())
 	completions := float64(q.grantableSlots()) * float64(lateReturn) / float64(max(q.slotTime().mean, 1))
 	return float64(due)-completions > float64(free-1)
 }
 
 // grant grants a slot to a queued request.
-func (q *Queue) grant(e *entry, on *backEndState) Decision {
+func (q *Queue) grant(e *entry, backEnd *backEndState) Decision {
 	expected := q.slotTime().mean
 	lease := min(e.DeadlineAt-q.now, maximumLease)
 	decision := Decision{
-		ID: e.ID, Outcome: Granted, BackEnd: on.Hash, Lease: lease, Returned: e.class == returning,
+		ID: e.ID, Outcome: Granted, BackEnd: backEnd.Hash, Lease: lease, Returned: e.class == returning,
 		Waited: q.now - e.queuedAt, QueueLength: q.waiting.count(),
 	}
 	q.waiting.start(e, expected)
 	delete(q.relays.state(e.ID.Relay).queued, e.ID.Number)
 	q.hold(&grant{
-		id: e.ID, backEnd: on.Hash, since: q.now, leaseUntil: q.now + lease, confirmedAt: q.now,
+		id: e.ID, backEnd: backEnd.Hash, since: q.now, leaseUntil: q.now + lease, confirmedAt: q.now,
 		charge: &charge{level: e.Level, flow: e.flow, expected: expected},
 	})
-	q.memory.add(decision, e.DeadlineAt)
+	q.finalDecisions.add(decision, e.DeadlineAt)
 	return decision
 }
 
@@ -131,15 +132,15 @@
 	}
 }
 
-// endGrant frees a slot. The tenant's charge stays as expected unless correctCharge was called before: a holder that was
-// lost does not make its tenant pay for the time until the lease ended.
+// endGrant frees a slot. The tenant's charge stays as expected unless correctCharge was called before: the
+// tenant of a lost holder is not charged for the time until the lease expired.
 func (q *Queue) endGrant(g *grant) {
 	if g.charge != nil {
 		q.waiting.finish(g.charge.level, g.charge.flow, 0)
 	}
 	q.grants.remove(g)
 	delete(q.relays.state(g.id.Relay).held, g.id.Number)
-	q.relays.dropIfUnknown(g.id.Relay)
+	q.relays.dropIfUnused(g.id.Relay)
 	q.mayGrant = true
 }
 
--- a/internal/slotqueue/harness_test.go
+++ b/internal/slotqueue/harness_test.go
@@ -39,7 +39,7 @@
 	deadline  time.Duration
 }
 
-// outcome is what became of one request.
+// outcome is the result of one request.
 type outcome struct {
 	client
 	sentAt, endedAt time.Duration
@@ -49,7 +49,7 @@
 
 func (o outcome) isInTime() bool { return o.isServed && o.endedAt-o.sentAt <= o.target }
 
-func (o outcome) ranInVain() bool { return o.isServed && o.endedAt-o.sentAt > o.deadline }
+func (o outcome) endedAfterDeadline() bool { return o.isServed && o.endedAt-o.sentAt > o.deadline }
 
 // testBackEnd serves as many requests at a time as it has slots, and has a queue of its own.
 type testBackEnd struct {
@@ -116,7 +116,7 @@
 	return f
 }
 
-// run lets the clients send requests for a time, each through a random relay, and returns what became of these.
+// run lets the clients send requests for a time, each through a random relay, and returns the outcomes.
 func (f *fleet) run(length time.Duration, clients []client) []*outcome {
 	for _, c := range clients {
 		f.sendNext(c, length)
--- a/internal/slotqueue/level.go
+++ b/internal/slotqueue/level.go
@@ -35,7 +35,7 @@
 func (l *level) add(e *entry) {
 	f := e.flow
 	if f.waitingCount() == 0 {
-		// A tenant that asks again starts at the present virtual time: what it did not use is not credited.
+		// An idle tenant resumes at the present virtual time, so that it gets no credit for the time without requests.
 		f.startTag = max(l.virtualTime, f.finishTag)
 	}
 	f.waiting[e.class].add(e)
@@ -81,7 +81,7 @@
 }
 
 // each visits the queued requests of a class in order until visit returns false. It reports whether all were visited.
-// completedAt is when a request that starts now is completed.
+// completedAt is when a request that gets its slot now is expected to be completed.
 func (l *level) each(c class, completedAt time.Duration, visit func(*entry) bool) bool {
 	goesOn := true
 	l.ranked[c].Ascend(func(f *flow) bool {
@@ -92,8 +92,8 @@
 	return goesOn
 }
 
-// countBefore returns how many requests of the level are expected to get a slot before e. Each other tenant gets one for
-// each request of e's tenant.
+// countBefore returns how many requests of the level are expected to get a slot before e. Each other tenant is
+// expected to get one slot per request of e's tenant.
 func (l *level) countBefore(e *entry) int {
 	ownBefore := e.flow.waiting[e.class].countBefore(e)
 	count := ownBefore
--- a/internal/slotqueue/overload_test.go
+++ b/internal/slotqueue/overload_test.go
@@ -36,9 +36,9 @@
 
 	// attemptDeadline is the deadline of each request.
 	attemptDeadline = 3 * time.Second
-	// patience is how long a client tries to be served.
-	patience = 5 * time.Second
-	// atOnceInterval is the time after which a client retries that does not do as told.
+	// clientTimeout is how long a client tries to be served.
+	clientTimeout = 5 * time.Second
+	// atOnceInterval is the retry interval of clients that ignore the time of the refusal.
 	atOnceInterval = 20 * time.Millisecond
 	// servedThen is how long after its return a client that returns at its promised time must have a slot.
 	servedThen = 250 * time.Millisecond
@@ -208,7 +208,7 @@
 	for i, relay := range o.relays {
 		o.after(reportInterval*time.Duration(i)/relayCount, func() { o.reportRegularly(relay) })
 	}
-	for at := time.Duration(0); at < overloadSpan+patience; at += time.Millisecond {
+	for at := time.Duration(0); at < overloadSpan+clientTimeout; at += time.Millisecond {
 		o.after(at, o.advance)
 	}
 	for o.events.Len() > 0 {
@@ -331,7 +331,7 @@
 	if refused.kind == retriesAsTold {
 		delay = decision.RetryAfter
 	}
-	if refused.kind == neverRetries || o.now+delay > refused.startedAt+patience {
+	if refused.kind == neverRetries || o.now+delay > refused.startedAt+clientTimeout {
 		return
 	}
 	o.after(delay, func() {
@@ -362,7 +362,7 @@
 }
 
 func (o *overload) reportRegularly(relay *testRelay) {
-	if o.now > overloadSpan+patience {
+	if o.now > overloadSpan+clientTimeout {
 		return
 	}
 	if len(relay.held) > 0 {
@@ -391,7 +391,7 @@
 	})
 }
 
-// loseOwner lets the owner stop without notice at this time. Relays then ask the deputy.
+// loseOwner makes the owner fail at this time. Relays then ask the deputy.
 func (o *overload) loseOwner(at time.Duration) {
 	o.after(at, func() { o.owner.lost = true })
 }
--- a/internal/slotqueue/property_test.go
+++ b/internal/slotqueue/property_test.go
@@ -77,7 +77,7 @@
 	require.Equal(t, q.QueuedCount(), queued)
 	require.Equal(t, q.waiting.flows, flows)
 	require.LessOrEqual(t, flows, q.QueuedCount()+q.HeldCount())
-	require.Equal(t, len(q.memory.byID), q.memory.byDropAt.Len())
+	require.Equal(t, len(q.finalDecisions.byID), q.finalDecisions.byDropAt.Len())
 	for id := range q.waiting.entries {
 		require.NotContains(t, q.grants.byID, id, "a queued request holds a slot")
 	}
@@ -92,7 +92,7 @@
 		Level:      rapid.IntRange(-1, 3).Draw(t, "level"),
 		Tenant:     rapid.Uint64Range(0, 3).Draw(t, "tenant"),
 		TargetAt:   m.now + target,
-		DeadlineAt: m.now + target + time.Duration(rapid.IntRange(0, 400).Draw(t, "patience"))*time.Millisecond,
+		DeadlineAt: m.now + target + time.Duration(rapid.IntRange(0, 400).Draw(t, "slack"))*time.Millisecond,
 		Signature:  rapid.Uint64Range(0, 3).Draw(t, "signature"),
 		Excluded:   rapid.SliceOfN(rapid.Uint64Range(1, 3), 0, 2).Draw(t, "excluded"),
 		MayHaveRun: rapid.IntRange(0, 3).Draw(t, "ran") == 0,
@@ -104,7 +104,7 @@
 func (m *model) repeat(t *rapid.T) {
 	id := m.anyID(t)
 	request, exists := m.submitted[id]
-	if exists && m.now < request.DeadlineAt+memoryAfterDeadline {
+	if exists && m.now < request.DeadlineAt+decisionRetention {
 		m.submitAndRecord(t, request)
 	}
 }
@@ -284,7 +284,7 @@
 // A flood of requests, reports of unknown relays and decisions must not make any table grow beyond its bound.
 func TestTablesAreBounded(t *testing.T) {
 	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 1})
-	for number := uint64(1); number <= 2*maximumRemembered; number++ {
+	for number := uint64(1); number <= 2*maximumDecisions; number++ {
 		request := with(newTestRequest(number), func(r *Request) {
 			r.ID.Relay, r.Tenant, r.DeadlineAt = number, number, settled+10*time.Minute
 		})
@@ -292,7 +292,7 @@
 		queue.ApplyReport(settled, Report{Relay: number << 32, Sequence: 1, AnsweredUpTo: 1, Held: []Held{{2, 1}}})
 	}
 	require.Equal(t, maximumQueued, queue.QueuedCount())
-	require.Len(t, queue.memory.byID, maximumRemembered)
+	require.Len(t, queue.finalDecisions.byID, maximumDecisions)
 	require.LessOrEqual(t, queue.waiting.flows, maximumFlows)
 	require.LessOrEqual(t, len(queue.relays.relays), maximumRelays+queue.QueuedCount()+queue.HeldCount())
 	report := Report{Relay: 3, Sequence: 1}
@@ -305,6 +305,6 @@
 	queue.Advance(settled + 11*time.Minute)
 	queue.Advance(settled + 12*time.Minute)
 	require.Zero(t, queue.QueuedCount()+queue.HeldCount()+queue.waiting.flows+len(queue.grants.byBackEnd))
-	require.Empty(t, queue.memory.byID)
+	require.Empty(t, queue.finalDecisions.byID)
 	require.Empty(t, queue.relays.relays)
 }
--- a/internal/slotqueue/queue.go
+++ b/internal/slotqueue/queue.go
@@ -2,26 +2,26 @@
 
 import "time"
 
-// learningTime is how long a new owner grants only half of the slots. Relays report the slots that they hold every
-// 250 ms.
-const learningTime = 300 * time.Millisecond
+// takeoverPeriod is how long a new owner grants only half of the slots. It exceeds the 250 ms interval at which relays
+// report the slots that they hold.
+const takeoverPeriod = 300 * time.Millisecond
 
 // Queue grants the slots of one service. The package comment describes its concurrency contract.
 type Queue struct {
-	config   Config
-	backEnds backEndTable
-	waiting  *waiting
-	grants   *grantTable
-	relays   *relayTable
-	memory   *memory
+	config         Config
+	backEnds       backEndTable
+	waiting        *requestQueue
+	grants         *grantTable
+	relays         *relayTable
+	finalDecisions *decisionTable
 	// serviceTime is how long back ends work on a request; heldTime is how long a request holds its slot, which includes
-	// the way to the relay and back.
+	// the messages to and from the relay.
 	serviceTime, heldTime runningMean
 	lastResultAt          time.Duration
 
 	// now is the latest time that a call has given; advancedAt is that of the last Advance.
 	now, advancedAt time.Duration
-	// reviewedAt is when refuseDelayed searched the queue last.
+	// reviewedAt is when refuseDelayed last searched the queue.
 	reviewedAt time.Duration
 	// beganAt is when the Queue's relay became the owner of the slots.
 	beganAt  time.Duration
@@ -30,8 +30,8 @@
 	decided []Decision
 	// mayGrant is true if a queued request may get a slot since the last Advance.
 	mayGrant bool
-	// holdsBack is true if newcomers wait although slots are free, because these are kept for returns.
-	holdsBack     bool
+	// newcomersWait is true if newcomers wait although slots are free, because these are reserved for returns.
+	newcomersWait bool
 	expiredLeases uint64
 }
 
@@ -39,13 +39,13 @@
 func New(config Config) *Queue {
 	config.setDefaults()
 	return &Queue{
-		config:      config,
-		waiting:     newWaiting(),
-		grants:      newGrantTable(),
-		relays:      newRelayTable(),
-		memory:      newMemory(),
-		serviceTime: newRunningMean(),
-		heldTime:    newRunningMean(),
+		config:         config,
+		waiting:        newRequestQueue(),
+		grants:         newGrantTable(),
+		relays:         newRelayTable(),
+		finalDecisions: newDecisionTable(),
+		serviceTime:    newRunningMean(),
+		heldTime:       newRunningMean(),
 	}
 }
 
@@ -59,7 +59,7 @@
 
 // SetBackEnds replaces the back ends of the service. Grants of back ends that are not listed stay valid.
 func (q *Queue) SetBackEnds(now time.Duration, backEnds []BackEnd) {
-	q.moveTo(now)
+	q.setNow(now)
 	q.backEnds.set(backEnds)
 	q.mayGrant = true
 }
@@ -67,7 +67,7 @@
 // Submit decides on a request. A repetition of the same ID gets the same final decision, or Queued while it waits. A
 // request with MayHaveRun whose deadline has passed is Queued and forgotten.
 func (q *Queue) Submit(now time.Duration, request Request) Decision {
-	q.moveTo(now)
+	q.setNow(now)
 	request.Level = min(max(request.Level, 0), LevelCount-1)
 	if decision, isKnown := q.knownDecision(request.ID); isKnown {
 		return decision
@@ -75,7 +75,7 @@
 	if q.backEnds.areAllExcluded(request.Excluded) {
 		return q.leaveToRelay(request)
 	}
-	if request.MayHaveRun && !q.hasRoomForMayHaveRun(request) {
+	if request.MayHaveRun && !q.canQueueMayHaveRun(request) {
 		return Decision{ID: request.ID, Outcome: Queued, QueueLength: q.waiting.count()}
 	}
 	if !request.MayHaveRun && q.now+q.expectedServiceTime() > request.DeadlineAt {
@@ -87,20 +87,20 @@
 // Cancel withdraws a request whose client has disconnected or whose relay no longer waits for it. A slot that was
 // granted to it is released.
 func (q *Queue) Cancel(now time.Duration, id RequestID) {
-	q.moveTo(now)
+	q.setNow(now)
 	if held, isHeld := q.grants.byID[id]; isHeld {
 		q.endGrant(held)
 	}
 	if queued, isQueued := q.waiting.entries[id]; isQueued {
 		q.dequeue(queued)
 	}
-	// A request that arrives after its cancellation must not be queued, nor told of a slot that it had before.
-	q.memory.replace(Decision{ID: id, Outcome: Refused, Reason: ReasonNotAwaited}, q.now)
+	// A request that arrives after its cancellation must not be queued or get an earlier grant again.
+	q.finalDecisions.replace(Decision{ID: id, Outcome: Refused, Reason: ReasonNotAwaited}, q.now)
 }
 
 // Release ends a grant. Unknown grants are ignored.
 func (q *Queue) Release(now time.Duration, id RequestID, result Result) {
-	q.moveTo(now)
+	q.setNow(now)
 	held, isHeld := q.grants.byID[id]
 	if !isHeld {
 		return
@@ -119,9 +119,9 @@
 // Advance expires leases, grants free slots and refuses requests that can no longer be completed. It returns the
 // decisions on queued requests since its last call.
 func (q *Queue) Advance(now time.Duration) []Decision {
-	q.moveTo(now)
+	q.setNow(now)
 	q.expireLeases()
-	q.memory.expire(q.now)
+	q.finalDecisions.expire(q.now)
 	q.relays.sweep(q.now)
 	if q.config.Returns != nil {
 		q.config.Returns.Expire(q.now)
@@ -138,7 +138,7 @@
 // NextAt returns when Advance must be called next if nothing else happens before; needed is false if it need not be.
 // A time that has passed means at once.
 func (q *Queue) NextAt() (at time.Duration, needed bool) {
-	var next earliest
+	var next earliestTime
 	if first, found := q.grants.byExpiry.Min(); found {
 		next.add(first.expiresAt())
 	}
@@ -160,12 +160,12 @@
 // ExpiredLeases returns the number of grants that have ended by the expiry of their lease.
 func (q *Queue) ExpiredLeases() uint64 { return q.expiredLeases }
 
-// moveTo sets the present time. Ownership begins with the first time that the Queue learns.
-func (q *Queue) moveTo(now time.Duration) {
+// setNow sets the present time, which never decreases. Ownership begins with the first call.
+func (q *Queue) setNow(now time.Duration) {
 	q.now = max(q.now, now)
 	if !q.hasBegun {
 		q.BeginOwnership(q.now)
 	}
 }
 
-func (q *Queue) isLearning() bool { return q.now-q.beganAt < learningTime }
+func (q *Queue) isTakingOver() bool { return q.now-q.beganAt < takeoverPeriod }
--- a/internal/slotqueue/queue_test.go
+++ b/internal/slotqueue/queue_test.go
@@ -352,7 +352,8 @@
 	require.Zero(t, queue.HeldCount())
 }
 
-// After a slow spell the service must be tried again; otherwise the results of the spell refuse all requests for good.
+// After a slow period the service must be tried again; otherwise its results make the Queue refuse all requests
+// forever.
 func TestServiceIsTriedAgainAfterASlowSpell(t *testing.T) {
 	queue := newTestQueue(nil, BackEnd{Hash: 1, Slots: 1})
 	queue.Submit(settled, newTestRequest(1))
@@ -433,7 +434,7 @@
 	require.Equal(t, []uint64{5, 3, 2, 4}, grantedInTurn(t, queue, settled+50*time.Millisecond, 1))
 }
 
-// A request that would miss its target is refused if its client can return soon; otherwise it must keep its place.
+// A request that would miss its target is refused if its client can return soon; otherwise it must stay queued.
 func TestRefusalForTheTargetNeedsAPromise(t *testing.T) {
 	for _, after := range []time.Duration{time.Second, 10 * time.Second} {
 		t.Run(fmt.Sprint(after), func(t *testing.T) {
@@ -477,7 +478,7 @@
 	require.Empty(t, queue.Advance(settled))
 	at, needed := queue.NextAt()
 	require.True(t, needed)
-	require.Equal(t, settled+heldBackRecheck, at)
+	require.Equal(t, settled+newcomerRecheckInterval, at)
 	require.Equal(t, Granted, queue.Submit(settled, with(newTestRequest(2), func(r *Request) { r.Signature = 9 })).Outcome)
 	returns.keep = 0
 	require.Len(t, queue.Advance(at), 1)
@@ -495,6 +496,6 @@
 		require.Equal(t, Granted, queue.Submit(settled, returning).Outcome)
 	}
 	returns.keep = 0
-	require.Empty(t, queue.Advance(settled+learningTime-1))
-	require.Len(t, queue.Advance(settled+learningTime), 1)
+	require.Empty(t, queue.Advance(settled+takeoverPeriod-1))
+	require.Len(t, queue.Advance(settled+takeoverPeriod), 1)
 }
--- a/internal/slotqueue/refuse_delayed.go
+++ b/internal/slotqueue/refuse_delayed.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// reviewInterval is how often the queue is searched for requests that the requests ahead delay past their deadline: the
-// span in which returns are planned.
+// reviewInterval is how often the queue is searched for requests that the requests ahead delay past their deadline. It
+// equals returnplan.DefaultSpan, since returns are planned by span.
 const reviewInterval = 50 * time.Millisecond
 
 // refuseDelayed refuses the queued requests that the requests ahead delay past their deadline while their clients still
@@ -14,14 +14,14 @@
 	}
 	q.reviewedAt = q.now
 	ahead, forecast := 0, q.newWaitForecast()
-	for _, e := range q.waiting.inExpectedOrder(q.now + q.safeTime()) {
+	for _, e := range q.waiting.inExpectedOrder(q.now + q.safeCompletionTime()) {
 		if q.backEnds.areAllExcluded(e.Excluded) { // the back ends have changed since it was queued
 			q.dequeue(e)
 			q.decided = append(q.decided, q.leaveToRelay(e.Request))
 			continue
 		}
 		wait := forecast.wait(ahead)
-		if e.MayHaveRun || q.now+wait+q.safeTime() <= e.DeadlineAt {
+		if e.MayHaveRun || q.now+wait+q.safeCompletionTime() <= e.DeadlineAt {
 			ahead++
 			continue
 		}
@@ -31,9 +31,9 @@
 
 // inExpectedOrder returns the queued requests in the order in which they are expected to get slots: within a level and
 // class, the first requests of all tenants, then their second ones.
-func (w *waiting) inExpectedOrder(completedAt time.Duration) []*entry {
-	ordered := make([]*entry, 0, w.count())
-	for _, l := range w.levels {
+func (r *requestQueue) inExpectedOrder(completedAt time.Duration) []*entry {
+	ordered := make([]*entry, 0, r.count())
+	for _, l := range r.levels {
 		for c := range classCount {
 			ordered = l.appendInTurn(ordered, c, completedAt)
 		}
--- a/internal/slotqueue/refusing.go
+++ b/internal/slotqueue/refusing.go
@@ -6,7 +6,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/returnplan"
 )
 
-// returnFraction is the part of its time left within which a client waits for a return.
+// returnFraction is the divisor of a request's time to its deadline that gives the latest promised return.
 const returnFraction = 3
 
 // refuseAtOnce refuses a new request that cannot be completed before its deadline. Its return is not promised: the
@@ -17,7 +17,7 @@
 		ID: request.ID, Outcome: Refused, Reason: ReasonDeadline, RetryAfter: q.unpromisedReturn(wait),
 		QueueLength: q.waiting.count(), ExpectedWait: wait,
 	}
-	q.memory.add(decision, request.DeadlineAt)
+	q.finalDecisions.add(decision, request.DeadlineAt)
 	return decision
 }
 
@@ -25,21 +25,21 @@
 // this refuses no client, not even one whose request may have run.
 func (q *Queue) leaveToRelay(request Request) Decision {
 	decision := Decision{ID: request.ID, Outcome: Refused, Reason: ReasonNotAwaited, QueueLength: q.waiting.count()}
-	q.memory.add(decision, request.DeadlineAt)
+	q.finalDecisions.add(decision, request.DeadlineAt)
 	return decision
 }
 
 // refuseForWait refuses a request that the requests ahead delay past its deadline, or past its target if a return can be
 // promised.
 func (q *Queue) refuseForWait(added *entry, wait time.Duration) (Decision, bool) {
-	alone := q.now + q.safeTime()
+	alone := q.now + q.safeCompletionTime()
 	switch {
 	case added.MayHaveRun:
 		return Decision{}, false
 	case alone+wait > added.DeadlineAt:
 		return q.refuse(added, ReasonWait, wait, q.promise(added, wait)), true
 	case added.class == returning || alone > added.TargetAt || alone+wait <= added.TargetAt:
-		// A client that has returned at its time is not sent away for its target a second time.
+		// A client that returned at its promised time is not refused for its target again.
 		return Decision{}, false
 	}
 	given := q.promise(added, wait)
@@ -55,23 +55,24 @@
 	isPromised bool
 }
 
-// promise asks the plan for a return within a third of the time left. Without a plan, the client is to return when there
-// is expected to be room.
+// promise asks the plan for a return within a third of the time left. Without a plan, the client is to return when a
+// slot is expected to be free.
 func (q *Queue) promise(e *entry, wait time.Duration) returnTime {
 	if q.config.Returns == nil {
 		return returnTime{after: q.unpromisedReturn(wait)}
 	}
 	caller := returnplan.Caller{Signature: e.Signature, Tenant: e.Tenant, Level: e.Level, FirstRefusedAt: q.now}
 	latest := q.now + (e.DeadlineAt-q.now)/returnFraction
-	at, isPromised := q.config.Returns.Promise(q.now, caller, q.roomForReturns(e.Level), latest, q.config.Draw())
+	at, isPromised := q.config.Returns.Promise(q.now, caller, q.capacityForReturns(e.Level), latest, q.config.Draw())
 	if !isPromised {
 		return returnTime{after: q.unpromisedReturn(at - q.now)}
 	}
 	return returnTime{after: at - q.now, isPromised: true}
 }
 
-// unpromisedReturn returns after how long a client is to return that is expected to find room after a wait. Clients that
-// were refused beside a free slot, or while no slot is open, would otherwise be told to return at once and all together.
+// unpromisedReturn returns after how long a client without a promise is to return if a slot is expected to be free
+// after wait. Without the minimum, clients refused while a slot is free or no back end is open would all be told to
+// return at once.
 func (q *Queue) unpromisedReturn(wait time.Duration) time.Duration {
 	if wait >= 2*returnplan.DefaultSpan {
 		return wait
@@ -87,7 +88,7 @@
 		Returned: e.class == returning, Waited: q.now - e.queuedAt, QueueLength: q.waiting.count(), ExpectedWait: wait,
 	}
 	q.dequeue(e)
-	q.memory.add(decision, e.DeadlineAt)
+	q.finalDecisions.add(decision, e.DeadlineAt)
 	return decision
 }
 
--- a/internal/slotqueue/relay_state.go
+++ b/internal/slotqueue/relay_state.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// maximumRelays is the number of relays whose reports a Queue applies: several times the largest fleet.
+// maximumRelays is the number of relays whose reports a Queue applies: several times the largest expected fleet.
 const maximumRelays = 4096
 
 // relayState is what a Queue knows of one incarnation of a relay.
@@ -36,8 +36,8 @@
 	return found
 }
 
-// dropIfUnknown drops the state of a relay that has not reported, holds no slot and has no queued request.
-func (t *relayTable) dropIfUnknown(relay uint64) {
+// dropIfUnused drops the state of a relay that has not reported, holds no slot and has no queued request.
+func (t *relayTable) dropIfUnused(relay uint64) {
 	state, exists := t.relays[relay]
 	if exists && !state.hasReported && state.isIdle() {
 		delete(t.relays, relay)
--- a/internal/slotqueue/report.go
+++ b/internal/slotqueue/report.go
@@ -15,7 +15,7 @@
 	// that hold a slot are in Held.
 	AnsweredUpTo uint64
 	Held         []Held
-	// IsCut is true if Held lists only the lowest numbers, so that the report says nothing of the slots of higher ones.
+	// IsCut is true if Held lists only the lowest numbers, so that the report does not cover the slots of higher ones.
 	IsCut bool
 	// Released are the slots that the relay no longer needs, by request number.
 	Released map[uint64]Result
--- a/internal/slotqueue/reporting.go
+++ b/internal/slotqueue/reporting.go
@@ -8,7 +8,7 @@
 
 // ApplyReport applies the report of one relay. A report that is older than one applied before is ignored.
 func (q *Queue) ApplyReport(now time.Duration, report Report) {
-	q.moveTo(now)
+	q.setNow(now)
 	if !q.relays.admits(q.now, report.Relay) {
 		return
 	}
@@ -58,7 +58,7 @@
 		return
 	}
 	q.dequeue(queued)
-	q.memory.add(Decision{ID: queued.ID, Outcome: Refused, Reason: ReasonNotAwaited}, queued.DeadlineAt)
+	q.finalDecisions.add(Decision{ID: queued.ID, Outcome: Refused, Reason: ReasonNotAwaited}, queued.DeadlineAt)
 }
 
 func (q *Queue) applyHeldSlot(relay *relayState, relayID uint64, held Held) {
--- a/internal/slotqueue/waiting.go
+++ b/internal/slotqueue/request_queue.go
@@ -13,8 +13,8 @@
 	maximumFlows = 4096
 )
 
-// waiting holds the queued requests of a service and the flows of their tenants.
-type waiting struct {
+// requestQueue holds the queued requests of a service and the flows of their tenants.
+type requestQueue struct {
 	entries  map[RequestID]*entry
 	levels   [LevelCount]*level
 	sequence uint64
@@ -25,8 +25,8 @@
 	refusable, mayHaveRun *btree.BTreeG[*entry]
 }
 
-func newWaiting() *waiting {
-	created := &waiting{
+func newRequestQueue() *requestQueue {
+	created := &requestQueue{
 		entries:    make(map[RequestID]*entry),
 		byUrgency:  btree.NewG(treeDegree, urgencyOrder),
 		refusable:  btree.NewG(treeDegree, deadlineOrder),
@@ -38,52 +38,52 @@
 	return created
 }
 
-func (w *waiting) count() int { return len(w.entries) }
+func (r *requestQueue) count() int { return len(r.entries) }
 
 // add queues a request.
-func (w *waiting) add(now time.Duration, request Request, c class, completedAt time.Duration) *entry {
-	w.sequence++
-	added := &entry{Request: request, sequence: w.sequence, queuedAt: now, class: c, isLate: request.TargetAt < completedAt}
-	added.flow = w.flowOf(request)
-	w.entries[request.ID] = added
-	w.levels[request.Level].add(added)
+func (r *requestQueue) add(now time.Duration, request Request, c class, completedAt time.Duration) *entry {
+	r.sequence++
+	added := &entry{Request: request, sequence: r.sequence, queuedAt: now, class: c, isLate: request.TargetAt < completedAt}
+	added.flow = r.flowOf(request)
+	r.entries[request.ID] = added
+	r.levels[request.Level].add(added)
 	if request.MayHaveRun {
-		w.mayHaveRun.ReplaceOrInsert(added)
+		r.mayHaveRun.ReplaceOrInsert(added)
 		return added
 	}
-	w.refusable.ReplaceOrInsert(added)
-	w.byUrgency.ReplaceOrInsert(added)
+	r.refusable.ReplaceOrInsert(added)
+	r.byUrgency.ReplaceOrInsert(added)
 	return added
 }
 
 // remove removes a queued request.
-func (w *waiting) remove(e *entry) {
-	delete(w.entries, e.ID)
-	w.levels[e.Level].remove(e)
-	w.refusable.Delete(e)
-	w.mayHaveRun.Delete(e)
-	w.byUrgency.Delete(e)
-	w.dropIdle(e.Level, e.flow)
+func (r *requestQueue) remove(e *entry) {
+	delete(r.entries, e.ID)
+	r.levels[e.Level].remove(e)
+	r.refusable.Delete(e)
+	r.mayHaveRun.Delete(e)
+	r.byUrgency.Delete(e)
+	r.dropIdle(e.Level, e.flow)
 }
 
 // start removes a request that gets a slot now and charges its tenant the expected slot time.
-func (w *waiting) start(e *entry, expected time.Duration) {
-	e.flow.held++ // keeps the flow while its last request is removed
-	w.remove(e)
+func (r *requestQueue) start(e *entry, expected time.Duration) {
+	e.flow.held++ // prevents dropIdle from deleting the flow
+	r.remove(e)
 	e.flow.held--
-	w.levels[e.Level].start(e.flow, expected.Seconds())
+	r.levels[e.Level].start(e.flow, expected.Seconds())
 }
 
 // finish corrects the charge of a request whose slot is free again.
-func (w *waiting) finish(atLevel int, f *flow, beyondExpected time.Duration) {
-	w.levels[atLevel].finish(f, beyondExpected.Seconds())
-	w.dropIdle(atLevel, f)
+func (r *requestQueue) finish(atLevel int, f *flow, beyondExpected time.Duration) {
+	r.levels[atLevel].finish(f, beyondExpected.Seconds())
+	r.dropIdle(atLevel, f)
 }
 
 // each visits the queued requests of the classes up to the last one in order until visit returns false. completedAt is
-// when a request that starts now is completed.
-func (w *waiting) each(last class, completedAt time.Duration, visit func(*entry) bool) {
-	for _, l := range w.levels {
+// when a request that gets its slot now is expected to be completed.
+func (r *requestQueue) each(last class, completedAt time.Duration, visit func(*entry) bool) {
+	for _, l := range r.levels {
 		for c := range last + 1 {
 			if !l.each(c, completedAt, visit) {
 				return
@@ -93,32 +93,32 @@
 }
 
 // countBefore returns how many queued requests are expected to get a slot before e.
-func (w *waiting) countBefore(e *entry) int {
-	return w.countAbove(e.Level) + w.levels[e.Level].countBefore(e)
+func (r *requestQueue) countBefore(e *entry) int {
+	return r.countAbove(e.Level) + r.levels[e.Level].countBefore(e)
 }
 
 // countAbove returns the number of queued requests that are more urgent than a level.
-func (w *waiting) countAbove(below int) int {
+func (r *requestQueue) countAbove(below int) int {
 	count := 0
-	for _, l := range w.levels[:below] {
+	for _, l := range r.levels[:below] {
 		count += l.count()
 	}
 	return count
 }
 
 // countAheadOfReturns returns the number of queued requests that get a slot before a client that returns at its time.
-func (w *waiting) countAheadOfReturns(ofLevel int) int {
-	return w.countAbove(ofLevel) + w.levels[ofLevel].counts[returning]
+func (r *requestQueue) countAheadOfReturns(ofLevel int) int {
+	return r.countAbove(ofLevel) + r.levels[ofLevel].counts[returning]
 }
 
 // flowOf returns the flow of a request, a new one if its tenant has none.
-func (w *waiting) flowOf(request Request) *flow {
-	flows := w.levels[request.Level].flows
+func (r *requestQueue) flowOf(request Request) *flow {
+	flows := r.levels[request.Level].flows
 	if found, exists := flows[request.Tenant]; exists {
 		return found
 	}
 	tenant := request.Tenant
-	if w.flows >= maximumFlows {
+	if r.flows >= maximumFlows {
 		tenant = 0
 		if shared, exists := flows[tenant]; exists {
 			return shared
@@ -126,16 +126,16 @@
 	}
 	created := newFlow(tenant)
 	flows[tenant] = created
-	w.flows++
+	r.flows++
 	return created
 }
 
 // dropIdle drops a flow without queued requests and without slots. This discards the slot time that it was charged in
 // advance, which is at most that of its last requests.
-func (w *waiting) dropIdle(atLevel int, f *flow) {
-	flows := w.levels[atLevel].flows
+func (r *requestQueue) dropIdle(atLevel int, f *flow) {
+	flows := r.levels[atLevel].flows
 	if f.isIdle() && flows[f.tenant] == f {
 		delete(flows, f.tenant)
-		w.flows--
+		r.flows--
 	}
 }
--- a/internal/slotqueue/running_mean.go
+++ b/internal/slotqueue/running_mean.go
@@ -5,7 +5,7 @@
 const (
 	// defaultServiceTime is the expected service time before the first result.
 	defaultServiceTime = 50 * time.Millisecond
-	// maximumSamples limits the samples in a running mean so that it follows changes of the service.
+	// maximumSamples limits the weight of earlier samples, so that a running mean follows changes of the service.
 	maximumSamples = 32
 )
 
--- a/internal/slotqueue/submit.go
+++ b/internal/slotqueue/submit.go
@@ -7,7 +7,7 @@
 	if queued, isQueued := q.waiting.entries[id]; isQueued {
 		return q.queuedDecision(queued, 0), true
 	}
-	if known, exists := q.memory.byID[id]; exists {
+	if known, exists := q.finalDecisions.byID[id]; exists {
 		return known.decision, true
 	}
 	if held, isHeld := q.grants.byID[id]; isHeld {
@@ -19,15 +19,15 @@
 	return Decision{}, false
 }
 
-// hasRoomForMayHaveRun reports whether a request that may have run can be queued: its deadline has not passed, and requests of
-// its kind, none of which can be refused in its place, do not fill the queue.
-func (q *Queue) hasRoomForMayHaveRun(request Request) bool {
+// canQueueMayHaveRun reports whether a request that may have run can be queued: its deadline has not passed, and the
+// queue is not full of such requests, none of which can be refused instead of it.
+func (q *Queue) canQueueMayHaveRun(request Request) bool {
 	return q.now < request.DeadlineAt && q.waiting.mayHaveRun.Len() < maximumQueued
 }
 
 // enqueue queues a request.
 func (q *Queue) enqueue(request Request) *entry {
-	added := q.waiting.add(q.now, request, q.classOf(request), q.now+q.safeTime())
+	added := q.waiting.add(q.now, request, q.classOf(request), q.now+q.safeCompletionTime())
 	q.relays.state(request.ID.Relay).queued[request.ID.Number] = added
 	return added
 }
@@ -49,14 +49,14 @@
 func (q *Queue) dequeue(e *entry) {
 	q.waiting.remove(e)
 	delete(q.relays.state(e.ID.Relay).queued, e.ID.Number)
-	q.relays.dropIfUnknown(e.ID.Relay)
+	q.relays.dropIfUnused(e.ID.Relay)
 }
 
 // decideNew decides on a request that was just queued.
 func (q *Queue) decideNew(added *entry) Decision {
-	first, on := q.firstGrantable()
+	first, backEnd := q.firstGrantable()
 	if first == added {
-		return q.grant(first, on)
+		return q.grant(first, backEnd)
 	}
 	q.mayGrant = q.mayGrant || first != nil
 	wait := q.expectedWait(q.waiting.countBefore(added))
--- a/internal/slotqueue/tenant_order.go
+++ b/internal/slotqueue/tenant_order.go
@@ -38,7 +38,7 @@
 }
 
 // moveLate moves the requests whose target is before completedAt to those that miss their target. completedAt is when a
-// request that starts now is completed.
+// request that gets its slot now is expected to be completed.
 func (o tenantOrder) moveLate(completedAt time.Duration) {
 	for {
 		first, found := o.inTime.Min()
