Say what remaining names in the slot queue stand for

Cause: countAbove(below), ends, goesOn, alone, given, sampling and servedThen have to be looked up to be understood; four comments only restated a name. Change: they are countMoreUrgent(thanLevel), showsReleased, continues, soonest, retry, samplingTolerance and servedOnReturn; the four comments are removed. The log lines of the overload tests say "served on return". Assertions and their messages are unchanged.

--- a/internal/slotqueue/granting.go
+++ b/internal/slotqueue/granting.go
@@ -132,8 +132,8 @@
 	}
 }
 
-// endGrant frees a slot. The tenant's charge stays as expected unless correctCharge was called before: the
-// tenant of a lost holder is not charged for the time until the lease expired.
+// endGrant frees a slot. The tenant's charge stays as expected unless correctCharge was called before: the tenant of
+// a lost holder is not charged for the time until the lease expired.
 func (q *Queue) endGrant(g *grant) {
 	if g.charge != nil {
 		q.waiting.finish(g.charge.level, g.charge.flow, 0)
--- a/internal/slotqueue/level.go
+++ b/internal/slotqueue/level.go
@@ -83,13 +83,13 @@
 // each visits the queued requests of a class in order until visit returns false. It reports whether all were visited.
 // completedAt is when a request that gets its slot now is expected to be completed.
 func (l *level) each(c class, completedAt time.Duration, visit func(*entry) bool) bool {
-	goesOn := true
+	continues := true
 	l.ranked[c].Ascend(func(f *flow) bool {
 		f.waiting[c].moveLate(completedAt)
-		goesOn = f.waiting[c].each(visit)
-		return goesOn
+		continues = f.waiting[c].each(visit)
+		return continues
 	})
-	return goesOn
+	return continues
 }
 
 // countBefore returns how many requests of the level are expected to get a slot before e. Each other tenant is
--- a/internal/slotqueue/overload_test.go
+++ b/internal/slotqueue/overload_test.go
@@ -40,10 +40,11 @@
 	clientTimeout = 5 * time.Second
 	// atOnceInterval is the retry interval of clients that ignore the time of the refusal.
 	atOnceInterval = 20 * time.Millisecond
-	// servedThen is how long after its return a client that returns at its promised time must have a slot.
-	servedThen = 250 * time.Millisecond
-	// sampling is by how much shares of about 2,000 clients differ by chance: two standard deviations of a difference.
-	sampling = 0.03
+	// servedOnReturn is how long a client that returns at its promised time may wait for a slot.
+	servedOnReturn = 250 * time.Millisecond
+	// samplingTolerance is by how much shares of about 2,000 clients differ by chance: two standard deviations of a
+	// difference.
+	samplingTolerance = 0.03
 )
 
 // targets are latency targets of requests: one that a backlog of a third of a second exceeds, and one of a third of the
@@ -159,7 +160,7 @@
 
 func isServedInTheEnd(o outcome) bool { return o.client.servedAt > 0 }
 
-func isServedThen(o outcome) bool { return o.granted && o.wait <= servedThen }
+func isServedOnReturn(o outcome) bool { return o.granted && o.wait <= servedOnReturn }
 
 func isPromised(o outcome) bool { return o.promised }
 
@@ -447,9 +448,9 @@
 
 func (y *tally) log(t *testing.T, name string) {
 	t.Helper()
-	promised, promisedShare := y.countOutcomes(isPromised, isServedThen)
-	unpromised, unpromisedShare := y.countOutcomes(isUnpromised, isServedThen)
-	t.Logf("%s: returns promised %d, served then %.3f, unpromised %d, served then %.3f; utilisation %.3f", name,
+	promised, promisedShare := y.countOutcomes(isPromised, isServedOnReturn)
+	unpromised, unpromisedShare := y.countOutcomes(isUnpromised, isServedOnReturn)
+	t.Logf("%s: returns promised %d, served on return %.3f, unpromised %d, served on return %.3f; utilisation %.3f", name,
 		promised, promisedShare, unpromised, unpromisedShare, y.utilisation())
 	for of, kindName := range []string{"as told", "at once", "never"} {
 		t.Logf("%s: clients that retry %s: served %.3f in %v", name, kindName, y.share(kind(of)), y.meanWait(kind(of)))
@@ -474,17 +475,17 @@
 			planned.log(t, "planned")
 			unplanned.log(t, "not planned")
 
-			count, share := planned.countOutcomes(isPromised, isServedThen)
+			count, share := planned.countOutcomes(isPromised, isServedOnReturn)
 			// A third of the slots' work in the ten seconds is that of clients that return as told.
 			assert.Greater(t, count, len(seeds)*300, "promises are made")
 			assert.GreaterOrEqual(t, share, 0.9, "of the clients that return at their promised time, nine in ten are served then")
-			assert.LessOrEqual(t, planned.share(retriesAtOnce), planned.share(retriesAsTold)+sampling, "retrying at once gains nothing")
+			assert.LessOrEqual(t, planned.share(retriesAtOnce), planned.share(retriesAsTold)+samplingTolerance, "retrying at once gains nothing")
 			assert.LessOrEqual(t, planned.meanWait(retriesAsTold), planned.meanWait(retriesAtOnce), "nor is it faster")
 			assert.GreaterOrEqual(t, planned.utilisation(), 0.95*unplanned.utilisation(), "few slots are kept in vain")
 			assert.GreaterOrEqual(t, unplanned.utilisation(), 0.95)
 
-			assert.Greater(t, unplanned.share(retriesAtOnce), unplanned.share(retriesAsTold)+sampling, "without a plan, retrying at once gains")
-			assert.Greater(t, planned.share(retriesAsTold), unplanned.share(retriesAsTold)+sampling, "a plan serves those that retry as told")
+			assert.Greater(t, unplanned.share(retriesAtOnce), unplanned.share(retriesAsTold)+samplingTolerance, "without a plan, retrying at once gains")
+			assert.Greater(t, planned.share(retriesAsTold), unplanned.share(retriesAsTold)+samplingTolerance, "a plan serves those that retry as told")
 		})
 	}
 }
@@ -513,15 +514,15 @@
 			replicated.log(t, "promises replicated")
 			lost.log(t, "promises lost")
 
-			count, share := fromLostOwner.countOutcomes(isPromised, isServedThen)
-			t.Logf("promised by the lost owner, replicated: %d, served then %.3f", count, share)
+			count, share := fromLostOwner.countOutcomes(isPromised, isServedOnReturn)
+			t.Logf("promised by the lost owner, replicated: %d, served on return %.3f", count, share)
 			assert.Greater(t, count, 40)
 			assert.GreaterOrEqual(t, share, 0.9)
 
-			count, lostShare := fromLostOwnerUnknown.countOutcomes(isPromised, isServedThen)
+			count, lostShare := fromLostOwnerUnknown.countOutcomes(isPromised, isServedOnReturn)
 			_, servedInTheEnd := fromLostOwnerUnknown.countOutcomes(isPromised, isServedInTheEnd)
 			others, servedOthers := fromLostOwnerUnknown.countOutcomes(isUnpromised, isServedInTheEnd)
-			t.Logf("promised by the lost owner, lost: %d, served then %.3f, served in the end %.3f; not promised: %d, %.3f",
+			t.Logf("promised by the lost owner, lost: %d, served on return %.3f, served in the end %.3f; not promised: %d, %.3f",
 				count, lostShare, servedInTheEnd, others, servedOthers)
 			assert.Greater(t, count, 40)
 			assert.Less(t, lostShare, share, "without replication the clients are newcomers")
--- a/internal/slotqueue/refusing.go
+++ b/internal/slotqueue/refusing.go
@@ -12,7 +12,7 @@
 // refuseAtOnce refuses a new request that cannot be completed before its deadline. Its return is not promised: the
 // client would come back with still less time.
 func (q *Queue) refuseAtOnce(request Request) Decision {
-	wait := q.expectedWait(q.waiting.countAbove(request.Level + 1))
+	wait := q.expectedWait(q.waiting.countMoreUrgent(request.Level + 1))
 	decision := Decision{
 		ID: request.ID, Outcome: Refused, Reason: ReasonDeadline, RetryAfter: q.unpromisedReturn(wait),
 		QueueLength: q.waiting.count(), ExpectedWait: wait,
@@ -32,21 +32,21 @@
 // refuseForWait refuses a request that the requests ahead delay past its deadline, or past its target if a return can be
 // promised.
 func (q *Queue) refuseForWait(added *entry, wait time.Duration) (Decision, bool) {
-	alone := q.now + q.safeCompletionTime()
+	soonest := q.now + q.safeCompletionTime()
 	switch {
 	case added.MayHaveRun:
 		return Decision{}, false
-	case alone+wait > added.DeadlineAt:
+	case soonest+wait > added.DeadlineAt:
 		return q.refuse(added, ReasonWait, wait, q.promise(added, wait)), true
-	case added.class == returning || alone > added.TargetAt || alone+wait <= added.TargetAt:
+	case added.class == returning || soonest > added.TargetAt || soonest+wait <= added.TargetAt:
 		// A client that returned at its promised time is not refused for its target again.
 		return Decision{}, false
 	}
-	given := q.promise(added, wait)
-	if !given.isPromised {
+	retry := q.promise(added, wait)
+	if !retry.isPromised {
 		return Decision{}, false
 	}
-	return q.refuse(added, ReasonTarget, wait, given), true
+	return q.refuse(added, ReasonTarget, wait, retry), true
 }
 
 // returnTime is when a refused client is to return.
@@ -82,9 +82,9 @@
 }
 
 // refuse refuses a queued request.
-func (q *Queue) refuse(e *entry, reason Reason, wait time.Duration, given returnTime) Decision {
+func (q *Queue) refuse(e *entry, reason Reason, wait time.Duration, retry returnTime) Decision {
 	decision := Decision{
-		ID: e.ID, Outcome: Refused, Reason: reason, RetryAfter: given.after, Promised: given.isPromised,
+		ID: e.ID, Outcome: Refused, Reason: reason, RetryAfter: retry.after, Promised: retry.isPromised,
 		Returned: e.class == returning, Waited: q.now - e.queuedAt, QueueLength: q.waiting.count(), ExpectedWait: wait,
 	}
 	q.dequeue(e)
@@ -115,7 +115,7 @@
 		if !found || !q.isOverdue(first) {
 			break
 		}
-		wait := q.expectedWait(q.waiting.countAbove(first.Level + 1))
+		wait := q.expectedWait(q.waiting.countMoreUrgent(first.Level + 1))
 		q.decided = append(q.decided, q.refuse(first, ReasonDeadline, wait, returnTime{after: q.unpromisedReturn(wait)}))
 	}
 	for {
--- a/internal/slotqueue/reporting.go
+++ b/internal/slotqueue/reporting.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// applyHeld records the slots that a report lists as held, and returns their numbers. A request that waits here has its
-// slot from another owner.
+// applyHeld records the slots that a report lists as held, and returns their numbers. A request that is still queued
+// here got its slot from another owner.
 func (q *Queue) applyHeld(relay *relayState, report Report) map[uint64]bool {
 	listed := make(map[uint64]bool, len(report.Held))
 	for _, held := range report.Held {
@@ -79,9 +79,9 @@
 	}
 }
 
-// ends reports whether a report that does not list a grant shows that its slot is free. A slot that was listed before is,
-// also while an older request of the relay holds AnsweredUpTo down.
-func (r *Report) ends(unlisted *grant) bool {
+// showsReleased reports whether a report that does not list a grant shows that its slot is free. A slot that was listed
+// before is, also while an older request of the relay holds AnsweredUpTo down.
+func (r *Report) showsReleased(unlisted *grant) bool {
 	number := unlisted.id.Number
 	isCovered := !r.IsCut || len(r.Held) > 0 && number < r.Held[len(r.Held)-1].Number
 	return number <= r.AnsweredUpTo || unlisted.isReported && isCovered
@@ -91,7 +91,7 @@
 // final answer elsewhere, and confirms its other grants.
 func (q *Queue) endUnlisted(relay *relayState, report Report, listed map[uint64]bool) {
 	for _, number := range slices.Sorted(maps.Keys(relay.held)) {
-		if listed[number] || !report.ends(relay.held[number]) {
+		if listed[number] || !report.showsReleased(relay.held[number]) {
 			q.grants.confirm(q.now, relay.held[number], listed[number])
 			continue
 		}
--- a/internal/slotqueue/request_queue.go
+++ b/internal/slotqueue/request_queue.go
@@ -40,7 +40,6 @@
 
 func (r *requestQueue) count() int { return len(r.entries) }
 
-// add queues a request.
 func (r *requestQueue) add(now time.Duration, request Request, c class, completedAt time.Duration) *entry {
 	r.sequence++
 	added := &entry{Request: request, sequence: r.sequence, queuedAt: now, class: c, isLate: request.TargetAt < completedAt}
@@ -56,7 +55,6 @@
 	return added
 }
 
-// remove removes a queued request.
 func (r *requestQueue) remove(e *entry) {
 	delete(r.entries, e.ID)
 	r.levels[e.Level].remove(e)
@@ -94,13 +92,13 @@
 
 // countBefore returns how many queued requests are expected to get a slot before e.
 func (r *requestQueue) countBefore(e *entry) int {
-	return r.countAbove(e.Level) + r.levels[e.Level].countBefore(e)
+	return r.countMoreUrgent(e.Level) + r.levels[e.Level].countBefore(e)
 }
 
-// countAbove returns the number of queued requests that are more urgent than a level.
-func (r *requestQueue) countAbove(below int) int {
+// countMoreUrgent returns the number of queued requests that are more urgent than thanLevel.
+func (r *requestQueue) countMoreUrgent(thanLevel int) int {
 	count := 0
-	for _, l := range r.levels[:below] {
+	for _, l := range r.levels[:thanLevel] {
 		count += l.count()
 	}
 	return count
@@ -108,7 +106,7 @@
 
 // countAheadOfReturns returns the number of queued requests that get a slot before a client that returns at its time.
 func (r *requestQueue) countAheadOfReturns(ofLevel int) int {
-	return r.countAbove(ofLevel) + r.levels[ofLevel].counts[returning]
+	return r.countMoreUrgent(ofLevel) + r.levels[ofLevel].counts[returning]
 }
 
 // flowOf returns the flow of a request, a new one if its tenant has none.
--- a/internal/slotqueue/submit.go
+++ b/internal/slotqueue/submit.go
@@ -25,7 +25,6 @@
 	return q.now < request.DeadlineAt && q.waiting.mayHaveRun.Len() < maximumQueued
 }
 
-// enqueue queues a request.
 func (q *Queue) enqueue(request Request) *entry {
 	added := q.waiting.add(q.now, request, q.classOf(request), q.now+q.safeCompletionTime())
 	q.relays.state(request.ID.Relay).queued[request.ID.Number] = added
@@ -45,7 +44,6 @@
 	return newcomer
 }
 
-// dequeue removes a queued request.
 func (q *Queue) dequeue(e *entry) {
 	q.waiting.remove(e)
 	delete(q.relays.state(e.ID.Relay).queued, e.ID.Number)
--- a/internal/slotqueue/tenant_order.go
+++ b/internal/slotqueue/tenant_order.go
@@ -53,16 +53,16 @@
 
 // each visits the requests in order until visit returns false. It reports whether all were visited.
 func (o tenantOrder) each(visit func(*entry) bool) bool {
-	goesOn := true
+	continues := true
 	visitNext := func(e *entry) bool {
-		goesOn = visit(e)
-		return goesOn
+		continues = visit(e)
+		return continues
 	}
 	o.inTime.Ascend(visitNext)
-	if goesOn {
+	if continues {
 		o.late.Ascend(visitNext)
 	}
-	return goesOn
+	return continues
 }
 
 // countBefore returns the number of requests before e, which is in the order.
