Explain the class of newcomers in the slot queue

Cause: class.go explained one of its two classes, and a comment in queue_test.go spoke of a share that is lent. Change: one comment each. Command: go test ./internal/slotqueue ./internal/returnplan ./internal/relay/slots; go test -count=1 -v ./internal/slotqueue ./internal/returnplan

--- a/internal/slotqueue/class.go
+++ b/internal/slotqueue/class.go
@@ -6,6 +6,7 @@
 const (
 	// returning requests came back at their promised time.
 	returning class = iota
+	// newcomer requests are all others: they redeem no promise.
 	newcomer
 	classCount
 )
--- a/internal/slotqueue/queue_test.go
+++ b/internal/slotqueue/queue_test.go
@@ -91,7 +91,7 @@
 		queue.Submit(settled, newTestRequest(number))
 	}
 	now, held := settled, uint64(1)
-	for range 10 { // lent to tenant 1
+	for range 10 { // tenant 1 uses the share of the idle tenant
 		now += 50 * time.Millisecond
 		queue.Release(now, RequestID{Relay: relay, Number: held}, Result{ServiceTime: 50 * time.Millisecond})
 		held = queue.Advance(now)[0].ID.Number
