--- a/internal/returnplan/plan_test.go
+++ b/internal/returnplan/plan_test.go
@@ -36,7 +36,7 @@
 				sum += counts[start]
 			}
 			require.InDelta(t, 2*test.perSecond, sum, 1, "a slot may come free at the border of two spans")
-			require.Equal(t, test.first, owner.plan.book.byTime[0].DueAt.Truncate(span))
+			require.Equal(t, test.first, owner.plan.promises.byTime[0].DueAt.Truncate(span))
 		})
 	}
 }
@@ -46,7 +46,7 @@
 	plan := New(span)
 	room := Room{PerSecond: 80}
 	for i, draw := range []float64{0, 0.25, 0.5, 0.9999999999999999} {
-		at, promised := plan.Promise(0, Caller{Signature: uint64(1 + i)}, room, patience, draw)
+		at, promised := plan.Promise(0, Caller{Signature: uint64(1 + i)}, room, clientTimeout, draw)
 		require.True(t, promised)
 		require.Equal(t, span, at.Truncate(span))
 		require.InDelta(t, draw*float64(span), float64(at-span), 1)
@@ -66,7 +66,7 @@
 	require.Equal(t, 1, plan.DueUntil(20*time.Millisecond, time.Second), "no slot is kept for an unpromised time")
 }
 
-// TestUnpromisedTimesAreTrue guards against clients that are told to come while the slots are taken.
+// TestUnpromisedTimesAreTrue guards against return times at which the slots are still taken.
 func TestUnpromisedTimesAreTrue(t *testing.T) {
 	cases := []struct {
 		name     string
@@ -104,7 +104,7 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			plan := New(span)
-			at, _ := plan.Promise(0, Caller{Signature: 1}, Room{PerSecond: 180}, patience, 0.5)
+			at, _ := plan.Promise(0, Caller{Signature: 1}, Room{PerSecond: 180}, clientTimeout, 0.5)
 			_, due := plan.Redeem(at+test.after, 1)
 			require.Equal(t, test.due, due)
 		})
@@ -115,29 +115,29 @@
 func TestUnredeemedPromiseLapses(t *testing.T) {
 	plan := New(span)
 	room := Room{PerSecond: 20} // one slot in each span
-	at, _ := plan.Promise(0, Caller{Signature: 1}, room, patience, 0.5)
+	at, _ := plan.Promise(0, Caller{Signature: 1}, room, clientTimeout, 0.5)
 	require.Zero(t, plan.DueUntil(0, at-1))
 	require.Equal(t, 1, plan.DueUntil(0, at))
 	require.Equal(t, 1, plan.DueUntil(at+lateTolerance, at+lateTolerance))
 	after := at + lateTolerance + 1
-	require.Zero(t, plan.DueUntil(after, patience))
+	require.Zero(t, plan.DueUntil(after, clientTimeout))
 	promise, due := plan.Redeem(after, 1)
 	require.False(t, due)
 	require.Zero(t, promise)
-	again, promised := plan.Promise(after, Caller{Signature: 1}, room, patience, 0)
+	again, promised := plan.Promise(after, Caller{Signature: 1}, room, clientTimeout, 0)
 	require.True(t, promised)
 	require.LessOrEqual(t, again-after, span, "a lapsed promise does not delay the next one")
 }
 
-// TestRedeemedPlaceIsFree guards against a place that stays taken once its client has returned early.
+// TestRedeemedPlaceIsFree guards against a slot that stays reserved once its client has returned early.
 func TestRedeemedPlaceIsFree(t *testing.T) {
 	plan := New(span)
 	room := Room{PerSecond: 20}
-	at, _ := plan.Promise(0, Caller{Signature: 1}, room, patience, 0)
+	at, _ := plan.Promise(0, Caller{Signature: 1}, room, clientTimeout, 0)
 	require.Equal(t, span, at)
 	_, due := plan.Redeem(at-earlyTolerance, 1)
 	require.True(t, due)
-	next, promised := plan.Promise(at-earlyTolerance, Caller{Signature: 2}, room, patience, 0)
+	next, promised := plan.Promise(at-earlyTolerance, Caller{Signature: 2}, room, clientTimeout, 0)
 	require.True(t, promised)
 	require.Equal(t, at, next)
 }
--- a/internal/returnplan/repetition_test.go
+++ b/internal/returnplan/repetition_test.go
@@ -13,7 +13,7 @@
 	room := Room{PerSecond: 180}
 	const impatient, patient = 1_000_001, 1_000_002
 	ask := func(now time.Duration, signature uint64) time.Duration {
-		at, promised := owner.plan.Promise(now, Caller{Signature: signature, FirstRefusedAt: 0}, room, now+patience, 0.5)
+		at, promised := owner.plan.Promise(now, Caller{Signature: signature, FirstRefusedAt: 0}, room, now+clientTimeout, 0.5)
 		require.True(t, promised)
 		return at
 	}
@@ -38,17 +38,18 @@
 	require.False(t, due, "one promise lets one request in")
 }
 
-// TestRepetitionWaitsForOthers guards against a client that overtakes others by asking again when there is more room.
+// TestRepetitionWaitsForOthers guards against a client that overtakes others by repeating its request when there is
+// more capacity.
 func TestRepetitionWaitsForOthers(t *testing.T) {
 	owner := newTestOwner()
 	caller := Caller{Signature: 1 << 32}
-	_, promised := owner.plan.Promise(0, caller, Room{PerSecond: 180}, patience, 0)
+	_, promised := owner.plan.Promise(0, caller, Room{PerSecond: 180}, clientTimeout, 0)
 	require.True(t, promised)
 	for range 100 {
 		owner.refuse(0, Room{PerSecond: 180}, 0, 0)
 	}
-	lastOfOthers := owner.plan.book.byTime[100].DueAt
-	again, promised := owner.plan.Promise(0, caller, Room{PerSecond: 500}, patience, 0)
+	lastOfOthers := owner.plan.promises.byTime[100].DueAt
+	again, promised := owner.plan.Promise(0, caller, Room{PerSecond: 500}, clientTimeout, 0)
 	require.True(t, promised)
 	require.Greater(t, again, lastOfOthers)
 }
@@ -60,22 +61,22 @@
 	for range 100 {
 		owner.refuse(0, room, 0, 1)
 	}
-	lastOfOthers := owner.plan.book.byTime[99].DueAt
+	lastOfOthers := owner.plan.promises.byTime[99].DueAt
 	room.PerSecond = 500
-	first, _ := owner.plan.Promise(0, Caller{Signature: 1 << 32}, room, patience, 0)
-	second, promised := owner.plan.Promise(0, Caller{Signature: 1 << 32}, room, patience, 0)
+	first, _ := owner.plan.Promise(0, Caller{Signature: 1 << 32}, room, clientTimeout, 0)
+	second, promised := owner.plan.Promise(0, Caller{Signature: 1 << 32}, room, clientTimeout, 0)
 	require.True(t, promised)
 	require.Equal(t, first+span, second)
 	require.Less(t, second, lastOfOthers)
 }
 
-// TestRepetitionDoesNotRaiseDemand guards against a client that keeps places free for itself by asking often.
+// TestRepetitionDoesNotRaiseDemand guards against a client that has slots reserved for itself by repeating its request.
 func TestRepetitionDoesNotRaiseDemand(t *testing.T) {
-	demandAfter := func(questions int) float64 {
+	demandAfter := func(requests int) float64 {
 		plan := New(span)
-		for i := range questions {
+		for i := range requests {
 			now := time.Duration(i) * time.Millisecond
-			plan.Promise(now, Caller{Signature: 1, FirstRefusedAt: now}, Room{PerSecond: 180}, patience, 0.5)
+			plan.Promise(now, Caller{Signature: 1, FirstRefusedAt: now}, Room{PerSecond: 180}, clientTimeout, 0.5)
 		}
 		return plan.demand.before(time.Second, firstRank(maximumLevel+1))
 	}
@@ -83,8 +84,8 @@
 	require.Equal(t, demandAfter(1), demandAfter(100))
 }
 
-// TestEarlyRepetitionWithoutPromiseGainsNothing guards against a client that gets an earlier place than it was told by
-// asking until one is free.
+// TestEarlyRepetitionWithoutPromiseGainsNothing guards against a client that gets a slot before the time that it was
+// given by repeating its request until one is free.
 func TestEarlyRepetitionWithoutPromiseGainsNothing(t *testing.T) {
 	plan := New(span)
 	caller := Caller{Signature: 1}
@@ -94,7 +95,7 @@
 	free := Room{PerSecond: 180}
 	_, promised = plan.Promise(200*time.Millisecond, caller, free, 300*time.Millisecond, 0.5)
 	require.False(t, promised, "too early")
-	at, promised := plan.Promise(200*time.Millisecond, caller, free, patience, 0.5)
+	at, promised := plan.Promise(200*time.Millisecond, caller, free, clientTimeout, 0.5)
 	require.True(t, promised)
 	require.GreaterOrEqual(t, at, told)
 	other, promised := plan.Promise(200*time.Millisecond, Caller{Signature: 2}, free, 300*time.Millisecond, 0.5)
@@ -102,7 +103,8 @@
 	require.Less(t, other, told)
 }
 
-// TestPlanKnowsFirstRefusal guards against clients that return as told, without a promise, and are ranked as newcomers.
+// TestPlanKnowsFirstRefusal guards against clients that return at the given time, without a promise, and are ranked as
+// newcomers.
 func TestPlanKnowsFirstRefusal(t *testing.T) {
 	cases := []struct {
 		name      string
@@ -120,8 +122,8 @@
 			plan := New(span)
 			told, _ := plan.Promise(0, Caller{Signature: 1}, Room{PerSecond: 180, Backlog: 180}, 0, 0.5)
 			now := test.returnsAt(told)
-			question := plan.newQuestion(now, Caller{Signature: 1, FirstRefusedAt: now})
-			require.Equal(t, test.waited, question.rank < rankOf(0, 0))
+			request := plan.newPromiseRequest(now, Caller{Signature: 1, FirstRefusedAt: now})
+			require.Equal(t, test.waited, request.rank < rankOf(0, 0))
 		})
 	}
 }
@@ -130,7 +132,7 @@
 func TestUnknownSignatureGetsNoPromise(t *testing.T) {
 	plan := New(span)
 	for range 3 {
-		at, promised := plan.Promise(0, Caller{}, Room{PerSecond: 180}, patience, 0.5)
+		at, promised := plan.Promise(0, Caller{}, Room{PerSecond: 180}, clientTimeout, 0.5)
 		require.False(t, promised)
 		require.Equal(t, 75*time.Millisecond, at, "when there is room")
 	}
@@ -145,7 +147,7 @@
 	const clients = 5
 	var times []time.Duration
 	for range clients {
-		at, promised := plan.Promise(0, Caller{Signature: 1}, Room{PerSecond: 180}, patience, 0.5)
+		at, promised := plan.Promise(0, Caller{Signature: 1}, Room{PerSecond: 180}, clientTimeout, 0.5)
 		require.True(t, promised)
 		times = append(times, at)
 	}
@@ -154,7 +156,7 @@
 		promise, due := plan.Redeem(at, 1)
 		require.True(t, due)
 		require.Equal(t, at, promise.DueAt, "the earliest first")
-		require.Equal(t, clients-1-i, plan.DueUntil(at, patience))
+		require.Equal(t, clients-1-i, plan.DueUntil(at, clientTimeout))
 	}
 }
 
--- a/internal/slotqueue/refusing.go
+++ b/internal/slotqueue/refusing.go
@@ -6,18 +6,18 @@
 	"github.com/hazelpitch/hazelpitch/internal/returnplan"
 )
 
-// returnFraction is the part of its time left within which a client waits for a return.
+// returnFraction is the divisor of a request's time to its deadline that gives the latest promised return.
 const returnFraction = 3
 
 // refuseAtOnce refuses a new request that cannot be completed before its deadline. Its return is not promised: the
 // client would come back with still less time.
 func (q *Queue) refuseAtOnce(request Request) Decision {
-	wait := q.expectedWait(q.waiting.countAbove(request.Level + 1))
+	wait := q.expectedWait(q.waiting.countMoreUrgent(request.Level + 1))
 	decision := Decision{
 		ID: request.ID, Outcome: Refused, Reason: ReasonDeadline, RetryAfter: q.unpromisedReturn(wait),
 		QueueLength: q.waiting.count(), ExpectedWait: wait,
 	}
-	q.memory.add(decision, request.DeadlineAt)
+	q.finalDecisions.add(decision, request.DeadlineAt)
 	return decision
 }
 
@@ -25,28 +25,28 @@
 // this refuses no client, not even one whose request may have run.
 func (q *Queue) leaveToRelay(request Request) Decision {
 	decision := Decision{ID: request.ID, Outcome: Refused, Reason: ReasonNotAwaited, QueueLength: q.waiting.count()}
-	q.memory.add(decision, request.DeadlineAt)
+	q.finalDecisions.add(decision, request.DeadlineAt)
 	return decision
 }
 
 // refuseForWait refuses a request that the requests ahead delay past its deadline, or past its target if a return can be
 // promised.
 func (q *Queue) refuseForWait(added *entry, wait time.Duration) (Decision, bool) {
-	alone := q.now + q.safeTime()
+	soonest := q.now + q.safeCompletionTime()
 	switch {
 	case added.MayHaveRun:
 		return Decision{}, false
-	case alone+wait > added.DeadlineAt:
+	case soonest+wait > added.DeadlineAt:
 		return q.refuse(added, ReasonWait, wait, q.promise(added, wait)), true
-	case added.class == returning || alone > added.TargetAt || alone+wait <= added.TargetAt:
-		// A client that has returned at its time is not sent away for its target a second time.
+	case added.class == returning || soonest > added.TargetAt || soonest+wait <= added.TargetAt:
+		// A client that returned at its promised time is not refused for its target again.
 		return Decision{}, false
 	}
-	given := q.promise(added, wait)
-	if !given.isPromised {
+	retry := q.promise(added, wait)
+	if !retry.isPromised {
 		return Decision{}, false
 	}
-	return q.refuse(added, ReasonTarget, wait, given), true
+	return q.refuse(added, ReasonTarget, wait, retry), true
 }
 
 // returnTime is when a refused client is to return.
@@ -55,23 +55,24 @@
 	isPromised bool
 }
 
-// promise asks the plan for a return within a third of the time left. Without a plan, the client is to return when there
-// is expected to be room.
+// promise asks the plan for a return within a third of the time left. Without a plan, the client is to return when a
+// slot is expected to be free.
 func (q *Queue) promise(e *entry, wait time.Duration) returnTime {
 	if q.config.Returns == nil {
 		return returnTime{after: q.unpromisedReturn(wait)}
 	}
 	caller := returnplan.Caller{Signature: e.Signature, Tenant: e.Tenant, Level: e.Level, FirstRefusedAt: q.now}
 	latest := q.now + (e.DeadlineAt-q.now)/returnFraction
-	at, isPromised := q.config.Returns.Promise(q.now, caller, q.roomForReturns(e.Level), latest, q.config.Draw())
+	at, isPromised := q.config.Returns.Promise(q.now, caller, q.capacityForReturns(e.Level), latest, q.config.Draw())
 	if !isPromised {
 		return returnTime{after: q.unpromisedReturn(at - q.now)}
 	}
 	return returnTime{after: at - q.now, isPromised: true}
 }
 
-// unpromisedReturn returns after how long a client is to return that is expected to find room after a wait. Clients that
-// were refused beside a free slot, or while no slot is open, would otherwise be told to return at once and all together.
+// unpromisedReturn returns after how long a client without a promise is to return if a slot is expected to be free
+// after wait. Without the minimum, clients refused while a slot is free or no back end is open would all be told to
+// return at once.
 func (q *Queue) unpromisedReturn(wait time.Duration) time.Duration {
 	if wait >= 2*returnplan.DefaultSpan {
 		return wait
@@ -81,13 +82,13 @@
 }
 
 // refuse refuses a queued request.
-func (q *Queue) refuse(e *entry, reason Reason, wait time.Duration, given returnTime) Decision {
+func (q *Queue) refuse(e *entry, reason Reason, wait time.Duration, retry returnTime) Decision {
 	decision := Decision{
-		ID: e.ID, Outcome: Refused, Reason: reason, RetryAfter: given.after, Promised: given.isPromised,
+		ID: e.ID, Outcome: Refused, Reason: reason, RetryAfter: retry.after, Promised: retry.isPromised,
 		Returned: e.class == returning, Waited: q.now - e.queuedAt, QueueLength: q.waiting.count(), ExpectedWait: wait,
 	}
 	q.dequeue(e)
-	q.memory.add(decision, e.DeadlineAt)
+	q.finalDecisions.add(decision, e.DeadlineAt)
 	return decision
 }
 
@@ -114,7 +115,7 @@
 		if !found || !q.isOverdue(first) {
 			break
 		}
-		wait := q.expectedWait(q.waiting.countAbove(first.Level + 1))
+		wait := q.expectedWait(q.waiting.countMoreUrgent(first.Level + 1))
 		q.decided = append(q.decided, q.refuse(first, ReasonDeadline, wait, returnTime{after: q.unpromisedReturn(wait)}))
 	}
 	for {
--- a/internal/slotqueue/tenant_order.go
+++ b/internal/slotqueue/tenant_order.go
@@ -38,7 +38,7 @@
 }
 
 // moveLate moves the requests whose target is before completedAt to those that miss their target. completedAt is when a
-// request that starts now is completed.
+// request that gets its slot now is expected to be completed.
 func (o tenantOrder) moveLate(completedAt time.Duration) {
 	for {
 		first, found := o.inTime.Min()
@@ -53,16 +53,16 @@
 
 // each visits the requests in order until visit returns false. It reports whether all were visited.
 func (o tenantOrder) each(visit func(*entry) bool) bool {
-	goesOn := true
+	continues := true
 	visitNext := func(e *entry) bool {
-		goesOn = visit(e)
-		return goesOn
+		continues = visit(e)
+		return continues
 	}
 	o.inTime.Ascend(visitNext)
-	if goesOn {
+	if continues {
 		o.late.Ascend(visitNext)
 	}
-	return goesOn
+	return continues
 }
 
 // countBefore returns the number of requests before e, which is in the order.
