--- a/internal/control/engine_speeds.go
+++ b/internal/control/engine_speeds.go
@@ -10,10 +10,11 @@
 // engineSpeedTTL is how long a report of an engine's speed is valid. It spans a change of the relay that reports it.
 const engineSpeedTTL = 10 * time.Second
 
-// engineSpeed is what relays have reported last of an engine. Both fields are false if its speed is unknown.
+// engineSpeed is the last report on the speed of an engine.
 type engineSpeed struct {
 	receivedAt time.Duration
-	// missesGap and keepsGap tell whether the engine would break the gap targets as a decode engine.
+	// missesGap and keepsGap tell whether the engine would break or keep the gap targets as a decode engine. Both are false
+	// if its speed is unknown.
 	missesGap, keepsGap bool
 	// stepTime is the usual time of a decode step; 0 if unknown.
 	stepTime time.Duration
--- a/internal/enginespeed/estimate.go
+++ b/internal/enginespeed/estimate.go
@@ -15,10 +15,10 @@
 
 // estimate is what is known about one engine from its reports; all figures are 0 before the first one.
 type estimate struct {
-	// usual is the engine's usual relative time, and now the last reported one, at reportedAt.
-	usual, now float64
-	reportedAt time.Duration
-	// peak is the highest slowdown of the last peakRetention, at peakAt.
+	// usual is the engine's usual relative time, and last the last reported one, at reportedAt.
+	usual, last float64
+	reportedAt  time.Duration
+	// peak is the highest slowdown since the former peak expired, which was reported at peakAt.
 	peak   float64
 	peakAt time.Duration
 }
@@ -32,16 +32,16 @@
 		weight := min(float64(at-e.reportedAt)/float64(riseTime), 1)
 		e.usual += weight * (relativeTime - e.usual)
 	}
-	e.now, e.reportedAt = relativeTime, at
-	if slowdown := e.now / e.usual; slowdown >= e.peak || at-e.peakAt > peakRetention {
+	e.last, e.reportedAt = relativeTime, at
+	if slowdown := e.last / e.usual; slowdown >= e.peak || at-e.peakAt > peakRetention {
 		e.peak, e.peakAt = slowdown, at
 	}
 }
 
 // slowdown returns how much longer work takes now than usually at the engine; 1 without a recent report.
 func (e *estimate) slowdown(at time.Duration) float64 {
-	if e.now == 0 || at-e.reportedAt > reportLifetime {
+	if e.last == 0 || at-e.reportedAt > reportLifetime {
 		return 1
 	}
-	return max(e.now/e.usual, 1)
+	return max(e.last/e.usual, 1)
 }
--- a/internal/enginespeed/table.go
+++ b/internal/enginespeed/table.go
@@ -33,19 +33,19 @@
 	if !(relativeTime > 0) {
 		return
 	}
-	known := t.engines[engine]
-	if known == nil {
-		known = &estimate{}
-		t.engines[engine] = known
+	entry := t.engines[engine]
+	if entry == nil {
+		entry = &estimate{}
+		t.engines[engine] = entry
 	}
-	known.observe(now, min(relativeTime, maxRelativeTime))
+	entry.observe(now, min(relativeTime, maxRelativeTime))
 }
 
 // ObserveStep records the time of one decode step at an engine with a number of running streams, derived from the gaps
 // between the events of a stream. Steps of an engine that has reported nothing, or is slowed down, are ignored.
 func (t *Table) ObserveStep(now time.Duration, engine uint64, step time.Duration, streams int) {
-	if known := t.engines[engine]; known != nil && step > 0 && !t.IsSlowedDown(now, engine) {
-		t.step.observe(float64(step)/known.usual, streams)
+	if entry := t.engines[engine]; entry != nil && step > 0 && !t.IsSlowedDown(now, engine) {
+		t.step.observe(float64(step)/entry.usual, streams)
 	}
 }
 
@@ -54,16 +54,16 @@
 
 // ReportedAt returns when an engine reported last; false if it never did.
 func (t *Table) ReportedAt(engine uint64) (at time.Duration, reported bool) {
-	if known := t.engines[engine]; known != nil {
-		return known.reportedAt, true
+	if entry := t.engines[engine]; entry != nil {
+		return entry.reportedAt, true
 	}
 	return 0, false
 }
 
 // Slowdown returns how much longer work takes now than usually at the engine; 1 if no recent report is known.
 func (t *Table) Slowdown(now time.Duration, engine uint64) float64 {
-	if known := t.engines[engine]; known != nil {
-		return known.slowdown(now)
+	if entry := t.engines[engine]; entry != nil {
+		return entry.slowdown(now)
 	}
 	return 1
 }
@@ -76,8 +76,8 @@
 
 // UsualTime returns the usual relative time of an engine, and false if it has reported nothing.
 func (t *Table) UsualTime(engine uint64) (relativeTime float64, known bool) {
-	if known := t.engines[engine]; known != nil {
-		return known.usual, true
+	if entry := t.engines[engine]; entry != nil {
+		return entry.usual, true
 	}
 	return 1, false
 }
@@ -88,8 +88,8 @@
 		return 1
 	}
 	sum := 0.0
-	for _, known := range t.engines {
-		sum += known.usual
+	for _, entry := range t.engines {
+		sum += entry.usual
 	}
 	return sum / float64(len(t.engines))
 }
@@ -112,9 +112,9 @@
 // computePeak computes the peak slowdown.
 func (t *Table) computePeak(now time.Duration) float64 {
 	var peaks []float64
-	for _, known := range t.engines {
-		if now-known.peakAt <= peakRetention {
-			peaks = append(peaks, known.peak)
+	for _, entry := range t.engines {
+		if now-entry.peakAt <= peakRetention {
+			peaks = append(peaks, entry.peak)
 		}
 	}
 	if len(peaks) == 0 {
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -23,8 +23,8 @@
 // setPrefillCost sets the cost of a prefill engine: the time until it has prefilled the part of the prompt that
 // it neither has cached nor can fetch from another engine's cache. The prefill itself counts twice, since it keeps
 // the engine from other requests; the second time at the fleet's average speed if that is given, so that a fast engine is
-// not cheaper for a prompt that a slow engine prefills in time. Time beyond the prefill's share of the target weighs more than either. Each prompt
-// has a home engine, the same at every relay, which is preferred by up to HomePreference.
+// not cheaper for a prompt that a slow engine prefills in time. Time beyond the prefill's share of the target weighs more
+// than either. Each prompt has a home engine, the same at every relay, which is preferred by up to HomePreference.
 func (p Parameters) setPrefillCost(request Request, candidate *Candidate, engine Engine, source kvSource) {
 	transfer := p.planPrefill(request, candidate, engine, source)
 	prefill := PrefillTime(engine.tokenTime(), candidate.EffectiveTokens)
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -62,10 +62,10 @@
 	peerFailures int
 	// lastReceivedAt is when the last bytes arrived from the back end.
 	lastReceivedAt time.Duration
-	// step is the shortest decode step, and timePercent the last relative time that the back end reported, since the last
+	// step is the shortest decode step, and relativeTimePercent the last relative time that the back end reported, since the last
 	// notice; 0 for none.
-	step        time.Duration
-	timePercent int
+	step                time.Duration
+	relativeTimePercent int
 }
 
 // Backoff after failed exchanges, and lifetime of reported loads.
@@ -180,7 +180,7 @@
 func (b *backEnd) recordRelativeTime(percent int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.load.timePercent = percent
+	b.load.relativeTimePercent = percent
 }
 
 // recordStep records an observed decode step for the next notice.
@@ -193,12 +193,12 @@
 }
 
 // takeSpeeds returns and clears the observations for the next notice.
-func (b *backEnd) takeSpeeds() (step time.Duration, timePercent int) {
+func (b *backEnd) takeSpeeds() (step time.Duration, relativeTimePercent int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	step, timePercent = b.load.step, b.load.timePercent
-	b.load.step, b.load.timePercent = 0, 0
-	return step, timePercent
+	step, relativeTimePercent = b.load.step, b.load.relativeTimePercent
+	b.load.step, b.load.relativeTimePercent = 0, 0
+	return step, relativeTimePercent
 }
 
 // currentLoad returns the load, without the back end's report if that has expired.
--- a/internal/relay/exchange_records.go
+++ b/internal/relay/exchange_records.go
@@ -104,12 +104,12 @@
 	}
 	backEnd, now := answer.message.backEnd, e.clock.now()
 	backEnd.recordReportedLoad(now, reported.running, reported.waiting)
-	answer.message.slowdownPercent = reported.slowdownPercent
-	if reported.slowdownPercent > 0 && backEnd.isEngine() {
-		e.speeds.ObserveReport(now, backEnd.Service, backEnd.hash, relativeTime(reported.slowdownPercent))
-		backEnd.recordRelativeTime(reported.slowdownPercent)
+	answer.message.relativeTimePercent = reported.relativeTimePercent
+	if reported.relativeTimePercent > 0 && backEnd.isEngine() {
+		e.speeds.ObserveReport(now, backEnd.Service, backEnd.hash, relativeTime(reported.relativeTimePercent))
+		backEnd.recordRelativeTime(reported.relativeTimePercent)
 	}
 }
 
-// relativeTime converts the percentage by which a back end reports its speed: 1 means that work takes as long as usual.
+// relativeTime converts a reported relative time in percent into a multiple of the usual time; 0 means that none was reported.
 func relativeTime(percent int) float64 { return float64(percent) / 100 }
--- a/internal/relay/load_header.go
+++ b/internal/relay/load_header.go
@@ -8,12 +8,12 @@
 // reportedLoad is the load that a back end reports in the load header of a response.
 type reportedLoad struct {
 	running, waiting, slots int
-	// slowdownPercent is how long work takes at this moment, in percent of the usual time; 0 if the header has no such
+	// relativeTimePercent is how long work takes at this moment, in percent of the usual time; 0 if the header has no such
 	// figure.
-	slowdownPercent int
+	relativeTimePercent int
 }
 
-// parseLoadHeader parses a load header: the comma-separated figures running, waiting, slots and slowdown. It returns false
+// parseLoadHeader parses a load header: the comma-separated figures running, waiting, slots and relative time. It returns false
 // when running or waiting is absent or no number. The others are 0 where they are absent or no positive number, since
 // not every back end sends them.
 func parseLoadHeader(value string) (reportedLoad, bool) {
@@ -26,7 +26,7 @@
 	if runningErr != nil || waitingErr != nil {
 		return reportedLoad{}, false
 	}
-	return reportedLoad{running: running, waiting: waiting, slots: optionalFigure(fields, 2), slowdownPercent: optionalFigure(fields, 3)}, true
+	return reportedLoad{running: running, waiting: waiting, slots: optionalFigure(fields, 2), relativeTimePercent: optionalFigure(fields, 3)}, true
 }
 
 // optionalFigure returns the figure at an index of a load header; 0 when it is absent or no positive number.
--- a/internal/relay/load_header_test.go
+++ b/internal/relay/load_header_test.go
@@ -12,10 +12,10 @@
 	for value, want := range map[string]reportedLoad{
 		"3,4":                  {running: 3, waiting: 4},
 		" 3 , 4 , 6 ":          {running: 3, waiting: 4, slots: 6},
-		"3,4,6,250":            {running: 3, waiting: 4, slots: 6, slowdownPercent: 250},
+		"3,4,6,250":            {running: 3, waiting: 4, slots: 6, relativeTimePercent: 250},
 		"3,4,six,usual":        {running: 3, waiting: 4},
 		"3,4,-6,-1":            {running: 3, waiting: 4},
-		"3,4,6,100,of a later": {running: 3, waiting: 4, slots: 6, slowdownPercent: 100},
+		"3,4,6,100,of a later": {running: 3, waiting: 4, slots: 6, relativeTimePercent: 100},
 	} {
 		load, isReadable := parseLoadHeader(value)
 		require.True(t, isReadable, value)
--- a/internal/relay/load_probe.go
+++ b/internal/relay/load_probe.go
@@ -14,7 +14,7 @@
 // loadProbeTimeout limits the duration of a health check, which engines answer at once.
 const loadProbeTimeout = 200 * time.Millisecond
 
-// LoadProbe is an engine's answer to a health check.
+// LoadProbe is what a relay uses of an engine's answer to a health check.
 type LoadProbe struct {
 	// Load is the value of the load header; empty if there is none.
 	Load string
@@ -32,7 +32,7 @@
 		answer, err := options.ProbeLoad(ctx, client, engine.BackEnd, path)
 		r.applySignals(engine, answer.Signals, internalCallSentAt)
 		reported, _ := parseLoadHeader(answer.Load)
-		return relativeTime(reported.slowdownPercent), err
+		return relativeTime(reported.relativeTimePercent), err
 	}
 	prober := &speeds.Prober{Speeds: r.speeds, Now: r.clock.now, Targets: func() []speeds.Target { return r.probeTargets(probe) }}
 	go prober.Run(ctx)
@@ -66,7 +66,8 @@
 		if _, known := r.speeds.ReportAge(now, engine.Service, engine.hash); !known {
 			continue
 		}
-		estimate := r.speeds.EstimateOf(now, engine.Service, engine.hash, engine.Slots/2)
+		streams := engine.Slots / 2 // step times are reported for engines that use half of their slots
+		estimate := r.speeds.EstimateOf(now, engine.Service, engine.hash, streams)
 		reported = append(reported, &v1.EngineSpeed{
 			Engine: engine.hash, StepNs: uint32(estimate.Step), TokenNs: uint32(r.prefillSpeed.timePerToken(engine.hash)),
 			MissesGap: missesGap(view, engine.Service, time.Duration(estimate.Peak*float64(estimate.Step))),
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -28,9 +28,9 @@
 	prefixBlocks, newBlocks []placement.PrefixBlock
 	// sentAt is when the message was sent.
 	sentAt time.Duration
-	// slowdownPercent is the back end's slowdown as it reported it with its answer, in percent of the usual time; 0 if it
-	// reported none.
-	slowdownPercent int
+	// relativeTimePercent is the relative time that the back end reported with its answer, in percent of the usual time;
+	// 0 if it reported none.
+	relativeTimePercent int
 }
 
 // usePermit consumes the permit that was acquired when the back end was selected. It returns false when there is none or
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -154,8 +154,8 @@
 		Engine: engine.hash, Prompts: uint32(max(ownWork.Prefills, 0)), PromptTokens: tokensToWire(ownWork), Streams: uint32(max(ownWork.Streams, 0)),
 		TokenNs: uint32(min(queued.timePerToken, math.MaxUint32)), Failed: queued.failed, Assigned: queued.queryNumbers,
 	}
-	step, timePercent := engine.takeSpeeds()
-	result.StepNs, result.TimePercent = uint32(min(step, math.MaxUint32)), uint32(timePercent)
+	step, relativeTimePercent := engine.takeSpeeds()
+	result.StepNs, result.TimePercent = uint32(min(step, math.MaxUint32)), uint32(relativeTimePercent)
 	result.Parts, result.PartTokens = blocksToWire(queued.started)
 	result.KeptParts, result.KeptTokens = blocksToWire(queued.cached)
 	for _, hash := range queued.abandoned {
--- a/internal/relay/plain_slot.go
+++ b/internal/relay/plain_slot.go
@@ -21,13 +21,10 @@
 	}
 }
 
-// fullSpeedPercent is the slowdown of a back end at its usual speed, as the load header has it.
-const fullSpeedPercent = 100
-
 // slotResult returns how a back end has served a message, for the queue of the slots. isComplete is true if the answer was
 // read and forwarded completely; otherwise the time that it took says nothing about the back end.
 func slotResult(sent *message, fault *failure, isComplete bool, now time.Duration) slotqueue.Result {
-	result := slotqueue.Result{Slowdown: float64(sent.slowdownPercent) / fullSpeedPercent, TurnedAway: turnedAway(fault)}
+	result := slotqueue.Result{Slowdown: relativeTime(sent.relativeTimePercent), TurnedAway: turnedAway(fault)}
 	if fault == nil && isComplete {
 		result.ServiceTime = now - sent.sentAt
 	}
--- a/internal/relay/slot_hooks.go
+++ b/internal/relay/slot_hooks.go
@@ -54,7 +54,7 @@
 	return backEnds
 }
 
-// setSlotRelays passes those of the listed relays on that can own slots. highestFormats are the relays' highest formats, in
+// setSlotRelays sets the relays that can own slots: those of the listed relays whose format has slot queues. highestFormats are the relays' highest formats, in
 // the order of the addresses; a leader of an earlier build sends none, and then no relay owns slots.
 func (r *Relay) setSlotRelays(addresses []string, highestFormats []uint32) {
 	if !r.sharesSlots {
--- a/internal/relay/slots/datagram_fuzz_test.go
+++ b/internal/relay/slots/datagram_fuzz_test.go
@@ -57,7 +57,7 @@
 		request := requestFromWire(received.GetSlotRequest(), now)
 		require.GreaterOrEqual(t, request.TargetAt, now)
 		require.GreaterOrEqual(t, request.DeadlineAt, now)
-		require.LessOrEqual(t, request.DeadlineAt, now+maxLength)
+		require.LessOrEqual(t, request.DeadlineAt, now+maxDuration)
 		require.Less(t, request.Level, slotqueue.LevelCount)
 		require.GreaterOrEqual(t, retryAfterFromWire(received.GetSlotAnswer()), time.Duration(0))
 	})
--- a/internal/relay/slots/granter.go
+++ b/internal/relay/slots/granter.go
@@ -46,18 +46,18 @@
 		}
 	}
 	for name, rank := range ranks {
-		owned := g.adopt(now, name, rank > 0)
+		owned := g.ensureOwned(now, name, rank > 0)
 		owned.queue.SetBackEnds(now, g.config.BackEnds(name))
 		decided = append(decided, g.advance(now, owned)...)
-		g.settle(owned)
+		g.recordExpiriesAndPromises(owned)
 	}
 	g.reschedule()
 	g.mutex.Unlock()
 	g.sendAll(decided)
 }
 
-// adopt returns the queue of a service whose slots this relay grants, and creates it if needed. The mutex is held.
-func (g *granter) adopt(now time.Duration, name string, isDeputy bool) *ownedService {
+// ensureOwned returns the queue of a service whose slots this relay grants, and creates it if needed. The mutex is held.
+func (g *granter) ensureOwned(now time.Duration, name string, isDeputy bool) *ownedService {
 	owned, isKnown := g.services[name]
 	if isKnown && owned.isDeputy == isDeputy {
 		return owned
@@ -129,7 +129,7 @@
 	if change(now, owned) {
 		decided = g.advance(now, owned)
 	}
-	g.settle(owned)
+	g.recordExpiriesAndPromises(owned)
 	g.reschedule()
 	g.mutex.Unlock()
 	g.sendAll(decided)
@@ -145,7 +145,7 @@
 	for _, owned := range g.services {
 		if owned.needsAdvance(now) {
 			decided = append(decided, g.advance(now, owned)...)
-			g.settle(owned)
+			g.recordExpiriesAndPromises(owned)
 		}
 	}
 	g.scheduledAt, g.isScheduled = g.nextAt()
@@ -168,8 +168,9 @@
 	return decided
 }
 
-// settle records what a change of a queue has brought about beside decisions. The mutex is held.
-func (g *granter) settle(owned *ownedService) {
+// recordExpiriesAndPromises counts the leases that have expired, and signals changes of the promises. It must be called
+// after each change of a queue. The mutex is held.
+func (g *granter) recordExpiriesAndPromises(owned *ownedService) {
 	g.config.Metrics.expiredLeases.Add(float64(owned.newlyExpired()))
 	if owned.collectChanges() {
 		signal(g.promisesChanged)
--- a/internal/relay/slots/slots.go
+++ b/internal/relay/slots/slots.go
@@ -32,7 +32,7 @@
 	return result
 }
 
-// SetRelays sets the addresses of the relays among which the slots are distributed: those that know slot queues.
+// SetRelays sets the addresses of the relays among which the owners of slots are chosen: those whose format has slot queues.
 func (s *Slots) SetRelays(addresses []string) {
 	if !s.owners.setRelays(addresses) {
 		return
--- a/internal/relay/slots/wire.go
+++ b/internal/relay/slots/wire.go
@@ -9,14 +9,14 @@
 )
 
 const (
-	// maxRetryAfter bounds the time for which another process can send a client away with its answer.
+	// maxRetryAfter bounds the time after which the answer of another relay can tell a client to return.
 	maxRetryAfter = 10 * time.Second
-	// maxLength bounds the times of requests, reports and promises, so that sums with the clock cannot overflow.
-	maxLength = time.Hour
+	// maxDuration bounds the durations in requests, reports and promises, so that sums with the clock cannot overflow.
+	maxDuration = time.Hour
 	// maxExcluded is how many excluded back ends a request lists; more would not fit into a datagram with the rest.
 	maxExcluded = 64
-	// wholePercent is the slowdown of a back end at its usual speed, in percent.
-	wholePercent = 100
+	// usualPercent is the slowdown of a back end at its usual speed, in percent.
+	usualPercent = 100
 )
 
 // requestToWire encodes a request for a slot at the time now.
@@ -82,7 +82,7 @@
 func releasedToWire(number uint64, result slotqueue.Result) *v1.ReleasedSlot {
 	return &v1.ReleasedSlot{
 		Number: number, ServiceUs: toMicroseconds(result.ServiceTime),
-		SlowdownPercent: uint32(max(result.Slowdown, 0)*wholePercent + 0.5), TurnedAway: result.TurnedAway,
+		SlowdownPercent: uint32(max(result.Slowdown, 0)*usualPercent + 0.5), TurnedAway: result.TurnedAway,
 	}
 }
 
@@ -100,7 +100,7 @@
 	for _, released := range report.GetReleased() {
 		decoded.Released[released.GetNumber()] = slotqueue.Result{
 			ServiceTime: fromMicroseconds(released.GetServiceUs()),
-			Slowdown:    float64(released.GetSlowdownPercent()) / wholePercent, TurnedAway: released.GetTurnedAway(),
+			Slowdown:    float64(released.GetSlowdownPercent()) / usualPercent, TurnedAway: released.GetTurnedAway(),
 		}
 	}
 	return decoded
@@ -125,10 +125,10 @@
 	}
 }
 
-// toMicroseconds encodes a length of time; a negative one is encoded as 0.
-func toMicroseconds(length time.Duration) uint64 { return uint64(max(length.Microseconds(), 0)) }
+// toMicroseconds encodes a duration; a negative one is encoded as 0.
+func toMicroseconds(duration time.Duration) uint64 { return uint64(max(duration.Microseconds(), 0)) }
 
-// fromMicroseconds decodes a length of time.
+// fromMicroseconds decodes a duration.
 func fromMicroseconds(count uint64) time.Duration {
-	return time.Duration(min(count, uint64(maxLength.Microseconds()))) * time.Microsecond
+	return time.Duration(min(count, uint64(maxDuration.Microseconds()))) * time.Microsecond
 }
--- a/internal/relay/slots/wire_test.go
+++ b/internal/relay/slots/wire_test.go
@@ -60,11 +60,11 @@
 	}
 	promises := &v1.SlotPromises{Service: name}
 	for range promisesPerDatagram {
-		change := returnplan.Change{Promise: returnplan.Promise{Signature: 1, Tenant: 1, Level: 15, DueAt: maxLength}, Redeemed: true}
+		change := returnplan.Change{Promise: returnplan.Promise{Signature: 1, Tenant: 1, Level: 15, DueAt: maxDuration}, Redeemed: true}
 		promises.Promises = append(promises.Promises, promiseToWire(change, 0))
 	}
 	require.LessOrEqual(t, proto.Size(&v1.RelayDatagram{Format: datagram.Format, Content: &v1.RelayDatagram_SlotPromises{SlotPromises: promises}}), datagram.MaxSize)
-	request := Request{Service: name, Excluded: make([]uint64, 500), TargetAt: maxLength, DeadlineAt: maxLength, Level: 15}
+	request := Request{Service: name, Excluded: make([]uint64, 500), TargetAt: maxDuration, DeadlineAt: maxDuration, Level: 15}
 	message := requestToWire(&request, slotqueue.RequestID{Relay: 1, Number: largeNumber}, 0)
 	require.LessOrEqual(t, proto.Size(&v1.RelayDatagram{Format: datagram.Format, Content: &v1.RelayDatagram_SlotRequest{SlotRequest: message}}), datagram.MaxSize)
 }
