--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -11,40 +11,41 @@
 )
 
 const (
-	// callerPatience is how long a caller stays, over all its attempts.
-	callerPatience = 2 * time.Second
+	// callerTimeout is how long a caller tries, over all its attempts.
+	callerTimeout = 2 * time.Second
 	// waitShare is the share of the time left that a caller waits at most for its next attempt.
 	waitShare = 1.0 / 3
-	// maxImpatientAttempts bounds the attempts of a caller that retries at once, longestImpatientPause the pause between
+	// maxImmediateAttempts bounds the attempts of a caller that retries at once, longestImmediatePause the pause between
 	// two of them.
-	maxImpatientAttempts  = 10
-	longestImpatientPause = 20 * time.Millisecond
+	maxImmediateAttempts  = 10
+	longestImmediatePause = 20 * time.Millisecond
 )
 
-// habit is how a client reacts to a refusal.
-type habit int
+// retryBehaviour is how a client reacts to a refusal.
+type retryBehaviour int
 
-// Habits of clients.
+// Reactions of clients to refusals.
 const (
 	// returnsAsTold waits as long as the refusal says, retriesAtOnce retries often and does not wait, leaves never retries.
-	returnsAsTold habit = iota
+	returnsAsTold retryBehaviour = iota
 	retriesAtOnce
 	leaves
 )
 
-// drawHabit draws a habit: three of five clients return as told, one retries at once and one leaves.
-func drawHabit(random *rand.Rand) habit {
-	return []habit{returnsAsTold, returnsAsTold, returnsAsTold, retriesAtOnce, leaves}[random.IntN(5)]
+// drawRetryBehaviour draws how a client reacts to refusals: three of five clients return as told, one retries at once and
+// one leaves.
+func drawRetryBehaviour(random *rand.Rand) retryBehaviour {
+	return []retryBehaviour{returnsAsTold, returnsAsTold, returnsAsTold, retriesAtOnce, leaves}[random.IntN(5)]
 }
 
 // caller is a client of the service with few slots with one request, which it sends again when it is refused.
 type caller struct {
-	traffic *traffic
-	client  *standin.Client
-	attempt standin.Attempt
-	habit   habit
-	random  *rand.Rand
-	started time.Time
+	traffic   *traffic
+	client    *standin.Client
+	attempt   standin.Attempt
+	behaviour retryBehaviour
+	random    *rand.Rand
+	started   time.Time
 }
 
 // run sends the request until it is served or fails, or the client leaves. Each attempt goes to any relay.
@@ -61,14 +62,14 @@
 			return
 		}
 		c.attempt.RefusedAt, c.attempt.DueAt = 0, 0
-		if c.habit == returnsAsTold {
+		if c.behaviour == returnsAsTold {
 			c.attempt.RefusedAt, c.attempt.DueAt = sent.EndedAt, sent.EndedAt+wait
 		}
 		sleep(ctx, wait)
 	}
 }
 
-func (c *caller) timeLeft() time.Duration { return callerPatience - time.Since(c.started) }
+func (c *caller) timeLeft() time.Duration { return callerTimeout - time.Since(c.started) }
 
 // pauseAfter returns the pause before the next attempt, and whether there is one. Only refusals that promise that the
 // request was not run are followed by one.
@@ -77,11 +78,11 @@
 	switch {
 	case !sent.PromisesNotRun():
 		return 0, false
-	case c.habit == returnsAsTold:
+	case c.behaviour == returnsAsTold:
 		return sent.RetryAfter, sent.RetryAfter > 0 && sent.RetryAfter <= longest
-	case c.habit == retriesAtOnce:
-		pause = time.Duration(c.random.Int64N(int64(longestImpatientPause)))
-		return pause, pause < longest && attempts < maxImpatientAttempts
+	case c.behaviour == retriesAtOnce:
+		pause = time.Duration(c.random.Int64N(int64(longestImmediatePause)))
+		return pause, pause < longest && attempts < maxImmediateAttempts
 	default:
 		return 0, false
 	}
--- a/internal/soak/check/returns.go
+++ b/internal/soak/check/returns.go
@@ -10,12 +10,12 @@
 	// returnWindow is how long after the time that it was told a client still counts as returning as told.
 	returnWindow = 250 * time.Millisecond
 	// returnMinSample is the smallest number of returns of a run for which the served share is checked. A run with fewer
-	// shows nothing and breaks the rule too, where returns must be served.
+	// is too small to check; it breaks the rule as well where returns must be served.
 	returnMinSample = 20
 )
 
-// Returns counts the clients that came back at the time they were told, to a relay that had no fault since they were
-// told. Nor had the owner of the shared slots. Served are those whose request a back end ran.
+// Returns counts the clients that came back at the time they were told. It leaves out those whose relay, or the owner of
+// the shared slots, had a fault since they were told. Served are those whose request a back end ran.
 func Returns(recorded *history.History) Share {
 	var share Share
 	for _, sending := range recorded.Sendings {
--- a/internal/soak/check/starved.go
+++ b/internal/soak/check/starved.go
@@ -61,9 +61,9 @@
 	return windows
 }
 
-// modest returns the tenants of a window with at least tenantMinSample requests that asked for no more than an equal
-// part of what was served to all tenants.
-func modest(window map[string]Share) map[string]Share {
+// tenantsBelowShare returns the tenants of a window with at least tenantMinSample requests that asked for no more than an
+// equal part of what was served to all tenants.
+func tenantsBelowShare(window map[string]Share) map[string]Share {
 	served := 0
 	for _, share := range window {
 		served += share.Served
@@ -82,7 +82,7 @@
 func ModestTenants(recorded *history.History) map[string]Share {
 	totals := map[string]Share{}
 	for _, window := range requestsByWindow(recorded) {
-		for tenant, share := range modest(window) {
+		for tenant, share := range tenantsBelowShare(window) {
 			total := totals[tenant]
 			totals[tenant] = Share{Served: total.Served + share.Served, All: total.All + share.All}
 		}
@@ -96,7 +96,7 @@
 	var findings []Finding
 	windows := requestsByWindow(recorded)
 	for _, number := range slices.Sorted(maps.Keys(windows)) {
-		for tenant, share := range modest(windows[number]) {
+		for tenant, share := range tenantsBelowShare(windows[number]) {
 			if share.Served == 0 {
 				findings = append(findings, newFinding(Starved, number*tenantWindow, "none of %d requests of tenant %s within %s was served, although it asked for less than its share", share.All, tenant, tenantWindow))
 			}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -80,7 +80,7 @@
 		f.running.Go(func() { f.cutRelays(ctx) })
 	}
 	if f.site.options.sharesSlots() && !f.site.options.checksReturns() {
-		f.running.Go(func() { f.strikeOwners(ctx) })
+		f.running.Go(func() { f.injectOwnerFaults(ctx) })
 	}
 	for ctx.Err() == nil {
 		sleep(ctx, time.Duration(f.random.Int64N(int64(longestGap))))
@@ -236,7 +236,7 @@
 const stopPoll = 20 * time.Millisecond
 
 func (f *faults) injectReplicaFault() {
-	replicas := f.site.strikeableReplicas()
+	replicas := f.site.faultTargets()
 	replica := replicas[f.random.IntN(len(replicas))]
 	away, length := f.drawDuration(longestAway), f.drawDuration(longestAway)
 	switch f.random.IntN(7) {
@@ -262,7 +262,7 @@
 // ends. It draws from its own random source, so that it does not change which other faults are drawn.
 func (f *faults) limitReplicas(ctx context.Context) {
 	random := rand.New(rand.NewPCG(f.site.options.Seed, 4000))
-	replicas := f.site.strikeableReplicas()
+	replicas := f.site.faultTargets()
 	for ctx.Err() == nil {
 		sleep(ctx, time.Duration(random.Int64N(int64(longestLimitGap))))
 		replica := replicas[random.IntN(len(replicas))]
--- a/internal/soak/owner_faults.go
+++ b/internal/soak/owner_faults.go
@@ -14,9 +14,9 @@
 	firstOwnerCut = 1 << 20
 )
 
-// strikeOwners kills, freezes and cuts off the relay that owns the shared slots, or its deputy, until the context ends.
+// injectOwnerFaults kills, freezes or cuts off the relay that owns the shared slots, or its deputy, until the context ends.
 // It draws from its own random source, so that it does not change which other faults are drawn.
-func (f *faults) strikeOwners(ctx context.Context) {
+func (f *faults) injectOwnerFaults(ctx context.Context) {
 	random := rand.New(rand.NewPCG(f.site.options.Seed, 8000))
 	owners := f.site.slotOwners()
 	for number := firstOwnerCut; ctx.Err() == nil; number++ {
--- a/internal/soak/pressure.go
+++ b/internal/soak/pressure.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// pressurePeriod is the time from one time of pressure on the service with few slots to the next, pressureLength how
-	// long each lasts.
+	// pressurePeriod is the time between the starts of two overloads of the service with few slots, pressureLength how long
+	// each lasts.
 	pressurePeriod = 10 * time.Second
 	pressureLength = 6 * time.Second
 	// identicalReadShare is the share of requests that are identical reads of their tenant.
@@ -56,7 +56,7 @@
 	return share * p.traffic.site.options.fewCapacity()
 }
 
-// newCaller draws a request and the habit of the client that sends it.
+// newCaller draws a request and the reaction to refusals of the client that sends it.
 func (p *pressure) newCaller(count int) *caller {
 	attempt := standin.Attempt{
 		Route: []string{standin.RouteFew, standin.RouteFewUnsafe}[p.random.IntN(2)], Tenant: p.tenant,
@@ -66,7 +66,7 @@
 		attempt.Body = fmt.Sprint("request ", p.random.Uint64())
 	}
 	return &caller{
-		traffic: p.traffic, client: p.client, attempt: attempt, habit: drawHabit(p.random), random: rand.New(rand.NewPCG(p.random.Uint64(), 1)),
+		traffic: p.traffic, client: p.client, attempt: attempt, behaviour: drawRetryBehaviour(p.random), random: rand.New(rand.NewPCG(p.random.Uint64(), 1)),
 		started: time.Now(),
 	}
 }
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -126,16 +126,17 @@
 	return speed
 }
 
-// engineSpeeds are the usual speeds of engines by number, as multiples of the usual time. Both stages have each speed.
-var engineSpeeds = []float64{slowEngine, slowEngine, fastEngine, fastEngine, fastEngine, fastEngine}
+// engineTimes are how long the work of engines takes, by number, as multiples of the usual time. Both stages have engines
+// of each kind.
+var engineTimes = []float64{slowEngineTime, slowEngineTime, fastEngineTime, fastEngineTime, fastEngineTime, fastEngineTime}
 
 const (
-	slowEngine = 1.7
-	fastEngine = 0.7
+	slowEngineTime = 1.7
+	fastEngineTime = 0.7
 )
 
-// strikeableReplicas returns the back ends that have faults.
-func (s *site) strikeableReplicas() []*standin.Replica {
+// faultTargets returns the back ends into which faults are injected.
+func (s *site) faultTargets() []*standin.Replica {
 	replicas := slices.Concat(s.pages, s.engines)
 	if s.options.checksReturns() {
 		return replicas
@@ -160,7 +161,7 @@
 		stage := []string{platform.StageDecode, platform.StagePrefill}[number%2]
 		replica, err := standin.StartReplica(standin.ReplicaOptions{
 			Service: standin.ServiceEngines, Zone: "z", Address: hostPort(address(groupEngines, number), portOuter), Stage: stage, Slots: 16,
-			RunTime: 5 * time.Millisecond, EventInterval: 15 * time.Millisecond, UsualSpeed: s.usualSpeed(engineSpeeds[number%len(engineSpeeds)]), Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
+			RunTime: 5 * time.Millisecond, EventInterval: 15 * time.Millisecond, UsualSpeed: s.usualSpeed(engineTimes[number%len(engineTimes)]), Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
 		})
 		if err != nil {
 			return trace.Wrap(err)
