Plan returns by the span that returnplan defines, and mend wording

No behaviour or assertion changes. Measured: go vet clean; tests of relay/slots, relay/speeds, stageplan, mechanism, importrules and the unit tests of soak pass. Command: go test ./internal/relay/slots ./internal/relay/speeds ./internal/stageplan ./internal/mechanism ./internal/importrules; go test -run 'Callers|Few|Bounds|Seeds' ./internal/soak

--- a/internal/relay/slots/owned_service.go
+++ b/internal/relay/slots/owned_service.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// returnSpan is the length of the spans in which returns of refused clients are planned.
-	returnSpan = 50 * time.Millisecond
 	// deputyPause is the time without requests after which a deputy counts as new when it is asked again. A relay that
 	// reports nothing for this long loses its slots, so the state of the deputy is then no better than that of a new owner.
 	deputyPause = 2 * time.Second
@@ -40,7 +38,7 @@
 	owned := &ownedService{name: name, askers: map[slotqueue.RequestID]string{}}
 	queueConfig := slotqueue.Config{Draw: config.Draw}
 	if config.Without.IsEnabled(mechanism.ReturnPlans) {
-		owned.plan = returnplan.New(returnSpan)
+		owned.plan = returnplan.New(returnplan.DefaultSpan)
 		queueConfig.Returns = owned.plan
 	}
 	owned.queue = slotqueue.New(queueConfig)
--- a/internal/relay/speeds/prober.go
+++ b/internal/relay/speeds/prober.go
@@ -14,11 +14,13 @@
 	// probeInterval is the age of an engine's last report from which the engine is asked. It is shorter than the time for
 	// which a report counts for the engine's speed at this moment.
 	probeInterval = 200 * time.Millisecond
-	// checkInterval is the time between two looks at the engines' reports.
+	// checkInterval is the time between two checks of the age of the engines' reports.
 	checkInterval = 50 * time.Millisecond
 	// silentInterval is how long the engines of a service are not asked after one of them has answered without its speed,
-	// and one engine after it has not answered.
+	// while none has ever reported it: the engines of most services do not.
 	silentInterval = 30 * time.Second
+	// failedInterval is how long one engine is not asked after a probe that failed, or brought no speed although other
+	// engines of its service report it.
 	failedInterval = time.Second
 	// maxConcurrentProbes bounds the probes in progress.
 	maxConcurrentProbes = 4
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -11,9 +11,9 @@
 	"github.com/hazelpitch/hazelpitch/internal/soak/history"
 )
 
-// TestCallersFollowTheirHabits guards against callers that repeat a request that may have run, return at another time
+// TestCallersReactToRefusals guards against callers that repeat a request that may have run, return at another time
 // than they were told, or wait longer than users' clients do.
-func TestCallersFollowTheirHabits(t *testing.T) {
+func TestCallersReactToRefusals(t *testing.T) {
 	refusal := func(after time.Duration) history.Sending { return history.Sending{Status: 503, RetryAfter: after} }
 	rows := map[string]struct {
 		behaviour retryBehaviour
--- a/internal/soak/few_slots.go
+++ b/internal/soak/few_slots.go
@@ -63,7 +63,7 @@
 }
 
 // slotOwners returns the relay that owns the slots of the service with few slots, and its deputy, as relays of this
-// build choose them when all are listed.
+// build choose them when all are listed: by the same hash as internal/relay/slots.
 func (s *site) slotOwners() []*relayProcess {
 	byAddress, addresses := map[string]*relayProcess{}, make([]string, 0, len(s.relays))
 	for _, relay := range s.relays {
--- a/internal/soak/owner_faults.go
+++ b/internal/soak/owner_faults.go
@@ -37,11 +37,11 @@
 	}
 }
 
-// everySecondRelay returns the addresses of half of the other relays.
-func (f *faults) everySecondRelay(than *relayProcess) []netip.Prefix {
+// everySecondRelay returns the addresses of about half of the relays, without the given one.
+func (f *faults) everySecondRelay(except *relayProcess) []netip.Prefix {
 	var half []netip.Prefix
 	for number, relay := range f.site.relays {
-		if ip := netip.MustParseAddrPort(relay.peers).Addr(); number%2 == 0 && relay != than {
+		if ip := netip.MustParseAddrPort(relay.peers).Addr(); number%2 == 0 && relay != except {
 			half = append(half, netip.PrefixFrom(ip, ip.BitLen()))
 		}
 	}
--- a/internal/stageplan/prior.go
+++ b/internal/stageplan/prior.go
@@ -34,8 +34,8 @@
 	}
 	slices.Sort(speeds)
 	slices.Reverse(speeds)
-	const rounding = 1e-9 // of sums of equal speeds in another order
-	needed := float64(average) * sum / float64(len(speeds)) * (1 - rounding)
+	const roundingTolerance = 1e-9 // relative; sums of the same speeds in another order differ by rounding
+	needed := float64(average) * sum / float64(len(speeds)) * (1 - roundingTolerance)
 	for index, speed := range speeds {
 		if needed -= speed; needed <= 0 {
 			return index + 1
