--- a/internal/control/engine_speeds_test.go
+++ b/internal/control/engine_speeds_test.go
@@ -102,8 +102,7 @@
 	require.Empty(t, site.arrivals)
 }
 
-// A prefill engine that is known to be slow by its prefill speed must not be ordered to decode while another engine of its
-// group can be.
+// A prefill engine that is reported to miss the gap must not be ordered to decode while another engine of its group can be.
 func TestSlowPrefillEnginesAreNotOrderedToDecode(t *testing.T) {
 	w, site, _ := newUnevenSite(t)
 	slow := []string{"engine-00", "engine-01", "engine-02"}
--- a/internal/soak/pressure.go
+++ b/internal/soak/pressure.go
@@ -18,8 +18,8 @@
 	identicalReadShare = 0.2
 )
 
-// pressure sends the requests of one tenant to the service with few slots, at times more than it carries.
-type pressure struct {
+// tenantSender sends the requests of one tenant to the service with few slots, at times more than it carries.
+type tenantSender struct {
 	traffic *traffic
 	tenant  standin.Tenant
 	client  *standin.Client
@@ -27,10 +27,10 @@
 	random  *rand.Rand
 }
 
-// startPressure starts the tenants.
-func (t *traffic) startPressure(ctx context.Context) {
+// startTenants starts to send the requests of all tenants of the service with few slots.
+func (t *traffic) startTenants(ctx context.Context) {
 	for number, tenant := range standin.Tenants() {
-		sender := &pressure{
+		sender := &tenantSender{
 			traffic: t, tenant: tenant, client: standin.NewClient(t.site.recorder), number: number,
 			random: rand.New(rand.NewPCG(t.site.options.Seed, uint64(9000+number))),
 		}
@@ -39,34 +39,34 @@
 }
 
 // run sends requests at random intervals until the context ends.
-func (p *pressure) run(ctx context.Context) {
+func (s *tenantSender) run(ctx context.Context) {
 	for count := 0; ctx.Err() == nil; count++ {
-		sleep(ctx, time.Duration(p.random.ExpFloat64()/p.rate()*float64(time.Second)))
-		next := p.newCaller(count)
-		p.traffic.running.Go(func() { next.run(ctx) })
+		sleep(ctx, time.Duration(s.random.ExpFloat64()/s.rate()*float64(time.Second)))
+		next := s.newCaller(count)
+		s.traffic.running.Go(func() { next.run(ctx) })
 	}
 }
 
 // rate returns the requests per second that the tenant currently sends, without retries.
-func (p *pressure) rate() float64 {
-	share := p.tenant.LoadShare
-	if p.traffic.site.recorder.Now()%pressurePeriod < pressureLength {
-		share = p.tenant.PressedShare
+func (s *tenantSender) rate() float64 {
+	share := s.tenant.LoadShare
+	if s.traffic.site.recorder.Now()%pressurePeriod < pressureLength {
+		share = s.tenant.PressedShare
 	}
-	return share * p.traffic.site.options.fewCapacity()
+	return share * s.traffic.site.options.fewCapacity()
 }
 
 // newCaller draws a request and the reaction to refusals of the client that sends it.
-func (p *pressure) newCaller(count int) *caller {
+func (s *tenantSender) newCaller(count int) *caller {
 	attempt := standin.Attempt{
-		Route: []string{standin.RouteFew, standin.RouteFewUnsafe}[p.random.IntN(2)], Tenant: p.tenant,
-		Request: fmt.Sprintf("9%03x%08x", p.number, count), // begins the identities of all attempts
+		Route: []string{standin.RouteFew, standin.RouteFewUnsafe}[s.random.IntN(2)], Tenant: s.tenant,
+		Request: fmt.Sprintf("9%03x%08x", s.number, count), // begins the identities of all attempts
 	}
-	if attempt.Route == standin.RouteFewUnsafe || p.random.Float64() >= identicalReadShare {
-		attempt.Body = fmt.Sprint("request ", p.random.Uint64())
+	if attempt.Route == standin.RouteFewUnsafe || s.random.Float64() >= identicalReadShare {
+		attempt.Body = fmt.Sprint("request ", s.random.Uint64())
 	}
 	return &caller{
-		traffic: p.traffic, client: p.client, attempt: attempt, behaviour: drawRetryBehaviour(p.random), random: rand.New(rand.NewPCG(p.random.Uint64(), 1)),
+		traffic: s.traffic, client: s.client, attempt: attempt, behaviour: drawRetryBehaviour(s.random), random: rand.New(rand.NewPCG(s.random.Uint64(), 1)),
 		started: time.Now(),
 	}
 }
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -78,7 +78,7 @@
 		t.running.Go(func() { t.runClient(ctx, number) })
 	}
 	if t.site.options.Pressure {
-		t.startPressure(ctx)
+		t.startTenants(ctx)
 	}
 	for number := range t.site.options.Poisons {
 		t.running.Go(func() { t.sendPoison(ctx, number) })
