--- a/internal/soak/owner_faults.go
+++ b/internal/soak/owner_faults.go
@@ -14,9 +14,9 @@
 	firstOwnerCut = 1 << 20
 )
 
-// strikeOwners kills, freezes and cuts off the relay that owns the shared slots, or its deputy, until the context ends.
+// injectOwnerFaults kills, freezes or cuts off the relay that owns the shared slots, or its deputy, until the context ends.
 // It draws from its own random source, so that it does not change which other faults are drawn.
-func (f *faults) strikeOwners(ctx context.Context) {
+func (f *faults) injectOwnerFaults(ctx context.Context) {
 	random := rand.New(rand.NewPCG(f.site.options.Seed, 8000))
 	owners := f.site.slotOwners()
 	for number := firstOwnerCut; ctx.Err() == nil; number++ {
@@ -37,11 +37,11 @@
 	}
 }
 
-// everySecondRelay returns the addresses of half of the other relays.
-func (f *faults) everySecondRelay(than *relayProcess) []netip.Prefix {
+// everySecondRelay returns the addresses of about half of the relays, without the given one.
+func (f *faults) everySecondRelay(except *relayProcess) []netip.Prefix {
 	var half []netip.Prefix
 	for number, relay := range f.site.relays {
-		if ip := netip.MustParseAddrPort(relay.peers).Addr(); number%2 == 0 && relay != than {
+		if ip := netip.MustParseAddrPort(relay.peers).Addr(); number%2 == 0 && relay != except {
 			half = append(half, netip.PrefixFrom(ip, ip.BitLen()))
 		}
 	}
