--- a/internal/relay/load_probe.go
+++ b/internal/relay/load_probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -69,13 +70,18 @@
 		streams := engine.Slots / 2 // step times are reported for engines that use half of their slots
 		estimate := r.speeds.EstimateOf(now, engine.Service, engine.hash, streams)
 		reported = append(reported, &v1.EngineSpeed{
-			Engine: engine.hash, StepNs: uint32(estimate.Step), TokenNs: uint32(r.prefillSpeed.timePerToken(engine.hash)),
+			Engine: engine.hash, StepNs: wireNanoseconds(estimate.Step), TokenNs: wireNanoseconds(r.prefillSpeed.timePerToken(engine.hash)),
 			MissesGap: missesGap(view, engine.Service, time.Duration(estimate.Peak*float64(estimate.Step))),
 		})
 	}
 	return reported
 }
 
+// wireNanoseconds encodes a duration for a message, at most the largest value of its field.
+func wireNanoseconds(duration time.Duration) uint32 {
+	return uint32(min(max(duration, 0), math.MaxUint32))
+}
+
 // countSlowedEngines returns the number of engines of the cells that this relay owns that are slowed down now.
 func (r *Relay) countSlowedEngines() int {
 	now, count := r.clock.now(), 0
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -155,7 +155,7 @@
 		TokenNs: uint32(min(queued.timePerToken, math.MaxUint32)), Failed: queued.failed, Assigned: queued.queryNumbers,
 	}
 	step, relativeTimePercent := engine.takeSpeeds()
-	result.StepNs, result.TimePercent = uint32(min(step, math.MaxUint32)), uint32(relativeTimePercent)
+	result.StepNs, result.TimePercent = wireNanoseconds(step), uint32(relativeTimePercent)
 	result.Parts, result.PartTokens = blocksToWire(queued.started)
 	result.KeptParts, result.KeptTokens = blocksToWire(queued.cached)
 	for _, hash := range queued.abandoned {
