Remove an option that is always off and a field that nothing reads

Cause: placement.Parameters.SpillOnPause was false in every configuration, so the branch in ShouldSpill never ran. slotqueue.BackEnd.Zone was filled and never read. firstOwnedEngines repeated the loop of ownedEngines with another condition on the rank.

Change: the option and the field are removed; enginesWhere serves both lists of engines. Behavior does not change, and no test changes.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -140,7 +140,7 @@
 }
 
 // ShouldSpill reports whether a request should also be offered to engines of other cells: it found no engine
-// in this cell, was refused, would wait long, or streams would exceed their gap targets.
+// in this cell, was refused, or would wait long.
 func (p Parameters) ShouldSpill(request Request, decision Decision) bool {
 	switch decision.Action {
 	case Unplaced, Refuse:
@@ -148,8 +148,7 @@
 	case AwaitSharedPrefill:
 		return false
 	default:
-		waitsLong := decision.Engine.QueueDelay > time.Duration(p.SpillShare*float64(request.Target)) && request.Target > 0
-		return waitsLong || p.SpillOnPause && decision.Engine.Pause >= PauseAtRisk
+		return decision.Engine.QueueDelay > time.Duration(p.SpillShare*float64(request.Target)) && request.Target > 0
 	}
 }
 
--- a/internal/placement/parameters.go
+++ b/internal/placement/parameters.go
@@ -47,8 +47,6 @@
 	// stream that exceeds the target only if its engine is slowed down while it runs.
 	BrokenPauseCost time.Duration
 	PeakPauseRisk   float64
-	// SpillOnPause offers a request to other cells if streams would exceed their gap targets in this one.
-	SpillOnPause bool
 	// MinMigrationEvents is the smallest number of remaining events for which a stream moves to a faster engine: the
 	// transfer of its KV cache takes about as long as an event.
 	MinMigrationEvents int
@@ -107,7 +105,6 @@
 		StreamPauseCost:      15 * time.Millisecond,
 		BrokenPauseCost:      400 * time.Millisecond,
 		PeakPauseRisk:        0.3,
-		SpillOnPause:         false,
 		MinMigrationEvents:   4,
 		MigrationTimeShare:   0.5,
 		OccupancyByFleet:     true,
--- a/internal/placement/without.go
+++ b/internal/placement/without.go
@@ -26,10 +26,10 @@
 		mechanism.WaitByPrefill:        func() { p.MinDelayScale, p.MaxDelayScale = 1, 1 },
 		mechanism.StreamPauseCost:      func() { p.StreamSlowdown, p.StreamPauseCost, p.StreamCost = 0, 0, time.Nanosecond },
 		mechanism.ResidualPrefill:      func() { p.ResidualShare = 0 },
-		mechanism.PausePrediction:      func() { p.BrokenPauseCost, p.SpillOnPause = 0, false },
+		mechanism.PausePrediction:      func() { p.BrokenPauseCost = 0 },
 		mechanism.SlowRunMigration:     func() { p.MinMigrationEvents = math.MaxInt },
 		mechanism.WorkBySpeed:          func() { p.OccupancyByFleet = false },
-		mechanism.Spills:               func() { p.SpillShare, p.SpillOnPause = unlimitedShare, false },
+		mechanism.Spills:               func() { p.SpillShare = unlimitedShare },
 	} {
 		if !disabled.IsEnabled(name) {
 			disable()
--- a/internal/relay/ownership.go
+++ b/internal/relay/ownership.go
@@ -184,28 +184,25 @@
 
 // ownedEngines returns the engines of the cells of which this relay is owner or deputy.
 func (t *ownerTable) ownedEngines() []*backEnd {
-	var owned []*backEnd
-	for _, service := range t.current.Load().services {
-		for index, members := range service.members {
-			if service.rankOf(index, t.self) >= 0 {
-				owned = append(owned, members...)
-			}
-		}
-	}
-	return owned
+	return t.enginesWhere(func(rank int) bool { return rank >= 0 })
 }
 
 // firstOwnedEngines returns the engines of the cells of which this relay is the owner, not a deputy.
 func (t *ownerTable) firstOwnedEngines() []*backEnd {
-	var owned []*backEnd
+	return t.enginesWhere(func(rank int) bool { return rank == 0 })
+}
+
+// enginesWhere returns the engines of the cells for which this relay's rank among the owners meets the condition.
+func (t *ownerTable) enginesWhere(meets func(rank int) bool) []*backEnd {
+	var engines []*backEnd
 	for _, service := range t.current.Load().services {
 		for index, members := range service.members {
-			if service.rankOf(index, t.self) == 0 {
-				owned = append(owned, members...)
+			if meets(service.rankOf(index, t.self)) {
+				engines = append(engines, members...)
 			}
 		}
 	}
-	return owned
+	return engines
 }
 
 // homeCells returns the indexes of up to count cells in which a prompt should run, the best first. A prompt with a shared
--- a/internal/slotqueue/back_end.go
+++ b/internal/slotqueue/back_end.go
@@ -8,5 +8,4 @@
 	Slots int
 	// Closed is true if the back end takes no new requests. Slots in use stay in use.
 	Closed bool
-	Zone   string
 }
