Log and count who ended an exchange, and requests that cannot be read

Change: attempt_failed has lasted_ms, silent_ms and new_connection; request_ended has client_gone, stopping and configuration_age_ms; event request_unread; metrics attempts_failed_total{cause} and requests_unread_total.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -11,6 +11,8 @@
 	RequestEnded Event = "request_ended"
 	// AttemptFailed: an attempt at a back end returned no answer.
 	AttemptFailed Event = "attempt_failed"
+	// RequestUnread: a request was not answered because it could not be read completely.
+	RequestUnread Event = "request_unread"
 	// RequestRefused: the relay answered a request itself.
 	RequestRefused Event = "request_refused"
 	// KeyRefused: a request was not admitted because it had no known API key.
@@ -103,7 +105,7 @@
 
 // All lists every event.
 var All = []Event{
-	RequestEnded, AttemptFailed, RequestRefused, KeyRefused, RunMigrated, ConfigurationApplied, ConfigurationUnreadable, ListingApplied, ListingFaultChanged,
+	RequestEnded, AttemptFailed, RequestUnread, RequestRefused, KeyRefused, RunMigrated, ConfigurationApplied, ConfigurationUnreadable, ListingApplied, ListingFaultChanged,
 	BackEndInBackoff, BackEndLeaving, BackEndLimitChanged, BackEndRestarted, BackEndCrashed, RequestQuarantined, QuarantineTrialStarted, GuardCallFailed,
 	LeaderLost, LeaderFound, OwnerSuspected, CellAcquired, CellReleased, SlotsAcquired, SlotsReleased, SlotRefused, SlotGranted, RelayStarted, RelayStopping, RelayStopped, GatewayStopping, GatewayStopped, SignalReceived, StageOrdered, UsageDelivered, ReplicasOrdered, FormatAgreed, ControllerHalted, UpdateNotApplied, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -42,7 +42,9 @@
 	if err == nil || errors.Is(err, io.EOF) {
 		return n, err
 	}
-	return n, a.exchanger.connectionFailure(a.connection, a.message, true, err)
+	fault := a.exchanger.connectionFailure(a.connection, a.message, true, err)
+	fault.observation = a.exchanger.observe(a.message)
+	return n, fault
 }
 
 // finish ends an exchange whose answer was used. The connection can be reused only if the complete body was read and no
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -65,7 +65,7 @@
 	if fault == nil {
 		return answer, nil
 	}
-	fault.backoffLeft = backoffLeft
+	fault.backoffLeft, fault.observation = backoffLeft, e.observe(message)
 	message.backEnd.removeWork(message.work)
 	e.announceWork(message)
 	e.recordAbandonedPrefill(message)
@@ -121,7 +121,7 @@
 	now := e.clock.now()
 	message.sentAt = now
 	connection := message.backEnd.pool.Get(now, idleLimitOf(message.request.route))
-	if connection == nil {
+	if message.hasNewConnection = connection == nil; message.hasNewConnection {
 		var err error
 		if connection, err = e.open(message.backEnd, min(dialTimeout, message.deadline-now)); err != nil {
 			return nil, &failure{verdict: verdict.NotRun, cause: fmt.Errorf("%w: %w", errDial, err)}
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -20,6 +20,7 @@
 	retryAfter time.Duration
 	// backoffLeft is how much longer the back end was to be avoided when the request was sent to it.
 	backoffLeft time.Duration
+	observation exchangeObservation
 }
 
 // addBackoffFields adds the backoff times of the failure to a log line, where they are not 0.
@@ -58,3 +59,32 @@
 	errUnsupportedAnswer = errors.New("the answer does not fit the request")
 	errEventTooLong      = errors.New("an event is longer than the relay holds")
 )
+
+// failureCauses are the causes by which failed attempts are counted, with their label values.
+var failureCauses = []struct {
+	cause error
+	label string
+}{
+	{errCancelled, "client_gone"}, {errDeadline, "deadline"}, {errDial, "dial"}, {errStalled, "stalled"}, {errPeerTimeout, "peer_timeout"},
+	{errConnectionBroken, "broken"}, {errMalformedAnswer, "malformed"}, {errNotExecuted, "not_executed"}, {errInBackoff, "backoff"}, {errLimitReached, "limit"},
+	{errMisdirected, "misdirected"}, {errForeignAnswer, "foreign_answer"}, {errUnsupportedAnswer, "unsupported_answer"}, {errEventTooLong, "event_too_long"},
+}
+
+// otherFailureCause is the label value of causes that are not in failureCauses.
+const otherFailureCause = "other"
+
+// causeLabel returns the label value by which the failure is counted.
+func (f *failure) causeLabel() string {
+	for _, known := range failureCauses {
+		if errors.Is(f.cause, known.cause) {
+			return known.label
+		}
+	}
+	return otherFailureCause
+}
+
+// recordFailedAttempt counts and logs an attempt that brought no answer.
+func (r *Relay) recordFailedAttempt(request *request, backEnd *backEnd, fault *failure) {
+	r.metrics.failedAttempts.WithLabelValues(fault.causeLabel()).Inc()
+	r.log.recordFailedAttempt(request, backEnd, fault)
+}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -28,6 +28,8 @@
 	prefixBlocks, newBlocks []placement.PrefixBlock
 	// sentAt is when the message was sent.
 	sentAt time.Duration
+	// hasNewConnection is true if no idle connection could carry the message.
+	hasNewConnection bool
 	// relativeTimePercent is the relative time that the back end reported with its answer, in percent of the usual time;
 	// 0 if it reported none.
 	relativeTimePercent int
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -48,11 +48,15 @@
 
 // relayMetrics are the metrics of one relay.
 type relayMetrics struct {
-	registry      *prometheus.Registry
-	requests      *prometheus.CounterVec
-	refusals      *prometheus.CounterVec
-	retries       prometheus.Counter
-	deniedRetries prometheus.Counter
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	// failedAttempts counts attempts that brought no answer, by their causes; unreadRequests counts requests that could not
+	// be read completely and were not answered.
+	failedAttempts *prometheus.CounterVec
+	unreadRequests prometheus.Counter
+	retries        prometheus.Counter
+	deniedRetries  prometheus.Counter
 	// usageResends counts usage reports that had to be sent again.
 	usageResends prometheus.Counter
 	// backEndCrashes counts back ends that crashed while they ran requests of this relay; guardCallsFailed counts failed
@@ -88,6 +92,8 @@
 		registry:         registry,
 		requests:         factory.CounterVec("requests_total", "Requests with a route, by how they ended.", "kind", "outcome"),
 		refusals:         factory.CounterVec("refusals_total", "Final answers of the relay's own, by reason.", "reason"),
+		failedAttempts:   factory.CounterVec("attempts_failed_total", "Attempts at back ends that brought no answer, by cause.", "cause"),
+		unreadRequests:   factory.Counter("requests_unread_total", "Requests that could not be read completely and were not answered."),
 		retries:          factory.Counter("sendings_again_total", "Sendings of requests beyond the first."),
 		deniedRetries:    factory.Counter("sendings_denied_total", "Sendings beyond the first that the retry budget did not allow."),
 		usageResends:     factory.Counter("usage_sendings_again_total", "Reports of tenants' usage that were not taken and had to be sent again."),
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -39,7 +39,7 @@
 func (l requestLog) recordFailedAttempt(request *request, backEnd *backEnd, fault *failure) {
 	l.line(zerolog.WarnLevel, events.AttemptFailed, request).Stringer("content", request.signature).Str("back_end", backEnd.ID).
 		Str("verdict", fault.verdict.String()).Bool("arrived", fault.mayHaveArrived).
-		AnErr("cause", fault.cause).Func(fault.addBackoffFields).Send()
+		AnErr("cause", fault.cause).Func(fault.observation.addFields).Func(fault.addBackoffFields).Send()
 }
 
 // recordRefusal logs a final answer that the relay itself makes.
@@ -75,13 +75,20 @@
 	}
 	since := func(at time.Duration) int64 { return max((at - request.arrivedAt).Milliseconds(), 0) }
 	l.line(level, events.RequestEnded, request).Stringer("content", request.signature).
-		Int("status", reply.status).Bool("cut", reply.aborted).Bool("late", isLate).
+		Int("status", reply.status).Bool("cut", reply.aborted).Bool("client_gone", request.canceller.isCancelled()).Bool("stopping", snapshot.isStopping).Bool("late", isLate).
 		Str("placed", trace.placementReason).Str("owner", trace.owner).Str("prefill", trace.prefillEngine).Str("back_end", trace.engine).
 		Int("prompt", request.prompt.PromptTokens).Int("to_read", trace.tokensToPrefill).Int("ahead", trace.tokensAhead).Int("ahead_all", trace.tokensAheadAll).
 		Int64("prefill_sent_ms", since(trace.prefillAt)).Int64("sent_ms", since(trace.sentAt)).Int64("gap_ms", trace.longestGap.Milliseconds()).
 		Int64("first_ms", since(trace.firstAt)).Int64("ended_ms", since(snapshot.now)).
 		Func(trace.addForecast).
-		Uint64("configuration", snapshot.configuration).Int64("leader_age_ms", snapshot.leaderAge.Milliseconds()).Send()
+		Uint64("configuration", snapshot.configuration).Int64("configuration_age_ms", snapshot.configurationAge.Milliseconds()).
+		Int64("leader_age_ms", snapshot.leaderAge.Milliseconds()).Send()
+}
+
+// recordUnread logs a request that was not answered because it could not be read completely.
+func (l requestLog) recordUnread(err error, snapshot viewSnapshot) {
+	l.logger.WithLevel(zerolog.WarnLevel).Str(events.FieldEvent, string(events.RequestUnread)).AnErr("cause", err).Bool("stopping", snapshot.isStopping).
+		Uint64("configuration", snapshot.configuration).Int64("configuration_age_ms", snapshot.configurationAge.Milliseconds()).Send()
 }
 
 // viewSnapshot describes the view that a request was served by, and its age.
@@ -89,14 +96,18 @@
 	now           time.Duration
 	configuration uint64
 	leaderAge     time.Duration
+	// configurationAge is the time since the configuration was applied.
+	configurationAge time.Duration
+	isStopping       bool
 }
 
 // viewSnapshot returns the current snapshot.
 func (r *Relay) viewSnapshot() viewSnapshot {
 	now := r.clock.now()
 	snapshot := viewSnapshot{now: now, leaderAge: now - r.lastContact()}
-	if table := r.view.Load().table; table != nil {
-		snapshot.configuration = table.Configuration.Number
+	snapshot.isStopping = r.stopping.Load()
+	if view := r.view.Load(); view.table != nil {
+		snapshot.configuration, snapshot.configurationAge = view.table.Configuration.Number, now-view.configuredAt
 	}
 	return snapshot
 }
--- a/internal/relay/serve_connection.go
+++ b/internal/relay/serve_connection.go
@@ -94,7 +94,10 @@
 			reply.close = true
 			_ = connection.SetWriteDeadline(r.clock.at(r.clock.now() + writeSlack))
 			reply.refuse(refusal{status: fault.status, reason: fault.message})
+			return false
 		}
+		r.metrics.unreadRequests.Inc()
+		r.log.recordUnread(err, r.viewSnapshot())
 		return false
 	}
 	reply.requestID = request.id
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -104,7 +104,7 @@
 		if fault == nil {
 			return
 		}
-		r.log.recordFailedAttempt(request, selection.backEnd, fault)
+		r.recordFailedAttempt(request, selection.backEnd, fault)
 		attempts.recordFailure(selection.backEnd, fault)
 	}
 	r.replyRefused(attempts, reply)
--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -55,7 +55,7 @@
 			attempts.recordMigration()
 			continue
 		}
-		r.log.recordFailedAttempt(request, engine, fault)
+		r.recordFailedAttempt(request, engine, fault)
 		attempts.recordFailure(engine, fault)
 		selection = nil
 	}
@@ -99,7 +99,7 @@
 		mayAbort: true,
 	})
 	if fault != nil {
-		r.log.recordFailedAttempt(request, engine, fault)
+		r.recordFailedAttempt(request, engine, fault)
 		stream.attempts.recordFailedPrefill(engine, fault)
 		return nil
 	}
