--- /dev/null
+++ b/internal/standin/silence/silence.go
@@ -0,0 +1,50 @@
+// Package silence makes TCP sockets ignore what their peers send, as a machine that stands still does.
+package silence
+
+import (
+	"context"
+	"net"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sys/unix"
+)
+
+// Begin makes the kernel drop every segment that arrives for the connection or listener, unacknowledged. A listener must
+// not use multipath TCP, whose sockets accept no packet filters; see Listen.
+func Begin(socket syscall.Conn) error {
+	dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: 0}
+	return control(socket, func(descriptor int) error {
+		return unix.SetsockoptSockFprog(descriptor, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll})
+	})
+}
+
+// End makes the kernel accept segments again.
+func End(socket syscall.Conn) error {
+	return control(socket, func(descriptor int) error {
+		return unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+	})
+}
+
+func control(socket syscall.Conn, call func(descriptor int) error) error {
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	var callErr error
+	if err := raw.Control(func(descriptor uintptr) { callErr = call(int(descriptor)) }); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(callErr)
+}
+
+// Listen opens a TCP listener on the loopback interface that can be silenced.
+func Listen() (*net.TCPListener, error) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return listener.(*net.TCPListener), nil
+}
