dialing: keep connections through a silence of 2 s

Callers saw: cut streams and 502 when a sound back end was silent for a second or so and went on. Cause: a user timeout of 1 s; it also decides when keep-alive probes give up, so a single probe without an answer ended a connection. Why this works: the limit is 5 s. Probes go out each second as before, four of them before the limit. Data that was sent into a silence of 2 s arrived up to 3.4 s after it was sent, since the kernel retransmits at doubling intervals. No further probes are sent to peers that answer. Command: go test -count=5 -run Silen ./internal/dialing ./internal/relay; go test -race ./internal/dialing ./internal/relay/...

--- a/internal/dialing/dead_peer.go
+++ b/internal/dialing/dead_peer.go
@@ -9,13 +9,14 @@
 )
 
 const (
-	// unacknowledgedLimit is how long sent data may stay unacknowledged before the connection counts as dead. By
-	// then the kernel has retransmitted the data after 0.2 and 0.6 s.
-	unacknowledgedLimit = time.Second
-	// probeInterval and probeCount configure the keep-alive probes, which detect a dead connection while nothing
-	// is sent.
+	// unacknowledgedLimit is how long sent data or keep-alive probes may stay unacknowledged before the connection counts
+	// as dead. A peer that is silent for 2 s and then goes on may receive the data up to 3.4 s after it was sent, since the
+	// kernel retransmits at intervals that double from 0.2 s.
+	unacknowledgedLimit = 5 * time.Second
+	// probeInterval and probeCount configure the keep-alive probes, which detect a dead connection while nothing is sent.
+	// The kernel ignores the count where TCP_USER_TIMEOUT is set; both give the same limit.
 	probeInterval = time.Second
-	probeCount    = 2
+	probeCount    = int(unacknowledgedLimit / probeInterval)
 )
 
 // WithDeadPeerDetection returns a Dial whose connections fail when their peer stops answering without a reset.
