relay: keep new requests off connections from before a silence

Callers would see: after connections to a back end were lost without a reset while new ones work, requests wait one after another on further lost connections. Cause: only the kernel's timeout on one connection made the pool close the others. Evidence: three idle connections silent for good, a listener that accepts. Without the call of Suspect the request after the first gets 502 after 5 s (TestNewRequestsUseNoConnectionFromBeforeASilence). Why this works: when an answer is silent beyond its stall limit and nothing else has arrived from the back end, the pool keeps connections that were open before that silence for later, and a request opens a new one, which the next requests share. Bytes on a connection from before end the suspicion and make the idle ones available again. Those whose idle limit passes meanwhile are closed. A timeout of the kernel still closes all idle ones. No exchange in progress is touched. Result: three requests after the first get 200 over one new connection; after a silence that ends, none is opened (TestConnectionsFromBeforeASilenceAreUsedAfterIt).

--- a/internal/relay/connpool/connection.go
+++ b/internal/relay/connpool/connection.go
@@ -28,22 +28,30 @@
 	// idleSince is the time at which the connection was returned to the pool; IdleLimit is how long it may stay idle.
 	idleSince time.Duration
 	IdleLimit time.Duration
+	// openedAt is the time at which the connection was opened.
+	openedAt time.Duration
+	// OnReceived is called when bytes have arrived; nil means no call.
+	OnReceived func()
 	// OnTimeout is called when the peer has acknowledged nothing until the kernel's timeout; nil means no call.
 	OnTimeout func()
 	// TimedOut is true if the kernel's timeout has expired on this connection.
 	TimedOut bool
 }
 
-// NewConnection wraps an open connection on which no request was sent yet.
-func NewConnection(connection net.Conn) *Connection {
-	pooled := &Connection{Conn: connection, IdleLimit: DefaultIdleLimit}
+// NewConnection wraps a connection that was opened at the given time and on which no request was sent yet.
+func NewConnection(connection net.Conn, openedAt time.Duration) *Connection {
+	pooled := &Connection{Conn: connection, IdleLimit: DefaultIdleLimit, openedAt: openedAt}
 	pooled.Reader = bufio.NewReaderSize(pooled, AnswerHeadBufferSize)
 	return pooled
 }
 
-// Read implements io.Reader. It sets TimedOut and calls OnTimeout when the kernel's timeout has expired.
+// Read implements io.Reader. It calls OnReceived when bytes have arrived. It sets TimedOut and calls OnTimeout when the
+// kernel's timeout has expired.
 func (c *Connection) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
+	if n > 0 && c.OnReceived != nil {
+		c.OnReceived()
+	}
 	if errors.Is(err, syscall.ETIMEDOUT) {
 		c.TimedOut = true
 		if c.OnTimeout != nil {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -151,8 +151,8 @@
 	if err != nil {
 		return nil, err
 	}
-	opened := connpool.NewConnection(connection)
-	opened.OnTimeout = backEnd.pool.CloseIdle // the other connections have probably lost their peer as well
+	opened := connpool.NewConnection(connection, e.clock.now())
+	backEnd.pool.Watch(opened)
 	return opened, nil
 }
 
--- a/internal/relay/silent_back_end_test.go
+++ b/internal/relay/silent_back_end_test.go
@@ -242,3 +242,67 @@
 		})
 	}
 }
+
+// loseConnections makes the connections that are open now silent for good. The machine accepts new ones.
+func (b *silentBackEnd) loseConnections() {
+	for _, connection := range b.accepted() {
+		require.NoError(b.t, silence.Begin(connection))
+	}
+}
+
+// openIdle opens idle connections to the only back end and returns its record.
+func (r *testRelay) openIdle(t *testing.T, backEnd *silentBackEnd, count int) *backEnd {
+	t.Helper()
+	record := r.view.Load().byService["service"][0]
+	for range count {
+		connection, err := r.exchanger.open(record, time.Minute)
+		require.NoError(t, err)
+		record.pool.Put(connection, r.clock.now())
+	}
+	require.Eventually(t, func() bool { return len(backEnd.accepted()) == count }, time.Minute, time.Millisecond)
+	return record
+}
+
+// awaitSilence waits until the relay has noticed that the back end is silent.
+func awaitSilence(t *testing.T, record *backEnd) {
+	t.Helper()
+	require.Eventually(t, func() bool { return record.currentLoad(0).failures > 0 }, time.Minute, time.Millisecond)
+}
+
+// shortTarget makes a relay notice the silence of a back end after the shortest time.
+func shortTarget(config *serving.Route) { config.Target = minPlainStall / stallTargetFactor }
+
+// Guards against requests that are sent, one after another, on connections that are silent for good while new ones work.
+func TestNewRequestsUseNoConnectionFromBeforeASilence(t *testing.T) {
+	t.Parallel()
+	backEnd := startSilentBackEnd(t, "one", func(*silentBackEnd) script { return answering(200, "ok") })
+	relay := newSilenceRelay(t, patient(shortTarget), backEnd)
+	record := relay.openIdle(t, backEnd, 3)
+	backEnd.loseConnections()
+	lost := relay.client(t)
+	lost.send("POST", "/path/", "lost")
+	awaitSilence(t, record)
+	for range 3 {
+		require.Equal(t, 200, relay.client(t).do("POST", "/path/", "new").status)
+	}
+	require.Len(t, backEnd.accepted(), 4, "the requests share one new connection")
+	require.Equal(t, 502, lost.read().status)
+}
+
+// Guards against new connections to a back end that was silent and goes on: the idle connections from before are used again.
+func TestConnectionsFromBeforeASilenceAreUsedAfterIt(t *testing.T) {
+	t.Parallel()
+	backEnd := startSilentBackEnd(t, "one", func(*silentBackEnd) script { return answering(200, "ok") })
+	relay := newSilenceRelay(t, patient(shortTarget, safe), backEnd)
+	record := relay.openIdle(t, backEnd, 3)
+	first := relay.client(t)
+	goOn := backEnd.stop()
+	first.send("GET", "/path/", "")
+	awaitSilence(t, record)
+	require.False(t, record.pool.HasIdle(relay.clock.now(), connpool.DefaultIdleLimit))
+	goOn()
+	require.Equal(t, 200, first.read().status)
+	require.True(t, record.pool.HasIdle(relay.clock.now(), connpool.DefaultIdleLimit))
+	require.Equal(t, 200, relay.client(t).do("GET", "/path/", "").status)
+	require.Len(t, backEnd.accepted(), 3)
+}
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -31,14 +31,16 @@
 }
 
 // stallWatch detects a back end that stalls during one answer. The back end counts as failed when nothing arrived from it
-// for the limit, neither on this answer nor on any other; the answer is aborted only when the request may run elsewhere. A
-// back end that sends other answers is slow but alive: aborting would only move its load.
+// for the limit, neither on this answer nor on any other; new requests then use no connection from before the silence. The
+// answer is aborted only when the request may run elsewhere. A back end that sends other answers is slow but alive: aborting
+// would only move its load.
 type stallWatch struct {
 	exchanger  *exchanger
 	connection *connpool.Connection
 	backEnd    *backEnd
 	mayAbort   bool
 	limit      time.Duration
+	startedAt  time.Duration
 	timer      *time.Timer
 
 	mutex sync.Mutex
@@ -49,7 +51,7 @@
 // watchStall starts to watch for a silence that lasts for the limit. mayAbort is true if the answer may then be aborted.
 func (e *exchanger) watchStall(connection *connpool.Connection, backEnd *backEnd, limit time.Duration, mayAbort bool) *stallWatch {
 	mayAbort = mayAbort && e.mechanisms.IsEnabled(mechanism.StallWatch)
-	watch := &stallWatch{exchanger: e, connection: connection, backEnd: backEnd, mayAbort: mayAbort, limit: limit}
+	watch := &stallWatch{exchanger: e, connection: connection, backEnd: backEnd, mayAbort: mayAbort, limit: limit, startedAt: e.clock.now()}
 	watch.mutex.Lock()
 	defer watch.mutex.Unlock()
 	watch.timer = time.AfterFunc(limit, watch.check)
@@ -63,11 +65,13 @@
 	if w.stopped {
 		return
 	}
-	silence := w.exchanger.clock.now() - w.backEnd.currentLoad(w.exchanger.clock.now()).lastReceivedAt
+	lastReceivedAt := w.backEnd.currentLoad(w.exchanger.clock.now()).lastReceivedAt
+	silence := w.exchanger.clock.now() - lastReceivedAt
 	if silence < w.limit {
 		w.timer.Reset(w.limit - silence)
 		return
 	}
+	w.backEnd.pool.Suspect(max(lastReceivedAt, w.startedAt))
 	w.exchanger.recordFailure(w.backEnd)
 	if w.mayAbort {
 		_ = w.connection.SetDeadline(time.Unix(1, 0)) // a closed connection needs no deadline
