relay: keep requests off idle connections with an unanswered keep-alive probe

Callers would see: a request on a connection that was lost while idle waits for the kernel's timeout, 5 s instead of 1 s, if the back end answers on other connections: it is never silent then, and none of its connections is suspect. Cause: the pool hands out idle connections whatever the kernel knows of their peer. Evidence: TestRequestsUseNoConnectionThatWasLostWhileIdle, two connections lost while idle: 502 after 5 s without the check. Why this works: the kernel probes each connection a second after its last segment. If a probe is unanswered and the last acknowledgement is older than 1.3 s, the pool leaves the connection where it is and looks for another one; the connection is used again once its peer answers the probes, and closed when its idle limit passes. Only the kernel is asked, nothing is sent. Result: the request gets 200 over a new connection, which the next one shares.

--- a/internal/relay/connpool/pool.go
+++ b/internal/relay/connpool/pool.go
@@ -45,19 +45,34 @@
 }
 
 // Get removes an idle connection that can carry a request from the pool; it returns nil when there is none. It closes
-// connections that were idle for longer than the limit or their own IdleLimit, and those that received unexpected bytes.
+// connections that were idle for longer than the limit or their own IdleLimit, and those that received unexpected bytes. It
+// leaves those in the pool that are suspect or unconfirmed.
 func (p *Pool) Get(now, limit time.Duration) *Connection {
 	p.closeExpiredSuspects(now)
+	var unconfirmed []*Connection
+	defer func() { p.putBack(unconfirmed) }()
 	for {
 		connection := p.pop()
 		if connection == nil {
 			return nil
 		}
 		idleTime := now - connection.idleSince
-		if idleTime < limit && idleTime < connection.IdleLimit && connection.isIdle() {
+		switch {
+		case idleTime >= limit || idleTime >= connection.IdleLimit || !connection.isIdle():
+			connection.Discard()
+		case idleTime >= MaxConfirmationAge && isUnconfirmed(connection.Conn):
+			unconfirmed = append(unconfirmed, connection)
+		default:
 			return connection
 		}
-		connection.Discard()
+	}
+}
+
+// putBack returns connections to the pool that were taken from its end and carried no request.
+func (p *Pool) putBack(connections []*Connection) {
+	slices.Reverse(connections)
+	for _, connection := range connections {
+		p.Put(connection, connection.idleSince)
 	}
 }
 
--- a/internal/relay/silent_back_end_test.go
+++ b/internal/relay/silent_back_end_test.go
@@ -306,3 +306,17 @@
 	require.Equal(t, 200, relay.client(t).do("GET", "/path/", "").status)
 	require.Len(t, backEnd.accepted(), 3)
 }
+
+// Guards against a request on a connection that was lost while it was idle, at a back end that answers on other connections
+// and so is never silent: it waited until the kernel's timeout.
+func TestRequestsUseNoConnectionThatWasLostWhileIdle(t *testing.T) {
+	t.Parallel()
+	backEnd := startSilentBackEnd(t, "one", func(*silentBackEnd) script { return answering(200, "ok") })
+	relay := newSilenceRelay(t, patient(safe), backEnd)
+	relay.openIdle(t, backEnd, 2)
+	backEnd.loseConnections()
+	time.Sleep(connpool.MaxConfirmationAge + probeDue/2) // the first probe is sent a second after the last segment
+	require.Equal(t, 200, relay.client(t).do("GET", "/path/", "").status)
+	require.Equal(t, 200, relay.client(t).do("GET", "/path/", "").status)
+	require.Len(t, backEnd.accepted(), 3, "the requests share one new connection")
+}
