A silent back end keeps its answer when the retry budget has no room

Seen by callers: beside a back end that is silent for a second and goes on, streams cut without their last event and 502 for repeatable requests. Cause: the watch for stalls ended the exchange before anyone asked the retry budget, which then denied the further attempt. Several silent answers also counted on the same room. Change: at the moment of the silence the watch takes one retry from the budget for this request and ends the exchange only if it got one. The next attempt uses it; if there is none, it is returned when the request ends. Without room the watch asks again twice per limit. The back end is still avoided by new requests from the first notice on, once per silence. Why this works: what the next attempt needs from the budget is held before the answer is given up, so two requests cannot count on the same retry.

--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
+	"github.com/hazelpitch/hazelpitch/internal/relay/retrybudget"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
@@ -24,6 +25,8 @@
 	lastFailure *failure
 	// isQuarantined is true if the request must not be sent to any further back end.
 	isQuarantined bool
+	// reservedRetry is taken from the retry budget for the next attempt, which replaces the current one; nil for none.
+	reservedRetry *retrybudget.Reservation
 	// slotRefusal is the answer to the client when the owner of the service's slots has refused the request; nil otherwise.
 	slotRefusal *refusal
 }
@@ -80,7 +83,7 @@
 	if a.sentCount >= a.request.route.MaxAttempts {
 		return false
 	}
-	return a.relay.trySpendRetry(a.request)
+	return a.takeRetry()
 }
 
 // hasFurtherAttempt reports whether the route allows sending the request to another back end if the current one fails.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -172,7 +172,7 @@
 	}
 	var watch *stallWatch
 	if message.stall > 0 {
-		watch = e.watchStall(connection, message.backEnd, message.stall, message.mayAbort)
+		watch = e.watchStall(connection, message.backEnd, message.stall, message.secure)
 		defer watch.stop()
 	}
 	answer, fault := e.readHead(connection, message)
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -14,10 +14,10 @@
 	headers []header
 	// deadline ends the exchange; the back end is sent the time that is left.
 	deadline time.Duration
-	// stall is the silence after which the back end counts as failed; mayAbort is true if the exchange is then aborted,
-	// since the request may be sent to another back end.
-	stall    time.Duration
-	mayAbort bool
+	// stall is the silence after which the back end counts as failed. The exchange is then aborted once secure reports that
+	// another back end can take over the request; it is not aborted if secure is nil.
+	stall  time.Duration
+	secure secureReplacement
 	// work is the expected work at the back end.
 	work placement.Work
 	// selection is the selection of the back end; nil for a message that is not sent, see awaitCached.
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -95,6 +95,7 @@
 // servePlain serves a request that back ends answer whole, without streaming.
 func (r *Relay) servePlain(request *request, reply *replier) {
 	attempts := &attemptTracker{relay: r, request: request}
+	defer attempts.returnReservedRetry()
 	for attempts.mayContinue() {
 		selection, slot := r.pickWithSlot(request, attempts)
 		if selection == nil {
@@ -116,7 +117,7 @@
 	request, backEnd := attempts.request, selection.backEnd
 	request.trace.engine, request.trace.sentAt = backEnd.ID, r.clock.now()
 	sent := &message{request: request, backEnd: backEnd, deadline: request.deadline, work: placement.Work{Streams: 1}, selection: selection,
-		stall: stallLimit(request.route), mayAbort: attempts.hasFurtherAttempt()}
+		stall: stallLimit(request.route), secure: attempts.replacement()}
 	answer, fault := r.exchanger.send(sent)
 	r.work.AddWholeAnswer(request.service.Name, r.clock.now()-request.trace.sentAt, backEnd.Slots)
 	if fault == nil || fault.verdict != verdict.NotRun {
--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -26,6 +26,7 @@
 // engine generates the stream, or a decoding engine does both.
 func (r *Relay) serveStream(request *request, reply *replier) {
 	attempts := &attemptTracker{relay: r, request: request}
+	defer attempts.returnReservedRetry()
 	stream := &streamReply{relay: r, request: request, reply: reply, attempts: attempts,
 		prefixBlocks: placement.PrefixBlocksOf(request.prompt), lastEventID: string(request.header.Peek(r.dialect.Headers.LastEventID))}
 	start := r.beginStream(stream)
@@ -94,9 +95,9 @@
 	}
 	answer, fault := r.exchanger.send(&message{
 		request: request, backEnd: engine, deadline: request.deadline, prefixBlocks: stream.prefixBlocks, headers: headers, selection: selection, isPrefill: true,
-		work:     prefillWork(r.policy, stream.rank(), &selection.Candidate),
-		stall:    prefillStallSlack + time.Duration(prefillStallFactor*float64(r.policy.PrefillQueueDelay(selection.queuedWork, placement.RankCount-1, perToken)+placement.PrefillTime(perToken, selection.EffectiveTokens))),
-		mayAbort: true,
+		work:   prefillWork(r.policy, stream.rank(), &selection.Candidate),
+		stall:  prefillStallSlack + time.Duration(prefillStallFactor*float64(r.policy.PrefillQueueDelay(selection.queuedWork, placement.RankCount-1, perToken)+placement.PrefillTime(perToken, selection.EffectiveTokens))),
+		secure: func() bool { return true },
 	})
 	if fault != nil {
 		r.log.recordFailedAttempt(request, engine, fault)
--- a/internal/relay/silent_back_end_test.go
+++ b/internal/relay/silent_back_end_test.go
@@ -4,12 +4,14 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/retrybudget"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -76,7 +78,7 @@
 	*testRelay
 	first, second *scriptedBackEnd
 	// sentToSecond counts the requests that the second back end had received when the request reached the first one.
-	sentToSecond int
+	sentToSecond atomic.Int64
 }
 
 // silentSetup describes a scene. The zero value has a second back end that could take over the request.
@@ -102,7 +104,7 @@
 	scene.first = startBackEnd(t, "first", serving.StageWhole, func(connection net.Conn, request backEndRequest) bool {
 		<-ready
 		if scene.second != nil {
-			scene.sentToSecond = len(scene.second.receivedRequests())
+			scene.sentToSecond.Store(int64(len(scene.second.receivedRequests())))
 		}
 		if s.onArrival != nil {
 			s.onArrival(t, scene)
@@ -150,7 +152,7 @@
 			require.Equal(t, kind.body, answer.body)
 			require.Equal(t, "seal", string(answer.head.Peek("T-Seal")))
 			if scene.second != nil {
-				require.Len(t, scene.second.receivedRequests(), scene.sentToSecond, "the request was sent to the other back end as well")
+				require.Len(t, scene.second.receivedRequests(), int(scene.sentToSecond.Load()), "the request was sent to the other back end as well")
 			}
 		})
 	}
@@ -243,3 +245,25 @@
 		})
 	}
 }
+
+// Guards against two silent answers that are both ended for the same retry, so that one of them is lost.
+func TestOneRetryReplacesOneSilentAnswer(t *testing.T) {
+	t.Parallel()
+	for _, kind := range silentAnswers() {
+		t.Run(kind.name, func(t *testing.T) {
+			t.Parallel()
+			var other *testClient
+			setup := silentSetup{prepare: func(t *testing.T, scene *silentScene) {
+				scene.budget.SetBounds(0, time.Hour, 1/retrybudget.SlackShare)
+				other = scene.client(t)
+				other.send("POST", "/path/", "y")
+			}}
+			scene, answer := setup.serveSilently(t, kind)
+			for _, answer := range []clientAnswer{answer, other.read()} {
+				require.True(t, answer.isComplete, "an answer was cut")
+				require.Equal(t, kind.body, answer.body)
+			}
+			require.Len(t, scene.second.receivedRequests(), 1)
+		})
+	}
+}
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -20,6 +20,8 @@
 	// duration plus prefillStallSlack.
 	prefillStallSlack  = 600 * time.Millisecond
 	prefillStallFactor = 2.5
+	// replacementChecksPerLimit is how often per limit a watch asks again for a replacement while the silence lasts.
+	replacementChecksPerLimit = 2
 )
 
 // stallLimit returns the silence after which the back end of a request counts as failed.
@@ -30,48 +32,73 @@
 	return max(minPlainStall, stallTargetFactor*route.Target)
 }
 
+// secureReplacement reports whether another back end can take over a request now, and reserves what the next attempt needs.
+// It must not block.
+type secureReplacement func() bool
+
 // stallWatch detects a back end that stalls during one answer. The back end counts as failed when nothing arrived from it
-// for the limit, neither on this answer nor on any other; the answer is aborted only when the request may run elsewhere. A
-// back end that sends other answers is slow but alive: aborting would only move its load.
+// for the limit, neither on this answer nor on any other. The answer is aborted only when its replacement is secured: a
+// silent back end may go on, and an answer that nothing replaces would be lost. A back end that sends other answers is slow
+// but alive: aborting would only move its load.
 type stallWatch struct {
 	exchanger  *exchanger
 	connection *connpool.Connection
 	backEnd    *backEnd
-	mayAbort   bool
-	limit      time.Duration
-	timer      *time.Timer
+	// secure is called during a silence; nil if the answer must not be aborted.
+	secure secureReplacement
+	limit  time.Duration
+	timer  *time.Timer
 
 	mutex sync.Mutex
+	// isRecorded is true if the silence since recordedSince has been recorded as a failure of the back end.
+	isRecorded    bool
+	recordedSince time.Duration
 	// stopped is true if the connection may carry another request now.
 	stopped bool
 }
 
-// watchStall starts to watch for a silence that lasts for the limit. mayAbort is true if the answer may then be aborted.
-func (e *exchanger) watchStall(connection *connpool.Connection, backEnd *backEnd, limit time.Duration, mayAbort bool) *stallWatch {
-	mayAbort = mayAbort && e.mechanisms.IsEnabled(mechanism.StallWatch)
-	watch := &stallWatch{exchanger: e, connection: connection, backEnd: backEnd, mayAbort: mayAbort, limit: limit}
+// watchStall starts to watch for a silence that lasts for the limit. secure is nil if the answer must not be aborted.
+func (e *exchanger) watchStall(connection *connpool.Connection, backEnd *backEnd, limit time.Duration, secure secureReplacement) *stallWatch {
+	if !e.mechanisms.IsEnabled(mechanism.StallWatch) {
+		secure = nil
+	}
+	watch := &stallWatch{exchanger: e, connection: connection, backEnd: backEnd, secure: secure, limit: limit}
 	watch.mutex.Lock()
 	defer watch.mutex.Unlock()
 	watch.timer = time.AfterFunc(limit, watch.check)
 	return watch
 }
 
-// check runs when the answer has been silent for the limit.
+// check runs when the answer has been silent for the limit, and again while the silence lasts and no replacement is secured.
 func (w *stallWatch) check() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.stopped {
 		return
 	}
-	silence := w.exchanger.clock.now() - w.backEnd.currentLoad(w.exchanger.clock.now()).lastReceivedAt
-	if silence < w.limit {
+	now := w.exchanger.clock.now()
+	lastReceivedAt := w.backEnd.currentLoad(now).lastReceivedAt
+	if silence := now - lastReceivedAt; silence < w.limit {
 		w.timer.Reset(w.limit - silence)
 		return
 	}
-	w.exchanger.recordFailure(w.backEnd)
-	if w.mayAbort {
+	w.recordSilence(lastReceivedAt)
+	switch {
+	case w.secure == nil:
+	case w.secure():
 		_ = w.connection.SetDeadline(time.Unix(1, 0)) // a closed connection needs no deadline
+	default:
+		w.timer.Reset(w.limit / replacementChecksPerLimit)
+	}
+}
+
+// recordSilence records the silence since the given time as a failure of the back end, once.
+func (w *stallWatch) recordSilence(since time.Duration) {
+	if w.isRecorded && w.recordedSince == since {
+		return
 	}
+	w.isRecorded, w.recordedSince = true, since
+	w.exchanger.recordFailure(w.backEnd)
 }
 
 // recordReceived records that bytes arrived, and restarts the timer.
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -38,7 +38,7 @@
 		recorder := &deadlineRecorder{}
 		backEnd := newBackEnd(serving.BackEnd{ID: "one"}, 1000)
 		backEnd.recordReceived(lastReceivedAt)
-		watch := exchanger.watchStall(connpool.NewConnection(recorder), backEnd, time.Hour, true)
+		watch := exchanger.watchStall(connpool.NewConnection(recorder), backEnd, time.Hour, func() bool { return true })
 		watch.stop()
 		watch.check()
 		require.Zero(t, recorder.set, name)
@@ -54,7 +54,7 @@
 			exchanger.clock = newClock()
 			recorder := &deadlineRecorder{}
 			backEnd := newBackEnd(serving.BackEnd{ID: "one"}, 1000)
-			watch := exchanger.watchStall(connpool.NewConnection(recorder), backEnd, time.Second, mayAbort)
+			watch := exchanger.watchStall(connpool.NewConnection(recorder), backEnd, time.Second, func() bool { return mayAbort })
 			time.Sleep(time.Second + time.Millisecond)
 			synctest.Wait()
 			watch.stop()
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -105,7 +105,7 @@
 		}
 	}
 	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.request.deadline, headers: headers, work: work, prefixBlocks: s.prefixBlocks, selection: selection,
-		stall: stallLimit(s.request.route) + placement.PrefillTime(s.relay.prefillSpeed.timePerToken(engine.hash), s.relay.policy.DecodeSlowdown*work.PromptTokens()), mayAbort: s.mayContinueElsewhere()})
+		stall: stallLimit(s.request.route) + placement.PrefillTime(s.relay.prefillSpeed.timePerToken(engine.hash), s.relay.policy.DecodeSlowdown*work.PromptTokens()), secure: s.attempts.replacement()})
 	if fault != nil {
 		s.recordSourceCached(fault)
 		return fault
@@ -125,9 +125,6 @@
 	}
 }
 
-// mayContinueElsewhere reports whether the stream may continue at another engine.
-func (s *streamReply) mayContinueElsewhere() bool { return s.attempts.hasFurtherAttempt() }
-
 func isEventStream(answer *answer) bool {
 	return answer.status == fasthttp.StatusOK &&
 		strings.HasPrefix(string(answer.head.ContentType()), "text/event-stream")
@@ -153,7 +150,7 @@
 	}()
 	events := newEventReader(answer)
 	gaps := &speeds.GapMeter{}
-	watch := s.relay.exchanger.watchStall(answer.connection, answer.message.backEnd, stallLimit(s.request.route), s.mayContinueElsewhere())
+	watch := s.relay.exchanger.watchStall(answer.connection, answer.message.backEnd, stallLimit(s.request.route), s.attempts.replacement())
 	defer watch.stop()
 	for {
 		event, err := events.next()
