A silent back end keeps its answer when no other can take the request

Seen by callers: where a service has one back end, or the others are leaving, in backoff, limited, tried or silent too, a silence of a second ends streams without their last event; repeatable requests get 502, or no answer by their deadline. Cause: the watch for stalls ended the exchange without asking whether another back end can take the request. Change: the new pure package relay/replacement says whether a back end can take over: not tried, closed, limited, in backoff or avoided, a slot free, and not itself silent for half the limit. Relays now know for how long exchanges have waited for bytes of a back end. A stream with a model engine moves only if the placement policy lets another decoding engine prefill its prompt again. Why this works: without another back end the silent one is the only one that can still answer, and a silence is no sign that it will not. Where another back end has room, it takes over as before.

--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -42,6 +42,7 @@
 	"internal/placement",
 	"internal/planner",
 	"internal/quarantine",
+	"internal/relay/replacement",
 	"internal/replicaplan",
 	"internal/returnplan",
 	"internal/routing",
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -62,6 +62,9 @@
 	peerFailures int
 	// lastReceivedAt is when the last bytes arrived from the back end.
 	lastReceivedAt time.Duration
+	// awaiting counts the exchanges that wait for bytes from the back end; awaitingSince is when the first of them began.
+	awaiting      int
+	awaitingSince time.Duration
 	// step is the shortest decode step, and relativeTimePercent the last relative time that the back end reported, since the last
 	// notice; 0 for none.
 	step                time.Duration
--- a/internal/relay/replace_attempt.go
+++ b/internal/relay/replace_attempt.go
@@ -1,11 +1,78 @@
 package relay
 
-// replacement returns what secures the replacement of the current attempt by a further one; nil if the route allows none.
-func (a *attemptTracker) replacement() secureReplacement {
+import (
+	"slices"
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/replacement"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// replacement returns what secures the replacement of the attempt at the current back end, whose silence has the given
+// limit; nil if the route allows no further attempt. canPlace reports whether the request can be placed when the back ends
+// with the given hashes are excluded; nil if any other back end can take it.
+func (a *attemptTracker) replacement(current *backEnd, limit time.Duration, canPlace func(excluded []uint64) bool) secureReplacement {
 	if !a.hasFurtherAttempt() {
 		return nil
 	}
-	return a.reserveRetry
+	return func() bool {
+		excluded, isAnyLeft := a.cannotTakeOver(current, answeringStage(a.request.service), limit)
+		return isAnyLeft && (canPlace == nil || canPlace(excluded)) && a.reserveRetry()
+	}
+}
+
+// cannotTakeOver returns the hashes of the service's back ends of the given stage that cannot take over the request from the
+// current one, and whether any other is left.
+func (a *attemptTracker) cannotTakeOver(current *backEnd, stage serving.Stage, limit time.Duration) (excluded []uint64, isAnyLeft bool) {
+	now := a.relay.clock.now()
+	for _, backEnd := range a.relay.view.Load().byService[a.request.service.Name] {
+		if backEnd.Stage != stage {
+			continue
+		}
+		if a.replacementState(backEnd, current, now).CanTakeOver(limit) {
+			isAnyLeft = true
+		} else {
+			excluded = append(excluded, backEnd.hash)
+		}
+	}
+	return excluded, isAnyLeft
+}
+
+// replacementState returns the state of a back end that might take over the request from the current one. Records are
+// compared by their hashes: a new list may hold another record of a back end that was tried.
+func (a *attemptTracker) replacementState(other, current *backEnd, now time.Duration) replacement.BackEnd {
+	load := other.currentLoad(now)
+	running := max(load.ownWork.Streams, load.reportedRequests)
+	if other.isEngine() {
+		running = a.relay.notices.table.totalWork(now, other, load).Streams
+	}
+	return replacement.BackEnd{
+		IsTried: other.hash == current.hash ||
+			slices.ContainsFunc(a.excluded, func(tried *backEnd) bool { return tried.hash == other.hash }),
+		IsClosed: other.isLeaving() || other.Changing, IsLimited: other.hasLimit(),
+		SendDelay: other.sendDelay(now), AvoidedFor: load.avoidUntil - now, SilentFor: load.silentFor(now),
+		Running: running, Slots: other.Slots,
+	}
+}
+
+// replacement returns what secures that the stream continues at another engine; nil if the route allows no further attempt.
+func (s *streamReply) replacement(current *backEnd, limit time.Duration) secureReplacement {
+	if s.request.service.Engine == nil {
+		return s.attempts.replacement(current, limit, nil)
+	}
+	return s.attempts.replacement(current, limit, s.canPlaceRun)
+}
+
+// canPlaceRun reports whether a decoding engine that is not excluded may prefill the prompt again and continue the stream,
+// by what this relay knows.
+func (s *streamReply) canPlaceRun(excluded []uint64) bool {
+	criteria := s.placementRequest(nil)
+	criteria.MayHaveRun = true
+	query := newEngineQuery(purposeDecode, s.attempts, criteria)
+	query.excluded = append(query.excluded, excluded...)
+	answer := s.relay.placementOwner.decide(query, s.relay.view.Load().byService[query.service], nil)
+	return answer.decision.Action == placement.PrefillOnDecodeEngine
 }
 
 // reserveRetry takes one retry from the budget for the next attempt, and reports whether it holds one.
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -116,8 +116,9 @@
 func (r *Relay) attemptPlain(selection *backEndSelection, slot plainSlot, attempts *attemptTracker, reply *replier) *failure {
 	request, backEnd := attempts.request, selection.backEnd
 	request.trace.engine, request.trace.sentAt = backEnd.ID, r.clock.now()
+	limit := stallLimit(request.route)
 	sent := &message{request: request, backEnd: backEnd, deadline: request.deadline, work: placement.Work{Streams: 1}, selection: selection,
-		stall: stallLimit(request.route), secure: attempts.replacement()}
+		stall: limit, secure: attempts.replacement(backEnd, limit, nil)}
 	answer, fault := r.exchanger.send(sent)
 	r.work.AddWholeAnswer(request.service.Name, r.clock.now()-request.trace.sentAt, backEnd.Slots)
 	if fault == nil || fault.verdict != verdict.NotRun {
--- a/internal/relay/silent_back_end_test.go
+++ b/internal/relay/silent_back_end_test.go
@@ -95,12 +95,7 @@
 func (s silentSetup) serveSilently(t *testing.T, kind silentAnswer) (*silentScene, clientAnswer) {
 	t.Helper()
 	scene, ready := &silentScene{}, make(chan struct{})
-	fallSilent := func() {
-		for scene.engineOf("first").currentLoad(0).failures == 0 && t.Context().Err() == nil {
-			time.Sleep(time.Millisecond)
-		}
-		time.Sleep(silenceAfterNotice)
-	}
+	fallSilent := func() { scene.awaitNoticedSilence(t, "first") }
 	scene.first = startBackEnd(t, "first", serving.StageWhole, func(connection net.Conn, request backEndRequest) bool {
 		<-ready
 		if scene.second != nil {
@@ -139,6 +134,14 @@
 	return scene, scene.client(t).do("POST", "/path/", "x")
 }
 
+// awaitNoticedSilence waits until the relay has recorded the silence of a back end, and a while longer.
+func (r *testRelay) awaitNoticedSilence(t *testing.T, id string) {
+	for r.engineOf(id).currentLoad(0).failures == 0 && t.Context().Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(silenceAfterNotice)
+}
+
 // requireAnswerOfFirst serves a request of each kind and requires that the client gets the whole answer of the back end
 // that was silent.
 func (s silentSetup) requireAnswerOfFirst(t *testing.T) {
@@ -267,3 +270,22 @@
 		})
 	}
 }
+
+// Guards against a silence that ends a stream with a long prompt although no other decoding engine may prefill that prompt.
+func TestSilentEngineKeepsItsStreamWhenNoOtherMayPrefillItsPrompt(t *testing.T) {
+	t.Parallel()
+	var relay *testRelay
+	reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
+	silent := startBackEnd(t, "silent", serving.StageDecode, func(connection net.Conn, request backEndRequest) bool {
+		relay.engineOf("reader").recordFailure(relay.clock.now())
+		silentAnswers()[0].answer(connection, request, func() { relay.awaitNoticedSilence(t, "silent") })
+		return true
+	})
+	busy := startBackEnd(t, "busy", serving.StageDecode, streaming("busy", eventOne, eventTwo, eventThree))
+	relay = newTestRelay(t, route(stream(true)), reader, silent, busy)
+	relay.engineOf("busy").addWork(placement.PrefillWork(10_000, 0).Plus(placement.Work{Streams: 5}))
+	answer := relay.client(t).do("POST", "/path/", "x", longPrompt...)
+	require.True(t, answer.isComplete, "the answer was cut")
+	require.Equal(t, eventOne+eventTwo+eventThree, answer.body)
+	require.Empty(t, busy.receivedRequests())
+}
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -63,6 +63,7 @@
 		secure = nil
 	}
 	watch := &stallWatch{exchanger: e, connection: connection, backEnd: backEnd, secure: secure, limit: limit}
+	backEnd.beginAwaiting(e.clock.now())
 	watch.mutex.Lock()
 	defer watch.mutex.Unlock()
 	watch.timer = time.AfterFunc(limit, watch.check)
@@ -111,6 +112,9 @@
 func (w *stallWatch) stop() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if !w.stopped {
+		w.backEnd.endAwaiting()
+	}
 	w.stopped = true
 	w.timer.Stop()
 }
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -63,3 +63,41 @@
 		})
 	}
 }
+
+// Guards against a silent answer that is never replaced because no replacement was possible at first, and against a silence
+// that counts as several failures.
+func TestStallWatchAsksAgainWhileTheSilenceLasts(t *testing.T) {
+	exchanger := newStallExchanger(t)
+	synctest.Test(t, func(t *testing.T) {
+		exchanger.clock = newClock()
+		recorder := &deadlineRecorder{}
+		backEnd := newBackEnd(serving.BackEnd{ID: "one"}, 1000)
+		var askedAt []time.Duration
+		watch := exchanger.watchStall(connpool.NewConnection(recorder), backEnd, time.Second, func() bool {
+			askedAt = append(askedAt, exchanger.clock.now())
+			return len(askedAt) == 3
+		})
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		watch.stop()
+		require.Equal(t, []time.Duration{time.Second, 1500 * time.Millisecond, 2 * time.Second}, askedAt)
+		require.Equal(t, 1, recorder.set)
+		require.Equal(t, 1, backEnd.currentLoad(0).failures)
+	})
+}
+
+// Guards against a back end that counts as silent because of its idle time, or after its exchanges have ended.
+func TestOnlyAwaitedBackEndsAreSilent(t *testing.T) {
+	backEnd := newBackEnd(serving.BackEnd{ID: "one"}, 1000)
+	silentFor := func(now time.Duration) time.Duration { return backEnd.currentLoad(now).silentFor(now) }
+	require.Zero(t, silentFor(time.Hour))
+	backEnd.beginAwaiting(time.Hour)
+	backEnd.beginAwaiting(time.Hour + time.Second)
+	require.Equal(t, 3*time.Second, silentFor(time.Hour+3*time.Second))
+	backEnd.recordReceived(time.Hour + 3*time.Second)
+	require.Equal(t, time.Second, silentFor(time.Hour+4*time.Second))
+	backEnd.endAwaiting()
+	require.Equal(t, time.Second, silentFor(time.Hour+4*time.Second))
+	backEnd.endAwaiting()
+	require.Zero(t, silentFor(time.Hour+4*time.Second))
+}
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -104,8 +104,10 @@
 			headers = append(headers, header{names.KVFetch, selection.fetchFrom.Address})
 		}
 	}
+	limit := stallLimit(s.request.route)
 	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.request.deadline, headers: headers, work: work, prefixBlocks: s.prefixBlocks, selection: selection,
-		stall: stallLimit(s.request.route) + placement.PrefillTime(s.relay.prefillSpeed.timePerToken(engine.hash), s.relay.policy.DecodeSlowdown*work.PromptTokens()), secure: s.attempts.replacement()})
+		stall:  limit + placement.PrefillTime(s.relay.prefillSpeed.timePerToken(engine.hash), s.relay.policy.DecodeSlowdown*work.PromptTokens()),
+		secure: s.replacement(engine, limit)})
 	if fault != nil {
 		s.recordSourceCached(fault)
 		return fault
@@ -150,7 +152,8 @@
 	}()
 	events := newEventReader(answer)
 	gaps := &speeds.GapMeter{}
-	watch := s.relay.exchanger.watchStall(answer.connection, answer.message.backEnd, stallLimit(s.request.route), s.attempts.replacement())
+	limit := stallLimit(s.request.route)
+	watch := s.relay.exchanger.watchStall(answer.connection, answer.message.backEnd, limit, s.replacement(answer.message.backEnd, limit))
 	defer watch.stop()
 	for {
 		event, err := events.next()
