A silent back end keeps its answer to a request that is quarantined meanwhile

Seen by callers: an answer that was only late is lost (cut, 502) when its request was quarantined after it had been sent. Cause: the watch for stalls ended the exchange, and the check before the next attempt then found that the request must not be sent to a further back end. Change: replacement.Request says whether the request may be sent again at the moment of the silence: its client is there, its time is not over, it is not quarantined. Otherwise the watch asks again later. Why this works: the first back end is the only one that may run the request.

--- a/internal/relay/replace_attempt.go
+++ b/internal/relay/replace_attempt.go
@@ -17,11 +17,21 @@
 		return nil
 	}
 	return func() bool {
+		if !a.replacementRequest().MayBeSentAgain() {
+			return false
+		}
 		excluded, isAnyLeft := a.cannotTakeOver(current, answeringStage(a.request.service), limit)
 		return isAnyLeft && (canPlace == nil || canPlace(excluded)) && a.reserveRetry()
 	}
 }
 
+// replacementRequest returns the state of the request whose back end is silent.
+func (a *attemptTracker) replacementRequest() replacement.Request {
+	return replacement.Request{
+		IsOver: a.isOver(), IsQuarantined: a.isQuarantined || a.relay.guard.IsQuarantined(a.request.signature),
+	}
+}
+
 // cannotTakeOver returns the hashes of the service's back ends of the given stage that cannot take over the request from the
 // current one, and whether any other is left.
 func (a *attemptTracker) cannotTakeOver(current *backEnd, stage serving.Stage, limit time.Duration) (excluded []uint64, isAnyLeft bool) {
