A silent back end keeps its answer when too little time is left for another one

Seen by callers: a request near its deadline loses the answer of a back end that was silent for a second, and gets 504 instead. Cause: the watch for stalls ended the exchange as long as the deadline had not passed, however little time the next attempt would have had. Change: the exchange is ended only if the time left is at least the route's target, in which a back end usually answers or sends the first event. Why this works: an attempt that cannot answer in time replaces nothing. How long the rest of a stream takes is not known to the relay and not considered.

--- a/internal/relay/replace_attempt.go
+++ b/internal/relay/replace_attempt.go
@@ -28,7 +28,9 @@
 // replacementRequest returns the state of the request whose back end is silent.
 func (a *attemptTracker) replacementRequest() replacement.Request {
 	return replacement.Request{
-		IsOver: a.isOver(), IsQuarantined: a.isQuarantined || a.relay.guard.IsQuarantined(a.request.signature),
+		IsCancelled:   a.request.canceller.isCancelled(),
+		IsQuarantined: a.isQuarantined || a.relay.guard.IsQuarantined(a.request.signature),
+		TimeLeft:      a.request.deadline - a.relay.clock.now(), UsualTime: a.request.route.Target,
 	}
 }
 
