A back end's error answer is forwarded when its replacement fails

Seen by callers: 502 or 504 of the relay to a request that a back end had answered with a whole 5xx answer. Cause: the relay dropped such an answer for a further attempt; when that one was refused, broke or was too late, the client got the relay's own error. The retry budget was only asked, not taken, so that the attempt could also be denied. Change: the answer is kept until a further attempt brings one. Why this works: the answer was read whole before; nothing of it depends on the connection any more.

--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -139,12 +139,17 @@
 	return serving.StageDecode
 }
 
-// replyRefused sends the final answer when none came from a back end.
+// replyRefused sends the final answer when the last attempt brought none: a kept answer of an earlier attempt, or the
+// relay's own.
 func (r *Relay) replyRefused(attempts *attemptTracker, reply *replier) {
 	if reply.started || attempts.request.canceller.isCancelled() {
 		reply.close, reply.aborted = true, true // a truncated answer must not look complete
 		return
 	}
+	if kept := attempts.kept; kept != nil {
+		reply.sendWhole(kept.answer, kept.body)
+		return
+	}
 	response := attempts.refusal()
 	r.log.recordRefusal(attempts.request, response, attempts)
 	reply.refuse(response)
@@ -165,6 +170,7 @@
 		return r.forwardLong(answer, body, reply)
 	}
 	if answer.status >= fasthttp.StatusInternalServerError && r.mayReplace(answer, attempts) {
+		attempts.keepAnswer(answer, body)
 		return &failure{verdict: backEndErrorAnswer.verdict, mayHaveArrived: true, cause: backEndErrorAnswer.cause}
 	}
 	reply.sendWhole(answer, body)
