A silent prefill engine keeps its prompt when no other engine may prefill it

Seen by callers: 503 to a request whose prompt was being prefilled by an engine that was silent for a second or so. Cause: the watch for stalls always gave up a silent prefill. Without a further prefill engine, and with decoding engines that may not prefill a long prompt, the request was then refused. Change: a prefill is given up only if another prefill engine can take it, within the route's attempts and with a retry that is reserved for it, or if a decoding engine may prefill the prompt itself by the placement policy. Why this works: giving up a prefill is right where the request goes on elsewhere, since a prefill alone runs nothing; elsewhere it ends the only way to an answer.

--- a/internal/relay/replace_attempt.go
+++ b/internal/relay/replace_attempt.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/replacement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
@@ -81,10 +80,7 @@
 func (s *streamReply) canPlaceRun(excluded []uint64) bool {
 	criteria := s.placementRequest(nil)
 	criteria.MayHaveRun = true
-	query := newEngineQuery(purposeDecode, s.attempts, criteria)
-	query.excluded = append(query.excluded, excluded...)
-	answer := s.relay.placementOwner.decide(query, s.relay.view.Load().byService[query.service], nil)
-	return answer.decision.Action == placement.PrefillOnDecodeEngine
+	return s.isPlaced(newEngineQuery(purposeDecode, s.attempts, criteria), excluded)
 }
 
 // reserveRetry takes one retry from the budget for the next attempt, and reports whether it holds one.
--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -71,11 +71,11 @@
 func (r *Relay) prefillWithRetry(stream *streamReply, selection *backEndSelection) *remotePrefill {
 	prefill := r.prefillPrompt(stream, selection)
 	attempts := stream.attempts
-	if prefill != nil || attempts.isOver() || attempts.sentCount+1 >= stream.request.route.MaxAttempts {
+	if prefill != nil || attempts.isOver() || !attempts.mayRetryPrefill() {
 		return prefill
 	}
 	next := r.nextPrefillEngine(stream)
-	if next == nil || !r.trySpendRetry(stream.request) {
+	if next == nil || !attempts.takeRetry() {
 		return nil
 	}
 	attempts.sentCount++ // the second prefill counts as an attempt
@@ -93,11 +93,12 @@
 	if selection.fetchFrom != nil {
 		headers = append(headers, header{r.dialect.Headers.KVFetch, selection.fetchFrom.Address})
 	}
+	expected := r.policy.PrefillQueueDelay(selection.queuedWork, placement.RankCount-1, perToken) + placement.PrefillTime(perToken, selection.EffectiveTokens)
+	limit := prefillStallSlack + time.Duration(prefillStallFactor*float64(expected))
 	answer, fault := r.exchanger.send(&message{
 		request: request, backEnd: engine, deadline: request.deadline, prefixBlocks: stream.prefixBlocks, headers: headers, selection: selection, isPrefill: true,
-		work:   prefillWork(r.policy, stream.rank(), &selection.Candidate),
-		stall:  prefillStallSlack + time.Duration(prefillStallFactor*float64(r.policy.PrefillQueueDelay(selection.queuedWork, placement.RankCount-1, perToken)+placement.PrefillTime(perToken, selection.EffectiveTokens))),
-		secure: func() bool { return true },
+		work:  prefillWork(r.policy, stream.rank(), &selection.Candidate),
+		stall: limit, secure: stream.prefillReplacement(engine, limit),
 	})
 	if fault != nil {
 		r.log.recordFailedAttempt(request, engine, fault)
