A run is moved although its engine is silent while it stops the run

Seen by callers: a stream of an engine that leaves or changes its stage is cut without its last event, though another engine was ready to continue it. Cause: the call that stops the run and copies the rest of its KV cache was given up after 1 s. A sound engine that was silent for longer then stopped the run, and the relay did not know where its KV cache was. Change: this call may take 3 s; the first one, during which the run continues, is still bounded by 1 s, since its failure ends nothing. A completed answer no longer waits for a call in progress before the client's connection carries the next request. Why this works: once the engine may have stopped the run, only its answer says where the run continues. Not tried: silences of more than 3 s; the stream is then cut or repeated as before.

--- a/internal/relay/run_mover.go
+++ b/internal/relay/run_mover.go
@@ -10,8 +10,13 @@
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 )
 
-// runCopyTimeout bounds the KV transfer of one run.
-const runCopyTimeout = time.Second
+const (
+	// runCopyTimeout bounds the KV transfer of a run that continues meanwhile.
+	runCopyTimeout = time.Second
+	// runStopTimeout bounds the KV transfer of a run that stops for it. It is longer than the silences of sound engines: an
+	// engine that stops the run without an answer leaves a run of which nobody knows where it may continue.
+	runStopTimeout = 3 * time.Second
+)
 
 // migratedRun says where a migrated run continues.
 type migratedRun struct {
@@ -46,17 +51,21 @@
 // finish records that the run produces no more events. It returns where the run continues, nil when it was not migrated. It
 // blocks while a migration is in progress.
 func (m *runMover) finish() *migratedRun {
-	m.engine.removeMover(m)
-	m.mutex.Lock()
-	m.isFinished = true
-	stopping := m.stopping
-	m.mutex.Unlock()
-	if !stopping {
+	if !m.end() {
 		return nil
 	}
 	return <-m.outcome
 }
 
+// end records that the run produces no more events. It reports whether outcome will receive where the run continues.
+func (m *runMover) end() bool {
+	m.engine.removeMover(m)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.isFinished = true
+	return m.stopping
+}
+
 // beginMigration begins a migration. It returns false while another one is in progress.
 func (m *runMover) beginMigration() bool {
 	m.mutex.Lock()
@@ -160,12 +169,16 @@
 	if engine.inBackoff(now) || !e.acquirePermit(engine, internalCallRank, false) {
 		return false, "" // the run stays at its engine
 	}
+	timeout := runCopyTimeout
+	if stop {
+		timeout = runStopTimeout
+	}
 	connection, err := e.open(engine, runCopyTimeout)
 	if err != nil {
 		return false, ""
 	}
 	defer connection.Discard()
-	_ = connection.SetDeadline(e.clock.at(now + runCopyTimeout))
+	_ = connection.SetDeadline(e.clock.at(now + timeout))
 	if e.writeInternalCall(connection, engine, fasthttp.MethodPost, dialect.MovePath, dialect.MoveBody(request, address, stop)) != nil {
 		return false, ""
 	}
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -271,11 +271,19 @@
 	return mover.finish()
 }
 
-// releaseMigrated releases the KV cache of a migrated run whose client has disconnected.
+// releaseMigrated releases the KV cache of a migrated run whose answer has ended. It does not wait for a migration in
+// progress: the connection of the client may carry the next request.
 func (s *streamReply) releaseMigrated() {
-	if migrated := s.finishMover(); migrated != nil {
-		s.relay.release(migrated.prefill)
+	mover := s.mover
+	s.mover = nil
+	if mover == nil || !mover.end() {
+		return
 	}
+	go func() {
+		if migrated := <-mover.outcome; migrated != nil {
+			s.relay.release(migrated.prefill)
+		}
+	}()
 }
 
 // finish writes the pending events, the bytes after the last event (remainder), and the end of the stream.
