The rest of a long request body is sent after an early head of the answer

Seen by callers: 504 or a cut stream when a back end sends the head of its answer before it has read a body of more than the socket buffers hold. Found by reading the code, not in the users' record. Cause: the relay stopped sending the body as soon as the head had arrived; the back end waited for the rest until the deadline. Change: the write goes on until the answer has ended. It stops at the head of an answer with status 400 or more, as before: such a back end needs no more of the body and may close. A connection whose body was not sent whole is not reused, as before. Why this works: the head alone does not say that the body is not needed.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -21,7 +21,10 @@
 	connection *connpool.Connection
 	message    *message
 	exchanger  *exchanger
-	// bodyUnread is true if the back end answered before it had received the whole request body.
+	// writeDone receives the result of the write of a long request body that may be in progress: a back end may send the head
+	// of its answer before it has read the body. It is nil if no such write is left.
+	writeDone <-chan error
+	// bodyUnread is true if the request body was not sent completely.
 	bodyUnread bool
 	closed     bool
 }
@@ -82,6 +85,7 @@
 	}
 	a.closed = true
 	a.message.request.canceller.detach()
+	a.stopWriting()
 	if !a.isReusable() {
 		a.connection.Discard()
 		return
@@ -94,6 +98,21 @@
 	a.message.backEnd.pool.Put(a.connection, a.exchanger.clock.now())
 }
 
+// stopWriting ends the write of a long request body.
+func (a *answer) stopWriting() {
+	if a.writeDone == nil {
+		return
+	}
+	select {
+	case err := <-a.writeDone:
+		a.bodyUnread = err != nil
+	default:
+		_ = a.connection.SetWriteDeadline(time.Unix(1, 0)) // a closed connection needs no deadline
+		a.bodyUnread = <-a.writeDone != nil
+	}
+	a.writeDone = nil
+}
+
 func (a *answer) isReusable() bool {
 	return a.body.isComplete && !a.bodyUnread && a.body.framing != framedByClose && !a.head.ConnectionClose() &&
 		a.connection.Reader.Buffered() == 0 && !a.message.request.canceller.isCancelled()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -176,14 +176,13 @@
 		defer watch.stop()
 	}
 	answer, fault := e.readHead(connection, message)
-	bodyUnread := false
-	if writeDone != nil {
-		bodyUnread = e.finishWriting(connection, writeDone)
-	}
 	if fault != nil {
 		return nil, fault
 	}
-	answer.bodyUnread = bodyUnread
+	answer.writeDone = writeDone
+	if answer.status >= fasthttp.StatusBadRequest {
+		answer.stopWriting() // the back end does not need the rest of the body, and may close the connection
+	}
 	return answer, nil
 }
 
@@ -206,18 +205,6 @@
 	return written, nil
 }
 
-// finishWriting ends the background write of a long body after the head of the answer has arrived. It reports whether part
-// of the body was not sent.
-func (e *exchanger) finishWriting(connection *connpool.Connection, written <-chan error) (unread bool) {
-	select {
-	case err := <-written:
-		return err != nil
-	default:
-	}
-	_ = connection.SetWriteDeadline(time.Unix(1, 0)) // a closed connection needs no deadline
-	return <-written != nil
-}
-
 // connectionFailure returns the failure for an error of a connection. A request of which nothing was sent cannot have run;
 // any other may have.
 func (e *exchanger) connectionFailure(connection *connpool.Connection, message *message, anySent bool, err error) *failure {
