Silent answers do not count on the same free slot of another back end

Seen by callers: several answers of a silent back end are ended at once; the only other back end has one free slot and refuses the rest, whose answers are lost. Cause: each watch found the same slot free, since an attempt counts at its back end only when it is sent. Change: the watch counts the next attempt at a back end with a free slot before it ends the answer, one request at a time. The count passes to the attempt when it is sent and is returned if there is none. Why this works: no more answers are given up than there are slots known to be free. Other relays' requests may still take the slot first. Command: go test -count=5 -run TestOneFreeSlot ./internal/relay

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -65,6 +66,8 @@
 	// slots obtains slots of back ends where relays share them, as sharesSlots says.
 	slots       *slots.Slots
 	sharesSlots bool
+	// slotReservations is held while a replacement of a silent answer reserves a slot, see reserveSlot.
+	slotReservations sync.Mutex
 	// slotAnswerTimeout returns how long to wait for the answer of an owner of slots.
 	slotAnswerTimeout func() time.Duration
 	placementOwner    *placementOwner
--- a/internal/relay/replace_attempt.go
+++ b/internal/relay/replace_attempt.go
@@ -19,8 +19,15 @@
 		if !a.replacementRequest().MayBeSentAgain() {
 			return false
 		}
-		excluded, isAnyLeft := a.cannotTakeOver(current, answeringStage(a.request.service), limit)
-		return isAnyLeft && (canPlace == nil || canPlace(excluded)) && a.reserveRetry()
+		usable, excluded := a.partition(current, answeringStage(a.request.service), limit)
+		if len(usable) == 0 || canPlace != nil && !canPlace(excluded) || !a.reserveSlot(usable) {
+			return false
+		}
+		if !a.reserveRetry() {
+			a.releaseReservedSlot()
+			return false
+		}
+		return true
 	}
 }
 
@@ -33,37 +40,33 @@
 	}
 }
 
-// cannotTakeOver returns the hashes of the service's back ends of the given stage that cannot take over the request from the
-// current one, and whether any other is left.
-func (a *attemptTracker) cannotTakeOver(current *backEnd, stage serving.Stage, limit time.Duration) (excluded []uint64, isAnyLeft bool) {
+// partition returns the service's back ends of the given stage that can take over the request from the current one, and the
+// hashes of those that cannot.
+func (a *attemptTracker) partition(current *backEnd, stage serving.Stage, limit time.Duration) (usable []*backEnd, excluded []uint64) {
 	now := a.relay.clock.now()
 	for _, backEnd := range a.relay.view.Load().byService[a.request.service.Name] {
 		if backEnd.Stage != stage {
 			continue
 		}
 		if a.replacementState(backEnd, current, now).CanTakeOver(limit) {
-			isAnyLeft = true
+			usable = append(usable, backEnd)
 		} else {
 			excluded = append(excluded, backEnd.hash)
 		}
 	}
-	return excluded, isAnyLeft
+	return usable, excluded
 }
 
 // replacementState returns the state of a back end that might take over the request from the current one. Records are
 // compared by their hashes: a new list may hold another record of a back end that was tried.
 func (a *attemptTracker) replacementState(other, current *backEnd, now time.Duration) replacement.BackEnd {
 	load := other.currentLoad(now)
-	running := max(load.ownWork.Streams, load.reportedRequests)
-	if other.isEngine() {
-		running = a.relay.notices.table.totalWork(now, other, load).Streams
-	}
 	return replacement.BackEnd{
 		IsTried: other.hash == current.hash ||
 			slices.ContainsFunc(a.excluded, func(tried *backEnd) bool { return tried.hash == other.hash }),
 		IsClosed: other.isLeaving() || other.Changing, IsLimited: other.hasLimit(),
 		SendDelay: other.sendDelay(now), AvoidedFor: load.avoidUntil - now, SilentFor: load.silentFor(now),
-		Running: running, Slots: other.Slots,
+		Running: a.relay.runningAt(other, now), Slots: other.Slots,
 	}
 }
 
--- a/internal/relay/replace_prefill.go
+++ b/internal/relay/replace_prefill.go
@@ -28,8 +28,8 @@
 // canPlace reports whether an engine of the given stage may prefill the prompt now in place of the current engine, by what
 // this relay knows.
 func (s *streamReply) canPlace(current *backEnd, limit time.Duration, stage serving.Stage, purpose purpose) bool {
-	excluded, isAnyLeft := s.attempts.cannotTakeOver(current, stage, limit)
-	if !isAnyLeft {
+	usable, excluded := s.attempts.partition(current, stage, limit)
+	if len(usable) == 0 {
 		return false
 	}
 	return s.isPlaced(newEngineQuery(purpose, s.attempts, s.placementRequest(nil)), append(excluded, current.hash))
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -95,7 +95,7 @@
 // servePlain serves a request that back ends answer whole, without streaming.
 func (r *Relay) servePlain(request *request, reply *replier) {
 	attempts := &attemptTracker{relay: r, request: request}
-	defer attempts.returnReservedRetry()
+	defer attempts.returnReservations()
 	for attempts.mayContinue() {
 		selection, slot := r.pickWithSlot(request, attempts)
 		if selection == nil {
@@ -119,6 +119,7 @@
 	limit := stallLimit(request.route)
 	sent := &message{request: request, backEnd: backEnd, deadline: request.deadline, work: placement.Work{Streams: 1}, selection: selection,
 		stall: limit, secure: attempts.replacement(backEnd, limit, nil)}
+	attempts.releaseReservedSlot() // send counts the attempt at its back end
 	answer, fault := r.exchanger.send(sent)
 	r.work.AddWholeAnswer(request.service.Name, r.clock.now()-request.trace.sentAt, backEnd.Slots)
 	if fault == nil || fault.verdict != verdict.NotRun {
--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -26,7 +26,7 @@
 // engine generates the stream, or a decoding engine does both.
 func (r *Relay) serveStream(request *request, reply *replier) {
 	attempts := &attemptTracker{relay: r, request: request}
-	defer attempts.returnReservedRetry()
+	defer attempts.returnReservations()
 	stream := &streamReply{relay: r, request: request, reply: reply, attempts: attempts,
 		prefixBlocks: placement.PrefixBlocksOf(request.prompt), lastEventID: string(request.header.Peek(r.dialect.Headers.LastEventID))}
 	start := r.beginStream(stream)
--- a/internal/relay/silent_back_end_test.go
+++ b/internal/relay/silent_back_end_test.go
@@ -289,3 +289,44 @@
 	require.Equal(t, eventOne+eventTwo+eventThree, answer.body)
 	require.Empty(t, busy.receivedRequests())
 }
+
+// Guards against several silent answers that are ended for the same free slot of another back end, which refuses all but one
+// of their requests.
+func TestOneFreeSlotReplacesOneSilentAnswer(t *testing.T) {
+	t.Parallel()
+	const sent = 4
+	for _, kind := range silentAnswers() {
+		t.Run(kind.name, func(t *testing.T) {
+			t.Parallel()
+			var isBusy atomic.Bool
+			var others []*testClient
+			setup := silentSetup{
+				secondAnswer: func(connection net.Conn, request backEndRequest) bool {
+					if !isBusy.CompareAndSwap(false, true) {
+						return refusing(503)(connection, request)
+					}
+					defer isBusy.Store(false)
+					time.Sleep(200 * time.Millisecond)
+					return kind.sound(connection, request)
+				},
+				prepare: func(t *testing.T, scene *silentScene) {
+					scene.engineOf("second").addWork(placement.Work{Streams: 2}) // with those of the setup, 7 of 8 slots
+					for range sent - 1 {
+						client := scene.client(t)
+						client.send("POST", "/path/", "y")
+						others = append(others, client)
+					}
+				},
+			}
+			_, answer := setup.serveSilently(t, kind)
+			answers := []clientAnswer{answer}
+			for _, client := range others {
+				answers = append(answers, client.read())
+			}
+			for _, answer := range answers {
+				require.True(t, answer.isComplete, "an answer was cut")
+				require.Equal(t, kind.body, answer.body)
+			}
+		})
+	}
+}
