A silent back end is avoided by new requests while its silence lasts

Seen by callers: new requests wait for a back end that is known to be silent, though others can serve them. Cause: the watch for stalls records a silence once, and the back end is avoided for 0.25 s after it. Answers that are not aborted left no further sign. Change: while a silence lasts the watch checks twice per limit and each time extends the time for which new requests go elsewhere, until 0.25 s after the next check. The count of failures does not rise; a complete answer ends the avoidance, as before. Command: go test -race -count=5 -run 'Stall|TestSilentBackEndIs' ./internal/relay

--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -20,7 +20,7 @@
 	// duration plus prefillStallSlack.
 	prefillStallSlack  = 600 * time.Millisecond
 	prefillStallFactor = 2.5
-	// replacementChecksPerLimit is how often per limit a watch asks again for a replacement while the silence lasts.
+	// replacementChecksPerLimit is how often per limit a watch checks again while the silence lasts.
 	replacementChecksPerLimit = 2
 )
 
@@ -71,6 +71,7 @@
 }
 
 // check runs when the answer has been silent for the limit, and again while the silence lasts and no replacement is secured.
+// Meanwhile new requests go to other back ends where possible.
 func (w *stallWatch) check() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -84,13 +85,13 @@
 		return
 	}
 	w.recordSilence(lastReceivedAt)
-	switch {
-	case w.secure == nil:
-	case w.secure():
+	if w.secure != nil && w.secure() {
 		_ = w.connection.SetDeadline(time.Unix(1, 0)) // a closed connection needs no deadline
-	default:
-		w.timer.Reset(w.limit / replacementChecksPerLimit)
+		return
 	}
+	next := w.limit / replacementChecksPerLimit
+	w.backEnd.avoidUntil(now + next + minFailureBackoff) // beyond the next check
+	w.timer.Reset(next)
 }
 
 // recordSilence records the silence since the given time as a failure of the back end, once.
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -101,3 +101,29 @@
 	backEnd.endAwaiting()
 	require.Zero(t, silentFor(time.Hour+4*time.Second))
 }
+
+// Guards against new requests that are sent to a silent back end again while its silence lasts: it was avoided for 0.25 s
+// only, however long the silence.
+func TestSilentBackEndIsAvoidedWhileItsSilenceLasts(t *testing.T) {
+	for name, secure := range map[string]secureReplacement{
+		"no replacement":      func() bool { return false },
+		"must not be aborted": nil,
+	} {
+		exchanger := newStallExchanger(t)
+		synctest.Test(t, func(t *testing.T) {
+			exchanger.clock = newClock()
+			backEnd := newBackEnd(serving.BackEnd{ID: "one"}, 1000)
+			watch := exchanger.watchStall(connpool.NewConnection(&deadlineRecorder{}), backEnd, time.Second, secure)
+			time.Sleep(time.Second + time.Millisecond)
+			for range 50 {
+				require.Positive(t, backEnd.avoidanceLeft(exchanger.clock.now()), "%s: after %s", name, exchanger.clock.now())
+				time.Sleep(100 * time.Millisecond)
+			}
+			watch.recordReceived()
+			time.Sleep(900 * time.Millisecond)
+			require.Zero(t, backEnd.avoidanceLeft(exchanger.clock.now()), name)
+			require.Equal(t, 1, backEnd.currentLoad(0).failures, name)
+			watch.stop()
+		})
+	}
+}
