The body of a plain answer counts as a sign of its back end

Seen by callers: an answer that is only slow is given up, and its request sent again, while the back end sends the body of another answer. Cause: only heads of answers and events of streams were recorded as received. Change: each read of a body is recorded. Result: TestBodyOfAPlainAnswerEndsTheSilence failed (last bytes at 0 s in place of 1 s), now passes; -race -count=5 passes. Found by reading the code. Command: go test -race -count=5 -run 'Stall|Silence|Body' ./internal/relay

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -42,6 +42,9 @@
 // Read implements io.Reader for the body. It returns io.EOF only at the body's declared end.
 func (a *answer) Read(buffer []byte) (int, error) {
 	n, err := a.body.Read(buffer)
+	if n > 0 {
+		a.message.backEnd.recordReceived(a.exchanger.clock.now())
+	}
 	if err == nil || errors.Is(err, io.EOF) {
 		return n, err
 	}
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -1,12 +1,16 @@
 package relay
 
 import (
+	"bufio"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
@@ -127,3 +131,25 @@
 		})
 	}
 }
+
+// Guards against a back end that counts as silent while it sends the body of a plain answer to another request.
+func TestBodyOfAPlainAnswerEndsTheSilence(t *testing.T) {
+	exchanger := newStallExchanger(t)
+	synctest.Test(t, func(t *testing.T) {
+		exchanger.clock = newClock()
+		backEnd := newBackEnd(serving.BackEnd{ID: "one"}, 1000)
+		head := &fasthttp.ResponseHeader{}
+		head.SetContentLength(4)
+		answer := &answer{
+			message: &message{request: &request{}, backEnd: backEnd}, exchanger: exchanger,
+			body: newFramedBody(head, fasthttp.MethodGet, bufio.NewReader(strings.NewReader("body"))),
+		}
+		time.Sleep(time.Second)
+		n, _ := answer.Read(make([]byte, 2))
+		require.Equal(t, 2, n)
+		require.Equal(t, time.Second, backEnd.currentLoad(0).lastReceivedAt)
+		time.Sleep(time.Second)
+		_, _ = io.ReadAll(answer)
+		require.Equal(t, 2*time.Second, backEnd.currentLoad(0).lastReceivedAt)
+	})
+}
