A silent answer is replaced by the back end that was found for it

Seen by callers: an answer is given up because one back end can take its request, and the request then waits at another one that is silent as well. Cause: the watch only counted a slot; the next attempt selected a back end anew, without regard to silence and free slots. Change: where the relay selects back ends by itself (services without model engines and without shared slots), the watch selects among those that can take over, by the usual policy, and the next attempt goes there if it still may. The decisions of owners of engines and of shared slots stay as they are.

--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -27,8 +27,10 @@
 	isQuarantined bool
 	// reservedRetry is taken from the retry budget for the next attempt, which replaces the current one; nil for none.
 	reservedRetry *retrybudget.Reservation
-	// reservedSlot is the back end at which the next attempt is counted already; nil for none.
-	reservedSlot *backEnd
+	// reservedSlot is the back end at which the next attempt is counted already; nil for none. reservedSelection is its
+	// selection, if the next attempt goes there.
+	reservedSlot      *backEnd
+	reservedSelection *backEndSelection
 	// kept is the error answer that the client gets if no further attempt brings an answer; nil for none.
 	kept *keptAnswer
 	// slotRefusal is the answer to the client when the owner of the service's slots has refused the request; nil otherwise.
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -19,6 +19,9 @@
 		stream.reservedRun = nil
 		return run
 	}
+	if selection := stream.attempts.takeReservedSelection(); selection != nil {
+		return selection
+	}
 	var near *backEnd
 	if prefill != nil {
 		near = prefill.engine
