A reserved slot counts until its attempt is counted

Seen: TestOneFreeSlotReplacesOneSilentAnswer failed once in 5 runs with -race beside the other tests of silent back ends, not in 12 runs by itself. Cause, by reading the code: the slot was released before the attempt was counted at its back end, and another request could count on it in between. Change: the slot is released once the attempt counts at its back end. Result: no failure in 10 runs with -race beside the same tests. Command: go test -race -count=5 -run 'Silent|OneFree|OneRetry' ./internal/relay, twice

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -60,6 +60,9 @@
 func (e *exchanger) send(message *message) (*answer, *failure) {
 	backoffLeft := message.backEnd.avoidanceLeft(e.clock.now())
 	message.backEnd.addWork(message.work)
+	if message.onCounted != nil {
+		message.onCounted()
+	}
 	e.recordPrefill(message)
 	answer, fault := e.exchange(message)
 	if fault == nil {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -18,8 +18,9 @@
 	// another back end can take over the request; it is not aborted if secure is nil.
 	stall  time.Duration
 	secure secureReplacement
-	// work is the expected work at the back end.
-	work placement.Work
+	// work is the expected work at the back end. onCounted is called when it counts there; nil for no call.
+	work      placement.Work
+	onCounted func()
 	// selection is the selection of the back end; nil for a message that is not sent, see awaitCached.
 	selection *backEndSelection
 	// isPrefill is true if the message only prefills the prompt, so that nothing runs.
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -105,10 +105,9 @@
 		}
 	}
 	limit := stallLimit(s.request.route)
-	s.attempts.releaseReservedSlot() // send counts the attempt at its engine
 	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.request.deadline, headers: headers, work: work, prefixBlocks: s.prefixBlocks, selection: selection,
 		stall:  limit + placement.PrefillTime(s.relay.prefillSpeed.timePerToken(engine.hash), s.relay.policy.DecodeSlowdown*work.PromptTokens()),
-		secure: s.replacement(engine, limit)})
+		secure: s.replacement(engine, limit), onCounted: s.attempts.releaseReservedSlot})
 	if fault != nil {
 		s.recordSourceCached(fault)
 		return fault
