--- /dev/null
+++ b/internal/relay/replace_attempt.go
@@ -0,0 +1,113 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/relay/replacement"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// replacement returns what secures the replacement of the attempt at the current back end, whose silence has the given
+// limit; nil if the route allows no further attempt. canPlace reports whether the request can be placed when the back ends
+// with the given hashes are excluded; nil if any other back end can take it.
+func (a *attemptTracker) replacement(current *backEnd, limit time.Duration, canPlace func(excluded []uint64) bool) secureReplacement {
+	if !a.hasFurtherAttempt() {
+		return nil
+	}
+	return func() bool {
+		if !a.replacementRequest().MayBeSentAgain() {
+			return false
+		}
+		usable, excluded := a.partition(current, answeringStage(a.request.service), limit)
+		if len(usable) == 0 || canPlace != nil && !canPlace(excluded) || !a.reserveSlot(usable) {
+			return false
+		}
+		if !a.reserveRetry() {
+			a.releaseReservedSlot()
+			return false
+		}
+		return true
+	}
+}
+
+// replacementRequest returns the state of the request whose back end is silent.
+func (a *attemptTracker) replacementRequest() replacement.Request {
+	return replacement.Request{
+		IsCancelled:   a.request.canceller.isCancelled(),
+		IsQuarantined: a.isQuarantined || a.relay.guard.IsQuarantined(a.request.signature),
+		TimeLeft:      a.request.deadline - a.relay.clock.now(), UsualTime: a.request.route.Target,
+	}
+}
+
+// partition returns the service's back ends of the given stage that can take over the request from the current one, and the
+// hashes of those that cannot.
+func (a *attemptTracker) partition(current *backEnd, stage serving.Stage, limit time.Duration) (usable []*backEnd, excluded []uint64) {
+	now := a.relay.clock.now()
+	for _, backEnd := range a.relay.view.Load().byService[a.request.service.Name] {
+		if backEnd.Stage != stage {
+			continue
+		}
+		if a.replacementState(backEnd, current, now).CanTakeOver(limit) {
+			usable = append(usable, backEnd)
+		} else {
+			excluded = append(excluded, backEnd.hash)
+		}
+	}
+	return usable, excluded
+}
+
+// replacementState returns the state of a back end that might take over the request from the current one. Records are
+// compared by their hashes: a new list may hold another record of a back end that was tried.
+func (a *attemptTracker) replacementState(other, current *backEnd, now time.Duration) replacement.BackEnd {
+	load := other.currentLoad(now)
+	return replacement.BackEnd{
+		IsTried: other.hash == current.hash ||
+			slices.ContainsFunc(a.excluded, func(tried *backEnd) bool { return tried.hash == other.hash }),
+		IsClosed: other.isLeaving() || other.Changing, IsLimited: other.hasLimit(),
+		SendDelay: other.sendDelay(now), AvoidedFor: load.avoidUntil - now, SilentFor: load.silentFor(now),
+		Running: a.relay.runningAt(other, now), Slots: other.Slots,
+	}
+}
+
+// replacement returns what secures that the stream continues at another engine; nil if the route allows no further attempt.
+func (s *streamReply) replacement(current *backEnd, limit time.Duration) secureReplacement {
+	if s.request.service.Engine == nil {
+		return s.attempts.replacement(current, limit, nil)
+	}
+	return s.attempts.replacement(current, limit, s.canPlaceRun)
+}
+
+// canPlaceRun reports whether a decoding engine that is not excluded may prefill the prompt again and continue the stream,
+// by what this relay knows.
+func (s *streamReply) canPlaceRun(excluded []uint64) bool {
+	criteria := s.placementRequest(nil)
+	criteria.MayHaveRun = true
+	return s.isPlaced(newEngineQuery(purposeDecode, s.attempts, criteria), excluded)
+}
+
+// reserveRetry takes one retry from the budget for the next attempt, and reports whether it holds one.
+func (a *attemptTracker) reserveRetry() bool {
+	if a.reservedRetry == nil {
+		a.reservedRetry = a.relay.budget.Reserve(a.relay.clock.now(), a.request.service.Name)
+	}
+	return a.reservedRetry != nil
+}
+
+// takeRetry reports whether the retry budget allows another attempt. It uses the reserved retry if there is one.
+func (a *attemptTracker) takeRetry() bool {
+	if a.reservedRetry == nil {
+		return a.relay.trySpendRetry(a.request)
+	}
+	a.reservedRetry = nil
+	a.relay.metrics.retries.Inc()
+	return true
+}
+
+// returnReservedRetry returns a reserved retry that no attempt has used to the budget.
+func (a *attemptTracker) returnReservedRetry() {
+	if a.reservedRetry != nil {
+		a.reservedRetry.Return(a.relay.clock.now())
+		a.reservedRetry = nil
+	}
+}
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -95,6 +95,7 @@
 // servePlain serves a request that back ends answer whole, without streaming.
 func (r *Relay) servePlain(request *request, reply *replier) {
 	attempts := &attemptTracker{relay: r, request: request}
+	defer attempts.returnReservations()
 	for attempts.mayContinue() {
 		selection, slot := r.pickWithSlot(request, attempts)
 		if selection == nil {
@@ -115,8 +116,9 @@
 func (r *Relay) attemptPlain(selection *backEndSelection, slot plainSlot, attempts *attemptTracker, reply *replier) *failure {
 	request, backEnd := attempts.request, selection.backEnd
 	request.trace.engine, request.trace.sentAt = backEnd.ID, r.clock.now()
+	limit := stallLimit(request.route)
 	sent := &message{request: request, backEnd: backEnd, deadline: request.deadline, work: placement.Work{Streams: 1}, selection: selection,
-		stall: stallLimit(request.route), mayAbort: attempts.hasFurtherAttempt()}
+		stall: limit, secure: attempts.replacement(backEnd, limit, nil), onCounted: attempts.releaseReservedSlot}
 	answer, fault := r.exchanger.send(sent)
 	r.work.AddWholeAnswer(request.service.Name, r.clock.now()-request.trace.sentAt, backEnd.Slots)
 	if fault == nil || fault.verdict != verdict.NotRun {
@@ -137,12 +139,17 @@
 	return serving.StageDecode
 }
 
-// replyRefused sends the final answer when none came from a back end.
+// replyRefused sends the final answer when the last attempt brought none: a kept answer of an earlier attempt, or the
+// relay's own.
 func (r *Relay) replyRefused(attempts *attemptTracker, reply *replier) {
 	if reply.started || attempts.request.canceller.isCancelled() {
 		reply.close, reply.aborted = true, true // a truncated answer must not look complete
 		return
 	}
+	if kept := attempts.kept; kept != nil {
+		reply.sendWhole(kept.answer, kept.body)
+		return
+	}
 	response := attempts.refusal()
 	r.log.recordRefusal(attempts.request, response, attempts)
 	reply.refuse(response)
@@ -163,6 +170,7 @@
 		return r.forwardLong(answer, body, reply)
 	}
 	if answer.status >= fasthttp.StatusInternalServerError && r.mayReplace(answer, attempts) {
+		attempts.keepAnswer(answer, body)
 		return &failure{verdict: backEndErrorAnswer.verdict, mayHaveArrived: true, cause: backEndErrorAnswer.cause}
 	}
 	reply.sendWhole(answer, body)
--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -26,6 +26,7 @@
 // engine generates the stream, or a decoding engine does both.
 func (r *Relay) serveStream(request *request, reply *replier) {
 	attempts := &attemptTracker{relay: r, request: request}
+	defer attempts.returnReservations()
 	stream := &streamReply{relay: r, request: request, reply: reply, attempts: attempts,
 		prefixBlocks: placement.PrefixBlocksOf(request.prompt), lastEventID: string(request.header.Peek(r.dialect.Headers.LastEventID))}
 	start := r.beginStream(stream)
@@ -70,11 +71,11 @@
 func (r *Relay) prefillWithRetry(stream *streamReply, selection *backEndSelection) *remotePrefill {
 	prefill := r.prefillPrompt(stream, selection)
 	attempts := stream.attempts
-	if prefill != nil || attempts.isOver() || attempts.sentCount+1 >= stream.request.route.MaxAttempts {
+	if prefill != nil || attempts.isOver() || !attempts.mayRetryPrefill() {
 		return prefill
 	}
 	next := r.nextPrefillEngine(stream)
-	if next == nil || !r.trySpendRetry(stream.request) {
+	if next == nil || !attempts.takeRetry() {
 		return nil
 	}
 	attempts.sentCount++ // the second prefill counts as an attempt
@@ -92,11 +93,12 @@
 	if selection.fetchFrom != nil {
 		headers = append(headers, header{r.dialect.Headers.KVFetch, selection.fetchFrom.Address})
 	}
+	expected := r.policy.PrefillQueueDelay(selection.queuedWork, placement.RankCount-1, perToken) + placement.PrefillTime(perToken, selection.EffectiveTokens)
+	limit := prefillStallSlack + time.Duration(prefillStallFactor*float64(expected))
 	answer, fault := r.exchanger.send(&message{
 		request: request, backEnd: engine, deadline: request.deadline, prefixBlocks: stream.prefixBlocks, headers: headers, selection: selection, isPrefill: true,
-		work:     prefillWork(r.policy, stream.rank(), &selection.Candidate),
-		stall:    prefillStallSlack + time.Duration(prefillStallFactor*float64(r.policy.PrefillQueueDelay(selection.queuedWork, placement.RankCount-1, perToken)+placement.PrefillTime(perToken, selection.EffectiveTokens))),
-		mayAbort: true,
+		work:  prefillWork(r.policy, stream.rank(), &selection.Candidate),
+		stall: limit, secure: stream.prefillReplacement(engine, limit),
 	})
 	if fault != nil {
 		r.recordFailedAttempt(request, engine, fault)
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -104,8 +104,10 @@
 			headers = append(headers, header{names.KVFetch, selection.fetchFrom.Address})
 		}
 	}
+	limit := stallLimit(s.request.route)
 	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.request.deadline, headers: headers, work: work, prefixBlocks: s.prefixBlocks, selection: selection,
-		stall: stallLimit(s.request.route) + placement.PrefillTime(s.relay.prefillSpeed.timePerToken(engine.hash), s.relay.policy.DecodeSlowdown*work.PromptTokens()), mayAbort: s.mayContinueElsewhere()})
+		stall:  limit + placement.PrefillTime(s.relay.prefillSpeed.timePerToken(engine.hash), s.relay.policy.DecodeSlowdown*work.PromptTokens()),
+		secure: s.replacement(engine, limit), onCounted: s.attempts.releaseReservedSlot})
 	if fault != nil {
 		s.recordSourceCached(fault)
 		return fault
@@ -125,9 +127,6 @@
 	}
 }
 
-// mayContinueElsewhere reports whether the stream may continue at another engine.
-func (s *streamReply) mayContinueElsewhere() bool { return s.attempts.hasFurtherAttempt() }
-
 func isEventStream(answer *answer) bool {
 	return answer.status == fasthttp.StatusOK &&
 		strings.HasPrefix(string(answer.head.ContentType()), "text/event-stream")
@@ -153,7 +152,8 @@
 	}()
 	events := newEventReader(answer)
 	gaps := &speeds.GapMeter{}
-	watch := s.relay.exchanger.watchStall(answer.connection, answer.message.backEnd, stallLimit(s.request.route), s.mayContinueElsewhere())
+	limit := stallLimit(s.request.route)
+	watch := s.relay.exchanger.watchStall(answer.connection, answer.message.backEnd, limit, s.replacement(answer.message.backEnd, limit))
 	defer watch.stop()
 	for {
 		event, err := events.next()
@@ -271,11 +271,19 @@
 	return mover.finish()
 }
 
-// releaseMigrated releases the KV cache of a migrated run whose client has disconnected.
+// releaseMigrated releases the KV cache of a migrated run whose answer has ended. It does not wait for a migration in
+// progress: the connection of the client may carry the next request.
 func (s *streamReply) releaseMigrated() {
-	if migrated := s.finishMover(); migrated != nil {
-		s.relay.release(migrated.prefill)
+	mover := s.mover
+	s.mover = nil
+	if mover == nil || !mover.end() {
+		return
 	}
+	go func() {
+		if migrated := <-mover.outcome; migrated != nil {
+			s.relay.release(migrated.prefill)
+		}
+	}()
 }
 
 // finish writes the pending events, the bytes after the last event (remainder), and the end of the stream.
