Tests: a resume at the gateway ends with one silent dial or permit request

A stream or a whole answer of the gateway plane whose connection breaks while its engine still runs the exchange is resumed. If the machine of the engine does not answer the dial within 2 s, or the leader does not answer the permit request of an engine with a limit within 0.3 s, the caller gets back_end_failed (or an error event in the stream), although the engine goes on and no other engine takes the request over.

--- a/internal/gateway/controller_test.go
+++ b/internal/gateway/controller_test.go
@@ -39,6 +39,8 @@
 	synced func()
 	// limits counts the requests to back ends that set limits, as a leader does.
 	limits *fleetlimit.LimitCounters
+	// unansweredPermits is the number of the next permit requests that get no answer.
+	unansweredPermits atomic.Int32
 	// report answers reports; when nil, the answers contain no shares.
 	report func(*v1.ReportRequest) (*v1.ReportResponse, error)
 }
@@ -93,7 +95,11 @@
 }
 
 // TakePermit grants permits as the leader does.
-func (c *testController) TakePermit(_ context.Context, request *connect.Request[v1.TakePermitRequest]) (*connect.Response[v1.TakePermitResponse], error) {
+func (c *testController) TakePermit(ctx context.Context, request *connect.Request[v1.TakePermitRequest]) (*connect.Response[v1.TakePermitResponse], error) {
+	if c.unansweredPermits.Add(-1) >= 0 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.down.Load() {
--- a/internal/gateway/engine_test.go
+++ b/internal/gateway/engine_test.go
@@ -73,6 +73,8 @@
 	// tokens are the tokens of each answer; the default is answerTokens.
 	tokens []string
 	role   enginecontract.Role
+	// limit, when not empty, is the request limit that the engine sets in its answers.
+	limit string
 	// block, when set, blocks every run until it is closed; blockAfter is the number of tokens sent
 	// before.
 	block      chan struct{}
@@ -113,6 +115,9 @@
 	writer.Header().Set(enginecontract.HeaderEngineRole, string(e.role))
 	writer.Header().Set(enginecontract.HeaderEngineLoad, "1,0,0")
 	writer.Header().Set("X-Internal-Secret", "engine")
+	if e.limit != "" {
+		writer.Header().Set(enginecontract.HeaderRequestLimit, e.limit)
+	}
 	if id, ok := strings.CutPrefix(request.URL.Path, enginecontract.PathExchanges); ok {
 		e.serveExchange(writer, request, id)
 		return
