Gateways: a resume outlasts a silent engine and a silent leader

What callers saw: a stream or whole answer whose connection broke while its engine went on was refused with back_end_failed when the machine of the engine did not answer one dial, or the leader did not answer one permit request (engines that set a limit). Nothing took the request over when its kind must not be repeated or no other engine served.

Cause: a dial that timed out (2 s; a lost SYN is sent again after 1 s and 2 s, so a silence of little more than 1 s suffices) has the verdict "not run", which the resume took for a refusal of the engine. A permit request that the leader did not answer within 0.3 s counted like a denied one.

Change: only a refused connection, an unknown exchange or a refusal of the engine ends the exchange at once. After a dial without an answer the resume is repeated (three times as after a cut connection, 6 s), unless the request may be repeated and another engine can take it now. A permit request without an answer is repeated for 4 s; engines keep an exchange without a reader for 5 s. A denied permit ends the exchange as before.

Why this works: the silence of the engine or the leader redirects the request only where its replacement is at hand.

TestResumeIsNotRepeatedWithoutNeed: one resume at a gone engine, one at a silent engine beside a second engine, three at an engine that stays silent.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -91,6 +91,11 @@
 	return counts.started == 0 || (counts.started < maximumExchanges && g.retries.spend())
 }
 
+// couldStartExchange reports whether mayStartExchange would allow one more exchange now, without spending for it.
+func (g *Gateway) couldStartExchange(counts attempts) bool {
+	return counts.declined < maximumDeclined && counts.started < maximumExchanges && g.retries.canSpend()
+}
+
 // deadlineHeader returns the header with the remaining time, in milliseconds.
 func deadlineHeader(remaining time.Duration) upstream.Header {
 	return upstream.Header{Name: enginecontract.HeaderDeadline, Value: strconv.FormatInt(max(remaining.Milliseconds(), 1), 10)}
--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -48,7 +48,7 @@
 // without a permit to call the engine, and then returns "may have run": an engine by itself ends an exchange whose answer
 // nobody reads.
 func (g *Gateway) cancel(request cancellation, timeout time.Duration) verdict.Verdict {
-	if g.dispatcher.isInBackoff(request.backEnd) || !g.dispatcher.mayCall(request.backEnd, fleetlimit.RankCount-1, false) {
+	if g.dispatcher.isInBackoff(request.backEnd) || !g.dispatcher.mayCall(request.backEnd, fleetlimit.RankCount-1) {
 		return verdict.MayHaveRun
 	}
 	return g.upstream.Cancel(request.backEnd.Address, request.exchange, time.Now().Add(timeout))
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -20,6 +20,9 @@
 	maximumResumes = 3
 	// resumePause is the delay before a resume that follows a failed one.
 	resumePause = 100 * time.Millisecond
+	// leaderSilenceLimit bounds the time for which a permit for a resume is requested from a leader that does not answer. An
+	// engine ends an exchange after 5 s without a reader.
+	leaderSilenceLimit = 4 * time.Second
 	// cancelTimeout bounds the wait for an engine to report the verdict of a cancelled exchange.
 	cancelTimeout = 300 * time.Millisecond
 	// tokenStallTimeout is the longest time between two tokens before the connection counts as broken.
--- a/internal/gateway/completion_connect.go
+++ b/internal/gateway/completion_connect.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"slices"
+	"syscall"
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
@@ -49,7 +51,7 @@
 
 // resume requests the rest of the current exchange from its engine. It reports whether the answer is readable.
 func (c *completion) resume() bool {
-	if c.gateway.dispatcher.isInBackoff(c.backEnd) || !c.gateway.dispatcher.mayCall(c.backEnd, c.routing.Rank, true) {
+	if c.gateway.dispatcher.isInBackoff(c.backEnd) || !c.acquireResumePermit() {
 		c.resumes = maximumResumes // the engine is in backoff, or the leader grants no permit for it
 		return false
 	}
@@ -62,8 +64,8 @@
 		c.backEnd.Address, c.exchange, c.sequence.Delivered(), c.gateway.clock.time(c.deadline), c.interrupter)
 	c.gateway.dispatcher.observeReport(c.backEnd.Name, c.exchange, report)
 	if failure != nil {
-		if failure.Code == enginecontract.CodeExchangeUnknown || failure.Verdict == verdict.NotRun {
-			c.resumes = maximumResumes // the engine does not know the exchange, or refuses connections
+		if isExchangeLost(failure) || failure.Verdict == verdict.NotRun && c.hasReplacement() {
+			c.resumes = maximumResumes
 		}
 		return false
 	}
@@ -71,6 +73,39 @@
 	return true
 }
 
+// acquireResumePermit reports whether a resume may be sent to the exchange's engine. It repeats a permit request that the
+// leader does not answer, for leaderSilenceLimit: no other engine can resume the exchange.
+func (c *completion) acquireResumePermit() bool {
+	limit := min(c.deadline, c.gateway.clock.now()+leaderSilenceLimit)
+	for {
+		granted, answered := c.gateway.dispatcher.requestPermit(c.backEnd, c.routing.Rank, true)
+		if granted || answered || c.interrupter.Interrupted() || c.gateway.clock.now() >= limit {
+			return granted
+		}
+		time.Sleep(resumePause)
+	}
+}
+
+// isExchangeLost reports whether a failed resume shows that the exchange cannot be resumed: its engine does not know it or
+// refuses the resume, or nothing serves at the engine's address. A connection that was not opened in time shows neither.
+func isExchangeLost(failure *upstream.Failure) bool {
+	if failure.Status == 0 {
+		return errors.Is(failure.Cause, syscall.ECONNREFUSED)
+	}
+	return failure.Code == enginecontract.CodeExchangeUnknown || failure.Verdict == verdict.NotRun
+}
+
+// hasReplacement reports whether the request may be sent to another engine, and one can take it.
+func (c *completion) hasReplacement() bool {
+	if c.isTrial || !c.target.kind.Spec.GetRepeatable() || !c.gateway.couldStartExchange(c.attempts) {
+		return false
+	}
+	request := c.routing
+	request.Version, request.WholeOnly = "", c.wholeOnly || c.sequence.Delivered() > 0
+	_, err := c.gateway.dispatcher.pickOnce(request, append(slices.Clone(c.excluded), c.backEnd.Name))
+	return err == nil
+}
+
 // startExchange picks engines and sends the request to them. It returns a refusal when the request must end. When it
 // returns nil and c.answer is still nil, another attempt may follow.
 func (c *completion) startExchange() *refusal {
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -101,27 +101,35 @@
 // arePermitted reports whether each back end of a choice sets no limit or gets a permit from the leader. It checks the
 // decode engine first, because a prefill without a permit to decode would be wasted.
 func (d *dispatcher) arePermitted(choice routing.Choice, rank int) bool {
-	if !d.mayCall(choice.BackEnd, rank, false) {
+	if !d.mayCall(choice.BackEnd, rank) {
 		return false
 	}
-	return choice.Prefill == nil || d.mayCall(*choice.Prefill, rank, false)
+	return choice.Prefill == nil || d.mayCall(*choice.Prefill, rank)
 }
 
 // mayCall reports whether a call may be sent to a back end. When the back end sets a limit, it requests a permit for the
-// call. mustResume says that the call resumes an exchange and so can only go to this back end.
-func (d *dispatcher) mayCall(backEnd routing.BackEnd, rank int, mustResume bool) bool {
+// call.
+func (d *dispatcher) mayCall(backEnd routing.BackEnd, rank int) bool {
+	granted, _ := d.requestPermit(backEnd, rank, false)
+	return granted
+}
+
+// requestPermit requests a permit for a call to a back end that sets a limit; a call to any other back end is granted.
+// answered is false when no leader answered. mustResume says that the call resumes an exchange and so can only go to this
+// back end.
+func (d *dispatcher) requestPermit(backEnd routing.BackEnd, rank int, mustResume bool) (granted, answered bool) {
 	d.mutex.Lock()
 	permitRequest, needed := d.router.PermitRequest(backEnd)
 	d.mutex.Unlock()
 	if !needed {
-		return true
+		return true, true
 	}
 	permitRequest.Rank, permitRequest.MustResume = rank, mustResume
 	answer, answered := d.permits.request(permitRequest)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.router.ApplyPermitAnswer(d.clock.now(), backEnd, answer, answered)
-	return answer.Granted
+	return answer.Granted, answered
 }
 
 // unreportedLimits returns the limits that back ends have reported to this gateway and that the leader does not know yet.
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -36,3 +36,10 @@
 	b.credit--
 	return true
 }
+
+// canSpend reports whether spend would succeed now.
+func (b *retryBudget) canSpend() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.credit >= 1
+}
