Tests: a silent engine loses a migrating run, a silent leader the last usage of a relay

The call that stops a run and copies the rest of its KV cache is given up after 1 s. An engine that was silent for 1.5 s processes the call all the same; the run is stopped and the relay does not know where it continues, so the stream is cut. A stopping relay waits 0.3 s for its last usage counts; a leader that is silent at that moment never gets them.

--- a/internal/relay/run_mover_test.go
+++ b/internal/relay/run_mover_test.go
@@ -18,6 +18,8 @@
 	*scriptedBackEnd
 	began   chan struct{}
 	stopped chan struct{}
+	// silence is how long the engine stands still before it processes the call that stops its run.
+	silence time.Duration
 }
 
 // moveAnswer is the answer to a call that migrates a run.
@@ -40,6 +42,7 @@
 		case strings.HasSuffix(request.body, "false"):
 			writeAnswer(connection, request, copying.status, copying.body)
 		default:
+			time.Sleep(engine.silence)
 			close(engine.stopped)
 			writeAnswer(connection, request, stopping.status, stopping.body)
 		}
@@ -104,6 +107,22 @@
 	}
 }
 
+// Guards against a run that is lost because its engine was silent for more than a second during the call that stops and
+// copies it: the engine processed the call, but the relay had discarded the connection for the answer, which says where the
+// run continues.
+func TestMigrationOutlastsASilentEngine(t *testing.T) {
+	former := startMovableEngine(t, moveAnswer{200, "handle"}, moveAnswer{200, "handle"})
+	former.silence = 1500 * time.Millisecond
+	next := startBackEnd(t, "next", serving.StageDecode, streaming("next", eventOne, eventTwo+eventThree))
+	relay := newTestRelay(t, route(func(r *serving.Route) { stream(false)(r); r.MaxAttempts = 1 }), former.scriptedBackEnd, next).preferring("former")
+	client := former.beginRun(t, relay)
+	relay.engineOf("next").removeWork(relay.engineOf("next").currentLoad(0).ownWork) // frees its slots
+	relay.changeListing(func(entry *serving.BackEnd) { entry.Leaving = entry.Leaving || entry.ID == "former" })
+	answer := client.read()
+	require.True(t, answer.isComplete)
+	require.Equal(t, eventOne+eventTwo+eventThree, answer.body)
+}
+
 // A run that was stopped but could not be copied continues at the engine that has its KV cache.
 func TestStoppedRunContinuesAtTheEngineWithItsCache(t *testing.T) {
 	former := startMovableEngine(t, moveAnswer{200, "copy"}, moveAnswer{503, "kept"})
--- a/internal/relay/usage_test.go
+++ b/internal/relay/usage_test.go
@@ -1,11 +1,15 @@
 package relay
 
 import (
+	"context"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -64,3 +68,26 @@
 	silent.client(t).do("GET", "/path/", "", "T-Key: key k1")
 	require.Empty(t, silent.takeCounts(), "no event was forwarded")
 }
+
+// Guards against usage that is lost because the leader was silent when a relay stopped: the relay exited 0.3 s after its last
+// request, although its grace period was not over.
+func TestStoppingRelayOutlastsASilentLeader(t *testing.T) {
+	relay := newTestRelay(t, route(nil))
+	relay.settings.GracePeriod = 4 * time.Second
+	relay.usage.UpdateTime(relay.clock.now(), 1_790_000_000_000, 5*time.Second)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	relay.drain(t.Context(), listener)
+	reporter, sends := relay.usageReporter(), atomic.Int32{}
+	reporter.Send = func(ctx context.Context, _ *v1.UsageReport) error {
+		if sends.Add(1) == 1 { // the leader is silent
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		return nil
+	}
+	relay.usage.CountRequest(relay.clock.now(), "tenant")
+	go reporter.Run(t.Context())
+	relay.awaitUsageReported()
+	require.Zero(t, relay.usage.UnreportedCount())
+}
