Relays: a migrating run outlasts a silent engine

What callers saw: a stream whose engine was leaving or changing its role ended without its last event when the engine was silent for more than 1 s during the call that stops the run and copies the rest of its KV cache.

Cause: the relay gave the call up after 1 s. The engine processes it after its silence and stops the run, but the answer, which names the place where the run continues, finds no connection. The dial of the call and the first copy had the same limit; after it the run was not moved again and ended with the engine.

Change: the limit is 5 s, at most until the deadline of the request. The run goes on during the first copy, so the longer wait costs a reserved slot at the target. copyRun takes the request for its deadline; two tests that call it directly pass a request in place of its identity and check the same.

A longer wait beside an engine that has really ended was not measured: its connection is then reset, or dropped by the dead-peer detection.

--- a/internal/relay/back_end_limits_test.go
+++ b/internal/relay/back_end_limits_test.go
@@ -116,7 +116,7 @@
 	t.Run("move", func(t *testing.T) {
 		engine := startBackEnd(t, "engine", serving.StageDecode, answering(200, "handle"))
 		relay := newTestRelay(t, route(stream(false)), engine)
-		copied, _ := relay.exchanger.copyRun(relay.setLimit("engine", tinyLimit), relay.dialect, "request", "10.0.0.1:80", false)
+		copied, _ := relay.exchanger.copyRun(relay.setLimit("engine", tinyLimit), relay.dialect, &request{id: "request", deadline: time.Hour}, "10.0.0.1:80", false)
 		require.False(t, copied)
 		require.Empty(t, engine.receivedRequests())
 	})
--- a/internal/relay/back_end_signals_test.go
+++ b/internal/relay/back_end_signals_test.go
@@ -132,7 +132,7 @@
 		engine := startBackEnd(t, "engine", serving.StageDecode, answering(503, "", backoffHeader))
 		relay := newTestRelay(t, route(stream(false)), engine)
 		for range 3 {
-			copied, _ := relay.exchanger.copyRun(relay.engineOf("engine"), relay.dialect, "request", "10.0.0.1:80", false)
+			copied, _ := relay.exchanger.copyRun(relay.engineOf("engine"), relay.dialect, &request{id: "request", deadline: time.Hour}, "10.0.0.1:80", false)
 			require.False(t, copied)
 		}
 		require.Len(t, engine.receivedRequests(), 1)
--- a/internal/relay/run_mover.go
+++ b/internal/relay/run_mover.go
@@ -10,8 +10,9 @@
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 )
 
-// runCopyTimeout bounds the KV transfer of one run.
-const runCopyTimeout = time.Second
+// runCopyTimeout bounds the KV transfer of one run. An engine that is silent for 2 s still processes the call, and a stopped
+// run cannot continue without the answer.
+const runCopyTimeout = 5 * time.Second
 
 // migratedRun says where a migrated run continues.
 type migratedRun struct {
@@ -114,7 +115,7 @@
 	defer m.endMigration()
 	target.backEnd.addWork(placement.Work{Streams: 1})
 	defer target.backEnd.removeWork(placement.Work{Streams: 1})
-	copied, handle := relay.exchanger.copyRun(m.engine, relay.dialect, request.id, target.backEnd.Address, false)
+	copied, handle := relay.exchanger.copyRun(m.engine, relay.dialect, request, target.backEnd.Address, false)
 	if !copied {
 		return
 	}
@@ -122,7 +123,7 @@
 		relay.release(&remotePrefill{engine: m.engine, handle: handle})
 		return
 	}
-	copied, handle = relay.exchanger.copyRun(m.engine, relay.dialect, request.id, target.backEnd.Address, true)
+	copied, handle = relay.exchanger.copyRun(m.engine, relay.dialect, request, target.backEnd.Address, true)
 	relay.log.recordMigration(request, m.engine, target.backEnd, copied)
 	relay.metrics.migrations.WithLabelValues(strconv.FormatBool(copied)).Inc()
 	m.outcome <- m.destination(target, copied, handle)
@@ -152,21 +153,22 @@
 	return r.decide(request, newEngineQuery(purposeTakeOver, attempts, criteria), mover.engine).selection
 }
 
-// copyRun makes an engine transfer the run of the request with the given identity to the engine at an address. If stop is
-// true, the run stops first; otherwise it continues meanwhile. copyRun reports whether the transfer succeeded, and returns
-// the handle under which the run continues.
-func (e *exchanger) copyRun(engine *backEnd, dialect Dialect, request, address string, stop bool) (copied bool, handle string) {
+// copyRun makes an engine transfer the run of a request to the engine at an address. If stop is true, the run stops first;
+// otherwise it continues meanwhile. copyRun reports whether the transfer succeeded, and returns the handle under which the
+// run continues.
+func (e *exchanger) copyRun(engine *backEnd, dialect Dialect, request *request, address string, stop bool) (copied bool, handle string) {
 	now := e.clock.now()
 	if engine.inBackoff(now) || !e.acquirePermit(engine, internalCallRank, false) {
 		return false, "" // the run stays at its engine
 	}
-	connection, err := e.open(engine, runCopyTimeout)
+	limit := min(runCopyTimeout, request.deadline-now)
+	connection, err := e.open(engine, limit)
 	if err != nil {
 		return false, ""
 	}
 	defer connection.Discard()
-	_ = connection.SetDeadline(e.clock.at(now + runCopyTimeout))
-	if e.writeInternalCall(connection, engine, fasthttp.MethodPost, dialect.MovePath, dialect.MoveBody(request, address, stop)) != nil {
+	_ = connection.SetDeadline(e.clock.at(now + limit))
+	if e.writeInternalCall(connection, engine, fasthttp.MethodPost, dialect.MovePath, dialect.MoveBody(request.id, address, stop)) != nil {
 		return false, ""
 	}
 	answer := fasthttp.Response{}
