Relays: the last usage counts outlast a silent leader at a stop

What was lost: the requests that a stopping relay had counted but the leader had not acknowledged, if the leader was silent for more than 0.3 s at that moment (its own report has 0.6 s).

Cause: a stopping relay waited 0.3 s for the acknowledgement, although mostly more than half of its grace was left.

Change: it waits while counts are unacknowledged until the end of its stay (0.95 of the grace), and at least 0.3 s as before.

A relay whose leader never answers now stays until 0.95 of its grace if it has unreported counts; this was not run. Crash reports that wait at the stop are still not awaited.

--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -47,6 +47,7 @@
 // requests are answered or maxStayShare has passed.
 func (r *Relay) drain(ctx context.Context, listener net.Listener) {
 	beganAt := r.clock.now()
+	r.stoppingSince = beganAt
 	began := r.clock.at(beganAt)
 	share := func(part float64) time.Duration { return time.Duration(part * float64(r.settings.GracePeriod)) }
 	r.refuseNewAt.Store(int64(beganAt + share(refuseAfterShare)))
--- a/internal/relay/usage.go
+++ b/internal/relay/usage.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// finalUsageWait is how long a stopping relay waits for its last counts to be reported.
+	// finalUsageWait is how long a stopping relay waits at least for its last counts to be reported.
 	finalUsageWait         = 300 * time.Millisecond
 	finalUsagePollInterval = 10 * time.Millisecond
 )
@@ -34,9 +34,11 @@
 	}
 }
 
-// awaitUsageReported waits until all counts are reported, for finalUsageWait at most.
+// awaitUsageReported waits until all counts are reported, until the end of a stopping relay's stay (maxStayShare) and for at
+// least finalUsageWait.
 func (r *Relay) awaitUsageReported() {
-	for limit := r.clock.now() + finalUsageWait; r.usage.UnreportedCount() > 0 && r.clock.now() < limit; {
+	stay := time.Duration(maxStayShare * float64(r.settings.GracePeriod))
+	for limit := max(r.clock.now()+finalUsageWait, r.stoppingSince+stay); r.usage.UnreportedCount() > 0 && r.clock.now() < limit; {
 		time.Sleep(finalUsagePollInterval)
 	}
 }
