Controllers: answer calls that are still waiting when a stop ends

What callers saw: an operator whose PUT waited for the commit while the other controllers were silent got EOF, neither an answer nor a refusal, when the controller stopped; so did calls of gateways and relays in the same state.

Cause: a stopping controller waits 1 s for calls in flight and then closes their connections, while a call may wait for 3 or 10 s. The Core loop has ended by then for operators, so the calls could not succeed either.

Change: calls that are not done 0.8 s after the stop are cancelled. Their handlers answer at once, the operator port with 503, the others with the code "canceled", after which clients try another controller. Nothing acknowledged changes: a document that is committed later was not acknowledged, and the operator sends it again with its number.

--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -28,8 +28,10 @@
 	// compressMinBytes is the size from which answers are compressed: heartbeats and
 	// reports are smaller, whole configurations and directories are larger.
 	compressMinBytes = 4 << 10
-	// shutdownTimeout is how long a stopping controller waits for calls in flight.
+	// shutdownTimeout is how long a stopping controller waits for calls in flight. Calls that are not done by callGrace are
+	// cancelled, so that they are answered with an error before their connections close.
 	shutdownTimeout = time.Second
+	callGrace       = 800 * time.Millisecond
 )
 
 // protocols returns HTTP/1.1 and HTTP/2, the latter also without TLS: HTTP/2 compresses the
@@ -78,12 +80,15 @@
 	return routes
 }
 
-// serveHTTP serves on the listener until the context ends, and then finishes the
+// serveHTTP serves on the listener until the context ends, and then finishes or cancels the
 // calls in flight within shutdownTimeout. It closes the listener. The logger receives
 // the reasons why peers were refused in the TLS handshake.
 func serveHTTP(ctx context.Context, listener net.Listener, routes http.Handler, tlsConfig *tls.Config, logger *log.Logger) error {
+	calls, cancelCalls := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancelCalls()
 	server := &http.Server{
 		Handler:           routes,
+		BaseContext:       func(net.Listener) context.Context { return calls },
 		ReadHeaderTimeout: headerReadTimeout,
 		IdleTimeout:       idleTimeout,
 		Protocols:         protocols(),
@@ -105,6 +110,7 @@
 	}
 	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 	defer cancel()
+	defer time.AfterFunc(callGrace, cancelCalls).Stop()
 	if err := server.Shutdown(limited); err != nil {
 		_ = server.Close()
 	}
