Tests: the gateway plane runs through a silence of 2 s

A claim is granted and its outcome recorded although every controller call runs into its 0.5 s for 2 s.

go test ./internal/gateway -run "TestRequestOutlasts|TestResume" -count=5 go test ./internal/claims -run TestClaimsOutlast -count=5

--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -176,3 +176,36 @@
 	refused.HandleFailure(0, Failure{Permanent: true})
 	require.True(t, refused.Next(0).Done)
 }
+
+// Guards against claims that are refused, or outcomes that are lost, because the leader is silent for 2 s: every call to a
+// controller, which forwards it to the leader, runs into its time limit meanwhile.
+func TestClaimsOutlastASilentLeader(t *testing.T) {
+	const silence = 2 * time.Second
+	controllers := []string{"leader", "second", "third"}
+	begin := NewBeginOperation(Config{}, 0, time.Minute, &v1.BeginClaim{}, controllers)
+	finish := NewFinishOperation(Config{}, 0, &v1.BeginClaim{}, verdict.Ran, Outcome{Status: 200}, controllers)
+	for now, step := time.Duration(0), begin.Next(0); !step.Done; step = begin.Next(now) {
+		switch {
+		case step.Call == "":
+			now = step.Wait
+		case now < silence:
+			now += step.Timeout
+			begin.HandleFailure(now, Failure{})
+		default:
+			begin.HandleResponse(&v1.BeginClaimResponse{State: v1.ClaimState_CLAIM_STATE_GRANTED})
+		}
+	}
+	require.True(t, begin.Decision().Run)
+	for now, step := time.Duration(0), finish.Next(0); !step.Done; step = finish.Next(now) {
+		switch {
+		case step.Call == "":
+			now = step.Wait
+		case now < silence:
+			now += step.Timeout
+			finish.HandleFailure(now, Failure{})
+		default:
+			finish.MarkRecorded()
+		}
+	}
+	require.True(t, finish.IsRecorded())
+}
--- a/internal/gateway/engine_test.go
+++ b/internal/gateway/engine_test.go
@@ -82,7 +82,7 @@
 }
 
 func startEngine(t testing.TB, faults ...engineFault) *testEngine {
-	engine := &testEngine{faults: faults, exchanges: map[string]int{}, tokens: answerTokens, role: enginecontract.RoleMixed}
+	engine := newEngine(faults...)
 	engine.server = httptest.NewServer(engine)
 	t.Cleanup(func() {
 		engine.server.CloseClientConnections()
@@ -91,6 +91,11 @@
 	return engine
 }
 
+// newEngine returns an engine without a server.
+func newEngine(faults ...engineFault) *testEngine {
+	return &testEngine{faults: faults, exchanges: map[string]int{}, tokens: answerTokens, role: enginecontract.RoleMixed}
+}
+
 func (e *testEngine) address() string { return strings.TrimPrefix(e.server.URL, "http://") }
 
 func (e *testEngine) counts() (runs, requests, cancels int) {
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
@@ -113,6 +117,75 @@
 // which have at most 1 s.
 const cancelLimit = abandonedCancelTimeout
 
+// Guards against a request that ends because the engine's machine is silent for 2 s, before its answer or in the middle of
+// the stream: a request that must not be repeated has no replacement.
+func TestRequestOutlastsASilentMachine(t *testing.T) {
+	t.Parallel()
+	const silence = 2 * time.Second
+	for mode, body := range map[string]string{"whole": unstreamedBody, "streamed": streamBody} {
+		t.Run("before the answer/"+mode, func(t *testing.T) {
+			t.Parallel()
+			engine, accepted := startUnstartedEngine(t)
+			engine.server.Config.ConnState = func(connection net.Conn, state http.ConnState) {
+				if state == http.StateNew {
+					restore := dropPackets(t, connection.(*net.TCPConn))
+					time.AfterFunc(silence, restore)
+					accepted <- struct{}{}
+				}
+			}
+			engine.server.Start()
+			controller := startController(t, engineBackEnd("e1", engine.address(), v1.Role_ROLE_MIXED))
+			gateway := startWithOptions(t, testSettings(controller.address), Options{
+				Listen: net.Listen, KeyCheckTimeout: patience,
+				Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+					connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
+					if address == engine.address() && err == nil {
+						<-accepted
+					}
+					return connection, err
+				},
+			})
+			require.Eventually(t, func() bool { return gateway.probe(t, metrics.PathReady) == 200 }, eventually, often)
+			requireRunOnce(t, engine, chat(t, gateway, "once", body))
+		})
+		t.Run("in the stream/"+mode, func(t *testing.T) {
+			t.Parallel()
+			engine := startEngine(t)
+			engine.block, engine.blockAfter = make(chan struct{}), 3
+			controller := startController(t, engineBackEnd("e1", engine.address(), v1.Role_ROLE_MIXED))
+			gateway := startGateway(t, testSettings(controller.address))
+			time.AfterFunc(silence, func() { close(engine.block) })
+			requireRunOnce(t, engine, chat(t, gateway, "once", body))
+		})
+	}
+}
+
+// startUnstartedEngine returns an engine whose server has not started, and the channel that says that its filter is in place.
+func startUnstartedEngine(t *testing.T) (*testEngine, chan struct{}) {
+	engine := newEngine()
+	engine.server = httptest.NewUnstartedServer(engine)
+	t.Cleanup(func() {
+		engine.server.CloseClientConnections()
+		engine.server.Close()
+	})
+	return engine, make(chan struct{}, 1)
+}
+
+// dropPackets makes a connection drop every packet that arrives, as if its machine were silent, until restore is called.
+func dropPackets(t *testing.T, connection *net.TCPConn) (restore func()) {
+	raw, err := connection.SyscallConn()
+	assert.NoError(t, err)
+	program := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
+	assert.NoError(t, raw.Control(func(descriptor uintptr) {
+		assert.NoError(t, unix.SetsockoptSockFprog(int(descriptor), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &program[0]}))
+	}))
+	return func() {
+		_ = raw.Control(func(descriptor uintptr) { // fails only if the connection is closed
+			_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+		})
+	}
+}
+
 // requireRunOnce requires that the engine ran one exchange and that the caller received its whole answer.
 func requireRunOnce(t *testing.T, engine *testEngine, answer callerAnswer) {
 	t.Helper()
