Test: crash reports are lost when the leader is silent at a stop of a relay

A stopping relay does not wait for crash reports that the leader has not answered.

go test ./internal/relay -run TestCrashReportsOutlastASilentLeaderAtAStop

--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -233,3 +234,36 @@
 	}
 	require.Eventually(t, func() bool { return relay.guard.IsQuarantined(signature) }, time.Minute, time.Millisecond)
 }
+
+// leaderSilentOnce is a leader that does not answer the first report of crashes.
+type leaderSilentOnce struct {
+	grantingLeader
+	reports  atomic.Int32
+	received atomic.Int32
+}
+
+func (l *leaderSilentOnce) ReportReplicaEnds(ctx context.Context, ends []*v1.ReplicaEnd) ([][]byte, error) {
+	if l.reports.Add(1) == 1 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	l.received.Add(int32(len(ends)))
+	return nil, nil
+}
+
+// Guards against crash reports that are lost because the leader was silent when a relay stopped: the relay exited without
+// waiting for them.
+func TestCrashReportsOutlastASilentLeaderAtAStop(t *testing.T) {
+	relay := newTestRelay(t, route(nil))
+	relay.settings.GracePeriod = 4 * time.Second
+	leader := &leaderSilentOnce{}
+	relay.guardedBy(t, leader)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	relay.drain(t.Context(), listener)
+	signature := quarantine.SignatureOf("", "", "", []byte(crashingBody))
+	relay.guard.RecordSilentRun(signature, "one")
+	relay.guard.RecordCrash("one")
+	relay.awaitUsageReported()
+	require.Equal(t, int32(1), leader.received.Load())
+}
