Relays: crash reports outlast a silent leader at a stop

What was lost: the report of a back end that crashed under a request, when the relay stopped before the leader answered. A leader that is silent for a second at that moment never got it, and the request could crash one more back end.

Cause: a stopping relay waited for the usage counts alone.

Change: it waits for both, until 0.95 of its grace and at least 0.3 s. The guard says whether anything is unacknowledged, including what it is sending.

Gateways do not wait for their crash reports at a stop; not changed.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -89,6 +89,8 @@
 	// unreported are the crash reports, and unreleased the succeeded requests, that wait to be sent to the leader.
 	unreported []*report
 	unreleased []quarantine.Signature
+	// isSending is true while Run sends reports, which are then in neither list.
+	isSending bool
 }
 
 // New returns a Guard without quarantined requests.
--- a/internal/crashguard/report.go
+++ b/internal/crashguard/report.go
@@ -46,9 +46,21 @@
 	g.mutex.Lock()
 	reports, released := g.unreported, g.unreleased
 	g.unreported, g.unreleased = nil, nil
+	g.isSending = true
 	g.mutex.Unlock()
 	sent := g.sendReports(ctx, reports)
-	return g.sendReleases(ctx, released) && sent
+	sent = g.sendReleases(ctx, released) && sent
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.isSending = false
+	return sent
+}
+
+// HasUnreported reports whether the leader has not yet acknowledged all crashes and successes.
+func (g *Guard) HasUnreported() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.isSending || len(g.unreported) > 0 || len(g.unreleased) > 0
 }
 
 // sendReports reports crashed back ends to the leader, all in one call; false if the call must be retried.
--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -264,6 +264,6 @@
 	signature := quarantine.SignatureOf("", "", "", []byte(crashingBody))
 	relay.guard.RecordSilentRun(signature, "one")
 	relay.guard.RecordCrash("one")
-	relay.awaitUsageReported()
+	relay.awaitReported()
 	require.Equal(t, int32(1), leader.received.Load())
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -229,7 +229,7 @@
 	case <-ctx.Done():
 		r.event(events.RelayStopping).Str("address", listener.Addr().String()).Int("serving", r.connections.servingCount()).Send()
 		r.drain(workCtx, listener)
-		r.awaitUsageReported()
+		r.awaitReported()
 	}
 	stopWorking()
 	_ = listener.Close()
--- a/internal/relay/usage.go
+++ b/internal/relay/usage.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// finalUsageWait is how long a stopping relay waits at least for its last counts to be reported.
-	finalUsageWait         = 300 * time.Millisecond
-	finalUsagePollInterval = 10 * time.Millisecond
+	// finalReportWait is how long a stopping relay waits at least for its last counts and crashes to be reported.
+	finalReportWait         = 300 * time.Millisecond
+	finalReportPollInterval = 10 * time.Millisecond
 )
 
 // recordRun counts a tenant's request that began to run at the given moment. A request is counted once, however many back
@@ -34,12 +34,13 @@
 	}
 }
 
-// awaitUsageReported waits until all counts are reported, until the end of a stopping relay's stay (maxStayShare) and for at
-// least finalUsageWait.
-func (r *Relay) awaitUsageReported() {
+// awaitReported waits until the leader has acknowledged all usage counts and crash reports, until the end of a stopping
+// relay's stay (maxStayShare) and for at least finalReportWait.
+func (r *Relay) awaitReported() {
 	stay := time.Duration(maxStayShare * float64(r.settings.GracePeriod))
-	for limit := max(r.clock.now()+finalUsageWait, r.stoppingSince+stay); r.usage.UnreportedCount() > 0 && r.clock.now() < limit; {
-		time.Sleep(finalUsagePollInterval)
+	limit := max(r.clock.now()+finalReportWait, r.stoppingSince+stay)
+	for (r.usage.UnreportedCount() > 0 || r.guard.HasUnreported()) && r.clock.now() < limit {
+		time.Sleep(finalReportPollInterval)
 	}
 }
 
--- a/internal/relay/usage_test.go
+++ b/internal/relay/usage_test.go
@@ -88,6 +88,6 @@
 	}
 	relay.usage.CountRequest(relay.clock.now(), "tenant")
 	go reporter.Run(t.Context())
-	relay.awaitUsageReported()
+	relay.awaitReported()
 	require.Zero(t, relay.usage.UnreportedCount())
 }
