--- a/internal/gateway/engine_test.go
+++ b/internal/gateway/engine_test.go
@@ -73,6 +73,8 @@
 	// tokens are the tokens of each answer; the default is answerTokens.
 	tokens []string
 	role   enginecontract.Role
+	// limit, when not empty, is the request limit that the engine sets in its answers.
+	limit string
 	// block, when set, blocks every run until it is closed; blockAfter is the number of tokens sent
 	// before.
 	block      chan struct{}
@@ -80,7 +82,7 @@
 }
 
 func startEngine(t testing.TB, faults ...engineFault) *testEngine {
-	engine := &testEngine{faults: faults, exchanges: map[string]int{}, tokens: answerTokens, role: enginecontract.RoleMixed}
+	engine := newEngine(faults...)
 	engine.server = httptest.NewServer(engine)
 	t.Cleanup(func() {
 		engine.server.CloseClientConnections()
@@ -89,6 +91,11 @@
 	return engine
 }
 
+// newEngine returns an engine without a server.
+func newEngine(faults ...engineFault) *testEngine {
+	return &testEngine{faults: faults, exchanges: map[string]int{}, tokens: answerTokens, role: enginecontract.RoleMixed}
+}
+
 func (e *testEngine) address() string { return strings.TrimPrefix(e.server.URL, "http://") }
 
 func (e *testEngine) counts() (runs, requests, cancels int) {
@@ -113,6 +120,9 @@
 	writer.Header().Set(enginecontract.HeaderEngineRole, string(e.role))
 	writer.Header().Set(enginecontract.HeaderEngineLoad, "1,0,0")
 	writer.Header().Set("X-Internal-Secret", "engine")
+	if e.limit != "" {
+		writer.Header().Set(enginecontract.HeaderRequestLimit, e.limit)
+	}
 	if id, ok := strings.CutPrefix(request.URL.Path, enginecontract.PathExchanges); ok {
 		e.serveExchange(writer, request, id)
 		return
--- a/internal/relay/run_mover.go
+++ b/internal/relay/run_mover.go
@@ -13,9 +13,9 @@
 const (
 	// runCopyTimeout bounds the KV transfer of a run that continues meanwhile.
 	runCopyTimeout = time.Second
-	// runStopTimeout bounds the KV transfer of a run that stops for it. It is longer than the silences of sound engines: an
-	// engine that stops the run without an answer leaves a run of which nobody knows where it may continue.
-	runStopTimeout = 3 * time.Second
+	// runStopTimeout bounds the KV transfer of a run that stops for it. An engine that is silent for 2 s still processes the
+	// call, and a stopped run cannot continue without the answer.
+	runStopTimeout = 5 * time.Second
 )
 
 // migratedRun says where a migrated run continues.
@@ -123,7 +123,7 @@
 	defer m.endMigration()
 	target.backEnd.addWork(placement.Work{Streams: 1})
 	defer target.backEnd.removeWork(placement.Work{Streams: 1})
-	copied, handle := relay.exchanger.copyRun(m.engine, relay.dialect, request.id, target.backEnd.Address, false)
+	copied, handle := relay.exchanger.copyRun(m.engine, relay.dialect, request, target.backEnd.Address, false)
 	if !copied {
 		return
 	}
@@ -131,7 +131,7 @@
 		relay.release(&remotePrefill{engine: m.engine, handle: handle})
 		return
 	}
-	copied, handle = relay.exchanger.copyRun(m.engine, relay.dialect, request.id, target.backEnd.Address, true)
+	copied, handle = relay.exchanger.copyRun(m.engine, relay.dialect, request, target.backEnd.Address, true)
 	relay.log.recordMigration(request, m.engine, target.backEnd, copied)
 	relay.metrics.migrations.WithLabelValues(strconv.FormatBool(copied)).Inc()
 	m.outcome <- m.destination(target, copied, handle)
@@ -161,25 +161,26 @@
 	return r.decide(request, newEngineQuery(purposeTakeOver, attempts, criteria), mover.engine).selection
 }
 
-// copyRun makes an engine transfer the run of the request with the given identity to the engine at an address. If stop is
-// true, the run stops first; otherwise it continues meanwhile. copyRun reports whether the transfer succeeded, and returns
-// the handle under which the run continues.
-func (e *exchanger) copyRun(engine *backEnd, dialect Dialect, request, address string, stop bool) (copied bool, handle string) {
+// copyRun makes an engine transfer the run of a request to the engine at an address. If stop is true, the run stops first;
+// otherwise it continues meanwhile. copyRun reports whether the transfer succeeded, and returns the handle under which the
+// run continues.
+func (e *exchanger) copyRun(engine *backEnd, dialect Dialect, request *request, address string, stop bool) (copied bool, handle string) {
 	now := e.clock.now()
 	if engine.inBackoff(now) || !e.acquirePermit(engine, internalCallRank, false) {
 		return false, "" // the run stays at its engine
 	}
-	timeout := runCopyTimeout
+	limit := runCopyTimeout
 	if stop {
-		timeout = runStopTimeout
+		limit = runStopTimeout
 	}
-	connection, err := e.open(engine, runCopyTimeout)
+	limit = min(limit, request.deadline-now)
+	connection, err := e.open(engine, min(runCopyTimeout, limit))
 	if err != nil {
 		return false, ""
 	}
 	defer connection.Discard()
-	_ = connection.SetDeadline(e.clock.at(now + timeout))
-	if e.writeInternalCall(connection, engine, fasthttp.MethodPost, dialect.MovePath, dialect.MoveBody(request, address, stop)) != nil {
+	_ = connection.SetDeadline(e.clock.at(now + limit))
+	if e.writeInternalCall(connection, engine, fasthttp.MethodPost, dialect.MovePath, dialect.MoveBody(request.id, address, stop)) != nil {
 		return false, ""
 	}
 	answer := fasthttp.Response{}
