Announce the close in every answer of a stopping relay

Clients saw: a request sent on a kept connection of a stopping relay met a reset. The relay decided at a request's arrival whether its answer says "Connection: close", so the answer to a request that had arrived before SIGTERM left the client with a connection that the relay closed 1.6 s (a fifth of the grace) later. The head's writer now asks at the moment at which the head is written. The head of a stream that began before the stop can still announce nothing.

TestAnswersOfAStoppingRelayAnnounceTheClose failed without it and passes ("go test ./internal/relay -run TestAnswersOfAStopping -count=5 -race").

--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -14,6 +14,8 @@
 	requestID  string
 	// close is true if the connection is closed after this answer.
 	close bool
+	// isStopping reports whether the relay stops, which then announces in each answer that it closes the connection.
+	isStopping func() bool
 	// started is true if bytes of an answer may have been sent.
 	started bool
 	// status is the status of the answer; refusal is the relay's own answer, nil when a back end's answer is sent.
@@ -129,6 +131,9 @@
 
 // endHead completes the head and appends the body.
 func (r *replier) endHead(head, body []byte) []byte {
+	if r.isStopping() { // asked now, since the stop may have begun while the answer was awaited
+		r.close = true
+	}
 	if r.close {
 		head = appendHeader(head, "Connection", "close")
 	}
--- a/internal/relay/serve_connection.go
+++ b/internal/relay/serve_connection.go
@@ -87,7 +87,7 @@
 // serveNext reads and serves one request; it reports whether the connection can be used further.
 func (r *Relay) serveNext(connection *clientConnection) bool {
 	request, err := r.readRequest(connection)
-	reply := &replier{connection: connection, names: r.dialect.Headers}
+	reply := &replier{connection: connection, names: r.dialect.Headers, isStopping: r.stopping.Load}
 	if err != nil {
 		var fault *requestFault
 		if errors.As(err, &fault) {
@@ -98,7 +98,7 @@
 		return false
 	}
 	reply.requestID = request.id
-	reply.close = request.header.ConnectionClose() || r.stopping.Load()
+	reply.close = request.header.ConnectionClose()
 	_ = connection.SetWriteDeadline(r.clock.at(request.arrivedAt + maxAnswerDuration))
 	if r.refusesNewRequests() {
 		reply.close = true
