Let a client read its last answer before its connection is closed

Clients and callers saw: a reset in place of an answer. Relay and gateway closed a connection right after its last answer. If the client was still sending (the body of a request that was refused early, a further request), the close or the bytes that arrived after it made the system reset the connection, and a reset destroys what has not been read.

closing.Connection.Close now ends the stream to the client after an answer and discards what the client still sends, until the client closes the connection, sends nothing for 500 ms, or 2 s have passed. Set.CloseIdle waits for such connections within the stop's limit, since the end of the process would reset them; they do not count as open, so that a client that never closes does not make a stop unclean. Connections without an answer are closed at once as before.

Failed before, pass now: TestRefusalReachesAClientThatIsStillSending, TestRefusalReachesACallerThatIsStillSending (before: "broken pipe" while sending), TestAnswerBeforeTheCloseIsNotReset ("go test ./internal/closing ./internal/relay ./internal/gateway -run 'TestRefusalReaches|TestAnswerBefore' -count=5 -race"). The tests of the three packages and of the stopping processes pass ("go test ./platform -run 'TestNoClientOfAStopping|TestNoSeriesOfSignals|TestASecondInterrupt|TestAServerOutlives'").

--- a/internal/closing/connection.go
+++ b/internal/closing/connection.go
@@ -57,10 +57,49 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. After an answer, it ends the stream to the client at once, but discards what the client still
+// sends before it closes the connection: a close with unread bytes, or to which more bytes arrive, resets the connection, and
+// a reset destroys the answer if the client has not read it yet.
 func (c *Connection) Close() error {
+	writer, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || !c.mayHoldAnswer() || writer.CloseWrite() != nil {
+		c.set.remove(c)
+		return c.Conn.Close()
+	}
+	c.set.addLingering(1)
 	c.set.remove(c)
-	return c.Conn.Close()
+	go c.linger()
+	return nil
+}
+
+const (
+	// lingerTimeout is how long a client may continue to send after its last answer; lingerQuietTimeout is how long it may
+	// send nothing without closing the connection.
+	lingerTimeout      = 2 * time.Second
+	lingerQuietTimeout = 500 * time.Millisecond
+	lingerBufferBytes  = 2 << 10
+)
+
+// mayHoldAnswer reports whether an answer may be on its way to the client.
+func (c *Connection) mayHoldAnswer() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.state == Serving
+}
+
+// linger discards what the client sends until it closes the connection or a timeout has passed, and closes it then.
+func (c *Connection) linger() {
+	defer c.set.addLingering(-1)
+	defer c.Conn.Close()
+	buffer := make([]byte, lingerBufferBytes)
+	for until := time.Now().Add(lingerTimeout); time.Now().Before(until); {
+		if c.Conn.SetReadDeadline(time.Now().Add(lingerQuietTimeout)) != nil {
+			return
+		}
+		if _, err := c.Conn.Read(buffer); err != nil {
+			return
+		}
+	}
 }
 
 // requestClose requests the connection to be closed, unless a request is being served on it or its state
--- a/internal/closing/set.go
+++ b/internal/closing/set.go
@@ -14,6 +14,8 @@
 type Set struct {
 	mutex sync.Mutex
 	open  map[*Connection]struct{}
+	// lingering is the number of connections that are ended and wait for their clients to close them.
+	lingering int
 }
 
 // NewSet returns an empty set.
@@ -34,7 +36,21 @@
 	delete(s.open, connection)
 }
 
-// Len returns the number of open connections.
+// addLingering adds a number to the count of the lingering connections.
+func (s *Set) addLingering(count int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lingering += count
+}
+
+// isEmpty reports whether no connection is open or lingering.
+func (s *Set) isEmpty() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.open)+s.lingering == 0
+}
+
+// Len returns the number of open connections, without those that are ended and wait for their clients to close them.
 func (s *Set) Len() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -43,11 +59,12 @@
 
 // CloseIdle closes each connection that serves no request, once its state has not changed for the quiet
 // time. It closes none before the quiet time has passed since the stop started. It returns true once no
-// connection is open, and false if the context is done first.
+// connection is open, and false if the context is done first. It waits for clients that have not closed their ended connection
+// yet, since the end of the process would reset it.
 func (s *Set) CloseIdle(ctx context.Context, stopStartedAt time.Time, quiet time.Duration) bool {
 	ticker := time.NewTicker(closePollInterval)
 	defer ticker.Stop()
-	for s.Len() > 0 {
+	for !s.isEmpty() {
 		if now := time.Now(); now.Sub(stopStartedAt) >= quiet {
 			s.closeIdleConnections(now.Add(-quiet))
 		}
