Answer requests that cross the close of their connection at a stop

Clients saw: a request to a relay that had received SIGTERM some 3 s before met a reset about 7 ms after it was sent, on links of 3 ms one way. The stopping relay closes a connection that has been idle for a fifth of the grace, after a last read. A request that was on its way in that moment arrived at a closed socket: the last read covers what has arrived, not what is under way. The gateway did the same, and told a caller whose connection had carried nothing yet that its request "cannot be read" (400).

A stopping server now sends an answer on an idle connection before it ends it: 408, which says that nothing was run, with "Connection: close". closing.Connection then never gives another byte to the server, so the promise holds, and it discards what arrives until the client closes. A client that has nothing under way sees bytes and the end of the stream on an idle connection, as after the 408 of other servers, and drops it. An idle timeout without a stop closes as before. The gateway's answer says may-have-run: under an idempotency key an earlier sending may have run, and the key of a request that is not read is unknown. TestRequestsThatCrossTheCloseOfTheirConnectionAreAnswered expected not-run before for this reason wrongly.

Failed before, pass now: TestRequestThatCrossesTheCloseOfItsConnectionIsAnswered (EOF or reset before), TestRequestsThatCrossTheCloseOfTheirConnectionAreAnswered (unexpected EOF before), TestRequestThatCrossesTheCloseIsAnswered ("go test ./internal/closing ./internal/relay ./internal/gateway -run 'TestRequestThatCross|TestRequestsThatCross' -count=5 -race").

--- a/internal/closing/connection.go
+++ b/internal/closing/connection.go
@@ -36,6 +36,8 @@
 	// reader.
 	closeRequested bool
 	readDeadline   time.Time
+	// ended is true once the set's last answer was sent. Nothing is written after it, and no request is read.
+	ended bool
 }
 
 // SetState sets the use of the connection from now on.
@@ -84,7 +86,7 @@
 func (c *Connection) mayHoldAnswer() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.state == Serving
+	return c.state == Serving || c.ended
 }
 
 // linger discards what the client sends until it closes the connection or a timeout has passed, and closes it then.
@@ -102,6 +104,33 @@
 	}
 }
 
+// Write implements net.Conn.
+func (c *Connection) Write(data []byte) (int, error) {
+	if c.isEnded() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(data)
+}
+
+func (c *Connection) isEnded() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.ended
+}
+
+// end sends the set's last answer, for a request that may be on its way.
+func (c *Connection) end() {
+	if len(c.set.lastAnswer) == 0 {
+		return
+	}
+	c.mutex.Lock()
+	c.ended = true
+	c.mutex.Unlock()
+	if c.Conn.SetWriteDeadline(time.Now().Add(lingerTimeout)) == nil {
+		_, _ = c.Conn.Write(c.set.lastAnswer) // an error means that the client has gone
+	}
+}
+
 // requestClose requests the connection to be closed, unless a request is being served on it or its state
 // has changed after quietSince. A read that waits for the client's next request then times out.
 func (c *Connection) requestClose(quietSince time.Time) {
@@ -118,12 +147,16 @@
 // already arrived.
 func (c *Connection) Read(data []byte) (int, error) {
 	for {
+		if c.isEnded() {
+			return 0, net.ErrClosed
+		}
 		n, err := c.Conn.Read(data)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.isCloseRequested() {
 			return n, err
 		}
 		n, err = finalRead(c.Conn.SetReadDeadline, func() (int, error) { return c.Conn.Read(data) })
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isIdle() {
+			c.end()
 			return 0, err
 		}
 		if resumed := c.cancelClose(); resumed != nil {
--- a/internal/closing/set.go
+++ b/internal/closing/set.go
@@ -16,11 +16,18 @@
 	open  map[*Connection]struct{}
 	// lingering is the number of connections that are ended and wait for their clients to close them.
 	lingering int
+	// lastAnswer is sent on each connection that CloseIdle closes; empty for none.
+	lastAnswer []byte
 }
 
 // NewSet returns an empty set.
 func NewSet() *Set { return &Set{open: map[*Connection]struct{}{}} }
 
+// AnswerOnClose sets the answer that CloseIdle sends on each connection before it closes it. A request that is on its way to
+// a connection at that moment is never read, so the client takes this answer as the one to its request. The answer must say
+// that the request was not run and that the connection is closed. Must be called before Track.
+func (s *Set) AnswerOnClose(answer []byte) { s.lastAnswer = answer }
+
 // Track adds an accepted connection to the set until it is closed.
 func (s *Set) Track(accepted net.Conn) *Connection {
 	connection := &Connection{Conn: accepted, set: s, stateSince: time.Now()}
--- a/internal/gateway/closing_connection_test.go
+++ b/internal/gateway/closing_connection_test.go
@@ -42,7 +42,7 @@
 		answer, err := http.ReadResponse(reader, nil)
 		require.NoError(t, err)
 		require.Equal(t, http.StatusRequestTimeout, answer.StatusCode)
-		require.Equal(t, verdict.NotRun.String(), answer.Header.Get(verdict.Header))
+		require.Equal(t, verdict.MayHaveRun.String(), answer.Header.Get(verdict.Header), "an earlier attempt with the same idempotency key may have run")
 		require.True(t, answer.Close)
 		_, err = io.Copy(io.Discard, answer.Body)
 		require.NoError(t, err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,8 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	connections := closing.NewSet()
+	connections.AnswerOnClose(closingAnswer())
 	return &Gateway{
 		Control:       control,
 		upstream:      client,
@@ -80,7 +82,7 @@
 		retries:       newRetryBudget(),
 		inFlight:      inFlight{limit: int64(config.Limits.InFlight + config.Limits.QueueLength)},
 		cancellations: make(chan cancellation, cancelQueueLength),
-		connections:   closing.NewSet(),
+		connections:   connections,
 	}, nil
 }
 
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"math"
@@ -158,6 +159,18 @@
 	return refuse(http.StatusRequestTimeout, typeServer, codeCallerGone, errCallerGone.Error())
 }
 
+// closingAnswer returns the answer that a stopping gateway sends on an idle connection before it closes it, for a request that
+// may be on its way. That request is never run, but an earlier attempt with the same idempotency key may have run.
+func closingAnswer() []byte {
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	refuse(http.StatusRequestTimeout, typeServer, codeStopping, "the gateway stops and has not read the request").mayHaveRun().write(response)
+	response.SetConnectionClose()
+	var message bytes.Buffer
+	_, _ = response.WriteTo(&message) // a buffer takes all bytes
+	return message.Bytes()
+}
+
 func refuseInternal() *refusal {
 	return refuse(http.StatusInternalServerError, typeServer, codeInternal, "the gateway failed; the request may have run").mayHaveRun()
 }
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/hazelpitch/hazelpitch/internal/closing"
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
@@ -62,6 +64,13 @@
 		Dur("took_ms", r.clock.now()-beganAt).Send()
 }
 
+// closingAnswer returns the answer that a stopping relay sends on an idle connection before it closes it, for a request that
+// may be on its way.
+func (r *Relay) closingAnswer() []byte {
+	reply := &replier{names: r.dialect.Headers, isStopping: func() bool { return true }}
+	return reply.refusalMessage(refusal{status: fasthttp.StatusRequestTimeout, reason: reasonStopping, retryAfter: retryAfterStop})
+}
+
 // refusesNewRequests reports whether a stopping relay refuses new requests now.
 func (r *Relay) refusesNewRequests() bool {
 	return r.stopping.Load() && r.clock.now() >= time.Duration(r.refuseNewAt.Load())
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -174,6 +174,7 @@
 	relay.splits = splitdraw.New(relay.draw)
 	relay.metrics = newRelayMetrics(relay, options.Log)
 	relay.connections = connections{isServing: map[*clientConnection]bool{}, requests: map[*clientConnection]*request{}, tracked: closing.NewSet()}
+	relay.connections.tracked.AnswerOnClose(relay.closingAnswer())
 	relay.lastContactAt.Store(int64(-leaderwatch.MaximumWait - leaderContactSlack))
 	relay.exchanger = &exchanger{
 		applyAnswerSignals: relay.applyAnswerSignals, acquirePermit: relay.acquirePermit, limitedSends: relay.metrics.limitedSends,
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -50,6 +50,11 @@
 // refuse sends an answer that the relay itself makes.
 func (r *replier) refuse(response refusal) {
 	r.refusal = &response
+	r.write(r.refusalMessage(response))
+}
+
+// refusalMessage returns an answer that the relay itself makes.
+func (r *replier) refusalMessage(response refusal) []byte {
 	body := response.reason + "\n"
 	head := r.beginHead(response.status)
 	head = appendHeader(head, "Content-Type", "text/plain")
@@ -63,7 +68,7 @@
 	if response.retryAfter > 0 {
 		head = appendHeader(head, "Retry-After", strconv.FormatFloat(response.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	r.write(r.endHead(head, []byte(body)))
+	return r.endHead(head, []byte(body))
 }
 
 // sendWhole sends a back end's answer whose body was read completely.
--- a/internal/relay/serve_connection.go
+++ b/internal/relay/serve_connection.go
@@ -102,7 +102,7 @@
 	_ = connection.SetWriteDeadline(r.clock.at(request.arrivedAt + maxAnswerDuration))
 	if r.refusesNewRequests() {
 		reply.close = true
-		reply.refuse(refusal{status: fasthttp.StatusServiceUnavailable, reason: "this relay stops", retryAfter: retryAfterStop})
+		reply.refuse(refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonStopping, retryAfter: retryAfterStop})
 		return false
 	}
 	r.connections.setRequest(connection, request)
@@ -116,6 +116,8 @@
 	maxAnswerDuration = 2 * time.Minute
 	// retryAfterStop is short because the client can reach another relay at once.
 	retryAfterStop = 10 * time.Millisecond
+	// reasonStopping is the reason of the refusals of a stopping relay.
+	reasonStopping = "this relay stops"
 )
 
 // isTimeout reports whether a read or write failed because its deadline had passed.
