Answer requests that are sent too slowly, and log those that are not read

Clients saw: a closed connection and no answer when the head or the body of a request took longer than the limits allow, and "400, the body ended before its last chunk" for a slow body in chunks. Cause: an expired read ended the connection like one whose client has left. They now get 408, which says that the request was not run and never will.

Requests that the relay could not read, or refused because it stops, left no log line, so that lost answers could not be told from clients that left. "request_unread" has the cause, the status of the answer and whether the relay was stopping; the refusal of a stopping relay is a "request_refused" with the reason "this relay stops".

New: TestRequestsThatAreNotServedHaveALogLine ("go test ./internal/relay -run 'TestSlow|TestRequestsThatAreNot' -count=5 -race").

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -13,6 +13,8 @@
 	AttemptFailed Event = "attempt_failed"
 	// RequestRefused: the relay answered a request itself.
 	RequestRefused Event = "request_refused"
+	// RequestUnread: a request could not be read completely; a field holds the status of the answer, 0 for none.
+	RequestUnread Event = "request_unread"
 	// KeyRefused: a request was not admitted because it had no known API key.
 	KeyRefused Event = "key_refused"
 	// BackEndInBackoff: a back end asked to receive no requests for a while.
@@ -103,7 +105,7 @@
 
 // All lists every event.
 var All = []Event{
-	RequestEnded, AttemptFailed, RequestRefused, KeyRefused, RunMigrated, ConfigurationApplied, ConfigurationUnreadable, ListingApplied, ListingFaultChanged,
+	RequestEnded, AttemptFailed, RequestRefused, RequestUnread, KeyRefused, RunMigrated, ConfigurationApplied, ConfigurationUnreadable, ListingApplied, ListingFaultChanged,
 	BackEndInBackoff, BackEndLeaving, BackEndLimitChanged, BackEndRestarted, BackEndCrashed, RequestQuarantined, QuarantineTrialStarted, GuardCallFailed,
 	LeaderLost, LeaderFound, OwnerSuspected, CellAcquired, CellReleased, SlotsAcquired, SlotsReleased, SlotRefused, SlotGranted, RelayStarted, RelayStopping, RelayStopped, GatewayStopping, GatewayStopped, SignalReceived, StageOrdered, UsageDelivered, ReplicasOrdered, FormatAgreed, ControllerHalted, UpdateNotApplied, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
--- a/internal/relay/client_request.go
+++ b/internal/relay/client_request.go
@@ -67,13 +67,20 @@
 // bodyTimeout bounds the time that a client may take to send a body.
 const bodyTimeout = 10 * time.Second
 
-// classifyHeadError returns a requestFault for a malformed head, and the error itself for a connection that ended.
+// tooSlow returns the fault of a request that was not received in time.
+func tooSlow() *requestFault {
+	return &requestFault{fasthttp.StatusRequestTimeout, "the request was sent too slowly"}
+}
+
+// classifyHeadError returns a requestFault for a malformed or late head, and the error itself for a connection that ended.
 func classifyHeadError(err error) error {
 	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.As(err, &small):
 		return &requestFault{fasthttp.StatusRequestHeaderFieldsTooLarge, "the headers are too large"}
-	case errors.Is(err, io.EOF), isTimeout(err):
+	case isTimeout(err):
+		return tooSlow()
+	case errors.Is(err, io.EOF):
 		return err
 	default:
 		return &requestFault{fasthttp.StatusBadRequest, "the head of the request cannot be read"}
@@ -127,12 +134,18 @@
 	case length > 0:
 		body := make([]byte, length)
 		_, err := io.ReadFull(connection.reader, body)
+		if isTimeout(err) {
+			return nil, tooSlow()
+		}
 		return body, err
 	case length != -1:
 		return nil, nil
 	}
 	chunked := &framedBody{framing: framedByChunks, source: connection.reader, reader: httputil.NewChunkedReader(connection.reader)}
 	body, err := io.ReadAll(io.LimitReader(chunked, int64(limit)+1))
+	if isTimeout(err) {
+		return nil, tooSlow()
+	}
 	if err != nil {
 		return nil, &requestFault{fasthttp.StatusBadRequest, "the body ended before its last chunk"}
 	}
--- a/internal/relay/closing_connection_test.go
+++ b/internal/relay/closing_connection_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
@@ -121,6 +122,32 @@
 	}
 }
 
+// Guards against requests that end without any log line: the client left before the request was complete, the request was
+// malformed, or the relay refused it because it stops.
+func TestRequestsThatAreNotServedHaveALogLine(t *testing.T) {
+	for name, test := range map[string]struct {
+		sent     string
+		stopping bool
+		want     string
+	}{
+		"left":      {sent: "POST /path/ HTTP/1.1\r\nHost: test\r\nContent-Length: 10\r\n\r\nhalf", want: `"event":"request_unread","cause":"unexpected EOF","status":0,"stopping":false`},
+		"malformed": {sent: "GET x HTTP/1.1\r\nHost: test\r\n\r\n", want: `"cause":"400: the head of the request cannot be read","status":400`},
+		"stopping":  {sent: "GET /path/ HTTP/1.1\r\nHost: test\r\nT-Id: one\r\n\r\n", stopping: true, want: `"event":"request_refused","request":"one","reason":"this relay stops"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			relay := newTestRelay(t, route(nil), startBackEnd(t, "one", serving.StageWhole, answering(200, "ok")))
+			lines := &logLines{}
+			relay.log = requestLog{logger: zerolog.New(lines)}
+			relay.stopping.Store(test.stopping)
+			client := relay.client(t)
+			_, err := io.WriteString(client.connection, test.sent)
+			require.NoError(t, err)
+			require.NoError(t, client.connection.(*net.TCPConn).CloseWrite())
+			require.Eventually(t, func() bool { return strings.Contains(lines.String(), test.want) }, time.Minute, time.Millisecond, "%s", lines)
+		})
+	}
+}
+
 // requireEnd requires that the relay has closed the connection after its last answer, without a reset.
 func (c *testClient) requireEnd() {
 	c.t.Helper()
--- a/internal/relay/missing_state.go
+++ b/internal/relay/missing_state.go
@@ -41,7 +41,7 @@
 // refuseForMissingState refuses a request that arrived before the relay had received the state that it needs.
 func (r *Relay) refuseForMissingState(request *request, missing missingState, reply *replier) {
 	response := missing.refusal(r.draw())
-	r.log.recordMissingState(request, missing, r.viewSnapshot())
+	r.log.recordUnserved(request, string(missing), r.viewSnapshot())
 	r.metrics.refusals.WithLabelValues(response.reason).Inc()
 	reply.refuse(response)
 }
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -48,10 +48,17 @@
 		Int64("retry_after_ms", response.retryAfter.Milliseconds()).Int("sent", attempts.sentCount).Bool("may_have_run", attempts.mayHaveRun).Send()
 }
 
-// recordMissingState logs a request that arrived before the relay had the state to serve it. Its route may be unknown.
-func (l requestLog) recordMissingState(request *request, missing missingState, snapshot viewSnapshot) {
+// recordUnread logs a request that could not be read completely. status is that of the answer, 0 for none.
+func (l requestLog) recordUnread(cause error, status int, stopping bool) {
+	l.logger.WithLevel(zerolog.WarnLevel).Str(events.FieldEvent, string(events.RequestUnread)).
+		AnErr("cause", cause).Int("status", status).Bool("stopping", stopping).Send()
+}
+
+// recordUnserved logs a request that was refused before its route was looked up: the relay stops, or it has not received the
+// state to serve requests yet.
+func (l requestLog) recordUnserved(request *request, reason string, snapshot viewSnapshot) {
 	l.logger.WithLevel(zerolog.WarnLevel).Str(events.FieldEvent, string(events.RequestRefused)).Str(events.FieldRequest, request.id).
-		Str("reason", string(missing)).Uint64("configuration", snapshot.configuration).Int64("leader_age_ms", snapshot.leaderAge.Milliseconds()).Send()
+		Str("reason", reason).Uint64("configuration", snapshot.configuration).Int64("leader_age_ms", snapshot.leaderAge.Milliseconds()).Send()
 }
 
 // recordMigration logs the migration of a run from an engine that accepts no more work. copied is false if the run was
--- a/internal/relay/serve_connection.go
+++ b/internal/relay/serve_connection.go
@@ -95,6 +95,7 @@
 			_ = connection.SetWriteDeadline(r.clock.at(r.clock.now() + writeSlack))
 			reply.refuse(refusal{status: fault.status, reason: fault.message})
 		}
+		r.log.recordUnread(err, reply.status, r.stopping.Load())
 		return false
 	}
 	reply.requestID = request.id
@@ -102,6 +103,7 @@
 	_ = connection.SetWriteDeadline(r.clock.at(request.arrivedAt + maxAnswerDuration))
 	if r.refusesNewRequests() {
 		reply.close = true
+		r.log.recordUnserved(request, reasonStopping, r.viewSnapshot())
 		reply.refuse(refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonStopping, retryAfter: retryAfterStop})
 		return false
 	}
