Refuse in time for the client's deadline

Clients saw: their deadline passed without a word beside silent back ends, although the relay refused. The relay counted the deadline from the arrival of a request and refused when it was over; the client counts from its sending, and the refusal needs a way back: with 3 ms one way it came some 6 ms after the client had given up.

The deadline of an answer that has not begun is now 20 ms (a twentieth of a time below 400 ms) before the client's deadline or the route's timeout. An answer that has begun cannot be refused, so it keeps the whole time: the exchange's deadline moves when the first bytes are sent. Back ends are told the earlier deadline, as they were told the relay's before.

Failed before, passes now: TestRelayLeavesTimeForItsRefusalToReachTheClient ("99" is not <= "95"); TestStreamThatHasBegunHasTheWholeTime is new ("go test ./internal/relay -run 'TestRelayLeaves|TestStreamThatHas' -race -count=5").

--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -41,13 +41,28 @@
 	priorityLevel int
 
 	arrivedAt time.Duration
-	// deadline is when the final answer is due: the earlier of the client's deadline and the route's timeout.
-	deadline time.Duration
+	// cutoff is the earlier of the client's deadline and the route's timeout, both counted from the arrival. An answer that has
+	// begun ends there. deadline is when an answer must begin: maxAnswerMargin earlier at most, so that the client still
+	// receives a refusal in time.
+	cutoff, deadline time.Duration
 
 	canceller canceller
 	trace     requestTrace
 }
 
+const (
+	// maxAnswerMargin is the time for the request's way to the relay, which the client counts and the relay does not, and for
+	// the answer's way back. answerMarginDivisor makes it at most this part of a short time.
+	maxAnswerMargin     = 20 * time.Millisecond
+	answerMarginDivisor = 20
+)
+
+// setDeadline sets cutoff and deadline of a request that may take the given time from its arrival.
+func (r *request) setDeadline(timeout time.Duration) {
+	r.cutoff = r.arrivedAt + timeout
+	r.deadline = r.cutoff - min(maxAnswerMargin, timeout/answerMarginDivisor)
+}
+
 // tenantName returns the tenant's name; empty for an anonymous client.
 func (r *request) tenantName() string {
 	if r.tenant == nil {
@@ -95,6 +110,14 @@
 	}
 }
 
+// extend sets a later deadline of the exchange in progress.
+func (c *canceller) extend(steady clock, deadline time.Duration) {
+	c.mutex.Lock()
+	c.deadline = deadline
+	c.mutex.Unlock()
+	c.resetDeadline(steady)
+}
+
 func (c *canceller) detach() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -41,8 +41,7 @@
 	level, levels := view.table.PriorityLevel(request.tenant, request.route)
 	request.priorityLevel, request.rank = level, placement.RankOf(level, levels)
 	names := r.dialect.Headers
-	request.deadline = request.arrivedAt +
-		min(request.route.Timeout, clientTimeout(request.header, names.DeadlineMs, request.route.Timeout))
+	request.setDeadline(min(request.route.Timeout, clientTimeout(request.header, names.DeadlineMs, request.route.Timeout)))
 	request.service = view.table.Service(r.chooseService(request.route))
 	request.prompt = serving.ParsePrompt(string(request.header.Peek(names.Model)),
 		string(request.header.Peek(names.Tokens)), string(request.header.Peek(names.PromptParts)))
@@ -200,6 +199,8 @@
 // it closes the client's connection, so that the answer does not look complete.
 func (r *Relay) forwardLong(answer *answer, buffered []byte, reply *replier) *failure {
 	reply.sendFirstChunk(answer, buffered)
+	request := answer.message.request
+	request.canceller.extend(answer.exchanger.clock, request.cutoff)
 	piece := make([]byte, 16<<10)
 	for {
 		n, err := answer.Read(piece)
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -104,7 +104,7 @@
 			headers = append(headers, header{names.KVFetch, selection.fetchFrom.Address})
 		}
 	}
-	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.request.deadline, headers: headers, work: work, prefixBlocks: s.prefixBlocks, selection: selection,
+	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.exchangeDeadline(), headers: headers, work: work, prefixBlocks: s.prefixBlocks, selection: selection,
 		stall: stallLimit(s.request.route) + placement.PrefillTime(s.relay.prefillSpeed.timePerToken(engine.hash), s.relay.policy.DecodeSlowdown*work.PromptTokens()), mayAbort: s.mayContinueElsewhere()})
 	if fault != nil {
 		s.recordSourceCached(fault)
@@ -117,6 +117,14 @@
 	return s.forwardEvents(answer)
 }
 
+// exchangeDeadline returns when the next exchange must end.
+func (s *streamReply) exchangeDeadline() time.Duration {
+	if s.reply.started {
+		return s.request.cutoff
+	}
+	return s.request.deadline
+}
+
 // recordForecast records the forecast for the stream's pauses at the engine of the current run.
 func (s *streamReply) recordForecast(forecast placement.PauseForecast) {
 	s.request.trace.pause = forecast
@@ -229,6 +237,7 @@
 		s.reply.sendChunk(s.pending)
 	} else {
 		s.reply.sendFirstChunk(answer, s.pending)
+		s.request.canceller.extend(s.relay.clock, s.request.cutoff)
 	}
 	s.pending = s.pending[:0]
 }
