Tell a silent back end from a broken connection

Operators and the crash guard saw "the connection broke before the answer was whole: fasthttp: timeout" when a back end said nothing until the request's deadline or until the watch for stalls ended the exchange. Cause: while the head of an answer is awaited, fasthttp replaces a timeout by an error of its own, which is neither os.ErrDeadlineExceeded nor a net.Error. So the guard took a merely silent run for a broken one (RecordBrokenRun, which holds a retry back until the guard has found out whether the back end crashed) and not for a silent one, and a deadline kept the back end's slots from being granted for a while. Both errors are now known by their Timeout method; the kernel's timeout, which is one too, is checked first.

Failed before, passes now: TestSilenceUntilTheDeadlineIsNoBrokenConnection ("go test ./internal/relay -run TestSilenceUntil -race -count=5").

--- a/internal/relay/deadline_test.go
+++ b/internal/relay/deadline_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelpitch/hazelpitch/internal/serving"
@@ -50,3 +51,20 @@
 	require.Eventually(t, func() bool { return deadline() == request.arrivedAt+5*time.Second }, time.Minute, time.Millisecond)
 	close(end)
 }
+
+// Guards against a deadline that counts as a broken connection: the reader of answers' heads reports an error of its own for
+// every timeout, so the crash guard watched back ends that were merely silent, and their slots counted as refused.
+func TestSilenceUntilTheDeadlineIsNoBrokenConnection(t *testing.T) {
+	end := make(chan struct{})
+	defer close(end)
+	backEnd := startBackEnd(t, "one", serving.StageWhole, func(net.Conn, backEndRequest) bool {
+		<-end
+		return false
+	})
+	relay := newTestRelay(t, route(nil), backEnd)
+	lines := &logLines{}
+	relay.log = requestLog{logger: zerolog.New(lines)}
+	require.Equal(t, 504, relay.client(t).do("POST", "/path/", "x", "T-Deadline: 50").status)
+	require.Contains(t, lines.String(), errDeadline.Error())
+	require.NotContains(t, lines.String(), errConnectionBroken.Error())
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -228,12 +226,12 @@
 	switch {
 	case message.request.canceller.isCancelled():
 		fault.cause = errCancelled
-	case errors.Is(err, os.ErrDeadlineExceeded) && e.clock.now() >= message.request.deadline:
+	case connection.TimedOut: // checked first, since it is a timeout as well
+		fault.cause = errPeerTimeout
+	case isTimeout(err) && e.clock.now() >= message.request.deadline:
 		fault.cause = errDeadline
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case isTimeout(err):
 		fault.cause = errStalled
-	case connection.TimedOut:
-		fault.cause = errPeerTimeout
 	}
 	return fault
 }
--- a/internal/relay/serve_connection.go
+++ b/internal/relay/serve_connection.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"maps"
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -122,8 +121,8 @@
 	reasonStopping = "this relay stops"
 )
 
-// isTimeout reports whether a read or write failed because its deadline had passed.
+// isTimeout reports whether a read or write failed because its deadline had passed. The timeout of fasthttp is no net.Error.
 func isTimeout(err error) bool {
-	var netErr net.Error
-	return errors.As(err, &netErr) && netErr.Timeout()
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
