Answer requests that a stop of a relay cannot wait for

Clients saw: a closed connection and no answer when a back end was still silent at the end of a relay's stop. The relay exited at 0.95 of the grace with whatever was in progress. It now ends the exchanges at 0.93 of the grace; a request whose answer has not begun gets 502, or 503 if no back end can have run it, before the exit. A stream that has begun ends as before. The line relay_stopped counts these requests in "serving" as before.

Failed before (no answer within half a minute), passes now: TestRequestsInProgressAtTheEndOfAStopAreAnswered ("go test ./internal/relay -run 'TestRequestsInProgress|TestClientsThatReach|TestAStopping' -race -count=5", "go test ./platform -run 'TestNoClientOfAStopping|TestNoSeriesOfSignals|TestASecondInterrupt|TestAServerOutlives'").

--- a/internal/relay/closing_connection_test.go
+++ b/internal/relay/closing_connection_test.go
@@ -66,6 +66,30 @@
 	require.Len(t, backEnd.receivedRequests(), 1)
 }
 
+// Guards against a request without an answer: the relay exited while its back end was still silent.
+func TestRequestsInProgressAtTheEndOfAStopAreAnswered(t *testing.T) {
+	arrived, end := make(chan struct{}), make(chan struct{})
+	defer close(end)
+	backEnd := startBackEnd(t, "one", serving.StageWhole, func(net.Conn, backEndRequest) bool {
+		close(arrived)
+		<-end
+		return false
+	})
+	relay := newTestRelay(t, route(func(route *serving.Route) { route.Timeout = time.Minute }), backEnd)
+	client := relay.client(t)
+	client.send("POST", "/path/", "x")
+	<-arrived
+	listener, err := closing.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = relay.accept(t.Context(), listener) }()
+	go relay.drain(t.Context(), listener)
+	require.NoError(t, client.connection.SetReadDeadline(time.Now().Add(relay.view.Load().table.Configuration.Routes[0].Timeout/2)))
+	answer := client.read()
+	require.Equal(t, 502, answer.status, "the request may have run")
+	require.True(t, answer.head.ConnectionClose())
+	client.requireEnd()
+}
+
 // Guards against a refusal that its client never reads: the relay closed the connection while the rest of the body was on
 // its way, which resets the connection.
 func TestRefusalReachesAClientThatIsStillSending(t *testing.T) {
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -29,6 +29,9 @@
 	quietIdleShare = 0.2
 	// maxStayShare is the fraction of the grace period after which the relay exits even if requests are in progress.
 	maxStayShare = 0.95
+	// endRequestsShare is the fraction of the grace period after which requests in progress are ended, so that those without
+	// an answer get one before the relay exits.
+	endRequestsShare = 0.93
 )
 
 // readyHandler serves the readiness endpoint: status 200 while the relay accepts new connections, 503 otherwise.
@@ -46,24 +49,43 @@
 
 // drain stops the relay without cutting off a request. First it reports not ready and continues to serve, then it refuses
 // new requests, then it closes the port and the idle connections, after a last check of each. It returns when the accepted
-// requests are answered or maxStayShare has passed.
+// requests are answered, at maxStayShare at the latest.
 func (r *Relay) drain(ctx context.Context, listener net.Listener) {
 	beganAt := r.clock.now()
 	began := r.clock.at(beganAt)
 	share := func(part float64) time.Duration { return time.Duration(part * float64(r.settings.GracePeriod)) }
 	r.refuseNewAt.Store(int64(beganAt + share(refuseAfterShare)))
 	r.stopping.Store(true)
-	drainCtx, cancel := context.WithDeadline(ctx, began.Add(share(maxStayShare)))
+	drainCtx, cancel := context.WithDeadline(ctx, began.Add(share(endRequestsShare)))
 	defer cancel()
 	pause.For(drainCtx, share(minStayShare))
-	if err := closing.CloseWhenEmpty(listener, share(maxStayShare-minStayShare)); err != nil {
+	if err := closing.CloseWhenEmpty(listener, share(endRequestsShare-minStayShare)); err != nil {
 		r.log.logger.Warn().Err(err).Msg("closing the listener for clients failed")
 	}
 	clean := r.connections.tracked.CloseIdle(drainCtx, began, share(quietIdleShare))
-	r.event(events.RelayStopped).Bool("clean", clean).Int("serving", r.connections.servingCount()).Int("connections", r.connections.tracked.Len()).
+	serving := r.connections.servingCount()
+	if !clean {
+		r.endRequests(ctx, began.Add(share(maxStayShare)))
+	}
+	r.event(events.RelayStopped).Bool("clean", clean).Int("serving", serving).Int("connections", r.connections.tracked.Len()).
 		Dur("took_ms", r.clock.now()-beganAt).Send()
 }
 
+// endRequests ends the exchanges in progress, so that each request whose answer has not begun is answered by the relay itself,
+// and waits for these answers until the given time.
+func (r *Relay) endRequests(ctx context.Context, until time.Time) {
+	for _, request := range r.connections.activeRequests() {
+		request.canceller.stop()
+	}
+	limited, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	for r.connections.servingCount() > 0 && pause.For(limited, endedPollInterval) {
+	}
+}
+
+// endedPollInterval is the time between two checks for requests in progress.
+const endedPollInterval = 5 * time.Millisecond
+
 // closingAnswer returns the answer that a stopping relay sends on an idle connection before it closes it, for a request that
 // may be on its way.
 func (r *Relay) closingAnswer() []byte {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -88,6 +88,8 @@
 	// deadline is when the exchange on the connection must end.
 	deadline  time.Duration
 	cancelled bool
+	// stopped is true if the relay has cancelled the request at the end of its own stop; the client still awaits an answer.
+	stopped bool
 	// doneChannel is closed by cancel; nil until done is called.
 	doneChannel chan struct{}
 }
@@ -137,6 +139,21 @@
 	}
 }
 
+// stop cancels the request because the relay exits.
+func (c *canceller) stop() {
+	c.mutex.Lock()
+	c.stopped = !c.cancelled
+	c.mutex.Unlock()
+	c.cancel()
+}
+
+// hasClientLeft reports whether the request was cancelled because the client has disconnected.
+func (c *canceller) hasClientLeft() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.cancelled && !c.stopped
+}
+
 // done returns a channel that is closed when the client has disconnected.
 func (c *canceller) done() <-chan struct{} {
 	c.mutex.Lock()
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -138,7 +138,7 @@
 
 // replyRefused sends the final answer when none came from a back end.
 func (r *Relay) replyRefused(attempts *attemptTracker, reply *replier) {
-	if reply.started || attempts.request.canceller.isCancelled() {
+	if reply.started || attempts.request.canceller.hasClientLeft() {
 		reply.close, reply.aborted = true, true // a truncated answer must not look complete
 		return
 	}
