--- a/internal/closing/listener_test.go
+++ b/internal/closing/listener_test.go
@@ -56,3 +56,18 @@
 	_, err = inner.Accept()
 	require.True(t, errors.Is(err, net.ErrClosed))
 }
+
+// Guards against resets of clients whose handshake is in progress when the port is closed: new handshakes must be dropped
+// before, not refused.
+func TestNewHandshakesAreDropped(t *testing.T) {
+	inner, err := Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := inner.(*Listener)
+	defer func() { require.NoError(t, listener.Close()) }()
+	raw, err := listener.rawSocket()
+	require.NoError(t, err)
+	require.NoError(t, dropHandshakes(raw))
+	_, err = net.DialTimeout("tcp", listener.Addr().String(), 100*time.Millisecond)
+	var timeout net.Error
+	require.True(t, errors.As(err, &timeout) && timeout.Timeout(), "%v", err)
+}
