--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -14,6 +14,8 @@
 	requestID  string
 	// close is true if the connection is closed after this answer.
 	close bool
+	// isStopping reports whether the relay stops, which then announces in each answer that it closes the connection.
+	isStopping func() bool
 	// started is true if bytes of an answer may have been sent.
 	started bool
 	// status is the status of the answer; refusal is the relay's own answer, nil when a back end's answer is sent.
@@ -48,6 +50,11 @@
 // refuse sends an answer that the relay itself makes.
 func (r *replier) refuse(response refusal) {
 	r.refusal = &response
+	r.write(r.refusalMessage(response))
+}
+
+// refusalMessage returns an answer that the relay itself makes.
+func (r *replier) refusalMessage(response refusal) []byte {
 	body := response.reason + "\n"
 	head := r.beginHead(response.status)
 	head = appendHeader(head, "Content-Type", "text/plain")
@@ -61,7 +68,7 @@
 	if response.retryAfter > 0 {
 		head = appendHeader(head, "Retry-After", strconv.FormatFloat(response.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	r.write(r.endHead(head, []byte(body)))
+	return r.endHead(head, []byte(body))
 }
 
 // sendWhole sends a back end's answer whose body was read completely.
@@ -129,6 +136,9 @@
 
 // endHead completes the head and appends the body.
 func (r *replier) endHead(head, body []byte) []byte {
+	if r.isStopping() { // asked now, since the stop may have begun while the answer was awaited
+		r.close = true
+	}
 	if r.close {
 		head = appendHeader(head, "Connection", "close")
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -41,13 +41,28 @@
 	priorityLevel int
 
 	arrivedAt time.Duration
-	// deadline is when the final answer is due: the earlier of the client's deadline and the route's timeout.
-	deadline time.Duration
+	// cutoff is the earlier of the client's deadline and the route's timeout, both counted from the arrival. An answer that has
+	// begun ends there. deadline is when an answer must begin: maxAnswerMargin earlier at most, so that the client still
+	// receives a refusal in time.
+	cutoff, deadline time.Duration
 
 	canceller canceller
 	trace     requestTrace
 }
 
+const (
+	// maxAnswerMargin is the time for the request's way to the relay, which the client counts and the relay does not, and for
+	// the answer's way back. answerMarginDivisor makes it at most this part of a short time.
+	maxAnswerMargin     = 20 * time.Millisecond
+	answerMarginDivisor = 20
+)
+
+// setDeadline sets cutoff and deadline of a request that may take the given time from its arrival.
+func (r *request) setDeadline(timeout time.Duration) {
+	r.cutoff = r.arrivedAt + timeout
+	r.deadline = r.cutoff - min(maxAnswerMargin, timeout/answerMarginDivisor)
+}
+
 // tenantName returns the tenant's name; empty for an anonymous client.
 func (r *request) tenantName() string {
 	if r.tenant == nil {
@@ -73,6 +88,8 @@
 	// deadline is when the exchange on the connection must end.
 	deadline  time.Duration
 	cancelled bool
+	// stopped is true if the relay has cancelled the request at the end of its own stop; the client still awaits an answer.
+	stopped bool
 	// doneChannel is closed by cancel; nil until done is called.
 	doneChannel chan struct{}
 }
@@ -95,6 +112,14 @@
 	}
 }
 
+// extend sets a later deadline of the exchange in progress.
+func (c *canceller) extend(steady clock, deadline time.Duration) {
+	c.mutex.Lock()
+	c.deadline = deadline
+	c.mutex.Unlock()
+	c.resetDeadline(steady)
+}
+
 func (c *canceller) detach() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -114,6 +139,21 @@
 	}
 }
 
+// stop cancels the request because the relay exits.
+func (c *canceller) stop() {
+	c.mutex.Lock()
+	c.stopped = !c.cancelled
+	c.mutex.Unlock()
+	c.cancel()
+}
+
+// hasClientLeft reports whether the request was cancelled because the client has disconnected.
+func (c *canceller) hasClientLeft() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.cancelled && !c.stopped
+}
+
 // done returns a channel that is closed when the client has disconnected.
 func (c *canceller) done() <-chan struct{} {
 	c.mutex.Lock()
--- a/internal/relay/serve_connection.go
+++ b/internal/relay/serve_connection.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"maps"
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -87,25 +86,25 @@
 // serveNext reads and serves one request; it reports whether the connection can be used further.
 func (r *Relay) serveNext(connection *clientConnection) bool {
 	request, err := r.readRequest(connection)
-	reply := &replier{connection: connection, names: r.dialect.Headers}
+	reply := &replier{connection: connection, names: r.dialect.Headers, isStopping: r.stopping.Load}
 	if err != nil {
 		var fault *requestFault
 		if errors.As(err, &fault) {
 			reply.close = true
 			_ = connection.SetWriteDeadline(r.clock.at(r.clock.now() + writeSlack))
 			reply.refuse(refusal{status: fault.status, reason: fault.message})
-			return false
 		}
 		r.metrics.unreadRequests.Inc()
-		r.log.recordUnread(err, r.viewSnapshot())
+		r.log.recordUnread(err, reply.status, r.viewSnapshot())
 		return false
 	}
 	reply.requestID = request.id
-	reply.close = request.header.ConnectionClose() || r.stopping.Load()
+	reply.close = request.header.ConnectionClose()
 	_ = connection.SetWriteDeadline(r.clock.at(request.arrivedAt + maxAnswerDuration))
 	if r.refusesNewRequests() {
 		reply.close = true
-		reply.refuse(refusal{status: fasthttp.StatusServiceUnavailable, reason: "this relay stops", retryAfter: retryAfterStop})
+		r.log.recordUnserved(request, reasonStopping, r.viewSnapshot())
+		reply.refuse(refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonStopping, retryAfter: retryAfterStop})
 		return false
 	}
 	r.connections.setRequest(connection, request)
@@ -119,10 +118,12 @@
 	maxAnswerDuration = 2 * time.Minute
 	// retryAfterStop is short because the client can reach another relay at once.
 	retryAfterStop = 10 * time.Millisecond
+	// reasonStopping is the reason of the refusals of a stopping relay.
+	reasonStopping = "this relay stops"
 )
 
-// isTimeout reports whether a read or write failed because its deadline had passed.
+// isTimeout reports whether a read or write failed because its deadline had passed. The timeout of fasthttp is no net.Error.
 func isTimeout(err error) bool {
-	var netErr net.Error
-	return errors.As(err, &netErr) && netErr.Timeout()
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -105,7 +105,7 @@
 		}
 	}
 	limit := stallLimit(s.request.route)
-	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.request.deadline, headers: headers, work: work, prefixBlocks: s.prefixBlocks, selection: selection,
+	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.exchangeDeadline(), headers: headers, work: work, prefixBlocks: s.prefixBlocks, selection: selection,
 		stall:  limit + placement.PrefillTime(s.relay.prefillSpeed.timePerToken(engine.hash), s.relay.policy.DecodeSlowdown*work.PromptTokens()),
 		secure: s.replacement(engine, limit), onCounted: s.attempts.releaseReservedSlot})
 	if fault != nil {
@@ -119,6 +119,14 @@
 	return s.forwardEvents(answer)
 }
 
+// exchangeDeadline returns when the next exchange must end.
+func (s *streamReply) exchangeDeadline() time.Duration {
+	if s.reply.started {
+		return s.request.cutoff
+	}
+	return s.request.deadline
+}
+
 // recordForecast records the forecast for the stream's pauses at the engine of the current run.
 func (s *streamReply) recordForecast(forecast placement.PauseForecast) {
 	s.request.trace.pause = forecast
@@ -229,6 +237,7 @@
 		s.reply.sendChunk(s.pending)
 	} else {
 		s.reply.sendFirstChunk(answer, s.pending)
+		s.request.canceller.extend(s.relay.clock, s.request.cutoff)
 	}
 	s.pending = s.pending[:0]
 }
