Soak: back ends that stand still, and a check for answers that are cut off

Cause: answers are cut beside back ends that fall silent for a second (docs/incidents/ answers-cut-beside-silent-back-ends.md), and the soak had no such silence: its fault "silence" holds back what the stand-in reads and writes while the kernel acknowledges. Its LOST check needed a run without any unplanned fault within 3 s, so that it hardly applied.

LOST is now also checked for each request at a relay that no kill or freeze struck: no connection ends before the deadline without a complete response. Clients record when they left during a response and when their library sent a request again.

Off by default, since the fault is not mended yet.

Clients' requests at back ends that stood still within the contact time are left out of the checks that DRAIN and GONE make by the time of arrival.

--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -127,6 +127,65 @@
 		h.Faults[0].OtherBuild = true
 	}},
 	{"a request that a stopping relay aborts at the end of its grace", "", unanswered(history.Terminate, "front", 4*second)},
+	{"a request that a back end received and that is cut off without a response", Lost, cutOff("safe", 0, second/100)},
+	{"a request that is cut off without a response long after it was sent", Lost, func(h *history.History) {
+		cutOff("safe", 0, second/2)(h)
+		h.Arrivals = nil
+	}},
+	{"a request that is cut off before a relay must have read it", "", func(h *history.History) {
+		cutOff("safe", 0, second/100)(h)
+		h.Arrivals = nil
+	}},
+	{"a request without a response whose client has left", "", func(h *history.History) {
+		cutOff("safe", 0, second/2)(h)
+		h.Sendings[0].ClosedAt = h.Sendings[0].EndedAt
+	}},
+	{"a request that is cut off at its deadline", "", cutOff("safe", 0, second)},
+	{"a request that is cut off and sent again", Lost, func(h *history.History) {
+		cutOff("safe", 200, second/2)(h)
+		h.Sendings[0].ResentAt, h.Sendings[0].Whole = h.Sendings[0].SentAt+second/4, true
+	}},
+	{"a request that is sent again before a relay must have read it", "", func(h *history.History) {
+		cutOff("safe", 200, second/2)(h)
+		h.Sendings[0].ResentAt, h.Sendings[0].Whole = h.Sendings[0].SentAt+second/100, true
+		h.Arrivals[0].At = h.Sendings[0].ResentAt
+	}},
+	{"a stream that is cut off while its back end stands still", Lost, withFaults(cutOff("stream", 200, second), history.Fault{Kind: history.StandStill, Target: "x", From: 5 * second, To: 7 * second})},
+	{"a stream that is cut off while its relay stops and its back end stands still", Lost, withFaults(cutOff("stream", 200, second),
+		history.Fault{Kind: history.StandStill, Target: "x", From: 5 * second, To: 7 * second}, history.Fault{Kind: history.Terminate, Target: "front", From: 5 * second, To: 7 * second})},
+	{"a stream that is cut off while its relay reloads", Lost, withFaults(cutOff("stream", 200, second), history.Fault{Kind: history.Reload, Target: "front", From: 5 * second, To: 5 * second})},
+	{"a stream that is cut off while another back end crashes", Lost, withFaults(cutOff("stream", 200, second), history.Fault{Kind: history.Crash, Target: "y", From: 5 * second, To: 7 * second})},
+	{"a stream whose client leaves meanwhile", "", func(h *history.History) {
+		cutOff("stream", 200, second)(h)
+		h.Sendings[0].LeftAt = h.Sendings[0].EndedAt
+	}},
+	{"a stream that is cut off at its deadline", "", cutOff("stream", 200, 6*second)},
+	{"a stream whose back end crashes", "", withFaults(cutOff("stream", 200, second), history.Fault{Kind: history.Crash, Target: "x", From: 5 * second, To: 7 * second})},
+	{"a stream whose back end is crashed by another request", "", func(h *history.History) {
+		cutOff("stream", 200, second)(h)
+		h.Sendings = append(h.Sendings, changedSending(request("2", "safe", 5*second), func(s *history.Sending) { s.Status, s.Seal = 502, "" }))
+		h.Arrivals = append(h.Arrivals, changedArrival(ranAt("2", "x", 5*second), setCrashed))
+	}},
+	{"a stream whose connections to the back end are reset", "", withFaults(cutOff("stream", 200, second), history.Fault{Kind: history.Reset, Target: "x", From: 5 * second, To: 5 * second})},
+	{"a stream that is cut off while its relay freezes", "", withFaults(cutOff("stream", 200, second), history.Fault{Kind: history.Freeze, Target: "front", From: 5 * second, To: 7 * second})},
+	{"a stream that is cut off soon after a freeze of its relay", "", withFaults(cutOff("stream", 200, second), history.Fault{Kind: history.Freeze, Target: "front", From: second, To: 3 * second})},
+	{"a stream that is cut off long after a freeze of its relay", Lost, withFaults(cutOff("stream", 200, second), history.Fault{Kind: history.Freeze, Target: "front", From: second, To: 3 * second / 2})},
+	{"a stream that is cut off at the end of its relay's grace", "", withFaults(cutOff("stream", 200, 4*second), history.Fault{Kind: history.Terminate, Target: "front", From: 5 * second, To: 9 * second})},
+	{"a stream that is cut off while a relay of another build stops", "", withFaults(cutOff("stream", 200, second), history.Fault{Kind: history.Terminate, Target: "front", OtherBuild: true, From: 5 * second, To: 7 * second})},
+	{"a request without an answer long after its deadline", Lost, cutOff("safe", 0, 2*second)},
+	{"a request without an answer long after its deadline from a relay that was killed", "", withFaults(cutOff("safe", 0, 2*second), history.Fault{Kind: history.Kill, Target: "front", From: 5 * second, To: 6 * second})},
+	{"a request refused long after its deadline", "", func(h *history.History) {
+		cutOff("safe", 503, 2*second)(h)
+		h.Sendings[0].Whole, h.Sendings[0].AnsweredAt = true, h.Sendings[0].EndedAt
+		h.Arrivals = nil
+	}},
+	{"a stop cuts off a request while another back end stands still", Lost, func(h *history.History) {
+		cutBy(history.Terminate, "front")(h)
+		h.Faults = append(h.Faults, history.Fault{Kind: history.StandStill, Target: "x", From: 4 * second, To: 6 * second})
+	}},
+	{"a request that a back end which stood still received late", "", withFaults(listedAsLeaving(4*second), history.Fault{Kind: history.StandStill, Target: "x", From: 2 * second, To: 4 * second})},
+	{"a request that a back end received late, long after it stood still", Drain, withFaults(listedAsLeaving(5*second), history.Fault{Kind: history.StandStill, Target: "x", From: second / 2, To: second})},
+	{"back ends that stand still keep working for clients that have left", "", withFaults(abandoned(2*second), history.Fault{Kind: history.StandStill, Target: "x", From: second / 2, To: 2 * second})},
 	{"a configuration that is gone at the end", Lost, func(h *history.History) {
 		h.Changes = []history.Change{{Number: 7, SentAt: second, AckedAt: 2 * second}}
 		h.Reads = []history.Read{{SentAt: 3 * second, At: 3 * second, Status: 200, Number: 5}}
--- a/internal/soak/check/histories_test.go
+++ b/internal/soak/check/histories_test.go
@@ -120,6 +120,33 @@
 	}
 }
 
+// cutOff returns a history in which a client's connection ends without a complete response a given time after it sent the
+// request, which a back end received; status 0 is for no response at all.
+func cutOff(route string, status int, after time.Duration) func(*history.History) {
+	return func(h *history.History) {
+		h.Bounds.Grace = 4 * second
+		h.Sendings = []history.Sending{changedSending(request("1", route, 5*second), func(s *history.Sending) {
+			s.Connected, s.Status, s.Whole, s.EndedAt = true, status, false, s.SentAt+after
+			s.Deadline = h.Routes[route].Timeout
+			if status == 0 || status == 503 {
+				s.Seal, s.AnswerID = "", ""
+			}
+		})}
+		h.Arrivals = []history.Arrival{ranAt("1", "x", 5*second)}
+		if h.Routes[route].Stream {
+			h.Sendings[0].Body = "id: 1\ndata: x a\n\nid: 2\nda"
+		}
+	}
+}
+
+// withFaults returns a history with further faults.
+func withFaults(change func(*history.History), faults ...history.Fault) func(*history.History) {
+	return func(h *history.History) {
+		change(h)
+		h.Faults = append(h.Faults, faults...)
+	}
+}
+
 func listedAsLeaving(after time.Duration) func(*history.History) {
 	return func(h *history.History) {
 		h.Listings = []history.Listing{{At: second, Replica: "x", State: history.Draining}}
--- a/internal/soak/check/lost.go
+++ b/internal/soak/check/lost.go
@@ -49,13 +49,13 @@
 }
 
 // faultsNear reports whether maintenance of a request's relay, and whether any unplanned fault, was under way at some
-// time from the contact time before the request until its end.
+// time from the contact time before the request until its end. Back ends that stand still are no fault.
 func faultsNear(recorded *history.History, sending history.Sending) (planned, unplanned bool) {
 	for _, fault := range recorded.Faults {
 		overlaps := fault.From <= sending.EndedAt && fault.To+recorded.Bounds.Contact >= sending.SentAt
 		switch {
 		case !overlaps:
-		case !fault.Kind.IsPlanned():
+		case fault.Kind.IsDisruption():
 			unplanned = true
 		case fault.Target == sending.Front:
 			planned = true
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -79,6 +79,9 @@
 	if f.site.options.Program == "" { // only this program accepts commands that cut its network
 		f.running.Go(func() { f.cutRelays(ctx) })
 	}
+	if f.site.options.StandStill {
+		f.running.Go(func() { f.standStill(ctx) })
+	}
 	if f.site.options.sharesSlots() && !f.site.options.checksReturns() {
 		f.running.Go(func() { f.injectOwnerFaults(ctx) })
 	}
--- a/internal/soak/history/fault.go
+++ b/internal/soak/history/fault.go
@@ -34,11 +34,17 @@
 	Reset   FaultKind = "reset"
 	Silence FaultKind = "silence"
 	Delay   FaultKind = "delay"
+	// StandStill makes a sound back end neither read, write nor acknowledge anything for a short time, as on a machine that
+	// stands still. Nothing is lost. It is no disruption, unlike Silence.
+	StandStill FaultKind = "stand-still"
 )
 
 // IsPlanned reports whether the fault is maintenance that an operator plans.
 func (k FaultKind) IsPlanned() bool { return k == Terminate || k == Reload || k == Drain }
 
+// IsDisruption reports whether the fault may excuse relays from answering requests.
+func (k FaultKind) IsDisruption() bool { return !k.IsPlanned() && k != StandStill }
+
 // Fault is one fault at a process or at its connections.
 type Fault struct {
 	Kind   FaultKind
@@ -66,6 +72,17 @@
 	return true
 }
 
+// WasHeldUp reports whether a back end stood still at the given time or within the contact time before it, so that
+// requests may have reached it late.
+func (h *History) WasHeldUp(replica string, at time.Duration) bool {
+	for _, fault := range h.Faults {
+		if fault.Kind == StandStill && fault.Strikes(replica, at, h.Bounds.Contact) {
+			return true
+		}
+	}
+	return false
+}
+
 // WasDisturbed reports whether a fault was under way at one of the targets between from and to. Reloads, and back ends
 // that drain, ask for backoff or announce limits, do not count.
 func (h *History) WasDisturbed(from, to time.Duration, targets ...string) bool {
--- a/internal/soak/history/sending.go
+++ b/internal/soak/history/sending.go
@@ -17,8 +17,15 @@
 	Deadline time.Duration
 	// ClosedAt is when the client closed its connection before a response came; 0 for never.
 	ClosedAt time.Duration
+	// LeftAt is when the client closed its connection during the response; 0 for never.
+	LeftAt time.Duration
 	// Connected is true if the client had an open connection on which to send the request.
 	Connected bool
+	// ResentAt is when the client's library sent the request again, since its connection had ended without a response; 0
+	// for never.
+	ResentAt time.Duration
+	// AnsweredAt is when the head of the response arrived; 0 for never.
+	AnsweredAt time.Duration
 	// Status is the status code of the response; 0 for no response.
 	Status int
 	Seal   string
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -35,6 +35,9 @@
 	// CheckReturns requires, in seeds that share slots, that clients that return as told and tenants that ask for less than
 	// their share are served, and keeps faults from the owner of the slots and the back ends with few slots.
 	CheckReturns bool
+	// StandStill makes sound back ends, single ones and several at once, stand still for a second or so, beside reloads and
+	// stops of relays.
+	StandStill bool
 	// CheckTimeBounds also checks the rules with time bounds, which can fail on a machine that is busy with other work.
 	CheckTimeBounds bool
 	// Progress is called with one line for each fault; nil for no reports.
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -28,6 +28,8 @@
 	Orders   int                       `json:"orders"`
 	Faults   map[history.FaultKind]int `json:"faults"`
 	Findings []check.Finding           `json:"findings"`
+	// Overdue counts the clients that had no answer at their deadline.
+	Overdue check.Overdue `json:"overdue"`
 	// Pressure reports on the service with few slots; nil in runs without it.
 	Pressure *PressureReport `json:"pressure,omitempty"`
 }
@@ -36,6 +38,7 @@
 func reportOf(options Options, recorded *history.History, faults map[history.FaultKind]int, findings []check.Finding) Report {
 	report := Report{
 		Seed: options.Seed, Sendings: len(recorded.Sendings), Arrivals: len(recorded.Arrivals), Orders: len(recorded.Orders), Faults: faults, Findings: findings,
+		Overdue: check.CountOverdue(recorded),
 	}
 	if options.Pressure {
 		report.Pressure = pressureReportOf(recorded)
@@ -69,6 +72,7 @@
 	for _, kind := range slices.Sorted(maps.Keys(r.Faults)) {
 		fmt.Fprintf(&text, " %s %d", kind, r.Faults[kind])
 	}
+	fmt.Fprintf(&text, "\n  %s", r.Overdue)
 	if r.Pressure != nil {
 		fmt.Fprintf(&text, "\n  %s", r.Pressure)
 	}
