Soak: relays cut off from all back ends, and RECOVER counted on first tries

Relays and back ends are in two zones then. RECOVER is broken where, from the contact time on, first tries at these relays are served less than two thirds as often as at the others, and more than 10 + 1 in 50 of all fail there. Each report counts them. LOST also binds relays that are cut off, except for responses that had begun.

Off by default, since this is not mended yet.

--- a/internal/benchcommand/soak.go
+++ b/internal/benchcommand/soak.go
@@ -25,14 +25,18 @@
 // serveSite runs one server until it stops or its standard input is closed. The soak holds the other end
 // of the standard input, so its servers stop with it.
 func serveSite(ctx context.Context, arguments []string, environment Environment) int {
-	outgoing := soak.NewOutgoing()
+	outgoing, toBackEnds := soak.NewOutgoing(), zonedelay.NewDialCuts()
 	go func() {
-		_ = fleet.ApplyCutCommands(os.Stdin, outgoing.Partitioner) // returns when the soak closes standard input
+		_ = fleet.ApplyCutCommands(os.Stdin, outgoing.Partitioner, toBackEnds) // returns when the soak closes standard input
 		os.Exit(ExitFailed)
 	}()
+	dial := zonedelay.DialFunc(dialing.WithDeadPeerDetection())
+	if len(arguments) > 0 && arguments[0] == soak.RelayServer {
+		dial = toBackEnds.WrapDial(dial, soak.BackEndPort)
+	}
 	return servercommand.Run(ctx, arguments, servercommand.Environment{
 		Program: environment.Program + " " + serveSiteSubcommand, Stdout: environment.Stdout, Stderr: environment.Stderr, Site: platform.Site(),
-		Dial: dialing.Dial(outgoing.WrapDial(zonedelay.DialFunc(dialing.WithDeadPeerDetection()), soak.PeerPort)),
+		Dial: dialing.Dial(outgoing.WrapDial(dial, soak.PeerPort)),
 		ListenPacket: func(network, address string) (net.PacketConn, error) {
 			connection, err := net.ListenPacket(network, address)
 			if err != nil {
@@ -62,6 +66,7 @@
 	Pressure    bool          `long:"pressure" description:"add a service with fewer slots than relays and tenants that ask for more than it carries; in half of the seeds relays share its slots, and their owner is struck"`
 	Returns     bool          `long:"check-returns" description:"with --pressure, in the seeds that share slots: require that nine in ten of the clients that return as told, and of the attempts of tenants below their share, are served; faults leave out the owner of the slots and the back ends with few slots"`
 	StandStill  bool          `long:"stand-still" description:"sound back ends, single ones and several at once, stand still for 0.8 to 2 s and go on, beside reloads and stops of relays"`
+	BackEndCuts bool          `long:"back-end-cuts" description:"cut relays off from all back ends: one, half of a zone, or a zone; relays and back ends are in two zones"`
 	Directory   string        `long:"directory" value-name:"DIR" description:"where settings, disks and logs go; default: a temporary directory, which stays where a rule was broken"`
 	Untimed     bool          `long:"untimed" description:"leave out the rules with time bounds: for machines that are busy"`
 	Verbose     bool          `long:"verbose" description:"print each fault as it strikes"`
@@ -89,6 +94,9 @@
 	if s.Pressure && s.Relays < soak.MinPressureRelays || s.Returns && (!s.Pressure || s.Untimed || s.Other != "") {
 		return &usageError{cause: trace.BadParameter("--pressure takes --relays of at least %d; --check-returns takes --pressure, and neither --untimed nor --other", soak.MinPressureRelays)}
 	}
+	if s.BackEndCuts && (s.Relays < soak.MinCutRelays || s.Program != "" || s.Other != "") {
+		return &usageError{cause: trace.BadParameter("--back-end-cuts takes --relays of at least %d, and neither --program nor --other: only this program's relays accept commands that cut their connections", soak.MinCutRelays)}
+	}
 	var failures []error
 	for number := range s.Seeds {
 		if err := s.runSeed(ctx, environment, s.Seed+uint64(number)); err != nil {
@@ -133,7 +141,7 @@
 	for _, flag := range []struct {
 		given bool
 		text  string
-	}{{s.Plain, " --plain"}, {s.Uneven, " --uneven"}, {s.Pressure, " --pressure"}, {s.Returns, " --check-returns"}, {s.StandStill, " --stand-still"}} {
+	}{{s.Plain, " --plain"}, {s.Uneven, " --uneven"}, {s.Pressure, " --pressure"}, {s.Returns, " --check-returns"}, {s.StandStill, " --stand-still"}, {s.BackEndCuts, " --back-end-cuts"}} {
 		if flag.given {
 			flags += flag.text
 		}
@@ -156,7 +164,7 @@
 		Seed: seed, Controllers: s.Controllers, Relays: s.Relays, Pages: s.Pages, Engines: s.Engines, Clients: s.Clients, Poisons: s.Poisons,
 		FaultDuration: s.Length, QuietDuration: s.Calm, Directory: directory, Program: s.Program, Serve: serveSiteSubcommand, CheckTimeBounds: !s.Untimed,
 		OtherProgram: s.Other, FirstFormatOnly: s.Plain, Uneven: s.Uneven, Pressure: s.Pressure, CheckReturns: s.Returns,
-		StandStill: s.StandStill,
+		StandStill: s.StandStill, BackEndCuts: s.BackEndCuts,
 	}
 	if s.Verbose {
 		options.Progress = func(line string) { fmt.Fprintln(environment.Stderr, line) }
--- a/internal/fleet/cuts.go
+++ b/internal/fleet/cuts.go
@@ -14,10 +14,12 @@
 )
 
 // cutCommand is sent to a process on its standard input. It cuts the addresses of Group off from all others; with an
-// empty Group it ends the cut with the same Number.
+// empty Group it ends the cut with the same Number. With a Mode, it applies to the connections that the process opens to
+// the group.
 type cutCommand struct {
-	Number int            `json:"number"`
-	Group  []netip.Prefix `json:"group"`
+	Number int               `json:"number"`
+	Group  []netip.Prefix    `json:"group"`
+	Mode   zonedelay.CutMode `json:"mode,omitempty"`
 }
 
 // networkCuts tracks the groups of addresses that are cut off. It is safe for concurrent use.
@@ -85,7 +87,9 @@
 
 // ApplyCutCommands applies the commands that a fleet writes to a process's standard input to gate, the partitioner of
 // the process's connections. It returns when the input ends.
-func ApplyCutCommands(input io.Reader, gate *zonedelay.Partitioner) error {
+//
+// Commands with a mode apply to dials, the connections that the process opens; a process without dials rejects them.
+func ApplyCutCommands(input io.Reader, gate *zonedelay.Partitioner, dials *zonedelay.DialCuts) error {
 	heals := map[int]func(){}
 	for commands := json.NewDecoder(input); ; {
 		var command cutCommand
@@ -99,8 +103,18 @@
 			heal()
 			delete(heals, command.Number)
 		}
-		if len(command.Group) > 0 {
+		switch {
+		case len(command.Group) == 0:
+		case command.Mode == "":
 			heals[command.Number] = gate.Isolate(command.Group)
+		case dials == nil:
+			return trace.BadParameter("cut %d has mode %q, but this process cannot cut the connections that it opens", command.Number, command.Mode)
+		default:
+			end, err := dials.Begin(command.Group, command.Mode)
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			heals[command.Number] = end
 		}
 	}
 }
--- a/internal/fleet/fault_test.go
+++ b/internal/fleet/fault_test.go
@@ -8,12 +8,14 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelpitch/hazelpitch/internal/enginemodel"
+	"github.com/hazelpitch/hazelpitch/internal/zonedelay"
 )
 
 // startRawabiStandIns starts the stand-ins of the Rawabi deployment with a partitioner for cut-offs and without processes.
@@ -68,6 +70,35 @@
 	require.False(t, running)
 }
 
+// Guards against commands with a mode that have no effect, or that cut the datagrams and connections of the whole network
+// instead of the connections that the process opens.
+func TestApplyCutCommandsToDials(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.9.7:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	network, dials := zonedelay.NewPartitioner(netip.MustParsePrefix("127.0.0.0/8")), zonedelay.NewDialCuts()
+	dial := dials.WrapDial((&net.Dialer{}).DialContext, address.Port())
+	tryToDial := func() error {
+		connection, err := dial(t.Context(), "tcp", address.String())
+		if err == nil {
+			_ = connection.Close()
+		}
+		return err
+	}
+	begin := `{"number":1,"group":["127.0.9.7/32"],"mode":"refuse-new"}`
+	require.NoError(t, ApplyCutCommands(strings.NewReader(begin), network, dials))
+	require.ErrorIs(t, tryToDial(), syscall.ECONNREFUSED)
+	require.NoError(t, ApplyCutCommands(strings.NewReader(`{"number":2,"group":["127.0.9.7/32"],"mode":"hang"}{"number":2,"group":[]}`), network, dials))
+	require.ErrorIs(t, tryToDial(), syscall.ECONNREFUSED)
+
+	healed := zonedelay.NewDialCuts()
+	dial = healed.WrapDial((&net.Dialer{}).DialContext, address.Port())
+	require.NoError(t, ApplyCutCommands(strings.NewReader(begin+`{"number":1,"group":[]}`), network, healed))
+	require.NoError(t, tryToDial())
+	require.Error(t, ApplyCutCommands(strings.NewReader(begin), network, nil))
+}
+
 // TestApplyCutCommands cuts an engine off with the commands that a fleet writes to processes.
 func TestApplyCutCommands(t *testing.T) {
 	started := startRawabiStandIns(t)
@@ -75,7 +106,7 @@
 	address := netip.MustParseAddrPort(target).Addr().String()
 	commands, input := io.Pipe()
 	applied := make(chan error, 1)
-	go func() { applied <- ApplyCutCommands(commands, started.StandIns.topology.Gate()) }()
+	go func() { applied <- ApplyCutCommands(commands, started.StandIns.topology.Gate(), nil) }()
 
 	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(started.Description.ClientAddress())}}
 	connection, err := dialer.Dial("tcp", target)
--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -305,6 +305,53 @@
 		}
 		h.Faults = []history.Fault{{Kind: history.Cut, Target: "other", From: second / 2, To: second}}
 	}},
+	{"relays that are cut off from back ends serve nothing", Recover, cutOffRelay(0, 100, 4*second)},
+	{"relays that are cut off from back ends serve less than two thirds as often", Recover, cutOffRelay(65, 100, 4*second)},
+	{"relays that are cut off from back ends serve two thirds as often", "", cutOffRelay(67, 100, 4*second)},
+	{"relays that are cut off from back ends fail as seldom as is tolerated", "", cutOffRelay(1, 11, 4*second)},
+	{"relays that are cut off from back ends fail more often than is tolerated", Recover, cutOffRelay(1, 12, 4*second)},
+	{"relays that have just been cut off serve nothing", "", cutOffRelay(0, 100, 2*second)},
+	{"relays that were cut off before serve nothing", "", cutOffRelay(0, 100, 11*second)},
+	{"relays that are cut off and refuse connections", Recover, func(h *history.History) {
+		cutOffRelay(0, 100, 4*second)(h)
+		for index := range h.Sendings {
+			if h.Sendings[index].Front == "front" {
+				h.Sendings[index].Status, h.Sendings[index].Connected = 0, false
+			}
+		}
+	}},
+	{"relays that are cut off serve nothing to clients that left", "", func(h *history.History) {
+		cutOffRelay(0, 100, 4*second)(h)
+		for index := range h.Sendings {
+			if h.Sendings[index].Front == "front" {
+				h.Sendings[index].ClosedAt = h.Sendings[index].EndedAt
+			}
+		}
+	}},
+	{"relays that are cut off and were just killed serve nothing", "", withFaults(cutOffRelay(0, 100, 4*second), history.Fault{Kind: history.Kill, Target: "front", From: 11 * second, To: 12 * second})},
+	{"relays that are cut off serve nothing while the controllers restart", "", withFaults(cutOffRelay(0, 100, 4*second), history.Fault{Kind: history.Kill, Target: "core", From: 11 * second, To: 12 * second})},
+	{"all relays are cut off and serve nothing", "", withFaults(cutOffRelay(0, 100, 4*second), history.Fault{Kind: history.CutFromBackEnds, Target: "other", From: 10 * second, To: 20 * second})},
+	{"relays that are cut off from controllers serve nothing", "", func(h *history.History) {
+		cutOffRelay(0, 100, 4*second)(h)
+		h.Faults[0].Kind = history.Cut
+	}},
+	{"two cuts together in which too few tries are served", Recover, func(h *history.History) {
+		cutOffRelay(0, 9, 4*second)(h)
+		cutOffRelay(0, 9, 34*second)(h)
+		h.Faults[1].From, h.Faults[1].To = 40*second, 50*second
+	}},
+	{"relays that are cut off serve nothing of what tenants send again", "", func(h *history.History) {
+		cutOffRelay(0, 100, 4*second)(h)
+		for index := range h.Sendings {
+			if h.Sendings[index].Front == "front" {
+				h.Sendings[index].Request = "same"
+			}
+		}
+	}},
+	{"a relay that is cut off from back ends gives no answer", Lost, withFaults(cutOff("safe", 0, second/10), history.Fault{Kind: history.CutFromBackEnds, Target: "front", From: 4 * second, To: 9 * second})},
+	{"a relay that is cut off from back ends gives no answer until long after the deadline", Lost, withFaults(cutOff("safe", 0, 2*second), history.Fault{Kind: history.CutFromBackEnds, Target: "front", From: 4 * second, To: 9 * second})},
+	{"a stopping relay that is cut off from back ends gives no answer", Lost, withFaults(unanswered(history.Terminate, "front", second/100), history.Fault{Kind: history.CutFromBackEnds, Target: "front", From: 4 * second, To: 9 * second})},
+	{"a stream that is cut off while its relay is cut off from back ends", "", withFaults(cutOff("stream", 200, second), history.Fault{Kind: history.CutFromBackEnds, Target: "front", From: 4 * second, To: 9 * second})},
 	{"nothing is served after the last fault", Recover, recovering(0)},
 	{"three of ten requests are served after the last fault", "", recovering(3)},
 }
--- a/internal/soak/check/cut_answers.go
+++ b/internal/soak/check/cut_answers.go
@@ -51,15 +51,15 @@
 }
 
 // mustAnswer reports whether a request's relay had no fault that may cut the request, from the contact time before the
-// request until the given time. Reloads and cuts from other processes are none, nor is a stop, until graceShare of the
-// grace period is over. Relays of another build are left out while they stop.
+// request until the given time. Reloads and cuts from other processes and back ends are none, nor is a stop, until
+// graceShare of the grace period is over. Relays of another build are left out while they stop.
 func mustAnswer(recorded *history.History, sending history.Sending, until time.Duration) bool {
 	for _, fault := range recorded.Faults {
 		if fault.Target != sending.Front || fault.From > until || fault.To+recorded.Bounds.Contact < sending.SentAt {
 			continue
 		}
 		switch {
-		case fault.Kind == history.Reload || fault.Kind == history.Cut:
+		case fault.Kind == history.Reload || fault.Kind == history.Cut || fault.Kind == history.CutFromBackEnds:
 		case fault.Kind != history.Terminate || fault.OtherBuild:
 			return false
 		case fault.To >= sending.SentAt && float64(until-fault.From) >= graceShare*float64(recorded.Bounds.Grace):
@@ -81,8 +81,12 @@
 }
 
 // brokeOff reports whether one of the back ends that a request reached may have ended its response early: it crashed,
-// left, or had its connections reset or blocked meanwhile. Back ends that stand still do not break off.
+// left, or had its connections reset or blocked meanwhile, or the relay was cut off from it. Back ends that stand still do
+// not break off.
 func brokeOff(recorded *history.History, arrivals []history.Arrival, sending history.Sending, crashes map[string]time.Duration) bool {
+	if recorded.WasCutFromBackEnds(sending.Front, sending.SentAt, sending.EndedAt) {
+		return true
+	}
 	breaking := []history.FaultKind{history.Crash, history.Drain, history.Reset, history.Silence}
 	for _, arrival := range arrivals {
 		if at, crashed := crashes[arrival.Replica]; crashed && at <= sending.EndedAt {
--- a/internal/soak/check/histories_test.go
+++ b/internal/soak/check/histories_test.go
@@ -147,6 +147,28 @@
 	}
 }
 
+// cutOffRelay returns a history in which the relay "front" is cut off from all back ends from 10 to 20 s. A given time after
+// the cut began, it gets tries of which the first ones are served, and another relay as many, which are all served.
+func cutOffRelay(served, count int, after time.Duration) func(*history.History) {
+	return func(h *history.History) {
+		h.Bounds.RetryWindow = 0
+		h.Faults = append(h.Faults, history.Fault{Kind: history.CutFromBackEnds, Target: "front", From: 10 * second, To: 20 * second})
+		for number := range 2 * count {
+			at := 10*second + after + time.Duration(number)*time.Millisecond
+			sending := changedSending(request(fmt.Sprint(len(h.Sendings)), "safe", at), func(s *history.Sending) { s.Connected = true })
+			if number%2 == 1 {
+				sending.Front = "other"
+			}
+			if number%2 == 0 && number/2 >= served {
+				sending.Status, sending.Seal = 503, ""
+			} else {
+				h.Arrivals = append(h.Arrivals, changedArrival(ranAt(sending.ID, "x", at), func(a *history.Arrival) { a.Machine = sending.Front }))
+			}
+			h.Sendings = append(h.Sendings, sending)
+		}
+	}
+}
+
 func listedAsLeaving(after time.Duration) func(*history.History) {
 	return func(h *history.History) {
 		h.Listings = []history.Listing{{At: second, Replica: "x", State: history.Draining}}
--- a/internal/soak/check/stopping.go
+++ b/internal/soak/check/stopping.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		switch {
-		case fault.Kind == history.Reload || fault.Kind == history.Cut:
+		case fault.Kind == history.Reload || fault.Kind == history.Cut || fault.Kind == history.CutFromBackEnds:
 		case fault.Kind != history.Terminate || fault.OtherBuild:
 			return false
 		case float64(sending.EndedAt-fault.From) < graceShare*float64(recorded.Bounds.Grace):
--- a/internal/soak/cuts.go
+++ b/internal/soak/cuts.go
@@ -13,6 +13,12 @@
 // PeerPort is the port on which controllers accept calls from relays and relays accept each other's datagrams.
 const PeerPort = portPeers
 
+// BackEndPort is the port on which back ends accept connections, and RelayServer the name of the server that is a relay.
+const (
+	BackEndPort = portOuter
+	RelayServer = "relay"
+)
+
 // NewOutgoing returns the outgoing connections of a process whose traffic to other processes of the run can be cut.
 func NewOutgoing() zonedelay.Outgoing {
 	return zonedelay.Outgoing{Partitioner: zonedelay.NewPartitioner(netip.MustParsePrefix("127.0.0.0/8")), LocalAddress: netip.MustParseAddr("127.255.255.254")}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -82,6 +82,9 @@
 	if f.site.options.StandStill {
 		f.running.Go(func() { f.standStill(ctx) })
 	}
+	if f.site.options.BackEndCuts {
+		f.running.Go(func() { f.cutFromBackEnds(ctx) })
+	}
 	if f.site.options.sharesSlots() && !f.site.options.checksReturns() {
 		f.running.Go(func() { f.injectOwnerFaults(ctx) })
 	}
@@ -120,7 +123,13 @@
 
 // inject runs a fault in the background and records it when it is over. It does nothing when the target is not free.
 func (f *faults) inject(kind history.FaultKind, target string, isController bool, execute func()) {
-	if !f.claimTarget(target, isController) {
+	f.injectBeside(target, kind, target, isController, execute)
+}
+
+// injectBeside is inject for a fault that may overlap with others at its target: the claim identifies those with which it
+// does not overlap.
+func (f *faults) injectBeside(claim string, kind history.FaultKind, target string, isController bool, execute func()) {
+	if !f.claimTarget(claim, isController) {
 		return
 	}
 	f.mutex.Lock()
@@ -138,7 +147,7 @@
 		}
 		f.mutex.Lock()
 		defer f.mutex.Unlock()
-		delete(f.struckTargets, target)
+		delete(f.struckTargets, claim)
 		if isController {
 			f.lostControllers--
 		}
--- a/internal/soak/few_slots.go
+++ b/internal/soak/few_slots.go
@@ -50,7 +50,7 @@
 func (s *site) startFewReplicas() error {
 	for number := range fewReplicas {
 		replica, err := standin.StartReplica(standin.ReplicaOptions{
-			Service: standin.ServiceFew, Zone: "z", Address: hostPort(address(groupFew, number), portOuter), Slots: s.options.fewSlots(), Queue: fewQueue,
+			Service: standin.ServiceFew, Zone: s.zone(number), Address: hostPort(address(groupFew, number), portOuter), Slots: s.options.fewSlots(), Queue: fewQueue,
 			RunTime: fewRunTime, UsualSpeed: s.usualSpeed(1), Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder,
 			ReuseID: !s.options.FirstFormatOnly && number%2 == 0,
 		})
--- a/internal/soak/history/fault.go
+++ b/internal/soak/history/fault.go
@@ -20,6 +20,8 @@
 	Replace FaultKind = "replace"
 	// Cut drops all packets between a relay and controllers or other relays.
 	Cut FaultKind = "cut"
+	// CutFromBackEnds cuts a relay off from all back ends, while clients, controllers and other relays reach it.
+	CutFromBackEnds FaultKind = "cut-from-back-ends"
 	// Wipe kills a controller at once and replaces its disk by an empty one.
 	Wipe FaultKind = "wipe"
 	// Crash crashes a back end, Drain makes it drain and leave as planned.
@@ -61,10 +63,10 @@
 }
 
 // IsInContact reports whether no fault was under way at the relay or at any controller at the given time, and none
-// ended within the contact time before it.
-func (h *History) IsInContact(relay string, at time.Duration) bool {
+// ended within the contact time before it. Faults of the ignored kinds do not count.
+func (h *History) IsInContact(relay string, at time.Duration, ignored ...FaultKind) bool {
 	for _, fault := range h.Faults {
-		isAffected := fault.Target == relay || h.Controllers[fault.Target]
+		isAffected := (fault.Target == relay || h.Controllers[fault.Target]) && !slices.Contains(ignored, fault.Kind)
 		if isAffected && fault.From <= at && fault.To+h.Bounds.Contact >= at {
 			return false
 		}
@@ -83,6 +85,13 @@
 	return false
 }
 
+// WasCutFromBackEnds reports whether a relay was cut off from all back ends at some time between from and to.
+func (h *History) WasCutFromBackEnds(relay string, from, to time.Duration) bool {
+	return slices.ContainsFunc(h.Faults, func(fault Fault) bool {
+		return fault.Kind == CutFromBackEnds && fault.Target == relay && fault.From <= to && fault.To >= from
+	})
+}
+
 // WasDisturbed reports whether a fault was under way at one of the targets between from and to. Reloads, and back ends
 // that drain, ask for backoff or announce limits, do not count.
 func (h *History) WasDisturbed(from, to time.Duration, targets ...string) bool {
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -38,6 +38,9 @@
 	// StandStill makes sound back ends, single ones and several at once, stand still for a second or so, beside reloads and
 	// stops of relays.
 	StandStill bool
+	// BackEndCuts cuts relays off from all back ends, one, half of a zone, or a zone. Relays and back ends are in two zones
+	// then. It takes MinCutRelays relays, and neither Program nor OtherProgram.
+	BackEndCuts bool
 	// CheckTimeBounds also checks the rules with time bounds, which can fail on a machine that is busy with other work.
 	CheckTimeBounds bool
 	// Progress is called with one line for each fault; nil for no reports.
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -30,6 +30,8 @@
 	Findings []check.Finding           `json:"findings"`
 	// Overdue counts the clients that had no answer at their deadline.
 	Overdue check.Overdue `json:"overdue"`
+	// FirstTries counts clients' first tries while relays were cut off from back ends; nil in runs without such cuts.
+	FirstTries *check.FirstTries `json:"first_tries,omitempty"`
 	// Pressure reports on the service with few slots; nil in runs without it.
 	Pressure *PressureReport `json:"pressure,omitempty"`
 }
@@ -40,6 +42,10 @@
 		Seed: options.Seed, Sendings: len(recorded.Sendings), Arrivals: len(recorded.Arrivals), Orders: len(recorded.Orders), Faults: faults, Findings: findings,
 		Overdue: check.CountOverdue(recorded),
 	}
+	if options.BackEndCuts {
+		tries := check.CountFirstTries(recorded)
+		report.FirstTries = &tries
+	}
 	if options.Pressure {
 		report.Pressure = pressureReportOf(recorded)
 	}
@@ -73,6 +79,9 @@
 		fmt.Fprintf(&text, " %s %d", kind, r.Faults[kind])
 	}
 	fmt.Fprintf(&text, "\n  %s", r.Overdue)
+	if r.FirstTries != nil {
+		fmt.Fprintf(&text, "\n  %s", r.FirstTries)
+	}
 	if r.Pressure != nil {
 		fmt.Fprintf(&text, "\n  %s", r.Pressure)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -52,11 +52,12 @@
 	injected := newFaults(created)
 	faultContext, cancelFaults := context.WithTimeout(ctx, options.FaultDuration)
 	defer cancelFaults()
-	operatorContext, cancelOperator := context.WithTimeout(ctx, options.FaultDuration+options.QuietDuration*operatorQuietPercent/100)
+	operatorContext, cancelOperator := context.WithTimeout(ctx, options.FaultDuration+options.loneCutDuration()+options.QuietDuration*operatorQuietPercent/100)
 	defer cancelOperator()
 	operatorDone := make(chan struct{})
 	go func() { defer close(operatorDone); created.operate(operatorContext) }()
 	injected.run(faultContext)
+	injected.cutAlone(ctx)
 	sleep(ctx, options.QuietDuration)
 	<-operatorDone
 	cancelRun()
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -149,7 +149,7 @@
 	for number := range s.options.Pages {
 		service := []string{standin.ServicePages, standin.ServiceOther}[number%2]
 		replica, err := standin.StartReplica(standin.ReplicaOptions{
-			Service: service, Zone: "z", Address: hostPort(address(groupPages, number), portOuter), Slots: 8,
+			Service: service, Zone: s.zone(number / 2), Address: hostPort(address(groupPages, number), portOuter), Slots: 8,
 			RunTime: 8 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
 		})
 		if err != nil {
@@ -160,7 +160,7 @@
 	for number := range s.options.Engines {
 		stage := []string{platform.StageDecode, platform.StagePrefill}[number%2]
 		replica, err := standin.StartReplica(standin.ReplicaOptions{
-			Service: standin.ServiceEngines, Zone: "z", Address: hostPort(address(groupEngines, number), portOuter), Stage: stage, Slots: 16,
+			Service: standin.ServiceEngines, Zone: s.zone(number / 2), Address: hostPort(address(groupEngines, number), portOuter), Stage: stage, Slots: 16,
 			RunTime: 5 * time.Millisecond, EventInterval: 15 * time.Millisecond, UsualSpeed: s.usualSpeed(engineTimes[number%len(engineTimes)]), Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
 		})
 		if err != nil {
@@ -196,7 +196,7 @@
 	name, ip := fmt.Sprint("front-", number+1), address(groupRelays, number)
 	relay := &relayProcess{front: hostPort(ip, portOuter), ready: hostPort(ip, portReady), peers: hostPort(ip, portPeers)}
 	config := map[string]any{
-		"name": name, "zone": "z", "listen": relay.front, "ready_listen": relay.ready, "notice_listen": relay.peers,
+		"name": name, "zone": s.zone(number), "listen": relay.front, "ready_listen": relay.ready, "notice_listen": relay.peers,
 		"admin_listen": hostPort(ip, portAdmin), "controllers": s.seeds(), "controller_port": portPeers,
 		"listing_address": s.list.Address(), "grace": relayGrace.String(),
 		"retry_budget": map[string]any{"ratio": bounds.RetryRatio, "window": bounds.RetryWindow.String(), "slack": bounds.RetrySlack},
@@ -205,7 +205,7 @@
 		config["contracts"] = []string{"pressure"}
 	}
 	var err error
-	relay.Process, err = s.newProcess(name, "relay", "", config)
+	relay.Process, err = s.newProcess(name, RelayServer, "", config)
 	s.relays = append(s.relays, relay)
 	return trace.Wrap(err)
 }
