End a silent answer only for a back end that was selected and connected to

Cause: the replacement was expected, not made: whether another engine takes the run was estimated by this relay, while the engines' owner decides, and whether it can be connected to was found out after the answer had been ended. Change: during the silence the watch searches for the next back end in the background, by the same decision as the next attempt, and connects to it. It checks again when the search ends, and ends the answer only then; the next attempt uses the selection and the connection. Command: go test ./internal/relay -run TestSilentBackEndKeepsItsAnswerWhile -count=2

--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -25,6 +25,8 @@
 	lastFailure *failure
 	// isQuarantined is true if the request must not be sent to any further back end.
 	isQuarantined bool
+	// ahead is the search for the back end of the next attempt while the current one is silent; nil for none.
+	ahead *aheadSearch
 	// reservedRetry is taken from the retry budget for the next attempt, which replaces the current one; nil for none.
 	reservedRetry *retrybudget.Reservation
 	// reservedSlot is the back end at which the next attempt is counted already; nil for none. reservedSelection is its
--- a/internal/relay/replace_attempt.go
+++ b/internal/relay/replace_attempt.go
@@ -4,33 +4,53 @@
 	"slices"
 	"time"
 
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/replacement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
 // replacement returns what secures the replacement of the attempt at the current back end, whose silence has the given
-// limit; nil if the route allows no further attempt. canPlace reports whether the request can be placed when the back ends
-// with the given hashes are excluded; nil if any other back end can take it.
-func (a *attemptTracker) replacement(current *backEnd, limit time.Duration, canPlace func(excluded []uint64) bool) secureReplacement {
+// limit; nil if the route allows no further attempt. search prepares the search for the back end of the next attempt.
+func (a *attemptTracker) replacement(current *backEnd, limit time.Duration, search prepareSearch) secureReplacement {
 	if !a.hasFurtherAttempt() {
 		return nil
 	}
-	return func() bool {
+	return func(checkAgain func()) bool {
 		if !a.replacementRequest().MayBeSentAgain() {
 			return false
 		}
-		usable, excluded := a.partition(current, answeringStage(a.request.service), limit)
-		if len(usable) == 0 || canPlace != nil && !canPlace(excluded) || !a.reserveSlot(usable) {
+		if a.ahead == nil {
+			if find := a.prepare(current, limit, search); find != nil {
+				a.ahead = a.relay.searchAhead(find, checkAgain)
+			}
 			return false
 		}
+		selection, isDone := a.relay.searchResult(a.ahead)
+		if !isDone {
+			return false
+		}
+		a.ahead = nil
+		if selection == nil {
+			return false // the next check searches again
+		}
 		if !a.reserveRetry() {
-			a.releaseReservedSlot()
+			a.relay.abandonSelection(selection)
 			return false
 		}
+		a.reservedSelection, a.reservedSlot = selection, selection.backEnd
 		return true
 	}
 }
 
+// prepare prepares the search for a back end that takes over the request from the current one; it returns nil if there is none.
+func (a *attemptTracker) prepare(current *backEnd, limit time.Duration, search prepareSearch) findBackEnd {
+	usable, excluded := a.partition(current, answeringStage(a.request.service), limit)
+	if len(usable) == 0 {
+		return nil
+	}
+	return search(usable, excluded)
+}
+
 // replacementRequest returns the state of the request whose back end is silent.
 func (a *attemptTracker) replacementRequest() replacement.Request {
 	return replacement.Request{
@@ -73,17 +93,27 @@
 // replacement returns what secures that the stream continues at another engine; nil if the route allows no further attempt.
 func (s *streamReply) replacement(current *backEnd, limit time.Duration) secureReplacement {
 	if s.request.service.Engine == nil {
-		return s.attempts.replacement(current, limit, nil)
+		return s.attempts.replacement(current, limit, s.attempts.searchAmongFree)
 	}
-	return s.attempts.replacement(current, limit, s.canPlaceRun)
+	return s.attempts.replacement(current, limit, s.searchEngine)
 }
 
-// canPlaceRun reports whether a decoding engine that is not excluded may prefill the prompt again and continue the stream,
-// by what this relay knows.
-func (s *streamReply) canPlaceRun(excluded []uint64) bool {
+// searchEngine prepares the search for a decoding engine that prefills the prompt again and continues the stream. It returns
+// nil if there is none by what this relay knows.
+func (s *streamReply) searchEngine(_ []*backEnd, excluded []uint64) findBackEnd {
 	criteria := s.placementRequest(nil)
 	criteria.MayHaveRun = true
-	return s.isPlaced(newEngineQuery(purposeDecode, s.attempts, criteria), excluded)
+	query := newEngineQuery(purposeDecode, s.attempts, criteria)
+	if !s.isPlaced(query, excluded) {
+		return nil
+	}
+	return func() *backEndSelection {
+		selection := s.relay.decide(s.request, query, nil).selection
+		if selection != nil {
+			selection.backEnd.addWork(placement.Work{Streams: 1})
+		}
+		return selection
+	}
 }
 
 // reserveRetry takes one retry from the budget for the next attempt, and reports whether it holds one.
--- a/internal/relay/replace_prefill.go
+++ b/internal/relay/replace_prefill.go
@@ -10,7 +10,7 @@
 // prefillReplacement returns what secures that the prompt whose prefill engine is silent for the given limit is prefilled by
 // another one: by a further prefill engine if the route's attempts and the retry budget allow it, or by a decoding engine.
 func (s *streamReply) prefillReplacement(current *backEnd, limit time.Duration) secureReplacement {
-	return func() bool {
+	return func(func()) bool {
 		if !s.attempts.replacementRequest().MayBeSentAgain() {
 			return false
 		}
--- a/internal/relay/reserve_slot.go
+++ b/internal/relay/reserve_slot.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
@@ -15,33 +16,22 @@
 	return max(load.ownWork.Streams, load.reportedRequests)
 }
 
-// reserveSlot counts the next attempt at one of the back ends that has a free slot, so that two requests do not count on the
-// same slot. It returns false if none has. releaseReservedSlot must follow. Where this relay selects back ends by itself, the
-// next attempt goes to that back end.
-func (a *attemptTracker) reserveSlot(usable []*backEnd) bool {
-	a.relay.slotReservations.Lock()
-	defer a.relay.slotReservations.Unlock()
-	now := a.relay.clock.now()
-	free := map[*backEnd]bool{}
-	for _, backEnd := range usable {
-		if backEnd.Slots <= 0 || a.relay.runningAt(backEnd, now) < backEnd.Slots {
-			free[backEnd] = true
-			a.reservedSlot = backEnd
+// searchAmongFree prepares the search for one of the usable back ends that has a free slot. The slot is counted at once, so
+// that two requests do not count on the same one.
+func (a *attemptTracker) searchAmongFree(usable []*backEnd, _ []uint64) findBackEnd {
+	return func() *backEndSelection {
+		a.relay.slotReservations.Lock()
+		defer a.relay.slotReservations.Unlock()
+		now := a.relay.clock.now()
+		isFree := func(backEnd *backEnd) bool {
+			return slices.Contains(usable, backEnd) && (backEnd.Slots <= 0 || a.relay.runningAt(backEnd, now) < backEnd.Slots)
 		}
-	}
-	if len(free) == 0 {
-		return false
-	}
-	if a.request.service.Engine == nil {
-		selection := a.relay.pickAmong(a.request, func(backEnd *backEnd) bool { return !free[backEnd] })
-		if selection == nil {
-			a.reservedSlot = nil
-			return false
+		selection := a.relay.pickAmong(a.request, func(backEnd *backEnd) bool { return !isFree(backEnd) })
+		if selection != nil {
+			selection.backEnd.addWork(placement.Work{Streams: 1})
 		}
-		a.reservedSelection, a.reservedSlot = selection, selection.backEnd
+		return selection
 	}
-	a.reservedSlot.addWork(placement.Work{Streams: 1})
-	return true
 }
 
 // takeReservedSelection returns the back end that was selected for the next attempt; nil if there is none or it must not be
@@ -56,7 +46,7 @@
 	return selection
 }
 
-// releaseReservedSlot releases the slot that reserveSlot has reserved, if any: the attempt is sent, or there is none.
+// releaseReservedSlot releases the slot that is counted for the next attempt, if any: the attempt is sent, or there is none.
 func (a *attemptTracker) releaseReservedSlot() {
 	if a.reservedSlot != nil {
 		a.reservedSlot.removeWork(placement.Work{Streams: 1})
@@ -66,6 +56,12 @@
 
 // returnReservations returns what was reserved for an attempt that is not made.
 func (a *attemptTracker) returnReservations() {
+	if a.ahead != nil {
+		go a.relay.abandonSearch(a.ahead)
+	}
+	if a.reservedSelection != nil {
+		a.relay.placements.cancel(a.reservedSelection.assignment)
+	}
 	a.returnReservedRetry()
 	a.releaseReservedSlot()
 }
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -117,7 +117,7 @@
 	request.trace.engine, request.trace.sentAt = backEnd.ID, r.clock.now()
 	limit := stallLimit(request.route)
 	sent := &message{request: request, backEnd: backEnd, deadline: request.deadline, work: placement.Work{Streams: 1}, selection: selection,
-		stall: limit, secure: attempts.replacement(backEnd, limit, nil), onCounted: attempts.releaseReservedSlot}
+		stall: limit, secure: attempts.replacement(backEnd, limit, attempts.searchAmongFree), onCounted: attempts.releaseReservedSlot}
 	answer, fault := r.exchanger.send(sent)
 	r.work.AddWholeAnswer(request.service.Name, r.clock.now()-request.trace.sentAt, backEnd.Slots)
 	if fault == nil || fault.verdict != verdict.NotRun {
--- a/internal/relay/silent_back_end_test.go
+++ b/internal/relay/silent_back_end_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/standin/silence"
@@ -320,3 +321,47 @@
 	require.Equal(t, 200, relay.client(t).do("GET", "/path/", "").status)
 	require.Len(t, backEnd.accepted(), 3, "the requests share one new connection")
 }
+
+// Guards against an answer that is ended because another back end seems to be free, although that one stands still as well: it
+// was connected to only after the end of the answer, and streams were cut.
+func TestSilentBackEndKeepsItsAnswerWhileTheOthersStandStill(t *testing.T) {
+	t.Parallel()
+	for name, kind := range map[string]struct {
+		change func(*serving.Route)
+		answer func(connection net.Conn, request backEndRequest, standStill func())
+		body   string
+	}{
+		"resumable stream": {stream(true), func(connection net.Conn, request backEndRequest, standStill func()) {
+			head := strings.NewReplacer("ID", string(request.head.Peek("T-Id")), "SEAL", "seal").Replace(streamHead)
+			_, _ = io.WriteString(connection, head+string(appendChunk(nil, []byte(eventOne))))
+			standStill()
+			_, _ = io.WriteString(connection, string(appendChunk(nil, []byte(eventTwo)))+"0\r\n\r\n")
+		}, eventOne + eventTwo},
+		"safe": {safe, func(connection net.Conn, request backEndRequest, standStill func()) {
+			standStill()
+			writeAnswer(connection, request, 200, "whole")
+		}, "whole"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			other := startSilentBackEnd(t, "other", func(*silentBackEnd) script { return answering(200, "other") })
+			backEnd := startSilentBackEnd(t, "one", func(machine *silentBackEnd) script {
+				return func(connection net.Conn, request backEndRequest) bool {
+					kind.answer(connection, request, func() {
+						goOn := other.stop()
+						defer goOn()
+						machine.standStill(2 * time.Second)
+					})
+					return true
+				}
+			})
+			relay := newSilenceRelay(t, route(kind.change), backEnd, other)
+			relay.engineOf("other").addWork(placement.Work{Streams: 5}) // so that the one that falls silent is selected first
+			answer := relay.client(t).do("GET", "/path/", "")
+			require.Equal(t, 200, answer.status)
+			require.True(t, answer.isComplete, "the answer was cut")
+			require.Equal(t, kind.body, answer.body)
+			require.Empty(t, other.receivedRequests())
+		})
+	}
+}
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -33,8 +33,8 @@
 }
 
 // secureReplacement reports whether another back end can take over a request now, and reserves what the next attempt needs.
-// It must not block.
-type secureReplacement func() bool
+// It must not block: it calls checkAgain when the result may have changed.
+type secureReplacement func(checkAgain func()) bool
 
 // stallWatch detects a back end that stalls during one answer. The back end counts as failed when nothing arrived from it
 // for the limit, neither on this answer nor on any other; new requests then use no connection from before the silence. The
@@ -87,7 +87,7 @@
 	}
 	w.backEnd.pool.Suspect(max(lastReceivedAt, w.startedAt))
 	w.recordSilence(lastReceivedAt)
-	if w.secure != nil && w.secure() {
+	if w.secure != nil && w.secure(w.checkAgain) {
 		_ = w.connection.SetDeadline(time.Unix(1, 0)) // a closed connection needs no deadline
 		return
 	}
@@ -96,6 +96,15 @@
 	w.timer.Reset(next)
 }
 
+// checkAgain makes the watch check at once, unless it has stopped.
+func (w *stallWatch) checkAgain() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if !w.stopped {
+		w.timer.Reset(0)
+	}
+}
+
 // recordSilence records the silence since the given time as a failure of the back end, once.
 func (w *stallWatch) recordSilence(since time.Duration) {
 	if w.isRecorded && w.recordedSince == since {
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -42,7 +42,7 @@
 		recorder := &deadlineRecorder{}
 		backEnd := newBackEnd(serving.BackEnd{ID: "one"}, 1000)
 		backEnd.recordReceived(lastReceivedAt)
-		watch := exchanger.watchStall(connpool.NewConnection(recorder, 0), backEnd, time.Hour, func() bool { return true })
+		watch := exchanger.watchStall(connpool.NewConnection(recorder, 0), backEnd, time.Hour, func(func()) bool { return true })
 		watch.stop()
 		watch.check()
 		require.Zero(t, recorder.set, name)
@@ -58,7 +58,7 @@
 			exchanger.clock = newClock()
 			recorder := &deadlineRecorder{}
 			backEnd := newBackEnd(serving.BackEnd{ID: "one"}, 1000)
-			watch := exchanger.watchStall(connpool.NewConnection(recorder, 0), backEnd, time.Second, func() bool { return mayAbort })
+			watch := exchanger.watchStall(connpool.NewConnection(recorder, 0), backEnd, time.Second, func(func()) bool { return mayAbort })
 			time.Sleep(time.Second + time.Millisecond)
 			synctest.Wait()
 			watch.stop()
@@ -77,7 +77,7 @@
 		recorder := &deadlineRecorder{}
 		backEnd := newBackEnd(serving.BackEnd{ID: "one"}, 1000)
 		var askedAt []time.Duration
-		watch := exchanger.watchStall(connpool.NewConnection(recorder, 0), backEnd, time.Second, func() bool {
+		watch := exchanger.watchStall(connpool.NewConnection(recorder, 0), backEnd, time.Second, func(func()) bool {
 			askedAt = append(askedAt, exchanger.clock.now())
 			return len(askedAt) == 3
 		})
@@ -110,7 +110,7 @@
 // only, however long the silence.
 func TestSilentBackEndIsAvoidedWhileItsSilenceLasts(t *testing.T) {
 	for name, secure := range map[string]secureReplacement{
-		"no replacement":      func() bool { return false },
+		"no replacement":      func(func()) bool { return false },
 		"must not be aborted": nil,
 	} {
 		exchanger := newStallExchanger(t)
