--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -52,6 +52,8 @@
 	acquirePermit func(backEnd *backEnd, rank int, mustResume bool) bool
 	// limitedSends counts messages sent to back ends with a limit.
 	limitedSends prometheus.Counter
+	// dials counts attempts to open connections to back ends, by outcome.
+	dials *prometheus.CounterVec
 	// mechanisms says which mechanisms are enabled.
 	mechanisms mechanism.Set
 }
@@ -148,6 +150,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	connection, err := e.dial(ctx, "tcp", backEnd.Address)
+	e.dials.WithLabelValues(string(dialOutcomeOf(err))).Inc()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -176,7 +176,7 @@
 	relay.connections = connections{isServing: map[*clientConnection]bool{}, requests: map[*clientConnection]*request{}, tracked: closing.NewSet()}
 	relay.lastContactAt.Store(int64(-leaderwatch.MaximumWait - leaderContactSlack))
 	relay.exchanger = &exchanger{
-		applyAnswerSignals: relay.applyAnswerSignals, acquirePermit: relay.acquirePermit, limitedSends: relay.metrics.limitedSends,
+		applyAnswerSignals: relay.applyAnswerSignals, acquirePermit: relay.acquirePermit, limitedSends: relay.metrics.limitedSends, dials: relay.metrics.dials,
 		names: options.Dialect.Headers, writer: newRequestWriter(options.Dialect.Headers), clock: steady, dial: options.Dial,
 		mechanisms: options.Without, speeds: relay.speeds,
 	}
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -55,8 +55,10 @@
 	// be read completely and were not answered.
 	failedAttempts *prometheus.CounterVec
 	unreadRequests prometheus.Counter
-	retries        prometheus.Counter
-	deniedRetries  prometheus.Counter
+	// dials counts attempts to open connections to back ends, by outcome.
+	dials         *prometheus.CounterVec
+	retries       prometheus.Counter
+	deniedRetries prometheus.Counter
 	// usageResends counts usage reports that had to be sent again.
 	usageResends prometheus.Counter
 	// backEndCrashes counts back ends that crashed while they ran requests of this relay; guardCallsFailed counts failed
@@ -94,6 +96,7 @@
 		refusals:         factory.CounterVec("refusals_total", "Final answers of the relay's own, by reason.", "reason"),
 		failedAttempts:   factory.CounterVec("attempts_failed_total", "Attempts at back ends that brought no answer, by cause.", "cause"),
 		unreadRequests:   factory.Counter("requests_unread_total", "Requests that could not be read completely and were not answered."),
+		dials:            factory.CounterVec("back_end_dials_total", "Attempts to open connections to back ends, by outcome.", "outcome"),
 		retries:          factory.Counter("sendings_again_total", "Sendings of requests beyond the first."),
 		deniedRetries:    factory.Counter("sendings_denied_total", "Sendings beyond the first that the retry budget did not allow."),
 		usageResends:     factory.Counter("usage_sendings_again_total", "Reports of tenants' usage that were not taken and had to be sent again."),
