Forward requests to another relay while no back end can be connected to

What callers saw: first attempts at relays that had lost their path to all back ends were served 28 times of 79 and once of 29, at the other relays 81 of 83 and 114 of 116. Cause: such a relay tried each back end in turn and refused; it had no way to one through another relay, although all others were in reach. It also told the others that the back ends had failed, and took refused connections for crashes. Class: the own loss of a path is taken for a failure of those at its other end. Change: internal/reachability decides from the outcomes of dials whether the path to a service is lost; the relay checks a failed dial at once at other back ends, announces it as a failure of the back end only when another one could be connected to, and connects again each 250 ms while the path is lost. Requests then go to another relay (internal/relay/forwarding), over HTTP at the address of its datagrams, with the attempts, the tenant, the service and the number of the configuration; it answers by a back end, or says that it cannot serve, and never forwards again. Builds without the listener refuse the connection and are passed over.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -11,6 +11,9 @@
 	RequestEnded Event = "request_ended"
 	// AttemptFailed: an attempt at a back end returned no answer.
 	AttemptFailed Event = "attempt_failed"
+	// PathLost and PathRestored: the relay can connect to no back end of a service, or to one again.
+	PathLost     Event = "path_lost"
+	PathRestored Event = "path_found"
 	// RequestUnread: a request was not answered because it could not be read completely.
 	RequestUnread Event = "request_unread"
 	// RequestRefused: the relay answered a request itself.
@@ -105,7 +108,7 @@
 
 // All lists every event.
 var All = []Event{
-	RequestEnded, AttemptFailed, RequestUnread, RequestRefused, KeyRefused, RunMigrated, ConfigurationApplied, ConfigurationUnreadable, ListingApplied, ListingFaultChanged,
+	RequestEnded, AttemptFailed, RequestUnread, PathLost, PathRestored, RequestRefused, KeyRefused, RunMigrated, ConfigurationApplied, ConfigurationUnreadable, ListingApplied, ListingFaultChanged,
 	BackEndInBackoff, BackEndLeaving, BackEndLimitChanged, BackEndRestarted, BackEndCrashed, RequestQuarantined, QuarantineTrialStarted, GuardCallFailed,
 	LeaderLost, LeaderFound, OwnerSuspected, CellAcquired, CellReleased, SlotsAcquired, SlotsReleased, SlotRefused, SlotGranted, RelayStarted, RelayStopping, RelayStopped, GatewayStopping, GatewayStopped, SignalReceived, StageOrdered, UsageDelivered, ReplicasOrdered, FormatAgreed, ControllerHalted, UpdateNotApplied, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -64,7 +64,7 @@
 
 // reportCompletedRun reports to the crash guard that the back end has run the request without a crash.
 func (a *answer) reportCompletedRun() {
-	if !a.message.isPrefill {
+	if !a.message.isPrefill && !a.message.backEnd.isRelay {
 		a.exchanger.guard.RecordSuccess(a.message.request.signature)
 	}
 }
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -24,10 +24,21 @@
 	lastFailure *failure
 	// isQuarantined is true if the request must not be sent to any further back end.
 	isQuarantined bool
+	// hasForwarded is true once the request was offered to other relays.
+	hasForwarded bool
 	// slotRefusal is the answer to the client when the owner of the service's slots has refused the request; nil otherwise.
 	slotRefusal *refusal
 }
 
+// newAttempts returns the record of a request's attempts, with those of the relay that has forwarded it.
+func (r *Relay) newAttempts(request *request) *attemptTracker {
+	attempts := &attemptTracker{relay: r, request: request}
+	if request.forwarded != nil {
+		attempts.sentCount, attempts.mayHaveRun = request.forwarded.Attempts, request.forwarded.MayHaveRun
+	}
+	return attempts
+}
+
 // recordFailure records an attempt that brought no answer, and excludes its back end from further attempts.
 func (a *attemptTracker) recordFailure(backEnd *backEnd, fault *failure) {
 	a.lastFailure = fault
@@ -142,8 +153,8 @@
 	case a.lastFailure != nil && errors.Is(a.lastFailure, errNotExecuted):
 		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "the back ends are busy", retryAfter: retryAfterBusy}
 	case len(a.relay.view.Load().byService[a.request.service.Name]) == 0:
-		return refusal{status: fasthttp.StatusServiceUnavailable, reason: string(missingBackEnds), retryAfter: retryAfterNoBackEnd}
+		return refusal{status: fasthttp.StatusServiceUnavailable, reason: string(missingBackEnds), retryAfter: retryAfterNoBackEnd, otherMayServe: true}
 	default:
-		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "no back end can take the request", retryAfter: retryAfterNoBackEnd}
+		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "no back end can take the request", retryAfter: retryAfterNoBackEnd, otherMayServe: true}
 	}
 }
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -24,6 +24,8 @@
 	cache           *prefixCache
 	// signals holds the signals of this incarnation: its backoff, its limit and whether it is leaving.
 	signals *backpressure.Signals
+	// isRelay is true for the record of another relay, to which requests are forwarded.
+	isRelay bool
 	// isSuperseded is true if a newer incarnation of the replica has answered, which the list does not show yet.
 	isSuperseded atomic.Bool
 	// listedStartedAtMs is the incarnation's start time in Unix milliseconds, when the list sent it only after this record
@@ -115,6 +117,13 @@
 	b.load.failures++
 }
 
+// clearFailures withdraws the failures that this relay has recorded.
+func (b *backEnd) clearFailures() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.load.failures, b.load.avoidUntil = 0, 0
+}
+
 // recordBusy records a refusal for lack of capacity, and starts the busy backoff.
 func (b *backEnd) recordBusy(now time.Duration) {
 	b.mutex.Lock()
--- a/internal/relay/client_connection.go
+++ b/internal/relay/client_connection.go
@@ -20,6 +20,8 @@
 type clientConnection struct {
 	*closing.Connection
 	reader *bufio.Reader
+	// isFromRelay is true for a connection on which another relay forwards requests.
+	isFromRelay bool
 	// watchDone is closed when the goroutine that watches for the client's close has returned; nil when there is none.
 	watchDone chan struct{}
 	// watchErr is the error that the watching goroutine met, nil for none; it may be read after watchDone is closed.
--- a/internal/relay/client_request.go
+++ b/internal/relay/client_request.go
@@ -53,7 +53,12 @@
 	if err != nil {
 		return nil, err
 	}
+	forwarded, err := forwardedProgress(connection, head)
+	if err != nil {
+		return nil, err
+	}
 	return &request{
+		forwarded: forwarded,
 		id:        string(head.Peek(r.dialect.Headers.RequestID)),
 		method:    string(head.Method()),
 		target:    string(head.RequestURI()),
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -52,6 +52,8 @@
 	acquirePermit func(backEnd *backEnd, rank int, mustResume bool) bool
 	// limitedSends counts messages sent to back ends with a limit.
 	limitedSends prometheus.Counter
+	// path records the outcomes of attempts to connect to back ends.
+	path *pathWatch
 	// dials counts attempts to open connections to back ends, by outcome.
 	dials *prometheus.CounterVec
 	// mechanisms says which mechanisms are enabled.
@@ -145,12 +147,31 @@
 	return unsafeIdleLimit
 }
 
-// open opens a connection to a back end within the given time.
+// open opens a connection to a back end within the given time. It records the outcome as evidence of the path to the back
+// end's service.
 func (e *exchanger) open(backEnd *backEnd, limit time.Duration) (*connpool.Connection, error) {
+	if backEnd.isRelay {
+		return e.connectWithin(backEnd, limit)
+	}
+	slow := time.AfterFunc(pathCheckDelay, func() { e.path.check(backEnd) })
+	connection, err := e.connectWithin(backEnd, limit)
+	slow.Stop()
+	outcome := dialOutcomeOf(err)
+	e.dials.WithLabelValues(string(outcome)).Inc()
+	switch {
+	case err == nil:
+		e.path.recordOpened(backEnd)
+	case outcome != dialTimedOut || limit >= pathCheckDelay: // a shorter limit expires on a sound path as well
+		e.path.recordFailed(backEnd, err)
+	}
+	return connection, err
+}
+
+// connectWithin opens a connection within the given time.
+func (e *exchanger) connectWithin(backEnd *backEnd, limit time.Duration) (*connpool.Connection, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	connection, err := e.dial(ctx, "tcp", backEnd.Address)
-	e.dials.WithLabelValues(string(dialOutcomeOf(err))).Inc()
 	if err != nil {
 		return nil, err
 	}
@@ -161,10 +182,10 @@
 
 // exchangeOn writes the message on the connection and reads the head of its answer.
 func (e *exchanger) exchangeOn(connection *connpool.Connection, message *message) (*answer, *failure) {
-	headers := append([]header{
-		{e.names.DeadlineMs, milliseconds(message.deadline - e.clock.now())},
-		{e.names.ExpectInstance, message.backEnd.ExpectedID()},
-	}, message.headers...)
+	headers := append([]header{{e.names.DeadlineMs, milliseconds(message.deadline - e.clock.now())}}, message.headers...)
+	if !message.backEnd.isRelay {
+		headers = append(headers, header{e.names.ExpectInstance, message.backEnd.ExpectedID()})
+	}
 	if tenant := message.request.tenant; tenant != nil {
 		headers = append(headers, header{e.names.Tenant, tenant.Name})
 	}
@@ -285,6 +306,9 @@
 // turned into a failure.
 func (e *exchanger) checkAnswer(answer *answer) *failure {
 	answer.message.backEnd.recordReceived(e.clock.now())
+	if answer.message.backEnd.isRelay {
+		return nil // the relay has checked the back end's answer, and applied its signals
+	}
 	e.recordReportedLoad(answer)
 	if answer.status == fasthttp.StatusMisdirectedRequest {
 		return &failure{verdict: verdict.NotRun, mayHaveArrived: true, cause: errMisdirected}
--- a/internal/relay/exchange_records.go
+++ b/internal/relay/exchange_records.go
@@ -55,6 +55,9 @@
 // updateHealth updates the back end's health after a failure.
 func (e *exchanger) updateHealth(message *message, fault *failure) {
 	switch {
+	case message.backEnd.isRelay: // forwarding records how its peers behave
+	case errors.Is(fault, errDial):
+		message.backEnd.recordFailure(e.clock.now()) // announced once the path is known to be sound
 	case errors.Is(fault, errCancelled), errors.Is(fault, errInBackoff), errors.Is(fault, errLimitReached):
 	case errors.Is(fault, errNotExecuted):
 		e.recordRefusal(message)
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -57,6 +57,7 @@
 	errMisdirected       = errors.New("another back end has the address")
 	errForeignAnswer     = errors.New("the answer belongs to another request")
 	errUnsupportedAnswer = errors.New("the answer does not fit the request")
+	errPeerUnable        = errors.New("the other relay cannot serve the request")
 	errEventTooLong      = errors.New("an event is longer than the relay holds")
 )
 
@@ -67,7 +68,7 @@
 }{
 	{errCancelled, "client_gone"}, {errDeadline, "deadline"}, {errDial, "dial"}, {errStalled, "stalled"}, {errPeerTimeout, "peer_timeout"},
 	{errConnectionBroken, "broken"}, {errMalformedAnswer, "malformed"}, {errNotExecuted, "not_executed"}, {errInBackoff, "backoff"}, {errLimitReached, "limit"},
-	{errMisdirected, "misdirected"}, {errForeignAnswer, "foreign_answer"}, {errUnsupportedAnswer, "unsupported_answer"}, {errEventTooLong, "event_too_long"},
+	{errMisdirected, "misdirected"}, {errForeignAnswer, "foreign_answer"}, {errUnsupportedAnswer, "unsupported_answer"}, {errEventTooLong, "event_too_long"}, {errPeerUnable, "peer_unable"},
 }
 
 // otherFailureCause is the label value of causes that are not in failureCauses.
--- /dev/null
+++ b/internal/relay/forwarding/progress.go
@@ -0,0 +1,85 @@
+package forwarding
+
+import (
+	"strconv"
+
+	"github.com/gravitational/trace"
+)
+
+// Names of the headers of forwarded requests and of their answers. They are removed before a request reaches a back end or
+// an answer a client.
+const (
+	HeaderService       = "Hazelpitch-Forward-Service"
+	HeaderConfiguration = "Hazelpitch-Forward-Configuration"
+	HeaderTenant        = "Hazelpitch-Forward-Tenant"
+	HeaderAttempts      = "Hazelpitch-Forward-Attempts"
+	HeaderMayHaveRun    = "Hazelpitch-Forward-May-Have-Run"
+	// HeaderRefusal marks an answer that the other relay itself has made; its value is a Refusal.
+	HeaderRefusal = "Hazelpitch-Forward-Refusal"
+)
+
+// Headers are the names of all headers of this package.
+var Headers = []string{HeaderService, HeaderConfiguration, HeaderTenant, HeaderAttempts, HeaderMayHaveRun, HeaderRefusal}
+
+// Progress is what the first relay has already done and decided for a request.
+type Progress struct {
+	// Service is the service that was selected among those of the route.
+	Service string
+	// Configuration is the number of the configuration that admitted the request.
+	Configuration uint64
+	// Tenant is the name of the tenant whose key was checked; empty for an anonymous client.
+	Tenant string
+	// Attempts counts the attempts that reached a back end.
+	Attempts int
+	// MayHaveRun is true if one of them may have run the request, or may still be running it.
+	MayHaveRun bool
+}
+
+// Header is one header of a request.
+type Header struct{ Name, Value string }
+
+// ToHeaders encodes the progress.
+func (p Progress) ToHeaders() []Header {
+	return []Header{
+		{HeaderService, p.Service}, {HeaderConfiguration, strconv.FormatUint(p.Configuration, 10)}, {HeaderTenant, p.Tenant},
+		{HeaderAttempts, strconv.Itoa(p.Attempts)}, {HeaderMayHaveRun, strconv.FormatBool(p.MayHaveRun)},
+	}
+}
+
+// ProgressFrom decodes the progress from the headers of a request; value returns the value of a header. It returns a
+// trace.BadParameter error if a header is missing or malformed.
+func ProgressFrom(value func(name string) string) (Progress, error) {
+	configuration, configurationErr := strconv.ParseUint(value(HeaderConfiguration), 10, 64)
+	attempts, attemptsErr := strconv.Atoi(value(HeaderAttempts))
+	mayHaveRun, mayHaveRunErr := strconv.ParseBool(value(HeaderMayHaveRun))
+	service := value(HeaderService)
+	if configurationErr != nil || attemptsErr != nil || mayHaveRunErr != nil || attempts < 0 || service == "" {
+		return Progress{}, trace.BadParameter("the headers of a forwarded request are missing or malformed")
+	}
+	return Progress{Service: service, Configuration: configuration, Tenant: value(HeaderTenant), Attempts: attempts, MayHaveRun: mayHaveRun}, nil
+}
+
+// Refusal says what an answer that the other relay itself has made means for the request.
+type Refusal string
+
+// Refusals.
+const (
+	// NoRefusal: a back end has made the answer.
+	NoRefusal Refusal = ""
+	// Unable: the other relay cannot serve the request, but a third one may. It has sent it to no back end.
+	Unable Refusal = "unable"
+	// NotRun: no back end can take the request now. It was not run, and will not be.
+	NotRun Refusal = "not-run"
+	// MayHaveRun: a back end may have run the request, or may still be running it.
+	MayHaveRun Refusal = "may-have-run"
+)
+
+// ParseRefusal returns the refusal that an answer's header states. A value that is not known says nothing about the request.
+func ParseRefusal(value string) Refusal {
+	switch refusal := Refusal(value); refusal {
+	case NoRefusal, Unable, NotRun:
+		return refusal
+	default:
+		return MayHaveRun
+	}
+}
--- /dev/null
+++ b/internal/relay/path_watch.go
@@ -0,0 +1,216 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/pause"
+	"github.com/hazelpitch/hazelpitch/internal/reachability"
+)
+
+const (
+	// pathCheckTimeout limits the attempts to connect that check whether the path to back ends is lost. It is shorter than
+	// dialTimeout, so that the result is known when the attempt that caused the check times out.
+	pathCheckTimeout = 180 * time.Millisecond
+	// pathCheckDelay is how long an attempt to connect may take before the path is checked. Sound back ends accept
+	// connections within a few milliseconds.
+	pathCheckDelay = 100 * time.Millisecond
+	// pathCheckBackEnds is how many other back ends of the service are connected to in one check. Together with the back
+	// end that failed, they are enough for a lost path.
+	pathCheckBackEnds = 2
+	// lostPathCheckInterval is the interval between attempts to connect to a service while the path to it is lost.
+	lostPathCheckInterval = 250 * time.Millisecond
+)
+
+// pathWatch finds out whether this relay has lost its network path to the back ends of a service, although they may be sound
+// and in reach of other relays. A failed attempt to connect is announced to others, as a failure of the back end, only once
+// an attempt at another back end has succeeded.
+type pathWatch struct {
+	relay *Relay
+
+	mutex   sync.Mutex
+	tracker *reachability.Tracker
+	// unconfirmed are the failed attempts since the last one that succeeded.
+	unconfirmed []failedDial
+	// checkDone is closed at the end of the check in progress; nil while there is none.
+	checkDone chan struct{}
+}
+
+// failedDial is a failed attempt to connect to a back end.
+type failedDial struct {
+	backEnd *backEnd
+	// isRefused is true if nothing listens at the back end's address.
+	isRefused bool
+}
+
+func newPathWatch(relay *Relay) *pathWatch {
+	return &pathWatch{relay: relay, tracker: reachability.New()}
+}
+
+// pathTo returns the state of the path to a service.
+func (w *pathWatch) pathTo(service string) reachability.Path {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.tracker.PathTo(service)
+}
+
+// recordOpened records that a back end was connected to. Earlier failures were then failures of their back ends.
+func (w *pathWatch) recordOpened(backEnd *backEnd) {
+	w.mutex.Lock()
+	isRestored := w.tracker.RecordOpened(backEnd.Service)
+	confirmed := w.unconfirmed
+	w.unconfirmed = nil
+	w.mutex.Unlock()
+	if isRestored {
+		w.relay.event(events.PathRestored).Str("service", backEnd.Service).Send()
+	}
+	for _, failed := range confirmed {
+		w.announce(failed)
+	}
+}
+
+// announce notifies other relays and the crash guard of a failed attempt to connect to a back end.
+func (w *pathWatch) announce(failed failedDial) {
+	w.relay.notices.queueFailure(failed.backEnd)
+	if failed.isRefused {
+		w.relay.guard.RecordCrash(failed.backEnd.ID)
+	}
+}
+
+// recordFailed records a failed attempt to connect to a back end, and checks whether the path is lost.
+func (w *pathWatch) recordFailed(backEnd *backEnd, err error) {
+	if isLocalShortage(err) {
+		return
+	}
+	failure := reachability.Failure{Service: backEnd.Service, BackEnd: backEnd.incarnationHash, TimedOut: dialOutcomeOf(err) == dialTimedOut}
+	candidates := w.openBackEnds(backEnd.Service)
+	w.mutex.Lock()
+	isLost := w.tracker.RecordFailed(w.relay.clock.now(), failure, len(candidates))
+	path := w.tracker.PathTo(backEnd.Service)
+	if path.IsLost {
+		w.unconfirmed = nil
+	} else {
+		w.unconfirmed = append(w.unconfirmed, failedDial{backEnd: backEnd, isRefused: errors.Is(err, syscall.ECONNREFUSED)})
+	}
+	w.mutex.Unlock()
+	if isLost {
+		w.handleLoss(backEnd.Service, path, candidates)
+	}
+	if !path.IsLost {
+		go w.check(backEnd)
+	}
+}
+
+// handleLoss withdraws what was concluded about back ends from failed attempts to connect to them.
+func (w *pathWatch) handleLoss(service string, path reachability.Path, backEnds []*backEnd) {
+	w.relay.event(events.PathLost).Str("service", service).Bool("silent", path.IsSilent).Int("back_ends", len(backEnds)).Send()
+	for _, backEnd := range backEnds {
+		backEnd.clearFailures()
+		if path.IsSilent {
+			backEnd.pool.CloseIdle() // nothing would arrive on them either
+		}
+	}
+}
+
+// check connects to other back ends, to find out whether the path is lost or the given back end has failed. While another
+// check is in progress, it waits for the end of that one instead.
+func (w *pathWatch) check(failed *backEnd) {
+	w.mutex.Lock()
+	if inProgress := w.checkDone; inProgress != nil {
+		w.mutex.Unlock()
+		<-inProgress
+		return
+	}
+	if w.tracker.PathTo(failed.Service).IsLost {
+		w.mutex.Unlock()
+		return
+	}
+	done := make(chan struct{})
+	defer close(done)
+	w.checkDone = done
+	w.mutex.Unlock()
+	others := w.checkTargets(failed)
+	var attempts sync.WaitGroup
+	for _, other := range others {
+		attempts.Go(func() { w.connect(other) })
+	}
+	attempts.Wait()
+	w.mutex.Lock()
+	w.checkDone = nil
+	var confirmed []failedDial
+	if len(others) == 0 { // there is nothing to compare the back end with
+		confirmed, w.unconfirmed = w.unconfirmed, nil
+	}
+	w.mutex.Unlock()
+	for _, each := range confirmed {
+		w.announce(each)
+	}
+}
+
+// checkTargets returns the back ends to which a check connects: some of the same service and one of another service.
+func (w *pathWatch) checkTargets(failed *backEnd) []*backEnd {
+	var targets []*backEnd
+	for _, backEnd := range w.shuffled(w.openBackEnds(failed.Service)) {
+		if backEnd != failed && len(targets) < pathCheckBackEnds {
+			targets = append(targets, backEnd)
+		}
+	}
+	for service := range w.relay.view.Load().byService {
+		if others := w.shuffled(w.openBackEnds(service)); service != failed.Service && len(others) > 0 {
+			return append(targets, others[0])
+		}
+	}
+	return targets
+}
+
+// connect opens a connection to a back end and keeps it for later requests. The outcome is recorded by the exchanger.
+func (w *pathWatch) connect(backEnd *backEnd) {
+	if connection, err := w.relay.exchanger.open(backEnd, pathCheckTimeout); err == nil {
+		backEnd.pool.Put(connection, w.relay.clock.now())
+	}
+}
+
+// openBackEnds returns the listed back ends of a service that are not leaving.
+func (w *pathWatch) openBackEnds(service string) []*backEnd {
+	var open []*backEnd
+	for _, backEnd := range w.relay.view.Load().byService[service] {
+		if !backEnd.isLeaving() {
+			open = append(open, backEnd)
+		}
+	}
+	return open
+}
+
+// shuffled returns the back ends in random order.
+func (w *pathWatch) shuffled(backEnds []*backEnd) []*backEnd {
+	for index := len(backEnds) - 1; index > 0; index-- {
+		other := int(w.relay.draw() * float64(index+1))
+		backEnds[index], backEnds[other] = backEnds[other], backEnds[index]
+	}
+	return backEnds
+}
+
+// run connects regularly to the services to which the path is lost, until the context ends.
+func (w *pathWatch) run(ctx context.Context) {
+	for pause.For(ctx, lostPathCheckInterval) {
+		w.mutex.Lock()
+		w.tracker.Retain(func(service string) bool { return len(w.relay.view.Load().byService[service]) > 0 })
+		lost := w.tracker.LostServices()
+		w.mutex.Unlock()
+		for _, service := range lost {
+			if backEnds := w.shuffled(w.openBackEnds(service)); len(backEnds) > 0 {
+				go w.connect(backEnds[0])
+			}
+		}
+	}
+}
+
+// isLocalShortage reports whether an attempt to connect failed for want of a resource of this process or machine, which says
+// nothing about the path.
+func isLocalShortage(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) || errors.Is(err, syscall.ENOBUFS)
+}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -71,6 +71,7 @@
 		listed[address] = true
 	}
 	r.notices.setPeers(addresses)
+	r.forwarder.setPeers(slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return address == r.datagrams.Address }))
 	r.peers.Retain(listed)
 	r.datagrams.RetainAddresses(listed)
 }
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"syscall"
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
@@ -64,10 +63,10 @@
 	a.isQuarantined = relay.guard.RecordBrokenRun(request.signature, replica, min(crashReportWait, request.deadline-relay.clock.now()))
 }
 
-// reportIfCrashed reports a crash to the guard when nothing listens at the back end's address, or another back end does.
+// reportIfCrashed reports a crash to the guard when another back end listens at the back end's address. That nothing listens
+// there is reported by the pathWatch.
 func (r *Relay) reportIfCrashed(backEnd *backEnd, fault *failure) {
-	isRefused := errors.Is(fault, errDial) && errors.Is(fault, syscall.ECONNREFUSED)
-	if isRefused || errors.Is(fault, errMisdirected) {
+	if errors.Is(fault, errMisdirected) {
 		r.guard.RecordCrash(backEnd.ID)
 	}
 }
@@ -88,7 +87,18 @@
 	if err == nil {
 		record.pool.Put(connection, r.clock.now())
 	}
-	return crashguard.ProbeResultOf(err)
+	result := crashguard.ProbeResultOf(err)
+	if result == crashguard.ProbeGone && !r.confirmPath(record) {
+		return crashguard.ProbeUnclear
+	}
+	return result
+}
+
+// confirmPath waits for a check of the path to a back end's service. It returns false if the path is lost, so that a refused
+// connection says nothing about the back end.
+func (r *Relay) confirmPath(backEnd *backEnd) bool {
+	r.path.check(backEnd)
+	return !r.path.pathTo(backEnd.Service).IsLost
 }
 
 // isReplaced reports whether the list shows another incarnation at the replica's address or under its identity.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -62,6 +62,9 @@
 	peers *peerhealth.Table
 	// permits obtains permits for back ends that declare a limit for all relays together.
 	permits *permits.Permits
+	// path finds out whether this relay has lost its network path to back ends; forwarder passes requests on to other relays then.
+	path      *pathWatch
+	forwarder *forwarder
 	// slots obtains slots of back ends where relays share them, as sharesSlots says.
 	slots       *slots.Slots
 	sharesSlots bool
@@ -99,6 +102,8 @@
 	random      lockedRandom
 	splits      *splitdraw.Draws
 	metrics     *relayMetrics
+	// forwardListener is the listener for requests that other relays forward; nil if it cannot be opened.
+	forwardListener net.Listener
 	// admin is the listener for health and metrics, nil for none; ring is the log that it serves.
 	admin net.Listener
 	ring  *logring.Log
@@ -139,6 +144,7 @@
 		}
 	}
 	relay.initPeers(socket)
+	relay.listenForForwarded(options)
 	go relay.applyReloadedSettings(ctx, options.Reloaded)
 	if options.ReadCache != nil && options.Without.IsEnabled(mechanism.CacheQuery) {
 		client := &http.Client{Transport: &http.Transport{DialContext: options.Dial, DisableKeepAlives: true}, Timeout: cacheReadTimeout}
@@ -175,7 +181,10 @@
 	relay.metrics = newRelayMetrics(relay, options.Log)
 	relay.connections = connections{isServing: map[*clientConnection]bool{}, requests: map[*clientConnection]*request{}, tracked: closing.NewSet()}
 	relay.lastContactAt.Store(int64(-leaderwatch.MaximumWait - leaderContactSlack))
+	relay.path = newPathWatch(relay)
+	relay.forwarder = newForwarder(relay)
 	relay.exchanger = &exchanger{
+		path:               relay.path,
 		applyAnswerSignals: relay.applyAnswerSignals, acquirePermit: relay.acquirePermit, limitedSends: relay.metrics.limitedSends, dials: relay.metrics.dials,
 		names: options.Dialect.Headers, writer: newRequestWriter(options.Dialect.Headers), clock: steady, dial: options.Dial,
 		mechanisms: options.Without, speeds: relay.speeds,
@@ -216,6 +225,10 @@
 	group.Go(func() error { r.clock.steady.Watch(workCtx, r.handleSuspension); return nil })
 	group.Go(func() error { r.guard.Run(workCtx); return nil })
 	group.Go(func() error { r.notices.run(workCtx); return nil })
+	group.Go(func() error { r.path.run(workCtx); return nil })
+	if r.forwardListener != nil {
+		group.Go(func() error { return r.acceptForwarded(workCtx, r.forwardListener) })
+	}
 	group.Go(func() error { r.permits.Run(workCtx); return nil })
 	if r.sharesSlots {
 		group.Go(func() error { return trace.Wrap(r.slots.Run(workCtx)) })
@@ -231,6 +244,9 @@
 	}
 	stopWorking()
 	_ = listener.Close()
+	if r.forwardListener != nil {
+		_ = r.forwardListener.Close()
+	}
 	_ = readyServer.Close()
 	_ = r.datagrams.Close()
 	return trace.Wrap(group.Wait())
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -55,6 +55,8 @@
 	// be read completely and were not answered.
 	failedAttempts *prometheus.CounterVec
 	unreadRequests prometheus.Counter
+	// forwards counts the offers of requests to other relays, by how these handled them.
+	forwards *prometheus.CounterVec
 	// dials counts attempts to open connections to back ends, by outcome.
 	dials         *prometheus.CounterVec
 	retries       prometheus.Counter
@@ -97,6 +99,7 @@
 		failedAttempts:   factory.CounterVec("attempts_failed_total", "Attempts at back ends that brought no answer, by cause.", "cause"),
 		unreadRequests:   factory.Counter("requests_unread_total", "Requests that could not be read completely and were not answered."),
 		dials:            factory.CounterVec("back_end_dials_total", "Attempts to open connections to back ends, by outcome.", "outcome"),
+		forwards:         factory.CounterVec("forwards_total", "Offers of requests to other relays, since this one cannot connect to back ends, by how these handled them.", "outcome"),
 		retries:          factory.Counter("sendings_again_total", "Sendings of requests beyond the first."),
 		deniedRetries:    factory.Counter("sendings_denied_total", "Sendings beyond the first that the retry budget did not allow."),
 		usageResends:     factory.Counter("usage_sendings_again_total", "Reports of tenants' usage that were not taken and had to be sent again."),
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/relay/forwarding"
 )
 
 // replier writes the one answer to a request to its client.
@@ -23,6 +25,8 @@
 	// aborted is true if the answer cannot be completed: a write failed, or the answer broke off.
 	aborted bool
 	scratch []byte
+	// isToRelay is true if the request was forwarded by another relay, which is told what a refusal means.
+	isToRelay bool
 }
 
 // refusal is a final answer that the relay itself makes.
@@ -33,6 +37,20 @@
 	retryAfter time.Duration
 	// challenge is the authentication scheme that the client must use; empty omits it.
 	challenge string
+	// otherMayServe is true if another relay may serve the request.
+	otherMayServe bool
+}
+
+// toRelay returns what the refusal means to the relay that has forwarded the request.
+func (r refusal) toRelay() forwarding.Refusal {
+	switch {
+	case r.otherMayServe, !r.promisesNotRun() && r.status < fasthttp.StatusInternalServerError:
+		return forwarding.Unable // the other relay has admitted the request, and knows another configuration
+	case r.promisesNotRun():
+		return forwarding.NotRun
+	default:
+		return forwarding.MayHaveRun
+	}
 }
 
 // promisesNotRun reports whether the status promises that the request was not run and will not be run later.
@@ -55,6 +73,9 @@
 	if r.requestID != "" {
 		head = appendHeader(head, r.names.RequestID, r.requestID)
 	}
+	if r.isToRelay {
+		head = appendHeader(head, forwarding.HeaderRefusal, string(response.toRelay()))
+	}
 	if response.challenge != "" {
 		head = appendHeader(head, "WWW-Authenticate", response.challenge)
 	}
@@ -119,7 +140,7 @@
 	connectionHeaderNames := connectionNames(answer.head.Peek("Connection"))
 	for key, value := range answer.head.All() {
 		name := string(key)
-		if connectionHeaders[name] || connectionHeaderNames[name] {
+		if connectionHeaders[name] || connectionHeaderNames[name] || name == forwarding.HeaderRefusal {
 			continue
 		}
 		head = appendHeader(head, name, string(value))
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -10,6 +10,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
+	"github.com/hazelpitch/hazelpitch/internal/relay/forwarding"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -44,6 +45,9 @@
 	// deadline is when the final answer is due: the earlier of the client's deadline and the route's timeout.
 	deadline time.Duration
 
+	// forwarded is what another relay has already done for a request that it has forwarded; nil for a client's own request.
+	forwarded *forwarding.Progress
+
 	canceller canceller
 	trace     requestTrace
 }
--- a/internal/relay/request_trace.go
+++ b/internal/relay/request_trace.go
@@ -24,6 +24,8 @@
 	pause placement.PauseForecast
 	// owner is the relay that selected the last engine; empty for this relay.
 	owner string
+	// forwardedTo is the address of the relay to which the request was forwarded last; empty for none.
+	forwardedTo string
 	// firstAt is when the first event of a stream was forwarded.
 	firstAt time.Duration
 	// lastAt is when the last events were forwarded; longestGap is the longest time between two forwards.
--- a/internal/relay/serve_connection.go
+++ b/internal/relay/serve_connection.go
@@ -87,7 +87,7 @@
 // serveNext reads and serves one request; it reports whether the connection can be used further.
 func (r *Relay) serveNext(connection *clientConnection) bool {
 	request, err := r.readRequest(connection)
-	reply := &replier{connection: connection, names: r.dialect.Headers}
+	reply := &replier{connection: connection, names: r.dialect.Headers, isToRelay: connection.isFromRelay}
 	if err != nil {
 		var fault *requestFault
 		if errors.As(err, &fault) {
@@ -105,7 +105,7 @@
 	_ = connection.SetWriteDeadline(r.clock.at(request.arrivedAt + maxAnswerDuration))
 	if r.refusesNewRequests() {
 		reply.close = true
-		reply.refuse(refusal{status: fasthttp.StatusServiceUnavailable, reason: "this relay stops", retryAfter: retryAfterStop})
+		reply.refuse(refusal{status: fasthttp.StatusServiceUnavailable, reason: "this relay stops", retryAfter: retryAfterStop, otherMayServe: true})
 		return false
 	}
 	r.connections.setRequest(connection, request)
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -33,7 +33,12 @@
 		reply.refuse(r.refuseByConfiguration(fasthttp.StatusNotFound, "no route has this host and path"))
 		return
 	}
-	if fault := r.admit(view.table, request); fault != "" {
+	if request.forwarded != nil {
+		if !r.adoptProgress(view.table, request) {
+			reply.refuse(refusal{status: fasthttp.StatusServiceUnavailable, reason: "this relay cannot serve the forwarded request", otherMayServe: true})
+			return
+		}
+	} else if fault := r.admit(view.table, request); fault != "" {
 		r.refuseKey(request, fault, reply)
 		return
 	}
@@ -43,10 +48,12 @@
 	names := r.dialect.Headers
 	request.deadline = request.arrivedAt +
 		min(request.route.Timeout, clientTimeout(request.header, names.DeadlineMs, request.route.Timeout))
-	request.service = view.table.Service(r.chooseService(request.route))
+	if request.forwarded == nil {
+		request.service = view.table.Service(r.chooseService(request.route))
+		r.budget.RecordRequest(r.clock.now(), request.service.Name)
+	}
 	request.prompt = serving.ParsePrompt(string(request.header.Peek(names.Model)),
 		string(request.header.Peek(names.Tokens)), string(request.header.Peek(names.PromptParts)))
-	r.budget.RecordRequest(r.clock.now(), request.service.Name)
 	defer r.recordRequestEnd(request, reply)
 	if !r.admitQuarantined(request, reply) {
 		return
@@ -94,8 +101,14 @@
 
 // servePlain serves a request that back ends answer whole, without streaming.
 func (r *Relay) servePlain(request *request, reply *replier) {
-	attempts := &attemptTracker{relay: r, request: request}
-	for attempts.mayContinue() {
+	attempts := r.newAttempts(request)
+	for {
+		if r.path.pathTo(request.service.Name).IsLost && r.forwardOnce(attempts, reply, "") {
+			return
+		}
+		if r.isHopeless(attempts) || !attempts.mayContinue() {
+			break
+		}
 		selection, slot := r.pickWithSlot(request, attempts)
 		if selection == nil {
 			break
@@ -107,6 +120,9 @@
 		r.recordFailedAttempt(request, selection.backEnd, fault)
 		attempts.recordFailure(selection.backEnd, fault)
 	}
+	if attempts.couldNotConnect() && r.forwardOnce(attempts, reply, "") {
+		return
+	}
 	r.replyRefused(attempts, reply)
 }
 
@@ -125,7 +141,9 @@
 	if fault == nil {
 		fault = r.forwardPlain(answer, attempts, reply)
 	}
-	slot.release(slotResult(sent, fault, !reply.aborted, r.clock.now()))
+	result := slotResult(sent, fault, !reply.aborted, r.clock.now())
+	result.TurnedAway = result.TurnedAway && !r.path.pathTo(backEnd.Service).IsLost // the back end may be sound
+	slot.release(result)
 	return fault
 }
 
@@ -196,22 +214,29 @@
 	return &failure{verdict: backEndErrorAnswer.verdict, mayHaveArrived: true, cause: err}
 }
 
-// forwardLong forwards a long answer as it arrives, after the bytes that were buffered already. When the answer breaks off,
-// it closes the client's connection, so that the answer does not look complete.
+// forwardLong forwards a long answer as it arrives, after the bytes that were buffered already.
 func (r *Relay) forwardLong(answer *answer, buffered []byte, reply *replier) *failure {
 	reply.sendFirstChunk(answer, buffered)
+	r.forwardRemainder(answer, reply)
+	return nil
+}
+
+// forwardRemainder forwards the remainder of an answer whose head was sent, piece by piece as it arrives. When the answer
+// breaks off, it closes the client's connection, so that the answer does not look complete.
+func (r *Relay) forwardRemainder(answer *answer, reply *replier) {
 	piece := make([]byte, 16<<10)
 	for {
 		n, err := answer.Read(piece)
 		if errors.Is(err, io.EOF) {
 			reply.sendLastChunk(piece[:n])
-			return nil
+			return
 		}
 		if err != nil || reply.aborted {
 			reply.close, reply.aborted = true, true
-			return nil
+			return
 		}
 		if n > 0 {
+			answer.message.request.trace.recordEvents(r.clock.now())
 			reply.sendChunk(piece[:n])
 		}
 	}
--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -25,9 +25,12 @@
 // serveStream serves a streaming request. With model engines, either a prefill engine processes the prompt and a decoding
 // engine generates the stream, or a decoding engine does both.
 func (r *Relay) serveStream(request *request, reply *replier) {
-	attempts := &attemptTracker{relay: r, request: request}
+	attempts := r.newAttempts(request)
 	stream := &streamReply{relay: r, request: request, reply: reply, attempts: attempts,
 		prefixBlocks: placement.PrefixBlocksOf(request.prompt), lastEventID: string(request.header.Peek(r.dialect.Headers.LastEventID))}
+	if r.path.pathTo(request.service.Name).IsLost && r.forwardOnce(attempts, reply, stream.lastEventID) {
+		return
+	}
 	start := r.beginStream(stream)
 	if start.refusal != nil {
 		r.log.recordRefusal(request, *start.refusal, attempts)
@@ -35,7 +38,13 @@
 		return
 	}
 	selection, prefill := start.direct, start.prefill
-	for stream.migrated != nil || attempts.mayContinue() {
+	for {
+		if stream.migrated == nil && r.path.pathTo(request.service.Name).IsLost && r.forwardOnce(attempts, reply, stream.lastEventID) {
+			return
+		}
+		if stream.migrated == nil && (r.isHopeless(attempts) || !attempts.mayContinue()) {
+			break
+		}
 		if migrated := stream.migrated; migrated != nil {
 			stream.migrated, selection, prefill = nil, migrated.target, migrated.prefill
 		}
@@ -62,6 +71,9 @@
 	if prefill != nil {
 		r.release(prefill)
 	}
+	if attempts.couldNotConnect() && r.forwardOnce(attempts, reply, stream.lastEventID) {
+		return
+	}
 	r.replyRefused(attempts, reply)
 }
 
@@ -70,7 +82,7 @@
 func (r *Relay) prefillWithRetry(stream *streamReply, selection *backEndSelection) *remotePrefill {
 	prefill := r.prefillPrompt(stream, selection)
 	attempts := stream.attempts
-	if prefill != nil || attempts.isOver() || attempts.sentCount+1 >= stream.request.route.MaxAttempts {
+	if prefill != nil || attempts.isOver() || r.path.pathTo(stream.request.service.Name).IsLost || attempts.sentCount+1 >= stream.request.route.MaxAttempts {
 		return prefill
 	}
 	next := r.nextPrefillEngine(stream)
--- a/internal/serving/table.go
+++ b/internal/serving/table.go
@@ -12,7 +12,9 @@
 	byHost        map[string][]*Route
 	services      map[string]*Service
 	// byKey maps each key to its tenant.
-	byKey  map[string]*Tenant
+	byKey map[string]*Tenant
+	// byName maps each tenant's name to the tenant.
+	byName map[string]*Tenant
 	levels priorityLevels
 }
 
@@ -23,6 +25,7 @@
 		byHost:        map[string][]*Route{},
 		services:      map[string]*Service{},
 		byKey:         map[string]*Tenant{},
+		byName:        map[string]*Tenant{},
 		levels:        newPriorityLevels(configuration),
 	}
 	for index := range configuration.Routes {
@@ -39,6 +42,7 @@
 	}
 	for index := range configuration.Tenants {
 		tenant := &configuration.Tenants[index]
+		table.byName[tenant.Name] = tenant
 		for _, key := range tenant.Keys {
 			table.byKey[key] = tenant
 		}
@@ -65,6 +69,9 @@
 // Tenant returns the tenant of the key, or nil.
 func (t *Table) Tenant(key string) *Tenant { return t.byKey[key] }
 
+// TenantNamed returns the tenant with the given name; nil when there is none.
+func (t *Table) TenantNamed(name string) *Tenant { return t.byName[name] }
+
 // PriorityLevel returns the priority level of a tenant's requests on a route and the number of levels. Level 0 goes
 // first. The tenant is nil for requests without one.
 func (t *Table) PriorityLevel(tenant *Tenant, route *Route) (level, levels int) {
