Count attempts across the relays that a request is forwarded to

Cause: a peer that refused a forwarded request, or died while it served it, left the first relay's count of attempts as it was. Each further peer began to count anew and took nothing from its retry budget. Change: a refusal to a relay states the attempts so far, and the first relay adopts them; a peer that returns no usable answer after the request was sent counts as one attempt. A request whose route allows no further attempt is not offered to a peer. Harness: groups of test relays that forward to each other, each with a path that can be broken. Command: go test ./internal/relay -run 'ForwardedAttempts|PeerThatDies' -count=5

--- a/internal/relay/forward_request.go
+++ b/internal/relay/forward_request.go
@@ -79,7 +79,7 @@
 	}
 	attempts.hasForwarded = true
 	var tried []string
-	for len(tried) < maxForwardPeers && !attempts.isOver() && (!attempts.mayHaveRun || request.route.Repeatable()) {
+	for len(tried) < maxForwardPeers && attempts.mayForward() {
 		address, isFound := r.forwarder.peers.Pick(r.clock.now(), tried, r.draw)
 		if !isFound {
 			break
@@ -95,6 +95,26 @@
 	return false
 }
 
+// mayForward reports whether the request may be offered to another relay, which takes a further attempt from its retry budget.
+func (a *attemptTracker) mayForward() bool {
+	return !a.isOver() && a.sentCount < a.request.route.MaxAttempts && (!a.mayHaveRun || a.request.route.Repeatable())
+}
+
+// recordForwardedRun records that a peer, which has returned no usable answer, may have sent the request to a back end.
+func (a *attemptTracker) recordForwardedRun() {
+	a.sentCount++
+	a.mayHaveRun = true
+}
+
+// adoptAttempts counts the attempts that a peer states in its refusal.
+func (a *attemptTracker) adoptAttempts(answer *answer) {
+	stated, err := strconv.Atoi(string(answer.head.Peek(forwarding.HeaderAttempts)))
+	if err != nil {
+		stated = a.sentCount + 1
+	}
+	a.sentCount = max(a.sentCount, stated)
+}
+
 // forwardTo forwards a request to one peer and the answer to the client.
 func (r *Relay) forwardTo(address string, attempts *attemptTracker, reply *replier, lastEventID string) (outcome forwarding.Outcome, isAnswered bool) {
 	request, peer := attempts.request, r.forwarder.record(address)
@@ -111,12 +131,14 @@
 	case forwarding.NoRefusal:
 		return forwarding.Served, r.forwardAnswer(answer, attempts, reply)
 	case forwarding.Unable:
+		attempts.adoptAttempts(answer)
 		reason, _ := io.ReadAll(io.LimitReader(answer, maxReasonBytes)) // the reason is for the log line only
 		r.recordFailedAttempt(request, peer, &failure{verdict: verdict.NotRun, cause: fmt.Errorf("%w: %s", errPeerUnable, trimmedReason(reason))})
 		return forwarding.CouldNotServe, false
 	case forwarding.NotRun:
 		return forwarding.Neutral, r.forwardRefusal(answer, reply)
 	default:
+		attempts.adoptAttempts(answer)
 		attempts.mayHaveRun = true
 		return forwarding.Neutral, false
 	}
@@ -144,7 +166,7 @@
 func (r *Relay) recordFailedForward(peer *backEnd, attempts *attemptTracker, fault *failure) forwarding.Outcome {
 	r.recordFailedAttempt(attempts.request, peer, fault)
 	if fault.verdict != verdict.NotRun {
-		attempts.mayHaveRun = true
+		attempts.recordForwardedRun()
 	}
 	if errors.Is(fault, errDial) || errors.Is(fault, errConnectionBroken) || errors.Is(fault, errPeerTimeout) {
 		return forwarding.Unreachable
@@ -186,7 +208,7 @@
 	isStream := isEventStream(answer)
 	switch {
 	case reply.started && !isStream:
-		attempts.mayHaveRun = true
+		attempts.recordForwardedRun()
 		return false
 	case reply.started:
 		r.forwardRemainder(answer, reply)
@@ -197,7 +219,7 @@
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedAnswer+1))
 	switch {
 	case err != nil:
-		attempts.mayHaveRun = true
+		attempts.recordForwardedRun()
 		return false
 	case len(body) > maxBufferedAnswer:
 		return r.forwardLong(answer, body, reply) == nil
--- a/internal/relay/forwarding/progress.go
+++ b/internal/relay/forwarding/progress.go
@@ -12,8 +12,9 @@
 	HeaderService       = "Hazelpitch-Forward-Service"
 	HeaderConfiguration = "Hazelpitch-Forward-Configuration"
 	HeaderTenant        = "Hazelpitch-Forward-Tenant"
-	HeaderAttempts      = "Hazelpitch-Forward-Attempts"
-	HeaderMayHaveRun    = "Hazelpitch-Forward-May-Have-Run"
+	// HeaderAttempts is also set in refusals, for the attempts until then.
+	HeaderAttempts   = "Hazelpitch-Forward-Attempts"
+	HeaderMayHaveRun = "Hazelpitch-Forward-May-Have-Run"
 	// HeaderRefusal marks an answer that the other relay itself has made; its value is a Refusal.
 	HeaderRefusal = "Hazelpitch-Forward-Refusal"
 )
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -182,6 +182,8 @@
 	address string
 	// suspendedFor is how long the relay's machine was suspended, in nanoseconds.
 	suspendedFor *atomic.Int64
+	// reservedListener is a listener at the address of the relay's datagrams, which linkRelays serves.
+	reservedListener net.Listener
 }
 
 // route returns a route for /path/ on the host named test.
@@ -215,8 +217,7 @@
 	suspendedFor := &atomic.Int64{}
 	relay.clock.steady = bootclock.NewWithSuspension(0, func() time.Duration { return time.Duration(suspendedFor.Load()) })
 	relay.exchanger.clock = relay.clock
-	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
-	require.NoError(t, err)
+	socket, forwardListener := listenForRelays(t)
 	relay.initPeers(socket)
 	relay.setRelays([]string{relay.datagrams.Address}, nil)
 	go relay.datagrams.Receive(relay.handleDatagram)
@@ -242,7 +243,25 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { _ = relay.accept(ctx, listener) }()
 	t.Cleanup(func() { cancel(); _ = listener.Close(); _ = socket.Close() })
-	return &testRelay{Relay: relay, address: listener.Addr().String(), suspendedFor: suspendedFor}
+	return &testRelay{Relay: relay, address: listener.Addr().String(), suspendedFor: suspendedFor, reservedListener: forwardListener}
+}
+
+// listenForRelays opens a socket for datagrams and a listener for forwarded requests at the same address.
+func listenForRelays(t *testing.T) (net.PacketConn, net.Listener) {
+	t.Helper()
+	const maxTries = 100 // other tests may use the TCP port
+	for range maxTries {
+		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+		require.NoError(t, err)
+		listener, err := net.Listen("tcp", socket.LocalAddr().String())
+		if err == nil {
+			t.Cleanup(func() { _ = listener.Close() })
+			return socket, listener
+		}
+		require.NoError(t, socket.Close())
+	}
+	require.Fail(t, "no port is free for TCP and UDP")
+	return nil, nil
 }
 
 // clientAnswer is an answer as a client received it.
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -39,6 +39,8 @@
 	challenge string
 	// otherMayServe is true if another relay may serve the request.
 	otherMayServe bool
+	// attempts counts the attempts that reached a back end, for the relay that has forwarded the request.
+	attempts int
 }
 
 // toRelay returns what the refusal means to the relay that has forwarded the request.
@@ -75,6 +77,7 @@
 	}
 	if r.isToRelay {
 		head = appendHeader(head, forwarding.HeaderRefusal, string(response.toRelay()))
+		head = appendHeader(head, forwarding.HeaderAttempts, strconv.Itoa(response.attempts))
 	}
 	if response.challenge != "" {
 		head = appendHeader(head, "WWW-Authenticate", response.challenge)
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -162,6 +162,7 @@
 		return
 	}
 	response := attempts.refusal()
+	response.attempts = attempts.sentCount
 	r.log.recordRefusal(attempts.request, response, attempts)
 	reply.refuse(response)
 }
--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -33,6 +33,7 @@
 	}
 	start := r.beginStream(stream)
 	if start.refusal != nil {
+		start.refusal.attempts = attempts.sentCount
 		r.log.recordRefusal(request, *start.refusal, attempts)
 		reply.refuse(*start.refusal)
 		return
