Count forwarded requests once for their tenants

Cause: the relay that runs a forwarded request counted it, although the first relay had counted it already when a back end of its own might have run it; after a peer's death, each further peer counted it as well. Change: only the relay that the client has sent the request to counts it, with the same rule as before: a plain request when it may have run, a stream with its first event.

--- a/internal/relay/forward_request.go
+++ b/internal/relay/forward_request.go
@@ -104,6 +104,14 @@
 func (a *attemptTracker) recordForwardedRun() {
 	a.sentCount++
 	a.mayHaveRun = true
+	a.relay.recordForwardedPlain(a.request)
+}
+
+// recordForwardedPlain counts a forwarded request that a peer's back end may have run. A stream counts with its first event.
+func (r *Relay) recordForwardedPlain(request *request) {
+	if request.route.Kind != serving.KindStream {
+		r.recordRun(request, request.trace.sentAt)
+	}
 }
 
 // adoptAttempts counts the attempts that a peer states in its refusal.
@@ -129,6 +137,7 @@
 	defer answer.finish()
 	switch forwarding.ParseRefusal(string(answer.head.Peek(forwarding.HeaderRefusal))) {
 	case forwarding.NoRefusal:
+		r.recordForwardedPlain(request)
 		return forwarding.Served, r.forwardAnswer(answer, attempts, reply)
 	case forwarding.Unable:
 		attempts.adoptAttempts(answer)
@@ -140,6 +149,7 @@
 	default:
 		attempts.adoptAttempts(answer)
 		attempts.mayHaveRun = true
+		r.recordForwardedPlain(request)
 		return forwarding.Neutral, false
 	}
 }
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -228,6 +228,9 @@
 	piece := make([]byte, 16<<10)
 	for {
 		n, err := answer.Read(piece)
+		if n > 0 && isEventStream(answer) {
+			r.recordRun(answer.message.request, r.clock.now())
+		}
 		if errors.Is(err, io.EOF) {
 			reply.sendLastChunk(piece[:n])
 			return
--- a/internal/relay/usage.go
+++ b/internal/relay/usage.go
@@ -17,9 +17,9 @@
 )
 
 // recordRun counts a tenant's request that began to run at the given moment. A request is counted once, however many back
-// ends run it.
+// ends run it; the relay that a client has sent it to counts it.
 func (r *Relay) recordRun(request *request, moment time.Duration) {
-	if request.tenant == nil || request.isUsageCounted {
+	if request.tenant == nil || request.isUsageCounted || request.forwarded != nil {
 		return
 	}
 	request.isUsageCounted = true
