Refuse a forwarded request at once when the second relay has lost its path too

Cause: a relay gave up on a silent path only for requests that it had offered to other relays itself; for forwarded ones it tried one back end after the other, 0.3 s each, while the first relay could have asked a third. Change: a forwarded request is hopeless as well once the path is lost and silent. Evidence: TestPeerThatLosesItsPathAsWellIsPassedOver, eight back ends whose dials hang: the second relay refused after 2.4 s (21 dials), now after 0.3 s. Command: go test ./internal/relay -run LosesItsPath -race -count=5

--- a/internal/relay/forward_request.go
+++ b/internal/relay/forward_request.go
@@ -64,9 +64,9 @@
 }
 
 // isHopeless reports whether attempts of this relay at the request's back ends would only wait for nothing: they cannot be
-// connected to, and the request was offered to other relays already.
+// connected to, and the request was offered to other relays already, or has come from one that can offer it to others.
 func (r *Relay) isHopeless(attempts *attemptTracker) bool {
-	return attempts.hasForwarded && r.path.pathTo(attempts.request.service.Name).IsSilent
+	return (attempts.hasForwarded || attempts.request.forwarded != nil) && r.path.pathTo(attempts.request.service.Name).IsSilent
 }
 
 // forwardOnce offers a request to other relays, unless that was done before or another relay has forwarded it to this one.
--- a/internal/relay/relay_group_test.go
+++ b/internal/relay/relay_group_test.go
@@ -168,7 +168,9 @@
 	for _, backEnds := range r.view.Load().byService {
 		for _, backEnd := range backEnds {
 			backEnd.pool.CloseIdle()
-			_, _ = r.exchanger.open(backEnd, pathCheckTimeout)
+			if !r.path.pathTo("service").IsLost {
+				_, _ = r.exchanger.open(backEnd, pathCheckTimeout)
+			}
 		}
 	}
 	require.Eventually(t, func() bool { return r.path.pathTo("service").IsLost }, 5*time.Second, time.Millisecond)
