Pass over relays that cannot serve a forwarded request for its service only

Cause: a relay that answered "unable" was passed over for a second whatever the service. Requests for a service that is gone everywhere made a relay that is cut off pass over all others, so that it refused requests to sound services. Change: forwarding.Peers keeps what a peer cannot serve by service; a peer that cannot be reached is passed over for all. Evidence: TestServiceThatIsGoneDoesNotStopForwardingToOthers: with two other relays, the first request to the sound service after one to the service that is gone was answered 503, now all five are served. Command: go test ./internal/relay/... -run 'Gone|Peers|Proven' -count=5

--- a/internal/relay/forward_peers_test.go
+++ b/internal/relay/forward_peers_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -125,3 +126,29 @@
 	}
 	require.Equal(t, maxForwardPeers, asked)
 }
+
+// Guards against relays that no longer forward to any service once the others have refused requests for one that is gone.
+func TestServiceThatIsGoneDoesNotStopForwardingToOthers(t *testing.T) {
+	backEnds := startThree(t, answering(200, "ok"))
+	gone := startThree(t, answering(200, "gone"))
+	for index, each := range gone {
+		each.entry.ID, each.entry.Service = fmt.Sprint("gone-", index), "gone"
+	}
+	relays, paths := newRelayGroup(t, 3, route(nil), nil, append(backEnds, gone...)...)
+	for index, relay := range relays {
+		relay.changeConfiguration(func(c *serving.Configuration) {
+			c.Services = append(c.Services, serving.Service{Name: "gone"})
+			c.Routes = append(c.Routes, route(func(each *serving.Route) {
+				each.Name, each.Prefix, each.Splits = "gone", "/gone/", []serving.Split{{Service: "gone", Weight: 1}}
+			}))
+		})
+		paths[index].setFor(dialsRefused, gone...)
+	}
+	relays[0].loseAllPaths(t, paths[0], dialsRefused)
+	client := relays[0].client(t)
+	for range 5 {
+		require.Equal(t, 503, client.do("POST", "/gone/", "x").status)
+		require.Equal(t, 200, client.do("POST", "/path/", "x").status)
+	}
+	require.Empty(t, allRequests(gone))
+}
--- a/internal/relay/forward_request.go
+++ b/internal/relay/forward_request.go
@@ -80,13 +80,13 @@
 	attempts.hasForwarded = true
 	var tried []string
 	for len(tried) < maxForwardPeers && attempts.mayForward() {
-		address, isFound := r.forwarder.peers.Pick(r.clock.now(), tried, r.draw)
+		address, isFound := r.forwarder.peers.Pick(r.clock.now(), request.service.Name, tried, r.draw)
 		if !isFound {
 			break
 		}
 		tried = append(tried, address)
 		outcome, isAnswered := r.forwardTo(address, attempts, reply, lastEventID)
-		r.forwarder.peers.Done(r.clock.now(), address, outcome)
+		r.forwarder.peers.Done(r.clock.now(), address, request.service.Name, outcome)
 		r.metrics.forwards.WithLabelValues(outcome.String()).Inc()
 		if isAnswered {
 			return true
--- a/internal/relay/forwarding/forwarding_test.go
+++ b/internal/relay/forwarding/forwarding_test.go
@@ -61,24 +61,24 @@
 	peers := NewPeers()
 	peers.Set([]string{"a", "b"})
 	first := func() float64 { return 0 }
-	picked, isFound := peers.Pick(0, nil, first)
+	picked, isFound := peers.Pick(0, "s", nil, first)
 	require.True(t, isFound)
 	require.Equal(t, "a", picked)
-	peers.Done(0, "a", CouldNotServe)
+	peers.Done(0, "a", "s", CouldNotServe)
 	for range 3 {
-		picked, isFound = peers.Pick(unableTime-1, nil, first)
+		picked, isFound = peers.Pick(unableTime-1, "s", nil, first)
 		require.True(t, isFound)
 		require.Equal(t, "b", picked)
-		peers.Done(0, "b", Neutral)
+		peers.Done(0, "b", "s", Neutral)
 	}
-	_, isFound = peers.Pick(unableTime-1, []string{"b"}, first)
+	_, isFound = peers.Pick(unableTime-1, "s", []string{"b"}, first)
 	require.False(t, isFound)
-	picked, _ = peers.Pick(unableTime, nil, first)
+	picked, _ = peers.Pick(unableTime, "s", nil, first)
 	require.Equal(t, "a", picked)
-	peers.Done(unableTime, "a", Unreachable)
-	_, isFound = peers.Pick(unableTime+unreachableTime-1, []string{"b"}, first)
+	peers.Done(unableTime, "a", "s", Unreachable)
+	_, isFound = peers.Pick(unableTime+unreachableTime-1, "s", []string{"b"}, first)
 	require.False(t, isFound)
-	peers.Done(0, "not listed", Served)
+	peers.Done(0, "not listed", "s", Served)
 }
 
 // Guards against sending all requests of a relay that is cut off to the same peer.
@@ -92,7 +92,7 @@
 	}
 	counts := map[string]int{}
 	for range 400 {
-		picked, isFound := peers.Pick(0, nil, draw)
+		picked, isFound := peers.Pick(0, "s", nil, draw)
 		require.True(t, isFound)
 		counts[picked]++
 	}
@@ -105,12 +105,29 @@
 func TestProvenPeersArePreferred(t *testing.T) {
 	peers := NewPeers()
 	peers.Set([]string{"a", "b"})
-	_, _ = peers.Pick(0, []string{"a"}, func() float64 { return 0 })
-	peers.Done(0, "b", Served)
+	_, _ = peers.Pick(0, "s", []string{"a"}, func() float64 { return 0 })
+	peers.Done(0, "b", "s", Served)
 	draws := []float64{0, 0.9}
-	picked, _ := peers.Pick(0, nil, func() float64 { next := draws[0]; draws = draws[1:]; return next })
+	picked, _ := peers.Pick(0, "s", nil, func() float64 { next := draws[0]; draws = draws[1:]; return next })
 	require.Equal(t, "b", picked)
 	peers.Set([]string{"b"})
-	picked, _ = peers.Pick(time.Second, nil, func() float64 { return 0 })
+	picked, _ = peers.Pick(time.Second, "s", nil, func() float64 { return 0 })
 	require.Equal(t, "b", picked)
 }
+
+// Guards against requests for a service that is gone everywhere that keep a relay from forwarding requests to other services.
+func TestPeersThatLackOneServiceServeOthers(t *testing.T) {
+	peers := NewPeers()
+	peers.Set([]string{"a"})
+	first := func() float64 { return 0 }
+	_, isFound := peers.Pick(0, "gone", nil, first)
+	require.True(t, isFound)
+	peers.Done(0, "a", "gone", CouldNotServe)
+	_, isFound = peers.Pick(1, "gone", nil, first)
+	require.False(t, isFound)
+	_, isFound = peers.Pick(1, "other", nil, first)
+	require.True(t, isFound)
+	peers.Done(1, "a", "other", Unreachable)
+	_, isFound = peers.Pick(unableTime, "gone", nil, first)
+	require.False(t, isFound)
+}
--- a/internal/relay/forwarding/peers.go
+++ b/internal/relay/forwarding/peers.go
@@ -1,13 +1,14 @@
 package forwarding
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// unableTime is how long a relay that could not serve a forwarded request is passed over.
+	// unableTime is how long a relay that could not serve a forwarded request is passed over for the same service.
 	unableTime = time.Second
 	// unreachableTime is how long a relay is passed over that could not be connected to.
 	unreachableTime = 3 * time.Second
@@ -26,6 +27,8 @@
 // peer is one other relay.
 type peer struct {
 	avoidUntil, provenUntil time.Duration
+	// unableUntil is until when the peer is passed over for requests to a service; it may serve those to others.
+	unableUntil map[string]time.Duration
 	// inFlight counts the requests that this relay has forwarded to the peer and that have not ended.
 	inFlight int
 }
@@ -41,21 +44,21 @@
 	p.peers = make(map[string]*peer, len(addresses))
 	for _, address := range addresses {
 		if p.peers[address] = known[address]; p.peers[address] == nil {
-			p.peers[address] = &peer{}
+			p.peers[address] = &peer{unableUntil: map[string]time.Duration{}}
 		}
 	}
 	p.addresses = slices.Sorted(slices.Values(addresses))
 }
 
-// Pick selects a peer that is not among the tried ones, and counts a request in flight there; Done must follow. Of two random
+// Pick selects a peer for a request to a service that is not among the tried ones, and counts a request in flight there; Done must follow. Of two random
 // peers it takes the one that has served a forwarded request recently, then the one with fewer requests in flight. draw
 // returns random numbers in [0, 1). Pick returns false when no peer is left.
-func (p *Peers) Pick(now time.Duration, tried []string, draw func() float64) (address string, isFound bool) {
+func (p *Peers) Pick(now time.Duration, service string, tried []string, draw func() float64) (address string, isFound bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	candidates := make([]string, 0, len(p.addresses))
 	for _, each := range p.addresses {
-		if now >= p.peers[each].avoidUntil && !slices.Contains(tried, each) {
+		if p.peers[each].isCandidate(now, service) && !slices.Contains(tried, each) {
 			candidates = append(candidates, each)
 		}
 	}
@@ -71,6 +74,11 @@
 	return one, true
 }
 
+// isCandidate reports whether the peer may serve a request to a service.
+func (p *peer) isCandidate(now time.Duration, service string) bool {
+	return now >= p.avoidUntil && now >= p.unableUntil[service]
+}
+
 // isBetter reports whether a peer is to be preferred to another one. The mutex is held.
 func (p *Peers) isBetter(now time.Duration, address, than string) bool {
 	one, other := p.peers[address], p.peers[than]
@@ -109,8 +117,8 @@
 	}
 }
 
-// Done records how a forwarded request has ended at a peer.
-func (p *Peers) Done(now time.Duration, address string, outcome Outcome) {
+// Done records how a forwarded request to a service has ended at a peer.
+func (p *Peers) Done(now time.Duration, address, service string, outcome Outcome) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	known := p.peers[address]
@@ -122,7 +130,8 @@
 	case Served:
 		known.provenUntil = now + provenTime
 	case CouldNotServe:
-		known.avoidUntil, known.provenUntil = now+unableTime, 0
+		maps.DeleteFunc(known.unableUntil, func(_ string, until time.Duration) bool { return now >= until })
+		known.unableUntil[service], known.provenUntil = now+unableTime, 0
 	case Unreachable:
 		known.avoidUntil, known.provenUntil = now+unreachableTime, 0
 	case Neutral:
