Refuse forwarded requests at once while a relay has no configuration yet

Cause: requests wait up to 0.25 s for a relay that has just started to receive its configuration. Forwarded ones did so as well, at each relay that starts, although the first relay can ask another one. Change: a forwarded request does not wait. Command: go test ./internal/relay -run AskedInTurn -v -count=3

--- a/internal/relay/forward_peers_test.go
+++ b/internal/relay/forward_peers_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelpitch/hazelpitch/internal/relay/forwarding"
@@ -97,6 +98,7 @@
 				}
 			}
 			require.Len(t, allRequests(backEnds), 1)
+			require.Zero(t, testutil.ToFloat64(relays[1].metrics.startupWaits), "the second relay has let the request wait")
 		})
 	}
 }
--- a/internal/relay/startup_wait.go
+++ b/internal/relay/startup_wait.go
@@ -32,10 +32,11 @@
 	}
 }
 
-// awaitReadyView waits up to startupWait until the relay can serve requests, and returns the state that is still missing.
+// awaitReadyView waits up to startupWait until the relay can serve requests, and returns the state that is still missing. A
+// forwarded request does not wait, since the relay that has forwarded it can ask another one.
 func (r *Relay) awaitReadyView(request *request) missingState {
-	if missing := r.view.Load().missing(); missing == "" {
-		return ""
+	if missing := r.view.Load().missing(); missing == "" || request.forwarded != nil {
+		return missing
 	}
 	r.metrics.startupWaits.Inc()
 	timer := time.NewTimer(r.startupWait)
