Test of begun streams: the second relay does not use the broken back end

Change: it cannot connect to that back end. What is checked stays the same. Command: go test ./internal/relay -run 'Begun|StreamCut|ForwardedStream' -count=200

--- a/internal/relay/forward_stream_test.go
+++ b/internal/relay/forward_stream_test.go
@@ -61,6 +61,7 @@
 	others := startThree(t, streaming("other", eventOne, eventTwo))
 	relays, paths := newRelayGroup(t, 2, route(stream(true)), nil, append(others, first)...)
 	paths[0].setFor(dialsRefused, others...)
+	paths[1].setFor(dialsRefused, first) // the stream would break there again, which uses up its attempts
 	client := relays[0].preferring("own").client(t)
 	client.send("POST", "/path/", "x")
 	head, err := client.reader.Peek(1)
