Announce failures of back ends that are recorded during the check of another one

Cause: a failed attempt to connect waited for a check that was in progress, and was then left unconfirmed, although that check's successes may have come before it. It was announced, and the crash guard told, only when the relay next opened any connection, which may be much later with open connections in the pools. Change: a check confirms all unconfirmed failures at its end if it has connected to a back end; a failure that is still unconfirmed then gets a check of its own. Failures that a check itself finds start no further check, so that two services with one back end each that both fail cannot check each other in turn. Evidence: TestFailureDuringACheckIsAnnounced: not announced within 5 s before, at once now. Command: go test ./internal/relay -run 'FailureOf|FailureDuring|LostPath|FirstRequests|OpenConnections|OwnerWithout' -v

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -154,17 +154,26 @@
 		return e.connectWithin(backEnd, limit)
 	}
 	slow := time.AfterFunc(pathCheckDelay, func() { e.path.check(backEnd) })
-	connection, err := e.connectWithin(backEnd, limit)
+	connection, mustCheck, err := e.openWithoutCheck(backEnd, limit)
 	slow.Stop()
+	if mustCheck {
+		go e.path.check(backEnd)
+	}
+	return connection, err
+}
+
+// openWithoutCheck opens a connection to a back end as open does. It reports whether the path must be checked then.
+func (e *exchanger) openWithoutCheck(backEnd *backEnd, limit time.Duration) (connection *connpool.Connection, mustCheck bool, err error) {
+	connection, err = e.connectWithin(backEnd, limit)
 	outcome := dialOutcomeOf(err)
 	e.dials.WithLabelValues(string(outcome)).Inc()
 	switch {
 	case err == nil:
 		e.path.recordOpened(backEnd)
 	case outcome != dialTimedOut || limit >= pathCheckDelay: // a shorter limit expires on a sound path as well
-		e.path.recordFailed(backEnd, err)
+		mustCheck = e.path.recordFailed(backEnd, err)
 	}
-	return connection, err
+	return connection, mustCheck, err
 }
 
 // connectWithin opens a connection within the given time.
--- a/internal/relay/path_watch.go
+++ b/internal/relay/path_watch.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -81,10 +83,10 @@
 	}
 }
 
-// recordFailed records a failed attempt to connect to a back end, and checks whether the path is lost.
-func (w *pathWatch) recordFailed(backEnd *backEnd, err error) {
+// recordFailed records a failed attempt to connect to a back end. It reports whether a check must find out if the path is lost.
+func (w *pathWatch) recordFailed(backEnd *backEnd, err error) (mustCheck bool) {
 	if isLocalShortage(err) {
-		return
+		return false
 	}
 	failure := reachability.Failure{Service: backEnd.Service, BackEnd: backEnd.incarnationHash, TimedOut: dialOutcomeOf(err) == dialTimedOut}
 	candidates := w.openBackEnds(backEnd.Service)
@@ -100,9 +102,7 @@
 	if isLost {
 		w.handleLoss(backEnd.Service, path, candidates)
 	}
-	if !path.IsLost {
-		go w.check(backEnd)
-	}
+	return !path.IsLost
 }
 
 // handleLoss withdraws what was concluded about back ends from failed attempts to connect to them.
@@ -117,32 +117,32 @@
 }
 
 // check connects to other back ends, to find out whether the path is lost or the given back end has failed. While another
-// check is in progress, it waits for the end of that one instead.
+// check is in progress, it waits for the end of that one, and checks only if a failure of the back end is still unconfirmed.
 func (w *pathWatch) check(failed *backEnd) {
-	w.mutex.Lock()
-	if inProgress := w.checkDone; inProgress != nil {
-		w.mutex.Unlock()
+	done, inProgress := w.beginCheck(failed, false)
+	if inProgress != nil {
 		<-inProgress
-		return
+		done, _ = w.beginCheck(failed, true)
 	}
-	if w.tracker.PathTo(failed.Service).IsLost {
-		w.mutex.Unlock()
+	if done == nil {
 		return
 	}
-	done := make(chan struct{})
 	defer close(done)
-	w.checkDone = done
-	w.mutex.Unlock()
 	others := w.checkTargets(failed)
+	var opened atomic.Bool
 	var attempts sync.WaitGroup
 	for _, other := range others {
-		attempts.Go(func() { w.connect(other) })
+		attempts.Go(func() {
+			if w.connect(other) {
+				opened.Store(true)
+			}
+		})
 	}
 	attempts.Wait()
 	w.mutex.Lock()
 	w.checkDone = nil
 	var confirmed []failedDial
-	if len(others) == 0 { // there is nothing to compare the back end with
+	if opened.Load() || len(others) == 0 { // without others, there is nothing to compare the back end with
 		confirmed, w.unconfirmed = w.unconfirmed, nil
 	}
 	w.mutex.Unlock()
@@ -151,6 +151,26 @@
 	}
 }
 
+// beginCheck begins a check unless the path is lost or, with onlyUnconfirmed, no failure of the back end is unconfirmed. The
+// caller must close done, which is nil if it must not check. inProgress is closed at the end of another check that is in progress.
+func (w *pathWatch) beginCheck(failed *backEnd, onlyUnconfirmed bool) (done, inProgress chan struct{}) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	switch {
+	case w.checkDone != nil:
+		return nil, w.checkDone
+	case w.tracker.PathTo(failed.Service).IsLost, onlyUnconfirmed && !w.isUnconfirmed(failed):
+		return nil, nil
+	}
+	w.checkDone = make(chan struct{})
+	return w.checkDone, nil
+}
+
+// isUnconfirmed reports whether a failure of the back end is unconfirmed. The mutex must be held.
+func (w *pathWatch) isUnconfirmed(backEnd *backEnd) bool {
+	return slices.ContainsFunc(w.unconfirmed, func(failed failedDial) bool { return failed.backEnd == backEnd })
+}
+
 // checkTargets returns the back ends to which a check connects: some of the same service and one of another service.
 func (w *pathWatch) checkTargets(failed *backEnd) []*backEnd {
 	var targets []*backEnd
@@ -167,11 +187,14 @@
 	return targets
 }
 
-// connect opens a connection to a back end and keeps it for later requests. The outcome is recorded by the exchanger.
-func (w *pathWatch) connect(backEnd *backEnd) {
-	if connection, err := w.relay.exchanger.open(backEnd, pathCheckTimeout); err == nil {
+// connect opens a connection to a back end and keeps it for later requests. It reports whether it was opened. The outcome is
+// recorded by the exchanger.
+func (w *pathWatch) connect(backEnd *backEnd) bool {
+	connection, _, err := w.relay.exchanger.openWithoutCheck(backEnd, pathCheckTimeout)
+	if err == nil {
 		backEnd.pool.Put(connection, w.relay.clock.now())
 	}
+	return err == nil
 }
 
 // openBackEnds returns the listed back ends of a service that are not leaving.
--- /dev/null
+++ b/internal/relay/path_watch_test.go
@@ -0,0 +1,203 @@
+package relay
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/quarantine"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+)
+
+// isAnnounced reports whether the relay has queued a notice that the back end has failed.
+func (r *testRelay) isAnnounced(backEnd *scriptedBackEnd) bool {
+	r.notices.mutex.Lock()
+	defer r.notices.mutex.Unlock()
+	for record, pending := range r.notices.pending {
+		if record.ID == backEnd.entry.ID && pending.failed {
+			return true
+		}
+	}
+	return false
+}
+
+// crashes returns how many crashes the guard was told of, among back ends with a run of watchCrashes.
+func (r *testRelay) crashes() int { return int(testutil.ToFloat64(r.metrics.backEndCrashes)) }
+
+// watchCrashes records a run at each back end, so that the guard counts its crash.
+func (r *testRelay) watchCrashes(backEnds ...*scriptedBackEnd) {
+	for _, each := range backEnds {
+		r.guard.RecordSilentRun(quarantine.SignatureOf("", "GET", "/path/"+each.entry.ID, nil), each.entry.ID)
+	}
+}
+
+// failAt lets the relay try in vain to connect to a back end.
+func (r *testRelay) failAt(t *testing.T, backEnd *scriptedBackEnd) {
+	t.Helper()
+	_, err := r.exchanger.open(r.backEndByID(backEnd.entry.ID), dialTimeout)
+	require.Error(t, err)
+}
+
+// startSingle starts the only back end of another service.
+func startSingle(t *testing.T, id string) *scriptedBackEnd {
+	t.Helper()
+	single := startBackEnd(t, id, serving.StageWhole, answering(200, "ok"))
+	single.entry.Service = "service of " + id
+	return single
+}
+
+// Guards against failures of single back ends that other relays and the crash guard no longer hear of.
+func TestFailureOfOneBackEndIsAnnounced(t *testing.T) {
+	for _, fault := range []dialFault{dialsRefused, dialsHang} {
+		for _, others := range []int{0, 1, 2, 5} {
+			t.Run(fmt.Sprintf("%s, %d others", fault, others), func(t *testing.T) {
+				failed := startBackEnd(t, "failed", serving.StageWhole, answering(200, "ok"))
+				backEnds := []*scriptedBackEnd{failed}
+				for index := range others {
+					backEnds = append(backEnds, startBackEnd(t, fmt.Sprint("sound-", index), serving.StageWhole, answering(200, "ok")))
+				}
+				relays, paths := newRelayGroup(t, 1, route(nil), nil, backEnds...)
+				relays[0].watchCrashes(backEnds...)
+				paths[0].setFor(fault, failed)
+				relays[0].failAt(t, failed)
+				require.Eventually(t, func() bool { return relays[0].isAnnounced(failed) }, 10*time.Second, time.Millisecond)
+				if fault == dialsRefused {
+					require.Eventually(t, func() bool { return relays[0].crashes() == 1 }, 10*time.Second, time.Millisecond)
+				}
+				for _, sound := range backEnds[1:] {
+					require.False(t, relays[0].isAnnounced(sound))
+				}
+				require.False(t, relays[0].path.pathTo("service").IsLost)
+			})
+		}
+	}
+}
+
+// Guards against a failure that is never announced since it was recorded during the check of another one.
+func TestFailureDuringACheckIsAnnounced(t *testing.T) {
+	backEnds := startThree(t, answering(200, "ok"))
+	relays, paths := newRelayGroup(t, 1, route(nil), nil, backEnds...)
+	watch := relays[0].path
+	watch.mutex.Lock()
+	inProgress := make(chan struct{})
+	watch.checkDone = inProgress
+	watch.mutex.Unlock()
+	paths[0].setFor(dialsRefused, backEnds[0])
+	relays[0].failAt(t, backEnds[0])
+	time.Sleep(10 * time.Millisecond) // the check of this failure begins to wait for the other one
+	watch.mutex.Lock()
+	watch.checkDone = nil
+	watch.mutex.Unlock()
+	close(inProgress)
+	require.Eventually(t, func() bool { return relays[0].isAnnounced(backEnds[0]) }, 5*time.Second, time.Millisecond)
+}
+
+// Guards against relays that take the loss of their own path for failures of back ends, also of those that have no others to be
+// compared with, and when the path is found again.
+func TestLostPathAccusesNoBackEnd(t *testing.T) {
+	for _, fault := range []dialFault{dialsRefused, dialsHang} {
+		t.Run(fault.String(), func(t *testing.T) {
+			backEnds := startThree(t, answering(200, "ok"))
+			all := append([]*scriptedBackEnd{startSingle(t, "x"), startSingle(t, "y")}, backEnds...)
+			relays, paths := newRelayGroup(t, 2, route(nil), nil, all...)
+			relays[0].watchCrashes(all...)
+			paths[0].set(fault)
+			for _, each := range all {
+				relays[0].failAt(t, each)
+			}
+			client := relays[0].client(t)
+			for range 5 {
+				require.Equal(t, 200, client.do("POST", "/path/", "x").status)
+			}
+			require.True(t, relays[0].path.pathTo("service").IsLost)
+			for _, each := range backEnds {
+				require.Zero(t, relays[0].backEndByID(each.entry.ID).avoidanceLeft(relays[0].clock.now()), "avoided although the path is lost")
+			}
+			time.Sleep(600 * time.Millisecond)
+			paths[0].set(dialsOpen)
+			began := time.Now()
+			require.Eventually(t, func() bool { return !relays[0].path.pathTo("service").IsLost }, 10*time.Second, time.Millisecond)
+			t.Logf("found again after %v", time.Since(began))
+			time.Sleep(20 * time.Millisecond) // for notices of what was found
+			require.Zero(t, relays[0].crashes())
+			for _, each := range all {
+				require.False(t, relays[0].isAnnounced(each), each.entry.ID)
+			}
+			forwards := testutil.ToFloat64(relays[0].metrics.forwards.WithLabelValues("served"))
+			require.Equal(t, 200, client.do("POST", "/path/", "x").status)
+			require.InDelta(t, forwards, testutil.ToFloat64(relays[0].metrics.forwards.WithLabelValues("served")), 0, "forwarded although the path is back")
+		})
+	}
+}
+
+// Guards against requests held longer than the limit of one attempt to connect, and goroutines left behind.
+func TestFirstRequestsAfterTheCutAreServed(t *testing.T) {
+	for _, fault := range []dialFault{dialsRefused, dialsHang} {
+		t.Run(fault.String(), func(t *testing.T) {
+			backEnds := startThree(t, answering(200, "ok"))
+			relays, paths := newRelayGroup(t, 2, route(nil), nil, backEnds...)
+			paths[0].set(fault)
+			before := runtime.NumGoroutine()
+			client := relays[0].client(t)
+			for index := range 3 {
+				began := time.Now()
+				require.Equal(t, 200, client.do("POST", "/path/", "x").status)
+				t.Logf("request %d served after %v", index+1, time.Since(began))
+			}
+			require.Len(t, allRequests(backEnds), 3)
+			paths[0].set(dialsOpen)
+			require.Eventually(t, func() bool { return paths[0].hanging.Load() == 0 && !relays[0].path.pathTo("service").IsLost }, 10*time.Second, time.Millisecond)
+			const slack = 20 // connections between the relays and to the back ends
+			require.Eventually(t, func() bool { return runtime.NumGoroutine() <= before+slack }, 10*time.Second, time.Millisecond)
+		})
+	}
+}
+
+// Guards against relays that give up their open connections, or all service, while new connections are refused and no other relay
+// can serve.
+func TestOpenConnectionsServeWhileNewOnesAreRefused(t *testing.T) {
+	backEnds := startThree(t, answering(200, "ok"))
+	relays, paths := newRelayGroup(t, 1, route(nil), nil, backEnds...)
+	client := relays[0].client(t)
+	require.Equal(t, 200, client.do("POST", "/path/", "x").status)
+	paths[0].set(dialsRefused)
+	for _, each := range backEnds {
+		relays[0].failAt(t, each)
+	}
+	require.True(t, relays[0].path.pathTo("service").IsLost)
+	for range 10 {
+		require.Equal(t, 200, client.do("POST", "/path/", "x").status)
+	}
+}
+
+// Guards against relays without a path that, as owners of engines, keep other relays from sound ones.
+func TestOwnerWithoutAPathDoesNotHinderOthers(t *testing.T) {
+	for _, fault := range []dialFault{dialsRefused, dialsHang} {
+		t.Run(fault.String(), func(t *testing.T) {
+			var engines []*scriptedBackEnd
+			for index := range 4 {
+				engines = append(engines, startBackEnd(t, fmt.Sprint("engine-", index), serving.StageDecode, streaming("seal", eventOne)))
+			}
+			relays, paths := newRelayGroup(t, 2, route(stream(false)), nil, engines...)
+			for _, relay := range relays {
+				go relay.notices.run(t.Context())
+			}
+			paths[0].set(fault)
+			for index := range 20 {
+				relay := relays[index%2]
+				began := time.Now()
+				answer := relay.client(t).do("POST", "/path/", "x", longPrompt...)
+				require.Equal(t, 200, answer.status, "request %d", index)
+				require.Equal(t, eventOne, answer.body)
+				if took := time.Since(began); took > 50*time.Millisecond {
+					t.Logf("request %d at relay %d took %v", index, index%2, took)
+				}
+			}
+			require.Len(t, allRequests(engines), 20)
+		})
+	}
+}
