Confirm only recent failures to connect, one per back end and service

Cause: failed attempts that could not be confirmed were kept without a bound, one entry each, until any connection was opened: then the relay announced them all as failures and crashes, also those of a time at which its own path was lost (services with one back end are never judged lost), and also that of the back end that had just been connected to. A failure while the path to one service was lost removed the entries of all other services. Change: one entry for each back end, valid for 0.5 s; an opened connection drops its own back end's entry; a lost path drops the entries of its service only. Evidence: TestUnconfirmedFailuresAreBounded: 61 entries of two back ends after 50 failures, now 2. TestOldFailuresAreNotAnnounced: both back ends announced as failed when the path came back, now none. TestLossOfOneServiceDoesNotHideFailuresOfAnother: the other service's failure was dropped, now kept. Command: go test ./internal/relay -run 'Unconfirmed|LossOf|OldFailures' -v

--- a/internal/relay/path_watch.go
+++ b/internal/relay/path_watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,9 @@
 	pathCheckBackEnds = 2
 	// lostPathCheckInterval is the interval between attempts to connect to a service while the path to it is lost.
 	lostPathCheckInterval = 250 * time.Millisecond
+	// failureConfirmTime is how long a failed attempt may be confirmed as a failure of its back end: as long as a check lasts
+	// that had to wait for another one. Later successes say nothing about the path at the time of the failure.
+	failureConfirmTime = 500 * time.Millisecond
 )
 
 // pathWatch finds out whether this relay has lost its network path to the back ends of a service, although they may be sound
@@ -36,8 +40,8 @@
 
 	mutex   sync.Mutex
 	tracker *reachability.Tracker
-	// unconfirmed are the failed attempts since the last one that succeeded.
-	unconfirmed []failedDial
+	// unconfirmed are the last failed attempts since one succeeded, by back end.
+	unconfirmed map[*backEnd]failedDial
 	// checkDone is closed at the end of the check in progress; nil while there is none.
 	checkDone chan struct{}
 }
@@ -45,12 +49,13 @@
 // failedDial is a failed attempt to connect to a back end.
 type failedDial struct {
 	backEnd *backEnd
+	at      time.Duration
 	// isRefused is true if nothing listens at the back end's address.
 	isRefused bool
 }
 
 func newPathWatch(relay *Relay) *pathWatch {
-	return &pathWatch{relay: relay, tracker: reachability.New()}
+	return &pathWatch{relay: relay, tracker: reachability.New(), unconfirmed: map[*backEnd]failedDial{}}
 }
 
 // pathTo returns the state of the path to a service.
@@ -60,12 +65,12 @@
 	return w.tracker.PathTo(service)
 }
 
-// recordOpened records that a back end was connected to. Earlier failures were then failures of their back ends.
+// recordOpened records that a back end was connected to. Recent failures at others were then failures of their back ends.
 func (w *pathWatch) recordOpened(backEnd *backEnd) {
 	w.mutex.Lock()
 	isRestored := w.tracker.RecordOpened(backEnd.Service)
-	confirmed := w.unconfirmed
-	w.unconfirmed = nil
+	delete(w.unconfirmed, backEnd)
+	confirmed := w.takeUnconfirmed()
 	w.mutex.Unlock()
 	if isRestored {
 		w.relay.event(events.PathRestored).Str("service", backEnd.Service).Send()
@@ -75,6 +80,20 @@
 	}
 }
 
+// takeUnconfirmed removes the unconfirmed failures, and returns the recent ones. The mutex must be held.
+func (w *pathWatch) takeUnconfirmed() []failedDial {
+	w.dropExpired()
+	taken := slices.Collect(maps.Values(w.unconfirmed))
+	clear(w.unconfirmed)
+	return taken
+}
+
+// dropExpired removes the unconfirmed failures that can be confirmed no more. The mutex must be held.
+func (w *pathWatch) dropExpired() {
+	now := w.relay.clock.now()
+	maps.DeleteFunc(w.unconfirmed, func(_ *backEnd, failed failedDial) bool { return now-failed.at > failureConfirmTime })
+}
+
 // announce notifies other relays and the crash guard of a failed attempt to connect to a back end.
 func (w *pathWatch) announce(failed failedDial) {
 	w.relay.notices.queueFailure(failed.backEnd)
@@ -90,13 +109,15 @@
 	}
 	failure := reachability.Failure{Service: backEnd.Service, BackEnd: backEnd.incarnationHash, TimedOut: dialOutcomeOf(err) == dialTimedOut}
 	candidates := w.openBackEnds(backEnd.Service)
+	now := w.relay.clock.now()
 	w.mutex.Lock()
-	isLost := w.tracker.RecordFailed(w.relay.clock.now(), failure, len(candidates))
+	isLost := w.tracker.RecordFailed(now, failure, len(candidates))
 	path := w.tracker.PathTo(backEnd.Service)
+	w.dropExpired()
 	if path.IsLost {
-		w.unconfirmed = nil
+		w.dropUnconfirmedOf(backEnd.Service)
 	} else {
-		w.unconfirmed = append(w.unconfirmed, failedDial{backEnd: backEnd, isRefused: errors.Is(err, syscall.ECONNREFUSED)})
+		w.unconfirmed[backEnd] = failedDial{backEnd: backEnd, at: now, isRefused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	w.mutex.Unlock()
 	if isLost {
@@ -105,6 +126,11 @@
 	return !path.IsLost
 }
 
+// dropUnconfirmedOf removes the unconfirmed failures of a service's back ends. The mutex must be held.
+func (w *pathWatch) dropUnconfirmedOf(service string) {
+	maps.DeleteFunc(w.unconfirmed, func(failed *backEnd, _ failedDial) bool { return failed.Service == service })
+}
+
 // handleLoss withdraws what was concluded about back ends from failed attempts to connect to them.
 func (w *pathWatch) handleLoss(service string, path reachability.Path, backEnds []*backEnd) {
 	w.relay.event(events.PathLost).Str("service", service).Bool("silent", path.IsSilent).Int("back_ends", len(backEnds)).Send()
@@ -143,7 +169,7 @@
 	w.checkDone = nil
 	var confirmed []failedDial
 	if opened.Load() || len(others) == 0 { // without others, there is nothing to compare the back end with
-		confirmed, w.unconfirmed = w.unconfirmed, nil
+		confirmed = w.takeUnconfirmed()
 	}
 	w.mutex.Unlock()
 	for _, each := range confirmed {
@@ -168,7 +194,8 @@
 
 // isUnconfirmed reports whether a failure of the back end is unconfirmed. The mutex must be held.
 func (w *pathWatch) isUnconfirmed(backEnd *backEnd) bool {
-	return slices.ContainsFunc(w.unconfirmed, func(failed failedDial) bool { return failed.backEnd == backEnd })
+	_, isUnconfirmed := w.unconfirmed[backEnd]
+	return isUnconfirmed
 }
 
 // checkTargets returns the back ends to which a check connects: some of the same service and one of another service.
--- a/internal/relay/path_watch_test.go
+++ b/internal/relay/path_watch_test.go
@@ -117,7 +117,7 @@
 			for _, each := range backEnds {
 				require.Zero(t, relays[0].backEndByID(each.entry.ID).avoidanceLeft(relays[0].clock.now()), "avoided although the path is lost")
 			}
-			time.Sleep(600 * time.Millisecond)
+			time.Sleep(failureConfirmTime)
 			paths[0].set(dialsOpen)
 			began := time.Now()
 			require.Eventually(t, func() bool { return !relays[0].path.pathTo("service").IsLost }, 10*time.Second, time.Millisecond)
@@ -201,3 +201,55 @@
 		})
 	}
 }
+
+// Guards against records of failures that grow without a bound while nothing can be connected to.
+func TestUnconfirmedFailuresAreBounded(t *testing.T) {
+	x, y := startSingle(t, "x"), startSingle(t, "y")
+	relays, paths := newRelayGroup(t, 1, route(nil), nil, x, y)
+	paths[0].set(dialsRefused)
+	for range 50 {
+		relays[0].failAt(t, x)
+	}
+	relays[0].path.mutex.Lock()
+	defer relays[0].path.mutex.Unlock()
+	require.LessOrEqual(t, len(relays[0].path.unconfirmed), 2)
+}
+
+// Guards against a loss of one service's path that hides the failure of a back end of another service.
+func TestLossOfOneServiceDoesNotHideFailuresOfAnother(t *testing.T) {
+	backEnds := startThree(t, answering(200, "ok"))
+	x := startSingle(t, "x")
+	relays, paths := newRelayGroup(t, 1, route(nil), nil, append(backEnds, x)...)
+	relays[0].loseAllPaths(t, paths[0], dialsRefused)
+	watch := relays[0].path
+	watch.mutex.Lock()
+	clear(watch.unconfirmed)
+	inProgress := make(chan struct{})
+	watch.checkDone = inProgress
+	watch.mutex.Unlock()
+	relays[0].failAt(t, x)
+	relays[0].failAt(t, backEnds[0]) // while the path to its service is lost
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	require.Len(t, watch.unconfirmed, 1)
+	require.Contains(t, watch.unconfirmed, relays[0].backEndByID("x"))
+	watch.checkDone = nil
+	close(inProgress)
+}
+
+// Guards against back ends that are reported as crashed when a path that was lost for a while is found again, although the other
+// back ends with which they were compared had failed as well.
+func TestOldFailuresAreNotAnnounced(t *testing.T) {
+	x, y := startSingle(t, "x"), startSingle(t, "y")
+	relays, paths := newRelayGroup(t, 1, route(nil), nil, x, y)
+	relays[0].watchCrashes(x, y)
+	paths[0].set(dialsRefused)
+	relays[0].failAt(t, x)
+	relays[0].failAt(t, y)
+	time.Sleep(failureConfirmTime + time.Millisecond)
+	paths[0].set(dialsOpen)
+	require.True(t, relays[0].path.connect(relays[0].backEndByID("x")))
+	require.False(t, relays[0].isAnnounced(x))
+	require.False(t, relays[0].isAnnounced(y))
+	require.Zero(t, relays[0].crashes())
+}
