Conclude nothing about back ends from exchanges that fail on a lost path

Cause: the loss of a path cleared what was concluded from failed connections, but the attempt that had shown the loss was recorded right after it, as were those that followed while no other relay could serve, and exchanges on open connections that broke or stalled; the latter were announced to other relays as well. The back ends were avoided when the path was back, and a cut relay that owns engines avoided them for others. What a back end answers still counts. Command: go test -race ./internal/relay -run 'NotAvoided|AccuseNo|FirstRequests|Stall|Silent|LostPath' -count=5

--- a/internal/relay/path_watch_test.go
+++ b/internal/relay/path_watch_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"runtime"
 	"testing"
 	"time"
@@ -149,6 +151,9 @@
 				t.Logf("request %d served after %v", index+1, time.Since(began))
 			}
 			require.Len(t, allRequests(backEnds), 3)
+			for _, each := range backEnds {
+				require.Zero(t, relays[0].backEndByID(each.entry.ID).avoidanceLeft(relays[0].clock.now()), "avoided although the path is lost")
+			}
 			paths[0].set(dialsOpen)
 			require.Eventually(t, func() bool { return paths[0].hanging.Load() == 0 && !relays[0].path.pathTo("service").IsLost }, 10*time.Second, time.Millisecond)
 			const slack = 20 // connections between the relays and to the back ends
@@ -253,3 +258,47 @@
 	require.False(t, relays[0].isAnnounced(y))
 	require.Zero(t, relays[0].crashes())
 }
+
+// Guards against back ends that are still avoided when the path to them is back, after requests that no other relay could serve.
+func TestBackEndsAreNotAvoidedAfterALostPath(t *testing.T) {
+	backEnds := startThree(t, answering(200, "ok"))
+	relays, paths := newRelayGroup(t, 1, route(nil), nil, backEnds...)
+	paths[0].set(dialsRefused)
+	for range 5 {
+		require.Equal(t, 503, relays[0].client(t).do("POST", "/path/", "x").status)
+	}
+	paths[0].set(dialsOpen)
+	require.Eventually(t, func() bool { return !relays[0].path.pathTo("service").IsLost }, 10*time.Second, time.Millisecond)
+	for _, each := range backEnds {
+		require.Zero(t, relays[0].backEndByID(each.entry.ID).avoidanceLeft(relays[0].clock.now()), each.entry.ID)
+	}
+}
+
+// Guards against accusing back ends of exchanges that break or stall while the relay has no path to their service.
+func TestExchangesThatFailOnALostPathAccuseNoBackEnd(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	backEnds := startThree(t, func(connection net.Conn, _ backEndRequest) bool {
+		arrived <- struct{}{}
+		_, _ = io.Copy(io.Discard, connection)
+		return false
+	})
+	for name, end := range map[string]func(*breakablePath){"broken": (*breakablePath).reset, "stalled": func(*breakablePath) {}} {
+		t.Run(name, func(t *testing.T) {
+			relays, paths := newRelayGroup(t, 1, route(safe), nil, backEnds...)
+			client := relays[0].client(t)
+			client.send("GET", "/path/", "", "T-Deadline: 2500")
+			<-arrived
+			paths[0].set(dialsRefused)
+			for _, each := range backEnds {
+				relays[0].failAt(t, each)
+			}
+			require.True(t, relays[0].path.pathTo("service").IsLost)
+			end(paths[0])
+			require.Contains(t, []int{502, 504}, client.read().status, "it may have run")
+			for _, each := range backEnds {
+				require.False(t, relays[0].isAnnounced(each))
+				require.Zero(t, relays[0].backEndByID(each.entry.ID).avoidanceLeft(relays[0].clock.now()))
+			}
+		})
+	}
+}
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -68,7 +68,9 @@
 		w.timer.Reset(w.limit - silence)
 		return
 	}
-	w.exchanger.recordFailure(w.backEnd)
+	if !w.exchanger.path.pathTo(w.backEnd.Service).IsLost { // otherwise the back end may be sound
+		w.exchanger.recordFailure(w.backEnd)
+	}
 	if w.mayAbort {
 		_ = w.connection.SetDeadline(time.Unix(1, 0)) // a closed connection needs no deadline
 	}
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -27,7 +27,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = socket.Close() })
 	steady := newClock()
-	return &exchanger{clock: steady, notices: newLoadNotices(&Relay{clock: steady}, datagram.New(socket, nil), 1)}
+	return &exchanger{path: newPathWatch(nil), clock: steady, notices: newLoadNotices(&Relay{clock: steady}, datagram.New(socket, nil), 1)}
 }
 
 // A stopped watch must not change anything, even when its check is in progress: the connection may carry another request by
