Do not promise "not run" for a peer that knows nothing of an earlier run

Cause: a peer that refuses a forwarded request before any attempt of its own (quarantined content, too much queued work) answers 503, which the first relay passed on although a back end of its own may have run the request. Only routes whose requests may be repeated are forwarded then. Change: such a refusal ends the forwarding, and the first relay answers by what it knows (502).

--- a/internal/relay/forward_request.go
+++ b/internal/relay/forward_request.go
@@ -145,6 +145,9 @@
 		r.recordFailedAttempt(request, peer, &failure{verdict: verdict.NotRun, cause: fmt.Errorf("%w: %s", errPeerUnable, trimmedReason(reason))})
 		return forwarding.CouldNotServe, false
 	case forwarding.NotRun:
+		if attempts.mayHaveRun { // an earlier attempt; the peer speaks of its own
+			return forwarding.Neutral, false
+		}
 		return forwarding.Neutral, r.forwardRefusal(answer, reply)
 	default:
 		attempts.adoptAttempts(answer)
