Send no body after the head of an answer to a HEAD request

Cause: an answer to HEAD whose back end declares a body of more than 64 KiB, or an event stream, was sent as one in chunks. The end of the chunks, "0\r\n\r\n", followed the head, where the client expects the next answer. Change: answers that have no body count neither as long nor as streams. Evidence: TestAnswersToHeadRequestsHaveNoBody: the bytes followed a long answer at the relay itself and a stream at one relay and at two; now none do. Command: go test ./internal/relay -run HeadRequests -v

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -119,6 +119,11 @@
 	return 0
 }
 
+// isLong reports whether the answer declares a body that is too long to be buffered.
+func (a *answer) isLong() bool {
+	return !a.hasNoBody() && a.head.ContentLength() > maxBufferedAnswer
+}
+
 // hasNoBody reports whether an answer has no body because of its status or the request's method.
 func (a *answer) hasNoBody() bool {
 	return a.message.request.method == fasthttp.MethodHead || a.status == fasthttp.StatusNoContent || a.status == fasthttp.StatusNotModified
--- a/internal/relay/forward_request.go
+++ b/internal/relay/forward_request.go
@@ -226,7 +226,7 @@
 	case reply.started:
 		r.forwardRemainder(answer, reply)
 		return true
-	case isStream || answer.head.ContentLength() > maxBufferedAnswer:
+	case isStream || answer.isLong():
 		return r.forwardLong(answer, nil, reply) == nil
 	}
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedAnswer+1))
--- a/internal/relay/forward_request_test.go
+++ b/internal/relay/forward_request_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strconv"
@@ -77,32 +78,23 @@
 	long := strings.Repeat("y", 2*maxBufferedAnswer)
 	for name, test := range map[string]struct {
 		answer     script
-		method     string
 		status     int
 		body       string
 		isComplete bool
 	}{
-		"long":                    {answering(200, long), "GET", 200, long, true},
-		"chunks":                  {writing(brokenHead + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"), "GET", 200, "abcde", true},
-		"framed by the close":     {writing(brokenHead + "\r\nabc"), "GET", 200, "abc", true},
-		"failure of the back end": {answering(500, "failed"), "GET", 500, "failed", true},
-		"client error":            {answering(404, "unknown"), "GET", 404, "unknown", true},
-		"no content":              {writing("HTTP/1.1 204 X\r\nT-Id: ID\r\nT-Seal: seal\r\n\r\n"), "GET", 204, "", true},
-		"head only":               {writing(brokenHead + "Content-Length: 9\r\n\r\n"), "HEAD", 200, "", true},
-		"long and cut off":        {resetting(brokenHead + "Content-Length: 200000\r\n\r\n" + strings.Repeat("z", 100_000)), "GET", 200, "", false},
+		"long":                    {answering(200, long), 200, long, true},
+		"chunks":                  {writing(brokenHead + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"), 200, "abcde", true},
+		"framed by the close":     {writing(brokenHead + "\r\nabc"), 200, "abc", true},
+		"failure of the back end": {answering(500, "failed"), 500, "failed", true},
+		"client error":            {answering(404, "unknown"), 404, "unknown", true},
+		"no content":              {writing("HTTP/1.1 204 X\r\nT-Id: ID\r\nT-Seal: seal\r\n\r\n"), 204, "", true},
+		"long and cut off":        {resetting(brokenHead + "Content-Length: 200000\r\n\r\n" + strings.Repeat("z", 100_000)), 200, "", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			relays, paths := newRelayGroup(t, 2, route(nil), nil, startThree(t, test.answer)...)
 			relays[0].loseAllPaths(t, paths[0], dialsRefused)
 			client := relays[0].client(t)
-			client.send(test.method, "/path/", "")
-			if test.method == "HEAD" {
-				line, err := client.reader.ReadString('\n')
-				require.NoError(t, err)
-				require.Contains(t, line, " 200 ")
-				return
-			}
-			answer := client.read()
+			answer := client.do("GET", "/path/", "")
 			require.Equal(t, test.status, answer.status)
 			require.Equal(t, "seal", string(answer.head.Peek("T-Seal")))
 			require.Equal(t, test.isComplete, answer.isComplete)
@@ -187,3 +179,34 @@
 }
 
 // Guards against a second relay that tries one back end after the other until the deadline, when it loses its path as well: the
+
+// Guards against bytes after the answer to a HEAD request, where the next answer must begin: the end of a chunked body was sent
+// when the back end declared a long one, or a stream.
+func TestAnswersToHeadRequestsHaveNoBody(t *testing.T) {
+	for name, head := range map[string]string{
+		"short": "Content-Length: 9\r\n\r\n", "long": "Content-Length: 100000\r\n\r\n",
+		"stream": "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		for _, isForwarded := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, forwarded %t", name, isForwarded), func(t *testing.T) {
+				backEnds := startThree(t, writing(brokenHead+head))
+				var change func(*serving.Route)
+				if name == "stream" {
+					change = stream(false)
+				}
+				relays, paths := newRelayGroup(t, 2, route(change), nil, backEnds...)
+				if isForwarded {
+					relays[0].loseAllPaths(t, paths[0], dialsRefused)
+				}
+				client := relays[0].client(t)
+				client.send("HEAD", "/path/", "", "Connection: close")
+				received, err := io.ReadAll(client.reader)
+				require.NoError(t, err)
+				_, body, isWhole := strings.Cut(string(received), "\r\n\r\n")
+				require.True(t, isWhole)
+				require.Contains(t, string(received), "HTTP/1.1 200 OK")
+				require.Empty(t, body)
+			})
+		}
+	}
+}
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -171,7 +171,7 @@
 // on a failure, nothing of the answer was forwarded.
 func (r *Relay) forwardPlain(answer *answer, attempts *attemptTracker, reply *replier) *failure {
 	defer answer.finish()
-	if answer.head.ContentLength() > maxBufferedAnswer {
+	if answer.isLong() {
 		return r.forwardLong(answer, nil, reply)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedAnswer+1))
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -129,7 +129,7 @@
 func (s *streamReply) mayContinueElsewhere() bool { return s.attempts.hasFurtherAttempt() }
 
 func isEventStream(answer *answer) bool {
-	return answer.status == fasthttp.StatusOK &&
+	return answer.status == fasthttp.StatusOK && !answer.hasNoBody() &&
 		strings.HasPrefix(string(answer.head.ContentType()), "text/event-stream")
 }
 
