Do not take back ends for crashed that a relay without a path probes

Cause: a probe of the crash guard counted a refused connection as a crash unless the path to the back end's service was known to be lost. A back end that has left the list has no service, and with too few attempts so far the loss is not known yet; the requests that it ran last counted as if they had ended it. Change: a probe finds a crash only when the check after it has connected to another back end, or there is none. Evidence: TestProbesOnALostPathFindNoCrash: "gone" for the unlisted back end in both cases before, "unclear" now; with the path back, the crash is found. Command: go test -race ./internal/relay -run 'Probe|Ends|Crash|Quarantine' -count=5

--- a/internal/relay/path_watch.go
+++ b/internal/relay/path_watch.go
@@ -192,6 +192,13 @@
 	return w.checkDone, nil
 }
 
+// isConfirmed reports whether a check has confirmed the last failed attempt at a back end, which need not be listed.
+func (w *pathWatch) isConfirmed(backEnd *backEnd) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return !w.tracker.PathTo(backEnd.Service).IsLost && !w.isUnconfirmed(backEnd)
+}
+
 // isUnconfirmed reports whether a failure of the back end is unconfirmed. The mutex must be held.
 func (w *pathWatch) isUnconfirmed(backEnd *backEnd) bool {
 	_, isUnconfirmed := w.unconfirmed[backEnd]
--- a/internal/relay/path_watch_test.go
+++ b/internal/relay/path_watch_test.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
@@ -302,3 +303,25 @@
 		})
 	}
 }
+
+// Guards against taking a back end for crashed, and its requests for dangerous, because this relay has lost its path: one that the
+// list no longer shows belongs to no service whose path could be known as lost.
+func TestProbesOnALostPathFindNoCrash(t *testing.T) {
+	for _, isKnown := range []bool{false, true} {
+		t.Run(fmt.Sprintf("known as lost %t", isKnown), func(t *testing.T) {
+			backEnds := startThree(t, answering(200, "ok"))
+			relays, paths := newRelayGroup(t, 1, route(nil), nil, backEnds...)
+			listed := crashguard.Replica{ID: "a", Name: "a", Address: backEnds[0].entry.Address}
+			former := crashguard.Replica{ID: "former", Name: "former", Address: "127.0.0.1:1"}
+			paths[0].set(dialsRefused)
+			if isKnown {
+				relays[0].loseAllPaths(t, paths[0], dialsRefused)
+			}
+			require.Equal(t, crashguard.ProbeUnclear, relays[0].probe(t.Context(), former))
+			require.Equal(t, crashguard.ProbeUnclear, relays[0].probe(t.Context(), listed))
+			paths[0].setFor(dialsOpen, backEnds[1:]...)
+			require.Eventually(t, func() bool { return !relays[0].path.pathTo("service").IsLost }, 10*time.Second, time.Millisecond)
+			require.Equal(t, crashguard.ProbeGone, relays[0].probe(t.Context(), listed))
+		})
+	}
+}
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -94,11 +94,11 @@
 	return result
 }
 
-// confirmPath waits for a check of the path to a back end's service. It returns false if the path is lost, so that a refused
-// connection says nothing about the back end.
+// confirmPath waits for a check of the path after a back end could not be connected to. It returns false if the path may be
+// lost, so that a refused connection says nothing about the back end.
 func (r *Relay) confirmPath(backEnd *backEnd) bool {
 	r.path.check(backEnd)
-	return !r.path.pathTo(backEnd.Service).IsLost
+	return r.path.isConfirmed(backEnd)
 }
 
 // isReplaced reports whether the list shows another incarnation at the replica's address or under its identity.
