--- a/internal/relay/forward_request_test.go
+++ b/internal/relay/forward_request_test.go
@@ -149,7 +149,7 @@
 				_, _ = io.Copy(io.Discard, connection)
 				return false
 			})
-			relays, paths := newRelayGroup(t, 2, route(change), nil, backEnds...)
+			relays, paths := newRelayGroup(t, 2, route(func(r *serving.Route) { change(r); r.Timeout = time.Minute }), nil, backEnds...)
 			relays[0].loseAllPaths(t, paths[0], dialsRefused)
 			client := relays[0].client(t)
 			client.send("GET", "/path/", "")
@@ -157,7 +157,7 @@
 			require.NoError(t, client.connection.Close())
 			require.Eventually(t, func() bool {
 				return len(relays[0].connections.activeRequests()) == 0 && len(relays[1].connections.activeRequests()) == 0
-			}, 400*time.Millisecond, time.Millisecond, "the exchange at the second relay has not ended")
+			}, 10*time.Second, time.Millisecond, "the exchange at the second relay has not ended")
 			require.Len(t, allRequests(backEnds), 1)
 		})
 	}
