--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -70,7 +70,7 @@
 
 // reportCompletedRun reports to the crash guard that the back end has run the request without a crash.
 func (a *answer) reportCompletedRun() {
-	if !a.message.isPrefill {
+	if !a.message.isPrefill && !a.message.backEnd.isRelay {
 		a.exchanger.guard.RecordSuccess(a.message.request.signature)
 	}
 }
@@ -141,6 +141,11 @@
 	return 0
 }
 
+// isLong reports whether the answer declares a body that is too long to be buffered.
+func (a *answer) isLong() bool {
+	return !a.hasNoBody() && a.head.ContentLength() > maxBufferedAnswer
+}
+
 // hasNoBody reports whether an answer has no body because of its status or the request's method.
 func (a *answer) hasNoBody() bool {
 	return a.message.request.method == fasthttp.MethodHead || a.status == fasthttp.StatusNoContent || a.status == fasthttp.StatusNotModified
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -50,6 +50,10 @@
 	acquirePermit func(backEnd *backEnd, rank int, mustResume bool) bool
 	// limitedSends counts messages sent to back ends with a limit.
 	limitedSends prometheus.Counter
+	// path records the outcomes of attempts to connect to back ends.
+	path *pathWatch
+	// dials counts attempts to open connections to back ends, by outcome.
+	dials *prometheus.CounterVec
 	// mechanisms says which mechanisms are enabled.
 	mechanisms mechanism.Set
 }
@@ -144,8 +148,37 @@
 	return unsafeIdleLimit
 }
 
-// open opens a connection to a back end within the given time.
+// open opens a connection to a back end within the given time. It records the outcome as evidence of the path to the back
+// end's service.
 func (e *exchanger) open(backEnd *backEnd, limit time.Duration) (*connpool.Connection, error) {
+	if backEnd.isRelay {
+		return e.connectWithin(backEnd, limit)
+	}
+	slow := time.AfterFunc(pathCheckDelay, func() { e.path.check(backEnd) })
+	connection, mustCheck, err := e.openWithoutCheck(backEnd, limit)
+	slow.Stop()
+	if mustCheck {
+		go e.path.check(backEnd)
+	}
+	return connection, err
+}
+
+// openWithoutCheck opens a connection to a back end as open does. It reports whether the path must be checked then.
+func (e *exchanger) openWithoutCheck(backEnd *backEnd, limit time.Duration) (connection *connpool.Connection, mustCheck bool, err error) {
+	connection, err = e.connectWithin(backEnd, limit)
+	outcome := dialOutcomeOf(err)
+	e.dials.WithLabelValues(string(outcome)).Inc()
+	switch {
+	case err == nil:
+		e.path.recordOpened(backEnd)
+	case outcome != dialTimedOut || limit >= pathCheckDelay: // a shorter limit expires on a sound path as well
+		mustCheck = e.path.recordFailed(backEnd, err)
+	}
+	return connection, mustCheck, err
+}
+
+// connectWithin opens a connection within the given time.
+func (e *exchanger) connectWithin(backEnd *backEnd, limit time.Duration) (*connpool.Connection, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	connection, err := e.dial(ctx, "tcp", backEnd.Address)
@@ -159,10 +192,10 @@
 
 // exchangeOn writes the message on the connection and reads the head of its answer.
 func (e *exchanger) exchangeOn(connection *connpool.Connection, message *message) (*answer, *failure) {
-	headers := append([]header{
-		{e.names.DeadlineMs, milliseconds(message.deadline - e.clock.now())},
-		{e.names.ExpectInstance, message.backEnd.ExpectedID()},
-	}, message.headers...)
+	headers := append([]header{{e.names.DeadlineMs, milliseconds(message.deadline - e.clock.now())}}, message.headers...)
+	if !message.backEnd.isRelay {
+		headers = append(headers, header{e.names.ExpectInstance, message.backEnd.ExpectedID()})
+	}
 	if tenant := message.request.tenant; tenant != nil {
 		headers = append(headers, header{e.names.Tenant, tenant.Name})
 	}
@@ -270,6 +303,9 @@
 // turned into a failure.
 func (e *exchanger) checkAnswer(answer *answer) *failure {
 	answer.message.backEnd.recordReceived(e.clock.now())
+	if answer.message.backEnd.isRelay {
+		return nil // the relay has checked the back end's answer, and applied its signals
+	}
 	e.recordReportedLoad(answer)
 	if answer.status == fasthttp.StatusMisdirectedRequest {
 		return &failure{verdict: verdict.NotRun, mayHaveArrived: true, cause: errMisdirected}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -10,6 +10,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
+	"github.com/hazelpitch/hazelpitch/internal/relay/forwarding"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -46,6 +47,9 @@
 	// receives a refusal in time.
 	cutoff, deadline time.Duration
 
+	// forwarded is what another relay has already done for a request that it has forwarded; nil for a client's own request.
+	forwarded *forwarding.Progress
+
 	canceller canceller
 	trace     requestTrace
 }
--- a/internal/relay/search_ahead.go
+++ b/internal/relay/search_ahead.go
@@ -45,7 +45,9 @@
 func (r *Relay) connectAhead(backEnd *backEnd) bool {
 	connection, err := r.exchanger.open(backEnd, dialTimeout)
 	if err != nil {
-		r.exchanger.recordFailure(backEnd)
+		if !r.path.pathTo(backEnd.Service).IsLost { // otherwise the back end may be sound
+			backEnd.recordFailure(r.clock.now())
+		}
 		return false
 	}
 	backEnd.pool.Put(connection, r.clock.now())
--- a/internal/relay/serve_connection.go
+++ b/internal/relay/serve_connection.go
@@ -86,7 +86,7 @@
 // serveNext reads and serves one request; it reports whether the connection can be used further.
 func (r *Relay) serveNext(connection *clientConnection) bool {
 	request, err := r.readRequest(connection)
-	reply := &replier{connection: connection, names: r.dialect.Headers, isStopping: r.stopping.Load}
+	reply := &replier{connection: connection, names: r.dialect.Headers, isStopping: r.stopping.Load, isToRelay: connection.isFromRelay}
 	if err != nil {
 		var fault *requestFault
 		if errors.As(err, &fault) {
@@ -104,7 +104,7 @@
 	if r.refusesNewRequests() {
 		reply.close = true
 		r.log.recordUnserved(request, reasonStopping, r.viewSnapshot())
-		reply.refuse(refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonStopping, retryAfter: retryAfterStop})
+		reply.refuse(refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonStopping, retryAfter: retryAfterStop, otherMayServe: true})
 		return false
 	}
 	r.connections.setRequest(connection, request)
--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -25,18 +25,28 @@
 // serveStream serves a streaming request. With model engines, either a prefill engine processes the prompt and a decoding
 // engine generates the stream, or a decoding engine does both.
 func (r *Relay) serveStream(request *request, reply *replier) {
-	attempts := &attemptTracker{relay: r, request: request}
+	attempts := r.newAttempts(request)
 	defer attempts.returnReservations()
 	stream := &streamReply{relay: r, request: request, reply: reply, attempts: attempts,
 		prefixBlocks: placement.PrefixBlocksOf(request.prompt), lastEventID: string(request.header.Peek(r.dialect.Headers.LastEventID))}
+	if r.path.pathTo(request.service.Name).IsLost && r.forwardOnce(attempts, reply, stream.lastEventID) {
+		return
+	}
 	start := r.beginStream(stream)
 	if start.refusal != nil {
+		start.refusal.attempts = attempts.sentCount
 		r.log.recordRefusal(request, *start.refusal, attempts)
 		reply.refuse(*start.refusal)
 		return
 	}
 	selection, prefill := start.direct, start.prefill
-	for stream.migrated != nil || attempts.mayContinue() {
+	for {
+		if stream.migrated == nil && r.path.pathTo(request.service.Name).IsLost && r.forwardOnce(attempts, reply, stream.lastEventID) {
+			return
+		}
+		if stream.migrated == nil && (r.isHopeless(attempts) || !attempts.mayContinue()) {
+			break
+		}
 		if migrated := stream.migrated; migrated != nil {
 			stream.migrated, selection, prefill = nil, migrated.target, migrated.prefill
 		}
@@ -63,6 +73,9 @@
 	if prefill != nil {
 		r.release(prefill)
 	}
+	if attempts.couldNotConnect() && r.forwardOnce(attempts, reply, stream.lastEventID) {
+		return
+	}
 	r.replyRefused(attempts, reply)
 }
 
@@ -71,7 +84,7 @@
 func (r *Relay) prefillWithRetry(stream *streamReply, selection *backEndSelection) *remotePrefill {
 	prefill := r.prefillPrompt(stream, selection)
 	attempts := stream.attempts
-	if prefill != nil || attempts.isOver() || !attempts.mayRetryPrefill() {
+	if prefill != nil || attempts.isOver() || !attempts.mayRetryPrefill() || r.path.pathTo(stream.request.service.Name).IsLost {
 		return prefill
 	}
 	next := r.nextPrefillEngine(stream)
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -92,7 +92,9 @@
 		return
 	}
 	next := w.limit / replacementChecksPerLimit
-	w.backEnd.avoidUntil(now + next + minFailureBackoff) // beyond the next check
+	if !w.exchanger.path.pathTo(w.backEnd.Service).IsLost {
+		w.backEnd.avoidUntil(now + next + minFailureBackoff) // beyond the next check
+	}
 	w.timer.Reset(next)
 }
 
@@ -111,7 +113,9 @@
 		return
 	}
 	w.isRecorded, w.recordedSince = true, since
-	w.exchanger.recordFailure(w.backEnd)
+	if !w.exchanger.path.pathTo(w.backEnd.Service).IsLost { // otherwise the back end may be sound
+		w.exchanger.recordFailure(w.backEnd)
+	}
 }
 
 // recordReceived records that bytes arrived, and restarts the timer.
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -136,7 +136,7 @@
 }
 
 func isEventStream(answer *answer) bool {
-	return answer.status == fasthttp.StatusOK &&
+	return answer.status == fasthttp.StatusOK && !answer.hasNoBody() &&
 		strings.HasPrefix(string(answer.head.ContentType()), "text/event-stream")
 }
 
