--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
@@ -175,3 +177,67 @@
 		})
 	}
 }
+
+// Guards against a back end that counts as sending again because the relay itself ended a stream there: other answers of the
+// same silent back end were replaced later, and the back end could be selected for them.
+func TestEndingAStreamDoesNotEndTheSilence(t *testing.T) {
+	t.Parallel()
+	var arrivedAt time.Duration
+	setup := silentSetup{onArrival: func(_ *testing.T, scene *silentScene) { arrivedAt = scene.clock.now() }}
+	scene, answer := setup.serveSilently(t, silentAnswers()[0])
+	require.True(t, answer.isComplete)
+	require.Len(t, scene.second.receivedRequests(), 1, "the stream was replaced")
+	lastReceivedAt := scene.engineOf("first").currentLoad(scene.clock.now()).lastReceivedAt
+	require.Less(t, lastReceivedAt-arrivedAt, minStreamStall, "the first back end has sent nothing after its first event")
+}
+
+// Guards against an answer that is ended because the relay's own process stood still: the answer had arrived meanwhile and
+// was not read yet when the timer expired.
+func TestStallDoesNotAbortAnAnswerThatHasArrived(t *testing.T) {
+	exchanger := newStallExchanger(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer connection.Close()
+	peer, err := listener.Accept()
+	require.NoError(t, err)
+	defer peer.Close()
+	_, err = io.WriteString(peer, "answer")
+	require.NoError(t, err)
+	awaitBytesOrEnd(t, connection)
+	backEnd := newBackEnd(serving.BackEnd{ID: "one"}, 1000)
+	watch := exchanger.watchStall(connpool.NewConnection(connection, 0), backEnd, time.Hour, func() bool { return true })
+	defer watch.stop()
+	watch.limit = time.Nanosecond // as if the limit had passed
+	watch.check()
+	_, err = connection.Read(make([]byte, 6))
+	require.NoError(t, err)
+}
+
+// Guards against a stream that is ended, and a back end that counts as failed, because the client reads too slowly: the relay
+// took the time for which it did not read itself for a silence of the back end.
+func TestSlowClientIsNoSilenceOfTheBackEnd(t *testing.T) {
+	t.Parallel()
+	const events, eventBytes = 4000, 8 << 10 // more than the kernel buffers
+	filler := strings.Repeat("x", eventBytes)
+	first := startBackEnd(t, "first", serving.StageWhole, func(connection net.Conn, request backEndRequest) bool {
+		_, _ = io.WriteString(connection, strings.NewReplacer("ID", string(request.head.Peek("T-Id")), "SEAL", "first").Replace(streamHead))
+		for number := range events {
+			_, _ = connection.Write(appendChunk(nil, []byte("id: "+strconv.Itoa(number+1)+"\ndata: "+filler+"\n\n")))
+		}
+		_, _ = io.WriteString(connection, "0\r\n\r\n")
+		return true
+	})
+	second := startBackEnd(t, "second", serving.StageWhole, streaming("second", eventOne))
+	relay := newTestRelay(t, route(func(r *serving.Route) { stream(true)(r); r.Timeout = time.Minute }), first, second).preferring("first")
+	relay.engineOf("second").removeWork(placement.Work{Streams: 45}) // leaves free slots
+	client := relay.client(t)
+	client.send("POST", "/path/", "x")
+	time.Sleep(2 * time.Second)
+	answer := client.read()
+	require.True(t, answer.isComplete)
+	require.Empty(t, second.receivedRequests())
+	require.Zero(t, relay.engineOf("first").currentLoad(0).failures)
+}
