Ending a stream no longer counts as bytes from its back end

Cause: after any error of a stream's connection, also the one by which the relay itself ends the stream, the watch recorded that bytes had arrived. Other answers of the same silent back end were then replaced a whole limit later, and the silence was not seen when a replacement was sought. The watch also ran on while the relay waited for a migration of the ended stream.

Bytes that arrive are recorded where they are read. TestEndingAStreamDoesNotEndTheSilence, which failed before, passes in 10 of 10 runs. In one run of the package TestNewRequestsUseNoConnectionFromBeforeASilence failed; it fails in 1 of 40 runs without this change too: its second request may come before the first one's connection is back in the pool.

--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -165,12 +165,13 @@
 	defer watch.stop()
 	for {
 		event, err := events.next()
-		watch.recordReceived()
 		if err != nil && !errors.Is(err, io.EOF) {
+			watch.stop()
 			s.flush(answer)
 			s.migrated = s.finishMover()
 			return asFailure(err)
 		}
+		watch.recordReceived()
 		if err == nil {
 			s.addEvent(event)
 			s.recordGap(gaps, answer.message.backEnd)
