An answer that has arrived is no silence of its back end

Cause: the watch for stalls measured when this relay had last read bytes, not whether bytes had arrived. A client that read nothing for 0.9 s stopped the relay from reading, and its stream was ended and sent to another back end; the same for an answer that arrived while the relay's process stood still. The back end counted as failed.

A watch whose connection has unread bytes now waits for another limit.

--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -85,6 +85,10 @@
 		w.timer.Reset(w.limit - silence)
 		return
 	}
+	if w.connection.HasUnread() { // not read because the client reads slowly, or because this process stood still
+		w.timer.Reset(w.limit)
+		return
+	}
 	w.backEnd.pool.Suspect(max(lastReceivedAt, w.startedAt))
 	w.recordSilence(lastReceivedAt)
 	if w.secure != nil && w.secure() {
