Test that fails: a silent answer whose replacement is refused

The silent answer is ended when this relay counts a free slot at another back end. Where that back end refuses the request, since other relays have taken its slots, the refused attempt is the last one that the route allows, and the answer is lost.

--- a/internal/relay/silent_replacement_test.go
+++ b/internal/relay/silent_replacement_test.go
@@ -47,6 +47,21 @@
 	}
 }
 
+// Guards against a silence that ends an answer for a replacement that the other back end refuses, since its slots are taken by
+// requests of other relays: the refused attempt is the last one that the route allows.
+func TestSilentAnswerOutlivesTheRefusalOfItsReplacement(t *testing.T) {
+	t.Parallel()
+	for _, kind := range silentAnswers() {
+		t.Run(kind.name, func(t *testing.T) {
+			t.Parallel()
+			_, answer := silentSetup{secondAnswer: refusing(503)}.serveSilently(t, kind)
+			require.Equal(t, 200, answer.status)
+			require.True(t, answer.isComplete, "the answer was cut")
+			require.Equal(t, kind.body, answer.body)
+		})
+	}
+}
+
 // Guards against a silence that ends an answer although the owner of the service's slots grants none for its replacement.
 func TestSilentAnswerIsKeptWhileItsReplacementHasNoSlot(t *testing.T) {
 	t.Parallel()
