--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -208,7 +208,7 @@
 	require.NoError(t, err)
 	awaitBytesOrEnd(t, connection)
 	backEnd := newBackEnd(serving.BackEnd{ID: "one"}, 1000)
-	watch := exchanger.watchStall(connpool.NewConnection(connection, 0), backEnd, time.Hour, func() bool { return true })
+	watch := exchanger.watchStall(connpool.NewConnection(connection, 0), backEnd, time.Hour, func(func()) bool { return true })
 	defer watch.stop()
 	watch.limit = time.Nanosecond // as if the limit had passed
 	watch.check()
