Leave a connection to the leader whose calls time out

What would be seen: a relay without updates for 5.4 s, whose view then counts as old, when its connection to the leader is silent for good without a reset. Cause: all calls to the leader share one HTTP/2 connection, which the kernel now drops only after 5 s without a confirmation; calls that time out do not leave it. Change: after a watch that timed out, the idle connection is closed, and the next watch opens another one. Nothing is lost: each call to the leader is repeated. Evidence: TestWatcherLeavesALostConnection failed before (5.4 s) and passes. Command: go test ./internal/leaderwatch -count=3

--- a/internal/leaderwatch/watcher.go
+++ b/internal/leaderwatch/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -117,6 +118,9 @@
 	sentAt := w.config.Now()
 	response, err := controller.Watch(limited, connect.NewRequest(w.config.Node.WatchRequest(wait)))
 	if err != nil {
+		if errors.Is(limited.Err(), context.DeadlineExceeded) {
+			w.http.CloseIdleConnections() // the connection may be lost; the next request opens another one
+		}
 		w.controllers.advanceAfterFailure()
 		return false
 	}
