Keep trying to connect to the engine at which a migrated run continues

What callers saw: a stream was cut after 0.3 s when its run had been migrated to an engine that was silent for a second while the relay connected to it. Cause: the attempt to connect ended after 0.3 s like that of a new request, which may go elsewhere; a migrated run has stopped and cannot. Change: the relay keeps trying for 3 s, at most to the request's deadline. Evidence: TestMigratedRunOutlivesASilenceOfItsNewEngine failed before and passes. Command: go test ./internal/relay -run 'TestMigratedRun|Mover|Migrat' -count=2

--- a/internal/relay/engine_query.go
+++ b/internal/relay/engine_query.go
@@ -150,6 +150,8 @@
 	// at this back end.
 	permittedAt time.Duration
 	mustResume  bool
+	// isMigrated is true if a run that has stopped elsewhere continues at the back end.
+	isMigrated bool
 }
 
 // selectionFor returns the selection of a back end that was not compared with others.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -22,6 +22,10 @@
 const (
 	// dialTimeout bounds the opening of a connection to a back end.
 	dialTimeout = 300 * time.Millisecond
+	// migratedDialTimeout bounds the attempts to open a connection to the back end at which a migrated run continues, which
+	// are migratedDialInterval apart. Sound back ends are silent for up to 2 s.
+	migratedDialTimeout  = 3 * time.Second
+	migratedDialInterval = 20 * time.Millisecond
 	// maxStaleAnswers bounds how many answers to earlier requests are skipped on a connection.
 	maxStaleAnswers = 2
 	// maxStaleBodyBytes bounds the body of a skipped answer.
@@ -128,7 +132,7 @@
 	connection := message.backEnd.pool.Get(now, idleLimitOf(message.request.route))
 	if message.hasNewConnection = connection == nil; message.hasNewConnection {
 		var err error
-		if connection, err = e.open(message.backEnd, min(dialTimeout, message.deadline-now)); err != nil {
+		if connection, err = e.openFor(message, now); err != nil {
 			return nil, &failure{verdict: verdict.NotRun, cause: fmt.Errorf("%w: %w", errDial, err)}
 		}
 	}
@@ -140,6 +144,21 @@
 	return connection, nil
 }
 
+// openFor opens a connection for a message. For a run that was migrated it keeps trying for longer: the run has stopped, and can
+// continue only at that back end, which may be silent for a moment.
+func (e *exchanger) openFor(message *message, now time.Duration) (*connpool.Connection, error) {
+	connection, err := e.open(message.backEnd, min(dialTimeout, message.deadline-now))
+	if err == nil || message.selection == nil || !message.selection.isMigrated {
+		return connection, err
+	}
+	until := min(now+migratedDialTimeout, message.deadline)
+	for now = e.clock.now(); err != nil && now < until && !message.request.canceller.isCancelled(); now = e.clock.now() {
+		time.Sleep(min(migratedDialInterval, until-now)) // a refused connection fails at once
+		connection, err = e.open(message.backEnd, min(dialTimeout, message.deadline-now))
+	}
+	return connection, err
+}
+
 // idleLimitOf returns how long a connection may have been idle before it carries a request of the route.
 func idleLimitOf(route *serving.Route) time.Duration {
 	if route.Repeatable() {
--- a/internal/relay/run_mover.go
+++ b/internal/relay/run_mover.go
@@ -147,6 +147,7 @@
 		target = selectionFor(m.engine)
 		target.mustResume = true
 	}
+	target.isMigrated = true
 	return &migratedRun{target: target, prefill: &remotePrefill{engine: m.engine, handle: handle, prefixBlocks: m.stream.prefixBlocks}}
 }
 
