Reuse idle connections after the deadline of their last exchange has passed

What callers would see: a gateway to which new connections are refused while open ones live on served 0 of 48 first attempts, although it had open connections. Cause: the deadline that an exchange sets stays on its connection in the pool. Once it has passed, the check of the idle connection fails with a time-out, so that the connection is closed and another one must be opened. Class: state of one request that outlives it. Change: the check removes the deadline first; the next exchange sets its own. Why this works: no other code sets a deadline on an idle connection or relies on it. Commands: go test ./internal/upstream -run TestIdleConnectionOutlives -count=5 go test ./internal/upstream -race

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/wirecheck"
 )
@@ -19,5 +20,11 @@
 	return n, err
 }
 
-// checkIdle returns an error if the idle connection cannot carry another request.
-func (c *trackedConnection) checkIdle() error { return wirecheck.CheckIdle(c.Conn) }
+// checkIdle returns an error if the idle connection cannot carry another request. It removes the deadline of the last
+// exchange, with which the check itself would fail.
+func (c *trackedConnection) checkIdle() error {
+	if err := c.SetDeadline(time.Time{}); err != nil {
+		return err
+	}
+	return wirecheck.CheckIdle(c.Conn)
+}
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -158,3 +159,29 @@
 	_, err = answer.ReadAll()
 	require.ErrorIs(t, err, ErrTruncated)
 }
+
+// Guards against idle connections that were closed because the deadline of their last exchange had passed: a gateway that
+// could open no new connections then refused requests, although its open connections still carried them.
+func TestIdleConnectionOutlivesDeadlineOfItsLastExchange(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(echo))
+	t.Cleanup(server.Close)
+	dials := 0
+	client, err := NewClient(Options{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		dials++
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}})
+	require.NoError(t, err)
+	t.Cleanup(client.Close)
+	first := time.Now().Add(time.Second)
+	for _, deadline := range []time.Time{first, first.Add(time.Minute)} {
+		answer, _, failure := client.Do(Request{
+			Address: strings.TrimPrefix(server.URL, "http://"), Method: http.MethodGet, Target: "/", Exchange: NewExchange(), Deadline: deadline,
+		})
+		require.Nil(t, failure)
+		_, err := answer.ReadAll()
+		require.NoError(t, err)
+		answer.Close()
+		time.Sleep(time.Until(first)) // until the deadline of the first exchange has passed
+	}
+	require.Equal(t, 1, dials)
+}
