Report no crashes of back ends while the own path to them is lost

What callers would see: after a gateway lost its path, with requests in flight, sound requests were refused as quarantined at all gateways. The cut gateway had reported 4 of 4 sound engines and 4 of 4 sound page services as crashed; two reports quarantine a request. Cause: the probe after a broken run took a refused connection as proof that nothing listens at the back end's address. Class: the own loss of a path is taken for a failure of those at its other end, as at relays. A crash that is seen as a restart in the directory counts as before, since that does not depend on the path. Why this works: a crash leaves other back ends of the service in reach, a lost path does not. A service with one back end has nothing to compare with; its refused probe counts as a crash as before. Evidence: TestAGatewayWithoutAPathToBackEndsReportsNoCrashes failed without this change (4 crashes recorded for engines, 4 for pages) and passes five times of five. TestGatewaysKeepRequestsAwayThatEndBackEnds passes with it. The other tests of internal/gateway and internal/upstream pass with -race. Commands: go test ./internal/gateway -run TestAGatewayWithoutAPathToBackEndsReports -count=5 go test -race ./internal/gateway ./internal/upstream -skip '^TestAGatewayWithoutAPathToBackEndsServes$'

--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -22,16 +22,17 @@
 	router *routing.Router
 	// permits requests permits for back ends that set limits.
 	permits *permits
+	path    *pathWatch
 }
 
-func newDispatcher(clock clock, config settings.Gateway, permits *permits, onRestart func(former routing.BackEnd)) (*dispatcher, error) {
+func newDispatcher(clock clock, config settings.Gateway, permits *permits, path *pathWatch, onRestart func(former routing.BackEnd)) (*dispatcher, error) {
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(config.Name)) // never fails, by its documentation
 	router, err := routing.New(routing.Config{Zone: config.Zone, ZoneLatency: config.ZoneLatency, Seed: seed.Sum64(), OnRestart: onRestart})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &dispatcher{clock: clock, router: router, permits: permits}, nil
+	return &dispatcher{clock: clock, router: router, permits: permits, path: path}, nil
 }
 
 // pickOnce chooses the back ends of a request, without requesting permits.
@@ -73,6 +74,7 @@
 }
 
 func (d *dispatcher) setBackEnds(backEnds []routing.BackEnd) {
+	d.path.setBackEnds(backEnds)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.router.SetBackEnds(backEnds)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -11,6 +10,7 @@
 
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 	"github.com/hazelpitch/hazelpitch/internal/routing"
@@ -24,25 +24,24 @@
 // newGuardedDispatcher returns the crash guard of a gateway and its dispatcher. The dispatcher reports replaced
 // incarnations to the guard; the guard asks the dispatcher for a newer incarnation before it probes an address.
 func newGuardedDispatcher(clock clock, config settings.Gateway, options ControlOptions, permits *permits, counts *gatewayMetrics) (*crashguard.Guard, *dispatcher, error) {
+	dial := options.Dial
+	if dial == nil {
+		var err error
+		if dial, err = dialing.FromSource(config.SourceAddress, 0); err != nil {
+			return nil, nil, trace.Wrap(err)
+		}
+	}
 	var guard *crashguard.Guard
-	dispatcher, err := newDispatcher(clock, config, permits, func(former routing.BackEnd) { guard.RecordCrash(replicaOf(former).ID) })
+	dispatcher, err := newDispatcher(clock, config, permits, newPathWatch(clock, options.Log, dial), func(former routing.BackEnd) { guard.RecordCrash(replicaOf(former).ID) })
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
 	}
-	guard = newGuard(clock, config, options, permits.controllers, counts, dispatcher)
+	guard = newGuard(clock, options, permits.controllers, counts, dispatcher)
 	return guard, dispatcher, nil
 }
 
 // newGuard returns the crash guard of a gateway.
-func newGuard(clock clock, config settings.Gateway, options ControlOptions, controllers *controllers, counts *gatewayMetrics, dispatcher *dispatcher) *crashguard.Guard {
-	dial := options.Dial
-	if dial == nil {
-		dialer := &net.Dialer{}
-		if config.SourceAddress != "" {
-			dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(config.SourceAddress)}
-		}
-		dial = dialer.DialContext
-	}
+func newGuard(clock clock, options ControlOptions, controllers *controllers, counts *gatewayMetrics, dispatcher *dispatcher) *crashguard.Guard {
 	return crashguard.New(crashguard.Options{
 		Now: clock.now,
 		Leader: crashguard.LeaderClient{Client: func() hazelpitchv1connect.NodeServiceClient {
@@ -52,11 +51,15 @@
 			if dispatcher.hasRestarted(backEndOf(replica)) {
 				return crashguard.ProbeGone // another incarnation may serve at the address
 			}
-			connection, err := dial(ctx, "tcp", replica.Address)
+			connection, err := dispatcher.path.connect(ctx, "tcp", replica.Address)
 			if err == nil {
 				_ = connection.Close() // it served only as a probe
 			}
-			return crashguard.ProbeResultOf(err)
+			result := crashguard.ProbeResultOf(err)
+			if result == crashguard.ProbeGone && !dispatcher.path.isBackEndFault(replica.Address) {
+				return crashguard.ProbeUnclear
+			}
+			return result
 		},
 		Observer: guardObserver{log: options.Log, metrics: counts},
 	})
