--- a/internal/gateway/controller_test.go
+++ b/internal/gateway/controller_test.go
@@ -41,6 +41,8 @@
 	limits *fleetlimit.LimitCounters
 	// unansweredPermits is the number of the next permit requests that get no answer.
 	unansweredPermits atomic.Int32
+	// permitRequests counts the requests for permits.
+	permitRequests atomic.Int64
 	// report answers reports; when nil, the answers contain no shares.
 	report func(*v1.ReportRequest) (*v1.ReportResponse, error)
 }
@@ -96,6 +98,7 @@
 
 // TakePermit grants permits as the leader does.
 func (c *testController) TakePermit(ctx context.Context, request *connect.Request[v1.TakePermitRequest]) (*connect.Response[v1.TakePermitResponse], error) {
+	c.permitRequests.Add(1)
 	if c.unansweredPermits.Add(-1) >= 0 {
 		<-ctx.Done()
 		return nil, ctx.Err()
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -94,6 +94,9 @@
 		if err != nil || d.arePermitted(choice, request.Rank) {
 			return choice, err
 		}
+		if d.path.isLost(choice.BackEnd.Address) {
+			return routing.Choice{}, &routing.PickError{Reason: routing.ErrNoBackEnd, Service: request.Service, RetryAfter: lostPathRetryAfter}
+		}
 	}
 	return routing.Choice{}, &routing.PickError{Reason: routing.ErrAllLimited, Service: request.Service, RetryAfter: minimumRetrySpread}
 }
@@ -108,7 +111,7 @@
 }
 
 // mayCall reports whether a call may be sent to a back end. When the back end sets a limit, it requests a permit for the
-// call.
+// call, unless the path to the back end is lost: other gateways could use the permit.
 func (d *dispatcher) mayCall(backEnd routing.BackEnd, rank int) bool {
 	granted, _ := d.requestPermit(backEnd, rank, false)
 	return granted
@@ -124,6 +127,9 @@
 	if !needed {
 		return true, true
 	}
+	if !mustResume && d.path.isLost(backEnd.Address) {
+		return false, true
+	}
 	permitRequest.Rank, permitRequest.MustResume = rank, mustResume
 	answer, answered := d.permits.request(permitRequest)
 	d.mutex.Lock()
--- a/internal/relay/forward_stream_test.go
+++ b/internal/relay/forward_stream_test.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"io"
 	"net"
-	"strings"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
