--- a/internal/control/harness_former_test.go
+++ b/internal/control/harness_former_test.go
@@ -21,7 +21,7 @@
 
 // received returns another controller's message as this controller decodes it.
 func (c *testController) received(t *testing.T, message *v1.ConsensusMessage) *v1.ConsensusMessage {
-	if !c.firstFormat {
+	if !c.isFormer {
 		return message
 	}
 	read, err := c.translator.ReadMessage(message)
@@ -31,7 +31,7 @@
 
 // written returns a message or a disk write as this controller encodes it.
 func (c *testController) written(t *testing.T, message *v1.ConsensusMessage) *v1.ConsensusMessage {
-	if !c.firstFormat {
+	if !c.isFormer {
 		return message
 	}
 	written, err := c.translator.WriteMessage(message)
@@ -41,10 +41,10 @@
 
 // restored returns the content of the disk as the controller decodes it when it starts.
 func (c *testController) restored(t *testing.T) Restored {
-	if !c.firstFormat {
+	if !c.isFormer {
 		return c.disk
 	}
-	c.translator = formerbuild.New()
+	c.translator = formerbuild.New(c.formerFormat)
 	read := c.received(t, &v1.ConsensusMessage{Entries: c.disk.Entries, Snapshot: c.disk.Snapshot})
 	restored := c.disk
 	restored.Entries, restored.Snapshot = read.GetEntries(), read.GetSnapshot()
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -14,6 +14,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/consensus"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/formats/formerbuild"
 )
 
@@ -71,9 +72,10 @@
 	cut bool
 	// uncountedSuspension is the time for which the machine was suspended and which its clock did not count.
 	uncountedSuspension time.Duration
-	// firstFormat means that the controller behaves like one of the first format, by means of its translator.
-	firstFormat bool
-	translator  *formerbuild.Translator
+	// isFormer means that the controller behaves like one of formerFormat, by means of its translator.
+	isFormer     bool
+	formerFormat formats.Number
+	translator   *formerbuild.Translator
 	// advertised replaces the formats that the controller reports to the others, if it is set.
 	advertised *v1.FormatRange
 }
--- a/internal/control/mixed_builds_test.go
+++ b/internal/control/mixed_builds_test.go
@@ -20,8 +20,8 @@
 // rebuild stops a controller and starts it again later as the other build, with the disk of the previous build.
 func (w *testCluster) rebuild(controller *testController, away time.Duration) {
 	w.crash(controller.name)
-	controller.translator = formerbuild.New()
-	controller.firstFormat = !controller.firstFormat
+	controller.translator = formerbuild.New(controller.formerFormat)
+	controller.isFormer = !controller.isFormer
 	w.after(away, func() { w.start(controller.name) })
 }
 
@@ -37,10 +37,12 @@
 	crashes uint64
 }
 
-func newMixedBuilds(t *testing.T, seed uint64) *mixedBuilds {
+// newMixedBuilds returns a cluster whose controllers are replaced by those of a former format and back.
+func newMixedBuilds(t *testing.T, seed uint64, former formats.Number) *mixedBuilds {
 	w := newTestCluster(t, 5, func(config *Config) { config.SnapshotEntries = 25 })
 	m := &mixedBuilds{testCluster: w, random: rand.New(rand.NewPCG(seed, 9)), sent: map[CallID]uint64{}, states: map[appliedIndexes][]byte{}}
 	for _, name := range w.names {
+		w.controllers[name].formerFormat = former
 		if seed%2 == 0 { // half of the seeds start with the former build
 			w.rebuild(w.controllers[name], 0)
 		}
@@ -106,7 +108,7 @@
 		}
 	}
 	for _, controller := range m.controllers {
-		if controller.core == nil || controller.firstFormat {
+		if controller.core == nil || controller.isFormer {
 			continue
 		}
 		require.False(m.t, controller.core.halted, controller.name)
@@ -129,9 +131,18 @@
 // Those of the new build must never hold different states at the same entry, none may halt, and acknowledged
 // documents must stay in force. Once all are of the new build, its commands must take effect at all of them.
 func TestControllersOfTwoBuildsHoldOneState(t *testing.T) {
+	testMixedBuilds(t, formats.First)
+}
+
+// The same beside controllers of the second format, which know agreements: they halted on an agreement on a later format.
+func TestControllersOfTheSecondFormatHoldOneState(t *testing.T) {
+	testMixedBuilds(t, formats.Second)
+}
+
+func testMixedBuilds(t *testing.T, former formats.Number) {
 	for seed := range uint64(24) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			m := newMixedBuilds(t, seed)
+			m := newMixedBuilds(t, seed, former)
 			m.waitLeader()
 			for range 400 {
 				m.run(time.Duration(m.random.Int64N(int64(100 * time.Millisecond))))
@@ -143,7 +154,7 @@
 			}
 			m.run(3 * time.Second)
 			for _, name := range m.names {
-				if controller := m.controllers[name]; controller.firstFormat {
+				if controller := m.controllers[name]; controller.isFormer {
 					m.rebuild(controller, 100*time.Millisecond)
 					m.run(2 * time.Second)
 					m.checkInvariants()
--- a/internal/simulation/controller_build.go
+++ b/internal/simulation/controller_build.go
@@ -8,6 +8,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/consensus"
 	"github.com/hazelpitch/hazelpitch/internal/control"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/formats/formerbuild"
 )
 
@@ -25,7 +26,7 @@
 	if !c.build.isFormer {
 		return restored
 	}
-	c.build.translator = formerbuild.New()
+	c.build.translator = formerbuild.New(formats.First)
 	result := restored
 	read := c.readMessage(&v1.ConsensusMessage{Entries: restored.Entries, Snapshot: restored.Snapshot})
 	result.Entries, result.Snapshot = read.GetEntries(), read.GetSnapshot()
@@ -93,7 +94,7 @@
 	c.crash()
 	return func() {
 		if !c.isAlive {
-			c.build = build{isFormer: !c.build.isFormer, translator: formerbuild.New()}
+			c.build = build{isFormer: !c.build.isFormer, translator: formerbuild.New(formats.First)}
 			c.start()
 		}
 	}
