Agree only on formats that add something to the log

Cause: controllers agreed on formats.Newest. Format 2 adds messages only, no entry and no stored state, but its agreement is an entry, and builds halt on one that they do not know.

Change: formats.NewestStored is the newest format that adds entries or stored state (1). Relays, watches and heartbeats announce formats.Newest as before. An agreement on 2 that a former build wrote is read, and replaced by one on 1. held_back_by and members_of_former_formats name controllers that do not know format 1.

--- a/internal/control/agreement.go
+++ b/internal/control/agreement.go
@@ -38,20 +38,21 @@
 	c.formats.byMember[message.GetFrom()] = formats.FromWire(message.GetFormats())
 }
 
-// advertisedFormats returns the formats that this controller reports to the other controllers. A controller whose state
+// advertisedFormats returns the formats of the log that this controller reports to the other controllers. Leaders of builds
+// that agree on any format that all members support then do not agree on one that adds nothing to the log. A controller whose state
 // lacks agreed state reports only the first format: the leader then proposes an agreement on the first format and, later, a
 // new one on a higher format, with which all replicas start from the same state.
 func (c *Core) advertisedFormats() formats.Range {
 	if c.state.IsMissingAgreedState() {
 		return formats.Range{}
 	}
-	return formats.Supported()
+	return formats.SupportedStored()
 }
 
-// commonFormat returns the highest format that is supported by this controller and by all members that have reported their
-// formats; certain is false while a member has not reported.
+// commonFormat returns the highest format of the log that is supported by this controller and by all members that have
+// reported their formats; certain is false while a member has not reported.
 func (c *Core) commonFormat() (common formats.Number, certain bool) {
-	common, certain = formats.Newest, true
+	common, certain = formats.NewestStored, true
 	for _, member := range c.otherMembers() {
 		if supported, known := c.formats.byMember[member.GetId()]; known {
 			common = min(common, supported.Highest)
@@ -67,14 +68,14 @@
 	return slices.DeleteFunc(slices.Clone(c.consensus.Membership().GetMembers()), func(member *v1.Member) bool { return member.GetId() == c.consensus.ID() })
 }
 
-// agreementBlockers returns the names of the members that prevent this leader from agreeing on its own newest format.
+// agreementBlockers returns the names of the members that prevent this leader from agreeing on its own newest format of the log.
 func (c *Core) agreementBlockers() []string {
 	if !c.leading {
 		return nil
 	}
 	var names []string
 	for _, member := range c.otherMembers() {
-		if supported, known := c.formats.byMember[member.GetId()]; !known || !supported.Supports(formats.Newest) {
+		if supported, known := c.formats.byMember[member.GetId()]; !known || !supported.Supports(formats.NewestStored) {
 			names = append(names, member.GetName())
 		}
 	}
@@ -82,8 +83,8 @@
 	return names
 }
 
-// tickAgreement proposes a new agreement when a member supports only formats below the agreed one, or when all members
-// support a higher one. The agreement replaces the ledger of suspects by the one that it carries, so it is proposed only
+// tickAgreement proposes a new agreement when this controller or a member supports only formats of the log below the agreed
+// one, or when all support a higher one. The agreement replaces the ledger of suspects by the one that it carries, so it is proposed only
 // once this leader's commands to the ledger are applied, and further ones wait until it is applied.
 func (c *Core) tickAgreement() {
 	common, certain := c.commonFormat()
--- a/internal/control/way_back_test.go
+++ b/internal/control/way_back_test.go
@@ -86,3 +86,24 @@
 	}
 	return names
 }
+
+// Guards against a log that stays on a format that the build before does not know: a former build had agreed on format 2,
+// which adds nothing to the log. The leader agrees on format 1, also beside controllers that announce format 2, and the
+// build before takes over disks whose snapshots cover that agreement.
+func TestAnAgreementThatNothingNeedsIsEnded(t *testing.T) {
+	r := &rollout{testCluster: newTestCluster(t, 3, func(config *Config) { config.SnapshotEntries = 7 })}
+	r.waitFormat(formats.NewestStored)
+	r.waitLeader().core.proposeAgreement(formats.Third)
+	r.until("the agreement of the former build", func() bool { return r.leader().core.State().AgreedFormat() == formats.Third })
+	for _, name := range r.names {
+		r.controllers[name].formerFormat = formats.Second
+		if r.controllers[name] != r.leader() {
+			r.controllers[name].advertised = formats.Supported().ToWire()
+		}
+	}
+	r.waitFormat(formats.NewestStored)
+	r.putDocuments()
+	r.requireEqualStates()
+	r.waitFormat(formats.NewestStored)
+	r.replace(r.names)
+}
--- a/internal/formats/number.go
+++ b/internal/formats/number.go
@@ -12,6 +12,10 @@
 	Third Number = 2
 	// Newest is the highest format that this build supports.
 	Newest = Third
+	// NewestStored is the newest format that added entries of the replicated log or state that they build. Controllers
+	// agree on no later one: a former build halts on an agreement that it does not know, even if nothing of that format
+	// is stored.
+	NewestStored = Second
 )
 
 // Features that formats have added. Each constant is the first format that has the feature.
--- a/internal/formats/range.go
+++ b/internal/formats/range.go
@@ -8,6 +8,9 @@
 // Supported returns the range of formats that this build supports.
 func Supported() Range { return Range{Lowest: First, Highest: Newest} }
 
+// SupportedStored returns the range of formats that this build supports in the replicated log.
+func SupportedStored() Range { return Range{Lowest: First, Highest: NewestStored} }
+
 // Supports reports whether a format is in the range.
 func (r Range) Supports(number Number) bool { return r.Lowest <= number && number <= r.Highest }
 
