Simulation: former builds of the second format, too

Seen: the simulation mixed builds of the first format only, which skips agreements. It could not meet a controller that halts on an agreement that it does not know.

Change: in odd seeds the former build has the second format. No random draw changes.

Evidence: with formats.NewestStored set to Third by hand, TestBuildsSideBySide fails in its seed 1: "controller-1 cannot read a message: log index 4 agrees on format 2, a build of format 1 halts on it".

--- a/internal/simulation/controller_build.go
+++ b/internal/simulation/controller_build.go
@@ -12,7 +12,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/formats/formerbuild"
 )
 
-// build is the build of a controller's process: this build, or one that reads and writes only the first format.
+// build is the build of a controller's process: this build, or one that reads and writes only a former format.
 type build struct {
 	isFormer   bool
 	translator *formerbuild.Translator
@@ -21,12 +21,21 @@
 // mixesBuilds reports whether this run replaces controllers by controllers of the other build.
 func (w *world) mixesBuilds() bool { return slices.Contains(w.options.Emphasis, FaultReplaceBuild) }
 
+// formerFormat returns the format of the former build: the first in runs with an even seed, the second in others. Only
+// controllers of the second halt on agreements that they do not know.
+func (w *world) formerFormat() formats.Number {
+	if w.options.Seed%2 == 0 {
+		return formats.First
+	}
+	return formats.Second
+}
+
 // readRestored returns the content of the disk as the controller's build reads it.
 func (c *controller) readRestored(restored consensus.Restored) consensus.Restored {
 	if !c.build.isFormer {
 		return restored
 	}
-	c.build.translator = formerbuild.New(formats.First)
+	c.build.translator = formerbuild.New(c.world.formerFormat())
 	result := restored
 	read := c.readMessage(&v1.ConsensusMessage{Entries: restored.Entries, Snapshot: restored.Snapshot})
 	result.Entries, result.Snapshot = read.GetEntries(), read.GetSnapshot()
@@ -94,7 +103,7 @@
 	c.crash()
 	return func() {
 		if !c.isAlive {
-			c.build = build{isFormer: !c.build.isFormer, translator: formerbuild.New(formats.First)}
+			c.build = build{isFormer: !c.build.isFormer, translator: formerbuild.New(c.world.formerFormat())}
 			c.start()
 		}
 	}
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -52,7 +52,7 @@
 	// FaultRestartTogether kills all controllers at once, or all but one that is cut off from them, and restarts them
 	// soon after. It happens only in runs that emphasise it.
 	FaultRestartTogether FaultKind = "restart-together"
-	// FaultReplaceBuild replaces a controller by one of the first format, and one of the first format by one of this
+	// FaultReplaceBuild replaces a controller by one of a former format, and one of a former format by one of this
 	// build. It happens only in runs that emphasise it.
 	FaultReplaceBuild FaultKind = "replace-build"
 )
--- a/internal/simulation/run_test.go
+++ b/internal/simulation/run_test.go
@@ -51,7 +51,7 @@
 	require.Positive(t, total.Operations)
 }
 
-// TestBuildsSideBySide runs seeds in which controllers are replaced by ones of the first format and back, beside all other
+// TestBuildsSideBySide runs seeds in which controllers are replaced by ones of a former format and back, beside all other
 // faults. Both builds must hold the same state, on disk, in snapshots and in messages.
 func TestBuildsSideBySide(t *testing.T) {
 	total := Result{Faults: map[FaultKind]int{}}
