--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -54,7 +54,7 @@
 		gateways:          factory.Gauge("gateways", "Gateways heard of lately by this controller."),
 		machines:          factory.Gauge("machines", "Back ends this controller knows."),
 		agreedFormat:      factory.Gauge("agreed_format", "Highest format whose entries of the log take effect here."),
-		agreementBlockers: factory.Gauge("members_of_former_formats", "Controllers that keep this leader from an agreement on its own format; 0 at others."),
+		agreementBlockers: factory.Gauge("members_of_former_formats", "Controllers that keep this leader from an agreement on its newest format of the log; 0 at others."),
 		site:              newSiteInstruments(factory),
 	}
 }
