--- a/internal/closing/connection.go
+++ b/internal/closing/connection.go
@@ -36,7 +36,7 @@
 	// reader.
 	closeRequested bool
 	readDeadline   time.Time
-	// ended is true once the set's last answer was sent. Nothing is written after it, and no request is read.
+	// ended is true from when the set's last answer is sent. Nothing else is then written or read.
 	ended bool
 }
 
--- a/internal/closing/set.go
+++ b/internal/closing/set.go
@@ -43,7 +43,7 @@
 	delete(s.open, connection)
 }
 
-// addLingering adds a number to the count of the lingering connections.
+// addLingering changes the number of lingering connections, for which CloseIdle waits.
 func (s *Set) addLingering(count int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/control/agreement.go
+++ b/internal/control/agreement.go
@@ -38,9 +38,9 @@
 	c.formats.byMember[message.GetFrom()] = formats.FromWire(message.GetFormats())
 }
 
-// advertisedFormats returns the formats of the log that this controller reports to the other controllers. Leaders of builds
-// that agree on any format that all members support then do not agree on one that adds nothing to the log. A controller whose state
-// lacks agreed state reports only the first format: the leader then proposes an agreement on the first format and, later, a
+// advertisedFormats returns the formats of the log that this controller reports to the other controllers. They leave out formats
+// that add nothing to the log, because leaders of former builds agree on any format that all members report. A controller whose
+// state lacks agreed state reports only the first format: the leader then proposes an agreement on the first format and, later, a
 // new one on a higher format, with which all replicas start from the same state.
 func (c *Core) advertisedFormats() formats.Range {
 	if c.state.IsMissingAgreedState() {
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -29,7 +29,8 @@
 type Path struct {
 	// IsLost is true if no back end can be connected to.
 	IsLost bool
-	// IsSilent is true if the path is lost and attempts to connect time out.
+	// IsSilent is true if the path is lost and at least one recent attempt timed out, so that packets on open connections are
+	// probably lost too.
 	IsSilent bool
 }
 
@@ -62,7 +63,7 @@
 }
 
 // RecordFailed records a failed attempt to connect to one of the given number of back ends of its service that accept
-// requests. It reports whether the path is lost since this failure.
+// requests. It reports whether this failure made the path count as lost.
 func (t *Tracker) RecordFailed(now time.Duration, failure Failure, backEnds int) (isLost bool) {
 	known := t.services[failure.Service]
 	if known == nil {
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -25,18 +25,18 @@
 	lastFailure *failure
 	// isQuarantined is true if the request must not be sent to any further back end.
 	isQuarantined bool
-	// ahead is the search for the back end of the next attempt while the current one is silent; nil for none.
-	ahead *aheadSearch
+	// search finds the back end of the next attempt while the current one is silent; nil for none.
+	search *replacementSearch
 	// reservedRetry is taken from the retry budget for the next attempt, which replaces the current one; nil for none.
 	reservedRetry *retrybudget.Reservation
 	// reservedSlot is the back end at which the next attempt is counted already; nil for none. reservedSelection is its
 	// selection, if the next attempt goes there.
 	reservedSlot      *backEnd
 	reservedSelection *backEndSelection
-	// kept is the error answer that the client gets if no further attempt brings an answer; nil for none.
-	kept *keptAnswer
-	// hasForwarded is true once the request was offered to other relays.
-	hasForwarded bool
+	// fallback is a back end's error answer that the client gets if no later attempt succeeds; nil for none.
+	fallback *fallbackAnswer
+	// hasTriedPeers is true once the request was offered to other relays.
+	hasTriedPeers bool
 	// slotRefusal is the answer to the client when the owner of the service's slots has refused the request; nil otherwise.
 	slotRefusal *refusal
 }
@@ -164,8 +164,8 @@
 	case a.lastFailure != nil && errors.Is(a.lastFailure, errNotExecuted):
 		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "the back ends are busy", retryAfter: retryAfterBusy}
 	case len(a.relay.view.Load().byService[a.request.service.Name]) == 0:
-		return refusal{status: fasthttp.StatusServiceUnavailable, reason: string(missingBackEnds), retryAfter: retryAfterNoBackEnd, otherMayServe: true}
+		return refusal{status: fasthttp.StatusServiceUnavailable, reason: string(missingBackEnds), retryAfter: retryAfterNoBackEnd, isRetryableAtPeer: true}
 	default:
-		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "no back end can take the request", retryAfter: retryAfterNoBackEnd, otherMayServe: true}
+		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "no back end can take the request", retryAfter: retryAfterNoBackEnd, isRetryableAtPeer: true}
 	}
 }
--- a/internal/relay/client_request.go
+++ b/internal/relay/client_request.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	forwarded, err := forwardedProgress(connection, head)
+	forwarded, err := readPeerProgress(connection, head)
 	if err != nil {
 		return nil, err
 	}
@@ -72,8 +72,8 @@
 // bodyTimeout bounds the time that a client may take to send a body.
 const bodyTimeout = 10 * time.Second
 
-// tooSlow returns the fault of a request that was not received in time.
-func tooSlow() *requestFault {
+// newSlowRequestFault returns the fault of a request that was not received in time.
+func newSlowRequestFault() *requestFault {
 	return &requestFault{fasthttp.StatusRequestTimeout, "the request was sent too slowly"}
 }
 
@@ -84,7 +84,7 @@
 	case errors.As(err, &small):
 		return &requestFault{fasthttp.StatusRequestHeaderFieldsTooLarge, "the headers are too large"}
 	case isTimeout(err):
-		return tooSlow()
+		return newSlowRequestFault()
 	case errors.Is(err, io.EOF):
 		return err
 	default:
@@ -140,7 +140,7 @@
 		body := make([]byte, length)
 		_, err := io.ReadFull(connection.reader, body)
 		if isTimeout(err) {
-			return nil, tooSlow()
+			return nil, newSlowRequestFault()
 		}
 		return body, err
 	case length != -1:
@@ -149,7 +149,7 @@
 	chunked := &framedBody{framing: framedByChunks, source: connection.reader, reader: httputil.NewChunkedReader(connection.reader)}
 	body, err := io.ReadAll(io.LimitReader(chunked, int64(limit)+1))
 	if isTimeout(err) {
-		return nil, tooSlow()
+		return nil, newSlowRequestFault()
 	}
 	if err != nil {
 		return nil, &requestFault{fasthttp.StatusBadRequest, "the body ended before its last chunk"}
--- a/internal/relay/connpool/confirmation.go
+++ b/internal/relay/connpool/confirmation.go
@@ -9,7 +9,7 @@
 )
 
 // MaxConfirmationAge is the age of the last acknowledgement from which an unanswered keep-alive probe makes an idle
-// connection unusable. Probes go out 1 s after the last segment, and round trips take less than 0.3 s.
+// connection unusable. Probes go out 1 s after the last segment (internal/dialing), and round trips take less than 0.3 s.
 const MaxConfirmationAge = 1300 * time.Millisecond
 
 // isUnconfirmed reports whether the peer of an idle connection leaves the kernel's keep-alive probes without an answer. It
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -47,12 +47,13 @@
 	return routes
 }
 
-// drain stops the relay without cutting off a request. First it reports not ready and continues to serve, then it refuses
+// drain stops the relay. At endRequestsShare it ends the exchanges in progress, so that requests without an answer are refused
+// before the relay exits. First it reports not ready and continues to serve, then it refuses
 // new requests, then it closes the port and the idle connections, after a last check of each. It returns when the accepted
 // requests are answered, at maxStayShare at the latest.
 func (r *Relay) drain(ctx context.Context, listener net.Listener) {
 	beganAt := r.clock.now()
-	r.stoppingSince = beganAt
+	r.stopStartedAt = beganAt
 	began := r.clock.at(beganAt)
 	share := func(part float64) time.Duration { return time.Duration(part * float64(r.settings.GracePeriod)) }
 	r.refuseNewAt.Store(int64(beganAt + share(refuseAfterShare)))
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -66,8 +66,8 @@
 func (e *exchanger) send(message *message) (*answer, *failure) {
 	backoffLeft := message.backEnd.avoidanceLeft(e.clock.now())
 	message.backEnd.addWork(message.work)
-	if message.onCounted != nil {
-		message.onCounted()
+	if message.onWorkAdded != nil {
+		message.onWorkAdded()
 	}
 	e.recordPrefill(message)
 	answer, fault := e.exchange(message)
@@ -130,7 +130,8 @@
 	now := e.clock.now()
 	message.sentAt = now
 	connection := message.backEnd.pool.Get(now, idleLimitOf(message.request.route))
-	if message.hasNewConnection = connection == nil; message.hasNewConnection {
+	message.hasNewConnection = connection == nil
+	if message.hasNewConnection {
 		var err error
 		if connection, err = e.openFor(message, now); err != nil {
 			return nil, &failure{verdict: verdict.NotRun, cause: fmt.Errorf("%w: %w", errDial, err)}
@@ -225,7 +226,7 @@
 	}
 	var watch *stallWatch
 	if message.stall > 0 {
-		watch = e.watchStall(connection, message.backEnd, message.stall, message.secure)
+		watch = e.watchStall(connection, message.backEnd, message.stall, message.reserve)
 		defer watch.stop()
 	}
 	answer, fault := e.readHead(connection, message)
--- /dev/null
+++ b/internal/relay/fallback_answer.go
@@ -0,0 +1,18 @@
+package relay
+
+import "github.com/hazelpitch/hazelpitch/internal/serving"
+
+// fallbackAnswer is a whole error answer of a back end that another attempt should replace. The client gets it if no attempt
+// brings a better one.
+type fallbackAnswer struct {
+	answer *answer
+	body   []byte
+}
+
+// setFallbackAnswer keeps a whole error answer. One whose status promises that the request was not run is kept only for a safe
+// request: a later attempt may run the request.
+func (a *attemptTracker) setFallbackAnswer(answer *answer, body []byte) {
+	if a.request.route.Kind == serving.KindSafe || !(refusal{status: answer.status}).promisesNotRun() {
+		a.fallback = &fallbackAnswer{answer: answer, body: body}
+	}
+}
--- a/internal/relay/forward_request.go
+++ b/internal/relay/forward_request.go
@@ -15,7 +15,8 @@
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
-// maxForwardPeers is how many other relays a request is offered to.
+// maxForwardPeers is how many other relays a request is offered to. Some of them may have lost their path as well, as when a
+// zone is cut off.
 const maxForwardPeers = 4
 
 // forwarder forwards requests to other relays while this one has no path to back ends.
@@ -63,21 +64,21 @@
 	return a.lastFailure != nil && errors.Is(a.lastFailure, errDial)
 }
 
-// isHopeless reports whether attempts of this relay at the request's back ends would only wait for nothing: they cannot be
-// connected to, and the request was offered to other relays already, or has come from one that can offer it to others.
-func (r *Relay) isHopeless(attempts *attemptTracker) bool {
-	return (attempts.hasForwarded || attempts.request.forwarded != nil) && r.path.pathTo(attempts.request.service.Name).IsSilent
+// isOutOfReach reports whether this relay must not try the request's back ends itself: attempts to connect time out, and no other
+// relay remains to be asked, or the relay that forwarded the request can ask others.
+func (r *Relay) isOutOfReach(attempts *attemptTracker) bool {
+	return (attempts.hasTriedPeers || attempts.request.forwarded != nil) && r.path.pathTo(attempts.request.service.Name).IsSilent
 }
 
-// forwardOnce offers a request to other relays, unless that was done before or another relay has forwarded it to this one.
+// forwardToPeers offers a request to other relays, unless that was done before or another relay has forwarded it to this one.
 // lastEventID is the last event of a stream that the client has, empty for none. It reports whether the client has its final
 // answer.
-func (r *Relay) forwardOnce(attempts *attemptTracker, reply *replier, lastEventID string) bool {
+func (r *Relay) forwardToPeers(attempts *attemptTracker, reply *replier, lastEventID string) bool {
 	request := attempts.request
-	if attempts.hasForwarded || request.forwarded != nil || request.isTrial || attempts.isQuarantined {
+	if attempts.hasTriedPeers || request.forwarded != nil || request.isTrial || attempts.isQuarantined {
 		return false
 	}
-	attempts.hasForwarded = true
+	attempts.hasTriedPeers = true
 	var tried []string
 	for len(tried) < maxForwardPeers && attempts.mayForward() {
 		address, isFound := r.forwarder.peers.Pick(r.clock.now(), request.service.Name, tried, r.draw)
@@ -114,8 +115,8 @@
 	}
 }
 
-// adoptAttempts counts the attempts that a peer states in its refusal.
-func (a *attemptTracker) adoptAttempts(answer *answer) {
+// applyPeerAttempts counts the attempts that a peer states in its refusal.
+func (a *attemptTracker) applyPeerAttempts(answer *answer) {
 	stated, err := strconv.Atoi(string(answer.head.Peek(forwarding.HeaderAttempts)))
 	if err != nil {
 		stated = a.sentCount + 1
@@ -144,7 +145,7 @@
 		r.recordForwardedPlain(request)
 		return forwarding.Served, r.forwardAnswer(answer, attempts, reply)
 	case forwarding.Unable:
-		attempts.adoptAttempts(answer)
+		attempts.applyPeerAttempts(answer)
 		reason, _ := io.ReadAll(io.LimitReader(answer, maxReasonBytes)) // the reason is for the log line only
 		r.recordFailedAttempt(request, peer, &failure{verdict: verdict.NotRun, cause: fmt.Errorf("%w: %s", errPeerUnable, trimmedReason(reason))})
 		return forwarding.CouldNotServe, false
@@ -152,9 +153,9 @@
 		if attempts.mayHaveRun { // an earlier attempt; the peer speaks of its own
 			return forwarding.Neutral, false
 		}
-		return forwarding.Neutral, r.forwardRefusal(answer, reply)
+		return forwarding.Neutral, r.forwardRefusal(answer, attempts, reply)
 	default:
-		attempts.adoptAttempts(answer)
+		attempts.applyPeerAttempts(answer)
 		attempts.mayHaveRun = true
 		r.recordForwardedPlain(request)
 		return forwarding.Neutral, false
@@ -192,7 +193,7 @@
 }
 
 // forwardRefusal sends a peer's refusal to the client as the relay's own.
-func (r *Relay) forwardRefusal(answer *answer, reply *replier) bool {
+func (r *Relay) forwardRefusal(answer *answer, attempts *attemptTracker, reply *replier) bool {
 	if reply.started {
 		return false
 	}
@@ -202,7 +203,7 @@
 	}
 	seconds, _ := strconv.ParseFloat(string(answer.head.Peek(fasthttp.HeaderRetryAfter)), 64) // 0 when absent
 	response := refusal{status: answer.status, reason: trimmedReason(reason), retryAfter: time.Duration(seconds * float64(time.Second))}
-	r.log.recordRefusal(answer.message.request, response, &attemptTracker{relay: r, request: answer.message.request})
+	r.log.recordRefusal(attempts.request, response, attempts)
 	reply.refuse(response)
 	return true
 }
--- a/internal/relay/forwarded_connection.go
+++ b/internal/relay/forwarded_connection.go
@@ -41,12 +41,12 @@
 	}
 }
 
-// forwardHeaderBytes is the size of the headers that forwarding adds to a request.
+// forwardHeaderBytes bounds the size of the headers that forwarding adds to a request.
 const forwardHeaderBytes = 1 << 10
 
-// forwardedProgress returns what another relay has done for a request, and removes it from the request's headers. It returns
+// readPeerProgress returns what another relay has done for a request, and removes it from the request's headers. It returns
 // nil for the request of a client.
-func forwardedProgress(connection *clientConnection, head *fasthttp.RequestHeader) (*forwarding.Progress, error) {
+func readPeerProgress(connection *clientConnection, head *fasthttp.RequestHeader) (*forwarding.Progress, error) {
 	if !connection.isFromRelay {
 		return nil, nil
 	}
@@ -60,9 +60,9 @@
 	return &progress, nil
 }
 
-// adoptProgress applies what another relay has decided for a forwarded request. It reports whether this relay may serve the
+// applyPeerProgress applies what another relay has decided for a forwarded request. It reports whether this relay may serve the
 // request: its configuration is not older and has the service and the tenant, and it has a path to the service.
-func (r *Relay) adoptProgress(table *serving.Table, request *request) bool {
+func (r *Relay) applyPeerProgress(table *serving.Table, request *request) bool {
 	progress := request.forwarded
 	if table.Configuration.Number < progress.Configuration || r.path.pathTo(progress.Service).IsLost {
 		return false
--- a/internal/relay/forwarding/peers.go
+++ b/internal/relay/forwarding/peers.go
@@ -50,9 +50,9 @@
 	p.addresses = slices.Sorted(slices.Values(addresses))
 }
 
-// Pick selects a peer for a request to a service that is not among the tried ones, and counts a request in flight there; Done must follow. Of two random
-// peers it takes the one that has served a forwarded request recently, then the one with fewer requests in flight. draw
-// returns random numbers in [0, 1). Pick returns false when no peer is left.
+// Pick selects a peer that is not in tried for a request to a service, and counts a request in flight there; the caller must
+// call Done. It compares two random peers and prefers one that served a forwarded request recently, then the one with fewer
+// requests in flight. draw returns random numbers in [0, 1). Pick returns false when no peer is left.
 func (p *Peers) Pick(now time.Duration, service string, tried []string, draw func() float64) (address string, isFound bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -125,7 +125,7 @@
 	if known == nil {
 		return // not listed any more
 	}
-	known.inFlight--
+	known.inFlight = max(known.inFlight-1, 0) // the peer may have been removed and listed again
 	switch outcome {
 	case Served:
 		known.provenUntil = now + provenTime
--- a/internal/relay/forwarding/progress.go
+++ b/internal/relay/forwarding/progress.go
@@ -6,8 +6,8 @@
 	"github.com/gravitational/trace"
 )
 
-// Names of the headers of forwarded requests and of their answers. They are removed before a request reaches a back end or
-// an answer a client.
+// Names of the headers of forwarded requests and of their answers. A relay honours
+// them only on connections from other relays, and removes them there before the request reaches a back end.
 const (
 	HeaderService       = "Hazelpitch-Forward-Service"
 	HeaderConfiguration = "Hazelpitch-Forward-Configuration"
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -17,13 +17,13 @@
 	// cutoff is sent to the back end in place of the deadline if it is later: another relay, which keeps a margin of its own
 	// before it, must have the whole time for a stream that has begun.
 	cutoff time.Duration
-	// stall is the silence after which the back end counts as failed. The exchange is then aborted once secure reports that
-	// another back end can take over the request; it is not aborted if secure is nil.
-	stall  time.Duration
-	secure secureReplacement
-	// work is the expected work at the back end. onCounted is called when it counts there; nil for no call.
-	work      placement.Work
-	onCounted func()
+	// stall is the silence after which the back end counts as failed. The exchange is then aborted once reserve reports that
+	// another back end can take over the request; it is not aborted if reserve is nil.
+	stall   time.Duration
+	reserve reserveReplacement
+	// work is the expected work at the back end. onWorkAdded is called when it counts there; nil for no call.
+	work        placement.Work
+	onWorkAdded func()
 	// selection is the selection of the back end; nil for a message that is not sent, see awaitCached.
 	selection *backEndSelection
 	// isPrefill is true if the message only prefills the prompt, so that nothing runs.
--- a/internal/relay/missing_state.go
+++ b/internal/relay/missing_state.go
@@ -35,7 +35,7 @@
 // [0, 1), spreads the times at which clients retry.
 func (m missingState) refusal(draw float64) refusal {
 	retryAfter := retryAfterStartup + time.Duration(draw*float64(retryStartupSpread))
-	return refusal{status: fasthttp.StatusServiceUnavailable, reason: string(m), retryAfter: retryAfter, otherMayServe: true}
+	return refusal{status: fasthttp.StatusServiceUnavailable, reason: string(m), retryAfter: retryAfter, isRetryableAtPeer: true}
 }
 
 // refuseForMissingState refuses a request that arrived before the relay had received the state that it needs.
--- a/internal/relay/path_watch.go
+++ b/internal/relay/path_watch.go
@@ -40,7 +40,7 @@
 
 	mutex   sync.Mutex
 	tracker *reachability.Tracker
-	// unconfirmed are the last failed attempts since one succeeded, by back end.
+	// unconfirmed are the failed attempts of the last failureConfirmTime that no success has confirmed yet, by back end.
 	unconfirmed map[*backEnd]failedDial
 	// checkDone is closed at the end of the check in progress; nil while there is none.
 	checkDone chan struct{}
@@ -65,7 +65,8 @@
 	return w.tracker.PathTo(service)
 }
 
-// recordOpened records that a back end was connected to. Recent failures at others were then failures of their back ends.
+// recordOpened records that a back end was connected to. Recent failures at others, also of other services, were then failures
+// of their back ends: a connection to any back end shows that this relay's network works.
 func (w *pathWatch) recordOpened(backEnd *backEnd) {
 	w.mutex.Lock()
 	isRestored := w.tracker.RecordOpened(backEnd.Service)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -98,8 +98,8 @@
 	relayCount atomic.Int64
 	// stopping is true if the relay is shutting down; it then reports not ready, so that clients stop connecting.
 	stopping atomic.Bool
-	// stoppingSince is when the stop began; only the goroutine that stops the relay uses it.
-	stoppingSince time.Duration
+	// stopStartedAt is when the stop began; only the goroutine that stops the relay uses it.
+	stopStartedAt time.Duration
 	// refuseNewAt is when a stopping relay begins to refuse new requests.
 	refuseNewAt atomic.Int64
 
--- a/internal/relay/replace_attempt.go
+++ b/internal/relay/replace_attempt.go
@@ -9,27 +9,27 @@
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
-// replacement returns what secures the replacement of the attempt at the current back end, whose silence has the given
+// replacement returns the function that reserves the replacement of the attempt at the current back end, whose silence has the given
 // limit; nil if the route allows no further attempt. search prepares the search for the back end of the next attempt.
-func (a *attemptTracker) replacement(current *backEnd, limit time.Duration, search prepareSearch) secureReplacement {
+func (a *attemptTracker) replacement(current *backEnd, limit time.Duration, search prepareSearch) reserveReplacement {
 	if !a.hasFurtherAttempt() {
 		return nil
 	}
-	return func(checkAgain func()) bool {
+	return func(recheck func()) bool {
 		if !a.replacementRequest().MayBeSentAgain() {
 			return false
 		}
-		if a.ahead == nil {
+		if a.search == nil {
 			if find := a.prepare(current, limit, search); find != nil {
-				a.ahead = a.relay.searchAhead(find, checkAgain)
+				a.search = a.relay.startReplacementSearch(find, recheck)
 			}
 			return false
 		}
-		selection, isDone := a.relay.searchResult(a.ahead)
+		selection, isDone := a.relay.searchResult(a.search)
 		if !isDone {
 			return false
 		}
-		a.ahead = nil
+		a.search = nil
 		if selection == nil {
 			return false // the next check searches again
 		}
@@ -44,7 +44,7 @@
 
 // prepare prepares the search for a back end that takes over the request from the current one; it returns nil if there is none.
 func (a *attemptTracker) prepare(current *backEnd, limit time.Duration, search prepareSearch) findBackEnd {
-	usable, excluded := a.partition(current, answeringStage(a.request.service), limit)
+	usable, excluded := a.partitionByTakeover(current, answeringStage(a.request.service), limit)
 	if len(usable) == 0 {
 		return nil
 	}
@@ -60,9 +60,9 @@
 	}
 }
 
-// partition returns the service's back ends of the given stage that can take over the request from the current one, and the
+// partitionByTakeover returns the service's back ends of the given stage that can take over the request from the current one, and the
 // hashes of those that cannot.
-func (a *attemptTracker) partition(current *backEnd, stage serving.Stage, limit time.Duration) (usable []*backEnd, excluded []uint64) {
+func (a *attemptTracker) partitionByTakeover(current *backEnd, stage serving.Stage, limit time.Duration) (usable []*backEnd, excluded []uint64) {
 	now := a.relay.clock.now()
 	for _, backEnd := range a.relay.view.Load().byService[a.request.service.Name] {
 		if backEnd.Stage != stage {
@@ -90,10 +90,10 @@
 	}
 }
 
-// replacement returns what secures that the stream continues at another engine; nil if the route allows no further attempt.
-func (s *streamReply) replacement(current *backEnd, limit time.Duration) secureReplacement {
+// replacement returns the function that reserves another engine at which the stream continues; nil if the route allows no further attempt.
+func (s *streamReply) replacement(current *backEnd, limit time.Duration) reserveReplacement {
 	if s.request.service.Engine == nil {
-		return s.attempts.replacement(current, limit, s.attempts.searchAmongFree)
+		return s.attempts.replacement(current, limit, s.attempts.searchFreeSlot)
 	}
 	return s.attempts.replacement(current, limit, s.searchEngine)
 }
@@ -104,7 +104,7 @@
 	criteria := s.placementRequest(nil)
 	criteria.MayHaveRun = true
 	query := newEngineQuery(purposeDecode, s.attempts, criteria)
-	if !s.isPlaced(query, excluded) {
+	if !s.wouldPlace(query, excluded) {
 		return nil
 	}
 	return func() *backEndSelection {
--- a/internal/relay/search_ahead.go
+++ b/internal/relay/replacement_search.go
@@ -6,7 +6,8 @@
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 )
 
-// searchLifetime is how long the result of a search may be used. Owners of engines drop what they have reserved soon after.
+// searchLifetime is how long the result of a search may be used. The owner of an engine may have dropped its reservation by
+// then; the engine was free a moment before, and refuses the request if it is full.
 const searchLifetime = 500 * time.Millisecond
 
 // findBackEnd selects the back end of the next attempt and counts the attempt there; it returns nil when there is none.
@@ -16,21 +17,21 @@
 // the others.
 type prepareSearch func(usable []*backEnd, excluded []uint64) findBackEnd
 
-// aheadSearch is the search for the back end of the next attempt while the current back end is silent. The back end is
+// replacementSearch is the search for the back end of the next attempt while the current back end is silent. The back end is
 // connected to before the current exchange is ended: it may stand still as well, which nothing else shows.
-type aheadSearch struct {
+type replacementSearch struct {
 	// done is closed at the end of the search. Then selection is the selected back end, nil for none.
 	done      chan struct{}
 	selection *backEndSelection
 	endedAt   time.Duration
 }
 
-// searchAhead starts a search and calls onEnd at its end.
-func (r *Relay) searchAhead(find findBackEnd, onEnd func()) *aheadSearch {
-	search := &aheadSearch{done: make(chan struct{})}
+// startReplacementSearch starts a search and calls onEnd at its end.
+func (r *Relay) startReplacementSearch(find findBackEnd, onEnd func()) *replacementSearch {
+	search := &replacementSearch{done: make(chan struct{})}
 	go func() {
 		selection := find()
-		if selection != nil && !r.connectAhead(selection.backEnd) {
+		if selection != nil && !r.preconnect(selection.backEnd) {
 			r.abandonSelection(selection)
 			selection = nil
 		}
@@ -41,8 +42,8 @@
 	return search
 }
 
-// connectAhead opens a connection to a back end for its next request, and reports whether that succeeded.
-func (r *Relay) connectAhead(backEnd *backEnd) bool {
+// preconnect opens a connection to a back end for its next request, and reports whether that succeeded.
+func (r *Relay) preconnect(backEnd *backEnd) bool {
 	connection, err := r.exchanger.open(backEnd, dialTimeout)
 	if err != nil {
 		if !r.path.pathTo(backEnd.Service).IsLost { // otherwise the back end may be sound
@@ -56,7 +57,7 @@
 
 // searchResult returns the result of a search, nil for none, and whether the search has ended. A result that is too old is
 // given back.
-func (r *Relay) searchResult(search *aheadSearch) (selection *backEndSelection, isDone bool) {
+func (r *Relay) searchResult(search *replacementSearch) (selection *backEndSelection, isDone bool) {
 	select {
 	case <-search.done:
 	default:
@@ -70,7 +71,7 @@
 }
 
 // abandonSearch waits for the end of a search and gives its result back.
-func (r *Relay) abandonSearch(search *aheadSearch) {
+func (r *Relay) abandonSearch(search *replacementSearch) {
 	<-search.done
 	if search.selection != nil {
 		r.abandonSelection(search.selection)
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -39,8 +39,8 @@
 	retryAfter time.Duration
 	// challenge is the authentication scheme that the client must use; empty omits it.
 	challenge string
-	// otherMayServe is true if another relay may serve the request.
-	otherMayServe bool
+	// isRetryableAtPeer is true if another relay may serve the request.
+	isRetryableAtPeer bool
 	// attempts counts the attempts that reached a back end, for the relay that has forwarded the request.
 	attempts int
 }
@@ -48,7 +48,7 @@
 // toRelay returns what the refusal means to the relay that has forwarded the request.
 func (r refusal) toRelay() forwarding.Refusal {
 	switch {
-	case r.otherMayServe, !r.promisesNotRun() && r.status < fasthttp.StatusInternalServerError:
+	case r.isRetryableAtPeer, !r.promisesNotRun() && r.status < fasthttp.StatusInternalServerError:
 		return forwarding.Unable // the other relay has admitted the request, and knows another configuration
 	case r.promisesNotRun():
 		return forwarding.NotRun
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -76,7 +76,7 @@
 	}
 	since := func(at time.Duration) int64 { return max((at - request.arrivedAt).Milliseconds(), 0) }
 	l.line(level, events.RequestEnded, request).Stringer("content", request.signature).
-		Int("status", reply.status).Bool("cut", reply.aborted).Bool("client_gone", request.canceller.isCancelled()).Bool("stopping", snapshot.isStopping).Bool("late", isLate).
+		Int("status", reply.status).Bool("cut", reply.aborted).Bool("client_gone", request.canceller.hasClientLeft()).Bool("stopping", snapshot.isStopping).Bool("late", isLate).
 		Str("placed", trace.placementReason).Str("owner", trace.owner).Str("prefill", trace.prefillEngine).Str("back_end", trace.engine).
 		Int("prompt", request.prompt.PromptTokens).Int("to_read", trace.tokensToPrefill).Int("ahead", trace.tokensAhead).Int("ahead_all", trace.tokensAheadAll).
 		Int64("prefill_sent_ms", since(trace.prefillAt)).Int64("sent_ms", since(trace.sentAt)).Int64("gap_ms", trace.longestGap.Milliseconds()).
--- a/internal/relay/reserve_slot.go
+++ b/internal/relay/reserve_slot.go
@@ -16,9 +16,9 @@
 	return max(load.ownWork.Streams, load.reportedRequests)
 }
 
-// searchAmongFree prepares the search for one of the usable back ends that has a free slot. The slot is counted at once, so
+// searchFreeSlot prepares the search for one of the usable back ends that has a free slot. The slot is counted at once, so
 // that two requests do not count on the same one.
-func (a *attemptTracker) searchAmongFree(usable []*backEnd, _ []uint64) findBackEnd {
+func (a *attemptTracker) searchFreeSlot(usable []*backEnd, _ []uint64) findBackEnd {
 	return func() *backEndSelection {
 		a.relay.slotReservations.Lock()
 		defer a.relay.slotReservations.Unlock()
@@ -56,8 +56,8 @@
 
 // returnReservations returns what was reserved for an attempt that is not made.
 func (a *attemptTracker) returnReservations() {
-	if a.ahead != nil {
-		go a.relay.abandonSearch(a.ahead)
+	if a.search != nil {
+		go a.relay.abandonSearch(a.search)
 	}
 	if a.reservedSelection != nil {
 		a.relay.placements.cancel(a.reservedSelection.assignment)
--- a/internal/relay/serve_connection.go
+++ b/internal/relay/serve_connection.go
@@ -104,7 +104,7 @@
 	if r.refusesNewRequests() {
 		reply.close = true
 		r.log.recordUnserved(request, reasonStopping, r.viewSnapshot())
-		reply.refuse(refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonStopping, retryAfter: retryAfterStop, otherMayServe: true})
+		reply.refuse(refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonStopping, retryAfter: retryAfterStop, isRetryableAtPeer: true})
 		return false
 	}
 	r.connections.setRequest(connection, request)
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -34,8 +34,8 @@
 		return
 	}
 	if request.forwarded != nil {
-		if !r.adoptProgress(view.table, request) {
-			reply.refuse(refusal{status: fasthttp.StatusServiceUnavailable, reason: "this relay cannot serve the forwarded request", otherMayServe: true})
+		if !r.applyPeerProgress(view.table, request) {
+			reply.refuse(refusal{status: fasthttp.StatusServiceUnavailable, reason: "this relay cannot serve the forwarded request", isRetryableAtPeer: true})
 			return
 		}
 	} else if fault := r.admit(view.table, request); fault != "" {
@@ -103,10 +103,10 @@
 	attempts := r.newAttempts(request)
 	defer attempts.returnReservations()
 	for {
-		if r.path.pathTo(request.service.Name).IsLost && r.forwardOnce(attempts, reply, "") {
+		if r.path.pathTo(request.service.Name).IsLost && r.forwardToPeers(attempts, reply, "") {
 			return
 		}
-		if r.isHopeless(attempts) || !attempts.mayContinue() {
+		if r.isOutOfReach(attempts) || !attempts.mayContinue() {
 			break
 		}
 		selection, slot := r.pickWithSlot(request, attempts)
@@ -120,7 +120,7 @@
 		r.recordFailedAttempt(request, selection.backEnd, fault)
 		attempts.recordFailure(selection.backEnd, fault)
 	}
-	if attempts.couldNotConnect() && r.forwardOnce(attempts, reply, "") {
+	if attempts.couldNotConnect() && r.forwardToPeers(attempts, reply, "") {
 		return
 	}
 	r.replyRefused(attempts, reply)
@@ -133,7 +133,7 @@
 	request.trace.engine, request.trace.sentAt = backEnd.ID, r.clock.now()
 	limit := stallLimit(request.route)
 	sent := &message{request: request, backEnd: backEnd, deadline: request.deadline, work: placement.Work{Streams: 1}, selection: selection,
-		stall: limit, secure: attempts.replacement(backEnd, limit, attempts.searchAmongFree), onCounted: attempts.releaseReservedSlot}
+		stall: limit, reserve: attempts.replacement(backEnd, limit, attempts.searchFreeSlot), onWorkAdded: attempts.releaseReservedSlot}
 	answer, fault := r.exchanger.send(sent)
 	r.work.AddWholeAnswer(request.service.Name, r.clock.now()-request.trace.sentAt, backEnd.Slots)
 	if fault == nil || fault.verdict != verdict.NotRun {
@@ -156,15 +156,15 @@
 	return serving.StageDecode
 }
 
-// replyRefused sends the final answer when the last attempt brought none: a kept answer of an earlier attempt, or the
+// replyRefused sends the final answer when the last attempt brought none: the fallback answer of an earlier attempt, or the
 // relay's own.
 func (r *Relay) replyRefused(attempts *attemptTracker, reply *replier) {
 	if reply.started || attempts.request.canceller.hasClientLeft() {
 		reply.close, reply.aborted = true, true // a truncated answer must not look complete
 		return
 	}
-	if kept := attempts.kept; kept != nil {
-		reply.sendWhole(kept.answer, kept.body)
+	if fallback := attempts.fallback; fallback != nil {
+		reply.sendWhole(fallback.answer, fallback.body)
 		return
 	}
 	response := attempts.refusal()
@@ -188,7 +188,7 @@
 		return r.forwardLong(answer, body, reply)
 	}
 	if answer.status >= fasthttp.StatusInternalServerError && r.mayReplace(answer, attempts) {
-		attempts.keepAnswer(answer, body)
+		attempts.setFallbackAnswer(answer, body)
 		return &failure{verdict: backEndErrorAnswer.verdict, mayHaveArrived: true, cause: backEndErrorAnswer.cause}
 	}
 	reply.sendWhole(answer, body)
--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -29,7 +29,7 @@
 	defer attempts.returnReservations()
 	stream := &streamReply{relay: r, request: request, reply: reply, attempts: attempts,
 		prefixBlocks: placement.PrefixBlocksOf(request.prompt), lastEventID: string(request.header.Peek(r.dialect.Headers.LastEventID))}
-	if r.path.pathTo(request.service.Name).IsLost && r.forwardOnce(attempts, reply, stream.lastEventID) {
+	if r.path.pathTo(request.service.Name).IsLost && r.forwardToPeers(attempts, reply, stream.lastEventID) {
 		return
 	}
 	start := r.beginStream(stream)
@@ -41,10 +41,10 @@
 	}
 	selection, prefill := start.direct, start.prefill
 	for {
-		if stream.migrated == nil && r.path.pathTo(request.service.Name).IsLost && r.forwardOnce(attempts, reply, stream.lastEventID) {
+		if stream.migrated == nil && r.path.pathTo(request.service.Name).IsLost && r.forwardToPeers(attempts, reply, stream.lastEventID) {
 			return
 		}
-		if stream.migrated == nil && (r.isHopeless(attempts) || !attempts.mayContinue()) {
+		if stream.migrated == nil && (r.isOutOfReach(attempts) || !attempts.mayContinue()) {
 			break
 		}
 		if migrated := stream.migrated; migrated != nil {
@@ -73,7 +73,7 @@
 	if prefill != nil {
 		r.release(prefill)
 	}
-	if attempts.couldNotConnect() && r.forwardOnce(attempts, reply, stream.lastEventID) {
+	if attempts.couldNotConnect() && r.forwardToPeers(attempts, reply, stream.lastEventID) {
 		return
 	}
 	r.replyRefused(attempts, reply)
@@ -111,7 +111,7 @@
 	answer, fault := r.exchanger.send(&message{
 		request: request, backEnd: engine, deadline: request.deadline, prefixBlocks: stream.prefixBlocks, headers: headers, selection: selection, isPrefill: true,
 		work:  prefillWork(r.policy, stream.rank(), &selection.Candidate),
-		stall: limit, secure: stream.prefillReplacement(engine, limit),
+		stall: limit, reserve: stream.prefillReplacement(engine, limit),
 	})
 	if fault != nil {
 		r.recordFailedAttempt(request, engine, fault)
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -32,9 +32,9 @@
 	return max(minPlainStall, stallTargetFactor*route.Target)
 }
 
-// secureReplacement reports whether another back end can take over a request now, and reserves what the next attempt needs.
-// It must not block: it calls checkAgain when the result may have changed.
-type secureReplacement func(checkAgain func()) bool
+// reserveReplacement reports whether another back end can take over a request now, and reserves what the next attempt needs.
+// It must not block: it calls recheck when the result may have changed.
+type reserveReplacement func(recheck func()) bool
 
 // stallWatch detects a back end that stalls during one answer. The back end counts as failed when nothing arrived from it
 // for the limit, neither on this answer nor on any other; new requests then use no connection from before the silence. The
@@ -44,8 +44,8 @@
 	exchanger  *exchanger
 	connection *connpool.Connection
 	backEnd    *backEnd
-	// secure is called during a silence; nil if the answer must not be aborted.
-	secure    secureReplacement
+	// reserve is called during a silence; nil if the answer must not be aborted.
+	reserve   reserveReplacement
 	limit     time.Duration
 	startedAt time.Duration
 	timer     *time.Timer
@@ -58,12 +58,12 @@
 	stopped bool
 }
 
-// watchStall starts to watch for a silence that lasts for the limit. secure is nil if the answer must not be aborted.
-func (e *exchanger) watchStall(connection *connpool.Connection, backEnd *backEnd, limit time.Duration, secure secureReplacement) *stallWatch {
+// watchStall starts to watch for a silence that lasts for the limit. reserve is nil if the answer must not be aborted.
+func (e *exchanger) watchStall(connection *connpool.Connection, backEnd *backEnd, limit time.Duration, reserve reserveReplacement) *stallWatch {
 	if !e.mechanisms.IsEnabled(mechanism.StallWatch) {
-		secure = nil
+		reserve = nil
 	}
-	watch := &stallWatch{exchanger: e, connection: connection, backEnd: backEnd, secure: secure, limit: limit, startedAt: e.clock.now()}
+	watch := &stallWatch{exchanger: e, connection: connection, backEnd: backEnd, reserve: reserve, limit: limit, startedAt: e.clock.now()}
 	backEnd.beginAwaiting(watch.startedAt)
 	watch.mutex.Lock()
 	defer watch.mutex.Unlock()
@@ -91,7 +91,7 @@
 	}
 	w.backEnd.pool.Suspect(max(lastReceivedAt, w.startedAt))
 	w.recordSilence(lastReceivedAt)
-	if w.secure != nil && w.secure(w.checkAgain) {
+	if w.reserve != nil && w.reserve(w.recheck) {
 		_ = w.connection.SetDeadline(time.Unix(1, 0)) // a closed connection needs no deadline
 		return
 	}
@@ -102,8 +102,8 @@
 	w.timer.Reset(next)
 }
 
-// checkAgain makes the watch check at once, unless it has stopped.
-func (w *stallWatch) checkAgain() {
+// recheck makes the watch check at once, unless it has stopped.
+func (w *stallWatch) recheck() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if !w.stopped {
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -111,7 +111,7 @@
 // Guards against new requests that are sent to a silent back end again while its silence lasts: it was avoided for 0.25 s
 // only, however long the silence.
 func TestSilentBackEndIsAvoidedWhileItsSilenceLasts(t *testing.T) {
-	for name, secure := range map[string]secureReplacement{
+	for name, secure := range map[string]reserveReplacement{
 		"no replacement":      func(func()) bool { return false },
 		"must not be aborted": nil,
 	} {
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -106,8 +106,8 @@
 	}
 	limit := stallLimit(s.request.route)
 	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.exchangeDeadline(), headers: headers, work: work, prefixBlocks: s.prefixBlocks, selection: selection,
-		stall:  limit + placement.PrefillTime(s.relay.prefillSpeed.timePerToken(engine.hash), s.relay.policy.DecodeSlowdown*work.PromptTokens()),
-		secure: s.replacement(engine, limit), onCounted: s.attempts.releaseReservedSlot})
+		stall:   limit + placement.PrefillTime(s.relay.prefillSpeed.timePerToken(engine.hash), s.relay.policy.DecodeSlowdown*work.PromptTokens()),
+		reserve: s.replacement(engine, limit), onWorkAdded: s.attempts.releaseReservedSlot})
 	if fault != nil {
 		s.recordSourceCached(fault)
 		return fault
--- a/internal/relay/usage.go
+++ b/internal/relay/usage.go
@@ -38,7 +38,7 @@
 // relay's stay (maxStayShare) and for at least finalReportWait.
 func (r *Relay) awaitReported() {
 	stay := time.Duration(maxStayShare * float64(r.settings.GracePeriod))
-	limit := max(r.clock.now()+finalReportWait, r.stoppingSince+stay)
+	limit := max(r.clock.now()+finalReportWait, r.stopStartedAt+stay)
 	for (r.usage.UnreportedCount() > 0 || r.guard.HasUnreported()) && r.clock.now() < limit {
 		time.Sleep(finalReportPollInterval)
 	}
--- a/internal/soak/check/cut_relays.go
+++ b/internal/soak/check/cut_relays.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// Of the first tries while relays are cut off from back ends, tolerated plus one in toleratedPart may fail at these relays.
+	// A cut breaks the rule only if more than toleratedFailures plus one in toleratedPart of all first tries fail at the relays that
+	// are cut off.
 	toleratedFailures = 10
 	toleratedPart     = 50
 )
