Tests of lost connections wait for the pool between two requests

Seen: TestNewRequestsUseNoConnectionFromBeforeASilence failed once in a run of its package and once in 80 runs by itself, with five connections instead of four. Cause: in the test: a client has its answer a moment before the relay returns the connection to the pool, and the next request then opens another one. Change: both tests that count connections wait until the last one is idle; what they count is unchanged.

--- a/internal/relay/silent_back_end_test.go
+++ b/internal/relay/silent_back_end_test.go
@@ -270,6 +270,13 @@
 	require.Eventually(t, func() bool { return record.currentLoad(0).failures > 0 }, time.Minute, time.Millisecond)
 }
 
+// awaitIdleConnection waits until an idle connection may carry the next request. A client has its answer a moment before the
+// connection is returned to the pool.
+func (r *testRelay) awaitIdleConnection(t *testing.T, record *backEnd) {
+	t.Helper()
+	require.Eventually(t, func() bool { return record.pool.HasIdle(r.clock.now(), connpool.DefaultIdleLimit) }, time.Minute, time.Millisecond)
+}
+
 // shortTarget makes a relay notice the silence of a back end after the shortest time.
 func shortTarget(config *serving.Route) { config.Target = minPlainStall / stallTargetFactor }
 
@@ -285,6 +292,7 @@
 	awaitSilence(t, record)
 	for range 3 {
 		require.Equal(t, 200, relay.client(t).do("POST", "/path/", "new").status)
+		relay.awaitIdleConnection(t, record)
 	}
 	require.Len(t, backEnd.accepted(), 4, "the requests share one new connection")
 	require.Equal(t, 502, lost.read().status)
@@ -318,6 +326,7 @@
 	backEnd.loseConnections()
 	time.Sleep(connpool.MaxConfirmationAge + probeDue/2) // the first probe is sent a second after the last segment
 	require.Equal(t, 200, relay.client(t).do("GET", "/path/", "").status)
+	require.Eventually(t, func() bool { return relay.connections.servingCount() == 0 }, time.Minute, time.Millisecond)
 	require.Equal(t, 200, relay.client(t).do("GET", "/path/", "").status)
 	require.Len(t, backEnd.accepted(), 3, "the requests share one new connection")
 }
