--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -21,7 +21,8 @@
 	ControllerPort int `yaml:"controller_port" check:"required,positive"`
 	// ListingAddress is the IP:port of the external list of back ends. Required.
 	ListingAddress string `yaml:"listing_address" check:"required,address"`
-	// NoticeListen is the IP:port for load notices from other relays (UDP). Required.
+	// NoticeListen is the IP:port for load notices from other relays (UDP) and for the requests that they forward (TCP).
+	// No other process of the machine may listen there. Required.
 	NoticeListen string `yaml:"notice_listen" check:"required,address"`
 	// AdminListen is the IP:port for health, metrics and the log ring; empty disables it.
 	AdminListen string `yaml:"admin_listen" check:"address"`
