Require failures at more than half of the back ends for a lost path

The relay that had received it forwarded it to the one that died, although it had a path: three of eight engines had crashed at the same moment, all connections to the others were pooled, and three refused attempts counted as a lost path. Cause: three back ends are few among eight when requests crash back ends. Change: more than half of a service's back ends must be unreachable, three at least and six at most; the check after a failed attempt connects to as many others as are needed for that. Not done: a resumable stream that breaks at the second relay is not continued elsewhere. Command: go test ./internal/reachability ./internal/relay ./internal/gateway

--- a/internal/gateway/path_watch.go
+++ b/internal/gateway/path_watch.go
@@ -27,9 +27,6 @@
 	// pathCheckDelay is how long an attempt to connect may take before the path is checked. Sound back ends accept
 	// connections within a few milliseconds.
 	pathCheckDelay = 100 * time.Millisecond
-	// pathCheckBackEnds is how many other back ends of the service are connected to in one check. Together with the back
-	// end that failed, they are enough for a lost path.
-	pathCheckBackEnds = 2
 	// lostPathCheckInterval is the interval between attempts to connect to a service while the path to it is lost.
 	lostPathCheckInterval = 250 * time.Millisecond
 	// lostPathRetryAfter is the retry time for callers while the path is lost. It is several lostPathCheckIntervals, so that
@@ -253,7 +250,8 @@
 		}
 	}
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	return targets[:min(len(targets), pathCheckBackEnds)]
+	others := reachability.RequiredFailures(len(targets)+1) - 1 // together with the back end that failed
+	return targets[:min(len(targets), max(others, 0))]
 }
 
 // isTimeout reports whether nothing answered an attempt to connect.
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -8,9 +8,10 @@
 	// evidenceLifetime is how long a failed attempt counts as evidence. Failures further apart are failures of single
 	// back ends, since other attempts would have failed in between if the path were lost.
 	evidenceLifetime = 2 * time.Second
-	// minLostBackEnds is how many back ends of a service must be unreachable at the same time before the path counts as
-	// lost. For a service with fewer back ends, all of them must be.
+	// minLostBackEnds and maxLostBackEnds bound how many back ends of a service must be unreachable at the same time before the
+	// path counts as lost.
 	minLostBackEnds = 3
+	maxLostBackEnds = 6
 	// minBackEnds is the number of back ends below which nothing can be said about the path.
 	minBackEnds = 2
 )
@@ -52,6 +53,12 @@
 	timedOut bool
 }
 
+// RequiredFailures returns how many back ends of a service with the given number of them must be unreachable at the same time
+// before the path counts as lost: more than half of them, since some may crash at the same time, but few in a large service.
+func RequiredFailures(backEnds int) int {
+	return min(max(backEnds/2+1, minLostBackEnds), maxLostBackEnds, backEnds)
+}
+
 // New returns a Tracker for which every path is sound.
 func New() *Tracker { return &Tracker{services: map[string]*service{}} }
 
@@ -76,7 +83,7 @@
 		known.path.IsSilent = known.anyTimedOut()
 		return false
 	}
-	if backEnds < minBackEnds || len(known.failures) < min(minLostBackEnds, backEnds) {
+	if backEnds < minBackEnds || len(known.failures) < RequiredFailures(backEnds) {
 		return false
 	}
 	known.path = Path{IsLost: true, IsSilent: known.anyTimedOut()}
--- a/internal/relay/path_watch.go
+++ b/internal/relay/path_watch.go
@@ -22,9 +22,6 @@
 	// pathCheckDelay is how long an attempt to connect may take before the path is checked. Sound back ends accept
 	// connections within a few milliseconds.
 	pathCheckDelay = 100 * time.Millisecond
-	// pathCheckBackEnds is how many other back ends of the service are connected to in one check. Together with the back
-	// end that failed, they are enough for a lost path.
-	pathCheckBackEnds = 2
 	// lostPathCheckInterval is the interval between attempts to connect to a service while the path to it is lost.
 	lostPathCheckInterval = 250 * time.Millisecond
 	// failureConfirmTime is how long a failed attempt may be confirmed as a failure of its back end: as long as a check lasts
@@ -209,8 +206,10 @@
 // checkTargets returns the back ends to which a check connects: some of the same service and one of another service.
 func (w *pathWatch) checkTargets(failed *backEnd) []*backEnd {
 	var targets []*backEnd
-	for _, backEnd := range w.shuffled(w.openBackEnds(failed.Service)) {
-		if backEnd != failed && len(targets) < pathCheckBackEnds {
+	open := w.shuffled(w.openBackEnds(failed.Service))
+	required := reachability.RequiredFailures(len(open)) // together with the back end that failed
+	for _, backEnd := range open {
+		if backEnd != failed && len(targets)+1 < required {
 			targets = append(targets, backEnd)
 		}
 	}
