Log and count how answers of back ends are framed and how they end

Change: request_ended has framing, end and ends_in_event; the metric answers_total{framing,end}. The reader of bodies moved to internal/relay/framing, which names both; what it returns is unchanged.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -11,13 +11,14 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
+	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 )
 
 // answer is a back end's answer of which the head was read; the body is still unread on the connection.
 type answer struct {
 	status     int
 	head       *fasthttp.ResponseHeader
-	body       *framedBody
+	body       *framing.Body
 	connection *connpool.Connection
 	message    *message
 	exchanger  *exchanger
@@ -61,7 +62,8 @@
 	}
 	a.message.backEnd.removeWork(a.message.work)
 	a.exchanger.announceWork(a.message)
-	if a.body.isComplete {
+	a.exchanger.recordEndOfAnswer(a)
+	if a.hasEnded() {
 		a.message.backEnd.recordSuccess()
 		a.reportCompletedRun()
 	}
@@ -77,7 +79,7 @@
 
 // discard ends an exchange whose answer is not used. It reads a short body, so that the connection can be reused.
 func (a *answer) discard() {
-	if a.body.framing == framedByLength && a.body.remaining <= connpool.AnswerHeadBufferSize {
+	if a.body.IsLastPartBuffered(connpool.AnswerHeadBufferSize) {
 		discardBody(a.body)
 	}
 	a.release()
@@ -119,7 +121,7 @@
 }
 
 func (a *answer) isReusable() bool {
-	return a.body.isComplete && !a.bodyUnread && a.body.framing != framedByClose && !a.head.ConnectionClose() &&
+	return a.body.End() == framing.Declared && !a.bodyUnread && !a.head.ConnectionClose() &&
 		a.connection.Reader.Buffered() == 0 && !a.message.request.canceller.isCancelled()
 }
 
@@ -141,6 +143,11 @@
 	return 0
 }
 
+// hasEnded reports whether the body was read up to its end, declared or not.
+func (a *answer) hasEnded() bool {
+	return a.body.End() == framing.Declared || a.body.End() == framing.Undeclared
+}
+
 // isLong reports whether the answer declares a body that is too long to be buffered.
 func (a *answer) isLong() bool {
 	return !a.hasNoBody() && a.head.ContentLength() > maxBufferedAnswer
--- a/internal/relay/client_request.go
+++ b/internal/relay/client_request.go
@@ -5,12 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http/httputil"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/wirecheck"
 )
 
@@ -146,7 +146,7 @@
 	case length != -1:
 		return nil, nil
 	}
-	chunked := &framedBody{framing: framedByChunks, source: connection.reader, reader: httputil.NewChunkedReader(connection.reader)}
+	chunked := framing.NewChunkedBody(connection.reader)
 	body, err := io.ReadAll(io.LimitReader(chunked, int64(limit)+1))
 	if isTimeout(err) {
 		return nil, newSlowRequestFault()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
+	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/relay/speeds"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
@@ -58,6 +59,8 @@
 	path *pathWatch
 	// dials counts attempts to open connections to back ends, by outcome.
 	dials *prometheus.CounterVec
+	// answers counts the answers of back ends to clients' requests, by framing and end.
+	answers *prometheus.CounterVec
 	// mechanisms says which mechanisms are enabled.
 	mechanisms mechanism.Set
 }
@@ -288,12 +291,12 @@
 		}
 		answer := &answer{
 			status: head.StatusCode(), head: head, connection: connection, message: message, exchanger: e,
-			body: newFramedBody(head, message.request.method, connection.Reader),
+			body: framing.NewAnswerBody(head, message.request.method, connection.Reader),
 		}
 		if string(head.Peek(e.names.RequestID)) == message.request.id {
 			return answer, nil
 		}
-		isStale := connection.AnsweredRequests > 0 && answer.body.framing != framedByClose
+		isStale := connection.AnsweredRequests > 0 && answer.body.Kind() != framing.Close
 		if !isStale || !discardBody(answer.body) {
 			break
 		}
@@ -314,9 +317,9 @@
 }
 
 // discardBody reads and discards a body, and reports whether it was complete.
-func discardBody(body *framedBody) bool {
+func discardBody(body *framing.Body) bool {
 	_, err := io.Copy(io.Discard, io.LimitReader(body, maxStaleBodyBytes))
-	return err == nil && body.isComplete
+	return err == nil && body.End() == framing.Declared
 }
 
 // checkAnswer checks whether the answer may be forwarded to the client. An answer saying that the request was not run is
--- a/internal/relay/exchange_records.go
+++ b/internal/relay/exchange_records.go
@@ -100,6 +100,16 @@
 	e.notices.queueFailure(backEnd)
 }
 
+// recordEndOfAnswer counts an answer to a client's request, and records for the request's log line how its end was determined.
+func (e *exchanger) recordEndOfAnswer(answer *answer) {
+	if answer.message.isPrefill {
+		return
+	}
+	kind, end := answer.body.Kind(), answer.body.End()
+	e.answers.WithLabelValues(kind.String(), end.String()).Inc()
+	answer.message.request.trace.recordEndOfAnswer(kind, end)
+}
+
 // recordReportedLoad records the load that the back end reports in its answer.
 func (e *exchanger) recordReportedLoad(answer *answer) {
 	reported, valid := parseLoadHeader(string(answer.head.Peek(e.names.Load)))
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
@@ -50,7 +51,6 @@
 	errStalled           = errors.New("the back end was silent for too long")
 	errPeerTimeout       = errors.New("the back end's machine has confirmed nothing for too long")
 	errConnectionBroken  = errors.New("the connection broke before the answer was whole")
-	errMalformedAnswer   = errors.New("the bytes received are no answer")
 	errNotExecuted       = errors.New("the back end has not run the request")
 	errInBackoff         = errors.New("the back end has asked to be left alone for now")
 	errLimitReached      = errors.New("the back end's limit leaves no room for now")
@@ -67,7 +67,7 @@
 	label string
 }{
 	{errCancelled, "client_gone"}, {errDeadline, "deadline"}, {errDial, "dial"}, {errStalled, "stalled"}, {errPeerTimeout, "peer_timeout"},
-	{errConnectionBroken, "broken"}, {errMalformedAnswer, "malformed"}, {errNotExecuted, "not_executed"}, {errInBackoff, "backoff"}, {errLimitReached, "limit"},
+	{errConnectionBroken, "broken"}, {framing.ErrMalformed, "malformed"}, {errNotExecuted, "not_executed"}, {errInBackoff, "backoff"}, {errLimitReached, "limit"},
 	{errMisdirected, "misdirected"}, {errForeignAnswer, "foreign_answer"}, {errUnsupportedAnswer, "unsupported_answer"}, {errEventTooLong, "event_too_long"}, {errPeerUnable, "peer_unable"},
 }
 
--- /dev/null
+++ b/internal/relay/framing/body.go
@@ -0,0 +1,129 @@
+package framing
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http/httputil"
+
+	"github.com/valyala/fasthttp"
+)
+
+// maxTrailerLines bounds the trailer lines after the last chunk.
+const maxTrailerLines = 32
+
+// ErrMalformed means that the bytes received are no body of the declared kind.
+var ErrMalformed = errors.New("the bytes received are no answer")
+
+// Body reads a body up to its end and returns io.EOF there. It returns another error if the body ends before its declared end.
+type Body struct {
+	kind   Kind
+	end    End
+	source *bufio.Reader
+	chunks io.Reader
+	// remaining is the number of bytes up to the declared length.
+	remaining int
+}
+
+// NewAnswerBody returns the body that follows the head of an answer; method is that of the request.
+func NewAnswerBody(head *fasthttp.ResponseHeader, method string, source *bufio.Reader) *Body {
+	status, length := head.StatusCode(), head.ContentLength()
+	switch {
+	case method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+		return &Body{kind: None, end: Declared, source: source}
+	case length == 0:
+		return &Body{kind: Length, end: Declared, source: source}
+	case length > 0:
+		return &Body{kind: Length, remaining: length, source: source}
+	case length == -1:
+		return NewChunkedBody(source)
+	default:
+		return &Body{kind: Close, source: source}
+	}
+}
+
+// NewChunkedBody returns a body of chunks.
+func NewChunkedBody(source *bufio.Reader) *Body {
+	return &Body{kind: Chunks, source: source, chunks: httputil.NewChunkedReader(source)}
+}
+
+// Kind returns how the end of the body is determined.
+func (b *Body) Kind() Kind { return b.kind }
+
+// End returns what is known of the body's end so far.
+func (b *Body) End() End { return b.end }
+
+// IsLastPartBuffered reports whether the rest of a body with a length fits into a buffer of the given size.
+func (b *Body) IsLastPartBuffered(size int) bool {
+	return (b.kind == Length || b.kind == None) && b.remaining <= size
+}
+
+// Read implements io.Reader.
+func (b *Body) Read(buffer []byte) (int, error) {
+	switch b.end {
+	case Declared, Undeclared:
+		return 0, io.EOF
+	default:
+	}
+	n, err := b.read(buffer)
+	switch {
+	case err == nil:
+	case !errors.Is(err, io.EOF):
+		b.end = Broken
+	case b.kind == Close:
+		b.end = Undeclared
+	default:
+		b.end = Declared
+	}
+	return n, err
+}
+
+func (b *Body) read(buffer []byte) (int, error) {
+	switch b.kind {
+	case Length:
+		return b.readLength(buffer)
+	case Chunks:
+		return b.readChunks(buffer)
+	default:
+		return b.source.Read(buffer)
+	}
+}
+
+func (b *Body) readLength(buffer []byte) (int, error) {
+	n, err := b.source.Read(buffer[:min(len(buffer), b.remaining)])
+	b.remaining -= n
+	if b.remaining == 0 {
+		b.end = Declared
+		return n, nil
+	}
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func (b *Body) readChunks(buffer []byte) (int, error) {
+	n, err := b.chunks.Read(buffer)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if err := b.readTrailer(); err != nil {
+		return n, err
+	}
+	return n, io.EOF
+}
+
+// readTrailer reads the trailer after the last chunk, up to the empty line.
+func (b *Body) readTrailer() error {
+	for range maxTrailerLines {
+		line, err := b.source.ReadSlice('\n')
+		if err != nil {
+			return errors.Join(io.ErrUnexpectedEOF, err)
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return nil
+		}
+	}
+	return ErrMalformed
+}
--- /dev/null
+++ b/internal/relay/framing/end.go
@@ -0,0 +1,30 @@
+package framing
+
+// End says how far a body was read, and what is known of its end.
+type End int
+
+// Ends of bodies.
+const (
+	// Unread: more of the body may follow.
+	Unread End = iota
+	// Declared: the body was read up to the end that its sender has declared.
+	Declared
+	// Undeclared: the sender has closed the connection, which does not say whether the body is complete.
+	Undeclared
+	// Broken: the body ended before its declared end, or its connection failed.
+	Broken
+)
+
+// String returns the name of the end in log lines and metrics.
+func (e End) String() string {
+	switch e {
+	case Unread:
+		return "unread"
+	case Declared:
+		return "declared"
+	case Undeclared:
+		return "undeclared"
+	default:
+		return "broken"
+	}
+}
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/bootclock"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
@@ -309,9 +310,9 @@
 	c.t.Helper()
 	head := &fasthttp.ResponseHeader{}
 	require.NoError(c.t, head.Read(c.reader))
-	framed := newFramedBody(head, "", c.reader)
+	framed := framing.NewAnswerBody(head, "", c.reader)
 	body, err := io.ReadAll(framed)
-	return clientAnswer{status: head.StatusCode(), head: head, body: string(body), isComplete: err == nil && framed.isComplete}
+	return clientAnswer{status: head.StatusCode(), head: head, body: string(body), isComplete: err == nil && framed.End() == framing.Declared}
 }
 
 func (c *testClient) do(method, target, body string, headers ...string) clientAnswer {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -191,7 +191,7 @@
 	relay.forwarder = newForwarder(relay)
 	relay.exchanger = &exchanger{
 		path:               relay.path,
-		applyAnswerSignals: relay.applyAnswerSignals, acquirePermit: relay.acquirePermit, limitedSends: relay.metrics.limitedSends, dials: relay.metrics.dials,
+		applyAnswerSignals: relay.applyAnswerSignals, acquirePermit: relay.acquirePermit, limitedSends: relay.metrics.limitedSends, dials: relay.metrics.dials, answers: relay.metrics.answers,
 		names: options.Dialect.Headers, writer: newRequestWriter(options.Dialect.Headers), clock: steady, dial: options.Dial,
 		mechanisms: options.Without, speeds: relay.speeds,
 	}
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -55,6 +55,8 @@
 	// be read completely.
 	failedAttempts *prometheus.CounterVec
 	unreadRequests prometheus.Counter
+	// answers counts the answers of back ends to clients' requests, by how their end was determined and how they ended.
+	answers *prometheus.CounterVec
 	// forwards counts the offers of requests to other relays, by how these handled them.
 	forwards *prometheus.CounterVec
 	// dials counts attempts to open connections to back ends, by outcome.
@@ -98,6 +100,7 @@
 		refusals:         factory.CounterVec("refusals_total", "Final answers of the relay's own, by reason.", "reason"),
 		failedAttempts:   factory.CounterVec("attempts_failed_total", "Attempts at back ends that brought no answer, by cause.", "cause"),
 		unreadRequests:   factory.Counter("requests_unread_total", "Requests that could not be read completely."),
+		answers:          factory.CounterVec("answers_total", "Answers of back ends to requests of clients, by how their end was determined and how they ended.", "framing", "end"),
 		dials:            factory.CounterVec("back_end_dials_total", "Attempts to open connections to back ends, by outcome.", "outcome"),
 		forwards:         factory.CounterVec("forwards_total", "Offers of requests to other relays, since this one cannot connect to back ends, by how these handled them.", "outcome"),
 		retries:          factory.Counter("sendings_again_total", "Sendings of requests beyond the first."),
--- a/internal/relay/relay_metrics_test.go
+++ b/internal/relay/relay_metrics_test.go
@@ -71,3 +71,21 @@
 	require.Contains(t, text, `reason="the back ends are busy"`)
 	require.Contains(t, text, `outcome="refused"`)
 }
+
+// Guards against an answer of which nobody can tell later how it was framed and how it ended.
+func TestMetricsShowHowAnswersEnd(t *testing.T) {
+	for end, test := range map[string]struct {
+		framing string
+		script  script
+	}{
+		"declared":   {"length", answering(200, "whole")},
+		"undeclared": {"close", writing(brokenHead + "\r\nperhaps whole")},
+		"broken":     {"chunks", writing(brokenHead + "Transfer-Encoding: chunked\r\n\r\n9\r\ncut")},
+	} {
+		t.Run(end, func(t *testing.T) {
+			relay := newTestRelay(t, route(nil), startBackEnd(t, "one", serving.StageWhole, test.script))
+			relay.client(t).do("GET", "/path/", "")
+			require.Contains(t, relay.scrape(t), `hazelpitch_relay_answers_total{end="`+end+`",framing="`+test.framing+`",`+metricLabels+`} 1`)
+		})
+	}
+}
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -81,7 +81,7 @@
 		Int("prompt", request.prompt.PromptTokens).Int("to_read", trace.tokensToPrefill).Int("ahead", trace.tokensAhead).Int("ahead_all", trace.tokensAheadAll).
 		Int64("prefill_sent_ms", since(trace.prefillAt)).Int64("sent_ms", since(trace.sentAt)).Int64("gap_ms", trace.longestGap.Milliseconds()).
 		Int64("first_ms", since(trace.firstAt)).Int64("ended_ms", since(snapshot.now)).
-		Func(trace.addForecast).Str("forwarded_to", trace.forwardedTo).Bool("forwarded", request.forwarded != nil).
+		Func(trace.addForecast).Func(trace.addEndOfAnswer).Str("forwarded_to", trace.forwardedTo).Bool("forwarded", request.forwarded != nil).
 		Uint64("configuration", snapshot.configuration).Int64("configuration_age_ms", snapshot.configurationAge.Milliseconds()).
 		Int64("leader_age_ms", snapshot.leaderAge.Milliseconds()).Send()
 }
--- a/internal/relay/request_trace.go
+++ b/internal/relay/request_trace.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -26,6 +27,11 @@
 	owner string
 	// forwardedTo is the address of the relay to which the request was forwarded last; empty for none.
 	forwardedTo string
+	// answerFraming and answerEnd say how the end of the last answer was determined, and how it ended. endsInEvent is true if
+	// a stream ended within an event. They are valid if hasAnswer is true.
+	answerFraming          framing.Kind
+	answerEnd              framing.End
+	hasAnswer, endsInEvent bool
 	// firstAt is when the first event of a stream was forwarded.
 	firstAt time.Duration
 	// lastAt is when the last events were forwarded; longestGap is the longest time between two forwards.
@@ -45,6 +51,18 @@
 	}
 }
 
+// recordEndOfAnswer records how a back end's answer ended.
+func (t *requestTrace) recordEndOfAnswer(kind framing.Kind, end framing.End) {
+	t.answerFraming, t.answerEnd, t.hasAnswer = kind, end, true
+}
+
+// addEndOfAnswer adds to a log line how the last answer of a back end ended, if there was one.
+func (t *requestTrace) addEndOfAnswer(line *zerolog.Event) {
+	if t.hasAnswer {
+		line.Stringer("framing", t.answerFraming).Stringer("end", t.answerEnd).Bool("ends_in_event", t.endsInEvent)
+	}
+}
+
 // recordEvents records that events were forwarded.
 func (t *requestTrace) recordEvents(now time.Duration) {
 	if t.firstAt == 0 {
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -16,6 +16,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
+	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -144,7 +145,7 @@
 		head.SetContentLength(4)
 		answer := &answer{
 			message: &message{request: &request{}, backEnd: backEnd}, exchanger: exchanger,
-			body: newFramedBody(head, fasthttp.MethodGet, bufio.NewReader(strings.NewReader("body"))),
+			body: framing.NewAnswerBody(head, fasthttp.MethodGet, bufio.NewReader(strings.NewReader("body"))),
 		}
 		time.Sleep(time.Second)
 		n, _ := answer.Read(make([]byte, 2))
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -177,6 +177,7 @@
 			s.recordGap(gaps, answer.message.backEnd)
 		}
 		if errors.Is(err, io.EOF) {
+			s.request.trace.endsInEvent = len(event.bytes) > 0
 			s.finish(answer, event)
 			return nil
 		}
