--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -270,8 +270,9 @@
 	status int
 	head   *fasthttp.ResponseHeader
 	body   string
-	// isComplete is true if the body was received up to its declared end.
+	// isComplete is true if the body was received up to its declared end; end is what the client can tell of the end.
 	isComplete bool
+	end        framing.End
 }
 
 // testClient is one connection of a client.
@@ -312,7 +313,7 @@
 	require.NoError(c.t, head.Read(c.reader))
 	framed := framing.NewAnswerBody(head, "", c.reader)
 	body, err := io.ReadAll(framed)
-	return clientAnswer{status: head.StatusCode(), head: head, body: string(body), isComplete: err == nil && framed.End() == framing.Declared}
+	return clientAnswer{status: head.StatusCode(), head: head, body: string(body), isComplete: err == nil && framed.End() == framing.Declared, end: framed.End()}
 }
 
 func (c *testClient) do(method, target, body string, headers ...string) clientAnswer {
