Frame an answer as complete only if its back end has declared the end

Cause: the reader of bodies returned io.EOF both at a declared end and when the connection was closed, so that every later step (kept answers, the hop between relays, the writer) added a length or a last chunk that nobody had said. Change: framing.Body returns io.EOF at a declared end only and ErrUndeclaredEnd at a close. The replier frames an answer as its back end did: one that ends with its connection ends with the client's, which is reset if the answer breaks off. The crash guard takes no undeclared end for a completed run. Command: go test ./internal/relay ./internal/closing -count=1

--- a/internal/closing/connection.go
+++ b/internal/closing/connection.go
@@ -38,6 +38,8 @@
 	readDeadline   time.Time
 	// ended is true from when the set's last answer is sent. Nothing else is then written or read.
 	ended bool
+	// resetOnClose is true if Close resets the connection.
+	resetOnClose bool
 }
 
 // SetState sets the use of the connection from now on.
@@ -62,7 +64,12 @@
 // Close implements net.Conn. After an answer, it ends the stream to the client at once, but discards what the client still
 // sends before it closes the connection: a close with unread bytes, or to which more bytes arrive, resets the connection, and
 // a reset destroys the answer if the client has not read it yet.
+//
+// After ResetOnClose, it resets the connection instead.
 func (c *Connection) Close() error {
+	if c.mustReset() {
+		return c.reset()
+	}
 	writer, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok || !c.mayHoldAnswer() || writer.CloseWrite() != nil {
 		c.set.remove(c)
@@ -74,6 +81,29 @@
 	return nil
 }
 
+// ResetOnClose makes Close reset the connection. It is for an answer that would end with its connection and is incomplete: after
+// an ordinary close it would look complete. Bytes that the client's machine has not received yet may be lost.
+func (c *Connection) ResetOnClose() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.resetOnClose = true
+}
+
+func (c *Connection) mustReset() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.resetOnClose
+}
+
+// reset closes the connection with a reset.
+func (c *Connection) reset() error {
+	c.set.remove(c)
+	if connection, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = connection.SetLinger(0) // an error means that the connection is closed already
+	}
+	return c.Conn.Close()
+}
+
 const (
 	// lingerTimeout is how long a client may continue to send after its last answer; lingerQuietTimeout is how long it may
 	// send nothing without closing the connection.
--- a/internal/closing/connection_test.go
+++ b/internal/closing/connection_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -84,3 +85,15 @@
 	server.requestClose(time.Now())
 	require.True(t, server.isCloseRequested())
 }
+
+// Guards against an incomplete answer that looks complete since its connection was closed and not reset.
+func TestConnectionIsResetOnClose(t *testing.T) {
+	set := NewSet()
+	client, server := connectedPair(t, set)
+	server.SetState(Serving)
+	server.ResetOnClose()
+	require.NoError(t, server.Close())
+	_, err := io.ReadAll(client)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	require.True(t, set.isEmpty())
+}
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -40,13 +40,14 @@
 	a.exchanger.announceWork(a.message)
 }
 
-// Read implements io.Reader for the body. It returns io.EOF only at the body's declared end.
+// Read implements io.Reader for the body. It returns io.EOF only at the body's declared end, and framing.ErrUndeclaredEnd at an
+// end that the back end has not declared.
 func (a *answer) Read(buffer []byte) (int, error) {
 	n, err := a.body.Read(buffer)
 	if n > 0 {
 		a.message.backEnd.recordReceived(a.exchanger.clock.now())
 	}
-	if err == nil || errors.Is(err, io.EOF) {
+	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, framing.ErrUndeclaredEnd) {
 		return n, err
 	}
 	fault := a.exchanger.connectionFailure(a.connection, a.message, true, err)
@@ -54,6 +55,15 @@
 	return n, fault
 }
 
+// readAll reads the body up to its end, declared or not, or up to the limit in bytes. It returns an error if the body breaks off.
+func (a *answer) readAll(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a, limit))
+	if errors.Is(err, framing.ErrUndeclaredEnd) {
+		err = nil
+	}
+	return body, err
+}
+
 // finish ends an exchange whose answer was used. The connection can be reused only if the complete body was read and no
 // bytes followed the body.
 func (a *answer) finish() {
@@ -65,15 +75,21 @@
 	a.exchanger.recordEndOfAnswer(a)
 	if a.hasEnded() {
 		a.message.backEnd.recordSuccess()
-		a.reportCompletedRun()
+		a.reportRun()
 	}
 	a.release()
 }
 
-// reportCompletedRun reports to the crash guard that the back end has run the request without a crash.
-func (a *answer) reportCompletedRun() {
-	if !a.message.isPrefill && !a.message.backEnd.isRelay {
+// reportRun reports to the crash guard that the back end has run the request without a crash. If the end of the answer was not
+// declared, the guard finds out whether the back end has crashed.
+func (a *answer) reportRun() {
+	backEnd := a.message.backEnd
+	switch {
+	case a.message.isPrefill || backEnd.isRelay:
+	case a.body.End() == framing.Declared:
 		a.exchanger.guard.RecordSuccess(a.message.request.signature)
+	case !backEnd.isLeaving():
+		go a.exchanger.guard.RecordBrokenRun(a.message.request.signature, replicaOf(backEnd), 0)
 	}
 }
 
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"strconv"
+
+	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 )
 
 const (
@@ -31,9 +33,9 @@
 	return &eventReader{source: bufio.NewReaderSize(body, eventBufferBytes)}
 }
 
-// next returns the next complete event; its bytes are valid until the next call. At the declared end of the stream it
-// returns io.EOF together with the bytes after the last event. Any other error means that the stream broke off; an
-// incomplete event is then dropped.
+// next returns the next complete event; its bytes are valid until the next call. At the end of the stream it returns io.EOF, or
+// framing.ErrUndeclaredEnd, together with the bytes after the last event. Any other error means that the stream broke off;
+// an incomplete event is then dropped.
 func (e *eventReader) next() (event, error) {
 	e.buffer = e.buffer[:0]
 	for {
@@ -45,8 +47,8 @@
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF):
-			return event{bytes: e.buffer, id: eventID(e.buffer)}, io.EOF
+		case errors.Is(err, io.EOF), errors.Is(err, framing.ErrUndeclaredEnd):
+			return event{bytes: e.buffer, id: eventID(e.buffer)}, err
 		case err != nil:
 			return event{}, err
 		}
@@ -74,6 +76,18 @@
 	return ""
 }
 
+// isCut reports whether the bytes after the last event of a stream are the beginning of another one. Comments and empty lines
+// belong to no event.
+func (e *event) isCut() bool {
+	for line := range bytes.Lines(e.bytes) {
+		isWhole := line[len(line)-1] == '\n'
+		if !isWhole || !isEmptyLine(line) && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // isAfter reports whether an event comes after the event with the given identity. Identities that are not numbers cannot be
 // compared; the event then counts as later.
 func (e *event) isAfter(lastID string) bool {
--- a/internal/relay/forward_request.go
+++ b/internal/relay/forward_request.go
@@ -234,7 +234,7 @@
 	case isStream || answer.isLong():
 		return r.forwardLong(answer, nil, reply) == nil
 	}
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedAnswer+1))
+	body, err := answer.readAll(maxBufferedAnswer + 1)
 	switch {
 	case err != nil:
 		attempts.recordForwardedRun()
--- a/internal/relay/framing/body.go
+++ b/internal/relay/framing/body.go
@@ -13,10 +13,16 @@
 // maxTrailerLines bounds the trailer lines after the last chunk.
 const maxTrailerLines = 32
 
-// ErrMalformed means that the bytes received are no body of the declared kind.
-var ErrMalformed = errors.New("the bytes received are no answer")
+var (
+	// ErrMalformed means that the bytes received are no body of the declared kind.
+	ErrMalformed = errors.New("the bytes received are no answer")
+	// ErrUndeclaredEnd means that the sender has closed the connection without having declared the end of the body. The
+	// body may be complete or not.
+	ErrUndeclaredEnd = errors.New("the connection was closed; nothing says whether the answer is whole")
+)
 
-// Body reads a body up to its end and returns io.EOF there. It returns another error if the body ends before its declared end.
+// Body reads a body up to its end. It returns io.EOF at an end that the sender has declared, and only there. At the close of a
+// connection that ends a body without a declared end it returns ErrUndeclaredEnd, and another error if the body breaks off.
 type Body struct {
 	kind   Kind
 	end    End
@@ -62,8 +68,10 @@
 // Read implements io.Reader.
 func (b *Body) Read(buffer []byte) (int, error) {
 	switch b.end {
-	case Declared, Undeclared:
+	case Declared:
 		return 0, io.EOF
+	case Undeclared:
+		return 0, ErrUndeclaredEnd
 	default:
 	}
 	n, err := b.read(buffer)
@@ -73,12 +81,16 @@
 		b.end = Broken
 	case b.kind == Close:
 		b.end = Undeclared
+		return n, ErrUndeclaredEnd
 	default:
 		b.end = Declared
 	}
 	return n, err
 }
 
+// MarkBroken records that the body is incomplete although it was read up to its end: its content says so.
+func (b *Body) MarkBroken() { b.end = Broken }
+
 func (b *Body) read(buffer []byte) (int, error) {
 	switch b.kind {
 	case Length:
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -55,12 +55,16 @@
 	if !errors.Is(fault, errConnectionBroken) {
 		return
 	}
-	replica := crashguard.Replica{ID: backEnd.ID, Name: backEnd.ExpectedID(), Address: backEnd.Address}
 	if !request.route.Repeatable() || a.sentCount >= request.route.MaxAttempts {
-		go relay.guard.RecordBrokenRun(request.signature, replica, 0)
+		go relay.guard.RecordBrokenRun(request.signature, replicaOf(backEnd), 0)
 		return
 	}
-	a.isQuarantined = relay.guard.RecordBrokenRun(request.signature, replica, min(crashReportWait, request.deadline-relay.clock.now()))
+	a.isQuarantined = relay.guard.RecordBrokenRun(request.signature, replicaOf(backEnd), min(crashReportWait, request.deadline-relay.clock.now()))
+}
+
+// replicaOf returns the identity of a back end for the guard.
+func replicaOf(backEnd *backEnd) crashguard.Replica {
+	return crashguard.Replica{ID: backEnd.ID, Name: backEnd.ExpectedID(), Address: backEnd.Address}
 }
 
 // reportIfCrashed reports a crash to the guard when another back end listens at the back end's address. That nothing listens
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/relay/forwarding"
+	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 )
 
 // replier writes the one answer to a request to its client.
@@ -23,7 +24,8 @@
 	// status is the status of the answer; refusal is the relay's own answer, nil when a back end's answer is sent.
 	status  int
 	refusal *refusal
-	chunked bool
+	// framing says how the client determines the end of a back end's answer that is forwarded piece by piece.
+	framing framing.Kind
 	// aborted is true if the answer cannot be completed: a write failed, or the answer broke off.
 	aborted bool
 	scratch []byte
@@ -95,33 +97,64 @@
 	return r.endHead(head, []byte(body))
 }
 
-// sendWhole sends a back end's answer whose body was read completely.
+// sendWhole sends a back end's answer whose body was read up to its end. It states the length only if the back end has declared
+// the end; otherwise the client learns no more than the relay did.
 func (r *replier) sendWhole(answer *answer, body []byte) {
 	head := r.forwardHead(answer)
-	if !answer.hasNoBody() {
+	switch {
+	case answer.hasNoBody():
+	case answer.body.End() == framing.Declared:
 		head = appendHeader(head, "Content-Length", strconv.Itoa(len(body)))
+	default:
+		r.framing, r.close = framing.Close, true
 	}
 	r.write(r.endHead(head, body))
 }
 
-// sendFirstChunk sends the head of a back end's answer and the first chunk of its body. The caller must continue with
-// sendChunk and end with sendLastChunk.
-func (r *replier) sendFirstChunk(answer *answer, first []byte) {
+// sendFirst sends the head of a back end's answer and the first piece of its body. The answer ends with the connection if the
+// back end's does, and has chunks otherwise. The caller must continue with send and end with finish or abort.
+func (r *replier) sendFirst(answer *answer, first []byte) {
 	head := r.forwardHead(answer)
+	if answer.body.Kind() == framing.Close {
+		r.framing, r.close = framing.Close, true
+		r.write(r.endHead(head, first))
+		return
+	}
+	r.framing = framing.Chunks
 	head = appendHeader(head, "Transfer-Encoding", "chunked")
-	r.chunked = true
 	r.write(appendChunk(r.endHead(head, nil), first))
 }
 
-// sendChunk sends one chunk of the body.
-func (r *replier) sendChunk(piece []byte) {
+// send sends one piece of the body.
+func (r *replier) send(piece []byte) {
+	if r.framing == framing.Close {
+		r.write(append(r.scratch[:0], piece...))
+		return
+	}
 	r.write(appendChunk(r.scratch[:0], piece))
 }
 
-// sendLastChunk sends the last chunk and the end of the body.
-func (r *replier) sendLastChunk(piece []byte) {
-	message := appendChunk(r.scratch[:0], piece)
-	r.write(append(message, "0\r\n\r\n"...))
+// finish sends the last piece of the body. The last chunk declares the end of an answer in chunks, so it is sent only if the back
+// end has declared the end as well; otherwise the answer ends incomplete.
+func (r *replier) finish(piece []byte, end framing.End) {
+	switch {
+	case r.framing == framing.Close:
+		r.send(piece)
+	case end == framing.Declared:
+		r.write(append(appendChunk(r.scratch[:0], piece), "0\r\n\r\n"...))
+	default:
+		r.send(piece)
+		r.abort()
+	}
+}
+
+// abort ends an answer that is incomplete, so that it does not look complete: the last chunk is missing, or the connection that
+// would end the answer is reset.
+func (r *replier) abort() {
+	r.close, r.aborted = true, true
+	if r.framing == framing.Close {
+		r.connection.ResetOnClose()
+	}
 }
 
 func appendChunk(message, piece []byte) []byte {
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -8,6 +8,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
+	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -160,7 +161,7 @@
 // relay's own.
 func (r *Relay) replyRefused(attempts *attemptTracker, reply *replier) {
 	if reply.started || attempts.request.canceller.hasClientLeft() {
-		reply.close, reply.aborted = true, true // a truncated answer must not look complete
+		reply.abort()
 		return
 	}
 	if fallback := attempts.fallback; fallback != nil {
@@ -180,7 +181,7 @@
 	if answer.isLong() {
 		return r.forwardLong(answer, nil, reply)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedAnswer+1))
+	body, err := answer.readAll(maxBufferedAnswer + 1)
 	if err != nil {
 		return asFailure(err)
 	}
@@ -224,7 +225,7 @@
 
 // forwardLong forwards a long answer as it arrives, after the bytes that were buffered already.
 func (r *Relay) forwardLong(answer *answer, buffered []byte, reply *replier) *failure {
-	reply.sendFirstChunk(answer, buffered)
+	reply.sendFirst(answer, buffered)
 	request := answer.message.request
 	request.canceller.extend(answer.exchanger.clock, request.cutoff)
 	r.forwardRemainder(answer, reply)
@@ -232,7 +233,7 @@
 }
 
 // forwardRemainder forwards the remainder of an answer whose head was sent, piece by piece as it arrives. When the answer
-// breaks off, it closes the client's connection, so that the answer does not look complete.
+// breaks off, it aborts the answer to the client.
 func (r *Relay) forwardRemainder(answer *answer, reply *replier) {
 	piece := make([]byte, 16<<10)
 	for {
@@ -240,17 +241,17 @@
 		if n > 0 && isEventStream(answer) {
 			r.recordRun(answer.message.request, r.clock.now())
 		}
-		if errors.Is(err, io.EOF) {
-			reply.sendLastChunk(piece[:n])
+		if errors.Is(err, io.EOF) || errors.Is(err, framing.ErrUndeclaredEnd) {
+			reply.finish(piece[:n], answer.body.End())
 			return
 		}
 		if err != nil || reply.aborted {
-			reply.close, reply.aborted = true, true
+			reply.abort()
 			return
 		}
 		if n > 0 {
 			answer.message.request.trace.recordEvents(r.clock.now())
-			reply.sendChunk(piece[:n])
+			reply.send(piece[:n])
 		}
 	}
 }
--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -138,7 +137,7 @@
 
 // readPrefillAnswer reads the answer to a prefill; it returns nil for an error or a malformed answer.
 func (r *Relay) readPrefillAnswer(answer *answer, prefixBlocks []placement.PrefixBlock) *remotePrefill {
-	body, err := io.ReadAll(io.LimitReader(answer, maxPrefillAnswerBytes))
+	body, err := answer.readAll(maxPrefillAnswerBytes) // half of an answer cannot be parsed
 	if err != nil || answer.status != fasthttp.StatusOK {
 		return nil
 	}
