Reset an answer without framing also when its relay is killed

What callers would see: a stream with neither a length nor chunks ends as if its back end had ended it, when the relay that forwards it is killed: the system closes the connection in the ordinary way. Cause: only a relay that still runs could reset the connection. Change: closing.Connection.SetResetOnClose sets SO_LINGER to 0 when such an answer begins, and takes it back once the answer has ended. Until then every end of the connection is a reset.

--- a/internal/closing/connection.go
+++ b/internal/closing/connection.go
@@ -65,13 +65,10 @@
 // sends before it closes the connection: a close with unread bytes, or to which more bytes arrive, resets the connection, and
 // a reset destroys the answer if the client has not read it yet.
 //
-// After ResetOnClose, it resets the connection instead.
+// After SetResetOnClose, it resets the connection instead.
 func (c *Connection) Close() error {
-	if c.mustReset() {
-		return c.reset()
-	}
 	writer, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || !c.mayHoldAnswer() || writer.CloseWrite() != nil {
+	if !ok || c.mustReset() || !c.mayHoldAnswer() || writer.CloseWrite() != nil {
 		c.set.remove(c)
 		return c.Conn.Close()
 	}
@@ -81,29 +78,33 @@
 	return nil
 }
 
-// ResetOnClose makes Close reset the connection. It is for an answer that would end with its connection and is incomplete: after
-// an ordinary close it would look complete. Bytes that the client's machine has not received yet may be lost.
-func (c *Connection) ResetOnClose() {
+// SetResetOnClose makes the end of the connection a reset, also when this process is killed, or an ordinary close again. An answer
+// that ends with its connection would look complete after an ordinary close. Bytes that the client's machine has not received
+// before a reset may be lost.
+func (c *Connection) SetResetOnClose(mustReset bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.resetOnClose = true
+	c.resetOnClose = mustReset
+	connection, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return
+	}
+	seconds := defaultLinger
+	if mustReset {
+		seconds = 0
+	}
+	_ = connection.SetLinger(seconds) // an error means that the connection is closed already
 }
 
+// defaultLinger makes the system send what was written before an ordinary close, in the background.
+const defaultLinger = -1
+
 func (c *Connection) mustReset() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.resetOnClose
 }
 
-// reset closes the connection with a reset.
-func (c *Connection) reset() error {
-	c.set.remove(c)
-	if connection, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = connection.SetLinger(0) // an error means that the connection is closed already
-	}
-	return c.Conn.Close()
-}
-
 const (
 	// lingerTimeout is how long a client may continue to send after its last answer; lingerQuietTimeout is how long it may
 	// send nothing without closing the connection.
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -117,6 +117,7 @@
 	head := r.forwardHead(answer)
 	if answer.body.Kind() == framing.Close {
 		r.framing, r.close = framing.Close, true
+		r.connection.SetResetOnClose(true) // until the end is known, also if this process is killed
 		r.write(r.endHead(head, first))
 		return
 	}
@@ -140,6 +141,7 @@
 	switch {
 	case r.framing == framing.Close:
 		r.send(piece)
+		r.connection.SetResetOnClose(r.aborted)
 	case end == framing.Declared:
 		r.write(append(appendChunk(r.scratch[:0], piece), "0\r\n\r\n"...))
 	default:
@@ -149,13 +151,8 @@
 }
 
 // abort ends an answer that is incomplete, so that it does not look complete: the last chunk is missing, or the connection that
-// would end the answer is reset.
-func (r *replier) abort() {
-	r.close, r.aborted = true, true
-	if r.framing == framing.Close {
-		r.connection.ResetOnClose()
-	}
-}
+// would end the answer is reset, since finish was not called.
+func (r *replier) abort() { r.close, r.aborted = true, true }
 
 func appendChunk(message, piece []byte) []byte {
 	if len(piece) == 0 {
