Soak: answers that end with their connection, whole or broken off

ORDER finds answers that are framed as complete although their back end has not said so, and streams that end early between two events though no back end broke them off; MIXED compares what is cut with what was sent. A response that its back end broke off is no LOST.

--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -37,6 +37,36 @@
 		h.Sendings = []history.Sending{changedSending(request("1", "safe", 0), func(s *history.Sending) { s.Status = 500 })}
 		h.Arrivals = []history.Arrival{ranAt("1", "x", 0)}
 	}},
+	{"a response that ends with its connection", "", func(h *history.History) {
+		h.Sendings = []history.Sending{changedSending(request("1", "safe", 0), func(s *history.Sending) { s.EndsWithConnection = true })}
+		h.Arrivals = []history.Arrival{changedArrival(ranAt("1", "x", 0), setUnframed)}
+	}},
+	{"the first half of a response that ends with its connection", "", func(h *history.History) {
+		h.Sendings = []history.Sending{changedSending(request("1", "safe", 0), func(s *history.Sending) { s.EndsWithConnection, s.Body = true, "" })}
+		h.Arrivals = []history.Arrival{changedArrival(ranAt("1", "x", 0), setBrokenOff)}
+	}},
+	{"half of a response whose back end broke nothing off", Mixed, func(h *history.History) {
+		h.Sendings = []history.Sending{changedSending(request("1", "safe", 0), func(s *history.Sending) { s.EndsWithConnection, s.Body = true, "" })}
+		h.Arrivals = []history.Arrival{changedArrival(ranAt("1", "x", 0), setUnframed)}
+	}},
+	{"a response that is framed as complete, which its back end has not said", Order, func(h *history.History) {
+		h.Sendings = []history.Sending{request("1", "safe", 0)}
+		h.Arrivals = []history.Arrival{changedArrival(ranAt("1", "x", 0), setUnframed)}
+	}},
+	{"a second response of the same back end is framed as complete", "", func(h *history.History) {
+		h.Sendings = []history.Sending{request("1", "safe", 0)}
+		h.Arrivals = []history.Arrival{changedArrival(ranAt("1", "x", 0), setBrokenOff), ranAt("1", "x", second/10)}
+	}},
+	{"a stream that ends with its connection before its last event, as its back end broke it off", "", func(h *history.History) {
+		streamOf("id: 1\ndata: a part\n\n", "once", true)(h)
+		h.Sendings[0].EndsWithConnection = true
+		h.Arrivals[0] = changedArrival(h.Arrivals[0], setBrokenOff)
+	}},
+	{"a stream that ends with its connection before its last event, which its back end sent", Order, func(h *history.History) {
+		streamOf("id: 1\ndata: a part\n\n", "once", true)(h)
+		h.Sendings[0].EndsWithConnection = true
+		h.Arrivals[0] = changedArrival(h.Arrivals[0], setUnframed)
+	}},
 	{"a response that breaks off", "", func(h *history.History) {
 		h.Sendings = []history.Sending{changedSending(request("1", "safe", 0), func(s *history.Sending) { s.Body, s.Whole = "ot", false })}
 		h.Arrivals = []history.Arrival{ranAt("1", "x", 0)}
--- a/internal/soak/check/cut_answers.go
+++ b/internal/soak/check/cut_answers.go
@@ -80,8 +80,8 @@
 	return times
 }
 
-// brokeOff reports whether one of the back ends that a request reached may have ended its response early: it crashed,
-// left, or had its connections reset or blocked meanwhile, or the relay was cut off from it. Back ends that stand still do
+// brokeOff reports whether one of the back ends that a request reached may have ended its response early: it broke it off,
+// crashed, left, or had its connections reset or blocked meanwhile, or the relay was cut off from it. Back ends that stand still do
 // not break off.
 func brokeOff(recorded *history.History, arrivals []history.Arrival, sending history.Sending, crashes map[string]time.Duration) bool {
 	if recorded.WasCutFromBackEnds(sending.Front, sending.SentAt, sending.EndedAt) {
@@ -89,6 +89,9 @@
 	}
 	breaking := []history.FaultKind{history.Crash, history.Drain, history.Reset, history.Silence}
 	for _, arrival := range arrivals {
+		if arrival.BrokenOff {
+			return true
+		}
 		if at, crashed := crashes[arrival.Replica]; crashed && at <= sending.EndedAt {
 			return true // a crashed incarnation may still receive requests until its connections are reset
 		}
--- a/internal/soak/check/histories_test.go
+++ b/internal/soak/check/histories_test.go
@@ -54,6 +54,12 @@
 	return arrival
 }
 
+func setUnframed(arrival *history.Arrival) { arrival.EndsWithConnection = true }
+
+func setBrokenOff(arrival *history.Arrival) {
+	arrival.EndsWithConnection, arrival.BrokenOff = true, true
+}
+
 func setCrashed(arrival *history.Arrival) { arrival.Crashed, arrival.Status = true, 0 }
 
 // crashes adds attempts of one request under different identities, each of which crashes its back end.
--- a/internal/soak/history/arrival.go
+++ b/internal/soak/history/arrival.go
@@ -28,6 +28,8 @@
 	Leaving bool
 	// Limited is true if the response announced a limit for all relays together.
 	Limited bool
+	// EndsWithConnection is true if the response had neither a length nor chunks, BrokenOff if the back end broke it off.
+	EndsWithConnection, BrokenOff bool
 	// Cancelled is true if the back end saw its connection close before the end of the response, at EndedAt.
 	Cancelled bool
 }
--- a/internal/soak/history/sending.go
+++ b/internal/soak/history/sending.go
@@ -32,8 +32,9 @@
 	Body   string
 	// AnswerID is the request identity that the response carries.
 	AnswerID string
-	// Whole is true if the response was complete.
-	Whole bool
+	// Whole is true if the response has not visibly broken off. EndsWithConnection is true if it had neither a length nor chunks:
+	// then nothing says whether it was complete.
+	Whole, EndsWithConnection bool
 	// Tenant is the name of the tenant that sent the attempt; empty for none.
 	Tenant string
 	// Request is equal for all attempts of one request of a tenant.
@@ -53,5 +54,8 @@
 // WasRun reports whether the response is that of a back end that ran the request.
 func (s Sending) WasRun() bool { return s.Seal != "" }
 
+// IsDeclaredWhole reports whether the response is framed as complete.
+func (s Sending) IsDeclaredWhole() bool { return s.Whole && !s.EndsWithConnection }
+
 // Succeeded reports whether the client got a success status.
 func (s Sending) Succeeded() bool { return s.Status >= 200 && s.Status < 300 }
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -150,7 +150,7 @@
 		service := []string{standin.ServicePages, standin.ServiceOther}[number%2]
 		replica, err := standin.StartReplica(standin.ReplicaOptions{
 			Service: service, Zone: s.zone(number / 2), Address: hostPort(address(groupPages, number), portOuter), Slots: 8,
-			RunTime: 8 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
+			RunTime: 8 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, Unframed: s.options.Unframed, ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
 		})
 		if err != nil {
 			return trace.Wrap(err)
@@ -161,7 +161,7 @@
 		stage := []string{platform.StageDecode, platform.StagePrefill}[number%2]
 		replica, err := standin.StartReplica(standin.ReplicaOptions{
 			Service: standin.ServiceEngines, Zone: s.zone(number / 2), Address: hostPort(address(groupEngines, number), portOuter), Stage: stage, Slots: 16,
-			RunTime: 5 * time.Millisecond, EventInterval: 15 * time.Millisecond, UsualSpeed: s.usualSpeed(engineTimes[number%len(engineTimes)]), Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
+			RunTime: 5 * time.Millisecond, EventInterval: 15 * time.Millisecond, UsualSpeed: s.usualSpeed(engineTimes[number%len(engineTimes)]), Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, Unframed: s.options.Unframed, ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
 		})
 		if err != nil {
 			return trace.Wrap(err)
