List the software versions of back ends, and log where streams go on

Change: serving.BackEnd.Software, sent to relays in the list (format 3, which leaders and relays announce; relays of earlier formats get the list as before or ignore the field). The event stream_goes_on and the metric streams_continued_total{cause,software}. Nothing decides by the version yet. Command: go test ./internal/formats/... ./internal/listing ./internal/control ./platform ./internal/relay -run 'Metrics|Listing|Format'

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -53,6 +53,8 @@
 	SlotGranted Event = "slot_granted"
 	// RunMigrated: a run was migrated from an engine that accepts no more work.
 	RunMigrated Event = "run_moved"
+	// StreamContinued: a stream of which the client has events goes on at a back end.
+	StreamContinued Event = "stream_goes_on"
 	// ConfigurationApplied: the relay applied a different configuration.
 	ConfigurationApplied Event = "configuration_in_force"
 	// ConfigurationUnreadable: the relay received a configuration that it cannot parse.
@@ -108,7 +110,7 @@
 
 // All lists every event.
 var All = []Event{
-	RequestEnded, AttemptFailed, RequestRefused, RequestUnread, PathLost, PathRestored, KeyRefused, RunMigrated, ConfigurationApplied, ConfigurationUnreadable, ListingApplied, ListingFaultChanged,
+	RequestEnded, AttemptFailed, RequestRefused, RequestUnread, PathLost, PathRestored, KeyRefused, RunMigrated, StreamContinued, ConfigurationApplied, ConfigurationUnreadable, ListingApplied, ListingFaultChanged,
 	BackEndInBackoff, BackEndLeaving, BackEndLimitChanged, BackEndRestarted, BackEndCrashed, RequestQuarantined, QuarantineTrialStarted, GuardCallFailed,
 	LeaderLost, LeaderFound, OwnerSuspected, CellAcquired, CellReleased, SlotsAcquired, SlotsReleased, SlotRefused, SlotGranted, RelayStarted, RelayStopping, RelayStopped, GatewayStopping, GatewayStopped, SignalReceived, StageOrdered, UsageDelivered, ReplicasOrdered, FormatAgreed, ControllerHalted, UpdateNotApplied, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
--- a/internal/formats/number.go
+++ b/internal/formats/number.go
@@ -10,8 +10,10 @@
 	Second Number = 1
 	// Third added the slots of services that relays share, and the speeds of engines.
 	Third Number = 2
+	// Fourth added the versions of the back ends' software.
+	Fourth Number = 3
 	// Newest is the highest format that this build supports.
-	Newest = Third
+	Newest = Fourth
 	// NewestStored is the newest format that added entries of the replicated log or state that they build. Controllers
 	// agree on no later one: a former build halts on an agreement that it does not know, even if nothing of that format
 	// is stored.
@@ -36,4 +38,6 @@
 	RelayPermits = Second
 	// SlotQueues is the first format in which relays own the slots of services and grant them to each other.
 	SlotQueues = Third
+	// SoftwareVersions is the first format in which the list of back ends holds the versions of their software.
+	SoftwareVersions = Fourth
 )
--- a/internal/listing/first_format.go
+++ b/internal/listing/first_format.go
@@ -29,7 +29,7 @@
 
 // hasNewerFields reports whether an entry has fields that the first format does not have.
 func hasNewerFields(entry *v1.ListedBackEnd) bool {
-	return entry.GetReplica() != "" || entry.GetBornMs() != 0 || entry.GetSpot()
+	return entry.GetReplica() != "" || entry.GetBornMs() != 0 || entry.GetSpot() || entry.GetSoftware() != ""
 }
 
 func entryToFirstFormat(entry *v1.ListedBackEnd) *v1.ListedBackEnd {
@@ -37,6 +37,6 @@
 	if converted.Replica != "" {
 		converted.Id = converted.Replica
 	}
-	converted.Replica, converted.BornMs, converted.Spot = "", 0, false
+	converted.Replica, converted.BornMs, converted.Spot, converted.Software = "", 0, false, ""
 	return converted
 }
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -78,6 +78,8 @@
 	// startupWaits counts requests that arrived before the relay had the state to serve them.
 	startupWaits prometheus.Counter
 	migrations   *prometheus.CounterVec
+	// continuations counts streams that went on at a back end, by cause and by whether its software version began them.
+	continuations *prometheus.CounterVec
 	// placementQueries counts placement decisions by who made them; spills counts requests offered to a further cell.
 	placementQueries *prometheus.CounterVec
 	spills           prometheus.Counter
@@ -114,6 +116,7 @@
 		prefillWaits:     factory.Counter("reading_waits_total", "Waits of prompts for the reading of parts that they share."),
 		startupWaits:     factory.Counter("start_waits_total", "Requests that waited for a configuration and a list, since they came right after the start."),
 		migrations:       factory.CounterVec("runs_moved_total", "Runs that stopped at one engine to go on at another, by whether they were copied.", "copied"),
+		continuations:    factory.CounterVec("streams_continued_total", "Streams of which the client had events and that went on at a back end, by cause and software version.", "cause", "software"),
 		placementQueries: factory.CounterVec("placement_questions_total", "Decisions on engines, by who made them.", "outcome"),
 		slots:            slots.NewMetrics(factory, func() *slots.Slots { return relay.slots }),
 		spills:           factory.Counter("placement_spills_total", "Offers of requests to a further cell of engines."),
--- a/internal/relay/relay_metrics_test.go
+++ b/internal/relay/relay_metrics_test.go
@@ -89,3 +89,16 @@
 		})
 	}
 }
+
+// Guards against streams that go on at another back end without a trace of where and why.
+func TestMetricsShowWhereStreamsGoOn(t *testing.T) {
+	first := startBackEnd(t, "first", serving.StageWhole, streaming("first", eventOne, "cut"))
+	second := startBackEnd(t, "second", serving.StageWhole, streaming("second", eventTwo))
+	first.entry.Software, second.entry.Software = "v1", "v1"
+	relay := newTestRelay(t, route(stream(true)), first, second).preferring("first")
+	require.True(t, relay.client(t).do("GET", "/path/", "").isComplete)
+	require.Contains(t, relay.scrape(t), `hazelpitch_relay_streams_continued_total{cause="break",`+metricLabels[:12]+`,role="relay",software="same",zone="zone"} 1`)
+	relay = newTestRelay(t, route(stream(true)), second)
+	require.True(t, relay.client(t).do("GET", "/path/", "", "T-Last: 1").isComplete)
+	require.Contains(t, relay.scrape(t), `hazelpitch_relay_streams_continued_total{cause="client",`+metricLabels[:12]+`,role="relay",software="unknown",zone="zone"} 1`)
+}
--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -56,6 +56,7 @@
 			break
 		}
 		engine := selection.backEnd
+		stream.recordContinuation(selection)
 		fault := stream.runOn(selection, prefill)
 		prefill = nil // a handle can be used only once
 		if fault == nil {
--- /dev/null
+++ b/internal/relay/stream_continuation.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"errors"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hazelpitch/hazelpitch/internal/events"
+)
+
+// continuationCause says why a stream of which the client has events is sent to a back end.
+type continuationCause string
+
+// Causes of continuations.
+const (
+	// continuedAfterBreak: the stream's back end broke off. continuedAfterSilence: it was silent, and is replaced.
+	continuedAfterBreak   continuationCause = "break"
+	continuedAfterSilence continuationCause = "silence"
+	// continuedByMove: the run was moved to another engine, or stays after an attempt to move it.
+	continuedByMove continuationCause = "move"
+	// continuedByClient: the client has taken the stream up. continuedByRelay: another relay has forwarded it.
+	continuedByClient continuationCause = "client"
+	continuedByRelay  continuationCause = "relay"
+)
+
+// softwareMatch says whether a stream goes on at the version of the software that began it.
+type softwareMatch string
+
+// Results of the comparison.
+const (
+	softwareSame    softwareMatch = "same"
+	softwareOther   softwareMatch = "other"
+	softwareUnknown softwareMatch = "unknown"
+)
+
+// compareSoftware compares two software versions; empty ones are unknown.
+func compareSoftware(began, next string) softwareMatch {
+	switch {
+	case began == "" || next == "":
+		return softwareUnknown
+	case began == next:
+		return softwareSame
+	default:
+		return softwareOther
+	}
+}
+
+// recordContinuation records that a stream is sent to a back end, if the client has events of it already.
+func (s *streamReply) recordContinuation(selection *backEndSelection) {
+	if s.lastEventID == "" && !s.reply.started {
+		return
+	}
+	cause, from, began := s.continuationCause(selection), "", ""
+	if s.origin != nil {
+		from, began = s.origin.ID, s.origin.Software
+	}
+	match := compareSoftware(began, selection.backEnd.Software)
+	s.relay.metrics.continuations.WithLabelValues(string(cause), string(match)).Inc()
+	s.relay.log.line(zerolog.InfoLevel, events.StreamContinued, s.request).Str("cause", string(cause)).Str("from", from).
+		Str("back_end", selection.backEnd.ID).Str("software", string(match)).Send()
+}
+
+func (s *streamReply) continuationCause(selection *backEndSelection) continuationCause {
+	switch {
+	case selection.isMigrated:
+		return continuedByMove
+	case s.attempts.lastFailure != nil && errors.Is(s.attempts.lastFailure, errStalled):
+		return continuedAfterSilence
+	case s.origin != nil:
+		return continuedAfterBreak
+	case s.request.forwarded != nil:
+		return continuedByRelay
+	default:
+		return continuedByClient
+	}
+}
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -35,6 +35,8 @@
 	prefill *remotePrefill
 	// reservedRun is the engine for which a permit was acquired before the prefill; nil for none.
 	reservedRun *backEndSelection
+	// origin is the back end whose run produced the first event that this relay has sent to the client; nil before.
+	origin *backEnd
 	// hasEvents is true if the current run has produced events.
 	hasEvents bool
 	// mover can migrate the current run to another engine; nil when that is impossible. migrated is where a migrated run
@@ -271,6 +273,9 @@
 	}
 	s.request.trace.recordEvents(s.relay.clock.now())
 	s.recordFirstEvent(answer)
+	if s.origin == nil {
+		s.origin = answer.message.backEnd
+	}
 	if s.reply.started {
 		s.reply.send(s.pending)
 	} else {
--- a/internal/serving/back_end.go
+++ b/internal/serving/back_end.go
@@ -38,6 +38,8 @@
 	ColdRemaining time.Duration
 	Stage         Stage
 	Models        []string
+	// Software is the version of the replica's software, not of its weights; empty if it is unknown. Versions have no order.
+	Software string
 }
 
 // ExpectedID returns the identity by which requests name the intended back end.
--- a/internal/serving/proto.go
+++ b/internal/serving/proto.go
@@ -18,7 +18,7 @@
 	return &v1.ListedBackEnd{
 		Id: b.ID, Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: uint32(max(b.Slots, 0)),
 		Leaving: b.Leaving, Changing: b.Changing, ColdMs: uint32(max(b.ColdRemaining.Milliseconds(), 0)), Role: stageRoles[b.Stage], Models: b.Models,
-		Spot: b.Spot, Replica: b.Replica, BornMs: b.StartedAtMs,
+		Spot: b.Spot, Replica: b.Replica, BornMs: b.StartedAtMs, Software: b.Software,
 	}
 }
 
@@ -28,7 +28,7 @@
 		ID: listed.GetId(), Service: listed.GetService(), Address: listed.GetAddress(), Zone: listed.GetZone(),
 		Slots: int(listed.GetSlots()), Leaving: listed.GetLeaving(),
 		Spot: listed.GetSpot(), Replica: listed.GetReplica(), StartedAtMs: listed.GetBornMs(),
-		ColdRemaining: time.Duration(listed.GetColdMs()) * time.Millisecond, Models: listed.GetModels(),
+		ColdRemaining: time.Duration(listed.GetColdMs()) * time.Millisecond, Models: listed.GetModels(), Software: listed.GetSoftware(),
 	}
 	backEnd.Changing = listed.GetChanging()
 	backEnd.Stage = StageOfRole(listed.GetRole())
