--- a/internal/importrules/importrules_test.go
+++ b/internal/importrules/importrules_test.go
@@ -51,6 +51,7 @@
 	"internal/shares",
 	"internal/slotqueue",
 	"internal/stageplan",
+	"internal/streamorigin",
 	"internal/subsetting",
 	"internal/standin/engine/orders",
 	"internal/truetime",
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -33,6 +34,9 @@
 	// selection, if the next attempt goes there.
 	reservedSlot      *backEnd
 	reservedSelection *backEndSelection
+	// boundTo is the software version at which alone the stream may go on; None while no event of it was sent. The goroutines
+	// that replace or move a run read it, too.
+	boundTo atomic.Uint64
 	// fallback is a back end's error answer that the client gets if no later attempt succeeds; nil for none.
 	fallback *fallbackAnswer
 	// hasTriedPeers is true once the request was offered to other relays.
@@ -44,8 +48,10 @@
 // newAttempts returns the record of a request's attempts, with those of the relay that has forwarded it.
 func (r *Relay) newAttempts(request *request) *attemptTracker {
 	attempts := &attemptTracker{relay: r, request: request}
+	attempts.bind(request.boundTo)
 	if request.forwarded != nil {
 		attempts.sentCount, attempts.mayHaveRun = request.forwarded.Attempts, request.forwarded.MayHaveRun
+		attempts.bind(request.forwarded.Version)
 	}
 	return attempts
 }
@@ -125,9 +131,9 @@
 	return a.request.canceller.isCancelled() || a.relay.clock.now() >= a.request.deadline
 }
 
-// isExcluded reports whether the back end was already tried for this request.
+// isExcluded reports whether the back end must not be sent this request: it was already tried, or the stream must not go on there.
 func (a *attemptTracker) isExcluded(backEnd *backEnd) bool {
-	return slices.Contains(a.excluded, backEnd)
+	return slices.Contains(a.excluded, backEnd) || !mayGoOnAt(a.binding(), backEnd)
 }
 
 // Delays after which refused clients may retry.
@@ -146,6 +152,7 @@
 func (a *attemptTracker) refusal() refusal {
 	isLate := a.relay.clock.now() >= a.request.deadline || a.lastFailure != nil && errors.Is(a.lastFailure, errDeadline)
 	advice := a.relay.retryAdvice(a.request.service.Name, answeringStage(a.request.service))
+	versionGone := a.refuseGoneVersion()
 	switch {
 	case a.mayHaveRun && isLate:
 		return refusal{status: fasthttp.StatusGatewayTimeout, reason: "no whole answer came in time"}
@@ -157,6 +164,8 @@
 		return *a.slotRefusal
 	case isLate:
 		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "no back end took the request in time", retryAfter: retryAfterBusy}
+	case versionGone != nil:
+		return *versionGone
 	case advice.isLimited:
 		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "the limits of the back ends leave no room", retryAfter: advice.retryAfter}
 	case advice.retryAfter > 0:
--- a/internal/relay/back_end.go
+++ b/internal/relay/back_end.go
@@ -10,6 +10,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
 // backEnd is this relay's record of one incarnation of a replica. It exists while the list contains the incarnation;
@@ -20,8 +21,10 @@
 	// incarnationHash identifies the incarnation among the relays that do.
 	hash            uint64
 	incarnationHash uint64
-	pool            connpool.Pool
-	cache           *prefixCache
+	// version is that of the back end's software.
+	version streamorigin.Version
+	pool    connpool.Pool
+	cache   *prefixCache
 	// signals holds the signals of this incarnation: its backoff, its limit and whether it is leaving.
 	signals *backpressure.Signals
 	// isRelay is true for the record of another relay, to which requests are forwarded.
@@ -44,7 +47,8 @@
 func newBackEnd(entry serving.BackEnd, cacheSize int) *backEnd {
 	return &backEnd{
 		BackEnd: entry, hash: cell.HashEngine(entry.ExpectedID()), incarnationHash: cell.HashEngine(entry.ID), signals: &backpressure.Signals{},
-		cache: newPrefixCache(placement.PrefixCacheCapacity(entry.Stage, cacheSize)),
+		version: streamorigin.VersionOf(entry.Software),
+		cache:   newPrefixCache(placement.PrefixCacheCapacity(entry.Stage, cacheSize)),
 	}
 }
 
--- a/internal/relay/back_end_records.go
+++ b/internal/relay/back_end_records.go
@@ -26,6 +26,7 @@
 	next.byHash, next.byIncarnation = map[uint64]*backEnd{}, map[uint64]*backEnd{}
 	for _, entry := range listed {
 		current := f.records[entry.ID]
+		entry.Software = f.knownSoftware(entry, current)
 		if current == nil || !sameEntry(current.BackEnd, entry) {
 			current = f.replaceRecord(current, entry, next)
 		}
@@ -50,6 +51,7 @@
 	f.relay.speeds.Retain(func(engine uint64) bool { return next.byHash[engine] != nil })
 	next.isListed, next.listedAt = true, f.relay.clock.now()
 	f.relay.owners.setView(next)
+	f.relay.origins.ApplyListing(listedByService(next.byService))
 }
 
 // newlyClosed returns the former records of back ends that accept no more work since the new list.
@@ -126,5 +128,5 @@
 }
 
 func sameEntry(a, b serving.BackEnd) bool {
-	return a.Address == b.Address && a.Service == b.Service && a.Leaving == b.Leaving && a.Changing == b.Changing && a.Stage == b.Stage && a.Slots == b.Slots
+	return a.Address == b.Address && a.Service == b.Service && a.Leaving == b.Leaving && a.Changing == b.Changing && a.Stage == b.Stage && a.Slots == b.Slots && a.Software == b.Software
 }
--- a/internal/relay/client_request.go
+++ b/internal/relay/client_request.go
@@ -27,7 +27,7 @@
 func singleValueHeaders(names HeaderNames) []string {
 	return []string{
 		"Host", "Content-Length", "Transfer-Encoding", names.RequestID, names.DeadlineMs,
-		names.LastEventID, names.Model, names.Tokens, names.PromptParts,
+		names.LastEventID, names.Resumes, names.Model, names.Tokens, names.PromptParts,
 	}
 }
 
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -44,6 +44,8 @@
 	PromptParts, Model, Tokens string
 	// LastEventID is the identity of the last event of a stream that the client has received.
 	LastEventID string
+	// Resumes is the identity of the client's attempt that brought the first event of a stream that it takes up.
+	Resumes string
 	// Seal is a back end's signature of its answer.
 	Seal string
 	// ExpectInstance identifies the intended back end; any other back end refuses the request.
--- a/internal/relay/early_head_test.go
+++ b/internal/relay/early_head_test.go
@@ -45,7 +45,7 @@
 			}()
 		}
 	}()
-	return &scriptedBackEnd{entry: serving.BackEnd{ID: "early", Service: "service", Address: listener.Addr().String(), Zone: "zone", Slots: 8}}
+	return &scriptedBackEnd{entry: serving.BackEnd{ID: "early", Service: "service", Address: listener.Addr().String(), Zone: "zone", Slots: 8, Software: "v1"}}
 }
 
 // Guards against a request that is lost because its back end sends the head of its answer before it has read a long body:
--- a/internal/relay/engine_query.go
+++ b/internal/relay/engine_query.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
 // purpose says what an engine is needed for.
@@ -29,6 +30,8 @@
 	request placement.Request
 	// excluded holds the hashes of the engines that must not be selected.
 	excluded []uint64
+	// version is the software version to which the stream is bound.
+	version streamorigin.Version
 	// withoutPermits is true if the querying relay would send requests to an engine with a limit without acquiring a permit;
 	// engines with a limit are then excluded.
 	withoutPermits bool
@@ -46,13 +49,13 @@
 
 // excludes reports whether an engine must not be selected.
 func (q *engineQuery) excludes(engine *backEnd) bool {
-	return slices.Contains(q.excluded, engine.hash) || q.withoutPermits && engine.hasLimit()
+	return slices.Contains(q.excluded, engine.hash) || q.withoutPermits && engine.hasLimit() || !mayGoOnAt(q.version, engine)
 }
 
 // newEngineQuery returns a query for a request. It excludes the engines that were tried, and those that are leaving or must
 // not be sent requests now, since the owner does not know the signals that engines have sent to this relay.
 func newEngineQuery(purpose purpose, attempts *attemptTracker, criteria placement.Request) *engineQuery {
-	query := &engineQuery{purpose: purpose, service: attempts.request.service.Name, request: criteria}
+	query := &engineQuery{purpose: purpose, service: attempts.request.service.Name, request: criteria, version: attempts.binding()}
 	for _, engine := range attempts.excluded {
 		query.excluded = append(query.excluded, engine.hash)
 	}
--- a/internal/relay/fleet_state.go
+++ b/internal/relay/fleet_state.go
@@ -45,6 +45,8 @@
 	// listedByFirstFormatLeader is true if the last list came from a leader of the first format, which does not
 	// distinguish incarnations.
 	listedByFirstFormatLeader bool
+	// versions completes lists that name no software versions.
+	versions listedVersions
 	// listing is the last list of back ends as the leader sent it.
 	listing listing.ReceivedList
 	// wantedBackEnds is how many back ends of each service the last leader wanted; isListingPartial is true if that leader's
@@ -65,11 +67,14 @@
 		incarnation:    rand.Uint64(),
 		records:        map[string]*backEnd{},
 		signals:        backpressure.NewRegistry(),
+		versions:       newListedVersions(),
 	}
 }
 
-// BeforeWatch implements leaderwatch.Node: it writes a log line when the leader is lost or found again.
+// BeforeWatch implements leaderwatch.Node: it completes the list in force, and writes a log line when the leader is lost or found
+// again.
 func (f *fleetState) BeforeWatch(controllers []string) {
+	f.completeVersions()
 	isLost := f.relay.clock.now()-f.relay.lastContact() > f.relay.maxContactAge()
 	if isLost == f.isLeaderLost {
 		return
@@ -203,7 +208,7 @@
 	}
 	f.relayListHash, f.relayListSize = response.GetRelayList(), len(addresses)
 	f.relay.setRelays(addresses, response.GetFormerRelays())
-	f.relay.setSlotRelays(addresses, response.GetRelayFormats())
+	f.relay.setRelayFormats(addresses, response.GetRelayFormats())
 }
 
 // applyRelayCount applies the number of relays; a new leader sends none until it knows how many there are.
--- a/internal/relay/forward_request.go
+++ b/internal/relay/forward_request.go
@@ -27,6 +27,8 @@
 	mutex sync.Mutex
 	// records hold the connections to the peers, by address.
 	records map[string]*backEnd
+	// versionRelays are the addresses of the relays that bind streams to software versions.
+	versionRelays map[string]bool
 }
 
 func newForwarder(relay *Relay) *forwarder {
@@ -52,6 +54,29 @@
 	}
 }
 
+// setVersionRelays replaces the addresses of the relays that bind streams to software versions.
+func (f *forwarder) setVersionRelays(addresses []string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.versionRelays = make(map[string]bool, len(addresses))
+	for _, address := range addresses {
+		f.versionRelays[address] = true
+	}
+}
+
+// peersWithoutVersions returns the peers that would send a bound stream to back ends of any software version.
+func (f *forwarder) peersWithoutVersions() []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var peers []string
+	for address := range f.records {
+		if !f.versionRelays[address] {
+			peers = append(peers, address)
+		}
+	}
+	return peers
+}
+
 // record returns the record of a peer; nil when it is not listed any more.
 func (f *forwarder) record(address string) *backEnd {
 	f.mutex.Lock()
@@ -79,13 +104,19 @@
 		return false
 	}
 	attempts.hasTriedPeers = true
-	var tried []string
-	for len(tried) < maxForwardPeers && attempts.mayForward() {
-		address, isFound := r.forwarder.peers.Pick(r.clock.now(), request.service.Name, tried, r.draw)
+	var excluded []string
+	if attempts.isBound() {
+		excluded = r.forwarder.peersWithoutVersions()
+	}
+	for range maxForwardPeers {
+		if !attempts.mayForward() {
+			break
+		}
+		address, isFound := r.forwarder.peers.Pick(r.clock.now(), request.service.Name, excluded, r.draw)
 		if !isFound {
 			break
 		}
-		tried = append(tried, address)
+		excluded = append(excluded, address)
 		outcome, isAnswered := r.forwardTo(address, attempts, reply, lastEventID)
 		r.forwarder.peers.Done(r.clock.now(), address, request.service.Name, outcome)
 		r.metrics.forwards.WithLabelValues(outcome.String()).Inc()
@@ -167,7 +198,7 @@
 	request := attempts.request
 	progress := forwarding.Progress{
 		Service: request.service.Name, Configuration: r.view.Load().table.Configuration.Number, Tenant: request.tenantName(),
-		Attempts: attempts.sentCount, MayHaveRun: attempts.mayHaveRun,
+		Attempts: attempts.sentCount, MayHaveRun: attempts.mayHaveRun, Version: attempts.binding(),
 	}
 	var headers []header
 	for _, each := range progress.ToHeaders() {
--- a/internal/relay/forwarding/forwarding_test.go
+++ b/internal/relay/forwarding/forwarding_test.go
@@ -7,6 +7,8 @@
 	"github.com/gravitational/trace"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
 func headerValues(headers []Header) func(string) string {
@@ -22,6 +24,7 @@
 		progress := Progress{
 			Service: rapid.StringMatching("[a-z0-9-]{1,20}").Draw(t, "service"), Configuration: rapid.Uint64().Draw(t, "configuration"),
 			Tenant: rapid.StringMatching("[a-z0-9-]{0,20}").Draw(t, "tenant"), Attempts: rapid.IntRange(0, 9).Draw(t, "attempts"), MayHaveRun: rapid.Bool().Draw(t, "run"),
+			Version: streamorigin.Version(rapid.Uint64().Draw(t, "version")),
 		}
 		decoded, err := ProgressFrom(headerValues(progress.ToHeaders()))
 		require.NoError(t, err)
@@ -31,7 +34,7 @@
 
 // Guards against serving a request whose earlier attempts are unknown.
 func TestMalformedProgressIsRejected(t *testing.T) {
-	whole := Progress{Service: "s", Configuration: 1}.ToHeaders()
+	whole := Progress{Service: "s", Configuration: 1, Version: 7}.ToHeaders()
 	for index, header := range whole {
 		if header.Name == HeaderTenant {
 			continue // empty for an anonymous client
@@ -39,7 +42,7 @@
 		for _, value := range []string{"", "-1"} {
 			changed := append([]Header(nil), whole...)
 			changed[index].Value = value
-			if header.Name == HeaderService && value != "" {
+			if header.Name == HeaderService && value != "" || header.Name == HeaderVersion && value == "" {
 				continue
 			}
 			_, err := ProgressFrom(headerValues(changed))
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -28,7 +28,7 @@
 	return Dialect{
 		Headers: HeaderNames{
 			RequestID: "T-Id", DeadlineMs: "T-Deadline", PromptParts: "T-Parts", Model: "T-Model", Tokens: "T-Tokens",
-			LastEventID: "T-Last", Seal: "T-Seal", ExpectInstance: "T-Expect", Load: "T-Load", NotExecuted: "T-Not-Run", Leaving: "T-Leaving", Limit: "T-Limit",
+			LastEventID: "T-Last", Resumes: "T-Resumes", Seal: "T-Seal", ExpectInstance: "T-Expect", Load: "T-Load", NotExecuted: "T-Not-Run", Leaving: "T-Leaving", Limit: "T-Limit",
 			Priority: "T-Rank", Stage: "T-Stage", KVSource: "T-Source", KVFetch: "T-Fetch", EngineOnly: []string{"T-Pin"},
 			Tenant: "T-Tenant", Authorization: "T-Key",
 		},
@@ -91,7 +91,7 @@
 	t.Cleanup(func() { _ = listener.Close() })
 	answer := scriptOf(listener)
 	backEnd := &scriptedBackEnd{entry: serving.BackEnd{
-		ID: id, Service: "service", Address: listener.Addr().String(), Zone: "zone", Slots: 8, Stage: stage,
+		ID: id, Service: "service", Address: listener.Addr().String(), Zone: "zone", Slots: 8, Stage: stage, Software: "v1",
 	}}
 	go func() {
 		for {
@@ -220,9 +220,17 @@
 	relay.exchanger.clock = relay.clock
 	socket, forwardListener := listenForRelays(t)
 	relay.initPeers(socket)
+	isListed := &atomic.Bool{}
+	relay.origins = relay.newOrigins(func() time.Duration { // the first list was applied long ago
+		if !isListed.Load() {
+			return relay.clock.now() - time.Hour
+		}
+		return relay.clock.now()
+	})
 	relay.setRelays([]string{relay.datagrams.Address}, nil)
 	go relay.datagrams.Receive(relay.handleDatagram)
 	relay.budget.SetRelays(1)
+	go relay.origins.Run(t.Context())
 	relay.lastContactAt.Store(int64(relay.clock.now()))
 	service := serving.Service{Name: "service"}
 	for _, backEnd := range backEnds {
@@ -239,6 +247,7 @@
 	}
 	relay.fleet.applyListing(entries, next)
 	relay.view.Store(next)
+	isListed.Store(true)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
--- /dev/null
+++ b/internal/relay/origins/lookup.go
@@ -0,0 +1,92 @@
+package origins
+
+import (
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
+)
+
+// Find returns where the stream with the given name began. service is the service that the stream would go on at if its record
+// names none: where one version alone can have begun a stream of the service, it is that version, and the record's service is 0.
+// Find asks other relays only if this one does not know, and blocks until they have answered, or until stop is closed.
+func (o *Origins) Find(name streamorigin.Name, service string, stop <-chan struct{}) (streamorigin.Record, Outcome) {
+	record, outcome := o.find(name, service, stop)
+	o.config.Metrics.Lookups.WithLabelValues(string(outcome)).Inc()
+	return record, outcome
+}
+
+func (o *Origins) find(name streamorigin.Name, service string, stop <-chan struct{}) (streamorigin.Record, Outcome) {
+	if only, isKnown := o.Only(service); isKnown {
+		return streamorigin.Record{Version: only}, OnlyVersion
+	}
+	o.mutex.Lock()
+	record, isFound := o.table.Get(o.config.Now(), name)
+	o.mutex.Unlock()
+	if isFound {
+		return record, OwnRecord
+	}
+	return o.askOwners(name, service, stop)
+}
+
+// askOwners asks the relays that keep the stream's origin, all at once.
+func (o *Origins) askOwners(name streamorigin.Name, service string, stop <-chan struct{}) (streamorigin.Record, Outcome) {
+	owners := o.ownersOf(name)
+	answers := make(chan *v1.StreamOriginAnswer, len(owners))
+	for _, owner := range owners {
+		go func() { answers <- o.ask(owner, name, service, stop) }()
+	}
+	found, outcome := streamorigin.Record{}, NotFound
+	for range owners {
+		answer := <-answers
+		if _, record, _, isValid := originFromWire(answer.GetOrigin()); isValid {
+			return record, OtherRecord
+		}
+		if only := streamorigin.Version(answer.GetOnlySoftware()); only > streamorigin.Unknown {
+			found, outcome = streamorigin.Record{Version: only}, OnlyVersion
+		}
+	}
+	return found, outcome
+}
+
+// ask asks one relay; it returns nil if no answer arrives in time, or if stop is closed.
+func (o *Origins) ask(owner string, name streamorigin.Name, service string, stop <-chan struct{}) *v1.StreamOriginAnswer {
+	number, answers := o.queries.Open()
+	defer o.queries.Close(number)
+	for range queriesPerOwner {
+		o.config.Socket.Send(owner, &v1.RelayDatagram{Content: &v1.RelayDatagram_StreamOriginQuery{StreamOriginQuery: &v1.StreamOriginQuery{
+			Relay: o.config.Incarnation, Number: number, NameHigh: name.High, NameLow: name.Low, Service: service,
+		}}})
+		timer := time.NewTimer(o.config.Timeout())
+		select {
+		case answer := <-answers:
+			timer.Stop()
+			return answer
+		case <-timer.C:
+		case <-stop:
+			timer.Stop()
+			return nil
+		}
+	}
+	return nil
+}
+
+// HandleQuery answers another relay's query.
+func (o *Origins) HandleQuery(query *v1.StreamOriginQuery, from string) {
+	answer := &v1.StreamOriginAnswer{Relay: query.GetRelay(), Number: query.GetNumber()}
+	name := streamorigin.Name{High: query.GetNameHigh(), Low: query.GetNameLow()}
+	o.mutex.Lock()
+	record, isFound := o.table.Get(o.config.Now(), name)
+	o.mutex.Unlock()
+	if isFound {
+		answer.Origin = originToWire(name, record, 0)
+	} else if only, isKnown := o.Only(query.GetService()); isKnown {
+		answer.OnlySoftware = uint64(only)
+	}
+	o.config.Socket.Send(from, &v1.RelayDatagram{Content: &v1.RelayDatagram_StreamOriginAnswer{StreamOriginAnswer: answer}})
+}
+
+// HandleAnswer passes an answer to the query that waits for it.
+func (o *Origins) HandleAnswer(answer *v1.StreamOriginAnswer) {
+	o.queries.Deliver(answer.GetNumber(), answer.GetRelay() == o.config.Incarnation, answer)
+}
--- /dev/null
+++ b/internal/relay/origins/origins.go
@@ -0,0 +1,112 @@
+package origins
+
+import (
+	"slices"
+	"sync"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/cell"
+	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
+)
+
+// Origins keeps the origins of streams, those that this relay has begun and those that other relays report to it. It is safe for
+// concurrent use.
+type Origins struct {
+	config  Config
+	queries *datagram.Queries[*v1.StreamOriginAnswer]
+	// reported holds a value when a report waits for its receipt.
+	reported chan struct{}
+
+	mutex   sync.Mutex
+	history *streamorigin.History
+	table   *streamorigin.Table
+	// relays are the addresses of the relays that keep origins, this one included.
+	relays []string
+	// active are the streams that this relay is forwarding and of which the client has events.
+	active map[*ActiveStream]bool
+	// pending are the reports that wait for receipts, by number.
+	pending    map[uint64]*pendingReport
+	lastNumber uint64
+}
+
+// New returns the origins of a relay that has no lists of relays and back ends yet.
+func New(config Config) *Origins {
+	return &Origins{
+		config: config, queries: datagram.NewQueries[*v1.StreamOriginAnswer](config.Socket), reported: make(chan struct{}, 1),
+		history: streamorigin.NewHistory(), table: streamorigin.NewTable(streamorigin.MaxRecords),
+		active: map[*ActiveStream]bool{}, pending: map[uint64]*pendingReport{},
+	}
+}
+
+// SetRelays sets the addresses of the relays that keep origins.
+func (o *Origins) SetRelays(addresses []string) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.relays = slices.Clone(addresses)
+}
+
+// ApplyListing applies a list of back ends: the versions of each service. Where a second version is listed now, it reports the
+// streams that this relay is forwarding, which nobody has recorded.
+func (o *Origins) ApplyListing(listed map[string]map[streamorigin.Version]bool) {
+	o.mutex.Lock()
+	newlyMixed := o.history.Update(o.config.Now(), listed)
+	var unrecorded []*ActiveStream
+	for stream := range o.active {
+		if slices.Contains(newlyMixed, stream.Service) {
+			unrecorded = append(unrecorded, stream)
+		}
+	}
+	o.mutex.Unlock()
+	for _, stream := range unrecorded {
+		o.Record(stream.Name, stream.Service, stream.Record)
+	}
+}
+
+// Only returns the version that alone can have begun a stream of a service; false if there may be several.
+func (o *Origins) Only(service string) (streamorigin.Version, bool) {
+	if !o.config.IsListCurrent() {
+		return streamorigin.Unknown, false
+	}
+	lifetime := o.config.LifetimeOf(service)
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.history.Only(o.config.Now(), service, lifetime)
+}
+
+// ActiveStream is a stream that this relay is forwarding and of which the client has events.
+type ActiveStream struct {
+	Name    streamorigin.Name
+	Service string
+	Record  streamorigin.Record
+}
+
+// Track adds a stream until Untrack.
+func (o *Origins) Track(stream *ActiveStream) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.active[stream] = true
+}
+
+// Untrack removes a stream that has ended.
+func (o *Origins) Untrack(stream *ActiveStream) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	delete(o.active, stream)
+}
+
+// HeldCount returns the number of records that this relay holds.
+func (o *Origins) HeldCount() int {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.table.Len()
+}
+
+// ownersOf returns the other relays that keep the origin of a stream.
+func (o *Origins) ownersOf(name streamorigin.Name) []string {
+	o.mutex.Lock()
+	relays := o.relays
+	o.mutex.Unlock()
+	owners := cell.Owners(name.Low, relays, ownersPerStream)
+	return slices.DeleteFunc(owners, func(owner string) bool { return owner == o.config.Socket.Address })
+}
--- /dev/null
+++ b/internal/relay/origins/wire.go
@@ -0,0 +1,24 @@
+package origins
+
+import (
+	"time"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
+)
+
+// originToWire encodes a record for a datagram.
+func originToWire(name streamorigin.Name, record streamorigin.Record, lifetime time.Duration) *v1.StreamOrigin {
+	return &v1.StreamOrigin{
+		NameHigh: name.High, NameLow: name.Low, Service: record.Service, Software: uint64(record.Version), Sequence: record.Sequence,
+		LifetimeMs: uint32(max(lifetime.Milliseconds(), 0)),
+	}
+}
+
+// originFromWire is the reverse of originToWire. It returns false for an absent origin, and for one without a known version.
+func originFromWire(origin *v1.StreamOrigin) (name streamorigin.Name, record streamorigin.Record, lifetime time.Duration, isValid bool) {
+	name = streamorigin.Name{High: origin.GetNameHigh(), Low: origin.GetNameLow()}
+	record = streamorigin.Record{Service: origin.GetService(), Version: streamorigin.Version(origin.GetSoftware()), Sequence: origin.GetSequence()}
+	lifetime = min(time.Duration(origin.GetLifetimeMs())*time.Millisecond, streamorigin.MaxLifetime)
+	return name, record, lifetime, record.Version > streamorigin.Unknown
+}
--- a/internal/relay/ownership.go
+++ b/internal/relay/ownership.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"strconv"
@@ -12,6 +13,8 @@
 	"github.com/hazelpitch/hazelpitch/internal/cell"
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
 const (
@@ -215,6 +218,37 @@
 	return c.division.Homes(requestHash(request), zone, count)
 }
 
+// withVersion returns the indexes of up to count cells that have decoding engines of a software version: those of the given homes
+// first, then others. If no cell has any, it returns the homes.
+func (c *serviceCells) withVersion(homes []int, version streamorigin.Version, count int) []int {
+	var matching []int
+	for index := range c.members {
+		if c.hasVersion(index, version) {
+			matching = append(matching, index)
+		}
+	}
+	if len(matching) == 0 {
+		return homes
+	}
+	slices.SortStableFunc(matching, func(a, b int) int { return cmp.Compare(homeRank(homes, a), homeRank(homes, b)) })
+	return matching[:min(count, len(matching))]
+}
+
+// homeRank returns the rank of a cell among the homes, a higher one than theirs for other cells.
+func homeRank(homes []int, cell int) int {
+	if rank := slices.Index(homes, cell); rank >= 0 {
+		return rank
+	}
+	return len(homes)
+}
+
+// hasVersion reports whether a cell has a decoding engine of the software version that accepts work.
+func (c *serviceCells) hasVersion(index int, version streamorigin.Version) bool {
+	return slices.ContainsFunc(c.members[index], func(engine *backEnd) bool {
+		return engine.Stage == serving.StageDecode && version.Allows(engine.version) && !engine.isLeaving() && !engine.Changing
+	})
+}
+
 // sharedPrefixTokens returns the length of a prompt without its last block, which no other request shares.
 func sharedPrefixTokens(prompt []placement.PrefixBlock) int {
 	shared := 0
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -7,6 +7,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
 	"github.com/hazelpitch/hazelpitch/internal/relay/peerhealth"
 )
@@ -21,6 +22,7 @@
 	})
 	r.placements = newPlacementClient(r, r.datagrams, r.fleet.incarnation, r.peers)
 	r.permits = newPermits(r)
+	r.origins = r.newOrigins(func() time.Duration { return r.clock.now() })
 	r.slotAnswerTimeout = r.peers.Timeout
 	r.slots = newSlots(r)
 	r.placementOwner = newPlacementOwner(r)
@@ -54,11 +56,42 @@
 		r.slots.HandleReport(content.SlotReport)
 	case *v1.RelayDatagram_SlotPromises:
 		r.slots.HandlePromises(content.SlotPromises, from)
+	case *v1.RelayDatagram_StreamOriginReport:
+		r.origins.HandleReport(content.StreamOriginReport, from)
+	case *v1.RelayDatagram_StreamOriginReceipt:
+		r.origins.HandleReceipt(content.StreamOriginReceipt)
+	case *v1.RelayDatagram_StreamOriginQuery:
+		r.origins.HandleQuery(content.StreamOriginQuery, from)
+	case *v1.RelayDatagram_StreamOriginAnswer:
+		r.origins.HandleAnswer(content.StreamOriginAnswer)
 	default:
 		r.datagrams.CountDrop(datagram.Unexpected)
 	}
 }
 
+// setRelayFormats applies the highest formats of the listed relays, in the order of their addresses. A leader of an earlier build
+// sends none; no other relay is then known to bind streams to software versions.
+func (r *Relay) setRelayFormats(addresses []string, highestFormats []uint32) {
+	r.setSlotRelays(addresses, highestFormats)
+	withVersions := relaysSupporting(formats.SoftwareVersions, addresses, highestFormats)
+	r.forwarder.setVersionRelays(withVersions)
+	r.origins.SetRelays(withVersions)
+}
+
+// relaysSupporting returns the addresses of the relays whose highest format is at least the given one.
+func relaysSupporting(number formats.Number, addresses []string, highestFormats []uint32) []string {
+	if len(highestFormats) != len(addresses) {
+		return nil
+	}
+	var supporting []string
+	for index, address := range addresses {
+		if formats.Number(highestFormats[index]) >= number {
+			supporting = append(supporting, address)
+		}
+	}
+	return supporting
+}
+
 // setRelays applies a new list of relays. Those in relaysWithoutPermits cannot own limits, since their format lacks permits.
 func (r *Relay) setRelays(addresses, relaysWithoutPermits []string) {
 	limitOwners := slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return slices.Contains(relaysWithoutPermits, address) })
--- a/internal/relay/placement_wire.go
+++ b/internal/relay/placement_wire.go
@@ -8,6 +8,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
 // maxQueryBlocks limits how many of the prompt's blocks a query contains. Further blocks are most likely not shared, and need
@@ -58,7 +59,7 @@
 		Relay: relay, Number: number, Purpose: wirePurposes[query.purpose], Service: query.service, Cell: cell, Zone: criteria.Zone,
 		Rank: uint32(max(criteria.Rank.First, 0)), RankSteps: uint32(max(criteria.Rank.Steps, 0)), TargetUs: microseconds(criteria.Target), GapUs: microseconds(criteria.Gap), Stride: uint32(max(criteria.Stride, 0)),
 		Tokens: uint32(max(criteria.Tokens, 0)), TokenMoveNs: uint64(max(criteria.TokenTransferTime, 0)), ResidenceUs: microseconds(criteria.SlotHoldTime),
-		TimeLeftUs: microseconds(criteria.TimeLeft), MayHaveRun: criteria.MayHaveRun, Excluded: query.excluded,
+		TimeLeftUs: microseconds(criteria.TimeLeft), MayHaveRun: criteria.MayHaveRun, Excluded: query.excluded, Software: uint64(query.version),
 	}
 	result.Formats = formats.Supported().ToWire()
 	result.Parts, result.PartTokens = blocksToWire(criteria.Prompt[:min(len(criteria.Prompt), maxQueryBlocks)])
@@ -72,6 +73,7 @@
 func queryFromWire(request *v1.PlacementRequest, view *view) *engineQuery {
 	query := &engineQuery{
 		purpose: purposeFromWire(request.GetPurpose()), service: request.GetService(), excluded: request.GetExcluded(),
+		version:        streamorigin.Version(request.GetSoftware()),
 		withoutPermits: !formats.FromWire(request.GetFormats()).Supports(formats.RelayPermits),
 		request: placement.Request{
 			Stage: serving.StageDecode, Zone: request.GetZone(), Rank: rankFromWire(request),
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,6 +25,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
+	"github.com/hazelpitch/hazelpitch/internal/relay/origins"
 	"github.com/hazelpitch/hazelpitch/internal/relay/peerhealth"
 	"github.com/hazelpitch/hazelpitch/internal/relay/permits"
 	"github.com/hazelpitch/hazelpitch/internal/relay/retrybudget"
@@ -73,10 +74,12 @@
 	slotReservations sync.Mutex
 	// slotAnswerTimeout returns how long to wait for the answer of an owner of slots.
 	slotAnswerTimeout func() time.Duration
-	placementOwner    *placementOwner
-	owners            *ownerTable
-	work              *workmeter.Meter
-	prefillSpeed      *prefillSpeed
+	// origins keeps which software version began each stream.
+	origins        *origins.Origins
+	placementOwner *placementOwner
+	owners         *ownerTable
+	work           *workmeter.Meter
+	prefillSpeed   *prefillSpeed
 	// speeds estimates how fast engines decode, and how much they are slowed down.
 	speeds *speeds.Speeds
 	// usage counts the tenants' requests.
@@ -236,6 +239,7 @@
 		group.Go(func() error { return r.acceptForwarded(workCtx, r.forwardListener) })
 	}
 	group.Go(func() error { r.permits.Run(workCtx); return nil })
+	group.Go(func() error { r.origins.Run(workCtx); return nil })
 	if r.sharesSlots {
 		group.Go(func() error { return trace.Wrap(r.slots.Run(workCtx)) })
 	}
--- a/internal/relay/relay_group_test.go
+++ b/internal/relay/relay_group_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -11,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -142,6 +144,7 @@
 	}
 	for _, relay := range relays {
 		relay.setRelays(addresses, nil)
+		relay.setRelayFormats(addresses, slices.Repeat([]uint32{uint32(formats.Newest)}, len(addresses)))
 		paths = append(paths, breakablePathOf(relay, relays...))
 		go relay.path.run(t.Context())
 	}
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -78,6 +78,10 @@
 	// startupWaits counts requests that arrived before the relay had the state to serve them.
 	startupWaits prometheus.Counter
 	migrations   *prometheus.CounterVec
+	// originReports counts reports of where streams began to other relays, originLookups searches for it, and unconfirmedOrigins first
+	// events that were sent before another relay had confirmed a report.
+	originReports, unconfirmedOrigins prometheus.Counter
+	originLookups                     *prometheus.CounterVec
 	// continuations counts streams that went on at a back end, by cause and by whether its software version began them.
 	continuations *prometheus.CounterVec
 	// placementQueries counts placement decisions by who made them; spills counts requests offered to a further cell.
@@ -97,35 +101,38 @@
 func newRelayMetrics(relay *Relay, log *logring.Log) *relayMetrics {
 	registry, factory := metrics.NewRegistry(role, relay.settings.Name, relay.settings.Zone)
 	result := &relayMetrics{
-		registry:         registry,
-		requests:         factory.CounterVec("requests_total", "Requests with a route, by how they ended.", "kind", "outcome"),
-		refusals:         factory.CounterVec("refusals_total", "Final answers of the relay's own, by reason.", "reason"),
-		failedAttempts:   factory.CounterVec("attempts_failed_total", "Attempts at back ends that brought no answer, by cause.", "cause"),
-		unreadRequests:   factory.Counter("requests_unread_total", "Requests that could not be read completely."),
-		answers:          factory.CounterVec("answers_total", "Answers of back ends to requests of clients, by how their end was determined and how they ended.", "framing", "end"),
-		dials:            factory.CounterVec("back_end_dials_total", "Attempts to open connections to back ends, by outcome.", "outcome"),
-		forwards:         factory.CounterVec("forwards_total", "Offers of requests to other relays, since this one cannot connect to back ends, by how these handled them.", "outcome"),
-		retries:          factory.Counter("sendings_again_total", "Sendings of requests beyond the first."),
-		deniedRetries:    factory.Counter("sendings_denied_total", "Sendings beyond the first that the retry budget did not allow."),
-		usageResends:     factory.Counter("usage_sendings_again_total", "Reports of tenants' usage that were not taken and had to be sent again."),
-		backoffs:         factory.Counter("back_end_rests_total", "Rests that back ends have asked of this relay."),
-		limitedSends:     factory.Counter("limited_sendings_total", "Sendings to back ends that had named a limit for all relays together."),
-		permits:          factory.CounterVec("permits_total", "Questions whether a request may be sent to a back end that names a limit for all relays together.", "outcome"),
-		backEndCrashes:   factory.Counter("back_ends_ended_total", "Back ends that ended while they ran requests of this relay."),
-		guardCallsFailed: factory.Counter("guard_calls_failed_total", "Calls to the leader on ended back ends and held requests that failed."),
-		prefillWaits:     factory.Counter("reading_waits_total", "Waits of prompts for the reading of parts that they share."),
-		startupWaits:     factory.Counter("start_waits_total", "Requests that waited for a configuration and a list, since they came right after the start."),
-		migrations:       factory.CounterVec("runs_moved_total", "Runs that stopped at one engine to go on at another, by whether they were copied.", "copied"),
-		continuations:    factory.CounterVec("streams_continued_total", "Streams of which the client had events and that went on at a back end, by cause and software version.", "cause", "software"),
-		placementQueries: factory.CounterVec("placement_questions_total", "Decisions on engines, by who made them.", "outcome"),
-		slots:            slots.NewMetrics(factory, func() *slots.Slots { return relay.slots }),
-		spills:           factory.Counter("placement_spills_total", "Offers of requests to a further cell of engines."),
-		pauseForecasts:   factory.CounterVec("pause_forecasts_total", "Runs by the forecast for the gap targets of the streams at their engines.", "forecast"),
-		datagramsDropped: factory.CounterVec("datagrams_dropped_total", "Datagrams between relays that were not taken, by reason.", "reason"),
-		firstEventTime:   factory.Histogram("first_event_seconds", "Time from a request to the first event of its stream."),
-		answerTime:       factory.Histogram("answer_seconds", "Time from a request to the end of its answer."),
-		longestGap:       factory.Histogram("gap_seconds", "Longest pause between events of a stream."),
-		prefillQueueTime: factory.Histogram("reading_queue_seconds", "Time from a request until its prompt was sent to be read."),
+		registry:           registry,
+		requests:           factory.CounterVec("requests_total", "Requests with a route, by how they ended.", "kind", "outcome"),
+		refusals:           factory.CounterVec("refusals_total", "Final answers of the relay's own, by reason.", "reason"),
+		failedAttempts:     factory.CounterVec("attempts_failed_total", "Attempts at back ends that brought no answer, by cause.", "cause"),
+		unreadRequests:     factory.Counter("requests_unread_total", "Requests that could not be read completely."),
+		answers:            factory.CounterVec("answers_total", "Answers of back ends to requests of clients, by how their end was determined and how they ended.", "framing", "end"),
+		dials:              factory.CounterVec("back_end_dials_total", "Attempts to open connections to back ends, by outcome.", "outcome"),
+		forwards:           factory.CounterVec("forwards_total", "Offers of requests to other relays, since this one cannot connect to back ends, by how these handled them.", "outcome"),
+		retries:            factory.Counter("sendings_again_total", "Sendings of requests beyond the first."),
+		deniedRetries:      factory.Counter("sendings_denied_total", "Sendings beyond the first that the retry budget did not allow."),
+		usageResends:       factory.Counter("usage_sendings_again_total", "Reports of tenants' usage that were not taken and had to be sent again."),
+		backoffs:           factory.Counter("back_end_rests_total", "Rests that back ends have asked of this relay."),
+		limitedSends:       factory.Counter("limited_sendings_total", "Sendings to back ends that had named a limit for all relays together."),
+		permits:            factory.CounterVec("permits_total", "Questions whether a request may be sent to a back end that names a limit for all relays together.", "outcome"),
+		backEndCrashes:     factory.Counter("back_ends_ended_total", "Back ends that ended while they ran requests of this relay."),
+		guardCallsFailed:   factory.Counter("guard_calls_failed_total", "Calls to the leader on ended back ends and held requests that failed."),
+		prefillWaits:       factory.Counter("reading_waits_total", "Waits of prompts for the reading of parts that they share."),
+		startupWaits:       factory.Counter("start_waits_total", "Requests that waited for a configuration and a list, since they came right after the start."),
+		migrations:         factory.CounterVec("runs_moved_total", "Runs that stopped at one engine to go on at another, by whether they were copied.", "copied"),
+		originReports:      factory.Counter("stream_origin_reports_total", "Reports to other relays of the software versions that began streams, repetitions included."),
+		unconfirmedOrigins: factory.Counter("stream_origins_unconfirmed_total", "First events that were sent although no other relay had confirmed where the stream began."),
+		originLookups:      factory.CounterVec("stream_origin_lookups_total", "Searches for the software version that began a stream which a client takes up, by outcome.", "outcome"),
+		continuations:      factory.CounterVec("streams_continued_total", "Streams of which the client had events and that went on at a back end, by cause and software version.", "cause", "software"),
+		placementQueries:   factory.CounterVec("placement_questions_total", "Decisions on engines, by who made them.", "outcome"),
+		slots:              slots.NewMetrics(factory, func() *slots.Slots { return relay.slots }),
+		spills:             factory.Counter("placement_spills_total", "Offers of requests to a further cell of engines."),
+		pauseForecasts:     factory.CounterVec("pause_forecasts_total", "Runs by the forecast for the gap targets of the streams at their engines.", "forecast"),
+		datagramsDropped:   factory.CounterVec("datagrams_dropped_total", "Datagrams between relays that were not taken, by reason.", "reason"),
+		firstEventTime:     factory.Histogram("first_event_seconds", "Time from a request to the first event of its stream."),
+		answerTime:         factory.Histogram("answer_seconds", "Time from a request to the end of its answer."),
+		longestGap:         factory.Histogram("gap_seconds", "Longest pause between events of a stream."),
+		prefillQueueTime:   factory.Histogram("reading_queue_seconds", "Time from a request until its prompt was sent to be read."),
 	}
 	factory.GaugeFunc("configuration_number", "Number of the configuration in force here; 0 before the first.", func() float64 {
 		return float64(relay.viewSnapshot().configuration)
@@ -157,6 +164,9 @@
 	factory.GaugeFunc("usage_unreported", "Requests that began to run and that no leader has been told of yet.", func() float64 {
 		return float64(relay.usage.UnreportedCount())
 	})
+	factory.GaugeFunc("stream_origins_held", "Records of the software versions that began streams that this relay holds.", func() float64 {
+		return float64(relay.origins.HeldCount())
+	})
 	for _, state := range backEndStates {
 		factory.GaugeFunc("back_ends_"+string(state), "Back ends of the list in this state.", func() float64 {
 			return float64(relay.countBackEnds(state))
--- a/internal/relay/relay_metrics_test.go
+++ b/internal/relay/relay_metrics_test.go
@@ -100,5 +100,5 @@
 	require.Contains(t, relay.scrape(t), `hazelpitch_relay_streams_continued_total{cause="break",`+metricLabels[:12]+`,role="relay",software="same",zone="zone"} 1`)
 	relay = newTestRelay(t, route(stream(true)), second)
 	require.True(t, relay.client(t).do("GET", "/path/", "", "T-Last: 1").isComplete)
-	require.Contains(t, relay.scrape(t), `hazelpitch_relay_streams_continued_total{cause="client",`+metricLabels[:12]+`,role="relay",software="unknown",zone="zone"} 1`)
+	require.Contains(t, relay.scrape(t), `hazelpitch_relay_streams_continued_total{cause="client",`+metricLabels[:12]+`,role="relay",software="same",zone="zone"} 1`)
 }
--- a/internal/relay/replace_attempt.go
+++ b/internal/relay/replace_attempt.go
@@ -33,6 +33,10 @@
 		if selection == nil {
 			return false // the next check searches again
 		}
+		if !mayGoOnAt(a.binding(), selection.backEnd) { // the first event came during the search
+			a.relay.abandonSelection(selection)
+			return false
+		}
 		if !a.reserveRetry() {
 			a.relay.abandonSelection(selection)
 			return false
@@ -82,7 +86,7 @@
 func (a *attemptTracker) replacementState(other, current *backEnd, now time.Duration) replacement.BackEnd {
 	load := other.currentLoad(now)
 	return replacement.BackEnd{
-		IsTried: other.hash == current.hash ||
+		IsTried: other.hash == current.hash || !mayGoOnAt(a.binding(), other) ||
 			slices.ContainsFunc(a.excluded, func(tried *backEnd) bool { return tried.hash == other.hash }),
 		IsClosed: other.isLeaving() || other.Changing, IsLimited: other.hasLimit(),
 		SendDelay: other.sendDelay(now), AvoidedFor: load.avoidUntil - now, SilentFor: load.silentFor(now),
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -12,6 +12,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/relay/forwarding"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
 // request is one request of a client, read completely.
@@ -50,6 +51,9 @@
 	// forwarded is what another relay has already done for a request that it has forwarded; nil for a client's own request.
 	forwarded *forwarding.Progress
 
+	// boundTo is the software version that began the stream that the client takes up; None for a new request.
+	boundTo streamorigin.Version
+
 	canceller canceller
 	trace     requestTrace
 }
--- a/internal/relay/run_mover.go
+++ b/internal/relay/run_mover.go
@@ -155,6 +155,7 @@
 func (r *Relay) pickForRun(mover *runMover) *backEndSelection {
 	request, now := mover.stream.request, r.clock.now()
 	attempts := &attemptTracker{relay: r, request: request, excluded: []*backEnd{mover.engine}}
+	attempts.bind(mover.stream.attempts.binding())
 	criteria := placement.Request{Now: now, Stage: answeringStage(request.service), Zone: mover.engine.Zone, Rank: mover.stream.rank()}
 	if engine := request.service.Engine; engine != nil {
 		criteria.Gap, criteria.Stride = request.route.TargetGap, engine.Stride
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -9,6 +9,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
 // nextDecodeEngine selects the decoding engine that begins or continues a stream. prefill is the prompt that another engine
@@ -66,6 +67,9 @@
 		case placement.PrefillSeparately:
 			return streamStart{prefill: r.prefillWithRetry(stream, selection)}
 		case placement.Refuse:
+			if stream.attempts.isBound() { // a stream that has begun goes before one that has not
+				return streamStart{}
+			}
 			r.recordRefusedWork(stream, decision, selection)
 			return streamStart{refusal: &refusal{
 				status: fasthttp.StatusServiceUnavailable, reason: stream.request.trace.placementReason, retryAfter: decision.RetryAfter,
@@ -134,6 +138,9 @@
 		return r.placementOwner.decide(query, r.view.Load().byService[query.service], nil)
 	}
 	homes := cells.homeCells(query.request.Prompt, request.id, r.settings.Zone, r.policy.MinSharedTokens, maxHomeCells)
+	if query.version != streamorigin.None && query.purpose != purposePrefill {
+		homes = cells.withVersion(homes, query.version, maxHomeCells)
+	}
 	if near != nil {
 		if cellsOfNear, index := ownership.cellOf(near); cellsOfNear == cells {
 			homes = append([]int{index}, slices.DeleteFunc(homes, func(home int) bool { return home == index })...)
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -50,11 +50,19 @@
 	request.setDeadline(min(request.route.Timeout, clientTimeout(request.header, names.DeadlineMs, request.route.Timeout)))
 	if request.forwarded == nil {
 		request.service = view.table.Service(r.chooseService(request.route))
-		r.budget.RecordRequest(r.clock.now(), request.service.Name)
 	}
 	request.prompt = serving.ParsePrompt(string(request.header.Peek(names.Model)),
 		string(request.header.Peek(names.Tokens)), string(request.header.Peek(names.PromptParts)))
 	defer r.recordRequestEnd(request, reply)
+	unknownOrigin := r.bindTakenUp(request)
+	if request.forwarded == nil {
+		r.budget.RecordRequest(r.clock.now(), request.service.Name)
+	}
+	if unknownOrigin != nil {
+		r.log.recordRefusal(request, *unknownOrigin, r.newAttempts(request))
+		reply.refuse(*unknownOrigin)
+		return
+	}
 	if !r.admitQuarantined(request, reply) {
 		return
 	}
--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -31,6 +31,12 @@
 	if r.path.pathTo(request.service.Name).IsLost && r.forwardToPeers(attempts, reply, stream.lastEventID) {
 		return
 	}
+	defer stream.endOrigin()
+	if refused := attempts.refuseGoneVersion(); refused != nil {
+		r.log.recordRefusal(request, *refused, attempts)
+		reply.refuse(*refused)
+		return
+	}
 	start := r.beginStream(stream)
 	if start.refusal != nil {
 		start.refusal.attempts = attempts.sentCount
@@ -57,6 +63,7 @@
 		}
 		engine := selection.backEnd
 		stream.recordContinuation(selection)
+		stream.recordOrigin(engine)
 		fault := stream.runOn(selection, prefill)
 		prefill = nil // a handle can be used only once
 		if fault == nil {
--- a/internal/relay/silent_back_end_test.go
+++ b/internal/relay/silent_back_end_test.go
@@ -54,7 +54,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	machine := &silentBackEnd{t: t, listener: listener, scriptedBackEnd: &scriptedBackEnd{
-		entry: serving.BackEnd{ID: id, Service: "service", Address: listener.Addr().String(), Zone: "zone", Slots: 8},
+		entry: serving.BackEnd{ID: id, Service: "service", Address: listener.Addr().String(), Zone: "zone", Slots: 8, Software: "v1"},
 	}}
 	answer := scriptOf(machine)
 	go func() {
--- a/internal/relay/slot_hooks.go
+++ b/internal/relay/slot_hooks.go
@@ -60,11 +60,5 @@
 	if !r.sharesSlots {
 		return
 	}
-	var owners []string
-	for index, address := range addresses {
-		if len(highestFormats) == len(addresses) && formats.Number(highestFormats[index]) >= formats.SlotQueues {
-			owners = append(owners, address)
-		}
-	}
-	r.slots.SetRelays(owners)
+	r.slots.SetRelays(relaysSupporting(formats.SlotQueues, addresses, highestFormats))
 }
--- a/internal/relay/stream_continuation.go
+++ b/internal/relay/stream_continuation.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hazelpitch/hazelpitch/internal/events"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
 // continuationCause says why a stream of which the client has events is sent to a back end.
@@ -33,10 +34,10 @@
 	softwareUnknown softwareMatch = "unknown"
 )
 
-// compareSoftware compares two software versions; empty ones are unknown.
-func compareSoftware(began, next string) softwareMatch {
+// compareVersions compares the version that began a stream with that of the back end at which it goes on.
+func compareVersions(began, next streamorigin.Version) softwareMatch {
 	switch {
-	case began == "" || next == "":
+	case began <= streamorigin.Unknown || next <= streamorigin.Unknown:
 		return softwareUnknown
 	case began == next:
 		return softwareSame
@@ -50,11 +51,11 @@
 	if s.lastEventID == "" && !s.reply.started {
 		return
 	}
-	cause, from, began := s.continuationCause(selection), "", ""
-	if s.origin != nil {
-		from, began = s.origin.ID, s.origin.Software
+	cause, from := s.continuationCause(selection), ""
+	if s.beganAt != nil {
+		from = s.beganAt.ID
 	}
-	match := compareSoftware(began, selection.backEnd.Software)
+	match := compareVersions(s.attempts.binding(), selection.backEnd.version)
 	s.relay.metrics.continuations.WithLabelValues(string(cause), string(match)).Inc()
 	s.relay.log.line(zerolog.InfoLevel, events.StreamContinued, s.request).Str("cause", string(cause)).Str("from", from).
 		Str("back_end", selection.backEnd.ID).Str("software", string(match)).Send()
@@ -66,7 +67,7 @@
 		return continuedByMove
 	case s.attempts.lastFailure != nil && errors.Is(s.attempts.lastFailure, errStalled):
 		return continuedAfterSilence
-	case s.origin != nil:
+	case s.beganAt != nil:
 		return continuedAfterBreak
 	case s.request.forwarded != nil:
 		return continuedByRelay
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -35,8 +35,9 @@
 	prefill *remotePrefill
 	// reservedRun is the engine for which a permit was acquired before the prefill; nil for none.
 	reservedRun *backEndSelection
-	// origin is the back end whose run produced the first event that this relay has sent to the client; nil before.
-	origin *backEnd
+	// beganAt is the back end whose run produced the first event that this relay has sent to the client; nil before.
+	beganAt *backEnd
+	origin  streamOrigin
 	// hasEvents is true if the current run has produced events.
 	hasEvents bool
 	// mover can migrate the current run to another engine; nil when that is impossible. migrated is where a migrated run
@@ -273,8 +274,9 @@
 	}
 	s.request.trace.recordEvents(s.relay.clock.now())
 	s.recordFirstEvent(answer)
-	if s.origin == nil {
-		s.origin = answer.message.backEnd
+	if s.beganAt == nil {
+		s.beganAt = answer.message.backEnd
+		s.awaitRecorded()
 	}
 	if s.reply.started {
 		s.reply.send(s.pending)
@@ -300,6 +302,8 @@
 		return
 	}
 	s.hasEvents = true
+	s.beginOrigin(answer.message.backEnd)
+	s.attempts.bind(answer.message.backEnd.version) // before a mover may select another engine
 	if engine := s.request.service.Engine; engine != nil && engine.Movable {
 		s.mover = newRunMover(s, answer.message.backEnd)
 	}
--- a/internal/relay/stream_versions_test.go
+++ b/internal/relay/stream_versions_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -96,9 +98,12 @@
 	relay := newTestRelay(t, route(stream(false)), former.scriptedBackEnd, other)
 	relay.discouraging("other", 2)
 	client := former.beginRun(t, relay)
-	for mover := range relay.engineOf("former").movers {
-		mover.migrate()
-	}
+	engine := relay.engineOf("former")
+	engine.mutex.Lock()
+	movers := slices.Collect(maps.Keys(engine.movers))
+	engine.mutex.Unlock()
+	require.Len(t, movers, 1)
+	movers[0].migrate()
 	require.Empty(t, former.moves())
 	require.Empty(t, other.receivedRequests())
 	close(former.stopped)
--- /dev/null
+++ b/internal/relay/taken_up.go
@@ -0,0 +1,109 @@
+package relay
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/relay/origins"
+	"github.com/hazelpitch/hazelpitch/internal/serving"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
+)
+
+// Reasons for refusing a stream that a client takes up.
+const (
+	reasonUnknownOrigin = "it is not known which software version began the stream"
+	reasonVersionGone   = "no back end of the software version that began the stream takes requests"
+)
+
+// ownListLifetime is how long a list that this relay has read itself counts as current.
+const ownListLifetime = 2 * time.Second
+
+// newOrigins creates the records of where streams began; now is the clock by which they are kept.
+func (r *Relay) newOrigins(now func() time.Duration) *origins.Origins {
+	return origins.New(origins.Config{
+		Socket: r.datagrams, Incarnation: r.fleet.incarnation, Now: now, Timeout: r.peers.Timeout,
+		LifetimeOf: r.streamLifetime, IsListCurrent: r.isListCurrent,
+		Metrics: origins.Metrics{Reports: r.metrics.originReports, Lookups: r.metrics.originLookups},
+	})
+}
+
+// isListCurrent reports whether the list of back ends is current: a leader has confirmed it, or this relay has read it, a moment ago.
+func (r *Relay) isListCurrent() bool {
+	now, view := r.clock.now(), r.view.Load()
+	return now-r.lastContact() <= r.maxContactAge() || view.isListed && view.listingVersion == 0 && now-view.listedAt <= ownListLifetime
+}
+
+// serviceHash identifies a service in records.
+func serviceHash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// isTakenUp reports whether the client takes up a stream of which it has events.
+func (r *Relay) isTakenUp(request *request) bool {
+	names := r.dialect.Headers
+	hasEvents := len(request.header.Peek(names.LastEventID)) > 0 || len(request.header.Peek(names.Resumes)) > 0
+	return hasEvents && request.route.Kind == serving.KindStream && request.route.Resumable
+}
+
+// bindTakenUp binds a request that takes up a stream to the service and the software version that began the stream. It returns the
+// refusal if these are not known: nothing goes on at a guess.
+func (r *Relay) bindTakenUp(request *request) *refusal {
+	if request.forwarded != nil || !r.isTakenUp(request) {
+		return nil
+	}
+	record, outcome := r.origins.Find(r.resumedName(request), request.service.Name, request.canceller.done())
+	if outcome == origins.NotFound || !r.applyRecordedService(request, record.Service) {
+		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonUnknownOrigin}
+	}
+	request.boundTo = record.Version
+	return nil
+}
+
+// resumedName returns the name of the attempt that began the stream; no stream has the zero name.
+func (r *Relay) resumedName(request *request) streamorigin.Name {
+	resumed := string(request.header.Peek(r.dialect.Headers.Resumes))
+	if resumed == "" {
+		return streamorigin.Name{}
+	}
+	return streamorigin.NameOf(request.tenantName(), request.host, resumed)
+}
+
+// applyRecordedService selects the service that began the stream; 0 leaves the one that was drawn. It returns false if the route
+// does not send requests to that service any more.
+func (r *Relay) applyRecordedService(request *request, recorded uint64) bool {
+	if recorded == 0 || recorded == serviceHash(request.service.Name) {
+		return true
+	}
+	for _, split := range request.route.Splits {
+		if service := r.view.Load().table.Service(split.Service); service != nil && serviceHash(split.Service) == recorded {
+			request.service = service
+			return true
+		}
+	}
+	return false
+}
+
+// refuseGoneVersion returns the refusal of a stream of whose software version no back end takes requests now; nil if one does, or
+// if the stream is not bound. A time to return is named only if a back end is known to take requests again by then.
+func (a *attemptTracker) refuseGoneVersion() *refusal {
+	if !a.isBound() {
+		return nil
+	}
+	now, soonest := a.relay.clock.now(), time.Duration(math.MaxInt64)
+	for _, backEnd := range a.relay.view.Load().byService[a.request.service.Name] {
+		if backEnd.Stage != answeringStage(a.request.service) || !mayGoOnAt(a.binding(), backEnd) || backEnd.isLeaving() || backEnd.Changing {
+			continue
+		}
+		delay := backEnd.sendDelay(now)
+		if delay <= 0 {
+			return nil
+		}
+		soonest = min(soonest, delay)
+	}
+	response := &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonVersionGone}
+	if soonest < math.MaxInt64 {
+		response.retryAfter = soonest
+	}
+	return response
+}
--- a/internal/serving/table.go
+++ b/internal/serving/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Table looks up the route of a request. It is built from one configuration and immutable.
@@ -16,6 +17,8 @@
 	// byName maps each tenant's name to the tenant.
 	byName map[string]*Tenant
 	levels priorityLevels
+	// longestTimeouts holds the longest timeout of the routes of each service.
+	longestTimeouts map[string]time.Duration
 }
 
 // NewTable indexes a valid configuration.
@@ -27,11 +30,16 @@
 		byKey:         map[string]*Tenant{},
 		byName:        map[string]*Tenant{},
 		levels:        newPriorityLevels(configuration),
+
+		longestTimeouts: map[string]time.Duration{},
 	}
 	for index := range configuration.Routes {
 		route := &configuration.Routes[index]
 		host := strings.ToLower(route.Host)
 		table.byHost[host] = append(table.byHost[host], route)
+		for _, split := range route.Splits {
+			table.longestTimeouts[split.Service] = max(table.longestTimeouts[split.Service], route.Timeout)
+		}
 	}
 	for _, routes := range table.byHost {
 		slices.SortFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -66,6 +74,9 @@
 // Service returns the service with the name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// LongestTimeout returns the longest timeout of the routes that send requests to the service.
+func (t *Table) LongestTimeout(service string) time.Duration { return t.longestTimeouts[service] }
+
 // Tenant returns the tenant of the key, or nil.
 func (t *Table) Tenant(key string) *Tenant { return t.byKey[key] }
 
--- /dev/null
+++ b/internal/streamorigin/history.go
@@ -0,0 +1,83 @@
+package streamorigin
+
+import "time"
+
+// History knows which versions of each service are listed, and which were until recently. It is not safe for concurrent use.
+type History struct{ services map[string]*serviceHistory }
+
+// serviceHistory holds the versions of one service.
+type serviceHistory struct {
+	// since is when the service was listed first.
+	since  time.Duration
+	listed map[Version]bool
+	// lastListedAt is when a version that is not listed any more was listed last.
+	lastListedAt map[Version]time.Duration
+}
+
+// NewHistory returns an empty history.
+func NewHistory() *History { return &History{services: map[string]*serviceHistory{}} }
+
+// Update applies a list: the versions of the back ends of each service. It returns the services for which a version is listed
+// besides the one that alone was listed before.
+func (h *History) Update(now time.Duration, listed map[string]map[Version]bool) (newlyMixed []string) {
+	for name, versions := range listed {
+		service := h.services[name]
+		if service == nil {
+			h.services[name] = &serviceHistory{since: now, listed: versions, lastListedAt: map[Version]time.Duration{}}
+			continue
+		}
+		if len(service.listed) == 1 && len(versions) > 1 {
+			newlyMixed = append(newlyMixed, name)
+		}
+		service.update(now, versions)
+	}
+	for name, service := range h.services {
+		if listed[name] == nil {
+			service.update(now, nil)
+		}
+		if len(service.listed)+len(service.lastListedAt) == 0 {
+			delete(h.services, name)
+		}
+	}
+	return newlyMixed
+}
+
+func (s *serviceHistory) update(now time.Duration, versions map[Version]bool) {
+	for version := range s.listed {
+		if !versions[version] {
+			s.lastListedAt[version] = now
+		}
+	}
+	for version, at := range s.lastListedAt {
+		if versions[version] || now-at > MaxLifetime {
+			delete(s.lastListedAt, version)
+		}
+	}
+	s.listed = versions
+}
+
+// Only returns the version that alone can have begun a stream of a service: it alone has been listed for the lifetime of a
+// stream. It returns false if there are several, one of them is unknown, or the service has not been listed for so long.
+func (h *History) Only(now time.Duration, service string, lifetime time.Duration) (Version, bool) {
+	known := h.services[service]
+	if known == nil || now-known.since < lifetime {
+		return Unknown, false
+	}
+	only := None
+	for version := range known.listed {
+		if only != None {
+			return Unknown, false
+		}
+		only = version
+	}
+	for version, at := range known.lastListedAt {
+		if now-at >= lifetime || version == only {
+			continue
+		}
+		if only != None {
+			return Unknown, false
+		}
+		only = version
+	}
+	return only, only != None && only != Unknown
+}
--- /dev/null
+++ b/internal/streamorigin/streamorigin_test.go
@@ -0,0 +1,109 @@
+package streamorigin
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against a stream that goes on at a version of which only a guess says that it began it.
+func TestUnknownVersionsAllowNothing(t *testing.T) {
+	one, two := VersionOf("v1"), VersionOf("v2")
+	require.True(t, None.Allows(one))
+	require.True(t, None.Allows(Unknown))
+	require.True(t, one.Allows(one))
+	require.False(t, one.Allows(two))
+	require.False(t, one.Allows(Unknown))
+	require.False(t, Unknown.Allows(Unknown))
+	require.Equal(t, Unknown, VersionOf(""))
+}
+
+// Guards against a tenant that names another tenant's stream.
+func TestNamesDifferByTenantHostAndRequest(t *testing.T) {
+	names := map[Name]bool{}
+	for _, parts := range [][3]string{{"a", "b", "c"}, {"ab", "", "c"}, {"", "ab", "c"}, {"a", "bc", ""}, {"b", "b", "c"}, {"a", "b", "d"}} {
+		names[NameOf(parts[0], parts[1], parts[2])] = true
+	}
+	require.Len(t, names, 6)
+	require.Equal(t, NameOf("a", "b", "c"), NameOf("a", "b", "c"))
+}
+
+// Guards against a record that a late datagram about an earlier attempt replaces.
+func TestTheHighestSequenceHolds(t *testing.T) {
+	table, name := NewTable(4), NameOf("", "host", "1")
+	first, second := Record{Version: VersionOf("v1"), Sequence: 1}, Record{Version: VersionOf("v2"), Sequence: 2}
+	table.Put(0, name, second, time.Second)
+	table.Put(1, name, first, time.Second)
+	found, isFound := table.Get(2, name)
+	require.True(t, isFound)
+	require.Equal(t, second, found)
+	_, isFound = table.Get(time.Second, name)
+	require.False(t, isFound, "expired")
+	table.Put(time.Second, name, first, time.Hour)
+	_, isFound = table.Get(time.Second+MaxLifetime-1, name)
+	require.True(t, isFound)
+	_, isFound = table.Get(time.Second+MaxLifetime, name)
+	require.False(t, isFound, "lifetimes are bounded")
+}
+
+// Guards against a table that grows without bounds, and against one that drops records that were put last.
+func TestTableIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const capacity = 5
+		table, now := NewTable(capacity), time.Duration(0)
+		var lastPut []Name
+		for range rapid.IntRange(1, 60).Draw(t, "puts") {
+			now += time.Duration(rapid.IntRange(0, 3).Draw(t, "pause")) * time.Second
+			name := Name{Low: rapid.Uint64Range(0, 12).Draw(t, "name")}
+			table.Put(now, name, Record{Sequence: 1}, time.Hour)
+			lastPut = append(lastPut, name)
+			if table.Len() > capacity || len(table.byName) != table.Len() {
+				t.Fatalf("%d records", table.Len())
+			}
+			if _, found := table.Get(now, name); !found {
+				t.Fatalf("the newest record is gone")
+			}
+		}
+	})
+}
+
+func versions(names ...string) map[Version]bool {
+	set := map[Version]bool{}
+	for _, name := range names {
+		set[VersionOf(name)] = true
+	}
+	return set
+}
+
+// Guards against streams that are bound to the version that is listed now, although another one began them a moment before.
+func TestOneVersionIsKnownOnlyAfterTheLifetimeOfAStream(t *testing.T) {
+	const lifetime = 12 * time.Second
+	type listing = map[string]map[Version]bool
+	history := NewHistory()
+	requireOnly := func(at time.Duration, expected string) {
+		t.Helper()
+		only, isKnown := history.Only(at, "s", lifetime)
+		require.Equal(t, expected != "", isKnown)
+		if isKnown {
+			require.Equal(t, VersionOf(expected), only)
+		}
+	}
+	requireOnly(0, "")
+	require.Empty(t, history.Update(0, listing{"s": versions("v1")}))
+	requireOnly(lifetime-1, "")
+	requireOnly(lifetime, "v1")
+	require.Equal(t, []string{"s"}, history.Update(20*time.Second, listing{"s": versions("v1", "v2")}))
+	requireOnly(20*time.Second, "")
+	require.Empty(t, history.Update(30*time.Second, listing{"s": versions("v2")}))
+	requireOnly(30*time.Second, "")
+	requireOnly(30*time.Second+lifetime, "v2")
+	require.Empty(t, history.Update(50*time.Second, listing{}))
+	requireOnly(50*time.Second, "v2") // no back end is left; streams of the version may still be taken up
+	requireOnly(50*time.Second+lifetime, "")
+	history.Update(80*time.Second, listing{"s": versions("")})
+	requireOnly(80*time.Second+lifetime, "")
+	require.Equal(t, MaxLifetime, LifetimeOf(time.Hour))
+	require.Equal(t, lifetime, LifetimeOf(6*time.Second))
+}
