Soak: software versions, and clients that take streams up

ORDER finds more than two streams with events of several versions, over the attempts of their client; LOST compares the share of taken-up streams that go on with that of new ones that begin.

--- a/internal/benchcommand/soak.go
+++ b/internal/benchcommand/soak.go
@@ -68,6 +68,7 @@
 	StandStill  bool          `long:"stand-still" description:"sound back ends, single ones and several at once, stand still for 0.8 to 2 s and go on, beside reloads and stops of relays"`
 	BackEndCuts bool          `long:"back-end-cuts" description:"cut relays off from all back ends: one, half of a zone, or a zone; relays and back ends are in two zones"`
 	Unframed    bool          `long:"unframed" description:"a quarter of the answers of back ends have neither a length nor chunks and end with their connection; two in five of these are broken off"`
+	Versions    bool          `long:"versions" description:"engines start with one of three software versions each and break streams off; clients take these up, at any relay"`
 	Directory   string        `long:"directory" value-name:"DIR" description:"where settings, disks and logs go; default: a temporary directory, which stays where a rule was broken"`
 	Untimed     bool          `long:"untimed" description:"leave out the rules with time bounds: for machines that are busy"`
 	Verbose     bool          `long:"verbose" description:"print each fault as it strikes"`
@@ -142,7 +143,7 @@
 	for _, flag := range []struct {
 		given bool
 		text  string
-	}{{s.Plain, " --plain"}, {s.Uneven, " --uneven"}, {s.Pressure, " --pressure"}, {s.Returns, " --check-returns"}, {s.StandStill, " --stand-still"}, {s.BackEndCuts, " --back-end-cuts"}, {s.Unframed, " --unframed"}} {
+	}{{s.Plain, " --plain"}, {s.Uneven, " --uneven"}, {s.Pressure, " --pressure"}, {s.Returns, " --check-returns"}, {s.StandStill, " --stand-still"}, {s.BackEndCuts, " --back-end-cuts"}, {s.Unframed, " --unframed"}, {s.Versions, " --versions"}} {
 		if flag.given {
 			flags += flag.text
 		}
@@ -165,7 +166,7 @@
 		Seed: seed, Controllers: s.Controllers, Relays: s.Relays, Pages: s.Pages, Engines: s.Engines, Clients: s.Clients, Poisons: s.Poisons,
 		FaultDuration: s.Length, QuietDuration: s.Calm, Directory: directory, Program: s.Program, Serve: serveSiteSubcommand, CheckTimeBounds: !s.Untimed,
 		OtherProgram: s.Other, FirstFormatOnly: s.Plain, Uneven: s.Uneven, Pressure: s.Pressure, CheckReturns: s.Returns,
-		StandStill: s.StandStill, BackEndCuts: s.BackEndCuts, Unframed: s.Unframed,
+		StandStill: s.StandStill, BackEndCuts: s.BackEndCuts, Unframed: s.Unframed, Versions: s.Versions,
 	}
 	if s.Verbose {
 		options.Progress = func(line string) { fmt.Fprintln(environment.Stderr, line) }
--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -37,6 +38,24 @@
 		h.Sendings = []history.Sending{changedSending(request("1", "safe", 0), func(s *history.Sending) { s.Status = 500 })}
 		h.Arrivals = []history.Arrival{ranAt("1", "x", 0)}
 	}},
+	{"two streams with events of two software versions", "", mixedStreams(2)},
+	{"three streams with events of two software versions", Order, mixedStreams(3)},
+	{"a partial event of a version whose name is cut", "", func(h *history.History) {
+		mixedStreams(3)(h)
+		for index := range h.Sendings {
+			h.Sendings[index].Body = strings.ReplaceAll(h.Sendings[index].Body, "@v2", "@v1")
+			if h.Sendings[index].Resumes != "" {
+				h.Sendings[index].Body, h.Sendings[index].Whole = h.Sendings[index].Body+"id: 4\ndata: b@v", false
+			}
+		}
+	}},
+	{"streams that clients take up go on as often as new ones begin", "", takenUpStreams(14, 8)},
+	{"streams that clients take up seldom go on", Lost, takenUpStreams(14, 6)},
+	{"few streams that clients take up", "", takenUpStreams(11, 0)},
+	{"streams that clients take up while one back end of the version serves", "", func(h *history.History) {
+		takenUpStreams(14, 0)(h)
+		h.Listings = h.Listings[1:]
+	}},
 	{"a response that ends with its connection", "", func(h *history.History) {
 		h.Sendings = []history.Sending{changedSending(request("1", "safe", 0), func(s *history.Sending) { s.EndsWithConnection = true })}
 		h.Arrivals = []history.Arrival{changedArrival(ranAt("1", "x", 0), setUnframed)}
--- a/internal/soak/check/histories_test.go
+++ b/internal/soak/check/histories_test.go
@@ -72,6 +72,45 @@
 	}
 }
 
+// mixedStreams returns streams that begin at one software version and that their clients take up at another one.
+func mixedStreams(count int) func(*history.History) {
+	return func(h *history.History) {
+		for number := range count {
+			first, second := fmt.Sprint("first-", number), fmt.Sprint("second-", number)
+			h.Sendings = append(h.Sendings,
+				changedSending(request(first, "stream", 0), func(s *history.Sending) { s.Body, s.Whole = "id: 1\ndata: a@v1 part\n\n", false }),
+				changedSending(request(second, "stream", takenUpAt), func(s *history.Sending) {
+					s.Body, s.Resumes, s.LastEvent = "id: 2\ndata: b@v2 part\n\nid: 3\ndata: b@v2 end\n\n", first, 1
+				}))
+			h.Arrivals = append(h.Arrivals, ranAt(first, "a", 0), ranAt(second, "b", takenUpAt))
+		}
+	}
+}
+
+// takenUpAt is when clients take up streams.
+const takenUpAt = 10 * second
+
+// takenUpStreams returns streams that break off and that their clients take up, of which some go on. Two back ends of the version serve.
+func takenUpStreams(count, goOn int) func(*history.History) {
+	return func(h *history.History) {
+		h.Listings = []history.Listing{{Replica: "a", State: history.Ready, Software: "v1"}, {Replica: "b", State: history.Ready, Software: "v1"}}
+		for number := range count {
+			first, again := fmt.Sprint("first-", number), fmt.Sprint("again-", number)
+			h.Sendings = append(h.Sendings, changedSending(request(first, "stream", 0), func(s *history.Sending) { s.Body, s.Whole = "id: 1\ndata: a@v1 part\n\n", false }))
+			h.Arrivals = append(h.Arrivals, changedArrival(ranAt(first, "a", 0), func(a *history.Arrival) { a.BrokenOff = true }))
+			h.Sendings = append(h.Sendings, changedSending(request(again, "stream", takenUpAt), func(s *history.Sending) {
+				s.Resumes, s.LastEvent = first, 1
+				if s.Body = "id: 2\ndata: a@v1 end\n\n"; number >= goOn {
+					s.Body, s.Status, s.Seal = "", 503, ""
+				}
+			}))
+			if number < goOn {
+				h.Arrivals = append(h.Arrivals, ranAt(again, "b", takenUpAt))
+			}
+		}
+	}
+}
+
 func streamOf(body, route string, whole bool) func(*history.History) {
 	return func(h *history.History) {
 		h.Sendings = []history.Sending{changedSending(request("1", route, 0), func(s *history.Sending) { s.Body, s.Whole = body, whole })}
--- a/internal/soak/check/order.go
+++ b/internal/soak/check/order.go
@@ -32,7 +32,7 @@
 // streamFault describes what is wrong with a stream; empty for nothing. Each event is "id: N", then "data: RUN TEXT",
 // where RUN is the identity of the back end.
 func streamFault(sending history.Sending, route history.Route, mayEndEarly bool) string {
-	expected, run, ended := 1, "", false
+	expected, run, ended := sending.LastEvent+1, "", false
 	for event := range strings.SplitSeq(strings.TrimSuffix(sending.Body, "\n\n"), "\n\n") {
 		var number int
 		var from, text string
--- a/internal/soak/history/operator.go
+++ b/internal/soak/history/operator.go
@@ -36,6 +36,8 @@
 	At      time.Duration
 	Replica string
 	State   ReplicaState
+	// Software is the software version of a back end that decodes, in the entry that lists it as ready; empty for others.
+	Software string
 }
 
 // ReplicaState is the state of a back end on the platform's list.
--- a/internal/soak/history/sending.go
+++ b/internal/soak/history/sending.go
@@ -39,6 +39,10 @@
 	Tenant string
 	// Request is equal for all attempts of one request of a tenant.
 	Request string
+	// Resumes is the identity of the attempt that brought the first event of the stream that this attempt takes up; empty for an
+	// attempt that begins a stream. LastEvent is the number of the last event that the client had.
+	Resumes   string
+	LastEvent int
 	// RetryAfter is the time after which the response asked the client to return; 0 for none.
 	RetryAfter time.Duration
 	// DueAt is when the client was told to return with this attempt, in a response that it got at RefusedAt; both are 0
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -41,6 +41,9 @@
 	// BackEndCuts cuts relays off from all back ends, one, half of a zone, or a zone. Relays and back ends are in two zones
 	// then. It takes MinCutRelays relays, and neither Program nor OtherProgram.
 	BackEndCuts bool
+	// Versions makes each engine start with one of several software versions, crash within streams more often, and clients take up
+	// streams that break off, at any relay.
+	Versions bool
 	// Unframed makes a share of the answers of back ends end with their connection, whole or broken off.
 	Unframed bool
 	// CheckTimeBounds also checks the rules with time bounds, which can fail on a machine that is busy with other work.
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -32,6 +32,8 @@
 	Overdue check.Overdue `json:"overdue"`
 	// FirstTries counts clients' first tries while relays were cut off from back ends; nil in runs without such cuts.
 	FirstTries *check.FirstTries `json:"first_tries,omitempty"`
+	// TakenUp counts the streams that clients took up; nil in runs with one software version.
+	TakenUp *check.TakenUp `json:"taken_up,omitempty"`
 	// Pressure reports on the service with few slots; nil in runs without it.
 	Pressure *PressureReport `json:"pressure,omitempty"`
 }
@@ -46,6 +48,10 @@
 		tries := check.CountFirstTries(recorded)
 		report.FirstTries = &tries
 	}
+	if options.Versions {
+		takenUp := check.CountTakenUp(recorded)
+		report.TakenUp = &takenUp
+	}
 	if options.Pressure {
 		report.Pressure = pressureReportOf(recorded)
 	}
@@ -82,6 +88,9 @@
 	if r.FirstTries != nil {
 		fmt.Fprintf(&text, "\n  %s", r.FirstTries)
 	}
+	if r.TakenUp != nil {
+		fmt.Fprintf(&text, "\n  %s", r.TakenUp)
+	}
 	if r.Pressure != nil {
 		fmt.Fprintf(&text, "\n  %s", r.Pressure)
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -160,7 +160,7 @@
 	for number := range s.options.Engines {
 		stage := []string{platform.StageDecode, platform.StagePrefill}[number%2]
 		replica, err := standin.StartReplica(standin.ReplicaOptions{
-			Service: standin.ServiceEngines, Zone: s.zone(number / 2), Address: hostPort(address(groupEngines, number), portOuter), Stage: stage, Slots: 16,
+			Service: standin.ServiceEngines, Zone: s.zone(number / 2), Address: hostPort(address(groupEngines, number), portOuter), Stage: stage, Slots: 16, Versions: s.engineVersions(),
 			RunTime: 5 * time.Millisecond, EventInterval: 15 * time.Millisecond, UsualSpeed: s.usualSpeed(engineTimes[number%len(engineTimes)]), Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, Unframed: s.options.Unframed, ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
 		})
 		if err != nil {
@@ -174,6 +174,14 @@
 	return nil
 }
 
+// engineVersions returns the software versions from which engines draw theirs.
+func (s *site) engineVersions() []string {
+	if !s.options.Versions {
+		return nil
+	}
+	return []string{"v1", "v1.1", "v1.2"}
+}
+
 // seeds returns the addresses of the first controllers, at most three, which the settings of all processes name.
 func (s *site) seeds() []string { return s.operator.Controllers[:min(3, len(s.operator.Controllers))] }
 
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -98,6 +98,9 @@
 		}
 		t.drawContent(&attempt, random)
 		sent := client.Send(context.WithoutCancel(ctx), attempt)
+		if t.site.options.Versions {
+			t.takeUp(ctx, client, attempt, sent, random)
+		}
 		if sent.Status == 0 && sent.ClosedAt == 0 || random.Float64() < 0.05 {
 			relay = t.loadBalancer.pickRelay(random)
 		}
@@ -105,6 +108,26 @@
 	}
 }
 
+// maxTakeUps is how often a client takes up one stream.
+const maxTakeUps = 2
+
+// takeUp takes up a stream that broke off within it, at any relay, after its last event.
+func (t *traffic) takeUp(ctx context.Context, client *standin.Client, attempt standin.Attempt, sent history.Sending, random *rand.Rand) {
+	for number := range maxTakeUps {
+		last := standin.LastEvent(sent.Body)
+		if route := standin.Routes()[attempt.Route]; !route.Resumable || sent.LeftAt > 0 || sent.Whole || last == 0 && attempt.LastEvent == 0 {
+			return
+		}
+		if attempt.Resumes == "" {
+			attempt.Resumes = sent.ID
+		}
+		relay := t.loadBalancer.pickRelay(random)
+		attempt.ID, attempt.Front, attempt.Address = fmt.Sprintf("%s-%d", attempt.Resumes, number+1), relay.Name, relay.front
+		attempt.LastEvent, attempt.CloseAfter = max(last, attempt.LastEvent), 0
+		sent = client.Send(context.WithoutCancel(ctx), attempt)
+	}
+}
+
 // drawContent draws the body, the prompt length and the abandonment of an attempt.
 func (t *traffic) drawContent(attempt *standin.Attempt, random *rand.Rand) {
 	if attempt.Route != standin.RoutePage {
