Ask an engine which incarnation it is before a stream depends on its version

What callers would see: a stream begins, or goes on, at an engine that has started again under its identity with another software version, which the list shows a second or two later. Cause: the list says the version of an incarnation, and the request names the replica. Change: while several versions serve, a connection to an engine is verified once, by the start time in the engine's report. A stream that goes on is not sent to an incarnation that is not listed; a new one may begin there, at a version that counts as unknown, and its record says so. One version costs nothing.

--- a/internal/relay/connpool/connection.go
+++ b/internal/relay/connpool/connection.go
@@ -34,6 +34,8 @@
 	OnReceived func()
 	// OnTimeout is called when the peer has acknowledged nothing until the kernel's timeout; nil means no call.
 	OnTimeout func()
+	// IsIncarnationKnown is true once the peer has said that it is the incarnation which the list names.
+	IsIncarnationKnown bool
 	// TimedOut is true if the kernel's timeout has expired on this connection.
 	TimedOut bool
 }
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -22,6 +22,10 @@
 	MoveBody func(request, address string, stop bool) []byte
 	// ParseMoveAnswer returns the handle under which the run continues; "" when there is none.
 	ParseMoveAnswer func(body []byte) (handle string)
+	// ReportPath is the path of an engine's report on itself. ParseReport returns the start time of the incarnation that made it, in Unix
+	// milliseconds; 0 when the engine sends none.
+	ReportPath  string
+	ParseReport func(body []byte) (startedAtMs int64, err error)
 	// ParseConfiguration decodes the operator's configuration document.
 	ParseConfiguration func(content []byte) (serving.Configuration, error)
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -61,6 +61,9 @@
 	dials *prometheus.CounterVec
 	// answers counts the answers of back ends to clients' requests, by framing and end.
 	answers *prometheus.CounterVec
+	// reportPath is the path of an engine's report, which parseReport decodes.
+	reportPath  string
+	parseReport func(body []byte) (startedAtMs int64, err error)
 	// mechanisms says which mechanisms are enabled.
 	mechanisms mechanism.Set
 }
@@ -87,7 +90,7 @@
 
 // exchange connects, writes the message, and reads and checks the head of the answer.
 func (e *exchanger) exchange(message *message) (*answer, *failure) {
-	connection, fault := e.connect(message)
+	connection, fault := e.connectVerified(message)
 	if fault != nil {
 		return nil, fault
 	}
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -57,6 +57,7 @@
 	errEndsInEvent       = errors.New("the stream ended within an event")
 	errUndeclaredEnd     = errors.New("the stream ended with its connection, and nothing says whether it is whole")
 	errMisdirected       = errors.New("another back end has the address")
+	errOtherIncarnation  = errors.New("the engine has started again, and its software version is not known yet")
 	errForeignAnswer     = errors.New("the answer belongs to another request")
 	errUnsupportedAnswer = errors.New("the answer does not fit the request")
 	errPeerUnable        = errors.New("the other relay cannot serve the request")
@@ -70,7 +71,7 @@
 }{
 	{errCancelled, "client_gone"}, {errDeadline, "deadline"}, {errDial, "dial"}, {errStalled, "stalled"}, {errPeerTimeout, "peer_timeout"},
 	{errEndsInEvent, "ends_in_event"}, {errUndeclaredEnd, "undeclared_end"}, {errConnectionBroken, "broken"}, {framing.ErrMalformed, "malformed"}, {errNotExecuted, "not_executed"}, {errInBackoff, "backoff"}, {errLimitReached, "limit"},
-	{errMisdirected, "misdirected"}, {errForeignAnswer, "foreign_answer"}, {errUnsupportedAnswer, "unsupported_answer"}, {errEventTooLong, "event_too_long"}, {errPeerUnable, "peer_unable"},
+	{errMisdirected, "misdirected"}, {errOtherIncarnation, "other_incarnation"}, {errForeignAnswer, "foreign_answer"}, {errUnsupportedAnswer, "unsupported_answer"}, {errEventTooLong, "event_too_long"}, {errPeerUnable, "peer_unable"},
 }
 
 // otherFailureCause is the label value of causes that are not in failureCauses.
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -42,6 +42,8 @@
 			return fmt.Appendf(nil, "%s %s %t", request, address, stop)
 		},
 		ParseMoveAnswer: func(body []byte) string { return string(body) },
+		ReportPath:      "/report",
+		ParseReport:     func(body []byte) (int64, error) { return strconv.ParseInt(string(body), 10, 64) },
 	}
 }
 
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
 // message is one attempt to send a request to one back end.
@@ -26,6 +27,10 @@
 	onWorkAdded func()
 	// selection is the selection of the back end; nil for a message that is not sent, see awaitCached.
 	selection *backEndSelection
+	// dependsOnVersion is true if the stream must go on, or may have to, at the software version of the back end. isBound is true if it
+	// must go on there. onVersion is called with the version that serves the message, before it is sent; nil for no call.
+	dependsOnVersion, isBound bool
+	onVersion                 func(version streamorigin.Version)
 	// isPrefill is true if the message only prefills the prompt, so that nothing runs.
 	isPrefill bool
 	// prefixBlocks are the prompt's blocks; newBlocks are those that the back end had not cached when the message was sent.
--- a/internal/relay/origins/lookup.go
+++ b/internal/relay/origins/lookup.go
@@ -12,6 +12,9 @@
 // Find asks other relays only if this one does not know, and blocks until they have answered, or until stop is closed.
 func (o *Origins) Find(name streamorigin.Name, service string, stop <-chan struct{}) (streamorigin.Record, Outcome) {
 	record, outcome := o.find(name, service, stop)
+	if record.Version == streamorigin.Unknown { // it began at a back end that had just started
+		outcome = NotFound
+	}
 	o.config.Metrics.Lookups.WithLabelValues(string(outcome)).Inc()
 	return record, outcome
 }
--- a/internal/relay/origins/origins_test.go
+++ b/internal/relay/origins/origins_test.go
@@ -226,7 +226,7 @@
 	f.Add(uint64(1), uint64(2), uint64(3), uint64(4), uint32(5), uint32(6))
 	f.Fuzz(func(t *testing.T, high, low, service, software uint64, sequence, lifetimeMs uint32) {
 		name, record, lifetime, isValid := originFromWire(&v1.StreamOrigin{NameHigh: high, NameLow: low, Service: service, Software: software, Sequence: sequence, LifetimeMs: lifetimeMs})
-		require.Equal(t, software > uint64(streamorigin.Unknown), isValid)
+		require.Equal(t, software != uint64(streamorigin.None), isValid)
 		require.LessOrEqual(t, lifetime, streamorigin.MaxLifetime)
 		if isValid {
 			again, sameRecord, _, _ := originFromWire(originToWire(name, record, lifetime))
--- a/internal/relay/origins/wire.go
+++ b/internal/relay/origins/wire.go
@@ -15,10 +15,10 @@
 	}
 }
 
-// originFromWire is the reverse of originToWire. It returns false for an absent origin, and for one without a known version.
+// originFromWire is the reverse of originToWire. It returns false for an absent origin.
 func originFromWire(origin *v1.StreamOrigin) (name streamorigin.Name, record streamorigin.Record, lifetime time.Duration, isValid bool) {
 	name = streamorigin.Name{High: origin.GetNameHigh(), Low: origin.GetNameLow()}
 	record = streamorigin.Record{Service: origin.GetService(), Version: streamorigin.Version(origin.GetSoftware()), Sequence: origin.GetSequence()}
 	lifetime = min(time.Duration(origin.GetLifetimeMs())*time.Millisecond, streamorigin.MaxLifetime)
-	return name, record, lifetime, record.Version > streamorigin.Unknown
+	return name, record, lifetime, record.Version != streamorigin.None
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -197,6 +197,7 @@
 		applyAnswerSignals: relay.applyAnswerSignals, acquirePermit: relay.acquirePermit, limitedSends: relay.metrics.limitedSends, dials: relay.metrics.dials, answers: relay.metrics.answers,
 		names: options.Dialect.Headers, writer: newRequestWriter(options.Dialect.Headers), clock: steady, dial: options.Dial,
 		mechanisms: options.Without, speeds: relay.speeds,
+		reportPath: options.Dialect.ReportPath, parseReport: options.Dialect.ParseReport,
 	}
 	relay.prefillSpeed.fixed = !options.Without.IsEnabled(mechanism.MeasuredSpeeds)
 	relay.view.Store(&view{byService: map[string][]*backEnd{}})
--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -63,7 +63,6 @@
 		}
 		engine := selection.backEnd
 		stream.recordContinuation(selection)
-		stream.recordOrigin(engine)
 		fault := stream.runOn(selection, prefill)
 		prefill = nil // a handle can be used only once
 		if fault == nil {
--- a/internal/relay/stream_origin.go
+++ b/internal/relay/stream_origin.go
@@ -19,30 +19,39 @@
 type streamOrigin struct {
 	// recording is the last record on its way to other relays; nil for none.
 	recording *origins.Recording
-	// records counts the records.
+	// records counts the records, and version is the software version of the current run's back end.
 	records uint32
+	version streamorigin.Version
 	// active is registered while the stream is forwarded; nil before its first event.
 	active *origins.ActiveStream
 }
 
-// recordOrigin records that the stream begins at a back end, before the request is sent there, if several software versions serve.
-// A record of an earlier attempt, which has brought no event, is replaced.
-func (s *streamReply) recordOrigin(backEnd *backEnd) {
+// recordOrigin records that the stream begins at a software version, before the request is sent there, if several versions serve. A
+// record of an earlier attempt, which has brought no event, is replaced.
+func (s *streamReply) recordOrigin(version streamorigin.Version) {
+	s.origin.version = version
 	service := s.request.service.Name
 	if !s.request.route.Resumable || s.origin.active != nil {
 		return
 	}
-	if _, isOnly := s.relay.origins.Only(service); isOnly || backEnd.version == streamorigin.Unknown {
+	if _, isOnly := s.relay.origins.Only(service); isOnly || version == streamorigin.Unknown && s.origin.records == 0 {
 		return
 	}
 	s.origin.records++
-	s.origin.recording = s.relay.origins.Record(s.name(), service, s.originRecord(backEnd.version))
+	s.origin.recording = s.relay.origins.Record(s.name(), service, s.originRecord(version))
 	if resumed := s.relay.resumedName(s.request); s.request.boundTo != streamorigin.None && resumed != (streamorigin.Name{}) {
-		lasting := streamorigin.Record{Service: serviceHash(service), Version: backEnd.version, Sequence: math.MaxUint32}
+		lasting := streamorigin.Record{Service: serviceHash(service), Version: version, Sequence: math.MaxUint32}
 		s.relay.origins.Record(resumed, service, lasting) // the client names the same attempt again
 	}
 }
 
+// dependsOnVersion reports whether the stream must go on, or may have to, at the software version of a back end, while several versions
+// serve.
+func (s *streamReply) dependsOnVersion(selection *backEndSelection) bool {
+	_, isOnly := s.relay.origins.Only(s.request.service.Name)
+	return !isOnly && (s.request.route.Resumable || selection.isMigrated)
+}
+
 func (s *streamReply) originRecord(version streamorigin.Version) streamorigin.Record {
 	return streamorigin.Record{
 		Service: serviceHash(s.request.service.Name), Version: version,
@@ -67,11 +76,11 @@
 }
 
 // beginOrigin registers the stream, of which the client gets the first event now.
-func (s *streamReply) beginOrigin(backEnd *backEnd) {
-	if s.origin.active != nil || !s.request.route.Resumable || backEnd.version == streamorigin.Unknown {
+func (s *streamReply) beginOrigin() {
+	if s.origin.active != nil || !s.request.route.Resumable || s.origin.version == streamorigin.Unknown {
 		return
 	}
-	s.origin.active = &origins.ActiveStream{Name: s.name(), Service: s.request.service.Name, Record: s.originRecord(backEnd.version)}
+	s.origin.active = &origins.ActiveStream{Name: s.name(), Service: s.request.service.Name, Record: s.originRecord(s.origin.version)}
 	s.relay.origins.Track(s.origin.active)
 }
 
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -110,7 +110,7 @@
 		}
 	}
 	limit := stallLimit(s.request.route)
-	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.exchangeDeadline(), headers: headers, work: work, prefixBlocks: s.prefixBlocks, selection: selection,
+	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.exchangeDeadline(), headers: headers, work: work, prefixBlocks: s.prefixBlocks, selection: selection, dependsOnVersion: s.dependsOnVersion(selection), isBound: s.attempts.isBound(), onVersion: s.recordOrigin,
 		stall:   limit + placement.PrefillTime(s.relay.prefillSpeed.timePerToken(engine.hash), s.relay.policy.DecodeSlowdown*work.PromptTokens()),
 		reserve: s.replacement(engine, limit), onWorkAdded: s.attempts.releaseReservedSlot})
 	if fault != nil {
@@ -302,8 +302,8 @@
 		return
 	}
 	s.hasEvents = true
-	s.beginOrigin(answer.message.backEnd)
-	s.attempts.bind(answer.message.backEnd.version) // before a mover may select another engine
+	s.beginOrigin()
+	s.attempts.bind(s.origin.version) // before a mover may select another engine
 	if engine := s.request.service.Engine; engine != nil && engine.Movable {
 		s.mover = newRunMover(s, answer.message.backEnd)
 	}
--- a/internal/relay/stream_versions_test.go
+++ b/internal/relay/stream_versions_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -249,3 +250,81 @@
 		})
 	}
 }
+
+// restarted is an engine that has started again under its identity, with another software version, while the list still shows the
+// former incarnation. bornMs is when the present one started.
+func restarted(bornMs int64, stream script) script {
+	return func(connection net.Conn, request backEndRequest) bool {
+		if request.line == "GET /report" {
+			writeAnswer(connection, request, 200, strconv.FormatInt(bornMs, 10))
+			return true
+		}
+		return stream(connection, request)
+	}
+}
+
+// Guards against a stream that goes on, or begins, at an engine that has started again under its identity with another software
+// version, which the list does not show yet.
+func TestStreamIsNotSentToAnIncarnationOfAnotherVersion(t *testing.T) {
+	start := func(id, software string, listedMs, bornMs int64, stream script) *scriptedBackEnd {
+		engine := ofSoftware(software, startBackEnd(t, id, serving.StageDecode, restarted(bornMs, stream)))
+		engine.entry.Replica, engine.entry.StartedAtMs = id, listedMs
+		return engine
+	}
+	streamsOf := func(engine *scriptedBackEnd) (streams, reports int) {
+		for _, request := range engine.receivedRequests() {
+			if request.line == "GET /report" {
+				reports++
+			} else {
+				streams++
+			}
+		}
+		return streams, reports
+	}
+	for name, test := range map[string]struct {
+		otherVersion  string
+		streams       int
+		expectReports bool
+	}{"several versions": {"v2", 0, true}, "one version": {"v1", 1, false}} {
+		t.Run(name, func(t *testing.T) {
+			first := start("first", "v1", 1, 1, streaming("first", eventOne, "cut"))
+			again := start("again", "v1", 1, 2, resuming("again"))
+			same := start("same", "v1", 1, 1, resuming("same"))
+			other := start("other", test.otherVersion, 1, 1, resuming("other"))
+			relay := newTestRelay(t, route(func(r *serving.Route) { stream(true)(r); r.MaxAttempts = 3 }), first, again, same, other)
+			relay.discouraging("again", 2)
+			relay.discouraging("same", 3)
+			relay.discouraging("other", 4)
+			answer := relay.client(t).do("POST", "/path/", "x")
+			require.True(t, answer.isComplete)
+			require.Equal(t, wholeStream, answer.body)
+			streams, reports := streamsOf(again)
+			require.Equal(t, test.streams, streams)
+			require.Equal(t, test.expectReports, reports > 0)
+			if !test.expectReports {
+				return
+			}
+			_, before := streamsOf(same)
+			require.Equal(t, wholeStream, relay.client(t).do("POST", "/path/", "x").body)
+			_, after := streamsOf(same)
+			require.Equal(t, before, after, "a connection is verified once")
+		})
+	}
+}
+
+// Guards against streams that are refused while engines start again, and against one that began at such an engine and goes on at a
+// guess: its version is not known until the list shows it.
+func TestStreamMayBeginAtAnIncarnationThatIsNotListed(t *testing.T) {
+	again := ofSoftware("v1", startBackEnd(t, "again", serving.StageDecode, restarted(2, streaming("again", eventOne, "cut"))))
+	again.entry.Replica, again.entry.StartedAtMs = "again", 1
+	same := ofSoftware("v1", startBackEnd(t, "same", serving.StageDecode, resuming("same")))
+	other := ofSoftware("v2", startBackEnd(t, "other", serving.StageDecode, resuming("other")))
+	relay := newTestRelay(t, route(stream(true)), again, same, other).preferring("again")
+	answer := relay.client(t).do("POST", "/path/", "x")
+	require.Equal(t, 200, answer.status)
+	require.Equal(t, eventOne, answer.body)
+	require.False(t, answer.isComplete)
+	require.Equal(t, 503, relay.takeUp(t, "T-Last: 1", "T-Resumes: id-1").status)
+	require.Empty(t, same.receivedRequests())
+	require.Empty(t, other.receivedRequests())
+}
--- /dev/null
+++ b/internal/relay/verify_incarnation.go
@@ -0,0 +1,99 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
+)
+
+const (
+	// reportTimeout bounds the wait for an engine's report. Sound engines are silent for up to 2 s; another one is tried then.
+	reportTimeout = 500 * time.Millisecond
+	// maxReportBytes limits the size of an engine's report.
+	maxReportBytes = 64 << 10
+)
+
+// connectVerified returns a connection to the back end, and reports the software version that serves it to the message, if the
+// message depends on it. The peer may close a connection before the message is sent; another one is then opened.
+func (e *exchanger) connectVerified(message *message) (*connpool.Connection, *failure) {
+	const attempts = 2
+	var fault *failure
+	for range attempts {
+		var connection *connpool.Connection
+		if connection, fault = e.connect(message); fault != nil {
+			return nil, fault
+		}
+		var version streamorigin.Version
+		if version, fault = e.servedVersion(connection, message); fault == nil {
+			if message.onVersion != nil {
+				message.onVersion(version)
+			}
+			return connection, nil
+		}
+		message.request.canceller.detach()
+		connection.Discard()
+		if !errors.Is(fault, errConnectionBroken) {
+			break
+		}
+	}
+	return nil, fault
+}
+
+// servedVersion returns the software version that serves a connection. An engine may have started again under its identity, with
+// another version, since the list was made: for a message that depends on the version, the engine is asked which incarnation it is. A
+// connection ends with its incarnation, so that it is asked once. The version of an incarnation that is not listed yet is unknown: a
+// stream may begin there, but not go on. An engine that reports no start time, or has a limit, is taken for the listed one.
+func (e *exchanger) servedVersion(connection *connpool.Connection, message *message) (streamorigin.Version, *failure) {
+	engine := message.backEnd
+	if !message.dependsOnVersion || connection.IsIncarnationKnown || !engine.isEngine() || engine.StartedAtMs == 0 || engine.hasLimit() {
+		return engine.version, nil
+	}
+	startedAtMs, err := e.readStartTime(connection, message)
+	switch {
+	case isTimeout(err):
+		return streamorigin.Unknown, &failure{verdict: verdict.NotRun, cause: errStalled}
+	case errors.Is(err, errMisdirected):
+		return streamorigin.Unknown, &failure{verdict: verdict.NotRun, cause: errMisdirected}
+	case err != nil:
+		return streamorigin.Unknown, &failure{verdict: verdict.NotRun, cause: fmt.Errorf("%w: the engine's report cannot be read: %w", errConnectionBroken, err)}
+	case startedAtMs == 0 || startedAtMs == engine.StartedAtMs:
+		connection.IsIncarnationKnown = true
+		return engine.version, nil
+	case message.isBound:
+		return streamorigin.Unknown, &failure{verdict: verdict.NotRun, cause: errOtherIncarnation}
+	default:
+		return streamorigin.Unknown, nil
+	}
+}
+
+// readStartTime reads when the engine's incarnation on a connection started, in Unix milliseconds; 0 if it does not report it. The
+// connection can carry the message then.
+func (e *exchanger) readStartTime(connection *connpool.Connection, message *message) (startedAtMs int64, err error) {
+	now := e.clock.now()
+	_ = connection.SetDeadline(e.clock.at(min(now+reportTimeout, message.deadline))) // a closed connection fails below
+	if err := e.writeInternalCall(connection, message.backEnd, fasthttp.MethodGet, e.reportPath, nil); err != nil {
+		return 0, err
+	}
+	answer := fasthttp.Response{}
+	if err := answer.ReadLimitBody(connection.Reader, maxReportBytes); err != nil {
+		return 0, err
+	}
+	if answer.StatusCode() == fasthttp.StatusMisdirectedRequest {
+		return 0, errMisdirected
+	}
+	e.applyAnswerSignals(message.backEnd, &answer.Header, internalCallSentAt)
+	if answer.ConnectionClose() {
+		return 0, errConnectionBroken
+	}
+	_ = connection.SetDeadline(e.clock.at(message.deadline)) // the same
+	if answer.StatusCode() != fasthttp.StatusOK {
+		return 0, nil
+	}
+	return e.parseReport(answer.Body())
+}
--- a/internal/soak/check/cut_answers.go
+++ b/internal/soak/check/cut_answers.go
@@ -69,11 +69,11 @@
 	return true
 }
 
-// crashTimes returns when requests crashed back ends, by incarnation.
+// crashTimes returns when requests first crashed back ends, by incarnation: several may crash one at once.
 func crashTimes(recorded *history.History) map[string]time.Duration {
 	times := map[string]time.Duration{}
 	for _, arrival := range recorded.Arrivals {
-		if arrival.Crashed {
+		if at, known := times[arrival.Replica]; arrival.Crashed && (!known || arrival.EndedAt < at) {
 			times[arrival.Replica] = arrival.EndedAt
 		}
 	}
--- a/internal/soak/check/versions.go
+++ b/internal/soak/check/versions.go
@@ -23,6 +23,15 @@
 // mixedVersions finds that more than toleratedMixedStreams streams hold events of several software versions, in one response or over
 // the attempts of their client.
 func mixedVersions(recorded *history.History) []Finding {
+	mixed := mixedStreamsOf(recorded)
+	if len(mixed) <= toleratedMixedStreams {
+		return nil
+	}
+	return mixed
+}
+
+// mixedStreamsOf returns a finding for each stream that holds events of several software versions.
+func mixedStreamsOf(recorded *history.History) []Finding {
 	versions, endedAt := map[string]map[string]bool{}, map[string]time.Duration{}
 	for _, sending := range recorded.Sendings {
 		if !recorded.Routes[sending.Route].Stream || !sending.Succeeded() {
@@ -43,9 +52,6 @@
 			mixed = append(mixed, newFinding(Order, endedAt[stream], "stream %s holds events of %d software versions", stream, len(found)))
 		}
 	}
-	if len(mixed) <= toleratedMixedStreams {
-		return nil
-	}
 	return mixed
 }
 
@@ -79,11 +85,13 @@
 type TakenUp struct {
 	TakenUp Share `json:"taken_up"`
 	Begun   Share `json:"begun"`
+	// Mixed counts the streams, at any relay, that hold events of several software versions.
+	Mixed int `json:"mixed"`
 }
 
 // String formats the counts.
 func (t TakenUp) String() string {
-	return fmt.Sprintf("streams taken up that went on: %s; begun: %s", t.TakenUp, t.Begun)
+	return fmt.Sprintf("streams taken up that went on: %s; begun: %s; of several software versions: %d", t.TakenUp, t.Begun, t.Mixed)
 }
 
 // CountTakenUp counts the streams that were taken up and begun.
@@ -94,7 +102,7 @@
 			versionOf[sending.ID] = found[0]
 		}
 	}
-	servers, counted := decodersOf(recorded), TakenUp{}
+	servers, counted := decodersOf(recorded), TakenUp{Mixed: len(mixedStreamsOf(recorded))}
 	for _, sending := range recorded.Sendings {
 		route, hasLeft := recorded.Routes[sending.Route], sending.ClosedAt > 0 || sending.LeftAt > 0
 		if !route.Stream || !route.Resumable || hasLeft || crashing[sending.Content] || !recorded.IsInContact(sending.Front, sending.SentAt) {
