--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -49,6 +49,8 @@
 			}
 		}
 	}},
+	{"an empty rest of a stream of which the client has the last event", "", emptyRest("end")},
+	{"an empty rest of a stream of which the client lacks the last event", Order, emptyRest("part")},
 	{"streams that clients take up go on as often as new ones begin", "", takenUpStreams(14, 8)},
 	{"streams that clients take up seldom go on", Lost, takenUpStreams(14, 6)},
 	{"few streams that clients take up", "", takenUpStreams(11, 0)},
--- a/internal/soak/check/histories_test.go
+++ b/internal/soak/check/histories_test.go
@@ -87,6 +87,17 @@
 	}
 }
 
+// emptyRest returns a stream that breaks off after an event with the given text, and whose rest is empty.
+func emptyRest(text string) func(*history.History) {
+	return func(h *history.History) {
+		h.Sendings = []history.Sending{
+			changedSending(request("1", "stream", 0), func(s *history.Sending) { s.Body, s.Whole = "id: 1\ndata: a@v1 "+text+"\n\n", false }),
+			changedSending(request("2", "stream", takenUpAt), func(s *history.Sending) { s.Body, s.Resumes, s.LastEvent = "", "1", 1 }),
+		}
+		h.Arrivals = []history.Arrival{changedArrival(ranAt("1", "a", 0), setBrokenOff), ranAt("2", "a", takenUpAt)}
+	}
+}
+
 // takenUpAt is when clients take up streams.
 const takenUpAt = 10 * second
 
--- a/internal/soak/check/order.go
+++ b/internal/soak/check/order.go
@@ -15,13 +15,16 @@
 // route does not allow it, and streams that end as complete before their last event. A stream that ends with its connection
 // may end early, between two events, only if a back end broke off so.
 func order(recorded *history.History) []Finding {
-	arrivals := arrivalsByID(recorded)
+	arrivals, ended := arrivalsByID(recorded), endedStreams(recorded)
 	var findings []Finding
 	for _, sending := range recorded.Sendings {
 		route := recorded.Routes[sending.Route]
 		if !route.Stream || !sending.Succeeded() {
 			continue
 		}
+		if sending.Body == "" && sending.LastEvent > 0 && ended[beganAs(sending)] {
+			continue // the client had the whole stream, and took it up since nothing had declared its end
+		}
 		if fault := streamFault(sending, route, slices.ContainsFunc(arrivals[sending.ID], brokeOffUnframed)); fault != "" {
 			findings = append(findings, newFinding(Order, sending.EndedAt, "stream %s %s", sending.ID, fault))
 		}
@@ -29,6 +32,17 @@
 	return findings
 }
 
+// endedStreams returns the streams, by the attempt that began them, of which a client has the last event.
+func endedStreams(recorded *history.History) map[string]bool {
+	ended := map[string]bool{}
+	for _, sending := range recorded.Sendings {
+		if strings.HasSuffix(sending.Body, " "+streamEnd+"\n\n") {
+			ended[beganAs(sending)] = true
+		}
+	}
+	return ended
+}
+
 // streamFault describes what is wrong with a stream; empty for nothing. Each event is "id: N", then "data: RUN TEXT",
 // where RUN is the identity of the back end.
 func streamFault(sending history.Sending, route history.Route, mayEndEarly bool) string {
