Take a single listed version as known after all relays have started again

Cause: a relay that had just started, or had lost its leader, took no version for known, so that after a kill of all relays every stream that a client took up was refused for twelve seconds, with one version too; and each of its own streams was recorded and verified. Change: streams are recorded and engines asked only where several versions are known. A relay without certainty asks the three relays of the stream; one version listed everywhere, and no relay that knows of another, is that version. Versions that a leader of the first format does not list are found by replica and address. Command: go test ./internal/relay/origins ./internal/streamorigin ./internal/relay -run 'Version|Started|Find'

--- a/internal/relay/listed_versions.go
+++ b/internal/relay/listed_versions.go
@@ -18,14 +18,19 @@
 // listedVersions completes lists whose leader is of an earlier format, which names no software versions: it reads them from the
 // platform's list. Only the goroutine that applies lists uses it.
 type listedVersions struct {
-	// byIncarnation holds the versions of the last read, by the identities of incarnations.
+	// byIncarnation holds the versions of the last read, by the identities of incarnations, and byPlace by those of replicas and their
+	// addresses, for leaders of the first format, which name no incarnations.
 	byIncarnation map[string]string
+	byPlace       map[replicaPlace]string
 	schedule      listing.DirectRead
 	isReading     bool
 	// results receives the back ends of a read; nil after a failed one.
 	results chan []serving.BackEnd
 }
 
+// replicaPlace is a replica at one address.
+type replicaPlace struct{ replica, address string }
+
 func newListedVersions() listedVersions {
 	return listedVersions{results: make(chan []serving.BackEnd, 1)}
 }
@@ -74,8 +79,10 @@
 		return
 	}
 	f.versions.byIncarnation = make(map[string]string, len(listed))
+	f.versions.byPlace = make(map[replicaPlace]string, len(listed))
 	for _, entry := range listed {
 		f.versions.byIncarnation[entry.ID] = entry.Software
+		f.versions.byPlace[replicaPlace{entry.ExpectedID(), entry.Address}] = entry.Software
 	}
 	if !f.lacksVersions() {
 		return
@@ -98,6 +105,8 @@
 		return entry.Software
 	case current != nil && current.Software != "":
 		return current.Software
+	case entry.StartedAtMs == 0:
+		return f.versions.byPlace[replicaPlace{entry.ExpectedID(), entry.Address}]
 	default:
 		return f.versions.byIncarnation[entry.ID]
 	}
--- a/internal/relay/origins/lookup.go
+++ b/internal/relay/origins/lookup.go
@@ -32,24 +32,27 @@
 	return o.askOwners(name, service, stop)
 }
 
-// askOwners asks the relays that keep the stream's origin, all at once.
+// askOwners asks the relays that keep the stream's origin, all at once. Without a record, the version is known if one version alone
+// serves and no relay knows of another: this relay, and others, may have started too recently to be sure by themselves.
 func (o *Origins) askOwners(name streamorigin.Name, service string, stop <-chan struct{}) (streamorigin.Record, Outcome) {
 	owners := o.ownersOf(name)
 	answers := make(chan *v1.StreamOriginAnswer, len(owners))
 	for _, owner := range owners {
 		go func() { answers <- o.ask(owner, name, service, stop) }()
 	}
-	found, outcome := streamorigin.Record{}, NotFound
+	only, isKnown := o.single(service)
 	for range owners {
 		answer := <-answers
 		if _, record, _, isValid := originFromWire(answer.GetOrigin()); isValid {
 			return record, OtherRecord
 		}
-		if only := streamorigin.Version(answer.GetOnlySoftware()); only > streamorigin.Unknown {
-			found, outcome = streamorigin.Record{Version: only}, OnlyVersion
-		}
+		differs := answer.GetOnlySoftware() != 0 && streamorigin.Version(answer.GetOnlySoftware()) != only
+		isKnown = isKnown && !answer.GetMixed() && !differs
+	}
+	if !isKnown {
+		return streamorigin.Record{}, NotFound
 	}
-	return found, outcome
+	return streamorigin.Record{Version: only}, OnlyVersion
 }
 
 // ask asks one relay; it returns nil if no answer arrives in time, or if stop is closed.
@@ -85,6 +88,8 @@
 		answer.Origin = originToWire(name, record, 0)
 	} else if only, isKnown := o.Only(query.GetService()); isKnown {
 		answer.OnlySoftware = uint64(only)
+	} else {
+		answer.Mixed = o.IsMixed(query.GetService())
 	}
 	o.config.Socket.Send(from, &v1.RelayDatagram{Content: &v1.RelayDatagram_StreamOriginAnswer{StreamOriginAnswer: answer}})
 }
--- a/internal/relay/origins/origins.go
+++ b/internal/relay/origins/origins.go
@@ -74,6 +74,21 @@
 	return o.history.Only(o.config.Now(), service, lifetime)
 }
 
+// IsMixed reports whether several versions of a service serve, or have served as long as a stream can last, as far as this relay knows.
+// Only then are streams recorded.
+func (o *Origins) IsMixed(service string) bool {
+	_, isSingle := o.single(service)
+	return !isSingle
+}
+
+// single returns the version that alone serves a service as far as this relay knows.
+func (o *Origins) single(service string) (streamorigin.Version, bool) {
+	lifetime := o.config.LifetimeOf(service)
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.history.Single(o.config.Now(), service, lifetime)
+}
+
 // ActiveStream is a stream that this relay is forwarding and of which the client has events.
 type ActiveStream struct {
 	Name    streamorigin.Name
--- a/internal/relay/origins/origins_test.go
+++ b/internal/relay/origins/origins_test.go
@@ -190,6 +190,20 @@
 	require.Equal(t, NotFound, outcome)
 }
 
+// Guards against streams that are refused after all relays have started again, although one version alone serves.
+func TestRelaysThatHaveAllJustStartedKnowTheSingleVersion(t *testing.T) {
+	relays := startRelays(t, 3)
+	for _, relay := range relays {
+		relay.list("v1")
+	}
+	record, outcome := relays[0].Find(streamorigin.NameOf("", "host", "id-1"), testService, nil)
+	require.Equal(t, OnlyVersion, outcome)
+	require.Equal(t, streamorigin.VersionOf("v1"), record.Version)
+	relays[1].list("v1", "v2")
+	_, outcome = relays[0].Find(streamorigin.NameOf("", "host", "id-1"), testService, nil)
+	require.Equal(t, NotFound, outcome, "another relay knows of a second version")
+}
+
 // Guards against streams that began while one version served, and are taken up after a second one has come.
 func TestStreamsUnderWayAreRecordedWhenASecondVersionComes(t *testing.T) {
 	relays := startRelays(t, 3)
--- a/internal/relay/stream_origin.go
+++ b/internal/relay/stream_origin.go
@@ -34,7 +34,7 @@
 	if !s.request.route.Resumable || s.origin.active != nil {
 		return
 	}
-	if _, isOnly := s.relay.origins.Only(service); isOnly || version == streamorigin.Unknown && s.origin.records == 0 {
+	if !s.relay.origins.IsMixed(service) || version == streamorigin.Unknown && s.origin.records == 0 {
 		return
 	}
 	s.origin.records++
@@ -48,8 +48,7 @@
 // dependsOnVersion reports whether the stream must go on, or may have to, at the software version of a back end, while several versions
 // serve.
 func (s *streamReply) dependsOnVersion(selection *backEndSelection) bool {
-	_, isOnly := s.relay.origins.Only(s.request.service.Name)
-	return !isOnly && (s.request.route.Resumable || selection.isMigrated)
+	return (s.request.route.Resumable || selection.isMigrated) && s.relay.origins.IsMixed(s.request.service.Name)
 }
 
 func (s *streamReply) originRecord(version streamorigin.Version) streamorigin.Record {
--- a/internal/streamorigin/history.go
+++ b/internal/streamorigin/history.go
@@ -56,28 +56,35 @@
 	s.listed = versions
 }
 
-// Only returns the version that alone can have begun a stream of a service: it alone has been listed for the lifetime of a
-// stream. It returns false if there are several, one of them is unknown, or the service has not been listed for so long.
-func (h *History) Only(now time.Duration, service string, lifetime time.Duration) (Version, bool) {
+// Single returns the one version that is listed for a service or was within the lifetime of a stream. It returns false if there are
+// several, if one of them is unknown, or if there is none. A history that is shorter than the lifetime may lack another one.
+func (h *History) Single(now time.Duration, service string, lifetime time.Duration) (Version, bool) {
 	known := h.services[service]
-	if known == nil || now-known.since < lifetime {
+	if known == nil {
 		return Unknown, false
 	}
-	only := None
+	single := None
 	for version := range known.listed {
-		if only != None {
+		if single != None {
 			return Unknown, false
 		}
-		only = version
+		single = version
 	}
 	for version, at := range known.lastListedAt {
-		if now-at >= lifetime || version == only {
+		if now-at >= lifetime || version == single {
 			continue
 		}
-		if only != None {
+		if single != None {
 			return Unknown, false
 		}
-		only = version
+		single = version
 	}
-	return only, only != None && only != Unknown
+	return single, single > Unknown
+}
+
+// Only returns the version that alone can have begun a stream of a service: the single one, in a history that reaches back as long
+// as a stream can last.
+func (h *History) Only(now time.Duration, service string, lifetime time.Duration) (Version, bool) {
+	single, isSingle := h.Single(now, service, lifetime)
+	return single, isSingle && now-h.services[service].since >= lifetime
 }
