Streams that are taken up go before new ones; tests of refusals

A stream that a client takes up is not refused for load at a decoding engine either (placement.Request.MayHaveRun). Tests: a taken-up stream is served where a new one is refused; a stream whose version is gone is refused at once, with a Retry-After only if a back end of that version has said when its rest ends.

--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -55,7 +55,7 @@
 func (s *streamReply) placementRequest(prefill *remotePrefill) placement.Request {
 	criteria := placement.Request{
 		Now: s.relay.clock.now(), Stage: answeringStage(s.request.service), Zone: s.relay.settings.Zone, Rank: s.rank(),
-		MayHaveRun: s.attempts.mayHaveRun,
+		MayHaveRun: s.attempts.mayHaveRun || s.attempts.isBound(), // a stream that has begun is not refused for load
 	}
 	if engine := s.request.service.Engine; engine != nil {
 		criteria.Gap, criteria.Stride = s.request.route.TargetGap, engine.Stride
--- a/internal/relay/stream_versions_test.go
+++ b/internal/relay/stream_versions_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
 // ofSoftware sets the version of a back end's software.
@@ -328,3 +329,54 @@
 	require.Empty(t, same.receivedRequests())
 	require.Empty(t, other.receivedRequests())
 }
+
+// Guards against streams that clients take up and that are refused for load, as new ones are: they go before these.
+func TestTakenUpStreamIsNotRefusedForLoad(t *testing.T) {
+	for name, test := range map[string]struct {
+		headers []string
+		status  int
+	}{"new": {nil, 503}, "taken up": {[]string{"T-Last: 1"}, 200}} {
+		t.Run(name, func(t *testing.T) {
+			reader := startBackEnd(t, "reader", serving.StagePrefill, answering(200, "handle"))
+			decoder := startBackEnd(t, "decoder", serving.StageDecode, resuming("decoder"))
+			relay := newTestRelay(t, route(stream(true)), reader, decoder)
+			relay.engineOf("reader").addWork(placement.PrefillWork(100_000, 0).Plus(placement.Work{Prefills: 5}))
+			answer := relay.client(t).do("POST", "/path/", "x", append(test.headers, longPrompt...)...)
+			require.Equal(t, test.status, answer.status)
+		})
+	}
+}
+
+// Guards against a refusal that keeps a client waiting for a version that does not come back, or that names a time before it does.
+func TestStreamOfAVersionThatIsGoneIsRefusedAtOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		disturb    func(relay *testRelay)
+		retryAfter bool
+	}{
+		"leaving":      {func(relay *testRelay) { relay.markLeaving("same") }, false},
+		"asks to rest": {func(relay *testRelay) { _ = relay.client(t).do("POST", "/path/", "x") }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			resting := func(connection net.Conn, request backEndRequest) bool {
+				writeAnswer(connection, request, 503, "", "T-Not-Run: 1", "Retry-After: 3")
+				return true
+			}
+			same := ofSoftware("v1", startBackEnd(t, "same", serving.StageWhole, resting))
+			other := ofSoftware("v2", startBackEnd(t, "other", serving.StageWhole, resuming("other")))
+			relay := newTestRelay(t, route(stream(true)), same, other)
+			relay.discouraging("other", 2)
+			name := streamorigin.NameOf("", "test", "id-7")
+			relay.origins.Record(name, "service", streamorigin.Record{Service: serviceHash("service"), Version: streamorigin.VersionOf("v1"), Sequence: 1})
+			test.disturb(relay)
+			before := len(other.receivedRequests())
+			answer := relay.takeUp(t, "T-Last: 1", "T-Resumes: id-7")
+			require.Equal(t, 503, answer.status)
+			require.Len(t, other.receivedRequests(), before)
+			seconds, err := strconv.ParseFloat(string(answer.head.Peek("Retry-After")), 64)
+			require.Equal(t, test.retryAfter, err == nil)
+			if test.retryAfter {
+				require.InDelta(t, 3, seconds, 1)
+			}
+		})
+	}
+}
