--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -53,12 +53,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const capacity = 5
 		table, now := NewTable(capacity), time.Duration(0)
-		var lastPut []Name
 		for range rapid.IntRange(1, 60).Draw(t, "puts") {
 			now += time.Duration(rapid.IntRange(0, 3).Draw(t, "pause")) * time.Second
 			name := Name{Low: rapid.Uint64Range(0, 12).Draw(t, "name")}
 			table.Put(now, name, Record{Sequence: 1}, time.Hour)
-			lastPut = append(lastPut, name)
 			if table.Len() > capacity || len(table.byName) != table.Len() {
 				t.Fatalf("%d records", table.Len())
 			}
