A client that leaves while an engine is asked for its report ends the exchange

Cause: readStartTime set the connection's deadline by itself, which could undo the deadline by which the canceller had just ended the exchange (a race of a few microseconds, found by reading; the new test passes before as well and shows only the ordinary order). Change: the deadline goes through the canceller, and the failure names the client's leaving. Command: go test ./internal/relay -run 'LeavesBeforeTheReport|SoftwareVersion' -count=3

--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -1,16 +1,12 @@
 package relay
 
 import (
-	"errors"
-	"fmt"
-	"io"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
-	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/relay/speeds"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -186,49 +182,6 @@
 	}
 }
 
-// endRun handles the end of the current run's events: err is that of the event reader, and remainder holds the bytes after the last
-// event. It returns nil when the client has its final answer; otherwise the stream may continue at another engine.
-func (s *streamReply) endRun(answer *answer, remainder event, err error) *failure {
-	hasEnded := errors.Is(err, io.EOF) || errors.Is(err, framing.ErrUndeclaredEnd)
-	if hasEnded {
-		answer.message.backEnd.recordReceived(s.relay.clock.now())
-		s.request.trace.endsInEvent = remainder.isCut()
-	}
-	isDeclared := errors.Is(err, io.EOF) && !remainder.isCut()
-	if !isDeclared {
-		s.flush(answer)
-		s.migrated = s.finishMover()
-	}
-	switch {
-	case !hasEnded:
-		return asFailure(err)
-	case remainder.isCut():
-		return s.breakRun(answer, errEndsInEvent)
-	case !isDeclared && (s.migrated != nil || s.needsDeclaredEnd()):
-		return s.breakRun(answer, errUndeclaredEnd)
-	}
-	s.finish(answer, remainder)
-	return nil
-}
-
-// needsDeclaredEnd reports whether an end that the engine has not declared cannot be passed on to the client: the client's answer
-// has chunks, of which the last one would declare the end, or the stream has no event at all.
-func (s *streamReply) needsDeclaredEnd() bool {
-	if s.reply.started {
-		return s.reply.framing != framing.Close
-	}
-	return s.lastEventID == ""
-}
-
-// breakRun records that the current run's answer is incomplete, or may be, although it was read up to its end.
-func (s *streamReply) breakRun(answer *answer, cause error) *failure {
-	answer.body.MarkBroken()
-	return &failure{
-		verdict: verdict.MayHaveRun, mayHaveArrived: true, cause: fmt.Errorf("%w: %w", errConnectionBroken, cause),
-		observation: s.relay.exchanger.observe(answer.message),
-	}
-}
-
 // recordGap records the arrival of an event of a run at an engine, from which the engine's speed is estimated.
 func (s *streamReply) recordGap(gaps *speeds.GapMeter, engine *backEnd) {
 	if s.request.service.Engine == nil {
--- a/internal/relay/stream_versions_test.go
+++ b/internal/relay/stream_versions_test.go
@@ -380,3 +380,31 @@
 		})
 	}
 }
+
+// Guards against a stream that is sent to an engine although its client has left while the engine was asked for its report.
+func TestClientThatLeavesBeforeTheReportIsNotServed(t *testing.T) {
+	asked, hasLeft := make(chan struct{}), make(chan struct{})
+	engine := ofSoftware("v1", startBackEnd(t, "engine", serving.StageDecode, func(connection net.Conn, request backEndRequest) bool {
+		if request.line != "GET /report" {
+			return resuming("engine")(connection, request)
+		}
+		close(asked)
+		<-hasLeft
+		writeAnswer(connection, request, 200, "1")
+		return true
+	}))
+	engine.entry.Replica, engine.entry.StartedAtMs = "engine", 1
+	other := ofSoftware("v2", startBackEnd(t, "other", serving.StageDecode, resuming("other")))
+	relay := newTestRelay(t, route(stream(true)), engine, other).preferring("engine")
+	client := relay.client(t)
+	client.send("POST", "/path/", "x")
+	<-asked
+	require.NoError(t, client.connection.Close())
+	for _, request := range relay.connections.activeRequests() {
+		require.Eventually(t, request.canceller.isCancelled, time.Minute, time.Millisecond)
+	}
+	close(hasLeft)
+	require.Eventually(t, func() bool { return relay.connections.servingCount() == 0 }, time.Minute, time.Millisecond)
+	require.Len(t, engine.receivedRequests(), 1)
+	require.Empty(t, other.receivedRequests())
+}
--- a/internal/relay/verify_incarnation.go
+++ b/internal/relay/verify_incarnation.go
@@ -56,6 +56,8 @@
 	}
 	startedAtMs, err := e.readStartTime(connection, message)
 	switch {
+	case err != nil && message.request.canceller.isCancelled():
+		return streamorigin.Unknown, &failure{verdict: verdict.NotRun, cause: errCancelled}
 	case isTimeout(err):
 		return streamorigin.Unknown, &failure{verdict: verdict.NotRun, cause: errStalled}
 	case errors.Is(err, errMisdirected):
@@ -75,8 +77,9 @@
 // readStartTime reads when the engine's incarnation on a connection started, in Unix milliseconds; 0 if it does not report it. The
 // connection can carry the message then.
 func (e *exchanger) readStartTime(connection *connpool.Connection, message *message) (startedAtMs int64, err error) {
-	now := e.clock.now()
-	_ = connection.SetDeadline(e.clock.at(min(now+reportTimeout, message.deadline))) // a closed connection fails below
+	canceller := &message.request.canceller
+	canceller.extend(e.clock, min(e.clock.now()+reportTimeout, message.deadline))
+	defer canceller.extend(e.clock, message.deadline)
 	if err := e.writeInternalCall(connection, message.backEnd, fasthttp.MethodGet, e.reportPath, nil); err != nil {
 		return 0, err
 	}
@@ -91,7 +94,6 @@
 	if answer.ConnectionClose() {
 		return 0, errConnectionBroken
 	}
-	_ = connection.SetDeadline(e.clock.at(message.deadline)) // the same
 	if answer.StatusCode() != fasthttp.StatusOK {
 		return 0, nil
 	}
