Ask the framing of a body for its end in one place

Whether a read ended a body, declared or not, was tested by the same pair of errors at four places; framing.IsEnd does it now. That an answer has no body was decided by status and method in hasNoBody and again in framing, which knows it as its kind None. The relay had an error of its own beside framing.ErrUndeclaredEnd with the same meaning; the label undeclared_end stays. RemainderFitsInto says what IsLastPartBuffered did. No change of behaviour but the text of the logged cause.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -47,7 +47,7 @@
 	if n > 0 {
 		a.message.backEnd.recordReceived(a.exchanger.clock.now())
 	}
-	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, framing.ErrUndeclaredEnd) {
+	if err == nil || framing.IsEnd(err) {
 		return n, err
 	}
 	fault := a.exchanger.connectionFailure(a.connection, a.message, true, err)
@@ -95,7 +95,7 @@
 
 // discard ends an exchange whose answer is not used. It reads a short body, so that the connection can be reused.
 func (a *answer) discard() {
-	if a.body.IsLastPartBuffered(connpool.AnswerHeadBufferSize) {
+	if a.body.RemainderFitsInto(connpool.AnswerHeadBufferSize) {
 		discardBody(a.body)
 	}
 	a.release()
@@ -170,6 +170,4 @@
 }
 
 // hasNoBody reports whether an answer has no body because of its status or the request's method.
-func (a *answer) hasNoBody() bool {
-	return a.message.request.method == fasthttp.MethodHead || a.status == fasthttp.StatusNoContent || a.status == fasthttp.StatusNotModified
-}
+func (a *answer) hasNoBody() bool { return a.body.Kind() == framing.None }
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -47,7 +47,7 @@
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF), errors.Is(err, framing.ErrUndeclaredEnd):
+		case framing.IsEnd(err):
 			return event{bytes: e.buffer, id: eventID(e.buffer)}, err
 		case err != nil:
 			return event{}, err
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -55,7 +55,6 @@
 	errInBackoff         = errors.New("the back end has asked to be left alone for now")
 	errLimitReached      = errors.New("the back end's limit leaves no room for now")
 	errEndsInEvent       = errors.New("the stream ended within an event")
-	errUndeclaredEnd     = errors.New("the stream ended with its connection, and nothing says whether it is whole")
 	errMisdirected       = errors.New("another back end has the address")
 	errOtherIncarnation  = errors.New("the engine has started again, and its software version is not known yet")
 	errForeignAnswer     = errors.New("the answer belongs to another request")
@@ -70,7 +69,7 @@
 	label string
 }{
 	{errCancelled, "client_gone"}, {errDeadline, "deadline"}, {errDial, "dial"}, {errStalled, "stalled"}, {errPeerTimeout, "peer_timeout"},
-	{errEndsInEvent, "ends_in_event"}, {errUndeclaredEnd, "undeclared_end"}, {errConnectionBroken, "broken"}, {framing.ErrMalformed, "malformed"}, {errNotExecuted, "not_executed"}, {errInBackoff, "backoff"}, {errLimitReached, "limit"},
+	{errEndsInEvent, "ends_in_event"}, {framing.ErrUndeclaredEnd, "undeclared_end"}, {errConnectionBroken, "broken"}, {framing.ErrMalformed, "malformed"}, {errNotExecuted, "not_executed"}, {errInBackoff, "backoff"}, {errLimitReached, "limit"},
 	{errMisdirected, "misdirected"}, {errOtherIncarnation, "other_incarnation"}, {errForeignAnswer, "foreign_answer"}, {errUnsupportedAnswer, "unsupported_answer"}, {errEventTooLong, "event_too_long"}, {errPeerUnable, "peer_unable"},
 }
 
--- a/internal/relay/framing/body.go
+++ b/internal/relay/framing/body.go
@@ -60,8 +60,8 @@
 // End returns what is known of the body's end so far.
 func (b *Body) End() End { return b.end }
 
-// IsLastPartBuffered reports whether the rest of a body with a length fits into a buffer of the given size.
-func (b *Body) IsLastPartBuffered(size int) bool {
+// RemainderFitsInto reports whether the rest of a body, if it is known, has at most the given size in bytes.
+func (b *Body) RemainderFitsInto(size int) bool {
 	return (b.kind == Length || b.kind == None) && b.remaining <= size
 }
 
--- a/internal/relay/framing/end.go
+++ b/internal/relay/framing/end.go
@@ -1,5 +1,10 @@
 package framing
 
+import (
+	"errors"
+	"io"
+)
+
 // End says how far a body was read, and what is known of its end.
 type End int
 
@@ -15,6 +20,9 @@
 	Broken
 )
 
+// IsEnd reports whether the error of a read is that of the body's end, declared or not.
+func IsEnd(err error) bool { return errors.Is(err, io.EOF) || errors.Is(err, ErrUndeclaredEnd) }
+
 // String returns the name of the end in log lines and metrics.
 func (e End) String() string {
 	switch e {
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 
 	"github.com/valyala/fasthttp"
 
@@ -249,7 +248,7 @@
 		if n > 0 && isEventStream(answer) {
 			r.recordRun(answer.message.request, r.clock.now())
 		}
-		if errors.Is(err, io.EOF) || errors.Is(err, framing.ErrUndeclaredEnd) {
+		if framing.IsEnd(err) {
 			reply.finish(piece[:n], answer.body.End())
 			return
 		}
--- a/internal/relay/stream_end.go
+++ b/internal/relay/stream_end.go
@@ -12,7 +12,7 @@
 // endRun handles the end of the current run's events: err is that of the event reader, and remainder holds the bytes after the last
 // event. It returns nil when the client has its final answer; otherwise the stream may continue at another engine.
 func (s *streamReply) endRun(answer *answer, remainder event, err error) *failure {
-	hasEnded := errors.Is(err, io.EOF) || errors.Is(err, framing.ErrUndeclaredEnd)
+	hasEnded := framing.IsEnd(err)
 	if hasEnded {
 		answer.message.backEnd.recordReceived(s.relay.clock.now())
 		s.request.trace.endsInEvent = remainder.isCut()
@@ -28,7 +28,7 @@
 	case remainder.isCut():
 		return s.breakRun(answer, errEndsInEvent)
 	case !isDeclared && (s.migrated != nil || s.needsDeclaredEnd()):
-		return s.breakRun(answer, errUndeclaredEnd)
+		return s.breakRun(answer, framing.ErrUndeclaredEnd)
 	}
 	s.finish(answer, remainder)
 	return nil
