Compute the names of streams under way only when they are recorded

It is now computed then. Records are looked up by one function instead of two copies. The test of streams under way keeps its assertions.

--- a/internal/relay/origins/lookup.go
+++ b/internal/relay/origins/lookup.go
@@ -23,10 +23,7 @@
 	if only, isKnown := o.Only(service); isKnown {
 		return streamorigin.Record{Version: only}, OnlyVersion
 	}
-	o.mutex.Lock()
-	record, isFound := o.table.Get(o.config.Now(), name)
-	o.mutex.Unlock()
-	if isFound {
+	if record, isFound := o.held(name); isFound {
 		return record, OwnRecord
 	}
 	return o.askOwners(name, service, stop)
@@ -81,10 +78,7 @@
 func (o *Origins) HandleQuery(query *v1.StreamOriginQuery, from string) {
 	answer := &v1.StreamOriginAnswer{Relay: query.GetRelay(), Number: query.GetNumber()}
 	name := streamorigin.Name{High: query.GetNameHigh(), Low: query.GetNameLow()}
-	o.mutex.Lock()
-	record, isFound := o.table.Get(o.config.Now(), name)
-	o.mutex.Unlock()
-	if isFound {
+	if record, isFound := o.held(name); isFound {
 		answer.Origin = originToWire(name, record, 0)
 	} else if only, isKnown := o.Only(query.GetService()); isKnown {
 		answer.OnlySoftware = uint64(only)
--- a/internal/relay/origins/origins.go
+++ b/internal/relay/origins/origins.go
@@ -59,7 +59,7 @@
 	}
 	o.mutex.Unlock()
 	for _, stream := range unrecorded {
-		o.Record(stream.Name, stream.Service, stream.Record)
+		o.Record(stream.Name(), stream.Service, stream.Record)
 	}
 }
 
@@ -91,7 +91,8 @@
 
 // ActiveStream is a stream that this relay is forwarding and of which the client has events.
 type ActiveStream struct {
-	Name    streamorigin.Name
+	// Name returns the stream's name. It is called only when the stream is recorded.
+	Name    func() streamorigin.Name
 	Service string
 	Record  streamorigin.Record
 }
@@ -110,6 +111,13 @@
 	delete(o.active, stream)
 }
 
+// held returns the record of a stream that this relay holds; false for none.
+func (o *Origins) held(name streamorigin.Name) (streamorigin.Record, bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.table.Get(o.config.Now(), name)
+}
+
 // HeldCount returns the number of records that this relay holds.
 func (o *Origins) HeldCount() int {
 	o.mutex.Lock()
--- a/internal/relay/origins/origins_test.go
+++ b/internal/relay/origins/origins_test.go
@@ -210,8 +210,11 @@
 	for _, relay := range relays {
 		relay.list("v1")
 	}
-	under, ended := &ActiveStream{Name: streamorigin.NameOf("", "host", "under way"), Service: testService, Record: recordOf("v1")},
-		&ActiveStream{Name: streamorigin.NameOf("", "host", "ended"), Service: testService, Record: recordOf("v1")}
+	active := func(id string) *ActiveStream {
+		name := func() streamorigin.Name { return streamorigin.NameOf("", "host", id) }
+		return &ActiveStream{Name: name, Service: testService, Record: recordOf("v1")}
+	}
+	under, ended := active("under way"), active("ended")
 	relays[0].Track(under)
 	relays[0].Track(ended)
 	relays[0].Untrack(ended)
@@ -219,9 +222,9 @@
 		relay.list("v1", "v2")
 	}
 	require.Eventually(t, func() bool { return relays[1].HeldCount() == 1 && relays[2].HeldCount() == 1 }, time.Minute, time.Millisecond)
-	record, _ := relays[1].Find(under.Name, testService, nil)
+	record, _ := relays[1].Find(under.Name(), testService, nil)
 	require.Equal(t, recordOf("v1"), record)
-	_, outcome := relays[1].Find(ended.Name, testService, nil)
+	_, outcome := relays[1].Find(ended.Name(), testService, nil)
 	require.Equal(t, NotFound, outcome)
 }
 
--- a/internal/relay/stream_origin.go
+++ b/internal/relay/stream_origin.go
@@ -79,7 +79,7 @@
 	if s.origin.active != nil || !s.request.route.Resumable || s.origin.version == streamorigin.Unknown {
 		return
 	}
-	s.origin.active = &origins.ActiveStream{Name: s.name(), Service: s.request.service.Name, Record: s.originRecord(s.origin.version)}
+	s.origin.active = &origins.ActiveStream{Name: s.name, Service: s.request.service.Name, Record: s.originRecord(s.origin.version)}
 	s.relay.origins.Track(s.origin.active)
 }
 
