Soak: one parser for the events of streams

Two checks parsed events with the same format string, and a check and the client of the stand-ins split bodies into whole events alike. Each now has one function. No check changes.

--- a/internal/soak/check/order.go
+++ b/internal/soak/check/order.go
@@ -43,14 +43,18 @@
 	return ended
 }
 
-// streamFault describes what is wrong with a stream; empty for nothing. Each event is "id: N", then "data: RUN TEXT",
-// where RUN is the identity of the back end.
+// parseEvent parses an event: "id: N", then "data: RUN TEXT", where RUN is the identity of the back end.
+func parseEvent(event string) (number int, run, text string, err error) {
+	_, err = fmt.Sscanf(event, "id: %d\ndata: %s %s", &number, &run, &text)
+	return number, run, text, err
+}
+
+// streamFault describes what is wrong with a stream; empty for nothing.
 func streamFault(sending history.Sending, route history.Route, mayEndEarly bool) string {
 	expected, run, ended := sending.LastEvent+1, "", false
 	for event := range strings.SplitSeq(strings.TrimSuffix(sending.Body, "\n\n"), "\n\n") {
-		var number int
-		var from, text string
-		if _, err := fmt.Sscanf(event, "id: %d\ndata: %s %s", &number, &from, &text); err != nil {
+		number, from, text, err := parseEvent(event)
+		if err != nil {
 			if sending.IsDeclaredWhole() {
 				return fmt.Sprintf("contains %q, which is not an event", event)
 			}
--- a/internal/soak/check/versions.go
+++ b/internal/soak/check/versions.go
@@ -66,14 +66,9 @@
 // versionsIn returns the software versions of the whole events in a stream's body.
 func versionsIn(body string) []string {
 	var versions []string
-	events := strings.Split(body, "\n\n")
-	for _, event := range events[:len(events)-1] { // what follows the last empty line is no whole event
-		var number int
-		var from, text string
-		if _, err := fmt.Sscanf(event, "id: %d\ndata: %s %s", &number, &from, &text); err != nil {
-			continue
-		}
-		if _, version, found := strings.Cut(from, softwareSeparator); found {
+	for _, event := range history.WholeEvents(body) {
+		_, run, _, err := parseEvent(event)
+		if _, version, found := strings.Cut(run, softwareSeparator); err == nil && found {
 			versions = append(versions, version)
 		}
 	}
