--- a/internal/relay/back_end_limits.go
+++ b/internal/relay/back_end_limits.go
@@ -111,6 +111,6 @@
 	return permits.New(permits.Config{
 		Socket: relay.datagrams, Incarnation: relay.fleet.incarnation, Now: func() time.Duration { return relay.clock.now() },
 		Draw: relay.draw, Peers: relay.peers, OnLimit: relay.applyPeerLimit,
-		IsRelayListFresh: func() bool { return relay.clock.now()-relay.lastContact() <= relay.maxContactAge() },
+		IsRelayListFresh: relay.isLeaderInContact,
 	})
 }
--- a/internal/relay/back_end_signals.go
+++ b/internal/relay/back_end_signals.go
@@ -29,9 +29,12 @@
 	return limit.IsSet
 }
 
+// isClosed reports whether the back end accepts no more work, or none at its present stage.
+func (b *backEnd) isClosed() bool { return b.isLeaving() || b.Changing }
+
 // isUnavailable reports whether the back end must not be sent new requests now.
 func (b *backEnd) isUnavailable(now time.Duration) bool {
-	return b.Changing || b.isLeaving() || b.sendDelay(now) > 0
+	return b.isClosed() || b.sendDelay(now) > 0
 }
 
 // internalCallSentAt is used as the send time of the relay's internal calls. A limit in the answer to such a call may lower
--- a/internal/relay/fleet_state.go
+++ b/internal/relay/fleet_state.go
@@ -75,7 +75,7 @@
 // again.
 func (f *fleetState) BeforeWatch(controllers []string) {
 	f.completeVersions()
-	isLost := f.relay.clock.now()-f.relay.lastContact() > f.relay.maxContactAge()
+	isLost := !f.relay.isLeaderInContact()
 	if isLost == f.isLeaderLost {
 		return
 	}
--- a/internal/relay/ownership.go
+++ b/internal/relay/ownership.go
@@ -245,7 +245,7 @@
 // hasVersion reports whether a cell has a decoding engine of the software version that accepts work.
 func (c *serviceCells) hasVersion(index int, version streamorigin.Version) bool {
 	return slices.ContainsFunc(c.members[index], func(engine *backEnd) bool {
-		return engine.Stage == serving.StageDecode && version.Allows(engine.version) && !engine.isLeaving() && !engine.Changing
+		return engine.Stage == serving.StageDecode && version.Allows(engine.version) && !engine.isClosed()
 	})
 }
 
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -22,7 +22,7 @@
 		load := backEnd.currentLoad(now)
 		engine := placement.Engine{
 			Hash: backEnd.hash, Zone: backEnd.Zone, Stage: backEnd.Stage, Slots: backEnd.Slots,
-			Closed:     backEnd.isLeaving() || backEnd.Changing || isExcluded(backEnd),
+			Closed:     backEnd.isClosed() || isExcluded(backEnd),
 			AvoidUntil: load.avoidUntil, Failures: load.failures + load.peerFailures, Running: max(load.ownWork.Streams, load.reportedRequests),
 		}
 		if backEnd.isEngine() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -338,5 +338,8 @@
 // maxContactAge returns how long after the leader's last message the view counts as fresh.
 func (r *Relay) maxContactAge() time.Duration { return r.watcher.Wait() + leaderContactSlack }
 
+// isLeaderInContact reports whether the leader's last message is recent enough for the view to count as fresh.
+func (r *Relay) isLeaderInContact() bool { return r.clock.now()-r.lastContact() <= r.maxContactAge() }
+
 // lastContact returns when the leader's last message arrived.
 func (r *Relay) lastContact() time.Duration { return time.Duration(r.lastContactAt.Load()) }
--- a/internal/relay/replace_attempt.go
+++ b/internal/relay/replace_attempt.go
@@ -88,7 +88,7 @@
 	return replacement.BackEnd{
 		IsTried: other.hash == current.hash || !mayGoOnAt(a.binding(), other) ||
 			slices.ContainsFunc(a.excluded, func(tried *backEnd) bool { return tried.hash == other.hash }),
-		IsClosed: other.isLeaving() || other.Changing, IsLimited: other.hasLimit(),
+		IsClosed: other.isClosed(), IsLimited: other.hasLimit(),
 		SendDelay: other.sendDelay(now), AvoidedFor: load.avoidUntil - now, SilentFor: load.silentFor(now),
 		Running: a.relay.runningAt(other, now), Slots: other.Slots,
 	}
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -162,7 +162,7 @@
 func (r *Relay) allLimited(service string, stage serving.Stage) bool {
 	limited := false
 	for _, engine := range r.view.Load().byService[service] {
-		if engine.Stage != stage || engine.isLeaving() || engine.Changing {
+		if engine.Stage != stage || engine.isClosed() {
 			continue
 		}
 		if !engine.hasLimit() {
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -90,7 +90,7 @@
 // refuseByConfiguration returns the refusal of a request that the configuration does not allow. When the configuration may
 // be out of date, the status promises only that the request was not run.
 func (r *Relay) refuseByConfiguration(status int, reason string) refusal {
-	if r.clock.now()-r.lastContact() > r.maxContactAge() {
+	if !r.isLeaderInContact() {
 		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "the configuration may be old", retryAfter: retryAfterStaleView}
 	}
 	return refusal{status: status, reason: reason}
--- a/internal/relay/slot_hooks.go
+++ b/internal/relay/slot_hooks.go
@@ -47,7 +47,7 @@
 	for _, backEnd := range view.byService[service] {
 		if view.byHash[backEnd.hash] == backEnd { // of two incarnations of a replica, messages can only name one
 			backEnds = append(backEnds, slotqueue.BackEnd{
-				Hash: backEnd.hash, Slots: backEnd.Slots, Closed: backEnd.isLeaving() || backEnd.Changing,
+				Hash: backEnd.hash, Slots: backEnd.Slots, Closed: backEnd.isClosed(),
 			})
 		}
 	}
--- a/internal/relay/taken_up.go
+++ b/internal/relay/taken_up.go
@@ -32,8 +32,8 @@
 
 // isListCurrent reports whether the list of back ends is current: a leader has confirmed it, or this relay has read it, a moment ago.
 func (r *Relay) isListCurrent() bool {
-	now, view := r.clock.now(), r.view.Load()
-	return now-r.lastContact() <= r.maxContactAge() || view.isListed && view.listingVersion == 0 && now-view.listedAt <= ownListLifetime
+	view := r.view.Load()
+	return r.isLeaderInContact() || view.isListed && view.listingVersion == 0 && r.clock.now()-view.listedAt <= ownListLifetime
 }
 
 // serviceHash identifies a service in records.
@@ -92,7 +92,7 @@
 	}
 	now, soonest := a.relay.clock.now(), time.Duration(math.MaxInt64)
 	for _, backEnd := range a.relay.view.Load().byService[a.request.service.Name] {
-		if backEnd.Stage != answeringStage(a.request.service) || !mayGoOnAt(a.binding(), backEnd) || backEnd.isLeaving() || backEnd.Changing {
+		if backEnd.Stage != answeringStage(a.request.service) || !mayGoOnAt(a.binding(), backEnd) || backEnd.isClosed() {
 			continue
 		}
 		delay := backEnd.sendDelay(now)
