Log in whose favor a relay ends the exchange with a silent back end

The log says that a silent back end was given up, and that the next attempt was refused. It does not say which back end the watch had found, nor what this relay knew to run there, so that a refusal of that back end cannot be told from one of a second choice.

Change: the event answer_given_up.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -11,6 +11,8 @@
 	RequestEnded Event = "request_ended"
 	// AttemptFailed: an attempt at a back end returned no answer.
 	AttemptFailed Event = "attempt_failed"
+	// AnswerGivenUp: a relay ended the exchange with a silent back end in favor of another back end.
+	AnswerGivenUp Event = "answer_given_up"
 	// PathLost and PathRestored: the relay or gateway can connect to no back end of a service, or to one again.
 	PathLost     Event = "path_lost"
 	PathRestored Event = "path_found"
@@ -110,7 +112,7 @@
 
 // All lists every event.
 var All = []Event{
-	RequestEnded, AttemptFailed, RequestRefused, RequestUnread, PathLost, PathRestored, KeyRefused, RunMigrated, StreamContinued, ConfigurationApplied, ConfigurationUnreadable, ListingApplied, ListingFaultChanged,
+	RequestEnded, AttemptFailed, AnswerGivenUp, RequestRefused, RequestUnread, PathLost, PathRestored, KeyRefused, RunMigrated, StreamContinued, ConfigurationApplied, ConfigurationUnreadable, ListingApplied, ListingFaultChanged,
 	BackEndInBackoff, BackEndLeaving, BackEndLimitChanged, BackEndRestarted, BackEndCrashed, RequestQuarantined, QuarantineTrialStarted, GuardCallFailed,
 	LeaderLost, LeaderFound, OwnerSuspected, CellAcquired, CellReleased, SlotsAcquired, SlotsReleased, SlotRefused, SlotGranted, RelayStarted, RelayStopping, RelayStopped, GatewayStopping, GatewayStopped, SignalReceived, StageOrdered, UsageDelivered, ReplicasOrdered, FormatAgreed, ControllerHalted, UpdateNotApplied, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
--- a/internal/relay/replace_attempt.go
+++ b/internal/relay/replace_attempt.go
@@ -4,6 +4,9 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/replacement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
@@ -42,10 +45,19 @@
 			return false
 		}
 		a.reservedSelection, a.reservedSlot = selection, selection.backEnd
+		a.recordGivenUp(current, selection.backEnd)
 		return true
 	}
 }
 
+// recordGivenUp logs that the exchange with a silent back end is ended in favor of another one.
+func (a *attemptTracker) recordGivenUp(silent, next *backEnd) {
+	now := a.relay.clock.now()
+	a.relay.log.line(zerolog.InfoLevel, events.AnswerGivenUp, a.request).Str("back_end", silent.ID).Str("to", next.ID).
+		Int64("silent_ms", silent.currentLoad(now).silentFor(now).Milliseconds()).
+		Int("running", a.relay.runningAt(next, now)).Int("slots", next.Slots).Send()
+}
+
 // prepare prepares the search for a back end that takes over the request from the current one; it returns nil if there is none.
 func (a *attemptTracker) prepare(current *backEnd, limit time.Duration, search prepareSearch) findBackEnd {
 	usable, excluded := a.partitionByTakeover(current, answeringStage(a.request.service), limit)
