--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -67,12 +67,20 @@
 // finish ends an exchange whose answer was used. The connection can be reused only if the complete body was read and no
 // bytes followed the body.
 func (a *answer) finish() {
+	if a.closed {
+		return
+	}
+	a.exchanger.recordEndOfAnswer(a)
+	a.finishUnused()
+}
+
+// finishUnused ends an exchange whose answer was read, and that the client does not get.
+func (a *answer) finishUnused() {
 	if a.closed {
 		return
 	}
 	a.message.backEnd.removeWork(a.message.work)
 	a.exchanger.announceWork(a.message)
-	a.exchanger.recordEndOfAnswer(a)
 	if a.hasEnded() {
 		a.message.backEnd.recordSuccess()
 		a.reportRun()
@@ -93,6 +101,17 @@
 	}
 }
 
+// abandon ends an exchange whose answer is not read to its end.
+func (a *answer) abandon() {
+	if a.closed {
+		return
+	}
+	a.message.backEnd.removeWork(a.message.work)
+	a.exchanger.announceWork(a.message)
+	a.exchanger.recordAbandonedPrefill(a.message)
+	a.release()
+}
+
 // discard ends an exchange whose answer is not used. It reads a short body, so that the connection can be reused.
 func (a *answer) discard() {
 	if a.body.RemainderFitsInto(connpool.AnswerHeadBufferSize) {
@@ -107,7 +126,7 @@
 		return
 	}
 	a.closed = true
-	a.message.request.canceller.detach()
+	a.message.canceller().detach()
 	a.stopWriting()
 	if !a.isReusable() {
 		a.connection.Discard()
@@ -138,7 +157,7 @@
 
 func (a *answer) isReusable() bool {
 	return a.body.End() == framing.Declared && !a.bodyUnread && !a.head.ConnectionClose() &&
-		a.connection.Reader.Buffered() == 0 && !a.message.request.canceller.isCancelled()
+		a.connection.Reader.Buffered() == 0 && !a.message.canceller().isCancelled()
 }
 
 // keepAliveMargin is subtracted from the back end's keep-alive timeout, so that the relay stops using a connection before
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -26,14 +26,10 @@
 	lastFailure *failure
 	// isQuarantined is true if the request must not be sent to any further back end.
 	isQuarantined bool
-	// search finds the back end of the next attempt while the current one is silent; nil for none.
-	search *replacementSearch
-	// reservedRetry is taken from the retry budget for the next attempt, which replaces the current one; nil for none.
+	// contest decides between the current attempt and its replacement while the current back end is silent.
+	contest attemptContest
+	// reservedRetry is taken from the retry budget for the next attempt, which replaces a prefill; nil for none.
 	reservedRetry *retrybudget.Reservation
-	// reservedSlot is the back end at which the next attempt is counted already; nil for none. reservedSelection is its
-	// selection, if the next attempt goes there.
-	reservedSlot      *backEnd
-	reservedSelection *backEndSelection
 	// boundTo is the software version at which alone the stream may go on; None while no event of it was sent. The goroutines
 	// that replace or move a run read it, too.
 	boundTo atomic.Uint64
@@ -58,7 +54,15 @@
 
 // recordFailure records an attempt that brought no answer, and excludes its back end from further attempts.
 func (a *attemptTracker) recordFailure(backEnd *backEnd, fault *failure) {
+	a.countReplacements()
 	a.lastFailure = fault
+	a.countAttempt(backEnd, fault)
+	a.relay.reportIfCrashed(backEnd, fault)
+	a.reportBrokenRun(backEnd, fault)
+}
+
+// countAttempt counts an attempt that brought no answer, and excludes its back end from further attempts.
+func (a *attemptTracker) countAttempt(backEnd *backEnd, fault *failure) {
 	a.excluded = append(a.excluded, backEnd)
 	if fault.mayHaveArrived {
 		a.sentCount++
@@ -66,8 +70,6 @@
 	if fault.verdict != verdict.NotRun {
 		a.mayHaveRun = true
 	}
-	a.relay.reportIfCrashed(backEnd, fault)
-	a.reportBrokenRun(backEnd, fault)
 }
 
 // recordMigration records that the run was migrated from its back end to another one. The run at the former back end counts
@@ -112,8 +114,13 @@
 }
 
 // hasFurtherAttempt reports whether the route allows sending the request to another back end if the current one fails.
-func (a *attemptTracker) hasFurtherAttempt() bool {
-	return a.request.route.Repeatable() && !a.request.isTrial && a.sentCount+1 < a.request.route.MaxAttempts
+func (a *attemptTracker) hasFurtherAttempt() bool { return a.allowsAttempts(2) }
+
+// allowsAttempts reports whether the route allows the given number of attempts, the current one included, besides those that have
+// ended.
+func (a *attemptTracker) allowsAttempts(count int) bool {
+	ended := a.sentCount + len(a.contest.sentReplacements())
+	return a.request.route.Repeatable() && !a.request.isTrial && ended+count <= a.request.route.MaxAttempts
 }
 
 // trySpendRetry reports whether the retry budget allows another attempt, and takes it from the budget if so.
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -27,6 +27,23 @@
 type eventReader struct {
 	source *bufio.Reader
 	buffer []byte
+	// peeked is what next returns next; nil if nothing was read ahead.
+	peeked *peekedEvent
+}
+
+// peekedEvent is a result of eventReader.next.
+type peekedEvent struct {
+	event event
+	err   error
+}
+
+// peek waits for what next will return, and returns it.
+func (e *eventReader) peek() (event, error) {
+	if e.peeked == nil {
+		event, err := e.read()
+		e.peeked = &peekedEvent{event, err}
+	}
+	return e.peeked.event, e.peeked.err
 }
 
 func newEventReader(body io.Reader) *eventReader {
@@ -37,6 +54,15 @@
 // framing.ErrUndeclaredEnd, together with the bytes after the last event. Any other error means that the stream broke off;
 // an incomplete event is then dropped.
 func (e *eventReader) next() (event, error) {
+	if peeked := e.peeked; peeked != nil {
+		e.peeked = nil
+		return peeked.event, peeked.err
+	}
+	return e.read()
+}
+
+// read reads the next event.
+func (e *eventReader) read() (event, error) {
 	e.buffer = e.buffer[:0]
 	for {
 		line, err := e.source.ReadSlice('\n')
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -96,7 +96,7 @@
 	}
 	answer, fault := e.exchangeOn(connection, message)
 	if fault != nil {
-		message.request.canceller.detach()
+		message.canceller().detach()
 		connection.Discard()
 		return nil, fault
 	}
@@ -104,6 +104,11 @@
 		answer.discard() // returns the connection to the pool, or closes it
 		return nil, fault
 	}
+	if answer.status < fasthttp.StatusInternalServerError && !message.keepsRequest() {
+		message.canceller().detach()
+		connection.Discard()
+		return nil, e.replacedFailure(message)
+	}
 	return answer, nil
 }
 
@@ -112,7 +117,7 @@
 	notRun := func(cause error) *failure { return &failure{verdict: verdict.NotRun, cause: cause} }
 	now := e.clock.now()
 	switch {
-	case message.request.canceller.isCancelled():
+	case message.canceller().isCancelled():
 		return notRun(errCancelled)
 	case now >= message.deadline:
 		return notRun(errDeadline)
@@ -144,7 +149,7 @@
 		}
 	}
 	_ = connection.SetDeadline(e.clock.at(message.deadline)) // a closed connection needs no deadline
-	if !message.request.canceller.attach(connection, message.deadline) {
+	if !message.canceller().attach(connection, message.deadline) {
 		connection.Discard()
 		return nil, &failure{verdict: verdict.NotRun, cause: errCancelled}
 	}
@@ -159,7 +164,7 @@
 		return connection, err
 	}
 	until := min(now+migratedDialTimeout, message.deadline)
-	for now = e.clock.now(); err != nil && now < until && !message.request.canceller.isCancelled(); now = e.clock.now() {
+	for now = e.clock.now(); err != nil && now < until && !message.canceller().isCancelled(); now = e.clock.now() {
 		time.Sleep(min(migratedDialInterval, until-now)) // a refused connection fails at once
 		connection, err = e.open(message.backEnd, min(dialTimeout, message.deadline-now))
 	}
@@ -273,7 +278,7 @@
 		fault.verdict, fault.mayHaveArrived = verdict.NotRun, false
 	}
 	switch {
-	case message.request.canceller.isCancelled():
+	case message.canceller().isCancelled():
 		fault.cause = errCancelled
 	case connection.TimedOut: // checked first, since it is a timeout as well
 		fault.cause = errPeerTimeout
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -40,11 +40,20 @@
 // Unwrap returns the cause.
 func (f *failure) Unwrap() error { return f.cause }
 
-// backEndErrorAnswer is a complete error answer of a back end, which may be replaced by another back end's answer.
-var backEndErrorAnswer = failure{verdict: verdict.MayHaveRun, mayHaveArrived: true, cause: errors.New("the back end answered with a failure")}
+// errorAnswerFailure returns the failure of an exchange that brought a complete error answer, which may be replaced by another back
+// end's answer.
+func errorAnswerFailure() *failure {
+	return &failure{verdict: verdict.MayHaveRun, mayHaveArrived: true, cause: errErrorAnswer}
+}
+
+// replacedFailure returns the failure of a message whose back end was silent until another one answered.
+func (e *exchanger) replacedFailure(message *message) *failure {
+	return &failure{verdict: verdict.MayHaveRun, mayHaveArrived: true, cause: errStalled, observation: e.observe(message)}
+}
 
 // Causes of failures.
 var (
+	errErrorAnswer       = errors.New("the back end answered with a failure")
 	errCancelled         = errors.New("the client has gone")
 	errDeadline          = errors.New("the request's time is over")
 	errDial              = errors.New("the back end cannot be connected to")
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -11,6 +11,8 @@
 type message struct {
 	request *request
 	backEnd *backEnd
+	// ownCanceller aborts this exchange alone; nil for that of the request.
+	ownCanceller *canceller
 	// headers replace the client's headers of the same names.
 	headers []header
 	// deadline ends the exchange; the back end is sent the time that is left.
@@ -19,9 +21,12 @@
 	// before it, must have the whole time for a stream that has begun.
 	cutoff time.Duration
 	// stall is the silence after which the back end counts as failed. The exchange is then aborted once reserve reports that
-	// another back end can take over the request; it is not aborted if reserve is nil.
+	// another back end answers the request; it is not aborted if reserve is nil.
 	stall   time.Duration
 	reserve reserveReplacement
+	// keep reports whether the request still waits for this answer, and cancels the replacement if so. It is called when the head
+	// of the answer was read; nil if the answer is never replaced.
+	keep func() bool
 	// work is the expected work at the back end. onWorkAdded is called when it counts there; nil for no call.
 	work        placement.Work
 	onWorkAdded func()
@@ -44,6 +49,17 @@
 	relativeTimePercent int
 }
 
+// canceller returns the canceller that aborts this exchange.
+func (m *message) canceller() *canceller {
+	if m.ownCanceller != nil {
+		return m.ownCanceller
+	}
+	return &m.request.canceller
+}
+
+// keepsRequest reports whether the request still waits for the answer to this message.
+func (m *message) keepsRequest() bool { return m.keep == nil || m.keep() }
+
 // usePermit consumes the permit that was acquired when the back end was selected. It returns false when there is none or
 // it has expired. A permit is valid for one message.
 func (m *message) usePermit(now time.Duration) bool {
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -87,9 +87,6 @@
 // pickForPlain selects a back end that answers requests whole; nil when none is left. It selects a back end with a limit
 // only when the limit's owner grants a permit for the request.
 func (r *Relay) pickForPlain(request *request, attempts *attemptTracker) *backEndSelection {
-	if selection := attempts.takeReservedSelection(); selection != nil {
-		return selection
-	}
 	var denied []*backEnd
 	for {
 		selection := r.pickAmong(request, func(backEnd *backEnd) bool { return attempts.isExcluded(backEnd) || slices.Contains(denied, backEnd) })
--- a/internal/relay/plain_slot.go
+++ b/internal/relay/plain_slot.go
@@ -38,7 +38,7 @@
 	if fault == nil {
 		return false
 	}
-	for _, cause := range []error{errCancelled, errDeadline, errLimitReached, backEndErrorAnswer.cause} {
+	for _, cause := range []error{errCancelled, errDeadline, errLimitReached, errErrorAnswer} {
 		if errors.Is(fault, cause) {
 			return false
 		}
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -45,21 +45,29 @@
 // when the request may be sent again.
 func (a *attemptTracker) reportBrokenRun(backEnd *backEnd, fault *failure) {
 	relay, request := a.relay, a.request
-	if !fault.mayHaveArrived || backEnd.isLeaving() {
-		return
-	}
-	if errors.Is(fault, errStalled) || errors.Is(fault, errPeerTimeout) {
-		relay.guard.RecordSilentRun(request.signature, backEnd.ID)
-		return
+	wait := min(crashReportWait, request.deadline-relay.clock.now())
+	if !request.route.Repeatable() || a.sentCount >= request.route.MaxAttempts {
+		wait = 0
 	}
-	if !errors.Is(fault, errConnectionBroken) {
-		return
+	if relay.reportBrokenRun(request, backEnd, fault, wait) {
+		a.isQuarantined = true
 	}
-	if !request.route.Repeatable() || a.sentCount >= request.route.MaxAttempts {
-		go relay.guard.RecordBrokenRun(request.signature, replicaOf(backEnd), 0)
-		return
+}
+
+// reportBrokenRun lets the guard find out whether the back end that broke the connection has crashed. It waits for the result for
+// the given time, and reports whether the request is quarantined then.
+func (r *Relay) reportBrokenRun(request *request, backEnd *backEnd, fault *failure, wait time.Duration) (isQuarantined bool) {
+	switch {
+	case !fault.mayHaveArrived || backEnd.isLeaving():
+	case errors.Is(fault, errStalled) || errors.Is(fault, errPeerTimeout):
+		r.guard.RecordSilentRun(request.signature, backEnd.ID)
+	case !errors.Is(fault, errConnectionBroken):
+	case wait <= 0:
+		go r.guard.RecordBrokenRun(request.signature, replicaOf(backEnd), 0)
+	default:
+		return r.guard.RecordBrokenRun(request.signature, replicaOf(backEnd), wait)
 	}
-	a.isQuarantined = relay.guard.RecordBrokenRun(request.signature, replicaOf(backEnd), min(crashReportWait, request.deadline-relay.clock.now()))
+	return false
 }
 
 // replicaOf returns the identity of a back end for the guard.
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -60,7 +60,9 @@
 	// forwards counts the offers of requests to other relays, by how these handled them.
 	forwards *prometheus.CounterVec
 	// dials counts attempts to open connections to back ends, by outcome.
-	dials         *prometheus.CounterVec
+	dials *prometheus.CounterVec
+	// replacements counts attempts at other back ends while the current one was silent, by outcome.
+	replacements  *prometheus.CounterVec
 	retries       prometheus.Counter
 	deniedRetries prometheus.Counter
 	// usageResends counts usage reports that had to be sent again.
@@ -109,6 +111,7 @@
 		answers:            factory.CounterVec("answers_total", "Answers of back ends to requests of clients, by how their end was determined and how they ended.", "framing", "end"),
 		dials:              factory.CounterVec("back_end_dials_total", "Attempts to open connections to back ends, by outcome.", "outcome"),
 		forwards:           factory.CounterVec("forwards_total", "Offers of requests to other relays, since this one cannot connect to back ends, by how these handled them.", "outcome"),
+		replacements:       factory.CounterVec("replacements_total", "Sendings to another back end while the current one was silent, by outcome.", "outcome"),
 		retries:            factory.Counter("sendings_again_total", "Sendings of requests beyond the first."),
 		deniedRetries:      factory.Counter("sendings_denied_total", "Sendings beyond the first that the retry budget did not allow."),
 		usageResends:       factory.Counter("usage_sendings_again_total", "Reports of tenants' usage that were not taken and had to be sent again."),
--- a/internal/relay/replace_attempt.go
+++ b/internal/relay/replace_attempt.go
@@ -7,49 +7,90 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hazelpitch/hazelpitch/internal/events"
-	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/replacement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
-// replacement returns the function that reserves the replacement of the attempt at the current back end, whose silence has the given
-// limit; nil if the route allows no further attempt. search prepares the search for the back end of the next attempt.
-func (a *attemptTracker) replacement(current *backEnd, limit time.Duration, search prepareSearch) reserveReplacement {
-	if !a.hasFurtherAttempt() {
+// replacement returns the function that replaces an attempt at a back end, whose silence has the given limit; nil if the route
+// allows no further attempt. current is the attempt, nil for one that is no replacement itself. A replacement that is silent in
+// its turn, before it answers the request, is ended if the route allows another one.
+func (a *attemptTracker) replacement(silent *backEnd, limit time.Duration, request replaceable, current *replacementAttempt) reserveReplacement {
+	if current == nil && !a.hasFurtherAttempt() {
 		return nil
 	}
 	return func(recheck func()) bool {
-		if !a.replacementRequest().MayBeSentAgain() {
-			return false
+		if a.contest.hasReplacement() {
+			return a.contest.isReplaced(current) || current != nil && !current.isLast && a.contest.isPending(current)
 		}
-		if a.search == nil {
-			if find := a.prepare(current, limit, search); find != nil {
-				a.search = a.relay.startReplacementSearch(find, recheck)
-			}
-			return false
-		}
-		selection, isDone := a.relay.searchResult(a.search)
-		if !isDone {
-			return false
-		}
-		a.search = nil
-		if selection == nil {
-			return false // the next check searches again
-		}
-		if !mayGoOnAt(a.binding(), selection.backEnd) { // the first event came during the search
-			a.relay.abandonSelection(selection)
-			return false
-		}
-		if !a.reserveRetry() {
-			a.relay.abandonSelection(selection)
-			return false
-		}
-		a.reservedSelection, a.reservedSlot = selection, selection.backEnd
-		a.recordGivenUp(current, selection.backEnd)
-		return true
+		a.startReplacement(&replacementAttempt{
+			attempts: a, request: request, silent: silent, limit: limit, endSilent: recheck, done: make(chan struct{}),
+		})
+		return false
+	}
+}
+
+// startReplacement starts a replacement, if the request may be sent again and there is a back end that can take it over.
+func (a *attemptTracker) startReplacement(attempt *replacementAttempt) {
+	now := a.relay.clock.now()
+	if !a.hasFurtherAttempt() || !a.replacementRequest().MayBeSentAgain() || !a.relay.budget.CanSpend(now, a.request.service.Name) {
+		return
+	}
+	usable, excluded := a.partitionByTakeover(attempt.silent, answeringStage(a.request.service), attempt.limit)
+	if len(usable) == 0 {
+		return
+	}
+	find := attempt.request.prepareSearch(usable, excluded)
+	if find == nil {
+		return
+	}
+	attempt.startedAt, attempt.canceller, attempt.isLast = now, a.request.canceller.newChild(), !a.allowsAttempts(3)
+	if !a.contest.start(attempt) {
+		return
+	}
+	go attempt.run(find)
+}
+
+// takeReplacement returns the replacement that becomes the current attempt after the former one has brought no answer; nil if there is
+// none.
+func (a *attemptTracker) takeReplacement() *replacementAttempt { return a.contest.take() }
+
+// cancelReplacement ends the replacement, if any: the request needs it no more.
+func (a *attemptTracker) cancelReplacement() {
+	attempt := a.contest.take()
+	if attempt == nil {
+		return
+	}
+	attempt.cancel()
+	if attempt.isSent.Load() {
+		a.countReplacement(attempt)
+	}
+}
+
+// countReplacements counts the replacements that were sent while the current attempt went on.
+func (a *attemptTracker) countReplacements() {
+	for _, attempt := range a.contest.takeSentReplacements() {
+		a.countReplacement(attempt)
 	}
 }
 
+// countReplacement counts a replacement that has ended, and keeps the error answer that it has brought.
+func (a *attemptTracker) countReplacement(attempt *replacementAttempt) {
+	fault, fallback := attempt.outcome()
+	a.countAttempt(attempt.selection.backEnd, fault)
+	a.keepFallback(fallback)
+}
+
+// keepFallback keeps an error answer, if there is one.
+func (a *attemptTracker) keepFallback(fallback *fallbackAnswer) {
+	if fallback != nil {
+		a.setFallbackAnswer(fallback.answer, fallback.body)
+	}
+}
+
+// keepCurrent reports whether the request still waits for the current attempt, which has brought bytes for the client, and cancels its
+// replacement if so.
+func (a *attemptTracker) keepCurrent() bool { return a.contest.keep(nil) }
+
 // recordGivenUp logs that the exchange with a silent back end is ended in favor of another one.
 func (a *attemptTracker) recordGivenUp(silent, next *backEnd) {
 	now := a.relay.clock.now()
@@ -58,15 +99,6 @@
 		Int("running", a.relay.runningAt(next, now)).Int("slots", next.Slots).Send()
 }
 
-// prepare prepares the search for a back end that takes over the request from the current one; it returns nil if there is none.
-func (a *attemptTracker) prepare(current *backEnd, limit time.Duration, search prepareSearch) findBackEnd {
-	usable, excluded := a.partitionByTakeover(current, answeringStage(a.request.service), limit)
-	if len(usable) == 0 {
-		return nil
-	}
-	return search(usable, excluded)
-}
-
 // replacementRequest returns the state of the request whose back end is silent.
 func (a *attemptTracker) replacementRequest() replacement.Request {
 	return replacement.Request{
@@ -76,15 +108,17 @@
 	}
 }
 
-// partitionByTakeover returns the service's back ends of the given stage that can take over the request from the current one, and the
+// partitionByTakeover returns the service's back ends of the given stage that can take over the request from the silent one, and the
 // hashes of those that cannot.
-func (a *attemptTracker) partitionByTakeover(current *backEnd, stage serving.Stage, limit time.Duration) (usable []*backEnd, excluded []uint64) {
+func (a *attemptTracker) partitionByTakeover(silent *backEnd, stage serving.Stage, limit time.Duration) (usable []*backEnd, excluded []uint64) {
 	now := a.relay.clock.now()
 	for _, backEnd := range a.relay.view.Load().byService[a.request.service.Name] {
 		if backEnd.Stage != stage {
 			continue
 		}
-		if a.replacementState(backEnd, current, now).CanTakeOver(limit) {
+		state := a.relay.replacementState(backEnd, now)
+		state.IsTried = backEnd.hash == silent.hash || a.hasTried(backEnd) || !mayGoOnAt(a.binding(), backEnd)
+		if state.CanTakeOver(limit) {
 			usable = append(usable, backEnd)
 		} else {
 			excluded = append(excluded, backEnd.hash)
@@ -93,43 +127,32 @@
 	return usable, excluded
 }
 
-// replacementState returns the state of a back end that might take over the request from the current one. Records are
-// compared by their hashes: a new list may hold another record of a back end that was tried.
-func (a *attemptTracker) replacementState(other, current *backEnd, now time.Duration) replacement.BackEnd {
-	load := other.currentLoad(now)
-	return replacement.BackEnd{
-		IsTried: other.hash == current.hash || !mayGoOnAt(a.binding(), other) ||
-			slices.ContainsFunc(a.excluded, func(tried *backEnd) bool { return tried.hash == other.hash }),
-		IsClosed: other.isClosed(), IsLimited: other.hasLimit(),
-		SendDelay: other.sendDelay(now), AvoidedFor: load.avoidUntil - now, SilentFor: load.silentFor(now),
-		Running: a.relay.runningAt(other, now), Slots: other.Slots,
-	}
+// hasTried reports whether the request was sent to a back end, or to another record of it: a new list may hold one.
+func (a *attemptTracker) hasTried(backEnd *backEnd) bool {
+	return slices.ContainsFunc(a.excluded, backEnd.isSameAs) ||
+		slices.ContainsFunc(a.contest.sentReplacements(), func(attempt *replacementAttempt) bool { return backEnd.isSameAs(attempt.selection.backEnd) })
 }
 
-// replacement returns the function that reserves another engine at which the stream continues; nil if the route allows no further attempt.
-func (s *streamReply) replacement(current *backEnd, limit time.Duration) reserveReplacement {
-	if s.request.service.Engine == nil {
-		return s.attempts.replacement(current, limit, s.attempts.searchFreeSlot)
+// isSameAs reports whether two records are of the same back end.
+func (b *backEnd) isSameAs(other *backEnd) bool { return b.hash == other.hash }
+
+// replacementState returns the state of a back end that might take over a request which was not sent to it.
+func (r *Relay) replacementState(backEnd *backEnd, now time.Duration) replacement.BackEnd {
+	load := backEnd.currentLoad(now)
+	return replacement.BackEnd{
+		IsClosed: backEnd.isClosed(), IsLimited: backEnd.hasLimit(),
+		SendDelay: backEnd.sendDelay(now), AvoidedFor: load.avoidUntil - now, SilentFor: load.silentFor(now),
+		Running: r.runningAt(backEnd, now), Slots: backEnd.Slots,
 	}
-	return s.attempts.replacement(current, limit, s.searchEngine)
 }
 
-// searchEngine prepares the search for a decoding engine that prefills the prompt again and continues the stream. It returns
-// nil if there is none by what this relay knows.
-func (s *streamReply) searchEngine(_ []*backEnd, excluded []uint64) findBackEnd {
-	criteria := s.placementRequest(nil)
-	criteria.MayHaveRun = true
-	query := newEngineQuery(purposeDecode, s.attempts, criteria)
-	if !s.wouldPlace(query, excluded) {
-		return nil
-	}
-	return func() *backEndSelection {
-		selection := s.relay.decide(s.request, query, nil).selection
-		if selection != nil {
-			selection.backEnd.addWork(placement.Work{Streams: 1})
-		}
-		return selection
+// runningAt returns the number of requests that this relay knows to run at a back end.
+func (r *Relay) runningAt(backEnd *backEnd, now time.Duration) int {
+	load := backEnd.currentLoad(now)
+	if backEnd.isEngine() {
+		return r.notices.table.totalWork(now, backEnd, load).Streams
 	}
+	return max(load.ownWork.Streams, load.reportedRequests)
 }
 
 // reserveRetry takes one retry from the budget for the next attempt, and reports whether it holds one.
@@ -157,3 +180,9 @@
 		a.reservedRetry = nil
 	}
 }
+
+// end gives back what was reserved or started for an attempt that the request does not need.
+func (a *attemptTracker) end() {
+	a.cancelReplacement()
+	a.returnReservedRetry()
+}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -9,7 +9,6 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
-	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/relay/forwarding"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
@@ -23,7 +22,9 @@
 	target string
 	host   string
 	header *fasthttp.RequestHeader
-	body   []byte
+	// headerMutex is locked while the header is read once the request may have two exchanges: reading modifies it.
+	headerMutex sync.Mutex
+	body        []byte
 	// signature is the same for all requests that a back end would process in the same way, whatever their identities.
 	signature quarantine.Signature
 	// isTrial is true if the request is quarantined and may be sent to a single back end once.
@@ -87,96 +88,3 @@
 	}
 	return time.Duration(count * float64(time.Millisecond))
 }
-
-// canceller aborts the exchange in progress when the client disconnects. It is safe for concurrent use; the zero value is
-// ready to use.
-type canceller struct {
-	mutex      sync.Mutex
-	connection *connpool.Connection
-	// deadline is when the exchange on the connection must end.
-	deadline  time.Duration
-	cancelled bool
-	// stopped is true if the relay has cancelled the request at the end of its own stop; the client still awaits an answer.
-	stopped bool
-	// doneChannel is closed by cancel; nil until done is called.
-	doneChannel chan struct{}
-}
-
-// attach sets the connection that cancel aborts, and the deadline of the exchange on it. It returns false when the request
-// is cancelled already.
-func (c *canceller) attach(connection *connpool.Connection, deadline time.Duration) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.connection, c.deadline = connection, deadline
-	return !c.cancelled
-}
-
-// resetDeadline sets the deadline of the exchange in progress again, after the machine was suspended.
-func (c *canceller) resetDeadline(steady clock) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.connection != nil && !c.cancelled {
-		_ = c.connection.SetDeadline(steady.at(c.deadline)) // a closed connection needs no deadline
-	}
-}
-
-// extend sets a later deadline of the exchange in progress.
-func (c *canceller) extend(steady clock, deadline time.Duration) {
-	c.mutex.Lock()
-	c.deadline = deadline
-	c.mutex.Unlock()
-	c.resetDeadline(steady)
-}
-
-func (c *canceller) detach() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.connection = nil
-}
-
-// cancel aborts the exchange in progress and prevents later ones.
-func (c *canceller) cancel() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.doneChannel != nil && !c.cancelled {
-		close(c.doneChannel)
-	}
-	c.cancelled = true
-	if c.connection != nil {
-		_ = c.connection.SetDeadline(time.Unix(1, 0)) // a closed connection needs no deadline
-	}
-}
-
-// stop cancels the request because the relay exits.
-func (c *canceller) stop() {
-	c.mutex.Lock()
-	c.stopped = !c.cancelled
-	c.mutex.Unlock()
-	c.cancel()
-}
-
-// hasClientLeft reports whether the request was cancelled because the client has disconnected.
-func (c *canceller) hasClientLeft() bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.cancelled && !c.stopped
-}
-
-// done returns a channel that is closed when the client has disconnected.
-func (c *canceller) done() <-chan struct{} {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.doneChannel == nil {
-		c.doneChannel = make(chan struct{})
-		if c.cancelled {
-			close(c.doneChannel)
-		}
-	}
-	return c.doneChannel
-}
-
-func (c *canceller) isCancelled() bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.cancelled
-}
--- a/internal/relay/request_writer.go
+++ b/internal/relay/request_writer.go
@@ -41,6 +41,8 @@
 // head returns the head of a request to a back end: the client's request line and headers, the body's length, and the given
 // headers, which replace the client's.
 func (w requestWriter) head(request *request, address string, headers []header) []byte {
+	request.headerMutex.Lock()
+	defer request.headerMutex.Unlock()
 	head := make([]byte, 0, 1024)
 	head = append(head, request.method...)
 	head = append(head, ' ')
--- a/internal/relay/serve_engine.go
+++ b/internal/relay/serve_engine.go
@@ -20,9 +20,6 @@
 		stream.reservedRun = nil
 		return run
 	}
-	if selection := stream.attempts.takeReservedSelection(); selection != nil {
-		return selection
-	}
 	var near *backEnd
 	if prefill != nil {
 		near = prefill.engine
@@ -146,11 +143,7 @@
 			homes = append([]int{index}, slices.DeleteFunc(homes, func(home int) bool { return home == index })...)
 		}
 	}
-	answer := r.placements.decide(cells, homes, query, request.canceller.done())
-	if answer.selection != nil {
-		request.trace.owner = answer.selection.assignment.owner
-	}
-	return answer
+	return r.placements.decide(cells, homes, query, request.canceller.done())
 }
 
 // priorityHeader returns the header with the request's rank for an engine's queue.
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -109,24 +109,33 @@
 // servePlain serves a request that back ends answer whole, without streaming.
 func (r *Relay) servePlain(request *request, reply *replier) {
 	attempts := r.newAttempts(request)
-	defer attempts.returnReservations()
+	defer attempts.end()
 	for {
-		if r.path.pathTo(request.service.Name).IsLost && r.forwardToPeers(attempts, reply, "") {
-			return
-		}
-		if r.isOutOfReach(attempts) || !attempts.mayContinue() {
-			break
-		}
-		selection, slot := r.pickWithSlot(request, attempts)
-		if selection == nil {
-			break
+		var backEnd *backEnd
+		var fault *failure
+		if replacing := attempts.takeReplacement(); replacing != nil {
+			if !replacing.await() {
+				continue
+			}
+			backEnd, fault = replacing.selection.backEnd, r.finishPlainReplacement(replacing, reply)
+		} else {
+			if r.path.pathTo(request.service.Name).IsLost && r.forwardToPeers(attempts, reply, "") {
+				return
+			}
+			if r.isOutOfReach(attempts) || !attempts.mayContinue() {
+				break
+			}
+			selection, slot := r.pickWithSlot(request, attempts)
+			if selection == nil {
+				break
+			}
+			backEnd, fault = selection.backEnd, r.attemptPlain(selection, slot, attempts, reply)
 		}
-		fault := r.attemptPlain(selection, slot, attempts, reply)
 		if fault == nil {
 			return
 		}
-		r.recordFailedAttempt(request, selection.backEnd, fault)
-		attempts.recordFailure(selection.backEnd, fault)
+		r.recordFailedAttempt(request, backEnd, fault)
+		attempts.recordFailure(backEnd, fault)
 	}
 	if attempts.couldNotConnect() && r.forwardToPeers(attempts, reply, "") {
 		return
@@ -139,9 +148,10 @@
 func (r *Relay) attemptPlain(selection *backEndSelection, slot plainSlot, attempts *attemptTracker, reply *replier) *failure {
 	request, backEnd := attempts.request, selection.backEnd
 	request.trace.engine, request.trace.sentAt = backEnd.ID, r.clock.now()
-	limit := stallLimit(request.route)
-	sent := &message{request: request, backEnd: backEnd, deadline: request.deadline, work: placement.Work{Streams: 1}, selection: selection,
-		stall: limit, reserve: attempts.replacement(backEnd, limit, attempts.searchFreeSlot), onWorkAdded: attempts.releaseReservedSlot}
+	plain := replaceablePlain{attempts}
+	sent := plain.newMessage(selection)
+	sent.reserve = attempts.replacement(backEnd, sent.stall, plain, nil)
+	sent.keep = attempts.keepCurrent
 	answer, fault := r.exchanger.send(sent)
 	r.work.AddWholeAnswer(request.service.Name, r.clock.now()-request.trace.sentAt, backEnd.Slots)
 	if fault == nil || fault.verdict != verdict.NotRun {
@@ -150,10 +160,36 @@
 	if fault == nil {
 		fault = r.forwardPlain(answer, attempts, reply)
 	}
+	r.releaseSlot(slot, sent, fault, reply)
+	return fault
+}
+
+// finishPlainReplacement forwards the answer of a replacement, if it has brought one. It returns nil when the client has its final
+// answer.
+func (r *Relay) finishPlainReplacement(replacing *replacementAttempt, reply *replier) *failure {
+	attempts, backEnd := replacing.attempts, replacing.selection.backEnd
+	request := attempts.request
+	request.trace.engine, request.trace.sentAt = backEnd.ID, replacing.startedAt
+	r.work.AddWholeAnswer(request.service.Name, r.clock.now()-replacing.startedAt, backEnd.Slots)
+	if fault := replacing.fault; fault != nil {
+		if fault.verdict != verdict.NotRun {
+			r.recordRun(request, replacing.startedAt)
+		}
+		attempts.keepFallback(replacing.fallback)
+		return fault
+	}
+	r.recordRun(request, replacing.startedAt)
+	fault := r.forwardAwaited(replacing.answer, reply)
+	replacing.answer.finish()
+	r.releaseSlot(replacing.slot, replacing.answer.message, fault, reply)
+	return fault
+}
+
+// releaseSlot releases the slot of an attempt, and reports to the owner of the slots how the back end has served it.
+func (r *Relay) releaseSlot(slot plainSlot, sent *message, fault *failure, reply *replier) {
 	result := slotResult(sent, fault, !reply.aborted, r.clock.now())
-	result.TurnedAway = result.TurnedAway && !r.path.pathTo(backEnd.Service).IsLost // the back end may be sound
+	result.TurnedAway = result.TurnedAway && !r.path.pathTo(sent.backEnd.Service).IsLost // the back end may be sound
 	slot.release(result)
-	return fault
 }
 
 // answeringStage returns the stage of the back ends that answer requests of a service.
@@ -192,21 +228,26 @@
 	if err != nil {
 		return asFailure(err)
 	}
-	if len(body) > maxBufferedAnswer {
-		return r.forwardLong(answer, body, reply)
-	}
-	if answer.status >= fasthttp.StatusInternalServerError && r.mayReplace(answer, attempts) {
+	if len(body) <= maxBufferedAnswer && answer.status >= fasthttp.StatusInternalServerError && r.mayReplace(answer, attempts) {
 		attempts.setFallbackAnswer(answer, body)
-		return &failure{verdict: backEndErrorAnswer.verdict, mayHaveArrived: true, cause: backEndErrorAnswer.cause}
+		return errorAnswerFailure()
+	}
+	return r.forwardAwaited(&awaitedAnswer{answer: answer, body: body}, reply)
+}
+
+// forwardAwaited forwards an answer that is no stream, of which the body or its beginning was read.
+func (r *Relay) forwardAwaited(awaited *awaitedAnswer, reply *replier) *failure {
+	if awaited.isLong() || len(awaited.body) > maxBufferedAnswer {
+		return r.forwardLong(awaited.answer, awaited.body, reply)
 	}
-	reply.sendWhole(answer, body)
+	reply.sendWhole(awaited.answer, awaited.body)
 	return nil
 }
 
 // mayReplace reports whether a back end's error answer may be replaced by the answer of another back end. It takes nothing
 // from the retry budget; mayContinue does.
 func (r *Relay) mayReplace(answer *answer, attempts *attemptTracker) bool {
-	return attempts.hasFurtherAttempt() && !attempts.isOver() && r.hasUntriedBackEnd(answer, attempts) &&
+	return attempts.contest.hasReplacement() || attempts.hasFurtherAttempt() && !attempts.isOver() && r.hasUntriedBackEnd(answer, attempts) &&
 		r.budget.CanSpend(r.clock.now(), answer.message.request.service.Name)
 }
 
@@ -227,7 +268,7 @@
 	if errors.As(err, &fault) {
 		return fault
 	}
-	return &failure{verdict: backEndErrorAnswer.verdict, mayHaveArrived: true, cause: err}
+	return &failure{verdict: verdict.MayHaveRun, mayHaveArrived: true, cause: err}
 }
 
 // forwardLong forwards a long answer as it arrives, after the bytes that were buffered already.
--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -25,10 +25,11 @@
 // engine generates the stream, or a decoding engine does both.
 func (r *Relay) serveStream(request *request, reply *replier) {
 	attempts := r.newAttempts(request)
-	defer attempts.returnReservations()
+	defer attempts.end()
 	stream := &streamReply{relay: r, request: request, reply: reply, attempts: attempts,
-		prefixBlocks: placement.PrefixBlocksOf(request.prompt), lastEventID: string(request.header.Peek(r.dialect.Headers.LastEventID))}
-	if r.path.pathTo(request.service.Name).IsLost && r.forwardToPeers(attempts, reply, stream.lastEventID) {
+		prefixBlocks: placement.PrefixBlocksOf(request.prompt)}
+	stream.position.advance(string(request.header.Peek(r.dialect.Headers.LastEventID)))
+	if r.path.pathTo(request.service.Name).IsLost && r.forwardToPeers(attempts, reply, stream.position.lastID()) {
 		return
 	}
 	defer stream.endOrigin()
@@ -46,25 +47,37 @@
 	}
 	selection, prefill := start.direct, start.prefill
 	for {
-		if stream.migrated == nil && r.path.pathTo(request.service.Name).IsLost && r.forwardToPeers(attempts, reply, stream.lastEventID) {
-			return
-		}
-		if stream.migrated == nil && (r.isOutOfReach(attempts) || !attempts.mayContinue()) {
-			break
-		}
-		if migrated := stream.migrated; migrated != nil {
-			stream.migrated, selection, prefill = nil, migrated.target, migrated.prefill
-		}
-		if selection == nil {
-			selection = r.nextDecodeEngine(stream, prefill)
+		if stream.migrated != nil {
+			attempts.cancelReplacement() // the run has stopped, and can continue only where it was moved to
 		}
-		if selection == nil {
-			break
+		var engine *backEnd
+		var fault *failure
+		if replacing := attempts.takeReplacement(); replacing != nil {
+			if !replacing.await() {
+				continue
+			}
+			engine, fault = replacing.selection.backEnd, stream.runReplacement(replacing)
+		} else {
+			if stream.migrated == nil && r.path.pathTo(request.service.Name).IsLost && r.forwardToPeers(attempts, reply, stream.position.lastID()) {
+				return
+			}
+			if stream.migrated == nil && (r.isOutOfReach(attempts) || !attempts.mayContinue()) {
+				break
+			}
+			if migrated := stream.migrated; migrated != nil {
+				stream.migrated, selection, prefill = nil, migrated.target, migrated.prefill
+			}
+			if selection == nil {
+				selection = r.nextDecodeEngine(stream, prefill)
+			}
+			if selection == nil {
+				break
+			}
+			engine = selection.backEnd
+			stream.recordContinuation(selection)
+			fault = stream.runOn(selection, prefill)
+			selection, prefill = nil, nil // a handle can be used only once
 		}
-		engine := selection.backEnd
-		stream.recordContinuation(selection)
-		fault := stream.runOn(selection, prefill)
-		prefill = nil // a handle can be used only once
 		if fault == nil {
 			return
 		}
@@ -74,12 +87,11 @@
 		}
 		r.recordFailedAttempt(request, engine, fault)
 		attempts.recordFailure(engine, fault)
-		selection = nil
 	}
 	if prefill != nil {
 		r.release(prefill)
 	}
-	if attempts.couldNotConnect() && r.forwardToPeers(attempts, reply, stream.lastEventID) {
+	if attempts.couldNotConnect() && r.forwardToPeers(attempts, reply, stream.position.lastID()) {
 		return
 	}
 	r.replyRefused(attempts, reply)
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -32,14 +32,14 @@
 	return max(minPlainStall, stallTargetFactor*route.Target)
 }
 
-// reserveReplacement reports whether another back end can take over a request now, and reserves what the next attempt needs.
-// It must not block: it calls recheck when the result may have changed.
+// reserveReplacement reports whether a silent exchange must be ended now, since another back end answers its request. Otherwise
+// it may begin to ask one. It must not block: it calls recheck when the result has changed.
 type reserveReplacement func(recheck func()) bool
 
 // stallWatch detects a back end that stalls during one answer. The back end counts as failed when nothing arrived from it
 // for the limit, neither on this answer nor on any other; new requests then use no connection from before the silence. The
-// answer is aborted only when its replacement is secured: a silent back end may go on, and an answer that nothing replaces
-// would be lost. A back end that sends other answers is slow but alive: aborting would only move its load.
+// answer is aborted only when another back end answers in its place: a silent back end may go on, and an answer that nothing
+// replaces would be lost. A back end that sends other answers is slow but alive: replacing it would only move its load.
 type stallWatch struct {
 	exchanger  *exchanger
 	connection *connpool.Connection
@@ -71,7 +71,7 @@
 	return watch
 }
 
-// check runs when the answer has been silent for the limit, and again while the silence lasts and no replacement is secured.
+// check runs when the answer has been silent for the limit, and again while the silence lasts and no other back end answers.
 // Meanwhile new requests go to other back ends where possible.
 func (w *stallWatch) check() {
 	w.mutex.Lock()
@@ -92,7 +92,7 @@
 	w.backEnd.pool.Suspect(max(lastReceivedAt, w.startedAt))
 	w.recordSilence(lastReceivedAt)
 	if w.reserve != nil && w.reserve(w.recheck) {
-		_ = w.connection.SetDeadline(time.Unix(1, 0)) // a closed connection needs no deadline
+		w.abort()
 		return
 	}
 	next := w.limit / replacementChecksPerLimit
@@ -102,15 +102,21 @@
 	w.timer.Reset(next)
 }
 
-// recheck makes the watch check at once, unless it has stopped.
+// recheck aborts the answer if it has been replaced, unless the watch has stopped.
 func (w *stallWatch) recheck() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if !w.stopped {
-		w.timer.Reset(0)
+	if !w.stopped && w.reserve(w.recheck) {
+		w.abort()
 	}
 }
 
+// abort ends the read of the answer.
+func (w *stallWatch) abort() {
+	w.timer.Stop()
+	_ = w.connection.SetDeadline(time.Unix(1, 0)) // a closed connection needs no deadline
+}
+
 // recordSilence records the silence since the given time as a failure of the back end, once.
 func (w *stallWatch) recordSilence(since time.Duration) {
 	if w.isRecorded && w.recordedSince == since {
@@ -122,8 +128,11 @@
 	}
 }
 
-// recordReceived records that bytes arrived, and restarts the timer.
+// recordReceived records that bytes arrived, and restarts the timer. It waits for a check in progress, so that no replacement
+// is begun once it has returned.
 func (w *stallWatch) recordReceived() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	w.backEnd.recordReceived(w.exchanger.clock.now())
 	w.timer.Reset(w.limit)
 }
--- a/internal/relay/stream_continuation.go
+++ b/internal/relay/stream_continuation.go
@@ -48,7 +48,7 @@
 
 // recordContinuation records that a stream is sent to a back end, if the client has events of it already.
 func (s *streamReply) recordContinuation(selection *backEndSelection) {
-	if s.lastEventID == "" && !s.reply.started {
+	if s.position.lastID() == "" && !s.reply.started {
 		return
 	}
 	cause, from := s.continuationCause(selection), ""
--- a/internal/relay/stream_end.go
+++ b/internal/relay/stream_end.go
@@ -30,6 +30,11 @@
 	case !isDeclared && (s.migrated != nil || s.needsDeclaredEnd()):
 		return s.breakRun(answer, framing.ErrUndeclaredEnd)
 	}
+	if !s.attempts.keepCurrent() {
+		s.flush(answer)
+		s.migrated = s.finishMover()
+		return s.relay.exchanger.replacedFailure(answer.message)
+	}
 	s.finish(answer, remainder)
 	return nil
 }
@@ -40,7 +45,7 @@
 	if s.reply.started {
 		return s.reply.framing != framing.Close
 	}
-	return s.lastEventID == ""
+	return s.position.lastID() == ""
 }
 
 // breakRun records that the current run's answer is incomplete, or may be, although it was read up to its end.
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -23,8 +23,8 @@
 	attempts *attemptTracker
 	// prefixBlocks are the prompt's blocks, in order.
 	prefixBlocks []placement.PrefixBlock
-	// lastEventID is the identity of the last event that the client has.
-	lastEventID string
+	// position is how much of the stream the client has.
+	position streamPosition
 	// pending holds events that the next write sends.
 	pending []byte
 	// prefill is the prefilled prompt that the current run's engine fetches; nil when the engine prefills the prompt itself.
@@ -78,26 +78,53 @@
 // runOn sends the request to an engine and forwards its stream. It returns nil when the client has its final answer; after
 // a failure the stream may continue at another engine.
 func (s *streamReply) runOn(selection *backEndSelection, prefill *remotePrefill) *failure {
-	engine := selection.backEnd
+	defer s.beginRun(selection, prefill)()
+	s.request.trace.sentAt = s.relay.clock.now()
+	message := s.runMessage(selection, prefill)
+	message.onVersion = s.recordOrigin
+	message.reserve, message.keep = s.attempts.replacement(selection.backEnd, stallLimit(s.request.route), s, nil), s.attempts.keepCurrent
+	answer, fault := s.relay.exchanger.send(message)
+	if fault != nil {
+		s.recordSourceCached(fault)
+		return fault
+	}
+	if !isEventStream(answer) {
+		return s.forwardOther(answer)
+	}
+	defer answer.finish()
+	return s.forwardEvents(answer, newEventReader(answer))
+}
+
+// beginRun records that the request is sent to an engine, or that its run there becomes the current one. The returned function records
+// the end of the run.
+func (s *streamReply) beginRun(selection *backEndSelection, prefill *remotePrefill) (end func()) {
+	engine, now := selection.backEnd, s.relay.clock.now()
 	s.prefill, s.hasEvents = prefill, false
-	names := s.relay.dialect.Headers
+	s.request.trace.engine = engine.ID
+	if owner := selection.assignment.owner; owner != "" {
+		s.request.trace.owner = owner
+	}
+	s.recordForecast(selection.Pause)
+	if !engine.isEngine() {
+		return func() {}
+	}
+	endRun := s.relay.work.BeginRun(now, s.request.service.Name, engine.Slots)
+	if selection.EffectiveTokens > 0 { // counted as demand for prefill engines, which could have prefilled the prompt instead
+		s.relay.recordPrefillDemand(s.request.service.Name, engine, selection.EffectiveTokens)
+	}
+	return func() { endRun(s.relay.clock.now()) }
+}
+
+// runMessage returns the message that begins or continues the stream at an engine.
+func (s *streamReply) runMessage(selection *backEndSelection, prefill *remotePrefill) *message {
+	engine, names := selection.backEnd, s.relay.dialect.Headers
 	headers := []header{s.relay.priorityHeader(s.rank().First)}
 	if prefill != nil {
 		headers = append(headers, header{names.KVSource, prefill.sourceHeader()})
 	}
-	if s.lastEventID != "" {
-		headers = append(headers, header{names.LastEventID, s.lastEventID})
+	if lastID := s.position.lastID(); lastID != "" {
+		headers = append(headers, header{names.LastEventID, lastID})
 	}
-	began := s.relay.clock.now()
-	if engine.isEngine() {
-		endRun := s.relay.work.BeginRun(began, s.request.service.Name, engine.Slots)
-		defer func() { endRun(s.relay.clock.now()) }()
-		if selection.EffectiveTokens > 0 { // counted as demand for prefill engines, which could have prefilled the prompt instead
-			s.relay.recordPrefillDemand(s.request.service.Name, engine, selection.EffectiveTokens)
-		}
-	}
-	s.request.trace.engine, s.request.trace.sentAt = engine.ID, began
-	s.recordForecast(selection.Pause)
 	work := placement.Work{Streams: 1}
 	if prefill == nil {
 		work = work.Plus(placement.PrefillWork(selection.EffectiveTokens, s.rank().First))
@@ -105,24 +132,16 @@
 			headers = append(headers, header{names.KVFetch, selection.fetchFrom.Address})
 		}
 	}
-	limit := stallLimit(s.request.route)
-	answer, fault := s.relay.exchanger.send(&message{request: s.request, backEnd: engine, deadline: s.exchangeDeadline(), headers: headers, work: work, prefixBlocks: s.prefixBlocks, selection: selection, dependsOnVersion: s.dependsOnVersion(selection), isBound: s.attempts.isBound(), onVersion: s.recordOrigin,
-		stall:   limit + placement.PrefillTime(s.relay.prefillSpeed.timePerToken(engine.hash), s.relay.policy.DecodeSlowdown*work.PromptTokens()),
-		reserve: s.replacement(engine, limit), onWorkAdded: s.attempts.releaseReservedSlot})
-	if fault != nil {
-		s.recordSourceCached(fault)
-		return fault
+	prefillTime := placement.PrefillTime(s.relay.prefillSpeed.timePerToken(engine.hash), s.relay.policy.DecodeSlowdown*work.PromptTokens())
+	return &message{
+		request: s.request, backEnd: engine, deadline: s.exchangeDeadline(), headers: headers, work: work, prefixBlocks: s.prefixBlocks, selection: selection,
+		dependsOnVersion: s.dependsOnVersion(selection), isBound: s.attempts.isBound(), stall: stallLimit(s.request.route) + prefillTime,
 	}
-	if !isEventStream(answer) {
-		return s.forwardOther(answer)
-	}
-	defer answer.finish()
-	return s.forwardEvents(answer)
 }
 
 // exchangeDeadline returns when the next exchange must end.
 func (s *streamReply) exchangeDeadline() time.Duration {
-	if s.reply.started {
+	if s.position.hasBegun() {
 		return s.request.cutoff
 	}
 	return s.request.deadline
@@ -145,13 +164,13 @@
 func (s *streamReply) forwardOther(answer *answer) *failure {
 	if s.reply.started {
 		answer.finish()
-		return &failure{verdict: backEndErrorAnswer.verdict, mayHaveArrived: true, cause: backEndErrorAnswer.cause}
+		return errorAnswerFailure()
 	}
 	return s.relay.forwardPlain(answer, s.attempts, s.reply)
 }
 
-// forwardEvents forwards events as they arrive.
-func (s *streamReply) forwardEvents(answer *answer) *failure {
+// forwardEvents forwards events as they arrive. Another back end may replace the answer while its back end is silent.
+func (s *streamReply) forwardEvents(answer *answer, events *eventReader) *failure {
 	defer s.releaseMigrated()
 	defer func() {
 		if !s.hasEvents {
@@ -159,10 +178,9 @@
 			s.recordSourceCached(&failure{verdict: verdict.MayHaveRun})
 		}
 	}()
-	events := newEventReader(answer)
 	gaps := &speeds.GapMeter{}
 	limit := stallLimit(s.request.route)
-	watch := s.relay.exchanger.watchStall(answer.connection, answer.message.backEnd, limit, s.replacement(answer.message.backEnd, limit))
+	watch := s.relay.exchanger.watchStall(answer.connection, answer.message.backEnd, limit, s.attempts.replacement(answer.message.backEnd, limit, s, nil))
 	defer watch.stop()
 	for {
 		event, err := events.next()
@@ -171,6 +189,10 @@
 			return s.endRun(answer, event, err)
 		}
 		watch.recordReceived()
+		if !s.attempts.keepCurrent() {
+			watch.stop()
+			return s.endRun(answer, event, s.relay.exchanger.replacedFailure(answer.message))
+		}
 		s.addEvent(event)
 		s.recordGap(gaps, answer.message.backEnd)
 		if !events.buffered() || len(s.pending) > maxBatchBytes {
@@ -211,13 +233,11 @@
 
 // addEvent appends an event to the next write, unless the client has it already.
 func (s *streamReply) addEvent(event event) {
-	if event.id != "" && s.lastEventID != "" && !event.isAfter(s.lastEventID) {
+	if lastID := s.position.lastID(); event.id != "" && lastID != "" && !event.isAfter(lastID) {
 		return
 	}
 	s.pending = append(s.pending, event.bytes...)
-	if event.id != "" {
-		s.lastEventID = event.id
-	}
+	s.position.addEvent(event.id)
 }
 
 // flush writes the pending events.
@@ -297,7 +317,8 @@
 
 // finish writes the pending events, the bytes after the last event (remainder), and the end of the stream.
 func (s *streamReply) finish(answer *answer, remainder event) {
-	if len(remainder.bytes) > 0 && (remainder.id == "" || s.lastEventID == "" || remainder.isAfter(s.lastEventID)) {
+	lastID := s.position.lastID()
+	if len(remainder.bytes) > 0 && (remainder.id == "" || lastID == "" || remainder.isAfter(lastID)) {
 		s.pending = append(s.pending, remainder.bytes...)
 	}
 	if !s.reply.started {
--- a/internal/relay/taken_up.go
+++ b/internal/relay/taken_up.go
@@ -62,6 +62,8 @@
 
 // resumedName returns the name of the attempt that began the stream; no stream has the zero name.
 func (r *Relay) resumedName(request *request) streamorigin.Name {
+	request.headerMutex.Lock()
+	defer request.headerMutex.Unlock()
 	resumed := string(request.header.Peek(r.dialect.Headers.Resumes))
 	if resumed == "" {
 		return streamorigin.Name{}
--- a/internal/relay/verify_incarnation.go
+++ b/internal/relay/verify_incarnation.go
@@ -36,7 +36,7 @@
 			}
 			return connection, nil
 		}
-		message.request.canceller.detach()
+		message.canceller().detach()
 		connection.Discard()
 		if !errors.Is(fault, errConnectionBroken) {
 			break
@@ -56,7 +56,7 @@
 	}
 	startedAtMs, err := e.readStartTime(connection, message)
 	switch {
-	case err != nil && message.request.canceller.isCancelled():
+	case err != nil && message.canceller().isCancelled():
 		return streamorigin.Unknown, &failure{verdict: verdict.NotRun, cause: errCancelled}
 	case isTimeout(err):
 		return streamorigin.Unknown, &failure{verdict: verdict.NotRun, cause: errStalled}
@@ -77,7 +77,7 @@
 // readStartTime reads when the engine's incarnation on a connection started, in Unix milliseconds; 0 if it does not report it. The
 // connection can carry the message then.
 func (e *exchanger) readStartTime(connection *connpool.Connection, message *message) (startedAtMs int64, err error) {
-	canceller := &message.request.canceller
+	canceller := message.canceller()
 	canceller.extend(e.clock, min(e.clock.now()+reportTimeout, message.deadline))
 	defer canceller.extend(e.clock, message.deadline)
 	if err := e.writeInternalCall(connection, message.backEnd, fasthttp.MethodGet, e.reportPath, nil); err != nil {
