--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -45,51 +45,23 @@
 		reply.refuse(*start.refusal)
 		return
 	}
-	selection, prefill := start.direct, start.prefill
 	for {
-		if stream.migrated != nil {
-			attempts.cancelReplacement() // the run has stopped, and can continue only where it was moved to
-		}
-		var engine *backEnd
-		var fault *failure
-		if replacing := attempts.takeReplacement(); replacing != nil {
-			if !replacing.await() {
-				continue
-			}
-			engine, fault = replacing.selection.backEnd, stream.runReplacement(replacing)
-		} else {
-			if stream.migrated == nil && r.path.pathTo(request.service.Name).IsLost && r.forwardToPeers(attempts, reply, stream.position.lastID()) {
-				return
-			}
-			if stream.migrated == nil && (r.isOutOfReach(attempts) || !attempts.mayContinue()) {
-				break
-			}
-			if migrated := stream.migrated; migrated != nil {
-				stream.migrated, selection, prefill = nil, migrated.target, migrated.prefill
-			}
-			if selection == nil {
-				selection = r.nextDecodeEngine(stream, prefill)
-			}
-			if selection == nil {
-				break
-			}
-			engine = selection.backEnd
-			stream.recordContinuation(selection)
-			fault = stream.runOn(selection, prefill)
-			selection, prefill = nil, nil // a handle can be used only once
-		}
-		if fault == nil {
+		run := stream.makeRun(&start)
+		if run.isAnswered {
 			return
 		}
+		if run.backEnd == nil {
+			break
+		}
 		if stream.migrated != nil {
 			attempts.recordMigration()
 			continue
 		}
-		r.recordFailedAttempt(request, engine, fault)
-		attempts.recordFailure(engine, fault)
+		r.recordFailedAttempt(request, run.backEnd, run.fault)
+		attempts.recordFailure(run.backEnd, run.fault)
 	}
-	if prefill != nil {
-		r.release(prefill)
+	if start.prefill != nil {
+		r.release(start.prefill)
 	}
 	if attempts.couldNotConnect() && r.forwardToPeers(attempts, reply, stream.position.lastID()) {
 		return
