--- a/internal/relay/attempt_contest.go
+++ b/internal/relay/attempt_contest.go
@@ -32,7 +32,7 @@
 	return isKept
 }
 
-// replace reports whether the current attempt must be ended, since its replacement has answered or accepted the request.
+// replace reports whether the current attempt must be ended, since its replacement has answered.
 func (c *attemptContest) replace(attempt *replacementAttempt) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,7 +70,7 @@
 	// slots obtains slots of back ends where relays share them, as sharesSlots says.
 	slots       *slots.Slots
 	sharesSlots bool
-	// slotReservations is held while a replacement of a silent answer reserves a slot, see reserveSlot.
+	// slotReservations is held while a replacement of a silent answer reserves a slot, see searchFreeSlot.
 	slotReservations sync.Mutex
 	// slotAnswerTimeout returns how long to wait for the answer of an owner of slots.
 	slotAnswerTimeout func() time.Duration
--- a/internal/relay/replacement/contest.go
+++ b/internal/relay/replacement/contest.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// Replace records that a replacement has answered, or has accepted the request. It returns true if the current attempt must be ended.
+// Replace records that a replacement has answered. It returns true if the current attempt must be ended.
 func (c *Contest[A]) Replace(replacement A) bool {
 	if c.replacement != replacement || c.isReplaced {
 		return false
