Controllers: metric log_bytes, the bytes of log entries in memory

No figure told how many bytes of log a controller holds, which tells a log without a bound in bytes from queues to peers that are away. No change of logic; go test ./internal/consensus ./internal/controller passes.

--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -19,6 +19,8 @@
 	// base is the position of the last entry before the ones in entries.
 	base    position
 	entries []*v1.Entry
+	// bytes is the size of the data of entries.
+	bytes int
 	// snapshot is the newest snapshot; nil before the first.
 	snapshot *v1.Snapshot
 	// handedOut is the last index passed to the owner for persisting; stable is the last index synced.
@@ -43,7 +45,7 @@
 			return nil, trace.BadParameter("consensus: restored log has a hole: entry %d follows %d; replace the disk",
 				entry.GetIndex(), next-1)
 		}
-		log.entries = append(log.entries, entry)
+		log.appendEntry(entry)
 		next++
 	}
 	log.stable, log.handedOut = log.last().index, log.last().index
@@ -126,9 +128,19 @@
 	return l.entries[low-l.base.index : high-l.base.index : high-l.base.index]
 }
 
-// appendEntry appends one entry that this leader proposed.
+// appendEntry appends one entry.
 func (l *entryLog) appendEntry(entry *v1.Entry) {
 	l.entries = append(l.entries, entry)
+	l.bytes += len(entry.GetData())
+}
+
+// dataBytes returns the size of the data of entries.
+func dataBytes(entries []*v1.Entry) int {
+	size := 0
+	for _, entry := range entries {
+		size += len(entry.GetData())
+	}
+	return size
 }
 
 // merge appends a leader's entries that follow a matching position, and removes the entries that
@@ -141,6 +153,7 @@
 		}
 		l.truncate(index)
 		l.entries = append(l.entries, entries[i:]...)
+		l.bytes += dataBytes(entries[i:])
 		return index
 	}
 	return 0
@@ -153,6 +166,7 @@
 		return
 	}
 	remaining := l.entries[:index-l.base.index-1]
+	l.bytes -= dataBytes(l.entries[len(remaining):])
 	l.entries = append(make([]*v1.Entry, 0, len(remaining)), remaining...)
 	l.handedOut = min(l.handedOut, index-1)
 	l.stable = min(l.stable, index-1)
@@ -184,7 +198,7 @@
 	metadata := snapshot.GetMetadata()
 	l.snapshot = snapshot
 	l.base = position{index: metadata.GetIndex(), term: metadata.GetTerm()}
-	l.entries = nil
+	l.entries, l.bytes = nil, 0
 	l.handedOut, l.stable = l.base.index, 0
 	l.commit = max(l.commit, l.base.index)
 }
@@ -201,6 +215,7 @@
 	if err != nil {
 		return
 	}
+	l.bytes -= dataBytes(l.entries[:cut-l.base.index])
 	l.entries = append([]*v1.Entry(nil), l.entries[cut-l.base.index:]...)
 	l.base = position{index: cut, term: term}
 }
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -16,11 +16,13 @@
 	LeaderName    string
 	LeaderAddress string
 	// Commit and Applied are log indexes; Applied is the last entry returned by Ready.
-	Commit     uint64
-	Applied    uint64
-	LastIndex  uint64
-	Stable     uint64
-	Compacted  uint64
+	Commit    uint64
+	Applied   uint64
+	LastIndex uint64
+	Stable    uint64
+	Compacted uint64
+	// LogBytes is the size of the data of the entries in memory.
+	LogBytes   int
 	Membership *v1.Membership
 	// MembershipCommitted is true if this member knows of no uncommitted membership change.
 	MembershipCommitted bool
@@ -44,7 +46,7 @@
 		ID: c.id, Role: c.role, Term: c.term, Leader: c.leader,
 		LeaderName: leader.GetName(), LeaderAddress: leader.GetAddress(),
 		Commit: c.log.commit, Applied: c.log.applied, LastIndex: c.log.last().index, Stable: c.log.stable,
-		Compacted: c.log.base.index, Membership: c.members.membership,
+		Compacted: c.log.base.index, LogBytes: c.log.bytes, Membership: c.members.membership,
 		MembershipCommitted: c.lastMembershipAfter(c.log.commit) == 0,
 	}
 	if c.role != RoleLeader {
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -24,6 +24,7 @@
 	term              prometheus.Gauge
 	commitIndex       prometheus.Gauge
 	appliedIndex      prometheus.Gauge
+	logBytes          prometheus.Gauge
 	revision          prometheus.Gauge
 	gateways          prometheus.Gauge
 	machines          prometheus.Gauge
@@ -50,6 +51,7 @@
 		term:              factory.Gauge("term", "Consensus term."),
 		commitIndex:       factory.Gauge("commit_index", "Highest log index known to be durable on a quorum."),
 		appliedIndex:      factory.Gauge("applied_index", "Highest log index applied here."),
+		logBytes:          factory.Gauge("log_bytes", "Bytes of the log entries that this controller holds in memory."),
 		revision:          factory.Gauge("revision", "Revision of the configuration in force here."),
 		gateways:          factory.Gauge("gateways", "Gateways heard of lately by this controller."),
 		machines:          factory.Gauge("machines", "Back ends this controller knows."),
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -82,6 +82,7 @@
 		c.instruments.term.Set(float64(status.Consensus.Term))
 		c.instruments.commitIndex.Set(float64(status.Consensus.Commit))
 		c.instruments.appliedIndex.Set(float64(status.AppliedIndex))
+		c.instruments.logBytes.Set(float64(status.Consensus.LogBytes))
 		c.instruments.revision.Set(float64(status.Revision))
 		c.instruments.leader.Set(boolToFloat(status.LeadsWithLease))
 		c.instruments.gateways.Set(float64(status.Gateways))
