Compact the log by bytes as well as by entries

Seen by callers: after some hundred changes of a large configuration, valid changes are never confirmed, and all controllers end by themselves.

--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -18,6 +18,7 @@
 	DefaultMaximumInFlightEntries  = 4096
 	DefaultMaximumUncommittedBytes = 16 << 20
 	DefaultRetainedEntries         = 4096
+	DefaultRetainedBytes           = 4 << 20
 )
 
 // leaseShare is the fraction of the election timeout for which a leader lease lasts, before
@@ -64,8 +65,9 @@
 	// MaximumUncommittedBytes limits the proposals that are not yet committed.
 	MaximumUncommittedBytes int
 	// RetainedEntries is the number of entries before a snapshot that stay in memory, so that
-	// members that lag slightly do not need the snapshot.
+	// members that lag slightly do not need the snapshot. RetainedBytes limits the data of these entries.
 	RetainedEntries uint64
+	RetainedBytes   int
 	// Seed seeds the random part of the election timeout.
 	Seed       uint64
 	Safeguards safeguard.Set
@@ -104,6 +106,9 @@
 	if c.RetainedEntries == 0 {
 		c.RetainedEntries = DefaultRetainedEntries
 	}
+	if c.RetainedBytes == 0 {
+		c.RetainedBytes = DefaultRetainedBytes
+	}
 	return c
 }
 
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -203,14 +203,14 @@
 	l.commit = max(l.commit, l.base.index)
 }
 
-// compact stores the snapshot and removes all but the retained entries before it.
-func (l *entryLog) compact(snapshot *v1.Snapshot, retained uint64) {
+// compact stores the snapshot and removes the entries before it, except the newest of them: at most maximumEntries, with
+// at most maximumBytes of data.
+func (l *entryLog) compact(snapshot *v1.Snapshot, maximumEntries uint64, maximumBytes int) {
 	l.snapshot = snapshot
-	index := snapshot.GetMetadata().GetIndex()
-	if index <= l.base.index+retained {
+	cut := l.firstRetained(snapshot.GetMetadata().GetIndex(), maximumEntries, maximumBytes) - 1
+	if cut <= l.base.index {
 		return
 	}
-	cut := index - retained
 	term, err := l.termAt(cut)
 	if err != nil {
 		return
@@ -219,3 +219,16 @@
 	l.entries = append([]*v1.Entry(nil), l.entries[cut-l.base.index:]...)
 	l.base = position{index: cut, term: term}
 }
+
+// firstRetained returns the index of the first entry that compact retains for a snapshot at last; last+1 if it retains none.
+func (l *entryLog) firstRetained(last, maximumEntries uint64, maximumBytes int) uint64 {
+	first, bytes := last+1, 0
+	for first-1 > l.base.index && last+1-first < maximumEntries {
+		bytes += len(l.entries[first-1-l.base.index-1].GetData())
+		if bytes > maximumBytes {
+			break
+		}
+		first--
+	}
+	return first
+}
--- a/internal/consensus/snapshots.go
+++ b/internal/consensus/snapshots.go
@@ -30,7 +30,7 @@
 		Metadata: &v1.SnapshotMetadata{Index: index, Term: term, Membership: membership},
 		Data:     data,
 	}
-	c.log.compact(snapshot, c.config.RetainedEntries)
+	c.log.compact(snapshot, c.config.RetainedEntries, c.config.RetainedBytes)
 	c.outbox.snapshot = snapshot
 	return nil
 }
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -21,6 +21,9 @@
 	// DefaultSnapshotEntries is the number of applied entries after which the Core writes
 	// a snapshot of the state and truncates the log.
 	DefaultSnapshotEntries = 8192
+	// DefaultSnapshotBytes is the size of the applied entries after which the Core writes a snapshot, whatever their
+	// number. A configuration document may be as large as several MiB, and the smallest disks have 128 MB.
+	DefaultSnapshotBytes = 8 << 20
 	// DefaultPlanInterval is the time between two decisions of the planner.
 	DefaultPlanInterval = time.Second
 )
@@ -82,8 +85,10 @@
 	NewPlanner func(service string) planner.Planner
 	// EngineProfile returns the planner's assumptions about engines with a declared
 	// profile name; nil means planner.ProfileOf.
-	EngineProfile   func(name string) planner.EngineProfile
+	EngineProfile func(name string) planner.EngineProfile
+	// The Core writes a snapshot after SnapshotEntries applied entries, or after SnapshotBytes of them.
 	SnapshotEntries uint64
+	SnapshotBytes   int
 	// RetainedEntries is how many log entries before a snapshot stay in memory for controllers whose log
 	// lags slightly; 0 means the default of internal/consensus.
 	RetainedEntries uint64
@@ -107,6 +112,9 @@
 	if c.SnapshotEntries == 0 {
 		c.SnapshotEntries = DefaultSnapshotEntries
 	}
+	if c.SnapshotBytes == 0 {
+		c.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if c.PlanInterval == 0 {
 		c.PlanInterval = DefaultPlanInterval
 	}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -43,6 +43,9 @@
 	// applied is the log index of the last applied entry; snapshotAt is that of the last snapshot.
 	applied    uint64
 	snapshotAt uint64
+	// bytesSinceSnapshot is the size of the entries applied since the last snapshot, and snapshotBytes that of the last
+	// snapshot.
+	bytesSinceSnapshot, snapshotBytes int
 	// pageServicesRevision is the revision from which the tracker's page services were read.
 	pageServicesRevision uint64
 
--- a/internal/control/drive.go
+++ b/internal/control/drive.go
@@ -60,7 +60,7 @@
 	c.state = state
 	c.retainSuspects(agreed)
 	c.applied = snapshot.GetMetadata().GetIndex()
-	c.snapshotAt = c.applied
+	c.recordSnapshot(snapshot.GetData())
 	c.revisions.add(c.applied, c.state.Revision())
 	c.refreshPageServices()
 }
@@ -68,6 +68,7 @@
 // applyEntry applies one committed entry and answers the call that waits for it.
 func (c *Core) applyEntry(entry *v1.Entry) {
 	c.applied = entry.Index
+	c.bytesSinceSnapshot += len(entry.Data)
 	call, waiting := c.pending[entry.Index]
 	delete(c.pending, entry.Index)
 	if waiting && call.term != entry.Term {
@@ -125,9 +126,9 @@
 	c.tracker.SetPageServices(pages)
 }
 
-// snapshotIfDue compacts the log with a snapshot of the state after SnapshotEntries applied entries.
+// snapshotIfDue compacts the log with a snapshot of the state, if one is due.
 func (c *Core) snapshotIfDue() {
-	if c.applied-c.snapshotAt < c.config.SnapshotEntries {
+	if !c.isSnapshotDue() {
 		return
 	}
 	data, err := c.state.Snapshot()
@@ -135,6 +136,19 @@
 		return // retried with the next entry; the log is not truncated
 	}
 	if c.consensus.Compact(c.applied, data) == nil {
-		c.snapshotAt = c.applied
+		c.recordSnapshot(data)
 	}
 }
+
+// isSnapshotDue reports whether enough entries, or enough bytes of them, were applied since the last snapshot. If snapshots are
+// large, they are written as often as the entries amount to the size of one.
+func (c *Core) isSnapshotDue() bool {
+	return c.applied-c.snapshotAt >= c.config.SnapshotEntries ||
+		c.bytesSinceSnapshot >= max(c.config.SnapshotBytes, c.snapshotBytes)
+}
+
+// recordSnapshot records that the state was written as a snapshot, or replaced by one.
+func (c *Core) recordSnapshot(data []byte) {
+	c.snapshotAt = c.applied
+	c.bytesSinceSnapshot, c.snapshotBytes = 0, len(data)
+}
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -11,7 +11,7 @@
 )
 
 // DefaultSegmentBytes is the default size at which a new segment is started.
-const DefaultSegmentBytes = 16 << 20
+const DefaultSegmentBytes = 4 << 20
 
 // formatVersion is the format written into every segment; a log of a newer format is refused.
 const formatVersion = 1
