--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -16,6 +16,7 @@
 	DefaultClockDrift              = 0.02
 	DefaultMaximumAppendBytes      = 512 << 10
 	DefaultMaximumInFlightEntries  = 4096
+	DefaultMaximumInFlightBytes    = 4 << 20
 	DefaultMaximumUncommittedBytes = 16 << 20
 	DefaultRetainedEntries         = 4096
 	DefaultRetainedBytes           = 4 << 20
@@ -60,8 +61,10 @@
 	ClockDrift float64
 	// MaximumAppendBytes limits the entries in one message.
 	MaximumAppendBytes int
-	// MaximumInFlightEntries limits the entries sent to one member and not yet acknowledged.
+	// MaximumInFlightEntries limits the entries sent to one member and not yet acknowledged. MaximumInFlightBytes limits
+	// their data; the last message may exceed it.
 	MaximumInFlightEntries uint64
+	MaximumInFlightBytes   int
 	// MaximumUncommittedBytes limits the proposals that are not yet committed.
 	MaximumUncommittedBytes int
 	// RetainedEntries is the number of entries before a snapshot that stay in memory, so that
@@ -100,6 +103,9 @@
 	if c.MaximumInFlightEntries == 0 {
 		c.MaximumInFlightEntries = DefaultMaximumInFlightEntries
 	}
+	if c.MaximumInFlightBytes == 0 {
+		c.MaximumInFlightBytes = DefaultMaximumInFlightBytes
+	}
 	if c.MaximumUncommittedBytes == 0 {
 		c.MaximumUncommittedBytes = DefaultMaximumUncommittedBytes
 	}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -127,7 +127,7 @@
 // entriesFor returns the entries that fit into the member's window and into one message.
 func (c *Core) entriesFor(progress *progress) []*v1.Entry {
 	inFlight := progress.next - 1 - progress.match
-	if progress.state == progressReplicating && inFlight >= c.config.MaximumInFlightEntries {
+	if progress.state == progressReplicating && c.isWindowFull(progress) {
 		return nil
 	}
 	entries, err := c.log.entriesFrom(progress.next, c.config.MaximumAppendBytes)
@@ -141,6 +141,12 @@
 	return entries[:min(uint64(len(entries)), room)]
 }
 
+// isWindowFull reports whether a member must acknowledge entries before it is sent further ones.
+func (c *Core) isWindowFull(progress *progress) bool {
+	return progress.next-1-progress.match >= c.config.MaximumInFlightEntries ||
+		dataBytes(c.log.entriesBetween(progress.match, progress.next-1)) >= c.config.MaximumInFlightBytes
+}
+
 // sendAppendAt sends entries that follow the previous position. The message carries the time of sending as its round,
 // so that the acknowledgement proves until when the member still followed this leader.
 func (c *Core) sendAppendAt(id string, previous position, entries []*v1.Entry) {
--- a/internal/controller/outputs.go
+++ b/internal/controller/outputs.go
@@ -31,8 +31,8 @@
 		c.stageOrders = newStageOrderer(c.site, dial, c.loop.now, c.loop.send, c.log)
 		c.duties = newDutyCaller(c.site, dial, c.loop.now, c.loop.send, c.log)
 	}
-	peers := &senders{lanes: make(map[lane]*sender), start: func(address string) *sender {
-		sender := c.newSender(address)
+	peers := &senders{lanes: make(map[lane]*sender), start: func(to lane) *sender {
+		sender := c.newSender(to)
 		c.spawn(group, func() error { sender.run(ctx); return nil })
 		return sender
 	}}
@@ -77,10 +77,10 @@
 	}
 }
 
-func (c *controller) newSender(address string) *sender {
+func (c *controller) newSender(to lane) *sender {
 	return &sender{
-		client:  hazelpitchv1connect.NewConsensusServiceClient(c.peerClient, peerURL(c.config.TLS.Enabled())(address)),
-		queue:   make(chan *v1.ConsensusMessage, senderQueue),
+		client:  hazelpitchv1connect.NewConsensusServiceClient(c.peerClient, peerURL(c.config.TLS.Enabled())(to.address)),
+		queue:   make(chan *v1.ConsensusMessage, to.queueSize()),
 		sent:    func(messages int) { c.instruments.peerSent.Add(float64(messages)) },
 		dropped: func(messages int) { c.instruments.peerDropped.Add(float64(messages)) },
 	}
--- a/internal/controller/sender.go
+++ b/internal/controller/sender.go
@@ -15,6 +15,9 @@
 	// senderQueue limits the messages that wait for one peer. When it is full the oldest
 	// is dropped, because the consensus protocol resends what it needs.
 	senderQueue = 256
+	// snapshotQueue limits the snapshots that wait for one peer. A snapshot may have several MiB, and the newest one replaces
+	// the others.
+	snapshotQueue = 1
 	// maxDeliverBytes limits the estimated size of the messages in one call.
 	maxDeliverBytes = 1 << 20
 	// deliverTimeout limits a call to a peer.
@@ -103,10 +106,18 @@
 	snapshot bool
 }
 
+// queueSize returns how many messages may wait in the lane.
+func (l lane) queueSize() int {
+	if l.snapshot {
+		return snapshotQueue
+	}
+	return senderQueue
+}
+
 // senders holds one sender per peer and lane and starts it on first use. Only the loop
 // uses it.
 type senders struct {
-	start func(address string) *sender
+	start func(to lane) *sender
 	lanes map[lane]*sender
 }
 
@@ -114,7 +125,7 @@
 	key := lane{address: address, snapshot: message.GetSnapshot() != nil}
 	peer, known := s.lanes[key]
 	if !known {
-		peer = s.start(address)
+		peer = s.start(key)
 		s.lanes[key] = peer
 	}
 	peer.enqueue(message)
--- a/internal/controller/sender_test.go
+++ b/internal/controller/sender_test.go
@@ -67,6 +67,23 @@
 	})
 }
 
+// Guards against snapshots that pile up for a peer that is away: one was queued for each election timeout.
+func TestNewestSnapshotReplacesWaitingOnes(t *testing.T) {
+	started := map[lane]*sender{}
+	peers := &senders{lanes: map[lane]*sender{}, start: func(to lane) *sender {
+		started[to] = &sender{queue: make(chan *v1.ConsensusMessage, to.queueSize()), dropped: func(int) {}}
+		return started[to]
+	}}
+	for index := range uint64(5) {
+		peers.send("peer", &v1.ConsensusMessage{LogIndex: index, Snapshot: &v1.Snapshot{Data: []byte("state")}})
+		peers.send("peer", &v1.ConsensusMessage{LogIndex: index})
+	}
+	snapshots := started[lane{address: "peer", snapshot: true}].queue
+	require.Len(t, snapshots, 1)
+	require.Equal(t, uint64(4), (<-snapshots).GetLogIndex())
+	require.Len(t, started[lane{address: "peer"}].queue, 5)
+}
+
 func TestSenderContinuesAfterAFailure(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		peer := &recordingPeer{failing: true}
