Relay: attempt_failed names the shared parts of the prompt

No log line told which parts broken requests have in common, which tells a deadly part from crashes of another cause. No change of logic; go test ./internal/serving ./internal/relay -run Log passes.

--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -33,6 +33,8 @@
 	route   *serving.Route
 	service *serving.Service
 	prompt  serving.Prompt
+	// partIDs are the IDs of the prompt's parts that other requests may share.
+	partIDs []string
 	// usesKeys is true if clients are identified by keys; tenant is the client's tenant, nil for an anonymous client.
 	usesKeys bool
 	tenant   *serving.Tenant
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -37,7 +37,7 @@
 
 // recordFailedAttempt logs an attempt that brought no answer.
 func (l requestLog) recordFailedAttempt(request *request, backEnd *backEnd, fault *failure) {
-	l.line(zerolog.WarnLevel, events.AttemptFailed, request).Stringer("content", request.signature).Str("back_end", backEnd.ID).
+	l.line(zerolog.WarnLevel, events.AttemptFailed, request).Stringer("content", request.signature).Strs("parts", request.partIDs).Str("back_end", backEnd.ID).
 		Str("verdict", fault.verdict.String()).Bool("arrived", fault.mayHaveArrived).
 		AnErr("cause", fault.cause).Func(fault.observation.addFields).Func(fault.addBackoffFields).Send()
 }
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -52,6 +52,7 @@
 	}
 	request.prompt = serving.ParsePrompt(string(request.header.Peek(names.Model)),
 		string(request.header.Peek(names.Tokens)), string(request.header.Peek(names.PromptParts)))
+	request.partIDs = serving.SharedPartIDs(string(request.header.Peek(names.PromptParts)))
 	defer r.recordRequestEnd(request, reply)
 	unknownOrigin := r.bindTakenUp(request)
 	if request.forwarded == nil {
--- a/internal/serving/prompt.go
+++ b/internal/serving/prompt.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 
@@ -59,6 +60,21 @@
 	return prompt
 }
 
+// SharedPartIDs returns the distinct IDs of the prompt's parts that other requests may share, in order: all but the last part of
+// the declaration "ID:TOKENS,ID:TOKENS". Unlike ParsePrompt it needs no readable numbers of tokens, so that a part cannot be hidden by
+// an unreadable one.
+func SharedPartIDs(declaration string) []string {
+	parts := strings.Split(declaration, ",")
+	var ids []string
+	for _, part := range parts[:len(parts)-1] {
+		id, _, _ := strings.Cut(part, ":")
+		if id = strings.TrimSpace(id); id != "" && !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // SharedBlockID returns the ID of the last block that other requests may share, or "" if there is none.
 func (p *Prompt) SharedBlockID() string {
 	if len(p.Blocks) < 2 {
