--- a/internal/control/nodes.go
+++ b/internal/control/nodes.go
@@ -31,10 +31,11 @@
 	}
 	response.Formats = formats.Supported().ToWire()
 	response.TellsHeld = !behind && c.knowsQuarantined()
+	response.TellsParts = response.TellsHeld
 	if response.TellsHeld {
 		quarantined, version := c.quarantinedRequests()
 		if response.HeldVersion = version; version != request.GetHeldVersion() {
-			response.Held = quarantined
+			response.Held, response.SuspectParts = quarantined, c.quarantine.parts
 		}
 	}
 	c.addDirectory(response, request)
@@ -93,6 +94,7 @@
 		c.demands.RecordReport(c.now, node, request)
 	}
 	c.recordGatewayLimits(request.GetLimits())
+	c.recordSoundRuns(request.GetSoundRuns())
 	response := &v1.ReportResponse{Limits: c.limitsForGateways()}
 	for _, demand := range c.shareDemands(request) {
 		tenant := c.state.Object(v1.ObjectType_OBJECT_TYPE_TENANT, demand.Tenant).GetTenant()
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
@@ -9,11 +11,12 @@
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 )
 
-// ReplicaCrashesReceived reports replicas that crashed and the requests that were running on them. The answer is a
-// ReportReplicaEndsResponse once the report is recorded.
+// ReplicaCrashesReceived reports replicas that crashed, the requests that were running on them, and the shared parts of their
+// prompts. The answer is a ReportReplicaEndsResponse once the report is recorded.
 type ReplicaCrashesReceived struct {
-	Call    CallID
-	Crashes []*v1.ReplicaEnd
+	Call        CallID
+	Crashes     []*v1.ReplicaEnd
+	PartCrashes []*v1.ReplicaEnd
 }
 
 // TrialRequested requests a trial, which is one more run of a quarantined request. The answer is a BeginTrialResponse.
@@ -42,13 +45,17 @@
 	// quarantined are the quarantined requests as sent to nodes; version is a hash of them, or 0 when there are none.
 	quarantined []*v1.HeldRequest
 	version     uint64
+	// parts are the suspected and the quarantined parts of prompts as sent to nodes, under the same version.
+	parts []*v1.SuspectPart
+	// hearing decides which suspected parts are quarantined.
+	hearing *quarantine.PartHearing
 	// ledger and ledgerVersion identify the ledger of suspects from which quarantined was built.
 	ledger        *quarantine.Ledger
 	ledgerVersion uint64
 }
 
 func newRequestQuarantine() requestQuarantine {
-	return requestQuarantine{trials: quarantine.NewTrialScheduler()}
+	return requestQuarantine{trials: quarantine.NewTrialScheduler(), hearing: quarantine.NewPartHearing()}
 }
 
 // handleReplicaCrashes records a node's report of crashed replicas.
@@ -57,7 +64,8 @@
 		return
 	}
 	crashes := received.Crashes[:min(len(received.Crashes), maximumCrashesPerReport)]
-	command := &v1.Command{Body: &v1.Command_RecordReplicaEnds{RecordReplicaEnds: &v1.RecordReplicaEnds{Ends: crashes}}}
+	ends := slices.Concat(crashes, c.admitPartCrashes(received.PartCrashes))
+	command := &v1.Command{Body: &v1.Command_RecordReplicaEnds{RecordReplicaEnds: &v1.RecordReplicaEnds{Ends: ends}}}
 	c.applySuspectChange(command, received.Call, func(core *Core, _ controlstate.Result) {
 		core.answer(Answer{Call: received.Call, Response: core.replicaCrashesResponse(crashes)})
 	})
@@ -110,6 +118,10 @@
 	if !c.requireLeader(received.Call) {
 		return
 	}
+	if signature, _ := quarantine.SignatureFromBytes(received.Signature); c.suspects().Suspect(signature) == nil {
+		c.answer(Answer{Call: received.Call, Response: &v1.ReleaseRequestResponse{}}) // another node has reported the same
+		return
+	}
 	c.applySuspectChange(releaseCommand(received.Signature), received.Call, func(core *Core, _ controlstate.Result) {
 		core.answer(Answer{Call: received.Call, Response: &v1.ReleaseRequestResponse{}})
 	})
@@ -139,6 +151,7 @@
 func (c *Core) tickQuarantine() {
 	ledger := c.suspects()
 	c.quarantine.trials.Observe(c.now, ledger)
+	c.quarantineGuiltyParts(ledger)
 	c.quarantine.rebuild(c, ledger)
 	if !due(c.now, &c.duties.suspects, housekeepInterval) {
 		return
@@ -161,13 +174,13 @@
 	return c.quarantine.quarantined, c.quarantine.version
 }
 
-// rebuild makes the list of quarantined requests from the ledger.
+// rebuild makes the lists of quarantined requests and of suspect parts from the ledger.
 func (q *requestQuarantine) rebuild(core *Core, ledger *quarantine.Ledger) {
 	q.ledger, q.ledgerVersion = ledger, ledger.Version()
 	q.quarantined = nil
 	sum := xxhash.New()
 	for _, suspect := range ledger.Suspects() {
-		if !suspect.IsQuarantined() {
+		if suspect.Signature.IsPart() || !suspect.IsQuarantined() {
 			continue
 		}
 		request := &v1.HeldRequest{Signature: suspect.Signature[:], TrialDue: core.leading && q.trials.TrialDue(core.now, suspect)}
@@ -177,7 +190,12 @@
 			_, _ = sum.Write([]byte{1})
 		}
 	}
-	if q.version = 0; len(q.quarantined) > 0 {
+	q.parts = q.suspectParts(core, ledger)
+	for _, part := range q.parts {
+		_, _ = sum.Write(part.GetSignature())
+		_, _ = sum.Write([]byte{partState(part)})
+	}
+	if q.version = 0; len(q.quarantined)+len(q.parts) > 0 {
 		q.version = max(sum.Sum64(), 1)
 	}
 }
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -33,6 +33,7 @@
 	if state.leads {
 		c.recordRelay(request)
 		c.recordRelayLimits(request.GetLimits())
+		c.recordSoundRuns(request.GetSoundRuns())
 	}
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maximumWatchWait)
 	if !state.leads {
@@ -121,9 +122,9 @@
 		response.ListingPartial = c.listing.partial()
 	}
 	quarantined, quarantineVersion := c.quarantinedRequests()
-	response.TellsHeld = true
+	response.TellsHeld, response.TellsParts = true, true
 	if response.HeldVersion = quarantineVersion; quarantineVersion != request.GetHeldVersion() {
-		response.Held = quarantined
+		response.Held, response.SuspectParts = quarantined, c.quarantine.parts
 	}
 	response.Limits = c.limitsForRelays()
 	response.TrueTimeMs, _ = c.trueTime()
--- a/internal/controller/node_service.go
+++ b/internal/controller/node_service.go
@@ -54,7 +54,7 @@
 func (n nodeService) ReportReplicaEnds(ctx context.Context, request *connect.Request[v1.ReportReplicaEndsRequest]) (*connect.Response[v1.ReportReplicaEndsResponse], error) {
 	return serve(ctx, n.service, request,
 		func(call control.CallID) control.Input {
-			return control.ReplicaCrashesReceived{Call: call, Crashes: request.Msg.GetEnds()}
+			return control.ReplicaCrashesReceived{Call: call, Crashes: request.Msg.GetEnds(), PartCrashes: request.Msg.GetPartEnds()}
 		},
 		forwardToNode(hazelpitchv1connect.NodeServiceClient.ReportReplicaEnds))
 }
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -11,11 +11,11 @@
 
 // Leader makes calls to the leader of the controllers. After an error the call may or may not have taken effect.
 type Leader interface {
-	// ReportReplicaEnds reports crashes and returns those of their signatures that are quarantined now.
-	ReportReplicaEnds(ctx context.Context, ends []*v1.ReplicaEnd) (quarantined [][]byte, err error)
-	// BeginTrial requests the right to run a quarantined request once.
+	// ReportReplicaEnds reports crashes by requests and by parts of prompts, and returns the requests that are quarantined now.
+	ReportReplicaEnds(ctx context.Context, ends, partEnds []*v1.ReplicaEnd) (quarantined [][]byte, err error)
+	// BeginTrial requests the right to run a quarantined request, or one with a quarantined part, once.
 	BeginTrial(ctx context.Context, signature []byte) (granted bool, err error)
-	// ReleaseRequest reports that a quarantined request has succeeded.
+	// ReleaseRequest reports that a quarantined request, or one with a suspect part, has succeeded.
 	ReleaseRequest(ctx context.Context, signature []byte) error
 }
 
@@ -42,7 +42,7 @@
 type Observer interface {
 	// ReplicaCrashed: a back end crashed while it ran this number of requests of this node.
 	ReplicaCrashed(replica string, requests int)
-	// RequestQuarantined: a request became quarantined at this node.
+	// RequestQuarantined: a request, or a part of prompts, became quarantined at this node.
 	RequestQuarantined(signature quarantine.Signature)
 	// LeaderCallFailed: a call to the leader failed; it will be retried or was abandoned.
 	LeaderCallFailed(err error)
@@ -74,6 +74,8 @@
 	// quarantined are the requests that the controllers list; the value reports whether a trial is due.
 	quarantined map[quarantine.Signature]bool
 	version     uint64
+	// parts is what is known of parts of prompts.
+	parts suspectParts
 	// unsupportedSince is when a controller without support for quarantine first answered after the last list of
 	// quarantined requests was received; it is valid while isUnsupported is set.
 	isUnsupported    bool
@@ -86,9 +88,11 @@
 	successes *boundedMap[time.Duration]
 	// replicas are the states of back ends with recently broken runs, by ID of the incarnation.
 	replicas map[string]*replicaState
-	// unreported are the crash reports, and unreleased the succeeded requests, that wait to be sent to the leader.
+	// unreported are the crash reports, and unreleased the succeeded requests and parts, that wait to be sent to the leader.
 	unreported []*report
 	unreleased []quarantine.Signature
+	// isLeaderSilent is true if the leader has not answered the last report of crashes.
+	isLeaderSilent bool
 	// isSending is true while Run sends reports, which are then in neither list.
 	isSending bool
 }
@@ -99,7 +103,7 @@
 		options: options, wake: make(chan struct{}, 1),
 		quarantined: map[quarantine.Signature]bool{}, replicas: map[string]*replicaState{},
 		localQuarantine: newBoundedMap[time.Duration](maximumEntries), crashes: newBoundedMap[map[uint64]bool](maximumEntries),
-		successes: newBoundedMap[time.Duration](maximumEntries),
+		successes: newBoundedMap[time.Duration](maximumEntries), parts: newSuspectParts(),
 	}
 }
 
@@ -110,18 +114,20 @@
 	return g.version
 }
 
-// ApplyQuarantine applies a list of quarantined requests received from the controllers.
-func (g *Guard) ApplyQuarantine(version uint64, requests []*v1.HeldRequest) {
+// ApplyQuarantine applies a statement received from the controllers.
+func (g *Guard) ApplyQuarantine(statement Statement) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.isUnsupported = false
-	if version == g.version {
+	g.recordPartSupport(statement.TellsParts)
+	if statement.Version == g.version {
 		return
 	}
-	updated := make(map[quarantine.Signature]bool, len(requests))
-	for _, request := range requests {
+	g.applySuspectParts(statement)
+	updated := make(map[quarantine.Signature]bool, len(statement.Requests))
+	for _, request := range statement.Requests {
 		signature, valid := quarantine.SignatureFromBytes(request.GetSignature())
-		if !valid {
+		if !valid || signature.IsPart() { // a leader of a former build lists parts as if they were requests
 			continue
 		}
 		if _, wasListed := g.quarantined[signature]; !wasListed {
@@ -130,7 +136,7 @@
 		updated[signature] = request.GetTrialDue()
 		g.localQuarantine.remove(signature) // from now on the controllers decide when it ends
 	}
-	g.quarantined, g.version = updated, version
+	g.quarantined, g.version = updated, statement.Version
 }
 
 // MarkQuarantineUnsupported records that the controllers send no list of quarantined requests because the leader's version
@@ -138,6 +144,7 @@
 func (g *Guard) MarkQuarantineUnsupported() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	g.recordPartSupport(false)
 	if g.isUnsupported {
 		return
 	}
@@ -152,10 +159,24 @@
 }
 
 // IsQuarantined reports whether a request must not be sent to any back end.
-func (g *Guard) IsQuarantined(signature quarantine.Signature) bool {
+func (g *Guard) IsQuarantined(content quarantine.Content) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.isQuarantinedLocked(signature)
+	return len(g.quarantinedOf(content)) > 0
+}
+
+// quarantinedOf returns the signatures of a request's content that are quarantined. The mutex must be held.
+func (g *Guard) quarantinedOf(content quarantine.Content) []quarantine.Signature {
+	var quarantined []quarantine.Signature
+	if g.isQuarantinedLocked(content.Request) {
+		quarantined = append(quarantined, content.Request)
+	}
+	for _, part := range content.Parts {
+		if g.isPartQuarantined(part) {
+			quarantined = append(quarantined, part)
+		}
+	}
+	return quarantined
 }
 
 func (g *Guard) isQuarantinedLocked(signature quarantine.Signature) bool {
@@ -166,50 +187,87 @@
 	return isLocal && g.options.Now() < until
 }
 
-// Admit decides whether a request may run. If a trial of the request is due, it blocks on a call to the leader for up to
-// trialTimeout.
-func (g *Guard) Admit(ctx context.Context, signature quarantine.Signature) Admission {
+// Admit decides whether a request may run. If trials of all that is quarantined of it are due, it blocks on calls to the leader for
+// up to trialTimeout.
+func (g *Guard) Admit(ctx context.Context, content quarantine.Content) Admission {
 	g.mutex.Lock()
-	quarantined, due := g.isQuarantinedLocked(signature), g.quarantined[signature]
-	if due {
-		g.quarantined[signature] = false // request the trial only once; the controllers announce the next one
-	}
+	quarantined := g.quarantinedOf(content)
+	due := g.takeDueTrials(quarantined)
 	g.mutex.Unlock()
 	switch {
-	case !quarantined:
+	case len(quarantined) == 0:
 		return Allowed
 	case !due:
 		return Quarantined
 	}
 	limited, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
-	granted, err := g.options.Leader.BeginTrial(limited, signature[:])
-	if err != nil {
-		g.options.Observer.LeaderCallFailed(err)
-	}
-	if !granted {
-		return Quarantined
+	for _, signature := range quarantined {
+		granted, err := g.options.Leader.BeginTrial(limited, signature[:])
+		if err != nil {
+			g.options.Observer.LeaderCallFailed(err)
+		}
+		if !granted {
+			return Quarantined
+		}
 	}
 	return Trial
 }
 
+// takeDueTrials reports whether trials of all the quarantined signatures may be requested. Each trial is requested only once; the
+// controllers announce the next one. The mutex must be held.
+func (g *Guard) takeDueTrials(quarantined []quarantine.Signature) bool {
+	for _, signature := range quarantined {
+		if !g.isTrialDue(signature, len(quarantined) > 1) {
+			return false
+		}
+	}
+	for _, signature := range quarantined {
+		if signature.IsPart() {
+			g.parts.takeTrial(signature)
+		} else {
+			g.quarantined[signature] = false
+		}
+	}
+	return true
+}
+
+// isTrialDue reports whether the controllers would grant a trial. isShared is true if the request would be a trial of more than one
+// signature. The mutex must be held.
+func (g *Guard) isTrialDue(signature quarantine.Signature, isShared bool) bool {
+	if signature.IsPart() {
+		return g.parts.isTrialDue(g.options.Now(), signature, isShared)
+	}
+	return g.quarantined[signature]
+}
+
 // trialTimeout limits the wait for the leader to grant a trial. Afterwards the trial is requested again only once the
 // controllers announce it again.
 const trialTimeout = 500 * time.Millisecond
 
 // RecordSuccess records that a back end has completed a request. If the request is quarantined, its quarantine ends here
-// and the leader is asked to end it everywhere.
-func (g *Guard) RecordSuccess(signature quarantine.Signature) {
+// and the leader is asked to end it everywhere; so it is for the parts of its prompt, also if they are only suspected.
+func (g *Guard) RecordSuccess(content quarantine.Content) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.successes.set(signature, g.options.Now())
-	g.crashes.remove(signature)
-	if !g.isQuarantinedLocked(signature) {
+	now := g.options.Now()
+	g.successes.set(content.Request, now)
+	g.crashes.remove(content.Request)
+	released := g.parts.recordSoundRun(now, content.Parts)
+	if g.isQuarantinedLocked(content.Request) {
+		g.localQuarantine.remove(content.Request)
+		delete(g.quarantined, content.Request)
+		released = append(released, content.Request)
+	}
+	g.release(released)
+}
+
+// release queues a report to the leader of requests and parts that have succeeded. The mutex must be held.
+func (g *Guard) release(signatures []quarantine.Signature) {
+	if len(signatures) == 0 {
 		return
 	}
-	g.localQuarantine.remove(signature)
-	delete(g.quarantined, signature)
-	g.unreleased = append(g.unreleased, signature)
+	g.unreleased = append(g.unreleased, signatures...)
 	g.wakeRun()
 }
 
--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -24,6 +24,8 @@
 	trials   int
 	granted  int
 	released []quarantine.Signature
+	// partEnds are the reported crashes by parts of prompts.
+	partEnds []*v1.ReplicaEnd
 }
 
 var errSilent = errors.New("no controller answers")
@@ -41,12 +43,13 @@
 	return nil
 }
 
-func (l *testLeader) ReportReplicaEnds(ctx context.Context, ends []*v1.ReplicaEnd) (quarantined [][]byte, err error) {
+func (l *testLeader) ReportReplicaEnds(ctx context.Context, ends, partEnds []*v1.ReplicaEnd) (quarantined [][]byte, err error) {
 	if err := l.simulateCall(ctx); err != nil {
 		return nil, err
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.partEnds = append(l.partEnds, partEnds...)
 	for _, end := range ends {
 		signature, _ := quarantine.SignatureFromBytes(end.Signature)
 		l.ledger.RecordCrash(signature, end.Replica)
@@ -149,11 +152,11 @@
 func TestThresholdCrashQuarantinesRequest(t *testing.T) {
 	withGuard(t, func(t *testing.T, guard *testGuard) {
 		for number := 1; number < quarantine.QuarantineThreshold; number++ {
-			require.False(t, guard.RecordBrokenRun(crashing, guard.setProbeResult(fmt.Sprint(number), ProbeGone), time.Second))
+			require.False(t, guard.RecordBrokenRun(quarantine.Content{Request: crashing}, guard.setProbeResult(fmt.Sprint(number), ProbeGone), time.Second))
 		}
-		require.True(t, guard.RecordBrokenRun(crashing, guard.setProbeResult("last", ProbeGone), time.Second))
-		require.Equal(t, Quarantined, guard.Admit(t.Context(), crashing))
-		require.Equal(t, Allowed, guard.Admit(t.Context(), sound))
+		require.True(t, guard.RecordBrokenRun(quarantine.Content{Request: crashing}, guard.setProbeResult("last", ProbeGone), time.Second))
+		require.Equal(t, Quarantined, guard.Admit(t.Context(), quarantine.Content{Request: crashing}))
+		require.Equal(t, Allowed, guard.Admit(t.Context(), quarantine.Content{Request: sound}))
 	})
 }
 
@@ -163,7 +166,7 @@
 		for replica := range uint64(quarantine.QuarantineThreshold - 1) {
 			guard.leader.ledger.RecordCrash(crashing, replica)
 		}
-		require.True(t, guard.RecordBrokenRun(crashing, guard.setProbeResult("here", ProbeGone), time.Second))
+		require.True(t, guard.RecordBrokenRun(quarantine.Content{Request: crashing}, guard.setProbeResult("here", ProbeGone), time.Second))
 	})
 }
 
@@ -173,10 +176,10 @@
 		t.Run(name, func(t *testing.T) {
 			withGuard(t, func(t *testing.T, guard *testGuard) {
 				for number := range 10 {
-					require.False(t, guard.RecordBrokenRun(crashing, guard.setProbeResult(fmt.Sprint(number), result), time.Second))
+					require.False(t, guard.RecordBrokenRun(quarantine.Content{Request: crashing}, guard.setProbeResult(fmt.Sprint(number), result), time.Second))
 				}
 				require.Zero(t, guard.leader.crashes(crashing))
-				require.Equal(t, Allowed, guard.Admit(t.Context(), crashing))
+				require.Equal(t, Allowed, guard.Admit(t.Context(), quarantine.Content{Request: crashing}))
 			})
 		})
 	}
@@ -186,10 +189,10 @@
 // incarnation then has its address.
 func TestCrashIsDetectedLater(t *testing.T) {
 	withGuard(t, func(t *testing.T, guard *testGuard) {
-		guard.RecordBrokenRun(crashing, guard.setProbeResult("one", ProbeUnclear), time.Second)
-		guard.RecordBrokenRun(crashing, guard.setProbeResult("two", ProbeServing), time.Second)
-		guard.RecordSilentRun(crashing, "three")
-		guard.RecordSilentRun(crashing, "four")
+		guard.RecordBrokenRun(quarantine.Content{Request: crashing}, guard.setProbeResult("one", ProbeUnclear), time.Second)
+		guard.RecordBrokenRun(quarantine.Content{Request: crashing}, guard.setProbeResult("two", ProbeServing), time.Second)
+		guard.RecordSilentRun(quarantine.Content{Request: crashing}, "three")
+		guard.RecordSilentRun(quarantine.Content{Request: crashing}, "four")
 		for _, replica := range []string{"one", "two", "three"} {
 			guard.RecordCrash(replica)
 			guard.RecordCrash(replica)
@@ -197,8 +200,8 @@
 		guard.RecordCrash("unknown")
 		time.Sleep(100 * time.Millisecond)
 		require.Equal(t, 3, guard.leader.crashes(crashing))
-		require.True(t, guard.IsQuarantined(crashing))
-		guard.RecordSilentRun(sound, "three")
+		require.True(t, guard.IsQuarantined(quarantine.Content{Request: crashing}))
+		guard.RecordSilentRun(quarantine.Content{Request: sound}, "three")
 		time.Sleep(100 * time.Millisecond)
 		require.Equal(t, 1, guard.leader.crashes(sound), "it ran on a crashed back end and was detected later")
 		time.Sleep(brokenRunRetention)
@@ -214,17 +217,17 @@
 		replica := guard.setProbeResult("one", ProbeGone)
 		var running sync.WaitGroup
 		for range 20 {
-			running.Go(func() { guard.RecordBrokenRun(crashing, replica, time.Second) })
-			running.Go(func() { guard.RecordBrokenRun(sound, replica, time.Second) })
+			running.Go(func() { guard.RecordBrokenRun(quarantine.Content{Request: crashing}, replica, time.Second) })
+			running.Go(func() { guard.RecordBrokenRun(quarantine.Content{Request: sound}, replica, time.Second) })
 		}
 		running.Wait()
 		require.Equal(t, 1, guard.probes)
 		require.Equal(t, 1, guard.leader.crashes(crashing))
 		require.Equal(t, 1, guard.leader.crashes(sound))
-		require.False(t, guard.IsQuarantined(crashing))
+		require.False(t, guard.IsQuarantined(quarantine.Content{Request: crashing}))
 		serving := guard.setProbeResult("two", ProbeServing)
 		for range 20 {
-			guard.RecordBrokenRun(crashing, serving, time.Second)
+			guard.RecordBrokenRun(quarantine.Content{Request: crashing}, serving, time.Second)
 		}
 		require.Equal(t, 2, guard.probes, "a back end that was found serving is not probed again immediately")
 	})
@@ -236,47 +239,47 @@
 		guard.leader.setSilent(true)
 		began := time.Now()
 		for number := range quarantine.QuarantineThreshold {
-			guard.RecordBrokenRun(crashing, guard.setProbeResult(fmt.Sprint(number), ProbeGone), 300*time.Millisecond)
+			guard.RecordBrokenRun(quarantine.Content{Request: crashing}, guard.setProbeResult(fmt.Sprint(number), ProbeGone), 300*time.Millisecond)
 		}
-		require.True(t, guard.IsQuarantined(crashing))
+		require.True(t, guard.IsQuarantined(quarantine.Content{Request: crashing}))
 		require.LessOrEqual(t, time.Since(began), time.Duration(quarantine.QuarantineThreshold)*300*time.Millisecond, "no caller waits long")
 		guard.leader.setSilent(false)
 		time.Sleep(2 * time.Second)
 		require.Equal(t, quarantine.QuarantineThreshold, guard.leader.crashes(crashing))
 		time.Sleep(localQuarantineTime)
-		require.False(t, guard.IsQuarantined(crashing), "no controller quarantines it")
+		require.False(t, guard.IsQuarantined(quarantine.Content{Request: crashing}), "no controller quarantines it")
 	})
 }
 
 func TestTrialIsRequestedOnce(t *testing.T) {
 	withGuard(t, func(t *testing.T, guard *testGuard) {
 		guard.leader.granted = 1
-		guard.ApplyQuarantine(7, []*v1.HeldRequest{{Signature: crashing[:]}, {Signature: []byte("short")}})
-		require.Equal(t, Quarantined, guard.Admit(t.Context(), crashing))
+		guard.ApplyQuarantine(Statement{Version: 7, Requests: []*v1.HeldRequest{{Signature: crashing[:]}, {Signature: []byte("short")}}})
+		require.Equal(t, Quarantined, guard.Admit(t.Context(), quarantine.Content{Request: crashing}))
 		require.Zero(t, guard.leader.trials, "none is due")
-		guard.ApplyQuarantine(8, []*v1.HeldRequest{{Signature: crashing[:], TrialDue: true}})
-		require.Equal(t, Trial, guard.Admit(t.Context(), crashing))
-		require.Equal(t, Quarantined, guard.Admit(t.Context(), crashing))
+		guard.ApplyQuarantine(Statement{Version: 8, Requests: []*v1.HeldRequest{{Signature: crashing[:], TrialDue: true}}})
+		require.Equal(t, Trial, guard.Admit(t.Context(), quarantine.Content{Request: crashing}))
+		require.Equal(t, Quarantined, guard.Admit(t.Context(), quarantine.Content{Request: crashing}))
 		require.Equal(t, 1, guard.leader.trials)
-		guard.ApplyQuarantine(9, []*v1.HeldRequest{{Signature: crashing[:], TrialDue: true}})
-		require.Equal(t, Quarantined, guard.Admit(t.Context(), crashing), "the trial was granted to another node")
+		guard.ApplyQuarantine(Statement{Version: 9, Requests: []*v1.HeldRequest{{Signature: crashing[:], TrialDue: true}}})
+		require.Equal(t, Quarantined, guard.Admit(t.Context(), quarantine.Content{Request: crashing}), "the trial was granted to another node")
 		guard.leader.setSilent(true)
-		guard.ApplyQuarantine(10, []*v1.HeldRequest{{Signature: crashing[:], TrialDue: true}})
-		require.Equal(t, Quarantined, guard.Admit(t.Context(), crashing), "the leader did not answer")
+		guard.ApplyQuarantine(Statement{Version: 10, Requests: []*v1.HeldRequest{{Signature: crashing[:], TrialDue: true}}})
+		require.Equal(t, Quarantined, guard.Admit(t.Context(), quarantine.Content{Request: crashing}), "the leader did not answer")
 	})
 }
 
 func TestSuccessfulRunReleasesRequest(t *testing.T) {
 	withGuard(t, func(t *testing.T, guard *testGuard) {
-		guard.ApplyQuarantine(7, []*v1.HeldRequest{{Signature: crashing[:]}})
+		guard.ApplyQuarantine(Statement{Version: 7, Requests: []*v1.HeldRequest{{Signature: crashing[:]}}})
 		guard.leader.setSilent(true)
-		guard.RecordSuccess(crashing)
-		require.Equal(t, Allowed, guard.Admit(t.Context(), crashing))
+		guard.RecordSuccess(quarantine.Content{Request: crashing})
+		require.Equal(t, Allowed, guard.Admit(t.Context(), quarantine.Content{Request: crashing}))
 		time.Sleep(2 * time.Second)
 		guard.leader.setSilent(false)
 		time.Sleep(2 * time.Second)
 		require.Equal(t, []quarantine.Signature{crashing}, guard.leader.released)
-		guard.ApplyQuarantine(9, nil)
+		guard.ApplyQuarantine(Statement{Version: 9})
 		require.Zero(t, guard.QuarantinedCount())
 	})
 }
@@ -284,13 +287,13 @@
 // A popular page that was served moments ago must not be quarantined because a whole rack failed.
 func TestRequestsThatRunWellAreNotSuspected(t *testing.T) {
 	withGuard(t, func(t *testing.T, guard *testGuard) {
-		guard.RecordSuccess(sound)
+		guard.RecordSuccess(quarantine.Content{Request: sound})
 		for number := range 5 {
-			require.False(t, guard.RecordBrokenRun(sound, guard.setProbeResult(fmt.Sprint(number), ProbeGone), time.Second))
+			require.False(t, guard.RecordBrokenRun(quarantine.Content{Request: sound}, guard.setProbeResult(fmt.Sprint(number), ProbeGone), time.Second))
 		}
 		require.Zero(t, guard.leader.crashes(sound))
 		time.Sleep(successRetention)
-		guard.RecordBrokenRun(sound, guard.setProbeResult("late", ProbeGone), time.Second)
+		guard.RecordBrokenRun(quarantine.Content{Request: sound}, guard.setProbeResult("late", ProbeGone), time.Second)
 		require.Equal(t, 1, guard.leader.crashes(sound), "the last success is too old")
 	})
 }
@@ -300,17 +303,17 @@
 		guard.leader.setSilent(true)
 		for number := range 3 * maximumEntries {
 			signature := quarantine.SignatureOf("", "", fmt.Sprint(number), nil)
-			guard.RecordSilentRun(signature, "one")
-			guard.RecordSilentRun(signature, fmt.Sprint("replica ", number))
+			guard.RecordSilentRun(quarantine.Content{Request: signature}, "one")
+			guard.RecordSilentRun(quarantine.Content{Request: signature}, fmt.Sprint("replica ", number))
 			guard.RecordCrash(fmt.Sprint("replica ", number))
-			guard.RecordSuccess(signature)
+			guard.RecordSuccess(quarantine.Content{Request: signature})
 		}
 		require.LessOrEqual(t, len(guard.replicaStates()["one"].brokenRuns), maximumBrokenRuns)
 		require.LessOrEqual(t, len(guard.unreported), maximumUnreported)
 		require.LessOrEqual(t, len(guard.successes.values), maximumEntries)
 		require.LessOrEqual(t, len(guard.crashes.values), maximumEntries)
 		time.Sleep(2 * brokenRunRetention)
-		guard.RecordSilentRun(crashing, "two")
+		guard.RecordSilentRun(quarantine.Content{Request: crashing}, "two")
 		require.Len(t, guard.replicaStates(), 1)
 		guard.leader.setSilent(false)
 	})
@@ -321,7 +324,7 @@
 
 func TestReplicasAreIdentifiedByIncarnation(t *testing.T) {
 	withGuard(t, func(t *testing.T, guard *testGuard) {
-		guard.RecordBrokenRun(crashing, guard.setProbeResult("one", ProbeGone), time.Second)
+		guard.RecordBrokenRun(quarantine.Content{Request: crashing}, guard.setProbeResult("one", ProbeGone), time.Second)
 		require.Equal(t, []uint64{xxhash.Sum64String("one")}, guard.leader.ledger.Suspect(crashing).Replicas)
 	})
 }
--- a/internal/crashguard/leader_client.go
+++ b/internal/crashguard/leader_client.go
@@ -16,8 +16,8 @@
 }
 
 // ReportReplicaEnds implements Leader.
-func (c LeaderClient) ReportReplicaEnds(ctx context.Context, ends []*v1.ReplicaEnd) ([][]byte, error) {
-	response, err := c.Client().ReportReplicaEnds(ctx, connect.NewRequest(&v1.ReportReplicaEndsRequest{Ends: ends}))
+func (c LeaderClient) ReportReplicaEnds(ctx context.Context, ends, partEnds []*v1.ReplicaEnd) ([][]byte, error) {
+	response, err := c.Client().ReportReplicaEnds(ctx, connect.NewRequest(&v1.ReportReplicaEndsRequest{Ends: ends, PartEnds: partEnds}))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/crashguard/replica_state.go
+++ b/internal/crashguard/replica_state.go
@@ -25,8 +25,8 @@
 
 // brokenRun is a run whose connection broke.
 type brokenRun struct {
-	signature quarantine.Signature
-	at        time.Duration
+	content quarantine.Content
+	at      time.Duration
 }
 
 // maximumBrokenRuns limits the broken runs stored per back end.
@@ -35,14 +35,14 @@
 // RecordBrokenRun records that the connection to a back end broke while the back end ran a request, and checks whether the
 // back end has crashed. With a positive wait it blocks until a crash has been reported to the leader, or for at most that
 // duration. It reports whether the request is quarantined then.
-func (g *Guard) RecordBrokenRun(signature quarantine.Signature, replica Replica, wait time.Duration) (quarantined bool) {
+func (g *Guard) RecordBrokenRun(content quarantine.Content, replica Replica, wait time.Duration) (quarantined bool) {
 	g.mutex.Lock()
-	if g.hasRecentSuccess(signature) {
+	if g.hasRecentSuccess(content.Request) {
 		g.mutex.Unlock()
 		return false
 	}
 	now := g.options.Now()
-	current := g.recordRun(signature, replica.ID, now)
+	current := g.recordRun(content, replica.ID, now)
 	var reported <-chan struct{}
 	switch {
 	case current.crashed:
@@ -63,31 +63,31 @@
 		case <-timer.C:
 		}
 	}
-	return g.IsQuarantined(signature)
+	return g.IsQuarantined(content)
 }
 
 // RecordSilentRun records that a back end has sent nothing for a long time while it ran a request. It may have crashed or
 // be unreachable, so the run counts only once the back end is known to have crashed.
-func (g *Guard) RecordSilentRun(signature quarantine.Signature, replica string) {
+func (g *Guard) RecordSilentRun(content quarantine.Content, replica string) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.hasRecentSuccess(signature) {
+	if g.hasRecentSuccess(content.Request) {
 		return
 	}
-	if current := g.recordRun(signature, replica, g.options.Now()); current.crashed {
+	if current := g.recordRun(content, replica, g.options.Now()); current.crashed {
 		g.reportBrokenRuns(replica, current)
 	}
 }
 
 // recordRun stores a broken run. The mutex must be held.
-func (g *Guard) recordRun(signature quarantine.Signature, replica string, now time.Duration) *replicaState {
+func (g *Guard) recordRun(content quarantine.Content, replica string, now time.Duration) *replicaState {
 	g.removeStale(now)
 	current := g.replicas[replica]
 	if current == nil {
 		current = &replicaState{}
 		g.replicas[replica] = current
 	}
-	current.brokenRuns = append(current.brokenRuns, brokenRun{signature: signature, at: now})
+	current.brokenRuns = append(current.brokenRuns, brokenRun{content: content, at: now})
 	current.brokenRuns = current.brokenRuns[max(len(current.brokenRuns)-maximumBrokenRuns, 0):]
 	return current
 }
@@ -138,12 +138,22 @@
 func (g *Guard) reportBrokenRuns(replica string, current *replicaState) <-chan struct{} {
 	now, hash := g.options.Now(), xxhash.Sum64String(replica)
 	pending := &report{done: make(chan struct{})}
+	reportedParts := map[quarantine.Signature]bool{}
 	for _, run := range current.brokenRuns {
-		if now-run.at >= brokenRunRetention || g.hasRecentSuccess(run.signature) {
+		request := run.content.Request
+		if now-run.at >= brokenRunRetention || g.hasRecentSuccess(request) {
 			continue
 		}
-		pending.ends = append(pending.ends, &v1.ReplicaEnd{Signature: run.signature[:], Replica: hash})
-		g.recordLocalCrash(run.signature, hash, now)
+		pending.ends = append(pending.ends, &v1.ReplicaEnd{Signature: request[:], Replica: hash})
+		g.recordLocalCrash(request, hash, now)
+		for _, part := range run.content.Parts {
+			if reportedParts[part] {
+				continue
+			}
+			reportedParts[part] = true
+			pending.partEnds = append(pending.partEnds, &v1.ReplicaEnd{Signature: part[:], Replica: hash})
+			g.parts.recordCrash(now, part, hash)
+		}
 	}
 	current.brokenRuns = nil
 	if len(pending.ends) == 0 {
--- a/internal/crashguard/report.go
+++ b/internal/crashguard/report.go
@@ -23,6 +23,8 @@
 // report is a report to the leader about one crashed back end.
 type report struct {
 	ends []*v1.ReplicaEnd
+	// partEnds are the same by the parts of the requests' prompts.
+	partEnds []*v1.ReplicaEnd
 	// done is closed once the leader has answered.
 	done chan struct{}
 }
@@ -68,15 +70,17 @@
 	if len(reports) == 0 {
 		return true
 	}
-	var ends []*v1.ReplicaEnd
+	var ends, partEnds []*v1.ReplicaEnd
 	for _, each := range reports {
 		ends = append(ends, each.ends...)
+		partEnds = append(partEnds, each.partEnds...)
 	}
 	limited, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	quarantined, err := g.options.Leader.ReportReplicaEnds(limited, ends)
+	quarantined, err := g.options.Leader.ReportReplicaEnds(limited, ends, partEnds)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	g.isLeaderSilent = err != nil
 	if err != nil {
 		g.options.Observer.LeaderCallFailed(err)
 		g.unreported = append(reports, g.unreported...)
@@ -103,7 +107,7 @@
 	}
 }
 
-// sendReleases reports quarantined requests that have succeeded to the leader; false if a call must be retried.
+// sendReleases reports quarantined requests, and suspect parts of prompts, that have succeeded to the leader; false if a call must be retried.
 func (g *Guard) sendReleases(ctx context.Context, released []quarantine.Signature) bool {
 	for index, signature := range released {
 		limited, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/internal/crashguard/silence_test.go
+++ b/internal/crashguard/silence_test.go
@@ -17,19 +17,19 @@
 	guard := New(Options{Now: func() time.Duration { return now }, Observer: silentObserver{}})
 	signature := quarantine.SignatureOf("", "", "", []byte("held"))
 	requests := []*v1.HeldRequest{{Signature: signature[:]}}
-	guard.ApplyQuarantine(7, requests)
+	guard.ApplyQuarantine(Statement{Version: 7, Requests: requests})
 	for ; now < localQuarantineTime; now += time.Second {
 		guard.MarkQuarantineUnsupported()
-		require.True(t, guard.IsQuarantined(signature))
+		require.True(t, guard.IsQuarantined(quarantine.Content{Request: signature}))
 	}
-	require.False(t, guard.IsQuarantined(signature))
+	require.False(t, guard.IsQuarantined(quarantine.Content{Request: signature}))
 	require.Equal(t, uint64(7), guard.QuarantineVersion())
-	guard.ApplyQuarantine(7, nil)
-	require.True(t, guard.IsQuarantined(signature), "the same version is sent without its content")
+	guard.ApplyQuarantine(Statement{Version: 7})
+	require.True(t, guard.IsQuarantined(quarantine.Content{Request: signature}), "the same version is sent without its content")
 	guard.MarkQuarantineUnsupported()
-	require.True(t, guard.IsQuarantined(signature))
-	guard.ApplyQuarantine(0, nil)
-	require.False(t, guard.IsQuarantined(signature))
+	require.True(t, guard.IsQuarantined(quarantine.Content{Request: signature}))
+	guard.ApplyQuarantine(Statement{})
+	require.False(t, guard.IsQuarantined(quarantine.Content{Request: signature}))
 }
 
 type silentObserver struct{}
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -85,9 +85,9 @@
 		sequence:    stream.NewSequence(target.kind.Spec.GetRepeatable(), g.safeguards),
 		interrupter: &upstream.Interrupter{},
 		key:         idempotencyKey(context),
-		signature:   quarantine.SignatureOf(tenant.Name, http.MethodPost, string(context.Path()), context.PostBody()),
+		content:     quarantine.ContentOf(tenant.Name, http.MethodPost, string(context.Path()), context.PostBody(), request.sharedPartIDs()),
 	}
-	if completion.isTrial, fault = g.checkQuarantine(completion.signature); fault != nil {
+	if completion.isTrial, fault = g.checkQuarantine(completion.content); fault != nil {
 		return nil, fault
 	}
 	completion.wholeOnly = completion.isTrial // a quarantine trial may reach only one engine
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -58,9 +58,9 @@
 	attempts attempts
 	resumes  int
 	excluded []string
-	// signature identifies equal requests for the quarantine. isTrial is set for a quarantined request that may be
-	// sent to one engine once, isQuarantined for one that must not be sent to any engine again.
-	signature     quarantine.Signature
+	// content identifies the request and the parts of its prompt for the quarantine. isTrial is set for a quarantined request
+	// that may be sent to one engine once, isQuarantined for one that must not be sent to any engine again.
+	content       quarantine.Content
 	isTrial       bool
 	isQuarantined bool
 	// wholeOnly is set after a failed KV transfer and for a trial: one engine must serve the whole request.
--- a/internal/gateway/completion_connect.go
+++ b/internal/gateway/completion_connect.go
@@ -109,8 +109,8 @@
 // startExchange picks engines and sends the request to them. It returns a refusal when the request must end. When it
 // returns nil and c.answer is still nil, another attempt may follow.
 func (c *completion) startExchange() *refusal {
-	if c.isQuarantined = c.isQuarantined || !c.isTrial && c.gateway.guard.IsQuarantined(c.signature); c.isQuarantined {
-		return c.refusal(refuseQuarantined())
+	if c.isQuarantined = c.isQuarantined || !c.isTrial && c.gateway.guard.IsQuarantined(c.content); c.isQuarantined {
+		return c.refusal(refuseQuarantined(c.gateway.guard.RetryAfter(c.content)))
 	}
 	if c.isTrial && c.attempts.started > 0 || !c.gateway.mayStartExchange(c.attempts) {
 		return c.refusal(c.attempts.refuseExhausted())
--- a/internal/gateway/completion_end.go
+++ b/internal/gateway/completion_end.go
@@ -28,7 +28,7 @@
 // reportBrokenRun makes the crash guard find out whether the engine that broke off the request has crashed. It waits for
 // the result for at most the time wait, and not beyond the request's deadline.
 func (c *completion) reportBrokenRun(engine routing.BackEnd, wait time.Duration) {
-	c.isQuarantined = c.gateway.guard.RecordBrokenRun(c.signature, replicaOf(engine), min(wait, c.deadline-c.gateway.clock.now()))
+	c.isQuarantined = c.gateway.guard.RecordBrokenRun(c.content, replicaOf(engine), min(wait, c.deadline-c.gateway.clock.now()))
 }
 
 // giveUp cancels the exchange that may be running and returns the refusal with the verdict that
@@ -59,7 +59,7 @@
 // completeAnswer ends the exchange after the last event of the answer.
 func (c *completion) completeAnswer() {
 	c.done, c.isComplete = true, true
-	c.gateway.guard.RecordSuccess(c.signature)
+	c.gateway.guard.RecordSuccess(c.content)
 	c.mayBeRunning = false
 	// Reading the end of the body, which follows [DONE], makes the connection reusable.
 	if _, err := c.scanner.Next(); errors.Is(err, io.EOF) {
--- a/internal/gateway/page.go
+++ b/internal/gateway/page.go
@@ -27,10 +27,10 @@
 	watch       *callerWatch
 	// key is the caller's idempotency key; it is empty when there is none.
 	key string
-	// signature identifies equal requests for the quarantine. isTrial is set for a quarantined request that may
+	// content identifies equal requests for the quarantine. isTrial is set for a quarantined request that may
 	// be sent to one back end once.
-	signature quarantine.Signature
-	isTrial   bool
+	content quarantine.Content
+	isTrial bool
 }
 
 // pageAnswer is the complete answer of a page service.
@@ -100,8 +100,8 @@
 		Deadline:    g.clock.time(page.deadline),
 		Interrupter: page.interrupter,
 	}
-	page.signature = quarantine.SignatureOf(tenant.Name, page.message.Method, page.message.Target, page.message.Body)
-	if page.isTrial, fault = g.checkQuarantine(page.signature); fault != nil {
+	page.content = quarantine.ContentOf(tenant.Name, page.message.Method, page.message.Target, page.message.Body, nil)
+	if page.isTrial, fault = g.checkQuarantine(page.content); fault != nil {
 		return nil, fault
 	}
 	return page, nil
--- a/internal/gateway/page_exchange.go
+++ b/internal/gateway/page_exchange.go
@@ -14,8 +14,8 @@
 		if fault := p.gateway.checkActive(p.interrupter, p.deadline); fault != nil {
 			return nil, p.refusal(fault)
 		}
-		if !p.isTrial && p.gateway.guard.IsQuarantined(p.signature) {
-			return nil, p.refusal(refuseQuarantined())
+		if !p.isTrial && p.gateway.guard.IsQuarantined(p.content) {
+			return nil, p.refusal(refuseQuarantined(p.gateway.guard.RetryAfter(p.content)))
 		}
 		if p.isTrial && p.attempts.started > 0 || !p.gateway.mayStartExchange(p.attempts) {
 			return nil, p.refusal(p.attempts.refuseExhausted())
@@ -28,7 +28,7 @@
 		}
 		answer, failure := p.exchange(choice.BackEnd)
 		if failure == nil {
-			p.gateway.guard.RecordSuccess(p.signature)
+			p.gateway.guard.RecordSuccess(p.content)
 			return answer, nil
 		}
 		p.gateway.log.Info().Err(failure).Str("back_end", choice.BackEnd.Name).Msg("exchange failed")
@@ -55,7 +55,7 @@
 	if !p.kind.Spec.GetRepeatable() {
 		wait = 0
 	}
-	p.gateway.guard.RecordBrokenRun(p.signature, replicaOf(backEnd), min(wait, p.deadline-p.gateway.clock.now()))
+	p.gateway.guard.RecordBrokenRun(p.content, replicaOf(backEnd), min(wait, p.deadline-p.gateway.clock.now()))
 }
 
 // exchange sends the request to one back end and reads the complete answer.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -66,12 +66,12 @@
 }
 
 // checkQuarantine refuses a quarantined request, and reports whether the request may run as a trial.
-func (g *Gateway) checkQuarantine(signature quarantine.Signature) (trial bool, fault *refusal) {
-	switch g.guard.Admit(context.Background(), signature) {
+func (g *Gateway) checkQuarantine(content quarantine.Content) (trial bool, fault *refusal) {
+	switch g.guard.Admit(context.Background(), content) {
 	case crashguard.Quarantined:
-		return false, refuseQuarantined()
+		return false, refuseQuarantined(g.guard.RetryAfter(content))
 	case crashguard.Trial:
-		g.log.Warn().Stringer("content", signature).Msg("a held request is sent to one back end once more")
+		g.log.Warn().Stringer("content", content.Request).Msg("a held request is sent to one back end once more")
 		return true, nil
 	default:
 		return false, nil
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -69,11 +69,33 @@
 	informed map[string]bool
 	// omitsQuarantine makes the answers omit the quarantine, as controllers of the first format do.
 	omitsQuarantine bool
+	// partCrashes counts the reported crashes by parts of prompts.
+	partCrashes map[quarantine.Signature]int
+}
+
+// partCrashCount returns the number of reported crashes under a part.
+func (c *quarantiningController) partCrashCount(part quarantine.Signature) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.partCrashes[part]
+}
+
+// quarantinePart quarantines a part of prompts, as the controllers do.
+func (c *quarantiningController) quarantinePart(part quarantine.Signature) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for replica := range uint64(quarantine.PartThreshold) {
+		c.ledger.RecordCrash(part, replica)
+	}
+	c.ledger.GrantTrial(part, 0)
 }
 
 // quarantineVersion is the version of a quarantine that is not empty.
 const quarantineVersion = 7
 
+// partVersionStep makes the version of the quarantine differ with the number of suspect parts.
+const partVersionStep = 100
+
 // Sync implements the node service: each answer contains the quarantined requests.
 func (c *quarantiningController) Sync(ctx context.Context, request *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error) {
 	response, err := c.testController.Sync(ctx, request)
@@ -88,7 +110,12 @@
 			response.Msg.Held = append(response.Msg.Held, &v1.HeldRequest{Signature: suspect.Signature[:]})
 		}
 	}
-	c.informed[request.Msg.GetNode().GetName()] = request.Msg.GetHeldVersion() == quarantineVersion
+	response.Msg.TellsParts = !c.omitsQuarantine
+	for _, part := range c.ledger.SuspectParts() {
+		response.Msg.HeldVersion += partVersionStep
+		response.Msg.SuspectParts = append(response.Msg.SuspectParts, &v1.SuspectPart{Signature: part.Signature[:], Quarantined: part.IsQuarantined()})
+	}
+	c.informed[request.Msg.GetNode().GetName()] = request.Msg.GetHeldVersion() != 0 && request.Msg.GetHeldVersion() == response.Msg.GetHeldVersion()
 	return response, nil
 }
 
@@ -121,6 +148,10 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	response := &v1.ReportReplicaEndsResponse{}
+	for _, end := range request.Msg.PartEnds {
+		signature, _ := quarantine.SignatureFromBytes(end.Signature)
+		c.partCrashes[signature]++
+	}
 	for _, end := range request.Msg.Ends {
 		signature, _ := quarantine.SignatureFromBytes(end.Signature)
 		c.ledger.RecordCrash(signature, end.Replica)
@@ -179,7 +210,7 @@
 			for number := range 8 {
 				backEnds = append(backEnds, plane.row(number, ending.start(t, plane.sound(t, number))))
 			}
-			controller := &quarantiningController{testController: startController(t, backEnds...), ledger: quarantine.NewLedger(), informed: map[string]bool{}}
+			controller := &quarantiningController{testController: startController(t, backEnds...), ledger: quarantine.NewLedger(), informed: map[string]bool{}, partCrashes: map[quarantine.Signature]int{}}
 			controller.serveAs(t, controller)
 			var gateways []*testGateway
 			for number := range 2 {
@@ -241,13 +272,13 @@
 			}
 			signature := quarantine.SignatureOf("", "POST", "/", []byte("x"))
 			for number := range quarantine.QuarantineThreshold {
-				guard.RecordBrokenRun(signature, replicaOf(start(number, 1)), time.Second)
+				guard.RecordBrokenRun(quarantine.Content{Request: signature}, replicaOf(start(number, 1)), time.Second)
 			}
 			if !shownBefore {
-				require.False(t, guard.IsQuarantined(signature), "it serves")
+				require.False(t, guard.IsQuarantined(quarantine.Content{Request: signature}), "it serves")
 				show(2)
 			}
-			require.Eventually(t, func() bool { return guard.IsQuarantined(signature) }, time.Minute, time.Millisecond)
+			require.Eventually(t, func() bool { return guard.IsQuarantined(quarantine.Content{Request: signature}) }, time.Minute, time.Millisecond)
 		})
 	}
 }
@@ -256,7 +287,7 @@
 // first format, which sends no quarantine, answers.
 func TestGatewaysHoldRequestsOnUnderAControllerThatKnowsOfNone(t *testing.T) {
 	signature := quarantine.SignatureOf("", "", "", []byte("held"))
-	controller := &quarantiningController{testController: startController(t), ledger: quarantine.NewLedger(), informed: map[string]bool{}}
+	controller := &quarantiningController{testController: startController(t), ledger: quarantine.NewLedger(), informed: map[string]bool{}, partCrashes: map[quarantine.Signature]int{}}
 	for replica := range uint64(quarantine.QuarantineThreshold) {
 		controller.ledger.RecordCrash(signature, replica)
 	}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -12,7 +12,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/routing"
 	"github.com/hazelpitch/hazelpitch/internal/stream"
@@ -139,10 +138,11 @@
 		"the deadline of the request's kind has passed").after(time.Second)
 }
 
-// refuseQuarantined refuses a request that has crashed back ends.
-func refuseQuarantined() *refusal {
+// refuseQuarantined refuses a request that has crashed back ends, or of whose prompt a part has. It may be tried again after the
+// given time.
+func refuseQuarantined(retryAfter time.Duration) *refusal {
 	return refuse(http.StatusServiceUnavailable, typeServer, codeRequestQuarantined,
-		"back ends have ended while they ran this request; it is held for a while").after(crashguard.QuarantineRetryAfter)
+		"back ends have ended while they ran this request; it is held for a while").after(retryAfter)
 }
 
 // Causes of interruptions.
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -71,6 +71,7 @@
 func (c *Control) sendReport(ctx context.Context, demandedAt time.Duration, request *v1.ReportRequest) error {
 	limits := c.dispatcher.unreportedLimits()
 	request.Limits = fleetlimit.LimitsToWire(limits)
+	request.SoundRuns = c.guard.TakeSoundRuns()
 	response, err := c.controllers.report(ctx, request)
 	if err != nil {
 		return err
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
@@ -82,7 +83,9 @@
 	}
 	switch {
 	case response.GetTellsHeld() || response.GetHeldVersion() != 0:
-		c.guard.ApplyQuarantine(response.GetHeldVersion(), response.GetHeld())
+		c.guard.ApplyQuarantine(crashguard.Statement{
+			Version: response.GetHeldVersion(), Requests: response.GetHeld(), TellsParts: response.GetTellsParts(), Parts: response.GetSuspectParts(),
+		})
 	case !response.GetBehind():
 		c.guard.MarkQuarantineUnsupported()
 	}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -19,23 +19,42 @@
 	maximumReplicas = 16
 )
 
-// Suspect is a request under which replicas have crashed.
+// Suspect is a request, or a part of prompts, under which replicas have crashed.
 type Suspect struct {
 	Signature Signature
 	// Replicas are hashes of the identities of the replicas' incarnations.
 	Replicas []uint64
-	// Trials is the number of trials granted during the quarantine.
+	// Trials is the number of trials granted during the quarantine. For a part, the first one is the decision to quarantine it,
+	// see PartHearing.
 	Trials uint32
 }
 
-// IsQuarantined reports whether the request must not be sent to any replica.
-func (s *Suspect) IsQuarantined() bool { return len(s.Replicas) >= QuarantineThreshold }
+// IsQuarantined reports whether the request, or requests with the part, must not be sent to any replica.
+func (s *Suspect) IsQuarantined() bool {
+	if s.Signature.IsPart() {
+		return s.Trials > 0
+	}
+	return s.hasReachedThreshold()
+}
+
+// hasReachedThreshold reports whether the ledger grants trials for the entry and counts it towards MaximumQuarantined. Builds that do not
+// know parts apply the same commands, so that the ledger itself treats the entries of parts like those of requests.
+func (s *Suspect) hasReachedThreshold() bool { return len(s.Replicas) >= QuarantineThreshold }
+
+// grantedTrials returns the number of attempts that were granted during the quarantine.
+func (s *Suspect) grantedTrials() uint32 {
+	if s.Signature.IsPart() && s.Trials > 0 {
+		return s.Trials - 1
+	}
+	return s.Trials
+}
 
-// Ledger is the replicated record of requests under which replicas have crashed.
+// Ledger is the replicated record of requests, and of parts of prompts, under which replicas have crashed.
 type Ledger struct {
 	// suspects are in the order in which they were first reported.
-	suspects         []*Suspect
-	bySignature      map[Signature]*Suspect
+	suspects    []*Suspect
+	bySignature map[Signature]*Suspect
+	// quarantinedCount is the number of entries that have reached the threshold.
 	quarantinedCount int
 	// version increases with each change; it is not part of the replicated state.
 	version uint64
@@ -70,9 +89,9 @@
 	if slices.Contains(suspect.Replicas, replica) || len(suspect.Replicas) >= maximumReplicas {
 		return
 	}
-	wasQuarantined := suspect.IsQuarantined()
+	hadReachedThreshold := suspect.hasReachedThreshold()
 	suspect.Replicas = append(suspect.Replicas, replica)
-	if !wasQuarantined && suspect.IsQuarantined() {
+	if !hadReachedThreshold && suspect.hasReachedThreshold() {
 		l.quarantinedCount++
 	}
 	l.version++
@@ -83,7 +102,7 @@
 // of. It returns false if the request is not quarantined or if another trial has been granted in the meantime.
 func (l *Ledger) GrantTrial(signature Signature, grantedBefore uint32) bool {
 	suspect := l.bySignature[signature]
-	if suspect == nil || !suspect.IsQuarantined() || suspect.Trials != grantedBefore {
+	if suspect == nil || !suspect.hasReachedThreshold() || suspect.Trials != grantedBefore {
 		return false
 	}
 	suspect.Trials++
@@ -97,7 +116,7 @@
 	if suspect == nil {
 		return
 	}
-	if suspect.IsQuarantined() {
+	if suspect.hasReachedThreshold() {
 		l.quarantinedCount--
 	}
 	delete(l.bySignature, signature)
@@ -108,7 +127,7 @@
 func (l *Ledger) add(suspect *Suspect) {
 	l.bySignature[suspect.Signature] = suspect
 	l.suspects = append(l.suspects, suspect)
-	if suspect.IsQuarantined() {
+	if suspect.hasReachedThreshold() {
 		l.quarantinedCount++
 	}
 	l.version++
@@ -128,7 +147,7 @@
 // removeOldest removes the oldest request that is quarantined, or the oldest that is not.
 func (l *Ledger) removeOldest(quarantined bool) {
 	for _, suspect := range l.suspects {
-		if suspect.IsQuarantined() == quarantined {
+		if suspect.hasReachedThreshold() == quarantined {
 			l.Release(suspect.Signature)
 			return
 		}
--- a/internal/quarantine/trial_scheduler.go
+++ b/internal/quarantine/trial_scheduler.go
@@ -7,6 +7,10 @@
 // its first minutes, and later one per hour.
 var trialWaits = []time.Duration{3 * time.Second, 10 * time.Second, time.Minute, 10 * time.Minute, time.Hour}
 
+// partTrialWaits are the same for parts of prompts. A part that crashes replicas costs three of them in the first minutes, as many
+// as the users allow, and further ones are rare.
+var partTrialWaits = []time.Duration{3 * time.Second, 10 * time.Second, time.Minute, 12 * time.Hour}
+
 const (
 	// suspectRetention is how long a request that is not quarantined is stored without a further replica crash.
 	suspectRetention = 10 * time.Minute
@@ -52,18 +56,32 @@
 	s.observations = observations
 }
 
-// TrialDue reports whether a quarantined request has waited long enough for its next trial.
+// TrialDue reports whether a quarantined request or part has waited long enough for its next trial.
 func (s *TrialScheduler) TrialDue(now time.Duration, suspect *Suspect) bool {
+	wait, known := s.WaitForTrial(now, suspect)
+	return known && wait == 0
+}
+
+// WaitForTrial returns the time until the next trial of a quarantined request or part; false if it is not quarantined or was not
+// observed.
+func (s *TrialScheduler) WaitForTrial(now time.Duration, suspect *Suspect) (wait time.Duration, known bool) {
 	observed, known := s.observations[suspect.Signature]
-	return known && suspect.IsQuarantined() && now-observed.since >= waitAfter(suspect.Trials)
+	if !known || !suspect.IsQuarantined() {
+		return 0, false
+	}
+	return max(observed.since+waitBeforeTrial(suspect)-now, 0), true
 }
 
-// waitAfter returns the duration of the quarantine after this number of trials.
-func waitAfter(trials uint32) time.Duration {
-	return trialWaits[min(int(trials), len(trialWaits)-1)]
+// waitBeforeTrial returns the duration of the quarantine before the next trial.
+func waitBeforeTrial(suspect *Suspect) time.Duration {
+	waits := trialWaits
+	if suspect.Signature.IsPart() {
+		waits = partTrialWaits
+	}
+	return waits[min(int(suspect.grantedTrials()), len(waits)-1)]
 }
 
-// ExpiredEntries returns the requests that no longer need to be stored.
+// ExpiredEntries returns the requests and parts that no longer need to be stored.
 func (s *TrialScheduler) ExpiredEntries(now time.Duration, ledger *Ledger) []Signature {
 	var expired []Signature
 	for _, suspect := range ledger.Suspects() {
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -91,13 +91,16 @@
 // reportRun reports to the crash guard that the back end has run the request without a crash. If the end of the answer was not
 // declared, the guard finds out whether the back end has crashed.
 func (a *answer) reportRun() {
-	backEnd := a.message.backEnd
+	backEnd, content := a.message.backEnd, a.message.request.content
+	if a.status >= fasthttp.StatusMultipleChoices {
+		content.Parts = nil // the back end may have rejected the request before it read the prompt
+	}
 	switch {
 	case a.message.isPrefill || backEnd.isRelay:
 	case a.body.End() == framing.Declared:
-		a.exchanger.guard.RecordSuccess(a.message.request.signature)
+		a.exchanger.guard.RecordSuccess(content)
 	case !backEnd.isLeaving():
-		go a.exchanger.guard.RecordBrokenRun(a.message.request.signature, replicaOf(backEnd), 0)
+		go a.exchanger.guard.RecordUndeclaredEnd(content, replicaOf(backEnd))
 	}
 }
 
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -8,7 +8,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/relay/retrybudget"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -101,7 +100,7 @@
 	if a.request.isTrial {
 		return a.sentCount == 0
 	}
-	if a.isQuarantined = a.relay.guard.IsQuarantined(a.request.signature); a.isQuarantined {
+	if a.isQuarantined = a.relay.guard.IsQuarantined(a.request.content); a.isQuarantined {
 		return false
 	}
 	if a.sentCount == 0 {
@@ -166,7 +165,7 @@
 	case a.mayHaveRun:
 		return refusal{status: fasthttp.StatusBadGateway, reason: "the back end failed"}
 	case a.isQuarantined:
-		return refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonQuarantined, retryAfter: crashguard.QuarantineRetryAfter}
+		return refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonQuarantined, retryAfter: a.relay.guard.RetryAfter(a.request.content)}
 	case a.slotRefusal != nil:
 		return *a.slotRefusal
 	case isLate:
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -121,6 +121,8 @@
 		return notRun(errCancelled)
 	case now >= message.deadline:
 		return notRun(errDeadline)
+	case e.isQuarantined(message): // the quarantine began while the request waited
+		return notRun(errQuarantined)
 	case message.backEnd.inBackoff(now): // the backoff began after the back end was selected
 		return notRun(errInBackoff)
 	case !message.backEnd.hasLimit():
@@ -133,6 +135,13 @@
 	}
 }
 
+// isQuarantined reports whether a message must not be sent to any back end. A run that continues after its migration has begun to
+// answer, and another relay decides for itself.
+func (e *exchanger) isQuarantined(message *message) bool {
+	isMigrated := message.selection != nil && message.selection.isMigrated
+	return !message.backEnd.isRelay && !isMigrated && !message.request.isTrial && e.guard.IsQuarantined(message.request.content)
+}
+
 // connect returns a connection to the back end and attaches it to the request's canceller.
 func (e *exchanger) connect(message *message) (*connpool.Connection, *failure) {
 	if fault := e.checkAdmission(message); fault != nil {
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -61,6 +61,7 @@
 	errPeerTimeout       = errors.New("the back end's machine has confirmed nothing for too long")
 	errConnectionBroken  = errors.New("the connection broke before the answer was whole")
 	errNotExecuted       = errors.New("the back end has not run the request")
+	errQuarantined       = errors.New(reasonQuarantined)
 	errInBackoff         = errors.New("the back end has asked to be left alone for now")
 	errLimitReached      = errors.New("the back end's limit leaves no room for now")
 	errEndsInEvent       = errors.New("the stream ended within an event")
@@ -78,7 +79,7 @@
 	label string
 }{
 	{errCancelled, "client_gone"}, {errDeadline, "deadline"}, {errDial, "dial"}, {errStalled, "stalled"}, {errPeerTimeout, "peer_timeout"},
-	{errEndsInEvent, "ends_in_event"}, {framing.ErrUndeclaredEnd, "undeclared_end"}, {errConnectionBroken, "broken"}, {framing.ErrMalformed, "malformed"}, {errNotExecuted, "not_executed"}, {errInBackoff, "backoff"}, {errLimitReached, "limit"},
+	{errEndsInEvent, "ends_in_event"}, {framing.ErrUndeclaredEnd, "undeclared_end"}, {errConnectionBroken, "broken"}, {framing.ErrMalformed, "malformed"}, {errNotExecuted, "not_executed"}, {errQuarantined, "quarantined"}, {errInBackoff, "backoff"}, {errLimitReached, "limit"},
 	{errMisdirected, "misdirected"}, {errOtherIncarnation, "other_incarnation"}, {errForeignAnswer, "foreign_answer"}, {errUnsupportedAnswer, "unsupported_answer"}, {errEventTooLong, "event_too_long"}, {errPeerUnable, "peer_unable"},
 }
 
--- a/internal/relay/fleet_state.go
+++ b/internal/relay/fleet_state.go
@@ -9,6 +9,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/backpressure"
+	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/fleetlimit"
 	"github.com/hazelpitch/hazelpitch/internal/formats"
@@ -108,9 +109,21 @@
 	request.DocumentNumber = f.heldDocument.GetNumber()
 	request.Wanted = f.wantedBackEnds
 	request.EngineSpeeds = f.relay.engineSpeeds()
+	request.SoundRuns = f.relay.guard.TakeSoundRuns()
 	return request
 }
 
+// applyQuarantine applies what the leader tells of quarantined requests and of suspect parts of prompts.
+func (f *fleetState) applyQuarantine(response *v1.WatchResponse) {
+	if !response.GetTellsHeld() && response.GetHeldVersion() == 0 {
+		f.relay.guard.MarkQuarantineUnsupported()
+		return
+	}
+	f.relay.guard.ApplyQuarantine(crashguard.Statement{
+		Version: response.GetHeldVersion(), Requests: response.GetHeld(), TellsParts: response.GetTellsParts(), Parts: response.GetSuspectParts(),
+	})
+}
+
 // ApplyUpdate implements leaderwatch.Node: it applies the leader's response, and reports whether the response could be used.
 func (f *fleetState) ApplyUpdate(response *v1.WatchResponse) bool {
 	current := f.relay.view.Load()
@@ -130,11 +143,7 @@
 			f.applyListing(f.identifyIncarnations(backEndsFromWire(listed), fromFirstFormatLeader), &next)
 		}
 	}
-	if response.GetTellsHeld() || response.GetHeldVersion() != 0 {
-		f.relay.guard.ApplyQuarantine(response.GetHeldVersion(), response.GetHeld())
-	} else {
-		f.relay.guard.MarkQuarantineUnsupported()
-	}
+	f.applyQuarantine(response)
 	f.applyRelayList(response)
 	f.applyRelayCount(response)
 	f.isListingPartial = response.GetListingPartial()
--- a/internal/relay/former_leader_test.go
+++ b/internal/relay/former_leader_test.go
@@ -28,7 +28,7 @@
 
 	former := &v1.WatchResponse{ListingVersion: 2, ListingChange: &v1.ListingChange{FromVersion: 1, Gone: []string{"i-1"}}}
 	relay.fleet.ApplyUpdate(former)
-	require.True(t, relay.guard.IsQuarantined(signature))
+	require.True(t, relay.guard.IsQuarantined(quarantine.Content{Request: signature}))
 	require.Equal(t, uint64(1), relay.usage.UnreportedCount())
 	require.Equal(t, 25, relay.fleet.listingCalls)
 	request := relay.fleet.WatchRequest(time.Second)
@@ -36,7 +36,7 @@
 	require.Equal(t, uint64(2), request.GetListingVersion())
 
 	relay.fleet.ApplyUpdate(&v1.WatchResponse{Formats: formatRange, TellsHeld: true, ListingVersion: 2})
-	require.False(t, relay.guard.IsQuarantined(signature), "a leader of the current format reports that no request is quarantined")
+	require.False(t, relay.guard.IsQuarantined(quarantine.Content{Request: signature}), "a leader of the current format reports that no request is quarantined")
 }
 
 // Only relays whose format supports permits between relays own limits.
--- a/internal/relay/forward_engine_test.go
+++ b/internal/relay/forward_engine_test.go
@@ -63,7 +63,7 @@
 	require.Equal(t, "3.000", string(answer.head.Peek("Retry-After")))
 	require.Empty(t, allRequests(backEnds))
 	require.Equal(t, 200, client.do("POST", "/path/", "sound").status)
-	require.Equal(t, relays[0].guard.IsQuarantined(quarantine.SignatureOf("", "POST", "/path/", []byte(crashingBody))), false)
+	require.Equal(t, relays[0].guard.IsQuarantined(quarantine.ContentOf("", "POST", "/path/", []byte(crashingBody), nil)), false)
 }
 
 // Guards against promising that a request was not run, although it may have, when the second relay refuses it for a reason of its own.
--- a/internal/relay/path_watch_test.go
+++ b/internal/relay/path_watch_test.go
@@ -34,7 +34,7 @@
 // watchCrashes records a run at each back end, so that the guard counts its crash.
 func (r *testRelay) watchCrashes(backEnds ...*scriptedBackEnd) {
 	for _, each := range backEnds {
-		r.guard.RecordSilentRun(quarantine.SignatureOf("", "GET", "/path/"+each.entry.ID, nil), each.entry.ID)
+		r.guard.RecordSilentRun(quarantine.ContentOf("", "GET", "/path/"+each.entry.ID, nil, nil), each.entry.ID)
 	}
 }
 
--- a/internal/relay/pick_with_slot.go
+++ b/internal/relay/pick_with_slot.go
@@ -46,7 +46,7 @@
 func slotRequest(request *request, excluded []uint64, mayHaveRun bool) slots.Request {
 	asked := slots.Request{
 		Service: request.service.Name, Level: request.priorityLevel, TargetAt: request.arrivedAt + request.route.Target,
-		DeadlineAt: request.deadline, Signature: binary.BigEndian.Uint64(request.signature[:8]), Excluded: excluded, MayHaveRun: mayHaveRun,
+		DeadlineAt: request.deadline, Signature: binary.BigEndian.Uint64(request.content.Request[:8]), Excluded: excluded, MayHaveRun: mayHaveRun,
 	}
 	if request.tenant != nil {
 		asked.Tenant = xxhash.Sum64String(request.tenant.Name)
@@ -93,7 +93,7 @@
 	if backEnd == nil || backEnd.Service != request.service.Name || attempts.isExcluded(backEnd) {
 		return nil, slotqueue.Result{}
 	}
-	if !request.isTrial && r.guard.IsQuarantined(request.signature) {
+	if !request.isTrial && r.guard.IsQuarantined(request.content) {
 		attempts.isQuarantined = true
 		return nil, slotqueue.Result{}
 	}
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -30,7 +30,7 @@
 func (r *Relay) admitQuarantined(request *request, reply *replier) bool {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	switch r.guard.Admit(ctx, request.signature) {
+	switch r.guard.Admit(ctx, request.content) {
 	case crashguard.Quarantined:
 		r.replyRefused(&attemptTracker{relay: r, request: request, isQuarantined: true}, reply)
 		return false
@@ -60,12 +60,12 @@
 	switch {
 	case !fault.mayHaveArrived || backEnd.isLeaving():
 	case errors.Is(fault, errStalled) || errors.Is(fault, errPeerTimeout):
-		r.guard.RecordSilentRun(request.signature, backEnd.ID)
+		r.guard.RecordSilentRun(request.content, backEnd.ID)
 	case !errors.Is(fault, errConnectionBroken):
 	case wait <= 0:
-		go r.guard.RecordBrokenRun(request.signature, replicaOf(backEnd), 0)
+		go r.guard.RecordBrokenRun(request.content, replicaOf(backEnd), 0)
 	default:
-		return r.guard.RecordBrokenRun(request.signature, replicaOf(backEnd), wait)
+		return r.guard.RecordBrokenRun(request.content, replicaOf(backEnd), wait)
 	}
 	return false
 }
--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -37,7 +37,7 @@
 // grantingLeader is a leader that grants every trial and quarantines nothing.
 type grantingLeader struct{ released chan []byte }
 
-func (grantingLeader) ReportReplicaEnds(context.Context, []*v1.ReplicaEnd) ([][]byte, error) {
+func (grantingLeader) ReportReplicaEnds(context.Context, []*v1.ReplicaEnd, []*v1.ReplicaEnd) ([][]byte, error) {
 	return nil, nil
 }
 func (grantingLeader) BeginTrial(context.Context, []byte) (bool, error) { return true, nil }
@@ -60,7 +60,7 @@
 // addQuarantined marks a request as quarantined, as a leader's update would.
 func (r *testRelay) addQuarantined(trialDue bool, method, target, body string) quarantine.Signature {
 	signature := quarantine.SignatureOf("", method, target, []byte(body))
-	r.guard.ApplyQuarantine(1, []*v1.HeldRequest{{Signature: signature[:], TrialDue: trialDue}})
+	r.guard.ApplyQuarantine(crashguard.Statement{Version: 1, Requests: []*v1.HeldRequest{{Signature: signature[:], TrialDue: trialDue}}})
 	return signature
 }
 
@@ -106,7 +106,7 @@
 	}
 	relay := newTestRelay(t, route(func(config *serving.Route) { safe(config); config.MaxAttempts = 6 }), backEnds...)
 	require.Equal(t, 502, relay.client(t).do("POST", "/path/", "sound").status)
-	require.False(t, relay.guard.IsQuarantined(quarantine.SignatureOf("", "POST", "/path/", []byte("sound"))))
+	require.False(t, relay.guard.IsQuarantined(quarantine.ContentOf("", "POST", "/path/", []byte("sound"), nil)))
 	for _, backEnd := range backEnds {
 		require.Len(t, backEnd.receivedRequests(), 1)
 	}
@@ -140,7 +140,7 @@
 			require.Len(t, append(engines[0].receivedRequests(), engines[1].receivedRequests()...), 1)
 			if name == "breaks" {
 				require.Equal(t, 502, got.status)
-				require.True(t, relay.guard.IsQuarantined(signature))
+				require.True(t, relay.guard.IsQuarantined(quarantine.Content{Request: signature}))
 				return
 			}
 			require.Equal(t, eventOne, got.body)
@@ -169,7 +169,7 @@
 	tenants := []serving.Tenant{{Name: "a", Keys: []string{"ka"}}, {Name: "b", Keys: []string{"kb"}}}
 	relay := newKeyedRelay(t, route(safe), tenants, backEnd)
 	signature := quarantine.SignatureOf("a", "POST", "/path/", []byte("x"))
-	relay.guard.ApplyQuarantine(1, []*v1.HeldRequest{{Signature: signature[:]}})
+	relay.guard.ApplyQuarantine(crashguard.Statement{Version: 1, Requests: []*v1.HeldRequest{{Signature: signature[:]}}})
 	require.Equal(t, 503, relay.client(t).do("POST", "/path/", "x", "T-Key: key ka").status)
 	require.Equal(t, 200, relay.client(t).do("POST", "/path/", "x", "T-Key: key kb").status)
 }
@@ -184,7 +184,7 @@
 	relay := newTestRelay(t, route(func(config *serving.Route) { safe(config); config.MaxAttempts = 3 }), backEnds...)
 	signature := quarantine.SignatureOf("", "POST", "/path/", []byte("x"))
 	require.Equal(t, 502, relay.client(t).do("POST", "/path/", "x").status)
-	require.False(t, relay.guard.IsQuarantined(signature))
+	require.False(t, relay.guard.IsQuarantined(quarantine.Content{Request: signature}))
 	var entries []serving.BackEnd
 	for _, backEnd := range backEnds {
 		entry := backEnd.entry
@@ -193,7 +193,7 @@
 	}
 	next := *relay.view.Load()
 	relay.fleet.applyListing(entries, &next)
-	require.True(t, relay.guard.IsQuarantined(signature))
+	require.True(t, relay.guard.IsQuarantined(quarantine.Content{Request: signature}))
 }
 
 // A back end that is no longer listed is still probed when its crash is suspected.
@@ -230,9 +230,9 @@
 	}
 	signature := quarantine.SignatureOf("", "POST", "/path/", []byte("x"))
 	for number := range quarantine.QuarantineThreshold {
-		relay.guard.RecordBrokenRun(signature, crashguard.Replica{ID: fmt.Sprint("one/0", number), Name: "one", Address: serves.entry.Address}, 0)
+		relay.guard.RecordBrokenRun(quarantine.Content{Request: signature}, crashguard.Replica{ID: fmt.Sprint("one/0", number), Name: "one", Address: serves.entry.Address}, 0)
 	}
-	require.Eventually(t, func() bool { return relay.guard.IsQuarantined(signature) }, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return relay.guard.IsQuarantined(quarantine.Content{Request: signature}) }, time.Minute, time.Millisecond)
 }
 
 // leaderSilentOnce is a leader that does not answer the first report of crashes.
@@ -242,7 +242,7 @@
 	received atomic.Int32
 }
 
-func (l *leaderSilentOnce) ReportReplicaEnds(ctx context.Context, ends []*v1.ReplicaEnd) ([][]byte, error) {
+func (l *leaderSilentOnce) ReportReplicaEnds(ctx context.Context, ends, _ []*v1.ReplicaEnd) ([][]byte, error) {
 	if l.reports.Add(1) == 1 {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -262,7 +262,7 @@
 	require.NoError(t, err)
 	relay.drain(t.Context(), listener)
 	signature := quarantine.SignatureOf("", "", "", []byte(crashingBody))
-	relay.guard.RecordSilentRun(signature, "one")
+	relay.guard.RecordSilentRun(quarantine.Content{Request: signature}, "one")
 	relay.guard.RecordCrash("one")
 	relay.awaitReported()
 	require.Equal(t, int32(1), leader.received.Load())
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -167,6 +167,9 @@
 	factory.GaugeFunc("usage_unreported", "Requests that began to run and that no leader has been told of yet.", func() float64 {
 		return float64(relay.usage.UnreportedCount())
 	})
+	factory.GaugeFunc("prompt_parts_held", "Parts of prompts that are kept away from back ends, since some have ended under them.", func() float64 {
+		return float64(relay.guard.QuarantinedPartCount())
+	})
 	factory.GaugeFunc("stream_origins_held", "Records of the software versions that began streams that this relay holds.", func() float64 {
 		return float64(relay.origins.HeldCount())
 	})
--- a/internal/relay/replace_attempt.go
+++ b/internal/relay/replace_attempt.go
@@ -103,7 +103,7 @@
 func (a *attemptTracker) replacementRequest() replacement.Request {
 	return replacement.Request{
 		IsCancelled:   a.request.canceller.isCancelled(),
-		IsQuarantined: a.isQuarantined || a.relay.guard.IsQuarantined(a.request.signature),
+		IsQuarantined: a.isQuarantined || a.relay.guard.IsQuarantined(a.request.content),
 		TimeLeft:      a.request.deadline - a.relay.clock.now(), UsualTime: a.request.route.Target,
 	}
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -25,9 +25,9 @@
 	// headerMutex is locked while the header is read once the request may have two exchanges: reading modifies it.
 	headerMutex sync.Mutex
 	body        []byte
-	// signature is the same for all requests that a back end would process in the same way, whatever their identities.
-	signature quarantine.Signature
-	// isTrial is true if the request is quarantined and may be sent to a single back end once.
+	// content is the same for all requests that a back end would process in the same way, whatever their identities.
+	content quarantine.Content
+	// isTrial is true if the request, or a part of its prompt, is quarantined and the request may be sent to a single back end once.
 	isTrial bool
 
 	route   *serving.Route
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -32,19 +32,19 @@
 
 // recordTrial logs that a quarantined request is sent to a back end once more.
 func (l requestLog) recordTrial(request *request) {
-	l.line(zerolog.WarnLevel, events.QuarantineTrialStarted, request).Stringer("content", request.signature).Send()
+	l.line(zerolog.WarnLevel, events.QuarantineTrialStarted, request).Stringer("content", request.content.Request).Send()
 }
 
 // recordFailedAttempt logs an attempt that brought no answer.
 func (l requestLog) recordFailedAttempt(request *request, backEnd *backEnd, fault *failure) {
-	l.line(zerolog.WarnLevel, events.AttemptFailed, request).Stringer("content", request.signature).Strs("parts", request.partIDs).Str("back_end", backEnd.ID).
+	l.line(zerolog.WarnLevel, events.AttemptFailed, request).Stringer("content", request.content.Request).Strs("parts", request.partIDs).Str("back_end", backEnd.ID).
 		Str("verdict", fault.verdict.String()).Bool("arrived", fault.mayHaveArrived).
 		AnErr("cause", fault.cause).Func(fault.observation.addFields).Func(fault.addBackoffFields).Send()
 }
 
 // recordRefusal logs a final answer that the relay itself makes.
 func (l requestLog) recordRefusal(request *request, response refusal, attempts *attemptTracker) {
-	l.line(zerolog.WarnLevel, events.RequestRefused, request).Stringer("content", request.signature).Int("status", response.status).Str("reason", response.reason).
+	l.line(zerolog.WarnLevel, events.RequestRefused, request).Stringer("content", request.content.Request).Int("status", response.status).Str("reason", response.reason).
 		Int64("retry_after_ms", response.retryAfter.Milliseconds()).Int("sent", attempts.sentCount).Bool("may_have_run", attempts.mayHaveRun).Send()
 }
 
@@ -75,7 +75,7 @@
 		level = zerolog.InfoLevel
 	}
 	since := func(at time.Duration) int64 { return max((at - request.arrivedAt).Milliseconds(), 0) }
-	l.line(level, events.RequestEnded, request).Stringer("content", request.signature).
+	l.line(level, events.RequestEnded, request).Stringer("content", request.content.Request).
 		Int("status", reply.status).Bool("cut", reply.aborted).Bool("client_gone", request.canceller.hasClientLeft()).Bool("stopping", snapshot.isStopping).Bool("late", isLate).
 		Str("placed", trace.placementReason).Str("owner", trace.owner).Str("prefill", trace.prefillEngine).Str("back_end", trace.engine).
 		Int("prompt", request.prompt.PromptTokens).Int("to_read", trace.tokensToPrefill).Int("ahead", trace.tokensAhead).Int("ahead_all", trace.tokensAheadAll).
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -42,17 +42,17 @@
 		r.refuseKey(request, fault, reply)
 		return
 	}
-	request.signature = quarantine.SignatureOf(request.tenantName(), request.method, request.target, request.body)
+	names := r.dialect.Headers
+	request.partIDs = serving.SharedPartIDs(string(request.header.Peek(names.PromptParts)))
+	request.content = quarantine.ContentOf(request.tenantName(), request.method, request.target, request.body, request.partIDs)
 	level, levels := view.table.PriorityLevel(request.tenant, request.route)
 	request.priorityLevel, request.rank = level, placement.RankOf(level, levels)
-	names := r.dialect.Headers
 	request.setDeadline(min(request.route.Timeout, clientTimeout(request.header, names.DeadlineMs, request.route.Timeout)))
 	if request.forwarded == nil {
 		request.service = view.table.Service(r.chooseService(request.route))
 	}
 	request.prompt = serving.ParsePrompt(string(request.header.Peek(names.Model)),
 		string(request.header.Peek(names.Tokens)), string(request.header.Peek(names.PromptParts)))
-	request.partIDs = serving.SharedPartIDs(string(request.header.Peek(names.PromptParts)))
 	defer r.recordRequestEnd(request, reply)
 	unknownOrigin := r.bindTakenUp(request)
 	if request.forwarded == nil {
