Ignore testimony on parts that other nodes have cleared

A leader proposed a release for each node that testified to the same part. go test ./internal/control -run Part passes.

--- a/internal/control/suspect_parts.go
+++ b/internal/control/suspect_parts.go
@@ -49,8 +49,9 @@
 	c.quarantine.hearing.RecordSoundRuns(runs.GetCount())
 	var cleared []quarantine.Signature
 	for _, sound := range runs.GetParts() {
-		part, valid := quarantine.SignatureFromBytes(sound.GetSignature())
-		if valid && c.quarantine.hearing.RecordSoundPart(c.now, part, time.Duration(sound.GetAgoMs())*time.Millisecond) {
+		part, _ := quarantine.SignatureFromBytes(sound.GetSignature())
+		isSuspect := c.suspects().Suspect(part) != nil // other nodes may have cleared it
+		if isSuspect && c.quarantine.hearing.RecordSoundPart(c.now, part, time.Duration(sound.GetAgoMs())*time.Millisecond) {
 			cleared = append(cleared, part)
 		}
 	}
