--- a/internal/benchcommand/soak.go
+++ b/internal/benchcommand/soak.go
@@ -69,6 +69,9 @@
 	BackEndCuts bool          `long:"back-end-cuts" description:"cut relays off from all back ends: one, half of a zone, or a zone; relays and back ends are in two zones"`
 	Unframed    bool          `long:"unframed" description:"a quarter of the answers of back ends have neither a length nor chunks and end with their connection; two in five of these are broken off"`
 	Versions    bool          `long:"versions" description:"engines start with one of three software versions each and break streams off; clients take these up, at any relay"`
+	Parts       int           `long:"parts" default:"0" description:"parts of prompts that end each back end which begins to answer a request with them; no two such requests are alike, and sound ones share their first part"`
+	Gather      bool          `long:"gather" description:"for some seconds most new connections go to one relay, then to another one, while clients open more of them"`
+	Changes     bool          `long:"changes" description:"submit hundreds of large configurations in quick succession; at the end all controllers are killed, and one comes back with an empty disk"`
 	Directory   string        `long:"directory" value-name:"DIR" description:"where settings, disks and logs go; default: a temporary directory, which stays where a rule was broken"`
 	Untimed     bool          `long:"untimed" description:"leave out the rules with time bounds: for machines that are busy"`
 	Verbose     bool          `long:"verbose" description:"print each fault as it strikes"`
@@ -90,8 +93,8 @@
 	if err := rejectArguments(rest); err != nil {
 		return err
 	}
-	if s.Controllers < 1 || s.Relays < 1 || s.Pages < 2 || s.Engines < 2 || s.Clients < 1 || s.Seeds < 1 || s.Poisons < 0 || s.Length <= 0 || s.Calm < 0 {
-		return &usageError{cause: trace.BadParameter("--controllers, --relays, --clients, --seeds and --length must be above 0, --pages and --engines above 1, --poisons and --calm not below 0")}
+	if s.Controllers < 1 || s.Relays < 1 || s.Pages < 2 || s.Engines < 2 || s.Clients < 1 || s.Seeds < 1 || s.Poisons < 0 || s.Parts < 0 || s.Length <= 0 || s.Calm < 0 {
+		return &usageError{cause: trace.BadParameter("--controllers, --relays, --clients, --seeds and --length must be above 0, --pages and --engines above 1, --poisons, --parts and --calm not below 0")}
 	}
 	if s.Pressure && s.Relays < soak.MinPressureRelays || s.Returns && (!s.Pressure || s.Untimed || s.Other != "") {
 		return &usageError{cause: trace.BadParameter("--pressure takes --relays of at least %d; --check-returns takes --pressure, and neither --untimed nor --other", soak.MinPressureRelays)}
@@ -123,8 +126,8 @@
 	}
 	fmt.Fprintln(environment.Stdout, report)
 	if err := report.Err(); err != nil {
-		fmt.Fprintf(environment.Stdout, "  again: %s soak --seed %d --length %s --calm %s --controllers %d --relays %d --pages %d --engines %d --clients %d --poisons %d%s\n  logs: %s\n",
-			environment.Program, seed, s.Length, s.Calm, s.Controllers, s.Relays, s.Pages, s.Engines, s.Clients, s.Poisons, s.buildFlags(), directory)
+		fmt.Fprintf(environment.Stdout, "  again: %s soak --seed %d --length %s --calm %s --controllers %d --relays %d --pages %d --engines %d --clients %d --poisons %d --parts %d%s\n  logs: %s\n",
+			environment.Program, seed, s.Length, s.Calm, s.Controllers, s.Relays, s.Pages, s.Engines, s.Clients, s.Poisons, s.Parts, s.buildFlags(), directory)
 		return trace.Wrap(err)
 	}
 	if s.Directory == "" {
@@ -143,7 +146,7 @@
 	for _, flag := range []struct {
 		given bool
 		text  string
-	}{{s.Plain, " --plain"}, {s.Uneven, " --uneven"}, {s.Pressure, " --pressure"}, {s.Returns, " --check-returns"}, {s.StandStill, " --stand-still"}, {s.BackEndCuts, " --back-end-cuts"}, {s.Unframed, " --unframed"}, {s.Versions, " --versions"}} {
+	}{{s.Plain, " --plain"}, {s.Uneven, " --uneven"}, {s.Pressure, " --pressure"}, {s.Returns, " --check-returns"}, {s.StandStill, " --stand-still"}, {s.BackEndCuts, " --back-end-cuts"}, {s.Unframed, " --unframed"}, {s.Versions, " --versions"}, {s.Gather, " --gather"}, {s.Changes, " --changes"}} {
 		if flag.given {
 			flags += flag.text
 		}
@@ -166,7 +169,7 @@
 		Seed: seed, Controllers: s.Controllers, Relays: s.Relays, Pages: s.Pages, Engines: s.Engines, Clients: s.Clients, Poisons: s.Poisons,
 		FaultDuration: s.Length, QuietDuration: s.Calm, Directory: directory, Program: s.Program, Serve: serveSiteSubcommand, CheckTimeBounds: !s.Untimed,
 		OtherProgram: s.Other, FirstFormatOnly: s.Plain, Uneven: s.Uneven, Pressure: s.Pressure, CheckReturns: s.Returns,
-		StandStill: s.StandStill, BackEndCuts: s.BackEndCuts, Unframed: s.Unframed, Versions: s.Versions,
+		StandStill: s.StandStill, BackEndCuts: s.BackEndCuts, Unframed: s.Unframed, Versions: s.Versions, DeadlyParts: s.Parts, Gather: s.Gather, ManyChanges: s.Changes,
 	}
 	if s.Verbose {
 		options.Progress = func(line string) { fmt.Fprintln(environment.Stderr, line) }
--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -403,6 +403,20 @@
 	{"a relay that is cut off from back ends gives no answer until long after the deadline", Lost, withFaults(cutOff("safe", 0, 2*second), history.Fault{Kind: history.CutFromBackEnds, Target: "front", From: 4 * second, To: 9 * second})},
 	{"a stopping relay that is cut off from back ends gives no answer", Lost, withFaults(unanswered(history.Terminate, "front", second/100), history.Fault{Kind: history.CutFromBackEnds, Target: "front", From: 4 * second, To: 9 * second})},
 	{"a stream that is cut off while its relay is cut off from back ends", "", withFaults(cutOff("stream", 200, second), history.Fault{Kind: history.CutFromBackEnds, Target: "front", From: 4 * second, To: 9 * second})},
+	{"three prompts with a deadly part after the fifth crash", "", deadlyPrompts(3, 20)},
+	{"four prompts with a deadly part after the fifth crash", Budget, deadlyPrompts(4, 20)},
+	{"sound prompts beside deadly ones are served half as often", "", deadlyPrompts(0, 15)},
+	{"sound prompts beside deadly ones are served seldom", Lost, deadlyPrompts(0, 14)},
+	{"three quarters are served while connections gather", "", gatheredConnections(30)},
+	{"few are served while connections gather", Recover, gatheredConnections(29)},
+	{"few are served while connections gather for a short time", "", func(h *history.History) {
+		gatheredConnections(0)(h)
+		h.Faults[0].To = h.Faults[0].From + 3*second
+	}},
+	{"no configuration is returned at the end", Config, func(h *history.History) {
+		h.Changes = []history.Change{{Number: 1, SentAt: 0, AckedAt: second}}
+		h.Reads = []history.Read{{Number: 1, Status: 200, SentAt: 2 * second, At: 2 * second}, {Status: 503, SentAt: 9 * second, At: 9 * second}}
+	}},
 	{"nothing is served after the last fault", Recover, recovering(0)},
 	{"three of ten requests are served after the last fault", "", recovering(3)},
 }
--- a/internal/soak/check/config.go
+++ b/internal/soak/check/config.go
@@ -31,6 +31,17 @@
 	return append(findings, overdueAnswers(recorded)...)
 }
 
+// missingFinalRead finds that no controller returns a configuration at the end of the run although one was acknowledged.
+func missingFinalRead(recorded *history.History) []Finding {
+	if len(recorded.Reads) == 0 || newestAcked(recorded, recorded.Reads[len(recorded.Reads)-1].SentAt) == 0 {
+		return nil
+	}
+	if last := recorded.Reads[len(recorded.Reads)-1]; last.Status != 200 {
+		return []Finding{newFinding(Config, last.At, "no configuration was returned at the end; the last read got status %d", last.Status)}
+	}
+	return nil
+}
+
 // onReplacedServices finds requests that ran on a service that only an older configuration names.
 func onReplacedServices(recorded *history.History) []Finding {
 	sent := sendingsByID(recorded)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -37,9 +37,11 @@
 // faults injects faults into processes and back ends, drawn from a seed. At most as many controllers are down at
 // once as the quorum tolerates, except when all controllers are killed together.
 type faults struct {
-	site    *site
-	random  *rand.Rand
-	running sync.WaitGroup
+	site *site
+	// loadBalancer assigns the clients' connections.
+	loadBalancer *loadBalancer
+	random       *rand.Rand
+	running      sync.WaitGroup
 
 	mutex         sync.Mutex
 	struckTargets map[string]bool
@@ -82,6 +84,9 @@
 	if f.site.options.StandStill {
 		f.running.Go(func() { f.standStill(ctx) })
 	}
+	if f.site.options.Gather {
+		f.running.Go(func() { f.gatherConnections(ctx) })
+	}
 	if f.site.options.BackEndCuts {
 		f.running.Go(func() { f.cutFromBackEnds(ctx) })
 	}
--- a/internal/soak/history/sending.go
+++ b/internal/soak/history/sending.go
@@ -43,6 +43,8 @@
 	// attempt that begins a stream. LastEvent is the number of the last event that the client had.
 	Resumes   string
 	LastEvent int
+	// SharedParts are the IDs of the parts of the prompt that other requests share.
+	SharedParts []string
 	// RetryAfter is the time after which the response asked the client to return; 0 for none.
 	RetryAfter time.Duration
 	// DueAt is when the client was told to return with this attempt, in a response that it got at RefusedAt; both are 0
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -46,6 +46,15 @@
 	Versions bool
 	// Unframed makes a share of the answers of back ends end with their connection, whole or broken off.
 	Unframed bool
+	// DeadlyParts is how many parts of prompts crash each back end that begins to answer a request with them. Requests with them are all
+	// different, and share their first part with sound ones.
+	DeadlyParts int
+	// Gather makes most new connections go to one relay for some seconds, and then to another one, while clients open new ones
+	// more often.
+	Gather bool
+	// ManyChanges submits large configurations in quick succession. At the end all controllers are killed together, and one of
+	// them comes back with an empty disk.
+	ManyChanges bool
 	// CheckTimeBounds also checks the rules with time bounds, which can fail on a machine that is busy with other work.
 	CheckTimeBounds bool
 	// Progress is called with one line for each fault; nil for no reports.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -50,6 +50,7 @@
 	sending.start(runContext)
 	go created.restartCrashed(runContext)
 	injected := newFaults(created)
+	injected.loadBalancer = sending.loadBalancer
 	faultContext, cancelFaults := context.WithTimeout(ctx, options.FaultDuration)
 	defer cancelFaults()
 	operatorContext, cancelOperator := context.WithTimeout(ctx, options.FaultDuration+options.loneCutDuration()+options.QuietDuration*operatorQuietPercent/100)
@@ -62,6 +63,9 @@
 	<-operatorDone
 	cancelRun()
 	sending.running.Wait()
+	if options.ManyChanges {
+		injected.restartControllersAfterLoss(ctx)
+	}
 	created.readFinalConfiguration(ctx)
 	recorded := created.recorder.History()
 	if err := writeHistory(options, recorded); err != nil {
@@ -91,7 +95,7 @@
 	limited, cancel := context.WithTimeout(ctx, formationTimeout)
 	defer cancel()
 	first := history.Change{Number: firstNumber, Services: standin.ServicesByRoute(standin.ServicePages)}
-	if s.operator.Put(limited, first, standin.Configuration(firstNumber, standin.ServicePages, s.options.Pressure), 0).Status != http.StatusOK {
+	if s.operator.Put(limited, first, standin.Configuration(firstNumber, standin.ServicePages, s.options.Pressure, 0), 0).Status != http.StatusOK {
 		return trace.ConnectionProblem(nil, "no controller accepted the first configuration within %s; see the logs in %s", formationTimeout, s.options.Directory)
 	}
 	for _, process := range s.controllers {
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -28,6 +28,8 @@
 	site         *site
 	mutex        sync.Mutex
 	missedProbes map[string]int
+	// gatheredAt is the relay to which most new connections go; nil for none.
+	gatheredAt *relayProcess
 }
 
 // probeRelays probes the readiness of all relays until the context ends.
@@ -52,6 +54,9 @@
 func (b *loadBalancer) pickRelay(random *rand.Rand) *relayProcess {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	if gathered := b.gatheredAt; gathered != nil && b.missedProbes[gathered.Name] < 2 && random.Float64() < gatheredShare {
+		return gathered
+	}
 	var ready []*relayProcess
 	for _, relay := range b.site.relays {
 		if b.missedProbes[relay.Name] < 2 {
@@ -80,6 +85,7 @@
 	if t.site.options.Pressure {
 		t.startTenants(ctx)
 	}
+	t.startPrompts(ctx)
 	for number := range t.site.options.Poisons {
 		t.running.Go(func() { t.sendPoison(ctx, number) })
 	}
@@ -101,7 +107,7 @@
 		if t.site.options.Versions {
 			t.takeUp(ctx, client, attempt, sent, random)
 		}
-		if sent.Status == 0 && sent.ClosedAt == 0 || random.Float64() < 0.05 {
+		if sent.Status == 0 && sent.ClosedAt == 0 || random.Float64() < t.loadBalancer.reconnectShare() {
 			relay = t.loadBalancer.pickRelay(random)
 		}
 		sleep(ctx, time.Duration(random.Int64N(int64(longestPause))))
@@ -161,7 +167,7 @@
 	random := rand.New(rand.NewPCG(s.options.Seed, 2000))
 	number := uint64(firstNumber)
 	for ctx.Err() == nil {
-		sleep(ctx, time.Duration(300+random.IntN(1200))*time.Millisecond)
+		sleep(ctx, s.options.changePause(random))
 		number += uint64(1 + random.IntN(3))
 		change := s.drawChange(number, random)
 		s.operator.Put(ctx, change.Change, change.content, random.IntN(s.options.Controllers))
@@ -184,7 +190,7 @@
 		return drawnChange{history.Change{Number: number, Invalid: true}, standin.InvalidConfiguration(number)}
 	}
 	pages := []string{standin.ServicePages, standin.ServiceOther}[random.IntN(2)]
-	return drawnChange{history.Change{Number: number, Services: standin.ServicesByRoute(pages)}, standin.Configuration(number, pages, s.options.Pressure)}
+	return drawnChange{history.Change{Number: number, Services: standin.ServicesByRoute(pages)}, standin.Configuration(number, pages, s.options.Pressure, s.options.idleRoutes())}
 }
 
 // sleep blocks for the given time, or until the context ends.
