--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -104,18 +104,22 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	version := uint64(0)
 	for _, suspect := range c.ledger.Suspects() {
-		if suspect.IsQuarantined() && !c.omitsQuarantine {
-			response.Msg.HeldVersion = quarantineVersion
+		switch {
+		case suspect.Signature.IsPart():
+			version += partVersionStep
+			response.Msg.SuspectParts = append(response.Msg.SuspectParts, &v1.SuspectPart{Signature: suspect.Signature[:], Quarantined: suspect.IsQuarantined()})
+		case suspect.IsQuarantined():
+			version = quarantineVersion
 			response.Msg.Held = append(response.Msg.Held, &v1.HeldRequest{Signature: suspect.Signature[:]})
 		}
 	}
-	response.Msg.TellsParts = !c.omitsQuarantine
-	for _, part := range c.ledger.SuspectParts() {
-		response.Msg.HeldVersion += partVersionStep
-		response.Msg.SuspectParts = append(response.Msg.SuspectParts, &v1.SuspectPart{Signature: part.Signature[:], Quarantined: part.IsQuarantined()})
+	response.Msg.HeldVersion, response.Msg.TellsParts = version, true
+	if c.omitsQuarantine {
+		response.Msg.HeldVersion, response.Msg.Held, response.Msg.SuspectParts, response.Msg.TellsParts = 0, nil, nil, false
 	}
-	c.informed[request.Msg.GetNode().GetName()] = request.Msg.GetHeldVersion() != 0 && request.Msg.GetHeldVersion() == response.Msg.GetHeldVersion()
+	c.informed[request.Msg.GetNode().GetName()] = version != 0 && request.Msg.GetHeldVersion() == version
 	return response, nil
 }
 
