--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -47,15 +47,15 @@
 	version     uint64
 	// parts are the suspected and the quarantined parts of prompts as sent to nodes, under the same version.
 	parts []*v1.SuspectPart
-	// hearing decides which suspected parts are quarantined.
-	hearing *quarantine.PartHearing
+	// evaluator decides which suspected parts are quarantined.
+	evaluator *quarantine.PartEvaluator
 	// ledger and ledgerVersion identify the ledger of suspects from which quarantined was built.
 	ledger        *quarantine.Ledger
 	ledgerVersion uint64
 }
 
 func newRequestQuarantine() requestQuarantine {
-	return requestQuarantine{trials: quarantine.NewTrialScheduler(), hearing: quarantine.NewPartHearing()}
+	return requestQuarantine{trials: quarantine.NewTrialScheduler(), evaluator: quarantine.NewPartEvaluator()}
 }
 
 // handleReplicaCrashes records a node's report of crashed replicas.
@@ -151,7 +151,7 @@
 func (c *Core) tickQuarantine() {
 	ledger := c.suspects()
 	c.quarantine.trials.Observe(c.now, ledger)
-	c.quarantineGuiltyParts(ledger)
+	c.quarantineConfirmedParts(ledger)
 	c.quarantine.rebuild(c, ledger)
 	if !due(c.now, &c.duties.suspects, housekeepInterval) {
 		return
--- a/internal/control/suspect_parts.go
+++ b/internal/control/suspect_parts.go
@@ -46,26 +46,26 @@
 // recordSoundRuns records what a node reports of requests that ran soundly. Suspect parts that are cleared by it are removed
 // from the ledger.
 func (c *Core) recordSoundRuns(runs *v1.SoundRuns) {
-	c.quarantine.hearing.RecordSoundRuns(runs.GetCount())
+	c.quarantine.evaluator.RecordSoundRuns(runs.GetCount())
 	var cleared []quarantine.Signature
 	for _, sound := range runs.GetParts() {
 		part, _ := quarantine.SignatureFromBytes(sound.GetSignature())
 		isSuspect := c.suspects().Suspect(part) != nil // other nodes may have cleared it
-		if isSuspect && c.quarantine.hearing.RecordSoundPart(c.now, part, time.Duration(sound.GetAgoMs())*time.Millisecond) {
+		if isSuspect && c.quarantine.evaluator.RecordSoundPart(c.now, part, time.Duration(sound.GetAgoMs())*time.Millisecond) {
 			cleared = append(cleared, part)
 		}
 	}
 	c.releaseSuspects(cleared)
 }
 
-// quarantineGuiltyParts quarantines the parts that were heard long enough. The decision is the first trial of a part in the log, so
+// quarantineConfirmedParts quarantines the parts that are confirmed. The decision is the first trial of a part in the log, so
 // that every controller and later leaders know of it.
-func (c *Core) quarantineGuiltyParts(ledger *quarantine.Ledger) {
-	guilty := c.quarantine.hearing.Observe(c.now, ledger)
+func (c *Core) quarantineConfirmedParts(ledger *quarantine.Ledger) {
+	confirmed := c.quarantine.evaluator.Observe(c.now, ledger)
 	if c.formats.suspectsIndex > c.applied {
 		return // commands that may change the ledger are not applied yet
 	}
-	for _, part := range guilty {
+	for _, part := range confirmed {
 		grant := &v1.GrantTrial{Signature: part[:]}
 		c.applySuspectChangeWithoutCall(&v1.Command{Body: &v1.Command_GrantTrial{GrantTrial: grant}})
 	}
--- a/internal/crashguard/guard_parts.go
+++ b/internal/crashguard/guard_parts.go
@@ -75,5 +75,5 @@
 // isPartQuarantined reports whether requests with a part must not be sent to any back end. The mutex must be held.
 func (g *Guard) isPartQuarantined(part quarantine.Signature) bool {
 	now := g.options.Now()
-	return g.parts.isListedQuarantined(now, part) || g.isLeaderSilent && g.parts.isSuspectedHere(now, part)
+	return g.parts.isListedQuarantined(now, part) || g.isLeaderSilent && g.parts.isLocallySuspected(now, part)
 }
--- a/internal/crashguard/parts.go
+++ b/internal/crashguard/parts.go
@@ -102,9 +102,9 @@
 	crashes.lastAt = now
 }
 
-// isSuspectedHere reports whether enough back ends have crashed under a part, as this node saw it, to keep it away while the
+// isLocallySuspected reports whether enough back ends have crashed under a part, as this node saw it, to keep it away while the
 // leader does not answer.
-func (p *suspectParts) isSuspectedHere(now time.Duration, part quarantine.Signature) bool {
+func (p *suspectParts) isLocallySuspected(now time.Duration, part quarantine.Signature) bool {
 	crashes, known := p.crashes.get(part)
 	if !known || now-crashes.lastAt >= localQuarantineTime {
 		return false
--- a/internal/quarantine/blame.go
+++ b/internal/quarantine/attribution.go
@@ -1,11 +1,11 @@
 package quarantine
 
-// blame counts the crashes under suspected parts. A crash under a quarantined part is explained by it, and does not count
+// attribution counts the crashes under suspected parts. A crash under a quarantined part is explained by it, and does not count
 // against the other parts of the requests that ran on the replica.
-type blame struct{ explained map[uint64]bool }
+type attribution struct{ explained map[uint64]bool }
 
-// newBlame returns the blame for the crashes in a ledger.
-func newBlame(ledger *Ledger) blame {
+// newAttribution returns the attribution for the crashes in a ledger.
+func newAttribution(ledger *Ledger) attribution {
 	explained := map[uint64]bool{}
 	for _, suspect := range ledger.Suspects() {
 		if !suspect.Signature.IsPart() || !suspect.IsQuarantined() {
@@ -15,11 +15,11 @@
 			explained[replica] = true
 		}
 	}
-	return blame{explained: explained}
+	return attribution{explained: explained}
 }
 
 // crashes returns the number of crashes under a part that no quarantined part explains.
-func (b blame) crashes(suspect *Suspect) int {
+func (b attribution) crashes(suspect *Suspect) int {
 	count := 0
 	for _, replica := range suspect.Replicas {
 		if !b.explained[replica] {
@@ -36,9 +36,9 @@
 // and no quarantined part explains these crashes. They are in the order of the ledger.
 func (l *Ledger) SuspectParts() []*Suspect {
 	var parts []*Suspect
-	blame := newBlame(l)
+	attribution := newAttribution(l)
 	for _, suspect := range l.suspects {
-		if suspect.Signature.IsPart() && (suspect.IsQuarantined() || blame.crashes(suspect) >= SuspectedPartThreshold) {
+		if suspect.Signature.IsPart() && (suspect.IsQuarantined() || attribution.crashes(suspect) >= SuspectedPartThreshold) {
 			parts = append(parts, suspect)
 		}
 	}
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -5,5 +5,5 @@
 // expires.
 //
 // A replica may also crash because of one part of a prompt, which requests that are all different share. Parts are entries of the
-// same Ledger, with marked signatures. A PartHearing decides on the leader which of them are quarantined: sound runs clear the others.
+// same Ledger, with marked signatures. A PartEvaluator decides on the leader which of them are quarantined: sound runs clear the others.
 package quarantine
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -25,7 +25,7 @@
 	// Replicas are hashes of the identities of the replicas' incarnations.
 	Replicas []uint64
 	// Trials is the number of trials granted during the quarantine. For a part, the first one is the decision to quarantine it,
-	// see PartHearing.
+	// see PartEvaluator.
 	Trials uint32
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -84,8 +84,8 @@
 	if f.site.options.StandStill {
 		f.running.Go(func() { f.standStill(ctx) })
 	}
-	if f.site.options.Gather {
-		f.running.Go(func() { f.gatherConnections(ctx) })
+	if f.site.options.HotRelay {
+		f.running.Go(func() { f.concentrateConnections(ctx) })
 	}
 	if f.site.options.BackEndCuts {
 		f.running.Go(func() { f.cutFromBackEnds(ctx) })
--- a/internal/soak/history/fault.go
+++ b/internal/soak/history/fault.go
@@ -39,15 +39,15 @@
 	// StandStill makes a sound back end neither read, write nor acknowledge anything for a short time, as on a machine that
 	// stands still. Nothing is lost. It is no disruption, unlike Silence.
 	StandStill FaultKind = "stand-still"
-	// Gather makes most new connections of clients go to one relay. It is no disruption.
-	Gather FaultKind = "gather"
+	// HotRelay makes most new connections of clients go to one relay. It is no disruption.
+	HotRelay FaultKind = "hot-relay"
 )
 
 // IsPlanned reports whether the fault is maintenance that an operator plans.
 func (k FaultKind) IsPlanned() bool { return k == Terminate || k == Reload || k == Drain }
 
 // IsDisruption reports whether the fault may excuse relays from answering requests.
-func (k FaultKind) IsDisruption() bool { return !k.IsPlanned() && k != StandStill && k != Gather }
+func (k FaultKind) IsDisruption() bool { return !k.IsPlanned() && k != StandStill && k != HotRelay }
 
 // Fault is one fault at a process or at its connections.
 type Fault struct {
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -49,9 +49,9 @@
 	// DeadlyParts is how many parts of prompts crash each back end that begins to answer a request with them. Requests with them are all
 	// different, and share their first part with sound ones.
 	DeadlyParts int
-	// Gather makes most new connections go to one relay for some seconds, and then to another one, while clients open new ones
+	// HotRelay makes most new connections go to one relay for some seconds, and then to another one, while clients open new ones
 	// more often.
-	Gather bool
+	HotRelay bool
 	// ManyChanges submits large configurations in quick succession. At the end all controllers are killed together, and one of
 	// them comes back with an empty disk.
 	ManyChanges bool
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -28,8 +28,8 @@
 	site         *site
 	mutex        sync.Mutex
 	missedProbes map[string]int
-	// gatheredAt is the relay to which most new connections go; nil for none.
-	gatheredAt *relayProcess
+	// hotRelay is the relay to which most new connections go; nil for none.
+	hotRelay *relayProcess
 }
 
 // probeRelays probes the readiness of all relays until the context ends.
@@ -54,8 +54,8 @@
 func (b *loadBalancer) pickRelay(random *rand.Rand) *relayProcess {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if gathered := b.gatheredAt; gathered != nil && b.missedProbes[gathered.Name] < 2 && random.Float64() < gatheredShare {
-		return gathered
+	if hot := b.hotRelay; hot != nil && b.missedProbes[hot.Name] < 2 && random.Float64() < hotRelayShare {
+		return hot
 	}
 	var ready []*relayProcess
 	for _, relay := range b.site.relays {
