--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -20,6 +20,7 @@
 // cases are the cases by name. A case disturbs the deployment only if trouble is true.
 var cases = map[string]func(record *record, trouble bool) error{
 	"frozen-voters":    runFrozenVoters,
+	"line-of-2048":     runLineOf2048,
 	"two-replacements": runTwoReplacements,
 }
 
