--- a/review/_standin/deployment.go
+++ b/review/_standin/deployment.go
@@ -12,6 +12,8 @@
 	"path/filepath"
 	"strings"
 	"time"
+
+	"github.com/hazelpitch/hazelpitch/platform"
 )
 
 // Ports of the processes, each of which has an address of its own.
@@ -27,8 +29,6 @@
 // options say what a deployment has.
 type options struct {
 	controllers, relays int
-	// routes and services are those of the first configuration.
-	routes, services []map[string]any
 }
 
 // deployment is a running deployment.
@@ -71,7 +71,7 @@
 			return nil, err
 		}
 	}
-	return created, created.putConfiguration(options.routes, options.services)
+	return created, created.putConfiguration()
 }
 
 // freeNetwork returns a range of loopback addresses that nothing else uses.
@@ -157,11 +157,11 @@
 }
 
 // putConfiguration sends the next configuration to the controllers until one acknowledges it.
-func (d *deployment) putConfiguration(routes, services []map[string]any) error {
+func (d *deployment) putConfiguration() error {
 	d.version++
-	content, err := json.Marshal(map[string]any{
-		"Version": d.version, "Routes": routes, "Services": services,
-		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+	content, err := json.Marshal(configuration{
+		Version: d.version, Routes: streamRoutes(), Services: streamServices(),
+		Limits: limits{MaxHeaderBytes: 16384, MaxBodyBytes: 4194304, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
 	})
 	if err != nil {
 		return err
@@ -169,7 +169,7 @@
 	client := http.Client{Timeout: time.Second}
 	for until := time.Now().Add(20 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
 		for number := 1; number <= d.options.controllers; number++ {
-			request, err := http.NewRequest(http.MethodPut, "http://"+d.control(number)+"/api/config", bytes.NewReader(content))
+			request, err := http.NewRequest(http.MethodPut, "http://"+d.control(number)+platform.PathConfiguration, bytes.NewReader(content))
 			if err != nil {
 				return err
 			}
@@ -194,7 +194,7 @@
 	for number := 1; number <= d.options.relays; number++ {
 		isReady := false
 		for until := time.Now().Add(15 * time.Second); !isReady && time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-			answer, err := client.Get("http://" + d.address(2, number, portReady) + "/api/ready")
+			answer, err := client.Get("http://" + d.address(2, number, portReady) + dialect.ReadyPath)
 			if err == nil {
 				isReady = answer.StatusCode == http.StatusOK
 				_ = answer.Body.Close()
--- a/review/_standin/frozen_voters.go
+++ b/review/_standin/frozen_voters.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"github.com/hazelpitch/hazelpitch/platform"
 )
 
 // freezeTime is how long two controllers stand still; the site's node_freeze has 4 s.
@@ -17,8 +19,7 @@
 // Meanwhile a configuration is acknowledged, and right after that two others lose their disks, as many as may be lost. Once all are
 // back, the configuration must be read back, and requests must be served. JOIN=0 in the environment leaves out the joining controller.
 func runFrozenVoters(record *record, trouble bool) error {
-	routes, services := plainStreams()
-	deployment, err := startDeployment(record, options{controllers: 5, relays: 2, routes: routes, services: services})
+	deployment, err := startDeployment(record, options{controllers: 5, relays: 2})
 	if err != nil {
 		return err
 	}
@@ -27,7 +28,7 @@
 		return err
 	}
 	if !trouble {
-		if err := deployment.putConfiguration(routes, services); err != nil {
+		if err := deployment.putConfiguration(); err != nil {
 			return err
 		}
 		return deployment.judge([]int{1, 2, 3, 4, 5}, time.Now())
@@ -52,7 +53,7 @@
 		running = append(running, 6)
 	}
 	time.Sleep(time.Until(frozenAt.Add(2800 * time.Millisecond)))
-	err = deployment.putConfiguration(routes, services)
+	err = deployment.putConfiguration()
 	acknowledged := err == nil && time.Since(frozenAt) < freezeTime-100*time.Millisecond
 	if !acknowledged {
 		return errors.Join(errors.New("the configuration is not acknowledged while the two stand still"), err)
@@ -83,7 +84,7 @@
 	d.leader = 0
 	var others []int
 	for number := 1; number <= d.options.controllers; number++ {
-		answer, err := client.Get("http://" + d.control(number) + "/api/config")
+		answer, err := client.Get("http://" + d.control(number) + platform.PathConfiguration)
 		if err != nil {
 			return nil, err
 		}
--- a/review/_standin/line_of_2048.go
+++ b/review/_standin/line_of_2048.go
@@ -39,14 +39,7 @@
 // runLineOf2048 sends streams that may be resumed. The replica that runs a stream is killed midway; the stream must then go on at
 // another one, with each event once, whole and in order.
 func runLineOf2048(record *record, trouble bool) error {
-	deployment, err := startDeployment(record, options{
-		controllers: 3, relays: 2,
-		routes: []map[string]any{{
-			"Name": "stream", "Host": "review.example", "PathPrefix": "/stream/", "Kind": "streaming", "TimeoutMs": 6000, "TargetLatencyMs": 600,
-			"Priority": 0, "Service": "writers", "MaxAttempts": 2, "Sticky": false, "AllowResume": true, "TargetGapMs": 300,
-		}},
-		services: []map[string]any{{"Name": "writers", "HealthPath": "/health", "MaxConnections": 100, "Protocol": "h1", "Tls": false}},
-	})
+	deployment, err := startDeployment(record, options{controllers: 3, relays: 2})
 	if err != nil {
 		return err
 	}
@@ -90,8 +83,8 @@
 		return "", err
 	}
 	request.Host = "review.example"
-	request.Header.Set("X-Request-Id", id)
-	request.Header.Set("X-Request-Deadline-Ms", "6000")
+	request.Header.Set(dialect.Headers.RequestID, id)
+	request.Header.Set(dialect.Headers.DeadlineMs, "6000")
 	client := http.Client{Timeout: 6 * time.Second}
 	record.printf("stream %d: request %s is sent", number, id)
 	answer, err := client.Do(request)
@@ -99,7 +92,7 @@
 		return "", err
 	}
 	defer answer.Body.Close()
-	seal := answer.Header.Get("X-Server-Seal")
+	seal := answer.Header.Get(dialect.Headers.Seal)
 	record.printf("stream %d: status %d, seal %q", number, answer.StatusCode, seal)
 	if answer.StatusCode != http.StatusOK {
 		return "", fmt.Errorf("the stream was answered with %d", answer.StatusCode)
@@ -160,16 +153,3 @@
 	}
 	return text
 }
-
-// recordRuns adds what the replicas ran to the record.
-func (d *deployment) recordRuns() {
-	for number := 1; number <= replicas; number++ {
-		content, err := os.ReadFile(filepath.Join(d.directory, fmt.Sprintf("i-%d.log", number)))
-		if err != nil {
-			continue
-		}
-		for line := range strings.Lines(string(content)) {
-			d.record.printf("replica i-%d: %s", number, strings.TrimSpace(line))
-		}
-	}
-}
--- a/review/_standin/list.go
+++ b/review/_standin/list.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"slices"
 	"sync"
+
+	"github.com/hazelpitch/hazelpitch/platform"
 )
 
 // instance is one entry of the platform's list.
@@ -21,6 +23,12 @@
 	Stage           string `json:",omitempty"`
 }
 
+// page is the only page of the list; NextPageToken is null on the last one.
+type page struct {
+	Instances     []instance
+	NextPageToken *string
+}
+
 // list is the platform's list of replicas. It is safe for concurrent use.
 type list struct {
 	address   string
@@ -40,14 +48,14 @@
 
 // ServeHTTP implements http.Handler.
 func (l *list) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	if request.URL.Path != "/instances" {
+	if request.URL.Path != platform.PathListing {
 		writer.WriteHeader(http.StatusNotFound)
 		return
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	writer.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(writer).Encode(map[string]any{"Instances": append([]instance{}, l.instances...), "NextPageToken": nil})
+	_ = json.NewEncoder(writer).Encode(page{Instances: append([]instance{}, l.instances...)})
 }
 
 func (l *list) add(added instance) {
--- a/review/_standin/outcome.go
+++ b/review/_standin/outcome.go
@@ -10,6 +10,8 @@
 	"path/filepath"
 	"strings"
 	"time"
+
+	"github.com/hazelpitch/hazelpitch/platform"
 )
 
 // Times from the pages: CatchUpS and RecoveryS of empleandes-lima, and how long the operator reads back here.
@@ -19,15 +21,6 @@
 	readBackFor = 20 * time.Second
 )
 
-// plainStreams returns a route for short streams, and its service.
-func plainStreams() (routes, services []map[string]any) {
-	routes = []map[string]any{{
-		"Name": "stream", "Host": "review.example", "PathPrefix": "/stream/", "Kind": "streaming", "TimeoutMs": 6000, "TargetLatencyMs": 600,
-		"Priority": 0, "Service": "writers", "MaxAttempts": 2, "Sticky": false, "AllowResume": true, "TargetGapMs": 300,
-	}}
-	return routes, []map[string]any{{"Name": "writers", "HealthPath": "/health", "MaxConnections": 100, "Protocol": "h1", "Tls": false}}
-}
-
 // serveBefore starts a replica, and checks that requests are served before any fault.
 func (d *deployment) serveBefore() error {
 	if _, err := startProcess("i-1", filepath.Join(d.directory, "i-1.log"), os.Args[0], "replica", "--address", d.replica(1), "--id", "i-1", "--events", "2"); err != nil {
@@ -46,6 +39,7 @@
 
 // judge reads the configuration back, and sends requests once RecoveryS has passed since all machines were back.
 func (d *deployment) judge(running []int, backAt time.Time) error {
+	defer d.recordRuns()
 	version := d.readBack(running, readBackFor)
 	time.Sleep(time.Until(backAt.Add(recovery)))
 	served := d.sendRequests("after")
@@ -65,7 +59,7 @@
 	last := ""
 	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
 		for _, number := range running {
-			answer, err := client.Get("http://" + d.control(number) + "/api/config")
+			answer, err := client.Get("http://" + d.control(number) + platform.PathConfiguration)
 			if err != nil {
 				last = err.Error()
 				continue
@@ -97,8 +91,8 @@
 			return served
 		}
 		request.Host = "review.example"
-		request.Header.Set("X-Request-Id", fmt.Sprintf("%s-%d", when, number))
-		request.Header.Set("X-Request-Deadline-Ms", "6000")
+		request.Header.Set(dialect.Headers.RequestID, fmt.Sprintf("%s-%d", when, number))
+		request.Header.Set(dialect.Headers.DeadlineMs, "6000")
 		answer, err := client.Do(request)
 		if err != nil {
 			statuses["no answer"]++
@@ -114,3 +108,19 @@
 	d.record.printf("requests %s the faults: %v", when, statuses)
 	return served
 }
+
+// maxReplicas is the largest number of replicas in a case.
+const maxReplicas = replicas
+
+// recordRuns adds what the replicas ran to the record.
+func (d *deployment) recordRuns() {
+	for number := 1; number <= maxReplicas; number++ {
+		content, err := os.ReadFile(filepath.Join(d.directory, fmt.Sprintf("i-%d.log", number)))
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(content)) {
+			d.record.printf("replica i-%d: %s", number, strings.TrimSpace(line))
+		}
+	}
+}
--- a/review/_standin/replica.go
+++ b/review/_standin/replica.go
@@ -40,31 +40,27 @@
 	if _, err := io.ReadAll(request.Body); err != nil {
 		return
 	}
-	id := request.Header.Get("X-Request-Id")
-	writer.Header().Set("X-Request-Id", id)
-	if expected := request.Header.Get("X-Expect-Instance"); expected != "" && expected != s.id {
-		writer.Header().Set("X-Not-Executed", "1")
+	id := request.Header.Get(dialect.Headers.RequestID)
+	writer.Header().Set(dialect.Headers.RequestID, id)
+	if expected := request.Header.Get(dialect.Headers.ExpectInstance); expected != "" && expected != s.id {
+		writer.Header().Set(dialect.Headers.NotExecuted, "1")
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	switch {
-	case request.URL.Path == "/health":
-		writer.Header().Set("X-Instance-Id", s.id)
-	case strings.HasPrefix(request.URL.Path, "/api/"):
-		writer.WriteHeader(http.StatusNotFound)
-	case id == "":
-		writer.Header().Set("X-Not-Executed", "1")
+	if id == "" {
+		fmt.Printf("refused: %s %s has no identity\n", request.Method, request.URL.Path)
+		writer.Header().Set(dialect.Headers.NotExecuted, "1")
 		writer.WriteHeader(http.StatusBadRequest)
-	default:
-		s.stream(writer, request, id)
+		return
 	}
+	s.stream(writer, request, id)
 }
 
 // stream runs a request. It goes on after the last event that the client has.
 func (s *replicaServer) stream(writer http.ResponseWriter, request *http.Request, id string) {
-	first, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // 0 without the header
+	first, _ := strconv.Atoi(request.Header.Get(dialect.Headers.LastEventID)) // 0 without the header
 	fmt.Printf("run %s from event %d\n", id, first+1)
-	writer.Header().Set("X-Server-Seal", "seal."+s.id+"."+id)
+	writer.Header().Set(dialect.Headers.Seal, "seal."+s.id+"."+id)
 	writer.Header().Set("Content-Type", "text/event-stream")
 	for number := first + 1; number <= s.events; number++ {
 		if _, err := io.WriteString(writer, eventText(number, s.lineLength)); err != nil {
--- a/review/_standin/two_replacements.go
+++ b/review/_standin/two_replacements.go
@@ -15,8 +15,7 @@
 // time to catch up pass. Then a configuration is acknowledged, all machines lose power, and two of the five come back with empty
 // disks, as many as may be lost. The configuration must be read back, and requests must be served.
 func runTwoReplacements(record *record, trouble bool) error {
-	routes, services := plainStreams()
-	deployment, err := startDeployment(record, options{controllers: 5, relays: 2, routes: routes, services: services})
+	deployment, err := startDeployment(record, options{controllers: 5, relays: 2})
 	if err != nil {
 		return err
 	}
@@ -30,7 +29,7 @@
 			return err
 		}
 	}
-	if err := deployment.putConfiguration(routes, services); err != nil {
+	if err := deployment.putConfiguration(); err != nil {
 		return err
 	}
 	if trouble {
