--- a/review/_standin/outcome.go
+++ b/review/_standin/outcome.go
@@ -96,11 +96,13 @@
 		answer, err := client.Do(request)
 		if err != nil {
 			statuses["no answer"]++
+			d.record.printf("request %s-%d: no answer: %v", when, number, err)
 			continue
 		}
 		_, err = io.Copy(io.Discard, answer.Body)
 		_ = answer.Body.Close()
 		statuses[fmt.Sprint(answer.StatusCode)]++
+		d.record.printf("request %s-%d is answered with %d, seal %q", when, number, answer.StatusCode, answer.Header.Get(dialect.Headers.Seal))
 		if err == nil && answer.StatusCode == http.StatusOK {
 			served++
 		}
