Log why a leader promotes, removes or keeps a member

Logs and metrics named no voter, so that three explanations could not be told apart: voters that are gone still count for the quorum; the acknowledged entry was on too few disks; the controllers that are left do not find each other.

Change: no change of logic. The leader records each decision on a member with its reason, the member's silence and the numbers of voters before it; silent voters that are kept have a decision, too. The controller logs them as member_decided. Metrics: voters, voters_answering, voter_losses_tolerated, learners.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -63,6 +63,7 @@
 	pendingMembershipIndex uint64 // index of the membership entry not committed yet
 	uncommittedBytes       int    // bytes proposed and not committed
 	transfer               transfer
+	decisions              decisionRecord
 }
 
 // New returns a member that starts as a follower with the state restored from its disk.
--- /dev/null
+++ b/internal/consensus/decisions.go
@@ -0,0 +1,65 @@
+package consensus
+
+import (
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/voterplan"
+)
+
+// retainedDecisions is the number of decisions that Status returns.
+const retainedDecisions = 64
+
+// NumberedDecision is a decision of this member as a leader. Number counts the decisions since the start of the process,
+// from 1.
+type NumberedDecision struct {
+	voterplan.Decision
+	Number uint64
+}
+
+// decisionRecord holds the last decisions on members, for logs.
+type decisionRecord struct {
+	recent []NumberedDecision
+	last   uint64
+	// kept holds the reason for which each silent voter is kept, so that each reason is recorded once.
+	kept map[string]voterplan.Reason
+}
+
+// add records a decision.
+func (r *decisionRecord) add(decision voterplan.Decision) {
+	r.last++
+	r.recent = append(r.recent, NumberedDecision{Decision: decision, Number: r.last})
+	if len(r.recent) > retainedDecisions {
+		r.recent = append(r.recent[:0:0], r.recent[len(r.recent)-retainedDecisions:]...)
+	}
+}
+
+// addKept records the decision to keep a silent voter unless it was the last one on that voter.
+func (r *decisionRecord) addKept(decision voterplan.Decision) {
+	if r.kept[decision.MemberID] == decision.Reason {
+		return
+	}
+	if r.kept == nil {
+		r.kept = make(map[string]voterplan.Reason)
+	}
+	r.kept[decision.MemberID] = decision.Reason
+	r.add(decision)
+}
+
+// decide returns the decision on a member, with its silence and the current counts.
+func (c *Core) decide(member *v1.Member, action voterplan.Action, reason voterplan.Reason) voterplan.Decision {
+	decision := voterplan.Decision{MemberID: member.GetId(), Action: action, Reason: reason, Counts: c.voterCounts()}
+	if progress := c.progress[member.GetId()]; progress != nil {
+		decision.Silence = c.now - progress.lastAnswerAt
+	}
+	return decision
+}
+
+// voterCounts counts the voters, and those of them that are not silent.
+func (c *Core) voterCounts() voterplan.Counts {
+	counts := voterplan.Counts{Voters: len(c.members.voters())}
+	for _, id := range c.members.voters() {
+		if !c.isSilentFor(id, seededVoterSilence) {
+			counts.AnsweringVoters++
+		}
+	}
+	return counts
+}
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/voterplan"
 )
 
 // The initial membership is stored in every log as a snapshot without data at this index and
@@ -174,33 +175,35 @@
 		if c.isSeeded() {
 			next = c.nextSeededMembership
 		}
-		if changed := next(member); changed != nil {
-			_, _, _ = c.ProposeMembership(c.now, changed)
+		if changed, decision := next(member); changed != nil {
+			if _, _, err := c.ProposeMembership(c.now, changed); err == nil {
+				c.decisions.add(decision)
+			}
 			return
 		}
 	}
 }
 
 // nextMembership returns the membership after the next step that concerns the member, or nil if
-// there is none.
-func (c *Core) nextMembership(member *v1.Member) *v1.Membership {
+// there is none, and the decision behind it.
+func (c *Core) nextMembership(member *v1.Member) (*v1.Membership, voterplan.Decision) {
 	sameName := c.findSameName(member)
 	if member.GetLearner() {
 		missing := len(c.members.voters()) < len(c.config.Peers)
 		replaces := sameName != nil && !sameName.GetLearner() && c.isSilent(sameName.GetId())
 		if (missing || replaces) && c.hasCaughtUp(member.GetId()) {
 			promoted := &v1.Member{Id: member.GetId(), Address: member.GetAddress(), Zone: member.GetZone(), Name: member.GetName()}
-			return c.members.with(promoted)
+			return c.members.with(promoted), c.decide(member, voterplan.Promote, voterplan.CaughtUp)
 		}
 		if sameName != nil && sameName.GetLearner() && c.isSilent(member.GetId()) && !c.isSilent(sameName.GetId()) {
-			return c.members.without(member.GetId())
+			return c.members.without(member.GetId()), c.decide(member, voterplan.Remove, voterplan.SilentLearner)
 		}
-		return nil
+		return nil, voterplan.Decision{}
 	}
 	if sameName != nil && !sameName.GetLearner() && c.isSilent(member.GetId()) && !c.isSilent(sameName.GetId()) {
-		return c.members.without(member.GetId())
+		return c.members.without(member.GetId()), c.decide(member, voterplan.Remove, voterplan.DiskReplaced)
 	}
-	return nil
+	return nil, voterplan.Decision{}
 }
 
 // findSameName returns another member with the same name, preferring a voter to a learner, or
--- a/internal/consensus/formation_seeds.go
+++ b/internal/consensus/formation_seeds.go
@@ -5,6 +5,7 @@
 	"time"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/voterplan"
 )
 
 // A fleet whose settings name only some of its controllers (seeds) forms its quorum from probes:
@@ -122,38 +123,43 @@
 }
 
 // nextSeededMembership returns the membership of a seeded quorum after the next step that
-// concerns the member, or nil if there is none. A learner that has caught up becomes a voter. A
-// voter that appears to be dead is removed first, so that the quorum does not grow by dead members.
-func (c *Core) nextSeededMembership(member *v1.Member) *v1.Membership {
+// concerns the member, or nil if there is none, and the decision behind it. A learner that has caught
+// up becomes a voter. A voter that appears to be dead is removed first, so that the quorum does not
+// grow by dead members.
+func (c *Core) nextSeededMembership(member *v1.Member) (*v1.Membership, voterplan.Decision) {
 	if !member.GetLearner() {
-		if c.isExpendable(member) {
-			return c.members.without(member.GetId())
+		if reason, isExpendable := c.isExpendable(member); isExpendable {
+			return c.members.without(member.GetId()), c.decide(member, voterplan.Remove, reason)
 		}
-		return nil
+		if c.isSilentFor(member.GetId(), seededVoterSilence) {
+			c.decisions.addKept(c.decide(member, voterplan.Keep, voterplan.SilentOddVoters))
+		}
+		return nil, voterplan.Decision{}
 	}
 	if c.isSilentFor(member.GetId(), seededLearnerSilence) {
-		return c.members.without(member.GetId())
+		return c.members.without(member.GetId()), c.decide(member, voterplan.Remove, voterplan.SilentLearner)
 	}
 	if !c.hasCaughtUp(member.GetId()) {
-		return nil
+		return nil, voterplan.Decision{}
 	}
 	if silentVoter := c.longestSilentVoter(); silentVoter != "" {
-		return c.members.without(silentVoter)
+		return c.members.without(silentVoter), c.decide(c.members.byID[silentVoter], voterplan.Remove, voterplan.SilentBeforePromotion)
 	}
 	promoted := &v1.Member{Id: member.GetId(), Address: member.GetAddress(), Zone: member.GetZone(), Name: member.GetName()}
-	return c.members.with(promoted)
+	return c.members.with(promoted), c.decide(member, voterplan.Promote, voterplan.CaughtUp)
 }
 
 // isExpendable reports whether a voter may be removed: a learner that replaces it has caught up, or the voter is silent
 // and the number of voters is even, so that the quorum tolerates as many failures without it.
-func (c *Core) isExpendable(voter *v1.Member) bool {
+func (c *Core) isExpendable(voter *v1.Member) (voterplan.Reason, bool) {
 	if voter.GetId() == c.id {
-		return false
+		return "", false
 	}
 	if c.hasReplacement(voter) {
-		return true
+		return voterplan.DiskReplaced, true
 	}
-	return len(c.members.voters())%2 == 0 && c.isSilentFor(voter.GetId(), seededVoterSilence)
+	isEvenAndSilent := len(c.members.voters())%2 == 0 && c.isSilentFor(voter.GetId(), seededVoterSilence)
+	return voterplan.SilentEvenVoters, isEvenAndSilent
 }
 
 // longestSilentVoter returns the voter that has been silent for longest, or "" if none is silent.
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/voterplan"
 )
 
 // Status is a member's current view of the consensus group.
@@ -28,6 +29,10 @@
 	MembershipCommitted bool
 	// Members is set only at the leader, sorted by identity.
 	Members []MemberStatus
+	// VoterCounts are set only at the leader.
+	VoterCounts voterplan.Counts
+	// Decisions are the last decisions on members that this member took as a leader, oldest first.
+	Decisions []NumberedDecision
 }
 
 // MemberStatus is the leader's view of one member.
@@ -48,10 +53,12 @@
 		Commit: c.log.commit, Applied: c.log.applied, LastIndex: c.log.last().index, Stable: c.log.stable,
 		Compacted: c.log.base.index, LogBytes: c.log.bytes, Membership: c.members.membership,
 		MembershipCommitted: c.lastMembershipAfter(c.log.commit) == 0,
+		Decisions:           c.decisions.recent,
 	}
 	if c.role != RoleLeader {
 		return status
 	}
+	status.VoterCounts = c.voterCounts()
 	for _, id := range c.members.ids() {
 		progress := c.progress[id]
 		member := MemberStatus{Member: c.members.byID[id], Match: progress.match, Silence: c.now - progress.lastAnswerAt}
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -30,6 +30,7 @@
 	machines          prometheus.Gauge
 	agreedFormat      prometheus.Gauge
 	agreementBlockers prometheus.Gauge
+	quorum            quorumInstruments
 	site              siteInstruments
 }
 
@@ -57,6 +58,7 @@
 		machines:          factory.Gauge("machines", "Back ends this controller knows."),
 		agreedFormat:      factory.Gauge("agreed_format", "Highest format whose entries of the log take effect here."),
 		agreementBlockers: factory.Gauge("members_of_former_formats", "Controllers that keep this leader from an agreement on its newest format of the log; 0 at others."),
+		quorum:            newQuorumInstruments(factory),
 		site:              newSiteInstruments(factory),
 	}
 }
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -57,6 +57,7 @@
 	defer ticker.Stop()
 	leader, term := "", uint64(0)
 	agreement := ""
+	decisions := decisionLog{log: c.log}
 	for {
 		select {
 		case <-ctx.Done():
@@ -77,6 +78,8 @@
 			c.log.Info().Str(events.FieldEvent, string(events.FormatAgreed)).Uint("format", uint(status.AgreedFormat)).
 				Uint("own_format", uint(formats.Newest)).Strs("held_back_by", status.AgreementBlockers).Send()
 		}
+		decisions.write(status.Consensus.Decisions)
+		c.instruments.quorum.set(status.Consensus)
 		c.instruments.agreedFormat.Set(float64(status.AgreedFormat))
 		c.instruments.agreementBlockers.Set(float64(len(status.AgreementBlockers)))
 		c.instruments.term.Set(float64(status.Consensus.Term))
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -92,6 +92,8 @@
 	// FormatAgreed: the controllers agreed on a different format of their data, or the controllers changed that keep a
 	// leader from using its newest format because they do not support it or have not reported their formats.
 	FormatAgreed Event = "format_agreed"
+	// MemberDecided: a leader promotes or removes a member of the replicated log, or keeps a voter that is silent.
+	MemberDecided Event = "member_decided"
 	// ControllerHalted: the controller stops because it cannot apply a committed entry.
 	ControllerHalted Event = "controller_halted"
 	// UpdateNotApplied: a relay requests an update that a controller has already sent to it.
@@ -114,7 +116,7 @@
 var All = []Event{
 	RequestEnded, AttemptFailed, AnswerGivenUp, RequestRefused, RequestUnread, PathLost, PathRestored, KeyRefused, RunMigrated, StreamContinued, ConfigurationApplied, ConfigurationUnreadable, ListingApplied, ListingFaultChanged,
 	BackEndInBackoff, BackEndLeaving, BackEndLimitChanged, BackEndRestarted, BackEndCrashed, RequestQuarantined, QuarantineTrialStarted, GuardCallFailed,
-	LeaderLost, LeaderFound, OwnerSuspected, CellAcquired, CellReleased, SlotsAcquired, SlotsReleased, SlotRefused, SlotGranted, RelayStarted, RelayStopping, RelayStopped, GatewayStopping, GatewayStopped, SignalReceived, StageOrdered, UsageDelivered, ReplicasOrdered, FormatAgreed, ControllerHalted, UpdateNotApplied, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
+	LeaderLost, LeaderFound, OwnerSuspected, CellAcquired, CellReleased, SlotsAcquired, SlotsReleased, SlotRefused, SlotGranted, RelayStarted, RelayStopping, RelayStopped, GatewayStopping, GatewayStopped, SignalReceived, StageOrdered, UsageDelivered, ReplicasOrdered, FormatAgreed, MemberDecided, ControllerHalted, UpdateNotApplied, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
 
 // Names of fields that several events have in common.
--- /dev/null
+++ b/internal/voterplan/decision.go
@@ -0,0 +1,54 @@
+package voterplan
+
+import "time"
+
+// Action is what a leader does with a member.
+type Action string
+
+// Actions of a leader.
+const (
+	Promote Action = "promote"
+	Remove  Action = "remove"
+	Keep    Action = "keep"
+)
+
+// Reason states why a leader chose an action.
+type Reason string
+
+// Reasons of a leader.
+const (
+	// CaughtUp: the learner holds, synced, all committed entries.
+	CaughtUp Reason = "caught_up"
+	// DiskReplaced: a learner on another disk has caught up at the voter's address or under its name.
+	DiskReplaced Reason = "disk_replaced"
+	// SilentLearner: the learner has been silent for too long.
+	SilentLearner Reason = "silent_learner"
+	// SilentBeforePromotion: the voter is silent, and a learner is about to be promoted.
+	SilentBeforePromotion Reason = "silent_before_promotion"
+	// SilentEvenVoters: the voter is silent, and the number of voters is even.
+	SilentEvenVoters Reason = "silent_even_voters"
+	// SilentOddVoters: the voter is silent, but the number of voters is odd and no learner is about to be promoted.
+	SilentOddVoters Reason = "silent_odd_voters"
+)
+
+// Counts are the numbers of voters on which a leader bases its decisions.
+type Counts struct {
+	// Voters is the number of voters, AnsweringVoters the number of those that are not silent.
+	Voters, AnsweringVoters int
+}
+
+// ToleratedLosses returns the number of answering voters that may be lost before no quorum remains; negative if there is
+// none now.
+func (c Counts) ToleratedLosses() int { return c.AnsweringVoters - (c.Voters/2 + 1) }
+
+// Decision is a leader's decision on one member.
+type Decision struct {
+	// MemberID is the identity of the member's disk.
+	MemberID string
+	Action   Action
+	Reason   Reason
+	// Silence is the time since the member's last answer.
+	Silence time.Duration
+	// Counts are those before the action.
+	Counts Counts
+}
