Keep 2F+1 voters, and remove silent ones above that

Callers saw: after two planned replacements of core machines within seconds, and a final fault that takes two disks of five, no controller leads, the acknowledged configuration is not read back and no request is served.

Cause: a silent voter was removed only while the number of voters was even or a learner waited. Two new controllers made it 7; the two stopped ones stayed for ever, so that a quorum was 4 of the 5 that run, and 3 were left after the loss of two disks.

Change: internal/voterplan decides on voters by a minimum of 2F+1 for F tolerated losses (losses_borne). Above it silent voters are removed, whatever their number; at it they stay until a learner has been promoted. A voter whose disk is known to be lost goes before its successor is promoted. The next step follows the commit of the last one at once. docs/design/log-and-quorum.md, "Voters", has the promises, the reasons and the ways weighed.

Tests: TestVotersKeepEnoughDisks plays random joins, replacements, silences, restarts and lost disks with 3, 5 and 7 controllers and checks after each step that the newest acknowledged entry is on more disks of voters than may still be lost, and that a quorum remains. TestVotersBesideTheFormerRule has leaders of both rules in one quorum.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -63,14 +64,21 @@
 	leaders            map[uint64]string
 	disabledSafeguards safeguard.Set
 	retainedEntries    uint64
-	// seeds, if set, replace the peers; bootstrap is the current setting of Config.Bootstrap.
-	seeds     []string
-	bootstrap bool
+	// seeds, if set, replace the peers; bootstrap is the current setting of Config.Bootstrap. formationSize is 3 unless set.
+	seeds         []string
+	bootstrap     bool
+	formationSize int
+	// electionTimeout and heartbeatInterval are the defaults unless set.
+	electionTimeout, heartbeatInterval time.Duration
+	// formerRule are the members whose builds decide on voters by the former rule.
+	formerRule map[string]bool
+	// frozen members process nothing and receive nothing.
+	frozen map[string]bool
 }
 
 func newTestCluster(t *testing.T, size int, seed uint64) *testCluster {
 	c := &testCluster{t: t, random: rand.New(rand.NewPCG(seed, 1)), cores: map[string]*Core{}, disks: map[string]*testDisk{},
-		isolated: map[string]bool{}, applied: map[string][]string{}, committed: map[uint64]string{}, leaders: map[uint64]string{}}
+		isolated: map[string]bool{}, frozen: map[string]bool{}, applied: map[string][]string{}, committed: map[uint64]string{}, leaders: map[uint64]string{}}
 	for i := range size {
 		name := fmt.Sprintf("controller-%d", i+1)
 		c.names = append(c.names, name)
@@ -84,9 +92,10 @@
 
 // start starts a member with the state of its disk.
 func (c *testCluster) start(name string) {
-	config := Config{Fleet: "test", Name: name, Address: name, Zone: "zone", Seed: 7, Safeguards: c.disabledSafeguards, RetainedEntries: c.retainedEntries}
+	config := Config{Fleet: "test", Name: name, Address: name, Zone: "zone", Seed: 7, Safeguards: c.disabledSafeguards, RetainedEntries: c.retainedEntries,
+		ElectionTimeout: c.electionTimeout, HeartbeatInterval: c.heartbeatInterval}
 	if len(c.seeds) > 0 {
-		config.Seeds, config.Bootstrap, config.FormationSize = c.seeds, c.bootstrap, 3
+		config.Seeds, config.Bootstrap, config.FormationSize = c.seeds, c.bootstrap, cmp.Or(c.formationSize, 3)
 	} else {
 		for _, peer := range c.names[:min(len(c.names), 3)] {
 			config.Peers = append(config.Peers, Peer{Name: peer, Address: peer, Zone: "zone"})
@@ -96,6 +105,9 @@
 	disk.pending = nil
 	core, err := New(config, disk.restored)
 	require.NoError(c.t, err)
+	if c.formerRule[name] {
+		core.planVoters = planByFormerRule
+	}
 	c.cores[name] = core
 	c.applied[name] = nil
 }
@@ -106,12 +118,12 @@
 	inbox := c.inbox
 	c.inbox = nil
 	for _, message := range inbox {
-		if core := c.cores[message.Address]; core != nil && !c.isolated[message.Address] {
+		if core := c.cores[message.Address]; core != nil && !c.isolated[message.Address] && !c.frozen[message.Address] {
 			_ = core.Step(c.now, proto.CloneOf(message.Message))
 		}
 	}
 	for _, name := range c.names {
-		if c.cores[name] == nil {
+		if c.cores[name] == nil || c.frozen[name] {
 			continue
 		}
 		if c.now%(10*time.Millisecond) == 0 {
@@ -183,7 +195,7 @@
 // leader returns the name of the leader with a valid lease, or "".
 func (c *testCluster) leader() string {
 	for _, name := range c.names {
-		if core := c.cores[name]; core != nil && core.HasValidLease(c.now) {
+		if core := c.cores[name]; core != nil && !c.frozen[name] && core.HasValidLease(c.now) {
 			return name
 		}
 	}
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/voterplan"
 )
 
 // Role is the current Raft role of a member.
@@ -64,6 +65,8 @@
 	uncommittedBytes       int    // bytes proposed and not committed
 	transfer               transfer
 	decisions              decisionRecord
+	// planVoters is voterplan.Rules.Next; tests replace it.
+	planVoters func(voterplan.Rules, []voterplan.Member) voterplan.Plan
 }
 
 // New returns a member that starts as a follower with the state restored from its disk.
@@ -87,6 +90,8 @@
 		votedFor:  restored.HardState.GetVotedFor(),
 		log:       log,
 		addresses: make(map[string]string),
+
+		planVoters: voterplan.Rules.Next,
 	}
 	core.outbox.hardState = core.hardState()
 	if restored.Snapshot != nil {
--- a/internal/consensus/decisions.go
+++ b/internal/consensus/decisions.go
@@ -32,16 +32,16 @@
 	}
 }
 
-// addKept records the decision to keep a silent voter unless it was the last one on that voter.
-func (r *decisionRecord) addKept(decision voterplan.Decision) {
-	if r.kept[decision.MemberID] == decision.Reason {
-		return
-	}
-	if r.kept == nil {
-		r.kept = make(map[string]voterplan.Reason)
+// setKept records the decisions to keep silent voters, except those that were recorded when it was called last.
+func (r *decisionRecord) setKept(decisions []voterplan.Decision) {
+	kept := make(map[string]voterplan.Reason, len(decisions))
+	for _, decision := range decisions {
+		kept[decision.MemberID] = decision.Reason
+		if r.kept[decision.MemberID] != decision.Reason {
+			r.add(decision)
+		}
 	}
-	r.kept[decision.MemberID] = decision.Reason
-	r.add(decision)
+	r.kept = kept
 }
 
 // decide returns the decision on a member, with its silence and the current counts.
@@ -54,12 +54,4 @@
 }
 
 // voterCounts counts the voters, and those of them that are not silent.
-func (c *Core) voterCounts() voterplan.Counts {
-	counts := voterplan.Counts{Voters: len(c.members.voters())}
-	for _, id := range c.members.voters() {
-		if !c.isSilentFor(id, seededVoterSilence) {
-			counts.AnsweringVoters++
-		}
-	}
-	return counts
-}
+func (c *Core) voterCounts() voterplan.Counts { return c.voterRules().Count(c.plannedMembers()) }
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -162,20 +162,19 @@
 // may be replaced by a learner of the same name.
 const replacementSilence = 5
 
-// maintainMembership proposes the next step of a replacement. A learner that has caught up
-// becomes a voter when it replaces a silent voter of the same name or when voters are missing;
-// after that, the silent voter is removed.
+// maintainMembership proposes the next change of the membership, if one is due. Among named peers, a learner that has
+// caught up becomes a voter when it replaces a silent voter of the same name or when voters are missing; after that, the
+// silent voter is removed.
 func (c *Core) maintainMembership() {
 	if c.pendingMembershipIndex > c.log.commit || c.log.commit < c.leaderStartIndex || c.transfer.target != "" {
 		return
 	}
+	if c.isSeeded() {
+		c.maintainSeededVoters()
+		return
+	}
 	for _, id := range c.members.ids() {
-		member := c.members.byID[id]
-		next := c.nextMembership
-		if c.isSeeded() {
-			next = c.nextSeededMembership
-		}
-		if changed, decision := next(member); changed != nil {
+		if changed, decision := c.nextMembership(c.members.byID[id]); changed != nil {
 			if _, _, err := c.ProposeMembership(c.now, changed); err == nil {
 				c.decisions.add(decision)
 			}
@@ -192,8 +191,7 @@
 		missing := len(c.members.voters()) < len(c.config.Peers)
 		replaces := sameName != nil && !sameName.GetLearner() && c.isSilent(sameName.GetId())
 		if (missing || replaces) && c.hasCaughtUp(member.GetId()) {
-			promoted := &v1.Member{Id: member.GetId(), Address: member.GetAddress(), Zone: member.GetZone(), Name: member.GetName()}
-			return c.members.with(promoted), c.decide(member, voterplan.Promote, voterplan.CaughtUp)
+			return c.members.with(asVoter(member)), c.decide(member, voterplan.Promote, voterplan.CaughtUp)
 		}
 		if sameName != nil && sameName.GetLearner() && c.isSilent(member.GetId()) && !c.isSilent(sameName.GetId()) {
 			return c.members.without(member.GetId()), c.decide(member, voterplan.Remove, voterplan.SilentLearner)
--- a/internal/consensus/formation_seeds.go
+++ b/internal/consensus/formation_seeds.go
@@ -5,7 +5,6 @@
 	"time"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
-	"github.com/hazelpitch/hazelpitch/internal/voterplan"
 )
 
 // A fleet whose settings name only some of its controllers (seeds) forms its quorum from probes:
@@ -21,12 +20,6 @@
 const (
 	// formationSettle is the number of election timeouts that must pass without a new report.
 	formationSettle = 1
-	// seededVoterSilence is the number of election timeouts without an answer after which a
-	// seeded quorum may remove a voter.
-	seededVoterSilence = 2.5
-	// seededLearnerSilence is the number of election timeouts without an answer after which a
-	// seeded quorum removes a learner.
-	seededLearnerSilence = 5
 	// rejoinSilence is the number of election timeouts without contact with a leader after which
 	// a member requests admission again: it may have been removed while it was unreachable.
 	rejoinSilence = 2
@@ -121,77 +114,3 @@
 		c.probeSeeds()
 	}
 }
-
-// nextSeededMembership returns the membership of a seeded quorum after the next step that
-// concerns the member, or nil if there is none, and the decision behind it. A learner that has caught
-// up becomes a voter. A voter that appears to be dead is removed first, so that the quorum does not
-// grow by dead members.
-func (c *Core) nextSeededMembership(member *v1.Member) (*v1.Membership, voterplan.Decision) {
-	if !member.GetLearner() {
-		if reason, isExpendable := c.isExpendable(member); isExpendable {
-			return c.members.without(member.GetId()), c.decide(member, voterplan.Remove, reason)
-		}
-		if c.isSilentFor(member.GetId(), seededVoterSilence) {
-			c.decisions.addKept(c.decide(member, voterplan.Keep, voterplan.SilentOddVoters))
-		}
-		return nil, voterplan.Decision{}
-	}
-	if c.isSilentFor(member.GetId(), seededLearnerSilence) {
-		return c.members.without(member.GetId()), c.decide(member, voterplan.Remove, voterplan.SilentLearner)
-	}
-	if !c.hasCaughtUp(member.GetId()) {
-		return nil, voterplan.Decision{}
-	}
-	if silentVoter := c.longestSilentVoter(); silentVoter != "" {
-		return c.members.without(silentVoter), c.decide(c.members.byID[silentVoter], voterplan.Remove, voterplan.SilentBeforePromotion)
-	}
-	promoted := &v1.Member{Id: member.GetId(), Address: member.GetAddress(), Zone: member.GetZone(), Name: member.GetName()}
-	return c.members.with(promoted), c.decide(member, voterplan.Promote, voterplan.CaughtUp)
-}
-
-// isExpendable reports whether a voter may be removed: a learner that replaces it has caught up, or the voter is silent
-// and the number of voters is even, so that the quorum tolerates as many failures without it.
-func (c *Core) isExpendable(voter *v1.Member) (voterplan.Reason, bool) {
-	if voter.GetId() == c.id {
-		return "", false
-	}
-	if c.hasReplacement(voter) {
-		return voterplan.DiskReplaced, true
-	}
-	isEvenAndSilent := len(c.members.voters())%2 == 0 && c.isSilentFor(voter.GetId(), seededVoterSilence)
-	return voterplan.SilentEvenVoters, isEvenAndSilent
-}
-
-// longestSilentVoter returns the voter that has been silent for longest, or "" if none is silent.
-func (c *Core) longestSilentVoter() string {
-	longestSilent, since := "", time.Duration(0)
-	for _, id := range c.members.voters() {
-		progress := c.progress[id]
-		if !c.isSilentFor(id, seededVoterSilence) {
-			continue
-		}
-		if longestSilent == "" || progress.lastAnswerAt < since {
-			longestSilent, since = id, progress.lastAnswerAt
-		}
-	}
-	return longestSilent
-}
-
-// hasReplacement reports whether a learner on another disk has caught up at the voter's address
-// or under its name.
-func (c *Core) hasReplacement(voter *v1.Member) bool {
-	for _, other := range c.members.byID {
-		sameProcess := other.GetAddress() == voter.GetAddress() || other.GetName() == voter.GetName()
-		if other.GetId() != voter.GetId() && sameProcess && other.GetLearner() && c.hasCaughtUp(other.GetId()) {
-			return true
-		}
-	}
-	return false
-}
-
-// isSilentFor reports whether a member has not answered for the given number of election timeouts.
-func (c *Core) isSilentFor(id string, timeouts float64) bool {
-	progress := c.progress[id]
-	limit := time.Duration(timeouts * float64(c.config.ElectionTimeout))
-	return id != c.id && progress != nil && c.now-progress.lastAnswerAt >= limit
-}
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -31,8 +31,9 @@
 	snapshotSentAt time.Duration
 	// ackedRoundAt is the send time of the newest round that the member acknowledged.
 	ackedRoundAt time.Duration
-	// lastAnswerAt is the arrival time of the member's last answer.
+	// lastAnswerAt is the arrival time of the member's last answer, or the time of this record while answered is false.
 	lastAnswerAt time.Duration
+	answered     bool
 }
 
 // recordAccepted records that the member accepted an append up to the index.
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -220,7 +220,7 @@
 	if c.role != RoleLeader || progress == nil {
 		return
 	}
-	progress.lastAnswerAt = c.now
+	progress.lastAnswerAt, progress.answered = c.now, true
 	progress.ackedRoundAt = max(progress.ackedRoundAt, time.Duration(message.GetRound()))
 	if message.GetReject() {
 		c.handleAppendRejection(message, progress)
@@ -278,9 +278,14 @@
 			c.uncommittedBytes -= len(entry.GetData())
 		}
 	}
+	endsChange := c.pendingMembershipIndex > c.log.commit && c.pendingMembershipIndex <= index
 	c.log.commit = index
 	c.broadcastAppend()
 	if !c.members.isVoter(c.id) && c.pendingMembershipIndex <= index {
 		c.becomeFollower(c.term, "") // this leader is no longer a voter
+		return
+	}
+	if endsChange {
+		c.maintainMembership() // a replacement takes two steps, between which the quorum tolerates less
 	}
 }
--- a/internal/controller/decision_log.go
+++ b/internal/controller/decision_log.go
@@ -21,7 +21,7 @@
 		d.last = decision.Number
 		d.log.Warn().Str(events.FieldEvent, string(events.MemberDecided)).Str("action", string(decision.Action)).
 			Str("reason", string(decision.Reason)).Str("member", decision.MemberID).Int64("silent_ms", decision.Silence.Milliseconds()).
-			Int("voters", decision.Counts.Voters).Int("answering", decision.Counts.AnsweringVoters).
+			Int("voters", decision.Counts.Voters).Int("minimum", decision.Counts.MinimumVoters).Int("answering", decision.Counts.AnsweringVoters).
 			Int("tolerated_losses", decision.Counts.ToleratedLosses()).Send()
 	}
 }
--- a/internal/voterplan/decision.go
+++ b/internal/voterplan/decision.go
@@ -23,18 +23,18 @@
 	DiskReplaced Reason = "disk_replaced"
 	// SilentLearner: the learner has been silent for too long.
 	SilentLearner Reason = "silent_learner"
-	// SilentBeforePromotion: the voter is silent, and a learner is about to be promoted.
-	SilentBeforePromotion Reason = "silent_before_promotion"
-	// SilentEvenVoters: the voter is silent, and the number of voters is even.
-	SilentEvenVoters Reason = "silent_even_voters"
-	// SilentOddVoters: the voter is silent, but the number of voters is odd and no learner is about to be promoted.
-	SilentOddVoters Reason = "silent_odd_voters"
+	// SilentAboveMinimum: the voter is silent, and there are more voters than the minimum.
+	SilentAboveMinimum Reason = "silent_above_minimum"
+	// SilentAtMinimum: the voter is silent, but there are no more voters than the minimum.
+	SilentAtMinimum Reason = "silent_at_minimum"
 )
 
 // Counts are the numbers of voters on which a leader bases its decisions.
 type Counts struct {
 	// Voters is the number of voters, AnsweringVoters the number of those that are not silent.
 	Voters, AnsweringVoters int
+	// MinimumVoters is the number of voters that silence alone never reduces further.
+	MinimumVoters int
 }
 
 // ToleratedLosses returns the number of answering voters that may be lost before no quorum remains; negative if there is
--- a/internal/voterplan/doc.go
+++ b/internal/voterplan/doc.go
@@ -1,3 +1,4 @@
-// Package voterplan describes decisions on the voters of the replicated log: which member is promoted to a voter, which
-// one is removed, which one is kept although it is silent, and for what reason.
+// Package voterplan decides who is a voter of a replicated log whose controllers are not named in advance: which learner is
+// promoted, which voter is removed, and which silent voter is kept. The decisions depend on nothing but the members as
+// the leader sees them. docs/design/log-and-quorum.md states the promises behind the rules.
 package voterplan
--- /dev/null
+++ b/internal/voterplan/rules.go
@@ -0,0 +1,132 @@
+package voterplan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Rules are the limits of the decisions.
+type Rules struct {
+	// MinimumVoters is the number of voters that silence alone never reduces further: 2F+1 for F tolerated losses.
+	MinimumVoters int
+	// VoterSilence is the silence after which a voter counts as silent, LearnerSilence the one after which a learner is
+	// removed.
+	VoterSilence, LearnerSilence time.Duration
+	// SuspectSilence is the silence after which a voter is in doubt: it counts as lost if its address or name has moved to
+	// another disk.
+	SuspectSilence time.Duration
+}
+
+// Plan is what a leader does with the members now.
+type Plan struct {
+	// Step is the next change of the membership; nil for none.
+	Step *Decision
+	// Kept are the silent voters that stay voters, and the reasons.
+	Kept []Decision
+}
+
+// Next returns the plan for the members. Removals precede promotions, so that the quorum does not grow by dead voters.
+func (r Rules) Next(members []Member) Plan {
+	plan := Plan{}
+	counts := r.Count(members)
+	for _, voter := range longestSilentFirst(members, false) {
+		if voter.Local {
+			continue
+		}
+		reason, isRemoved := r.reviewVoter(voter, counts, members)
+		decision := Decision{MemberID: voter.ID, Action: Remove, Reason: reason, Silence: voter.Silence, Counts: counts}
+		switch {
+		case isRemoved && plan.Step == nil:
+			plan.Step = &decision
+		case reason != "" && !isRemoved:
+			decision.Action = Keep
+			plan.Kept = append(plan.Kept, decision)
+		}
+	}
+	if plan.Step == nil {
+		plan.Step = r.nextLearner(members, counts)
+	}
+	return plan
+}
+
+// Count counts the voters.
+func (r Rules) Count(members []Member) Counts {
+	counts := Counts{MinimumVoters: r.MinimumVoters}
+	for _, member := range members {
+		if member.Learner {
+			continue
+		}
+		counts.Voters++
+		if !r.isSilent(member) {
+			counts.AnsweringVoters++
+		}
+	}
+	return counts
+}
+
+// isSilent reports whether a voter has not answered for VoterSilence.
+func (r Rules) isSilent(voter Member) bool { return !voter.Local && voter.Silence >= r.VoterSilence }
+
+// reviewVoter returns whether a voter is removed and the reason for either; an empty reason for a voter that answers.
+func (r Rules) reviewVoter(voter Member, counts Counts, members []Member) (reason Reason, isRemoved bool) {
+	if counts.Voters >= r.MinimumVoters && r.hasLostDisk(voter, members) {
+		return DiskReplaced, true
+	}
+	if !r.isSilent(voter) {
+		return "", false
+	}
+	if counts.Voters > r.MinimumVoters {
+		return SilentAboveMinimum, true
+	}
+	return SilentAtMinimum, false
+}
+
+// hasLostDisk reports whether a learner on another disk has caught up in the place of the silent voter.
+func (r Rules) hasLostDisk(voter Member, members []Member) bool {
+	return voter.Silence >= r.SuspectSilence && slices.ContainsFunc(members, func(other Member) bool {
+		return other.Learner && other.CaughtUp && voter.isReplacedBy(other)
+	})
+}
+
+// nextLearner returns the decision on the first learner that is to be removed or promoted; nil if there is none.
+func (r Rules) nextLearner(members []Member, counts Counts) *Decision {
+	var waiting *Decision
+	for _, learner := range longestSilentFirst(members, true) {
+		decision := Decision{MemberID: learner.ID, Action: Promote, Reason: CaughtUp, Silence: learner.Silence, Counts: counts}
+		switch {
+		case learner.Silence >= r.LearnerSilence:
+			decision.Action, decision.Reason = Remove, SilentLearner
+			return &decision
+		case !learner.CaughtUp || counts.Voters >= r.MinimumVoters && r.hasVoterInDoubt(members):
+		case !r.awaitsRemoval(learner, members):
+			return &decision
+		case counts.Voters < r.MinimumVoters:
+			waiting = &decision
+		}
+	}
+	return waiting
+}
+
+// hasVoterInDoubt reports whether a voter may or may not be silent. A promotion above the minimum waits until that is
+// known, so that the removal of a silent voter follows it at once.
+func (r Rules) hasVoterInDoubt(members []Member) bool {
+	return slices.ContainsFunc(members, func(voter Member) bool {
+		return !voter.Learner && !voter.Local && !r.isSilent(voter) && (!voter.Answered || voter.Silence >= r.SuspectSilence)
+	})
+}
+
+// awaitsRemoval reports whether a voter with a lost disk at the learner's address is about to be removed. Promoting the
+// learner before that would let the quorum depend on its new disk.
+func (r Rules) awaitsRemoval(learner Member, members []Member) bool {
+	return slices.ContainsFunc(members, func(voter Member) bool {
+		return !voter.Learner && !voter.Local && voter.ID != learner.ID && voter.isAtAddressOf(learner)
+	})
+}
+
+// longestSilentFirst returns the learners or the voters among the members, those with the longest silence first.
+func longestSilentFirst(members []Member, learners bool) []Member {
+	selected := slices.DeleteFunc(slices.Clone(members), func(member Member) bool { return member.Learner != learners })
+	slices.SortStableFunc(selected, func(a, b Member) int { return cmp.Compare(b.Silence, a.Silence) })
+	return selected
+}
