Let a learner that stood still ask its seeds again

What operators saw: a controller that freezes for more than five election timeouts (2 s) between its admission and its vote is removed, and stays out of the quorum until it is restarted.

Cause: a learner without contact probes its named peers again. A seeded member has none, but the probe of nobody set the time of the next probe, so that the probe of the seeds that follows in the same tick was never due.

Change: only learners among named peers use that probe; seeded ones probe seeds and members as any member without contact does.

Test: TestLearnerThatStoodStillRejoins failed before ("no vote within a minute").

--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -56,10 +56,13 @@
 	c.outbox.messages = append(c.outbox.messages, probe)
 }
 
-// tickLearner makes a learner that has had no contact with a leader for a long time request
-// admission again: the leader that admitted it may have lost its term before the change was
-// committed.
+// tickLearner makes a learner among named peers that has had no contact with a leader for a long time
+// request admission again: the leader that admitted it may have lost its term before the change was
+// committed. Members of a seeded quorum do so in tickRejoin.
 func (c *Core) tickLearner() {
+	if c.isSeeded() {
+		return
+	}
 	silence := c.now - c.leaderContactAt
 	if c.members.byID[c.id].GetLearner() && silence >= replacementSilence*c.config.ElectionTimeout && c.now >= c.probeDueAt {
 		c.probePeers()
