Let emptied disks find the quorum by the messages to their predecessors

What operators saw: controllers whose disks are emptied together, all seeds among them, run and never get a vote again until a seed is replaced by hand.

Cause: a member on an empty disk probes its seeds alone. Emptied seeds know nothing. The voters that are left send to the former disks at the same addresses, and those messages were dropped without a trace.

Change: a member on an empty disk also probes the senders of all messages that reached it.

Test: TestEmptiedSeedsFindTheQuorum failed before ("no votes of the emptied disks within a minute").

--- a/internal/consensus/formation_seeds.go
+++ b/internal/consensus/formation_seeds.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -61,11 +62,16 @@
 	c.formFromReports()
 }
 
-// probeSeeds probes the seeds and all known members.
+// probeSeeds probes the seeds and all known members. A member on an empty disk also probes those that have sent it
+// anything: the members of a quorum go on sending to the disk that this process had before, when all seeds may be
+// down or on empty disks themselves.
 func (c *Core) probeSeeds() {
 	c.probeDueAt = c.now + c.config.ElectionTimeout/4
 	addresses := append(slices.Clone(c.config.Seeds), c.updatedSeeds...)
 	addresses = append(addresses, c.Addresses()...)
+	if c.members.empty() {
+		addresses = slices.AppendSeq(addresses, maps.Values(c.addresses))
+	}
 	slices.Sort(addresses)
 	for _, address := range slices.Compact(addresses) {
 		if address != c.config.Address {
