Remove a lost disk before its successor votes among named peers, too

What operators of gateways' controllers saw: a machine whose disk is lost twice within moments takes the quorum with it. With three controllers no leader is elected again.

The rule for named peers promoted the new disk first and removed the former one afterwards; a new disk that was lost in between was a second dead voter. With a third disk of that name each dead voter was kept because the other one was silent.

Change: named peers follow internal/voterplan as well, with the number of peers as the minimum. A voter whose place another disk has taken goes first, and a learner is promoted next, named peers before standbys.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -68,6 +68,8 @@
 	seeds         []string
 	bootstrap     bool
 	formationSize int
+	// peers is the number of named peers, the first ones of names; 3 unless set.
+	peers int
 	// electionTimeout and heartbeatInterval are the defaults unless set.
 	electionTimeout, heartbeatInterval time.Duration
 	// formerRule are the members whose builds decide on voters by the former rule.
@@ -97,7 +99,7 @@
 	if len(c.seeds) > 0 {
 		config.Seeds, config.Bootstrap, config.FormationSize = c.seeds, c.bootstrap, cmp.Or(c.formationSize, 3)
 	} else {
-		for _, peer := range c.names[:min(len(c.names), 3)] {
+		for _, peer := range c.names[:min(len(c.names), cmp.Or(c.peers, 3))] {
 			config.Peers = append(config.Peers, Peer{Name: peer, Address: peer, Zone: "zone"})
 		}
 	}
--- a/internal/consensus/decisions.go
+++ b/internal/consensus/decisions.go
@@ -1,9 +1,6 @@
 package consensus
 
-import (
-	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
-	"github.com/hazelpitch/hazelpitch/internal/voterplan"
-)
+import "github.com/hazelpitch/hazelpitch/internal/voterplan"
 
 // retainedDecisions is the number of decisions that Status returns.
 const retainedDecisions = 64
@@ -44,14 +41,5 @@
 	r.kept = kept
 }
 
-// decide returns the decision on a member, with its silence and the current counts.
-func (c *Core) decide(member *v1.Member, action voterplan.Action, reason voterplan.Reason) voterplan.Decision {
-	decision := voterplan.Decision{MemberID: member.GetId(), Action: action, Reason: reason, Counts: c.voterCounts()}
-	if progress := c.progress[member.GetId()]; progress != nil {
-		decision.Silence = c.now - progress.lastAnswerAt
-	}
-	return decision
-}
-
 // voterCounts counts the voters, and those of them that are not silent.
 func (c *Core) voterCounts() voterplan.Counts { return c.voterRules().Count(c.plannedMembers()) }
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -1,12 +1,9 @@
 package consensus
 
 import (
-	"time"
-
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
-	"github.com/hazelpitch/hazelpitch/internal/voterplan"
 )
 
 // The initial membership is stored in every log as a snapshot without data at this index and
@@ -64,7 +61,7 @@
 		return
 	}
 	silence := c.now - c.leaderContactAt
-	if c.members.byID[c.id].GetLearner() && silence >= replacementSilence*c.config.ElectionTimeout && c.now >= c.probeDueAt {
+	if c.members.byID[c.id].GetLearner() && silence >= learnerSilence*c.config.ElectionTimeout && c.now >= c.probeDueAt {
 		c.probePeers()
 	}
 }
@@ -160,75 +157,3 @@
 	// An error needs no handling: the learner requests admission again.
 	_, _, _ = c.ProposeMembership(c.now, c.members.with(learner))
 }
-
-// replacementSilence is the number of election timeouts without an answer after which a voter
-// may be replaced by a learner of the same name.
-const replacementSilence = 5
-
-// maintainMembership proposes the next change of the membership, if one is due. Among named peers, a learner that has
-// caught up becomes a voter when it replaces a silent voter of the same name or when voters are missing; after that, the
-// silent voter is removed.
-func (c *Core) maintainMembership() {
-	if c.pendingMembershipIndex > c.log.commit || c.log.commit < c.leaderStartIndex || c.transfer.target != "" {
-		return
-	}
-	if c.isSeeded() {
-		c.maintainSeededVoters()
-		return
-	}
-	for _, id := range c.members.ids() {
-		if changed, decision := c.nextMembership(c.members.byID[id]); changed != nil {
-			if _, _, err := c.ProposeMembership(c.now, changed); err == nil {
-				c.decisions.add(decision)
-			}
-			return
-		}
-	}
-}
-
-// nextMembership returns the membership after the next step that concerns the member, or nil if
-// there is none, and the decision behind it.
-func (c *Core) nextMembership(member *v1.Member) (*v1.Membership, voterplan.Decision) {
-	sameName := c.findSameName(member)
-	if member.GetLearner() {
-		missing := len(c.members.voters()) < len(c.config.Peers)
-		replaces := sameName != nil && !sameName.GetLearner() && c.isSilent(sameName.GetId())
-		if (missing || replaces) && c.hasCaughtUp(member.GetId()) {
-			return c.members.with(asVoter(member)), c.decide(member, voterplan.Promote, voterplan.CaughtUp)
-		}
-		if sameName != nil && sameName.GetLearner() && c.isSilent(member.GetId()) && !c.isSilent(sameName.GetId()) {
-			return c.members.without(member.GetId()), c.decide(member, voterplan.Remove, voterplan.SilentLearner)
-		}
-		return nil, voterplan.Decision{}
-	}
-	if sameName != nil && !sameName.GetLearner() && c.isSilent(member.GetId()) && !c.isSilent(sameName.GetId()) {
-		return c.members.without(member.GetId()), c.decide(member, voterplan.Remove, voterplan.DiskReplaced)
-	}
-	return nil, voterplan.Decision{}
-}
-
-// findSameName returns another member with the same name, preferring a voter to a learner, or
-// nil. Members added by operators have no name and replace no other member.
-func (c *Core) findSameName(member *v1.Member) *v1.Member {
-	if member.GetName() == "" {
-		return nil
-	}
-	var match *v1.Member
-	for _, id := range c.members.ids() {
-		other := c.members.byID[id]
-		if id == member.GetId() || other.GetName() != member.GetName() {
-			continue
-		}
-		if match == nil || match.GetLearner() {
-			match = other
-		}
-	}
-	return match
-}
-
-// isSilent reports whether the member has not answered for replacementSilence election timeouts.
-func (c *Core) isSilent(id string) bool {
-	progress := c.progress[id]
-	return id != c.id && progress != nil &&
-		c.now-progress.lastAnswerAt >= replacementSilence*time.Duration(c.config.ElectionTimeout)
-}
--- a/internal/consensus/formation_probes_test.go
+++ b/internal/consensus/formation_probes_test.go
@@ -71,12 +71,12 @@
 			return count
 		}
 		require.Zero(t, probes(0))
-		require.Zero(t, probes((replacementSilence-1)*DefaultElectionTimeout))
+		require.Zero(t, probes((learnerSilence-1)*DefaultElectionTimeout))
 		want := 0
 		if learner {
 			want = 2
 		}
-		require.Equal(t, want, probes(replacementSilence*DefaultElectionTimeout))
+		require.Equal(t, want, probes(learnerSilence*DefaultElectionTimeout))
 	}
 }
 
--- a/internal/consensus/former_rule_test.go
+++ b/internal/consensus/former_rule_test.go
@@ -53,7 +53,7 @@
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			s := newVoterSeries(t, 5, seed)
+			s := newVoterSeries(t, 5, seed, false)
 			s.promisesNothing = true
 			s.formerRule = map[string]bool{}
 			for index, machine := range s.machines {
--- a/internal/consensus/voter_series_test.go
+++ b/internal/consensus/voter_series_test.go
@@ -52,26 +52,36 @@
 	// acknowledged is the position of the newest entry that a leader has reported as committed.
 	acknowledged position
 	proposals    int
+	// isNamed is true for named peers in place of seeds; such machines are not replaced by others.
+	isNamed bool
 	// promisesNothing skips the checks after each step.
 	promisesNothing bool
 	disks           int
 	history         []string
 }
 
-func newVoterSeries(t *testing.T, size int, seed uint64) *voterSeries {
+func newVoterSeries(t *testing.T, size int, seed uint64, isNamed bool) *voterSeries {
 	cluster := newTestCluster(t, 0, seed)
 	cluster.bootstrap = true
 	cluster.formationSize = size
 	cluster.electionTimeout, cluster.heartbeatInterval = seriesElectionTimeout, seriesHeartbeat
 	cluster.syncDelay = true
-	s := &voterSeries{testCluster: cluster, random: rand.New(rand.NewPCG(seed, uint64(size))), tolerated: (size - 1) / 2}
+	s := &voterSeries{testCluster: cluster, random: rand.New(rand.NewPCG(seed, uint64(size))), tolerated: (size - 1) / 2, isNamed: isNamed}
 	for index := range size {
 		cluster.seeds = append(cluster.seeds, fmt.Sprintf("machine-%d", index+1))
 	}
 	cluster.seeds = cluster.seeds[:3]
+	if isNamed {
+		cluster.seeds, cluster.peers = nil, size
+	}
 	for range size {
 		s.add()
 	}
+	if isNamed {
+		for _, machine := range s.machines {
+			s.start(machine.name) // now that all peers have names
+		}
+	}
 	s.stepUntil("all voters", func() bool { leader := s.leader(); return leader != "" && len(voterIDs(s.cores[leader])) == size })
 	cluster.bootstrap = false
 	for _, machine := range s.machines {
@@ -85,22 +95,23 @@
 	machine := &seriesMachine{name: fmt.Sprintf("machine-%d", len(s.names)+1)}
 	s.names = append(s.names, machine.name)
 	s.machines = append(s.machines, machine)
-	if !s.bootstrap {
-		s.seeds = s.listedSeeds()
-	}
+	s.updateSeeds()
 	s.emptyDisk(machine)
 	s.start(machine.name)
 	return machine
 }
 
-// listedSeeds returns the addresses of three machines, as settings list them that are written now.
-func (s *voterSeries) listedSeeds() []string {
-	var seeds []string
+// updateSeeds sets the seeds of processes that start from now on to the addresses of three machines that exist, as
+// settings list them that are written now.
+func (s *voterSeries) updateSeeds() {
+	if s.isNamed || s.bootstrap {
+		return
+	}
+	s.seeds = nil
 	present := s.present()
 	for _, machine := range present[:min(len(present), 3)] {
-		seeds = append(seeds, machine.name)
+		s.seeds = append(s.seeds, machine.name)
 	}
-	return seeds
 }
 
 // emptyDisk gives a machine an empty disk.
@@ -190,7 +201,7 @@
 		s.isolated[machine.name], s.frozen[machine.name] = false, false
 		if machine.isDown {
 			machine.isDown = false
-			s.seeds = s.listedSeeds()
+			s.updateSeeds()
 			s.start(machine.name)
 		}
 	}
@@ -357,7 +368,7 @@
 		s.stop(machine, false)
 	case kind < 6 && isFree && (machine.diskLost || s.promisedLosses() < s.tolerated):
 		s.stop(machine, true)
-	case kind < 9 && isFree:
+	case kind < 9 && isFree && !s.isNamed:
 		s.replace(machine)
 	case kind == 9:
 		s.loseAllPower()
@@ -411,18 +422,36 @@
 		for seed := range uint64(seeds) {
 			t.Run(fmt.Sprintf("%d controllers, seed %d", size, seed), func(t *testing.T) {
 				t.Parallel()
-				s := newVoterSeries(t, size, seed)
-				for event := range eventsPerSeries {
-					s.disturb()
-					for range s.random.IntN(3000) {
-						s.advance()
-					}
-					if event%5 == 4 {
-						s.settle()
-					}
-				}
-				s.settle()
+				newVoterSeries(t, size, seed, false).play(eventsPerSeries)
+			})
+		}
+	}
+}
+
+// Guards against the same among named peers, whose emptied disks take the places of the former ones.
+func TestNamedVotersKeepEnoughDisks(t *testing.T) {
+	const seeds, eventsPerSeries = 6, 25
+	for _, size := range []int{3, 5, 7} {
+		for seed := range uint64(seeds) {
+			t.Run(fmt.Sprintf("%d controllers, seed %d", size, seed), func(t *testing.T) {
+				t.Parallel()
+				newVoterSeries(t, size, seed, true).play(eventsPerSeries)
 			})
 		}
 	}
 }
+
+// play plays random events, and lets the machines settle now and then.
+func (s *voterSeries) play(events int) {
+	const eventsBetweenRests = 5
+	for event := range events {
+		s.disturb()
+		for range s.random.IntN(3000) {
+			s.advance()
+		}
+		if event%eventsBetweenRests == eventsBetweenRests-1 {
+			s.settle()
+		}
+	}
+	s.settle()
+}
--- a/internal/consensus/voters.go
+++ b/internal/consensus/voters.go
@@ -13,8 +13,11 @@
 	suspectSilence = 1
 )
 
-// voterRules returns the rules for the voters of a seeded quorum.
+// voterRules returns the rules for the voters.
 func (c *Core) voterRules() voterplan.Rules {
+	if !c.isSeeded() {
+		return c.namedVoterRules()
+	}
 	return voterplan.Rules{
 		MinimumVoters:  c.config.FormationSize,
 		VoterSilence:   c.timeoutShare(voterSilence),
@@ -23,6 +26,20 @@
 	}
 }
 
+// namedVoterRules returns the rules for the voters among named peers.
+func (c *Core) namedVoterRules() voterplan.Rules {
+	rules := voterplan.Rules{
+		MinimumVoters:  len(c.config.Peers),
+		VoterSilence:   c.timeoutShare(voterSilence),
+		LearnerSilence: c.timeoutShare(learnerSilence),
+		SuspectSilence: c.timeoutShare(voterSilence), // a named voter that was removed does not ask for admission again
+	}
+	for _, peer := range c.config.Peers {
+		rules.Names = append(rules.Names, peer.Name)
+	}
+	return rules
+}
+
 // plannedMembers returns the members as this leader sees them.
 func (c *Core) plannedMembers() []voterplan.Member {
 	members := make([]voterplan.Member, 0, len(c.members.byID))
@@ -39,8 +56,11 @@
 	return members
 }
 
-// maintainSeededVoters proposes the next step of the plan for the voters of a seeded quorum.
-func (c *Core) maintainSeededVoters() {
+// maintainMembership proposes the next step of the plan for the voters, unless a change is pending.
+func (c *Core) maintainMembership() {
+	if c.pendingMembershipIndex > c.log.commit || c.log.commit < c.leaderStartIndex || c.transfer.target != "" {
+		return
+	}
 	plan := c.planVoters(c.voterRules(), c.plannedMembers())
 	c.decisions.setKept(plan.Kept)
 	if plan.Step == nil {
--- a/internal/voterplan/decision.go
+++ b/internal/voterplan/decision.go
@@ -25,6 +25,8 @@
 	SilentLearner Reason = "silent_learner"
 	// SilentAboveMinimum: the voter is silent, and there are more voters than the minimum.
 	SilentAboveMinimum Reason = "silent_above_minimum"
+	// SilentNamed: the voter is silent, and voters of this fleet are removed only when another disk takes their place.
+	SilentNamed Reason = "silent_named"
 	// SilentAtMinimum: the voter is silent, but there are no more voters than the minimum.
 	SilentAtMinimum Reason = "silent_at_minimum"
 )
--- a/internal/voterplan/rules.go
+++ b/internal/voterplan/rules.go
@@ -10,6 +10,9 @@
 type Rules struct {
 	// MinimumVoters is the number of voters that silence alone never reduces further: 2F+1 for F tolerated losses.
 	MinimumVoters int
+	// Names are the names of the controllers that are to be voters; empty for all controllers. With names, learners are
+	// standbys: they become voters only below the minimum, and silence alone removes nobody.
+	Names []string
 	// VoterSilence is the silence after which a voter counts as silent, LearnerSilence the one after which a learner is
 	// removed.
 	VoterSilence, LearnerSilence time.Duration
@@ -70,42 +73,65 @@
 
 // reviewVoter returns whether a voter is removed and the reason for either; an empty reason for a voter that answers.
 func (r Rules) reviewVoter(voter Member, counts Counts, members []Member) (reason Reason, isRemoved bool) {
-	if counts.Voters >= r.MinimumVoters && r.hasLostDisk(voter, members) {
+	isAboveMinimum := counts.Voters > r.MinimumVoters
+	mayFall := isAboveMinimum || counts.Voters == r.MinimumVoters && r.hasCandidate(members)
+	switch {
+	case mayFall && r.hasLostDisk(voter, members):
 		return DiskReplaced, true
-	}
-	if !r.isSilent(voter) {
+	case !r.isSilent(voter):
 		return "", false
-	}
-	if counts.Voters > r.MinimumVoters {
+	case isAboveMinimum && len(r.Names) == 0:
 		return SilentAboveMinimum, true
+	case isAboveMinimum:
+		return SilentNamed, false
+	default:
+		return SilentAtMinimum, false
 	}
-	return SilentAtMinimum, false
 }
 
-// hasLostDisk reports whether a learner on another disk has caught up in the place of the silent voter.
+// hasCandidate reports whether a learner can be promoted as soon as a voter is removed.
+func (r Rules) hasCandidate(members []Member) bool {
+	return slices.ContainsFunc(members, func(member Member) bool { return member.Learner && member.CaughtUp && r.isNamed(member) })
+}
+
+// hasLostDisk reports whether a member on another disk has caught up in the place of the silent voter.
 func (r Rules) hasLostDisk(voter Member, members []Member) bool {
 	return voter.Silence >= r.SuspectSilence && slices.ContainsFunc(members, func(other Member) bool {
-		return other.Learner && other.CaughtUp && voter.isReplacedBy(other)
+		return other.CaughtUp && voter.isReplacedBy(other)
 	})
 }
 
 // nextLearner returns the decision on the first learner that is to be removed or promoted; nil if there is none.
 func (r Rules) nextLearner(members []Member, counts Counts) *Decision {
-	var waiting *Decision
+	isBelowMinimum := counts.Voters < r.MinimumVoters
+	var lessSuited *Decision
 	for _, learner := range longestSilentFirst(members, true) {
 		decision := Decision{MemberID: learner.ID, Action: Promote, Reason: CaughtUp, Silence: learner.Silence, Counts: counts}
 		switch {
-		case learner.Silence >= r.LearnerSilence:
+		case r.isObsolete(learner, members):
 			decision.Action, decision.Reason = Remove, SilentLearner
 			return &decision
-		case !learner.CaughtUp || counts.Voters >= r.MinimumVoters && r.hasVoterInDoubt(members):
-		case !r.awaitsRemoval(learner, members):
+		case !learner.CaughtUp || !isBelowMinimum && (len(r.Names) > 0 || r.hasVoterInDoubt(members)):
+		case r.isNamed(learner) && !r.awaitsRemoval(learner, members):
 			return &decision
-		case counts.Voters < r.MinimumVoters:
-			waiting = &decision
+		case isBelowMinimum:
+			lessSuited = &decision
 		}
 	}
-	return waiting
+	return lessSuited
+}
+
+// isObsolete reports whether a learner is removed because of its silence. A standby goes only once another disk has taken
+// its place.
+func (r Rules) isObsolete(learner Member, members []Member) bool {
+	return learner.Silence >= r.LearnerSilence && (len(r.Names) == 0 || slices.ContainsFunc(members, func(other Member) bool {
+		return other.CaughtUp && learner.isReplacedBy(other)
+	}))
+}
+
+// isNamed reports whether a learner is one of the controllers that are to be voters.
+func (r Rules) isNamed(learner Member) bool {
+	return len(r.Names) == 0 || slices.Contains(r.Names, learner.Name)
 }
 
 // hasVoterInDoubt reports whether a voter may or may not be silent. A promotion above the minimum waits until that is
--- a/internal/voterplan/rules_test.go
+++ b/internal/voterplan/rules_test.go
@@ -58,6 +58,11 @@
 			"voter whose address has another disk waits below the minimum", voters(3, Member{ID: "x", Name: "x", Address: "y", Silence: time.Second}, learner),
 			Promote, "y", CaughtUp, 1,
 		},
+		{
+			"voter whose address has another voter's disk goes for any learner",
+			append(voters(4, Member{ID: "x", Name: "x", Address: "b", Silence: time.Second}), learner),
+			Remove, "x", DiskReplaced, 0,
+		},
 		{
 			"voter of the learner's name that answers stays", voters(4, Member{ID: "x", Name: "y", Address: "x", Answered: true}, learner),
 			Promote, "y", CaughtUp, 0,
