Check tolerated losses in the simulation, and tell why learners wait

Cause: the simulation of the whole fleet did not notice that a new disk votes beside the dead one that it replaces, and no log line told why a learner has no vote.

--- a/internal/consensus/decisions.go
+++ b/internal/consensus/decisions.go
@@ -16,8 +16,9 @@
 type decisionRecord struct {
 	recent []NumberedDecision
 	last   uint64
-	// kept holds the reason for which each silent voter is kept, so that each reason is recorded once.
-	kept map[string]voterplan.Reason
+	// unchanged holds the reason for which each silent voter is kept and each learner waits, so that each reason is
+	// recorded once.
+	unchanged map[string]voterplan.Reason
 }
 
 // add records a decision.
@@ -29,16 +30,16 @@
 	}
 }
 
-// setKept records the decisions to keep silent voters, except those that were recorded when it was called last.
-func (r *decisionRecord) setKept(decisions []voterplan.Decision) {
-	kept := make(map[string]voterplan.Reason, len(decisions))
+// setUnchanged records the decisions to leave members as they are, except those that it was given in the last call, too.
+func (r *decisionRecord) setUnchanged(decisions []voterplan.Decision) {
+	reasons := make(map[string]voterplan.Reason, len(decisions))
 	for _, decision := range decisions {
-		kept[decision.MemberID] = decision.Reason
-		if r.kept[decision.MemberID] != decision.Reason {
+		reasons[decision.MemberID] = decision.Reason
+		if r.unchanged[decision.MemberID] != decision.Reason {
 			r.add(decision)
 		}
 	}
-	r.kept = kept
+	r.unchanged = reasons
 }
 
 // voterCounts counts the voters, and those of them that are not silent.
--- a/internal/consensus/voters.go
+++ b/internal/consensus/voters.go
@@ -62,7 +62,7 @@
 		return
 	}
 	plan := c.planVoters(c.voterRules(), c.plannedMembers())
-	c.decisions.setKept(plan.Kept)
+	c.decisions.setUnchanged(plan.Unchanged)
 	if plan.Step == nil {
 		return
 	}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -92,7 +92,8 @@
 	// FormatAgreed: the controllers agreed on a different format of their data, or the controllers changed that keep a
 	// leader from using its newest format because they do not support it or have not reported their formats.
 	FormatAgreed Event = "format_agreed"
-	// MemberDecided: a leader promotes or removes a member of the replicated log, or keeps a voter that is silent.
+	// MemberDecided: a leader promotes or removes a member of the replicated log, keeps a voter that is silent, or lets a
+	// learner wait.
 	MemberDecided Event = "member_decided"
 	// ControllerHalted: the controller stops because it cannot apply a committed entry.
 	ControllerHalted Event = "controller_halted"
--- a/internal/simulation/checks_log.go
+++ b/internal/simulation/checks_log.go
@@ -137,6 +137,7 @@
 		l.checkLeader(c, status.Term)
 		l.checkComplete(c, status)
 		l.checkDurableOnQuorum(c, status)
+		l.checkToleratedLosses(c, status)
 	}
 	l.compareStates(c)
 }
@@ -208,6 +209,30 @@
 	}
 }
 
+// checkToleratedLosses checks that a quorum of the leader's voters remains after as many further losses of disks as the
+// fleet is to survive. The disks of controllers that are not voters yet count among the lost ones.
+func (l *logChecks) checkToleratedLosses(c *controller, status consensus.Status) {
+	if status.Membership == c.toleranceChecked {
+		return
+	}
+	c.toleranceChecked = status.Membership
+	voters, existing := 0, 0
+	for _, member := range status.Membership.GetMembers() {
+		if member.GetLearner() {
+			continue
+		}
+		voters++
+		if l.checks.world.controllerWithDisk(member.GetId()) != nil {
+			existing++
+		}
+	}
+	controllers := l.checks.world.options.Deployment.Controllers
+	tolerated := (controllers-1)/2 - max(0, controllers-existing)
+	if existing-tolerated <= voters/2 {
+		l.checks.fail("enough voters", "%s leads %d voters, of which %d exist; %d more disks may be lost", c.name, voters, existing, tolerated)
+	}
+}
+
 // diskHolds reports whether a disk has acknowledged the entry or a snapshot that covers it.
 func (l *logChecks) diskHolds(disk string, index uint64, mark entryMark) bool {
 	log := l.synced[disk]
--- a/internal/simulation/controller.go
+++ b/internal/simulation/controller.go
@@ -62,8 +62,10 @@
 	// quorumChecked is the last index whose durability on a quorum was checked, digestAt the last applied index at which
 	// the state was compared with those of other controllers.
 	quorumChecked uint64
-	digestAt      uint64
-	membership    *v1.Membership
+	// toleranceChecked is the last membership whose tolerance of further losses was checked.
+	toleranceChecked *v1.Membership
+	digestAt         uint64
+	membership       *v1.Membership
 	// shadow is a copy of the log as the core has written it.
 	shadow shadowLog
 }
--- a/internal/voterplan/decision.go
+++ b/internal/voterplan/decision.go
@@ -10,6 +10,8 @@
 	Promote Action = "promote"
 	Remove  Action = "remove"
 	Keep    Action = "keep"
+	// Wait: a learner stays without a vote for now.
+	Wait Action = "wait"
 )
 
 // Reason states why a leader chose an action.
@@ -19,6 +21,14 @@
 const (
 	// CaughtUp: the learner holds, synced, all committed entries.
 	CaughtUp Reason = "caught_up"
+	// NotCaughtUp: the learner does not hold all committed entries yet, or has not answered lately.
+	NotCaughtUp Reason = "not_caught_up"
+	// Standby: the learner has no vote while there are enough voters.
+	Standby Reason = "standby"
+	// VoterInDoubt: a voter may or may not be silent.
+	VoterInDoubt Reason = "voter_in_doubt"
+	// FormerDiskVotes: the former disk at the learner's address is still a voter.
+	FormerDiskVotes Reason = "former_disk_votes"
 	// DiskReplaced: a learner on another disk has caught up at the voter's address or under its name.
 	DiskReplaced Reason = "disk_replaced"
 	// SilentLearner: the learner has been silent for too long.
--- a/internal/voterplan/rules.go
+++ b/internal/voterplan/rules.go
@@ -25,8 +25,8 @@
 type Plan struct {
 	// Step is the next change of the membership; nil for none.
 	Step *Decision
-	// Kept are the silent voters that stay voters, and the reasons.
-	Kept []Decision
+	// Unchanged are the silent voters that stay voters and the learners that stay learners, and the reasons.
+	Unchanged []Decision
 }
 
 // Next returns the plan for the members. Removals precede promotions, so that the quorum does not grow by dead voters.
@@ -44,11 +44,11 @@
 			plan.Step = &decision
 		case reason != "" && !isRemoved:
 			decision.Action = Keep
-			plan.Kept = append(plan.Kept, decision)
+			plan.Unchanged = append(plan.Unchanged, decision)
 		}
 	}
 	if plan.Step == nil {
-		plan.Step = r.nextLearner(members, counts)
+		r.planLearners(&plan, members, counts)
 	}
 	return plan
 }
@@ -101,24 +101,48 @@
 	})
 }
 
-// nextLearner returns the decision on the first learner that is to be removed or promoted; nil if there is none.
-func (r Rules) nextLearner(members []Member, counts Counts) *Decision {
-	isBelowMinimum := counts.Voters < r.MinimumVoters
+// planLearners adds the removal or the promotion of a learner to the plan, or the reasons why each one waits.
+func (r Rules) planLearners(plan *Plan, members []Member, counts Counts) {
 	var lessSuited *Decision
 	for _, learner := range longestSilentFirst(members, true) {
-		decision := Decision{MemberID: learner.ID, Action: Promote, Reason: CaughtUp, Silence: learner.Silence, Counts: counts}
-		switch {
-		case r.isObsolete(learner, members):
+		decision := Decision{MemberID: learner.ID, Action: Wait, Silence: learner.Silence, Counts: counts}
+		if r.isObsolete(learner, members) {
 			decision.Action, decision.Reason = Remove, SilentLearner
-			return &decision
-		case !learner.CaughtUp || !isBelowMinimum && (len(r.Names) > 0 || r.hasVoterInDoubt(members)):
-		case r.isNamed(learner) && !r.awaitsRemoval(learner, members):
-			return &decision
-		case isBelowMinimum:
-			lessSuited = &decision
+			plan.Step = &decision
+			return
+		}
+		decision.Reason = r.reviewLearner(learner, members, counts)
+		if decision.Reason != CaughtUp {
+			plan.Unchanged = append(plan.Unchanged, decision)
+			continue
+		}
+		decision.Action = Promote
+		if r.isNamed(learner) && !r.awaitsRemoval(learner, members) {
+			plan.Step = &decision
+			return
 		}
+		lessSuited = &decision
+	}
+	plan.Step = lessSuited
+}
+
+// reviewLearner returns CaughtUp if a learner may be promoted now, otherwise the reason why it waits.
+func (r Rules) reviewLearner(learner Member, members []Member, counts Counts) Reason {
+	isBelowMinimum := counts.Voters < r.MinimumVoters
+	switch {
+	case !learner.CaughtUp:
+		return NotCaughtUp
+	case isBelowMinimum:
+		return CaughtUp
+	case len(r.Names) > 0:
+		return Standby
+	case r.awaitsRemoval(learner, members):
+		return FormerDiskVotes
+	case r.hasVoterInDoubt(members):
+		return VoterInDoubt
+	default:
+		return CaughtUp
 	}
-	return lessSuited
 }
 
 // isObsolete reports whether a learner is removed because of its silence. A standby goes only once another disk has taken
--- a/internal/voterplan/rules_test.go
+++ b/internal/voterplan/rules_test.go
@@ -79,11 +79,14 @@
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			plan := testRules.Next(row.members)
-			require.Len(t, plan.Kept, row.kept)
-			for _, kept := range plan.Kept {
-				require.Equal(t, Keep, kept.Action)
-				require.Equal(t, SilentAtMinimum, kept.Reason)
+			kept := 0
+			for _, unchanged := range plan.Unchanged {
+				if unchanged.Action == Keep {
+					require.Equal(t, SilentAtMinimum, unchanged.Reason)
+					kept++
+				}
 			}
+			require.Equal(t, row.kept, kept)
 			if row.action == "" {
 				require.Nil(t, plan.Step)
 				return
@@ -96,6 +99,51 @@
 	}
 }
 
+// TestWaitingLearners checks the reasons for which learners stay without a vote.
+func TestWaitingLearners(t *testing.T) {
+	learner := Member{ID: "y", Name: "y", Address: "y", Learner: true, Answered: true, CaughtUp: true}
+	behind := learner
+	behind.CaughtUp = false
+	named := testRules
+	named.Names = []string{"a", "b", "c", "d", "e"}
+	rows := []struct {
+		rules   Rules
+		members []Member
+		reason  Reason
+	}{
+		{testRules, voters(5, behind), NotCaughtUp},
+		{testRules, voters(4, Member{ID: "x", Address: "y", Answered: true}, learner), FormerDiskVotes},
+		{testRules, voters(4, Member{ID: "x"}, learner), VoterInDoubt},
+		{named, voters(5, learner), Standby},
+	}
+	for _, row := range rows {
+		plan := row.rules.Next(row.members)
+		require.Nil(t, plan.Step)
+		require.Len(t, plan.Unchanged, 1)
+		require.Equal(t, Wait, plan.Unchanged[0].Action)
+		require.Equal(t, row.reason, plan.Unchanged[0].Reason)
+	}
+}
+
+// TestNamedPeers checks what differs where the controllers are named.
+func TestNamedPeers(t *testing.T) {
+	rules := testRules
+	rules.Names = []string{"a", "b", "c", "d", "e"}
+	silent := Member{ID: "x", Name: "e", Address: "e", Silence: time.Second}
+	standby := Member{ID: "s", Name: "s", Address: "s", Learner: true, Answered: true, CaughtUp: true}
+	successor := Member{ID: "z", Name: "e", Address: "e2", Learner: true, Answered: true, CaughtUp: true}
+
+	require.Nil(t, rules.Next(voters(5, Member{ID: "g", Name: "g", Address: "g", Silence: time.Second}, standby)).Step, "silence alone removes nobody")
+	step := rules.Next(voters(4, silent, standby, successor)).Step
+	require.Equal(t, "x", step.MemberID, "another disk has the place of the voter")
+	step = rules.Next(voters(4, standby, successor)).Step
+	require.Equal(t, "z", step.MemberID, "a named peer comes before a standby")
+	step = rules.Next(voters(4, standby)).Step
+	require.Equal(t, "s", step.MemberID, "a standby comes before a missing voter")
+	standby.Silence = time.Minute
+	require.Nil(t, rules.Next(voters(5, standby)).Step, "a silent standby stays")
+}
+
 func TestToleratedLosses(t *testing.T) {
 	require.Equal(t, 2, Counts{Voters: 5, AnsweringVoters: 5}.ToleratedLosses())
 	require.Equal(t, 1, Counts{Voters: 7, AnsweringVoters: 5}.ToleratedLosses())
