Judge a stream's lines only once they are whole

Callers saw: in a stream that goes on at another replica after a crash, two events are joined into one, in an answer that is framed as complete, if data lines have 2,048 bytes or a multiple.

Cause: the relay's event reader has a buffer of 2,048 bytes. A line that fills it comes in two fragments, and the second one, a line feed alone, was taken for the empty line that ends the event. The real empty line went to the next event and was dropped with it when the run broke off.

Change: the reader judges the whole line. It moves out of internal/relay into internal/relay/eventstream.

--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hazelpitch/hazelpitch/internal/relay/eventstream"
 	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -70,7 +71,6 @@
 	errForeignAnswer     = errors.New("the answer belongs to another request")
 	errUnsupportedAnswer = errors.New("the answer does not fit the request")
 	errPeerUnable        = errors.New("the other relay cannot serve the request")
-	errEventTooLong      = errors.New("an event is longer than the relay holds")
 )
 
 // failureCauses are the causes by which failed attempts are counted, with their label values.
@@ -80,7 +80,7 @@
 }{
 	{errCancelled, "client_gone"}, {errDeadline, "deadline"}, {errDial, "dial"}, {errStalled, "stalled"}, {errPeerTimeout, "peer_timeout"},
 	{errEndsInEvent, "ends_in_event"}, {framing.ErrUndeclaredEnd, "undeclared_end"}, {errConnectionBroken, "broken"}, {framing.ErrMalformed, "malformed"}, {errNotExecuted, "not_executed"}, {errQuarantined, "quarantined"}, {errInBackoff, "backoff"}, {errLimitReached, "limit"},
-	{errMisdirected, "misdirected"}, {errOtherIncarnation, "other_incarnation"}, {errForeignAnswer, "foreign_answer"}, {errUnsupportedAnswer, "unsupported_answer"}, {errEventTooLong, "event_too_long"}, {errPeerUnable, "peer_unable"},
+	{errMisdirected, "misdirected"}, {errOtherIncarnation, "other_incarnation"}, {errForeignAnswer, "foreign_answer"}, {errUnsupportedAnswer, "unsupported_answer"}, {eventstream.ErrTooLong, "event_too_long"}, {errPeerUnable, "peer_unable"},
 }
 
 // otherFailureCause is the label value of causes that are not in failureCauses.
--- a/internal/relay/replaceable_stream.go
+++ b/internal/relay/replaceable_stream.go
@@ -5,6 +5,7 @@
 	"io"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/eventstream"
 	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 )
 
@@ -48,16 +49,16 @@
 		}
 		return s.relay.awaitWhole(answer)
 	}
-	awaited := &awaitedAnswer{answer: answer, events: newEventReader(answer)}
+	awaited := &awaitedAnswer{answer: answer, events: eventstream.NewReader(answer)}
 	watch := stall()
-	event, err := awaited.events.peek()
+	event, err := awaited.events.Peek()
 	watch.stop()
-	if err == nil || errors.Is(err, io.EOF) && !event.isCut() {
+	if err == nil || errors.Is(err, io.EOF) && !event.IsCut() {
 		return awaited, nil
 	}
 	fault := asFailure(err)
 	switch {
-	case framing.IsEnd(err) && event.isCut():
+	case framing.IsEnd(err) && event.IsCut():
 		fault = s.breakRun(answer, errEndsInEvent)
 	case framing.IsEnd(err):
 		fault = s.breakRun(answer, framing.ErrUndeclaredEnd)
--- a/internal/relay/replacement_attempt.go
+++ b/internal/relay/replacement_attempt.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/eventstream"
 	"github.com/hazelpitch/hazelpitch/internal/slotqueue"
 	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
@@ -34,7 +35,7 @@
 	*answer
 	// events reads the events of a stream; nil for another answer, of which body was read. A body that is longer than
 	// maxBufferedAnswer has bytes left to be read.
-	events *eventReader
+	events *eventstream.Reader
 	body   []byte
 }
 
--- a/internal/relay/stream_end.go
+++ b/internal/relay/stream_end.go
@@ -5,19 +5,20 @@
 	"fmt"
 	"io"
 
+	"github.com/hazelpitch/hazelpitch/internal/relay/eventstream"
 	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
 // endRun handles the end of the current run's events: err is that of the event reader, and remainder holds the bytes after the last
 // event. It returns nil when the client has its final answer; otherwise the stream may continue at another engine.
-func (s *streamReply) endRun(answer *answer, remainder event, err error) *failure {
+func (s *streamReply) endRun(answer *answer, remainder eventstream.Event, err error) *failure {
 	hasEnded := framing.IsEnd(err)
 	if hasEnded {
 		answer.message.backEnd.recordReceived(s.relay.clock.now())
-		s.request.trace.endsInEvent = remainder.isCut()
+		s.request.trace.endsInEvent = remainder.IsCut()
 	}
-	isDeclared := errors.Is(err, io.EOF) && !remainder.isCut()
+	isDeclared := errors.Is(err, io.EOF) && !remainder.IsCut()
 	if !isDeclared {
 		s.flush(answer)
 		s.migrated = s.finishMover()
@@ -25,7 +26,7 @@
 	switch {
 	case !hasEnded:
 		return asFailure(err)
-	case remainder.isCut():
+	case remainder.IsCut():
 		return s.breakRun(answer, errEndsInEvent)
 	case !isDeclared && (s.migrated != nil || s.needsDeclaredEnd()):
 		return s.breakRun(answer, framing.ErrUndeclaredEnd)
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/eventstream"
 	"github.com/hazelpitch/hazelpitch/internal/relay/speeds"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -92,7 +93,7 @@
 		return s.forwardOther(answer)
 	}
 	defer answer.finish()
-	return s.forwardEvents(answer, newEventReader(answer))
+	return s.forwardEvents(answer, eventstream.NewReader(answer))
 }
 
 // beginRun records that the request is sent to an engine, or that its run there becomes the current one. The returned function records
@@ -170,7 +171,7 @@
 }
 
 // forwardEvents forwards events as they arrive. Another back end may replace the answer while its back end is silent.
-func (s *streamReply) forwardEvents(answer *answer, events *eventReader) *failure {
+func (s *streamReply) forwardEvents(answer *answer, events *eventstream.Reader) *failure {
 	defer s.releaseMigrated()
 	defer func() {
 		if !s.hasEvents {
@@ -183,7 +184,7 @@
 	watch := s.relay.exchanger.watchStall(answer.connection, answer.message.backEnd, limit, s.attempts.replacement(answer.message.backEnd, limit, s, nil))
 	defer watch.stop()
 	for {
-		event, err := events.next()
+		event, err := events.Next()
 		if err != nil {
 			watch.stop()
 			return s.endRun(answer, event, err)
@@ -195,7 +196,7 @@
 		}
 		s.addEvent(event)
 		s.recordGap(gaps, answer.message.backEnd)
-		if !events.buffered() || len(s.pending) > maxBatchBytes {
+		if !events.Buffered() || len(s.pending) > maxBatchBytes {
 			s.flush(answer)
 		}
 		if s.reply.aborted {
@@ -232,12 +233,12 @@
 }
 
 // addEvent appends an event to the next write, unless the client has it already.
-func (s *streamReply) addEvent(event event) {
-	if lastID := s.position.lastID(); event.id != "" && lastID != "" && !event.isAfter(lastID) {
+func (s *streamReply) addEvent(event eventstream.Event) {
+	if lastID := s.position.lastID(); event.ID != "" && lastID != "" && !event.IsAfter(lastID) {
 		return
 	}
-	s.pending = append(s.pending, event.bytes...)
-	s.position.addEvent(event.id)
+	s.pending = append(s.pending, event.Bytes...)
+	s.position.addEvent(event.ID)
 }
 
 // flush writes the pending events.
@@ -316,10 +317,10 @@
 }
 
 // finish writes the pending events, the bytes after the last event (remainder), and the end of the stream.
-func (s *streamReply) finish(answer *answer, remainder event) {
+func (s *streamReply) finish(answer *answer, remainder eventstream.Event) {
 	lastID := s.position.lastID()
-	if len(remainder.bytes) > 0 && (remainder.id == "" || lastID == "" || remainder.isAfter(lastID)) {
-		s.pending = append(s.pending, remainder.bytes...)
+	if len(remainder.Bytes) > 0 && (remainder.ID == "" || lastID == "" || remainder.IsAfter(lastID)) {
+		s.pending = append(s.pending, remainder.Bytes...)
 	}
 	if !s.reply.started {
 		s.reply.sendFirst(answer, nil)
--- a/internal/relay/stream_versions_test.go
+++ b/internal/relay/stream_versions_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/eventstream"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
@@ -31,7 +32,7 @@
 	return func(connection net.Conn, request backEndRequest) bool {
 		events := []string{eventOne, eventTwo, eventThree}
 		for index, event := range events {
-			if string(request.head.Peek("T-Last")) == eventID([]byte(event)) {
+			if string(request.head.Peek("T-Last")) == eventstream.ID([]byte(event)) {
 				return streaming(seal, events[index+1:]...)(connection, request)
 			}
 		}
--- a/internal/soak/check/order.go
+++ b/internal/soak/check/order.go
@@ -1,6 +1,7 @@
 package check
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -43,8 +44,14 @@
 	return ended
 }
 
-// parseEvent parses an event: "id: N", then "data: RUN TEXT", where RUN is the identity of the back end.
+// errJoinedEvents means that the text of an event contains another one.
+var errJoinedEvents = errors.New("more lines than an event has")
+
+// parseEvent parses an event: "id: N", then "data: RUN TEXT", where RUN is the identity of the back end. Padding may follow.
 func parseEvent(event string) (number int, run, text string, err error) {
+	if strings.Count(event, "\n") > 1 {
+		return 0, "", "", errJoinedEvents
+	}
 	_, err = fmt.Sscanf(event, "id: %d\ndata: %s %s", &number, &run, &text)
 	return number, run, text, err
 }
