Send an event although the beginning of the next one has arrived

Callers saw: an event is held back while its back end pauses within the next one, until that one is whole or the stream breaks off.

Cause: the relay collects events for one write as long as its reader holds unread bytes, whether or not they are a whole event.

Change: only a whole event in the buffer delays the write.

Test: TestEventIsNotHeldBackByTheBeginningOfTheNext failed before (the client had nothing at all until the stream broke off). The relay's tests on streams pass.

--- a/internal/relay/eventstream/reader.go
+++ b/internal/relay/eventstream/reader.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 
+	"github.com/hazelpitch/hazelpitch/internal/lines"
 	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 )
 
@@ -56,19 +58,16 @@
 	return r.read()
 }
 
-// read reads the next event. A line may arrive in several fragments, where it does not fit into the source's buffer.
+// read reads the next event.
 func (r *Reader) read() (Event, error) {
 	r.buffer = r.buffer[:0]
-	lineStart := 0
 	for {
-		fragment, err := r.source.ReadSlice('\n')
-		r.buffer = append(r.buffer, fragment...)
-		if len(r.buffer) > maxEventBytes {
-			return Event{}, ErrTooLong
-		}
+		lineStart := len(r.buffer)
+		var err error
+		r.buffer, err = lines.Append(r.buffer, r.source, maxEventBytes)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
+		case errors.Is(err, lines.ErrTooLong):
+			return Event{}, ErrTooLong
 		case framing.IsEnd(err):
 			return Event{Bytes: r.buffer, ID: ID(r.buffer)}, err
 		case err != nil:
@@ -77,12 +76,14 @@
 		if lineStart > 0 && isEmptyLine(r.buffer[lineStart:]) {
 			return Event{Bytes: r.buffer, ID: ID(r.buffer)}, nil
 		}
-		lineStart = len(r.buffer)
 	}
 }
 
-// Buffered reports whether more of the stream can be read without blocking.
-func (r *Reader) Buffered() bool { return r.source.Buffered() > 0 }
+// HasEvent reports whether the buffer holds the rest of the next event, so that Next returns it without blocking.
+func (r *Reader) HasEvent() bool {
+	buffered, err := r.source.Peek(r.source.Buffered())
+	return err == nil && (bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n")))
+}
 
 func isEmptyLine(line []byte) bool {
 	return len(line) == 1 && line[0] == '\n' || len(line) == 2 && line[0] == '\r'
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -196,7 +196,7 @@
 		}
 		s.addEvent(event)
 		s.recordGap(gaps, answer.message.backEnd)
-		if !events.Buffered() || len(s.pending) > maxBatchBytes {
+		if !events.HasEvent() || len(s.pending) > maxBatchBytes {
 			s.flush(answer)
 		}
 		if s.reply.aborted {
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -80,6 +80,26 @@
 	require.Empty(t, second.receivedRequests())
 }
 
+// Guards against an event that is held back because the beginning of the next one has arrived with it.
+func TestEventIsNotHeldBackByTheBeginningOfTheNext(t *testing.T) {
+	next := make(chan struct{})
+	backEnd := startBackEnd(t, "one", serving.StageWhole, func(connection net.Conn, request backEndRequest) bool {
+		head := strings.NewReplacer("ID", string(request.head.Peek("T-Id")), "SEAL", "seal").Replace(streamHead)
+		_, _ = io.WriteString(connection, head)
+		_, _ = connection.Write(appendChunk(nil, []byte(eventOne+eventTwo[:8])))
+		<-next
+		_, _ = connection.Write(appendChunk(nil, []byte(eventTwo[8:])))
+		_, _ = io.WriteString(connection, "0\r\n\r\n")
+		return true
+	})
+	client := newTestRelay(t, route(stream(false)), backEnd).client(t)
+	client.send("GET", "/path/", "")
+	require.NoError(t, client.connection.SetReadDeadline(time.Now().Add(10*time.Second)))
+	readUntil(t, client.reader, eventOne)
+	close(next)
+	readUntil(t, client.reader, "0\r\n\r\n")
+}
+
 func TestStreamBrokenBeforeItsFirstEvent(t *testing.T) {
 	for resumable, want := range map[bool]int{true: 200, false: 502} {
 		first := startBackEnd(t, "first", serving.StageWhole, streaming("first", "cut"))
