Read long lines whole in the clients of our own benches

Cause: the clients of internal/load and internal/gatewaycost took a line that exceeds their buffer of 16 KiB for the end of a broken stream, and the one of internal/property a line over 64 KiB; found while reading all that splits lines at a buffer's end.

Change: they read lines up to 1 MiB, the former two through internal/lines as the relay's event reader does.

Result: go test ./internal/lines ./internal/load ./internal/gatewaycost ./internal/property passes; FuzzReader for 15 s finds no difference.

--- a/internal/gatewaycost/caller.go
+++ b/internal/gatewaycost/caller.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/lines"
 )
 
 const (
@@ -20,6 +21,8 @@
 	// callTimeout limits one request.
 	callTimeout = time.Minute
 	streamBytes = 16 << 10
+	// longestLine bounds a line of a stream, in bytes.
+	longestLine = 1 << 20
 	// directExchange is the exchange ID of direct requests to page services, in place of a gateway's.
 	directExchange = "0123456789abcdef0123456789abcdef"
 )
@@ -96,8 +99,10 @@
 func readStream(events *bufio.Reader) (streamStats, error) {
 	var stats streamStats
 	var last time.Time
+	var line []byte
 	for {
-		line, err := events.ReadSlice('\n')
+		var err error
+		line, err = lines.Append(line[:0], events, longestLine)
 		if err != nil {
 			return stats, trace.Wrap(err, "reading the stream after %d tokens", stats.tokens)
 		}
--- a/internal/load/stream.go
+++ b/internal/load/stream.go
@@ -9,6 +9,7 @@
 	"io"
 	"time"
 
+	"github.com/hazelpitch/hazelpitch/internal/lines"
 	"github.com/hazelpitch/hazelpitch/internal/standin/answertext"
 )
 
@@ -16,6 +17,8 @@
 	// codeDeadline is the code of the error event that ends an answer at its deadline.
 	codeDeadline = "deadline_exceeded"
 	streamBuffer = 16 << 10
+	// longestLine bounds a line of a stream, in bytes.
+	longestLine = 1 << 20
 )
 
 // streamEvent holds the fields of an event that the check reads.
@@ -46,8 +49,10 @@
 func (r *Result) checkStream(req request, body io.Reader, due time.Time, echo io.Writer) {
 	reader := bufio.NewReaderSize(body, streamBuffer)
 	check := streamCheck{request: req, result: r, due: due, echo: echo}
+	var line []byte
 	for {
-		line, err := reader.ReadSlice('\n')
+		var err error
+		line, err = lines.Append(line[:0], reader, longestLine)
 		if err != nil {
 			r.Outcome = Cut
 			r.Detail = fmt.Sprintf("ended after %d of %d tokens: %v", r.Tokens, req.outputTokens, err)
--- a/internal/property/attempt.go
+++ b/internal/property/attempt.go
@@ -16,6 +16,9 @@
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
+// longestLine bounds a line of a stream, in bytes.
+const longestLine = 1 << 20
+
 // attempt is one attempt of a request and its outcome as the caller observed it.
 type attempt struct {
 	request *request
@@ -87,6 +90,7 @@
 // readEvents reads a stream, whose verdict comes at its end.
 func (s *attempt) readEvents(body io.Reader) {
 	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, longestLine) // a longer line ends the scan, so that the response has no verdict
 	for lines.Scan() {
 		data, found := strings.CutPrefix(lines.Text(), "data: ")
 		switch {
