Show members as they are committed

What operators saw: "show members" names a new disk as a voter and the former one as gone at the moment at which the leader appends that change.

Cause: the view showed the effective membership, not the committed one.

Change: Status has the committed membership as well, and "show members" shows that one.

Test: TestShownVoteOutlivesItsLeader failed before ("no leader within a minute"), also on.

--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -25,8 +25,10 @@
 	// LogBytes is the size of the data of the entries in memory.
 	LogBytes   int
 	Membership *v1.Membership
-	// MembershipCommitted is true if this member knows of no uncommitted membership change.
+	// MembershipCommitted is true if this member knows of no uncommitted membership change. CommittedMembership is the
+	// last membership that this member knows to be committed: a leader that is lost may take a later one with it.
 	MembershipCommitted bool
+	CommittedMembership *v1.Membership
 	// Members is set only at the leader, sorted by identity.
 	Members []MemberStatus
 	// VoterCounts are set only at the leader.
@@ -53,6 +55,7 @@
 		Commit: c.log.commit, Applied: c.log.applied, LastIndex: c.log.last().index, Stable: c.log.stable,
 		Compacted: c.log.base.index, LogBytes: c.log.bytes, Membership: c.members.membership,
 		MembershipCommitted: c.lastMembershipAfter(c.log.commit) == 0,
+		CommittedMembership: c.committedMembership(),
 		Decisions:           c.decisions.recent,
 	}
 	if c.role != RoleLeader {
@@ -70,6 +73,18 @@
 	return status
 }
 
+// committedMembership returns the last membership that this member knows to be committed.
+func (c *Core) committedMembership() *v1.Membership {
+	if c.lastMembershipAfter(c.log.commit) == 0 {
+		return c.members.membership
+	}
+	committed, err := c.membershipAt(c.log.commit)
+	if err != nil {
+		return c.members.membership // it was decoded when it became effective, so this does not occur
+	}
+	return committed
+}
+
 // ID returns this member's identity.
 func (c *Core) ID() string { return c.id }
 
--- a/internal/control/members_test.go
+++ b/internal/control/members_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -66,3 +67,33 @@
 	require.NoError(t, err)
 	require.Contains(t, w.memberRoles(), "y learner")
 }
+
+// Guards against a vote that is shown before it is committed: the leader that shows it takes it along when it is lost, and
+// the two controllers that are left have no quorum.
+func TestShownVoteOutlivesItsLeader(t *testing.T) {
+	w := newTestCluster(t, 3, nil)
+	leader := w.waitLeader()
+	w.run(3 * time.Second)
+	require.Equal(t, leader, w.leader())
+	replaced := w.names[0]
+	if w.controllers[replaced] == leader {
+		replaced = w.names[1]
+	}
+	w.crash(replaced)
+	w.controllers[replaced].disk = Restored{DiskID: replaced + ".second"}
+	w.start(replaced)
+	isShown := func() bool {
+		roles := map[string]bool{}
+		for _, member := range (&view{core: leader.core}).Members() {
+			roles[member.Member.GetId()] = !member.Member.GetLearner()
+		}
+		_, hasFormer := roles[replaced+".disk"]
+		return roles[replaced+".second"] && !hasFormer
+	}
+	for deadline := w.now + time.Minute; !isShown(); w.run(time.Millisecond) {
+		require.Less(t, w.now, deadline, "no vote of the second disk within a minute")
+	}
+	w.lose = func(from, _ string) bool { return from == leader.name } // what it has not sent yet
+	w.crash(leader.name)
+	w.waitLeader()
+}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -83,22 +83,19 @@
 	return nodes
 }
 
-// Members implements language.View.
+// Members implements language.View. It shows the committed membership: a vote that is not committed may be lost with the
+// leader.
 func (v *view) Members() []language.MemberView {
 	status := v.core.consensus.Status()
-	if status.Role != consensus.RoleLeader {
-		var members []language.MemberView
-		for _, member := range status.Membership.GetMembers() {
-			members = append(members, language.MemberView{Member: member, Leader: member.Id == status.Leader})
-		}
-		return members
-	}
-	members := make([]language.MemberView, len(status.Members))
-	for i, member := range status.Members {
-		members[i] = language.MemberView{
-			Member: member.Member, Leader: member.Member.GetId() == status.Leader, MatchIndex: member.Match,
-			LastMessageAtMs: v.core.wallMs() - member.Silence.Milliseconds(),
+	var members []language.MemberView
+	for _, member := range status.CommittedMembership.GetMembers() {
+		row := language.MemberView{Member: member, Leader: member.GetId() == status.Leader}
+		index := slices.IndexFunc(status.Members, func(other consensus.MemberStatus) bool { return other.Member.GetId() == member.GetId() })
+		if index >= 0 {
+			row.MatchIndex = status.Members[index].Match
+			row.LastMessageAtMs = v.core.wallMs() - status.Members[index].Silence.Milliseconds()
 		}
+		members = append(members, row)
 	}
 	return members
 }
