--- a/internal/consensus/voters.go
+++ b/internal/consensus/voters.go
@@ -1,9 +1,8 @@
 package consensus
 
 import (
-	"github.com/hazelpitch/hazelpitch/internal/voterplan"
-
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/voterplan"
 )
 
 // The limits of silence, in election timeouts; see voterplan.Rules.
