Find joined events in streams that break off, too

Cause: made the soak's ORDER take an event of more than two lines for one that cannot be read. In a stream that is not declared whole this ends the check without a finding, where a missing event number was found before.

Change: joined events are a finding of their own, whatever the stream's end. An event that breaks off before its empty line is read as before.

Test: TestJoinedEventsAreAFault failed before ("should NOT be empty"). go test ./internal/soak/... passes.

--- a/internal/soak/check/order.go
+++ b/internal/soak/check/order.go
@@ -1,7 +1,6 @@
 package check
 
 import (
-	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -44,14 +43,8 @@
 	return ended
 }
 
-// errJoinedEvents means that the text of an event contains another one.
-var errJoinedEvents = errors.New("more lines than an event has")
-
 // parseEvent parses an event: "id: N", then "data: RUN TEXT", where RUN is the identity of the back end. Padding may follow.
 func parseEvent(event string) (number int, run, text string, err error) {
-	if strings.Count(event, "\n") > 1 {
-		return 0, "", "", errJoinedEvents
-	}
 	_, err = fmt.Sscanf(event, "id: %d\ndata: %s %s", &number, &run, &text)
 	return number, run, text, err
 }
@@ -60,6 +53,9 @@
 func streamFault(sending history.Sending, route history.Route, mayEndEarly bool) string {
 	expected, run, ended := sending.LastEvent+1, "", false
 	for event := range strings.SplitSeq(strings.TrimSuffix(sending.Body, "\n\n"), "\n\n") {
+		if strings.Contains(event, "\nid: ") {
+			return fmt.Sprintf("joins several events in %q", event)
+		}
 		number, from, text, err := parseEvent(event)
 		if err != nil {
 			if sending.IsDeclaredWhole() {
