Count voters and look up the committed membership once

Status scanned the uncommitted entries twice for the committed membership; two checks of the simulation counted voters by the same loop; two tests played their series by the same loops.

Change: one look-up, one countVoters, one playVoterSeries. Sizes, seeds, events and assertions are the same.

--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -49,13 +49,14 @@
 // Status returns this member's current view. The membership must not be modified.
 func (c *Core) Status() Status {
 	leader := c.members.byID[c.leader]
+	committed, isCommitted := c.committedMembership()
 	status := Status{
 		ID: c.id, Role: c.role, Term: c.term, Leader: c.leader,
 		LeaderName: leader.GetName(), LeaderAddress: leader.GetAddress(),
 		Commit: c.log.commit, Applied: c.log.applied, LastIndex: c.log.last().index, Stable: c.log.stable,
 		Compacted: c.log.base.index, LogBytes: c.log.bytes, Membership: c.members.membership,
-		MembershipCommitted: c.lastMembershipAfter(c.log.commit) == 0,
-		CommittedMembership: c.committedMembership(),
+		MembershipCommitted: isCommitted,
+		CommittedMembership: committed,
 		Decisions:           c.decisions.recent,
 	}
 	if c.role != RoleLeader {
@@ -73,16 +74,17 @@
 	return status
 }
 
-// committedMembership returns the last membership that this member knows to be committed.
-func (c *Core) committedMembership() *v1.Membership {
+// committedMembership returns the last membership that this member knows to be committed, and whether that is the
+// effective one.
+func (c *Core) committedMembership() (committed *v1.Membership, isEffective bool) {
 	if c.lastMembershipAfter(c.log.commit) == 0 {
-		return c.members.membership
+		return c.members.membership, true
 	}
 	committed, err := c.membershipAt(c.log.commit)
 	if err != nil {
-		return c.members.membership // it was decoded when it became effective, so this does not occur
+		return c.members.membership, false // it was decoded when it became effective, so this does not occur
 	}
-	return committed
+	return committed, false
 }
 
 // ID returns this member's identity.
--- a/internal/consensus/voter_series_test.go
+++ b/internal/consensus/voter_series_test.go
@@ -417,25 +417,22 @@
 // Guards against acknowledged entries on too few disks and against dead voters that count for ever, in random series of
 // joins, replacements, silences, restarts and lost disks.
 func TestVotersKeepEnoughDisks(t *testing.T) {
-	const seeds, eventsPerSeries = 12, 25
-	for _, size := range []int{3, 5, 7} {
-		for seed := range uint64(seeds) {
-			t.Run(fmt.Sprintf("%d controllers, seed %d", size, seed), func(t *testing.T) {
-				t.Parallel()
-				newVoterSeries(t, size, seed, false).play(eventsPerSeries)
-			})
-		}
-	}
+	playVoterSeries(t, 12, false)
 }
 
 // Guards against the same among named peers, whose emptied disks take the places of the former ones.
 func TestNamedVotersKeepEnoughDisks(t *testing.T) {
-	const seeds, eventsPerSeries = 6, 25
+	playVoterSeries(t, 6, true)
+}
+
+// playVoterSeries plays series with the given number of seeds for each size of the quorum.
+func playVoterSeries(t *testing.T, seeds uint64, isNamed bool) {
+	const eventsPerSeries = 25
 	for _, size := range []int{3, 5, 7} {
-		for seed := range uint64(seeds) {
+		for seed := range seeds {
 			t.Run(fmt.Sprintf("%d controllers, seed %d", size, seed), func(t *testing.T) {
 				t.Parallel()
-				newVoterSeries(t, size, seed, true).play(eventsPerSeries)
+				newVoterSeries(t, size, seed, isNamed).play(eventsPerSeries)
 			})
 		}
 	}
--- a/internal/simulation/checks_log.go
+++ b/internal/simulation/checks_log.go
@@ -194,19 +194,24 @@
 		return
 	}
 	c.quorumChecked = status.Commit
-	voters, synced := 0, 0
-	for _, member := range status.Membership.GetMembers() {
+	voters, synced := countVoters(status.Membership, func(disk string) bool { return l.diskHolds(disk, status.Commit, mark) })
+	if synced*2 <= voters {
+		l.checks.fail("durable on a quorum", "%s commits entry %d, synced on %d of %d disks", c.name, status.Commit, synced, voters)
+	}
+}
+
+// countVoters counts the voters of a membership, and those whose disks satisfy the predicate.
+func countVoters(membership *v1.Membership, satisfies func(disk string) bool) (voters, satisfied int) {
+	for _, member := range membership.GetMembers() {
 		if member.GetLearner() {
 			continue
 		}
 		voters++
-		if l.diskHolds(member.GetId(), status.Commit, mark) {
-			synced++
+		if satisfies(member.GetId()) {
+			satisfied++
 		}
 	}
-	if synced*2 <= voters {
-		l.checks.fail("durable on a quorum", "%s commits entry %d, synced on %d of %d disks", c.name, status.Commit, synced, voters)
-	}
+	return voters, satisfied
 }
 
 // checkToleratedLosses checks that a quorum of the leader's voters remains after as many further losses of disks as the
@@ -216,16 +221,7 @@
 		return
 	}
 	c.toleranceChecked = status.Membership
-	voters, existing := 0, 0
-	for _, member := range status.Membership.GetMembers() {
-		if member.GetLearner() {
-			continue
-		}
-		voters++
-		if l.checks.world.controllerWithDisk(member.GetId()) != nil {
-			existing++
-		}
-	}
+	voters, existing := countVoters(status.Membership, func(disk string) bool { return l.checks.world.controllerWithDisk(disk) != nil })
 	controllers := l.checks.world.options.Deployment.Controllers
 	tolerated := (controllers-1)/2 - max(0, controllers-existing)
 	if existing-tolerated <= voters/2 {
