Record who answered a candidate, and why a vote was refused

Cause: a controller whose pre-votes are not answered, or refused, left no trace: its term does not change, so that no line is logged. Whether voters were silent, held the vote back for a leader's lease, or had a longer log could not be told apart.

Change: each member keeps its last election until it has a leader again (Status.Election): the term, the attempts, and the answer of each voter. A voter that withholds its vote for a lease answers with a refusal, where it was silent before, and refusals carry the last entry of the voter's log, in fields that refusals had left empty: builds that do not know this ignore both.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -55,6 +55,7 @@
 	addresses       map[string]string
 	transferElected bool
 	restart         restart
+	election        electionRecord
 
 	// State of the leader.
 	progress               map[string]*progress
@@ -200,6 +201,10 @@
 
 // step dispatches a message by its type, after the checks of its term.
 func (c *Core) step(message *v1.ConsensusMessage) {
+	switch message.GetType() {
+	case v1.MessageType_MESSAGE_TYPE_PRE_VOTE_ANSWER, v1.MessageType_MESSAGE_TYPE_VOTE_ANSWER:
+		c.recordVoteAnswer(message)
+	}
 	switch message.GetType() {
 	case v1.MessageType_MESSAGE_TYPE_PRE_VOTE:
 		c.handlePreVote(message)
@@ -305,6 +310,7 @@
 	c.progress = nil
 	c.transfer = transfer{}
 	if wasLeader || leader != "" {
+		c.election = electionRecord{}
 		c.resetElection()
 	}
 }
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -14,6 +14,7 @@
 		c.role = RolePreCandidate
 		c.transferElected = false
 		c.restart.voters = nil
+		c.recordCampaign(c.term+1, true)
 		for _, member := range c.members.voters() {
 			if member != c.id {
 				c.send(member, &v1.ConsensusMessage{Type: v1.MessageType_MESSAGE_TYPE_PRE_VOTE,
@@ -26,6 +27,7 @@
 	c.role = RoleCandidate
 	c.term++
 	c.votedFor = c.id
+	c.recordCampaign(c.term, false)
 	for _, member := range c.members.voters() {
 		if member == c.id {
 			c.sendSynced(c.id, &v1.ConsensusMessage{Type: v1.MessageType_MESSAGE_TYPE_VOTE_ANSWER})
@@ -59,17 +61,26 @@
 
 // handlePreVote answers whether this member would vote for the candidate. It changes no state.
 func (c *Core) handlePreVote(message *v1.ConsensusMessage) {
-	if c.leaderMayHoldLease() {
-		return
-	}
-	granted := message.GetTerm() > c.term && c.logAllowsVote(message)
-	answer := &v1.ConsensusMessage{Type: v1.MessageType_MESSAGE_TYPE_PRE_VOTE_ANSWER, Reject: !granted}
-	if granted {
+	answer := &v1.ConsensusMessage{Type: v1.MessageType_MESSAGE_TYPE_PRE_VOTE_ANSWER}
+	switch {
+	case c.leaderMayHoldLease():
+		c.refuse(answer)
+		answer.Term = message.GetTerm() - 1 // the candidate's own term: it learns of no other one
+	case message.GetTerm() > c.term && c.logAllowsVote(message):
 		answer.Term = message.GetTerm()
+	default:
+		c.refuse(answer)
 	}
 	c.send(message.GetFrom(), answer)
 }
 
+// refuse makes an answer to a candidate a refusal. It tells the last entry of this member's log, so that the candidate can
+// log the reason.
+func (c *Core) refuse(answer *v1.ConsensusMessage) {
+	last := c.log.last()
+	answer.Reject, answer.LogIndex, answer.LogTerm = true, last.index, last.term
+}
+
 // handlePreVoteAnswer counts an answer to a pre-vote.
 func (c *Core) handlePreVoteAnswer(message *v1.ConsensusMessage) {
 	if message.GetReject() {
@@ -94,7 +105,11 @@
 // handleVote grants at most one vote per term, to a candidate whose log is up to date.
 func (c *Core) handleVote(message *v1.ConsensusMessage) {
 	leaseWaitApplies := !message.GetTransfer() && !c.provesNoLease(message)
+	answer := &v1.ConsensusMessage{Type: v1.MessageType_MESSAGE_TYPE_VOTE_ANSWER}
 	if leaseWaitApplies && c.leaderMayHoldLease() && message.GetTerm() > c.term {
+		c.refuse(answer)
+		answer.Term = message.GetTerm() // for the candidate's election; this member's own term does not change
+		c.send(message.GetFrom(), answer)
 		return
 	}
 	if message.GetTerm() > c.term {
@@ -105,8 +120,10 @@
 	if granted {
 		c.votedFor = message.GetFrom()
 		c.resetElection()
+	} else {
+		c.refuse(answer)
 	}
-	c.sendSynced(message.GetFrom(), &v1.ConsensusMessage{Type: v1.MessageType_MESSAGE_TYPE_VOTE_ANSWER, Reject: !granted})
+	c.sendSynced(message.GetFrom(), answer)
 }
 
 // handleVoteAnswer counts a vote in the current term.
@@ -127,6 +144,7 @@
 	c.leader = c.id
 	c.endRestart()
 	c.votes = nil
+	c.election = electionRecord{}
 	c.leaderSince = c.now
 	c.transfer = transfer{}
 	c.uncommittedBytes = 0
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -13,6 +13,12 @@
 	term  uint64
 }
 
+// isAheadOf reports whether a log that ends at this position may contain committed entries that one which ends at the other
+// position lacks (Raft's comparison of last term and last index).
+func (p position) isAheadOf(other position) bool {
+	return p.term > other.term || p.term == other.term && p.index > other.index
+}
+
 // entryLog is the log in memory: the entries after base, the newest snapshot, and the indexes up
 // to which the log is synced, committed and applied.
 type entryLog struct {
@@ -187,10 +193,9 @@
 }
 
 // isUpToDate reports whether a candidate's log that ends at the position contains at least every
-// entry of this log that may be committed (Raft's comparison of last term and last index).
+// entry of this log that may be committed.
 func (l *entryLog) isUpToDate(candidate position) bool {
-	local := l.last()
-	return candidate.term > local.term || candidate.term == local.term && candidate.index >= local.index
+	return !l.last().isAheadOf(candidate)
 }
 
 // restore replaces the log by a snapshot.
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -33,6 +33,8 @@
 	Members []MemberStatus
 	// VoterCounts are set only at the leader.
 	VoterCounts voterplan.Counts
+	// Election is the last election in which this member was a candidate; nil if it has had a leader since.
+	Election *Election
 	// Decisions are the last decisions on members that this member took as a leader, oldest first.
 	Decisions []NumberedDecision
 }
@@ -58,6 +60,7 @@
 		MembershipCommitted: isCommitted,
 		CommittedMembership: committed,
 		Decisions:           c.decisions.recent,
+		Election:            c.lastElection(),
 	}
 	if c.role != RoleLeader {
 		return status
