--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -27,6 +27,11 @@
 	subsystem  string
 }
 
+// Register registers a collector whose metrics get the prefix of this factory.
+func (f Factory) Register(create func(prefix string) prometheus.Collector) {
+	f.registerer.MustRegister(create(namespace + "_" + f.subsystem + "_"))
+}
+
 // Counter returns a new counter; its name must end in _total.
 func (f Factory) Counter(name, help string) prometheus.Counter {
 	counter := prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: f.subsystem, Name: name, Help: help})
