Log why no leader is known, and the steps of a start that take long

Cause: the record of the incident has nothing from five living controllers for half a minute. Connections that are dead, elections that are refused and starts that hang could not be told apart.

Change: leader_missing after 0.5 s without a leader and each time that time has doubled: role, term, the last election with the answer of each voter, and the contact with each peer; the same contact as metrics (hazelpitch_controller_peer_*). start_step for steps of the start that take longer than 0.25 s, also while they run. An emptied controller without a membership is covered, too.

--- a/internal/controller/consensus_service.go
+++ b/internal/controller/consensus_service.go
@@ -14,6 +14,8 @@
 type consensusService struct {
 	loop  *loop
 	fleet string
+	// received records that a message from the controller at an address has arrived.
+	received func(address string)
 }
 
 // Deliver queues the messages for the Core. An error means that some were dropped;
@@ -24,6 +26,7 @@
 			return nil, connect.NewError(connect.CodePermissionDenied,
 				trace.AccessDenied("this controller belongs to fleet %q, not %q; check the peers in the settings", c.fleet, message.GetFleet()))
 		}
+		c.received(message.GetSender().GetAddress())
 		if !c.loop.sendPeerMessage(control.PeerMessage{Message: message}) {
 			return nil, connect.NewError(connect.CodeResourceExhausted, trace.LimitExceeded("%d messages are waiting", peerQueueSize))
 		}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -19,6 +19,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
+	"github.com/hazelpitch/hazelpitch/internal/peercontact"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 	"github.com/hazelpitch/hazelpitch/internal/storage"
 )
@@ -53,18 +54,20 @@
 
 // controller is one running process.
 type controller struct {
-	config           settings.Controller
-	log              *logring.Log
-	disk             *storage.Storage
-	core             *control.Core
-	loop             *loop
-	calls            *calls
-	engines          *engines
-	machines         *machineReader
-	tlsConfigs       tlsConfigs
-	registry         *prometheus.Registry
-	instruments      instruments
-	dial             dialing.Dial
+	config      settings.Controller
+	log         *logring.Log
+	disk        *storage.Storage
+	core        *control.Core
+	loop        *loop
+	calls       *calls
+	engines     *engines
+	machines    *machineReader
+	tlsConfigs  tlsConfigs
+	registry    *prometheus.Registry
+	instruments instruments
+	dial        dialing.Dial
+	// contact records the contact with other controllers.
+	contact          *peercontact.Record
 	listener         net.Listener
 	adminListener    net.Listener
 	peerClient       *http.Client
@@ -82,42 +85,62 @@
 // open acquires the resources that may be unavailable, before any goroutine starts.
 func open(config settings.Controller, options Options) (*controller, error) {
 	registry, factory := metrics.NewRegistry("controller", config.Name, config.Zone)
-	c := &controller{config: config, log: options.Log, dial: options.Dial, site: options.Site, registry: registry, instruments: newInstruments(factory), calls: newCalls(), haltErrors: make(chan error, 1)}
-	var err error
-	if c.tlsConfigs, err = loadTLSConfigs(config, options.Log, factory); err != nil {
+	c := &controller{config: config, log: options.Log, dial: options.Dial, site: options.Site, registry: registry, instruments: newInstruments(factory), calls: newCalls(), haltErrors: make(chan error, 1), bootClock: bootclock.New(0)}
+	c.contact = peercontact.NewRecord(c.bootClock.Now)
+	factory.Register(func(prefix string) prometheus.Collector { return peercontact.NewCollector(c.contact, prefix) })
+	steps := startSteps{log: options.Log, now: c.bootClock.Now}
+	err := steps.run("load the certificates", func() (err error) {
+		c.tlsConfigs, err = loadTLSConfigs(config, options.Log, factory)
+		return err
+	})
+	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	c.peerClient = newPeerClient(c.instruments.countingDial(options.Dial, connectionPeers), c.tlsConfigs.client)
-	if err := c.openCore(); err != nil {
+	c.peerClient = newPeerClient(c.contact.Dial(c.instruments.countingDial(options.Dial, connectionPeers)), c.tlsConfigs.client)
+	if err := c.openCore(steps); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if c.listener, err = options.Listen("tcp", config.Listen); err != nil {
+	if err := c.openListeners(steps, options); err != nil {
 		c.close()
-		return nil, trace.Wrap(err, "cannot listen on %s; check the key listen", config.Listen)
+		return nil, trace.Wrap(err)
 	}
-	if c.adminListener, err = options.Listen("tcp", config.AdminListen); err != nil {
-		c.close()
-		return nil, trace.Wrap(err, "cannot listen on %s; check the key admin_listen", config.AdminListen)
+	return c, nil
+}
+
+// openListeners opens the ports.
+func (c *controller) openListeners(steps startSteps, options Options) error {
+	open := func(listener *net.Listener, address, key string) error {
+		return steps.run("listen on "+address, func() (err error) {
+			*listener, err = options.Listen("tcp", address)
+			return trace.Wrap(err, "cannot listen on %s; check the key %s", address, key)
+		})
 	}
-	if c.site != nil {
-		if c.operatorListener, err = options.Listen("tcp", c.site.OperatorListen); err != nil {
-			c.close()
-			return nil, trace.Wrap(err, "cannot listen on %s; check the key operator_listen", c.site.OperatorListen)
-		}
+	if err := open(&c.listener, c.config.Listen, "listen"); err != nil {
+		return err
 	}
-	return c, nil
+	if err := open(&c.adminListener, c.config.AdminListen, "admin_listen"); err != nil {
+		return err
+	}
+	if c.site == nil {
+		return nil
+	}
+	return open(&c.operatorListener, c.site.OperatorListen, "operator_listen")
 }
 
 // openCore opens the data directory and builds the Core from its contents.
-func (c *controller) openCore() error {
-	disk, restored, err := storage.Open(storage.Options{Directory: c.config.DataDirectory, Fleet: c.config.Fleet, Name: c.config.Name})
+func (c *controller) openCore(steps startSteps) error {
+	var restored consensus.Restored
+	err := steps.run("read the data directory", func() (err error) {
+		c.disk, restored, err = storage.Open(storage.Options{Directory: c.config.DataDirectory, Fleet: c.config.Fleet, Name: c.config.Name})
+		return err
+	})
 	if err != nil {
 		return &DiskError{cause: trace.Wrap(err)}
 	}
-	c.disk = disk
-	c.bootClock = bootclock.New(0)
-	origin := time.Now()
-	c.core, err = control.New(coreConfig(c.config, c.site, origin), restored)
+	err = steps.run("restore the state", func() (err error) {
+		c.core, err = control.New(coreConfig(c.config, c.site, time.Now()), restored)
+		return err
+	})
 	if err != nil {
 		c.close()
 		return trace.Wrap(err)
--- a/internal/controller/outputs.go
+++ b/internal/controller/outputs.go
@@ -10,6 +10,7 @@
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/control"
 	"github.com/hazelpitch/hazelpitch/internal/duty"
+	"github.com/hazelpitch/hazelpitch/internal/peercontact"
 )
 
 // startOutputs starts the goroutines that execute the Core's outputs.
@@ -83,6 +84,9 @@
 		queue:   make(chan *v1.ConsensusMessage, to.queueSize()),
 		sent:    func(messages int) { c.instruments.peerSent.Add(float64(messages)) },
 		dropped: func(messages int) { c.instruments.peerDropped.Add(float64(messages)) },
+
+		delivered: func() { c.contact.Delivered(to.address) },
+		failed:    func(err error) { c.contact.Failed(to.address, peercontact.Deliver, err) },
 	}
 }
 
--- a/internal/controller/sender.go
+++ b/internal/controller/sender.go
@@ -32,6 +32,9 @@
 	queue  chan *v1.ConsensusMessage
 	// sent and dropped count messages.
 	sent, dropped func(messages int)
+	// delivered records that the peer confirmed messages, failed that a call failed.
+	delivered func()
+	failed    func(error)
 }
 
 // enqueue adds a message and drops the oldest when the queue is full. Only the loop
@@ -83,10 +86,12 @@
 	defer cancel()
 	request := connect.NewRequest(&v1.DeliverRequest{Messages: messages})
 	if _, err := s.client.Deliver(limited, request); err != nil {
+		s.failed(err)
 		s.dropped(len(messages))
 		pause.For(ctx, retryPause)
 		return
 	}
+	s.delivered()
 	s.sent(len(messages))
 }
 
--- a/internal/controller/sender_test.go
+++ b/internal/controller/sender_test.go
@@ -32,7 +32,7 @@
 	dropped := new(int)
 	return &sender{
 		client: peer, queue: make(chan *v1.ConsensusMessage, senderQueue),
-		sent: func(int) {}, dropped: func(messages int) { *dropped += messages },
+		sent: func(int) {}, dropped: func(messages int) { *dropped += messages }, delivered: func() {}, failed: func(error) {},
 	}, dropped
 }
 
@@ -101,7 +101,7 @@
 }
 
 func TestDeliverRefusesOtherFleetsAndFullQueues(t *testing.T) {
-	service := consensusService{loop: newLoop(&scriptedCore{}, nil), fleet: "ours"}
+	service := consensusService{received: func(string) {}, loop: newLoop(&scriptedCore{}, nil), fleet: "ours"}
 	_, err := service.Deliver(t.Context(), connect.NewRequest(&v1.DeliverRequest{Messages: []*v1.ConsensusMessage{{Fleet: "theirs"}}}))
 	require.Equal(t, connect.CodePermissionDenied, connect.CodeOf(err))
 	for range peerQueueSize {
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -21,7 +21,7 @@
 		countCall:     func(procedure, code string) { c.instruments.calls.WithLabelValues(procedure, code).Inc() },
 	}
 	operator := operatorService{service: shared, firstKeyHash: c.config.OperatorKeyHash, lookUp: c.core.Operator}
-	routes := handler(c.config.Fleet, c.instruments.countMessages(), consensusService{loop: c.loop, fleet: c.config.Fleet}, nodeService{shared}, operator)
+	routes := handler(c.config.Fleet, c.instruments.countMessages(), consensusService{loop: c.loop, fleet: c.config.Fleet, received: c.contact.Received}, nodeService{shared}, operator)
 	return serveHTTP(ctx, countingListener{Listener: c.listener, instruments: c.instruments}, routes, c.tlsConfigs.server, newServerLogger(c.log))
 }
 
@@ -58,6 +58,7 @@
 	leader, term := "", uint64(0)
 	agreement := ""
 	decisions := decisionLog{log: c.log}
+	report := leaderReport{log: c.log, peers: c.contact.Peers}
 	for {
 		select {
 		case <-ctx.Done():
@@ -78,6 +79,7 @@
 			c.log.Info().Str(events.FieldEvent, string(events.FormatAgreed)).Uint("format", uint(status.AgreedFormat)).
 				Uint("own_format", uint(formats.Newest)).Strs("held_back_by", status.AgreementBlockers).Send()
 		}
+		report.update(c.bootClock.Now(), status.Consensus)
 		decisions.write(status.Consensus.Decisions)
 		c.instruments.quorum.set(status.Consensus)
 		c.instruments.agreedFormat.Set(float64(status.AgreedFormat))
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -95,6 +95,11 @@
 	// MemberDecided: a leader promotes or removes a member of the replicated log, keeps a voter that is silent, or lets a
 	// learner wait.
 	MemberDecided Event = "member_decided"
+	// LeaderMissing: the controller knows no leader; the fields tell how its last election went and what contact it has with
+	// each peer.
+	LeaderMissing Event = "leader_missing"
+	// StartStepSlow: a step of a controller's start takes, or took, long, or failed.
+	StartStepSlow Event = "start_step"
 	// ControllerHalted: the controller stops because it cannot apply a committed entry.
 	ControllerHalted Event = "controller_halted"
 	// UpdateNotApplied: a relay requests an update that a controller has already sent to it.
@@ -117,7 +122,7 @@
 var All = []Event{
 	RequestEnded, AttemptFailed, AnswerGivenUp, RequestRefused, RequestUnread, PathLost, PathRestored, KeyRefused, RunMigrated, StreamContinued, ConfigurationApplied, ConfigurationUnreadable, ListingApplied, ListingFaultChanged,
 	BackEndInBackoff, BackEndLeaving, BackEndLimitChanged, BackEndRestarted, BackEndCrashed, RequestQuarantined, QuarantineTrialStarted, GuardCallFailed,
-	LeaderLost, LeaderFound, OwnerSuspected, CellAcquired, CellReleased, SlotsAcquired, SlotsReleased, SlotRefused, SlotGranted, RelayStarted, RelayStopping, RelayStopped, GatewayStopping, GatewayStopped, SignalReceived, StageOrdered, UsageDelivered, ReplicasOrdered, FormatAgreed, MemberDecided, ControllerHalted, UpdateNotApplied, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
+	LeaderLost, LeaderFound, OwnerSuspected, CellAcquired, CellReleased, SlotsAcquired, SlotsReleased, SlotRefused, SlotGranted, RelayStarted, RelayStopping, RelayStopped, GatewayStopping, GatewayStopped, SignalReceived, StageOrdered, UsageDelivered, ReplicasOrdered, FormatAgreed, MemberDecided, LeaderMissing, StartStepSlow, ControllerHalted, UpdateNotApplied, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
 
 // Names of fields that several events have in common.
