--- a/internal/standin/silence/silence.go
+++ b/internal/standin/silence/silence.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 
@@ -13,17 +14,28 @@
 // Begin makes the kernel drop every segment that arrives for the connection or listener, unacknowledged. A listener must
 // not use multipath TCP, whose sockets accept no packet filters; see Listen.
 func Begin(socket syscall.Conn) error {
-	dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: 0}
-	return control(socket, func(descriptor int) error {
-		return unix.SetsockoptSockFprog(descriptor, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll})
-	})
+	dropAll := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
+	return control(socket, func(descriptor int) error { return attach(descriptor, dropAll) })
 }
 
 // End makes the kernel accept segments again.
 func End(socket syscall.Conn) error {
-	return control(socket, func(descriptor int) error {
-		return unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
-	})
+	return control(socket, detach)
+}
+
+// attach makes the kernel pass what arrives for a socket through the filter.
+func attach(descriptor int, filter []unix.SockFilter) error {
+	program := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
+	return trace.Wrap(unix.SetsockoptSockFprog(descriptor, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program))
+}
+
+// detach removes the filter of a socket; it does nothing if there is none.
+func detach(descriptor int) error {
+	err := unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+	if errors.Is(err, unix.ENOENT) {
+		return nil
+	}
+	return trace.Wrap(err)
 }
 
 func control(socket syscall.Conn, call func(descriptor int) error) error {
