Show that controllers never give up connections that carry nothing any more

What callers see: no leader, so no configuration is acknowledged or read, for as long as the kernel keeps the old connections (a quarter of an hour by default), although all controllers run and new connections to them work.

Change: a test that makes the open connections between controllers ignore everything for good, as a firewall does that has lost its state.

The target is 3 s: a second after which a connection must be given up, and two for a leader.

--- a/internal/standin/silence/network.go
+++ b/internal/standin/silence/network.go
@@ -50,10 +50,21 @@
 	return n.apply()
 }
 
+// Sever makes the connections that are open now between the two groups of addresses ignore everything for good, at both ends,
+// as a firewall does that has lost its state: neither end is told, and new connections work.
+func (n *Network) Sever(group, others []netip.Addr) error {
+	return eachSocket(func(descriptor int, local, remote netip.Addr) error {
+		if !isBetween(group, others, local, remote) {
+			return nil
+		}
+		return attach(descriptor, dropAll)
+	})
+}
+
 // Reset ends all connections of this process between the two groups of addresses by a reset to both ends.
 func (n *Network) Reset(group, others []netip.Addr) error {
 	return eachSocket(func(descriptor int, local, remote netip.Addr) error {
-		if !slices.Contains(group, local) || !slices.Contains(others, remote) || local == remote {
+		if !isBetween(group, others, local, remote) {
 			return nil
 		}
 		// Connecting to no address ends a TCP connection with a reset.
@@ -66,6 +77,12 @@
 	})
 }
 
+// isBetween reports whether a connection has one end in each group, at different addresses.
+func isBetween(group, others []netip.Addr, local, remote netip.Addr) bool {
+	return local != remote && (slices.Contains(group, local) && slices.Contains(others, remote) ||
+		slices.Contains(others, local) && slices.Contains(group, remote))
+}
+
 // count adds to the number of blocks of each pair.
 func (n *Network) count(receivers, senders []netip.Addr, change int) {
 	if n.blocked == nil {
--- a/internal/standin/silence/silence.go
+++ b/internal/standin/silence/silence.go
@@ -14,7 +14,6 @@
 // Begin makes the kernel drop every segment that arrives for the connection or listener, unacknowledged. A listener must
 // not use multipath TCP, whose sockets accept no packet filters; see Listen.
 func Begin(socket syscall.Conn) error {
-	dropAll := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
 	return control(socket, func(descriptor int) error { return attach(descriptor, dropAll) })
 }
 
@@ -23,6 +22,9 @@
 	return control(socket, detach)
 }
 
+// dropAll is a filter that drops everything.
+var dropAll = []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
+
 // attach makes the kernel pass what arrives for a socket through the filter.
 func attach(descriptor int, filter []unix.SockFilter) error {
 	program := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
