Give up connections between controllers a second after their peer falls silent

What callers saw: after a silence of 4 to 40 s among the controllers, no leader for 2.5 to 14.5 s more; after their open connections had ceased to carry anything, while new ones work, no leader at all, so that no configuration was acknowledged or read.

Cause: controllers dialed each other without detection of dead peers. A call that timed out left its connection in the pool, and the next one waited on it for the kernel's next retransmission, whose intervals double as long as nothing is acknowledged. The lines of leader_missing on the code before show it: connections to all peers open since before the silence, deliver_timed_out each 2 s, voters silent.

Change: dialing.ToPeers is the dialer between the system's own processes. Its connections fail after a second without an acknowledgement, so that the next call dials again, at most a quarter of a second at a time. controller.Options has no Dial any more: no harness can replace it.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -37,13 +37,6 @@
 	if options.Listen == nil {
 		options.Listen = net.Listen
 	}
-	if options.Dial == nil {
-		dial, err := dialing.FromSource(config.SourceAddress, dialTimeout)
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		options.Dial = dial
-	}
 	controller, err := open(config, options)
 	if err != nil {
 		return trace.Wrap(err)
@@ -65,7 +58,8 @@
 	tlsConfigs  tlsConfigs
 	registry    *prometheus.Registry
 	instruments instruments
-	dial        dialing.Dial
+	// dial opens connections to systems outside.
+	dial dialing.Dial
 	// contact records the contact with other controllers.
 	contact          *peercontact.Record
 	listener         net.Listener
@@ -85,7 +79,7 @@
 // open acquires the resources that may be unavailable, before any goroutine starts.
 func open(config settings.Controller, options Options) (*controller, error) {
 	registry, factory := metrics.NewRegistry("controller", config.Name, config.Zone)
-	c := &controller{config: config, log: options.Log, dial: options.Dial, site: options.Site, registry: registry, instruments: newInstruments(factory), calls: newCalls(), haltErrors: make(chan error, 1), bootClock: bootclock.New(0)}
+	c := &controller{config: config, log: options.Log, site: options.Site, registry: registry, instruments: newInstruments(factory), calls: newCalls(), haltErrors: make(chan error, 1), bootClock: bootclock.New(0)}
 	c.contact = peercontact.NewRecord(c.bootClock.Now)
 	factory.Register(func(prefix string) prometheus.Collector { return peercontact.NewCollector(c.contact, prefix) })
 	steps := startSteps{log: options.Log, now: c.bootClock.Now}
@@ -96,7 +90,9 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	c.peerClient = newPeerClient(c.contact.Dial(c.instruments.countingDial(options.Dial, connectionPeers)), c.tlsConfigs.client)
+	if err := c.openDials(); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if err := c.openCore(steps); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -127,6 +123,17 @@
 	return open(&c.operatorListener, c.site.OperatorListen, "operator_listen")
 }
 
+// openDials prepares the connections to other controllers and to systems outside.
+func (c *controller) openDials() error {
+	toPeers, err := dialing.ToPeers(c.config.SourceAddress)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	c.peerClient = newPeerClient(c.contact.Dial(c.instruments.countingDial(toPeers, connectionPeers)), c.tlsConfigs.client)
+	c.dial, err = dialing.FromSource(c.config.SourceAddress, dialTimeout)
+	return trace.Wrap(err)
+}
+
 // openCore opens the data directory and builds the Core from its contents.
 func (c *controller) openCore(steps startSteps) error {
 	var restored consensus.Restored
--- a/internal/controller/options.go
+++ b/internal/controller/options.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 
-	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 )
 
@@ -12,8 +11,6 @@
 	// Listen opens a listener; nil means net.Listen. hazelbench wraps it to inject
 	// the latency between zones.
 	Listen func(network, address string) (net.Listener, error)
-	// Dial opens outgoing connections; nil means TCP from settings.source_address.
-	Dial dialing.Dial
 	// Site is set if the controller serves relays, and nil otherwise.
 	Site *Site
 	// Log is required. Run dumps its ring on errors and signals.
--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -47,7 +47,7 @@
 // newPeerClient returns the HTTP client for other controllers.
 func newPeerClient(dial dialing.Dial, tlsConfig *tls.Config) *http.Client {
 	transport := &http.Transport{
-		DialContext:     dialing.WithTimeout(dial, dialing.PeerTimeout),
+		DialContext:     dial,
 		TLSClientConfig: tlsConfig,
 		IdleConnTimeout: idleTimeout,
 		Protocols:       new(http.Protocols),
