Drop a connection to a controller on which a call timed out

What callers would see: no leader for as long as something between two controllers acknowledges what they send and passes nothing on, as a proxy or a stuck process does: the kernel sees no dead peer then, and each later call uses the same connection.

Cause: the same as that of connections that are not acknowledged: the end of a call by its time says nothing about its connection.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -58,12 +58,13 @@
 	tlsConfigs  tlsConfigs
 	registry    *prometheus.Registry
 	instruments instruments
-	// dial opens connections to systems outside.
-	dial dialing.Dial
+	// dial opens connections to systems outside, peerDial those to other controllers.
+	dial, peerDial dialing.Dial
 	// contact records the contact with other controllers.
-	contact          *peercontact.Record
-	listener         net.Listener
-	adminListener    net.Listener
+	contact       *peercontact.Record
+	listener      net.Listener
+	adminListener net.Listener
+	// peerClient forwards calls to other controllers.
 	peerClient       *http.Client
 	site             *Site
 	listing          *listingReader
@@ -129,7 +130,8 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	c.peerClient = newPeerClient(c.contact.Dial(c.instruments.countingDial(toPeers, connectionPeers)), c.tlsConfigs.client)
+	c.peerDial = c.contact.Dial(c.instruments.countingDial(toPeers, connectionPeers))
+	c.peerClient = newPeerClient(c.peerDial, c.tlsConfigs.client)
 	c.dial, err = dialing.FromSource(c.config.SourceAddress, dialTimeout)
 	return trace.Wrap(err)
 }
--- a/internal/controller/start_steps.go
+++ b/internal/controller/start_steps.go
@@ -38,7 +38,7 @@
 		select {
 		case err := <-done:
 			timer.Stop()
-			if took := s.now()-started; took >= slowStartStep || err != nil {
+			if took := s.now() - started; took >= slowStartStep || err != nil {
 				s.log.Warn().Str(events.FieldEvent, string(events.StartStepSlow)).Str("step", step).Bool("ended", true).Int64("took_ms", took.Milliseconds()).Err(err).Send()
 			}
 			return trace.Wrap(err)
--- /dev/null
+++ b/internal/controller/swallowed_connection_test.go
@@ -0,0 +1,77 @@
+package controller
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
+)
+
+// swallowingListener swallows everything on its first connections, as a proxy does that acknowledges data and passes nothing
+// on; it passes the later ones to the server.
+type swallowingListener struct {
+	net.Listener
+	swallow  int64
+	accepted atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *swallowingListener) Accept() (net.Conn, error) {
+	for {
+		connection, err := l.Listener.Accept()
+		if err != nil || l.accepted.Add(1) > l.swallow {
+			return connection, err
+		}
+		go func() { _, _ = io.Copy(io.Discard, connection); _ = connection.Close() }()
+	}
+}
+
+// Guards against a connection between controllers that is acknowledged and carries nothing, and that every later call to the
+// peer uses again.
+func TestSenderDropsAConnectionOnWhichACallTimedOut(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := &swallowingListener{Listener: inner, swallow: 1}
+	routes := http.NewServeMux()
+	peer := &countingPeer{}
+	routes.Handle(hazelpitchv1connect.NewConsensusServiceHandler(peer))
+	server := &http.Server{Handler: routes, Protocols: protocols()}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+
+	dial, err := dialing.ToPeers("")
+	require.NoError(t, err)
+	connections := &dialing.OpenConnections{}
+	client := newPeerClient(connections.Dial(dial), nil)
+	sender := &sender{
+		client: hazelpitchv1connect.NewConsensusServiceClient(client, "http://"+inner.Addr().String()), drop: connections.CloseAll,
+		queue: make(chan *v1.ConsensusMessage, senderQueue), sent: func(int) {}, dropped: func(int) {}, delivered: func() {}, failed: func(error) {},
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go sender.run(ctx)
+	require.Eventually(t, func() bool {
+		sender.enqueue(&v1.ConsensusMessage{})
+		return peer.delivered.Load() > 0
+	}, time.Minute, 100*time.Millisecond)
+	require.EqualValues(t, 2, listener.accepted.Load(), "the second connection is used")
+}
+
+// countingPeer counts the calls that reach it.
+type countingPeer struct{ delivered atomic.Int64 }
+
+// Deliver implements ConsensusServiceHandler.
+func (p *countingPeer) Deliver(context.Context, *connect.Request[v1.DeliverRequest]) (*connect.Response[v1.DeliverResponse], error) {
+	p.delivered.Add(1)
+	return connect.NewResponse(&v1.DeliverResponse{}), nil
+}
