Bound the heads of answers to a controller and the answers of engines

What callers see: an engine or the platform that answers without end may have used up the memory of the leader, and of each that followed it.

Cause: net/http's default limit of a head is 10 MB, of which small header lines take six times as much memory; answers of engines had the limit of the machine list, 8 MB, with up to 544 exchanges at once.

Change: newOutsideTransport limits the heads of answers of the platform and of listed engines to 64 KiB, interim responses included. An engine's answer may have 128 KiB (70 MB if all workers read one at once); the machine list keeps 8 MiB.

--- a/internal/controller/duty_calls.go
+++ b/internal/controller/duty_calls.go
@@ -113,5 +113,7 @@
 // expiringClient returns an HTTP client for one call that must not arrive after its expiry; remaining returns the time
 // left until then.
 func expiringClient(dial dialing.Dial, remaining func() time.Duration) *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: dialing.WithExpiry(dial, remaining), DisableKeepAlives: true}}
+	transport := newOutsideTransport(dialing.WithExpiry(dial, remaining))
+	transport.DisableKeepAlives = true
+	return &http.Client{Transport: transport}
 }
--- a/internal/controller/endless_answers_test.go
+++ b/internal/controller/endless_answers_test.go
@@ -148,7 +148,7 @@
 		"fence of an engine": {engineAnswerBytes, true, engine(control.SendFence{Engine: "e", Address: "engine:80"})},
 		"poll of an engine":  {engineAnswerBytes, true, engine(control.PollEngine{Engine: "e", Address: "engine:80"})},
 		"machine list": {machineListBytes, true, func(_ context.Context, peer *endlessPeer) {
-			require.Error(t, get(newExternalClient(peer.dial), "platform:80", enginecontract.PathMachines, &enginecontract.MachineList{}))
+			require.Error(t, get(newExternalClient(peer.dial, maxMachineListBytes), "platform:80", enginecontract.PathMachines, &enginecontract.MachineList{}))
 		}},
 	} {
 		answers := endlessHeads()
--- a/internal/controller/engines.go
+++ b/internal/controller/engines.go
@@ -28,8 +28,8 @@
 	engineTimeout = 800 * time.Millisecond
 	// engineIdleTimeout is how long an idle connection is kept open.
 	engineIdleTimeout = 30 * time.Second
-	// maxResponseBytes limits the size of a response of an engine or of the machine list.
-	maxResponseBytes = 8 << 20
+	// maxEngineAnswerBytes limits the body of an answer of an engine. All workers may read one at the same time.
+	maxEngineAnswerBytes = 128 << 10
 )
 
 // engines exchanges orders, fences and polls with engines and turns every
@@ -46,7 +46,7 @@
 
 func newEngines(dial dialing.Dial, deliver func(context.Context, control.Input) error, exchanged func(string, bool)) *engines {
 	return &engines{
-		client:        newExternalClient(dial),
+		client:        newExternalClient(dial, maxEngineAnswerBytes),
 		orders:        make(chan control.Output, orderQueue),
 		polls:         make(chan control.Output, pollQueue),
 		deliver:       deliver,
@@ -54,13 +54,13 @@
 	}
 }
 
-// newExternalClient returns the HTTP client for engines and the machine list.
-func newExternalClient(dial dialing.Dial) *fasthttp.Client {
+// newExternalClient returns the HTTP client for engines or the machine list; maxBodyBytes limits the body of an answer.
+func newExternalClient(dial dialing.Dial, maxBodyBytes int) *fasthttp.Client {
 	return &fasthttp.Client{
 		NoDefaultUserAgentHeader:  true,
 		MaxConnsPerHost:           orderWorkers,
 		MaxIdleConnDuration:       engineIdleTimeout,
-		MaxResponseBodySize:       maxResponseBytes,
+		MaxResponseBodySize:       maxBodyBytes,
 		MaxIdemponentCallAttempts: 1,
 		Dial: func(address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(context.Background(), engineTimeout)
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -11,6 +11,9 @@
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 )
 
+// maxMachineListBytes limits the size of the machine list.
+const maxMachineListBytes = 8 << 20
+
 // machineReader reads the platform's machine list at a fixed interval.
 type machineReader struct {
 	client   *fasthttp.Client
--- a/internal/controller/outputs.go
+++ b/internal/controller/outputs.go
@@ -25,7 +25,7 @@
 		c.spawn(group, func() error { c.engines.runWorker(ctx, c.engines.polls); return nil })
 	}
 	c.machines = &machineReader{
-		client: newExternalClient(dial), address: c.config.MachineList,
+		client: newExternalClient(dial, maxMachineListBytes), address: c.config.MachineList,
 		interval: c.config.MachineListInterval, deliver: c.loop.send, log: c.log,
 	}
 	if c.site != nil {
--- /dev/null
+++ b/internal/controller/outside.go
@@ -0,0 +1,15 @@
+package controller
+
+import (
+	"net/http"
+
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
+)
+
+// maxAnswerHeadBytes limits the head of an answer of the platform or of a listed engine, interim responses included.
+const maxAnswerHeadBytes = 64 << 10
+
+// newOutsideTransport returns the HTTP transport for calls to the platform and to listed engines.
+func newOutsideTransport(dial dialing.Dial) *http.Transport {
+	return &http.Transport{DialContext: dial, MaxResponseHeaderBytes: maxAnswerHeadBytes}
+}
--- a/internal/controller/site.go
+++ b/internal/controller/site.go
@@ -175,7 +175,7 @@
 func newListingReader(site *Site, dial dialing.Dial, deliver func(context.Context, control.Input) error, log *logring.Log) *listingReader {
 	return &listingReader{
 		read:     site.ReadListing,
-		client:   &http.Client{Transport: &http.Transport{DialContext: dial}, Timeout: listingReadTimeout},
+		client:   &http.Client{Transport: newOutsideTransport(dial), Timeout: listingReadTimeout},
 		requests: make(chan int, 1), deliver: deliver, log: log,
 	}
 }
