Show that a controller writes nothing while messages of peers arrive

What callers may see: a controller that receives messages of its peers as fast as it processes them casts no vote and acknowledges no entry, since both wait for the disk; calls and the status wait too.

Change: a test of the loop with a peer that keeps its queue from being empty.

--- a/internal/controller/loop_test.go
+++ b/internal/controller/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -92,6 +93,46 @@
 	})
 }
 
+// Guards against a controller that never writes its vote, so that none is cast, while messages of its peers arrive as fast as it
+// processes them.
+func TestBatchesAreWrittenWhilePeerMessagesArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const stepTime, writtenBy = time.Millisecond, 10 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		var writtenAt time.Duration
+		core := &scriptedCore{}
+		core.respond = func(control.Input) []control.Output {
+			time.Sleep(stepTime)
+			if len(core.inputs) == 1 {
+				return []control.Output{control.Persist{Batch: 1}}
+			}
+			return nil
+		}
+		origin := time.Now()
+		loop := newLoop(core, func() time.Duration { return time.Since(origin) })
+		var running sync.WaitGroup
+		running.Go(func() { loop.run(ctx) })
+		running.Go(func() {
+			select {
+			case <-loop.persist:
+				writtenAt = loop.now()
+			case <-ctx.Done():
+			}
+		})
+		running.Go(func() {
+			for ctx.Err() == nil {
+				loop.sendPeerMessage(control.PeerMessage{})
+				time.Sleep(stepTime / 2)
+			}
+		})
+		time.Sleep(time.Second)
+		cancel()
+		running.Wait()
+		require.NotZero(t, writtenAt, "the batch waits while messages arrive")
+		require.LessOrEqual(t, writtenAt, writtenBy)
+	})
+}
+
 func TestFullQueues(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		loop := newLoop(&scriptedCore{}, func() time.Duration { return 0 })
