Hand batches to the disk also while messages of peers arrive

What callers may see: a controller that receives messages of its peers as fast as it processes them casts no vote and acknowledges no entry.

Cause: the loop offered waiting batches to the disk only where it also waits for calls, which it reaches once no message of a peer waits.

Change: a waiting batch is one of the events that precede calls.

Measured, go test ./internal/controller -run TestBatchesAreWrittenWhilePeerMessagesArrive -count=20: ok, it failed before; go test ./internal/controller -race: ok.

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -78,7 +78,8 @@
 	}
 }
 
-// handleUrgent handles one event that takes precedence over calls, if there is one. It never blocks.
+// handleUrgent handles one event that takes precedence over calls, if there is one: votes and acknowledgements wait for the
+// storage, so that a waiting batch is one, too. It never blocks.
 func (l *loop) handleUrgent(ticker *time.Ticker) bool {
 	select {
 	case <-ticker.C:
@@ -87,6 +88,8 @@
 		l.step(message)
 	case batch := <-l.persisted:
 		l.step(control.Persisted{Batch: batch})
+	case l.storage() <- l.unwritten:
+		l.unwritten = nil
 	default:
 		return false
 	}
@@ -106,10 +109,7 @@
 
 // awaitNext waits for the next event and handles it.
 func (l *loop) awaitNext(ctx context.Context, ticker *time.Ticker) {
-	persist, inputs := l.persist, l.inputs
-	if len(l.unwritten) == 0 {
-		persist = nil
-	}
+	inputs := l.inputs
 	if len(l.unwritten) >= maxUnwrittenBatches {
 		inputs = nil
 	}
@@ -121,7 +121,7 @@
 		l.step(message)
 	case batch := <-l.persisted:
 		l.step(control.Persisted{Batch: batch})
-	case persist <- l.unwritten:
+	case l.storage() <- l.unwritten:
 		l.unwritten = nil
 	case input := <-inputs:
 		l.step(input)
@@ -130,6 +130,14 @@
 	}
 }
 
+// storage returns the channel that passes batches to the storage, or nil if none waits.
+func (l *loop) storage() chan<- []control.Persist {
+	if len(l.unwritten) == 0 {
+		return nil
+	}
+	return l.persist
+}
+
 func (l *loop) tick() { l.step(control.Tick{TimeOfDayMs: l.timeOfDay()}) }
 
 func (l *loop) step(input control.Input) {
