Give up a relay's connections to controllers a second after they fall silent

What callers saw: after a silence of 4 s between relays and controllers, a relay had a new configuration up to 2.3 s late.

Cause: a relay's connections to controllers counted as dead after 5 s without an acknowledgement, the limit for back ends. A watch that times out closes idle connections only, so one that still carries another call, or the end of the watch itself, stayed in use, and new calls waited for the kernel's next retransmission.

Change: a relay connects to controllers with dialing.ToPeers, whose connections fail after a second. Back ends and other relays keep the 5 s. A harness that injects faults into a relay's connections gives a dialer for each of the two.

--- a/internal/leaderwatch/watcher.go
+++ b/internal/leaderwatch/watcher.go
@@ -39,7 +39,8 @@
 type Config struct {
 	// Seeds are the controllers named in the settings, as IP:port.
 	Seeds []string
-	Dial  dialing.Dial
+	// Dial opens connections to controllers, as dialing.ToPeers does. An attempt ends after dialing.PeerTimeout.
+	Dial dialing.Dial
 	// Now returns the steady time since an origin, including suspensions.
 	Now func() time.Duration
 	// NodeCount returns the number of nodes that watch, as far as known.
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -27,8 +27,10 @@
 	Listen func(network, address string) (net.Listener, error)
 	// ListenPacket opens a datagram socket; nil means net.ListenPacket.
 	ListenPacket func(network, address string) (net.PacketConn, error)
-	// Dial opens outgoing connections; nil means dialing.WithDeadPeerDetection.
+	// Dial opens outgoing connections other than those to controllers; nil means dialing.WithDeadPeerDetection.
 	Dial dialing.Dial
+	// DialControllers opens connections to controllers; nil means dialing.ToPeers.
+	DialControllers dialing.Dial
 	// Reloaded delivers settings that were read again; nil for none.
 	Reloaded <-chan settings.Relay
 	// Without holds the mechanisms that are disabled; it is empty in production.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -129,6 +129,13 @@
 	if options.Dial == nil {
 		options.Dial = dialing.WithDeadPeerDetection()
 	}
+	if options.DialControllers == nil {
+		dial, err := dialing.ToPeers("")
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		options.DialControllers = dial
+	}
 	relay := newRelay(config, options)
 	listener, err := options.Listen("tcp", config.Listen)
 	if err != nil {
@@ -203,7 +210,7 @@
 	relay.view.Store(&view{byService: map[string][]*backEnd{}})
 	relay.fleet = newFleetState(relay, options)
 	relay.watcher = leaderwatch.New(leaderwatch.Config{
-		Seeds: config.ControllerAddresses(), Dial: options.Dial, Now: func() time.Duration { return relay.clock.now() },
+		Seeds: config.ControllerAddresses(), Dial: options.DialControllers, Now: func() time.Duration { return relay.clock.now() },
 		NodeCount: func() int { return int(relay.relayCount.Load()) }, Draw: relay.draw, Node: relay.fleet,
 	})
 	relay.guard = newGuard(relay)
--- a/internal/servercommand/command.go
+++ b/internal/servercommand/command.go
@@ -35,8 +35,8 @@
 	Listen func(network, address string) (net.Listener, error)
 	// ListenPacket opens a relay's datagram socket; nil means net.ListenPacket.
 	ListenPacket func(network, address string) (net.PacketConn, error)
-	// Dial opens a relay's outgoing connections; nil means the default dialer.
-	Dial dialing.Dial
+	// Dial and DialControllers open a relay's outgoing connections; nil means the default dialers.
+	Dial, DialControllers dialing.Dial
 	// Site connects relays and their controllers with clients, back ends, operators and the platform.
 	Site Site
 	// Signals are the signals of the process, handled since it started; nil means that Run handles them.
--- a/internal/servercommand/relay.go
+++ b/internal/servercommand/relay.go
@@ -40,7 +40,7 @@
 		return relay.Run(ctx, loaded, relay.Options{
 			Dialect: environment.Site.Dialect, ReadListing: environment.Site.listingReaderAt(loaded.ListingAddress),
 			ReadCache: environment.Site.ReadCache, ProbeLoad: environment.Site.ProbeLoad, Features: environment.Site.RelayFeatures(loaded.Contracts),
-			Listen: environment.Listen, ListenPacket: environment.ListenPacket, Dial: environment.Dial, Reloaded: reloaded, Without: without, Log: log,
+			Listen: environment.Listen, ListenPacket: environment.ListenPacket, Dial: environment.Dial, DialControllers: environment.DialControllers, Reloaded: reloaded, Without: without, Log: log,
 		})
 	})
 }
