Give up an answer that more than 16 informational heads precede

Cause: a back end that sent 1xx heads without end kept its request until the deadline, since nothing bounded their number; nothing was silent, so no other back end was asked either. Change: internal/relay/answerhead reads the head of an answer and bounds the informational heads before it. Calls that release a prefill use it as well; they took an informational head for the answer.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
+	"github.com/hazelpitch/hazelpitch/internal/relay/answerhead"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/relay/speeds"
@@ -303,7 +304,7 @@
 func (e *exchanger) readHead(connection *connpool.Connection, message *message) (*answer, *failure) {
 	for range maxStaleAnswers + 1 {
 		head := &fasthttp.ResponseHeader{}
-		if err := readFinalHead(head, connection); err != nil {
+		if err := answerhead.Read(head, connection.Reader); err != nil {
 			return nil, e.connectionFailure(connection, message, true, err)
 		}
 		answer := &answer{
@@ -321,18 +322,6 @@
 	return nil, &failure{verdict: verdict.MayHaveRun, mayHaveArrived: true, cause: errForeignAnswer}
 }
 
-// readFinalHead reads heads up to the first one that is not informational (1xx).
-func readFinalHead(head *fasthttp.ResponseHeader, connection *connpool.Connection) error {
-	for {
-		if err := head.Read(connection.Reader); err != nil {
-			return err
-		}
-		if head.StatusCode() >= fasthttp.StatusOK {
-			return nil
-		}
-	}
-}
-
 // discardBody reads and discards a body, and reports whether it was complete.
 func discardBody(body *framing.Body) bool {
 	_, err := io.Copy(io.Discard, io.LimitReader(body, maxStaleBodyBytes))
--- a/internal/relay/release.go
+++ b/internal/relay/release.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/relay/answerhead"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 )
 
@@ -32,7 +33,7 @@
 		return
 	}
 	head := &fasthttp.ResponseHeader{}
-	if head.Read(connection.Reader) != nil || head.StatusCode() == fasthttp.StatusMisdirectedRequest {
+	if answerhead.Read(head, connection.Reader) != nil || head.StatusCode() == fasthttp.StatusMisdirectedRequest {
 		return
 	}
 	e.applyAnswerSignals(prefill.engine, head, internalCallSentAt)
