--- a/internal/relay/endless_answer_test.go
+++ b/internal/relay/endless_answer_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -30,14 +29,6 @@
 	return patient(append(changes, func(config *serving.Route) { config.MaxAttempts = 2 })...)
 }
 
-// newEndlessRelay starts a relay that sends the first request to the back end named endless.
-func newEndlessRelay(t *testing.T, config serving.Route, endless, sound *scriptedBackEnd) *testRelay {
-	t.Helper()
-	relay := newTestRelay(t, config, endless, sound)
-	relay.engineOf(sound.entry.ID).addWork(placement.Work{Streams: 5})
-	return relay
-}
-
 // Guards against a request that is held until its deadline by a back end which sends informational heads without end.
 func TestEndlessInformationalHeadsAreGivenUp(t *testing.T) {
 	t.Parallel()
@@ -51,7 +42,7 @@
 			t.Run("safe", func(t *testing.T) {
 				t.Parallel()
 				bad, sound := startBackEnd(t, "bad", serving.StageWhole, endless("", unit)), startBackEnd(t, "sound", serving.StageWhole, answering(200, "whole"))
-				answer := newEndlessRelay(t, longTimeout(safe), bad, sound).client(t).do("GET", "/path/", "")
+				answer := newTestRelay(t, longTimeout(safe), bad, sound).preferring("bad").client(t).do("GET", "/path/", "")
 				require.Equal(t, 200, answer.status)
 				require.Equal(t, "whole", answer.body)
 				require.Len(t, bad.receivedRequests(), 1)
@@ -59,7 +50,7 @@
 			t.Run("unsafe", func(t *testing.T) {
 				t.Parallel()
 				bad, sound := startBackEnd(t, "bad", serving.StageWhole, endless("", unit)), startBackEnd(t, "sound", serving.StageWhole, answering(200, "whole"))
-				answer := newEndlessRelay(t, longTimeout(), bad, sound).client(t).do("POST", "/path/", "once")
+				answer := newTestRelay(t, longTimeout(), bad, sound).preferring("bad").client(t).do("POST", "/path/", "once")
 				require.Equal(t, 502, answer.status, "the answer must not promise that the request was not run")
 				require.Len(t, bad.receivedRequests(), 1)
 				require.Empty(t, sound.receivedRequests())
@@ -69,7 +60,7 @@
 				head := strings.NewReplacer("SEAL", "seal").Replace(streamHead)
 				whole := string(appendChunk(nil, []byte(eventOne+eventTwo))) + "0\r\n\r\n"
 				bad, sound := startBackEnd(t, "bad", serving.StageWhole, endless("", unit)), startBackEnd(t, "sound", serving.StageWhole, writing(head+whole))
-				answer := newEndlessRelay(t, longTimeout(stream(true)), bad, sound).client(t).do("GET", "/path/", "")
+				answer := newTestRelay(t, longTimeout(stream(true)), bad, sound).preferring("bad").client(t).do("GET", "/path/", "")
 				require.True(t, answer.isComplete)
 				require.Equal(t, eventOne+eventTwo, answer.body)
 			})
