Avoid back ends whose answers have spoilt bodies

Cause: a failure was recorded for a back end only when the head of its answer failed. One with sound heads and spoilt bodies answered soonest, had its work removed at once, and so attracted requests. Change: an answer keeps why its body is unusable, and at its end the exchange records that as it records a failed head: backoff, and a notice to other relays. Not recorded: the request's deadline, an answer that was replaced, an undeclared end, and a run that was stopped for its migration. A prefill's answer must have ended. "go test ./internal/relay/..." passes.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -27,7 +27,9 @@
 	writeDone <-chan error
 	// bodyUnread is true if the request body was not sent completely.
 	bodyUnread bool
-	closed     bool
+	// fault is why the body is unusable; nil while nothing says so.
+	fault  *failure
+	closed bool
 }
 
 // recordPrefillDone removes the request's prefill from this relay's work at the back end, once the prefill is complete.
@@ -52,7 +54,13 @@
 	}
 	fault := a.exchanger.connectionFailure(a.connection, a.message, true, err)
 	fault.observation = a.exchanger.observe(a.message)
-	return n, fault
+	return n, a.recordFault(fault)
+}
+
+// recordFault records why the body is unusable, and returns it.
+func (a *answer) recordFault(fault *failure) *failure {
+	a.fault = fault
+	return fault
 }
 
 // readAll reads the body up to its end, declared or not, or up to the limit in bytes. It returns an error if the body breaks off.
@@ -129,6 +137,7 @@
 		return
 	}
 	a.closed = true
+	a.exchanger.updateHealthAfterBody(a)
 	a.message.canceller().detach()
 	a.stopWriting()
 	if !a.isReusable() {
--- a/internal/relay/exchange_records.go
+++ b/internal/relay/exchange_records.go
@@ -5,6 +5,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 )
 
 // queryNumber is the number of the placement query whose answer selected the message's back end; 0 for none.
@@ -52,7 +53,7 @@
 	e.notices.queueAbandoned(message.backEnd, dropped)
 }
 
-// updateHealth updates the back end's health after a failure.
+// updateHealth updates the back end's health after an exchange that failed.
 func (e *exchanger) updateHealth(message *message, fault *failure) {
 	switch {
 	case message.backEnd.isRelay: // forwarding records how its peers behave
@@ -67,6 +68,18 @@
 	}
 }
 
+// updateHealthAfterBody updates the back end's health after an answer whose body is unusable. A body that was cut short by the
+// request's deadline, or replaced during a silence, shows only a slow back end, which the stallWatch records. An undeclared end
+// does not show that anything is missing.
+func (e *exchanger) updateHealthAfterBody(answer *answer) {
+	fault := answer.fault
+	switch {
+	case fault == nil, errors.Is(fault, errDeadline), errors.Is(fault, errStalled), errors.Is(fault, framing.ErrUndeclaredEnd):
+	default:
+		e.updateHealth(answer.message, fault)
+	}
+}
+
 // recordRefusal starts a backoff after a back end refused a request. An engine that refuses although most of its slots are
 // free counts as failed: it does not lack capacity, but may be changing its stage, for instance, and will refuse other
 // relays too. A single refusal of a prompt that another engine has prefilled is inconclusive, since that engine's KV cache
--- a/internal/relay/replaceable_stream.go
+++ b/internal/relay/replaceable_stream.go
@@ -56,7 +56,7 @@
 	if err == nil || errors.Is(err, io.EOF) && !event.IsCut() {
 		return awaited, nil
 	}
-	fault := asFailure(err)
+	fault := answer.recordFault(asFailure(err))
 	switch {
 	case framing.IsEnd(err) && event.IsCut():
 		fault = s.breakRun(answer, errEndsInEvent)
--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
 // maxPrefillAnswerBytes limits the size of an engine's answer to a prefill.
@@ -128,18 +130,24 @@
 
 // readPrefillAnswer reads the answer to a prefill; it returns nil for an error or a malformed answer.
 func (r *Relay) readPrefillAnswer(answer *answer, prefixBlocks []placement.PrefixBlock) *remotePrefill {
-	body, err := answer.readAll(maxPrefillAnswerBytes) // half of an answer cannot be parsed
+	body, err := answer.readAll(maxPrefillAnswerBytes)
 	if err != nil || answer.status != fasthttp.StatusOK {
 		return nil
 	}
-	parsed, err := r.dialect.ParsePrefillAnswer(body)
-	if err != nil {
+	parsed, err := r.dialect.ParsePrefillAnswer(body) // fails for half of an answer
+	if err != nil || !answer.hasEnded() {
+		answer.recordFault(unsupportedPrefillFailure())
 		return nil
 	}
 	r.checkIncarnation(answer.message.backEnd, parsed.StartedAtMs)
 	return &remotePrefill{engine: answer.message.backEnd, handle: parsed.Handle, prefixBlocks: prefixBlocks}
 }
 
+// unsupportedPrefillFailure returns the failure of a prefill whose answer cannot be parsed or is too long.
+func unsupportedPrefillFailure() *failure {
+	return &failure{verdict: verdict.MayHaveRun, mayHaveArrived: true, cause: fmt.Errorf("%w: it names no prefill", errUnsupportedAnswer)}
+}
+
 // release releases an unused prefill in the background; otherwise it would occupy the engine's memory until it expires.
 func (r *Relay) release(prefill *remotePrefill) {
 	go r.exchanger.release(prefill, r.dialect.HandlePath(prefill.handle))
--- a/internal/relay/stream_end.go
+++ b/internal/relay/stream_end.go
@@ -24,8 +24,11 @@
 		s.migrated = s.finishMover()
 	}
 	switch {
-	case !hasEnded:
+	case !hasEnded && s.migrated != nil: // the engine has stopped the run on request
+		answer.fault = nil
 		return asFailure(err)
+	case !hasEnded:
+		return answer.recordFault(asFailure(err))
 	case remainder.IsCut():
 		return s.breakRun(answer, errEndsInEvent)
 	case !isDeclared && (s.migrated != nil || s.needsDeclaredEnd()):
@@ -52,8 +55,8 @@
 // breakRun records that the current run's answer is incomplete, or may be, although it was read up to its end.
 func (s *streamReply) breakRun(answer *answer, cause error) *failure {
 	answer.body.MarkBroken()
-	return &failure{
+	return answer.recordFault(&failure{
 		verdict: verdict.MayHaveRun, mayHaveArrived: true, cause: fmt.Errorf("%w: %w", errConnectionBroken, cause),
 		observation: s.relay.exchanger.observe(answer.message),
-	}
+	})
 }
