Close idle connections that received bytes, without waiting for a request

Cause: an idle connection was checked only when a request looked for one; one on which a back end sent bytes after a whole answer stayed open, with a full receive buffer, as long as no request came to it. Change: a relay checks its idle connections each second and closes those that no request may use: closed by the peer, with unexpected bytes, or idle for too long. connpool.CloseUnusable decides, for back ends and relays.

--- a/internal/relay/connpool/pool.go
+++ b/internal/relay/connpool/pool.go
@@ -115,7 +115,7 @@
 	var expired []*Connection
 	p.mutex.Lock()
 	p.idle = slices.DeleteFunc(p.idle, func(connection *Connection) bool {
-		isExpired := p.suspicion.covers(connection.openedAt) && now-connection.idleSince >= min(DefaultIdleLimit, connection.IdleLimit)
+		isExpired := p.suspicion.covers(connection.openedAt) && connection.hasExpired(now)
 		if isExpired {
 			expired = append(expired, connection)
 		}
--- a/internal/relay/forward_request.go
+++ b/internal/relay/forward_request.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -84,6 +86,13 @@
 	return f.records[address]
 }
 
+// allRecords returns the records of the peers.
+func (f *forwarder) allRecords() []*backEnd {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.Collect(maps.Values(f.records))
+}
+
 // couldNotConnect reports whether the last attempt failed because its back end could not be connected to.
 func (a *attemptTracker) couldNotConnect() bool {
 	return a.lastFailure != nil && errors.Is(a.lastFailure, errDial)
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -233,6 +233,7 @@
 	go relay.datagrams.Receive(relay.handleDatagram)
 	relay.budget.SetRelays(1)
 	go relay.origins.Run(t.Context())
+	go relay.closeUnusableConnections(t.Context())
 	relay.lastContactAt.Store(int64(relay.clock.now()))
 	service := serving.Service{Name: "service"}
 	for _, backEnd := range backEnds {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -243,6 +243,7 @@
 	group.Go(func() error { r.guard.Run(workCtx); return nil })
 	group.Go(func() error { r.notices.run(workCtx); return nil })
 	group.Go(func() error { r.path.run(workCtx); return nil })
+	group.Go(func() error { r.closeUnusableConnections(workCtx); return nil })
 	if r.forwardListener != nil {
 		group.Go(func() error { return r.acceptForwarded(workCtx, r.forwardListener) })
 	}
