Bound the comments between two events of a stream

Cause: comments and empty lines counted as events, so an engine that sent them without end held its stream until the client's time was over. An event without end was held up to 1 MB, for each of many streams. Change: an event and the comments before it share one bound, 128 KB. Beyond it the stream goes on at another engine, and the engine counts as failed.

--- a/internal/relay/eventstream/event.go
+++ b/internal/relay/eventstream/event.go
@@ -35,6 +35,16 @@
 	return false
 }
 
+// HasField reports whether the event has any field. Comments and empty lines have none.
+func (e Event) HasField() bool {
+	for line := range bytes.Lines(e.Bytes) {
+		if !isEmptyLine(line) && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // IsAfter reports whether an event comes after the event with the given identity. Identities that are not numbers cannot be
 // compared; the event then counts as later.
 func (e Event) IsAfter(lastID string) bool {
--- a/internal/relay/eventstream/reader.go
+++ b/internal/relay/eventstream/reader.go
@@ -12,17 +12,20 @@
 
 const (
 	bufferBytes = 2 << 10
-	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds one event together with the comments and empty lines before it. Streams of many clients may have such
+	// an event at once.
+	maxEventBytes = 128 << 10
 )
 
-// ErrTooLong means that an event is longer than maxEventBytes.
-var ErrTooLong = errors.New("an event is longer than the relay holds")
+// ErrTooLong means that an event, with the comments before it, is longer than maxEventBytes.
+var ErrTooLong = errors.New("an event, with the comments before it, is longer than the relay accepts")
 
 // Reader splits a stream's body into events.
 type Reader struct {
 	source *bufio.Reader
 	buffer []byte
+	// commentBytes is the size of the comments and empty lines since the last event, which were returned already.
+	commentBytes int
 	// peeked is what Next returns next; nil if nothing was read ahead.
 	peeked *peekedEvent
 }
@@ -47,7 +50,7 @@
 	return r.peeked.event, r.peeked.err
 }
 
-// Next returns the next complete event; its bytes are valid until the next call. At the end of the stream it returns io.EOF, or
+// Next returns the next complete event, or comments that an empty line ends; its bytes are valid until the next call. At the end of the stream it returns io.EOF, or
 // framing.ErrUndeclaredEnd, together with the bytes after the last event. Any other error means that the stream broke off;
 // an incomplete event is then dropped.
 func (r *Reader) Next() (Event, error) {
@@ -64,7 +67,7 @@
 	for {
 		lineStart := len(r.buffer)
 		var err error
-		r.buffer, err = lines.Append(r.buffer, r.source, maxEventBytes)
+		r.buffer, err = lines.Append(r.buffer, r.source, maxEventBytes-r.commentBytes)
 		switch {
 		case errors.Is(err, lines.ErrTooLong):
 			return Event{}, ErrTooLong
@@ -74,11 +77,22 @@
 			return Event{}, err
 		}
 		if lineStart > 0 && isEmptyLine(r.buffer[lineStart:]) {
-			return Event{Bytes: r.buffer, ID: ID(r.buffer)}, nil
+			event := Event{Bytes: r.buffer, ID: ID(r.buffer)}
+			r.countComments(event)
+			return event, nil
 		}
 	}
 }
 
+// countComments counts the bytes that were returned since the last event.
+func (r *Reader) countComments(event Event) {
+	if event.HasField() {
+		r.commentBytes = 0
+		return
+	}
+	r.commentBytes += len(event.Bytes)
+}
+
 // HasEvent reports whether the buffer holds the rest of the next event, so that Next returns it without blocking.
 func (r *Reader) HasEvent() bool {
 	buffered, err := r.source.Peek(r.source.Buffered())
--- a/internal/relay/eventstream/reader_test.go
+++ b/internal/relay/eventstream/reader_test.go
@@ -99,6 +99,50 @@
 	return body
 }
 
+// repeatingReader returns a text again and again, and counts the bytes.
+type repeatingReader struct {
+	text string
+	sent int
+}
+
+func (r *repeatingReader) Read(buffer []byte) (int, error) {
+	for index := range buffer {
+		buffer[index] = r.text[r.sent%len(r.text)]
+		r.sent++
+	}
+	return len(buffer), nil
+}
+
+// Guards against streams without an event that are read without a bound, whatever their format.
+func TestReaderIsBoundedWithoutEvents(t *testing.T) {
+	for name, text := range map[string]string{
+		"one line": "x", "lines": "data: x\n", "one comment": ":", "comments": ": x\n", "heartbeats": ": x\n\n", "heartbeats, CRLF": ": x\r\n\r\n", "empty lines": "\n", "zeros": "\x00",
+	} {
+		t.Run(name, func(t *testing.T) {
+			source := &repeatingReader{text: text}
+			reader := NewReader(source)
+			var err error
+			for err == nil {
+				_, err = reader.Next()
+			}
+			require.ErrorIs(t, err, ErrTooLong)
+			require.LessOrEqual(t, source.sent, maxEventBytes+2*bufferBytes)
+			require.LessOrEqual(t, cap(reader.buffer), 2*maxEventBytes)
+		})
+	}
+}
+
+// Guards against a long stream with heartbeats between its events that is taken for one without events.
+func TestHeartbeatsBetweenEventsAreNotAddedUp(t *testing.T) {
+	heartbeats := strings.Repeat(": x\n\n", maxEventBytes/8)
+	reader := NewReader(strings.NewReader(strings.Repeat("id: 1\n\n"+heartbeats, 4)))
+	var err error
+	for err == nil {
+		_, err = reader.Next()
+	}
+	require.ErrorIs(t, err, io.EOF)
+}
+
 // TestLongEvent checks that an event that is longer than the relay holds is an error.
 func TestLongEvent(t *testing.T) {
 	_, err := NewReader(strings.NewReader(strings.Repeat("x", maxEventBytes+1))).Next()
