Avoid back ends whose plain answers do not end in time

Cause: an answer that its request's deadline ended was no failure of its back end, so that one with endless bodies went on to get requests, and each lost its time there. The request itself still fails once more than 64 KB of its answer were forwarded: its client sees an incomplete answer. A client that reads more slowly than the back end sends hides the fault.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/clientwait"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 )
@@ -28,8 +29,10 @@
 	// bodyUnread is true if the request body was not sent completely.
 	bodyUnread bool
 	// fault is why the body is unusable; nil while nothing says so.
-	fault  *failure
-	closed bool
+	fault *failure
+	// clientWait measures how long the client kept the answer waiting that is forwarded piece by piece.
+	clientWait clientwait.Meter
+	closed     bool
 }
 
 // recordPrefillDone removes the request's prefill from this relay's work at the back end, once the prefill is complete.
--- a/internal/relay/exchange_records.go
+++ b/internal/relay/exchange_records.go
@@ -68,18 +68,24 @@
 	}
 }
 
-// updateHealthAfterBody updates the back end's health after an answer whose body is unusable. A body that was cut short by the
-// request's deadline, or replaced during a silence, shows only a slow back end, which the stallWatch records. An undeclared end
-// does not show that anything is missing.
+// updateHealthAfterBody updates the back end's health after an answer whose body is unusable. An answer that was replaced during a
+// silence shows only a slow back end, which the stallWatch records. An undeclared end does not show that anything is missing.
 func (e *exchanger) updateHealthAfterBody(answer *answer) {
 	fault := answer.fault
 	switch {
-	case fault == nil, errors.Is(fault, errDeadline), errors.Is(fault, errStalled), errors.Is(fault, framing.ErrUndeclaredEnd):
+	case fault == nil, errors.Is(fault, errStalled), errors.Is(fault, framing.ErrUndeclaredEnd):
+	case errors.Is(fault, errDeadline) && !e.isEndless(answer):
 	default:
 		e.updateHealth(answer.message, fault)
 	}
 }
 
+// isEndless reports whether an answer that its request's deadline has ended shows a faulty back end. Streams may last that long,
+// and a client may read too slowly.
+func (e *exchanger) isEndless(answer *answer) bool {
+	return !isEventStream(answer) && !answer.clientWait.IsClientSlow(e.clock.now()-answer.message.sentAt)
+}
+
 // recordRefusal starts a backoff after a back end refused a request. An engine that refuses although most of its slots are
 // free counts as failed: it does not lack capacity, but may be changing its stage, for instance, and will refuse other
 // relays too. A single refusal of a prompt that another engine has prefilled is inconclusive, since that engine's KV cache
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -213,8 +213,10 @@
 			return
 		}
 		if n > 0 {
-			answer.message.request.trace.recordEvents(r.clock.now())
+			writtenFrom := r.clock.now()
+			answer.message.request.trace.recordEvents(writtenFrom)
 			reply.send(piece[:n])
+			answer.clientWait.RecordWrite(r.clock.now() - writtenFrom)
 		}
 	}
 }
