Operators reach controllers again within a second of a silence

What callers saw: a command of hazelctl that fell into a silence of the network was answered up to 1.6 s after its end, by the limits up to 7 s.

Cause: an attempt waited up to 5 s for a connection or an answer while the kernel repeats what is lost at intervals that double, and the wait before the next round grew to 2 s.

Change: dialing.FromOperators is the dialer of operators. Its connections fail like those between the system's own processes, after a second without an acknowledgement; an attempt to connect ends after half a second, since an operator may be far away. The wait between rounds grows to 0.4 s.

--- a/internal/dialing/dead_peer.go
+++ b/internal/dialing/dead_peer.go
@@ -38,6 +38,12 @@
 	return WithTimeout(detectDeadPeers(dialer, peerUnacknowledgedLimit).DialContext, PeerTimeout), nil
 }
 
+// FromOperators returns a Dial for an operator's connections to controllers. They fail as those of ToPeers do, but an attempt
+// lasts up to operatorTimeout.
+func FromOperators() Dial {
+	return WithTimeout(detectDeadPeers(net.Dialer{}, peerUnacknowledgedLimit).DialContext, operatorTimeout)
+}
+
 // detectDeadPeers returns the dialer with socket options that make its connections fail once sent data, or the keep-alive
 // probes, have not been acknowledged for the limit.
 func detectDeadPeers(dialer net.Dialer, limit time.Duration) *net.Dialer {
--- a/internal/dialing/timeout.go
+++ b/internal/dialing/timeout.go
@@ -12,6 +12,9 @@
 // sooner once it is back.
 const PeerTimeout = 250 * time.Millisecond
 
+// operatorTimeout limits an attempt of an operator to connect to a controller, which may be on another continent.
+const operatorTimeout = 500 * time.Millisecond
+
 // Dial opens a connection, like net.Dialer.DialContext.
 type Dial = func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/internal/operatorclient/client.go
+++ b/internal/operatorclient/client.go
@@ -11,6 +11,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/keys"
 )
 
@@ -34,7 +35,7 @@
 	if config.Timeout == 0 {
 		config.Timeout = DefaultTimeout
 	}
-	client := &Client{config: config, scheme: "http", transport: &http.Transport{}, preferred: config.Controllers[0]}
+	client := &Client{config: config, scheme: "http", transport: &http.Transport{DialContext: dialing.FromOperators()}, preferred: config.Controllers[0]}
 	if config.Credentials != nil {
 		client.scheme = "https"
 		client.transport.TLSClientConfig = config.Credentials.ClientConfig(config.Fleet, keys.RoleController)
--- a/internal/operatorclient/config.go
+++ b/internal/operatorclient/config.go
@@ -14,7 +14,7 @@
 	DefaultTimeout       = 30 * time.Second
 	attemptTimeout       = 5 * time.Second
 	initialRetryInterval = 100 * time.Millisecond
-	maximumRetryInterval = 2 * time.Second
+	maximumRetryInterval = 400 * time.Millisecond
 )
 
 // Config selects the controllers to call and the operator's credentials.
