Leave a connection to another process on which a call timed out, wherever calls share one

What callers would see: relays' and operators' calls through a follower fail, and a relay stays without updates and permits for 19 s, while something on the way acknowledges data and passes nothing on.

Cause: a call that ends by its deadline says nothing about its HTTP/2 connection, which later calls share. Senders of consensus messages closed it; the client that forwards calls did not; the watch of relays closed idle connections, and one with another call under way is not idle.

Change: peertransport.Transport: after a request that its deadline ended without an answer, new requests use new connections, at most once a second; those under way go on. Controllers' senders, forwarded calls and leaderwatch use it, in place of three ways.

--- a/internal/controller/outputs.go
+++ b/internal/controller/outputs.go
@@ -9,7 +9,6 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/control"
-	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/duty"
 	"github.com/hazelpitch/hazelpitch/internal/peercontact"
 )
@@ -80,11 +79,9 @@
 }
 
 func (c *controller) newSender(to lane) *sender {
-	connections := &dialing.OpenConnections{}
-	client := newPeerClient(connections.Dial(c.peerDial), c.tlsConfigs.client)
+	client := newPeerClient(c.peerDial, c.tlsConfigs.client) // of its own: a snapshot must not delay heartbeats on one connection
 	return &sender{
 		client:  hazelpitchv1connect.NewConsensusServiceClient(client, peerURL(c.config.TLS.Enabled())(to.address)),
-		drop:    connections.CloseAll,
 		queue:   make(chan *v1.ConsensusMessage, to.queueSize()),
 		sent:    func(messages int) { c.instruments.peerSent.Add(float64(messages)) },
 		dropped: func(messages int) { c.instruments.peerDropped.Add(float64(messages)) },
--- a/internal/controller/sender.go
+++ b/internal/controller/sender.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"connectrpc.com/connect"
@@ -30,9 +29,7 @@
 // sender sends consensus messages to one peer, several in one call.
 type sender struct {
 	client hazelpitchv1connect.ConsensusServiceClient
-	// drop closes the connections of the client, which no other sender uses.
-	drop  func()
-	queue chan *v1.ConsensusMessage
+	queue  chan *v1.ConsensusMessage
 	// sent and dropped count messages.
 	sent, dropped func(messages int)
 	// delivered records that the peer confirmed messages, failed that a call failed.
@@ -90,9 +87,6 @@
 	request := connect.NewRequest(&v1.DeliverRequest{Messages: messages})
 	if _, err := s.client.Deliver(limited, request); err != nil {
 		s.failed(err)
-		if errors.Is(limited.Err(), context.DeadlineExceeded) {
-			s.drop() // the connection may carry nothing any more although it is acknowledged, as behind a proxy
-		}
 		s.dropped(len(messages))
 		pause.For(ctx, retryPause)
 		return
--- a/internal/controller/sender_test.go
+++ b/internal/controller/sender_test.go
@@ -32,7 +32,7 @@
 	dropped := new(int)
 	return &sender{
 		client: peer, queue: make(chan *v1.ConsensusMessage, senderQueue),
-		sent: func(int) {}, dropped: func(messages int) { *dropped += messages }, delivered: func() {}, failed: func(error) {}, drop: func() {},
+		sent: func(int) {}, dropped: func(messages int) { *dropped += messages }, delivered: func() {}, failed: func(error) {},
 	}, dropped
 }
 
--- a/internal/controller/swallowed_connection_test.go
+++ b/internal/controller/swallowed_connection_test.go
@@ -51,11 +51,10 @@
 
 	dial, err := dialing.ToPeers("")
 	require.NoError(t, err)
-	connections := &dialing.OpenConnections{}
-	client := newPeerClient(connections.Dial(dial), nil)
+	client := newPeerClient(dial, nil)
 	sender := &sender{
-		client: hazelpitchv1connect.NewConsensusServiceClient(client, "http://"+inner.Addr().String()), drop: connections.CloseAll,
-		queue: make(chan *v1.ConsensusMessage, senderQueue), sent: func(int) {}, dropped: func(int) {}, delivered: func() {}, failed: func(error) {},
+		client: hazelpitchv1connect.NewConsensusServiceClient(client, "http://"+inner.Addr().String()),
+		queue:  make(chan *v1.ConsensusMessage, senderQueue), sent: func(int) {}, dropped: func(int) {}, delivered: func() {}, failed: func(error) {},
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -15,6 +15,7 @@
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/keys"
+	"github.com/hazelpitch/hazelpitch/internal/peertransport"
 )
 
 const (
@@ -44,17 +45,19 @@
 	return protocols
 }
 
-// newPeerClient returns the HTTP client for other controllers.
+// newPeerClient returns an HTTP client for other controllers.
 func newPeerClient(dial dialing.Dial, tlsConfig *tls.Config) *http.Client {
-	transport := &http.Transport{
-		DialContext:     dial,
-		TLSClientConfig: tlsConfig,
-		IdleConnTimeout: idleTimeout,
-		Protocols:       new(http.Protocols),
-	}
-	transport.Protocols.SetHTTP2(tlsConfig != nil)
-	transport.Protocols.SetUnencryptedHTTP2(tlsConfig == nil)
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: peertransport.New(func() *http.Transport {
+		transport := &http.Transport{
+			DialContext:     dial,
+			TLSClientConfig: tlsConfig,
+			IdleConnTimeout: idleTimeout,
+			Protocols:       new(http.Protocols),
+		}
+		transport.Protocols.SetHTTP2(tlsConfig != nil)
+		transport.Protocols.SetUnencryptedHTTP2(tlsConfig == nil)
+		return transport
+	})}
 }
 
 // peerURL returns a function that returns the base URL of a controller.
--- a/internal/leaderwatch/watcher.go
+++ b/internal/leaderwatch/watcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
+	"github.com/hazelpitch/hazelpitch/internal/peertransport"
 )
 
 const (
@@ -63,8 +63,11 @@
 
 // New returns a Watcher that has sent no request yet.
 func New(config Config) *Watcher {
-	transport := &http.Transport{DialContext: dialing.WithTimeout(config.Dial, dialing.PeerTimeout), Protocols: new(http.Protocols)}
-	transport.Protocols.SetUnencryptedHTTP2(true)
+	transport := peertransport.New(func() *http.Transport {
+		transport := &http.Transport{DialContext: dialing.WithTimeout(config.Dial, dialing.PeerTimeout), Protocols: new(http.Protocols)}
+		transport.Protocols.SetUnencryptedHTTP2(true)
+		return transport
+	})
 	watcher := &Watcher{config: config, http: &http.Client{Transport: transport}, controllers: newControllers(config.Seeds)}
 	watcher.current.Store(watcher.client("")) // until the first request
 	return watcher
@@ -119,9 +122,6 @@
 	sentAt := w.config.Now()
 	response, err := controller.Watch(limited, connect.NewRequest(w.config.Node.WatchRequest(wait)))
 	if err != nil {
-		if errors.Is(limited.Err(), context.DeadlineExceeded) {
-			w.http.CloseIdleConnections() // the connection may be lost; the next request opens another one
-		}
 		w.controllers.advanceAfterFailure()
 		return false
 	}
