Log that a controller's loop does not answer

Cause: leader_missing is written by the goroutine that asks the loop for its status, without a limit, so that a loop that waits could not be told from a process that does not run.

Change: loop_stalled after a second without an answer, and each time that time has doubled.

--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -51,6 +51,25 @@
 	return status, trace.Wrap(err)
 }
 
+// loopStallReport is the time without an answer of the loop after which this is logged; the times double.
+const loopStallReport = time.Second
+
+// awaitStatus is status; it logs that the loop does not answer.
+func (c *controller) awaitStatus(ctx context.Context) (control.Status, error) {
+	var status control.Status
+	done := make(chan error, 1)
+	go func() {
+		defer c.log.DumpOnPanic()
+		answer, err := c.status(ctx)
+		status = answer
+		done <- err
+	}()
+	err := awaitReporting(done, loopStallReport, func(waited time.Duration) {
+		c.log.Warn().Str(events.FieldEvent, string(events.LoopStalled)).Int64("waited_ms", waited.Milliseconds()).Send()
+	})
+	return status, trace.Wrap(err)
+}
+
 // watchStatus updates the gauges from the Core's status and logs changes of the leader and of the agreed format.
 func (c *controller) watchStatus(ctx context.Context) {
 	ticker := time.NewTicker(statusInterval)
@@ -65,7 +84,7 @@
 			return
 		case <-ticker.C:
 		}
-		status, err := c.status(ctx)
+		status, err := c.awaitStatus(ctx)
 		if err != nil {
 			return
 		}
--- a/internal/controller/start_steps.go
+++ b/internal/controller/start_steps.go
@@ -32,19 +32,14 @@
 		defer s.log.DumpOnPanic()
 		done <- execute()
 	}()
-	wait := firstStartStepReport
-	for {
-		timer := time.NewTimer(wait)
-		select {
-		case err := <-done:
-			timer.Stop()
-			if took := s.now() - started; took >= slowStartStep || err != nil {
-				s.log.Warn().Str(events.FieldEvent, string(events.StartStepSlow)).Str("step", step).Bool("ended", true).Int64("took_ms", took.Milliseconds()).Err(err).Send()
-			}
-			return trace.Wrap(err)
-		case <-timer.C:
-			s.log.Warn().Str(events.FieldEvent, string(events.StartStepSlow)).Str("step", step).Bool("ended", false).Int64("took_ms", (s.now() - started).Milliseconds()).Send()
-			wait *= 2
-		}
+	err := awaitReporting(done, firstStartStepReport, func(waited time.Duration) { s.write(step, false, waited, nil) })
+	if took := s.now() - started; took >= slowStartStep || err != nil {
+		s.write(step, true, took, err)
 	}
+	return trace.Wrap(err)
+}
+
+// write logs a step that has taken the given time so far.
+func (s startSteps) write(step string, ended bool, took time.Duration, err error) {
+	s.log.Warn().Str(events.FieldEvent, string(events.StartStepSlow)).Str("step", step).Bool("ended", ended).Int64("took_ms", took.Milliseconds()).Err(err).Send()
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -100,6 +100,8 @@
 	LeaderMissing Event = "leader_missing"
 	// StartStepSlow: a step of a controller's start takes, or took, long, or failed.
 	StartStepSlow Event = "start_step"
+	// LoopStalled: the goroutine that owns a controller's state does not answer.
+	LoopStalled Event = "loop_stalled"
 	// ControllerHalted: the controller stops because it cannot apply a committed entry.
 	ControllerHalted Event = "controller_halted"
 	// UpdateNotApplied: a relay requests an update that a controller has already sent to it.
@@ -122,7 +124,7 @@
 var All = []Event{
 	RequestEnded, AttemptFailed, AnswerGivenUp, RequestRefused, RequestUnread, PathLost, PathRestored, KeyRefused, RunMigrated, StreamContinued, ConfigurationApplied, ConfigurationUnreadable, ListingApplied, ListingFaultChanged,
 	BackEndInBackoff, BackEndLeaving, BackEndLimitChanged, BackEndRestarted, BackEndCrashed, RequestQuarantined, QuarantineTrialStarted, GuardCallFailed,
-	LeaderLost, LeaderFound, OwnerSuspected, CellAcquired, CellReleased, SlotsAcquired, SlotsReleased, SlotRefused, SlotGranted, RelayStarted, RelayStopping, RelayStopped, GatewayStopping, GatewayStopped, SignalReceived, StageOrdered, UsageDelivered, ReplicasOrdered, FormatAgreed, MemberDecided, LeaderMissing, StartStepSlow, ControllerHalted, UpdateNotApplied, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
+	LeaderLost, LeaderFound, OwnerSuspected, CellAcquired, CellReleased, SlotsAcquired, SlotsReleased, SlotRefused, SlotGranted, RelayStarted, RelayStopping, RelayStopped, GatewayStopping, GatewayStopped, SignalReceived, StageOrdered, UsageDelivered, ReplicasOrdered, FormatAgreed, MemberDecided, LeaderMissing, StartStepSlow, LoopStalled, ControllerHalted, UpdateNotApplied, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
 
 // Names of fields that several events have in common.
