Close connections between processes that answer no ping

What callers see: five living controllers whose open connections fall silent, although the network acknowledges what they send, have no leader any more; operators are answered on new connections.

Cause: a connection's death was left to TCP alone, which sees nothing as long as anything on the way acknowledges. A call that times out ends its stream and leaves the HTTP/2 connection in the pool, so that all later calls to that peer use it, too.

Change: the HTTP client between controllers pings a connection on which no frame has arrived for half a second, and closes it when half a second passes without an answer; connections in use get a frame for each heartbeat, so that they are not pinged. This takes the place of peertransport.Transport, which did the same with code of its own.

--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -15,13 +15,17 @@
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/keys"
-	"github.com/hazelpitch/hazelpitch/internal/peertransport"
 )
 
 const (
 	dialTimeout       = 2 * time.Second
 	headerReadTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
+	// peerPingAfter is the time without a frame from another controller after which a connection to it is probed, and
+	// peerPingTimeout how long the answer is awaited before the connection is closed. TCP does not show a connection that
+	// something on the way acknowledges without passing it on. Leaders send heartbeats more often than that.
+	peerPingAfter   = 500 * time.Millisecond
+	peerPingTimeout = 500 * time.Millisecond
 	// maxNodeMessageBytes limits a message of a gateway or operator.
 	maxNodeMessageBytes = 16 << 20
 	// maxPeerMessageBytes limits a message between controllers; a snapshot is one message.
@@ -47,17 +51,16 @@
 
 // newPeerClient returns an HTTP client for other controllers.
 func newPeerClient(dial dialing.Dial, tlsConfig *tls.Config) *http.Client {
-	return &http.Client{Transport: peertransport.New(func() *http.Transport {
-		transport := &http.Transport{
-			DialContext:     dial,
-			TLSClientConfig: tlsConfig,
-			IdleConnTimeout: idleTimeout,
-			Protocols:       new(http.Protocols),
-		}
-		transport.Protocols.SetHTTP2(tlsConfig != nil)
-		transport.Protocols.SetUnencryptedHTTP2(tlsConfig == nil)
-		return transport
-	})}
+	transport := &http.Transport{
+		DialContext:     dial,
+		TLSClientConfig: tlsConfig,
+		IdleConnTimeout: idleTimeout,
+		Protocols:       new(http.Protocols),
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: peerPingAfter, PingTimeout: peerPingTimeout},
+	}
+	transport.Protocols.SetHTTP2(tlsConfig != nil)
+	transport.Protocols.SetUnencryptedHTTP2(tlsConfig == nil)
+	return &http.Client{Transport: transport}
 }
 
 // peerURL returns a function that returns the base URL of a controller.
--- a/internal/leaderwatch/watcher.go
+++ b/internal/leaderwatch/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -12,7 +13,6 @@
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
-	"github.com/hazelpitch/hazelpitch/internal/peertransport"
 )
 
 const (
@@ -21,6 +21,11 @@
 	// unusableResponseDelay is the wait after a response that could not be applied: the leader may have no other
 	// response, and repeating the request at once would become a busy loop.
 	unusableResponseDelay = 400 * time.Millisecond
+	// pingAfter is the time without a frame from a controller after which a connection to it is probed, and pingTimeout how
+	// long the answer is awaited before the connection is closed. A watch is answered before that, so that only a connection
+	// that may carry nothing any more is probed: calls that time out on it leave it open while others are under way.
+	pingAfter   = MaximumWait + responseSlack
+	pingTimeout = 500 * time.Millisecond
 )
 
 // Node is the node that watches. Its methods are called by one goroutine.
@@ -63,11 +68,11 @@
 
 // New returns a Watcher that has sent no request yet.
 func New(config Config) *Watcher {
-	transport := peertransport.New(func() *http.Transport {
-		transport := &http.Transport{DialContext: dialing.WithTimeout(config.Dial, dialing.PeerTimeout), Protocols: new(http.Protocols)}
-		transport.Protocols.SetUnencryptedHTTP2(true)
-		return transport
-	})
+	transport := &http.Transport{
+		DialContext: dialing.WithTimeout(config.Dial, dialing.PeerTimeout), Protocols: new(http.Protocols),
+		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}
+	transport.Protocols.SetUnencryptedHTTP2(true)
 	watcher := &Watcher{config: config, http: &http.Client{Transport: transport}, controllers: newControllers(config.Seeds)}
 	watcher.current.Store(watcher.client("")) // until the first request
 	return watcher
@@ -122,6 +127,9 @@
 	sentAt := w.config.Now()
 	response, err := controller.Watch(limited, connect.NewRequest(w.config.Node.WatchRequest(wait)))
 	if err != nil {
+		if errors.Is(limited.Err(), context.DeadlineExceeded) {
+			w.http.CloseIdleConnections() // the connection may be lost; the next request opens another one
+		}
 		w.controllers.advanceAfterFailure()
 		return false
 	}
