Gateways reach controllers again within a second of a silence

What callers saw: after a silence of the network between a gateway and the controllers, a new configuration was in force up to 1.1 s late, by the limits up to 1.9 s.

Cause: an attempt to connect lasted 0.9 s, less than the second after which the kernel repeats its packet, and a gateway that no controller had answered waited a whole sync interval before the next round.

Change: gateways connect to controllers with dialing.ToPeers, a quarter of a second at a time, and send the next heartbeat a quarter of a second after a round without an answer.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -45,8 +45,8 @@
 type ControlOptions struct {
 	// Log receives the log entries. Required; the code that creates it must run it.
 	Log *logring.Log
-	// Dial opens connections to controllers and probes whether back ends accept connections; nil means TCP from
-	// source_address.
+	// Dial opens connections to controllers and probes whether back ends accept connections; nil means dialing.ToPeers and
+	// TCP, both from source_address.
 	Dial dialing.Dial
 	// OnRevision, when not nil, is called with each configuration revision when it is applied
 	// here. It must not block.
@@ -72,7 +72,13 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	controllers := newControllers(config, options.Dial, tlsConfig)
+	dialControllers := options.Dial
+	if dialControllers == nil {
+		if dialControllers, err = dialing.ToPeers(config.SourceAddress); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	controllers := newControllers(config, dialControllers, tlsConfig)
 	counts := newGatewayMetrics(factory)
 	guard, dispatcher, err := newGuardedDispatcher(clock, config, options, &permits{controllers: controllers, identity: identity, outcomes: counts.permits}, counts)
 	if err != nil {
--- a/internal/gateway/controllers.go
+++ b/internal/gateway/controllers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -45,15 +44,9 @@
 	leader string
 }
 
-// newControllers returns the clients of the configured controllers. They use TLS when tlsConfig is not nil.
+// newControllers returns the clients of the configured controllers. They use TLS when tlsConfig is not nil; dial opens their
+// connections, nil means as net.Dial does.
 func newControllers(config settings.Gateway, dial dialing.Dial, tlsConfig *tls.Config) *controllers {
-	if dial == nil {
-		dialer := &net.Dialer{Timeout: controllerCallTimeout}
-		if config.SourceAddress != "" {
-			dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(config.SourceAddress)}
-		}
-		dial = dialer.DialContext
-	}
 	transport := &http.Transport{DialContext: dial, IdleConnTimeout: controllerIdleTimeout, TLSClientConfig: tlsConfig}
 	c := &controllers{
 		http:    &http.Client{Transport: transport},
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -16,8 +16,11 @@
 // minimumSyncInterval is the shortest time between two heartbeats, also when requests with unknown API keys trigger them.
 const minimumSyncInterval = 50 * time.Millisecond
 
+// failedSyncInterval is the longest time to the next heartbeat after one that no controller has answered.
+const failedSyncInterval = 250 * time.Millisecond
+
 // syncLoop sends a heartbeat to a controller at each sync interval, and earlier when a request
-// has an unknown key.
+// has an unknown key or no controller has answered the last heartbeat.
 func (c *Control) syncLoop(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -28,11 +31,13 @@
 		case <-timer.C:
 		case <-c.view.wakeSync:
 		}
+		interval := c.settings.SyncInterval
 		if err := c.syncOnce(ctx); err != nil && ctx.Err() == nil {
+			interval = min(interval, failedSyncInterval)
 			c.metrics.syncFailures.Inc()
 			c.log.Warn().Err(err).Msg("no controller answers; continuing with the last known state")
 		}
-		timer.Reset(c.settings.SyncInterval)
+		timer.Reset(interval)
 		if !pause.For(ctx, minimumSyncInterval) {
 			return
 		}
