Show that the leader learns of crashes seconds after it answers again

What callers see: a request that ends back ends may end more of them for up to 2.5 s after the controllers are back, as relays and gateways report crashes that late.

Change: a test of the crash guard in virtual time, with 20 points of its calls for each length.

--- a/internal/crashguard/silence_test.go
+++ b/internal/crashguard/silence_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
@@ -37,3 +38,27 @@
 func (silentObserver) ReplicaCrashed(string, int)              {}
 func (silentObserver) RequestQuarantined(quarantine.Signature) {}
 func (silentObserver) LeaderCallFailed(error)                  {}
+
+// Guards against crashes that the leader learns of seconds after it answers again: the wait between two reports grew with the
+// time for which no controller answered.
+func TestCrashIsReportedSoonAfterTheLeaderAnswersAgain(t *testing.T) {
+	const reportedAfter = time.Second
+	for _, length := range []time.Duration{time.Second, 4 * time.Second, 10 * time.Second, 20 * time.Second, 40 * time.Second} {
+		slowest := time.Duration(0)
+		for phase := time.Duration(0); phase < time.Second; phase += 50 * time.Millisecond {
+			withGuard(t, func(_ *testing.T, guard *testGuard) {
+				guard.leader.setSilent(true)
+				guard.RecordBrokenRun(quarantine.Content{Request: crashing}, guard.setProbeResult("a", ProbeGone), 0)
+				time.Sleep(length + phase)
+				guard.leader.setSilent(false)
+				ended := time.Now()
+				for guard.leader.crashes(crashing) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				slowest = max(slowest, time.Since(ended))
+			})
+		}
+		t.Logf("after %s without an answer a crash is reported within %s", length, slowest)
+		assert.LessOrEqual(t, slowest, reportedAfter, "after %s", length)
+	}
+}
