Report crashes to the leader within a second of its next answer

What callers saw: a request that ends back ends could end more of them for up to 2.5 s after the controllers were back.

Cause: the wait between two reports of a crash doubled up to 2 s, however the calls failed. That wait is meant for leaders of a version that does not support the call.

Change: only an answer "unimplemented" lets the wait grow to 2 s; otherwise it grows to 0.3 s.

--- a/internal/crashguard/report.go
+++ b/internal/crashguard/report.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"connectrpc.com/connect"
+
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
@@ -12,10 +15,11 @@
 const (
 	// reportTimeout limits one call to the leader, which is then retried.
 	reportTimeout = 600 * time.Millisecond
-	// reportPause is the wait before a failed call to the leader is retried. It doubles up to maximumReportPause, since
-	// the leader's version may not support the call.
-	reportPause        = 100 * time.Millisecond
-	maximumReportPause = 2 * time.Second
+	// reportPause is the wait before a failed call to the leader is retried. It doubles up to silentReportPause, or up to
+	// unsupportedReportPause while the leader's version does not support the call.
+	reportPause            = 100 * time.Millisecond
+	silentReportPause      = 300 * time.Millisecond
+	unsupportedReportPause = 2 * time.Second
 	// maximumUnreported limits the pending reports of back-end crashes.
 	maximumUnreported = 256
 )
@@ -37,25 +41,37 @@
 			return
 		case <-g.wake:
 		}
-		for wait := reportPause; ctx.Err() == nil && !g.flush(ctx); wait = min(2*wait, maximumReportPause) {
+		for wait := reportPause; ctx.Err() == nil; {
+			err := g.flush(ctx)
+			if err == nil {
+				break
+			}
 			pause.For(ctx, wait)
+			wait = min(2*wait, maximumPause(err))
 		}
 	}
 }
 
-// flush sends all pending reports of crashes and of successes to the leader. It reports whether all calls succeeded.
-func (g *Guard) flush(ctx context.Context) bool {
+// maximumPause returns the longest wait after a call to the leader that failed with the error.
+func maximumPause(err error) time.Duration {
+	if connect.CodeOf(err) == connect.CodeUnimplemented {
+		return unsupportedReportPause
+	}
+	return silentReportPause
+}
+
+// flush sends all pending reports of crashes and of successes to the leader. An error means that some remain.
+func (g *Guard) flush(ctx context.Context) error {
 	g.mutex.Lock()
 	reports, released := g.unreported, g.unreleased
 	g.unreported, g.unreleased = nil, nil
 	g.isSending = true
 	g.mutex.Unlock()
-	sent := g.sendReports(ctx, reports)
-	sent = g.sendReleases(ctx, released) && sent
+	err := errors.Join(g.sendReports(ctx, reports), g.sendReleases(ctx, released))
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.isSending = false
-	return sent
+	return err
 }
 
 // HasUnreported reports whether the leader has not yet acknowledged all crashes and successes.
@@ -65,10 +81,10 @@
 	return g.isSending || len(g.unreported) > 0 || len(g.unreleased) > 0
 }
 
-// sendReports reports crashed back ends to the leader, all in one call; false if the call must be retried.
-func (g *Guard) sendReports(ctx context.Context, reports []*report) bool {
+// sendReports reports crashed back ends to the leader, all in one call, which must be retried after an error.
+func (g *Guard) sendReports(ctx context.Context, reports []*report) error {
 	if len(reports) == 0 {
-		return true
+		return nil
 	}
 	var ends, partEnds []*v1.ReplicaEnd
 	for _, each := range reports {
@@ -84,7 +100,7 @@
 	if err != nil {
 		g.options.Observer.LeaderCallFailed(err)
 		g.unreported = append(reports, g.unreported...)
-		return false
+		return err
 	}
 	for _, bytes := range quarantined {
 		if signature, valid := quarantine.SignatureFromBytes(bytes); valid {
@@ -94,7 +110,7 @@
 	for _, each := range reports {
 		close(each.done)
 	}
-	return true
+	return nil
 }
 
 // quarantineLocally quarantines a request that the leader has just reported as quarantined, until the full list arrives.
@@ -107,8 +123,9 @@
 	}
 }
 
-// sendReleases reports quarantined requests, and suspect parts of prompts, that have succeeded to the leader; false if a call must be retried.
-func (g *Guard) sendReleases(ctx context.Context, released []quarantine.Signature) bool {
+// sendReleases reports quarantined requests, and suspect parts of prompts, that have succeeded to the leader. After an error
+// the rest must be sent again.
+func (g *Guard) sendReleases(ctx context.Context, released []quarantine.Signature) error {
 	for index, signature := range released {
 		limited, cancel := context.WithTimeout(ctx, reportTimeout)
 		err := g.options.Leader.ReleaseRequest(limited, signature[:])
@@ -120,7 +137,7 @@
 		g.mutex.Lock()
 		g.unreleased = append(released[index:], g.unreleased...)
 		g.mutex.Unlock()
-		return false
+		return err
 	}
-	return true
+	return nil
 }
