Connect to the platform and to engines half a second at a time

What could be seen: after a silence of the network between a controller and the platform, the first answer came up to a second after its end.

Cause: a lost SYN packet is repeated after a second, and an attempt to connect lasted longer than that, so the call's own limit of up to a second had to pass. The calls themselves were limited: the list by 1 s, orders, fences, polls and the machine list by 0.8 s, stage orders and duty calls by their expiry, 0.5 s. No connection that a call has timed out on is used again.

Change: an attempt to connect ends after half a second.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -132,7 +132,7 @@
 	}
 	c.peerDial = c.contact.Dial(c.instruments.countingDial(toPeers, connectionPeers))
 	c.peerClient = newPeerClient(c.peerDial, c.tlsConfigs.client)
-	c.dial, err = dialing.FromSource(c.config.SourceAddress, dialTimeout)
+	c.dial, err = dialing.FromSource(c.config.SourceAddress, outsideDialTimeout)
 	return trace.Wrap(err)
 }
 
--- a/internal/controller/engines.go
+++ b/internal/controller/engines.go
@@ -24,6 +24,9 @@
 	// finds the queue full counts as lost.
 	orderQueue = 4096
 	pollQueue  = 4096
+	// outsideDialTimeout limits an attempt to connect to an engine or the platform. It is shorter than the second after which
+	// the kernel repeats a lost SYN packet, so that the next attempt is made sooner.
+	outsideDialTimeout = 500 * time.Millisecond
 	// engineTimeout limits an exchange with an engine.
 	engineTimeout = 800 * time.Millisecond
 	// engineIdleTimeout is how long an idle connection is kept open.
--- a/internal/controller/engines_test.go
+++ b/internal/controller/engines_test.go
@@ -49,7 +49,7 @@
 		t.Run(name, func(t *testing.T) {
 			server := httptest.NewServer(row.serve)
 			defer server.Close()
-			dial, err := dialing.FromSource("127.0.0.1", dialTimeout)
+			dial, err := dialing.FromSource("127.0.0.1", outsideDialTimeout)
 			require.NoError(t, err)
 			engines := newEngines(dial, nil, func(string, bool) {})
 			require.Equal(t, row.want, engines.exchange(withAddress(row.output, server.Listener.Addr().String())))
--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -18,7 +18,6 @@
 )
 
 const (
-	dialTimeout       = 2 * time.Second
 	headerReadTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	// peerPingAfter is the time without a frame from another controller after which a connection to it is probed, and
