Show that a leader compresses the packed document again for each relay

What callers see: where hundreds of relays take a large configuration, the leader loses its quorum, and so does each leader after it; changes of the configuration wait for seconds.

Change: a test that an answer to a watch is sent as it is.

--- a/internal/controller/operator_service_test.go
+++ b/internal/controller/operator_service_test.go
@@ -38,6 +38,8 @@
 			return []control.Output{respond(received.Call, input)}
 		case control.RefusalReceived:
 			return []control.Output{respond(received.Call, input)}
+		case control.WatchReceived:
+			return []control.Output{respond(received.Call, input)}
 		}
 		return nil
 	}
