Run the tests of silences beside others

Tests that wait for silences of up to 40 s ran one after the other: the two of ./internal/controller took 83 s. They run in parallel, the longest silence first.

--- a/internal/controller/silent_peer_test.go
+++ b/internal/controller/silent_peer_test.go
@@ -82,7 +82,8 @@
 // Guards against a snapshot that a silence of the network interrupts and that is not sent again soon after its end, and
 // against calls that are forwarded to the leader and wait on the connection that the silence has cut.
 func TestSnapshotsAndForwardedCallsArriveSoonAfterASilence(t *testing.T) {
-	for index, length := range []time.Duration{time.Second, 4 * time.Second, 10 * time.Second, 20 * time.Second, 40 * time.Second} {
+	t.Parallel()
+	for index, length := range []time.Duration{40 * time.Second, 20 * time.Second, 10 * time.Second, 4 * time.Second, time.Second} {
 		t.Run(length.String(), func(t *testing.T) {
 			t.Parallel()
 			own, other := fmt.Sprintf("127.0.%d.1", 80+index), fmt.Sprintf("127.0.%d.2", 80+index)
--- a/internal/gateway/silent_controllers_test.go
+++ b/internal/gateway/silent_controllers_test.go
@@ -56,7 +56,8 @@
 
 // Guards against gateways that stay without contact to the controllers after a silence of the network between them.
 func TestGatewaysHearControllersSoonAfterASilence(t *testing.T) {
-	for index, length := range []time.Duration{time.Second, 4 * time.Second, 10 * time.Second, 20 * time.Second, 40 * time.Second} {
+	t.Parallel()
+	for index, length := range []time.Duration{40 * time.Second, 20 * time.Second, 10 * time.Second, 4 * time.Second, time.Second} {
 		t.Run(length.String(), func(t *testing.T) {
 			t.Parallel()
 			ip := func(number int) string { return fmt.Sprintf("127.0.%d.%d", 70+index, number) }
--- a/internal/operatorclient/silence_test.go
+++ b/internal/operatorclient/silence_test.go
@@ -47,7 +47,8 @@
 // Guards against operators that get no answer for seconds after a silence of the network between them and the controllers:
 // attempts waited for the kernel's next retransmission, and the waits between them grew.
 func TestOperatorsReachControllersSoonAfterASilence(t *testing.T) {
-	for index, length := range []time.Duration{time.Second, 4 * time.Second, 10 * time.Second, 20 * time.Second, 40 * time.Second} {
+	t.Parallel()
+	for index, length := range []time.Duration{40 * time.Second, 20 * time.Second, 10 * time.Second, 4 * time.Second, time.Second} {
 		t.Run(length.String(), func(t *testing.T) {
 			t.Parallel()
 			var controllers []string
