--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -34,9 +34,7 @@
 // finishes the calls in flight and closes the data directory. It returns an error when
 // the settings cannot work on this machine or when the disk or a listener fails.
 func Run(ctx context.Context, config settings.Controller, options Options) error {
-	if options.Listen == nil {
-		options.Listen = net.Listen
-	}
+	options = options.withDefaults()
 	controller, err := open(config, options)
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/controller/options.go
+++ b/internal/controller/options.go
@@ -16,3 +16,11 @@
 	// Log is required. Run dumps its ring on errors and signals.
 	Log *logring.Log
 }
+
+// withDefaults returns the Options with defaults in place of unset fields.
+func (o Options) withDefaults() Options {
+	if o.Listen == nil {
+		o.Listen = net.Listen
+	}
+	return o
+}
