Bound what a gateway reads besides events and whole answers

Cause: comments, empty lines and unused fields of a stream were skipped without a bound in bytes; the body of a refusal was awaited until the request's deadline and read up to 4 MB. Change: 1 MB without an event is a malformed stream, as 1 MB without the end of an event is. A refusal's body may take a second and 64 KB; its code stays empty otherwise, and its verdict is that of its head.

--- a/internal/stream/scanner.go
+++ b/internal/stream/scanner.go
@@ -11,7 +11,7 @@
 
 const (
 	scannerBufferBytes = 4096
-	// maximumEventBytes limits the size of one event; a longer one is malformed.
+	// maximumEventBytes limits the size of one event, and of the lines without data before it; a longer one is malformed.
 	maximumEventBytes = 1 << 20
 )
 
@@ -32,17 +32,19 @@
 // if the stream violates the contract. A last line without a newline is not an event: the stream was cut, and
 // Next returns io.ErrUnexpectedEOF.
 func (s *Scanner) Next() (Event, error) {
-	for {
+	for skipped := 0; skipped <= maximumEventBytes; {
 		line, err := s.readLine()
 		if err != nil {
 			return Event{}, err
 		}
 		data, ok := bytes.CutPrefix(line, dataPrefix)
 		if !ok {
-			continue // an empty line, a comment or a field that the contract does not use
+			skipped += len(line) + len("\r\n") // an empty line, a comment or a field that the contract does not use
+			continue
 		}
 		return parseEvent(bytes.TrimSpace(data))
 	}
+	return Event{}, trace.Wrap(ErrMalformed, "no event in %d bytes", maximumEventBytes)
 }
 
 // readLine returns the next line without its line ending.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -19,6 +19,9 @@
 	idleConnectionTimeout   = 15 * time.Second
 	maximumResponseHeader   = 16 << 10
 	maximumBufferedResponse = 4 << 20
+	maximumRefusalBody      = 64 << 10
+	// refusalBodyTimeout bounds the time that the body of a refusal takes: the request can be sent elsewhere.
+	refusalBodyTimeout = time.Second
 )
 
 // Options configures a Client.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -156,13 +156,23 @@
 		failure.Verdict = verdict.NotRun
 	}
 	failure.RetryAfterSeconds, _ = strconv.Atoi(string(header.Peek(fasthttp.HeaderRetryAfter)))
-	if body, err := a.ReadAll(); err == nil {
-		failure.Code = gjson.GetBytes(body, "error.code").String()
-	}
+	failure.Code = a.readRefusalCode()
 	failure.Cause = trace.Wrap(ErrRefused, "status %d, code %q", failure.Status, failure.Code)
 	return failure
 }
 
+// readRefusalCode reads the code in the body of a refusal; empty if the body has none, is too long or is late.
+func (a *Answer) readRefusalCode() string {
+	if limit := time.Now().Add(refusalBodyTimeout); limit.Before(a.attempt.deadline) {
+		a.SetReadDeadline(limit)
+	}
+	body, err := io.ReadAll(io.LimitReader(a, maximumRefusalBody))
+	if err != nil || !a.isComplete {
+		return ""
+	}
+	return gjson.GetBytes(body, "error.code").String()
+}
+
 // Read reads the body; io.EOF means that the body is complete.
 func (a *Answer) Read(buffer []byte) (int, error) {
 	n, err := a.body.Read(buffer)
