Bound the answers that the operator's client reads

Cause: an answer of a controller without end was read until the timeout of the attempt, 5 s, into memory.

--- a/internal/operatorclient/client.go
+++ b/internal/operatorclient/client.go
@@ -13,8 +13,12 @@
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/keys"
+	"github.com/hazelpitch/hazelpitch/internal/responselimit"
 )
 
+// maxAnswerBytes bounds one answer of a controller. Configurations have at most half of it.
+const maxAnswerBytes = 16 << 20
+
 // Client calls the operator service of one fleet's controllers. It is safe for concurrent use.
 type Client struct {
 	config    Config
@@ -40,7 +44,7 @@
 		client.scheme = "https"
 		client.transport.TLSClientConfig = config.Credentials.ClientConfig(config.Fleet, keys.RoleController)
 	}
-	client.http = &http.Client{Transport: client.transport}
+	client.http = &http.Client{Transport: responselimit.NewTransport(client.transport, maxAnswerBytes)}
 	return client, nil
 }
 
