Bound in bytes what is read from a client after its last answer

Cause: a connection was read for up to 2 s after its last answer, however much its client sent. Change: internal/closing discards at most 8 MB, twice the longest body of the default limits, and closes then.

--- a/internal/closing/connection.go
+++ b/internal/closing/connection.go
@@ -111,6 +111,8 @@
 	lingerTimeout      = 2 * time.Second
 	lingerQuietTimeout = 500 * time.Millisecond
 	lingerBufferBytes  = 2 << 10
+	// maxLingerBytes bounds what is discarded: a client that sends more than the rest of a long body does not wait for its answer.
+	maxLingerBytes = 8 << 20
 )
 
 // mayHoldAnswer reports whether an answer may be on its way to the client.
@@ -120,18 +122,22 @@
 	return c.state == Serving || c.ended
 }
 
-// linger discards what the client sends until it closes the connection or a timeout has passed, and closes it then.
+// linger discards what the client sends, up to maxLingerBytes, until the client closes the connection or a timeout has passed. It
+// closes the connection then.
 func (c *Connection) linger() {
 	defer c.set.addLingering(-1)
 	defer c.Conn.Close()
 	buffer := make([]byte, lingerBufferBytes)
-	for until := time.Now().Add(lingerTimeout); time.Now().Before(until); {
+	discarded := 0
+	for until := time.Now().Add(lingerTimeout); discarded < maxLingerBytes && time.Now().Before(until); {
 		if c.Conn.SetReadDeadline(time.Now().Add(lingerQuietTimeout)) != nil {
 			return
 		}
-		if _, err := c.Conn.Read(buffer); err != nil {
+		n, err := c.Conn.Read(buffer)
+		if err != nil {
 			return
 		}
+		discarded += n
 	}
 }
 
