--- a/internal/controller/silent_platform_test.go
+++ b/internal/controller/silent_platform_test.go
@@ -73,7 +73,7 @@
 	stages := newStageOrderer(site, dial, now, nil, log)
 	duties := newDutyCaller(site, dial, now, nil, log)
 	exchanges := newEngines(dial, nil, func(string, bool) {})
-	machines := newExternalClient(dial)
+	machines := newExternalClient(dial, maxMachineListBytes)
 	return map[string]func() bool{
 		"list": func() bool { _, err := listing.read(t.Context(), listing.client, 0); return err == nil },
 		"stage order": func() bool {
