Send answers to watches as they are packed

What callers see: where hundreds of relays take a large configuration, the leader loses its quorum, and so does each leader after it; changes of the configuration wait for seconds.

Cause: the leader packs a document once for all relays, but the RPC library compressed each answer above 4 KiB again, with no gain: some 25 ms of processor for each relay. With one core, the loop and the connections to peers wait behind hundreds of such goroutines for longer than the election timeout, and the relays then ask the next leader for the same.

Change: answers to watches are not compressed by the RPC library. Changes of the list and lists of relays above 4 KiB now travel uncompressed, too; what they weigh was not measured.

--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"log"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -78,13 +79,23 @@
 	intercepted := connect.WithHandlerOptions(connect.WithInterceptors(interceptor), connect.WithCompressMinBytes(compressMinBytes))
 	path, service := hazelpitchv1connect.NewConsensusServiceHandler(consensus, connect.WithReadMaxBytes(maxPeerMessageBytes), intercepted)
 	routes.Handle(path, keys.RequireRole(service, fleet, keys.RoleController))
-	path, service = hazelpitchv1connect.NewNodeServiceHandler(node, connect.WithReadMaxBytes(maxNodeMessageBytes), intercepted)
+	path, service = hazelpitchv1connect.NewNodeServiceHandler(node, connect.WithReadMaxBytes(maxNodeMessageBytes), intercepted,
+		connect.WithConditionalHandlerOptions(withoutCompressionOfWatches))
 	routes.Handle(path, keys.RequireRole(service, fleet, keys.RoleGateway, keys.RoleController))
 	// Operators authenticate with a key in every call, with or without a certificate.
 	routes.Handle(hazelpitchv1connect.NewOperatorServiceHandler(operator, connect.WithReadMaxBytes(maxNodeMessageBytes), intercepted))
 	return routes
 }
 
+// withoutCompressionOfWatches returns the options of a procedure of the node service. What is large in an answer to a watch is
+// packed once for all relays; compressing it again for each of them takes the processor from the leader's heartbeats.
+func withoutCompressionOfWatches(spec connect.Spec) []connect.HandlerOption {
+	if spec.Procedure != hazelpitchv1connect.NodeServiceWatchProcedure {
+		return nil
+	}
+	return []connect.HandlerOption{connect.WithCompressMinBytes(math.MaxInt)}
+}
+
 // serveHTTP serves on the listener until the context ends, and then finishes or cancels the
 // calls in flight within shutdownTimeout. It closes the listener. The logger receives
 // the reasons why peers were refused in the TLS handshake.
