--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -65,7 +65,7 @@
 	switch {
 	case c.leaderMayHoldLease():
 		c.refuse(answer)
-		answer.Term = message.GetTerm() - 1 // the candidate's own term: it learns of no other one
+		answer.Term = max(message.GetTerm(), 1) - 1 // the candidate's own term: it learns of no other one
 	case message.GetTerm() > c.term && c.logAllowsVote(message):
 		answer.Term = message.GetTerm()
 	default:
