--- a/internal/controller/sender.go
+++ b/internal/controller/sender.go
@@ -20,8 +20,11 @@
 	snapshotQueue = 1
 	// maxDeliverBytes limits the estimated size of the messages in one call.
 	maxDeliverBytes = 1 << 20
-	// deliverTimeout limits a call to a peer.
+	// deliverTimeout limits a call to a peer, beside the time that its messages take at minimumTransferRate.
 	deliverTimeout = 2 * time.Second
+	// minimumTransferRate is the rate in bytes per second at which a peer must receive messages. A snapshot starts from its first
+	// byte in each call; a connection that carries nothing is closed long before.
+	minimumTransferRate = 256 << 10
 	// retryPause is the delay after a failed call, so that calls to a peer that is down cost little.
 	retryPause = 50 * time.Millisecond
 )
@@ -82,7 +85,7 @@
 }
 
 func (s *sender) deliver(ctx context.Context, messages []*v1.ConsensusMessage) {
-	limited, cancel := context.WithTimeout(ctx, deliverTimeout)
+	limited, cancel := context.WithTimeout(ctx, deliverTimeout+transferTime(messages))
 	defer cancel()
 	request := connect.NewRequest(&v1.DeliverRequest{Messages: messages})
 	if _, err := s.client.Deliver(limited, request); err != nil {
@@ -95,6 +98,15 @@
 	s.sent(len(messages))
 }
 
+// transferTime returns how long the messages may take to transfer.
+func transferTime(messages []*v1.ConsensusMessage) time.Duration {
+	bytes := 0
+	for _, message := range messages {
+		bytes += messageBytes(message)
+	}
+	return time.Duration(bytes) * time.Second / minimumTransferRate
+}
+
 // messageBytes estimates the size of a message from its large fields.
 func messageBytes(message *v1.ConsensusMessage) int {
 	const fixedBytes = 64
--- a/internal/controller/slow_snapshot_test.go
+++ b/internal/controller/slow_snapshot_test.go
@@ -70,11 +70,10 @@
 			t.Cleanup(func() { _ = server.Close() })
 			dial, err := dialing.ToPeers("")
 			require.NoError(t, err)
-			connections := &dialing.OpenConnections{}
 			failures := atomic.Int64{}
 			sender := &sender{
-				client: hazelpitchv1connect.NewConsensusServiceClient(newPeerClient(connections.Dial(dial), nil), "http://"+inner.Addr().String()), drop: connections.CloseAll,
-				queue: make(chan *v1.ConsensusMessage, snapshotQueue), sent: func(int) {}, dropped: func(int) {}, delivered: func() {}, failed: func(error) { failures.Add(1) },
+				client: hazelpitchv1connect.NewConsensusServiceClient(newPeerClient(dial, nil), "http://"+inner.Addr().String()),
+				queue:  make(chan *v1.ConsensusMessage, snapshotQueue), sent: func(int) {}, dropped: func(int) {}, delivered: func() {}, failed: func(error) { failures.Add(1) },
 			}
 			go sender.run(t.Context())
 			content := make([]byte, size)
