Detect dead peers on a gateway's connections to back ends

What callers saw: after the open connections between a gateway and a back end had ceased to carry anything, one request after the other failed, as many as there were pooled connections.

Cause: gateways dialed back ends without the detection of dead peers that relays have.

--- a/internal/dialing/dead_peer.go
+++ b/internal/dialing/dead_peer.go
@@ -27,6 +27,15 @@
 	return detectDeadPeers(net.Dialer{}, backEndUnacknowledgedLimit).DialContext
 }
 
+// ToBackEnds is WithDeadPeerDetection with a source IP; an empty source lets the system choose.
+func ToBackEnds(source string) (Dial, error) {
+	dialer, err := dialerFrom(source)
+	if err != nil {
+		return nil, err
+	}
+	return detectDeadPeers(dialer, backEndUnacknowledgedLimit).DialContext, nil
+}
+
 // ToPeers returns a Dial for connections between the system's own processes, with the given source IP; an empty source lets
 // the system choose. An attempt ends after PeerTimeout, and a connection fails with syscall.ETIMEDOUT soon after its peer
 // stops answering without a reset.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -27,7 +27,7 @@
 	dial := options.Dial
 	if dial == nil {
 		var err error
-		if dial, err = dialing.FromSource(config.SourceAddress, 0); err != nil {
+		if dial, err = dialing.ToBackEnds(config.SourceAddress); err != nil {
 			return nil, nil, trace.Wrap(err)
 		}
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -28,7 +28,7 @@
 type Options struct {
 	// SourceAddress is the source IP address of connections; if empty, the system chooses it.
 	SourceAddress string
-	// Dial replaces the system's dialer; nil selects the system's.
+	// Dial replaces the dialer; nil means dialing.ToBackEnds.
 	Dial dialing.Dial
 	// Safeguards holds the safeguards that a test disables; processes use the zero Set, which disables none.
 	Safeguards safeguard.Set
@@ -45,7 +45,7 @@
 	dial := options.Dial
 	if dial == nil {
 		var err error
-		if dial, err = dialing.FromSource(options.SourceAddress, 0); err != nil {
+		if dial, err = dialing.ToBackEnds(options.SourceAddress); err != nil {
 			return nil, trace.Wrap(err)
 		}
 	}
