--- a/internal/dialing/dead_peer.go
+++ b/internal/dialing/dead_peer.go
@@ -4,8 +4,6 @@
 	"net"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -58,11 +56,6 @@
 func detectDeadPeers(dialer net.Dialer, limit time.Duration) *net.Dialer {
 	// The kernel ignores the count of probes where TCP_USER_TIMEOUT is set; both give the same limit.
 	dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: int(limit / probeInterval)}
-	dialer.Control = func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(descriptor uintptr) {
-			// Without this option the keep-alive probes still detect a dead connection.
-			_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
-		})
-	}
+	dialer.Control = func(_, _ string, raw syscall.RawConn) error { return limitUnacknowledged(raw, limit) }
 	return &dialer
 }
