Bound the memory that long bodies of requests take together

Cause: a relay read, and held for its request, any number of bodies of up to 4 MB each; a declared length was allocated before a byte had arrived. A body in chunks reserves in steps. The reservation ends with the request.

--- a/internal/relay/client_request.go
+++ b/internal/relay/client_request.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/relay/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/wirecheck"
 )
@@ -20,6 +21,14 @@
 	message string
 }
 
+// retryAfter returns the delay after which the client may send the request again; 0 for a request that it must not repeat.
+func (f *requestFault) retryAfter() time.Duration {
+	if f.status == fasthttp.StatusServiceUnavailable {
+		return retryAfterBusy
+	}
+	return 0
+}
+
 // Error implements error.
 func (f *requestFault) Error() string { return fmt.Sprintf("%d: %s", f.status, f.message) }
 
@@ -49,12 +58,15 @@
 		}
 	}
 	_ = connection.SetReadDeadline(r.clock.at(arrivedAt + limits.HeaderTimeout + bodyTimeout))
-	body, err := readBody(head, connection, limits.BodyBytes)
+	reservation := r.bodies.NewReservation()
+	body, err := readBody(head, connection, limits.BodyBytes, reservation)
 	if err != nil {
+		reservation.Release()
 		return nil, err
 	}
 	forwarded, err := readPeerProgress(connection, head)
 	if err != nil {
+		reservation.Release()
 		return nil, err
 	}
 	return &request{
@@ -66,6 +78,8 @@
 		header:    head,
 		body:      body,
 		arrivedAt: arrivedAt,
+
+		bodyReservation: reservation,
 	}, nil
 }
 
@@ -129,33 +143,37 @@
 	return nil
 }
 
-// readBody reads a body with a length or in chunks, up to the limit.
-func readBody(head *fasthttp.RequestHeader, connection *clientConnection, limit int) ([]byte, error) {
+// readBody reads a body with a length or in chunks, up to the limit. The reservation covers it.
+func readBody(head *fasthttp.RequestHeader, connection *clientConnection, limit int, reservation *bodybudget.Reservation) ([]byte, error) {
 	tooLarge := &requestFault{fasthttp.StatusRequestEntityTooLarge, "the body is too large"}
 	length := head.ContentLength()
 	switch {
 	case length > limit:
 		return nil, tooLarge
 	case length > 0:
-		body := make([]byte, length)
-		_, err := io.ReadFull(connection.reader, body)
-		if isTimeout(err) {
-			return nil, newSlowRequestFault()
-		}
-		return body, err
+		body, err := reservation.ReadLength(connection.reader, length)
+		return body, classifyBodyError(err, err)
 	case length != -1:
 		return nil, nil
 	}
-	chunked := framing.NewChunkedBody(connection.reader)
-	body, err := io.ReadAll(io.LimitReader(chunked, int64(limit)+1))
-	if isTimeout(err) {
-		return nil, newSlowRequestFault()
-	}
+	body, err := reservation.ReadUpTo(framing.NewChunkedBody(connection.reader), limit+1)
 	if err != nil {
-		return nil, &requestFault{fasthttp.StatusBadRequest, "the body ended before its last chunk"}
+		return nil, classifyBodyError(err, &requestFault{fasthttp.StatusBadRequest, "the body ended before its last chunk"})
 	}
 	if len(body) > limit {
 		return nil, tooLarge
 	}
 	return body, nil
 }
+
+// classifyBodyError returns a requestFault for a late body and for one that finds no memory; broken stands for any other error.
+func classifyBodyError(err, broken error) error {
+	switch {
+	case errors.Is(err, bodybudget.ErrExhausted):
+		return &requestFault{fasthttp.StatusServiceUnavailable, "the bodies of other requests take this relay's memory"}
+	case isTimeout(err):
+		return newSlowRequestFault()
+	default:
+		return broken
+	}
+}
--- a/internal/relay/closing_connection_test.go
+++ b/internal/relay/closing_connection_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/closing"
+	"github.com/hazelpitch/hazelpitch/internal/relay/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
@@ -138,7 +139,7 @@
 			}()
 			require.NoError(t, head.Read(connection.reader))
 			require.NoError(t, connection.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
-			_, err := readBody(head, connection, 100)
+			_, err := readBody(head, connection, 100, bodybudget.New(100).NewReservation())
 			var fault *requestFault
 			require.True(t, errors.As(err, &fault), "%v", err)
 			require.Equal(t, 408, fault.status)
--- a/internal/relay/many_bodies_test.go
+++ b/internal/relay/many_bodies_test.go
@@ -15,11 +15,11 @@
 )
 
 const (
-	// heldBodyBytes is what the bodies of clients may take of a relay's memory limit (284 MB): a quarter.
-	heldBodyBytes = 284 << 20 / 4
+	// bodiesShare is what the bodies of clients may take of a relay's memory limit (284 MB): a quarter.
+	bodiesShare = 284 << 20 / 4
 	// longestBody is the size of the longest body that the default limits allow.
 	longestBody = 4 << 20
-	// manyClients are so many that their longest bodies do not fit into heldBodyBytes.
+	// manyClients are so many that their longest bodies do not fit into bodiesShare.
 	manyClients = 40
 )
 
@@ -61,7 +61,7 @@
 				})
 			}
 			require.Eventually(t, func() bool { return held.Load()/longestBody+refused.Load() == manyClients }, time.Minute, time.Millisecond)
-			require.LessOrEqual(t, held.Load(), int64(heldBodyBytes))
+			require.LessOrEqual(t, held.Load(), int64(bodiesShare))
 			close(answer)
 			group.Wait()
 			require.EqualValues(t, manyClients, served.Load()+refused.Load())
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/relay/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
 	"github.com/hazelpitch/hazelpitch/internal/relay/origins"
 	"github.com/hazelpitch/hazelpitch/internal/relay/peerhealth"
@@ -107,9 +108,11 @@
 	refuseNewAt atomic.Int64
 
 	connections connections
-	random      lockedRandom
-	splits      *splitdraw.Draws
-	metrics     *relayMetrics
+	// bodies is the memory for long bodies of clients' requests.
+	bodies  *bodybudget.Budget
+	random  lockedRandom
+	splits  *splitdraw.Draws
+	metrics *relayMetrics
 	// forwardListener is the listener for requests that other relays forward; nil if it cannot be opened.
 	forwardListener net.Listener
 	// admin is the listener for health and metrics, nil for none; ring is the log that it serves.
@@ -170,12 +173,28 @@
 	return trace.Wrap(relay.run(ctx, listener, ready))
 }
 
+const (
+	// defaultHeldBodies is the memory in MiB for long bodies of requests if the process has no memory limit; otherwise it is one
+	// part in heldBodiesDivisor of the limit.
+	defaultHeldBodies = 64
+	heldBodiesDivisor = 4
+)
+
+// heldBodyBytes returns the memory for long bodies of requests, in bytes, under a memory limit in MiB; 0 means no limit.
+func heldBodyBytes(memoryLimit int) int64 {
+	if memoryLimit <= 0 {
+		return defaultHeldBodies << 20
+	}
+	return int64(memoryLimit) << 20 / heldBodiesDivisor
+}
+
 func newRelay(config settings.Relay, options Options) *Relay {
 	steady := newClock()
 	relay := &Relay{
 		settings:           config,
 		dialect:            options.Dialect,
 		singleValueHeaders: singleValueHeaders(options.Dialect.Headers),
+		bodies:             bodybudget.New(heldBodyBytes(config.MemoryLimit)),
 		clock:              steady,
 		log:                requestLog{logger: options.Log.Logger},
 		ring:               options.Log,
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
+	"github.com/hazelpitch/hazelpitch/internal/relay/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/relay/forwarding"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
@@ -25,6 +26,8 @@
 	// headerMutex is locked while the header is read once the request may have two exchanges: reading modifies it.
 	headerMutex sync.Mutex
 	body        []byte
+	// bodyReservation is the part of the relay's memory for bodies that the body uses.
+	bodyReservation *bodybudget.Reservation
 	// content is the same for all requests that a back end would process in the same way, whatever their identities.
 	content quarantine.Content
 	// isTrial is true if the request, or a part of its prompt, is quarantined and the request may be sent to a single back end once.
--- a/internal/relay/serve_connection.go
+++ b/internal/relay/serve_connection.go
@@ -92,12 +92,13 @@
 		if errors.As(err, &fault) {
 			reply.close = true
 			_ = connection.SetWriteDeadline(r.clock.at(r.clock.now() + writeSlack))
-			reply.refuse(refusal{status: fault.status, reason: fault.message})
+			reply.refuse(refusal{status: fault.status, reason: fault.message, retryAfter: fault.retryAfter()})
 		}
 		r.metrics.unreadRequests.Inc()
 		r.log.recordUnread(err, reply.status, r.viewSnapshot())
 		return false
 	}
+	defer request.bodyReservation.Release()
 	reply.requestID = request.id
 	reply.close = request.header.ConnectionClose()
 	_ = connection.SetWriteDeadline(r.clock.at(request.arrivedAt + maxAnswerDuration))
