Find the program of a soak's processes from the current directory

Change: fleet.Process resolves the path before it changes the directory.

Measured: go test ./internal/fleet -run RelativeProgram passes; without the change it fails (fork/exec: no such file or directory).

--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -106,12 +106,16 @@
 	p.program, p.arguments = program, arguments
 }
 
-// programPath returns the path of the executable to run.
+// programPath returns the absolute path of the executable to run: processes run in the directory of their settings.
 func (p *Process) programPath() (string, error) {
-	if p.program != "" {
-		return p.program, nil
+	if p.program == "" {
+		return os.Executable()
 	}
-	return os.Executable()
+	found, err := exec.LookPath(p.program)
+	if err != nil {
+		return "", trace.Wrap(err, "finding the program of %s", p.Name)
+	}
+	return filepath.Abs(found)
 }
 
 // Reload asks the process to reload its settings (SIGHUP).
--- a/internal/fleet/process_test.go
+++ b/internal/fleet/process_test.go
@@ -19,3 +19,17 @@
 	require.NoError(t, err)
 	require.Equal(t, 25*time.Second, process.drainTimeout)
 }
+
+// TestARelativeProgramIsFoundFromTheCurrentDirectory guards against a relative path that is looked up in the directory of the
+// process's settings, where the program is not.
+func TestARelativeProgramIsFoundFromTheCurrentDirectory(t *testing.T) {
+	executable, err := os.Executable()
+	require.NoError(t, err)
+	t.Chdir(filepath.Dir(executable))
+	log := filepath.Join(t.TempDir(), "log")
+	program := "." + string(filepath.Separator) + filepath.Base(executable)
+	process := NewProcess("a", program, []string{"-test.run=^$"}, filepath.Join(t.TempDir(), "settings.yaml"), log, "")
+	require.NoError(t, process.Start())
+	process.Stop()
+	require.FileExists(t, log)
+}
