Let controllers of relays have a source address

Cause: controllers with declarations have source_address, those of relays ignore it. On a machine with several addresses, peers and packet filters then see an address that the operator has not chosen.

Change: site-controller reads source_address and calls peers and the platform from it; without it nothing changes.

Measured: go test ./internal/settings.

--- a/internal/settings/site_controller.go
+++ b/internal/settings/site_controller.go
@@ -16,6 +16,8 @@
 	OperatorListen string `yaml:"operator_listen" check:"required,address"`
 	// AdminListen is the IP:port for health, readiness, metrics and the log ring. Required.
 	AdminListen string `yaml:"admin_listen" check:"required,address"`
+	// SourceAddress is the source IP of outgoing connections; default: any.
+	SourceAddress string `yaml:"source_address" check:"ip"`
 	// DataDirectory holds the log, snapshots and the identity of the disk. Required.
 	DataDirectory string `yaml:"data_directory" check:"required"`
 	// Seeds are the IP:port at which operators reach some controllers; peers are reached at
@@ -68,7 +70,7 @@
 // Controller returns the settings that a site controller has in common with `hazelpitch controller`.
 func (s SiteController) Controller(fleet string) Controller {
 	return Controller{
-		Name: s.Name, Fleet: fleet, Zone: s.Zone, Listen: s.Listen, AdminListen: s.AdminListen,
+		Name: s.Name, Fleet: fleet, Zone: s.Zone, Listen: s.Listen, AdminListen: s.AdminListen, SourceAddress: s.SourceAddress,
 		DataDirectory: s.DataDirectory, ElectionTimeout: s.ElectionTimeout, HeartbeatInterval: s.HeartbeatInterval, Log: s.Log,
 	}
 }
--- a/internal/settings/site_controller_test.go
+++ b/internal/settings/site_controller_test.go
@@ -43,3 +43,17 @@
 		require.ErrorContains(t, err, want, strings.TrimSpace(text))
 	}
 }
+
+// Guards against a machine with several addresses whose peers see an address other than the one that it listens on.
+func TestSourceAddressOfASiteController(t *testing.T) {
+	loaded, err := settings.LoadSiteController(settings.Source{Path: write(t, siteControllerFile)})
+	require.NoError(t, err)
+	require.Empty(t, loaded.Controller("site").SourceAddress)
+
+	loaded, err = settings.LoadSiteController(settings.Source{Path: write(t, siteControllerFile+"source_address: 127.0.0.9\n")})
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.9", loaded.Controller("site").SourceAddress)
+
+	_, err = settings.LoadSiteController(settings.Source{Path: write(t, siteControllerFile+"source_address: here\n")})
+	require.ErrorContains(t, err, "source_address")
+}
