Cut processes from each other by packet filters on their own sockets

Cause: a harness could cut only connections that it opened for a process with a dialer of its own, so that faults of the product's dialer stayed hidden.

Where packets pass in one direction only, listeners drop the first packets of both sides, since no handshake can complete. Processes of a fleet take such cuts as commands on their standard input.

--- a/internal/benchcommand/serve.go
+++ b/internal/benchcommand/serve.go
@@ -34,7 +34,7 @@
 	}
 	topology := fleet.NewTopology(description)
 	go func() {
-		_ = fleet.ApplyCutCommands(os.Stdin, topology.Gate(), nil) // returns when the fleet closes standard input
+		_ = fleet.ApplyCutCommands(os.Stdin, fleet.CutTargets{Gate: topology.Gate()}) // returns when the fleet closes standard input
 		os.Exit(ExitFailed)
 	}()
 	defer topology.WaitUnsent()
--- a/internal/benchcommand/soak.go
+++ b/internal/benchcommand/soak.go
@@ -14,6 +14,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/fleet"
 	"github.com/hazelpitch/hazelpitch/internal/servercommand"
 	"github.com/hazelpitch/hazelpitch/internal/soak"
+	"github.com/hazelpitch/hazelpitch/internal/standin/silence"
 	"github.com/hazelpitch/hazelpitch/internal/zonedelay"
 	"github.com/hazelpitch/hazelpitch/platform"
 )
@@ -27,7 +28,7 @@
 func serveSite(ctx context.Context, arguments []string, environment Environment) int {
 	outgoing, toBackEnds := soak.NewOutgoing(), zonedelay.NewDialCuts()
 	go func() {
-		_ = fleet.ApplyCutCommands(os.Stdin, outgoing.Partitioner, toBackEnds) // returns when the soak closes standard input
+		_ = fleet.ApplyCutCommands(os.Stdin, fleet.CutTargets{Gate: outgoing.Partitioner, Dials: toBackEnds, Network: new(silence.Network)}) // returns when the soak closes standard input
 		os.Exit(ExitFailed)
 	}()
 	dial := toBackEnds.WrapDial(dialing.WithDeadPeerDetection(), soak.BackEndPort)
--- a/internal/fleet/cuts.go
+++ b/internal/fleet/cuts.go
@@ -10,16 +10,28 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/hazelpitch/hazelpitch/internal/standin/silence"
 	"github.com/hazelpitch/hazelpitch/internal/zonedelay"
 )
 
 // cutCommand is sent to a process on its standard input. It cuts the addresses of Group off from all others; with an
 // empty Group it ends the cut with the same Number. With a Mode, it applies to the connections that the process opens to
-// the group.
+// the group. With Network, it applies to the packets that arrive at the process's sockets.
 type cutCommand struct {
-	Number int               `json:"number"`
-	Group  []netip.Prefix    `json:"group"`
-	Mode   zonedelay.CutMode `json:"mode,omitempty"`
+	Number  int               `json:"number"`
+	Group   []netip.Prefix    `json:"group"`
+	Mode    zonedelay.CutMode `json:"mode,omitempty"`
+	Network *silence.Cut      `json:"network,omitempty"`
+}
+
+// CutTargets are the means by which a process applies cuts to its own traffic; it rejects commands whose means is nil.
+type CutTargets struct {
+	// Gate partitions the connections that the process wraps with it.
+	Gate *zonedelay.Partitioner
+	// Dials are the connections that the process opens.
+	Dials *zonedelay.DialCuts
+	// Network acts on the process's sockets, however they were opened.
+	Network *silence.Network
 }
 
 // networkCuts tracks the groups of addresses that are cut off. It is safe for concurrent use.
@@ -85,12 +97,9 @@
 	return trace.NewAggregate(problems...)
 }
 
-// ApplyCutCommands applies the commands that a fleet writes to a process's standard input to gate, the partitioner of
-// the process's connections. It returns when the input ends.
-//
-// Commands with a mode apply to dials, the connections that the process opens; a process without dials rejects them.
-func ApplyCutCommands(input io.Reader, gate *zonedelay.Partitioner, dials *zonedelay.DialCuts) error {
-	heals := map[int]func(){}
+// ApplyCutCommands applies the commands that a fleet writes to a process's standard input. It returns when the input ends.
+func ApplyCutCommands(input io.Reader, targets CutTargets) error {
+	ends := map[int]func() error{}
 	for commands := json.NewDecoder(input); ; {
 		var command cutCommand
 		if err := commands.Decode(&command); err != nil {
@@ -99,22 +108,37 @@
 			}
 			return trace.Wrap(err)
 		}
-		if heal, active := heals[command.Number]; active {
-			heal()
-			delete(heals, command.Number)
-		}
-		switch {
-		case len(command.Group) == 0:
-		case command.Mode == "":
-			heals[command.Number] = gate.Isolate(command.Group)
-		case dials == nil:
-			return trace.BadParameter("cut %d has mode %q, but this process cannot cut the connections that it opens", command.Number, command.Mode)
-		default:
-			end, err := dials.Begin(command.Group, command.Mode)
-			if err != nil {
-				return trace.Wrap(err)
+		if end, active := ends[command.Number]; active {
+			delete(ends, command.Number)
+			if err := end(); err != nil {
+				return trace.Wrap(err, "ending cut %d", command.Number)
 			}
-			heals[command.Number] = end
 		}
+		if len(command.Group) == 0 && command.Network == nil {
+			continue
+		}
+		end, err := targets.begin(command)
+		if err != nil {
+			return trace.Wrap(err, "beginning cut %d", command.Number)
+		}
+		ends[command.Number] = end
+	}
+}
+
+// begin begins a cut and returns the function that ends it.
+func (t CutTargets) begin(command cutCommand) (end func() error, err error) {
+	var heal func()
+	switch {
+	case command.Network != nil && t.Network != nil:
+		return t.Network.BeginCut(*command.Network)
+	case command.Network != nil:
+		return nil, trace.BadParameter("this process cannot drop the packets that it receives")
+	case command.Mode == "":
+		heal = t.Gate.Isolate(command.Group)
+	case t.Dials == nil:
+		return nil, trace.BadParameter("this process cannot cut the connections that it opens, as mode %q does", command.Mode)
+	default:
+		heal, err = t.Dials.Begin(command.Group, command.Mode)
 	}
+	return func() error { heal(); return nil }, err
 }
--- a/internal/fleet/fault_test.go
+++ b/internal/fleet/fault_test.go
@@ -87,16 +87,16 @@
 		return err
 	}
 	begin := `{"number":1,"group":["127.0.9.7/32"],"mode":"refuse-new"}`
-	require.NoError(t, ApplyCutCommands(strings.NewReader(begin), network, dials))
+	require.NoError(t, ApplyCutCommands(strings.NewReader(begin), CutTargets{Gate: network, Dials: dials}))
 	require.ErrorIs(t, tryToDial(), syscall.ECONNREFUSED)
-	require.NoError(t, ApplyCutCommands(strings.NewReader(`{"number":2,"group":["127.0.9.7/32"],"mode":"hang"}{"number":2,"group":[]}`), network, dials))
+	require.NoError(t, ApplyCutCommands(strings.NewReader(`{"number":2,"group":["127.0.9.7/32"],"mode":"hang"}{"number":2,"group":[]}`), CutTargets{Gate: network, Dials: dials}))
 	require.ErrorIs(t, tryToDial(), syscall.ECONNREFUSED)
 
 	healed := zonedelay.NewDialCuts()
 	dial = healed.WrapDial((&net.Dialer{}).DialContext, address.Port())
-	require.NoError(t, ApplyCutCommands(strings.NewReader(begin+`{"number":1,"group":[]}`), network, healed))
+	require.NoError(t, ApplyCutCommands(strings.NewReader(begin+`{"number":1,"group":[]}`), CutTargets{Gate: network, Dials: healed}))
 	require.NoError(t, tryToDial())
-	require.Error(t, ApplyCutCommands(strings.NewReader(begin), network, nil))
+	require.Error(t, ApplyCutCommands(strings.NewReader(begin), CutTargets{Gate: network}))
 }
 
 // TestApplyCutCommands cuts an engine off with the commands that a fleet writes to processes.
@@ -106,7 +106,7 @@
 	address := netip.MustParseAddrPort(target).Addr().String()
 	commands, input := io.Pipe()
 	applied := make(chan error, 1)
-	go func() { applied <- ApplyCutCommands(commands, started.StandIns.topology.Gate(), nil) }()
+	go func() { applied <- ApplyCutCommands(commands, CutTargets{Gate: started.StandIns.topology.Gate()}) }()
 
 	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(started.Description.ClientAddress())}}
 	connection, err := dialer.Dial("tcp", target)
--- a/internal/standin/silence/network.go
+++ b/internal/standin/silence/network.go
@@ -1,6 +1,7 @@
 package silence
 
 import (
+	"maps"
 	"net/netip"
 	"os"
 	"slices"
@@ -24,7 +25,7 @@
 }
 
 // Block makes the receivers ignore the senders until the returned function is called. An address ignores nothing that it
-// sends to itself.
+// sends to itself. No connection can be opened between the two meanwhile, from either side, as no handshake can complete.
 func (n *Network) Block(receivers, senders []netip.Addr) (unblock func() error, err error) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -88,10 +89,12 @@
 	if n.blocked == nil {
 		n.blocked = make(map[netip.Addr]map[netip.Addr]int)
 	}
-	for _, receiver := range receivers {
-		if n.blocked[receiver] == nil {
-			n.blocked[receiver] = make(map[netip.Addr]int)
+	for _, address := range slices.Concat(receivers, senders) {
+		if n.blocked[address] == nil {
+			n.blocked[address] = make(map[netip.Addr]int)
 		}
+	}
+	for _, receiver := range receivers {
 		for _, sender := range senders {
 			n.blocked[receiver][sender] += change
 			if receiver == sender || n.blocked[receiver][sender] == 0 {
@@ -101,21 +104,41 @@
 	}
 }
 
-// apply sets the filter of each socket of a receiver.
+// apply sets the filter of each socket of an address that has been blocked from others, or others from it.
 func (n *Network) apply() error {
-	return eachSocket(func(descriptor int, local, _ netip.Addr) error {
-		senders, isReceiver := n.blocked[local]
-		switch {
-		case !isReceiver:
+	return eachSocket(func(descriptor int, local, remote netip.Addr) error {
+		senders, isKnown := n.blocked[local]
+		if !isKnown {
 			return nil
-		case len(senders) > 0:
+		}
+		if !remote.IsValid() && isListener(descriptor) {
+			senders = n.unreachableFrom(local)
+		}
+		if len(senders) > 0 {
 			return attach(descriptor, dropSenders(senders))
-		default:
-			return detach(descriptor)
 		}
+		return detach(descriptor)
 	})
 }
 
+// unreachableFrom returns the addresses with which an address can complete no handshake: those that it ignores, and those that
+// ignore it, whose first packet arrives but whose answer would be lost.
+func (n *Network) unreachableFrom(local netip.Addr) map[netip.Addr]int {
+	unreachable := maps.Clone(n.blocked[local])
+	for receiver, senders := range n.blocked {
+		if count := senders[local]; count > 0 {
+			unreachable[receiver] = count
+		}
+	}
+	return unreachable
+}
+
+// isListener reports whether a socket accepts connections.
+func isListener(descriptor int) bool {
+	accepts, err := unix.GetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_ACCEPTCONN)
+	return err == nil && accepts == 1
+}
+
 // networkHeader is the offset by which a filter refers to the IP header of a packet, SKF_NET_OFF in linux/filter.h, and
 // sourceOffset the one of the source address in an IPv4 header.
 const (
--- a/internal/standin/silence/silence.go
+++ b/internal/standin/silence/silence.go
@@ -54,11 +54,17 @@
 
 // Listen opens a TCP listener on the loopback interface that can be silenced.
 func Listen() (*net.TCPListener, error) {
-	var config net.ListenConfig
-	config.SetMultipathTCP(false)
-	listener, err := config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	listener, err := ListenAt("tcp4", "127.0.0.1:0")
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, err
 	}
 	return listener.(*net.TCPListener), nil
 }
+
+// ListenAt listens as net.Listen does, but without multipath TCP, so that the listener can be silenced.
+func ListenAt(network, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(context.Background(), network, address)
+	return listener, trace.Wrap(err)
+}
