Cut controllers from each other in soaks

Cause: the soak started controllers with a dialer of its own and never cut them from each other, so that it could not show that connections between them stay dead after a silence of the network.

The check binds for each cut after which nothing else strikes a controller: a change is acknowledged and the newest configuration read within the contact time after the end, and requests are served. Controllers dial as the product does; they get a source address and listeners without multipath TCP.

--- a/internal/benchcommand/soak.go
+++ b/internal/benchcommand/soak.go
@@ -31,15 +31,21 @@
 		_ = fleet.ApplyCutCommands(os.Stdin, fleet.CutTargets{Gate: outgoing.Partitioner, Dials: toBackEnds, Network: new(silence.Network)}) // returns when the soak closes standard input
 		os.Exit(ExitFailed)
 	}()
-	dial := toBackEnds.WrapDial(dialing.WithDeadPeerDetection(), soak.BackEndPort)
 	dialControllers, err := dialing.ToPeers("")
 	if err != nil {
 		_, _ = fmt.Fprintln(environment.Stderr, err)
 		return ExitFailed
 	}
+	var listen func(network, address string) (net.Listener, error) // a relay's own listeners accept packet filters
+	if len(arguments) > 0 && arguments[0] == soak.ControllerServer {
+		listen = silence.ListenAt
+	}
+	// Only relays dial by this; controllers have their own dialer.
+	dial := toBackEnds.WrapDial(dialing.WithDeadPeerDetection(), soak.BackEndPort)
 	return servercommand.Run(ctx, arguments, servercommand.Environment{
 		Program: environment.Program + " " + serveSiteSubcommand, Stdout: environment.Stdout, Stderr: environment.Stderr, Site: platform.Site(),
-		Dial: dialing.Dial(outgoing.WrapDial(dial, soak.PeerPort)), DialControllers: dialing.Dial(outgoing.WrapDial(dialControllers, soak.PeerPort)),
+		Listen: listen,
+		Dial:   dialing.Dial(outgoing.WrapDial(dial, soak.PeerPort)), DialControllers: dialing.Dial(outgoing.WrapDial(dialControllers, soak.PeerPort)),
 		ListenPacket: func(network, address string) (net.PacketConn, error) {
 			connection, err := net.ListenPacket(network, address)
 			if err != nil {
@@ -75,6 +81,7 @@
 	Parts       int           `long:"parts" default:"0" description:"parts of prompts that end each back end which begins to answer a request with them; no two such requests are alike, and sound ones share their first part"`
 	HotRelay    bool          `long:"hot-relay" description:"for some seconds most new connections go to one relay, then to another one, while clients open more of them"`
 	Changes     bool          `long:"changes" description:"submit hundreds of large configurations in quick succession; at the end all controllers are killed, and one comes back with an empty disk"`
+	CoreCuts    bool          `long:"controller-cuts" description:"cut controllers from each other, one, a part or all, silently, one way or by resets, for 0.5 to 40 s; the last time while nothing else happens"`
 	Directory   string        `long:"directory" value-name:"DIR" description:"where settings, disks and logs go; default: a temporary directory, which stays where a rule was broken"`
 	Untimed     bool          `long:"untimed" description:"leave out the rules with time bounds: for machines that are busy"`
 	Verbose     bool          `long:"verbose" description:"print each fault as it strikes"`
@@ -105,6 +112,9 @@
 	if s.BackEndCuts && (s.Relays < soak.MinCutRelays || s.Program != "" || s.Other != "") {
 		return &usageError{cause: trace.BadParameter("--back-end-cuts takes --relays of at least %d, and neither --program nor --other: only this program's relays accept commands that cut their connections", soak.MinCutRelays)}
 	}
+	if s.CoreCuts && (s.Controllers < soak.MinCutControllers || s.Program != "" || s.Other != "") {
+		return &usageError{cause: trace.BadParameter("--controller-cuts takes --controllers of at least %d, and neither --program nor --other: only this program's controllers accept commands that cut their network", soak.MinCutControllers)}
+	}
 	var failures []error
 	for number := range s.Seeds {
 		if err := s.runSeed(ctx, environment, s.Seed+uint64(number)); err != nil {
@@ -149,7 +159,7 @@
 	for _, flag := range []struct {
 		given bool
 		text  string
-	}{{s.Plain, " --plain"}, {s.Uneven, " --uneven"}, {s.Pressure, " --pressure"}, {s.Returns, " --check-returns"}, {s.StandStill, " --stand-still"}, {s.BackEndCuts, " --back-end-cuts"}, {s.Unframed, " --unframed"}, {s.Versions, " --versions"}, {s.HotRelay, " --hot-relay"}, {s.Changes, " --changes"}} {
+	}{{s.Plain, " --plain"}, {s.Uneven, " --uneven"}, {s.Pressure, " --pressure"}, {s.Returns, " --check-returns"}, {s.StandStill, " --stand-still"}, {s.BackEndCuts, " --back-end-cuts"}, {s.Unframed, " --unframed"}, {s.Versions, " --versions"}, {s.HotRelay, " --hot-relay"}, {s.Changes, " --changes"}, {s.CoreCuts, " --controller-cuts"}} {
 		if flag.given {
 			flags += flag.text
 		}
@@ -172,7 +182,7 @@
 		Seed: seed, Controllers: s.Controllers, Relays: s.Relays, Pages: s.Pages, Engines: s.Engines, Clients: s.Clients, Poisons: s.Poisons,
 		FaultDuration: s.Length, QuietDuration: s.Calm, Directory: directory, Program: s.Program, Serve: serveSiteSubcommand, CheckTimeBounds: !s.Untimed,
 		OtherProgram: s.Other, FirstFormatOnly: s.Plain, Uneven: s.Uneven, Pressure: s.Pressure, CheckReturns: s.Returns,
-		StandStill: s.StandStill, BackEndCuts: s.BackEndCuts, Unframed: s.Unframed, Versions: s.Versions, DeadlyParts: s.Parts, HotRelay: s.HotRelay, ManyChanges: s.Changes,
+		StandStill: s.StandStill, BackEndCuts: s.BackEndCuts, Unframed: s.Unframed, Versions: s.Versions, DeadlyParts: s.Parts, HotRelay: s.HotRelay, ManyChanges: s.Changes, ControllerCuts: s.CoreCuts,
 	}
 	if s.Verbose {
 		options.Progress = func(line string) { fmt.Fprintln(environment.Stderr, line) }
--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -23,6 +23,21 @@
 		h.Sendings = []history.Sending{request("1", "safe", 0)}
 		h.Arrivals = []history.Arrival{ranAt("1", "x", 0)}
 	}},
+	{"a change is acknowledged and read soon after controllers were cut from each other", "", cutControllers(12*second, 12*second)},
+	{"no change is acknowledged soon after controllers were cut from each other", Config, cutControllers(14*second, 12*second)},
+	{"no newest configuration is read soon after controllers were cut from each other", Config, cutControllers(12*second, 14*second)},
+	{"no change is acknowledged soon after a cut that another fault follows", "", func(h *history.History) {
+		cutControllers(14*second, 14*second)(h)
+		h.Faults = append(h.Faults, history.Fault{Kind: history.Kill, Target: "core", From: 11 * second, To: 12 * second})
+	}},
+	{"few requests are served after controllers were cut from each other", Recover, func(h *history.History) {
+		cutControllers(12*second, 12*second)(h)
+		h.Sendings, h.Arrivals = triesAt(14*second, 20, 9)
+	}},
+	{"half of the requests are served after controllers were cut from each other", "", func(h *history.History) {
+		cutControllers(12*second, 12*second)(h)
+		h.Sendings, h.Arrivals = triesAt(14*second, 20, 10)
+	}},
 	{"the response to another request", Mixed, func(h *history.History) {
 		h.Sendings = []history.Sending{changedSending(request("1", "safe", 0), func(s *history.Sending) { s.AnswerID = "2" })}
 		h.Arrivals = []history.Arrival{ranAt("1", "x", 0)}
--- a/internal/soak/cuts.go
+++ b/internal/soak/cuts.go
@@ -13,10 +13,12 @@
 // PeerPort is the port on which controllers accept calls from relays and relays accept each other's datagrams.
 const PeerPort = portPeers
 
-// BackEndPort is the port on which back ends accept connections, and RelayServer the name of the server that is a relay.
+// BackEndPort is the port on which back ends accept connections, RelayServer and ControllerServer are the names of the servers
+// that are relays and their controllers.
 const (
-	BackEndPort = portOuter
-	RelayServer = "relay"
+	BackEndPort      = portOuter
+	RelayServer      = "relay"
+	ControllerServer = "site-controller"
 )
 
 // NewOutgoing returns the outgoing connections of a process whose traffic to other processes of the run can be cut.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -48,7 +48,9 @@
 	// lostControllers counts the controllers with a fault under way and those that still catch up with the log after
 	// one.
 	lostControllers int
-	kinds           map[history.FaultKind]int
+	// keepsDisks is true while no disk may be replaced, since controllers may not reach each other to catch up with the log.
+	keepsDisks bool
+	kinds      map[history.FaultKind]int
 	// onOtherBuild holds, by process name, whether the process runs the build of Options.OtherProgram.
 	onOtherBuild map[string]bool
 	// signals is the random source of the series of signals; signalsMutex guards it.
@@ -90,6 +92,9 @@
 	if f.site.options.BackEndCuts {
 		f.running.Go(func() { f.cutFromBackEnds(ctx) })
 	}
+	if f.site.options.ControllerCuts {
+		f.running.Go(func() { f.cutControllers(ctx) })
+	}
 	if f.site.options.sharesSlots() && !f.site.options.checksReturns() {
 		f.running.Go(func() { f.injectOwnerFaults(ctx) })
 	}
@@ -169,6 +174,9 @@
 	case 0:
 		f.inject(history.Freeze, process.Name, true, func() { process.Suspend(); time.Sleep(freeze); process.Resume() })
 	case 1:
+		if f.mustKeepDisks() {
+			return
+		}
 		f.inject(history.Wipe, process.Name, true, func() {
 			process.Kill()
 			_ = process.ReplaceDisk() // the process is not running; a failure leaves the old disk
@@ -182,6 +190,13 @@
 	}
 }
 
+// mustKeepDisks reports whether no disk may be replaced now.
+func (f *faults) mustKeepDisks() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.keepsDisks
+}
+
 // killAllControllers kills all controllers at once and restarts them with their disks within a second.
 func (f *faults) killAllControllers() {
 	f.mutex.Lock()
--- a/internal/soak/history/fault.go
+++ b/internal/soak/history/fault.go
@@ -22,6 +22,8 @@
 	Cut FaultKind = "cut"
 	// CutFromBackEnds cuts a relay off from all back ends, while clients, controllers and other relays reach it.
 	CutFromBackEnds FaultKind = "cut-from-back-ends"
+	// CutController drops the packets between a controller and others, in one direction or both, or resets their connections.
+	CutController FaultKind = "cut-between-controllers"
 	// Wipe kills a controller at once and replaces its disk by an empty one.
 	Wipe FaultKind = "wipe"
 	// Crash crashes a back end, Drain makes it drain and leave as planned.
--- a/internal/soak/history/operator.go
+++ b/internal/soak/history/operator.go
@@ -8,6 +8,8 @@
 	SentAt time.Duration
 	// AckedAt is when a controller acknowledged the configuration; 0 for never.
 	AckedAt time.Duration
+	// EndedAt is when the operator stopped sending it.
+	EndedAt time.Duration
 	// Status is the status code of the last response, 0 for none.
 	Status int
 	// Services maps each route to its service.
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -55,6 +55,9 @@
 	// ManyChanges submits large configurations in quick succession. At the end all controllers are killed together, and one of
 	// them comes back with an empty disk.
 	ManyChanges bool
+	// ControllerCuts cuts controllers from each other, the last time while nothing else happens. It takes MinCutControllers
+	// controllers, and neither Program nor OtherProgram.
+	ControllerCuts bool
 	// CheckTimeBounds also checks the rules with time bounds, which can fail on a machine that is busy with other work.
 	CheckTimeBounds bool
 	// Progress is called with one line for each fault; nil for no reports.
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -34,6 +34,8 @@
 	FirstTries *check.FirstTries `json:"first_tries,omitempty"`
 	// TakenUp counts the streams that clients took up; nil in runs with one software version.
 	TakenUp *check.TakenUp `json:"taken_up,omitempty"`
+	// ControllerCuts reports on the cuts among the controllers; nil in runs without them.
+	ControllerCuts *check.ControllerCuts `json:"controller_cuts,omitempty"`
 	// Pressure reports on the service with few slots; nil in runs without it.
 	Pressure *PressureReport `json:"pressure,omitempty"`
 }
@@ -48,6 +50,10 @@
 		tries := check.CountFirstTries(recorded)
 		report.FirstTries = &tries
 	}
+	if options.ControllerCuts {
+		cuts := check.CountControllerCuts(recorded)
+		report.ControllerCuts = &cuts
+	}
 	if options.Versions {
 		takenUp := check.CountTakenUp(recorded)
 		report.TakenUp = &takenUp
@@ -88,6 +94,9 @@
 	if r.FirstTries != nil {
 		fmt.Fprintf(&text, "\n  %s", r.FirstTries)
 	}
+	if r.ControllerCuts != nil {
+		fmt.Fprintf(&text, "\n  %s", r.ControllerCuts)
+	}
 	if r.TakenUp != nil {
 		fmt.Fprintf(&text, "\n  %s", r.TakenUp)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -53,14 +54,21 @@
 	injected.loadBalancer = sending.loadBalancer
 	faultContext, cancelFaults := context.WithTimeout(ctx, options.FaultDuration)
 	defer cancelFaults()
-	operatorContext, cancelOperator := context.WithTimeout(ctx, options.FaultDuration+options.loneCutDuration()+options.QuietDuration*operatorQuietPercent/100)
+	operatorContext, cancelOperator := context.WithCancel(ctx)
 	defer cancelOperator()
-	operatorDone := make(chan struct{})
-	go func() { defer close(operatorDone); created.operate(operatorContext) }()
+	var operating sync.WaitGroup
+	operating.Go(func() { created.operate(operatorContext) })
+	if options.ControllerCuts {
+		operating.Go(func() { created.keepReading(operatorContext) })
+	}
 	injected.run(faultContext)
 	injected.cutAlone(ctx)
-	sleep(ctx, options.QuietDuration)
-	<-operatorDone
+	injected.cutControllersAlone(ctx)
+	operatorQuiet := options.QuietDuration * operatorQuietPercent / 100
+	sleep(ctx, operatorQuiet)
+	cancelOperator()
+	sleep(ctx, options.QuietDuration-operatorQuiet)
+	operating.Wait()
 	cancelRun()
 	sending.running.Wait()
 	if options.ManyChanges {
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -191,11 +191,15 @@
 	if err := os.MkdirAll(data, 0o755); err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	process, err := s.newProcess(name, "site-controller", data, map[string]any{
+	config := map[string]any{
 		"name": name, "zone": "z", "listen": hostPort(ip, portPeers), "operator_listen": s.operator.Controllers[number],
 		"admin_listen": hostPort(ip, portAdmin), "data_directory": data, "seeds": s.seeds(), "bootstrap": true,
 		"losses_borne": (s.options.Controllers - 1) / 2, "listing_address": s.list.Address(),
-	})
+	}
+	if s.options.ControllerCuts {
+		config["source_address"] = ip // packet filters tell the others apart by their addresses
+	}
+	process, err := s.newProcess(name, ControllerServer, data, config)
 	s.controllers = append(s.controllers, process)
 	return trace.Wrap(err)
 }
--- a/internal/standin/silence/cut_test.go
+++ b/internal/standin/silence/cut_test.go
@@ -1,7 +1,7 @@
 package silence
 
 import (
-		"net"
+	"net"
 	"net/netip"
 	"syscall"
 	"testing"
