Report cuts among controllers after which nothing is acknowledged

Cause: a run in which no change was acknowledged after a cut reported 0.000 s.

Change: the report counts the cuts after which no change was acknowledged, or no newest configuration read.

--- a/internal/soak/check/controller_cuts.go
+++ b/internal/soak/check/controller_cuts.go
@@ -24,15 +24,18 @@
 	All         int `json:"all"`
 	Undisturbed int `json:"undisturbed"`
 	// LongestToAck and LongestToRead are the longest times from the end of an undisturbed cut until a change was acknowledged,
-	// and until the newest acknowledged configuration was read.
+	// and until the newest acknowledged configuration was read. NeverAcked and NeverRead count those after which that never
+	// happened.
 	LongestToAck  time.Duration `json:"longest_to_ack"`
 	LongestToRead time.Duration `json:"longest_to_read"`
+	NeverAcked    int           `json:"never_acked"`
+	NeverRead     int           `json:"never_read"`
 }
 
 // String formats the report on one line.
 func (c ControllerCuts) String() string {
-	return fmt.Sprintf("cuts among controllers: %d, %d of them undisturbed; from the end of these at most %.3f s until a change is acknowledged, %.3f s until the newest configuration is read",
-		c.All, c.Undisturbed, c.LongestToAck.Seconds(), c.LongestToRead.Seconds())
+	return fmt.Sprintf("cuts among controllers: %d, %d of them undisturbed; from the end of these at most %.3f s until a change is acknowledged (after %d of them never), %.3f s until the newest configuration is read (after %d never)",
+		c.All, c.Undisturbed, c.LongestToAck.Seconds(), c.NeverAcked, c.LongestToRead.Seconds(), c.NeverRead)
 }
 
 // CountControllerCuts reports on the cuts among the controllers.
@@ -46,9 +49,13 @@
 		counted.Undisturbed++
 		if at, acked := firstAckAfter(recorded, cut.To); acked {
 			counted.LongestToAck = max(counted.LongestToAck, at-cut.To)
+		} else {
+			counted.NeverAcked++
 		}
 		if at, read := firstReadAfter(recorded, cut.To); read {
 			counted.LongestToRead = max(counted.LongestToRead, at-cut.To)
+		} else {
+			counted.NeverRead++
 		}
 	}
 	return counted
