End soaks with a fault of all controllers

All processes must be ready within the recovery time, more than half of the controllers know a leader within twice the contact time, and the newest configuration must be read and requests served within the recovery time. The report has the times.

--- a/internal/benchcommand/soak.go
+++ b/internal/benchcommand/soak.go
@@ -82,6 +82,7 @@
 	HotRelay    bool          `long:"hot-relay" description:"for some seconds most new connections go to one relay, then to another one, while clients open more of them"`
 	Changes     bool          `long:"changes" description:"submit hundreds of large configurations in quick succession; at the end all controllers are killed, and one comes back with an empty disk"`
 	CoreCuts    bool          `long:"controller-cuts" description:"cut controllers from each other, one, a part or all, silently, one way or by resets, for 0.5 to 40 s; the last time while nothing else happens"`
+	FinalFault  bool          `long:"final-fault" description:"end each seed with a fault of all controllers, drawn by seed: all killed, all suspended or silent, or as many disks lost as may be while all others lose power; then read the configuration back"`
 	Directory   string        `long:"directory" value-name:"DIR" description:"where settings, disks and logs go; default: a temporary directory, which stays where a rule was broken"`
 	Untimed     bool          `long:"untimed" description:"leave out the rules with time bounds: for machines that are busy"`
 	Verbose     bool          `long:"verbose" description:"print each fault as it strikes"`
@@ -153,13 +154,16 @@
 // a run.
 func (s *soakFlags) buildFlags() string {
 	flags := ""
+	if s.Program != "" {
+		flags += " --program " + s.Program
+	}
 	if s.Other != "" {
 		flags += " --other " + s.Other
 	}
 	for _, flag := range []struct {
 		given bool
 		text  string
-	}{{s.Plain, " --plain"}, {s.Uneven, " --uneven"}, {s.Pressure, " --pressure"}, {s.Returns, " --check-returns"}, {s.StandStill, " --stand-still"}, {s.BackEndCuts, " --back-end-cuts"}, {s.Unframed, " --unframed"}, {s.Versions, " --versions"}, {s.HotRelay, " --hot-relay"}, {s.Changes, " --changes"}, {s.CoreCuts, " --controller-cuts"}} {
+	}{{s.Plain, " --plain"}, {s.Uneven, " --uneven"}, {s.Pressure, " --pressure"}, {s.Returns, " --check-returns"}, {s.StandStill, " --stand-still"}, {s.BackEndCuts, " --back-end-cuts"}, {s.Unframed, " --unframed"}, {s.Versions, " --versions"}, {s.HotRelay, " --hot-relay"}, {s.Changes, " --changes"}, {s.CoreCuts, " --controller-cuts"}, {s.FinalFault, " --final-fault"}} {
 		if flag.given {
 			flags += flag.text
 		}
@@ -182,7 +186,7 @@
 		Seed: seed, Controllers: s.Controllers, Relays: s.Relays, Pages: s.Pages, Engines: s.Engines, Clients: s.Clients, Poisons: s.Poisons,
 		FaultDuration: s.Length, QuietDuration: s.Calm, Directory: directory, Program: s.Program, Serve: serveSiteSubcommand, CheckTimeBounds: !s.Untimed,
 		OtherProgram: s.Other, FirstFormatOnly: s.Plain, Uneven: s.Uneven, Pressure: s.Pressure, CheckReturns: s.Returns,
-		StandStill: s.StandStill, BackEndCuts: s.BackEndCuts, Unframed: s.Unframed, Versions: s.Versions, DeadlyParts: s.Parts, HotRelay: s.HotRelay, ManyChanges: s.Changes, ControllerCuts: s.CoreCuts,
+		StandStill: s.StandStill, BackEndCuts: s.BackEndCuts, Unframed: s.Unframed, Versions: s.Versions, DeadlyParts: s.Parts, HotRelay: s.HotRelay, ManyChanges: s.Changes, ControllerCuts: s.CoreCuts, FinalFault: s.FinalFault,
 	}
 	if s.Verbose {
 		options.Progress = func(line string) { fmt.Fprintln(environment.Stderr, line) }
--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -38,6 +38,12 @@
 		cutControllers(12*second, 12*second)(h)
 		h.Sendings, h.Arrivals = triesAt(14*second, 20, 10)
 	}},
+	{"everything serves again soon after the final fault", "", afterFinalFault(15*second, 21*second, 21*second, 21*second)},
+	{"no controller knows a leader soon after the final fault", Recover, afterFinalFault(17*second, 17*second, 17*second, 17*second)},
+	{"a relay is ready late after the final fault", Recover, afterFinalFault(11*second, 23*second, 12*second, 12*second)},
+	{"a relay is never ready after the final fault", Recover, afterFinalFault(11*second, 0, 12*second, 12*second)},
+	{"the configuration is read late after the final fault", Config, afterFinalFault(11*second, 11*second, 23*second, 12*second)},
+	{"requests are served late after the final fault", Recover, afterFinalFault(11*second, 11*second, 12*second, 23*second)},
 	{"the response to another request", Mixed, func(h *history.History) {
 		h.Sendings = []history.Sending{changedSending(request("1", "safe", 0), func(s *history.Sending) { s.AnswerID = "2" })}
 		h.Arrivals = []history.Arrival{ranAt("1", "x", 0)}
--- a/internal/soak/check/finding.go
+++ b/internal/soak/check/finding.go
@@ -51,7 +51,7 @@
 // bound.
 var (
 	safetyCheckers = []checker{mixed, twice, refused, unasked, order, overstatedEnds, mixedVersions, overAttemptLimit, one, atUnknownAddresses, unansweredByStopping, cutAnswers}
-	timedCheckers  = []checker{lost, drain, config, gone, recovered, overCrashLimit, overRetryBudget, sentDuringBackoff, sentAfterLeavingAnswer, limits, starved, unservedReturns, neverAnswered, unservedWhileCut, lostStreams, overPartLimit, lostSoundPrompts, unservedAtHotRelay, missingFinalRead, unreachableAfterCut}
+	timedCheckers  = []checker{lost, drain, config, gone, recovered, overCrashLimit, overRetryBudget, sentDuringBackoff, sentAfterLeavingAnswer, limits, starved, unservedReturns, neverAnswered, unservedWhileCut, lostStreams, overPartLimit, lostSoundPrompts, unservedAtHotRelay, missingFinalRead, unreachableAfterCut, lateAfterFinalFault}
 )
 
 // Safety returns the violations of rules without time bounds, sorted by time.
--- a/internal/soak/controller_cuts.go
+++ b/internal/soak/controller_cuts.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"net/netip"
 	"strings"
 	"time"
 
@@ -103,7 +102,7 @@
 	count := []int{1, 1 + random.IntN(len(controllers)-1), len(controllers)}[random.IntN(3)]
 	cut := controllerCut{Cut: silence.Cut{Mode: silence.CutModes[random.IntN(len(silence.CutModes))]}}
 	for position, number := range order {
-		ip := netip.MustParseAddr(address(groupControllers, number))
+		ip := f.site.controllerIP(number)
 		if position < count {
 			cut.targets, cut.Group = append(cut.targets, controllers[number]), append(cut.Group, ip)
 		}
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -47,6 +47,8 @@
 	Listings  []Listing
 	Limits    []Limit
 	Faults    []Fault
+	// FinalFault is the fault that ends the run; nil for none.
+	FinalFault *FinalFault
 }
 
 // Route is the declaration of a kind of request.
--- a/internal/soak/history/recorder.go
+++ b/internal/soak/history/recorder.go
@@ -26,6 +26,20 @@
 	r.history.SlotOwner = name
 }
 
+// AddController records that a controller replaces another one.
+func (r *Recorder) AddController(name string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.history.Controllers[name] = true
+}
+
+// SetFinalFault records the fault that ends the run.
+func (r *Recorder) SetFinalFault(fault FinalFault) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.history.FinalFault = &fault
+}
+
 // Now returns the time since the run began.
 func (r *Recorder) Now() time.Duration { return time.Since(r.origin) }
 
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -58,6 +58,9 @@
 	// ControllerCuts cuts controllers from each other, the last time while nothing else happens. It takes MinCutControllers
 	// controllers, and neither Program nor OtherProgram.
 	ControllerCuts bool
+	// FinalFault ends the run with a fault of all controllers, drawn from the seed, after which the newest acknowledged
+	// configuration is read back and requests are served.
+	FinalFault bool
 	// CheckTimeBounds also checks the rules with time bounds, which can fail on a machine that is busy with other work.
 	CheckTimeBounds bool
 	// Progress is called with one line for each fault; nil for no reports.
@@ -69,3 +72,8 @@
 	Contact: 3 * time.Second, Grace: relayGrace, ConfigApply: 2 * time.Second, Drain: 3 * time.Second, LossSlack: 200 * time.Millisecond,
 	Lease: 3 * time.Second, Recovery: 12 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 54,
 }
+
+// cutsControllers reports whether controllers may be cut from each other in the run.
+func (o Options) cutsControllers() bool {
+	return o.ControllerCuts || o.FinalFault && o.Program == "" && o.OtherProgram == ""
+}
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -36,6 +36,8 @@
 	TakenUp *check.TakenUp `json:"taken_up,omitempty"`
 	// ControllerCuts reports on the cuts among the controllers; nil in runs without them.
 	ControllerCuts *check.ControllerCuts `json:"controller_cuts,omitempty"`
+	// FinalFault reports on the fault that ended the run; nil in runs without one.
+	FinalFault *check.AfterFinalFault `json:"final_fault,omitempty"`
 	// Pressure reports on the service with few slots; nil in runs without it.
 	Pressure *PressureReport `json:"pressure,omitempty"`
 }
@@ -44,7 +46,7 @@
 func reportOf(options Options, recorded *history.History, faults map[history.FaultKind]int, findings []check.Finding) Report {
 	report := Report{
 		Seed: options.Seed, Sendings: len(recorded.Sendings), Arrivals: len(recorded.Arrivals), Orders: len(recorded.Orders), Faults: faults, Findings: findings,
-		Overdue: check.CountOverdue(recorded),
+		Overdue: check.CountOverdue(recorded), FinalFault: check.MeasureFinalFault(recorded),
 	}
 	if options.BackEndCuts {
 		tries := check.CountFirstTries(recorded)
@@ -97,6 +99,9 @@
 	if r.ControllerCuts != nil {
 		fmt.Fprintf(&text, "\n  %s", r.ControllerCuts)
 	}
+	if r.FinalFault != nil {
+		fmt.Fprintf(&text, "\n  %s", r.FinalFault)
+	}
 	if r.TakenUp != nil {
 		fmt.Fprintf(&text, "\n  %s", r.TakenUp)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -69,6 +69,11 @@
 	cancelOperator()
 	sleep(ctx, options.QuietDuration-operatorQuiet)
 	operating.Wait()
+	if options.FinalFault {
+		if err := injected.endDay(ctx); err != nil {
+			return Report{}, trace.Wrap(err)
+		}
+	}
 	cancelRun()
 	sending.running.Wait()
 	if options.ManyChanges {
@@ -107,7 +112,7 @@
 		return trace.ConnectionProblem(nil, "no controller accepted the first configuration within %s; see the logs in %s", formationTimeout, s.options.Directory)
 	}
 	for _, process := range s.controllers {
-		if err := disableBootstrap(process); err != nil {
+		if err := s.disableBootstrap(process); err != nil {
 			return trace.Wrap(err)
 		}
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -7,7 +7,6 @@
 	"path/filepath"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -38,8 +37,13 @@
 	controllers []*fleet.Process
 	relays      []*relayProcess
 	operator    *standin.Operator
-	// servers holds, by process name, the arguments without those that select the build.
+	// servers holds, by process name, the arguments without those that select the build, configs the settings.
 	servers map[string][]string
+	configs map[string]map[string]any
+	// controllerCount is the number of controllers so far, with those that were replaced.
+	controllerCount int
+	// lastNumber is the highest number of a configuration that operate has submitted.
+	lastNumber uint64
 }
 
 // relayProcess is a relay with the addresses at which clients and readiness probes reach it.
@@ -78,7 +82,7 @@
 	for number := range options.Controllers {
 		names[controllerName(number)] = true
 	}
-	created := &site{options: options, servers: map[string][]string{}, recorder: history.NewRecorder(options.bounds(), standin.Routes(), names)}
+	created := &site{options: options, servers: map[string][]string{}, configs: map[string]map[string]any{}, recorder: history.NewRecorder(options.bounds(), standin.Routes(), names)}
 	list, err := standin.StartList(hostPort(address(groupList, 0), portOuter), created.recorder)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -99,10 +103,12 @@
 		created.operator.Controllers = append(created.operator.Controllers, hostPort(address(groupControllers, number), portOuter))
 	}
 	for number := range options.Controllers {
-		if err := created.addController(number); err != nil {
+		process, err := created.newController(created.operator.Controllers[number])
+		if err != nil {
 			created.close()
 			return nil, trace.Wrap(err)
 		}
+		created.controllers = append(created.controllers, process)
 	}
 	for number := range options.Relays {
 		if err := created.addRelay(number); err != nil {
@@ -185,23 +191,24 @@
 // seeds returns the addresses of the first controllers, at most three, which the settings of all processes name.
 func (s *site) seeds() []string { return s.operator.Controllers[:min(3, len(s.operator.Controllers))] }
 
-func (s *site) addController(number int) error {
-	name, ip := controllerName(number), address(groupControllers, number)
+// newController returns a controller with an empty disk, which is not running yet, and to which operators connect at the given
+// address.
+func (s *site) newController(operatorAddress string) (*fleet.Process, error) {
+	name, ip := controllerName(s.controllerCount), address(groupControllers, s.controllerCount)
+	s.controllerCount++
 	data := filepath.Join(s.options.Directory, name+".data")
 	if err := os.MkdirAll(data, 0o755); err != nil {
-		return trace.ConvertSystemError(err)
+		return nil, trace.ConvertSystemError(err)
 	}
 	config := map[string]any{
-		"name": name, "zone": "z", "listen": hostPort(ip, portPeers), "operator_listen": s.operator.Controllers[number],
+		"name": name, "zone": "z", "listen": hostPort(ip, portPeers), "operator_listen": operatorAddress,
 		"admin_listen": hostPort(ip, portAdmin), "data_directory": data, "seeds": s.seeds(), "bootstrap": true,
 		"losses_borne": (s.options.Controllers - 1) / 2, "listing_address": s.list.Address(),
 	}
-	if s.options.ControllerCuts {
+	if s.options.cutsControllers() {
 		config["source_address"] = ip // packet filters tell the others apart by their addresses
 	}
-	process, err := s.newProcess(name, ControllerServer, data, config)
-	s.controllers = append(s.controllers, process)
-	return trace.Wrap(err)
+	return s.newProcess(name, ControllerServer, data, config)
 }
 
 func (s *site) addRelay(number int) error {
@@ -228,13 +235,10 @@
 // newProcess writes the settings file of a process and returns the process, which is not running yet.
 func (s *site) newProcess(name, server, data string, config map[string]any) (*fleet.Process, error) {
 	path := filepath.Join(s.options.Directory, name+".yaml")
-	content, err := yaml.Marshal(config)
-	if err != nil {
+	if err := writeSettings(path, config); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if err := os.WriteFile(path, content, 0o600); err != nil {
-		return nil, trace.ConvertSystemError(err)
-	}
+	s.configs[name] = config
 	s.servers[name] = []string{server, "--settings", path}
 	process := fleet.NewProcess(name, "", nil, path, filepath.Join(s.options.Directory, name+".log"), data)
 	s.chooseBuild(process, s.startsOnOtherBuild())
@@ -260,14 +264,19 @@
 	}
 }
 
-// disableBootstrap records in a controller's settings that the fleet has started before.
-func disableBootstrap(process *fleet.Process) error {
-	content, err := os.ReadFile(process.SettingsPath)
+// writeSettings writes a settings file.
+func writeSettings(path string, config map[string]any) error {
+	content, err := yaml.Marshal(config)
 	if err != nil {
-		return trace.ConvertSystemError(err)
+		return trace.Wrap(err)
 	}
-	changed := strings.Replace(string(content), "bootstrap: true", "bootstrap: false", 1)
-	return trace.ConvertSystemError(os.WriteFile(process.SettingsPath, []byte(changed), 0o600))
+	return trace.ConvertSystemError(os.WriteFile(path, content, 0o600))
+}
+
+// disableBootstrap records in a controller's settings that the fleet has started before.
+func (s *site) disableBootstrap(process *fleet.Process) error {
+	s.configs[process.Name]["bootstrap"] = false
+	return writeSettings(process.SettingsPath, s.configs[process.Name])
 }
 
 // start starts all processes.
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -166,9 +166,11 @@
 func (s *site) operate(ctx context.Context) {
 	random := rand.New(rand.NewPCG(s.options.Seed, 2000))
 	number := uint64(firstNumber)
+	s.lastNumber = number
 	for ctx.Err() == nil {
 		sleep(ctx, s.options.changePause(random))
 		number += uint64(1 + random.IntN(3))
+		s.lastNumber = number
 		change := s.drawChange(number, random)
 		s.operator.Put(ctx, change.Change, change.content, random.IntN(s.options.Controllers))
 		s.operator.Read(ctx, random.IntN(s.options.Controllers))
