Retry crash reports soon only where nobody answers

Cause: the wait between reports grew to 0.3 s also where a controller answers with an error, as an overloaded leader does: at 390 nodes that may be 1,300 calls a second.

--- a/internal/crashguard/report.go
+++ b/internal/crashguard/report.go
@@ -15,11 +15,12 @@
 const (
 	// reportTimeout limits one call to the leader, which is then retried.
 	reportTimeout = 600 * time.Millisecond
-	// reportPause is the wait before a failed call to the leader is retried. It doubles up to silentReportPause, or up to
-	// unsupportedReportPause while the leader's version does not support the call.
-	reportPause            = 100 * time.Millisecond
-	silentReportPause      = 300 * time.Millisecond
-	unsupportedReportPause = 2 * time.Second
+	// reportPause is the wait before a failed call to the leader is retried. It doubles up to silentReportPause where nobody
+	// answers, and up to refusedReportPause where a controller answers with an error: it may be overloaded, or its version may
+	// not support the call.
+	reportPause        = 100 * time.Millisecond
+	silentReportPause  = 300 * time.Millisecond
+	refusedReportPause = 2 * time.Second
 	// maximumUnreported limits the pending reports of back-end crashes.
 	maximumUnreported = 256
 )
@@ -54,8 +55,8 @@
 
 // maximumPause returns the longest wait after a call to the leader that failed with the error.
 func maximumPause(err error) time.Duration {
-	if connect.CodeOf(err) == connect.CodeUnimplemented {
-		return unsupportedReportPause
+	if connect.IsWireError(err) {
+		return refusedReportPause
 	}
 	return silentReportPause
 }
