Log signals at the level of warnings

Cause: a stop of all controllers by SIGTERM, the leader last, leaves the same lines as the incident's in a record that keeps warnings and changes; the line that tells a signal had the level info.

Change: signal_taken is a warning, as the events of relays are.

Measured: go test ./internal/servercommand ./cmd/hazelpitch passes.

--- a/internal/servercommand/log.go
+++ b/internal/servercommand/log.go
@@ -25,7 +25,7 @@
 	defer stopStream()
 	log := logring.NewWithStream(name, bounds, stream)
 	environment.Signals.SetLog(func(signal os.Signal, action lifecycle.Action) {
-		log.Info().Str(events.FieldEvent, string(events.SignalReceived)).Stringer("signal", signal).Str("action", string(action)).Send()
+		log.Warn().Str(events.FieldEvent, string(events.SignalReceived)).Stringer("signal", signal).Str("action", string(action)).Send()
 	}, log.DumpOnSignal)
 	return runWithLog(ctx, log, serve)
 }
