Soak: open connections among controllers that carry nothing any more

Cause: the soak cut controllers from each other while packets, or nothing, came through again afterwards.

Change: silence.Network has a mode of cuts, severed: the connections that are open at that moment ignore everything for good, new ones work; the soak draws it among the others.

--- a/internal/standin/silence/cut.go
+++ b/internal/standin/silence/cut.go
@@ -21,10 +21,13 @@
 	CutReset CutMode = "reset"
 	// CutResets resets the connections again and again, and drops nothing: new ones live for cutRefreshInterval at most.
 	CutResets CutMode = "resets"
+	// CutSevered makes the connections that are open when the cut begins carry nothing any more, also after its end. New ones
+	// work.
+	CutSevered CutMode = "severed"
 )
 
 // CutModes are all modes.
-var CutModes = []CutMode{CutSilent, CutOneWay, CutReset, CutResets}
+var CutModes = []CutMode{CutSilent, CutOneWay, CutReset, CutResets, CutSevered}
 
 // cutRefreshInterval is the interval at which a cut is applied to sockets that were opened meanwhile.
 const cutRefreshInterval = 20 * time.Millisecond
@@ -50,6 +53,8 @@
 		err = trace.NewAggregate(block(cut.Group, cut.Others), block(cut.Others, cut.Group))
 	case CutOneWay:
 		err = block(cut.Group, cut.Others)
+	case CutSevered:
+		err = n.Sever(cut.Group, cut.Others)
 	case CutResets:
 	default:
 		return nil, trace.BadParameter("a cut has no mode %q", cut.Mode)
--- a/internal/standin/silence/cut_test.go
+++ b/internal/standin/silence/cut_test.go
@@ -136,3 +136,23 @@
 		p.requireHandshakes()
 	}
 }
+
+// Guards against a cut that ends together with the process's fault: connections that carry nothing any more must stay so, while
+// new ones work from the beginning.
+func TestSeveredConnectionsStaySilent(t *testing.T) {
+	pair := startPair(t, "127.0.31.9", "127.0.31.10")
+	end := pair.begin(CutSevered)
+	pair.requireArrival(pair.opened, pair.taken, false)
+	second, err := pair.dial(0)
+	require.NoError(t, err)
+	defer second.Close()
+	taken, err := pair.listeners[1].Accept()
+	require.NoError(t, err)
+	defer taken.Close()
+	pair.requireArrival(second, taken, true)
+	require.NoError(t, end())
+	silent := pair.begin(CutSilent)
+	require.NoError(t, silent())
+	pair.requireArrival(pair.opened, pair.taken, false)
+	pair.requireArrival(second, taken, true)
+}
--- a/internal/standin/silence/network.go
+++ b/internal/standin/silence/network.go
@@ -22,6 +22,8 @@
 	mutex sync.Mutex
 	// blocked holds, by receiver and sender, the number of blocks under way.
 	blocked map[netip.Addr]map[netip.Addr]int
+	// severed holds the cookies of the sockets that ignore everything for good.
+	severed map[uint64]bool
 }
 
 // Block makes the receivers ignore the senders until the returned function is called. An address ignores nothing that it
@@ -54,14 +56,30 @@
 // Sever makes the connections that are open now between the two groups of addresses ignore everything for good, at both ends,
 // as a firewall does that has lost its state: neither end is told, and new connections work.
 func (n *Network) Sever(group, others []netip.Addr) error {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
 	return eachSocket(func(descriptor int, local, remote netip.Addr) error {
 		if !isBetween(group, others, local, remote) {
 			return nil
 		}
+		cookie, err := unix.GetsockoptUint64(descriptor, unix.SOL_SOCKET, unix.SO_COOKIE)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if n.severed == nil {
+			n.severed = make(map[uint64]bool)
+		}
+		n.severed[cookie] = true
 		return attach(descriptor, dropAll)
 	})
 }
 
+// isSevered reports whether a socket ignores everything for good.
+func (n *Network) isSevered(descriptor int) bool {
+	cookie, err := unix.GetsockoptUint64(descriptor, unix.SOL_SOCKET, unix.SO_COOKIE)
+	return err == nil && n.severed[cookie]
+}
+
 // Reset ends all connections of this process between the two groups of addresses by a reset to both ends.
 func (n *Network) Reset(group, others []netip.Addr) error {
 	return eachSocket(func(descriptor int, local, remote netip.Addr) error {
@@ -108,7 +126,7 @@
 func (n *Network) apply() error {
 	return eachSocket(func(descriptor int, local, remote netip.Addr) error {
 		senders, isKnown := n.blocked[local]
-		if !isKnown {
+		if !isKnown || n.isSevered(descriptor) {
 			return nil
 		}
 		if !remote.IsValid() && isListener(descriptor) {
