--- a/internal/controller/silent_peer_test.go
+++ b/internal/controller/silent_peer_test.go
@@ -94,7 +94,7 @@
 			client := newPeerClient(dial, nil)
 			snapshots := &sender{
 				client: hazelpitchv1connect.NewConsensusServiceClient(client, url), queue: make(chan *v1.ConsensusMessage, snapshotQueue),
-				sent: func(int) {}, dropped: func(int) {},
+				sent: func(int) {}, dropped: func(int) {}, delivered: func() {}, failed: func(error) {},
 			}
 			go snapshots.run(t.Context())
 			node := hazelpitchv1connect.NewNodeServiceClient(client, url)
