--- a/internal/standin/silence/network.go
+++ b/internal/standin/silence/network.go
@@ -17,7 +17,8 @@
 // drops packets: nothing is acknowledged, and neither end is told. It acts on the sockets themselves, so that programs keep
 // their own dialers and listeners. All sockets must be IPv4, bound to one of the addresses, and not multipath TCP.
 //
-// It is safe for concurrent use. There may be only one Network in a process.
+// It is safe for concurrent use. There may be only one Network in a process. While a method runs, a socket that another
+// goroutine closes may stay open for a moment longer, so that the port of a listener stays in use.
 type Network struct {
 	mutex sync.Mutex
 	// blocked holds, by receiver and sender, the number of blocks under way.
