Bound the requests of health checks and operators' queries in time

Cause: the admin server and the readiness server read a body for as long as its client sent it, slowly, and lost a connection and a goroutine to each such client. Measured: "go test ./internal/metrics -run TestEndlessRequestsAreEnded" failed after 30 s with slow bodies, and passes in 5 s in all nine formats. "go test ./internal/relay -run 'Ready|Stopping'" passes.

--- a/internal/metrics/server.go
+++ b/internal/metrics/server.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/logring"
+	"github.com/hazelpitch/hazelpitch/internal/probeserver"
 )
 
 // Paths of the admin server.
@@ -31,6 +32,7 @@
 
 const (
 	readTimeout     = 5 * time.Second
+	idleTimeout     = 2 * time.Minute // more than the usual interval between two scrapes
 	shutdownTimeout = time.Second
 )
 
@@ -45,7 +47,7 @@
 
 // Serve serves on the listener until the context ends. It closes the listener.
 func (a *AdminServer) Serve(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: readTimeout}
+	server := probeserver.New(a.Handler(), readTimeout, idleTimeout)
 	stopped := context.AfterFunc(ctx, func() {
 		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 		defer cancel()
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// readyTimeout limits the time to read the headers of a call to the readiness endpoint; readyIdle is how long a
+	// readyTimeout limits the time to read a call to the readiness endpoint; readyIdle is how long a
 	// connection to it may stay idle.
 	readyTimeout = 2 * time.Second
 	readyIdle    = 30 * time.Second
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
+	"github.com/hazelpitch/hazelpitch/internal/probeserver"
 	"github.com/hazelpitch/hazelpitch/internal/relay/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
 	"github.com/hazelpitch/hazelpitch/internal/relay/origins"
@@ -245,7 +246,7 @@
 	group, workCtx := errgroup.WithContext(background)
 	workCtx, stopWorking := context.WithCancel(workCtx)
 	defer stopWorking()
-	readyServer := &http.Server{Handler: r.readyHandler(), ReadHeaderTimeout: readyTimeout, IdleTimeout: readyIdle}
+	readyServer := probeserver.New(r.readyHandler(), readyTimeout, readyIdle)
 	group.Go(func() error {
 		if err := readyServer.Serve(ready); err != http.ErrServerClosed {
 			return trace.Wrap(err, "the readiness server stopped")
