--- a/internal/relay/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -1,4 +1,4 @@
-// Package bodybudget bounds the memory that the bodies of clients' requests take together. Short bodies are free. A longer one
+// Package bodybudget bounds the memory that the bodies of requests take together. Short bodies are free. A longer one
 // reserves its bytes before they are read, and waits for them if too many are in use; meanwhile its client waits as well.
 package bodybudget
 
--- a/internal/relay/client_request.go
+++ b/internal/relay/client_request.go
@@ -10,7 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/hazelpitch/hazelpitch/internal/relay/bodybudget"
+	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/wirecheck"
 )
--- a/internal/relay/closing_connection_test.go
+++ b/internal/relay/closing_connection_test.go
@@ -13,8 +13,8 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/closing"
-	"github.com/hazelpitch/hazelpitch/internal/relay/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/closing"
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
@@ -25,7 +26,6 @@
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/probeserver"
-	"github.com/hazelpitch/hazelpitch/internal/relay/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
 	"github.com/hazelpitch/hazelpitch/internal/relay/origins"
 	"github.com/hazelpitch/hazelpitch/internal/relay/peerhealth"
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -7,9 +7,9 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
-	"github.com/hazelpitch/hazelpitch/internal/relay/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/relay/forwarding"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
