Bound the answers that the load tool reads

Cause: the load tool read refusals and pages whole, and comments of streams and what follows them to the timeout. Change: a page is read up to one byte more than the expected one, a refusal and what follows a stream up to 64 KB, lines without data up to 1 MB between two events.

--- a/internal/load/answer.go
+++ b/internal/load/answer.go
@@ -11,10 +11,13 @@
 	"github.com/hazelpitch/hazelpitch/internal/standin/page"
 )
 
+// maxRefusalBytes bounds what is read of the body of an error.
+const maxRefusalBytes = 64 << 10
+
 // readRefusal records the code and message of an error body.
 func (r *Result) readRefusal(body io.Reader) {
 	r.Outcome = Refused
-	text, err := io.ReadAll(body)
+	text, err := io.ReadAll(io.LimitReader(body, maxRefusalBytes))
 	if err != nil {
 		r.Detail = err.Error()
 	}
@@ -31,12 +34,12 @@
 
 // checkPage compares a page or receipt with the one that belongs to the request.
 func (r *Result) checkPage(req request, body io.Reader, due time.Time) {
-	text, err := io.ReadAll(body)
-	r.FirstByte = time.Since(due)
 	want := page.Page(req.path)
 	if req.method != fasthttp.MethodGet {
 		want = page.Receipt(req.path, req.key, req.body)
 	}
+	text, err := io.ReadAll(io.LimitReader(body, int64(len(want))+1)) // a longer one is not the expected one
+	r.FirstByte = time.Since(due)
 	switch {
 	case err != nil:
 		r.Outcome, r.Detail = Cut, err.Error()
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -87,10 +88,13 @@
 	return result
 }
 
+// maxAfterStreamBytes bounds what may follow the end marker of a stream.
+const maxAfterStreamBytes = 64 << 10
+
 // readFinalVerdict reads a stream to its end and replaces the verdict by that of the trailer. A
-// stream that was cut has no trailer.
+// stream that was cut, or that goes on after its end marker, has no trailer.
 func (r *Result) readFinalVerdict(body io.Reader, header *fasthttp.ResponseHeader) {
-	if _, err := io.Copy(io.Discard, body); err != nil {
+	if _, err := io.CopyN(io.Discard, body, maxAfterStreamBytes); !errors.Is(err, io.EOF) {
 		return
 	}
 	if final := header.Peek(verdict.Trailer); len(final) > 0 {
--- a/internal/load/stream.go
+++ b/internal/load/stream.go
@@ -17,7 +17,7 @@
 	// codeDeadline is the code of the error event that ends an answer at its deadline.
 	codeDeadline = "deadline_exceeded"
 	streamBuffer = 16 << 10
-	// longestLine bounds a line of a stream, in bytes.
+	// longestLine bounds a line of a stream, and the lines without data between two events, in bytes.
 	longestLine = 1 << 20
 )
 
@@ -50,9 +50,9 @@
 	reader := bufio.NewReaderSize(body, streamBuffer)
 	check := streamCheck{request: req, result: r, due: due, echo: echo}
 	var line []byte
-	for {
+	for skipped := 0; ; {
 		var err error
-		line, err = lines.Append(line[:0], reader, longestLine)
+		line, err = lines.Append(line[:0], reader, longestLine-skipped)
 		if err != nil {
 			r.Outcome = Cut
 			r.Detail = fmt.Sprintf("ended after %d of %d tokens: %v", r.Tokens, req.outputTokens, err)
@@ -60,8 +60,10 @@
 		}
 		data, found := bytes.CutPrefix(bytes.TrimSpace(line), dataPrefix)
 		if !found {
+			skipped += len(line)
 			continue
 		}
+		skipped = 0
 		if bytes.Equal(data, doneMarker) {
 			check.checkEnd()
 			return
