--- a/internal/relay/endless_answer_test.go
+++ b/internal/relay/endless_answer_test.go
@@ -26,7 +26,8 @@
 
 // longTimeout returns a route whose time is never over within a test.
 func longTimeout(changes ...func(*serving.Route)) serving.Route {
-	return patient(append(changes, func(config *serving.Route) { config.MaxAttempts = 2 })...)
+	twoAttempts := func(config *serving.Route) { config.MaxAttempts = 2 }
+	return patient(append([]func(*serving.Route){twoAttempts}, changes...)...)
 }
 
 // Guards against a request that is held until its deadline by a back end which sends informational heads without end.
