Bound the heads of answers to a relay's own HTTP calls

Cause: health checks, cache lists and pages of the list of back ends were read by clients with net/http's default bound of 10 MB for a head; only their bodies had bounds of their own. Change: all three use internal/responselimit (heads 64 KB, bodies 16 MB at most besides their own bounds).

--- a/internal/relay/fleet_state.go
+++ b/internal/relay/fleet_state.go
@@ -63,7 +63,7 @@
 func newFleetState(relay *Relay, options Options) *fleetState {
 	return &fleetState{
 		relay:          relay,
-		platformClient: &http.Client{Transport: &http.Transport{DialContext: options.Dial}, Timeout: listingTimeout},
+		platformClient: newCaller(&http.Transport{DialContext: options.Dial}, listingTimeout),
 		readListing:    options.ReadListing,
 		incarnation:    rand.Uint64(),
 		records:        map[string]*backEnd{},
--- a/internal/relay/load_probe.go
+++ b/internal/relay/load_probe.go
@@ -28,7 +28,7 @@
 	if options.ProbeLoad == nil || !options.Without.IsEnabled(mechanism.PausePrediction) {
 		return
 	}
-	client := &http.Client{Transport: &http.Transport{DialContext: options.Dial, MaxIdleConnsPerHost: 1}, Timeout: loadProbeTimeout}
+	client := newCaller(&http.Transport{DialContext: options.Dial, MaxIdleConnsPerHost: 1}, loadProbeTimeout)
 	probe := func(ctx context.Context, engine *backEnd, path string) (float64, error) {
 		answer, err := options.ProbeLoad(ctx, client, engine.BackEnd, path)
 		r.applySignals(engine, answer.Signals, internalCallSentAt)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -166,7 +166,7 @@
 	relay.listenForForwarded(options)
 	go relay.applyReloadedSettings(ctx, options.Reloaded)
 	if options.ReadCache != nil && options.Without.IsEnabled(mechanism.CacheQuery) {
-		client := &http.Client{Transport: &http.Transport{DialContext: options.Dial, DisableKeepAlives: true}, Timeout: cacheReadTimeout}
+		client := newCaller(&http.Transport{DialContext: options.Dial, DisableKeepAlives: true}, cacheReadTimeout)
 		reader := &cacheReader{relay: relay, read: options.ReadCache, client: client, readAt: map[*prefixCache]time.Duration{}}
 		go reader.run(ctx)
 	}
