Parse only the services of a configuration on the controller's loop

What callers may see: a leader that orders replicas sends no heartbeat while it parses a new configuration; with 33,000 tenants that is 59 to 71 ms of a whole core, and several times that on a share of one, where the election timeout is 400 ms.

Cause: the Core parsed the whole document to learn how many replicas each service may have.

Change: the Core is given ReadServices, which extracts the services and parses nothing else, as NamedServices does.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -59,9 +59,9 @@
 	OrderLifetime time.Duration
 	// Usage says how tenants' usage is counted and reported; the zero value switches this off.
 	Usage usage.Config
-	// ReadConfiguration parses the operator's document, from which the Core reads how many replicas each service
-	// may have; nil means that the Core orders no replicas. It must be pure.
-	ReadConfiguration func(content []byte) (serving.Configuration, error)
+	// ReadServices parses the services of the operator's document, from which the Core reads how many replicas each
+	// may have; nil means that the Core orders no replicas. It must be pure and fast: a leader calls it for each document.
+	ReadServices func(content []byte) ([]serving.Service, error)
 	// NamedServices returns the services that an operator's document names, or none when it cannot parse it;
 	// nil accepts all services. It must be pure and fast: a leader calls it for each document.
 	NamedServices func(content []byte) []string
--- a/internal/control/harness_replicas_test.go
+++ b/internal/control/harness_replicas_test.go
@@ -37,10 +37,10 @@
 func withScaling(config *Config) {
 	withUsage(config)
 	config.PriorPrefillShare = 0
-	config.ReadConfiguration = func([]byte) (serving.Configuration, error) {
-		return serving.Configuration{Services: []serving.Service{{Name: "s", Scaling: &serving.Scaling{
+	config.ReadServices = func([]byte) ([]serving.Service, error) {
+		return []serving.Service{{Name: "s", Scaling: &serving.Scaling{
 			Min: 1, Max: 30, BootTime: replicaBoot, SpotPrice: 0.2, ZonePrices: map[string]float64{"a": 1, "b": 1.1, "c": 1.2},
-		}}}}, nil
+		}}}, nil
 	}
 }
 
--- a/internal/control/replicas.go
+++ b/internal/control/replicas.go
@@ -65,7 +65,7 @@
 // tickReplicas plans the desired numbers of replicas, and orders those that are agreed on. A leader whose list is
 // missing or too old changes nothing.
 func (c *Core) tickReplicas() {
-	if c.config.ReadConfiguration == nil || c.config.OnDemandShare >= 1 && !c.state.HasReplicaTargets() {
+	if c.config.ReadServices == nil || c.config.OnDemandShare >= 1 && !c.state.HasReplicaTargets() {
 		return
 	}
 	if c.listing.version == 0 || c.now-c.listing.readAt > maximumListingAge {
@@ -90,12 +90,12 @@
 		return
 	}
 	c.replicas.number = document.GetNumber()
-	configuration, err := c.config.ReadConfiguration(document.GetContent())
+	services, err := c.config.ReadServices(document.GetContent())
 	if err != nil {
 		return // the document was valid when it was accepted, so a later release wrote it; relays report that
 	}
 	c.replicas.scalings = map[string]replicaplan.Scaling{}
-	for _, service := range configuration.Services {
+	for _, service := range services {
 		if service.Scaling != nil && len(service.Scaling.ZonePrices) > 0 {
 			c.replicas.scalings[service.Name] = c.scalingOf(service)
 		}
--- a/internal/controller/core_config.go
+++ b/internal/controller/core_config.go
@@ -36,7 +36,7 @@
 		result.ListingInterval = site.ListingInterval
 		result.Without = site.Without
 		result.Usage, result.DutyInterval, result.DutyLifetime = site.Usage, site.DutyInterval, site.DutyLifetime
-		result.ReadConfiguration, result.OnDemandShare = site.ReadConfiguration, site.OnDemandShare
+		result.ReadServices, result.OnDemandShare = site.ReadServices, site.OnDemandShare
 		result.NamedServices = site.NamedServices
 		result.PriorPrefillShare, result.OrderWait, result.OrderLifetime = site.PriorPrefillShare, site.OrderWait, site.OrderLifetime
 	}
--- a/internal/controller/site.go
+++ b/internal/controller/site.go
@@ -51,10 +51,9 @@
 	// ReportUsage reports the counts of a window to the platform; nil if usage is not reported. The error
 	// gives the reason if the outcome is not duty.Accepted.
 	ReportUsage func(ctx context.Context, client *http.Client, report UsageReport) (duty.Outcome, error)
-	// ReadConfiguration parses the operator's document and OrderReplicas orders replicas. Both are set if
-	// controllers decide the number of replicas. The error of OrderReplicas gives the reason if the outcome
-	// is not duty.Accepted.
-	ReadConfiguration func(content []byte) (serving.Configuration, error)
+	// ReadServices: see control.Config. OrderReplicas orders replicas. Both are set if controllers decide the number of
+	// replicas. The error of OrderReplicas gives the reason if the outcome is not duty.Accepted.
+	ReadServices func(content []byte) ([]serving.Service, error)
 	// NamedServices and OnDemandShare: see control.Config.
 	NamedServices func(content []byte) []string
 	OnDemandShare float64
--- a/internal/servercommand/site.go
+++ b/internal/servercommand/site.go
@@ -33,8 +33,8 @@
 	ReportUsage func(ctx context.Context, client *http.Client, address string, report controller.UsageReport) (duty.Outcome, error)
 	// OrderReplicas orders replicas from the platform at an address.
 	OrderReplicas func(ctx context.Context, client *http.Client, address string, order controller.ReplicaOrder) (duty.Outcome, error)
-	// ReadConfiguration parses the operator's configuration document.
-	ReadConfiguration func(content []byte) (serving.Configuration, error)
+	// ReadServices returns the services of the operator's document, without parsing the rest.
+	ReadServices func(content []byte) ([]serving.Service, error)
 	// NamedServices returns the services that the operator's document names, without parsing the rest.
 	NamedServices func(content []byte) []string
 	// OperatorHandler serves operators; port is the operator port of every controller.
--- a/internal/servercommand/site_controller.go
+++ b/internal/servercommand/site_controller.go
@@ -67,7 +67,7 @@
 	duties := environment.Site.Duties(loaded.Duties)
 	if duties.Replicas {
 		site.OnDemandShare = loaded.OnDemandShare
-		site.ReadConfiguration = environment.Site.ReadConfiguration
+		site.ReadServices = environment.Site.ReadServices
 		site.OrderReplicas = environment.Site.replicaOrdererAt(loaded.ListingAddress)
 	}
 	if duties.Usage {
