Try a relay that could not be reached again after 0.6 s

What callers saw: after a silence of the network between relays, one without a path to back ends refused requests for up to 3 s more, although another relay that has a path could be reached again.

Cause: a relay that could not be connected to was passed over for 3 s.

Change: it is passed over for 0.6 s; with an attempt to connect of up to 0.3 s that is less than the target of 1 s. Relays that have just served a forwarded request are preferred for 3 s as before, so few requests pay for an attempt. TestPeersThatLackOneServiceServeOthers looks, as before, at the moment when a peer may serve the lacking service again but counts as unreachable; the peer now becomes unreachable just before that moment.

What it costs where many relays are gone was not measured.

--- a/internal/relay/forwarding/forwarding_test.go
+++ b/internal/relay/forwarding/forwarding_test.go
@@ -130,7 +130,7 @@
 	require.False(t, isFound)
 	_, isFound = peers.Pick(1, "other", nil, first)
 	require.True(t, isFound)
-	peers.Done(1, "a", "other", Unreachable)
+	peers.Done(unableTime-1, "a", "other", Unreachable)
 	_, isFound = peers.Pick(unableTime, "gone", nil, first)
 	require.False(t, isFound)
 }
--- a/internal/relay/forwarding/peers.go
+++ b/internal/relay/forwarding/peers.go
@@ -10,8 +10,9 @@
 const (
 	// unableTime is how long a relay that could not serve a forwarded request is passed over for the same service.
 	unableTime = time.Second
-	// unreachableTime is how long a relay is passed over that could not be connected to.
-	unreachableTime = 3 * time.Second
+	// unreachableTime is how long a relay is passed over that could not be connected to. An attempt to connect takes up to
+	// 0.3 s, and both together must end within a second of the end of a silence of the network.
+	unreachableTime = 600 * time.Millisecond
 	// provenTime is how long a relay that has served a forwarded request is preferred to others.
 	provenTime = 3 * time.Second
 )
