--- a/internal/soak/check/histories_test.go
+++ b/internal/soak/check/histories_test.go
@@ -164,6 +164,14 @@
 	}
 }
 
+// cutConnectionBy is cutBy for a client that had a connection.
+func cutConnectionBy(kind history.FaultKind, target string) func(*history.History) {
+	return func(h *history.History) {
+		cutBy(kind, target)(h)
+		h.Sendings[0].Connected = true
+	}
+}
+
 // unanswered returns a history in which a request ends without a response, at a given time after a fault.
 func unanswered(kind history.FaultKind, target string, after time.Duration) func(*history.History) {
 	return func(h *history.History) {
