--- a/internal/standin/silence/network.go
+++ b/internal/standin/silence/network.go
@@ -1,6 +1,7 @@
 package silence
 
 import (
+	"errors"
 	"maps"
 	"net/netip"
 	"os"
@@ -130,16 +131,25 @@
 		if !isKnown || n.isSevered(descriptor) {
 			return nil
 		}
-		if !remote.IsValid() && isListener(descriptor) {
-			senders = n.unreachableFrom(local)
+		if remote.IsValid() || !isListener(descriptor) {
+			return setDropped(descriptor, senders)
 		}
-		if len(senders) > 0 {
-			return attach(descriptor, dropSenders(senders))
+		err := setDropped(descriptor, n.unreachableFrom(local))
+		if len(senders) == 0 && errors.Is(err, unix.EOPNOTSUPP) {
+			return nil // a listener that uses multipath TCP takes no filter; only others ignore its address
 		}
-		return detach(descriptor)
+		return err
 	})
 }
 
+// setDropped makes a socket ignore exactly the senders.
+func setDropped(descriptor int, senders map[netip.Addr]int) error {
+	if len(senders) > 0 {
+		return attach(descriptor, dropSenders(senders))
+	}
+	return detach(descriptor)
+}
+
 // unreachableFrom returns the addresses with which an address can complete no handshake: those that it ignores, and those that
 // ignore it, whose first packet arrives but whose answer would be lost.
 func (n *Network) unreachableFrom(local netip.Addr) map[netip.Addr]int {
