Share the test's listener that swallows a connection

Two tests had a listener of their own that acknowledges what its first connection sends and passes nothing on. It stands in internal/standin/silence now.

--- a/internal/controller/forwarded_calls_test.go
+++ b/internal/controller/forwarded_calls_test.go
@@ -16,6 +16,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
+	"github.com/hazelpitch/hazelpitch/internal/standin/silence"
 )
 
 // forwardedCallTimeout is the deadline of a call in this test; gateways wait about as long.
@@ -36,7 +37,7 @@
 func TestForwardedCallsLeaveAConnectionOnWhichOneTimedOut(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	listener := &swallowingListener{Listener: inner, swallow: 1}
+	listener := &silence.SwallowingListener{Listener: inner}
 	routes := http.NewServeMux()
 	routes.Handle(hazelpitchv1connect.NewNodeServiceHandler(leadingNode{}))
 	server := &http.Server{Handler: routes, Protocols: protocols()}
@@ -68,7 +69,7 @@
 		if err = report(); err == nil {
 			return
 		}
-		t.Logf("after %v: %v; %d connections accepted", time.Since(origin).Round(time.Millisecond), err, listener.accepted.Load())
+		t.Logf("after %v: %v; %d connections accepted", time.Since(origin).Round(time.Millisecond), err, listener.Accepted())
 	}
 	require.NoError(t, err)
 }
--- a/internal/controller/swallowed_connection_test.go
+++ b/internal/controller/swallowed_connection_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -15,33 +14,15 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
+	"github.com/hazelpitch/hazelpitch/internal/standin/silence"
 )
 
-// swallowingListener swallows everything on its first connections, as a proxy does that acknowledges data and passes nothing
-// on; it passes the later ones to the server.
-type swallowingListener struct {
-	net.Listener
-	swallow  int64
-	accepted atomic.Int64
-}
-
-// Accept implements net.Listener.
-func (l *swallowingListener) Accept() (net.Conn, error) {
-	for {
-		connection, err := l.Listener.Accept()
-		if err != nil || l.accepted.Add(1) > l.swallow {
-			return connection, err
-		}
-		go func() { _, _ = io.Copy(io.Discard, connection); _ = connection.Close() }()
-	}
-}
-
 // Guards against a connection between controllers that is acknowledged and carries nothing, and that every later call to the
 // peer uses again.
 func TestSenderDropsAConnectionOnWhichACallTimedOut(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	listener := &swallowingListener{Listener: inner, swallow: 1}
+	listener := &silence.SwallowingListener{Listener: inner}
 	routes := http.NewServeMux()
 	peer := &countingPeer{}
 	routes.Handle(hazelpitchv1connect.NewConsensusServiceHandler(peer))
@@ -63,7 +44,7 @@
 		sender.enqueue(&v1.ConsensusMessage{})
 		return peer.delivered.Load() > 0
 	}, time.Minute, 100*time.Millisecond)
-	require.EqualValues(t, 2, listener.accepted.Load(), "the second connection is used")
+	require.EqualValues(t, 2, listener.Accepted(), "the second connection is used")
 }
 
 // countingPeer counts the calls that reach it.
--- a/internal/leaderwatch/swallowed_connection_test.go
+++ b/internal/leaderwatch/swallowed_connection_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,26 +13,9 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
+	"github.com/hazelpitch/hazelpitch/internal/standin/silence"
 )
 
-// swallowingListener swallows everything on its first connection, as a proxy does that acknowledges data and passes nothing
-// on; it passes the later ones to the server.
-type swallowingListener struct {
-	net.Listener
-	accepted atomic.Int64
-}
-
-// Accept implements net.Listener.
-func (l *swallowingListener) Accept() (net.Conn, error) {
-	for {
-		connection, err := l.Listener.Accept()
-		if err != nil || l.accepted.Add(1) > 1 {
-			return connection, err
-		}
-		go func() { _, _ = io.Copy(io.Discard, connection); _ = connection.Close() }()
-	}
-}
-
 // Guards against a node without updates because its connection to the leader is acknowledged and carries nothing, while other
 // calls to the leader are under way on it all the time: closing idle connections does not close it.
 func TestWatcherLeavesAConnectionThatCarriesNothingBesideOtherCalls(t *testing.T) {
@@ -45,7 +26,7 @@
 			t.Parallel()
 			inner, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
-			listener := &swallowingListener{Listener: inner}
+			listener := &silence.SwallowingListener{Listener: inner}
 			routes := http.NewServeMux()
 			routes.Handle(hazelpitchv1connect.NewNodeServiceHandler(&fakeController{answer: func() *v1.WatchResponse { return &v1.WatchResponse{} }}))
 			server := &http.Server{Handler: routes, Protocols: new(http.Protocols)}
@@ -78,7 +59,7 @@
 				t.Logf("an update after %v", time.Since(began))
 				require.Less(t, time.Since(began), maximumGap)
 			case <-time.After(30 * time.Second):
-				t.Fatalf("no update within 30 s; %d connections accepted", listener.accepted.Load())
+				t.Fatalf("no update within 30 s; %d connections accepted", listener.Accepted())
 			}
 		})
 	}
