Let a cut's filters alone touch the sockets that they were set on

Cause: since listeners of senders are filtered for cuts in one direction, a network counted all sockets of 127.0.0.1 as its own in a test of relays that runs beside it, and removed the filters that this test had set.

Change: a network removes only the filters that it has set, and a cut in one direction alone makes the other side's listeners refuse.

--- a/internal/standin/silence/cut.go
+++ b/internal/standin/silence/cut.go
@@ -43,16 +43,16 @@
 // begin it.
 func (n *Network) BeginCut(cut Cut) (end func() error, err error) {
 	var unblocks []func() error
-	block := func(receivers, senders []netip.Addr) error {
-		unblock, err := n.Block(receivers, senders)
-		unblocks = append(unblocks, unblock)
+	apply := func(begin func(receivers, senders []netip.Addr) (func() error, error), receivers, senders []netip.Addr) error {
+		end, err := begin(receivers, senders)
+		unblocks = append(unblocks, end)
 		return err
 	}
 	switch cut.Mode {
 	case CutSilent, CutReset:
-		err = trace.NewAggregate(block(cut.Group, cut.Others), block(cut.Others, cut.Group))
+		err = trace.NewAggregate(apply(n.Block, cut.Group, cut.Others), apply(n.Block, cut.Others, cut.Group))
 	case CutOneWay:
-		err = block(cut.Group, cut.Others)
+		err = trace.NewAggregate(apply(n.Block, cut.Group, cut.Others), apply(n.Refuse, cut.Others, cut.Group))
 	case CutSevered:
 		err = n.Sever(cut.Group, cut.Others)
 	case CutResets:
--- a/internal/standin/silence/network.go
+++ b/internal/standin/silence/network.go
@@ -1,7 +1,6 @@
 package silence
 
 import (
-	"errors"
 	"maps"
 	"net/netip"
 	"os"
@@ -22,29 +21,45 @@
 // goroutine closes may stay open for a moment longer, so that the port of a listener stays in use.
 type Network struct {
 	mutex sync.Mutex
-	// blocked holds, by receiver and sender, the number of blocks under way.
-	blocked map[netip.Addr]map[netip.Addr]int
+	// blocked holds whom each address ignores, refused from whom its listeners accept no connection.
+	blocked, refused pairs
+	// filtered holds the cookies of the sockets with a filter of a block.
+	filtered map[uint64]bool
 	// severed holds the cookies of the sockets that ignore everything for good.
 	severed map[uint64]bool
 }
 
 // Block makes the receivers ignore the senders until the returned function is called. An address ignores nothing that it
-// sends to itself. No connection can be opened between the two meanwhile, from either side, as no handshake can complete.
+// sends to itself.
 func (n *Network) Block(receivers, senders []netip.Addr) (unblock func() error, err error) {
+	return n.begin(func(change int) { n.blocked.count(receivers, senders, change) })
+}
+
+// Refuse makes the listeners of a group of addresses ignore the others' attempts to connect until the returned function is
+// called. Where packets pass in one direction only, no handshake can complete.
+func (n *Network) Refuse(listeners, others []netip.Addr) (accept func() error, err error) {
+	return n.begin(func(change int) { n.refused.count(listeners, others, change) })
+}
+
+// begin applies a change of the counts until the returned function is called.
+func (n *Network) begin(count func(change int)) (end func() error, err error) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.count(receivers, senders, 1)
+	if n.blocked == nil {
+		n.blocked, n.refused, n.filtered = make(pairs), make(pairs), make(map[uint64]bool)
+	}
+	count(1)
 	var once sync.Once
-	unblock = func() (err error) {
+	end = func() (err error) {
 		once.Do(func() {
 			n.mutex.Lock()
 			defer n.mutex.Unlock()
-			n.count(receivers, senders, -1)
+			count(-1)
 			err = n.apply()
 		})
 		return err
 	}
-	return unblock, n.apply()
+	return end, n.apply()
 }
 
 // Refresh makes the sockets that were opened since the last call follow the blocks under way. A listener needs no refresh:
@@ -76,12 +91,6 @@
 	})
 }
 
-// isSevered reports whether a socket ignores everything for good.
-func (n *Network) isSevered(descriptor int) bool {
-	cookie, err := unix.GetsockoptUint64(descriptor, unix.SOL_SOCKET, unix.SO_COOKIE)
-	return err == nil && n.severed[cookie]
-}
-
 // Reset ends all connections of this process between the two groups of addresses by a reset to both ends.
 func (n *Network) Reset(group, others []netip.Addr) error {
 	return eachSocket(func(descriptor int, local, remote netip.Addr) error {
@@ -104,64 +113,55 @@
 		slices.Contains(others, local) && slices.Contains(group, remote))
 }
 
+// pairs holds the number of blocks under way by receiver and sender.
+type pairs map[netip.Addr]map[netip.Addr]int
+
 // count adds to the number of blocks of each pair.
-func (n *Network) count(receivers, senders []netip.Addr, change int) {
-	if n.blocked == nil {
-		n.blocked = make(map[netip.Addr]map[netip.Addr]int)
-	}
-	for _, address := range slices.Concat(receivers, senders) {
-		if n.blocked[address] == nil {
-			n.blocked[address] = make(map[netip.Addr]int)
-		}
-	}
+func (p pairs) count(receivers, senders []netip.Addr, change int) {
 	for _, receiver := range receivers {
+		if p[receiver] == nil {
+			p[receiver] = make(map[netip.Addr]int)
+		}
 		for _, sender := range senders {
-			n.blocked[receiver][sender] += change
-			if receiver == sender || n.blocked[receiver][sender] == 0 {
-				delete(n.blocked[receiver], sender)
+			p[receiver][sender] += change
+			if receiver == sender || p[receiver][sender] == 0 {
+				delete(p[receiver], sender)
 			}
 		}
 	}
 }
 
-// apply sets the filter of each socket of an address that has been blocked from others, or others from it.
+// apply sets the filter of each socket of an address that is blocked from others, and removes those that it has set before.
+// Other filters stay.
 func (n *Network) apply() error {
 	return eachSocket(func(descriptor int, local, remote netip.Addr) error {
-		senders, isKnown := n.blocked[local]
-		if !isKnown || n.isSevered(descriptor) {
-			return nil
+		dropped := n.blocked[local]
+		if !remote.IsValid() && isListener(descriptor) {
+			dropped = maps.Clone(dropped)
+			if dropped == nil {
+				dropped = make(map[netip.Addr]int)
+			}
+			maps.Copy(dropped, n.refused[local])
 		}
-		if remote.IsValid() || !isListener(descriptor) {
-			return setDropped(descriptor, senders)
+		cookie, err := unix.GetsockoptUint64(descriptor, unix.SOL_SOCKET, unix.SO_COOKIE)
+		if err != nil {
+			return trace.Wrap(err)
 		}
-		err := setDropped(descriptor, n.unreachableFrom(local))
-		if len(senders) == 0 && errors.Is(err, unix.EOPNOTSUPP) {
-			return nil // a listener that uses multipath TCP takes no filter; only others ignore its address
+		switch {
+		case n.severed[cookie]:
+			return nil
+		case len(dropped) > 0:
+			n.filtered[cookie] = true
+			return attach(descriptor, dropSenders(dropped))
+		case n.filtered[cookie]:
+			delete(n.filtered, cookie)
+			return detach(descriptor)
+		default:
+			return nil
 		}
-		return err
 	})
 }
 
-// setDropped makes a socket ignore exactly the senders.
-func setDropped(descriptor int, senders map[netip.Addr]int) error {
-	if len(senders) > 0 {
-		return attach(descriptor, dropSenders(senders))
-	}
-	return detach(descriptor)
-}
-
-// unreachableFrom returns the addresses with which an address can complete no handshake: those that it ignores, and those that
-// ignore it, whose first packet arrives but whose answer would be lost.
-func (n *Network) unreachableFrom(local netip.Addr) map[netip.Addr]int {
-	unreachable := maps.Clone(n.blocked[local])
-	for receiver, senders := range n.blocked {
-		if count := senders[local]; count > 0 {
-			unreachable[receiver] = count
-		}
-	}
-	return unreachable
-}
-
 // isListener reports whether a socket accepts connections.
 func isListener(descriptor int) bool {
 	accepts, err := unix.GetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_ACCEPTCONN)
