Leave listeners with multipath TCP out of a cut

Change: such a listener goes on accepting, as the page of the type says; connections that refuse a filter are still an error. The product's listeners have no multipath TCP (dialing.Listen).

--- a/internal/standin/silence/network.go
+++ b/internal/standin/silence/network.go
@@ -1,6 +1,7 @@
 package silence
 
 import (
+	"errors"
 	"maps"
 	"net/netip"
 	"os"
@@ -15,7 +16,8 @@
 
 // Network makes the TCP sockets of this process ignore what certain addresses send to certain others, as a network does that
 // drops packets: nothing is acknowledged, and neither end is told. It acts on the sockets themselves, so that programs keep
-// their own dialers and listeners. All sockets must be IPv4, bound to one of the addresses, and not multipath TCP.
+// their own dialers and listeners. All sockets must be IPv4 and bound to one of the addresses. Multipath TCP takes no filters: listeners with it
+// go on accepting.
 //
 // It is safe for concurrent use. There may be only one Network in a process. While a method runs, a socket that another
 // goroutine closes may stay open for a moment longer, so that the port of a listener stays in use.
@@ -134,9 +136,9 @@
 // apply sets the filter of each socket of an address that is blocked from others, and removes those that it has set before.
 // Other filters stay.
 func (n *Network) apply() error {
-	return eachSocket(func(descriptor int, local, remote netip.Addr) error {
-		dropped := n.blocked[local]
-		if !remote.IsValid() && isListener(descriptor) {
+	return eachSocket(func(descriptor int, local, _ netip.Addr) error {
+		dropped, accepts := n.blocked[local], isListener(descriptor)
+		if accepts {
 			dropped = maps.Clone(dropped)
 			if dropped == nil {
 				dropped = make(map[netip.Addr]int)
@@ -147,21 +149,27 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		switch {
-		case n.severed[cookie]:
-			return nil
-		case len(dropped) > 0:
-			n.filtered[cookie] = true
-			return attach(descriptor, dropSenders(dropped))
-		case n.filtered[cookie]:
-			delete(n.filtered, cookie)
-			return detach(descriptor)
-		default:
+		if len(dropped) == 0 && !n.filtered[cookie] || n.severed[cookie] {
 			return nil
 		}
+		err = n.setDropped(descriptor, cookie, dropped)
+		if accepts && errors.Is(err, unix.EOPNOTSUPP) {
+			return nil // a listener with multipath TCP, of another part of the process at a shared address
+		}
+		return err
 	})
 }
 
+// setDropped makes a socket ignore the senders, or nobody if there are none.
+func (n *Network) setDropped(descriptor int, cookie uint64, senders map[netip.Addr]int) error {
+	if len(senders) == 0 {
+		delete(n.filtered, cookie)
+		return detach(descriptor)
+	}
+	n.filtered[cookie] = true
+	return attach(descriptor, dropSenders(senders))
+}
+
 // isListener reports whether a socket accepts connections.
 func isListener(descriptor int) bool {
 	accepts, err := unix.GetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_ACCEPTCONN)
