Name both versions, the evidence and its age where a stream goes on

Cause: stream_goes_on compared two versions without naming either, and did not say how the relay knew the first one. Change: began_software, next_software, evidence and evidence_age_ms in the log line, evidence as a label of streams_continued_total; a lookup tells only_version (by this relay's list) from unopposed_version (nobody who answered objected). The age of another relay's record travels in its answer; format 5 has the field, which former relays ignore. Result: go test ./internal/relay ./internal/relay/origins -run 'TestMetricsShow|TestRecord|TestARelay|TestRelaysThat' passes; two expectations of origins_test.go name the new outcome, which both had as only_version.

--- a/internal/formats/number.go
+++ b/internal/formats/number.go
@@ -12,8 +12,10 @@
 	Third Number = 2
 	// Fourth added the versions of the back ends' software.
 	Fourth Number = 3
+	// Fifth added the evidence of the software version that began a stream.
+	Fifth Number = 4
 	// Newest is the highest format that this build supports.
-	Newest = Fourth
+	Newest = Fifth
 	// NewestStored is the newest format that added entries of the replicated log or state that they build. Controllers
 	// agree on no later one: a former build halts on an agreement that it does not know, even if nothing of that format
 	// is stored.
--- a/internal/relay/origins/config.go
+++ b/internal/relay/origins/config.go
@@ -31,8 +31,9 @@
 	Timeout func() time.Duration
 	// LifetimeOf returns how long a stream of a service can last.
 	LifetimeOf func(service string) time.Duration
-	// IsListCurrent reports whether this relay's list of back ends is current.
+	// IsListCurrent reports whether this relay's list of back ends is current. ListAge returns how long ago that was confirmed.
 	IsListCurrent func() bool
+	ListAge       func() time.Duration
 	Metrics       Metrics
 }
 
@@ -48,8 +49,10 @@
 
 // Outcomes.
 const (
-	// OnlyVersion: one version alone can have begun the stream, by this relay's list or by another relay's.
-	OnlyVersion Outcome = "only_version"
+	// OnlyVersion: one version alone can have begun the stream, by this relay's list. UnopposedVersion: one version alone is listed
+	// here, though not for as long as a stream can last, and no relay that answered knows of another one.
+	OnlyVersion      Outcome = "only_version"
+	UnopposedVersion Outcome = "unopposed_version"
 	// OwnRecord: this relay holds the record. OtherRecord: another relay does.
 	OwnRecord   Outcome = "own_record"
 	OtherRecord Outcome = "other_record"
--- a/internal/relay/origins/lookup.go
+++ b/internal/relay/origins/lookup.go
@@ -7,31 +7,38 @@
 	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
+// Found is where a stream began, by what evidence this is known, and how old that evidence is.
+type Found struct {
+	Record  streamorigin.Record
+	Outcome Outcome
+	Age     time.Duration
+}
+
 // Find returns where the stream with the given name began. service is the service that the stream would go on at if its record
 // names none: where one version alone can have begun a stream of the service, it is that version, and the record's service is 0.
 // Find asks other relays only if this one does not know, and blocks until they have answered, or until stop is closed.
-func (o *Origins) Find(name streamorigin.Name, service string, stop <-chan struct{}) (streamorigin.Record, Outcome) {
-	record, outcome := o.find(name, service, stop)
-	if record.Version == streamorigin.Unknown { // it began at a back end that had just started
-		outcome = NotFound
+func (o *Origins) Find(name streamorigin.Name, service string, stop <-chan struct{}) Found {
+	found := o.find(name, service, stop)
+	if found.Record.Version == streamorigin.Unknown { // it began at a back end that had just started
+		found.Outcome = NotFound
 	}
-	o.config.Metrics.Lookups.WithLabelValues(string(outcome)).Inc()
-	return record, outcome
+	o.config.Metrics.Lookups.WithLabelValues(string(found.Outcome)).Inc()
+	return found
 }
 
-func (o *Origins) find(name streamorigin.Name, service string, stop <-chan struct{}) (streamorigin.Record, Outcome) {
+func (o *Origins) find(name streamorigin.Name, service string, stop <-chan struct{}) Found {
 	if only, isKnown := o.Only(service); isKnown {
-		return streamorigin.Record{Version: only}, OnlyVersion
+		return Found{Record: streamorigin.Record{Version: only}, Outcome: OnlyVersion, Age: o.config.ListAge()}
 	}
-	if record, isFound := o.held(name); isFound {
-		return record, OwnRecord
+	if record, age, isFound := o.held(name); isFound {
+		return Found{Record: record, Outcome: OwnRecord, Age: age}
 	}
 	return o.askOwners(name, service, stop)
 }
 
 // askOwners asks the relays that keep the stream's origin, all at once. Without a record, the version is known if one version alone
 // serves and no relay knows of another: this relay, and others, may have started too recently to be sure by themselves.
-func (o *Origins) askOwners(name streamorigin.Name, service string, stop <-chan struct{}) (streamorigin.Record, Outcome) {
+func (o *Origins) askOwners(name streamorigin.Name, service string, stop <-chan struct{}) Found {
 	owners := o.ownersOf(name)
 	answers := make(chan *v1.StreamOriginAnswer, len(owners))
 	for _, owner := range owners {
@@ -41,15 +48,15 @@
 	for range owners {
 		answer := <-answers
 		if _, record, _, isValid := originFromWire(answer.GetOrigin()); isValid {
-			return record, OtherRecord
+			return Found{Record: record, Outcome: OtherRecord, Age: time.Duration(answer.GetOriginAgeMs()) * time.Millisecond}
 		}
 		differs := answer.GetOnlySoftware() != 0 && streamorigin.Version(answer.GetOnlySoftware()) != only
 		isKnown = isKnown && !answer.GetMixed() && !differs
 	}
 	if !isKnown {
-		return streamorigin.Record{}, NotFound
+		return Found{Outcome: NotFound}
 	}
-	return streamorigin.Record{Version: only}, OnlyVersion
+	return Found{Record: streamorigin.Record{Version: only}, Outcome: UnopposedVersion, Age: o.config.ListAge()}
 }
 
 // ask asks one relay; it returns nil if no answer arrives in time, or if stop is closed.
@@ -78,8 +85,8 @@
 func (o *Origins) HandleQuery(query *v1.StreamOriginQuery, from string) {
 	answer := &v1.StreamOriginAnswer{Relay: query.GetRelay(), Number: query.GetNumber()}
 	name := streamorigin.Name{High: query.GetNameHigh(), Low: query.GetNameLow()}
-	if record, isFound := o.held(name); isFound {
-		answer.Origin = originToWire(name, record, 0)
+	if record, age, isFound := o.held(name); isFound {
+		answer.Origin, answer.OriginAgeMs = originToWire(name, record, 0), uint32(age.Milliseconds())
 	} else if only, isKnown := o.Only(query.GetService()); isKnown {
 		answer.OnlySoftware = uint64(only)
 	} else {
--- a/internal/relay/origins/origins.go
+++ b/internal/relay/origins/origins.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/cell"
@@ -111,11 +112,13 @@
 	delete(o.active, stream)
 }
 
-// held returns the record of a stream that this relay holds; false for none.
-func (o *Origins) held(name streamorigin.Name) (streamorigin.Record, bool) {
+// held returns the record of a stream that this relay holds, and its age; false for none.
+func (o *Origins) held(name streamorigin.Name) (streamorigin.Record, time.Duration, bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	return o.table.Get(o.config.Now(), name)
+	now := o.config.Now()
+	record, isFound := o.table.Get(now, name)
+	return record, o.table.Age(now, name), isFound
 }
 
 // HeldCount returns the number of records that this relay holds.
--- a/internal/relay/origins/origins_test.go
+++ b/internal/relay/origins/origins_test.go
@@ -43,7 +43,7 @@
 	relay.Origins = New(Config{
 		Socket: datagrams, Incarnation: incarnation, Now: func() time.Duration { return time.Since(start) + time.Duration(relay.clock.Load()) },
 		Timeout: func() time.Duration { return 100 * time.Millisecond }, LifetimeOf: func(string) time.Duration { return testLifetime },
-		IsListCurrent: func() bool { return true },
+		IsListCurrent: func() bool { return true }, ListAge: func() time.Duration { return 0 },
 		Metrics: Metrics{
 			Reports: prometheus.NewCounter(prometheus.CounterOpts{Name: "reports"}), Lookups: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lookups"}, []string{"outcome"}),
 		},
@@ -96,6 +96,12 @@
 	r.ApplyListing(map[string]map[streamorigin.Version]bool{testService: versions})
 }
 
+// search returns what Find finds, without its age.
+func (r *testRelay) search(name streamorigin.Name, service string, stop <-chan struct{}) (streamorigin.Record, Outcome) {
+	found := r.Find(name, service, stop)
+	return found.Record, found.Outcome
+}
+
 func recordOf(version string) streamorigin.Record {
 	return streamorigin.Record{Service: 7, Version: streamorigin.VersionOf(version), Sequence: 1}
 }
@@ -122,7 +128,7 @@
 			relay.close()
 			continue
 		}
-		record, outcome := relay.Find(name, testService, nil)
+		record, outcome := relay.search(name, testService, nil)
 		require.Equal(t, recordOf("v1"), record)
 		require.Contains(t, []Outcome{OwnRecord, OtherRecord}, outcome)
 	}
@@ -152,7 +158,7 @@
 	require.False(t, recording.Await(time.Millisecond, nil))
 	require.Eventually(t, func() bool { return relays[0].pendingCount() == 0 }, time.Minute, time.Millisecond)
 	require.InDelta(t, maxSends, testutil.ToFloat64(relays[0].config.Metrics.Reports), 0)
-	_, outcome := relays[0].Find(streamorigin.NameOf("", "host", "id-2"), testService, nil)
+	_, outcome := relays[0].search(streamorigin.NameOf("", "host", "id-2"), testService, nil)
 	require.Equal(t, NotFound, outcome)
 }
 
@@ -163,7 +169,7 @@
 		relay.list("v1")
 		relay.clock.Add(int64(testLifetime))
 	}
-	record, outcome := relays[0].Find(streamorigin.NameOf("", "host", "id-1"), testService, nil)
+	record, outcome := relays[0].search(streamorigin.NameOf("", "host", "id-1"), testService, nil)
 	require.Equal(t, OnlyVersion, outcome)
 	require.Equal(t, streamorigin.VersionOf("v1"), record.Version)
 	for _, relay := range relays {
@@ -180,13 +186,13 @@
 			relay.clock.Add(int64(testLifetime))
 		}
 	}
-	record, outcome := relays[0].Find(streamorigin.Name{}, testService, nil)
-	require.Equal(t, OnlyVersion, outcome)
+	record, outcome := relays[0].search(streamorigin.Name{}, testService, nil)
+	require.Equal(t, UnopposedVersion, outcome)
 	require.Equal(t, streamorigin.VersionOf("v1"), record.Version)
 	for _, relay := range relays {
 		relay.list("v1", "v2")
 	}
-	_, outcome = relays[0].Find(streamorigin.Name{}, testService, nil)
+	_, outcome = relays[0].search(streamorigin.Name{}, testService, nil)
 	require.Equal(t, NotFound, outcome)
 }
 
@@ -196,11 +202,11 @@
 	for _, relay := range relays {
 		relay.list("v1")
 	}
-	record, outcome := relays[0].Find(streamorigin.NameOf("", "host", "id-1"), testService, nil)
-	require.Equal(t, OnlyVersion, outcome)
+	record, outcome := relays[0].search(streamorigin.NameOf("", "host", "id-1"), testService, nil)
+	require.Equal(t, UnopposedVersion, outcome)
 	require.Equal(t, streamorigin.VersionOf("v1"), record.Version)
 	relays[1].list("v1", "v2")
-	_, outcome = relays[0].Find(streamorigin.NameOf("", "host", "id-1"), testService, nil)
+	_, outcome = relays[0].search(streamorigin.NameOf("", "host", "id-1"), testService, nil)
 	require.Equal(t, NotFound, outcome, "another relay knows of a second version")
 }
 
@@ -222,9 +228,9 @@
 		relay.list("v1", "v2")
 	}
 	require.Eventually(t, func() bool { return relays[1].HeldCount() == 1 && relays[2].HeldCount() == 1 }, time.Minute, time.Millisecond)
-	record, _ := relays[1].Find(under.Name(), testService, nil)
+	record, _ := relays[1].search(under.Name(), testService, nil)
 	require.Equal(t, recordOf("v1"), record)
-	_, outcome := relays[1].Find(ended.Name(), testService, nil)
+	_, outcome := relays[1].search(ended.Name(), testService, nil)
 	require.Equal(t, NotFound, outcome)
 }
 
@@ -234,7 +240,7 @@
 	relays[1].close()
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, outcome := relays[0].Find(streamorigin.NameOf("", "host", "id-1"), testService, ctx.Done())
+	_, outcome := relays[0].search(streamorigin.NameOf("", "host", "id-1"), testService, ctx.Done())
 	require.Equal(t, NotFound, outcome)
 }
 
--- a/internal/relay/relay_metrics.go
+++ b/internal/relay/relay_metrics.go
@@ -84,7 +84,7 @@
 	// events that were sent before another relay had confirmed a report.
 	originReports, unconfirmedOrigins prometheus.Counter
 	originLookups                     *prometheus.CounterVec
-	// continuations counts streams that went on at a back end, by cause and by whether its software version began them.
+	// continuations counts streams that went on at a back end, by cause, by whether its software version began them, and by the evidence of that.
 	continuations *prometheus.CounterVec
 	// placementQueries counts placement decisions by who made them; spills counts requests offered to a further cell.
 	placementQueries *prometheus.CounterVec
@@ -126,7 +126,7 @@
 		originReports:      factory.Counter("stream_origin_reports_total", "Reports to other relays of the software versions that began streams, repetitions included."),
 		unconfirmedOrigins: factory.Counter("stream_origins_unconfirmed_total", "First events that were sent although no other relay had confirmed where the stream began."),
 		originLookups:      factory.CounterVec("stream_origin_lookups_total", "Searches for the software version that began a stream which a client takes up, by outcome.", "outcome"),
-		continuations:      factory.CounterVec("streams_continued_total", "Streams of which the client had events and that went on at a back end, by cause and software version.", "cause", "software"),
+		continuations:      factory.CounterVec("streams_continued_total", "Streams of which the client had events and that went on at a back end, by cause, software version and evidence of the version that began them.", "cause", "software", "evidence"),
 		placementQueries:   factory.CounterVec("placement_questions_total", "Decisions on engines, by who made them.", "outcome"),
 		slots:              slots.NewMetrics(factory, func() *slots.Slots { return relay.slots }),
 		spills:             factory.Counter("placement_spills_total", "Offers of requests to a further cell of engines."),
--- a/internal/relay/relay_metrics_test.go
+++ b/internal/relay/relay_metrics_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
@@ -96,9 +97,12 @@
 	second := startBackEnd(t, "second", serving.StageWhole, streaming("second", eventTwo))
 	first.entry.Software, second.entry.Software = "v1", "v1"
 	relay := newTestRelay(t, route(stream(true)), first, second).preferring("first")
+	lines := &logLines{}
+	relay.log = requestLog{logger: zerolog.New(lines)}
 	require.True(t, relay.client(t).do("GET", "/path/", "").isComplete)
-	require.Contains(t, relay.scrape(t), `hazelpitch_relay_streams_continued_total{cause="break",`+metricLabels[:12]+`,role="relay",software="same",zone="zone"} 1`)
+	require.Contains(t, lines.String(), `"began_software":"v1","next_software":"v1","evidence":"own_run","evidence_age_ms":`)
+	require.Contains(t, relay.scrape(t), `hazelpitch_relay_streams_continued_total{cause="break",evidence="own_run",`+metricLabels[:12]+`,role="relay",software="same",zone="zone"} 1`)
 	relay = newTestRelay(t, route(stream(true)), second)
 	require.True(t, relay.client(t).do("GET", "/path/", "", "T-Last: 1").isComplete)
-	require.Contains(t, relay.scrape(t), `hazelpitch_relay_streams_continued_total{cause="client",`+metricLabels[:12]+`,role="relay",software="same",zone="zone"} 1`)
+	require.Contains(t, relay.scrape(t), `hazelpitch_relay_streams_continued_total{cause="client",evidence="only_version",`+metricLabels[:12]+`,role="relay",software="same",zone="zone"} 1`)
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -59,6 +59,8 @@
 
 	// boundTo is the software version that began the stream that the client takes up; None for a new request.
 	boundTo streamorigin.Version
+	// boundBy is the evidence for it.
+	boundBy originEvidence
 
 	canceller canceller
 	trace     requestTrace
--- a/internal/relay/stream_continuation.go
+++ b/internal/relay/stream_continuation.go
@@ -55,10 +55,13 @@
 	if s.beganAt != nil {
 		from = s.beganAt.ID
 	}
-	match := compareVersions(s.attempts.binding(), selection.backEnd.version)
-	s.relay.metrics.continuations.WithLabelValues(string(cause), string(match)).Inc()
+	began, next := s.attempts.binding(), selection.backEnd
+	match, evidence := compareVersions(began, next.version), s.originEvidence()
+	s.relay.metrics.continuations.WithLabelValues(string(cause), string(match), evidence.source).Inc()
 	s.relay.log.line(zerolog.InfoLevel, events.StreamContinued, s.request).Str("cause", string(cause)).Str("from", from).
-		Str("back_end", selection.backEnd.ID).Str("software", string(match)).Send()
+		Str("back_end", next.ID).Str("software", string(match)).
+		Str("began_software", s.relay.softwareName(s.request.service.Name, began)).Str("next_software", next.Software).
+		Str("evidence", evidence.source).Int64("evidence_age_ms", (s.relay.clock.now() - evidence.madeAt).Milliseconds()).Send()
 }
 
 func (s *streamReply) continuationCause(selection *backEndSelection) continuationCause {
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -34,7 +34,9 @@
 	reservedRun *backEndSelection
 	// beganAt is the back end whose run produced the first event that this relay has sent to the client; nil before.
 	beganAt *backEnd
-	origin  streamOrigin
+	// beganAtTime is when that event arrived.
+	beganAtTime time.Duration
+	origin      streamOrigin
 	// hasEvents is true if the current run has produced events.
 	hasEvents bool
 	// mover can migrate the current run to another engine; nil when that is impossible. migrated is where a migrated run
@@ -249,7 +251,7 @@
 	s.request.trace.recordEvents(s.relay.clock.now())
 	s.recordFirstEvent(answer)
 	if s.beganAt == nil {
-		s.beganAt = answer.message.backEnd
+		s.beganAt, s.beganAtTime = answer.message.backEnd, s.relay.clock.now()
 		s.awaitRecorded()
 	}
 	if s.reply.started {
--- a/internal/relay/taken_up.go
+++ b/internal/relay/taken_up.go
@@ -25,7 +25,7 @@
 func (r *Relay) newOrigins(now func() time.Duration) *origins.Origins {
 	return origins.New(origins.Config{
 		Socket: r.datagrams, Incarnation: r.fleet.incarnation, Now: now, Timeout: r.peers.Timeout,
-		LifetimeOf: r.streamLifetime, IsListCurrent: r.isListCurrent,
+		LifetimeOf: r.streamLifetime, IsListCurrent: r.isListCurrent, ListAge: r.listAge,
 		Metrics: origins.Metrics{Reports: r.metrics.originReports, Lookups: r.metrics.originLookups},
 	})
 }
@@ -36,6 +36,11 @@
 	return r.isLeaderInContact() || view.isListed && view.listingVersion == 0 && r.clock.now()-view.listedAt <= ownListLifetime
 }
 
+// listAge returns how long ago the list of back ends was confirmed by a leader, or read by this relay.
+func (r *Relay) listAge() time.Duration {
+	return r.clock.now() - max(r.lastContact(), r.view.Load().listedAt)
+}
+
 // serviceHash identifies a service in records.
 func serviceHash(name string) uint64 { return xxhash.Sum64String(name) }
 
@@ -52,11 +57,11 @@
 	if request.forwarded != nil || !r.isTakenUp(request) {
 		return nil
 	}
-	record, outcome := r.origins.Find(r.resumedName(request), request.service.Name, request.canceller.done())
-	if outcome == origins.NotFound || !r.applyRecordedService(request, record.Service) {
+	found := r.origins.Find(r.resumedName(request), request.service.Name, request.canceller.done())
+	if found.Outcome == origins.NotFound || !r.applyRecordedService(request, found.Record.Service) {
 		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonUnknownOrigin}
 	}
-	request.boundTo = record.Version
+	request.boundTo, request.boundBy = found.Record.Version, evidenceOf(found, r.clock.now())
 	return nil
 }
 
--- a/internal/streamorigin/table.go
+++ b/internal/streamorigin/table.go
@@ -18,9 +18,9 @@
 
 // entry is one record of a table.
 type entry struct {
-	name      Name
-	record    Record
-	expiresAt time.Duration
+	name             Name
+	record           Record
+	putAt, expiresAt time.Duration
 }
 
 // NewTable returns an empty table for at most capacity records.
@@ -41,7 +41,7 @@
 		t.remove(t.byAge.Front())
 	}
 	lifetime = min(max(lifetime, 0), MaxLifetime)
-	t.byName[name] = t.byAge.PushBack(&entry{name: name, record: record, expiresAt: now + lifetime})
+	t.byName[name] = t.byAge.PushBack(&entry{name: name, record: record, putAt: now, expiresAt: now + lifetime})
 }
 
 // Get returns the record of a name; false if there is none, or none any more.
@@ -54,6 +54,15 @@
 	return found.record, now < found.expiresAt
 }
 
+// Age returns how long ago the record of a name was put; 0 for none.
+func (t *Table) Age(now time.Duration, name Name) time.Duration {
+	element := t.byName[name]
+	if element == nil {
+		return 0
+	}
+	return now - element.Value.(*entry).putAt
+}
+
 // Len returns the number of stored records, with expired ones that were not removed yet.
 func (t *Table) Len() int { return t.byAge.Len() }
 
