--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -38,7 +38,8 @@
 // once as the quorum tolerates, except when all controllers are killed together.
 type faults struct {
 	site *site
-	// loadBalancer assigns the clients' connections.
+	// traffic has the clients. loadBalancer assigns their connections.
+	traffic      *traffic
 	loadBalancer *loadBalancer
 	random       *rand.Rand
 	running      sync.WaitGroup
@@ -51,6 +52,8 @@
 	// keepsDisks is true while no disk may be replaced, since controllers may not reach each other to catch up with the log.
 	keepsDisks bool
 	kinds      map[history.FaultKind]int
+	// releaseCutCount counts the cuts in releases.
+	releaseCutCount int
 	// onOtherBuild holds, by process name, whether the process runs the build of Options.OtherProgram.
 	onOtherBuild map[string]bool
 	// signals is the random source of the series of signals; signalsMutex guards it.
@@ -74,6 +77,16 @@
 
 // run injects faults until the context ends, and returns when all of them are over.
 func (f *faults) run(ctx context.Context) {
+	if f.site.options.Releases {
+		f.running.Go(func() { f.release(ctx) })
+		f.running.Go(func() { f.resetClients(ctx) })
+		f.running.Go(func() { f.changeSettings(ctx) })
+	}
+	if f.site.options.ReleasesAlone {
+		<-ctx.Done()
+		f.running.Wait()
+		return
+	}
 	if !f.site.options.FirstFormatOnly {
 		f.running.Go(func() { f.limitReplicas(ctx) })
 	}
--- a/internal/soak/history/sending.go
+++ b/internal/soak/history/sending.go
@@ -19,6 +19,8 @@
 	ClosedAt time.Duration
 	// LeftAt is when the client closed its connection during the response; 0 for never.
 	LeftAt time.Duration
+	// ResetAt is when the connection of the attempt was reset on its way, by a fault; 0 for never.
+	ResetAt time.Duration
 	// Connected is true if the client had an open connection on which to send the request.
 	Connected bool
 	// ResentAt is when the client's library sent the request again, since its connection had ended without a response; 0
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -61,6 +61,11 @@
 	// FinalFault ends the run with a fault of all controllers, drawn from the seed, after which the newest acknowledged
 	// configuration is read back and requests are served.
 	FinalFault bool
+	// Releases replaces the engines by others of new software versions, again and again, or back to an older one, and kills all relays or
+	// all processes, or holds a relay out of step, at drawn moments of these releases. Answers are garbled, connections reset, and streams
+	// differ in length; clients take up streams that break off. Relays and back ends are in three zones. It takes neither Program nor
+	// OtherProgram. ReleasesAlone leaves out all other faults.
+	Releases, ReleasesAlone bool
 	// CheckTimeBounds also checks the rules with time bounds, which can fail on a machine that is busy with other work.
 	CheckTimeBounds bool
 	// Progress is called with one line for each fault; nil for no reports.
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -34,6 +34,8 @@
 	FirstTries *check.FirstTries `json:"first_tries,omitempty"`
 	// TakenUp counts the streams that clients took up; nil in runs with one software version.
 	TakenUp *check.TakenUp `json:"taken_up,omitempty"`
+	// Clauses counts the streams that break the clauses of the rule ORDER; nil in runs without releases.
+	Clauses *check.Clauses `json:"clauses,omitempty"`
 	// ControllerCuts reports on the cuts among the controllers; nil in runs without them.
 	ControllerCuts *check.ControllerCuts `json:"controller_cuts,omitempty"`
 	// FinalFault reports on the fault that ended the run; nil in runs without one.
@@ -56,7 +58,11 @@
 		cuts := check.CountControllerCuts(recorded)
 		report.ControllerCuts = &cuts
 	}
-	if options.Versions {
+	if options.Releases {
+		clauses := check.CountClauses(recorded)
+		report.Clauses = &clauses
+	}
+	if options.Versions || options.Releases {
 		takenUp := check.CountTakenUp(recorded)
 		report.TakenUp = &takenUp
 	}
@@ -105,6 +111,9 @@
 	if r.TakenUp != nil {
 		fmt.Fprintf(&text, "\n  %s", r.TakenUp)
 	}
+	if r.Clauses != nil {
+		fmt.Fprintf(&text, "\n  %s", r.Clauses)
+	}
 	if r.Pressure != nil {
 		fmt.Fprintf(&text, "\n  %s", r.Pressure)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -51,7 +51,7 @@
 	sending.start(runContext)
 	go created.restartCrashed(runContext)
 	injected := newFaults(created)
-	injected.loadBalancer = sending.loadBalancer
+	injected.traffic, injected.loadBalancer = sending, sending.loadBalancer
 	faultContext, cancelFaults := context.WithTimeout(ctx, options.FaultDuration)
 	defer cancelFaults()
 	operatorContext, cancelOperator := context.WithCancel(ctx)
@@ -131,7 +131,7 @@
 func (s *site) restartCrashed(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, restartPause)
-		for _, replica := range slices.Concat(s.pages, s.engines, s.few) {
+		for _, replica := range slices.Concat(s.pages, s.engines, s.spares, s.few) {
 			_ = replica.Start() // a no-op when it runs; when its address is still in use, the next round retries
 		}
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -28,12 +29,16 @@
 
 // site holds the processes under test and the stand-ins around them.
 type site struct {
-	options     Options
-	recorder    *history.Recorder
-	list        *standin.List
-	pages       []*standin.Replica
-	engines     []*standin.Replica
-	few         []*standin.Replica
+	options  Options
+	recorder *history.Recorder
+	list     *standin.List
+	pages    []*standin.Replica
+	engines  []*standin.Replica
+	few      []*standin.Replica
+	// spares take the place of engines of the same number in releases, and the other way round.
+	spares []*standin.Replica
+	// outOfStep is the relay that a release holds out of step, or held a moment before; nil for none.
+	outOfStep   atomic.Pointer[relayProcess]
 	controllers []*fleet.Process
 	relays      []*relayProcess
 	operator    *standin.Operator
@@ -74,6 +79,7 @@
 	groupEngines
 	groupList
 	groupFew
+	groupSpares
 )
 
 // newSite creates the settings of all processes and starts the stand-ins; no process runs yet.
@@ -83,7 +89,7 @@
 		names[controllerName(number)] = true
 	}
 	created := &site{options: options, servers: map[string][]string{}, configs: map[string]map[string]any{}, recorder: history.NewRecorder(options.bounds(), standin.Routes(), names)}
-	list, err := standin.StartList(hostPort(address(groupList, 0), portOuter), created.recorder)
+	list, err := standin.StartList(hostPort(address(groupList, 0), options.listPort()), created.recorder)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -147,6 +153,7 @@
 	if s.options.checksReturns() {
 		return replicas
 	}
+	replicas = append(replicas, s.runningSpares()...)
 	return append(replicas, s.few...)
 }
 
@@ -156,7 +163,7 @@
 		service := []string{standin.ServicePages, standin.ServiceOther}[number%2]
 		replica, err := standin.StartReplica(standin.ReplicaOptions{
 			Service: service, Zone: s.zone(number / 2), Address: hostPort(address(groupPages, number), portOuter), Slots: 8,
-			RunTime: 8 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, Unframed: s.options.Unframed, ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
+			RunTime: 8 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, Unframed: s.options.Unframed, Garbled: s.options.Releases, ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
 		})
 		if err != nil {
 			return trace.Wrap(err)
@@ -164,28 +171,46 @@
 		s.pages = append(s.pages, replica)
 	}
 	for number := range s.options.Engines {
-		stage := []string{platform.StageDecode, platform.StagePrefill}[number%2]
-		replica, err := standin.StartReplica(standin.ReplicaOptions{
-			Service: standin.ServiceEngines, Zone: s.zone(number / 2), Address: hostPort(address(groupEngines, number), portOuter), Stage: stage, Slots: 16, Versions: s.engineVersions(),
-			RunTime: 5 * time.Millisecond, EventInterval: 15 * time.Millisecond, UsualSpeed: s.usualSpeed(engineTimes[number%len(engineTimes)]), Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, Unframed: s.options.Unframed, ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
-		})
+		replica, err := standin.StartReplica(s.engineOptions(number, groupEngines))
 		if err != nil {
 			return trace.Wrap(err)
 		}
 		s.engines = append(s.engines, replica)
 	}
+	if s.options.Releases {
+		if err := s.startSpares(); err != nil {
+			return trace.Wrap(err)
+		}
+	}
 	if s.options.Pressure {
 		return trace.Wrap(s.startFewReplicas())
 	}
 	return nil
 }
 
+// engineOptions returns the options of an engine in a group of addresses by its number.
+func (s *site) engineOptions(number, group int) standin.ReplicaOptions {
+	stage, interval := []string{platform.StageDecode, platform.StagePrefill}[number%2], 15*time.Millisecond
+	if s.options.Releases {
+		interval = releaseEventInterval
+	}
+	return standin.ReplicaOptions{
+		Service: standin.ServiceEngines, Zone: s.zone(number / 2), Address: hostPort(address(group, number), portOuter), Stage: stage, Slots: 16, Versions: s.engineVersions(),
+		RunTime: 5 * time.Millisecond, EventInterval: interval, UsualSpeed: s.usualSpeed(engineTimes[number%len(engineTimes)]), Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder,
+		Unframed: s.options.Unframed, Garbled: s.options.Releases, ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
+	}
+}
+
 // engineVersions returns the software versions from which engines draw theirs.
 func (s *site) engineVersions() []string {
-	if !s.options.Versions {
+	switch {
+	case s.options.Releases:
+		return []string{releaseVersion(0)}
+	case s.options.Versions:
+		return []string{"v1", "v1.1", "v1.2"}
+	default:
 		return nil
 	}
-	return []string{"v1", "v1.1", "v1.2"}
 }
 
 // seeds returns the addresses of the first controllers, at most three, which the settings of all processes name.
@@ -302,7 +327,7 @@
 	for _, process := range s.controllers {
 		process.Kill()
 	}
-	for _, replica := range slices.Concat(s.pages, s.engines, s.few) {
+	for _, replica := range slices.Concat(s.pages, s.engines, s.spares, s.few) {
 		replica.Close()
 	}
 	s.list.Close()
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -74,6 +74,9 @@
 	site         *site
 	loadBalancer *loadBalancer
 	running      sync.WaitGroup
+	// clients are those of runClient; mutex guards them.
+	mutex   sync.Mutex
+	clients []*standin.Client
 }
 
 // start starts the clients, which send until the context ends.
@@ -95,16 +98,22 @@
 // picks another.
 func (t *traffic) runClient(ctx context.Context, number int) {
 	random := rand.New(rand.NewPCG(t.site.options.Seed, uint64(number)))
-	client := standin.NewClient(t.site.recorder)
+	client := t.newClient()
 	relay := t.loadBalancer.pickRelay(random)
 	for count := 0; ctx.Err() == nil; count++ {
 		attempt := standin.Attempt{
 			ID: fmt.Sprintf("%04x%012x", number, count), Front: relay.Name, Address: relay.front,
 			Route: []string{standin.RoutePage, standin.RouteUnsafe, standin.RouteStream, standin.RouteOnce}[random.IntN(4)],
 		}
+		if t.site.options.Releases && random.IntN(2) == 0 {
+			attempt.Route = standin.RouteStream
+		}
 		t.drawContent(&attempt, random)
 		sent := client.Send(context.WithoutCancel(ctx), attempt)
-		if t.site.options.Versions {
+		switch {
+		case t.site.options.Releases:
+			t.takeUpLater(ctx, client, attempt, sent, random)
+		case t.site.options.Versions:
 			t.takeUp(ctx, client, attempt, sent, random)
 		}
 		if sent.Status == 0 && sent.ClosedAt == 0 || random.Float64() < t.loadBalancer.reconnectShare() {
@@ -141,6 +150,7 @@
 	}
 	if standin.Routes()[attempt.Route].Stream {
 		attempt.PromptTokens = 10 + random.IntN(8000)
+		attempt.Events = t.site.drawEvents(attempt.Route, random)
 	}
 	if random.Float64() < abandonShare {
 		attempt.CloseAfter = time.Duration(1+random.IntN(80)) * time.Millisecond
--- a/internal/soak/zones.go
+++ b/internal/soak/zones.go
@@ -11,7 +11,11 @@
 
 // zone returns the zone of a relay or back end by its number.
 func (s *site) zone(number int) string {
-	if !s.options.BackEndCuts {
+	switch {
+	case s.options.BackEndCuts:
+	case s.options.Releases:
+		return []string{"a", "b", "c"}[number%3]
+	default:
 		return "z"
 	}
 	return []string{"a", "b"}[number%zoneCount]
