Soak: steady versions before releases of odd seeds, tests of the clauses

Odd seeds hold one version for longer than a stream can last before a release, as relays only then take it for the only one.

--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -143,7 +143,22 @@
 	{"a stream with an event twice", Order, streamOf("id: 1\ndata: x a\n\nid: 1\ndata: x a\n\nid: 2\ndata: x end\n\n", "stream", true)},
 	{"a stream that ends as complete too early", Order, streamOf("id: 1\ndata: x a\n\n", "stream", true)},
 	{"a stream that is cut off", "", streamOf("id: 1\ndata: x a\n\nid: 2\nda", "stream", false)},
-	{"a stream of two runs on a resumable route", "", streamOf("id: 1\ndata: x a\n\nid: 2\ndata: y end\n\n", "stream", true)},
+	{"a stream of two runs on a resumable route", "", joinedRuns("y", 1)},
+	{"a stream of two runs on a resumable route, the second of which was asked to go on after another event", Order, joinedRuns("y", 0)},
+	{"a stream of two runs on a resumable route, another one of which was asked to go on", Order, joinedRuns("z", 1)},
+	{"a single stream with events of two software versions in a run with releases", Order, func(h *history.History) {
+		mixedStreams(1)(h)
+		h.Bounds.NoMixedStreams = true
+	}},
+	{"a stream that its client takes up at the same version in a run with releases", "", func(h *history.History) {
+		mixedStreams(1)(h)
+		h.Sendings[1].Body = strings.ReplaceAll(h.Sendings[1].Body, "@v2", "@v1")
+		h.Bounds.NoMixedStreams = true
+	}},
+	{"a request that is cut off since its client's connection was reset", "", func(h *history.History) {
+		cutOff("stream", 200, second)(h)
+		h.Sendings[0].ResetAt = h.Sendings[0].EndedAt
+	}},
 	{"a stream of two runs on another route", Order, streamOf("id: 1\ndata: x a\n\nid: 2\ndata: y end\n\n", "once", true)},
 	{"three crashes, then three retries", "", func(h *history.History) {
 		crashes(h, 3, 0, second)
--- a/internal/soak/release_strikes.go
+++ b/internal/soak/release_strikes.go
@@ -25,19 +25,23 @@
 )
 
 // strikeRelease strikes at a drawn moment of a release that begins now: all relays, all processes, or a single relay that falls out
-// of step; in one of seven releases nothing.
+// of step; in one of seven releases nothing. Odd seeds have mostly relays out of step, the others mostly relays that are killed together.
 func (f *faults) strikeRelease(planned rollout, random *rand.Rand) {
 	moment, away := f.drawMoment(planned, random), shortestHerdAway+time.Duration(random.Int64N(int64(longestHerdAway-shortestHerdAway)))
 	relay := f.site.relays[random.IntN(len(f.site.relays))]
 	lead, share := time.Duration(random.Int64N(int64(longestLead))), random.Float64()
 	length := min(longestOutOfStep, lead+time.Duration((0.3+share)*float64(planned.lastGone())))
-	switch random.IntN(7) {
+	kind := random.IntN(7)
+	if f.site.options.isSteady() {
+		kind = 3 + random.IntN(8)
+	}
+	switch kind {
 	case 0:
 	case 1, 2, 3:
 		f.running.Go(func() { time.Sleep(moment); f.killTogether(f.relayProcesses(), away) })
 	case 4:
 		f.running.Go(func() { time.Sleep(moment); f.killTogether(f.processes(), away) })
-	case 5:
+	case 5, 7, 9:
 		f.holdOutOfStep(relay, history.Cut, length)
 		time.Sleep(lead)
 	default:
--- a/internal/soak/releases.go
+++ b/internal/soak/releases.go
@@ -15,6 +15,9 @@
 	// the last one.
 	longestReleaseGap = 1500 * time.Millisecond
 	longestRollout    = 2 * time.Second
+	// steadyTime is how long one version is the only one before each release of odd seeds: longer than a stream can last, which is twice the
+	// longest timeout of a route.
+	steadyTime = 8200 * time.Millisecond
 	// shortestOverlap and longestOverlap bound the time from the start of a new back end until an old one begins to leave.
 	shortestOverlap = 100 * time.Millisecond
 	longestOverlap  = 1200 * time.Millisecond
@@ -53,6 +56,18 @@
 	return running
 }
 
+// isSteady reports whether releases are far enough apart for relays to hold one version for the only one: in odd seeds.
+func (o Options) isSteady() bool { return o.Seed%2 == 1 }
+
+// drawReleaseGap draws the time until the next release.
+func (f *faults) drawReleaseGap(random *rand.Rand) time.Duration {
+	gap := time.Duration(random.Int64N(int64(longestReleaseGap)))
+	if f.site.options.isSteady() {
+		return steadyTime + gap
+	}
+	return gap
+}
+
 // rollout is one release: the times are counted from its beginning.
 type rollout struct {
 	version string
@@ -104,7 +119,10 @@
 	current, next = append([]*standin.Replica(nil), current...), append([]*standin.Replica(nil), next...)
 	before, now, number := releaseVersion(0), releaseVersion(0), 0
 	for ctx.Err() == nil {
-		sleep(ctx, time.Duration(random.Int64N(int64(longestReleaseGap))))
+		sleep(ctx, f.drawReleaseGap(random))
+		if ctx.Err() != nil {
+			return
+		}
 		version := before
 		if random.IntN(4) > 0 || before == now {
 			number++
--- a/internal/soak/take_up_later.go
+++ b/internal/soak/take_up_later.go
@@ -45,7 +45,7 @@
 			return
 		}
 		relay := t.loadBalancer.pickRelay(random)
-		if outOfStep := t.site.outOfStep.Load(); outOfStep != nil && random.IntN(2) == 0 {
+		if outOfStep := t.site.outOfStep.Load(); outOfStep != nil && random.IntN(4) > 0 {
 			relay = outOfStep
 		}
 		attempt.ID, attempt.Front, attempt.Address = fmt.Sprintf("%s-%d", attempt.Resumes, number), relay.Name, relay.front
