--- a/internal/soak/release_strikes.go
+++ b/internal/soak/release_strikes.go
@@ -41,11 +41,18 @@
 		f.running.Go(func() { time.Sleep(moment); f.killTogether(f.relayProcesses(), away) })
 	case 4:
 		f.running.Go(func() { time.Sleep(moment); f.killTogether(f.processes(), away) })
-	case 5, 7, 9:
-		f.holdOutOfStep(relay, history.Cut, length)
+	case 5, 9:
+		f.cutOutOfStep(relay, length, groupControllers, groupRelays, groupList)
+		time.Sleep(lead)
+	case 7: // it reads the list itself
+		f.cutOutOfStep(relay, length, groupControllers, groupRelays)
+		time.Sleep(lead)
+	case 8: // the other relays may tell it
+		f.cutOutOfStep(relay, length, groupControllers)
 		time.Sleep(lead)
 	default:
-		f.holdOutOfStep(relay, history.Freeze, length)
+		f.preferOutOfStep(relay, length)
+		f.freeze(relay, length)
 		time.Sleep(lead)
 	}
 }
@@ -94,20 +101,24 @@
 	}
 }
 
-// holdOutOfStep keeps a relay from hearing of a release: it stands still, or is cut off from controllers, other relays and the list,
-// datagrams too. Clients prefer it when they take up streams.
-func (f *faults) holdOutOfStep(relay *relayProcess, kind history.FaultKind, length time.Duration) {
+// cutOutOfStep cuts a relay off from groups of processes, datagrams too, so that it does not hear of a release.
+func (f *faults) cutOutOfStep(relay *relayProcess, length time.Duration, groups ...int) {
+	f.preferOutOfStep(relay, length)
+	f.releaseCutCount++
+	var prefixes []netip.Prefix
+	for _, group := range groups {
+		prefixes = append(prefixes, groupPrefix(group))
+	}
+	f.cut(relay, releaseCuts+f.releaseCutCount, length, prefixes)
+}
+
+// preferOutOfStep makes clients prefer a relay when they take up streams, while it is out of step and a little longer.
+func (f *faults) preferOutOfStep(relay *relayProcess, length time.Duration) {
 	f.running.Go(func() {
 		f.site.outOfStep.Store(relay)
 		time.Sleep(length + outOfStepAfter)
 		f.site.outOfStep.CompareAndSwap(relay, nil)
 	})
-	if kind == history.Freeze {
-		f.freeze(relay, length)
-		return
-	}
-	f.releaseCutCount++
-	f.cut(relay, releaseCuts+f.releaseCutCount, length, []netip.Prefix{groupPrefix(groupControllers), groupPrefix(groupRelays), groupPrefix(groupList)})
 }
 
 // listPort returns the port of the list. With releases it is the port of the calls that cuts of relays drop.
