--- a/internal/fleet/cuts.go
+++ b/internal/fleet/cuts.go
@@ -16,12 +16,14 @@
 
 // cutCommand is sent to a process on its standard input. It cuts the addresses of Group off from all others; with an
 // empty Group it ends the cut with the same Number. With a Mode, it applies to the connections that the process opens to
-// the group. With Network, it applies to the packets that arrive at the process's sockets.
+// the group. With Network, it applies to the packets that arrive at the process's sockets. With Lost, that share of the datagrams to and
+// from the group is lost and nothing else happens.
 type cutCommand struct {
 	Number  int               `json:"number"`
 	Group   []netip.Prefix    `json:"group"`
 	Mode    zonedelay.CutMode `json:"mode,omitempty"`
 	Network *silence.Cut      `json:"network,omitempty"`
+	Lost    float64           `json:"lost,omitempty"`
 }
 
 // CutTargets are the means by which a process applies cuts to its own traffic; it rejects commands whose means is nil.
@@ -82,6 +84,12 @@
 	return func() error { return sendCutCommand([]*Process{p}, cutCommand{Number: number}) }, err
 }
 
+// LoseDatagrams loses a share of the process's datagrams to and from a group of addresses until heal is called.
+func (p *Process) LoseDatagrams(number int, group []netip.Prefix, share float64) (heal func() error, err error) {
+	err = sendCutCommand([]*Process{p}, cutCommand{Number: number, Group: group, Lost: share})
+	return func() error { return sendCutCommand([]*Process{p}, cutCommand{Number: number}) }, err
+}
+
 // sendCutCommand sends a command to the processes that are running.
 func sendCutCommand(processes []*Process, command cutCommand) error {
 	line, err := json.Marshal(command)
@@ -133,6 +141,8 @@
 		return t.Network.BeginCut(*command.Network)
 	case command.Network != nil:
 		return nil, trace.BadParameter("this process cannot drop the packets that it receives")
+	case command.Lost > 0:
+		heal = t.Gate.LoseDatagrams(command.Group, command.Lost)
 	case command.Mode == "":
 		heal = t.Gate.Isolate(command.Group)
 	case t.Dials == nil:
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -81,6 +81,7 @@
 		f.running.Go(func() { f.release(ctx) })
 		f.running.Go(func() { f.resetClients(ctx) })
 		f.running.Go(func() { f.changeSettings(ctx) })
+		f.running.Go(func() { f.loseDatagrams(ctx) })
 	}
 	if f.site.options.ReleasesAlone {
 		<-ctx.Done()
--- a/internal/soak/history/fault.go
+++ b/internal/soak/history/fault.go
@@ -45,6 +45,8 @@
 	Release FaultKind = "release"
 	// ResetClients resets the connections of a share of the clients.
 	ResetClients FaultKind = "reset-clients"
+	// LostDatagrams loses a share of the datagrams among the relays.
+	LostDatagrams FaultKind = "lost-datagrams"
 	// HotRelay makes most new connections of clients go to one relay. It is no disruption.
 	HotRelay FaultKind = "hot-relay"
 )
--- a/internal/zonedelay/outgoing.go
+++ b/internal/zonedelay/outgoing.go
@@ -38,32 +38,34 @@
 	}
 }
 
-// WrapPacketConn returns a connection that drops datagrams to and from isolated addresses.
+// WrapPacketConn returns a connection that drops datagrams to and from isolated addresses, and a share of those to and from others while they are
+// lost.
 func (o Outgoing) WrapPacketConn(inner net.PacketConn) net.PacketConn {
 	return &partitionedPacketConn{PacketConn: inner, outgoing: o}
 }
 
-// partitionedPacketConn drops datagrams to and from isolated addresses.
+// partitionedPacketConn drops datagrams.
 type partitionedPacketConn struct {
 	net.PacketConn
 	outgoing Outgoing
 }
 
-// isIsolated reports whether an address is isolated now.
-func (c *partitionedPacketConn) isIsolated(address net.Addr) bool {
+// isLost reports whether a datagram to or from an address is lost now.
+func (c *partitionedPacketConn) isLost(address net.Addr) bool {
 	udp, isUDP := address.(*net.UDPAddr)
 	if !isUDP {
 		return false
 	}
-	open, _ := c.outgoing.Partitioner.isOpen(c.outgoing.LocalAddress, udp.AddrPort().Addr().Unmap())
-	return !open
+	to := udp.AddrPort().Addr().Unmap()
+	open, _ := c.outgoing.Partitioner.isOpen(c.outgoing.LocalAddress, to)
+	return !open || c.outgoing.Partitioner.losesDatagram(to)
 }
 
 // ReadFrom implements net.PacketConn.
 func (c *partitionedPacketConn) ReadFrom(buffer []byte) (int, net.Addr, error) {
 	for {
 		count, from, err := c.PacketConn.ReadFrom(buffer)
-		if err != nil || !c.isIsolated(from) {
+		if err != nil || !c.isLost(from) {
 			return count, from, err
 		}
 	}
@@ -71,7 +73,7 @@
 
 // WriteTo implements net.PacketConn.
 func (c *partitionedPacketConn) WriteTo(content []byte, to net.Addr) (int, error) {
-	if c.isIsolated(to) {
+	if c.isLost(to) {
 		return len(content), nil
 	}
 	return c.PacketConn.WriteTo(content, to)
--- a/internal/zonedelay/outgoing_test.go
+++ b/internal/zonedelay/outgoing_test.go
@@ -78,3 +78,22 @@
 	require.NoError(t, err)
 	require.Equal(t, byte('b'), buffer[0])
 }
+
+// Guards against shares of datagrams that are meant to be lost and arrive, or are lost after the end.
+func TestShareOfDatagramsIsLost(t *testing.T) {
+	_, partitioner := newOutgoing()
+	address, other := netip.MustParseAddr("127.0.9.5"), netip.MustParseAddr("127.0.8.5")
+	end := partitioner.LoseDatagrams(parsePrefixes("127.0.9.0/24"), 0.5)
+	lost := 0
+	for range 1000 {
+		require.False(t, partitioner.losesDatagram(other))
+		if partitioner.losesDatagram(address) {
+			lost++
+		}
+	}
+	require.InDelta(t, 500, lost, 200)
+	end()
+	for range 100 {
+		require.False(t, partitioner.losesDatagram(address))
+	}
+}
--- a/internal/zonedelay/partitioner.go
+++ b/internal/zonedelay/partitioner.go
@@ -15,6 +15,7 @@
 
 	mutex      sync.Mutex
 	partitions []*partition
+	losses     []*datagramLoss
 	// changed is closed and replaced whenever a partition begins or heals.
 	changed chan struct{}
 }
