Failing tests: silence as evidence, and a record that outlives the attempt that brought events

Callers get streams that are joined from two versions. A relay with an old list, which gets no answers of the relays that keep a stream's record, goes on at the version that it lists: silence of those asked counts as agreement. And the record of an attempt that brought no event stays at a relay that did not get the reports of the next attempt, which began the stream.

--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
+	"github.com/hazelpitch/hazelpitch/internal/standin/datagramloss"
 )
 
 // testDialect uses its own names, since the relay must not depend on the names of any deployment.
@@ -259,12 +260,15 @@
 	return &testRelay{Relay: relay, address: listener.Addr().String(), suspendedFor: suspendedFor, reservedListener: forwardListener}
 }
 
+// relayNetwork carries the datagrams between all test relays. Tests lose some by the addresses of their own relays.
+var relayNetwork datagramloss.Network
+
 // listenForRelays opens a socket for datagrams and a listener for forwarded requests at the same address.
 func listenForRelays(t *testing.T) (net.PacketConn, net.Listener) {
 	t.Helper()
 	const maxTries = 100 // other tests may use the TCP port
 	for range maxTries {
-		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+		socket, err := relayNetwork.Listen("udp", "127.0.0.1:0")
 		require.NoError(t, err)
 		listener, err := net.Listen("tcp", socket.LocalAddr().String())
 		if err == nil {
