--- a/internal/relay/lost_reports_test.go
+++ b/internal/relay/lost_reports_test.go
@@ -24,7 +24,9 @@
 		return all
 	}
 	senders, receivers := addresses(from), addresses(to)
-	return &datagramloss.Loss{IsLost: func(from, to netip.AddrPort) bool { return slices.Contains(senders, from) && slices.Contains(receivers, to) }}
+	return &datagramloss.Loss{IsLost: func(from, to netip.AddrPort) bool {
+		return slices.Contains(senders, from) && slices.Contains(receivers, to)
+	}}
 }
 
 // replacedAttempt is a stream that the first of three relays has begun at v2, after an attempt at v1 that brought no event, while the
@@ -76,8 +78,8 @@
 		// isSilent is true if the two other relays do not hear each other when the stream is taken up.
 		isSilent bool
 	}{
-		"one relay was not told":                                        {[]int{1}, false},
-		"no relay was told":                                             {[]int{1, 2}, false},
+		"one relay was not told": {[]int{1}, false},
+		"no relay was told":      {[]int{1, 2}, false},
 		"one relay was not told, and does not hear the other one later": {[]int{1}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
