Record in the log which software versions may have begun streams

Cause: which versions had served was known to relays alone, in memory, each from its own list. Nobody who outlives the relays knew it. Change: the leader keeps the versions of each service's back ends (internal/servedversions) and records them in the replicated log before it lists a back end of a new version to relays; versions leave the record two minutes after their last back end did. A leader with a valid lease states them on ReadServedVersions and in its answers to watches, with how long it has known of all. The record travels in a field of a command that expires no claims, since a former build halts on a body that it does not know; a leader of such a build writes none, which the next leader sees by the authority epoch, and states nothing about the time before it. Relays do not use the statements yet. Result: go test ./internal/control/... ./internal/controlstate/... ./internal/controller/... ./internal/formats/... passes.

--- a/api/hazelpitch/v1/hazelpitchv1connect/node.connect.go
+++ b/api/hazelpitch/v1/hazelpitchv1connect/node.connect.go
@@ -55,6 +55,9 @@
 	NodeServiceReleaseRequestProcedure = "/hazelpitch.v1.NodeService/ReleaseRequest"
 	// NodeServiceTakePermitProcedure is the fully-qualified name of the NodeService's TakePermit RPC.
 	NodeServiceTakePermitProcedure = "/hazelpitch.v1.NodeService/TakePermit"
+	// NodeServiceReadServedVersionsProcedure is the fully-qualified name of the NodeService's
+	// ReadServedVersions RPC.
+	NodeServiceReadServedVersionsProcedure = "/hazelpitch.v1.NodeService/ReadServedVersions"
 )
 
 // NodeServiceClient is a client for the hazelpitch.v1.NodeService service.
@@ -79,6 +82,9 @@
 	// TakePermit asks for the right to send one request to a back end that names a limit for all gateways together;
 	// the leader keeps the counts.
 	TakePermit(context.Context, *connect.Request[v1.TakePermitRequest]) (*connect.Response[v1.TakePermitResponse], error)
+	// ReadServedVersions answers with the software versions that may have begun streams; only the leader answers, while it has a
+	// valid lease.
+	ReadServedVersions(context.Context, *connect.Request[v1.ReadServedVersionsRequest]) (*connect.Response[v1.ReadServedVersionsResponse], error)
 }
 
 // NewNodeServiceClient constructs a client for the hazelpitch.v1.NodeService service. By default,
@@ -152,21 +158,28 @@
 			connect.WithSchema(nodeServiceMethods.ByName("TakePermit")),
 			connect.WithClientOptions(opts...),
 		),
+		readServedVersions: connect.NewClient[v1.ReadServedVersionsRequest, v1.ReadServedVersionsResponse](
+			httpClient,
+			baseURL+NodeServiceReadServedVersionsProcedure,
+			connect.WithSchema(nodeServiceMethods.ByName("ReadServedVersions")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // nodeServiceClient implements NodeServiceClient.
 type nodeServiceClient struct {
-	sync              *connect.Client[v1.SyncRequest, v1.SyncResponse]
-	report            *connect.Client[v1.ReportRequest, v1.ReportResponse]
-	beginClaim        *connect.Client[v1.BeginClaimRequest, v1.BeginClaimResponse]
-	finishClaim       *connect.Client[v1.FinishClaimRequest, v1.FinishClaimResponse]
-	watch             *connect.Client[v1.WatchRequest, v1.WatchResponse]
-	reportUsage       *connect.Client[v1.ReportUsageRequest, v1.ReportUsageResponse]
-	reportReplicaEnds *connect.Client[v1.ReportReplicaEndsRequest, v1.ReportReplicaEndsResponse]
-	beginTrial        *connect.Client[v1.BeginTrialRequest, v1.BeginTrialResponse]
-	releaseRequest    *connect.Client[v1.ReleaseRequestRequest, v1.ReleaseRequestResponse]
-	takePermit        *connect.Client[v1.TakePermitRequest, v1.TakePermitResponse]
+	sync               *connect.Client[v1.SyncRequest, v1.SyncResponse]
+	report             *connect.Client[v1.ReportRequest, v1.ReportResponse]
+	beginClaim         *connect.Client[v1.BeginClaimRequest, v1.BeginClaimResponse]
+	finishClaim        *connect.Client[v1.FinishClaimRequest, v1.FinishClaimResponse]
+	watch              *connect.Client[v1.WatchRequest, v1.WatchResponse]
+	reportUsage        *connect.Client[v1.ReportUsageRequest, v1.ReportUsageResponse]
+	reportReplicaEnds  *connect.Client[v1.ReportReplicaEndsRequest, v1.ReportReplicaEndsResponse]
+	beginTrial         *connect.Client[v1.BeginTrialRequest, v1.BeginTrialResponse]
+	releaseRequest     *connect.Client[v1.ReleaseRequestRequest, v1.ReleaseRequestResponse]
+	takePermit         *connect.Client[v1.TakePermitRequest, v1.TakePermitResponse]
+	readServedVersions *connect.Client[v1.ReadServedVersionsRequest, v1.ReadServedVersionsResponse]
 }
 
 // Sync calls hazelpitch.v1.NodeService.Sync.
@@ -219,6 +232,11 @@
 	return c.takePermit.CallUnary(ctx, req)
 }
 
+// ReadServedVersions calls hazelpitch.v1.NodeService.ReadServedVersions.
+func (c *nodeServiceClient) ReadServedVersions(ctx context.Context, req *connect.Request[v1.ReadServedVersionsRequest]) (*connect.Response[v1.ReadServedVersionsResponse], error) {
+	return c.readServedVersions.CallUnary(ctx, req)
+}
+
 // NodeServiceHandler is an implementation of the hazelpitch.v1.NodeService service.
 type NodeServiceHandler interface {
 	Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error)
@@ -241,6 +259,9 @@
 	// TakePermit asks for the right to send one request to a back end that names a limit for all gateways together;
 	// the leader keeps the counts.
 	TakePermit(context.Context, *connect.Request[v1.TakePermitRequest]) (*connect.Response[v1.TakePermitResponse], error)
+	// ReadServedVersions answers with the software versions that may have begun streams; only the leader answers, while it has a
+	// valid lease.
+	ReadServedVersions(context.Context, *connect.Request[v1.ReadServedVersionsRequest]) (*connect.Response[v1.ReadServedVersionsResponse], error)
 }
 
 // NewNodeServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -310,6 +331,12 @@
 		connect.WithSchema(nodeServiceMethods.ByName("TakePermit")),
 		connect.WithHandlerOptions(opts...),
 	)
+	nodeServiceReadServedVersionsHandler := connect.NewUnaryHandler(
+		NodeServiceReadServedVersionsProcedure,
+		svc.ReadServedVersions,
+		connect.WithSchema(nodeServiceMethods.ByName("ReadServedVersions")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/hazelpitch.v1.NodeService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case NodeServiceSyncProcedure:
@@ -332,6 +359,8 @@
 			nodeServiceReleaseRequestHandler.ServeHTTP(w, r)
 		case NodeServiceTakePermitProcedure:
 			nodeServiceTakePermitHandler.ServeHTTP(w, r)
+		case NodeServiceReadServedVersionsProcedure:
+			nodeServiceReadServedVersionsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -380,3 +409,7 @@
 func (UnimplementedNodeServiceHandler) TakePermit(context.Context, *connect.Request[v1.TakePermitRequest]) (*connect.Response[v1.TakePermitResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hazelpitch.v1.NodeService.TakePermit is not implemented"))
 }
+
+func (UnimplementedNodeServiceHandler) ReadServedVersions(context.Context, *connect.Request[v1.ReadServedVersionsRequest]) (*connect.Response[v1.ReadServedVersionsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hazelpitch.v1.NodeService.ReadServedVersions is not implemented"))
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -222,6 +222,8 @@
 		c.handleReplicaCrashes(received)
 	case TrialRequested:
 		c.handleTrialRequested(received)
+	case VersionsRequested:
+		c.handleVersionsRequested(received)
 	case PermitRequested:
 		c.handlePermitRequested(received)
 	case RequestReleased:
--- a/internal/control/drive.go
+++ b/internal/control/drive.go
@@ -97,8 +97,11 @@
 	}
 }
 
-// notifyApplied informs the commander and the tracker of an applied command.
+// notifyApplied informs the commander, the tracker and the list of back ends of an applied command.
 func (c *Core) notifyApplied(command *v1.Command) {
+	if command.GetServedVersions() != nil {
+		c.publishRecorded()
+	}
 	switch body := command.GetBody().(type) {
 	case *v1.Command_ApplyDeclaration:
 		c.refreshPageServices()
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -41,6 +41,7 @@
 	c.quarantine = newRequestQuarantine()
 	c.limits = newBackEndLimits()
 	c.formats.proposedIndex, c.formats.suspectsIndex, c.formats.needed = 0, 0, false
+	c.beginVersions()
 }
 
 func (c *Core) stopLeading() {
--- a/internal/control/listing.go
+++ b/internal/control/listing.go
@@ -6,6 +6,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/listing"
+	"github.com/hazelpitch/hazelpitch/internal/servedversions"
 )
 
 // ReadListing tells the runtime to read the external list of back ends; ListingReceived
@@ -56,9 +57,13 @@
 	requestedAt  time.Duration
 	dueAt        time.Duration
 	readInFlight bool
-	hasBeenRead  bool
+	// isResultKnown is true once the list was read; hasBeenRead is true once it was published to relays as well.
+	isResultKnown, hasBeenRead bool
 	// total is the number of back ends in the last complete read.
 	total int
+	// versions are the software versions that can have begun streams; versionsIndex is the log index of their last record.
+	versions      *servedversions.Ledger
+	versionsIndex uint64
 }
 
 // partial reports whether relays know only a part of the back ends.
@@ -107,9 +112,9 @@
 	} else {
 		c.listing.plan.recordPartialRead(received.BackEnds, required)
 	}
-	c.choosePublished()
-	c.listing.hasBeenRead = true
-	c.refreshListing()
+	c.listing.isResultKnown = true
+	c.observeVersions()
+	c.publishRecorded()
 }
 
 // refreshListing gives the list a new version when the back ends sent to relays have changed.
--- a/internal/control/published_back_ends.go
+++ b/internal/control/published_back_ends.go
@@ -84,7 +84,7 @@
 // choosePublished chooses the back ends that are published to relays.
 func (c *Core) choosePublished() {
 	former := len(c.listing.published)
-	c.listing.published = c.publishedPart(c.listing.considered)
+	c.listing.published = c.publishedPart(c.withRecordedVersions(c.listing.considered))
 	slices.SortFunc(c.listing.published, func(a, b *v1.ListedBackEnd) int { return strings.Compare(a.GetId(), b.GetId()) })
 	c.updates.relayListFresh = c.updates.relayListFresh && len(c.listing.published) == former
 	c.stages.speeds.listed = nil
--- /dev/null
+++ b/internal/control/served_versions.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"slices"
+
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+	"github.com/hazelpitch/hazelpitch/internal/servedversions"
+)
+
+// VersionsRequested asks which software versions can have begun streams. The answer is a ReadServedVersionsResponse.
+type VersionsRequested struct{ Call CallID }
+
+func (VersionsRequested) isInput() {}
+
+// handleVersionsRequested states the versions. With a valid lease, they include every version that any leader has listed.
+func (c *Core) handleVersionsRequested(received VersionsRequested) {
+	if !c.requireLeader(received.Call) {
+		return
+	}
+	if !c.leading { // the lease became valid in this step
+		c.refuse(received.Call, c.notLeader())
+		return
+	}
+	c.answer(Answer{Call: received.Call, Response: &v1.ReadServedVersionsResponse{Statement: c.listing.versions.Statement(c.now)}})
+}
+
+// beginVersions takes the recorded versions over from the replicated log. They are recorded at once for this leader's term, before
+// its authority begins, so that later leaders know that it keeps them.
+func (c *Core) beginVersions() {
+	c.listing.versions = servedversions.NewLedger(c.now, c.state.ServedVersions(), c.state.AreServedVersionsKept())
+	if c.config.ListingInterval > 0 {
+		c.recordVersions()
+	}
+}
+
+// observeVersions applies the versions of the list that was read, and records those that are not recorded yet.
+func (c *Core) observeVersions() {
+	listed := map[servedversions.Version]bool{}
+	for _, backEnd := range c.listing.considered {
+		listed[servedversions.VersionOf(backEnd)] = true
+	}
+	c.listing.versions.Observe(c.now, listed)
+	isPending := c.listing.versionsIndex > c.applied
+	if !isPending && !servedversions.Equal(c.state.ServedVersions(), c.listing.versions.Record(c.now, c.leadingTerm)) {
+		c.recordVersions()
+	}
+}
+
+// recordVersions puts the versions into the log. A failure is ignored: the next read of the list repeats it.
+func (c *Core) recordVersions() {
+	command := controlstate.RecordServedVersions(c.listing.versions.Record(c.now, c.leadingTerm))
+	if index, err := c.propose(command, 0, nil); err == nil {
+		c.listing.versionsIndex = index
+	}
+}
+
+// publishRecorded publishes the list to relays, without the back ends whose versions are not recorded yet. A new leader publishes
+// none before all are recorded, since relays would drop the others.
+func (c *Core) publishRecorded() {
+	if !c.leading || !c.listing.isResultKnown {
+		return
+	}
+	if !c.listing.hasBeenRead && len(c.withRecordedVersions(c.listing.considered)) < len(c.listing.considered) {
+		return
+	}
+	c.choosePublished()
+	c.listing.hasBeenRead = true
+	c.refreshListing()
+}
+
+// withRecordedVersions returns the back ends whose versions are recorded.
+func (c *Core) withRecordedVersions(backEnds []*v1.ListedBackEnd) []*v1.ListedBackEnd {
+	recorded := c.state.ServedVersions()
+	return slices.DeleteFunc(slices.Clone(backEnds), func(backEnd *v1.ListedBackEnd) bool {
+		return !servedversions.Contains(recorded, servedversions.VersionOf(backEnd))
+	})
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -126,6 +126,7 @@
 	if response.HeldVersion = quarantineVersion; quarantineVersion != request.GetHeldVersion() {
 		response.Held, response.SuspectParts = quarantined, c.quarantine.parts
 	}
+	response.VersionStatement = c.listing.versions.Statement(c.now)
 	response.Limits = c.limitsForRelays()
 	response.TrueTimeMs, _ = c.trueTime()
 	response.UsageWindowMs = milliseconds(c.config.Usage.Window)
--- a/internal/controller/node_service.go
+++ b/internal/controller/node_service.go
@@ -77,6 +77,13 @@
 		forwardToNode(hazelpitchv1connect.NodeServiceClient.TakePermit))
 }
 
+// ReadServedVersions asks which software versions can have begun streams; it is forwarded to the leader.
+func (n nodeService) ReadServedVersions(ctx context.Context, request *connect.Request[v1.ReadServedVersionsRequest]) (*connect.Response[v1.ReadServedVersionsResponse], error) {
+	return serve(ctx, n.service, request,
+		func(call control.CallID) control.Input { return control.VersionsRequested{Call: call} },
+		forwardToNode(hazelpitchv1connect.NodeServiceClient.ReadServedVersions))
+}
+
 // ReleaseRequest reports that a quarantined request has run without a crash; it is forwarded to the leader.
 func (n nodeService) ReleaseRequest(ctx context.Context, request *connect.Request[v1.ReleaseRequestRequest]) (*connect.Response[v1.ReleaseRequestResponse], error) {
 	return serve(ctx, n.service, request,
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -42,6 +42,9 @@
 
 	// suspects are the requests that were running when replicas crashed.
 	suspects *quarantine.Ledger
+
+	// servedVersions are the software versions that may have begun streams; nil before the first record.
+	servedVersions *v1.ServedVersions
 }
 
 // New returns the state before the first command.
@@ -86,6 +89,7 @@
 	if err := s.checkFormat(index, command); err != nil {
 		return Result{Err: err}
 	}
+	s.applyServedVersions(command)
 	at := command.GetProposedAtMs()
 	switch body := command.GetBody().(type) {
 	case *v1.Command_ApplyDeclaration:
--- a/internal/formats/number.go
+++ b/internal/formats/number.go
@@ -12,7 +12,7 @@
 	Third Number = 2
 	// Fourth added the versions of the back ends' software.
 	Fourth Number = 3
-	// Fifth added the evidence of the software version that began a stream.
+	// Fifth added the leader's statements of the software versions that can have begun streams.
 	Fifth Number = 4
 	// Newest is the highest format that this build supports.
 	Newest = Fifth
@@ -42,4 +42,7 @@
 	SlotQueues = Third
 	// SoftwareVersions is the first format in which the list of back ends holds the versions of their software.
 	SoftwareVersions = Fourth
+	// VersionStatements is the first format in which the leader states which software versions can have begun streams, and
+	// records each version before relays learn of a back end that has it.
+	VersionStatements = Fifth
 )
