Let only the leader say which version alone can have begun a stream

What callers saw: streams that clients took up were answered 200 with the rest from another software version, after all relays had been lost, and at a relay that was cut off or had stood still. Cause: a relay concluded from its own list, up to about a second old and silent about the time before its start, that one version alone could have begun a stream; relays that were asked and did not answer, or that had just started, counted as agreement. The class: absence of an objection taken for knowledge. Change: without a record, a stream goes on only by a statement that the leader, with a valid lease, makes after the stream was taken up; one call at a time serves all that wait. A relay that does not reach the leader asks the relays that keep records for a statement. No statement: 503, not run, with a Retry-After of a second. A relay that reads the platform's list itself uses no version that the leader has not stated, for services whose streams may be resumed. Streams are recorded unless the leader's last answer and the list both have one version. A stream whose version the relay lacks is forwarded if its list may be old. Former relays that ask are told of several versions, as an answer without them would be taken for a statement.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -57,6 +57,8 @@
 	RunMigrated Event = "run_moved"
 	// StreamContinued: a stream of which the client has events goes on at a back end.
 	StreamContinued Event = "stream_goes_on"
+	// VersionsUnread: the leader cannot be asked which software versions can have begun streams.
+	VersionsUnread Event = "versions_unread"
 	// ConfigurationApplied: the relay applied a different configuration.
 	ConfigurationApplied Event = "configuration_in_force"
 	// ConfigurationUnreadable: the relay received a configuration that it cannot parse.
@@ -122,7 +124,7 @@
 
 // All lists every event.
 var All = []Event{
-	RequestEnded, AttemptFailed, AnswerGivenUp, RequestRefused, RequestUnread, PathLost, PathRestored, KeyRefused, RunMigrated, StreamContinued, ConfigurationApplied, ConfigurationUnreadable, ListingApplied, ListingFaultChanged,
+	RequestEnded, AttemptFailed, AnswerGivenUp, RequestRefused, RequestUnread, PathLost, PathRestored, KeyRefused, RunMigrated, StreamContinued, VersionsUnread, ConfigurationApplied, ConfigurationUnreadable, ListingApplied, ListingFaultChanged,
 	BackEndInBackoff, BackEndLeaving, BackEndLimitChanged, BackEndRestarted, BackEndCrashed, RequestQuarantined, QuarantineTrialStarted, GuardCallFailed,
 	LeaderLost, LeaderFound, OwnerSuspected, CellAcquired, CellReleased, SlotsAcquired, SlotsReleased, SlotRefused, SlotGranted, RelayStarted, RelayStopping, RelayStopped, GatewayStopping, GatewayStopped, SignalReceived, StageOrdered, UsageDelivered, ReplicasOrdered, FormatAgreed, MemberDecided, LeaderMissing, StartStepSlow, LoopStalled, ControllerHalted, UpdateNotApplied, DiskFailed, SettingsReloaded, MachineSuspended, LogLinesDropped,
 }
--- a/internal/relay/fleet_state.go
+++ b/internal/relay/fleet_state.go
@@ -17,6 +17,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/listing"
 	"github.com/hazelpitch/hazelpitch/internal/packed"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
 // listingTimeout bounds one call to the platform for its list of back ends.
@@ -143,6 +144,7 @@
 			f.applyListing(f.identifyIncarnations(backEndsFromWire(listed), fromFirstFormatLeader), &next)
 		}
 	}
+	f.relay.origins.ApplyStatement(response.GetVersionStatement())
 	f.applyQuarantine(response)
 	f.applyRelayList(response)
 	f.applyRelayCount(response)
@@ -285,7 +287,7 @@
 	next := *f.relay.view.Load()
 	next.listingVersion = 0
 	result.BackEnds = slices.DeleteFunc(result.BackEnds, func(backEnd serving.BackEnd) bool { return next.table.Service(backEnd.Service) == nil })
-	f.applyListing(f.restrictToKnown(f.identifyIncarnations(result.BackEnds, false)), &next)
+	f.applyListing(f.restrictToStated(f.restrictToKnown(f.identifyIncarnations(result.BackEnds, false)), next.table), &next)
 	f.relay.setView(&next)
 	f.migrateRuns()
 }
@@ -299,6 +301,14 @@
 	return slices.DeleteFunc(listed, func(backEnd serving.BackEnd) bool { return f.records[backEnd.ID] == nil })
 }
 
+// restrictToStated removes from a list that this relay has read the back ends of versions that the leader has not stated, for services
+// whose streams clients may take up: the leader would not know that such a version has begun streams.
+func (f *fleetState) restrictToStated(listed []serving.BackEnd, table *serving.Table) []serving.BackEnd {
+	return slices.DeleteFunc(listed, func(backEnd serving.BackEnd) bool {
+		return table.HasResumableStreams(backEnd.Service) && !f.relay.origins.MayBegin(backEnd.Service, streamorigin.VersionOf(backEnd.Software))
+	})
+}
+
 // backEndsFromWire decodes the controllers' entries.
 func backEndsFromWire(entries []*v1.ListedBackEnd) []serving.BackEnd {
 	backEnds := make([]serving.BackEnd, 0, len(entries))
--- a/internal/relay/origins/config.go
+++ b/internal/relay/origins/config.go
@@ -1,10 +1,12 @@
 package origins
 
 import (
+	"context"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
 )
 
@@ -18,6 +20,8 @@
 	maxPendingReports = 8192
 	// queriesPerOwner is how often an owner is asked for one origin.
 	queriesPerOwner = 2
+	// statementTimeout bounds the wait for a statement of the leader.
+	statementTimeout = 400 * time.Millisecond
 )
 
 // Config are the dependencies of Origins.
@@ -31,10 +35,11 @@
 	Timeout func() time.Duration
 	// LifetimeOf returns how long a stream of a service can last.
 	LifetimeOf func(service string) time.Duration
-	// IsListCurrent reports whether this relay's list of back ends is current. ListAge returns how long ago that was confirmed.
-	IsListCurrent func() bool
-	ListAge       func() time.Duration
-	Metrics       Metrics
+	// ReadStatement asks the leader for a statement; it returns nil if it gets none.
+	ReadStatement func(ctx context.Context) *v1.VersionStatement
+	// IsLeaderInContact reports whether the leader has answered lately.
+	IsLeaderInContact func() bool
+	Metrics           Metrics
 }
 
 // Metrics are the counters of Origins.
@@ -49,13 +54,15 @@
 
 // Outcomes.
 const (
-	// OnlyVersion: one version alone can have begun the stream, by this relay's list. UnopposedVersion: one version alone is listed
-	// here, though not for as long as a stream can last, and no relay that answered knows of another one.
-	OnlyVersion      Outcome = "only_version"
-	UnopposedVersion Outcome = "unopposed_version"
+	// OnlyVersion: one version alone can have begun the stream, by a statement that the leader made after the search began.
+	// RelayedOnlyVersion: the same, by a statement that another relay got from the leader.
+	OnlyVersion        Outcome = "only_version"
+	RelayedOnlyVersion Outcome = "relayed_only_version"
 	// OwnRecord: this relay holds the record. OtherRecord: another relay does.
 	OwnRecord   Outcome = "own_record"
 	OtherRecord Outcome = "other_record"
-	// NotFound: the origin is unknown.
-	NotFound Outcome = "unknown"
+	// NotFound: several versions can have begun the stream, and no relay that answered has its record. NoStatement: no relay that
+	// answered has a record, and no statement of the leader was to be had.
+	NotFound    Outcome = "unknown"
+	NoStatement Outcome = "no_statement"
 )
--- a/internal/relay/origins/lookup.go
+++ b/internal/relay/origins/lookup.go
@@ -1,6 +1,7 @@
 package origins
 
 import (
+	"sync"
 	"time"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
@@ -14,9 +15,14 @@
 	Age     time.Duration
 }
 
+// IsKnown reports whether the version that began the stream is known.
+func (f Found) IsKnown() bool { return f.Outcome != NotFound && f.Outcome != NoStatement }
+
 // Find returns where the stream with the given name began. service is the service that the stream would go on at if its record
 // names none: where one version alone can have begun a stream of the service, it is that version, and the record's service is 0.
-// Find asks other relays only if this one does not know, and blocks until they have answered, or until stop is closed.
+// Only the leader can say that, in a statement that it makes after the search has begun: this relay's list may be old, and other
+// relays may know no more than it. Relays that do not answer say nothing. Find blocks until the origin is known or cannot be found
+// out, or until stop is closed.
 func (o *Origins) Find(name streamorigin.Name, service string, stop <-chan struct{}) Found {
 	found := o.find(name, service, stop)
 	if found.Record.Version == streamorigin.Unknown { // it began at a back end that had just started
@@ -27,53 +33,118 @@
 }
 
 func (o *Origins) find(name streamorigin.Name, service string, stop <-chan struct{}) Found {
-	if only, isKnown := o.Only(service); isKnown {
-		return Found{Record: streamorigin.Record{Version: only}, Outcome: OnlyVersion, Age: o.config.ListAge()}
-	}
 	if record, age, isFound := o.held(name); isFound {
 		return Found{Record: record, Outcome: OwnRecord, Age: age}
 	}
-	return o.askOwners(name, service, stop)
+	search := &search{origins: o, name: name, service: service, stop: stop, beganAt: o.config.Now(), outcome: NoStatement}
+	if found, isFound := search.askLeaderAndOwners(); isFound {
+		return found
+	}
+	if search.outcome == NoStatement && !search.hasAskedForStatements {
+		if found, isFound := search.await(search.askOwners(true), nil); isFound {
+			return found
+		}
+	}
+	return Found{Outcome: search.outcome}
 }
 
-// askOwners asks the relays that keep the stream's origin, all at once. Without a record, the version is known if one version alone
-// serves and no relay knows of another: this relay, and others, may have started too recently to be sure by themselves.
-func (o *Origins) askOwners(name streamorigin.Name, service string, stop <-chan struct{}) Found {
-	owners := o.ownersOf(name)
-	answers := make(chan *v1.StreamOriginAnswer, len(owners))
-	for _, owner := range owners {
-		go func() { answers <- o.ask(owner, name, service, stop) }()
-	}
-	only, isKnown := o.single(service)
-	for range owners {
-		answer := <-answers
-		if _, record, _, isValid := originFromWire(answer.GetOrigin()); isValid {
-			return Found{Record: record, Outcome: OtherRecord, Age: time.Duration(answer.GetOriginAgeMs()) * time.Millisecond}
+// search is one search for the origin of a stream of which this relay has no record.
+type search struct {
+	origins *Origins
+	name    streamorigin.Name
+	service string
+	stop    <-chan struct{}
+	beganAt time.Duration
+	// hasAskedForStatements is true once other relays were asked for a statement of the leader.
+	hasAskedForStatements bool
+	// outcome is that of a search that finds nothing.
+	outcome Outcome
+}
+
+// askLeaderAndOwners asks the relays that keep the stream's record, and the leader for a statement, all at once. If the leader has not
+// answered lately, the relays are asked for its statement as well.
+func (s *search) askLeaderAndOwners() (Found, bool) {
+	statements := make(chan *v1.VersionStatement, 1)
+	go func() { statements <- s.origins.statements.read(s.stop) }()
+	return s.await(s.askOwners(!s.origins.config.IsLeaderInContact()), statements)
+}
+
+// await returns the first evidence of the origin among the answers of relays and the leader's statement, which is nil if it is not
+// asked for. It returns false once none is left.
+func (s *search) await(answers <-chan *v1.StreamOriginAnswer, statements <-chan *v1.VersionStatement) (Found, bool) {
+	for answers != nil || statements != nil {
+		select {
+		case statement := <-statements:
+			statements = nil
+			if found, isFound := s.foundIn(statement, OnlyVersion); isFound {
+				return found, true
+			}
+		case answer, isOpen := <-answers:
+			if !isOpen {
+				answers = nil
+				continue
+			}
+			if _, record, _, isValid := originFromWire(answer.GetOrigin()); isValid {
+				return Found{Record: record, Outcome: OtherRecord, Age: time.Duration(answer.GetOriginAgeMs()) * time.Millisecond}, true
+			}
+			if found, isFound := s.foundIn(answer.GetStatement(), RelayedOnlyVersion); isFound {
+				return found, true
+			}
 		}
-		differs := answer.GetOnlySoftware() != 0 && streamorigin.Version(answer.GetOnlySoftware()) != only
-		isKnown = isKnown && !answer.GetMixed() && !differs
 	}
-	if !isKnown {
-		return Found{Outcome: NotFound}
+	return Found{}, false
+}
+
+// foundIn returns the version that a statement of the leader names as the only one.
+func (s *search) foundIn(statement *v1.VersionStatement, outcome Outcome) (Found, bool) {
+	if statement == nil {
+		return Found{}, false
+	}
+	s.outcome = NotFound
+	only, isSingle := statementFromWire(statement).Single(s.service, s.origins.config.LifetimeOf(s.service))
+	return Found{Record: streamorigin.Record{Version: only}, Outcome: outcome, Age: s.origins.config.Now() - s.beganAt}, isSingle
+}
+
+// askOwners asks the relays that keep the stream's record, all at once. The channel is closed after the last answer.
+func (s *search) askOwners(wantsStatement bool) <-chan *v1.StreamOriginAnswer {
+	s.hasAskedForStatements = s.hasAskedForStatements || wantsStatement
+	owners := s.origins.ownersOf(s.name)
+	answers := make(chan *v1.StreamOriginAnswer, len(owners))
+	var asked sync.WaitGroup
+	for _, owner := range owners {
+		asked.Go(func() {
+			if answer := s.ask(owner, wantsStatement); answer != nil {
+				answers <- answer
+			}
+		})
 	}
-	return Found{Record: streamorigin.Record{Version: only}, Outcome: UnopposedVersion, Age: o.config.ListAge()}
+	go func() {
+		asked.Wait()
+		close(answers)
+	}()
+	return answers
 }
 
 // ask asks one relay; it returns nil if no answer arrives in time, or if stop is closed.
-func (o *Origins) ask(owner string, name streamorigin.Name, service string, stop <-chan struct{}) *v1.StreamOriginAnswer {
+func (s *search) ask(owner string, wantsStatement bool) *v1.StreamOriginAnswer {
+	o := s.origins
 	number, answers := o.queries.Open()
 	defer o.queries.Close(number)
+	wait := o.config.Timeout()
+	if wantsStatement {
+		wait = max(wait, statementTimeout/queriesPerOwner)
+	}
 	for range queriesPerOwner {
 		o.config.Socket.Send(owner, &v1.RelayDatagram{Content: &v1.RelayDatagram_StreamOriginQuery{StreamOriginQuery: &v1.StreamOriginQuery{
-			Relay: o.config.Incarnation, Number: number, NameHigh: name.High, NameLow: name.Low, Service: service,
+			Relay: o.config.Incarnation, Number: number, NameHigh: s.name.High, NameLow: s.name.Low, Service: s.service, WantsStatement: wantsStatement,
 		}}})
-		timer := time.NewTimer(o.config.Timeout())
+		timer := time.NewTimer(wait)
 		select {
 		case answer := <-answers:
 			timer.Stop()
 			return answer
 		case <-timer.C:
-		case <-stop:
+		case <-s.stop:
 			timer.Stop()
 			return nil
 		}
@@ -81,18 +152,29 @@
 	return nil
 }
 
-// HandleQuery answers another relay's query.
+// HandleQuery answers another relay's query. Relays of former builds take an answer without a record and without several versions for
+// the absence of other versions, which this relay cannot know: they are told of several versions.
 func (o *Origins) HandleQuery(query *v1.StreamOriginQuery, from string) {
 	answer := &v1.StreamOriginAnswer{Relay: query.GetRelay(), Number: query.GetNumber()}
 	name := streamorigin.Name{High: query.GetNameHigh(), Low: query.GetNameLow()}
-	if record, age, isFound := o.held(name); isFound {
+	record, age, isFound := o.held(name)
+	switch {
+	case isFound:
 		answer.Origin, answer.OriginAgeMs = originToWire(name, record, 0), uint32(age.Milliseconds())
-	} else if only, isKnown := o.Only(query.GetService()); isKnown {
-		answer.OnlySoftware = uint64(only)
-	} else {
-		answer.Mixed = o.IsMixed(query.GetService())
+	case query.GetWantsStatement():
+		go func() {
+			answer.Mixed, answer.Statement = true, o.statements.read(nil)
+			o.sendAnswer(answer, from)
+		}()
+		return
+	default:
+		answer.Mixed = true
 	}
-	o.config.Socket.Send(from, &v1.RelayDatagram{Content: &v1.RelayDatagram_StreamOriginAnswer{StreamOriginAnswer: answer}})
+	o.sendAnswer(answer, from)
+}
+
+func (o *Origins) sendAnswer(answer *v1.StreamOriginAnswer, to string) {
+	o.config.Socket.Send(to, &v1.RelayDatagram{Content: &v1.RelayDatagram_StreamOriginAnswer{StreamOriginAnswer: answer}})
 }
 
 // HandleAnswer passes an answer to the query that waits for it.
--- a/internal/relay/origins/origins.go
+++ b/internal/relay/origins/origins.go
@@ -1,8 +1,10 @@
 package origins
 
 import (
+	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
@@ -19,6 +21,10 @@
 	// reported holds a value when a report waits for its receipt.
 	reported chan struct{}
 
+	statements statementReader
+	// statement is that of the leader's last answer; nil for none.
+	statement atomic.Pointer[streamorigin.Statement]
+
 	mutex   sync.Mutex
 	history *streamorigin.History
 	table   *streamorigin.Table
@@ -34,7 +40,8 @@
 // New returns the origins of a relay that has no lists of relays and back ends yet.
 func New(config Config) *Origins {
 	return &Origins{
-		config: config, queries: datagram.NewQueries[*v1.StreamOriginAnswer](config.Socket), reported: make(chan struct{}, 1),
+		statements: statementReader{readStatement: config.ReadStatement},
+		config:     config, queries: datagram.NewQueries[*v1.StreamOriginAnswer](config.Socket), reported: make(chan struct{}, 1),
 		history: streamorigin.NewHistory(), table: streamorigin.NewTable(streamorigin.MaxRecords),
 		active: map[*ActiveStream]bool{}, pending: map[uint64]*pendingReport{},
 	}
@@ -52,42 +59,59 @@
 func (o *Origins) ApplyListing(listed map[string]map[streamorigin.Version]bool) {
 	o.mutex.Lock()
 	newlyMixed := o.history.Update(o.config.Now(), listed)
-	var unrecorded []*ActiveStream
-	for stream := range o.active {
-		if slices.Contains(newlyMixed, stream.Service) {
-			unrecorded = append(unrecorded, stream)
-		}
-	}
 	o.mutex.Unlock()
-	for _, stream := range unrecorded {
-		o.Record(stream.Name(), stream.Service, stream.Record)
+	o.recordActive(func(service string) bool { return slices.Contains(newlyMixed, service) })
+}
+
+// ApplyStatement applies the statement in the leader's last answer; nil if it has none. Where it names a second version, it reports the
+// streams that this relay is forwarding, as ApplyListing does.
+func (o *Origins) ApplyStatement(stated *v1.VersionStatement) {
+	var statement *streamorigin.Statement
+	if stated != nil {
+		statement = statementFromWire(stated)
 	}
+	former := o.statement.Swap(statement)
+	o.recordActive(func(service string) bool {
+		lifetime := o.config.LifetimeOf(service)
+		_, wasSingle := former.Single(service, lifetime)
+		_, isSingle := statement.Single(service, lifetime)
+		return wasSingle && !isSingle
+	})
 }
 
-// Only returns the version that alone can have begun a stream of a service; false if there may be several.
-func (o *Origins) Only(service string) (streamorigin.Version, bool) {
-	if !o.config.IsListCurrent() {
-		return streamorigin.Unknown, false
+// recordActive reports the streams of some services that this relay is forwarding.
+func (o *Origins) recordActive(isAffected func(service string) bool) {
+	o.mutex.Lock()
+	active := slices.Collect(maps.Keys(o.active))
+	o.mutex.Unlock()
+	for _, stream := range active {
+		if isAffected(stream.Service) {
+			o.Record(stream.Name(), stream.Service, stream.Record)
+		}
 	}
+}
+
+// IsMixed reports whether this relay lists several versions of a service, or did within the time that a stream can last.
+func (o *Origins) IsMixed(service string) bool {
 	lifetime := o.config.LifetimeOf(service)
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	return o.history.Only(o.config.Now(), service, lifetime)
+	_, isSingle := o.history.Single(o.config.Now(), service, lifetime)
+	return !isSingle
 }
 
-// IsMixed reports whether several versions of a service serve, or have served as long as a stream can last, as far as this relay knows.
-// Only then are streams recorded.
-func (o *Origins) IsMixed(service string) bool {
-	_, isSingle := o.single(service)
-	return !isSingle
+// NeedsRecords reports whether streams of a service are recorded: unless one version alone can have begun them, as far as this relay
+// knows from its list and from the leader's last answer.
+func (o *Origins) NeedsRecords(service string) bool {
+	_, isSingle := o.statement.Load().Single(service, o.config.LifetimeOf(service))
+	return !isSingle || o.IsMixed(service)
 }
 
-// single returns the version that alone serves a service as far as this relay knows.
-func (o *Origins) single(service string) (streamorigin.Version, bool) {
-	lifetime := o.config.LifetimeOf(service)
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	return o.history.Single(o.config.Now(), service, lifetime)
+// MayBegin reports whether streams of a service may begin at a version that this relay has not learned from the leader: not if the
+// leader records versions and has not named this one, since its statements would lack the version.
+func (o *Origins) MayBegin(service string, version streamorigin.Version) bool {
+	statement := o.statement.Load()
+	return statement == nil || statement.Contains(service, version)
 }
 
 // ActiveStream is a stream that this relay is forwarding and of which the client has events.
--- a/internal/relay/origins/wire.go
+++ b/internal/relay/origins/wire.go
@@ -22,3 +22,21 @@
 	lifetime = min(time.Duration(origin.GetLifetimeMs())*time.Millisecond, streamorigin.MaxLifetime)
 	return name, record, lifetime, record.Version != streamorigin.None
 }
+
+// statementFromWire decodes a statement of the leader.
+func statementFromWire(stated *v1.VersionStatement) *streamorigin.Statement {
+	statement := &streamorigin.Statement{
+		CompleteFor: durationFromMs(stated.GetCompleteMs()), Versions: map[string][]streamorigin.StatedVersion{},
+	}
+	for _, version := range stated.GetVersions() {
+		statement.Versions[version.GetService()] = append(statement.Versions[version.GetService()], streamorigin.StatedVersion{
+			Version: streamorigin.VersionOf(version.GetSoftware()), UnlistedFor: durationFromMs(version.GetUnlistedMs()),
+		})
+	}
+	return statement
+}
+
+// durationFromMs converts a number of milliseconds to a duration of at most streamorigin.MaxLifetime: longer ones mean the same.
+func durationFromMs(milliseconds uint64) time.Duration {
+	return time.Duration(min(milliseconds, uint64(streamorigin.MaxLifetime.Milliseconds()))) * time.Millisecond
+}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -9,6 +9,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
+	"github.com/hazelpitch/hazelpitch/internal/relay/origins"
 	"github.com/hazelpitch/hazelpitch/internal/relay/peerhealth"
 )
 
@@ -22,7 +23,7 @@
 	})
 	r.placements = newPlacementClient(r, r.datagrams, r.fleet.incarnation, r.peers)
 	r.permits = newPermits(r)
-	r.origins = r.newOrigins(func() time.Duration { return r.clock.now() })
+	r.origins = origins.New(r.originsConfig())
 	r.slotAnswerTimeout = r.peers.Timeout
 	r.slots = newSlots(r)
 	r.placementOwner = newPlacementOwner(r)
--- a/internal/relay/serve_stream.go
+++ b/internal/relay/serve_stream.go
@@ -36,6 +36,9 @@
 	}
 	defer stream.endOrigin()
 	if refused := attempts.refuseGoneVersion(); refused != nil {
+		if !r.isListCurrent() && r.forwardToPeers(attempts, reply, stream.position.lastID()) {
+			return // another relay may list back ends of the version that this one lacks
+		}
 		r.log.recordRefusal(request, *refused, attempts)
 		reply.refuse(*refused)
 		return
--- a/internal/relay/stream_origin.go
+++ b/internal/relay/stream_origin.go
@@ -34,7 +34,7 @@
 	if !s.request.route.Resumable || s.origin.active != nil {
 		return
 	}
-	if !s.relay.origins.IsMixed(service) || version == streamorigin.Unknown && s.origin.records == 0 {
+	if !s.relay.origins.NeedsRecords(service) || version == streamorigin.Unknown && s.origin.records == 0 {
 		return
 	}
 	s.origin.records++
--- a/internal/relay/taken_up.go
+++ b/internal/relay/taken_up.go
@@ -1,12 +1,16 @@
 package relay
 
 import (
+	"context"
 	"math"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/relay/origins"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
@@ -15,30 +19,32 @@
 // Reasons for refusing a stream that a client takes up.
 const (
 	reasonUnknownOrigin = "it is not known which software version began the stream"
+	reasonNoStatement   = "no controller can be asked which software version began the stream"
 	reasonVersionGone   = "no back end of the software version that began the stream takes requests"
 )
 
-// ownListLifetime is how long a list that this relay has read itself counts as current.
-const ownListLifetime = 2 * time.Second
-
-// newOrigins creates the records of where streams began; now is the clock by which they are kept.
-func (r *Relay) newOrigins(now func() time.Duration) *origins.Origins {
-	return origins.New(origins.Config{
-		Socket: r.datagrams, Incarnation: r.fleet.incarnation, Now: now, Timeout: r.peers.Timeout,
-		LifetimeOf: r.streamLifetime, IsListCurrent: r.isListCurrent, ListAge: r.listAge,
+// originsConfig returns what the records of where streams began depend on.
+func (r *Relay) originsConfig() origins.Config {
+	return origins.Config{
+		Socket: r.datagrams, Incarnation: r.fleet.incarnation, Now: func() time.Duration { return r.clock.now() }, Timeout: r.peers.Timeout,
+		LifetimeOf: r.streamLifetime, ReadStatement: r.readStatement, IsLeaderInContact: r.isLeaderInContact,
 		Metrics: origins.Metrics{Reports: r.metrics.originReports, Lookups: r.metrics.originLookups},
-	})
+	}
 }
 
-// isListCurrent reports whether the list of back ends is current: a leader has confirmed it, or this relay has read it, a moment ago.
-func (r *Relay) isListCurrent() bool {
-	view := r.view.Load()
-	return r.isLeaderInContact() || view.isListed && view.listingVersion == 0 && r.clock.now()-view.listedAt <= ownListLifetime
+// readStatement asks the leader which software versions can have begun streams; it returns nil if it gets no answer.
+func (r *Relay) readStatement(ctx context.Context) *v1.VersionStatement {
+	response, err := r.watcher.LeaderClient().ReadServedVersions(ctx, connect.NewRequest(&v1.ReadServedVersionsRequest{}))
+	if err != nil {
+		r.event(events.VersionsUnread).Err(err).Send()
+		return nil
+	}
+	return response.Msg.GetStatement()
 }
 
-// listAge returns how long ago the list of back ends was confirmed by a leader, or read by this relay.
-func (r *Relay) listAge() time.Duration {
-	return r.clock.now() - max(r.lastContact(), r.view.Load().listedAt)
+// isListCurrent reports whether the leader has confirmed this relay's list of back ends lately.
+func (r *Relay) isListCurrent() bool {
+	return r.isLeaderInContact() && r.view.Load().listingVersion != 0
 }
 
 // serviceHash identifies a service in records.
@@ -58,7 +64,10 @@
 		return nil
 	}
 	found := r.origins.Find(r.resumedName(request), request.service.Name, request.canceller.done())
-	if found.Outcome == origins.NotFound || !r.applyRecordedService(request, found.Record.Service) {
+	if found.Outcome == origins.NoStatement { // the leader may be back by then
+		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonNoStatement, retryAfter: retryAfterStaleView}
+	}
+	if !found.IsKnown() || !r.applyRecordedService(request, found.Record.Service) {
 		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonUnknownOrigin}
 	}
 	request.boundTo, request.boundBy = found.Record.Version, evidenceOf(found, r.clock.now())
--- a/internal/serving/table.go
+++ b/internal/serving/table.go
@@ -19,6 +19,8 @@
 	levels priorityLevels
 	// longestTimeouts holds the longest timeout of the routes of each service.
 	longestTimeouts map[string]time.Duration
+	// resumable holds the services with routes whose streams may be resumed.
+	resumable map[string]bool
 }
 
 // NewTable indexes a valid configuration.
@@ -32,6 +34,7 @@
 		levels:        newPriorityLevels(configuration),
 
 		longestTimeouts: map[string]time.Duration{},
+		resumable:       map[string]bool{},
 	}
 	for index := range configuration.Routes {
 		route := &configuration.Routes[index]
@@ -39,6 +42,7 @@
 		table.byHost[host] = append(table.byHost[host], route)
 		for _, split := range route.Splits {
 			table.longestTimeouts[split.Service] = max(table.longestTimeouts[split.Service], route.Timeout)
+			table.resumable[split.Service] = table.resumable[split.Service] || route.Kind == KindStream && route.Resumable
 		}
 	}
 	for _, routes := range table.byHost {
@@ -77,6 +81,9 @@
 // LongestTimeout returns the longest timeout of the routes that send requests to the service.
 func (t *Table) LongestTimeout(service string) time.Duration { return t.longestTimeouts[service] }
 
+// HasResumableStreams reports whether a route of the service carries streams that may be resumed.
+func (t *Table) HasResumableStreams(service string) bool { return t.resumable[service] }
+
 // Tenant returns the tenant of the key, or nil.
 func (t *Table) Tenant(key string) *Tenant { return t.byKey[key] }
 
