Let the latest record of a stream outvote that of an attempt without events

What callers may see: a stream that is taken up goes on at the version of an attempt that brought no event, if the record of the attempt that did is lost on the way to a relay which keeps the former one. Cause: a later attempt at another version replaces the record by a higher number, but the first event was sent without any confirmation after 40 ms, and whoever took the stream up used the first record that any relay answered with. Result: TestTheLatestRecordOutvotesAFormerOne (go test ./internal/relay/origins).

--- a/internal/relay/origins/origins_test.go
+++ b/internal/relay/origins/origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -120,7 +121,7 @@
 		relay.list("v1", "v2")
 	}
 	name := streamorigin.NameOf("", "host", "id-1")
-	owners := relays[0].ownersOf(name)
+	owners := relays[0].keepersOf(name).others
 	require.GreaterOrEqual(t, len(owners), ownersPerStream-1)
 	require.True(t, relays[0].Record(name, testService, recordOf("v1")).Await(time.Minute, nil))
 	for _, owner := range relays {
@@ -280,6 +281,35 @@
 	require.EqualValues(t, 2, relay.reads.Load())
 }
 
+// Guards against a stream that goes on at the version of an attempt which brought no event: a relay that was cut off from the one which
+// began the stream holds only the record of that attempt.
+func TestTheLatestRecordOutvotesAFormerOne(t *testing.T) {
+	relays := startRelays(t, 4)
+	name := streamorigin.NameOf("", "host", "id-1")
+	for attempt := 2; relays[0].keepersOf(name).includesSelf; attempt++ {
+		name = streamorigin.NameOf("", "host", fmt.Sprintf("id-%d", attempt))
+	}
+	keepers := relays[0].keepersOf(name)
+	former, latest := recordOf("v1"), recordOf("v2")
+	latest.Sequence++
+	require.True(t, relays[0].Record(name, testService, former).AwaitQuorum(time.Minute, nil))
+	require.Eventually(t, func() bool { return relays[0].pendingCount() == 0 }, time.Minute, time.Millisecond)
+	for _, relay := range relays {
+		if relay.address == keepers.others[0] {
+			relay.losesNext.Store(maxSends)
+		}
+	}
+	recording := relays[0].Record(name, testService, latest)
+	require.True(t, recording.AwaitQuorum(time.Minute, nil))
+	require.Eventually(t, func() bool { return relays[0].pendingCount() == 0 }, time.Minute, time.Millisecond)
+	relays[0].close()
+	for _, relay := range relays[1:] {
+		relay.losesNext.Store(0)
+		record, _ := relay.search(name, testService, nil)
+		require.Equal(t, latest, record)
+	}
+}
+
 // Guards against streams that began while one version served, and are taken up after a second one has come.
 func TestStreamsUnderWayAreRecordedWhenASecondVersionComes(t *testing.T) {
 	relays := startRelays(t, 3)
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -201,8 +201,8 @@
 		if !events.HasEvent() || len(s.pending) > maxBatchBytes {
 			s.flush(answer)
 		}
-		if s.reply.aborted {
-			return nil // the client has disconnected
+		if s.reply.aborted || s.reply.refusal != nil {
+			return nil // the client has disconnected, or was refused
 		}
 	}
 }
@@ -252,7 +252,10 @@
 	s.recordFirstEvent(answer)
 	if s.beganAt == nil {
 		s.beganAt, s.beganAtTime = answer.message.backEnd, s.relay.clock.now()
-		s.awaitRecorded()
+		if !s.awaitRecorded() {
+			s.refuseUnrecorded()
+			return
+		}
 	}
 	if s.reply.started {
 		s.reply.send(s.pending)
--- a/internal/relay/taken_up.go
+++ b/internal/relay/taken_up.go
@@ -82,7 +82,7 @@
 	if resumed == "" {
 		return streamorigin.Name{}
 	}
-	return streamorigin.NameOf(request.tenantName(), request.host, resumed)
+	return streamName(request, resumed)
 }
 
 // applyRecordedService selects the service that began the stream; 0 leaves the one that was drawn. It returns false if the route
