Show that streams are taken up at another service of their route

A stream that a client takes up is drawn for a service anew where its route is split between several, or follows its route to another service after a change, while one software version serves: the version is then taken as known, and the service is not asked about.

--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -261,11 +261,12 @@
 // statementOf returns the statement of a leader under which these back ends alone have served for long.
 func statementOf(backEnds []*scriptedBackEnd) *v1.VersionStatement {
 	statement := &v1.VersionStatement{CompleteMs: uint64(streamorigin.MaxLifetime.Milliseconds())}
-	isStated := map[string]bool{}
+	isStated := map[[2]string]bool{}
 	for _, backEnd := range backEnds {
-		if software := backEnd.entry.Software; !isStated[software] {
-			isStated[software] = true
-			statement.Versions = append(statement.Versions, &v1.StatedVersion{Service: backEnd.entry.Service, Software: software})
+		service, software := backEnd.entry.Service, backEnd.entry.Software
+		if key := [2]string{service, software}; !isStated[key] {
+			isStated[key] = true
+			statement.Versions = append(statement.Versions, &v1.StatedVersion{Service: service, Software: software})
 		}
 	}
 	return statement
