Let a stream that is taken up go on at its own service only

What callers may see: the rest of a stream comes from another service, where its route is split between several (the service was drawn anew), or leads to another one since a change of the configuration. Cause: the version of the drawn service was taken as known where one version alone serves, and the record, which names the service, was not made or not asked for. The class is the same: a fact that the stream acquired when it began is taken from the state of the moment. Change: a relay knows to which services each route has led within the time that a stream can last (streamorigin.RouteServices). Where there are several, streams are recorded, those under way too, and a stream without a record is refused.

--- a/internal/relay/fleet_state.go
+++ b/internal/relay/fleet_state.go
@@ -256,6 +256,7 @@
 	f.heldDocument = document
 	next.table, next.configuredAt = serving.NewTable(&configuration), f.relay.clock.now()
 	f.resizeCaches(next)
+	f.relay.applyRouteServices(next.table)
 	f.relay.event(events.ConfigurationApplied).Uint64("number", configuration.Number).Int("tenants", len(configuration.Tenants)).Send()
 	return true
 }
--- a/internal/relay/forward_peers_test.go
+++ b/internal/relay/forward_peers_test.go
@@ -111,6 +111,7 @@
 	change(&changed)
 	next := *current
 	next.table = serving.NewTable(&changed)
+	r.applyRouteServices(next.table)
 	r.view.Store(&next)
 }
 
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -247,6 +247,7 @@
 	for _, backEnd := range backEnds {
 		entries = append(entries, backEnd.entry)
 	}
+	relay.applyRouteServices(next.table)
 	relay.fleet.applyListing(entries, next)
 	relay.view.Store(next)
 	relay.origins.ApplyStatement(statementOf(backEnds))
--- a/internal/relay/origins/lookup.go
+++ b/internal/relay/origins/lookup.go
@@ -21,7 +21,8 @@
 }
 
 // Find returns where the stream with the given name began. service is the service that the stream would go on at if its record
-// names none: where one version alone can have begun a stream of the service, it is that version, and the record's service is 0.
+// names none: where one version alone can have begun a stream of the service, it is that version, and the record's service is 0. If
+// service is empty, the stream may have begun at several services, and only a record tells.
 // Only the leader can say that, in a statement that it makes after the search has begun: this relay's list may be old, and other
 // relays may know no more than it. Relays that do not answer say nothing. Find blocks until the origin is known or cannot be found
 // out, or until stop is closed.
@@ -89,6 +90,10 @@
 // askLeaderAndOwners asks the relays that keep the stream's record, and the leader for a statement, all at once. If the leader has not
 // answered lately, the relays are asked for its statement as well.
 func (s *search) askLeaderAndOwners() (Found, bool) {
+	if s.service == "" {
+		s.outcome = NotFound
+		return s.await(s.askOwners(false), nil)
+	}
 	statements := make(chan *v1.VersionStatement, 1)
 	go func() { statements <- s.origins.statements.read(s.stop) }()
 	return s.await(s.askOwners(!s.origins.config.IsLeaderInContact()), statements)
--- a/internal/relay/origins/origins.go
+++ b/internal/relay/origins/origins.go
@@ -60,7 +60,7 @@
 	o.mutex.Lock()
 	newlyMixed := o.history.Update(o.config.Now(), listed)
 	o.mutex.Unlock()
-	o.recordActive(func(service string) bool { return slices.Contains(newlyMixed, service) })
+	o.RecordActive(func(service string) bool { return slices.Contains(newlyMixed, service) })
 }
 
 // ApplyStatement applies the statement in the leader's last answer; nil if it has none. Where it names a second version, it reports the
@@ -71,7 +71,7 @@
 		statement = statementFromWire(stated)
 	}
 	former := o.statement.Swap(statement)
-	o.recordActive(func(service string) bool {
+	o.RecordActive(func(service string) bool {
 		lifetime := o.config.LifetimeOf(service)
 		_, wasSingle := former.Single(service, lifetime)
 		_, isSingle := statement.Single(service, lifetime)
@@ -79,8 +79,8 @@
 	})
 }
 
-// recordActive reports the streams of some services that this relay is forwarding.
-func (o *Origins) recordActive(isAffected func(service string) bool) {
+// RecordActive reports the streams of some services that this relay is forwarding.
+func (o *Origins) RecordActive(isAffected func(service string) bool) {
 	o.mutex.Lock()
 	active := slices.Collect(maps.Keys(o.active))
 	o.mutex.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,6 +37,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/relay/workmeter"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 	"github.com/hazelpitch/hazelpitch/internal/usagereport"
 )
 
@@ -97,6 +98,9 @@
 	prefillWaitSlack time.Duration
 
 	view atomic.Pointer[view]
+	// routeServices is guarded by routeServicesMutex.
+	routeServices      *streamorigin.RouteServices
+	routeServicesMutex sync.Mutex
 	// lastContactAt is when the last message of a leader arrived.
 	lastContactAt atomic.Int64
 	// relayCount is the number of relays as the leader sent it; 0 while unknown.
@@ -210,6 +214,7 @@
 		prefillWaitSlack: prefillWaitSlack,
 		startupWait:      startupWait,
 		viewReady:        newReadySignal(),
+		routeServices:    streamorigin.NewRouteServices(),
 		random:           lockedRandom{source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 	}
 	relay.splits = splitdraw.New(relay.draw)
--- a/internal/relay/stream_origin.go
+++ b/internal/relay/stream_origin.go
@@ -43,7 +43,8 @@
 	if !s.request.route.Resumable || s.origin.active != nil {
 		return
 	}
-	if !s.relay.origins.NeedsRecords(service) || version == streamorigin.Unknown && s.origin.records == 0 {
+	needsRecord := s.relay.origins.NeedsRecords(service) || !s.relay.isServiceCertain(s.request.route)
+	if !needsRecord || version == streamorigin.Unknown && s.origin.records == 0 {
 		return
 	}
 	s.origin.isReplaced = s.origin.isReplaced || s.origin.records > 0 && version != s.origin.recorded || s.wasRecordedBefore()
--- a/internal/relay/taken_up.go
+++ b/internal/relay/taken_up.go
@@ -18,7 +18,7 @@
 
 // Reasons for refusing a stream that a client takes up.
 const (
-	reasonUnknownOrigin = "it is not known which software version began the stream"
+	reasonUnknownOrigin = "it is not known which service or software version began the stream"
 	reasonNoStatement   = "no controller can be asked which software version began the stream"
 	reasonVersionGone   = "no back end of the software version that began the stream takes requests"
 )
@@ -63,7 +63,11 @@
 	if request.forwarded != nil || !r.isTakenUp(request) {
 		return nil
 	}
-	found := r.origins.Find(r.resumedName(request), request.service.Name, request.canceller.done())
+	service := request.service.Name
+	if !r.isServiceCertain(request.route) {
+		service = "" // only a record tells at which service it began
+	}
+	found := r.origins.Find(r.resumedName(request), service, request.canceller.done())
 	if found.Outcome == origins.NoStatement { // the leader may be back by then
 		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonNoStatement, retryAfter: retryAfterStaleView}
 	}
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -139,3 +139,31 @@
 	_, isSingle := (*Statement)(nil).Single("s", lifetime)
 	require.False(t, isSingle)
 }
+
+// Guards against a stream that goes on at another service than the one that began it, because its route has led to both.
+func TestRouteServicesKnowsWhereARouteHasLed(t *testing.T) {
+	const lifetime = 12 * time.Second
+	route := Route{Host: "h", Prefix: "/p/"}
+	services := func(names ...string) map[Route]map[string]bool {
+		set := map[string]bool{}
+		for _, name := range names {
+			set[name] = true
+		}
+		return map[Route]map[string]bool{route: set}
+	}
+	known := NewRouteServices()
+	require.False(t, known.IsSingle(0, route, lifetime))
+	require.Empty(t, known.Update(0, services("one")))
+	require.True(t, known.IsSingle(0, route, lifetime))
+	require.Equal(t, map[string]bool{"one": true}, known.Update(10*time.Second, services("one", "two")))
+	require.False(t, known.IsSingle(10*time.Second, route, lifetime))
+	require.Empty(t, known.Update(20*time.Second, services("two")), "its streams are recorded since it was split")
+	require.False(t, known.IsSingle(20*time.Second+lifetime-1, route, lifetime))
+	require.True(t, known.IsSingle(20*time.Second+lifetime, route, lifetime))
+	known.Update(3*MaxLifetime, services("two"))
+	require.Equal(t, map[string]bool{"two": true}, known.Update(3*MaxLifetime, services("three")))
+	known.Update(3*MaxLifetime, map[Route]map[string]bool{})
+	require.False(t, known.IsSingle(3*MaxLifetime, route, lifetime), "two and three")
+	known.Update(5*MaxLifetime, map[Route]map[string]bool{})
+	require.Empty(t, known.routes)
+}
