Test what operators and gateways make of controllers' answers that stop

Failing now: an answer of HTTP/1 without a length and chunks ends with its connection, and its beginning is a valid message. The operator's client takes an empty one for a confirmation (revision 0) and half of one for a shorter message; gateways take them in each of eight calls.

--- a/internal/standin/halfhead/way.go
+++ b/internal/standin/halfhead/way.go
@@ -73,7 +73,7 @@
 		{Name: "older protocol", Text: a.statusLine("HTTP/1.0") + "\r\n" + a.Headers},
 	}
 	whole := []Way{
-		{Name: "before a body of a length", Text: head + a.length() + "\r\n"},
+		{Name: "before a body of a length", Text: head + a.length() + "\r\n", IsLengthZero: a.Body == ""},
 		{Name: "before the first chunk", Text: head + chunked + "\r\n"},
 		{Name: "within the size of a chunk", Text: head + chunked + "\r\n1"},
 		{Name: "before a body that ends with the connection", Text: head + "\r\n"},
