Refuse controllers' answers that do not declare their end

Callers saw: an answer to hazelctl that stopped right after its head counted as a confirmation with revision 0, and one that stopped within its body, between two fields, as a shorter message; gateways used such answers as heartbeats, claims, permits, reports. Cause: connect takes the end of the connection for the end of a body that declares none, and the beginning of an encoded message is a message. Class: an incomplete answer taken for a whole one. Controllers always declare the end. internal/declaredend refuses a success without it; an empty answer to a submission or a heartbeat is refused too, since these are never empty.

--- a/internal/gateway/controllers.go
+++ b/internal/gateway/controllers.go
@@ -10,9 +10,11 @@
 
 	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/declaredend"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
@@ -49,7 +51,7 @@
 func newControllers(config settings.Gateway, dial dialing.Dial, tlsConfig *tls.Config) *controllers {
 	transport := &http.Transport{DialContext: dial, IdleConnTimeout: controllerIdleTimeout, TLSClientConfig: tlsConfig}
 	c := &controllers{
-		http:    &http.Client{Transport: transport},
+		http:    &http.Client{Transport: declaredend.NewTransport(transport)},
 		scheme:  scheme(tlsConfig),
 		clients: map[string]hazelpitchv1connect.NodeServiceClient{},
 	}
@@ -117,5 +119,8 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "sync with controller %s", address)
 	}
+	if proto.Size(response.Msg) == 0 {
+		return nil, trace.ConnectionProblem(nil, "the answer of controller %s to a heartbeat is empty", address)
+	}
 	return response.Msg, nil
 }
--- a/internal/operatorclient/client.go
+++ b/internal/operatorclient/client.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/declaredend"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/keys"
 	"github.com/hazelpitch/hazelpitch/internal/responselimit"
@@ -44,7 +47,7 @@
 		client.scheme = "https"
 		client.transport.TLSClientConfig = config.Credentials.ClientConfig(config.Fleet, keys.RoleController)
 	}
-	client.http = &http.Client{Transport: responselimit.NewTransport(client.transport, maxAnswerBytes)}
+	client.http = &http.Client{Transport: declaredend.NewTransport(responselimit.NewTransport(client.transport, maxAnswerBytes))}
 	return client, nil
 }
 
@@ -57,7 +60,19 @@
 	if request.GetRequestId() == "" {
 		request.RequestId = uuid.NewString()
 	}
-	return call(ctx, c, request, hazelpitchv1connect.OperatorServiceClient.Apply)
+	return call(ctx, c, request, applyAt)
+}
+
+// errEmptyAnswer means that a controller answered a submission without saying what became of it.
+var errEmptyAnswer = errors.New("the answer to the submission is empty")
+
+// applyAt submits a declaration to one controller. An empty answer is none: each answer names an outcome or a revision.
+func applyAt(service hazelpitchv1connect.OperatorServiceClient, ctx context.Context, request *connect.Request[v1.ApplyRequest]) (*connect.Response[v1.ApplyResponse], error) {
+	response, err := service.Apply(ctx, request)
+	if err == nil && proto.Size(response.Msg) == 0 {
+		return nil, connect.NewError(connect.CodeUnavailable, errEmptyAnswer)
+	}
+	return response, err
 }
 
 // Plan returns what Apply would change.
