Take a move without a handle for failed

Cause: the status alone said that an engine has transferred a run; a whole head without its body, or an empty one, has no handle. After the first copy the relay then stopped the run for the second, and lost it if that came without a handle too. Class: an answer without content taken for a confirmation. Nothing that callers saw is known of it.

--- a/internal/relay/run_mover.go
+++ b/internal/relay/run_mover.go
@@ -165,7 +165,7 @@
 
 // copyRun makes an engine transfer the run of a request to the engine at an address. If stop is true, the run stops first;
 // otherwise it continues meanwhile. copyRun reports whether the transfer succeeded, and returns the handle under which the
-// run continues.
+// run continues; an answer without a handle is no success.
 func (e *exchanger) copyRun(engine *backEnd, dialect Dialect, request *request, address string, stop bool) (copied bool, handle string) {
 	now := e.clock.now()
 	if engine.inBackoff(now) || !e.acquirePermit(engine, internalCallRank, false) {
@@ -192,5 +192,6 @@
 	if answer.StatusCode() != fasthttp.StatusMisdirectedRequest {
 		e.applyAnswerSignals(engine, &answer.Header, internalCallSentAt)
 	}
-	return answer.StatusCode() == fasthttp.StatusOK, dialect.ParseMoveAnswer(answer.Body())
+	handle = dialect.ParseMoveAnswer(answer.Body())
+	return answer.StatusCode() == fasthttp.StatusOK && handle != "", handle
 }
