Trust a record alone only if its attempt has brought events

Cause: a record did not say whether the client has events of its attempt, so that one alone could be the latest or a replaced one. Change: the relay reports a stream again once the client gets its first event; such a record is the last one and counts alone. Another one needs a majority of answers, else the stream is refused.

--- a/internal/relay/origins/lookup.go
+++ b/internal/relay/origins/lookup.go
@@ -41,7 +41,7 @@
 	}
 	if held, isFound := o.held(name); isFound {
 		search.best = Found{Record: held.Record, Outcome: OwnRecord, Age: held.age}
-		if held.isOwn {
+		if held.isOwn || held.HasBegun {
 			return search.best
 		}
 	}
@@ -53,9 +53,6 @@
 			return found
 		}
 	}
-	if search.best.IsKnown() { // fewer than a quorum have answered
-		return search.best
-	}
 	return Found{Outcome: search.outcome}
 }
 
@@ -84,8 +81,11 @@
 	}
 }
 
-// isDecided reports whether enough relays have answered to trust the best record.
-func (s *search) isDecided() bool { return s.best.IsKnown() && s.votes >= s.quorum }
+// isDecided reports whether the best record is certain: the client has events of that attempt, or enough relays have answered to know
+// of a later one.
+func (s *search) isDecided() bool {
+	return s.best.IsKnown() && (s.best.Record.HasBegun || s.votes >= s.quorum)
+}
 
 // askLeaderAndOwners asks the relays that keep the stream's record, and the leader for a statement, all at once. If the leader has not
 // answered lately, the relays are asked for its statement as well.
--- a/internal/relay/origins/origins_test.go
+++ b/internal/relay/origins/origins_test.go
@@ -110,8 +110,9 @@
 	return found.Record, found.Outcome
 }
 
+// recordOf returns the record of a stream of which the client has events.
 func recordOf(version string) streamorigin.Record {
-	return streamorigin.Record{Service: 7, Version: streamorigin.VersionOf(version), Sequence: 1}
+	return streamorigin.Record{Service: 7, Version: streamorigin.VersionOf(version), Sequence: 1, HasBegun: true}
 }
 
 // Guards against a stream whose version is unknown after the relay that began it, and one of those that keep it, have died.
@@ -291,6 +292,7 @@
 	}
 	keepers := relays[0].keepersOf(name)
 	former, latest := recordOf("v1"), recordOf("v2")
+	former.HasBegun, latest.HasBegun = false, false
 	latest.Sequence++
 	require.True(t, relays[0].Record(name, testService, former).AwaitQuorum(time.Minute, nil))
 	require.Eventually(t, func() bool { return relays[0].pendingCount() == 0 }, time.Minute, time.Millisecond)
@@ -308,6 +310,17 @@
 		record, _ := relay.search(name, testService, nil)
 		require.Equal(t, latest, record)
 	}
+	for _, relay := range relays[1:] { // the keeper that was not told, alone
+		if relay.address != keepers.others[0] {
+			relay.losesNext.Store(1 << 40)
+		}
+	}
+	for _, relay := range relays[1:] {
+		if relay.address == keepers.others[0] {
+			_, outcome := relay.search(name, testService, nil)
+			require.Equal(t, NoStatement, outcome, "its record may not be the latest")
+		}
+	}
 }
 
 // Guards against streams that began while one version served, and are taken up after a second one has come.
--- a/internal/relay/stream_origin.go
+++ b/internal/relay/stream_origin.go
@@ -51,7 +51,7 @@
 	s.origin.records, s.origin.recorded = s.origin.records+1, version
 	s.origin.recording = s.relay.origins.Record(s.name(), service, s.originRecord(version))
 	if resumed := s.relay.resumedName(s.request); s.request.boundTo != streamorigin.None && resumed != (streamorigin.Name{}) {
-		lasting := streamorigin.Record{Service: serviceHash(service), Version: version, Sequence: math.MaxUint32}
+		lasting := streamorigin.Record{Service: serviceHash(service), Version: version, Sequence: math.MaxUint32, HasBegun: true}
 		s.relay.origins.Record(resumed, service, lasting) // the client names the same attempt again
 	}
 }
@@ -88,18 +88,21 @@
 // awaitRecorded waits, before the first event is sent to the client, until another relay keeps the stream's origin. If none has
 // confirmed in time, the event may be sent nevertheless: a stream whose origin is not found is not continued. It may not be sent while most
 // relays may still keep the record of an attempt at another version: the stream would be continued there. awaitRecorded reports whether
-// the event may be sent.
+// the event may be sent, and then reports that the stream has begun.
 func (s *streamReply) awaitRecorded() bool {
 	if s.origin.recording == nil || s.reply.started {
 		return true
 	}
 	stop := s.request.canceller.done()
-	if s.origin.isReplaced {
-		return s.origin.recording.AwaitQuorum(replacedRecordWait, stop)
+	if s.origin.isReplaced && !s.origin.recording.AwaitQuorum(replacedRecordWait, stop) {
+		return false
 	}
 	if !s.origin.recording.Await(firstEventWait, stop) {
 		s.relay.metrics.unconfirmedOrigins.Inc()
 	}
+	if active := s.origin.active; active != nil {
+		s.relay.origins.Record(active.Name(), active.Service, active.Record)
+	}
 	return true
 }
 
@@ -116,7 +119,9 @@
 	if s.origin.active != nil || !s.request.route.Resumable || s.origin.version == streamorigin.Unknown {
 		return
 	}
-	s.origin.active = &origins.ActiveStream{Name: s.name, Service: s.request.service.Name, Record: s.originRecord(s.origin.version)}
+	began := s.originRecord(s.origin.version)
+	began.HasBegun = true
+	s.origin.active = &origins.ActiveStream{Name: s.name, Service: s.request.service.Name, Record: began}
 	s.relay.origins.Track(s.origin.active)
 }
 
--- a/internal/streamorigin/table.go
+++ b/internal/streamorigin/table.go
@@ -30,9 +30,9 @@
 	return &Table{capacity: capacity, byName: map[Name]*list.Element{}, byAge: list.New()}
 }
 
-// Put stores a record for its lifetime, unless a record with a higher sequence number is stored under the name.
+// Put stores a record for its lifetime, unless a later one is stored under the name.
 func (t *Table) Put(now time.Duration, name Name, record Record, lifetime time.Duration) {
-	if known, found := t.Get(now, name); found && known.Sequence > record.Sequence {
+	if known, found := t.Get(now, name); found && known.isAfter(record) {
 		return
 	}
 	if element := t.byName[name]; element != nil {
