--- a/internal/relay/origins/origins.go
+++ b/internal/relay/origins/origins.go
@@ -1,8 +1,10 @@
 package origins
 
 import (
+	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
@@ -19,6 +21,10 @@
 	// reported holds a value when a report waits for its receipt.
 	reported chan struct{}
 
+	statements statementReader
+	// statement is that of the leader's last answer; nil for none.
+	statement atomic.Pointer[streamorigin.Statement]
+
 	mutex   sync.Mutex
 	history *streamorigin.History
 	table   *streamorigin.Table
@@ -34,7 +40,8 @@
 // New returns the origins of a relay that has no lists of relays and back ends yet.
 func New(config Config) *Origins {
 	return &Origins{
-		config: config, queries: datagram.NewQueries[*v1.StreamOriginAnswer](config.Socket), reported: make(chan struct{}, 1),
+		statements: statementReader{readStatement: config.ReadStatement},
+		config:     config, queries: datagram.NewQueries[*v1.StreamOriginAnswer](config.Socket), reported: make(chan struct{}, 1),
 		history: streamorigin.NewHistory(), table: streamorigin.NewTable(streamorigin.MaxRecords),
 		active: map[*ActiveStream]bool{}, pending: map[uint64]*pendingReport{},
 	}
@@ -52,42 +59,59 @@
 func (o *Origins) ApplyListing(listed map[string]map[streamorigin.Version]bool) {
 	o.mutex.Lock()
 	newlyMixed := o.history.Update(o.config.Now(), listed)
-	var unrecorded []*ActiveStream
-	for stream := range o.active {
-		if slices.Contains(newlyMixed, stream.Service) {
-			unrecorded = append(unrecorded, stream)
-		}
-	}
 	o.mutex.Unlock()
-	for _, stream := range unrecorded {
-		o.Record(stream.Name(), stream.Service, stream.Record)
+	o.recordActive(func(service string) bool { return slices.Contains(newlyMixed, service) })
+}
+
+// ApplyStatement applies the statement in the leader's last answer; nil if it has none. Where it names a second version, it reports the
+// streams that this relay is forwarding, as ApplyListing does.
+func (o *Origins) ApplyStatement(stated *v1.VersionStatement) {
+	var statement *streamorigin.Statement
+	if stated != nil {
+		statement = statementFromWire(stated)
 	}
+	former := o.statement.Swap(statement)
+	o.recordActive(func(service string) bool {
+		lifetime := o.config.LifetimeOf(service)
+		_, wasSingle := former.Single(service, lifetime)
+		_, isSingle := statement.Single(service, lifetime)
+		return wasSingle && !isSingle
+	})
 }
 
-// Only returns the version that alone can have begun a stream of a service; false if there may be several.
-func (o *Origins) Only(service string) (streamorigin.Version, bool) {
-	if !o.config.IsListCurrent() {
-		return streamorigin.Unknown, false
+// recordActive reports the streams of some services that this relay is forwarding.
+func (o *Origins) recordActive(isAffected func(service string) bool) {
+	o.mutex.Lock()
+	active := slices.Collect(maps.Keys(o.active))
+	o.mutex.Unlock()
+	for _, stream := range active {
+		if isAffected(stream.Service) {
+			o.Record(stream.Name(), stream.Service, stream.Record)
+		}
 	}
+}
+
+// IsMixed reports whether this relay lists several versions of a service, or did within the time that a stream can last.
+func (o *Origins) IsMixed(service string) bool {
 	lifetime := o.config.LifetimeOf(service)
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	return o.history.Only(o.config.Now(), service, lifetime)
+	_, isSingle := o.history.Single(o.config.Now(), service, lifetime)
+	return !isSingle
 }
 
-// IsMixed reports whether several versions of a service serve, or have served as long as a stream can last, as far as this relay knows.
-// Only then are streams recorded.
-func (o *Origins) IsMixed(service string) bool {
-	_, isSingle := o.single(service)
-	return !isSingle
+// NeedsRecords reports whether streams of a service are recorded: unless one version alone can have begun them, as far as this relay
+// knows from its list and from the leader's last answer.
+func (o *Origins) NeedsRecords(service string) bool {
+	_, isSingle := o.statement.Load().Single(service, o.config.LifetimeOf(service))
+	return !isSingle || o.IsMixed(service)
 }
 
-// single returns the version that alone serves a service as far as this relay knows.
-func (o *Origins) single(service string) (streamorigin.Version, bool) {
-	lifetime := o.config.LifetimeOf(service)
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	return o.history.Single(o.config.Now(), service, lifetime)
+// MayBegin reports whether streams of a service may begin at a version that this relay has not learned from the leader: not if the
+// leader records versions and has not named this one, since its statements would lack the version.
+func (o *Origins) MayBegin(service string, version streamorigin.Version) bool {
+	statement := o.statement.Load()
+	return statement == nil || statement.Contains(service, version)
 }
 
 // ActiveStream is a stream that this relay is forwarding and of which the client has events.
@@ -112,13 +136,28 @@
 	delete(o.active, stream)
 }
 
-// held returns the record of a stream that this relay holds, and its age; false for none.
-func (o *Origins) held(name streamorigin.Name) (streamorigin.Record, time.Duration, bool) {
+// heldRecord is a record that this relay holds.
+type heldRecord struct {
+	streamorigin.Record
+	age time.Duration
+	// isOwn is true if this relay has made the record; otherwise a later one may not have arrived.
+	isOwn bool
+}
+
+// held returns the record of a stream that this relay holds; false for none.
+func (o *Origins) held(name streamorigin.Name) (heldRecord, bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	now := o.config.Now()
 	record, isFound := o.table.Get(now, name)
-	return record, o.table.Age(now, name), isFound
+	return heldRecord{Record: record, age: o.table.Age(now, name), isOwn: o.table.IsOwn(name)}, isFound
+}
+
+// Withdraw removes this relay's own record of a stream of which no event was sent, because another relay goes on with the request.
+func (o *Origins) Withdraw(name streamorigin.Name) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.table.Withdraw(name)
 }
 
 // HeldCount returns the number of records that this relay holds.
@@ -128,11 +167,28 @@
 	return o.table.Len()
 }
 
-// ownersOf returns the other relays that keep the origin of a stream.
-func (o *Origins) ownersOf(name streamorigin.Name) []string {
+// keepers are the relays that keep the origin of a stream.
+type keepers struct {
+	// others are the addresses of those that are not this relay.
+	others []string
+	// includesSelf is true if this relay is one of them.
+	includesSelf bool
+}
+
+// quorum returns how many of the other relays outvote the rest, together with this one if it is a keeper.
+func (k keepers) quorum() int {
+	if k.includesSelf {
+		return (len(k.others) + 1) / 2
+	}
+	return len(k.others)/2 + 1
+}
+
+// keepersOf returns the relays that keep the origin of a stream.
+func (o *Origins) keepersOf(name streamorigin.Name) keepers {
 	o.mutex.Lock()
 	relays := o.relays
 	o.mutex.Unlock()
 	owners := cell.Owners(name.Low, relays, ownersPerStream)
-	return slices.DeleteFunc(owners, func(owner string) bool { return owner == o.config.Socket.Address })
+	others := slices.DeleteFunc(slices.Clone(owners), func(owner string) bool { return owner == o.config.Socket.Address })
+	return keepers{others: others, includesSelf: len(others) < len(owners)}
 }
