--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/relay/origins"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
+	"github.com/hazelpitch/hazelpitch/internal/standin/datagramloss"
 	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
@@ -247,6 +248,7 @@
 	for _, backEnd := range backEnds {
 		entries = append(entries, backEnd.entry)
 	}
+	relay.applyRouteServices(next.table)
 	relay.fleet.applyListing(entries, next)
 	relay.view.Store(next)
 	relay.origins.ApplyStatement(statementOf(backEnds))
@@ -258,14 +260,18 @@
 	return &testRelay{Relay: relay, address: listener.Addr().String(), suspendedFor: suspendedFor, reservedListener: forwardListener}
 }
 
+// relayNetwork carries the datagrams between all test relays. Tests lose some by the addresses of their own relays.
+var relayNetwork datagramloss.Network
+
 // statementOf returns the statement of a leader under which these back ends alone have served for long.
 func statementOf(backEnds []*scriptedBackEnd) *v1.VersionStatement {
 	statement := &v1.VersionStatement{CompleteMs: uint64(streamorigin.MaxLifetime.Milliseconds())}
-	isStated := map[string]bool{}
+	isStated := map[[2]string]bool{}
 	for _, backEnd := range backEnds {
-		if software := backEnd.entry.Software; !isStated[software] {
-			isStated[software] = true
-			statement.Versions = append(statement.Versions, &v1.StatedVersion{Service: backEnd.entry.Service, Software: software})
+		service, software := backEnd.entry.Service, backEnd.entry.Software
+		if key := [2]string{service, software}; !isStated[key] {
+			isStated[key] = true
+			statement.Versions = append(statement.Versions, &v1.StatedVersion{Service: service, Software: software})
 		}
 	}
 	return statement
@@ -276,7 +282,7 @@
 	t.Helper()
 	const maxTries = 100 // other tests may use the TCP port
 	for range maxTries {
-		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+		socket, err := relayNetwork.Listen("udp", "127.0.0.1:0")
 		require.NoError(t, err)
 		listener, err := net.Listen("tcp", socket.LocalAddr().String())
 		if err == nil {
