Know from the log whether a leader listed versions that it did not record

Cause: that a leader kept no record was read from the authority epoch, which may be missing, and a new log counted as one of a former build. Change: a leader compares the term of the last entry before its own with that of the record: without an entry of its term no leader has a lease, so that none has listed anything.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -43,6 +43,8 @@
 	// applied is the log index of the last applied entry; snapshotAt is that of the last snapshot.
 	applied    uint64
 	snapshotAt uint64
+	// entryTerms are the terms of the applied entries.
+	entryTerms entryTerms
 	// bytesSinceSnapshot is the size of the entries applied since the last snapshot, and snapshotBytes that of the last
 	// snapshot.
 	bytesSinceSnapshot, snapshotBytes int
--- a/internal/control/drive.go
+++ b/internal/control/drive.go
@@ -60,6 +60,7 @@
 	c.state = state
 	c.retainSuspects(agreed)
 	c.applied = snapshot.GetMetadata().GetIndex()
+	c.entryTerms = entryTermsOf(snapshot, state)
 	c.recordSnapshot(snapshot.GetData())
 	c.revisions.add(c.applied, c.state.Revision())
 	c.refreshPageServices()
@@ -68,6 +69,7 @@
 // applyEntry applies one committed entry and answers the call that waits for it.
 func (c *Core) applyEntry(entry *v1.Entry) {
 	c.applied = entry.Index
+	c.entryTerms.record(entry.Term)
 	c.bytesSinceSnapshot += len(entry.Data)
 	call, waiting := c.pending[entry.Index]
 	delete(c.pending, entry.Index)
--- a/internal/control/served_versions.go
+++ b/internal/control/served_versions.go
@@ -25,15 +25,45 @@
 	c.answer(Answer{Call: received.Call, Response: &v1.ReadServedVersionsResponse{Statement: c.listing.versions.Statement(c.now)}})
 }
 
-// beginVersions takes the recorded versions over from the replicated log. They are recorded at once for this leader's term, before
-// its authority begins, so that later leaders know that it keeps them.
+// beginVersions takes the recorded versions over from the replicated log. They are recorded at once for this leader's term, so that
+// later leaders know that it keeps them.
 func (c *Core) beginVersions() {
-	c.listing.versions = servedversions.NewLedger(c.now, c.state.ServedVersions(), c.state.AreServedVersionsKept())
+	isKept := c.state.AreServedVersionsKept(c.entryTerms.before(c.leadingTerm))
+	c.listing.versions = servedversions.NewLedger(c.now, c.state.ServedVersions(), isKept)
 	if c.config.ListingInterval > 0 {
 		c.recordVersions()
 	}
 }
 
+// entryTerms tracks the terms of the applied entries. A leader has a lease only once an entry of its term is committed, so that the
+// last term before a leader's own is that of the last one who can have listed back ends.
+type entryTerms struct {
+	// last is the term of the last entry, former that of the last entry of an earlier term; 0 for none.
+	last, former uint64
+}
+
+// entryTermsOf returns the terms of the entries in a snapshot. The one with which a new log begins holds no command.
+func entryTermsOf(snapshot *v1.Snapshot, state *controlstate.State) entryTerms {
+	if state.AppliedIndex() == 0 {
+		return entryTerms{}
+	}
+	return entryTerms{last: snapshot.GetMetadata().GetTerm()}
+}
+
+func (t *entryTerms) record(term uint64) {
+	if term > t.last {
+		t.last, t.former = term, t.last
+	}
+}
+
+// before returns the term of the last entry before a term.
+func (t *entryTerms) before(term uint64) uint64 {
+	if t.last < term {
+		return t.last
+	}
+	return t.former
+}
+
 // observeVersions applies the versions of the list that was read, and records those that are not recorded yet.
 func (c *Core) observeVersions() {
 	listed := map[servedversions.Version]bool{}
--- a/internal/control/stated_versions_test.go
+++ b/internal/control/stated_versions_test.go
@@ -23,8 +23,8 @@
 	}
 }
 
-// statementOf asks a controller which versions can have begun streams; nil if it does not say.
-func (w *testCluster) statementOf(controller *testController) map[string]bool {
+// namedVersions asks a controller which versions can have begun streams; nil if it does not say.
+func (w *testCluster) namedVersions(controller *testController) map[string]bool {
 	if controller.core == nil {
 		return nil
 	}
@@ -73,12 +73,12 @@
 	site := newSite(w, 0, 0)
 	site.listVersions("v1")
 	former := w.waitLeader()
-	w.until("statement", func() bool { return w.statementOf(former)["v1"] })
+	w.until("statement", func() bool { return w.namedVersions(former)["v1"] })
 	w.cutOff(former.name)
 	site.listVersions("v1", "v2")
 	w.until("a next leader that lists the new version", func() bool {
 		isPublished := w.isPublished("v2")
-		if stated := w.statementOf(former); isPublished {
+		if stated := w.namedVersions(former); isPublished {
 			require.Nil(t, stated, "the former leader states %v", stated)
 		}
 		return isPublished
@@ -86,11 +86,11 @@
 	require.NotEqual(t, former, w.leader())
 	for range 1000 {
 		w.run(10 * time.Millisecond)
-		require.Nil(t, w.statementOf(former))
+		require.Nil(t, w.namedVersions(former))
 		require.NotContains(t, former.publishedVersions(), "v2", "it cannot record the version")
 	}
 	w.cutOff()
-	w.until("statement of the next leader", func() bool { return w.statementOf(w.waitLeader())["v2"] })
+	w.until("statement of the next leader", func() bool { return w.namedVersions(w.waitLeader())["v2"] })
 }
 
 // Guards against a leader that stood still and answers a relay before it knows that another leader has listed another version.
@@ -107,12 +107,12 @@
 			site := newSite(w, 0, 0)
 			site.listVersions("v1")
 			former := w.waitLeader()
-			w.until("statement", func() bool { return w.statementOf(former)["v1"] })
+			w.until("statement", func() bool { return w.namedVersions(former)["v1"] })
 			former.cut = true
 			former.incarnation++ // it gets no more ticks
 			site.listVersions("v1", "v2")
 			w.until("a next leader that lists the new version", func() bool { return w.isPublished("v2") })
-			stated := w.statementOf(former)
+			stated := w.namedVersions(former)
 			require.Equal(t, test.isStated, stated != nil)
 			require.False(t, stated["v2"])
 		})
@@ -143,7 +143,7 @@
 					}
 				}
 				for _, name := range w.names {
-					stated := w.statementOf(w.controllers[name])
+					stated := w.namedVersions(w.controllers[name])
 					if stated == nil {
 						continue
 					}
--- a/internal/controlstate/served_versions.go
+++ b/internal/controlstate/served_versions.go
@@ -6,11 +6,9 @@
 // must not change them.
 func (s *State) ServedVersions() *v1.ServedVersions { return s.servedVersions }
 
-// AreServedVersionsKept reports whether every leader so far has recorded the versions that it listed. A leader records them before
-// its authority begins, so that an authority epoch after the last record is that of a former build, which records none.
-func (s *State) AreServedVersionsKept() bool {
-	return s.servedVersions != nil && s.servedVersions.GetTerm() >= s.epoch
-}
+// AreServedVersionsKept reports whether every leader up to a term has recorded the versions that it listed: no leader of a former
+// build, which records none, has led since the last record. Before the first entry of any leader, nobody has listed a version.
+func (s *State) AreServedVersionsKept(term uint64) bool { return s.servedVersions.GetTerm() >= term }
 
 // RecordServedVersions returns the command that records the versions. Builds that do not know them apply its body, which expires no
 // claims.
