--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -43,6 +43,8 @@
 	// applied is the log index of the last applied entry; snapshotAt is that of the last snapshot.
 	applied    uint64
 	snapshotAt uint64
+	// entryTerms are the terms of the applied entries.
+	entryTerms entryTerms
 	// bytesSinceSnapshot is the size of the entries applied since the last snapshot, and snapshotBytes that of the last
 	// snapshot.
 	bytesSinceSnapshot, snapshotBytes int
@@ -222,6 +224,8 @@
 		c.handleReplicaCrashes(received)
 	case TrialRequested:
 		c.handleTrialRequested(received)
+	case VersionsRequested:
+		c.handleVersionsRequested(received)
 	case PermitRequested:
 		c.handlePermitRequested(received)
 	case RequestReleased:
