Keep the reset of a connection for the reader of its answer

Callers saw: a stream with neither a length nor chunks that its back end broke off by a reset ended as if it were whole, in its midst (ORDER: ends as complete before its last event). The back end's connections were reset at 13.135 s, just after the relay had been suspended; when it went on, at 14.233 s, the client got the end at once. Cause: the kernel returns the error of a connection once. The stall watch looks for unread bytes by a peek, which takes the error; the reader then gets the end of the stream, which is the end of such an answer. A write takes it alike. Class: an error that goes to another one than who acts on it. The connection keeps a reset or timeout that a peek or a write got, and returns it in place of the end; a reader that is at the end waits for a peek under way. Errors after the peer's own end (EPIPE) do not count: the answer was whole then.

--- a/internal/relay/connpool/connection.go
+++ b/internal/relay/connpool/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -38,6 +39,8 @@
 	IsIncarnationKnown bool
 	// TimedOut is true if the kernel's timeout has expired on this connection.
 	TimedOut bool
+	// taken is the error by which the connection ended, if a call other than Read got it.
+	taken takenError
 }
 
 // NewConnection wraps a connection that was opened at the given time and on which no request was sent yet.
@@ -51,6 +54,9 @@
 // kernel's timeout has expired.
 func (c *Connection) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		err = c.taken.orEOF()
+	}
 	if n > 0 && c.OnReceived != nil {
 		c.OnReceived()
 	}
@@ -63,6 +69,13 @@
 	return n, err
 }
 
+// Write implements io.Writer.
+func (c *Connection) Write(content []byte) (int, error) {
+	n, err := c.Conn.Write(content)
+	c.taken.keep(err)
+	return n, err
+}
+
 // Discard closes the connection. It ignores the error, since the caller already handles what failed on the connection.
 func (c *Connection) Discard() { _ = c.Conn.Close() }
 
--- a/internal/relay/connpool/unread.go
+++ b/internal/relay/connpool/unread.go
@@ -7,21 +7,29 @@
 
 // HasUnread reports whether bytes or the end of the stream have arrived that nobody has read yet. It does not block, and may
 // be called while another goroutine reads. A connection without access to its socket counts as read.
-func (c *Connection) HasUnread() bool { return hasUnread(c.Conn) }
+func (c *Connection) HasUnread() bool {
+	isUnread := false
+	c.taken.during(func() (err error) {
+		isUnread, err = hasUnread(c.Conn)
+		return err
+	})
+	return isUnread
+}
 
-func hasUnread(connection net.Conn) bool {
+// hasUnread also returns an error by which the connection has ended. Nobody else gets it then.
+func hasUnread(connection net.Conn) (bool, error) {
 	system, ok := connection.(syscall.Conn)
 	if !ok {
-		return false
+		return false, nil
 	}
 	raw, err := system.SyscallConn()
 	if err != nil {
-		return false
+		return false, err
 	}
 	var peekErr error
 	// Control, unlike Read, does not wait for a read in progress.
 	err = raw.Control(func(descriptor uintptr) {
 		_, _, peekErr = syscall.Recvfrom(int(descriptor), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && peekErr == nil
+	return err == nil && peekErr == nil, peekErr
 }
