--- a/internal/gateway/half_head_test.go
+++ b/internal/gateway/half_head_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 
 	"connectrpc.com/connect"
@@ -12,16 +13,19 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
+	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 	"github.com/hazelpitch/hazelpitch/internal/standin/halfhead"
+	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
-// startHalfHead starts a server that stops each answer in a way.
+// startHalfHead starts a server that stops each answer in a way. EXCHANGE in the answer stands for the request's exchange.
 func startHalfHead(t *testing.T, way halfhead.Way, end halfhead.End) *halfhead.Server {
 	t.Helper()
-	server, err := halfhead.Start(func(*http.Request) halfhead.Reply {
-		return halfhead.Reply{Pieces: []string{way.Text}, End: end}
+	server, err := halfhead.Start(func(request *http.Request) halfhead.Reply {
+		text := strings.ReplaceAll(way.Text, "EXCHANGE", request.Header.Get(enginecontract.HeaderExchange))
+		return halfhead.Reply{Pieces: []string{text}, End: end}
 	})
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
@@ -124,3 +128,93 @@
 		}
 	}
 }
+
+// backEndCall is a request of a caller, and the whole answer of which its back end sends the beginning.
+type backEndCall struct {
+	answer halfhead.Answer
+	// isStream is true if the answer has an end of its own, so that one that declares an empty body is not whole.
+	isStream bool
+	ends     map[string]halfhead.End
+	send     func(t *testing.T, gateway *testGateway) callerAnswer
+	backEnd  func(address string) *v1.BackEnd
+}
+
+func backEndCalls() map[string]backEndCall {
+	echo := enginecontract.HeaderExchange + ": EXCHANGE\r\n"
+	page := halfhead.Answer{Headers: echo + "Content-Type: text/plain\r\n", Body: "whole page"}
+	events := halfhead.Answer{Headers: echo + "Content-Type: text/event-stream\r\n", Body: "data: {}\n\n"}
+	chat := func(kind, body string) func(*testing.T, *testGateway) callerAnswer {
+		return func(t *testing.T, gateway *testGateway) callerAnswer {
+			return call(t, http.MethodPost, gateway.url+"/v1/chat/completions", body, map[string]string{HeaderKind: kind})
+		}
+	}
+	pageCall := func(method, path string) func(*testing.T, *testGateway) callerAnswer {
+		return func(t *testing.T, gateway *testGateway) callerAnswer {
+			return call(t, method, gateway.url+path, "", nil)
+		}
+	}
+	pageService := func(address string) *v1.BackEnd { return pageBackEnd("broken", address) }
+	engine := func(address string) *v1.BackEnd { return engineBackEnd("broken", address, v1.Role_ROLE_MIXED) }
+	closed := map[string]halfhead.End{"closed": halfhead.Close} // each gateway takes two seconds to stop
+	return map[string]backEndCall{
+		"repeatable page":     {page, false, halfhead.Ends, pageCall(http.MethodGet, "/lots/7"), pageService},
+		"non-repeatable page": {page, false, halfhead.Ends, pageCall(http.MethodPost, "/registrations"), pageService},
+		"repeatable chat":     {events, true, closed, chat("matching", unstreamedBody), engine},
+		"non-repeatable chat": {events, true, closed, chat("once", unstreamedBody), engine},
+		"repeatable stream":   {events, true, closed, chat("matching", streamBody), engine},
+		"stream":              {events, true, halfhead.Ends, chat("once", streamBody), engine},
+	}
+}
+
+// Guards against an answer of an engine or a page service that stops within its head, or without its body, and reaches the caller as an
+// empty or short one, or as not run.
+func TestHalfHeadOfABackEndIsNotDelivered(t *testing.T) {
+	t.Parallel()
+	for name, test := range backEndCalls() {
+		for _, way := range test.answer.Ways() {
+			if way.IsLengthZero && !test.isStream {
+				continue // declared to be whole
+			}
+			for endName, end := range test.ends {
+				t.Run(name+"/"+way.Name+"/"+endName, func(t *testing.T) {
+					t.Parallel()
+					server := startHalfHead(t, way, end)
+					gateway := startGateway(t, testSettings(startController(t, test.backEnd(server.Address())).address))
+					answer := test.send(t, gateway)
+					require.NotZero(t, server.Requests())
+					require.False(t, answer.status < 300 && (!test.isStream || answer.isComplete), "status %d, %q", answer.status, answer.body)
+					for _, told := range []string{answer.verdict, answer.finalVerdict, answer.errorVerdict} {
+						require.NotEqual(t, verdict.NotRun.String(), told)
+						require.NotEqual(t, verdict.Ran.String(), told)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against half of an answer that keeps a gateway from sending a repeatable request to another back end.
+func TestHalfHeadOfABackEndIsReplacedByAWholeAnswer(t *testing.T) {
+	t.Parallel()
+	for _, name := range []string{"repeatable page", "repeatable chat", "repeatable stream"} {
+		test := backEndCalls()[name]
+		for _, way := range test.answer.Ways() {
+			if way.IsLengthZero && !test.isStream {
+				continue // declared to be whole
+			}
+			t.Run(name+"/"+way.Name, func(t *testing.T) {
+				t.Parallel()
+				server := startHalfHead(t, way, halfhead.Close)
+				page, engine := startPage(t, "sound", nil), startEngine(t)
+				controller := startController(t, test.backEnd(server.Address()),
+					pageBackEnd("sound-page", page.Address()), engineBackEnd("sound-engine", engine.address(), v1.Role_ROLE_MIXED))
+				gateway := startGateway(t, testSettings(controller.address))
+				for server.Requests() == 0 { // some are served by the sound back end at once
+					answer := test.send(t, gateway)
+					require.Equal(t, 200, answer.status, answer.body)
+					require.Equal(t, test.isStream, answer.isComplete)
+				}
+			})
+		}
+	}
+}
