--- /dev/null
+++ b/internal/standin/halfhead/http2.go
@@ -0,0 +1,153 @@
+package halfhead
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"strconv"
+	"sync/atomic"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+)
+
+// HTTP2Way is a way in which an answer of HTTP/2 stops.
+type HTTP2Way struct {
+	// Name says where the answer stops.
+	Name string
+	// IsWhole is true if the answer does not stop.
+	IsWhole bool
+	// write writes the frames of an answer on a stream.
+	write func(writer io.Writer, framer *http2.Framer, stream uint32)
+}
+
+// headerBlock returns an encoded head with status 200, and with a length unless it is negative.
+func headerBlock(length int) []byte {
+	block := bytes.Buffer{}
+	encoder := hpack.NewEncoder(&block)
+	fields := []hpack.HeaderField{{Name: ":status", Value: "200"}, {Name: "content-type", Value: "application/proto"}}
+	if length >= 0 {
+		fields = append(fields, hpack.HeaderField{Name: "content-length", Value: strconv.Itoa(length)})
+	}
+	for _, field := range fields {
+		_ = encoder.WriteField(field) // writing to a buffer does not fail
+	}
+	return block.Bytes()
+}
+
+// body is a message with one field, of which the beginning is no message.
+var body = []byte{0x08, 0x01}
+
+// writeHead writes a head of a length; negative for none.
+func writeHead(framer *http2.Framer, stream uint32, length int, endsStream bool) {
+	_ = framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: headerBlock(length), EndHeaders: true, EndStream: endsStream})
+}
+
+// HTTP2Ways returns the ways in which an answer of HTTP/2 can stop, and a whole one.
+func HTTP2Ways() []HTTP2Way {
+	return []HTTP2Way{
+		{"whole and empty", true, func(_ io.Writer, framer *http2.Framer, stream uint32) { writeHead(framer, stream, 0, true) }},
+		{"nothing", false, func(io.Writer, *http2.Framer, uint32) {}},
+		{"within the frame of the head", false, func(writer io.Writer, _ *http2.Framer, stream uint32) {
+			frame := bytes.Buffer{}
+			writeHead(http2.NewFramer(&frame, nil), stream, 0, true)
+			_, _ = writer.Write(frame.Bytes()[:frame.Len()-3])
+		}},
+		{"before the head's continuation", false, func(_ io.Writer, framer *http2.Framer, stream uint32) {
+			block := headerBlock(0)
+			_ = framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: block[:1], EndStream: true})
+		}},
+		{"after the head", false, func(_ io.Writer, framer *http2.Framer, stream uint32) { writeHead(framer, stream, -1, false) }},
+		{"after a length", false, func(_ io.Writer, framer *http2.Framer, stream uint32) { writeHead(framer, stream, len(body), false) }},
+		{"end of the stream before a body of a length", false, func(_ io.Writer, framer *http2.Framer, stream uint32) {
+			writeHead(framer, stream, len(body), true)
+		}},
+		{"within a body of a length", false, func(_ io.Writer, framer *http2.Framer, stream uint32) {
+			writeHead(framer, stream, len(body), false)
+			_ = framer.WriteData(stream, true, body[:1])
+		}},
+		{"after an empty part of the body", false, func(_ io.Writer, framer *http2.Framer, stream uint32) {
+			writeHead(framer, stream, -1, false)
+			_ = framer.WriteData(stream, false, nil)
+		}},
+		{"body without the end of the stream", false, func(_ io.Writer, framer *http2.Framer, stream uint32) {
+			writeHead(framer, stream, -1, false)
+			_ = framer.WriteData(stream, false, body)
+		}},
+		{"reset of the stream after the head", false, func(_ io.Writer, framer *http2.Framer, stream uint32) {
+			writeHead(framer, stream, -1, false)
+			_ = framer.WriteRSTStream(stream, http2.ErrCodeInternal)
+		}},
+		{"end of the connection announced after the head", false, func(_ io.Writer, framer *http2.Framer, stream uint32) {
+			writeHead(framer, stream, -1, false)
+			_ = framer.WriteGoAway(stream, http2.ErrCodeNo, nil)
+		}},
+	}
+}
+
+// HTTP2Server answers requests of HTTP/2 without encryption in one way, and closes the connection then.
+type HTTP2Server struct {
+	listener net.Listener
+	way      HTTP2Way
+	requests atomic.Int64
+}
+
+// StartHTTP2 starts a server at a free port of the loopback address. It must be closed.
+func StartHTTP2(way HTTP2Way) (*HTTP2Server, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	server := &HTTP2Server{listener: listener, way: way}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return // closed
+			}
+			go server.serve(connection)
+		}
+	}()
+	return server, nil
+}
+
+// Address returns the IP:port of the server.
+func (s *HTTP2Server) Address() string { return s.listener.Addr().String() }
+
+// Requests returns the number of requests that were read.
+func (s *HTTP2Server) Requests() int { return int(s.requests.Load()) }
+
+// Close stops the server.
+func (s *HTTP2Server) Close() { _ = s.listener.Close() } // fails only if it is closed already
+
+// serve answers the first request of one connection.
+func (s *HTTP2Server) serve(connection net.Conn) {
+	defer connection.Close()
+	preface := make([]byte, len(http2.ClientPreface))
+	if _, err := io.ReadFull(connection, preface); err != nil {
+		return
+	}
+	framer := http2.NewFramer(connection, connection)
+	if framer.WriteSettings() != nil {
+		return
+	}
+	for {
+		frame, err := framer.ReadFrame()
+		if err != nil {
+			return
+		}
+		switch frame := frame.(type) {
+		case *http2.SettingsFrame:
+			if !frame.IsAck() && framer.WriteSettingsAck() != nil {
+				return
+			}
+		case *http2.HeadersFrame, *http2.DataFrame:
+			header := frame.Header()
+			if header.Flags.Has(http2.FlagDataEndStream) { // the flag of both kinds
+				s.requests.Add(1)
+				s.way.write(connection, framer, header.StreamID)
+				return
+			}
+		}
+	}
+}
