Record a stream when its first event has come, not when its request is sent

Cause: records of attempts that may be replaced. Each rule that weighed them against each other left another way. Change: only the attempt that brings the first event is recorded, before the client gets the event; the first record that is found counts. Majorities, withdrawn records and the second report are gone. A stream whose first event comes after a second version has joined is recorded, too.

--- a/internal/relay/forward_request.go
+++ b/internal/relay/forward_request.go
@@ -116,8 +116,6 @@
 	var excluded []string
 	if attempts.isBound() {
 		excluded = r.forwarder.peersWithoutVersions()
-	} else if request.route.Kind == serving.KindStream {
-		r.origins.Withdraw(streamName(request, request.id))
 	}
 	for range maxForwardPeers {
 		if !attempts.mayForward() {
--- a/internal/relay/origins/lookup.go
+++ b/internal/relay/origins/lookup.go
@@ -16,9 +16,7 @@
 }
 
 // IsKnown reports whether the version that began the stream is known.
-func (f Found) IsKnown() bool {
-	return f.Outcome != "" && f.Outcome != NotFound && f.Outcome != NoStatement
-}
+func (f Found) IsKnown() bool { return f.Outcome != NotFound && f.Outcome != NoStatement }
 
 // Find returns where the stream with the given name began. service is the service that the stream would go on at if its record
 // names none: where one version alone can have begun a stream of the service, it is that version, and the record's service is 0. If
@@ -36,15 +34,10 @@
 }
 
 func (o *Origins) find(name streamorigin.Name, service string, stop <-chan struct{}) Found {
-	search := &search{
-		origins: o, name: name, service: service, stop: stop, beganAt: o.config.Now(), quorum: o.keepersOf(name).quorum(), outcome: NoStatement,
-	}
-	if held, isFound := o.held(name); isFound {
-		search.best = Found{Record: held.Record, Outcome: OwnRecord, Age: held.age}
-		if held.isOwn || held.HasBegun {
-			return search.best
-		}
+	if record, age, isFound := o.held(name); isFound {
+		return Found{Record: record, Outcome: OwnRecord, Age: age}
 	}
+	search := &search{origins: o, name: name, service: service, stop: stop, beganAt: o.config.Now(), outcome: NoStatement}
 	if found, isFound := search.askLeaderAndOwners(); isFound {
 		return found
 	}
@@ -56,7 +49,7 @@
 	return Found{Outcome: search.outcome}
 }
 
-// search is one search for the origin of a stream that this relay has not begun.
+// search is one search for the origin of a stream of which this relay has no record.
 type search struct {
 	origins *Origins
 	name    streamorigin.Name
@@ -65,28 +58,10 @@
 	beganAt time.Duration
 	// hasAskedForStatements is true once other relays were asked for a statement of the leader.
 	hasAskedForStatements bool
-	// best is the record with the highest sequence that was found, and votes is the number of other relays that have answered, quorum
-	// how many of them outvote one that lacks a later record.
-	best          Found
-	votes, quorum int
 	// outcome is that of a search that finds nothing.
 	outcome Outcome
 }
 
-// vote counts a relay's answer.
-func (s *search) vote(found Found) {
-	s.votes++
-	if found.Record.Version != streamorigin.None && (!s.best.IsKnown() || found.Record.Sequence > s.best.Record.Sequence) {
-		s.best = found
-	}
-}
-
-// isDecided reports whether the best record is certain: the client has events of that attempt, or enough relays have answered to know
-// of a later one.
-func (s *search) isDecided() bool {
-	return s.best.IsKnown() && (s.best.Record.HasBegun || s.votes >= s.quorum)
-}
-
 // askLeaderAndOwners asks the relays that keep the stream's record, and the leader for a statement, all at once. If the leader has not
 // answered lately, the relays are asked for its statement as well.
 func (s *search) askLeaderAndOwners() (Found, bool) {
@@ -114,9 +89,8 @@
 				answers = nil
 				continue
 			}
-			s.vote(foundAtOther(answer))
-			if s.isDecided() {
-				return s.best, true
+			if _, record, _, isValid := originFromWire(answer.GetOrigin()); isValid {
+				return Found{Record: record, Outcome: OtherRecord, Age: time.Duration(answer.GetOriginAgeMs()) * time.Millisecond}, true
 			}
 			if found, isFound := s.foundIn(answer.GetStatement(), RelayedOnlyVersion); isFound {
 				return found, true
@@ -126,15 +100,6 @@
 	return Found{}, false
 }
 
-// foundAtOther returns what another relay has answered; its record is the zero value if the relay holds none.
-func foundAtOther(answer *v1.StreamOriginAnswer) Found {
-	_, record, _, isValid := originFromWire(answer.GetOrigin())
-	if !isValid {
-		return Found{Outcome: NotFound}
-	}
-	return Found{Record: record, Outcome: OtherRecord, Age: time.Duration(answer.GetOriginAgeMs()) * time.Millisecond}
-}
-
 // foundIn returns the version that a statement of the leader names as the only one.
 func (s *search) foundIn(statement *v1.VersionStatement, outcome Outcome) (Found, bool) {
 	if statement == nil {
@@ -148,7 +113,7 @@
 // askOwners asks the relays that keep the stream's record, all at once. The channel is closed after the last answer.
 func (s *search) askOwners(wantsStatement bool) <-chan *v1.StreamOriginAnswer {
 	s.hasAskedForStatements = s.hasAskedForStatements || wantsStatement
-	owners := s.origins.keepersOf(s.name).others
+	owners := s.origins.ownersOf(s.name)
 	answers := make(chan *v1.StreamOriginAnswer, len(owners))
 	var asked sync.WaitGroup
 	for _, owner := range owners {
@@ -197,10 +162,10 @@
 func (o *Origins) HandleQuery(query *v1.StreamOriginQuery, from string) {
 	answer := &v1.StreamOriginAnswer{Relay: query.GetRelay(), Number: query.GetNumber()}
 	name := streamorigin.Name{High: query.GetNameHigh(), Low: query.GetNameLow()}
-	held, isFound := o.held(name)
+	record, age, isFound := o.held(name)
 	switch {
 	case isFound:
-		answer.Origin, answer.OriginAgeMs = originToWire(name, held.Record, 0), uint32(held.age.Milliseconds())
+		answer.Origin, answer.OriginAgeMs = originToWire(name, record, 0), uint32(age.Milliseconds())
 	case query.GetWantsStatement():
 		go func() {
 			answer.Mixed, answer.Statement = true, o.statements.read(nil)
--- a/internal/relay/origins/origins.go
+++ b/internal/relay/origins/origins.go
@@ -136,28 +136,13 @@
 	delete(o.active, stream)
 }
 
-// heldRecord is a record that this relay holds.
-type heldRecord struct {
-	streamorigin.Record
-	age time.Duration
-	// isOwn is true if this relay has made the record; otherwise a later one may not have arrived.
-	isOwn bool
-}
-
-// held returns the record of a stream that this relay holds; false for none.
-func (o *Origins) held(name streamorigin.Name) (heldRecord, bool) {
+// held returns the record of a stream that this relay holds, and its age; false for none.
+func (o *Origins) held(name streamorigin.Name) (streamorigin.Record, time.Duration, bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	now := o.config.Now()
 	record, isFound := o.table.Get(now, name)
-	return heldRecord{Record: record, age: o.table.Age(now, name), isOwn: o.table.IsOwn(name)}, isFound
-}
-
-// Withdraw removes this relay's own record of a stream of which no event was sent, because another relay goes on with the request.
-func (o *Origins) Withdraw(name streamorigin.Name) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	o.table.Withdraw(name)
+	return record, o.table.Age(now, name), isFound
 }
 
 // HeldCount returns the number of records that this relay holds.
@@ -167,28 +152,11 @@
 	return o.table.Len()
 }
 
-// keepers are the relays that keep the origin of a stream.
-type keepers struct {
-	// others are the addresses of those that are not this relay.
-	others []string
-	// includesSelf is true if this relay is one of them.
-	includesSelf bool
-}
-
-// quorum returns how many of the other relays outvote the rest, together with this one if it is a keeper.
-func (k keepers) quorum() int {
-	if k.includesSelf {
-		return (len(k.others) + 1) / 2
-	}
-	return len(k.others)/2 + 1
-}
-
-// keepersOf returns the relays that keep the origin of a stream.
-func (o *Origins) keepersOf(name streamorigin.Name) keepers {
+// ownersOf returns the other relays that keep the origin of a stream.
+func (o *Origins) ownersOf(name streamorigin.Name) []string {
 	o.mutex.Lock()
 	relays := o.relays
 	o.mutex.Unlock()
 	owners := cell.Owners(name.Low, relays, ownersPerStream)
-	others := slices.DeleteFunc(slices.Clone(owners), func(owner string) bool { return owner == o.config.Socket.Address })
-	return keepers{others: others, includesSelf: len(others) < len(owners)}
+	return slices.DeleteFunc(owners, func(owner string) bool { return owner == o.config.Socket.Address })
 }
--- a/internal/relay/origins/recording.go
+++ b/internal/relay/origins/recording.go
@@ -11,57 +11,24 @@
 
 // Recording is the record of one stream on its way to the relays that keep it.
 type Recording struct {
-	// confirmed is closed once another relay keeps the record, or if there is no other relay; quorumConfirmed once a quorum does.
-	confirmed, quorumConfirmed chan struct{}
-
-	mutex sync.Mutex
-	// confirmations counts the other relays that keep the record, of which quorum are enough to outvote the rest.
-	confirmations, quorum int
+	confirmed chan struct{}
+	once      sync.Once
 }
 
-// newRecording returns a record that the keepers of a stream are to keep.
-func newRecording(keepers keepers) *Recording {
-	recording := &Recording{confirmed: make(chan struct{}), quorumConfirmed: make(chan struct{}), quorum: keepers.quorum()}
-	if len(keepers.others) == 0 {
-		close(recording.confirmed)
-		close(recording.quorumConfirmed)
-	}
-	return recording
-}
-
-// confirm records that another relay keeps the record.
-func (r *Recording) confirm() {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.confirmations++
-	if r.confirmations == 1 {
-		close(r.confirmed)
-	}
-	if r.confirmations == r.quorum {
-		close(r.quorumConfirmed)
-	}
-}
+// confirm records that another relay keeps the record, or that there is no other relay.
+func (r *Recording) confirm() { r.once.Do(func() { close(r.confirmed) }) }
 
 // Await blocks until another relay keeps the record, until the limit, or until stop is closed. It reports whether one does.
 func (r *Recording) Await(limit time.Duration, stop <-chan struct{}) bool {
-	return awaitClosed(r.confirmed, limit, stop)
-}
-
-// AwaitQuorum does what Await does, for a majority of the relays that keep the record.
-func (r *Recording) AwaitQuorum(limit time.Duration, stop <-chan struct{}) bool {
-	return awaitClosed(r.quorumConfirmed, limit, stop)
-}
-
-func awaitClosed(closed <-chan struct{}, limit time.Duration, stop <-chan struct{}) bool {
 	select {
-	case <-closed:
+	case <-r.confirmed:
 		return true
 	default:
 	}
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
-	case <-closed:
+	case <-r.confirmed:
 		return true
 	case <-timer.C:
 	case <-stop:
@@ -81,13 +48,14 @@
 // Record records where a stream of a service begins, here and at the relays that keep it.
 func (o *Origins) Record(name streamorigin.Name, service string, record streamorigin.Record) *Recording {
 	lifetime := o.config.LifetimeOf(service)
-	keepers := o.keepersOf(name)
-	recording := newRecording(keepers)
+	recording, owners := &Recording{confirmed: make(chan struct{})}, o.ownersOf(name)
+	if len(owners) == 0 {
+		recording.confirm()
+	}
 	o.mutex.Lock()
 	o.table.Put(o.config.Now(), name, record, lifetime)
-	o.table.MarkOwn(name)
-	reports := make([]*pendingReport, 0, len(keepers.others))
-	for _, owner := range keepers.others {
+	reports := make([]*pendingReport, 0, len(owners))
+	for _, owner := range owners {
 		o.lastNumber++
 		report := &pendingReport{owner: owner, recording: recording, sends: 1, sentAt: o.config.Now(), report: &v1.StreamOriginReport{
 			Relay: o.config.Incarnation, Number: o.lastNumber, Origin: originToWire(name, record, lifetime),
--- a/internal/relay/origins/wire.go
+++ b/internal/relay/origins/wire.go
@@ -11,14 +11,14 @@
 func originToWire(name streamorigin.Name, record streamorigin.Record, lifetime time.Duration) *v1.StreamOrigin {
 	return &v1.StreamOrigin{
 		NameHigh: name.High, NameLow: name.Low, Service: record.Service, Software: uint64(record.Version), Sequence: record.Sequence,
-		LifetimeMs: uint32(max(lifetime.Milliseconds(), 0)), HasBegun: record.HasBegun,
+		LifetimeMs: uint32(max(lifetime.Milliseconds(), 0)),
 	}
 }
 
 // originFromWire is the reverse of originToWire. It returns false for an absent origin.
 func originFromWire(origin *v1.StreamOrigin) (name streamorigin.Name, record streamorigin.Record, lifetime time.Duration, isValid bool) {
 	name = streamorigin.Name{High: origin.GetNameHigh(), Low: origin.GetNameLow()}
-	record = streamorigin.Record{Service: origin.GetService(), Version: streamorigin.Version(origin.GetSoftware()), Sequence: origin.GetSequence(), HasBegun: origin.GetHasBegun()}
+	record = streamorigin.Record{Service: origin.GetService(), Version: streamorigin.Version(origin.GetSoftware()), Sequence: origin.GetSequence()}
 	lifetime = min(time.Duration(origin.GetLifetimeMs())*time.Millisecond, streamorigin.MaxLifetime)
 	return name, record, lifetime, record.Version != streamorigin.None
 }
--- a/internal/relay/replaceable_stream.go
+++ b/internal/relay/replaceable_stream.go
@@ -76,7 +76,7 @@
 	}
 	s.request.trace.sentAt = replacing.startedAt
 	defer s.beginRun(replacing.selection, nil)()
-	s.recordOrigin(replacing.version)
+	s.origin.version = replacing.version
 	s.recordContinuation(replacing.selection)
 	answer := replacing.answer
 	defer answer.finish()
--- a/internal/relay/stream_end.go
+++ b/internal/relay/stream_end.go
@@ -23,9 +23,6 @@
 		s.flush(answer)
 		s.migrated = s.finishMover()
 	}
-	if s.reply.refusal != nil {
-		return nil
-	}
 	switch {
 	case !hasEnded && s.migrated != nil: // the engine has stopped the run on request
 		answer.fault = nil
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -9,6 +9,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/eventstream"
 	"github.com/hazelpitch/hazelpitch/internal/relay/speeds"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
@@ -84,7 +85,7 @@
 	defer s.beginRun(selection, prefill)()
 	s.request.trace.sentAt = s.relay.clock.now()
 	message := s.runMessage(selection, prefill)
-	message.onVersion = s.recordOrigin
+	message.onVersion = func(version streamorigin.Version) { s.origin.version = version }
 	message.reserve, message.keep = s.attempts.replacement(selection.backEnd, stallLimit(s.request.route), s, nil), s.attempts.keepCurrent
 	answer, fault := s.relay.exchanger.send(message)
 	if fault != nil {
@@ -201,8 +202,8 @@
 		if !events.HasEvent() || len(s.pending) > maxBatchBytes {
 			s.flush(answer)
 		}
-		if s.reply.aborted || s.reply.refusal != nil {
-			return nil // the client has disconnected, or was refused
+		if s.reply.aborted {
+			return nil // the client has disconnected
 		}
 	}
 }
@@ -252,10 +253,7 @@
 	s.recordFirstEvent(answer)
 	if s.beganAt == nil {
 		s.beganAt, s.beganAtTime = answer.message.backEnd, s.relay.clock.now()
-		if !s.awaitRecorded() {
-			s.refuseUnrecorded()
-			return
-		}
+		s.recordOrigin()
 	}
 	if s.reply.started {
 		s.reply.send(s.pending)
--- a/internal/streamorigin/table.go
+++ b/internal/streamorigin/table.go
@@ -21,8 +21,6 @@
 	name             Name
 	record           Record
 	putAt, expiresAt time.Duration
-	// isOwn is true if this process has made the record.
-	isOwn bool
 }
 
 // NewTable returns an empty table for at most capacity records.
@@ -30,9 +28,9 @@
 	return &Table{capacity: capacity, byName: map[Name]*list.Element{}, byAge: list.New()}
 }
 
-// Put stores a record for its lifetime, unless a later one is stored under the name.
+// Put stores a record for its lifetime, unless a record with a higher sequence number is stored under the name.
 func (t *Table) Put(now time.Duration, name Name, record Record, lifetime time.Duration) {
-	if known, found := t.Get(now, name); found && known.isAfter(record) {
+	if known, found := t.Get(now, name); found && known.Sequence > record.Sequence {
 		return
 	}
 	if element := t.byName[name]; element != nil {
@@ -56,26 +54,6 @@
 	return found.record, now < found.expiresAt
 }
 
-// MarkOwn marks the record of a name as one that this process has made: no other one replaces it unseen.
-func (t *Table) MarkOwn(name Name) {
-	if element := t.byName[name]; element != nil {
-		element.Value.(*entry).isOwn = true
-	}
-}
-
-// IsOwn reports whether this process has made the record of a name.
-func (t *Table) IsOwn(name Name) bool {
-	element := t.byName[name]
-	return element != nil && element.Value.(*entry).isOwn
-}
-
-// Withdraw removes the record of a name that this process has made, if there is one: another process goes on with the request.
-func (t *Table) Withdraw(name Name) {
-	if element := t.byName[name]; element != nil && element.Value.(*entry).isOwn {
-		t.remove(element)
-	}
-}
-
 // Age returns how long ago the record of a name was put; 0 for none.
 func (t *Table) Age(now time.Duration, name Name) time.Duration {
 	element := t.byName[name]
