Weigh a statement by what can have begun streams, not by present timeouts

Without a leader, every stream that was taken up was refused, since none had been recorded. Cause: a relay left versions out of a statement by its own timeouts of the moment, and trusted the last statement for ever when it decided whether to record. Streams are recorded while the leader is not in contact, those under way too.

--- a/internal/relay/fleet_state.go
+++ b/internal/relay/fleet_state.go
@@ -85,6 +85,7 @@
 	event := events.LeaderFound
 	if isLost {
 		event = events.LeaderLost
+		f.relay.origins.RecordActive(func(string) bool { return true })
 	}
 	f.relay.event(event).Strs("controllers", controllers).Send()
 }
--- a/internal/relay/origins/lookup.go
+++ b/internal/relay/origins/lookup.go
@@ -106,7 +106,7 @@
 		return Found{}, false
 	}
 	s.outcome = NotFound
-	only, isSingle := statementFromWire(statement).Single(s.service, s.origins.config.LifetimeOf(s.service))
+	only, isSingle := statementFromWire(statement).Single(s.service)
 	return Found{Record: streamorigin.Record{Version: only}, Outcome: outcome, Age: s.origins.config.Now() - s.beganAt}, isSingle
 }
 
--- a/internal/relay/origins/origins.go
+++ b/internal/relay/origins/origins.go
@@ -72,9 +72,8 @@
 	}
 	former := o.statement.Swap(statement)
 	o.RecordActive(func(service string) bool {
-		lifetime := o.config.LifetimeOf(service)
-		_, wasSingle := former.Single(service, lifetime)
-		_, isSingle := statement.Single(service, lifetime)
+		_, wasSingle := former.Single(service)
+		_, isSingle := statement.Single(service)
 		return wasSingle && !isSingle
 	})
 }
@@ -101,10 +100,10 @@
 }
 
 // NeedsRecords reports whether streams of a service are recorded: unless one version alone can have begun them, as far as this relay
-// knows from its list and from the leader's last answer.
+// knows from its list and from the leader's last answer. Without a leader there is nobody else to ask about them.
 func (o *Origins) NeedsRecords(service string) bool {
-	_, isSingle := o.statement.Load().Single(service, o.config.LifetimeOf(service))
-	return !isSingle || o.IsMixed(service)
+	_, isSingle := o.statement.Load().Single(service)
+	return !isSingle || !o.config.IsLeaderInContact() || o.IsMixed(service)
 }
 
 // MayBegin reports whether streams of a service may begin at a version that this relay has not learned from the leader: not if the
--- a/internal/relay/origins/wire.go
+++ b/internal/relay/origins/wire.go
@@ -26,12 +26,15 @@
 // statementFromWire decodes a statement of the leader.
 func statementFromWire(stated *v1.VersionStatement) *streamorigin.Statement {
 	statement := &streamorigin.Statement{
-		CompleteFor: durationFromMs(stated.GetCompleteMs()), Versions: map[string][]streamorigin.StatedVersion{},
+		CompleteFor: durationFromMs(stated.GetCompleteMs()), Versions: map[string]map[streamorigin.Version]bool{},
 	}
 	for _, version := range stated.GetVersions() {
-		statement.Versions[version.GetService()] = append(statement.Versions[version.GetService()], streamorigin.StatedVersion{
-			Version: streamorigin.VersionOf(version.GetSoftware()), UnlistedFor: durationFromMs(version.GetUnlistedMs()),
-		})
+		versions := statement.Versions[version.GetService()]
+		if versions == nil {
+			versions = map[streamorigin.Version]bool{}
+			statement.Versions[version.GetService()] = versions
+		}
+		versions[streamorigin.VersionOf(version.GetSoftware())] = true
 	}
 	return statement
 }
