Find streams without events that end as complete

Cause: an empty body counted as one incomplete event, as of a stream that broke off, unless its end was declared. Class: a check that reads an answer without content as an incomplete one. It is held to the rule of streams that end between two events now.

--- a/internal/soak/check/order.go
+++ b/internal/soak/check/order.go
@@ -49,10 +49,18 @@
 	return number, run, text, err
 }
 
+// eventsOf splits the body of a stream into events. The last one may be incomplete.
+func eventsOf(body string) []string {
+	if body == "" {
+		return nil
+	}
+	return strings.Split(strings.TrimSuffix(body, "\n\n"), "\n\n")
+}
+
 // streamFault describes what is wrong with a stream; empty for nothing.
 func streamFault(sending history.Sending, route history.Route, mayEndEarly bool) string {
 	expected, run, ended := sending.LastEvent+1, "", false
-	for event := range strings.SplitSeq(strings.TrimSuffix(sending.Body, "\n\n"), "\n\n") {
+	for _, event := range eventsOf(sending.Body) {
 		if strings.Contains(event, "\nid: ") {
 			return fmt.Sprintf("joins several events in %q", event)
 		}
