List no version whose removal from the record is under way

By reading (review): a version whose removal was proposed and not applied was listed again from the record in force; if the leader fell then, the next one lacked it. Cause: the list was weighed against the applied record alone. Change: a version is listed only if the record that was proposed last has it, too. A bound on the recorded versions made the record incomplete for good where more versions are listed than it allows, although none was dropped; now only a drop does.

--- a/internal/control/listing.go
+++ b/internal/control/listing.go
@@ -61,9 +61,11 @@
 	isResultKnown, hasBeenRead bool
 	// total is the number of back ends in the last complete read.
 	total int
-	// versions are the software versions that can have begun streams; versionsIndex is the log index of their last record.
-	versions      *servedversions.Ledger
-	versionsIndex uint64
+	// versions are the software versions that can have begun streams, proposedVersions what this leader has proposed last to record of
+	// them, and versionsIndex the log index of that record.
+	versions         *servedversions.Ledger
+	proposedVersions *v1.ServedVersions
+	versionsIndex    uint64
 }
 
 // partial reports whether relays know only a part of the back ends.
--- a/internal/control/served_versions.go
+++ b/internal/control/served_versions.go
@@ -79,9 +79,9 @@
 
 // recordVersions puts the versions into the log. A failure is ignored: the next read of the list repeats it.
 func (c *Core) recordVersions() {
-	command := controlstate.RecordServedVersions(c.listing.versions.Record(c.now, c.leadingTerm))
-	if index, err := c.propose(command, 0, nil); err == nil {
-		c.listing.versionsIndex = index
+	record := c.listing.versions.Record(c.now, c.leadingTerm)
+	if index, err := c.propose(controlstate.RecordServedVersions(record), 0, nil); err == nil {
+		c.listing.versionsIndex, c.listing.proposedVersions = index, record
 	}
 }
 
@@ -99,10 +99,11 @@
 	c.refreshListing()
 }
 
-// withRecordedVersions returns the back ends whose versions are recorded.
+// withRecordedVersions returns the back ends whose versions are recorded, and stay so with the record that was proposed last.
 func (c *Core) withRecordedVersions(backEnds []*v1.ListedBackEnd) []*v1.ListedBackEnd {
-	recorded := c.state.ServedVersions()
+	recorded, proposed := c.state.ServedVersions(), c.listing.proposedVersions
 	return slices.DeleteFunc(slices.Clone(backEnds), func(backEnd *v1.ListedBackEnd) bool {
-		return !servedversions.Contains(recorded, servedversions.VersionOf(backEnd))
+		version := servedversions.VersionOf(backEnd)
+		return !servedversions.Contains(recorded, version) || !servedversions.Contains(proposed, version)
 	})
 }
--- a/internal/servedversions/ledger.go
+++ b/internal/servedversions/ledger.go
@@ -13,7 +13,7 @@
 const (
 	// Retention is how long a version is kept after its last back end was listed: no stream lasts longer.
 	Retention = streamorigin.MaxLifetime
-	// MaxVersions bounds the recorded versions. If more are listed, those that are not listed any more give way, and the
+	// MaxVersions bounds the recorded versions that are not listed any more: with more of all, the oldest of these give way, and the
 	// ledger counts as incomplete from then on.
 	MaxVersions = 1024
 )
@@ -59,7 +59,7 @@
 
 // enforceBound removes the versions that have not been listed for the longest time while there are too many.
 func (l *Ledger) enforceBound(now time.Duration) {
-	excess := len(l.listed) + len(l.unlistedSince) - MaxVersions
+	excess := min(len(l.listed)+len(l.unlistedSince)-MaxVersions, len(l.unlistedSince))
 	if excess <= 0 {
 		return
 	}
@@ -67,7 +67,7 @@
 	oldestFirst := slices.SortedFunc(maps.Keys(l.unlistedSince), func(a, b Version) int {
 		return cmp.Compare(l.unlistedSince[a], l.unlistedSince[b])
 	})
-	for _, version := range oldestFirst[:min(excess, len(oldestFirst))] {
+	for _, version := range oldestFirst[:excess] {
 		delete(l.unlistedSince, version)
 	}
 }
