Send no stream on to an engine that refuses to report when it started

By reading (review): an engine that started again with another version, and answered its report with 503 while it loads or rests, counted as the listed incarnation, for good on that connection. Cause: an answer without the fact that was asked for counted as confirmation. Change: such an engine is of unknown version; a stream that goes on is sent elsewhere, a new one may begin there and is not continued. Engines without a report (404) count as listed, as before. Result: TestStreamDoesNotGoOnAtAnEngineThatRefusesToReport (go test ./internal/relay), which the code before sends the stream to.

--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -67,6 +67,7 @@
 	errLimitReached      = errors.New("the back end's limit leaves no room for now")
 	errEndsInEvent       = errors.New("the stream ended within an event")
 	errMisdirected       = errors.New("another back end has the address")
+	errNoReport          = errors.New("the engine refuses to report when it started")
 	errOtherIncarnation  = errors.New("the engine has started again, and its software version is not known yet")
 	errForeignAnswer     = errors.New("the answer belongs to another request")
 	errUnsupportedAnswer = errors.New("the answer does not fit the request")
@@ -80,7 +81,7 @@
 }{
 	{errCancelled, "client_gone"}, {errDeadline, "deadline"}, {errDial, "dial"}, {errStalled, "stalled"}, {errPeerTimeout, "peer_timeout"},
 	{errEndsInEvent, "ends_in_event"}, {framing.ErrUndeclaredEnd, "undeclared_end"}, {errConnectionBroken, "broken"}, {framing.ErrMalformed, "malformed"}, {errNotExecuted, "not_executed"}, {errQuarantined, "quarantined"}, {errInBackoff, "backoff"}, {errLimitReached, "limit"},
-	{errMisdirected, "misdirected"}, {errOtherIncarnation, "other_incarnation"}, {errForeignAnswer, "foreign_answer"}, {errUnsupportedAnswer, "unsupported_answer"}, {eventstream.ErrTooLong, "event_too_long"}, {errPeerUnable, "peer_unable"},
+	{errMisdirected, "misdirected"}, {errOtherIncarnation, "other_incarnation"}, {errNoReport, "no_report"}, {errForeignAnswer, "foreign_answer"}, {errUnsupportedAnswer, "unsupported_answer"}, {eventstream.ErrTooLong, "event_too_long"}, {errPeerUnable, "peer_unable"},
 }
 
 // otherFailureCause is the label value of causes that are not in failureCauses.
--- a/internal/relay/stream_versions_test.go
+++ b/internal/relay/stream_versions_test.go
@@ -312,6 +312,27 @@
 	}
 }
 
+// Guards against a stream that goes on at an engine which refuses to report when it started: it may have started again with another
+// version.
+func TestStreamDoesNotGoOnAtAnEngineThatRefusesToReport(t *testing.T) {
+	first := ofSoftware("v1", startBackEnd(t, "first", serving.StageDecode, streaming("first", eventOne, "cut")))
+	resting := ofSoftware("v1", startBackEnd(t, "resting", serving.StageDecode, func(connection net.Conn, request backEndRequest) bool {
+		if request.line == "GET /report" {
+			writeAnswer(connection, request, 503, "")
+			return true
+		}
+		return resuming("resting")(connection, request)
+	}))
+	resting.entry.Replica, resting.entry.StartedAtMs = "resting", 1
+	relay := newTestRelay(t, route(stream(true)), first, resting).preferring("first")
+	answer := relay.client(t).do("POST", "/path/", "x")
+	require.Equal(t, eventOne, answer.body)
+	require.False(t, answer.isComplete)
+	requests := resting.receivedRequests()
+	require.Len(t, requests, 1)
+	require.Equal(t, "GET /report", requests[0].line)
+}
+
 // Guards against streams that are refused while engines start again, and against one that began at such an engine and goes on at a
 // guess: its version is not known until the list shows it.
 func TestStreamMayBeginAtAnIncarnationThatIsNotListed(t *testing.T) {
--- a/internal/relay/verify_incarnation.go
+++ b/internal/relay/verify_incarnation.go
@@ -47,8 +47,8 @@
 
 // servedVersion returns the software version that serves a connection. An engine may have started again under its identity, with
 // another version, since the list was made: for a message that depends on the version, the engine is asked which incarnation it is. A
-// connection ends with its incarnation, so that it is asked once. The version of an incarnation that is not listed yet is unknown: a
-// stream may begin there, but not go on. An engine that reports no start time, or has a limit, is taken for the listed one.
+// connection ends with its incarnation, so that it is asked once. The version of an incarnation that is not listed yet, or of an engine that
+// refuses to report, is unknown: a stream may begin there, but not go on. An engine that reports no start time, or has a limit, is taken for the listed one.
 func (e *exchanger) servedVersion(connection *connpool.Connection, message *message) (streamorigin.Version, *failure) {
 	engine := message.backEnd
 	if !message.dependsOnVersion || connection.IsIncarnationKnown || !engine.isEngine() || engine.StartedAtMs == 0 || engine.hasLimit() {
@@ -60,6 +60,10 @@
 		return streamorigin.Unknown, &failure{verdict: verdict.NotRun, cause: errCancelled}
 	case isTimeout(err):
 		return streamorigin.Unknown, &failure{verdict: verdict.NotRun, cause: errStalled}
+	case errors.Is(err, errNoReport) && message.isBound:
+		return streamorigin.Unknown, &failure{verdict: verdict.NotRun, cause: err}
+	case errors.Is(err, errNoReport):
+		return streamorigin.Unknown, nil // the stream may begin there, but its version is not known
 	case errors.Is(err, errMisdirected):
 		return streamorigin.Unknown, &failure{verdict: verdict.NotRun, cause: errMisdirected}
 	case err != nil:
@@ -94,8 +98,12 @@
 	if answer.ConnectionClose() {
 		return 0, errConnectionBroken
 	}
+	isRefused := answer.StatusCode() >= fasthttp.StatusInternalServerError || answer.StatusCode() == fasthttp.StatusTooManyRequests
+	if isRefused {
+		return 0, fmt.Errorf("%w: status %d", errNoReport, answer.StatusCode())
+	}
 	if answer.StatusCode() != fasthttp.StatusOK {
-		return 0, nil
+		return 0, nil // it has no report
 	}
 	return e.parseReport(answer.Body())
 }
