Know which service carried a path before its route was added or removed

By reading (review): a stream was taken up at another service where a route with a longer prefix was added since it began, or the route that had carried it was removed. Cause: only changes of a route with the same prefix were known. Change: a new route begins with the services of the route that carried its path, and the services of a removed one count for the route that carries it now. Result: TestRouteServicesKnowsRoutesThatCarryOthersRequests (go test ./internal/streamorigin).

--- a/internal/streamorigin/route_services.go
+++ b/internal/streamorigin/route_services.go
@@ -1,6 +1,10 @@
 package streamorigin
 
-import "time"
+import (
+	"maps"
+	"strings"
+	"time"
+)
 
 // RouteServices knows to which services each route leads, and has led until recently: a stream goes on at the service that began it,
 // and a route may be split between several, or lead to another one since. It is not safe for concurrent use.
@@ -19,36 +23,73 @@
 // NewRouteServices returns the knowledge before the first configuration.
 func NewRouteServices() *RouteServices { return &RouteServices{routes: map[Route]*routeServices{}} }
 
-// Update applies a configuration: the services of each route whose streams may be resumed. It returns the services of the routes which
-// lead to several now, or to another one than before.
+// Update applies a configuration: the services of each route whose streams may be resumed. It returns the services that routes have led
+// to, of those which lead to several now, or to another one than before.
 func (r *RouteServices) Update(now time.Duration, routes map[Route]map[string]bool) (affected map[string]bool) {
 	affected = map[string]bool{}
+	former := maps.Clone(r.routes)
 	for route, services := range routes {
 		known := r.routes[route]
 		if known == nil {
-			r.routes[route] = &routeServices{current: services, leftAt: map[string]time.Duration{}}
-			continue
-		}
-		wasSingle := known.single(now, MaxLifetime) != ""
-		former := known.current
-		known.update(now, services)
-		if wasSingle && known.single(now, MaxLifetime) == "" {
-			for service := range former {
-				affected[service] = true
-			}
+			known = &routeServices{current: former[parentOf(route, former)].services(), leftAt: map[string]time.Duration{}}
+			r.routes[route] = known
 		}
+		r.change(now, known, services, affected)
 	}
-	for route, known := range r.routes {
-		if routes[route] == nil {
-			known.update(now, nil)
+	for route, known := range former {
+		if routes[route] != nil {
+			continue
 		}
-		if len(known.current)+len(known.leftAt) == 0 {
+		if parent := r.routes[parentOf(route, routes)]; parent != nil { // it carries the requests of the route that is gone
+			r.lead(now, parent, known.current, affected)
+		}
+		known.update(now, nil)
+		if len(known.leftAt) == 0 {
 			delete(r.routes, route)
 		}
 	}
 	return affected
 }
 
+// change applies the services of a route, and adds those that it has led to if they are not certain any more.
+func (r *RouteServices) change(now time.Duration, route *routeServices, services, affected map[string]bool) {
+	former, wasSingle := route.current, route.single(now, MaxLifetime) != ""
+	route.update(now, services)
+	if wasSingle && route.single(now, MaxLifetime) == "" {
+		maps.Copy(affected, former)
+	}
+}
+
+// lead records that a route carries requests that other services had until now.
+func (r *RouteServices) lead(now time.Duration, route *routeServices, services, affected map[string]bool) {
+	for service := range services {
+		if !route.current[service] {
+			route.leftAt[service] = now
+			affected[service] = true
+		}
+	}
+}
+
+// parentOf returns the route that carries the requests of a route where that one is missing: the one of its host with the longest prefix.
+func parentOf[Value any](route Route, routes map[Route]Value) Route {
+	parent := Route{}
+	for other := range routes {
+		isParent := other != route && other.Host == route.Host && strings.HasPrefix(route.Prefix, other.Prefix)
+		if isParent && len(other.Prefix) >= len(parent.Prefix) {
+			parent = other
+		}
+	}
+	return parent
+}
+
+// services returns the services of a route; nil for no route.
+func (s *routeServices) services() map[string]bool {
+	if s == nil {
+		return nil
+	}
+	return s.current
+}
+
 func (s *routeServices) update(now time.Duration, services map[string]bool) {
 	for service := range s.current {
 		if !services[service] {
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -159,3 +159,22 @@
 	known.Update(5*MaxLifetime, map[Route]map[string]bool{})
 	require.Empty(t, known.routes)
 }
+
+// Guards against a stream that goes on at another service because a route for its path was added or removed since it began.
+func TestRouteServicesKnowsRoutesThatCarryOthersRequests(t *testing.T) {
+	const lifetime = 12 * time.Second
+	wide, narrow := Route{Host: "h", Prefix: "/"}, Route{Host: "h", Prefix: "/x/"}
+	one, two := map[string]bool{"one": true}, map[string]bool{"two": true}
+	known := NewRouteServices()
+	require.Empty(t, known.Update(0, map[Route]map[string]bool{wide: one}))
+	require.Equal(t, one, known.Update(time.Second, map[Route]map[string]bool{wide: one, narrow: two}))
+	require.False(t, known.IsSingle(time.Second, narrow, lifetime), "its streams began at the other service")
+	require.True(t, known.IsSingle(time.Second, wide, lifetime))
+	require.True(t, known.IsSingle(time.Second+lifetime, narrow, lifetime))
+	require.Equal(t, two, known.Update(MaxLifetime, map[Route]map[string]bool{wide: one}))
+	require.False(t, known.IsSingle(MaxLifetime, wide, lifetime), "it carries the requests of the route that is gone")
+	known.Update(3*MaxLifetime, map[Route]map[string]bool{wide: one})
+	require.True(t, known.IsSingle(3*MaxLifetime, wide, lifetime))
+	known.Update(3*MaxLifetime, map[Route]map[string]bool{wide: one, narrow: one})
+	require.True(t, known.IsSingle(3*MaxLifetime, narrow, lifetime), "the same service")
+}
