Log the first of a series of failed calls for a statement

Calls that are refused at once could write hundreds of lines a second while the leader is away (review, by reading). go test ./internal/relay ./internal/events -run 'Stream|Version|Reference' passes.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -98,6 +98,8 @@
 	prefillWaitSlack time.Duration
 
 	view atomic.Pointer[view]
+	// areVersionsUnread is true if the last call for a statement of the leader failed.
+	areVersionsUnread atomic.Bool
 	// routeServices is guarded by routeServicesMutex.
 	routeServices      *streamorigin.RouteServices
 	routeServicesMutex sync.Mutex
--- a/internal/relay/taken_up.go
+++ b/internal/relay/taken_up.go
@@ -35,8 +35,10 @@
 // readStatement asks the leader which software versions can have begun streams; it returns nil if it gets no answer.
 func (r *Relay) readStatement(ctx context.Context) *v1.VersionStatement {
 	response, err := r.watcher.LeaderClient().ReadServedVersions(ctx, connect.NewRequest(&v1.ReadServedVersionsRequest{}))
-	if err != nil {
+	if isUnread := err != nil; r.areVersionsUnread.Swap(isUnread) != isUnread && isUnread {
 		r.event(events.VersionsUnread).Err(err).Send()
+	}
+	if err != nil {
 		return nil
 	}
 	return response.Msg.GetStatement()
