--- a/internal/control/served_versions_test.go
+++ b/internal/control/served_versions_test.go
@@ -128,6 +128,25 @@
 	w.until("the new version", func() bool { return len(w.toldVersions(w.waitLeader())) == 2 })
 }
 
+// Guards against a version that relays learn of again while its removal from the log is under way: the next leader would not know it.
+func TestRelaysLearnOfNoVersionThatIsBeingRemoved(t *testing.T) {
+	w, site := newVersionCluster(t, "v1", "v2")
+	site.listOverride = listedAt("v2")
+	w.run(servedversions.Retention - time.Second)
+	leader := w.leader()
+	require.True(t, servedversions.Contains(leader.core.state.ServedVersions(), servedversions.Version{Service: "s", Software: "v1"}))
+	for leader.core.listing.versionsIndex <= leader.core.applied {
+		w.run(100 * time.Microsecond)
+	}
+	removal := leader.core.listing.versionsIndex
+	site.listOverride = listedAt("v1", "v2")
+	w.step(leader, ListingReceived{BackEnds: site.listOverride, Calls: 1, Complete: true})
+	require.Less(t, leader.core.applied, removal, "the removal is under way")
+	require.Len(t, leader.core.listing.published, 1, "relays would learn of a version that the log is about to lose")
+	w.until("the version that is back", func() bool { return len(w.toldVersions(leader)) == 2 })
+	require.Contains(t, stated(w.statementOf(w.waitLeaderOtherThan(leader))), "v1")
+}
+
 // Guards against a controller that states versions without being sure that it still leads.
 func TestOnlyALeaderWithALeaseStatesVersions(t *testing.T) {
 	w, _ := newVersionCluster(t, "v1")
