Names and comments of the leader's statements, after the review

isPublished and isRead say what they hold; IsStated replaces MayBegin, whose comment said the contrary. go test ./internal/relay/origins ./internal/control -run 'Listing|Version|Statement|Watch|Only|Search' passes.

--- a/internal/control/listing.go
+++ b/internal/control/listing.go
@@ -57,8 +57,8 @@
 	requestedAt  time.Duration
 	dueAt        time.Duration
 	readInFlight bool
-	// isResultKnown is true once the list was read; hasBeenRead is true once it was published to relays as well.
-	isResultKnown, hasBeenRead bool
+	// isRead is true once the list was read; isPublished is true once it was published to relays as well.
+	isRead, isPublished bool
 	// total is the number of back ends in the last complete read.
 	total int
 	// versions are the software versions that can have begun streams, proposedVersions what this leader has proposed last to record of
@@ -114,14 +114,14 @@
 	} else {
 		c.listing.plan.recordPartialRead(received.BackEnds, required)
 	}
-	c.listing.isResultKnown = true
+	c.listing.isRead = true
 	c.observeVersions()
 	c.publishRecorded()
 }
 
 // refreshListing gives the list a new version when the back ends sent to relays have changed.
 func (c *Core) refreshListing() {
-	if !c.listing.hasBeenRead {
+	if !c.listing.isPublished {
 		return
 	}
 	current := c.markChangingRoles(c.listing.published)
--- a/internal/control/published_back_ends.go
+++ b/internal/control/published_back_ends.go
@@ -74,7 +74,7 @@
 	for _, wanted := range request.GetWanted() {
 		grown = c.demandFor(wanted.GetService()).Adopt(int(wanted.GetCount())) || grown
 	}
-	if grown && c.listing.hasBeenRead {
+	if grown && c.listing.isPublished {
 		c.listing.plan.insufficient = true
 		c.choosePublished()
 		c.refreshListing()
--- a/internal/control/served_versions.go
+++ b/internal/control/served_versions.go
@@ -88,14 +88,14 @@
 // publishRecorded publishes the list to relays, without the back ends whose versions are not recorded yet. A new leader publishes
 // none before all are recorded, since relays would drop the others.
 func (c *Core) publishRecorded() {
-	if !c.leading || !c.listing.isResultKnown {
+	if !c.leading || !c.listing.isRead {
 		return
 	}
-	if !c.listing.hasBeenRead && len(c.withRecordedVersions(c.listing.considered)) < len(c.listing.considered) {
+	if !c.listing.isPublished && len(c.withRecordedVersions(c.listing.considered)) < len(c.listing.considered) {
 		return
 	}
 	c.choosePublished()
-	c.listing.hasBeenRead = true
+	c.listing.isPublished = true
 	c.refreshListing()
 }
 
--- a/internal/relay/fleet_state.go
+++ b/internal/relay/fleet_state.go
@@ -307,7 +307,7 @@
 // whose streams clients may take up: the leader would not know that such a version has begun streams.
 func (f *fleetState) restrictToStated(listed []serving.BackEnd, table *serving.Table) []serving.BackEnd {
 	return slices.DeleteFunc(listed, func(backEnd serving.BackEnd) bool {
-		return table.HasResumableStreams(backEnd.Service) && !f.relay.origins.MayBegin(backEnd.Service, streamorigin.VersionOf(backEnd.Software))
+		return table.HasResumableStreams(backEnd.Service) && !f.relay.origins.IsStated(backEnd.Service, streamorigin.VersionOf(backEnd.Software))
 	})
 }
 
--- a/internal/relay/origins/config.go
+++ b/internal/relay/origins/config.go
@@ -62,7 +62,7 @@
 	OwnRecord   Outcome = "own_record"
 	OtherRecord Outcome = "other_record"
 	// NotFound: several versions can have begun the stream, and no relay that answered has its record. NoStatement: no relay that
-	// answered has a record, and no statement of the leader was to be had.
+	// answered has a record, and no statement of the leader was available.
 	NotFound    Outcome = "unknown"
 	NoStatement Outcome = "no_statement"
 )
--- a/internal/relay/origins/lookup.go
+++ b/internal/relay/origins/lookup.go
@@ -21,8 +21,8 @@
 // Find returns where the stream with the given name began. service is the service that the stream would go on at if its record
 // names none: where one version alone can have begun a stream of the service, it is that version, and the record's service is 0. If
 // service is empty, the stream may have begun at several services, and only a record tells.
-// Only the leader can say that, in a statement that it makes after the search has begun: this relay's list may be old, and other
-// relays may know no more than it. Relays that do not answer say nothing. Find blocks until the origin is known or cannot be found
+// Only a statement that the leader makes after the search has begun is evidence of that: this relay's list may be old, and other
+// relays may know no more than it. A relay that does not answer is no evidence. Find blocks until the origin is known or cannot be found
 // out, or until stop is closed.
 func (o *Origins) Find(name streamorigin.Name, service string, stop <-chan struct{}) Found {
 	found := o.find(name, service, stop)
--- a/internal/relay/origins/origins.go
+++ b/internal/relay/origins/origins.go
@@ -106,9 +106,9 @@
 	return !isSingle || !o.config.IsLeaderInContact() || o.IsMixed(service)
 }
 
-// MayBegin reports whether streams of a service may begin at a version that this relay has not learned from the leader: not if the
-// leader records versions and has not named this one, since its statements would lack the version.
-func (o *Origins) MayBegin(service string, version streamorigin.Version) bool {
+// IsStated reports whether the leader's last answer names a version of a service, or states no versions at all. A stream that begins at
+// another version may be continued at a wrong one, since the leader's statements lack it.
+func (o *Origins) IsStated(service string, version streamorigin.Version) bool {
 	statement := o.statement.Load()
 	return statement == nil || statement.Contains(service, version)
 }
--- a/internal/relay/taken_up.go
+++ b/internal/relay/taken_up.go
@@ -60,7 +60,7 @@
 }
 
 // bindTakenUp binds a request that takes up a stream to the service and the software version that began the stream. It returns the
-// refusal if these are not known: nothing goes on at a guess.
+// refusal if these are not known: no stream goes on without evidence of them.
 func (r *Relay) bindTakenUp(request *request) *refusal {
 	if request.forwarded != nil || !r.isTakenUp(request) {
 		return nil
