--- a/internal/relay/half_head_test.go
+++ b/internal/relay/half_head_test.go
@@ -260,3 +260,34 @@
 		}
 	}
 }
+
+// Guards against half of an answer to a prefill that is taken for a handle: the decode engine would be told to fetch what is not there.
+func TestHalfAnswerToAPrefillIsNotUsed(t *testing.T) {
+	t.Parallel()
+	wholeHandle := func(body []byte) (PrefillAnswer, error) { // as in a document that has an end of its own
+		handle, isWhole := strings.CutSuffix(string(body), ")")
+		if !isWhole {
+			return PrefillAnswer{}, errUnsupportedAnswer
+		}
+		return PrefillAnswer{Handle: handle}, nil
+	}
+	answer := halfhead.Answer{Headers: echoHeaders, Body: "(handle)"}
+	for _, way := range answer.Ways() {
+		for endName, end := range halfhead.Ends {
+			t.Run(way.Name+"/"+endName, func(t *testing.T) {
+				t.Parallel()
+				broken := startBackEnd(t, "broken", serving.StagePrefill, scriptOf(way, end))
+				decoder := startBackEnd(t, "decoder", serving.StageDecode, streaming("decoder", eventOne))
+				relay := newTestRelay(t, longTimeout(stream(true)), broken, decoder)
+				relay.dialect.ParsePrefillAnswer = wholeHandle
+				answer := relay.client(t).do("POST", "/path/", "x", longPrompt...)
+				require.Equal(t, eventOne, answer.body)
+				require.True(t, answer.isComplete)
+				require.Len(t, broken.receivedRequests(), 1)
+				for _, each := range decoder.receivedRequests() {
+					require.Empty(t, each.head.Peek("T-Source"))
+				}
+			})
+		}
+	}
+}
