Test whole answers without a body at gateways

Failing now: a page service's answer with 204 or 304, or to HEAD, has no body and needs no length. Gateways answer 502, may have run, or 500 after a nil pointer dereference if there is a length.

go test ./internal/gateway -run TestPagesWithoutABodyAreDelivered; go test ./internal/upstream -run TestAnswersWithoutABodyAreWhole

--- a/internal/gateway/half_head_test.go
+++ b/internal/gateway/half_head_test.go
@@ -218,3 +218,29 @@
 		}
 	}
 }
+
+// Guards against a whole answer of a page service that has no body, and therefore needs no length, and is refused as a broken one.
+func TestPagesWithoutABodyAreDelivered(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		method, path, head string
+		status             int
+	}{
+		"no content":           {http.MethodPost, "/registrations", "204 No Content\r\n", 204},
+		"not modified":         {http.MethodGet, "/lots/7", "304 Not Modified\r\n", 304},
+		"HEAD":                 {http.MethodHead, "/lots/7", "200 OK\r\n", 200},
+		"HEAD with a length":   {http.MethodHead, "/lots/7", "200 OK\r\nContent-Length: 12\r\n", 200},
+		"HEAD of chunks":       {http.MethodHead, "/lots/7", "200 OK\r\nTransfer-Encoding: chunked\r\n", 200},
+		"length of a 304 page": {http.MethodGet, "/lots/7", "304 Not Modified\r\nContent-Length: 12\r\n", 304},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			service := startRawPage(t, "HTTP/1.1 "+test.head+enginecontract.HeaderExchange+": EXCHANGE\r\n\r\n")
+			gateway := startGateway(t, testSettings(startController(t, pageBackEnd("p1", service)).address))
+			answer := call(t, test.method, gateway.url+test.path, "", nil)
+			require.Equal(t, test.status, answer.status, answer.body)
+			require.Equal(t, verdict.Ran.String(), answer.verdict)
+			require.Empty(t, answer.body)
+		})
+	}
+}
--- a/internal/upstream/half_head_test.go
+++ b/internal/upstream/half_head_test.go
@@ -136,3 +136,40 @@
 		}
 	}
 }
+
+// Guards against the answer to a request for a head alone that is read with a body: the client waits for it until the deadline, or takes
+// the next answer of the connection for it.
+func TestAnswersWithoutABodyAreWhole(t *testing.T) {
+	t.Parallel()
+	echo := enginecontract.HeaderExchange + ": ID\r\n"
+	for name, test := range map[string]struct{ method, text string }{
+		"HEAD":               {http.MethodHead, "HTTP/1.1 200 OK\r\n" + echo + "\r\n"},
+		"HEAD with a length": {http.MethodHead, "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n" + echo + "\r\n"},
+		"HEAD of chunks":     {http.MethodHead, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + echo + "\r\n"},
+		"no content":         {http.MethodPost, "HTTP/1.1 204 No Content\r\n" + echo + "\r\n"},
+		"not modified":       {http.MethodGet, "HTTP/1.1 304 Not Modified\r\nContent-Length: 12\r\n" + echo + "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			whole := halfhead.Answer{Headers: echo, Body: "whole answer"}.Whole()
+			server := startServer(t, func(number int) halfhead.Reply {
+				if number == 1 {
+					return halfhead.Reply{Pieces: []string{test.text}, End: halfhead.Keep}
+				}
+				return halfhead.Reply{Pieces: []string{whole}}
+			})
+			client := newTestClient(t)
+			answer, _, failure := client.Do(Request{Address: server.Address(), Method: test.method, Target: "/", Exchange: NewExchange(), Deadline: time.Now().Add(10 * time.Second)})
+			require.Nil(t, failure)
+			body, err := answer.ReadAll()
+			require.NoError(t, err)
+			require.Empty(t, body)
+			require.True(t, answer.HasLength())
+			answer.Close()
+			content, _, failure, err := get(client, http.MethodGet, server.Address())
+			require.Nil(t, failure)
+			require.NoError(t, err)
+			require.Equal(t, "whole answer", content)
+		})
+	}
+}
