Deliver pages without a body from gateways

Callers saw: 502, may have run, for a page with 204 or 304 or to HEAD, and 500 if it stated a length. Cause: the gateway required a length of each page, which these need not have; the library keeps no body stream for them, and an answer to HEAD was read with a body. Class: a whole answer without content taken for a broken one, the opposite of half a head that is taken for whole.

go test ./internal/gateway -run TestPagesWithoutABodyAreDelivered: 6 of 6 failed, now none; go test ./internal/upstream -run TestAnswersWithoutABodyAreWhole: nil pointer dereference, now ok

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"io"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -96,6 +97,9 @@
 		response: response,
 		body:     response.BodyStream(),
 	}
+	if answer.body == nil {
+		answer.body = http.NoBody
+	}
 	if failure := c.checkAnswer(answer, request.Exchange); failure != nil {
 		answer.Close()
 		return nil, answer.Report, failure
@@ -194,8 +198,13 @@
 	return body, nil
 }
 
-// HasLength reports whether the answer states its length.
-func (a *Answer) HasLength() bool { return a.response.Header.ContentLength() >= 0 }
+// HasLength reports whether the answer states its length, or has no body.
+func (a *Answer) HasLength() bool { return a.hasNoBody() || a.response.Header.ContentLength() >= 0 }
+
+// hasNoBody reports whether the answer ends with its head, whatever length it states.
+func (a *Answer) hasNoBody() bool {
+	return a.request.Header.IsHead() || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified
+}
 
 // Header returns the value of a header of the answer.
 func (a *Answer) Header(name string) string { return string(a.response.Header.Peek(name)) }
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -78,6 +78,7 @@
 		host.ReleaseReader(reader)
 		releaseConnection(reuse)
 	}
+	response.SkipBody = request.Header.IsHead()
 	if err := response.ReadLimitBody(reader, 0); err != nil {
 		attempt.release(false)
 		return trace.Wrap(err)
