Answers without a body: let the test's back end keep its connection

Cause: TestAnswersWithoutABodyAreComplete sends two requests on one connection of a client, and its back end closed the connection after each answer. Change: the back end keeps its connection, so that the second request cannot meet a close, and both requests must have arrived there. Command: go test ./internal/relay -run TestAnswersWithoutABodyAreComplete -count=3000

--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -173,6 +173,14 @@
 	}
 }
 
+// keepingAfter returns a script that keeps the connection open after another script.
+func keepingAfter(answer script) script {
+	return func(connection net.Conn, request backEndRequest) bool {
+		answer(connection, request)
+		return true
+	}
+}
+
 // resetting returns a script that writes raw bytes and resets the connection.
 func resetting(raw string) script {
 	return func(connection net.Conn, request backEndRequest) bool {
--- a/internal/relay/undeclared_end_test.go
+++ b/internal/relay/undeclared_end_test.go
@@ -230,13 +230,14 @@
 	return errors.As(err, &operation)
 }
 
-// Answers that have no body need no framing, and their connection is kept.
+// Answers that have no body need no framing, and their connection is kept. The back end keeps its own connection too: a second POST
+// that meets its close is answered 502, since it may have run.
 func TestAnswersWithoutABodyAreComplete(t *testing.T) {
 	for name, test := range map[string]struct{ method, status string }{
 		"HEAD": {"HEAD", "200 OK"}, "no content": {"POST", "204 X"}, "not modified": {"POST", "304 X"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			backEnd := startBackEnd(t, "one", serving.StageWhole, writing("HTTP/1.1 "+test.status+"\r\nT-Id: ID\r\nT-Seal: seal\r\n\r\n"))
+			backEnd := startBackEnd(t, "one", serving.StageWhole, keepingAfter(writing("HTTP/1.1 "+test.status+"\r\nT-Id: ID\r\nT-Seal: seal\r\n\r\n")))
 			client := newTestRelay(t, route(nil), backEnd).client(t)
 			for range 2 {
 				client.send(test.method, "/path/", "")
@@ -245,6 +246,7 @@
 				require.Contains(t, head, test.status[:3])
 				require.NotContains(t, head, "Connection: close")
 			}
+			require.Len(t, backEnd.receivedRequests(), 2)
 		})
 	}
 }
