The leader states which routes have led elsewhere; streams of these go on only by a record

What callers saw: streams whose route was moved to another service, split no longer, or taken over by a route for a narrower or wider path went on at the other service, in an answer that ends as whole (ORDER). It took one relay that had started since the change, or had not learned of it. Cause: that a stream began at the service to which its route leads was said by each relay from its own configurations since its start. The leader's statement, which is asked for since that was mended for versions, named the versions of a service and not the services of a route. Class: a statement about the past and about all relays, made by a process whose memory begins at its start. Change: the controllers that acknowledge a document tell the log where its routes of streams lead; the leader puts the routes that a document changes into the command that commits it, before any relay has the document, and keeps them for as long as a stream can last, over leaders and losses of all processes. The statement names them; a stream of such a route goes on only where a record says at which service it began. A document whose routes are not known (of a former build) makes the statement incomplete. A relay counts the route with the next shorter prefix as changed too, so that its streams are recorded; another relay may not know the narrower route yet. Tests changed: TestRouteServicesKnowsRoutesThatCarryOthersRequests took the wider route for certain after a narrower one was added, and did not record its streams when that was removed; both are stricter now. Command: go test ./platform -run MovedRoute -v; go test ./internal/streamorigin ./internal/servedversions ./internal/control ./internal/relay/origins

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -65,6 +65,7 @@
 
 	// listing, watches, updatePace, relays, updates and stages hold the leader's state for the relays of opaque requests.
 	listing siteListing
+	routes  streamRoutes
 	watches waitingWatches
 	// updatePace limits the rate of updates to relays.
 	updatePace updatePace
--- a/internal/control/document.go
+++ b/internal/control/document.go
@@ -3,6 +3,7 @@
 import (
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/controlstate"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
 // PutDocumentReceived requests that a configuration document be put in force. The runtime has
@@ -11,6 +12,8 @@
 type PutDocumentReceived struct {
 	Call     CallID
 	Document *v1.Document
+	// Routes says where the document's routes of streams lead.
+	Routes streamorigin.Routes
 }
 
 // ReadDocumentReceived requests the document in force. The answer is a Document; number 0
@@ -31,14 +34,28 @@
 		c.answer(done)
 		return
 	}
+	if !c.leading { // the lease became valid in this step
+		c.refuse(received.Call, c.notLeader())
+		return
+	}
 	command := &v1.Command{Body: &v1.Command_PutDocument{PutDocument: &v1.PutDocument{Document: received.Document}}}
-	c.proposeForCall(command, received.Call, func(core *Core, result controlstate.Result) {
+	changed := c.recordRoutes(command, received.Routes)
+	index, err := c.propose(command, received.Call, func(core *Core, result controlstate.Result) {
 		if result.Err != nil {
 			core.refuse(received.Call, result.Err)
 			return
 		}
+		core.applyRoutes(received, changed)
 		core.answer(done)
 	})
+	if err != nil {
+		c.refuse(received.Call, err)
+		return
+	}
+	c.routes.proposed = received.Routes
+	if record := command.GetServedVersions(); record != nil {
+		c.listing.versionsIndex, c.listing.proposedVersions = index, record
+	}
 }
 
 // handleReadDocument answers with the document in force. Only a leader with a valid lease
--- a/internal/control/served_versions.go
+++ b/internal/control/served_versions.go
@@ -22,7 +22,7 @@
 		c.refuse(received.Call, c.notLeader())
 		return
 	}
-	c.answer(Answer{Call: received.Call, Response: &v1.ReadServedVersionsResponse{Statement: c.listing.versions.Statement(c.now)}})
+	c.answer(Answer{Call: received.Call, Response: &v1.ReadServedVersionsResponse{Statement: c.listing.versions.StatementWithRoutes(c.now)}})
 }
 
 // beginVersions takes the recorded versions over from the replicated log. They are recorded at once for this leader's term, so that
@@ -30,6 +30,7 @@
 func (c *Core) beginVersions() {
 	isKept := c.state.AreServedVersionsKept(c.entryTerms.before(c.leadingTerm))
 	c.listing.versions = servedversions.NewLedger(c.now, c.state.ServedVersions(), isKept)
+	c.beginRoutes()
 	if c.config.ListingInterval > 0 {
 		c.recordVersions()
 	}
--- a/internal/control/served_versions_test.go
+++ b/internal/control/served_versions_test.go
@@ -73,22 +73,25 @@
 	return w, site
 }
 
+// lossesOfLeaders are ways in which a leader loses what it has not recorded.
+var lossesOfLeaders = map[string]func(*testCluster){
+	"same leader":          func(*testCluster) {},
+	"another leader":       func(w *testCluster) { w.waitLeaderOtherThan(w.leader()) },
+	"the leader restarted": func(w *testCluster) { w.restart(w.leader()); w.run(2 * time.Second) },
+	"all lost power": func(w *testCluster) {
+		for _, each := range w.names {
+			w.crash(each)
+		}
+		for _, each := range w.names {
+			w.start(each)
+		}
+	},
+}
+
 // Guards against a statement that lacks a version which has left: relays would continue its streams at another one. It must outlive the
 // leader and a loss of power at all controllers.
 func TestStatementsNameVersionsThatHaveLeft(t *testing.T) {
-	for name, lose := range map[string]func(*testCluster){
-		"same leader":          func(*testCluster) {},
-		"another leader":       func(w *testCluster) { w.waitLeaderOtherThan(w.leader()) },
-		"the leader restarted": func(w *testCluster) { w.restart(w.leader()); w.run(2 * time.Second) },
-		"all lost power": func(w *testCluster) {
-			for _, each := range w.names {
-				w.crash(each)
-			}
-			for _, each := range w.names {
-				w.start(each)
-			}
-		},
-	} {
+	for name, lose := range lossesOfLeaders {
 		t.Run(name, func(t *testing.T) {
 			w, site := newVersionCluster(t, "v1", "v2")
 			require.ElementsMatch(t, []string{"v1", "v2"}, w.toldVersions(w.leader()))
--- a/internal/controller/site.go
+++ b/internal/controller/site.go
@@ -18,6 +18,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/replicaplan"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 	"github.com/hazelpitch/hazelpitch/internal/usage"
 )
 
@@ -115,8 +116,8 @@
 // caller must use another controller, BadParameter for a document that is never accepted, and
 // any other error when the call may or may not have had an effect.
 type DocumentStore interface {
-	// Put returns once the document, or one with a higher number, is committed.
-	Put(ctx context.Context, number uint64, content []byte) error
+	// Put returns once the document with the content of a configuration, or one with a higher number, is committed.
+	Put(ctx context.Context, configuration *serving.Configuration, content []byte) error
 	// Read returns the newest document that was acknowledged.
 	Read(ctx context.Context) ([]byte, error)
 }
@@ -131,11 +132,14 @@
 }
 
 // Put implements DocumentStore.
-func (d documentStore) Put(ctx context.Context, number uint64, content []byte) error {
+func (d documentStore) Put(ctx context.Context, configuration *serving.Configuration, content []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, documentCallTimeout)
 	defer cancel()
+	routes := streamorigin.RoutesOf(configuration)
 	_, err := d.calls.do(ctx, d.loop, func(call control.CallID) control.Input {
-		return control.PutDocumentReceived{Call: call, Document: &v1.Document{Number: number, Content: content}}
+		return control.PutDocumentReceived{
+			Call: call, Document: &v1.Document{Number: configuration.Number, Content: content}, Routes: routes,
+		}
 	})
 	return trace.Wrap(err)
 }
--- a/internal/controller/transport_test.go
+++ b/internal/controller/transport_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
 // Guards against calls that get no answer when a controller stops while the other controllers are silent: the operator's
@@ -19,7 +21,7 @@
 	arrived := make(chan struct{})
 	routes := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		close(arrived)
-		if store.Put(request.Context(), 1, nil) != nil {
+		if store.Put(request.Context(), &serving.Configuration{Number: 1}, nil) != nil {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/controlstate/document.go
+++ b/internal/controlstate/document.go
@@ -14,6 +14,10 @@
 // not change it.
 func (s *State) Document() *v1.Document { return s.document }
 
+// StreamRoutes returns where the document's routes of streams lead; nil if the build that put it in force did not tell. Callers must not
+// change it.
+func (s *State) StreamRoutes() *v1.StreamRoutes { return s.streamRoutes }
+
 // putDocument applies a document if its number is higher than the current one. A document with a lower or
 // equal number has been superseded: it is ignored without an error.
 func (s *State) putDocument(body *v1.PutDocument) Result {
@@ -23,7 +27,7 @@
 			document.GetNumber(), len(document.GetContent()), MaximumDocumentBytes)}
 	}
 	if document.GetNumber() > s.document.GetNumber() {
-		s.document = proto.CloneOf(document)
+		s.document, s.streamRoutes = proto.CloneOf(document), body.GetStreamRoutes()
 	}
 	return Result{}
 }
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -30,7 +30,7 @@
 		Suspects: s.suspects.Snapshot(),
 
 		AgreedFormat: uint32(s.agreed.format), AgreedAt: s.agreed.index,
-		ServedVersions: s.servedVersions,
+		ServedVersions: s.servedVersions, StreamRoutes: s.streamRoutes,
 	}
 	s.catalogue.byRevision.Ascend(func(object *v1.Object) bool {
 		record.Objects = append(record.Objects, object)
@@ -74,7 +74,7 @@
 	state.agreed = agreement{format: formats.Number(record.AgreedFormat), index: record.AgreedAt}
 	state.usage = usage.Restore(record.Usage)
 	state.suspects = quarantine.Restore(record.Suspects)
-	state.servedVersions = record.ServedVersions
+	state.servedVersions, state.streamRoutes = record.ServedVersions, record.StreamRoutes
 	for _, numbers := range record.Replicas {
 		state.replicas[numbers.Service] = numbers
 	}
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -34,6 +34,8 @@
 	claims *claimTable
 
 	document *v1.Document
+	// streamRoutes are those of the document.
+	streamRoutes *v1.StreamRoutes
 
 	usage *usage.Ledger
 
--- a/internal/relay/origins/lookup.go
+++ b/internal/relay/origins/lookup.go
@@ -18,14 +18,23 @@
 // IsKnown reports whether the version that began the stream is known.
 func (f Found) IsKnown() bool { return f.Outcome != NotFound && f.Outcome != NoStatement }
 
-// Find returns where the stream with the given name began. service is the service that the stream would go on at if its record
-// names none: where one version alone can have begun a stream of the service, it is that version, and the record's service is 0. If
-// service is empty, the stream may have begun at several services, and only a record tells.
+// TakenUp is a stream that a client takes up.
+type TakenUp struct {
+	Name streamorigin.Name
+	// Service is the service at which the stream would go on without a record. It is empty if this relay knows that the stream may have
+	// begun at several services, so that only a record tells.
+	Service string
+	// Route is the stream's route, by this relay's configuration.
+	Route streamorigin.RouteID
+}
+
+// Find returns where a stream began. Where one version alone, of one service alone, can have begun a stream of the route, it is that
+// version, and the record's service is 0.
 // Only a statement that the leader makes after the search has begun is evidence of that: this relay's list may be old, and other
 // relays may know no more than it. A relay that does not answer is no evidence. Find blocks until the origin is known or cannot be found
 // out, or until stop is closed.
-func (o *Origins) Find(name streamorigin.Name, service string, stop <-chan struct{}) Found {
-	found := o.find(name, service, stop)
+func (o *Origins) Find(stream TakenUp, stop <-chan struct{}) Found {
+	found := o.find(stream, stop)
 	if found.Record.Version == streamorigin.Unknown { // it began at a back end that had just started
 		found.Outcome = NotFound
 	}
@@ -33,11 +42,11 @@
 	return found
 }
 
-func (o *Origins) find(name streamorigin.Name, service string, stop <-chan struct{}) Found {
-	if record, age, isFound := o.held(name); isFound {
+func (o *Origins) find(stream TakenUp, stop <-chan struct{}) Found {
+	if record, age, isFound := o.held(stream.Name); isFound {
 		return Found{Record: record, Outcome: OwnRecord, Age: age}
 	}
-	search := &search{origins: o, name: name, service: service, stop: stop, beganAt: o.config.Now(), outcome: NoStatement}
+	search := &search{origins: o, stream: stream, stop: stop, beganAt: o.config.Now(), outcome: NoStatement}
 	if found, isFound := search.askLeaderAndOwners(); isFound {
 		return found
 	}
@@ -52,8 +61,7 @@
 // search is one search for the origin of a stream of which this relay has no record.
 type search struct {
 	origins *Origins
-	name    streamorigin.Name
-	service string
+	stream  TakenUp
 	stop    <-chan struct{}
 	beganAt time.Duration
 	// hasAskedForStatements is true once other relays were asked for a statement of the leader.
@@ -65,7 +73,7 @@
 // askLeaderAndOwners asks the relays that keep the stream's record, and the leader for a statement, all at once. If the leader has not
 // answered lately, the relays are asked for its statement as well.
 func (s *search) askLeaderAndOwners() (Found, bool) {
-	if s.service == "" {
+	if s.stream.Service == "" {
 		s.outcome = NotFound
 		return s.await(s.askOwners(false), nil)
 	}
@@ -106,14 +114,14 @@
 		return Found{}, false
 	}
 	s.outcome = NotFound
-	only, isSingle := statementFromWire(statement).Single(s.service)
+	only, isSingle := statementFromWire(statement).SingleOf(s.stream.Route, s.stream.Service)
 	return Found{Record: streamorigin.Record{Version: only}, Outcome: outcome, Age: s.origins.config.Now() - s.beganAt}, isSingle
 }
 
 // askOwners asks the relays that keep the stream's record, all at once. The channel is closed after the last answer.
 func (s *search) askOwners(wantsStatement bool) <-chan *v1.StreamOriginAnswer {
 	s.hasAskedForStatements = s.hasAskedForStatements || wantsStatement
-	owners := s.origins.ownersOf(s.name)
+	owners := s.origins.ownersOf(s.stream.Name)
 	answers := make(chan *v1.StreamOriginAnswer, len(owners))
 	var asked sync.WaitGroup
 	for _, owner := range owners {
@@ -141,7 +149,8 @@
 	}
 	for range queriesPerOwner {
 		o.config.Socket.Send(owner, &v1.RelayDatagram{Content: &v1.RelayDatagram_StreamOriginQuery{StreamOriginQuery: &v1.StreamOriginQuery{
-			Relay: o.config.Incarnation, Number: number, NameHigh: s.name.High, NameLow: s.name.Low, Service: s.service, WantsStatement: wantsStatement,
+			Relay: o.config.Incarnation, Number: number, NameHigh: s.stream.Name.High, NameLow: s.stream.Name.Low,
+			Service: s.stream.Service, Route: uint64(s.stream.Route), WantsStatement: wantsStatement,
 		}}})
 		timer := time.NewTimer(wait)
 		select {
@@ -168,7 +177,7 @@
 		answer.Origin, answer.OriginAgeMs = originToWire(name, record, 0), uint32(age.Milliseconds())
 	case query.GetWantsStatement():
 		go func() {
-			answer.Mixed, answer.Statement = true, o.statements.read(nil)
+			answer.Mixed, answer.Statement = true, statementFor(query, o.statements.read(nil))
 			o.sendAnswer(answer, from)
 		}()
 		return
--- a/internal/relay/origins/origins_test.go
+++ b/internal/relay/origins/origins_test.go
@@ -18,6 +18,7 @@
 
 const (
 	testService  = "service"
+	testRoute    = streamorigin.RouteID(7)
 	testLifetime = time.Minute
 )
 
@@ -105,7 +106,7 @@
 
 // search returns what Find finds, without its age.
 func (r *testRelay) search(name streamorigin.Name, service string, stop <-chan struct{}) (streamorigin.Record, Outcome) {
-	found := r.Find(name, service, stop)
+	found := r.Find(TakenUp{Name: name, Service: service, Route: testRoute}, stop)
 	return found.Record, found.Outcome
 }
 
--- a/internal/relay/origins/wire.go
+++ b/internal/relay/origins/wire.go
@@ -1,6 +1,7 @@
 package origins
 
 import (
+	"slices"
 	"time"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
@@ -23,10 +24,31 @@
 	return name, record, lifetime, record.Version != streamorigin.None
 }
 
+// statementFor returns the part of a statement that another relay asks for: a datagram has no room for all.
+func statementFor(query *v1.StreamOriginQuery, stated *v1.VersionStatement) *v1.VersionStatement {
+	if stated == nil {
+		return nil
+	}
+	part := &v1.VersionStatement{CompleteMs: stated.GetCompleteMs()}
+	for _, version := range stated.GetVersions() {
+		if version.GetService() == query.GetService() {
+			part.Versions = append(part.Versions, version)
+		}
+	}
+	if slices.Contains(stated.GetChangedRoutes(), query.GetRoute()) {
+		part.ChangedRoutes = []uint64{query.GetRoute()}
+	}
+	return part
+}
+
 // statementFromWire decodes a statement of the leader.
 func statementFromWire(stated *v1.VersionStatement) *streamorigin.Statement {
 	statement := &streamorigin.Statement{
 		CompleteFor: durationFromMs(stated.GetCompleteMs()), Versions: map[string]map[streamorigin.Version]bool{},
+		ChangedRoutes: map[streamorigin.RouteID]bool{},
+	}
+	for _, route := range stated.GetChangedRoutes() {
+		statement.ChangedRoutes[streamorigin.RouteID(route)] = true
 	}
 	for _, version := range stated.GetVersions() {
 		versions := statement.Versions[version.GetService()]
--- a/internal/relay/taken_up.go
+++ b/internal/relay/taken_up.go
@@ -65,11 +65,13 @@
 	if request.forwarded != nil || !r.isTakenUp(request) {
 		return nil
 	}
-	service := request.service.Name
+	taken := origins.TakenUp{
+		Name: r.resumedName(request), Service: request.service.Name, Route: streamorigin.RouteOf(request.route).ID(),
+	}
 	if !r.isServiceCertain(request.route) {
-		service = "" // only a record tells at which service it began
+		taken.Service = "" // only a record tells at which service it began
 	}
-	found := r.origins.Find(r.resumedName(request), service, request.canceller.done())
+	found := r.origins.Find(taken, request.canceller.done())
 	if found.Outcome == origins.NoStatement { // the leader may be back by then
 		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonNoStatement, retryAfter: retryAfterStaleView}
 	}
--- a/internal/servedversions/ledger.go
+++ b/internal/servedversions/ledger.go
@@ -18,30 +18,52 @@
 	MaxVersions = 1024
 )
 
-// Ledger is a leader's knowledge of the versions that can have begun streams. A new leader takes it over from the replicated log.
-// It is not safe for concurrent use.
+// Ledger is a leader's knowledge of the versions that can have begun streams, and of the routes that have changed since. A new leader
+// takes it over from the replicated log. It is not safe for concurrent use.
 type Ledger struct {
 	// unlistedSince says since when no back end of a version has been listed; listed versions are in listed.
 	unlistedSince map[Version]time.Duration
 	listed        map[Version]bool
 	// completeSince is the time since which no version has served that the ledger lacks.
 	completeSince time.Duration
+	changedRoutes *streamorigin.RouteChanges
 }
 
 // NewLedger returns the ledger of a leader that begins to lead now. recorded is the last record of the replicated log; isTrusted says
 // that every leader since then has recorded the versions that it listed. How long ago versions were listed is not known to a new
 // leader, so that their retention begins again.
 func NewLedger(now time.Duration, recorded *v1.ServedVersions, isTrusted bool) *Ledger {
-	ledger := &Ledger{unlistedSince: map[Version]time.Duration{}, listed: map[Version]bool{}, completeSince: now}
+	ledger := &Ledger{
+		unlistedSince: map[Version]time.Duration{}, listed: map[Version]bool{}, completeSince: now,
+		changedRoutes: streamorigin.NewRouteChanges(now - Retention),
+	}
 	for _, version := range recorded.GetVersions() {
 		ledger.unlistedSince[versionFromWire(version)] = now
 	}
+	for _, route := range recorded.GetChangedRoutes() {
+		ledger.changedRoutes.Add(now, streamorigin.RouteID(route))
+	}
 	if isTrusted && !recorded.GetIncomplete() {
 		ledger.completeSince = now - Retention
 	}
 	return ledger
 }
 
+// ChangeRoutes records that routes change now.
+func (l *Ledger) ChangeRoutes(now time.Duration, routes map[streamorigin.Route]bool) {
+	for route := range routes {
+		l.changedRoutes.Add(now, route.ID())
+	}
+}
+
+// ForgetRoutes records that any route may have changed until now.
+func (l *Ledger) ForgetRoutes(now time.Duration) { l.completeSince = now }
+
+// completeFor says for how long the ledger has been complete.
+func (l *Ledger) completeFor(now time.Duration) time.Duration {
+	return now - max(l.completeSince, l.changedRoutes.CompleteSince())
+}
+
 // Observe applies the versions of a list of back ends that was read now.
 func (l *Ledger) Observe(now time.Duration, listed map[Version]bool) {
 	for version := range l.listed {
@@ -54,6 +76,7 @@
 	}
 	l.listed = maps.Clone(listed)
 	maps.DeleteFunc(l.unlistedSince, func(_ Version, since time.Duration) bool { return now-since >= Retention })
+	l.changedRoutes.Expire(now)
 	l.enforceBound(now)
 }
 
@@ -74,7 +97,7 @@
 
 // Record returns what the replicated log must hold before relays learn of the listed back ends.
 func (l *Ledger) Record(now time.Duration, term uint64) *v1.ServedVersions {
-	record := &v1.ServedVersions{Term: term, Incomplete: now-l.completeSince < Retention}
+	record := &v1.ServedVersions{Term: term, Incomplete: l.completeFor(now) < Retention, ChangedRoutes: l.routesToWire()}
 	for _, version := range l.versions() {
 		record.Versions = append(record.Versions, &v1.ServedVersion{Service: version.Service, Software: version.Software})
 	}
@@ -88,9 +111,16 @@
 	return all
 }
 
-// Statement returns what the leader states to relays.
+// StatementWithRoutes returns what the leader states to a relay that asks.
+func (l *Ledger) StatementWithRoutes(now time.Duration) *v1.VersionStatement {
+	statement := l.Statement(now)
+	statement.ChangedRoutes = l.routesToWire()
+	return statement
+}
+
+// Statement returns what the leader states to all relays, with each of its answers.
 func (l *Ledger) Statement(now time.Duration) *v1.VersionStatement {
-	statement := &v1.VersionStatement{CompleteMs: uint64((now - l.completeSince).Milliseconds())}
+	statement := &v1.VersionStatement{CompleteMs: uint64(l.completeFor(now).Milliseconds())}
 	for _, version := range l.versions() {
 		stated := &v1.StatedVersion{Service: version.Service, Software: version.Software}
 		if since, isUnlisted := l.unlistedSince[version]; isUnlisted {
@@ -102,6 +132,14 @@
 	return statement
 }
 
+// routesToWire returns the hashes of the changed routes, sorted.
+func (l *Ledger) routesToWire() (hashes []uint64) {
+	for _, route := range l.changedRoutes.All() {
+		hashes = append(hashes, uint64(route))
+	}
+	return hashes
+}
+
 // Contains reports whether a record contains a version.
 func Contains(record *v1.ServedVersions, version Version) bool {
 	_, found := slices.BinarySearchFunc(record.GetVersions(), version, func(recorded *v1.ServedVersion, wanted Version) int {
@@ -112,7 +150,8 @@
 
 // Equal reports whether two records state the same, apart from the terms of their leaders.
 func Equal(a, b *v1.ServedVersions) bool {
-	return a.GetIncomplete() == b.GetIncomplete() && slices.EqualFunc(a.GetVersions(), b.GetVersions(), func(a, b *v1.ServedVersion) bool {
+	isSameApart := a.GetIncomplete() == b.GetIncomplete() && slices.Equal(a.GetChangedRoutes(), b.GetChangedRoutes())
+	return isSameApart && slices.EqualFunc(a.GetVersions(), b.GetVersions(), func(a, b *v1.ServedVersion) bool {
 		return versionFromWire(a) == versionFromWire(b)
 	})
 }
--- /dev/null
+++ b/internal/streamorigin/route_changes.go
@@ -0,0 +1,58 @@
+package streamorigin
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// MaxRouteChanges bounds the routes of RouteChanges.
+const MaxRouteChanges = 4096
+
+// RouteChanges are the routes that have changed within the time that a stream can last. It is not safe for concurrent use.
+type RouteChanges struct {
+	changedAt map[RouteID]time.Duration
+	// completeSince is the time since which no route has changed that is not in changedAt.
+	completeSince time.Duration
+}
+
+// NewRouteChanges returns changes that are complete since the given time.
+func NewRouteChanges(completeSince time.Duration) *RouteChanges {
+	return &RouteChanges{changedAt: map[RouteID]time.Duration{}, completeSince: completeSince}
+}
+
+// Add records that routes change now. Where there are too many, those that have not changed for the longest time give way.
+func (c *RouteChanges) Add(now time.Duration, routes ...RouteID) {
+	for _, route := range routes {
+		c.changedAt[route] = now
+	}
+	excess := len(c.changedAt) - MaxRouteChanges
+	if excess <= 0 {
+		return
+	}
+	oldestFirst := slices.SortedFunc(maps.Keys(c.changedAt), func(a, b RouteID) int {
+		return cmp.Or(cmp.Compare(c.changedAt[a], c.changedAt[b]), cmp.Compare(a, b))
+	})
+	for _, route := range oldestFirst[:excess] {
+		delete(c.changedAt, route)
+	}
+	c.completeSince = now
+}
+
+// Expire forgets the changes before which no stream has begun that may still go on.
+func (c *RouteChanges) Expire(now time.Duration) {
+	maps.DeleteFunc(c.changedAt, func(_ RouteID, at time.Duration) bool { return now-at >= MaxLifetime })
+}
+
+// CompleteSince returns the time since which no other route has changed.
+func (c *RouteChanges) CompleteSince() time.Duration { return c.completeSince }
+
+// All returns the routes, sorted.
+func (c *RouteChanges) All() []RouteID { return slices.Sorted(maps.Keys(c.changedAt)) }
+
+// HasChanged reports whether a route may have changed within a time.
+func (c *RouteChanges) HasChanged(now time.Duration, route RouteID, within time.Duration) bool {
+	at, isKnown := c.changedAt[route]
+	return isKnown && now-at < within || now-c.completeSince < within
+}
--- a/internal/streamorigin/statement.go
+++ b/internal/streamorigin/statement.go
@@ -2,14 +2,17 @@
 
 import "time"
 
-// Statement is the leader's statement of which versions can have begun streams. The leader records each version in the replicated log
-// before any relay learns of a back end that has it, and keeps it for MaxLifetime after its last back end was listed, so that a statement
-// includes every version that had begun a stream when the leader made it.
+// Statement is the leader's statement of which versions, of which services, can have begun streams. The leader records each version in the
+// replicated log before any relay learns of a back end that has it, and keeps it for MaxLifetime after its last back end was listed. It records
+// each change of a route with the configuration that changes it. So a statement includes every version that had begun a stream when the leader
+// made it.
 type Statement struct {
-	// CompleteFor says for how long no version has served that the statement lacks.
+	// CompleteFor says for how long no version has served, and no route has changed, that the statement lacks.
 	CompleteFor time.Duration
 	// Versions are the versions by service.
 	Versions map[string]map[Version]bool
+	// ChangedRoutes are the routes whose streams may have begun at another service than the one to which the route leads now.
+	ChangedRoutes map[RouteID]bool
 }
 
 // Single returns the version that alone can have begun a stream of a service. It returns false if there are several, if one of them is
@@ -25,6 +28,15 @@
 	return Unknown, false
 }
 
+// SingleOf returns the version that alone can have begun a stream of a route, which leads to the service. It returns false as Single does,
+// and if the stream may have begun at another service.
+func (s *Statement) SingleOf(route RouteID, service string) (Version, bool) {
+	if s == nil || s.ChangedRoutes[route] {
+		return Unknown, false
+	}
+	return s.Single(service)
+}
+
 // Contains reports whether the statement names a version of a service.
 func (s *Statement) Contains(service string, version Version) bool {
 	return s.Versions[service][version]
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -121,14 +121,19 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			statement := &Statement{CompleteFor: test.completeFor, Versions: map[string]map[Version]bool{"s": test.versions}}
-			single, isSingle := statement.Single("s")
+			single, isSingle := statement.SingleOf(1, "s")
 			require.Equal(t, test.expected != "", isSingle)
 			if isSingle {
 				require.Equal(t, VersionOf(test.expected), single)
 			}
+			statement.ChangedRoutes = map[RouteID]bool{2: true}
+			_, isSingle = statement.SingleOf(1, "s")
+			require.Equal(t, test.expected != "", isSingle, "another route has changed")
+			_, isSingle = statement.SingleOf(2, "s")
+			require.False(t, isSingle, "its route has changed")
 		})
 	}
-	_, isSingle := (*Statement)(nil).Single("s")
+	_, isSingle := (*Statement)(nil).SingleOf(1, "s")
 	require.False(t, isSingle)
 }
 
@@ -136,12 +141,12 @@
 func TestRouteServicesKnowsWhereARouteHasLed(t *testing.T) {
 	const lifetime = 12 * time.Second
 	route := Route{Host: "h", Prefix: "/p/"}
-	services := func(names ...string) map[Route]map[string]bool {
+	services := func(names ...string) Routes {
 		set := map[string]bool{}
 		for _, name := range names {
 			set[name] = true
 		}
-		return map[Route]map[string]bool{route: set}
+		return Routes{route: set}
 	}
 	known := NewRouteServices()
 	require.False(t, known.IsSingle(0, route, lifetime))
@@ -154,10 +159,13 @@
 	require.True(t, known.IsSingle(20*time.Second+lifetime, route, lifetime))
 	known.Update(3*MaxLifetime, services("two"))
 	require.Equal(t, map[string]bool{"two": true}, known.Update(3*MaxLifetime, services("three")))
-	known.Update(3*MaxLifetime, map[Route]map[string]bool{})
+	known.Update(3*MaxLifetime, Routes{})
 	require.False(t, known.IsSingle(3*MaxLifetime, route, lifetime), "two and three")
-	known.Update(5*MaxLifetime, map[Route]map[string]bool{})
-	require.Empty(t, known.routes)
+	known.Update(3*MaxLifetime, services("two"))
+	require.False(t, known.IsSingle(3*MaxLifetime, route, lifetime), "the route came back elsewhere")
+	known.Update(5*MaxLifetime, Routes{})
+	known.Update(7*MaxLifetime, Routes{})
+	require.Empty(t, known.changes.All())
 }
 
 // Guards against a stream that goes on at another service because a route for its path was added or removed since it began.
@@ -166,15 +174,17 @@
 	wide, narrow := Route{Host: "h", Prefix: "/"}, Route{Host: "h", Prefix: "/x/"}
 	one, two := map[string]bool{"one": true}, map[string]bool{"two": true}
 	known := NewRouteServices()
-	require.Empty(t, known.Update(0, map[Route]map[string]bool{wide: one}))
-	require.Equal(t, one, known.Update(time.Second, map[Route]map[string]bool{wide: one, narrow: two}))
+	require.Empty(t, known.Update(0, Routes{wide: one}))
+	require.Equal(t, one, known.Update(time.Second, Routes{wide: one, narrow: two}))
 	require.False(t, known.IsSingle(time.Second, narrow, lifetime), "its streams began at the other service")
-	require.True(t, known.IsSingle(time.Second, wide, lifetime))
+	require.False(t, known.IsSingle(time.Second, wide, lifetime), "another relay may not know the narrow route yet")
 	require.True(t, known.IsSingle(time.Second+lifetime, narrow, lifetime))
-	require.Equal(t, two, known.Update(MaxLifetime, map[Route]map[string]bool{wide: one}))
-	require.False(t, known.IsSingle(MaxLifetime, wide, lifetime), "it carries the requests of the route that is gone")
-	known.Update(3*MaxLifetime, map[Route]map[string]bool{wide: one})
-	require.True(t, known.IsSingle(3*MaxLifetime, wide, lifetime))
-	known.Update(3*MaxLifetime, map[Route]map[string]bool{wide: one, narrow: one})
-	require.True(t, known.IsSingle(3*MaxLifetime, narrow, lifetime), "the same service")
+	require.True(t, known.IsSingle(time.Second+lifetime, wide, lifetime))
+	require.Equal(t, map[string]bool{"one": true, "two": true}, known.Update(2*MaxLifetime, Routes{wide: one}))
+	require.False(t, known.IsSingle(2*MaxLifetime, wide, lifetime), "it carries the requests of the route that is gone")
+	known.Update(4*MaxLifetime, Routes{wide: one})
+	require.True(t, known.IsSingle(4*MaxLifetime, wide, lifetime))
+	known.Update(4*MaxLifetime, Routes{wide: one, narrow: one})
+	require.True(t, known.IsSingle(4*MaxLifetime, narrow, lifetime), "the same service")
+	require.True(t, known.IsSingle(4*MaxLifetime, wide, lifetime), "the same service")
 }
