Routes that change: bound them once for each document, and compare each document once

Cause: each changed route enforced the bound on changed routes by itself, and each document was compared with the one in force and with the one proposed last, also where these are the same. Change: the bound is enforced once for each document; the second comparison is left out unless a proposal is pending; routes that are added are looked for only if there are some. Tests: which changes count, the bound, the ledger's retention, statements with routes, of the leader and by other relays.

--- a/internal/control/document.go
+++ b/internal/control/document.go
@@ -52,7 +52,7 @@
 		c.refuse(received.Call, err)
 		return
 	}
-	c.routes.proposed = received.Routes
+	c.routes.proposed, c.routes.proposedNumber = received.Routes, received.Document.GetNumber()
 	if record := command.GetServedVersions(); record != nil {
 		c.listing.versionsIndex, c.listing.proposedVersions = index, record
 	}
--- a/internal/control/stream_routes.go
+++ b/internal/control/stream_routes.go
@@ -12,6 +12,8 @@
 type streamRoutes struct {
 	// inForce are those of the document in force, and proposed those of the one that was proposed last.
 	inForce, proposed streamorigin.Routes
+	// proposedNumber is the number of the document that was proposed last.
+	proposedNumber uint64
 }
 
 // beginRoutes takes the routes of the document in force over from the replicated log.
@@ -24,7 +26,7 @@
 	default:
 		c.listing.versions.ForgetRoutes(c.now)
 	}
-	c.routes = streamRoutes{inForce: known, proposed: known}
+	c.routes = streamRoutes{inForce: known, proposed: known, proposedNumber: c.state.Document().GetNumber()}
 }
 
 // recordRoutes adds the routes that a document changes to the command that proposes it: relays may use the document as soon as it is
@@ -37,7 +39,9 @@
 		c.listing.versions.ForgetRoutes(c.now)
 	}
 	changed = c.routes.inForce.ChangedTo(next)
-	maps.Copy(changed, c.routes.proposed.ChangedTo(next))
+	if c.routes.proposedNumber != c.state.Document().GetNumber() {
+		maps.Copy(changed, c.routes.proposed.ChangedTo(next))
+	}
 	c.listing.versions.ChangeRoutes(c.now, changed)
 	command.ServedVersions = c.listing.versions.Record(c.now, c.leadingTerm)
 	command.GetPutDocument().StreamRoutes = servedversions.RoutesToWire(next)
--- a/internal/relay/origins/origins_test.go
+++ b/internal/relay/origins/origins_test.go
@@ -210,6 +210,11 @@
 		statement.Versions = append(statement.Versions, &v1.StatedVersion{Service: testService, Software: "v2", UnlistedMs: uint64(unlistedFor.Milliseconds())})
 		return statement
 	}
+	changed := func(route streamorigin.RouteID) *v1.VersionStatement {
+		statement := statementOf(streamorigin.MaxLifetime, "v1")
+		statement.ChangedRoutes = []uint64{uint64(route)}
+		return statement
+	}
 	for name, test := range map[string]struct {
 		own, others *v1.VersionStatement
 		areSilent   bool
@@ -227,6 +232,10 @@
 		"nobody reaches the leader or another one":            {areSilent: true, outcome: NoStatement},
 		"others reach the leader":                             {others: statementOf(streamorigin.MaxLifetime, "v1"), outcome: RelayedOnlyVersion},
 		"others reach it, two versions":                       {others: statementOf(streamorigin.MaxLifetime, "v1", "v2"), outcome: NotFound},
+		"its route has led elsewhere":                         {own: changed(testRoute), outcome: NotFound},
+		"another route has led elsewhere":                     {own: changed(testRoute + 1), outcome: OnlyVersion},
+		"others reach it, its route has led elsewhere":        {others: changed(testRoute), outcome: NotFound},
+		"others reach it, another route has led elsewhere":    {others: changed(testRoute + 1), outcome: RelayedOnlyVersion},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/servedversions/ledger.go
+++ b/internal/servedversions/ledger.go
@@ -40,9 +40,7 @@
 	for _, version := range recorded.GetVersions() {
 		ledger.unlistedSince[versionFromWire(version)] = now
 	}
-	for _, route := range recorded.GetChangedRoutes() {
-		ledger.changedRoutes.Add(now, streamorigin.RouteID(route))
-	}
+	ledger.changedRoutes.Restore(now, recorded.GetChangedRoutes())
 	if isTrusted && !recorded.GetIncomplete() {
 		ledger.completeSince = now - Retention
 	}
@@ -51,9 +49,7 @@
 
 // ChangeRoutes records that routes change now.
 func (l *Ledger) ChangeRoutes(now time.Duration, routes map[streamorigin.Route]bool) {
-	for route := range routes {
-		l.changedRoutes.Add(now, route.ID())
-	}
+	l.changedRoutes.Add(now, routes)
 }
 
 // ForgetRoutes records that any route may have changed until now.
--- a/internal/servedversions/ledger_test.go
+++ b/internal/servedversions/ledger_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
 // recorded returns a record of versions of one service; the names must be sorted.
@@ -127,3 +128,35 @@
 	again.Incomplete = true
 	require.False(t, Equal(record, again))
 }
+
+// Guards against changed routes that a new leader forgets, that never expire, or that are told with each answer to all relays.
+func TestLedgerKeepsChangedRoutesForTheirRetention(t *testing.T) {
+	route := streamorigin.Route{Host: "h", Prefix: "/p/"}
+	expected := []uint64{uint64(route.ID())}
+	ledger := NewLedger(0, nil, true)
+	ledger.ChangeRoutes(time.Minute, map[streamorigin.Route]bool{route: true})
+	record := ledger.Record(time.Minute, 4)
+	require.Equal(t, expected, record.GetChangedRoutes())
+	require.False(t, record.GetIncomplete())
+	require.False(t, Equal(record, NewLedger(0, nil, true).Record(0, 4)))
+	require.Empty(t, ledger.Statement(time.Minute).GetChangedRoutes())
+	next := NewLedger(2*time.Minute, record, true)
+	require.Equal(t, expected, next.StatementWithRoutes(2*time.Minute).GetChangedRoutes())
+	next.Observe(2*time.Minute+Retention-1, nil)
+	require.Equal(t, expected, next.StatementWithRoutes(2*time.Minute+Retention-1).GetChangedRoutes())
+	next.Observe(2*time.Minute+Retention, nil)
+	require.Empty(t, next.StatementWithRoutes(2*time.Minute+Retention).GetChangedRoutes())
+	next.ForgetRoutes(time.Hour)
+	require.True(t, next.Record(time.Hour, 5).GetIncomplete())
+	require.Zero(t, next.StatementWithRoutes(time.Hour).GetCompleteMs())
+	require.False(t, next.Record(time.Hour+Retention, 5).GetIncomplete())
+}
+
+// Guards against routes that lead elsewhere once they were written to the log and read again.
+func TestRoutesAreTheSameAfterTheLog(t *testing.T) {
+	for _, routes := range []streamorigin.Routes{
+		nil, {}, {{Host: "h", Prefix: "/p/"}: {"one": true, "two": true}, {Host: "g", Prefix: "/"}: {"one": true}},
+	} {
+		require.Equal(t, routes, RoutesFromWire(RoutesToWire(routes)))
+	}
+}
--- a/internal/streamorigin/route_changes.go
+++ b/internal/streamorigin/route_changes.go
@@ -23,10 +23,22 @@
 }
 
 // Add records that routes change now. Where there are too many, those that have not changed for the longest time give way.
-func (c *RouteChanges) Add(now time.Duration, routes ...RouteID) {
+func (c *RouteChanges) Add(now time.Duration, routes map[Route]bool) {
+	for route := range routes {
+		c.changedAt[route.ID()] = now
+	}
+	c.enforceBound(now)
+}
+
+// Restore adds changes that another process has recorded, as if the routes had changed now.
+func (c *RouteChanges) Restore(now time.Duration, routes []uint64) {
 	for _, route := range routes {
-		c.changedAt[route] = now
+		c.changedAt[RouteID(route)] = now
 	}
+	c.enforceBound(now)
+}
+
+func (c *RouteChanges) enforceBound(now time.Duration) {
 	excess := len(c.changedAt) - MaxRouteChanges
 	if excess <= 0 {
 		return
--- a/internal/streamorigin/route_services.go
+++ b/internal/streamorigin/route_services.go
@@ -28,9 +28,7 @@
 			maps.Copy(affected, r.current[route])
 		}
 	}
-	for route := range changed {
-		r.changes.Add(now, route.ID())
-	}
+	r.changes.Add(now, changed)
 	r.changes.Expire(now)
 	r.current = routes
 	return affected
--- a/internal/streamorigin/routes.go
+++ b/internal/streamorigin/routes.go
@@ -46,28 +46,42 @@
 // process that has not learned of the change sends them by the other route. A route that is removed may come back elsewhere.
 func (r Routes) ChangedTo(next Routes) map[Route]bool {
 	changed := map[Route]bool{}
+	var removed []Route
 	for route, services := range r {
-		if there, isKept := next[route]; !isKept || !maps.Equal(services, there) {
+		there, isKept := next[route]
+		if !isKept {
+			removed = append(removed, route)
+		}
+		if !isKept || !maps.Equal(services, there) {
 			changed[route] = true
 		}
 	}
-	r.findMissing(next, changed)
-	next.findMissing(r, changed)
+	r.addParents(removed, next, changed)
+	if len(next) > len(r)-len(removed) {
+		next.addParents(next.missingIn(r), r, changed)
+	}
 	return changed
 }
 
-// findMissing adds the routes that another configuration lacks, and those that carry their requests there, if these lead elsewhere.
-func (r Routes) findMissing(other Routes, changed map[Route]bool) {
-	var byHost map[string][]Route
-	for route, services := range r {
-		if _, isKept := other[route]; isKept {
-			continue
-		}
-		if byHost == nil {
-			byHost = other.byHost()
+// missingIn returns the routes that another configuration lacks.
+func (r Routes) missingIn(other Routes) (missing []Route) {
+	for route := range r {
+		if _, isKept := other[route]; !isKept {
+			missing = append(missing, route)
 		}
+	}
+	return missing
+}
+
+// addParents adds routes that another configuration lacks, and those that carry their requests there, if these lead elsewhere.
+func (r Routes) addParents(missing []Route, other Routes, changed map[Route]bool) {
+	if len(missing) == 0 {
+		return
+	}
+	byHost := other.byHost()
+	for _, route := range missing {
 		parent, hasParent := parentOf(route, byHost[route.Host])
-		if hasParent && !maps.Equal(services, other[parent]) {
+		if hasParent && !maps.Equal(r[route], other[parent]) {
 			changed[route], changed[parent] = true, true
 		}
 	}
