--- a/internal/relay/origins/origins.go
+++ b/internal/relay/origins/origins.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// IsMixed reports whether this relay lists several versions of a service, or did within the time that a stream can last.
-func (o *Origins) IsMixed(service string) bool {
+// isMixed reports whether this relay lists several versions of a service, or did within the time that a stream can last.
+func (o *Origins) isMixed(service string) bool {
 	lifetime := o.config.LifetimeOf(service)
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -103,7 +103,7 @@
 // knows from its list and from the leader's last answer. Without a leader there is nobody else to ask about them.
 func (o *Origins) NeedsRecords(service string) bool {
 	_, isSingle := o.statement.Load().Single(service)
-	return !isSingle || !o.config.IsLeaderInContact() || o.IsMixed(service)
+	return !isSingle || !o.config.IsLeaderInContact() || o.isMixed(service)
 }
 
 // IsStated reports whether the leader's last answer names a version of a service, or states no versions at all. A stream that begins at
