Relays that have started since a route changed record the streams that begin there

What callers saw: once all relays, or all processes, had been lost after a route was moved, streams that began at its new service were refused when they were taken up, for two minutes: 48 of 48. Cause: a relay that has started since the change takes the route for certain and records nothing; the leader's statement, which names the route as changed, then lets none of its streams go on without a record. Change: each answer of the leader says whether any route has changed within the time that a stream can last; a relay whose first configuration is younger than that records its streams meanwhile.

--- a/internal/relay/origins/origins.go
+++ b/internal/relay/origins/origins.go
@@ -106,6 +106,12 @@
 	return !isSingle || !o.config.IsLeaderInContact() || o.isMixed(service)
 }
 
+// HaveRoutesChanged reports whether the leader's last answer says that streams of some routes may have begun at other services.
+func (o *Origins) HaveRoutesChanged() bool {
+	statement := o.statement.Load()
+	return statement != nil && statement.HaveRoutesChanged
+}
+
 // IsStated reports whether the leader's last answer names a version of a service, or states no versions at all. A stream that begins at
 // another version may be continued at a wrong one, since the leader's statements lack it.
 func (o *Origins) IsStated(service string, version streamorigin.Version) bool {
--- a/internal/relay/origins/wire.go
+++ b/internal/relay/origins/wire.go
@@ -45,7 +45,7 @@
 func statementFromWire(stated *v1.VersionStatement) *streamorigin.Statement {
 	statement := &streamorigin.Statement{
 		CompleteFor: durationFromMs(stated.GetCompleteMs()), Versions: map[string]map[streamorigin.Version]bool{},
-		ChangedRoutes: map[streamorigin.RouteID]bool{},
+		ChangedRoutes: map[streamorigin.RouteID]bool{}, HaveRoutesChanged: stated.GetRoutesChanged(),
 	}
 	for _, route := range stated.GetChangedRoutes() {
 		statement.ChangedRoutes[streamorigin.RouteID(route)] = true
--- a/internal/relay/route_services.go
+++ b/internal/relay/route_services.go
@@ -22,3 +22,14 @@
 	defer r.routeServicesMutex.Unlock()
 	return r.routeServices.IsSingle(r.clock.now(), streamorigin.RouteOf(route), streamorigin.LifetimeOf(route.Timeout))
 }
+
+// needsServiceRecord reports whether streams of the route are recorded because of their service: it is not certain, or the route may have
+// changed before this relay's first configuration, so that the leader's statement does not let its streams go on.
+func (r *Relay) needsServiceRecord(route *serving.Route) bool {
+	if !r.isServiceCertain(route) {
+		return true
+	}
+	r.routeServicesMutex.Lock()
+	defer r.routeServicesMutex.Unlock()
+	return !r.routeServices.ReachesBack(r.clock.now(), streamorigin.MaxLifetime) && r.origins.HaveRoutesChanged()
+}
--- a/internal/servedversions/ledger.go
+++ b/internal/servedversions/ledger.go
@@ -116,7 +116,7 @@
 
 // Statement returns what the leader states to all relays, with each of its answers.
 func (l *Ledger) Statement(now time.Duration) *v1.VersionStatement {
-	statement := &v1.VersionStatement{CompleteMs: uint64(l.completeFor(now).Milliseconds())}
+	statement := &v1.VersionStatement{CompleteMs: uint64(l.completeFor(now).Milliseconds()), RoutesChanged: !l.changedRoutes.IsEmpty()}
 	for _, version := range l.versions() {
 		stated := &v1.StatedVersion{Service: version.Service, Software: version.Software}
 		if since, isUnlisted := l.unlistedSince[version]; isUnlisted {
--- a/internal/streamorigin/route_changes.go
+++ b/internal/streamorigin/route_changes.go
@@ -60,6 +60,9 @@
 // CompleteSince returns the time since which no other route has changed.
 func (c *RouteChanges) CompleteSince() time.Duration { return c.completeSince }
 
+// IsEmpty reports whether no route has changed.
+func (c *RouteChanges) IsEmpty() bool { return len(c.changedAt) == 0 }
+
 // All returns the routes, sorted.
 func (c *RouteChanges) All() []RouteID { return slices.Sorted(maps.Keys(c.changedAt)) }
 
--- a/internal/streamorigin/route_services.go
+++ b/internal/streamorigin/route_services.go
@@ -11,6 +11,8 @@
 type RouteServices struct {
 	current Routes
 	changes *RouteChanges
+	// begins is when the first configuration was applied.
+	begins time.Duration
 }
 
 // NewRouteServices returns the knowledge before the first configuration.
@@ -21,6 +23,9 @@
 // Update applies a configuration. It returns the services to which routes have led alone that have changed: their streams have to be
 // recorded from now on.
 func (r *RouteServices) Update(now time.Duration, routes Routes) (affected map[string]bool) {
+	if r.current == nil {
+		r.begins = now
+	}
 	affected = map[string]bool{}
 	changed := r.current.ChangedTo(routes)
 	for route := range changed {
@@ -34,6 +39,11 @@
 	return affected
 }
 
+// ReachesBack reports whether this process has known configurations for a time.
+func (r *RouteServices) ReachesBack(now, lifetime time.Duration) bool {
+	return r.current != nil && now-r.begins >= lifetime
+}
+
 // IsSingle reports whether a route has led to one service only within the lifetime of a stream, as far as this process knows.
 func (r *RouteServices) IsSingle(now time.Duration, route Route, lifetime time.Duration) bool {
 	return len(r.current[route]) == 1 && !r.changes.HasChanged(now, route.ID(), lifetime)
--- a/internal/streamorigin/statement.go
+++ b/internal/streamorigin/statement.go
@@ -13,6 +13,8 @@
 	Versions map[string]map[Version]bool
 	// ChangedRoutes are the routes whose streams may have begun at another service than the one to which the route leads now.
 	ChangedRoutes map[RouteID]bool
+	// HaveRoutesChanged is true if there are such routes, also where the statement does not name them.
+	HaveRoutesChanged bool
 }
 
 // Single returns the version that alone can have begun a stream of a service. It returns false if there are several, if one of them is
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -150,7 +150,10 @@
 	}
 	known := NewRouteServices()
 	require.False(t, known.IsSingle(0, route, lifetime))
+	require.False(t, known.ReachesBack(MaxLifetime, lifetime))
 	require.Empty(t, known.Update(0, services("one")))
+	require.False(t, known.ReachesBack(lifetime-1, lifetime))
+	require.True(t, known.ReachesBack(lifetime, lifetime))
 	require.True(t, known.IsSingle(0, route, lifetime))
 	require.Equal(t, map[string]bool{"one": true}, known.Update(10*time.Second, services("one", "two")))
 	require.False(t, known.IsSingle(10*time.Second, route, lifetime))
