A stream is uncertain where its route, or a narrower one on its path, has changed

Cause: changes were compared between neighbouring documents only, by the route that the path has now and its next wider one; the route that carried the stream may be one that no neighbouring document has. Hosts were compared as written. Two documents of one number in flight left the routes of the one that lost as those in force. Change: the record holds the routes that were themselves added, removed or led elsewhere. A stream goes on without a record only if neither its route nor any narrower one that its path has room for is among them: then its route has carried the path all the while. Wider routes do not count, so that a route added below a catch-all one concerns only its own paths. Routes in force are those of the document that was applied.

--- a/internal/control/document.go
+++ b/internal/control/document.go
@@ -41,18 +41,18 @@
 	command := &v1.Command{Body: &v1.Command_PutDocument{PutDocument: &v1.PutDocument{Document: received.Document}}}
 	changed := c.recordRoutes(command, received.Routes)
 	index, err := c.propose(command, received.Call, func(core *Core, result controlstate.Result) {
+		core.applyRoutes(changed)
 		if result.Err != nil {
 			core.refuse(received.Call, result.Err)
 			return
 		}
-		core.applyRoutes(received, changed)
 		core.answer(done)
 	})
 	if err != nil {
 		c.refuse(received.Call, err)
 		return
 	}
-	c.routes.proposed, c.routes.proposedNumber = received.Routes, received.Document.GetNumber()
+	c.proposeRoutes(received.Routes)
 	if record := command.GetServedVersions(); record != nil {
 		c.listing.versionsIndex, c.listing.proposedVersions = index, record
 	}
--- a/internal/control/stream_routes.go
+++ b/internal/control/stream_routes.go
@@ -8,25 +8,27 @@
 	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
-// streamRoutes are where the routes of streams lead, by the leader's documents; nil where the build that proposed a document did not tell.
+// streamRoutes are where the routes of streams lead, by the leader's documents; nil where the build that proposed a document did not tell, or
+// without a document.
 type streamRoutes struct {
 	// inForce are those of the document in force, and proposed those of the one that was proposed last.
 	inForce, proposed streamorigin.Routes
-	// proposedNumber is the number of the document that was proposed last.
-	proposedNumber uint64
+	// pending is the number of documents that are proposed and not applied yet.
+	pending int
 }
 
 // beginRoutes takes the routes of the document in force over from the replicated log.
 func (c *Core) beginRoutes() {
-	known := servedversions.RoutesFromWire(c.state.StreamRoutes())
-	switch {
-	case known != nil:
-	case c.state.Document() == nil:
-		known = streamorigin.Routes{}
-	default:
+	c.routes = streamRoutes{inForce: servedversions.RoutesFromWire(c.state.StreamRoutes())}
+	if !c.areRoutesKnown() {
 		c.listing.versions.ForgetRoutes(c.now)
 	}
-	c.routes = streamRoutes{inForce: known, proposed: known, proposedNumber: c.state.Document().GetNumber()}
+}
+
+// areRoutesKnown reports whether it is known where the routes of the documents before the next one lead.
+func (c *Core) areRoutesKnown() bool {
+	isKnown := c.routes.inForce != nil || c.state.Document() == nil
+	return isKnown && (c.routes.proposed != nil || c.routes.pending == 0)
 }
 
 // recordRoutes adds the routes that a document changes to the command that proposes it: relays may use the document as soon as it is
@@ -35,11 +37,11 @@
 	if c.config.ListingInterval == 0 { // there are no back ends whose versions are recorded
 		return nil
 	}
-	if next == nil || c.routes.inForce == nil || c.routes.proposed == nil {
+	if next == nil || !c.areRoutesKnown() {
 		c.listing.versions.ForgetRoutes(c.now)
 	}
 	changed = c.routes.inForce.ChangedTo(next)
-	if c.routes.proposedNumber != c.state.Document().GetNumber() {
+	if c.routes.pending > 0 {
 		maps.Copy(changed, c.routes.proposed.ChangedTo(next))
 	}
 	c.listing.versions.ChangeRoutes(c.now, changed)
@@ -48,11 +50,16 @@
 	return changed
 }
 
-// applyRoutes applies the routes of a document that came into force now: streams may have begun by the former one until then.
-func (c *Core) applyRoutes(received PutDocumentReceived, changed map[streamorigin.Route]bool) {
-	if !c.leading || c.state.Document().GetNumber() != received.Document.GetNumber() {
-		return
-	}
-	c.routes.inForce = received.Routes
+// proposeRoutes notes the routes of a document that was proposed.
+func (c *Core) proposeRoutes(routes streamorigin.Routes) {
+	c.routes.proposed = routes
+	c.routes.pending++
+}
+
+// applyRoutes notes that a document was applied, or lost to one with the same or a higher number. Streams may have begun by the former one until
+// now.
+func (c *Core) applyRoutes(changed map[streamorigin.Route]bool) {
+	c.routes.pending--
+	c.routes.inForce = servedversions.RoutesFromWire(c.state.StreamRoutes())
 	c.listing.versions.ChangeRoutes(c.now, changed)
 }
--- a/internal/control/stream_routes_test.go
+++ b/internal/control/stream_routes_test.go
@@ -111,3 +111,18 @@
 	_, isComplete = w.changedRoutes(w.waitLeader())
 	require.False(t, isComplete, "the new leader does not know where the routes lead")
 }
+
+// Guards against a change that a statement lacks because two documents had the same number, and the wrong one counts as the one in force.
+func TestStatementsNameRoutesThatDocumentsOfOneNumberChange(t *testing.T) {
+	w, _ := newVersionCluster(t, "v1")
+	w.putRoutes(1, leading("one"))
+	w.run(time.Second)
+	w.putRoutes(2, leading("two")) // not committed yet
+	w.putRoutes(2, leading("three"))
+	w.run(servedversions.Retention + time.Minute)
+	require.Equal(t, leading("two"), servedversions.RoutesFromWire(w.waitLeader().core.state.StreamRoutes()))
+	w.putRoutes(3, leading("three"))
+	w.run(time.Second)
+	routes, _ := w.changedRoutes(w.waitLeader())
+	require.Equal(t, hashesOf(moved), routes)
+}
--- a/internal/relay/origins/origins_test.go
+++ b/internal/relay/origins/origins_test.go
@@ -106,7 +106,7 @@
 
 // search returns what Find finds, without its age.
 func (r *testRelay) search(name streamorigin.Name, service string, stop <-chan struct{}) (streamorigin.Record, Outcome) {
-	found := r.Find(TakenUp{Name: name, Service: service, Route: testRoute}, stop)
+	found := r.Find(TakenUp{Name: name, Service: service, Carriers: []streamorigin.RouteID{testRoute - 1, testRoute}}, stop)
 	return found.Record, found.Outcome
 }
 
--- a/internal/relay/origins/wire.go
+++ b/internal/relay/origins/wire.go
@@ -35,12 +35,22 @@
 			part.Versions = append(part.Versions, version)
 		}
 	}
-	if slices.Contains(stated.GetChangedRoutes(), query.GetRoute()) {
-		part.ChangedRoutes = []uint64{query.GetRoute()}
+	for _, route := range query.GetCarriers() {
+		if slices.Contains(stated.GetChangedRoutes(), route) {
+			part.ChangedRoutes = append(part.ChangedRoutes, route)
+		}
 	}
 	return part
 }
 
+// carriersToWire encodes the hashes of routes.
+func carriersToWire(routes []streamorigin.RouteID) (hashes []uint64) {
+	for _, route := range routes {
+		hashes = append(hashes, uint64(route))
+	}
+	return hashes
+}
+
 // statementFromWire decodes a statement of the leader.
 func statementFromWire(stated *v1.VersionStatement) *streamorigin.Statement {
 	statement := &streamorigin.Statement{
--- a/internal/relay/route_services.go
+++ b/internal/relay/route_services.go
@@ -1,10 +1,15 @@
 package relay
 
 import (
+	"github.com/hazelpitch/hazelpitch/internal/relay/origins"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
+// maxConfigurationAge is how long after the leader's last message a relay's configuration and list still say at which service a stream that has no
+// record would go on. A change that this relay has not learned of must still be among those that the leader states.
+const maxConfigurationAge = streamorigin.MaxLifetime / 2
+
 // applyRouteServices applies the services of a new configuration's routes, and records the streams that this relay is forwarding on
 // routes which lead elsewhere since.
 func (r *Relay) applyRouteServices(table *serving.Table) {
@@ -15,21 +20,39 @@
 	r.origins.RecordActive(func(service string) bool { return affected[service] })
 }
 
-// isServiceCertain reports whether every stream of the route that may still go on began at the service to which the route leads, as far
-// as this relay knows.
-func (r *Relay) isServiceCertain(route *serving.Route) bool {
+// isServiceCertain reports whether every stream of the request's path that may still go on began at the service to which its route leads, as far
+// as this relay knows. A stream may outlast what is known of former configurations if its route lets it.
+func (r *Relay) isServiceCertain(request *request) bool {
+	if streamorigin.MayOutlast(request.route.Timeout) {
+		return false
+	}
 	r.routeServicesMutex.Lock()
 	defer r.routeServicesMutex.Unlock()
-	return r.routeServices.IsSingle(r.clock.now(), streamorigin.RouteOf(route), streamorigin.LifetimeOf(route.Timeout))
+	return r.routeServices.IsSingle(r.clock.now(), streamorigin.RouteOf(request.route), pathOf(request.target))
+}
+
+// isConfigurationRecent reports whether the leader may have been heard lately enough for this relay's configuration.
+func (r *Relay) isConfigurationRecent() bool {
+	return r.clock.now()-r.lastContact() < maxConfigurationAge
 }
 
-// needsServiceRecord reports whether streams of the route are recorded because of their service: it is not certain, or the route may have
-// changed before this relay's first configuration, so that the leader's statement does not let its streams go on.
-func (r *Relay) needsServiceRecord(route *serving.Route) bool {
-	if !r.isServiceCertain(route) {
+// needsServiceRecord reports whether the request's stream is recorded because of its service: it is not certain, or the route may have changed
+// before this relay's first configuration, so that the leader's statement does not let its streams go on.
+func (r *Relay) needsServiceRecord(request *request) bool {
+	if !r.isServiceCertain(request) {
 		return true
 	}
 	r.routeServicesMutex.Lock()
 	defer r.routeServicesMutex.Unlock()
 	return !r.routeServices.ReachesBack(r.clock.now(), streamorigin.MaxLifetime) && r.origins.HaveRoutesChanged()
 }
+
+// takenUp returns the stream that a request takes up. Where the service that began it is not certain, only a record tells.
+func (r *Relay) takenUp(request *request) origins.TakenUp {
+	stream := origins.TakenUp{Name: r.resumedName(request)}
+	if r.isServiceCertain(request) && r.isConfigurationRecent() {
+		stream.Service = request.service.Name
+		stream.Carriers, _ = streamorigin.RouteOf(request.route).Carriers(pathOf(request.target)) // complete, since the service is certain
+	}
+	return stream
+}
--- a/internal/relay/stream_origin.go
+++ b/internal/relay/stream_origin.go
@@ -37,7 +37,7 @@
 // not continued.
 func (s *streamReply) recordOrigin() {
 	active := s.origin.active
-	if active == nil || !s.relay.needsServiceRecord(s.request.route) && !s.relay.origins.NeedsRecords(active.Service) {
+	if active == nil || !s.relay.needsServiceRecord(s.request) && !s.relay.origins.NeedsRecords(active.Service) {
 		return
 	}
 	recording := s.relay.origins.Record(active.Name(), active.Service, active.Record)
--- a/internal/relay/taken_up.go
+++ b/internal/relay/taken_up.go
@@ -65,13 +65,7 @@
 	if request.forwarded != nil || !r.isTakenUp(request) {
 		return nil
 	}
-	taken := origins.TakenUp{
-		Name: r.resumedName(request), Service: request.service.Name, Route: streamorigin.RouteOf(request.route).ID(),
-	}
-	if !r.isServiceCertain(request.route) {
-		taken.Service = "" // only a record tells at which service it began
-	}
-	found := r.origins.Find(taken, request.canceller.done())
+	found := r.origins.Find(r.takenUp(request), request.canceller.done())
 	if found.Outcome == origins.NoStatement { // the leader may be back by then
 		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonNoStatement, retryAfter: retryAfterStaleView}
 	}
--- a/internal/servedversions/routes.go
+++ b/internal/servedversions/routes.go
@@ -1,6 +1,7 @@
 package servedversions
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -19,6 +20,9 @@
 			Host: route.Host, Prefix: route.Prefix, Services: slices.Sorted(maps.Keys(services)),
 		})
 	}
+	slices.SortFunc(wire.Routes, func(a, b *v1.StreamRoute) int {
+		return cmp.Or(cmp.Compare(a.GetHost(), b.GetHost()), cmp.Compare(a.GetPrefix(), b.GetPrefix()))
+	})
 	return wire
 }
 
--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -15,8 +15,13 @@
 // MaxLifetime bounds the time for which a record is kept.
 const MaxLifetime = 2 * time.Minute
 
+// attemptsOfClient is how many attempts of its client a stream lasts.
+const attemptsOfClient = 2
+
 // LifetimeOf returns how long a stream can last with the attempts of its client, given the longest time of one attempt.
 func LifetimeOf(attempt time.Duration) time.Duration {
-	const attempts = 2
-	return min(attempts*attempt, MaxLifetime)
+	return min(attemptsOfClient*attempt, MaxLifetime)
 }
+
+// MayOutlast reports whether a stream can last for longer than MaxLifetime, so that nothing is known of the time in which it began.
+func MayOutlast(attempt time.Duration) bool { return attemptsOfClient*attempt > MaxLifetime }
--- a/internal/streamorigin/route_changes.go
+++ b/internal/streamorigin/route_changes.go
@@ -66,8 +66,11 @@
 // All returns the routes, sorted.
 func (c *RouteChanges) All() []RouteID { return slices.Sorted(maps.Keys(c.changedAt)) }
 
-// HasChanged reports whether a route may have changed within a time.
-func (c *RouteChanges) HasChanged(now time.Duration, route RouteID, within time.Duration) bool {
-	at, isKnown := c.changedAt[route]
-	return isKnown && now-at < within || now-c.completeSince < within
+// HaveChanged reports whether one of some routes may have changed within the time that a stream can last.
+func (c *RouteChanges) HaveChanged(now time.Duration, routes []RouteID) bool {
+	hasChanged := func(route RouteID) bool {
+		at, isKnown := c.changedAt[route]
+		return isKnown && now-at < MaxLifetime
+	}
+	return now-c.completeSince < MaxLifetime || slices.ContainsFunc(routes, hasChanged)
 }
--- a/internal/streamorigin/route_services.go
+++ b/internal/streamorigin/route_services.go
@@ -20,17 +20,18 @@
 	return &RouteServices{changes: NewRouteChanges(-MaxLifetime)}
 }
 
-// Update applies a configuration. It returns the services to which routes have led alone that have changed: their streams have to be
-// recorded from now on.
+// Update applies a configuration. It returns the services of the routes whose requests may go elsewhere since and were certain before: the
+// streams of these services have to be recorded from now on.
 func (r *RouteServices) Update(now time.Duration, routes Routes) (affected map[string]bool) {
+	affected = map[string]bool{}
 	if r.current == nil {
 		r.begins = now
 	}
-	affected = map[string]bool{}
 	changed := r.current.ChangedTo(routes)
 	for route := range changed {
-		if r.IsSingle(now, route, MaxLifetime) {
-			maps.Copy(affected, r.current[route])
+		carrier, isFound := r.current.carrierOf(route)
+		if isFound && r.IsSingle(now, carrier, route.Prefix) {
+			maps.Copy(affected, r.current[carrier])
 		}
 	}
 	r.changes.Add(now, changed)
@@ -44,7 +45,9 @@
 	return r.current != nil && now-r.begins >= lifetime
 }
 
-// IsSingle reports whether a route has led to one service only within the lifetime of a stream, as far as this process knows.
-func (r *RouteServices) IsSingle(now time.Duration, route Route, lifetime time.Duration) bool {
-	return len(r.current[route]) == 1 && !r.changes.HasChanged(now, route.ID(), lifetime)
+// IsSingle reports whether the requests of a path, which a route carries, have gone to one service only within the time that a stream can last,
+// as far as this process knows.
+func (r *RouteServices) IsSingle(now time.Duration, route Route, path string) bool {
+	carriers, isComplete := route.Carriers(path)
+	return isComplete && len(r.current[route]) == 1 && !r.changes.HaveChanged(now, carriers)
 }
--- a/internal/streamorigin/routes.go
+++ b/internal/streamorigin/routes.go
@@ -15,8 +15,10 @@
 // RouteID is the hash by which processes name a route to each other.
 type RouteID uint64
 
-// RouteOf returns the identity of a configured route.
-func RouteOf(route *serving.Route) Route { return Route{Host: route.Host, Prefix: route.Prefix} }
+// RouteOf returns the identity of a configured route. Hosts are compared without regard to case.
+func RouteOf(route *serving.Route) Route {
+	return Route{Host: strings.ToLower(route.Host), Prefix: route.Prefix}
+}
 
 // ID returns the route's hash.
 func (r Route) ID() RouteID { return RouteID(xxhash.Sum64String(r.Host + "\x00" + r.Prefix)) }
@@ -41,68 +43,52 @@
 	return routes
 }
 
-// ChangedTo returns the routes whose requests may go to other services before a change than after it, by the configuration of either side.
-// A route that is added takes requests from the one with the next shorter prefix, and leaves them to that one when it is removed; a
-// process that has not learned of the change sends them by the other route. A route that is removed may come back elsewhere.
+// ChangedTo returns the routes that are added, removed or led to other services by another configuration; none where either is not known.
 func (r Routes) ChangedTo(next Routes) map[Route]bool {
 	changed := map[Route]bool{}
-	var removed []Route
+	if r == nil || next == nil {
+		return changed
+	}
 	for route, services := range r {
-		there, isKept := next[route]
-		if !isKept {
-			removed = append(removed, route)
-		}
-		if !isKept || !maps.Equal(services, there) {
+		if there, isKept := next[route]; !isKept || !maps.Equal(services, there) {
 			changed[route] = true
 		}
 	}
-	r.addParents(removed, next, changed)
-	if len(next) > len(r)-len(removed) {
-		next.addParents(next.missingIn(r), r, changed)
+	for route := range next {
+		if _, isKept := r[route]; !isKept {
+			changed[route] = true
+		}
 	}
 	return changed
 }
 
-// missingIn returns the routes that another configuration lacks.
-func (r Routes) missingIn(other Routes) (missing []Route) {
-	for route := range r {
-		if _, isKept := other[route]; !isKept {
-			missing = append(missing, route)
-		}
-	}
-	return missing
-}
+// maxNarrowerRoutes bounds the routes that Carriers returns besides the route itself.
+const maxNarrowerRoutes = 64
 
-// addParents adds routes that another configuration lacks, and those that carry their requests there, if these lead elsewhere.
-func (r Routes) addParents(missing []Route, other Routes, changed map[Route]bool) {
-	if len(missing) == 0 {
-		return
-	}
-	byHost := other.byHost()
-	for _, route := range missing {
-		parent, hasParent := parentOf(route, byHost[route.Host])
-		if hasParent && !maps.Equal(r[route], other[parent]) {
-			changed[route], changed[parent] = true, true
+// Carriers returns the routes that may have carried the requests of a path which this route carries now: itself, and all narrower ones that
+// the path has room for. Where none of them has changed within a time, the route has carried these requests all the while. It returns false for
+// a path with too many.
+func (r Route) Carriers(path string) (routes []RouteID, isComplete bool) {
+	routes = []RouteID{r.ID()}
+	for index := len(r.Prefix); index < len(path); index++ {
+		if path[index] != '/' {
+			continue
 		}
+		if len(routes) > maxNarrowerRoutes {
+			return nil, false
+		}
+		routes = append(routes, Route{Host: r.Host, Prefix: path[:index+1]}.ID())
 	}
+	return routes, true
 }
 
-func (r Routes) byHost() map[string][]Route {
-	routes := map[string][]Route{}
-	for route := range r {
-		routes[route.Host] = append(routes[route.Host], route)
-	}
-	return routes
-}
-
-// parentOf returns the route, of those of the same host, that carries the requests of a route where that one is missing: the one with the
-// longest prefix.
-func parentOf(route Route, ofHost []Route) (parent Route, isFound bool) {
-	for _, other := range ofHost {
-		isParent := other != route && strings.HasPrefix(route.Prefix, other.Prefix)
-		if isParent && (!isFound || len(other.Prefix) >= len(parent.Prefix)) {
-			parent, isFound = other, true
+// carrierOf returns the route that carries the requests of a prefix: the route itself, or the one with the next shorter prefix.
+func (r Routes) carrierOf(route Route) (carrier Route, isFound bool) {
+	for end := len(route.Prefix); end > 0; end = strings.LastIndexByte(route.Prefix[:end-1], '/') + 1 {
+		carrier = Route{Host: route.Host, Prefix: route.Prefix[:end]}
+		if _, isFound = r[carrier]; isFound {
+			return carrier, true
 		}
 	}
-	return parent, isFound
+	return Route{}, false
 }
--- a/internal/streamorigin/statement.go
+++ b/internal/streamorigin/statement.go
@@ -1,6 +1,9 @@
 package streamorigin
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Statement is the leader's statement of which versions, of which services, can have begun streams. The leader records each version in the
 // replicated log before any relay learns of a back end that has it, and keeps it for MaxLifetime after its last back end was listed. It records
@@ -11,7 +14,7 @@
 	CompleteFor time.Duration
 	// Versions are the versions by service.
 	Versions map[string]map[Version]bool
-	// ChangedRoutes are the routes whose streams may have begun at another service than the one to which the route leads now.
+	// ChangedRoutes are the routes that were added, removed or led to other services within the time that a stream can last.
 	ChangedRoutes map[RouteID]bool
 	// HaveRoutesChanged is true if there are such routes, also where the statement does not name them.
 	HaveRoutesChanged bool
@@ -30,10 +33,10 @@
 	return Unknown, false
 }
 
-// SingleOf returns the version that alone can have begun a stream of a route, which leads to the service. It returns false as Single does,
-// and if the stream may have begun at another service.
-func (s *Statement) SingleOf(route RouteID, service string) (Version, bool) {
-	if s == nil || s.ChangedRoutes[route] {
+// SingleOf returns the version that alone can have begun a stream which one of some routes, its carriers, has sent to the service. It returns
+// false as Single does, and if the stream may have begun at another service.
+func (s *Statement) SingleOf(carriers []RouteID, service string) (Version, bool) {
+	if s == nil || slices.ContainsFunc(carriers, func(route RouteID) bool { return s.ChangedRoutes[route] }) {
 		return Unknown, false
 	}
 	return s.Single(service)
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -121,25 +121,25 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			statement := &Statement{CompleteFor: test.completeFor, Versions: map[string]map[Version]bool{"s": test.versions}}
-			single, isSingle := statement.SingleOf(1, "s")
+			single, isSingle := statement.SingleOf([]RouteID{1, 3}, "s")
 			require.Equal(t, test.expected != "", isSingle)
 			if isSingle {
 				require.Equal(t, VersionOf(test.expected), single)
 			}
 			statement.ChangedRoutes = map[RouteID]bool{2: true}
-			_, isSingle = statement.SingleOf(1, "s")
+			_, isSingle = statement.SingleOf([]RouteID{1, 3}, "s")
 			require.Equal(t, test.expected != "", isSingle, "another route has changed")
-			_, isSingle = statement.SingleOf(2, "s")
+			_, isSingle = statement.SingleOf([]RouteID{1, 2}, "s")
 			require.False(t, isSingle, "its route has changed")
 		})
 	}
-	_, isSingle := (*Statement)(nil).SingleOf(1, "s")
+	_, isSingle := (*Statement)(nil).SingleOf([]RouteID{1}, "s")
 	require.False(t, isSingle)
 }
 
 // Guards against a stream that goes on at another service than the one that began it, because its route has led to both.
 func TestRouteServicesKnowsWhereARouteHasLed(t *testing.T) {
-	const lifetime = 12 * time.Second
+	const path = "/p/x"
 	route := Route{Host: "h", Prefix: "/p/"}
 	services := func(names ...string) Routes {
 		set := map[string]bool{}
@@ -149,45 +149,44 @@
 		return Routes{route: set}
 	}
 	known := NewRouteServices()
-	require.False(t, known.IsSingle(0, route, lifetime))
-	require.False(t, known.ReachesBack(MaxLifetime, lifetime))
+	require.False(t, known.IsSingle(0, route, path))
+	require.False(t, known.ReachesBack(MaxLifetime, MaxLifetime))
 	require.Empty(t, known.Update(0, services("one")))
-	require.False(t, known.ReachesBack(lifetime-1, lifetime))
-	require.True(t, known.ReachesBack(lifetime, lifetime))
-	require.True(t, known.IsSingle(0, route, lifetime))
+	require.False(t, known.ReachesBack(MaxLifetime-1, MaxLifetime))
+	require.True(t, known.ReachesBack(MaxLifetime, MaxLifetime))
+	require.True(t, known.IsSingle(0, route, path))
 	require.Equal(t, map[string]bool{"one": true}, known.Update(10*time.Second, services("one", "two")))
-	require.False(t, known.IsSingle(10*time.Second, route, lifetime))
+	require.False(t, known.IsSingle(10*time.Second, route, path))
 	require.Empty(t, known.Update(20*time.Second, services("two")), "its streams are recorded since it was split")
-	require.False(t, known.IsSingle(20*time.Second+lifetime-1, route, lifetime))
-	require.True(t, known.IsSingle(20*time.Second+lifetime, route, lifetime))
+	require.False(t, known.IsSingle(20*time.Second+MaxLifetime-1, route, path))
+	require.True(t, known.IsSingle(20*time.Second+MaxLifetime, route, path))
 	known.Update(3*MaxLifetime, services("two"))
 	require.Equal(t, map[string]bool{"two": true}, known.Update(3*MaxLifetime, services("three")))
 	known.Update(3*MaxLifetime, Routes{})
-	require.False(t, known.IsSingle(3*MaxLifetime, route, lifetime), "two and three")
+	require.False(t, known.IsSingle(3*MaxLifetime, route, path), "two and three")
 	known.Update(3*MaxLifetime, services("two"))
-	require.False(t, known.IsSingle(3*MaxLifetime, route, lifetime), "the route came back elsewhere")
+	require.False(t, known.IsSingle(3*MaxLifetime, route, path), "the route came back elsewhere")
 	known.Update(5*MaxLifetime, Routes{})
 	known.Update(7*MaxLifetime, Routes{})
 	require.Empty(t, known.changes.All())
 }
 
-// Guards against a stream that goes on at another service because a route for its path was added or removed since it began.
+// Guards against a stream that goes on at another service because a route for its path was added or removed since it began, and against
+// records of streams that no change concerns.
 func TestRouteServicesKnowsRoutesThatCarryOthersRequests(t *testing.T) {
-	const lifetime = 12 * time.Second
 	wide, narrow := Route{Host: "h", Prefix: "/"}, Route{Host: "h", Prefix: "/x/"}
+	const beside, within = "/y/1", "/x/1"
 	one, two := map[string]bool{"one": true}, map[string]bool{"two": true}
 	known := NewRouteServices()
 	require.Empty(t, known.Update(0, Routes{wide: one}))
 	require.Equal(t, one, known.Update(time.Second, Routes{wide: one, narrow: two}))
-	require.False(t, known.IsSingle(time.Second, narrow, lifetime), "its streams began at the other service")
-	require.False(t, known.IsSingle(time.Second, wide, lifetime), "another relay may not know the narrow route yet")
-	require.True(t, known.IsSingle(time.Second+lifetime, narrow, lifetime))
-	require.True(t, known.IsSingle(time.Second+lifetime, wide, lifetime))
-	require.Equal(t, map[string]bool{"one": true, "two": true}, known.Update(2*MaxLifetime, Routes{wide: one}))
-	require.False(t, known.IsSingle(2*MaxLifetime, wide, lifetime), "it carries the requests of the route that is gone")
+	require.False(t, known.IsSingle(time.Second, narrow, within), "its streams began at the other service")
+	require.False(t, known.IsSingle(time.Second, wide, within), "another relay may know the narrow route")
+	require.True(t, known.IsSingle(time.Second, wide, beside), "no narrow route has carried them")
+	require.True(t, known.IsSingle(time.Second+MaxLifetime, narrow, within))
+	require.Equal(t, two, known.Update(2*MaxLifetime, Routes{wide: one}))
+	require.False(t, known.IsSingle(2*MaxLifetime, wide, within), "it carries the requests of the route that is gone")
+	require.True(t, known.IsSingle(2*MaxLifetime, wide, beside))
 	known.Update(4*MaxLifetime, Routes{wide: one})
-	require.True(t, known.IsSingle(4*MaxLifetime, wide, lifetime))
-	known.Update(4*MaxLifetime, Routes{wide: one, narrow: one})
-	require.True(t, known.IsSingle(4*MaxLifetime, narrow, lifetime), "the same service")
-	require.True(t, known.IsSingle(4*MaxLifetime, wide, lifetime), "the same service")
+	require.True(t, known.IsSingle(4*MaxLifetime, wide, within))
 }
