--- a/internal/relay/stream_versions_test.go
+++ b/internal/relay/stream_versions_test.go
@@ -253,6 +253,30 @@
 	}
 }
 
+// Guards against a stream that goes on without a record although changes of its route may have been forgotten since it began: it may have lasted for
+// longer than these are kept, or this relay has not heard of them for that long.
+func TestStreamsNeedARecordWhereFormerConfigurationsAreForgotten(t *testing.T) {
+	for name, test := range map[string]struct {
+		timeout, silence time.Duration
+		status           int
+	}{
+		"sound":                      {streamorigin.MaxLifetime / 2, maxConfigurationAge - time.Second, 200},
+		"the stream may last longer": {streamorigin.MaxLifetime/2 + time.Millisecond, 0, 503},
+		"no leader for long":         {time.Second, maxConfigurationAge, 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			backEnds := startThree(t, resuming("seal"))
+			for _, each := range backEnds {
+				ofSoftware("v1", each)
+			}
+			configuration := route(func(r *serving.Route) { stream(true)(r); r.Timeout = test.timeout })
+			relays, _ := newRelayGroup(t, 2, configuration, nil, backEnds...)
+			relays[1].lastContactAt.Store(int64(relays[1].clock.now() - test.silence))
+			require.Equal(t, test.status, relays[1].takeUp(t, "T-Last: 1", "T-Resumes: id-77").status)
+		})
+	}
+}
+
 // restarted is an engine that has started again under its identity, with another software version, while the list still shows the
 // former incarnation. bornMs is when the present one started.
 func restarted(bornMs int64, stream script) script {
