Let cuts of 127.0.0.1 pass over listeners that are only bound yet

Cause: net.Listen opens a socket with multipath TCP, binds it, and then listens. A cut of 127.0.0.1 passed over the listeners of other tests at that address, which accept no filters, but not over one that was bound and did not listen yet. Under load a thread may stay between both calls for long.

Change: the stand-in asks the socket whether it uses multipath TCP and has no peer, in place of judging by the refusal. Only 127.0.0.1, which all tests of a process share, has such an exception; before, a listener with multipath TCP was passed over at every address, so that a cut of its own address let it accept connections. There it is an error now, as is a socket that connects. A socket that refused a filter is not taken for a filtered one, so that the end of the block does not fail at it.

--- a/internal/standin/silence/network.go
+++ b/internal/standin/silence/network.go
@@ -1,7 +1,6 @@
 package silence
 
 import (
-	"errors"
 	"maps"
 	"net/netip"
 	"os"
@@ -16,8 +15,8 @@
 
 // Network makes the TCP sockets of this process ignore what certain addresses send to certain others, as a network does that
 // drops packets: nothing is acknowledged, and neither end is told. It acts on the sockets themselves, so that programs keep
-// their own dialers and listeners. All sockets must be IPv4 and bound to one of the addresses. Multipath TCP takes no filters: listeners with it
-// go on accepting.
+// their own dialers and listeners. All sockets must be IPv4 and bound to one of the addresses. Multipath TCP accepts no
+// filters: sockets with it are an error, except for those at 127.0.0.1 without a peer, which belong to other parts of the process.
 //
 // It is safe for concurrent use. There may be only one Network in a process. While a method runs, a socket that another
 // goroutine closes may stay open for a moment longer, so that the port of a listener stays in use.
@@ -136,9 +135,9 @@
 // apply sets the filter of each socket of an address that is blocked from others, and removes those that it has set before.
 // Other filters stay.
 func (n *Network) apply() error {
-	return eachSocket(func(descriptor int, local, _ netip.Addr) error {
-		dropped, accepts := n.blocked[local], isListener(descriptor)
-		if accepts {
+	return eachSocket(func(descriptor int, local, remote netip.Addr) error {
+		dropped := n.blocked[local]
+		if isListener(descriptor) {
 			dropped = maps.Clone(dropped)
 			if dropped == nil {
 				dropped = make(map[netip.Addr]int)
@@ -149,14 +148,10 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		if len(dropped) == 0 && !n.filtered[cookie] || n.severed[cookie] {
+		if len(dropped) == 0 && !n.filtered[cookie] || n.severed[cookie] || isForeignMultipath(descriptor, local, remote) {
 			return nil
 		}
-		err = n.setDropped(descriptor, cookie, dropped)
-		if accepts && errors.Is(err, unix.EOPNOTSUPP) {
-			return nil // a listener with multipath TCP, of another part of the process at a shared address
-		}
-		return err
+		return n.setDropped(descriptor, cookie, dropped)
 	})
 }
 
@@ -166,8 +161,11 @@
 		delete(n.filtered, cookie)
 		return detach(descriptor)
 	}
+	if err := attach(descriptor, dropSenders(senders)); err != nil {
+		return err
+	}
 	n.filtered[cookie] = true
-	return attach(descriptor, dropSenders(senders))
+	return nil
 }
 
 // isListener reports whether a socket accepts connections.
