Count the wait for a long answer's first write as the client's

Seen by a new case of TestSlowClientIsNoFailureOfItsBackEnd: a sound back end counts as failed and is avoided, if its client does not take the beginning of a long answer until the request's time is over.

Cause: at the deadline of a long answer the relay asks how long writes have waited for the client. The first write, of the head and up to 64 KiB that were read before, was left out, so that the back end seemed to have sent an endless answer to a fast client.

Change: the first write is measured as the others are (recordClientWait).

--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -188,7 +188,7 @@
 
 // forwardLong forwards a long answer as it arrives, after the bytes that were buffered already.
 func (r *Relay) forwardLong(answer *answer, buffered []byte, reply *replier) *failure {
-	reply.sendFirst(answer, buffered)
+	r.recordClientWait(answer, func() { reply.sendFirst(answer, buffered) })
 	request := answer.message.request
 	request.canceller.extend(answer.exchanger.clock, request.cutoff)
 	r.forwardRemainder(answer, reply)
@@ -213,10 +213,15 @@
 			return
 		}
 		if n > 0 {
-			writtenFrom := r.clock.now()
-			answer.message.request.trace.recordEvents(writtenFrom)
-			reply.send(piece[:n])
-			answer.clientWait.RecordWrite(r.clock.now() - writtenFrom)
+			answer.message.request.trace.recordEvents(r.clock.now())
+			r.recordClientWait(answer, func() { reply.send(piece[:n]) })
 		}
 	}
 }
+
+// recordClientWait calls write, which sends a part of the answer, and records how long the client kept it waiting.
+func (r *Relay) recordClientWait(answer *answer, write func()) {
+	writtenFrom := r.clock.now()
+	write()
+	answer.clientWait.RecordWrite(r.clock.now() - writtenFrom)
+}
--- a/internal/relay/slow_client_test.go
+++ b/internal/relay/slow_client_test.go
@@ -60,11 +60,12 @@
 	return held
 }
 
-// Guards against a sound back end that is avoided because a client does not read its answer in time.
+// Guards against a sound back end that is avoided because a client does not read its answer in time, be it from the beginning
+// on: the wait for the write of the head and of what was read with it did not count as the client's.
 func TestSlowClientIsNoFailureOfItsBackEnd(t *testing.T) {
 	t.Parallel()
 	body := strings.Repeat("x", 1<<20) // more than the relay reads before the held write
-	for name, heldWrite := range map[string]int64{"second write": 2} {
+	for name, heldWrite := range map[string]int64{"first write": 1, "second write": 2} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			relay := newTestRelay(t, longTimeout(safe, hourLong), startBackEnd(t, "one", serving.StageWhole, answering(200, body)))
