Changes of routes are kept past a relay's lag; long streams' records are renewed

What callers could see, and the change: - The leader counted a change for two minutes from its own apply, and relays learn of it later: changes are kept for two and a half minutes. - While the platform's list could not be read, changes never expired at the leader, and streams of these routes were refused for as long: they expire whenever they are told. - A new leader counts changes anew while old relays record no more: relays record while the leader states changes of which they know none. - Streams of routes with a timeout of over a minute, which go on only by a record, were refused once that was two minutes old: records of such streams are renewed each half minute. - A relay that cannot read a configuration counted as up to date with the leader: it does not, for streams that are taken up. - A relay that has not heard a leader for a minute gave no Retry-After: it does, as while there is no leader. Command: go test ./internal/streamorigin ./internal/servedversions ./internal/relay/origins ./internal/relay ./internal/control; go test ./platform -run MovedRoute

--- a/internal/control/stream_routes.go
+++ b/internal/control/stream_routes.go
@@ -21,7 +21,7 @@
 func (c *Core) beginRoutes() {
 	c.routes = streamRoutes{inForce: servedversions.RoutesFromWire(c.state.StreamRoutes())}
 	if !c.areRoutesKnown() {
-		c.listing.versions.ForgetRoutes(c.now)
+		c.listing.versions.MarkRoutesIncomplete(c.now)
 	}
 }
 
@@ -38,7 +38,7 @@
 		return nil
 	}
 	if next == nil || !c.areRoutesKnown() {
-		c.listing.versions.ForgetRoutes(c.now)
+		c.listing.versions.MarkRoutesIncomplete(c.now)
 	}
 	changed = c.routes.inForce.ChangedTo(next)
 	if c.routes.pending > 0 {
--- a/internal/relay/fleet_state.go
+++ b/internal/relay/fleet_state.go
@@ -131,7 +131,8 @@
 	current := f.relay.view.Load()
 	next := *current
 	used := true
-	if document := f.decodeDocument(response); document != nil {
+	document := f.decodeDocument(response)
+	if document != nil {
 		used = f.applyDocument(document, &next)
 	}
 	if version := response.GetListingVersion(); version != 0 && version != current.listingVersion {
@@ -158,6 +159,10 @@
 	f.applyLimits(response)
 	f.migrateRuns()
 	f.relay.lastContactAt.Store(int64(f.relay.clock.now()))
+	hasDocument := len(response.GetDocumentPatch()) > 0 || len(response.GetPackedDocument()) > 0
+	if used && (document != nil || !hasDocument) {
+		f.relay.configurationHeardAt.Store(int64(f.relay.clock.now()))
+	}
 	return used
 }
 
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -243,6 +243,7 @@
 	go relay.origins.Run(t.Context())
 	go relay.closeUnusableConnections(t.Context())
 	relay.lastContactAt.Store(int64(relay.clock.now()))
+	relay.configurationHeardAt.Store(int64(relay.clock.now()))
 	service := serving.Service{Name: "service"}
 	for _, backEnd := range backEnds {
 		if backEnd.entry.Stage != serving.StageWhole {
--- a/internal/relay/origins/config.go
+++ b/internal/relay/origins/config.go
@@ -8,6 +8,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
+	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
 const (
@@ -15,7 +16,9 @@
 	ownersPerStream = 3
 	// resendInterval is the time after which a report without a receipt is sent again, maxSends times in all.
 	resendInterval = 20 * time.Millisecond
-	maxSends       = 5
+	// renewInterval is the time after which records of active streams that may outlast them are renewed; a renewal may be lost.
+	renewInterval = streamorigin.MaxLifetime / 4
+	maxSends      = 5
 	// maxPendingReports bounds the reports that wait for receipts; further ones are sent once.
 	maxPendingReports = 8192
 	// queriesPerOwner is how often an owner is asked for one origin.
--- a/internal/relay/origins/lookup.go
+++ b/internal/relay/origins/lookup.go
@@ -24,8 +24,8 @@
 	// Service is the service at which the stream would go on without a record. It is empty if this relay knows that the stream may have
 	// begun at several services, so that only a record tells.
 	Service string
-	// Carriers are the routes that may have carried the stream.
-	Carriers []streamorigin.RouteID
+	// Routes are those that must not have changed, so that the stream has begun at the service.
+	Routes []streamorigin.RouteID
 }
 
 // Find returns where a stream began. Where one version alone, of one service alone, can have begun a stream of the route, it is that
@@ -114,7 +114,7 @@
 		return Found{}, false
 	}
 	s.outcome = NotFound
-	only, isSingle := statementFromWire(statement).SingleOf(s.stream.Carriers, s.stream.Service)
+	only, isSingle := statementFromWire(statement).SingleOf(s.stream.Routes, s.stream.Service)
 	return Found{Record: streamorigin.Record{Version: only}, Outcome: outcome, Age: s.origins.config.Now() - s.beganAt}, isSingle
 }
 
@@ -150,7 +150,7 @@
 	for range queriesPerOwner {
 		o.config.Socket.Send(owner, &v1.RelayDatagram{Content: &v1.RelayDatagram_StreamOriginQuery{StreamOriginQuery: &v1.StreamOriginQuery{
 			Relay: o.config.Incarnation, Number: number, NameHigh: s.stream.Name.High, NameLow: s.stream.Name.Low,
-			Service: s.stream.Service, Carriers: carriersToWire(s.stream.Carriers), WantsStatement: wantsStatement,
+			Service: s.stream.Service, Routes: routesToWire(s.stream.Routes), WantsStatement: wantsStatement,
 		}}})
 		timer := time.NewTimer(wait)
 		select {
--- a/internal/relay/origins/origins.go
+++ b/internal/relay/origins/origins.go
@@ -80,11 +80,15 @@
 
 // RecordActive reports the streams of some services that this relay is forwarding.
 func (o *Origins) RecordActive(isAffected func(service string) bool) {
+	o.recordActive(func(stream *ActiveStream) bool { return isAffected(stream.Service) })
+}
+
+func (o *Origins) recordActive(isAffected func(*ActiveStream) bool) {
 	o.mutex.Lock()
 	active := slices.Collect(maps.Keys(o.active))
 	o.mutex.Unlock()
 	for _, stream := range active {
-		if isAffected(stream.Service) {
+		if isAffected(stream) {
 			o.Record(stream.Name(), stream.Service, stream.Record)
 		}
 	}
@@ -125,6 +129,8 @@
 	Name    func() streamorigin.Name
 	Service string
 	Record  streamorigin.Record
+	// MayOutlast is true if the stream may last for longer than its record, which is renewed then.
+	MayOutlast bool
 }
 
 // Track adds a stream until Untrack.
--- a/internal/relay/origins/origins_test.go
+++ b/internal/relay/origins/origins_test.go
@@ -1,6 +1,7 @@
 package origins
 
 import (
+	"fmt"
 	"context"
 	"net"
 	"sync/atomic"
@@ -106,7 +107,7 @@
 
 // search returns what Find finds, without its age.
 func (r *testRelay) search(name streamorigin.Name, service string, stop <-chan struct{}) (streamorigin.Record, Outcome) {
-	found := r.Find(TakenUp{Name: name, Service: service, Carriers: []streamorigin.RouteID{testRoute - 1, testRoute}}, stop)
+	found := r.Find(TakenUp{Name: name, Service: service, Routes: []streamorigin.RouteID{testRoute - 1, testRoute}}, stop)
 	return found.Record, found.Outcome
 }
 
@@ -159,6 +160,22 @@
 	require.Equal(t, 1, relays[1].HeldCount())
 }
 
+// Guards against a stream that is refused because it has lasted for longer than its record.
+func TestRecordsOfLongStreamsAreRenewed(t *testing.T) {
+	relays := startRelays(t, 2)
+	for number, mayOutlast := range []bool{true, false} {
+		relays[0].Track(&ActiveStream{
+			Name:    func() streamorigin.Name { return streamorigin.NameOf("", "host", fmt.Sprint("id-", number)) },
+			Service: testService, Record: recordOf("v1"), MayOutlast: mayOutlast,
+		})
+	}
+	relays[0].renew()
+	require.Eventually(t, func() bool { return relays[0].pendingCount() == 0 }, time.Minute, time.Millisecond)
+	require.Equal(t, 1, relays[1].HeldCount())
+	_, outcome := relays[1].search(streamorigin.NameOf("", "host", "id-0"), testService, nil)
+	require.Equal(t, OwnRecord, outcome)
+}
+
 // Guards against reports that are repeated for ever, and against a first event that waits for a relay that is gone.
 func TestReportsToADeadRelayEnd(t *testing.T) {
 	relays := startRelays(t, 2)
--- a/internal/relay/origins/recording.go
+++ b/internal/relay/origins/recording.go
@@ -81,14 +81,17 @@
 	o.config.Socket.Send(report.owner, &v1.RelayDatagram{Content: &v1.RelayDatagram_StreamOriginReport{StreamOriginReport: report.report}})
 }
 
-// Run sends reports without a receipt again, until the context ends.
+// Run sends reports without a receipt again, and renews the records of streams that may outlast them, until the context ends.
 func (o *Origins) Run(ctx context.Context) {
-	ticker := time.NewTicker(resendInterval)
+	ticker, renewal := time.NewTicker(resendInterval), time.NewTicker(renewInterval)
 	defer ticker.Stop()
+	defer renewal.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-renewal.C:
+			o.renew()
 		case <-o.reported:
 		}
 		for o.resend() {
@@ -101,6 +104,11 @@
 	}
 }
 
+// renew records the active streams again that may outlast their records.
+func (o *Origins) renew() {
+	o.recordActive(func(stream *ActiveStream) bool { return stream.MayOutlast })
+}
+
 // resend sends the reports again that have waited for a receipt for resendInterval, and gives up those that were sent maxSends times. It
 // reports whether any report still waits.
 func (o *Origins) resend() bool {
--- a/internal/relay/origins/wire.go
+++ b/internal/relay/origins/wire.go
@@ -35,7 +35,7 @@
 			part.Versions = append(part.Versions, version)
 		}
 	}
-	for _, route := range query.GetCarriers() {
+	for _, route := range query.GetRoutes() {
 		if slices.Contains(stated.GetChangedRoutes(), route) {
 			part.ChangedRoutes = append(part.ChangedRoutes, route)
 		}
@@ -43,8 +43,8 @@
 	return part
 }
 
-// carriersToWire encodes the hashes of routes.
-func carriersToWire(routes []streamorigin.RouteID) (hashes []uint64) {
+// routesToWire encodes the hashes of routes.
+func routesToWire(routes []streamorigin.RouteID) (hashes []uint64) {
 	for _, route := range routes {
 		hashes = append(hashes, uint64(route))
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -105,6 +105,8 @@
 	routeServicesMutex sync.Mutex
 	// lastContactAt is when the last message of a leader arrived.
 	lastContactAt atomic.Int64
+	// configurationHeardAt is when a leader has confirmed this relay's configuration last.
+	configurationHeardAt atomic.Int64
 	// relayCount is the number of relays as the leader sent it; 0 while unknown.
 	relayCount atomic.Int64
 	// stopping is true if the relay is shutting down; it then reports not ready, so that clients stop connecting.
@@ -224,6 +226,7 @@
 	relay.connections = connections{isServing: map[*clientConnection]bool{}, requests: map[*clientConnection]*request{}, tracked: closing.NewSet()}
 	relay.connections.tracked.AnswerOnClose(relay.closingAnswer())
 	relay.lastContactAt.Store(int64(-leaderwatch.MaximumWait - leaderContactSlack))
+	relay.configurationHeardAt.Store(int64(-maxConfigurationAge))
 	relay.path = newPathWatch(relay)
 	relay.forwarder = newForwarder(relay)
 	relay.exchanger = &exchanger{
--- a/internal/relay/route_services.go
+++ b/internal/relay/route_services.go
@@ -1,12 +1,14 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/hazelpitch/hazelpitch/internal/relay/origins"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/streamorigin"
 )
 
-// maxConfigurationAge is how long after the leader's last message a relay's configuration and list still say at which service a stream that has no
+// maxConfigurationAge is how long after a leader has confirmed it a relay's configuration still says at which service a stream that has no
 // record would go on. A change that this relay has not learned of must still be among those that the leader states.
 const maxConfigurationAge = streamorigin.MaxLifetime / 2
 
@@ -31,20 +33,21 @@
 	return r.routeServices.IsSingle(r.clock.now(), streamorigin.RouteOf(request.route), pathOf(request.target))
 }
 
-// isConfigurationRecent reports whether the leader may have been heard lately enough for this relay's configuration.
+// isConfigurationRecent reports whether a leader has confirmed this relay's configuration lately enough.
 func (r *Relay) isConfigurationRecent() bool {
-	return r.clock.now()-r.lastContact() < maxConfigurationAge
+	return r.clock.now()-time.Duration(r.configurationHeardAt.Load()) < maxConfigurationAge
 }
 
 // needsServiceRecord reports whether the request's stream is recorded because of its service: it is not certain, or the route may have changed
-// before this relay's first configuration, so that the leader's statement does not let its streams go on.
+// without this relay's knowledge, so that the leader's statement does not let its streams go on.
 func (r *Relay) needsServiceRecord(request *request) bool {
-	if !r.isServiceCertain(request) {
-		return true
-	}
+	return !r.isServiceCertain(request) || r.origins.HaveRoutesChanged() && r.mayMissRouteChanges()
+}
+
+func (r *Relay) mayMissRouteChanges() bool {
 	r.routeServicesMutex.Lock()
 	defer r.routeServicesMutex.Unlock()
-	return !r.routeServices.ReachesBack(r.clock.now(), streamorigin.MaxLifetime) && r.origins.HaveRoutesChanged()
+	return r.routeServices.MayMissChanges(r.clock.now())
 }
 
 // takenUp returns the stream that a request takes up. Where the service that began it is not certain, only a record tells.
@@ -52,7 +55,7 @@
 	stream := origins.TakenUp{Name: r.resumedName(request)}
 	if r.isServiceCertain(request) && r.isConfigurationRecent() {
 		stream.Service = request.service.Name
-		stream.Carriers, _ = streamorigin.RouteOf(request.route).Carriers(pathOf(request.target)) // complete, since the service is certain
+		stream.Routes, _ = streamorigin.RouteOf(request.route).RoutesToCheck(pathOf(request.target)) // complete, since the service is certain
 	}
 	return stream
 }
--- a/internal/relay/stream_origin.go
+++ b/internal/relay/stream_origin.go
@@ -27,7 +27,9 @@
 	record := streamorigin.Record{
 		Service: serviceHash(s.request.service.Name), Version: s.origin.version, Sequence: uint32(s.attempts.sentCount),
 	}
-	s.origin.active = &origins.ActiveStream{Name: s.name, Service: s.request.service.Name, Record: record}
+	s.origin.active = &origins.ActiveStream{
+		Name: s.name, Service: s.request.service.Name, Record: record, MayOutlast: streamorigin.MayOutlast(s.request.route.Timeout),
+	}
 	s.relay.origins.Track(s.origin.active)
 }
 
--- a/internal/relay/stream_versions_test.go
+++ b/internal/relay/stream_versions_test.go
@@ -271,8 +271,10 @@
 			}
 			configuration := route(func(r *serving.Route) { stream(true)(r); r.Timeout = test.timeout })
 			relays, _ := newRelayGroup(t, 2, configuration, nil, backEnds...)
-			relays[1].lastContactAt.Store(int64(relays[1].clock.now() - test.silence))
-			require.Equal(t, test.status, relays[1].takeUp(t, "T-Last: 1", "T-Resumes: id-77").status)
+			relays[1].configurationHeardAt.Store(int64(relays[1].clock.now() - test.silence))
+			answer := relays[1].takeUp(t, "T-Last: 1", "T-Resumes: id-77")
+			require.Equal(t, test.status, answer.status)
+			require.Equal(t, test.silence >= maxConfigurationAge, len(answer.head.Peek("Retry-After")) > 0, "a leader may be back by then")
 		})
 	}
 }
--- a/internal/relay/taken_up.go
+++ b/internal/relay/taken_up.go
@@ -66,7 +66,8 @@
 		return nil
 	}
 	found := r.origins.Find(r.takenUp(request), request.canceller.done())
-	if found.Outcome == origins.NoStatement { // the leader may be back by then
+	isLeaderMissing := found.Outcome == origins.NoStatement || !found.IsKnown() && !r.isConfigurationRecent()
+	if isLeaderMissing { // the leader may be back by then
 		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonNoStatement, retryAfter: retryAfterStaleView}
 	}
 	if !found.IsKnown() || !r.applyRecordedService(request, found.Record.Service) {
--- a/internal/servedversions/ledger.go
+++ b/internal/servedversions/ledger.go
@@ -52,8 +52,8 @@
 	l.changedRoutes.Add(now, routes)
 }
 
-// ForgetRoutes records that any route may have changed until now.
-func (l *Ledger) ForgetRoutes(now time.Duration) { l.completeSince = now }
+// MarkRoutesIncomplete records that any route may have changed until now.
+func (l *Ledger) MarkRoutesIncomplete(now time.Duration) { l.changedRoutes.MarkIncomplete(now) }
 
 // completeFor says for how long the ledger has been complete.
 func (l *Ledger) completeFor(now time.Duration) time.Duration {
@@ -72,7 +72,6 @@
 	}
 	l.listed = maps.Clone(listed)
 	maps.DeleteFunc(l.unlistedSince, func(_ Version, since time.Duration) bool { return now-since >= Retention })
-	l.changedRoutes.Expire(now)
 	l.enforceBound(now)
 }
 
@@ -93,6 +92,7 @@
 
 // Record returns what the replicated log must hold before relays learn of the listed back ends.
 func (l *Ledger) Record(now time.Duration, term uint64) *v1.ServedVersions {
+	l.changedRoutes.Expire(now)
 	record := &v1.ServedVersions{Term: term, Incomplete: l.completeFor(now) < Retention, ChangedRoutes: l.routesToWire()}
 	for _, version := range l.versions() {
 		record.Versions = append(record.Versions, &v1.ServedVersion{Service: version.Service, Software: version.Software})
@@ -116,7 +116,8 @@
 
 // Statement returns what the leader states to all relays, with each of its answers.
 func (l *Ledger) Statement(now time.Duration) *v1.VersionStatement {
-	statement := &v1.VersionStatement{CompleteMs: uint64(l.completeFor(now).Milliseconds()), RoutesChanged: !l.changedRoutes.IsEmpty()}
+	l.changedRoutes.Expire(now)
+	statement := &v1.VersionStatement{CompleteMs: uint64(l.completeFor(now).Milliseconds()), RoutesChanged: !l.changedRoutes.IsEmpty(now)}
 	for _, version := range l.versions() {
 		stated := &v1.StatedVersion{Service: version.Service, Software: version.Software}
 		if since, isUnlisted := l.unlistedSince[version]; isUnlisted {
--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -12,7 +12,7 @@
 	Sequence uint32
 }
 
-// MaxLifetime bounds the time for which a record is kept.
+// MaxLifetime bounds the time for which a record is kept, and the time for which a stream counts that is not recorded: see MayOutlast.
 const MaxLifetime = 2 * time.Minute
 
 // attemptsOfClient is how many attempts of its client a stream lasts.
--- a/internal/streamorigin/route_changes.go
+++ b/internal/streamorigin/route_changes.go
@@ -10,7 +10,11 @@
 // MaxRouteChanges bounds the routes of RouteChanges.
 const MaxRouteChanges = 4096
 
-// RouteChanges are the routes that have changed within the time that a stream can last. It is not safe for concurrent use.
+// ChangeRetention is how long a change of a route is kept: a relay may learn of it that much later than others, and send streams by the former
+// route until then.
+const ChangeRetention = MaxLifetime + 30*time.Second
+
+// RouteChanges are the routes that have changed within ChangeRetention. It is not safe for concurrent use.
 type RouteChanges struct {
 	changedAt map[RouteID]time.Duration
 	// completeSince is the time since which no route has changed that is not in changedAt.
@@ -54,23 +58,33 @@
 
 // Expire forgets the changes before which no stream has begun that may still go on.
 func (c *RouteChanges) Expire(now time.Duration) {
-	maps.DeleteFunc(c.changedAt, func(_ RouteID, at time.Duration) bool { return now-at >= MaxLifetime })
+	maps.DeleteFunc(c.changedAt, func(_ RouteID, at time.Duration) bool { return now-at >= ChangeRetention })
 }
 
+// MarkIncomplete records that any route may have changed until now.
+func (c *RouteChanges) MarkIncomplete(now time.Duration) { c.completeSince = now }
+
 // CompleteSince returns the time since which no other route has changed.
 func (c *RouteChanges) CompleteSince() time.Duration { return c.completeSince }
 
-// IsEmpty reports whether no route has changed.
-func (c *RouteChanges) IsEmpty() bool { return len(c.changedAt) == 0 }
+// IsEmpty reports whether no route has changed within ChangeRetention.
+func (c *RouteChanges) IsEmpty(now time.Duration) bool {
+	for _, at := range c.changedAt {
+		if now-at < ChangeRetention {
+			return false
+		}
+	}
+	return true
+}
 
 // All returns the routes, sorted.
 func (c *RouteChanges) All() []RouteID { return slices.Sorted(maps.Keys(c.changedAt)) }
 
-// HaveChanged reports whether one of some routes may have changed within the time that a stream can last.
+// HaveChanged reports whether one of some routes may have changed within ChangeRetention.
 func (c *RouteChanges) HaveChanged(now time.Duration, routes []RouteID) bool {
 	hasChanged := func(route RouteID) bool {
 		at, isKnown := c.changedAt[route]
-		return isKnown && now-at < MaxLifetime
+		return isKnown && now-at < ChangeRetention
 	}
-	return now-c.completeSince < MaxLifetime || slices.ContainsFunc(routes, hasChanged)
+	return now-c.completeSince < ChangeRetention || slices.ContainsFunc(routes, hasChanged)
 }
--- a/internal/streamorigin/route_services.go
+++ b/internal/streamorigin/route_services.go
@@ -17,7 +17,7 @@
 
 // NewRouteServices returns the knowledge before the first configuration.
 func NewRouteServices() *RouteServices {
-	return &RouteServices{changes: NewRouteChanges(-MaxLifetime)}
+	return &RouteServices{changes: NewRouteChanges(-ChangeRetention)}
 }
 
 // Update applies a configuration. It returns the services of the routes whose requests may go elsewhere since and were certain before: the
@@ -34,20 +34,21 @@
 			maps.Copy(affected, r.current[carrier])
 		}
 	}
-	r.changes.Add(now, changed)
 	r.changes.Expire(now)
+	r.changes.Add(now, changed)
 	r.current = routes
 	return affected
 }
 
-// ReachesBack reports whether this process has known configurations for a time.
-func (r *RouteServices) ReachesBack(now, lifetime time.Duration) bool {
-	return r.current != nil && now-r.begins >= lifetime
+// MayMissChanges reports whether routes may have changed that this process takes for unchanged, given that some have: before its first
+// configuration, or, by another process that counts from later on, longer ago than it keeps changes.
+func (r *RouteServices) MayMissChanges(now time.Duration) bool {
+	return r.current == nil || now-r.begins < ChangeRetention || r.changes.IsEmpty(now)
 }
 
 // IsSingle reports whether the requests of a path, which a route carries, have gone to one service only within the time that a stream can last,
 // as far as this process knows.
 func (r *RouteServices) IsSingle(now time.Duration, route Route, path string) bool {
-	carriers, isComplete := route.Carriers(path)
-	return isComplete && len(r.current[route]) == 1 && !r.changes.HaveChanged(now, carriers)
+	routes, isComplete := route.RoutesToCheck(path)
+	return isComplete && len(r.current[route]) == 1 && !r.changes.HaveChanged(now, routes)
 }
--- a/internal/streamorigin/routes.go
+++ b/internal/streamorigin/routes.go
@@ -62,13 +62,12 @@
 	return changed
 }
 
-// maxNarrowerRoutes bounds the routes that Carriers returns besides the route itself.
+// maxNarrowerRoutes bounds the routes that RoutesToCheck returns besides the route itself.
 const maxNarrowerRoutes = 64
 
-// Carriers returns the routes that may have carried the requests of a path which this route carries now: itself, and all narrower ones that
-// the path has room for. Where none of them has changed within a time, the route has carried these requests all the while. It returns false for
-// a path with too many.
-func (r Route) Carriers(path string) (routes []RouteID, isComplete bool) {
+// RoutesToCheck returns the routes that must not have changed within a time, so that this route has carried the requests of a path all the
+// while: itself, and all narrower ones that the path has room for. It returns false for a path with too many.
+func (r Route) RoutesToCheck(path string) (routes []RouteID, isComplete bool) {
 	routes = []RouteID{r.ID()}
 	for index := len(r.Prefix); index < len(path); index++ {
 		if path[index] != '/' {
--- a/internal/streamorigin/routes_test.go
+++ b/internal/streamorigin/routes_test.go
@@ -30,7 +30,7 @@
 	})
 	rapid.Check(t, func(t *rapid.T) {
 		documents := []Routes{drawRoutes.Draw(t, "routes")}
-		changes := NewRouteChanges(-MaxLifetime)
+		changes := NewRouteChanges(-ChangeRetention)
 		for range 3 {
 			former, next := documents[len(documents)-1], drawRoutes.Draw(t, "routes")
 			if rapid.Bool().Draw(t, "only one route changes") {
@@ -53,10 +53,10 @@
 					if !hasFirst || !hasSecond {
 						continue
 					}
-					carriers, isComplete := second.Carriers(path)
+					routes, isComplete := second.RoutesToCheck(path)
 					require.True(t, isComplete)
 					if !maps.Equal(begun[first], taken[second]) {
-						require.True(t, changes.HaveChanged(0, carriers), "%s of %v, by %v", path, begun, taken)
+						require.True(t, changes.HaveChanged(0, routes), "%s of %v, by %v", path, begun, taken)
 					}
 				}
 			}
@@ -91,15 +91,15 @@
 }
 
 // Guards against a search without bounds for a path of many parts.
-func TestCarriersOfAPathAreBounded(t *testing.T) {
+func TestRoutesToCheckAreBounded(t *testing.T) {
 	route := Route{Host: "h", Prefix: "/p/"}
 	narrow, narrower := Route{Host: "h", Prefix: "/p/a/"}, Route{Host: "h", Prefix: "/p/a/b/"}
-	carriers, isComplete := route.Carriers("/p/a/b/c")
+	routes, isComplete := route.RoutesToCheck("/p/a/b/c")
 	require.True(t, isComplete)
-	require.Equal(t, []RouteID{route.ID(), narrow.ID(), narrower.ID()}, carriers)
-	_, isComplete = route.Carriers("/p/" + strings.Repeat("a/", maxNarrowerRoutes))
+	require.Equal(t, []RouteID{route.ID(), narrow.ID(), narrower.ID()}, routes)
+	_, isComplete = route.RoutesToCheck("/p/" + strings.Repeat("a/", maxNarrowerRoutes))
 	require.True(t, isComplete)
-	_, isComplete = route.Carriers("/p/" + strings.Repeat("a/", maxNarrowerRoutes+1))
+	_, isComplete = route.RoutesToCheck("/p/" + strings.Repeat("a/", maxNarrowerRoutes+1))
 	require.False(t, isComplete)
 }
 
@@ -117,7 +117,7 @@
 
 // Guards against changes without bounds, and against changes that are dropped while the others count as all.
 func TestRouteChangesAreBounded(t *testing.T) {
-	changes := NewRouteChanges(-MaxLifetime)
+	changes := NewRouteChanges(-ChangeRetention)
 	route := func(number int) Route { return Route{Host: "h", Prefix: fmt.Sprintf("/%d/", number)} }
 	for number := range MaxRouteChanges {
 		changes.Add(time.Duration(number), map[Route]bool{route(number): true})
@@ -133,7 +133,7 @@
 	require.Len(t, changes.All(), MaxRouteChanges)
 	require.Equal(t, now, changes.CompleteSince())
 	require.True(t, haveChanged(now, 0), "any route may have changed")
-	require.False(t, haveChanged(now+MaxLifetime, 0))
-	changes.Expire(now + MaxLifetime)
+	require.False(t, haveChanged(now+ChangeRetention, 0))
+	changes.Expire(now + ChangeRetention)
 	require.Empty(t, changes.All())
 }
--- a/internal/streamorigin/statement.go
+++ b/internal/streamorigin/statement.go
@@ -14,7 +14,7 @@
 	CompleteFor time.Duration
 	// Versions are the versions by service.
 	Versions map[string]map[Version]bool
-	// ChangedRoutes are the routes that were added, removed or led to other services within the time that a stream can last.
+	// ChangedRoutes are the routes that were added, removed or led to other services within ChangeRetention.
 	ChangedRoutes map[RouteID]bool
 	// HaveRoutesChanged is true if there are such routes, also where the statement does not name them.
 	HaveRoutesChanged bool
@@ -33,10 +33,10 @@
 	return Unknown, false
 }
 
-// SingleOf returns the version that alone can have begun a stream which one of some routes, its carriers, has sent to the service. It returns
-// false as Single does, and if the stream may have begun at another service.
-func (s *Statement) SingleOf(carriers []RouteID, service string) (Version, bool) {
-	if s == nil || slices.ContainsFunc(carriers, func(route RouteID) bool { return s.ChangedRoutes[route] }) {
+// SingleOf returns the version that alone can have begun a stream, given the routes that must not have changed so that the stream has begun at the
+// service. It returns false as Single does, and if one of them has changed.
+func (s *Statement) SingleOf(routes []RouteID, service string) (Version, bool) {
+	if s == nil || slices.ContainsFunc(routes, func(route RouteID) bool { return s.ChangedRoutes[route] }) {
 		return Unknown, false
 	}
 	return s.Single(service)
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -150,16 +150,13 @@
 	}
 	known := NewRouteServices()
 	require.False(t, known.IsSingle(0, route, path))
-	require.False(t, known.ReachesBack(MaxLifetime, MaxLifetime))
 	require.Empty(t, known.Update(0, services("one")))
-	require.False(t, known.ReachesBack(MaxLifetime-1, MaxLifetime))
-	require.True(t, known.ReachesBack(MaxLifetime, MaxLifetime))
 	require.True(t, known.IsSingle(0, route, path))
 	require.Equal(t, map[string]bool{"one": true}, known.Update(10*time.Second, services("one", "two")))
 	require.False(t, known.IsSingle(10*time.Second, route, path))
 	require.Empty(t, known.Update(20*time.Second, services("two")), "its streams are recorded since it was split")
-	require.False(t, known.IsSingle(20*time.Second+MaxLifetime-1, route, path))
-	require.True(t, known.IsSingle(20*time.Second+MaxLifetime, route, path))
+	require.False(t, known.IsSingle(20*time.Second+ChangeRetention-1, route, path))
+	require.True(t, known.IsSingle(20*time.Second+ChangeRetention, route, path))
 	known.Update(3*MaxLifetime, services("two"))
 	require.Equal(t, map[string]bool{"two": true}, known.Update(3*MaxLifetime, services("three")))
 	known.Update(3*MaxLifetime, Routes{})
@@ -183,10 +180,24 @@
 	require.False(t, known.IsSingle(time.Second, narrow, within), "its streams began at the other service")
 	require.False(t, known.IsSingle(time.Second, wide, within), "another relay may know the narrow route")
 	require.True(t, known.IsSingle(time.Second, wide, beside), "no narrow route has carried them")
-	require.True(t, known.IsSingle(time.Second+MaxLifetime, narrow, within))
+	require.True(t, known.IsSingle(time.Second+ChangeRetention, narrow, within))
 	require.Equal(t, two, known.Update(2*MaxLifetime, Routes{wide: one}))
 	require.False(t, known.IsSingle(2*MaxLifetime, wide, within), "it carries the requests of the route that is gone")
 	require.True(t, known.IsSingle(2*MaxLifetime, wide, beside))
 	known.Update(4*MaxLifetime, Routes{wide: one})
 	require.True(t, known.IsSingle(4*MaxLifetime, wide, within))
 }
+
+// Guards against streams that nobody records although the leader states that their route has changed: this process has started since, or the
+// leader counts from later on.
+func TestRouteServicesKnowsThatItMayMissChanges(t *testing.T) {
+	route := Route{Host: "h", Prefix: "/"}
+	known := NewRouteServices()
+	require.True(t, known.MayMissChanges(0))
+	known.Update(0, Routes{route: {"one": true}})
+	require.True(t, known.MayMissChanges(ChangeRetention-1))
+	known.Update(ChangeRetention, Routes{route: {"two": true}})
+	require.False(t, known.MayMissChanges(ChangeRetention))
+	require.False(t, known.MayMissChanges(2*ChangeRetention-1))
+	require.True(t, known.MayMissChanges(2*ChangeRetention))
+}
