--- a/internal/relay/origins/origins_test.go
+++ b/internal/relay/origins/origins_test.go
@@ -1,8 +1,8 @@
 package origins
 
 import (
-	"fmt"
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
