The soak moves routes of streams between two services of engines

Series of configurations lead the resumable route to it and back, split it, and add and remove a narrower one; relays and controllers are killed, or one relay is out of step, around these changes. ORDER tells streams of several services from those of several versions, by the service of each back end that wrote an event. CONFIG allows both services of a split route, and those of the narrower route while the configuration has one.

--- a/internal/benchcommand/soak.go
+++ b/internal/benchcommand/soak.go
@@ -84,7 +84,8 @@
 	CoreCuts    bool          `long:"controller-cuts" description:"cut controllers from each other, one, a part or all, silently, one way or by resets, for 0.5 to 40 s; the last time while nothing else happens"`
 	FinalFault  bool          `long:"final-fault" description:"end each seed with a fault of all controllers, drawn by seed: all killed, all suspended or silent, or as many disks lost as may be while all others lose power; then read the configuration back"`
 	Releases    bool          `long:"releases" description:"replace the engines by those of new software versions again and again, and kill all relays or all processes, or hold one relay out of step, meanwhile; answers are garbled, connections reset, and clients take up streams that break off"`
-	Alone       bool          `long:"releases-alone" description:"with --releases: no other faults"`
+	Alone       bool          `long:"releases-alone" description:"with --releases or --moves: no other faults"`
+	Moves       bool          `long:"moves" description:"series of configurations lead the routes of streams to another service and back, split them, and add and remove a narrower one, while all relays or all processes are killed, or one relay is out of step; answers and clients as with --releases"`
 	Directory   string        `long:"directory" value-name:"DIR" description:"where settings, disks and logs go; default: a temporary directory, which stays where a rule was broken"`
 	Untimed     bool          `long:"untimed" description:"leave out the rules with time bounds: for machines that are busy"`
 	Verbose     bool          `long:"verbose" description:"print each fault as it strikes"`
@@ -118,8 +119,8 @@
 	if s.CoreCuts && (s.Controllers < soak.MinCutControllers || s.Program != "" || s.Other != "") {
 		return &usageError{cause: trace.BadParameter("--controller-cuts takes --controllers of at least %d, and neither --program nor --other: only this program's controllers accept commands that cut their network", soak.MinCutControllers)}
 	}
-	if s.Releases && (s.Program != "" || s.Other != "") || s.Alone && !s.Releases {
-		return &usageError{cause: trace.BadParameter("--releases takes neither --program nor --other: only this program's relays accept commands that cut their network; --releases-alone takes --releases")}
+	if (s.Releases || s.Moves) && (s.Program != "" || s.Other != "") || s.Alone && !s.Releases && !s.Moves {
+		return &usageError{cause: trace.BadParameter("--releases and --moves take neither --program nor --other: only this program's relays accept commands that cut their network; --releases-alone takes --releases or --moves")}
 	}
 	var failures []error
 	for number := range s.Seeds {
@@ -168,7 +169,7 @@
 	for _, flag := range []struct {
 		given bool
 		text  string
-	}{{s.Plain, " --plain"}, {s.Uneven, " --uneven"}, {s.Pressure, " --pressure"}, {s.Returns, " --check-returns"}, {s.StandStill, " --stand-still"}, {s.BackEndCuts, " --back-end-cuts"}, {s.Unframed, " --unframed"}, {s.Versions, " --versions"}, {s.HotRelay, " --hot-relay"}, {s.Changes, " --changes"}, {s.CoreCuts, " --controller-cuts"}, {s.FinalFault, " --final-fault"}, {s.Releases, " --releases"}, {s.Alone, " --releases-alone"}, {s.Untimed, " --untimed"}} {
+	}{{s.Plain, " --plain"}, {s.Uneven, " --uneven"}, {s.Pressure, " --pressure"}, {s.Returns, " --check-returns"}, {s.StandStill, " --stand-still"}, {s.BackEndCuts, " --back-end-cuts"}, {s.Unframed, " --unframed"}, {s.Versions, " --versions"}, {s.HotRelay, " --hot-relay"}, {s.Changes, " --changes"}, {s.CoreCuts, " --controller-cuts"}, {s.FinalFault, " --final-fault"}, {s.Releases, " --releases"}, {s.Alone, " --releases-alone"}, {s.Moves, " --moves"}, {s.Untimed, " --untimed"}} {
 		if flag.given {
 			flags += flag.text
 		}
@@ -192,7 +193,7 @@
 		FaultDuration: s.Length, QuietDuration: s.Calm, Directory: directory, Program: s.Program, Serve: serveSiteSubcommand, CheckTimeBounds: !s.Untimed,
 		OtherProgram: s.Other, FirstFormatOnly: s.Plain, Uneven: s.Uneven, Pressure: s.Pressure, CheckReturns: s.Returns,
 		StandStill: s.StandStill, BackEndCuts: s.BackEndCuts, Unframed: s.Unframed, Versions: s.Versions, DeadlyParts: s.Parts, HotRelay: s.HotRelay, ManyChanges: s.Changes, ControllerCuts: s.CoreCuts, FinalFault: s.FinalFault,
-		Releases: s.Releases, ReleasesAlone: s.Alone,
+		Releases: s.Releases, ReleasesAlone: s.Alone, Moves: s.Moves,
 	}
 	if s.Verbose {
 		options.Progress = func(line string) { fmt.Fprintln(environment.Stderr, line) }
--- a/internal/soak/before_final_fault.go
+++ b/internal/soak/before_final_fault.go
@@ -121,9 +121,9 @@
 	defer cancel()
 	f.site.lastNumber++
 	pages := []string{standin.ServicePages, standin.ServiceOther}[f.contents.IntN(2)]
-	change := history.Change{Number: f.site.lastNumber, Services: standin.ServicesByRoute(pages)}
-	content := standin.Configuration(change.Number, pages, f.site.options.Pressure, idleRoutes)
-	_ = f.site.operator.Put(limited, change, content, f.contents.IntN(len(f.site.controllers)))
+	contents := f.site.contents(pages)
+	contents.IdleRoutes = idleRoutes
+	_ = f.site.operator.Put(limited, contents.Change(f.site.lastNumber), standin.Configuration(f.site.lastNumber, contents), f.contents.IntN(len(f.site.controllers)))
 }
 
 // changeOnce submits the last change. The fault follows its acknowledgement, or strikes moments after it was sent.
@@ -135,11 +135,11 @@
 	f.recorded.Before += ", moments after a change was sent"
 	f.site.lastNumber++
 	number, first := f.site.lastNumber, f.random.IntN(len(f.site.controllers))
-	content := standin.Configuration(number, standin.ServicePages, f.site.options.Pressure, 0)
+	contents := f.site.contents(standin.ServicePages)
 	f.running.Go(func() {
 		sending, cancel := context.WithTimeout(ctx, time.Second)
 		defer cancel()
-		f.site.operator.Put(sending, history.Change{Number: number, Services: standin.ServicesByRoute(standin.ServicePages)}, content, first)
+		f.site.operator.Put(sending, contents.Change(number), standin.Configuration(number, contents), first)
 	})
 	time.Sleep(time.Duration(f.random.Int64N(int64(20 * time.Millisecond))))
 }
--- a/internal/soak/check/clauses.go
+++ b/internal/soak/check/clauses.go
@@ -24,14 +24,16 @@
 // relay, connected or not.
 type Clauses struct {
 	Lacks, Twice, Joined, EndsEarly, Versions, GoesBack int
+	// Services counts the streams that hold events of several services; Versions counts only others.
+	Services int
 	// TakenUp counts the attempts that reached a relay: those that went on are served.
 	TakenUp Share
 }
 
 // String formats the counts on one line.
 func (c Clauses) String() string {
-	return fmt.Sprintf("streams that lack an event: %d, hold one twice: %d, join two runs: %d, end as complete too early: %d, hold events of several software versions: %d, go back: %d; take-ups at any relay: %s",
-		c.Lacks, c.Twice, c.Joined, c.EndsEarly, c.Versions, c.GoesBack, c.TakenUp)
+	return fmt.Sprintf("streams that lack an event: %d, hold one twice: %d, join two runs: %d, end as complete too early: %d, hold events of several software versions: %d, of several services: %d, go back: %d; take-ups at any relay: %s",
+		c.Lacks, c.Twice, c.Joined, c.EndsEarly, c.Versions, c.Services, c.GoesBack, c.TakenUp)
 }
 
 // CountClauses counts the streams that break each clause.
@@ -42,7 +44,7 @@
 		route := recorded.Routes[sending.Route]
 		hasLeft := sending.ClosedAt > 0 || sending.LeftAt > 0 || sending.ResetAt > 0
 		if sending.Resumes != "" && sending.Connected && !hasLeft {
-			takenUp = takenUp.with(sending.Succeeded() && (sending.Whole || len(versionsIn(sending.Body)) > 0))
+			takenUp = takenUp.with(sending.Succeeded() && (sending.Whole || hasWholeEvents(sending.Body)))
 		}
 		if !route.Stream || !sending.Succeeded() || sending.Body == "" && sending.LastEvent > 0 && ended[beganAs(sending)] {
 			continue
@@ -50,8 +52,9 @@
 		broken, _ := streamFault(sending, route, slices.ContainsFunc(arrivals[sending.ID], brokeOffUnframed))
 		counts[broken]++
 	}
+	versions, services := countMixed(recorded)
 	return Clauses{
 		Lacks: counts[lacksEvent], Twice: counts[holdsTwice], Joined: counts[joinsRuns] + len(unaskedJoins(recorded)), EndsEarly: counts[endsEarly],
-		Versions: len(mixedStreamsOf(recorded)), GoesBack: counts[goesBack], TakenUp: takenUp,
+		Versions: versions, Services: services, GoesBack: counts[goesBack], TakenUp: takenUp,
 	}
 }
--- a/internal/soak/check/config.go
+++ b/internal/soak/check/config.go
@@ -59,19 +59,41 @@
 	return findings
 }
 
+// leadsTo reports whether a request may run on a service by each configuration that may apply to it.
+func leadsTo(recorded *history.History, sending history.Sending, service string) bool {
+	for _, change := range applicableTo(recorded, sending) {
+		if change.Services[sending.Route] != service && change.SecondServices[sending.Route] != service {
+			return false
+		}
+	}
+	return true
+}
+
 // servicesOf returns the services on which a request may run. The newest configuration that was acknowledged at least
-// Bounds.ConfigApply before the request was sent allows its service for the request's route. Each valid configuration
-// with a higher number also allows its service if the configuration was submitted before the request ended. The result
+// Bounds.ConfigApply before the request was sent allows its services for the request's route. Each valid configuration
+// with a higher number also allows its services if the configuration was submitted before the request ended. The result
 // is empty if no configuration allows a service.
 func servicesOf(recorded *history.History, sending history.Sending) map[string]bool {
-	newest := newestAcked(recorded, sending.SentAt-recorded.Bounds.ConfigApply)
 	allowed := map[string]bool{}
+	for _, change := range applicableTo(recorded, sending) {
+		allowed[change.Services[sending.Route]] = true
+		if second := change.SecondServices[sending.Route]; second != "" {
+			allowed[second] = true
+		}
+	}
+	return allowed
+}
+
+// applicableTo returns the configurations that may apply to a request.
+func applicableTo(recorded *history.History, sending history.Sending) []history.Change {
+	newest := newestAcked(recorded, sending.SentAt-recorded.Bounds.ConfigApply)
+	var applicable []history.Change
 	for _, change := range recorded.Changes {
 		if change.Number >= newest && !change.Invalid && change.SentAt <= sending.EndedAt {
-			allowed[change.Services[sending.Route]] = true
+			applicable = append(applicable, change)
 		}
 	}
-	return allowed
+	return applicable
 }
 
 // overdueAnswers finds that more than a quarter of the requests that outlast their route's timeout get no final response
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -79,6 +79,11 @@
 func (f *faults) run(ctx context.Context) {
 	if f.site.options.Releases {
 		f.running.Go(func() { f.release(ctx) })
+	}
+	if f.site.options.Moves {
+		f.running.Go(func() { f.strikeMoves(ctx) })
+	}
+	if f.site.options.resumesLater() {
 		f.running.Go(func() { f.resetClients(ctx) })
 		f.running.Go(func() { f.changeSettings(ctx) })
 		f.running.Go(func() { f.loseDatagrams(ctx) })
--- a/internal/soak/few_slots.go
+++ b/internal/soak/few_slots.go
@@ -40,7 +40,7 @@
 // bounds returns the bounds of the run's rules.
 func (o Options) bounds() history.Bounds {
 	chosen := bounds
-	chosen.NoMixedStreams = o.Releases
+	chosen.NoMixedStreams = o.resumesLater()
 	if o.checksReturns() {
 		chosen.ReturnShare, chosen.TenantShare = requiredShare, requiredShare
 	}
--- a/internal/soak/history/fault.go
+++ b/internal/soak/history/fault.go
@@ -43,6 +43,8 @@
 	StandStill FaultKind = "stand-still"
 	// Release starts back ends of another software version and lets those of the old one leave. It is planned.
 	Release FaultKind = "release"
+	// Move is a series of configurations that lead routes of streams to other services.
+	Move FaultKind = "move"
 	// ResetClients resets the connections of a share of the clients.
 	ResetClients FaultKind = "reset-clients"
 	// LostDatagrams loses a share of the datagrams among the relays.
@@ -53,7 +55,7 @@
 
 // IsPlanned reports whether the fault is maintenance that an operator plans.
 func (k FaultKind) IsPlanned() bool {
-	return k == Terminate || k == Reload || k == Drain || k == Release
+	return k == Terminate || k == Reload || k == Drain || k == Release || k == Move
 }
 
 // IsDisruption reports whether the fault may excuse relays from answering requests.
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -28,7 +28,7 @@
 	// ReturnShare is the share of the returns as told that must be served, TenantShare the share of the attempts that must
 	// be served of a tenant that asks for less than its share; 0 means that they are only counted.
 	ReturnShare, TenantShare float64
-	// NoMixedStreams is true if not a single stream may hold events of several software versions.
+	// NoMixedStreams is true if not a single stream may hold events of several software versions or of several services.
 	NoMixedStreams bool
 }
 
--- a/internal/soak/history/operator.go
+++ b/internal/soak/history/operator.go
@@ -12,8 +12,10 @@
 	EndedAt time.Duration
 	// Status is the status code of the last response, 0 for none.
 	Status int
-	// Services maps each route to its service.
+	// Services maps each route to its service, or to the first one.
 	Services map[string]string
+	// SecondServices maps each route whose requests are split between two services to the second one.
+	SecondServices map[string]string
 	// Invalid is true if the configuration must never be accepted.
 	Invalid bool
 }
@@ -40,6 +42,8 @@
 	State   ReplicaState
 	// Software is the software version of a back end that decodes, in the entry that lists it as ready; empty for others.
 	Software string
+	// Service is the service of a back end, in the entry that lists it as ready.
+	Service string
 }
 
 // ReplicaState is the state of a back end on the platform's list.
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -66,6 +66,10 @@
 	// differ in length; clients take up streams that break off. Relays and back ends are in three zones. It takes neither Program nor
 	// OtherProgram. ReleasesAlone leaves out all other faults.
 	Releases, ReleasesAlone bool
+	// Moves adds a second service of engines. Series of configurations lead the routes of streams that may be resumed to it and back, split
+	// them between both, and add and remove a route for a narrower prefix, while relays are killed, or one is out of step. Answers, streams
+	// and clients are as with Releases. It takes neither Program nor OtherProgram. ReleasesAlone leaves out all other faults here too.
+	Moves bool
 	// CheckTimeBounds also checks the rules with time bounds, which can fail on a machine that is busy with other work.
 	CheckTimeBounds bool
 	// Progress is called with one line for each fault; nil for no reports.
--- a/internal/soak/release_strikes.go
+++ b/internal/soak/release_strikes.go
@@ -20,10 +20,16 @@
 	// longestOutOfStep is the longest time for which a relay is out of step, outOfStepAfter the time for which clients still prefer it.
 	longestOutOfStep = 5 * time.Second
 	outOfStepAfter   = 2 * time.Second
-	// releaseCuts is the number of the first cut of a release: others have lower ones.
+	// releaseCuts is the number of the first cut of a release or of a series of moves: others have lower ones.
 	releaseCuts = 1_000_000
 )
 
+// releaseStrikes are what may strike in a release; even seeds draw from the first seven, odd ones from the last eight.
+var releaseStrikes = []strikeKind{
+	strikeNothing, killAllRelays, killAllRelays, killAllRelays, killAllProcesses, cutFromAll, suspendRelay, cutFromProcesses, cutFromControllers,
+	cutFromAll, suspendRelay,
+}
+
 // strikeRelease strikes at a drawn moment of a release that begins now: all relays, all processes, or a single relay that falls out
 // of step; in one of seven releases nothing. Odd seeds have mostly relays out of step, the others mostly relays that are killed together.
 func (f *faults) strikeRelease(planned rollout, random *rand.Rand) {
@@ -31,28 +37,11 @@
 	relay := f.site.relays[random.IntN(len(f.site.relays))]
 	lead, share := time.Duration(random.Int64N(int64(longestLead))), random.Float64()
 	length := min(longestOutOfStep, lead+time.Duration((0.3+share)*float64(planned.lastGone())))
-	kind := random.IntN(7)
+	kind := releaseStrikes[random.IntN(7)]
 	if f.site.options.isSteady() {
-		kind = 3 + random.IntN(8)
+		kind = releaseStrikes[3+random.IntN(8)]
 	}
-	switch kind {
-	case 0:
-	case 1, 2, 3:
-		f.running.Go(func() { time.Sleep(moment); f.killTogether(f.relayProcesses(), away) })
-	case 4:
-		f.running.Go(func() { time.Sleep(moment); f.killTogether(f.processes(), away) })
-	case 5, 9:
-		f.cutOutOfStep(relay, length, groupControllers, groupRelays, groupList)
-		time.Sleep(lead)
-	case 7: // it reads the list itself
-		f.cutOutOfStep(relay, length, groupControllers, groupRelays)
-		time.Sleep(lead)
-	case 8: // the other relays may tell it
-		f.cutOutOfStep(relay, length, groupControllers)
-		time.Sleep(lead)
-	default:
-		f.preferOutOfStep(relay, length)
-		f.freeze(relay, length)
+	if f.execute(strike{kind: kind, relay: relay, moment: moment, away: away, length: length}) {
 		time.Sleep(lead)
 	}
 }
@@ -101,15 +90,18 @@
 	}
 }
 
-// cutOutOfStep cuts a relay off from groups of processes, datagrams too, so that it does not hear of a release.
+// cutOutOfStep cuts a relay off from groups of processes, datagrams too, so that it does not hear of a release or of a moved route.
 func (f *faults) cutOutOfStep(relay *relayProcess, length time.Duration, groups ...int) {
 	f.preferOutOfStep(relay, length)
+	f.mutex.Lock()
 	f.releaseCutCount++
+	number := releaseCuts + f.releaseCutCount
+	f.mutex.Unlock()
 	var prefixes []netip.Prefix
 	for _, group := range groups {
 		prefixes = append(prefixes, groupPrefix(group))
 	}
-	f.cut(relay, releaseCuts+f.releaseCutCount, length, prefixes)
+	f.cut(relay, number, length, prefixes)
 }
 
 // preferOutOfStep makes clients prefer a relay when they take up streams, while it is out of step and a little longer.
@@ -121,9 +113,9 @@
 	})
 }
 
-// listPort returns the port of the list. With releases it is the port of the calls that cuts of relays drop.
+// listPort returns the port of the list. With releases or moves it is the port of the calls that cuts of relays drop.
 func (o Options) listPort() int {
-	if o.Releases {
+	if o.resumesLater() {
 		return portPeers
 	}
 	return portOuter
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -32,9 +32,9 @@
 	Overdue check.Overdue `json:"overdue"`
 	// FirstTries counts clients' first tries while relays were cut off from back ends; nil in runs without such cuts.
 	FirstTries *check.FirstTries `json:"first_tries,omitempty"`
-	// TakenUp counts the streams that clients took up; nil in runs with one software version.
+	// TakenUp counts the streams that clients took up; nil in runs with one software version whose routes do not move.
 	TakenUp *check.TakenUp `json:"taken_up,omitempty"`
-	// Clauses counts the streams that break the clauses of the rule ORDER; nil in runs without releases.
+	// Clauses counts the streams that break the clauses of the rule ORDER; nil in runs without releases and moves.
 	Clauses *check.Clauses `json:"clauses,omitempty"`
 	// ControllerCuts reports on the cuts among the controllers; nil in runs without them.
 	ControllerCuts *check.ControllerCuts `json:"controller_cuts,omitempty"`
@@ -58,11 +58,11 @@
 		cuts := check.CountControllerCuts(recorded)
 		report.ControllerCuts = &cuts
 	}
-	if options.Releases {
+	if options.resumesLater() {
 		clauses := check.CountClauses(recorded)
 		report.Clauses = &clauses
 	}
-	if options.Versions || options.Releases {
+	if options.Versions || options.resumesLater() {
 		takenUp := check.CountTakenUp(recorded)
 		report.TakenUp = &takenUp
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -107,8 +107,8 @@
 func (s *site) waitUntilReady(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, formationTimeout)
 	defer cancel()
-	first := history.Change{Number: firstNumber, Services: standin.ServicesByRoute(standin.ServicePages)}
-	if s.operator.Put(limited, first, standin.Configuration(firstNumber, standin.ServicePages, s.options.Pressure, 0), 0).Status != http.StatusOK {
+	first := s.contents(standin.ServicePages)
+	if s.operator.Put(limited, first.Change(firstNumber), standin.Configuration(firstNumber, first), 0).Status != http.StatusOK {
 		return trace.ConnectionProblem(nil, "no controller accepted the first configuration within %s; see the logs in %s", formationTimeout, s.options.Directory)
 	}
 	for _, process := range s.controllers {
@@ -131,7 +131,7 @@
 func (s *site) restartCrashed(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, restartPause)
-		for _, replica := range slices.Concat(s.pages, s.engines, s.spares, s.few) {
+		for _, replica := range slices.Concat(s.pages, s.engines, s.spares, s.others, s.few) {
 			_ = replica.Start() // a no-op when it runs; when its address is still in use, the next round retries
 		}
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -37,6 +37,9 @@
 	few      []*standin.Replica
 	// spares take the place of engines of the same number in releases, and the other way round.
 	spares []*standin.Replica
+	// others are the engines of the service to which routes of streams are moved; moves draws where they lead, nil in runs without moves.
+	others []*standin.Replica
+	moves  *routeMoves
 	// outOfStep is the relay that a release holds out of step, or held a moment before; nil for none.
 	outOfStep   atomic.Pointer[relayProcess]
 	controllers []*fleet.Process
@@ -80,6 +83,7 @@
 	groupList
 	groupFew
 	groupSpares
+	groupOthers
 )
 
 // newSite creates the settings of all processes and starts the stand-ins; no process runs yet.
@@ -89,6 +93,9 @@
 		names[controllerName(number)] = true
 	}
 	created := &site{options: options, servers: map[string][]string{}, configs: map[string]map[string]any{}, recorder: history.NewRecorder(options.bounds(), standin.Routes(), names)}
+	if options.Moves {
+		created.moves = newRouteMoves(options)
+	}
 	list, err := standin.StartList(hostPort(address(groupList, 0), options.listPort()), created.recorder)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -154,6 +161,7 @@
 		return replicas
 	}
 	replicas = append(replicas, s.runningSpares()...)
+	replicas = append(replicas, s.others...)
 	return append(replicas, s.few...)
 }
 
@@ -163,7 +171,7 @@
 		service := []string{standin.ServicePages, standin.ServiceOther}[number%2]
 		replica, err := standin.StartReplica(standin.ReplicaOptions{
 			Service: service, Zone: s.zone(number / 2), Address: hostPort(address(groupPages, number), portOuter), Slots: 8,
-			RunTime: 8 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, Unframed: s.options.Unframed, Garbled: s.options.Releases, ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
+			RunTime: 8 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, Unframed: s.options.Unframed, Garbled: s.options.resumesLater(), ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
 		})
 		if err != nil {
 			return trace.Wrap(err)
@@ -182,6 +190,11 @@
 			return trace.Wrap(err)
 		}
 	}
+	if s.options.Moves {
+		if err := s.startOtherEngines(); err != nil {
+			return trace.Wrap(err)
+		}
+	}
 	if s.options.Pressure {
 		return trace.Wrap(s.startFewReplicas())
 	}
@@ -191,20 +204,20 @@
 // engineOptions returns the options of an engine in a group of addresses by its number.
 func (s *site) engineOptions(number, group int) standin.ReplicaOptions {
 	stage, interval := []string{platform.StageDecode, platform.StagePrefill}[number%2], 15*time.Millisecond
-	if s.options.Releases {
+	if s.options.resumesLater() {
 		interval = releaseEventInterval
 	}
 	return standin.ReplicaOptions{
 		Service: standin.ServiceEngines, Zone: s.zone(number / 2), Address: hostPort(address(group, number), portOuter), Stage: stage, Slots: 16, Versions: s.engineVersions(),
 		RunTime: 5 * time.Millisecond, EventInterval: interval, UsualSpeed: s.usualSpeed(engineTimes[number%len(engineTimes)]), Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder,
-		Unframed: s.options.Unframed, Garbled: s.options.Releases, ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
+		Unframed: s.options.Unframed, Garbled: s.options.resumesLater(), ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
 	}
 }
 
 // engineVersions returns the software versions from which engines draw theirs.
 func (s *site) engineVersions() []string {
 	switch {
-	case s.options.Releases:
+	case s.options.Releases, s.options.Moves:
 		return []string{releaseVersion(0)}
 	case s.options.Versions:
 		return []string{"v1", "v1.1", "v1.2"}
@@ -327,7 +340,7 @@
 	for _, process := range s.controllers {
 		process.Kill()
 	}
-	for _, replica := range slices.Concat(s.pages, s.engines, s.spares, s.few) {
+	for _, replica := range slices.Concat(s.pages, s.engines, s.spares, s.others, s.few) {
 		replica.Close()
 	}
 	s.list.Close()
--- a/internal/soak/take_up_later.go
+++ b/internal/soak/take_up_later.go
@@ -61,9 +61,9 @@
 // drawEvents draws the number of events of a stream; 0 for the usual one.
 func (s *site) drawEvents(route string, random *rand.Rand) int {
 	switch {
-	case !s.options.Releases:
+	case !s.options.resumesLater():
 		return 0
-	case route == standin.RouteStream:
+	case standin.Routes()[route].Resumable:
 		return min(mostEvents, 1+int(random.ExpFloat64()*meanEvents))
 	default:
 		return min(mostLongEvents, 1+int(random.ExpFloat64()*meanLongEvents))
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -105,13 +105,16 @@
 			ID: fmt.Sprintf("%04x%012x", number, count), Front: relay.Name, Address: relay.front,
 			Route: []string{standin.RoutePage, standin.RouteUnsafe, standin.RouteStream, standin.RouteOnce}[random.IntN(4)],
 		}
-		if t.site.options.Releases && random.IntN(2) == 0 {
+		if t.site.options.resumesLater() && random.IntN(2) == 0 {
 			attempt.Route = standin.RouteStream
 		}
+		if t.site.options.Moves && attempt.Route == standin.RouteStream && random.IntN(2) == 0 {
+			attempt.Route = standin.RouteNarrow
+		}
 		t.drawContent(&attempt, random)
 		sent := client.Send(context.WithoutCancel(ctx), attempt)
 		switch {
-		case t.site.options.Releases:
+		case t.site.options.resumesLater():
 			t.takeUpLater(ctx, client, attempt, sent, random)
 		case t.site.options.Versions:
 			t.takeUp(ctx, client, attempt, sent, random)
@@ -177,8 +180,11 @@
 	random := rand.New(rand.NewPCG(s.options.Seed, 2000))
 	number := uint64(firstNumber)
 	s.lastNumber = number
+	if s.moves != nil {
+		s.moves.begin()
+	}
 	for ctx.Err() == nil {
-		sleep(ctx, s.options.changePause(random))
+		s.awaitChange(ctx, random)
 		number += uint64(1 + random.IntN(3))
 		s.lastNumber = number
 		change := s.drawChange(number, random)
@@ -202,7 +208,9 @@
 		return drawnChange{history.Change{Number: number, Invalid: true}, standin.InvalidConfiguration(number)}
 	}
 	pages := []string{standin.ServicePages, standin.ServiceOther}[random.IntN(2)]
-	return drawnChange{history.Change{Number: number, Services: standin.ServicesByRoute(pages)}, standin.Configuration(number, pages, s.options.Pressure, s.options.idleRoutes())}
+	contents := s.contents(pages)
+	contents.IdleRoutes = s.options.idleRoutes()
+	return drawnChange{contents.Change(number), standin.Configuration(number, contents)}
 }
 
 // sleep blocks for the given time, or until the context ends.
--- a/internal/soak/zones.go
+++ b/internal/soak/zones.go
@@ -13,7 +13,7 @@
 func (s *site) zone(number int) string {
 	switch {
 	case s.options.BackEndCuts:
-	case s.options.Releases:
+	case s.options.resumesLater():
 		return []string{"a", "b", "c"}[number%3]
 	default:
 		return "z"
