--- a/internal/soak/moves_test.go
+++ b/internal/soak/moves_test.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// Guards against series of odd seeds that come while the leader still has the moves before them on record.
+// Guards against series of odd seeds that come while relays still take the route for changed by the series before.
 func TestSeriesOfOddSeedsComeAfterASteadyTime(t *testing.T) {
 	for range 50 {
 		require.Greater(t, newRouteMoves(Options{Seed: 1}).drawGap(), steadyTime)
