--- a/internal/control/served_versions.go
+++ b/internal/control/served_versions.go
@@ -31,11 +31,14 @@
 	isKept := c.state.AreServedVersionsKept(c.entryTerms.before(c.leadingTerm))
 	c.listing.versions = servedversions.NewLedger(c.now, c.state.ServedVersions(), isKept)
 	c.beginRoutes()
-	if c.config.ListingInterval > 0 {
+	if c.recordsVersions() {
 		c.recordVersions()
 	}
 }
 
+// recordsVersions reports whether there is a list of back ends, whose versions are recorded.
+func (c *Core) recordsVersions() bool { return c.config.ListingInterval > 0 }
+
 // entryTerms tracks the terms of the applied entries. A leader has a lease only once an entry of its term is committed, so that the
 // last term before a leader's own is that of the last one who can have listed back ends.
 type entryTerms struct {
--- a/internal/control/stream_routes.go
+++ b/internal/control/stream_routes.go
@@ -34,7 +34,7 @@
 // recordRoutes adds the routes that a document changes to the command that proposes it: relays may use the document as soon as it is
 // committed. Either the document in force or the one that was proposed last is the one before it.
 func (c *Core) recordRoutes(command *v1.Command, next streamorigin.Routes) (changed map[streamorigin.Route]bool) {
-	if c.config.ListingInterval == 0 { // there are no back ends whose versions are recorded
+	if !c.recordsVersions() {
 		return nil
 	}
 	if next == nil || !c.areRoutesKnown() {
--- a/internal/relay/endless_calls_test.go
+++ b/internal/relay/endless_calls_test.go
@@ -41,14 +41,7 @@
 			relay.exchanger.release(&remotePrefill{engine: engine}, "/handle/1")
 		},
 		"report": func(relay *testRelay, engine *backEnd) {
-			connection, err := net.Dial("tcp", engine.Address)
-			require.NoError(t, err)
-			pooled := connpool.NewConnection(connection, relay.clock.now())
-			defer pooled.Discard()
-			asked := &message{request: &request{id: "1"}, backEnd: engine, deadline: relay.clock.now() + time.Minute}
-			require.True(t, asked.canceller().attach(pooled, asked.deadline))
-			_, err = relay.exchanger.readStartTime(pooled, asked)
-			require.Error(t, err)
+			require.Error(t, relay.readReport(t, engine))
 		},
 		"call": func(_ *testRelay, engine *backEnd) {
 			answer, err := newCaller(&http.Transport{}, time.Minute).Get("http://" + engine.Address + "/health")
@@ -82,3 +75,16 @@
 		}
 	}
 }
+
+// readReport reads an engine's report over a connection of its own.
+func (r *testRelay) readReport(t *testing.T, engine *backEnd) error {
+	t.Helper()
+	connection, err := net.Dial("tcp", engine.Address)
+	require.NoError(t, err)
+	pooled := connpool.NewConnection(connection, r.clock.now())
+	defer pooled.Discard()
+	asked := &message{request: &request{id: "1"}, backEnd: engine, deadline: r.clock.now() + time.Minute}
+	require.True(t, asked.canceller().attach(pooled, asked.deadline))
+	_, err = r.exchanger.readStartTime(pooled, asked)
+	return err
+}
--- a/internal/relay/half_head_test.go
+++ b/internal/relay/half_head_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
-	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/standin/halfhead"
 )
@@ -237,14 +236,7 @@
 			require.Equal(t, way.IsHeadWhole, engine.cache.lookup(blocks, relay.clock.now()).Ready > 0, "the status says that the call was carried out")
 		}},
 		"report": {halfhead.Answer{Headers: plainHeaders, Body: "123456"}, func(t *testing.T, relay *testRelay, engine *backEnd, _ halfhead.Way) {
-			connection, err := net.Dial("tcp", engine.Address)
-			require.NoError(t, err)
-			pooled := connpool.NewConnection(connection, relay.clock.now())
-			defer pooled.Discard()
-			asked := &message{request: &request{id: "1"}, backEnd: engine, deadline: relay.clock.now() + time.Minute}
-			require.True(t, asked.canceller().attach(pooled, asked.deadline))
-			_, err = relay.exchanger.readStartTime(pooled, asked)
-			require.Error(t, err)
+			require.Error(t, relay.readReport(t, engine))
 		}},
 	} {
 		for _, way := range call.answer.Ways() {
--- a/internal/relay/origins/lookup.go
+++ b/internal/relay/origins/lookup.go
@@ -150,7 +150,7 @@
 	for range queriesPerOwner {
 		o.config.Socket.Send(owner, &v1.RelayDatagram{Content: &v1.RelayDatagram_StreamOriginQuery{StreamOriginQuery: &v1.StreamOriginQuery{
 			Relay: o.config.Incarnation, Number: number, NameHigh: s.stream.Name.High, NameLow: s.stream.Name.Low,
-			Service: s.stream.Service, Routes: routesToWire(s.stream.Routes), WantsStatement: wantsStatement,
+			Service: s.stream.Service, Routes: streamorigin.HashesOf(s.stream.Routes), WantsStatement: wantsStatement,
 		}}})
 		timer := time.NewTimer(wait)
 		select {
--- a/internal/relay/origins/wire.go
+++ b/internal/relay/origins/wire.go
@@ -43,14 +43,6 @@
 	return part
 }
 
-// routesToWire encodes the hashes of routes.
-func routesToWire(routes []streamorigin.RouteID) (hashes []uint64) {
-	for _, route := range routes {
-		hashes = append(hashes, uint64(route))
-	}
-	return hashes
-}
-
 // statementFromWire decodes a statement of the leader.
 func statementFromWire(stated *v1.VersionStatement) *streamorigin.Statement {
 	statement := &streamorigin.Statement{
--- a/internal/servedversions/ledger.go
+++ b/internal/servedversions/ledger.go
@@ -1,7 +1,6 @@
 package servedversions
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -77,23 +76,15 @@
 
 // enforceBound removes the versions that have not been listed for the longest time while there are too many.
 func (l *Ledger) enforceBound(now time.Duration) {
-	excess := min(len(l.listed)+len(l.unlistedSince)-MaxVersions, len(l.unlistedSince))
-	if excess <= 0 {
-		return
-	}
-	l.completeSince = now
-	oldestFirst := slices.SortedFunc(maps.Keys(l.unlistedSince), func(a, b Version) int {
-		return cmp.Compare(l.unlistedSince[a], l.unlistedSince[b])
-	})
-	for _, version := range oldestFirst[:excess] {
-		delete(l.unlistedSince, version)
+	if streamorigin.DropOldest(l.unlistedSince, len(l.listed)+len(l.unlistedSince)-MaxVersions) {
+		l.completeSince = now
 	}
 }
 
 // Record returns what the replicated log must hold before relays learn of the listed back ends.
 func (l *Ledger) Record(now time.Duration, term uint64) *v1.ServedVersions {
 	l.changedRoutes.Expire(now)
-	record := &v1.ServedVersions{Term: term, Incomplete: l.completeFor(now) < Retention, ChangedRoutes: l.routesToWire()}
+	record := &v1.ServedVersions{Term: term, Incomplete: l.completeFor(now) < Retention, ChangedRoutes: streamorigin.HashesOf(l.changedRoutes.All())}
 	for _, version := range l.versions() {
 		record.Versions = append(record.Versions, &v1.ServedVersion{Service: version.Service, Software: version.Software})
 	}
@@ -110,7 +101,7 @@
 // StatementWithRoutes returns what the leader states to a relay that asks.
 func (l *Ledger) StatementWithRoutes(now time.Duration) *v1.VersionStatement {
 	statement := l.Statement(now)
-	statement.ChangedRoutes = l.routesToWire()
+	statement.ChangedRoutes = streamorigin.HashesOf(l.changedRoutes.All())
 	return statement
 }
 
@@ -129,14 +120,6 @@
 	return statement
 }
 
-// routesToWire returns the hashes of the changed routes, sorted.
-func (l *Ledger) routesToWire() (hashes []uint64) {
-	for _, route := range l.changedRoutes.All() {
-		hashes = append(hashes, uint64(route))
-	}
-	return hashes
-}
-
 // Contains reports whether a record contains a version.
 func Contains(record *v1.ServedVersions, version Version) bool {
 	_, found := slices.BinarySearchFunc(record.GetVersions(), version, func(recorded *v1.ServedVersion, wanted Version) int {
@@ -147,8 +130,10 @@
 
 // Equal reports whether two records state the same, apart from the terms of their leaders.
 func Equal(a, b *v1.ServedVersions) bool {
-	isSameApart := a.GetIncomplete() == b.GetIncomplete() && slices.Equal(a.GetChangedRoutes(), b.GetChangedRoutes())
-	return isSameApart && slices.EqualFunc(a.GetVersions(), b.GetVersions(), func(a, b *v1.ServedVersion) bool {
+	if a.GetIncomplete() != b.GetIncomplete() || !slices.Equal(a.GetChangedRoutes(), b.GetChangedRoutes()) {
+		return false
+	}
+	return slices.EqualFunc(a.GetVersions(), b.GetVersions(), func(a, b *v1.ServedVersion) bool {
 		return versionFromWire(a) == versionFromWire(b)
 	})
 }
--- a/internal/streamorigin/route_changes.go
+++ b/internal/streamorigin/route_changes.go
@@ -1,7 +1,6 @@
 package streamorigin
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -43,22 +42,17 @@
 }
 
 func (c *RouteChanges) enforceBound(now time.Duration) {
-	excess := len(c.changedAt) - MaxRouteChanges
-	if excess <= 0 {
-		return
+	if DropOldest(c.changedAt, len(c.changedAt)-MaxRouteChanges) {
+		c.completeSince = now
 	}
-	oldestFirst := slices.SortedFunc(maps.Keys(c.changedAt), func(a, b RouteID) int {
-		return cmp.Or(cmp.Compare(c.changedAt[a], c.changedAt[b]), cmp.Compare(a, b))
-	})
-	for _, route := range oldestFirst[:excess] {
-		delete(c.changedAt, route)
-	}
-	c.completeSince = now
 }
 
+// isKept reports whether a change still counts.
+func isKept(now, changedAt time.Duration) bool { return now-changedAt < ChangeRetention }
+
 // Expire forgets the changes before which no stream has begun that may still go on.
 func (c *RouteChanges) Expire(now time.Duration) {
-	maps.DeleteFunc(c.changedAt, func(_ RouteID, at time.Duration) bool { return now-at >= ChangeRetention })
+	maps.DeleteFunc(c.changedAt, func(_ RouteID, at time.Duration) bool { return !isKept(now, at) })
 }
 
 // MarkIncomplete records that any route may have changed until now.
@@ -70,7 +64,7 @@
 // IsEmpty reports whether no route has changed within ChangeRetention.
 func (c *RouteChanges) IsEmpty(now time.Duration) bool {
 	for _, at := range c.changedAt {
-		if now-at < ChangeRetention {
+		if isKept(now, at) {
 			return false
 		}
 	}
@@ -84,7 +78,7 @@
 func (c *RouteChanges) HaveChanged(now time.Duration, routes []RouteID) bool {
 	hasChanged := func(route RouteID) bool {
 		at, isKnown := c.changedAt[route]
-		return isKnown && now-at < ChangeRetention
+		return isKnown && isKept(now, at)
 	}
-	return now-c.completeSince < ChangeRetention || slices.ContainsFunc(routes, hasChanged)
+	return isKept(now, c.completeSince) || slices.ContainsFunc(routes, hasChanged)
 }
--- a/internal/streamorigin/routes.go
+++ b/internal/streamorigin/routes.go
@@ -23,6 +23,15 @@
 // ID returns the route's hash.
 func (r Route) ID() RouteID { return RouteID(xxhash.Sum64String(r.Host + "\x00" + r.Prefix)) }
 
+// HashesOf encodes the identities of routes for other processes.
+func HashesOf(routes []RouteID) []uint64 {
+	hashes := make([]uint64, 0, len(routes))
+	for _, route := range routes {
+		hashes = append(hashes, uint64(route))
+	}
+	return hashes
+}
+
 // Routes are the services to which the routes of streams lead.
 type Routes map[Route]map[string]bool
 
