--- a/review/_standin2/early.go
+++ b/review/_standin2/early.go
@@ -20,8 +20,8 @@
 	// answerBytes is the size of the replica's answer.
 	answerBytes = 4000
 	// earlyReplicas is the number of replicas, of which one crashes; uploads is the number of long requests at work then.
-	earlyReplicas = 6
-	uploads       = 24
+	earlyReplicas = 7
+	uploads       = 28
 )
 
 // early shows that a long request whose replica crashes while it answers early, with an answer without a length, leaves the
@@ -85,6 +85,9 @@
 				broken = true
 			}
 			s.record.write("verdict", "result", fmt.Sprint(err))
+			if !trouble && err != nil && !broken {
+				return false, err
+			}
 		}
 		return broken, nil
 	})
@@ -136,6 +139,8 @@
 		return fmt.Errorf("the answer visibly broke off: %w", err)
 	case response.StatusCode == http.StatusOK && string(received) != answer:
 		return fmt.Errorf("%w: MIXED: a success with %d of %d bytes ended like a whole answer", errBroken, len(received), len(answer))
+	case response.StatusCode != http.StatusOK:
+		return fmt.Errorf("%w: status %d", errUnserved, response.StatusCode)
 	default:
 		return nil
 	}
--- a/review/_standin2/unframed.go
+++ b/review/_standin2/unframed.go
@@ -68,13 +68,16 @@
 				broken = true
 			}
 			s.record.write("verdict", "result", fmt.Sprint(err))
+			if !trouble && err != nil && !broken {
+				return false, err
+			}
 		}
 		return broken, nil
 	})
 }
 
-// errBroken means that a rule is broken.
-var errBroken = errors.New("broken")
+// errBroken means that a rule is broken, errUnserved that a client got no whole answer and could see that.
+var errBroken, errUnserved = errors.New("broken"), errors.New("not served")
 
 // slowClient sends a safe request, reads the head of the answer, pauses, and reads the rest.
 func slowClient(record *record, front, id, page string) error {
@@ -112,11 +115,16 @@
 		return fmt.Errorf("the answer visibly broke off: %w", err)
 	case response.StatusCode == http.StatusOK && !bytes.Equal(body, []byte(page)):
 		return fmt.Errorf("%w: MIXED: a success with %d of %d bytes ended like a whole answer", errBroken, len(body), len(page))
+	case response.StatusCode != http.StatusOK:
+		return fmt.Errorf("%w: status %d", errUnserved, response.StatusCode)
 	default:
 		return nil
 	}
 }
 
+// fronts is the number of relays, as on the site; one of them is at most the share that may be killed.
+const fronts = 7
+
 // runCase starts a small deployment, runs a case on it and returns the exit status of the case: 0 if the rule held, 1 if it was
 // broken, 2 if the case could not run.
 func runCase(run func(s *site, trouble bool) (broken bool, err error)) int {
@@ -132,7 +140,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	s, err := newSite("target/hazelpitch", directory, record, 5, 3)
+	s, err := newSite("target/hazelpitch", directory, record, 5, fronts)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
