Move the readers of answers' heads and bodies out of the relay

The readers of heads and bodies stood below internal/relay, which gateways, controllers and clients do not import. Change: internal/relay/framing and internal/relay/answerhead are internal/http1/framing and internal/http1/answerhead. No other change.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -9,10 +9,10 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/clientwait"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
-	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 )
 
 // answer is a back end's answer of which the head was read; the body is still unread on the connection.
--- a/internal/relay/client_request.go
+++ b/internal/relay/client_request.go
@@ -11,7 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
-	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
+	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/wirecheck"
 )
 
--- a/internal/relay/eventstream/reader.go
+++ b/internal/relay/eventstream/reader.go
@@ -6,8 +6,8 @@
 	"errors"
 	"io"
 
+	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/lines"
-	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 )
 
 const (
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -12,10 +12,10 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
+	"github.com/hazelpitch/hazelpitch/internal/http1/answerhead"
+	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
-	"github.com/hazelpitch/hazelpitch/internal/relay/answerhead"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
-	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/relay/speeds"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
--- a/internal/relay/exchange_records.go
+++ b/internal/relay/exchange_records.go
@@ -3,9 +3,9 @@
 import (
 	"errors"
 
+	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
-	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 )
 
 // queryNumber is the number of the placement query whose answer selected the message's back end; 0 for none.
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -6,8 +6,8 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/relay/eventstream"
-	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
--- a/internal/relay/forward_request_test.go
+++ b/internal/relay/forward_request_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/relay/forwarding"
-	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -18,8 +18,8 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/bootclock"
+	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
-	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/relay/origins"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
--- a/internal/relay/release.go
+++ b/internal/relay/release.go
@@ -6,7 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/hazelpitch/hazelpitch/internal/relay/answerhead"
+	"github.com/hazelpitch/hazelpitch/internal/http1/answerhead"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 )
 
--- a/internal/relay/replaceable_stream.go
+++ b/internal/relay/replaceable_stream.go
@@ -4,9 +4,9 @@
 	"errors"
 	"io"
 
+	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/eventstream"
-	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 )
 
 // prepareSearch implements replaceable.
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -6,8 +6,8 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/relay/forwarding"
-	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 )
 
 // replier writes the one answer to a request to its client.
--- a/internal/relay/request_trace.go
+++ b/internal/relay/request_trace.go
@@ -5,8 +5,8 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
-	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -5,9 +5,9 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
-	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -13,10 +13,10 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/relay/datagram"
-	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 )
 
--- a/internal/relay/stream_end.go
+++ b/internal/relay/stream_end.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"io"
 
+	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/relay/eventstream"
-	"github.com/hazelpitch/hazelpitch/internal/relay/framing"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
