Take no answer whose status line breaks the grammar of HTTP/1.1

What callers saw: a replica answered with status 000, and the client got its body as a 200; 600 and 999, the versions 0.9 and 2.0, control bytes in the reason, an empty line before the status line came through as answers, too. The relay's own calls took such answers for a report, a handle or a moved run. Cause: the relay read heads with fasthttp, which reads leniently, and whose status code is 200 by default where the head has zero. Two calls of the relay's own (the copy of a run, the report of an engine) used another reader of that library. Change: internal/http1/answerhead reads each head line by line and checks each line before anything of it is used; the library only holds the fields of a head that passed. All readers of the relay use it: back ends, other relays, prefills, copies of runs, reports, releases. The request may have run: another back end where the route allows it, else 502; the back end counts as failed; the line attempt_failed names it, and the rule. A missing space after the status code is refused as well: RFC 9112, 4, lets a recipient do either. Why it works: there is no way to a field, a status or a body but through the checked lines. Command: go test ./internal/relay -run 'Broken|LogNames'; go test ./internal/relay/... ./internal/gateway ./platform/...

--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -8,7 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
-	"github.com/hazelpitch/hazelpitch/internal/wirecheck"
+	"github.com/hazelpitch/hazelpitch/internal/http1/grammar"
 )
 
 // singleHeaders may appear only once: with two values, two parsers could choose different ones.
@@ -43,7 +43,7 @@
 		switch {
 		case len(name) == 0 && !hasColon:
 			continue // the empty line that ends the headers
-		case !hasColon || !wirecheck.IsToken(name):
+		case !hasColon || !grammar.IsToken(name):
 			return refuseHeader("a header's name is malformed or its line is folded")
 		case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
 			lengths++
--- a/internal/http1/answerhead/reader_test.go
+++ b/internal/http1/answerhead/reader_test.go
@@ -41,7 +41,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			source := &repeatingReader{text: text}
-			require.Error(t, Read(&fasthttp.ResponseHeader{}, bufio.NewReaderSize(source, bufferBytes)))
+			_, err := Read(&fasthttp.ResponseHeader{}, bufio.NewReaderSize(source, bufferBytes))
+			require.Error(t, err)
 			require.LessOrEqual(t, source.sent, (MaxInformational+1)*bufferBytes)
 		})
 	}
@@ -52,7 +53,8 @@
 	text := strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", MaxInformational) + "HTTP/1.1 204 No Content\r\n\r\nrest"
 	source := bufio.NewReaderSize(strings.NewReader(text), bufferBytes)
 	head := &fasthttp.ResponseHeader{}
-	require.NoError(t, Read(head, source))
+	_, err := Read(head, source)
+	require.NoError(t, err)
 	require.Equal(t, fasthttp.StatusNoContent, head.StatusCode())
 	rest, err := io.ReadAll(source)
 	require.NoError(t, err)
--- a/internal/http1/framing/body.go
+++ b/internal/http1/framing/body.go
@@ -8,18 +8,19 @@
 	"net/http/httputil"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/hazelpitch/hazelpitch/internal/http1/grammar"
 )
 
 // maxTrailerLines bounds the trailer lines after the last chunk.
 const maxTrailerLines = 32
 
-var (
-	// ErrMalformed means that the bytes received are no body of the declared kind.
-	ErrMalformed = errors.New("the bytes received are no answer")
-	// ErrUndeclaredEnd means that the sender has closed the connection without having declared the end of the body. The
-	// body may be complete or not.
-	ErrUndeclaredEnd = errors.New("the connection was closed; nothing says whether the answer is whole")
-)
+// RuleTrailer: lines of fields, and an empty line (RFC 9112, 7.1.2).
+const RuleTrailer grammar.Rule = "trailer"
+
+// ErrUndeclaredEnd means that the sender has closed the connection without having declared the end of the body. The
+// body may be complete or not.
+var ErrUndeclaredEnd = errors.New("the connection was closed; nothing says whether the answer is whole")
 
 // Body reads a body up to its end. It returns io.EOF at an end that the sender has declared, and only there. At the close of a
 // connection that ends a body without a declared end it returns ErrUndeclaredEnd, and another error if the body breaks off.
@@ -28,21 +29,25 @@
 	end    End
 	source *bufio.Reader
 	chunks io.Reader
-	// remaining is the number of bytes up to the declared length.
-	remaining int
+	// length is the declared length, and remaining the number of bytes up to it.
+	length, remaining int
 }
 
 // NewAnswerBody returns the body that follows the head of an answer; method is that of the request.
-func NewAnswerBody(head *fasthttp.ResponseHeader, method string, source *bufio.Reader) *Body {
-	status, length := head.StatusCode(), head.ContentLength()
-	switch {
-	case method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+func NewAnswerBody(declared Declaration, method string, source *bufio.Reader) *Body {
+	if method == fasthttp.MethodHead {
+		declared = Declaration{Kind: None}
+	}
+	switch declared.Kind {
+	case None:
 		return &Body{kind: None, end: Declared, source: source}
-	case length == 0:
-		return &Body{kind: Length, end: Declared, source: source}
-	case length > 0:
-		return &Body{kind: Length, remaining: length, source: source}
-	case length == -1:
+	case Length:
+		body := &Body{kind: Length, length: declared.Length, remaining: declared.Length, source: source}
+		if declared.Length == 0 {
+			body.end = Declared
+		}
+		return body
+	case Chunks:
 		return NewChunkedBody(source)
 	default:
 		return &Body{kind: Close, source: source}
@@ -57,6 +62,9 @@
 // Kind returns how the end of the body is determined.
 func (b *Body) Kind() Kind { return b.kind }
 
+// Length returns the declared length in bytes; 0 for other kinds than Length.
+func (b *Body) Length() int { return b.length }
+
 // End returns what is known of the body's end so far.
 func (b *Body) End() End { return b.end }
 
@@ -137,5 +145,5 @@
 			return nil
 		}
 	}
-	return ErrMalformed
+	return grammar.NewViolation(RuleTrailer, "more than %d lines", maxTrailerLines)
 }
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -199,9 +199,7 @@
 }
 
 // isLong reports whether the answer declares a body that is too long to be buffered.
-func (a *answer) isLong() bool {
-	return !a.hasNoBody() && a.head.ContentLength() > maxBufferedAnswer
-}
+func (a *answer) isLong() bool { return a.body.Length() > maxBufferedAnswer }
 
 // hasNoBody reports whether an answer has no body because of its status or the request's method.
 func (a *answer) hasNoBody() bool { return a.body.Kind() == framing.None }
--- a/internal/relay/client_request.go
+++ b/internal/relay/client_request.go
@@ -12,7 +12,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
-	"github.com/hazelpitch/hazelpitch/internal/wirecheck"
+	"github.com/hazelpitch/hazelpitch/internal/http1/grammar"
 )
 
 // requestFault is the error for a request that is malformed or must not be forwarded.
@@ -122,7 +122,7 @@
 		if len(name) == 0 && !found {
 			continue
 		}
-		if !found || !wirecheck.IsToken(name) {
+		if !found || !grammar.IsToken(name) {
 			return bad("a header's name is malformed or its line is folded")
 		}
 		if bytes.EqualFold(name, []byte("Content-Length")) || bytes.EqualFold(name, []byte("Transfer-Encoding")) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/http1/answerhead"
 	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
+	"github.com/hazelpitch/hazelpitch/internal/http1/grammar"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 	"github.com/hazelpitch/hazelpitch/internal/relay/speeds"
@@ -284,6 +286,9 @@
 // any other may have.
 func (e *exchanger) connectionFailure(connection *connpool.Connection, message *message, anySent bool, err error) *failure {
 	fault := &failure{verdict: verdict.MayHaveRun, mayHaveArrived: true, cause: fmt.Errorf("%w: %w", errConnectionBroken, err)}
+	if errors.Is(err, grammar.ErrMalformed) {
+		fault.cause = err // the connection works
+	}
 	if !anySent {
 		fault.verdict, fault.mayHaveArrived = verdict.NotRun, false
 	}
@@ -304,12 +309,13 @@
 func (e *exchanger) readHead(connection *connpool.Connection, message *message) (*answer, *failure) {
 	for range maxStaleAnswers + 1 {
 		head := &fasthttp.ResponseHeader{}
-		if err := answerhead.Read(head, connection.Reader); err != nil {
+		declared, err := answerhead.Read(head, connection.Reader)
+		if err != nil {
 			return nil, e.connectionFailure(connection, message, true, err)
 		}
 		answer := &answer{
 			status: head.StatusCode(), head: head, connection: connection, message: message, exchanger: e,
-			body: framing.NewAnswerBody(head, message.request.method, connection.Reader),
+			body: framing.NewAnswerBody(declared, message.request.method, connection.Reader),
 		}
 		if string(head.Peek(e.names.RequestID)) == message.request.id {
 			return answer, nil
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
+	"github.com/hazelpitch/hazelpitch/internal/http1/grammar"
 	"github.com/hazelpitch/hazelpitch/internal/relay/eventstream"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -41,6 +42,18 @@
 // Unwrap returns the cause.
 func (f *failure) Unwrap() error { return f.cause }
 
+// isBroken reports whether the answer broke off, or is none.
+func (f *failure) isBroken() bool {
+	return errors.Is(f.cause, errConnectionBroken) || errors.Is(f.cause, grammar.ErrMalformed)
+}
+
+// addRule adds the rule of HTTP/1.1 that the answer breaks to a log line, if it breaks one.
+func (f *failure) addRule(line *zerolog.Event) {
+	if rule := grammar.BrokenRule(f.cause); rule != "" {
+		line.Str("rule", string(rule))
+	}
+}
+
 // errorAnswerFailure returns the failure of an exchange that brought a complete error answer, which may be replaced by another back
 // end's answer.
 func errorAnswerFailure() *failure {
@@ -80,7 +93,7 @@
 	label string
 }{
 	{errCancelled, "client_gone"}, {errDeadline, "deadline"}, {errDial, "dial"}, {errStalled, "stalled"}, {errPeerTimeout, "peer_timeout"},
-	{errEndsInEvent, "ends_in_event"}, {framing.ErrUndeclaredEnd, "undeclared_end"}, {errConnectionBroken, "broken"}, {framing.ErrMalformed, "malformed"}, {errNotExecuted, "not_executed"}, {errQuarantined, "quarantined"}, {errInBackoff, "backoff"}, {errLimitReached, "limit"},
+	{errEndsInEvent, "ends_in_event"}, {framing.ErrUndeclaredEnd, "undeclared_end"}, {grammar.ErrMalformed, "malformed"}, {errConnectionBroken, "broken"}, {errNotExecuted, "not_executed"}, {errQuarantined, "quarantined"}, {errInBackoff, "backoff"}, {errLimitReached, "limit"},
 	{errMisdirected, "misdirected"}, {errOtherIncarnation, "other_incarnation"}, {errNoReport, "no_report"}, {errForeignAnswer, "foreign_answer"}, {errUnsupportedAnswer, "unsupported_answer"}, {eventstream.ErrTooLong, "event_too_long"}, {errPeerUnable, "peer_unable"},
 }
 
--- a/internal/relay/forward_request.go
+++ b/internal/relay/forward_request.go
@@ -226,7 +226,7 @@
 	if fault.verdict != verdict.NotRun {
 		attempts.recordForwardedRun()
 	}
-	if errors.Is(fault, errDial) || errors.Is(fault, errConnectionBroken) || errors.Is(fault, errPeerTimeout) {
+	if errors.Is(fault, errDial) || fault.isBroken() || errors.Is(fault, errPeerTimeout) {
 		return forwarding.Unreachable
 	}
 	return forwarding.Neutral
--- a/internal/relay/half_head_test.go
+++ b/internal/relay/half_head_test.go
@@ -208,16 +208,16 @@
 	}
 }
 
-// Guards against calls of the relay's own that take an answer which stops within its head, or before the end of its body, for a
-// confirmation or for an answer without content.
-func TestOwnCallsDoNotUseHalfAnswers(t *testing.T) {
-	t.Parallel()
-	type ownCall struct {
-		answer halfhead.Answer
-		check  func(t *testing.T, relay *testRelay, engine *backEnd, way halfhead.Way)
-	}
+// ownCall is a call of the relay's own: the answer that confirms it, and a check that the relay does not use one that stops.
+type ownCall struct {
+	answer halfhead.Answer
+	check  func(t *testing.T, relay *testRelay, engine *backEnd, way halfhead.Way)
+}
+
+// ownCalls are the calls of the relay's own to engines.
+func ownCalls() map[string]ownCall {
 	plainHeaders := "Content-Type: application/json\r\n"
-	for name, call := range map[string]ownCall{
+	return map[string]ownCall{
 		"move": {halfhead.Answer{Headers: plainHeaders, Body: "(handle)"}, func(t *testing.T, relay *testRelay, engine *backEnd, _ halfhead.Way) {
 			asked, dialect := &request{id: "1", deadline: relay.clock.now() + time.Minute}, relay.dialect
 			dialect.ParseMoveAnswer = func(body []byte) string { // fails for half of an answer
@@ -238,7 +238,14 @@
 		"report": {halfhead.Answer{Headers: plainHeaders, Body: "123456"}, func(t *testing.T, relay *testRelay, engine *backEnd, _ halfhead.Way) {
 			require.Error(t, relay.readReport(t, engine))
 		}},
-	} {
+	}
+}
+
+// Guards against calls of the relay's own that take an answer which stops within its head, or before the end of its body, for a
+// confirmation or for an answer without content.
+func TestOwnCallsDoNotUseHalfAnswers(t *testing.T) {
+	t.Parallel()
+	for name, call := range ownCalls() {
 		for _, way := range call.answer.Ways() {
 			for endName, end := range halfhead.Ends {
 				t.Run(name+"/"+way.Name+"/"+endName, func(t *testing.T) {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -18,6 +18,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/bootclock"
+	"github.com/hazelpitch/hazelpitch/internal/http1/answerhead"
 	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/relay/origins"
@@ -349,8 +350,9 @@
 func (c *testClient) read() clientAnswer {
 	c.t.Helper()
 	head := &fasthttp.ResponseHeader{}
-	require.NoError(c.t, head.Read(c.reader))
-	framed := framing.NewAnswerBody(head, "", c.reader)
+	declared, err := answerhead.Read(head, c.reader)
+	require.NoError(c.t, err)
+	framed := framing.NewAnswerBody(declared, "", c.reader)
 	body, err := io.ReadAll(framed)
 	return clientAnswer{status: head.StatusCode(), head: head, body: string(body), isComplete: err == nil && framed.End() == framing.Declared, end: framed.End()}
 }
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -61,7 +61,7 @@
 	case !fault.mayHaveArrived || backEnd.isLeaving():
 	case errors.Is(fault, errStalled) || errors.Is(fault, errPeerTimeout):
 		r.guard.RecordSilentRun(request.content, backEnd.ID)
-	case !errors.Is(fault, errConnectionBroken):
+	case !fault.isBroken():
 	case wait <= 0:
 		go r.guard.RecordBrokenRun(request.content, replicaOf(backEnd), 0)
 	default:
--- a/internal/relay/release.go
+++ b/internal/relay/release.go
@@ -1,13 +1,11 @@
 package relay
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/http1/answerhead"
-	"github.com/hazelpitch/hazelpitch/internal/relay/connpool"
 )
 
 // releaseTimeout bounds the call that releases a prefill. A prefill that is not released expires by itself.
@@ -33,7 +31,7 @@
 		return
 	}
 	head := &fasthttp.ResponseHeader{}
-	if answerhead.Read(head, connection.Reader) != nil || head.StatusCode() == fasthttp.StatusMisdirectedRequest {
+	if _, err := answerhead.Read(head, connection.Reader); err != nil || head.StatusCode() == fasthttp.StatusMisdirectedRequest {
 		return
 	}
 	e.applyAnswerSignals(prefill.engine, head, internalCallSentAt)
@@ -41,17 +39,3 @@
 		e.recordCached(prefill.engine, prefill.prefixBlocks)
 	}
 }
-
-// writeInternalCall writes an internal call of the relay to an engine. If the call reaches another back end at the engine's
-// address, that back end refuses it. The body is JSON; nil means no body.
-func (e *exchanger) writeInternalCall(connection *connpool.Connection, engine *backEnd, method, path string, body []byte) error {
-	head := append([]byte(nil), method+" "+path+" HTTP/1.1\r\nHost: "+engine.Address+"\r\n"...)
-	head = appendHeader(head, e.names.ExpectInstance, engine.ExpectedID())
-	if body != nil {
-		head = appendHeader(head, fasthttp.HeaderContentType, "application/json")
-		head = appendHeader(head, fasthttp.HeaderContentLength, strconv.Itoa(len(body)))
-	}
-	head = append(head, "\r\n"...)
-	_, err := connection.Write(append(head, body...))
-	return err
-}
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -39,7 +39,7 @@
 func (l requestLog) recordFailedAttempt(request *request, backEnd *backEnd, fault *failure) {
 	l.line(zerolog.WarnLevel, events.AttemptFailed, request).Stringer("content", request.content.Request).Strs("parts", request.partIDs).Str("back_end", backEnd.ID).
 		Str("verdict", fault.verdict.String()).Bool("arrived", fault.mayHaveArrived).
-		AnErr("cause", fault.cause).Func(fault.observation.addFields).Func(fault.addBackoffFields).Send()
+		AnErr("cause", fault.cause).Func(fault.addRule).Func(fault.observation.addFields).Func(fault.addBackoffFields).Send()
 }
 
 // recordRefusal logs a final answer that the relay itself makes.
--- a/internal/relay/run_mover.go
+++ b/internal/relay/run_mover.go
@@ -185,13 +185,14 @@
 	if e.writeInternalCall(connection, engine, fasthttp.MethodPost, dialect.MovePath, dialect.MoveBody(request.id, address, stop)) != nil {
 		return false, ""
 	}
-	answer := fasthttp.Response{}
-	if err := answer.ReadLimitBody(connection.Reader, maxPrefillAnswerBytes); err != nil {
+	answer, err := readInternalAnswer(connection, fasthttp.MethodPost, maxPrefillAnswerBytes)
+	if err != nil {
 		return false, ""
 	}
-	if answer.StatusCode() != fasthttp.StatusMisdirectedRequest {
-		e.applyAnswerSignals(engine, &answer.Header, internalCallSentAt)
+	status := answer.head.StatusCode()
+	if status != fasthttp.StatusMisdirectedRequest {
+		e.applyAnswerSignals(engine, answer.head, internalCallSentAt)
 	}
-	handle = dialect.ParseMoveAnswer(answer.Body())
-	return answer.StatusCode() == fasthttp.StatusOK && handle != "", handle
+	handle = dialect.ParseMoveAnswer(answer.body)
+	return status == fasthttp.StatusOK && handle != "", handle
 }
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -141,11 +141,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		exchanger.clock = newClock()
 		backEnd := newBackEnd(serving.BackEnd{ID: "one"}, 1000)
-		head := &fasthttp.ResponseHeader{}
-		head.SetContentLength(4)
+		declared := framing.Declaration{Kind: framing.Length, Length: 4}
 		answer := &answer{
 			message: &message{request: &request{}, backEnd: backEnd}, exchanger: exchanger,
-			body: framing.NewAnswerBody(head, fasthttp.MethodGet, bufio.NewReader(strings.NewReader("body"))),
+			body: framing.NewAnswerBody(declared, fasthttp.MethodGet, bufio.NewReader(strings.NewReader("body"))),
 		}
 		time.Sleep(time.Second)
 		n, _ := answer.Read(make([]byte, 2))
--- a/internal/relay/verify_incarnation.go
+++ b/internal/relay/verify_incarnation.go
@@ -38,7 +38,7 @@
 		}
 		message.canceller().detach()
 		connection.Discard()
-		if !errors.Is(fault, errConnectionBroken) {
+		if !fault.isBroken() {
 			break
 		}
 	}
@@ -87,23 +87,24 @@
 	if err := e.writeInternalCall(connection, message.backEnd, fasthttp.MethodGet, e.reportPath, nil); err != nil {
 		return 0, err
 	}
-	answer := fasthttp.Response{}
-	if err := answer.ReadLimitBody(connection.Reader, maxReportBytes); err != nil {
+	answer, err := readInternalAnswer(connection, fasthttp.MethodGet, maxReportBytes)
+	if err != nil {
 		return 0, err
 	}
-	if answer.StatusCode() == fasthttp.StatusMisdirectedRequest {
+	status := answer.head.StatusCode()
+	if status == fasthttp.StatusMisdirectedRequest {
 		return 0, errMisdirected
 	}
-	e.applyAnswerSignals(message.backEnd, &answer.Header, internalCallSentAt)
-	if answer.ConnectionClose() {
+	e.applyAnswerSignals(message.backEnd, answer.head, internalCallSentAt)
+	if answer.head.ConnectionClose() {
 		return 0, errConnectionBroken
 	}
-	isRefused := answer.StatusCode() >= fasthttp.StatusInternalServerError || answer.StatusCode() == fasthttp.StatusTooManyRequests
+	isRefused := status >= fasthttp.StatusInternalServerError || status == fasthttp.StatusTooManyRequests
 	if isRefused {
-		return 0, fmt.Errorf("%w: status %d", errNoReport, answer.StatusCode())
+		return 0, fmt.Errorf("%w: status %d", errNoReport, status)
 	}
-	if answer.StatusCode() != fasthttp.StatusOK {
+	if status != fasthttp.StatusOK {
 		return 0, nil // it has no report
 	}
-	return e.parseReport(answer.Body())
+	return e.parseReport(answer.body)
 }
--- /dev/null
+++ b/internal/standin/brokenanswer/message.go
@@ -0,0 +1,44 @@
+package brokenanswer
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/hazelpitch/hazelpitch/internal/standin/halfhead"
+)
+
+// message is an answer in parts, each of which a Way may spoil.
+type message struct {
+	// version and status stand in the status line, with a space between them.
+	version, status string
+	// fields are the lines of the answer's own fields, and framing the lines that say where its body ends.
+	fields, framing []string
+	// lineEnd ends each line.
+	lineEnd string
+	// before precedes the status line.
+	before string
+	// body is what follows the head.
+	body string
+}
+
+// messageOf returns the parts of a whole answer with a length.
+func messageOf(answer halfhead.Answer) message {
+	status := answer.Status
+	if status == "" {
+		status = halfhead.DefaultStatus
+	}
+	return message{
+		version: "HTTP/1.1", status: status, fields: strings.SplitAfter(strings.TrimSuffix(answer.Headers, "\r\n"), "\r\n"),
+		framing: []string{"Content-Length: " + strconv.Itoa(len(answer.Body))}, lineEnd: "\r\n", body: answer.Body,
+	}
+}
+
+// text returns the message as it is sent.
+func (m message) text() string {
+	lines := []string{m.before + m.version + " " + m.status}
+	for _, field := range m.fields {
+		lines = append(lines, strings.TrimSuffix(field, "\r\n"))
+	}
+	lines = append(lines, m.framing...)
+	return strings.Join(lines, m.lineEnd) + m.lineEnd + m.lineEnd + m.body
+}
