Keep the reset of an answer that the write of its request has met

What callers saw: a replica answered a long upload at once, with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written; the client got that part as a complete answer. Cause: a body of 8 KiB or more is written in the background, past the connection that keeps such errors. The kernel tells the reset once: where the write met it first, the read saw an ordinary end of the stream, which ends an answer without a length. Change: internal/takenerror keeps the error of a connection for all its calls; the background write goes through it. A read that meets the end of the stream ends a write in progress and waits for it, since that may have got the error a moment ago; then the error that anybody got counts. It keeps whatever the kernel tells of a connection (also EHOSTUNREACH after a time-out), but not EPIPE, which says nothing of the read side. Why it works: no call that can take the error is outside of the keeper, and the order of the two calls does not matter any more. The write of a client's answer beside the watch for its leaving needs no keeper: any error of the write ends that answer as broken.

--- a/internal/relay/connpool/connection.go
+++ b/internal/relay/connpool/connection.go
@@ -3,11 +3,11 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net"
 	"syscall"
 	"time"
 
+	"github.com/hazelpitch/hazelpitch/internal/takenerror"
 	"github.com/hazelpitch/hazelpitch/internal/wirecheck"
 )
 
@@ -38,8 +38,8 @@
 	IsIncarnationKnown bool
 	// TimedOut is true if the kernel's timeout has expired on this connection.
 	TimedOut bool
-	// taken is the error by which the connection ended, if a call other than Read got it.
-	taken takenError
+	// taken keeps the error by which the connection ended, if a call other than Read got it.
+	taken takenerror.Keeper
 }
 
 // NewConnection wraps a connection that was opened at the given time and on which no request was sent yet.
@@ -53,9 +53,7 @@
 // kernel's timeout has expired.
 func (c *Connection) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
-	if errors.Is(err, io.EOF) {
-		err = c.taken.orEOF()
-	}
+	err = c.taken.OfRead(c.Conn, err)
 	if n > 0 && c.OnReceived != nil {
 		c.OnReceived()
 	}
@@ -68,13 +66,23 @@
 	return n, err
 }
 
-// Write implements io.Writer.
-func (c *Connection) Write(content []byte) (int, error) {
-	n, err := c.Conn.Write(content)
-	c.taken.keep(err)
+// Write implements io.Writer. It may be called while another goroutine reads.
+func (c *Connection) Write(content []byte) (n int, err error) {
+	err = c.taken.Write(func() (err error) {
+		n, err = c.Conn.Write(content)
+		return err
+	})
 	return n, err
 }
 
+// WriteAll writes buffers one after the other. It may be called while another goroutine reads.
+func (c *Connection) WriteAll(buffers net.Buffers) error {
+	return c.taken.Write(func() error {
+		_, err := buffers.WriteTo(c.Conn)
+		return err
+	})
+}
+
 // Discard closes the connection. It ignores the error, since the caller already handles what failed on the connection.
 func (c *Connection) Discard() { _ = c.Conn.Close() }
 
--- a/internal/relay/connpool/unread.go
+++ b/internal/relay/connpool/unread.go
@@ -9,7 +9,7 @@
 // be called while another goroutine reads. A connection without access to its socket counts as read.
 func (c *Connection) HasUnread() bool {
 	isUnread := false
-	c.taken.during(func() (err error) {
+	c.taken.During(func() (err error) {
 		isUnread, err = hasUnread(c.Conn)
 		return err
 	})
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -274,11 +274,7 @@
 		return nil, nil
 	}
 	written := make(chan error, 1)
-	go func() {
-		buffers := net.Buffers{head, message.request.body}
-		_, err := buffers.WriteTo(connection.Conn)
-		written <- err
-	}()
+	go func() { written <- connection.WriteAll(net.Buffers{head, message.request.body}) }()
 	return written, nil
 }
 
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -95,8 +95,13 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	return serveBackEndAt(t, id, stage, listener, scriptOf(listener))
+}
+
+// serveBackEndAt starts a back end at a listener.
+func serveBackEndAt(t *testing.T, id string, stage serving.Stage, listener net.Listener, answer script) *scriptedBackEnd {
+	t.Helper()
 	t.Cleanup(func() { _ = listener.Close() })
-	answer := scriptOf(listener)
 	backEnd := &scriptedBackEnd{entry: serving.BackEnd{
 		ID: id, Service: "service", Address: listener.Addr().String(), Zone: "zone", Slots: 8, Stage: stage, Software: "v1",
 	}}
