Reset a client whose answer without a length was not written whole

What callers saw: a relay was killed while a slow client received an answer of 64,000 bytes without a length; the client got 200 and some 35,000 of them, and an ordinary end, as a success that looks whole. Cause: an answer without a declared end of up to 64 KiB is written with one call, framed by the end of the connection. Only longer ones and streams made that end a reset until all was written. A process that ends meanwhile, killed or at the end of its grace, or a write that meets its deadline left an ordinary end behind the part that was in the kernel's buffers. Change: one function begins each answer that ends with its connection; the reset stands until the whole answer was written. Why it works: the kernel applies the option when the process ends in whatever way, and the option goes only once the kernel has taken the last byte.

--- a/internal/relay/early_reset_test.go
+++ b/internal/relay/early_reset_test.go
@@ -27,16 +27,19 @@
 	linkSegmentBytes = 1460
 )
 
+// setSegmentBytes makes the connections of a listener have the segments of an ordinary link.
+func setSegmentBytes(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(descriptor uintptr) {
+		failed = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_MAXSEG, linkSegmentBytes)
+	})
+	return errors.Join(err, failed)
+}
+
 // startLinkedBackEnds starts three back ends whose connections have the segments of an ordinary link.
 func startLinkedBackEnds(t *testing.T, answer script) []*scriptedBackEnd {
 	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		var failed error
-		err := raw.Control(func(descriptor uintptr) {
-			failed = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_MAXSEG, linkSegmentBytes)
-		})
-		return errors.Join(err, failed)
-	}}
+	config := net.ListenConfig{Control: setSegmentBytes}
 	var backEnds []*scriptedBackEnd
 	for number := range 3 {
 		listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -106,18 +106,27 @@
 	case answer.body.End() == framing.Declared:
 		head = appendHeader(head, "Content-Length", strconv.Itoa(len(body)))
 	default:
-		r.framing, r.close = framing.Close, true
+		r.beginUndeclared()
+		r.write(r.endHead(head, body))
+		r.connection.SetResetOnClose(r.aborted)
+		return
 	}
 	r.write(r.endHead(head, body))
 }
 
+// beginUndeclared begins an answer that ends with the connection. Until all of it was written, the connection ends by a reset, also if
+// this process is killed or stops.
+func (r *replier) beginUndeclared() {
+	r.framing, r.close = framing.Close, true
+	r.connection.SetResetOnClose(true)
+}
+
 // sendFirst sends the head of a back end's answer and the first piece of its body. The answer ends with the connection if the
 // back end's does, and has chunks otherwise. The caller must continue with send and end with finish or abort.
 func (r *replier) sendFirst(answer *answer, first []byte) {
 	head := r.forwardHead(answer)
 	if answer.body.Kind() == framing.Close {
-		r.framing, r.close = framing.Close, true
-		r.connection.SetResetOnClose(true) // until the end is known, also if this process is killed
+		r.beginUndeclared()
 		r.write(r.endHead(head, first))
 		return
 	}
