Own calls, hazelctl and the load tool take no answer that breaks the grammar of HTTP/1.1

What callers saw: nothing directly, but the system's own calls used answers that were none: lists, cache lists, health checks, orders, reports and usage reports (relays, controllers), engines' states and the machine list (controllers), heartbeats, shares, permits and claims (gateways), confirmations (hazelctl); the load tool and the soak's clients counted them as answers, so that neither would have shown the incident. Cause: net/http and fasthttp read leniently: a status of zero, other versions, blanks in names, folded lines, bare line feeds, spoilt chunks and trailers. Change: internal/http1/checkedconn stands between a connection and such a library. It also keeps the error that a write has met, and refuses a request on a connection with a surplus answer, which fasthttp took for the next one. Between processes that speak HTTP/2 the library is strict but for a status with a sign, which is refused now. Why it works: the libraries see no byte that did not pass the one check.

--- a/internal/controller/engines.go
+++ b/internal/controller/engines.go
@@ -12,6 +12,8 @@
 	"github.com/hazelpitch/hazelpitch/internal/control"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/http1/answerhead"
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 )
 
 const (
@@ -65,10 +67,11 @@
 		MaxIdleConnDuration:       engineIdleTimeout,
 		MaxResponseBodySize:       maxBodyBytes,
 		MaxIdemponentCallAttempts: 1,
+		ReadBufferSize:            answerhead.MaxBytes,
 		Dial: func(address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(context.Background(), engineTimeout)
 			defer cancel()
-			return dial(ctx, "tcp", address)
+			return checkedconn.WithChecks(dial)(ctx, "tcp", address)
 		},
 	}
 }
--- a/internal/controller/half_head_test.go
+++ b/internal/controller/half_head_test.go
@@ -86,11 +86,11 @@
 	}
 }
 
-// Guards against an answer between controllers that stops within its head, or before the end of its stream, and is taken for an empty one:
-// an empty message is a confirmation for some calls.
+// Guards against an answer between controllers that stops within its head, or before the end of its stream, or whose head is none, and is
+// taken for an empty one: an empty message is a confirmation for some calls.
 func TestHalfAnswersOfControllersAreNotUsed(t *testing.T) {
 	t.Parallel()
-	for _, way := range halfhead.HTTP2Ways() {
+	for _, way := range append(halfhead.HTTP2Ways(), halfhead.SpoiltHTTP2Heads()...) {
 		t.Run(way.Name, func(t *testing.T) {
 			t.Parallel()
 			server, err := halfhead.StartHTTP2(way)
--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -15,6 +15,7 @@
 
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 	"github.com/hazelpitch/hazelpitch/internal/keys"
 )
 
@@ -60,7 +61,7 @@
 	}
 	transport.Protocols.SetHTTP2(tlsConfig != nil)
 	transport.Protocols.SetUnencryptedHTTP2(tlsConfig == nil)
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: checkedconn.CheckHTTP2(transport)}
 }
 
 // peerURL returns a function that returns the base URL of a controller.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,15 +5,16 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"path/filepath"
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hazelpitch/hazelpitch/internal/enginemodel"
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/scenario"
 )
@@ -127,8 +128,8 @@
 	ticker := time.NewTicker(readyPollInterval)
 	defer ticker.Stop()
 	for {
-		status, body, err := fasthttp.Get(nil, "http://"+p.AdminListen+metrics.PathReady)
-		if err == nil && status == fasthttp.StatusOK {
+		status, body, err := checkedconn.Get("http://" + p.AdminListen + metrics.PathReady)
+		if err == nil && status == http.StatusOK {
 			return nil
 		}
 		if !p.Running() {
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -11,6 +11,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
 )
 
@@ -44,7 +45,7 @@
 // addresses. It waits at most attemptTimeout for the answer of one and, after a failure,
 // retryPause before it calls the next.
 func NewOperator(key string, addresses []string, attemptTimeout, retryPause time.Duration) *Operator {
-	return &Operator{key: key, addresses: addresses, pause: retryPause, http: &http.Client{Timeout: attemptTimeout}}
+	return &Operator{key: key, addresses: addresses, pause: retryPause, http: &http.Client{Transport: checkedconn.NewTransport(nil, nil), Timeout: attemptTimeout}}
 }
 
 // Apply submits declaration files under a new request ID and returns a quorum's answer.
--- a/internal/gateway/broken_answer_test.go
+++ b/internal/gateway/broken_answer_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
@@ -130,3 +131,27 @@
 		})
 	}
 }
+
+// Guards against an answer of a controller that is none by the grammar of HTTP/1.1, and that a gateway uses.
+func TestBrokenAnswersOfControllersAreNotUsed(t *testing.T) {
+	t.Parallel()
+	for name, call := range controllerCalls() {
+		body, err := proto.Marshal(call.response)
+		require.NoError(t, err)
+		answer := halfhead.Answer{Headers: "Content-Type: application/proto\r\n", Body: string(body)}
+		ways := brokenanswer.Heads(answer)
+		if answer.Body != "" {
+			ways = append(ways, brokenanswer.Bodies(answer)...)
+		}
+		for _, way := range ways {
+			t.Run(name+"/"+way.Name, func(t *testing.T) {
+				t.Parallel()
+				server := startHalfHead(t, halfhead.Way{Text: way.Text}, halfhead.Close)
+				control, err := NewControl(testSettings(server.Address()), ControlOptions{Log: logring.New("g1", settings.Log{RingEntries: 16})})
+				require.NoError(t, err)
+				require.Error(t, call.call(t.Context(), control.controllers, server.Address()))
+				require.NotZero(t, server.Requests())
+			})
+		}
+	}
+}
--- a/internal/gateway/controllers.go
+++ b/internal/gateway/controllers.go
@@ -16,6 +16,7 @@
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/declaredend"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 	"github.com/hazelpitch/hazelpitch/internal/settings"
 )
 
@@ -49,7 +50,8 @@
 // newControllers returns the clients of the configured controllers. They use TLS when tlsConfig is not nil; dial opens their
 // connections, nil means as net.Dial does.
 func newControllers(config settings.Gateway, dial dialing.Dial, tlsConfig *tls.Config) *controllers {
-	transport := &http.Transport{DialContext: dial, IdleConnTimeout: controllerIdleTimeout, TLSClientConfig: tlsConfig}
+	transport := checkedconn.NewTransport(dial, tlsConfig)
+	transport.IdleConnTimeout = controllerIdleTimeout
 	c := &controllers{
 		http:    &http.Client{Transport: declaredend.NewTransport(transport)},
 		scheme:  scheme(tlsConfig),
--- a/internal/gatewaycost/caller.go
+++ b/internal/gatewaycost/caller.go
@@ -13,6 +13,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/http1/answerhead"
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 	"github.com/hazelpitch/hazelpitch/internal/lines"
 )
 
@@ -41,7 +43,7 @@
 func newCaller(key, source string) *caller {
 	dialer := &fasthttp.TCPDialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
 	return &caller{key: key, http: &fasthttp.Client{
-		Dial: dialer.Dial, StreamResponseBody: true, MaxConnsPerHost: 1 << 12, MaxIdemponentCallAttempts: 1,
+		Dial: checkedconn.FastDial(dialer.Dial), ReadBufferSize: answerhead.MaxBytes, StreamResponseBody: true, MaxConnsPerHost: 1 << 12, MaxIdemponentCallAttempts: 1,
 	}}
 }
 
--- a/internal/gatewaycost/run.go
+++ b/internal/gatewaycost/run.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hazelpitch/hazelpitch/internal/fleet"
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 	"github.com/hazelpitch/hazelpitch/internal/load"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
@@ -195,7 +196,7 @@
 
 // processorTime returns how much processor time a process has used.
 func processorTime(process *fleet.Process) (time.Duration, error) {
-	_, body, err := fasthttp.Get(nil, "http://"+process.AdminListen+metrics.PathMetrics)
+	_, body, err := checkedconn.Get("http://" + process.AdminListen + metrics.PathMetrics)
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
--- a/internal/gatewayloss/run.go
+++ b/internal/gatewayloss/run.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/fleet"
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 	"github.com/hazelpitch/hazelpitch/internal/load"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
@@ -194,7 +194,7 @@
 
 // inFlight reads a gateway's requests in flight from its metrics; -1 if that fails.
 func inFlight(gateway *fleet.Process) int {
-	_, body, err := fasthttp.Get(nil, "http://"+gateway.AdminListen+metrics.PathMetrics)
+	_, body, err := checkedconn.Get("http://" + gateway.AdminListen + metrics.PathMetrics)
 	if err != nil {
 		return -1
 	}
--- a/internal/http1/grammar/status_line.go
+++ b/internal/http1/grammar/status_line.go
@@ -33,7 +33,7 @@
 	}
 	code, reason, hasReason := bytes.Cut(rest, []byte{space})
 	var err error
-	if parsed.Status, err = parseStatus(code); err != nil {
+	if parsed.Status, err = ParseStatus(code); err != nil {
 		return StatusLine{}, err
 	}
 	if !hasReason {
@@ -45,8 +45,8 @@
 	return parsed, nil
 }
 
-// parseStatus parses a status code.
-func parseStatus(code []byte) (int, error) {
+// ParseStatus parses a status code.
+func ParseStatus(code []byte) (int, error) {
 	if len(code) != statusDigits {
 		return 0, NewViolation(RuleStatusCode, "%s has not three digits", quote(code))
 	}
--- a/internal/leaderloss/revisions.go
+++ b/internal/leaderloss/revisions.go
@@ -5,15 +5,16 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/fleet"
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 	"github.com/hazelpitch/hazelpitch/internal/metrics"
 )
 
@@ -79,8 +80,8 @@
 
 // revisionOf reads the revision that a process has applied from its metrics.
 func revisionOf(process *fleet.Process) (uint64, error) {
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+process.AdminListen+metrics.PathMetrics, revisionTimeout)
-	if err != nil || status != fasthttp.StatusOK {
+	status, body, err := checkedconn.GetTimeout("http://"+process.AdminListen+metrics.PathMetrics, revisionTimeout)
+	if err != nil || status != http.StatusOK {
 		return 0, trace.Errorf("can't read the metrics of %s: status %d, error %v", process.Name, status, err)
 	}
 	prefix := "hazelpitch_" + string(process.Role) + "_revision{"
--- a/internal/leaderwatch/half_head_test.go
+++ b/internal/leaderwatch/half_head_test.go
@@ -13,11 +13,11 @@
 	"github.com/hazelpitch/hazelpitch/internal/standin/halfhead"
 )
 
-// Guards against an answer of a controller that stops within its head, or before the end of its stream, and is applied as an update
+// Guards against an answer of a controller that stops within its head, or before the end of its stream, or whose head is none, and is applied as an update
 // without content, or taken for the confirmation of a report.
 func TestHalfAnswerIsNoUpdate(t *testing.T) {
 	t.Parallel()
-	for _, way := range halfhead.HTTP2Ways() {
+	for _, way := range append(halfhead.HTTP2Ways(), halfhead.SpoiltHTTP2Heads()...) {
 		t.Run(way.Name, func(t *testing.T) {
 			t.Parallel()
 			server, err := halfhead.StartHTTP2(way)
--- a/internal/leaderwatch/watcher.go
+++ b/internal/leaderwatch/watcher.go
@@ -12,6 +12,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 	"github.com/hazelpitch/hazelpitch/internal/pause"
 )
 
@@ -73,7 +74,7 @@
 		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 	transport.Protocols.SetUnencryptedHTTP2(true)
-	watcher := &Watcher{config: config, http: &http.Client{Transport: transport}, controllers: newControllers(config.Seeds)}
+	watcher := &Watcher{config: config, http: &http.Client{Transport: checkedconn.CheckHTTP2(transport)}, controllers: newControllers(config.Seeds)}
 	watcher.current.Store(watcher.client("")) // until the first request
 	return watcher
 }
--- a/internal/load/audit.go
+++ b/internal/load/audit.go
@@ -3,11 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 	"github.com/hazelpitch/hazelpitch/internal/standin/engine"
 	"github.com/hazelpitch/hazelpitch/internal/standin/page"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
@@ -57,11 +58,11 @@
 }
 
 func getJSON(address string, target any) error {
-	status, body, err := fasthttp.Get(nil, address)
+	status, body, err := checkedconn.Get(address)
 	if err != nil {
 		return trace.Wrap(err, "reading %s", address)
 	}
-	if status != fasthttp.StatusOK {
+	if status != http.StatusOK {
 		return trace.Errorf("%s answered with status %d", address, status)
 	}
 	return trace.Wrap(json.Unmarshal(body, target))
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -12,6 +12,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
+	"github.com/hazelpitch/hazelpitch/internal/http1/answerhead"
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
@@ -37,7 +39,8 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(target.SourceAddress)}
 	}
 	return &client{target: target, http: &fasthttp.Client{
-		Dial:                      dialer.Dial,
+		Dial:                      checkedconn.FastDial(dialer.Dial),
+		ReadBufferSize:            answerhead.MaxBytes,
 		MaxConnsPerHost:           1 << 16,
 		StreamResponseBody:        true,
 		NoDefaultUserAgentHeader:  true,
--- a/internal/operatorclient/client.go
+++ b/internal/operatorclient/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net/http"
 	"sync"
@@ -15,6 +16,7 @@
 	"github.com/hazelpitch/hazelpitch/api/hazelpitch/v1/hazelpitchv1connect"
 	"github.com/hazelpitch/hazelpitch/internal/declaredend"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 	"github.com/hazelpitch/hazelpitch/internal/keys"
 	"github.com/hazelpitch/hazelpitch/internal/responselimit"
 )
@@ -42,11 +44,13 @@
 	if config.Timeout == 0 {
 		config.Timeout = DefaultTimeout
 	}
-	client := &Client{config: config, scheme: "http", transport: &http.Transport{DialContext: dialing.FromOperators()}, preferred: config.Controllers[0]}
+	client := &Client{config: config, scheme: "http", preferred: config.Controllers[0]}
+	var tlsConfig *tls.Config
 	if config.Credentials != nil {
 		client.scheme = "https"
-		client.transport.TLSClientConfig = config.Credentials.ClientConfig(config.Fleet, keys.RoleController)
+		tlsConfig = config.Credentials.ClientConfig(config.Fleet, keys.RoleController)
 	}
+	client.transport = checkedconn.NewTransport(dialing.FromOperators(), tlsConfig)
 	client.http = &http.Client{Transport: declaredend.NewTransport(responselimit.NewTransport(client.transport, maxAnswerBytes))}
 	return client, nil
 }
--- a/internal/operatorclient/half_head_test.go
+++ b/internal/operatorclient/half_head_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
-	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/standin/halfhead"
@@ -14,10 +13,7 @@
 // Guards against an answer of a controller that stops within its head, or before the end of its body, and is taken for a confirmation.
 func TestHalfHeadIsNoConfirmation(t *testing.T) {
 	t.Parallel()
-	body, err := proto.Marshal(&v1.ApplyResponse{Outcome: v1.ApplyOutcome_APPLY_OUTCOME_ACCEPTED, Revision: 9, Differences: []*v1.Difference{{}, {}}})
-	require.NoError(t, err)
-	answer := halfhead.Answer{Headers: "Content-Type: application/proto\r\n", Body: string(body)}
-	for _, way := range answer.Ways() {
+	for _, way := range wholeConfirmation(t).Ways() {
 		for endName, end := range halfhead.Ends {
 			t.Run(way.Name+"/"+endName, func(t *testing.T) {
 				t.Parallel()
--- a/internal/property/caller.go
+++ b/internal/property/caller.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 )
 
 const (
@@ -31,12 +33,12 @@
 
 func newCaller(memoryNet *network, targets *gateways, gatewayCount, number int, seed uint64, outcomes *ledger) *caller {
 	host := callerHost(number)
+	transport := checkedconn.NewTransport(memoryNet.dialFrom(host), nil)
+	transport.DisableKeepAlives, transport.DisableCompression = true, true
 	return &caller{
 		gateways: targets, gatewayCount: gatewayCount, ledger: outcomes,
 		random: rand.New(rand.NewPCG(seed, uint64(number))),
-		client: &http.Client{Transport: &http.Transport{
-			DialContext: memoryNet.dialFrom(host), DisableKeepAlives: true, DisableCompression: true,
-		}},
+		client: &http.Client{Transport: transport},
 	}
 }
 
--- a/internal/relay/fleet_state.go
+++ b/internal/relay/fleet_state.go
@@ -13,6 +13,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/fleetlimit"
 	"github.com/hazelpitch/hazelpitch/internal/formats"
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 	"github.com/hazelpitch/hazelpitch/internal/leaderwatch"
 	"github.com/hazelpitch/hazelpitch/internal/listing"
 	"github.com/hazelpitch/hazelpitch/internal/packed"
@@ -64,7 +65,7 @@
 func newFleetState(relay *Relay, options Options) *fleetState {
 	return &fleetState{
 		relay:          relay,
-		platformClient: newCaller(&http.Transport{DialContext: options.Dial}, listingTimeout),
+		platformClient: newCaller(checkedconn.NewTransport(options.Dial, nil), listingTimeout),
 		readListing:    options.ReadListing,
 		incarnation:    rand.Uint64(),
 		records:        map[string]*backEnd{},
--- a/internal/relay/load_probe.go
+++ b/internal/relay/load_probe.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"math"
-	"net/http"
 	"time"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/backpressure"
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/relay/speeds"
 )
@@ -28,7 +28,9 @@
 	if options.ProbeLoad == nil || !options.Without.IsEnabled(mechanism.PausePrediction) {
 		return
 	}
-	client := newCaller(&http.Transport{DialContext: options.Dial, MaxIdleConnsPerHost: 1}, loadProbeTimeout)
+	transport := checkedconn.NewTransport(options.Dial, nil)
+	transport.MaxIdleConnsPerHost = 1
+	client := newCaller(transport, loadProbeTimeout)
 	probe := func(ctx context.Context, engine *backEnd, path string) (float64, error) {
 		answer, err := options.ProbeLoad(ctx, client, engine.BackEnd, path)
 		r.applySignals(engine, answer.Signals, internalCallSentAt)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/events"
 	"github.com/hazelpitch/hazelpitch/internal/formats"
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 	"github.com/hazelpitch/hazelpitch/internal/leaderwatch"
 	"github.com/hazelpitch/hazelpitch/internal/logring"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
@@ -174,7 +175,9 @@
 	relay.listenForForwarded(options)
 	go relay.applyReloadedSettings(ctx, options.Reloaded)
 	if options.ReadCache != nil && options.Without.IsEnabled(mechanism.CacheQuery) {
-		client := newCaller(&http.Transport{DialContext: options.Dial, DisableKeepAlives: true}, cacheReadTimeout)
+		transport := checkedconn.NewTransport(options.Dial, nil)
+		transport.DisableKeepAlives = true
+		client := newCaller(transport, cacheReadTimeout)
 		reader := &cacheReader{relay: relay, read: options.ReadCache, client: client, readAt: map[*prefixCache]time.Duration{}}
 		go reader.run(ctx)
 	}
--- a/internal/standin/engine/process.go
+++ b/internal/standin/engine/process.go
@@ -11,6 +11,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/enginemodel"
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 	"github.com/hazelpitch/hazelpitch/internal/standin/crashable"
 	"github.com/hazelpitch/hazelpitch/internal/standin/engine/orders"
 	"github.com/hazelpitch/hazelpitch/internal/standin/fault"
@@ -56,7 +57,7 @@
 	return &process{
 		engine:     engine,
 		origin:     time.Now(),
-		client:     &fasthttp.Client{NoDefaultUserAgentHeader: true, Dial: config.Dial},
+		client:     &fasthttp.Client{NoDefaultUserAgentHeader: true, Dial: checkedconn.FastDial(config.Dial)},
 		ctx:        ctx,
 		cancel:     cancel,
 		driverDone: make(chan struct{}),
--- a/internal/standin/halfhead/http2.go
+++ b/internal/standin/halfhead/http2.go
@@ -85,6 +85,33 @@
 	}
 }
 
+// SpoiltHTTP2Heads returns answers of HTTP/2 whose head is none: the whole stream is there, with an empty body.
+func SpoiltHTTP2Heads() []HTTP2Way {
+	field := func(name, value string) hpack.HeaderField { return hpack.HeaderField{Name: name, Value: value} }
+	contentType, success := field("content-type", "application/proto"), field(":status", "200")
+	ways := []HTTP2Way{}
+	for name, fields := range map[string][]hpack.HeaderField{
+		"status of zero": {field(":status", "000"), contentType}, "status one": {field(":status", "1"), contentType},
+		"status above the classes": {field(":status", "600"), contentType}, "status with a letter": {field(":status", "2o0"), contentType},
+		"status with a sign": {field(":status", "+200"), contentType}, "no status": {contentType}, "two statuses": {success, success, contentType},
+		"blank within a name": {success, contentType, field("x broken", "x")}, "blank after a name": {success, contentType, field("x-broken ", "x")},
+		"control byte in a name": {success, contentType, field("x\x01broken", "x")}, "upper-case name": {success, contentType, field("X-Broken", "x")},
+		"control byte in a value": {success, contentType, field("x-broken", "a\x01b")}, "zero byte in a value": {success, contentType, field("x-broken", "a\x00b")},
+		"line feed in a value": {success, contentType, field("x-broken", "a\nb")},
+		"status after a field": {contentType, success}, "unknown pseudo field": {success, field(":broken", "x"), contentType},
+	} {
+		ways = append(ways, HTTP2Way{name, false, func(_ io.Writer, framer *http2.Framer, stream uint32) {
+			block := bytes.Buffer{}
+			encoder := hpack.NewEncoder(&block)
+			for _, each := range fields {
+				_ = encoder.WriteField(each) // writing to a buffer does not fail
+			}
+			_ = framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: block.Bytes(), EndHeaders: true, EndStream: true})
+		}})
+	}
+	return ways
+}
+
 // HTTP2Server answers requests of HTTP/2 without encryption in one way, and closes the connection after an answer that is not whole.
 type HTTP2Server struct {
 	listener net.Listener
