Bound the memory that a relay's long answers and events take together

What callers saw (a report of other operators): faulty replicas sent bytes without end; the machine that had called them kept them all and ran out of memory, and the requests of other clients ended with it. At a relay each answer was bounded (64 KB of a plain one, 128 KB of an event), and all of them together were not: 2,000 streams, which its descriptors allow, may hold 256 MB of 284 MB. Cause: no budget for answers, as there is one for the bodies of requests. Change: answers and events of more than 16 KB reserve memory, one part in eight of the limit, for as long as they are held, counted with their copies. A plain answer that finds none is forwarded at once, as longer ones are. An event waits for up to a second, then its stream breaks off and goes on elsewhere where its route allows it; the back end is not blamed. Buffers of long events are not kept. A long error answer of a replacement is not kept as a fallback. Why it works: what is held beyond 16 KB a request is reserved before it is read. Already held: a single head, body, event, trailer or interim head without end (docs/design/endless-bytes.md).

--- a/internal/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -1,4 +1,4 @@
-// Package bodybudget bounds the memory that the bodies of requests take together. Short bodies are free. A longer one
+// Package bodybudget bounds the memory that bodies of messages take together. Short bodies are free. A longer one
 // reserves its bytes before they are read, and waits for them if too many are in use; meanwhile its client waits as well.
 package bodybudget
 
@@ -19,7 +19,7 @@
 )
 
 // ErrExhausted means that other bodies have used the whole budget for too long.
-var ErrExhausted = errors.New("the bodies of other requests take all memory that is set aside for them")
+var ErrExhausted = errors.New("other bodies take all memory that is set aside for them")
 
 // Budget is the memory for bodies that are being read, or that are held until their requests are answered. It is safe for
 // concurrent use.
@@ -46,15 +46,25 @@
 // Grow extends the reservation to a body of the given size. It waits for other bodies to be released, and returns ErrExhausted if
 // that takes too long; the reservation is then as before. A body that is larger than the budget reserves all of it.
 func (r *Reservation) Grow(size int) error {
+	return r.grow(size, func(needed int64) bool {
+		limited, cancel := context.WithTimeout(context.Background(), maxWait)
+		defer cancel()
+		return r.budget.free.Acquire(limited, needed) == nil
+	})
+}
+
+// TryGrow is Grow without the wait.
+func (r *Reservation) TryGrow(size int) error { return r.grow(size, r.budget.free.TryAcquire) }
+
+// grow acquires what a body of the given size needs beyond the reservation.
+func (r *Reservation) grow(size int, acquire func(needed int64) bool) error {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	needed := min(int64(size), r.budget.total) - r.reserved
 	if size <= FreeBytes || needed <= 0 {
 		return nil
 	}
-	limited, cancel := context.WithTimeout(context.Background(), maxWait)
-	defer cancel()
-	if r.budget.free.Acquire(limited, needed) != nil {
+	if !acquire(needed) {
 		return ErrExhausted
 	}
 	r.reserved += needed
--- a/internal/bodybudget/reader.go
+++ b/internal/bodybudget/reader.go
@@ -25,10 +25,38 @@
 
 // ReadUpTo reads a body of unknown length up to its end, or up to the given number of bytes. The reservation covers the body.
 func (r *Reservation) ReadUpTo(source io.Reader, limit int) ([]byte, error) {
-	var body []byte
+	body, isWhole, err := readInSteps(source, limit, r.Grow)
+	switch {
+	case errors.Is(err, ErrExhausted):
+		return nil, err
+	case isWhole:
+		return r.fit(body), nil
+	default:
+		return body, err
+	}
+}
+
+// ReadAvailable reads a body of unknown length as ReadUpTo does, but does not wait for memory: where none is left, it returns what it
+// has read so far. copies is how often the body will be in memory at once, for which the reservation is made. isWhole is true if the
+// body was read up to its end.
+func (r *Reservation) ReadAvailable(source io.Reader, limit, copies int) (body []byte, isWhole bool, err error) {
+	body, isWhole, err = readInSteps(source, limit, func(size int) error {
+		if size <= FreeBytes {
+			return nil
+		}
+		return r.TryGrow(copies * size)
+	})
+	if errors.Is(err, ErrExhausted) {
+		err = nil
+	}
+	return body, isWhole, err
+}
+
+// readInSteps reads a body into memory that grows in steps, each of which is reserved first. isWhole is true if the source has ended.
+func readInSteps(source io.Reader, limit int, reserve func(size int) error) (body []byte, isWhole bool, err error) {
 	for size := min(firstReadBytes, limit); ; size = nextSize(size, limit) {
-		if err := r.Grow(size); err != nil {
-			return nil, err
+		if err := reserve(size); err != nil {
+			return body, false, err
 		}
 		longer := make([]byte, size)
 		held := copy(longer, body)
@@ -36,11 +64,11 @@
 		body = longer[:held+n]
 		switch {
 		case errors.Is(err, io.EOF):
-			return r.fit(body), nil
+			return body, true, nil
 		case err != nil:
-			return body, err
+			return body, false, err
 		case size == limit:
-			return body, nil
+			return body, false, nil
 		}
 	}
 }
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/clientwait"
@@ -32,7 +33,9 @@
 	fault *failure
 	// clientWait measures how long the client kept the answer waiting that is forwarded piece by piece.
 	clientWait clientwait.Meter
-	closed     bool
+	// memory is the part of the relay's memory for answers that this one takes.
+	memory *bodybudget.Reservation
+	closed bool
 }
 
 // recordPrefillDone removes the request's prefill from this relay's work at the back end, once the prefill is complete.
@@ -75,6 +78,34 @@
 	return body, err
 }
 
+// copiesOfAnswer is how often a buffered answer is in memory while it is sent: as it was read, and in the message to the client.
+const copiesOfAnswer = 2
+
+// readBeginning reads the body up to its end, declared or not, or up to the limit in bytes, or as far as the memory for answers allows.
+// isWhole is true if it was read up to its end. It returns an error if the body breaks off.
+func (a *answer) readBeginning(limit int) (body []byte, isWhole bool, err error) {
+	return a.memory.ReadAvailable(bodyReader{a}, limit, copiesOfAnswer)
+}
+
+// bodyReader reads the body of an answer, and returns io.EOF at its end, declared or not.
+type bodyReader struct{ answer *answer }
+
+// Read implements io.Reader.
+func (r bodyReader) Read(buffer []byte) (int, error) {
+	n, err := r.answer.Read(buffer)
+	if framing.IsEnd(err) {
+		err = io.EOF
+	}
+	return n, err
+}
+
+// takeMemory returns the reservation of the answer, which the caller must release: the body outlives the exchange.
+func (a *answer) takeMemory() *bodybudget.Reservation {
+	taken := a.memory
+	a.memory = a.exchanger.answerMemory.NewReservation()
+	return taken
+}
+
 // finish ends an exchange whose answer was used. The connection can be reused only if the complete body was read and no
 // bytes followed the body.
 func (a *answer) finish() {
@@ -140,6 +171,7 @@
 		return
 	}
 	a.closed = true
+	a.memory.Release()
 	a.exchanger.updateHealthAfterBody(a)
 	a.message.canceller().detach()
 	a.stopWriting()
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/relay/retrybudget"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
@@ -34,6 +35,8 @@
 	boundTo atomic.Uint64
 	// fallback is a back end's error answer that the client gets if no later attempt succeeds; nil for none.
 	fallback *fallbackAnswer
+	// fallbackMemory is the part of the relay's memory for answers that the fallback takes; nil for none.
+	fallbackMemory *bodybudget.Reservation
 	// hasTriedPeers is true once the request was offered to other relays.
 	hasTriedPeers bool
 	// slotRefusal is the answer to the client when the owner of the service's slots has refused the request; nil otherwise.
--- a/internal/relay/eventstream/reader.go
+++ b/internal/relay/eventstream/reader.go
@@ -6,12 +6,17 @@
 	"errors"
 	"io"
 
+	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/lines"
 )
 
 const (
 	bufferBytes = 2 << 10
+	// reserveFactor is by how much more memory an event gets at each step, and copiesOfEvent how often it is in memory while it is
+	// forwarded: as it was read, with others that are sent with it, and in the message to the client.
+	reserveFactor = 2
+	copiesOfEvent = 3
 	// maxEventBytes bounds one event together with the comments and empty lines before it. Streams of many clients may have such
 	// an event at once.
 	maxEventBytes = 128 << 10
@@ -24,6 +29,9 @@
 type Reader struct {
 	source *bufio.Reader
 	buffer []byte
+	// memory is the reservation for the event in the buffer, which covers one of reserved bytes.
+	memory   *bodybudget.Reservation
+	reserved int
 	// commentBytes is the size of the comments and empty lines since the last event, which were returned already.
 	commentBytes int
 	// peeked is what Next returns next; nil if nothing was read ahead.
@@ -36,9 +44,9 @@
 	err   error
 }
 
-// NewReader returns a Reader of the body of an answer.
-func NewReader(body io.Reader) *Reader {
-	return &Reader{source: bufio.NewReaderSize(body, bufferBytes)}
+// NewReader returns a Reader of the body of an answer. A long event extends the reservation until the next one is read.
+func NewReader(body io.Reader, memory *bodybudget.Reservation) *Reader {
+	return &Reader{source: bufio.NewReaderSize(body, bufferBytes), memory: memory, reserved: bodybudget.FreeBytes}
 }
 
 // Peek waits for what Next will return, and returns it.
@@ -63,14 +71,11 @@
 
 // read reads the next event.
 func (r *Reader) read() (Event, error) {
-	r.buffer = r.buffer[:0]
+	r.releaseEvent()
 	for {
 		lineStart := len(r.buffer)
-		var err error
-		r.buffer, err = lines.Append(r.buffer, r.source, maxEventBytes-r.commentBytes)
+		err := r.readLine()
 		switch {
-		case errors.Is(err, lines.ErrTooLong):
-			return Event{}, ErrTooLong
 		case framing.IsEnd(err):
 			return Event{Bytes: r.buffer, ID: ID(r.buffer)}, err
 		case err != nil:
@@ -84,6 +89,46 @@
 	}
 }
 
+// readLine appends the next line to the buffer. It reserves memory before the buffer grows beyond what is reserved.
+func (r *Reader) readLine() error {
+	limit := maxEventBytes - r.commentBytes
+	for {
+		var err error
+		r.buffer, err = lines.Append(r.buffer, r.source, min(limit, r.reserved))
+		switch {
+		case !errors.Is(err, lines.ErrTooLong):
+			return err
+		case len(r.buffer) > limit:
+			return ErrTooLong
+		}
+		if err := r.reserveMore(); err != nil {
+			return err
+		}
+		if r.buffer[len(r.buffer)-1] == '\n' {
+			return nil
+		}
+	}
+}
+
+// reserveMore reserves memory for a longer event. It waits for that of other answers.
+func (r *Reader) reserveMore() error {
+	longer := reserveFactor * r.reserved
+	if err := r.memory.Grow(copiesOfEvent * longer); err != nil {
+		return err
+	}
+	r.reserved = longer
+	return nil
+}
+
+// releaseEvent empties the buffer, and gives back the memory of a long event.
+func (r *Reader) releaseEvent() {
+	r.buffer = r.buffer[:0]
+	if r.reserved > bodybudget.FreeBytes {
+		r.buffer, r.reserved = nil, bodybudget.FreeBytes
+		r.memory.Release()
+	}
+}
+
 // countComments counts the bytes that were returned since the last event.
 func (r *Reader) countComments(event Event) {
 	if event.HasField() {
--- a/internal/relay/eventstream/reader_test.go
+++ b/internal/relay/eventstream/reader_test.go
@@ -10,8 +10,15 @@
 	"testing/iotest"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 )
 
+// newTestReader returns a reader with memory for its longest event.
+func newTestReader(source io.Reader) *Reader {
+	return NewReader(source, bodybudget.New(copiesOfEvent*reserveFactor*maxEventBytes).NewReservation())
+}
+
 // splitBytes splits a body into events as Reader does, but byte by byte, without a buffer that a line may exceed. The last
 // element is the remainder after the last event.
 func splitBytes(body []byte) (events []string) {
@@ -33,7 +40,7 @@
 
 // readAll reads all events, and the remainder after the last one.
 func readAll(t *testing.T, source io.Reader) (events []string) {
-	reader := NewReader(source)
+	reader := newTestReader(source)
 	for {
 		peeked, peekErr := reader.Peek()
 		event, err := reader.Next()
@@ -120,7 +127,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			source := &repeatingReader{text: text}
-			reader := NewReader(source)
+			reader := newTestReader(source)
 			var err error
 			for err == nil {
 				_, err = reader.Next()
@@ -135,7 +142,7 @@
 // Guards against a long stream with heartbeats between its events that is taken for one without events.
 func TestHeartbeatsBetweenEventsAreNotAddedUp(t *testing.T) {
 	heartbeats := strings.Repeat(": x\n\n", maxEventBytes/8)
-	reader := NewReader(strings.NewReader(strings.Repeat("id: 1\n\n"+heartbeats, 4)))
+	reader := newTestReader(strings.NewReader(strings.Repeat("id: 1\n\n"+heartbeats, 4)))
 	var err error
 	for err == nil {
 		_, err = reader.Next()
@@ -145,6 +152,6 @@
 
 // TestLongEvent checks that an event that is longer than the relay holds is an error.
 func TestLongEvent(t *testing.T) {
-	_, err := NewReader(strings.NewReader(strings.Repeat("x", maxEventBytes+1))).Next()
+	_, err := newTestReader(strings.NewReader(strings.Repeat("x", maxEventBytes+1))).Next()
 	require.True(t, errors.Is(err, ErrTooLong))
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/crashguard"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/http1/answerhead"
@@ -69,6 +70,8 @@
 	parseReport func(body []byte) (startedAtMs int64, err error)
 	// mechanisms says which mechanisms are enabled.
 	mechanisms mechanism.Set
+	// answerMemory is the memory for long answers and long events of back ends.
+	answerMemory *bodybudget.Budget
 }
 
 // send sends the message and reads the head of the answer. The caller must finish or discard the answer.
@@ -310,7 +313,7 @@
 			return nil, e.connectionFailure(connection, message, true, err)
 		}
 		answer := &answer{
-			status: head.StatusCode(), head: head, connection: connection, message: message, exchanger: e,
+			status: head.StatusCode(), head: head, connection: connection, message: message, exchanger: e, memory: e.answerMemory.NewReservation(),
 			body: framing.NewAnswerBody(declared, message.request.method, connection.Reader),
 		}
 		if string(head.Peek(e.names.RequestID)) == message.request.id {
--- a/internal/relay/exchange_records.go
+++ b/internal/relay/exchange_records.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/mechanism"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
@@ -69,11 +70,12 @@
 }
 
 // updateHealthAfterBody updates the back end's health after an answer whose body is unusable. An answer that was replaced during a
-// silence shows only a slow back end, which the stallWatch records. An undeclared end does not show that anything is missing.
+// silence shows only a slow back end, which the stallWatch records. An undeclared end does not show that anything is missing, and memory
+// that other answers take says nothing of this one.
 func (e *exchanger) updateHealthAfterBody(answer *answer) {
 	fault := answer.fault
 	switch {
-	case fault == nil, errors.Is(fault, errStalled), errors.Is(fault, framing.ErrUndeclaredEnd):
+	case fault == nil, errors.Is(fault, errStalled), errors.Is(fault, framing.ErrUndeclaredEnd), errors.Is(fault, bodybudget.ErrExhausted):
 	case errors.Is(fault, errDeadline) && !e.isEndless(answer):
 	default:
 		e.updateHealth(answer.message, fault)
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/http1/grammar"
 	"github.com/hazelpitch/hazelpitch/internal/relay/eventstream"
@@ -94,7 +95,7 @@
 }{
 	{errCancelled, "client_gone"}, {errDeadline, "deadline"}, {errDial, "dial"}, {errStalled, "stalled"}, {errPeerTimeout, "peer_timeout"},
 	{errEndsInEvent, "ends_in_event"}, {framing.ErrUndeclaredEnd, "undeclared_end"}, {grammar.ErrMalformed, "malformed"}, {errConnectionBroken, "broken"}, {errNotExecuted, "not_executed"}, {errQuarantined, "quarantined"}, {errInBackoff, "backoff"}, {errLimitReached, "limit"},
-	{errMisdirected, "misdirected"}, {errOtherIncarnation, "other_incarnation"}, {errNoReport, "no_report"}, {errForeignAnswer, "foreign_answer"}, {errUnsupportedAnswer, "unsupported_answer"}, {eventstream.ErrTooLong, "event_too_long"}, {errPeerUnable, "peer_unable"},
+	{errMisdirected, "misdirected"}, {errOtherIncarnation, "other_incarnation"}, {errNoReport, "no_report"}, {errForeignAnswer, "foreign_answer"}, {errUnsupportedAnswer, "unsupported_answer"}, {eventstream.ErrTooLong, "event_too_long"}, {bodybudget.ErrExhausted, "memory"}, {errPeerUnable, "peer_unable"},
 }
 
 // otherFailureCause is the label value of causes that are not in failureCauses.
--- a/internal/relay/fallback_answer.go
+++ b/internal/relay/fallback_answer.go
@@ -13,6 +13,15 @@
 // request: a later attempt may run the request.
 func (a *attemptTracker) setFallbackAnswer(answer *answer, body []byte) {
 	if a.request.route.Kind == serving.KindSafe || !(refusal{status: answer.status}).promisesNotRun() {
-		a.fallback = &fallbackAnswer{answer: answer, body: body}
+		a.releaseFallback()
+		a.fallback, a.fallbackMemory = &fallbackAnswer{answer: answer, body: body}, answer.takeMemory()
+	}
+}
+
+// releaseFallback releases the memory of the kept error answer.
+func (a *attemptTracker) releaseFallback() {
+	if a.fallbackMemory != nil {
+		a.fallbackMemory.Release()
+		a.fallbackMemory = nil
 	}
 }
--- a/internal/relay/forward_request.go
+++ b/internal/relay/forward_request.go
@@ -274,12 +274,12 @@
 	case isStream || answer.isLong():
 		return r.forwardLong(answer, nil, reply) == nil
 	}
-	body, err := answer.readAll(maxBufferedAnswer + 1)
+	body, isWhole, err := answer.readBeginning(maxBufferedAnswer + 1)
 	switch {
 	case err != nil:
 		attempts.recordForwardedRun()
 		return false
-	case len(body) > maxBufferedAnswer:
+	case !isWhole:
 		return r.forwardLong(answer, body, reply) == nil
 	}
 	reply.sendWhole(answer, body)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -190,6 +190,9 @@
 	// part in heldBodiesDivisor of the limit.
 	defaultHeldBodies = 64
 	heldBodiesDivisor = 4
+	// defaultHeldAnswers and heldAnswersDivisor are the same for long answers and long events of back ends.
+	defaultHeldAnswers = 32
+	heldAnswersDivisor = 8
 )
 
 // heldBodyBytes returns the memory for long bodies of requests, in bytes, under a memory limit in MiB; 0 means no limit.
@@ -200,6 +203,14 @@
 	return int64(memoryLimit) << 20 / heldBodiesDivisor
 }
 
+// heldAnswerBytes returns the memory for long answers of back ends, in bytes, under a memory limit in MiB; 0 means no limit.
+func heldAnswerBytes(memoryLimit int) int64 {
+	if memoryLimit <= 0 {
+		return defaultHeldAnswers << 20
+	}
+	return int64(memoryLimit) << 20 / heldAnswersDivisor
+}
+
 func newRelay(config settings.Relay, options Options) *Relay {
 	steady := newClock()
 	relay := &Relay{
@@ -238,6 +249,7 @@
 		names: options.Dialect.Headers, writer: newRequestWriter(options.Dialect.Headers), clock: steady, dial: options.Dial,
 		mechanisms: options.Without, speeds: relay.speeds,
 		reportPath: options.Dialect.ReportPath, parseReport: options.Dialect.ParseReport,
+		answerMemory: bodybudget.New(heldAnswerBytes(config.MemoryLimit)),
 	}
 	relay.prefillSpeed.fixed = !options.Without.IsEnabled(mechanism.MeasuredSpeeds)
 	relay.view.Store(&view{byService: map[string][]*backEnd{}})
--- a/internal/relay/replace_attempt.go
+++ b/internal/relay/replace_attempt.go
@@ -185,4 +185,5 @@
 func (a *attemptTracker) end() {
 	a.cancelReplacement()
 	a.returnReservedRetry()
+	a.releaseFallback()
 }
--- a/internal/relay/replaceable_plain.go
+++ b/internal/relay/replaceable_plain.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/placement"
 	"github.com/hazelpitch/hazelpitch/internal/relay/slots"
 	"github.com/hazelpitch/hazelpitch/internal/slotqueue"
@@ -38,14 +39,18 @@
 		return awaited, nil
 	}
 	var err error
-	if awaited.body, err = answer.readAll(maxBufferedAnswer + 1); err == nil && isReplacementStatus(answer.status) {
+	if awaited.body, awaited.isWhole, err = answer.readBeginning(maxBufferedAnswer + 1); err == nil && isReplacementStatus(answer.status) {
 		return awaited, nil
 	}
 	answer.finishUnused()
-	if err != nil {
+	switch {
+	case err != nil:
 		return nil, asFailure(err)
+	case len(awaited.body) > bodybudget.FreeBytes: // its memory has been released
+		return nil, errorAnswerFailure()
+	default:
+		return awaited, errorAnswerFailure()
 	}
-	return awaited, errorAnswerFailure()
 }
 
 // searchFreeSlot returns the search for one of the usable back ends that has a free slot. The slot is counted at once, so that
--- a/internal/relay/replaceable_stream.go
+++ b/internal/relay/replaceable_stream.go
@@ -49,7 +49,7 @@
 		}
 		return s.relay.awaitWhole(answer)
 	}
-	awaited := &awaitedAnswer{answer: answer, events: eventstream.NewReader(answer)}
+	awaited := &awaitedAnswer{answer: answer, events: eventstream.NewReader(answer, answer.memory)}
 	watch := stall()
 	event, err := awaited.events.Peek()
 	watch.stop()
--- a/internal/relay/replacement_attempt.go
+++ b/internal/relay/replacement_attempt.go
@@ -33,10 +33,11 @@
 // awaitedAnswer is an answer of which the first event, or the whole body, was read.
 type awaitedAnswer struct {
 	*answer
-	// events reads the events of a stream; nil for another answer, of which body was read. A body that is longer than
-	// maxBufferedAnswer has bytes left to be read.
-	events *eventstream.Reader
-	body   []byte
+	// events reads the events of a stream; nil for another answer, of which body was read: the beginning, or all of it if isWhole
+	// is true.
+	events  *eventstream.Reader
+	body    []byte
+	isWhole bool
 }
 
 // replacementOutcome says how an attempt ended that was made while the current back end was silent.
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -210,7 +210,7 @@
 }
 
 func (r *replier) write(message []byte) {
-	r.scratch = message[:0]
+	r.scratch = shrunk(message)
 	if r.aborted {
 		return
 	}
--- a/internal/relay/serve_request.go
+++ b/internal/relay/serve_request.go
@@ -139,20 +139,20 @@
 	if answer.isLong() {
 		return r.forwardLong(answer, nil, reply)
 	}
-	body, err := answer.readAll(maxBufferedAnswer + 1)
+	body, isWhole, err := answer.readBeginning(maxBufferedAnswer + 1)
 	if err != nil {
 		return asFailure(err)
 	}
-	if len(body) <= maxBufferedAnswer && answer.status >= fasthttp.StatusInternalServerError && r.mayReplace(answer, attempts) {
+	if isWhole && answer.status >= fasthttp.StatusInternalServerError && r.mayReplace(answer, attempts) {
 		attempts.setFallbackAnswer(answer, body)
 		return errorAnswerFailure()
 	}
-	return r.forwardAwaited(&awaitedAnswer{answer: answer, body: body}, reply)
+	return r.forwardAwaited(&awaitedAnswer{answer: answer, body: body, isWhole: isWhole}, reply)
 }
 
 // forwardAwaited forwards an answer that is no stream, of which the body or its beginning was read.
 func (r *Relay) forwardAwaited(awaited *awaitedAnswer, reply *replier) *failure {
-	if awaited.isLong() || len(awaited.body) > maxBufferedAnswer {
+	if !awaited.isWhole {
 		return r.forwardLong(awaited.answer, awaited.body, reply)
 	}
 	reply.sendWhole(awaited.answer, awaited.body)
--- a/internal/relay/stream_reply.go
+++ b/internal/relay/stream_reply.go
@@ -96,7 +96,7 @@
 		return s.forwardOther(answer)
 	}
 	defer answer.finish()
-	return s.forwardEvents(answer, eventstream.NewReader(answer))
+	return s.forwardEvents(answer, eventstream.NewReader(answer, answer.memory))
 }
 
 // beginRun records that the request is sent to an engine, or that its run there becomes the current one. The returned function records
@@ -261,9 +261,20 @@
 		s.reply.sendFirst(answer, s.pending)
 		s.request.canceller.extend(s.relay.clock, s.request.cutoff)
 	}
-	s.pending = s.pending[:0]
+	s.pending = shrunk(s.pending)
+}
+
+// shrunk returns an empty buffer for the next write. It does not keep the memory of a long event.
+func shrunk(buffer []byte) []byte {
+	if cap(buffer) > maxKeptBytes {
+		return nil
+	}
+	return buffer[:0]
 }
 
+// maxKeptBytes bounds the memory that is kept for the next write: two batches of events.
+const maxKeptBytes = 2 * maxBatchBytes
+
 // recordSourceCached records that the engine that prefilled the prompt has it cached for any request: an engine that may
 // have run the request has most likely fetched it.
 func (s *streamReply) recordSourceCached(fault *failure) {
