Bound the memory that a gateway's long answers take together

What callers saw (a report of other operators): faulty replicas sent bytes without end, and the machine that had called them ran out of memory with the requests of its other clients. At a gateway a page may have 4 MB and an event 1 MB, and 4,096 of them may be in flight: 16 GB. Cause: each answer was bounded, their sum was not (docs/design/endless-bytes.md named it under "What remains"). Change: pages, events and refusals of more than 16 KB reserve memory, limits.answer_bytes (64 MiB by default), for as long as they are held; a page until its caller has it. One that finds none waits for up to a second, and then counts as an exchange without an answer, for which the back end is not blamed. The buffer of a long event is not kept. Why it works: what is held beyond 16 KB an answer is reserved before it is read. Already held: a single endless head, page, refusal or event (TestEndlessAnswersAreGivenUp, TestEndlessBodyOfRefusalIsGivenUp, TestScannerIsBoundedWithoutEvents).

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
 	"github.com/hazelpitch/hazelpitch/internal/http1/grammar"
@@ -63,9 +64,10 @@
 	return failure != nil && errors.Is(failure, errPathLost)
 }
 
-// observeFailure reports an exchange without an answer to the router. A lost path is no failure of the back end.
+// observeFailure reports an exchange without an answer to the router. A lost path, and memory that other answers take, are no failure of
+// the back end.
 func (g *Gateway) observeFailure(backEnd, exchange string, failure *upstream.Failure) {
-	if failure.Status != 0 || isPathLost(failure) {
+	if failure.Status != 0 || isPathLost(failure) || errors.Is(failure, bodybudget.ErrExhausted) {
 		g.dispatcher.observe(routing.Completion{BackEnd: backEnd, Exchange: exchange})
 		return
 	}
--- a/internal/gateway/completion_message.go
+++ b/internal/gateway/completion_message.go
@@ -45,5 +45,5 @@
 
 func (c *completion) startReading(answer *upstream.Answer) {
 	c.answer, c.readDeadline = answer, 0
-	c.scanner = stream.NewScanner(answer)
+	c.scanner = stream.NewScanner(answer, answer.Memory())
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,7 +70,7 @@
 		return nil, trace.Wrap(err)
 	}
 	path := control.dispatcher.path
-	client, err := upstream.NewClient(upstream.Options{Dial: path.dial, Safeguards: options.Safeguards})
+	client, err := upstream.NewClient(upstream.Options{Dial: path.dial, AnswerBytes: config.Limits.AnswerBytes, Safeguards: options.Safeguards})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/gateway/page.go
+++ b/internal/gateway/page.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/admission"
+	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/gatewaystate"
 	"github.com/hazelpitch/hazelpitch/internal/quarantine"
 	"github.com/hazelpitch/hazelpitch/internal/upstream"
@@ -38,6 +39,8 @@
 	status  int
 	headers []upstream.Header
 	body    []byte
+	// memory is the reservation for the body; nil for none.
+	memory *bodybudget.Reservation
 }
 
 // servePage answers a request whose path belongs to a kind that a page service answers.
@@ -70,7 +73,7 @@
 		context.Response.Header.Set(header.Name, header.Value)
 	}
 	context.Response.Header.Set(verdict.Header, verdict.Ran.String())
-	context.Response.SetBody(answer.body)
+	setBody(&context.Response, answer.body, answer.memory)
 }
 
 // admitPage checks a request and prepares it. It sends nothing yet.
--- a/internal/gateway/page_exchange.go
+++ b/internal/gateway/page_exchange.go
@@ -94,7 +94,7 @@
 	if answer.Status >= http.StatusInternalServerError {
 		return nil, &upstream.Failure{Verdict: verdict.MayHaveRun, Status: answer.Status, Cause: upstream.ErrRefused}
 	}
-	complete := &pageAnswer{status: answer.Status, body: body}
+	complete := &pageAnswer{status: answer.Status, body: body, memory: answer.TakeMemory()}
 	for _, name := range passedResponseHeaders {
 		if value := answer.Header(name); value != "" {
 			complete.headers = append(complete.headers, upstream.Header{Name: name, Value: value})
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -81,6 +81,7 @@
 type GatewayLimits struct {
 	HeaderBytes  int           `yaml:"header_bytes" default:"16384" check:"positive"`
 	BodyBytes    int           `yaml:"body_bytes" default:"4194304" check:"positive"`
+	AnswerBytes  int           `yaml:"answer_bytes" default:"67108864" check:"positive"` // of all long answers that are held at once
 	InFlight     int           `yaml:"in_flight" default:"4096" check:"positive"`
 	QueueLength  int           `yaml:"queue_length" default:"1024" check:"positive"`
 	ReadTimeout  time.Duration `yaml:"read_timeout" default:"10s" check:"positive"`
--- a/internal/stream/scanner.go
+++ b/internal/stream/scanner.go
@@ -7,12 +7,18 @@
 	"io"
 
 	"github.com/gravitational/trace"
+
+	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 )
 
 const (
 	scannerBufferBytes = 4096
 	// maximumEventBytes limits the size of one event, and of the lines without data before it; a longer one is malformed.
 	maximumEventBytes = 1 << 20
+	// reserveFactor is by how much more memory a line gets at each step, and copiesOfEvent how often an event is in memory while it is
+	// passed on: as a line, parsed, and as the event for the caller.
+	reserveFactor = 2
+	copiesOfEvent = 3
 )
 
 var dataPrefix = []byte("data:")
@@ -21,11 +27,14 @@
 type Scanner struct {
 	reader   *bufio.Reader
 	longLine []byte // a line that does not fit into the reader's buffer
+	// memory is the reservation for the line, which covers one of reserved bytes.
+	memory   *bodybudget.Reservation
+	reserved int
 }
 
-// NewScanner returns a Scanner for the body of an engine's answer.
-func NewScanner(body io.Reader) *Scanner {
-	return &Scanner{reader: bufio.NewReaderSize(body, scannerBufferBytes)}
+// NewScanner returns a Scanner for the body of an engine's answer. A long line extends the reservation until the next one is read.
+func NewScanner(body io.Reader, memory *bodybudget.Reservation) *Scanner {
+	return &Scanner{reader: bufio.NewReaderSize(body, scannerBufferBytes), memory: memory, reserved: bodybudget.FreeBytes}
 }
 
 // Next returns the next event. It returns io.EOF at the end of the body, and an error that wraps ErrMalformed
@@ -49,7 +58,7 @@
 
 // readLine returns the next line without its line ending.
 func (s *Scanner) readLine() ([]byte, error) {
-	s.longLine = s.longLine[:0]
+	s.releaseLine()
 	for {
 		fragment, err := s.reader.ReadSlice('\n')
 		switch {
@@ -62,6 +71,9 @@
 			if len(s.longLine) > maximumEventBytes {
 				return nil, trace.Wrap(ErrMalformed, "event is longer than %d bytes", maximumEventBytes)
 			}
+			if err := s.reserve(); err != nil {
+				return nil, trace.Wrap(err)
+			}
 		case errors.Is(err, io.EOF) && len(fragment)+len(s.longLine) > 0:
 			return nil, io.ErrUnexpectedEOF
 		default:
@@ -69,3 +81,25 @@
 		}
 	}
 }
+
+// reserve reserves memory for a line that has become longer than what is reserved. It waits for that of other answers.
+func (s *Scanner) reserve() error {
+	if len(s.longLine) <= s.reserved {
+		return nil
+	}
+	longer := reserveFactor * s.reserved
+	if err := s.memory.Grow(copiesOfEvent * longer); err != nil {
+		return err
+	}
+	s.reserved = longer
+	return nil
+}
+
+// releaseLine empties the line, and gives back the memory of a long one.
+func (s *Scanner) releaseLine() {
+	s.longLine = s.longLine[:0]
+	if s.reserved > bodybudget.FreeBytes {
+		s.longLine, s.reserved = nil, bodybudget.FreeBytes
+		s.memory.Release()
+	}
+}
--- a/internal/stream/scanner_bounds_test.go
+++ b/internal/stream/scanner_bounds_test.go
@@ -34,7 +34,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			source := &endlessSource{text: text, limit: 2 * maximumEventBytes}
-			_, err := NewScanner(source).Next()
+			_, err := newTestScanner(source).Next()
 			require.ErrorIs(t, err, ErrMalformed)
 			require.LessOrEqual(t, source.sent, maximumEventBytes+2*scannerBufferBytes)
 		})
--- a/internal/stream/scanner_fuzz_test.go
+++ b/internal/stream/scanner_fuzz_test.go
@@ -17,7 +17,7 @@
 	f.Add([]byte("data: {\"choices\":[{\"finish_reason\":\"stop\",\"text\":\"\\u00e9\"}],\"tokens\":3}\r\n"))
 	f.Add([]byte(": comment\ndata:{\"offset\":-1}\n"))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		scanner := NewScanner(bytes.NewReader(body))
+		scanner := newTestScanner(bytes.NewReader(body))
 		for range len(body) + 1 {
 			event, err := scanner.Next()
 			if err != nil {
--- a/internal/stream/sequence_test.go
+++ b/internal/stream/sequence_test.go
@@ -136,7 +136,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			event, err := NewScanner(strings.NewReader(test.text)).Next()
+			event, err := newTestScanner(strings.NewReader(test.text)).Next()
 			require.ErrorIs(t, err, test.err)
 			event.Choices, event.Usage = nil, nil
 			require.Equal(t, test.want, event)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/dialing"
 	"github.com/hazelpitch/hazelpitch/internal/safeguard"
 )
@@ -20,6 +21,8 @@
 	readBuffer              = 16 << 10
 	maximumBufferedResponse = 4 << 20
 	maximumRefusalBody      = 64 << 10
+	// defaultAnswerBytes is the memory for all long answers that are held at once.
+	defaultAnswerBytes = 64 << 20
 	// refusalBodyTimeout bounds the time that the body of a refusal takes: the request can be sent elsewhere.
 	refusalBodyTimeout = time.Second
 )
@@ -30,6 +33,8 @@
 	SourceAddress string
 	// Dial replaces the dialer; nil means dialing.ToBackEnds.
 	Dial dialing.Dial
+	// AnswerBytes is the memory for all long answers that are held at once; 0 means 64 MiB.
+	AnswerBytes int
 	// Safeguards holds the safeguards that a test disables; processes use the zero Set, which disables none.
 	Safeguards safeguard.Set
 }
@@ -38,6 +43,7 @@
 type Client struct {
 	http       fasthttp.Client
 	safeguards safeguard.Set
+	memory     *bodybudget.Budget
 }
 
 // NewClient returns a client.
@@ -49,7 +55,10 @@
 			return nil, trace.Wrap(err)
 		}
 	}
-	client := &Client{safeguards: options.Safeguards}
+	if options.AnswerBytes == 0 {
+		options.AnswerBytes = defaultAnswerBytes
+	}
+	client := &Client{safeguards: options.Safeguards, memory: bodybudget.New(int64(options.AnswerBytes))}
 	client.http = fasthttp.Client{
 		Transport: &transport{},
 		DialTimeout: func(address string, timeout time.Duration) (net.Conn, error) {
@@ -75,5 +84,8 @@
 	return client, nil
 }
 
+// NewReservation returns a reservation of memory for a long answer, or for what is kept of one.
+func (c *Client) NewReservation() *bodybudget.Reservation { return c.memory.NewReservation() }
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"strconv"
@@ -13,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/backpressure"
+	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
@@ -69,6 +71,8 @@
 	attempt  *attempt
 	request  *fasthttp.Request
 	response *fasthttp.Response // holds the head
+	// memory is the part of the client's memory that the body, or an event of it, takes.
+	memory *bodybudget.Reservation
 	// isComplete is true once the body was read up to its end, declared or not.
 	isComplete bool
 	isClosed   bool
@@ -96,6 +100,7 @@
 		attempt:  attempt,
 		request:  message,
 		response: response,
+		memory:   c.NewReservation(),
 	}
 	if failure := c.checkAnswer(answer, request.Exchange); failure != nil {
 		answer.Close()
@@ -167,8 +172,8 @@
 	if limit := time.Now().Add(refusalBodyTimeout); limit.Before(a.attempt.deadline) {
 		a.SetReadDeadline(limit)
 	}
-	body, err := io.ReadAll(io.LimitReader(a, maximumRefusalBody))
-	if err != nil || !a.isComplete {
+	body, isWhole, err := a.memory.ReadAvailable(a, maximumRefusalBody, 1)
+	if err != nil || !isWhole {
 		return ""
 	}
 	return gjson.GetBytes(body, "error.code").String()
@@ -185,9 +190,23 @@
 	return n, err
 }
 
-// ReadAll reads the whole body, up to a limit. It returns ErrTruncated if the body is incomplete.
+// Memory returns the reservation for the body, which Close releases.
+func (a *Answer) Memory() *bodybudget.Reservation { return a.memory }
+
+// TakeMemory returns the reservation for a body that is used beyond Close. The caller must release it.
+func (a *Answer) TakeMemory() *bodybudget.Reservation {
+	taken := a.memory
+	a.memory = nil
+	return taken
+}
+
+// ReadAll reads the whole body, up to a limit. It returns ErrTruncated if the body is incomplete, and bodybudget.ErrExhausted if other
+// answers take the memory for it for too long.
 func (a *Answer) ReadAll() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a, maximumBufferedResponse+1))
+	body, err := a.memory.ReadUpTo(a, maximumBufferedResponse+1)
+	if errors.Is(err, bodybudget.ErrExhausted) {
+		return nil, trace.Wrap(err)
+	}
 	if err != nil {
 		return nil, trace.Wrap(fmt.Errorf("%w: %w", ErrTruncated, err))
 	}
@@ -217,6 +236,9 @@
 		return
 	}
 	a.isClosed = true
+	if a.memory != nil {
+		a.memory.Release()
+	}
 	reuse := a.isComplete && !a.response.ConnectionClose()
 	a.attempt.release(reuse)
 	fasthttp.ReleaseRequest(a.request)
