Bound the text that a gateway keeps of one answer

Cause: events were bounded one by one; the text that they add up to was not. Change: the text that is kept of one answer has at most 4 MiB, and reserves memory of limits.answer_bytes as it grows. An engine that goes on counts as failed, and the caller gets back_end_failed (may have run); where other answers take the memory, overloaded. Why it works: each token whose text is kept is counted before it is added.

--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -30,6 +30,7 @@
 		return
 	}
 	completion.release = release
+	completion.text.memory = g.upstream.NewReservation()
 	watch := g.callerWatcher.watch(context.Conn(), completion.interrupter)
 	if completion.slot, fault = g.admitter.admit(completion.admissionRequest(), completion.interrupter); fault != nil {
 		watch.stop()
@@ -130,7 +131,7 @@
 	g.metrics.answer(http.StatusOK, verdict.Ran)
 	context.Response.Header.SetContentType(contentTypeJSON)
 	context.Response.Header.Set(verdict.Header, verdict.Ran.String())
-	context.Response.SetBody(body)
+	setBody(&context.Response, body, completion.text.takeMemory())
 }
 
 // streamChat answers with a stream of events. It waits for the first event before it sends the header, so that a refusal
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -74,6 +74,8 @@
 	closed bool
 	// collected accumulates the whole answer when it is needed at the end.
 	collected *stream.Answer
+	// text is what is kept of the answer's text, for the whole answer or to continue it elsewhere.
+	text keptText
 	// key is the caller's idempotency key and claim the claim granted for it. The claim is nil
 	// for repeatable kinds and for requests without a key.
 	key        string
@@ -110,6 +112,9 @@
 		}
 		switch c.sequence.Accept(&event) {
 		case stream.StepDeliver:
+			if fault := c.keepText(&event); fault != nil {
+				return stream.Event{}, fault
+			}
 			c.recordEvent(&event)
 			return event, nil
 		case stream.StepDrop:
--- a/internal/gateway/completion_end.go
+++ b/internal/gateway/completion_end.go
@@ -79,6 +79,7 @@
 	}
 	c.closed = true
 	defer c.release()
+	defer c.text.release()
 	defer c.finishAdmission()
 	defer c.finishClaim()
 	if c.done {
