A stopping gateway refuses late requests, and answers all others before it ends

Cause: (1) a request that was read late (its body was long on the way, or its connection was in use), had waited, or was refused by its first back end was passed on up to the end; (2) a claim stopped the watch of the caller, which also carries the interruption. A page that the stop interrupts is answered with gateway_stopping (it was back_end_failed). Why it works: every way to a back end asks for the time first, and every request in flight is interrupted before the server is shut down. Already held: streams and requests without a key ended with an answer (TestStopGivesUp, TestStopFinishesStreams).

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -27,6 +27,8 @@
 	watcher     *callerWatcher
 	connection  syscall.RawConn
 	interrupter *upstream.Interrupter
+	// ignoresCaller is true if the request runs to its end without its caller; the watcher's mutex guards it.
+	ignoresCaller bool
 }
 
 func newCallerWatcher() *callerWatcher { return &callerWatcher{watched: map[*callerWatch]struct{}{}} }
@@ -55,8 +57,14 @@
 	delete(w.watcher.watched, w)
 }
 
-// interrupt interrupts the exchanges unless the watch has been stopped. Once the watch of a claimed request is
-// stopped the request runs to its end, even if a check that started before finds the connection closed.
+// ignoreCaller lets the request run to its end if the caller closes its connection. A stop of the gateway still interrupts it.
+func (w *callerWatch) ignoreCaller() {
+	w.watcher.mutex.Lock()
+	defer w.watcher.mutex.Unlock()
+	w.ignoresCaller = true
+}
+
+// interrupt interrupts the exchanges unless the watch has been stopped.
 func (w *callerWatch) interrupt(cause error) {
 	w.watcher.mutex.Lock()
 	defer w.watcher.mutex.Unlock()
@@ -65,13 +73,23 @@
 	}
 }
 
+// recordClosed interrupts the exchanges since the caller has closed its connection, unless the request runs without it. A check that
+// started before ignoreCaller may find the connection closed after it.
+func (w *callerWatch) recordClosed() {
+	w.watcher.mutex.Lock()
+	defer w.watcher.mutex.Unlock()
+	if _, watched := w.watcher.watched[w]; watched && !w.ignoresCaller {
+		w.interrupter.Interrupt(errCallerGone)
+		delete(w.watcher.watched, w)
+	}
+}
+
 // run checks the connections until the context ends.
 func (c *callerWatcher) run(ctx context.Context) {
 	for pause.For(ctx, callerCheckInterval) {
 		for _, watch := range c.list() {
 			if isPeerClosed(watch.connection) {
-				watch.interrupt(errCallerGone)
-				watch.stop()
+				watch.recordClosed()
 			}
 		}
 	}
--- a/internal/gateway/claimed_chat.go
+++ b/internal/gateway/claimed_chat.go
@@ -25,7 +25,7 @@
 		return &decision
 	}
 	// The caller will resend after a disconnect, so that the outcome must be recorded in any case.
-	watch.stop()
+	watch.ignoreCaller()
 	c.claim = claim
 	c.collected = stream.NewAnswer(identity)
 	return nil
--- a/internal/gateway/completion_connect.go
+++ b/internal/gateway/completion_connect.go
@@ -113,6 +113,9 @@
 	if c.isQuarantined = c.isQuarantined || !c.isTrial && c.gateway.guard.IsQuarantined(c.content); c.isQuarantined {
 		return c.refusal(refuseQuarantined(c.gateway.guard.RetryAfter(c.content)))
 	}
+	if fault := c.gateway.refuseLateStart(); fault != nil {
+		return c.refusal(fault)
+	}
 	if c.isTrial && c.attempts.started > 0 || !c.gateway.mayStartExchange(c.attempts) {
 		return c.refusal(c.attempts.refuseExhausted())
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,8 @@
 	inFlight      inFlight
 	cancellations chan cancellation
 	draining      atomic.Bool
+	// stopStartedAt is when draining became true, as a time.Duration of the clock.
+	stopStartedAt atomic.Int64
 	// connections holds the callers' open connections.
 	connections *closing.Set
 }
@@ -138,6 +140,7 @@
 func (g *Gateway) drain(server *fasthttp.Server, callerListener net.Listener, drainDelay time.Duration) error {
 	began := time.Now()
 	g.log.Info().Str(events.FieldEvent, string(events.GatewayStopping)).Int("connections", g.connections.Len()).Send()
+	g.stopStartedAt.Store(int64(g.clock.now()))
 	g.draining.Store(true)
 	g.view.trySend(markLeaving{})
 	time.Sleep(drainDelay)
--- a/internal/gateway/page_claim.go
+++ b/internal/gateway/page_claim.go
@@ -22,7 +22,7 @@
 		return nil, refuseClaim(decision)
 	}
 	// The caller will resend after a disconnect, so that the outcome must be recorded in any case.
-	p.watch.stop()
+	p.watch.ignoreCaller()
 	answer, fault := p.run()
 	if fault != nil {
 		claimer.finish(claim, fault.verdict, claims.Outcome{})
--- a/internal/gateway/page_exchange.go
+++ b/internal/gateway/page_exchange.go
@@ -17,6 +17,9 @@
 		if !p.isTrial && p.gateway.guard.IsQuarantined(p.content) {
 			return nil, p.refusal(refuseQuarantined(p.gateway.guard.RetryAfter(p.content)))
 		}
+		if fault := p.gateway.refuseLateStart(); fault != nil {
+			return nil, p.refusal(fault)
+		}
 		if p.isTrial && p.attempts.started > 0 || !p.gateway.mayStartExchange(p.attempts) {
 			return nil, p.refusal(p.attempts.refuseExhausted())
 		}
@@ -39,7 +42,7 @@
 		}
 		p.mayHaveRun = true
 		p.reportBrokenRun(choice.BackEnd, failure)
-		if p.gateway.clock.now() < p.deadline && !p.kind.Spec.GetRepeatable() && p.gateway.safeguards.IsEnabled(RetryOnlyNotRun) {
+		if p.gateway.checkActive(p.interrupter, p.deadline) == nil && !p.kind.Spec.GetRepeatable() && p.gateway.safeguards.IsEnabled(RetryOnlyNotRun) {
 			return nil, p.refusal(refuseBackEnd())
 		}
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -46,6 +46,10 @@
 		g.refuse(context, fault)
 		return
 	}
+	if fault := g.refuseLateRequest(); fault != nil {
+		g.refuse(context, fault.beforeClaim(idempotencyKey(context)))
+		return
+	}
 	if !g.inFlight.tryAcquire() {
 		g.refuse(context, refuse(http.StatusServiceUnavailable, typeRateLimit, codeOverloaded,
 			"the gateway has too many requests in flight").after(overloadedRetry).beforeClaim(idempotencyKey(context)))
