A stopping relay sends no request to a back end at the end of its grace

What callers saw (a report of other operators): in a planned stop requests were passed on late in the grace and cut at its end. At a relay late requests were refused, and each request in flight got an answer; but one that was taken early and had waited, or that its first back end had refused, was passed on up to the end. There it was cut and answered with 502, though until then it had not run: a client may not send one that must not be repeated again. Cause: only new requests asked for the time that is left. Change: from 0.8 of the grace period no request is sent to a back end any more, except a run that was moved there: 503, not run, Retry-After 0.01 s; another relay that has forwarded it may serve it. The back end is not blamed. Why it works: the check stands where each message is sent, and before each further attempt.

--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -93,11 +93,11 @@
 	a.reportBrokenRun(engine, fault)
 }
 
-// mayContinue reports whether another attempt is allowed: the client is connected, the deadline has not passed, the
-// request is not quarantined, a possible earlier run may be repeated, and the route's limit of attempts and the retry budget
+// mayContinue reports whether another attempt is allowed: the client is connected, the deadline has not passed, this relay does not stop
+// before an answer could come, the request is not quarantined, a possible earlier run may be repeated, and the route's limit of attempts and the retry budget
 // allow it. If an earlier attempt has reached a back end, the new one is taken from the retry budget.
 func (a *attemptTracker) mayContinue() bool {
-	if a.isOver() || a.isQuarantined || a.mayHaveRun && !a.request.route.Repeatable() {
+	if a.isOver() || !a.relay.mayStillSend() || a.isQuarantined || a.mayHaveRun && !a.request.route.Repeatable() {
 		return false
 	}
 	if a.request.isTrial {
@@ -167,6 +167,8 @@
 		return refusal{status: fasthttp.StatusGatewayTimeout, reason: "no whole answer came in time"}
 	case a.mayHaveRun:
 		return refusal{status: fasthttp.StatusBadGateway, reason: "the back end failed"}
+	case !a.relay.mayStillSend():
+		return refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonStopping, retryAfter: retryAfterStop, isRetryableAtPeer: true}
 	case a.isQuarantined:
 		return refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonQuarantined, retryAfter: a.relay.guard.RetryAfter(a.request.content)}
 	case a.slotRefusal != nil:
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -21,6 +21,9 @@
 	// refuseAfterShare is the fraction of the grace period after which a stopping relay refuses new requests; requests
 	// accepted before have the remainder to complete.
 	refuseAfterShare = 0.3
+	// sendUntilShare is the fraction of the grace period after which a stopping relay sends no request to a back end any more: one that has
+	// waited, or was refused elsewhere, would be cut there.
+	sendUntilShare = 0.8
 	// minStayShare is the fraction of the grace period for which a stopping relay keeps running in any case, so that clients
 	// have stopped connecting to it when it exits.
 	minStayShare = 0.4
@@ -57,6 +60,7 @@
 	began := r.clock.at(beganAt)
 	share := func(part float64) time.Duration { return time.Duration(part * float64(r.settings.GracePeriod)) }
 	r.refuseNewAt.Store(int64(beganAt + share(refuseAfterShare)))
+	r.sendUntil.Store(int64(beganAt + share(sendUntilShare)))
 	r.stopping.Store(true)
 	drainCtx, cancel := context.WithDeadline(ctx, began.Add(share(endRequestsShare)))
 	defer cancel()
@@ -95,6 +99,12 @@
 	return reply.refusalMessage(refusal{status: fasthttp.StatusRequestTimeout, reason: reasonStopping, retryAfter: retryAfterStop})
 }
 
+// mayStillSend reports whether there is time to send a request to a back end.
+func (r *Relay) mayStillSend() bool {
+	until := time.Duration(r.sendUntil.Load())
+	return until == 0 || r.clock.now() < until
+}
+
 // refusesNewRequests reports whether a stopping relay refuses new requests now.
 func (r *Relay) refusesNewRequests() bool {
 	return r.stopping.Load() && r.clock.now() >= time.Duration(r.refuseNewAt.Load())
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -57,6 +57,8 @@
 	applyAnswerSignals func(backEnd *backEnd, head *fasthttp.ResponseHeader, sentAt time.Duration)
 	// acquirePermit reports whether a request of the given rank may be sent to a back end, which may have a limit.
 	acquirePermit func(backEnd *backEnd, rank int, mustResume bool) bool
+	// mayStillSend reports whether there is time to send a message before this relay stops.
+	mayStillSend func() bool
 	// limitedSends counts messages sent to back ends with a limit.
 	limitedSends prometheus.Counter
 	// path records the outcomes of attempts to connect to back ends.
@@ -127,6 +129,8 @@
 		return notRun(errCancelled)
 	case now >= message.deadline:
 		return notRun(errDeadline)
+	case !e.mayStillSend() && !message.isMigrated():
+		return notRun(errStopping)
 	case e.isQuarantined(message): // the quarantine began while the request waited
 		return notRun(errQuarantined)
 	case message.backEnd.inBackoff(now): // the backoff began after the back end was selected
@@ -144,8 +148,7 @@
 // isQuarantined reports whether a message must not be sent to any back end. A run that continues after its migration has begun to
 // answer, and another relay decides for itself.
 func (e *exchanger) isQuarantined(message *message) bool {
-	isMigrated := message.selection != nil && message.selection.isMigrated
-	return !message.backEnd.isRelay && !isMigrated && !message.request.isTrial && e.guard.IsQuarantined(message.request.content)
+	return !message.backEnd.isRelay && !message.isMigrated() && !message.request.isTrial && e.guard.IsQuarantined(message.request.content)
 }
 
 // connect returns a connection to the back end and attaches it to the request's canceller.
@@ -175,7 +178,7 @@
 // continue only at that back end, which may be silent for a moment.
 func (e *exchanger) openFor(message *message, now time.Duration) (*connpool.Connection, error) {
 	connection, err := e.open(message.backEnd, min(dialTimeout, message.deadline-now))
-	if err == nil || message.selection == nil || !message.selection.isMigrated {
+	if err == nil || !message.isMigrated() {
 		return connection, err
 	}
 	until := min(now+migratedDialTimeout, message.deadline)
--- a/internal/relay/exchange_records.go
+++ b/internal/relay/exchange_records.go
@@ -58,7 +58,7 @@
 func (e *exchanger) updateHealth(message *message, fault *failure) {
 	switch {
 	case message.backEnd.isRelay: // forwarding records how its peers behave
-	case errors.Is(fault, errCancelled), errors.Is(fault, errQuarantined), errors.Is(fault, errInBackoff), errors.Is(fault, errLimitReached), errors.Is(fault, errOtherIncarnation), errors.Is(fault, errNoReport):
+	case errors.Is(fault, errCancelled), errors.Is(fault, errQuarantined), errors.Is(fault, errInBackoff), errors.Is(fault, errStopping), errors.Is(fault, errLimitReached), errors.Is(fault, errOtherIncarnation), errors.Is(fault, errNoReport):
 	case errors.Is(fault, errNotExecuted):
 		e.recordRefusal(message)
 	case e.path.pathTo(message.backEnd.Service).IsLost: // the back end may be sound
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -77,6 +77,7 @@
 	errConnectionBroken  = errors.New("the connection broke before the answer was whole")
 	errNotExecuted       = errors.New("the back end has not run the request")
 	errQuarantined       = errors.New(reasonQuarantined)
+	errStopping          = errors.New(reasonStopping)
 	errInBackoff         = errors.New("the back end has asked to be left alone for now")
 	errLimitReached      = errors.New("the back end's limit leaves no room for now")
 	errEndsInEvent       = errors.New("the stream ended within an event")
@@ -94,7 +95,7 @@
 	label string
 }{
 	{errCancelled, "client_gone"}, {errDeadline, "deadline"}, {errDial, "dial"}, {errStalled, "stalled"}, {errPeerTimeout, "peer_timeout"},
-	{errEndsInEvent, "ends_in_event"}, {framing.ErrUndeclaredEnd, "undeclared_end"}, {grammar.ErrMalformed, "malformed"}, {errConnectionBroken, "broken"}, {errNotExecuted, "not_executed"}, {errQuarantined, "quarantined"}, {errInBackoff, "backoff"}, {errLimitReached, "limit"},
+	{errEndsInEvent, "ends_in_event"}, {framing.ErrUndeclaredEnd, "undeclared_end"}, {grammar.ErrMalformed, "malformed"}, {errConnectionBroken, "broken"}, {errNotExecuted, "not_executed"}, {errQuarantined, "quarantined"}, {errInBackoff, "backoff"}, {errStopping, "stopping"}, {errLimitReached, "limit"},
 	{errMisdirected, "misdirected"}, {errOtherIncarnation, "other_incarnation"}, {errNoReport, "no_report"}, {errForeignAnswer, "foreign_answer"}, {errUnsupportedAnswer, "unsupported_answer"}, {eventstream.ErrTooLong, "event_too_long"}, {bodybudget.ErrExhausted, "memory"}, {errPeerUnable, "peer_unable"},
 }
 
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -71,5 +71,8 @@
 	return now-acquiredAt <= permitLifetime
 }
 
+// isMigrated reports whether the message continues a run that has stopped elsewhere.
+func (m *message) isMigrated() bool { return m.selection != nil && m.selection.isMigrated }
+
 // mustResume reports whether the run must continue at this back end.
 func (m *message) mustResume() bool { return m.selection != nil && m.selection.mustResume }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -116,6 +116,8 @@
 	stopStartedAt time.Duration
 	// refuseNewAt is when a stopping relay begins to refuse new requests.
 	refuseNewAt atomic.Int64
+	// sendUntil is until when a stopping relay sends requests to back ends; 0 while it does not stop.
+	sendUntil atomic.Int64
 
 	connections connections
 	// bodies is the memory for long bodies of clients' requests.
@@ -249,7 +251,7 @@
 		names: options.Dialect.Headers, writer: newRequestWriter(options.Dialect.Headers), clock: steady, dial: options.Dial,
 		mechanisms: options.Without, speeds: relay.speeds,
 		reportPath: options.Dialect.ReportPath, parseReport: options.Dialect.ParseReport,
-		answerMemory: bodybudget.New(heldAnswerBytes(config.MemoryLimit)),
+		answerMemory: bodybudget.New(heldAnswerBytes(config.MemoryLimit)), mayStillSend: relay.mayStillSend,
 	}
 	relay.prefillSpeed.fixed = !options.Without.IsEnabled(mechanism.MeasuredSpeeds)
 	relay.view.Store(&view{byService: map[string][]*backEnd{}})
