Tests: bodies where there is none, announced trailers; one raw page service in the gateway's tests

Cause: what a reader does with a body after 204, 304 or to HEAD, and with a trailer that is announced, had no test of its own. Change: TestBodyOfAnAnswerWithoutABodyIsNoAnswer; a further unusual answer; startRawPage uses startRaw. No change of the product. Command: go test ./internal/relay -run TestBodyOfAnAnswerWithout -count=5; go test ./... -run Unusual

--- a/internal/gateway/unframed_page_test.go
+++ b/internal/gateway/unframed_page_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -17,26 +16,9 @@
 // in the answer stands for the request's exchange.
 func startRawPage(t *testing.T, answer string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer connection.Close()
-				request, err := http.ReadRequest(bufio.NewReader(connection))
-				if err == nil {
-					_, _ = io.Copy(io.Discard, request.Body)
-					_, _ = io.WriteString(connection, strings.ReplaceAll(answer, "EXCHANGE", request.Header.Get(enginecontract.HeaderExchange)))
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return startRaw(t, func(connection net.Conn, exchange string) {
+		_, _ = io.WriteString(connection, strings.ReplaceAll(answer, "EXCHANGE", exchange))
+	})
 }
 
 // Guards against a page that was broken off and reaches its caller as complete, since it ends with its connection.
--- a/internal/relay/broken_answer_test.go
+++ b/internal/relay/broken_answer_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -242,3 +243,48 @@
 		}
 	}
 }
+
+// Guards against a body where there is none, that is taken for the beginning of the next answer: the connection carries no other request.
+func TestBodyOfAnAnswerWithoutABodyIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct{ method, head, body string }{
+		"204 with a length":           {"POST", "HTTP/1.1 204 X\r\nContent-Length: 4\r\n", "body"},
+		"204 with chunks":             {"POST", "HTTP/1.1 204 X\r\nTransfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n"},
+		"304 with a body at once":     {"POST", "HTTP/1.1 304 X\r\nContent-Length: 4\r\n", "body"},
+		"HEAD with a body at once":    {"HEAD", "HTTP/1.1 200 X\r\nContent-Length: 4\r\n", "body"},
+		"both a length and chunks":    {"POST", "HTTP/1.1 200 X\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"},
+		"a whole answer in its place": {"POST", "HTTP/1.1 204 X\r\nContent-Length: 38\r\n", "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n\r\n"},
+	} {
+		for _, isLate := range []bool{false, true} {
+			if isLate && strings.Contains(name, "at once") {
+				continue // nothing tells that more will come
+			}
+			t.Run(fmt.Sprint(name, ", late ", isLate), func(t *testing.T) {
+				t.Parallel()
+				backEnd := startBackEnd(t, "one", serving.StageWhole, func(connection net.Conn, request backEndRequest) bool {
+					head := test.head + "T-Id: " + string(request.head.Peek("T-Id")) + "\r\nT-Seal: seal\r\n\r\n"
+					if !isLate {
+						_, _ = io.WriteString(connection, head+test.body)
+						return true
+					}
+					_, _ = io.WriteString(connection, head)
+					time.Sleep(5 * time.Millisecond)
+					_, _ = io.WriteString(connection, test.body)
+					return true
+				})
+				client := newTestRelay(t, route(nil), backEnd).client(t)
+				for range 3 {
+					client.send(test.method, "/path/", "")
+					head, err := readUntilEmptyLine(client)
+					require.NoError(t, err)
+					require.Contains(t, head, test.head[:len("HTTP/1.1 204")])
+					require.Contains(t, head, "seal")
+				}
+				require.Len(t, backEnd.receivedRequests(), 3)
+				for _, each := range backEnd.receivedRequests() {
+					require.Equal(t, 1, each.number, "each on a connection of its own")
+				}
+			})
+		}
+	}
+}
--- a/internal/standin/brokenanswer/unusual.go
+++ b/internal/standin/brokenanswer/unusual.go
@@ -50,6 +50,7 @@
 	add("chunks", whole.inChunks(""))
 	add("chunks with extensions", whole.inChunks(` ;a ; b=c;d="e\" f"`))
 	add("chunks with a trailer", whole.inChunks("", "X-Checksum: 1", "X-Other:"))
+	add("chunks with an announced trailer", whole.inChunks("", "X-Checksum: 1").framedBy("Trailer: X-Checksum", "Transfer-Encoding: chunked"))
 	add("transfer encoding in upper case", whole.inChunks("").framedBy("TRANSFER-ENCODING: CHUNKED"))
 	add("both a length and chunks", whole.inChunks("").framedBy("Content-Length: 1", "Transfer-Encoding: chunked"))
 	return unusual
