Tests: one forwarding relay and one request for a whole answer in the relay's tests

Change: newRelayThatForwards and requestingWhole. Command: go test ./internal/relay -run 'BrokenAnswer|BrokenChunks|HalfHead'

--- a/internal/relay/broken_answer_test.go
+++ b/internal/relay/broken_answer_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -12,7 +11,6 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	"github.com/hazelpitch/hazelpitch/internal/formats"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
 	"github.com/hazelpitch/hazelpitch/internal/standin/brokenanswer"
 	"github.com/hazelpitch/hazelpitch/internal/standin/halfhead"
@@ -46,6 +44,16 @@
 	}
 }
 
+// requestingWhole returns a function that sends a request of a new client, which must get the whole body.
+func requestingWhole(t *testing.T, relay *testRelay, body string) func() {
+	return func() {
+		answer := relay.client(t).do("GET", "/path/", "")
+		require.Equal(t, 200, answer.status)
+		require.True(t, answer.isComplete)
+		require.Equal(t, body, answer.body)
+	}
+}
+
 // Guards against a client that gets a failure though its request may be repeated, or a broken answer mixed with a whole one, and
 // against a back end that goes on to get requests.
 func TestBrokenAnswerIsReplacedByAWholeAnswer(t *testing.T) {
@@ -60,12 +68,7 @@
 				broken := startBackEnd(t, "broken", serving.StageWhole, onceThen(writing(way.Text), writing(kind.answer.Whole())))
 				sound := startBackEnd(t, "sound", serving.StageWhole, writing(kind.answer.Whole()))
 				relay := newTestRelay(t, route(kind.kind), broken, sound).preferring("broken")
-				request := func() {
-					answer := relay.client(t).do("GET", "/path/", "")
-					require.Equal(t, 200, answer.status)
-					require.True(t, answer.isComplete)
-					require.Equal(t, kind.answer.Body, answer.body)
-				}
+				request := requestingWhole(t, relay, kind.answer.Body)
 				request()
 				require.Len(t, broken.receivedRequests(), 1)
 				requireAvoidedAndBack(t, relay, broken, request)
@@ -146,17 +149,7 @@
 		for _, way := range brokenanswer.Heads(kind.answer) {
 			t.Run(kindName+"/"+way.Name, func(t *testing.T) {
 				t.Parallel()
-				peer, err := halfhead.Start(func(request *http.Request) halfhead.Reply {
-					return halfhead.Reply{Pieces: []string{strings.ReplaceAll(way.Text, "ID", request.Header.Get("T-Id"))}}
-				})
-				require.NoError(t, err)
-				t.Cleanup(peer.Close)
-				relay := newTestRelay(t, route(kind.kind), startThree(t, answering(200, "whole answer"))...)
-				relay.setRelays([]string{relay.datagrams.Address, peer.Address()}, nil)
-				relay.setRelayFormats([]string{peer.Address()}, []uint32{uint32(formats.Newest)})
-				path := breakablePathOf(relay)
-				path.relays[peer.Address()] = true
-				relay.loseAllPaths(t, path, dialsRefused)
+				relay, peer := newRelayThatForwards(t, route(kind.kind), way.Text, halfhead.Close)
 				answer := relay.client(t).do("GET", "/path/", "")
 				require.NotZero(t, peer.Requests())
 				requireRefused(t, answer)
--- a/internal/relay/broken_chunks_test.go
+++ b/internal/relay/broken_chunks_test.go
@@ -40,12 +40,7 @@
 			relay := newTestRelay(t, route(plain.kind), broken, sound).preferring("broken")
 			lines := &logLines{}
 			relay.log = requestLog{logger: zerolog.New(lines)}
-			request := func() {
-				answer := relay.client(t).do("GET", "/path/", "")
-				require.Equal(t, 200, answer.status)
-				require.True(t, answer.isComplete)
-				require.Equal(t, plain.answer.Body, answer.body)
-			}
+			request := requestingWhole(t, relay, plain.answer.Body)
 			request()
 			require.Len(t, broken.receivedRequests(), 1)
 			require.Contains(t, lines.String(), `"back_end":"broken"`)
--- a/internal/relay/half_head_test.go
+++ b/internal/relay/half_head_test.go
@@ -175,6 +175,24 @@
 	}
 }
 
+// newRelayThatForwards starts a relay that has lost the path to its back ends, and a peer that sends the same text to each request that
+// the relay forwards, and ends the connection; ID in the text is replaced by the request's identity.
+func newRelayThatForwards(t *testing.T, config serving.Route, text string, end halfhead.End) (*testRelay, *halfhead.Server) {
+	t.Helper()
+	peer, err := halfhead.Start(func(request *http.Request) halfhead.Reply {
+		return halfhead.Reply{Pieces: []string{strings.ReplaceAll(text, "ID", request.Header.Get("T-Id"))}, End: end}
+	})
+	require.NoError(t, err)
+	t.Cleanup(peer.Close)
+	relay := newTestRelay(t, config, startThree(t, answering(200, "whole answer"))...)
+	relay.setRelays([]string{relay.datagrams.Address, peer.Address()}, nil)
+	relay.setRelayFormats([]string{peer.Address()}, []uint32{uint32(formats.Newest)})
+	path := breakablePathOf(relay)
+	path.relays[peer.Address()] = true
+	relay.loseAllPaths(t, path, dialsRefused)
+	return relay, peer
+}
+
 // Guards against half of an answer of another relay, which ends while it forwards a request, that reaches the client as whole or is
 // said not to have run.
 func TestHalfHeadOfAForwardingRelay(t *testing.T) {
@@ -187,17 +205,7 @@
 			for endName, end := range halfhead.Ends {
 				t.Run(strings.Join([]string{kindName, way.Name, endName}, "/"), func(t *testing.T) {
 					t.Parallel()
-					peer, err := halfhead.Start(func(request *http.Request) halfhead.Reply {
-						return halfhead.Reply{Pieces: []string{strings.ReplaceAll(way.Text, "ID", request.Header.Get("T-Id"))}, End: end}
-					})
-					require.NoError(t, err)
-					t.Cleanup(peer.Close)
-					relay := newTestRelay(t, route(kind.kind), startThree(t, answering(200, "whole answer"))...)
-					relay.setRelays([]string{relay.datagrams.Address, peer.Address()}, nil)
-					relay.setRelayFormats([]string{peer.Address()}, []uint32{uint32(formats.Newest)})
-					path := breakablePathOf(relay)
-					path.relays[peer.Address()] = true
-					relay.loseAllPaths(t, path, dialsRefused)
+					relay, peer := newRelayThatForwards(t, route(kind.kind), way.Text, end)
 					answer := relay.client(t).do("GET", "/path/", "")
 					require.NotZero(t, peer.Requests())
 					require.False(t, answer.isComplete && answer.status < 300, "status %d, %q", answer.status, answer.body)
