Confirm the end of an answer that declares none by what became of its request

What callers saw: a replica answered a long request early, without a length or chunks, had read all that had arrived of it, and crashed. The client got the part that had been sent as a whole 200. Cause: a process that crashes with nothing unread ends its connections in the ordinary way; its kernel resets them when the rest of the request arrives. The relay took the end for that of the answer, ended the write of the request, whose reset it therefore never saw, and passed over EPIPE. Change: takenerror.Keeper.ConfirmEnd, which framing.NewAnswerBody asks at the end of an answer that declares none (status below 400): it goes on with the write, and asks the kernel what is unacknowledged (TCP_INFO, SIOCOUTQ). Whole once the peer has received the request, or after 0.5 s if it only holds the rest up; broken if the write fails, the connection is closed with bytes unacknowledged, or nothing is acknowledged. Nothing is awaited if all was received, as with nearly all requests. Why it works: a closed socket answers every byte of the request by a reset, within a round trip, and an open one acknowledges it.

--- a/internal/http1/answerhead/head.go
+++ b/internal/http1/answerhead/head.go
@@ -125,7 +125,7 @@
 	case h.framing.HasLength:
 		return framing.Declaration{Kind: framing.Length, Length: h.framing.Length}
 	default:
-		return framing.Declaration{Kind: framing.Close}
+		return framing.Declaration{Kind: framing.Close, MustConfirm: h.line.Status < fasthttp.StatusBadRequest}
 	}
 }
 
--- a/internal/http1/checkedconn/connection.go
+++ b/internal/http1/checkedconn/connection.go
@@ -71,7 +71,7 @@
 
 func (r reader) Read(buffer []byte) (int, error) {
 	n, err := r.connection.Conn.Read(buffer)
-	return n, r.connection.taken.OfRead(r.connection.Conn, err)
+	return n, r.connection.taken.Kept(err)
 }
 
 // Write implements net.Conn. A write between two answers begins a request. It fails before the first byte if the connection cannot carry
@@ -154,10 +154,13 @@
 		return err
 	}
 	c.checked, c.mustClose = head.Bytes, head.MustClose
-	c.body = framing.NewAnswerBody(head.Body, c.requestMethod(), c.source)
+	c.body = framing.NewAnswerBody(head.Body, c.requestMethod(), c.source, c.confirmEnd)
 	return c.checkEnd()
 }
 
+// confirmEnd returns an error if the connection has ended before the peer had received the whole request.
+func (c *Connection) confirmEnd() error { return c.taken.ConfirmEnd(c.Conn) }
+
 func (c *Connection) requestMethod() string {
 	c.exchange.mutex.Lock()
 	defer c.exchange.mutex.Unlock()
--- /dev/null
+++ b/internal/http1/checkedconn/early_break_test.go
@@ -0,0 +1,141 @@
+package checkedconn_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+
+	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
+	"github.com/hazelpitch/hazelpitch/internal/standin/silence"
+)
+
+const (
+	// uploadBytes is the size of a request that does not fit into the buffers of a connection with segments of linkSegmentBytes, the size
+	// on an ordinary link.
+	uploadBytes      = 3 << 20
+	linkSegmentBytes = 1460
+	// uploadTries is the number of requests of which at least one must meet the race between the write of the request and the read of the
+	// answer.
+	uploadTries = 3
+	// partTime is how long a client has to read the part of an answer that precedes a break.
+	partTime = 20 * time.Millisecond
+	// testUserTimeout is how long the kernel waits for acknowledgements of a silent server.
+	testUserTimeout = 200 * time.Millisecond
+)
+
+// earlyBreaks are the ways in which a server breaks off while the rest of the request waits for it.
+var earlyBreaks = map[string]func(t *testing.T, connection *net.TCPConn){
+	"reset":                    func(_ *testing.T, connection *net.TCPConn) { _ = connection.SetLinger(0) },
+	"closed with unread bytes": func(*testing.T, *net.TCPConn) {},
+	"ended, then reset": func(_ *testing.T, connection *net.TCPConn) { // as a crash with nothing unread is seen across a link
+		_ = connection.CloseWrite()
+		time.Sleep(partTime)
+		_ = connection.SetLinger(0)
+	},
+	"silent": func(t *testing.T, connection *net.TCPConn) {
+		_ = silence.Begin(connection)
+		<-t.Context().Done()
+	},
+}
+
+// setOption returns a function that sets an option of TCP.
+func setOption(option, value int) func(_, _ string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(descriptor uintptr) {
+			failed = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, option, value)
+		})
+		return errors.Join(err, failed)
+	}
+}
+
+// startEarly starts a server that answers each request before it has read it, with a part of an answer without a length, and breaks off.
+func startEarly(t *testing.T, end func(*testing.T, *net.TCPConn)) (address string) {
+	t.Helper()
+	config := net.ListenConfig{Control: setOption(unix.TCP_MAXSEG, linkSegmentBytes)}
+	config.SetMultipathTCP(false) // its sockets cannot be silenced
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer connection.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(connection)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n\r\npart")
+				time.Sleep(partTime)
+				end(t, connection.(*net.TCPConn))
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against the part of an answer without a length that a library returns as a whole one: the server has broken off while the rest
+// of a long request was being written, and the write has got the error that says so.
+func TestBreakWhileTheRequestIsWrittenIsNoWholeAnswer(t *testing.T) {
+	t.Parallel()
+	dialer := &net.Dialer{Control: setOption(unix.TCP_USER_TIMEOUT, int(testUserTimeout.Milliseconds()))}
+	transport := checkedconn.NewTransport(dialer.DialContext, nil)
+	t.Cleanup(transport.CloseIdleConnections)
+	dial := checkedconn.WithChecks(dialer.DialContext)
+	fast := &fasthttp.Client{
+		StreamResponseBody: true, MaxIdemponentCallAttempts: 1,
+		Dial: func(address string) (net.Conn, error) { return dial(context.Background(), "tcp", address) },
+	}
+	body := strings.Repeat("x", uploadBytes)
+	uploads := map[string]func(address string) ([]byte, error){
+		"net/http": func(address string) ([]byte, error) {
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/", strings.NewReader(body))
+			if err != nil {
+				return nil, err
+			}
+			answer, err := transport.RoundTrip(request)
+			if err != nil {
+				return nil, err
+			}
+			defer answer.Body.Close()
+			return io.ReadAll(answer.Body)
+		},
+		"fasthttp": func(address string) ([]byte, error) {
+			request, answer := &fasthttp.Request{}, &fasthttp.Response{}
+			request.Header.SetMethod(http.MethodPost)
+			request.SetRequestURI("http://" + address + "/")
+			request.SetBodyString(body)
+			if err := fast.Do(request, answer); err != nil {
+				return nil, err
+			}
+			received, err := io.ReadAll(answer.BodyStream())
+			return received, errors.Join(err, answer.CloseBodyStream())
+		},
+	}
+	for library, upload := range uploads {
+		for name, end := range earlyBreaks {
+			t.Run(library+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				address := startEarly(t, end)
+				for range uploadTries {
+					received, err := upload(address)
+					require.Error(t, err, "%d bytes look whole", len(received))
+				}
+			})
+		}
+	}
+}
--- a/internal/http1/framing/body.go
+++ b/internal/http1/framing/body.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 
 	"github.com/valyala/fasthttp"
@@ -18,13 +19,16 @@
 	kind   Kind
 	end    End
 	source *bufio.Reader
-	chunks *chunkReader
+	// confirmEnd returns an error if the end of the connection is not that of an answer; nil if that need not be asked.
+	confirmEnd func() error
+	chunks     *chunkReader
 	// length is the declared length, and remaining the number of bytes up to it.
 	length, remaining int
 }
 
-// NewAnswerBody returns the body that follows the head of an answer; method is that of the request.
-func NewAnswerBody(declared Declaration, method string, source *bufio.Reader) *Body {
+// NewAnswerBody returns the body that follows the head of an answer; method is that of the request. confirmEnd returns an error if the
+// connection has ended before the sender of the answer had received the whole request; nil if nobody can tell.
+func NewAnswerBody(declared Declaration, method string, source *bufio.Reader, confirmEnd func() error) *Body {
 	if method == fasthttp.MethodHead {
 		declared = Declaration{Kind: None}
 	}
@@ -40,7 +44,10 @@
 	case Chunks:
 		return NewChunkedBody(source)
 	default:
-		return &Body{kind: Close, source: source}
+		if !declared.MustConfirm {
+			confirmEnd = nil
+		}
+		return &Body{kind: Close, source: source, confirmEnd: confirmEnd}
 	}
 }
 
@@ -86,14 +93,26 @@
 	case !errors.Is(err, io.EOF):
 		b.end = Broken
 	case b.kind == Close:
-		b.end = Undeclared
-		return n, ErrUndeclaredEnd
+		err = b.endUndeclared()
 	default:
 		b.end = Declared
 	}
 	return n, err
 }
 
+// endUndeclared ends a body at the end of its connection, and returns the error of the read.
+func (b *Body) endUndeclared() error {
+	b.end = Undeclared
+	if b.confirmEnd == nil {
+		return ErrUndeclaredEnd
+	}
+	if err := b.confirmEnd(); err != nil {
+		b.end = Broken
+		return fmt.Errorf("the connection of an answer without a declared end: %w", err)
+	}
+	return ErrUndeclaredEnd
+}
+
 // MarkBroken records that the body is incomplete although it was read up to its end: its content says so.
 func (b *Body) MarkBroken() { b.end = Broken }
 
--- a/internal/relay/connpool/connection.go
+++ b/internal/relay/connpool/connection.go
@@ -53,19 +53,40 @@
 // kernel's timeout has expired.
 func (c *Connection) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
-	err = c.taken.OfRead(c.Conn, err)
+	err = c.taken.Kept(err)
 	if n > 0 && c.OnReceived != nil {
 		c.OnReceived()
 	}
-	if errors.Is(err, syscall.ETIMEDOUT) {
-		c.TimedOut = true
-		if c.OnTimeout != nil {
-			c.OnTimeout()
-		}
-	}
+	c.recordTimeout(err)
 	return n, err
 }
 
+// recordTimeout sets TimedOut and calls OnTimeout if the error says that the kernel's timeout has expired.
+func (c *Connection) recordTimeout(err error) {
+	if !errors.Is(err, syscall.ETIMEDOUT) || c.TimedOut {
+		return
+	}
+	c.TimedOut = true
+	if c.OnTimeout != nil {
+		c.OnTimeout()
+	}
+}
+
+// Cause returns the error of a read after which the connection is not used any more. It ends a write in progress: that may have got the
+// error by which the connection has ended.
+func (c *Connection) Cause(err error) error {
+	err = c.taken.OfRead(c.Conn, err)
+	c.recordTimeout(err)
+	return err
+}
+
+// ConfirmEnd returns an error if the connection has ended before the back end had received the whole request (takenerror.Keeper).
+func (c *Connection) ConfirmEnd() error {
+	err := c.taken.ConfirmEnd(c.Conn)
+	c.recordTimeout(err)
+	return err
+}
+
 // Write implements io.Writer. It may be called while another goroutine reads.
 func (c *Connection) Write(content []byte) (n int, err error) {
 	err = c.taken.Write(func() (err error) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -287,6 +287,7 @@
 // connectionFailure returns the failure for an error of a connection. A request of which nothing was sent cannot have run;
 // any other may have.
 func (e *exchanger) connectionFailure(connection *connpool.Connection, message *message, anySent bool, err error) *failure {
+	err = connection.Cause(err)
 	fault := &failure{verdict: verdict.MayHaveRun, mayHaveArrived: true, cause: fmt.Errorf("%w: %w", errConnectionBroken, err)}
 	if errors.Is(err, grammar.ErrMalformed) {
 		fault.cause = err // the connection works
@@ -317,7 +318,7 @@
 		}
 		answer := &answer{
 			status: head.StatusCode(), head: head, connection: connection, message: message, exchanger: e, memory: e.answerMemory.NewReservation(),
-			body: framing.NewAnswerBody(declared, message.request.method, connection.Reader),
+			body: framing.NewAnswerBody(declared, message.request.method, connection.Reader, connection.ConfirmEnd),
 		}
 		if string(head.Peek(e.names.RequestID)) == message.request.id {
 			return answer, nil
--- a/internal/relay/internal_call.go
+++ b/internal/relay/internal_call.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return internalAnswer{}, err
 	}
-	body := framing.NewAnswerBody(declared, method, connection.Reader)
+	body := framing.NewAnswerBody(declared, method, connection.Reader, connection.ConfirmEnd)
 	answer.body, err = io.ReadAll(io.LimitReader(body, int64(maxBytes)+1))
 	switch {
 	case err != nil && !errors.Is(err, framing.ErrUndeclaredEnd):
--- a/internal/takenerror/keeper.go
+++ b/internal/takenerror/keeper.go
@@ -17,6 +17,8 @@
 type Keeper struct {
 	mutex sync.Mutex
 	err   error
+	// writeErr is the error of the last write; nil if it was complete.
+	writeErr error
 	// writes is the number of writes in progress, and written is closed when it becomes 0; nil if nobody waits for that.
 	writes  int
 	written chan struct{}
@@ -38,6 +40,7 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.keep(err)
+	k.writeErr = err
 	k.writes--
 	if k.writes == 0 && k.written != nil {
 		close(k.written)
@@ -46,22 +49,41 @@
 	return err
 }
 
-// OfRead returns the error of a read of the connection: for the end of the stream, it is the error by which the connection has ended if
-// another call got that. It ends a write in progress, which nobody needs any more, since that may have got the error just now.
+// Kept returns the error of a read of the connection: for the end of the stream, it is the error by which the connection has ended if
+// another call has got that already.
+func (k *Keeper) Kept(err error) error {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if errors.Is(err, io.EOF) && k.err != nil {
+		return k.err
+	}
+	return err
+}
+
+// OfRead returns what Kept does for a read after which the connection is not used any more. It ends a write in progress, since that may
+// have got the error just now.
 func (k *Keeper) OfRead(connection net.Conn, err error) error {
-	if !errors.Is(err, io.EOF) {
+	if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 		return err
 	}
 	if written := k.awaitedWrites(); written != nil {
 		_ = connection.SetWriteDeadline(time.Unix(1, 0)) // on a closed connection the write ends by itself
 		<-written
 	}
+	if kept := k.Kept(io.EOF); !errors.Is(kept, io.EOF) {
+		return kept
+	}
+	return err
+}
+
+// failure returns the error of the last write, or else the one by which the connection has ended; nil for none.
+func (k *Keeper) failure() error {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if k.err != nil {
-		return k.err
+	if k.writeErr != nil {
+		return k.writeErr
 	}
-	return err
+	return k.err
 }
 
 // awaitedWrites returns a channel that is closed once no write is in progress; nil if none is.
--- a/internal/upstream/early_reset_test.go
+++ b/internal/upstream/early_reset_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
@@ -45,3 +48,60 @@
 		require.Equal(t, verdict.MayHaveRun, failure.Verdict)
 	}
 }
+
+// Guards against the part of an answer that counts as a whole one: the back end has crashed with nothing unread while the kernel still
+// sent the request, so that the end of its stream comes first and the reset behind it.
+func TestEndBeforeTheRequestIsReceivedIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	const roundTrip = 20 * time.Millisecond
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(descriptor uintptr) {
+			failed = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, 1)
+		})
+		return errors.Join(err, failed)
+	}}
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	for name, test := range map[string]struct {
+		end     func(*net.TCPConn)
+		isWhole bool
+	}{
+		"reset behind the end": {func(connection *net.TCPConn) { time.Sleep(roundTrip); _ = connection.SetLinger(0) }, false},
+		"received on":          {func(connection *net.TCPConn) { _, _ = io.Copy(io.Discard, connection) }, true},
+	} {
+		for sizeName, size := range map[string]int{"40 KB": 40 << 10, "100 KB": 100 << 10, "1 MB": 1 << 20} {
+			t.Run(name+"/"+sizeName, func(t *testing.T) {
+				go func() {
+					connection, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					defer connection.Close()
+					request, err := http.ReadRequest(bufio.NewReader(connection))
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n"+enginecontract.HeaderExchange+": "+request.Header.Get(enginecontract.HeaderExchange)+"\r\n\r\npart")
+					for unread := size; unread > 20<<10 && !test.isWhole; unread -= 10 << 10 { // until the kernel of the client has the rest
+						_, _ = io.CopyN(io.Discard, connection, 10<<10)
+					}
+					_ = connection.(*net.TCPConn).CloseWrite()
+					test.end(connection.(*net.TCPConn))
+				}()
+				answer, _, failure := newTestClient(t).Do(Request{
+					Address: listener.Addr().String(), Method: http.MethodPost, Target: "/", Body: make([]byte, size), Exchange: NewExchange(), Deadline: time.Now().Add(time.Minute),
+				})
+				if failure != nil { // the write has met the reset
+					require.False(t, test.isWhole, "%v", failure.Cause)
+					require.Equal(t, verdict.MayHaveRun, failure.Verdict)
+					return
+				}
+				defer answer.Close()
+				body, err := answer.ReadAll()
+				require.Equal(t, test.isWhole, err == nil, "%q, %v", body, err)
+			})
+		}
+	}
+}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -88,6 +88,6 @@
 		attempt.release(false)
 		return trace.Wrap(err)
 	}
-	attempt.body = framing.NewAnswerBody(declared, string(request.Header.Method()), reader)
+	attempt.body = framing.NewAnswerBody(declared, string(request.Header.Method()), reader, connection.confirmEnd)
 	return nil
 }
