--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -64,24 +64,16 @@
 	w.ignoresCaller = true
 }
 
-// interrupt interrupts the exchanges unless the watch has been stopped.
+// interrupt interrupts the exchanges, for the first cause, unless the watch has been stopped. A caller that has gone interrupts nothing
+// if the request runs without it: a check that started before ignoreCaller may find the connection closed after it.
 func (w *callerWatch) interrupt(cause error) {
 	w.watcher.mutex.Lock()
 	defer w.watcher.mutex.Unlock()
-	if _, watched := w.watcher.watched[w]; watched {
-		w.interrupter.Interrupt(cause)
-	}
-}
-
-// recordClosed interrupts the exchanges since the caller has closed its connection, unless the request runs without it. A check that
-// started before ignoreCaller may find the connection closed after it.
-func (w *callerWatch) recordClosed() {
-	w.watcher.mutex.Lock()
-	defer w.watcher.mutex.Unlock()
-	if _, watched := w.watcher.watched[w]; watched && !w.ignoresCaller {
-		w.interrupter.Interrupt(errCallerGone)
-		delete(w.watcher.watched, w)
+	if _, watched := w.watcher.watched[w]; !watched || w.ignoresCaller && errors.Is(cause, errCallerGone) {
+		return
 	}
+	w.interrupter.Interrupt(cause)
+	delete(w.watcher.watched, w)
 }
 
 // run checks the connections until the context ends.
@@ -89,7 +81,7 @@
 	for pause.For(ctx, callerCheckInterval) {
 		for _, watch := range c.list() {
 			if isPeerClosed(watch.connection) {
-				watch.recordClosed()
+				watch.interrupt(errCallerGone)
 			}
 		}
 	}
--- a/internal/gateway/late_request.go
+++ b/internal/gateway/late_request.go
@@ -3,18 +3,13 @@
 import (
 	"net/http"
 	"time"
-)
 
-const (
-	// refuseAfterShare is the fraction of drain_timeout after which a stopping gateway refuses new requests; requests accepted before have
-	// the remainder to complete.
-	refuseAfterShare = 0.3
-	// startUntilShare is the fraction of drain_timeout after which no back end gets a request any more: the stop would interrupt it.
-	startUntilShare = 0.8
-	// stoppingRetry is short because the caller can reach another gateway at once.
-	stoppingRetry = 10 * time.Millisecond
+	"github.com/hazelpitch/hazelpitch/internal/closing"
 )
 
+// stoppingRetry is short because the caller can reach another gateway at once.
+const stoppingRetry = 10 * time.Millisecond
+
 // isStoppingFor reports whether the gateway has been stopping for the given fraction of drain_timeout.
 func (g *Gateway) isStoppingFor(share float64) bool {
 	if !g.draining.Load() {
@@ -26,7 +21,7 @@
 
 // refuseLateRequest returns the refusal of a request that has come late in a stop; nil if it may be admitted.
 func (g *Gateway) refuseLateRequest() *refusal {
-	if !g.isStoppingFor(refuseAfterShare) {
+	if !g.isStoppingFor(closing.RefuseNewAfter) {
 		return nil
 	}
 	return refuseStopping()
@@ -35,7 +30,7 @@
 // refuseLateStart returns the refusal of a request that would reach a back end late in a stop, because it has waited or was refused
 // elsewhere; nil if there is time for it.
 func (g *Gateway) refuseLateStart() *refusal {
-	if !g.isStoppingFor(startUntilShare) {
+	if !g.isStoppingFor(closing.SendUntil) {
 		return nil
 	}
 	return refuseStopping()
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -18,12 +18,6 @@
 	// connection to it may stay idle.
 	readyTimeout = 2 * time.Second
 	readyIdle    = 30 * time.Second
-	// refuseAfterShare is the fraction of the grace period after which a stopping relay refuses new requests; requests
-	// accepted before have the remainder to complete.
-	refuseAfterShare = 0.3
-	// sendUntilShare is the fraction of the grace period after which a stopping relay sends no request to a back end any more: one that has
-	// waited, or was refused elsewhere, would be cut there.
-	sendUntilShare = 0.8
 	// minStayShare is the fraction of the grace period for which a stopping relay keeps running in any case, so that clients
 	// have stopped connecting to it when it exits.
 	minStayShare = 0.4
@@ -59,8 +53,8 @@
 	r.stopStartedAt = beganAt
 	began := r.clock.at(beganAt)
 	share := func(part float64) time.Duration { return time.Duration(part * float64(r.settings.GracePeriod)) }
-	r.refuseNewAt.Store(int64(beganAt + share(refuseAfterShare)))
-	r.sendUntil.Store(int64(beganAt + share(sendUntilShare)))
+	r.refuseNewAt.Store(int64(beganAt + share(closing.RefuseNewAfter)))
+	r.sendUntil.Store(int64(beganAt + share(closing.SendUntil)))
 	r.stopping.Store(true)
 	drainCtx, cancel := context.WithDeadline(ctx, began.Add(share(endRequestsShare)))
 	defer cancel()
