Tests: one crash behind a link, one dialer with a short time-out, one relay that forwards to a stand-in

Cause: five test files ended connections as a crash is seen across a link, each by lines of its own; two set TCP_USER_TIMEOUT themselves; two tests of the hop started their relays in the same five lines; two more accept loops stood beside link.Serve. Change: link.Crash, link.Dialer and startForwardingTo; startEarlyBackEnd and operatorclient's startEndless use link.Serve. Command: go test ./internal/takenerror ./internal/http1/checkedconn ./internal/operatorclient ./internal/upstream; go test ./internal/relay -run 'TestEndBefore|TestRelayThat|TestEarlyAnswer|TestRejectionBefore|TestBreakWhile|TestSilenceWhile|TestBodyIsSentOn'

--- a/internal/gateway/early_break_test.go
+++ b/internal/gateway/early_break_test.go
@@ -71,11 +71,7 @@
 		for breakName, end := range map[string]func(*net.TCPConn){
 			"reset":                    func(connection *net.TCPConn) { _ = connection.SetLinger(0) },
 			"closed with unread bytes": func(*net.TCPConn) {},
-			"ended, then reset": func(connection *net.TCPConn) { // as a crash with nothing unread is seen across a link
-				_ = connection.CloseWrite()
-				time.Sleep(partTime)
-				_ = connection.SetLinger(0)
-			},
+			"ended, then reset":        link.Crash,
 		} {
 			t.Run(name+"/"+breakName, func(t *testing.T) {
 				t.Parallel()
--- a/internal/http1/checkedconn/early_break_test.go
+++ b/internal/http1/checkedconn/early_break_test.go
@@ -8,13 +8,11 @@
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 
 	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
 	"github.com/hazelpitch/hazelpitch/internal/standin/link"
@@ -37,24 +35,13 @@
 var earlyBreaks = map[string]func(t *testing.T, connection *net.TCPConn){
 	"reset":                    func(_ *testing.T, connection *net.TCPConn) { _ = connection.SetLinger(0) },
 	"closed with unread bytes": func(*testing.T, *net.TCPConn) {},
-	"ended, then reset": func(_ *testing.T, connection *net.TCPConn) { // as a crash with nothing unread is seen across a link
-		_ = connection.CloseWrite()
-		time.Sleep(partTime)
-		_ = connection.SetLinger(0)
-	},
+	"ended, then reset":        func(_ *testing.T, connection *net.TCPConn) { link.Crash(connection) },
 	"silent": func(t *testing.T, connection *net.TCPConn) {
 		_ = silence.Begin(connection)
 		<-t.Context().Done()
 	},
 }
 
-// limitUnacknowledged makes a connection fail whose peer has acknowledged nothing for testUserTimeout.
-func limitUnacknowledged(_, _ string, raw syscall.RawConn) error {
-	return raw.Control(func(descriptor uintptr) {
-		_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(testUserTimeout.Milliseconds()))
-	})
-}
-
 // startEarly starts a server that answers each request before it has read it, with a part of an answer without a length, and breaks off.
 func startEarly(t *testing.T, end func(*testing.T, *net.TCPConn)) (address string) {
 	t.Helper()
@@ -76,7 +63,7 @@
 // of a long request was being written, and the write has got the error that says so.
 func TestBreakWhileTheRequestIsWrittenIsNoWholeAnswer(t *testing.T) {
 	t.Parallel()
-	dialer := &net.Dialer{Control: limitUnacknowledged}
+	dialer := link.Dialer(testUserTimeout)
 	transport := checkedconn.NewTransport(dialer.DialContext, nil)
 	t.Cleanup(transport.CloseIdleConnections)
 	dial := checkedconn.WithChecks(dialer.DialContext)
--- a/internal/operatorclient/endless_answer_test.go
+++ b/internal/operatorclient/endless_answer_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
+	"github.com/hazelpitch/hazelpitch/internal/standin/link"
 )
 
 // startEndless starts a server that answers each request with a beginning, and then the same unit until the client closes the
@@ -22,27 +23,18 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	sent = &atomic.Int64{}
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer connection.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(connection)); err != nil {
-					return
-				}
-				_, err := io.WriteString(connection, beginning)
-				units := strings.Repeat(unit, 1+4096/len(unit))
-				for err == nil {
-					var n int
-					n, err = io.WriteString(connection, units)
-					sent.Add(int64(n))
-				}
-			}()
+	go link.Serve(listener, func(connection *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(connection)); err != nil {
+			return
 		}
-	}()
+		_, err := io.WriteString(connection, beginning)
+		units := strings.Repeat(unit, 1+4096/len(unit))
+		for err == nil {
+			var n int
+			n, err = io.WriteString(connection, units)
+			sent.Add(int64(n))
+		}
+	})
 	return listener.Addr().String(), sent
 }
 
--- a/internal/relay/early_break_test.go
+++ b/internal/relay/early_break_test.go
@@ -1,20 +1,18 @@
 package relay
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
 
 	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
+	"github.com/hazelpitch/hazelpitch/internal/standin/link"
 	"github.com/hazelpitch/hazelpitch/internal/standin/silence"
 )
 
@@ -131,20 +129,23 @@
 					<-silent
 				}))
 				relay := newTestRelay(t, route(kind), backEnds...)
-				dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-					return raw.Control(func(descriptor uintptr) {
-						_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(testUserTimeout.Milliseconds()))
-					})
-				}}
-				relay.exchanger.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-					return dialer.DialContext(ctx, network, address)
-				}
+				relay.exchanger.dial = link.Dialer(testUserTimeout).DialContext
 				requireNoWholeAnswer(t, relay.client(t).do("POST", "/path/", strings.Repeat("x", unsentBodyBytes), "T-Early: 1"))
 			})
 		}
 	}
 }
 
+// startForwardingTo starts a relay without a path to back ends, which forwards requests to a stand-in of another relay.
+func startForwardingTo(t *testing.T, config serving.Route, peer *scriptedBackEnd) *testRelay {
+	t.Helper()
+	relays, paths := newRelayGroup(t, 2, config, nil, startThree(t, answering(200, "ok"))...)
+	paths[0].relays[peer.entry.Address] = true
+	relays[0].loseAllPaths(t, paths[0], dialsRefused)
+	relays[0].forwarder.setPeers([]string{peer.entry.Address})
+	return relays[0]
+}
+
 // Guards against the same on the hop between relays: the other relay has begun to answer and ends while this one still writes the
 // request to it.
 func TestRelayThatEndsWhileARequestIsForwardedLeavesNoWholeAnswer(t *testing.T) {
@@ -155,11 +156,8 @@
 				t.Run(strings.Join([]string{answerName, kindName, breakName}, "/"), func(t *testing.T) {
 					t.Parallel()
 					peer := startLinkedBackEnds(t, breakingEarly(test.part, end))[0]
-					relays, paths := newRelayGroup(t, 2, route(kind), nil, startThree(t, answering(200, "ok"))...)
-					paths[0].relays[peer.entry.Address] = true
-					relays[0].loseAllPaths(t, paths[0], dialsRefused)
-					relays[0].forwarder.setPeers([]string{peer.entry.Address})
-					requireNoWholeAnswer(t, relays[0].client(t).do("POST", "/path/", strings.Repeat("x", unsentBodyBytes), "T-Early: 1"))
+					relay := startForwardingTo(t, route(kind), peer)
+					requireNoWholeAnswer(t, relay.client(t).do("POST", "/path/", strings.Repeat("x", unsentBodyBytes), "T-Early: 1"))
 					require.Len(t, peer.receivedRequests(), 1)
 				})
 			}
--- a/internal/relay/early_end_test.go
+++ b/internal/relay/early_end_test.go
@@ -18,8 +18,6 @@
 	// linkPieceBytes pass a link at each linkInterval: 8 MB/s.
 	linkPieceBytes = 16 << 10
 	linkInterval   = 2 * time.Millisecond
-	// linkRoundTrip is how long after the end of a back end's stream the reset arrives that answers the rest of the request.
-	linkRoundTrip = 10 * time.Millisecond
 )
 
 // readOverLink reads a number of bytes as fast as a link carries them.
@@ -35,14 +33,6 @@
 	}
 }
 
-// crashBehindLink ends a connection as the machine of a process that crashes with nothing unread does, seen across a link: the stream
-// ends in the ordinary way, and what arrives of the request later is answered by a reset.
-func crashBehindLink(connection *net.TCPConn) {
-	_ = connection.CloseWrite()
-	time.Sleep(linkRoundTrip)
-	_ = connection.SetLinger(0)
-}
-
 // Guards against the part of an answer without a length that a client gets as a whole one: the back end has crashed with nothing unread,
 // so that the end of its stream comes first and the reset behind it, while the rest of the request is on its way.
 func TestEndBeforeTheRequestIsReceivedIsNoWholeAnswer(t *testing.T) {
@@ -59,7 +49,7 @@
 						crash := func(connection net.Conn, request backEndRequest) bool {
 							_, _ = io.WriteString(connection, strings.ReplaceAll(test.part, "ID", string(request.head.Peek("T-Id"))))
 							readOverLink(connection, size/3)
-							crashBehindLink(connection.(*net.TCPConn))
+							link.Crash(connection.(*net.TCPConn))
 							return false
 						}
 						relay := way.start(t, route(kind), startLinkedBackEnds(t, crash, link.SmallReceiveBuffer)...)
@@ -76,7 +66,7 @@
 	t.Parallel()
 	crash := func(connection net.Conn, request backEndRequest) bool {
 		_, _ = io.WriteString(connection, strings.ReplaceAll(unframedHead, "ID", string(request.head.Peek("T-Id")))+"abc")
-		crashBehindLink(connection.(*net.TCPConn))
+		link.Crash(connection.(*net.TCPConn))
 		return false
 	}
 	relay := newTestRelay(t, route(nil), startLinkedBackEnds(t, crash, link.SmallReceiveBuffer)...)
@@ -89,15 +79,12 @@
 	crash := func(connection net.Conn, request backEndRequest) bool {
 		_, _ = io.WriteString(connection, strings.ReplaceAll(unframedHead, "ID", string(request.head.Peek("T-Id")))+"abc")
 		readOverLink(connection, unsentBodyBytes/3)
-		crashBehindLink(connection.(*net.TCPConn))
+		link.Crash(connection.(*net.TCPConn))
 		return false
 	}
 	peer := startLinkedBackEnds(t, crash, link.SmallReceiveBuffer)[0]
-	relays, paths := newRelayGroup(t, 2, route(nil), nil, startThree(t, answering(200, "ok"))...)
-	paths[0].relays[peer.entry.Address] = true
-	relays[0].loseAllPaths(t, paths[0], dialsRefused)
-	relays[0].forwarder.setPeers([]string{peer.entry.Address})
-	requireNoWholeAnswer(t, relays[0].client(t).do("POST", "/path/", strings.Repeat("x", unsentBodyBytes), "T-Early: 1"))
+	relay := startForwardingTo(t, route(nil), peer)
+	requireNoWholeAnswer(t, relay.client(t).do("POST", "/path/", strings.Repeat("x", unsentBodyBytes), "T-Early: 1"))
 	require.Len(t, peer.receivedRequests(), 1)
 }
 
@@ -147,7 +134,7 @@
 			t.Parallel()
 			reject := func(connection net.Conn, request backEndRequest) bool {
 				_, _ = io.WriteString(connection, strings.ReplaceAll(earlyAnswers["rejection"].part, "ID", string(request.head.Peek("T-Id"))))
-				crashBehindLink(connection.(*net.TCPConn))
+				link.Crash(connection.(*net.TCPConn))
 				return false
 			}
 			relay := way.start(t, route(nil), startLinkedBackEnds(t, reject, link.SmallReceiveBuffer)...)
--- a/internal/relay/early_head_test.go
+++ b/internal/relay/early_head_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/serving"
+	"github.com/hazelpitch/hazelpitch/internal/standin/link"
 )
 
 // startEarlyBackEnd starts a back end that sends the head of its answer, with the given header line, before it reads the
@@ -22,29 +23,20 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer connection.Close()
-				reader, head := bufio.NewReader(connection), &fasthttp.RequestHeader{}
-				if head.Read(reader) != nil {
-					return
-				}
-				_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nT-Id: "+string(head.Peek("T-Id"))+"\r\nT-Seal: seal\r\n"+contentType+"Transfer-Encoding: chunked\r\n\r\n")
-				body, err := io.ReadAll(io.LimitReader(reader, int64(head.ContentLength())))
-				if err != nil || len(body) < head.ContentLength() {
-					return
-				}
-				_, _ = connection.Write(appendChunk(nil, []byte("data: "+strconv.Itoa(len(body))+"\n\n")))
-				_, _ = io.WriteString(connection, "0\r\n\r\n")
-				_, _ = reader.ReadByte() // keeps the connection open
-			}()
+	go link.Serve(listener, func(connection *net.TCPConn) {
+		reader, head := bufio.NewReader(connection), &fasthttp.RequestHeader{}
+		if head.Read(reader) != nil {
+			return
+		}
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nT-Id: "+string(head.Peek("T-Id"))+"\r\nT-Seal: seal\r\n"+contentType+"Transfer-Encoding: chunked\r\n\r\n")
+		body, err := io.ReadAll(io.LimitReader(reader, int64(head.ContentLength())))
+		if err != nil || len(body) < head.ContentLength() {
+			return
 		}
-	}()
+		_, _ = connection.Write(appendChunk(nil, []byte("data: "+strconv.Itoa(len(body))+"\n\n")))
+		_, _ = io.WriteString(connection, "0\r\n\r\n")
+		_, _ = reader.ReadByte() // keeps the connection open
+	})
 	return &scriptedBackEnd{entry: serving.BackEnd{ID: "early", Service: "service", Address: listener.Addr().String(), Zone: "zone", Slots: 8, Software: "v1"}}
 }
 
--- a/internal/standin/link/listen.go
+++ b/internal/standin/link/listen.go
@@ -37,7 +37,8 @@
 	return config.Listen(context.Background(), "tcp", address)
 }
 
-// Serve passes each connection of a listener to a function of its own goroutine, and closes it then, until the listener is closed.
+// Serve passes each connection of a listener to a function, in a goroutine of its own, and closes the connection then. It returns when the
+// listener is closed.
 func Serve(listener net.Listener, handle func(connection *net.TCPConn)) {
 	for {
 		connection, err := listener.Accept()
--- a/internal/takenerror/confirm_end_test.go
+++ b/internal/takenerror/confirm_end_test.go
@@ -62,12 +62,7 @@
 	for name, size := range sizes {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			err := confirm(t, size, func(peer *net.TCPConn) {
-				_ = peer.CloseWrite()
-				time.Sleep(20 * time.Millisecond) // the time of a round trip
-				_ = peer.SetLinger(0)
-				_ = peer.Close()
-			})
+			err := confirm(t, size, link.Crash)
 			require.True(t, errors.Is(err, ErrRequestRejected) || errors.Is(err, syscall.EPIPE), "%v", err)
 		})
 	}
--- a/internal/upstream/early_reset_test.go
+++ b/internal/upstream/early_reset_test.go
@@ -44,7 +44,6 @@
 // sent the request, so that the end of its stream comes first and the reset behind it.
 func TestEndBeforeTheRequestIsReceivedIsNoAnswer(t *testing.T) {
 	t.Parallel()
-	const roundTrip = 20 * time.Millisecond
 	listener, err := link.Listen("127.0.0.1:0", link.SmallReceiveBuffer)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
@@ -52,8 +51,8 @@
 		end     func(*net.TCPConn)
 		isWhole bool
 	}{
-		"reset behind the end": {func(connection *net.TCPConn) { time.Sleep(roundTrip); _ = connection.SetLinger(0) }, false},
-		"received on":          {func(connection *net.TCPConn) { _, _ = io.Copy(io.Discard, connection) }, true},
+		"reset behind the end": {link.Crash, false},
+		"received on":          {func(connection *net.TCPConn) { _ = connection.CloseWrite(); _, _ = io.Copy(io.Discard, connection) }, true},
 	} {
 		for sizeName, size := range map[string]int{"40 KB": 40 << 10, "100 KB": 100 << 10, "1 MB": 1 << 20} {
 			t.Run(name+"/"+sizeName, func(t *testing.T) {
@@ -71,7 +70,6 @@
 					for unread := size; unread > 20<<10 && !test.isWhole; unread -= 10 << 10 { // until the kernel of the client has the rest
 						_, _ = io.CopyN(io.Discard, connection, 10<<10)
 					}
-					_ = connection.(*net.TCPConn).CloseWrite()
 					test.end(connection.(*net.TCPConn))
 				}()
 				answer, _, failure := newTestClient(t).Do(Request{
