An answer that ends between two writes of its request is not whole

What callers saw: none was reported. A client behind checkedconn took the part of an answer without a length for the whole of it, if its end came between two writes of the request: a library writes one in several calls. Cause: ConfirmEnd took "no write is in progress and nothing is unacknowledged" for "the peer has received the whole request". Change: checkedconn follows what is written of a request by its own head (writtenRequest, parsed only when an end is to be confirmed), and ConfirmEnd asks for it. A closed connection with a request that was not written whole is rejected as well. DeliveryOf returns one value. internal/standin/link is linkserver now, since platform/standin has a type link; linkserver.StartEarly and ReceiveOn serve the new tests. Why it works: relays write a request by one call, and gateways before they read; all others go through checkedconn.

--- a/internal/gateway/early_break_test.go
+++ b/internal/gateway/early_break_test.go
@@ -14,7 +14,7 @@
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
-	"github.com/hazelpitch/hazelpitch/internal/standin/link"
+	"github.com/hazelpitch/hazelpitch/internal/standin/linkserver"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
@@ -29,11 +29,11 @@
 // exchange, and breaks off then. It returns the address, and a channel that receives a value for each request.
 func startEarly(t *testing.T, text string, end func(*net.TCPConn)) (address string, requests chan struct{}) {
 	t.Helper()
-	listener, err := link.Listen(ownAddress())
+	listener, err := linkserver.Listen(ownAddress())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	requests = make(chan struct{}, 100)
-	go link.Serve(listener, func(connection *net.TCPConn) {
+	go linkserver.Serve(listener, func(connection *net.TCPConn) {
 		request, err := http.ReadRequest(bufio.NewReader(connection))
 		if err != nil {
 			return
@@ -71,7 +71,7 @@
 		for breakName, end := range map[string]func(*net.TCPConn){
 			"reset":                    func(connection *net.TCPConn) { _ = connection.SetLinger(0) },
 			"closed with unread bytes": func(*net.TCPConn) {},
-			"ended, then reset":        link.Crash,
+			"ended, then reset":        linkserver.Crash,
 		} {
 			t.Run(name+"/"+breakName, func(t *testing.T) {
 				t.Parallel()
--- a/internal/gateway/held_answers_test.go
+++ b/internal/gateway/held_answers_test.go
@@ -19,7 +19,7 @@
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
 	"github.com/hazelpitch/hazelpitch/internal/bodybudget"
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
-	"github.com/hazelpitch/hazelpitch/internal/standin/link"
+	"github.com/hazelpitch/hazelpitch/internal/standin/linkserver"
 )
 
 // startRaw starts a server that passes each request's exchange and its connection to a function, and closes the connection then.
@@ -28,7 +28,7 @@
 	listener, err := net.Listen("tcp", ownAddress())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go link.Serve(listener, func(connection *net.TCPConn) {
+	go linkserver.Serve(listener, func(connection *net.TCPConn) {
 		request, err := http.ReadRequest(bufio.NewReader(connection))
 		if err == nil {
 			_, _ = io.Copy(io.Discard, request.Body)
--- a/internal/http1/checkedconn/connection.go
+++ b/internal/http1/checkedconn/connection.go
@@ -54,6 +54,8 @@
 	method string
 	// isAwaited is true from the beginning of a request to the end of its answer.
 	isAwaited bool
+	// written is what was written of the request.
+	written writtenRequest
 	// hasSurplus is true if more than the last answer has arrived.
 	hasSurplus bool
 	answers    int
@@ -81,12 +83,27 @@
 		return 0, err
 	}
 	err = c.taken.Write(func() (err error) {
+		c.recordWritten(data)
 		n, err = c.Conn.Write(data)
 		return err
 	})
 	return n, err
 }
 
+// recordWritten records a piece of the request, of which the write is in progress.
+func (c *Connection) recordWritten(piece []byte) {
+	c.exchange.mutex.Lock()
+	defer c.exchange.mutex.Unlock()
+	c.exchange.written.add(piece)
+}
+
+// isRequestWritten reports whether the library has written the whole request, which it does in several calls.
+func (c *Connection) isRequestWritten() bool {
+	c.exchange.mutex.Lock()
+	defer c.exchange.mutex.Unlock()
+	return c.exchange.written.isWhole()
+}
+
 // beginRequest records the request that the data begins, unless it continues one.
 func (c *Connection) beginRequest(data []byte) error {
 	c.exchange.mutex.Lock()
@@ -99,6 +116,7 @@
 	}
 	method, _, _ := bytes.Cut(data, []byte(" "))
 	c.exchange.isAwaited, c.exchange.method = true, string(method)
+	c.exchange.written.reset()
 	return nil
 }
 
@@ -159,7 +177,7 @@
 }
 
 // confirmEnd returns an error if the connection has ended before the peer had received the whole request.
-func (c *Connection) confirmEnd() error { return c.taken.ConfirmEnd(c.Conn) }
+func (c *Connection) confirmEnd() error { return c.taken.ConfirmEnd(c.Conn, c.isRequestWritten) }
 
 func (c *Connection) requestMethod() string {
 	c.exchange.mutex.Lock()
--- a/internal/http1/checkedconn/early_break_test.go
+++ b/internal/http1/checkedconn/early_break_test.go
@@ -15,7 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/http1/checkedconn"
-	"github.com/hazelpitch/hazelpitch/internal/standin/link"
+	"github.com/hazelpitch/hazelpitch/internal/standin/linkserver"
 	"github.com/hazelpitch/hazelpitch/internal/standin/silence"
 )
 
@@ -35,7 +35,7 @@
 var earlyBreaks = map[string]func(t *testing.T, connection *net.TCPConn){
 	"reset":                    func(_ *testing.T, connection *net.TCPConn) { _ = connection.SetLinger(0) },
 	"closed with unread bytes": func(*testing.T, *net.TCPConn) {},
-	"ended, then reset":        func(_ *testing.T, connection *net.TCPConn) { link.Crash(connection) },
+	"ended, then reset":        func(_ *testing.T, connection *net.TCPConn) { linkserver.Crash(connection) },
 	"silent": func(t *testing.T, connection *net.TCPConn) {
 		_ = silence.Begin(connection)
 		<-t.Context().Done()
@@ -45,10 +45,10 @@
 // startEarly starts a server that answers each request before it has read it, with a part of an answer without a length, and breaks off.
 func startEarly(t *testing.T, end func(*testing.T, *net.TCPConn)) (address string) {
 	t.Helper()
-	listener, err := link.Listen("127.0.0.1:0")
+	listener, err := linkserver.Listen("127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go link.Serve(listener, func(connection *net.TCPConn) {
+	go linkserver.Serve(listener, func(connection *net.TCPConn) {
 		if _, err := http.ReadRequest(bufio.NewReader(connection)); err != nil {
 			return
 		}
@@ -63,7 +63,7 @@
 // of a long request was being written, and the write has got the error that says so.
 func TestBreakWhileTheRequestIsWrittenIsNoWholeAnswer(t *testing.T) {
 	t.Parallel()
-	dialer := link.Dialer(testUserTimeout)
+	dialer := linkserver.Dialer(testUserTimeout)
 	transport := checkedconn.NewTransport(dialer.DialContext, nil)
 	t.Cleanup(transport.CloseIdleConnections)
 	dial := checkedconn.WithChecks(dialer.DialContext)
@@ -110,3 +110,34 @@
 		}
 	}
 }
+
+// Guards against the part of an answer without a length that looks whole, since its end comes between two writes of one request: nothing
+// is in progress then, and the server has received all that was written.
+func TestEndBetweenTwoWritesOfARequestIsNoWholeAnswer(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		end     func(*net.TCPConn)
+		isWhole bool
+	}{"crash": {linkserver.Crash, false}, "receives on": {linkserver.ReceiveOn, true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server, err := linkserver.StartEarly("HTTP/1.1 200 OK\r\n\r\npart", test.end)
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = server.Close() })
+			raw, err := net.Dial("tcp", server.Addr().String())
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = raw.Close() })
+			connection := checkedconn.New(raw)
+			_, err = io.WriteString(connection, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\nhalf")
+			require.NoError(t, err)
+			go func() {
+				time.Sleep(5 * partTime) // the end has arrived by then
+				_, _ = io.WriteString(connection, "rest")
+			}()
+			answer, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			require.NoError(t, err)
+			_, err = io.ReadAll(answer.Body)
+			require.Equal(t, test.isWhole, err == nil, "%v", err)
+		})
+	}
+}
--- a/internal/operatorclient/endless_answer_test.go
+++ b/internal/operatorclient/endless_answer_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	v1 "github.com/hazelpitch/hazelpitch/api/hazelpitch/v1"
-	"github.com/hazelpitch/hazelpitch/internal/standin/link"
+	"github.com/hazelpitch/hazelpitch/internal/standin/linkserver"
 )
 
 // startEndless starts a server that answers each request with a beginning, and then the same unit until the client closes the
@@ -23,7 +23,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	sent = &atomic.Int64{}
-	go link.Serve(listener, func(connection *net.TCPConn) {
+	go linkserver.Serve(listener, func(connection *net.TCPConn) {
 		if _, err := http.ReadRequest(bufio.NewReader(connection)); err != nil {
 			return
 		}
--- a/internal/relay/connpool/connection.go
+++ b/internal/relay/connpool/connection.go
@@ -82,7 +82,7 @@
 
 // ConfirmEnd returns an error if the connection has ended before the back end had received the whole request (takenerror.Keeper).
 func (c *Connection) ConfirmEnd() error {
-	err := c.taken.ConfirmEnd(c.Conn)
+	err := c.taken.ConfirmEnd(c.Conn, nil)
 	c.recordTimeout(err)
 	return err
 }
--- a/internal/relay/early_break_test.go
+++ b/internal/relay/early_break_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
-	"github.com/hazelpitch/hazelpitch/internal/standin/link"
+	"github.com/hazelpitch/hazelpitch/internal/standin/linkserver"
 	"github.com/hazelpitch/hazelpitch/internal/standin/silence"
 )
 
@@ -129,7 +129,7 @@
 					<-silent
 				}))
 				relay := newTestRelay(t, route(kind), backEnds...)
-				relay.exchanger.dial = link.Dialer(testUserTimeout).DialContext
+				relay.exchanger.dial = linkserver.Dialer(testUserTimeout).DialContext
 				requireNoWholeAnswer(t, relay.client(t).do("POST", "/path/", strings.Repeat("x", unsentBodyBytes), "T-Early: 1"))
 			})
 		}
--- a/internal/relay/early_end_test.go
+++ b/internal/relay/early_end_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
-	"github.com/hazelpitch/hazelpitch/internal/standin/link"
+	"github.com/hazelpitch/hazelpitch/internal/standin/linkserver"
 )
 
 const (
@@ -49,10 +49,10 @@
 						crash := func(connection net.Conn, request backEndRequest) bool {
 							_, _ = io.WriteString(connection, strings.ReplaceAll(test.part, "ID", string(request.head.Peek("T-Id"))))
 							readOverLink(connection, size/3)
-							link.Crash(connection.(*net.TCPConn))
+							linkserver.Crash(connection.(*net.TCPConn))
 							return false
 						}
-						relay := way.start(t, route(kind), startLinkedBackEnds(t, crash, link.SmallReceiveBuffer)...)
+						relay := way.start(t, route(kind), startLinkedBackEnds(t, crash, linkserver.SmallReceiveBuffer)...)
 						requireNoWholeAnswer(t, relay.client(t).do("POST", "/path/", strings.Repeat("x", size), "T-Early: 1"))
 					})
 				}
@@ -66,10 +66,10 @@
 	t.Parallel()
 	crash := func(connection net.Conn, request backEndRequest) bool {
 		_, _ = io.WriteString(connection, strings.ReplaceAll(unframedHead, "ID", string(request.head.Peek("T-Id")))+"abc")
-		link.Crash(connection.(*net.TCPConn))
+		linkserver.Crash(connection.(*net.TCPConn))
 		return false
 	}
-	relay := newTestRelay(t, route(nil), startLinkedBackEnds(t, crash, link.SmallReceiveBuffer)...)
+	relay := newTestRelay(t, route(nil), startLinkedBackEnds(t, crash, linkserver.SmallReceiveBuffer)...)
 	requireNoWholeAnswer(t, relay.client(t).do("POST", "/path/", strings.Repeat("x", longBodyBytes-1), "T-Early: 1"))
 }
 
@@ -79,10 +79,10 @@
 	crash := func(connection net.Conn, request backEndRequest) bool {
 		_, _ = io.WriteString(connection, strings.ReplaceAll(unframedHead, "ID", string(request.head.Peek("T-Id")))+"abc")
 		readOverLink(connection, unsentBodyBytes/3)
-		link.Crash(connection.(*net.TCPConn))
+		linkserver.Crash(connection.(*net.TCPConn))
 		return false
 	}
-	peer := startLinkedBackEnds(t, crash, link.SmallReceiveBuffer)[0]
+	peer := startLinkedBackEnds(t, crash, linkserver.SmallReceiveBuffer)[0]
 	relay := startForwardingTo(t, route(nil), peer)
 	requireNoWholeAnswer(t, relay.client(t).do("POST", "/path/", strings.Repeat("x", unsentBodyBytes), "T-Early: 1"))
 	require.Len(t, peer.receivedRequests(), 1)
@@ -114,7 +114,7 @@
 						receive(connection)
 						return false
 					}
-					relay := way.start(t, route(kind), startLinkedBackEnds(t, early, link.SmallReceiveBuffer)...)
+					relay := way.start(t, route(kind), startLinkedBackEnds(t, early, linkserver.SmallReceiveBuffer)...)
 					answer := relay.client(t).do("POST", "/path/", strings.Repeat("x", unsentBodyBytes), "T-Early: 1")
 					require.Equal(t, 200, answer.status)
 					require.Equal(t, eventOne, answer.body)
@@ -134,10 +134,10 @@
 			t.Parallel()
 			reject := func(connection net.Conn, request backEndRequest) bool {
 				_, _ = io.WriteString(connection, strings.ReplaceAll(earlyAnswers["rejection"].part, "ID", string(request.head.Peek("T-Id"))))
-				link.Crash(connection.(*net.TCPConn))
+				linkserver.Crash(connection.(*net.TCPConn))
 				return false
 			}
-			relay := way.start(t, route(nil), startLinkedBackEnds(t, reject, link.SmallReceiveBuffer)...)
+			relay := way.start(t, route(nil), startLinkedBackEnds(t, reject, linkserver.SmallReceiveBuffer)...)
 			answer := relay.client(t).do("POST", "/path/", strings.Repeat("x", unsentBodyBytes), "T-Early: 1")
 			require.Equal(t, 404, answer.status)
 			require.Equal(t, "abc", answer.body)
--- a/internal/relay/early_head_test.go
+++ b/internal/relay/early_head_test.go
@@ -13,7 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hazelpitch/hazelpitch/internal/serving"
-	"github.com/hazelpitch/hazelpitch/internal/standin/link"
+	"github.com/hazelpitch/hazelpitch/internal/standin/linkserver"
 )
 
 // startEarlyBackEnd starts a back end that sends the head of its answer, with the given header line, before it reads the
@@ -23,7 +23,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go link.Serve(listener, func(connection *net.TCPConn) {
+	go linkserver.Serve(listener, func(connection *net.TCPConn) {
 		reader, head := bufio.NewReader(connection), &fasthttp.RequestHeader{}
 		if head.Read(reader) != nil {
 			return
--- a/internal/relay/early_reset_test.go
+++ b/internal/relay/early_reset_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/hazelpitch/hazelpitch/internal/http1/framing"
 	"github.com/hazelpitch/hazelpitch/internal/serving"
-	"github.com/hazelpitch/hazelpitch/internal/standin/link"
+	"github.com/hazelpitch/hazelpitch/internal/standin/linkserver"
 )
 
 const (
@@ -24,11 +24,11 @@
 )
 
 // startLinkedBackEnds starts three back ends behind an ordinary link.
-func startLinkedBackEnds(t *testing.T, answer script, options ...link.Option) []*scriptedBackEnd {
+func startLinkedBackEnds(t *testing.T, answer script, options ...linkserver.Option) []*scriptedBackEnd {
 	t.Helper()
 	var backEnds []*scriptedBackEnd
 	for number := range 3 {
-		listener, err := link.Listen("127.0.0.1:0", options...)
+		listener, err := linkserver.Listen("127.0.0.1:0", options...)
 		require.NoError(t, err)
 		backEnds = append(backEnds, serveBackEndAt(t, fmt.Sprint(number), serving.StageWhole, listener, answer))
 	}
--- a/internal/standin/link/end.go
+++ b/internal/standin/linkserver/end.go
@@ -1,8 +1,11 @@
-package link
+package linkserver
 
 import (
+	"bufio"
 	"errors"
+	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -31,3 +34,26 @@
 		return errors.Join(err, failed)
 	}}
 }
+
+// StartEarly starts a server that answers each request with a text before it has received all of it, and ends its connection by the
+// function then. The listener must be closed.
+func StartEarly(text string, end func(connection *net.TCPConn)) (net.Listener, error) {
+	listener, err := Listen("127.0.0.1:0", SmallReceiveBuffer)
+	if err != nil {
+		return nil, err
+	}
+	go Serve(listener, func(connection *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(connection)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(connection, text) // fails if the client has gone
+		end(connection)
+	})
+	return listener, nil
+}
+
+// ReceiveOn ends the server's own stream, and receives the rest of the request.
+func ReceiveOn(connection *net.TCPConn) {
+	_ = connection.CloseWrite()
+	_, _ = io.Copy(io.Discard, connection)
+}
--- a/internal/standin/link/listen.go
+++ b/internal/standin/linkserver/listen.go
@@ -1,6 +1,6 @@
-// Package link gives tests servers on loopback whose connections behave as those across an ordinary link do: a long request does not fit
+// Package linkserver gives tests servers on loopback whose connections behave as those across an ordinary link do: a long request does not fit
 // into their buffers.
-package link
+package linkserver
 
 import (
 	"context"
--- a/internal/takenerror/confirm_end.go
+++ b/internal/takenerror/confirm_end.go
@@ -33,18 +33,20 @@
 // A process that crashes with nothing unread ends its connections in the ordinary way, and its kernel resets them only when the rest
 // of the request arrives. ConfirmEnd therefore waits, for a short time, until the peer has received the whole request or has refused it.
 // A peer that goes on without receiving it has only ended its own stream. Nothing is awaited if the whole request was received before.
-func (k *Keeper) ConfirmEnd(connection net.Conn) error {
+// isWritten reports whether the whole request was handed to Write; nil if it always is before its answer is read.
+func (k *Keeper) ConfirmEnd(connection net.Conn, isWritten func() bool) error {
 	end := time.Now().Add(confirmTime)
 	for pause := firstConfirmPause; ; pause = min(2*pause, maxConfirmPause) {
 		written := k.awaitedWrites()
 		if err := k.failure(); err != nil {
 			return err
 		}
-		delivery, isKnown := wirecheck.DeliveryOf(connection)
+		delivery := wirecheck.DeliveryOf(connection)
+		isOutstanding := delivery.Unacknowledged > 0 || isWritten != nil && !isWritten()
 		switch {
-		case isKnown && delivery.IsClosed && delivery.Unacknowledged > 0:
+		case isOutstanding && delivery.IsClosed:
 			return ErrRequestRejected
-		case written == nil && (!isKnown || delivery.Unacknowledged == 0):
+		case !isOutstanding && written == nil:
 			return nil
 		}
 		left := time.Until(end)
--- a/internal/takenerror/confirm_end_test.go
+++ b/internal/takenerror/confirm_end_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hazelpitch/hazelpitch/internal/standin/link"
+	"github.com/hazelpitch/hazelpitch/internal/standin/linkserver"
 	"github.com/hazelpitch/hazelpitch/internal/standin/silence"
 )
 
@@ -20,7 +20,7 @@
 // connect returns both ends of a connection whose second end receives little more than is read.
 func connect(t *testing.T) (connection, peer *net.TCPConn) {
 	t.Helper()
-	listener, err := link.Listen("127.0.0.1:0", link.SmallReceiveBuffer)
+	listener, err := linkserver.Listen("127.0.0.1:0", linkserver.SmallReceiveBuffer)
 	require.NoError(t, err)
 	defer listener.Close()
 	dialed, err := net.Dial("tcp", listener.Addr().String())
@@ -50,7 +50,7 @@
 	go act(peer)
 	_, err := connection.Read(make([]byte, 1))
 	require.ErrorIs(t, keeper.Kept(err), io.EOF)
-	return keeper.ConfirmEnd(connection)
+	return keeper.ConfirmEnd(connection, nil)
 }
 
 // sizes are the sizes of requests of which the rest waits in a write, or in the kernel.
@@ -62,7 +62,7 @@
 	for name, size := range sizes {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			err := confirm(t, size, link.Crash)
+			err := confirm(t, size, linkserver.Crash)
 			require.True(t, errors.Is(err, ErrRequestRejected) || errors.Is(err, syscall.EPIPE), "%v", err)
 		})
 	}
@@ -78,7 +78,7 @@
 	require.NoError(t, silence.Begin(peer))
 	keeper := &Keeper{}
 	require.NoError(t, keeper.Write(func() error { _, err := connection.Write(make([]byte, 1<<10)); return err }))
-	require.ErrorIs(t, keeper.ConfirmEnd(connection), ErrRequestUnanswered)
+	require.ErrorIs(t, keeper.ConfirmEnd(connection, nil), ErrRequestUnanswered)
 }
 
 // Guards against an end that is not confirmed although the peer has only ended its own stream: it receives the rest of the request, at
@@ -115,6 +115,6 @@
 	_, err = connection.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
 	require.NoError(t, connection.SetWriteDeadline(time.Unix(1, 0)))
-	require.NoError(t, keeper.ConfirmEnd(connection))
-	require.NoError(t, (&Keeper{}).ConfirmEnd(nil), "a connection without access to its socket")
+	require.NoError(t, keeper.ConfirmEnd(connection, nil))
+	require.NoError(t, (&Keeper{}).ConfirmEnd(nil, nil), "a connection without access to its socket")
 }
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -34,7 +34,7 @@
 }
 
 // confirmEnd returns an error if the connection has ended before the back end had received the whole request.
-func (c *trackedConnection) confirmEnd() error { return c.taken.ConfirmEnd(c.Conn) }
+func (c *trackedConnection) confirmEnd() error { return c.taken.ConfirmEnd(c.Conn, nil) }
 
 // checkIdle returns an error if the idle connection cannot carry another request. It removes the deadline of the last
 // exchange, with which the check itself would fail.
--- a/internal/upstream/early_reset_test.go
+++ b/internal/upstream/early_reset_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelpitch/hazelpitch/internal/enginecontract"
-	"github.com/hazelpitch/hazelpitch/internal/standin/link"
+	"github.com/hazelpitch/hazelpitch/internal/standin/linkserver"
 	"github.com/hazelpitch/hazelpitch/internal/verdict"
 )
 
@@ -23,7 +23,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go link.Serve(listener, func(connection *net.TCPConn) {
+	go linkserver.Serve(listener, func(connection *net.TCPConn) {
 		request, err := http.ReadRequest(bufio.NewReader(connection))
 		if err == nil {
 			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n"+enginecontract.HeaderExchange+": "+request.Header.Get(enginecontract.HeaderExchange)+"\r\n\r\npart")
@@ -44,15 +44,15 @@
 // sent the request, so that the end of its stream comes first and the reset behind it.
 func TestEndBeforeTheRequestIsReceivedIsNoAnswer(t *testing.T) {
 	t.Parallel()
-	listener, err := link.Listen("127.0.0.1:0", link.SmallReceiveBuffer)
+	listener, err := linkserver.Listen("127.0.0.1:0", linkserver.SmallReceiveBuffer)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	for name, test := range map[string]struct {
 		end     func(*net.TCPConn)
 		isWhole bool
 	}{
-		"reset behind the end": {link.Crash, false},
-		"received on":          {func(connection *net.TCPConn) { _ = connection.CloseWrite(); _, _ = io.Copy(io.Discard, connection) }, true},
+		"reset behind the end": {linkserver.Crash, false},
+		"received on":          {linkserver.ReceiveOn, true},
 	} {
 		for sizeName, size := range map[string]int{"40 KB": 40 << 10, "100 KB": 100 << 10, "1 MB": 1 << 20} {
 			t.Run(name+"/"+sizeName, func(t *testing.T) {
--- a/internal/wirecheck/delivery.go
+++ b/internal/wirecheck/delivery.go
@@ -21,33 +21,33 @@
 	UnansweredFor time.Duration
 }
 
-// DeliveryOf returns what the kernel knows of the bytes that were written to a connection. isKnown is false for a connection without
+// DeliveryOf returns what the kernel knows of the bytes that were written to a connection. It knows of none for a connection without
 // access to its socket, or whose system does not tell.
-func DeliveryOf(connection net.Conn) (delivery Delivery, isKnown bool) {
+func DeliveryOf(connection net.Conn) (delivery Delivery) {
 	system, ok := connection.(syscall.Conn)
 	if !ok {
-		return Delivery{}, false
+		return Delivery{}
 	}
 	raw, err := system.SyscallConn()
 	if err != nil {
-		return Delivery{}, false
+		return Delivery{}
 	}
-	err = raw.Control(func(descriptor uintptr) { delivery, isKnown = deliveryOf(int(descriptor)) })
-	return delivery, isKnown && err == nil
+	_ = raw.Control(func(descriptor uintptr) { delivery = deliveryOf(int(descriptor)) }) // fails on a connection that was closed here
+	return delivery
 }
 
-func deliveryOf(descriptor int) (Delivery, bool) {
+func deliveryOf(descriptor int) Delivery {
 	info, err := unix.GetsockoptTCPInfo(descriptor, unix.IPPROTO_TCP, unix.TCP_INFO)
 	if err != nil {
-		return Delivery{}, false
+		return Delivery{}
 	}
 	count, err := unix.IoctlGetInt(descriptor, unix.TIOCOUTQ) // SIOCOUTQ of sockets
 	if err != nil {
-		return Delivery{}, false
+		return Delivery{}
 	}
 	delivery := Delivery{Unacknowledged: count, IsClosed: info.State == stateClosed}
 	if info.Unacked > 0 {
 		delivery.UnansweredFor = time.Duration(info.Last_ack_recv) * time.Millisecond
 	}
-	return delivery, true
+	return delivery
 }
