Test: the end of an answer comes after the write of its request has begun

The test's goroutine had not called Keeper.Write yet when the peer's end was read, so that no request was being written: a back end answers none of which it has received nothing. Relays compare the request's id of the answer, and gateways write before they read, so that this cannot happen there.

Change: the test waits until the write has begun. The product is unchanged.

go test ./internal/takenerror -run TestEndBeforeAResetIsNotConfirmed -count=300 -cpu 1,8

--- a/internal/takenerror/confirm_end_test.go
+++ b/internal/takenerror/confirm_end_test.go
@@ -37,13 +37,15 @@
 	t.Helper()
 	connection, peer := connect(t)
 	keeper := &Keeper{}
-	written := make(chan error, 1)
+	begun, written := make(chan struct{}), make(chan error, 1)
 	go func() {
 		written <- keeper.Write(func() error {
+			close(begun)
 			_, err := connection.Write(make([]byte, size))
 			return err
 		})
 	}()
+	<-begun // a peer answers no request of which nothing was written
 	if size < requestBytes {
 		require.NoError(t, <-written) // the kernel has the rest
 	}
