A peer that leaves the probes of its closed window unanswered has not received the request

The back end ended its stream before it had received the request, and the relay was cut off from it before the reset arrived.

Cause: at the end of an answer that declares none, ConfirmEnd takes a peer that acknowledges nothing for 0.4 s for gone. The back end's window was closed, so that nothing was on its way but the kernel's probes of the window, which DeliveryOf did not count: the peer looked like one that only holds the rest up.

Change: unanswered probes count like unanswered segments. What may have been sent just before the end of the wait gets 0.3 s more to be answered, so that a sound peer across a long way is not taken for gone.

--- a/internal/takenerror/confirm_end.go
+++ b/internal/takenerror/confirm_end.go
@@ -13,6 +13,9 @@
 	// confirmTime bounds the wait for what becomes of the rest of a request. Round trips take less than 0.3 s, so that the reset by a
 	// peer that has closed arrives sooner.
 	confirmTime = 500 * time.Millisecond
+	// answerTime bounds the further wait for an acknowledgement if none has come for unansweredLimit: what it answers may have been sent
+	// just now.
+	answerTime = 300 * time.Millisecond
 	// unansweredLimit is how long a peer whose machine works may leave segments without an acknowledgement: longer than a round trip and
 	// the kernel's first retransmission.
 	unansweredLimit = 400 * time.Millisecond
@@ -35,7 +38,7 @@
 // A peer that goes on without receiving it has only ended its own stream. Nothing is awaited if the whole request was received before.
 // isWritten reports whether the whole request was handed to Write; nil if it always is before its answer is read.
 func (k *Keeper) ConfirmEnd(connection net.Conn, isWritten func() bool) error {
-	end := time.Now().Add(confirmTime)
+	end, isLastWait := time.Now().Add(confirmTime), false
 	for pause := firstConfirmPause; ; pause = min(2*pause, maxConfirmPause) {
 		written := k.awaitedWrites()
 		if err := k.failure(); err != nil {
@@ -49,9 +52,13 @@
 		case !isOutstanding && written == nil:
 			return nil
 		}
-		left := time.Until(end)
-		if left <= 0 {
-			return k.endUnconfirmed(connection, delivery)
+		isUnanswered, left := delivery.UnansweredFor >= unansweredLimit, time.Until(end)
+		switch {
+		case left <= 0 && isUnanswered && !isLastWait:
+			left, isLastWait = answerTime, true
+			end = time.Now().Add(answerTime)
+		case left <= 0, isLastWait && !isUnanswered:
+			return k.endUnconfirmed(connection, isUnanswered)
 		}
 		select {
 		case <-written: // nil, which never is ready, if no write is in progress
@@ -61,11 +68,11 @@
 }
 
 // endUnconfirmed ends a write in progress and returns the error of an end that was not confirmed in time.
-func (k *Keeper) endUnconfirmed(connection net.Conn, delivery wirecheck.Delivery) error {
+func (k *Keeper) endUnconfirmed(connection net.Conn, isUnanswered bool) error {
 	if err := k.OfRead(connection, io.EOF); !errors.Is(err, io.EOF) {
 		return err
 	}
-	if delivery.UnansweredFor >= unansweredLimit {
+	if isUnanswered {
 		return ErrRequestUnanswered
 	}
 	return nil
--- a/internal/takenerror/confirm_end_test.go
+++ b/internal/takenerror/confirm_end_test.go
@@ -83,6 +83,27 @@
 	require.ErrorIs(t, keeper.ConfirmEnd(connection, nil), ErrRequestUnanswered)
 }
 
+// Guards against the same where the peer's window is closed: nothing is on its way then but the kernel's probes of the window.
+func TestEndBeforeASilenceBehindAClosedWindowIsNotConfirmed(t *testing.T) {
+	for name, size := range map[string]int{"write in progress": requestBytes, "rest in the kernel": 64 << 10} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			connection, peer := connect(t)
+			keeper, written := &Keeper{}, make(chan error, 1)
+			go func() {
+				written <- keeper.Write(func() error { _, err := connection.Write(make([]byte, size)); return err })
+			}()
+			time.Sleep(100 * time.Millisecond) // until the window is closed
+			require.NoError(t, peer.CloseWrite())
+			_, err := connection.Read(make([]byte, 1))
+			require.ErrorIs(t, err, io.EOF)
+			time.Sleep(100 * time.Millisecond) // until the end is acknowledged
+			require.NoError(t, silence.Begin(peer))
+			require.ErrorIs(t, keeper.ConfirmEnd(connection, nil), ErrRequestUnanswered)
+		})
+	}
+}
+
 // Guards against an end that is not confirmed although the peer has only ended its own stream: it receives the rest of the request, at
 // once or later, or neither receives nor refuses it.
 func TestEndOfAPeerThatGoesOnIsConfirmed(t *testing.T) {
--- a/internal/wirecheck/delivery.go
+++ b/internal/wirecheck/delivery.go
@@ -17,7 +17,8 @@
 	Unacknowledged int
 	// IsClosed is true if the connection carries nothing any more in either direction, as after a reset.
 	IsClosed bool
-	// UnansweredFor is how long segments have been on their way without any acknowledgement; 0 if none are.
+	// UnansweredFor is how long segments, or probes of a window that the peer has closed, have been on their way without any
+	// acknowledgement; 0 if none are.
 	UnansweredFor time.Duration
 }
 
@@ -46,7 +47,7 @@
 		return Delivery{}
 	}
 	delivery := Delivery{Unacknowledged: count, IsClosed: info.State == stateClosed}
-	if info.Unacked > 0 {
+	if info.Unacked > 0 || info.Probes > 0 {
 		delivery.UnansweredFor = time.Duration(info.Last_ack_recv) * time.Millisecond
 	}
 	return delivery
