The soak's back ends crash before they have received long requests

Cause: the soak knew no process that crashes with nothing unread while its answer declares no end: its connection ends in the ordinary way, and the reset follows when more of the request arrives.

--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -87,6 +87,14 @@
 		h.Sendings = []history.Sending{changedSending(request("1", "safe", 0), func(s *history.Sending) { s.EndsWithConnection, s.Body = true, "" })}
 		h.Arrivals = []history.Arrival{changedArrival(ranAt("1", "x", 0), setBrokenOff)}
 	}},
+	{"the first half of a response to a request that was not received", Mixed, func(h *history.History) {
+		h.Sendings = []history.Sending{changedSending(request("1", "safe", 0), func(s *history.Sending) { s.EndsWithConnection, s.Body = true, "" })}
+		h.Arrivals = []history.Arrival{changedArrival(ranAt("1", "x", 0), setUnread)}
+	}},
+	{"a response to a request that was not received, visibly incomplete", "", func(h *history.History) {
+		h.Sendings = []history.Sending{changedSending(request("1", "safe", 0), func(s *history.Sending) { s.EndsWithConnection, s.Body, s.Whole = true, "", false })}
+		h.Arrivals = []history.Arrival{changedArrival(ranAt("1", "x", 0), setUnread)}
+	}},
 	{"half of a response whose back end broke nothing off", Mixed, func(h *history.History) {
 		h.Sendings = []history.Sending{changedSending(request("1", "safe", 0), func(s *history.Sending) { s.EndsWithConnection, s.Body = true, "" })}
 		h.Arrivals = []history.Arrival{changedArrival(ranAt("1", "x", 0), setUnframed)}
@@ -104,6 +112,11 @@
 		h.Sendings[0].EndsWithConnection = true
 		h.Arrivals[0] = changedArrival(h.Arrivals[0], setBrokenOff)
 	}},
+	{"a stream that ends with its connection before its last event, to a request that was not received", Order, func(h *history.History) {
+		streamOf("id: 1\ndata: a part\n\n", "once", true)(h)
+		h.Sendings[0].EndsWithConnection = true
+		h.Arrivals[0] = changedArrival(h.Arrivals[0], setUnread)
+	}},
 	{"a stream that ends with its connection before its last event, which its back end sent", Order, func(h *history.History) {
 		streamOf("id: 1\ndata: a part\n\n", "once", true)(h)
 		h.Sendings[0].EndsWithConnection = true
--- a/internal/soak/check/histories_test.go
+++ b/internal/soak/check/histories_test.go
@@ -60,6 +60,11 @@
 	arrival.EndsWithConnection, arrival.BrokenOff = true, true
 }
 
+func setUnread(arrival *history.Arrival) {
+	setBrokenOff(arrival)
+	arrival.RequestUnread, arrival.BodyHash = true, "of nothing"
+}
+
 func setCrashed(arrival *history.Arrival) { arrival.Crashed, arrival.Status = true, 0 }
 
 // crashes adds attempts of one request under different identities, each of which crashes its back end.
--- a/internal/soak/check/order.go
+++ b/internal/soak/check/order.go
@@ -97,9 +97,10 @@
 	}
 }
 
-// brokeOffUnframed reports whether a back end broke off a response with neither a length nor chunks.
+// brokeOffUnframed reports whether a back end broke off a response with neither a length nor chunks, so that nobody can tell it from a whole
+// one: the back end had received the whole request.
 func brokeOffUnframed(arrival history.Arrival) bool {
-	return arrival.EndsWithConnection && arrival.BrokenOff
+	return arrival.EndsWithConnection && arrival.BrokenOff && !arrival.RequestUnread
 }
 
 // overstatedEnds finds responses that are framed as complete although their back end has declared no end.
--- a/internal/soak/history/arrival.go
+++ b/internal/soak/history/arrival.go
@@ -30,6 +30,8 @@
 	Limited bool
 	// EndsWithConnection is true if the response had neither a length nor chunks, BrokenOff if the back end broke it off.
 	EndsWithConnection, BrokenOff bool
+	// RequestUnread is true if the back end had not received the whole request when it broke its response off; BodyHash says nothing then.
+	RequestUnread bool
 	// LastEvent is the number of the last event that the relay named, after which the stream goes on; 0 for none.
 	LastEvent int
 	// Cancelled is true if the back end saw its connection close before the end of the response, at EndedAt.
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -46,6 +46,8 @@
 	Versions bool
 	// Unframed makes a share of the answers of back ends end with their connection, whole or broken off.
 	Unframed bool
+	// LongRequests makes a share of the requests long. Back ends answer some of these before they have received them, and break off.
+	LongRequests bool
 	// DeadlyParts is how many parts of prompts crash each back end that begins to answer a request with them. Requests with them are all
 	// different, and share their first part with sound ones.
 	DeadlyParts int
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -171,7 +171,7 @@
 		service := []string{standin.ServicePages, standin.ServiceOther}[number%2]
 		replica, err := standin.StartReplica(standin.ReplicaOptions{
 			Service: service, Zone: s.zone(number / 2), Address: hostPort(address(groupPages, number), portOuter), Slots: 8,
-			RunTime: 8 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, Unframed: s.options.Unframed, Garbled: s.options.resumesLater(), ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
+			RunTime: 8 * time.Millisecond, Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder, Unframed: s.options.Unframed, LeavesUnread: s.options.LongRequests, Garbled: s.options.resumesLater(), ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
 		})
 		if err != nil {
 			return trace.Wrap(err)
@@ -210,7 +210,7 @@
 	return standin.ReplicaOptions{
 		Service: standin.ServiceEngines, Zone: s.zone(number / 2), Address: hostPort(address(group, number), portOuter), Stage: stage, Slots: 16, Versions: s.engineVersions(),
 		RunTime: 5 * time.Millisecond, EventInterval: interval, UsualSpeed: s.usualSpeed(engineTimes[number%len(engineTimes)]), Seed: s.options.Seed + uint64(number), List: s.list, Recorder: s.recorder,
-		Unframed: s.options.Unframed, Garbled: s.options.resumesLater(), ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
+		Unframed: s.options.Unframed, LeavesUnread: s.options.LongRequests, Garbled: s.options.resumesLater(), ReuseID: !s.options.FirstFormatOnly && number/2%2 == 0,
 	}
 }
 
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -19,6 +19,8 @@
 	longestPause = 60 * time.Millisecond
 	// abandonShare is the share of attempts whose connection the client closes before the response.
 	abandonShare = 0.05
+	// longRequestShare is the share of requests with a body that are long in a run with LongRequests, longRequestBytes their length.
+	longRequestShare, longRequestBytes = 0.06, 1 << 20
 	// poisonPause is the time between two attempts of a request that crashes its back ends.
 	poisonPause = 300 * time.Millisecond
 )
@@ -150,6 +152,9 @@
 func (t *traffic) drawContent(attempt *standin.Attempt, random *rand.Rand) {
 	if attempt.Route != standin.RoutePage {
 		attempt.Body = fmt.Sprint("request ", random.Uint64())
+		if t.site.options.LongRequests && random.Float64() < longRequestShare {
+			attempt.PaddingBytes = longRequestBytes
+		}
 	}
 	if standin.Routes()[attempt.Route].Stream {
 		attempt.PromptTokens = 10 + random.IntN(8000)
